--- /dev/null
+++ b/packages/cli/src/wasabiwell_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command of wasabiwell."""
--- /dev/null
+++ b/packages/config/src/wasabiwell_config/__init__.py
@@ -0,0 +1,46 @@
+"""Operators' configuration library of wasabiwell."""
+
+from wasabiwell_config.document import (
+    Items,
+    changed_items,
+    configuration_from_items,
+    items_of,
+    parse,
+    render,
+)
+from wasabiwell_config.errors import Finding, Findings
+from wasabiwell_config.model import (
+    CallRule,
+    Configuration,
+    Deadlines,
+    Fencing,
+    Limits,
+    ModelService,
+    OperatorKey,
+    Organisation,
+    PlainService,
+    hash_key,
+)
+from wasabiwell_config.validation import validate
+
+__all__ = [
+    "CallRule",
+    "Configuration",
+    "Deadlines",
+    "Fencing",
+    "Finding",
+    "Findings",
+    "Items",
+    "Limits",
+    "ModelService",
+    "OperatorKey",
+    "Organisation",
+    "PlainService",
+    "changed_items",
+    "configuration_from_items",
+    "hash_key",
+    "items_of",
+    "parse",
+    "render",
+    "validate",
+]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/__init__.py
@@ -0,0 +1,1 @@
+"""An entry instance of wasabiwell."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/addresses/coordinator.py
@@ -0,0 +1,33 @@
+"""Tells callers which entry instances to use."""
+
+import xxhash
+
+from wasabiwell_entry.coordination.addresses.const import ADDRESS_TTL
+from wasabiwell_entry.coordination.addresses.errors import AddressList
+from wasabiwell_entry.state.members import Member, MemberTable
+
+
+class AddressCoordinator:
+    """Orders the members' addresses for a caller."""
+
+    __slots__ = ("_members", "_own")
+
+    def __init__(self, own: Member, members: MemberTable) -> None:
+        self._own = own
+        self._members = members
+
+    def addresses(self, zone: str | None, spread_key: str) -> AddressList:
+        """Return addresses with those in the caller's zone first.
+
+        `spread_key` varies by caller, so that callers of one zone do not all use one address.
+        """
+        near = zone or self._own.zone
+        members = sorted(
+            self._members.alive(),
+            key=lambda member: (
+                member.zone != near,
+                member.region != self._own.region,
+                xxhash.xxh3_64_intdigest(f"{spread_key}\0{member.node_id}".encode()),
+            ),
+        )
+        return AddressList(tuple(member.caller_address for member in members), ADDRESS_TTL)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/__init__.py
@@ -0,0 +1,1 @@
+"""Leases of engine capacity between entry instances."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -0,0 +1,269 @@
+"""Runs requests on targets: deadline, retries, resume, and calls that run at most once."""
+
+import secrets
+from dataclasses import dataclass, field
+
+import trio
+
+from wasabiwell_entry.coordination.dispatch.assembler import AnswerAssembler
+from wasabiwell_entry.coordination.dispatch.const import (
+    CAPACITY_RETRY_AFTER,
+    MAX_ATTEMPTS,
+    RETRY_DELAY,
+)
+from wasabiwell_entry.coordination.dispatch.errors import (
+    AttemptBroken,
+    AttemptFinished,
+    AttemptOutcome,
+    CallBroken,
+    CallNotSent,
+)
+from wasabiwell_entry.coordination.dispatch.ports import (
+    AdmissionPort,
+    AnswerSink,
+    EnginePort,
+    Placement,
+    PlainPort,
+    TargetFailure,
+    TargetObserver,
+)
+from wasabiwell_entry.coordination.dispatch.retries import RetryBudget
+from wasabiwell_entry.coordination.runs import RunCoordinator
+from wasabiwell_entry.coordination.runs.errors import Claimed
+from wasabiwell_entry.state import log_events
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.outcomes import (
+    Answer,
+    CallOutcome,
+    Failed,
+    Finished,
+    GenerateOutcome,
+    Reason,
+    Refused,
+    RunState,
+)
+from wasabiwell_entry.state.requests import (
+    Attempt,
+    EndFrame,
+    GenerateRequest,
+    ServiceCall,
+    StreamBroken,
+    TokenFrame,
+)
+from wasabiwell_entry.state.runs import RunStatus
+from wasabiwell_entry.state.targets import Target
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What has happened to a request so far; `started` means that an engine may have run it."""
+
+    assembler: AnswerAssembler = field(default_factory=AnswerAssembler)
+    excluded: set[str] = field(default_factory=set)
+    attempts: int = 0
+    started: bool = False
+    last_reason: str = ""
+
+
+class Dispatcher:
+    """Front door of the coordination layer for requests of callers."""
+
+    __slots__ = ("_admission", "_clock", "_engines", "_observer", "_plain", "_retries", "_runs")
+
+    def __init__(
+        self,
+        admission: AdmissionPort,
+        engines: EnginePort,
+        plain: PlainPort,
+        runs: RunCoordinator,
+        observer: TargetObserver,
+        clock: Clock,
+    ) -> None:
+        self._admission = admission
+        self._engines = engines
+        self._plain = plain
+        self._runs = runs
+        self._observer = observer
+        self._clock = clock
+        self._retries = RetryBudget()
+
+    async def generate(self, request: GenerateRequest, sink: AnswerSink) -> GenerateOutcome:
+        """Run a request on engines and deliver its tokens to the sink."""
+        progress = _Progress()
+        with trio.move_on_after(self._remaining_seconds(request)):
+            return await self._generate(request, sink, progress)
+        return _give_up(progress, Reason.DEADLINE_EXCEEDED, "the deadline has passed")
+
+    async def call(self, call: ServiceCall) -> CallOutcome:
+        """Run a call on a plain service, at most once when it is not idempotent."""
+        if call.idempotent:
+            return await self._call_idempotent(call)
+        return await self._call_once(call)
+
+    async def _generate(
+        self, request: GenerateRequest, sink: AnswerSink, progress: _Progress
+    ) -> GenerateOutcome:
+        self._retries.count_first_attempt()
+        while True:
+            excluded = frozenset(progress.excluded)
+            async with self._admission.admit(request, excluded) as placement:
+                if isinstance(placement, Refused):
+                    return _refusal(progress, placement)
+                outcome = await self._attempt(request, sink, progress, placement)
+            match outcome:
+                case AttemptFinished(end=end):
+                    return Finished(end.tokens, end.finish_reason)
+                case AttemptBroken(broken=broken):
+                    progress.last_reason = broken.reason
+            if progress.attempts >= MAX_ATTEMPTS or not self._retries.take():
+                return _give_up(progress, Reason.TARGET_FAILED, progress.last_reason)
+            await self._clock.sleep(RETRY_DELAY)
+
+    async def _attempt(
+        self,
+        request: GenerateRequest,
+        sink: AnswerSink,
+        progress: _Progress,
+        placement: Placement,
+    ) -> AttemptOutcome:
+        progress.attempts += 1
+        target = placement.target
+        attempt = Attempt(
+            attempt_id=f"{request.request_id}-{secrets.token_hex(4)}",
+            request=request,
+            priority=placement.priority,
+            resume_offset=progress.assembler.offset,
+            generated=progress.assembler.text,
+            reservation_id=placement.reservation_id,
+            shards=placement.shards,
+        )
+        started_before = progress.started
+        progress.started = True
+        outcome = await self._relay(target, attempt, sink, progress)
+        if isinstance(outcome, AttemptBroken):
+            progress.excluded.add(target.target_id)
+            if outcome.broken.refused:
+                progress.started = started_before
+            self._note_broken(target, attempt, outcome.broken)
+        return outcome
+
+    async def _relay(
+        self, target: Target, attempt: Attempt, sink: AnswerSink, progress: _Progress
+    ) -> AttemptOutcome:
+        async with self._engines.generate(target, attempt) as items:
+            async for item in items:
+                match item:
+                    case TokenFrame():
+                        if (broken := progress.assembler.accept(item)) is not None:
+                            return AttemptBroken(broken)
+                        self._observer.target_answered(target.target_id)
+                        await sink.send(item)
+                    case EndFrame():
+                        if (broken := progress.assembler.verify(item)) is not None:
+                            return AttemptBroken(broken)
+                        return AttemptFinished(item)
+                    case StreamBroken():
+                        return AttemptBroken(item)
+        return AttemptBroken(StreamBroken("the stream ended without an end mark"))
+
+    def _note_broken(self, target: Target, attempt: Attempt, broken: StreamBroken) -> None:
+        log_events.emit(
+            log_events.ATTEMPT_FAILED,
+            request=attempt.request.request_id,
+            attempt=attempt.attempt_id,
+            target=target.target_id,
+            reason=broken.reason,
+        )
+        if broken.target_lost:
+            self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
+
+    async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
+        excluded: set[str] = set()
+        sent = False
+        reason = "the deadline has passed"
+        self._retries.count_first_attempt()
+        with trio.move_on_after(self._remaining_seconds(call)):
+            for attempt in range(MAX_ATTEMPTS):
+                if attempt and not self._retries.take():
+                    break
+                async with self._admission.place_call(call, frozenset(excluded)) as target:
+                    if isinstance(target, Refused):
+                        return target if not sent else _call_failed(reason)
+                    excluded.add(target.target_id)
+                    match await self._plain.call(target, call):
+                        case Answer() as answer:
+                            return answer
+                        case CallNotSent(reason=reason):
+                            self._lost(target)
+                        case CallBroken(reason=reason):
+                            sent = True
+                            self._lost(target)
+        if sent:
+            return _call_failed(reason)
+        return Refused(Reason.TARGET_FAILED, reason, CAPACITY_RETRY_AFTER)
+
+    async def _call_once(self, call: ServiceCall) -> CallOutcome:
+        with trio.move_on_after(self._remaining_seconds(call)):
+            match await self._runs.claim(call):
+                case Claimed() as claim:
+                    pass
+                case outcome:
+                    return outcome
+            return await self._run_claimed(call, claim)
+        return Failed(Reason.DEADLINE_EXCEEDED, "the deadline has passed", RunState.UNKNOWN)
+
+    async def _run_claimed(self, call: ServiceCall, claim: Claimed) -> CallOutcome:
+        excluded: set[str] = set()
+        reason = "no target is available"
+        for _ in range(MAX_ATTEMPTS):
+            async with self._admission.place_call(call, frozenset(excluded)) as target:
+                if isinstance(target, Refused):
+                    reason = target.message
+                    break
+                excluded.add(target.target_id)
+                match await self._plain.call(target, call):
+                    case Answer() as answer:
+                        await self._runs.settle(claim, RunStatus.DONE, answer)
+                        return answer
+                    case CallBroken(reason=reason):
+                        return await self._unknown_result(call, claim, target, reason)
+                    case CallNotSent(reason=reason):
+                        self._lost(target)
+        await self._runs.settle(claim, RunStatus.NOT_RUN)
+        return Refused(Reason.NO_TARGET, reason, CAPACITY_RETRY_AFTER)
+
+    async def _unknown_result(
+        self, call: ServiceCall, claim: Claimed, target: Target, reason: str
+    ) -> CallOutcome:
+        log_events.emit(
+            log_events.RUN_RESULT_UNKNOWN,
+            request=call.request_id,
+            target=target.target_id,
+            reason=reason,
+        )
+        self._lost(target)
+        await self._runs.settle(claim, RunStatus.UNKNOWN)
+        return Failed(Reason.RESULT_UNKNOWN, reason, RunState.UNKNOWN)
+
+    def _lost(self, target: Target) -> None:
+        self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
+
+    def _remaining_seconds(self, request: GenerateRequest | ServiceCall) -> float:
+        return max(0.0, (request.deadline - self._clock.monotonic()).total_seconds())
+
+
+def _refusal(progress: _Progress, refused: Refused) -> GenerateOutcome:
+    if not progress.started:
+        return refused
+    return _give_up(progress, refused.reason, progress.last_reason or refused.message)
+
+
+def _give_up(progress: _Progress, reason: Reason, message: str) -> GenerateOutcome:
+    if not progress.started:
+        return Refused(reason, message, CAPACITY_RETRY_AFTER)
+    run = RunState.RAN if progress.assembler.offset else RunState.UNKNOWN
+    return Failed(reason, message, run, CAPACITY_RETRY_AFTER)
+
+
+def _call_failed(reason: str) -> Failed:
+    return Failed(Reason.TARGET_FAILED, reason, RunState.UNKNOWN, CAPACITY_RETRY_AFTER)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
@@ -0,0 +1,36 @@
+"""Outcomes of one attempt to run a request."""
+
+from dataclasses import dataclass
+
+from wasabiwell_entry.state.requests import EndFrame, StreamBroken
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFinished:
+    """The end mark arrived and the whole answer was verified."""
+
+    end: EndFrame
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptBroken:
+    """The attempt ended without the whole answer."""
+
+    broken: StreamBroken
+
+
+AttemptOutcome = AttemptFinished | AttemptBroken
+
+
+@dataclass(frozen=True, slots=True)
+class CallNotSent:
+    """No byte of the call was sent to the target."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class CallBroken:
+    """The call was sent, at least in part, and no whole answer came."""
+
+    reason: str
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -0,0 +1,93 @@
+"""What dispatching needs of the other layers and capabilities."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent
+from wasabiwell_entry.state.outcomes import Answer, Refused
+from wasabiwell_entry.state.requests import (
+    Attempt,
+    GenerateRequest,
+    ServiceCall,
+    Shard,
+    StreamItem,
+    TokenFrame,
+)
+from wasabiwell_entry.state.targets import Target
+
+
+class AnswerSink(Protocol):
+    """Receiver of an answer's tokens; `send` waits while the caller reads slowly."""
+
+    async def send(self, frame: TokenFrame) -> None:
+        """Deliver consecutive tokens, in order and without gaps."""
+
+
+class EnginePort(Protocol):
+    """Connections to engines."""
+
+    def generate(
+        self, target: Target, attempt: Attempt
+    ) -> AbstractAsyncContextManager[AsyncIterator[StreamItem]]:
+        """Run an attempt; the last item is an `EndFrame` or a `StreamBroken`.
+
+        Leaving the context cancels the attempt at the engine.
+        """
+
+
+class PlainPort(Protocol):
+    """Connections to plain services."""
+
+    async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
+        """Send a call once; it is not repeated below this interface."""
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where an admitted request may run.
+
+    Shards hold the memory on further engines for a prompt larger than one engine's memory.
+    """
+
+    target: Target
+    priority: int
+    reservation_id: str = ""
+    shards: tuple[Shard, ...] = ()
+
+
+class AdmissionPort(Protocol):
+    """Admission of requests to engines and plain targets."""
+
+    def admit(
+        self, request: GenerateRequest, excluded: frozenset[str]
+    ) -> AbstractAsyncContextManager[Placement | Refused]:
+        """Wait for capacity; leaving the context gives all of it back.
+
+        `excluded` are ids of targets on which the request failed before.
+        """
+
+    def place_call(
+        self, call: ServiceCall, excluded: frozenset[str]
+    ) -> AbstractAsyncContextManager[Target | Refused]:
+        """Choose a target of a plain service."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetFailure:
+    """Report of a target that could not be reached or cut a connection."""
+
+    target_id: str
+    at: timedelta
+
+
+class TargetObserver(Protocol):
+    """Receiver of what dispatching sees of targets."""
+
+    def target_lost(self, failure: TargetFailure) -> None:
+        """Note that a target may have died."""
+
+    def target_answered(self, target_id: str) -> None:
+        """Note that a target answered."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of organisations, shared over entry instances."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/__init__.py
@@ -0,0 +1,5 @@
+"""Knowledge of the other entry instances."""
+
+from wasabiwell_entry.coordination.membership.coordinator import MembershipCoordinator
+
+__all__ = ["MembershipCoordinator"]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/ownership.py
@@ -0,0 +1,23 @@
+"""Owners of shared soft state by rendezvous hashing."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from wasabiwell_entry.coordination.membership.errors import NoOwner
+from wasabiwell_entry.state.members import Member
+
+
+def owner_of(key: str, members: Iterable[Member]) -> Member | NoOwner:
+    """Return the member that owns a key.
+
+    Rendezvous hashing: when a member joins or leaves, only the keys that it owns move.
+    """
+    candidates = list(members)
+    if not candidates:
+        return NoOwner(key)
+    return max(candidates, key=lambda member: (_score(key, member.node_id), member.node_id))
+
+
+def _score(key: str, node_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{node_id}\0{key}".encode())
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Fenced orders to engines."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests suspected of crashing targets."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/__init__.py
@@ -0,0 +1,5 @@
+"""Chooses a target for a request."""
+
+from wasabiwell_entry.coordination.routing.coordinator import Router
+
+__all__ = ["Router"]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/errors.py
@@ -0,0 +1,10 @@
+"""Outcomes of choosing a target."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class NoTarget:
+    """No target of the service can take the request now."""
+
+    reason: str
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/__init__.py
@@ -0,0 +1,5 @@
+"""Knowledge of targets."""
+
+from wasabiwell_entry.coordination.targets.coordinator import TargetCoordinator
+
+__all__ = ["TargetCoordinator"]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/errors.py
@@ -0,0 +1,10 @@
+"""Outcomes of asking a target for its load."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class LoadUnavailable:
+    """The engine did not report its load."""
+
+    reason: str
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding and decoding of messages."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -0,0 +1,85 @@
+"""Numbered log events; `docs/LOG_EVENTS.md` is generated from this catalogue."""
+
+import enum
+from dataclasses import dataclass
+
+import logbook
+
+FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S.%fZ} {record.level_name} "
+    "[{record.extra[event]}] {record.message}"
+)
+"""Format of a line for log handlers."""
+
+_LOGGER = logbook.Logger("wasabiwell")
+
+
+class Level(enum.Enum):
+    """Level of a log event."""
+
+    INFO = logbook.INFO
+    WARNING = logbook.WARNING
+    ERROR = logbook.ERROR
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """One kind of log line.
+
+    `template` is a `str.format` template of the fields. `action` tells operators what to do.
+    Numbers are never reused. Neither prompts nor keys may be fields.
+    """
+
+    number: int
+    level: Level
+    template: str
+    action: str = "None."
+
+
+ENTRY_STARTED = LogEvent(100, Level.INFO, "entry instance {node} serves callers on {address}")
+ENTRY_LEAVING = LogEvent(101, Level.INFO, "entry instance {node} is leaving: {reason}")
+ENTRY_STOPPED = LogEvent(102, Level.INFO, "entry instance {node} has stopped")
+PLAINTEXT_LISTENER = LogEvent(
+    103,
+    Level.WARNING,
+    "listener {address} is not on loopback and has no TLS",
+    "Set the TLS settings, or accept that traffic is readable on the network.",
+)
+CONFIGURATION_IN_FORCE = LogEvent(200, Level.INFO, "configuration version {version} is in force")
+CONFIGURATION_INVALID = LogEvent(
+    201,
+    Level.ERROR,
+    "configuration version {version} cannot be read: {findings}",
+    "Upgrade this entry instance, or apply a configuration that it understands.",
+)
+STORE_UNAVAILABLE = LogEvent(
+    300,
+    Level.WARNING,
+    "{service} is unavailable: {reason}",
+    "Check the platform's service. Model requests go on; non-idempotent calls are refused.",
+)
+STORE_RECOVERED = LogEvent(301, Level.INFO, "{service} is available again")
+ATTEMPT_FAILED = LogEvent(
+    400, Level.WARNING, "request {request}: attempt {attempt} on {target} failed: {reason}"
+)
+RUN_RESULT_UNKNOWN = LogEvent(
+    401,
+    Level.WARNING,
+    "request {request}: call to {target} was sent and has no whole answer: {reason}",
+    "Ask the target whether the call ran; the caller was told that the result is unknown.",
+)
+TARGET_LOST = LogEvent(402, Level.WARNING, "target {target} does not accept connections")
+REQUEST_FAILED_INTERNALLY = LogEvent(
+    500, Level.ERROR, "request {request}: unexpected {error}", "Report this with the log."
+)
+
+
+def emit(event: LogEvent, **fields: object) -> None:
+    """Log an event; fields are formatted only when a handler takes the record."""
+    _LOGGER.log(event.level.value, event.template, extra={"event": event.number}, **fields)
+
+
+def catalogue() -> list[tuple[str, LogEvent]]:
+    """Return name and event of the whole catalogue, in the order of numbers."""
+    events = [(name, value) for name, value in globals().items() if isinstance(value, LogEvent)]
+    return sorted(events, key=lambda item: item[1].number)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/outcomes.py
@@ -0,0 +1,93 @@
+"""Outcomes of requests: what a caller is told, and whether its request was run."""
+
+import enum
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+
+class RunState(enum.Enum):
+    """What is proved about the execution of a request."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class Reason(enum.Enum):
+    """Codes of failures, as callers see them in `error.code`."""
+
+    INVALID_REQUEST = "invalid_request"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_TIMEOUT = "body_timeout"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_SERVICE = "unknown_service"
+    FORBIDDEN = "forbidden"
+    MISSING_IDEMPOTENCY_KEY = "missing_idempotency_key"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    PROMPT_TOO_LONG = "prompt_too_long"
+    RATE_LIMITED = "rate_limited"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_TARGET = "no_target"
+    NO_CAPACITY = "no_capacity"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STILL_RUNNING = "still_running"
+    RESULT_UNKNOWN = "result_unknown"
+    RESULT_UNAVAILABLE = "result_unavailable"
+    QUARANTINED = "quarantined"
+    TARGET_FAILED = "target_failed"
+    NOT_READY = "not_ready"
+    CONFLICT = "conflict"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One mistake in an input, with its place (a JSON path, a header or a flag)."""
+
+    place: str
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request was proved not to have run."""
+
+    reason: Reason
+    message: str
+    retry_after: timedelta | None = None
+    findings: tuple[Finding, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The request was sent to a target and has no whole answer."""
+
+    reason: Reason
+    message: str
+    run: RunState
+    retry_after: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """The whole answer was delivered to the sink; `tokens` were generated."""
+
+    tokens: int
+    finish_reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The whole answer of a plain service."""
+
+    status: int
+    content_type: str
+    body: bytes = field(repr=False)
+    replayed: bool = False
+
+
+GenerateOutcome = Finished | Refused | Failed
+CallOutcome = Answer | Refused | Failed
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/requests.py
@@ -0,0 +1,137 @@
+"""Requests of callers and the frames of their answers."""
+
+import enum
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+SHORT_PROMPT_TOKENS = 8_000
+LONG_PROMPT_TOKENS = 100_000
+
+
+class SizeClass(enum.Enum):
+    """Class of a prompt by its length in tokens."""
+
+    SHORT = "short"
+    MEDIUM = "medium"
+    LONG = "long"
+
+
+def size_class(prompt_tokens: int) -> SizeClass:
+    """Return the size class of a prompt of that many tokens."""
+    if prompt_tokens < SHORT_PROMPT_TOKENS:
+        return SizeClass.SHORT
+    if prompt_tokens < LONG_PROMPT_TOKENS:
+        return SizeClass.MEDIUM
+    return SizeClass.LONG
+
+
+@dataclass(frozen=True, slots=True)
+class GenerateRequest:
+    """A prompt to be completed by an engine.
+
+    `messages` is the caller's JSON array, not decoded. `prompt_tokens` is an estimate from its
+    length. `received` and `deadline` are monotonic times of this entry. `prefix_hashes` holds one
+    hash for each leading block of the prompt, each covering all blocks before it.
+    """
+
+    request_id: str
+    organisation: str
+    service: str
+    messages: bytes = field(repr=False)
+    prompt_tokens: int
+    max_tokens: int
+    fingerprint: str
+    received: timedelta
+    deadline: timedelta
+    prefix_hashes: tuple[int, ...] = ()
+
+    @property
+    def size(self) -> SizeClass:
+        """Return the size class of the prompt."""
+        return size_class(self.prompt_tokens)
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the KV cache that the request needs at its end, in tokens."""
+        return self.prompt_tokens + self.max_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """A call to a plain service; `path` starts with a slash and includes the query."""
+
+    request_id: str
+    organisation: str
+    service: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes = field(repr=False)
+    fingerprint: str
+    received: timedelta
+    deadline: timedelta
+    idempotent: bool
+    idempotency_key: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TokenFrame:
+    """`count` consecutive tokens, the first at index `offset` of the whole answer."""
+
+    offset: int
+    count: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndFrame:
+    """End mark: the answer has `tokens` tokens and its text has the digest `digest`.
+
+    The digest is the hexadecimal XXH3-64 of the UTF-8 text of the whole answer.
+    """
+
+    tokens: int
+    digest: str
+    finish_reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class StreamBroken:
+    """The stream ended before its end mark.
+
+    `refused` tells that the engine proved that it did not start. `target_lost` tells that the
+    connection was cut by the target or could not be made, so the target may have died.
+    """
+
+    reason: str
+    refused: bool = False
+    target_lost: bool = False
+
+
+StreamItem = TokenFrame | EndFrame | StreamBroken
+
+
+@dataclass(frozen=True, slots=True)
+class Shard:
+    """Memory reserved on a further engine for a prompt larger than one engine's memory."""
+
+    target_id: str
+    address: str
+    reservation_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One try to run a request on an engine, resumed after `resume_offset` tokens.
+
+    `generated` is the text of the tokens before `resume_offset`.
+    """
+
+    attempt_id: str
+    request: GenerateRequest
+    priority: int
+    resume_offset: int = 0
+    generated: str = field(default="", repr=False)
+    reservation_id: str = ""
+    shards: tuple[Shard, ...] = ()
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/targets.py
@@ -0,0 +1,103 @@
+"""Targets that an entry instance knows: engines and plain services."""
+
+import enum
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+
+class TargetKind(enum.Enum):
+    """Kind of a target."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A target instance; `address` is `HOST:PORT`."""
+
+    target_id: str
+    kind: TargetKind
+    service: str
+    address: str
+    region: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """Load that an engine reported, with its lag; memory is in tokens of KV cache.
+
+    `reported` is the monotonic time of this entry at which the report arrived.
+    """
+
+    reported: timedelta
+    slots: int
+    running: int
+    queued: int
+    total_tokens: int
+    free_tokens: int
+
+
+@dataclass(slots=True)
+class TargetStatus:
+    """What is known of one target."""
+
+    target: Target
+    leaving: bool = False
+    lost_at: timedelta | None = None
+    load: EngineLoad | None = None
+    outstanding: int = 0
+    outstanding_tokens: int = 0
+    cached_prefixes: set[int] = field(default_factory=set)
+
+
+class TargetTable:
+    """Targets by id; one entry instance owns one table."""
+
+    __slots__ = ("_by_service", "_statuses")
+
+    def __init__(self) -> None:
+        self._statuses: dict[str, TargetStatus] = {}
+        self._by_service: dict[str, dict[str, TargetStatus]] = {}
+
+    def __len__(self) -> int:
+        return len(self._statuses)
+
+    def __iter__(self) -> Iterator[TargetStatus]:
+        return iter(list(self._statuses.values()))
+
+    def get(self, target_id: str) -> TargetStatus | None:
+        """Return the status of a target, or None when it is not known."""
+        return self._statuses.get(target_id)
+
+    def of_service(self, service: str) -> list[TargetStatus]:
+        """Return the statuses of a service's targets."""
+        return list(self._by_service.get(service, {}).values())
+
+    def put(self, target: Target) -> TargetStatus:
+        """Add a target, or replace it when its address or place changed."""
+        status = self._statuses.get(target.target_id)
+        if status is not None and status.target == target:
+            return status
+        if status is not None:
+            self.remove(target.target_id)
+        status = TargetStatus(target)
+        self._statuses[target.target_id] = status
+        self._by_service.setdefault(target.service, {})[target.target_id] = status
+        return status
+
+    def remove(self, target_id: str) -> None:
+        """Remove a target when it is known."""
+        status = self._statuses.pop(target_id, None)
+        if status is not None:
+            self._by_service[status.target.service].pop(target_id, None)
+
+    def retain(self, target_ids: Iterable[str]) -> list[str]:
+        """Remove all targets but these and return the ids of the removed ones."""
+        keep = set(target_ids)
+        removed = [target_id for target_id in self._statuses if target_id not in keep]
+        for target_id in removed:
+            self.remove(target_id)
+        return removed
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: servers and clients."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/http/__init__.py
@@ -0,0 +1,1 @@
+"""Server for callers and operators."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -0,0 +1,120 @@
+"""Types and helpers of the ASGI interface."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+import trio
+
+from wasabiwell_entry.protocol.problem import Problem
+from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+class Exchange:
+    """One HTTP request and its answer."""
+
+    __slots__ = ("_receive", "_scope", "_send", "_started")
+
+    def __init__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        self._scope = scope
+        self._receive = receive
+        self._send = send
+        self._started = False
+
+    @property
+    def method(self) -> str:
+        """Return the HTTP method."""
+        return str(self._scope["method"])
+
+    @property
+    def path(self) -> str:
+        """Return the path as sent, without the query."""
+        return bytes(self._scope["raw_path"]).partition(b"?")[0].decode("latin-1")
+
+    @property
+    def query_string(self) -> str:
+        """Return the query as sent."""
+        return bytes(self._scope["query_string"]).decode("latin-1")
+
+    @property
+    def started(self) -> bool:
+        """Return whether the head of the answer has been sent."""
+        return self._started
+
+    @property
+    def peer_host(self) -> str:
+        """Return the caller's IP number."""
+        client = self._scope.get("client")
+        return str(client[0]) if client else ""
+
+    def query(self, name: str) -> str | None:
+        """Return the first value of a query parameter."""
+        values = parse_qs(self.query_string).get(name)
+        return values[0] if values else None
+
+    def header(self, name: bytes) -> str | None:
+        """Return the value of a header; `name` is in lower case."""
+        for key, value in self._scope["headers"]:
+            if key == name:
+                return bytes(value).decode("latin-1")
+        return None
+
+    async def read_body(self, max_bytes: int, timeout_seconds: float) -> bytes | Refused:
+        """Return the whole body, or why it was not accepted."""
+        chunks: list[bytes] = []
+        size = 0
+        with trio.move_on_after(timeout_seconds):
+            while True:
+                message = await self._receive()
+                if message["type"] == "http.disconnect":
+                    return _body_refused(Reason.INVALID_REQUEST, "the body was cut off")
+                chunk = message.get("body", b"")
+                size += len(chunk)
+                if size > max_bytes:
+                    return _body_refused(
+                        Reason.BODY_TOO_LARGE, f"the body is larger than {max_bytes} bytes"
+                    )
+                chunks.append(chunk)
+                if not message.get("more_body", False):
+                    return b"".join(chunks)
+        return _body_refused(
+            Reason.BODY_TIMEOUT, f"the body did not arrive within {timeout_seconds:g} s"
+        )
+
+    async def wait_disconnected(self) -> None:
+        """Return when the caller closes the connection; call it after the body was read."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send the head of the answer."""
+        self._started = True
+        await self._send({"type": "http.response.start", "status": status, "headers": headers})
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body; waits while the caller reads slowly."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def finish(self, data: bytes = b"") -> None:
+        """Send the last part of the body."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": False})
+
+    async def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        await self.finish(body)
+
+    async def respond_problem(self, problem: Problem) -> None:
+        """Send a failure."""
+        await self.respond(problem.status, problem.headers, problem.body)
+
+
+def _body_refused(reason: Reason, message: str) -> Refused:
+    return Refused(reason, message, findings=(Finding("body", message),))
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/http/server.py
@@ -0,0 +1,107 @@
+"""ASGI application and server for callers and operators."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from wasabiwell_entry.coordination.lifecycle.errors import NotReady, Ready
+from wasabiwell_entry.protocol.problem import problem
+from wasabiwell_entry.state import log_events
+from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
+from wasabiwell_entry.transport.http.admin import ADMIN_PREFIX, handle_admin
+from wasabiwell_entry.transport.http.asgi import JSON_TYPE, Exchange, Receive, Scope, Send
+from wasabiwell_entry.transport.http.chat import handle_chat
+from wasabiwell_entry.transport.http.context import HttpContext, new_request_id
+from wasabiwell_entry.transport.http.services import SERVICES_PREFIX, handle_service
+
+KEEP_ALIVE_SECONDS = 60
+SHUTDOWN_GRACE_SECONDS = 1
+
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+
+def application(context: HttpContext) -> Application:
+    """Return the ASGI application of an entry instance."""
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send)
+        with context.lifecycle.request():
+            await _serve(context, exchange)
+
+    return app
+
+
+async def serve_callers(
+    context: HttpContext, host: str, port: int, shutdown: Callable[[], Awaitable[None]]
+) -> None:
+    """Serve until `shutdown` returns."""
+    config = Config()
+    config.bind = [f"{host}:{port}"]
+    config.accesslog = None
+    config.errorlog = None
+    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.graceful_timeout = SHUTDOWN_GRACE_SECONDS
+    config.include_server_header = False
+    await serve(application(context), config, shutdown_trigger=shutdown)  # type: ignore[arg-type]
+
+
+async def _serve(context: HttpContext, exchange: Exchange) -> None:
+    try:
+        await _route(context, exchange)
+    except Exception as error:
+        request_id = new_request_id()
+        log_events.emit(log_events.REQUEST_FAILED_INTERNALLY, request=request_id, error=repr(error))
+        if exchange.started:
+            raise
+        failed = Failed(Reason.INTERNAL, f"internal error, id {request_id}", RunState.UNKNOWN)
+        await exchange.respond_problem(problem(failed))
+
+
+async def _route(context: HttpContext, exchange: Exchange) -> None:
+    match exchange.method, exchange.path:
+        case "GET", "/healthz":
+            await exchange.respond(200, [JSON_TYPE], b'{"status":"ok"}')
+        case "GET", "/readyz":
+            await _readiness(context, exchange)
+        case "GET", "/v1/addresses":
+            await _addresses(context, exchange)
+        case "POST", "/v1/chat/completions":
+            await handle_chat(context, exchange)
+        case _, path if path.startswith(SERVICES_PREFIX):
+            await handle_service(context, exchange)
+        case _, path if path.startswith(ADMIN_PREFIX):
+            await handle_admin(context, exchange)
+        case method, path:
+            refused = Refused(Reason.UNKNOWN_ROUTE, f"no route for {method} {path}")
+            await exchange.respond_problem(problem(refused))
+
+
+async def _readiness(context: HttpContext, exchange: Exchange) -> None:
+    match context.lifecycle.readiness():
+        case Ready():
+            await exchange.respond(200, [JSON_TYPE], b'{"status":"ready"}')
+        case NotReady(reason=reason):
+            await exchange.respond_problem(problem(Refused(Reason.NOT_READY, reason)))
+
+
+async def _addresses(context: HttpContext, exchange: Exchange) -> None:
+    answer = context.addresses.addresses(exchange.query("zone"), exchange.peer_host)
+    body = msgspec.json.encode({"addresses": answer.addresses, "ttl_s": answer.ttl.total_seconds()})
+    await exchange.respond(200, [JSON_TYPE], body)
+
+
+async def _lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+        await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between entry instances."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/client.py
@@ -0,0 +1,91 @@
+"""grpclib client of other entry instances."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+import trio
+import trio_asyncio
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from wasabiwell_entry.protocol.peer import PeerMethod, Reply, Request
+from wasabiwell_entry.transport.peer.codec import MessagePackCodec
+
+CALL_TIMEOUT = timedelta(seconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUnavailable:
+    """A peer did not answer; the call may have had its effect there."""
+
+    reason: str
+
+
+class PeerClient:
+    """One channel for each peer address."""
+
+    __slots__ = ("_channels",)
+
+    def __init__(self) -> None:
+        self._channels: dict[str, Channel] = {}
+
+    async def call(
+        self,
+        address: str,
+        method: PeerMethod[Request, Reply],
+        request: Request,
+        timeout: timedelta = CALL_TIMEOUT,
+    ) -> Reply | PeerUnavailable:
+        """Call a method of a peer; a channel that fails is closed and made anew."""
+        stub = UnaryUnaryMethod(
+            self._channel(address), method.path, method.request_type, method.reply_type
+        )
+        try:
+            with trio.fail_after(timeout.total_seconds()):
+                reply: Reply = await trio_asyncio.aio_as_trio(stub)(request)
+        except trio.TooSlowError:
+            self.drop(address)
+            return PeerUnavailable("timeout")
+        except (
+            GRPCError,
+            StreamTerminatedError,
+            OSError,
+            asyncio.CancelledError,
+            msgspec.DecodeError,
+        ) as error:
+            self.drop(address)
+            return PeerUnavailable(repr(error))
+        return reply
+
+    def drop(self, address: str) -> None:
+        """Close the channel of a peer; the next call opens a new one."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        for address in list(self._channels):
+            self.drop(address)
+
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host, int(port), codec=MessagePackCodec())
+            self._channels[address] = channel
+        return channel
+
+
+@asynccontextmanager
+async def open_peer_client() -> AsyncIterator[PeerClient]:
+    """Own a peer client until the context ends; needs a trio-asyncio loop."""
+    client = PeerClient()
+    try:
+        yield client
+    finally:
+        client.close()
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/server.py
@@ -0,0 +1,60 @@
+"""grpclib server for other entry instances."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import trio_asyncio
+from grpclib.const import Cardinality, Handler
+from grpclib.server import Server, Stream
+
+from wasabiwell_entry.protocol.peer import AnyMethod, PeerMethod, Reply, Request
+from wasabiwell_entry.transport.peer.codec import MessagePackCodec
+
+PeerHandler = Callable[[Any], Awaitable[Any]]
+
+
+class PeerService:
+    """Handlers of the methods that other entry instances call."""
+
+    __slots__ = ("_handlers",)
+
+    def __init__(self) -> None:
+        self._handlers: dict[AnyMethod, PeerHandler] = {}
+
+    def handle(
+        self,
+        method: PeerMethod[Request, Reply],
+        handler: Callable[[Request], Awaitable[Reply]],
+    ) -> None:
+        """Answer a method with a trio coroutine function."""
+        self._handlers[method] = handler
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the methods for grpclib."""
+        return {
+            method.path: Handler(
+                _unary(handler), Cardinality.UNARY_UNARY, method.request_type, method.reply_type
+            )
+            for method, handler in self._handlers.items()
+        }
+
+
+def _unary(handler: PeerHandler) -> Callable[[Stream[Any, Any]], Awaitable[None]]:
+    async def serve(stream: Stream[Any, Any]) -> None:
+        request = await stream.recv_message()
+        reply = await trio_asyncio.trio_as_aio(handler)(request)
+        await stream.send_message(reply)
+
+    return serve
+
+
+@asynccontextmanager
+async def serve_peers(service: PeerService, host: str, port: int) -> AsyncIterator[None]:
+    """Serve other entry instances until the context ends; needs a trio-asyncio loop."""
+    server = Server([service], codec=MessagePackCodec())
+    await trio_asyncio.aio_as_trio(server.start)(host, port)
+    try:
+        yield
+    finally:
+        server.close()
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to the platform's services."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/target/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -0,0 +1,137 @@
+"""HTTP client of engines."""
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import asynccontextmanager
+
+import httpcore
+import msgspec
+
+from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
+from wasabiwell_entry.coordination.targets.errors import LoadUnavailable
+from wasabiwell_entry.coordination.targets.ports import LoadReport
+from wasabiwell_entry.protocol.engine import (
+    EngineError,
+    FrameReader,
+    LoadBody,
+    ReservationBody,
+    ReservationReply,
+    encode_attempt,
+)
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.requests import Attempt, EndFrame, StreamBroken, StreamItem
+from wasabiwell_entry.state.targets import EngineLoad, Target
+from wasabiwell_entry.transport.target.pools import BROKEN, NOT_SENT, TargetPools, timeouts
+
+JSON_HEADERS = [(b"content-type", b"application/json")]
+STREAM_SILENCE_SECONDS = 120.0
+QUERY_TIMEOUT_SECONDS = 1.0
+RESERVATION_TTL_SECONDS = 30.0
+
+
+class HttpEngineClient:
+    """Runs attempts on engines, reserves their memory and reads their load."""
+
+    __slots__ = ("_clock", "_pools")
+
+    def __init__(self, pools: TargetPools, clock: Clock) -> None:
+        self._pools = pools
+        self._clock = clock
+
+    @asynccontextmanager
+    async def generate(
+        self, target: Target, attempt: Attempt
+    ) -> AsyncIterator[AsyncIterator[StreamItem]]:
+        """Run an attempt; leaving the context closes its connection, which cancels it."""
+        items = self._items(target, attempt)
+        try:
+            yield items
+        finally:
+            await items.aclose()
+
+    async def load(self, target: Target) -> LoadReport | LoadUnavailable:
+        """Return the load that an engine reports."""
+        try:
+            response = await self._pools.pool(target.address).request(
+                "GET", f"http://{target.address}/load", extensions=timeouts(QUERY_TIMEOUT_SECONDS)
+            )
+            body = msgspec.json.decode(response.content, type=LoadBody)
+        except (*NOT_SENT, *BROKEN, msgspec.DecodeError) as error:
+            return LoadUnavailable(repr(error))
+        load = EngineLoad(
+            reported=self._clock.monotonic(),
+            slots=body.slots,
+            running=body.running,
+            queued=body.queued,
+            total_tokens=body.total_tokens,
+            free_tokens=body.free_tokens,
+        )
+        return LoadReport(load, body.leaving)
+
+    async def reserve(
+        self, target: Target, owner: str, tokens: int
+    ) -> Reserved | ReservationRefused:
+        """Reserve memory for `tokens` tokens of KV cache."""
+        body = msgspec.json.encode(ReservationBody(owner, tokens, RESERVATION_TTL_SECONDS))
+        try:
+            response = await self._pools.pool(target.address).request(
+                "POST",
+                f"http://{target.address}/v1/reservations",
+                headers=JSON_HEADERS,
+                content=body,
+                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
+            )
+            if response.status != 200:
+                return ReservationRefused(_error_text(response.status, response.content))
+            reply = msgspec.json.decode(response.content, type=ReservationReply)
+        except (*NOT_SENT, *BROKEN, msgspec.DecodeError) as error:
+            return ReservationRefused(repr(error))
+        return Reserved(reply.reservation_id)
+
+    async def release(self, target: Target, reservation_id: str) -> None:
+        """Give a reservation back; when this fails, the reservation expires."""
+        try:
+            await self._pools.pool(target.address).request(
+                "DELETE",
+                f"http://{target.address}/v1/reservations/{reservation_id}",
+                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
+            )
+        except (*NOT_SENT, *BROKEN):
+            return
+
+    async def _items(self, target: Target, attempt: Attempt) -> AsyncGenerator[StreamItem, None]:
+        try:
+            async with self._pools.pool(target.address).stream(
+                "POST",
+                f"http://{target.address}/v1/generate",
+                headers=JSON_HEADERS,
+                content=encode_attempt(attempt),
+                extensions=timeouts(STREAM_SILENCE_SECONDS),
+            ) as response:
+                async for item in _read_items(response, attempt.attempt_id):
+                    yield item
+        except NOT_SENT as error:
+            yield StreamBroken(repr(error), refused=True, target_lost=True)
+        except BROKEN as error:
+            yield StreamBroken(repr(error), target_lost=True)
+
+
+async def _read_items(response: httpcore.Response, attempt_id: str) -> AsyncIterator[StreamItem]:
+    if response.status != 200:
+        content = await response.aread()
+        refused = response.status in (409, 413, 429, 503)
+        yield StreamBroken(_error_text(response.status, content), refused=refused)
+        return
+    reader = FrameReader(attempt_id)
+    async for data in response.aiter_stream():
+        for item in reader.feed(data):
+            yield item
+            if isinstance(item, EndFrame | StreamBroken):
+                return
+    yield StreamBroken("the engine closed the stream before its end mark", target_lost=True)
+
+
+def _error_text(status: int, content: bytes) -> str:
+    try:
+        return f"status {status}: {msgspec.json.decode(content, type=EngineError).error}"
+    except msgspec.DecodeError:
+        return f"status {status}"
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -0,0 +1,69 @@
+"""HTTP client of plain services."""
+
+import httpcore
+import trio
+
+from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.outcomes import Answer
+from wasabiwell_entry.state.requests import ServiceCall
+from wasabiwell_entry.state.targets import Target
+from wasabiwell_entry.transport.target.pools import BROKEN, CONNECT_TIMEOUT_SECONDS, timeouts
+
+
+class HttpPlainClient:
+    """Sends calls to plain services, each on a connection of its own.
+
+    A new connection tells with certainty whether a call was sent: a kept connection that the
+    target closes at the same moment does not.
+    """
+
+    __slots__ = ("_clock",)
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+
+    async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
+        """Send a call once."""
+        host, _, port = target.address.rpartition(":")
+        try:
+            stream = await httpcore.TrioBackend().connect_tcp(
+                host, int(port), timeout=CONNECT_TIMEOUT_SECONDS
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            return CallNotSent(repr(error))
+        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        connection = httpcore.AsyncHTTP11Connection(origin, stream)
+        try:
+            response = await connection.request(
+                call.method,
+                f"http://{target.address}{call.path}",
+                headers=_headers(call),
+                content=call.body,
+                extensions=timeouts(self._remaining_seconds(call)),
+            )
+        except BROKEN as error:
+            return CallBroken(repr(error))
+        finally:
+            with trio.CancelScope(shield=True):
+                await connection.aclose()
+        return Answer(response.status, _content_type(response), response.content)
+
+    def _remaining_seconds(self, call: ServiceCall) -> float:
+        return max(0.001, (call.deadline - self._clock.monotonic()).total_seconds())
+
+
+def _headers(call: ServiceCall) -> list[tuple[bytes, bytes]]:
+    headers = [(b"x-request-id", call.request_id.encode())]
+    if call.content_type:
+        headers.append((b"content-type", call.content_type.encode()))
+    if call.idempotency_key is not None:
+        headers.append((b"idempotency-key", call.idempotency_key.encode()))
+    return headers
+
+
+def _content_type(response: httpcore.Response) -> str:
+    for name, value in response.headers:
+        if name.lower() == b"content-type":
+            return value.decode("latin-1")
+    return "application/octet-stream"
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and traces."""
--- /dev/null
+++ b/standins/wasabiwell_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around wasabiwell, for tests, measurements and demonstrations."""
--- /dev/null
+++ b/standins/wasabiwell_standins/booking.py
@@ -0,0 +1,74 @@
+"""Stand-in for a booking service that counts how often each call ran.
+
+`POST /bookings` and `/reservations` run a booking; `GET /ledger` gives the run count of each
+idempotency key; `GET /availability` is an idempotent look-up. `POST /control` sets `delay_s`
+(time that a booking takes) and `drop_replies` (the number of next bookings that run and whose
+connection is then cut).
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import click
+import msgspec
+import trio
+
+from wasabiwell_standins.asgi import Call, serve_http
+
+
+@dataclass(slots=True)
+class Control:
+    """Faults in force."""
+
+    delay_s: float = 0.02
+    drop_replies: int = 0
+
+
+@dataclass(slots=True)
+class BookingService:
+    """State of the stand-in."""
+
+    name: str
+    control: Control = field(default_factory=Control)
+    runs: Counter[str] = field(default_factory=Counter)
+
+    async def handle(self, call: Call) -> None:
+        """Answer one request."""
+        match call.method, call.path:
+            case "GET", "/ledger":
+                await call.reply(200, dict(self.runs))
+            case "GET", "/availability":
+                await call.reply(200, {"available": True, "by": self.name})
+            case "POST", "/control":
+                for name, value in msgspec.json.decode(call.body).items():
+                    setattr(self.control, name, value)
+                await call.reply(200, self.control)
+            case "POST", "/bookings" | "/reservations":
+                await self._book(call)
+            case _:
+                await call.reply(404, {"error": "no such path"})
+
+    async def _book(self, call: Call) -> None:
+        key = call.header("idempotency-key") or ""
+        self.runs[key] += 1
+        await trio.sleep(self.control.delay_s)
+        if self.control.drop_replies > 0:
+            self.control.drop_replies -= 1
+            await call.start_stream(b"application/json")
+            raise ConnectionAbortedError("the reply is dropped")
+        body = msgspec.json.decode(call.body) if call.body else {}
+        size = body.get("reply_bytes", 0) if isinstance(body, dict) else 0
+        await call.reply(201, {"booked": key, "by": self.name, "padding": "x" * size})
+
+
+@click.command()
+@click.option("--address", required=True, help="HOST:PORT to serve on.")
+@click.option("--name", required=True, help="Name of this target.")
+def main(address: str, name: str) -> None:
+    """Run the booking stand-in."""
+    host, _, port = address.rpartition(":")
+    trio.run(serve_http, BookingService(name).handle, host, int(port))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/wasabiwell_standins/caller.py
@@ -0,0 +1,123 @@
+"""A caller that asks for addresses, sends requests and checks each answer."""
+
+import time
+from dataclasses import dataclass, field
+
+import httpcore
+import msgspec
+
+from wasabiwell_standins.answers import expected_answer
+
+BYTES_PER_TOKEN = 4
+
+
+@dataclass(slots=True)
+class ChatResult:
+    """What a completion request gave; `error` is empty when the whole answer is right."""
+
+    status: int
+    first_token_s: float = 0.0
+    total_s: float = 0.0
+    text: str = field(default="", repr=False)
+    run: str = ""
+    error: str = ""
+
+
+def make_messages(prompt_tokens: int, tag: str) -> bytes:
+    """Return the JSON of messages with about `prompt_tokens` tokens; `tag` makes them unique."""
+    frame = msgspec.json.encode([{"role": "user", "content": f"{tag} "}])
+    filler = "x" * max(0, prompt_tokens * BYTES_PER_TOKEN - len(frame))
+    return msgspec.json.encode([{"role": "user", "content": f"{tag} {filler}"}])
+
+
+def chat_body(service: str, messages: bytes, max_tokens: int, stream: bool = True) -> bytes:
+    """Return the body of a completion request."""
+    fields = {
+        "model": service,
+        "messages": msgspec.Raw(messages),
+        "max_tokens": max_tokens,
+        "stream": stream,
+    }
+    return msgspec.json.encode(fields)
+
+
+def ask_addresses(address: str, zone: str | None = None) -> list[str]:
+    """Return the addresses that the system tells a caller to use."""
+    query = f"?zone={zone}" if zone else ""
+    with httpcore.ConnectionPool() as pool:
+        response = pool.request("GET", f"http://{address}/v1/addresses{query}")
+    addresses: list[str] = msgspec.json.decode(response.content)["addresses"]
+    return addresses
+
+
+def chat(
+    address: str,
+    key: str,
+    service: str,
+    messages: bytes,
+    max_tokens: int = 16,
+    timeout_s: float = 120.0,
+) -> ChatResult:
+    """Send a streamed completion request and check its answer."""
+    begin = time.monotonic()
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
+    headers = [
+        (b"authorization", f"Bearer {key}".encode()),
+        (b"content-type", b"application/json"),
+    ]
+    body = chat_body(service, messages, max_tokens)
+    url = f"http://{address}/v1/chat/completions"
+    result = ChatResult(0)
+    try:
+        with (
+            httpcore.ConnectionPool() as pool,
+            pool.stream(
+                "POST", url, headers=headers, content=body, extensions={"timeout": timeout}
+            ) as response,
+        ):
+            result.status = response.status
+            result.run = _header(response, b"wasabiwell-run")
+            _read_answer(response, result, begin)
+    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+        result.error = repr(error)
+    result.total_s = time.monotonic() - begin
+    if not result.error and result.text != expected_answer(messages, max_tokens):
+        result.error = "the answer is not the one to this request"
+    return result
+
+
+def _read_answer(response: httpcore.Response, result: ChatResult, begin: float) -> None:
+    if response.status != 200:
+        result.error = response.read().decode()
+        return
+    buffer = b""
+    texts: list[str] = []
+    done = False
+    for data in response.iter_stream():
+        buffer += data
+        *events, buffer = buffer.split(b"\n\n")
+        for event in events:
+            if not event.startswith(b"data: "):
+                continue
+            if event == b"data: [DONE]":
+                done = True
+                continue
+            value = msgspec.json.decode(event.removeprefix(b"data: "))
+            if "error" in value:
+                result.error = msgspec.json.encode(value["error"]).decode()
+                result.run = value["error"]["run"]
+                return
+            content = value["choices"][0]["delta"].get("content")
+            if content:
+                result.first_token_s = result.first_token_s or time.monotonic() - begin
+                texts.append(content)
+    result.text = "".join(texts)
+    if not done:
+        result.error = "the stream ended without its end mark"
+
+
+def _header(response: httpcore.Response, name: bytes) -> str:
+    for key, value in response.headers:
+        if key.lower() == name:
+            return value.decode()
+    return ""
--- /dev/null
+++ b/standins/wasabiwell_standins/engine.py
@@ -0,0 +1,413 @@
+"""Stand-in for model engines with continuous batching, prefix cache and limited memory.
+
+An engine works in steps. A step emits one token for each sequence whose prompt is processed, and
+processes up to `prefill_chunk` prompt tokens of the waiting sequences in the order of priority and
+arrival. A step takes a base time and a time for each prompt token. Memory is counted in tokens of
+KV cache. All times are multiplied by the time scale.
+"""
+
+import os
+import secrets
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import click
+import msgspec
+import trio
+import xxhash
+
+from wasabiwell_standins.answers import token_of_seed
+from wasabiwell_standins.asgi import Call, serve_http
+
+BYTES_PER_TOKEN = 4
+PREFIX_BLOCK_BYTES = 4_096
+MAX_PREFIX_BLOCKS = 64
+CRASH_MARKER = b"crash-this-target"
+LATE_EVENT_GAP = 7
+"""Every seventh cache event is never published."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineModel:
+    """Speeds and sizes of one engine; times are in seconds before the time scale."""
+
+    total_tokens: int = 400_000
+    slots: int = 32
+    step_s: float = 0.015
+    prefill_tokens_per_s: float = 40_000.0
+    prefill_chunk: int = 2_048
+    load_lag_s: float = 0.5
+    time_scale: float = 1.0
+
+
+@dataclass(slots=True)
+class Sequence:
+    """One request that an engine holds."""
+
+    attempt_id: str
+    messages: bytes
+    seed: int
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+    arrival: int
+    memory: int
+    emitted: int
+    width: int
+    digest: xxhash.xxh3_64
+    prefilled: int = 0
+    started: bool = False
+    frames: list[bytes] = field(default_factory=list)
+    wake: trio.Event = field(default_factory=trio.Event)
+
+    def push(self, frame: bytes) -> None:
+        """Queue a frame for the connection's task."""
+        self.frames.append(frame)
+        self.wake.set()
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Memory held for a prompt whose lead is another engine."""
+
+    tokens: int
+    expires: float
+    in_use: bool = False
+
+
+class Engine:
+    """One stand-in engine."""
+
+    def __init__(self, name: str, model: EngineModel) -> None:
+        self.name = name
+        self.model = model
+        self.sequences: dict[str, Sequence] = {}
+        self.reservations: dict[str, Reservation] = {}
+        self.cache: OrderedDict[int, None] = OrderedDict()
+        self.events: list[dict[str, object]] = []
+        self.leaving = False
+        self.silent = False
+        self.overcommit_refusals = 0
+        self.finished = 0
+        self.cancelled = 0
+        self.last_fencing = 0
+        self.fencing_checked = False
+        self.orders: list[dict[str, object]] = []
+        self._arrivals = 0
+        self._work = trio.Event()
+        self._load: dict[str, object] = self.current_load()
+
+    @property
+    def used_tokens(self) -> int:
+        """Return the memory that sequences and reservations hold."""
+        held = sum(sequence.memory for sequence in self.sequences.values())
+        return held + sum(item.tokens for item in self.reservations.values())
+
+    @property
+    def free_tokens(self) -> int:
+        """Return the memory that can be given out."""
+        return self.model.total_tokens - self.used_tokens
+
+    def current_load(self) -> dict[str, object]:
+        """Return the load as it is now."""
+        running = sum(1 for sequence in self.sequences.values() if sequence.started)
+        return {
+            "slots": self.model.slots,
+            "running": running,
+            "queued": len(self.sequences) - running,
+            "total_tokens": self.model.total_tokens,
+            "free_tokens": self.free_tokens,
+            "leaving": self.leaving,
+        }
+
+    async def run(self) -> None:
+        """Run steps, the load report and the expiry of reservations."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_steps)
+            nursery.start_soon(self._refresh_load)
+
+    async def _refresh_load(self) -> None:
+        while True:
+            self._load = self.current_load()
+            await trio.sleep(self.model.load_lag_s * self.model.time_scale)
+            now = trio.current_time()
+            for reservation_id, item in list(self.reservations.items()):
+                if not item.in_use and item.expires <= now:
+                    del self.reservations[reservation_id]
+
+    async def _run_steps(self) -> None:
+        next_step = trio.current_time()
+        while True:
+            if not self.sequences:
+                self._work = trio.Event()
+                await self._work.wait()
+                next_step = trio.current_time()
+            duration = self._step()
+            next_step = max(next_step + duration, trio.current_time() - 1.0)
+            await trio.sleep_until(next_step)
+            self._emit()
+
+    def _step(self) -> float:
+        """Process prompt tokens and return the duration of the step."""
+        budget = self.model.prefill_chunk
+        processed = 0.0
+        for sequence in self._batch():
+            rest = sequence.prompt_tokens - sequence.prefilled
+            if rest <= 0 or budget <= 0:
+                continue
+            if CRASH_MARKER in sequence.messages:
+                os._exit(70)
+            part = min(rest, budget)
+            sequence.prefilled += part
+            budget -= part
+            processed += part / sequence.width
+        duration = self.model.step_s + processed / self.model.prefill_tokens_per_s
+        return duration * self.model.time_scale
+
+    def _batch(self) -> list[Sequence]:
+        """Return the sequences that hold a slot, in the order of priority and arrival."""
+        waiting = sorted(
+            self.sequences.values(),
+            key=lambda item: (not item.started, item.priority, item.arrival),
+        )
+        batch = waiting[: self.model.slots]
+        for sequence in batch:
+            sequence.started = True
+        return sorted(batch, key=lambda item: (item.priority, item.arrival))
+
+    def _emit(self) -> None:
+        for sequence in list(self.sequences.values()):
+            if not sequence.started or sequence.prefilled < sequence.prompt_tokens:
+                continue
+            if sequence.emitted < sequence.max_tokens:
+                self._emit_token(sequence)
+            if sequence.emitted >= sequence.max_tokens:
+                self._finish(sequence)
+
+    def _emit_token(self, sequence: Sequence) -> None:
+        text = token_of_seed(sequence.seed, sequence.emitted)
+        sequence.digest.update(text.encode())
+        frame = {
+            "attempt": sequence.attempt_id,
+            "offset": sequence.emitted,
+            "count": 1,
+            "text": text,
+        }
+        sequence.emitted += 1
+        sequence.push(msgspec.json.encode(frame) + b"\n")
+
+    def _finish(self, sequence: Sequence) -> None:
+        end = {
+            "attempt": sequence.attempt_id,
+            "end": True,
+            "tokens": sequence.emitted,
+            "digest": sequence.digest.hexdigest(),
+            "finish_reason": "length",
+        }
+        self.finished += 1
+        self.sequences.pop(sequence.attempt_id, None)
+        self._remember(sequence.messages)
+        sequence.push(msgspec.json.encode(end) + b"\n")
+        sequence.push(b"")
+
+    def _remember(self, messages: bytes) -> None:
+        for block in _prefix_blocks(messages):
+            if block not in self.cache:
+                sequence_number = len(self.events) + 1
+                kind = "lost" if sequence_number % LATE_EVENT_GAP == 0 else "stored"
+                self.events.append({"seq": sequence_number, "kind": kind, "block": block})
+            self.cache[block] = None
+            self.cache.move_to_end(block)
+        limit = self.model.total_tokens * BYTES_PER_TOKEN // PREFIX_BLOCK_BYTES // 2
+        while len(self.cache) > limit:
+            evicted, _ = self.cache.popitem(last=False)
+            self.events.append({"seq": len(self.events) + 1, "kind": "evicted", "block": evicted})
+
+    def _cached_tokens(self, messages: bytes) -> int:
+        tokens = 0
+        for block in _prefix_blocks(messages):
+            if block not in self.cache:
+                break
+            tokens += PREFIX_BLOCK_BYTES // BYTES_PER_TOKEN
+        return tokens
+
+    async def handle(self, call: Call) -> None:
+        """Answer one request."""
+        if self.silent and call.path != "/control":
+            await trio.sleep_forever()
+        match call.method, call.path:
+            case "GET", "/load":
+                await call.reply(200, self._load)
+            case "GET", "/cache-events":
+                await self._cache_events(call)
+            case "POST", "/v1/generate":
+                await self._generate(call)
+            case "POST", "/v1/cancel":
+                self._drop(msgspec.json.decode(call.body)["attempt_id"])
+                await call.reply(200, {})
+            case "POST", "/v1/reservations":
+                await self._reserve(call)
+            case "DELETE", path if path.startswith("/v1/reservations/"):
+                self.reservations.pop(path.rpartition("/")[2], None)
+                await call.reply(200, {})
+            case "POST", "/v1/orders":
+                await self._order(call)
+            case "POST", "/control":
+                await self._control(call)
+            case "GET", "/control":
+                await call.reply(200, self._statistics())
+            case _:
+                await call.reply(404, {"error": "no such path"})
+
+    def _statistics(self) -> dict[str, object]:
+        return {
+            "name": self.name,
+            "used_tokens": self.used_tokens,
+            "sequences": len(self.sequences),
+            "reservations": len(self.reservations),
+            "finished": self.finished,
+            "cancelled": self.cancelled,
+            "overcommit_refusals": self.overcommit_refusals,
+            "orders": self.orders,
+        }
+
+    async def _control(self, call: Call) -> None:
+        for name, value in msgspec.json.decode(call.body).items():
+            if name not in ("leaving", "silent", "fencing_checked"):
+                await call.reply(400, {"error": f"unknown control {name}"})
+                return
+            setattr(self, name, value)
+        await call.reply(200, self._statistics())
+
+    async def _cache_events(self, call: Call) -> None:
+        after = int(call.query("after", "0"))
+        events = [event for event in self.events[after : after + 500] if event["kind"] != "lost"]
+        await call.reply(200, {"events": events, "last": min(len(self.events), after + 500)})
+
+    async def _reserve(self, call: Call) -> None:
+        body = msgspec.json.decode(call.body)
+        if body["tokens"] > self.free_tokens:
+            self.overcommit_refusals += 1
+            await call.reply(429, {"error": f"{self.free_tokens} tokens are free"})
+            return
+        reservation_id = secrets.token_hex(8)
+        expires = trio.current_time() + body["ttl_s"]
+        self.reservations[reservation_id] = Reservation(body["tokens"], expires)
+        await call.reply(200, {"reservation_id": reservation_id})
+
+    async def _order(self, call: Call) -> None:
+        body = msgspec.json.decode(call.body)
+        if self.fencing_checked and body["fencing"] < self.last_fencing:
+            await call.reply(409, {"error": "old fencing number"})
+            return
+        self.last_fencing = max(self.last_fencing, body["fencing"])
+        self.orders.append(body)
+        await call.reply(200, {})
+
+    async def _generate(self, call: Call) -> None:
+        body = msgspec.json.decode(call.body)
+        messages = bytes(msgspec.json.decode(call.body, type=_MessagesOnly).messages)
+        sequence = self._sequence(body, messages)
+        own = self.reservations.get(body["reservation_id"])
+        available = self.free_tokens + (own.tokens if own is not None else 0)
+        if self.leaving or sequence.memory > available:
+            self.overcommit_refusals += 0 if self.leaving else 1
+            error = "leaving" if self.leaving else f"{available} tokens are free"
+            await call.reply(429, {"error": error})
+            return
+        self.reservations.pop(body["reservation_id"], None)
+        self.sequences[sequence.attempt_id] = sequence
+        self._work.set()
+        try:
+            await self._stream(call, sequence)
+        finally:
+            self._drop(sequence.attempt_id)
+
+    def _sequence(self, body: dict[str, object], messages: bytes) -> Sequence:
+        prompt_tokens = max(1, len(messages) // BYTES_PER_TOKEN)
+        shards = body["shards"]
+        assert isinstance(shards, list)
+        sharded = sum(shard["tokens"] for shard in shards)
+        self._arrivals += 1
+        digest = xxhash.xxh3_64(str(body["generated"]).encode())
+        max_tokens, offset = int(str(body["max_tokens"])), int(str(body["resume_offset"]))
+        return Sequence(
+            attempt_id=str(body["attempt_id"]),
+            messages=messages,
+            seed=xxhash.xxh3_64_intdigest(messages),
+            prompt_tokens=prompt_tokens,
+            max_tokens=max_tokens,
+            priority=int(str(body["priority"])),
+            arrival=self._arrivals,
+            memory=max(0, prompt_tokens + max_tokens - sharded),
+            emitted=offset,
+            width=1 + len(shards),
+            digest=digest,
+            prefilled=min(prompt_tokens - 1, self._cached_tokens(messages)),
+        )
+
+    async def _stream(self, call: Call, sequence: Sequence) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def stop_on_disconnect() -> None:
+                await call.wait_disconnected()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(stop_on_disconnect)
+            await call.start_stream(b"application/x-ndjson")
+            while True:
+                await sequence.wake.wait()
+                sequence.wake = trio.Event()
+                frames, sequence.frames = sequence.frames, []
+                await call.stream(b"".join(frames))
+                if frames and frames[-1] == b"":
+                    await call.stream(b"", more=False)
+                    nursery.cancel_scope.cancel()
+                    return
+
+    def _drop(self, attempt_id: str) -> None:
+        if self.sequences.pop(attempt_id, None) is not None:
+            self.cancelled += 1
+
+
+def _prefix_blocks(messages: bytes) -> list[int]:
+    digest = xxhash.xxh3_64()
+    blocks = []
+    for index in range(min(len(messages) // PREFIX_BLOCK_BYTES, MAX_PREFIX_BLOCKS)):
+        start = index * PREFIX_BLOCK_BYTES
+        digest.update(messages[start : start + PREFIX_BLOCK_BYTES])
+        blocks.append(digest.intdigest())
+    return blocks
+
+
+class _MessagesOnly(msgspec.Struct):
+    messages: msgspec.Raw
+
+
+@click.command()
+@click.option("--address", required=True, help="HOST:PORT of the first engine.")
+@click.option("--count", default=1, help="Engines in this process, on consecutive ports.")
+@click.option("--name", required=True, help="Name of the first engine; others get a suffix.")
+@click.option("--total-tokens", default=400_000, help="Memory of an engine in tokens.")
+@click.option("--slots", default=32, help="Sequences that run at once.")
+@click.option("--step-s", default=0.015, help="Base time of a step, in seconds.")
+@click.option("--prefill-tokens-per-s", default=40_000.0, help="Speed of prompt processing.")
+@click.option("--load-lag-s", default=0.5, help="Age of a load report, in seconds.")
+@click.option("--time-scale", default=1.0, help="Factor of all times.")
+def main(address: str, count: int, name: str, **model: float) -> None:
+    """Run stand-in engines."""
+    host, _, port = address.rpartition(":")
+    engine_model = EngineModel(**model)  # type: ignore[arg-type]
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            for index in range(count):
+                engine = Engine(name if count == 1 else f"{name}-{index}", engine_model)
+                nursery.start_soon(engine.run)
+                nursery.start_soon(serve_http, engine.handle, host, int(port) + index)
+
+    trio.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/wasabiwell_standins/fleet.py
@@ -0,0 +1,317 @@
+"""Starts the processes of a deployment on this machine and stops them again."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+
+import httpcore
+import msgspec
+
+from wasabiwell_standins.deployments import Deployment
+
+HOST = "127.0.0.1"
+START_TIMEOUT_SECONDS = 30.0
+STOP_TIMEOUT_SECONDS = 20.0
+POLL_SECONDS = 0.05
+
+
+@dataclass(slots=True)
+class Process:
+    """A process of the fleet; `address` is where it serves."""
+
+    role: str
+    name: str
+    address: str
+    popen: subprocess.Popen[bytes] = field(repr=False)
+    zone: str = ""
+    peer_address: str = ""
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.popen.pid
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def pause(self) -> None:
+        """Stop the process from running until it is resumed."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process run again."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process for a graceful stop."""
+        self.popen.send_signal(signal.SIGTERM)
+
+
+def free_ports(count: int = 1) -> list[int]:
+    """Return ports that no other socket uses now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((HOST, 0))
+        return [int(item.getsockname()[1]) for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def request(
+    method: str,
+    address: str,
+    path: str,
+    value: object = None,
+    headers: dict[str, str] | None = None,
+    timeout_seconds: float = 30.0,
+) -> httpcore.Response:
+    """Send one HTTP request on a connection of its own; `value` goes as JSON."""
+    content = b"" if value is None else msgspec.json.encode(value)
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_seconds)
+    with httpcore.ConnectionPool() as pool:
+        return pool.request(
+            method,
+            f"http://{address}{path}",
+            headers=[
+                (name.encode(), item.encode())
+                for name, item in {"content-type": "application/json", **(headers or {})}.items()
+            ],
+            content=content,
+            extensions={"timeout": timeout},
+        )
+
+
+class Fleet:
+    """Processes of one deployment."""
+
+    def __init__(self, deployment: Deployment, log_folder: Path) -> None:
+        self.deployment = deployment
+        self.processes: list[Process] = []
+        self._log_folder = log_folder
+
+    @property
+    def platform(self) -> Process:
+        """Return the platform stand-in."""
+        return self.of_role("platform")[0]
+
+    @property
+    def entries(self) -> list[Process]:
+        """Return the entry instances."""
+        return self.of_role("entry")
+
+    def of_role(self, role: str) -> list[Process]:
+        """Return the running processes of a role."""
+        return [process for process in self.processes if process.role == role]
+
+    def log(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self._log_folder / f"{name}.log").read_text(errors="replace")
+
+    def control(self, process: Process, **values: object) -> dict[str, object]:
+        """Set the faults of a stand-in and return its answer."""
+        reply: dict[str, object] = msgspec.json.decode(
+            request("POST", process.address, "/control", values).content
+        )
+        return reply
+
+    def start_platform(self) -> Process:
+        """Start the platform stand-in."""
+        address = f"{HOST}:{free_ports()[0]}"
+        return self._spawn(
+            "platform", "platform", address, "wasabiwell_standins.platform", ["--address", address]
+        )
+
+    def start_engine(self, index: int, *options: str) -> Process:
+        """Start an engine and list it."""
+        name = f"{self.deployment.engine_service}-{index}"
+        address = f"{HOST}:{free_ports()[0]}"
+        arguments = ["--address", address, "--name", name]
+        arguments += ["--total-tokens", str(self.deployment.engine_tokens), *options]
+        process = self._spawn("engine", name, address, "wasabiwell_standins.engine", arguments)
+        process.zone = self._zone(index)
+        self.list_instance(process, self.deployment.engine_service)
+        return process
+
+    def start_booking(self, index: int) -> Process:
+        """Start a target of the booking service and list it."""
+        name = f"{self.deployment.booking_service}-{index}"
+        address = f"{HOST}:{free_ports()[0]}"
+        arguments = ["--address", address, "--name", name]
+        process = self._spawn("plain", name, address, "wasabiwell_standins.booking", arguments)
+        process.zone = self._zone(index)
+        self.list_instance(process, self.deployment.booking_service)
+        return process
+
+    def start_entry(self, index: int, *options: str, platform: str | None = None) -> Process:
+        """Start an entry instance and list it."""
+        name = f"entry-{index}"
+        caller_port, peer_port = free_ports(2)
+        address, peer_address = f"{HOST}:{caller_port}", f"{HOST}:{peer_port}"
+        url = f"http://{platform or self.platform.address}"
+        arguments = ["--node-id", name, "--region", self.deployment.region]
+        arguments += ["--zone", self._zone(index), "--caller-address", address]
+        arguments += ["--peer-address", peer_address, "--table-url", url]
+        arguments += ["--object-url", url, "--instance-url", url, *options]
+        process = self._spawn("entry", name, address, "wasabiwell_entry.main", arguments)
+        process.zone = self._zone(index)
+        process.peer_address = peer_address
+        self.list_instance(process, "")
+        return process
+
+    def start_proxy(self, target: str, name: str) -> tuple[str, Process]:
+        """Start a fault-injecting proxy and return its address and its process."""
+        port, control_port = free_ports(2)
+        address, control = f"{HOST}:{port}", f"{HOST}:{control_port}"
+        arguments = ["--address", address, "--target", target, "--control-address", control]
+        process = self._spawn("proxy", name, control, "wasabiwell_standins.proxy", arguments)
+        return address, process
+
+    def list_instance(self, process: Process, service: str, address: str | None = None) -> None:
+        """Put a process on the platform's instance list, under another address if given."""
+        record = {
+            "instance_id": process.name,
+            "role": process.role,
+            "service": service,
+            "address": address or process.address,
+            "peer_address": process.peer_address,
+            "region": self.deployment.region,
+            "zone": process.zone,
+        }
+        request("PUT", self.platform.address, f"/instances/{process.name}", record)
+
+    def mark_leaving(self, process: Process) -> None:
+        """Mark a process as leaving on the instance list."""
+        request("POST", self.platform.address, f"/instances/{process.name}")
+
+    def unlist(self, process: Process) -> None:
+        """Take a process off the instance list."""
+        request("DELETE", self.platform.address, f"/instances/{process.name}")
+
+    def apply_example(self) -> None:
+        """Apply the deployment's example configuration through the operators' command."""
+        printed = subprocess.run(
+            [sys.executable, self.deployment.example], check=True, capture_output=True
+        ).stdout
+        self.command("apply", "-", stdin=printed)
+
+    def command(self, *arguments: str, stdin: bytes = b"", check: bool = True) -> str:
+        """Run the operators' command against the first entry instance and return its output."""
+        entries = [part for entry in self.entries for part in ("--entry", entry.address)]
+        finished = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "wasabiwell_cli.main",
+                *entries,
+                "--key",
+                self.deployment.operator_key,
+                *arguments,
+            ],
+            input=stdin,
+            capture_output=True,
+            check=False,
+        )
+        output = finished.stdout.decode() + finished.stderr.decode()
+        if check and finished.returncode != 0:
+            raise RuntimeError(f"wasabiwell {arguments}: exit {finished.returncode}: {output}")
+        return output
+
+    def wait_ready(self) -> None:
+        """Wait until each entry instance is ready and knows all targets."""
+        wanted = {item.name for item in (*self.of_role("engine"), *self.of_role("plain"))}
+        for entry in self.entries:
+            self.wait_until(partial(self._ready, entry, wanted), f"{entry.name} ready")
+
+    def wait_until(
+        self, condition: Callable[[], bool], what: str, timeout: float = START_TIMEOUT_SECONDS
+    ) -> None:
+        """Wait until a condition holds; raise `TimeoutError` when it does not in time."""
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            if condition():
+                return
+            time.sleep(POLL_SECONDS)
+        raise TimeoutError(f"not within {timeout:g} s: {what}")
+
+    def stop(self) -> None:
+        """End all processes that this fleet started."""
+        for process in self.processes:
+            if process.popen.poll() is None:
+                process.kill()
+
+    def _ready(self, entry: Process, wanted: set[str]) -> bool:
+        try:
+            if request("GET", entry.address, "/readyz").status != 200:
+                return False
+            headers = {"authorization": f"Bearer {self.deployment.operator_key}"}
+            reply = request("GET", entry.address, "/admin/v1/status", headers=headers)
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+            return False
+        status = msgspec.json.decode(reply.content)
+        return wanted <= {target["target_id"] for target in status["targets"]}
+
+    def _zone(self, index: int) -> str:
+        return self.deployment.zones[index % len(self.deployment.zones)]
+
+    def _spawn(
+        self, role: str, name: str, address: str, module: str, arguments: list[str]
+    ) -> Process:
+        with open(self._log_folder / f"{name}.log", "ab") as log:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        process = Process(role, name, address, popen)
+        self.processes.append(process)
+        self.wait_until(lambda: self._listening(process), f"{name} listening")
+        return process
+
+    def _listening(self, process: Process) -> bool:
+        if process.popen.poll() is not None:
+            raise RuntimeError(f"{process.name} ended: {self.log(process.name)}")
+        host, _, port = process.address.rpartition(":")
+        with socket.socket() as probe:
+            return probe.connect_ex((host, int(port))) == 0
+
+
+@contextmanager
+def open_fleet(deployment: Deployment) -> Iterator[Fleet]:
+    """Own a fleet without processes, until the context ends."""
+    with tempfile.TemporaryDirectory(prefix="wasabiwell-") as folder:
+        fleet = Fleet(deployment, Path(folder))
+        try:
+            yield fleet
+        finally:
+            fleet.stop()
+
+
+@contextmanager
+def running_fleet(deployment: Deployment, *entry_options: str) -> Iterator[Fleet]:
+    """Own a fleet in the deployment's size with its example configuration in force."""
+    with open_fleet(deployment) as fleet:
+        fleet.start_platform()
+        for index in range(deployment.engines):
+            fleet.start_engine(index)
+        for index in range(deployment.bookings):
+            fleet.start_booking(index)
+        for index in range(deployment.entries):
+            fleet.start_entry(index, *entry_options)
+        fleet.apply_example()
+        fleet.wait_ready()
+        yield fleet
--- /dev/null
+++ b/standins/wasabiwell_standins/platform.py
@@ -0,0 +1,213 @@
+"""Stand-in for the platform: table service, object store and lagging instance list.
+
+`POST /control` sets faults: `outage` (503 to everything), `delay_s`, and `lose_replies` (the
+number of next transactions whose reply is not sent although the write took effect).
+"""
+
+import math
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import unquote
+
+import click
+import msgspec
+import trio
+
+from wasabiwell_standins.asgi import Call, serve_http
+
+
+@dataclass(slots=True)
+class Control:
+    """Faults in force."""
+
+    outage: bool = False
+    object_outage: bool = False
+    instance_outage: bool = False
+    delay_s: float = 0.0
+    lose_replies: int = 0
+    instance_lag_s: float = 0.5
+
+
+@dataclass(slots=True)
+class Statistics:
+    """Operations since the start."""
+
+    reads: int = 0
+    transactions: int = 0
+    failed_transactions: int = 0
+    object_puts: int = 0
+    object_gets: int = 0
+    instance_reads: int = 0
+
+
+@dataclass(slots=True)
+class Stored:
+    """A row: value in base64 as it goes over the wire, and version."""
+
+    value: str
+    version: int
+
+
+@dataclass(slots=True)
+class ListedInstance:
+    """An instance and the times from which its states are visible in the list."""
+
+    record: dict[str, Any]
+    visible_from: float
+    leaving_from: float = math.inf
+    gone_from: float = math.inf
+
+
+@dataclass(slots=True)
+class Platform:
+    """State of the stand-in."""
+
+    control: Control = field(default_factory=Control)
+    statistics: Statistics = field(default_factory=Statistics)
+    rows: dict[str, Stored] = field(default_factory=dict)
+    versions: dict[str, int] = field(default_factory=dict)
+    objects: dict[str, bytes] = field(default_factory=dict)
+    instances: dict[str, ListedInstance] = field(default_factory=dict)
+
+    async def handle(self, call: Call) -> None:
+        """Answer one request."""
+        if call.path == "/control":
+            await self._control(call)
+            return
+        if call.path.startswith("/instances/"):
+            await self._change_instance(call)
+            return
+        if self.control.delay_s:
+            await trio.sleep(self.control.delay_s)
+        if self._unavailable(call.path):
+            await call.reply(503, {"error": "outage"})
+            return
+        handler = self._handler(call)
+        if handler is None:
+            await call.reply(404, {"error": "no such path"})
+            return
+        await handler(call)
+
+    def _unavailable(self, path: str) -> bool:
+        if path.startswith("/objects/"):
+            return self.control.object_outage or self.control.outage
+        if path.startswith("/instances"):
+            return self.control.instance_outage
+        return self.control.outage
+
+    def _handler(self, call: Call) -> Callable[[Call], Awaitable[None]] | None:
+        match call.method, call.path:
+            case "POST", "/transact":
+                return self._transact
+            case "POST", "/read":
+                return self._read
+            case "GET", "/scan":
+                return self._scan
+            case "GET", "/instances":
+                return self._list_instances
+            case "PUT" | "GET", path if path.startswith("/objects/"):
+                return self._object
+        return None
+
+    async def _control(self, call: Call) -> None:
+        if call.method == "POST":
+            for name, value in msgspec.json.decode(call.body).items():
+                setattr(self.control, name, value)
+        await call.reply(200, {"control": self.control, "statistics": self.statistics})
+
+    async def _transact(self, call: Call) -> None:
+        body = msgspec.json.decode(call.body)
+        failed = [
+            condition["key"]
+            for condition in body["conditions"]
+            if self._version(condition["key"]) != condition["version"]
+        ]
+        self.statistics.transactions += 1
+        if failed:
+            self.statistics.failed_transactions += 1
+        else:
+            for write in body["writes"]:
+                self._write(write["key"], write["value"])
+        if self.control.lose_replies > 0:
+            self.control.lose_replies -= 1
+            await trio.sleep(60.0)
+        await call.reply(200, {"committed": not failed, "failed": failed})
+
+    def _version(self, key: str) -> int:
+        row = self.rows.get(key)
+        return row.version if row is not None else 0
+
+    def _write(self, key: str, value: str | None) -> None:
+        if value is None:
+            self.rows.pop(key, None)
+            return
+        version = self.versions.get(key, 0) + 1
+        self.versions[key] = version
+        self.rows[key] = Stored(value, version)
+
+    async def _read(self, call: Call) -> None:
+        self.statistics.reads += 1
+        keys = msgspec.json.decode(call.body)["keys"]
+        await call.reply(200, {"rows": self._rows(key for key in keys if key in self.rows)})
+
+    async def _scan(self, call: Call) -> None:
+        self.statistics.reads += 1
+        prefix, after = call.query("prefix"), call.query("after")
+        keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
+        limit = int(call.query("limit", "1000"))
+        await call.reply(200, {"rows": self._rows(keys[:limit])})
+
+    def _rows(self, keys: Any) -> list[dict[str, object]]:
+        return [
+            {"key": key, "value": self.rows[key].value, "version": self.rows[key].version}
+            for key in keys
+        ]
+
+    async def _object(self, call: Call) -> None:
+        key = unquote(call.path.removeprefix("/objects/"))
+        if call.method == "PUT":
+            self.statistics.object_puts += 1
+            self.objects[key] = call.body
+            await call.reply(200, {})
+            return
+        self.statistics.object_gets += 1
+        value = self.objects.get(key)
+        if value is None:
+            await call.reply(404, {"error": "absent"})
+            return
+        await call.reply_bytes(200, value, b"application/octet-stream")
+
+    async def _change_instance(self, call: Call) -> None:
+        instance_id = call.path.removeprefix("/instances/")
+        visible = trio.current_time() + self.control.instance_lag_s
+        if call.method == "PUT":
+            record = msgspec.json.decode(call.body)
+            self.instances[instance_id] = ListedInstance(record, visible)
+        elif instance_id in self.instances and call.method == "POST":
+            self.instances[instance_id].leaving_from = visible
+        elif instance_id in self.instances and call.method == "DELETE":
+            self.instances[instance_id].gone_from = visible
+        await call.reply(200, {})
+
+    async def _list_instances(self, call: Call) -> None:
+        self.statistics.instance_reads += 1
+        now = trio.current_time()
+        records = [
+            {**listed.record, "leaving": listed.leaving_from <= now}
+            for listed in self.instances.values()
+            if listed.visible_from <= now < listed.gone_from
+        ]
+        await call.reply(200, records)
+
+
+@click.command()
+@click.option("--address", required=True, help="HOST:PORT to serve on.")
+def main(address: str) -> None:
+    """Run the platform stand-in."""
+    host, _, port = address.rpartition(":")
+    trio.run(serve_http, Platform().handle, host, int(port))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/wasabiwell_standins/proxy.py
@@ -0,0 +1,105 @@
+"""Fault-injecting TCP proxy.
+
+`POST /control` on the control address sets the faults: `cut` (close and refuse connections),
+`silent_to_server` and `silent_to_client` (open connections stop passing data in that direction
+for good; new ones work after the flag is cleared), and `delay_s` for each piece of data.
+"""
+
+from dataclasses import dataclass
+
+import click
+import msgspec
+import trio
+
+from wasabiwell_standins.asgi import Call, serve_http
+
+PIECE_BYTES = 65_536
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults in force."""
+
+    cut: bool = False
+    silent_to_server: bool = False
+    silent_to_client: bool = False
+    delay_s: float = 0.0
+
+
+class Proxy:
+    """Passes connections on to one target address."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.faults = Faults()
+        self.cut = trio.Event()
+        self.connections = 0
+
+    async def serve(self, client: trio.SocketStream) -> None:
+        """Pass one connection on until either end closes it or the proxy is cut."""
+        if self.faults.cut:
+            await trio.aclose_forcefully(client)
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            server = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            await trio.aclose_forcefully(client)
+            return
+        self.connections += 1
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._close_on_cut, nursery.cancel_scope)
+            nursery.start_soon(self._pass, client, server, "silent_to_server", nursery.cancel_scope)
+            nursery.start_soon(self._pass, server, client, "silent_to_client", nursery.cancel_scope)
+        await trio.aclose_forcefully(client)
+        await trio.aclose_forcefully(server)
+
+    async def _close_on_cut(self, scope: trio.CancelScope) -> None:
+        await self.cut.wait()
+        scope.cancel()
+
+    async def _pass(
+        self, source: trio.SocketStream, sink: trio.SocketStream, flag: str, scope: trio.CancelScope
+    ) -> None:
+        try:
+            while data := await source.receive_some(PIECE_BYTES):
+                if getattr(self.faults, flag):
+                    await trio.sleep_forever()
+                if self.faults.delay_s:
+                    await trio.sleep(self.faults.delay_s)
+                await sink.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        scope.cancel()
+
+    async def control(self, call: Call) -> None:
+        """Answer a control request."""
+        if call.method == "POST":
+            for name, value in msgspec.json.decode(call.body).items():
+                setattr(self.faults, name, value)
+            if self.faults.cut:
+                self.cut.set()
+                self.cut = trio.Event()
+        await call.reply(200, {"faults": self.faults, "connections": self.connections})
+
+
+@click.command()
+@click.option("--address", required=True, help="HOST:PORT to listen on.")
+@click.option("--target", required=True, help="HOST:PORT to pass connections on to.")
+@click.option("--control-address", required=True, help="HOST:PORT of the control interface.")
+def main(address: str, target: str, control_address: str) -> None:
+    """Run the proxy."""
+
+    async def run() -> None:
+        proxy = Proxy(target)
+        host, _, port = address.rpartition(":")
+        control_host, _, control_port = control_address.rpartition(":")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_http, proxy.control, control_host, int(control_port))
+            await trio.serve_tcp(proxy.serve, int(port), host=host)
+
+    trio.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes and helpers of the tests."""
