Define the ports of admission to capacity and limits

Cause: credits, limits, queues and routing are built side by side and need one interface. Change: CapacityPort and LimitPort with their typed outcomes. Conclusion: the parts can be written independently.

--- a/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
@@ -1,8 +1,14 @@
-"""What admission needs of the other layers."""
+"""What admission needs of other capabilities and layers."""
 
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
 from typing import Protocol
 
+from wasabiwell_config import Organisation
+
 from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
+from wasabiwell_entry.state.requests import SizeClass
 from wasabiwell_entry.state.targets import Target
 
 
@@ -16,3 +22,69 @@
 
     async def release(self, target: Target, reservation_id: str) -> None:
         """Give a reservation back; an unknown one is ignored."""
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """One slot and `tokens` tokens of memory of an engine, held by this entry instance."""
+
+    hold_id: int
+    target_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoCapacity:
+    """The engine has no capacity that this entry instance may use now."""
+
+    reason: str
+
+
+class CapacityPort(Protocol):
+    """Capacity of engines that this entry instance may use."""
+
+    def try_hold(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
+        """Hold capacity that is at hand here, without a message to another instance."""
+
+    def request(self, target_id: str, tokens: int, size: SizeClass) -> None:
+        """Note unmet demand; more capacity is asked for in the background."""
+
+    async def hold_all(
+        self, parts: Sequence[tuple[str, int]], size: SizeClass
+    ) -> tuple[Hold, ...] | NoCapacity:
+        """Hold capacity of several engines, all or nothing, in ascending order of target id."""
+
+    def release(self, hold: Hold) -> None:
+        """Give a hold back; a second release of one hold has no effect."""
+
+    def on_change(self, observer: Callable[[], None]) -> None:
+        """Call an observer whenever capacity may have become available."""
+
+
+@dataclass(frozen=True, slots=True)
+class LimitLease:
+    """Leave to run one request within an organisation's limits."""
+
+    organisation: str
+    size: SizeClass
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """A limit of the organisation is used up."""
+
+    limit: str
+    retry_after: timedelta
+
+
+class LimitPort(Protocol):
+    """Limits of organisations, shared over entry instances."""
+
+    def try_take(
+        self, organisation: Organisation, tokens: int, size: SizeClass
+    ) -> LimitLease | Limited:
+        """Take leave for one request of `tokens` tokens, prompt and answer together."""
+
+    def finish(self, lease: LimitLease) -> None:
+        """Tell that a request has ended."""
