Name every wrong field of a configuration and its impossible rules

Cause: a configuration with several wrong types in one object gave one finding for it, and findings of form hid those of content. Shadowed rules, limits that no request can meet, deadlines that no engine can meet and organisations without a usable service were accepted.

--- a/examples/fraserline.py
+++ b/examples/fraserline.py
@@ -13,9 +13,9 @@
     Limits,
     ModelService,
     OperatorKey,
-    Organisation,
     PlainService,
     hash_key,
+    make_organisations,
     render,
 )
 
@@ -49,22 +49,14 @@
         ),
     ),
     organisations=(
-        *(
-            Organisation(
-                name=name,
-                key_hashes=(hash_key(f"{name}-key"),),
-                weight=4.0,
-                limits=Limits(concurrent_long=8),
-            )
-            for name in LARGE
+        *make_organisations(
+            {name: hash_key(f"{name}-key") for name in LARGE},
+            weight=4.0,
+            limits=Limits(concurrent_long=8),
         ),
-        *(
-            Organisation(
-                name=name,
-                key_hashes=(hash_key(f"{name}-key"),),
-                limits=Limits(requests_per_second=200.0, concurrent_long=2),
-            )
-            for name in SMALL
+        *make_organisations(
+            {name: hash_key(f"{name}-key") for name in SMALL},
+            limits=Limits(requests_per_second=200.0, concurrent_long=2),
         ),
     ),
     operators=(OperatorKey(name="operations", key_hash=hash_key("operations-key")),),
--- a/packages/config/src/wasabiwell_config/__init__.py
+++ b/packages/config/src/wasabiwell_config/__init__.py
@@ -20,8 +20,9 @@
     Organisation,
     PlainService,
     hash_key,
+    make_organisations,
 )
-from wasabiwell_config.validation import validate
+from wasabiwell_config.validation import load, validate
 
 __all__ = [
     "CallRule",
@@ -40,6 +41,8 @@
     "configuration_from_items",
     "hash_key",
     "items_of",
+    "load",
+    "make_organisations",
     "parse",
     "render",
     "validate",
--- a/packages/config/src/wasabiwell_config/model.py
+++ b/packages/config/src/wasabiwell_config/model.py
@@ -2,6 +2,7 @@
 
 import enum
 import hashlib
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -26,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ModelService:
-    """A service whose targets are model engines."""
+    """A service whose targets are model engines; prompts are measured in tokens."""
 
     name: str
     deadlines: Deadlines = Deadlines()
@@ -67,8 +68,9 @@
 class Organisation:
     """A customer; `weight` is its share of a fully used fleet relative to the others.
 
-    `key_hashes` are SHA-256 hashes of the bearer keys; see `hash_key`. An empty `services` allows
-    all services.
+    `key_hashes` are SHA-256 hashes of the bearer keys; see `hash_key`. All of these keys are valid,
+    so a key is rolled by adding the new hash and removing the old one when no caller uses it any
+    more. An empty `services` allows all services.
     """
 
     name: str
@@ -99,3 +101,26 @@
 def hash_key(key: str) -> str:
     """Return the hash under which a key stands in the configuration."""
     return hashlib.sha256(key.encode()).hexdigest()
+
+
+def make_organisations(
+    key_hashes: Mapping[str, str | tuple[str, ...]],
+    *,
+    weight: float = 1.0,
+    limits: Limits = Limits(),
+    services: tuple[str, ...] = (),
+) -> tuple[Organisation, ...]:
+    """Return one organisation for each name of `key_hashes`, all with the same rules.
+
+    A value is one hash or a tuple of hashes, as `hash_key` returns them.
+    """
+    return tuple(
+        Organisation(
+            name=name,
+            key_hashes=(hashes,) if isinstance(hashes, str) else tuple(hashes),
+            weight=weight,
+            limits=limits,
+            services=services,
+        )
+        for name, hashes in key_hashes.items()
+    )
--- a/packages/config/src/wasabiwell_config/validation.py
+++ b/packages/config/src/wasabiwell_config/validation.py
@@ -1,27 +1,54 @@
 """Checks of a configuration beyond its form."""
 
+import math
 import re
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
 from wasabiwell_config.const import (
+    CLASS_FLOOR_TOKENS,
+    FASTEST_PREFILL_TOKENS_PER_SECOND,
     KEY_HASH_PATTERN,
     MAX_DEADLINE,
     MAX_PROMPT_TOKENS,
     MAX_WEIGHT,
+    METHOD_PATTERN,
     NAME_PATTERN,
+    SMALLEST_REQUEST_TOKENS,
+)
+from wasabiwell_config.document import form_findings, read_document
+from wasabiwell_config.errors import Finding, Findings
+from wasabiwell_config.model import (
+    CallRule,
+    Configuration,
+    ModelService,
+    Organisation,
+    PlainService,
 )
-from wasabiwell_config.errors import Finding
-from wasabiwell_config.model import Configuration, ModelService, Organisation, PlainService
 
 
 def validate(configuration: Configuration) -> tuple[Finding, ...]:
-    """Return all findings of a configuration, in the order of its sections."""
-    return tuple(_findings(configuration))
+    """Return all findings of a configuration: its form first, then its sections in order.
+
+    A configuration with values of a wrong type gets only the findings of its form.
+    """
+    form = tuple(form_findings(configuration))
+    return form or tuple(_findings(configuration, frozenset()))
+
 
+def load(text: str | bytes) -> Configuration | Findings:
+    """Return the valid configuration of a JSON document, or all findings of form and content.
 
-def _findings(configuration: Configuration) -> Iterator[Finding]:
+    Objects with a malformed field are left out of the checks of content; references to them are
+    accepted.
+    """
+    document = read_document(text)
+    findings = (*document.findings, *_findings(document.configuration, document.malformed))
+    return Findings(findings) if findings else document.configuration
+
+
+def _findings(configuration: Configuration, malformed: frozenset[str]) -> Iterator[Finding]:
     services = [entry.name for entry in configuration.model_services]
     services += [entry.name for entry in configuration.plain_services]
     yield from _check_names("service", services)
@@ -31,8 +58,10 @@
         yield from _check_model_service(model_service)
     for plain_service in configuration.plain_services:
         yield from _check_plain_service(plain_service)
+    known = set(services) | {path.partition("/")[2] for path in malformed if "_service/" in path}
     for organisation in configuration.organisations:
-        yield from _check_organisation(organisation, set(services))
+        yield from _check_organisation(organisation, known)
+        yield from _check_token_limit(organisation, configuration.model_services)
     yield from _check_keys(configuration)
 
 
@@ -49,11 +78,22 @@
         yield Finding(place, f"must be above 0 and at most {MAX_DEADLINE}")
 
 
+def _check_reachable(place: str, size: str, deadline: timedelta) -> Iterator[Finding]:
+    tokens = CLASS_FLOOR_TOKENS[size]
+    least = timedelta(seconds=tokens / FASTEST_PREFILL_TOKENS_PER_SECOND)
+    if timedelta() < deadline < least:
+        yield Finding(
+            place,
+            f"is below {least.total_seconds():g} s, in which no engine reads {tokens} tokens",
+        )
+
+
 def _check_model_service(service: ModelService) -> Iterator[Finding]:
     place = f"model_service/{service.name}"
     deadlines = service.deadlines
     for name in ("short", "medium", "long"):
         yield from _check_duration(f"{place}.deadlines.{name}", getattr(deadlines, name))
+        yield from _check_reachable(f"{place}.deadlines.{name}", name, getattr(deadlines, name))
     if not deadlines.short <= deadlines.medium <= deadlines.long:
         yield Finding(f"{place}.deadlines", "must not shrink as prompts grow")
     if not 0 < service.max_prompt_tokens <= MAX_PROMPT_TOKENS:
@@ -63,16 +103,31 @@
 def _check_plain_service(service: PlainService) -> Iterator[Finding]:
     place = f"plain_service/{service.name}"
     yield from _check_duration(f"{place}.timeout", service.timeout)
-    seen: set[tuple[str, str]] = set()
     for index, rule in enumerate(service.non_idempotent):
         rule_place = f"{place}.non_idempotent[{index}]"
-        if rule.method != "*" and not rule.method.isupper():
+        if rule.method != "*" and not re.fullmatch(METHOD_PATTERN, rule.method):
             yield Finding(f"{rule_place}.method", "must be an HTTP method in upper case or *")
         if not rule.path.startswith("/"):
             yield Finding(f"{rule_place}.path", "must start with /")
-        if (rule.method, rule.path) in seen:
-            yield Finding(rule_place, "repeats an earlier rule")
-        seen.add((rule.method, rule.path))
+        yield from _check_overlap(rule_place, index, service.non_idempotent)
+
+
+def _check_overlap(place: str, index: int, rules: tuple[CallRule, ...]) -> Iterator[Finding]:
+    rule = rules[index]
+    if rule in rules[:index]:
+        yield Finding(place, "repeats an earlier rule")
+        return
+    for other_index, other in enumerate(rules):
+        if other != rule and _covers(other, rule):
+            message = f"has no effect, because non_idempotent[{other_index}] covers it"
+            yield Finding(place, message)
+            return
+
+
+def _covers(wide: CallRule, narrow: CallRule) -> bool:
+    """Tell whether each call of the narrow rule is one of the wide rule; paths end at a slash."""
+    below = narrow.path == wide.path or narrow.path.startswith(wide.path.rstrip("/") + "/")
+    return wide.method in ("*", narrow.method) and below
 
 
 def _check_organisation(organisation: Organisation, services: set[str]) -> Iterator[Finding]:
@@ -84,11 +139,33 @@
     limits = organisation.limits
     for name in ("requests_per_second", "tokens_per_second", "concurrent_long"):
         value = getattr(limits, name)
-        if value is not None and value <= 0:
-            yield Finding(f"{place}.limits.{name}", "must be above 0")
+        if value is not None and not 0 < value < math.inf:
+            yield Finding(f"{place}.limits.{name}", "must be above 0; null means no limit")
+    if not services.intersection(organisation.services or services):
+        yield Finding(f"{place}.services", "the organisation may use no service")
     for index, service in enumerate(organisation.services):
         if service not in services:
             yield Finding(f"{place}.services[{index}]", f"no service is named {service}")
+        elif service in organisation.services[:index]:
+            yield Finding(f"{place}.services[{index}]", f"repeats {service}")
+
+
+def _check_token_limit(
+    organisation: Organisation, services: tuple[ModelService, ...]
+) -> Iterator[Finding]:
+    rate = organisation.limits.tokens_per_second
+    if rate is None or not 0 < rate < math.inf:
+        return
+    for service in services:
+        if organisation.services and service.name not in organisation.services:
+            continue
+        seconds = service.deadlines.short.total_seconds()
+        if 0 < rate * seconds < SMALLEST_REQUEST_TOKENS:
+            yield Finding(
+                f"organisation/{organisation.name}.limits.tokens_per_second",
+                f"{rate:g} tokens/s admit no request of {SMALLEST_REQUEST_TOKENS} tokens within"
+                f" the short deadline of {service.name}, {seconds:g} s",
+            )
 
 
 def _check_keys(configuration: Configuration) -> Iterator[Finding]:
--- /dev/null
+++ b/tests/config/findings.feature
@@ -0,0 +1,93 @@
+Feature: Findings of a configuration
+  Guards against mistakes that are accepted, hidden behind another mistake, or named without a place.
+
+  Scenario: Every wrong field of one object is named at once
+    Given the valid configuration
+    When "organisations.0.weight" becomes "heavy"
+    And "organisations.0.limits.concurrent_long" becomes "two"
+    And "organisations.0.colour" becomes "red"
+    And "plain_services.0.timeout" becomes null
+    And "plain_services.0.non_idempotent.0.path" is removed
+    And "unknown_section" becomes 1
+    Then the places of the findings are
+      """
+      organisation/lowell-crews.colour
+      organisation/lowell-crews.limits.concurrent_long
+      organisation/lowell-crews.weight
+      plain_service/crew-desk.non_idempotent[0].path
+      plain_service/crew-desk.timeout
+      unknown_section
+      """
+
+  Scenario: Wrong types do not hide wrong values elsewhere
+    Given the valid configuration
+    When "organisations.0.weight" becomes "heavy"
+    And "model_services.0.max_prompt_tokens" becomes 0
+    Then the places of the findings are
+      """
+      model_service/ice-advisor.max_prompt_tokens
+      organisation/lowell-crews.weight
+      """
+
+  Scenario Outline: <case> is a finding
+    Given the valid configuration
+    When "<field>" becomes <value>
+    Then the place "<place>" has a finding with "<message>"
+
+    Examples:
+      | case                  | field                                       | value                                                                       | place                                                | message             |
+      | a shadowed rule       | plain_services.0.non_idempotent             | [{"method":"*","path":"/b"},{"method":"POST","path":"/b/c"}]                 | plain_service/crew-desk.non_idempotent[1]            | has no effect       |
+      | a rule shadowed later | plain_services.0.non_idempotent             | [{"method":"POST","path":"/b/c"},{"method":"POST","path":"/b"}]              | plain_service/crew-desk.non_idempotent[0]            | has no effect       |
+      | a repeated rule       | plain_services.0.non_idempotent             | [{"method":"POST","path":"/b"},{"method":"POST","path":"/b"}]                | plain_service/crew-desk.non_idempotent[1]            | repeats             |
+      | a tiny token rate     | organisations.0.limits.tokens_per_second    | 10                                                                          | organisation/lowell-crews.limits.tokens_per_second   | admit no request    |
+      | no long request       | organisations.0.limits.concurrent_long      | 0                                                                           | organisation/lowell-crews.limits.concurrent_long     | above 0             |
+      | no usable service     | organisations.0.services                    | ["none"]                                                                    | organisation/lowell-crews.services                   | no service          |
+      | a repeated service    | organisations.0.services                    | ["crew-desk","crew-desk"]                                                   | organisation/lowell-crews.services[1]                | repeats             |
+      | a deadline too short  | model_services.0.deadlines.long             | "PT1S"                                                                      | model_service/ice-advisor.deadlines.long             | no engine           |
+      | a bad key hash        | organisations.0.key_hashes                  | ["plain key"]                                                               | organisation/lowell-crews.key_hashes[0]              | SHA-256             |
+      | a bad method          | plain_services.0.non_idempotent.0.method    | "post"                                                                      | plain_service/crew-desk.non_idempotent[0].method     | upper case          |
+
+  Scenario: Rules whose paths share letters but no path segment do not overlap
+    Given the valid configuration
+    When "plain_services.0.non_idempotent" becomes [{"method":"POST","path":"/book"},{"method":"POST","path":"/bookings"}]
+    Then there is no finding
+
+  Scenario: An organisation may hold an old and a new key
+    Given the valid configuration
+    When the organisation holds the keys "old" and "new"
+    Then there is no finding
+
+  Scenario Outline: <text> is no configuration
+    When the text '<text>' is loaded
+    Then the places of the findings are
+      """
+      <place>
+      """
+
+    Examples:
+      | text                    | place          |
+      | {                       | document       |
+      | []                      | document       |
+      | {"organisations": {}}   | organisations  |
+      | {"organisations": [3]}  | organisation/0 |
+
+  Scenario: Values of a wrong type in a configuration built in Python are findings
+    When an organisation is built in Python with the weight "heavy" and no tuple of keys
+    Then the places of the findings are
+      """
+      organisation/lowell-crews.key_hashes
+      organisation/lowell-crews.weight
+      """
+
+  Scenario: Every configuration survives printing and reading
+    Then 200 generated configurations are equal after printing and reading, and print the same again
+
+  Scenario Outline: The example <name> has no finding and 10 organisations
+    When the example "<name>" is printed and loaded
+    Then there is no finding
+    And the configuration has 10 organisations
+
+    Examples:
+      | name       |
+      | eaveline   |
+      | fraserline |
