Close the operators' interface, record requests and check settings together

Cause: before the first configuration the interface answered everybody. Operators could not see versions, drain a target or follow a request, and the status was an untyped dictionary. A start with several wrong settings showed one mistake at a time; host names passed.

Change: an operator key is needed; while none is configured only loopback callers and the bootstrap key get in, and the entry reads the table service first, so that an instance that has just started is not open. OperationsCoordinator gives one typed report; queues, credits, owners and quarantine are provider protocols that are None until their parts exist, and their routes say so. The ports of dispatching are wrapped to keep a bounded log of request records without prompt text or keys. Failures carry X-Request-Id. Command-line mistakes are collected with those of check_settings.

--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/__init__.py
@@ -0,0 +1,5 @@
+"""What operators ask of an entry instance."""
+
+from wasabiwell_entry.coordination.operations.coordinator import OperationsCoordinator
+
+__all__ = ["OperationsCoordinator"]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/ports.py
@@ -0,0 +1,64 @@
+"""Port to traces and metrics, and its value that does nothing."""
+
+from collections.abc import Mapping
+from contextlib import AbstractContextManager, nullcontext
+from typing import Protocol
+
+Headers = list[tuple[str, str]]
+Attributes = Mapping[str, str | int | float | bool]
+
+
+class Telemetry(Protocol):
+    """Receiver of spans and measured times."""
+
+    def request_span(
+        self, name: str, traceparent: str | None, tracestate: str | None
+    ) -> AbstractContextManager[None]:
+        """Span of a caller's request, a child of the trace context that the caller sent."""
+
+    def span(self, name: str, attributes: Attributes) -> AbstractContextManager[None]:
+        """Span of one hop, a child of the current span."""
+
+    def annotate(self, attributes: Attributes) -> None:
+        """Add attributes to the current span."""
+
+    def headers(self) -> Headers:
+        """Return the W3C trace context of the current span; empty without one."""
+
+    def first_token(self, service: str, size: str, seconds: float) -> None:
+        """Record the time from a request's arrival to its first token."""
+
+    def slowdown(self, service: str, size: str, ratio: float) -> None:
+        """Record time to first token divided by the time it takes without waiting."""
+
+
+_NO_SPAN = nullcontext()
+
+
+class NoTelemetry:
+    """Records nothing."""
+
+    __slots__ = ()
+
+    def request_span(
+        self, name: str, traceparent: str | None, tracestate: str | None
+    ) -> AbstractContextManager[None]:
+        """Return a context that does nothing."""
+        return _NO_SPAN
+
+    def span(self, name: str, attributes: Attributes) -> AbstractContextManager[None]:
+        """Return a context that does nothing."""
+        return _NO_SPAN
+
+    def annotate(self, attributes: Attributes) -> None:
+        """Do nothing."""
+
+    def headers(self) -> Headers:
+        """Return no header."""
+        return []
+
+    def first_token(self, service: str, size: str, seconds: float) -> None:
+        """Do nothing."""
+
+    def slowdown(self, service: str, size: str, ratio: float) -> None:
+        """Do nothing."""
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -14,18 +14,31 @@
 from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
+from wasabiwell_entry.coordination.operations import OperationsCoordinator
+from wasabiwell_entry.coordination.operations.coordinator import Sources
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.runs import RunCoordinator
 from wasabiwell_entry.coordination.targets import TargetCoordinator
+from wasabiwell_entry.coordination.telemetry import (
+    NoTelemetry,
+    ObservedAdmission,
+    ObservedDispatcher,
+    ObservedEngines,
+    ObservedPlain,
+    ObservedTable,
+    RequestLog,
+)
 from wasabiwell_entry.settings import Settings, split_address
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock, SystemClock
 from wasabiwell_entry.state.configuration import ConfigurationState
+from wasabiwell_entry.state.counters import Counters
 from wasabiwell_entry.state.members import Member, MemberTable
 from wasabiwell_entry.state.targets import TargetTable
 from wasabiwell_entry.transport.http.context import HttpContext, HttpLimits
 from wasabiwell_entry.transport.http.server import serve_callers
 from wasabiwell_entry.transport.peer.client import PeerClient, open_peer_client
+from wasabiwell_entry.transport.peer.codec import TRAFFIC
 from wasabiwell_entry.transport.peer.server import PeerService, serve_peers
 from wasabiwell_entry.transport.platform.client import (
     HttpInstanceList,
@@ -62,7 +75,10 @@
         members = MemberTable()
         target_table = TargetTable()
         configuration_state = ConfigurationState()
-        table = HttpTableService(settings.table_url)
+        telemetry = NoTelemetry()
+        counters = Counters()
+        records = RequestLog(clock)
+        table = ObservedTable(HttpTableService(settings.table_url), counters, telemetry)
         engines = HttpEngineClient(pools, clock)
         targets = TargetCoordinator(target_table, engines, clock)
         membership = MembershipCoordinator(
@@ -72,26 +88,44 @@
         configuration = ConfigurationCoordinator(table, configuration_state, clock)
         lifecycle = LifecycleCoordinator(own, members, configuration_state, clock)
         dispatcher = Dispatcher(
-            admission=AdmissionCoordinator(
-                Router(target_table, settings.zone, clock), target_table, engines
+            admission=ObservedAdmission(
+                AdmissionCoordinator(
+                    Router(target_table, settings.zone, clock), target_table, engines
+                ),
+                records,
+                telemetry,
             ),
-            engines=engines,
-            plain=HttpPlainClient(clock),
+            engines=ObservedEngines(engines, records, telemetry),
+            plain=ObservedPlain(HttpPlainClient(clock), records, telemetry),
             runs=RunCoordinator(
                 table, HttpObjectStore(settings.object_url), clock, settings.node_id
             ),
             observer=targets,
             clock=clock,
         )
+        operations = OperationsCoordinator(
+            Sources(
+                own=own,
+                configuration=configuration_state,
+                members=members,
+                targets=target_table,
+                lifecycle=lifecycle,
+                records=records,
+                counters=counters,
+                traffic=TRAFFIC,
+            )
+        )
         http = HttpContext(
-            dispatcher=dispatcher,
+            dispatcher=ObservedDispatcher(dispatcher, records, counters, telemetry),
             addresses=AddressCoordinator(own, members),
             configuration=configuration_state,
             configuration_coordinator=configuration,
             lifecycle=lifecycle,
             clock=clock,
             limits=HttpLimits(settings.max_body_bytes, settings.body_timeout.total_seconds()),
-            status=lambda: _status(settings, configuration_state, members, target_table, lifecycle),
+            operations=operations,
+            telemetry=telemetry,
+            bootstrap_key_hash=settings.bootstrap_key_hash,
         )
         yield Instance(settings, http, membership, targets, configuration, lifecycle, peers)
 
@@ -133,33 +167,3 @@
         caller_address=settings.caller_address,
         peer_address=settings.peer_address,
     )
-
-
-def _status(
-    settings: Settings,
-    configuration: ConfigurationState,
-    members: MemberTable,
-    targets: TargetTable,
-    lifecycle: LifecycleCoordinator,
-) -> dict[str, object]:
-    return {
-        "node_id": settings.node_id,
-        "zone": settings.zone,
-        "configuration_version": configuration.version,
-        "open_requests": lifecycle.open_requests,
-        "members": [
-            {"node_id": member.node_id, "zone": member.zone, "status": member.status.value}
-            for member in members
-        ],
-        "targets": [
-            {
-                "target_id": status.target.target_id,
-                "service": status.target.service,
-                "zone": status.target.zone,
-                "leaving": status.leaving,
-                "lost": status.lost_at is not None,
-                "outstanding": status.outstanding,
-            }
-            for status in targets
-        ],
-    }
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -1,49 +1,92 @@
 """Command `wasabiwell-entry`: runs an entry instance."""
 
 import sys
-from datetime import timedelta
+from functools import partial
 
 import click
 import logbook
 import trio
 
 from wasabiwell_entry.instance import run_instance
-from wasabiwell_entry.settings import Settings, check_settings
+from wasabiwell_entry.options import CollectedOption, collected_findings
+from wasabiwell_entry.settings import Settings, check_settings, duration
 from wasabiwell_entry.state import log_events
 
+EXIT_BAD_SETTINGS = 2
+PLACEHOLDERS = {"text": "", "integer": 1, "float": 1.0}
+"""Stand for values that already have a finding, so that the other settings are checked too."""
 
-@click.command(context_settings={"auto_envvar_prefix": "WASABIWELL", "show_default": True})
-@click.option("--node-id", required=True, help="Id of this entry instance, unique in a deployment.")
-@click.option("--region", required=True, help="Region of this entry instance.")
-@click.option("--zone", required=True, help="Availability zone of this entry instance.")
-@click.option("--caller-address", required=True, help="HOST:PORT for callers and operators.")
-@click.option("--peer-address", required=True, help="HOST:PORT for other entry instances.")
-@click.option("--table-url", required=True, help="URL of the platform's table service.")
-@click.option("--object-url", required=True, help="URL of the platform's object store.")
-@click.option("--instance-url", required=True, help="URL of the platform's instance list.")
-@click.option("--max-body-bytes", default=16 * 1024 * 1024, help="Largest request body, in bytes.")
-@click.option(
-    "--body-timeout-s", default=30.0, help="Time for a request body to arrive, in seconds."
+option = partial(click.option, cls=CollectedOption, show_envvar=True)
+
+
+@click.command(
+    context_settings={
+        "auto_envvar_prefix": "WASABIWELL",
+        "show_default": True,
+        "max_content_width": 100,
+    }
 )
-@click.option(
-    "--address-ttl-s", default=10.0, help="Time for which callers keep addresses, in seconds."
+@click.version_option(package_name="wasabiwell-entry", prog_name="wasabiwell-entry")
+@option("--node-id", required=True, help="Id of this entry instance, unique in a deployment.")
+@option("--region", required=True, help="Region of this entry instance.")
+@option("--zone", required=True, help="Availability zone of this entry instance.")
+@option("--caller-address", required=True, help="HOST:PORT for callers and operators.")
+@option("--peer-address", required=True, help="HOST:PORT for other entry instances.")
+@option("--table-url", required=True, help="URL of the platform's table service.")
+@option("--object-url", required=True, help="URL of the platform's object store.")
+@option("--instance-url", required=True, help="URL of the platform's instance list.")
+@option("--max-body-bytes", default=16 * 1024 * 1024, help="Largest request body, in bytes.")
+@option("--body-timeout-s", default=30.0, help="Time for a request body to arrive, in seconds.")
+@option("--address-ttl-s", default=10.0, help="Time for which callers keep addresses, in seconds.")
+@option(
+    "--bootstrap-key-hash",
+    default="",
+    help="SHA-256 hash of a key that opens the operators' interface while no operator key is "
+    "configured; without it only loopback callers get in then.",
 )
-def main(body_timeout_s: float, address_ttl_s: float, **values: object) -> None:
-    """Run an entry instance of wasabiwell."""
-    settings = Settings(
-        body_timeout=timedelta(seconds=body_timeout_s),
-        address_ttl=timedelta(seconds=address_ttl_s),
-        **values,  # type: ignore[arg-type]
-    )
-    findings = check_settings(settings)
+@option("--otlp-endpoint", default="", help="URL of an OTLP receiver; empty: no traces or metrics.")
+@option("--otlp-interval-s", default=10.0, help="Time between exports of metrics, in seconds.")
+@option("--otlp-sample-ratio", default=1.0, help="Share of new traces that are recorded, 0 to 1.")
+@option("--tls-certificate", default="", help="PEM file; turns on TLS for callers and operators.")
+@option("--tls-key", default="", help="PEM file with the key of --tls-certificate.")
+@option("--peer-tls-certificate", default="", help="PEM file; turns on mutual TLS between entries.")
+@option("--peer-tls-key", default="", help="PEM file with the key of --peer-tls-certificate.")
+@option("--peer-tls-ca", default="", help="PEM file with the issuers of the entries' certificates.")
+@option("--target-ca", default="", help="PEM file with the targets' issuers; turns on https.")
+@option("--platform-ca", default="", help="PEM file with the issuers of the platform's services.")
+@click.pass_context
+def main(context: click.Context, /, **values: object) -> None:
+    """Run an entry instance of wasabiwell.
+
+    Hosts are IP numbers. Exit codes: 0 after a graceful stop, 2 for mistakes in the settings.
+    """
+    findings = collected_findings(context)
+    known = {finding.place for finding in findings}
+    settings = _settings(context, values)
+    findings += [finding for finding in check_settings(settings) if finding.place not in known]
     for finding in findings:
         click.echo(f"{finding.place}: {finding.message}", err=True)
     if findings:
-        sys.exit(2)
+        sys.exit(EXIT_BAD_SETTINGS)
     handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO, format_string=log_events.FORMAT)
     with handler.applicationbound():
         trio.run(run_instance, settings)
 
 
+def _settings(context: click.Context, values: dict[str, object]) -> Settings:
+    fields: dict[str, object] = {}
+    for parameter in context.command.params:
+        if parameter.name is None or parameter.name not in values:
+            continue
+        value = values[parameter.name]
+        if value is None:
+            value = PLACEHOLDERS[parameter.type.name]
+        if parameter.name.endswith("_s") and isinstance(value, float):
+            fields[parameter.name.removesuffix("_s")] = duration(value)
+        else:
+            fields[parameter.name] = value
+    return Settings(**fields)  # type: ignore[arg-type]
+
+
 if __name__ == "__main__":
     main()
--- a/packages/entry/src/wasabiwell_entry/protocol/admin.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/admin.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from wasabiwell_entry.state.outcomes import Finding
+from wasabiwell_entry.state.reports import RequestRecord, SuspectFigures
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +36,48 @@
     items: dict[str, msgspec.Raw]
 
 
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """One version and the paths that it changed."""
+
+    version: int
+    paths: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryReply:
+    """Answer of `GET /admin/v1/configuration/history`; the newest version comes first.
+
+    An entry instance keeps recent versions only; older ones are not listed.
+    """
+
+    version: int
+    versions: tuple[HistoryEntry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DrainReply:
+    """Answer of the drain of an entry instance or a target."""
+
+    node_id: str
+    draining: str
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineReply:
+    """Answer of `GET /admin/v1/quarantine`."""
+
+    suspects: tuple[SuspectFigures, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TraceReply:
+    """Answer of `GET /admin/v1/trace/REQUEST-ID`."""
+
+    node_id: str
+    request: RequestRecord
+
+
 def decode_changes(body: ApplyBody) -> dict[str, bytes | None]:
     """Return the changes with each item in its canonical encoding."""
     changes: dict[str, bytes | None] = {}
--- a/packages/entry/src/wasabiwell_entry/protocol/problem.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/problem.py
@@ -15,6 +15,7 @@
     Reason.FORBIDDEN: 403,
     Reason.UNKNOWN_ROUTE: 404,
     Reason.UNKNOWN_SERVICE: 404,
+    Reason.NOT_FOUND: 404,
     Reason.BODY_TIMEOUT: 408,
     Reason.STILL_RUNNING: 409,
     Reason.RESULT_UNKNOWN: 409,
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -1,17 +1,27 @@
 """Settings of an entry instance, checked at start."""
 
+import ipaddress
+import math
+import re
 from dataclasses import dataclass
 from datetime import timedelta
+from pathlib import Path
+from urllib.parse import urlsplit
 
 from wasabiwell_entry.state.outcomes import Finding
 
 MIN_PORT = 1
 MAX_PORT = 65_535
+NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
+KEY_HASH_PATTERN = r"[0-9a-f]{64}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
-    """Settings of one entry instance; addresses are `HOST:PORT` with IP numbers."""
+    """Settings of one entry instance; addresses are `HOST:PORT` with IP numbers.
+
+    An empty path or URL turns off what it is for.
+    """
 
     node_id: str
     region: str
@@ -24,6 +34,17 @@
     max_body_bytes: int = 16 * 1024 * 1024
     body_timeout: timedelta = timedelta(seconds=30)
     address_ttl: timedelta = timedelta(seconds=10)
+    bootstrap_key_hash: str = ""
+    otlp_endpoint: str = ""
+    otlp_interval: timedelta = timedelta(seconds=10)
+    otlp_sample_ratio: float = 1.0
+    tls_certificate: str = ""
+    tls_key: str = ""
+    peer_tls_certificate: str = ""
+    peer_tls_key: str = ""
+    peer_tls_ca: str = ""
+    target_ca: str = ""
+    platform_ca: str = ""
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -34,23 +55,82 @@
 
 def check_settings(settings: Settings) -> list[Finding]:
     """Return all findings of the settings."""
-    findings = [
-        Finding(f"--{name.replace('_', '-')}", "must not be empty")
-        for name in ("node_id", "region", "zone")
-        if not getattr(settings, name)
-    ]
+    findings: list[Finding] = []
+    for name in ("node_id", "region", "zone"):
+        if not re.fullmatch(NAME_PATTERN, getattr(settings, name)):
+            findings.append(Finding(flag(name), f"must match {NAME_PATTERN}"))
     for name in ("caller_address", "peer_address"):
-        findings += _check_address(f"--{name.replace('_', '-')}", getattr(settings, name))
+        findings += _check_address(flag(name), getattr(settings, name))
+    if settings.caller_address == settings.peer_address:
+        findings.append(Finding("--peer-address", "must differ from --caller-address"))
     for name in ("table_url", "object_url", "instance_url"):
-        if not getattr(settings, name).startswith("http://"):
-            findings.append(Finding(f"--{name.replace('_', '-')}", "must start with http://"))
+        findings += _check_url(flag(name), getattr(settings, name))
+    if settings.otlp_endpoint:
+        findings += _check_url("--otlp-endpoint", settings.otlp_endpoint)
     if settings.max_body_bytes <= 0:
         findings.append(Finding("--max-body-bytes", "must be above 0"))
+    for name in ("body_timeout", "address_ttl", "otlp_interval"):
+        if getattr(settings, name) <= timedelta():
+            findings.append(Finding(f"{flag(name)}-s", "must be above 0"))
+    if not 0 <= settings.otlp_sample_ratio <= 1:
+        findings.append(Finding("--otlp-sample-ratio", "must be from 0 to 1"))
+    if not re.fullmatch(f"({KEY_HASH_PATTERN})?", settings.bootstrap_key_hash):
+        findings.append(Finding("--bootstrap-key-hash", "must be a SHA-256 hash in hexadecimal"))
+    return findings + _check_tls(settings)
+
+
+def flag(name: str) -> str:
+    """Return the flag of a field of `Settings`."""
+    return f"--{name.replace('_', '-')}"
+
+
+def duration(seconds: float) -> timedelta:
+    """Return a duration; one that no clock can hold becomes 0, which the check refuses."""
+    return timedelta(seconds=seconds) if abs(seconds) < math.inf else timedelta()
+
+
+def _check_tls(settings: Settings) -> list[Finding]:
+    findings = []
+    groups = (
+        ("tls_certificate", "tls_key"),
+        ("peer_tls_certificate", "peer_tls_key", "peer_tls_ca"),
+        ("target_ca",),
+        ("platform_ca",),
+    )
+    for group in groups:
+        given = [name for name in group if getattr(settings, name)]
+        for name in group:
+            if given and name not in given:
+                findings.append(Finding(flag(name), f"is needed with {flag(given[0])}"))
+        findings += [
+            Finding(flag(name), f"no file {getattr(settings, name)}")
+            for name in given
+            if not Path(getattr(settings, name)).is_file()
+        ]
     return findings
 
 
 def _check_address(place: str, address: str) -> list[Finding]:
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not MIN_PORT <= int(port) <= MAX_PORT:
+    if not host or not port.isdecimal() or not MIN_PORT <= int(port) <= MAX_PORT:
         return [Finding(place, f"must be HOST:PORT, not {address!r}")]
+    return _check_host(place, host.strip("[]"))
+
+
+def _check_host(place: str, host: str) -> list[Finding]:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return [Finding(place, f"must name the host by its IP number, not {host!r}")]
     return []
+
+
+def _check_url(place: str, url: str) -> list[Finding]:
+    try:
+        parts = urlsplit(url)
+        port = parts.port
+    except ValueError as error:
+        return [Finding(place, f"must be a URL: {error}")]
+    if parts.scheme not in ("http", "https") or not parts.hostname or port == 0:
+        return [Finding(place, f"must be http://HOST:PORT or https://HOST:PORT, not {url!r}")]
+    return _check_host(place, parts.hostname)
--- a/packages/entry/src/wasabiwell_entry/state/configuration.py
+++ b/packages/entry/src/wasabiwell_entry/state/configuration.py
@@ -41,6 +41,11 @@
         }
         self._operators = {entry.key_hash: entry for entry in configuration.operators}
 
+    @property
+    def has_operators(self) -> bool:
+        """Return whether any operator key is configured."""
+        return bool(self._operators)
+
     def model_service(self, name: str) -> ModelService | None:
         """Return the model service of that name."""
         return self._model_services.get(name)
@@ -84,6 +89,10 @@
         """Return the look-ups of the version in force."""
         return self._view
 
+    def recent_deltas(self, limit: int) -> list[ConfigurationDelta]:
+        """Return up to `limit` retained deltas, newest first."""
+        return list(self._deltas)[: -limit - 1 : -1]
+
     def deltas_since(self, version: int) -> list[ConfigurationDelta] | None:
         """Return the deltas after a version, or None when they are not all retained."""
         wanted = [delta for delta in self._deltas if delta.version > version]
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -45,6 +45,19 @@
     "listener {address} is not on loopback and has no TLS",
     "Set the TLS settings, or accept that traffic is readable on the network.",
 )
+BOOTSTRAP_ACCESS = LogEvent(
+    104,
+    Level.WARNING,
+    "operators' interface used from {host} without an operator key: none is configured",
+    "Apply a configuration with an operator key.",
+)
+CERTIFICATE_LOADED = LogEvent(105, Level.INFO, "certificate {path} is in use")
+CERTIFICATE_REJECTED = LogEvent(
+    106,
+    Level.ERROR,
+    "certificate {path} cannot be used, the previous one stays in use: {reason}",
+    "Replace the certificate and its key by a matching pair before the previous one expires.",
+)
 CONFIGURATION_IN_FORCE = LogEvent(200, Level.INFO, "configuration version {version} is in force")
 CONFIGURATION_INVALID = LogEvent(
     201,
@@ -69,6 +82,7 @@
     "Ask the target whether the call ran; the caller was told that the result is unknown.",
 )
 TARGET_LOST = LogEvent(402, Level.WARNING, "target {target} does not accept connections")
+TARGET_DRAINED = LogEvent(403, Level.INFO, "target {target} gets no new work: drained by operator")
 REQUEST_FAILED_INTERNALLY = LogEvent(
     500, Level.ERROR, "request {request}: unexpected {error}", "Report this with the log."
 )
--- a/packages/entry/src/wasabiwell_entry/state/outcomes.py
+++ b/packages/entry/src/wasabiwell_entry/state/outcomes.py
@@ -21,6 +21,7 @@
     BODY_TIMEOUT = "body_timeout"
     UNAUTHENTICATED = "unauthenticated"
     UNKNOWN_ROUTE = "unknown_route"
+    NOT_FOUND = "not_found"
     UNKNOWN_SERVICE = "unknown_service"
     FORBIDDEN = "forbidden"
     MISSING_IDEMPOTENCY_KEY = "missing_idempotency_key"
--- a/packages/entry/src/wasabiwell_entry/transport/http/admin.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/admin.py
@@ -1,6 +1,7 @@
 """Handlers of the operators' interface below `/admin/v1`."""
 
 from dataclasses import asdict
+from urllib.parse import unquote
 
 import msgspec
 
@@ -12,10 +13,18 @@
     Conflict,
     Invalid,
 )
+from wasabiwell_entry.coordination.operations.const import HISTORY_LIMIT, MAX_HISTORY_LIMIT
+from wasabiwell_entry.coordination.operations.errors import Done, NotFound, Unavailable
+from wasabiwell_entry.coordination.telemetry.errors import NoRecord
 from wasabiwell_entry.protocol.admin import (
     ApplyBody,
     ApplyReply,
     ConfigurationReply,
+    DrainReply,
+    HistoryEntry,
+    HistoryReply,
+    QuarantineReply,
+    TraceReply,
     decode_changes,
 )
 from wasabiwell_entry.protocol.problem import problem
@@ -35,26 +44,95 @@
 
 async def handle_admin(context: HttpContext, exchange: Exchange) -> None:
     """Answer an operator."""
-    if context.configuration.version:
-        operator = authenticate_operator(context, exchange)
-        if isinstance(operator, Refused):
-            await exchange.respond_problem(problem(operator))
-            return
-    match exchange.method, exchange.path.removeprefix(ADMIN_PREFIX):
-        case "GET", "configuration":
+    if not context.configuration.view.has_operators:
+        # A started instance may not know yet that the deployment has operators.
+        await context.configuration_coordinator.refresh()
+    operator = authenticate_operator(context, exchange)
+    if isinstance(operator, Refused):
+        await exchange.respond_problem(problem(operator))
+        return
+    route = [unquote(part) for part in exchange.path.removeprefix(ADMIN_PREFIX).split("/")]
+    match exchange.method, route:
+        case "GET", ["configuration"]:
             await _get_configuration(context, exchange)
-        case "POST", "configuration":
+        case "POST", ["configuration"]:
             await _apply(context, exchange)
-        case "GET", "status":
-            body = msgspec.json.encode(context.status())
-            await exchange.respond(200, [JSON_TYPE], body)
-        case "POST", "drain":
-            context.lifecycle.leave("an operator asked for it")
-            await exchange.respond(202, [JSON_TYPE], b"{}")
-        case _:
-            await exchange.respond_problem(
-                problem(Refused(Reason.UNKNOWN_ROUTE, "no such operation"))
-            )
+        case "GET", ["configuration", "history"]:
+            await _history(context, exchange)
+        case "GET", ["status"]:
+            await _respond(exchange, 200, context.operations.report())
+        case "POST", ["drain"]:
+            node_id = context.operations.report().node_id
+            context.lifecycle.leave(f"operator {operator.name} asked for it")
+            await _respond(exchange, 202, DrainReply(node_id, node_id))
+        case "POST", ["targets", target_id, "drain"]:
+            await _drain_target(context, exchange, target_id)
+        case "GET", ["quarantine"]:
+            await _quarantine(context, exchange)
+        case "DELETE", ["quarantine", fingerprint]:
+            await _release(context, exchange, fingerprint)
+        case "GET", ["trace", request_id]:
+            await _trace(context, exchange, request_id)
+        case method, _:
+            await _respond_refused(exchange, f"no operation {method} {exchange.path}")
+
+
+async def _respond(exchange: Exchange, status: int, value: object) -> None:
+    await exchange.respond(status, [JSON_TYPE], msgspec.json.encode(value))
+
+
+async def _respond_refused(
+    exchange: Exchange, message: str, reason: Reason = Reason.UNKNOWN_ROUTE
+) -> None:
+    await exchange.respond_problem(problem(Refused(reason, message)))
+
+
+async def _history(context: HttpContext, exchange: Exchange) -> None:
+    text = exchange.query("limit") or str(HISTORY_LIMIT)
+    if not text.isdecimal() or not 1 <= int(text) <= MAX_HISTORY_LIMIT:
+        finding = Finding("query limit", f"must be from 1 to {MAX_HISTORY_LIMIT}")
+        refused = Refused(Reason.INVALID_REQUEST, finding.message, findings=(finding,))
+        await exchange.respond_problem(problem(refused))
+        return
+    versions = tuple(HistoryEntry(*entry) for entry in context.operations.history(int(text)))
+    await _respond(exchange, 200, HistoryReply(context.configuration.version, versions))
+
+
+async def _drain_target(context: HttpContext, exchange: Exchange, target_id: str) -> None:
+    match context.operations.drain_target(target_id):
+        case Done():
+            node_id = context.operations.report().node_id
+            await _respond(exchange, 202, DrainReply(node_id, target_id))
+        case NotFound(message=message):
+            await _respond_refused(exchange, message, Reason.NOT_FOUND)
+
+
+async def _quarantine(context: HttpContext, exchange: Exchange) -> None:
+    match context.operations.suspects():
+        case Unavailable(reason=reason):
+            await _respond_refused(exchange, reason)
+        case suspects:
+            await _respond(exchange, 200, QuarantineReply(suspects))
+
+
+async def _release(context: HttpContext, exchange: Exchange, fingerprint: str) -> None:
+    match await context.operations.release(fingerprint):
+        case Done():
+            await _respond(exchange, 200, {"released": fingerprint})
+        case NotFound(message=message):
+            await _respond_refused(exchange, message, Reason.NOT_FOUND)
+        case Unavailable(reason=reason):
+            await _respond_refused(exchange, reason, Reason.STORE_UNAVAILABLE)
+
+
+async def _trace(context: HttpContext, exchange: Exchange, request_id: str) -> None:
+    match context.operations.record(request_id):
+        case NoRecord():
+            message = f"this entry instance has no record of request {request_id}"
+            await _respond_refused(exchange, message, Reason.NOT_FOUND)
+        case record:
+            node_id = context.operations.report().node_id
+            await _respond(exchange, 200, TraceReply(node_id, record))
 
 
 async def _get_configuration(context: HttpContext, exchange: Exchange) -> None:
--- a/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -111,9 +111,12 @@
         await self.start(status, [*headers, length])
         await self.finish(body)
 
-    async def respond_problem(self, problem: Problem) -> None:
-        """Send a failure."""
-        await self.respond(problem.status, problem.headers, problem.body)
+    async def respond_problem(self, problem: Problem, request_id: str = "") -> None:
+        """Send a failure, with the request id when the request has one."""
+        headers = problem.headers
+        if request_id:
+            headers = [*headers, (b"x-request-id", request_id.encode())]
+        await self.respond(problem.status, headers, problem.body)
 
 
 def _body_refused(reason: Reason, message: str) -> Refused:
--- a/packages/entry/src/wasabiwell_entry/transport/http/chat.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/chat.py
@@ -141,7 +141,7 @@
         case Refused() | Failed() as failure if exchange.started:
             await exchange.finish(encoder.error_event(failure))
         case Refused() | Failed() as failure:
-            await exchange.respond_problem(problem(failure))
+            await exchange.respond_problem(problem(failure), request.request_id)
 
 
 async def _answer_whole(context: HttpContext, exchange: Exchange, request: GenerateRequest) -> None:
@@ -154,7 +154,7 @@
             request_id = (b"x-request-id", request.request_id.encode())
             await exchange.respond(200, [JSON_TYPE, request_id], body)
         case failure:
-            await exchange.respond_problem(problem(failure))
+            await exchange.respond_problem(problem(failure), request.request_id)
 
 
 def _encoder(context: HttpContext, request: GenerateRequest) -> ChatEncoder:
--- a/packages/entry/src/wasabiwell_entry/transport/http/context.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/context.py
@@ -1,15 +1,17 @@
 """What the handlers of HTTP requests share."""
 
+import ipaddress
 import secrets
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from wasabiwell_config import OperatorKey, Organisation, hash_key
 
 from wasabiwell_entry.coordination.addresses import AddressCoordinator
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
-from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
+from wasabiwell_entry.coordination.operations import OperationsCoordinator
+from wasabiwell_entry.coordination.telemetry import RequestRunner, Telemetry
+from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.configuration import ConfigurationState
 from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
@@ -30,14 +32,16 @@
 class HttpContext:
     """Coordinators and state that handlers use."""
 
-    dispatcher: Dispatcher
+    dispatcher: RequestRunner
     addresses: AddressCoordinator
     configuration: ConfigurationState
     configuration_coordinator: ConfigurationCoordinator
     lifecycle: LifecycleCoordinator
     clock: Clock
     limits: HttpLimits
-    status: Callable[[], dict[str, object]]
+    operations: OperationsCoordinator
+    telemetry: Telemetry
+    bootstrap_key_hash: str = ""
 
 
 def new_request_id() -> str:
@@ -59,10 +63,28 @@
 
 
 def authenticate_operator(context: HttpContext, exchange: Exchange) -> OperatorKey | Refused:
-    """Return the operator whose key the caller sent."""
+    """Return the operator whose key the caller sent.
+
+    While no operator key is configured, the interface is open to loopback callers and to the
+    bootstrap key.
+    """
     key_hash = _key_hash(exchange)
-    operator = key_hash and context.configuration.view.operator_by_key_hash(key_hash)
-    return operator or _unauthenticated()
+    view = context.configuration.view
+    if view.has_operators:
+        return (key_hash and view.operator_by_key_hash(key_hash)) or _unauthenticated()
+    bootstrap = context.bootstrap_key_hash
+    with_key = key_hash and bootstrap and secrets.compare_digest(key_hash, bootstrap)
+    if not with_key and not _is_loopback(exchange.peer_host):
+        return _unauthenticated()
+    log_events.emit(log_events.BOOTSTRAP_ACCESS, host=exchange.peer_host)
+    return OperatorKey(name="bootstrap", key_hash=bootstrap)
+
+
+def _is_loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False
 
 
 def _key_hash(exchange: Exchange) -> str | None:
--- a/packages/entry/src/wasabiwell_entry/transport/http/server.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/server.py
@@ -1,6 +1,7 @@
 """ASGI application and server for callers and operators."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
 
 import msgspec
 import trio
@@ -33,7 +34,7 @@
         if scope["type"] != "http":
             return
         exchange = Exchange(scope, receive, send)
-        with context.lifecycle.request():
+        with context.lifecycle.request(), _span(context, exchange):
             await _serve(context, exchange)
 
     return app
@@ -53,6 +54,15 @@
     await serve(application(context), config, shutdown_trigger=shutdown)  # type: ignore[arg-type]
 
 
+def _span(context: HttpContext, exchange: Exchange) -> AbstractContextManager[None]:
+    """Return the span of a request; the path is not part of it, as callers choose it."""
+    return context.telemetry.request_span(
+        f"{exchange.method} request",
+        exchange.header(b"traceparent"),
+        exchange.header(b"tracestate"),
+    )
+
+
 async def _serve(context: HttpContext, exchange: Exchange) -> None:
     try:
         await _route(context, exchange)
--- a/packages/entry/src/wasabiwell_entry/transport/http/services.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/services.py
@@ -49,7 +49,7 @@
                 headers.append((b"idempotent-replayed", b"true"))
             await exchange.respond(answer.status, headers, answer.body)
         case failure:
-            await exchange.respond_problem(problem(failure))
+            await exchange.respond_problem(problem(failure), call.request_id)
 
 
 def _build_call(
--- a/packages/entry/src/wasabiwell_entry/transport/peer/codec.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/codec.py
@@ -5,6 +5,11 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from wasabiwell_entry.state.counters import ControlTraffic
+
+TRAFFIC = ControlTraffic()
+"""Messages of all channels of this process, which runs one entry instance."""
+
 
 class MessagePackCodec(CodecBase):
     """Encodes message classes with msgspec, so that no generated code is needed."""
@@ -13,8 +18,13 @@
 
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Return the encoded message."""
-        return msgspec.msgpack.encode(message)
+        data = msgspec.msgpack.encode(message)
+        TRAFFIC.sent_messages += 1
+        TRAFFIC.sent_bytes += len(data)
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Return the message of the given class; raises `msgspec.DecodeError`."""
+        TRAFFIC.received_messages += 1
+        TRAFFIC.received_bytes += len(data)
         return msgspec.msgpack.decode(data, type=message_type)
--- /dev/null
+++ b/tests/entry/settings.feature
@@ -0,0 +1,34 @@
+Feature: Settings of an entry instance
+  Guards against a start with settings that fail later, and against mistakes shown one at a time.
+
+  Scenario: All mistakes are named together
+    When the entry instance is started with "--max-body-bytes many --caller-address localhost:80 --tls-key /no/such/file --address-ttl-s -1 --otlp-sample-ratio 2 --table-url ftp://10.0.0.1 --bootstrap-key-hash secret"
+    Then it ends with code 2 and names
+      """
+      --address-ttl-s
+      --bootstrap-key-hash
+      --caller-address
+      --instance-url
+      --max-body-bytes
+      --node-id
+      --object-url
+      --otlp-sample-ratio
+      --peer-address
+      --region
+      --table-url
+      --tls-certificate
+      --tls-key
+      --zone
+      """
+
+  Scenario: Settings are also read from the environment
+    When the entry instance is started with the variable "WASABIWELL_BODY_TIMEOUT_S" as "nan"
+    Then its findings include "--body-timeout-s: must be above 0"
+
+  Scenario: Help gives variable, unit and default of every number
+    When the entry instance is started with "--help"
+    Then each line of help for a number has a unit and a default
+
+  Scenario: The version can be asked for
+    When the entry instance is started with "--version"
+    Then its output has "wasabiwell-entry, version 0.1.0"
