Split the operators' command and settle applies whose answer was lost

Cause: the command had three sub-commands in one module, gave up or misled when an answer was lost, and never recognised an unchanged configuration: items_of() kept the order of fields and the entry sorted them, so the same file made a new version each time.

An apply goes to a next entry only when the one before surely made no change; after a lost answer the configuration is read back for up to 10 s and the exit code 5 says when that did not help. items_of() sorts fields. drain tells every entry, trace asks every entry.

--- /dev/null
+++ b/packages/cli/src/wasabiwell_cli/changes.py
@@ -0,0 +1,30 @@
+"""Differences between the running configuration and a file."""
+
+import difflib
+
+import click
+import msgspec
+from wasabiwell_config import Items
+
+from wasabiwell_cli.output import BAD, GOOD
+
+Changes = dict[str, bytes | None]
+
+
+def encode_changes(changes: Changes) -> dict[str, msgspec.Raw | None]:
+    """Return the changes as they go into JSON; a removed item maps to null."""
+    return {path: None if value is None else msgspec.Raw(value) for path, value in changes.items()}
+
+
+def print_changes(running: Items, changes: Changes) -> None:
+    """Print the changed lines of each changed item."""
+    for path in sorted(changes):
+        value = changes[path]
+        before = _lines(running.get(path))
+        for line in difflib.unified_diff(before, _lines(value), path, path, lineterm="", n=2):
+            colour = GOOD if line.startswith("+") else BAD if line.startswith("-") else None
+            click.echo(click.style(line, fg=colour) if colour else line)
+
+
+def _lines(value: bytes | None) -> list[str]:
+    return [] if value is None else msgspec.json.format(value, indent=2).decode().splitlines()
--- /dev/null
+++ b/packages/cli/src/wasabiwell_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands, one module each."""
--- /dev/null
+++ b/packages/cli/src/wasabiwell_cli/commands/quarantine.py
@@ -0,0 +1,48 @@
+"""Command `quarantine`."""
+
+from urllib.parse import quote
+
+import click
+
+from wasabiwell_cli.client import AdminClient, accepted
+from wasabiwell_cli.options import json_option
+from wasabiwell_cli.output import print_json, print_table
+
+
+@click.group()
+def quarantine() -> None:
+    """List and release requests that crash targets."""
+
+
+@quarantine.command("list")
+@json_option
+@click.pass_obj
+def list_suspects(client: AdminClient, as_json: bool) -> None:
+    """List suspects and quarantined requests by fingerprint."""
+    value = client.read("quarantine")
+    if as_json:
+        print_json(value)
+        return
+    rows = [
+        (
+            suspect["fingerprint"],
+            "quarantined" if suspect["quarantined"] else "suspect",
+            ", ".join(suspect["targets"]),
+        )
+        for suspect in value["suspects"]
+    ]
+    print_table(("FINGERPRINT", "STATE", "TARGETS"), rows)
+
+
+@quarantine.command()
+@click.argument("fingerprint")
+@json_option
+@click.pass_obj
+def release(client: AdminClient, fingerprint: str, as_json: bool) -> None:
+    """Let a quarantined request run again."""
+    path = f"quarantine/{quote(fingerprint, safe='')}"
+    reply = accepted(client.send("DELETE", path))
+    if as_json:
+        print_json(reply.value())
+    else:
+        click.echo(f"{fingerprint} is released")
--- a/packages/cli/src/wasabiwell_cli/main.py
+++ b/packages/cli/src/wasabiwell_cli/main.py
@@ -1,100 +1,107 @@
 """Command `wasabiwell`: checks and applies configurations and shows the system's state."""
 
-import sys
-from typing import Any
+import ipaddress
+import ssl
+from pathlib import Path
 
 import click
-import msgspec
-from wasabiwell_config import Configuration, Findings, changed_items, items_of, parse, validate
 
-from wasabiwell_cli.client import AdminClient, Reply, RunningConfiguration, Unreachable
-
-EXIT_INVALID = 2
-EXIT_CONFLICT = 3
-EXIT_UNREACHABLE = 4
-EXIT_BY_STATUS = {409: EXIT_CONFLICT, 422: EXIT_INVALID, 503: EXIT_UNREACHABLE}
-
-
-@click.group(context_settings={"auto_envvar_prefix": "WASABIWELL"})
-@click.option("--entry", multiple=True, help="HOST:PORT of an entry instance; repeat for more.")
-@click.option("--key", default="", help="Operator key.")
+from wasabiwell_cli.client import AdminClient
+from wasabiwell_cli.commands.addresses import addresses
+from wasabiwell_cli.commands.apply import apply
+from wasabiwell_cli.commands.check import check
+from wasabiwell_cli.commands.completion import completion
+from wasabiwell_cli.commands.diff import diff
+from wasabiwell_cli.commands.drain import drain
+from wasabiwell_cli.commands.history import history
+from wasabiwell_cli.commands.quarantine import quarantine
+from wasabiwell_cli.commands.show import show
+from wasabiwell_cli.commands.status import status
+from wasabiwell_cli.commands.trace import trace
+from wasabiwell_cli.const import EXIT_CODES
+
+COMMANDS = (
+    addresses,
+    apply,
+    check,
+    completion,
+    diff,
+    drain,
+    history,
+    quarantine,
+    show,
+    status,
+    trace,
+)
+EPILOG = "\b\nExit codes:\n" + "\n".join(f"  {code}  {text}" for code, text in EXIT_CODES)
+
+
+def _checked_addresses(
+    context: click.Context, parameter: click.Parameter, value: tuple[str, ...]
+) -> tuple[str, ...]:
+    for address in value:
+        host, _, port = address.rpartition(":")
+        try:
+            ipaddress.ip_address(host.strip("[]"))
+        except ValueError:
+            raise click.BadParameter(f"{address!r} is not IP:PORT") from None
+        if not port.isdecimal() or not 0 < int(port) < 65_536:
+            raise click.BadParameter(f"{address!r} is not IP:PORT")
+    return value
+
+
+@click.group(
+    epilog=EPILOG,
+    context_settings={
+        "auto_envvar_prefix": "WASABIWELL",
+        "max_content_width": 100,
+    },
+)
+@click.version_option(package_name="wasabiwell-cli", prog_name="wasabiwell")
+@click.option(
+    "--entry",
+    multiple=True,
+    callback=_checked_addresses,
+    show_envvar=True,
+    help="IP:PORT of an entry instance; repeat it for more, which are tried in turn.",
+)
+@click.option("--key", default="", show_envvar=True, help="Operator key.")
+@click.option(
+    "--key-file",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    show_envvar=True,
+    help="File with the operator key, which unlike --key no process list shows.",
+)
+@click.option(
+    "--ca",
+    type=click.Path(exists=True, dir_okay=False),
+    show_envvar=True,
+    help="PEM file with the issuers of the entries' certificates; turns on https.",
+)
 @click.pass_context
-def main(context: click.Context, entry: tuple[str, ...], key: str) -> None:
+def main(
+    context: click.Context, entry: tuple[str, ...], key: str, key_file: Path | None, ca: str | None
+) -> None:
     """Operate a deployment of wasabiwell."""
-    context.obj = AdminClient(entry, key)
-
-
-@main.command()
-@click.argument("file", type=click.File("r"))
-def check(file: Any) -> None:
-    """Check a configuration file and print all findings."""
-    _load(file.read())
-    click.echo("the configuration is valid")
-
-
-@main.command()
-@click.argument("file", type=click.File("r"))
-@click.pass_obj
-def apply(client: AdminClient, file: Any) -> None:
-    """Put a configuration file in force."""
-    wanted = items_of(_load(file.read()))
-    running = _running(client)
-    changes = changed_items(running.encoded_items(), wanted)
-    if not changes:
-        click.echo(f"version {running.version} is the same")
-        return
-    body = {
-        "base_version": running.version,
-        "changes": {
-            path: None if value is None else msgspec.Raw(value) for path, value in changes.items()
-        },
-    }
-    reply = _answered(client.send("POST", "configuration", msgspec.json.encode(body)))
-    answer = msgspec.json.decode(reply.body)
-    click.echo(msgspec.json.format(reply.body).decode(), err=reply.status != 200)
-    if reply.status != 200:
-        sys.exit(EXIT_BY_STATUS.get(reply.status, 1))
-    click.echo(f"version {answer['version']} is accepted, {len(changes)} items changed")
-
-
-@main.command()
-@click.pass_obj
-def status(client: AdminClient) -> None:
-    """Print the state of the first entry instance that answers."""
-    reply = _answered(client.send("GET", "status"))
-    click.echo(msgspec.json.format(reply.body).decode())
-
-
-def _load(text: str) -> Configuration:
-    parsed = parse(text)
-    match parsed:
-        case Findings(findings=findings):
-            pass
-        case configuration:
-            findings = validate(configuration)
-            if not findings:
-                return configuration
-    for finding in findings:
-        click.echo(str(finding), err=True)
-    sys.exit(EXIT_INVALID)
+    if key_file is not None:
+        key = key_file.read_text().strip()
+    if not key.isascii():
+        raise click.BadParameter("must be ASCII", param_hint="--key")
+    context.obj = AdminClient(entry, key, _tls(ca))
 
 
-def _running(client: AdminClient) -> RunningConfiguration:
-    reply = _answered(client.send("GET", "configuration"))
-    if reply.status != 200:
-        click.echo(reply.body.decode(), err=True)
-        sys.exit(EXIT_BY_STATUS.get(reply.status, 1))
-    return msgspec.json.decode(reply.body, type=RunningConfiguration)
+def _tls(ca: str | None) -> ssl.SSLContext | None:
+    if ca is None:
+        return None
+    try:
+        return ssl.create_default_context(cafile=ca)
+    except (OSError, ssl.SSLError) as error:
+        raise click.BadParameter(f"{ca} has no certificates: {error}", param_hint="--ca") from None
 
 
-def _answered(outcome: Reply | Unreachable) -> Reply:
-    match outcome:
-        case Reply() as reply:
-            return reply
-        case Unreachable(reason=reason):
-            click.echo(f"no entry instance answered: {reason}", err=True)
-            sys.exit(EXIT_UNREACHABLE)
+for command in COMMANDS:
+    main.add_command(command)
 
 
 if __name__ == "__main__":
-    main()
+    main(prog_name="wasabiwell")
--- a/packages/config/src/wasabiwell_config/document.py
+++ b/packages/config/src/wasabiwell_config/document.py
@@ -86,12 +86,15 @@
 
 
 def items_of(configuration: Configuration) -> Items:
-    """Return the items of a configuration; of two objects with one path the last one counts."""
+    """Return the items of a configuration as JSON with sorted fields.
+
+    Of two objects with one path the last one counts.
+    """
     items: Items = {}
     for kind, attribute, item_type in SECTIONS:
         for entry in getattr(configuration, attribute):
             value = _normalised(entry, item_type)
-            items[f"{kind}/{entry.name}"] = msgspec.json.encode(value, order="deterministic")
+            items[f"{kind}/{entry.name}"] = msgspec.json.encode(value, order="sorted")
     return items
 
 
--- a/standins/wasabiwell_standins/caller.py
+++ b/standins/wasabiwell_standins/caller.py
@@ -21,6 +21,7 @@
     text: str = field(default="", repr=False)
     run: str = ""
     error: str = ""
+    request_id: str = ""
 
 
 def make_messages(prompt_tokens: int, tag: str) -> bytes:
@@ -77,6 +78,7 @@
         ):
             result.status = response.status
             result.run = _header(response, b"wasabiwell-run")
+            result.request_id = _header(response, b"x-request-id")
             _read_answer(response, result, begin)
     except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
         result.error = repr(error)
--- /dev/null
+++ b/tests/cli/command.feature
@@ -0,0 +1,43 @@
+Feature: The command against entry instances that fail
+  Guards against a change that is made twice or reported wrongly, and against unclear errors.
+
+  Scenario Outline: The first entry instance <mode>
+    Given an entry instance that <mode>
+    And an entry instance that works
+    When the example configuration is applied
+    Then the command ends with code <code> and prints "<text>"
+    And <applies> applies were received and version <version> is in force
+
+    Examples:
+      | mode                              | code | text          | applies | version |
+      | works                             | 0    | accepted      | 1       | 1       |
+      | has no table service              | 0    | accepted      | 2       | 1       |
+      | loses the answer after the commit | 0    | accepted      | 1       | 1       |
+      | commits without knowing           | 0    | accepted      | 1       | 1       |
+      | loses the request                 | 5    | wasabiwell diff | 1     | 0       |
+      | is down                           | 0    | accepted      | 1       | 1       |
+
+  Scenario Outline: <case>
+    Given an entry instance that <mode>
+    When the command is run with "<arguments>"
+    Then the command ends with code <code> and prints "<text>"
+
+    Examples:
+      | case                                  | mode    | arguments                      | code | text             |
+      | an address with a host name           | works   | --entry localhost:80 status    | 2    | is not IP:PORT   |
+      | an entry instance that is down        | is down | show                           | 4    | no entry instance answered |
+      | an answer that is no JSON             | html    | show                           | 1    | sent no configuration |
+      | a file that does not exist            | works   | check /no/such/file            | 2    | cannot be read   |
+      | a file that is no certificate         | works   | --ca README.md status          | 2    | has no certificates |
+      | an item that does not exist           | works   | show organisation/none         | 7    | no item          |
+      | an unknown shell                      | works   | completion csh                 | 2    | csh              |
+      | the completion of bash                | works   | completion bash                | 0    | _wasabiwell_completion |
+      | exit codes in the help                | works   | --help                         | 0    | 8  some entry instances did not confirm |
+      | a version newer than the running one  | works   | apply tests/cli/small.json --base-version 9 | 3 | newer than the running |
+      | a dry run                             | works   | apply tests/cli/small.json --dry-run | 0 | would change     |
+      | an error as JSON                      | works   | show organisation/none --json  | 7    | {"error":{"exit_code":7 |
+
+  Scenario: Help cuts no description off
+    Given an entry instance that works
+    When the command is run with "--help"
+    Then no line of the output ends in dots
--- /dev/null
+++ b/tests/support/fake_entry.py
@@ -0,0 +1,99 @@
+"""An entry instance that keeps a configuration in memory and can lose its answers."""
+
+import json
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+
+@dataclass(slots=True)
+class Store:
+    """The configuration that all fake entries share."""
+
+    version: int = 0
+    items: dict[str, object] = field(default_factory=dict)
+    applies: int = 0
+
+    def apply(self, changes: dict[str, object]) -> None:
+        """Commit changes."""
+        self.version += 1
+        self.items.update(changes)
+
+
+class FakeEntry(ThreadingHTTPServer):
+    """Serves `/admin/v1/configuration`; `mode` says what happens to an apply."""
+
+    daemon_threads = True
+
+    def __init__(self, store: Store, mode: str) -> None:
+        super().__init__(("127.0.0.1", 0), _Handler)
+        self.store = store
+        self.mode = mode
+
+    @property
+    def address(self) -> str:
+        """Return `HOST:PORT`."""
+        return f"127.0.0.1:{self.server_address[1]}"
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Print nothing when the command closes its connection."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    server: FakeEntry
+
+    def do_GET(self) -> None:
+        """Answer with the configuration."""
+        if self.server.mode == "html":
+            self._reply(200, b"<html>")
+            return
+        store = self.server.store
+        self._reply(200, json.dumps({"version": store.version, "items": store.items}).encode())
+
+    def do_POST(self) -> None:
+        """Apply, or fail as the mode says."""
+        body = json.loads(self.rfile.read(int(self.headers["content-length"])))
+        store = self.server.store
+        store.applies += 1
+        match self.server.mode:
+            case "loses the answer after the commit":
+                store.apply(body["changes"])
+                self.close_connection = True
+            case "loses the request":
+                self.close_connection = True
+            case "has no table service":
+                reply = {"outcome": "unavailable", "reason": "outage"}
+                self._reply(503, json.dumps(reply).encode())
+            case "commits without knowing":
+                store.apply(body["changes"])
+                reply = {"outcome": "uncertain", "reason": "the reply was lost"}
+                self._reply(504, json.dumps(reply).encode())
+            case _:
+                store.apply(body["changes"])
+                reply = {"outcome": "accepted", "version": store.version}
+                self._reply(200, json.dumps(reply).encode())
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Log nothing."""
+
+    def _reply(self, status: int, body: bytes) -> None:
+        self.send_response(status)
+        self.send_header("content-length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+@contextmanager
+def running_entry(store: Store, mode: str) -> Iterator[FakeEntry]:
+    """Serve until the context ends."""
+    server = FakeEntry(store, mode)
+    thread = threading.Thread(target=server.serve_forever, args=(0.05,))
+    thread.start()
+    try:
+        yield server
+    finally:
+        server.shutdown()
+        thread.join()
+        server.server_close()
