Add OTLP telemetry, TLS and the operators' pages

Cause: nothing was exported, traffic could not be encrypted, and operators had no page.

Change: coordination knows a Telemetry port with a value that does nothing; transport/telemetry implements it with OpenTelemetry. The SDK exports in its own threads. Status and metrics come from one StatusReport, published once a second. Trace context is taken from callers and passed on to targets.

Conclusion: hops, metrics and TLS are in place. https to the platform's services is set up by the same means and has no test.

--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -3,6 +3,7 @@
 import ipaddress
 import math
 import re
+import ssl
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
@@ -107,6 +108,25 @@
             for name in given
             if not Path(getattr(settings, name)).is_file()
         ]
+    return findings or _check_certificates(settings)
+
+
+def _check_certificates(settings: Settings) -> list[Finding]:
+    findings = []
+    scratch = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    for name, key in (("tls_certificate", "tls_key"), ("peer_tls_certificate", "peer_tls_key")):
+        if getattr(settings, name):
+            try:
+                scratch.load_cert_chain(getattr(settings, name), getattr(settings, key))
+            except (OSError, ssl.SSLError) as error:
+                message = f"is not a certificate that fits {flag(key)}: {error}"
+                findings.append(Finding(flag(name), message))
+    for name in ("peer_tls_ca", "target_ca", "platform_ca"):
+        if getattr(settings, name):
+            try:
+                scratch.load_verify_locations(getattr(settings, name))
+            except (OSError, ssl.SSLError) as error:
+                findings.append(Finding(flag(name), f"has no certificates: {error}"))
     return findings
 
 
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -58,6 +58,12 @@
     "certificate {path} cannot be used, the previous one stays in use: {reason}",
     "Replace the certificate and its key by a matching pair before the previous one expires.",
 )
+TELEMETRY_FAILED = LogEvent(
+    107,
+    Level.WARNING,
+    "{library}: {message}",
+    "Check the OTLP receiver. Requests are not affected; spans and metrics may be missing.",
+)
 CONFIGURATION_IN_FORCE = LogEvent(200, Level.INFO, "configuration version {version} is in force")
 CONFIGURATION_INVALID = LogEvent(
     201,
--- a/packages/entry/src/wasabiwell_entry/transport/http/server.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/server.py
@@ -1,5 +1,6 @@
 """ASGI application and server for callers and operators."""
 
+import ssl
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractContextManager
 
@@ -40,11 +41,32 @@
     return app
 
 
+class _Config(Config):
+    """Configuration of hypercorn with a TLS context whose certificate can be replaced."""
+
+    def __init__(self, tls: ssl.SSLContext | None) -> None:
+        super().__init__()
+        self._tls = tls
+
+    @property
+    def ssl_enabled(self) -> bool:
+        """Return whether the listener uses TLS."""
+        return self._tls is not None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Return the context."""
+        return self._tls
+
+
 async def serve_callers(
-    context: HttpContext, host: str, port: int, shutdown: Callable[[], Awaitable[None]]
+    context: HttpContext,
+    host: str,
+    port: int,
+    shutdown: Callable[[], Awaitable[None]],
+    tls: ssl.SSLContext | None = None,
 ) -> None:
     """Serve until `shutdown` returns."""
-    config = Config()
+    config = _Config(tls)
     config.bind = [f"{host}:{port}"]
     config.accesslog = None
     config.errorlog = None
--- a/packages/entry/src/wasabiwell_entry/transport/peer/client.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/client.py
@@ -1,6 +1,7 @@
 """grpclib client of other entry instances."""
 
 import asyncio
+import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from wasabiwell_entry.coordination.telemetry import Telemetry
 from wasabiwell_entry.protocol.peer import PeerMethod, Reply, Request
 from wasabiwell_entry.transport.peer.codec import MessagePackCodec
 
@@ -28,10 +30,12 @@
 class PeerClient:
     """One channel for each peer address."""
 
-    __slots__ = ("_channels",)
+    __slots__ = ("_channels", "_telemetry", "_tls")
 
-    def __init__(self) -> None:
+    def __init__(self, telemetry: Telemetry, tls: ssl.SSLContext | None = None) -> None:
         self._channels: dict[str, Channel] = {}
+        self._telemetry = telemetry
+        self._tls = tls
 
     async def call(
         self,
@@ -45,8 +49,12 @@
             self._channel(address), method.path, method.request_type, method.reply_type
         )
         try:
-            with trio.fail_after(timeout.total_seconds()):
-                reply: Reply = await trio_asyncio.aio_as_trio(stub)(request)
+            with (
+                trio.fail_after(timeout.total_seconds()),
+                self._telemetry.span("peer call", {"rpc.method": method.path}),
+            ):
+                metadata = dict(self._telemetry.headers())
+                reply: Reply = await trio_asyncio.aio_as_trio(stub)(request, metadata=metadata)
         except trio.TooSlowError:
             self.drop(address)
             return PeerUnavailable("timeout")
@@ -76,15 +84,17 @@
         channel = self._channels.get(address)
         if channel is None:
             host, _, port = address.rpartition(":")
-            channel = Channel(host, int(port), codec=MessagePackCodec())
+            channel = Channel(host, int(port), codec=MessagePackCodec(), ssl=self._tls)
             self._channels[address] = channel
         return channel
 
 
 @asynccontextmanager
-async def open_peer_client() -> AsyncIterator[PeerClient]:
+async def open_peer_client(
+    telemetry: Telemetry, tls: ssl.SSLContext | None = None
+) -> AsyncIterator[PeerClient]:
     """Own a peer client until the context ends; needs a trio-asyncio loop."""
-    client = PeerClient()
+    client = PeerClient(telemetry, tls)
     try:
         yield client
     finally:
--- a/packages/entry/src/wasabiwell_entry/transport/peer/server.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/server.py
@@ -1,5 +1,6 @@
 """grpclib server for other entry instances."""
 
+import ssl
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -50,10 +51,12 @@
 
 
 @asynccontextmanager
-async def serve_peers(service: PeerService, host: str, port: int) -> AsyncIterator[None]:
+async def serve_peers(
+    service: PeerService, host: str, port: int, tls: ssl.SSLContext | None = None
+) -> AsyncIterator[None]:
     """Serve other entry instances until the context ends; needs a trio-asyncio loop."""
     server = Server([service], codec=MessagePackCodec())
-    await trio_asyncio.aio_as_trio(server.start)(host, port)
+    await trio_asyncio.aio_as_trio(server.start)(host, port, ssl=tls)
     try:
         yield
     finally:
--- a/packages/entry/src/wasabiwell_entry/transport/platform/client.py
+++ b/packages/entry/src/wasabiwell_entry/transport/platform/client.py
@@ -1,5 +1,6 @@
 """HTTP clients of the platform's services."""
 
+import ssl
 from collections.abc import Sequence
 from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
@@ -35,10 +36,10 @@
 
     __slots__ = ("_available", "_name", "_pool", "_url")
 
-    def __init__(self, name: str, url: str) -> None:
+    def __init__(self, name: str, url: str, tls: ssl.SSLContext | None = None) -> None:
         self._name = name
         self._url = url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(max_connections=64)
+        self._pool = httpcore.AsyncConnectionPool(ssl_context=tls, max_connections=64)
         self._available = True
 
     async def send(
@@ -82,8 +83,8 @@
 
     __slots__ = ("_client",)
 
-    def __init__(self, url: str) -> None:
-        self._client = PlatformClient("table service", url)
+    def __init__(self, url: str, tls: ssl.SSLContext | None = None) -> None:
+        self._client = PlatformClient("table service", url, tls)
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
@@ -118,8 +119,8 @@
 
     __slots__ = ("_client",)
 
-    def __init__(self, url: str) -> None:
-        self._client = PlatformClient("object store", url)
+    def __init__(self, url: str, tls: ssl.SSLContext | None = None) -> None:
+        self._client = PlatformClient("object store", url, tls)
 
     async def put(self, key: str, value: bytes) -> Committed | StoreUnavailable | ReplyLost:
         """Store an object."""
@@ -147,8 +148,8 @@
 
     __slots__ = ("_client",)
 
-    def __init__(self, url: str) -> None:
-        self._client = PlatformClient("instance list", url)
+    def __init__(self, url: str, tls: ssl.SSLContext | None = None) -> None:
+        self._client = PlatformClient("instance list", url, tls)
 
     async def instances(self) -> list[InstanceRecord] | StoreUnavailable:
         """Return the live and leaving instances."""
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -9,6 +9,7 @@
 from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.targets.errors import LoadUnavailable
 from wasabiwell_entry.coordination.targets.ports import LoadReport
+from wasabiwell_entry.coordination.telemetry import Telemetry
 from wasabiwell_entry.protocol.engine import (
     EngineError,
     FrameReader,
@@ -21,6 +22,7 @@
 from wasabiwell_entry.state.requests import Attempt, EndFrame, StreamBroken, StreamItem
 from wasabiwell_entry.state.targets import EngineLoad, Target
 from wasabiwell_entry.transport.target.pools import BROKEN, NOT_SENT, TargetPools, timeouts
+from wasabiwell_entry.transport.target.tracing import NO_TELEMETRY, trace_headers
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
 STREAM_SILENCE_SECONDS = 120.0
@@ -31,11 +33,14 @@
 class HttpEngineClient:
     """Runs attempts on engines, reserves their memory and reads their load."""
 
-    __slots__ = ("_clock", "_pools")
+    __slots__ = ("_clock", "_pools", "_telemetry")
 
-    def __init__(self, pools: TargetPools, clock: Clock) -> None:
+    def __init__(
+        self, pools: TargetPools, clock: Clock, telemetry: Telemetry = NO_TELEMETRY
+    ) -> None:
         self._pools = pools
         self._clock = clock
+        self._telemetry = telemetry
 
     @asynccontextmanager
     async def generate(
@@ -52,7 +57,9 @@
         """Return the load that an engine reports."""
         try:
             response = await self._pools.pool(target.address).request(
-                "GET", f"http://{target.address}/load", extensions=timeouts(QUERY_TIMEOUT_SECONDS)
+                "GET",
+                self._pools.url(target.address, "/load"),
+                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
             )
             body = msgspec.json.decode(response.content, type=LoadBody)
         except (*NOT_SENT, *BROKEN, msgspec.DecodeError) as error:
@@ -75,7 +82,7 @@
         try:
             response = await self._pools.pool(target.address).request(
                 "POST",
-                f"http://{target.address}/v1/reservations",
+                self._pools.url(target.address, "/v1/reservations"),
                 headers=JSON_HEADERS,
                 content=body,
                 extensions=timeouts(QUERY_TIMEOUT_SECONDS),
@@ -92,7 +99,7 @@
         try:
             await self._pools.pool(target.address).request(
                 "DELETE",
-                f"http://{target.address}/v1/reservations/{reservation_id}",
+                self._pools.url(target.address, f"/v1/reservations/{reservation_id}"),
                 extensions=timeouts(QUERY_TIMEOUT_SECONDS),
             )
         except (*NOT_SENT, *BROKEN):
@@ -102,8 +109,8 @@
         try:
             async with self._pools.pool(target.address).stream(
                 "POST",
-                f"http://{target.address}/v1/generate",
-                headers=JSON_HEADERS,
+                self._pools.url(target.address, "/v1/generate"),
+                headers=[*JSON_HEADERS, *trace_headers(self._telemetry)],
                 content=encode_attempt(attempt),
                 extensions=timeouts(STREAM_SILENCE_SECONDS),
             ) as response:
--- a/packages/entry/src/wasabiwell_entry/transport/target/plain.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -1,14 +1,18 @@
 """HTTP client of plain services."""
 
+import ssl
+
 import httpcore
 import trio
 
 from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent
+from wasabiwell_entry.coordination.telemetry import Telemetry
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.outcomes import Answer
 from wasabiwell_entry.state.requests import ServiceCall
 from wasabiwell_entry.state.targets import Target
 from wasabiwell_entry.transport.target.pools import BROKEN, CONNECT_TIMEOUT_SECONDS, timeouts
+from wasabiwell_entry.transport.target.tracing import NO_TELEMETRY, trace_headers
 
 
 class HttpPlainClient:
@@ -18,10 +22,17 @@
     target closes at the same moment does not.
     """
 
-    __slots__ = ("_clock",)
+    __slots__ = ("_clock", "_telemetry", "_tls")
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        telemetry: Telemetry = NO_TELEMETRY,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         self._clock = clock
+        self._tls = tls
+        self._telemetry = telemetry
 
     async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
         """Send a call once."""
@@ -30,15 +41,18 @@
             stream = await httpcore.TrioBackend().connect_tcp(
                 host, int(port), timeout=CONNECT_TIMEOUT_SECONDS
             )
+            if self._tls is not None:
+                stream = await stream.start_tls(self._tls, host, CONNECT_TIMEOUT_SECONDS)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             return CallNotSent(repr(error))
-        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        scheme = "http" if self._tls is None else "https"
+        origin = httpcore.Origin(scheme.encode(), host.encode(), int(port))
         connection = httpcore.AsyncHTTP11Connection(origin, stream)
         try:
             response = await connection.request(
                 call.method,
-                f"http://{target.address}{call.path}",
-                headers=_headers(call),
+                f"{scheme}://{target.address}{call.path}",
+                headers=[*_headers(call), *trace_headers(self._telemetry)],
                 content=call.body,
                 extensions=timeouts(self._remaining_seconds(call)),
             )
--- a/packages/entry/src/wasabiwell_entry/transport/target/pools.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/pools.py
@@ -1,5 +1,6 @@
 """Connection pools, one for each target."""
 
+import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -14,9 +15,10 @@
 class TargetPools:
     """Connection pools by address."""
 
-    __slots__ = ("_pools",)
+    __slots__ = ("_pools", "tls")
 
-    def __init__(self) -> None:
+    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+        self.tls = tls
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     def pool(self, address: str) -> httpcore.AsyncConnectionPool:
@@ -24,11 +26,17 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = httpcore.AsyncConnectionPool(
-                max_connections=512, keepalive_expiry=KEEPALIVE_SECONDS
+                ssl_context=self.tls,
+                max_connections=512,
+                keepalive_expiry=KEEPALIVE_SECONDS,
             )
             self._pools[address] = pool
         return pool
 
+    def url(self, address: str, path: str) -> str:
+        """Return the URL of a target's path; https when there is a TLS context."""
+        return f"{'http' if self.tls is None else 'https'}://{address}{path}"
+
     async def close(self) -> None:
         """Close all connections."""
         for pool in self._pools.values():
@@ -36,9 +44,9 @@
 
 
 @asynccontextmanager
-async def open_target_pools() -> AsyncIterator[TargetPools]:
+async def open_target_pools(tls: ssl.SSLContext | None = None) -> AsyncIterator[TargetPools]:
     """Own connection pools until the context ends."""
-    pools = TargetPools()
+    pools = TargetPools(tls)
     try:
         yield pools
     finally:
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/target/tracing.py
@@ -0,0 +1,10 @@
+"""Trace context in requests to targets."""
+
+from wasabiwell_entry.coordination.telemetry import NoTelemetry, Telemetry
+
+NO_TELEMETRY = NoTelemetry()
+
+
+def trace_headers(telemetry: Telemetry) -> list[tuple[bytes, bytes]]:
+    """Return the W3C headers of the current span; none without telemetry."""
+    return [(name.encode(), value.encode()) for name, value in telemetry.headers()]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/telemetry/lifetime.py
@@ -0,0 +1,55 @@
+"""Owns the telemetry of an entry instance."""
+
+import logging
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import trio
+
+from wasabiwell_entry.coordination.telemetry import NoTelemetry, Telemetry
+from wasabiwell_entry.state import log_events
+from wasabiwell_entry.state.reports import StatusReport
+from wasabiwell_entry.transport.telemetry.otlp import OtlpTelemetry
+
+PUBLISH_INTERVAL = timedelta(seconds=1)
+"""Metrics are at most this much older than the status at the time of an export."""
+
+
+class _EventHandler(logging.Handler):
+    """Passes messages of the OpenTelemetry libraries on as log events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        log_events.emit(
+            log_events.TELEMETRY_FAILED, library=record.name, message=record.getMessage()
+        )
+
+
+@asynccontextmanager
+async def open_telemetry(
+    endpoint: str, interval: timedelta, sample_ratio: float, node_id: str, zone: str
+) -> AsyncIterator[Telemetry]:
+    """Own the exporters until the context ends; without an endpoint there are none."""
+    if not endpoint:
+        yield NoTelemetry()
+        return
+    handler = _EventHandler(logging.WARNING)
+    logger = logging.getLogger("opentelemetry")
+    logger.addHandler(handler)
+    logger.propagate = False
+    telemetry = OtlpTelemetry(endpoint, interval, sample_ratio, node_id, zone)
+    try:
+        yield telemetry
+    finally:
+        with trio.CancelScope(shield=True):
+            await trio.to_thread.run_sync(telemetry.shutdown)
+        logger.removeHandler(handler)
+
+
+async def publish_reports(telemetry: Telemetry, report: Callable[[], StatusReport]) -> None:
+    """Give each new report to the exporters until cancelled."""
+    if not isinstance(telemetry, OtlpTelemetry):
+        return
+    while True:
+        telemetry.publish(report())
+        await trio.sleep(PUBLISH_INTERVAL.total_seconds())
--- a/standins/wasabiwell_standins/caller.py
+++ b/standins/wasabiwell_standins/caller.py
@@ -1,5 +1,6 @@
 """A caller that asks for addresses, sends requests and checks each answer."""
 
+import ssl
 import time
 from dataclasses import dataclass, field
 
@@ -42,11 +43,13 @@
     return msgspec.json.encode(fields)
 
 
-def ask_addresses(address: str, zone: str | None = None) -> list[str]:
-    """Return the addresses that the system tells a caller to use."""
+def ask_addresses(address: str, zone: str | None = None, ca: str = "") -> list[str]:
+    """Return the addresses that the system tells a caller to use; `ca` turns on https."""
+    tls = ssl.create_default_context(cafile=ca) if ca else None
     query = f"?zone={zone}" if zone else ""
-    with httpcore.ConnectionPool() as pool:
-        response = pool.request("GET", f"http://{address}/v1/addresses{query}")
+    url = f"{'https' if ca else 'http'}://{address}/v1/addresses{query}"
+    with httpcore.ConnectionPool(ssl_context=tls) as pool:
+        response = pool.request("GET", url)
     addresses: list[str] = msgspec.json.decode(response.content)["addresses"]
     return addresses
 
@@ -58,8 +61,9 @@
     messages: bytes,
     max_tokens: int = 16,
     timeout_s: float = 120.0,
+    ca: str = "",
 ) -> ChatResult:
-    """Send a streamed completion request and check its answer."""
+    """Send a streamed completion request and check its answer; `ca` turns on https."""
     begin = time.monotonic()
     timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
     headers = [
@@ -67,11 +71,12 @@
         (b"content-type", b"application/json"),
     ]
     body = chat_body(service, messages, max_tokens)
-    url = f"http://{address}/v1/chat/completions"
+    url = f"{'https' if ca else 'http'}://{address}/v1/chat/completions"
+    tls = ssl.create_default_context(cafile=ca) if ca else None
     result = ChatResult(0)
     try:
         with (
-            httpcore.ConnectionPool() as pool,
+            httpcore.ConnectionPool(ssl_context=tls) as pool,
             pool.stream(
                 "POST", url, headers=headers, content=body, extensions={"timeout": timeout}
             ) as response,
--- a/standins/wasabiwell_standins/fleet.py
+++ b/standins/wasabiwell_standins/fleet.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -77,14 +78,19 @@
     value: object = None,
     headers: dict[str, str] | None = None,
     timeout_seconds: float = 30.0,
+    ca: str = "",
 ) -> httpcore.Response:
-    """Send one HTTP request on a connection of its own; `value` goes as JSON."""
+    """Send one HTTP request on a connection of its own; `value` goes as JSON.
+
+    `ca` is a PEM file with the issuers of the server's certificate; it turns on https.
+    """
     content = b"" if value is None else msgspec.json.encode(value)
     timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_seconds)
-    with httpcore.ConnectionPool() as pool:
+    tls = ssl.create_default_context(cafile=ca) if ca else None
+    with httpcore.ConnectionPool(ssl_context=tls) as pool:
         return pool.request(
             method,
-            f"http://{address}{path}",
+            f"{'https' if ca else 'http'}://{address}{path}",
             headers=[
                 (name.encode(), item.encode())
                 for name, item in {"content-type": "application/json", **(headers or {})}.items()
@@ -171,6 +177,10 @@
         self.list_instance(process, "")
         return process
 
+    def start_module(self, role: str, name: str, address: str, module: str) -> Process:
+        """Start a stand-in that needs no option but its address."""
+        return self._spawn(role, name, address, module, ["--address", address])
+
     def start_proxy(self, target: str, name: str) -> tuple[str, Process]:
         """Start a fault-injecting proxy and return its address and its process."""
         port, control_port = free_ports(2)
--- /dev/null
+++ b/standins/wasabiwell_standins/otlp.py
@@ -0,0 +1,81 @@
+"""A receiver of OTLP over HTTP that keeps what it gets; GET /received returns it."""
+
+import gzip
+from typing import Any
+
+import click
+import trio
+from google.protobuf.json_format import MessageToDict
+from opentelemetry.proto.collector.metrics.v1.metrics_service_pb2 import (
+    ExportMetricsServiceRequest,
+    ExportMetricsServiceResponse,
+)
+from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import (
+    ExportTraceServiceRequest,
+    ExportTraceServiceResponse,
+)
+
+from wasabiwell_standins.asgi import Call, serve_http
+
+PROTOBUF = b"application/x-protobuf"
+
+
+class Receiver:
+    """Spans and the newest metrics of each sender."""
+
+    def __init__(self) -> None:
+        self._spans: list[dict[str, Any]] = []
+        self._metrics: dict[str, dict[str, Any]] = {}
+
+    async def handle(self, call: Call) -> None:
+        """Take an export, or return what was received."""
+        match call.method, call.path:
+            case "POST", "/v1/traces":
+                self._take_traces(ExportTraceServiceRequest.FromString(_body(call)))
+                reply = ExportTraceServiceResponse().SerializeToString()
+                await call.reply_bytes(200, reply, PROTOBUF)
+            case "POST", "/v1/metrics":
+                self._take_metrics(ExportMetricsServiceRequest.FromString(_body(call)))
+                reply = ExportMetricsServiceResponse().SerializeToString()
+                await call.reply_bytes(200, reply, PROTOBUF)
+            case "GET", "/received":
+                await call.reply(200, {"spans": self._spans, "metrics": self._metrics})
+            case _:
+                await call.reply(404, {"error": "no such route"})
+
+    def _take_traces(self, request: ExportTraceServiceRequest) -> None:
+        for resource in request.resource_spans:
+            sender = _sender(resource.resource)
+            for scope in resource.scope_spans:
+                for span in scope.spans:
+                    value = MessageToDict(span)
+                    ids = ("trace_id", "span_id", "parent_span_id")
+                    value |= {name: getattr(span, name).hex() for name in ids}
+                    self._spans.append({"sender": sender, **value})
+
+    def _take_metrics(self, request: ExportMetricsServiceRequest) -> None:
+        for resource in request.resource_metrics:
+            metrics = self._metrics.setdefault(_sender(resource.resource), {})
+            for scope in resource.scope_metrics:
+                metrics.update({item.name: MessageToDict(item) for item in scope.metrics})
+
+
+def _sender(resource: Any) -> str:
+    values = {item.key: item.value.string_value for item in resource.attributes}
+    return str(values.get("service.instance.id", ""))
+
+
+def _body(call: Call) -> bytes:
+    return gzip.decompress(call.body) if call.header("content-encoding") == "gzip" else call.body
+
+
+@click.command()
+@click.option("--address", required=True, help="HOST:PORT to serve on.")
+def main(address: str) -> None:
+    """Serve the receiver until it is ended."""
+    host, _, port = address.rpartition(":")
+    trio.run(serve_http, Receiver().handle, host, int(port))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/cli/command.feature
+++ b/tests/cli/command.feature
@@ -2,8 +2,8 @@
   Guards against a change that is made twice or reported wrongly, and against unclear errors.
 
   Scenario Outline: The first entry instance <mode>
-    Given an entry instance that <mode>
-    And an entry instance that works
+    Given a fake entry instance that <mode>
+    And a fake entry instance that works
     When the example configuration is applied
     Then the command ends with code <code> and prints "<text>"
     And <applies> applies were received and version <version> is in force
@@ -18,7 +18,7 @@
       | is down                           | 0    | accepted      | 1       | 1       |
 
   Scenario Outline: <case>
-    Given an entry instance that <mode>
+    Given a fake entry instance that <mode>
     When the command is run with "<arguments>"
     Then the command ends with code <code> and prints "<text>"
 
@@ -38,6 +38,6 @@
       | an error as JSON                      | works   | show organisation/none --json  | 7    | {"error":{"exit_code":7 |
 
   Scenario: Help cuts no description off
-    Given an entry instance that works
+    Given a fake entry instance that works
     When the command is run with "--help"
     Then no line of the output ends in dots
--- a/tests/config/findings.feature
+++ b/tests/config/findings.feature
@@ -3,12 +3,12 @@
 
   Scenario: Every wrong field of one object is named at once
     Given the valid configuration
-    When "organisations.0.weight" becomes "heavy"
-    And "organisations.0.limits.concurrent_long" becomes "two"
-    And "organisations.0.colour" becomes "red"
-    And "plain_services.0.timeout" becomes null
-    And "plain_services.0.non_idempotent.0.path" is removed
-    And "unknown_section" becomes 1
+    When the field "organisations.0.weight" becomes "heavy"
+    And the field "organisations.0.limits.concurrent_long" becomes "two"
+    And the field "organisations.0.colour" becomes "red"
+    And the field "plain_services.0.timeout" becomes null
+    And the field "plain_services.0.non_idempotent.0.path" is removed
+    And the field "unknown_section" becomes 1
     Then the places of the findings are
       """
       organisation/lowell-crews.colour
@@ -21,8 +21,8 @@
 
   Scenario: Wrong types do not hide wrong values elsewhere
     Given the valid configuration
-    When "organisations.0.weight" becomes "heavy"
-    And "model_services.0.max_prompt_tokens" becomes 0
+    When the field "organisations.0.weight" becomes "heavy"
+    And the field "model_services.0.max_prompt_tokens" becomes 0
     Then the places of the findings are
       """
       model_service/ice-advisor.max_prompt_tokens
@@ -31,7 +31,7 @@
 
   Scenario Outline: <case> is a finding
     Given the valid configuration
-    When "<field>" becomes <value>
+    When the field "<field>" becomes <value>
     Then the place "<place>" has a finding with "<message>"
 
     Examples:
@@ -49,7 +49,7 @@
 
   Scenario: Rules whose paths share letters but no path segment do not overlap
     Given the valid configuration
-    When "plain_services.0.non_idempotent" becomes [{"method":"POST","path":"/book"},{"method":"POST","path":"/bookings"}]
+    When the field "plain_services.0.non_idempotent" becomes [{"method":"POST","path":"/book"},{"method":"POST","path":"/bookings"}]
     Then there is no finding
 
   Scenario: An organisation may hold an old and a new key
--- a/tests/entry/settings.feature
+++ b/tests/entry/settings.feature
@@ -3,7 +3,7 @@
 
   Scenario: All mistakes are named together
     When the entry instance is started with "--max-body-bytes many --caller-address localhost:80 --tls-key /no/such/file --address-ttl-s -1 --otlp-sample-ratio 2 --table-url ftp://10.0.0.1 --bootstrap-key-hash secret"
-    Then it ends with code 2 and names
+    Then the entry command ends with code 2 and names
       """
       --address-ttl-s
       --bootstrap-key-hash
@@ -23,7 +23,7 @@
 
   Scenario: Settings are also read from the environment
     When the entry instance is started with the variable "WASABIWELL_BODY_TIMEOUT_S" as "nan"
-    Then its findings include "--body-timeout-s: must be above 0"
+    Then the entry command names "--body-timeout-s: must be above 0"
 
   Scenario: Help gives variable, unit and default of every number
     When the entry instance is started with "--help"
@@ -31,4 +31,4 @@
 
   Scenario: The version can be asked for
     When the entry instance is started with "--version"
-    Then its output has "wasabiwell-entry, version 0.1.0"
+    Then the entry command prints "wasabiwell-entry, version 0.1.0"
--- a/tests/entry/transport/http/admin.feature
+++ b/tests/entry/transport/http/admin.feature
@@ -4,7 +4,7 @@
 
   Scenario Outline: Without a configuration, <who> gets <status>
     Given an entry instance without a configuration
-    When <host> sends "GET status" with the key "<key>"
+    When the admin caller <host> sends "GET status" with the key "<key>"
     Then the interface answers <status>
 
     Examples:
@@ -16,7 +16,7 @@
 
   Scenario Outline: With a configuration, <who> gets <status>
     Given an entry instance with a configuration
-    When <host> sends "<request>" with the key "<key>"
+    When the admin caller <host> sends "<request>" with the key "<key>"
     Then the interface answers <status>
 
     Examples:
@@ -35,16 +35,16 @@
 
   Scenario: A part that is present answers
     Given an entry instance with a configuration and a quarantine of "f1"
-    When 10.0.0.9 sends "GET quarantine" with the key "operator"
+    When the admin caller 10.0.0.9 sends "GET quarantine" with the key "operator"
     Then the interface answers 200
-    When 10.0.0.9 sends "DELETE quarantine/f1" with the key "operator"
+    When the admin caller 10.0.0.9 sends "DELETE quarantine/f1" with the key "operator"
     Then the interface answers 200
-    When 10.0.0.9 sends "DELETE quarantine/f1" with the key "operator"
+    When the admin caller 10.0.0.9 sends "DELETE quarantine/f1" with the key "operator"
     Then the interface answers 404
 
   Scenario: A drained target gets no new work
     Given an entry instance with a configuration
     And the entry instance knows the target "ice-advisor-1"
-    When 10.0.0.9 sends "POST targets/ice-advisor-1/drain" with the key "operator"
+    When the admin caller 10.0.0.9 sends "POST targets/ice-advisor-1/drain" with the key "operator"
     Then the interface answers 202
     And the target "ice-advisor-1" is leaving
--- a/tests/steps/cli/command_steps.py
+++ b/tests/steps/cli/command_steps.py
@@ -20,7 +20,7 @@
     )
 
 
-@given("an entry instance that {mode}")
+@given("a fake entry instance that {mode}")
 def step_entry(context: Context, mode: str) -> None:
     if "store" not in context:
         context.store, context.addresses = Store(), []
--- a/tests/steps/config/findings_steps.py
+++ b/tests/steps/config/findings_steps.py
@@ -87,13 +87,13 @@
     context.loaded = None
 
 
-@when('"{path}" becomes {value}')
+@when('the field "{path}" becomes {value}')
 def step_change(context: Context, path: str, value: str) -> None:
     container, key = locate(context.document, path)
     container[key] = msgspec.json.decode(value)
 
 
-@when('"{path}" is removed')
+@when('the field "{path}" is removed')
 def step_remove(context: Context, path: str) -> None:
     container, key = locate(context.document, path)
     del container[key]
--- a/tests/steps/entry/settings_steps.py
+++ b/tests/steps/entry/settings_steps.py
@@ -33,14 +33,14 @@
     start(context, [], **{name: value})
 
 
-@then("it ends with code {code:d} and names")
+@then("the entry command ends with code {code:d} and names")
 def step_names(context: Context, code: int) -> None:
     assert context.finished.returncode == code, context.finished
     places = [line.partition(":")[0] for line in context.finished.stderr.splitlines()]
     assert sorted(places) == context.text.splitlines(), context.finished.stderr
 
 
-@then('its findings include "{line}"')
+@then('the entry command names "{line}"')
 def step_include(context: Context, line: str) -> None:
     assert line in context.finished.stderr.splitlines(), context.finished.stderr
 
@@ -55,6 +55,6 @@
         assert "env var: WASABIWELL_" in text, (name, text)
 
 
-@then('its output has "{text}"')
+@then('the entry command prints "{text}"')
 def step_output(context: Context, text: str) -> None:
     assert text in context.finished.stdout, context.finished
--- a/tests/steps/entry/transport/http/admin_steps.py
+++ b/tests/steps/entry/transport/http/admin_steps.py
@@ -141,7 +141,7 @@
     context.plan.targets.append(name)
 
 
-@when('{host} sends "{request}" with the key "{key}"')
+@when('the admin caller {host} sends "{request}" with the key "{key}"')
 def step_send(context: Context, host: str, request: str, key: str) -> None:
     plan = context.plan
     plan.requests.append((host, request, key))
