--- a/packages/entry/src/wasabiwell_entry/state/configuration.py
+++ b/packages/entry/src/wasabiwell_entry/state/configuration.py
@@ -11,6 +11,7 @@
     OperatorKey,
     Organisation,
     PlainService,
+    changed_items,
     configuration_from_items,
 )
 
@@ -27,19 +28,20 @@
 
 
 class ConfigurationView:
-    """Look-ups of one configuration version."""
+    """Look-ups of the configuration in force.
 
-    __slots__ = ("_model_services", "_operators", "_organisations", "_plain_services")
+    A change costs time by the number of changed items, not by the size of the configuration, so
+    that frequent changes do not delay the streams of the same process.
+    """
 
-    def __init__(self, configuration: Configuration) -> None:
-        self._model_services = {entry.name: entry for entry in configuration.model_services}
-        self._plain_services = {entry.name: entry for entry in configuration.plain_services}
-        self._organisations = {
-            key_hash: entry
-            for entry in configuration.organisations
-            for key_hash in entry.key_hashes
-        }
-        self._operators = {entry.key_hash: entry for entry in configuration.operators}
+    __slots__ = ("_model_services", "_operators", "_organisations", "_plain_services", "_tenants")
+
+    def __init__(self) -> None:
+        self._model_services: dict[str, ModelService] = {}
+        self._plain_services: dict[str, PlainService] = {}
+        self._organisations: dict[str, Organisation] = {}
+        self._tenants: dict[str, Organisation] = {}
+        self._operators: dict[str, OperatorKey] = {}
 
     def model_service(self, name: str) -> ModelService | None:
         """Return the model service of that name."""
@@ -49,13 +51,53 @@
         """Return the plain service of that name."""
         return self._plain_services.get(name)
 
+    def organisation(self, name: str) -> Organisation | None:
+        """Return the organisation of that name."""
+        return self._organisations.get(name)
+
     def organisation_by_key_hash(self, key_hash: str) -> Organisation | None:
         """Return the organisation that holds a key."""
-        return self._organisations.get(key_hash)
+        return self._tenants.get(key_hash)
 
     def operator_by_key_hash(self, key_hash: str) -> OperatorKey | None:
         """Return the operator that holds a key."""
-        return self._operators.get(key_hash)
+        for operator in self._operators.values():
+            if operator.key_hash == key_hash:
+                return operator
+        return None
+
+    def remove(self, path: str) -> None:
+        """Remove the object of a path."""
+        kind, _, name = path.partition("/")
+        match kind:
+            case "model_service":
+                self._model_services.pop(name, None)
+            case "plain_service":
+                self._plain_services.pop(name, None)
+            case "operator":
+                self._operators.pop(name, None)
+            case "organisation":
+                self._remove_organisation(name)
+
+    def put(self, changed: Configuration) -> None:
+        """Add or replace the objects of a configuration that holds only the changed ones."""
+        self._model_services.update({entry.name: entry for entry in changed.model_services})
+        self._plain_services.update({entry.name: entry for entry in changed.plain_services})
+        self._operators.update({entry.name: entry for entry in changed.operators})
+        for organisation in changed.organisations:
+            self._remove_organisation(organisation.name)
+        for organisation in changed.organisations:
+            self._organisations[organisation.name] = organisation
+            self._tenants.update(dict.fromkeys(organisation.key_hashes, organisation))
+
+    def _remove_organisation(self, name: str) -> None:
+        organisation = self._organisations.pop(name, None)
+        if organisation is None:
+            return
+        for key_hash in organisation.key_hashes:
+            holder = self._tenants.get(key_hash)
+            if holder is not None and holder.name == name:
+                del self._tenants[key_hash]
 
 
 class ConfigurationState:
@@ -67,7 +109,7 @@
         self._version = 0
         self._items: Items = {}
         self._deltas: deque[ConfigurationDelta] = deque(maxlen=RETAINED_DELTAS)
-        self._view = ConfigurationView(Configuration())
+        self._view = ConfigurationView()
 
     @property
     def version(self) -> int:
@@ -98,7 +140,7 @@
         """
         if delta.version != self._version + 1:
             return None
-        findings = self._install(delta.version, apply_changes(self._items, delta.changes))
+        findings = self._install(delta.version, delta.changes)
         if findings is None:
             self._deltas.append(delta)
         return findings
@@ -107,19 +149,23 @@
         """Put a snapshot in force when its version is higher; return findings if unreadable."""
         if version <= self._version:
             return None
-        findings = self._install(version, dict(items))
+        findings = self._install(version, changed_items(self._items, items))
         if findings is None:
             self._deltas.clear()
         return findings
 
-    def _install(self, version: int, items: Items) -> Findings | None:
-        match configuration_from_items(items):
+    def _install(self, version: int, changes: dict[str, bytes | None]) -> Findings | None:
+        present = {path: value for path, value in changes.items() if value is not None}
+        match configuration_from_items(present):
             case Findings() as findings:
                 return findings
-            case configuration:
+            case changed:
                 self._version = version
-                self._items = items
-                self._view = ConfigurationView(configuration)
+                for path in changes.keys() - present.keys():
+                    self._items.pop(path, None)
+                    self._view.remove(path)
+                self._items.update(present)
+                self._view.put(changed)
                 return None
 
 
