Keep texts of targets out of logs and records, and default the peer client's telemetry

Cause: a reason such as 'status 500: TEXT' carries what the target wrote, which may repeat a prompt.

Change: logs and request records keep only the status of such a reason; the caller still gets the whole message. NO_TELEMETRY is the default.

--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -42,6 +42,7 @@
     Refused,
     RunState,
 )
+from wasabiwell_entry.state.reports import without_target_text
 from wasabiwell_entry.state.requests import (
     Attempt,
     EndFrame,
@@ -172,7 +173,7 @@
             request=attempt.request.request_id,
             attempt=attempt.attempt_id,
             target=target.target_id,
-            reason=broken.reason,
+            reason=without_target_text(broken.reason),
         )
         if broken.target_lost:
             self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/__init__.py
@@ -8,10 +8,11 @@
     ObservedTable,
     RequestRunner,
 )
-from wasabiwell_entry.coordination.telemetry.ports import NoTelemetry, Telemetry
+from wasabiwell_entry.coordination.telemetry.ports import NO_TELEMETRY, NoTelemetry, Telemetry
 from wasabiwell_entry.coordination.telemetry.records import RequestLog
 
 __all__ = [
+    "NO_TELEMETRY",
     "NoTelemetry",
     "ObservedAdmission",
     "ObservedDispatcher",
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/ports.py
@@ -62,3 +62,6 @@
 
     def slowdown(self, service: str, size: str, ratio: float) -> None:
         """Do nothing."""
+
+
+NO_TELEMETRY = NoTelemetry()
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/records.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/records.py
@@ -18,7 +18,7 @@
     Refused,
     RunState,
 )
-from wasabiwell_entry.state.reports import AttemptRecord, RequestRecord
+from wasabiwell_entry.state.reports import AttemptRecord, RequestRecord, without_target_text
 from wasabiwell_entry.state.requests import GenerateRequest, ServiceCall
 
 
@@ -68,10 +68,10 @@
                 record.outcome, record.run = "ok", RunState.RAN.value
             case Refused(reason=reason, message=message):
                 record.outcome, record.run = reason.value, RunState.NOT_RUN.value
-                record.message = message[:MAX_REASON_CHARS]
+                record.message = without_target_text(message)[:MAX_REASON_CHARS]
             case Failed(reason=reason, message=message, run=run):
                 record.outcome, record.run = reason.value, run.value
-                record.message = message[:MAX_REASON_CHARS]
+                record.message = without_target_text(message)[:MAX_REASON_CHARS]
 
     def get(self, request_id: str) -> RequestRecord | NoRecord:
         """Return the record of a request."""
@@ -97,7 +97,7 @@
         """Note how an attempt ended."""
         attempt.ended_s = self.elapsed(request)
         attempt.outcome = outcome
-        attempt.reason = reason[:MAX_REASON_CHARS]
+        attempt.reason = without_target_text(reason)[:MAX_REASON_CHARS]
 
     def add_admission_wait(self, request: GenerateRequest, began: float) -> None:
         """Add the wait for admission that began at `began` seconds after the arrival."""
--- a/packages/entry/src/wasabiwell_entry/state/reports.py
+++ b/packages/entry/src/wasabiwell_entry/state/reports.py
@@ -3,6 +3,13 @@
 from dataclasses import dataclass, field
 from datetime import datetime
 
+STATUS_PREFIX = "status "
+
+
+def without_target_text(reason: str) -> str:
+    """Return a reason without the text that a target sent, which may repeat a prompt."""
+    return reason.partition(":")[0] if reason.startswith(STATUS_PREFIX) else reason
+
 
 @dataclass(frozen=True, slots=True)
 class QueueFigures:
--- a/packages/entry/src/wasabiwell_entry/transport/peer/client.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/client.py
@@ -13,7 +13,7 @@
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
-from wasabiwell_entry.coordination.telemetry import Telemetry
+from wasabiwell_entry.coordination.telemetry import NO_TELEMETRY, Telemetry
 from wasabiwell_entry.protocol.peer import PeerMethod, Reply, Request
 from wasabiwell_entry.transport.peer.codec import MessagePackCodec
 
@@ -91,7 +91,7 @@
 
 @asynccontextmanager
 async def open_peer_client(
-    telemetry: Telemetry, tls: ssl.SSLContext | None = None
+    telemetry: Telemetry = NO_TELEMETRY, tls: ssl.SSLContext | None = None
 ) -> AsyncIterator[PeerClient]:
     """Own a peer client until the context ends; needs a trio-asyncio loop."""
     client = PeerClient(telemetry, tls)
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -9,7 +9,7 @@
 from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.targets.errors import LoadUnavailable
 from wasabiwell_entry.coordination.targets.ports import LoadReport
-from wasabiwell_entry.coordination.telemetry import Telemetry
+from wasabiwell_entry.coordination.telemetry import NO_TELEMETRY, Telemetry
 from wasabiwell_entry.protocol.engine import (
     EngineError,
     FrameReader,
@@ -22,7 +22,7 @@
 from wasabiwell_entry.state.requests import Attempt, EndFrame, StreamBroken, StreamItem
 from wasabiwell_entry.state.targets import EngineLoad, Target
 from wasabiwell_entry.transport.target.pools import BROKEN, NOT_SENT, TargetPools, timeouts
-from wasabiwell_entry.transport.target.tracing import NO_TELEMETRY, trace_headers
+from wasabiwell_entry.transport.target.tracing import trace_headers
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
 STREAM_SILENCE_SECONDS = 120.0
--- a/packages/entry/src/wasabiwell_entry/transport/target/plain.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -6,13 +6,13 @@
 import trio
 
 from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent
-from wasabiwell_entry.coordination.telemetry import Telemetry
+from wasabiwell_entry.coordination.telemetry import NO_TELEMETRY, Telemetry
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.outcomes import Answer
 from wasabiwell_entry.state.requests import ServiceCall
 from wasabiwell_entry.state.targets import Target
 from wasabiwell_entry.transport.target.pools import BROKEN, CONNECT_TIMEOUT_SECONDS, timeouts
-from wasabiwell_entry.transport.target.tracing import NO_TELEMETRY, trace_headers
+from wasabiwell_entry.transport.target.tracing import trace_headers
 
 
 class HttpPlainClient:
--- a/packages/entry/src/wasabiwell_entry/transport/target/tracing.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/tracing.py
@@ -1,8 +1,6 @@
 """Trace context in requests to targets."""
 
-from wasabiwell_entry.coordination.telemetry import NoTelemetry, Telemetry
-
-NO_TELEMETRY = NoTelemetry()
+from wasabiwell_entry.coordination.telemetry import Telemetry
 
 
 def trace_headers(telemetry: Telemetry) -> list[tuple[bytes, bytes]]:
--- a/packages/entry/src/wasabiwell_entry/transport/telemetry/lifetime.py
+++ b/packages/entry/src/wasabiwell_entry/transport/telemetry/lifetime.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from wasabiwell_entry.coordination.telemetry import NoTelemetry, Telemetry
+from wasabiwell_entry.coordination.telemetry import NO_TELEMETRY, Telemetry
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.reports import StatusReport
 from wasabiwell_entry.transport.telemetry.otlp import OtlpTelemetry
@@ -31,7 +31,7 @@
 ) -> AsyncIterator[Telemetry]:
     """Own the exporters until the context ends; without an endpoint there are none."""
     if not endpoint:
-        yield NoTelemetry()
+        yield NO_TELEMETRY
         return
     handler = _EventHandler(logging.WARNING)
     logger = logging.getLogger("opentelemetry")
--- /dev/null
+++ b/tests/steps/entry/coordination/records_steps.py
@@ -0,0 +1,126 @@
+"""Steps for the records of requests."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+import trio
+from behave import given, then, when
+from behave.runner import Context
+from wasabiwell_entry.coordination.telemetry import (
+    NO_TELEMETRY,
+    ObservedDispatcher,
+    ObservedEngines,
+    RequestLog,
+)
+from wasabiwell_entry.state.clock import ManualClock
+from wasabiwell_entry.state.counters import Counters
+from wasabiwell_entry.state.outcomes import Failed, Finished, Reason, RunState
+from wasabiwell_entry.state.requests import (
+    Attempt,
+    GenerateRequest,
+    StreamBroken,
+    StreamItem,
+)
+from wasabiwell_entry.state.targets import Target, TargetKind
+
+TARGET = Target("e1", TargetKind.ENGINE, "s", "127.0.0.1:1", "r", "z")
+
+
+@dataclass(slots=True)
+class FakeDispatcher:
+    """Gives one outcome after a wait."""
+
+    outcome: Finished | Failed
+    wait_seconds: float = 0.0
+
+    async def generate(self, request: GenerateRequest, sink: object) -> Finished | Failed:
+        """Return the outcome."""
+        await trio.sleep(self.wait_seconds)
+        return self.outcome
+
+
+@dataclass(slots=True)
+class BrokenEngines:
+    """Ends each attempt with a reason."""
+
+    reason: str
+
+    @asynccontextmanager
+    async def generate(
+        self, target: Target, attempt: Attempt
+    ) -> AsyncIterator[AsyncIterator[StreamItem]]:
+        """Yield the end of the attempt only."""
+
+        async def items() -> AsyncIterator[StreamItem]:
+            yield StreamBroken(self.reason)
+
+        yield items()
+
+
+def make_request(number: int) -> GenerateRequest:
+    """Return a request with an id of its own."""
+    zero = timedelta()
+    return GenerateRequest(f"r{number}", "o", "s", b"[]", 100, 10, "f", zero, zero)
+
+
+@given("a request log for {count:d} records")
+def step_log(context: Context, count: int) -> None:
+    context.log, context.counters = RequestLog(ManualClock(), count), Counters()
+
+
+@when("{count:d} observed requests finish")
+def step_finish(context: Context, count: int) -> None:
+    inner = FakeDispatcher(Finished(1, "stop"))
+    observed = ObservedDispatcher(inner, context.log, context.counters, NO_TELEMETRY)
+    for number in range(count):
+        trio.run(observed.generate, make_request(number), None)
+
+
+@when('an observed attempt ends with "{reason}"')
+def step_attempt(context: Context, reason: str) -> None:
+    async def attempt() -> None:
+        engines = ObservedEngines(BrokenEngines(reason), context.log, NO_TELEMETRY)
+        request = make_request(0)
+        record = context.log.open(request)
+        async with engines.generate(TARGET, Attempt("a", request, 0)) as items:
+            assert [item async for item in items] == [StreamBroken(reason)]
+        failed = Failed(Reason.TARGET_FAILED, reason, RunState.UNKNOWN)
+        context.log.close(record, request, failed)
+
+    trio.run(attempt)
+
+
+@when("an observed request is cancelled")
+def step_cancel(context: Context) -> None:
+    async def cancel() -> None:
+        inner = FakeDispatcher(Finished(1, "stop"), wait_seconds=60.0)
+        observed = ObservedDispatcher(inner, context.log, context.counters, NO_TELEMETRY)
+        with trio.move_on_after(0.01):
+            await observed.generate(make_request(0), None)
+
+    trio.run(cancel)
+
+
+@then('the log holds the requests "{names}"')
+def step_holds(context: Context, names: str) -> None:
+    assert len(context.log) == 3, len(context.log)
+    for name in names.split(", "):
+        assert context.log.get(name).outcome == "ok", name
+
+
+@then('the record has the reason "{reason}" and nowhere "{text}"')
+def step_reason(context: Context, reason: str, text: str) -> None:
+    record = context.log.get("r0")
+    assert record.attempts[0].reason == reason, record
+    assert text.encode() not in msgspec.json.encode(record), record
+
+
+@then('its outcome is "{outcome}", it is counted once and no stream is open')
+def step_cancelled(context: Context, outcome: str) -> None:
+    counted = {kind.outcome: count for kind, count in context.counters.requests.items()}
+    assert counted == {outcome: 1}, counted
+    assert context.log.get("r0").outcome == outcome
+    assert context.counters.open_streams == 0
