Share engine capacity between entry instances by credits

Cause: each entry instance placed requests from its own count of outstanding requests, so several instances could commit the memory of one engine at once.

Change: the owner of an engine leases its slots and memory to the other entry instances. Claims name absolute amounts with a growing sequence, so that a lost or repeated message does no harm. Admission holds credit for each request, and engine memory as well for prompts larger than one engine.

--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -1,4 +1,4 @@
-"""Admits requests to targets: placement, and memory over several engines for long prompts."""
+"""Admits requests to targets: placement, and capacity held for the time of the request."""
 
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
@@ -6,51 +6,52 @@
 import trio
 
 from wasabiwell_entry.coordination.admission.const import (
+    CAPACITY_WAIT,
     ENGINE_MEMORY_SHARE,
     NO_TARGET_RETRY_AFTER,
     PRIORITIES,
 )
-from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
-from wasabiwell_entry.coordination.admission.ports import ReservationPort
+from wasabiwell_entry.coordination.admission.ports import CapacityPort, Hold, NoCapacity
 from wasabiwell_entry.coordination.dispatch.ports import Placement
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.routing.errors import NoTarget
+from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.outcomes import Reason, Refused
 from wasabiwell_entry.state.requests import GenerateRequest, ServiceCall, Shard
 from wasabiwell_entry.state.targets import Target, TargetStatus, TargetTable
 
-RELEASE_TIMEOUT_SECONDS = 1.0
-
 
 class AdmissionCoordinator:
     """Places the requests of one entry instance."""
 
-    __slots__ = ("_reservations", "_router", "_targets")
+    __slots__ = ("_capacity", "_changed", "_clock", "_router", "_targets")
 
-    def __init__(self, router: Router, targets: TargetTable, reservations: ReservationPort) -> None:
+    def __init__(
+        self, router: Router, targets: TargetTable, capacity: CapacityPort, clock: Clock
+    ) -> None:
         self._router = router
         self._targets = targets
-        self._reservations = reservations
+        self._capacity = capacity
+        self._clock = clock
+        self._changed = trio.Event()
+        capacity.on_change(self._note_change)
 
     @asynccontextmanager
     async def admit(
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> AsyncIterator[Placement | Refused]:
         """Place a request on an engine, or on several when its prompt is too large for one."""
-        chosen = self._router.choose(request.service, excluded)
-        if isinstance(chosen, NoTarget):
-            yield _no_target(chosen)
+        placed = await self._wait_for_holds(request, excluded)
+        if isinstance(placed, Refused):
+            yield placed
             return
-        needed = self._further_engines(request, chosen, excluded)
-        if isinstance(needed, Refused):
-            yield needed
-            return
-        async with self._reserve_all(request, needed) as shards:
-            if isinstance(shards, Refused):
-                yield shards
-                return
+        chosen, holds = placed
+        try:
             with _outstanding(chosen):
-                yield Placement(chosen.target, PRIORITIES[request.size], shards=shards)
+                yield self._placement(chosen, holds, request)
+        finally:
+            for hold in holds:
+                self._capacity.release(hold)
 
     @asynccontextmanager
     async def place_call(
@@ -89,26 +90,64 @@
             return Refused(Reason.PROMPT_TOO_LONG, "the prompt does not fit the engines' memory")
         return parts
 
-    @asynccontextmanager
-    async def _reserve_all(
-        self, request: GenerateRequest, parts: list[tuple[Target, int]]
-    ) -> AsyncIterator[tuple[Shard, ...] | Refused]:
-        """Hold memory on all engines, taken in the order of their ids, or on none."""
-        held: list[tuple[Target, Shard]] = []
-        try:
-            for target, tokens in parts:
-                match await self._reservations.reserve(target, request.request_id, tokens):
-                    case Reserved(reservation_id=reservation_id):
-                        shard = Shard(target.target_id, target.address, reservation_id, tokens)
-                        held.append((target, shard))
-                    case ReservationRefused(reason=reason):
-                        yield Refused(Reason.NO_CAPACITY, reason, NO_TARGET_RETRY_AFTER)
-                        return
-            yield tuple(shard for _, shard in held)
-        finally:
-            with trio.move_on_after(RELEASE_TIMEOUT_SECONDS, shield=True):
-                for target, shard in held:
-                    await self._reservations.release(target, shard.reservation_id)
+    async def _wait_for_holds(
+        self, request: GenerateRequest, excluded: frozenset[str]
+    ) -> tuple[TargetStatus, tuple[Hold, ...]] | Refused:
+        """Hold capacity for a request, waiting for it until the deadline."""
+        remaining = request.deadline - self._clock.monotonic()
+        with trio.move_on_after(max(0.0, remaining.total_seconds())):
+            while True:
+                changed = self._changed
+                chosen = self._router.choose(request.service, excluded)
+                if isinstance(chosen, NoTarget):
+                    return _no_target(chosen)
+                held = await self._hold(request, chosen, excluded)
+                if not isinstance(held, NoCapacity):
+                    return held
+                with trio.move_on_after(CAPACITY_WAIT.total_seconds()):
+                    await changed.wait()
+        return Refused(Reason.NO_CAPACITY, "no engine has capacity", NO_TARGET_RETRY_AFTER)
+
+    async def _hold(
+        self, request: GenerateRequest, chosen: TargetStatus, excluded: frozenset[str]
+    ) -> tuple[TargetStatus, tuple[Hold, ...]] | Refused | NoCapacity:
+        """Hold one engine, or several when the prompt is too large for one."""
+        parts = self._further_engines(request, chosen, excluded)
+        if isinstance(parts, Refused):
+            return parts
+        if parts:
+            lead = request.memory_tokens - sum(tokens for _, tokens in parts)
+            wanted = [(chosen.target.target_id, lead)]
+            wanted += [(target.target_id, tokens) for target, tokens in parts]
+            holds = await self._capacity.hold_all(wanted, request.size)
+            return holds if isinstance(holds, NoCapacity) else (chosen, holds)
+        status: TargetStatus | NoTarget = chosen
+        tried = excluded
+        while not isinstance(status, NoTarget):
+            target_id = status.target.target_id
+            hold = self._capacity.try_hold(target_id, request.memory_tokens, request.size)
+            if isinstance(hold, Hold):
+                return status, (hold,)
+            tried = tried | {target_id}
+            status = self._router.choose(request.service, tried)
+        self._capacity.request(chosen.target.target_id, request.memory_tokens, request.size)
+        return NoCapacity("no engine has capacity")
+
+    def _placement(
+        self, chosen: TargetStatus, holds: tuple[Hold, ...], request: GenerateRequest
+    ) -> Placement:
+        lead = chosen.target.target_id
+        reservation_id = next(hold.reservation_id for hold in holds if hold.target_id == lead)
+        shards = tuple(
+            Shard(hold.target_id, status.target.address, hold.reservation_id, hold.tokens)
+            for hold in holds
+            if hold.target_id != lead and (status := self._targets.get(hold.target_id)) is not None
+        )
+        return Placement(chosen.target, PRIORITIES[request.size], reservation_id, shards)
+
+    def _note_change(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
 
 
 @contextmanager
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
@@ -26,11 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Hold:
-    """One slot and `tokens` tokens of memory of an engine, held by this entry instance."""
+    """One slot and `tokens` tokens of memory of an engine, held by this entry instance.
+
+    `reservation_id` names the memory that `hold_all` reserved at the engine itself.
+    """
 
     hold_id: int
     target_id: str
     tokens: int
+    reservation_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -0,0 +1,168 @@
+"""The owner's side of credits: leases the capacity of the engines that it owns."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import trio
+
+from wasabiwell_entry.coordination.credits.const import (
+    COLLECT_CONCURRENCY,
+    CREDIT_LIFETIME,
+    MAINTENANCE_INTERVAL,
+    REPORT_LAG,
+)
+from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
+from wasabiwell_entry.coordination.credits.owners import EngineOwners
+from wasabiwell_entry.coordination.credits.ports import (
+    ClaimAnswer,
+    CreditGranted,
+    CreditPeers,
+    CreditReturn,
+)
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.credits import Amount, CreditClaim, CreditLedger, engine_capacity
+from wasabiwell_entry.state.members import Member
+from wasabiwell_entry.state.targets import EngineLoad, TargetTable
+
+
+@dataclass(slots=True)
+class _OwnedEngine:
+    """Ledger of an owned engine; before `ready_at` credits of the earlier owner may exist."""
+
+    ledger: CreditLedger
+    ready_at: timedelta
+    collected: bool = False
+
+
+@dataclass(slots=True)
+class _Collection:
+    """Result of asking the other members; `complete` tells that all of them answered."""
+
+    claims: list[CreditClaim] = field(default_factory=list)
+    complete: bool = True
+
+
+class CreditOwner:
+    """Answers the claims of holders, this entry instance's own included."""
+
+    __slots__ = ("_clock", "_engines", "_observers", "_owners", "_peers", "_targets", "_wake")
+
+    def __init__(
+        self, owners: EngineOwners, targets: TargetTable, peers: CreditPeers, clock: Clock
+    ) -> None:
+        self._owners = owners
+        self._targets = targets
+        self._peers = peers
+        self._clock = clock
+        self._engines: dict[str, _OwnedEngine] = {}
+        self._observers: list[Callable[[], None]] = []
+        self._wake = trio.Event()
+
+    def on_change(self, observer: Callable[[], None]) -> None:
+        """Call an observer whenever capacity of an owned engine may have become available."""
+        self._observers.append(observer)
+
+    def answer(self, claims: Sequence[CreditClaim]) -> list[ClaimAnswer]:
+        """Answer the claims of one holder."""
+        return [self._answer(claim) for claim in claims]
+
+    def take_back(self, returns: Sequence[CreditReturn]) -> None:
+        """Remove credits that a holder gives up."""
+        for item in returns:
+            engine = self._engines.get(item.engine_id)
+            if engine is not None:
+                engine.ledger.release(item.holder, item.sequence)
+        self._notify()
+
+    async def run(self) -> None:
+        """Collect outstanding credits of engines that became owned, until cancelled."""
+        while True:
+            with trio.move_on_after(MAINTENANCE_INTERVAL.total_seconds()):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            self._drop_lost()
+            await self._collect()
+            self._notify()
+
+    def _answer(self, claim: CreditClaim) -> ClaimAnswer:
+        if not self._owners.is_own(self._owners.owner(claim.engine_id)):
+            return CreditRefused(claim.engine_id, "another entry instance owns the engine")
+        status = self._targets.get(claim.engine_id)
+        if status is None or status.load is None:
+            return CreditRefused(claim.engine_id, "the engine has not reported its load")
+        engine = self._owned(claim.engine_id)
+        engine.ledger.report(*_amounts(status.load))
+        now = self._clock.monotonic()
+        if status.leaving or now < engine.ready_at:
+            credit = engine.ledger.recover(claim, now)
+        else:
+            credit = engine.ledger.apply(claim, now)
+        return CreditGranted(claim.engine_id, credit.credit_id, credit.amount)
+
+    def _owned(self, engine_id: str) -> _OwnedEngine:
+        engine = self._engines.get(engine_id)
+        if engine is None:
+            engine = _OwnedEngine(
+                CreditLedger(engine_id, CREDIT_LIFETIME + REPORT_LAG),
+                self._clock.monotonic() + CREDIT_LIFETIME,
+            )
+            self._engines[engine_id] = engine
+            self._wake.set()
+        return engine
+
+    def _drop_lost(self) -> None:
+        """Forget engines that another member owns now; owning one again starts anew."""
+        for engine_id in list(self._engines):
+            if not self._owners.is_own(self._owners.owner(engine_id)):
+                del self._engines[engine_id]
+
+    async def _collect(self) -> None:
+        pending = [key for key, engine in self._engines.items() if not engine.collected]
+        if not pending:
+            return
+        collection = await self._ask_members(pending)
+        now = self._clock.monotonic()
+        for claim in collection.claims:
+            engine = self._engines.get(claim.engine_id)
+            if engine is not None:
+                engine.ledger.recover(claim, now)
+        for engine_id in pending:
+            engine = self._engines.get(engine_id)
+            if engine is not None:
+                engine.collected = True
+                engine.ready_at = (
+                    min(engine.ready_at, now) if collection.complete else (engine.ready_at)
+                )
+
+    async def _ask_members(self, engine_ids: list[str]) -> _Collection:
+        collection = _Collection()
+        limiter = trio.CapacityLimiter(COLLECT_CONCURRENCY)
+        async with trio.open_nursery() as nursery:
+            for member in self._owners.others():
+                nursery.start_soon(self._ask_member, member, engine_ids, collection, limiter)
+        return collection
+
+    async def _ask_member(
+        self,
+        member: Member,
+        engine_ids: list[str],
+        collection: _Collection,
+        limiter: trio.CapacityLimiter,
+    ) -> None:
+        async with limiter:
+            match await self._peers.outstanding(member, engine_ids):
+                case OwnerUnreachable():
+                    collection.complete = False
+                case claims:
+                    collection.claims += claims
+
+    def _notify(self) -> None:
+        for observer in self._observers:
+            observer()
+
+
+def _amounts(load: EngineLoad) -> tuple[Amount, Amount]:
+    """Return the capacity and the use of a load report; what long prompts use is not reported."""
+    used = Amount(load.running + load.queued, load.total_tokens - load.free_tokens)
+    return engine_capacity(load.slots, load.total_tokens), used
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -1,5 +1,6 @@
 """Wires the layers of an entry instance together and runs them."""
 
+import secrets
 import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -11,6 +12,7 @@
 from wasabiwell_entry.coordination.addresses import AddressCoordinator
 from wasabiwell_entry.coordination.admission import AdmissionCoordinator
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
+from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
 from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
@@ -26,6 +28,7 @@
 from wasabiwell_entry.transport.http.context import HttpContext, HttpLimits
 from wasabiwell_entry.transport.http.server import serve_callers
 from wasabiwell_entry.transport.peer.client import PeerClient, open_peer_client
+from wasabiwell_entry.transport.peer.credits import GrpcCreditPeers, serve_credits
 from wasabiwell_entry.transport.peer.server import PeerService, serve_peers
 from wasabiwell_entry.transport.platform.client import (
     HttpInstanceList,
@@ -48,6 +51,8 @@
     configuration: ConfigurationCoordinator
     lifecycle: LifecycleCoordinator
     peers: PeerClient
+    credit_owner: CreditOwner
+    credit_holder: CreditHolder
 
 
 @asynccontextmanager
@@ -71,9 +76,21 @@
         membership.observe(targets.update_instances)
         configuration = ConfigurationCoordinator(table, configuration_state, clock)
         lifecycle = LifecycleCoordinator(own, members, configuration_state, clock)
+        owners = EngineOwners(own, members, target_table)
+        credit_peers = GrpcCreditPeers(peers)
+        credit_owner = CreditOwner(owners, target_table, credit_peers, clock)
+        credit_holder = CreditHolder(
+            f"{settings.node_id}/{secrets.token_hex(4)}",
+            owners,
+            credit_owner,
+            credit_peers,
+            target_table,
+            engines,
+            clock,
+        )
         dispatcher = Dispatcher(
             admission=AdmissionCoordinator(
-                Router(target_table, settings.zone, clock), target_table, engines
+                Router(target_table, settings.zone, clock), target_table, credit_holder, clock
             ),
             engines=engines,
             plain=HttpPlainClient(clock),
@@ -93,17 +110,31 @@
             limits=HttpLimits(settings.max_body_bytes, settings.body_timeout.total_seconds()),
             status=lambda: _status(settings, configuration_state, members, target_table, lifecycle),
         )
-        yield Instance(settings, http, membership, targets, configuration, lifecycle, peers)
+        yield Instance(
+            settings,
+            http,
+            membership,
+            targets,
+            configuration,
+            lifecycle,
+            peers,
+            credit_owner,
+            credit_holder,
+        )
 
 
 async def run_instance(settings: Settings) -> None:
     """Run an entry instance until SIGTERM and the end of its requests."""
     async with open_instance(settings, SystemClock()) as instance:
         peer_host, peer_port = split_address(settings.peer_address)
-        async with serve_peers(PeerService(), peer_host, peer_port), trio.open_nursery() as nursery:
+        service = PeerService()
+        serve_credits(service, instance.credit_owner, instance.credit_holder)
+        async with serve_peers(service, peer_host, peer_port), trio.open_nursery() as nursery:
             nursery.start_soon(instance.membership.run)
             nursery.start_soon(instance.targets.run)
             nursery.start_soon(instance.configuration.run)
+            nursery.start_soon(instance.credit_owner.run)
+            nursery.start_soon(instance.credit_holder.run)
             nursery.start_soon(_leave_on_signal, instance.lifecycle)
             log_events.emit(
                 log_events.ENTRY_STARTED, node=settings.node_id, address=settings.caller_address
--- a/packages/entry/src/wasabiwell_entry/protocol/peer.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/peer.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
+from wasabiwell_entry.coordination.credits.errors import CreditRefused
+from wasabiwell_entry.coordination.credits.ports import CreditGranted, CreditReturn
+from wasabiwell_entry.state.credits import CreditClaim
+
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
 
@@ -39,8 +43,57 @@
     items: dict[str, bytes] | None
 
 
+@dataclass(frozen=True, slots=True)
+class Ack:
+    """The message took effect, or had taken effect before."""
+
+
+@dataclass(frozen=True, slots=True)
+class CreditRequest:
+    """Claims of one holder on engines of one owner."""
+
+    claims: list[CreditClaim]
+
+
+@dataclass(frozen=True, slots=True)
+class CreditGrant:
+    """Answers to the claims of a `CreditRequest`; each engine is in one of the lists."""
+
+    grants: list[CreditGranted]
+    refusals: list[CreditRefused]
+
+
+@dataclass(frozen=True, slots=True)
+class CreditRelease:
+    """Credits that a holder gives up."""
+
+    returns: list[CreditReturn]
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerQuery:
+    """A new owner asks for the credits of its engines."""
+
+    engine_ids: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class OutstandingReply:
+    """Credit and use of the asked engines at one holder."""
+
+    claims: list[CreditClaim]
+
+
 FETCH_CONFIGURATION: PeerMethod[ConfigurationQuery, ConfigurationUpdate] = PeerMethod(
     "FetchConfiguration", ConfigurationQuery, ConfigurationUpdate
 )
 
+ACQUIRE_CREDIT: PeerMethod[CreditRequest, CreditGrant] = PeerMethod(
+    "AcquireCredit", CreditRequest, CreditGrant
+)
+RELEASE_CREDIT: PeerMethod[CreditRelease, Ack] = PeerMethod("ReleaseCredit", CreditRelease, Ack)
+OUTSTANDING_CREDITS: PeerMethod[OwnerQuery, OutstandingReply] = PeerMethod(
+    "OutstandingCredits", OwnerQuery, OutstandingReply
+)
+
 AnyMethod = PeerMethod[Any, Any]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/credits.py
@@ -0,0 +1,279 @@
+"""Credits: leases of an engine's capacity, on the side of the owner and of the holder."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+LONG_MEMORY_SHARE = 0.7
+"""Share of one engine's memory that long prompts may use; the rest is kept for short ones."""
+
+
+@dataclass(frozen=True, slots=True)
+class Amount:
+    """Capacity of an engine; `long_tokens` is the part of `tokens` that long prompts may use."""
+
+    slots: int = 0
+    tokens: int = 0
+    long_tokens: int = 0
+
+    def __add__(self, other: "Amount") -> "Amount":
+        return Amount(
+            self.slots + other.slots,
+            self.tokens + other.tokens,
+            self.long_tokens + other.long_tokens,
+        )
+
+    def __sub__(self, other: "Amount") -> "Amount":
+        return Amount(
+            self.slots - other.slots,
+            self.tokens - other.tokens,
+            self.long_tokens - other.long_tokens,
+        )
+
+    def at_least(self, other: "Amount") -> "Amount":
+        """Return the larger of each quantity."""
+        return Amount(
+            max(self.slots, other.slots),
+            max(self.tokens, other.tokens),
+            max(self.long_tokens, other.long_tokens),
+        )
+
+    def at_most(self, other: "Amount") -> "Amount":
+        """Return the smaller of each quantity."""
+        return Amount(
+            min(self.slots, other.slots),
+            min(self.tokens, other.tokens),
+            min(self.long_tokens, other.long_tokens),
+        )
+
+    def covers(self, other: "Amount") -> bool:
+        """Return whether no quantity is smaller than that of `other`."""
+        return self.at_least(other) == self
+
+
+NOTHING = Amount()
+
+
+def engine_capacity(slots: int, total_tokens: int) -> Amount:
+    """Return the capacity that an owner may lease out."""
+    return Amount(slots, total_tokens, int(total_tokens * LONG_MEMORY_SHARE))
+
+
+@dataclass(frozen=True, slots=True)
+class CreditClaim:
+    """What a holder wants its credit of one engine to be, in absolute amounts.
+
+    Absolute amounts make a repeated or lost claim harmless. `sequence` grows with each claim of a
+    holder. `current` is the valid credit that the holder has, `used` what its open holds take.
+    """
+
+    engine_id: str
+    holder: str
+    sequence: int
+    wanted: Amount
+    current: Amount
+    used: Amount
+
+
+@dataclass(frozen=True, slots=True)
+class Credit:
+    """A lease of capacity; `credit_id` is the sequence of the claim that set it.
+
+    `expires` is a monotonic time of the side that keeps the value.
+    """
+
+    credit_id: int
+    engine_id: str
+    holder: str
+    amount: Amount
+    used: Amount
+    expires: timedelta
+
+
+class CreditLedger:
+    """The owner's account of one engine: one credit for each holder."""
+
+    __slots__ = ("_capacity", "_credits", "_engine_id", "_lifetime", "_reported")
+
+    def __init__(self, engine_id: str, lifetime: timedelta) -> None:
+        self._engine_id = engine_id
+        self._lifetime = lifetime
+        self._capacity = NOTHING
+        self._reported = NOTHING
+        self._credits: dict[str, Credit] = {}
+
+    @property
+    def capacity(self) -> Amount:
+        """Return the capacity that the engine reported last."""
+        return self._capacity
+
+    def outstanding(self) -> Amount:
+        """Return the sum of all credits that have not expired."""
+        return _sum(credit.amount for credit in self._credits.values())
+
+    def report(self, capacity: Amount, used: Amount) -> None:
+        """Take over an engine's load report; `used` covers requests without a credit too."""
+        self._capacity = capacity
+        self._reported = used
+
+    def free(self) -> Amount:
+        """Return what can be leased; negative when the engine holds more than its capacity.
+
+        Use that the engine reports and no holder accounts for belongs to requests whose credit
+        expired, or that another owner admitted. It is subtracted in addition to the credits.
+        """
+        credits = self._credits.values()
+        committed = _sum(credit.amount.at_least(credit.used) for credit in credits)
+        unaccounted = self._reported - _sum(credit.used for credit in credits)
+        return self._capacity - committed - unaccounted.at_least(NOTHING)
+
+    def expire(self, now: timedelta) -> None:
+        """Remove the credits whose lifetime has passed."""
+        self._credits = {
+            holder: credit for holder, credit in self._credits.items() if now < credit.expires
+        }
+
+    def apply(self, claim: CreditClaim, now: timedelta) -> Credit:
+        """Set a holder's credit as far as capacity allows and renew it.
+
+        A claim that is not newer than the last one of its holder has no effect.
+        """
+        self.expire(now)
+        known = self._credits.get(claim.holder)
+        if known is not None and claim.sequence <= known.credit_id:
+            return known
+        kept = known.amount if known is not None else NOTHING
+        self._store(claim, kept, now)
+        room = kept.at_least(claim.used) + self.free()
+        amount = claim.wanted.at_most(kept.at_least(room))
+        return self._store(claim, amount.at_least(NOTHING), now)
+
+    def recover(self, claim: CreditClaim, now: timedelta) -> Credit:
+        """Renew what a holder got from the engine's earlier owner, and grant nothing more."""
+        self.expire(now)
+        known = self._credits.get(claim.holder)
+        if known is not None and claim.sequence <= known.credit_id:
+            return known
+        kept = known.amount if known is not None else NOTHING
+        return self._store(claim, claim.wanted.at_most(kept.at_least(claim.current)), now)
+
+    def release(self, holder: str, sequence: int) -> None:
+        """Remove a holder's credit; an old release has no effect."""
+        known = self._credits.get(holder)
+        if known is not None and sequence > known.credit_id:
+            del self._credits[holder]
+
+    def _store(self, claim: CreditClaim, amount: Amount, now: timedelta) -> Credit:
+        credit = Credit(
+            credit_id=claim.sequence,
+            engine_id=self._engine_id,
+            holder=claim.holder,
+            amount=amount,
+            used=claim.used,
+            expires=now + self._lifetime,
+        )
+        self._credits[claim.holder] = credit
+        return credit
+
+
+@dataclass(slots=True)
+class CreditPool:
+    """The holder's account of one engine.
+
+    `peak` and `earlier_peak` are the largest use in the current and in the previous window; the
+    credit that is kept follows them. `unmet` is demand that found no credit since the last claim.
+    """
+
+    engine_id: str
+    holder: str
+    lifetime: timedelta
+    amount: Amount = NOTHING
+    expires: timedelta = timedelta()
+    used: Amount = NOTHING
+    peak: Amount = NOTHING
+    earlier_peak: Amount = NOTHING
+    unmet: Amount = NOTHING
+    sequence: int = 0
+    _sent: timedelta = timedelta()
+    _holds: dict[int, Amount] = field(default_factory=dict)
+
+    @property
+    def open_holds(self) -> int:
+        """Return the number of holds that were not released."""
+        return len(self._holds)
+
+    def valid(self, now: timedelta) -> Amount:
+        """Return the credit that may be spent; nothing after its expiry."""
+        return self.amount if now < self.expires else NOTHING
+
+    def take(self, hold_id: int, amount: Amount, now: timedelta) -> bool:
+        """Open a hold when the credit at hand covers it."""
+        if not self.valid(now).covers(self.used + amount):
+            return False
+        self._holds[hold_id] = amount
+        self.used += amount
+        self.peak = self.peak.at_least(self.used)
+        return True
+
+    def give_back(self, hold_id: int) -> bool:
+        """Close a hold; return False when it is not open."""
+        amount = self._holds.pop(hold_id, None)
+        if amount is None:
+            return False
+        self.used -= amount
+        return True
+
+    def turn_window(self) -> None:
+        """Start a new window of the observed use."""
+        self.earlier_peak, self.peak = self.peak, self.used
+
+    def wanted(self) -> Amount:
+        """Return the credit that the observed use and unmet demand ask for."""
+        return self.peak.at_least(self.earlier_peak).at_least(self.used + self.unmet)
+
+    def claim(self, now: timedelta) -> CreditClaim:
+        """Return the next claim; what it does not ask for can no longer be spent."""
+        wanted = self.wanted()
+        current = self.valid(now)
+        self.amount = current.at_most(wanted)
+        self.unmet = NOTHING
+        self.sequence += 1
+        self._sent = now
+        return CreditClaim(self.engine_id, self.holder, self.sequence, wanted, current, self.used)
+
+    def outstanding(self, now: timedelta) -> CreditClaim:
+        """Return the credit at hand for a new owner; later claims have higher sequences."""
+        self.sequence += 1
+        current = self.valid(now)
+        return CreditClaim(self.engine_id, self.holder, self.sequence, current, current, self.used)
+
+    def granted(self, sequence: int, amount: Amount) -> bool:
+        """Take over the answer to the last claim; an answer to an earlier one is ignored.
+
+        The lifetime counts from the time at which the claim was sent, so that the credit never
+        outlives its entry in the owner's ledger.
+        """
+        if sequence != self.sequence:
+            return False
+        self.amount = amount
+        self.expires = self._sent + self.lifetime
+        return True
+
+    def assume(self, amount: Amount, now: timedelta) -> None:
+        """Use an amount that no owner granted, for one lifetime."""
+        self.sequence += 1
+        self.amount = amount
+        self.expires = now + self.lifetime
+
+    def release_all(self) -> int:
+        """Give up the credit and return the sequence of the release."""
+        self.amount = NOTHING
+        self.sequence += 1
+        return self.sequence
+
+
+def _sum(amounts: Iterable[Amount]) -> Amount:
+    total = NOTHING
+    for amount in amounts:
+        total += amount
+    return total
