Prove credits with a state machine

Cause: no test showed that lost, repeated and late messages never lease more than the capacity.

Change: a hypothesis state machine drives real owners and pools over a faulty network, with changes of the owner, two owners at once and pauses. A credit shrinks when two owners leased too much.

Conclusion: the bound holds for one owner, and within one lifetime after two owners.

--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -21,7 +21,13 @@
     CreditReturn,
 )
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.credits import Amount, CreditClaim, CreditLedger, engine_capacity
+from wasabiwell_entry.state.credits import (
+    NOTHING,
+    Amount,
+    CreditClaim,
+    CreditLedger,
+    engine_capacity,
+)
 from wasabiwell_entry.state.members import Member
 from wasabiwell_entry.state.targets import EngineLoad, TargetTable
 
@@ -81,10 +87,18 @@
             with trio.move_on_after(MAINTENANCE_INTERVAL.total_seconds()):
                 await self._wake.wait()
             self._wake = trio.Event()
-            self._drop_lost()
-            await self._collect()
+            self.drop_lost()
+            await self.collect()
             self._notify()
 
+    def outstanding(self, engine_id: str) -> Amount:
+        """Return the credit of an owned engine that has not expired."""
+        engine = self._engines.get(engine_id)
+        if engine is None:
+            return NOTHING
+        engine.ledger.expire(self._clock.monotonic())
+        return engine.ledger.outstanding()
+
     def _answer(self, claim: CreditClaim) -> ClaimAnswer:
         if not self._owners.is_own(self._owners.owner(claim.engine_id)):
             return CreditRefused(claim.engine_id, "another entry instance owns the engine")
@@ -111,13 +125,17 @@
             self._wake.set()
         return engine
 
-    def _drop_lost(self) -> None:
+    def drop_lost(self) -> None:
         """Forget engines that another member owns now; owning one again starts anew."""
         for engine_id in list(self._engines):
             if not self._owners.is_own(self._owners.owner(engine_id)):
                 del self._engines[engine_id]
 
-    async def _collect(self) -> None:
+    async def collect(self) -> None:
+        """Ask the other members for credits of newly owned engines.
+
+        When one of them does not answer, its credits may last for one more lifetime.
+        """
         pending = [key for key, engine in self._engines.items() if not engine.collected]
         if not pending:
             return
@@ -126,14 +144,13 @@
         for claim in collection.claims:
             engine = self._engines.get(claim.engine_id)
             if engine is not None:
-                engine.ledger.recover(claim, now)
+                engine.ledger.record(claim, now)
         for engine_id in pending:
             engine = self._engines.get(engine_id)
             if engine is not None:
                 engine.collected = True
-                engine.ready_at = (
-                    min(engine.ready_at, now) if collection.complete else (engine.ready_at)
-                )
+                if collection.complete:
+                    engine.ready_at = now
 
     async def _ask_members(self, engine_ids: list[str]) -> _Collection:
         collection = _Collection()
--- a/packages/entry/src/wasabiwell_entry/state/credits.py
+++ b/packages/entry/src/wasabiwell_entry/state/credits.py
@@ -136,7 +136,8 @@
     def apply(self, claim: CreditClaim, now: timedelta) -> Credit:
         """Set a holder's credit as far as capacity allows and renew it.
 
-        A claim that is not newer than the last one of its holder has no effect.
+        A claim that is not newer than the last one of its holder has no effect. A credit shrinks
+        when more than the capacity is leased, which happens after a second owner leased too.
         """
         self.expire(now)
         known = self._credits.get(claim.holder)
@@ -144,18 +145,28 @@
             return known
         kept = known.amount if known is not None else NOTHING
         self._store(claim, kept, now)
+        excess = (self.outstanding() - self._capacity).at_least(NOTHING)
         room = kept.at_least(claim.used) + self.free()
-        amount = claim.wanted.at_most(kept.at_least(room))
+        amount = claim.wanted.at_most((kept - excess).at_least(room))
         return self._store(claim, amount.at_least(NOTHING), now)
 
     def recover(self, claim: CreditClaim, now: timedelta) -> Credit:
         """Renew what a holder got from the engine's earlier owner, and grant nothing more."""
         self.expire(now)
-        known = self._credits.get(claim.holder)
+        known = self._credits.pop(claim.holder, None)
         if known is not None and claim.sequence <= known.credit_id:
+            self._credits[claim.holder] = known
             return known
-        kept = known.amount if known is not None else NOTHING
-        return self._store(claim, claim.wanted.at_most(kept.at_least(claim.current)), now)
+        kept = claim.current if known is None else known.amount.at_least(claim.current)
+        room = (self._capacity - self.outstanding()).at_least(NOTHING)
+        return self._store(claim, claim.wanted.at_most(kept).at_most(room), now)
+
+    def record(self, claim: CreditClaim, now: timedelta) -> None:
+        """Enter the credit that a holder reports, even when it exceeds the capacity."""
+        self.expire(now)
+        known = self._credits.get(claim.holder)
+        if known is None or claim.sequence > known.credit_id:
+            self._store(claim, claim.current, now)
 
     def release(self, holder: str, sequence: int) -> None:
         """Remove a holder's credit; an old release has no effect."""
--- /dev/null
+++ b/tests/support/credit_machine.py
@@ -0,0 +1,243 @@
+"""State machine of credits: real owners and pools, a faulty network, and a simple oracle."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import trio
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from wasabiwell_entry.coordination.credits import CreditOwner, EngineOwners
+from wasabiwell_entry.coordination.credits.const import CREDIT_LIFETIME, REPORT_LAG
+from wasabiwell_entry.coordination.credits.errors import OwnerUnreachable
+from wasabiwell_entry.coordination.credits.ports import CreditGranted, CreditReturn
+from wasabiwell_entry.state.clock import ManualClock
+from wasabiwell_entry.state.credits import (
+    NOTHING,
+    Amount,
+    CreditClaim,
+    CreditPool,
+    engine_capacity,
+)
+from wasabiwell_entry.state.members import Member, MemberStatus, MemberTable
+from wasabiwell_entry.state.targets import EngineLoad, Target, TargetKind, TargetTable
+
+SLOTS = 8
+TOKENS = 1_000
+CAPACITY = engine_capacity(SLOTS, TOKENS)
+ENGINE = "e-1"
+NAMES = ("n-0", "n-1", "n-2")
+NODES = st.sampled_from(range(len(NAMES)))
+PICKS = st.integers(min_value=0, max_value=20)
+
+
+@dataclass(slots=True)
+class Message:
+    """A message in flight: a claim or a return to an owner, or a grant to a holder."""
+
+    receiver: int
+    sender: int
+    content: CreditClaim | CreditReturn | CreditGranted
+
+
+@dataclass(slots=True)
+class Network:
+    """Answers a new owner's questions; nodes in `unreachable` do not."""
+
+    pools: list[CreditPool]
+    clock: ManualClock
+    unreachable: set[int] = field(default_factory=set)
+
+    async def outstanding(
+        self, holder: Member, engine_ids: Sequence[str]
+    ) -> list[CreditClaim] | OwnerUnreachable:
+        """Return the credit of one node."""
+        index = NAMES.index(holder.node_id)
+        if index in self.unreachable:
+            return OwnerUnreachable("lost")
+        return [self.pools[index].outstanding(self.clock.monotonic())]
+
+
+class CreditMachine(RuleBasedStateMachine):
+    """Three entry instances share one engine."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.clock.advance(timedelta(minutes=1))
+        self.members = [Member(name, 1, "r", "z", "", name) for name in NAMES]
+        self.views = [MemberTable() for _ in NAMES]
+        self.targets = TargetTable()
+        self.targets.put(Target(ENGINE, TargetKind.ENGINE, "s", "", "r", "z"))
+        self.pools = [CreditPool(ENGINE, name, CREDIT_LIFETIME) for name in NAMES]
+        self.network = Network(self.pools, self.clock)
+        self.owners = [
+            EngineOwners(member, view, self.targets)
+            for member, view in zip(self.members, self.views, strict=True)
+        ]
+        self.sides = [
+            CreditOwner(owners, self.targets, self.network, self.clock) for owners in self.owners
+        ]
+        self.holds: list[tuple[int, int, Amount]] = []
+        self.messages: list[Message] = []
+        self.next_hold = 0
+        self.isolated: int | None = None
+        self.left: int | None = None
+        self.split_until = timedelta()
+        self._set_views()
+        self._report()
+
+    @rule(node=NODES, tokens=st.integers(1, 400), long=st.booleans())
+    def take(self, node: int, tokens: int, long: bool) -> None:
+        """Start a request, or note its demand."""
+        amount = Amount(1, tokens, tokens if long else 0)
+        self.next_hold += 1
+        if self.pools[node].take(self.next_hold, amount, self.clock.monotonic()):
+            self.holds.append((node, self.next_hold, amount))
+        else:
+            self.pools[node].unmet = (self.pools[node].unmet + amount).at_most(CAPACITY)
+
+    @precondition(lambda self: self.holds)
+    @rule(pick=PICKS)
+    def finish(self, pick: int) -> None:
+        """End a request; a second release of its hold has no effect."""
+        node, hold_id, _ = self.holds.pop(pick % len(self.holds))
+        assert self.pools[node].give_back(hold_id)
+        assert not self.pools[node].give_back(hold_id)
+
+    @rule(node=NODES)
+    def send(self, node: int) -> None:
+        """Send a claim, or a return when nothing is wanted."""
+        pool = self.pools[node]
+        owner = self.owners[node].owner(ENGINE)
+        receiver = NAMES.index(owner.node_id)
+        content: CreditClaim | CreditReturn = (
+            CreditReturn(ENGINE, pool.holder, pool.release_all())
+            if pool.wanted() == NOTHING
+            else pool.claim(self.clock.monotonic())
+        )
+        self.messages.append(Message(receiver, node, content))
+
+    @rule(node=NODES)
+    def exchange(self, node: int) -> None:
+        """Send a claim and deliver it and its answer at once."""
+        self.send(node)
+        for _ in range(2):
+            if self.messages:
+                self._deliver(self.messages.pop())
+
+    @precondition(lambda self: self.messages)
+    @rule(pick=PICKS, duplicate=st.booleans())
+    def deliver(self, pick: int, duplicate: bool) -> None:
+        """Deliver a message in any order, and leave a copy in flight for a duplicate."""
+        index = pick % len(self.messages)
+        message = self.messages[index] if duplicate else self.messages.pop(index)
+        self._deliver(message)
+
+    @precondition(lambda self: self.messages)
+    @rule(pick=PICKS)
+    def lose(self, pick: int) -> None:
+        """Lose a message."""
+        self.messages.pop(pick % len(self.messages))
+
+    @rule(milliseconds=st.integers(1, 4_500))
+    def advance(self, milliseconds: int) -> None:
+        """Let time pass; a long step is a pause of all entry instances."""
+        self.clock.advance(timedelta(milliseconds=milliseconds))
+        for pool in self.pools:
+            pool.turn_window()
+        self._report()
+
+    @rule(node=NODES)
+    def leave(self, node: int) -> None:
+        """Change which node leaves, which moves the ownership of its engines."""
+        if self.isolated is None:
+            self.left = None if self.left == node else node
+            self._set_views()
+
+    @rule(node=NODES)
+    def isolate(self, node: int) -> None:
+        """Cut a node off, so that the engine can have two owners."""
+        if self.clock.monotonic() >= self.split_until and self.isolated is None:
+            self.isolated = node
+            self._set_views()
+
+    @precondition(lambda self: self.isolated is not None)
+    @rule()
+    def heal(self) -> None:
+        """Join the cut-off node again."""
+        self.isolated = None
+        self.split_until = self.clock.monotonic() + CREDIT_LIFETIME
+        self._set_views()
+
+    @rule(node=NODES, lost=st.sets(NODES, max_size=1))
+    def collect(self, node: int, lost: set[int]) -> None:
+        """Let an owner collect outstanding credits; some members may not answer."""
+        self.network.unreachable = lost
+        trio.run(self.sides[node].collect)
+
+    @invariant()
+    def never_more_than_the_capacity(self) -> None:
+        """Compare the credit that holders may spend with the engine's capacity."""
+        now = self.clock.monotonic()
+        spendable = NOTHING
+        for pool in self.pools:
+            spendable += pool.valid(now)
+        split = self.isolated is not None or now < self.split_until
+        limit = CAPACITY + CAPACITY if split else CAPACITY
+        assert limit.covers(spendable), (spendable, limit)
+
+    @invariant()
+    def holds_are_counted(self) -> None:
+        """Compare the pools' use with the open requests."""
+        for node, pool in enumerate(self.pools):
+            used = NOTHING
+            for owner, _, amount in self.holds:
+                used += amount if owner == node else NOTHING
+            assert pool.used == used
+
+    def teardown(self) -> None:
+        """End all requests; every credit must be gone after its lifetime."""
+        for node, hold_id, _ in self.holds:
+            self.pools[node].give_back(hold_id)
+        self.holds = []
+        self.clock.advance(CREDIT_LIFETIME + REPORT_LAG)
+        for pool, side in zip(self.pools, self.sides, strict=True):
+            assert pool.used == NOTHING
+            assert pool.valid(self.clock.monotonic()) == NOTHING
+            assert side.outstanding(ENGINE) == NOTHING
+
+    def _deliver(self, message: Message) -> None:
+        if self.isolated in (message.sender, message.receiver) and (
+            message.sender != message.receiver
+        ):
+            return
+        match message.content:
+            case CreditClaim() as claim:
+                (answer,) = self.sides[message.receiver].answer([claim])
+                if isinstance(answer, CreditGranted):
+                    self.messages.append(Message(message.sender, message.receiver, answer))
+            case CreditReturn() as item:
+                self.sides[message.receiver].take_back([item])
+            case CreditGranted(sequence=sequence, amount=amount):
+                self.pools[message.receiver].granted(sequence, amount)
+
+    def _set_views(self) -> None:
+        for node, view in enumerate(self.views):
+            for other, member in enumerate(self.members):
+                apart = other != node and self.isolated in (node, other)
+                gone = apart or (other == self.left and self.isolated is None)
+                status = MemberStatus.DEAD if gone else MemberStatus.ALIVE
+                view.put(Member(member.node_id, 1, "r", "z", "", member.peer_address, status))
+        for side in self.sides:
+            side.drop_lost()
+
+    def _report(self) -> None:
+        used = NOTHING
+        for _, _, amount in self.holds:
+            used += amount
+        status = self.targets.get(ENGINE)
+        assert status is not None
+        now = self.clock.monotonic()
+        free = TOKENS - used.tokens
+        status.load = EngineLoad(now, SLOTS, used.slots, 0, TOKENS, free)
--- /dev/null
+++ b/tests/support/histories.py
@@ -0,0 +1,19 @@
+"""Runs state machines of hypothesis with the same histories in each run."""
+
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+STEPS_OF_A_HISTORY = 60
+
+
+def run_histories(machine: type[RuleBasedStateMachine], count: int) -> None:
+    """Run a number of random histories, drawn from a fixed seed."""
+    fixed = settings(
+        max_examples=count,
+        stateful_step_count=STEPS_OF_A_HISTORY,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(machine, settings=fixed)
