Give fenced orders to engines under leases in the table service

Cause: nothing kept two entry instances from giving one engine conflicting orders.

Change: a lease with a growing fencing number in the row lease/ENGINE. A new holder waits until the row has stayed unchanged for the lease, and the order timeout where engines ignore the number. The rate of the weight store is divided among regions. Operators give orders by POST /admin/v1/orders.

--- a/packages/entry/src/wasabiwell_entry/coordination/orders/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/__init__.py
@@ -1,1 +1,7 @@
 """Fenced orders to engines."""
+
+from wasabiwell_entry.coordination.orders.coordinator import OrderCoordinator
+from wasabiwell_entry.coordination.orders.leases import OrderLeases
+from wasabiwell_entry.coordination.orders.rate import WeightStoreRate
+
+__all__ = ["OrderCoordinator", "OrderLeases", "WeightStoreRate"]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/coordinator.py
@@ -0,0 +1,73 @@
+"""Gives orders to engines under a lease with a fencing number."""
+
+from datetime import timedelta
+
+from wasabiwell_config import Fencing
+
+from wasabiwell_entry.coordination.orders.const import ORDER_TIMEOUT
+from wasabiwell_entry.coordination.orders.errors import (
+    Lease,
+    LeaseLapsed,
+    OrderOutcome,
+    OrderUnknown,
+    RateUsedUp,
+    SendOutcome,
+)
+from wasabiwell_entry.coordination.orders.leases import OrderLeases
+from wasabiwell_entry.coordination.orders.ports import OrderPort
+from wasabiwell_entry.coordination.orders.rate import WeightStoreRate
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.orders import ChangeRole, EngineOrder, LoadAdapter, LoadModel
+from wasabiwell_entry.state.targets import Target
+
+
+class OrderCoordinator:
+    """Gives orders of this entry instance.
+
+    An engine that refuses old fencing numbers protects itself. For an engine that ignores them,
+    an order is sent only when the lease covers its timeout, and the next holder waits for the
+    lease and the timeout to pass; a process that is paused between this check and the write to
+    the connection for longer than both is not covered.
+    """
+
+    __slots__ = ("_clock", "_engines", "_leases", "_rate")
+
+    def __init__(
+        self, leases: OrderLeases, engines: OrderPort, rate: WeightStoreRate, clock: Clock
+    ) -> None:
+        self._leases = leases
+        self._engines = engines
+        self._rate = rate
+        self._clock = clock
+
+    async def give(self, target: Target, order: EngineOrder, fencing: Fencing) -> OrderOutcome:
+        """Take the lease of an engine, send one order and release the lease."""
+        lease = await self._leases.acquire(target.target_id, fencing)
+        if not isinstance(lease, Lease):
+            return lease
+        wait = await self._wait_for_rate(order)
+        if wait is not None:
+            await self._leases.release(lease)
+            return RateUsedUp(wait)
+        outcome = await self.send(lease, target, order, fencing)
+        # An engine that ignores the number may still act on an order whose answer is missing.
+        if not isinstance(outcome, OrderUnknown) or fencing is Fencing.REFUSED:
+            await self._leases.release(lease)
+        return outcome
+
+    async def send(
+        self, lease: Lease, target: Target, order: EngineOrder, fencing: Fencing
+    ) -> SendOutcome:
+        """Send an order under a lease that this entry instance holds."""
+        needed = ORDER_TIMEOUT if fencing is Fencing.IGNORED else timedelta()
+        if lease.until - self._clock.monotonic() <= needed:
+            return LeaseLapsed()
+        return await self._engines.send(target, order, lease.fencing, ORDER_TIMEOUT)
+
+    async def _wait_for_rate(self, order: EngineOrder) -> timedelta | None:
+        """Take one load of the weight store's rate if the order reads weights."""
+        match order:
+            case LoadModel() | LoadAdapter():
+                return await self._rate.take()
+            case ChangeRole():
+                return None
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/leases.py
@@ -0,0 +1,120 @@
+"""Leases for orders, kept in the table service."""
+
+import secrets
+from datetime import timedelta
+
+import msgspec
+from wasabiwell_config import Fencing
+
+from wasabiwell_entry.coordination.orders.const import (
+    DRIFT_MARGIN,
+    LEASE_LIFETIME,
+    ORDER_TIMEOUT,
+    STORE_RETRY_AFTER,
+)
+from wasabiwell_entry.coordination.orders.errors import (
+    Lease,
+    LeaseHeld,
+    LeaseOutcome,
+    LeaseUnavailable,
+)
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.orders import LeaseRecord, lease_key
+from wasabiwell_entry.state.platform import (
+    Committed,
+    Condition,
+    ConditionFailed,
+    ReplyLost,
+    Row,
+    StoreUnavailable,
+    TableService,
+    Write,
+)
+
+
+class OrderLeases:
+    """Takes and releases leases for one entry instance.
+
+    No wall clock is compared: a lease of another holder counts as over when its row has stayed
+    unchanged for the whole wait, measured here.
+    """
+
+    __slots__ = ("_clock", "_node_id", "_seen", "_table")
+
+    def __init__(self, table: TableService, clock: Clock, node_id: str) -> None:
+        self._table = table
+        self._clock = clock
+        self._node_id = node_id
+        self._seen: dict[str, tuple[int, timedelta]] = {}
+
+    async def acquire(self, engine_id: str, fencing: Fencing) -> LeaseOutcome:
+        """Take the lease of an engine, or tell when to try again."""
+        key = lease_key(engine_id)
+        rows = await self._table.read([key])
+        if isinstance(rows, StoreUnavailable):
+            return LeaseUnavailable(rows.reason)
+        row = rows.get(key)
+        earlier = _decode(row) if row is not None else LeaseRecord("", "", 0, released=True)
+        version = row.version if row is not None else 0
+        if not earlier.released:
+            left = self._time_left(key, version, fencing)
+            if left > timedelta():
+                return LeaseHeld(earlier.holder, left)
+        return await self._take(engine_id, key, version, earlier.fencing + 1)
+
+    async def release(self, lease: Lease) -> None:
+        """Let the next holder start without waiting; a lease that is not released lapses."""
+        key = lease_key(lease.engine_id)
+        rows = await self._table.read([key])
+        if isinstance(rows, StoreUnavailable) or key not in rows:
+            return
+        if _decode(rows[key]).attempt_id != lease.attempt_id:
+            return
+        record = LeaseRecord(self._node_id, lease.attempt_id, lease.fencing, released=True)
+        await self._table.transact(
+            [Condition(key, rows[key].version)], [Write(key, msgspec.msgpack.encode(record))]
+        )
+
+    def _time_left(self, key: str, version: int, fencing: Fencing) -> timedelta:
+        """Return how long another holder's lease, and an order under it, may still last."""
+        now = self._clock.monotonic()
+        seen_version, since = self._seen.get(key, (0, now))
+        if seen_version != version:
+            since = now
+            self._seen[key] = (version, now)
+        wait = LEASE_LIFETIME + DRIFT_MARGIN
+        if fencing is Fencing.IGNORED:
+            wait += ORDER_TIMEOUT
+        return since + wait - now
+
+    async def _take(self, engine_id: str, key: str, version: int, number: int) -> LeaseOutcome:
+        record = LeaseRecord(self._node_id, secrets.token_hex(16), number)
+        lease = Lease(
+            engine_id, record.attempt_id, number, self._clock.monotonic() + LEASE_LIFETIME
+        )
+        outcome = await self._table.transact(
+            [Condition(key, version)], [Write(key, msgspec.msgpack.encode(record))]
+        )
+        match outcome:
+            case Committed():
+                return lease
+            case StoreUnavailable(reason=reason):
+                return LeaseUnavailable(reason)
+            case ConditionFailed() | ReplyLost():
+                return await self._read_back(key, lease)
+
+    async def _read_back(self, key: str, lease: Lease) -> LeaseOutcome:
+        rows = await self._table.read([key])
+        if isinstance(rows, StoreUnavailable):
+            return LeaseUnavailable(rows.reason)
+        row = rows.get(key)
+        if row is None:
+            return LeaseUnavailable("the lease was not stored")
+        record = _decode(row)
+        if record.attempt_id == lease.attempt_id:
+            return lease
+        return LeaseHeld(record.holder, STORE_RETRY_AFTER)
+
+
+def _decode(row: Row) -> LeaseRecord:
+    return msgspec.msgpack.decode(row.value, type=LeaseRecord)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/rate.py
@@ -0,0 +1,59 @@
+"""The rate of the weight store, divided among regions and leased to their entry instances."""
+
+from datetime import timedelta
+
+from wasabiwell_entry.coordination.membership.errors import NoOwner
+from wasabiwell_entry.coordination.membership.ownership import owner_of
+from wasabiwell_entry.coordination.orders.const import RATE_INTERVAL, RATE_KEY
+from wasabiwell_entry.coordination.orders.ports import RatePeers
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.members import Member, MemberTable
+from wasabiwell_entry.state.orders import RateLedger
+
+
+class WeightStoreRate:
+    """Takes loads from the owner of the region's share, and grants them as that owner.
+
+    `loads` are those that the weight store allows in one `RATE_INTERVAL` to the whole deployment.
+    Regions that were seen once keep their share, so that a partition does not raise the sum.
+    """
+
+    __slots__ = ("_clock", "_ledger", "_loads", "_members", "_own", "_peers", "_regions")
+
+    def __init__(
+        self, loads: int, own: Member, members: MemberTable, peers: RatePeers, clock: Clock
+    ) -> None:
+        self._loads = loads
+        self._own = own
+        self._members = members
+        self._peers = peers
+        self._clock = clock
+        self._regions = {own.region}
+        self._ledger: RateLedger | None = None
+
+    async def take(self) -> timedelta | None:
+        """Take one load; return None when it was granted, else the time to wait."""
+        owner = self._owner()
+        if isinstance(owner, NoOwner):
+            return RATE_INTERVAL
+        if owner.node_id == self._own.node_id:
+            granted = self.grant(1)
+        else:
+            granted = await self._peers.take(owner, 1)
+        return None if granted else RATE_INTERVAL
+
+    def grant(self, count: int) -> int:
+        """Return how many loads this entry instance grants as the owner of the region's share."""
+        owner = self._owner()
+        if isinstance(owner, NoOwner) or owner.node_id != self._own.node_id:
+            self._ledger = None
+            return 0
+        now = self._clock.monotonic()
+        if self._ledger is None:
+            self._ledger = RateLedger(RATE_INTERVAL, now + RATE_INTERVAL)
+        self._regions |= {member.region for member in self._members}
+        return self._ledger.take(count, self._loads // len(self._regions), now)
+
+    def _owner(self) -> Member | NoOwner:
+        region = [item for item in self._members.alive() if item.region == self._own.region]
+        return owner_of(RATE_KEY, region)
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -16,6 +16,7 @@
 from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
+from wasabiwell_entry.coordination.orders import OrderCoordinator, OrderLeases, WeightStoreRate
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.runs import RunCoordinator
 from wasabiwell_entry.coordination.targets import TargetCoordinator
@@ -29,6 +30,7 @@
 from wasabiwell_entry.transport.http.server import serve_callers
 from wasabiwell_entry.transport.peer.client import PeerClient, open_peer_client
 from wasabiwell_entry.transport.peer.credits import GrpcCreditPeers, serve_credits
+from wasabiwell_entry.transport.peer.rate import GrpcRatePeers, serve_rate
 from wasabiwell_entry.transport.peer.server import PeerService, serve_peers
 from wasabiwell_entry.transport.platform.client import (
     HttpInstanceList,
@@ -36,6 +38,7 @@
     HttpTableService,
 )
 from wasabiwell_entry.transport.target.engine import HttpEngineClient
+from wasabiwell_entry.transport.target.orders import HttpOrderClient
 from wasabiwell_entry.transport.target.plain import HttpPlainClient
 from wasabiwell_entry.transport.target.pools import open_target_pools
 
@@ -53,6 +56,7 @@
     peers: PeerClient
     credit_owner: CreditOwner
     credit_holder: CreditHolder
+    rate: WeightStoreRate
 
 
 @asynccontextmanager
@@ -100,12 +104,18 @@
             observer=targets,
             clock=clock,
         )
+        rate = WeightStoreRate(settings.weight_loads, own, members, GrpcRatePeers(peers), clock)
+        orders = OrderCoordinator(
+            OrderLeases(table, clock, settings.node_id), HttpOrderClient(pools), rate, clock
+        )
         http = HttpContext(
             dispatcher=dispatcher,
             addresses=AddressCoordinator(own, members),
             configuration=configuration_state,
             configuration_coordinator=configuration,
             lifecycle=lifecycle,
+            orders=orders,
+            targets=target_table,
             clock=clock,
             limits=HttpLimits(settings.max_body_bytes, settings.body_timeout.total_seconds()),
             status=lambda: _status(settings, configuration_state, members, target_table, lifecycle),
@@ -120,6 +130,7 @@
             peers,
             credit_owner,
             credit_holder,
+            rate,
         )
 
 
@@ -129,6 +140,7 @@
         peer_host, peer_port = split_address(settings.peer_address)
         service = PeerService()
         serve_credits(service, instance.credit_owner, instance.credit_holder)
+        serve_rate(service, instance.rate)
         async with serve_peers(service, peer_host, peer_port), trio.open_nursery() as nursery:
             nursery.start_soon(instance.membership.run)
             nursery.start_soon(instance.targets.run)
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -28,6 +28,11 @@
 @click.option(
     "--address-ttl-s", default=10.0, help="Time for which callers keep addresses, in seconds."
 )
+@click.option(
+    "--weight-loads",
+    default=120,
+    help="Loads in 10 s that the weight store allows to the whole deployment.",
+)
 def main(body_timeout_s: float, address_ttl_s: float, **values: object) -> None:
     """Run an entry instance of wasabiwell."""
     settings = Settings(
--- a/packages/entry/src/wasabiwell_entry/protocol/admin.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/admin.py
@@ -1,10 +1,11 @@
 """Messages of the operators' interface below `/admin/v1`."""
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 
+from wasabiwell_entry.state.orders import ChangeRole, EngineOrder, LoadAdapter, LoadModel
 from wasabiwell_entry.state.outcomes import Finding
 
 
@@ -42,3 +43,40 @@
         value: Any = msgspec.json.decode(raw)
         changes[path] = None if value is None else msgspec.json.encode(value, order="deterministic")
     return changes
+
+
+@dataclass(frozen=True, slots=True)
+class OrderBody:
+    """Body of `POST /admin/v1/orders`; `kind` says which of the other fields it needs."""
+
+    engine: str
+    kind: Literal["load_model", "load_adapter", "change_role"]
+    model: str = ""
+    adapter: str = ""
+    version: str = ""
+    role: str = ""
+
+    def order(self) -> EngineOrder:
+        """Return the order; raises `msgspec.ValidationError` when a field is missing."""
+        match self.kind:
+            case "load_model":
+                return LoadModel(self._given("model"), self._given("version"))
+            case "load_adapter":
+                return LoadAdapter(self._given("adapter"), self._given("version"))
+            case "change_role":
+                return ChangeRole(self._given("role"))
+
+    def _given(self, name: str) -> str:
+        value: str = getattr(self, name)
+        if not value:
+            raise msgspec.ValidationError(f"{self.kind} needs {name} - at `$.{name}`")
+        return value
+
+
+@dataclass(frozen=True, slots=True)
+class OrderReply:
+    """Answer to an order; `retry_after_s` is set where repeating later can succeed."""
+
+    outcome: str
+    reason: str = ""
+    retry_after_s: float | None = None
--- a/packages/entry/src/wasabiwell_entry/protocol/peer.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/peer.py
@@ -84,6 +84,20 @@
     claims: list[CreditClaim]
 
 
+@dataclass(frozen=True, slots=True)
+class RateRequest:
+    """Asks the owner of a region's share of the weight store's rate for loads."""
+
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class RateGrant:
+    """Loads that may start now."""
+
+    granted: int
+
+
 FETCH_CONFIGURATION: PeerMethod[ConfigurationQuery, ConfigurationUpdate] = PeerMethod(
     "FetchConfiguration", ConfigurationQuery, ConfigurationUpdate
 )
@@ -96,4 +110,8 @@
     "OutstandingCredits", OwnerQuery, OutstandingReply
 )
 
+ACQUIRE_WEIGHT_RATE: PeerMethod[RateRequest, RateGrant] = PeerMethod(
+    "AcquireWeightRate", RateRequest, RateGrant
+)
+
 AnyMethod = PeerMethod[Any, Any]
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -24,6 +24,7 @@
     max_body_bytes: int = 16 * 1024 * 1024
     body_timeout: timedelta = timedelta(seconds=30)
     address_ttl: timedelta = timedelta(seconds=10)
+    weight_loads: int = 120
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -46,6 +47,8 @@
             findings.append(Finding(f"--{name.replace('_', '-')}", "must start with http://"))
     if settings.max_body_bytes <= 0:
         findings.append(Finding("--max-body-bytes", "must be above 0"))
+    if settings.weight_loads <= 0:
+        findings.append(Finding("--weight-loads", "must be above 0"))
     return findings
 
 
--- a/packages/entry/src/wasabiwell_entry/transport/http/admin.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/admin.py
@@ -22,6 +22,7 @@
 from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
 from wasabiwell_entry.transport.http.asgi import JSON_TYPE, Exchange
 from wasabiwell_entry.transport.http.context import HttpContext, authenticate_operator
+from wasabiwell_entry.transport.http.orders import handle_order
 
 ADMIN_PREFIX = "/admin/v1/"
 STATUS_BY_OUTCOME = {
@@ -48,6 +49,8 @@
         case "GET", "status":
             body = msgspec.json.encode(context.status())
             await exchange.respond(200, [JSON_TYPE], body)
+        case "POST", "orders":
+            await handle_order(context, exchange)
         case "POST", "drain":
             context.lifecycle.leave("an operator asked for it")
             await exchange.respond(202, [JSON_TYPE], b"{}")
--- a/packages/entry/src/wasabiwell_entry/transport/http/context.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/context.py
@@ -10,9 +10,11 @@
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
 from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
+from wasabiwell_entry.coordination.orders import OrderCoordinator
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.configuration import ConfigurationState
 from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
+from wasabiwell_entry.state.targets import TargetTable
 from wasabiwell_entry.transport.http.asgi import Exchange
 
 BEARER_PREFIX = "Bearer "
@@ -35,6 +37,8 @@
     configuration: ConfigurationState
     configuration_coordinator: ConfigurationCoordinator
     lifecycle: LifecycleCoordinator
+    orders: OrderCoordinator
+    targets: TargetTable
     clock: Clock
     limits: HttpLimits
     status: Callable[[], dict[str, object]]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/http/orders.py
@@ -0,0 +1,74 @@
+"""Handler of `POST /admin/v1/orders`."""
+
+from datetime import timedelta
+
+import msgspec
+from wasabiwell_config import Fencing
+
+from wasabiwell_entry.coordination.orders.errors import (
+    LeaseHeld,
+    LeaseLapsed,
+    LeaseUnavailable,
+    OrderDone,
+    OrderOutcome,
+    OrderRefused,
+    OrderUnknown,
+    RateUsedUp,
+)
+from wasabiwell_entry.protocol.admin import OrderBody, OrderReply
+from wasabiwell_entry.protocol.problem import problem
+from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
+from wasabiwell_entry.state.targets import TargetKind
+from wasabiwell_entry.transport.http.asgi import JSON_TYPE, Exchange
+from wasabiwell_entry.transport.http.context import HttpContext
+
+
+async def handle_order(context: HttpContext, exchange: Exchange) -> None:
+    """Give an operator's order to an engine."""
+    body = await exchange.read_body(
+        context.limits.max_body_bytes, context.limits.body_timeout_seconds
+    )
+    if isinstance(body, Refused):
+        await exchange.respond_problem(problem(body))
+        return
+    try:
+        parsed = msgspec.json.decode(body, type=OrderBody)
+        order = parsed.order()
+    except msgspec.DecodeError as error:
+        await _refuse(exchange, Finding("body", str(error)))
+        return
+    status = context.targets.get(parsed.engine)
+    if status is None or status.target.kind is not TargetKind.ENGINE:
+        await _refuse(exchange, Finding("$.engine", f"no engine {parsed.engine!r} is known"))
+        return
+    service = context.configuration.view.model_service(status.target.service)
+    fencing = service.fencing if service is not None else Fencing.IGNORED
+    code, reply = _reply(await context.orders.give(status.target, order, fencing))
+    await exchange.respond(code, [JSON_TYPE], msgspec.json.encode(reply))
+
+
+async def _refuse(exchange: Exchange, finding: Finding) -> None:
+    refused = Refused(Reason.INVALID_REQUEST, "the order is not valid", findings=(finding,))
+    await exchange.respond_problem(problem(refused))
+
+
+def _reply(outcome: OrderOutcome) -> tuple[int, OrderReply]:
+    match outcome:
+        case OrderDone():
+            return 200, OrderReply("done")
+        case OrderRefused(reason=reason):
+            return 409, OrderReply("refused", reason)
+        case LeaseHeld(holder=holder, retry_after=wait):
+            return 409, _later("lease_held", f"{holder} holds the engine's lease", wait)
+        case LeaseLapsed():
+            return 503, OrderReply("lease_lapsed", "the lease ended before the order was sent")
+        case LeaseUnavailable(reason=reason):
+            return 503, OrderReply("lease_unavailable", reason)
+        case RateUsedUp(retry_after=wait):
+            return 429, _later("rate_used_up", "the weight store's rate is used up", wait)
+        case OrderUnknown(reason=reason):
+            return 504, OrderReply("unknown", reason)
+
+
+def _later(outcome: str, reason: str, wait: timedelta) -> OrderReply:
+    return OrderReply(outcome, reason, wait.total_seconds())
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/rate.py
@@ -0,0 +1,34 @@
+"""Messages about the weight store's rate."""
+
+from wasabiwell_entry.coordination.orders import WeightStoreRate
+from wasabiwell_entry.protocol.peer import ACQUIRE_WEIGHT_RATE, RateGrant, RateRequest
+from wasabiwell_entry.state.members import Member
+from wasabiwell_entry.transport.peer.client import PeerClient, PeerUnavailable
+from wasabiwell_entry.transport.peer.server import PeerService
+
+
+class GrpcRatePeers:
+    """Asks other entry instances for loads; implements `RatePeers`."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, client: PeerClient) -> None:
+        self._client = client
+
+    async def take(self, owner: Member, count: int) -> int:
+        """Return how many loads the owner grants."""
+        request = RateRequest(count)
+        match await self._client.call(owner.peer_address, ACQUIRE_WEIGHT_RATE, request):
+            case PeerUnavailable():
+                return 0
+            case reply:
+                return reply.granted
+
+
+def serve_rate(service: PeerService, rate: WeightStoreRate) -> None:
+    """Answer messages about the rate with this entry instance's share."""
+
+    async def take(request: RateRequest) -> RateGrant:
+        return RateGrant(rate.grant(request.count))
+
+    service.handle(ACQUIRE_WEIGHT_RATE, take)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/target/orders.py
@@ -0,0 +1,51 @@
+"""HTTP client of `POST /v1/orders` of engines."""
+
+from datetime import timedelta
+
+import httpcore
+import trio
+
+from wasabiwell_entry.coordination.orders.errors import OrderDone, OrderRefused, OrderUnknown
+from wasabiwell_entry.protocol.orders import encode_order
+from wasabiwell_entry.state.orders import EngineOrder
+from wasabiwell_entry.state.targets import Target
+from wasabiwell_entry.transport.target.pools import BROKEN, NOT_SENT, TargetPools, timeouts
+
+JSON_HEADERS = [(b"content-type", b"application/json")]
+
+
+class HttpOrderClient:
+    """Sends orders to engines; implements `OrderPort`."""
+
+    __slots__ = ("_pools",)
+
+    def __init__(self, pools: TargetPools) -> None:
+        self._pools = pools
+
+    async def send(
+        self, target: Target, order: EngineOrder, fencing: int, timeout: timedelta
+    ) -> OrderDone | OrderRefused | OrderUnknown:
+        """Send an order once; the timeout covers connecting and all of the answer."""
+        seconds = timeout.total_seconds()
+        try:
+            with trio.fail_after(seconds):
+                response = await self._pools.pool(target.address).request(
+                    "POST",
+                    f"http://{target.address}/v1/orders",
+                    headers=JSON_HEADERS,
+                    content=encode_order(order, fencing),
+                    extensions=timeouts(seconds),
+                )
+        except NOT_SENT as error:
+            return OrderRefused(repr(error))
+        except (*BROKEN, trio.TooSlowError) as error:
+            return OrderUnknown(repr(error))
+        return _outcome(response)
+
+
+def _outcome(response: httpcore.Response) -> OrderDone | OrderRefused | OrderUnknown:
+    if response.status == 200:
+        return OrderDone()
+    if response.status < 500:
+        return OrderRefused(f"status {response.status}")
+    return OrderUnknown(f"status {response.status}")
--- /dev/null
+++ b/tests/support/order_machine.py
@@ -0,0 +1,150 @@
+"""State machine of orders: real leases in a faulty table service, and late orders."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import trio
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from wasabiwell_config import Fencing
+from wasabiwell_entry.coordination.orders import OrderCoordinator, OrderLeases, WeightStoreRate
+from wasabiwell_entry.coordination.orders.const import LEASE_LIFETIME, ORDER_TIMEOUT
+from wasabiwell_entry.coordination.orders.errors import (
+    Lease,
+    OrderDone,
+    OrderRefused,
+    OrderUnknown,
+)
+from wasabiwell_entry.state.clock import ManualClock
+from wasabiwell_entry.state.members import Member, MemberTable
+from wasabiwell_entry.state.orders import ChangeRole, EngineOrder
+from wasabiwell_entry.state.targets import Target, TargetKind
+
+from support.fakes import FakeTable
+
+ENGINE = Target("e-1", TargetKind.ENGINE, "s", "", "r", "z")
+NODES = st.sampled_from(range(3))
+PICKS = st.integers(min_value=0, max_value=9)
+
+
+@dataclass(frozen=True, slots=True)
+class LateOrder:
+    """An order on its way; an engine that ignores numbers acts on it until `until`."""
+
+    fencing: int
+    until: timedelta
+
+
+class FakeEngine:
+    """An engine that records the fencing numbers of the orders that it acts on."""
+
+    def __init__(self, clock: ManualClock, fencing: Fencing) -> None:
+        self.clock = clock
+        self.fencing = fencing
+        self.applied: list[int] = []
+        self.late: list[LateOrder] = []
+        self.delay_next = False
+
+    async def send(
+        self, target: Target, order: EngineOrder, fencing: int, timeout: timedelta
+    ) -> OrderDone | OrderRefused | OrderUnknown:
+        """Act on an order now, or later and without an answer."""
+        if self.delay_next:
+            self.late.append(LateOrder(fencing, self.clock.monotonic() + timeout))
+            return OrderUnknown("no answer")
+        return OrderDone() if self.apply(fencing) else OrderRefused("old fencing number")
+
+    def apply(self, fencing: int) -> bool:
+        """Act on an order unless its number is old and numbers are checked."""
+        if self.fencing is Fencing.REFUSED and self.applied and fencing < max(self.applied):
+            return False
+        self.applied.append(fencing)
+        return True
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Three entry instances give orders to one engine."""
+
+    @initialize(fencing=st.sampled_from(Fencing))
+    def start(self, fencing: Fencing) -> None:
+        """Build the parts around an engine with or without fencing."""
+        self.clock = ManualClock()
+        self.table = FakeTable()
+        self.fencing = fencing
+        self.engine = FakeEngine(self.clock, fencing)
+        self.leases = [OrderLeases(self.table, self.clock, f"n-{node}") for node in range(3)]
+        member = Member("n-0", 1, "r", "z", "", "")
+        rate = WeightStoreRate(10, member, MemberTable(), None, self.clock)
+        self.coordinators = [
+            OrderCoordinator(leases, self.engine, rate, self.clock) for leases in self.leases
+        ]
+        self.held: list[tuple[int, Lease]] = []
+        self.numbers: list[int] = []
+
+    @rule(node=NODES)
+    def acquire(self, node: int) -> None:
+        """Take the lease and keep it, as a holder that is paused does."""
+        outcome = trio.run(self.leases[node].acquire, ENGINE.target_id, self.fencing)
+        if isinstance(outcome, Lease):
+            self.held.append((node, outcome))
+            self.numbers.append(outcome.fencing)
+
+    @precondition(lambda self: self.held)
+    @rule(pick=PICKS, delay=st.booleans())
+    def send(self, pick: int, delay: bool) -> None:
+        """Send an order under a lease that was taken at any earlier time."""
+        node, lease = self.held[pick % len(self.held)]
+        self.engine.delay_next = delay
+        trio.run(self.coordinators[node].send, lease, ENGINE, ChangeRole("prefill"), self.fencing)
+
+    @rule(node=NODES, delay=st.booleans())
+    def give(self, node: int, delay: bool) -> None:
+        """Take the lease, send and release in one go."""
+        self.engine.delay_next = delay
+        trio.run(self.coordinators[node].give, ENGINE, ChangeRole("decode"), self.fencing)
+
+    @precondition(lambda self: self.engine.late)
+    @rule(pick=PICKS)
+    def arrive(self, pick: int) -> None:
+        """Let a late order reach the engine."""
+        order = self.engine.late.pop(pick % len(self.engine.late))
+        if self.fencing is Fencing.REFUSED or self.clock.monotonic() < order.until:
+            self.engine.apply(order.fencing)
+
+    @rule(seconds=st.integers(1, 21))
+    def advance(self, seconds: int) -> None:
+        """Let time pass."""
+        self.clock.advance(timedelta(seconds=seconds))
+
+    @rule(seconds=st.integers(-100, 100))
+    def step_wall_clock(self, seconds: int) -> None:
+        """Step the wall clock, which leases must not depend on."""
+        self.clock.step_wall_clock(timedelta(seconds=seconds))
+
+    @rule(lose=st.booleans(), drop=st.booleans(), down=st.booleans())
+    def set_faults(self, lose: bool, drop: bool, down: bool) -> None:
+        """Set the faults of the table service."""
+        self.table.lose_replies, self.table.drop_writes = int(lose), int(drop)
+        self.table.unavailable = down
+
+    @invariant()
+    def orders_keep_the_order_of_leases(self) -> None:
+        """Check that no order of an older lease has effect after one of a newer lease."""
+        applied = getattr(self, "engine", None) and self.engine.applied
+        assert not applied or applied == sorted(applied), applied
+
+    @invariant()
+    def numbers_are_unique(self) -> None:
+        """No two leases have the same number."""
+        numbers = getattr(self, "numbers", [])
+        assert len(numbers) == len(set(numbers)), numbers
+
+    def teardown(self) -> None:
+        """Check that a lease that was never released does not block the engine for good."""
+        self.table.unavailable, self.table.lose_replies, self.table.drop_writes = False, 0, 0
+        outcome = trio.run(self.leases[0].acquire, ENGINE.target_id, self.fencing)
+        if isinstance(outcome, Lease):
+            return
+        self.clock.advance(LEASE_LIFETIME + ORDER_TIMEOUT + timedelta(seconds=1))
+        outcome = trio.run(self.leases[0].acquire, ENGINE.target_id, self.fencing)
+        assert isinstance(outcome, Lease), outcome
