Let claims follow real demand and cache owners of engines

Waiting requests were counted again at each try, each look for an owner hashed all members, and a new owner collected credits only when the first claim came.

Change: repeated demand is forgotten, owners are cached, and owners look for their engines each second. Claims of engines of one owner share a message.

--- a/packages/entry/src/wasabiwell_entry/coordination/credits/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/const.py
@@ -21,6 +21,8 @@
 LONGEST_SHORTAGE_INTERVAL = timedelta(milliseconds=800)
 MAX_SHORTAGES = 4
 """Shortages in a row that are counted; enough to reach the longest interval."""
+ADOPT_INTERVAL = timedelta(seconds=1)
+"""Time between two looks for newly owned engines, so that their first claim needs no wait."""
 COLLECT_CONCURRENCY = 16
 """Members that a new owner asks at once."""
 STOP_TIMEOUT = timedelta(seconds=1)
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -32,6 +32,7 @@
     CreditReturn,
 )
 from wasabiwell_entry.coordination.membership.errors import NoOwner
+from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.credits import (
     NOTHING,
@@ -52,6 +53,7 @@
     owner: Member
     wake: trio.Event = field(default_factory=trio.Event)
     unreachable_since: timedelta | None = None
+    fallen_back: bool = False
     shortages: int = 0
 
     def pause(self) -> timedelta:
@@ -110,6 +112,11 @@
         self._window_end = clock.monotonic() + IDLE_WINDOW
         owner.on_change(self._notify)
 
+    @property
+    def holder_id(self) -> str:
+        """Return the id under which owners know this run of the entry instance."""
+        return self._holder_id
+
     def try_hold(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
         """Hold capacity at hand; an engine that this entry instance owns is asked in place."""
         pool = self._pool(target_id)
@@ -120,10 +127,10 @@
             return Hold(hold_id, target_id, tokens)
         owner = self._owners.owner(target_id)
         if self._owners.is_own(owner):
-            pool.unmet = amount
+            pool.note_demand(amount, self._capacity(target_id))
             self._claim_own([pool])
         elif isinstance(owner, NoOwner):
-            pool.unmet = amount
+            pool.note_demand(amount, self._capacity(target_id))
             self._fall_back(pool)
         if pool.take(hold_id, amount, now):
             return Hold(hold_id, target_id, tokens)
@@ -132,11 +139,7 @@
     def request(self, target_id: str, tokens: int, size: SizeClass) -> None:
         """Note unmet demand of one request; the next message to the owner includes it."""
         pool = self._pool(target_id)
-        pool.unmet += _amount(tokens, size)
-        status = self._targets.get(target_id)
-        if status is not None and status.load is not None:
-            load = status.load
-            pool.unmet = pool.unmet.at_most(engine_capacity(load.slots, load.total_tokens))
+        pool.note_demand(_amount(tokens, size), self._capacity(target_id))
         owner = self._owners.owner(target_id)
         if isinstance(owner, Member) and owner.node_id in self._links:
             self._links[owner.node_id].wake.set()
@@ -193,16 +196,17 @@
             async with trio.open_nursery() as nursery:
                 while True:
                     self._maintain(nursery)
-                    await self._return_reservations()
+                    await self.return_reservations()
                     with trio.move_on_after(MAINTENANCE_INTERVAL.total_seconds()):
                         await self._wake.wait()
                     self._wake = trio.Event()
         finally:
             with trio.move_on_after(STOP_TIMEOUT.total_seconds(), shield=True):
-                await self._return_reservations()
+                await self.return_reservations()
                 await self._return_credit()
 
     def _maintain(self, nursery: trio.Nursery) -> None:
+        self._owners.refresh()
         now = self._clock.monotonic()
         if now >= self._window_end:
             self._window_end = now + IDLE_WINDOW
@@ -239,9 +243,11 @@
             pools = self._pools_of(link.owner)
             if not pools:
                 break
-            due = [pool for pool in pools if self._due(pool)][:MAX_CLAIMS]
+            due = [pool for pool in pools if self._due(pool)]
             if due:
-                await self._exchange(link, due)
+                # Renewing the others too costs little in a message that is sent anyway.
+                others = [pool for pool in pools if pool not in due and pool.wanted() != NOTHING]
+                await self._exchange(link, [*due, *others][:MAX_CLAIMS])
             else:
                 await link.wake.wait()
                 link.wake = trio.Event()
@@ -275,13 +281,11 @@
         claims = [pool.claim(now) for pool in wanted.values()]
         answers = await self._peers.acquire(link.owner, claims)
         if isinstance(answers, OwnerUnreachable):
-            link.unreachable_since = link.unreachable_since or now
-            if self._clock.monotonic() - link.unreachable_since >= CREDIT_LIFETIME:
-                for claim in claims:
-                    self._fall_back(wanted[claim.engine_id], claim.wanted - claim.used)
+            self._fall_back_from(link, claims, answers.reason)
             complete = False
         else:
             link.unreachable_since = None
+            link.fallen_back = False
             complete = self._take_over(claims, answers)
         link.shortages = 0 if complete else min(link.shortages + 1, MAX_SHORTAGES)
         self._notify()
@@ -307,6 +311,24 @@
         claims = [pool.claim(now) for pool in pools]
         self._take_over(claims, self._owner.answer(claims))
 
+    def _fall_back_from(self, link: _OwnerLink, claims: Sequence[CreditClaim], reason: str) -> None:
+        """Use the fallback when an owner has not answered for a credit's lifetime.
+
+        By then its own credits to others have expired, so the engine's report shows all use.
+        """
+        now = self._clock.monotonic()
+        if link.unreachable_since is None:
+            link.unreachable_since = now
+        if now - link.unreachable_since < CREDIT_LIFETIME:
+            return
+        if not link.fallen_back:
+            link.fallen_back = True
+            log_events.emit(
+                log_events.CREDIT_OWNER_UNREACHABLE, owner=link.owner.node_id, reason=reason
+            )
+        for claim in claims:
+            self._fall_back(self._pool(claim.engine_id), claim.wanted - claim.used)
+
     def _fall_back(self, pool: CreditPool, demand: Amount | None = None) -> None:
         """Use a share of what the engine reports as free, because no owner can be asked."""
         status = self._targets.get(pool.engine_id)
@@ -343,7 +365,7 @@
         if isinstance(owner, NoOwner) or self._owners.is_own(owner):
             return
         pool = self._pool(target_id)
-        pool.unmet += _amount(tokens, size)
+        pool.note_demand(_amount(tokens, size), self._capacity(target_id))
         claim = pool.claim(self._clock.monotonic())
         answers = await self._peers.acquire(owner, [claim])
         if not isinstance(answers, OwnerUnreachable):
@@ -353,7 +375,8 @@
         for hold in holds:
             self.release(hold)
 
-    async def _return_reservations(self) -> None:
+    async def return_reservations(self) -> None:
+        """Return the engine memory of released holds."""
         while self._returns:
             target, reservation_id = self._returns.pop()
             await self._reservations.release(target, reservation_id)
@@ -378,7 +401,16 @@
             self._pools[engine_id] = pool
         return pool
 
+    def _capacity(self, engine_id: str) -> Amount:
+        """Return the whole capacity of an engine, as it was reported last."""
+        status = self._targets.get(engine_id)
+        if status is None or status.load is None:
+            return NOTHING
+        return engine_capacity(status.load.slots, status.load.total_tokens)
+
     def _notify(self) -> None:
+        for pool in self._pools.values():
+            pool.forget_repeated_demand()
         for observer in self._observers:
             observer()
 
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -7,6 +7,7 @@
 import trio
 
 from wasabiwell_entry.coordination.credits.const import (
+    ADOPT_INTERVAL,
     COLLECT_CONCURRENCY,
     CREDIT_LIFETIME,
     MAINTENANCE_INTERVAL,
@@ -52,7 +53,16 @@
 class CreditOwner:
     """Answers the claims of holders, this entry instance's own included."""
 
-    __slots__ = ("_clock", "_engines", "_observers", "_owners", "_peers", "_targets", "_wake")
+    __slots__ = (
+        "_adopt_next",
+        "_clock",
+        "_engines",
+        "_observers",
+        "_owners",
+        "_peers",
+        "_targets",
+        "_wake",
+    )
 
     def __init__(
         self, owners: EngineOwners, targets: TargetTable, peers: CreditPeers, clock: Clock
@@ -64,6 +74,7 @@
         self._engines: dict[str, _OwnedEngine] = {}
         self._observers: list[Callable[[], None]] = []
         self._wake = trio.Event()
+        self._adopt_next = clock.monotonic()
 
     def on_change(self, observer: Callable[[], None]) -> None:
         """Call an observer whenever capacity of an owned engine may have become available."""
@@ -84,12 +95,24 @@
     async def run(self) -> None:
         """Collect outstanding credits of engines that became owned, until cancelled."""
         while True:
+            self.refresh()
+            await self.collect()
+            self._notify()
             with trio.move_on_after(MAINTENANCE_INTERVAL.total_seconds()):
                 await self._wake.wait()
             self._wake = trio.Event()
-            self.drop_lost()
-            await self.collect()
-            self._notify()
+
+    def refresh(self) -> None:
+        """Follow changes of ownership; owning an engine again starts a new ledger."""
+        self._owners.refresh()
+        for engine_id in list(self._engines):
+            if not self._owners.is_own(self._owners.owner(engine_id)):
+                del self._engines[engine_id]
+        now = self._clock.monotonic()
+        if now >= self._adopt_next:
+            self._adopt_next = now + ADOPT_INTERVAL
+            for engine_id in self._owners.own_engines():
+                self._owned(engine_id)
 
     def outstanding(self, engine_id: str) -> Amount:
         """Return the credit of an owned engine that has not expired."""
@@ -125,12 +148,6 @@
             self._wake.set()
         return engine
 
-    def drop_lost(self) -> None:
-        """Forget engines that another member owns now; owning one again starts anew."""
-        for engine_id in list(self._engines):
-            if not self._owners.is_own(self._owners.owner(engine_id)):
-                del self._engines[engine_id]
-
     async def collect(self) -> None:
         """Ask the other members for credits of newly owned engines.
 
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
@@ -3,33 +3,62 @@
 from wasabiwell_entry.coordination.membership.errors import NoOwner
 from wasabiwell_entry.coordination.membership.ownership import owner_of
 from wasabiwell_entry.state.members import Member, MemberTable
-from wasabiwell_entry.state.targets import TargetTable
+from wasabiwell_entry.state.targets import Target, TargetKind, TargetTable
 
 
 class EngineOwners:
-    """Finds owners from the members and targets that this entry instance knows."""
+    """Finds owners from the members and targets that this entry instance knows.
 
-    __slots__ = ("_members", "_own", "_targets")
+    Owners are cached, because hashing all members of a zone for each request costs more than the
+    rest of a hold. `refresh` must be called often; it clears the cache when members changed.
+    """
+
+    __slots__ = ("_alive", "_cache", "_members", "_own", "_targets")
 
     def __init__(self, own: Member, members: MemberTable, targets: TargetTable) -> None:
         self._own = own
         self._members = members
         self._targets = targets
+        self._alive = members.alive()
+        self._cache: dict[str, tuple[Target, Member | NoOwner]] = {}
+
+    def refresh(self) -> None:
+        """Take over changes of the members."""
+        alive = self._members.alive()
+        if alive != self._alive:
+            self._alive = alive
+            self._cache.clear()
 
     def owner(self, engine_id: str) -> Member | NoOwner:
         """Return the owner: a live member of the engine's zone, else of its region."""
         status = self._targets.get(engine_id)
         if status is None:
+            self._cache.pop(engine_id, None)
             return NoOwner(engine_id)
-        alive = self._members.alive()
-        zone = [member for member in alive if member.zone == status.target.zone]
-        region = [member for member in alive if member.region == status.target.region]
-        return owner_of(f"engine/{engine_id}", zone or region)
+        cached = self._cache.get(engine_id)
+        if cached is None or cached[0] is not status.target:
+            cached = status.target, self._find(status.target)
+            self._cache[engine_id] = cached
+        return cached[1]
 
     def is_own(self, owner: Member | NoOwner) -> bool:
         """Return whether this entry instance is the owner."""
         return isinstance(owner, Member) and owner.node_id == self._own.node_id
 
+    def own_engines(self) -> list[str]:
+        """Return the ids of the engines that this entry instance owns."""
+        return [
+            status.target.target_id
+            for status in self._targets
+            if status.target.kind is TargetKind.ENGINE
+            and self.is_own(self.owner(status.target.target_id))
+        ]
+
     def others(self) -> list[Member]:
         """Return the other live members."""
-        return [item for item in self._members.alive() if item.node_id != self._own.node_id]
+        return [item for item in self._alive if item.node_id != self._own.node_id]
+
+    def _find(self, target: Target) -> Member | NoOwner:
+        zone = [member for member in self._alive if member.zone == target.zone]
+        region = [member for member in self._alive if member.region == target.region]
+        return owner_of(f"engine/{target.target_id}", zone or region)
--- a/packages/entry/src/wasabiwell_entry/state/credits.py
+++ b/packages/entry/src/wasabiwell_entry/state/credits.py
@@ -192,7 +192,8 @@
     """The holder's account of one engine.
 
     `peak` and `earlier_peak` are the largest use in the current and in the previous window; the
-    credit that is kept follows them. `unmet` is demand that found no credit since the last claim.
+    credit that is kept follows them. `unmet` is demand that found no credit since the last claim,
+    and `largest` the largest request in it.
     """
 
     engine_id: str
@@ -204,6 +205,7 @@
     peak: Amount = NOTHING
     earlier_peak: Amount = NOTHING
     unmet: Amount = NOTHING
+    largest: Amount = NOTHING
     sequence: int = 0
     _sent: timedelta = timedelta()
     _holds: dict[int, Amount] = field(default_factory=dict)
@@ -224,6 +226,7 @@
         self._holds[hold_id] = amount
         self.used += amount
         self.peak = self.peak.at_least(self.used)
+        self.unmet = (self.unmet - amount).at_least(NOTHING)
         return True
 
     def give_back(self, hold_id: int) -> bool:
@@ -234,6 +237,18 @@
         self.used -= amount
         return True
 
+    def note_demand(self, amount: Amount, limit: Amount) -> None:
+        """Note one request that found no credit; more than `limit` is never asked for."""
+        self.unmet = (self.unmet + amount).at_most(limit.at_least(amount))
+        self.largest = self.largest.at_least(amount)
+
+    def forget_repeated_demand(self) -> None:
+        """Keep demand for one request, when all waiting requests are about to try again.
+
+        Each of them notes its demand again if it fails, and would be counted twice.
+        """
+        self.unmet = self.unmet.at_most(self.largest)
+
     def turn_window(self) -> None:
         """Start a new window of the observed use."""
         self.earlier_peak, self.peak = self.peak, self.used
@@ -248,6 +263,7 @@
         current = self.valid(now)
         self.amount = current.at_most(wanted)
         self.unmet = NOTHING
+        self.largest = NOTHING
         self.sequence += 1
         self._sent = now
         return CreditClaim(self.engine_id, self.holder, self.sequence, wanted, current, self.used)
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -69,6 +69,13 @@
     "Ask the target whether the call ran; the caller was told that the result is unknown.",
 )
 TARGET_LOST = LogEvent(402, Level.WARNING, "target {target} does not accept connections")
+CREDIT_OWNER_UNREACHABLE = LogEvent(
+    403,
+    Level.WARNING,
+    "entry instance {owner}, owner of engines, does not answer: {reason}; a share of the free "
+    "capacity is used",
+    "Check the network to that instance. Engines refuse what does not fit; such requests wait.",
+)
 REQUEST_FAILED_INTERNALLY = LogEvent(
     500, Level.ERROR, "request {request}: unexpected {error}", "Report this with the log."
 )
--- /dev/null
+++ b/standins/wasabiwell_standins/measure_credits.py
@@ -0,0 +1,254 @@
+"""Measures the control messages of credits and their CPU time."""
+
+import time
+from collections.abc import AsyncIterator, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import click
+import trio
+import trio_asyncio
+from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
+from wasabiwell_entry.coordination.admission.ports import Hold
+from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
+from wasabiwell_entry.coordination.credits.errors import OwnerUnreachable
+from wasabiwell_entry.coordination.credits.ports import ClaimAnswer, CreditReturn
+from wasabiwell_entry.state.clock import SystemClock
+from wasabiwell_entry.state.credits import Amount, CreditClaim
+from wasabiwell_entry.state.members import Member, MemberTable
+from wasabiwell_entry.state.requests import SizeClass
+from wasabiwell_entry.state.targets import EngineLoad, Target, TargetKind, TargetTable
+from wasabiwell_entry.transport.peer.client import open_peer_client
+from wasabiwell_entry.transport.peer.credits import GrpcCreditPeers, serve_credits
+from wasabiwell_entry.transport.peer.server import PeerService, serve_peers
+
+from wasabiwell_standins.fleet import HOST, free_ports
+
+SLOTS = 32
+TOKENS = 400_000
+REQUEST_TOKENS = 2_000
+LOAD_SECONDS = 0.5
+
+
+class CountingPeers:
+    """Counts the messages that go to other entry instances."""
+
+    def __init__(self, inner: GrpcCreditPeers) -> None:
+        self.messages = 0
+        self._inner = inner
+
+    async def acquire(
+        self, owner: Member, claims: Sequence[CreditClaim]
+    ) -> list[ClaimAnswer] | OwnerUnreachable:
+        """Count and send claims."""
+        self.messages += 1
+        return await self._inner.acquire(owner, claims)
+
+    async def release(
+        self, owner: Member, returns: Sequence[CreditReturn]
+    ) -> OwnerUnreachable | None:
+        """Count and send returns."""
+        self.messages += 1
+        return await self._inner.release(owner, returns)
+
+    async def outstanding(
+        self, holder: Member, engine_ids: Sequence[str]
+    ) -> list[CreditClaim] | OwnerUnreachable:
+        """Count and send the question of a new owner."""
+        self.messages += 1
+        return await self._inner.outstanding(holder, engine_ids)
+
+
+class NoReservations:
+    """Refuses reservations; the measured requests fit one engine."""
+
+    async def reserve(
+        self, target: Target, owner: str, tokens: int
+    ) -> Reserved | ReservationRefused:
+        """Refuse."""
+        return ReservationRefused("not measured")
+
+    async def release(self, target: Target, reservation_id: str) -> None:
+        """Accept."""
+
+
+@dataclass(slots=True)
+class Node:
+    """The credit parts of one entry instance, and what its requests saw."""
+
+    owner: CreditOwner
+    holder: CreditHolder
+    peers: CountingPeers
+    requests: int = 0
+    waits: list[float] = field(default_factory=list)
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    def note_change(self) -> None:
+        """Wake the requests that wait for capacity."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+@dataclass(slots=True)
+class World:
+    """Entry instances in one process that share engines over loopback connections."""
+
+    members: MemberTable
+    targets: TargetTable
+    running: dict[str, int]
+    nodes: list[Node]
+
+
+@asynccontextmanager
+async def open_world(entries: int, engines: int) -> AsyncIterator[World]:
+    """Own a world with its servers until the context ends."""
+    async with AsyncExitStack() as stack:
+        await stack.enter_async_context(trio_asyncio.open_loop())
+        clock = SystemClock()
+        world = World(MemberTable(), TargetTable(), {}, [])
+        for index in range(engines):
+            name = f"engine-{index}"
+            world.targets.put(Target(name, TargetKind.ENGINE, "s", "", "r", "z"))
+            world.running[name] = 0
+        report_load(world)
+        ports = free_ports(entries)
+        for index, port in enumerate(ports):
+            world.members.put(Member(f"n-{index}", 1, "r", "z", "", f"{HOST}:{port}"))
+        for member, port in zip(world.members, ports, strict=True):
+            client = await stack.enter_async_context(open_peer_client())
+            peers = CountingPeers(GrpcCreditPeers(client))
+            owners = EngineOwners(member, world.members, world.targets)
+            owner = CreditOwner(owners, world.targets, peers, clock)
+            holder = CreditHolder(
+                member.node_id, owners, owner, peers, world.targets, NoReservations(), clock
+            )
+            service = PeerService()
+            serve_credits(service, owner, holder)
+            await stack.enter_async_context(serve_peers(service, HOST, port))
+            node = Node(owner, holder, peers)
+            holder.on_change(node.note_change)
+            world.nodes.append(node)
+        yield world
+
+
+def report_load(world: World) -> None:
+    """Let all engines report their load."""
+    now = timedelta(seconds=trio.current_time())
+    for status in world.targets:
+        running = world.running[status.target.target_id]
+        free = TOKENS - running * REQUEST_TOKENS
+        status.load = EngineLoad(now, SLOTS, running, 0, TOKENS, free)
+
+
+async def report_loads(world: World) -> None:
+    """Report the load of all engines until cancelled."""
+    while True:
+        report_load(world)
+        await trio.sleep(LOAD_SECONDS)
+
+
+async def run_request(world: World, node: Node, engine: str, seconds: float) -> None:
+    """Hold capacity for one request, waiting for it as admission does."""
+    begin = trio.current_time()
+    node.requests += 1
+    hold = node.holder.try_hold(engine, REQUEST_TOKENS, SizeClass.SHORT)
+    while not isinstance(hold, Hold):
+        changed = node.changed
+        node.holder.request(engine, REQUEST_TOKENS, SizeClass.SHORT)
+        await changed.wait()
+        hold = node.holder.try_hold(engine, REQUEST_TOKENS, SizeClass.SHORT)
+    node.waits.append(trio.current_time() - begin)
+    world.running[engine] += 1
+    await trio.sleep(seconds)
+    world.running[engine] -= 1
+    node.holder.release(hold)
+
+
+async def send_requests(
+    world: World, node: Node, rate: float, held_seconds: float, nursery: trio.Nursery
+) -> None:
+    """Start requests at a fixed rate, spread over all engines."""
+    engines = list(world.running)
+    number = 0
+    while True:
+        engine = engines[number % len(engines)]
+        nursery.start_soon(run_request, world, node, engine, held_seconds)
+        number += 1
+        await trio.sleep(1.0 / rate)
+
+
+async def measure_messages(
+    entries: int, engines: int, rate: float, seconds: float, held_seconds: float
+) -> str:
+    """Return a line with the messages per request of a number of entry instances."""
+    async with open_world(entries, engines) as world, trio.open_nursery() as nursery:
+        nursery.start_soon(report_loads, world)
+        for node in world.nodes:
+            nursery.start_soon(node.owner.run)
+            nursery.start_soon(node.holder.run)
+            nursery.start_soon(send_requests, world, node, rate, held_seconds, nursery)
+        await trio.sleep(seconds)
+        requests = sum(node.requests for node in world.nodes)
+        messages = sum(node.peers.messages for node in world.nodes)
+        waits = sorted(wait for node in world.nodes for wait in node.waits)
+        nursery.cancel_scope.cancel()
+    return (
+        f"| {entries} | {engines} | {requests} | {messages} | {messages / requests:.3f} "
+        f"| {messages / entries / seconds:.1f} | {waits[len(waits) // 2] * 1e3:.1f} "
+        f"| {waits[int(len(waits) * 0.95)] * 1e3:.1f} |"
+    )
+
+
+async def measure_cpu(claims: int, messages: int) -> str:
+    """Return a line with the CPU time of both ends for messages with a number of claims."""
+    async with open_world(2, claims * 4) as world:
+        first = world.nodes[0]
+        own = {member.node_id: member for member in world.members}
+        owners = EngineOwners(own["n-1"], world.members, world.targets)
+        engines = [name for name in world.running if owners.is_own(owners.owner(name))][:claims]
+        used = Amount(1, REQUEST_TOKENS)
+        begin = 0.0
+        for sequence in range(-10, messages):
+            if sequence == 0:
+                begin = time.process_time()
+            batch = [CreditClaim(name, "m", sequence + 20, used, used, used) for name in engines]
+            answers = await first.peers.acquire(own["n-1"], batch)
+            if isinstance(answers, OwnerUnreachable):
+                raise click.ClickException(f"the owner did not answer: {answers.reason}")
+        cpu = (time.process_time() - begin) / messages
+    return f"| {len(engines)} | {messages} | {cpu * 1e3:.2f} | {cpu * 1e6 / len(engines):.0f} |"
+
+
+@click.command()
+@click.option("--entries", default=(2, 4, 8), multiple=True, help="Entry instances.")
+@click.option("--engines-per-entry", default=2, help="Engines for each entry instance.")
+@click.option("--rate", default=24.0, help="Requests per second and entry instance.")
+@click.option("--held-s", default=0.5, help="Time for which a request holds capacity, in seconds.")
+@click.option("--seconds", default=10.0, help="Time of each run, in seconds.")
+@click.option("--messages", default=500, help="Messages for each CPU figure.")
+def main(
+    entries: tuple[int, ...],
+    engines_per_entry: int,
+    rate: float,
+    held_s: float,
+    seconds: float,
+    messages: int,
+) -> None:
+    """Print control messages per request, and CPU per control message, of credits."""
+    click.echo(
+        "| entries | engines | requests | messages | messages/request | messages/s/entry "
+        "| wait p50 ms | wait p95 ms |"
+    )
+    click.echo("| --- " * 8 + "|")
+    for count in entries:
+        engines = count * engines_per_entry
+        click.echo(trio.run(measure_messages, count, engines, rate, seconds, held_s))
+    click.echo("\n| claims in a message | messages | CPU ms, both ends | CPU us per claim |")
+    click.echo("| --- | --- | --- | --- |")
+    for claims in (1, 8, 64):
+        click.echo(trio.run(measure_cpu, claims, messages))
+
+
+if __name__ == "__main__":
+    main()
