--- a/tests/entry/coordination/orders/orders.feature
+++ b/tests/entry/coordination/orders/orders.feature
@@ -17,3 +17,32 @@
     And the owner of the rate leaves
     And every entry instance takes loads for 1 intervals
     Then no load starts in the last interval
+
+  Scenario: Two instances that take a lease at once get one lease
+    Given 2 entry instances and an engine
+    When all entry instances take the lease at once
+    Then exactly 1 of them holds it
+
+  Scenario Outline: The holder of a lease on an engine with <fencing> numbers stops in time
+    Given 2 entry instances and an engine
+    When the first takes the lease and <age> seconds pass
+    Then an order under it to an engine with <fencing> numbers is <result>
+
+    Examples:
+      | fencing | age | result   |
+      | ignored | 9   | sent     |
+      | ignored | 11  | not sent |
+      | refused | 11  | sent     |
+      | refused | 16  | not sent |
+
+  Scenario Outline: The next holder waits for the lease of an engine with <fencing> numbers
+    Given 2 entry instances and an engine
+    When the first takes the lease and the second sees it for <age> seconds
+    Then the second <result> the lease of an engine with <fencing> numbers
+
+    Examples:
+      | fencing | age | result        |
+      | ignored | 19  | does not take |
+      | ignored | 21  | takes         |
+      | refused | 14  | does not take |
+      | refused | 16  | takes         |
--- a/tests/steps/entry/coordination/credits_steps.py
+++ b/tests/steps/entry/coordination/credits_steps.py
@@ -1,10 +1,16 @@
 """Steps for credits."""
 
-from behave import then
+from datetime import timedelta
+
+from behave import given, then, when
 from behave.runner import Context
 from support.credit_machine import CreditMachine
 from support.histories import run_histories
 from support.reservation_machine import ReservationMachine
+from wasabiwell_entry.coordination.credits.const import CREDIT_LIFETIME
+from wasabiwell_entry.state.credits import NOTHING, Amount, CreditClaim, CreditLedger, CreditPool
+
+NOW = timedelta(minutes=1)
 
 
 @then("{count:d} random histories of credits with lost, repeated and late messages keep the rules")
@@ -18,3 +24,96 @@
 )
 def step_reservation_histories(context: Context, count: int) -> None:
     run_histories(ReservationMachine, count)
+
+
+def slots(count: int) -> Amount:
+    """Return an amount with 10 tokens for each slot."""
+    return Amount(count, 10 * count)
+
+
+def claim(holder: str, sequence: int, wanted: int, current: int = 0) -> CreditClaim:
+    """Return a claim of slots, none of which is in use."""
+    return CreditClaim("e", holder, sequence, slots(wanted), slots(current), NOTHING)
+
+
+@given("a holder with a credit of {count:d} slots that is idle")
+def step_idle_holder(context: Context, count: int) -> None:
+    context.pool = CreditPool("e", "h", CREDIT_LIFETIME)
+    context.pool.note_demand(slots(count), slots(count))
+    sequence = context.pool.claim(NOW).sequence
+    assert context.pool.granted(sequence, slots(count))
+    assert context.pool.valid(NOW) == slots(count)
+
+
+@when("the holder claims what it still wants and the answer is lost")
+def step_claim_lost(context: Context) -> None:
+    context.pool.claim(NOW)
+
+
+@then("the holder may spend {count:d} slots")
+def step_may_spend(context: Context, count: int) -> None:
+    assert context.pool.valid(NOW) == slots(count)
+
+
+@given("an owner of {count:d} slots that recorded nothing")
+def step_ledger(context: Context, count: int) -> None:
+    context.ledger = CreditLedger("e", CREDIT_LIFETIME)
+    context.ledger.report(slots(count), NOTHING)
+
+
+@given("an owner of {count:d} slots that recorded credits of {each:d} slots of each of 2 holders")
+def step_recorded(context: Context, count: int, each: int) -> None:
+    step_ledger(context, count)
+    for holder in ("a", "b"):
+        context.ledger.record(claim(holder, 1, each, each), NOW)
+
+
+@when("both holders claim {count:d} slots again from the ready owner")
+def step_claim_again(context: Context, count: int) -> None:
+    for holder in ("a", "b"):
+        context.ledger.apply(claim(holder, 2, count, count), NOW)
+
+
+@when("2 holders that have {count:d} slots each claim them from the recovering owner")
+def step_claim_recovering(context: Context, count: int) -> None:
+    for holder in ("a", "b"):
+        context.ledger.recover(claim(holder, 1, count, count), NOW)
+
+
+@when("a holder claims {count:d} slots and an earlier release arrives after it")
+def step_late_release(context: Context, count: int) -> None:
+    context.ledger.apply(claim("a", 5, count), NOW)
+    context.ledger.release("a", 4)
+
+
+@when("the engine reports {used:d} used slots and a holder claims {count:d} slots")
+def step_expired_use(context: Context, used: int, count: int) -> None:
+    context.ledger.report(context.ledger.capacity, slots(used))
+    context.ledger.apply(claim("a", 1, count), NOW)
+
+
+@then("the owner has leased {count:d} slots")
+def step_leased(context: Context, count: int) -> None:
+    assert context.ledger.outstanding() == slots(count), context.ledger.outstanding()
+
+
+@given("a new owner and a member that does not answer")
+def step_new_owner(context: Context) -> None:
+    context.machine = CreditMachine()
+    context.node = context.machine.owner_index()
+    context.machine.collect(context.node, {(context.node + 1) % 3})
+
+
+@when("a holder claims 1 slot from the new owner after the collection")
+def step_claim_new_owner(context: Context) -> None:
+    machine, other = context.machine, (context.node + 2) % 3
+    context.granted = []
+    for _ in range(2):
+        machine.take_and_exchange(other, 1, 100, "whole")
+        context.granted.append(machine.pools[other].valid(machine.clock.monotonic()).slots)
+        machine.clock.advance(CREDIT_LIFETIME)
+
+
+@then("the claim is granted only after one lifetime")
+def step_granted_later(context: Context) -> None:
+    assert context.granted == [0, 1], context.granted
--- a/tests/steps/entry/coordination/orders_steps.py
+++ b/tests/steps/entry/coordination/orders_steps.py
@@ -6,12 +6,15 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.histories import run_histories
-from support.order_machine import OrderMachine
+from support.order_machine import ENGINE, OrderMachine
+from wasabiwell_config import Fencing
 from wasabiwell_entry.coordination.membership.ownership import owner_of
-from wasabiwell_entry.coordination.orders import WeightStoreRate
+from wasabiwell_entry.coordination.orders import OrderLeases, WeightStoreRate
 from wasabiwell_entry.coordination.orders.const import RATE_INTERVAL, RATE_KEY
+from wasabiwell_entry.coordination.orders.errors import Lease, LeaseLapsed
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.members import Member, MemberStatus, MemberTable
+from wasabiwell_entry.state.orders import ChangeRole
 
 
 class DirectRatePeers:
@@ -80,3 +83,61 @@
 @then("no load starts in the last interval")
 def step_none(context: Context) -> None:
     assert context.started[-1] == 0, context.started
+
+
+@given("2 entry instances and an engine")
+def step_instances(context: Context) -> None:
+    context.machine = OrderMachine()
+    context.machine.start(Fencing.IGNORED)
+
+
+@when("all entry instances take the lease at once")
+def step_at_once(context: Context) -> None:
+    outcomes: list[object] = []
+
+    async def take(leases: OrderLeases) -> None:
+        outcomes.append(await leases.acquire(ENGINE.target_id, Fencing.IGNORED))
+
+    async def take_all() -> None:
+        async with trio.open_nursery() as nursery:
+            for leases in context.machine.leases:
+                nursery.start_soon(take, leases)
+
+    trio.run(take_all)
+    context.outcomes = outcomes
+
+
+@then("exactly {count:d} of them holds it")
+def step_holders(context: Context, count: int) -> None:
+    assert sum(isinstance(item, Lease) for item in context.outcomes) == count, context.outcomes
+
+
+@when("the first takes the lease and {age:d} seconds pass")
+def step_first_takes(context: Context, age: int) -> None:
+    machine = context.machine
+    machine.acquire(0)
+    machine.advance(age)
+
+
+@then("an order under it to an engine with {fencing} numbers is {result}")
+def step_order_sent(context: Context, fencing: str, result: str) -> None:
+    machine = context.machine
+    _, lease = machine.held[0]
+    order = ChangeRole("prefill")
+    outcome = trio.run(machine.coordinators[0].send, lease, ENGINE, order, Fencing(fencing))
+    assert isinstance(outcome, LeaseLapsed) == (result == "not sent"), outcome
+    assert bool(machine.engine.applied) == (result == "sent"), machine.engine.applied
+
+
+@when("the first takes the lease and the second sees it for {age:d} seconds")
+def step_second_sees(context: Context, age: int) -> None:
+    machine = context.machine
+    machine.acquire(0)
+    machine.acquire(1)
+    machine.advance(age)
+
+
+@then("the second {result} the lease of an engine with {fencing} numbers")
+def step_second_takes(context: Context, result: str, fencing: str) -> None:
+    outcome = trio.run(context.machine.leases[1].acquire, ENGINE.target_id, Fencing(fencing))
+    assert isinstance(outcome, Lease) == (result == "takes"), outcome
--- a/tests/support/credit_machine.py
+++ b/tests/support/credit_machine.py
@@ -224,6 +224,10 @@
             assert pool.valid(self.clock.monotonic()) == NOTHING
             assert side.outstanding(ENGINE) == NOTHING
 
+    def owner_index(self) -> int:
+        """Return the node that owns the engine when all agree."""
+        return NAMES.index(self.owners[0].owner(ENGINE).node_id)
+
     def _deliver(self, message: Message) -> None:
         if self.isolated in (message.sender, message.receiver) and (
             message.sender != message.receiver
