Test the fallback of a holder whose owner does not answer

Change: a scenario keeps asking a silent owner and expects a share after one lifetime only.

Conclusion: the fallback is shown with fakes, not yet with processes.

--- a/tests/entry/coordination/credits/credits.feature
+++ b/tests/entry/coordination/credits/credits.feature
@@ -36,3 +36,8 @@
     Given a new owner and a member that does not answer
     When a holder claims 1 slot from the new owner after the collection
     Then the claim is granted only after one lifetime
+
+  Scenario: An owner that does not answer is replaced by a share of the free capacity
+    Given an engine whose owner does not answer
+    When the holder keeps asking for 350 tokens
+    Then it gets them only after one lifetime, and 1200 tokens never
--- a/tests/steps/entry/coordination/credits_steps.py
+++ b/tests/steps/entry/coordination/credits_steps.py
@@ -2,13 +2,17 @@
 
 from datetime import timedelta
 
+import trio
 from behave import given, then, when
 from behave.runner import Context
 from support.credit_machine import CreditMachine
 from support.histories import run_histories
-from support.reservation_machine import ReservationMachine
+from support.reservation_machine import ENGINES, ReservationMachine
+from wasabiwell_entry.coordination.admission.ports import Hold
+from wasabiwell_entry.coordination.credits import EngineOwners
 from wasabiwell_entry.coordination.credits.const import CREDIT_LIFETIME
 from wasabiwell_entry.state.credits import NOTHING, Amount, CreditClaim, CreditLedger, CreditPool
+from wasabiwell_entry.state.requests import SizeClass
 
 NOW = timedelta(minutes=1)
 
@@ -117,3 +121,43 @@
 @then("the claim is granted only after one lifetime")
 def step_granted_later(context: Context) -> None:
     assert context.granted == [0, 1], context.granted
+
+
+@given("an engine whose owner does not answer")
+def step_silent_owner(context: Context) -> None:
+    context.machine = ReservationMachine()
+    context.machine.peers.lose_request = True
+    owners = EngineOwners(
+        context.machine.members.get("n-0"), context.machine.members, context.machine.targets
+    )
+    context.engine = next(name for name in ENGINES if owners.owner(name).node_id == "n-1")
+
+
+@when("the holder keeps asking for {tokens:d} tokens")
+def step_keep_asking(context: Context, tokens: int) -> None:
+    machine, holder = context.machine, context.machine.holders[0]
+
+    async def ask() -> timedelta:
+        begin = machine.clock.monotonic()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(holder.run)
+            with trio.fail_after(20):
+                while not isinstance(
+                    holder.try_hold(context.engine, tokens, SizeClass.SHORT), Hold
+                ):
+                    machine.report()
+                    holder.request(context.engine, tokens, SizeClass.SHORT)
+                    await trio.lowlevel.checkpoint()
+            waited = machine.clock.monotonic() - begin
+            nursery.cancel_scope.cancel()
+        return waited
+
+    context.waited = trio.run(ask)
+
+
+@then("it gets them only after one lifetime, and {tokens:d} tokens never")
+def step_only_after(context: Context, tokens: int) -> None:
+    assert context.waited >= CREDIT_LIFETIME, context.waited
+    holder = context.machine.holders[0]
+    holder.request(context.engine, tokens, SizeClass.SHORT)
+    assert not isinstance(holder.try_hold(context.engine, tokens, SizeClass.SHORT), Hold)
--- a/tests/support/reservation_machine.py
+++ b/tests/support/reservation_machine.py
@@ -130,7 +130,7 @@
             owners = EngineOwners(member, self.members, self.targets)
             self.sides[member.node_id] = CreditOwner(owners, self.targets, self.peers, self.clock)
             self.holders.append(self._holder(node))
-        self._report()
+        self.report()
         for side in self.sides.values():
             side.refresh()
             trio.run(side.collect)
@@ -200,7 +200,7 @@
             for node in range(2):
                 self.settle(node)
         self.lapsed = self.lapsed or pauses
-        self._report()
+        self.report()
 
     def settle(self, node: int) -> None:
         """Let an entry instance return the memory of released holds."""
@@ -250,7 +250,8 @@
     def _life(self, node: int) -> str:
         return self.holders[node].holder_id.rpartition("/")[2]
 
-    def _report(self) -> None:
+    def report(self) -> None:
+        """Let all engines report their load."""
         now = self.clock.monotonic()
         for status in self.targets:
             free = TOKENS - self.memory.used(status.target.target_id)
