--- a/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
@@ -20,17 +20,24 @@
     ) -> Reserved | ReservationRefused:
         """Reserve memory for `tokens` tokens of KV cache; it expires when it is not used."""
 
+    async def renew(self, target: Target, reservation_id: str) -> None:
+        """Start the lifetime of a reservation anew; an unknown one is ignored."""
+
     async def release(self, target: Target, reservation_id: str) -> None:
         """Give a reservation back; an unknown one is ignored."""
 
 
 @dataclass(frozen=True, slots=True)
 class Hold:
-    """One slot and `tokens` tokens of memory of an engine, held by this entry instance."""
+    """One slot and `tokens` tokens of memory of an engine, held by this entry instance.
+
+    `reservation_id` names the memory that `hold_all` reserved at the engine itself.
+    """
 
     hold_id: int
     target_id: str
     tokens: int
+    reservation_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -1,6 +1,7 @@
 """Wires the layers of an entry instance together and runs them."""
 
 import ipaddress
+import secrets
 import signal
 import ssl
 from collections.abc import AsyncIterator
@@ -13,11 +14,13 @@
 from wasabiwell_entry.coordination.addresses import AddressCoordinator
 from wasabiwell_entry.coordination.admission import AdmissionCoordinator
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
+from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
 from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
 from wasabiwell_entry.coordination.operations import OperationsCoordinator
 from wasabiwell_entry.coordination.operations.coordinator import Sources
+from wasabiwell_entry.coordination.orders import OrderCoordinator, OrderLeases, WeightStoreRate
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.runs import RunCoordinator
 from wasabiwell_entry.coordination.targets import TargetCoordinator
@@ -41,6 +44,8 @@
 from wasabiwell_entry.transport.http.server import serve_callers
 from wasabiwell_entry.transport.peer.client import PeerClient, open_peer_client
 from wasabiwell_entry.transport.peer.codec import TRAFFIC
+from wasabiwell_entry.transport.peer.credits import GrpcCreditPeers, serve_credits
+from wasabiwell_entry.transport.peer.rate import GrpcRatePeers, serve_rate
 from wasabiwell_entry.transport.peer.server import PeerService, serve_peers
 from wasabiwell_entry.transport.platform.client import (
     HttpInstanceList,
@@ -48,6 +53,7 @@
     HttpTableService,
 )
 from wasabiwell_entry.transport.target.engine import HttpEngineClient
+from wasabiwell_entry.transport.target.orders import HttpOrderClient
 from wasabiwell_entry.transport.target.plain import HttpPlainClient
 from wasabiwell_entry.transport.target.pools import open_target_pools
 from wasabiwell_entry.transport.telemetry.lifetime import open_telemetry, publish_reports
@@ -79,6 +85,9 @@
     lifecycle: LifecycleCoordinator
     peers: PeerClient
     tls: TlsContexts
+    credit_owner: CreditOwner
+    credit_holder: CreditHolder
+    rate: WeightStoreRate
 
 
 @asynccontextmanager
@@ -114,10 +123,22 @@
         membership.observe(targets.update_instances)
         configuration = ConfigurationCoordinator(table, configuration_state, clock)
         lifecycle = LifecycleCoordinator(own, members, configuration_state, clock)
+        owners = EngineOwners(own, members, target_table)
+        credit_peers = GrpcCreditPeers(peers)
+        credit_owner = CreditOwner(owners, target_table, credit_peers, clock)
+        credit_holder = CreditHolder(
+            f"{settings.node_id}/{secrets.token_hex(4)}",
+            owners,
+            credit_owner,
+            credit_peers,
+            target_table,
+            engines,
+            clock,
+        )
         dispatcher = Dispatcher(
             admission=ObservedAdmission(
                 AdmissionCoordinator(
-                    Router(target_table, settings.zone, clock), target_table, engines
+                    Router(target_table, settings.zone, clock), target_table, credit_holder, clock
                 ),
                 records,
                 telemetry,
@@ -142,34 +163,57 @@
                 traffic=TRAFFIC,
             )
         )
+        rate = WeightStoreRate(settings.weight_loads, own, members, GrpcRatePeers(peers), clock)
+        orders = OrderCoordinator(
+            OrderLeases(table, clock, settings.node_id), HttpOrderClient(pools), rate, clock
+        )
         http = HttpContext(
             dispatcher=ObservedDispatcher(dispatcher, records, counters, telemetry),
             addresses=AddressCoordinator(own, members),
             configuration=configuration_state,
             configuration_coordinator=configuration,
             lifecycle=lifecycle,
+            orders=orders,
+            targets=target_table,
             clock=clock,
             limits=HttpLimits(settings.max_body_bytes, settings.body_timeout.total_seconds()),
             operations=operations,
             telemetry=telemetry,
             bootstrap_key_hash=settings.bootstrap_key_hash,
         )
-        yield Instance(settings, http, membership, targets, configuration, lifecycle, peers, tls)
+        yield Instance(
+            settings,
+            http,
+            membership,
+            targets,
+            configuration,
+            lifecycle,
+            peers,
+            tls,
+            credit_owner,
+            credit_holder,
+            rate,
+        )
 
 
 async def run_instance(settings: Settings) -> None:
     """Run an entry instance until SIGTERM and the end of its requests."""
     async with open_instance(settings, SystemClock()) as instance:
         peer_host, peer_port = split_address(settings.peer_address)
+        service = PeerService()
+        serve_credits(service, instance.credit_owner, instance.credit_holder)
+        serve_rate(service, instance.rate)
         _warn_of_plaintext(settings)
         async with (
-            serve_peers(PeerService(), peer_host, peer_port, instance.tls.peer_server),
+            serve_peers(service, peer_host, peer_port, instance.tls.peer_server),
             trio.open_nursery() as nursery,
         ):
             nursery.start_soon(instance.tls.certificates.run)
             nursery.start_soon(instance.membership.run)
             nursery.start_soon(instance.targets.run)
             nursery.start_soon(instance.configuration.run)
+            nursery.start_soon(instance.credit_owner.run)
+            nursery.start_soon(instance.credit_holder.run)
             nursery.start_soon(_leave_on_signal, instance.lifecycle)
             nursery.start_soon(
                 publish_reports, instance.http.telemetry, instance.http.operations.report
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -44,6 +44,11 @@
     help="SHA-256 hash of a key that opens the operators' interface while no operator key is "
     "configured; without it only loopback callers get in then.",
 )
+@option(
+    "--weight-loads",
+    default=120,
+    help="Loads in 10 s that the weight store allows to the whole deployment.",
+)
 @option("--otlp-endpoint", default="", help="URL of an OTLP receiver; empty: no traces or metrics.")
 @option("--otlp-interval-s", default=10.0, help="Time between exports of metrics, in seconds.")
 @option("--otlp-sample-ratio", default=1.0, help="Share of new traces that are recorded, 0 to 1.")
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -46,6 +46,7 @@
     peer_tls_ca: str = ""
     target_ca: str = ""
     platform_ca: str = ""
+    weight_loads: int = 120
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -70,6 +71,8 @@
         findings += _check_url("--otlp-endpoint", settings.otlp_endpoint)
     if settings.max_body_bytes <= 0:
         findings.append(Finding("--max-body-bytes", "must be above 0"))
+    if settings.weight_loads <= 0:
+        findings.append(Finding("--weight-loads", "must be above 0"))
     for name in ("body_timeout", "address_ttl", "otlp_interval"):
         if getattr(settings, name) <= timedelta():
             findings.append(Finding(f"{flag(name)}-s", "must be above 0"))
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -89,6 +89,13 @@
 )
 TARGET_LOST = LogEvent(402, Level.WARNING, "target {target} does not accept connections")
 TARGET_DRAINED = LogEvent(403, Level.INFO, "target {target} gets no new work: drained by operator")
+CREDIT_OWNER_UNREACHABLE = LogEvent(
+    404,
+    Level.WARNING,
+    "entry instance {owner}, owner of engines, does not answer: {reason}; a share of the free "
+    "capacity is used",
+    "Check the network to that instance. Engines refuse what does not fit; such requests wait.",
+)
 REQUEST_FAILED_INTERNALLY = LogEvent(
     500, Level.ERROR, "request {request}: unexpected {error}", "Report this with the log."
 )
--- a/packages/entry/src/wasabiwell_entry/transport/http/admin.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/admin.py
@@ -31,6 +31,7 @@
 from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
 from wasabiwell_entry.transport.http.asgi import JSON_TYPE, Exchange
 from wasabiwell_entry.transport.http.context import HttpContext, authenticate_operator
+from wasabiwell_entry.transport.http.orders import handle_order
 
 ADMIN_PREFIX = "/admin/v1/"
 STATUS_BY_OUTCOME = {
@@ -67,6 +68,8 @@
             await _respond(exchange, 202, DrainReply(node_id, node_id))
         case "POST", ["targets", target_id, "drain"]:
             await _drain_target(context, exchange, target_id)
+        case "POST", ["orders"]:
+            await handle_order(context, exchange)
         case "GET", ["quarantine"]:
             await _quarantine(context, exchange)
         case "DELETE", ["quarantine", fingerprint]:
