--- a/packages/entry/src/wasabiwell_entry/coordination/credits/fallback.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/fallback.py
@@ -12,7 +12,10 @@
     what does not fit, and that refusal is "not run".
     """
     free_slots = max(0, load.slots - load.running - load.queued)
-    free = engine_capacity(free_slots, max(0, load.free_tokens))
+    capacity = engine_capacity(load.slots, load.total_tokens)
+    used = load.total_tokens - load.free_tokens
+    # The report does not tell which prompts use the memory, so all use counts as that of long ones.
+    free = Amount(free_slots, max(0, load.free_tokens), max(0, capacity.long_tokens - used))
     share = Amount(free.slots // members, free.tokens // members, free.long_tokens // members)
     if demand == NOTHING or demand.slots == 0:
         return NOTHING
