Add heartbeats between entry instances, marks, configuration dissemination and graceful stop

Cause: entry instances knew each other only from the lagging instance list, followed the configuration by polling, and a stop cut keep-alive connections.

--- a/packages/entry/src/wasabiwell_entry/coordination/addresses/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/addresses/const.py
@@ -2,5 +2,5 @@
 
 from datetime import timedelta
 
-ADDRESS_TTL = timedelta(seconds=10)
+DEFAULT_ADDRESS_TTL = timedelta(seconds=10)
 """Time for which callers keep an answer; a leaving instance serves at least that long."""
--- a/packages/entry/src/wasabiwell_entry/coordination/addresses/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/addresses/coordinator.py
@@ -1,8 +1,9 @@
 """Tells callers which entry instances to use."""
 
+from datetime import timedelta
+
 import xxhash
 
-from wasabiwell_entry.coordination.addresses.const import ADDRESS_TTL
 from wasabiwell_entry.coordination.addresses.errors import AddressList
 from wasabiwell_entry.state.members import Member, MemberTable
 
@@ -10,11 +11,12 @@
 class AddressCoordinator:
     """Orders the members' addresses for a caller."""
 
-    __slots__ = ("_members", "_own")
+    __slots__ = ("_members", "_own", "_ttl")
 
-    def __init__(self, own: Member, members: MemberTable) -> None:
+    def __init__(self, own: Member, members: MemberTable, ttl: timedelta) -> None:
         self._own = own
         self._members = members
+        self._ttl = ttl
 
     def addresses(self, zone: str | None, spread_key: str) -> AddressList:
         """Return addresses with those in the caller's zone first.
@@ -30,4 +32,4 @@
                 xxhash.xxh3_64_intdigest(f"{spread_key}\0{member.node_id}".encode()),
             ),
         )
-        return AddressList(tuple(member.caller_address for member in members), ADDRESS_TTL)
+        return AddressList(tuple(member.caller_address for member in members), self._ttl)
--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/errors.py
@@ -7,7 +7,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The version is committed and in force here."""
+    """The version is committed, in force here and at `peers` other entry instances."""
+
+    version: int
+    peers: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedNotShared:
+    """The version is committed and in force here, but none of the other entry instances took it.
+
+    If this instance is lost during an outage of the table service, the others get the version
+    when the outage ends.
+    """
 
     version: int
 
@@ -41,4 +53,4 @@
     reason: str
 
 
-ApplyOutcome = Accepted | Conflict | Invalid | ApplyUnavailable | ApplyUncertain
+ApplyOutcome = Accepted | AcceptedNotShared | Conflict | Invalid | ApplyUnavailable | ApplyUncertain
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/const.py
@@ -3,3 +3,12 @@
 from datetime import timedelta
 
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
+LEAVING_SPREAD_TIME = timedelta(seconds=3)
+"""Time until no entry instance lists a leaving one; callers asked until then use its address."""
+HAND_BACK_TIMEOUT = timedelta(seconds=2)
+DEPARTURE_TIME = timedelta(milliseconds=1200)
+"""Time in which heartbeats tell the peers that the instance has stopped."""
+DEFAULT_DRAIN_LIMIT = timedelta(hours=1)
+RECOVERY_PEERS = 5
+RECOVERY_ATTEMPTS = 3
+RECOVERY_RETRY_INTERVAL = timedelta(milliseconds=300)
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/errors.py
@@ -1,4 +1,4 @@
-"""Outcomes of looking for an owner."""
+"""Outcomes of looking for an owner and of exchanges with peers."""
 
 from dataclasses import dataclass
 
@@ -8,3 +8,10 @@
     """No live member can own the key."""
 
     key: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSilent:
+    """A peer did not answer on a stream."""
+
+    reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/targets/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/coordinator.py
@@ -3,11 +3,22 @@
 import trio
 
 from wasabiwell_entry.coordination.dispatch.ports import TargetFailure
-from wasabiwell_entry.coordination.targets.const import INSTANCE_LIST_INTERVAL, LOAD_INTERVAL
+from wasabiwell_entry.coordination.membership.ports import MarkPort
+from wasabiwell_entry.coordination.targets.const import (
+    INSTANCE_LIST_INTERVAL,
+    LEAVING_KIND,
+    LEAVING_LIFETIME,
+    LOAD_INTERVAL,
+    OPERATOR_LEAVING_LIFETIME,
+    SOURCE_LIST,
+    SOURCE_LOAD,
+    SOURCE_OPERATOR,
+)
 from wasabiwell_entry.coordination.targets.errors import LoadUnavailable
 from wasabiwell_entry.coordination.targets.ports import LoadPort, LoadReport
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.marks import Mark
 from wasabiwell_entry.state.platform import InstanceRecord
 from wasabiwell_entry.state.targets import Target, TargetKind, TargetStatus, TargetTable
 
@@ -15,13 +26,18 @@
 class TargetCoordinator:
     """Keeps the target table of one entry instance; one task polls each engine."""
 
-    __slots__ = ("_clock", "_loads", "_polled", "_targets")
+    __slots__ = ("_clock", "_loads", "_marks", "_node_id", "_polled", "_targets")
 
-    def __init__(self, targets: TargetTable, loads: LoadPort, clock: Clock) -> None:
+    def __init__(
+        self, targets: TargetTable, loads: LoadPort, marks: MarkPort, clock: Clock, node_id: str
+    ) -> None:
+        self._marks = marks
+        self._node_id = node_id
         self._targets = targets
         self._loads = loads
         self._clock = clock
         self._polled: dict[str, trio.CancelScope] = {}
+        marks.subscribe(LEAVING_KIND, self._take_over_mark)
 
     async def run(self) -> None:
         """Poll the load of each engine in a task of its own until cancelled."""
@@ -40,11 +56,29 @@
         targets = [record for record in records if record.role != "entry"]
         for record in targets:
             status = self._targets.put(_target(record))
-            status.leaving = status.leaving or record.leaving
+            self._note_leaving(status, record.leaving, SOURCE_LIST)
         for target_id in self._targets.retain(record.instance_id for record in targets):
             if target_id in self._polled:
                 self._polled[target_id].cancel()
 
+    def instances(self) -> list[InstanceRecord]:
+        """Return the known targets in the form of the instance list."""
+        return [_record(status) for status in self._targets]
+
+    def drain(self, target_id: str, leaving: bool = True) -> bool:
+        """Set or withdraw an operator's mark; return False when the target is not known."""
+        status = self._targets.get(target_id)
+        if status is None:
+            return False
+        self._marks.publish(
+            LEAVING_KIND,
+            _mark_key(status.target),
+            OPERATOR_LEAVING_LIFETIME,
+            SOURCE_OPERATOR,
+            leaving,
+        )
+        return True
+
     def target_lost(self, failure: TargetFailure) -> None:
         """Note that a target may have died; it gets no request for a while."""
         status = self._targets.get(failure.target_id)
@@ -60,6 +94,32 @@
         if status is not None:
             status.lost_at = None
 
+    def _note_leaving(self, status: TargetStatus, leaving: bool, source: bytes) -> None:
+        """Publish what a source says of a target; only the publisher takes its mark back."""
+        key = _mark_key(status.target)
+        mark = self._marks.mark(LEAVING_KIND, key)
+        marked = mark is not None and mark.active
+        if leaving and (mark is None or not marked or self._half_over(mark)):
+            self._marks.publish(LEAVING_KIND, key, LEAVING_LIFETIME, source)
+        elif (
+            mark is not None
+            and marked
+            and not leaving
+            and (mark.origin, mark.value) == (self._node_id, source)
+        ):
+            self._marks.publish(LEAVING_KIND, key, LEAVING_LIFETIME, source, active=False)
+        mark = self._marks.mark(LEAVING_KIND, key)
+        status.leaving = mark is not None and mark.active
+
+    def _take_over_mark(self, mark: Mark) -> None:
+        status = self._targets.get(mark.key.partition("@")[0])
+        if status is not None and _mark_key(status.target) == mark.key:
+            status.leaving = mark.active
+
+    def _half_over(self, mark: Mark) -> bool:
+        left = mark.expires - self._clock.now().timestamp()
+        return left < LEAVING_LIFETIME.total_seconds() / 2
+
     async def _poll_engine(self, target_id: str, scope: trio.CancelScope) -> None:
         with scope:
             while (status := self._targets.get(target_id)) is not None:
@@ -71,7 +131,7 @@
         match await self._loads.load(status.target):
             case LoadReport(load=load, leaving=leaving):
                 status.load = load
-                status.leaving = status.leaving or leaving
+                self._note_leaving(status, leaving, SOURCE_LOAD)
                 status.lost_at = None
             case LoadUnavailable():
                 self.target_lost(TargetFailure(status.target.target_id, self._clock.monotonic()))
@@ -86,3 +146,21 @@
         region=record.region,
         zone=record.zone,
     )
+
+
+def _record(status: TargetStatus) -> InstanceRecord:
+    target = status.target
+    return InstanceRecord(
+        instance_id=target.target_id,
+        role=target.kind.value,
+        service=target.service,
+        address=target.address,
+        peer_address="",
+        region=target.region,
+        zone=target.zone,
+        leaving=status.leaving,
+    )
+
+
+def _mark_key(target: Target) -> str:
+    return f"{target.target_id}@{target.address}"
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -28,11 +28,26 @@
 @click.option(
     "--address-ttl-s", default=10.0, help="Time for which callers keep addresses, in seconds."
 )
-def main(body_timeout_s: float, address_ttl_s: float, **values: object) -> None:
+@click.option(
+    "--drain-limit-s",
+    default=3600.0,
+    help="Time after which a graceful stop gives up open requests, in seconds.",
+)
+@click.option(
+    "--seed",
+    "seeds",
+    multiple=True,
+    help="Peer address HOST:PORT of a running entry instance, for a start without the instance "
+    "list; can be repeated.",
+)
+def main(
+    body_timeout_s: float, address_ttl_s: float, drain_limit_s: float, **values: object
+) -> None:
     """Run an entry instance of wasabiwell."""
     settings = Settings(
         body_timeout=timedelta(seconds=body_timeout_s),
         address_ttl=timedelta(seconds=address_ttl_s),
+        drain_limit=timedelta(seconds=drain_limit_s),
         **values,  # type: ignore[arg-type]
     )
     findings = check_settings(settings)
--- a/packages/entry/src/wasabiwell_entry/protocol/admin.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/admin.py
@@ -18,13 +18,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ApplyReply:
-    """Answer of an apply; `outcome` is accepted, conflict, invalid, unavailable or uncertain."""
+    """Answer of an apply.
+
+    `outcome` is accepted, accepted_not_shared, conflict, invalid, unavailable or uncertain; `peers`
+    is the number of other entry instances that took the version before the answer.
+    """
 
     outcome: str
     version: int = 0
     paths: tuple[str, ...] = ()
     findings: tuple[Finding, ...] = ()
     reason: str = ""
+    peers: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/wasabiwell_entry/protocol/peer.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/peer.py
@@ -1,8 +1,17 @@
 """Messages between entry instances."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Any, Generic, TypeVar
 
+import msgspec
+
+from wasabiwell_entry.coordination.lifecycle.ports import PeerSnapshot
+from wasabiwell_entry.state.configuration import ConfigurationDelta, ConfigurationUpdate
+from wasabiwell_entry.state.heartbeats import Announcement, Heartbeat
+from wasabiwell_entry.state.marks import Mark
+from wasabiwell_entry.state.members import Member, MemberStatus
+
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
 
@@ -11,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerMethod(Generic[Request, Reply]):
-    """A unary method of the service `wasabiwell.Peer`."""
+    """A method of the service `wasabiwell.Peer`."""
 
     name: str
     request_type: type[Request]
@@ -31,16 +40,102 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigurationUpdate:
-    """Deltas after the asked version, or all items when the deltas are not retained."""
+class Ack:
+    """Tells the configuration version in force at the receiver."""
 
     version: int
-    deltas: list[dict[str, bytes | None]]
-    items: dict[str, bytes] | None
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotQuery:
+    """Asks for what a starting entry instance needs; `node_id` is the one that asks."""
+
+    node_id: str
+
+
+class MemberFrame(msgspec.Struct, frozen=True, array_like=True):
+    """Member in a heartbeat, without field names."""
+
+    node_id: str
+    incarnation: int
+    region: str
+    zone: str
+    caller_address: str
+    peer_address: str
+    status: MemberStatus
+
+
+class MarkFrame(msgspec.Struct, frozen=True, array_like=True):
+    """Mark in a heartbeat, without field names."""
+
+    kind: str
+    key: str
+    origin: str
+    counter: int
+    expires: int
+    active: bool
+    value: bytes
+
+
+class HeartbeatFrame(msgspec.Struct, frozen=True, array_like=True):
+    """Heartbeat without field names, because the names would double its size.
+
+    `confirmation_age_ms` is -1 when the version was never confirmed.
+    """
+
+    sender: str
+    incarnation: int
+    digest: int
+    version: int
+    confirmation_age_ms: int
+    members: tuple[MemberFrame, ...] = ()
+    marks: tuple[MarkFrame, ...] = ()
+
+
+def heartbeat_frame(heartbeat: Heartbeat) -> HeartbeatFrame:
+    """Return the message of a heartbeat; an age is rounded up to whole milliseconds."""
+    age = heartbeat.announcement.confirmation_age
+    return HeartbeatFrame(
+        heartbeat.sender,
+        heartbeat.incarnation,
+        heartbeat.digest,
+        heartbeat.announcement.version,
+        -1 if age is None else age // timedelta(milliseconds=1) + 1,
+        tuple(
+            MemberFrame(*(getattr(member, name) for name in MemberFrame.__struct_fields__))
+            for member in heartbeat.members
+        ),
+        tuple(
+            MarkFrame(*(getattr(mark, name) for name in MarkFrame.__struct_fields__))
+            for mark in heartbeat.marks
+        ),
+    )
+
+
+def heartbeat_of(frame: HeartbeatFrame) -> Heartbeat:
+    """Return the heartbeat of a message."""
+    age = frame.confirmation_age_ms
+    return Heartbeat(
+        frame.sender,
+        frame.incarnation,
+        frame.digest,
+        Announcement(frame.version, None if age < 0 else timedelta(milliseconds=age)),
+        tuple(Member(*msgspec.structs.astuple(member)) for member in frame.members),
+        tuple(Mark(*msgspec.structs.astuple(mark)) for mark in frame.marks),
+    )
+
+
+EXCHANGE: PeerMethod[HeartbeatFrame, HeartbeatFrame] = PeerMethod(
+    "Exchange", HeartbeatFrame, HeartbeatFrame
+)
 FETCH_CONFIGURATION: PeerMethod[ConfigurationQuery, ConfigurationUpdate] = PeerMethod(
     "FetchConfiguration", ConfigurationQuery, ConfigurationUpdate
 )
+PUSH_CONFIGURATION: PeerMethod[ConfigurationDelta, Ack] = PeerMethod(
+    "PushConfiguration", ConfigurationDelta, Ack
+)
+FETCH_SNAPSHOT: PeerMethod[SnapshotQuery, PeerSnapshot] = PeerMethod(
+    "FetchSnapshot", SnapshotQuery, PeerSnapshot
+)
 
 AnyMethod = PeerMethod[Any, Any]
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -24,6 +24,8 @@
     max_body_bytes: int = 16 * 1024 * 1024
     body_timeout: timedelta = timedelta(seconds=30)
     address_ttl: timedelta = timedelta(seconds=10)
+    drain_limit: timedelta = timedelta(hours=1)
+    seeds: tuple[str, ...] = ()
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -44,6 +46,11 @@
     for name in ("table_url", "object_url", "instance_url"):
         if not getattr(settings, name).startswith("http://"):
             findings.append(Finding(f"--{name.replace('_', '-')}", "must start with http://"))
+    for seed in settings.seeds:
+        findings += _check_address("--seed", seed)
+    for name in ("address_ttl", "drain_limit"):
+        if getattr(settings, name) <= timedelta():
+            findings.append(Finding(f"--{name.replace('_', '-')}-s", "must be above 0"))
     if settings.max_body_bytes <= 0:
         findings.append(Finding("--max-body-bytes", "must be above 0"))
     return findings
--- a/packages/entry/src/wasabiwell_entry/state/configuration.py
+++ b/packages/entry/src/wasabiwell_entry/state/configuration.py
@@ -3,8 +3,10 @@
 from collections import deque
 from dataclasses import dataclass
 
+import msgspec
 from wasabiwell_config import (
     Configuration,
+    Finding,
     Findings,
     Items,
     ModelService,
@@ -20,10 +22,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationDelta:
-    """The items changed by one version; a removed item maps to None."""
+    """The items changed by one version; a removed item maps to None.
+
+    `attempt_id` identifies the commit, so that a lost reply can be settled later.
+    """
 
     version: int
     changes: dict[str, bytes | None]
+    attempt_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationUpdate:
+    """What a peer lacks: the deltas after its version, or all items when they are not retained."""
+
+    version: int
+    deltas: list[ConfigurationDelta]
+    items: Items | None = None
 
 
 class ConfigurationView:
@@ -61,11 +76,12 @@
 class ConfigurationState:
     """Version and items in force; versions only grow."""
 
-    __slots__ = ("_deltas", "_items", "_version", "_view")
+    __slots__ = ("_deltas", "_items", "_readable", "_version", "_view")
 
     def __init__(self) -> None:
         self._version = 0
         self._items: Items = {}
+        self._readable: Items = {}
         self._deltas: deque[ConfigurationDelta] = deque(maxlen=RETAINED_DELTAS)
         self._view = ConfigurationView(Configuration())
 
@@ -87,40 +103,66 @@
     def deltas_since(self, version: int) -> list[ConfigurationDelta] | None:
         """Return the deltas after a version, or None when they are not all retained."""
         wanted = [delta for delta in self._deltas if delta.version > version]
-        if len(wanted) != self._version - version:
+        if version < self._version and len(wanted) != self._version - version:
             return None
         return wanted
 
+    def update_since(self, version: int) -> ConfigurationUpdate:
+        """Return what an instance with this version lacks."""
+        deltas = self.deltas_since(version)
+        if deltas is None:
+            return ConfigurationUpdate(self._version, [], dict(self._items))
+        return ConfigurationUpdate(self._version, deltas)
+
     def advance(self, delta: ConfigurationDelta) -> Findings | None:
-        """Put the next version in force; return findings when it cannot be read.
+        """Put the next version in force; return findings of items that cannot be read.
 
-        A delta that does not follow the version in force is ignored.
+        A delta that does not follow the version in force is ignored. An item that cannot be read
+        stays as it was in the look-ups, and the other items of the delta are in force.
         """
         if delta.version != self._version + 1:
             return None
-        findings = self._install(delta.version, apply_changes(self._items, delta.changes))
-        if findings is None:
-            self._deltas.append(delta)
-        return findings
+        self._deltas.append(delta)
+        return self._install(delta.version, apply_changes(self._items, delta.changes))
 
     def replace(self, version: int, items: Items) -> Findings | None:
-        """Put a snapshot in force when its version is higher; return findings if unreadable."""
+        """Put a snapshot in force when its version is higher; return findings like `advance`."""
         if version <= self._version:
             return None
-        findings = self._install(version, dict(items))
-        if findings is None:
-            self._deltas.clear()
-        return findings
+        self._deltas.clear()
+        return self._install(version, dict(items))
 
     def _install(self, version: int, items: Items) -> Findings | None:
-        match configuration_from_items(items):
+        self._version = version
+        self._items = items
+        match _read(items):
             case Findings() as findings:
-                return findings
-            case configuration:
-                self._version = version
-                self._items = items
+                self._readable = self._keep_readable(items)
+            case Configuration() as configuration:
+                self._readable = items
                 self._view = ConfigurationView(configuration)
                 return None
+        match _read(self._readable):
+            case Configuration() as configuration:
+                self._view = ConfigurationView(configuration)
+        return findings
+
+    def _keep_readable(self, items: Items) -> Items:
+        """Return the items with each unreadable one replaced by its last readable value."""
+        readable: Items = {}
+        for path, value in items.items():
+            for candidate in (value, self._readable.get(path)):
+                if candidate is not None and not isinstance(_read({path: candidate}), Findings):
+                    readable[path] = candidate
+                    break
+        return readable
+
+
+def _read(items: Items) -> Configuration | Findings:
+    try:
+        return configuration_from_items(items)
+    except msgspec.DecodeError as error:
+        return Findings((Finding("items", f"not valid JSON: {error}"),))
 
 
 def apply_changes(items: Items, changes: dict[str, bytes | None]) -> Items:
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -45,6 +45,21 @@
     "listener {address} is not on loopback and has no TLS",
     "Set the TLS settings, or accept that traffic is readable on the network.",
 )
+MEMBER_CHANGED = LogEvent(
+    110, Level.INFO, "entry instance {member} is {status}, incarnation {incarnation}"
+)
+HAND_BACK_FAILED = LogEvent(
+    111, Level.WARNING, "leaving: a part could not hand back what it holds: {error}"
+)
+STREAMS_CUT = LogEvent(
+    112,
+    Level.WARNING,
+    "leaving: {count} requests were still open at the drain limit",
+    "Raise --drain-limit-s above the longest request.",
+)
+RECOVERED_FROM_PEER = LogEvent(
+    113, Level.INFO, "members, marks and configuration version {version} come from peer {peer}"
+)
 CONFIGURATION_IN_FORCE = LogEvent(200, Level.INFO, "configuration version {version} is in force")
 CONFIGURATION_INVALID = LogEvent(
     201,
@@ -52,6 +67,12 @@
     "configuration version {version} cannot be read: {findings}",
     "Upgrade this entry instance, or apply a configuration that it understands.",
 )
+CONFIGURATION_ROW_UNREADABLE = LogEvent(
+    202,
+    Level.ERROR,
+    "configuration row {key} cannot be decoded: {error}",
+    "Upgrade this entry instance; the version in force here stays.",
+)
 STORE_UNAVAILABLE = LogEvent(
     300,
     Level.WARNING,
--- a/packages/entry/src/wasabiwell_entry/state/members.py
+++ b/packages/entry/src/wasabiwell_entry/state/members.py
@@ -29,6 +29,18 @@
     peer_address: str
     status: MemberStatus = MemberStatus.ALIVE
 
+    def overrides(self, other: "Member | None") -> bool:
+        """Return whether this entry is newer than another one of the same instance."""
+        if other is None:
+            return True
+        return (self.incarnation, STATUS_ORDER[self.status]) > (
+            other.incarnation,
+            STATUS_ORDER[other.status],
+        )
+
+
+STATUS_ORDER = {status: order for order, status in enumerate(MemberStatus)}
+
 
 class MemberTable:
     """Members by node id; one entry instance owns one table."""
@@ -56,6 +68,11 @@
         """Remove a member when it is known."""
         self._members.pop(node_id, None)
 
+    def serving(self) -> list[Member]:
+        """Return all members but the dead ones, in the order of node id."""
+        members = [item for item in self._members.values() if item.status != MemberStatus.DEAD]
+        return sorted(members, key=lambda member: member.node_id)
+
     def alive(self) -> list[Member]:
         """Return the members that take new work, suspects included, in the order of node id."""
         accepted = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
--- a/packages/entry/src/wasabiwell_entry/transport/http/admin.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/admin.py
@@ -6,6 +6,7 @@
 
 from wasabiwell_entry.coordination.configuration.errors import (
     Accepted,
+    AcceptedNotShared,
     ApplyOutcome,
     ApplyUnavailable,
     ApplyUncertain,
@@ -26,6 +27,7 @@
 ADMIN_PREFIX = "/admin/v1/"
 STATUS_BY_OUTCOME = {
     "accepted": 200,
+    "accepted_not_shared": 200,
     "conflict": 409,
     "invalid": 422,
     "unavailable": 503,
@@ -48,6 +50,8 @@
         case "GET", "status":
             body = msgspec.json.encode(context.status())
             await exchange.respond(200, [JSON_TYPE], body)
+        case "POST" | "DELETE", "drain" if exchange.query("target") is not None:
+            await _drain_target(context, exchange)
         case "POST", "drain":
             context.lifecycle.leave("an operator asked for it")
             await exchange.respond(202, [JSON_TYPE], b"{}")
@@ -57,6 +61,16 @@
             )
 
 
+async def _drain_target(context: HttpContext, exchange: Exchange) -> None:
+    target = exchange.query("target") or ""
+    if context.targets.drain(target, leaving=exchange.method == "POST"):
+        await exchange.respond(202, [JSON_TYPE], b"{}")
+        return
+    finding = Finding("query target", f"no target {target!r} is known")
+    refused = Refused(Reason.INVALID_REQUEST, "unknown target", findings=(finding,))
+    await exchange.respond_problem(problem(refused))
+
+
 async def _get_configuration(context: HttpContext, exchange: Exchange) -> None:
     state = context.configuration
     items = {path: msgspec.Raw(value) for path, value in state.items.items()}
@@ -89,8 +103,11 @@
 
 def _apply_reply(outcome: ApplyOutcome) -> ApplyReply:
     match outcome:
-        case Accepted(version=version):
-            return ApplyReply("accepted", version)
+        case Accepted(version=version, peers=peers):
+            return ApplyReply("accepted", version, peers=peers)
+        case AcceptedNotShared(version=version):
+            reason = "the version is committed, but no other entry instance has taken it yet"
+            return ApplyReply("accepted_not_shared", version, reason=reason)
         case Conflict(version=version, paths=paths):
             return ApplyReply("conflict", version, paths)
         case Invalid(findings=findings):
--- a/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -19,9 +19,16 @@
 class Exchange:
     """One HTTP request and its answer."""
 
-    __slots__ = ("_receive", "_scope", "_send", "_started")
-
-    def __init__(self, scope: Scope, receive: Receive, send: Send) -> None:
+    __slots__ = ("_closing", "_receive", "_scope", "_send", "_started")
+
+    def __init__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        closing: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._closing = closing
         self._scope = scope
         self._receive = receive
         self._send = send
@@ -93,8 +100,10 @@
             pass
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Send the head of the answer."""
+        """Send the head of the answer; a closing server ends the connection after it."""
         self._started = True
+        if self._closing() and str(self._scope.get("http_version", "1.1")).startswith("1"):
+            headers = [*headers, (b"connection", b"close")]
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def send(self, data: bytes) -> None:
--- a/packages/entry/src/wasabiwell_entry/transport/http/context.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/context.py
@@ -10,6 +10,7 @@
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
 from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
+from wasabiwell_entry.coordination.targets import TargetCoordinator
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.configuration import ConfigurationState
 from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
@@ -35,6 +36,7 @@
     configuration: ConfigurationState
     configuration_coordinator: ConfigurationCoordinator
     lifecycle: LifecycleCoordinator
+    targets: TargetCoordinator
     clock: Clock
     limits: HttpLimits
     status: Callable[[], dict[str, object]]
--- a/packages/entry/src/wasabiwell_entry/transport/http/server.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/server.py
@@ -18,7 +18,8 @@
 from wasabiwell_entry.transport.http.services import SERVICES_PREFIX, handle_service
 
 KEEP_ALIVE_SECONDS = 60
-SHUTDOWN_GRACE_SECONDS = 1
+SHUTDOWN_GRACE_SECONDS = 30
+"""Time for requests that arrive in the last moment of a stop; idle connections close at once."""
 
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 
@@ -32,7 +33,7 @@
             return
         if scope["type"] != "http":
             return
-        exchange = Exchange(scope, receive, send)
+        exchange = Exchange(scope, receive, send, lambda: context.lifecycle.leaving)
         with context.lifecycle.request():
             await _serve(context, exchange)
 
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
@@ -0,0 +1,113 @@
+"""Heartbeat streams: the client's side as a port of membership, and the server's handler."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+import trio
+import trio_asyncio
+from grpclib.client import Channel, StreamStreamMethod
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Stream
+
+from wasabiwell_entry.coordination.membership import MembershipCoordinator
+from wasabiwell_entry.coordination.membership.coordinator import PeerSession
+from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.protocol.peer import (
+    EXCHANGE,
+    HeartbeatFrame,
+    heartbeat_frame,
+    heartbeat_of,
+)
+from wasabiwell_entry.state.heartbeats import Heartbeat
+from wasabiwell_entry.state.members import Member
+from wasabiwell_entry.transport.peer.codec import MessagePackCodec
+
+SERVER_IDLE_SECONDS = 10.0
+"""A peer that is silent for this long has replaced the stream or is gone."""
+BROKEN_STREAM = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    asyncio.CancelledError,
+    asyncio.TimeoutError,
+    msgspec.DecodeError,
+)
+
+
+class GrpcPeerStream:
+    """One `Exchange` stream on a connection of its own."""
+
+    __slots__ = ("_channel", "_context", "_stream")
+
+    def __init__(self, channel: Channel) -> None:
+        self._channel = channel
+        self._context: Any = None
+        self._stream: Any = None
+
+    async def exchange(self, heartbeat: Heartbeat, timeout: timedelta) -> Heartbeat | PeerSilent:
+        """Send a heartbeat and return the peer's."""
+        try:
+            with trio.fail_after(timeout.total_seconds()):
+                frame = await trio_asyncio.aio_as_trio(self._exchange)(heartbeat_frame(heartbeat))
+        except trio.TooSlowError:
+            return PeerSilent("timeout")
+        except BROKEN_STREAM as error:
+            return PeerSilent(repr(error))
+        return PeerSilent("the peer ended the stream") if frame is None else heartbeat_of(frame)
+
+    async def _exchange(self, frame: HeartbeatFrame) -> HeartbeatFrame | None:
+        if self._stream is None:
+            method = StreamStreamMethod(
+                self._channel, EXCHANGE.path, EXCHANGE.request_type, EXCHANGE.reply_type
+            )
+            self._context = method.open()
+            self._stream = await self._context.__aenter__()
+        await self._stream.send_message(frame)
+        reply: HeartbeatFrame | None = await self._stream.recv_message()
+        return reply
+
+    def close(self) -> None:
+        """Close the connection, and the stream with it."""
+        self._channel.close()
+
+
+class GrpcPeers:
+    """Heartbeat streams to other entry instances."""
+
+    __slots__ = ()
+
+    @asynccontextmanager
+    async def open(self, member: Member) -> AsyncIterator[GrpcPeerStream]:
+        """Own a stream on a new connection; needs a trio-asyncio loop."""
+        host, _, port = member.peer_address.rpartition(":")
+        stream = GrpcPeerStream(Channel(host, int(port), codec=MessagePackCodec()))
+        try:
+            yield stream
+        finally:
+            stream.close()
+
+
+def exchange_handler(
+    membership: MembershipCoordinator,
+) -> Callable[[Stream[Any, Any]], Awaitable[None]]:
+    """Return the handler of streams that peers open; one task serves each stream."""
+
+    async def serve(stream: Stream[Any, Any]) -> None:
+        session = PeerSession()
+        while True:
+            try:
+                async with asyncio.timeout(SERVER_IDLE_SECONDS):
+                    frame = await stream.recv_message()
+            except TimeoutError:
+                return
+            if frame is None:
+                return
+            reply = membership.receive(heartbeat_of(frame), session)
+            await stream.send_message(heartbeat_frame(reply))
+
+    return serve
--- a/packages/entry/src/wasabiwell_entry/transport/peer/server.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/server.py
@@ -12,15 +12,21 @@
 from wasabiwell_entry.transport.peer.codec import MessagePackCodec
 
 PeerHandler = Callable[[Any], Awaitable[Any]]
+StreamHandler = Callable[[Stream[Any, Any]], Awaitable[None]]
 
 
 class PeerService:
     """Handlers of the methods that other entry instances call."""
 
-    __slots__ = ("_handlers",)
+    __slots__ = ("_handlers", "_streams")
 
     def __init__(self) -> None:
         self._handlers: dict[AnyMethod, PeerHandler] = {}
+        self._streams: dict[AnyMethod, StreamHandler] = {}
+
+    def handle_stream(self, method: AnyMethod, handler: StreamHandler) -> None:
+        """Answer a method with streams in both directions by an asyncio coroutine function."""
+        self._streams[method] = handler
 
     def handle(
         self,
@@ -32,7 +38,13 @@
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the methods for grpclib."""
-        return {
+        streams = {
+            method.path: Handler(
+                handler, Cardinality.STREAM_STREAM, method.request_type, method.reply_type
+            )
+            for method, handler in self._streams.items()
+        }
+        return streams | {
             method.path: Handler(
                 _unary(handler), Cardinality.UNARY_UNARY, method.request_type, method.reply_type
             )
