--- /dev/null
+++ b/tests/support/configuration_machine.py
@@ -0,0 +1,305 @@
+"""Stateful fuzzing of configuration versions over a table service and peers in memory."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from typing import Any
+from unittest.mock import patch
+
+import trio
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from wasabiwell_config import Configuration, OperatorKey, hash_key, items_of
+from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator, coordinator, store
+from wasabiwell_entry.coordination.configuration.errors import (
+    Accepted,
+    AcceptedNotShared,
+    Conflict,
+)
+from wasabiwell_entry.coordination.configuration.store import ConfigurationStore
+from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.state.clock import ManualClock
+from wasabiwell_entry.state.configuration import (
+    ConfigurationDelta,
+    ConfigurationState,
+    ConfigurationUpdate,
+)
+from wasabiwell_entry.state.members import Member, MemberTable
+from wasabiwell_entry.state.platform import Row, StoreUnavailable
+
+from support.fakes import FakeObjects, FakeTable
+
+NODES = 4
+NAMES = ["ada", "bo", "cy"]
+SNAPSHOT_VERSIONS = 3
+RETAINED_DELTA_ROWS = 2
+"""Small figures, so that short sequences reach snapshots and removed rows."""
+
+
+@dataclass(slots=True)
+class LateTable(FakeTable):
+    """A table service whose next reads can answer from an earlier state."""
+
+    late_reads: int = 0
+    earlier: dict[str, Row] = field(default_factory=dict)
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row] | StoreUnavailable:
+        """Return the rows that exist, or those of the earlier state."""
+        if self.late_reads > 0 and not self.unavailable:
+            self.late_reads -= 1
+            return {key: self.earlier[key] for key in keys if key in self.earlier}
+        return await FakeTable.read(self, keys)
+
+
+@dataclass(slots=True)
+class Node:
+    """An entry instance; `reached` names the peers that its calls reach."""
+
+    member: Member
+    state: ConfigurationState
+    configuration: ConfigurationCoordinator
+
+
+class Peers:
+    """Calls between the machine's nodes."""
+
+    def __init__(self, machine: "ConfigurationMachine", index: int) -> None:
+        self._machine = machine
+        self._index = index
+
+    async def push(self, member: Member, delta: ConfigurationDelta) -> int | PeerSilent:
+        """Hand a delta to a node."""
+        await trio.lowlevel.checkpoint()
+        if (self._index, int(member.node_id)) in self._machine.unreachable:
+            return PeerSilent("unreachable")
+        return self._machine.nodes[int(member.node_id)].configuration.take_push(delta)
+
+    async def fetch(self, member: Member, since: int) -> ConfigurationUpdate | PeerSilent:
+        """Fetch from a node."""
+        await trio.lowlevel.checkpoint()
+        if (self._index, int(member.node_id)) in self._machine.unreachable:
+            return PeerSilent("unreachable")
+        return self._machine.nodes[int(member.node_id)].state.update_since(since)
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Racing applies, lost replies, late reads, restarts and lagging peers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.patches = ExitStack()
+        for module in (coordinator, store):
+            for name in ("SNAPSHOT_VERSIONS", "RETAINED_DELTA_ROWS"):
+                if hasattr(module, name):
+                    self.patches.enter_context(patch.object(module, name, globals()[name]))
+        self.table, self.objects, self.clock = LateTable(), FakeObjects(), ManualClock()
+        self.members = MemberTable()
+        self.unreachable: set[tuple[int, int]] = set()
+        self.nodes: dict[int, Node] = {}
+        self.seen: dict[int, int] = {}
+        self.committed: dict[int, ConfigurationDelta] = {}
+        self.accepted: dict[int, dict[str, bytes | None]] = {}
+        self.secret = 0
+        for index in range(NODES):
+            self.members.put(Member(str(index), 1, "r", "z", f"c:{index}", f"p:{index}"))
+            self.start(index)
+
+    def teardown(self) -> None:
+        """Restore the constants."""
+        self.patches.close()
+
+    def start(self, index: int) -> None:
+        """Start a node without any state."""
+        member = self.members.get(str(index))
+        assert member is not None
+        state = ConfigurationState()
+        self.nodes[index] = Node(
+            member,
+            state,
+            ConfigurationCoordinator(
+                member,
+                self.members,
+                ConfigurationStore(self.table, self.objects),
+                state,
+                Peers(self, index),
+                self.clock,
+            ),
+        )
+        self.seen[index] = 0
+
+    def run(self, *calls: Callable[[], Awaitable[Any]]) -> list[Any]:
+        """Run calls at once and return their results in the order of the calls."""
+        results: dict[int, Any] = {}
+
+        async def main() -> None:
+            async def run_one(place: int, call: Callable[[], Awaitable[Any]]) -> None:
+                results[place] = await call()
+
+            async with trio.open_nursery() as nursery:
+                for place, call in enumerate(calls):
+                    nursery.start_soon(run_one, place, call)
+
+        trio.run(main)
+        self.note_committed()
+        return [results[place] for place in range(len(calls))]
+
+    def note_committed(self) -> None:
+        """Keep each delta row before it can be removed; a row must never change."""
+        for key, row in self.table.rows.items():
+            if key.startswith("config/delta/"):
+                delta = store._decode(key, row.value, ConfigurationDelta)
+                assert self.committed.setdefault(delta.version, delta) == delta
+
+    def change(self, name: str) -> dict[str, bytes | None]:
+        """Return a change of an item that no other change equals."""
+        self.secret += 1
+        operator = OperatorKey(name=name, key_hash=hash_key(str(self.secret)))
+        return dict(items_of(Configuration(operators=(operator,))))
+
+    def note_outcome(self, outcome: Any, changes: dict[str, bytes | None]) -> None:
+        """Remember what was accepted."""
+        if isinstance(outcome, Accepted | AcceptedNotShared):
+            assert outcome.version not in self.accepted, "one version was accepted twice"
+            self.accepted[outcome.version] = changes
+
+    @initialize()
+    def start_with_versions(self) -> None:
+        """Commit more versions than delta rows are retained."""
+        for index in range(2 * SNAPSHOT_VERSIONS):
+            self.apply(index % NODES, NAMES[index % len(NAMES)], 0, 0, 0, 0)
+
+    @rule(
+        index=st.integers(0, NODES - 1),
+        name=st.sampled_from(NAMES),
+        behind=st.integers(0, 3),
+        lost=st.sampled_from([0, 0, 1, 2, 5]),
+        dropped=st.sampled_from([0, 0, 1]),
+        late=st.sampled_from([0, 0, 1, 2]),
+    )
+    def apply(self, index: int, name: str, behind: int, lost: int, dropped: int, late: int) -> None:
+        """Apply against an older version; only a later change of the item is a conflict."""
+        self.table.lose_replies, self.table.drop_writes = lost, dropped
+        self.table.late_reads = late
+        node, changes = self.nodes[index], self.change(name)
+        base = max(0, node.state.version - behind)
+        outcome = self.run(lambda: node.configuration.apply(base, changes))[0]
+        self.note_outcome(outcome, changes)
+        self.end_faults()
+        if isinstance(outcome, Conflict) and not late:
+            touched = {
+                path
+                for version, delta in self.committed.items()
+                if version > base
+                for path in delta.changes
+            }
+            removed = base < max(self.committed, default=0) - RETAINED_DELTA_ROWS
+            assert touched & set(changes) or removed, outcome
+
+    @rule(
+        first=st.integers(0, NODES - 1),
+        second=st.integers(0, NODES - 1),
+        same=st.booleans(),
+        lost=st.sampled_from([0, 0, 1, 2]),
+    )
+    def race(self, first: int, second: int, same: bool, lost: int) -> None:
+        """Two operators at once: other items go through, one of two changes of an item does."""
+        self.run(*(self.nodes[index].configuration.refresh for index in (first, second)))
+        self.table.lose_replies = lost
+        one, two = self.change("ada"), self.change("ada" if same else "bo")
+        nodes = (self.nodes[first], self.nodes[second])
+        bases = [node.state.version for node in nodes]
+        outcomes = self.run(
+            lambda: nodes[0].configuration.apply(bases[0], one),
+            lambda: nodes[1].configuration.apply(bases[1], two),
+        )
+        self.note_outcome(outcomes[0], one)
+        self.note_outcome(outcomes[1], two)
+        self.end_faults()
+        accepted = [item for item in outcomes if isinstance(item, Accepted | AcceptedNotShared)]
+        assert not same or len(accepted) <= 1, outcomes
+        assert same or self.table.unavailable or len(accepted) == 2, outcomes
+
+    def end_faults(self) -> None:
+        """Let the table service answer again."""
+        self.table.lose_replies = self.table.drop_writes = self.table.late_reads = 0
+
+    @rule(index=st.integers(0, NODES - 1))
+    def refresh(self, index: int) -> None:
+        """Let a node follow the table service."""
+        self.run(self.nodes[index].configuration.refresh)
+
+    @rule(down=st.booleans(), objects_down=st.booleans())
+    def outage(self, down: bool, objects_down: bool) -> None:
+        """Begin or end outages."""
+        self.table.unavailable, self.objects.unavailable = down, objects_down
+
+    @rule()
+    def keep_earlier_state(self) -> None:
+        """Remember the state that late reads answer with."""
+        self.table.earlier = dict(self.table.rows)
+
+    @rule(sender=st.integers(0, NODES - 1), receiver=st.integers(0, NODES - 1))
+    def cut(self, sender: int, receiver: int) -> None:
+        """Let calls from one node to another fail."""
+        self.unreachable.add((sender, receiver))
+
+    @rule()
+    def heal(self) -> None:
+        """Let all calls through."""
+        self.unreachable.clear()
+
+    @rule(index=st.integers(0, NODES - 1), source=st.integers(0, NODES - 1))
+    def restart(self, index: int, source: int) -> None:
+        """Start an instance anew; it recovers from a peer, else from the stores."""
+        peer = self.nodes[source]
+        self.start(index)
+        node = self.nodes[index]
+        if source != index:
+            node.configuration.take_over(peer.state.update_since(0))
+            node.configuration.confirmed_by(peer.configuration.announcement())
+        elif isinstance(self.run(node.configuration.refresh)[0], StoreUnavailable):
+            self.run(node.configuration.load_latest_snapshot)
+            assert node.configuration.confirmation_age() is None
+
+    @rule(index=st.integers(0, NODES - 1), source=st.integers(0, NODES - 1))
+    def fetch(self, index: int, source: int) -> None:
+        """Fetch from a node."""
+        node, peer = self.nodes[index], self.nodes[source]
+        update = peer.state.update_since(node.state.version)
+        node.configuration.take_over(update)
+
+    @rule()
+    def become_quiet(self) -> None:
+        """End the faults and check that every instance has the newest version."""
+        self.table.unavailable = self.objects.unavailable = False
+        self.end_faults()
+        self.unreachable.clear()
+        self.run(*(node.configuration.refresh for node in self.nodes.values()))
+        newest = max(self.committed, default=0)
+        assert {node.state.version for node in self.nodes.values()} == {newest}
+
+    @invariant()
+    def versions_only_grow(self) -> None:
+        """Compare each version with the last one of the same instance."""
+        for index, node in self.nodes.items():
+            assert node.state.version >= self.seen[index], "an instance went back"
+            self.seen[index] = node.state.version
+
+    @invariant()
+    def states_match_the_committed_versions(self) -> None:
+        """Compare the items in force with the sum of the committed deltas."""
+        for node in self.nodes.values():
+            assert node.state.items == self.items_at(node.state.version)
+
+    @invariant()
+    def accepted_is_never_lost(self) -> None:
+        """Compare each accepted change with what its version holds."""
+        for version, changes in self.accepted.items():
+            assert self.committed[version].changes == changes
+
+    def items_at(self, version: int) -> dict[str, bytes]:
+        """Return the items of a version by the oracle."""
+        items: dict[str, bytes] = {}
+        for number in range(1, version + 1):
+            items.update(self.committed[number].changes)  # the machine removes no item
+        return items
