--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -132,7 +132,7 @@
 async def run_instance(settings: Settings) -> None:
     """Run an entry instance until SIGTERM and the end of its requests."""
     async with open_instance(settings, SystemClock()) as instance:
-        peer_host, peer_port = split_address(settings.peer_address)
+        peer_host, peer_port = split_address(settings.peer_listen or settings.peer_address)
         await instance.recovery.recover()
         async with (
             serve_peers(instance.peer_service, peer_host, peer_port),
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -33,6 +33,12 @@
     default=3600.0,
     help="Time after which a graceful stop gives up open requests, in seconds.",
 )
+@click.option(
+    "--peer-listen",
+    default="",
+    help="HOST:PORT to listen on for other entry instances, when they reach --peer-address "
+    "through something else.",
+)
 @click.option(
     "--seed",
     "seeds",
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -26,6 +26,7 @@
     address_ttl: timedelta = timedelta(seconds=10)
     drain_limit: timedelta = timedelta(hours=1)
     seeds: tuple[str, ...] = ()
+    peer_listen: str = ""
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -41,7 +42,7 @@
         for name in ("node_id", "region", "zone")
         if not getattr(settings, name)
     ]
-    for name in ("caller_address", "peer_address"):
+    for name in ("caller_address", "peer_address", *(["peer_listen"] * bool(settings.peer_listen))):
         findings += _check_address(f"--{name.replace('_', '-')}", getattr(settings, name))
     for name in ("table_url", "object_url", "instance_url"):
         if not getattr(settings, name).startswith("http://"):
--- a/standins/wasabiwell_standins/fleet.py
+++ b/standins/wasabiwell_standins/fleet.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import httpcore
 import msgspec
@@ -155,11 +156,16 @@
         self.list_instance(process, self.deployment.booking_service)
         return process
 
-    def start_entry(self, index: int, *options: str, platform: str | None = None) -> Process:
-        """Start an entry instance and list it."""
+    def start_entry(
+        self, index: int, *options: str, platform: str | None = None, peer_proxy: bool = False
+    ) -> Process:
+        """Start an entry instance and list it; other entries can reach it through a proxy."""
         name = f"entry-{index}"
         caller_port, peer_port = free_ports(2)
         address, peer_address = f"{HOST}:{caller_port}", f"{HOST}:{peer_port}"
+        if peer_proxy:
+            options = (*options, "--peer-listen", peer_address)
+            peer_address, _ = self.start_proxy(peer_address, f"peer-proxy-{index}")
         url = f"http://{platform or self.platform.address}"
         arguments = ["--node-id", name, "--region", self.deployment.region]
         arguments += ["--zone", self._zone(index), "--caller-address", address]
@@ -179,6 +185,22 @@
         process = self._spawn("proxy", name, control, "wasabiwell_standins.proxy", arguments)
         return address, process
 
+    def replace_entry(self, old: Process, *options: str, platform: str | None = None) -> Process:
+        """Start an entry instance under the node id of one that has ended."""
+        self.processes.remove(old)
+        return self.start_entry(int(old.name.removeprefix("entry-")), *options, platform=platform)
+
+    def status(self, entry: Process) -> dict[str, Any]:
+        """Return what an entry instance tells operators about its state."""
+        headers = {"authorization": f"Bearer {self.deployment.operator_key}"}
+        reply = request("GET", entry.address, "/admin/v1/status", headers=headers)
+        status: dict[str, Any] = msgspec.json.decode(reply.content)
+        return status
+
+    def member_statuses(self, entry: Process) -> dict[str, str]:
+        """Return the status of each member that an entry instance knows."""
+        return {item["node_id"]: item["status"] for item in self.status(entry)["members"]}
+
     def list_instance(self, process: Process, service: str, address: str | None = None) -> None:
         """Put a process on the platform's instance list, under another address if given."""
         record = {
@@ -256,11 +278,9 @@
         try:
             if request("GET", entry.address, "/readyz").status != 200:
                 return False
-            headers = {"authorization": f"Bearer {self.deployment.operator_key}"}
-            reply = request("GET", entry.address, "/admin/v1/status", headers=headers)
+            status = self.status(entry)
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
             return False
-        status = msgspec.json.decode(reply.content)
         return wanted <= {target["target_id"] for target in status["targets"]}
 
     def _zone(self, index: int) -> str:
