--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
@@ -5,7 +5,6 @@
 from datetime import timedelta
 
 import trio
-import xxhash
 from wasabiwell_config import Findings, configuration_from_items, validate
 
 from wasabiwell_entry.coordination.configuration.const import (
@@ -39,6 +38,7 @@
     Unreadable,
 )
 from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.ownership import ranked_by_hash
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.configuration import (
@@ -320,14 +320,12 @@
     def _polls_often(self) -> bool:
         """Choose the pollers of each zone by rendezvous hashing over its members."""
         zone = [
-            member.node_id
+            member
             for member in self._members.alive()
             if (member.region, member.zone) == (self._own.region, self._own.zone)
         ]
-        ranked = sorted(
-            zone, key=lambda node_id: xxhash.xxh3_64_intdigest(f"poll\0{node_id}".encode())
-        )
-        return self._own.node_id in ranked[:POLLERS_PER_ZONE]
+        ranked = ranked_by_hash("configuration-poll", zone)[:POLLERS_PER_ZONE]
+        return self._own.node_id in (member.node_id for member in ranked)
 
     def _confirm(self, at: timedelta) -> None:
         if self._confirmed_at is None or at > self._confirmed_at:
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/const.py
@@ -3,6 +3,9 @@
 from datetime import timedelta
 
 INSTANCE_LIST_INTERVAL = timedelta(seconds=1)
+RARE_INSTANCE_LIST_INTERVAL = timedelta(seconds=10)
+LIST_READERS_PER_ZONE = 2
+"""Instances of a zone that read the list often; the others hear of changes by gossip first."""
 HEARTBEAT_INTERVAL = timedelta(seconds=1)
 SILENCE_TIMEOUT = timedelta(seconds=3)
 """Time without an answer (3 heartbeats) after which a stream is replaced."""
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/coordinator.py
@@ -12,9 +12,11 @@
     DIGEST_MISMATCHES,
     HEARTBEAT_INTERVAL,
     INSTANCE_LIST_INTERVAL,
+    LIST_READERS_PER_ZONE,
     MAX_UPDATES,
     PAUSE_THRESHOLD,
     PROBE_TIMEOUT,
+    RARE_INSTANCE_LIST_INTERVAL,
     RECONNECT_INTERVAL,
     SETTLE_TIME,
     SILENCE_TIMEOUT,
@@ -27,6 +29,7 @@
     UpdateQueue,
     table_digest,
 )
+from wasabiwell_entry.coordination.membership.ownership import ranked_by_hash
 from wasabiwell_entry.coordination.membership.ports import (
     AnnouncementPort,
     PeerPort,
@@ -243,7 +246,19 @@
     async def _follow_list(self) -> None:
         while True:
             await self.refresh()
-            await self._clock.sleep(INSTANCE_LIST_INTERVAL)
+            often = self._reads_list_often()
+            await self._clock.sleep(
+                INSTANCE_LIST_INTERVAL if often else RARE_INSTANCE_LIST_INTERVAL
+            )
+
+    def _reads_list_often(self) -> bool:
+        own = self.own
+        zone = [
+            member
+            for member in self._members.serving()
+            if (member.region, member.zone) == (own.region, own.zone)
+        ]
+        return own in ranked_by_hash("instance-list", zone)[:LIST_READERS_PER_ZONE]
 
     async def _reconnect(self) -> None:
         """Try one dead member at a time, so that both sides of a partition find each other."""
--- a/standins/wasabiwell_standins/fleet.py
+++ b/standins/wasabiwell_standins/fleet.py
@@ -157,15 +157,26 @@
         return process
 
     def start_entry(
-        self, index: int, *options: str, platform: str | None = None, peer_proxy: bool = False
+        self,
+        index: int,
+        *options: str,
+        platform: str | None = None,
+        peer_proxy: bool | Callable[[str], str] = False,
     ) -> Process:
-        """Start an entry instance and list it; other entries can reach it through a proxy."""
+        """Start an entry instance and list it.
+
+        Other entries reach it through a proxy process, or through what a function returns for
+        its address.
+        """
         name = f"entry-{index}"
         caller_port, peer_port = free_ports(2)
         address, peer_address = f"{HOST}:{caller_port}", f"{HOST}:{peer_port}"
         if peer_proxy:
             options = (*options, "--peer-listen", peer_address)
-            peer_address, _ = self.start_proxy(peer_address, f"peer-proxy-{index}")
+            if callable(peer_proxy):
+                peer_address = peer_proxy(peer_address)
+            else:
+                peer_address, _ = self.start_proxy(peer_address, f"peer-proxy-{index}")
         url = f"http://{platform or self.platform.address}"
         arguments = ["--node-id", name, "--region", self.deployment.region]
         arguments += ["--zone", self._zone(index), "--caller-address", address]
--- a/standins/wasabiwell_standins/proxy.py
+++ b/standins/wasabiwell_standins/proxy.py
@@ -34,6 +34,7 @@
         self.faults = Faults()
         self.cut = trio.Event()
         self.connections = 0
+        self.bytes_passed = 0
 
     async def serve(self, client: trio.SocketStream) -> None:
         """Pass one connection on until either end closes it or the proxy is cut."""
@@ -68,6 +69,7 @@
                 if self.faults.delay_s:
                     await trio.sleep(self.faults.delay_s)
                 await sink.send_all(data)
+                self.bytes_passed += len(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         scope.cancel()
