--- a/tests/support/membership_machine.py
+++ b/tests/support/membership_machine.py
@@ -218,9 +218,12 @@
 
     @initialize()
     def start_all(self) -> None:
-        """Start all nodes and let them agree."""
+        """Start all nodes, and let them agree again after a zone was cut off for long."""
         for index in range(NODES):
             self.do(self.network.start, index, 0.0)
+        self.publish_mark(0, True)
+        self.become_quiet()
+        self.cut_zone("c", 15.0)
         self.become_quiet()
 
     @rule(sender=st.integers(0, NODES - 1), receiver=st.integers(0, NODES - 1))
@@ -228,13 +231,14 @@
         """Lose all messages from one node to another."""
         self.network.blocked.add((sender, receiver))
 
-    @rule(zone=st.sampled_from("abc"))
-    def cut_zone(self, zone: str) -> None:
-        """Separate a zone from the others."""
+    @rule(zone=st.sampled_from("abc"), seconds=st.sampled_from([0.0, 15.0]))
+    def cut_zone(self, zone: str, seconds: float) -> None:
+        """Separate a zone from the others, for longer than it takes to declare it dead or not."""
         inside = {index for index, (_, name) in enumerate(PLACES) if name == zone}
         for one in inside:
             for other in set(range(NODES)) - inside:
                 self.network.blocked |= {(one, other), (other, one)}
+        self.trio.call(self.network.advance, seconds)
 
     @rule()
     def heal(self) -> None:
