--- a/packages/entry/src/wasabiwell_entry/coordination/membership/ownership.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/ownership.py
@@ -19,5 +19,12 @@
     return max(candidates, key=lambda member: (_score(key, member.node_id), member.node_id))
 
 
+def ranked_by_hash(key: str, members: Iterable[Member]) -> list[Member]:
+    """Return the members in the order in which they would own a key."""
+    return sorted(
+        members, key=lambda member: (_score(key, member.node_id), member.node_id), reverse=True
+    )
+
+
 def _score(key: str, node_id: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{node_id}\0{key}".encode())
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
@@ -107,7 +107,7 @@
             return NotFound(f"no target has the id {target_id}")
         if not status.leaving:
             log_events.emit(log_events.TARGET_DRAINED, target=target_id)
-        status.leaving = True
+        self._sources.target_coordinator.drain(target_id)
         return Done()
 
     def suspects(self) -> tuple[SuspectFigures, ...] | Unavailable:
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -44,6 +44,24 @@
     help="SHA-256 hash of a key that opens the operators' interface while no operator key is "
     "configured; without it only loopback callers get in then.",
 )
+@option(
+    "--drain-limit-s",
+    default=3600.0,
+    help="Time after which a graceful stop gives up open requests, in seconds.",
+)
+@option(
+    "--peer-listen",
+    default="",
+    help="HOST:PORT to listen on for other entry instances, when they reach --peer-address "
+    "through something else.",
+)
+@option(
+    "--seed",
+    "seeds",
+    multiple=True,
+    help="Peer address HOST:PORT of a running entry instance, for a start without the instance "
+    "list; can be repeated.",
+)
 @option(
     "--weight-loads",
     default=120,
--- a/packages/entry/src/wasabiwell_entry/protocol/peer.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/peer.py
@@ -1,11 +1,19 @@
 """Messages between entry instances."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Any, Generic, TypeVar
 
 from wasabiwell_entry.coordination.credits.errors import CreditRefused
 from wasabiwell_entry.coordination.credits.ports import CreditGranted, CreditReturn
 from wasabiwell_entry.state.credits import CreditClaim
+import msgspec
+
+from wasabiwell_entry.coordination.lifecycle.ports import PeerSnapshot
+from wasabiwell_entry.state.configuration import ConfigurationDelta, ConfigurationUpdate
+from wasabiwell_entry.state.heartbeats import Announcement, Heartbeat
+from wasabiwell_entry.state.marks import Mark
+from wasabiwell_entry.state.members import Member, MemberStatus
 
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
@@ -15,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerMethod(Generic[Request, Reply]):
-    """A unary method of the service `wasabiwell.Peer`."""
+    """A method of the service `wasabiwell.Peer`."""
 
     name: str
     request_type: type[Request]
@@ -35,12 +43,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigurationUpdate:
-    """Deltas after the asked version, or all items when the deltas are not retained."""
+class VersionAck:
+    """Tells the configuration version in force at the receiver."""
 
     version: int
-    deltas: list[dict[str, bytes | None]]
-    items: dict[str, bytes] | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,9 +104,97 @@
     granted: int
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotQuery:
+    """Asks for what a starting entry instance needs; `node_id` is the one that asks."""
+
+    node_id: str
+
+
+class MemberFrame(msgspec.Struct, frozen=True, array_like=True):
+    """Member in a heartbeat, without field names."""
+
+    node_id: str
+    incarnation: int
+    region: str
+    zone: str
+    caller_address: str
+    peer_address: str
+    status: MemberStatus
+
+
+class MarkFrame(msgspec.Struct, frozen=True, array_like=True):
+    """Mark in a heartbeat, without field names."""
+
+    kind: str
+    key: str
+    origin: str
+    counter: int
+    expires: int
+    active: bool
+    value: bytes
+
+
+class HeartbeatFrame(msgspec.Struct, frozen=True, array_like=True):
+    """Heartbeat without field names, because the names would double its size.
+
+    `confirmation_age_ms` is -1 when the version was never confirmed.
+    """
+
+    sender: str
+    incarnation: int
+    digest: int
+    version: int
+    confirmation_age_ms: int
+    members: tuple[MemberFrame, ...] = ()
+    marks: tuple[MarkFrame, ...] = ()
+
+
+def heartbeat_frame(heartbeat: Heartbeat) -> HeartbeatFrame:
+    """Return the message of a heartbeat; an age is rounded up to whole milliseconds."""
+    age = heartbeat.announcement.confirmation_age
+    return HeartbeatFrame(
+        heartbeat.sender,
+        heartbeat.incarnation,
+        heartbeat.digest,
+        heartbeat.announcement.version,
+        -1 if age is None else age // timedelta(milliseconds=1) + 1,
+        tuple(
+            MemberFrame(*(getattr(member, name) for name in MemberFrame.__struct_fields__))
+            for member in heartbeat.members
+        ),
+        tuple(
+            MarkFrame(*(getattr(mark, name) for name in MarkFrame.__struct_fields__))
+            for mark in heartbeat.marks
+        ),
+    )
+
+
+def heartbeat_of(frame: HeartbeatFrame) -> Heartbeat:
+    """Return the heartbeat of a message."""
+    age = frame.confirmation_age_ms
+    return Heartbeat(
+        frame.sender,
+        frame.incarnation,
+        frame.digest,
+        Announcement(frame.version, None if age < 0 else timedelta(milliseconds=age)),
+        tuple(Member(*msgspec.structs.astuple(member)) for member in frame.members),
+        tuple(Mark(*msgspec.structs.astuple(mark)) for mark in frame.marks),
+    )
+
+
+EXCHANGE: PeerMethod[HeartbeatFrame, HeartbeatFrame] = PeerMethod(
+    "Exchange", HeartbeatFrame, HeartbeatFrame
+)
 FETCH_CONFIGURATION: PeerMethod[ConfigurationQuery, ConfigurationUpdate] = PeerMethod(
     "FetchConfiguration", ConfigurationQuery, ConfigurationUpdate
 )
+PUSH_CONFIGURATION: PeerMethod[ConfigurationDelta, VersionAck] = PeerMethod(
+    "PushConfiguration", ConfigurationDelta, VersionAck
+)
+FETCH_SNAPSHOT: PeerMethod[SnapshotQuery, PeerSnapshot] = PeerMethod(
+    "FetchSnapshot", SnapshotQuery, PeerSnapshot
+)
 
 ACQUIRE_CREDIT: PeerMethod[CreditRequest, CreditGrant] = PeerMethod(
     "AcquireCredit", CreditRequest, CreditGrant
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -47,6 +47,9 @@
     target_ca: str = ""
     platform_ca: str = ""
     weight_loads: int = 120
+    drain_limit: timedelta = timedelta(hours=1)
+    seeds: tuple[str, ...] = ()
+    peer_listen: str = ""
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -61,8 +64,11 @@
     for name in ("node_id", "region", "zone"):
         if not re.fullmatch(NAME_PATTERN, getattr(settings, name)):
             findings.append(Finding(flag(name), f"must match {NAME_PATTERN}"))
-    for name in ("caller_address", "peer_address"):
+    listen = ("peer_listen",) if settings.peer_listen else ()
+    for name in ("caller_address", "peer_address", *listen):
         findings += _check_address(flag(name), getattr(settings, name))
+    for seed in settings.seeds:
+        findings += _check_address("--seed", seed)
     if settings.caller_address == settings.peer_address:
         findings.append(Finding("--peer-address", "must differ from --caller-address"))
     for name in ("table_url", "object_url", "instance_url"):
@@ -73,7 +79,7 @@
         findings.append(Finding("--max-body-bytes", "must be above 0"))
     if settings.weight_loads <= 0:
         findings.append(Finding("--weight-loads", "must be above 0"))
-    for name in ("body_timeout", "address_ttl", "otlp_interval"):
+    for name in ("body_timeout", "address_ttl", "drain_limit", "otlp_interval"):
         if getattr(settings, name) <= timedelta():
             findings.append(Finding(f"{flag(name)}-s", "must be above 0"))
     if not 0 <= settings.otlp_sample_ratio <= 1:
--- a/packages/entry/src/wasabiwell_entry/state/configuration.py
+++ b/packages/entry/src/wasabiwell_entry/state/configuration.py
@@ -3,8 +3,10 @@
 from collections import deque
 from dataclasses import dataclass
 
+import msgspec
 from wasabiwell_config import (
     Configuration,
+    Finding,
     Findings,
     Items,
     ModelService,
@@ -21,10 +23,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationDelta:
-    """The items changed by one version; a removed item maps to None."""
+    """The items changed by one version; a removed item maps to None.
+
+    `attempt_id` identifies the commit, so that a lost reply can be settled later.
+    """
 
     version: int
     changes: dict[str, bytes | None]
+    attempt_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationUpdate:
+    """What a peer lacks: the deltas after its version, or all items when they are not retained."""
+
+    version: int
+    deltas: list[ConfigurationDelta]
+    items: Items | None = None
 
 
 class ConfigurationView:
@@ -138,45 +153,65 @@
     def deltas_since(self, version: int) -> list[ConfigurationDelta] | None:
         """Return the deltas after a version, or None when they are not all retained."""
         wanted = [delta for delta in self._deltas if delta.version > version]
-        if len(wanted) != self._version - version:
+        if version < self._version and len(wanted) != self._version - version:
             return None
         return wanted
 
+    def update_since(self, version: int) -> ConfigurationUpdate:
+        """Return what an instance with this version lacks."""
+        deltas = self.deltas_since(version)
+        if deltas is None:
+            return ConfigurationUpdate(self._version, [], dict(self._items))
+        return ConfigurationUpdate(self._version, deltas)
+
     def advance(self, delta: ConfigurationDelta) -> Findings | None:
-        """Put the next version in force; return findings when it cannot be read.
+        """Put the next version in force; return findings of items that cannot be read.
 
-        A delta that does not follow the version in force is ignored.
+        A delta that does not follow the version in force is ignored. An item that cannot be read
+        stays as it was in the look-ups, and the other items of the delta are in force.
         """
         if delta.version != self._version + 1:
             return None
-        findings = self._install(delta.version, delta.changes)
-        if findings is None:
-            self._deltas.append(delta)
-        return findings
+        self._deltas.append(delta)
+        return self._install(delta.version, delta.changes)
 
     def replace(self, version: int, items: Items) -> Findings | None:
-        """Put a snapshot in force when its version is higher; return findings if unreadable."""
+        """Put a snapshot in force when its version is higher; return findings like `advance`."""
         if version <= self._version:
             return None
-        findings = self._install(version, changed_items(self._items, items))
-        if findings is None:
-            self._deltas.clear()
-        return findings
+        self._deltas.clear()
+        return self._install(version, changed_items(self._items, items))
 
     def _install(self, version: int, changes: dict[str, bytes | None]) -> Findings | None:
         present = {path: value for path, value in changes.items() if value is not None}
-        match configuration_from_items(present):
+        self._version = version
+        for path in changes.keys() - present.keys():
+            self._items.pop(path, None)
+            self._view.remove(path)
+        self._items.update(present)
+        match _read(present):
             case Findings() as findings:
+                self._put_readable(present)
                 return findings
             case changed:
-                self._version = version
-                for path in changes.keys() - present.keys():
-                    self._items.pop(path, None)
-                    self._view.remove(path)
-                self._items.update(present)
                 self._view.put(changed)
                 return None
 
+    def _put_readable(self, items: Items) -> None:
+        for path, value in items.items():
+            match _read({path: value}):
+                case Configuration() as changed:
+                    self._view.put(changed)
+                case Findings():
+                    pass
+
+
+def _read(items: Items) -> Configuration | Findings:
+    try:
+        return configuration_from_items(items)
+    except msgspec.DecodeError as error:
+        return Findings((Finding("items", f"not valid JSON: {error}"),))
+
 
 def apply_changes(items: Items, changes: dict[str, bytes | None]) -> Items:
     """Return the items with the changes made."""
--- a/packages/entry/src/wasabiwell_entry/transport/http/admin.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/admin.py
@@ -7,6 +7,7 @@
 
 from wasabiwell_entry.coordination.configuration.errors import (
     Accepted,
+    AcceptedNotShared,
     ApplyOutcome,
     ApplyUnavailable,
     ApplyUncertain,
@@ -36,6 +37,7 @@
 ADMIN_PREFIX = "/admin/v1/"
 STATUS_BY_OUTCOME = {
     "accepted": 200,
+    "accepted_not_shared": 200,
     "conflict": 409,
     "invalid": 422,
     "unavailable": 503,
@@ -170,8 +172,11 @@
 
 def _apply_reply(outcome: ApplyOutcome) -> ApplyReply:
     match outcome:
-        case Accepted(version=version):
-            return ApplyReply("accepted", version)
+        case Accepted(version=version, peers=peers):
+            return ApplyReply("accepted", version, peers=peers)
+        case AcceptedNotShared(version=version):
+            reason = "the version is committed, but no other entry instance has taken it yet"
+            return ApplyReply("accepted_not_shared", version, reason=reason)
         case Conflict(version=version, paths=paths):
             return ApplyReply("conflict", version, paths)
         case Invalid(findings=findings):
--- /dev/null
+++ b/standins/wasabiwell_standins/measure_membership.py
@@ -0,0 +1,185 @@
+"""Measures the cost of control and the time in which changes reach all entry instances."""
+
+import os
+import re
+import statistics
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from functools import partial
+
+import click
+import httpcore
+import msgspec
+import trio
+from wasabiwell_config import OperatorKey, hash_key
+
+from wasabiwell_standins.deployments import EAVELINE
+from wasabiwell_standins.fleet import HOST, Fleet, Process, free_ports, open_fleet, request
+from wasabiwell_standins.proxy import Proxy
+
+STARTED_AT_ONCE = 6
+SETTLE_SECONDS = 15.0
+EVENT_TIMEOUT_SECONDS = 30.0
+CHANGES = 5
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+DEAD_LINE = r"^(\S+)Z INFO \[110\] entry instance {} is dead"
+IN_FORCE_LINE = r"^(\S+)Z INFO \[200\] configuration version {} is in force"
+
+
+class Relays:
+    """Proxies in front of the peer ports, in one thread; they count the bytes between entries."""
+
+    def __init__(self) -> None:
+        self._proxies: list[Proxy] = []
+        self._ready = threading.Event()
+        threading.Thread(target=trio.run, args=(self._main,), daemon=True).start()
+        self._ready.wait()
+
+    @property
+    def bytes_passed(self) -> int:
+        """Return the bytes of both directions through all proxies."""
+        return sum(proxy.bytes_passed for proxy in self._proxies)
+
+    def add(self, target: str) -> str:
+        """Return the address of a new proxy to a target."""
+        port = free_ports()[0]
+        trio.from_thread.run(self._serve, target, port, trio_token=self._token)
+        return f"{HOST}:{port}"
+
+    async def _main(self) -> None:
+        async with trio.open_nursery() as self._nursery:
+            self._token = trio.lowlevel.current_trio_token()
+            self._ready.set()
+            await trio.sleep_forever()
+
+    async def _serve(self, target: str, port: int) -> None:
+        proxy = Proxy(target)
+        self._proxies.append(proxy)
+        await self._nursery.start(partial(trio.serve_tcp, proxy.serve, port, host=HOST))
+
+
+@dataclass(slots=True)
+class Result:
+    """Figures of one fleet size; bytes count both those sent and those received."""
+
+    entries: int
+    bytes_per_second: float
+    cpu_percent: float
+    cpu_percent_highest: float
+    removal_s: float
+    in_force_s: list[float]
+
+
+def cpu_seconds(process: Process) -> float:
+    """Return the processor time that a process has used."""
+    with open(f"/proc/{process.pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def logged_at(fleet: Fleet, entry: Process, pattern: str) -> float | None:
+    """Return the time (seconds since 1970) of the first log line that matches."""
+    found = re.search(pattern, fleet.log(entry.name), re.MULTILINE)
+    if found is None:
+        return None
+    return datetime.fromisoformat(found[1]).replace(tzinfo=UTC).timestamp()
+
+
+def last_logged(fleet: Fleet, entries: list[Process], pattern: str) -> float:
+    """Return the time at which the last entry instance logged a line."""
+    end = time.monotonic() + EVENT_TIMEOUT_SECONDS
+    while time.monotonic() < end:
+        times = [logged_at(fleet, entry, pattern) for entry in entries]
+        found = [moment for moment in times if moment is not None]
+        if len(found) == len(entries):
+            return max(found)
+        time.sleep(0.5)
+    raise TimeoutError(f"{len(entries) - len(found)} entry instances did not log {pattern}")
+
+
+def apply_change(fleet: Fleet, entry: Process) -> tuple[int, float]:
+    """Apply a change and return its version and the time of the answer."""
+    base = int(fleet.status(entry)["configuration_version"])
+    operator = OperatorKey(name="measured", key_hash=hash_key(f"measured-{base}"))
+    body = {"base_version": base, "changes": {"operator/measured": operator}}
+    headers = {"authorization": f"Bearer {fleet.deployment.operator_key}"}
+    reply = request("POST", entry.address, "/admin/v1/configuration", body, headers)
+    accepted = time.time()
+    answer = msgspec.json.decode(reply.content)
+    if answer["outcome"] != "accepted":
+        raise RuntimeError(f"the change was not accepted: {answer}")
+    return answer["version"], accepted
+
+
+def know_all(fleet: Fleet) -> bool:
+    """Return whether each entry instance knows all others as alive."""
+    try:
+        return all(
+            list(fleet.member_statuses(entry).values()) == ["alive"] * len(fleet.entries)
+            for entry in fleet.entries
+        )
+    except httpcore.NetworkError:
+        return False
+
+
+def measure(entries: int, seconds: float) -> Result:
+    """Start a fleet of entry instances without load and measure it."""
+    with open_fleet(EAVELINE) as fleet:
+        fleet.start_platform()
+        relays = Relays()
+        with ThreadPoolExecutor(STARTED_AT_ONCE) as pool:
+            list(
+                pool.map(
+                    lambda index: fleet.start_entry(index, peer_proxy=relays.add), range(entries)
+                )
+            )
+        fleet.apply_example()
+        fleet.wait_until(partial(know_all, fleet), "all members are known", 120.0)
+        time.sleep(SETTLE_SECONDS)
+        bytes_before, began = relays.bytes_passed, time.monotonic()
+        cpu_before = [cpu_seconds(entry) for entry in fleet.entries]
+        time.sleep(seconds)
+        spent = time.monotonic() - began
+        passed = relays.bytes_passed - bytes_before
+        cpu = [
+            (cpu_seconds(entry) - before) / spent * 100
+            for entry, before in zip(fleet.entries, cpu_before, strict=True)
+        ]
+        in_force = []
+        for _ in range(CHANGES):
+            version, accepted = apply_change(fleet, fleet.entries[0])
+            reached = last_logged(fleet, fleet.entries, IN_FORCE_LINE.format(version))
+            in_force.append(max(0.0, reached - accepted))
+        victim = fleet.entries[-1]
+        survivors = [entry for entry in fleet.entries if entry is not victim]
+        killed = time.time()
+        victim.kill()
+        removal = last_logged(fleet, survivors, DEAD_LINE.format(victim.name)) - killed
+    return Result(
+        entries, 2 * passed / spent / entries, statistics.mean(cpu), max(cpu), removal, in_force
+    )
+
+
+@click.command()
+@click.option("--sizes", default="3,6,12,24,48", help="Numbers of entry instances.")
+@click.option("--seconds", default=15.0, help="Time of each cost measurement.")
+def main(sizes: str, seconds: float) -> None:
+    """Print cost and delays for each fleet size."""
+    click.echo(
+        f"{'entries':>8}{'bytes/s':>10}{'CPU %':>8}{'highest':>9}"
+        f"{'kill to removal, s':>20}{'accept to in force, s: median':>31}{'highest':>9}"
+    )
+    for size in sizes.split(","):
+        result = measure(int(size), seconds)
+        click.echo(
+            f"{result.entries:>8}{result.bytes_per_second:>10.0f}{result.cpu_percent:>8.2f}"
+            f"{result.cpu_percent_highest:>9.2f}{result.removal_s:>20.2f}"
+            f"{statistics.median(result.in_force_s):>31.2f}{max(result.in_force_s):>9.2f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/entry/state/configuration.feature
+++ b/tests/entry/state/configuration.feature
@@ -29,3 +29,12 @@
     And a snapshot of version 1 with no items arrives
     Then version 2 is in force
     And key "new" belongs to "dover-roofing"
+
+  Scenario: An item that cannot be read stops neither its version nor the following ones
+    Given a configuration in which "dover-roofing" holds the keys "old"
+    When version 2 holds an unreadable "dover-roofing" and gives "keene-triplex" the keys "new"
+    Then version 2 is in force
+    And key "old" belongs to "dover-roofing"
+    And key "new" belongs to "keene-triplex"
+    When version 3 gives "dover-roofing" the keys "newer"
+    Then key "newer" belongs to "dover-roofing"
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -18,6 +18,12 @@
 """A feature with the tag `fleet.NAME` shares one running deployment among its scenarios."""
 
 
+# behave adds `Path` objects to `sys.path` before it loads the steps; hypothesis reads it at its
+# import and needs text.
+sys.path[:] = [str(item) for item in sys.path]
+import hypothesis  # noqa: E402, F401
+
+
 def before_feature(context: Context, feature: Feature) -> None:
     """Start the deployment that the feature's tags ask for."""
     context.feature_stack = ExitStack()
--- a/tests/steps/entry/state/configuration_steps.py
+++ b/tests/steps/entry/state/configuration_steps.py
@@ -56,3 +56,9 @@
 @then('key "{key}" belongs to nobody')
 def step_nobody(context: Context, key: str) -> None:
     assert context.state.view.organisation_by_key_hash(hash_key(key)) is None
+
+
+@when('version {version:d} holds an unreadable "{bad}" and gives "{name}" the keys "{keys}"')
+def step_unreadable(context: Context, version: int, bad: str, name: str, keys: str) -> None:
+    changes = {f"organisation/{bad}": b'{"weight": "a future form"}', **change(name, keys)}
+    assert context.state.advance(ConfigurationDelta(version, changes)) is not None
