--- a/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
@@ -81,6 +81,9 @@
 class LimitPort(Protocol):
     """Limits of organisations, shared over entry instances."""
 
+    async def prepare(self, organisation: Organisation, size: SizeClass) -> None:
+        """Obtain a share when none is held; it sends no message for each request."""
+
     def try_take(
         self, organisation: Organisation, tokens: int, size: SizeClass
     ) -> LimitLease | Limited:
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/__init__.py
@@ -1,1 +1,5 @@
-"""Limits of organisations, shared over entry instances."""
+"""Limits of organisations."""
+
+from wasabiwell_entry.coordination.limits.coordinator import LimitCoordinator
+
+__all__ = ["LimitCoordinator"]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/const.py
@@ -0,0 +1,15 @@
+"""Constants of limits."""
+
+from datetime import timedelta
+
+SHARE_LIFETIME = timedelta(seconds=15)
+RENEW_INTERVAL = timedelta(seconds=5)
+"""Shares are renewed in one message for each owner, so the interval bounds the control traffic."""
+IDLE_TIME = timedelta(seconds=30)
+"""An organisation without requests for this long is no longer renewed."""
+BURST = timedelta(seconds=1)
+"""Unused rate that is kept, as the time in which it accrues."""
+DEMAND_FLOOR = 0.1
+"""Smallest demand counted for a holder, as a part of the even share, so that it can start."""
+ASK_INTERVAL = timedelta(seconds=1)
+"""A holder whose share is used up asks for more at most this often."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
@@ -0,0 +1,278 @@
+"""Limits of organisations, shared over entry instances by leased shares."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import trio
+from wasabiwell_config import Limits, Organisation
+
+from wasabiwell_entry.coordination.admission.ports import Limited, LimitLease
+from wasabiwell_entry.coordination.limits.const import (
+    ASK_INTERVAL,
+    BURST,
+    IDLE_TIME,
+    RENEW_INTERVAL,
+    SHARE_LIFETIME,
+)
+from wasabiwell_entry.coordination.limits.errors import OwnerUnreachable
+from wasabiwell_entry.coordination.limits.ports import LimitOwnerPort
+from wasabiwell_entry.coordination.limits.shares import (
+    LimitDemand,
+    LimitGrant,
+    LimitRequest,
+    LimitShare,
+    OwnedLimit,
+)
+from wasabiwell_entry.coordination.membership.errors import NoOwner
+from wasabiwell_entry.coordination.membership.ownership import owner_of
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.members import Member, MemberTable
+from wasabiwell_entry.state.requests import SizeClass
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """Token bucket; `level` can be below zero by the last request's size."""
+
+    level: float
+    updated: timedelta
+
+    def refill(self, rate: float, now: timedelta) -> None:
+        """Add what has accrued, up to the burst."""
+        self.level += rate * (now - self.updated).total_seconds()
+        self.level = min(self.level, max(1.0, rate * BURST.total_seconds()))
+        self.updated = now
+
+
+@dataclass(slots=True)
+class _HeldLimit:
+    """An organisation's limits at a holder."""
+
+    organisation: Organisation
+    requests: _Bucket
+    tokens: _Bucket
+    share: LimitShare | None = None
+    expires: timedelta = timedelta()
+    asked: timedelta | None = None
+    used: timedelta = timedelta()
+    running_longs: int = 0
+    refused_longs: int = 0
+    counted_since: timedelta = timedelta()
+    counted_requests: int = 0
+    counted_tokens: int = 0
+    asking: trio.Lock = field(default_factory=trio.Lock)
+
+
+class LimitCoordinator:
+    """Holder's and owner's side of limits at one entry instance."""
+
+    __slots__ = ("_clock", "_held", "_members", "_organisation", "_own", "_owned", "_port")
+
+    def __init__(
+        self,
+        own: Member,
+        members: MemberTable,
+        organisation: Callable[[str], Organisation | None],
+        port: LimitOwnerPort,
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._members = members
+        self._organisation = organisation
+        self._port = port
+        self._clock = clock
+        self._held: dict[str, _HeldLimit] = {}
+        self._owned: dict[str, OwnedLimit] = {}
+
+    async def run(self) -> None:
+        """Renew the shares in use until cancelled, with one message to each owner."""
+        while True:
+            await self._clock.sleep(RENEW_INTERVAL)
+            now = self._clock.monotonic()
+            self._forget_idle(now)
+            by_owner: dict[str, tuple[Member, list[_HeldLimit]]] = {}
+            for held in self._held.values():
+                owner = self._owner(held.organisation.name)
+                if owner is not None:
+                    by_owner.setdefault(owner.node_id, (owner, []))[1].append(held)
+            async with trio.open_nursery() as nursery:
+                for owner, items in by_owner.values():
+                    nursery.start_soon(self._acquire, owner, items)
+
+    async def prepare(self, organisation: Organisation, size: SizeClass) -> None:
+        """Ask the owner when no share is held, or no long request is left of the share."""
+        if organisation.limits == Limits():
+            return
+        held = self._hold(organisation)
+        if not self._lacks(held, size):
+            return
+        async with held.asking:
+            now = self._clock.monotonic()
+            recently = held.asked is not None and now - held.asked < ASK_INTERVAL
+            owner = self._owner(organisation.name)
+            if self._lacks(held, size) and not recently and owner is not None:
+                held.refused_longs = int(size is SizeClass.LONG)
+                await self._acquire(owner, [held])
+
+    def try_take(
+        self, organisation: Organisation, tokens: int, size: SizeClass
+    ) -> LimitLease | Limited:
+        """Take leave for one request of `tokens` tokens, prompt and answer together."""
+        lease = LimitLease(organisation.name, size, tokens)
+        if organisation.limits == Limits():
+            return lease
+        held, now = self._hold(organisation), self._clock.monotonic()
+        held.used = now
+        held.counted_requests += 1
+        held.counted_tokens += tokens
+        share = self._share(held, now)
+        if size is SizeClass.LONG and share.longs is not None and held.running_longs >= share.longs:
+            held.refused_longs += 1
+            return Limited("concurrent long requests", ASK_INTERVAL)
+        for name, rate, bucket in (
+            ("requests per second", share.requests_per_second, held.requests),
+            ("tokens per second", share.tokens_per_second, held.tokens),
+        ):
+            if rate is not None:
+                bucket.refill(rate, now)
+                # A request larger than the burst passes on a full bucket and leaves a debt.
+                needed = min(1.0 if bucket is held.requests else float(tokens), _burst(rate))
+                if bucket.level < needed:
+                    return Limited(name, _refill_time(needed - bucket.level, rate))
+        held.requests.level -= 1.0
+        held.tokens.level -= tokens
+        held.running_longs += size is SizeClass.LONG
+        return lease
+
+    def finish(self, lease: LimitLease) -> None:
+        """Tell that a request has ended."""
+        held = self._held.get(lease.organisation)
+        if held is not None and lease.size is SizeClass.LONG:
+            held.running_longs = max(0, held.running_longs - 1)
+
+    async def serve(self, request: LimitRequest) -> LimitGrant:
+        """Answer another holder as the owner."""
+        return self.grant(request)
+
+    def grant(self, request: LimitRequest) -> LimitGrant:
+        """Return shares of the organisations that this instance owns."""
+        now = self._clock.monotonic()
+        members = self._region_members()
+        part = len(members) / max(1, len(self._members.alive()))
+        shares = []
+        for demand in request.demands:
+            organisation = self._organisation(demand.organisation)
+            if organisation is None:
+                continue
+            owned = self._owned.setdefault(demand.organisation, OwnedLimit())
+            limits = _part_of(organisation.limits, part)
+            shares.append(owned.grant(request.node_id, demand, limits, len(members), now))
+        return LimitGrant(shares)
+
+    async def _acquire(self, owner: Member, items: list[_HeldLimit]) -> None:
+        now = self._clock.monotonic()
+        request = LimitRequest(self._own.node_id, [_demand(held, now) for held in items])
+        for held in items:
+            held.asked, held.refused_longs = now, 0
+        if owner.node_id == self._own.node_id:
+            grant: LimitGrant | OwnerUnreachable = self.grant(request)
+        else:
+            grant = await self._port.acquire(owner, request)
+        if isinstance(grant, OwnerUnreachable):
+            return
+        for share in grant.shares:
+            held_limit = self._held.get(share.organisation)
+            if held_limit is not None:
+                held_limit.share = share
+                held_limit.expires = now + share.lifetime
+
+    def _share(self, held: _HeldLimit, now: timedelta) -> LimitShare:
+        """Return the share in force; without one, the limit divided by the live members."""
+        if held.share is not None and held.expires > now:
+            return held.share
+        limits, members = held.organisation.limits, max(1, len(self._members.alive()))
+        return LimitShare(
+            held.organisation.name,
+            _divided(limits.requests_per_second, members),
+            _divided(limits.tokens_per_second, members),
+            None if limits.concurrent_long is None else limits.concurrent_long // members,
+            SHARE_LIFETIME,
+        )
+
+    def _lacks(self, held: _HeldLimit, size: SizeClass) -> bool:
+        if held.share is None or held.expires <= self._clock.monotonic():
+            return True
+        longs = held.share.longs
+        return size is SizeClass.LONG and longs is not None and held.running_longs >= longs
+
+    def _hold(self, organisation: Organisation) -> _HeldLimit:
+        now = self._clock.monotonic()
+        held = self._held.get(organisation.name)
+        if held is None:
+            members = max(1, len(self._members.alive()))
+            limits = organisation.limits
+            # A new holder starts with its even part of one burst, not with a burst of the limit.
+            held = _HeldLimit(
+                organisation,
+                _Bucket(_start_level(limits.requests_per_second, members), now),
+                _Bucket(_start_level(limits.tokens_per_second, members), now),
+                used=now,
+                counted_since=now,
+            )
+            self._held[organisation.name] = held
+        held.organisation = organisation
+        return held
+
+    def _forget_idle(self, now: timedelta) -> None:
+        self._held = {
+            name: held
+            for name, held in self._held.items()
+            if held.running_longs or now - held.used < IDLE_TIME
+        }
+
+    def _owner(self, organisation: str) -> Member | None:
+        owner = owner_of(f"organisation/{organisation}", self._region_members())
+        return None if isinstance(owner, NoOwner) else owner
+
+    def _region_members(self) -> list[Member]:
+        return [item for item in self._members.alive() if item.region == self._own.region]
+
+
+def _demand(held: _HeldLimit, now: timedelta) -> LimitDemand:
+    """Return the demand since the last question and begin a new count."""
+    seconds = max(1.0, (now - held.counted_since).total_seconds())
+    demand = LimitDemand(
+        held.organisation.name,
+        held.counted_requests / seconds,
+        held.counted_tokens / seconds,
+        held.running_longs + held.refused_longs,
+    )
+    held.counted_since, held.counted_requests, held.counted_tokens = now, 0, 0
+    return demand
+
+
+def _part_of(limits: Limits, part: float) -> Limits:
+    return Limits(
+        requests_per_second=_divided(limits.requests_per_second, 1 / part),
+        tokens_per_second=_divided(limits.tokens_per_second, 1 / part),
+        concurrent_long=(
+            None if limits.concurrent_long is None else round(limits.concurrent_long * part)
+        ),
+    )
+
+
+def _divided(limit: float | None, parts: float) -> float | None:
+    return None if limit is None else limit / parts
+
+
+def _burst(rate: float) -> float:
+    return max(1.0, rate * BURST.total_seconds())
+
+
+def _start_level(limit: float | None, members: int) -> float:
+    return 0.0 if limit is None else _burst(limit / members)
+
+
+def _refill_time(missing: float, rate: float) -> timedelta:
+    return min(timedelta(seconds=missing / rate), SHARE_LIFETIME) if rate > 0 else SHARE_LIFETIME
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/ports.py
@@ -0,0 +1,14 @@
+"""What limits need of the other layers."""
+
+from typing import Protocol
+
+from wasabiwell_entry.coordination.limits.errors import OwnerUnreachable
+from wasabiwell_entry.coordination.limits.shares import LimitGrant, LimitRequest
+from wasabiwell_entry.state.members import Member
+
+
+class LimitOwnerPort(Protocol):
+    """Messages to the owners of limits."""
+
+    async def acquire(self, owner: Member, request: LimitRequest) -> LimitGrant | OwnerUnreachable:
+        """Ask another entry instance for shares."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/shares.py
@@ -0,0 +1,107 @@
+"""Shares of limits: what holders ask for, and how an owner divides a limit among them."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from wasabiwell_config import Limits
+
+from wasabiwell_entry.coordination.limits.const import DEMAND_FLOOR, SHARE_LIFETIME
+
+
+@dataclass(frozen=True, slots=True)
+class LimitDemand:
+    """Demand of a holder: rates of requests and tokens, and long requests wanted at once."""
+
+    organisation: str
+    requests_per_second: float
+    tokens_per_second: float
+    longs: int
+
+
+@dataclass(frozen=True, slots=True)
+class LimitRequest:
+    """A holder's demand for organisations with one owner."""
+
+    node_id: str
+    demands: list[LimitDemand]
+
+
+@dataclass(frozen=True, slots=True)
+class LimitShare:
+    """A share of an organisation's limits for `lifetime`; None means no limit."""
+
+    organisation: str
+    requests_per_second: float | None
+    tokens_per_second: float | None
+    longs: int | None
+    lifetime: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class LimitGrant:
+    """Shares, in the order of the demands; organisations that are not known are left out."""
+
+    shares: list[LimitShare]
+
+
+@dataclass(slots=True)
+class _Holder:
+    demand: LimitDemand
+    share: LimitShare
+    expires: timedelta
+
+
+@dataclass(slots=True)
+class OwnedLimit:
+    """One organisation's limits at their owner, with the shares that holders have."""
+
+    holders: dict[str, _Holder] = field(default_factory=dict)
+
+    def grant(
+        self, node_id: str, demand: LimitDemand, limits: Limits, members: int, now: timedelta
+    ) -> LimitShare:
+        """Return a share by demand; all shares that have not expired never exceed the limits."""
+        self.holders = {
+            name: holder for name, holder in self.holders.items() if holder.expires > now
+        }
+        others = [holder for name, holder in self.holders.items() if name != node_id]
+        share = LimitShare(
+            demand.organisation,
+            _rate_share(
+                limits.requests_per_second,
+                demand.requests_per_second,
+                [
+                    (item.demand.requests_per_second, item.share.requests_per_second)
+                    for item in others
+                ],
+                members,
+            ),
+            _rate_share(
+                limits.tokens_per_second,
+                demand.tokens_per_second,
+                [(item.demand.tokens_per_second, item.share.tokens_per_second) for item in others],
+                members,
+            ),
+            _long_share(limits.concurrent_long, demand.longs, others),
+            SHARE_LIFETIME,
+        )
+        self.holders[node_id] = _Holder(demand, share, now + SHARE_LIFETIME)
+        return share
+
+
+def _rate_share(
+    limit: float | None, demand: float, others: list[tuple[float, float | None]], members: int
+) -> float | None:
+    if limit is None:
+        return None
+    floor = DEMAND_FLOOR * limit / max(1, members)
+    own = max(demand, floor)
+    total = own + sum(max(other, floor) for other, _ in others)
+    left = limit - sum(share or 0.0 for _, share in others)
+    return max(0.0, min(limit * own / total, left))
+
+
+def _long_share(limit: int | None, wanted: int, others: list[_Holder]) -> int | None:
+    if limit is None:
+        return None
+    return max(0, min(wanted, limit - sum(item.share.longs or 0 for item in others)))
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/const.py
@@ -1,8 +1,25 @@
-"""Constants of choosing a target."""
+"""Constants of choosing a target; costs are in prompt tokens that an engine has to process."""
 
 from datetime import timedelta
 
 LOST_TARGET_PAUSE = timedelta(seconds=2)
 """A target that was lost gets no request for this long."""
 REMOTE_ZONE_PENALTY = 0.5
-"""Outstanding requests that a target in another zone counts more."""
+"""Outstanding requests that a plain target in another zone counts more."""
+REPORT_AGE = timedelta(milliseconds=750)
+"""Age that a load report may have when it arrives; engines refresh it every 500 ms."""
+SILENCE = timedelta(seconds=2)
+"""An engine without a report for this long is chosen only when no other is left."""
+SILENCE_COST = 1_000_000
+REMOTE_ZONE_COST = 100
+"""A round trip of 2 ms at 40,000 tokens/s."""
+SLOT_COST = 100
+"""Cost of each sequence that shares the engine's steps."""
+LONG_BACKLOG_TOKENS = 8_000
+"""A prefill backlog above this contains a prompt that is not short."""
+LONG_BACKLOG_COST = 6_000
+"""Each step of a long prefill takes a chunk of 2,048 tokens; a short prompt meets several."""
+PREFIX_BLOCK_TOKENS = 1_024
+"""Tokens of one block of `GenerateRequest.prefix_hashes`."""
+MAX_CANDIDATES = 8
+"""Engines that are tried for one request before it waits for more capacity."""
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/coordinator.py
@@ -1,31 +1,88 @@
-"""Chooses the target with the fewest outstanding requests, preferring the own zone."""
+"""Chooses targets by the policy in force."""
 
-from wasabiwell_entry.coordination.routing.const import LOST_TARGET_PAUSE, REMOTE_ZONE_PENALTY
+import heapq
+
+from wasabiwell_entry.coordination.routing.const import (
+    LONG_BACKLOG_COST,
+    LONG_BACKLOG_TOKENS,
+    LOST_TARGET_PAUSE,
+    MAX_CANDIDATES,
+    PREFIX_BLOCK_TOKENS,
+    REMOTE_ZONE_COST,
+    REMOTE_ZONE_PENALTY,
+    SILENCE_COST,
+    SLOT_COST,
+)
 from wasabiwell_entry.coordination.routing.errors import NoTarget
+from wasabiwell_entry.coordination.routing.estimate import estimate_engine
+from wasabiwell_entry.coordination.routing.policies import (
+    Current,
+    LeastOutstanding,
+    Policy,
+    RoundRobin,
+)
 from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.requests import GenerateRequest, SizeClass
 from wasabiwell_entry.state.targets import TargetStatus, TargetTable
 
 
 class Router:
     """Chooses targets for one entry instance in the zone `zone`."""
 
-    __slots__ = ("_clock", "_targets", "_zone")
+    __slots__ = ("_clock", "_policy", "_targets", "_turn", "_zone")
 
-    def __init__(self, targets: TargetTable, zone: str, clock: Clock) -> None:
+    def __init__(
+        self, targets: TargetTable, zone: str, clock: Clock, policy: Policy | None = None
+    ) -> None:
         self._targets = targets
         self._zone = zone
         self._clock = clock
+        self._policy = policy or Current()
+        self._turn = 0
+
+    @property
+    def policy(self) -> Policy:
+        """Return the policy in force."""
+        return self._policy
 
     def choose(self, service: str, excluded: frozenset[str]) -> TargetStatus | NoTarget:
         """Return the target that should take the next request of a service."""
+        usable = self.usable(service, excluded)
+        if isinstance(usable, NoTarget):
+            return usable
+        match self._policy:
+            case RoundRobin():
+                self._turn += 1
+                return usable[self._turn % len(usable)]
+            case LeastOutstanding(remote_zone_penalty=penalty):
+                return min(usable, key=lambda status: self._outstanding(status, penalty))
+            case Current():
+                return min(usable, key=lambda item: self._outstanding(item, REMOTE_ZONE_PENALTY))
+
+    def usable(self, service: str, excluded: frozenset[str]) -> list[TargetStatus] | NoTarget:
+        """Return the targets of a service that take new work, in the order of their ids."""
         statuses = self._targets.of_service(service)
         if not statuses:
             return NoTarget(f"no target of service {service} is known")
-        usable = [status for status in statuses if self._usable(status)]
-        fresh = [status for status in usable if status.target.target_id not in excluded]
+        fresh = [
+            status
+            for status in statuses
+            if self._usable(status) and status.target.target_id not in excluded
+        ]
         if not fresh:
             return NoTarget(f"no target of service {service} takes new work")
-        return min(fresh, key=self._cost)
+        return sorted(fresh, key=lambda status: status.target.target_id)
+
+    def rank(
+        self, request: GenerateRequest, excluded: frozenset[str]
+    ) -> list[TargetStatus] | NoTarget:
+        """Return the best engines for a request, the best first."""
+        usable = self.usable(request.service, excluded)
+        if isinstance(usable, NoTarget):
+            return usable
+        costs = [(self._cost(request, status), status.target.target_id) for status in usable]
+        by_id = {status.target.target_id: status for status in usable}
+        return [by_id[target_id] for _, target_id in heapq.nsmallest(MAX_CANDIDATES, costs)]
 
     def _usable(self, status: TargetStatus) -> bool:
         if status.leaving:
@@ -34,6 +91,30 @@
             return True
         return self._clock.monotonic() - status.lost_at > LOST_TARGET_PAUSE
 
-    def _cost(self, status: TargetStatus) -> tuple[float, str]:
-        penalty = 0.0 if status.target.zone == self._zone else REMOTE_ZONE_PENALTY
+    def _outstanding(self, status: TargetStatus, remote_zone_penalty: float) -> tuple[float, str]:
+        penalty = 0.0 if status.target.zone == self._zone else remote_zone_penalty
         return status.outstanding + penalty, status.target.target_id
+
+    def _cost(self, request: GenerateRequest, status: TargetStatus) -> float:
+        if status.load is None:
+            return SILENCE_COST
+        estimate = estimate_engine(status, status.load, self._clock.monotonic())
+        cost = float(SILENCE_COST if estimate.silent else 0)
+        cost += 0 if status.target.zone == self._zone else REMOTE_ZONE_COST
+        if request.size is SizeClass.LONG:
+            # Longs are packed on engines that already hold much, so that few engines delay shorts.
+            return cost + estimate.free_tokens
+        cost += request.prompt_tokens - _cached_tokens(request, status)
+        cost += SLOT_COST * max(0, status.load.slots - estimate.free_slots)
+        if estimate.prefill_tokens <= LONG_BACKLOG_TOKENS or request.size is SizeClass.MEDIUM:
+            return cost + estimate.prefill_tokens
+        return cost + LONG_BACKLOG_TOKENS + LONG_BACKLOG_COST
+
+
+def _cached_tokens(request: GenerateRequest, status: TargetStatus) -> int:
+    blocks = 0
+    for block in request.prefix_hashes:
+        if block not in status.cached_prefixes:
+            break
+        blocks += 1
+    return min(blocks * PREFIX_BLOCK_TOKENS, request.prompt_tokens)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/policies.py
@@ -0,0 +1,47 @@
+"""Policies of choosing engines, as data, so that they can be measured side by side."""
+
+from dataclasses import dataclass
+
+from wasabiwell_entry.coordination.routing.errors import UnknownPolicy
+
+DEFAULT_POLICY = "current"
+POLICY_NAMES = ("round-robin", "least-outstanding", "first-landed", "current")
+
+
+@dataclass(frozen=True, slots=True)
+class RoundRobin:
+    """Each target in turn."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeastOutstanding:
+    """The target with the fewest outstanding requests of this entry instance.
+
+    A target in another zone counts `remote_zone_penalty` requests more. The first landed version
+    was this policy with a penalty of 0.5.
+    """
+
+    remote_zone_penalty: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Current:
+    """Fair queue, capacity held before sending, and engine choice by corrected load."""
+
+
+Policy = RoundRobin | LeastOutstanding | Current
+
+
+def policy_of(name: str) -> Policy | UnknownPolicy:
+    """Return the policy with a name."""
+    match name:
+        case "round-robin":
+            return RoundRobin()
+        case "least-outstanding":
+            return LeastOutstanding()
+        case "first-landed":
+            return LeastOutstanding(remote_zone_penalty=0.5)
+        case "current":
+            return Current()
+        case _:
+            return UnknownPolicy(name)
--- a/packages/entry/src/wasabiwell_entry/coordination/targets/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/coordinator.py
@@ -1,11 +1,17 @@
 """Follows the instance list and the load of engines."""
 
+from collections.abc import Callable
+
 import trio
 
 from wasabiwell_entry.coordination.dispatch.ports import TargetFailure
-from wasabiwell_entry.coordination.targets.const import INSTANCE_LIST_INTERVAL, LOAD_INTERVAL
+from wasabiwell_entry.coordination.targets.const import (
+    INSTANCE_LIST_INTERVAL,
+    LOAD_INTERVAL,
+    MAX_CACHED_PREFIXES,
+)
 from wasabiwell_entry.coordination.targets.errors import LoadUnavailable
-from wasabiwell_entry.coordination.targets.ports import LoadPort, LoadReport
+from wasabiwell_entry.coordination.targets.ports import CacheReport, LoadPort, LoadReport
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.platform import InstanceRecord
@@ -15,14 +21,19 @@
 class TargetCoordinator:
     """Keeps the target table of one entry instance; one task polls each engine."""
 
-    __slots__ = ("_clock", "_loads", "_polled", "_targets")
+    __slots__ = ("_clock", "_loads", "_observers", "_polled", "_targets")
 
     def __init__(self, targets: TargetTable, loads: LoadPort, clock: Clock) -> None:
         self._targets = targets
         self._loads = loads
         self._clock = clock
+        self._observers: list[Callable[[], None]] = []
         self._polled: dict[str, trio.CancelScope] = {}
 
+    def observe(self, observer: Callable[[], None]) -> None:
+        """Call an observer after each load report."""
+        self._observers.append(observer)
+
     async def run(self) -> None:
         """Poll the load of each engine in a task of its own until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -64,6 +75,7 @@
         with scope:
             while (status := self._targets.get(target_id)) is not None:
                 await self._poll_once(status)
+                await self._poll_cache(status)
                 await self._clock.sleep(LOAD_INTERVAL)
         del self._polled[target_id]
 
@@ -73,9 +85,34 @@
                 status.load = load
                 status.leaving = status.leaving or leaving
                 status.lost_at = None
+                for observer in self._observers:
+                    observer()
             case LoadUnavailable():
                 self.target_lost(TargetFailure(status.target.target_id, self._clock.monotonic()))
 
+    async def _poll_cache(self, status: TargetStatus) -> None:
+        if status.lost_at is not None:
+            return
+        match await self._loads.cache_events(status.target, status.cache_position):
+            case CacheReport() as report:
+                update_cache(status, report)
+            case LoadUnavailable():
+                # The load query decides whether the engine is lost; old hints stay in use.
+                return
+
+
+def update_cache(status: TargetStatus, report: CacheReport) -> None:
+    """Take over changes of a prefix cache; an engine that restarted begins anew."""
+    if report.last < status.cache_position:
+        status.cached_prefixes.clear()
+    status.cache_position = report.last
+    for event in report.events:
+        status.cached_prefixes.pop(event.block, None)
+        if event.stored:
+            status.cached_prefixes[event.block] = None
+    while len(status.cached_prefixes) > MAX_CACHED_PREFIXES:
+        del status.cached_prefixes[next(iter(status.cached_prefixes))]
+
 
 def _target(record: InstanceRecord) -> Target:
     return Target(
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -7,16 +7,23 @@
 
 import trio
 import trio_asyncio
+from wasabiwell_config import Organisation
 
 from wasabiwell_entry.coordination.addresses import AddressCoordinator
 from wasabiwell_entry.coordination.admission import AdmissionCoordinator
+from wasabiwell_entry.coordination.admission.coordinator import AdmissionPorts
+from wasabiwell_entry.coordination.admission.load_capacity import LoadCapacity
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
 from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
+from wasabiwell_entry.coordination.limits import LimitCoordinator
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
 from wasabiwell_entry.coordination.routing import Router
+from wasabiwell_entry.coordination.routing.errors import UnknownPolicy
+from wasabiwell_entry.coordination.routing.policies import Policy, policy_of
 from wasabiwell_entry.coordination.runs import RunCoordinator
 from wasabiwell_entry.coordination.targets import TargetCoordinator
+from wasabiwell_entry.protocol.peer import ACQUIRE_LIMIT
 from wasabiwell_entry.settings import Settings, split_address
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock, SystemClock
@@ -26,6 +33,7 @@
 from wasabiwell_entry.transport.http.context import HttpContext, HttpLimits
 from wasabiwell_entry.transport.http.server import serve_callers
 from wasabiwell_entry.transport.peer.client import PeerClient, open_peer_client
+from wasabiwell_entry.transport.peer.limits import PeerLimitOwners
 from wasabiwell_entry.transport.peer.server import PeerService, serve_peers
 from wasabiwell_entry.transport.platform.client import (
     HttpInstanceList,
@@ -47,6 +55,7 @@
     targets: TargetCoordinator
     configuration: ConfigurationCoordinator
     lifecycle: LifecycleCoordinator
+    limits: LimitCoordinator
     peers: PeerClient
 
 
@@ -71,9 +80,19 @@
         membership.observe(targets.update_instances)
         configuration = ConfigurationCoordinator(table, configuration_state, clock)
         lifecycle = LifecycleCoordinator(own, members, configuration_state, clock)
+
+        def organisation(name: str) -> Organisation | None:
+            return configuration_state.view.organisation(name)
+
+        limits = LimitCoordinator(own, members, organisation, PeerLimitOwners(peers), clock)
+        capacity = LoadCapacity(target_table, clock)
+        targets.observe(capacity.changed)
         dispatcher = Dispatcher(
             admission=AdmissionCoordinator(
-                Router(target_table, settings.zone, clock), target_table, engines
+                Router(target_table, settings.zone, clock, _policy(settings)),
+                target_table,
+                AdmissionPorts(engines, capacity, limits, organisation),
+                clock,
             ),
             engines=engines,
             plain=HttpPlainClient(clock),
@@ -93,14 +112,17 @@
             limits=HttpLimits(settings.max_body_bytes, settings.body_timeout.total_seconds()),
             status=lambda: _status(settings, configuration_state, members, target_table, lifecycle),
         )
-        yield Instance(settings, http, membership, targets, configuration, lifecycle, peers)
+        yield Instance(settings, http, membership, targets, configuration, lifecycle, limits, peers)
 
 
 async def run_instance(settings: Settings) -> None:
     """Run an entry instance until SIGTERM and the end of its requests."""
     async with open_instance(settings, SystemClock()) as instance:
         peer_host, peer_port = split_address(settings.peer_address)
-        async with serve_peers(PeerService(), peer_host, peer_port), trio.open_nursery() as nursery:
+        service = PeerService()
+        service.handle(ACQUIRE_LIMIT, instance.limits.serve)
+        async with serve_peers(service, peer_host, peer_port), trio.open_nursery() as nursery:
+            nursery.start_soon(instance.limits.run)
             nursery.start_soon(instance.membership.run)
             nursery.start_soon(instance.targets.run)
             nursery.start_soon(instance.configuration.run)
@@ -124,6 +146,13 @@
             lifecycle.leave(f"signal {signal.Signals(number).name}")
 
 
+def _policy(settings: Settings) -> Policy:
+    """Return the policy that the settings name; they were checked at start."""
+    policy = policy_of(settings.policy)
+    assert not isinstance(policy, UnknownPolicy), policy
+    return policy
+
+
 def _own_member(settings: Settings) -> Member:
     return Member(
         node_id=settings.node_id,
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -7,6 +7,7 @@
 import logbook
 import trio
 
+from wasabiwell_entry.coordination.routing.policies import DEFAULT_POLICY
 from wasabiwell_entry.instance import run_instance
 from wasabiwell_entry.settings import Settings, check_settings
 from wasabiwell_entry.state import log_events
@@ -28,6 +29,7 @@
 @click.option(
     "--address-ttl-s", default=10.0, help="Time for which callers keep addresses, in seconds."
 )
+@click.option("--policy", default=DEFAULT_POLICY, help="Policy of choosing engines.")
 def main(body_timeout_s: float, address_ttl_s: float, **values: object) -> None:
     """Run an entry instance of wasabiwell."""
     settings = Settings(
--- a/packages/entry/src/wasabiwell_entry/protocol/engine.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/engine.py
@@ -61,9 +61,27 @@
     queued: int
     total_tokens: int
     free_tokens: int
+    prefill_tokens: int = 0
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class CacheEventBody:
+    """One change of an engine's prefix cache; `kind` is `stored` or `evicted`."""
+
+    seq: int
+    kind: str
+    block: int
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEventsBody:
+    """Answer of `GET /cache-events`; the numbers of events have gaps."""
+
+    events: list[CacheEventBody]
+    last: int
+
+
 @dataclass(frozen=True, slots=True)
 class ReservationBody:
     """Body of `POST /v1/reservations`."""
--- a/packages/entry/src/wasabiwell_entry/protocol/peer.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/peer.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
+from wasabiwell_entry.coordination.limits.shares import LimitGrant, LimitRequest
+
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
 
@@ -43,4 +45,8 @@
     "FetchConfiguration", ConfigurationQuery, ConfigurationUpdate
 )
 
+ACQUIRE_LIMIT: PeerMethod[LimitRequest, LimitGrant] = PeerMethod(
+    "AcquireLimit", LimitRequest, LimitGrant
+)
+
 AnyMethod = PeerMethod[Any, Any]
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from wasabiwell_entry.coordination.routing.errors import UnknownPolicy
+from wasabiwell_entry.coordination.routing.policies import DEFAULT_POLICY, POLICY_NAMES, policy_of
 from wasabiwell_entry.state.outcomes import Finding
 
 MIN_PORT = 1
@@ -24,6 +26,7 @@
     max_body_bytes: int = 16 * 1024 * 1024
     body_timeout: timedelta = timedelta(seconds=30)
     address_ttl: timedelta = timedelta(seconds=10)
+    policy: str = DEFAULT_POLICY
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -46,6 +49,8 @@
             findings.append(Finding(f"--{name.replace('_', '-')}", "must start with http://"))
     if settings.max_body_bytes <= 0:
         findings.append(Finding("--max-body-bytes", "must be above 0"))
+    if isinstance(policy_of(settings.policy), UnknownPolicy):
+        findings.append(Finding("--policy", f"must be one of {', '.join(POLICY_NAMES)}"))
     return findings
 
 
--- a/packages/entry/src/wasabiwell_entry/state/configuration.py
+++ b/packages/entry/src/wasabiwell_entry/state/configuration.py
@@ -29,7 +29,13 @@
 class ConfigurationView:
     """Look-ups of one configuration version."""
 
-    __slots__ = ("_model_services", "_operators", "_organisations", "_plain_services")
+    __slots__ = (
+        "_model_services",
+        "_operators",
+        "_organisations",
+        "_organisations_by_name",
+        "_plain_services",
+    )
 
     def __init__(self, configuration: Configuration) -> None:
         self._model_services = {entry.name: entry for entry in configuration.model_services}
@@ -39,6 +45,7 @@
             for entry in configuration.organisations
             for key_hash in entry.key_hashes
         }
+        self._organisations_by_name = {entry.name: entry for entry in configuration.organisations}
         self._operators = {entry.key_hash: entry for entry in configuration.operators}
 
     def model_service(self, name: str) -> ModelService | None:
@@ -49,6 +56,10 @@
         """Return the plain service of that name."""
         return self._plain_services.get(name)
 
+    def organisation(self, name: str) -> Organisation | None:
+        """Return the organisation of that name."""
+        return self._organisations_by_name.get(name)
+
     def organisation_by_key_hash(self, key_hash: str) -> Organisation | None:
         """Return the organisation that holds a key."""
         return self._organisations.get(key_hash)
--- a/packages/entry/src/wasabiwell_entry/state/targets.py
+++ b/packages/entry/src/wasabiwell_entry/state/targets.py
@@ -1,10 +1,14 @@
 """Targets that an entry instance knows: engines and plain services."""
 
 import enum
+from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+RETAINED_USE = timedelta(seconds=4)
+"""Past of the own use that is kept; it must exceed the age of any load report that is used."""
+
 
 class TargetKind(enum.Enum):
     """Kind of a target."""
@@ -38,11 +42,27 @@
     queued: int
     total_tokens: int
     free_tokens: int
+    prefill_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class UseSample:
+    """What this entry instance had placed on an engine from a time on."""
+
+    at: timedelta
+    slots: int
+    tokens: int
 
 
 @dataclass(slots=True)
 class TargetStatus:
-    """What is known of one target."""
+    """What is known of one target.
+
+    `outstanding`, `outstanding_tokens`, `long_outstanding` and `long_tokens` are what this entry
+    instance has placed there. `samples` is their recent past and `sends` the recent prompts as
+    (time, tokens), both needed to correct a load report, which is older than they are.
+    `cached_prefixes` keeps the order in which prefixes were reported.
+    """
 
     target: Target
     leaving: bool = False
@@ -50,7 +70,33 @@
     load: EngineLoad | None = None
     outstanding: int = 0
     outstanding_tokens: int = 0
-    cached_prefixes: set[int] = field(default_factory=set)
+    long_outstanding: int = 0
+    long_tokens: int = 0
+    cached_prefixes: dict[int, None] = field(default_factory=dict)
+    cache_position: int = 0
+    samples: deque[UseSample] = field(default_factory=deque)
+    sends: deque[tuple[timedelta, int]] = field(default_factory=deque)
+
+    def place(self, now: timedelta, tokens: int, prompt_tokens: int, long: bool) -> None:
+        """Count a request that this entry instance places here."""
+        self.sends.append((now, prompt_tokens))
+        self._change(now, 1, tokens, long)
+
+    def remove(self, now: timedelta, tokens: int, long: bool) -> None:
+        """Count the end of a request that was placed here."""
+        self._change(now, -1, -tokens, long)
+
+    def _change(self, now: timedelta, slots: int, tokens: int, long: bool) -> None:
+        self.outstanding += slots
+        self.outstanding_tokens += tokens
+        if long:
+            self.long_outstanding += slots
+            self.long_tokens += tokens
+        self.samples.append(UseSample(now, self.outstanding, self.outstanding_tokens))
+        while len(self.samples) > 1 and self.samples[1].at < now - RETAINED_USE:
+            self.samples.popleft()
+        while self.sends and self.sends[0][0] < now - RETAINED_USE:
+            self.sends.popleft()
 
 
 class TargetTable:
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -8,8 +8,9 @@
 
 from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.targets.errors import LoadUnavailable
-from wasabiwell_entry.coordination.targets.ports import LoadReport
+from wasabiwell_entry.coordination.targets.ports import CacheEvent, CacheReport, LoadReport
 from wasabiwell_entry.protocol.engine import (
+    CacheEventsBody,
     EngineError,
     FrameReader,
     LoadBody,
@@ -64,9 +65,24 @@
             queued=body.queued,
             total_tokens=body.total_tokens,
             free_tokens=body.free_tokens,
+            prefill_tokens=body.prefill_tokens,
         )
         return LoadReport(load, body.leaving)
 
+    async def cache_events(self, target: Target, after: int) -> CacheReport | LoadUnavailable:
+        """Return the changes of an engine's prefix cache after a number."""
+        try:
+            response = await self._pools.pool(target.address).request(
+                "GET",
+                f"http://{target.address}/cache-events?after={after}",
+                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
+            )
+            body = msgspec.json.decode(response.content, type=CacheEventsBody)
+        except (*NOT_SENT, *BROKEN, msgspec.DecodeError) as error:
+            return LoadUnavailable(repr(error))
+        events = tuple(CacheEvent(event.block, event.kind == "stored") for event in body.events)
+        return CacheReport(events, body.last)
+
     async def reserve(
         self, target: Target, owner: str, tokens: int
     ) -> Reserved | ReservationRefused:
--- a/standins/wasabiwell_standins/engine.py
+++ b/standins/wasabiwell_standins/engine.py
@@ -96,6 +96,8 @@
         self._arrivals = 0
         self._work = trio.Event()
         self._load: dict[str, object] = self.current_load()
+        self._published_events = 0
+        self.control_bytes = 0
 
     @property
     def used_tokens(self) -> int:
@@ -117,6 +119,9 @@
             "queued": len(self.sequences) - running,
             "total_tokens": self.model.total_tokens,
             "free_tokens": self.free_tokens,
+            "prefill_tokens": sum(
+                sequence.prompt_tokens - sequence.prefilled for sequence in self.sequences.values()
+            ),
             "leaving": self.leaving,
         }
 
@@ -129,6 +134,7 @@
     async def _refresh_load(self) -> None:
         while True:
             self._load = self.current_load()
+            self._published_events = len(self.events)
             await trio.sleep(self.model.load_lag_s * self.model.time_scale)
             now = trio.current_time()
             for reservation_id, item in list(self.reservations.items()):
@@ -237,7 +243,7 @@
             await trio.sleep_forever()
         match call.method, call.path:
             case "GET", "/load":
-                await call.reply(200, self._load)
+                await self._reply_control(call, self._load)
             case "GET", "/cache-events":
                 await self._cache_events(call)
             case "POST", "/v1/generate":
@@ -269,6 +275,8 @@
             "cancelled": self.cancelled,
             "overcommit_refusals": self.overcommit_refusals,
             "orders": self.orders,
+            "control_bytes": self.control_bytes,
+            "total_tokens": self.model.total_tokens,
         }
 
     async def _control(self, call: Call) -> None:
@@ -281,8 +289,14 @@
 
     async def _cache_events(self, call: Call) -> None:
         after = int(call.query("after", "0"))
-        events = [event for event in self.events[after : after + 500] if event["kind"] != "lost"]
-        await call.reply(200, {"events": events, "last": min(len(self.events), after + 500)})
+        last = max(after, min(self._published_events, after + 500))
+        events = [event for event in self.events[after:last] if event["kind"] != "lost"]
+        await self._reply_control(call, {"events": events, "last": last})
+
+    async def _reply_control(self, call: Call, value: dict[str, object]) -> None:
+        """Answer a control query and count the bytes of its body."""
+        self.control_bytes += len(msgspec.json.encode(value))
+        await call.reply(200, value)
 
     async def _reserve(self, call: Call) -> None:
         body = msgspec.json.decode(call.body)
--- /dev/null
+++ b/standins/wasabiwell_standins/load.py
@@ -0,0 +1,174 @@
+"""Load tool: sends planned requests at their times and checks each answer.
+
+It reads a plan as JSON from standard input and writes one result for each request to standard
+output. Arrivals are open-loop: a slow answer does not delay the next request. A plan with
+`workers` is closed-loop instead: each organisation keeps that many requests in flight.
+"""
+
+import sys
+from dataclasses import dataclass, field, replace
+
+import click
+import httpcore
+import msgspec
+import trio
+
+from wasabiwell_standins.answers import expected_answer
+from wasabiwell_standins.caller import chat_body
+
+BYTES_PER_TOKEN = 4
+MAX_CONNECTIONS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedRequest:
+    """One request; `prefix` is the text that prompts of one kind share, `at_s` its arrival."""
+
+    at_s: float
+    organisation: str
+    kind: str
+    tag: str
+    prefix: str
+    prompt_tokens: int
+    max_tokens: int
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Requests, the entries they go to in turn, and the keys of the organisations."""
+
+    addresses: list[str]
+    keys: dict[str, str]
+    service: str
+    requests: list[PlannedRequest]
+    workers: int = 0
+    duration_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Result:
+    """What a request gave; `error` is empty when the whole answer is right."""
+
+    organisation: str
+    kind: str
+    prompt_tokens: int
+    status: int = 0
+    first_token_s: float = 0.0
+    total_s: float = 0.0
+    tokens: int = 0
+    error: str = ""
+    run: str = ""
+    texts: list[str] = field(default_factory=list, repr=False)
+
+
+def make_prompt(planned: PlannedRequest) -> bytes:
+    """Return the JSON of messages: the shared prefix, the tag and a filler."""
+    content = f"{planned.prefix} {planned.tag} "
+    filler = "x" * max(0, planned.prompt_tokens * BYTES_PER_TOKEN - len(content) - 32)
+    return msgspec.json.encode([{"role": "user", "content": content + filler}])
+
+
+async def send(
+    pool: httpcore.AsyncConnectionPool, plan: Plan, planned: PlannedRequest, address: str
+) -> Result:
+    """Send one request and check its answer; times count from the planned arrival."""
+    result = Result(planned.organisation, planned.kind, planned.prompt_tokens)
+    messages = make_prompt(planned)
+    body = chat_body(plan.service, messages, planned.max_tokens)
+    headers = [
+        (b"authorization", f"Bearer {plan.keys[planned.organisation]}".encode()),
+        (b"content-type", b"application/json"),
+    ]
+    begin = trio.current_time()
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), planned.timeout_s)
+    url = f"http://{address}/v1/chat/completions"
+    result.error = "no answer in time"
+    with trio.move_on_after(planned.timeout_s):
+        try:
+            async with pool.stream(
+                "POST", url, headers=headers, content=body, extensions={"timeout": timeout}
+            ) as response:
+                await _read(response, result, begin)
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+            result.error = repr(error)
+    result.total_s = trio.current_time() - begin
+    if not result.error and "".join(result.texts) != expected_answer(messages, planned.max_tokens):
+        result.error = "the answer is not the one to this request"
+    result.tokens = len(result.texts)
+    result.texts = []
+    return result
+
+
+async def _read(response: httpcore.Response, result: Result, begin: float) -> None:
+    result.status = response.status
+    if response.status != 200:
+        result.error = (await response.aread()).decode()
+        return
+    buffer = b""
+    done = False
+    async for data in response.aiter_stream():
+        buffer += data
+        *events, buffer = buffer.split(b"\n\n")
+        for event in events:
+            if event == b"data: [DONE]":
+                done = True
+            elif event.startswith(b"data: "):
+                value = msgspec.json.decode(event[6:])
+                if "error" in value:
+                    result.error = str(value["error"])
+                    return
+                if content := value["choices"][0]["delta"].get("content"):
+                    result.first_token_s = result.first_token_s or trio.current_time() - begin
+                    result.texts += [f"{token} " for token in content.split()]
+    result.error = "" if done else "the stream ended without its end mark"
+
+
+async def run_open(plan: Plan) -> list[Result]:
+    """Send each request at its time and return all results."""
+    results: list[Result] = []
+    begin = trio.current_time()
+    async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
+
+        async def one(index: int, planned: PlannedRequest) -> None:
+            await trio.sleep_until(begin + planned.at_s)
+            address = plan.addresses[index % len(plan.addresses)]
+            results.append(await send(pool, plan, planned, address))
+
+        async with trio.open_nursery() as nursery:
+            for index, planned in enumerate(plan.requests):
+                nursery.start_soon(one, index, planned)
+    return results
+
+
+async def run_closed(plan: Plan) -> list[Result]:
+    """Keep `workers` requests of each organisation in flight until the duration has passed."""
+    results: list[Result] = []
+    async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
+
+        async def worker(planned: PlannedRequest, number: int) -> None:
+            count = 0
+            while True:
+                count += 1
+                item = replace(planned, tag=f"{planned.tag}-{number}-{count}")
+                address = plan.addresses[number % len(plan.addresses)]
+                results.append(await send(pool, plan, item, address))
+
+        with trio.move_on_after(plan.duration_s):
+            async with trio.open_nursery() as nursery:
+                for planned in plan.requests:
+                    for number in range(plan.workers):
+                        nursery.start_soon(worker, planned, number)
+    return results
+
+
+@click.command()
+def main() -> None:
+    """Run the plan on standard input and write the results to standard output."""
+    plan = msgspec.json.decode(sys.stdin.buffer.read(), type=Plan)
+    results = trio.run(run_closed if plan.workers else run_open, plan)
+    sys.stdout.buffer.write(msgspec.json.encode(results))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/wasabiwell_standins/measure.py
@@ -0,0 +1,231 @@
+"""Measures the policies of choosing engines side by side, with real entry processes."""
+
+import importlib
+import importlib.util
+import os
+import subprocess
+import sys
+import threading
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import click
+import msgspec
+
+from wasabiwell_standins.deployments import DEPLOYMENTS, Deployment
+from wasabiwell_standins.fleet import Fleet, Process, open_fleet
+from wasabiwell_standins.load import Plan, Result
+from wasabiwell_standins.mixes import plan_backlog, plan_requests
+
+POLICIES = ("round-robin", "least-outstanding", "first-landed", "current")
+TIME_SCALE = 0.6
+"""Factor of the engines' times, so that all policies fit into four minutes."""
+BACKLOG_SECONDS = 4.0
+BACKLOG_WORKERS = 18
+SAMPLE_SECONDS = 0.25
+SEED = 7
+LONG_ORGANISATIONS = 3
+LARGE_WEIGHT = 4.0
+OTHER_MEASUREMENTS = ("relay", "peers", "control", "capacity")
+
+
+@dataclass(slots=True)
+class Phase:
+    """Results of one load run with what the fleet used meanwhile."""
+
+    results: list[Result]
+    entry_cpu_s: float
+    control_bytes: int
+    seconds: float
+    held_shares: list[float] = field(default_factory=list)
+
+
+@click.group(invoke_without_command=True)
+@click.option("--json", "json_file", type=click.Path(), help="Write the figures here.")
+@click.option("--deployment", "names", multiple=True, type=click.Choice(sorted(DEPLOYMENTS)))
+@click.option("--policy", "policies", multiple=True, type=click.Choice(POLICIES))
+@click.option("--seed", default=SEED, show_default=True)
+@click.pass_context
+def main(
+    context: click.Context,
+    json_file: str | None,
+    names: tuple[str, ...],
+    policies: tuple[str, ...],
+    seed: int,
+) -> None:
+    """Measure; without a sub-command, all policies in both deployments."""
+    if context.invoked_subcommand is not None:
+        return
+    figures: dict[str, dict[str, dict[str, dict[str, float | None]]]] = {}
+    for name in names or sorted(DEPLOYMENTS):
+        figures[name] = {"policies": measure(DEPLOYMENTS[name], policies or POLICIES, seed)}
+    if json_file is not None:
+        Path(json_file).write_bytes(msgspec.json.encode({"deployments": figures}) + b"\n")
+
+
+def measure(
+    deployment: Deployment, policies: Iterable[str], seed: int
+) -> dict[str, dict[str, float | None]]:
+    """Measure policies one after another on the engines of one deployment."""
+    figures: dict[str, dict[str, float | None]] = {}
+    with open_fleet(deployment) as fleet:
+        fleet.start_platform()
+        for index in range(deployment.engines):
+            fleet.start_engine(index, "--time-scale", str(TIME_SCALE), "--slots", "16")
+        for policy in policies:
+            entries = [
+                fleet.start_entry(index, "--policy", policy) for index in range(deployment.entries)
+            ]
+            if not figures:
+                fleet.apply_example()
+            fleet.wait_ready()
+            figures[policy] = _measure_policy(fleet, policy, seed)
+            for entry in entries:
+                entry.kill()
+                fleet.unlist(entry)
+                fleet.processes.remove(entry)
+    return figures
+
+
+def _measure_policy(fleet: Fleet, policy: str, seed: int) -> dict[str, float | None]:
+    refusals = _sum_control(fleet, "overcommit_refusals")
+    alone = _run_load(fleet, Plan([], {}, "", plan_requests(fleet.deployment, seed, False)))
+    mixed = _run_load(fleet, Plan([], {}, "", plan_requests(fleet.deployment, seed, True)))
+    overcommit = _sum_control(fleet, "overcommit_refusals") - refusals
+    backlog_plan = Plan(
+        [], {}, "", plan_backlog(fleet.deployment), BACKLOG_WORKERS, BACKLOG_SECONDS
+    )
+    backlog = _run_load(fleet, backlog_plan)
+    p95_alone = percentile(_first_tokens(alone, "short"), 95)
+    p95_mixed = percentile(_first_tokens(mixed, "short"), 95)
+    longs = [result for result in mixed.results if result.kind == "long"]
+    tokens = sum(result.tokens for result in alone.results)
+    figures = {
+        "short_first_token_p95_s": p95_mixed,
+        "short_slowdown_p95": p95_mixed / p95_alone if p95_mixed and p95_alone else None,
+        "long_finished_share": sum(not item.error for item in longs) / len(longs),
+        "worst_share_error": _worst_share_error(fleet.deployment, backlog),
+        "overcommit_events": overcommit,
+        "relay_cpu_ms_per_token": 1000 * alone.entry_cpu_s / max(1, tokens),
+        "control_bytes_per_s": mixed.control_bytes / mixed.seconds,
+    }
+    _print(fleet.deployment.name, policy, figures, alone, mixed)
+    return figures
+
+
+def _run_load(fleet: Fleet, plan: Plan) -> Phase:
+    """Run the load tool in a process of its own and sample the engines meanwhile."""
+    full = Plan(
+        [entry.address for entry in fleet.entries],
+        fleet.deployment.organisations,
+        fleet.deployment.engine_service,
+        plan.requests,
+        plan.workers,
+        plan.duration_s,
+    )
+    cpu, control = _cpu_seconds(fleet.entries), _sum_control(fleet, "control_bytes")
+    shares: list[float] = []
+    stopped = threading.Event()
+    sampler = threading.Thread(target=_sample, args=(fleet, shares, stopped))
+    sampler.start()
+    begin = os.times().elapsed
+    try:
+        finished = subprocess.run(
+            [sys.executable, "-m", "wasabiwell_standins.load"],
+            input=msgspec.json.encode(full),
+            stdout=subprocess.PIPE,
+            check=True,
+        )
+    finally:
+        stopped.set()
+        sampler.join()
+    return Phase(
+        msgspec.json.decode(finished.stdout, type=list[Result]),
+        _cpu_seconds(fleet.entries) - cpu,
+        _sum_control(fleet, "control_bytes") - control,
+        os.times().elapsed - begin,
+        shares,
+    )
+
+
+def _sample(fleet: Fleet, shares: list[float], stopped: threading.Event) -> None:
+    total = fleet.deployment.engine_tokens * len(fleet.of_role("engine"))
+    while not stopped.wait(SAMPLE_SECONDS):
+        shares.append(_sum_control(fleet, "used_tokens") / total)
+
+
+def _sum_control(fleet: Fleet, name: str) -> int:
+    return sum(int(str(fleet.control(engine)[name])) for engine in fleet.of_role("engine"))
+
+
+def _cpu_seconds(processes: Iterable[Process]) -> float:
+    """Return user and system time of processes, from /proc/PID/stat."""
+    ticks = 0
+    for process in processes:
+        fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+        ticks += int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def percentile(values: list[float], percent: int) -> float | None:
+    """Return a percentile by the nearest rank, or None without values."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[max(0, -(-len(ordered) * percent // 100) - 1)]
+
+
+def _first_tokens(phase: Phase, kind: str) -> list[float]:
+    return [item.first_token_s for item in phase.results if item.kind == kind and not item.error]
+
+
+def _worst_share_error(deployment: Deployment, phase: Phase) -> float:
+    """Return the largest relative difference of an organisation's share from its weight."""
+    served = dict.fromkeys(deployment.organisations, 0)
+    for result in phase.results:
+        if not result.error:
+            served[result.organisation] += result.prompt_tokens + result.tokens
+    weights = {
+        name: LARGE_WEIGHT if index < LONG_ORGANISATIONS else 1.0
+        for index, name in enumerate(deployment.organisations)
+    }
+    total, weight_sum = max(1, sum(served.values())), sum(weights.values())
+    return max(abs(served[name] / total / (weights[name] / weight_sum) - 1.0) for name in weights)
+
+
+def _print(
+    deployment: str,
+    policy: str,
+    figures: dict[str, float | None],
+    alone: Phase,
+    mixed: Phase,
+) -> None:
+    click.echo(f"{deployment} {policy}")
+    for label, phase in (("without longs", alone), ("with longs", mixed)):
+        for kind in ("short", "medium", "long"):
+            values = _first_tokens(phase, kind)
+            errors = [item.error for item in phase.results if item.kind == kind and item.error]
+            row = [percentile(values, percent) for percent in (50, 95, 99)]
+            text = "".join(f"{value:>9.3f}" if value is not None else f"{'-':>9}" for value in row)
+            click.echo(f"  {label:<14}{kind:<8}{len(values):>5} right{len(errors):>4} wrong{text}")
+            for error in sorted(set(errors))[:3]:
+                click.echo(f"    {error[:160]}")
+    peak = max(mixed.held_shares, default=0.0)
+    click.echo(f"  peak share of the fleet's memory in use: {peak:.2f}")
+    for name, value in figures.items():
+        click.echo(f"  {name:<26}{value if value is not None else float('nan'):>12.4f}")
+
+
+def _register_others() -> None:
+    """Register the measurements of the other capabilities that exist."""
+    for name in OTHER_MEASUREMENTS:
+        module = f"wasabiwell_standins.measure_{name}"
+        if importlib.util.find_spec(module) is not None:
+            main.add_command(importlib.import_module(module).main, name)
+
+
+_register_others()
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/wasabiwell_standins/mixes.py
@@ -0,0 +1,109 @@
+"""Arrival mixes of the deployments, from fixed seeds."""
+
+import random
+from dataclasses import dataclass
+
+from wasabiwell_standins.deployments import Deployment
+from wasabiwell_standins.load import PlannedRequest
+
+PREFIX_BYTES = 4_300
+"""One whole block of the prefix cache and a part of the next."""
+TIMEOUT_S = 40.0
+SHORT_START_S = 1.0
+"""Longs arrive first, so that they hold memory when the short prompts begin."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Mix:
+    """Rates and sizes; rates are in requests per second, sizes in tokens."""
+
+    duration_s: float
+    short_rate: float
+    storm_rate: float
+    short_tokens: tuple[int, int]
+    short_answer: int
+    medium_rate: float
+    medium_tokens: tuple[int, int]
+    longs: tuple[int, ...]
+    long_answer: int
+
+
+MIXES = {
+    "eaveline": Mix(
+        duration_s=7.0,
+        short_rate=25.0,
+        storm_rate=50.0,
+        short_tokens=(1_000, 3_000),
+        short_answer=16,
+        medium_rate=0.7,
+        medium_tokens=(10_000, 40_000),
+        longs=(900_000, 180_000, 150_000, 120_000, 220_000, 140_000),
+        long_answer=300,
+    ),
+    "fraserline": Mix(
+        duration_s=7.0,
+        short_rate=40.0,
+        storm_rate=40.0,
+        short_tokens=(1_000, 2_000),
+        short_answer=12,
+        medium_rate=1.0,
+        medium_tokens=(20_000, 60_000),
+        longs=(850_000, 200_000, 250_000, 130_000, 160_000),
+        long_answer=300,
+    ),
+}
+
+
+def plan_requests(deployment: Deployment, seed: int, with_longs: bool) -> list[PlannedRequest]:
+    """Return the arrivals of a mix; the short and medium ones do not depend on `with_longs`."""
+    mix = MIXES[deployment.name]
+    names = list(deployment.organisations)
+    generator = random.Random(seed)
+    planned = _poisson(mix, names, generator, "short", mix.short_rate, mix.short_tokens)
+    planned += _poisson(mix, names, generator, "medium", mix.medium_rate, mix.medium_tokens)
+    if with_longs:
+        planned += [
+            PlannedRequest(
+                0.15 * index,
+                names[index % 3],
+                "long",
+                f"long-{seed}-{index}",
+                "",
+                tokens,
+                mix.long_answer,
+                TIMEOUT_S,
+            )
+            for index, tokens in enumerate(mix.longs)
+        ]
+    return sorted(planned, key=lambda item: item.at_s)
+
+
+def _poisson(
+    mix: Mix,
+    names: list[str],
+    generator: random.Random,
+    kind: str,
+    rate: float,
+    sizes: tuple[int, int],
+) -> list[PlannedRequest]:
+    planned: list[PlannedRequest] = []
+    at = SHORT_START_S
+    while True:
+        storm = kind == "short" and at > SHORT_START_S + mix.duration_s / 2
+        at += generator.expovariate(mix.storm_rate if storm else rate)
+        if at > SHORT_START_S + mix.duration_s:
+            return planned
+        name = generator.choice(names)
+        prefix = f"{name} {kind} ".ljust(PREFIX_BYTES, "p") if kind == "short" else ""
+        tokens = generator.randint(*sizes)
+        tag = f"{kind}-{len(planned)}"
+        answer = mix.short_answer
+        planned.append(PlannedRequest(at, name, kind, tag, prefix, tokens, answer, TIMEOUT_S))
+
+
+def plan_backlog(deployment: Deployment) -> list[PlannedRequest]:
+    """Return one pattern for each organisation, repeated while all of them are backlogged."""
+    return [
+        PlannedRequest(0.0, name, "short", f"backlog-{name}", "", 1_500, 16, TIMEOUT_S)
+        for name in deployment.organisations
+    ]
