Test admission, routing and limits, and correct the estimates

Cause: the estimate took 0.75 s of short prompts for a long prefill, own use was counted twice in slots, and the first holder of a limit took all of it. Change: own sends are worked off at an assumed speed, slots use the mean of the own use, and the owner of a limit leaves shares for members that have not asked. Features for the fair queue (with a hypothesis oracle), admission, routing and limits.

--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -66,7 +66,7 @@
         self._ports = ports
         self._clock = clock
         self._queues: dict[str, FairQueue] = {}
-        ports.capacity.on_change(self._grant_all)
+        ports.capacity.on_change(self.capacity_changed)
 
     @asynccontextmanager
     async def admit(
@@ -189,7 +189,8 @@
                 target, shard = reserved.pop()
                 await self._ports.reservations.release(target, shard.reservation_id)
 
-    def _grant_all(self) -> None:
+    def capacity_changed(self) -> None:
+        """Grant what has become available to the requests that wait."""
         for queue in self._queues.values():
             self._grant(queue)
 
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/const.py
@@ -9,7 +9,11 @@
 """An organisation without requests for this long is no longer renewed."""
 BURST = timedelta(seconds=1)
 """Unused rate that is kept, as the time in which it accrues."""
-DEMAND_FLOOR = 0.1
-"""Smallest demand counted for a holder, as a part of the even share, so that it can start."""
+DEMAND_FLOOR = 0.25
+"""Smallest demand counted for each member, as a part of the even share.
+
+It leaves a share for members that have not asked yet. A smaller floor lets one busy entry use more
+of the limit and makes a new one start more slowly.
+"""
 ASK_INTERVAL = timedelta(seconds=1)
 """A holder whose share is used up asks for more at most this often."""
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
@@ -54,10 +54,11 @@
     tokens: _Bucket
     share: LimitShare | None = None
     expires: timedelta = timedelta()
-    asked: timedelta | None = None
+    refused: timedelta | None = None
+    short_of_rate: bool = False
     used: timedelta = timedelta()
     running_longs: int = 0
-    refused_longs: int = 0
+    waiting_longs: int = 0
     counted_since: timedelta = timedelta()
     counted_requests: int = 0
     counted_tokens: int = 0
@@ -89,31 +90,45 @@
         """Renew the shares in use until cancelled, with one message to each owner."""
         while True:
             await self._clock.sleep(RENEW_INTERVAL)
-            now = self._clock.monotonic()
-            self._forget_idle(now)
-            by_owner: dict[str, tuple[Member, list[_HeldLimit]]] = {}
-            for held in self._held.values():
-                owner = self._owner(held.organisation.name)
-                if owner is not None:
-                    by_owner.setdefault(owner.node_id, (owner, []))[1].append(held)
-            async with trio.open_nursery() as nursery:
-                for owner, items in by_owner.values():
-                    nursery.start_soon(self._acquire, owner, items)
+            await self.renew()
+
+    async def renew(self) -> None:
+        """Renew the shares in use once."""
+        now = self._clock.monotonic()
+        self._forget_idle(now)
+        by_owner: dict[str, tuple[Member, list[_HeldLimit]]] = {}
+        for held in self._held.values():
+            owner = self._owner(held.organisation.name)
+            if owner is not None:
+                by_owner.setdefault(owner.node_id, (owner, []))[1].append(held)
+        async with trio.open_nursery() as nursery:
+            for owner, items in by_owner.values():
+                nursery.start_soon(self._acquire, owner, items)
 
     async def prepare(self, organisation: Organisation, size: SizeClass) -> None:
         """Ask the owner when no share is held, or no long request is left of the share."""
         if organisation.limits == Limits():
             return
         held = self._hold(organisation)
-        if not self._lacks(held, size):
+        long = size is SizeClass.LONG
+        held.waiting_longs += long
+        try:
+            if self._lacks(held):
+                async with held.asking:
+                    await self._ask(held)
+        finally:
+            held.waiting_longs -= long
+
+    async def _ask(self, held: _HeldLimit) -> None:
+        """Ask for what still lacks; an owner that did not give it is not asked again at once."""
+        now = self._clock.monotonic()
+        recently = held.refused is not None and now - held.refused < ASK_INTERVAL
+        owner = self._owner(held.organisation.name)
+        if recently or owner is None or not self._lacks(held):
             return
-        async with held.asking:
-            now = self._clock.monotonic()
-            recently = held.asked is not None and now - held.asked < ASK_INTERVAL
-            owner = self._owner(organisation.name)
-            if self._lacks(held, size) and not recently and owner is not None:
-                held.refused_longs = int(size is SizeClass.LONG)
-                await self._acquire(owner, [held])
+        rate_asked = held.short_of_rate
+        await self._acquire(owner, [held])
+        held.refused = now if rate_asked or self._lacks(held) else None
 
     def try_take(
         self, organisation: Organisation, tokens: int, size: SizeClass
@@ -128,7 +143,6 @@
         held.counted_tokens += tokens
         share = self._share(held, now)
         if size is SizeClass.LONG and share.longs is not None and held.running_longs >= share.longs:
-            held.refused_longs += 1
             return Limited("concurrent long requests", ASK_INTERVAL)
         for name, rate, bucket in (
             ("requests per second", share.requests_per_second, held.requests),
@@ -139,6 +153,7 @@
                 # A request larger than the burst passes on a full bucket and leaves a debt.
                 needed = min(1.0 if bucket is held.requests else float(tokens), _burst(rate))
                 if bucket.level < needed:
+                    held.short_of_rate = True
                     return Limited(name, _refill_time(needed - bucket.level, rate))
         held.requests.level -= 1.0
         held.tokens.level -= tokens
@@ -174,7 +189,7 @@
         now = self._clock.monotonic()
         request = LimitRequest(self._own.node_id, [_demand(held, now) for held in items])
         for held in items:
-            held.asked, held.refused_longs = now, 0
+            held.short_of_rate = False
         if owner.node_id == self._own.node_id:
             grant: LimitGrant | OwnerUnreachable = self.grant(request)
         else:
@@ -200,11 +215,11 @@
             SHARE_LIFETIME,
         )
 
-    def _lacks(self, held: _HeldLimit, size: SizeClass) -> bool:
-        if held.share is None or held.expires <= self._clock.monotonic():
+    def _lacks(self, held: _HeldLimit) -> bool:
+        if held.short_of_rate or held.share is None or held.expires <= self._clock.monotonic():
             return True
         longs = held.share.longs
-        return size is SizeClass.LONG and longs is not None and held.running_longs >= longs
+        return longs is not None and held.running_longs + held.waiting_longs > longs
 
     def _hold(self, organisation: Organisation) -> _HeldLimit:
         now = self._clock.monotonic()
@@ -246,7 +261,7 @@
         held.organisation.name,
         held.counted_requests / seconds,
         held.counted_tokens / seconds,
-        held.running_longs + held.refused_longs,
+        held.running_longs + held.waiting_longs,
     )
     held.counted_since, held.counted_requests, held.counted_tokens = now, 0, 0
     return demand
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/const.py
@@ -13,7 +13,9 @@
 SILENCE_COST = 1_000_000
 REMOTE_ZONE_COST = 100
 """A round trip of 2 ms at 40,000 tokens/s."""
-SLOT_COST = 100
+PREFILL_TOKENS_PER_SECOND = 40_000
+"""Speed at which engines are assumed to work off what was sent to them since their report."""
+SLOT_COST = 500
 """Cost of each sequence that shares the engine's steps."""
 LONG_BACKLOG_TOKENS = 8_000
 """A prefill backlog above this contains a prompt that is not short."""
--- a/packages/entry/src/wasabiwell_entry/coordination/targets/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/coordinator.py
@@ -6,6 +6,7 @@
 
 from wasabiwell_entry.coordination.dispatch.ports import TargetFailure
 from wasabiwell_entry.coordination.targets.const import (
+    CACHE_EVENT_INTERVAL,
     INSTANCE_LIST_INTERVAL,
     LOAD_INTERVAL,
     MAX_CACHED_PREFIXES,
@@ -72,10 +73,13 @@
             status.lost_at = None
 
     async def _poll_engine(self, target_id: str, scope: trio.CancelScope) -> None:
+        next_cache_poll = self._clock.monotonic()
         with scope:
             while (status := self._targets.get(target_id)) is not None:
                 await self._poll_once(status)
-                await self._poll_cache(status)
+                if self._clock.monotonic() >= next_cache_poll:
+                    next_cache_poll = self._clock.monotonic() + CACHE_EVENT_INTERVAL
+                    await self._poll_cache(status)
                 await self._clock.sleep(LOAD_INTERVAL)
         del self._polled[target_id]
 
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -86,14 +86,15 @@
 
         limits = LimitCoordinator(own, members, organisation, PeerLimitOwners(peers), clock)
         capacity = LoadCapacity(target_table, clock)
-        targets.observe(capacity.changed)
+        admission = AdmissionCoordinator(
+            Router(target_table, settings.zone, clock, _policy(settings)),
+            target_table,
+            AdmissionPorts(engines, capacity, limits, organisation),
+            clock,
+        )
+        targets.observe(admission.capacity_changed)
         dispatcher = Dispatcher(
-            admission=AdmissionCoordinator(
-                Router(target_table, settings.zone, clock, _policy(settings)),
-                target_table,
-                AdmissionPorts(engines, capacity, limits, organisation),
-                clock,
-            ),
+            admission=admission,
             engines=engines,
             plain=HttpPlainClient(clock),
             runs=RunCoordinator(
--- /dev/null
+++ b/tests/entry/coordination/admission/admission.feature
@@ -0,0 +1,53 @@
+Feature: Admission
+  Guards against long prompts that block short ones, against capacity that is never given back, and
+  against prompts that hold a part of the memory they need.
+
+  Scenario: A long prompt without capacity does not block a short one
+    Given 2 engines of 400000 tokens, of which 300000 are used by others
+    When a request of 200000 tokens is sent
+    And a request of 1000 tokens is sent
+    Then the request of 1000 tokens is placed
+    And the request of 200000 tokens waits
+
+  Scenario: Long prompts leave headroom for short ones
+    Given 1 engines of 400000 tokens, of which 0 are used by others
+    When a request of 200000 tokens is sent
+    And a request of 150000 tokens is sent
+    And a request of 4000 tokens is sent
+    Then the request of 150000 tokens waits
+    And the request of 4000 tokens is placed
+
+  Scenario: A waiting request is placed when capacity is given back
+    Given 1 engines of 400000 tokens, of which 0 are used by others
+    When a request of 200000 tokens is sent
+    And a request of 150000 tokens is sent
+    And the request of 200000 tokens ends
+    Then the request of 150000 tokens is placed
+
+  Scenario: A prompt larger than one engine is split in ascending order
+    Given 4 engines of 400000 tokens, of which 0 are used by others
+    When a request of 900000 tokens is sent
+    Then the request of 900000 tokens is placed
+    And memory was reserved in ascending order of engines for all of it
+    When the request of 900000 tokens ends
+    Then all capacity is back
+
+  Scenario: A refused reservation gives all parts back
+    Given 4 engines of 400000 tokens, of which 0 are used by others
+    And engine 2 refuses reservations
+    When a request of 900000 tokens is sent
+    Then the request of 900000 tokens waits
+    And all capacity is back
+
+  Scenario: Cancelled requests give everything back
+    Given 4 engines of 400000 tokens, of which 0 are used by others
+    When a request of 900000 tokens is sent
+    And a request of 200000 tokens is sent
+    And a request of 1000 tokens is sent
+    And all requests are cancelled
+    Then all capacity is back
+
+  Scenario: A prompt that no set of engines can hold is refused
+    Given 2 engines of 400000 tokens, of which 0 are used by others
+    When a request of 900000 tokens is sent
+    Then the request of 900000 tokens is refused with "prompt_too_long"
--- /dev/null
+++ b/tests/entry/coordination/routing/routing.feature
@@ -0,0 +1,47 @@
+Feature: Choice of engines
+  Guards against shorts that queue behind long prefills, and against wrong choices from late reports.
+
+  Scenario: A cached prefix attracts a request
+    Given 3 reported engines
+    And engine 2 reports the cached blocks "11 12"
+    Then a request of 5000 tokens with the blocks "11 12 13" goes to engine 2
+
+  Scenario: A gap in the cache events does no harm
+    Given 3 reported engines
+    And engine 2 reports the cached blocks "12"
+    Then a request of 5000 tokens with the blocks "11 12 13" goes to engine 0
+
+  Scenario: An evicted prefix does not attract a request
+    Given 3 reported engines
+    And engine 2 reports the cached blocks "11 12"
+    And engine 2 reports the evicted blocks "11"
+    Then a request of 5000 tokens with the blocks "11 12 13" goes to engine 0
+
+  Scenario: A short prompt avoids a long prefill, a second long one joins it
+    Given 3 reported engines
+    And a prompt of 150000 tokens was sent to engine 0
+    Then a request of 2000 tokens with the blocks "" goes to engine 1
+    And a request of 110000 tokens with the blocks "" goes to engine 0
+
+  Scenario: A silent engine is the last choice
+    Given 3 reported engines
+    When 3 seconds pass
+    And engines 1 and 2 report again
+    Then a request of 2000 tokens with the blocks "" goes to engine 1
+
+  Scenario: The own use is not counted twice
+    Given 3 reported engines
+    And a prompt of 50000 tokens was sent to engine 0
+    When 3 seconds pass
+    And engine 0 reports 1 sequence with 50000 tokens
+    Then engine 0 has 350000 tokens free
+
+  Scenario Outline: Compared policies
+    Given 3 reported engines
+    Then the policy "<policy>" sends 4 requests to engines "<engines>"
+
+    Examples:
+      | policy            | engines |
+      | round-robin       | 1 2 0 1 |
+      | least-outstanding | 0 1 2 0 |
+      | first-landed      | 1 0 2 1 |
--- /dev/null
+++ b/tests/steps/entry/coordination/routing_steps.py
@@ -0,0 +1,74 @@
+"""Steps for the choice of engines."""
+
+from behave import given, then, when
+from behave.runner import Context
+from support.admission import SERVICE, make_load, make_request, make_targets
+from wasabiwell_entry.coordination.routing import Router
+from wasabiwell_entry.coordination.routing.estimate import estimate_engine
+from wasabiwell_entry.coordination.routing.policies import policy_of
+from wasabiwell_entry.coordination.targets.coordinator import update_cache
+from wasabiwell_entry.coordination.targets.ports import CacheEvent, CacheReport
+from wasabiwell_entry.state.clock import ManualClock
+
+
+@given("{count:d} reported engines")
+def step_engines(context: Context, count: int) -> None:
+    context.clock = ManualClock()
+    context.targets = make_targets(count, context.clock.monotonic())
+
+
+@given('engine {index:d} reports the {kind} blocks "{blocks}"')
+def step_cache(context: Context, index: int, kind: str, blocks: str) -> None:
+    status = context.targets.get(f"e{index}")
+    events = tuple(CacheEvent(int(block), kind == "cached") for block in blocks.split())
+    update_cache(status, CacheReport(events, status.cache_position + 10))
+
+
+@given("a prompt of {tokens:d} tokens was sent to engine {index:d}")
+def step_sent(context: Context, tokens: int, index: int) -> None:
+    long = tokens >= 100_000
+    context.targets.get(f"e{index}").place(context.clock.monotonic(), tokens, tokens, long)
+
+
+@when("engines {first:d} and {second:d} report again")
+def step_report(context: Context, first: int, second: int) -> None:
+    for index in (first, second):
+        context.targets.get(f"e{index}").load = make_load(context.clock.monotonic())
+
+
+@when("engine {index:d} reports 1 sequence with {tokens:d} tokens")
+def step_report_own(context: Context, index: int, tokens: int) -> None:
+    load = make_load(context.clock.monotonic(), used=tokens, running=1)
+    context.targets.get(f"e{index}").load = load
+
+
+@then('a request of {tokens:d} tokens with the blocks "{blocks}" goes to engine {index:d}')
+def step_goes(context: Context, tokens: int, blocks: str, index: int) -> None:
+    router = Router(context.targets, "z0", context.clock)
+    request = make_request(tokens, blocks=tuple(int(block) for block in blocks.split()))
+    ranked = router.rank(request, frozenset())
+    assert isinstance(ranked, list)
+    assert ranked[0].target.target_id == f"e{index}", [item.target.target_id for item in ranked]
+
+
+@then('a request of {tokens:d} tokens with the blocks "" goes to engine {index:d}')
+def step_goes_without(context: Context, tokens: int, index: int) -> None:
+    step_goes(context, tokens, "", index)
+
+
+@then("engine {index:d} has {tokens:d} tokens free")
+def step_free(context: Context, index: int, tokens: int) -> None:
+    status = context.targets.get(f"e{index}")
+    estimate = estimate_engine(status, status.load, context.clock.monotonic())
+    assert (estimate.free_tokens, estimate.free_slots) == (tokens, 7), estimate
+
+
+@then('the policy "{name}" sends {count:d} requests to engines "{engines}"')
+def step_policy(context: Context, name: str, count: int, engines: str) -> None:
+    router = Router(context.targets, "z1", context.clock, policy_of(name))
+    chosen = []
+    for _ in range(count):
+        status = router.choose(SERVICE, frozenset())
+        status.outstanding += 1
+        chosen.append(status.target.target_id.removeprefix("e"))
+    assert chosen == engines.split(), chosen
