Keep the order of requests in the fair queues

Cause: all entry instances saw the same free slots in late reports and sent up to three times an engine's slots, so callers of large organisations were all in service and no queue decided. The estimate also walked the history of own use on each query. Change: each instance always uses its even part of the slots and more only while the others could too; what a report tells of others is computed once a report; the backlog phase of script/measure keeps organisations backlogged by their weight.

--- a/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
@@ -15,16 +15,20 @@
 class LoadCapacity:
     """Capacity without messages between entry instances.
 
-    Admission counts what it holds in the target table, from which the estimate is made. Several
-    instances can see the same free slot at the same time; the engine's own queue then holds what
-    they sent.
+    Admission counts what it holds in the target table, from which the estimate is made.
+
+    All instances see the same free slots in reports that are up to a second old. Each of them may
+    always use its even part of an engine's slots. Above that it takes a slot only while each other
+    instance could take one too; otherwise all of them would send at once, fill the engine's own
+    queue and take the order of requests out of the fair queues.
     """
 
-    __slots__ = ("_clock", "_holds", "_numbers", "_observers", "_targets")
+    __slots__ = ("_clock", "_holds", "_instances", "_numbers", "_observers", "_targets")
 
-    def __init__(self, targets: TargetTable, clock: Clock) -> None:
+    def __init__(self, targets: TargetTable, clock: Clock, instances: Callable[[], int]) -> None:
         self._targets = targets
         self._clock = clock
+        self._instances = instances
         self._observers: list[Callable[[], None]] = []
         self._holds: set[int] = set()
         self._numbers = 0
@@ -77,7 +81,9 @@
         if status is None or status.load is None:
             return NoCapacity(f"engine {target_id} has not reported its load")
         estimate = estimate_engine(status, status.load, self._clock.monotonic())
-        if estimate.free_slots < 1:
+        instances = max(1, self._instances())
+        even_part = -(-status.load.slots // instances)
+        if status.outstanding >= even_part and estimate.free_slots < instances:
             return NoCapacity(f"engine {target_id} has no free slot")
         available = estimate.free_tokens
         if size is SizeClass.LONG:
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/estimate.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/estimate.py
@@ -1,5 +1,6 @@
 """Estimates what engines have free, from lagging reports and the own recent sends."""
 
+import itertools
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -8,7 +9,7 @@
     REPORT_AGE,
     SILENCE,
 )
-from wasabiwell_entry.state.targets import EngineLoad, TargetStatus
+from wasabiwell_entry.state.targets import EngineLoad, OtherUse, TargetStatus
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,7 +22,7 @@
     free_slots: int
     free_tokens: int
     other_tokens: int
-    prefill_tokens: int
+    prefill_tokens: float
     silent: bool
 
 
@@ -33,19 +34,31 @@
     others is never too low. Slots use the mean, because short requests change them all the time and
     the engine queues what exceeds them.
     """
-    since = load.reported - REPORT_AGE
-    own_slots, own_tokens = _own_use(status, since, load.reported)
-    other_slots = max(0, load.running + load.queued - round(own_slots))
-    other_tokens = max(0, load.total_tokens - load.free_tokens - own_tokens)
+    others = status.others
+    if others is None or others.load is not load:
+        others = status.others = _other_use(status, load)
     return EngineEstimate(
-        free_slots=load.slots - other_slots - status.outstanding,
-        free_tokens=load.total_tokens - other_tokens - status.outstanding_tokens,
-        other_tokens=other_tokens,
-        prefill_tokens=_backlog(status, load, now),
+        free_slots=load.slots - others.slots - status.outstanding,
+        free_tokens=load.total_tokens - others.tokens - status.outstanding_tokens,
+        other_tokens=others.tokens,
+        prefill_tokens=_backlog(status, others.prefill_tokens, load.reported, now),
         silent=now - load.reported > SILENCE,
     )
 
 
+def _other_use(status: TargetStatus, load: EngineLoad) -> OtherUse:
+    """Return what does not change until the next report."""
+    since = load.reported - REPORT_AGE
+    own_slots, own_tokens = _own_use(status, since, load.reported)
+    made = load.reported - REPORT_AGE / 2
+    return OtherUse(
+        load,
+        slots=max(0, load.running + load.queued - round(own_slots)),
+        tokens=max(0, load.total_tokens - load.free_tokens - own_tokens),
+        prefill_tokens=_backlog(status, load.prefill_tokens, made, load.reported),
+    )
+
+
 def _own_use(status: TargetStatus, since: timedelta, until: timedelta) -> tuple[float, int]:
     """Return the mean of the own slots and the least own memory between two times."""
     least: int | None = None
@@ -65,15 +78,15 @@
     return slot_seconds / (until - since).total_seconds(), least
 
 
-def _backlog(status: TargetStatus, load: EngineLoad, now: timedelta) -> int:
-    """Return the prompt tokens still to process: the report and later sends, worked off since."""
-    at = load.reported - REPORT_AGE / 2
-    backlog = float(load.prefill_tokens)
-    for sent, tokens in status.sends:
-        if sent >= at:
-            backlog = _worked_off(backlog, sent - at) + tokens
-            at = sent
-    return int(_worked_off(backlog, now - at))
+def _backlog(status: TargetStatus, backlog: float, since: timedelta, until: timedelta) -> float:
+    """Return the prompt tokens left of a backlog and of the own sends after it."""
+    sends = list(itertools.takewhile(lambda send: send[0] > since, reversed(status.sends)))
+    for sent, tokens in reversed(sends):
+        if sent > until:
+            break
+        backlog = _worked_off(backlog, sent - since) + tokens
+        since = sent
+    return _worked_off(backlog, until - since)
 
 
 def _worked_off(backlog: float, duration: timedelta) -> float:
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -85,7 +85,7 @@
             return configuration_state.view.organisation(name)
 
         limits = LimitCoordinator(own, members, organisation, PeerLimitOwners(peers), clock)
-        capacity = LoadCapacity(target_table, clock)
+        capacity = LoadCapacity(target_table, clock, lambda: len(members.alive()))
         admission = AdmissionCoordinator(
             Router(target_table, settings.zone, clock, _policy(settings)),
             target_table,
--- a/packages/entry/src/wasabiwell_entry/state/targets.py
+++ b/packages/entry/src/wasabiwell_entry/state/targets.py
@@ -54,6 +54,16 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class OtherUse:
+    """What a report tells of the use by others, and the prefill backlog when it arrived."""
+
+    load: EngineLoad
+    slots: int
+    tokens: int
+    prefill_tokens: float
+
+
 @dataclass(slots=True)
 class TargetStatus:
     """What is known of one target.
@@ -61,6 +71,7 @@
     `outstanding`, `outstanding_tokens`, `long_outstanding` and `long_tokens` are what this entry
     instance has placed there. `samples` is their recent past and `sends` the recent prompts as
     (time, tokens), both needed to correct a load report, which is older than they are.
+    `others` is the corrected form of the last report for which it was asked.
     `cached_prefixes` keeps the order in which prefixes were reported.
     """
 
@@ -74,6 +85,7 @@
     long_tokens: int = 0
     cached_prefixes: dict[int, None] = field(default_factory=dict)
     cache_position: int = 0
+    others: OtherUse | None = None
     samples: deque[UseSample] = field(default_factory=deque)
     sends: deque[tuple[timedelta, int]] = field(default_factory=deque)
 
--- a/standins/wasabiwell_standins/load.py
+++ b/standins/wasabiwell_standins/load.py
@@ -2,7 +2,7 @@
 
 It reads a plan as JSON from standard input and writes one result for each request to standard
 output. Arrivals are open-loop: a slow answer does not delay the next request. A plan with
-`workers` is closed-loop instead: each organisation keeps that many requests in flight.
+`workers` is closed-loop instead: each organisation keeps its number of requests in flight.
 """
 
 import sys
@@ -44,7 +44,7 @@
     keys: dict[str, str]
     service: str
     requests: list[PlannedRequest]
-    workers: int = 0
+    workers: dict[str, int] = field(default_factory=dict)
     duration_s: float = 0.0
 
 
@@ -164,7 +164,7 @@
         with trio.move_on_after(plan.duration_s):
             async with trio.open_nursery() as nursery:
                 for planned in plan.requests:
-                    for number in range(plan.workers):
+                    for number in range(plan.workers[planned.organisation]):
                         nursery.start_soon(worker, planned, number)
     return results
 
--- a/standins/wasabiwell_standins/measure.py
+++ b/standins/wasabiwell_standins/measure.py
@@ -21,14 +21,15 @@
 POLICIES = ("round-robin", "least-outstanding", "first-landed", "current")
 TIME_SCALE = 0.6
 """Factor of the engines' times, so that all policies fit into four minutes."""
-BACKLOG_SECONDS = 5.0
+BACKLOG_SECONDS = 6.0
 BACKLOG_START_SECONDS = 1.5
 """Answers before this time are not counted: the queues are still filling."""
-BACKLOG_WORKERS = 30
-"""Requests of each organisation in flight; above the largest share of the slots."""
+LARGE_WORKERS = 36
+SMALL_WORKERS = 12
+"""Requests in flight: above an organisation's part of the slots, so that it stays backlogged."""
 SAMPLE_SECONDS = 0.25
 SEED = 7
-LONG_ORGANISATIONS = 3
+LARGE_ORGANISATIONS = 3
 LARGE_WEIGHT = 4.0
 OTHER_MEASUREMENTS = ("relay", "peers", "control", "capacity")
 
@@ -96,9 +97,11 @@
     alone = _run_load(fleet, Plan([], {}, "", plan_requests(fleet.deployment, seed, False)))
     mixed = _run_load(fleet, Plan([], {}, "", plan_requests(fleet.deployment, seed, True)))
     overcommit = _sum_control(fleet, "overcommit_refusals") - refusals
-    backlog_plan = Plan(
-        [], {}, "", plan_backlog(fleet.deployment), BACKLOG_WORKERS, BACKLOG_SECONDS
-    )
+    workers = {
+        name: LARGE_WORKERS if index < LARGE_ORGANISATIONS else SMALL_WORKERS
+        for index, name in enumerate(fleet.deployment.organisations)
+    }
+    backlog_plan = Plan([], {}, "", plan_backlog(fleet.deployment), workers, BACKLOG_SECONDS)
     backlog = _run_load(fleet, backlog_plan)
     p95_alone = percentile(_first_tokens(alone, "short"), 95)
     p95_mixed = percentile(_first_tokens(mixed, "short"), 95)
@@ -190,9 +193,10 @@
         if not result.error and result.ended_s > BACKLOG_START_SECONDS:
             served[result.organisation] += result.prompt_tokens + result.tokens
     weights = {
-        name: LARGE_WEIGHT if index < LONG_ORGANISATIONS else 1.0
+        name: LARGE_WEIGHT if index < LARGE_ORGANISATIONS else 1.0
         for index, name in enumerate(deployment.organisations)
     }
+    # Tokens count as the fair queue counts them: prompt and answer.
     total, weight_sum = max(1, sum(served.values())), sum(weights.values())
     return max(abs(served[name] / total / (weights[name] / weight_sum) - 1.0) for name in weights)
 
--- a/standins/wasabiwell_standins/mixes.py
+++ b/standins/wasabiwell_standins/mixes.py
@@ -104,6 +104,6 @@
 def plan_backlog(deployment: Deployment) -> list[PlannedRequest]:
     """Return one pattern for each organisation, repeated while all of them are backlogged."""
     return [
-        PlannedRequest(0.0, name, "short", f"backlog-{name}", "", 7_000, 8, TIMEOUT_S)
+        PlannedRequest(0.0, name, "short", f"backlog-{name}", "", 2_500, 4, TIMEOUT_S)
         for name in deployment.organisations
     ]
--- a/tests/steps/entry/coordination/admission_steps.py
+++ b/tests/steps/entry/coordination/admission_steps.py
@@ -33,7 +33,10 @@
     context.targets = make_targets(count, clock.monotonic(), used)
     context.reservations, context.limits = FakeReservations(), CountingLimits()
     ports = AdmissionPorts(
-        context.reservations, LoadCapacity(context.targets, clock), context.limits, _organisation
+        context.reservations,
+        LoadCapacity(context.targets, clock, lambda: 1),
+        context.limits,
+        _organisation,
     )
     router = Router(context.targets, "z0", clock)
     context.admission = AdmissionCoordinator(router, context.targets, ports, clock)
