--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -197,12 +197,12 @@
     def _grant(self, queue: FairQueue) -> None:
         """Grant capacity to waiting requests in the order of their turns.
 
-        A request that finds none does not hold up those behind it, except that an aged long or
-        medium one keeps medium and long ones from taking the memory for which it waits.
+        A request that finds none does not hold up those behind it, except that an aged one keeps
+        medium and long ones that have not aged from taking the memory for which it waits.
         """
         held_up = False
         for size, aged in queue.class_order():
-            if held_up and size in AGEING:
+            if held_up and size in AGEING and not aged:
                 continue
             misses = 0
             for ticket in queue.in_order(size):
@@ -210,7 +210,7 @@
                     continue
                 held_up = held_up or aged
                 misses += 1
-                if misses >= SCAN_LIMIT or held_up:
+                if misses >= SCAN_LIMIT or aged:
                     break
 
     def _try_grant(self, queue: FairQueue, ticket: Ticket) -> bool:
@@ -244,6 +244,7 @@
         usable = self._router.usable(ticket.request.service, ticket.excluded)
         if isinstance(usable, NoTarget):
             return ()
+        # A split prompt needs more engines than may process long prompts, so it takes any of them.
         now = self._clock.monotonic()
         free = []
         for status in usable:
@@ -337,8 +338,9 @@
             return []
         rest = request.memory_tokens - int(lead.load.total_tokens * ENGINE_MEMORY_SHARE)
         parts: list[tuple[Target, int]] = []
-        others = self._router.usable(request.service, excluded)
-        for status in [] if isinstance(others, NoTarget) else others:
+        usable = self._router.usable(request.service, excluded)
+        others = [] if isinstance(usable, NoTarget) else usable
+        for status in sorted(others, key=lambda item: item.target.target_id):
             if rest <= 0:
                 break
             if status is lead or status.load is None:
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/const.py
@@ -25,3 +25,11 @@
 """Tokens of one block of `GenerateRequest.prefix_hashes`."""
 MAX_CANDIDATES = 8
 """Engines that are tried for one request before it waits for more capacity."""
+LONG_PREFILL_SHARE = 1 / 3
+"""Share of a service's engines that process long prompts at one time, at least one engine.
+
+A long prefill makes each step of its engine four times as long, so short prompts need engines
+without one. Longs have minutes until their deadlines and wait for their turn.
+"""
+LONG_WAIT_SHARE = 0.25
+"""Part of its time to the deadline for which a long prompt waits for such a turn."""
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/coordinator.py
@@ -5,6 +5,8 @@
 from wasabiwell_entry.coordination.routing.const import (
     LONG_BACKLOG_COST,
     LONG_BACKLOG_TOKENS,
+    LONG_PREFILL_SHARE,
+    LONG_WAIT_SHARE,
     LOST_TARGET_PAUSE,
     MAX_CANDIDATES,
     PREFIX_BLOCK_TOKENS,
@@ -53,14 +55,15 @@
         match self._policy:
             case RoundRobin():
                 self._turn += 1
-                return usable[self._turn % len(usable)]
+                ordered = sorted(usable, key=lambda status: status.target.target_id)
+                return ordered[self._turn % len(ordered)]
             case LeastOutstanding(remote_zone_penalty=penalty):
                 return min(usable, key=lambda status: self._outstanding(status, penalty))
             case Current():
                 return min(usable, key=lambda item: self._outstanding(item, REMOTE_ZONE_PENALTY))
 
     def usable(self, service: str, excluded: frozenset[str]) -> list[TargetStatus] | NoTarget:
-        """Return the targets of a service that take new work, in the order of their ids."""
+        """Return the targets of a service that take new work."""
         statuses = self._targets.of_service(service)
         if not statuses:
             return NoTarget(f"no target of service {service} is known")
@@ -71,7 +74,7 @@
         ]
         if not fresh:
             return NoTarget(f"no target of service {service} takes new work")
-        return sorted(fresh, key=lambda status: status.target.target_id)
+        return fresh
 
     def rank(
         self, request: GenerateRequest, excluded: frozenset[str]
@@ -80,10 +83,31 @@
         usable = self.usable(request.service, excluded)
         if isinstance(usable, NoTarget):
             return usable
+        if request.size is SizeClass.LONG:
+            usable = self._long_candidates(request, usable)
+            if not usable:
+                return NoTarget("enough engines process long prompts")
         costs = [(self._cost(request, status), status.target.target_id) for status in usable]
         by_id = {status.target.target_id: status for status in usable}
         return [by_id[target_id] for _, target_id in heapq.nsmallest(MAX_CANDIDATES, costs)]
 
+    def _long_candidates(
+        self, request: GenerateRequest, usable: list[TargetStatus]
+    ) -> list[TargetStatus]:
+        """Return the engines that may take a long prompt without delaying more short ones."""
+        now = self._clock.monotonic()
+        if now > request.received + LONG_WAIT_SHARE * (request.deadline - request.received):
+            return usable
+        busy = [
+            status
+            for status in usable
+            if status.load is not None
+            and estimate_engine(status, status.load, now).prefill_tokens > LONG_BACKLOG_TOKENS
+        ]
+        if len(busy) < max(1, int(len(usable) * LONG_PREFILL_SHARE)):
+            return usable
+        return busy
+
     def _usable(self, status: TargetStatus) -> bool:
         if status.leaving:
             return False
--- a/tests/entry/coordination/admission/admission.feature
+++ b/tests/entry/coordination/admission/admission.feature
@@ -51,3 +51,12 @@
     Given 2 engines of 400000 tokens, of which 0 are used by others
     When a request of 900000 tokens is sent
     Then the request of 900000 tokens is refused with "prompt_too_long"
+
+  Scenario: An aged long prompt does not hold up an aged medium one
+    Given 1 engines of 400000 tokens, of which 250000 are used by others
+    When a request of 200000 tokens is sent
+    And 6 seconds pass while they wait
+    And a request of 50000 tokens is sent
+    Then the request of 50000 tokens waits
+    When 3 seconds pass while they wait
+    Then the request of 50000 tokens is placed
