--- a/packages/entry/src/wasabiwell_entry/coordination/targets/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/const.py
@@ -12,3 +12,6 @@
 SOURCE_LOAD = b"load"
 SOURCE_OPERATOR = b"operator"
 LOAD_INTERVAL = timedelta(milliseconds=500)
+CACHE_EVENT_INTERVAL = timedelta(seconds=1)
+MAX_CACHED_PREFIXES = 4_096
+"""Prefix blocks remembered for an engine; the oldest go first, as an eviction may go unreported."""
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -7,6 +7,7 @@
 import logbook
 import trio
 
+from wasabiwell_entry.coordination.routing.policies import DEFAULT_POLICY
 from wasabiwell_entry.instance import run_instance
 from wasabiwell_entry.options import CollectedOption, collected_findings
 from wasabiwell_entry.settings import Settings, check_settings, duration
@@ -44,6 +45,7 @@
     help="SHA-256 hash of a key that opens the operators' interface while no operator key is "
     "configured; without it only loopback callers get in then.",
 )
+@option("--policy", default=DEFAULT_POLICY, help="Policy of choosing engines.")
 @option(
     "--drain-limit-s",
     default=3600.0,
--- a/packages/entry/src/wasabiwell_entry/protocol/peer.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/peer.py
@@ -14,6 +14,7 @@
 from wasabiwell_entry.state.heartbeats import Announcement, Heartbeat
 from wasabiwell_entry.state.marks import Mark
 from wasabiwell_entry.state.members import Member, MemberStatus
+from wasabiwell_entry.coordination.limits.shares import LimitGrant, LimitRequest
 
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
@@ -208,4 +209,8 @@
     "AcquireWeightRate", RateRequest, RateGrant
 )
 
+ACQUIRE_LIMIT: PeerMethod[LimitRequest, LimitGrant] = PeerMethod(
+    "AcquireLimit", LimitRequest, LimitGrant
+)
+
 AnyMethod = PeerMethod[Any, Any]
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from urllib.parse import urlsplit
 
+from wasabiwell_entry.coordination.routing.errors import UnknownPolicy
+from wasabiwell_entry.coordination.routing.policies import DEFAULT_POLICY, POLICY_NAMES, policy_of
 from wasabiwell_entry.state.outcomes import Finding
 
 MIN_PORT = 1
@@ -50,6 +52,7 @@
     drain_limit: timedelta = timedelta(hours=1)
     seeds: tuple[str, ...] = ()
     peer_listen: str = ""
+    policy: str = DEFAULT_POLICY
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -77,6 +80,8 @@
         findings += _check_url("--otlp-endpoint", settings.otlp_endpoint)
     if settings.max_body_bytes <= 0:
         findings.append(Finding("--max-body-bytes", "must be above 0"))
+    if isinstance(policy_of(settings.policy), UnknownPolicy):
+        findings.append(Finding("--policy", f"must be one of {', '.join(POLICY_NAMES)}"))
     if settings.weight_loads <= 0:
         findings.append(Finding("--weight-loads", "must be above 0"))
     for name in ("body_timeout", "address_ttl", "drain_limit", "otlp_interval"):
--- a/packages/entry/src/wasabiwell_entry/state/targets.py
+++ b/packages/entry/src/wasabiwell_entry/state/targets.py
@@ -1,10 +1,15 @@
 """Targets that an entry instance knows: engines and plain services."""
 
+import bisect
 import enum
+from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+RETAINED_USE = timedelta(seconds=4)
+"""Past of the own use that is kept; it must exceed the age of any load report that is used."""
+
 
 class TargetKind(enum.Enum):
     """Kind of a target."""
@@ -38,11 +43,38 @@
     queued: int
     total_tokens: int
     free_tokens: int
+    prefill_tokens: int = 0
+
 
+@dataclass(frozen=True, slots=True)
+class UseSample:
+    """What this entry instance had placed on an engine from a time on."""
+
+    at: timedelta
+    slots: int
+    tokens: int
 
-@dataclass(slots=True)
+
+@dataclass(frozen=True, slots=True)
+class OtherUse:
+    """What a report tells of the use by others, and the prefill backlog when it arrived."""
+
+    load: EngineLoad
+    slots: int
+    tokens: int
+    prefill_tokens: float
+
+
+@dataclass(slots=True, eq=False)
 class TargetStatus:
-    """What is known of one target."""
+    """What is known of one target.
+
+    `outstanding`, `outstanding_tokens`, `long_outstanding` and `long_tokens` are what this entry
+    instance has placed there. `samples` is their recent past and `sends` the recent prompts as
+    (time, tokens), both needed to correct a load report, which is older than they are.
+    `others` is the corrected form of the last report for which it was asked.
+    `cached_prefixes` keeps the order in which prefixes were reported.
+    """
 
     target: Target
     leaving: bool = False
@@ -50,17 +82,45 @@
     load: EngineLoad | None = None
     outstanding: int = 0
     outstanding_tokens: int = 0
-    cached_prefixes: set[int] = field(default_factory=set)
+    long_outstanding: int = 0
+    long_tokens: int = 0
+    cached_prefixes: dict[int, None] = field(default_factory=dict)
+    cache_position: int = 0
+    others: OtherUse | None = None
+    samples: deque[UseSample] = field(default_factory=deque)
+    sends: deque[tuple[timedelta, int]] = field(default_factory=deque)
+
+    def place(self, now: timedelta, tokens: int, prompt_tokens: int, long: bool) -> None:
+        """Count a request that this entry instance places here."""
+        self.sends.append((now, prompt_tokens))
+        self._change(now, 1, tokens, long)
+
+    def remove(self, now: timedelta, tokens: int, long: bool) -> None:
+        """Count the end of a request that was placed here."""
+        self._change(now, -1, -tokens, long)
+
+    def _change(self, now: timedelta, slots: int, tokens: int, long: bool) -> None:
+        self.outstanding += slots
+        self.outstanding_tokens += tokens
+        if long:
+            self.long_outstanding += slots
+            self.long_tokens += tokens
+        self.samples.append(UseSample(now, self.outstanding, self.outstanding_tokens))
+        while len(self.samples) > 1 and self.samples[1].at < now - RETAINED_USE:
+            self.samples.popleft()
+        while self.sends and self.sends[0][0] < now - RETAINED_USE:
+            self.sends.popleft()
 
 
 class TargetTable:
     """Targets by id; one entry instance owns one table."""
 
-    __slots__ = ("_by_service", "_statuses")
+    __slots__ = ("_by_service", "_ordered", "_statuses")
 
     def __init__(self) -> None:
         self._statuses: dict[str, TargetStatus] = {}
         self._by_service: dict[str, dict[str, TargetStatus]] = {}
+        self._ordered: dict[str, list[TargetStatus]] = {}
 
     def __len__(self) -> int:
         return len(self._statuses)
@@ -76,6 +136,18 @@
         """Return the statuses of a service's targets."""
         return list(self._by_service.get(service, {}).values())
 
+    def window(self, service: str, start: int, count: int) -> list[TargetStatus]:
+        """Return up to `count` targets of a service that follow each other in the order of ids.
+
+        It costs no more in a large fleet, and instances that know the same targets get the same
+        ones for one `start`.
+        """
+        ordered = self._ordered.get(service, [])
+        if len(ordered) <= count:
+            return list(ordered)
+        first = start % len(ordered)
+        return (ordered[first : first + count] + ordered[:count])[:count]
+
     def put(self, target: Target) -> TargetStatus:
         """Add a target, or replace it when its address or place changed."""
         status = self._statuses.get(target.target_id)
@@ -86,6 +158,7 @@
         status = TargetStatus(target)
         self._statuses[target.target_id] = status
         self._by_service.setdefault(target.service, {})[target.target_id] = status
+        bisect.insort(self._ordered.setdefault(target.service, []), status, key=_target_id)
         return status
 
     def remove(self, target_id: str) -> None:
@@ -93,6 +166,7 @@
         status = self._statuses.pop(target_id, None)
         if status is not None:
             self._by_service[status.target.service].pop(target_id, None)
+            self._ordered[status.target.service].remove(status)
 
     def retain(self, target_ids: Iterable[str]) -> list[str]:
         """Remove all targets but these and return the ids of the removed ones."""
@@ -101,3 +175,7 @@
         for target_id in removed:
             self.remove(target_id)
         return removed
+
+
+def _target_id(status: TargetStatus) -> str:
+    return status.target.target_id
