Settle run records in the background and keep outcomes of calls truthful

Cause: Four faults on the paths of interrupted calls. An idempotent call cut off by its deadline while a target ran it was told "not-run". A booking whose answer had arrived was told "deadline_exceeded" when the table service was down while the record was settled. A claim cut off by the deadline, or whose write took effect late, left a started record that nobody settled. An idempotent call was not retried after 503.

A claim ends at the deadline and is then refused, because it was never sent; a write that may still take effect is fenced off by writing `not_run` over the absent or unchanged row. Claims write first and read only on a failed condition. A call counts as sent before it is handed to the target, unless the opposite is proved, and the plain client checks the deadline after it has connected.

A call costs two transactions and one read.

--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
@@ -9,3 +9,5 @@
 """Retries allowed before any first attempt has been counted."""
 RETRY_DELAY = timedelta(milliseconds=50)
 CAPACITY_RETRY_AFTER = timedelta(seconds=1)
+SERVICE_UNAVAILABLE = 503
+"""Status with which a target tells that another target may answer an idempotent call."""
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -10,6 +10,7 @@
     CAPACITY_RETRY_AFTER,
     MAX_ATTEMPTS,
     RETRY_DELAY,
+    SERVICE_UNAVAILABLE,
 )
 from wasabiwell_entry.coordination.dispatch.errors import (
     AttemptBroken,
@@ -65,6 +66,17 @@
     last_reason: str = ""
 
 
+@dataclass(slots=True)
+class _Sending:
+    """What has happened to a call so far; `sent` means that a target may have run it."""
+
+    excluded: set[str] = field(default_factory=set)
+    sent: bool = False
+    answer: Answer | None = None
+    refused: Refused | None = None
+    reason: str = "the deadline has passed"
+
+
 class Dispatcher:
     """Front door of the coordination layer for requests of callers."""
 
@@ -178,70 +190,90 @@
             self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
 
     async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
-        excluded: set[str] = set()
-        sent = False
-        reason = "the deadline has passed"
         self._retries.count_first_attempt()
+        sending = _Sending()
         with trio.move_on_after(self._remaining_seconds(call)):
-            for attempt in range(MAX_ATTEMPTS):
-                if attempt and not self._retries.take():
-                    break
-                async with self._admission.place_call(call, frozenset(excluded)) as target:
-                    if isinstance(target, Refused):
-                        return target if not sent else _call_failed(reason)
-                    excluded.add(target.target_id)
-                    match await self._plain.call(target, call):
-                        case Answer() as answer:
-                            return answer
-                        case CallNotSent(reason=reason):
-                            self._lost(target)
-                        case CallBroken(reason=reason):
-                            sent = True
-                            self._lost(target)
-        if sent:
-            return _call_failed(reason)
-        return Refused(Reason.TARGET_FAILED, reason, CAPACITY_RETRY_AFTER)
+            await self._send_idempotent(call, sending)
+        if sending.answer is not None:
+            return sending.answer
+        if sending.refused is not None and not sending.sent:
+            return sending.refused
+        if sending.sent:
+            return _call_failed(sending.reason)
+        return Refused(Reason.TARGET_FAILED, sending.reason, CAPACITY_RETRY_AFTER)
+
+    async def _send_idempotent(self, call: ServiceCall, sending: _Sending) -> None:
+        """Send a call to one target after the other until one answers other than with 503."""
+        for attempt in range(MAX_ATTEMPTS):
+            if attempt and not self._retries.take():
+                return
+            async with self._admission.place_call(call, frozenset(sending.excluded)) as target:
+                if isinstance(target, Refused):
+                    sending.refused = target
+                    return
+                match await self._send(target, call, sending):
+                    case Answer(status=status) as answer:
+                        sending.answer = answer
+                        if status != SERVICE_UNAVAILABLE:
+                            return
+                    case CallNotSent() | CallBroken():
+                        self._lost(target)
+
+    async def _send(
+        self, target: Target, call: ServiceCall, sending: _Sending
+    ) -> Answer | CallNotSent | CallBroken:
+        """Send a call once; it counts as sent from here on unless the opposite is proved."""
+        sent_before = sending.sent
+        sending.excluded.add(target.target_id)
+        sending.sent = True
+        outcome = await self._plain.call(target, call)
+        match outcome:
+            case CallNotSent(reason=reason):
+                sending.sent = sent_before
+                sending.reason = reason
+            case CallBroken(reason=reason):
+                sending.reason = reason
+        return outcome
 
     async def _call_once(self, call: ServiceCall) -> CallOutcome:
-        with trio.move_on_after(self._remaining_seconds(call)):
-            match await self._runs.claim(call):
-                case Claimed() as claim:
-                    pass
-                case outcome:
-                    return outcome
-            return await self._run_claimed(call, claim)
-        return Failed(Reason.DEADLINE_EXCEEDED, "the deadline has passed", RunState.UNKNOWN)
+        match await self._runs.claim(call):
+            case Claimed() as claim:
+                return await self._run_claimed(call, claim)
+            case outcome:
+                return outcome
 
     async def _run_claimed(self, call: ServiceCall, claim: Claimed) -> CallOutcome:
-        excluded: set[str] = set()
-        reason = "no target is available"
+        """Send a claimed call and settle its record; settling is not bound to the deadline."""
+        sending = _Sending()
+        with trio.move_on_after(self._remaining_seconds(call)):
+            await self._send_claimed(call, sending)
+        if sending.answer is not None:
+            await self._runs.settle(claim, RunStatus.DONE, sending.answer)
+            return sending.answer
+        if sending.sent:
+            return await self._unknown_result(call, claim, sending.reason)
+        await self._runs.settle(claim, RunStatus.NOT_RUN)
+        return Refused(Reason.NO_TARGET, sending.reason, CAPACITY_RETRY_AFTER)
+
+    async def _send_claimed(self, call: ServiceCall, sending: _Sending) -> None:
+        """Send a call to one target after the other until one may have received it."""
         for _ in range(MAX_ATTEMPTS):
-            async with self._admission.place_call(call, frozenset(excluded)) as target:
+            async with self._admission.place_call(call, frozenset(sending.excluded)) as target:
                 if isinstance(target, Refused):
-                    reason = target.message
-                    break
-                excluded.add(target.target_id)
-                match await self._plain.call(target, call):
+                    sending.reason = target.message
+                    return
+                match await self._send(target, call, sending):
                     case Answer() as answer:
-                        await self._runs.settle(claim, RunStatus.DONE, answer)
-                        return answer
-                    case CallBroken(reason=reason):
-                        return await self._unknown_result(call, claim, target, reason)
-                    case CallNotSent(reason=reason):
+                        sending.answer = answer
+                        return
+                    case CallBroken():
+                        self._lost(target)
+                        return
+                    case CallNotSent():
                         self._lost(target)
-        await self._runs.settle(claim, RunStatus.NOT_RUN)
-        return Refused(Reason.NO_TARGET, reason, CAPACITY_RETRY_AFTER)
 
-    async def _unknown_result(
-        self, call: ServiceCall, claim: Claimed, target: Target, reason: str
-    ) -> CallOutcome:
-        log_events.emit(
-            log_events.RUN_RESULT_UNKNOWN,
-            request=call.request_id,
-            target=target.target_id,
-            reason=reason,
-        )
-        self._lost(target)
+    async def _unknown_result(self, call: ServiceCall, claim: Claimed, reason: str) -> CallOutcome:
+        log_events.emit(log_events.RUN_RESULT_UNKNOWN, request=call.request_id, reason=reason)
         await self._runs.settle(claim, RunStatus.UNKNOWN)
         return Failed(Reason.RESULT_UNKNOWN, reason, RunState.UNKNOWN)
 
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/__init__.py
@@ -1,5 +1,5 @@
-"""Run records of non-idempotent calls."""
+"""Run records: a non-idempotent call runs at most once."""
 
-from wasabiwell_entry.coordination.runs.coordinator import RunCoordinator
+from wasabiwell_entry.coordination.runs.coordinator import RunCoordinator, open_run_coordinator
 
-__all__ = ["RunCoordinator"]
+__all__ = ["RunCoordinator", "open_run_coordinator"]
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/errors.py
@@ -8,10 +8,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Claimed:
-    """This entry instance holds the record and may send the call once, before its deadline."""
+    """This entry instance holds the record and may send the call once, before its deadline.
+
+    `version` is the version of the row that the claim replaced, 0 when there was none.
+    """
 
     key: str
     record: RunRecord
+    version: int = 0
 
 
 ClaimOutcome = Claimed | Answer | Refused | Failed
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -15,7 +15,7 @@
 from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
 from wasabiwell_entry.coordination.routing import Router
-from wasabiwell_entry.coordination.runs import RunCoordinator
+from wasabiwell_entry.coordination.runs import open_run_coordinator
 from wasabiwell_entry.coordination.targets import TargetCoordinator
 from wasabiwell_entry.settings import Settings, split_address
 from wasabiwell_entry.state import log_events
@@ -53,16 +53,18 @@
 @asynccontextmanager
 async def open_instance(settings: Settings, clock: Clock) -> AsyncIterator[Instance]:
     """Build an entry instance and own its connections until the context ends."""
+    table = HttpTableService(settings.table_url)
+    objects = HttpObjectStore(settings.object_url)
     async with (
         trio_asyncio.open_loop(),
         open_target_pools() as pools,
         open_peer_client() as peers,
+        open_run_coordinator(table, objects, clock, settings.node_id) as runs,
     ):
         own = _own_member(settings)
         members = MemberTable()
         target_table = TargetTable()
         configuration_state = ConfigurationState()
-        table = HttpTableService(settings.table_url)
         engines = HttpEngineClient(pools, clock)
         targets = TargetCoordinator(target_table, engines, clock)
         membership = MembershipCoordinator(
@@ -77,9 +79,7 @@
             ),
             engines=engines,
             plain=HttpPlainClient(clock),
-            runs=RunCoordinator(
-                table, HttpObjectStore(settings.object_url), clock, settings.node_id
-            ),
+            runs=runs,
             observer=targets,
             clock=clock,
         )
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -65,9 +65,15 @@
 RUN_RESULT_UNKNOWN = LogEvent(
     401,
     Level.WARNING,
-    "request {request}: call to {target} was sent and has no whole answer: {reason}",
+    "request {request}: the call was sent and has no whole answer: {reason}",
     "Ask the target whether the call ran; the caller was told that the result is unknown.",
 )
+SETTLEMENT_GIVEN_UP = LogEvent(
+    403,
+    Level.WARNING,
+    "too many run records wait to be settled; one is left as started instead of {status}",
+    "Check the table service. A repeat of the call is told that its result is unknown.",
+)
 TARGET_LOST = LogEvent(402, Level.WARNING, "target {target} does not accept connections")
 REQUEST_FAILED_INTERNALLY = LogEvent(
     500, Level.ERROR, "request {request}: unexpected {error}", "Report this with the log."
--- a/packages/entry/src/wasabiwell_entry/state/runs.py
+++ b/packages/entry/src/wasabiwell_entry/state/runs.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from datetime import datetime
 
+RUN_PREFIX = "run/"
+
 
 class RunStatus(enum.Enum):
     """Status of a run record.
@@ -42,4 +44,4 @@
 
 def run_key(organisation: str, service: str, idempotency_key: str) -> str:
     """Return the table key of a run record."""
-    return f"run/{organisation}/{service}/{idempotency_key}"
+    return f"{RUN_PREFIX}{organisation}/{service}/{idempotency_key}"
--- a/packages/entry/src/wasabiwell_entry/transport/target/plain.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -24,14 +24,18 @@
         self._clock = clock
 
     async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
-        """Send a call once."""
+        """Send a call once, and only before its deadline."""
         host, _, port = target.address.rpartition(":")
         try:
             stream = await httpcore.TrioBackend().connect_tcp(
-                host, int(port), timeout=CONNECT_TIMEOUT_SECONDS
+                host, int(port), timeout=min(CONNECT_TIMEOUT_SECONDS, self._remaining_seconds(call))
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             return CallNotSent(repr(error))
+        if self._clock.monotonic() >= call.deadline:
+            # The process may have been paused while it connected.
+            await stream.aclose()
+            return CallNotSent("the deadline passed before the call was sent")
         origin = httpcore.Origin(b"http", host.encode(), int(port))
         connection = httpcore.AsyncHTTP11Connection(origin, stream)
         try:
--- a/tests/entry/coordination/runs/runs.feature
+++ b/tests/entry/coordination/runs/runs.feature
@@ -54,3 +54,48 @@
     And the table service is down
     When instance 0 claims key "k1" for body "a"
     Then the last claim is refused with "store_unavailable"
+
+  Scenario: A delayed claim that takes effect after the holder gave up is fenced off
+    Given a table service and two entry instances
+    And the table service applies the next 3 writes late
+    When instance 0 claims key "k1" for body "a"
+    Then the last claim is refused with "store_unavailable"
+    When the late writes take effect
+    And instance 1 claims key "k1" for body "a"
+    Then the last claim is held
+
+  Scenario: A large answer during an outage of the object store is known to have run
+    Given a table service and two entry instances
+    And the object store is down
+    When instance 0 claims key "k1" for body "a"
+    And instance 0 settles key "k1" as done with an answer of 50000 bytes
+    And instance 1 claims key "k1" for body "a"
+    Then the last claim fails with "result_unavailable" and run state "ran"
+
+  Scenario: A call costs two transactions and one read
+    Given a table service and two entry instances
+    When instance 0 claims key "k1" for body "a"
+    And instance 0 settles key "k1" as done with an answer of 20 bytes
+    Then the table service did 2 transactions and 1 read
+
+  Scenario: Records are swept after their lifetime and not before
+    Given a table service and two entry instances
+    When instance 0 claims key "k1" for body "a"
+    And instance 0 settles key "k1" as done with an answer of 50000 bytes
+    And 7 days pass
+    And instance 1 sweeps the records
+    Then the table service has 1 rows
+    When 2 days pass
+    And instance 1 sweeps the records
+    Then the table service has 0 rows
+
+  Scenario: A delayed second claim that takes effect after the holder gave up is fenced off
+    Given a table service and two entry instances
+    When instance 0 claims key "k1" for body "a"
+    And instance 0 settles key "k1" as not run
+    Given the table service applies the next 3 writes late
+    When instance 0 claims key "k1" for body "a"
+    Then the last claim is refused with "store_unavailable"
+    When the late writes take effect
+    And instance 1 claims key "k1" for body "a"
+    Then the last claim is held
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -9,6 +9,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
+# behave puts path objects on sys.path while it loads steps, and hypothesis requires strings there.
+import hypothesis.stateful  # noqa: F401
 from wasabiwell_standins.deployments import DEPLOYMENTS
 from wasabiwell_standins.fleet import running_fleet
 
--- a/tests/steps/entry/coordination/runs_steps.py
+++ b/tests/steps/entry/coordination/runs_steps.py
@@ -35,6 +35,19 @@
     )
 
 
+def run_on(context: Context, index: int, method: str, *arguments: object) -> object:
+    """Run a method of an entry instance's coordinator until its settlements have ended."""
+
+    async def run() -> object:
+        async with trio.open_nursery() as nursery:
+            runs = RunCoordinator(
+                context.table_service, context.objects, context.clock, f"entry-{index}", nursery
+            )
+            return await getattr(runs, method)(*arguments)
+
+    return trio.run(run)
+
+
 @given("a table service and two entry instances")
 def step_instances(context: Context) -> None:
     context.table_service, context.objects, context.clock = (
@@ -42,10 +55,6 @@
         FakeObjects(),
         ManualClock(),
     )
-    context.runs = [
-        RunCoordinator(context.table_service, context.objects, context.clock, f"entry-{index}")
-        for index in range(2)
-    ]
     context.claims = {}
 
 
@@ -54,6 +63,43 @@
     context.table_service.lose_replies = 1
 
 
+@given("the table service applies the next {count:d} writes late")
+def step_late(context: Context, count: int) -> None:
+    context.table_service.delay_writes = count
+
+
+@when("the late writes take effect")
+def step_apply_late(context: Context) -> None:
+    while context.table_service.late:
+        context.table_service.apply_late()
+
+
+@given("the object store is down")
+def step_objects_down(context: Context) -> None:
+    context.objects.unavailable = True
+
+
+@when("instance {index:d} sweeps the records")
+def step_sweep(context: Context, index: int) -> None:
+    run_on(context, index, "sweep")
+
+
+@when("{days:d} days pass")
+def step_days(context: Context, days: int) -> None:
+    context.clock.advance(timedelta(days=days))
+
+
+@then("the table service has {count:d} rows")
+def step_rows(context: Context, count: int) -> None:
+    assert len(context.table_service.rows) == count, context.table_service.rows
+
+
+@then("the table service did {transactions:d} transactions and {reads:d} read")
+def step_operations(context: Context, transactions: int, reads: int) -> None:
+    done = context.table_service.transactions, context.table_service.reads
+    assert done == (transactions, reads), done
+
+
 @given("the table service is down")
 def step_down(context: Context) -> None:
     context.table_service.unavailable = True
@@ -61,7 +107,7 @@
 
 @when('instance {index:d} claims key "{key}" for body "{body}"')
 def step_claim(context: Context, index: int, key: str, body: str) -> None:
-    context.outcome = trio.run(context.runs[index].claim, make_call(context, key, body))
+    context.outcome = run_on(context, index, "claim", make_call(context, key, body))
     if isinstance(context.outcome, Claimed):
         context.claims[key] = context.outcome
 
@@ -69,12 +115,12 @@
 @when('instance {index:d} settles key "{key}" as done with an answer of {size:d} bytes')
 def step_settle_done(context: Context, index: int, key: str, size: int) -> None:
     answer = Answer(201, "application/json", b"x" * size)
-    trio.run(context.runs[index].settle, context.claims[key], RunStatus.DONE, answer)
+    run_on(context, index, "settle", context.claims[key], RunStatus.DONE, answer)
 
 
 @when('instance {index:d} settles key "{key}" as not run')
 def step_settle_not_run(context: Context, index: int, key: str) -> None:
-    trio.run(context.runs[index].settle, context.claims[key], RunStatus.NOT_RUN)
+    run_on(context, index, "settle", context.claims[key], RunStatus.NOT_RUN)
 
 
 @when("{seconds:d} seconds pass")
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -26,17 +26,41 @@
     unavailable: bool = False
     lose_replies: int = 0
     drop_writes: int = 0
+    delay_writes: int = 0
+    hang_seconds: float = 0.0
+    transactions: int = 0
+    reads: int = 0
+    late: list[tuple[Sequence[Condition], Sequence[Write]]] = field(default_factory=list)
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> TransactOutcome:
         """Apply all writes if all conditions hold, else none."""
-        await trio.lowlevel.checkpoint()
+        self.transactions += 1
+        if await self._hung():
+            return ReplyLost("no reply")
         if self.unavailable:
             return StoreUnavailable("outage")
         if self.drop_writes > 0:
             self.drop_writes -= 1
             return ReplyLost("the request was lost")
+        if self.delay_writes > 0:
+            self.delay_writes -= 1
+            self.late.append((conditions, writes))
+            return ReplyLost("the write takes effect later")
+        return self._apply(conditions, writes)
+
+    def apply_late(self) -> None:
+        """Let the oldest delayed write take effect, if its conditions still hold."""
+        if self.late:
+            self._apply(*self.late.pop(0))
+
+    async def _hung(self) -> bool:
+        hung = self.hang_seconds > 0.0
+        await trio.sleep(self.hang_seconds)
+        return hung
+
+    def _apply(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> TransactOutcome:
         failed = tuple(
             condition.key
             for condition in conditions
@@ -52,7 +76,9 @@
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row] | StoreUnavailable:
         """Return the rows that exist, by key."""
-        await trio.lowlevel.checkpoint()
+        self.reads += 1
+        if await self._hung():
+            return StoreUnavailable("no reply")
         if self.unavailable:
             return StoreUnavailable("outage")
         return {key: self.rows[key] for key in keys if key in self.rows}
