Quarantine requests that crash targets, and replace silent connections

Cause: A request that crashes its target was retried on the next one and could be sent again, so it took down the whole service. A connection that passed no data while the engine was alive was noticed only by the deadline of its request.

Change: A request that runs on a target that dies becomes a suspect by its fingerprint, in a row `suspect/FINGERPRINT` that all entries follow; suspects of one entry are retried one per target at a time; after the second target the request is refused everywhere until it is released or for 24 h. Its caller is answered after two follow intervals, because a repeat through another entry otherwise cost a third target. Only a target that refuses or closes a new connection counts as dead: a cut network would make suspects of all requests. Streams silent for 2 s are probed on a new connection. If the engine answers, a stream between tokens is replaced on the same engine and the old attempt is cancelled; before the first token, silence is allowed for 10 s plus 200 us for each prompt token. Callers get a comment every 5 s while nothing is sent.

--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
@@ -11,3 +11,4 @@
 CAPACITY_RETRY_AFTER = timedelta(seconds=1)
 SERVICE_UNAVAILABLE = 503
 """Status with which a target tells that another target may answer an idempotent call."""
+QUARANTINED_MESSAGE = "targets died while they ran this request; it is refused"
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -9,6 +9,7 @@
 from wasabiwell_entry.coordination.dispatch.const import (
     CAPACITY_RETRY_AFTER,
     MAX_ATTEMPTS,
+    QUARANTINED_MESSAGE,
     RETRY_DELAY,
     SERVICE_UNAVAILABLE,
 )
@@ -18,6 +19,7 @@
     AttemptOutcome,
     CallBroken,
     CallNotSent,
+    TargetGone,
 )
 from wasabiwell_entry.coordination.dispatch.ports import (
     AdmissionPort,
@@ -25,6 +27,7 @@
     EnginePort,
     Placement,
     PlainPort,
+    SuspectObserver,
     TargetFailure,
     TargetObserver,
 )
@@ -80,7 +83,16 @@
 class Dispatcher:
     """Front door of the coordination layer for requests of callers."""
 
-    __slots__ = ("_admission", "_clock", "_engines", "_observer", "_plain", "_retries", "_runs")
+    __slots__ = (
+        "_admission",
+        "_clock",
+        "_engines",
+        "_observer",
+        "_plain",
+        "_retries",
+        "_runs",
+        "_suspects",
+    )
 
     def __init__(
         self,
@@ -89,6 +101,7 @@
         plain: PlainPort,
         runs: RunCoordinator,
         observer: TargetObserver,
+        suspects: SuspectObserver,
         clock: Clock,
     ) -> None:
         self._admission = admission
@@ -96,6 +109,7 @@
         self._plain = plain
         self._runs = runs
         self._observer = observer
+        self._suspects = suspects
         self._clock = clock
         self._retries = RetryBudget()
 
@@ -117,13 +131,20 @@
     ) -> GenerateOutcome:
         self._retries.count_first_attempt()
         while True:
+            if self._suspects.quarantined(request.fingerprint):
+                return _give_up(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
             excluded = frozenset(progress.excluded)
             async with self._admission.admit(request, excluded) as placement:
                 if isinstance(placement, Refused):
                     return _refusal(progress, placement)
-                outcome = await self._attempt(request, sink, progress, placement)
+                target_id = placement.target.target_id
+                async with self._suspects.one_suspect(request.fingerprint, target_id):
+                    if self._suspects.quarantined(request.fingerprint):
+                        return _give_up(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
+                    outcome = await self._attempt(request, sink, progress, placement)
             match outcome:
                 case AttemptFinished(end=end):
+                    await self._suspects.finished(request.fingerprint)
                     return Finished(end.tokens, end.finish_reason)
                 case AttemptBroken(broken=broken):
                     progress.last_reason = broken.reason
@@ -153,10 +174,11 @@
         progress.started = True
         outcome = await self._relay(target, attempt, sink, progress)
         if isinstance(outcome, AttemptBroken):
-            progress.excluded.add(target.target_id)
+            if not outcome.broken.silent:
+                progress.excluded.add(target.target_id)
             if outcome.broken.refused:
                 progress.started = started_before
-            self._note_broken(target, attempt, outcome.broken)
+            await self._note_broken(target, attempt, outcome.broken)
         return outcome
 
     async def _relay(
@@ -178,7 +200,7 @@
                         return AttemptBroken(item)
         return AttemptBroken(StreamBroken("the stream ended without an end mark"))
 
-    def _note_broken(self, target: Target, attempt: Attempt, broken: StreamBroken) -> None:
+    async def _note_broken(self, target: Target, attempt: Attempt, broken: StreamBroken) -> None:
         log_events.emit(
             log_events.ATTEMPT_FAILED,
             request=attempt.request.request_id,
@@ -186,8 +208,14 @@
             target=target.target_id,
             reason=broken.reason,
         )
-        if broken.target_lost:
-            self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
+        if not broken.target_lost:
+            return
+        self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
+        if broken.refused:
+            return
+        # Only a target that is gone counts: a cut network would make suspects of all requests.
+        if isinstance(await self._engines.probe(target), TargetGone):
+            await self._suspects.crashed(attempt.request.fingerprint, target.target_id)
 
     async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
         self._retries.count_first_attempt()
@@ -291,10 +319,11 @@
 
 
 def _give_up(progress: _Progress, reason: Reason, message: str) -> GenerateOutcome:
+    retry_after = None if reason is Reason.QUARANTINED else CAPACITY_RETRY_AFTER
     if not progress.started:
-        return Refused(reason, message, CAPACITY_RETRY_AFTER)
+        return Refused(reason, message, retry_after)
     run = RunState.RAN if progress.assembler.offset else RunState.UNKNOWN
-    return Failed(reason, message, run, CAPACITY_RETRY_AFTER)
+    return Failed(reason, message, run, retry_after)
 
 
 def _call_failed(reason: str) -> Failed:
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
@@ -22,6 +22,24 @@
 AttemptOutcome = AttemptFinished | AttemptBroken
 
 
+@dataclass(frozen=True, slots=True)
+class TargetAlive:
+    """The target answered on a new connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetGone:
+    """The target refused or closed a new connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSilent:
+    """No answer came on a new connection: the target is frozen, or the network is cut."""
+
+
+ProbeOutcome = TargetAlive | TargetGone | TargetSilent
+
+
 @dataclass(frozen=True, slots=True)
 class CallNotSent:
     """No byte of the call was sent to the target."""
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent
+from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent, ProbeOutcome
 from wasabiwell_entry.state.outcomes import Answer, Refused
 from wasabiwell_entry.state.requests import (
     Attempt,
@@ -37,6 +37,9 @@
         Leaving the context cancels the attempt at the engine.
         """
 
+    async def probe(self, target: Target) -> ProbeOutcome:
+        """Ask an engine for a sign of life on a new connection."""
+
 
 class PlainPort(Protocol):
     """Connections to plain services."""
@@ -91,3 +94,19 @@
 
     def target_answered(self, target_id: str) -> None:
         """Note that a target answered."""
+
+
+class SuspectObserver(Protocol):
+    """Marks of requests that ran on targets which died."""
+
+    def quarantined(self, fingerprint: str) -> bool:
+        """Return whether a request is refused."""
+
+    def one_suspect(self, fingerprint: str, target_id: str) -> AbstractAsyncContextManager[None]:
+        """Wait until no other suspect runs on the target; others do not wait."""
+
+    async def crashed(self, fingerprint: str, target_id: str) -> None:
+        """Mark a request that ran on a target when it died."""
+
+    async def finished(self, fingerprint: str) -> None:
+        """Clear a request that has finished."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
@@ -0,0 +1,13 @@
+"""Constants of quarantine."""
+
+from datetime import timedelta
+
+SUSPECT_PREFIX = "suspect/"
+QUARANTINE_LIFETIME = timedelta(hours=24)
+MAX_WRITE_TRIES = 3
+STORE_WAIT = timedelta(seconds=1)
+"""A retry waits this long for the other entry instances' marks, then goes on with its own."""
+MIN_FOLLOW_INTERVAL = timedelta(seconds=1)
+FOLLOW_INTERVAL_PER_MEMBER = timedelta(milliseconds=10)
+"""Keeps the scans of all entry instances together below 100/s."""
+FOLLOW_LIMIT_ROWS = 1_000
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/errors.py
@@ -0,0 +1,23 @@
+"""Outcomes of operations on quarantined requests."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """The request may run again."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotSuspected:
+    """No such request is suspected."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseUnavailable:
+    """The table service did not confirm the release."""
+
+    reason: str
+
+
+ReleaseOutcome = Released | NotSuspected | ReleaseUnavailable
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/ports.py
@@ -0,0 +1,21 @@
+"""What quarantine needs of other capabilities."""
+
+from typing import Protocol
+
+from wasabiwell_entry.state.suspects import Suspect
+
+
+class SuspectPort(Protocol):
+    """Spreads marks to the other entry instances, faster than their reads of the table service."""
+
+    def spread(self, suspect: Suspect) -> None:
+        """Announce a suspect; receivers pass it to `QuarantineCoordinator.learn`."""
+
+
+class NoSpreading:
+    """Leaves spreading to the table service alone."""
+
+    __slots__ = ()
+
+    def spread(self, suspect: Suspect) -> None:
+        """Ignore a suspect."""
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -14,6 +14,8 @@
 from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
+from wasabiwell_entry.coordination.quarantine import QuarantineCoordinator
+from wasabiwell_entry.coordination.quarantine.ports import NoSpreading
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.runs import open_run_coordinator
 from wasabiwell_entry.coordination.targets import TargetCoordinator
@@ -22,6 +24,7 @@
 from wasabiwell_entry.state.clock import Clock, SystemClock
 from wasabiwell_entry.state.configuration import ConfigurationState
 from wasabiwell_entry.state.members import Member, MemberTable
+from wasabiwell_entry.state.suspects import SuspectTable
 from wasabiwell_entry.state.targets import TargetTable
 from wasabiwell_entry.transport.http.context import HttpContext, HttpLimits
 from wasabiwell_entry.transport.http.server import serve_callers
@@ -47,6 +50,7 @@
     targets: TargetCoordinator
     configuration: ConfigurationCoordinator
     lifecycle: LifecycleCoordinator
+    quarantine: QuarantineCoordinator
     peers: PeerClient
 
 
@@ -73,6 +77,9 @@
         membership.observe(targets.update_instances)
         configuration = ConfigurationCoordinator(table, configuration_state, clock)
         lifecycle = LifecycleCoordinator(own, members, configuration_state, clock)
+        quarantine = QuarantineCoordinator(
+            table, SuspectTable(), NoSpreading(), lambda: len(members), clock
+        )
         dispatcher = Dispatcher(
             admission=AdmissionCoordinator(
                 Router(target_table, settings.zone, clock), target_table, engines
@@ -81,6 +88,7 @@
             plain=HttpPlainClient(clock),
             runs=runs,
             observer=targets,
+            suspects=quarantine,
             clock=clock,
         )
         http = HttpContext(
@@ -93,7 +101,9 @@
             limits=HttpLimits(settings.max_body_bytes, settings.body_timeout.total_seconds()),
             status=lambda: _status(settings, configuration_state, members, target_table, lifecycle),
         )
-        yield Instance(settings, http, membership, targets, configuration, lifecycle, peers)
+        yield Instance(
+            settings, http, membership, targets, configuration, lifecycle, quarantine, peers
+        )
 
 
 async def run_instance(settings: Settings) -> None:
@@ -104,6 +114,7 @@
             nursery.start_soon(instance.membership.run)
             nursery.start_soon(instance.targets.run)
             nursery.start_soon(instance.configuration.run)
+            nursery.start_soon(instance.quarantine.run)
             nursery.start_soon(_leave_on_signal, instance.lifecycle)
             log_events.emit(
                 log_events.ENTRY_STARTED, node=settings.node_id, address=settings.caller_address
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -75,6 +75,17 @@
     "Check the table service. A repeat of the call is told that its result is unknown.",
 )
 TARGET_LOST = LogEvent(402, Level.WARNING, "target {target} does not accept connections")
+REQUEST_SUSPECTED = LogEvent(
+    404,
+    Level.WARNING,
+    "target {target} died while it ran the request with fingerprint {fingerprint}",
+)
+REQUEST_QUARANTINED = LogEvent(
+    405,
+    Level.ERROR,
+    "the request with fingerprint {fingerprint} is refused, because two targets died running it",
+    "Find the fault of the engines, then release the request.",
+)
 REQUEST_FAILED_INTERNALLY = LogEvent(
     500, Level.ERROR, "request {request}: unexpected {error}", "Report this with the log."
 )
--- a/packages/entry/src/wasabiwell_entry/state/requests.py
+++ b/packages/entry/src/wasabiwell_entry/state/requests.py
@@ -100,12 +100,14 @@
     """The stream ended before its end mark.
 
     `refused` tells that the engine proved that it did not start. `target_lost` tells that the
-    connection was cut by the target or could not be made, so the target may have died.
+    connection was cut by the target or could not be made, so the target may have died. `silent`
+    tells that the connection passed no data while the target was alive.
     """
 
     reason: str
     refused: bool = False
     target_lost: bool = False
+    silent: bool = False
 
 
 StreamItem = TokenFrame | EndFrame | StreamBroken
--- a/packages/entry/src/wasabiwell_entry/transport/http/chat.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/chat.py
@@ -5,7 +5,13 @@
 import trio
 from wasabiwell_config import ModelService, Organisation
 
-from wasabiwell_entry.protocol.chat import ChatBody, ChatEncoder, parse_chat, prefix_hashes
+from wasabiwell_entry.protocol.chat import (
+    KEEP_ALIVE_EVENT,
+    ChatBody,
+    ChatEncoder,
+    parse_chat,
+    prefix_hashes,
+)
 from wasabiwell_entry.protocol.problem import problem
 from wasabiwell_entry.protocol.service_call import fingerprint
 from wasabiwell_entry.state.outcomes import Failed, Finding, Finished, Reason, Refused
@@ -23,20 +29,37 @@
 ]
 
 
+KEEP_ALIVE_SECONDS = 5.0
+
+
 class StreamSink:
-    """Sends tokens to the caller as server-sent events."""
+    """Sends tokens to the caller as server-sent events, and comments while there are none."""
 
-    __slots__ = ("_encoder", "_exchange", "_request_id")
+    __slots__ = ("_encoder", "_exchange", "_last_sent", "_request_id", "_sending")
 
     def __init__(self, exchange: Exchange, encoder: ChatEncoder, request_id: str) -> None:
         self._exchange = exchange
         self._encoder = encoder
         self._request_id = request_id
+        self._last_sent = trio.current_time()
+        self._sending = trio.Lock()
 
     async def send(self, frame: TokenFrame) -> None:
         """Send the event of a frame, after the head of the answer."""
-        await self.begin()
-        await self._exchange.send(self._encoder.token_event(frame))
+        await self._send(self._encoder.token_event(frame))
+
+    async def keep_alive(self) -> None:
+        """Send a comment whenever nothing was sent for a while, until cancelled."""
+        while True:
+            await trio.sleep_until(self._last_sent + KEEP_ALIVE_SECONDS)
+            if trio.current_time() >= self._last_sent + KEEP_ALIVE_SECONDS:
+                await self._send(KEEP_ALIVE_EVENT)
+
+    async def _send(self, data: bytes) -> None:
+        async with self._sending:
+            await self.begin()
+            await self._exchange.send(data)
+            self._last_sent = trio.current_time()
 
     async def begin(self) -> None:
         """Send the head of the answer when it has not been sent."""
@@ -134,7 +157,11 @@
 ) -> None:
     encoder = _encoder(context, request)
     sink = StreamSink(exchange, encoder, request.request_id)
-    match await context.dispatcher.generate(request, sink):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(sink.keep_alive)
+        outcome = await context.dispatcher.generate(request, sink)
+        nursery.cancel_scope.cancel()
+    match outcome:
         case Finished(tokens=tokens, finish_reason=finish_reason):
             await sink.begin()
             await exchange.finish(encoder.end_event(finish_reason, request.prompt_tokens, tokens))
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -1,12 +1,20 @@
 """HTTP client of engines."""
 
 from collections.abc import AsyncGenerator, AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
+from datetime import timedelta
 
 import httpcore
 import msgspec
+import trio
 
 from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
+from wasabiwell_entry.coordination.dispatch.errors import (
+    ProbeOutcome,
+    TargetAlive,
+    TargetGone,
+    TargetSilent,
+)
 from wasabiwell_entry.coordination.targets.errors import LoadUnavailable
 from wasabiwell_entry.coordination.targets.ports import LoadReport
 from wasabiwell_entry.protocol.engine import (
@@ -21,9 +29,19 @@
 from wasabiwell_entry.state.requests import Attempt, EndFrame, StreamBroken, StreamItem
 from wasabiwell_entry.state.targets import EngineLoad, Target
 from wasabiwell_entry.transport.target.pools import BROKEN, NOT_SENT, TargetPools, timeouts
+from wasabiwell_entry.transport.target.reads import StreamReads
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
-STREAM_SILENCE_SECONDS = 120.0
+MAX_READ_SECONDS = 600.0
+PROBE_SECONDS = 0.5
+STREAM_SILENCE = timedelta(seconds=2)
+"""After this silence the engine is probed; between tokens, the connection is then replaced."""
+SILENCE_CHECK_INTERVAL = timedelta(milliseconds=500)
+FIRST_TOKEN_SILENCE = timedelta(seconds=10)
+PREFILL_TIME_PER_TOKEN = timedelta(microseconds=200)
+"""Before its first token, an engine that is alive may be silent while it processes the prompt."""
+READS_OF_HEAD = 1
+"""Finished reads of a stream that give its head and no token."""
 QUERY_TIMEOUT_SECONDS = 1.0
 RESERVATION_TTL_SECONDS = 30.0
 
@@ -42,11 +60,28 @@
         self, target: Target, attempt: Attempt
     ) -> AsyncIterator[AsyncIterator[StreamItem]]:
         """Run an attempt; leaving the context closes its connection, which cancels it."""
-        items = self._items(target, attempt)
+        reads = StreamReads(self._clock)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, target, attempt, reads)
+            items = self._items(target, attempt, reads)
+            try:
+                yield items
+            finally:
+                await items.aclose()
+            nursery.cancel_scope.cancel()
+
+    async def probe(self, target: Target) -> ProbeOutcome:
+        """Ask for the load on a new connection."""
         try:
-            yield items
-        finally:
-            await items.aclose()
+            async with httpcore.AsyncConnectionPool() as pool:
+                await pool.request(
+                    "GET", f"http://{target.address}/load", extensions=timeouts(PROBE_SECONDS)
+                )
+        except httpcore.TimeoutException:
+            return TargetSilent()
+        except BROKEN:
+            return TargetGone()
+        return TargetAlive()
 
     async def load(self, target: Target) -> LoadReport | LoadUnavailable:
         """Return the load that an engine reports."""
@@ -98,16 +133,55 @@
         except (*NOT_SENT, *BROKEN):
             return
 
-    async def _items(self, target: Target, attempt: Attempt) -> AsyncGenerator[StreamItem, None]:
+    async def _watch(self, target: Target, attempt: Attempt, reads: StreamReads) -> None:
+        """Probe the engine while the stream is silent and interrupt the read when that is right."""
+        while True:
+            await self._clock.sleep(SILENCE_CHECK_INTERVAL)
+            begun = reads.begun
+            if begun is None or self._clock.monotonic() - begun < STREAM_SILENCE:
+                continue
+            match await self.probe(target):
+                case TargetAlive():
+                    allowed = _allowed_silence(attempt, reads)
+                    if self._clock.monotonic() - begun < allowed:
+                        continue
+                    broken = StreamBroken("the stream is silent, the engine is not", silent=True)
+                case TargetGone() | TargetSilent():
+                    broken = StreamBroken("the engine is silent", target_lost=True)
+            if reads.begun == begun:
+                reads.interrupt(broken)
+                await self._cancel(target, attempt.attempt_id)
+
+    async def _cancel(self, target: Target, attempt_id: str) -> None:
+        """Cancel an attempt on another connection; when this fails, the engine ends it later."""
         try:
-            async with self._pools.pool(target.address).stream(
+            await self._pools.pool(target.address).request(
                 "POST",
-                f"http://{target.address}/v1/generate",
+                f"http://{target.address}/v1/cancel",
                 headers=JSON_HEADERS,
-                content=encode_attempt(attempt),
-                extensions=timeouts(STREAM_SILENCE_SECONDS),
-            ) as response:
-                async for item in _read_items(response, attempt.attempt_id):
+                content=msgspec.json.encode({"attempt_id": attempt_id}),
+                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
+            )
+        except (*NOT_SENT, *BROKEN):
+            return
+
+    async def _items(
+        self, target: Target, attempt: Attempt, reads: StreamReads
+    ) -> AsyncGenerator[StreamItem, None]:
+        request = self._pools.pool(target.address).stream(
+            "POST",
+            f"http://{target.address}/v1/generate",
+            headers=JSON_HEADERS,
+            content=encode_attempt(attempt),
+            extensions=timeouts(MAX_READ_SECONDS),
+        )
+        try:
+            async with AsyncExitStack() as stack:
+                response = await reads.read(lambda: stack.enter_async_context(request))
+                if isinstance(response, StreamBroken):
+                    yield response
+                    return
+                async for item in _read_items(response, attempt.attempt_id, reads):
                     yield item
         except NOT_SENT as error:
             yield StreamBroken(repr(error), refused=True, target_lost=True)
@@ -115,14 +189,30 @@
             yield StreamBroken(repr(error), target_lost=True)
 
 
-async def _read_items(response: httpcore.Response, attempt_id: str) -> AsyncIterator[StreamItem]:
+def _allowed_silence(attempt: Attempt, reads: StreamReads) -> timedelta:
+    """Return how long an engine that is alive may send nothing."""
+    if reads.count > READS_OF_HEAD:
+        return STREAM_SILENCE
+    return FIRST_TOKEN_SILENCE + attempt.request.prompt_tokens * PREFILL_TIME_PER_TOKEN
+
+
+async def _read_items(
+    response: httpcore.Response, attempt_id: str, reads: StreamReads
+) -> AsyncIterator[StreamItem]:
     if response.status != 200:
         content = await response.aread()
         refused = response.status in (409, 413, 429, 503)
         yield StreamBroken(_error_text(response.status, content), refused=refused)
         return
     reader = FrameReader(attempt_id)
-    async for data in response.aiter_stream():
+    chunks = aiter(response.aiter_stream())
+    while True:
+        data = await reads.read(lambda: anext(chunks, None))
+        if isinstance(data, StreamBroken):
+            yield data
+            return
+        if data is None:
+            break
         for item in reader.feed(data):
             yield item
             if isinstance(item, EndFrame | StreamBroken):
--- a/standins/wasabiwell_standins/fleet.py
+++ b/standins/wasabiwell_standins/fleet.py
@@ -130,27 +130,38 @@
     def start_platform(self) -> Process:
         """Start the platform stand-in."""
         address = f"{HOST}:{free_ports()[0]}"
-        return self._spawn(
+        return self.start_module(
             "platform", "platform", address, "wasabiwell_standins.platform", ["--address", address]
         )
 
-    def start_engine(self, index: int, *options: str) -> Process:
-        """Start an engine and list it."""
+    def start_engine(self, index: int, *options: str, proxied: bool = False) -> Process:
+        """Start an engine and list it, under the address of a proxy of its own if `proxied`."""
         name = f"{self.deployment.engine_service}-{index}"
         address = f"{HOST}:{free_ports()[0]}"
         arguments = ["--address", address, "--name", name]
         arguments += ["--total-tokens", str(self.deployment.engine_tokens), *options]
-        process = self._spawn("engine", name, address, "wasabiwell_standins.engine", arguments)
+        process = self.start_module(
+            "engine", name, address, "wasabiwell_standins.engine", arguments
+        )
         process.zone = self._zone(index)
-        self.list_instance(process, self.deployment.engine_service)
+        listed = self.start_proxy(address, f"proxy-of-{name}")[0] if proxied else address
+        self.list_instance(process, self.deployment.engine_service, listed)
         return process
 
+    def proxy_of(self, process: Process) -> Process:
+        """Return the proxy under whose address a process is listed."""
+        return next(
+            item for item in self.of_role("proxy") if item.name == f"proxy-of-{process.name}"
+        )
+
     def start_booking(self, index: int) -> Process:
         """Start a target of the booking service and list it."""
         name = f"{self.deployment.booking_service}-{index}"
         address = f"{HOST}:{free_ports()[0]}"
         arguments = ["--address", address, "--name", name]
-        process = self._spawn("plain", name, address, "wasabiwell_standins.booking", arguments)
+        process = self.start_module(
+            "plain", name, address, "wasabiwell_standins.booking", arguments
+        )
         process.zone = self._zone(index)
         self.list_instance(process, self.deployment.booking_service)
         return process
@@ -165,7 +176,7 @@
         arguments += ["--zone", self._zone(index), "--caller-address", address]
         arguments += ["--peer-address", peer_address, "--table-url", url]
         arguments += ["--object-url", url, "--instance-url", url, *options]
-        process = self._spawn("entry", name, address, "wasabiwell_entry.main", arguments)
+        process = self.start_module("entry", name, address, "wasabiwell_entry.main", arguments)
         process.zone = self._zone(index)
         process.peer_address = peer_address
         self.list_instance(process, "")
@@ -176,9 +187,26 @@
         port, control_port = free_ports(2)
         address, control = f"{HOST}:{port}", f"{HOST}:{control_port}"
         arguments = ["--address", address, "--target", target, "--control-address", control]
-        process = self._spawn("proxy", name, control, "wasabiwell_standins.proxy", arguments)
+        process = self.start_module("proxy", name, control, "wasabiwell_standins.proxy", arguments)
         return address, process
 
+    def start_module(
+        self, role: str, name: str, address: str, module: str, arguments: list[str]
+    ) -> Process:
+        """Run a module as a process and wait until it listens on the address."""
+        with open(self._log_folder / f"{name}.log", "ab") as log:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        process = Process(role, name, address, popen)
+        self.processes.append(process)
+        self.wait_until(lambda: self._listening(process), f"{name} listening")
+        return process
+
     def list_instance(self, process: Process, service: str, address: str | None = None) -> None:
         """Put a process on the platform's instance list, under another address if given."""
         record = {
@@ -266,22 +294,6 @@
     def _zone(self, index: int) -> str:
         return self.deployment.zones[index % len(self.deployment.zones)]
 
-    def _spawn(
-        self, role: str, name: str, address: str, module: str, arguments: list[str]
-    ) -> Process:
-        with open(self._log_folder / f"{name}.log", "ab") as log:
-            popen = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
-                stdout=log,
-                stderr=log,
-                stdin=subprocess.DEVNULL,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
-            )
-        process = Process(role, name, address, popen)
-        self.processes.append(process)
-        self.wait_until(lambda: self._listening(process), f"{name} listening")
-        return process
-
     def _listening(self, process: Process) -> bool:
         if process.popen.poll() is not None:
             raise RuntimeError(f"{process.name} ended: {self.log(process.name)}")
@@ -302,12 +314,14 @@
 
 
 @contextmanager
-def running_fleet(deployment: Deployment, *entry_options: str) -> Iterator[Fleet]:
+def running_fleet(
+    deployment: Deployment, *entry_options: str, proxied: bool = False
+) -> Iterator[Fleet]:
     """Own a fleet in the deployment's size with its example configuration in force."""
     with open_fleet(deployment) as fleet:
         fleet.start_platform()
         for index in range(deployment.engines):
-            fleet.start_engine(index)
+            fleet.start_engine(index, proxied=proxied)
         for index in range(deployment.bookings):
             fleet.start_booking(index)
         for index in range(deployment.entries):
--- a/tests/support/calls.py
+++ b/tests/support/calls.py
@@ -185,6 +185,7 @@
                 self.targets,
                 runs,
                 self.targets,
+                None,  # type: ignore[arg-type]
                 self.clock,
             )
             self.entries[index : index + 1] = [EntryInProcess(table, dispatcher, nursery)]
