--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass
+from datetime import timedelta
 
 import trio
 from wasabiwell_config import Organisation
@@ -204,6 +205,15 @@
                 target, shard = reserved.pop()
                 await self._ports.reservations.release(target, shard.reservation_id)
 
+    def waits(self, size: SizeClass) -> list[timedelta]:
+        """Return how long each waiting request of a size class has waited."""
+        now = self._clock.monotonic()
+        return [
+            now - ticket.enqueued
+            for queue in self._queues.values()
+            for ticket in queue.in_order(size)
+        ]
+
     def capacity_changed(self) -> None:
         """Grant what has become available to the requests that wait."""
         for queue in self._queues.values():
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -177,6 +177,12 @@
         """Call an observer whenever capacity may have become available."""
         self._observers.append(observer)
 
+    def credits(self) -> list[tuple[str, Amount]]:
+        """Return the valid credit of each engine of which any is held."""
+        now = self._clock.monotonic()
+        valid = [(pool.engine_id, pool.valid(now)) for pool in self._pools.values()]
+        return [(engine_id, amount) for engine_id, amount in valid if amount != NOTHING]
+
     def outstanding(self, engine_ids: Sequence[str]) -> list[CreditClaim]:
         """Return the credit and use of engines, for their new owner."""
         now = self._clock.monotonic()
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
@@ -11,6 +11,7 @@
     QuarantineProvider,
     QueueProvider,
 )
+from wasabiwell_entry.coordination.targets import TargetCoordinator
 from wasabiwell_entry.coordination.telemetry.errors import NoRecord
 from wasabiwell_entry.coordination.telemetry.records import RequestLog
 from wasabiwell_entry.state import log_events
@@ -38,6 +39,7 @@
     configuration: ConfigurationState
     members: MemberTable
     targets: TargetTable
+    target_coordinator: TargetCoordinator
     lifecycle: LifecycleCoordinator
     records: RequestLog
     counters: Counters
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/ports.py
@@ -0,0 +1,15 @@
+"""What quarantine needs of other capabilities."""
+
+from typing import Protocol
+
+from wasabiwell_entry.state.suspects import Suspect
+
+
+class SuspectPort(Protocol):
+    """Spreads marks to the other entry instances, faster than their reads of the table service."""
+
+    def spread(self, suspect: Suspect) -> None:
+        """Announce a suspect; receivers pass it to `QuarantineCoordinator.learn`."""
+
+    def withdraw(self, fingerprint: str) -> None:
+        """Take a suspect back; receivers pass it to `QuarantineCoordinator.forget`."""
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/observed.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/observed.py
@@ -7,7 +7,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Protocol
 
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent
+from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent, ProbeOutcome
 from wasabiwell_entry.coordination.dispatch.ports import (
     AdmissionPort,
     AnswerSink,
@@ -201,6 +201,10 @@
         self._log = log
         self._telemetry = telemetry
 
+    async def probe(self, target: Target) -> ProbeOutcome:
+        """Ask an engine for a sign of life on a new connection."""
+        return await self._inner.probe(target)
+
     @asynccontextmanager
     async def generate(
         self, target: Target, attempt: Attempt
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -1,50 +1,69 @@
 """Wires the layers of an entry instance together and runs them."""
 
-import ipaddress
 import secrets
 import signal
-import ssl
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import trio
 import trio_asyncio
+from wasabiwell_config import Organisation
 
 from wasabiwell_entry.coordination.addresses import AddressCoordinator
 from wasabiwell_entry.coordination.admission import AdmissionCoordinator
+from wasabiwell_entry.coordination.admission.coordinator import AdmissionPorts
+from wasabiwell_entry.coordination.admission.load_capacity import LoadCapacity
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
+from wasabiwell_entry.coordination.configuration.store import ConfigurationStore
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
 from wasabiwell_entry.coordination.dispatch import Dispatcher
-from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator
+from wasabiwell_entry.coordination.lifecycle import LifecycleCoordinator, RecoveryCoordinator
+from wasabiwell_entry.coordination.limits import LimitCoordinator
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
 from wasabiwell_entry.coordination.operations import OperationsCoordinator
 from wasabiwell_entry.coordination.operations.coordinator import Sources
+from wasabiwell_entry.coordination.operations.providers import (
+    AdmissionQueues,
+    Quarantine,
+    SharedCapacity,
+)
 from wasabiwell_entry.coordination.orders import OrderCoordinator, OrderLeases, WeightStoreRate
+from wasabiwell_entry.coordination.quarantine import QuarantineCoordinator
+from wasabiwell_entry.coordination.quarantine.marks import MarkedSuspects
 from wasabiwell_entry.coordination.routing import Router
-from wasabiwell_entry.coordination.runs import RunCoordinator
+from wasabiwell_entry.coordination.routing.errors import UnknownPolicy
+from wasabiwell_entry.coordination.routing.policies import Current, Policy, policy_of
+from wasabiwell_entry.coordination.runs.coordinator import open_run_coordinator
 from wasabiwell_entry.coordination.targets import TargetCoordinator
-from wasabiwell_entry.coordination.telemetry import (
+from wasabiwell_entry.coordination.telemetry.observed import (
     ObservedAdmission,
     ObservedDispatcher,
     ObservedEngines,
     ObservedPlain,
     ObservedTable,
-    RequestLog,
 )
+from wasabiwell_entry.coordination.telemetry.records import RequestLog
+from wasabiwell_entry.protocol.peer import ACQUIRE_LIMIT
 from wasabiwell_entry.settings import Settings, split_address
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock, SystemClock
 from wasabiwell_entry.state.configuration import ConfigurationState
 from wasabiwell_entry.state.counters import Counters
+from wasabiwell_entry.state.marks import MarkTable
 from wasabiwell_entry.state.members import Member, MemberTable
+from wasabiwell_entry.state.platform import InstanceRecord
+from wasabiwell_entry.state.suspects import SuspectTable
 from wasabiwell_entry.state.targets import TargetTable
-from wasabiwell_entry.transport.certificates import Certificates, KeyPair
+from wasabiwell_entry.tls import TlsContexts, open_tls, warn_of_plaintext
 from wasabiwell_entry.transport.http.context import HttpContext, HttpLimits
 from wasabiwell_entry.transport.http.server import serve_callers
-from wasabiwell_entry.transport.peer.client import PeerClient, open_peer_client
+from wasabiwell_entry.transport.peer.calls import GrpcPeerCalls, register_peer_methods
+from wasabiwell_entry.transport.peer.client import open_peer_client
 from wasabiwell_entry.transport.peer.codec import TRAFFIC
 from wasabiwell_entry.transport.peer.credits import GrpcCreditPeers, serve_credits
+from wasabiwell_entry.transport.peer.exchange import GrpcPeers
+from wasabiwell_entry.transport.peer.limits import PeerLimitOwners
 from wasabiwell_entry.transport.peer.rate import GrpcRatePeers, serve_rate
 from wasabiwell_entry.transport.peer.server import PeerService, serve_peers
 from wasabiwell_entry.transport.platform.client import (
@@ -58,42 +77,34 @@
 from wasabiwell_entry.transport.target.pools import open_target_pools
 from wasabiwell_entry.transport.telemetry.lifetime import open_telemetry, publish_reports
 
-CALLER_PROTOCOLS = ("h2", "http/1.1")
-
-
-@dataclass(frozen=True, slots=True)
-class TlsContexts:
-    """TLS contexts of an entry instance; None stands for connections without TLS."""
-
-    certificates: Certificates
-    callers: ssl.SSLContext | None
-    peer_server: ssl.SSLContext | None
-    peer_client: ssl.SSLContext | None
-    targets: ssl.SSLContext | None
-    platform: ssl.SSLContext | None
-
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """The parts of a running entry instance."""
+    """The parts of a running entry instance that have tasks or a listener of their own."""
 
     settings: Settings
+    tls: TlsContexts
     http: HttpContext
     membership: MembershipCoordinator
     targets: TargetCoordinator
     configuration: ConfigurationCoordinator
     lifecycle: LifecycleCoordinator
-    peers: PeerClient
-    tls: TlsContexts
+    recovery: RecoveryCoordinator
     credit_owner: CreditOwner
     credit_holder: CreditHolder
-    rate: WeightStoreRate
+    limits: LimitCoordinator
+    quarantine: QuarantineCoordinator
+    peer_service: PeerService
 
 
 @asynccontextmanager
 async def open_instance(settings: Settings, clock: Clock) -> AsyncIterator[Instance]:
     """Build an entry instance and own its connections until the context ends."""
-    tls = _open_tls(settings)
+    tls = open_tls(settings)
+    counters = Counters()
+    records = RequestLog(clock)
+    objects = HttpObjectStore(settings.object_url, tls.platform)
+    instances = HttpInstanceList(settings.instance_url, tls.platform)
     async with (
         trio_asyncio.open_loop(),
         open_target_pools(tls.targets) as pools,
@@ -106,23 +117,40 @@
         ) as telemetry,
         open_peer_client(telemetry, tls.peer_client) as peers,
     ):
-        own = _own_member(settings)
+        own = _own_member(settings, clock)
         members = MemberTable()
         target_table = TargetTable()
         configuration_state = ConfigurationState()
-        counters = Counters()
-        records = RequestLog(clock)
         table = ObservedTable(
             HttpTableService(settings.table_url, tls.platform), counters, telemetry
         )
         engines = HttpEngineClient(pools, clock, telemetry)
-        targets = TargetCoordinator(target_table, engines, clock)
+        peer_calls = GrpcPeerCalls(peers, settings.node_id)
+        configuration = ConfigurationCoordinator(
+            own, members, ConfigurationStore(table, objects), configuration_state, peer_calls, clock
+        )
         membership = MembershipCoordinator(
-            own, members, HttpInstanceList(settings.instance_url, tls.platform), clock
+            own,
+            members,
+            MarkTable(),
+            instances,
+            GrpcPeers(tls.peer_client),
+            configuration,
+            clock,
         )
+        targets = TargetCoordinator(target_table, engines, membership, clock, settings.node_id)
         membership.observe(targets.update_instances)
-        configuration = ConfigurationCoordinator(table, configuration_state, clock)
-        lifecycle = LifecycleCoordinator(own, members, configuration_state, clock)
+        lifecycle = LifecycleCoordinator(membership, configuration, clock)
+        membership.observe(_leave_when_listed(settings.node_id, lifecycle))
+        recovery = RecoveryCoordinator(
+            membership,
+            configuration,
+            peer_calls,
+            instances,
+            settings.seeds,
+            targets.update_instances,
+            clock,
+        )
         owners = EngineOwners(own, members, target_table)
         credit_peers = GrpcCreditPeers(peers)
         credit_owner = CreditOwner(owners, target_table, credit_peers, clock)
@@ -135,89 +163,108 @@
             engines,
             clock,
         )
-        dispatcher = Dispatcher(
-            admission=ObservedAdmission(
-                AdmissionCoordinator(
-                    Router(target_table, settings.zone, clock), target_table, credit_holder, clock
-                ),
-                records,
-                telemetry,
-            ),
-            engines=ObservedEngines(engines, records, telemetry),
-            plain=ObservedPlain(HttpPlainClient(clock, telemetry, tls.targets), records, telemetry),
-            runs=RunCoordinator(
-                table, HttpObjectStore(settings.object_url, tls.platform), clock, settings.node_id
-            ),
-            observer=targets,
-            clock=clock,
+
+        def organisation(name: str) -> Organisation | None:
+            return configuration_state.view.organisation(name)
+
+        limits = LimitCoordinator(own, members, organisation, PeerLimitOwners(peers), clock)
+        policy = _policy(settings)
+        match policy:
+            case Current(shares_credits=True):
+                capacity: CreditHolder | LoadCapacity = credit_holder
+            case _:
+                capacity = LoadCapacity(target_table, clock, lambda: len(members.alive()))
+        admission = AdmissionCoordinator(
+            Router(target_table, settings.zone, clock, policy),
+            target_table,
+            AdmissionPorts(engines, capacity, limits, organisation),
+            clock,
+        )
+        targets.observe(admission.capacity_changed)
+        marked = MarkedSuspects(membership, clock)
+        quarantine = QuarantineCoordinator(
+            table, SuspectTable(), marked, lambda: len(members), clock
         )
+        marked.subscribe(quarantine.learn, quarantine.forget)
+        rate = WeightStoreRate(settings.weight_loads, own, members, GrpcRatePeers(peers), clock)
+        peer_service = PeerService()
+        register_peer_methods(peer_service, membership, members, configuration, targets)
+        serve_credits(peer_service, credit_owner, credit_holder)
+        serve_rate(peer_service, rate)
+        peer_service.handle(ACQUIRE_LIMIT, limits.serve)
         operations = OperationsCoordinator(
             Sources(
                 own=own,
                 configuration=configuration_state,
                 members=members,
                 targets=target_table,
+                target_coordinator=targets,
                 lifecycle=lifecycle,
                 records=records,
                 counters=counters,
                 traffic=TRAFFIC,
+                queues=AdmissionQueues(admission),
+                credit_ledger=SharedCapacity(owners, credit_owner, credit_holder),
+                owners=SharedCapacity(owners, credit_owner, credit_holder),
+                quarantine=Quarantine(quarantine),
             )
         )
-        rate = WeightStoreRate(settings.weight_loads, own, members, GrpcRatePeers(peers), clock)
-        orders = OrderCoordinator(
-            OrderLeases(table, clock, settings.node_id), HttpOrderClient(pools), rate, clock
-        )
-        http = HttpContext(
-            dispatcher=ObservedDispatcher(dispatcher, records, counters, telemetry),
-            addresses=AddressCoordinator(own, members),
-            configuration=configuration_state,
-            configuration_coordinator=configuration,
-            lifecycle=lifecycle,
-            orders=orders,
-            targets=target_table,
-            clock=clock,
-            limits=HttpLimits(settings.max_body_bytes, settings.body_timeout.total_seconds()),
-            operations=operations,
-            telemetry=telemetry,
-            bootstrap_key_hash=settings.bootstrap_key_hash,
-        )
-        yield Instance(
-            settings,
-            http,
-            membership,
-            targets,
-            configuration,
-            lifecycle,
-            peers,
-            tls,
-            credit_owner,
-            credit_holder,
-            rate,
-        )
+        async with open_run_coordinator(table, objects, clock, settings.node_id) as runs:
+            dispatcher = Dispatcher(
+                admission=ObservedAdmission(admission, records, telemetry),
+                engines=ObservedEngines(engines, records, telemetry),
+                plain=ObservedPlain(
+                    HttpPlainClient(clock, telemetry, tls.targets), records, telemetry
+                ),
+                runs=runs,
+                observer=targets,
+                suspects=quarantine,
+                clock=clock,
+            )
+            http = HttpContext(
+                dispatcher=ObservedDispatcher(dispatcher, records, counters, telemetry),
+                addresses=AddressCoordinator(own, members, settings.address_ttl),
+                configuration=configuration_state,
+                configuration_coordinator=configuration,
+                lifecycle=lifecycle,
+                orders=OrderCoordinator(
+                    OrderLeases(table, clock, settings.node_id), HttpOrderClient(pools), rate, clock
+                ),
+                targets=target_table,
+                clock=clock,
+                limits=HttpLimits(settings.max_body_bytes, settings.body_timeout.total_seconds()),
+                operations=operations,
+                telemetry=telemetry,
+                bootstrap_key_hash=settings.bootstrap_key_hash,
+            )
+            yield Instance(
+                settings,
+                tls,
+                http,
+                membership,
+                targets,
+                configuration,
+                lifecycle,
+                recovery,
+                credit_owner,
+                credit_holder,
+                limits,
+                quarantine,
+                peer_service,
+            )
 
 
 async def run_instance(settings: Settings) -> None:
     """Run an entry instance until SIGTERM and the end of its requests."""
     async with open_instance(settings, SystemClock()) as instance:
-        peer_host, peer_port = split_address(settings.peer_address)
-        service = PeerService()
-        serve_credits(service, instance.credit_owner, instance.credit_holder)
-        serve_rate(service, instance.rate)
-        _warn_of_plaintext(settings)
+        warn_of_plaintext(settings)
+        await instance.recovery.recover()
+        peer_host, peer_port = split_address(settings.peer_listen or settings.peer_address)
         async with (
-            serve_peers(service, peer_host, peer_port, instance.tls.peer_server),
+            serve_peers(instance.peer_service, peer_host, peer_port, instance.tls.peer_server),
             trio.open_nursery() as nursery,
         ):
-            nursery.start_soon(instance.tls.certificates.run)
-            nursery.start_soon(instance.membership.run)
-            nursery.start_soon(instance.targets.run)
-            nursery.start_soon(instance.configuration.run)
-            nursery.start_soon(instance.credit_owner.run)
-            nursery.start_soon(instance.credit_holder.run)
-            nursery.start_soon(_leave_on_signal, instance.lifecycle)
-            nursery.start_soon(
-                publish_reports, instance.http.telemetry, instance.http.operations.report
-            )
+            _start_tasks(instance, nursery)
             log_events.emit(
                 log_events.ENTRY_STARTED, node=settings.node_id, address=settings.caller_address
             )
@@ -229,8 +276,22 @@
     log_events.emit(log_events.ENTRY_STOPPED, node=settings.node_id)
 
 
+def _start_tasks(instance: Instance, nursery: trio.Nursery) -> None:
+    nursery.start_soon(instance.tls.certificates.run)
+    nursery.start_soon(instance.membership.run)
+    nursery.start_soon(instance.targets.run)
+    nursery.start_soon(instance.configuration.run)
+    nursery.start_soon(instance.credit_owner.run)
+    nursery.start_soon(instance.credit_holder.run)
+    nursery.start_soon(instance.limits.run)
+    nursery.start_soon(instance.quarantine.run)
+    nursery.start_soon(_leave_on_signal, instance.lifecycle)
+    nursery.start_soon(publish_reports, instance.http.telemetry, instance.http.operations.report)
+
+
 async def _drained(instance: Instance) -> None:
-    await instance.lifecycle.wait_drained(instance.settings.address_ttl)
+    settings = instance.settings
+    await instance.lifecycle.wait_drained(settings.address_ttl, settings.drain_limit)
 
 
 async def _leave_on_signal(lifecycle: LifecycleCoordinator) -> None:
@@ -239,39 +300,42 @@
             lifecycle.leave(f"signal {signal.Signals(number).name}")
 
 
-def _open_tls(settings: Settings) -> TlsContexts:
-    certificates = Certificates()
-    peer_server = peer_client = None
-    if settings.peer_tls_certificate:
-        pair = KeyPair(settings.peer_tls_certificate, settings.peer_tls_key)
-        peer_server = certificates.peer_server(pair, settings.peer_tls_ca)
-        peer_client = certificates.peer_client(pair, settings.peer_tls_ca)
-    pair = KeyPair(settings.tls_certificate, settings.tls_key)
-    return TlsContexts(
-        certificates=certificates,
-        callers=certificates.server(pair, CALLER_PROTOCOLS) if pair.certificate else None,
-        peer_server=peer_server,
-        peer_client=peer_client,
-        targets=certificates.client(settings.target_ca) if settings.target_ca else None,
-        platform=certificates.client(settings.platform_ca) if settings.platform_ca else None,
-    )
+def _leave_when_listed(
+    node_id: str, lifecycle: LifecycleCoordinator
+) -> Callable[[list[InstanceRecord]], None]:
+    """Return an observer that stops this instance when the list begins to show it as leaving.
 
+    An instance that is listed as leaving at its first look has been replaced under its node id,
+    and the list still shows its predecessor.
+    """
+    was_staying = False
+
+    def observe(records: list[InstanceRecord]) -> None:
+        nonlocal was_staying
+        for record in records:
+            if record.instance_id == node_id and record.role == "entry":
+                if record.leaving and was_staying:
+                    lifecycle.leave("the instance list shows it as leaving")
+                was_staying = was_staying or not record.leaving
+
+    return observe
+
+
+def _policy(settings: Settings) -> Policy:
+    """Return the policy that the settings name; they were checked at start."""
+    policy = policy_of(settings.policy)
+    assert not isinstance(policy, UnknownPolicy), policy
+    return policy
 
-def _warn_of_plaintext(settings: Settings) -> None:
-    listeners = (
-        (settings.caller_address, settings.tls_certificate),
-        (settings.peer_address, settings.peer_tls_certificate),
-    )
-    for address, certificate in listeners:
-        host = ipaddress.ip_address(split_address(address)[0].strip("[]"))
-        if not certificate and not host.is_loopback:
-            log_events.emit(log_events.PLAINTEXT_LISTENER, address=address)
 
+def _own_member(settings: Settings, clock: Clock) -> Member:
+    """Return this instance; a start at a later time has a higher incarnation.
 
-def _own_member(settings: Settings) -> Member:
+    When the clock stepped back, peers tell the old incarnation and membership exceeds it.
+    """
     return Member(
         node_id=settings.node_id,
-        incarnation=1,
+        incarnation=int(clock.now().timestamp() * 1000),
         region=settings.region,
         zone=settings.zone,
         caller_address=settings.caller_address,
--- a/packages/entry/src/wasabiwell_entry/protocol/peer.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/peer.py
@@ -4,17 +4,17 @@
 from datetime import timedelta
 from typing import Any, Generic, TypeVar
 
-from wasabiwell_entry.coordination.credits.errors import CreditRefused
-from wasabiwell_entry.coordination.credits.ports import CreditGranted, CreditReturn
-from wasabiwell_entry.state.credits import CreditClaim
 import msgspec
 
+from wasabiwell_entry.coordination.credits.errors import CreditRefused
+from wasabiwell_entry.coordination.credits.ports import CreditGranted, CreditReturn
 from wasabiwell_entry.coordination.lifecycle.ports import PeerSnapshot
+from wasabiwell_entry.coordination.limits.shares import LimitGrant, LimitRequest
 from wasabiwell_entry.state.configuration import ConfigurationDelta, ConfigurationUpdate
+from wasabiwell_entry.state.credits import CreditClaim
 from wasabiwell_entry.state.heartbeats import Announcement, Heartbeat
 from wasabiwell_entry.state.marks import Mark
 from wasabiwell_entry.state.members import Member, MemberStatus
-from wasabiwell_entry.coordination.limits.shares import LimitGrant, LimitRequest
 
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -105,9 +105,15 @@
 RUN_RESULT_UNKNOWN = LogEvent(
     401,
     Level.WARNING,
-    "request {request}: call to {target} was sent and has no whole answer: {reason}",
+    "request {request}: the call was sent and has no whole answer: {reason}",
     "Ask the target whether the call ran; the caller was told that the result is unknown.",
 )
+SETTLEMENT_GIVEN_UP = LogEvent(
+    407,
+    Level.WARNING,
+    "too many run records wait to be settled; one is left as started instead of {status}",
+    "Check the table service. A repeat of the call is told that its result is unknown.",
+)
 TARGET_LOST = LogEvent(402, Level.WARNING, "target {target} does not accept connections")
 TARGET_DRAINED = LogEvent(403, Level.INFO, "target {target} gets no new work: drained by operator")
 CREDIT_OWNER_UNREACHABLE = LogEvent(
@@ -117,6 +123,17 @@
     "capacity is used",
     "Check the network to that instance. Engines refuse what does not fit; such requests wait.",
 )
+REQUEST_SUSPECTED = LogEvent(
+    405,
+    Level.WARNING,
+    "target {target} died while it ran the request with fingerprint {fingerprint}",
+)
+REQUEST_QUARANTINED = LogEvent(
+    406,
+    Level.ERROR,
+    "the request with fingerprint {fingerprint} is refused, because two targets died running it",
+    "Find the fault of the engines, then release the request.",
+)
 REQUEST_FAILED_INTERNALLY = LogEvent(
     500, Level.ERROR, "request {request}: unexpected {error}", "Report this with the log."
 )
--- a/packages/entry/src/wasabiwell_entry/transport/peer/calls.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/calls.py
@@ -10,9 +10,9 @@
     FETCH_CONFIGURATION,
     FETCH_SNAPSHOT,
     PUSH_CONFIGURATION,
-    VersionAck,
     ConfigurationQuery,
     SnapshotQuery,
+    VersionAck,
 )
 from wasabiwell_entry.state.configuration import ConfigurationDelta, ConfigurationUpdate
 from wasabiwell_entry.state.members import Member, MemberTable
--- a/packages/entry/src/wasabiwell_entry/transport/target/plain.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -35,16 +35,20 @@
         self._telemetry = telemetry
 
     async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
-        """Send a call once."""
+        """Send a call once, and only before its deadline."""
         host, _, port = target.address.rpartition(":")
         try:
             stream = await httpcore.TrioBackend().connect_tcp(
-                host, int(port), timeout=CONNECT_TIMEOUT_SECONDS
+                host, int(port), timeout=min(CONNECT_TIMEOUT_SECONDS, self._remaining_seconds(call))
             )
             if self._tls is not None:
                 stream = await stream.start_tls(self._tls, host, CONNECT_TIMEOUT_SECONDS)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             return CallNotSent(repr(error))
+        if self._clock.monotonic() >= call.deadline:
+            # The process may have been paused while it connected.
+            await stream.aclose()
+            return CallNotSent("the deadline passed before the call was sent")
         scheme = "http" if self._tls is None else "https"
         origin = httpcore.Origin(scheme.encode(), host.encode(), int(port))
         connection = httpcore.AsyncHTTP11Connection(origin, stream)
--- a/standins/wasabiwell_standins/telemetry_cost.py
+++ b/standins/wasabiwell_standins/telemetry_cost.py
@@ -45,7 +45,9 @@
                 options: tuple[str, ...] = ()
                 if exported:
                     address = f"{HOST}:{free_ports()[0]}"
-                    fleet.start_module("otlp", "otlp", address, "wasabiwell_standins.otlp")
+                    fleet.start_module(
+                        "otlp", "otlp", address, "wasabiwell_standins.otlp", ["--address", address]
+                    )
                     options = ("--otlp-endpoint", f"http://{address}")
                 fleet.start_entry(0, *options)
                 fleet.apply_example()
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -5,12 +5,14 @@
 from pathlib import Path
 
 # behave puts Path objects on sys.path while it loads steps, where an import of hypothesis fails.
-import hypothesis  # noqa: F401
+import hypothesis
 from behave.model import Feature, Scenario
 from behave.runner import Context
 
 sys.path.insert(0, str(Path(__file__).parent))
 
+# behave puts path objects on sys.path while it loads steps, and hypothesis requires strings there.
+import hypothesis.stateful
 from wasabiwell_standins.deployments import DEPLOYMENTS
 from wasabiwell_standins.fleet import running_fleet
 
--- a/tests/steps/entry/transport/telemetry/otlp_steps.py
+++ b/tests/steps/entry/transport/telemetry/otlp_steps.py
@@ -62,7 +62,7 @@
     context.fleet = context.stack.enter_context(open_fleet(replace(EAVELINE, entries=1)))
     address = f"{HOST}:{free_ports()[0]}"
     context.receiver = context.fleet.start_module(
-        "otlp", "otlp", address, "wasabiwell_standins.otlp"
+        "otlp", "otlp", address, "wasabiwell_standins.otlp", ["--address", address]
     )
     start(context, address)
 
