Leave a share of each limit free for an entry instance that starts

Cause: a restarted entry instance refused requests with rate_limited for up to a renewal, because the others had leased the whole limit while it was away. Change: a limit's owner counts one member more than it knows. Conclusion: one newcomer at a time finds a share; several at once may still wait for a renewal.

--- a/packages/entry/src/wasabiwell_entry/coordination/limits/shares.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/shares.py
@@ -96,7 +96,8 @@
         return None
     floor = DEMAND_FLOOR * limit / max(1, members)
     own = max(demand, floor)
-    silent = max(0, members - 1 - len(others))
+    # One more than the members, so that an instance that starts finds a share that is not leased.
+    silent = 1 + max(0, members - 1 - len(others))
     total = own + silent * floor + sum(max(other, floor) for other, _ in others)
     left = limit - sum(share or 0.0 for _, share in others)
     return max(0.0, min(limit * own / total, left))
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -67,7 +67,7 @@
 @option(
     "--weight-loads",
     default=120,
-    help="Loads that the weight store allows to the whole deployment, in loads per 10 s.",
+    help="Loads per 10 seconds that the weight store allows to the whole deployment.",
 )
 @option("--otlp-endpoint", default="", help="URL of an OTLP receiver; empty: no traces or metrics.")
 @option("--otlp-interval-s", default=10.0, help="Time between exports of metrics, in seconds.")
--- a/tests/support/histories.py
+++ b/tests/support/histories.py
@@ -1,6 +1,6 @@
 """Runs state machines of hypothesis with the same histories in each run."""
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
 STEPS_OF_A_HISTORY = 60
@@ -14,6 +14,8 @@
         derandomize=True,
         database=None,
         deadline=None,
+        # Shrinking a failing history takes minutes and changes no verdict.
+        phases=[Phase.explicit, Phase.generate],
         suppress_health_check=list(HealthCheck),
     )
     run_state_machine_as_test(machine, settings=fixed)
