Count use that no holder accounts for as that of long prompts

Cause: the reservation machine found 800 tokens of long prompts on an engine whose limit for them is 700. A holder whose credit had lapsed still ran long prompts; the engine's report does not tell which prompts use its memory, so the owner leased the long share a second time. Ruled out: the fallback of holders; making it stricter left the history as it was. Change: unaccounted use is subtracted from the long share too.

--- a/packages/entry/src/wasabiwell_entry/state/credits.py
+++ b/packages/entry/src/wasabiwell_entry/state/credits.py
@@ -124,8 +124,10 @@
         """
         credits = self._credits.values()
         committed = _sum(credit.amount.at_least(credit.used) for credit in credits)
-        unaccounted = self._reported - _sum(credit.used for credit in credits)
-        return self._capacity - committed - unaccounted.at_least(NOTHING)
+        difference = (self._reported - _sum(credit.used for credit in credits)).at_least(NOTHING)
+        # Reports do not tell which prompts use the memory, so this use counts as that of long ones.
+        unaccounted = Amount(difference.slots, difference.tokens, difference.tokens)
+        return self._capacity - committed - unaccounted
 
     def expire(self, now: timedelta) -> None:
         """Remove the credits whose lifetime has passed."""
