--- a/standins/wasabiwell_standins/booking.py
+++ b/standins/wasabiwell_standins/booking.py
@@ -1,7 +1,8 @@
 """Stand-in for a booking service that counts how often each call ran.
 
 `POST /bookings` and `/reservations` run a booking; `GET /ledger` gives the run count of each
-idempotency key; `GET /availability` is an idempotent look-up. `POST /control` sets `delay_s`
+idempotency key, with `also=HOST:PORT,...` summed over further targets; `GET /availability` is an
+idempotent look-up. `POST /control` sets `delay_s`
 (time that a booking takes) and `drop_replies` (the number of next bookings that run and whose
 connection is then cut).
 """
@@ -10,6 +11,7 @@
 from dataclasses import dataclass, field
 
 import click
+import httpcore
 import msgspec
 import trio
 
@@ -36,7 +38,7 @@
         """Answer one request."""
         match call.method, call.path:
             case "GET", "/ledger":
-                await call.reply(200, dict(self.runs))
+                await call.reply(200, await self._ledger(call.query("also")))
             case "GET", "/availability":
                 await call.reply(200, {"available": True, "by": self.name})
             case "POST", "/control":
@@ -48,6 +50,15 @@
             case _:
                 await call.reply(404, {"error": "no such path"})
 
+    async def _ledger(self, others: str) -> dict[str, int]:
+        """Return the run counts of this target and of the named others together."""
+        total = Counter(self.runs)
+        async with httpcore.AsyncConnectionPool() as pool:
+            for address in filter(None, others.split(",")):
+                response = await pool.request("GET", f"http://{address}/ledger")
+                total.update(msgspec.json.decode(response.content, type=dict[str, int]))
+        return dict(total)
+
     async def _book(self, call: Call) -> None:
         key = call.header("idempotency-key") or ""
         self.runs[key] += 1
--- a/standins/wasabiwell_standins/demo.py
+++ b/standins/wasabiwell_standins/demo.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import click
+import httpcore
 import msgspec
 
 from wasabiwell_standins.caller import ChatResult, ask_addresses, chat, make_messages
@@ -43,7 +44,9 @@
         address = ask_addresses(fleet.entries[0].address, zone)[0]
         messages = make_messages(PROMPT_TOKENS[name], f"{name} {index}")
         key = keys[index % len(keys)]
-        return name, chat(address, key, deployment.engine_service, messages, 32)
+        result = chat(address, key, deployment.engine_service, messages, 32)
+        click.echo(f"  {name} prompt {index + 1}: answered after {result.total_s:.1f} s")
+        return name, result
 
     with ThreadPoolExecutor(len(jobs)) as pool:
         results = list(pool.map(run, jobs))
@@ -81,14 +84,18 @@
 
 def booking_runs(fleet: Fleet) -> dict[str, int]:
     """Return the run count of each idempotency key over all booking targets."""
-    runs: dict[str, int] = {}
-    for process in fleet.of_role("plain"):
-        ledger = msgspec.json.decode(request("GET", process.address, "/ledger").content)
-        for key, count in ledger.items():
-            runs[key] = runs.get(key, 0) + count
+    url = ledger_url(fleet)
+    with httpcore.ConnectionPool() as pool:
+        runs: dict[str, int] = msgspec.json.decode(pool.request("GET", url).content)
     return runs
 
 
+def ledger_url(fleet: Fleet) -> str:
+    """Return the URL that gives the run counts of all booking targets together."""
+    first, *others = [process.address for process in fleet.of_role("plain")]
+    return f"http://{first}/ledger?also={','.join(others)}"
+
+
 def _serve(fleet: Fleet, path: str) -> None:
     deployment = fleet.deployment
     description = {
@@ -98,7 +105,7 @@
         "engine_services": [deployment.engine_service],
         "booking_service": deployment.booking_service,
         "booking_path": deployment.booking_path,
-        "ledger_url": [f"http://{item.address}/ledger" for item in fleet.of_role("plain")],
+        "ledger_url": ledger_url(fleet),
         "processes": [
             {"role": item.role, "name": item.name, "pid": item.pid, "address": item.address}
             for item in fleet.processes
