--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 import trio
-from wasabiwell_config import Findings, configuration_from_items, validate
+from wasabiwell_config import Findings, Items, configuration_from_items, validate
 
 from wasabiwell_entry.coordination.configuration.const import (
     APPLY_ATTEMPTS,
@@ -196,10 +196,13 @@
                 return ApplyUnavailable(conflicts.reason)
             if conflicts:
                 return Conflict(self._state.version, conflicts)
-            findings = _check(self._state, changes)
+            checked_version = self._state.version
+            merged = apply_changes(self._state.items, changes)
+            # A check of 3,200 organisations takes longer than may lie between two tokens.
+            findings = await trio.to_thread.run_sync(_check, merged)
             if findings:
                 return Invalid(findings)
-            outcome = await self._commit(self._state.version, changes)
+            outcome = await self._commit(checked_version, changes)
             if not isinstance(outcome, Conflict):
                 return outcome
         return outcome
@@ -412,8 +415,8 @@
         await self._store.save_snapshot(snapshot, stored)
 
 
-def _check(state: ConfigurationState, changes: Changes) -> tuple[Finding, ...]:
-    match configuration_from_items(apply_changes(state.items, changes)):
+def _check(items: Items) -> tuple[Finding, ...]:
+    match configuration_from_items(items):
         case Findings(findings=findings):
             pass
         case configuration:
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/const.py
@@ -19,7 +19,7 @@
 DEAD_RETENTION = timedelta(hours=2)
 """Regions lose each other for an hour; a dead member is remembered longer than that."""
 RECONNECT_INTERVAL = timedelta(seconds=5)
-"""Interval of trying one dead member that is still listed; heals partitions."""
+"""Interval of trying one dead member that is still listed, so that a partition ends."""
 RING_SUCCESSORS = 3
 REMOTE_ZONES = 2
 MAX_UPDATES = 8
--- a/standins/wasabiwell_standins/measure_capacity.py
+++ b/standins/wasabiwell_standins/measure_capacity.py
@@ -209,7 +209,7 @@
 
 
 def routing_cpu(count: int) -> float:
-    """Return the processor time to choose among that many engines of a service, in seconds."""
+    """Return the processor time to choose among that many targets of a service, in seconds."""
     router = Router(make_target_table(count), "zone-0", ManualClock())
     return cpu_seconds(lambda: router.choose("model-0", frozenset()))
 
@@ -223,7 +223,7 @@
         slope("member memory", "B/member", (50, 200, 420), member_memory),
         slope("target memory", "B/target", (100, 1000, 4000), target_memory),
         slope("owner look-up", "s/member", (6, 24, 100), ownership_cpu),
-        slope("routing", "s/engine", (20, 80, 320), routing_cpu),
+        slope("choice of a plain target", "s/target", (20, 80, 320), routing_cpu),
     ]
 
 
--- a/standins/wasabiwell_standins/mixes.py
+++ b/standins/wasabiwell_standins/mixes.py
@@ -19,7 +19,7 @@
 
     duration_s: float
     short_rate: float
-    storm_rate: float
+    peak_rate: float
     short_tokens: tuple[int, int]
     short_answer: int
     medium_rate: float
@@ -32,7 +32,7 @@
     "eaveline": Mix(
         duration_s=4.0,
         short_rate=20.0,
-        storm_rate=35.0,
+        peak_rate=35.0,
         short_tokens=(1_000, 3_000),
         short_answer=8,
         medium_rate=0.7,
@@ -43,7 +43,7 @@
     "fraserline": Mix(
         duration_s=4.0,
         short_rate=28.0,
-        storm_rate=28.0,
+        peak_rate=28.0,
         short_tokens=(1_000, 2_000),
         short_answer=8,
         medium_rate=1.0,
@@ -105,8 +105,8 @@
     planned: list[PlannedRequest] = []
     at = SHORT_START_S
     while True:
-        storm = short and at > SHORT_START_S + mix.duration_s / 2
-        at += generator.expovariate(mix.storm_rate if storm else rate)
+        peak = short and at > SHORT_START_S + mix.duration_s / 2
+        at += generator.expovariate(mix.peak_rate if peak else rate)
         if at > SHORT_START_S + mix.duration_s:
             return planned
         name = generator.choice(names)
--- a/tests/steps/entry/coordination/runs_steps.py
+++ b/tests/steps/entry/coordination/runs_steps.py
@@ -5,6 +5,7 @@
 import trio
 from behave import given, then, when
 from behave.runner import Context
+from support.calls import booking_call
 from support.fakes import FakeObjects, FakeTable
 from wasabiwell_entry.coordination.runs import RunCoordinator
 from wasabiwell_entry.coordination.runs.errors import Claimed
@@ -13,26 +14,10 @@
 from wasabiwell_entry.state.requests import ServiceCall
 from wasabiwell_entry.state.runs import RunStatus
 
-CALL_TIMEOUT = timedelta(seconds=20)
-
 
 def make_call(context: Context, key: str, body: str) -> ServiceCall:
-    """Return a booking call."""
-    now = context.clock.monotonic()
-    return ServiceCall(
-        request_id="r",
-        organisation="lowell-crews",
-        service="crew-desk",
-        method="POST",
-        path="/bookings",
-        content_type="application/json",
-        body=body.encode(),
-        fingerprint=body,
-        received=now,
-        deadline=now + CALL_TIMEOUT,
-        idempotent=False,
-        idempotency_key=key,
-    )
+    """Return a booking call that begins now."""
+    return booking_call(context.clock.monotonic(), key, body)
 
 
 def run_on(context: Context, index: int, method: str, *arguments: object) -> object:
--- a/tests/support/calls.py
+++ b/tests/support/calls.py
@@ -110,6 +110,30 @@
                 await self.paused.wait()
 
 
+def booking_call(
+    now: timedelta,
+    key: str | None,
+    body: str,
+    idempotent: bool = False,
+    request_id: str = "r",
+) -> ServiceCall:
+    """Return a booking call that begins at a monotonic time."""
+    return ServiceCall(
+        request_id=request_id,
+        organisation="lowell-crews",
+        service="crew-desk",
+        method="POST",
+        path="/bookings",
+        content_type="text/plain",
+        body=body.encode(),
+        fingerprint=body,
+        received=now,
+        deadline=now + CALL_TIMEOUT,
+        idempotent=idempotent,
+        idempotency_key=key,
+    )
+
+
 @dataclass(slots=True)
 class EntryInProcess:
     """One entry instance; cancelling its nursery is its death."""
@@ -144,21 +168,7 @@
 
     def call(self, key: str | None, body: str, idempotent: bool = False) -> ServiceCall:
         """Return a call that begins now."""
-        now = self.clock.monotonic()
-        return ServiceCall(
-            request_id=f"r{len(self.results)}",
-            organisation="lowell-crews",
-            service="crew-desk",
-            method="POST",
-            path="/bookings",
-            content_type="text/plain",
-            body=body.encode(),
-            fingerprint=body,
-            received=now,
-            deadline=now + CALL_TIMEOUT,
-            idempotent=idempotent,
-            idempotency_key=key,
-        )
+        return booking_call(self.clock.monotonic(), key, body, idempotent, f"r{len(self.results)}")
 
     def start_call(self, index: int, call: ServiceCall) -> CallResult:
         """Send a call through an entry instance in a task of its own."""
