--- a/standins/wasabiwell_standins/measure.py
+++ b/standins/wasabiwell_standins/measure.py
@@ -24,8 +24,8 @@
 POLICIES = ("round-robin", "least-outstanding", "first-landed", "load-reports", "current")
 TIME_SCALE = 0.5
 """Factor of the engines' times, so that all policies fit into four minutes."""
-BACKLOG_SECONDS = 5.0
-BACKLOG_START_SECONDS = 1.5
+BACKLOG_SECONDS = 10.0
+BACKLOG_START_SECONDS = 4.0
 """Answers before this time are not counted: the queues are still filling."""
 LARGE_WORKERS = 36
 SMALL_WORKERS = 12
