Test heartbeats and configuration between entries with mutual TLS

Change: two real entry instances with mutual TLS; the second cannot read the table service and gets the configuration from the first. Conclusion: heartbeats and pushes use the certificates.

--- a/tests/entry/transport/tls.feature
+++ b/tests/entry/transport/tls.feature
@@ -17,3 +17,8 @@
   Scenario: A certificate that does not fit its key is a finding at the start
     When the entry instance is started with a certificate of another key
     Then the entry command names the flag "--tls-certificate"
+
+  Scenario: Entry instances with mutual TLS hear each other and share a configuration
+    Given two entry instances with mutual TLS between them
+    When the example is applied through the first while the other cannot read the table service
+    Then both know each other as alive and have the same configuration in force
--- a/tests/steps/entry/transport/tls_steps.py
+++ b/tests/steps/entry/transport/tls_steps.py
@@ -166,3 +166,42 @@
 def step_flag(context: Context, flag: str) -> None:
     lines = context.finished.stderr.splitlines()
     assert any(line.startswith(f"{flag}: ") for line in lines), lines
+
+
+@given("two entry instances with mutual TLS between them")
+def step_two_entries(context: Context) -> None:
+    context.authority = make_authority(context, "operations")
+    fleet = context.fleet = context.stack.enter_context(open_fleet(replace(EAVELINE, entries=2)))
+    fleet.start_platform()
+    way, context.proxy = fleet.start_proxy(fleet.platform.address, "platform-proxy")
+    for index, platform in enumerate((None, way)):
+        certificate, key, _ = context.authority.issue(f"peer-{index}")
+        options = ["--peer-tls-certificate", certificate, "--peer-tls-key", key]
+        options += ["--peer-tls-ca", context.authority.path]
+        fleet.start_entry(index, *map(str, options), platform=platform)
+    fleet.wait_until(lambda: all_alive(context), "both entry instances alive")
+
+
+@when("the example is applied through the first while the other cannot read the table service")
+def step_apply_by_peers(context: Context) -> None:
+    context.fleet.control(context.proxy, cut=True)
+    context.fleet.apply_example()
+
+
+@then("both know each other as alive and have the same configuration in force")
+def step_same(context: Context) -> None:
+    fleet = context.fleet
+
+    def same() -> bool:
+        versions = {fleet.status(entry)["configuration_version"] for entry in fleet.entries}
+        return versions == {1}
+
+    fleet.wait_until(same, "version 1 at both", 8.0)
+    assert all_alive(context)
+
+
+def all_alive(context: Context) -> bool:
+    """Return whether each entry instance hears the other."""
+    fleet = context.fleet
+    wanted = {entry.name: "alive" for entry in fleet.entries}
+    return all(fleet.member_statuses(entry) == wanted for entry in fleet.entries)
