Keep one constant for the memory share of long prompts and the defaults

Change: LONG_MEMORY_SHARE serves admission and credits, settings and flags use the constants, and the figures of shared capacity are built once. Conclusion: no change of behaviour.

--- a/packages/entry/src/wasabiwell_entry/coordination/admission/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/const.py
@@ -6,8 +6,6 @@
 
 PRIORITIES = {SizeClass.SHORT: 0, SizeClass.MEDIUM: 1, SizeClass.LONG: 2}
 """Priority that engines honour, by size class; a lower number goes first."""
-ENGINE_MEMORY_SHARE = 0.7
-"""Share of one engine's memory that long prompts may use; the rest is kept for short ones."""
 LONG_SLOT_SHARE = 0.25
 """Share of one engine's slots that long prompts may use, at least one slot."""
 NO_TARGET_RETRY_AFTER = timedelta(seconds=1)
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -10,7 +10,6 @@
 
 from wasabiwell_entry.coordination.admission.const import (
     AGEING,
-    ENGINE_MEMORY_SHARE,
     MIN_RETRY_AFTER,
     NO_TARGET_RETRY_AFTER,
     PRIORITIES,
@@ -39,6 +38,7 @@
 from wasabiwell_entry.coordination.routing.estimate import estimate_engine
 from wasabiwell_entry.coordination.routing.policies import Current
 from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.credits import LONG_MEMORY_SHARE
 from wasabiwell_entry.state.outcomes import Reason, Refused
 from wasabiwell_entry.state.requests import GenerateRequest, ServiceCall, Shard, SizeClass
 from wasabiwell_entry.state.targets import Target, TargetStatus, TargetTable
@@ -288,7 +288,7 @@
 
     def _needs_split(self, request: GenerateRequest, candidates: list[TargetStatus]) -> bool:
         totals = [status.load.total_tokens for status in candidates if status.load is not None]
-        return bool(totals) and request.memory_tokens > max(totals) * ENGINE_MEMORY_SHARE
+        return bool(totals) and request.memory_tokens > max(totals) * LONG_MEMORY_SHARE
 
     def _impossible(self, request: GenerateRequest, excluded: frozenset[str]) -> Refused | None:
         """Return why no engine can ever take the request, or None."""
@@ -298,7 +298,7 @@
         totals = [status.load.total_tokens for status in usable if status.load is not None]
         # Without a report of each engine the fleet's memory is not known.
         if len(totals) == len(usable) and request.memory_tokens > sum(
-            int(total * ENGINE_MEMORY_SHARE) for total in totals
+            int(total * LONG_MEMORY_SHARE) for total in totals
         ):
             return Refused(Reason.PROMPT_TOO_LONG, "the prompt does not fit the engines' memory")
         return None
@@ -361,7 +361,7 @@
         """Return the engines that must hold what the lead cannot, with their tokens."""
         if lead.load is None:
             return []
-        rest = request.memory_tokens - int(lead.load.total_tokens * ENGINE_MEMORY_SHARE)
+        rest = request.memory_tokens - int(lead.load.total_tokens * LONG_MEMORY_SHARE)
         parts: list[tuple[Target, int]] = []
         usable = self._router.usable(request.service, excluded)
         others = [] if isinstance(usable, NoTarget) else usable
@@ -370,7 +370,7 @@
                 break
             if status is lead or status.load is None:
                 continue
-            tokens = min(rest, int(status.load.total_tokens * ENGINE_MEMORY_SHARE))
+            tokens = min(rest, int(status.load.total_tokens * LONG_MEMORY_SHARE))
             parts.append((status.target, tokens))
             rest -= tokens
         if rest > 0:
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
@@ -4,10 +4,11 @@
 
 import trio
 
-from wasabiwell_entry.coordination.admission.const import ENGINE_MEMORY_SHARE, LONG_SLOT_SHARE
+from wasabiwell_entry.coordination.admission.const import LONG_SLOT_SHARE
 from wasabiwell_entry.coordination.admission.ports import Hold, NoCapacity
 from wasabiwell_entry.coordination.routing.estimate import EngineEstimate, estimate_engine
 from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.credits import LONG_MEMORY_SHARE
 from wasabiwell_entry.state.requests import SizeClass
 from wasabiwell_entry.state.targets import EngineLoad, TargetStatus, TargetTable
 
@@ -102,5 +103,5 @@
 
 def long_tokens_available(status: TargetStatus, load: EngineLoad, estimate: EngineEstimate) -> int:
     """Return the memory that one more long prompt may use on an engine."""
-    share = int(load.total_tokens * ENGINE_MEMORY_SHARE)
+    share = int(load.total_tokens * LONG_MEMORY_SHARE)
     return min(estimate.free_tokens, share - estimate.other_tokens - status.long_tokens)
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -192,6 +192,7 @@
         serve_credits(peer_service, credit_owner, credit_holder)
         serve_rate(peer_service, rate)
         peer_service.handle(ACQUIRE_LIMIT, limits.serve)
+        shared_capacity = SharedCapacity(owners, credit_owner, credit_holder)
         operations = OperationsCoordinator(
             Sources(
                 own=own,
@@ -204,8 +205,8 @@
                 counters=counters,
                 traffic=TRAFFIC,
                 queues=AdmissionQueues(admission),
-                credit_ledger=SharedCapacity(owners, credit_owner, credit_holder),
-                owners=SharedCapacity(owners, credit_owner, credit_holder),
+                credit_ledger=shared_capacity,
+                owners=shared_capacity,
                 quarantine=Quarantine(quarantine),
             )
         )
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -7,6 +7,8 @@
 import logbook
 import trio
 
+from wasabiwell_entry.coordination.addresses.const import DEFAULT_ADDRESS_TTL
+from wasabiwell_entry.coordination.lifecycle.const import DEFAULT_DRAIN_LIMIT
 from wasabiwell_entry.coordination.routing.policies import DEFAULT_POLICY
 from wasabiwell_entry.instance import run_instance
 from wasabiwell_entry.options import CollectedOption, collected_findings
@@ -38,7 +40,11 @@
 @option("--instance-url", required=True, help="URL of the platform's instance list.")
 @option("--max-body-bytes", default=16 * 1024 * 1024, help="Largest request body, in bytes.")
 @option("--body-timeout-s", default=30.0, help="Time for a request body to arrive, in seconds.")
-@option("--address-ttl-s", default=10.0, help="Time for which callers keep addresses, in seconds.")
+@option(
+    "--address-ttl-s",
+    default=DEFAULT_ADDRESS_TTL.total_seconds(),
+    help="Time for which callers keep addresses, in seconds.",
+)
 @option(
     "--bootstrap-key-hash",
     default="",
@@ -48,7 +54,7 @@
 @option("--policy", default=DEFAULT_POLICY, help="Policy of choosing engines.")
 @option(
     "--drain-limit-s",
-    default=3600.0,
+    default=DEFAULT_DRAIN_LIMIT.total_seconds(),
     help="Time after which a graceful stop gives up open requests, in seconds.",
 )
 @option(
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from urllib.parse import urlsplit
 
+from wasabiwell_entry.coordination.addresses.const import DEFAULT_ADDRESS_TTL
+from wasabiwell_entry.coordination.lifecycle.const import DEFAULT_DRAIN_LIMIT
 from wasabiwell_entry.coordination.routing.errors import UnknownPolicy
 from wasabiwell_entry.coordination.routing.policies import DEFAULT_POLICY, POLICY_NAMES, policy_of
 from wasabiwell_entry.state.outcomes import Finding
@@ -36,7 +38,7 @@
     instance_url: str
     max_body_bytes: int = 16 * 1024 * 1024
     body_timeout: timedelta = timedelta(seconds=30)
-    address_ttl: timedelta = timedelta(seconds=10)
+    address_ttl: timedelta = DEFAULT_ADDRESS_TTL
     bootstrap_key_hash: str = ""
     otlp_endpoint: str = ""
     otlp_interval: timedelta = timedelta(seconds=10)
@@ -49,7 +51,7 @@
     target_ca: str = ""
     platform_ca: str = ""
     weight_loads: int = 120
-    drain_limit: timedelta = timedelta(hours=1)
+    drain_limit: timedelta = DEFAULT_DRAIN_LIMIT
     seeds: tuple[str, ...] = ()
     peer_listen: str = ""
     policy: str = DEFAULT_POLICY
