--- a/packages/entry/src/wasabiwell_entry/coordination/addresses/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/addresses/coordinator.py
@@ -5,7 +5,8 @@
 import xxhash
 
 from wasabiwell_entry.coordination.addresses.errors import AddressList
-from wasabiwell_entry.state.members import Member, MemberTable
+from wasabiwell_entry.coordination.addresses.ports import MemberSource
+from wasabiwell_entry.state.members import Member
 
 
 class AddressCoordinator:
@@ -13,7 +14,7 @@
 
     __slots__ = ("_members", "_own", "_ttl")
 
-    def __init__(self, own: Member, members: MemberTable, ttl: timedelta) -> None:
+    def __init__(self, own: Member, members: MemberSource, ttl: timedelta) -> None:
         self._own = own
         self._members = members
         self._ttl = ttl
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/__init__.py
@@ -0,0 +1,6 @@
+"""Follows the platform's list of targets and the routes that operators put in force."""
+
+from wasabiwell_entry.coordination.discovery.routes import RouteDiscovery
+from wasabiwell_entry.coordination.discovery.targets import TargetDiscovery
+
+__all__ = ["RouteDiscovery", "TargetDiscovery"]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -0,0 +1,21 @@
+"""Constants of the exchange between entry instances."""
+
+from datetime import timedelta
+
+STATE_INTERVAL = timedelta(milliseconds=500)
+"""Time between the states that are sent to a peer."""
+PEERS_AT_STATE_INTERVAL = 32
+"""With more peers the interval grows, so that an instance sends about 64 states a second."""
+SILENCE_TIMEOUT = timedelta(milliseconds=1_700)
+"""A peer that was not heard for this long is taken as gone: three states and their lag."""
+LISTED_TIMEOUT = timedelta(seconds=20)
+"""When no peer at all is heard, those heard within this time are still told to callers.
+
+This instance is then probably the one that is cut off, and the others go on serving.
+"""
+FORGET_TIMEOUT = timedelta(seconds=60)
+"""A peer that was not heard for this long is not sent to any more."""
+SWEEP_INTERVAL = timedelta(milliseconds=250)
+"""Time between looks for silent peers."""
+REGISTER_RETRY_INTERVAL = timedelta(seconds=2)
+"""Time between tries to enter this instance in the platform's store while that is away."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -0,0 +1,270 @@
+"""Tells the other entry instances what happens here, and takes over what they tell."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import trio
+
+from wasabiwell_entry.coordination.exchange.const import (
+    FORGET_TIMEOUT,
+    LISTED_TIMEOUT,
+    PEERS_AT_STATE_INTERVAL,
+    REGISTER_RETRY_INTERVAL,
+    SILENCE_TIMEOUT,
+    STATE_INTERVAL,
+    SWEEP_INTERVAL,
+)
+from wasabiwell_entry.coordination.exchange.ports import NodeDirectory, NoticePort
+from wasabiwell_entry.state import log_events
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.exchange import (
+    Ending,
+    ListingNotice,
+    NodeAddresses,
+    NodeState,
+    Notice,
+    PlacementNotice,
+    Placing,
+    Suspicion,
+    Writing,
+)
+from wasabiwell_entry.state.forwarding import PromptSize
+from wasabiwell_entry.state.members import Member
+from wasabiwell_entry.state.nodes import Node, NodeTable
+from wasabiwell_entry.state.platform import StoreUnavailable
+from wasabiwell_entry.state.work import Placed, WorkTable
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeObservers:
+    """Receivers of what other entry instances tell, apart from placements."""
+
+    ended: Callable[[Ending], None]
+    suspected: Callable[[Suspicion], None]
+    listed: Callable[[str, ListingNotice], None]
+    routes_announced: Callable[[str, int], None]
+
+
+class ExchangeCoordinator:
+    """Keeps the node table of one entry instance; one task sends states to each peer."""
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_nodes",
+        "_nursery",
+        "_observers",
+        "_own_address",
+        "_own_state",
+        "_port",
+        "_seeds",
+        "_sending",
+        "_works",
+    )
+
+    def __init__(
+        self,
+        own_address: str,
+        own_state: Callable[[], NodeState],
+        nodes: NodeTable,
+        works: WorkTable,
+        port: NoticePort,
+        directory: NodeDirectory,
+        observers: ExchangeObservers,
+        seeds: tuple[str, ...],
+        clock: Clock,
+    ) -> None:
+        self._own_address = own_address
+        self._own_state = own_state
+        self._nodes = nodes
+        self._works = works
+        self._port = port
+        self._directory = directory
+        self._observers = observers
+        self._seeds = seeds
+        self._clock = clock
+        self._sending: set[str] = set()
+        self._nursery: trio.Nursery | None = None
+
+    def peers(self) -> list[Node]:
+        """Return the peers that are heard, in the order of addresses."""
+        return self._nodes.heard_since(self._now() - SILENCE_TIMEOUT.total_seconds())
+
+    def alive(self) -> list[Member]:
+        """Return the entry instances that callers may use, this one included.
+
+        When no peer is heard, those are returned that were heard before.
+        """
+        nodes = self.peers() or self._nodes.heard_since(
+            self._now() - LISTED_TIMEOUT.total_seconds()
+        )
+        states = [(node.address, node.state) for node in nodes if node.state is not None]
+        states.append((self._own_address, self._own_state()))
+        return [_member(address, state) for address, state in states if state.serving]
+
+    def rank(self) -> int:
+        """Return the place of this instance among those that are heard, by address, from 0."""
+        return sum(1 for node in self.peers() if node.address < self._own_address)
+
+    def tell(self, notice: Notice) -> None:
+        """Send a message to all peers that are heard."""
+        self._port.send([node.address for node in self.peers()], notice)
+
+    def tell_state(self) -> None:
+        """Send the state to all peers at once, after a change that they should know of."""
+        self._port.send([node.address for node in self._nodes], self._own_state())
+
+    async def run(self) -> None:
+        """Exchange messages until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for seed in self._seeds:
+                self.meet(seed)
+            nursery.start_soon(self._port.receive, self)
+            nursery.start_soon(self._register)
+            while True:
+                self._sweep()
+                await self._clock.sleep(SWEEP_INTERVAL)
+
+    def receive(self, sender: str, notice: Notice) -> None:
+        """Take over a message of a peer."""
+        if sender == self._own_address:
+            return
+        now = self._now()
+        match notice:
+            case Placing(notice=placing):
+                self._works.add(_placed(sender, placing, now), now)
+            case Writing(request_id=request_id):
+                self._works.begin_writing(request_id, now)
+            case Ending() as ending:
+                self._works.remove(ending.request_id, now)
+                self._observers.ended(ending)
+            case Suspicion() as suspicion:
+                self._observers.suspected(suspicion)
+            case ListingNotice() as listing:
+                self._observers.listed(sender, listing)
+            case NodeState() as state:
+                self._receive_state(sender, state, now)
+            case NodeAddresses(addresses=addresses):
+                for address in addresses:
+                    self.meet(address)
+
+    def _receive_state(self, sender: str, state: NodeState, now: float) -> None:
+        self.meet(sender)
+        node = self._nodes.put(sender, now)
+        known = node.state
+        if known is None:
+            log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
+            others = tuple(other.address for other in self.peers())
+            self._port.send([sender], NodeAddresses(others))
+            self._port.send([sender], self._own_state())
+        elif (state.incarnation, state.sequence) <= (known.incarnation, known.sequence):
+            return
+        elif state.incarnation != known.incarnation:
+            self._works.retain(sender, frozenset(), now)
+        if node.heard is not None and now - node.heard > SILENCE_TIMEOUT.total_seconds():
+            log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
+        node.heard, node.state = now, state
+        self._works.retain(sender, frozenset(state.placed), now)
+        self._observers.routes_announced(sender, state.routes_version)
+
+    def meet(self, address: str) -> None:
+        """Add a peer and start the task that sends it states."""
+        if address == self._own_address or address in self._sending or self._nursery is None:
+            return
+        self._nodes.put(address, self._now())
+        self._sending.add(address)
+        self._nursery.start_soon(self._send_states, address)
+
+    async def _send_states(self, address: str) -> None:
+        """Send states to a peer until it was not heard for long."""
+        try:
+            while (node := self._nodes.get(address)) is not None:
+                last = node.heard if node.heard is not None else node.known_since
+                if self._now() - last > FORGET_TIMEOUT.total_seconds():
+                    self._nodes.remove(address)
+                    return
+                self._port.send([address], self._own_state())
+                await self._clock.sleep(self._state_interval())
+        finally:
+            self._sending.discard(address)
+
+    def _state_interval(self) -> timedelta:
+        return STATE_INTERVAL * max(1.0, len(self._nodes) / PEERS_AT_STATE_INTERVAL)
+
+    def _sweep(self) -> None:
+        """Drop what silent peers have placed and what ended unheard."""
+        now = self._now()
+        limit = now - SILENCE_TIMEOUT.total_seconds()
+        for node in self._nodes:
+            if (
+                node.heard is not None
+                and limit - SWEEP_INTERVAL.total_seconds() < node.heard <= limit
+            ):
+                log_events.emit(
+                    log_events.PEER_SILENT, peer=node.address, silence_s=round(now - node.heard, 2)
+                )
+                self._works.retain(node.address, frozenset(), now)
+        self._works.expire(now)
+
+    async def _register(self) -> None:
+        """Enter this instance in the platform's store and meet those that are there."""
+        while True:
+            failed = await self._directory.register(self._own_address)
+            addresses = await self._directory.addresses() if failed is None else failed
+            if not isinstance(addresses, StoreUnavailable):
+                for address in addresses:
+                    self.meet(address)
+                return
+            await self._clock.sleep(REGISTER_RETRY_INTERVAL)
+
+    def _now(self) -> float:
+        return self._clock.monotonic().total_seconds()
+
+
+def _member(address: str, state: NodeState) -> Member:
+    return Member(
+        node_id=address,
+        incarnation=state.incarnation,
+        region=state.region,
+        zone=state.zone,
+        caller_address=state.caller_address,
+        peer_address=address,
+    )
+
+
+def _placed(sender: str, notice: PlacementNotice, now: float) -> Placed:
+    size = None
+    if notice.prompt:
+        size = PromptSize(notice.prompt, notice.max_output, notice.expected_output)
+    return Placed(
+        request_id=notice.request_id,
+        origin=sender,
+        service=notice.service,
+        lead=notice.lead,
+        helpers=notice.helpers,
+        placed_at=now - notice.age_ms / 1000,
+        due=now + notice.due_in_ms / 1000,
+        gap=notice.gap_ms / 1000,
+        size=size,
+        writing=notice.writing,
+    )
+
+
+def placement_notice(placed: Placed, now: float) -> PlacementNotice:
+    """Return what peers are told of a placed request."""
+    size = placed.size or PromptSize(0, 0, 0)
+    return PlacementNotice(
+        request_id=placed.request_id,
+        service=placed.service,
+        lead=placed.lead,
+        helpers=placed.helpers,
+        age_ms=round((now - placed.placed_at) * 1000),
+        due_in_ms=round((placed.due - now) * 1000),
+        gap_ms=round(placed.gap * 1000),
+        prompt=size.prompt,
+        max_output=size.max_output,
+        expected_output=size.expected_output,
+        writing=placed.writing,
+    )
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
@@ -0,0 +1,62 @@
+"""What an entry instance tells the others of itself."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime
+
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.exchange import NodeState, ServiceUse
+
+
+@dataclass(frozen=True, slots=True)
+class NodeIdentity:
+    """Place and addresses of an entry instance."""
+
+    region: str
+    zone: str
+    caller_address: str
+    control_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class StateSources:
+    """Where the parts of a state come from."""
+
+    leaving: Callable[[], bool]
+    routes_version: Callable[[], int]
+    uses: Callable[[], tuple[ServiceUse, ...]]
+    placed: Callable[[], tuple[str, ...]]
+
+
+class OwnState:
+    """Returns states with growing sequence numbers."""
+
+    __slots__ = ("_identity", "_sequence", "_sources", "_started")
+
+    def __init__(self, identity: NodeIdentity, sources: StateSources, clock: Clock) -> None:
+        self._identity = identity
+        self._sources = sources
+        self._started: datetime = clock.now()
+        self._sequence = 0
+
+    @property
+    def serving(self) -> bool:
+        """Return whether callers may be sent here: routes are known and no stop has begun."""
+        return self._sources.routes_version() > 0 and not self._sources.leaving()
+
+    def current(self) -> NodeState:
+        """Return the state now."""
+        self._sequence += 1
+        return NodeState(
+            incarnation=int(self._started.timestamp() * 1000),
+            sequence=self._sequence,
+            region=self._identity.region,
+            zone=self._identity.zone,
+            caller_address=self._identity.caller_address,
+            control_address=self._identity.control_address,
+            serving=self.serving,
+            leaving=self._sources.leaving(),
+            routes_version=self._sources.routes_version(),
+            uses=self._sources.uses(),
+            placed=self._sources.placed(),
+        )
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/__init__.py
@@ -0,0 +1,5 @@
+"""Forwards callers' requests to targets: attempts, repeats, resumption and time limits."""
+
+from wasabiwell_entry.coordination.forwarding.coordinator import Forwarder
+
+__all__ = ["Forwarder"]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -0,0 +1,322 @@
+"""Forwards a request until its whole answer is delivered or nothing more may be tried."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import trio
+
+from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.forwarding.const import (
+    EVENT_PATIENCE,
+    EXPECTED_BEFORE_REPEAT,
+    MAX_HELD_BYTES,
+    MAX_SENDS,
+    MIN_TIME_LEFT,
+    OBJECTIVES_BEFORE_REPEAT,
+    REFUSED_RETRY_AFTER,
+    REPEAT_SHARE,
+    SERVER_ERROR,
+)
+from wasabiwell_entry.coordination.forwarding.errors import AttemptOutcome, Delivered, Held
+from wasabiwell_entry.coordination.forwarding.ports import AnswerSink, TargetPort
+from wasabiwell_entry.coordination.placement import Placer
+from wasabiwell_entry.coordination.placement.const import NO_TARGET_RETRY_AFTER
+from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
+from wasabiwell_entry.coordination.placement.ledger import OpenPlacement, PlacementLedger
+from wasabiwell_entry.state import log_events
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.exchange import AttemptVerdict
+from wasabiwell_entry.state.forwarding import (
+    AnswerEnd,
+    AnswerEvent,
+    AnswerHead,
+    AnswerPart,
+    Broken,
+    ForwardAttempt,
+    Forwarded,
+    ForwardedRequest,
+    NotRun,
+    NotSent,
+)
+from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
+from wasabiwell_entry.state.routes import RouteKind
+
+ForwardOutcome = Forwarded | Refused | Failed
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What has happened to a request so far.
+
+    `runs` counts the attempts that may have run. `held` is an answer of a target that another one
+    may better. `begun` means that the caller has a part of the answer.
+    """
+
+    excluded: set[str] = field(default_factory=set)
+    sends: int = 0
+    runs: int = 0
+    begun: bool = False
+    last_event: int | None = None
+    held: Held | None = None
+    reason: str = "the deadline has passed"
+
+
+class Forwarder:
+    """Forwards the requests of one entry instance."""
+
+    __slots__ = ("_budget", "_clock", "_ledger", "_placer", "_targets")
+
+    def __init__(
+        self,
+        placer: Placer,
+        ledger: PlacementLedger,
+        targets: TargetPort,
+        budget: RepeatBudget,
+        clock: Clock,
+    ) -> None:
+        self._placer = placer
+        self._ledger = ledger
+        self._targets = targets
+        self._budget = budget
+        self._clock = clock
+
+    async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
+        """Forward a request and deliver its answer to the sink.
+
+        After a `Failed` the sink may have a part of the answer, which must not look whole.
+        """
+        progress = _Progress(last_event=request.last_event_id)
+        self._budget.count_request(request.service)
+        with trio.move_on_after(self._left(request).total_seconds()):
+            return await self._forward(request, sink, progress)
+        return _gave_up(progress, Reason.DEADLINE_EXCEEDED, progress.reason)
+
+    async def _forward(
+        self, request: ForwardedRequest, sink: AnswerSink, progress: _Progress
+    ) -> ForwardOutcome:
+        while True:
+            placement = self._placer.place(
+                request, frozenset(progress.excluded), resumed=progress.begun
+            )
+            if isinstance(placement, NoPlacement):
+                log_events.emit(
+                    log_events.NOT_PLACED, request=request.request_id, reason=placement.reason
+                )
+                return await self._end(progress, sink, placement.reason, NO_TARGET_RETRY_AFTER)
+            outcome = await self._attempt(request, placement, sink, progress)
+            match outcome:
+                case Delivered(status=status):
+                    return Forwarded(status)
+                case Held() as held:
+                    progress.held = held
+                    if held.head.status < SERVER_ERROR or not self._may_run_again(
+                        request, progress
+                    ):
+                        return await _deliver(held, sink)
+                case Broken(reason=reason):
+                    progress.reason = reason
+                    if not self._may_run_again(request, progress):
+                        return await self._end(progress, sink, reason, REFUSED_RETRY_AFTER)
+                case NotSent(reason=reason) | NotRun(reason=reason):
+                    progress.reason = reason
+            if not self._may_send_again(request, progress, outcome):
+                return await self._end(progress, sink, progress.reason, REFUSED_RETRY_AFTER)
+
+    def _may_run_again(self, request: ForwardedRequest, progress: _Progress) -> bool:
+        return request.route.repeatable and progress.runs < request.route.attempts
+
+    def _may_send_again(
+        self, request: ForwardedRequest, progress: _Progress, outcome: AttemptOutcome
+    ) -> bool:
+        """Return whether a further target may be tried; one that was not reached costs nothing."""
+        if progress.sends >= MAX_SENDS or self._left(request) < MIN_TIME_LEFT:
+            return False
+        if isinstance(outcome, NotSent):
+            return True
+        if self._budget.take(request.service):
+            return True
+        log_events.emit(log_events.REPEAT_BUDGET_USED, request=request.request_id)
+        return False
+
+    async def _attempt(
+        self,
+        request: ForwardedRequest,
+        placement: Placement,
+        sink: AnswerSink,
+        progress: _Progress,
+    ) -> AttemptOutcome:
+        progress.sends += 1
+        progress.runs += 1
+        target = placement.target
+        attempt = ForwardAttempt(
+            request=request,
+            target=target,
+            helpers=placement.helpers,
+            urgency=placement.urgency,
+            time_left=self._left(request),
+            first_patience=self._first_patience(request, placement, progress),
+            event_patience=request.route.event_gap + EVENT_PATIENCE,
+            resume_after=progress.last_event,
+        )
+        with self._ledger.open(request, placement) as opened:
+            outcome = await self._relay(attempt, sink, progress, opened)
+            opened.verdict = _verdict(outcome)
+        if isinstance(outcome, NotSent | NotRun):
+            progress.runs -= 1
+        if opened.verdict is not AttemptVerdict.ANSWERED:
+            self._note_failure(attempt, outcome, progress)
+        return outcome
+
+    def _note_failure(
+        self, attempt: ForwardAttempt, outcome: AttemptOutcome, progress: _Progress
+    ) -> None:
+        at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
+        faulty = [
+            helper.target.target_id
+            for helper in attempt.helpers
+            if at_fault is not None and helper.target.address == at_fault
+        ]
+        progress.excluded.update(faulty or [attempt.target.target_id])
+        log_events.emit(
+            log_events.FORWARD_ATTEMPT_FAILED,
+            request=attempt.request.request_id,
+            target=attempt.target.target_id,
+            helpers=len(attempt.helpers),
+            sends=progress.sends,
+            outcome=_describe(outcome),
+        )
+
+    async def _relay(
+        self,
+        attempt: ForwardAttempt,
+        sink: AnswerSink,
+        progress: _Progress,
+        opened: OpenPlacement,
+    ) -> AttemptOutcome:
+        head: AnswerHead | None = None
+        held: list[bytes] = []
+        async with self._targets.attempt(attempt) as items:
+            async for item in items:
+                match item:
+                    case AnswerHead():
+                        head = item
+                        if _is_stream(attempt.request, head):
+                            self._ledger.begin_writing(opened)
+                            await self._begin(head, sink, progress)
+                    case AnswerEvent(event_id=event_id, data=data):
+                        broken = _check_order(event_id, progress)
+                        if broken is not None:
+                            return broken
+                        await sink.send(data)
+                    case AnswerPart(data=data):
+                        held.append(data)
+                        if sum(map(len, held)) > MAX_HELD_BYTES and head is not None:
+                            await self._begin(head, sink, progress)
+                            await sink.send(b"".join(held))
+                            held.clear()
+                    case AnswerEnd():
+                        if head is None:
+                            return Broken("the answer has no head")
+                        if not progress.begun:
+                            return Held(head, b"".join(held))
+                        if held:
+                            await sink.send(b"".join(held))
+                        await sink.finish()
+                        return Delivered(head.status)
+                    case NotSent() | NotRun() | Broken():
+                        return item
+        return Broken("the answer has no end")
+
+    async def _begin(self, head: AnswerHead, sink: AnswerSink, progress: _Progress) -> None:
+        """Deliver the head once; a resumed answer keeps that of its first target."""
+        if not progress.begun:
+            progress.begun = True
+            await sink.begin(head)
+
+    async def _end(
+        self, progress: _Progress, sink: AnswerSink, reason: str, retry_after: timedelta
+    ) -> ForwardOutcome:
+        """End a request for which nothing more is tried."""
+        if progress.held is not None and not progress.begun:
+            return await _deliver(progress.held, sink)
+        if progress.runs == 0 and not progress.begun:
+            return Refused(Reason.NO_CAPACITY, reason, retry_after)
+        return _gave_up(progress, Reason.TARGET_FAILED, reason)
+
+    def _first_patience(
+        self, request: ForwardedRequest, placement: Placement, progress: _Progress
+    ) -> timedelta:
+        """Return how long a target may take to begin its answer."""
+        left = self._left(request)
+        if not request.route.repeatable or progress.runs >= request.route.attempts:
+            return left
+        expected = timedelta(seconds=placement.expected_seconds)
+        least = max(
+            request.route.objective * OBJECTIVES_BEFORE_REPEAT,
+            expected * EXPECTED_BEFORE_REPEAT,
+        )
+        return min(left, max(least, left * REPEAT_SHARE))
+
+    def _left(self, request: ForwardedRequest) -> timedelta:
+        return max(timedelta(), request.deadline - self._clock.monotonic())
+
+
+async def _deliver(held: Held, sink: AnswerSink) -> Forwarded:
+    await sink.begin(held.head)
+    if held.body:
+        await sink.send(held.body)
+    await sink.finish()
+    return Forwarded(held.head.status)
+
+
+def _is_stream(request: ForwardedRequest, head: AnswerHead) -> bool:
+    return request.route.kind is RouteKind.STREAM and head.status < 300
+
+
+def _check_order(event_id: int | None, progress: _Progress) -> Broken | None:
+    """Return why an event does not follow the last one, and note it otherwise."""
+    if event_id is None:
+        return None
+    if progress.last_event is not None and event_id != progress.last_event + 1:
+        return Broken(f"event {event_id} came after event {progress.last_event}")
+    progress.last_event = event_id
+    return None
+
+
+def _gave_up(progress: _Progress, reason: Reason, message: str) -> Refused | Failed:
+    if progress.runs == 0 and not progress.begun:
+        return Refused(reason, message, REFUSED_RETRY_AFTER)
+    return Failed(reason, message, RunState.UNKNOWN)
+
+
+def _verdict(outcome: AttemptOutcome) -> AttemptVerdict:
+    match outcome:
+        case Delivered():
+            return AttemptVerdict.ANSWERED
+        case Held(head=head):
+            failed = head.status >= SERVER_ERROR
+            return AttemptVerdict.FAILED if failed else AttemptVerdict.ANSWERED
+        case NotSent():
+            return AttemptVerdict.LOST
+        case NotRun(replaced=True):
+            return AttemptVerdict.LOST
+        case NotRun():
+            return AttemptVerdict.REFUSED
+        case Broken(target_lost=True):
+            return AttemptVerdict.LOST
+        case Broken():
+            return AttemptVerdict.FAILED
+
+
+def _describe(outcome: AttemptOutcome) -> str:
+    match outcome:
+        case Delivered(status=status):
+            return f"status {status}"
+        case Held(head=head):
+            return f"status {head.status}"
+        case NotSent(reason=reason):
+            return f"not sent: {reason}"
+        case NotRun(reason=reason):
+            return f"not run: {reason}"
+        case Broken(reason=reason):
+            return f"broken: {reason}"
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
@@ -0,0 +1,32 @@
+"""What forwarding needs of the other layers."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from typing import Protocol
+
+from wasabiwell_entry.state.forwarding import AnswerHead, AttemptItem, ForwardAttempt
+
+
+class AnswerSink(Protocol):
+    """Receiver of an answer; its methods wait while the caller reads slowly."""
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Deliver status and headers."""
+
+    async def send(self, data: bytes) -> None:
+        """Deliver the next bytes of the body."""
+
+    async def finish(self) -> None:
+        """Mark the body as complete."""
+
+
+class TargetPort(Protocol):
+    """Connections to targets."""
+
+    def attempt(
+        self, attempt: ForwardAttempt
+    ) -> AbstractAsyncContextManager[AsyncIterator[AttemptItem]]:
+        """Send a request once; the last item is an `AnswerEnd` or tells why there is none.
+
+        Leaving the context cancels the request at the target.
+        """
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/const.py
@@ -2,7 +2,6 @@
 
 from datetime import timedelta
 
-DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
 LEAVING_SPREAD_TIME = timedelta(seconds=3)
 """Time until no entry instance lists a leaving one; callers asked until then use its address."""
 HAND_BACK_TIMEOUT = timedelta(seconds=2)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
@@ -0,0 +1,49 @@
+"""Constants of placing requests."""
+
+from datetime import timedelta
+
+LATE_FROM = 0.8
+"""Part of an allowed time from which a prediction counts as possibly late.
+
+Predictions leave out the rest of the engine's current pass, which is up to a tenth of the shortest
+allowed time of the users.
+"""
+LATE_AT = 1.05
+"""Part of an allowed time from which a prediction counts as certainly late."""
+MAX_HELPERS = 16
+"""Engines refuse longer lists of helpers."""
+SPLIT_SECONDS = 0.1
+"""A prompt is split only when one engine reads longer: half of the shortest allowed pause."""
+ENGINE_COST = 0.004
+"""Cost of each engine more that reads a prompt, in parts of the request's value.
+
+It keeps a split from using engines that hardly make it faster.
+"""
+WAIT_COST = 0.05
+"""Cost of the predicted wait, in parts of the value for the whole objective.
+
+It decides between targets that would all answer in time.
+"""
+EMPTY_ENGINE_COST = 0.02
+"""Cost of placing a short prompt on an engine without one, in parts of its value.
+
+Long prompts find more engines whose pauses disturb nobody when short ones share few engines.
+"""
+FULL_COST = 0.3
+"""Cost of a target all of whose slots are taken, in parts of the value, for each waiting one."""
+REMOTE_ZONE_COST = 0.002
+"""Cost of a target in another zone, in parts of the value; it decides between equal targets."""
+FAILURE_COST = 2.0
+"""Cost of the recent share of failures of a target, in parts of the value."""
+MEMORY_RESERVE = 0.98
+"""Part of an engine's memory that is planned with; the rest is for output beyond the estimate."""
+MAX_COMPARED = 64
+"""Targets compared for one request, so that the time to choose is bounded in a large fleet."""
+SHORT_URGENCY_GAP = timedelta(milliseconds=250)
+"""Requests that allow no longer pause go first at an engine."""
+URGENCY_SHORT = 1
+URGENCY_LONG = 5
+URGENCY_RESUMED = 0
+"""Urgencies from 0, first, to 9. A resumed stream has a caller who waits for its next event."""
+NO_TARGET_RETRY_AFTER = timedelta(milliseconds=300)
+"""Engines come back within seconds; callers have one more try within a third of their time."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/errors.py
@@ -0,0 +1,23 @@
+"""Outcomes of placing a request."""
+
+from dataclasses import dataclass
+
+from wasabiwell_entry.state.forwarding import Helper
+from wasabiwell_entry.state.targets import Target
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a request runs; `expected_seconds` is the predicted time to its first event."""
+
+    target: Target
+    helpers: tuple[Helper, ...]
+    urgency: int
+    expected_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class NoPlacement:
+    """No target of the service can take the request."""
+
+    reason: str
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -0,0 +1,79 @@
+"""Keeps what this entry instance has placed and tells the others of it."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+
+from wasabiwell_entry.coordination.exchange.coordinator import placement_notice
+from wasabiwell_entry.coordination.placement.errors import Placement
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.exchange import AttemptVerdict, Ending, Notice, Placing, Writing
+from wasabiwell_entry.state.forwarding import ForwardedRequest
+from wasabiwell_entry.state.work import Placed, WorkTable
+
+OWN = ""
+"""Origin of what this entry instance has placed."""
+
+
+@dataclass(slots=True)
+class OpenPlacement:
+    """A placed request; `verdict` is told when it ends."""
+
+    placed: Placed
+    verdict: AttemptVerdict = AttemptVerdict.ABANDONED
+
+
+class PlacementLedger:
+    """Enters the own placements in the table of work and tells the other entry instances."""
+
+    __slots__ = ("_clock", "_note", "_tell", "_works")
+
+    def __init__(
+        self,
+        works: WorkTable,
+        tell: Callable[[Notice], None],
+        note: Callable[[str, AttemptVerdict], None],
+        clock: Clock,
+    ) -> None:
+        self._works = works
+        self._tell = tell
+        self._note = note
+        self._clock = clock
+
+    def own_ids(self) -> tuple[str, ...]:
+        """Return the ids of the own placed requests."""
+        return tuple(placed.request_id for placed in self._works.placed_by(OWN))
+
+    @contextmanager
+    def open(self, request: ForwardedRequest, placement: Placement) -> Iterator[OpenPlacement]:
+        """Keep a placement until the context ends."""
+        now = self._now()
+        placed = Placed(
+            request_id=request.request_id,
+            origin=OWN,
+            service=request.service,
+            lead=placement.target.target_id,
+            helpers=tuple(helper.target.target_id for helper in placement.helpers),
+            placed_at=now,
+            due=request.received.total_seconds() + request.route.objective.total_seconds(),
+            gap=request.route.event_gap.total_seconds(),
+            size=request.size,
+        )
+        self._works.add(placed, now)
+        self._tell(Placing(placement_notice(placed, now)))
+        opened = OpenPlacement(placed)
+        try:
+            yield opened
+        finally:
+            self._works.remove(placed.request_id, self._now())
+            self._tell(Ending(placed.request_id, placed.lead, opened.verdict))
+            self._note(placed.lead, opened.verdict)
+
+    def begin_writing(self, opened: OpenPlacement) -> None:
+        """Note the first event of a placed request."""
+        opened.placed = replace(opened.placed, writing=True)
+        self._works.begin_writing(opened.placed.request_id, self._now())
+        self._tell(Writing(opened.placed.request_id))
+
+    def _now(self) -> float:
+        return self._clock.monotonic().total_seconds()
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -0,0 +1,129 @@
+"""Messages by which entry instances tell each other what they place, see and know.
+
+They are small datagrams that may be lost, doubled or late; `NodeState` repeats what lasts.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from wasabiwell_entry.state.targets import ListedTarget
+
+
+class AttemptVerdict(enum.Enum):
+    """How a target did on one request."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LOST = "lost"
+    ABANDONED = "abandoned"
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementNotice:
+    """A request was placed; ages and times are milliseconds before the message was sent.
+
+    `due_in_ms` is the time until the first event or the answer has to be there. `prompt` is 0 for
+    requests of plain services.
+    """
+
+    request_id: str
+    service: str
+    lead: str
+    helpers: tuple[str, ...]
+    age_ms: int
+    due_in_ms: int
+    gap_ms: int
+    prompt: int
+    max_output: int
+    expected_output: int
+    writing: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceUse:
+    """Requests for a service and repeated sends in the last window of the retry budget."""
+
+    service: str
+    requests: int
+    repeats: int
+
+
+@dataclass(frozen=True, slots=True)
+class Placing:
+    """The sender has placed a request."""
+
+    notice: PlacementNotice
+
+
+@dataclass(frozen=True, slots=True)
+class Writing:
+    """The first event of a placed request has arrived."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """A placed request has ended; the verdict is that on its lead."""
+
+    request_id: str
+    target_id: str
+    verdict: AttemptVerdict
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Targets died while they ran a request; with no targets the request is cleared."""
+
+    fingerprint: str
+    targets: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ListingNotice:
+    """A read of the platform's list of targets.
+
+    `revision` is the platform's count of changes at the read. `digest` is that of the whole list,
+    `changed` and `removed` the difference to the list with the digest `base`. `silent` are targets
+    without a recent sign of life.
+    """
+
+    revision: int
+    base: int
+    digest: int
+    changed: tuple[ListedTarget, ...]
+    removed: tuple[str, ...]
+    silent: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeState:
+    """The state of an entry instance, sent at intervals and at each change of `serving`.
+
+    `incarnation` is the time of its start in milliseconds since 1970 and `sequence` counts its
+    states. `routes_version` is the version of the routes in force. `placed` are the ids of what it
+    has placed, so that receivers drop what has ended unheard.
+    """
+
+    incarnation: int
+    sequence: int
+    region: str
+    zone: str
+    caller_address: str
+    control_address: str
+    serving: bool
+    leaving: bool
+    routes_version: int
+    uses: tuple[ServiceUse, ...]
+    placed: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeAddresses:
+    """Datagram addresses of the entry instances that the sender knows."""
+
+    addresses: tuple[str, ...]
+
+
+Notice = Placing | Writing | Ending | Suspicion | ListingNotice | NodeState | NodeAddresses
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/forwarding.py
@@ -0,0 +1,160 @@
+"""Requests that are forwarded unchanged to targets, and what comes back of them."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from wasabiwell_entry.state.routes import Route
+from wasabiwell_entry.state.targets import Target
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptSize:
+    """Tokens of a prompt and of its output; `expected_output` is the caller's estimate."""
+
+    prompt: int
+    max_output: int
+    expected_output: int
+
+    @property
+    def total(self) -> int:
+        """Return the tokens that the request is expected to hold in memory at its end."""
+        return self.prompt + self.expected_output
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedRequest:
+    """A caller's request to a route.
+
+    `target_path` includes the query. `headers` are those that go to the target as they came.
+    `received` and `deadline` are monotonic times; the deadline is the earlier one of the caller's
+    and the route's. `size` is None for requests of plain services. `last_event_id` is that of a
+    stream which the caller resumes.
+    """
+
+    request_id: str
+    route: Route
+    service: str
+    organisation: str | None
+    method: str
+    target_path: str
+    headers: Headers = field(repr=False)
+    body: bytes = field(repr=False)
+    fingerprint: str
+    received: timedelta
+    deadline: timedelta
+    size: PromptSize | None = None
+    last_event_id: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryTicket:
+    """Memory of `tokens` that was reserved under an id on a target."""
+
+    target: Target
+    ticket_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Helper:
+    """A further engine that reads a part of a prompt and may hold a part of it in a ticket."""
+
+    target: Target
+    ticket: MemoryTicket | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardAttempt:
+    """One send of a request to a target.
+
+    `urgency` orders requests that wait at an engine, 0 first. `time_left` is how long the target
+    may work. `first_patience` is how long it may take to begin its answer, and `event_patience` how
+    long a stream may pause until the target is probed. `resume_after` is the id of the last event
+    that the caller has.
+    """
+
+    request: ForwardedRequest
+    target: Target
+    helpers: tuple[Helper, ...]
+    urgency: int
+    time_left: timedelta
+    first_patience: timedelta
+    event_patience: timedelta
+    resume_after: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of a target's answer; `verified` tells that it bears a signature."""
+
+    status: int
+    headers: Headers
+    verified: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerPart:
+    """Bytes of the body of an answer that is not a stream of events."""
+
+    data: bytes = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEvent:
+    """A whole event of a stream, with its framing; comments have no id."""
+
+    event_id: int | None
+    data: bytes = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The body is complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """Nothing of the request was sent, as no connection could be made.
+
+    `silent` tells that the target did not react at all, so it may be cut off.
+    """
+
+    reason: str
+    silent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The target proved that it has not run the request.
+
+    `replaced` tells that another target has its address. `at_fault` is the address of another
+    target that caused the refusal.
+    """
+
+    reason: str
+    replaced: bool = False
+    at_fault: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The request was sent and has no whole answer, so it may have run.
+
+    `target_lost` tells that the connection was cut or went silent, so the target may have died.
+    """
+
+    reason: str
+    target_lost: bool = False
+
+
+AnswerItem = AnswerHead | AnswerPart | AnswerEvent | AnswerEnd
+AttemptItem = AnswerItem | NotSent | NotRun | Broken
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarded:
+    """The whole answer of a target was delivered to the sink."""
+
+    status: int
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/listing.py
@@ -0,0 +1,30 @@
+"""The platform's list of targets, as it was read."""
+
+from dataclasses import dataclass
+
+import xxhash
+
+from wasabiwell_entry.state.targets import ListedTarget
+
+
+@dataclass(frozen=True, slots=True)
+class TargetListing:
+    """Targets by id; `revision` is the platform's count of changes when the list was read."""
+
+    revision: int
+    targets: dict[str, ListedTarget]
+
+    def digest(self) -> int:
+        """Return a hash of what the list says of each target, signs of life left out."""
+        digest = xxhash.xxh3_64()
+        for target_id, item in sorted(self.targets.items()):
+            target = item.target
+            digest.update(
+                f"{target_id}\0{target.service}\0{target.address}\0{target.incarnation}\0"
+                f"{target.zone}\0{target.slots}\0{item.leaving}\n".encode()
+            )
+        return digest.intdigest()
+
+
+NO_LISTING = TargetListing(0, {})
+"""Known before the first read."""
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -134,6 +134,50 @@
     "the request with fingerprint {fingerprint} is refused, because two targets died running it",
     "Find the fault of the engines, then release the request.",
 )
+TARGET_LISTED = LogEvent(410, Level.INFO, "target {target} of service {service} is listed")
+TARGET_UNLISTED = LogEvent(411, Level.INFO, "target {target} is no longer listed")
+TARGET_LEAVING = LogEvent(412, Level.INFO, "target {target} is leaving and gets no new work")
+TARGET_PAUSED = LogEvent(
+    413, Level.WARNING, "target {target} was lost and gets no new work for {pause_s} s"
+)
+FORWARD_ATTEMPT_FAILED = LogEvent(
+    414,
+    Level.WARNING,
+    "request {request}: send {sends} to {target} with {helpers} helpers failed: {outcome}",
+)
+NOT_PLACED = LogEvent(415, Level.WARNING, "request {request} was not placed: {reason}")
+REPEAT_BUDGET_USED = LogEvent(
+    416,
+    Level.WARNING,
+    "request {request} is not sent again: the budget of repeats is used up",
+    "Find out which targets fail; callers are told to come back.",
+)
+REQUEST_NOT_SERVED = LogEvent(
+    417, Level.WARNING, "request {request} was not served: {reason}, {message}, begun: {begun}"
+)
+LISTING_ENTRY_UNREADABLE = LogEvent(
+    418,
+    Level.WARNING,
+    "entry {key} of the list of targets names no target: {reason}",
+    "Find the writer of the entry; the other entries are used.",
+)
+PEER_HEARD = LogEvent(420, Level.INFO, "entry instance {peer} in zone {zone} is heard")
+PEER_SILENT = LogEvent(421, Level.WARNING, "entry instance {peer} was not heard for {silence_s} s")
+NOTICE_UNREADABLE = LogEvent(422, Level.WARNING, "a message of {sender} cannot be read: {reason}")
+NOTICE_TOO_LARGE = LogEvent(423, Level.ERROR, "a message of {bytes} bytes is not sent")
+ROUTES_NOT_FETCHED = LogEvent(
+    424, Level.WARNING, "routes could not be fetched from entry instance {peer}: {reason}"
+)
+ROUTES_UNREADABLE = LogEvent(
+    425, Level.ERROR, "routes from {source} cannot be read: {reason}", "Upgrade this instance."
+)
+SETTINGS_RELOADED = LogEvent(426, Level.INFO, "the settings file was read again")
+SETTINGS_REJECTED = LogEvent(
+    427,
+    Level.ERROR,
+    "the settings file has mistakes, the settings in force stay: {findings}",
+    "Correct the settings file and send SIGHUP.",
+)
 REQUEST_FAILED_INTERNALLY = LogEvent(
     500, Level.ERROR, "request {request}: unexpected {error}", "Report this with the log."
 )
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/nodes.py
@@ -0,0 +1,55 @@
+"""Entry instances that this one hears by datagrams."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from wasabiwell_entry.state.exchange import NodeState, ServiceUse
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    """Another entry instance by its datagram address; `heard` is in monotonic seconds.
+
+    `state` is None until its first state has arrived.
+    """
+
+    address: str
+    known_since: float
+    heard: float | None = None
+    state: NodeState | None = None
+
+
+class NodeTable:
+    """Other entry instances by datagram address; one entry instance owns one table."""
+
+    __slots__ = ("_nodes",)
+
+    def __init__(self) -> None:
+        self._nodes: dict[str, Node] = {}
+
+    def __len__(self) -> int:
+        return len(self._nodes)
+
+    def __iter__(self) -> Iterator[Node]:
+        return iter(list(self._nodes.values()))
+
+    def get(self, address: str) -> Node | None:
+        """Return an entry instance, or None when it is not known."""
+        return self._nodes.get(address)
+
+    def put(self, address: str, now: float) -> Node:
+        """Return the entry instance at an address, which is added when it is not known."""
+        return self._nodes.setdefault(address, Node(address, now))
+
+    def uses(self) -> list[tuple[ServiceUse, ...]]:
+        """Return what each has counted of the requests and repeats of services."""
+        return [node.state.uses for node in self if node.state is not None]
+
+    def remove(self, address: str) -> None:
+        """Remove an entry instance when it is known."""
+        self._nodes.pop(address, None)
+
+    def heard_since(self, time: float) -> list[Node]:
+        """Return those that were heard after a time, in the order of addresses."""
+        heard = [node for node in self if node.heard is not None and node.heard > time]
+        return sorted(heard, key=lambda node: node.address)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/routes.py
@@ -0,0 +1,149 @@
+"""Routes of callers' requests to services, and what operators configured for them."""
+
+import enum
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated of the requests of a route."""
+
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at-most-once"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """A service of a route and its part of the route's requests, relative to the other parts."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Requests to a host below a path prefix.
+
+    `attempts` is the number of targets on which one request may run. `timeout` bounds the time
+    until the whole answer. `objective` is the time to the whole answer, or to the first event of a
+    stream; `event_gap` is the longest pause between events. A resumable stream may go on at another
+    target after its last event.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    services: tuple[ServiceShare, ...]
+    attempts: int
+    timeout: timedelta
+    objective: timedelta
+    event_gap: timedelta
+    priority: int = 0
+    anonymous: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run again from its beginning."""
+        match self.kind:
+            case RouteKind.IDEMPOTENT:
+                return True
+            case RouteKind.AT_MOST_ONCE:
+                return False
+            case RouteKind.STREAM:
+                return self.resumable
+
+
+@dataclass(frozen=True, slots=True)
+class EngineProfile:
+    """Speed and memory of the engines of a service.
+
+    A pass of an engine executes `stride` token steps when a sequence is writing. A step takes
+    `step` seconds, `step_per_sequence` more for each writing sequence and `step_per_token` more
+    for each token of their contexts. Reading takes `read_per_token` seconds for each token and
+    `read_per_pair` for each pair of a token and an earlier one, at most `chunk` tokens in a step.
+    `hop` is what a step takes more when other engines hold parts of the prompt.
+    """
+
+    slots: int
+    memory_tokens: int
+    stride: int
+    step: float
+    step_per_sequence: float
+    step_per_token: float
+    read_per_token: float
+    read_per_pair: float
+    chunk: int
+    hop: float
+    usual_prompt_tokens: int
+    usual_output_tokens: int
+
+    @property
+    def event_interval(self) -> float:
+        """Return the seconds between the events of a sequence that writes alone."""
+        return self.stride * (self.step + self.step_per_sequence)
+
+    def read_seconds(self, tokens: int) -> float:
+        """Return how long an idle engine reads a prompt, in seconds."""
+        pairs = tokens * tokens / 2
+        steps = tokens / self.chunk
+        return tokens * self.read_per_token + pairs * self.read_per_pair + steps * self.step
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSettings:
+    """A service; `engine` is None for a plain one. `connection_limit` is that of each target."""
+
+    name: str
+    connection_limit: int
+    engine: EngineProfile | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, in bytes, and how long a connection may stay idle."""
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout: timedelta = timedelta(seconds=3)
+    idle_timeout: timedelta = timedelta(seconds=15)
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """A version of the routes in force, with the services, limits and callers' keys.
+
+    `organisations` maps the keys of callers to organisation names.
+    """
+
+    version: int
+    services: Mapping[str, ServiceSettings]
+    limits: CallerLimits
+    organisations: Mapping[str, str] = field(repr=False)
+    by_host: Mapping[str, Mapping[str, Route]] = field(repr=False)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path; prefixes end with a slash."""
+        routes = self.by_host.get(host)
+        if not routes:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            if (route := routes.get(path[: end + 1])) is not None:
+                return route
+        return None
+
+
+def routes_by_host(routes: Iterable[Route]) -> dict[str, dict[str, Route]]:
+    """Return routes by host and prefix; the first of two equal ones counts."""
+    by_host: dict[str, dict[str, Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, {}).setdefault(route.prefix, route)
+    return by_host
+
+
+NO_ROUTES = RouteTable(0, {}, CallerLimits(), {}, {})
+"""In force until the first version has been read."""
--- a/packages/entry/src/wasabiwell_entry/state/targets.py
+++ b/packages/entry/src/wasabiwell_entry/state/targets.py
@@ -20,7 +20,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """A target instance; `address` is `HOST:PORT`."""
+    """A target instance; `address` is `HOST:PORT`.
+
+    `incarnation` changes with each start of the target. `slots` is the number of requests that it
+    processes at once, 0 when that is not known.
+    """
 
     target_id: str
     kind: TargetKind
@@ -28,6 +32,20 @@
     address: str
     region: str
     zone: str
+    incarnation: int = 0
+    slots: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ListedTarget:
+    """A target as the platform's list shows it.
+
+    `heartbeat` changes with each sign of life that the target gave to the platform.
+    """
+
+    target: Target
+    leaving: bool
+    heartbeat: int
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/state/work.py
@@ -0,0 +1,255 @@
+"""Work that all entry instances have placed on the targets, as one entry instance knows it.
+
+Times are seconds of the monotonic clock, as floats: placing a request does thousands of operations
+on them.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from wasabiwell_entry.state.forwarding import PromptSize
+from wasabiwell_entry.state.routes import EngineProfile
+from wasabiwell_entry.state.targets import Target
+
+LATE_SHARE = 0.75
+"""Part of a request's value that is lost when it is late; both users' price lists have 0.75."""
+EXPIRY_FACTOR = 4.0
+"""Placements that last this many times longer than expected are dropped as forgotten."""
+MIN_EXPIRY_SECONDS = 20.0
+"""Placements are kept at least this long: no route of the users waits longer."""
+OUTPUT_TOKEN_VALUE = 10
+"""An output token is worth this many prompt tokens on both users' price lists."""
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """A request that an entry instance has placed.
+
+    `placed_at` and `due` are seconds of the local monotonic clock; `due` is when the first event
+    or the answer has to be there. `gap` is the longest pause between events, in seconds.
+    """
+
+    request_id: str
+    origin: str
+    service: str
+    lead: str
+    helpers: tuple[str, ...]
+    placed_at: float
+    due: float
+    gap: float
+    size: PromptSize | None
+    writing: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Resident:
+    """A request on one engine; `lead` tells that it is written there, `part` that it is split.
+
+    `read_left` is the reading that is left on this engine and `write_left` the writing, in seconds.
+    """
+
+    placed: Placed
+    lead: bool
+    part: bool
+    read_left: float
+    write_left: float
+    tokens: int
+    value: float
+    writing: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class TargetWork:
+    """What is placed on one target; `profile` is None for targets of plain services."""
+
+    target: Target
+    profile: EngineProfile | None
+    residents: dict[str, Resident] = field(default_factory=dict)
+    updated: float = 0.0
+    pace: float = 1.0
+
+    @property
+    def slots(self) -> int:
+        """Return the number of requests that the target processes at once."""
+        return self.target.slots or (self.profile.slots if self.profile is not None else 1)
+
+    @property
+    def leads(self) -> int:
+        """Return the number of requests that take a slot here."""
+        return sum(1 for resident in self.residents.values() if resident.lead)
+
+    @property
+    def tokens(self) -> int:
+        """Return the memory that is in use here, in tokens."""
+        return sum(resident.tokens for resident in self.residents.values() if resident.lead)
+
+    def writers(self) -> list[Resident]:
+        """Return the requests that are written here now."""
+        return [item for item in self.residents.values() if item.lead and item.writing]
+
+    def pass_seconds(self, writers: list[Resident]) -> float:
+        """Return how long a pass without reading takes."""
+        profile = self.profile
+        if profile is None or not writers:
+            return 0.0
+        tokens = sum(writer.tokens for writer in writers)
+        step = profile.step + len(writers) * profile.step_per_sequence
+        return profile.stride * (step + tokens * profile.step_per_token) * self.pace
+
+    def reading_order(self) -> list[Resident]:
+        """Return the requests with reading left in the order in which the engine reads them.
+
+        Engines read parts of split prompts before other prompts, the newest part first.
+        """
+        waiting = [item for item in self.residents.values() if item.read_left > 0]
+        parts = [item for item in waiting if item.part]
+        return [*reversed(parts), *(item for item in waiting if not item.part)]
+
+    def advance(self, now: float) -> None:
+        """Work off reading and writing up to a time."""
+        elapsed = (now - self.updated) / self.pace
+        self.updated = max(self.updated, now)
+        if elapsed <= 0 or self.profile is None:
+            return
+        self._write(elapsed)
+        for resident in self.reading_order():
+            done = min(elapsed, resident.read_left)
+            resident.read_left -= done
+            elapsed -= done
+            if resident.read_left <= 0 and resident.lead and not resident.part:
+                resident.writing = True
+            if elapsed <= 0:
+                return
+
+    def _write(self, elapsed: float) -> None:
+        for resident in self.residents.values():
+            if resident.lead and resident.writing:
+                resident.write_left = max(0.0, resident.write_left - elapsed)
+
+    def add(self, placed: Placed, now: float) -> None:
+        """Add a request that is placed here."""
+        self.advance(now)
+        profile, size = self.profile, placed.size
+        lead = placed.lead == self.target.target_id
+        if profile is None or size is None:
+            self.residents[placed.request_id] = Resident(placed, lead, False, 0.0, 0.0, 0, 1.0)
+            return
+        engines = 1 + len(placed.helpers)
+        self.residents[placed.request_id] = Resident(
+            placed,
+            lead=lead,
+            part=engines > 1,
+            read_left=0.0 if placed.writing else profile.read_seconds(size.prompt) / engines,
+            write_left=size.expected_output * profile.event_interval / profile.stride,
+            tokens=size.prompt if lead else 0,
+            value=request_value(size, profile),
+            writing=placed.writing,
+        )
+
+    def begin_writing(self, request_id: str, now: float) -> None:
+        """Note the first event of a request: its prompt has been read here."""
+        self.advance(now)
+        resident = self.residents.get(request_id)
+        if resident is not None:
+            resident.read_left = 0.0
+            resident.writing = True
+
+    def remove(self, request_id: str, now: float) -> None:
+        """Remove a request that has ended."""
+        self.advance(now)
+        self.residents.pop(request_id, None)
+
+
+class WorkTable:
+    """Work by target; one entry instance owns one table."""
+
+    __slots__ = ("_by_service", "_placed", "_works")
+
+    def __init__(self) -> None:
+        self._works: dict[str, TargetWork] = {}
+        self._by_service: dict[str, list[TargetWork]] = {}
+        self._placed: dict[str, Placed] = {}
+
+    def __len__(self) -> int:
+        return len(self._works)
+
+    def __iter__(self) -> Iterator[TargetWork]:
+        return iter(list(self._works.values()))
+
+    def get(self, target_id: str) -> TargetWork | None:
+        """Return the work of a target, or None when it is not known."""
+        return self._works.get(target_id)
+
+    def of_service(self, service: str) -> list[TargetWork]:
+        """Return the work of a service's targets, in the order of their ids."""
+        return self._by_service.get(service, [])
+
+    def placed_by(self, origin: str) -> list[Placed]:
+        """Return what an entry instance has placed."""
+        return [placed for placed in self._placed.values() if placed.origin == origin]
+
+    def update(self, targets: Iterable[tuple[Target, EngineProfile | None]], now: float) -> None:
+        """Take over the targets of a list; one that started anew begins without work."""
+        works: dict[str, TargetWork] = {}
+        for target, profile in targets:
+            work = self._works.get(target.target_id)
+            if work is None or work.target != target:
+                work = TargetWork(target, profile, updated=now)
+            work.profile = profile
+            works[target.target_id] = work
+        self._works = works
+        self._by_service = {}
+        for _, work in sorted(works.items()):
+            self._by_service.setdefault(work.target.service, []).append(work)
+        for request_id, placed in list(self._placed.items()):
+            if placed.lead not in works:
+                del self._placed[request_id]
+
+    def add(self, placed: Placed, now: float) -> None:
+        """Add a request to the targets on which it is placed."""
+        self.remove(placed.request_id, now)
+        self._placed[placed.request_id] = placed
+        for target_id in (placed.lead, *placed.helpers):
+            if (work := self._works.get(target_id)) is not None:
+                work.add(placed, now)
+
+    def begin_writing(self, request_id: str, now: float) -> None:
+        """Note the first event of a request."""
+        placed = self._placed.get(request_id)
+        if placed is None:
+            return
+        for target_id in (placed.lead, *placed.helpers):
+            if (work := self._works.get(target_id)) is None:
+                continue
+            if target_id == placed.lead:
+                work.begin_writing(request_id, now)
+            else:
+                work.remove(request_id, now)
+
+    def remove(self, request_id: str, now: float) -> None:
+        """Remove a request that has ended."""
+        placed = self._placed.pop(request_id, None)
+        if placed is None:
+            return
+        for target_id in (placed.lead, *placed.helpers):
+            if (work := self._works.get(target_id)) is not None:
+                work.remove(request_id, now)
+
+    def retain(self, origin: str, request_ids: frozenset[str], now: float) -> None:
+        """Remove what an entry instance has placed but for these requests."""
+        for placed in self.placed_by(origin):
+            if placed.request_id not in request_ids:
+                self.remove(placed.request_id, now)
+
+    def expire(self, now: float) -> None:
+        """Remove requests whose end was never told."""
+        for placed in list(self._placed.values()):
+            allowed = max(MIN_EXPIRY_SECONDS, EXPIRY_FACTOR * (placed.due - placed.placed_at))
+            if now - placed.placed_at > allowed:
+                self.remove(placed.request_id, now)
+
+
+def request_value(size: PromptSize, profile: EngineProfile) -> float:
+    """Return what a request is worth, relative to the usual request of its service."""
+    usual = profile.usual_prompt_tokens + OUTPUT_TOKEN_VALUE * profile.usual_output_tokens
+    return (size.prompt + OUTPUT_TOKEN_VALUE * size.expected_output) / max(1, usual)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/datagram/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams between entry instances."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/datagram/endpoint.py
@@ -0,0 +1,68 @@
+"""UDP endpoint for the messages between entry instances."""
+
+import socket
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+
+import trio
+
+from wasabiwell_entry.coordination.exchange.ports import NoticeReceiver
+from wasabiwell_entry.protocol.notices import UnreadableNoticeError, decode_notice, encode_notice
+from wasabiwell_entry.state import log_events
+from wasabiwell_entry.state.exchange import Notice
+
+MAX_DATAGRAM_BYTES = 60_000
+"""Largest message that is sent; UDP carries 65,507 bytes."""
+
+
+class DatagramEndpoint:
+    """Sends and receives messages on one UDP socket; implements `NoticePort`."""
+
+    __slots__ = ("_socket", "dropped")
+
+    def __init__(self, own: socket.socket) -> None:
+        self._socket = own
+        self.dropped = 0
+
+    def send(self, addresses: Iterable[str], notice: Notice) -> None:
+        """Send a message to each address; one that the system does not take is dropped."""
+        data = encode_notice(notice)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            self.dropped += 1
+            log_events.emit(log_events.NOTICE_TOO_LARGE, bytes=len(data))
+            return
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            try:
+                self._socket.sendto(data, (host, int(port)))
+            except OSError:
+                # Notices are repeated by the next state, and unreachable hosts are found by it.
+                self.dropped += 1
+
+    async def receive(self, receiver: NoticeReceiver) -> None:
+        """Pass each message and its sender's address on until cancelled."""
+        while True:
+            try:
+                data, (host, port) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self._socket)
+                continue
+            except OSError as error:
+                log_events.emit(log_events.NOTICE_UNREADABLE, sender="", reason=repr(error))
+                await trio.lowlevel.checkpoint()
+                continue
+            try:
+                receiver.receive(f"{host}:{port}", decode_notice(data))
+            except UnreadableNoticeError as error:
+                log_events.emit(log_events.NOTICE_UNREADABLE, sender=host, reason=str(error))
+            await trio.lowlevel.checkpoint()
+
+
+@asynccontextmanager
+async def open_datagram_endpoint(address: str) -> AsyncIterator[DatagramEndpoint]:
+    """Own the socket at an address `HOST:PORT` until the context ends; raises `OSError`."""
+    host, _, port = address.rpartition(":")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as own:
+        own.setblocking(False)
+        own.bind((host, int(port)))
+        yield DatagramEndpoint(own)
