Split prompts over more engines and probe silent targets

Change: memory of such prompts is reserved on several engines, all or nothing (coordination/reservations, shared with the credits). A target that is silent is asked for a sign of life, and a stream is resumed elsewhere only when the pause is longer than the model of work predicts. An engine more costs less, so prompts are read by more engines. A finished stream no longer counts as abandoned by its caller.

--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -19,8 +19,6 @@
 from wasabiwell_entry.coordination.admission.errors import (
     DeadlineUnreachable,
     QueueFull,
-    ReservationRefused,
-    Reserved,
 )
 from wasabiwell_entry.coordination.admission.load_capacity import long_tokens_available
 from wasabiwell_entry.coordination.admission.ports import (
@@ -29,10 +27,11 @@
     Limited,
     LimitPort,
     NoCapacity,
-    ReservationPort,
 )
 from wasabiwell_entry.coordination.admission.queue import FairQueue, Ticket
 from wasabiwell_entry.coordination.dispatch.ports import Placement
+from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
+from wasabiwell_entry.coordination.reservations.ports import ReservationPort
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.routing.errors import NoTarget
 from wasabiwell_entry.coordination.routing.estimate import estimate_engine
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/const.py
@@ -25,10 +25,6 @@
 """Time between two looks for newly owned engines, so that their first claim needs no wait."""
 COLLECT_CONCURRENCY = 16
 """Members that a new owner asks at once."""
-RESERVATION_RENEWAL = timedelta(seconds=8)
-"""Time between renewals of an engine reservation, which expires after 30 s."""
-RESERVATION_CONCURRENCY = 16
-"""Calls to engines at once, so that a silent engine does not delay the others."""
 STOP_TIMEOUT = timedelta(seconds=1)
 """Time to give credit back on stop; what is not given back expires."""
 MAX_CLAIMS = 64
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -7,8 +7,7 @@
 
 import trio
 
-from wasabiwell_entry.coordination.admission.errors import Reserved
-from wasabiwell_entry.coordination.admission.ports import Hold, NoCapacity, ReservationPort
+from wasabiwell_entry.coordination.admission.ports import Hold, NoCapacity
 from wasabiwell_entry.coordination.credits.const import (
     CLAIM_INTERVAL,
     CREDIT_LIFETIME,
@@ -31,8 +30,10 @@
     CreditPeers,
     CreditReturn,
 )
-from wasabiwell_entry.coordination.credits.reservations import EngineReservations
 from wasabiwell_entry.coordination.membership.errors import NoOwner
+from wasabiwell_entry.coordination.reservations import EngineReservations
+from wasabiwell_entry.coordination.reservations.errors import Reserved
+from wasabiwell_entry.coordination.reservations.ports import ReservationPort
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.credits import (
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -249,6 +249,7 @@
         gap=notice.gap_ms / 1000,
         size=size,
         writing=notice.writing,
+        holds=notice.holds,
     )
 
 
@@ -267,4 +268,5 @@
         max_output=size.max_output,
         expected_output=size.expected_output,
         writing=placed.writing,
+        holds=placed.holds,
     )
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
@@ -18,5 +18,8 @@
 """A repeatable request is given at least this many times its objective on one target."""
 EXPECTED_BEFORE_REPEAT = 3.0
 """A stream is given at least this many times the predicted time to its first event."""
-EVENT_PATIENCE = timedelta(milliseconds=700)
-"""A stream that pauses longer than this beyond the allowed pause makes its target be probed."""
+EVENT_PATIENCE = timedelta(milliseconds=1_000)
+"""Time beyond the allowed and the predicted pause after which a stream is resumed elsewhere;
+callers leave after two seconds without an event."""
+PROBE_PATIENCE = timedelta(milliseconds=400)
+"""A target that is silent for this long beyond the allowed pause is asked for a sign of life."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -7,22 +7,25 @@
 
 from wasabiwell_entry.coordination.budget import RepeatBudget
 from wasabiwell_entry.coordination.forwarding.const import (
-    EVENT_PATIENCE,
     EXPECTED_BEFORE_REPEAT,
     MAX_HELD_BYTES,
     MAX_SENDS,
     MIN_TIME_LEFT,
     OBJECTIVES_BEFORE_REPEAT,
+    PROBE_PATIENCE,
     REFUSED_RETRY_AFTER,
     REPEAT_SHARE,
     SERVER_ERROR,
 )
 from wasabiwell_entry.coordination.forwarding.errors import AttemptOutcome, Delivered, Held
+from wasabiwell_entry.coordination.forwarding.holds import NotReserved, hold_memory
+from wasabiwell_entry.coordination.forwarding.patience import Patience
 from wasabiwell_entry.coordination.forwarding.ports import AnswerSink, TargetPort
 from wasabiwell_entry.coordination.placement import Placer
 from wasabiwell_entry.coordination.placement.const import NO_TARGET_RETRY_AFTER
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
 from wasabiwell_entry.coordination.placement.ledger import OpenPlacement, PlacementLedger
+from wasabiwell_entry.coordination.reservations import EngineReservations
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import AttemptVerdict
@@ -64,19 +67,21 @@
 class Forwarder:
     """Forwards the requests of one entry instance."""
 
-    __slots__ = ("_budget", "_clock", "_ledger", "_placer", "_targets")
+    __slots__ = ("_budget", "_clock", "_ledger", "_placer", "_reservations", "_targets")
 
     def __init__(
         self,
         placer: Placer,
         ledger: PlacementLedger,
         targets: TargetPort,
+        reservations: EngineReservations,
         budget: RepeatBudget,
         clock: Clock,
     ) -> None:
         self._placer = placer
         self._ledger = ledger
         self._targets = targets
+        self._reservations = reservations
         self._budget = budget
         self._clock = clock
 
@@ -146,21 +151,59 @@
         progress: _Progress,
     ) -> AttemptOutcome:
         progress.sends += 1
+        owner = f"{request.request_id}-{progress.sends}"
+        async with hold_memory(self._reservations, placement, owner) as held:
+            if isinstance(held, NotReserved):
+                progress.excluded.update(held.target_ids)
+                log_events.emit(
+                    log_events.MEMORY_NOT_RESERVED,
+                    request=request.request_id,
+                    targets=", ".join(held.target_ids),
+                )
+                return NotSent("memory was not reserved")
+            return await self._send(request, held, sink, progress)
+
+    async def _send(
+        self,
+        request: ForwardedRequest,
+        placement: Placement,
+        sink: AnswerSink,
+        progress: _Progress,
+    ) -> AttemptOutcome:
         progress.runs += 1
         target = placement.target
+        patience = Patience(
+            request.route,
+            self._first_patience(request, placement, progress),
+            lambda: self._placer.expected_pause(target.target_id),
+        )
         attempt = ForwardAttempt(
             request=request,
             target=target,
             helpers=placement.helpers,
             urgency=placement.urgency,
             time_left=self._left(request),
-            first_patience=self._first_patience(request, placement, progress),
-            event_patience=request.route.event_gap + EVENT_PATIENCE,
+            patience=patience.current,
+            probe_interval=_probe_interval(request),
             resume_after=progress.last_event,
         )
+        sent = self._clock.monotonic()
         with self._ledger.open(request, placement) as opened:
-            outcome = await self._relay(attempt, sink, progress, opened)
+            outcome = await self._relay(attempt, sink, progress, opened, patience)
             opened.verdict = _verdict(outcome)
+        log_events.emit(
+            log_events.FORWARDED,
+            request=request.request_id,
+            route=request.route.name,
+            prompt=request.size.prompt if request.size is not None else 0,
+            target=target.target_id,
+            helpers=len(placement.helpers),
+            held=sum(1 for helper in placement.helpers if helper.hold_tokens),
+            expected_ms=round(placement.expected_seconds * 1000),
+            first_ms=_milliseconds(sent, opened.first_at),
+            total_ms=_milliseconds(sent, self._clock.monotonic()),
+            outcome=_describe(outcome),
+        )
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
         if opened.verdict is not AttemptVerdict.ANSWERED:
@@ -192,6 +235,7 @@
         sink: AnswerSink,
         progress: _Progress,
         opened: OpenPlacement,
+        patience: Patience,
     ) -> AttemptOutcome:
         head: AnswerHead | None = None
         held: list[bytes] = []
@@ -200,6 +244,7 @@
                 match item:
                     case AnswerHead():
                         head = item
+                        patience.begin()
                         if _is_stream(attempt.request, head):
                             self._ledger.begin_writing(opened)
                             await self._begin(head, sink, progress)
@@ -273,6 +318,12 @@
     return request.route.kind is RouteKind.STREAM and head.status < 300
 
 
+def _probe_interval(request: ForwardedRequest) -> timedelta:
+    route = request.route
+    pause = route.event_gap if route.kind is RouteKind.STREAM else route.objective
+    return pause + PROBE_PATIENCE
+
+
 def _check_order(event_id: int | None, progress: _Progress) -> Broken | None:
     """Return why an event does not follow the last one, and note it otherwise."""
     if event_id is None:
@@ -308,6 +359,10 @@
             return AttemptVerdict.FAILED
 
 
+def _milliseconds(since: timedelta, until: timedelta | None) -> int | None:
+    return None if until is None else round((until - since) / timedelta(milliseconds=1))
+
+
 def _describe(outcome: AttemptOutcome) -> str:
     match outcome:
         case Delivered(status=status):
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/patience.py
@@ -0,0 +1,33 @@
+"""How long a target may be silent before its attempt is given up."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from wasabiwell_entry.coordination.forwarding.const import EVENT_PATIENCE
+from wasabiwell_entry.state.routes import Route
+
+
+class Patience:
+    """Allows one time for the begin of an answer, and another between the events of a stream.
+
+    `expected_pause` returns the predicted pause in seconds: reading for other requests delays
+    the next event, and a target that does so is not silent.
+    """
+
+    __slots__ = ("_begun", "_expected_pause", "_first", "_gap")
+
+    def __init__(self, route: Route, first: timedelta, expected_pause: Callable[[], float]) -> None:
+        self._first = first
+        self._gap = route.event_gap
+        self._expected_pause = expected_pause
+        self._begun = False
+
+    def begin(self) -> None:
+        """Note that the answer has begun."""
+        self._begun = True
+
+    def current(self) -> timedelta:
+        """Return the time for which the target may be silent now."""
+        if not self._begun:
+            return self._first
+        return self._gap + EVENT_PATIENCE + timedelta(seconds=self._expected_pause())
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
@@ -14,7 +14,7 @@
 """Engines refuse longer lists of helpers."""
 SPLIT_SECONDS = 0.1
 """A prompt is split only when one engine reads longer: half of the shortest allowed pause."""
-ENGINE_COST = 0.004
+ENGINE_COST = 0.0005
 """Cost of each engine more that reads a prompt, in parts of the request's value.
 
 It keeps a split from using engines that hardly make it faster.
@@ -33,10 +33,15 @@
 """Cost of a target all of whose slots are taken, in parts of the value, for each waiting one."""
 REMOTE_ZONE_COST = 0.002
 """Cost of a target in another zone, in parts of the value; it decides between equal targets."""
+NO_MEMORY_COST = 1.0
+"""Cost of an engine without enough free memory, in parts of the value: the request would wait for
+the end of another one there."""
 FAILURE_COST = 2.0
 """Cost of the recent share of failures of a target, in parts of the value."""
-MEMORY_RESERVE = 0.98
-"""Part of an engine's memory that is planned with; the rest is for output beyond the estimate."""
+MEMORY_SHARE = 0.98
+"""Part of an engine's memory that is planned with; engines count memory in whole blocks."""
+MAX_HOLDERS = 8
+"""Engines that keep parts of one prompt; the longest prompts of the users need three."""
 MAX_COMPARED = 64
 """Targets compared for one request, so that the time to choose is bounded in a large fleet."""
 SHORT_URGENCY_GAP = timedelta(milliseconds=250)
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -10,7 +10,9 @@
     FULL_COST,
     MAX_COMPARED,
     MAX_HELPERS,
-    MEMORY_RESERVE,
+    MAX_HOLDERS,
+    MEMORY_SHARE,
+    NO_MEMORY_COST,
     REMOTE_ZONE_COST,
     SHORT_URGENCY_GAP,
     SPLIT_SECONDS,
@@ -38,11 +40,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Candidate:
-    """One way to place a prompt and its cost in value; the first engine is the lead."""
+    """One way to place a prompt and its cost in value.
+
+    The first engine is the lead; those after it keep `holds` tokens of the prompt.
+    """
 
     cost: float
     finish: float
     engines: tuple[EngineState, ...]
+    holds: tuple[int, ...] = ()
 
 
 class Placer:
@@ -78,11 +84,19 @@
             urgency = URGENCY_RESUMED
         return Placement(
             target=best.engines[0].work.target,
-            helpers=tuple(Helper(state.work.target) for state in best.engines[1:]),
+            helpers=_helpers(best),
             urgency=urgency,
             expected_seconds=best.finish,
         )
 
+    def expected_pause(self, target_id: str) -> float:
+        """Return how long the sequences written on a target may pause now, in seconds."""
+        work = self._works.get(target_id)
+        if work is None:
+            return 0.0
+        state = engine_state(work, self._clock.monotonic().total_seconds())
+        return state.pass_seconds + state.pending
+
     def _waited(self, request: ForwardedRequest, now: float) -> float:
         return now - request.received.total_seconds()
 
@@ -153,6 +167,8 @@
     def _single(self, state: EngineState, read: float) -> _Candidate:
         finish = whole_finish(state, read)
         cost = self._own_cost(finish) + pause_harm(state, read) + self._lead_cost(state)
+        if self._holds(state, []) is None:
+            cost += NO_MEMORY_COST * self._value
         if read <= SPLIT_SECONDS and not any(
             self._is_alike(item.placed.gap) for item in state.writers
         ):
@@ -183,8 +199,12 @@
         finish = max(finish, lead.slot_wait + part_finish(lead, part))
         cost = self._own_cost(finish) + harm + sum(delayed.values()) + self._lead_cost(lead)
         cost += ENGINE_COST * self._value * (count - 1)
-        engines = (lead, *(state for state in chosen if state is not lead))
-        return _Candidate(cost, finish, engines)
+        others = [state for state in chosen if state is not lead]
+        others.sort(key=self._free, reverse=True)
+        holds = self._holds(lead, others)
+        if holds is None:
+            cost += NO_MEMORY_COST * self._value
+        return _Candidate(cost, finish, (lead, *others), holds or ())
 
     def _delay(self, state: EngineState, part: float) -> float:
         return sum(delay_harm(state, part, self._now).values())
@@ -199,11 +219,32 @@
         cost = self._value * self._preference(work)
         waiting = max(0, work.leads - work.slots + 1)
         cost += self._value * FULL_COST * waiting
-        free = self._profile.memory_tokens * MEMORY_RESERVE - work.tokens
-        if self._size.total > free:
-            cost += self._value
         return cost
 
+    def _free(self, state: EngineState) -> float:
+        return self._profile.memory_tokens * MEMORY_SHARE - state.work.tokens
+
+    def _holds(self, lead: EngineState, others: list[EngineState]) -> tuple[int, ...] | None:
+        """Return the tokens that other engines keep, even parts of the prompt, or None.
+
+        `others` are in the order of their free memory. Even parts make the steps of the lead
+        shortest, which cost the context of the largest part.
+        """
+        if self._size.total <= self._free(lead):
+            return ()
+        for holders in range(1, min(MAX_HOLDERS, len(others)) + 1):
+            part = -(-self._size.prompt // (holders + 1))
+            rest = self._size.total - part * holders
+            if rest <= self._free(lead) and part <= self._free(others[holders - 1]):
+                return (part,) * holders
+        return None
+
+
+def _helpers(way: _Candidate) -> tuple[Helper, ...]:
+    holds = way.holds + (0,) * (len(way.engines) - 1 - len(way.holds))
+    pairs = zip(way.engines[1:], holds, strict=True)
+    return tuple(Helper(state.work.target, tokens) for state, tokens in pairs)
+
 
 def _window(works: list[TargetWork], key: str) -> list[TargetWork]:
     """Return up to `MAX_COMPARED` targets that follow each other from a place given by a key."""
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
+from datetime import timedelta
 
 from wasabiwell_entry.coordination.exchange.coordinator import placement_notice
 from wasabiwell_entry.coordination.placement.errors import Placement
@@ -17,10 +18,14 @@
 
 @dataclass(slots=True)
 class OpenPlacement:
-    """A placed request; `verdict` is told when it ends."""
+    """A placed request; `verdict` is told when it ends.
+
+    `first_at` is the monotonic time of its first event, None before it.
+    """
 
     placed: Placed
     verdict: AttemptVerdict = AttemptVerdict.ABANDONED
+    first_at: timedelta | None = None
 
 
 class PlacementLedger:
@@ -58,6 +63,7 @@
             due=request.received.total_seconds() + request.route.objective.total_seconds(),
             gap=request.route.event_gap.total_seconds(),
             size=request.size,
+            holds=tuple(helper.hold_tokens for helper in placement.helpers if helper.hold_tokens),
         )
         self._works.add(placed, now)
         self._tell(Placing(placement_notice(placed, now)))
@@ -72,6 +78,7 @@
     def begin_writing(self, opened: OpenPlacement) -> None:
         """Note the first event of a placed request."""
         opened.placed = replace(opened.placed, writing=True)
+        opened.first_at = self._clock.monotonic()
         self._works.begin_writing(opened.placed.request_id, self._now())
         self._tell(Writing(opened.placed.request_id))
 
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/reservations.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
@@ -5,13 +5,13 @@
 
 import trio
 
-from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
-from wasabiwell_entry.coordination.admission.ports import ReservationPort
-from wasabiwell_entry.coordination.credits.const import (
+from wasabiwell_entry.coordination.reservations.const import (
     RESERVATION_CONCURRENCY,
     RESERVATION_RENEWAL,
     STOP_TIMEOUT,
 )
+from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
+from wasabiwell_entry.coordination.reservations.ports import ReservationPort
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.targets import Target
 
@@ -31,11 +31,14 @@
     own. What is neither renewed nor returned expires at the engine.
     """
 
-    __slots__ = ("_clock", "_held", "_port", "_returns", "_wake")
+    __slots__ = ("_clock", "_held", "_port", "_renewal", "_returns", "_wake")
 
-    def __init__(self, port: ReservationPort, clock: Clock) -> None:
+    def __init__(
+        self, port: ReservationPort, clock: Clock, renewal: timedelta = RESERVATION_RENEWAL
+    ) -> None:
         self._port = port
         self._clock = clock
+        self._renewal = renewal
         self._held: dict[str, _Reservation] = {}
         self._returns: list[tuple[Target, str]] = []
         self._wake = trio.Event()
@@ -47,7 +50,7 @@
         with trio.CancelScope(shield=True):
             outcome = await self._port.reserve(target, owner, tokens)
         if isinstance(outcome, Reserved):
-            renew_at = self._clock.monotonic() + RESERVATION_RENEWAL
+            renew_at = self._clock.monotonic() + self._renewal
             self._held[outcome.reservation_id] = _Reservation(target, renew_at)
         return outcome
 
@@ -63,7 +66,7 @@
         try:
             while True:
                 await self.settle()
-                with trio.move_on_after(RESERVATION_RENEWAL.total_seconds() / 2):
+                with trio.move_on_after(self._renewal.total_seconds() / 2):
                     await self._wake.wait()
                 self._wake = trio.Event()
         finally:
@@ -82,7 +85,7 @@
                 nursery.start_soon(self._return, target, reservation_id, limiter)
             for reservation_id, held in self._held.items():
                 if held.renew_at <= now:
-                    held.renew_at = now + RESERVATION_RENEWAL
+                    held.renew_at = now + self._renewal
                     nursery.start_soon(self._renew, held.target, reservation_id, limiter)
 
     async def _return(
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/errors.py
@@ -0,0 +1,17 @@
+"""Outcomes of reserving memory on engines."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ReservationRefused:
+    """An engine has not enough free memory now."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Reserved:
+    """Memory is held under this id until it is released or expires."""
+
+    reservation_id: str
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -24,7 +24,7 @@
     """A request was placed; ages and times are milliseconds before the message was sent.
 
     `due_in_ms` is the time until the first event or the answer has to be there. `prompt` is 0 for
-    requests of plain services.
+    requests of plain services. `holds` are the tokens kept by each of the first helpers.
     """
 
     request_id: str
@@ -38,6 +38,7 @@
     max_output: int
     expected_output: int
     writing: bool = False
+    holds: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/wasabiwell_entry/state/forwarding.py
+++ b/packages/entry/src/wasabiwell_entry/state/forwarding.py
@@ -1,5 +1,6 @@
 """Requests that are forwarded unchanged to targets, and what comes back of them."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -19,8 +20,8 @@
 
     @property
     def total(self) -> int:
-        """Return the tokens that the request is expected to hold in memory at its end."""
-        return self.prompt + self.expected_output
+        """Return the most tokens that the request can hold in memory."""
+        return self.prompt + self.max_output
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,21 +49,16 @@
     last_event_id: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class MemoryTicket:
-    """Memory of `tokens` that was reserved under an id on a target."""
-
-    target: Target
-    ticket_id: str
-    tokens: int
-
-
 @dataclass(frozen=True, slots=True)
 class Helper:
-    """A further engine that reads a part of a prompt and may hold a part of it in a ticket."""
+    """A further engine that reads a part of a prompt.
+
+    It holds `hold_tokens` of the prompt in memory that is reserved there under `reservation_id`.
+    """
 
     target: Target
-    ticket: MemoryTicket | None = None
+    hold_tokens: int = 0
+    reservation_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,9 +66,9 @@
     """One send of a request to a target.
 
     `urgency` orders requests that wait at an engine, 0 first. `time_left` is how long the target
-    may work. `first_patience` is how long it may take to begin its answer, and `event_patience` how
-    long a stream may pause until the target is probed. `resume_after` is the id of the last event
-    that the caller has.
+    may work. `patience` returns how long it may be silent now; after each `probe_interval` of
+    silence it is asked for a sign of life. `resume_after` is the id of the last event that the
+    caller has.
     """
 
     request: ForwardedRequest
@@ -80,8 +76,8 @@
     helpers: tuple[Helper, ...]
     urgency: int
     time_left: timedelta
-    first_patience: timedelta
-    event_patience: timedelta
+    patience: Callable[[], timedelta]
+    probe_interval: timedelta
     resume_after: int | None = None
 
 
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -134,6 +134,13 @@
     "the request with fingerprint {fingerprint} is refused, because two targets died running it",
     "Find the fault of the engines, then release the request.",
 )
+FORWARDED = LogEvent(
+    409,
+    Level.INFO,
+    "request {request} on route {route} with {prompt} prompt tokens: target {target}, {helpers} "
+    "helpers, {held} holders, expected {expected_ms} ms, first event {first_ms} ms, total "
+    "{total_ms} ms: {outcome}",
+)
 TARGET_LISTED = LogEvent(410, Level.INFO, "target {target} of service {service} is listed")
 TARGET_UNLISTED = LogEvent(411, Level.INFO, "target {target} is no longer listed")
 TARGET_LEAVING = LogEvent(412, Level.INFO, "target {target} is leaving and gets no new work")
@@ -161,6 +168,12 @@
     "entry {key} of the list of targets names no target: {reason}",
     "Find the writer of the entry; the other entries are used.",
 )
+MEMORY_NOT_RESERVED = LogEvent(
+    419, Level.WARNING, "request {request}: no memory was reserved on {targets}"
+)
+ORDER_UNANSWERED = LogEvent(
+    408, Level.WARNING, "target {target} did not answer the order {order}: {reason}"
+)
 PEER_HEARD = LogEvent(420, Level.INFO, "entry instance {peer} in zone {zone} is heard")
 PEER_SILENT = LogEvent(421, Level.WARNING, "entry instance {peer} was not heard for {silence_s} s")
 NOTICE_UNREADABLE = LogEvent(422, Level.WARNING, "a message of {sender} cannot be read: {reason}")
--- a/packages/entry/src/wasabiwell_entry/state/work.py
+++ b/packages/entry/src/wasabiwell_entry/state/work.py
@@ -26,7 +26,8 @@
     """A request that an entry instance has placed.
 
     `placed_at` and `due` are seconds of the local monotonic clock; `due` is when the first event
-    or the answer has to be there. `gap` is the longest pause between events, in seconds.
+    or the answer has to be there. `gap` is the longest pause between events, in seconds. `holds`
+    are the tokens of the prompt that are kept in the memory of each of the first helpers.
     """
 
     request_id: str
@@ -39,6 +40,16 @@
     gap: float
     size: PromptSize | None
     writing: bool = False
+    holds: tuple[int, ...] = ()
+
+    def tokens_at(self, target_id: str) -> int:
+        """Return the memory that the prompt takes on a target, in tokens."""
+        if self.size is None:
+            return 0
+        if target_id == self.lead:
+            return self.size.prompt - sum(self.holds)
+        holders = zip(self.helpers, self.holds, strict=False)
+        return sum(tokens for helper, tokens in holders if helper == target_id)
 
 
 @dataclass(slots=True, eq=False)
@@ -81,7 +92,7 @@
     @property
     def tokens(self) -> int:
         """Return the memory that is in use here, in tokens."""
-        return sum(resident.tokens for resident in self.residents.values() if resident.lead)
+        return sum(resident.tokens for resident in self.residents.values())
 
     def writers(self) -> list[Resident]:
         """Return the requests that are written here now."""
@@ -141,7 +152,7 @@
             part=engines > 1,
             read_left=0.0 if placed.writing else profile.read_seconds(size.prompt) / engines,
             write_left=size.expected_output * profile.event_interval / profile.stride,
-            tokens=size.prompt if lead else 0,
+            tokens=placed.tokens_at(self.target.target_id),
             value=request_value(size, profile),
             writing=placed.writing,
         )
@@ -221,7 +232,7 @@
         for target_id in (placed.lead, *placed.helpers):
             if (work := self._works.get(target_id)) is None:
                 continue
-            if target_id == placed.lead:
+            if target_id == placed.lead or placed.tokens_at(target_id):
                 work.begin_writing(request_id, now)
             else:
                 work.remove(request_id, now)
--- a/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -19,7 +19,7 @@
 class Exchange:
     """One HTTP request and its answer."""
 
-    __slots__ = ("_closing", "_receive", "_scope", "_send", "_started")
+    __slots__ = ("_closing", "_finished", "_receive", "_scope", "_send", "_started")
 
     def __init__(
         self,
@@ -33,6 +33,7 @@
         self._receive = receive
         self._send = send
         self._started = False
+        self._finished = False
 
     @property
     def method(self) -> str:
@@ -94,10 +95,15 @@
             Reason.BODY_TIMEOUT, f"the body did not arrive within {timeout_seconds:g} s"
         )
 
-    async def wait_disconnected(self) -> None:
-        """Return when the caller closes the connection; call it after the body was read."""
+    async def cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
+        """Cancel a scope when the caller closes the connection before the answer is finished.
+
+        Call it after the body was read.
+        """
         while (await self._receive())["type"] != "http.disconnect":
             pass
+        if not self._finished:
+            scope.cancel()
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of the answer; a closing server ends the connection after it."""
@@ -111,7 +117,8 @@
         await self._send({"type": "http.response.body", "body": data, "more_body": True})
 
     async def finish(self, data: bytes = b"") -> None:
-        """Send the last part of the body."""
+        """Send the last part of the body; the server then reports a disconnect of the caller."""
+        self._finished = True
         await self._send({"type": "http.response.body", "body": data, "more_body": False})
 
     async def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
--- a/packages/entry/src/wasabiwell_entry/transport/http/chat.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/chat.py
@@ -101,7 +101,7 @@
         await exchange.respond_problem(problem(request))
         return
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_cancel_on_disconnect, exchange, nursery.cancel_scope)
+        nursery.start_soon(exchange.cancel_on_disconnect, nursery.cancel_scope)
         if parsed.stream:
             await _answer_stream(context, exchange, request)
         else:
@@ -187,8 +187,3 @@
 def _encoder(context: HttpContext, request: GenerateRequest) -> ChatEncoder:
     created = int(context.clock.now().timestamp())
     return ChatEncoder(request.request_id, request.service, created)
-
-
-async def _cancel_on_disconnect(exchange: Exchange, scope: trio.CancelScope) -> None:
-    await exchange.wait_disconnected()
-    scope.cancel()
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
+from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.dispatch.errors import (
     ProbeOutcome,
     TargetAlive,
--- a/standins/wasabiwell_standins/measure_credits.py
+++ b/standins/wasabiwell_standins/measure_credits.py
@@ -9,11 +9,11 @@
 import click
 import trio
 import trio_asyncio
-from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.admission.ports import Hold
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
 from wasabiwell_entry.coordination.credits.errors import OwnerUnreachable
 from wasabiwell_entry.coordination.credits.ports import ClaimAnswer, CreditReturn
+from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.state.clock import SystemClock
 from wasabiwell_entry.state.credits import Amount, CreditClaim
 from wasabiwell_entry.state.members import Member, MemberTable
--- a/tests/support/admission.py
+++ b/tests/support/admission.py
@@ -5,8 +5,8 @@
 
 import trio
 from wasabiwell_config import Organisation
-from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.admission.ports import Limited, LimitLease
+from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.state.requests import GenerateRequest, SizeClass
 from wasabiwell_entry.state.targets import EngineLoad, Target, TargetKind, TargetTable
 
--- a/tests/support/reservation_machine.py
+++ b/tests/support/reservation_machine.py
@@ -6,11 +6,11 @@
 import trio
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
-from wasabiwell_entry.coordination.admission.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.admission.ports import Hold, NoCapacity
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
 from wasabiwell_entry.coordination.credits.errors import OwnerUnreachable
 from wasabiwell_entry.coordination.credits.ports import ClaimAnswer, CreditReturn
+from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.credits import LONG_MEMORY_SHARE, CreditClaim
 from wasabiwell_entry.state.members import Member, MemberTable
