Follow the list of targets by held queries and count crashes under requests

Change: three watchers hold queries at the store and tell the others; the belief in silent targets is gone. A target is lost only when it accepts no connection. The head of an answer is sent without being cancelled. Requests under which three targets died are refused everywhere.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/fleet.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/fleet.py
@@ -19,10 +19,10 @@
         self._listed: list[ListedTarget] = []
         self._table: RouteTable = NO_ROUTES
 
-    def put_targets(self, listed: list[ListedTarget], silent: frozenset[str]) -> None:
-        """Take over the list of targets; `silent` are ids without a recent sign of life."""
+    def put_targets(self, listed: list[ListedTarget]) -> None:
+        """Take over the list of targets."""
         self._listed = listed
-        self._health.update(listed, silent)
+        self._health.update(listed)
         self._update()
 
     def put_routes(self, table: RouteTable) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
@@ -8,6 +8,7 @@
 from wasabiwell_entry.state.listing import TargetListing
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import RouteTable
+from wasabiwell_entry.state.targets import ListedTarget
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +29,26 @@
     """The store has forgotten the changes after a revision."""
 
 
+@dataclass(frozen=True, slots=True)
+class TargetChanges:
+    """Changes of the list of targets up to a revision; `removed` are ids."""
+
+    revision: int
+    changed: tuple[ListedTarget, ...]
+    removed: tuple[str, ...]
+
+
 class ListingPort(Protocol):
     """The platform's list of targets."""
 
     async def targets(self) -> TargetListing | StoreUnavailable:
         """Return the list."""
 
+    async def changes(
+        self, after: int, wait: timedelta
+    ) -> TargetChanges | HistoryLost | StoreUnavailable:
+        """Wait for changes after a revision, at most for a time."""
+
 
 class RoutesPort(Protocol):
     """The routes that operators put in force."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -1,4 +1,4 @@
-"""Follows the platform's list of targets; a few instances read it and tell the others."""
+"""Follows the platform's list of targets; a few instances ask for it and tell the others."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -11,13 +11,16 @@
     OUTAGE_AGE,
     READ_TIMEOUT,
     RETURN_GRACE,
-    SILENT_HEARTBEATS,
     UNHEARD_LIMIT,
     UNHEARD_STEP,
-    WATCH_INTERVAL,
+    WATCH_WAIT,
     WATCHERS,
 )
-from wasabiwell_entry.coordination.discovery.ports import ListingPort
+from wasabiwell_entry.coordination.discovery.ports import (
+    HistoryLost,
+    ListingPort,
+    TargetChanges,
+)
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import ListingNotice
@@ -25,7 +28,7 @@
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.targets import ListedTarget
 
-TargetObserver = Callable[[list[ListedTarget], frozenset[str]], None]
+TargetObserver = Callable[[list[ListedTarget]], None]
 
 
 class TargetDiscovery:
@@ -34,15 +37,13 @@
     __slots__ = (
         "_clock",
         "_confirmed",
-        "_heartbeat_interval",
-        "_heartbeats",
+        "_followed",
         "_listing",
         "_next_read",
         "_observer",
         "_port",
         "_rank",
         "_returned",
-        "_silent",
         "_store_away",
         "_tell",
     )
@@ -53,18 +54,15 @@
         rank: Callable[[], int],
         tell: Callable[[ListingNotice], None],
         observer: TargetObserver,
-        heartbeat_interval: timedelta,
         clock: Clock,
     ) -> None:
         self._port = port
         self._rank = rank
         self._tell = tell
         self._observer = observer
-        self._heartbeat_interval = heartbeat_interval
         self._clock = clock
         self._listing = NO_LISTING
-        self._silent: frozenset[str] = frozenset()
-        self._heartbeats: dict[str, tuple[int, timedelta]] = {}
+        self._followed: int | None = None
         self._confirmed: timedelta | None = None
         self._returned: timedelta | None = None
         self._next_read = timedelta()
@@ -78,112 +76,108 @@
     async def run(self) -> None:
         """Follow the list until cancelled."""
         while True:
-            if self._is_due():
-                await self._read()
-            await self._clock.sleep(CHECK_INTERVAL)
+            if self._clock.monotonic() >= self._next_read:
+                await self._ask()
+            else:
+                await self._clock.sleep(CHECK_INTERVAL)
 
     def receive(self, sender: str, notice: ListingNotice) -> None:
-        """Take over what another entry instance has read."""
+        """Take over what another entry instance was answered."""
         if notice.revision < self._listing.revision:
             return
         known = self._listing.digest()
         targets = dict(self._listing.targets)
         if known != notice.digest:
             if known != notice.base:
-                self._next_read = self._clock.monotonic()
+                self._followed, self._next_read = None, self._clock.monotonic()
                 return
             targets.update({item.target.target_id: item for item in notice.changed})
             for target_id in notice.removed:
                 targets.pop(target_id, None)
-        self._confirmed = self._clock.monotonic()
-        self._put(TargetListing(notice.revision, targets), frozenset(notice.silent))
-        if self._rank() >= WATCHERS:
-            self._next_read = self._confirmed + UNHEARD_LIMIT + UNHEARD_STEP * self._rank()
-
-    def _is_due(self) -> bool:
-        return self._clock.monotonic() >= self._next_read
-
-    async def _read(self) -> None:
-        begun = self._clock.monotonic()
-        outcome: TargetListing | StoreUnavailable = StoreUnavailable("no answer in time")
-        with trio.move_on_after(READ_TIMEOUT.total_seconds()):
-            outcome = await self._port.targets()
-        now = self._clock.monotonic()
-        if isinstance(outcome, StoreUnavailable):
-            if not self._store_away:
-                self._store_away = True
-                log_events.emit(
-                    log_events.STORE_UNAVAILABLE, service="list of targets", reason=outcome.reason
-                )
-            self._next_read = now + FAILED_READ_PAUSE
-            return
-        if self._store_away:
-            self._store_away = False
-            log_events.emit(log_events.STORE_RECOVERED, service="list of targets")
-        self._next_read = begun + self._read_interval()
-        if outcome.revision < self._listing.revision:
-            return
-        self._take_over(outcome, now)
+        self._confirm(self._clock.monotonic())
+        self._put(TargetListing(notice.revision, targets))
+        if self._followed is not None:
+            self._followed = notice.revision
 
-    def _read_interval(self) -> timedelta:
+    def _confirm(self, now: timedelta) -> None:
+        """Note that the list is up to date, and when to ask next."""
+        self._confirmed = now
         rank = self._rank()
-        if rank < WATCHERS:
-            return WATCH_INTERVAL
-        return UNHEARD_LIMIT + UNHEARD_STEP * rank
+        self._next_read = now if rank < WATCHERS else now + UNHEARD_LIMIT + UNHEARD_STEP * rank
+
+    async def _ask(self) -> None:
+        """Ask for changes, or for the whole list when the changes are not known."""
+        wait = WATCH_WAIT if self._rank() < WATCHERS else timedelta()
+        outcome: TargetListing | TargetChanges | HistoryLost | StoreUnavailable
+        outcome = StoreUnavailable("no answer in time")
+        with trio.move_on_after((READ_TIMEOUT + wait).total_seconds()):
+            if self._followed is None:
+                outcome = await self._port.targets()
+            else:
+                outcome = await self._port.changes(self._followed, wait)
+        now = self._clock.monotonic()
+        match outcome:
+            case TargetListing() as listing:
+                self._note_store(None)
+                self._take_over(listing, now)
+            case TargetChanges() as changes:
+                self._note_store(None)
+                self._take_over(self._apply(changes), now)
+            case HistoryLost():
+                self._followed = None
+            case StoreUnavailable(reason=reason):
+                self._note_store(reason)
+                self._followed = None
+                self._next_read = now + FAILED_READ_PAUSE
+
+    def _apply(self, changes: TargetChanges) -> TargetListing:
+        targets = dict(self._listing.targets)
+        targets.update({item.target.target_id: item for item in changes.changed})
+        for target_id in changes.removed:
+            targets.pop(target_id, None)
+        return TargetListing(changes.revision, targets)
+
+    def _note_store(self, reason: str | None) -> None:
+        if reason is not None and not self._store_away:
+            log_events.emit(log_events.STORE_UNAVAILABLE, service="list of targets", reason=reason)
+        if reason is None and self._store_away:
+            log_events.emit(log_events.STORE_RECOVERED, service="list of targets")
+        self._store_away = reason is not None
 
     def _take_over(self, read: TargetListing, now: timedelta) -> None:
-        """Put a read in force and tell the others."""
+        """Put an answer in force and tell the others."""
+        if read.revision < self._listing.revision:
+            # An answer of a store that lags behind what another instance was told.
+            self._followed = None
+            self._next_read = now + CHECK_INTERVAL
+            return
         if self._confirmed is not None and now - self._confirmed > OUTAGE_AGE:
             self._returned = now
-        self._confirmed = now
         before = self._listing
+        self._followed = read.revision
         if self._returned is not None and now - self._returned < RETURN_GRACE:
             missing = {key: item for key, item in before.targets.items() if key not in read.targets}
             read = TargetListing(read.revision, {**missing, **read.targets})
-        self._put(read, self._find_silent(read, now))
+            # The missing ones are looked for again when the grace is over.
+            self._followed = None if missing else read.revision
+        self._confirm(now)
+        self._put(read)
         changed = tuple(
-            item for key, item in read.targets.items() if not _same(before.targets.get(key), item)
+            item for key, item in read.targets.items() if before.targets.get(key) != item
         )
         removed = tuple(key for key in before.targets if key not in read.targets)
-        silent = tuple(sorted(self._silent))
-        self._tell(
-            ListingNotice(read.revision, before.digest(), read.digest(), changed, removed, silent)
-        )
+        self._tell(ListingNotice(read.revision, before.digest(), read.digest(), changed, removed))
 
-    def _put(self, listing: TargetListing, silent: frozenset[str]) -> None:
-        changed = (
-            silent != self._silent
-            or listing.targets.keys() != self._listing.targets.keys()
-            or any(
-                not _same(self._listing.targets[key], item) for key, item in listing.targets.items()
-            )
-        )
-        if changed:
-            _log_difference(self._listing, listing)
-        self._listing, self._silent = listing, silent
-        if changed:
-            self._observer(list(listing.targets.values()), silent)
-
-    def _find_silent(self, read: TargetListing, now: timedelta) -> frozenset[str]:
-        """Return the targets whose last sign of life is old; after an outage all begin anew."""
-        known = self._heartbeats if self._returned is None or self._returned != now else {}
-        self._heartbeats = {}
-        for target_id, item in read.targets.items():
-            seen = known.get(target_id)
-            fresh = seen is None or seen[0] != item.heartbeat
-            self._heartbeats[target_id] = (item.heartbeat, now) if fresh or seen is None else seen
-        limit = now - self._heartbeat_interval * SILENT_HEARTBEATS
-        return frozenset(key for key, (_, since) in self._heartbeats.items() if since < limit)
-
-
-def _same(known: ListedTarget | None, item: ListedTarget) -> bool:
-    return known is not None and (known.target, known.leaving) == (item.target, item.leaving)
-
-
-def _log_difference(before: TargetListing, after: TargetListing) -> None:
-    for target_id, item in after.targets.items():
-        if target_id not in before.targets:
-            log_events.emit(log_events.TARGET_LISTED, target=target_id, service=item.target.service)
-    for target_id in before.targets:
-        if target_id not in after.targets:
-            log_events.emit(log_events.TARGET_UNLISTED, target=target_id)
+    def _put(self, listing: TargetListing) -> None:
+        before, self._listing = self._listing, listing
+        if before.targets == listing.targets:
+            return
+        for target_id, item in listing.targets.items():
+            if target_id not in before.targets:
+                log_events.emit(
+                    log_events.TARGET_LISTED, target=target_id, service=item.target.service
+                )
+        for target_id in before.targets:
+            if target_id not in listing.targets:
+                log_events.emit(log_events.TARGET_UNLISTED, target=target_id)
+        self._observer(list(listing.targets.values()))
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -1,6 +1,6 @@
 """Forwards a request until its whole answer is delivered or nothing more may be tried."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 import trio
@@ -25,6 +25,7 @@
 from wasabiwell_entry.coordination.placement.const import NO_TARGET_RETRY_AFTER
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
 from wasabiwell_entry.coordination.placement.ledger import OpenPlacement, PlacementLedger
+from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
 from wasabiwell_entry.coordination.reservations import EngineReservations
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
@@ -43,6 +44,7 @@
 )
 from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
 from wasabiwell_entry.state.routes import RouteKind
+from wasabiwell_entry.state.targets import Target
 
 ForwardOutcome = Forwarded | Refused | Failed
 
@@ -67,7 +69,15 @@
 class Forwarder:
     """Forwards the requests of one entry instance."""
 
-    __slots__ = ("_budget", "_clock", "_ledger", "_placer", "_reservations", "_targets")
+    __slots__ = (
+        "_budget",
+        "_clock",
+        "_crashes",
+        "_ledger",
+        "_placer",
+        "_reservations",
+        "_targets",
+    )
 
     def __init__(
         self,
@@ -76,12 +86,14 @@
         targets: TargetPort,
         reservations: EngineReservations,
         budget: RepeatBudget,
+        crashes: CrashCounts,
         clock: Clock,
     ) -> None:
         self._placer = placer
         self._ledger = ledger
         self._targets = targets
         self._reservations = reservations
+        self._crashes = crashes
         self._budget = budget
         self._clock = clock
 
@@ -100,8 +112,13 @@
         self, request: ForwardedRequest, sink: AnswerSink, progress: _Progress
     ) -> ForwardOutcome:
         while True:
+            crashes = self._crashes.crashes(request.fingerprint)
+            if self._crashes.refused(request.fingerprint):
+                message = f"{crashes} targets died under this request"
+                log_events.emit(log_events.NOT_PLACED, request=request.request_id, reason=message)
+                return _gave_up(progress, Reason.QUARANTINED, message)
             placement = self._placer.place(
-                request, frozenset(progress.excluded), resumed=progress.begun
+                request, frozenset(progress.excluded), resumed=progress.begun, suspected=crashes > 0
             )
             if isinstance(placement, NoPlacement):
                 log_events.emit(
@@ -190,6 +207,8 @@
         sent = self._clock.monotonic()
         with self._ledger.open(request, placement) as opened:
             outcome = await self._relay(attempt, sink, progress, opened, patience)
+            if isinstance(outcome, Broken) and outcome.target_lost:
+                outcome = await self._confirm_loss(request, target, outcome)
             opened.verdict = _verdict(outcome)
         log_events.emit(
             log_events.FORWARDED,
@@ -206,10 +225,22 @@
         )
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
-        if opened.verdict is not AttemptVerdict.ANSWERED:
+        if opened.verdict is AttemptVerdict.ANSWERED:
+            self._crashes.finished(request.fingerprint)
+        else:
             self._note_failure(attempt, outcome, progress)
         return outcome
 
+    async def _confirm_loss(
+        self, request: ForwardedRequest, target: Target, broken: Broken
+    ) -> Broken:
+        """Suspect a request when its target is gone; one that only cut a connection is not."""
+        if await self._targets.accepts_connections(target):
+            return replace(broken, target_lost=False)
+        name = f"{target.target_id}@{target.incarnation}"
+        self._crashes.crashed(request.fingerprint, name)
+        return broken
+
     def _note_failure(
         self, attempt: ForwardAttempt, outcome: AttemptOutcome, progress: _Progress
     ) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from wasabiwell_entry.state.forwarding import AnswerHead, AttemptItem, ForwardAttempt
+from wasabiwell_entry.state.targets import Target
 
 
 class AnswerSink(Protocol):
@@ -30,3 +31,6 @@
 
         Leaving the context cancels the request at the target.
         """
+
+    async def accepts_connections(self, target: Target) -> bool:
+        """Return whether a target accepts a new connection."""
--- a/packages/entry/src/wasabiwell_entry/coordination/health/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/const.py
@@ -10,5 +10,3 @@
 """Time in which observed failures lose half of their weight: failing targets recover in seconds."""
 PRIOR_ANSWERS = 3.0
 """Answers that are assumed of each target, so that one failure does not condemn it."""
-REMOVAL_GRACE = timedelta(milliseconds=2_500)
-"""Targets that are missing after an outage of the list are kept this long: living ones return."""
--- a/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
@@ -1,6 +1,6 @@
 """Beliefs about targets, from the platform's list and from how requests fared on them."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from wasabiwell_entry.coordination.health.const import (
     FAILURE_HALF_LIFE,
@@ -20,13 +20,11 @@
 
     target: Target
     leaving: bool = False
-    silent: bool = False
     lost_until: float = 0.0
     losses: int = 0
     answers: float = 0.0
     failures: float = 0.0
     updated: float = 0.0
-    refused_until: float = field(default=0.0)
 
 
 class TargetHealth:
@@ -38,8 +36,8 @@
         self._clock = clock
         self._beliefs: dict[str, _Belief] = {}
 
-    def update(self, listed: list[ListedTarget], silent: frozenset[str]) -> None:
-        """Take over the platform's list; `silent` are ids without a recent sign of life."""
+    def update(self, listed: list[ListedTarget]) -> None:
+        """Take over the platform's list."""
         beliefs: dict[str, _Belief] = {}
         for item in listed:
             belief = self._beliefs.get(item.target.target_id)
@@ -48,7 +46,6 @@
             if item.leaving and not belief.leaving:
                 log_events.emit(log_events.TARGET_LEAVING, target=item.target.target_id)
             belief.leaving = belief.leaving or item.leaving
-            belief.silent = item.target.target_id in silent
             beliefs[item.target.target_id] = belief
         self._beliefs = beliefs
 
@@ -60,7 +57,7 @@
     def usable(self, target: Target) -> bool:
         """Return whether the target should get requests."""
         belief = self._beliefs.get(target.target_id)
-        if belief is None or belief.target != target or belief.leaving or belief.silent:
+        if belief is None or belief.target != target or belief.leaving:
             return False
         return belief.lost_until <= self._now()
 
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -63,19 +63,28 @@
         self._clock = clock
 
     def place(
-        self, request: ForwardedRequest, excluded: frozenset[str], resumed: bool = False
+        self,
+        request: ForwardedRequest,
+        excluded: frozenset[str],
+        resumed: bool = False,
+        suspected: bool = False,
     ) -> Placement | NoPlacement:
-        """Return the targets for a request; `excluded` are ids of those that failed it."""
+        """Return the targets for a request; `excluded` are ids of those that failed it.
+
+        A suspected request, under which a target died, runs alone where that is possible.
+        """
         now = self._clock.monotonic().total_seconds()
         works = self._usable(request, excluded)
         if not works:
             return NoPlacement(f"no target of service {request.service} takes new work")
-        size = request.size
-        if size is None or works[0].profile is None:
+        size, profile = request.size, works[0].profile
+        if size is None or profile is None:
             return self._place_plain(works)
+        if suspected:
+            works = _least_used(works)
         states = [engine_state(work, now) for work in works]
         allowed = max(0.0, request.route.objective.total_seconds() - self._waited(request, now))
-        search = _Search(request, size, works[0].profile, states, allowed, now, self._preference)
+        search = _Search(request, size, profile, states, allowed, now, self._preference)
         best = search.best()
         urgency = URGENCY_LONG
         if request.route.event_gap <= SHORT_URGENCY_GAP:
@@ -246,6 +255,11 @@
     return tuple(Helper(state.work.target, tokens) for state, tokens in pairs)
 
 
+def _least_used(works: list[TargetWork]) -> list[TargetWork]:
+    least = min(work.leads for work in works)
+    return [work for work in works if work.leads == least]
+
+
 def _window(works: list[TargetWork], key: str) -> list[TargetWork]:
     """Return up to `MAX_COMPARED` targets that follow each other from a place given by a key."""
     if len(works) <= MAX_COMPARED:
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
@@ -11,3 +11,7 @@
 FOLLOW_INTERVAL_PER_MEMBER = timedelta(milliseconds=10)
 """Keeps the scans of all entry instances together below 100/s."""
 FOLLOW_LIMIT_ROWS = 1_000
+CRASH_LIMIT = 3
+"""Targets that may die under one request on deployments whose users allow three."""
+SUSPICION_LIFETIME = timedelta(minutes=10)
+"""Callers send a request that failed again within minutes."""
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -86,8 +86,7 @@
     """A read of the platform's list of targets.
 
     `revision` is the platform's count of changes at the read. `digest` is that of the whole list,
-    `changed` and `removed` the difference to the list with the digest `base`. `silent` are targets
-    without a recent sign of life.
+    `changed` and `removed` the difference to the list with the digest `base`.
     """
 
     revision: int
@@ -95,7 +94,6 @@
     digest: int
     changed: tuple[ListedTarget, ...]
     removed: tuple[str, ...]
-    silent: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/wasabiwell_entry/state/targets.py
+++ b/packages/entry/src/wasabiwell_entry/state/targets.py
@@ -38,14 +38,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedTarget:
-    """A target as the platform's list shows it.
-
-    `heartbeat` changes with each sign of life that the target gave to the platform.
-    """
+    """A target as the platform's list shows it."""
 
     target: Target
     leaving: bool
-    heartbeat: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -110,7 +110,9 @@
         self._started = True
         if self._closing() and str(self._scope.get("http_version", "1.1")).startswith("1"):
             headers = [*headers, (b"connection", b"close")]
-        await self._send({"type": "http.response.start", "status": status, "headers": headers})
+        # The server does not know that the answer has begun when this is cancelled midway.
+        with trio.CancelScope(shield=True):
+            await self._send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body; waits while the caller reads slowly."""
