--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -178,15 +178,15 @@
         cost = self._own_cost(finish) + pause_harm(state, read) + self._lead_cost(state)
         if self._holds(state, []) is None:
             cost += NO_MEMORY_COST * self._value
-        if read <= SPLIT_SECONDS and not any(
-            self._is_alike(item.placed.gap) for item in state.writers
-        ):
+        if read <= SPLIT_SECONDS and not self._has_alike(state):
             cost += EMPTY_ENGINE_COST * self._value
         return _Candidate(cost, finish, (state,))
 
-    def _is_alike(self, gap: float) -> bool:
-        """Return whether a sequence allows pauses no longer than this request does."""
-        return gap <= self._request.route.event_gap.total_seconds()
+    def _has_alike(self, state: EngineState) -> bool:
+        """Return whether an engine has a request that allows pauses no longer than this one."""
+        allowed = self._request.route.event_gap.total_seconds()
+        residents = state.work.residents.values()
+        return any(item.lead and item.placed.gap <= allowed for item in residents)
 
     def _split(self, read: float, count: int) -> _Candidate:
         part = read / count
--- /dev/null
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -0,0 +1,67 @@
+Feature: Exchange between entry instances
+  Guards against placements that are kept although they ended, and against instances that tell
+  callers of peers which are gone.
+
+  Scenario: A peer's placement counts here until it ends
+    Given an instance that hears peer "10.0.0.2:7"
+    When the peer tells that it placed "r1" on engine "e00"
+    Then engine "e00" has 1 request
+    When the peer tells that "r1" has ended as "failed"
+    Then engine "e00" has 0 requests
+    And the verdict "failed" on engine "e00" was taken over
+
+  Scenario: A placement whose end was lost is dropped with the peer's next state
+    Given an instance that hears peer "10.0.0.2:7"
+    When the peer tells that it placed "r1" on engine "e00"
+    And the peer's next state names no placement
+    Then engine "e00" has 0 requests
+
+  Scenario: The placements of a silent peer are dropped and callers are not sent there
+    Given an instance that hears peer "10.0.0.2:7"
+    And an instance that hears peer "10.0.0.3:7"
+    When the peer tells that it placed "r1" on engine "e00"
+    And only peer "10.0.0.3:7" is heard for 3 seconds
+    Then engine "e00" has 0 requests
+    And callers are told of "10.0.0.3 own"
+
+  Scenario: An instance that hears nobody goes on telling of those it heard before
+    Given an instance that hears peer "10.0.0.2:7"
+    When no peer is heard for 3 seconds
+    Then callers are told of "10.0.0.2 own"
+
+  Scenario: A leaving peer is not told to callers
+    Given an instance that hears peer "10.0.0.2:7"
+    When the peer tells that it is leaving
+    Then callers are told of "own"
+
+  Scenario: States that arrive late or twice change nothing
+    Given an instance that hears peer "10.0.0.2:7"
+    When the peer tells that it is leaving
+    And an older state of the peer arrives
+    Then callers are told of "own"
+
+  Scenario: A peer that is met is told of the others
+    Given an instance that hears peer "10.0.0.2:7"
+    And an instance that hears peer "10.0.0.3:7"
+    Then peer "10.0.0.3:7" was told of "10.0.0.2:7"
+
+  Scenario: The store is asked for peers until it answers
+    Given an instance whose store is away for 5 seconds and then names "10.0.0.9:7"
+    When no peer is heard for 8 seconds
+    Then states were sent to "10.0.0.9:7"
+
+  Scenario Outline: Messages arrive as they were sent
+    Then a message of kind "<kind>" is the same after encoding and decoding
+
+    Examples:
+      | kind          |
+      | Placing       |
+      | Writing       |
+      | Ending        |
+      | Suspicion     |
+      | ListingNotice |
+      | NodeState     |
+      | NodeAddresses |
+
+  Scenario: Bytes that are no message are rejected
+    Then 200 random datagrams are either rejected or decoded
--- /dev/null
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -0,0 +1,276 @@
+"""Steps for the exchange between entry instances."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import replace
+from datetime import timedelta
+
+import trio
+import trio.testing
+from behave import given, then, when
+from behave.runner import Context
+from support.forwarding import PROFILE, make_target
+from wasabiwell_entry.coordination.exchange import ExchangeCoordinator
+from wasabiwell_entry.coordination.exchange.coordinator import ExchangeObservers
+from wasabiwell_entry.coordination.exchange.ports import NoticeReceiver
+from wasabiwell_entry.protocol.notices import (
+    UnreadableNoticeError,
+    decode_notice,
+    encode_notice,
+)
+from wasabiwell_entry.state.clock import ManualClock, SystemClock
+from wasabiwell_entry.state.exchange import (
+    AttemptVerdict,
+    Ending,
+    ListingNotice,
+    NodeAddresses,
+    NodeState,
+    Notice,
+    PlacementNotice,
+    Placing,
+    ServiceUse,
+    Suspicion,
+    Writing,
+)
+from wasabiwell_entry.state.nodes import NodeTable
+from wasabiwell_entry.state.platform import StoreUnavailable
+from wasabiwell_entry.state.targets import ListedTarget
+from wasabiwell_entry.state.work import WorkTable
+
+OWN = "10.0.0.1:7"
+
+
+class FakePort:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, Notice]] = []
+
+    def send(self, addresses: Iterable[str], notice: Notice) -> None:
+        """Keep a message for each address."""
+        self.sent += [(address, notice) for address in addresses]
+
+    async def receive(self, receiver: NoticeReceiver) -> None:
+        """Receive nothing."""
+        await trio.sleep_forever()
+
+
+class FakeDirectory:
+    """Names instances once it is back; `away` is the end of its outage in seconds."""
+
+    def __init__(self, away: float = 0.0, names: tuple[str, ...] = ()) -> None:
+        self.away = away
+        self.names = names
+
+    async def register(self, address: str) -> StoreUnavailable | None:
+        """Take an address unless it is away."""
+        await trio.lowlevel.checkpoint()
+        return StoreUnavailable("away") if trio.current_time() < self.away else None
+
+    async def withdraw(self, address: str) -> StoreUnavailable | None:
+        """Do nothing."""
+        await trio.lowlevel.checkpoint()
+        return None
+
+    async def addresses(self) -> list[str] | StoreUnavailable:
+        """Return the names."""
+        await trio.lowlevel.checkpoint()
+        return list(self.names)
+
+
+def state_of(address: str, sequence: int, **fields: object) -> NodeState:
+    host = address.partition(":")[0]
+    values: dict[str, object] = {
+        "incarnation": 1,
+        "sequence": sequence,
+        "region": "r",
+        "zone": "z",
+        "caller_address": host if address != OWN else "own",
+        "control_address": f"{host}:9",
+        "serving": True,
+        "leaving": False,
+        "routes_version": 1,
+        "uses": (),
+        "placed": (),
+    }
+    return NodeState(**(values | fields))  # type: ignore[arg-type]
+
+
+def open_exchange(context: Context, directory: FakeDirectory, clock: object) -> None:
+    context.clock = clock
+    context.port = FakePort()
+    context.works = WorkTable()
+    context.works.update([(make_target(index), PROFILE) for index in range(2)], 0.0)
+    context.endings = []
+    context.sequence = 0
+    context.exchange = ExchangeCoordinator(
+        OWN,
+        lambda: state_of(OWN, 1),
+        NodeTable(),
+        context.works,
+        context.port,
+        directory,
+        ExchangeObservers(
+            ended=context.endings.append,
+            suspected=lambda suspicion: None,
+            listed=lambda sender, notice: None,
+            routes_announced=lambda address, version: None,
+        ),
+        (),
+        clock,
+    )
+
+
+def hear(context: Context, address: str, **fields: object) -> None:
+    context.sequence += 1
+    context.exchange.receive(address, state_of(address, context.sequence, **fields))
+
+
+@given('an instance that hears peer "{address}"')
+def step_hears(context: Context, address: str) -> None:
+    if "exchange" not in context:
+        open_exchange(context, FakeDirectory(), ManualClock())
+        context.peer = address
+    hear(context, address)
+
+
+@given('an instance whose store is away for {seconds:d} seconds and then names "{address}"')
+def step_away(context: Context, seconds: int, address: str) -> None:
+    context.directory = FakeDirectory(seconds, (address,))
+    open_exchange(context, context.directory, SystemClock())
+
+
+@when('the peer tells that it placed "{request_id}" on engine "{target_id}"')
+def step_placed(context: Context, request_id: str, target_id: str) -> None:
+    notice = PlacementNotice(request_id, "s", target_id, (), 5, 300, 200, 1_000, 2_000, 1_000)
+    context.exchange.receive(context.peer, Placing(notice))
+
+
+@when('the peer tells that "{request_id}" has ended as "{verdict}"')
+def step_ended(context: Context, request_id: str, verdict: str) -> None:
+    ending = Ending(request_id, "e00", AttemptVerdict(verdict))
+    context.exchange.receive(context.peer, ending)
+
+
+@when("the peer's next state names no placement")
+def step_state(context: Context) -> None:
+    hear(context, context.peer)
+
+
+@when("the peer tells that it is leaving")
+def step_leaving(context: Context) -> None:
+    hear(context, context.peer, serving=False, leaving=True)
+
+
+@when("an older state of the peer arrives")
+def step_older(context: Context) -> None:
+    context.exchange.receive(context.peer, state_of(context.peer, 1))
+
+
+def pass_time(context: Context, seconds: int, heard: str | None) -> None:
+    """Let an instance run, with one peer heard four times a second."""
+
+    async def run() -> None:
+        context.clock = SystemClock()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.exchange.run)
+            for _ in range(seconds * 4):
+                await trio.sleep(0.25)
+                if heard is not None:
+                    hear(context, heard)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@when('only peer "{address}" is heard for {seconds:d} seconds')
+def step_only(context: Context, address: str, seconds: int) -> None:
+    for _ in range(seconds * 4):
+        advance(context)
+        hear(context, address)
+        context.exchange._sweep()  # what the instance does at intervals
+
+
+@when("no peer is heard for {seconds:d} seconds")
+def step_none(context: Context, seconds: int) -> None:
+    if isinstance(context.clock, SystemClock):
+        pass_time(context, seconds, None)
+        return
+    for _ in range(seconds * 4):
+        advance(context)
+        context.exchange._sweep()
+
+
+def advance(context: Context) -> None:
+    context.clock.advance(timedelta(milliseconds=250))
+
+
+@then('engine "{target_id}" has {count:d} request')
+@then('engine "{target_id}" has {count:d} requests')
+def step_requests(context: Context, target_id: str, count: int) -> None:
+    assert len(context.works.get(target_id).residents) == count
+
+
+@then('the verdict "{verdict}" on engine "{target_id}" was taken over')
+def step_verdict(context: Context, verdict: str, target_id: str) -> None:
+    assert [(item.target_id, item.verdict.value) for item in context.endings] == [
+        (target_id, verdict)
+    ]
+
+
+@then('callers are told of "{names}"')
+def step_told(context: Context, names: str) -> None:
+    told = [member.caller_address for member in context.exchange.alive()]
+    assert sorted(told) == sorted(names.split()), told
+
+
+@then('peer "{address}" was told of "{other}"')
+def step_told_peers(context: Context, address: str, other: str) -> None:
+    lists = [
+        notice.addresses
+        for to, notice in context.port.sent
+        if to == address and isinstance(notice, NodeAddresses)
+    ]
+    assert any(other in addresses for addresses in lists), lists
+
+
+@then('states were sent to "{address}"')
+def step_states(context: Context, address: str) -> None:
+    kinds = [type(notice) for to, notice in context.port.sent if to == address]
+    assert NodeState in kinds
+
+
+NOTICES: dict[str, Notice] = {
+    "Placing": Placing(
+        PlacementNotice("r", "s", "e1", ("e2", "e3"), 1, 2, 3, 4, 5, 6, True, (7, 0))
+    ),
+    "Writing": Writing("r"),
+    "Ending": Ending("r", "e1", AttemptVerdict.LOST),
+    "Suspicion": Suspicion("f", ("e1@1",)),
+    "ListingNotice": ListingNotice(
+        7, 2**63 + 1, 2**64 - 1, (ListedTarget(make_target(1), True),), ("e9",)
+    ),
+    "NodeState": replace(
+        state_of("10.0.0.2:7", 4), uses=(ServiceUse("s", 1, 2),), placed=("r1", "r2")
+    ),
+    "NodeAddresses": NodeAddresses(("10.0.0.2:7",)),
+}
+
+
+@then('a message of kind "{kind}" is the same after encoding and decoding')
+def step_same(context: Context, kind: str) -> None:
+    assert decode_notice(encode_notice(NOTICES[kind])) == NOTICES[kind]
+
+
+@then("{count:d} random datagrams are either rejected or decoded")
+def step_random(context: Context, count: int) -> None:
+    source = random.Random(7)
+    valid = [encode_notice(notice) for notice in NOTICES.values()]
+    for _ in range(count):
+        data = bytearray(source.choice(valid))
+        for _ in range(source.randrange(1, 6)):
+            data[source.randrange(len(data))] = source.randrange(256)
+        try:
+            decode_notice(bytes(data[: source.randrange(len(data) + 1)]))
+        except UnreadableNoticeError:
+            continue
--- /dev/null
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -0,0 +1,263 @@
+"""Steps for forwarding requests."""
+
+from datetime import timedelta
+
+import trio
+import trio.testing
+from behave import given, then, when
+from behave.runner import Context
+from support.admission import FakeReservations
+from support.forwarding import (
+    Engines,
+    RecordingSink,
+    Script,
+    ScriptedTargets,
+    answer,
+    make_forwarded,
+    make_forwarder,
+    make_route,
+    stream,
+)
+from wasabiwell_entry.state.clock import SystemClock
+from wasabiwell_entry.state.exchange import Ending, Notice
+from wasabiwell_entry.state.forwarding import (
+    AnswerEvent,
+    Broken,
+    Forwarded,
+    NotRun,
+    NotSent,
+)
+from wasabiwell_entry.state.outcomes import Failed, Refused, RunState
+from wasabiwell_entry.state.routes import Route, RouteKind
+
+BROKEN = Broken("cut", target_lost=True)
+
+
+def prepare(context: Context, route: Route) -> None:
+    context.route = route
+    context.slack = 100.0
+    context.accepting = False
+    context.reservations = FakeReservations()
+    context.notices = []
+
+
+def play(context: Context, scripts: list[Script], prompt: int = 0, times: int = 1) -> None:
+    """Forward one request, as often as told, and keep what became of it."""
+
+    def tell(notice: Notice) -> None:
+        context.notices.append(notice)
+
+    async def run() -> None:
+        engines = Engines(9, SystemClock())
+        targets = ScriptedTargets(scripts, accepting=context.accepting)
+        context.targets = targets
+        forwarder = make_forwarder(engines, targets, tell, context.slack, context.reservations)
+        for number in range(times):
+            request = make_forwarded(
+                context.route, prompt, now=timedelta(seconds=trio.current_time())
+            )
+            context.sink = RecordingSink()
+            begun = trio.current_time()
+            context.outcome = await forwarder.forward(request, context.sink)
+            context.seconds = trio.current_time() - begun
+            assert number < times
+        await forwarder._reservations.settle()  # returns what was given back
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@given("an at-most-once route")
+def step_once(context: Context) -> None:
+    prepare(context, make_route(RouteKind.AT_MOST_ONCE, "call"))
+
+
+@given("an at-most-once route with a limit of {seconds:d} second")
+def step_once_limited(context: Context, seconds: int) -> None:
+    limit = timedelta(seconds=seconds)
+    prepare(context, make_route(RouteKind.AT_MOST_ONCE, "call", timeout=limit))
+
+
+@given("an idempotent route")
+def step_idempotent(context: Context) -> None:
+    prepare(context, make_route(RouteKind.IDEMPOTENT, "call"))
+
+
+@given("a stream route")
+def step_stream(context: Context) -> None:
+    prepare(context, make_route(RouteKind.STREAM, resumable=False))
+
+
+@given("a resumable stream route")
+def step_resumable(context: Context) -> None:
+    prepare(context, make_route(RouteKind.STREAM))
+
+
+@given("a resumable stream route for long prompts")
+def step_long(context: Context) -> None:
+    prepare(context, make_route(RouteKind.STREAM, "long"))
+
+
+@given("the budget of repeats is used up")
+def step_budget(context: Context) -> None:
+    context.slack = 0.0
+
+
+@given("targets that accept connections again")
+def step_accepting(context: Context) -> None:
+    context.accepting = True
+
+
+@given('engine "{target_id}" has no memory to reserve')
+def step_no_memory(context: Context, target_id: str) -> None:
+    context.reservations.refusing.add(target_id)
+
+
+@when("the first target breaks off")
+def step_breaks(context: Context) -> None:
+    play(context, [[BROKEN], answer()])
+
+
+@when("the first target refuses without running it")
+def step_refuses(context: Context) -> None:
+    play(context, [[NotRun("status 503")], answer()])
+
+
+@when("all targets refuse without running it")
+def step_all_refuse(context: Context) -> None:
+    play(context, [[NotRun("status 503")]])
+
+
+@when("the first target cannot be reached")
+def step_unreached(context: Context) -> None:
+    play(context, [[NotSent("ConnectError")], answer()])
+
+
+@when("the first target answers with status {status:d}")
+def step_first_status(context: Context, status: int) -> None:
+    play(context, [answer(status), answer()])
+
+
+@when("all targets answer with status {status:d}")
+def step_all_status(context: Context, status: int) -> None:
+    play(context, [answer(status)])
+
+
+@when("the first target breaks off after event {last:d}")
+def step_stream_breaks(context: Context, last: int) -> None:
+    play(context, [[*stream(1, last, end=False), BROKEN], stream(last + 1, 6)], prompt=2_000)
+
+
+@when("the target leaves out event {number:d}")
+def step_left_out(context: Context, number: int) -> None:
+    script = [*stream(1, number - 1, end=False), AnswerEvent(number + 1, b"x")]
+    play(context, [script], prompt=2_000)
+
+
+@when("the first target is silent for longer than its patience")
+def step_silent(context: Context) -> None:
+    play(context, [[4.0, Broken("ReadTimeout")], answer()])
+
+
+@when("the target takes {seconds:d} seconds")
+def step_slow(context: Context, seconds: int) -> None:
+    play(context, [[float(seconds), *answer()]])
+
+
+@when("the same request crashes every target that runs it and is sent {times:d} times")
+def step_crashes(context: Context, times: int) -> None:
+    play(context, [[BROKEN]], prompt=2_000, times=times)
+
+
+@when("a prompt of {tokens:d} tokens is answered")
+def step_prompt(context: Context, tokens: int) -> None:
+    play(context, [stream(1, 3)], prompt=tokens)
+
+
+@when("the target answers")
+def step_answers(context: Context) -> None:
+    play(context, [stream(1, 3)], prompt=2_000)
+
+
+@then("{count:d} target got the request")
+@then("{count:d} targets got the request")
+def step_sent(context: Context, count: int) -> None:
+    sent = [attempt.target.target_id for attempt in context.targets.sent]
+    assert len(sent) == count, sent
+    if count <= 2:
+        assert len(set(sent)) == count, sent
+
+
+@then("at most {count:d} targets got the request")
+def step_at_most(context: Context, count: int) -> None:
+    assert len(context.targets.sent) <= count
+
+
+@then("the outcome is failed with an unknown run")
+def step_failed(context: Context) -> None:
+    assert isinstance(context.outcome, Failed), context.outcome
+    assert context.outcome.run is RunState.UNKNOWN
+
+
+@then("the outcome is refused")
+def step_refused(context: Context) -> None:
+    assert isinstance(context.outcome, Refused), context.outcome
+
+
+@then("the caller has the whole answer with status {status:d}")
+def step_whole(context: Context, status: int) -> None:
+    assert context.outcome == Forwarded(status), context.outcome
+    assert (context.sink.status, context.sink.data) == (status, b"ok"), context.sink
+    assert context.sink.finished
+
+
+@then("the second target was asked to go on after event {number:d}")
+def step_resumed(context: Context, number: int) -> None:
+    assert context.targets.sent[1].resume_after == number
+
+
+@then("the caller has the events 1 to {last:d} once and the end")
+def step_events(context: Context, last: int) -> None:
+    assert context.sink.data == b"".join(b"%d " % number for number in range(1, last + 1))
+    assert context.sink.finished
+    assert context.sink.heads == 1
+
+
+@then("the caller has the events 1 to {last:d} once and no end")
+def step_events_cut(context: Context, last: int) -> None:
+    assert context.sink.data == b"".join(b"%d " % number for number in range(1, last + 1))
+    assert not context.sink.finished
+    assert isinstance(context.outcome, Failed)
+
+
+@then("it came after {seconds:d} second")
+def step_after(context: Context, seconds: int) -> None:
+    assert abs(context.seconds - seconds) < 0.01, context.seconds
+
+
+@then("the attempt was cancelled at the target")
+def step_cancelled(context: Context) -> None:
+    assert context.targets.cancelled == 1
+
+
+@then("helpers held parts of it, each under a reservation of its own")
+def step_held(context: Context) -> None:
+    helpers = [item for item in context.targets.sent[-1].helpers if item.hold_tokens]
+    held = sum(item.hold_tokens for item in helpers)
+    assert 700_000 - held <= 450_000, held
+    assert len({item.reservation_id for item in helpers}) == len(helpers) > 0
+
+
+@then("no reservation is left")
+def step_no_reservation(context: Context) -> None:
+    assert not context.reservations.held, context.reservations.held
+
+
+@then('peers were told "{kinds}"')
+def step_told(context: Context, kinds: str) -> None:
+    assert [type(notice).__name__ for notice in context.notices] == kinds.split()
+
+
+@then('the verdict on the target is "{verdict}"')
+def step_verdict(context: Context, verdict: str) -> None:
+    endings = [notice for notice in context.notices if isinstance(notice, Ending)]
+    assert [ending.verdict.value for ending in endings] == [verdict]
--- /dev/null
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -0,0 +1,184 @@
+"""Steps for placing requests."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+from behave.runner import Context
+from support.forwarding import PROFILE, Engines, make_forwarded, make_placed, make_route
+from wasabiwell_entry.coordination.placement import coordinator
+from wasabiwell_entry.coordination.placement.const import MAX_COMPARED
+from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
+from wasabiwell_entry.state.clock import ManualClock
+from wasabiwell_entry.state.exchange import AttemptVerdict
+from wasabiwell_entry.state.routes import RouteKind
+from wasabiwell_entry.state.work import Placed
+
+
+@given("{count:d} engines")
+def step_engines(context: Context, count: int) -> None:
+    context.engines = Engines(count, ManualClock())
+    context.placements = []
+
+
+@given("{count:d} plain targets")
+def step_plain(context: Context, count: int) -> None:
+    context.engines = Engines(count, ManualClock(), profile=None)
+    context.placements = []
+
+
+def add(context: Context, placed: Placed) -> None:
+    context.engines.works.add(placed, context.engines.now)
+
+
+@given('a prompt of {tokens:d} tokens is read on "{target_id}"')
+def step_read(context: Context, tokens: int, target_id: str) -> None:
+    add(context, make_placed(target_id, tokens, "long"))
+
+
+@given('a prompt of {tokens:d} tokens is written on "{target_id}"')
+def step_written_long(context: Context, tokens: int, target_id: str) -> None:
+    add(context, make_placed(target_id, tokens, "long", writing=True))
+
+
+@given('a prompt of {tokens:d} tokens, due {due:g} s later, is read on "{lead}" and "{helper}"')
+def step_due(context: Context, tokens: int, due: float, lead: str, helper: str) -> None:
+    finish = PROFILE.read_seconds(tokens) / 2
+    placed = make_placed(lead, tokens, "long", helpers=(helper,), due=finish + due)
+    add(context, replace(placed, placed_at=-1.0))
+
+
+@given('{count:d} short requests are written on "{target_id}"')
+def step_written(context: Context, count: int, target_id: str) -> None:
+    for number in range(count):
+        add(context, make_placed(target_id, 5_000, request_id=f"{target_id}{number}", writing=True))
+
+
+@given('a call was placed on "{target_id}"')
+def step_call_placed(context: Context, target_id: str) -> None:
+    placed = make_placed(target_id, 1, "call")
+    add(context, replace(placed, size=None))
+
+
+@given('"{target_id}" is leaving')
+def step_leaving(context: Context, target_id: str) -> None:
+    context.engines.list_targets(leaving=target_id)
+
+
+@given('"{target_id}" was lost')
+def step_lost(context: Context, target_id: str) -> None:
+    context.engines.health.note(target_id, AttemptVerdict.LOST)
+
+
+@given('"{target_id}" failed {count:d} requests')
+def step_failed(context: Context, target_id: str, count: int) -> None:
+    for _ in range(count):
+        context.engines.health.note(target_id, AttemptVerdict.FAILED)
+
+
+def place(context: Context, size: str, tokens: int, **options: object) -> None:
+    """Place a request and enter it, as the ledger does."""
+    engines, number = context.engines, len(context.placements)
+    kind = RouteKind.STREAM if size != "call" else RouteKind.IDEMPOTENT
+    request = make_forwarded(make_route(kind, size), tokens, f"r{number}")
+    excluded = options.pop("excluded", frozenset())
+    placement = engines.placer.place(request, excluded, **options)
+    context.placements.append(placement)
+    if isinstance(placement, Placement):
+        helpers = tuple(helper.target.target_id for helper in placement.helpers)
+        target_id = placement.target.target_id
+        add(
+            context,
+            make_placed(target_id, tokens, size, request_id=f"r{number}", helpers=helpers),
+        )
+
+
+@when("{count:d} short request is placed")
+@when("{count:d} short requests are placed")
+def step_place_short(context: Context, count: int) -> None:
+    for _ in range(count):
+        place(context, "short", 1_000)
+
+
+@when('a short request is placed that "{target_id}" failed')
+def step_place_excluded(context: Context, target_id: str) -> None:
+    place(context, "short", 1_000, excluded=frozenset({target_id}))
+
+
+@when("a suspected short request is placed")
+def step_place_suspected(context: Context) -> None:
+    place(context, "short", 1_000, suspected=True)
+
+
+@when("a {size} prompt of {tokens:d} tokens is placed")
+def step_place_size(context: Context, size: str, tokens: int) -> None:
+    context.tokens = tokens
+    place(context, size, tokens)
+
+
+@when("a call is placed")
+def step_place_call(context: Context) -> None:
+    place(context, "call", 0)
+
+
+def engines_of(context: Context) -> list[str]:
+    placement = context.placements[-1]
+    return [placement.target.target_id, *(item.target.target_id for item in placement.helpers)]
+
+
+@then("they are on {count:d} engine")
+def step_on(context: Context, count: int) -> None:
+    assert len({item.target.target_id for item in context.placements}) == count
+
+
+@then("no engine has more than {count:d} requests")
+def step_at_most(context: Context, count: int) -> None:
+    leads = {work.target.target_id: work.leads for work in context.engines.works}
+    assert max(leads.values()) <= count, leads
+
+
+@then('the last one is on "{target_id}"')
+@then('its lead is "{target_id}"')
+def step_lead(context: Context, target_id: str) -> None:
+    assert engines_of(context)[0] == target_id, engines_of(context)
+
+
+@then("it is split over at least {count:d} engines")
+def step_split(context: Context, count: int) -> None:
+    assert len(engines_of(context)) >= count, engines_of(context)
+
+
+@then('"{target_id}" is not one of them')
+def step_not_used(context: Context, target_id: str) -> None:
+    assert target_id not in engines_of(context), engines_of(context)
+
+
+@then("no part takes longer than {milliseconds:d} ms")
+def step_part(context: Context, milliseconds: int) -> None:
+    part = PROFILE.read_seconds(context.tokens) / len(engines_of(context))
+    assert part <= milliseconds / 1000, part
+
+
+@then("no engine keeps more than {tokens:d} tokens of it")
+def step_keeps(context: Context, tokens: int) -> None:
+    holds = [item.hold_tokens for item in context.placements[-1].helpers]
+    assert max([*holds, context.tokens - sum(holds)]) <= tokens, holds
+
+
+@then("all {tokens:d} tokens are kept")
+def step_kept(context: Context, tokens: int) -> None:
+    holds = [item.hold_tokens for item in context.placements[-1].helpers]
+    lead = tokens - sum(holds)
+    assert 0 < lead <= PROFILE.memory_tokens, (lead, holds)
+    assert sum(holds) > 0
+
+
+@then("nothing was placed")
+def step_nothing(context: Context) -> None:
+    assert isinstance(context.placements[-1], NoPlacement)
+
+
+@then("at most {count:d} engines were compared")
+def step_compared(context: Context, count: int) -> None:
+    works = context.engines.works.of_service("ice-advisor")
+    assert len(works) > count >= MAX_COMPARED
+    assert len(coordinator._window(works, "r0")) <= count
--- /dev/null
+++ b/tests/steps/entry/state/work_steps.py
@@ -0,0 +1,92 @@
+"""Steps for the model of work."""
+
+from behave import given, then, when
+from behave.runner import Context
+from support.forwarding import PROFILE, make_placed, make_target
+from wasabiwell_entry.state.work import WorkTable
+
+LEAD, HELPER = "e00", "e01"
+
+
+def open_table(context: Context) -> None:
+    context.works = WorkTable()
+    context.works.update([(make_target(index), PROFILE) for index in range(2)], 0.0)
+
+
+@given("an engine on which a prompt of {tokens:d} tokens was placed")
+def step_placed(context: Context, tokens: int) -> None:
+    open_table(context)
+    context.works.add(make_placed(LEAD, tokens, "long", request_id="whole"), 0.0)
+    context.seconds = PROFILE.read_seconds(tokens)
+
+
+@given('a part of a prompt of {tokens:d} tokens "{name}"')
+def step_part(context: Context, tokens: int, name: str) -> None:
+    placed = make_placed(HELPER, tokens, "long", request_id=name, helpers=(LEAD,))
+    context.works.add(placed, 0.0)
+
+
+@given("a prompt of {tokens:d} tokens of which a helper keeps {held:d}")
+def step_held(context: Context, tokens: int, held: int) -> None:
+    open_table(context)
+    placed = make_placed(LEAD, tokens, "long", request_id="held", helpers=(HELPER,), holds=(held,))
+    context.works.add(placed, 0.0)
+
+
+@when("its reading time has passed")
+def step_read(context: Context) -> None:
+    context.works.get(LEAD).advance(context.seconds + 0.001)
+
+
+@when('the first event of "{name}" arrives')
+def step_first(context: Context, name: str) -> None:
+    context.works.begin_writing(name, 0.0)
+
+
+@when("its first event arrives")
+def step_first_held(context: Context) -> None:
+    context.works.begin_writing("held", 0.1)
+
+
+@when("it ends")
+def step_ends(context: Context) -> None:
+    context.works.remove("held", 0.2)
+
+
+@when("the engine is listed with another incarnation")
+def step_restarted(context: Context) -> None:
+    targets = [make_target(0, incarnation=2), make_target(1)]
+    context.works.update([(target, PROFILE) for target in targets], 0.1)
+
+
+@when("the instance that placed it tells that nothing is placed")
+def step_retained(context: Context) -> None:
+    context.works.retain("peer", frozenset(), 0.1)
+
+
+@when("the model is {seconds:d} seconds later")
+def step_passes(context: Context, seconds: int) -> None:
+    context.works.expire(float(seconds))
+
+
+@then("no reading is left and the prompt is written")
+def step_written(context: Context) -> None:
+    work = context.works.get(LEAD)
+    assert not work.reading_order()
+    assert [item.placed.request_id for item in work.writers()] == ["whole"]
+
+
+@then('the reading order is "{names}"')
+def step_order(context: Context, names: str) -> None:
+    order = [item.placed.request_id for item in context.works.get(LEAD).reading_order()]
+    assert order == names.split(", "), order
+
+
+@then("the helper has {tokens:d} tokens in use")
+def step_tokens(context: Context, tokens: int) -> None:
+    assert context.works.get(HELPER).tokens == tokens
+
+
+@then("it has no request")
+def step_none(context: Context) -> None:
+    assert not context.works.get(LEAD).residents
--- /dev/null
+++ b/tests/support/forwarding.py
@@ -0,0 +1,237 @@
+"""Builders and fakes for requests that are forwarded unchanged."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import trio
+from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget.coordinator import BudgetLimits
+from wasabiwell_entry.coordination.forwarding import Forwarder
+from wasabiwell_entry.coordination.health import TargetHealth
+from wasabiwell_entry.coordination.placement import Placer
+from wasabiwell_entry.coordination.placement.ledger import PlacementLedger
+from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
+from wasabiwell_entry.coordination.reservations import EngineReservations
+from wasabiwell_entry.state.clock import Clock, SystemClock
+from wasabiwell_entry.state.exchange import Notice
+from wasabiwell_entry.state.forwarding import (
+    AnswerEnd,
+    AnswerEvent,
+    AnswerHead,
+    AnswerPart,
+    AttemptItem,
+    ForwardAttempt,
+    ForwardedRequest,
+    PromptSize,
+)
+from wasabiwell_entry.state.routes import EngineProfile, Route, RouteKind, ServiceShare
+from wasabiwell_entry.state.targets import ListedTarget, Target, TargetKind
+from wasabiwell_entry.state.work import Placed, WorkTable
+
+from support.admission import FakeReservations
+
+SERVICE = "ice-advisor"
+ZONE = "z0"
+PROFILE = EngineProfile(
+    slots=8,
+    memory_tokens=450_000,
+    stride=46,
+    step=0.000925,
+    step_per_sequence=0.00000966,
+    step_per_token=0.00000000254,
+    read_per_token=1 / 256_000,
+    read_per_pair=0.0000000000917,
+    chunk=2048,
+    hop=0.0001,
+    usual_prompt_tokens=13_199,
+    usual_output_tokens=1_541,
+)
+"""Engines of the users: 210,000 tokens take one of them 2.9 s to read."""
+
+OBJECTIVES = {"short": 0.3, "medium": 1.5, "long": 3.0, "call": 0.1}
+GAPS = {"short": 0.2, "medium": 0.5, "long": 0.8, "call": 1.0}
+
+
+def make_route(kind: RouteKind, size: str = "short", attempts: int = 2, **fields: object) -> Route:
+    """Return a route of one service; `size` names its objective and its allowed pause."""
+    values: dict[str, object] = {
+        "name": f"{kind.value}-{size}",
+        "host": "a.example",
+        "prefix": "/p/",
+        "kind": kind,
+        "services": (ServiceShare(SERVICE, 1.0),),
+        "attempts": attempts,
+        "timeout": timedelta(seconds=10),
+        "objective": timedelta(seconds=OBJECTIVES[size]),
+        "event_gap": timedelta(seconds=GAPS[size]),
+        "resumable": kind is RouteKind.STREAM,
+    }
+    return Route(**(values | fields))  # type: ignore[arg-type]
+
+
+def make_forwarded(
+    route: Route, prompt: int = 0, request_id: str = "r1", now: timedelta = timedelta()
+) -> ForwardedRequest:
+    """Return a request; with prompt tokens it is one for engines."""
+    return ForwardedRequest(
+        request_id=request_id,
+        route=route,
+        service=SERVICE,
+        organisation="org",
+        method="POST",
+        target_path="/p/1",
+        headers=(),
+        body=b"",
+        fingerprint=f"fingerprint of {request_id}",
+        received=now,
+        deadline=now + route.timeout,
+        size=PromptSize(prompt, 2_000, 1_000) if prompt else None,
+    )
+
+
+def make_target(index: int, incarnation: int = 1) -> Target:
+    """Return engine `e0`, `e1`, ...; `e0` is in the own zone."""
+    return Target(
+        target_id=f"e{index:02}",
+        kind=TargetKind.ENGINE,
+        service=SERVICE,
+        address=f"10.0.0.{index + 1}:80",
+        region="r",
+        zone=f"z{index}",
+        incarnation=incarnation,
+        slots=8,
+    )
+
+
+def make_placed(target_id: str, prompt: int, size: str = "short", **fields: object) -> Placed:
+    """Return a request that was placed at the begin of the test."""
+    values: dict[str, object] = {
+        "request_id": f"{target_id}-{prompt}-{size}",
+        "origin": "peer",
+        "service": SERVICE,
+        "lead": target_id,
+        "helpers": (),
+        "placed_at": 0.0,
+        "due": OBJECTIVES[size],
+        "gap": GAPS[size],
+        "size": PromptSize(prompt, 2_000, 1_000),
+    }
+    return Placed(**(values | fields))  # type: ignore[arg-type]
+
+
+class Engines:
+    """The parts of an entry instance that place requests, over engines that are listed."""
+
+    def __init__(self, count: int, clock: Clock, profile: EngineProfile | None = PROFILE) -> None:
+        self.clock = clock
+        self.works = WorkTable()
+        self.health = TargetHealth(clock)
+        self.placer = Placer(self.works, self.health, ZONE, clock)
+        self.targets = [make_target(index) for index in range(count)]
+        self.list_targets(profile)
+
+    def list_targets(self, profile: EngineProfile | None = PROFILE, leaving: str = "") -> None:
+        """Take over the list of targets; one of them may be leaving."""
+        self.health.update([ListedTarget(item, item.target_id == leaving) for item in self.targets])
+        self.works.update([(item, profile) for item in self.targets], self.now)
+
+    @property
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return self.clock.monotonic().total_seconds()
+
+
+Script = list[AttemptItem | float]
+"""What a target does on one request; numbers are pauses in seconds."""
+
+
+@dataclass(slots=True)
+class ScriptedTargets:
+    """Targets that follow a script for each send, whichever target it goes to."""
+
+    scripts: list[Script]
+    sent: list[ForwardAttempt] = field(default_factory=list)
+    cancelled: int = 0
+    accepting: bool = True
+
+    @asynccontextmanager
+    async def attempt(self, attempt: ForwardAttempt) -> AsyncIterator[AsyncIterator[AttemptItem]]:
+        """Play the next script."""
+        self.sent.append(attempt)
+        script = self.scripts[min(len(self.sent), len(self.scripts)) - 1]
+
+        async def items() -> AsyncIterator[AttemptItem]:
+            for item in script:
+                if isinstance(item, float):
+                    await trio.sleep(item)
+                else:
+                    await trio.lowlevel.checkpoint()
+                    yield item
+
+        try:
+            yield items()
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+
+    async def accepts_connections(self, target: Target) -> bool:
+        """Return what the test set."""
+        await trio.lowlevel.checkpoint()
+        return self.accepting
+
+
+@dataclass(slots=True)
+class RecordingSink:
+    """What the caller got."""
+
+    status: int | None = None
+    heads: int = 0
+    data: bytes = b""
+    finished: bool = False
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Take the head."""
+        self.heads += 1
+        self.status = head.status
+
+    async def send(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self.data += data
+
+    async def finish(self) -> None:
+        """Take the end."""
+        self.finished = True
+
+
+def make_forwarder(
+    engines: Engines,
+    targets: ScriptedTargets,
+    tell: Callable[[Notice], None] = lambda notice: None,
+    slack: float = 100.0,
+    reservations: FakeReservations | None = None,
+) -> Forwarder:
+    """Return a forwarder over scripted targets."""
+    clock = SystemClock()
+    limits = BudgetLimits(ratio=0.2, slack=slack, window=timedelta(seconds=10))
+    return Forwarder(
+        engines.placer,
+        PlacementLedger(engines.works, tell, engines.health.note, clock),
+        targets,
+        EngineReservations(reservations or FakeReservations(), clock),
+        RepeatBudget(limits, list, clock),
+        CrashCounts(tell, clock),
+        clock,
+    )
+
+
+def answer(status: int = 200, body: bytes = b"ok") -> Script:
+    """Return the script of a whole answer."""
+    return [AnswerHead(status, (), True), AnswerPart(body), AnswerEnd()]
+
+
+def stream(first: int, last: int, end: bool = True) -> Script:
+    """Return the script of a stream with events from `first` to `last`."""
+    events = [AnswerEvent(number, b"%d " % number) for number in range(first, last + 1)]
+    return [AnswerHead(200, (), True), *events, *([AnswerEnd()] if end else [])]
