Test discovery, beliefs, the budget, the stop and the platform's formats

Cause: the platform path had no tests of its own, and a deployment that states no bounds would not have started.

Change: tests without the bench for each new capability and for what the platform folder decodes. Bounds have defaults; all mistakes of the settings are told at once.

--- /dev/null
+++ b/tests/entry/state/routes.feature
@@ -0,0 +1,21 @@
+Feature: Routes
+  Guards against requests that reach a service which their path does not name.
+
+  Scenario Outline: The longest prefix of the path decides
+    Given the routes "/a/ /a/b/ /a/b/c/ /" of "h.example"
+    Then the path "<path>" of "<host>" has the route "<route>"
+
+    Examples:
+      | host      | path       | route   |
+      | h.example | /a/x       | /a/     |
+      | h.example | /a/b/x     | /a/b/   |
+      | h.example | /a/b/c/d/e | /a/b/c/ |
+      | h.example | /a/bc/d    | /a/     |
+      | h.example | /a         | /       |
+      | h.example | /a/b       | /a/     |
+      | i.example | /a/b       | none    |
+
+  Scenario: Without a route for the root other paths have none
+    Given the routes "/a/ /a/b/" of "h.example"
+    Then the path "/c/d" of "h.example" has the route "none"
+    And the path "" of "h.example" has the route "none"
--- /dev/null
+++ b/tests/platform/settings.feature
@@ -0,0 +1,38 @@
+Feature: Settings of the users' platform
+  Guards against a process that starts with settings it misunderstands, and against mistakes that are
+  told one at a time.
+
+  Scenario: The platform's file is read
+    Given the settings of an entry instance
+    Then they have no findings
+    And the seeds are known by their datagram addresses
+
+  Scenario: Fields that are not known are ignored
+    Given the settings of an entry instance
+    And the field "something.new" is "1"
+    Then they have no findings
+
+  Scenario: Bounds that a deployment does not state have defaults
+    Given the settings of an entry instance without the fields that begin with "bounds."
+    Then they have no findings
+    And the grace period is 8 seconds
+
+  Scenario: All mistakes are told at once
+    Given the settings of an entry instance
+    And the field "listen.frontend" is ""
+    And the field "bounds.grace_period_s" is "soon"
+    And the field "platform.address" is "nowhere"
+    And the field "bounds.retry_budget_slack" is "-1"
+    And the field "seeds" is "10.0.0.1:9,10.0.0.2"
+    Then the findings name "bounds.grace_period_s bounds.retry_budget_slack listen.frontend platform.address seeds"
+
+  Scenario Outline: A process with bad settings says so and ends
+    When the process starts with <settings>
+    Then it ends with code 2 and tells of "<place>"
+
+    Examples:
+      | settings               | place               |
+      | no settings variable   | WASABIWELL_SETTINGS |
+      | a file that is missing | WASABIWELL_SETTINGS |
+      | a file without fields  | listen.frontend     |
+      | a file that is no text | WASABIWELL_SETTINGS |
--- /dev/null
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -0,0 +1,177 @@
+"""Steps for beliefs about targets, the budget of repeats and the graceful stop."""
+
+from datetime import timedelta
+
+import trio
+import trio.testing
+from behave import given, then, when
+from behave.runner import Context
+from support.forwarding import make_target
+from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget.coordinator import BudgetLimits
+from wasabiwell_entry.coordination.health import TargetHealth
+from wasabiwell_entry.coordination.stop import GracefulStop
+from wasabiwell_entry.state.clock import ManualClock, SystemClock
+from wasabiwell_entry.state.exchange import AttemptVerdict, ServiceUse
+from wasabiwell_entry.state.targets import ListedTarget
+
+SERVICE = "s"
+GRACE = timedelta(seconds=8)
+TOLERANCE = 0.11
+"""The open requests are counted every 100 ms."""
+
+
+@given("a listed target")
+def step_listed(context: Context) -> None:
+    context.clock = ManualClock()
+    context.health = TargetHealth(context.clock)
+    context.target = make_target(0)
+    context.health.update([ListedTarget(context.target, False)])
+
+
+def note(context: Context, verdict: AttemptVerdict, count: int = 1) -> None:
+    for _ in range(count):
+        context.health.note(context.target.target_id, verdict)
+
+
+@when("it is lost")
+def step_lost(context: Context) -> None:
+    note(context, AttemptVerdict.LOST)
+
+
+@when("it answers")
+def step_answers(context: Context) -> None:
+    note(context, AttemptVerdict.ANSWERED)
+
+
+@when("it fails {count:d} requests")
+def step_fails(context: Context, count: int) -> None:
+    note(context, AttemptVerdict.FAILED, count)
+
+
+@when("{seconds:d} seconds pass for it")
+def step_pass(context: Context, seconds: int) -> None:
+    context.clock.advance(timedelta(seconds=seconds))
+
+
+@when("the list calls it leaving, and ready again a moment later")
+def step_leaving(context: Context) -> None:
+    context.health.update([ListedTarget(context.target, True)])
+    context.health.update([ListedTarget(context.target, False)])
+
+
+@when("the list shows it with another incarnation")
+def step_incarnation(context: Context) -> None:
+    context.target = make_target(0, incarnation=2)
+    context.health.update([ListedTarget(context.target, False)])
+
+
+@then("it is not usable for {seconds:g} seconds")
+def step_unusable(context: Context, seconds: float) -> None:
+    step = timedelta(milliseconds=100)
+    for _ in range(round(seconds * 10)):
+        assert not context.health.usable(context.target)
+        context.clock.advance(step)
+    assert context.health.usable(context.target)
+
+
+@then("it is usable")
+def step_usable(context: Context) -> None:
+    assert context.health.usable(context.target)
+
+
+@then("it is not usable")
+def step_not_usable(context: Context) -> None:
+    assert not context.health.usable(context.target)
+
+
+@then("its share of failures is over {share:g}")
+def step_over(context: Context, share: float) -> None:
+    assert context.health.failure_share(context.target) > share
+
+
+@then("its share of failures is under {share:g}")
+def step_under(context: Context, share: float) -> None:
+    assert context.health.failure_share(context.target) < share
+
+
+@given("a budget of {ratio:g} and a slack of {slack:g} in {seconds:d} seconds")
+def step_budget(context: Context, ratio: float, slack: float, seconds: int) -> None:
+    context.clock = ManualClock()
+    context.peer_uses = []
+    limits = BudgetLimits(ratio, slack, timedelta(seconds=seconds))
+    context.budget = RepeatBudget(limits, lambda: context.peer_uses, context.clock)
+
+
+@given("peers that counted {requests:d} requests and {repeats:d} repeats")
+def step_peers(context: Context, requests: int, repeats: int) -> None:
+    context.peer_uses = [
+        (ServiceUse(SERVICE, requests // 2, repeats // 2),),
+        (ServiceUse(SERVICE, requests // 2, repeats // 2), ServiceUse("t", 1_000, 1_000)),
+    ]
+
+
+@when("{count:d} requests are counted")
+def step_counted(context: Context, count: int) -> None:
+    for _ in range(count):
+        context.budget.count_request(SERVICE)
+
+
+@when("the budget is {seconds:d} seconds older")
+def step_older(context: Context, seconds: int) -> None:
+    context.clock.advance(timedelta(seconds=seconds))
+
+
+@then("{count:d} repeats are allowed")
+def step_allowed(context: Context, count: int) -> None:
+    taken = sum(context.budget.take(SERVICE) for _ in range(1_000))
+    assert taken == count, taken
+
+
+@then("{count:d} repeats of another service are allowed")
+def step_allowed_other(context: Context, count: int) -> None:
+    assert sum(context.budget.take("t") for _ in range(1_000)) == count
+
+
+@given("an instance with {count:d} open requests")
+def step_open(context: Context, count: int) -> None:
+    context.request_seconds = 0
+
+
+@given("an instance with a request that takes {seconds:d} seconds")
+def step_request(context: Context, seconds: int) -> None:
+    context.request_seconds = seconds
+
+
+@when("it is told to leave")
+def step_leave(context: Context) -> None:
+    async def run() -> None:
+        stop = GracefulStop(SystemClock())
+
+        async def serve() -> None:
+            with stop.request():
+                await trio.sleep(context.request_seconds)
+
+        async with trio.open_nursery() as nursery:
+            if context.request_seconds:
+                nursery.start_soon(serve)
+            await trio.lowlevel.checkpoint()
+            begun = trio.current_time()
+            stop.leave()
+            await stop.wait_to_close()
+            context.closed = trio.current_time() - begun
+            await stop.wait_to_end(GRACE)
+            context.ended = trio.current_time() - begun
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("it closes its listeners after {seconds:g} seconds")
+def step_closes(context: Context, seconds: float) -> None:
+    assert abs(context.closed - seconds) < TOLERANCE, context.closed
+
+
+@then("it ends after {seconds:g} seconds")
+def step_ends(context: Context, seconds: float) -> None:
+    assert abs(context.ended - seconds) < TOLERANCE, context.ended
--- /dev/null
+++ b/tests/steps/platform/decoding_steps.py
@@ -0,0 +1,304 @@
+"""Steps for what the platform's users and operators write."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from datetime import timedelta
+from pathlib import Path
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+from support.platform import SETTINGS, configuration_document, entry
+from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
+from wasabiwell_entry.state.platform import StoreUnavailable
+from wasabiwell_entry.state.routes import RouteTable
+from wasabiwell_platform.caller import authorize, decode_request, failure, forwarded_request
+from wasabiwell_platform.configuration import PlatformRoutes
+from wasabiwell_platform.listing import PlatformListing
+from wasabiwell_platform.settings import SettingsError, read_settings
+from wasabiwell_platform.store import StoredRow, StoredRows
+
+HOST = "ficu95.example"
+RECEIVED = timedelta(seconds=100)
+START_SECONDS = 30
+
+
+@given("the settings of an entry instance")
+def step_settings(context: Context) -> None:
+    context.file_text = SETTINGS
+
+
+@given('the settings of an entry instance without the fields that begin with "{start}"')
+def step_settings_without(context: Context, start: str) -> None:
+    lines = SETTINGS.splitlines(keepends=True)
+    context.file_text = "".join(line for line in lines if not line.startswith(start))
+
+
+@then("the grace period is {seconds:d} seconds")
+def step_grace(context: Context, seconds: int) -> None:
+    assert context.settings.grace == timedelta(seconds=seconds)
+
+
+@given('the field "{name}" is "{value}"')
+def step_field(context: Context, name: str, value: str) -> None:
+    context.file_text += f"{name}={value}\n"
+
+
+@given('the field "{name}" is ""')
+def step_field_empty(context: Context, name: str) -> None:
+    context.file_text += f"{name}=\n"
+
+
+@then("they have no findings")
+def step_no_findings(context: Context) -> None:
+    context.settings = read_settings(context.file_text)
+
+
+@then("the seeds are known by their datagram addresses")
+def step_seeds(context: Context) -> None:
+    assert context.settings.peer_seeds == ("10.1.0.40:7340", "10.2.0.29:7340")
+
+
+@then('the findings name "{names}"')
+def step_findings(context: Context, names: str) -> None:
+    try:
+        read_settings(context.file_text)
+    except SettingsError as error:
+        found = sorted(finding.place for finding in error.findings)
+        assert found == names.split(), found
+    else:
+        raise AssertionError("no finding")
+
+
+@when("the process starts with {settings}")
+def step_start(context: Context, settings: str) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.conf"
+        match settings:
+            case "a file without fields":
+                path.write_text("")
+            case "a file that is no text":
+                path.write_bytes(b"\xff\xfe\x80")
+        environment = {**os.environ, "WASABIWELL_SETTINGS": str(path)}
+        if settings == "no settings variable":
+            del environment["WASABIWELL_SETTINGS"]
+        context.finished = subprocess.run(
+            [sys.executable, "-m", "wasabiwell_platform"],
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=START_SECONDS,
+            check=False,
+        )
+
+
+@then('it ends with code {code:d} and tells of "{place}"')
+def step_ends(context: Context, code: int, place: str) -> None:
+    assert context.finished.returncode == code, context.finished
+    assert f"{place}: " in context.finished.stderr, context.finished.stderr
+    assert "Traceback" not in context.finished.stderr
+
+
+def example_routes() -> RouteTable:
+    table = PlatformRoutes(None).decode(configuration_document())
+    assert isinstance(table, RouteTable)
+    return table
+
+
+@given("the configuration of the platform's pages")
+def step_configuration(context: Context) -> None:
+    context.routes = example_routes()
+
+
+@then('route "{prefix}" is {kind} with {attempts:d} attempt and a limit of {milliseconds:d} ms')
+@then('route "{prefix}" is a {kind} with {attempts:d} attempts and a limit of {milliseconds:d} ms')
+def step_route(context: Context, prefix: str, kind: str, attempts: int, milliseconds: int) -> None:
+    context.route = context.routes.find(HOST, prefix)
+    route = context.route
+    assert route.kind.value == kind.removeprefix("resumable "), route
+    assert route.resumable == kind.startswith("resumable"), route
+    assert (route.attempts, route.timeout) == (attempts, timedelta(milliseconds=milliseconds))
+
+
+@then('it goes to "{first}" with weight {one:d} and to "{second}" with weight {two:d}')
+def step_shares(context: Context, first: str, one: int, second: str, two: int) -> None:
+    shares = [(share.service, share.weight) for share in context.route.services]
+    assert shares == [(first, one), (second, two)], shares
+
+
+@then('the engine of "{service}" reads {tokens:d} tokens in {seconds:g} seconds')
+def step_reads(context: Context, service: str, tokens: int, seconds: float) -> None:
+    profile = context.routes.services[service].engine
+    assert abs(profile.read_seconds(tokens) - seconds) < 0.05, profile.read_seconds(tokens)
+
+
+@then('the key "{key}" is that of "{name}"')
+def step_key(context: Context, key: str, name: str) -> None:
+    assert context.routes.organisations[key] == name
+
+
+@then("a request waits at most {size:d} bytes and {seconds:d} seconds idle")
+def step_limits(context: Context, size: int, seconds: int) -> None:
+    limits = context.routes.limits
+    assert (limits.body_bytes, limits.idle_timeout) == (size, timedelta(seconds=seconds))
+
+
+@then('{count:d} requests on route "{prefix}" go to "{service}" {least:d} to {most:d} times')
+def step_split(
+    context: Context, count: int, prefix: str, service: str, least: int, most: int
+) -> None:
+    chosen = [service_of(context.routes, prefix, f"id-{number}") for number in range(count)]
+    assert least <= chosen.count(service) <= most, chosen.count(service)
+
+
+@then("a request id always goes to the same service")
+def step_same(context: Context) -> None:
+    chosen = {service_of(context.routes, "/lohu930/", "id-1") for _ in range(10)}
+    assert len(chosen) == 1
+
+
+def service_of(routes: RouteTable, prefix: str, request_id: str) -> str:
+    headers = [(b"host", HOST.encode()), (b"wasabiwell-request-id", request_id.encode())]
+    request = decode_request("POST", prefix, "", headers)
+    route = routes.find(HOST, prefix)
+    return forwarded_request(request, route, None, b"", RECEIVED).service
+
+
+@then('the document "{text}" cannot be decoded')
+def step_undecodable(context: Context, text: str) -> None:
+    assert isinstance(PlatformRoutes(None).decode(text.encode()), StoreUnavailable)
+
+
+class ListedRows:
+    """A store with rows of targets."""
+
+    def __init__(self, values: dict[str, bytes]) -> None:
+        self._rows = tuple(StoredRow(key, value, 1) for key, value in sorted(values.items()))
+
+    async def rows(self, table: str, start: str = "") -> StoredRows:
+        """Return the rows two at a time, as a store does that returns a part."""
+        await trio.lowlevel.checkpoint()
+        rest = [row for row in self._rows if row.key >= start]
+        return StoredRows(tuple(rest[:2]), 9, truncated=len(rest) > 2)
+
+
+def read_targets(context: Context, values: dict[str, bytes]) -> None:
+    listing = trio.run(PlatformListing(ListedRows(values), "region").targets)
+    context.listing = listing
+
+
+@given('a list of targets with good entries "{names}" and these others:')
+def step_entries(context: Context, names: str) -> None:
+    values = {name: json.dumps(entry(number)).encode() for number, name in enumerate(names.split())}
+    values |= {row["key"]: row["value"].encode() for row in context.table}
+    read_targets(context, values)
+
+
+@given('a list of targets with good entries "{names}" of which "{draining}" drains')
+def step_draining(context: Context, names: str, draining: str) -> None:
+    states = {name: "draining" if name == draining else "ready" for name in names.split()}
+    read_targets(
+        context,
+        {
+            name: json.dumps(entry(number, state)).encode()
+            for number, (name, state) in enumerate(states.items())
+        },
+    )
+
+
+@then('the targets are "{names}"')
+def step_targets(context: Context, names: str) -> None:
+    assert sorted(context.listing.targets) == names.split(), context.listing.targets
+
+
+@then('"{leaving}" is leaving and "{other}" is not')
+def step_leaving(context: Context, leaving: str, other: str) -> None:
+    targets = context.listing.targets
+    assert (targets[leaving].leaving, targets[other].leaving) == (True, False)
+
+
+@given("a request with these headers:")
+def step_request(context: Context) -> None:
+    headers = [(row["name"].encode(), row["value"].encode()) for row in context.table]
+    request = decode_request("POST", "/lohu930/2f", "q=1", headers)
+    route, organisation = authorize(example_routes(), request)
+    context.request = forwarded_request(request, route, organisation, b"body", RECEIVED)
+
+
+@then('the target gets the headers "{names}" as they came')
+def step_headers(context: Context, names: str) -> None:
+    found = sorted(name.decode() for name, _ in context.request.headers)
+    assert found == sorted(names.split()), found
+    assert context.request.target_path == "/lohu930/2f?q=1"
+
+
+@then('the organisation is "{name}"')
+def step_organisation(context: Context, name: str) -> None:
+    assert context.request.organisation == name
+
+
+@then("the deadline is {milliseconds:d} ms after the request came")
+def step_deadline(context: Context, milliseconds: int) -> None:
+    assert context.request.deadline - RECEIVED == timedelta(milliseconds=milliseconds)
+
+
+@then("it has {prompt:d} prompt tokens, {expected:d} expected and at most {most:d} output tokens")
+def step_size(context: Context, prompt: int, expected: int, most: int) -> None:
+    size = context.request.size
+    assert (size.prompt, size.expected_output, size.max_output) == (prompt, expected, most)
+
+
+@then("it goes on after event {number:d}")
+def step_event(context: Context, number: int) -> None:
+    assert context.request.last_event_id == number
+
+
+@when('a request for "{path}" comes with the key "{key}" and the id "{request_id}"')
+def step_comes(context: Context, path: str, key: str, request_id: str) -> None:
+    headers = [(b"Host", HOST.encode())]
+    if key:
+        headers.append((b"Authorization", f"Bearer {key}".encode()))
+    if request_id:
+        headers.append((b"Wasabiwell-Request-Id", request_id.encode()))
+    request = decode_request("POST", path, "", headers)
+    accepted = isinstance(request, Refused)
+    context.result = request if accepted else authorize(example_routes(), request)
+
+
+@when('a request for "{path}" comes with the key "" and the id "{request_id}"')
+def step_comes_keyless(context: Context, path: str, request_id: str) -> None:
+    step_comes(context, path, "", request_id)
+
+
+@when('a request for "{path}" comes with the key "{key}" and the id ""')
+def step_comes_without_id(context: Context, path: str, key: str) -> None:
+    step_comes(context, path, key, "")
+
+
+@then("it is refused with status {status:d}")
+def step_refused(context: Context, status: int) -> None:
+    assert isinstance(context.result, Refused), context.result
+    assert failure(context.result, "1")[0] == status
+
+
+@then("it is accepted without an organisation")
+def step_anonymous(context: Context) -> None:
+    assert context.result[1] is None
+
+
+@then('a {outcome} for "{reason}" is told with status {status:d}')
+def step_status(context: Context, outcome: str, reason: str, status: int) -> None:
+    told: Refused | Failed = Refused(Reason(reason), "")
+    if outcome == "failure":
+        told = Failed(Reason(reason), "", RunState.UNKNOWN)
+    assert failure(told, "1")[0] == status
+
+
+@then("a refusal that is over in {milliseconds:d} ms tells to come back after {seconds} seconds")
+def step_retry(context: Context, milliseconds: int, seconds: str) -> None:
+    refused = Refused(Reason.NO_TARGET, "", timedelta(milliseconds=milliseconds))
+    headers = dict(failure(refused, "1")[1])
+    assert headers[b"retry-after"] == seconds.encode(), headers
