Add a stand-in of the users' platform, and tests and a demonstration on it

Found by it: a peer's routes were fetched at its datagram address, and an instance that started while the store was away knew no target; peers now send it the list. Bodies with bytes that are not UTF-8 get a 400 at /v1/chat/completions instead of a 500.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -99,6 +99,14 @@
         if self._followed is not None:
             self._followed = notice.revision
 
+    def whole_notice(self) -> ListingNotice | None:
+        """Return the whole list for a peer that knows none, or None when it is not known here."""
+        listing = self._listing
+        if not listing.targets:
+            return None
+        changed = tuple(listing.targets.values())
+        return ListingNotice(listing.revision, NO_LISTING.digest(), listing.digest(), changed, ())
+
     def _confirm(self, now: timedelta) -> None:
         """Note that the list is up to date, and when to ask next."""
         self._confirmed = now
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -38,12 +38,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeObservers:
-    """Receivers of what other entry instances tell, apart from placements."""
+    """Receivers of what other entry instances tell, apart from placements.
+
+    `routes_announced` takes the control address of a peer. `whole_listing` returns what a peer is
+    told that does not know any target, or None.
+    """
 
     ended: Callable[[Ending], None]
     suspected: Callable[[Suspicion], None]
     listed: Callable[[str, ListingNotice], None]
     routes_announced: Callable[[str, int], None]
+    whole_listing: Callable[[], ListingNotice | None]
 
 
 class ExchangeCoordinator:
@@ -167,7 +172,9 @@
             log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
         node.heard, node.state = now, state
         self._works.retain(sender, frozenset(state.placed), now)
-        self._observers.routes_announced(sender, state.routes_version)
+        self._observers.routes_announced(state.control_address, state.routes_version)
+        if not state.knows_targets and (listing := self._observers.whole_listing()) is not None:
+            self._port.send([sender], listing)
 
     def meet(self, address: str) -> None:
         """Add a peer and start the task that sends it states."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
@@ -24,6 +24,7 @@
 
     leaving: Callable[[], bool]
     routes_version: Callable[[], int]
+    knows_targets: Callable[[], bool]
     uses: Callable[[], tuple[ServiceUse, ...]]
     placed: Callable[[], tuple[str, ...]]
 
@@ -57,6 +58,7 @@
             serving=self.serving,
             leaving=self._sources.leaving(),
             routes_version=self._sources.routes_version(),
+            knows_targets=self._sources.knows_targets(),
             uses=self._sources.uses(),
             placed=self._sources.placed(),
         )
--- a/packages/entry/src/wasabiwell_entry/protocol/chat.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/chat.py
@@ -45,8 +45,9 @@
 def parse_chat(body: bytes) -> ChatBody | Refused:
     """Return the parsed body, or all findings; the content of messages is not decoded."""
     try:
+        body.decode()
         fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except msgspec.DecodeError as error:
+    except (UnicodeDecodeError, msgspec.DecodeError) as error:
         return _invalid([Finding("$", str(error))])
     findings: list[Finding] = []
     model = _field(fields, "model", str, None, findings)
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -114,6 +114,7 @@
     serving: bool
     leaving: bool
     routes_version: int
+    knows_targets: bool
     uses: tuple[ServiceUse, ...]
     placed: tuple[str, ...]
 
--- /dev/null
+++ b/standins/wasabiwell_standins/users_platform/engine.py
@@ -0,0 +1,468 @@
+"""Targets of the users' platform: engines that work in passes, and plain services.
+
+An engine follows the figures of the platform's configuration in real time, divided by `speed`.
+"""
+
+import random
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import h11
+import msgspec
+import trio
+
+from wasabiwell_standins.users_platform.ledger import Ledger, Run
+
+READ_BYTES = 65_536
+IDLE_SECONDS = 10.0
+NOT_EXECUTED = ("Wasabiwell-Not-Executed", "1")
+QUEUE_FACTOR = 3
+"""A target queues this many times its slots before it refuses."""
+
+
+@dataclass(slots=True)
+class TargetFaults:
+    """Faults in force; shares are of the requests, from 0 to 1."""
+
+    error_share: float = 0.0
+    reset_share: float = 0.0
+    cut_share: float = 0.0
+    extra_share: float = 0.0
+    foreign_share: float = 0.0
+    unframed_share: float = 0.0
+    hang_share: float = 0.0
+    crash_on: str = ""
+    """Text in a request's body that crashes the target."""
+    slow: float = 1.0
+
+
+@dataclass(slots=True, eq=False)
+class Sequence:
+    """A request on an engine; `read_left` is in tokens of its part, `pairs` for each token."""
+
+    request_id: str
+    part: bool
+    read_left: float
+    seconds_per_token: float
+    context: int
+    events_left: int
+    done_reading: trio.Event = field(default_factory=trio.Event)
+    events: list[int] = field(default_factory=list)
+    progressed: trio.Event = field(default_factory=trio.Event)
+    next_event: int = 1
+    writing: bool = False
+
+
+@dataclass(slots=True)
+class Request:
+    """A request as it came."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Target:
+    """One target; `profile` is the `engine` object of its service, None for a plain service."""
+
+    def __init__(
+        self,
+        target_id: str,
+        service: str,
+        address: str,
+        zone: str,
+        ledger: Ledger,
+        profile: dict[str, Any] | None = None,
+        speed: float = 1.0,
+        seed: int = 0,
+    ) -> None:
+        self.target_id = target_id
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.profile = profile
+        self.faults = TargetFaults()
+        self.born = 1_700_000_000_000 + seed
+        self.running = 0
+        self.tickets: dict[str, tuple[int, float]] = {}
+        self.peers: Callable[[str], Target | None] = lambda address: None
+        self._ledger = ledger
+        self._speed = speed
+        self._random = random.Random(f"{target_id}-{seed}")
+        self._sequences: list[Sequence] = []
+        self._work = trio.Event()
+        self._crash = trio.Event()
+
+    @property
+    def slots(self) -> int:
+        """Return the number of requests that are processed at once."""
+        return int(self.profile["slots"]) if self.profile is not None else 6
+
+    @property
+    def tokens_held(self) -> int:
+        """Return the memory that tickets hold, in tokens."""
+        now = trio.current_time()
+        self.tickets = {key: item for key, item in self.tickets.items() if item[1] > now}
+        return sum(tokens for tokens, _ in self.tickets.values())
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        """Return the entry of the platform's list."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "born": self.born,
+            "sequence": 1,
+        }
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until it crashes or is cancelled; open connections are then reset."""
+        host, _, port = self.address.rpartition(":")
+        self._crash = trio.Event()
+        self._sequences.clear()
+        self.tickets.clear()
+        self.running = 0
+        async with trio.open_nursery() as nursery:
+            await nursery.start(partial(trio.serve_tcp, self._serve, int(port), host=host))
+            nursery.start_soon(self._process)
+            task_status.started()
+            await self._crash.wait()
+            nursery.cancel_scope.cancel()
+
+    def crash(self) -> None:
+        """End at once."""
+        self._crash.set()
+
+    def restart(self) -> None:
+        """Take a new incarnation; call `run` after it."""
+        self.born += 1
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = h11.Connection(h11.SERVER)
+        try:
+            with trio.move_on_after(IDLE_SECONDS) as scope:
+                while (request := await _receive(stream, connection)) is not None:
+                    scope.deadline = trio.current_time() + 10 * IDLE_SECONDS
+                    await self._answer(stream, connection, request)
+                    if connection.our_state is not h11.DONE:
+                        break
+                    connection.start_next_cycle()
+                    scope.deadline = trio.current_time() + IDLE_SECONDS
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
+            pass
+        except BaseException:
+            _reset_on_close(stream)
+            raise
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _answer(
+        self, stream: trio.SocketStream, connection: h11.Connection, request: Request
+    ) -> None:
+        match request.target.partition("?")[0]:
+            case "/report":
+                await _reply(stream, connection, 200, [], msgspec.json.encode(self._report()))
+            case "/order":
+                status, body = self._order(msgspec.json.decode(request.body))
+                await _reply(stream, connection, status, [], msgspec.json.encode(body))
+            case "/health":
+                headers = [("Wasabiwell-Instance-Id", self.target_id)]
+                await _reply(stream, connection, 200, headers, b"")
+            case _:
+                await self._forwarded(stream, connection, request)
+
+    def _report(self) -> dict[str, Any]:
+        tickets = [
+            {"id": key, "tokens": tokens, "state": "held", "age_ms": 0}
+            for key, (tokens, _) in self.tickets.items()
+        ]
+        return {"running": self.running, "waiting": 0, "pace": self.faults.slow, "tickets": tickets}
+
+    def _order(self, order: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        if order["operation"] == "release":
+            self.tickets.pop(order["id"], None)
+            return 200, {}
+        if order["operation"] != "reserve" or self.profile is None:
+            return 400, {}
+        total = int(self.profile["kv_capacity_tokens"])
+        self.tickets.pop(order["id"], None)
+        used = self.tokens_held + sum(item.context for item in self._sequences)
+        if order["tokens"] > total:
+            return 400, {}
+        if used + order["tokens"] > total:
+            return 409, {"free": total - used}
+        until = trio.current_time() + order["hold_ms"] / 1000
+        self.tickets[order["id"]] = (int(order["tokens"]), until)
+        return 200, {"free": total - used - int(order["tokens"])}
+
+    async def _forwarded(
+        self, stream: trio.SocketStream, connection: h11.Connection, request: Request
+    ) -> None:
+        headers = request.headers
+        request_id = headers.get("wasabiwell-request-id", "")
+        common = [
+            ("Wasabiwell-Request-Id", request_id),
+            ("Wasabiwell-Response-Signature", f"{self.target_id}.{request_id}"),
+        ]
+        if headers.get("wasabiwell-expected-instance", self.target_id) != self.target_id:
+            await _reply(stream, connection, 421, [("At-Server", self.address)], b"")
+            return
+        if self.running >= self.slots * QUEUE_FACTOR:
+            await _reply(stream, connection, 503, [NOT_EXECUTED], b"")
+            return
+        run = Run(
+            request_id,
+            self.target_id,
+            self.service,
+            headers.get("wasabiwell-tenant", ""),
+            request.target,
+            trio.current_time(),
+        )
+        if "authorization" in headers:
+            self._ledger.problems.append(f"{request_id}: the caller's key reached a target")
+        self._ledger.runs[request_id].append(run)
+        if self.faults.crash_on and self.faults.crash_on in request.body.decode("latin-1"):
+            self.crash()
+            await trio.sleep_forever()
+        self.running += 1
+        try:
+            cut = False
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_when_closed, stream, nursery.cancel_scope)
+                try:
+                    if self.profile is not None and "wasabiwell-token-counts" in headers:
+                        await self._stream(stream, connection, request, common, run)
+                    else:
+                        await self._call(stream, connection, request, common)
+                except trio.BrokenResourceError:
+                    cut = True
+                nursery.cancel_scope.cancel()
+            if cut:
+                raise trio.BrokenResourceError
+        finally:
+            self.running -= 1
+            run.ended = trio.current_time()
+
+    def _happens(self, share: float) -> bool:
+        return share > 0 and self._random.random() < share
+
+    async def _call(
+        self,
+        stream: trio.SocketStream,
+        connection: h11.Connection,
+        request: Request,
+        common: list[tuple[str, str]],
+    ) -> None:
+        order = msgspec.json.decode(request.body) if request.body else {}
+        await trio.sleep(order.get("work_ms", 15) / 1000 * self.faults.slow)
+        body = f"done {request.headers['wasabiwell-request-id']}".encode() * 8
+        if self._happens(self.faults.hang_share):
+            await trio.sleep_forever()
+        if self._happens(self.faults.reset_share):
+            _reset_on_close(stream)
+            raise trio.BrokenResourceError
+        if self._happens(self.faults.error_share):
+            await _reply(stream, connection, 500, common, b"failed")
+            return
+        if self._happens(self.faults.foreign_share):
+            foreign = [("Wasabiwell-Request-Id", "another"), common[1]]
+            await _reply(stream, connection, 200, foreign, body)
+            return
+        if self._happens(self.faults.cut_share):
+            head = _head(connection, 200, [*common, ("Content-Length", str(len(body)))])
+            await stream.send_all(head + body[: len(body) // 2])
+            raise trio.BrokenResourceError
+        if self._happens(self.faults.unframed_share):
+            lines = "".join(f"{name}: {value}\r\n" for name, value in common)
+            await stream.send_all(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
+            raise trio.BrokenResourceError
+        await _reply(stream, connection, 200, common, body)
+        if self._happens(self.faults.extra_share):
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+
+    async def _stream(
+        self,
+        stream: trio.SocketStream,
+        connection: h11.Connection,
+        request: Request,
+        common: list[tuple[str, str]],
+        run: Run,
+    ) -> None:
+        order = msgspec.json.decode(request.body)
+        after = int(request.headers.get("last-event-id", "0"))
+        run.resumed_after = after or None
+        engines = self._engines(request)
+        if isinstance(engines, str):
+            self._ledger.runs[run.request_id].remove(run)
+            await _reply(stream, connection, 503, [NOT_EXECUTED, ("At-Server", engines)], b"")
+            return
+        prompt = int(request.headers["wasabiwell-token-counts"].split(",")[0])
+        parts = [engine.add(run.request_id, prompt, len(engines)) for engine in engines]
+        lead = parts[0]
+        lead.events_left, lead.next_event = int(order["events"]) - after, after + 1
+        try:
+            for part in parts:
+                await part.done_reading.wait()
+            lead.writing = True
+            self._work.set()
+            headers = [*common, ("Content-Type", "text/event-stream")]
+            headers.append(("Transfer-Encoding", "chunked"))
+            await stream.send_all(_head(connection, 200, headers))
+            await self._send_events(stream, connection, lead, run.request_id)
+        finally:
+            for engine, part in zip(engines, parts, strict=True):
+                engine.drop(part)
+
+    async def _send_events(
+        self,
+        stream: trio.SocketStream,
+        connection: h11.Connection,
+        lead: Sequence,
+        request_id: str,
+    ) -> None:
+        while lead.events_left > 0 or lead.events:
+            if not lead.events:
+                await lead.progressed.wait()
+                lead.progressed = trio.Event()
+            while lead.events:
+                number = lead.events.pop(0)
+                event = f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
+                if self._happens(self.faults.reset_share):
+                    _reset_on_close(stream)
+                    raise trio.BrokenResourceError
+                if self._happens(self.faults.cut_share):
+                    data = connection.send(h11.Data(data=event[: len(event) // 2]))
+                    await stream.send_all(data or b"")
+                    raise trio.BrokenResourceError
+                if self._happens(self.faults.hang_share):
+                    await trio.sleep_forever()
+                await stream.send_all(connection.send(h11.Data(data=event)) or b"")
+        await stream.send_all(connection.send(h11.EndOfMessage()) or b"")
+
+    def _engines(self, request: Request) -> "list[Target] | str":
+        """Return this engine and its helpers, or the address of one that cannot help."""
+        engines = [self]
+        for item in filter(None, request.headers.get("wasabiwell-helpers", "").split(",")):
+            address, _, ticket = item.partition("/")
+            engine = self.peers(address)
+            if engine is None or (ticket and ticket not in engine.tickets):
+                return address
+            engines.append(engine)
+        return engines
+
+    def add(self, request_id: str, prompt: int, engines: int) -> Sequence:
+        """Add an even part of a prompt that several engines read."""
+        assert self.profile is not None
+        per_token = 1 / self.profile["read_per_s"]
+        per_token += prompt / 2 * self.profile["pairs_per_m"] / 1e9
+        sequence = Sequence(
+            request_id, engines > 1, prompt / engines, per_token, prompt // engines, 0
+        )
+        self._sequences.append(sequence)
+        self._work.set()
+        return sequence
+
+    def drop(self, sequence: Sequence) -> None:
+        """Remove a request that has ended."""
+        if sequence in self._sequences:
+            self._sequences.remove(sequence)
+
+    async def _process(self) -> None:
+        """Work in passes: reading of all that waits, and one event for each that writes."""
+        while True:
+            writers = [item for item in self._sequences if item.writing and item.events_left > 0]
+            readers = self._reading_order()
+            if not writers and not readers:
+                await self._work.wait()
+                self._work = trio.Event()
+                continue
+            await trio.sleep(self._pass_seconds(writers, readers) / self._speed * self.faults.slow)
+            for item in writers:
+                item.events.append(item.next_event)
+                item.next_event += 1
+                item.events_left -= 1
+                item.progressed.set()
+
+    def _reading_order(self) -> list[Sequence]:
+        waiting = [item for item in self._sequences if item.read_left > 0]
+        parts = [item for item in waiting if item.part]
+        return [*reversed(parts), *(item for item in waiting if not item.part)]
+
+    def _pass_seconds(self, writers: list[Sequence], readers: list[Sequence]) -> float:
+        """Return how long the pass takes, and take its reading off."""
+        assert self.profile is not None
+        step = self.profile["step_ms"] + self.profile["per_seq_ms"] * len(writers)
+        step += self.profile["context_per_k"] * sum(item.context for item in writers) / 1000
+        seconds = self.profile["stride"] * step / 1000 if writers else 0.0
+        room = float(self.profile["chunk"] * (self.profile["stride"] if writers else 1))
+        for item in readers:
+            tokens = min(room, item.read_left)
+            item.read_left -= tokens
+            room -= tokens
+            seconds += tokens * item.seconds_per_token
+            if item.read_left <= 0:
+                item.done_reading.set()
+            if room <= 0:
+                break
+        return seconds
+
+
+async def _receive(stream: trio.SocketStream, connection: h11.Connection) -> Request | None:
+    """Return the next request, or None when the connection is closed."""
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+            return Request(head.method.decode(), head.target.decode(), headers, bytes(body))
+        else:
+            return None
+
+
+async def _cancel_when_closed(stream: trio.SocketStream, scope: trio.CancelScope) -> None:
+    """Drop a request whose connection is closed, as most engines do."""
+    try:
+        while await stream.receive_some(READ_BYTES):
+            pass
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        pass
+    scope.cancel()
+
+
+def _head(connection: h11.Connection, status: int, headers: list[tuple[str, str]]) -> bytes:
+    return connection.send(h11.Response(status_code=status, headers=headers)) or b""
+
+
+async def _reply(
+    stream: trio.SocketStream,
+    connection: h11.Connection,
+    status: int,
+    headers: list[tuple[str, str]],
+    body: bytes,
+) -> None:
+    data = _head(connection, status, [*headers, ("Content-Length", str(len(body)))])
+    data += connection.send(h11.Data(data=body)) or b""
+    data += connection.send(h11.EndOfMessage()) or b""
+    await stream.send_all(data)
+
+
+def _reset_on_close(stream: trio.SocketStream) -> None:
+    """Make the close of a connection a reset."""
+    linger = struct.pack("ii", 1, 0)
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- /dev/null
+++ b/standins/wasabiwell_standins/users_platform/ledger.py
@@ -0,0 +1,42 @@
+"""What ran where, as the targets saw it, and what callers were told."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Run:
+    """A run of a request on a target; times are seconds of the run's clock."""
+
+    request_id: str
+    target_id: str
+    service: str
+    tenant: str
+    path: str
+    begun: float
+    ended: float | None = None
+    resumed_after: int | None = None
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Runs and answers by request id; `problems` are broken promises that were seen at once."""
+
+    runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
+    statuses: dict[str, int] = field(default_factory=dict)
+    at_most_once: set[str] = field(default_factory=set)
+    sent: set[str] = field(default_factory=set)
+    problems: list[str] = field(default_factory=list)
+
+    def broken_promises(self) -> list[str]:
+        """Return what must not have happened."""
+        found = list(self.problems)
+        for request_id, runs in self.runs.items():
+            where = ", ".join(run.target_id for run in runs)
+            if request_id not in self.sent:
+                found.append(f"{request_id} ran on {where}, but no caller sent it")
+            if request_id in self.at_most_once and len(runs) > 1:
+                found.append(f"{request_id} ran {len(runs)} times, on {where}")
+            if request_id in self.at_most_once and self.statuses.get(request_id) in (429, 503):
+                found.append(f"{request_id} was refused as not run, but ran on {where}")
+        return found
--- /dev/null
+++ b/standins/wasabiwell_standins/users_platform/world.py
@@ -0,0 +1,284 @@
+"""A whole deployment on the users' platform: store, targets and entry processes."""
+
+import os
+import signal
+import subprocess
+import sys
+import tomllib
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import httpcore
+import trio
+
+from wasabiwell_standins.users_platform.caller import ERRORS, Caller, Order
+from wasabiwell_standins.users_platform.engine import Target
+from wasabiwell_standins.users_platform.ledger import Ledger
+from wasabiwell_standins.users_platform.store import StoreStandIn
+
+HOST = "ficu95.example"
+KEY = "n2ctnfzs989anu6wsjnb"
+OTHER_KEY = "anfqasnmgkcuyj8pjbvk"
+TENANT = "hule930"
+MODEL_SERVICE = "huvo11a"
+PLAIN_SERVICE = "wuno96b"
+ZONES = ("merrimack", "seacoast", "berkshire")
+PORTS = {"frontend": 8227, "ready": 8220, "control": 8229, "directory": 8224}
+STORE_PORT = 8223
+TARGET_PORT = 8080
+DATAGRAM_PORT = 7340
+READY_SECONDS = 20.0
+STOP_SECONDS = 10.0
+POLL_SECONDS = 0.05
+PROFILE: dict[str, Any] = tomllib.loads(Path(__file__).with_name("engines.toml").read_text())
+"""Figures of the engines."""
+ROUTES = {
+    "short": {"kind": "streaming", "target_latency_ms": 300, "target_gap_ms": 200},
+    "medium": {"kind": "streaming", "target_latency_ms": 1_500, "target_gap_ms": 500},
+    "long": {"kind": "streaming", "target_latency_ms": 3_000, "target_gap_ms": 800},
+    "book": {"kind": "unsafe", "target_latency_ms": 200, "attempts": 1, "timeout_ms": 2_000},
+    "look": {"kind": "safe", "target_latency_ms": 200, "timeout_ms": 2_000},
+}
+
+
+@dataclass(frozen=True, slots=True)
+class WorldSize:
+    """Numbers of processes and targets; `block` is the second number of the IP addresses.
+
+    Worlds that run at the same time need blocks of their own.
+    """
+
+    entries: int = 3
+    engines: int = 5
+    plain: int = 3
+    block: int = 77
+
+
+@dataclass(slots=True)
+class EntryProcess:
+    """An entry process, which keeps its IP address over its restarts."""
+
+    name: str
+    ip: str
+    zone: str
+    folder: Path
+    process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def alive(self) -> bool:
+        """Return whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    @property
+    def log(self) -> Path:
+        """Return the file with what all runs of the process have written."""
+        return self.folder / f"{self.name}.log"
+
+    def address(self, kind: str) -> str:
+        """Return one of the addresses."""
+        return f"{self.ip}:{PORTS[kind]}"
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = {**os.environ, "WASABIWELL_SETTINGS": str(self.folder / f"{self.name}.conf")}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "wasabiwell_platform"],
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self.process is not None and self.alive:
+            self.process.send_signal(number)
+
+    async def wait_ended(self, seconds: float) -> bool:
+        """Return whether the process ends in time."""
+        with trio.move_on_after(seconds):
+            while self.alive:  # noqa: ASYNC110 a process has no event to wait for
+                await trio.sleep(POLL_SECONDS)
+        return not self.alive
+
+
+class World:
+    """The parts of a deployment; `open_world` starts and stops them."""
+
+    def __init__(self, size: WorldSize, folder: Path, nursery: trio.Nursery) -> None:
+        self.size = size
+        self.ledger = Ledger()
+        self.store = StoreStandIn()
+        self.store_address = f"127.{size.block}.0.1:{STORE_PORT}"
+        self.targets: dict[str, Target] = {}
+        self.entries = [
+            EntryProcess(f"entry-{index}", f"127.{size.block}.1.{index + 1}", zone, folder)
+            for index in range(size.entries)
+            for zone in [ZONES[index % len(ZONES)]]
+        ]
+        self._nursery = nursery
+        self._callers = 0
+        self._version = 0
+        self._configuration: dict[str, Any] = {}
+
+    @property
+    def configuration(self) -> dict[str, Any]:
+        """Return the newest configuration; change it and call `configure`."""
+        return self._configuration
+
+    def caller(self, zone: str = ZONES[0]) -> Caller:
+        """Return a new caller in a zone."""
+        self._callers += 1
+        directories = [entry.address("directory") for entry in self.entries]
+        return Caller(directories, zone, self.ledger, self._callers)
+
+    def configure(self) -> int:
+        """Put the configuration in force and return its version."""
+        self._version += 2
+        self._configuration["version"] = self._version
+        self.store.put_json("op", "config", self._configuration)
+        return self._version
+
+    async def add_target(self, target_id: str, service: str, number: int) -> Target:
+        """Start a target and enter it in the platform's list."""
+        profile = PROFILE if service == MODEL_SERVICE else None
+        address = f"127.{self.size.block}.2.{number + 1}:{TARGET_PORT}"
+        zone = ZONES[number % len(ZONES)]
+        target = Target(target_id, service, address, zone, self.ledger, profile, seed=number)
+        target.peers = self._target_at
+        self.targets[target_id] = target
+        await self.start_target(target)
+        return target
+
+    async def start_target(self, target: Target) -> None:
+        """Start a target, also again after a crash, and enter it in the list."""
+        await self._nursery.start(target.run)
+        self.store.put_json("servers", target.target_id, target.entry())
+
+    def of_service(self, service: str) -> list[Target]:
+        """Return the targets of a service."""
+        return [target for target in self.targets.values() if target.service == service]
+
+    def write_settings(self, entry: EntryProcess, **changes: str) -> None:
+        """Write the settings file of an entry process."""
+        fields = {
+            "node": entry.name,
+            "role": "entry",
+            "ip": entry.ip,
+            "zone": entry.zone,
+            "region": "new-england",
+            **{f"listen.{kind}": entry.address(kind) for kind in PORTS},
+            "internal_port_range": f"{DATAGRAM_PORT},{DATAGRAM_PORT + 15}",
+            "seeds": ",".join(item.address("control") for item in self.entries[:2]),
+            "bounds.grace_period_s": "8",
+            "bounds.retry_budget_ratio": "0.2",
+            "bounds.budget_window_s": "10",
+            "bounds.retry_budget_slack": "200",
+            "bounds.hold_max_ms": "20000",
+            "bounds.free_ms": "4000",
+            "bounds.ttl_max_s": "5",
+            "platform.address": self.store_address,
+            **changes,
+        }
+        text = "".join(f"{name}={value}\n" for name, value in fields.items())
+        (entry.folder / f"{entry.name}.conf").write_text(text)
+
+    async def wait_ready(self, entry: EntryProcess) -> None:
+        """Return when an entry process says that it is ready; raises `TimeoutError`."""
+        with trio.move_on_after(READY_SECONDS):
+            while not await self.is_ready(entry):  # noqa: ASYNC110 it is asked by HTTP
+                await trio.sleep(POLL_SECONDS)
+            return
+        raise TimeoutError(f"{entry.name} is not ready; see {entry.log}")
+
+    async def is_ready(self, entry: EntryProcess) -> bool:
+        """Ask an entry process whether it is ready."""
+        try:
+            async with httpcore.AsyncConnectionPool() as pool:
+                response = await pool.request(
+                    "GET",
+                    f"http://{entry.address('ready')}/readiness",
+                    extensions={"timeout": {"connect": 0.5, "read": 0.5}},
+                )
+        except ERRORS:
+            return False
+        return response.status == 200
+
+    def order(self, route: str, **fields: Any) -> Order:
+        """Return an order on one of the routes."""
+        kind = str(ROUTES[route]["kind"])
+        values = {"key": KEY, "prompt": PROMPTS.get(route, 0), **fields}
+        return Order(kind, HOST, f"/{route}/1", **values)
+
+    def _target_at(self, address: str) -> Target | None:
+        for target in self.targets.values():
+            if target.address == address:
+                return target
+        return None
+
+    def first_configuration(self) -> None:
+        """Put routes to both services in force, before the entry processes start."""
+        routes = []
+        for name, fields in ROUTES.items():
+            stream = fields["kind"] == "streaming"
+            routes.append(
+                {
+                    "name": f"r-{name}",
+                    "host": HOST,
+                    "prefix": f"/{name}/",
+                    "service": MODEL_SERVICE if stream else PLAIN_SERVICE,
+                    "timeout_ms": 10_000,
+                    "attempts": 2,
+                    "resume_streams": stream,
+                    **fields,
+                }
+            )
+        self._configuration = {
+            "routes": routes,
+            "services": [
+                {"name": MODEL_SERVICE, "connection_limit": 600, "engine": PROFILE},
+                {"name": PLAIN_SERVICE, "connection_limit": 200},
+            ],
+            "limits": {"idle_timeout_ms": 15_000},
+            "tenants": [{"name": TENANT, "api_keys": [KEY, OTHER_KEY]}],
+        }
+        self.configure()
+
+
+PROMPTS = {"short": 2_000, "medium": 45_000, "long": 200_000}
+"""Prompt tokens of an order on a route, unless it says otherwise."""
+
+
+@asynccontextmanager
+async def open_world(size: WorldSize, folder: Path) -> AsyncIterator[World]:
+    """Start a deployment, and end all of its processes when the context ends."""
+    async with trio.open_nursery() as nursery:
+        world = World(size, folder, nursery)
+        host, _, port = world.store_address.rpartition(":")
+        nursery.start_soon(world.store.serve, host, int(port))
+        for number in range(size.engines):
+            await world.add_target(f"i-engine{number}", MODEL_SERVICE, number)
+        for number in range(size.plain):
+            await world.add_target(f"i-plain{number}", PLAIN_SERVICE, size.engines + number)
+        world.first_configuration()
+        try:
+            for entry in world.entries:
+                world.write_settings(entry)
+                entry.start()
+            for entry in world.entries:
+                await world.wait_ready(entry)
+            yield world
+        finally:
+            with trio.CancelScope(shield=True):
+                await _stop(world)
+        nursery.cancel_scope.cancel()
+
+
+async def _stop(world: World) -> None:
+    for entry in world.entries:
+        entry.signal(signal.SIGKILL)
+    for entry in world.entries:
+        await entry.wait_ended(STOP_SECONDS)
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -45,6 +45,15 @@
     And an instance that hears peer "10.0.0.3:7"
     Then peer "10.0.0.3:7" was told of "10.0.0.2:7"
 
+  Scenario: A peer that knows no target is sent the list
+    Given an instance that hears peer "10.0.0.2:7"
+    When the peer tells that it knows no target
+    Then it is sent the whole list
+
+  Scenario: The routes of a peer are fetched at its control address
+    Given an instance that hears peer "10.0.0.2:7"
+    Then version 1 was announced of "10.0.0.2:9"
+
   Scenario: The store is asked for peers until it answers
     Given an instance whose store is away for 5 seconds and then names "10.0.0.9:7"
     When no peer is heard for 8 seconds
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -90,6 +90,7 @@
         "serving": True,
         "leaving": False,
         "routes_version": 1,
+        "knows_targets": True,
         "uses": (),
         "placed": (),
     }
@@ -102,6 +103,7 @@
     context.works = WorkTable()
     context.works.update([(make_target(index), PROFILE) for index in range(2)], 0.0)
     context.endings = []
+    context.announced = []
     context.sequence = 0
     context.exchange = ExchangeCoordinator(
         OWN,
@@ -114,7 +116,8 @@
             ended=context.endings.append,
             suspected=lambda suspicion: None,
             listed=lambda sender, notice: None,
-            routes_announced=lambda address, version: None,
+            routes_announced=lambda address, version: context.announced.append((address, version)),
+            whole_listing=lambda: NOTICES["ListingNotice"],
         ),
         (),
         clock,
@@ -240,6 +243,21 @@
     assert NodeState in kinds
 
 
+@when("the peer tells that it knows no target")
+def step_ignorant(context: Context) -> None:
+    hear(context, context.peer, knows_targets=False)
+
+
+@then("it is sent the whole list")
+def step_sent_list(context: Context) -> None:
+    assert (context.peer, NOTICES["ListingNotice"]) in context.port.sent
+
+
+@then('version {version:d} was announced of "{address}"')
+def step_announced(context: Context, version: int, address: str) -> None:
+    assert (address, version) in context.announced, context.announced
+
+
 NOTICES: dict[str, Notice] = {
     "Placing": Placing(
         PlacementNotice("r", "s", "e1", ("e2", "e3"), 1, 2, 3, 4, 5, 6, True, (7, 0))
--- /dev/null
+++ b/tests/steps/platform/whole_steps.py
@@ -0,0 +1,386 @@
+"""Steps for the whole path on the users' platform, with real processes."""
+
+import signal
+import tempfile
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from pathlib import Path
+
+import trio
+from behave import then, when
+from behave.runner import Context
+from wasabiwell_standins.users_platform.caller import Order, Reply
+from wasabiwell_standins.users_platform.store import Outage
+from wasabiwell_standins.users_platform.world import (
+    HOST,
+    KEY,
+    MODEL_SERVICE,
+    OTHER_KEY,
+    PLAIN_SERVICE,
+    TENANT,
+    ZONES,
+    World,
+    WorldSize,
+    open_world,
+)
+
+MIX = ("short", "short", "short", "book", "look", "medium")
+SEND_INTERVAL = 0.04
+BLOCKS = iter(range(80, 250))
+"""Blocks of IP addresses, so that no scenario meets sockets of the one before."""
+
+
+def play(context: Context, act: Callable[[World], Awaitable[None]], entries: int = 3) -> None:
+    """Run a deployment in which something happens."""
+    context.replies = []
+
+    async def run(folder: Path) -> None:
+        size = WorldSize(entries=entries, block=next(BLOCKS))
+        async with open_world(size, folder) as world:
+            context.world = world
+            await act(world)
+
+    with tempfile.TemporaryDirectory() as folder:
+        trio.run(run, Path(folder))
+
+
+async def send(context: Context, world: World, orders: list[Order], interval: float = 0.0) -> None:
+    """Send orders one after the other, each in a task of its own, and wait for all replies."""
+    callers = [world.caller(zone) for zone in ZONES]
+
+    async def send_one(index: int, order: Order) -> None:
+        reply = await callers[index % len(callers)].send(order)
+        context.replies.append(reply)
+
+    async with trio.open_nursery() as nursery:
+        for index, order in enumerate(orders):
+            nursery.start_soon(send_one, index, order)
+            await trio.sleep(interval)
+
+
+def mix(world: World, seconds: float) -> list[Order]:
+    """Return orders of all kinds for a time."""
+    return [world.order(MIX[number % len(MIX)]) for number in range(round(seconds / SEND_INTERVAL))]
+
+
+async def during(
+    context: Context, world: World, seconds: float, happening: Callable[[], Awaitable[None]]
+) -> None:
+    """Send a mix of orders while something happens."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send, context, world, mix(world, seconds), SEND_INTERVAL)
+        await happening()
+
+
+@when("callers send requests of all kinds for {seconds:d} seconds")
+def step_mix(context: Context, seconds: int) -> None:
+    async def act(world: World) -> None:
+        await send(context, world, mix(world, seconds), SEND_INTERVAL)
+
+    play(context, act)
+
+
+@when("an engine crashes while callers stream")
+def step_crash(context: Context) -> None:
+    async def act(world: World) -> None:
+        async with trio.open_nursery() as nursery:
+            orders = [world.order("short", events=25) for _ in range(24)]
+            nursery.start_soon(send, context, world, orders)
+            await trio.sleep(0.6)
+            busiest = max(world.of_service(MODEL_SERVICE), key=lambda target: target.running)
+            busiest.crash()
+
+    play(context, act)
+
+
+@when("callers book while a target loses all of its answers")
+def step_lost(context: Context) -> None:
+    async def act(world: World) -> None:
+        world.of_service(PLAIN_SERVICE)[0].faults.reset_share = 1.0
+        await send(context, world, [world.order("book") for _ in range(30)], SEND_INTERVAL)
+
+    play(context, act)
+
+
+@when("callers send requests while targets garble half of their answers")
+def step_garble(context: Context) -> None:
+    async def act(world: World) -> None:
+        for target in world.targets.values():
+            target.faults.cut_share = 0.1
+            target.faults.foreign_share = 0.1
+            target.faults.extra_share = 0.2
+            target.faults.unframed_share = 0.1
+        await send(context, world, mix(world, 3), SEND_INTERVAL)
+
+    play(context, act)
+
+
+@when("callers look up while a target answers with 500")
+def step_500(context: Context) -> None:
+    async def act(world: World) -> None:
+        world.of_service(PLAIN_SERVICE)[0].faults.error_share = 1.0
+        await send(context, world, [world.order("look") for _ in range(30)], SEND_INTERVAL)
+
+    play(context, act)
+
+
+@when("each entry process is stopped in turn while callers send requests")
+def step_stops(context: Context) -> None:
+    async def act(world: World) -> None:
+        context.codes = []
+
+        async def stops() -> None:
+            for entry in world.entries:
+                entry.signal(signal.SIGTERM)
+                assert await entry.wait_ended(8.0)
+                context.codes.append(entry.process.returncode)
+                entry.start()
+                await world.wait_ready(entry)
+
+        await during(context, world, 14, stops)
+
+    play(context, act)
+
+
+@when("an entry process is killed while callers send requests")
+def step_killed(context: Context) -> None:
+    async def act(world: World) -> None:
+        async def kill() -> None:
+            await trio.sleep(1.0)
+            world.entries[0].signal(signal.SIGKILL)
+            await trio.sleep(1.0)
+            context.first_replies = len(context.replies)
+
+        await during(context, world, 2, kill)
+        context.replies.clear()
+        await send(context, world, mix(world, 2), SEND_INTERVAL)
+
+    play(context, act)
+
+
+@when("a target drains while callers send requests")
+def step_drains(context: Context) -> None:
+    async def act(world: World) -> None:
+        context.target = world.of_service(MODEL_SERVICE)[0]
+
+        async def drain() -> None:
+            await trio.sleep(0.5)
+            entry = context.target.entry("draining")
+            world.store.put_json("servers", context.target.target_id, entry)
+            context.drained = trio.current_time()
+
+        await during(context, world, 4, drain)
+
+    play(context, act)
+
+
+@when("a key is taken away while its callers are connected")
+def step_key(context: Context) -> None:
+    async def act(world: World) -> None:
+        orders = [world.order("short", key=OTHER_KEY) for _ in range(6)]
+        await send(context, world, orders)
+        assert all(reply.status == 200 for reply in context.replies)
+        world.configuration["tenants"] = [{"name": TENANT, "api_keys": [KEY]}]
+        world.configure()
+        await trio.sleep(2.0)
+        context.statuses = [
+            await raw_status(entry.address("frontend"), request_bytes(key=OTHER_KEY))
+            for entry in world.entries
+        ]
+
+    play(context, act)
+
+
+@when("the store goes away, an entry process restarts, and callers send requests")
+def step_store(context: Context) -> None:
+    async def act(world: World) -> None:
+        world.store.faults.outage = Outage.BUSY
+        await trio.sleep(1.0)
+        entry = world.entries[-1]
+        entry.signal(signal.SIGKILL)
+        await entry.wait_ended(2.0)
+        entry.start()
+        await world.wait_ready(entry)
+        await trio.sleep(2.0)
+        await send(context, world, mix(world, 2), SEND_INTERVAL)
+
+    play(context, act)
+
+
+@when("callers leave before their streams end")
+def step_leave(context: Context) -> None:
+    async def act(world: World) -> None:
+        with trio.move_on_after(0.5):
+            await send(context, world, [world.order("short", events=80) for _ in range(10)])
+        context.left = trio.current_time()
+        await trio.sleep(1.5)
+
+    play(context, act)
+
+
+@when("engines answer a prompt of {tokens:d} tokens")
+def step_giant(context: Context, tokens: int) -> None:
+    async def act(world: World) -> None:
+        await send(context, world, [world.order("long", prompt=tokens)])
+        await trio.sleep(1.0)
+        context.held = [target.tokens_held for target in world.targets.values()]
+
+    play(context, act)
+
+
+@when("a request that crashes engines is sent {count:d} times")
+def step_poison(context: Context, count: int) -> None:
+    async def act(world: World) -> None:
+        for target in world.of_service(MODEL_SERVICE):
+            target.faults.crash_on = "poison"
+        caller = world.caller()
+        for _ in range(count):
+            await caller.send(world.order("short", text="poison"))
+        context.crashes = sum(len(runs) for runs in world.ledger.runs.values())
+
+    play(context, act)
+
+
+@when("another target takes over the address of one that ended")
+def step_reused(context: Context) -> None:
+    async def act(world: World) -> None:
+        old = world.of_service(MODEL_SERVICE)[0]
+        old.crash()
+        await trio.sleep(0.1)
+        number = list(world.targets).index(old.target_id)
+        await world.add_target("i-newcomer", PLAIN_SERVICE, number)
+        await send(context, world, mix(world, 2), SEND_INTERVAL)
+
+    play(context, act)
+
+
+def request_bytes(
+    path: str = "/look/1", host: str = HOST, key: str = KEY, request_id: str = "7", more: str = ""
+) -> bytes:
+    lines = [f"GET {path} HTTP/1.1", f"Host: {host}"]
+    lines += [f"Authorization: Bearer {key}"] if key else []
+    lines += [f"Wasabiwell-Request-Id: {request_id}"] if request_id else []
+    return ("\r\n".join([*lines, *filter(None, [more])]) + "\r\n\r\n").encode()
+
+
+async def raw_status(address: str, data: bytes) -> int:
+    """Send bytes and return the status of the answer."""
+    host, _, port = address.rpartition(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    async with stream:
+        with trio.fail_after(5):
+            with suppress(trio.BrokenResourceError):
+                await stream.send_all(data)
+            return int((await stream.receive_some(1_000)).split(b" ")[1])
+
+
+REQUESTS = {
+    "a request with an unknown key": request_bytes(key="nobody"),
+    "a request without a key": request_bytes(key=""),
+    "a request for an unknown path": request_bytes(path="/nowhere/1"),
+    "a request for an unknown host": request_bytes(host="other.example"),
+    "a request without an id": request_bytes(request_id=""),
+    "a request with a body that is too large": request_bytes(
+        path="/look/1", more="Content-Length: 5000000"
+    )
+    + bytes(5_000_000),
+    "a request with headers that are too large": request_bytes(more="X-Long: " + "x" * 70_000),
+    "a request that is no HTTP": b"\x16\x03\x01\x02\x00\r\n\r\n",
+}
+
+
+@when("an entry process gets {request}")
+def step_raw(context: Context, request: str) -> None:
+    async def act(world: World) -> None:
+        address = world.entries[0].address("frontend")
+        context.status = await raw_status(address, REQUESTS[request])
+        assert await world.is_ready(world.entries[0])
+
+    play(context, act, entries=1)
+
+
+@then("the status is {status:d}")
+def step_status(context: Context, status: int) -> None:
+    assert context.status == status, context.status
+
+
+@then("all of them were answered")
+@then("the requests that were sent a second later were answered")
+def step_answered(context: Context) -> None:
+    failed = [describe(reply) for reply in context.replies if not answered(reply)]
+    assert context.replies
+    assert not failed, failed
+
+
+def answered(reply: Reply) -> bool:
+    return reply.status == 200 and reply.whole
+
+
+def describe(reply: Reply) -> str:
+    whole = "whole" if reply.whole else "not whole"
+    return f"{reply.request_id} {reply.order.path} {reply.status} {whole} {reply.total_s:.2f} s"
+
+
+@then("no promise was broken")
+def step_promises(context: Context) -> None:
+    broken = context.world.ledger.broken_promises()
+    assert not broken, broken
+
+
+@then("each target saw the callers' organisation")
+def step_tenants(context: Context) -> None:
+    runs = [run for runs in context.world.ledger.runs.values() for run in runs]
+    assert {run.tenant for run in runs} == {TENANT}
+
+
+@then("at least {count:d} stream was resumed at another engine")
+def step_resumed(context: Context, count: int) -> None:
+    resumed = [
+        runs
+        for runs in context.world.ledger.runs.values()
+        if len({run.target_id for run in runs}) > 1 and runs[-1].resumed_after
+    ]
+    assert len(resumed) >= count
+
+
+@then("some bookings have no answer")
+def step_unanswered(context: Context) -> None:
+    assert any(reply.status == 502 for reply in context.replies)
+
+
+@then("each process ended by itself")
+def step_codes(context: Context) -> None:
+    assert context.codes == [0] * len(context.codes), context.codes
+
+
+@then("no request began there {seconds:d} seconds later")
+def step_not_there(context: Context, seconds: int) -> None:
+    late = [
+        run.begun - context.drained
+        for runs in context.world.ledger.runs.values()
+        for run in runs
+        if run.target_id == context.target.target_id and run.begun > context.drained + seconds
+    ]
+    assert not late, late
+
+
+@then("every entry process refuses it {seconds:d} seconds later with status {status:d}")
+def step_key_refused(context: Context, seconds: int, status: int) -> None:
+    assert context.statuses == [status] * len(context.statuses), context.statuses
+
+
+@then("no run lasts longer than {seconds:g} seconds after that")
+def step_freed(context: Context, seconds: float) -> None:
+    ends = [run.ended for runs in context.world.ledger.runs.values() for run in runs]
+    assert len(ends) == 10
+    assert all(end is not None and end < context.left + seconds for end in ends), ends
+
+
+@then("no engine holds memory {seconds:d} second later")
+def step_no_memory(context: Context, seconds: int) -> None:
+    assert not any(context.held), context.held
+
+
+@then("it crashed at most {count:d} engines")
+def step_crashes(context: Context, count: int) -> None:
+    assert 0 < context.crashes <= count, context.crashes
