Write structured logs and metrics, and trace a request through log files

Cause: on call there are only logs and metrics, and the process wrote text lines without bound to standard error.

Change: each event is a JSON line on standard output from a bounded buffer that never blocks the process. Lines of one event are bounded in a second, successes are sampled by request under load, and what was left out is told. Routing and the end of each send are logged with what decided them. Metrics are served at the deploy file's address with a library that is loaded by the first request. wasabiwell trace ID FILE... prints a request's story.

--- a/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
@@ -29,7 +29,7 @@
 class RepeatBudget:
     """Allows repeated sends while all entry instances together stay within the limits."""
 
-    __slots__ = ("_clock", "_counts", "_limits", "_peer_uses")
+    __slots__ = ("_clock", "_counts", "_limits", "_peer_uses", "refusals")
 
     def __init__(
         self,
@@ -41,6 +41,7 @@
         self._peer_uses = peer_uses
         self._clock = clock
         self._counts: dict[str, _Counts] = {}
+        self.refusals = 0
 
     def count_request(self, service: str) -> None:
         """Count a caller's request."""
@@ -54,6 +55,7 @@
         repeats = own.repeats + sum(use.repeats for use in peers)
         allowed = USABLE_SHARE * (self._limits.ratio * requests + self._limits.slack)
         if repeats + 1 > allowed:
+            self.refusals += 1
             return False
         _increment(self._of(service).repeats, self._bucket())
         return True
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -73,6 +73,10 @@
         """Return the list as it is known."""
         return self._listing
 
+    def age(self) -> timedelta | None:
+        """Return the time since the list was confirmed, or None before that."""
+        return None if self._confirmed is None else self._clock.monotonic() - self._confirmed
+
     async def run(self) -> None:
         """Follow the list until cancelled."""
         while True:
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -205,24 +205,19 @@
             resume_after=progress.last_event,
         )
         sent = self._clock.monotonic()
+        log_events.emit(
+            log_events.ROUTED,
+            request=request.request_id,
+            sends=progress.sends,
+            target=target.target_id,
+            **_inputs(attempt, placement),
+        )
         with self._ledger.open(request, placement) as opened:
             outcome = await self._relay(attempt, sink, progress, opened, patience)
             if isinstance(outcome, Broken) and outcome.target_lost:
                 outcome = await self._confirm_loss(request, target, outcome)
             opened.verdict = _verdict(outcome)
-        log_events.emit(
-            log_events.FORWARDED,
-            request=request.request_id,
-            route=request.route.name,
-            prompt=request.size.prompt if request.size is not None else 0,
-            target=target.target_id,
-            helpers=len(placement.helpers),
-            held=sum(1 for helper in placement.helpers if helper.hold_tokens),
-            expected_ms=round(placement.expected_seconds * 1000),
-            first_ms=_milliseconds(sent, opened.first_at),
-            total_ms=_milliseconds(sent, self._clock.monotonic()),
-            outcome=_describe(outcome),
-        )
+        self._log_end(attempt, placement, progress, opened, sent, outcome)
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
         if opened.verdict is AttemptVerdict.ANSWERED:
@@ -251,14 +246,30 @@
             if at_fault is not None and helper.target.address == at_fault
         ]
         progress.excluded.update(faulty or [attempt.target.target_id])
-        log_events.emit(
-            log_events.FORWARD_ATTEMPT_FAILED,
-            request=attempt.request.request_id,
-            target=attempt.target.target_id,
-            helpers=len(attempt.helpers),
-            sends=progress.sends,
-            outcome=_describe(outcome),
-        )
+
+    def _log_end(
+        self,
+        attempt: ForwardAttempt,
+        placement: Placement,
+        progress: _Progress,
+        opened: OpenPlacement,
+        sent: timedelta,
+        outcome: AttemptOutcome,
+    ) -> None:
+        """Log how a send ended; a failed one with all that decided it."""
+        fields: dict[str, object] = {
+            "request": attempt.request.request_id,
+            "sends": progress.sends,
+            "target": attempt.target.target_id,
+            "first_ms": _milliseconds(sent, opened.first_at),
+            "total_ms": _milliseconds(sent, self._clock.monotonic()),
+            "outcome": _describe(outcome),
+        }
+        if opened.verdict is AttemptVerdict.ANSWERED:
+            log_events.emit(log_events.ANSWERED, **fields)
+            return
+        fields |= _inputs(attempt, placement)
+        log_events.emit(log_events.SEND_FAILED, verdict=opened.verdict.value, **fields)
 
     async def _relay(
         self,
@@ -390,6 +401,23 @@
             return AttemptVerdict.FAILED
 
 
+def _inputs(attempt: ForwardAttempt, placement: Placement) -> dict[str, object]:
+    """Return what decided where a request was sent."""
+    size = attempt.request.size
+    helpers = [
+        f"{helper.target.target_id}:{helper.hold_tokens}".removesuffix(":0")
+        for helper in attempt.helpers
+    ]
+    return {
+        "route": attempt.request.route.name,
+        "routes": attempt.request.routes_version,
+        "prompt": size.prompt if size is not None else 0,
+        "helpers": " ".join(helpers),
+        "expected_ms": round(placement.expected_seconds * 1000),
+        "left_ms": round(attempt.time_left / timedelta(milliseconds=1)),
+    }
+
+
 def _milliseconds(since: timedelta, until: timedelta | None) -> int | None:
     return None if until is None else round((until - since) / timedelta(milliseconds=1))
 
--- a/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
@@ -69,6 +69,19 @@
         self._decay(belief)
         return belief.failures / (PRIOR_ANSWERS + belief.answers + belief.failures)
 
+    def count(self) -> dict[str, float]:
+        """Return the number of targets by what is believed of them."""
+        now = self._now()
+        counts = {"well": 0.0, "leaving": 0.0, "paused": 0.0}
+        for belief in self._beliefs.values():
+            if belief.leaving:
+                counts["leaving"] += 1
+            elif belief.lost_until > now:
+                counts["paused"] += 1
+            else:
+                counts["well"] += 1
+        return counts
+
     def note(self, target_id: str, verdict: AttemptVerdict) -> None:
         """Take over how a target did on a request, here or at another entry instance."""
         belief = self._beliefs.get(target_id)
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/observation/coordinator.py
@@ -0,0 +1,93 @@
+"""Counts the outcomes and times of forwarded requests around the object that forwards them."""
+
+from typing import Protocol
+
+import trio
+
+from wasabiwell_entry.coordination.forwarding.coordinator import ForwardOutcome
+from wasabiwell_entry.coordination.forwarding.ports import AnswerSink
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.counters import ForwardCounters, ForwardKind
+from wasabiwell_entry.state.forwarding import AnswerHead, Forwarded, ForwardedRequest
+from wasabiwell_entry.state.outcomes import Failed, Refused
+from wasabiwell_entry.state.requests import size_class
+from wasabiwell_entry.state.routes import RouteKind
+
+PLAIN = "plain"
+"""Size class of requests of plain services."""
+
+
+class RequestForwarder(Protocol):
+    """What a front door calls, observed or not."""
+
+    async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
+        """Forward a request and deliver its answer to the sink."""
+
+
+class ObservedForwarder:
+    """Forwards requests and counts what becomes of them."""
+
+    __slots__ = ("_clock", "_counters", "_inner")
+
+    def __init__(self, inner: RequestForwarder, counters: ForwardCounters, clock: Clock) -> None:
+        self._inner = inner
+        self._counters = counters
+        self._clock = clock
+
+    async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
+        """Forward a request and deliver its answer to the sink."""
+        observed = _ObservedSink(sink, request, self._counters, self._clock)
+        try:
+            outcome = await self._inner.forward(request, observed)
+        except trio.Cancelled:
+            self._counters.callers_left += 1
+            raise
+        kind = request.route.kind.value
+        match outcome:
+            case Forwarded(status=status):
+                counted = ForwardKind(kind, "answered", str(status))
+            case Refused(reason=reason):
+                counted = ForwardKind(kind, "refused", reason.value)
+            case Failed(reason=reason):
+                counted = ForwardKind(kind, "failed", reason.value)
+        self._counters.requests[counted] += 1
+        return outcome
+
+
+class _ObservedSink:
+    """Delivers an answer and counts the times between its parts."""
+
+    __slots__ = ("_clock", "_counters", "_is_stream", "_last", "_received", "_sink", "_size")
+
+    def __init__(
+        self,
+        sink: AnswerSink,
+        request: ForwardedRequest,
+        counters: ForwardCounters,
+        clock: Clock,
+    ) -> None:
+        self._sink = sink
+        self._counters = counters
+        self._clock = clock
+        self._received = request.received
+        self._last = request.received
+        self._is_stream = request.route.kind is RouteKind.STREAM
+        self._size = size_class(request.size.prompt).value if request.size is not None else PLAIN
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Deliver status and headers."""
+        self._last = self._clock.monotonic()
+        self._counters.observe_first(self._size, (self._last - self._received).total_seconds())
+        await self._sink.begin(head)
+
+    async def send(self, data: bytes) -> None:
+        """Deliver the next bytes of the body."""
+        if self._is_stream:
+            now = self._clock.monotonic()
+            self._counters.observe_gap(self._size, (now - self._last).total_seconds())
+            self._last = now
+        await self._sink.send(data)
+
+    async def finish(self) -> None:
+        """Mark the body as complete."""
+        await self._sink.finish()
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -4,7 +4,6 @@
 from functools import partial
 
 import click
-import logbook
 import trio
 
 from wasabiwell_entry.coordination.addresses.const import DEFAULT_ADDRESS_TTL
@@ -13,7 +12,8 @@
 from wasabiwell_entry.instance import run_instance
 from wasabiwell_entry.options import CollectedOption, collected_findings
 from wasabiwell_entry.settings import Settings, check_settings, duration
-from wasabiwell_entry.state import log_events
+from wasabiwell_entry.transport.logs.lines import LineBuffer
+from wasabiwell_entry.transport.logs.writer import open_line_writer
 
 EXIT_BAD_SETTINGS = 2
 PLACEHOLDERS = {"text": "", "integer": 1, "float": 1.0}
@@ -99,9 +99,14 @@
         click.echo(f"{finding.place}: {finding.message}", err=True)
     if findings:
         sys.exit(EXIT_BAD_SETTINGS)
-    handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO, format_string=log_events.FORMAT)
-    with handler.applicationbound():
-        trio.run(run_instance, settings)
+    buffer = LineBuffer(settings.node_id)
+    with buffer.applicationbound():
+        trio.run(_run, settings, buffer)
+
+
+async def _run(settings: Settings, buffer: LineBuffer) -> None:
+    async with open_line_writer(buffer, sys.stdout.fileno()):
+        await run_instance(settings)
 
 
 def _settings(context: click.Context, values: dict[str, object]) -> Settings:
--- a/packages/entry/src/wasabiwell_entry/state/counters.py
+++ b/packages/entry/src/wasabiwell_entry/state/counters.py
@@ -1,5 +1,6 @@
 """Counts of one entry instance; the operators' status and the metrics both read them."""
 
+import bisect
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -36,3 +37,58 @@
     sent_bytes: int = 0
     received_messages: int = 0
     received_bytes: int = 0
+
+
+FIRST_EVENT_BOUNDS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
+"""Seconds; they hold the objectives of the users' routes."""
+EVENT_GAP_BOUNDS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0)
+"""Seconds; they hold the pauses that the users' routes allow."""
+
+
+@dataclass(slots=True)
+class Histogram:
+    """Counts of observed values up to each bound; the last count is of those above all bounds."""
+
+    bounds: tuple[float, ...]
+    counts: list[int] = field(default_factory=list)
+    total: float = 0.0
+
+    def observe(self, value: float) -> None:
+        """Count a value."""
+        if not self.counts:
+            self.counts = [0] * (len(self.bounds) + 1)
+        self.counts[bisect.bisect_left(self.bounds, value)] += 1
+        self.total += value
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardKind:
+    """What forwarded requests are counted by; `reason` is empty for those that were answered."""
+
+    kind: str
+    outcome: str
+    reason: str
+
+
+@dataclass(slots=True)
+class ForwardCounters:
+    """Counts of forwarded requests since the start of the process; times are in seconds."""
+
+    requests: Counter[ForwardKind] = field(default_factory=Counter)
+    sends: Counter[str] = field(default_factory=Counter)
+    """Sends to targets by the verdict on the target."""
+    callers_left: int = 0
+    first_event: dict[str, Histogram] = field(default_factory=dict)
+    """Time from the request to its first event or its answer, by size class."""
+    event_gap: dict[str, Histogram] = field(default_factory=dict)
+    """Time between the events of a stream, by size class."""
+    store_calls: Counter[tuple[str, str]] = field(default_factory=Counter)
+    """Calls to the platform's store by call and result."""
+
+    def observe_first(self, size: str, seconds: float) -> None:
+        """Count the time to a first event."""
+        self.first_event.setdefault(size, Histogram(FIRST_EVENT_BOUNDS)).observe(seconds)
+
+    def observe_gap(self, size: str, seconds: float) -> None:
+        """Count the time between two events."""
+        self.event_gap.setdefault(size, Histogram(EVENT_GAP_BOUNDS)).observe(seconds)
--- a/packages/entry/src/wasabiwell_entry/state/forwarding.py
+++ b/packages/entry/src/wasabiwell_entry/state/forwarding.py
@@ -30,8 +30,9 @@
 
     `target_path` includes the query. `headers` are those that go to the target as they came.
     `received` and `deadline` are monotonic times; the deadline is the earlier one of the caller's
-    and the route's. `size` is None for requests of plain services. `last_event_id` is that of a
-    stream which the caller resumes.
+    and the route's. `routes_version` is that of the routes by which it was accepted. `size` is
+    None for requests of plain services. `last_event_id` is that of a stream which the caller
+    resumes.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     fingerprint: str
     received: timedelta
     deadline: timedelta
+    routes_version: int = 0
     size: PromptSize | None = None
     last_event_id: int | None = None
 
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -5,12 +5,6 @@
 
 import logbook
 
-FORMAT = (
-    "{record.time:%Y-%m-%dT%H:%M:%S.%fZ} {record.level_name} "
-    "[{record.extra[event]}] {record.message}"
-)
-"""Format of a line for log handlers."""
-
 _LOGGER = logbook.Logger("wasabiwell")
 
 
@@ -27,13 +21,15 @@
     """One kind of log line.
 
     `template` is a `str.format` template of the fields. `action` tells operators what to do.
-    Numbers are never reused. Neither prompts nor keys may be fields.
+    Events of what went well, `success`, are sampled under load. Numbers are never reused. Neither
+    prompts nor keys may be fields.
     """
 
     number: int
     level: Level
     template: str
     action: str = "None."
+    success: bool = False
 
 
 ENTRY_STARTED = LogEvent(100, Level.INFO, "entry instance {node} serves callers on {address}")
@@ -79,6 +75,18 @@
 RECOVERED_FROM_PEER = LogEvent(
     113, Level.INFO, "members, marks and configuration version {version} come from peer {peer}"
 )
+LINES_LEFT_OUT = LogEvent(
+    114,
+    Level.WARNING,
+    "lines left out in the last second: {counts}; dropped since the start: {dropped}",
+    "Lines of one event are bounded in a second; dropped ones found no reader of standard output.",
+)
+METRICS_UNAVAILABLE = LogEvent(
+    115,
+    Level.WARNING,
+    "metrics are not served: address {address} is in use",
+    "Free the address, or name another one in the deploy file.",
+)
 CONFIGURATION_IN_FORCE = LogEvent(200, Level.INFO, "configuration version {version} is in force")
 CONFIGURATION_INVALID = LogEvent(
     201,
@@ -134,12 +142,22 @@
     "the request with fingerprint {fingerprint} is refused, because two targets died running it",
     "Find the fault of the engines, then release the request.",
 )
-FORWARDED = LogEvent(
+ROUTED = LogEvent(
     409,
     Level.INFO,
-    "request {request} on route {route} with {prompt} prompt tokens: target {target}, {helpers} "
-    "helpers, {held} holders, expected {expected_ms} ms, first event {first_ms} ms, total "
-    "{total_ms} ms: {outcome}",
+    "request {request}, send {sends} on route {route}: target {target}, helpers {helpers}, "
+    "{prompt} prompt tokens, expected {expected_ms} ms, {left_ms} ms left, routes version {routes}",
+    success=True,
+)
+ANSWERED = LogEvent(
+    428,
+    Level.INFO,
+    "request {request}, send {sends} to {target}: {outcome}, first event {first_ms} ms, total "
+    "{total_ms} ms",
+    success=True,
+)
+CALLER_LEFT = LogEvent(
+    429, Level.INFO, "request {request}: the caller left after {after_ms} ms, begun: {begun}"
 )
 TARGET_LISTED = LogEvent(410, Level.INFO, "target {target} of service {service} is listed")
 TARGET_UNLISTED = LogEvent(411, Level.INFO, "target {target} is no longer listed")
@@ -147,10 +165,12 @@
 TARGET_PAUSED = LogEvent(
     413, Level.WARNING, "target {target} was lost and gets no new work for {pause_s} s"
 )
-FORWARD_ATTEMPT_FAILED = LogEvent(
+SEND_FAILED = LogEvent(
     414,
     Level.WARNING,
-    "request {request}: send {sends} to {target} with {helpers} helpers failed: {outcome}",
+    "request {request}, send {sends} to {target}: {outcome}, first event {first_ms} ms, total "
+    "{total_ms} ms, verdict {verdict}, helpers {helpers}, {prompt} prompt tokens, expected "
+    "{expected_ms} ms, {left_ms} ms left, route {route}, routes version {routes}",
 )
 NOT_PLACED = LogEvent(415, Level.WARNING, "request {request} was not placed: {reason}")
 REPEAT_BUDGET_USED = LogEvent(
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Structured log lines on standard output."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics in the text format of Prometheus."""
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/transport/metrics/exposition.py
@@ -0,0 +1,99 @@
+"""Encodes counts and states as metrics; the library is loaded with the first request for them."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from wasabiwell_entry.state.counters import ForwardCounters, Histogram
+
+if TYPE_CHECKING:
+    from prometheus_client import Metric
+
+CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+PREFIX = "wasabiwell"
+
+
+@dataclass(frozen=True, slots=True)
+class Gauge:
+    """A state at the time of the request, by the value of one label."""
+
+    name: str
+    help_text: str
+    label: str
+    read: Callable[[], dict[str, float]]
+
+
+@dataclass(frozen=True, slots=True)
+class MetricSources:
+    """What is told."""
+
+    counters: ForwardCounters
+    gauges: tuple[Gauge, ...]
+
+
+def render_metrics(sources: MetricSources) -> bytes:
+    """Return all metrics in the text format."""
+    # The library takes 4 MB, which processes that are not asked should not have.
+    from prometheus_client import CollectorRegistry, generate_latest
+
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(_Collector(sources))
+    return generate_latest(registry)
+
+
+class _Collector:
+    """Hands the library what it encodes; implements its `Collector`."""
+
+    def __init__(self, sources: MetricSources) -> None:
+        self._sources = sources
+
+    def collect(self) -> Iterator["Metric"]:
+        """Return the metrics."""
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+        counters = self._sources.counters
+        requests = CounterMetricFamily(
+            f"{PREFIX}_requests", "Requests of callers.", labels=["kind", "outcome", "reason"]
+        )
+        for kind, count in counters.requests.items():
+            requests.add_metric([kind.kind, kind.outcome, kind.reason], count)
+        yield requests
+        sends = CounterMetricFamily(
+            f"{PREFIX}_sends", "Sends to targets by the verdict on the target.", labels=["verdict"]
+        )
+        for verdict, count in counters.sends.items():
+            sends.add_metric([verdict], count)
+        yield sends
+        store = CounterMetricFamily(
+            f"{PREFIX}_store_calls", "Calls to the platform's store.", labels=["call", "result"]
+        )
+        for (call, result), count in counters.store_calls.items():
+            store.add_metric([call, result], count)
+        yield store
+        yield CounterMetricFamily(
+            f"{PREFIX}_callers_left", "Callers that left early.", value=counters.callers_left
+        )
+        yield _histogram(
+            "first_event_seconds", "Time to the first event or the answer.", counters.first_event
+        )
+        yield _histogram("event_gap_seconds", "Time between events.", counters.event_gap)
+        for gauge in self._sources.gauges:
+            family = GaugeMetricFamily(
+                f"{PREFIX}_{gauge.name}", gauge.help_text, labels=[gauge.label]
+            )
+            for label, value in gauge.read().items():
+                family.add_metric([label], value)
+            yield family
+
+
+def _histogram(name: str, help_text: str, histograms: dict[str, Histogram]) -> "Metric":
+    from prometheus_client.core import HistogramMetricFamily
+
+    family = HistogramMetricFamily(f"{PREFIX}_{name}", help_text, labels=["size"])
+    for size, histogram in sorted(histograms.items()):
+        buckets, running = [], 0
+        for bound, count in zip((*histogram.bounds, float("inf")), histogram.counts, strict=True):
+            running += count
+            buckets.append(("+Inf" if bound == float("inf") else str(bound), running))
+        family.add_metric([size], buckets, histogram.total)
+    return family
--- a/tests/steps/entry/transport/tls_steps.py
+++ b/tests/steps/entry/transport/tls_steps.py
@@ -149,7 +149,7 @@
 
 @then("the log has event 106 of the damaged file")
 def step_event(context: Context) -> None:
-    context.fleet.wait_until(lambda: "[106]" in context.fleet.log("entry-0"), "the event")
+    context.fleet.wait_until(lambda: '"event":106' in context.fleet.log("entry-0"), "the event")
 
 
 @when("the entry instance is started with a certificate of another key")
--- /dev/null
+++ b/tests/steps/platform/tracing_steps.py
@@ -0,0 +1,160 @@
+"""Steps for finding the cause of a failed request from logs and metrics."""
+
+import subprocess
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import httpcore
+import trio
+from behave import given, then, when
+from behave.runner import Context
+from wasabiwell_platform.const import METRICS_PATH, METRICS_PORT
+from wasabiwell_standins.users_platform.caller import Order, Reply
+from wasabiwell_standins.users_platform.world import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    World,
+    WorldSize,
+    open_world,
+)
+
+BLOCKS = iter(range(20, 76))
+"""Blocks of IP addresses that no other scenario uses."""
+
+
+def play(context: Context, act: Callable[[World], Awaitable[Reply | None]]) -> None:
+    """Run a deployment, and keep the last reply and the log files of the entry processes."""
+    context.folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+
+    async def run() -> None:
+        size = WorldSize(entries=2, engines=2, plain=1, block=next(BLOCKS))
+        async with open_world(size, Path(context.folder)) as world:
+            context.logs = [entry.log for entry in world.entries]
+            context.reply = await act(world)
+            await trio.sleep(0.3)
+
+    trio.run(run)
+
+
+async def send(world: World, order: Order) -> Reply:
+    return await world.caller().send(order, retries=0)
+
+
+@given("a log file with {count:d} lines that are no log lines")
+def step_noise(context: Context, count: int) -> None:
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    context.noise = Path(folder) / "noise.log"
+    lines = [b"Traceback", b"{}", b'{"time": "yesterday", "node": 1, "name": "x"}\xff']
+    context.noise.write_bytes(b"\n".join(lines[:count]) + b"\n")
+
+
+@when("a booking is refused as no target takes new work")
+def step_refused(context: Context) -> None:
+    async def act(world: World) -> Reply:
+        target = world.of_service(PLAIN_SERVICE)[0]
+        world.store.put_json("servers", target.target_id, target.entry("draining"))
+        await trio.sleep(0.3)
+        return await send(world, world.order("book"))
+
+    play(context, act)
+    assert context.reply.status == 503, context.reply
+
+
+@when("an engine crashes under a stream that may not be resumed")
+def step_broken(context: Context) -> None:
+    async def act(world: World) -> Reply:
+        for route in world.configuration["routes"]:
+            route["resume_streams"] = False
+        world.configure()
+        await trio.sleep(0.3)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(crash, world)
+            return await send(world, world.order("short", events=60))
+
+    play(context, act)
+    assert context.reply.status == 200
+    assert not context.reply.whole
+
+
+async def crash(world: World) -> None:
+    await trio.sleep(0.5)
+    max(world.of_service(MODEL_SERVICE), key=lambda target: target.running).crash()
+
+
+@when("a target loses its answer to a booking")
+def step_unknown(context: Context) -> None:
+    async def act(world: World) -> Reply:
+        world.of_service(PLAIN_SERVICE)[0].faults.reset_share = 1.0
+        return await send(world, world.order("book"))
+
+    play(context, act)
+    assert context.reply.status == 502, context.reply
+
+
+@when("requests of all kinds are answered and the metrics are asked for")
+def step_metrics(context: Context) -> None:
+    async def act(world: World) -> None:
+        for route in ("short", "medium", "long", "book", "look", "look"):
+            assert (await send(world, world.order(route))).status == 200
+        texts = []
+        async with httpcore.AsyncConnectionPool() as pool:
+            for entry in world.entries:
+                url = f"http://{entry.ip}:{METRICS_PORT}{METRICS_PATH}"
+                texts.append((await pool.request("GET", url)).content.decode())
+        context.metrics = texts
+
+    play(context, act)
+
+
+def trace(context: Context, request_id: str) -> None:
+    files = [*context.logs, *([context.noise] if "noise" in context else [])]
+    context.finished = subprocess.run(
+        [sys.executable, "-m", "wasabiwell_cli.main", "trace", request_id, *map(str, files)],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@then('`wasabiwell trace` tells of it with "{names}"')
+def step_trace(context: Context, names: str) -> None:
+    trace(context, context.reply.request_id)
+    assert context.finished.returncode == 0, context.finished
+    rows = context.finished.stdout.splitlines()[2:]
+    found = [row.split()[2] for row in rows if row and row[0].isdigit() and "entry-" in row]
+    assert found == names.split(), context.finished.stdout
+
+
+@then('its lines hold "{text}"')
+def step_holds(context: Context, text: str) -> None:
+    assert text in context.finished.stdout, context.finished.stdout
+
+
+@then("it tells of {count:d} unreadable lines")
+def step_unreadable(context: Context, count: int) -> None:
+    assert f"{count} unreadable lines" in context.finished.stdout, context.finished.stdout
+
+
+@then("`wasabiwell trace` of another request ends with code {code:d}")
+def step_other(context: Context, code: int) -> None:
+    trace(context, "0" * 16)
+    assert context.finished.returncode == code, context.finished
+
+
+@then("the metrics count {count:d} requests that were answered with {status:d}")
+def step_count(context: Context, count: int, status: int) -> None:
+    lines = [line for text in context.metrics for line in text.splitlines()]
+    counted = [
+        float(line.rsplit(" ", 1)[1])
+        for line in lines
+        if line.startswith("wasabiwell_requests_total") and f'reason="{status}"' in line
+    ]
+    assert sum(counted) == count, counted
+
+
+@then('the metrics have "{names}"')
+def step_have(context: Context, names: str) -> None:
+    missing = [name for name in names.split() if not any(name in text for text in context.metrics)]
+    assert not missing, missing
