Choose at random among equal engines and make the messages between instances small

Cause: on the grown site 15% of the short requests were late: instances that placed at the same time took the last slot of the same engine (215 of 1,114 had one request too many, up to 4).

Change: equal engines differ by a small random cost, the last slots of an engine cost more, and an engine more for a long prompt costs less. Messages are encoded without field names. The time after which a peer is silent follows from the interval of states; each message of a peer counts.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
@@ -22,7 +22,7 @@
 within about 2 s of the store's return."""
 OUTAGE_AGE = timedelta(milliseconds=2_500)
 """A list older than this before an answer was not followed, as in an outage."""
-ROUTE_WAIT = timedelta(seconds=25)
+ROUTE_WAIT = timedelta(seconds=29)
 """Time for which the store holds a query for changes; it allows 30 s."""
 ROUTE_WAIT_MARGIN = timedelta(seconds=2)
 """A query that is answered this much later than asked for has lost its connection."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -4,10 +4,12 @@
 
 STATE_INTERVAL = timedelta(milliseconds=500)
 """Time between the states that are sent to a peer."""
-PEERS_AT_STATE_INTERVAL = 32
-"""With more peers the interval grows, so that an instance sends about 64 states a second."""
-SILENCE_TIMEOUT = timedelta(milliseconds=1_700)
-"""A peer that was not heard for this long is taken as gone: three states and their lag."""
+PEERS_AT_STATE_INTERVAL = 50
+"""With more peers the interval grows, so that an instance sends about 100 states a second."""
+MAX_STATE_INTERVAL = timedelta(milliseconds=1_200)
+"""Callers that are sent to a dead instance wait a second for it, so it has to be found soon."""
+SILENT_INTERVALS = 3.4
+"""A peer that was not heard for this many intervals is taken as gone: three may be lost."""
 LISTED_TIMEOUT = timedelta(seconds=20)
 """When no peer at all is heard, those heard within this time are still told to callers.
 
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -9,9 +9,10 @@
 from wasabiwell_entry.coordination.exchange.const import (
     FORGET_TIMEOUT,
     LISTED_TIMEOUT,
+    MAX_STATE_INTERVAL,
     PEERS_AT_STATE_INTERVAL,
     REGISTER_RETRY_INTERVAL,
-    SILENCE_TIMEOUT,
+    SILENT_INTERVALS,
     STATE_INTERVAL,
     SWEEP_INTERVAL,
 )
@@ -94,7 +95,7 @@
 
     def peers(self) -> list[Node]:
         """Return the peers that are heard, in the order of addresses."""
-        return self._nodes.heard_since(self._now() - SILENCE_TIMEOUT.total_seconds())
+        return self._nodes.heard_since(self._now() - self._silence())
 
     def alive(self) -> list[Member]:
         """Return the entry instances that callers may use, this one included.
@@ -137,6 +138,8 @@
         if sender == self._own_address:
             return
         now = self._now()
+        if not isinstance(notice, NodeState):
+            self._nodes.hear(sender, now)
         match notice:
             case Placing(notice=placing):
                 self._works.add(_placed(sender, placing, now), now)
@@ -168,7 +171,7 @@
             return
         elif state.incarnation != known.incarnation:
             self._works.retain(sender, frozenset(), now)
-        if node.heard is not None and now - node.heard > SILENCE_TIMEOUT.total_seconds():
+        if node.heard is not None and now - node.heard > self._silence():
             log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
         node.heard, node.state = now, state
         self._works.retain(sender, frozenset(state.placed), now)
@@ -198,12 +201,17 @@
             self._sending.discard(address)
 
     def _state_interval(self) -> timedelta:
-        return STATE_INTERVAL * max(1.0, len(self._nodes) / PEERS_AT_STATE_INTERVAL)
+        interval = STATE_INTERVAL * max(1.0, len(self._nodes) / PEERS_AT_STATE_INTERVAL)
+        return min(interval, MAX_STATE_INTERVAL)
+
+    def _silence(self) -> float:
+        """Return the time in seconds after which an unheard peer counts as gone."""
+        return SILENT_INTERVALS * self._state_interval().total_seconds()
 
     def _sweep(self) -> None:
         """Drop what silent peers have placed and what ended unheard."""
         now = self._now()
-        limit = now - SILENCE_TIMEOUT.total_seconds()
+        limit = now - self._silence()
         for node in self._nodes:
             if (
                 node.heard is not None
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -262,6 +262,7 @@
             "sends": progress.sends,
             "target": attempt.target.target_id,
             "first_ms": _milliseconds(sent, opened.first_at),
+            "pause_ms": round(opened.longest_pause / timedelta(milliseconds=1)),
             "total_ms": _milliseconds(sent, self._clock.monotonic()),
             "outcome": _describe(outcome),
         }
@@ -294,6 +295,7 @@
                         broken = _check_order(event_id, progress)
                         if broken is not None:
                             return broken
+                        opened.note_event(self._clock.monotonic())
                         await sink.send(data)
                     case AnswerPart(data=data):
                         held.append(data)
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
@@ -14,7 +14,7 @@
 """Engines refuse longer lists of helpers."""
 SPLIT_SECONDS = 0.1
 """A prompt is split only when one engine reads longer: half of the shortest allowed pause."""
-ENGINE_COST = 0.0005
+ENGINE_COST = 0.0004
 """Cost of each engine more that reads a prompt, in parts of the request's value.
 
 It keeps a split from using engines that hardly make it faster.
@@ -29,8 +29,16 @@
 
 Long prompts find more engines whose pauses disturb nobody when short ones share few engines.
 """
+LAST_SLOT_COSTS = (0.06, 0.01)
+"""Costs of taking the last slot of an engine, and the last but one, in parts of the value.
+
+Another instance may take the same slot at the same time; the second one then waits for an end.
+"""
 FULL_COST = 0.3
-"""Cost of a target all of whose slots are taken, in parts of the value, for each waiting one."""
+"""Cost of an engine all of whose slots are taken, in parts of the value, for each waiting one."""
+SPREAD_COST = 0.004
+"""Bound of a random cost, in parts of the value, so that instances that place at the same time
+choose different ones of equal engines."""
 REMOTE_ZONE_COST = 0.002
 """Cost of a target in another zone, in parts of the value; it decides between equal targets."""
 NO_MEMORY_COST = 1.0
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/estimate.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/estimate.py
@@ -13,8 +13,9 @@
 class EngineState:
     """What is predicted of an engine at one moment, for use with several reading times.
 
-    `wait_for_pass` is the expected rest of the current pass. `parts` and `whole` are the reading
-    that is left of split and of other prompts.
+    `parts` and `whole` are the reading that is left of split and of other prompts. `leads` is the
+    number of requests that take a slot. `preference` is the cost of the engine for itself, in
+    parts of a request's value.
     """
 
     work: TargetWork
@@ -24,6 +25,8 @@
     parts: float
     whole: float
     slot_wait: float
+    leads: int
+    preference: float
 
     @property
     def wait_for_pass(self) -> float:
@@ -36,8 +39,8 @@
         return self.parts + self.whole
 
 
-def engine_state(work: TargetWork, now: float) -> EngineState:
-    """Return what is predicted of an engine now."""
+def engine_state(work: TargetWork, now: float, preference: float = 0.0) -> EngineState:
+    """Return what is predicted of an engine now; `preference` is its cost for itself."""
     work.advance(now)
     writers = work.writers()
     order = work.reading_order()
@@ -51,6 +54,8 @@
         parts=parts,
         whole=whole,
         slot_wait=_slot_wait(work, writers),
+        leads=work.leads,
+        preference=preference,
     )
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -20,12 +20,21 @@
 class OpenPlacement:
     """A placed request; `verdict` is told when it ends.
 
-    `first_at` is the monotonic time of its first event, None before it.
+    `first_at` and `last_at` are the monotonic times of its first and its last event, None before
+    them.
     """
 
     placed: Placed
     verdict: AttemptVerdict = AttemptVerdict.ABANDONED
     first_at: timedelta | None = None
+    last_at: timedelta | None = None
+    longest_pause: timedelta = timedelta()
+
+    def note_event(self, now: timedelta) -> None:
+        """Note the time of an event."""
+        if self.last_at is not None:
+            self.longest_pause = max(self.longest_pause, now - self.last_at)
+        self.last_at = now
 
 
 class PlacementLedger:
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -1,10 +1,12 @@
 """Messages by which entry instances tell each other what they place, see and know.
 
-They are small datagrams that may be lost, doubled or late; `NodeState` repeats what lasts.
+They are small datagrams that may be lost, doubled or late; `NodeState` repeats what lasts. Fields
+are encoded by their place, as most bytes between zones are these messages.
 """
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 from wasabiwell_entry.state.targets import ListedTarget
 
@@ -19,8 +21,7 @@
     ABANDONED = "abandoned"
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementNotice:
+class PlacementNotice(msgspec.Struct, frozen=True, array_like=True):
     """A request was placed; ages and times are milliseconds before the message was sent.
 
     `due_in_ms` is the time until the first event or the answer has to be there. `prompt` is 0 for
@@ -41,8 +42,7 @@
     holds: tuple[int, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceUse:
+class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
     """Requests for a service and repeated sends in the last window of the retry budget."""
 
     service: str
@@ -50,22 +50,19 @@
     repeats: int
 
 
-@dataclass(frozen=True, slots=True)
-class Placing:
+class Placing(msgspec.Struct, frozen=True, array_like=True):
     """The sender has placed a request."""
 
     notice: PlacementNotice
 
 
-@dataclass(frozen=True, slots=True)
-class Writing:
+class Writing(msgspec.Struct, frozen=True, array_like=True):
     """The first event of a placed request has arrived."""
 
     request_id: str
 
 
-@dataclass(frozen=True, slots=True)
-class Ending:
+class Ending(msgspec.Struct, frozen=True, array_like=True):
     """A placed request has ended; the verdict is that on its lead."""
 
     request_id: str
@@ -73,16 +70,14 @@
     verdict: AttemptVerdict
 
 
-@dataclass(frozen=True, slots=True)
-class Suspicion:
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
     """Targets died while they ran a request; with no targets the request is cleared."""
 
     fingerprint: str
     targets: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ListingNotice:
+class ListingNotice(msgspec.Struct, frozen=True, array_like=True):
     """A read of the platform's list of targets.
 
     `revision` is the platform's count of changes at the read. `digest` is that of the whole list,
@@ -96,8 +91,7 @@
     removed: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class NodeState:
+class NodeState(msgspec.Struct, frozen=True, array_like=True):
     """The state of an entry instance, sent at intervals and at each change of `serving`.
 
     `incarnation` is the time of its start in milliseconds since 1970 and `sequence` counts its
@@ -119,8 +113,7 @@
     placed: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class NodeAddresses:
+class NodeAddresses(msgspec.Struct, frozen=True, array_like=True):
     """Datagram addresses of the entry instances that the sender knows."""
 
     addresses: tuple[str, ...]
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -152,8 +152,8 @@
 ANSWERED = LogEvent(
     428,
     Level.INFO,
-    "request {request}, send {sends} to {target}: {outcome}, first event {first_ms} ms, total "
-    "{total_ms} ms",
+    "request {request}, send {sends} to {target}: {outcome}, first event {first_ms} ms, longest "
+    "pause {pause_ms} ms, total {total_ms} ms",
     success=True,
 )
 CALLER_LEFT = LogEvent(
@@ -168,8 +168,9 @@
 SEND_FAILED = LogEvent(
     414,
     Level.WARNING,
-    "request {request}, send {sends} to {target}: {outcome}, first event {first_ms} ms, total "
-    "{total_ms} ms, verdict {verdict}, helpers {helpers}, {prompt} prompt tokens, expected "
+    "request {request}, send {sends} to {target}: {outcome}, first event {first_ms} ms, longest "
+    "pause {pause_ms} ms, total {total_ms} ms, verdict {verdict}, helpers {helpers}, {prompt} "
+    "prompt tokens, expected "
     "{expected_ms} ms, {left_ms} ms left, route {route}, routes version {routes}",
 )
 NOT_PLACED = LogEvent(415, Level.WARNING, "request {request} was not placed: {reason}")
--- a/packages/entry/src/wasabiwell_entry/state/nodes.py
+++ b/packages/entry/src/wasabiwell_entry/state/nodes.py
@@ -41,6 +41,12 @@
         """Return the entry instance at an address, which is added when it is not known."""
         return self._nodes.setdefault(address, Node(address, now))
 
+    def hear(self, address: str, now: float) -> None:
+        """Note that a message of an entry instance arrived whose state is known."""
+        node = self._nodes.get(address)
+        if node is not None and node.state is not None:
+            node.heard = now
+
     def uses(self) -> list[tuple[ServiceUse, ...]]:
         """Return what each has counted of the requests and repeats of services."""
         return [node.state.uses for node in self if node.state is not None]
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import replace
 from datetime import timedelta
 
 import trio
@@ -268,9 +267,7 @@
     "ListingNotice": ListingNotice(
         7, 2**63 + 1, 2**64 - 1, (ListedTarget(make_target(1), True),), ("e9",)
     ),
-    "NodeState": replace(
-        state_of("10.0.0.2:7", 4), uses=(ServiceUse("s", 1, 2),), placed=("r1", "r2")
-    ),
+    "NodeState": state_of("10.0.0.2:7", 4, uses=(ServiceUse("s", 1, 2),), placed=("r1", "r2")),
     "NodeAddresses": NodeAddresses(("10.0.0.2:7",)),
 }
 
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from datetime import timedelta
+from random import Random
 
 import trio
 from wasabiwell_entry.coordination.budget import RepeatBudget
@@ -128,7 +129,7 @@
         self.clock = clock
         self.works = WorkTable()
         self.health = TargetHealth(clock)
-        self.placer = Placer(self.works, self.health, ZONE, clock)
+        self.placer = Placer(self.works, self.health, ZONE, clock, Random(1))
         self.targets = [make_target(index) for index in range(count)]
         self.list_targets(profile)
 
