--- a/standins/wasabiwell_standins/proxy.py
+++ b/standins/wasabiwell_standins/proxy.py
@@ -1,6 +1,6 @@
 """Fault-injecting TCP proxy.
 
-`POST /control` on the control address sets the faults: `cut` (close and refuse connections),
+`POST /control` on the control address sets the faults: `cut` (reset and refuse connections),
 `silent_to_server` and `silent_to_client` (open connections stop passing data in that direction
 for good; new ones work after the flag is cleared), and `delay_s` for each piece of data.
 """
@@ -55,6 +55,11 @@
         await trio.aclose_forcefully(client)
         await trio.aclose_forcefully(server)
 
+    def reset(self) -> None:
+        """Close all open connections at once."""
+        self.cut.set()
+        self.cut = trio.Event()
+
     async def _close_on_cut(self, scope: trio.CancelScope) -> None:
         await self.cut.wait()
         scope.cancel()
@@ -80,8 +85,7 @@
             for name, value in msgspec.json.decode(call.body).items():
                 setattr(self.faults, name, value)
             if self.faults.cut:
-                self.cut.set()
-                self.cut = trio.Event()
+                self.reset()
         await call.reply(200, {"faults": self.faults, "connections": self.connections})
 
 
--- a/standins/wasabiwell_standins/users_platform/caller.py
+++ b/standins/wasabiwell_standins/users_platform/caller.py
@@ -1,7 +1,9 @@
 """Callers of the users' platform: they ask the directory, and check what they get."""
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 import httpcore
 import msgspec
@@ -50,8 +52,17 @@
 class Caller:
     """Sends orders from one zone and keeps what happened in the ledger."""
 
-    def __init__(self, directories: list[str], zone: str, ledger: Ledger, seed: int) -> None:
+    def __init__(
+        self,
+        directories: list[str],
+        zone: str,
+        ledger: Ledger,
+        seed: int,
+        proxies: Mapping[str, str] = MappingProxyType({}),
+    ) -> None:
+        """Take the directories' addresses, and those of proxies before some addresses."""
         self._directories = directories
+        self._proxies = proxies
         self._zone = zone
         self._ledger = ledger
         self._random = random.Random(seed)
@@ -142,7 +153,7 @@
         body = {"events": order.events, "work_ms": order.work_ms, "text": order.text}
         async with pool.stream(
             "GET" if order.kind == "safe" else "POST",
-            f"http://{address}{order.path}",
+            f"http://{self._proxies.get(address, address)}{order.path}",
             headers=self._headers(order, reply.request_id, left),
             content=None if order.kind == "safe" else msgspec.json.encode(body),
             extensions={"timeout": {"connect": CONNECT_SECONDS, "read": left}},
--- a/standins/wasabiwell_standins/users_platform/engine.py
+++ b/standins/wasabiwell_standins/users_platform/engine.py
@@ -68,7 +68,10 @@
 
 
 class Target:
-    """One target; `profile` is the `engine` object of its service, None for a plain service."""
+    """One target; `profile` is the `engine` object of its service, None for a plain service.
+
+    `listed_address` is the one that the platform's list tells, which may be that of a proxy.
+    """
 
     def __init__(
         self,
@@ -84,6 +87,7 @@
         self.target_id = target_id
         self.service = service
         self.address = address
+        self.listed_address = address
         self.zone = zone
         self.profile = profile
         self.faults = TargetFaults()
@@ -114,7 +118,7 @@
         """Return the entry of the platform's list."""
         return {
             "service": self.service,
-            "address": self.address,
+            "address": self.listed_address,
             "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
@@ -214,7 +218,7 @@
             ("Wasabiwell-Response-Signature", f"{self.target_id}.{request_id}"),
         ]
         if headers.get("wasabiwell-expected-instance", self.target_id) != self.target_id:
-            await _reply(stream, connection, 421, [("At-Server", self.address)], b"")
+            await _reply(stream, connection, 421, [("At-Server", self.listed_address)], b"")
             return
         if self.running >= self.slots * QUEUE_FACTOR:
             await _reply(stream, connection, 503, [NOT_EXECUTED], b"")
--- a/standins/wasabiwell_standins/users_platform/world.py
+++ b/standins/wasabiwell_standins/users_platform/world.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 import tomllib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -114,6 +114,7 @@
         self.store = StoreStandIn()
         self.store_address = f"127.{size.block}.0.1:{STORE_PORT}"
         self.targets: dict[str, Target] = {}
+        self.proxies: dict[str, str] = {}
         self.entries = [
             EntryProcess(f"entry-{index}", f"127.{size.block}.1.{index + 1}", zone, folder)
             for index in range(size.entries)
@@ -133,7 +134,7 @@
         """Return a new caller in a zone."""
         self._callers += 1
         directories = [entry.address("directory") for entry in self.entries]
-        return Caller(directories, zone, self.ledger, self._callers)
+        return Caller(directories, zone, self.ledger, self._callers, self.proxies)
 
     def configure(self) -> int:
         """Put the configuration in force and return its version."""
@@ -215,7 +216,7 @@
 
     def _target_at(self, address: str) -> Target | None:
         for target in self.targets.values():
-            if target.address == address:
+            if target.listed_address == address:
                 return target
         return None
 
@@ -253,8 +254,13 @@
 
 
 @asynccontextmanager
-async def open_world(size: WorldSize, folder: Path) -> AsyncIterator[World]:
-    """Start a deployment, and end all of its processes when the context ends."""
+async def open_world(
+    size: WorldSize, folder: Path, prepare: Callable[[World], Awaitable[None]] | None = None
+) -> AsyncIterator[World]:
+    """Start a deployment, and end all of its processes when the context ends.
+
+    `prepare` is called before the entry processes start.
+    """
     async with trio.open_nursery() as nursery:
         world = World(size, folder, nursery)
         host, _, port = world.store_address.rpartition(":")
@@ -264,9 +270,12 @@
         for number in range(size.plain):
             await world.add_target(f"i-plain{number}", PLAIN_SERVICE, size.engines + number)
         world.first_configuration()
+        for entry in world.entries:
+            world.write_settings(entry)
+        if prepare is not None:
+            await prepare(world)
         try:
             for entry in world.entries:
-                world.write_settings(entry)
                 entry.start()
             for entry in world.entries:
                 await world.wait_ready(entry)
