--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -25,6 +25,7 @@
     NodeAddresses,
     NodeState,
     Notice,
+    PaceNotice,
     PlacementNotice,
     Placing,
     Suspicion,
@@ -145,6 +146,10 @@
                 self._works.add(_placed(sender, placing, now), now)
             case Writing(request_id=request_id):
                 self._works.begin_writing(request_id, now)
+            case PaceNotice(target_id=target_id, pace=pace):
+                if (work := self._works.get(target_id)) is not None:
+                    work.advance(now)
+                    work.pace = pace
             case Ending() as ending:
                 self._works.remove(ending.request_id, now)
                 self._observers.ended(ending)
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -295,7 +295,7 @@
                         broken = _check_order(event_id, progress)
                         if broken is not None:
                             return broken
-                        opened.note_event(self._clock.monotonic())
+                        self._ledger.note_event(opened)
                         await sink.send(data)
                     case AnswerPart(data=data):
                         held.append(data)
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/holds.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/holds.py
@@ -1,4 +1,4 @@
-"""Reserves the memory that a placement needs on helpers, on all of them or on none."""
+"""Reserves the memory that a placement needs on helpers, all of it or none."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -23,33 +23,57 @@
 async def hold_memory(
     reservations: EngineReservations, placement: Placement, owner: str
 ) -> AsyncIterator[Placement | NotReserved]:
-    """Hold the memory of a placement until the context ends; `owner` is unique to the attempt."""
-    if not any(helper.hold_tokens for helper in placement.helpers):
+    """Hold the memory of a placement until the context ends; `owner` is unique to the attempt.
+
+    A helper that does not reserve its part is replaced by the next one that keeps nothing yet, as
+    all parts are equal.
+    """
+    parts = [helper.hold_tokens for helper in placement.helpers if helper.hold_tokens]
+    if not parts:
         yield placement
         return
-    reserved: dict[int, str] = {}
-
-    async def reserve(index: int, helper: Helper) -> None:
-        outcome = await reservations.reserve(helper.target, f"{owner}-{index}", helper.hold_tokens)
-        if isinstance(outcome, Reserved):
-            reserved[index] = outcome.reservation_id
-
-    wanted = {index: item for index, item in enumerate(placement.helpers) if item.hold_tokens}
+    holding: list[Helper] = []
+    refused: list[str] = []
     try:
-        async with trio.open_nursery() as nursery:
-            for index, helper in wanted.items():
-                nursery.start_soon(reserve, index, helper)
-        refused = tuple(
-            helper.target.target_id for index, helper in wanted.items() if index not in reserved
-        )
-        if refused:
-            yield NotReserved(refused)
+        waiting = [replace(helper, hold_tokens=0) for helper in placement.helpers]
+        while (missing := len(parts) - len(holding)) and missing <= len(waiting):
+            asked, waiting = waiting[:missing], waiting[missing:]
+            asked = [replace(helper, hold_tokens=parts[0]) for helper in asked]
+            await _reserve_all(reservations, asked, owner, holding, refused)
+        if len(holding) < len(parts):
+            yield NotReserved(tuple(refused))
             return
-        helpers = tuple(
-            replace(helper, reservation_id=reserved.get(index, ""))
-            for index, helper in enumerate(placement.helpers)
+        held = {helper.target.target_id: helper for helper in holding}
+        others = (
+            replace(helper, hold_tokens=0)
+            for helper in placement.helpers
+            if helper.target.target_id not in held
         )
-        yield replace(placement, helpers=helpers)
+        yield replace(placement, helpers=(*holding, *others))
     finally:
-        for reservation_id in reserved.values():
-            reservations.give_back(reservation_id)
+        for helper in holding:
+            reservations.give_back(helper.reservation_id)
+
+
+async def _reserve_all(
+    reservations: EngineReservations,
+    helpers: list[Helper],
+    owner: str,
+    holding: list[Helper],
+    refused: list[str],
+) -> None:
+    """Reserve memory on helpers at the same time, and add each to one of the lists."""
+
+    async def reserve(helper: Helper) -> None:
+        target = helper.target
+        outcome = await reservations.reserve(
+            target, f"{owner}-{target.target_id}", helper.hold_tokens
+        )
+        if isinstance(outcome, Reserved):
+            holding.append(replace(helper, reservation_id=outcome.reservation_id))
+        else:
+            refused.append(target.target_id)
+
+    async with trio.open_nursery() as nursery:
+        for helper in helpers:
+            nursery.start_soon(reserve, helper)
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
@@ -44,12 +44,21 @@
 NO_MEMORY_COST = 1.0
 """Cost of an engine without enough free memory, in parts of the value: the request would wait for
 the end of another one there."""
+NEVER_FITS_COST = 100.0
+"""Cost of engines that could not take the prompt even without other work, in parts of its value:
+they refuse it, so any other way is better."""
 FAILURE_COST = 2.0
 """Cost of the recent share of failures of a target, in parts of the value."""
 MEMORY_SHARE = 0.98
 """Part of an engine's memory that is planned with; engines count memory in whole blocks."""
 MAX_HOLDERS = 8
 """Engines that keep parts of one prompt; the longest prompts of the users need three."""
+MIN_WRITE_SECONDS = 0.1
+"""Least time that a usual answer is taken to last, for services that state no usual length."""
+PACE_PAUSES = 3
+"""Pauses of a stream of which the shortest one tells how fast its engine writes."""
+PACE_CHANGE = 1.3
+"""Ratio by which an engine's pace must have changed for the other instances to be told."""
 MAX_COMPARED = 64
 """Targets compared for one request, so that the time to choose is bounded in a large fleet."""
 SHORT_URGENCY_GAP = timedelta(milliseconds=250)
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -62,7 +62,8 @@
             works = _least_used(works)
         states = [engine_state(work, now, self._preference(work)) for work in works]
         allowed = max(0.0, request.route.objective.total_seconds() - self._waited(request, now))
-        best = PromptSearch(request, size, profile, states, allowed, now).best()
+        rate = self._works.value_rate(request.service, now)
+        best = PromptSearch(request, size, profile, states, allowed, now, rate).best()
         urgency = URGENCY_LONG
         if request.route.event_gap <= SHORT_URGENCY_GAP:
             urgency = URGENCY_SHORT
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -2,13 +2,21 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from wasabiwell_entry.coordination.exchange.coordinator import placement_notice
+from wasabiwell_entry.coordination.placement.const import PACE_CHANGE, PACE_PAUSES
 from wasabiwell_entry.coordination.placement.errors import Placement
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.exchange import AttemptVerdict, Ending, Notice, Placing, Writing
+from wasabiwell_entry.state.exchange import (
+    AttemptVerdict,
+    Ending,
+    Notice,
+    PaceNotice,
+    Placing,
+    Writing,
+)
 from wasabiwell_entry.state.forwarding import ForwardedRequest
 from wasabiwell_entry.state.work import Placed, WorkTable
 
@@ -29,18 +37,30 @@
     first_at: timedelta | None = None
     last_at: timedelta | None = None
     longest_pause: timedelta = timedelta()
+    recent_pauses: list[timedelta] = field(default_factory=list)
 
-    def note_event(self, now: timedelta) -> None:
-        """Note the time of an event."""
-        if self.last_at is not None:
-            self.longest_pause = max(self.longest_pause, now - self.last_at)
+    def note_event(self, now: timedelta) -> timedelta | None:
+        """Note the time of an event, and return the shortest of the last pauses now and then.
+
+        The shortest one tells how fast the engine writes: reading for others makes some longer.
+        """
+        pause = now - self.last_at if self.last_at is not None else None
         self.last_at = now
+        if pause is None:
+            return None
+        self.longest_pause = max(self.longest_pause, pause)
+        self.recent_pauses.append(pause)
+        if len(self.recent_pauses) < PACE_PAUSES:
+            return None
+        shortest = min(self.recent_pauses)
+        self.recent_pauses.clear()
+        return shortest
 
 
 class PlacementLedger:
     """Enters the own placements in the table of work and tells the other entry instances."""
 
-    __slots__ = ("_clock", "_note", "_tell", "_works")
+    __slots__ = ("_clock", "_note", "_tell", "_told_paces", "_works")
 
     def __init__(
         self,
@@ -53,6 +73,7 @@
         self._tell = tell
         self._note = note
         self._clock = clock
+        self._told_paces: dict[str, float] = {}
 
     def own_ids(self) -> tuple[str, ...]:
         """Return the ids of the own placed requests."""
@@ -91,5 +112,18 @@
         self._works.begin_writing(opened.placed.request_id, self._now())
         self._tell(Writing(opened.placed.request_id))
 
+    def note_event(self, opened: OpenPlacement) -> None:
+        """Note an event of a placed request, and tell the others when its engine is slow."""
+        pause = opened.note_event(self._clock.monotonic())
+        target_id = opened.placed.lead
+        work = self._works.get(target_id)
+        if pause is None or work is None:
+            return
+        work.observe_pace(pause.total_seconds(), self._now())
+        told = self._told_paces.get(target_id, 1.0)
+        if max(work.pace, told) > PACE_CHANGE * min(work.pace, told):
+            self._told_paces[target_id] = work.pace
+            self._tell(PaceNotice(target_id, work.pace))
+
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
@@ -10,6 +10,8 @@
     MAX_HELPERS,
     MAX_HOLDERS,
     MEMORY_SHARE,
+    MIN_WRITE_SECONDS,
+    NEVER_FITS_COST,
     NO_MEMORY_COST,
     SPLIT_SECONDS,
     WAIT_COST,
@@ -50,7 +52,16 @@
 class PromptSearch:
     """Finds the cheapest way to place one prompt."""
 
-    __slots__ = ("_allowed", "_now", "_profile", "_request", "_size", "_states")
+    __slots__ = (
+        "_allowed",
+        "_now",
+        "_profile",
+        "_request",
+        "_short_rate",
+        "_short_value",
+        "_size",
+        "_states",
+    )
 
     def __init__(
         self,
@@ -60,18 +71,27 @@
         states: list[EngineState],
         allowed: float,
         now: float,
+        short_rate: tuple[float, float],
     ) -> None:
+        """Take the time allowed for the first event, and the rate and value of short requests."""
         self._request = request
         self._size = size
         self._profile = profile
         self._states = states
         self._allowed = allowed
         self._now = now
+        self._short_rate, self._short_value = short_rate
 
     @property
     def _value(self) -> float:
         return request_value(self._size, self._profile)
 
+    @property
+    def _no_memory_cost(self) -> float:
+        """Return the cost of engines that do not have the memory free."""
+        never = self._size.total > self._profile.memory_tokens * MEMORY_SHARE
+        return self._value * (NEVER_FITS_COST if never else NO_MEMORY_COST)
+
     def best(self) -> Way:
         """Return the cheapest way."""
         read = self._profile.read_seconds(self._size.prompt)
@@ -89,7 +109,7 @@
         finish = whole_finish(state, read)
         cost = self._own_cost(finish) + pause_harm(state, read) + self._lead_cost(state)
         if self._holds(state, []) is None:
-            cost += NO_MEMORY_COST * self._value
+            cost += self._no_memory_cost
         if read <= SPLIT_SECONDS and not self._has_alike(state):
             cost += EMPTY_ENGINE_COST * self._value
         return Way(cost, finish, (state,))
@@ -119,17 +139,31 @@
         lead = min(chosen, key=lambda state: (self._lead_cost(state), state.slot_wait))
         finish = max(finish, lead.slot_wait + part_finish(lead, part))
         cost = self._own_cost(finish) + harm + sum(delayed.values()) + self._lead_cost(lead)
-        cost += ENGINE_COST * self._value * (count - 1)
+        cost += ENGINE_COST * self._value * (count - 1) + self._crowding(chosen, part)
         others = [state for state in chosen if state is not lead]
         others.sort(key=self._free, reverse=True)
         holds = self._holds(lead, others)
         if holds is None:
-            cost += NO_MEMORY_COST * self._value
+            cost += self._no_memory_cost
         return Way(cost, finish, (lead, *others), holds or ())
 
     def _delay(self, state: EngineState, part: float) -> float:
         return sum(delay_harm(state, part, self._now).values())
 
+    def _crowding(self, chosen: list[EngineState], part: float) -> float:
+        """Return the value that short requests lose which come while these engines read.
+
+        Those that find no slot on the other engines are late. Slots there become free at the rate
+        at which usual answers end.
+        """
+        taken = {id(state) for state in chosen}
+        others = [state for state in self._states if id(state) not in taken]
+        free = sum(max(0, state.work.slots - state.leads) for state in others)
+        slots = sum(state.work.slots for state in others)
+        ended = slots * part / max(MIN_WRITE_SECONDS, self._profile.usual_write_seconds)
+        excess = self._short_rate * part - free - ended
+        return LATE_SHARE * self._short_value * max(0.0, excess)
+
     def _own_cost(self, finish: float) -> float:
         late = lateness(finish, self._allowed) if self._allowed > 0 else 1.0
         objective = self._request.route.objective.total_seconds()
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
@@ -49,9 +49,13 @@
         """Reserve memory; cancellation waits for the answer, so that its id is not lost."""
         with trio.CancelScope(shield=True):
             outcome = await self._port.reserve(target, owner, tokens)
-        if isinstance(outcome, Reserved):
-            renew_at = self._clock.monotonic() + self._renewal
-            self._held[outcome.reservation_id] = _Reservation(target, renew_at)
+        match outcome:
+            case Reserved(reservation_id=reservation_id):
+                renew_at = self._clock.monotonic() + self._renewal
+                self._held[reservation_id] = _Reservation(target, renew_at)
+            case ReservationRefused(uncertain=True):
+                self._returns.append((target, owner))
+                self._wake.set()
         return outcome
 
     def give_back(self, reservation_id: str) -> None:
--- a/packages/entry/src/wasabiwell_entry/protocol/notices.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/notices.py
@@ -10,6 +10,7 @@
     NodeAddresses,
     NodeState,
     Notice,
+    PaceNotice,
     Placing,
     Suspicion,
     Writing,
@@ -18,6 +19,7 @@
 KINDS: tuple[type[Notice], ...] = (
     Placing,
     Writing,
+    PaceNotice,
     Ending,
     Suspicion,
     ListingNotice,
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -62,6 +62,13 @@
     request_id: str
 
 
+class PaceNotice(msgspec.Struct, frozen=True, array_like=True):
+    """A target takes `pace` times as long as usual."""
+
+    target_id: str
+    pace: float
+
+
 class Ending(msgspec.Struct, frozen=True, array_like=True):
     """A placed request has ended; the verdict is that on its lead."""
 
@@ -119,4 +126,6 @@
     addresses: tuple[str, ...]
 
 
-Notice = Placing | Writing | Ending | Suspicion | ListingNotice | NodeState | NodeAddresses
+Notice = (
+    Placing | Writing | PaceNotice | Ending | Suspicion | ListingNotice | NodeState | NodeAddresses
+)
--- a/packages/entry/src/wasabiwell_entry/state/routes.py
+++ b/packages/entry/src/wasabiwell_entry/state/routes.py
@@ -86,6 +86,11 @@
         """Return the seconds between the events of a sequence that writes alone."""
         return self.stride * (self.step + self.step_per_sequence)
 
+    @property
+    def usual_write_seconds(self) -> float:
+        """Return the seconds that the usual answer takes to write."""
+        return self.usual_output_tokens * self.event_interval / self.stride
+
     def read_seconds(self, tokens: int) -> float:
         """Return how long an idle engine reads a prompt, in seconds."""
         pairs = tokens * tokens / 2
--- a/packages/entry/src/wasabiwell_entry/state/work.py
+++ b/packages/entry/src/wasabiwell_entry/state/work.py
@@ -4,6 +4,7 @@
 on them.
 """
 
+from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -15,6 +16,14 @@
 """Part of a request's value that is lost when it is late; both users' price lists have 0.75."""
 EXPIRY_FACTOR = 4.0
 """Placements that last this many times longer than expected are dropped as forgotten."""
+PACE_WEIGHT = 0.4
+"""Weight of a new observation of an engine's pace against what was known before."""
+PACE_HALF_LIFE_SECONDS = 4.0
+"""An engine that gets no requests is believed to be half as slow after this, so that it is tried
+again."""
+MAX_PACE = 20.0
+ARRIVALS_SECONDS = 2.0
+"""Time over which the rate of short requests is taken; the users' mixes change within seconds."""
 MIN_EXPIRY_SECONDS = 20.0
 """Placements are kept at least this long: no route of the users waits longer."""
 OUTPUT_TOKEN_VALUE = 10
@@ -71,7 +80,10 @@
 
 @dataclass(slots=True, eq=False)
 class TargetWork:
-    """What is placed on one target; `profile` is None for targets of plain services."""
+    """What is placed on one target; `profile` is None for targets of plain services.
+
+    `pace` is how many times as long as usual the target takes; it is 1 for a sound one.
+    """
 
     target: Target
     profile: EngineProfile | None
@@ -116,12 +128,22 @@
         parts = [item for item in waiting if item.part]
         return [*reversed(parts), *(item for item in waiting if not item.part)]
 
+    def observe_pace(self, event_gap: float, now: float) -> None:
+        """Take over an undisturbed time between two events of a stream, in seconds."""
+        self.advance(now)
+        usual = self.pass_seconds(self.writers()) / self.pace
+        if usual > 0:
+            observed = min(MAX_PACE, max(1.0, event_gap / usual))
+            self.pace += PACE_WEIGHT * (observed - self.pace)
+
     def advance(self, now: float) -> None:
         """Work off reading and writing up to a time."""
-        elapsed = (now - self.updated) / self.pace
+        seconds = now - self.updated
         self.updated = max(self.updated, now)
-        if elapsed <= 0 or self.profile is None:
+        if seconds <= 0 or self.profile is None:
             return
+        elapsed = seconds / self.pace
+        self.pace = 1.0 + (self.pace - 1.0) * 0.5 ** (seconds / PACE_HALF_LIFE_SECONDS)
         self._write(elapsed)
         for resident in self.reading_order():
             done = min(elapsed, resident.read_left)
@@ -174,12 +196,13 @@
 class WorkTable:
     """Work by target; one entry instance owns one table."""
 
-    __slots__ = ("_by_service", "_placed", "_works")
+    __slots__ = ("_arrivals", "_by_service", "_placed", "_works")
 
     def __init__(self) -> None:
         self._works: dict[str, TargetWork] = {}
         self._by_service: dict[str, list[TargetWork]] = {}
         self._placed: dict[str, Placed] = {}
+        self._arrivals: dict[str, deque[tuple[float, float]]] = {}
 
     def __len__(self) -> int:
         return len(self._works)
@@ -220,10 +243,30 @@
         """Add a request to the targets on which it is placed."""
         self.remove(placed.request_id, now)
         self._placed[placed.request_id] = placed
+        if placed.size is not None and not placed.helpers:
+            self._note_arrival(placed, placed.size, now)
         for target_id in (placed.lead, *placed.helpers):
             if (work := self._works.get(target_id)) is not None:
                 work.add(placed, now)
 
+    def value_rate(self, service: str, now: float) -> tuple[float, float]:
+        """Return the rate of requests that one engine reads, in 1/s, and their mean value."""
+        arrivals = self._arrivals.get(service)
+        if not arrivals:
+            return 0.0, 0.0
+        _forget(arrivals, now)
+        if not arrivals:
+            return 0.0, 0.0
+        return len(arrivals) / ARRIVALS_SECONDS, sum(value for _, value in arrivals) / len(arrivals)
+
+    def _note_arrival(self, placed: Placed, size: PromptSize, now: float) -> None:
+        work = self._works.get(placed.lead)
+        if work is None or work.profile is None:
+            return
+        arrivals = self._arrivals.setdefault(placed.service, deque())
+        arrivals.append((now, request_value(size, work.profile)))
+        _forget(arrivals, now)
+
     def begin_writing(self, request_id: str, now: float) -> None:
         """Note the first event of a request."""
         placed = self._placed.get(request_id)
@@ -260,6 +303,11 @@
                 self.remove(placed.request_id, now)
 
 
+def _forget(arrivals: deque[tuple[float, float]], now: float) -> None:
+    while arrivals and arrivals[0][0] < now - ARRIVALS_SECONDS:
+        arrivals.popleft()
+
+
 def request_value(size: PromptSize, profile: EngineProfile) -> float:
     """Return what a request is worth, relative to the usual request of its service."""
     usual = profile.usual_prompt_tokens + OUTPUT_TOKEN_VALUE * profile.usual_output_tokens
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -66,6 +66,7 @@
       | kind          |
       | Placing       |
       | Writing       |
+      | PaceNotice    |
       | Ending        |
       | Suspicion     |
       | ListingNotice |
--- a/tests/entry/coordination/forwarding/forwarding.feature
+++ b/tests/entry/coordination/forwarding/forwarding.feature
@@ -111,3 +111,10 @@
     When the target answers
     Then peers were told "Placing Writing Ending"
     And the verdict on the target is "answered"
+
+  Scenario: A helper that does not reserve its part is replaced by another one
+    Given a resumable stream route for long prompts
+    And engines "e08 e07" have no memory to reserve
+    When a prompt of 700000 tokens is answered
+    Then helpers held parts of it, each under a reservation of its own
+    And 1 target got the request
--- a/tests/entry/coordination/placement/placement.feature
+++ b/tests/entry/coordination/placement/placement.feature
@@ -34,6 +34,17 @@
     When a medium prompt of 45000 tokens is placed
     Then no part takes longer than 150 ms
 
+  Scenario Outline: A giant prompt leaves engines to the short requests that will come
+    Given 8 engines
+    When <rate> short requests a second have come for 2 seconds and have ended
+    And a long prompt of 900000 tokens is placed
+    Then it is split over <most> engines at most
+
+    Examples:
+      | rate | most |
+      | 2    | 8    |
+      | 30   | 5    |
+
   Scenario: A later long prompt avoids delaying one that is about to be late
     Given 4 engines
     And a prompt of 400000 tokens, due 0.6 s later, is read on "e00" and "e01"
--- a/tests/entry/state/work.feature
+++ b/tests/entry/state/work.feature
@@ -25,6 +25,21 @@
     When it ends
     Then the helper has 0 tokens in use
 
+  Scenario: An engine that writes slowly is known to, until it was left alone for a while
+    Given an engine on which a prompt of 1000 tokens was placed
+    When its reading time has passed
+    And events come 4 times as slowly as usual, 12 of them
+    Then its pace is over 3.5
+    And its passes are predicted to be as slow as its events
+    When it gets no requests for 16 seconds
+    Then its pace is under 1.3
+
+  Scenario: Pauses while an engine reads do not make it slow
+    Given an engine on which a prompt of 1000 tokens was placed
+    When its reading time has passed
+    And events come 1 times as slowly as usual, 12 of them
+    Then its pace is under 1.1
+
   Scenario: An engine that started anew has no work
     Given an engine on which a prompt of 100000 tokens was placed
     When the engine is listed with another incarnation
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -25,6 +25,7 @@
     NodeAddresses,
     NodeState,
     Notice,
+    PaceNotice,
     PlacementNotice,
     Placing,
     ServiceUse,
@@ -262,6 +263,7 @@
         PlacementNotice("r", "s", "e1", ("e2", "e3"), 1, 2, 3, 4, 5, 6, True, (7, 0))
     ),
     "Writing": Writing("r"),
+    "PaceNotice": PaceNotice("e1", 2.5),
     "Ending": Ending("r", "e1", AttemptVerdict.LOST),
     "Suspicion": Suspicion("f", ("e1@1",)),
     "ListingNotice": ListingNotice(
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -112,6 +112,11 @@
     context.reservations.refusing.add(target_id)
 
 
+@given('engines "{target_ids}" have no memory to reserve')
+def step_no_memory_on(context: Context, target_ids: str) -> None:
+    context.reservations.refusing.update(target_ids.split())
+
+
 @when("the first target breaks off")
 def step_breaks(context: Context) -> None:
     play(context, [[BROKEN], answer()])
--- a/tests/steps/entry/coordination/placement_steps.py
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -92,6 +92,19 @@
         )
 
 
+@when("{rate:d} short requests a second have come for 2 seconds and have ended")
+def step_rate(context: Context, rate: int) -> None:
+    works, now = context.engines.works, context.engines.now
+    for number in range(rate * 2):
+        works.add(make_placed("e00", 5_000, request_id=f"past{number}"), now)
+        works.remove(f"past{number}", now)
+
+
+@then("it is split over {count:d} engines at most")
+def step_split_at_most(context: Context, count: int) -> None:
+    assert 1 < len(engines_of(context)) <= count, engines_of(context)
+
+
 @when("{count:d} short request is placed")
 @when("{count:d} short requests are placed")
 def step_place_short(context: Context, count: int) -> None:
--- a/tests/steps/entry/state/work_steps.py
+++ b/tests/steps/entry/state/work_steps.py
@@ -38,6 +38,38 @@
     context.works.get(LEAD).advance(context.seconds + 0.001)
 
 
+@when("events come {factor:d} times as slowly as usual, {count:d} of them")
+def step_slow(context: Context, factor: int, count: int) -> None:
+    work = context.works.get(LEAD)
+    context.gap = factor * PROFILE.event_interval
+    now = context.seconds
+    for _ in range(count):
+        now += context.gap
+        work.observe_pace(context.gap, now)
+    context.now = now
+
+
+@when("it gets no requests for {seconds:d} seconds")
+def step_alone(context: Context, seconds: int) -> None:
+    context.works.get(LEAD).advance(context.now + seconds)
+
+
+@then("its pace is over {pace:g}")
+def step_pace_over(context: Context, pace: float) -> None:
+    assert context.works.get(LEAD).pace > pace, context.works.get(LEAD).pace
+
+
+@then("its pace is under {pace:g}")
+def step_pace_under(context: Context, pace: float) -> None:
+    assert context.works.get(LEAD).pace < pace, context.works.get(LEAD).pace
+
+
+@then("its passes are predicted to be as slow as its events")
+def step_predicted(context: Context) -> None:
+    work = context.works.get(LEAD)
+    assert 0.8 < work.pass_seconds(work.writers()) / context.gap < 1.2
+
+
 @when('the first event of "{name}" arrives')
 def step_first(context: Context, name: str) -> None:
     context.works.begin_writing(name, 0.0)
