Enter only a few instances in the store

Change: the first five instances in the order of addresses are entered, and the store is asked for peers only when none is heard.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -19,5 +19,12 @@
 """A peer that was not heard for this long is not sent to any more."""
 SWEEP_INTERVAL = timedelta(milliseconds=250)
 """Time between looks for silent peers."""
+REGISTERED_INSTANCES = 5
+"""Instances, the first in the order of addresses, whose address is in the platform's store. One
+that starts finds all others through any of them, or through a seed."""
+REGISTER_DELAY = timedelta(milliseconds=400)
+"""Time to hear peers through the seeds before the store is asked; calls to it are priced."""
+REGISTER_INTERVAL = timedelta(seconds=5)
+"""Time between looks whether this instance has to be entered, or hears nobody."""
 REGISTER_RETRY_INTERVAL = timedelta(seconds=2)
 """Time between tries to enter this instance in the platform's store while that is away."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -11,7 +11,10 @@
     LISTED_TIMEOUT,
     MAX_STATE_INTERVAL,
     PEERS_AT_STATE_INTERVAL,
+    REGISTER_DELAY,
+    REGISTER_INTERVAL,
     REGISTER_RETRY_INTERVAL,
+    REGISTERED_INSTANCES,
     SILENT_INTERVALS,
     STATE_INTERVAL,
     SWEEP_INTERVAL,
@@ -229,15 +232,26 @@
         self._works.expire(now)
 
     async def _register(self) -> None:
-        """Enter this instance in the platform's store and meet those that are there."""
+        """Keep a few instances in the platform's store, and find peers there when none is heard."""
+        await self._clock.sleep(REGISTER_DELAY)
+        registered = False
         while True:
-            failed = await self._directory.register(self._own_address)
-            addresses = await self._directory.addresses() if failed is None else failed
-            if not isinstance(addresses, StoreUnavailable):
-                for address in addresses:
-                    self.meet(address)
-                return
-            await self._clock.sleep(REGISTER_RETRY_INTERVAL)
+            failed: StoreUnavailable | None = None
+            if not registered and self.rank() < REGISTERED_INSTANCES:
+                failed = await self._directory.register(self._own_address)
+                registered = failed is None
+            if failed is None and not self.peers():
+                failed = await self._meet_registered()
+            retry = REGISTER_INTERVAL if failed is None else REGISTER_RETRY_INTERVAL
+            await self._clock.sleep(retry)
+
+    async def _meet_registered(self) -> StoreUnavailable | None:
+        addresses = await self._directory.addresses()
+        if isinstance(addresses, StoreUnavailable):
+            return addresses
+        for address in addresses:
+            self.meet(address)
+        return None
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/ports.py
@@ -30,8 +30,5 @@
     async def register(self, address: str) -> StoreUnavailable | None:
         """Enter an address."""
 
-    async def withdraw(self, address: str) -> StoreUnavailable | None:
-        """Remove an address."""
-
     async def addresses(self) -> list[str] | StoreUnavailable:
         """Return the addresses that were entered."""
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -59,6 +59,16 @@
     When no peer is heard for 8 seconds
     Then states were sent to "10.0.0.9:7"
 
+  Scenario: An instance that hears peers does not ask the store for them
+    Given an instance that follows its peers, with the store at hand
+    When only peer "10.0.0.0:7" is heard for 8 seconds in a run
+    Then it entered its own address once and asked for no others
+
+  Scenario: Most instances are not entered in the store
+    Given an instance that follows its peers, with the store at hand
+    When 6 peers with lower addresses are heard for 8 seconds in a run
+    Then it entered nothing
+
   Scenario Outline: Messages arrive as they were sent
     Then a message of kind "<kind>" is the same after encoding and decoding
 
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -61,19 +61,20 @@
     def __init__(self, away: float = 0.0, names: tuple[str, ...] = ()) -> None:
         self.away = away
         self.names = names
+        self.registered: list[str] = []
+        self.asked = 0
 
     async def register(self, address: str) -> StoreUnavailable | None:
         """Take an address unless it is away."""
         await trio.lowlevel.checkpoint()
-        return StoreUnavailable("away") if trio.current_time() < self.away else None
-
-    async def withdraw(self, address: str) -> StoreUnavailable | None:
-        """Do nothing."""
-        await trio.lowlevel.checkpoint()
+        if trio.current_time() < self.away:
+            return StoreUnavailable("away")
+        self.registered.append(address)
         return None
 
     async def addresses(self) -> list[str] | StoreUnavailable:
         """Return the names."""
+        self.asked += 1
         await trio.lowlevel.checkpoint()
         return list(self.names)
 
@@ -170,8 +171,35 @@
     context.exchange.receive(context.peer, state_of(context.peer, 1))
 
 
-def pass_time(context: Context, seconds: int, heard: str | None) -> None:
-    """Let an instance run, with one peer heard four times a second."""
+@given("an instance that follows its peers, with the store at hand")
+def step_follows(context: Context) -> None:
+    context.directory = FakeDirectory(0.0, ("10.0.0.9:7",))
+    open_exchange(context, context.directory, SystemClock())
+
+
+@when('only peer "{address}" is heard for {seconds:d} seconds in a run')
+def step_only_run(context: Context, address: str, seconds: int) -> None:
+    pass_time(context, seconds, [address])
+
+
+@when("{count:d} peers with lower addresses are heard for {seconds:d} seconds in a run")
+def step_many_run(context: Context, count: int, seconds: int) -> None:
+    pass_time(context, seconds, [f"10.0.0.0:{port}" for port in range(1, count + 1)])
+
+
+@then("it entered its own address once and asked for no others")
+def step_entered_once(context: Context) -> None:
+    assert context.directory.registered == [OWN], context.directory.registered
+    assert context.directory.asked == 0
+
+
+@then("it entered nothing")
+def step_entered_nothing(context: Context) -> None:
+    assert not context.directory.registered, context.directory.registered
+
+
+def pass_time(context: Context, seconds: int, heard: list[str]) -> None:
+    """Let an instance run, with peers heard four times a second."""
 
     async def run() -> None:
         context.clock = SystemClock()
@@ -179,8 +207,8 @@
             nursery.start_soon(context.exchange.run)
             for _ in range(seconds * 4):
                 await trio.sleep(0.25)
-                if heard is not None:
-                    hear(context, heard)
+                for address in heard:
+                    hear(context, address)
             nursery.cancel_scope.cancel()
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -197,7 +225,7 @@
 @when("no peer is heard for {seconds:d} seconds")
 def step_none(context: Context, seconds: int) -> None:
     if isinstance(context.clock, SystemClock):
-        pass_time(context, seconds, None)
+        pass_time(context, seconds, [])
         return
     for _ in range(seconds * 4):
         advance(context)
