--- a/tests/steps/entry/transport/telemetry/otlp_steps.py
+++ b/tests/steps/entry/transport/telemetry/otlp_steps.py
@@ -164,4 +164,5 @@
 
 @then("the log has event {number:d}")
 def step_event(context: Context, number: int) -> None:
-    context.fleet.wait_until(lambda: f"[{number}]" in context.fleet.log("entry-0"), "the event")
+    text = f'"event":{number},'
+    context.fleet.wait_until(lambda: text in context.fleet.log("entry-0"), "the event")
