Log messages of the exporters' threads on the event loop's thread

Cause: LineBuffer wakes its writer by a trio event, which only the event loop's thread may set. OpenTelemetry logs in the threads of its exporters, so each message about a receiver that is down ended in a RuntimeError and event 107 never reached the log.

--- a/packages/entry/src/wasabiwell_entry/transport/telemetry/lifetime.py
+++ b/packages/entry/src/wasabiwell_entry/transport/telemetry/lifetime.py
@@ -17,12 +17,21 @@
 
 
 class _EventHandler(logging.Handler):
-    """Passes messages of the OpenTelemetry libraries on as log events."""
+    """Passes messages of the OpenTelemetry libraries on as log events.
+
+    The libraries log in threads of their own, and log lines are kept on the event loop's thread.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(logging.WARNING)
+        self._token = trio.lowlevel.current_trio_token()
 
     def emit(self, record: logging.LogRecord) -> None:
-        log_events.emit(
-            log_events.TELEMETRY_FAILED, library=record.name, message=record.getMessage()
-        )
+        self._token.run_sync_soon(_log_failure, record.name, record.getMessage())
+
+
+def _log_failure(library: str, message: str) -> None:
+    log_events.emit(log_events.TELEMETRY_FAILED, library=library, message=message)
 
 
 @asynccontextmanager
@@ -33,7 +42,7 @@
     if not endpoint:
         yield NO_TELEMETRY
         return
-    handler = _EventHandler(logging.WARNING)
+    handler = _EventHandler()
     logger = logging.getLogger("opentelemetry")
     logger.addHandler(handler)
     logger.propagate = False
