--- a/standins/wasabiwell_standins/fleet.py
+++ b/standins/wasabiwell_standins/fleet.py
@@ -23,7 +23,6 @@
 
 HOST = "127.0.0.1"
 START_TIMEOUT_SECONDS = 30.0
-STOP_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.05
 
 
--- a/standins/wasabiwell_standins/measure_relay.py
+++ b/standins/wasabiwell_standins/measure_relay.py
@@ -17,7 +17,6 @@
 from wasabiwell_standins.fleet import HOST, Fleet, Process, free_ports, open_fleet, request
 
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-STEP_S = 0.015
 PROMPT_TOKENS = 200
 
 
--- a/standins/wasabiwell_standins/users_platform/soak.py
+++ b/standins/wasabiwell_standins/users_platform/soak.py
@@ -53,7 +53,6 @@
 MAX_RESIDENT_BYTES = 160 * 1024 * 1024
 """A process that holds more than this after a soak keeps what it should have given up."""
 PROXY_PORT = 8081
-PROXY_FAULTS = ("reset", "cut", "delay", "silent_to_server", "silent_to_client")
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/steps/platform/soak_steps.py
@@ -0,0 +1,27 @@
+"""Steps for short soaks."""
+
+import tempfile
+from pathlib import Path
+
+import trio
+from behave import then, when
+from behave.runner import Context
+from wasabiwell_standins.users_platform.soak import soak_seed
+from wasabiwell_standins.users_platform.world import WorldSize
+
+BLOCK = 90
+"""Second number of the processes' IP addresses, apart from those of other features."""
+
+
+@when("the faults of seed {seed:d} are injected for {seconds:d} seconds")
+def step_soak(context: Context, seed: int, seconds: int) -> None:
+    folder = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
+    size = WorldSize(entries=4, engines=6, plain=3, block=BLOCK)
+    context.report = trio.run(soak_seed, seed, seconds, size, folder)
+
+
+@then("the soak finds nothing")
+def step_finds_nothing(context: Context) -> None:
+    report = context.report
+    assert report.replies > 0
+    assert not report.findings, "\n".join([*report.findings, "happened:", *report.happened])
