--- a/tests/steps/platform/soak_steps.py
+++ b/tests/steps/platform/soak_steps.py
@@ -9,7 +9,7 @@
 from wasabiwell_standins.users_platform.soak import soak_seed
 from wasabiwell_standins.users_platform.world import WorldSize
 
-BLOCK = 90
+BLOCK = 77
 """Second number of the processes' IP addresses, apart from those of other features."""
 
 
