--- /dev/null
+++ b/standins/wasabiwell_standins/measure_logs.py
@@ -0,0 +1,88 @@
+"""Measures requests while the logs of the entry processes are read, and while nobody reads them."""
+
+import fcntl
+import os
+import statistics
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import click
+import trio
+
+from wasabiwell_standins.measure_relay import cpu_seconds
+from wasabiwell_standins.users_platform.caller import Caller, Order, Reply
+from wasabiwell_standins.users_platform.world import World, WorldSize, open_world
+
+PIPE_BYTES = 4096
+"""Smallest size of a pipe, which is filled before the run when its reader is blocked."""
+SIZE = WorldSize(entries=2, engines=4, plain=1, block=78)
+WARM_UP_SECONDS = 2.0
+
+
+@contextmanager
+def blocked_pipe() -> Iterator[int]:
+    """Return the end to write to of a pipe that is full and that nobody reads."""
+    reader, writer = os.pipe()
+    try:
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+        os.write(writer, b"\n" * PIPE_BYTES)
+        yield writer
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+async def send_all(world: World, rate: float, seconds: float) -> list[Reply]:
+    """Send short prompts at a rate and return what came of them."""
+    caller, replies = world.caller(), list[Reply]()
+
+    async def send(sender: Caller, order: Order) -> None:
+        replies.append(await sender.send(order))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(round(rate * seconds)):
+            nursery.start_soon(send, caller, world.order("short"))
+            await trio.sleep(1 / rate)
+    return replies
+
+
+async def measure(output: int | None, rate: float, seconds: float, folder: Path) -> str:
+    """Return a row of the table for one way to write logs."""
+
+    async def prepare(world: World) -> None:
+        await trio.lowlevel.checkpoint()
+        for entry in world.entries:
+            entry.output = output
+
+    async with open_world(SIZE, folder, prepare) as world:
+        await send_all(world, rate, WARM_UP_SECONDS)
+        processes = [entry.process.pid for entry in world.entries if entry.process is not None]
+        before = sum(cpu_seconds(pid) for pid in processes)
+        replies = await send_all(world, rate, seconds)
+        used = sum(cpu_seconds(pid) for pid in processes) - before
+    whole = [reply for reply in replies if reply.status == 200 and reply.whole]
+    firsts = sorted(reply.first_s for reply in whole if reply.first_s is not None)
+    tail = statistics.quantiles(firsts, n=100)[98]
+    figures = (statistics.median(firsts), tail, used / len(replies))
+    times = " | ".join(f"{1000 * value:.1f}" for value in figures)
+    return f"{len(whole)} of {len(replies)} | {times}"
+
+
+@click.command()
+@click.option("--rate", default=40.0, show_default=True, help="Requests a second.")
+@click.option("--seconds", default=15.0, show_default=True, help="Time that is measured.")
+def main(rate: float, seconds: float) -> None:
+    """Compare a reader of the logs that reads, one that is blocked, and none."""
+    click.echo("| logs | whole answers | first event p50, ms | p99, ms | entry CPU, ms a request |")
+    click.echo("|---|---|---|---|---|")
+    with blocked_pipe() as blocked, Path(os.devnull).open("wb") as nothing:
+        for name, output in (("file", None), ("blocked pipe", blocked), ("null", nothing.fileno())):
+            with tempfile.TemporaryDirectory() as folder:
+                row = trio.run(measure, output, rate, seconds, Path(folder))
+            click.echo(f"| {name} | {row} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/wasabiwell_standins/users_platform/world.py
+++ b/standins/wasabiwell_standins/users_platform/world.py
@@ -59,13 +59,17 @@
 
 @dataclass(slots=True)
 class EntryProcess:
-    """An entry process, which keeps its IP address over its restarts."""
+    """An entry process, which keeps its IP address over its restarts.
+
+    It writes to its log file, or to the file descriptor `output` if that is given.
+    """
 
     name: str
     ip: str
     zone: str
     folder: Path
     process: subprocess.Popen[bytes] | None = None
+    output: int | None = None
 
     @property
     def alive(self) -> bool:
@@ -88,7 +92,7 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "wasabiwell_platform"],
                 env=environment,
-                stdout=log,
+                stdout=log if self.output is None else self.output,
                 stderr=subprocess.STDOUT,
             )
 
