--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -25,6 +25,7 @@
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
     Ending,
+    HelperLoss,
     ListingNotice,
     NodeAddresses,
     NodeState,
@@ -47,10 +48,11 @@
     """Receivers of what other entry instances tell, apart from placements.
 
     `routes_announced` takes the control address of a peer. `whole_listing` returns what a peer is
-    told that does not know any target, or None.
+    told that does not know any target, or None. `helper_lost` takes the id of a target.
     """
 
     ended: Callable[[Ending], None]
+    helper_lost: Callable[[str], None]
     suspected: Callable[[Suspicion], None]
     listed: Callable[[str, ListingNotice], None]
     routes_announced: Callable[[str, int], None]
@@ -167,6 +169,8 @@
             case Ending() as ending:
                 self._works.remove(ending.request_id, now)
                 self._observers.ended(ending)
+            case HelperLoss(target_id=target_id):
+                self._observers.helper_lost(target_id)
             case Suspicion() as suspicion:
                 self._observers.suspected(suspicion)
             case ListingNotice() as listing:
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -216,14 +216,17 @@
             outcome = await self._relay(attempt, sink, progress, opened, patience)
             if isinstance(outcome, Broken) and outcome.target_lost:
                 outcome = await self._confirm_loss(request, target, outcome)
-            opened.verdict = _verdict(outcome)
+            lost_helpers = _lost_helpers(attempt, outcome)
+            opened.verdict = AttemptVerdict.ABANDONED if lost_helpers else _verdict(outcome)
+            for target_id in lost_helpers:
+                self._ledger.lose_helper(target_id)
         self._log_end(attempt, placement, progress, opened, sent, outcome)
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
         if opened.verdict is AttemptVerdict.ANSWERED:
             self._crashes.finished(request.fingerprint)
         else:
-            self._note_failure(attempt, outcome, progress)
+            progress.excluded.update(lost_helpers or [target.target_id])
         return outcome
 
     async def _confirm_loss(
@@ -236,17 +239,6 @@
         self._crashes.crashed(request.fingerprint, name)
         return broken
 
-    def _note_failure(
-        self, attempt: ForwardAttempt, outcome: AttemptOutcome, progress: _Progress
-    ) -> None:
-        at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
-        faulty = [
-            helper.target.target_id
-            for helper in attempt.helpers
-            if at_fault is not None and helper.target.address == at_fault
-        ]
-        progress.excluded.update(faulty or [attempt.target.target_id])
-
     def _log_end(
         self,
         attempt: ForwardAttempt,
@@ -403,6 +395,15 @@
             return AttemptVerdict.FAILED
 
 
+def _lost_helpers(attempt: ForwardAttempt, outcome: AttemptOutcome) -> list[str]:
+    """Return the ids of the helpers to which a lead puts down that it did not run a request."""
+    at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
+    if at_fault is None:
+        return []
+    helpers = [helper.target for helper in attempt.helpers]
+    return [item.target_id for item in helpers if at_fault in (item.address, item.target_id)]
+
+
 def _inputs(attempt: ForwardAttempt, placement: Placement) -> dict[str, object]:
     """Return what decided where a request was sent."""
     size = attempt.request.size
@@ -432,7 +433,9 @@
             return f"status {head.status}"
         case NotSent(reason=reason):
             return f"not sent: {reason}"
-        case NotRun(reason=reason):
+        case NotRun(reason=reason, at_fault=None):
             return f"not run: {reason}"
+        case NotRun(reason=reason, at_fault=at_fault):
+            return f"not run: {reason}, at fault: {at_fault}"
         case Broken(reason=reason):
             return f"broken: {reason}"
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -12,6 +12,7 @@
 from wasabiwell_entry.state.exchange import (
     AttemptVerdict,
     Ending,
+    HelperLoss,
     Notice,
     PaceNotice,
     Placing,
@@ -105,6 +106,11 @@
             self._tell(Ending(placed.request_id, placed.lead, opened.verdict))
             self._note(placed.lead, opened.verdict)
 
+    def lose_helper(self, target_id: str) -> None:
+        """Note that a target is gone that was to help, and tell the others."""
+        self._note(target_id, AttemptVerdict.LOST)
+        self._tell(HelperLoss(target_id))
+
     def begin_writing(self, opened: OpenPlacement) -> None:
         """Note the first event of a placed request."""
         opened.placed = replace(opened.placed, writing=True)
--- a/packages/entry/src/wasabiwell_entry/protocol/notices.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/notices.py
@@ -6,6 +6,7 @@
 
 from wasabiwell_entry.state.exchange import (
     Ending,
+    HelperLoss,
     ListingNotice,
     NodeAddresses,
     NodeState,
@@ -25,6 +26,7 @@
     ListingNotice,
     NodeState,
     NodeAddresses,
+    HelperLoss,
 )
 """The first byte of a datagram is the place of its message's type in this list."""
 
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -77,6 +77,12 @@
     verdict: AttemptVerdict
 
 
+class HelperLoss(msgspec.Struct, frozen=True, array_like=True):
+    """A target is gone that was to read a part of a prompt; the lead of the request has said so."""
+
+    target_id: str
+
+
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
     """Targets died while they ran a request; with no targets the request is cleared."""
 
@@ -127,5 +133,13 @@
 
 
 Notice = (
-    Placing | Writing | PaceNotice | Ending | Suspicion | ListingNotice | NodeState | NodeAddresses
+    Placing
+    | Writing
+    | PaceNotice
+    | Ending
+    | Suspicion
+    | ListingNotice
+    | NodeState
+    | NodeAddresses
+    | HelperLoss
 )
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -10,6 +10,11 @@
     Then engine "e00" has 0 requests
     And the verdict "failed" on engine "e00" was taken over
 
+  Scenario: A helper that a peer has lost gets no requests here
+    Given an instance that hears peer "10.0.0.2:7"
+    When the peer tells that helper "e01" is gone
+    Then helper "e01" counts as lost here
+
   Scenario: A placement whose end was lost is dropped with the peer's next state
     Given an instance that hears peer "10.0.0.2:7"
     When the peer tells that it placed "r1" on engine "e00"
@@ -100,6 +105,7 @@
       | ListingNotice |
       | NodeState     |
       | NodeAddresses |
+      | HelperLoss    |
 
   Scenario: Bytes that are no message are rejected
     Then 200 random datagrams are either rejected or decoded
--- a/tests/entry/coordination/forwarding/forwarding.feature
+++ b/tests/entry/coordination/forwarding/forwarding.feature
@@ -112,6 +112,13 @@
     Then peers were told "Placing Writing Ending"
     And the verdict on the target is "answered"
 
+  Scenario: A helper that is gone is avoided by all instances, and the lead is not blamed
+    Given a resumable stream route for long prompts
+    When the first target refuses a prompt of 200000 tokens, as its first helper is gone
+    Then 2 targets got the request in turn
+    And the lost helper has no part of the second send, and peers were told of it
+    And the verdicts on the leads are "abandoned answered"
+
   Scenario: A helper that does not reserve its part is replaced by another one
     Given a resumable stream route for long prompts
     And engines "e08 e07" have no memory to reserve
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -24,6 +24,7 @@
 from wasabiwell_entry.state.exchange import (
     AttemptVerdict,
     Ending,
+    HelperLoss,
     ListingNotice,
     NodeAddresses,
     NodeState,
@@ -107,6 +108,7 @@
     context.works = WorkTable()
     context.works.update([(make_target(index), PROFILE) for index in range(2)], 0.0)
     context.endings = []
+    context.lost_helpers = []
     context.announced = []
     context.sequence = 0
     nodes = NodeTable()
@@ -120,6 +122,7 @@
         directory,
         ExchangeObservers(
             ended=context.endings.append,
+            helper_lost=context.lost_helpers.append,
             suspected=lambda suspicion: None,
             listed=lambda sender, notice: None,
             routes_announced=lambda address, version: context.announced.append((address, version)),
@@ -161,6 +164,16 @@
     context.exchange.receive(context.peer, ending)
 
 
+@when('the peer tells that helper "{target_id}" is gone')
+def step_helper_loss(context: Context, target_id: str) -> None:
+    context.exchange.receive(context.peer, HelperLoss(target_id))
+
+
+@then('helper "{target_id}" counts as lost here')
+def step_helper_lost(context: Context, target_id: str) -> None:
+    assert context.lost_helpers == [target_id]
+
+
 @when("the peer's next state names no placement")
 def step_state(context: Context) -> None:
     hear(context, context.peer)
@@ -350,6 +363,7 @@
     ),
     "NodeState": state_of("10.0.0.2:7", 4, uses=(ServiceUse("s", 1, 2),), placed=("r1", "r2")),
     "NodeAddresses": NodeAddresses(("10.0.0.2:7",)),
+    "HelperLoss": HelperLoss("e01"),
 }
 
 
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -8,6 +8,7 @@
 from behave.runner import Context
 from support.admission import FakeReservations
 from support.forwarding import (
+    FIRST_HELPER,
     Engines,
     RecordingSink,
     Script,
@@ -19,7 +20,7 @@
     stream,
 )
 from wasabiwell_entry.state.clock import SystemClock
-from wasabiwell_entry.state.exchange import Ending, Notice
+from wasabiwell_entry.state.exchange import Ending, HelperLoss, Notice
 from wasabiwell_entry.state.forwarding import (
     AnswerEvent,
     Broken,
@@ -173,6 +174,31 @@
     play(context, [[BROKEN]], prompt=2_000, times=times)
 
 
+@when("the first target refuses a prompt of {tokens:d} tokens, as its first helper is gone")
+def step_helper_gone(context: Context, tokens: int) -> None:
+    play(context, [[NotRun("status 503", at_fault=FIRST_HELPER)], stream(1, 3)], prompt=tokens)
+
+
+@then("{count:d} targets got the request in turn")
+def step_sends(context: Context, count: int) -> None:
+    assert len(context.targets.sent) == count
+
+
+@then("the lost helper has no part of the second send, and peers were told of it")
+def step_helper_avoided(context: Context) -> None:
+    first, second = context.targets.sent
+    lost = first.helpers[0].target.target_id
+    used = {second.target.target_id, *(helper.target.target_id for helper in second.helpers)}
+    assert lost not in used, used
+    assert [item.target_id for item in context.notices if isinstance(item, HelperLoss)] == [lost]
+
+
+@then('the verdicts on the leads are "{verdicts}"')
+def step_lead_verdicts(context: Context, verdicts: str) -> None:
+    endings = [item for item in context.notices if isinstance(item, Ending)]
+    assert " ".join(item.verdict.value for item in endings) == verdicts
+
+
 @when("a prompt of {tokens:d} tokens is answered")
 def step_prompt(context: Context, tokens: int) -> None:
     play(context, [stream(1, 3)], prompt=tokens)
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from random import Random
 
@@ -25,6 +25,7 @@
     AttemptItem,
     ForwardAttempt,
     ForwardedRequest,
+    NotRun,
     PromptSize,
 )
 from wasabiwell_entry.state.routes import EngineProfile, Route, RouteKind, ServiceShare
@@ -156,6 +157,8 @@
         return self.clock.monotonic().total_seconds()
 
 
+FIRST_HELPER = "first helper"
+"""Stands for the address of the first helper in a script."""
 Script = list[AttemptItem | float]
 """What a target does on one request; numbers are pauses in seconds."""
 
@@ -177,7 +180,9 @@
 
         async def items() -> AsyncIterator[AttemptItem]:
             for item in script:
-                if isinstance(item, float):
+                if isinstance(item, NotRun) and item.at_fault == FIRST_HELPER:
+                    yield replace(item, at_fault=attempt.helpers[0].target.address)
+                elif isinstance(item, float):
                     await trio.sleep(item)
                 else:
                     await trio.lowlevel.checkpoint()
