Send fewer and cheaper messages in large fleets

Change: the states to all peers leave in one wake of the process and are made once; in cells the first event of a request on one target is not told; three instances, not all, send the list to a newcomer.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/cells.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/cells.py
@@ -1,5 +1,6 @@
 """Decides what concerns only the entry instances of one zone of a large fleet."""
 
+import enum
 from collections import Counter
 
 from wasabiwell_entry.coordination.exchange.const import CELL_INSTANCES, CELL_TARGETS
@@ -8,12 +9,21 @@
 from wasabiwell_entry.state.work import WorkTable
 
 
+class Audience(enum.Enum):
+    """Whom a message concerns."""
+
+    ALL = "all"
+    ZONE = "zone"
+    NOBODY = "nobody"
+
+
 class ZoneCells:
     """Makes each zone a cell whose instances place most requests on the targets of that zone.
 
     Messages on requests that one target of the zone processes are then told in the zone only, so
     that their number grows with the instances of a zone. Split prompts are told to all, as another
-    zone may use the same targets when it has no room.
+    zone may use the same targets when it has no room. That such a request's first event has
+    arrived is not told: the others predict it.
     """
 
     __slots__ = ("_near", "_nodes", "_works", "_zone")
@@ -32,19 +42,19 @@
         zones = {node.state.zone for node in self._nodes if node.state is not None}
         return all(targets[zone] >= CELL_TARGETS for zone in zones | {self._zone} | targets.keys())
 
-    def concerns_all(self, notice: Notice) -> bool:
-        """Return whether a message that is about to be sent concerns the other zones too."""
+    def audience(self, notice: Notice) -> Audience:
+        """Return whom a message concerns that is about to be sent."""
         match notice:
             case Placing(notice=placing) if self._is_near(placing):
                 self._near.add(placing.request_id)
-                return False
-            case Writing(request_id=request_id):
-                return request_id not in self._near
+                return Audience.ZONE
+            case Writing(request_id=request_id) if request_id in self._near:
+                return Audience.NOBODY
             case Ending(request_id=request_id) if request_id in self._near:
                 self._near.discard(request_id)
-                return False
+                return Audience.ZONE
             case _:
-                return True
+                return Audience.ALL
 
     def is_own(self, zone: str) -> bool:
         """Return whether a zone is that of this instance."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -8,6 +8,10 @@
 """With more peers the interval grows, so that an instance sends about 100 states a second."""
 MAX_STATE_INTERVAL = timedelta(milliseconds=1_200)
 """Callers that are sent to a dead instance wait a second for it, so it has to be found soon."""
+SHARED_STATE_TIME = timedelta(milliseconds=20)
+"""Time for which one state is sent to all peers, whose tasks run one after the other."""
+LATEST_MOMENT = 0.75
+"""Part of an interval after which the next moment to send is left out, as one has just been."""
 SILENT_INTERVALS = 3.4
 """A peer that was not heard for this many intervals is taken as gone: three may be lost."""
 LISTED_TIMEOUT = timedelta(seconds=20)
@@ -15,6 +19,9 @@
 
 This instance is then probably the one that is cut off, and the others go on serving.
 """
+LISTING_SENDERS = 3
+"""Instances, the first in the order of addresses, that send the list of targets to a peer that
+knows none; it also reads the list itself."""
 FORGET_TIMEOUT = timedelta(seconds=60)
 """A peer that was not heard for this long is not sent to any more."""
 SWEEP_INTERVAL = timedelta(milliseconds=250)
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -5,17 +5,21 @@
 from datetime import timedelta
 
 import trio
+import xxhash
 
-from wasabiwell_entry.coordination.exchange.cells import ZoneCells
+from wasabiwell_entry.coordination.exchange.cells import Audience, ZoneCells
 from wasabiwell_entry.coordination.exchange.const import (
     FORGET_TIMEOUT,
+    LATEST_MOMENT,
     LISTED_TIMEOUT,
+    LISTING_SENDERS,
     MAX_STATE_INTERVAL,
     PEERS_AT_STATE_INTERVAL,
     REGISTER_DELAY,
     REGISTER_INTERVAL,
     REGISTER_RETRY_INTERVAL,
     REGISTERED_INSTANCES,
+    SHARED_STATE_TIME,
     SILENT_INTERVALS,
     STATE_INTERVAL,
     SWEEP_INTERVAL,
@@ -71,9 +75,12 @@
         "_observers",
         "_own_address",
         "_own_state",
+        "_phase",
         "_port",
         "_seeds",
         "_sending",
+        "_shared_state",
+        "_shared_until",
         "_works",
     )
 
@@ -100,7 +107,10 @@
         self._observers = observers
         self._seeds = seeds
         self._clock = clock
+        self._phase = xxhash.xxh3_64_intdigest(own_address.encode()) / 2**64
         self._sending: set[str] = set()
+        self._shared_state: NodeState | None = None
+        self._shared_until = 0.0
         self._nursery: trio.Nursery | None = None
 
     def peers(self) -> list[Node]:
@@ -125,14 +135,20 @@
 
     def tell(self, notice: Notice) -> None:
         """Send a message to the peers that are heard and that it concerns."""
-        peers = self.peers()
-        if not self._cells.concerns_all(notice):
-            peers = [
-                node
-                for node in peers
-                if node.state is not None and self._cells.is_own(node.state.zone)
-            ]
-        self._port.send([node.address for node in peers], notice)
+        match self._cells.audience(notice):
+            case Audience.ALL:
+                self._port.send([node.address for node in self.peers()], notice)
+            case Audience.ZONE:
+                self._port.send([node.address for node in self._zone_peers()], notice)
+            case Audience.NOBODY:
+                pass
+
+    def _zone_peers(self) -> list[Node]:
+        return [
+            node
+            for node in self.peers()
+            if node.state is not None and self._cells.is_own(node.state.zone)
+        ]
 
     def tell_state(self) -> None:
         """Send the state to all peers at once, after a change that they should know of."""
@@ -199,8 +215,10 @@
         node.heard, node.state = now, state
         self._works.retain(sender, frozenset(state.placed), now)
         self._observers.routes_announced(state.control_address, state.routes_version)
-        if not state.knows_targets and (listing := self._observers.whole_listing()) is not None:
-            self._port.send([sender], listing)
+        if not state.knows_targets and self.rank() < LISTING_SENDERS:
+            listing = self._observers.whole_listing()
+            if listing is not None:
+                self._port.send([sender], listing)
 
     def meet(self, address: str) -> None:
         """Add a peer and start the task that sends it states."""
@@ -218,11 +236,29 @@
                 if self._now() - last > FORGET_TIMEOUT.total_seconds():
                     self._nodes.remove(address)
                     return
-                self._port.send([address], self._own_state())
-                await self._clock.sleep(self._state_interval())
+                self._port.send([address], self._state_to_share())
+                await self._clock.sleep(self._time_to_next_state())
         finally:
             self._sending.discard(address)
 
+    def _state_to_share(self) -> NodeState:
+        """Return the state for all peers that are sent to at this moment."""
+        now = self._now()
+        if self._shared_state is None or now >= self._shared_until:
+            self._shared_state = self._own_state()
+            self._shared_until = now + SHARED_STATE_TIME.total_seconds()
+        return self._shared_state
+
+    def _time_to_next_state(self) -> timedelta:
+        """Return the time to the moment at which all peers are sent to.
+
+        The tasks of all peers then run in one wake of the process. Instances have moments of their
+        own, so that no peer gets the states of all others at once.
+        """
+        interval = self._state_interval()
+        moment = (self._now() / interval.total_seconds() + self._phase) % 1.0
+        return interval * (1.0 - moment if moment < LATEST_MOMENT else 2.0 - moment)
+
     def _state_interval(self) -> timedelta:
         interval = STATE_INTERVAL * max(1.0, len(self._nodes) / PEERS_AT_STATE_INTERVAL)
         return min(interval, MAX_STATE_INTERVAL)
