--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -398,10 +398,8 @@
 def _lost_helpers(attempt: ForwardAttempt, outcome: AttemptOutcome) -> list[str]:
     """Return the ids of the helpers to which a lead puts down that it did not run a request."""
     at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
-    if at_fault is None:
-        return []
     helpers = [helper.target for helper in attempt.helpers]
-    return [item.target_id for item in helpers if at_fault in (item.address, item.target_id)]
+    return [item.target_id for item in helpers if item.address == at_fault]
 
 
 def _inputs(attempt: ForwardAttempt, placement: Placement) -> dict[str, object]:
--- a/packages/entry/src/wasabiwell_entry/state/forwarding.py
+++ b/packages/entry/src/wasabiwell_entry/state/forwarding.py
@@ -127,8 +127,8 @@
 class NotRun:
     """The target proved that it has not run the request.
 
-    `replaced` tells that another target has its address. `at_fault` is the address or the id
-    of another target that caused the refusal.
+    `replaced` tells that another target has its address. `at_fault` is the address of another
+    target that caused the refusal.
     """
 
     reason: str
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -100,6 +100,10 @@
     Then its placement and end went to 40 peers, and its first event to 40
     And the numbers in these scenarios are on both sides of the bounds
 
+  Scenario: One wake of the process sends the states to all peers
+    When 12 peers are heard for 5 seconds in a run
+    Then the states to 12 peers left at the same moments, the same one to all of them
+
   Scenario Outline: Messages arrive as they were sent
     Then a message of kind "<kind>" is the same after encoding and decoding
 
