--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -36,7 +36,7 @@
 REGISTER_RETRY_INTERVAL = timedelta(seconds=2)
 """Time between tries to enter this instance in the platform's store while that is away."""
 CELL_INSTANCES = 32
-"""With more instances, placements on one target are told in the own zone only. Each of 100 instances
-got 264 messages a second on placements in a profile."""
+"""With more instances, placements on one target are told in the own zone only. Each of 100
+instances got 264 messages a second on placements in a profile."""
 CELL_TARGETS = 12
 """Targets that each zone needs for this, so that long prompts find enough targets in one zone."""
