--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -1,6 +1,6 @@
 """Tells the other entry instances what happens here, and takes over what they tell."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -53,11 +53,15 @@
 
     `routes_announced` takes the control address of a peer. `whole_listing` returns what a peer is
     told that does not know any target, or None. `helper_lost` takes the id of a target.
+    `suspicions` returns what a peer is told that was not heard before or for long, and
+    `recent_suspicions` what is repeated with each state, as a message may be lost.
     """
 
     ended: Callable[[Ending], None]
     helper_lost: Callable[[str], None]
     suspected: Callable[[Suspicion], None]
+    suspicions: Callable[[], Iterable[Suspicion]]
+    recent_suspicions: Callable[[], Iterable[Suspicion]]
     listed: Callable[[str, ListingNotice], None]
     routes_announced: Callable[[str, int], None]
     whole_listing: Callable[[], ListingNotice | None]
@@ -172,6 +176,7 @@
             return
         now = self._now()
         if not isinstance(notice, NodeState):
+            self._note_return(sender, now)
             self._nodes.hear(sender, now)
         match notice:
             case Placing(notice=placing):
@@ -206,12 +211,13 @@
             others = tuple(other.address for other in self.peers())
             self._port.send([sender], NodeAddresses(others))
             self._port.send([sender], self._own_state())
+            self._tell_suspicions(sender)
         elif (state.incarnation, state.sequence) <= (known.incarnation, known.sequence):
             return
         elif state.incarnation != known.incarnation:
             self._works.retain(sender, frozenset(), now)
-        if node.heard is not None and now - node.heard > self._silence():
-            log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
+            self._tell_suspicions(sender)
+        self._note_return(sender, now)
         node.heard, node.state = now, state
         self._works.retain(sender, frozenset(state.placed), now)
         self._observers.routes_announced(state.control_address, state.routes_version)
@@ -220,6 +226,20 @@
             if listing is not None:
                 self._port.send([sender], listing)
 
+    def _note_return(self, sender: str, now: float) -> None:
+        """Note that a peer is heard which was silent for long."""
+        node = self._nodes.get(sender)
+        if node is None or node.heard is None or node.state is None:
+            return
+        if now - node.heard > self._silence():
+            log_events.emit(log_events.PEER_HEARD, peer=sender, zone=node.state.zone)
+            self._tell_suspicions(sender)
+
+    def _tell_suspicions(self, address: str) -> None:
+        """Tell a peer of requests that crash targets, of which it may not have heard."""
+        for suspicion in self._observers.suspicions():
+            self._port.send([address], suspicion)
+
     def meet(self, address: str) -> None:
         """Add a peer and start the task that sends it states."""
         if address == self._own_address or address in self._sending or self._nursery is None:
@@ -237,6 +257,8 @@
                     self._nodes.remove(address)
                     return
                 self._port.send([address], self._state_to_share())
+                for suspicion in self._observers.recent_suspicions():
+                    self._port.send([address], suspicion)
                 await self._clock.sleep(self._time_to_next_state())
         finally:
             self._sending.discard(address)
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
@@ -15,3 +15,5 @@
 """Targets that may die under one request on deployments whose users allow three."""
 SUSPICION_LIFETIME = timedelta(minutes=10)
 """Callers send a request that failed again within minutes."""
+SUSPICION_REPEAT_TIME = timedelta(seconds=2)
+"""A suspicion is repeated with the states of this long, as a single datagram may be lost."""
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -63,6 +63,23 @@
     When the peer tells that it knows no target
     Then it is not sent the list
 
+  Scenario Outline: A peer that cannot know of suspected requests is told of all of them
+    Given an instance that hears peer "10.0.0.2:7" and knows of a suspected request
+    When the peer <returns>
+    Then the peer was told of the suspected request <times> times
+
+    Examples:
+      | returns                             | times |
+      | is heard for the first time         | 1     |
+      | starts again                        | 2     |
+      | is heard after 3 seconds of silence | 2     |
+      | sends its next state                | 1     |
+
+  Scenario: A suspicion that was told a moment ago goes with the next states, as it may be lost
+    Given an instance that follows its peers, with the store at hand
+    When it tells of a suspected request, with only peer "10.0.0.2:7" heard for 5 seconds in a run
+    Then the peer was told of the suspected request 3 to 5 times, all of them in the first 3 seconds
+
   Scenario: The routes of a peer are fetched at its control address
     Given an instance that hears peer "10.0.0.2:7"
     Then version 1 was announced of "10.0.0.2:9"
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
 from datetime import timedelta
 
@@ -17,6 +17,7 @@
 from wasabiwell_entry.coordination.exchange.const import CELL_INSTANCES, CELL_TARGETS
 from wasabiwell_entry.coordination.exchange.coordinator import ExchangeObservers
 from wasabiwell_entry.coordination.exchange.ports import NoticeReceiver
+from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
 from wasabiwell_entry.protocol.notices import (
     UnreadableNoticeError,
     decode_notice,
@@ -120,6 +121,8 @@
     context.works.update([(make_target(index), PROFILE) for index in range(2)], 0.0)
     context.endings = []
     context.lost_helpers = []
+    context.suspicions = []
+    context.recent_suspicions = list
     context.announced = []
     context.sequence = 0
     nodes = NodeTable()
@@ -135,6 +138,8 @@
             ended=context.endings.append,
             helper_lost=context.lost_helpers.append,
             suspected=lambda suspicion: None,
+            suspicions=lambda: context.suspicions,
+            recent_suspicions=lambda: context.recent_suspicions(),
             listed=lambda sender, notice: None,
             routes_announced=lambda address, version: context.announced.append((address, version)),
             whole_listing=lambda: NOTICES["ListingNotice"],
@@ -288,13 +293,20 @@
     assert not context.directory.registered, context.directory.registered
 
 
-def pass_time(context: Context, seconds: int, heard: list[str]) -> None:
+def pass_time(
+    context: Context,
+    seconds: int,
+    heard: list[str],
+    happening: Callable[[], Awaitable[None]] | None = None,
+) -> None:
     """Let an instance run, with peers heard four times a second."""
 
     async def run() -> None:
         context.clock = SystemClock()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(context.exchange.run)
+            if happening is not None:
+                nursery.start_soon(happening)
             for _ in range(seconds * 4):
                 await trio.sleep(0.25)
                 for address in heard:
@@ -381,6 +393,78 @@
     assert (address, version) in context.announced, context.announced
 
 
+@given('an instance that hears peer "{address}" and knows of a suspected request')
+def step_knows_suspect(context: Context, address: str) -> None:
+    open_exchange(context, FakeDirectory(), ManualClock())
+    context.peer = address
+    context.suspicions = [NOTICES["Suspicion"]]
+    hear(context, address)
+
+
+@when("the peer is heard for the first time")
+def step_first_heard(context: Context) -> None:
+    assert context.sequence == 1
+
+
+@when("the peer starts again")
+def step_starts_again(context: Context) -> None:
+    hear(context, context.peer, incarnation=2)
+
+
+@when("the peer is heard after {seconds:d} seconds of silence")
+def step_heard_again(context: Context, seconds: int) -> None:
+    context.clock.advance(timedelta(seconds=seconds))
+    context.exchange.receive(context.peer, Writing("r"))
+    hear(context, context.peer)
+
+
+@when("the peer sends its next state")
+def step_next_state(context: Context) -> None:
+    hear(context, context.peer)
+
+
+@when(
+    'it tells of a suspected request, with only peer "{address}" heard for {seconds:d} seconds '
+    "in a run"
+)
+def step_tells_suspect(context: Context, address: str, seconds: int) -> None:
+    context.peer = address
+    context.suspicion_times = []
+    crashes = CrashCounts(context.exchange.tell, SystemClock())
+    context.recent_suspicions = crashes.recent
+    send = context.port.send
+
+    def keep_time(addresses: Iterable[str], notice: Notice) -> None:
+        addresses = list(addresses)
+        if isinstance(notice, Suspicion) and address in addresses:
+            context.suspicion_times.append(trio.current_time())
+        send(addresses, notice)
+
+    context.port.send = keep_time
+
+    async def crash() -> None:
+        await trio.sleep(0.6)
+        crashes.crashed("f", "e1@1")
+
+    pass_time(context, seconds, [address], crash)
+
+
+@then("the peer was told of the suspected request {times:d} times")
+def step_told_suspect(context: Context, times: int) -> None:
+    told = [to for to, notice in context.port.sent if notice == NOTICES["Suspicion"]]
+    assert told == [context.peer] * times, told
+
+
+@then(
+    "the peer was told of the suspected request {least:d} to {most:d} times, all of them in the "
+    "first {seconds:d} seconds"
+)
+def step_told_again(context: Context, least: int, most: int, seconds: int) -> None:
+    times = context.suspicion_times
+    assert least <= len(times) <= most, times
+    assert max(times) < seconds, times
+
+
 NOTICES: dict[str, Notice] = {
     "Placing": Placing(
         PlacementNotice("r", "s", "e1", ("e2", "e3"), 1, 2, 3, 4, 5, 6, True, (7, 0))
