Retry suspects one at a time on a target over all entry instances

Change: a suspect asks its target for a sign of life when its turn comes. Turns are rows of the table service, which expire after 30 s. Ruled out: the crash counts of the users' platform, which this scenario does not use.

--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -142,6 +142,9 @@
                 async with self._suspects.one_suspect(request.fingerprint, target_id):
                     if self._suspects.quarantined(request.fingerprint):
                         return _give_up(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
+                    if await self._died_before_turn(request, placement.target):
+                        progress.excluded.add(target_id)
+                        continue
                     outcome = await self._attempt(request, sink, progress, placement)
             match outcome:
                 case AttemptFinished(end=end):
@@ -153,6 +156,18 @@
                 return _give_up(progress, Reason.TARGET_FAILED, progress.last_reason)
             await self._clock.sleep(RETRY_DELAY)
 
+    async def _died_before_turn(self, request: GenerateRequest, target: Target) -> bool:
+        """Return whether a target died while a suspect waited for its turn on it.
+
+        A send to it would fail as if the suspect had crashed it.
+        """
+        if not self._suspects.suspected(request.fingerprint):
+            return False
+        if not isinstance(await self._engines.probe(target), TargetGone):
+            return False
+        self._lost(target)
+        return True
+
     async def _attempt(
         self,
         request: GenerateRequest,
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -102,6 +102,9 @@
     def quarantined(self, fingerprint: str) -> bool:
         """Return whether a request is refused."""
 
+    def suspected(self, fingerprint: str) -> bool:
+        """Return whether a target died while it ran the request."""
+
     def one_suspect(self, fingerprint: str, target_id: str) -> AbstractAsyncContextManager[None]:
         """Wait until no other suspect runs on the target; others do not wait."""
 
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
@@ -11,6 +11,12 @@
 FOLLOW_INTERVAL_PER_MEMBER = timedelta(milliseconds=10)
 """Keeps the scans of all entry instances together below 100/s."""
 FOLLOW_LIMIT_ROWS = 1_000
+TURN_PREFIX = "suspect-turn/"
+TURN_LIFETIME = timedelta(seconds=30)
+"""An entry instance that dies blocks a target for other suspects no longer than this. Clocks of
+machines differ by seconds at most."""
+TURN_POLL_INTERVAL = timedelta(milliseconds=250)
+"""Suspects are few and wait seldom, so that these reads add little to the table service's load."""
 CRASH_LIMIT = 3
 """Targets that may die under one request on deployments whose users allow three."""
 SUSPICION_LIFETIME = timedelta(minutes=10)
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
@@ -23,6 +23,7 @@
     ReleaseUnavailable,
 )
 from wasabiwell_entry.coordination.quarantine.ports import SuspectPort
+from wasabiwell_entry.coordination.quarantine.turns import SuspectTurns
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.platform import (
@@ -42,7 +43,16 @@
     own marks later.
     """
 
-    __slots__ = ("_clock", "_members", "_running", "_spreading", "_suspects", "_table", "_unsaved")
+    __slots__ = (
+        "_clock",
+        "_members",
+        "_running",
+        "_spreading",
+        "_suspects",
+        "_table",
+        "_turns",
+        "_unsaved",
+    )
 
     def __init__(
         self,
@@ -57,6 +67,7 @@
         self._spreading = spreading
         self._members = members
         self._clock = clock
+        self._turns = SuspectTurns(table, clock)
         self._running: dict[str, trio.Lock] = {}
         self._unsaved: set[str] = set()
 
@@ -96,14 +107,17 @@
 
     @asynccontextmanager
     async def one_suspect(self, fingerprint: str, target_id: str) -> AsyncIterator[None]:
-        """Wait until no other suspect of this entry instance runs on the target.
+        """Wait until no other suspect of any entry instance runs on the target.
 
         When the target dies, the suspect that ran there is then the only one to be marked again.
         """
         if not self.suspected(fingerprint):
             yield
             return
-        async with self._running.setdefault(target_id, trio.Lock()):
+        async with (
+            self._running.setdefault(target_id, trio.Lock()),
+            self._turns.turn(fingerprint, target_id),
+        ):
             yield
 
     async def crashed(self, fingerprint: str, target_id: str) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/errors.py
@@ -1,4 +1,4 @@
-"""Outcomes of operations on quarantined requests."""
+"""Outcomes of operations on suspected and quarantined requests."""
 
 from dataclasses import dataclass
 
@@ -20,4 +20,9 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class TurnLost:
+    """Another suspect was faster."""
+
+
 ReleaseOutcome = Released | NotSuspected | ReleaseUnavailable
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -142,6 +142,13 @@
     "the request with fingerprint {fingerprint} is refused, because two targets died running it",
     "Find the fault of the engines, then release the request.",
 )
+SUSPECT_TURN_SKIPPED = LogEvent(
+    430,
+    Level.WARNING,
+    "the suspect with fingerprint {fingerprint} runs on target {target} without a turn of its own: "
+    "{reason}",
+    "Check the table service. If the target dies, other suspects there are marked with this one.",
+)
 ROUTED = LogEvent(
     409,
     Level.INFO,
--- a/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -139,3 +139,13 @@
 
 def _body_refused(reason: Reason, message: str) -> Refused:
     return Refused(reason, message, findings=(Finding("body", message),))
+
+
+async def serve_lifespan(receive: Receive, send: Send) -> None:
+    """Confirm the start and the stop of an ASGI application that needs no work for them."""
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+        await trio.lowlevel.checkpoint()
--- a/packages/entry/src/wasabiwell_entry/transport/http/server.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/server.py
@@ -5,7 +5,6 @@
 from contextlib import AbstractContextManager
 
 import msgspec
-import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
@@ -14,7 +13,14 @@
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
 from wasabiwell_entry.transport.http.admin import ADMIN_PREFIX, handle_admin
-from wasabiwell_entry.transport.http.asgi import JSON_TYPE, Exchange, Receive, Scope, Send
+from wasabiwell_entry.transport.http.asgi import (
+    JSON_TYPE,
+    Exchange,
+    Receive,
+    Scope,
+    Send,
+    serve_lifespan,
+)
 from wasabiwell_entry.transport.http.chat import handle_chat
 from wasabiwell_entry.transport.http.context import HttpContext, new_request_id
 from wasabiwell_entry.transport.http.services import SERVICES_PREFIX, handle_service
@@ -31,7 +37,7 @@
 
     async def app(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
         if scope["type"] != "http":
             return
@@ -129,12 +135,3 @@
     answer = context.addresses.addresses(exchange.query("zone"), exchange.peer_host)
     body = msgspec.json.encode({"addresses": answer.addresses, "ttl_s": answer.ttl.total_seconds()})
     await exchange.respond(200, [JSON_TYPE], body)
-
-
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-        await trio.lowlevel.checkpoint()
