Watch each instance of a large fleet by five others, not by all

Not the log, nor the load of the machine. Change: with more than 32 instances, states go to five monitors every 0.5 s and to the others 10 a second at most. A monitor reports a silent instance to all. Repeats are told at once, as the budget of all instances was kept by states. Calls of plain services are told in their zone, and zones need 8 targets to be cells. An instance that is met is not sent addresses and a state a second time.

--- a/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
@@ -6,7 +6,7 @@
 
 from wasabiwell_entry.coordination.budget.const import BUCKETS, USABLE_SHARE
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.exchange import ServiceUse
+from wasabiwell_entry.state.exchange import RepeatNotice, ServiceUse
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,16 +29,18 @@
 class RepeatBudget:
     """Allows repeated sends while all entry instances together stay within the limits."""
 
-    __slots__ = ("_clock", "_counts", "_limits", "_peer_uses", "refusals")
+    __slots__ = ("_clock", "_counts", "_limits", "_peer_uses", "_tell", "refusals")
 
     def __init__(
         self,
         limits: BudgetLimits,
         peer_uses: Callable[[], Iterable[tuple[ServiceUse, ...]]],
+        tell: Callable[[RepeatNotice], None],
         clock: Clock,
     ) -> None:
         self._limits = limits
         self._peer_uses = peer_uses
+        self._tell = tell
         self._clock = clock
         self._counts: dict[str, _Counts] = {}
         self.refusals = 0
@@ -58,6 +60,7 @@
             self.refusals += 1
             return False
         _increment(self._of(service).repeats, self._bucket())
+        self._tell(RepeatNotice(service))
         return True
 
     def uses(self) -> tuple[ServiceUse, ...]:
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/cells.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/cells.py
@@ -3,8 +3,15 @@
 import enum
 from collections import Counter
 
-from wasabiwell_entry.coordination.exchange.const import CELL_INSTANCES, CELL_TARGETS
-from wasabiwell_entry.state.exchange import Ending, Notice, PlacementNotice, Placing, Writing
+from wasabiwell_entry.coordination.exchange.const import CELL_TARGETS, LARGE_FLEET_INSTANCES
+from wasabiwell_entry.state.exchange import (
+    Ending,
+    Notice,
+    PlacementNotice,
+    Placing,
+    RepeatNotice,
+    Writing,
+)
 from wasabiwell_entry.state.nodes import NodeTable
 from wasabiwell_entry.state.work import WorkTable
 
@@ -23,7 +30,8 @@
     Messages on requests that one target of the zone processes are then told in the zone only, so
     that their number grows with the instances of a zone. Split prompts are told to all, as another
     zone may use the same targets when it has no room. That such a request's first event has
-    arrived is not told: the others predict it.
+    arrived is not told: the others predict it. Calls of plain services are told in the zone too:
+    they are short and many.
     """
 
     __slots__ = ("_near", "_nodes", "_works", "_zone")
@@ -34,9 +42,14 @@
         self._works = works
         self._near: set[str] = set()
 
+    @property
+    def large_fleet(self) -> bool:
+        """Return whether there are too many instances to tell all of them everything."""
+        return len(self._nodes) >= LARGE_FLEET_INSTANCES
+
     def in_use(self, service: str) -> bool:
         """Return whether the fleet is large and each zone has enough targets of a service."""
-        if len(self._nodes) < CELL_INSTANCES:
+        if not self.large_fleet:
             return False
         targets = Counter(work.target.zone for work in self._works.of_service(service))
         zones = {node.state.zone for node in self._nodes if node.state is not None}
@@ -53,6 +66,8 @@
             case Ending(request_id=request_id) if request_id in self._near:
                 self._near.discard(request_id)
                 return Audience.ZONE
+            case RepeatNotice() if not self.large_fleet:
+                return Audience.NOBODY
             case _:
                 return Audience.ALL
 
@@ -61,6 +76,8 @@
         return zone == self._zone
 
     def _is_near(self, placing: PlacementNotice) -> bool:
+        if placing.prompt == 0:
+            return self.large_fleet
         lead = self._works.get(placing.lead)
         return (
             not placing.helpers
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -4,16 +4,31 @@
 
 STATE_INTERVAL = timedelta(milliseconds=500)
 """Time between the states that are sent to a peer."""
-PEERS_AT_STATE_INTERVAL = 50
-"""With more peers the interval grows, so that an instance sends about 100 states a second."""
-MAX_STATE_INTERVAL = timedelta(milliseconds=1_200)
-"""Callers that are sent to a dead instance wait a second for it, so it has to be found soon."""
+LARGE_FLEET_INSTANCES = 32
+"""With more instances, a few watch each one, and placements on one target are told in the own zone
+only. A message costs its receiver 0.1 ms and instances are sent some by each of the others: 100 of
+them got 346 a second in a profile when all was told to all."""
+MONITORS = 5
+"""Instances that watch one in a large fleet. The report of one suffices. All are in the zone of the
+watched one in 1 of 240 cases, with three zones; those that die with it are replaced as they are
+reported."""
+FAR_STATES_PER_SECOND = 10.0
+"""States that an instance sends to those that do not watch it, whatever the size of the fleet. They
+repeat what single messages have told."""
+MAX_FAR_STATE_INTERVAL = timedelta(seconds=15)
+"""Three states may be lost before an instance is forgotten."""
+ANSWER_LOSS_INTERVAL = timedelta(milliseconds=250)
+"""An instance that is reported as silent tells its state to all, once for all of its monitors."""
 SHARED_STATE_TIME = timedelta(milliseconds=20)
 """Time for which one state is sent to all peers, whose tasks run one after the other."""
 LATEST_MOMENT = 0.75
 """Part of an interval after which the next moment to send is left out, as one has just been."""
 SILENT_INTERVALS = 3.4
 """A peer that was not heard for this many intervals is taken as gone: three may be lost."""
+WATCH_SILENCE = SILENT_INTERVALS * STATE_INTERVAL
+"""An instance that is watched is reported after this time without any message."""
+KNOWN_PEERS_SHARE = 0.5
+"""A peer that hears fewer than this share of what is heard here is sent all addresses."""
 LISTED_TIMEOUT = timedelta(seconds=20)
 """When no peer at all is heard, those heard within this time are still told to callers.
 
@@ -35,8 +50,6 @@
 """Time between looks whether this instance has to be entered, or hears nobody."""
 REGISTER_RETRY_INTERVAL = timedelta(seconds=2)
 """Time between tries to enter this instance in the platform's store while that is away."""
-CELL_INSTANCES = 32
-"""With more instances, placements on one target are told in the own zone only. Each of 100
-instances got 346 messages a second without this in a profile, states included."""
-CELL_TARGETS = 12
-"""Targets that each zone needs for this, so that long prompts find enough targets in one zone."""
+CELL_TARGETS = 8
+"""Targets that each zone needs for this, so that long prompts find enough targets in one zone. Less
+than the 13 that a zone of the smaller large fleet has, as some of them may be away."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -9,12 +9,14 @@
 
 from wasabiwell_entry.coordination.exchange.cells import Audience, ZoneCells
 from wasabiwell_entry.coordination.exchange.const import (
+    ANSWER_LOSS_INTERVAL,
+    FAR_STATES_PER_SECOND,
     FORGET_TIMEOUT,
+    KNOWN_PEERS_SHARE,
     LATEST_MOMENT,
     LISTED_TIMEOUT,
     LISTING_SENDERS,
-    MAX_STATE_INTERVAL,
-    PEERS_AT_STATE_INTERVAL,
+    MAX_FAR_STATE_INTERVAL,
     REGISTER_DELAY,
     REGISTER_INTERVAL,
     REGISTER_RETRY_INTERVAL,
@@ -23,7 +25,9 @@
     SILENT_INTERVALS,
     STATE_INTERVAL,
     SWEEP_INTERVAL,
+    WATCH_SILENCE,
 )
+from wasabiwell_entry.coordination.exchange.monitors import MonitorRing
 from wasabiwell_entry.coordination.exchange.ports import NodeDirectory, NoticePort
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
@@ -35,8 +39,10 @@
     NodeState,
     Notice,
     PaceNotice,
+    PeerLoss,
     PlacementNotice,
     Placing,
+    RepeatNotice,
     Suspicion,
     Writing,
 )
@@ -68,9 +74,14 @@
 
 
 class ExchangeCoordinator:
-    """Keeps the node table of one entry instance; one task sends states to each peer."""
+    """Keeps the node table of one entry instance; one task sends states to each peer.
+
+    In a small fleet all instances watch each other. In a large one a few monitors watch each
+    instance and report its silence to all; the others get its states seldom.
+    """
 
     __slots__ = (
+        "_answered_loss",
         "_cells",
         "_clock",
         "_directory",
@@ -81,6 +92,8 @@
         "_own_state",
         "_phase",
         "_port",
+        "_ring",
+        "_ring_changed",
         "_seeds",
         "_sending",
         "_shared_state",
@@ -112,6 +125,9 @@
         self._seeds = seeds
         self._clock = clock
         self._phase = xxhash.xxh3_64_intdigest(own_address.encode()) / 2**64
+        self._ring = MonitorRing(own_address)
+        self._ring_changed = trio.Event()
+        self._answered_loss = 0.0
         self._sending: set[str] = set()
         self._shared_state: NodeState | None = None
         self._shared_until = 0.0
@@ -192,6 +208,12 @@
                 self._observers.ended(ending)
             case HelperLoss(target_id=target_id):
                 self._observers.helper_lost(target_id)
+            case PeerLoss(address=address) if address == self._own_address:
+                self._answer_loss(sender, now)
+            case PeerLoss() as loss:
+                self._receive_loss(loss, now)
+            case RepeatNotice(service=service):
+                self._nodes.count_repeat(sender, service)
             case Suspicion() as suspicion:
                 self._observers.suspected(suspicion)
             case ListingNotice() as listing:
@@ -203,14 +225,14 @@
                     self.meet(address)
 
     def _receive_state(self, sender: str, state: NodeState, now: float) -> None:
-        self.meet(sender)
+        unknown = self._nodes.get(sender) is None
+        began = self.meet(sender)
         node = self._nodes.put(sender, now)
         known = node.state
         if known is None:
             log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
-            others = tuple(other.address for other in self.peers())
-            self._port.send([sender], NodeAddresses(others))
-            self._port.send([sender], self._own_state())
+            if not began:
+                self._port.send([sender], self._own_state())
             self._tell_suspicions(sender)
         elif (state.incarnation, state.sequence) <= (known.incarnation, known.sequence):
             return
@@ -218,10 +240,18 @@
             self._works.retain(sender, frozenset(), now)
             self._tell_suspicions(sender)
         self._note_return(sender, now)
-        node.heard, node.state = now, state
+        node.heard, node.state, node.lost = now, state, False
         self._works.retain(sender, frozenset(state.placed), now)
         self._observers.routes_announced(state.control_address, state.routes_version)
-        if not state.knows_targets and self.rank() < LISTING_SENDERS:
+        self._introduce(sender, state, unknown)
+
+    def _introduce(self, sender: str, state: NodeState, unknown: bool) -> None:
+        """Tell a peer what it lacks: other instances and the list of targets."""
+        peers = self.peers()
+        first = self.rank() < LISTING_SENDERS
+        if unknown or (first and state.peers < len(peers) * KNOWN_PEERS_SHARE):
+            self._port.send([sender], NodeAddresses(tuple(node.address for node in peers)))
+        if not state.knows_targets and first:
             listing = self._observers.whole_listing()
             if listing is not None:
                 self._port.send([sender], listing)
@@ -231,22 +261,27 @@
         node = self._nodes.get(sender)
         if node is None or node.heard is None or node.state is None:
             return
-        if now - node.heard > self._silence():
-            log_events.emit(log_events.PEER_HEARD, peer=sender, zone=node.state.zone)
-            self._tell_suspicions(sender)
+        if not node.lost and now - node.heard <= self._silence():
+            return
+        log_events.emit(log_events.PEER_HEARD, peer=sender, zone=node.state.zone)
+        self._tell_suspicions(sender)
+        if node.lost:
+            # Those that do not watch it have to hear it too; its next state to them is far off.
+            self._port.send([sender], _loss_of(node.address, node.state))
 
     def _tell_suspicions(self, address: str) -> None:
         """Tell a peer of requests that crash targets, of which it may not have heard."""
         for suspicion in self._observers.suspicions():
             self._port.send([address], suspicion)
 
-    def meet(self, address: str) -> None:
-        """Add a peer and start the task that sends it states."""
+    def meet(self, address: str) -> bool:
+        """Add a peer and start the task that sends it states; return False when it is known."""
         if address == self._own_address or address in self._sending or self._nursery is None:
-            return
+            return False
         self._nodes.put(address, self._now())
         self._sending.add(address)
         self._nursery.start_soon(self._send_states, address)
+        return True
 
     async def _send_states(self, address: str) -> None:
         """Send states to a peer until it was not heard for long."""
@@ -255,11 +290,12 @@
                 last = node.heard if node.heard is not None else node.known_since
                 if self._now() - last > FORGET_TIMEOUT.total_seconds():
                     self._nodes.remove(address)
+                    self._ring.forget(address)
                     return
                 self._port.send([address], self._state_to_share())
                 for suspicion in self._observers.recent_suspicions():
                     self._port.send([address], suspicion)
-                await self._clock.sleep(self._time_to_next_state())
+                await self._wait_to_send(address)
         finally:
             self._sending.discard(address)
 
@@ -271,23 +307,37 @@
             self._shared_until = now + SHARED_STATE_TIME.total_seconds()
         return self._shared_state
 
-    def _time_to_next_state(self) -> timedelta:
-        """Return the time to the moment at which all peers are sent to.
+    async def _wait_to_send(self, address: str) -> None:
+        """Wait for the next moment to send a state to a peer, which may become a monitor first."""
+        while True:
+            interval = self._interval_to(address)
+            with trio.move_on_after(self._time_to_next(interval).total_seconds()):
+                while self._interval_to(address) == interval:
+                    await self._ring_changed.wait()
+                continue
+            return
+
+    def _interval_to(self, address: str) -> timedelta:
+        far = self._cells.large_fleet and address not in self._ring.monitors
+        return self._far_interval() if far else STATE_INTERVAL
+
+    def _far_interval(self) -> timedelta:
+        interval = timedelta(seconds=len(self._nodes) / FAR_STATES_PER_SECOND)
+        return min(interval, MAX_FAR_STATE_INTERVAL)
+
+    def _time_to_next(self, interval: timedelta) -> timedelta:
+        """Return the time to the moment at which all peers with an interval are sent to.
 
         The tasks of all peers then run in one wake of the process. Instances have moments of their
         own, so that no peer gets the states of all others at once.
         """
-        interval = self._state_interval()
         moment = (self._now() / interval.total_seconds() + self._phase) % 1.0
         return interval * (1.0 - moment if moment < LATEST_MOMENT else 2.0 - moment)
 
-    def _state_interval(self) -> timedelta:
-        interval = STATE_INTERVAL * max(1.0, len(self._nodes) / PEERS_AT_STATE_INTERVAL)
-        return min(interval, MAX_STATE_INTERVAL)
-
     def _silence(self) -> float:
         """Return the time in seconds after which an unheard peer counts as gone."""
-        return SILENT_INTERVALS * self._state_interval().total_seconds()
+        interval = self._far_interval() if self._cells.large_fleet else STATE_INTERVAL
+        return SILENT_INTERVALS * interval.total_seconds()
 
     def _sweep(self) -> None:
         """Drop what silent peers have placed and what ended unheard."""
@@ -303,6 +353,43 @@
                 )
                 self._works.retain(node.address, frozenset(), now)
         self._works.expire(now)
+        if self._cells.large_fleet:
+            self._watch(now)
+
+    def _watch(self, now: float) -> None:
+        """Report the watched instances that are silent."""
+        if self._ring.update([node.address for node in self.peers()], now):
+            self._ring_changed.set()
+            self._ring_changed = trio.Event()
+        for address, since in self._ring.watched().items():
+            node = self._nodes.get(address)
+            if node is None or node.heard is None or node.state is None:
+                continue
+            if now - max(node.heard, since) > WATCH_SILENCE.total_seconds():
+                self._lose(node, now)
+                self.tell(_loss_of(address, node.state))
+
+    def _receive_loss(self, loss: PeerLoss, now: float) -> None:
+        """Take over that a peer is silent, unless it was heard here meanwhile."""
+        node = self._nodes.get(loss.address)
+        if node is None or node.heard is None or node.state is None or node.lost:
+            return
+        newer = (node.state.incarnation, node.state.sequence) > (loss.incarnation, loss.sequence)
+        if not newer and now - node.heard > WATCH_SILENCE.total_seconds():
+            self._lose(node, now)
+
+    def _lose(self, node: Node, now: float) -> None:
+        heard = node.heard if node.heard is not None else node.known_since
+        log_events.emit(log_events.PEER_SILENT, peer=node.address, silence_s=round(now - heard, 2))
+        node.lost = True
+        self._works.retain(node.address, frozenset(), now)
+
+    def _answer_loss(self, sender: str, now: float) -> None:
+        """Show all peers that this instance lives, as one of them has reported its silence."""
+        self._ring.ask(sender)
+        if now - self._answered_loss >= ANSWER_LOSS_INTERVAL.total_seconds():
+            self._answered_loss = now
+            self.tell_state()
 
     async def _register(self) -> None:
         """Keep a few instances in the platform's store, and find peers there when none is heard."""
@@ -330,6 +417,10 @@
         return self._clock.monotonic().total_seconds()
 
 
+def _loss_of(address: str, state: NodeState) -> PeerLoss:
+    return PeerLoss(address, state.incarnation, state.sequence)
+
+
 def _member(address: str, state: NodeState) -> Member:
     return Member(
         node_id=address,
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
@@ -27,6 +27,7 @@
     knows_targets: Callable[[], bool]
     uses: Callable[[], tuple[ServiceUse, ...]]
     placed: Callable[[], tuple[str, ...]]
+    peers: Callable[[], int]
 
 
 class OwnState:
@@ -61,4 +62,5 @@
             knows_targets=self._sources.knows_targets(),
             uses=self._sources.uses(),
             placed=self._sources.placed(),
+            peers=self._sources.peers(),
         )
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -61,18 +61,20 @@
 class PlacementLedger:
     """Enters the own placements in the table of work and tells the other entry instances."""
 
-    __slots__ = ("_clock", "_note", "_tell", "_told_paces", "_works")
+    __slots__ = ("_clock", "_lose_helper", "_note", "_tell", "_told_paces", "_works")
 
     def __init__(
         self,
         works: WorkTable,
         tell: Callable[[Notice], None],
         note: Callable[[str, AttemptVerdict], None],
+        lose_helper: Callable[[str], None],
         clock: Clock,
     ) -> None:
         self._works = works
         self._tell = tell
         self._note = note
+        self._lose_helper = lose_helper
         self._clock = clock
         self._told_paces: dict[str, float] = {}
 
@@ -108,7 +110,7 @@
 
     def lose_helper(self, target_id: str) -> None:
         """Note that a target is gone that was to help, and tell the others."""
-        self._note(target_id, AttemptVerdict.LOST)
+        self._lose_helper(target_id)
         self._tell(HelperLoss(target_id))
 
     def begin_writing(self, opened: OpenPlacement) -> None:
--- a/packages/entry/src/wasabiwell_entry/protocol/notices.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/notices.py
@@ -12,7 +12,9 @@
     NodeState,
     Notice,
     PaceNotice,
+    PeerLoss,
     Placing,
+    RepeatNotice,
     Suspicion,
     Writing,
 )
@@ -27,6 +29,8 @@
     NodeState,
     NodeAddresses,
     HelperLoss,
+    PeerLoss,
+    RepeatNotice,
 )
 """The first byte of a datagram is the place of its message's type in this list."""
 
--- a/packages/entry/src/wasabiwell_entry/state/counters.py
+++ b/packages/entry/src/wasabiwell_entry/state/counters.py
@@ -77,6 +77,8 @@
     requests: Counter[ForwardKind] = field(default_factory=Counter)
     sends: Counter[str] = field(default_factory=Counter)
     """Sends to targets by the verdict on the target."""
+    lost_helpers: int = 0
+    """Helpers that leads have called gone."""
     callers_left: int = 0
     first_event: dict[str, Histogram] = field(default_factory=dict)
     """Time from the request to its first event or its answer, by size class."""
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -83,6 +83,20 @@
     target_id: str
 
 
+class PeerLoss(msgspec.Struct, frozen=True, array_like=True):
+    """An entry instance is silent that the sender watches; the last state that it had of it."""
+
+    address: str
+    incarnation: int
+    sequence: int
+
+
+class RepeatNotice(msgspec.Struct, frozen=True, array_like=True):
+    """The sender has repeated a request for a service, which its next state counts too."""
+
+    service: str
+
+
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
     """Targets died while they ran a request; with no targets the request is cleared."""
 
@@ -109,7 +123,8 @@
 
     `incarnation` is the time of its start in milliseconds since 1970 and `sequence` counts its
     states. `routes_version` is the version of the routes in force. `placed` are the ids of what it
-    has placed, so that receivers drop what has ended unheard.
+    has placed, so that receivers drop what has ended unheard. `peers` is the number of entry
+    instances that it hears.
     """
 
     incarnation: int
@@ -124,6 +139,7 @@
     knows_targets: bool
     uses: tuple[ServiceUse, ...]
     placed: tuple[str, ...]
+    peers: int = 0
 
 
 class NodeAddresses(msgspec.Struct, frozen=True, array_like=True):
@@ -142,4 +158,6 @@
     | NodeState
     | NodeAddresses
     | HelperLoss
+    | PeerLoss
+    | RepeatNotice
 )
--- a/packages/entry/src/wasabiwell_entry/state/nodes.py
+++ b/packages/entry/src/wasabiwell_entry/state/nodes.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import msgspec
+
 from wasabiwell_entry.state.exchange import NodeState, ServiceUse
 
 
@@ -10,13 +12,15 @@
 class Node:
     """Another entry instance by its datagram address; `heard` is in monotonic seconds.
 
-    `state` is None until its first state has arrived.
+    `state` is None until its first state has arrived. `lost` tells that an instance which watches
+    it has reported its silence, and that nothing was heard of it since.
     """
 
     address: str
     known_since: float
     heard: float | None = None
     state: NodeState | None = None
+    lost: bool = False
 
 
 class NodeTable:
@@ -46,6 +50,20 @@
         node = self._nodes.get(address)
         if node is not None and node.state is not None:
             node.heard = now
+            node.lost = False
+
+    def count_repeat(self, address: str, service: str) -> None:
+        """Count a repeat that an entry instance made after its last state."""
+        node = self._nodes.get(address)
+        if node is None or node.state is None:
+            return
+        uses = tuple(
+            msgspec.structs.replace(use, repeats=use.repeats + 1) if use.service == service else use
+            for use in node.state.uses
+        )
+        if all(use.service != service for use in uses):
+            uses = (*uses, ServiceUse(service, 0, 1))
+        node.state = msgspec.structs.replace(node.state, uses=uses)
 
     def uses(self) -> list[tuple[ServiceUse, ...]]:
         """Return what each has counted of the requests and repeats of services."""
@@ -56,6 +74,8 @@
         self._nodes.pop(address, None)
 
     def heard_since(self, time: float) -> list[Node]:
-        """Return those that were heard after a time, in the order of addresses."""
-        heard = [node for node in self if node.heard is not None and node.heard > time]
+        """Return those that were heard after a time and are not lost, in the order of addresses."""
+        heard = [
+            node for node in self if node.heard is not None and node.heard > time and not node.lost
+        ]
         return sorted(heard, key=lambda node: node.address)
--- a/packages/entry/src/wasabiwell_entry/transport/metrics/exposition.py
+++ b/packages/entry/src/wasabiwell_entry/transport/metrics/exposition.py
@@ -70,6 +70,11 @@
         for (call, result), count in counters.store_calls.items():
             store.add_metric([call, result], count)
         yield store
+        yield CounterMetricFamily(
+            f"{PREFIX}_lost_helpers",
+            "Helpers that leads of split prompts have called gone.",
+            value=counters.lost_helpers,
+        )
         yield CounterMetricFamily(
             f"{PREFIX}_callers_left", "Callers that left early.", value=counters.callers_left
         )
--- a/tests/entry/coordination/budget/budget.feature
+++ b/tests/entry/coordination/budget/budget.feature
@@ -23,3 +23,8 @@
     Given a budget of 0.0 and a slack of 10 in 10 seconds
     Then 8 repeats are allowed
     And 8 repeats of another service are allowed
+
+  Scenario: The other instances are told of each repeat, as states may be seldom
+    Given a budget of 0.0 and a slack of 10 in 10 seconds
+    Then 8 repeats are allowed
+    And 8 repeats were told
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -117,6 +117,16 @@
     Then its placement and end went to 40 peers, and its first event to 40
     And the numbers in these scenarios are on both sides of the bounds
 
+  Scenario Outline: In a large fleet a call of a plain service is told in its zone only
+    Given an instance that hears <peers> others in zones z and y, with 12 engines in each
+    When it tells of a call on target "e01" from its begin to its end
+    Then its placement and end went to <reached> peers, and its first event to 0
+
+    Examples:
+      | peers | reached |
+      | 40    | 20      |
+      | 20    | 20      |
+
   Scenario: One wake of the process sends the states to all peers
     When 12 peers are heard for 5 seconds in a run
     Then the states to 12 peers left at the same moments, the same one to all of them
@@ -135,6 +145,8 @@
       | NodeState     |
       | NodeAddresses |
       | HelperLoss    |
+      | PeerLoss      |
+      | RepeatNotice  |
 
   Scenario: Bytes that are no message are rejected
     Then 200 random datagrams are either rejected or decoded
--- /dev/null
+++ b/tests/entry/coordination/exchange/monitors.feature
@@ -0,0 +1,86 @@
+Feature: Monitors of instances in a large fleet
+  Guards against messages that grow with the square of the fleet, and against instances that die and
+  are told to callers for long, or live and are not told to them.
+
+  Scenario Outline: Each instance is watched by as many others as it watches itself
+    Then of <count> instances with random addresses each has <monitors> monitors, which watch it
+
+    Examples:
+      | count | monitors |
+      | 2     | 1        |
+      | 5     | 4        |
+      | 100   | 5        |
+      | 420   | 5        |
+
+  Scenario: States go to the monitors often and to all others seldom
+    When an instance hears 40 others for 12 seconds
+    Then 5 of them got 20 to 26 states, and the others 2 to 5
+
+  Scenario: In a small fleet all others get states often
+    When an instance hears 20 others for 12 seconds
+    Then 20 of them got 20 to 26 states, and the others 0 to 0
+
+  Scenario: A watched instance that falls silent is reported to all, and no more told to callers
+    When an instance hears 40 others for 3 seconds, and then all but one that it watches for 3 seconds
+    Then it reported that one once, to all others, 1.7 to 2.3 seconds after its last message
+    And callers are not told of that one
+
+  Scenario: An instance that is not watched may be silent for longer
+    When an instance hears 40 others for 3 seconds, and then only those that it watches for 3 seconds
+    Then it reported none
+    And callers are told of 41 instances
+
+  Scenario: A report is taken over, with what the silent instance had placed
+    Given an instance that hears 40 others
+    And another that it does not watch has a request on engine "e00"
+    When that one was silent for 2 seconds and is reported as silent
+    Then callers are not told of that one
+    And engine "e00" has 0 requests
+
+  Scenario Outline: A report of an instance that lives is not taken over
+    Given an instance that hears 40 others
+    When that one <lives> and is reported as silent
+    Then callers are told of 41 instances
+
+    Examples:
+      | lives                                            |
+      | was heard a second ago                           |
+      | was silent for 2 seconds after a newer state     |
+
+  Scenario: An instance that was reported is back with its next message, and learns of the report
+    Given an instance that hears 40 others
+    When that one was silent for 2 seconds and is reported as silent
+    And it is heard again
+    Then callers are told of 41 instances
+    And that one was told that it had been reported
+
+  Scenario: An instance that hears of its own silence tells all that it lives, once
+    Given an instance that hears 40 others
+    When 3 others report that it is silent
+    Then all others got 1 state more
+
+  Scenario: An instance that reports another gets that one's states often from then on
+    When an instance hears 40 others for 12 seconds, of which one that is no monitor reports it
+    Then 6 of them got 20 to 32 states, and the others 4 to 10
+
+  Scenario Outline: Repeated sends are told at once where states are seldom
+    Given an instance that hears <count> others
+    When it repeats a request for a service
+    Then <told> others were told of the repeat
+
+    Examples:
+      | count | told |
+      | 40    | 40   |
+      | 20    | 0    |
+
+  Scenario: A repeat that is told counts until the next state
+    Given an instance that hears 40 others
+    When one of them tells of 2 repeats for service "s"
+    Then that one has used 2 repeats of service "s"
+    When its next state tells of 1 repeat
+    Then that one has used 1 repeats of service "s"
+
+  Scenario: A peer that knows few instances is told of all by the first ones
+    Given an instance that hears 40 others
+    When one of them tells that it hears 3 instances
+    Then that one was told of 40 addresses
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -3,20 +3,16 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import replace
 from datetime import timedelta
 
 import trio
-import trio.testing
 from behave import given, then, when
 from behave.runner import Context
+from support.exchange import LISTING, OWN, FakeDirectory, hear, open_exchange, pass_time, state_of
 from support.forwarding import PROFILE, make_target
-from wasabiwell_entry.coordination.exchange import ExchangeCoordinator
-from wasabiwell_entry.coordination.exchange.cells import ZoneCells
-from wasabiwell_entry.coordination.exchange.const import CELL_INSTANCES, CELL_TARGETS
-from wasabiwell_entry.coordination.exchange.coordinator import ExchangeObservers
-from wasabiwell_entry.coordination.exchange.ports import NoticeReceiver
+from wasabiwell_entry.coordination.exchange.const import CELL_TARGETS, LARGE_FLEET_INSTANCES
 from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
 from wasabiwell_entry.protocol.notices import (
     UnreadableNoticeError,
@@ -33,125 +29,14 @@
     NodeState,
     Notice,
     PaceNotice,
+    PeerLoss,
     PlacementNotice,
     Placing,
+    RepeatNotice,
     ServiceUse,
     Suspicion,
     Writing,
 )
-from wasabiwell_entry.state.nodes import NodeTable
-from wasabiwell_entry.state.platform import StoreUnavailable
-from wasabiwell_entry.state.targets import ListedTarget
-from wasabiwell_entry.state.work import WorkTable
-
-OWN = "10.0.0.1:7"
-
-
-class FakePort:
-    """Keeps what is sent."""
-
-    def __init__(self) -> None:
-        self.sent: list[tuple[str, Notice]] = []
-        self.states: list[tuple[float, int]] = []
-        self.now: Callable[[], float] = lambda: 0.0
-
-    def send(self, addresses: Iterable[str], notice: Notice) -> None:
-        """Keep a message for each address."""
-        self.sent += [(address, notice) for address in addresses]
-        if isinstance(notice, NodeState):
-            self.states.append((self.now(), notice.sequence))
-
-    async def receive(self, receiver: NoticeReceiver) -> None:
-        """Receive nothing."""
-        await trio.sleep_forever()
-
-
-class FakeDirectory:
-    """Names instances once it is back; `away` is the end of its outage in seconds."""
-
-    def __init__(self, away: float = 0.0, names: tuple[str, ...] = ()) -> None:
-        self.away = away
-        self.names = names
-        self.registered: list[str] = []
-        self.asked = 0
-
-    async def register(self, address: str) -> StoreUnavailable | None:
-        """Take an address unless it is away."""
-        await trio.lowlevel.checkpoint()
-        if trio.current_time() < self.away:
-            return StoreUnavailable("away")
-        self.registered.append(address)
-        return None
-
-    async def addresses(self) -> list[str] | StoreUnavailable:
-        """Return the names."""
-        self.asked += 1
-        await trio.lowlevel.checkpoint()
-        return list(self.names)
-
-
-def state_of(address: str, sequence: int, **fields: object) -> NodeState:
-    host = address.partition(":")[0]
-    values: dict[str, object] = {
-        "incarnation": 1,
-        "sequence": sequence,
-        "region": "r",
-        "zone": "z",
-        "caller_address": host if address != OWN else "own",
-        "control_address": f"{host}:9",
-        "serving": True,
-        "leaving": False,
-        "routes_version": 1,
-        "knows_targets": True,
-        "uses": (),
-        "placed": (),
-    }
-    return NodeState(**(values | fields))  # type: ignore[arg-type]
-
-
-def open_exchange(
-    context: Context,
-    directory: FakeDirectory,
-    clock: object,
-    own_state: Callable[[], NodeState] = lambda: state_of(OWN, 1),
-) -> None:
-    context.clock = clock
-    context.port = FakePort()
-    context.works = WorkTable()
-    context.works.update([(make_target(index), PROFILE) for index in range(2)], 0.0)
-    context.endings = []
-    context.lost_helpers = []
-    context.suspicions = []
-    context.recent_suspicions = list
-    context.announced = []
-    context.sequence = 0
-    nodes = NodeTable()
-    context.exchange = ExchangeCoordinator(
-        OWN,
-        own_state,
-        nodes,
-        context.works,
-        ZoneCells("z", nodes, context.works),
-        context.port,
-        directory,
-        ExchangeObservers(
-            ended=context.endings.append,
-            helper_lost=context.lost_helpers.append,
-            suspected=lambda suspicion: None,
-            suspicions=lambda: context.suspicions,
-            recent_suspicions=lambda: context.recent_suspicions(),
-            listed=lambda sender, notice: None,
-            routes_announced=lambda address, version: context.announced.append((address, version)),
-            whole_listing=lambda: NOTICES["ListingNotice"],
-        ),
-        (),
-        clock,
-    )
-
-
-def hear(context: Context, address: str, **fields: object) -> None:
-    context.sequence += 1
-    context.exchange.receive(address, state_of(address, context.sequence, **fields))
 
 
 @given('an instance that hears peer "{address}"')
@@ -271,6 +156,13 @@
     context.exchange.tell(Ending("r1", lead, AttemptVerdict.FAILED))
 
 
+@when('it tells of a call on target "{target_id}" from its begin to its end')
+def step_tells_call(context: Context, target_id: str) -> None:
+    notice = PlacementNotice("r1", "plain", target_id, (), 5, 300, 200, 0, 0, 0)
+    context.exchange.tell(Placing(notice))
+    context.exchange.tell(Ending("r1", target_id, AttemptVerdict.ANSWERED))
+
+
 @then("its placement and end went to {count:d} peers, and its first event to {first:d}")
 def step_reached(context: Context, count: int, first: int) -> None:
     kinds = (Placing, Writing, Ending)
@@ -284,7 +176,7 @@
 
 @then("the numbers in these scenarios are on both sides of the bounds")
 def step_bounds(context: Context) -> None:
-    assert 20 < CELL_INSTANCES <= 40
+    assert 20 < LARGE_FLEET_INSTANCES <= 40
     assert 5 < CELL_TARGETS <= 12
 
 
@@ -293,29 +185,6 @@
     assert not context.directory.registered, context.directory.registered
 
 
-def pass_time(
-    context: Context,
-    seconds: int,
-    heard: list[str],
-    happening: Callable[[], Awaitable[None]] | None = None,
-) -> None:
-    """Let an instance run, with peers heard four times a second."""
-
-    async def run() -> None:
-        context.clock = SystemClock()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(context.exchange.run)
-            if happening is not None:
-                nursery.start_soon(happening)
-            for _ in range(seconds * 4):
-                await trio.sleep(0.25)
-                for address in heard:
-                    hear(context, address)
-            nursery.cancel_scope.cancel()
-
-    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
 @when('only peer "{address}" is heard for {seconds:d} seconds')
 def step_only(context: Context, address: str, seconds: int) -> None:
     for _ in range(seconds * 4):
@@ -473,12 +342,12 @@
     "PaceNotice": PaceNotice("e1", 2.5),
     "Ending": Ending("r", "e1", AttemptVerdict.LOST),
     "Suspicion": Suspicion("f", ("e1@1",)),
-    "ListingNotice": ListingNotice(
-        7, 2**63 + 1, 2**64 - 1, (ListedTarget(make_target(1), True),), ("e9",)
-    ),
+    "ListingNotice": LISTING,
     "NodeState": state_of("10.0.0.2:7", 4, uses=(ServiceUse("s", 1, 2),), placed=("r1", "r2")),
     "NodeAddresses": NodeAddresses(("10.0.0.2:7",)),
     "HelperLoss": HelperLoss("e01"),
+    "PeerLoss": PeerLoss("10.0.0.2:7", 1, 4),
+    "RepeatNotice": RepeatNotice("s"),
 }
 
 
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -12,7 +12,7 @@
 from wasabiwell_entry.coordination.health import TargetHealth
 from wasabiwell_entry.coordination.stop import GracefulStop
 from wasabiwell_entry.state.clock import ManualClock, SystemClock
-from wasabiwell_entry.state.exchange import AttemptVerdict, ServiceUse
+from wasabiwell_entry.state.exchange import AttemptVerdict, RepeatNotice, ServiceUse
 from wasabiwell_entry.state.targets import ListedTarget
 
 SERVICE = "s"
@@ -100,7 +100,15 @@
     context.clock = ManualClock()
     context.peer_uses = []
     limits = BudgetLimits(ratio, slack, timedelta(seconds=seconds))
-    context.budget = RepeatBudget(limits, lambda: context.peer_uses, context.clock)
+    context.told = []
+    context.budget = RepeatBudget(
+        limits, lambda: context.peer_uses, context.told.append, context.clock
+    )
+
+
+@then("{count:d} repeats were told")
+def step_repeats_told(context: Context, count: int) -> None:
+    assert context.told == [RepeatNotice(SERVICE)] * count, context.told
 
 
 @given("peers that counted {requests:d} requests and {repeats:d} repeats")
--- /dev/null
+++ b/tests/support/exchange.py
@@ -0,0 +1,158 @@
+"""One entry instance that exchanges messages with others that a test plays."""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import trio
+import trio.testing
+from behave.runner import Context
+from wasabiwell_entry.coordination.exchange import ExchangeCoordinator
+from wasabiwell_entry.coordination.exchange.cells import ZoneCells
+from wasabiwell_entry.coordination.exchange.coordinator import ExchangeObservers
+from wasabiwell_entry.coordination.exchange.ports import NoticeReceiver
+from wasabiwell_entry.state.clock import SystemClock
+from wasabiwell_entry.state.exchange import ListingNotice, NodeState, Notice
+from wasabiwell_entry.state.nodes import NodeTable
+from wasabiwell_entry.state.platform import StoreUnavailable
+from wasabiwell_entry.state.targets import ListedTarget
+from wasabiwell_entry.state.work import WorkTable
+
+from support.forwarding import PROFILE, make_target
+
+OWN = "10.0.0.1:7"
+LISTING = ListingNotice(7, 2**63 + 1, 2**64 - 1, (ListedTarget(make_target(1), True),), ("e9",))
+
+
+class FakePort:
+    """Keeps what is sent, with the time of `now`."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, Notice]] = []
+        self.times: list[float] = []
+        self.states: list[tuple[float, int]] = []
+        self.now: Callable[[], float] = lambda: 0.0
+
+    def send(self, addresses: Iterable[str], notice: Notice) -> None:
+        """Keep a message for each address."""
+        added = [(address, notice) for address in addresses]
+        self.sent += added
+        self.times += [self.now()] * len(added)
+        if isinstance(notice, NodeState):
+            self.states.append((self.now(), notice.sequence))
+
+    async def receive(self, receiver: NoticeReceiver) -> None:
+        """Receive nothing."""
+        await trio.sleep_forever()
+
+
+class FakeDirectory:
+    """Names instances once it is back; `away` is the end of its outage in seconds."""
+
+    def __init__(self, away: float = 0.0, names: tuple[str, ...] = ()) -> None:
+        self.away = away
+        self.names = names
+        self.registered: list[str] = []
+        self.asked = 0
+
+    async def register(self, address: str) -> StoreUnavailable | None:
+        """Take an address unless it is away."""
+        await trio.lowlevel.checkpoint()
+        if trio.current_time() < self.away:
+            return StoreUnavailable("away")
+        self.registered.append(address)
+        return None
+
+    async def addresses(self) -> list[str] | StoreUnavailable:
+        """Return the names."""
+        self.asked += 1
+        await trio.lowlevel.checkpoint()
+        return list(self.names)
+
+
+def state_of(address: str, sequence: int, **fields: object) -> NodeState:
+    """Return a state of an instance."""
+    host = address.partition(":")[0]
+    values: dict[str, object] = {
+        "incarnation": 1,
+        "sequence": sequence,
+        "region": "r",
+        "zone": "z",
+        "caller_address": host if address != OWN else "own",
+        "control_address": f"{host}:9",
+        "serving": True,
+        "leaving": False,
+        "routes_version": 1,
+        "knows_targets": True,
+        "uses": (),
+        "placed": (),
+    }
+    return NodeState(**(values | fields))  # type: ignore[arg-type]
+
+
+def open_exchange(
+    context: Context,
+    directory: FakeDirectory,
+    clock: object,
+    own_state: Callable[[], NodeState] = lambda: state_of(OWN, 1),
+) -> None:
+    """Open an instance that takes messages of others, and keep its parts in the context."""
+    context.clock = clock
+    context.port = FakePort()
+    context.works = WorkTable()
+    context.works.update([(make_target(index), PROFILE) for index in range(2)], 0.0)
+    context.endings = []
+    context.lost_helpers = []
+    context.suspicions = []
+    context.recent_suspicions = list
+    context.announced = []
+    context.sequence = 0
+    context.nodes = nodes = NodeTable()
+    context.exchange = ExchangeCoordinator(
+        OWN,
+        own_state,
+        nodes,
+        context.works,
+        ZoneCells("z", nodes, context.works),
+        context.port,
+        directory,
+        ExchangeObservers(
+            ended=context.endings.append,
+            helper_lost=context.lost_helpers.append,
+            suspected=lambda suspicion: None,
+            suspicions=lambda: context.suspicions,
+            recent_suspicions=lambda: context.recent_suspicions(),
+            listed=lambda sender, notice: None,
+            routes_announced=lambda address, version: context.announced.append((address, version)),
+            whole_listing=lambda: LISTING,
+        ),
+        (),
+        clock,
+    )
+
+
+def hear(context: Context, address: str, **fields: object) -> None:
+    """Let a state of an instance arrive."""
+    context.sequence += 1
+    context.exchange.receive(address, state_of(address, context.sequence, **fields))
+
+
+def pass_time(
+    context: Context,
+    seconds: int,
+    heard: list[str],
+    happening: Callable[[], Awaitable[None]] | None = None,
+) -> None:
+    """Let an instance run, with peers heard four times a second."""
+
+    async def run() -> None:
+        context.clock = SystemClock()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.exchange.run)
+            if happening is not None:
+                nursery.start_soon(happening)
+            for _ in range(seconds * 4):
+                await trio.sleep(0.25)
+                for address in heard:
+                    hear(context, address)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -16,7 +16,7 @@
 from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
 from wasabiwell_entry.coordination.reservations import EngineReservations
 from wasabiwell_entry.state.clock import Clock, SystemClock
-from wasabiwell_entry.state.exchange import Notice
+from wasabiwell_entry.state.exchange import AttemptVerdict, Notice
 from wasabiwell_entry.state.forwarding import (
     AnswerEnd,
     AnswerEvent,
@@ -235,10 +235,16 @@
     limits = BudgetLimits(ratio=0.2, slack=slack, window=timedelta(seconds=10))
     return Forwarder(
         engines.placer,
-        PlacementLedger(engines.works, tell, engines.health.note, clock),
+        PlacementLedger(
+            engines.works,
+            tell,
+            engines.health.note,
+            lambda target_id: engines.health.note(target_id, AttemptVerdict.LOST),
+            clock,
+        ),
         targets,
         EngineReservations(reservations or FakeReservations(), clock),
-        RepeatBudget(limits, list, clock),
+        RepeatBudget(limits, list, tell, clock),
         CrashCounts(tell, clock),
         clock,
     )
