Judge the silence of a peer by the interval that its states tell

Cause: found by reading the new code. Instances near the size from which a fleet is large may differ on it, and one that takes it for small would drop peers whose states come seldom. An instance that was paused would report all that it watches, as their messages still wait to be read. Change: states tell the longest time until the next one. Silence counts anew after a pause of the own instance. The sender of states, the registration in the store and the conversion of placements are modules of their own.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -27,6 +27,8 @@
 """A peer that was not heard for this many intervals is taken as gone: three may be lost."""
 WATCH_SILENCE = SILENT_INTERVALS * STATE_INTERVAL
 """An instance that is watched is reported after this time without any message."""
+PAUSED_SWEEP = timedelta(seconds=1)
+"""An instance whose looks for silent peers are this far apart was paused itself."""
 KNOWN_PEERS_SHARE = 0.5
 """A peer that hears fewer than this share of what is heard here is sent all addresses."""
 LISTED_TIMEOUT = timedelta(seconds=20)
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -4,31 +4,26 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
 import trio
-import xxhash
 
 from wasabiwell_entry.coordination.exchange.cells import Audience, ZoneCells
 from wasabiwell_entry.coordination.exchange.const import (
     ANSWER_LOSS_INTERVAL,
-    FAR_STATES_PER_SECOND,
-    FORGET_TIMEOUT,
     KNOWN_PEERS_SHARE,
-    LATEST_MOMENT,
     LISTED_TIMEOUT,
     LISTING_SENDERS,
-    MAX_FAR_STATE_INTERVAL,
-    REGISTER_DELAY,
-    REGISTER_INTERVAL,
-    REGISTER_RETRY_INTERVAL,
-    REGISTERED_INSTANCES,
-    SHARED_STATE_TIME,
+    PAUSED_SWEEP,
     SILENT_INTERVALS,
     STATE_INTERVAL,
     SWEEP_INTERVAL,
     WATCH_SILENCE,
 )
 from wasabiwell_entry.coordination.exchange.monitors import MonitorRing
+from wasabiwell_entry.coordination.exchange.placements import placed_by_notice
 from wasabiwell_entry.coordination.exchange.ports import NodeDirectory, NoticePort
+from wasabiwell_entry.coordination.exchange.registration import Registration
+from wasabiwell_entry.coordination.exchange.sender import StateSender
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
@@ -40,17 +35,14 @@
     Notice,
     PaceNotice,
     PeerLoss,
-    PlacementNotice,
     Placing,
     RepeatNotice,
     Suspicion,
     Writing,
 )
-from wasabiwell_entry.state.forwarding import PromptSize
 from wasabiwell_entry.state.members import Member
 from wasabiwell_entry.state.nodes import Node, NodeTable
-from wasabiwell_entry.state.platform import StoreUnavailable
-from wasabiwell_entry.state.work import Placed, WorkTable
+from wasabiwell_entry.state.work import WorkTable
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,20 +76,18 @@
         "_answered_loss",
         "_cells",
         "_clock",
-        "_directory",
         "_nodes",
         "_nursery",
         "_observers",
         "_own_address",
         "_own_state",
-        "_phase",
         "_port",
+        "_registration",
         "_ring",
-        "_ring_changed",
         "_seeds",
+        "_sender",
         "_sending",
-        "_shared_state",
-        "_shared_until",
+        "_swept",
         "_works",
     )
 
@@ -120,31 +110,44 @@
         self._works = works
         self._cells = cells
         self._port = port
-        self._directory = directory
         self._observers = observers
         self._seeds = seeds
         self._clock = clock
-        self._phase = xxhash.xxh3_64_intdigest(own_address.encode()) / 2**64
         self._ring = MonitorRing(own_address)
-        self._ring_changed = trio.Event()
+        self._sender = StateSender(
+            own_address,
+            self._current_state,
+            observers.recent_suspicions,
+            nodes,
+            cells,
+            self._ring,
+            port,
+            clock,
+        )
+        self._registration = Registration(
+            own_address, directory, self.rank, lambda: not self.peers(), self.meet, clock
+        )
+        self._swept = 0.0
         self._answered_loss = 0.0
         self._sending: set[str] = set()
-        self._shared_state: NodeState | None = None
-        self._shared_until = 0.0
         self._nursery: trio.Nursery | None = None
 
     def peers(self) -> list[Node]:
         """Return the peers that are heard, in the order of addresses."""
-        return self._nodes.heard_since(self._now() - self._silence())
+        now = self._now()
+        return [node for node in self._nodes.heard() if node.silence(now) <= _allowed_silence(node)]
 
     def alive(self) -> list[Member]:
         """Return the entry instances that callers may use, this one included.
 
         When no peer is heard, those are returned that were heard before.
         """
-        nodes = self.peers() or self._nodes.heard_since(
-            self._now() - LISTED_TIMEOUT.total_seconds()
-        )
+        now = self._now()
+        nodes = self.peers() or [
+            node
+            for node in self._nodes.heard()
+            if node.silence(now) <= LISTED_TIMEOUT.total_seconds()
+        ]
         states = [(node.address, node.state) for node in nodes if node.state is not None]
         states.append((self._own_address, self._own_state()))
         return [_member(address, state) for address, state in states if state.serving]
@@ -172,7 +175,11 @@
 
     def tell_state(self) -> None:
         """Send the state to all peers at once, after a change that they should know of."""
-        self._port.send([node.address for node in self._nodes], self._own_state())
+        self._port.send([node.address for node in self._nodes], self._current_state())
+
+    def _current_state(self) -> NodeState:
+        interval = self._sender.longest_interval() // timedelta(milliseconds=1)
+        return msgspec.structs.replace(self._own_state(), interval_ms=interval)
 
     async def run(self) -> None:
         """Exchange messages until cancelled."""
@@ -181,7 +188,7 @@
             for seed in self._seeds:
                 self.meet(seed)
             nursery.start_soon(self._port.receive, self)
-            nursery.start_soon(self._register)
+            nursery.start_soon(self._registration.run)
             while True:
                 self._sweep()
                 await self._clock.sleep(SWEEP_INTERVAL)
@@ -196,7 +203,7 @@
             self._nodes.hear(sender, now)
         match notice:
             case Placing(notice=placing):
-                self._works.add(_placed(sender, placing, now), now)
+                self._works.add(placed_by_notice(sender, placing, now), now)
             case Writing(request_id=request_id):
                 self._works.begin_writing(request_id, now)
             case PaceNotice(target_id=target_id, pace=pace):
@@ -232,7 +239,7 @@
         if known is None:
             log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
             if not began:
-                self._port.send([sender], self._own_state())
+                self._port.send([sender], self._current_state())
             self._tell_suspicions(sender)
         elif (state.incarnation, state.sequence) <= (known.incarnation, known.sequence):
             return
@@ -261,7 +268,7 @@
         node = self._nodes.get(sender)
         if node is None or node.heard is None or node.state is None:
             return
-        if not node.lost and now - node.heard <= self._silence():
+        if not node.lost and node.silence(now) <= _allowed_silence(node):
             return
         log_events.emit(log_events.PEER_HEARD, peer=sender, zone=node.state.zone)
         self._tell_suspicions(sender)
@@ -284,83 +291,33 @@
         return True
 
     async def _send_states(self, address: str) -> None:
-        """Send states to a peer until it was not heard for long."""
         try:
-            while (node := self._nodes.get(address)) is not None:
-                last = node.heard if node.heard is not None else node.known_since
-                if self._now() - last > FORGET_TIMEOUT.total_seconds():
-                    self._nodes.remove(address)
-                    self._ring.forget(address)
-                    return
-                self._port.send([address], self._state_to_share())
-                for suspicion in self._observers.recent_suspicions():
-                    self._port.send([address], suspicion)
-                await self._wait_to_send(address)
+            await self._sender.send(address)
         finally:
             self._sending.discard(address)
 
-    def _state_to_share(self) -> NodeState:
-        """Return the state for all peers that are sent to at this moment."""
-        now = self._now()
-        if self._shared_state is None or now >= self._shared_until:
-            self._shared_state = self._own_state()
-            self._shared_until = now + SHARED_STATE_TIME.total_seconds()
-        return self._shared_state
-
-    async def _wait_to_send(self, address: str) -> None:
-        """Wait for the next moment to send a state to a peer, which may become a monitor first."""
-        while True:
-            interval = self._interval_to(address)
-            with trio.move_on_after(self._time_to_next(interval).total_seconds()):
-                while self._interval_to(address) == interval:
-                    await self._ring_changed.wait()
-                continue
-            return
-
-    def _interval_to(self, address: str) -> timedelta:
-        far = self._cells.large_fleet and address not in self._ring.monitors
-        return self._far_interval() if far else STATE_INTERVAL
-
-    def _far_interval(self) -> timedelta:
-        interval = timedelta(seconds=len(self._nodes) / FAR_STATES_PER_SECOND)
-        return min(interval, MAX_FAR_STATE_INTERVAL)
-
-    def _time_to_next(self, interval: timedelta) -> timedelta:
-        """Return the time to the moment at which all peers with an interval are sent to.
-
-        The tasks of all peers then run in one wake of the process. Instances have moments of their
-        own, so that no peer gets the states of all others at once.
-        """
-        moment = (self._now() / interval.total_seconds() + self._phase) % 1.0
-        return interval * (1.0 - moment if moment < LATEST_MOMENT else 2.0 - moment)
-
-    def _silence(self) -> float:
-        """Return the time in seconds after which an unheard peer counts as gone."""
-        interval = self._far_interval() if self._cells.large_fleet else STATE_INTERVAL
-        return SILENT_INTERVALS * interval.total_seconds()
-
     def _sweep(self) -> None:
         """Drop what silent peers have placed and what ended unheard."""
         now = self._now()
-        limit = now - self._silence()
-        for node in self._nodes:
-            if (
-                node.heard is not None
-                and limit - SWEEP_INTERVAL.total_seconds() < node.heard <= limit
-            ):
+        for node in self._nodes.heard():
+            silence = node.silence(now)
+            if 0 <= silence - _allowed_silence(node) < SWEEP_INTERVAL.total_seconds():
                 log_events.emit(
-                    log_events.PEER_SILENT, peer=node.address, silence_s=round(now - node.heard, 2)
+                    log_events.PEER_SILENT, peer=node.address, silence_s=round(silence, 2)
                 )
                 self._works.retain(node.address, frozenset(), now)
         self._works.expire(now)
         if self._cells.large_fleet:
             self._watch(now)
+        self._swept = now
 
     def _watch(self, now: float) -> None:
         """Report the watched instances that are silent."""
         if self._ring.update([node.address for node in self.peers()], now):
-            self._ring_changed.set()
-            self._ring_changed = trio.Event()
+            self._sender.monitors_changed()
+        if now - self._swept > PAUSED_SWEEP.total_seconds():
+            # This instance was paused: what the others have sent meanwhile waits to be read.
+            self._ring.watch_anew(now)
         for address, since in self._ring.watched().items():
             node = self._nodes.get(address)
             if node is None or node.heard is None or node.state is None:
@@ -375,12 +332,12 @@
         if node is None or node.heard is None or node.state is None or node.lost:
             return
         newer = (node.state.incarnation, node.state.sequence) > (loss.incarnation, loss.sequence)
-        if not newer and now - node.heard > WATCH_SILENCE.total_seconds():
+        if not newer and node.silence(now) > WATCH_SILENCE.total_seconds():
             self._lose(node, now)
 
     def _lose(self, node: Node, now: float) -> None:
-        heard = node.heard if node.heard is not None else node.known_since
-        log_events.emit(log_events.PEER_SILENT, peer=node.address, silence_s=round(now - heard, 2))
+        silence = round(node.silence(now), 2)
+        log_events.emit(log_events.PEER_SILENT, peer=node.address, silence_s=silence)
         node.lost = True
         self._works.retain(node.address, frozenset(), now)
 
@@ -391,32 +348,16 @@
             self._answered_loss = now
             self.tell_state()
 
-    async def _register(self) -> None:
-        """Keep a few instances in the platform's store, and find peers there when none is heard."""
-        await self._clock.sleep(REGISTER_DELAY)
-        registered = False
-        while True:
-            failed: StoreUnavailable | None = None
-            if not registered and self.rank() < REGISTERED_INSTANCES:
-                failed = await self._directory.register(self._own_address)
-                registered = failed is None
-            if failed is None and not self.peers():
-                failed = await self._meet_registered()
-            retry = REGISTER_INTERVAL if failed is None else REGISTER_RETRY_INTERVAL
-            await self._clock.sleep(retry)
-
-    async def _meet_registered(self) -> StoreUnavailable | None:
-        addresses = await self._directory.addresses()
-        if isinstance(addresses, StoreUnavailable):
-            return addresses
-        for address in addresses:
-            self.meet(address)
-        return None
-
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
 
 
+def _allowed_silence(node: Node) -> float:
+    """Return the time in seconds after which a peer counts as gone."""
+    interval = timedelta(milliseconds=node.state.interval_ms) if node.state else STATE_INTERVAL
+    return SILENT_INTERVALS * interval.total_seconds()
+
+
 def _loss_of(address: str, state: NodeState) -> PeerLoss:
     return PeerLoss(address, state.incarnation, state.sequence)
 
@@ -430,41 +371,3 @@
         caller_address=state.caller_address,
         peer_address=address,
     )
-
-
-def _placed(sender: str, notice: PlacementNotice, now: float) -> Placed:
-    size = None
-    if notice.prompt:
-        size = PromptSize(notice.prompt, notice.max_output, notice.expected_output)
-    return Placed(
-        request_id=notice.request_id,
-        origin=sender,
-        service=notice.service,
-        lead=notice.lead,
-        helpers=notice.helpers,
-        placed_at=now - notice.age_ms / 1000,
-        due=now + notice.due_in_ms / 1000,
-        gap=notice.gap_ms / 1000,
-        size=size,
-        writing=notice.writing,
-        holds=notice.holds,
-    )
-
-
-def placement_notice(placed: Placed, now: float) -> PlacementNotice:
-    """Return what peers are told of a placed request."""
-    size = placed.size or PromptSize(0, 0, 0)
-    return PlacementNotice(
-        request_id=placed.request_id,
-        service=placed.service,
-        lead=placed.lead,
-        helpers=placed.helpers,
-        age_ms=round((now - placed.placed_at) * 1000),
-        due_in_ms=round((placed.due - now) * 1000),
-        gap_ms=round(placed.gap * 1000),
-        prompt=size.prompt,
-        max_output=size.max_output,
-        expected_output=size.expected_output,
-        writing=placed.writing,
-        holds=placed.holds,
-    )
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/monitors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/monitors.py
@@ -29,9 +29,12 @@
 
         `now` is a monotonic time in seconds.
         """
-        for address in addresses:
-            self._positions.setdefault(address, _position(address))
-        ring = sorted({self._own, *addresses}, key=self._positions.__getitem__)
+        names = {self._own, *addresses}
+        self._positions = {
+            name: self._positions[name] if name in self._positions else _position(name)
+            for name in names
+        }
+        ring = sorted(names, key=self._positions.__getitem__)
         own = ring.index(self._own)
         reach = min(MONITORS, len(ring) - 1)
         watched = {ring[(own - step) % len(ring)] for step in range(1, reach + 1)}
@@ -45,15 +48,14 @@
         """Return the instances to watch, with the monotonic second since when each is watched."""
         return dict(self._watched)
 
+    def watch_anew(self, now: float) -> None:
+        """Count the silence of the watched instances from a monotonic second on."""
+        self._watched = dict.fromkeys(self._watched, now)
+
     def ask(self, address: str) -> None:
         """Add an instance that watches this one, which its report has shown."""
         self._asked.add(address)
 
-    def forget(self, address: str) -> None:
-        """Remove an instance that is not known any more."""
-        self._positions.pop(address, None)
-        self._asked.discard(address)
-
 
 def _position(address: str) -> int:
     return xxhash.xxh3_64_intdigest(address.encode())
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/placements.py
@@ -0,0 +1,44 @@
+"""Placed requests as they are told to other entry instances; times are monotonic seconds."""
+
+from wasabiwell_entry.state.exchange import PlacementNotice
+from wasabiwell_entry.state.forwarding import PromptSize
+from wasabiwell_entry.state.work import Placed
+
+
+def placed_by_notice(sender: str, notice: PlacementNotice, now: float) -> Placed:
+    """Return a request that a peer has placed."""
+    size = None
+    if notice.prompt:
+        size = PromptSize(notice.prompt, notice.max_output, notice.expected_output)
+    return Placed(
+        request_id=notice.request_id,
+        origin=sender,
+        service=notice.service,
+        lead=notice.lead,
+        helpers=notice.helpers,
+        placed_at=now - notice.age_ms / 1000,
+        due=now + notice.due_in_ms / 1000,
+        gap=notice.gap_ms / 1000,
+        size=size,
+        writing=notice.writing,
+        holds=notice.holds,
+    )
+
+
+def placement_notice(placed: Placed, now: float) -> PlacementNotice:
+    """Return what peers are told of a placed request."""
+    size = placed.size or PromptSize(0, 0, 0)
+    return PlacementNotice(
+        request_id=placed.request_id,
+        service=placed.service,
+        lead=placed.lead,
+        helpers=placed.helpers,
+        age_ms=round((now - placed.placed_at) * 1000),
+        due_in_ms=round((placed.due - now) * 1000),
+        gap_ms=round(placed.gap * 1000),
+        prompt=size.prompt,
+        max_output=size.max_output,
+        expected_output=size.expected_output,
+        writing=placed.writing,
+        holds=placed.holds,
+    )
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
@@ -0,0 +1,125 @@
+"""Sends the states of this entry instance to its peers."""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+import trio
+import xxhash
+
+from wasabiwell_entry.coordination.exchange.cells import ZoneCells
+from wasabiwell_entry.coordination.exchange.const import (
+    FAR_STATES_PER_SECOND,
+    FORGET_TIMEOUT,
+    LATEST_MOMENT,
+    MAX_FAR_STATE_INTERVAL,
+    SHARED_STATE_TIME,
+    STATE_INTERVAL,
+)
+from wasabiwell_entry.coordination.exchange.monitors import MonitorRing
+from wasabiwell_entry.coordination.exchange.ports import NoticePort
+from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.exchange import NodeState, Suspicion
+from wasabiwell_entry.state.nodes import NodeTable
+
+
+class StateSender:
+    """Sends states to each peer in a task of its own: often to monitors, seldom to the others.
+
+    In a small fleet all peers get them often.
+    """
+
+    __slots__ = (
+        "_cells",
+        "_clock",
+        "_nodes",
+        "_own_state",
+        "_phase",
+        "_port",
+        "_recent_suspicions",
+        "_ring",
+        "_ring_changed",
+        "_shared_state",
+        "_shared_until",
+    )
+
+    def __init__(
+        self,
+        own_address: str,
+        own_state: Callable[[], NodeState],
+        recent_suspicions: Callable[[], Iterable[Suspicion]],
+        nodes: NodeTable,
+        cells: ZoneCells,
+        ring: MonitorRing,
+        port: NoticePort,
+        clock: Clock,
+    ) -> None:
+        self._own_state = own_state
+        self._recent_suspicions = recent_suspicions
+        self._nodes = nodes
+        self._cells = cells
+        self._ring = ring
+        self._ring_changed = trio.Event()
+        self._port = port
+        self._clock = clock
+        self._phase = xxhash.xxh3_64_intdigest(own_address.encode()) / 2**64
+        self._shared_state: NodeState | None = None
+        self._shared_until = 0.0
+
+    def monitors_changed(self) -> None:
+        """Let peers that have become monitors get their states often at once."""
+        self._ring_changed.set()
+        self._ring_changed = trio.Event()
+
+    async def send(self, address: str) -> None:
+        """Send states to a peer until it was not heard for long."""
+        while (node := self._nodes.get(address)) is not None:
+            last = node.heard if node.heard is not None else node.known_since
+            if self._now() - last > FORGET_TIMEOUT.total_seconds():
+                self._nodes.remove(address)
+                return
+            self._port.send([address], self._state_to_share())
+            for suspicion in self._recent_suspicions():
+                self._port.send([address], suspicion)
+            await self._wait_to_send(address)
+
+    def _state_to_share(self) -> NodeState:
+        """Return the state for all peers that are sent to at this moment."""
+        now = self._now()
+        if self._shared_state is None or now >= self._shared_until:
+            self._shared_state = self._own_state()
+            self._shared_until = now + SHARED_STATE_TIME.total_seconds()
+        return self._shared_state
+
+    async def _wait_to_send(self, address: str) -> None:
+        """Wait for the next moment to send a state to a peer, which may become a monitor first."""
+        while True:
+            interval = self._interval_to(address)
+            with trio.move_on_after(self._time_to_next(interval).total_seconds()):
+                while self._interval_to(address) == interval:
+                    await self._ring_changed.wait()
+                continue
+            return
+
+    def _interval_to(self, address: str) -> timedelta:
+        far = self._cells.large_fleet and address not in self._ring.monitors
+        return self._far_interval() if far else STATE_INTERVAL
+
+    def _far_interval(self) -> timedelta:
+        interval = timedelta(seconds=len(self._nodes) / FAR_STATES_PER_SECOND)
+        return min(interval, MAX_FAR_STATE_INTERVAL)
+
+    def longest_interval(self) -> timedelta:
+        """Return the time between the states to those peers that get them most seldom."""
+        return self._far_interval() if self._cells.large_fleet else STATE_INTERVAL
+
+    def _time_to_next(self, interval: timedelta) -> timedelta:
+        """Return the time to the moment at which all peers with an interval are sent to.
+
+        The tasks of all peers then run in one wake of the process. Instances have moments of their
+        own, so that no peer gets the states of all others at once.
+        """
+        moment = (self._now() / interval.total_seconds() + self._phase) % 1.0
+        return interval * (1.0 - moment if moment < LATEST_MOMENT else 2.0 - moment)
+
+    def _now(self) -> float:
+        return self._clock.monotonic().total_seconds()
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
-from wasabiwell_entry.coordination.exchange.coordinator import placement_notice
+from wasabiwell_entry.coordination.exchange.placements import placement_notice
 from wasabiwell_entry.coordination.placement.const import PACE_CHANGE, PACE_PAUSES
 from wasabiwell_entry.coordination.placement.errors import Placement
 from wasabiwell_entry.state.clock import Clock
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -124,7 +124,7 @@
     `incarnation` is the time of its start in milliseconds since 1970 and `sequence` counts its
     states. `routes_version` is the version of the routes in force. `placed` are the ids of what it
     has placed, so that receivers drop what has ended unheard. `peers` is the number of entry
-    instances that it hears.
+    instances that it hears. `interval_ms` is the longest time between its states to one peer.
     """
 
     incarnation: int
@@ -140,6 +140,7 @@
     uses: tuple[ServiceUse, ...]
     placed: tuple[str, ...]
     peers: int = 0
+    interval_ms: int = 500
 
 
 class NodeAddresses(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/entry/src/wasabiwell_entry/state/nodes.py
+++ b/packages/entry/src/wasabiwell_entry/state/nodes.py
@@ -22,6 +22,10 @@
     state: NodeState | None = None
     lost: bool = False
 
+    def silence(self, now: float) -> float:
+        """Return the seconds since it was heard, or since it is known."""
+        return now - (self.heard if self.heard is not None else self.known_since)
+
 
 class NodeTable:
     """Other entry instances by datagram address; one entry instance owns one table."""
@@ -73,9 +77,7 @@
         """Remove an entry instance when it is known."""
         self._nodes.pop(address, None)
 
-    def heard_since(self, time: float) -> list[Node]:
-        """Return those that were heard after a time and are not lost, in the order of addresses."""
-        heard = [
-            node for node in self if node.heard is not None and node.heard > time and not node.lost
-        ]
+    def heard(self) -> list[Node]:
+        """Return those that were heard and are not lost, in the order of addresses."""
+        heard = [node for node in self if node.heard is not None and not node.lost]
         return sorted(heard, key=lambda node: node.address)
--- a/tests/entry/coordination/exchange/monitors.feature
+++ b/tests/entry/coordination/exchange/monitors.feature
@@ -84,3 +84,20 @@
     Given an instance that hears 40 others
     When one of them tells that it hears 3 instances
     Then that one was told of 40 addresses
+
+  Scenario: An instance that was paused reports none of those whose messages wait to be read
+    Given an instance that hears 40 others
+    When it was paused for 5 seconds and looks for silent peers
+    Then it reported none
+
+  Scenario Outline: A peer counts as gone by the interval that its states tell
+    Given an instance that hears <count> others
+    When its states are to come every <interval> ms, and 3 seconds pass
+    Then callers are told of that one: <told>
+
+    Examples: Instances may differ on whether the fleet is large
+      | count | interval | told |
+      | 20    | 500      | no   |
+      | 20    | 3200     | yes  |
+      | 40    | 500      | no   |
+      | 40    | 4000     | yes  |
--- a/tests/steps/entry/coordination/monitors_steps.py
+++ b/tests/steps/entry/coordination/monitors_steps.py
@@ -8,7 +8,9 @@
 import trio.testing
 from behave import given, then, when
 from behave.runner import Context
-from support.exchange import OWN, FakeDirectory, hear, open_exchange
+from support import exchange
+from support.exchange import OWN, FakeDirectory, open_exchange
+from wasabiwell_entry.coordination.exchange.const import LARGE_FLEET_INSTANCES
 from wasabiwell_entry.coordination.exchange.monitors import MonitorRing
 from wasabiwell_entry.state.clock import ManualClock, SystemClock
 from wasabiwell_entry.state.exchange import (
@@ -49,6 +51,12 @@
         assert len(ring.watched()) == monitors
 
 
+def hear(context: Context, address: str, **fields: object) -> None:
+    """Let a state arrive of a fleet in which states are as seldom as in the instance's own one."""
+    interval = 100 * len(context.others) if len(context.others) >= LARGE_FLEET_INSTANCES else 500
+    exchange.hear(context, address, **{"interval_ms": interval, **fields})
+
+
 def open_run(context: Context, count: int) -> list[str]:
     open_exchange(context, FakeDirectory(), SystemClock())
     context.port.now = trio.current_time
@@ -186,8 +194,8 @@
         hear(context, name)
     watched = watched_by_own(context.others)
     context.silent = next(name for name in context.others if name not in watched)
-    context.sequence_of_silent = context.sequence
     context.port.sent.clear()
+    context.port.times.clear()
 
 
 @given('another that it does not watch has a request on engine "{target_id}"')
@@ -221,6 +229,28 @@
     report(context, older)
 
 
+@when("it was paused for {seconds:d} seconds and looks for silent peers")
+def step_paused(context: Context, seconds: int) -> None:
+    context.exchange._sweep()  # what the instance does at intervals
+    context.clock.advance(timedelta(seconds=seconds))
+    context.exchange._sweep()
+
+
+@when("its states are to come every {milliseconds:d} ms, and {seconds:d} seconds pass")
+def step_seldom(context: Context, milliseconds: int, seconds: int) -> None:
+    hear(context, context.silent, interval_ms=milliseconds)
+    context.clock.advance(timedelta(seconds=seconds))
+    for name in context.others:
+        if name != context.silent:
+            hear(context, name)
+
+
+@then("callers are told of that one: {told}")
+def step_told_or_not(context: Context, told: str) -> None:
+    host = context.silent.partition(":")[0]
+    assert (host in told_to_callers(context)) == (told == "yes")
+
+
 @when("it is heard again")
 def step_again(context: Context) -> None:
     hear(context, context.silent)
