Tell an instance that has started again of all others at once

Cause: found by reading the code of monitors. An instance that starts again at its address is known to the others, so none sent it addresses or a state, and it heard most of a large fleet only with their next states, up to 10 s later. Until then it told callers of few addresses and its placements to few. Change: a state of a new start is answered with a state, and with all addresses by seeds and by the first five, which are those that an instance asks.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -14,6 +14,7 @@
     LISTED_TIMEOUT,
     LISTING_SENDERS,
     PAUSED_SWEEP,
+    REGISTERED_INSTANCES,
     SILENT_INTERVALS,
     STATE_INTERVAL,
     SWEEP_INTERVAL,
@@ -236,16 +237,17 @@
         began = self.meet(sender)
         node = self._nodes.put(sender, now)
         known = node.state
-        if known is None:
+        if known is not None and (state.incarnation, state.sequence) <= (
+            known.incarnation,
+            known.sequence,
+        ):
+            return
+        if known is None or state.incarnation != known.incarnation:
             log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
+            self._works.retain(sender, frozenset(), now)
             if not began:
                 self._port.send([sender], self._current_state())
             self._tell_suspicions(sender)
-        elif (state.incarnation, state.sequence) <= (known.incarnation, known.sequence):
-            return
-        elif state.incarnation != known.incarnation:
-            self._works.retain(sender, frozenset(), now)
-            self._tell_suspicions(sender)
         self._note_return(sender, now)
         node.heard, node.state, node.lost = now, state, False
         self._works.retain(sender, frozenset(state.placed), now)
@@ -255,10 +257,11 @@
     def _introduce(self, sender: str, state: NodeState, unknown: bool) -> None:
         """Tell a peer what it lacks: other instances and the list of targets."""
         peers = self.peers()
-        first = self.rank() < LISTING_SENDERS
-        if unknown or (first and state.peers < len(peers) * KNOWN_PEERS_SHARE):
+        rank = self.rank()
+        asked = rank < REGISTERED_INSTANCES or self._own_address in self._seeds
+        if unknown or (asked and state.peers < len(peers) * KNOWN_PEERS_SHARE):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in peers)))
-        if not state.knows_targets and first:
+        if not state.knows_targets and rank < LISTING_SENDERS:
             listing = self._observers.whole_listing()
             if listing is not None:
                 self._port.send([sender], listing)
--- a/tests/entry/coordination/exchange/monitors.feature
+++ b/tests/entry/coordination/exchange/monitors.feature
@@ -85,6 +85,17 @@
     When one of them tells that it hears 3 instances
     Then that one was told of 40 addresses
 
+  Scenario Outline: An instance that has started again learns of all others at once
+    Given an instance that hears 40 others, of which <lower> have lower addresses
+    When one of them has started again and hears nobody
+    Then that one was sent <states> state and <lists> lists of addresses
+
+    Examples: The first five send lists, whether they were known as seeds or from the store
+      | lower | states | lists |
+      | 0     | 1      | 1     |
+      | 4     | 1      | 1     |
+      | 5     | 1      | 0     |
+
   Scenario: An instance that was paused reports none of those whose messages wait to be read
     Given an instance that hears 40 others
     When it was paused for 5 seconds and looks for silent peers
--- a/tests/steps/entry/coordination/monitors_steps.py
+++ b/tests/steps/entry/coordination/monitors_steps.py
@@ -290,6 +290,28 @@
     assert len(told) == count, told
 
 
+@given("an instance that hears {count:d} others, of which {lower:d} have lower addresses")
+def step_hears_lower(context: Context, count: int, lower: int) -> None:
+    open_exchange(context, FakeDirectory(), ManualClock())
+    context.others = [f"10.0.0.0:{port}" for port in range(1, lower + 1)]
+    context.others += addresses(count - lower)
+    for name in context.others:
+        hear(context, name)
+    context.silent = context.others[-1]
+    context.port.sent.clear()
+
+
+@when("one of them has started again and hears nobody")
+def step_started_again(context: Context) -> None:
+    hear(context, context.silent, incarnation=2)
+
+
+@then("that one was sent {states:d} state and {lists:d} lists of addresses")
+def step_sent_both(context: Context, states: int, lists: int) -> None:
+    kinds = Counter(type(notice) for to, notice in context.port.sent if to == context.silent)
+    assert (kinds[NodeState], kinds[NodeAddresses]) == (states, lists), kinds
+
+
 @when('one of them tells of {count:d} repeats for service "{service}"')
 def step_tells_repeats(context: Context, count: int, service: str) -> None:
     for _ in range(count):
