Ask for frequent states before the silence of an instance is reported

While instances start, each knows another part of the fleet, and takes some for its own to watch that do not know of it. It reported them to all 99 others, they answered to all, and sent it states twice a second from then on: an instance got 38 states a second instead of 20.

Change: a state tells its interval to the receiver. Who sends often is watched; one that should be watched and sends seldom is asked first (WatchRequest), and sends often for 4 s. One that has become a monitor, or is none any more, is told at once. The watch has a module of its own.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -17,6 +17,9 @@
 repeat what single messages have told."""
 MAX_FAR_STATE_INTERVAL = timedelta(seconds=15)
 """Three states may be lost before an instance is forgotten."""
+REQUESTED_WATCH_TIME = timedelta(seconds=4)
+"""Time for which an instance that asks for frequent states gets them; if it still lacks them, it
+asks again. Instances learn of each other within 2 s, and mostly agree on who watches whom then."""
 ANSWER_LOSS_INTERVAL = timedelta(milliseconds=250)
 """An instance that is reported as silent tells its state to all, once for all of its monitors."""
 SHARED_STATE_TIME = timedelta(milliseconds=20)
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -2,28 +2,24 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from datetime import timedelta
 
-import msgspec
 import trio
 
 from wasabiwell_entry.coordination.exchange.cells import Audience, ZoneCells
 from wasabiwell_entry.coordination.exchange.const import (
-    ANSWER_LOSS_INTERVAL,
     KNOWN_PEERS_SHARE,
     LISTED_TIMEOUT,
     LISTING_SENDERS,
-    PAUSED_SWEEP,
     REGISTERED_INSTANCES,
     SILENT_INTERVALS,
     SWEEP_INTERVAL,
-    WATCH_SILENCE,
 )
 from wasabiwell_entry.coordination.exchange.monitors import MonitorRing
 from wasabiwell_entry.coordination.exchange.placements import placed_by_notice
 from wasabiwell_entry.coordination.exchange.ports import NodeDirectory, NoticePort
 from wasabiwell_entry.coordination.exchange.registration import Registration
 from wasabiwell_entry.coordination.exchange.sender import StateSender
+from wasabiwell_entry.coordination.exchange.watch import PeerWatch, loss_of
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
@@ -38,6 +34,7 @@
     Placing,
     RepeatNotice,
     Suspicion,
+    WatchRequest,
     Writing,
 )
 from wasabiwell_entry.state.members import Member
@@ -73,7 +70,6 @@
     """
 
     __slots__ = (
-        "_answered_loss",
         "_cells",
         "_clock",
         "_nodes",
@@ -83,11 +79,10 @@
         "_own_state",
         "_port",
         "_registration",
-        "_ring",
         "_seeds",
         "_sender",
         "_sending",
-        "_swept",
+        "_watch",
         "_works",
     )
 
@@ -113,22 +108,14 @@
         self._observers = observers
         self._seeds = seeds
         self._clock = clock
-        self._ring = MonitorRing(own_address)
+        ring = MonitorRing(own_address)
         self._sender = StateSender(
-            own_address,
-            self._current_state,
-            observers.recent_suspicions,
-            nodes,
-            cells,
-            self._ring,
-            port,
-            clock,
+            own_address, own_state, observers.recent_suspicions, nodes, cells, ring, port, clock
         )
+        self._watch = PeerWatch(nodes, works, ring, self._sender, port, self.tell)
         self._registration = Registration(
             own_address, directory, self.rank, lambda: not self.peers(), self.meet, clock
         )
-        self._swept = 0.0
-        self._answered_loss = 0.0
         self._sending: set[str] = set()
         self._nursery: trio.Nursery | None = None
 
@@ -174,11 +161,7 @@
 
     def tell_state(self) -> None:
         """Send the state to all peers at once, after a change that they should know of."""
-        self._port.send([node.address for node in self._nodes], self._current_state())
-
-    def _current_state(self) -> NodeState:
-        interval = self._sender.longest_interval() // timedelta(milliseconds=1)
-        return msgspec.structs.replace(self._own_state(), interval_ms=interval)
+        self._sender.send_to_all()
 
     async def run(self) -> None:
         """Exchange messages until cancelled."""
@@ -215,9 +198,11 @@
             case HelperLoss(target_id=target_id):
                 self._observers.helper_lost(target_id)
             case PeerLoss(address=address) if address == self._own_address:
-                self._answer_loss(sender, now)
+                self._watch.answer_loss(now)
             case PeerLoss() as loss:
-                self._receive_loss(loss, now)
+                self._watch.receive_loss(loss, now)
+            case WatchRequest():
+                self._watch.receive_request(sender, now)
             case RepeatNotice(service=service):
                 self._nodes.count_repeat(sender, service)
             case Suspicion() as suspicion:
@@ -244,7 +229,7 @@
             log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
             self._works.retain(sender, frozenset(), now)
             if not began:
-                self._port.send([sender], self._current_state())
+                self._sender.send_to(sender)
             self._tell_suspicions(sender)
         self._note_return(sender, now)
         node.heard, node.state, node.lost = now, state, False
@@ -280,7 +265,7 @@
         self._tell_suspicions(sender)
         if node.lost:
             # Those that do not watch it have to hear it too; its next state to them is far off.
-            self._port.send([sender], _loss_of(node.address, node.state))
+            self._port.send([sender], loss_of(node.address, node.state))
 
     def _tell_suspicions(self, address: str) -> None:
         """Tell a peer of requests that crash targets, of which it may not have heard."""
@@ -305,6 +290,8 @@
     def _sweep(self) -> None:
         """Drop what silent peers have placed and what ended unheard."""
         now = self._now()
+        if self._cells.large_fleet:
+            self._watch.look(now)
         for node in self._nodes.heard():
             silence = node.silence(now)
             if 0 <= silence - node.allowed_silence < SWEEP_INTERVAL.total_seconds():
@@ -313,55 +300,11 @@
                 )
                 self._works.retain(node.address, frozenset(), now)
         self._works.expire(now)
-        if self._cells.large_fleet:
-            self._watch(now)
-        self._swept = now
-
-    def _watch(self, now: float) -> None:
-        """Report the watched instances that are silent."""
-        if self._ring.update([node.address for node in self.peers()], now):
-            self._sender.monitors_changed()
-        if now - self._swept > PAUSED_SWEEP.total_seconds():
-            # This instance was paused: what the others have sent meanwhile waits to be read.
-            self._ring.watch_anew(now)
-        for address, since in self._ring.watched().items():
-            node = self._nodes.get(address)
-            if node is None or node.heard is None or node.state is None:
-                continue
-            if now - max(node.heard, since) > WATCH_SILENCE.total_seconds():
-                self._lose(node, now)
-                self.tell(_loss_of(address, node.state))
-
-    def _receive_loss(self, loss: PeerLoss, now: float) -> None:
-        """Take over that a peer is silent, unless it was heard here meanwhile."""
-        node = self._nodes.get(loss.address)
-        if node is None or node.heard is None or node.state is None or node.lost:
-            return
-        newer = (node.state.incarnation, node.state.sequence) > (loss.incarnation, loss.sequence)
-        if not newer and node.silence(now) > WATCH_SILENCE.total_seconds():
-            self._lose(node, now)
-
-    def _lose(self, node: Node, now: float) -> None:
-        silence = round(node.silence(now), 2)
-        log_events.emit(log_events.PEER_SILENT, peer=node.address, silence_s=silence)
-        node.lost = True
-        self._works.retain(node.address, frozenset(), now)
-
-    def _answer_loss(self, sender: str, now: float) -> None:
-        """Show all peers that this instance lives, as one of them has reported its silence."""
-        self._ring.ask(sender)
-        if now - self._answered_loss >= ANSWER_LOSS_INTERVAL.total_seconds():
-            self._answered_loss = now
-            self.tell_state()
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
 
 
-def _loss_of(address: str, state: NodeState) -> PeerLoss:
-    return PeerLoss(address, state.incarnation, state.sequence)
-
-
 def _member(address: str, state: NodeState) -> Member:
     return Member(
         node_id=address,
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
+import msgspec
 import trio
 import xxhash
 
@@ -38,7 +39,7 @@
         "_recent_suspicions",
         "_ring",
         "_ring_changed",
-        "_shared_state",
+        "_shared_states",
         "_shared_until",
     )
 
@@ -62,11 +63,11 @@
         self._port = port
         self._clock = clock
         self._phase = xxhash.xxh3_64_intdigest(own_address.encode()) / 2**64
-        self._shared_state: NodeState | None = None
+        self._shared_states: dict[timedelta, NodeState] = {}
         self._shared_until = 0.0
 
     def monitors_changed(self) -> None:
-        """Let peers that have become monitors get their states often at once."""
+        """Tell peers at once that have become monitors, or are none any more."""
         self._ring_changed.set()
         self._ring_changed = trio.Event()
 
@@ -77,41 +78,57 @@
             if self._now() - last > FORGET_TIMEOUT.total_seconds():
                 self._nodes.remove(address)
                 return
-            self._port.send([address], self._state_to_share())
+            self.send_to(address)
             for suspicion in self._recent_suspicions():
                 self._port.send([address], suspicion)
             await self._wait_to_send(address)
 
-    def _state_to_share(self) -> NodeState:
-        """Return the state for all peers that are sent to at this moment."""
+    def send_to(self, address: str) -> None:
+        """Send the state to a peer."""
+        self._port.send([address], self._state_to_share(self._interval_to(address)))
+
+    def send_to_all(self) -> None:
+        """Send the state to all peers as it is now, after a change that they should know of."""
+        self._shared_states.clear()
+        receivers: dict[timedelta, list[str]] = {}
+        for node in self._nodes:
+            receivers.setdefault(self._interval_to(node.address), []).append(node.address)
+        for interval, addresses in receivers.items():
+            self._port.send(addresses, self._state_to_share(interval))
+
+    def _state_to_share(self, interval: timedelta) -> NodeState:
+        """Return the state for all peers that are sent to at this moment, at one interval."""
         now = self._now()
-        if self._shared_state is None or now >= self._shared_until:
-            self._shared_state = self._own_state()
+        if now >= self._shared_until:
+            self._shared_states.clear()
+        if interval not in self._shared_states:
+            milliseconds = interval // timedelta(milliseconds=1)
+            state = msgspec.structs.replace(self._own_state(), interval_ms=milliseconds)
+            self._shared_states[interval] = state
             self._shared_until = now + SHARED_STATE_TIME.total_seconds()
-        return self._shared_state
+        return self._shared_states[interval]
 
     async def _wait_to_send(self, address: str) -> None:
-        """Wait for the next moment to send a state to a peer, which may become a monitor first."""
-        while True:
-            interval = self._interval_to(address)
-            with trio.move_on_after(self._time_to_next(interval).total_seconds()):
-                while self._interval_to(address) == interval:
-                    await self._ring_changed.wait()
-                continue
-            return
+        """Wait for the next moment to send a state to a peer.
 
-    def _interval_to(self, address: str) -> timedelta:
-        far = self._cells.large_fleet and address not in self._ring.monitors
-        return self._far_interval() if far else STATE_INTERVAL
+        One that has become a monitor, or is none any more, is sent a state at once: it tells when
+        the next one is to come.
+        """
+        far = self._is_far(address)
+        interval = self._interval_to(address)
+        with trio.move_on_after(self._time_to_next(interval).total_seconds()):
+            while self._is_far(address) == far:
+                await self._ring_changed.wait()
+
+    def _is_far(self, address: str) -> bool:
+        return self._cells.large_fleet and address not in self._ring.monitors
 
-    def _far_interval(self) -> timedelta:
+    def _interval_to(self, address: str) -> timedelta:
+        if not self._is_far(address):
+            return STATE_INTERVAL
         interval = timedelta(seconds=len(self._nodes) / FAR_STATES_PER_SECOND)
         return min(interval, MAX_FAR_STATE_INTERVAL)
 
-    def longest_interval(self) -> timedelta:
-        """Return the time between the states to those peers that get them most seldom."""
-        return self._far_interval() if self._cells.large_fleet else STATE_INTERVAL
-
     def _time_to_next(self, interval: timedelta) -> timedelta:
         """Return the time to the moment at which all peers with an interval are sent to.
 
--- a/packages/entry/src/wasabiwell_entry/protocol/notices.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/notices.py
@@ -16,6 +16,7 @@
     Placing,
     RepeatNotice,
     Suspicion,
+    WatchRequest,
     Writing,
 )
 
@@ -31,6 +32,7 @@
     HelperLoss,
     PeerLoss,
     RepeatNotice,
+    WatchRequest,
 )
 """The first byte of a datagram is the place of its message's type in this list."""
 
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -91,6 +91,10 @@
     sequence: int
 
 
+class WatchRequest(msgspec.Struct, frozen=True, array_like=True):
+    """The sender watches the receiver and asks it for frequent states."""
+
+
 class RepeatNotice(msgspec.Struct, frozen=True, array_like=True):
     """The sender has repeated a request for a service, which its next state counts too."""
 
@@ -124,7 +128,7 @@
     `incarnation` is the time of its start in milliseconds since 1970 and `sequence` counts its
     states. `routes_version` is the version of the routes in force. `placed` are the ids of what it
     has placed, so that receivers drop what has ended unheard. `peers` is the number of entry
-    instances that it hears. `interval_ms` is the longest time between its states to one peer.
+    instances that it hears. `interval_ms` is the time between its states to the receiver.
     """
 
     incarnation: int
@@ -161,4 +165,5 @@
     | HelperLoss
     | PeerLoss
     | RepeatNotice
+    | WatchRequest
 )
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -147,6 +147,7 @@
       | HelperLoss    |
       | PeerLoss      |
       | RepeatNotice  |
+      | WatchRequest  |
 
   Scenario: Bytes that are no message are rejected
     Then 200 random datagrams are either rejected or decoded
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -35,6 +35,7 @@
     RepeatNotice,
     ServiceUse,
     Suspicion,
+    WatchRequest,
     Writing,
 )
 
@@ -348,6 +349,7 @@
     "HelperLoss": HelperLoss("e01"),
     "PeerLoss": PeerLoss("10.0.0.2:7", 1, 4),
     "RepeatNotice": RepeatNotice("s"),
+    "WatchRequest": WatchRequest(),
 }
 
 
