--- a/tests/steps/entry/coordination/discovery_steps.py
+++ b/tests/steps/entry/coordination/discovery_steps.py
@@ -171,10 +171,15 @@
         self.count += self.name in task.name
 
 
+def count_steps(name: str, run: Callable[[], Awaitable[None]]) -> int:
+    """Run in simulated time, and return how often tasks were run whose name contains this one."""
+    counter = StepCounter(name)
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0), instruments=[counter])
+    return counter.count
+
+
 @then("the other instance ran at most {most:d} times in {seconds:d} seconds")
 def step_ran(context: Context, most: int, seconds: int) -> None:
-    counter = StepCounter("TargetDiscovery.run")
-
     async def run() -> None:
         pair = Pair(FakeStore(listed(context.names)))
         async with trio.open_nursery() as nursery:
@@ -184,9 +189,8 @@
             await trio.sleep(seconds)
             nursery.cancel_scope.cancel()
 
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    trio.run(run, clock=clock, instruments=[counter])
-    assert 0 < counter.count <= most, counter.count
+    count = count_steps("TargetDiscovery.run", run)
+    assert 0 < count <= most, count
 
 
 RouteAction = Callable[["RouteWorld"], Awaitable[None]]
@@ -292,8 +296,6 @@
 
 @then("the instance looked for newer versions at most {most:d} times in {seconds:d} seconds")
 def step_looked(context: Context, most: int, seconds: int) -> None:
-    counter = StepCounter("_follow_announcements")
-
     async def run() -> None:
         world = RouteWorld(context.version)
         async with trio.open_nursery() as nursery:
@@ -301,6 +303,5 @@
             await trio.sleep(seconds)
             nursery.cancel_scope.cancel()
 
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    trio.run(run, clock=clock, instruments=[counter])
-    assert 0 < counter.count <= most, counter.count
+    count = count_steps("_follow_announcements", run)
+    assert 0 < count <= most, count
