--- a/packages/entry/src/wasabiwell_entry/state/configuration.py
+++ b/packages/entry/src/wasabiwell_entry/state/configuration.py
@@ -1,4 +1,4 @@
-"""Configuration in force at an entry instance."""
+"""Active configuration of an entry instance."""
 
 from collections import deque
 from dataclasses import dataclass
@@ -18,14 +18,15 @@
 )
 
 RETAINED_DELTAS = 1000
-"""Recent deltas kept for peers; at 58,000 changes a day they cover 25 minutes."""
+"""Recent deltas kept for peers that missed them; at 58,000 changes a day they cover 25 minutes."""
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationDelta:
     """The items changed by one version; a removed item maps to None.
 
-    `attempt_id` identifies the commit, so that a lost reply can be settled later.
+    `attempt_id` identifies the commit attempt: when the reply is lost, it shows later whether the
+    commit succeeded.
     """
 
     version: int
@@ -35,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationUpdate:
-    """What a peer lacks: the deltas after its version, or all items when they are not retained."""
+    """Update for a peer: the deltas after its version, or all items when some are not retained."""
 
     version: int
     deltas: list[ConfigurationDelta]
@@ -43,10 +44,10 @@
 
 
 class ConfigurationView:
-    """Look-ups of the configuration in force.
+    """Look-up tables of the active configuration.
 
-    A change costs time by the number of changed items, not by the size of the configuration, so
-    that frequent changes do not delay the streams of the same process.
+    The time of an update depends on the number of changed items, not on the size of the
+    configuration, so that frequent changes do not delay streams in the same process.
     """
 
     __slots__ = ("_model_services", "_operators", "_organisations", "_plain_services", "_tenants")
@@ -76,18 +77,18 @@
         return self._organisations.get(name)
 
     def organisation_by_key_hash(self, key_hash: str) -> Organisation | None:
-        """Return the organisation that holds a key."""
+        """Return the organisation to which a key belongs."""
         return self._tenants.get(key_hash)
 
     def operator_by_key_hash(self, key_hash: str) -> OperatorKey | None:
-        """Return the operator that holds a key."""
+        """Return the operator to which a key belongs."""
         for operator in self._operators.values():
             if operator.key_hash == key_hash:
                 return operator
         return None
 
     def remove(self, path: str) -> None:
-        """Remove the object of a path."""
+        """Remove the object at a path."""
         kind, _, name = path.partition("/")
         match kind:
             case "model_service":
@@ -101,9 +102,9 @@
 
     def put(self, changed: Configuration) -> None:
         """Add or replace the objects of a configuration that holds only the changed ones."""
-        self._model_services.update({entry.name: entry for entry in changed.model_services})
-        self._plain_services.update({entry.name: entry for entry in changed.plain_services})
-        self._operators.update({entry.name: entry for entry in changed.operators})
+        self._model_services.update({service.name: service for service in changed.model_services})
+        self._plain_services.update({service.name: service for service in changed.plain_services})
+        self._operators.update({operator.name: operator for operator in changed.operators})
         for organisation in changed.organisations:
             self._remove_organisation(organisation.name)
         for organisation in changed.organisations:
@@ -115,13 +116,13 @@
         if organisation is None:
             return
         for key_hash in organisation.key_hashes:
-            holder = self._tenants.get(key_hash)
-            if holder is not None and holder.name == name:
+            owner = self._tenants.get(key_hash)
+            if owner is not None and owner.name == name:
                 del self._tenants[key_hash]
 
 
 class ConfigurationState:
-    """Version and items in force; versions only grow."""
+    """Active version and items; the version never decreases."""
 
     __slots__ = ("_deltas", "_items", "_version", "_view")
 
@@ -133,17 +134,17 @@
 
     @property
     def version(self) -> int:
-        """Return the version in force; 0 before the first."""
+        """Return the active version; 0 before the first."""
         return self._version
 
     @property
     def items(self) -> Items:
-        """Return the items in force; callers must not change them."""
+        """Return the active items; callers must not change them."""
         return self._items
 
     @property
     def view(self) -> ConfigurationView:
-        """Return the look-ups of the version in force."""
+        """Return the look-up tables of the active version."""
         return self._view
 
     def recent_deltas(self, limit: int) -> list[ConfigurationDelta]:
@@ -152,23 +153,24 @@
 
     def deltas_since(self, version: int) -> list[ConfigurationDelta] | None:
         """Return the deltas after a version, or None when they are not all retained."""
-        wanted = [delta for delta in self._deltas if delta.version > version]
-        if version < self._version and len(wanted) != self._version - version:
+        deltas = [delta for delta in self._deltas if delta.version > version]
+        if version < self._version and len(deltas) != self._version - version:
             return None
-        return wanted
+        return deltas
 
     def update_since(self, version: int) -> ConfigurationUpdate:
-        """Return what an instance with this version lacks."""
+        """Return the update for an instance that has this version."""
         deltas = self.deltas_since(version)
         if deltas is None:
             return ConfigurationUpdate(self._version, [], dict(self._items))
         return ConfigurationUpdate(self._version, deltas)
 
     def advance(self, delta: ConfigurationDelta) -> Findings | None:
-        """Put the next version in force; return findings of items that cannot be read.
+        """Activate the next version; return findings for items that cannot be read.
 
-        A delta that does not follow the version in force is ignored. An item that cannot be read
-        stays as it was in the look-ups, and the other items of the delta are in force.
+        A delta that does not directly follow the active version is ignored. An item that cannot be
+        read keeps its previous value in the look-up tables; the other items of the delta are
+        activated.
         """
         if delta.version != self._version + 1:
             return None
@@ -176,7 +178,7 @@
         return self._install(delta.version, delta.changes)
 
     def replace(self, version: int, items: Items) -> Findings | None:
-        """Put a snapshot in force when its version is higher; return findings like `advance`."""
+        """Activate a snapshot when its version is higher; return findings like `advance`."""
         if version <= self._version:
             return None
         self._deltas.clear()
@@ -214,7 +216,7 @@
 
 
 def apply_changes(items: Items, changes: dict[str, bytes | None]) -> Items:
-    """Return the items with the changes made."""
+    """Return a copy of the items with the changes applied."""
     merged = dict(items)
     for path, value in changes.items():
         if value is None:
--- a/packages/entry/src/wasabiwell_entry/state/counters.py
+++ b/packages/entry/src/wasabiwell_entry/state/counters.py
@@ -1,4 +1,4 @@
-"""Counts of one entry instance; the operators' status and the metrics both read them."""
+"""Counters of one entry instance, shown in the operators' status and as metrics."""
 
 import bisect
 from collections import Counter
@@ -7,9 +7,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestKind:
-    """What requests are counted by: `kind` is generate or call, `outcome` a failure code or `ok`.
+    """Labels of the request counter.
 
-    `run` is what is proved about the execution: not-run, unknown or ran.
+    `kind` is generate or call, and `outcome` a failure code or `ok`. `run` tells whether the
+    request was executed: not-run, unknown or ran.
     """
 
     kind: str
@@ -19,11 +20,11 @@
 
 @dataclass(slots=True)
 class Counters:
-    """Counts since the start of the process."""
+    """Counters since the start of the process."""
 
     requests: Counter[RequestKind] = field(default_factory=Counter)
     store_calls: Counter[tuple[str, str]] = field(default_factory=Counter)
-    """Calls by operation and outcome."""
+    """Calls to the table service by operation and outcome."""
     retries: int = 0
     tokens_relayed: int = 0
     open_streams: int = 0
@@ -40,21 +41,21 @@
 
 
 FIRST_EVENT_BOUNDS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
-"""Seconds; they hold the objectives of the users' routes."""
+"""Histogram bounds in seconds; they include the latency objectives of the users' routes."""
 EVENT_GAP_BOUNDS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0)
-"""Seconds; they hold the pauses that the users' routes allow."""
+"""Histogram bounds in seconds; they include the event gaps that the users' routes allow."""
 
 
 @dataclass(slots=True)
 class Histogram:
-    """Counts of observed values up to each bound; the last count is of those above all bounds."""
+    """Counts of observed values by bucket; the last bucket is for values above all bounds."""
 
     bounds: tuple[float, ...]
     counts: list[int] = field(default_factory=list)
     total: float = 0.0
 
     def observe(self, value: float) -> None:
-        """Count a value."""
+        """Add a value to its bucket and to the total."""
         if not self.counts:
             self.counts = [0] * (len(self.bounds) + 1)
         self.counts[bisect.bisect_left(self.bounds, value)] += 1
@@ -63,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardKind:
-    """What forwarded requests are counted by; `reason` is empty for those that were answered."""
+    """Labels of the counter of forwarded requests; `reason` is empty for successful ones."""
 
     kind: str
     outcome: str
@@ -72,25 +73,25 @@
 
 @dataclass(slots=True)
 class ForwardCounters:
-    """Counts of forwarded requests since the start of the process; times are in seconds."""
+    """Counters of forwarded requests since the start of the process; times are in seconds."""
 
     requests: Counter[ForwardKind] = field(default_factory=Counter)
     sends: Counter[str] = field(default_factory=Counter)
-    """Sends to targets by the verdict on the target."""
+    """Attempts on targets by the verdict on the target."""
     lost_helpers: int = 0
-    """Helpers that leads have called gone."""
+    """Helpers that a lead has reported as unreachable."""
     callers_left: int = 0
     first_event: dict[str, Histogram] = field(default_factory=dict)
-    """Time from the request to its first event or its answer, by size class."""
+    """Time from a request to its first event or its response, by size class."""
     event_gap: dict[str, Histogram] = field(default_factory=dict)
     """Time between the events of a stream, by size class."""
     store_calls: Counter[tuple[str, str]] = field(default_factory=Counter)
-    """Calls to the platform's store by call and result."""
+    """Calls to the platform's store by operation and result."""
 
     def observe_first(self, size: str, seconds: float) -> None:
-        """Count the time to a first event."""
+        """Record the time to a first event."""
         self.first_event.setdefault(size, Histogram(FIRST_EVENT_BOUNDS)).observe(seconds)
 
     def observe_gap(self, size: str, seconds: float) -> None:
-        """Count the time between two events."""
+        """Record the time between two events."""
         self.event_gap.setdefault(size, Histogram(EVENT_GAP_BOUNDS)).observe(seconds)
--- a/packages/entry/src/wasabiwell_entry/state/credits.py
+++ b/packages/entry/src/wasabiwell_entry/state/credits.py
@@ -1,11 +1,11 @@
-"""Credits: leases of an engine's capacity, on the side of the owner and of the holder."""
+"""Credits: leases of an engine's capacity, on the owner's and on the holder's side."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 LONG_MEMORY_SHARE = 0.7
-"""Share of one engine's memory that long prompts may use; the rest is kept for short ones."""
+"""Share of one engine's memory that long prompts may use; the rest is reserved for short ones."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +31,7 @@
         )
 
     def at_least(self, other: "Amount") -> "Amount":
-        """Return the larger of each quantity."""
+        """Return the element-wise maximum."""
         return Amount(
             max(self.slots, other.slots),
             max(self.tokens, other.tokens),
@@ -39,7 +39,7 @@
         )
 
     def at_most(self, other: "Amount") -> "Amount":
-        """Return the smaller of each quantity."""
+        """Return the element-wise minimum."""
         return Amount(
             min(self.slots, other.slots),
             min(self.tokens, other.tokens),
@@ -47,7 +47,7 @@
         )
 
     def covers(self, other: "Amount") -> bool:
-        """Return whether no quantity is smaller than that of `other`."""
+        """Return whether each quantity is at least that of `other`."""
         return self.at_least(other) == self
 
 
@@ -55,16 +55,17 @@
 
 
 def engine_capacity(slots: int, total_tokens: int) -> Amount:
-    """Return the capacity that an owner may lease out."""
+    """Return the capacity of an engine that its owner may lease out."""
     return Amount(slots, total_tokens, int(total_tokens * LONG_MEMORY_SHARE))
 
 
 @dataclass(frozen=True, slots=True)
 class CreditClaim:
-    """What a holder wants its credit of one engine to be, in absolute amounts.
+    """A holder's request to set its credit of one engine, in absolute amounts.
 
-    Absolute amounts make a repeated or lost claim harmless. `sequence` grows with each claim of a
-    holder. `current` is the valid credit that the holder has, `used` what its open holds take.
+    Absolute amounts make claims idempotent, so a repeated or lost claim does no harm. `sequence`
+    grows with each claim of a holder. `current` is the valid credit that the holder has, and `used`
+    is the sum of its open holds.
     """
 
     engine_id: str
@@ -79,7 +80,7 @@
 class Credit:
     """A lease of capacity; `credit_id` is the sequence of the claim that set it.
 
-    `expires` is a monotonic time of the side that keeps the value.
+    `expires` is a monotonic time of the instance that stores this object.
     """
 
     credit_id: int
@@ -104,7 +105,7 @@
 
     @property
     def capacity(self) -> Amount:
-        """Return the capacity that the engine reported last."""
+        """Return the last capacity that the engine reported."""
         return self._capacity
 
     def outstanding(self) -> Amount:
@@ -112,12 +113,12 @@
         return _sum(credit.amount for credit in self._credits.values())
 
     def report(self, capacity: Amount, used: Amount) -> None:
-        """Take over an engine's load report; `used` covers requests without a credit too."""
+        """Store an engine's load report; `used` includes requests without a credit."""
         self._capacity = capacity
         self._reported = used
 
     def free(self) -> Amount:
-        """Return what can be leased; negative when the engine holds more than its capacity.
+        """Return the capacity that can be leased; negative when the engine is over-committed.
 
         Use that the engine reports and no holder accounts for belongs to requests whose credit
         expired, or that another owner admitted. It is subtracted in addition to the credits.
@@ -127,7 +128,7 @@
         difference = (self._reported - _sum(credit.used for credit in credits)).at_least(
             ZERO_AMOUNT
         )
-        # Reports do not tell which prompts use the memory, so this use counts as that of long ones.
+        # Load reports do not contain prompt lengths, so count all of this use as long prompts.
         unaccounted = Amount(difference.slots, difference.tokens, difference.tokens)
         return self._capacity - committed - unaccounted
 
@@ -141,41 +142,41 @@
         """Set a holder's credit as far as capacity allows and renew it.
 
         A claim that is not newer than the last one of its holder has no effect. A credit shrinks
-        when more than the capacity is leased, which happens after a second owner leased too.
+        when more than the capacity is leased, which happens when two owners have granted credits.
         """
         self.expire(now)
-        known = self._credits.get(claim.holder)
-        if known is not None and claim.sequence <= known.credit_id:
-            return known
-        kept = known.amount if known is not None else ZERO_AMOUNT
+        current = self._credits.get(claim.holder)
+        if current is not None and claim.sequence <= current.credit_id:
+            return current
+        kept = current.amount if current is not None else ZERO_AMOUNT
         self._store(claim, kept, now)
         excess = (self.outstanding() - self._capacity).at_least(ZERO_AMOUNT)
-        room = kept.at_least(claim.used) + self.free()
-        amount = claim.wanted.at_most((kept - excess).at_least(room))
+        available = kept.at_least(claim.used) + self.free()
+        amount = claim.wanted.at_most((kept - excess).at_least(available))
         return self._store(claim, amount.at_least(ZERO_AMOUNT), now)
 
     def recover(self, claim: CreditClaim, now: timedelta) -> Credit:
-        """Renew what a holder got from the engine's earlier owner, and grant nothing more."""
+        """Renew the credit that the engine's previous owner granted, without increasing it."""
         self.expire(now)
-        known = self._credits.pop(claim.holder, None)
-        if known is not None and claim.sequence <= known.credit_id:
-            self._credits[claim.holder] = known
-            return known
-        kept = claim.current if known is None else known.amount.at_least(claim.current)
-        room = (self._capacity - self.outstanding()).at_least(ZERO_AMOUNT)
-        return self._store(claim, claim.wanted.at_most(kept).at_most(room), now)
+        current = self._credits.pop(claim.holder, None)
+        if current is not None and claim.sequence <= current.credit_id:
+            self._credits[claim.holder] = current
+            return current
+        kept = claim.current if current is None else current.amount.at_least(claim.current)
+        available = (self._capacity - self.outstanding()).at_least(ZERO_AMOUNT)
+        return self._store(claim, claim.wanted.at_most(kept).at_most(available), now)
 
     def record(self, claim: CreditClaim, now: timedelta) -> None:
-        """Enter the credit that a holder reports, even when it exceeds the capacity."""
+        """Record the credit that a holder reports, even when it exceeds the capacity."""
         self.expire(now)
-        known = self._credits.get(claim.holder)
-        if known is None or claim.sequence > known.credit_id:
+        current = self._credits.get(claim.holder)
+        if current is None or claim.sequence > current.credit_id:
             self._store(claim, claim.current, now)
 
     def release(self, holder: str, sequence: int) -> None:
-        """Remove a holder's credit; an old release has no effect."""
-        known = self._credits.get(holder)
-        if known is not None and sequence > known.credit_id:
+        """Remove a holder's credit; an outdated release has no effect."""
+        current = self._credits.get(holder)
+        if current is not None and sequence > current.credit_id:
             del self._credits[holder]
 
     def _store(self, claim: CreditClaim, amount: Amount, now: timedelta) -> Credit:
@@ -195,9 +196,9 @@
 class CreditPool:
     """The holder's account of one engine.
 
-    `peak` and `previous_peak` are the largest use in the current and in the previous window; the
-    credit that is kept follows them. `unmet_demand` is demand that found no credit since the last claim,
-    and `largest_unmet` the largest request in it.
+    `peak` and `previous_peak` are the largest use in the current and in the previous window; they
+    determine how much credit is kept. `unmet_demand` is the demand since the last claim for which
+    there was no credit, and `largest_unmet` the largest request in it.
     """
 
     engine_id: str
@@ -216,15 +217,15 @@
 
     @property
     def open_holds(self) -> int:
-        """Return the number of holds that were not released."""
+        """Return the number of holds that are not released."""
         return len(self._holds)
 
     def valid(self, now: timedelta) -> Amount:
-        """Return the credit that may be spent; nothing after its expiry."""
+        """Return the credit that may be used; zero after its expiry."""
         return self.amount if now < self.expires else ZERO_AMOUNT
 
     def take(self, hold_id: int, amount: Amount, now: timedelta) -> bool:
-        """Open a hold when the credit at hand covers it."""
+        """Open a hold when the available credit covers it; return whether it was opened."""
         if not self.valid(now).covers(self.used + amount):
             return False
         self._holds[hold_id] = amount
@@ -242,27 +243,27 @@
         return True
 
     def record_demand(self, amount: Amount, limit: Amount) -> None:
-        """Note one request that found no credit; more than `limit` is never asked for."""
+        """Record a request for which there was no credit; the sum is capped at `limit`."""
         self.unmet_demand = (self.unmet_demand + amount).at_most(limit.at_least(amount))
         self.largest_unmet = self.largest_unmet.at_least(amount)
 
     def discard_repeated_demand(self) -> None:
-        """Keep demand for one request, when all waiting requests are about to try again.
+        """Reduce the demand to one request, when all waiting requests are about to retry.
 
-        Each of them notes its demand again if it fails, and would be counted twice.
+        Each of them records its demand again if it fails, and would be counted twice.
         """
         self.unmet_demand = self.unmet_demand.at_most(self.largest_unmet)
 
     def rotate_window(self) -> None:
-        """Start a new window of the observed use."""
+        """Start a new window for the peak of the use."""
         self.previous_peak, self.peak = self.peak, self.used
 
     def wanted(self) -> Amount:
-        """Return the credit that the observed use and unmet demand ask for."""
+        """Return the credit needed for the recent peak use and the unmet demand."""
         return self.peak.at_least(self.previous_peak).at_least(self.used + self.unmet_demand)
 
     def claim(self, now: timedelta) -> CreditClaim:
-        """Return the next claim; what it does not ask for can no longer be spent."""
+        """Return the next claim; credit beyond the claimed amount can no longer be used."""
         wanted = self.wanted()
         current = self.valid(now)
         self.amount = current.at_most(wanted)
@@ -273,16 +274,16 @@
         return CreditClaim(self.engine_id, self.holder, self.sequence, wanted, current, self.used)
 
     def outstanding(self, now: timedelta) -> CreditClaim:
-        """Return the credit at hand for a new owner; later claims have higher sequences."""
+        """Return a claim that reports the available credit to a new owner."""
         self.sequence += 1
         current = self.valid(now)
         return CreditClaim(self.engine_id, self.holder, self.sequence, current, current, self.used)
 
     def granted(self, sequence: int, amount: Amount) -> bool:
-        """Take over the answer to the last claim; an answer to an earlier one is ignored.
+        """Apply the grant for the last claim; grants for earlier claims are ignored.
 
-        The lifetime counts from the time at which the claim was sent, so that the credit never
-        outlives its entry in the owner's ledger.
+        The lifetime starts when the claim was sent, so that the credit never outlives its entry in
+        the owner's ledger.
         """
         if sequence != self.sequence:
             return False
@@ -291,13 +292,13 @@
         return True
 
     def assume(self, amount: Amount, now: timedelta) -> None:
-        """Use an amount that no owner granted, for one lifetime."""
+        """Use an amount for one lifetime without a grant, as no owner can be reached."""
         self.sequence += 1
         self.amount = amount
         self.expires = now + self.lifetime
 
     def release_all(self) -> int:
-        """Give up the credit and return the sequence of the release."""
+        """Release the whole credit and return the sequence of the release."""
         self.amount = ZERO_AMOUNT
         self.sequence += 1
         return self.sequence
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -1,7 +1,7 @@
-"""Messages by which entry instances tell each other what they place, see and know.
+"""Notices that entry instances send each other about placements, targets and their own state.
 
-They are small datagrams that may be lost, doubled or late; `NodeState` repeats what lasts. Fields
-are encoded by their place, as most bytes between zones are these messages.
+They are small datagrams that may be lost, duplicated or delayed; `NodeState` repeats all lasting
+state. Fields are encoded by position, because notices are most of the traffic between zones.
 """
 
 import enum
@@ -12,7 +12,7 @@
 
 
 class AttemptVerdict(enum.Enum):
-    """How a target did on one request."""
+    """Result of one attempt, as evidence about its target's health."""
 
     ANSWERED = "answered"
     REFUSED = "refused"
@@ -22,10 +22,12 @@
 
 
 class PlacementNotice(msgspec.Struct, frozen=True, array_like=True):
-    """A request was placed; ages and times are milliseconds before the message was sent.
+    """A placed request; times in milliseconds are relative to when the notice is sent.
 
-    `due_in_ms` is the time until the first event or the answer has to be there. `prompt` is 0 for
-    requests of plain services. `helper_kv_tokens` are the tokens kept by each of the first helpers.
+    `age_ms` is the time since the placement. `due_in_ms` is the time left until the first event or
+    the response is due. `gap_ms` is the longest allowed pause between events. `prompt` is 0 for
+    requests of plain services. `helper_kv_tokens` are the prompt tokens whose KV cache each of the
+    first helpers keeps.
     """
 
     request_id: str
@@ -43,7 +45,7 @@
 
 
 class RetryBudgetUse(msgspec.Struct, frozen=True, array_like=True):
-    """Requests for a service and repeated sends in the last window of the retry budget."""
+    """Requests for a service and their retries in the last window of the retry budget."""
 
     service: str
     requests: int
@@ -57,20 +59,20 @@
 
 
 class DecodeStarted(msgspec.Struct, frozen=True, array_like=True):
-    """The first event of a placed request has arrived."""
+    """The first event of a placed request has arrived: prefill is done and decode has started."""
 
     request_id: str
 
 
 class SlowdownNotice(msgspec.Struct, frozen=True, array_like=True):
-    """A target takes `slowdown` times as long as usual."""
+    """A target takes `slowdown` times as long as usual for its work."""
 
     target_id: str
     slowdown: float
 
 
 class RequestEnded(msgspec.Struct, frozen=True, array_like=True):
-    """A placed request has ended; the verdict is that on its lead."""
+    """A placed request has ended; the verdict is about its lead."""
 
     request_id: str
     target_id: str
@@ -78,13 +80,16 @@
 
 
 class HelperLoss(msgspec.Struct, frozen=True, array_like=True):
-    """A target is gone that was to read a part of a prompt; the lead of the request has said so."""
+    """A helper target is unreachable, as reported by the lead of a request with split prefill."""
 
     target_id: str
 
 
 class PeerLoss(msgspec.Struct, frozen=True, array_like=True):
-    """An entry instance is silent that the sender watches; the last state that it had of it."""
+    """An entry instance that the sender monitors is silent.
+
+    `incarnation` and `sequence` are those of the last state that the sender received from it.
+    """
 
     address: str
     incarnation: int
@@ -92,27 +97,27 @@
 
 
 class WatchRequest(msgspec.Struct, frozen=True, array_like=True):
-    """The sender watches the receiver and asks it for frequent states."""
+    """The sender monitors the receiver and asks it to send its state frequently."""
 
 
 class RetryNotice(msgspec.Struct, frozen=True, array_like=True):
-    """The sender has repeated a request for a service, which its next state counts too."""
+    """The sender has retried a request for a service; its next state includes this retry."""
 
     service: str
 
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
-    """Targets died while they ran a request; with no targets the request is cleared."""
+    """Targets crashed while they ran a request; without targets the suspicion is withdrawn."""
 
     fingerprint: str
     targets: tuple[str, ...]
 
 
 class ListingNotice(msgspec.Struct, frozen=True, array_like=True):
-    """A read of the platform's list of targets.
+    """Changes in the platform's list of targets.
 
-    `revision` is the platform's count of changes at the read. `digest` is that of the whole list,
-    `changed` and `removed` the difference to the list with the digest `base`.
+    `revision` is the platform's count of changes at the time of the read. `digest` identifies the
+    whole list; `changed` and `removed` are the difference from the list with the digest `base`.
     """
 
     revision: int
@@ -123,12 +128,13 @@
 
 
 class NodeState(msgspec.Struct, frozen=True, array_like=True):
-    """The state of an entry instance, sent at intervals and at each change of `serving`.
+    """Heartbeat with the state of an entry instance; also sent when `serving` changes.
 
-    `incarnation` is the time of its start in milliseconds since 1970 and `sequence` counts its
-    states. `routes_version` is the version of the routes in force. `placed` are the ids of what it
-    has placed, so that receivers drop what has ended unheard. `peers` is the number of entry
-    instances that it hears. `interval_ms` is the time between its states to the receiver.
+    `incarnation` is the start time in milliseconds since 1970, and `sequence` counts the states
+    that were sent. `routes_version` is the version of the routes in use. `uses` are the counts for
+    the retry budget. `placed` are the ids of the open requests that it has placed, so that
+    receivers drop those whose end notice was lost. `peers` is the number of entry instances from
+    which it receives messages. `interval_ms` is the time between its states to the receiver.
     """
 
     incarnation: int
@@ -148,7 +154,7 @@
 
 
 class NodeAddresses(msgspec.Struct, frozen=True, array_like=True):
-    """Datagram addresses of the entry instances that the sender knows."""
+    """Datagram addresses of the entry instances in the sender's node table."""
 
     addresses: tuple[str, ...]
 
--- a/packages/entry/src/wasabiwell_entry/state/forwarding.py
+++ b/packages/entry/src/wasabiwell_entry/state/forwarding.py
@@ -1,4 +1,4 @@
-"""Requests that are forwarded unchanged to targets, and what comes back of them."""
+"""Requests that are forwarded unchanged to targets, and the responses of the targets."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PromptSize:
-    """Tokens of a prompt and of its output; `expected_output` is the caller's estimate."""
+    """Size of a prompt and its output in tokens; `expected_output` is the caller's estimate."""
 
     prompt: int
     max_output: int
@@ -20,7 +20,7 @@
 
     @property
     def total(self) -> int:
-        """Return the most tokens that the request can hold in memory."""
+        """Return the most KV cache that the request can take, in tokens."""
         return self.prompt + self.max_output
 
 
@@ -28,11 +28,10 @@
 class ForwardedRequest:
     """A caller's request to a route.
 
-    `target_path` includes the query. `headers` are those that go to the target as they came.
-    `received` and `deadline` are monotonic times; the deadline is the earlier one of the caller's
-    and the route's. `routes_version` is that of the routes by which it was accepted. `size` is
-    None for requests of plain services. `last_event_id` is that of a stream which the caller
-    resumes.
+    `target_path` includes the query. `headers` are forwarded to the target unchanged. `received`
+    and `deadline` are monotonic times; the deadline is the earlier one of the caller's and the
+    route's. `routes_version` is the version of the routes that accepted it. `size` is None for
+    requests of plain services. `last_event_id` is set when the caller resumes a stream.
     """
 
     request_id: str
@@ -53,9 +52,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Helper:
-    """A further engine that reads a part of a prompt.
+    """A further engine that prefills a segment of a prompt.
 
-    It holds `kv_tokens` of the prompt in memory that is reserved there under `reservation_id`.
+    It keeps the KV cache of `kv_tokens` of the prompt in memory reserved under `reservation_id`.
     """
 
     target: Target
@@ -65,12 +64,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardAttempt:
-    """One send of a request to a target.
+    """One attempt to run a request on a target.
 
-    `urgency` orders requests that wait at an engine, 0 first. `time_left` is how long the target
-    may work. `patience` returns how long it may be silent now; after each `probe_interval` of
-    silence it is asked for a sign of life. `resume_after` is the id of the last event that the
-    caller has.
+    `urgency` orders the queue of an engine, 0 first. `time_left` is the time limit for the target.
+    `patience` returns the current silence timeout; after each `probe_interval` without data the
+    target's health is probed. `resume_after` is the id of the last event that the caller received.
     """
 
     request: ForwardedRequest
@@ -85,7 +83,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Status and headers of a target's answer; `verified` tells that it bears a signature."""
+    """Status and headers of a target's response; `verified` is set when it is signed."""
 
     status: int
     headers: Headers
@@ -94,14 +92,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseChunk:
-    """Bytes of the body of an answer that is not a stream of events."""
+    """Bytes of the body of a response that is not an event stream."""
 
     data: bytes = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
 class ResponseEvent:
-    """A whole event of a stream, with its framing; comments have no id."""
+    """A complete event of a stream, with its framing; comments have no id."""
 
     event_id: int | None
     data: bytes = field(repr=False)
@@ -109,14 +107,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseEnd:
-    """The body is complete."""
+    """End of the response: the body is complete."""
 
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """Nothing of the request was sent, as no connection could be made.
+    """Nothing of the request was sent, because no connection could be made.
 
-    `silent` tells that the target did not react at all, so it may be cut off.
+    `silent` is set when the target did not react at all: it may be cut off from the network.
     """
 
     reason: str
@@ -127,8 +125,8 @@
 class NotRun:
     """The target proved that it has not run the request.
 
-    `replaced` tells that another target has its address. `at_fault` is the address of another
-    target that caused the refusal.
+    `replaced` is set when another target has taken over its address. `at_fault` is the address of
+    another target that caused the refusal.
     """
 
     reason: str
@@ -138,9 +136,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseInterrupted:
-    """The request was sent and has no whole answer, so it may have run.
+    """The request was sent but has no complete response, so it may have run.
 
-    `target_lost` tells that the connection was cut or went silent, so the target may have died.
+    `target_lost` is set when the connection was cut or went silent: the target may have crashed.
     """
 
     reason: str
@@ -153,6 +151,6 @@
 
 @dataclass(frozen=True, slots=True)
 class Forwarded:
-    """The whole answer of a target was delivered to the sink."""
+    """The complete response of a target was delivered to the sink."""
 
     status: int
--- a/packages/entry/src/wasabiwell_entry/state/heartbeats.py
+++ b/packages/entry/src/wasabiwell_entry/state/heartbeats.py
@@ -1,4 +1,4 @@
-"""What entry instances tell each other once a second."""
+"""Heartbeats that entry instances exchange once a second."""
 
 from dataclasses import dataclass
 from datetime import timedelta
@@ -9,9 +9,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """Configuration version of an entry instance and the age of its confirmation.
+    """Configuration version of an entry instance and the time since it was last confirmed.
 
-    The age is None as long as the version was never confirmed.
+    `confirmation_age` is None when the version was never confirmed.
     """
 
     version: int
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """One message of an exchange; `digest` covers the members and marks that the sender knows."""
+    """Gossip message; `digest` covers all members and marks in the sender's tables."""
 
     sender: str
     incarnation: int
--- a/packages/entry/src/wasabiwell_entry/state/listing.py
+++ b/packages/entry/src/wasabiwell_entry/state/listing.py
@@ -1,4 +1,4 @@
-"""The platform's list of targets, as it was read."""
+"""Snapshot of the platform's list of targets."""
 
 from dataclasses import dataclass
 
@@ -15,7 +15,7 @@
     targets: dict[str, ListedTarget]
 
     def digest(self) -> int:
-        """Return a hash of what the list says of each target, signs of life left out."""
+        """Return a hash of the listed properties of all targets, without health information."""
         digest = xxhash.xxh3_64()
         for target_id, item in sorted(self.targets.items()):
             target = item.target
@@ -27,4 +27,4 @@
 
 
 NO_LISTING = TargetListing(0, {})
-"""Known before the first read."""
+"""Used until the first read of the list."""
--- a/packages/entry/src/wasabiwell_entry/state/marks.py
+++ b/packages/entry/src/wasabiwell_entry/state/marks.py
@@ -1,4 +1,4 @@
-"""Marks that entry instances share through heartbeats."""
+"""Marks: versioned facts that entry instances gossip through heartbeats."""
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -8,8 +8,9 @@
 class Mark:
     """A versioned fact about a key, such as a target that is leaving.
 
-    The higher (`counter`, `origin`) wins. A withdrawn mark has `active` False and is kept until
-    `expires` (seconds since 1970), so that an older copy cannot bring it back.
+    Of two marks of a key, the one with the higher (`counter`, `origin`) wins. A withdrawn mark has
+    `active` False; it is kept as a tombstone until `expires` (seconds since 1970), so that an older
+    copy cannot restore the mark.
     """
 
     kind: str
@@ -21,7 +22,7 @@
     value: bytes = b""
 
     def overrides(self, other: "Mark | None") -> bool:
-        """Return whether this mark replaces another one of its key."""
+        """Return whether this mark replaces another one of the same key."""
         return other is None or (self.counter, self.origin) > (other.counter, other.origin)
 
 
@@ -38,7 +39,7 @@
         return iter(list(self._marks.values()))
 
     def get(self, kind: str, key: str) -> Mark | None:
-        """Return the mark of a key, withdrawn ones included."""
+        """Return the mark of a key, including a withdrawn one."""
         return self._marks.get((kind, key))
 
     def active(self, kind: str) -> list[Mark]:
@@ -46,11 +47,11 @@
         return [mark for mark in self._marks.values() if mark.kind == kind and mark.active]
 
     def subscribe(self, kind: str, subscriber: Callable[[Mark], None]) -> None:
-        """Call a subscriber with each new mark of a kind, from here or from a peer."""
+        """Call a subscriber with each new mark of a kind, whether set locally or by a peer."""
         self._subscribers.setdefault(kind, []).append(subscriber)
 
     def merge(self, mark: Mark, now: int) -> bool:
-        """Take over a mark that is newer than the known one; `now` in seconds since 1970."""
+        """Store a mark if it is newer than the present one; `now` is in seconds since 1970."""
         if mark.expires <= now or not mark.overrides(self.get(mark.kind, mark.key)):
             return False
         self._marks[mark.kind, mark.key] = mark
@@ -59,8 +60,8 @@
         return True
 
     def expire(self, now: int) -> bool:
-        """Drop the marks whose time has passed and return whether there were any."""
-        expired = [place for place, mark in self._marks.items() if mark.expires <= now]
-        for place in expired:
-            del self._marks[place]
+        """Remove expired marks and return whether there were any."""
+        expired = [key for key, mark in self._marks.items() if mark.expires <= now]
+        for key in expired:
+            del self._marks[key]
         return bool(expired)
--- a/packages/entry/src/wasabiwell_entry/state/members.py
+++ b/packages/entry/src/wasabiwell_entry/state/members.py
@@ -6,7 +6,7 @@
 
 
 class MemberStatus(enum.Enum):
-    """Status of an entry instance, in the order in which a later one overrides an earlier one."""
+    """Status of an entry instance; within an incarnation, a later one overrides an earlier one."""
 
     ALIVE = "alive"
     SUSPECT = "suspect"
@@ -57,7 +57,7 @@
         return iter(list(self._members.values()))
 
     def get(self, node_id: str) -> Member | None:
-        """Return a member, or None when it is not known."""
+        """Return a member, or None when it is unknown."""
         return self._members.get(node_id)
 
     def put(self, member: Member) -> None:
@@ -65,16 +65,16 @@
         self._members[member.node_id] = member
 
     def remove(self, node_id: str) -> None:
-        """Remove a member when it is known."""
+        """Remove a member; unknown ids are ignored."""
         self._members.pop(node_id, None)
 
     def serving(self) -> list[Member]:
-        """Return all members but the dead ones, in the order of node id."""
+        """Return all members except dead ones, sorted by node id."""
         members = [item for item in self._members.values() if item.status != MemberStatus.DEAD]
         return sorted(members, key=lambda member: member.node_id)
 
     def alive(self) -> list[Member]:
-        """Return the members that take new work, suspects included, in the order of node id."""
+        """Return the members that accept new work, including suspects, sorted by node id."""
         accepted = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
         members = [member for member in self._members.values() if member.status in accepted]
         return sorted(members, key=lambda member: member.node_id)
--- a/packages/entry/src/wasabiwell_entry/state/nodes.py
+++ b/packages/entry/src/wasabiwell_entry/state/nodes.py
@@ -1,4 +1,4 @@
-"""Entry instances that this one hears by datagrams."""
+"""Table of the other entry instances, built from the datagrams that they send."""
 
 from bisect import insort
 from collections.abc import Iterator
@@ -12,11 +12,12 @@
 
 @dataclass(slots=True, eq=False)
 class Node:
-    """Another entry instance by its datagram address; `heard` is in monotonic seconds.
+    """Another entry instance, by its datagram address.
 
-    `state` is None until its first state has arrived. `silence_timeout` is the time in seconds
-    after which it counts as gone. `lost` tells that an instance which watches it has reported its
-    silence, and that nothing was heard of it since.
+    `heard` is the time of the last message from it in monotonic seconds. `state` is None until its
+    first state has arrived. After `silence_timeout` seconds without a message it counts as
+    unreachable. `lost` is set when one of its monitors has reported it as silent and no message has
+    arrived from it since.
     """
 
     address: str
@@ -27,15 +28,15 @@
     lost: bool = False
 
     def silence(self, now: float) -> float:
-        """Return the seconds since it was heard, or since it is known."""
+        """Return the seconds since its last message, or since it was added if there was none."""
         return now - (self.heard if self.heard is not None else self.known_since)
 
 
 class NodeTable:
     """Other entry instances by datagram address; one entry instance owns one table.
 
-    Each message asks for them in the order of addresses, so this order is kept: sorting 100 of them
-    each time took a tenth of an idle instance's processor time.
+    A list sorted by address is maintained, because each message needs it: sorting 100 nodes each
+    time took a tenth of an idle instance's CPU time.
     """
 
     __slots__ = ("_nodes", "_ordered")
@@ -51,11 +52,11 @@
         return iter(list(self._ordered))
 
     def get(self, address: str) -> Node | None:
-        """Return an entry instance, or None when it is not known."""
+        """Return an entry instance, or None when it is unknown."""
         return self._nodes.get(address)
 
     def put(self, address: str, now: float) -> Node:
-        """Return the entry instance at an address, which is added when it is not known."""
+        """Return the entry instance at an address, adding it when it is unknown."""
         node = self._nodes.get(address)
         if node is None:
             node = self._nodes[address] = Node(address, now)
@@ -63,14 +64,14 @@
         return node
 
     def record_contact(self, address: str, now: float) -> None:
-        """Note that a message of an entry instance arrived whose state is known."""
+        """Record the arrival of a message from an entry instance; ignored until its first state."""
         node = self._nodes.get(address)
         if node is not None and node.state is not None:
             node.heard = now
             node.lost = False
 
     def count_retry(self, address: str, service: str) -> None:
-        """Count a repeat that an entry instance made after its last state."""
+        """Count a retry that an entry instance made after its last state."""
         node = self._nodes.get(address)
         if node is None or node.state is None:
             return
@@ -83,21 +84,21 @@
         node.state = msgspec.structs.replace(node.state, uses=uses)
 
     def uses(self) -> list[tuple[RetryBudgetUse, ...]]:
-        """Return what each has counted of the requests and repeats of services."""
+        """Return the counts of requests and retries that each instance has sent."""
         return [node.state.uses for node in self if node.state is not None]
 
     def remove(self, address: str) -> None:
-        """Remove an entry instance when it is known."""
+        """Remove an entry instance; unknown addresses are ignored."""
         node = self._nodes.pop(address, None)
         if node is not None:
             self._ordered.remove(node)
 
     def heard(self) -> list[Node]:
-        """Return those that were heard and are not lost, in the order of addresses."""
+        """Return the nodes that have sent a message and are not lost, in the order of addresses."""
         return [node for node in self._ordered if node.heard is not None and not node.lost]
 
     def reachable(self, now: float) -> list[Node]:
-        """Return those that were heard within their allowed silence, in the order of addresses.
+        """Return the nodes heard within their silence timeout, in the order of addresses.
 
         `now` is a monotonic time in seconds.
         """
--- a/packages/entry/src/wasabiwell_entry/state/routes.py
+++ b/packages/entry/src/wasabiwell_entry/state/routes.py
@@ -1,4 +1,4 @@
-"""Routes of callers' requests to services, and what operators configured for them."""
+"""Routes from callers' requests to services, with the settings that operators configured."""
 
 import enum
 from collections.abc import Iterable, Mapping
@@ -7,7 +7,7 @@
 
 
 class RouteKind(enum.Enum):
-    """What may be repeated of the requests of a route."""
+    """How requests of a route may be retried."""
 
     IDEMPOTENT = "idempotent"
     AT_MOST_ONCE = "at-most-once"
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceShare:
-    """A service of a route and its part of the route's requests, relative to the other parts."""
+    """A service of a route and the weight by which it shares the route's requests."""
 
     service: str
     weight: float
@@ -26,10 +26,10 @@
 class Route:
     """Requests to a host below a path prefix.
 
-    `attempts` is the number of targets on which one request may run. `timeout` bounds the time
-    until the whole answer. `objective` is the time to the whole answer, or to the first event of a
-    stream; `event_gap` is the longest pause between events. A resumable stream may go on at another
-    target after its last event.
+    `attempts` is the maximum number of targets on which one request may run. `timeout` limits the
+    time to the complete response. `objective` is the latency objective for the complete response,
+    or for the first event of a stream; `event_gap` is that for the pauses between events. A
+    resumable stream may continue on another target after its last event.
     """
 
     name: str
@@ -61,11 +61,12 @@
 class EngineProfile:
     """Speed and memory of the engines of a service.
 
-    A pass of an engine executes `stride` token steps when a sequence is writing. A step takes
-    `step_seconds` seconds, `step_seconds_per_sequence` more for each writing sequence and `step_seconds_per_token` more
-    for each token of their contexts. Reading takes `prefill_seconds_per_token` seconds for each token and
-    `prefill_seconds_per_pair` for each pair of a token and an earlier one, at most `chunk` tokens in a step.
-    `remote_kv_seconds` is what a step takes more when other engines hold parts of the prompt.
+    An engine iteration executes `stride` decode steps while a sequence is decoding. A step takes
+    `step_seconds`, plus `step_seconds_per_sequence` for each decoding sequence and
+    `step_seconds_per_token` for each token of their contexts. Prefill takes
+    `prefill_seconds_per_token` for each token and `prefill_seconds_per_pair` for each pair of a
+    token and an earlier one (attention), and handles at most `chunk` tokens in a step.
+    `remote_kv_seconds` is added to a step when other engines keep KV cache of the prompt.
     """
 
     slots: int
@@ -83,16 +84,16 @@
 
     @property
     def event_interval(self) -> float:
-        """Return the seconds between the events of a sequence that writes alone."""
+        """Return the seconds between the events of a sequence that decodes alone."""
         return self.stride * (self.step_seconds + self.step_seconds_per_sequence)
 
     @property
     def usual_decode_seconds(self) -> float:
-        """Return the seconds that the usual answer takes to write."""
+        """Return the seconds that decoding a response of the usual length takes."""
         return self.usual_output_tokens * self.event_interval / self.stride
 
     def prefill_seconds(self, tokens: int) -> float:
-        """Return how long an idle engine reads a prompt, in seconds."""
+        """Return the seconds that an idle engine takes to prefill a prompt."""
         pairs = tokens * tokens / 2
         steps = tokens / self.chunk
         return (
@@ -104,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSettings:
-    """A service; `engine` is None for a plain one. `connection_limit` is that of each target."""
+    """A service; `engine` is None for a plain one. `connection_limit` applies to each target."""
 
     name: str
     connection_limit: int
@@ -113,7 +114,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What a caller may send, in bytes, and how long a connection may stay idle."""
+    """Size limits of a caller's request, in bytes, and timeouts of a caller's connection."""
 
     header_bytes: int = 16 * 1024
     body_bytes: int = 4 * 1024 * 1024
@@ -147,7 +148,7 @@
 
 
 def routes_by_host(routes: Iterable[Route]) -> dict[str, dict[str, Route]]:
-    """Return routes by host and prefix; the first of two equal ones counts."""
+    """Return routes by host and prefix; of duplicates the first one is used."""
     by_host: dict[str, dict[str, Route]] = {}
     for route in routes:
         by_host.setdefault(route.host, {}).setdefault(route.prefix, route)
@@ -155,4 +156,4 @@
 
 
 NO_ROUTES = RouteTable(0, {}, CallerLimits(), {}, {})
-"""In force until the first version has been read."""
+"""Used until the first version has been read."""
--- a/packages/entry/src/wasabiwell_entry/state/work.py
+++ b/packages/entry/src/wasabiwell_entry/state/work.py
@@ -1,7 +1,8 @@
-"""Work that all entry instances have placed on the targets, as one entry instance knows it.
+"""Load model of the targets: the requests that all entry instances have placed on them.
 
-Times are seconds of the monotonic clock, as floats: placing a request does thousands of operations
-on them.
+Each entry instance keeps its own model and updates it from its placements and from peer notices.
+Times are seconds of the monotonic clock, as floats, because placing one request does thousands of
+operations on them.
 """
 
 from collections import deque
@@ -13,19 +14,19 @@
 from wasabiwell_entry.state.targets import Target
 
 LATE_PENALTY = 0.75
-"""Part of a request's value that is lost when it is late; both users' price lists have 0.75."""
+"""Share of a request's value that is lost when it is late; both users' price lists have 0.75."""
 EXPIRY_FACTOR = 4.0
-"""Placements that last this many times longer than expected are dropped as forgotten."""
+"""A placement is dropped after this multiple of its expected duration: its end notice was lost."""
 SLOWDOWN_WEIGHT = 0.4
-"""Weight of a new observation of an engine's pace against what was known before."""
+"""Weight of a new observation in the moving average of an engine's slowdown."""
 SLOWDOWN_HALF_LIFE_SECONDS = 4.0
-"""An engine that gets no requests is believed to be half as slow after this, so that it is tried
-again."""
+"""The excess slowdown of an engine halves in this time, so that a slow engine that gets no requests
+is tried again."""
 MAX_SLOWDOWN = 20.0
 ARRIVAL_WINDOW_SECONDS = 2.0
-"""Time over which the rate of short requests is taken; the users' mixes change within seconds."""
+"""Window for the arrival rate of short requests; the users' request mixes change within seconds."""
 MIN_EXPIRY_SECONDS = 20.0
-"""Placements are kept at least this long: no route of the users waits longer."""
+"""Minimum time before a placement expires; no route of the users has a longer timeout."""
 OUTPUT_TOKEN_VALUE = 10
 """An output token is worth this many prompt tokens on both users' price lists."""
 
@@ -34,9 +35,11 @@
 class PlacedRequest:
     """A request that an entry instance has placed.
 
-    `placed_at` and `due` are seconds of the local monotonic clock; `due` is when the first event
-    or the answer has to be there. `gap` is the longest pause between events, in seconds. `helper_kv_tokens`
-    are the tokens of the prompt that are kept in the memory of each of the first helpers.
+    `lead` is the target that generates the response; `helpers` are further engines that prefill
+    segments of the prompt. `placed_at` and `due` are seconds of the local monotonic clock; `due` is
+    the deadline for the first event or the response. `gap` is the longest allowed pause between
+    events, in seconds. `helper_kv_tokens` are the prompt tokens whose KV cache each of the first
+    helpers keeps.
     """
 
     request_id: str
@@ -52,20 +55,22 @@
     helper_kv_tokens: tuple[int, ...] = ()
 
     def kv_tokens_on(self, target_id: str) -> int:
-        """Return the memory that the prompt takes on a target, in tokens."""
+        """Return the KV cache that the prompt takes on a target, in tokens."""
         if self.size is None:
             return 0
         if target_id == self.lead:
             return self.size.prompt - sum(self.helper_kv_tokens)
-        holders = zip(self.helpers, self.helper_kv_tokens, strict=False)
-        return sum(tokens for helper, tokens in holders if helper == target_id)
+        kept = zip(self.helpers, self.helper_kv_tokens, strict=False)
+        return sum(tokens for helper, tokens in kept if helper == target_id)
 
 
 @dataclass(slots=True, eq=False)
 class TargetRequest:
-    """A request on one engine; `lead` tells that it is written there, `split` that it is split.
+    """A request's share of work on one target.
 
-    `prefill_seconds_left` is the reading that is left on this engine and `decode_seconds_left` the writing, in seconds.
+    `lead` is set when this target generates the response, `split` when the prefill is split over
+    several engines. `prefill_seconds_left` and `decode_seconds_left` are the remaining work on this
+    target at normal speed. `tokens` is the KV cache that it takes here.
     """
 
     placed: PlacedRequest
@@ -80,9 +85,9 @@
 
 @dataclass(slots=True, eq=False)
 class TargetWork:
-    """What is placed on one target; `profile` is None for targets of plain services.
+    """The requests on one target; `profile` is None for targets of plain services.
 
-    `slowdown` is how many times as long as usual the target takes; it is 1 for a sound one.
+    `slowdown` is the ratio of the actual to the usual duration of the target's work; 1 is healthy.
     """
 
     target: Target
@@ -98,38 +103,41 @@
 
     @property
     def occupied_slots(self) -> int:
-        """Return the number of requests that take a slot here."""
-        return sum(1 for resident in self.requests.values() if resident.lead)
+        """Return the number of slots that requests take on this target."""
+        return sum(1 for request in self.requests.values() if request.lead)
 
     @property
     def tokens(self) -> int:
-        """Return the memory that is in use here, in tokens."""
-        return sum(resident.tokens for resident in self.requests.values())
+        """Return the KV cache in use on this target, in tokens."""
+        return sum(request.tokens for request in self.requests.values())
 
     def decoding_requests(self) -> list[TargetRequest]:
-        """Return the requests that are written here now."""
+        """Return the requests for which this target generates tokens now."""
         return [item for item in self.requests.values() if item.lead and item.decoding]
 
-    def iteration_seconds(self, writers: list[TargetRequest]) -> float:
-        """Return how long a pass without reading takes."""
+    def iteration_seconds(self, decoding: list[TargetRequest]) -> float:
+        """Return the duration of an engine iteration without prefill."""
         profile = self.profile
-        if profile is None or not writers:
+        if profile is None or not decoding:
             return 0.0
-        tokens = sum(writer.tokens for writer in writers)
-        step = profile.step_seconds + len(writers) * profile.step_seconds_per_sequence
+        tokens = sum(request.tokens for request in decoding)
+        step = profile.step_seconds + len(decoding) * profile.step_seconds_per_sequence
         return profile.stride * (step + tokens * profile.step_seconds_per_token) * self.slowdown
 
     def prefill_order(self) -> list[TargetRequest]:
-        """Return the requests with reading left in the order in which the engine reads them.
+        """Return the requests with prefill left, in the order in which the engine prefills them.
 
-        Engines read parts of split prompts before other prompts, the newest part first.
+        Engines prefill segments of split prompts before other prompts, the newest segment first.
         """
         waiting = [item for item in self.requests.values() if item.prefill_seconds_left > 0]
-        parts = [item for item in waiting if item.split]
-        return [*reversed(parts), *(item for item in waiting if not item.split)]
+        segments = [item for item in waiting if item.split]
+        return [*reversed(segments), *(item for item in waiting if not item.split)]
 
     def observe_slowdown(self, event_gap: float, now: float) -> None:
-        """Take over an undisturbed time between two events of a stream, in seconds."""
+        """Update the slowdown from a gap between two events that no prefill lengthened.
+
+        `event_gap` is in seconds.
+        """
         self.advance(now)
         usual = self.iteration_seconds(self.decoding_requests()) / self.slowdown
         if usual > 0:
@@ -137,30 +145,30 @@
             self.slowdown += SLOWDOWN_WEIGHT * (observed - self.slowdown)
 
     def advance(self, now: float) -> None:
-        """Work off reading and writing up to a time."""
+        """Subtract the prefill and decode work that is done by a time."""
         seconds = now - self.updated
         self.updated = max(self.updated, now)
         if seconds <= 0 or self.profile is None:
             return
         elapsed = seconds / self.slowdown
         self.slowdown = 1.0 + (self.slowdown - 1.0) * 0.5 ** (seconds / SLOWDOWN_HALF_LIFE_SECONDS)
-        self._write(elapsed)
-        for resident in self.prefill_order():
-            done = min(elapsed, resident.prefill_seconds_left)
-            resident.prefill_seconds_left -= done
+        self._advance_decode(elapsed)
+        for request in self.prefill_order():
+            done = min(elapsed, request.prefill_seconds_left)
+            request.prefill_seconds_left -= done
             elapsed -= done
-            if resident.prefill_seconds_left <= 0 and resident.lead and not resident.split:
-                resident.decoding = True
+            if request.prefill_seconds_left <= 0 and request.lead and not request.split:
+                request.decoding = True
             if elapsed <= 0:
                 return
 
-    def _write(self, elapsed: float) -> None:
-        for resident in self.requests.values():
-            if resident.lead and resident.decoding:
-                resident.decode_seconds_left = max(0.0, resident.decode_seconds_left - elapsed)
+    def _advance_decode(self, elapsed: float) -> None:
+        for request in self.requests.values():
+            if request.lead and request.decoding:
+                request.decode_seconds_left = max(0.0, request.decode_seconds_left - elapsed)
 
     def add(self, placed: PlacedRequest, now: float) -> None:
-        """Add a request that is placed here."""
+        """Add a request that is placed on this target."""
         self.advance(now)
         profile, size = self.profile, placed.size
         lead = placed.lead == self.target.target_id
@@ -182,12 +190,12 @@
         )
 
     def start_decode(self, request_id: str, now: float) -> None:
-        """Note the first event of a request: its prompt has been read here."""
+        """Record the first event of a request: its prefill on this target has finished."""
         self.advance(now)
-        resident = self.requests.get(request_id)
-        if resident is not None:
-            resident.prefill_seconds_left = 0.0
-            resident.decoding = True
+        request = self.requests.get(request_id)
+        if request is not None:
+            request.prefill_seconds_left = 0.0
+            request.decoding = True
 
     def remove(self, request_id: str, now: float) -> None:
         """Remove a request that has ended."""
@@ -213,7 +221,7 @@
         return iter(list(self._works.values()))
 
     def get(self, target_id: str) -> TargetWork | None:
-        """Return the work of a target, or None when it is not known."""
+        """Return the work of a target, or None when the target is unknown."""
         return self._works.get(target_id)
 
     def of_service(self, service: str) -> list[TargetWork]:
@@ -221,11 +229,11 @@
         return self._by_service.get(service, [])
 
     def placed_by(self, origin: str) -> list[PlacedRequest]:
-        """Return what an entry instance has placed."""
+        """Return the requests that an entry instance has placed."""
         return [placed for placed in self._placed.values() if placed.origin == origin]
 
     def update(self, targets: Iterable[tuple[Target, EngineProfile | None]], now: float) -> None:
-        """Take over the targets of a list; one that started anew begins without work."""
+        """Replace the set of targets; a target that has restarted begins without work."""
         works: dict[str, TargetWork] = {}
         for target, profile in targets:
             work = self._works.get(target.target_id)
@@ -246,33 +254,33 @@
         self.remove(placed.request_id, now)
         self._placed[placed.request_id] = placed
         if placed.size is not None and not placed.helpers:
-            self._note_arrival(placed, placed.size, now)
+            self._record_arrival(placed, placed.size, now)
         for target_id in (placed.lead, *placed.helpers):
             if (work := self._works.get(target_id)) is not None:
                 work.add(placed, now)
 
     def arrival_stats(self, service: str, now: float) -> tuple[float, float]:
-        """Return the rate of requests that one engine reads, in 1/s, and their mean value."""
+        """Return the arrival rate of requests that are not split, in 1/s, and their mean value."""
         arrivals = self._arrivals.get(service)
         if not arrivals:
             return 0.0, 0.0
-        _forget(arrivals, now)
+        _drop_old_arrivals(arrivals, now)
         if not arrivals:
             return 0.0, 0.0
         return len(arrivals) / ARRIVAL_WINDOW_SECONDS, sum(value for _, value in arrivals) / len(
             arrivals
         )
 
-    def _note_arrival(self, placed: PlacedRequest, size: PromptSize, now: float) -> None:
+    def _record_arrival(self, placed: PlacedRequest, size: PromptSize, now: float) -> None:
         work = self._works.get(placed.lead)
         if work is None or work.profile is None:
             return
         arrivals = self._arrivals.setdefault(placed.service, deque())
         arrivals.append((now, request_value(size, work.profile)))
-        _forget(arrivals, now)
+        _drop_old_arrivals(arrivals, now)
 
     def start_decode(self, request_id: str, now: float) -> None:
-        """Note the first event of a request."""
+        """Record the first event of a request, and release helpers that keep no KV cache of it."""
         placed = self._placed.get(request_id)
         if placed is None:
             return
@@ -294,25 +302,25 @@
                 work.remove(request_id, now)
 
     def retain(self, origin: str, request_ids: frozenset[str], now: float) -> None:
-        """Remove what an entry instance has placed but for these requests."""
+        """Remove the requests that an entry instance has placed, except for these."""
         for placed in self.placed_by(origin):
             if placed.request_id not in request_ids:
                 self.remove(placed.request_id, now)
 
     def expire(self, now: float) -> None:
-        """Remove requests whose end was never told."""
+        """Remove requests whose end notice never arrived."""
         for placed in list(self._placed.values()):
             allowed = max(MIN_EXPIRY_SECONDS, EXPIRY_FACTOR * (placed.due - placed.placed_at))
             if now - placed.placed_at > allowed:
                 self.remove(placed.request_id, now)
 
 
-def _forget(arrivals: deque[tuple[float, float]], now: float) -> None:
+def _drop_old_arrivals(arrivals: deque[tuple[float, float]], now: float) -> None:
     while arrivals and arrivals[0][0] < now - ARRIVAL_WINDOW_SECONDS:
         arrivals.popleft()
 
 
 def request_value(size: PromptSize, profile: EngineProfile) -> float:
-    """Return what a request is worth, relative to the usual request of its service."""
+    """Return the value of a request, relative to the usual request of its service."""
     usual = profile.usual_prompt_tokens + OUTPUT_TOKEN_VALUE * profile.usual_output_tokens
     return (size.prompt + OUTPUT_TOKEN_VALUE * size.expected_output) / max(1, usual)
