--- a/packages/entry/src/wasabiwell_entry/state/clock.py
+++ b/packages/entry/src/wasabiwell_entry/state/clock.py
@@ -10,17 +10,17 @@
     """Source of time."""
 
     def now(self) -> datetime:
-        """Return the wall-clock time in UTC; it can step."""
+        """Return the wall-clock time in UTC, which can jump."""
 
     def monotonic(self) -> timedelta:
-        """Return the time since an arbitrary start; it never goes back."""
+        """Return the time since an arbitrary start, which never decreases."""
 
     async def sleep(self, duration: timedelta) -> None:
         """Wait for a duration."""
 
 
 class SystemClock:
-    """Clock of the machine and of the trio run."""
+    """Wall clock of the machine and monotonic clock of the trio run."""
 
     __slots__ = ()
 
@@ -38,7 +38,7 @@
 
 
 class ManualClock:
-    """Clock that tests move by hand."""
+    """Clock that only tests advance."""
 
     __slots__ = ("_monotonic", "_now")
 
--- a/packages/entry/src/wasabiwell_entry/state/configuration.py
+++ b/packages/entry/src/wasabiwell_entry/state/configuration.py
@@ -50,13 +50,19 @@
     configuration, so that frequent changes do not delay streams in the same process.
     """
 
-    __slots__ = ("_model_services", "_operators", "_organisations", "_plain_services", "_tenants")
+    __slots__ = (
+        "_model_services",
+        "_operators",
+        "_organisations",
+        "_organisations_by_key_hash",
+        "_plain_services",
+    )
 
     def __init__(self) -> None:
         self._model_services: dict[str, ModelService] = {}
         self._plain_services: dict[str, PlainService] = {}
         self._organisations: dict[str, Organisation] = {}
-        self._tenants: dict[str, Organisation] = {}
+        self._organisations_by_key_hash: dict[str, Organisation] = {}
         self._operators: dict[str, OperatorKey] = {}
 
     @property
@@ -78,7 +84,7 @@
 
     def organisation_by_key_hash(self, key_hash: str) -> Organisation | None:
         """Return the organisation to which a key belongs."""
-        return self._tenants.get(key_hash)
+        return self._organisations_by_key_hash.get(key_hash)
 
     def operator_by_key_hash(self, key_hash: str) -> OperatorKey | None:
         """Return the operator to which a key belongs."""
@@ -109,16 +115,18 @@
             self._remove_organisation(organisation.name)
         for organisation in changed.organisations:
             self._organisations[organisation.name] = organisation
-            self._tenants.update(dict.fromkeys(organisation.key_hashes, organisation))
+            self._organisations_by_key_hash.update(
+                dict.fromkeys(organisation.key_hashes, organisation)
+            )
 
     def _remove_organisation(self, name: str) -> None:
         organisation = self._organisations.pop(name, None)
         if organisation is None:
             return
         for key_hash in organisation.key_hashes:
-            owner = self._tenants.get(key_hash)
+            owner = self._organisations_by_key_hash.get(key_hash)
             if owner is not None and owner.name == name:
-                del self._tenants[key_hash]
+                del self._organisations_by_key_hash[key_hash]
 
 
 class ConfigurationState:
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -1,4 +1,4 @@
-"""Numbered log events; `docs/LOG_EVENTS.md` is generated from this catalogue."""
+"""Catalogue of numbered log events; `docs/LOG_EVENTS.md` is generated from it."""
 
 import enum
 from dataclasses import dataclass
@@ -18,11 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LogEvent:
-    """One kind of log line.
+    """Definition of one kind of log line.
 
-    `template` is a `str.format` template of the fields. `action` tells operators what to do.
-    Events of what went well, `success`, are sampled under load. Numbers are never reused. Neither
-    prompts nor keys may be fields.
+    `template` is a `str.format` template of the fields. `action` tells operators what to do. Events
+    with `success` report normal results and are sampled under load. Numbers are never reused.
+    Prompts and keys must not be fields.
     """
 
     number: int
@@ -38,21 +38,21 @@
 PLAINTEXT_LISTENER = LogEvent(
     103,
     Level.WARNING,
-    "listener {address} is not on loopback and has no TLS",
-    "Set the TLS settings, or accept that traffic is readable on the network.",
+    "listener {address} is not on loopback and does not use TLS",
+    "Configure TLS, or accept that traffic is readable on the network.",
 )
 BOOTSTRAP_ACCESS = LogEvent(
     104,
     Level.WARNING,
-    "operators' interface used from {host} without an operator key: none is configured",
+    "operators' interface used from {host} without an operator key, because none is configured",
     "Apply a configuration with an operator key.",
 )
-CERTIFICATE_LOADED = LogEvent(105, Level.INFO, "certificate {path} is in use")
+CERTIFICATE_LOADED = LogEvent(105, Level.INFO, "certificate {path} was loaded")
 CERTIFICATE_REJECTED = LogEvent(
     106,
     Level.ERROR,
-    "certificate {path} cannot be used, the previous one stays in use: {reason}",
-    "Replace the certificate and its key by a matching pair before the previous one expires.",
+    "certificate {path} cannot be loaded, the previous one remains in use: {reason}",
+    "Replace the certificate and its key with a matching pair before the previous one expires.",
 )
 TELEMETRY_FAILED = LogEvent(
     107,
@@ -64,47 +64,50 @@
     110, Level.INFO, "entry instance {member} is {status}, incarnation {incarnation}"
 )
 HAND_BACK_FAILED = LogEvent(
-    111, Level.WARNING, "leaving: a part could not hand back what it holds: {error}"
+    111, Level.WARNING, "leaving: a component could not release its resources: {error}"
 )
 STREAMS_CUT = LogEvent(
     112,
     Level.WARNING,
     "leaving: {count} requests were still open at the drain limit",
-    "Raise --drain-limit-s above the longest request.",
+    "Set --drain-limit-s above the duration of the longest request.",
 )
 RECOVERED_FROM_PEER = LogEvent(
-    113, Level.INFO, "members, marks and configuration version {version} come from peer {peer}"
+    113,
+    Level.INFO,
+    "members, marks and configuration version {version} were recovered from peer {peer}",
 )
 LINES_LEFT_OUT = LogEvent(
     114,
     Level.WARNING,
-    "lines left out in the last second: {counts}; dropped since the start: {dropped}",
-    "Lines of one event are bounded in a second; dropped ones found no reader of standard output.",
+    "log lines suppressed in the last second: {counts}; dropped since the start: {dropped}",
+    "The rate of lines is limited for each event. Lines are dropped when the reader of standard "
+    "output is too slow.",
 )
 METRICS_UNAVAILABLE = LogEvent(
     115,
     Level.WARNING,
     "metrics are not served: address {address} is in use",
-    "Free the address, or name another one in the deploy file.",
+    "Free the address, or set another one in the deploy file.",
 )
-CONFIGURATION_IN_FORCE = LogEvent(200, Level.INFO, "configuration version {version} is in force")
+CONFIGURATION_IN_FORCE = LogEvent(200, Level.INFO, "configuration version {version} is active")
 CONFIGURATION_INVALID = LogEvent(
     201,
     Level.ERROR,
     "configuration version {version} cannot be read: {findings}",
-    "Upgrade this entry instance, or apply a configuration that it understands.",
+    "Upgrade this entry instance, or apply a configuration that its version supports.",
 )
 CONFIGURATION_ROW_UNREADABLE = LogEvent(
     202,
     Level.ERROR,
     "configuration row {key} cannot be decoded: {error}",
-    "Upgrade this entry instance; the version in force here stays.",
+    "Upgrade this entry instance; it keeps its active version.",
 )
 STORE_UNAVAILABLE = LogEvent(
     300,
     Level.WARNING,
     "{service} is unavailable: {reason}",
-    "Check the platform's service. Model requests go on; non-idempotent calls are refused.",
+    "Check the platform's service. Model requests continue; non-idempotent calls are refused.",
 )
 STORE_RECOVERED = LogEvent(301, Level.INFO, "{service} is available again")
 ATTEMPT_FAILED = LogEvent(
@@ -113,130 +116,140 @@
 RUN_RESULT_UNKNOWN = LogEvent(
     401,
     Level.WARNING,
-    "request {request}: the call was sent and has no whole answer: {reason}",
-    "Ask the target whether the call ran; the caller was told that the result is unknown.",
+    "request {request}: the call was sent but has no complete response: {reason}",
+    "Check at the target whether the call ran; the caller got the error `result_unknown`.",
 )
 SETTLEMENT_GIVEN_UP = LogEvent(
     407,
     Level.WARNING,
-    "too many run records wait to be settled; one is left as started instead of {status}",
-    "Check the table service. A repeat of the call is told that its result is unknown.",
+    "too many run records wait for an update; one remains in status started instead of {status}",
+    "Check the table service. A retry of the call gets the error `result_unknown`.",
 )
 TARGET_LOST = LogEvent(402, Level.WARNING, "target {target} does not accept connections")
-TARGET_DRAINED = LogEvent(403, Level.INFO, "target {target} gets no new work: drained by operator")
+TARGET_DRAINED = LogEvent(
+    403, Level.INFO, "target {target} gets no new requests: drained by operator"
+)
 CREDIT_OWNER_UNREACHABLE = LogEvent(
     404,
     Level.WARNING,
-    "entry instance {owner}, owner of engines, does not answer: {reason}; a share of the free "
-    "capacity is used",
-    "Check the network to that instance. Engines refuse what does not fit; such requests wait.",
+    "entry instance {owner}, an owner of engines, does not respond: {reason}; a share of the "
+    "free capacity is used without credits",
+    "Check the network to that instance. Requests that an engine refuses as full wait.",
 )
 REQUEST_SUSPECTED = LogEvent(
     405,
     Level.WARNING,
-    "target {target} died while it ran the request with fingerprint {fingerprint}",
+    "target {target} crashed while it ran the request with fingerprint {fingerprint}",
 )
 REQUEST_QUARANTINED = LogEvent(
     406,
     Level.ERROR,
-    "the request with fingerprint {fingerprint} is refused, because two targets died running it",
-    "Find the fault of the engines, then release the request.",
+    "the request with fingerprint {fingerprint} is refused, because two targets crashed running it",
+    "Find the cause of the crashes, then release the request.",
 )
 SUSPECT_TURN_SKIPPED = LogEvent(
     430,
     Level.WARNING,
-    "the suspect with fingerprint {fingerprint} runs on target {target} without a turn of its own: "
-    "{reason}",
-    "Check the table service. If the target dies, other suspects there are marked with this one.",
+    "the suspect with fingerprint {fingerprint} runs on target {target} without an exclusive "
+    "lease: {reason}",
+    "Check the table service. If the target crashes, all suspects running there are blamed.",
 )
 SUSPECT_TURN_NOT_ENDED = LogEvent(
     432,
     Level.WARNING,
-    "the turn of the suspect with fingerprint {fingerprint} on target {target} was not ended: "
+    "the lease of the suspect with fingerprint {fingerprint} on target {target} was not released: "
     "{reason}",
     "Check the table service. Other suspects wait up to 30 s for this target.",
 )
 ROUTED = LogEvent(
     409,
     Level.INFO,
-    "request {request}, send {sends} on route {route}: target {target}, helpers {helpers}, "
+    "request {request}, attempt {sends} on route {route}: target {target}, helpers {helpers}, "
     "{prompt} prompt tokens, expected {expected_ms} ms, {left_ms} ms left, routes version {routes}",
     success=True,
 )
 ANSWERED = LogEvent(
     428,
     Level.INFO,
-    "request {request}, send {sends} to {target}: {outcome}, first event {first_ms} ms, longest "
+    "request {request}, attempt {sends} on {target}: {outcome}, first event {first_ms} ms, longest "
     "pause {pause_ms} ms, total {total_ms} ms",
     success=True,
 )
 CALLER_LEFT = LogEvent(
-    429, Level.INFO, "request {request}: the caller left after {after_ms} ms, begun: {begun}"
+    429,
+    Level.INFO,
+    "request {request}: the caller disconnected after {after_ms} ms, response begun: {begun}",
 )
 TARGET_LISTED = LogEvent(410, Level.INFO, "target {target} of service {service} is listed")
 TARGET_UNLISTED = LogEvent(411, Level.INFO, "target {target} is no longer listed")
-TARGET_LEAVING = LogEvent(412, Level.INFO, "target {target} is leaving and gets no new work")
+TARGET_LEAVING = LogEvent(412, Level.INFO, "target {target} is leaving and gets no new requests")
 TARGET_PAUSED = LogEvent(
-    413, Level.WARNING, "target {target} was lost and gets no new work for {pause_s} s"
+    413, Level.WARNING, "target {target} was lost and gets no new requests for {pause_s} s"
 )
 SEND_FAILED = LogEvent(
     414,
     Level.WARNING,
-    "request {request}, send {sends} to {target}: {outcome}, first event {first_ms} ms, longest "
+    "request {request}, attempt {sends} on {target}: {outcome}, first event {first_ms} ms, longest "
     "pause {pause_ms} ms, total {total_ms} ms, verdict {verdict}, helpers {helpers}, {prompt} "
     "prompt tokens, expected "
     "{expected_ms} ms, {left_ms} ms left, route {route}, routes version {routes}",
 )
-NOT_PLACED = LogEvent(415, Level.WARNING, "request {request} was not placed: {reason}")
+NOT_PLACED = LogEvent(415, Level.WARNING, "request {request} could not be placed: {reason}")
 REPEAT_BUDGET_USED = LogEvent(
     416,
     Level.WARNING,
-    "request {request} is not sent again: the budget of repeats is used up",
-    "Find out which targets fail; callers are told to come back.",
+    "request {request} is not retried: the retry budget is exhausted",
+    "Find out which targets fail; callers get an error with a retry time.",
 )
 REQUEST_NOT_SERVED = LogEvent(
-    417, Level.WARNING, "request {request} was not served: {reason}, {message}, begun: {begun}"
+    417,
+    Level.WARNING,
+    "request {request} failed: {reason}, {message}, response begun: {begun}",
 )
 LISTING_ENTRY_UNREADABLE = LogEvent(
     418,
     Level.WARNING,
-    "entry {key} of the list of targets names no target: {reason}",
-    "Find the writer of the entry; the other entries are used.",
+    "entry {key} in the list of targets cannot be decoded: {reason}",
+    "Find out who wrote the entry; the other entries are used.",
 )
 MEMORY_NOT_RESERVED = LogEvent(
-    419, Level.WARNING, "request {request}: no memory was reserved on {targets}"
+    419, Level.WARNING, "request {request}: memory could not be reserved on {targets}"
 )
 ORDER_UNANSWERED = LogEvent(
     408, Level.WARNING, "target {target} did not answer the order {order}: {reason}"
 )
-PEER_HEARD = LogEvent(420, Level.INFO, "entry instance {peer} in zone {zone} is heard")
-PEER_SILENT = LogEvent(421, Level.WARNING, "entry instance {peer} was not heard for {silence_s} s")
-NOTICE_UNREADABLE = LogEvent(422, Level.WARNING, "a message of {sender} cannot be read: {reason}")
-NOTICE_TOO_LARGE = LogEvent(423, Level.ERROR, "a message of {bytes} bytes is not sent")
+PEER_HEARD = LogEvent(420, Level.INFO, "entry instance {peer} in zone {zone} is reachable")
+PEER_SILENT = LogEvent(
+    421, Level.WARNING, "no message from entry instance {peer} for {silence_s} s"
+)
+NOTICE_UNREADABLE = LogEvent(
+    422, Level.WARNING, "a notice from {sender} cannot be decoded: {reason}"
+)
+NOTICE_TOO_LARGE = LogEvent(423, Level.ERROR, "a notice of {bytes} bytes is too large to send")
 ROUTES_NOT_FETCHED = LogEvent(
     424, Level.WARNING, "routes could not be fetched from entry instance {peer}: {reason}"
 )
 ROUTES_UNREADABLE = LogEvent(
-    425, Level.ERROR, "routes from {source} cannot be read: {reason}", "Upgrade this instance."
+    425, Level.ERROR, "routes from {source} cannot be decoded: {reason}", "Upgrade this instance."
 )
-SETTINGS_RELOADED = LogEvent(426, Level.INFO, "the settings file was read again")
+SETTINGS_RELOADED = LogEvent(426, Level.INFO, "the settings file was reloaded")
 SETTINGS_REJECTED = LogEvent(
     427,
     Level.ERROR,
-    "the settings file has mistakes, the settings in force stay: {findings}",
+    "the settings file is invalid, the current settings are kept: {findings}",
     "Correct the settings file and send SIGHUP.",
 )
 REQUEST_FAILED_INTERNALLY = LogEvent(
-    500, Level.ERROR, "request {request}: unexpected {error}", "Report this with the log."
+    500, Level.ERROR, "request {request}: unexpected {error}", "Report this as a bug, with the log."
 )
 
 
 def emit(event: LogEvent, **fields: object) -> None:
-    """Log an event; fields are formatted only when a handler takes the record."""
+    """Log an event; the message is formatted only when a handler accepts the record."""
     _LOGGER.log(event.level.value, event.template, extra={"event": event.number}, **fields)
 
 
 def catalogue() -> list[tuple[str, LogEvent]]:
-    """Return name and event of the whole catalogue, in the order of numbers."""
+    """Return all events with their names, sorted by number."""
     events = [(name, value) for name, value in globals().items() if isinstance(value, LogEvent)]
     return sorted(events, key=lambda item: item[1].number)
--- a/packages/entry/src/wasabiwell_entry/state/orders.py
+++ b/packages/entry/src/wasabiwell_entry/state/orders.py
@@ -1,4 +1,4 @@
-"""Orders to engines, and the lease under which they are sent."""
+"""Orders to engines, and the lease that protects them by a fencing number."""
 
 from dataclasses import dataclass
 from datetime import timedelta
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeRole:
-    """Change what an engine does, for example `prefill` or `decode`."""
+    """Change the role of an engine, for example to `prefill` or `decode`."""
 
     role: str
 
@@ -47,9 +47,10 @@
 
 @dataclass(slots=True)
 class RateLedger:
-    """Loads that an owner may grant in each interval; the first interval is withheld.
+    """Rate limiter for loads of weights; it grants nothing before `interval_end`.
 
-    The owner before this one may have granted a whole interval's loads just before it ended.
+    The previous owner may have granted the loads of a whole interval just before its ownership
+    ended, so a new owner waits for one interval.
     """
 
     interval: timedelta
@@ -57,7 +58,7 @@
     left: int = 0
 
     def take(self, count: int, per_interval: int, now: timedelta) -> int:
-        """Return how many loads are granted."""
+        """Return how many of `count` loads are granted."""
         if now >= self.interval_end:
             self.left = per_interval
             self.interval_end = now + self.interval
--- a/packages/entry/src/wasabiwell_entry/state/outcomes.py
+++ b/packages/entry/src/wasabiwell_entry/state/outcomes.py
@@ -1,4 +1,4 @@
-"""Outcomes of requests: what a caller is told, and whether its request was run."""
+"""Outcomes of requests: the result for the caller, and whether the request was executed."""
 
 import enum
 from dataclasses import dataclass, field
@@ -6,7 +6,7 @@
 
 
 class RunState(enum.Enum):
-    """What is proved about the execution of a request."""
+    """Whether a request was executed, as far as this can be proved."""
 
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
@@ -14,7 +14,7 @@
 
 
 class Reason(enum.Enum):
-    """Codes of failures, as callers see them in `error.code`."""
+    """Error codes, as callers see them in `error.code`."""
 
     INVALID_REQUEST = "invalid_request"
     BODY_TOO_LARGE = "body_too_large"
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Finding:
-    """One mistake in an input, with its place (a JSON path, a header or a flag)."""
+    """One error in an input, with its place (a JSON path, a header or a flag)."""
 
     place: str
     message: str
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """The request was proved not to have run."""
+    """The request was rejected and provably not executed."""
 
     reason: Reason
     message: str
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """The request was sent to a target and has no whole answer."""
+    """The request was sent to a target but has no complete response."""
 
     reason: Reason
     message: str
@@ -74,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Finished:
-    """The whole answer was delivered to the sink; `tokens` were generated."""
+    """The complete response was delivered to the sink; `tokens` is its number of tokens."""
 
     tokens: int
     finish_reason: str
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceResponse:
-    """The whole answer of a plain service."""
+    """Complete response of a plain service; `replayed` is set when it comes from a run record."""
 
     status: int
     content_type: str
--- a/packages/entry/src/wasabiwell_entry/state/platform.py
+++ b/packages/entry/src/wasabiwell_entry/state/platform.py
@@ -1,4 +1,4 @@
-"""Interfaces of the platform's services, and the values that they exchange."""
+"""Interfaces of the platform's services, and their data types."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """A row of the table service; `version` grows with each write of the row, from 1."""
+    """A row of the table service; `version` starts at 1 and grows with each write of the row."""
 
     key: str
     value: bytes = field(repr=False)
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Condition:
-    """Requires that a row has this version, or is absent when `version` is 0."""
+    """Precondition that a row has this version, or is absent when `version` is 0."""
 
     key: str
     version: int
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Write:
-    """Sets a row, or deletes it when `value` is None."""
+    """Write of a row; it deletes the row when `value` is None."""
 
     key: str
     value: bytes | None = field(repr=False)
@@ -32,26 +32,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Committed:
-    """The transaction took effect."""
+    """The transaction was committed."""
 
 
 @dataclass(frozen=True, slots=True)
 class ConditionFailed:
-    """The transaction had no effect, because the rows named in `keys` had other versions."""
+    """The transaction had no effect, because the rows in `keys` had other versions."""
 
     keys: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class StoreUnavailable:
-    """The service could not be reached or refused; a transaction had no effect."""
+    """The service was unreachable or refused the call; a transaction had no effect."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class ReplyLost:
-    """The request was sent and no reply came; a transaction may have taken effect."""
+    """The request was sent but no reply arrived; a transaction may have been committed."""
 
     reason: str
 
@@ -70,10 +70,10 @@
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> TransactOutcome:
-        """Apply all writes if all conditions hold, else none."""
+        """Apply all writes if all conditions hold, otherwise none."""
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row] | StoreUnavailable:
-        """Return the rows that exist, by key, from one consistent state."""
+        """Return the existing rows by key, from one consistent snapshot."""
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 1000
@@ -110,7 +110,7 @@
 
 
 class InstanceList(Protocol):
-    """The platform's lagging list of instances."""
+    """The platform's list of instances; it lags behind their actual state."""
 
     async def instances(self) -> list[InstanceRecord] | StoreUnavailable:
         """Return the live and leaving instances."""
--- a/packages/entry/src/wasabiwell_entry/state/reports.py
+++ b/packages/entry/src/wasabiwell_entry/state/reports.py
@@ -1,4 +1,4 @@
-"""What operators and metrics are told about an entry instance; durations are in seconds."""
+"""Status reports of an entry instance for operators and metrics; durations are in seconds."""
 
 from dataclasses import dataclass, field
 from datetime import datetime
@@ -7,13 +7,13 @@
 
 
 def without_target_text(reason: str) -> str:
-    """Return a reason without the text that a target sent, which may repeat a prompt."""
+    """Return a reason without the text that a target sent, because it may contain a prompt."""
     return reason.partition(":")[0] if reason.startswith(STATUS_PREFIX) else reason
 
 
 @dataclass(frozen=True, slots=True)
 class QueueFigures:
-    """Requests of one size class that wait for admission."""
+    """Queue of the requests of one size class that wait for admission."""
 
     size: str
     waiting: int
@@ -22,18 +22,18 @@
 
 @dataclass(frozen=True, slots=True)
 class CreditFigures:
-    """Capacity of one engine that the entry instance holds or, as its owner, has lent."""
+    """Capacity of one engine that the entry instance has leased or, as owner, has leased out."""
 
     engine_id: str
     role: str
-    """holder or owner."""
+    """`holder` or `owner`."""
     slots: int
     tokens: int
 
 
 @dataclass(frozen=True, slots=True)
 class SuspectFigures:
-    """A request suspected of crashing targets, by its fingerprint."""
+    """A request that is suspected of crashing targets, identified by its fingerprint."""
 
     fingerprint: str
     targets: tuple[str, ...]
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberFigures:
-    """Another entry instance, or this one, as this one sees it."""
+    """An entry instance of the deployment, as this one sees it; this one is included."""
 
     node_id: str
     region: str
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetFigures:
-    """A target as this entry instance sees it; `owner` is empty when it is not known."""
+    """A target, as this entry instance sees it; `owner` is empty when it is unknown."""
 
     target_id: str
     kind: str
@@ -99,7 +99,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusReport:
-    """State of one entry instance; None stands for a part that this entry instance lacks."""
+    """Status of one entry instance; a field is None when the instance lacks that component."""
 
     node_id: str
     region: str
@@ -134,9 +134,9 @@
 
 @dataclass(slots=True)
 class RequestRecord:
-    """What happened to one request; it holds neither the prompt nor a key.
+    """History of one request; it contains neither the prompt nor a key.
 
-    `admission_wait_s` sums the waits of all attempts. Times count from the request's arrival.
+    `admission_wait_s` is the sum over all attempts. Times count from the request's arrival.
     """
 
     request_id: str
--- a/packages/entry/src/wasabiwell_entry/state/requests.py
+++ b/packages/entry/src/wasabiwell_entry/state/requests.py
@@ -1,4 +1,4 @@
-"""Requests of callers and the frames of their answers."""
+"""Requests of callers and the frames of their responses."""
 
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -10,9 +10,9 @@
 class GenerateRequest:
     """A prompt to be completed by an engine.
 
-    `messages` is the caller's JSON array, not decoded. `prompt_tokens` is an estimate from its
-    length. `received` and `deadline` are monotonic times of this entry. `prefix_hashes` holds one
-    hash for each leading block of the prompt, each covering all blocks before it.
+    `messages` is the caller's JSON array in its encoded form. `prompt_tokens` is estimated from its
+    length. `received` and `deadline` are monotonic times of this entry. `prefix_hashes` has one
+    hash for each leading block of the prompt, which also covers all blocks before it.
     """
 
     request_id: str
@@ -33,7 +33,7 @@
 
     @property
     def memory_tokens(self) -> int:
-        """Return the KV cache that the request needs at its end, in tokens."""
+        """Return the KV cache that the complete request needs, in tokens."""
         return self.prompt_tokens + self.max_tokens
 
 
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenFrame:
-    """`count` consecutive tokens, the first at index `offset` of the whole answer."""
+    """`count` consecutive tokens, the first at index `offset` of the whole response."""
 
     offset: int
     count: int
@@ -66,9 +66,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EndFrame:
-    """End mark: the answer has `tokens` tokens and its text has the digest `digest`.
+    """End mark of a response, with its number of tokens.
 
-    The digest is the hexadecimal XXH3-64 of the UTF-8 text of the whole answer.
+    `digest` is the hexadecimal XXH3-64 of the UTF-8 text of the whole response.
     """
 
     tokens: int
@@ -80,9 +80,9 @@
 class StreamInterrupted:
     """The stream ended before its end mark.
 
-    `refused` tells that the engine proved that it did not start. `target_lost` tells that the
-    connection was cut by the target or could not be made, so the target may have died. `silent`
-    tells that the connection passed no data while the target was alive.
+    `refused` is set when the engine proved that it has not started the request. `target_lost` is
+    set when the target cut the connection or none could be made: the target may have crashed.
+    `silent` is set when the connection carried no data although the target was alive.
     """
 
     reason: str
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Shard:
-    """Memory reserved on a further engine for a prompt larger than one engine's memory."""
+    """KV cache reserved on a further engine for a prompt larger than one engine's memory."""
 
     target_id: str
     address: str
@@ -106,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One try to run a request on an engine, resumed after `resume_offset` tokens.
+    """One attempt to run a request on an engine, resumed after `resume_offset` tokens.
 
     `generated` is the text of the tokens before `resume_offset`.
     """
--- a/packages/entry/src/wasabiwell_entry/state/runs.py
+++ b/packages/entry/src/wasabiwell_entry/state/runs.py
@@ -1,4 +1,4 @@
-"""Run records: the proof that a non-idempotent call runs at most once."""
+"""Run records in the table service, which make non-idempotent calls run at most once."""
 
 import enum
 from dataclasses import dataclass, field
@@ -11,9 +11,9 @@
     """Status of a run record.
 
     STARTED: the holder may send the call at any time before the record's deadline.
-    NOT_RUN: the holder proved that it did not send the call; the key can be claimed again.
-    DONE: the target answered.
-    UNKNOWN: the holder sent the call and got no whole answer.
+    NOT_RUN: the holder provably did not send the call; the key can be claimed again.
+    DONE: the target responded.
+    UNKNOWN: the holder sent the call but got no complete response.
     """
 
     STARTED = "started"
@@ -27,7 +27,7 @@
     """Record of one idempotency key.
 
     `fingerprint` identifies the call's method, path and body. `deadline` and `expires` are
-    wall-clock times. A large answer lies in the object store under `object_key`.
+    wall-clock times. A large response is kept in the object store under `object_key`.
     """
 
     attempt_id: str
--- a/packages/entry/src/wasabiwell_entry/state/suspects.py
+++ b/packages/entry/src/wasabiwell_entry/state/suspects.py
@@ -1,16 +1,16 @@
-"""Requests that ran on targets which died: suspects, and quarantine after the second target."""
+"""Suspects: requests that were running when a target crashed; two crashes mean quarantine."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
 from datetime import datetime
 
 MAX_LOST_TARGETS = 2
-"""A request may lose this many distinct targets before it is refused everywhere."""
+"""Number of distinct crashed targets after which a request is refused everywhere."""
 
 
 @dataclass(frozen=True, slots=True)
 class Suspect:
-    """A request, by its fingerprint, and the targets that died while they ran it."""
+    """A request, by its fingerprint, and the targets that crashed while they ran it."""
 
     fingerprint: str
     targets: tuple[str, ...]
@@ -22,7 +22,7 @@
         return len(self.targets) >= MAX_LOST_TARGETS
 
     def merged(self, other: "Suspect") -> "Suspect":
-        """Return the suspect with the targets of both."""
+        """Return a suspect with the targets of both and the later expiry."""
         targets = tuple(sorted({*self.targets, *other.targets}))
         return Suspect(self.fingerprint, targets, max(self.expires, other.expires))
 
@@ -46,18 +46,18 @@
         return self._suspects.get(fingerprint)
 
     def merge(self, suspect: Suspect) -> Suspect:
-        """Add the targets of a suspect and return the result."""
-        known = self._suspects.get(suspect.fingerprint)
-        merged = suspect if known is None else known.merged(suspect)
+        """Add a suspect, or add its targets to an existing entry; return the merged suspect."""
+        existing = self._suspects.get(suspect.fingerprint)
+        merged = suspect if existing is None else existing.merged(suspect)
         self._suspects[suspect.fingerprint] = merged
         return merged
 
     def remove(self, fingerprint: str) -> None:
-        """Remove a suspect when it is known."""
+        """Remove a suspect; unknown fingerprints are ignored."""
         self._suspects.pop(fingerprint, None)
 
     def remove_expired(self, now: datetime) -> None:
-        """Remove the suspects whose time is over."""
+        """Remove the suspects that have expired."""
         for suspect in self:
             if suspect.expires <= now:
                 self.remove(suspect.fingerprint)
--- a/packages/entry/src/wasabiwell_entry/state/targets.py
+++ b/packages/entry/src/wasabiwell_entry/state/targets.py
@@ -1,4 +1,4 @@
-"""Targets that an entry instance knows: engines and plain services."""
+"""Targets in an entry instance's table: engines and plain services."""
 
 import bisect
 import enum
@@ -8,7 +8,7 @@
 from datetime import timedelta
 
 USE_HISTORY = timedelta(seconds=4)
-"""Past of the own use that is kept; it must exceed the age of any load report that is used."""
+"""Time for which samples of the own use are kept; must exceed the age of any used load report."""
 
 
 class TargetKind(enum.Enum):
@@ -23,7 +23,7 @@
     """A target instance; `address` is `HOST:PORT`.
 
     `incarnation` changes with each start of the target. `slots` is the number of requests that it
-    processes at once, 0 when that is not known.
+    processes at once, 0 when unknown.
     """
 
     target_id: str
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedTarget:
-    """A target as the platform's list shows it."""
+    """A target in the platform's list."""
 
     target: Target
     leaving: bool
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
-    """Load that an engine reported, with its lag; memory is in tokens of KV cache.
+    """Load report of an engine, which lags behind the actual load; memory is in KV cache tokens.
 
     `reported` is the monotonic time of this entry at which the report arrived.
     """
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UseSample:
-    """What this entry instance had placed on an engine from a time on."""
+    """What this entry instance had placed on an engine from the time `at` on."""
 
     at: timedelta
     slots: int
@@ -71,7 +71,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OtherUse:
-    """What a report tells of the use by others, and the prefill backlog when it arrived."""
+    """Use of an engine by other entry instances, derived from a load report.
+
+    `prefill_tokens` is the prefill backlog when the report arrived.
+    """
 
     load: EngineLoad
     slots: int
@@ -81,12 +84,12 @@
 
 @dataclass(slots=True, eq=False)
 class TargetStatus:
-    """What is known of one target.
+    """State of one target.
 
-    `outstanding`, `outstanding_tokens`, `long_outstanding` and `long_tokens` are what this entry
-    instance has placed there. `samples` is their recent past and `sends` the recent prompts as
-    (time, tokens), both needed to correct a load report, which is older than they are.
-    `others` is the corrected form of the last report for which it was asked.
+    `outstanding`, `outstanding_tokens`, `long_outstanding` and `long_tokens` count what this entry
+    instance has placed there. `samples` is their recent history, and `sends` are the recent prompts
+    as (time, tokens); both serve to correct a load report, which does not include the latest
+    placements. `others` caches the use by others that was derived from the last load report.
     `cached_prefixes` keeps the order in which prefixes were reported.
     """
 
@@ -105,12 +108,12 @@
     sends: deque[tuple[timedelta, int]] = field(default_factory=deque)
 
     def place(self, now: timedelta, tokens: int, prompt_tokens: int, long: bool) -> None:
-        """Count a request that this entry instance places here."""
+        """Count a request that this entry instance places on the target."""
         self.sends.append((now, prompt_tokens))
         self._change(now, 1, tokens, long)
 
     def remove(self, now: timedelta, tokens: int, long: bool) -> None:
-        """Count the end of a request that was placed here."""
+        """Subtract a request that has ended."""
         self._change(now, -1, -tokens, long)
 
     def _change(self, now: timedelta, slots: int, tokens: int, long: bool) -> None:
@@ -143,7 +146,7 @@
         return iter(list(self._statuses.values()))
 
     def get(self, target_id: str) -> TargetStatus | None:
-        """Return the status of a target, or None when it is not known."""
+        """Return the status of a target, or None when it is unknown."""
         return self._statuses.get(target_id)
 
     def of_service(self, service: str) -> list[TargetStatus]:
@@ -151,10 +154,10 @@
         return list(self._by_service.get(service, {}).values())
 
     def window(self, service: str, start: int, count: int) -> list[TargetStatus]:
-        """Return up to `count` targets of a service that follow each other in the order of ids.
+        """Return up to `count` consecutive targets of a service, sorted by id and with wrap-around.
 
-        It costs no more in a large fleet, and instances that know the same targets get the same
-        ones for one `start`.
+        The cost does not grow with the fleet, and instances with the same targets get the same
+        result for the same `start`.
         """
         ordered = self._ordered.get(service, [])
         if len(ordered) <= count:
@@ -163,7 +166,7 @@
         return (ordered[first : first + count] + ordered[:count])[:count]
 
     def put(self, target: Target) -> TargetStatus:
-        """Add a target, or replace it when its address or place changed."""
+        """Add a target, or replace it when any of its properties changed."""
         status = self._statuses.get(target.target_id)
         if status is not None and status.target == target:
             return status
@@ -176,14 +179,14 @@
         return status
 
     def remove(self, target_id: str) -> None:
-        """Remove a target when it is known."""
+        """Remove a target; unknown ids are ignored."""
         status = self._statuses.pop(target_id, None)
         if status is not None:
             self._by_service[status.target.service].pop(target_id, None)
             self._ordered[status.target.service].remove(status)
 
     def retain(self, target_ids: Iterable[str]) -> list[str]:
-        """Remove all targets but these and return the ids of the removed ones."""
+        """Remove all targets except these and return the ids of the removed ones."""
         keep = set(target_ids)
         removed = [target_id for target_id in self._statuses if target_id not in keep]
         for target_id in removed:
