--- a/packages/entry/src/wasabiwell_entry/protocol/admin.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/admin.py
@@ -1,4 +1,4 @@
-"""Messages of the operators' interface below `/admin/v1`."""
+"""Request and response bodies of the operators' interface below `/admin/v1`."""
 
 from dataclasses import dataclass
 from typing import Any, Literal
@@ -20,10 +20,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ApplyReply:
-    """Answer of an apply.
+    """Response of `POST /admin/v1/configuration`.
 
-    `outcome` is accepted, accepted_not_shared, conflict, invalid, unavailable or uncertain; `peers`
-    is the number of other entry instances that took the version before the answer.
+    `outcome` is accepted, accepted_not_shared, conflict, invalid, unavailable or uncertain. `peers`
+    is the number of other entry instances that confirmed the version before this response.
     """
 
     outcome: str
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationReply:
-    """Answer of `GET /admin/v1/configuration`."""
+    """Response of `GET /admin/v1/configuration`."""
 
     version: int
     items: dict[str, msgspec.Raw]
@@ -52,9 +52,9 @@
 
 @dataclass(frozen=True, slots=True)
 class HistoryReply:
-    """Answer of `GET /admin/v1/configuration/history`; the newest version comes first.
+    """Response of `GET /admin/v1/configuration/history`, with the newest version first.
 
-    An entry instance keeps recent versions only; older ones are not listed.
+    An entry instance keeps only recent versions; older ones are not listed.
     """
 
     version: int
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainReply:
-    """Answer of the drain of an entry instance or a target."""
+    """Response to draining an entry instance or a target."""
 
     node_id: str
     draining: str
@@ -71,14 +71,14 @@
 
 @dataclass(frozen=True, slots=True)
 class QuarantineReply:
-    """Answer of `GET /admin/v1/quarantine`."""
+    """Response of `GET /admin/v1/quarantine`."""
 
     suspects: tuple[SuspectFigures, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class TraceReply:
-    """Answer of `GET /admin/v1/trace/REQUEST-ID`."""
+    """Response of `GET /admin/v1/trace/REQUEST-ID`."""
 
     node_id: str
     request: RequestRecord
@@ -95,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderBody:
-    """Body of `POST /admin/v1/orders`; `kind` says which of the other fields it needs."""
+    """Body of `POST /admin/v1/orders`; `kind` determines which other fields are required."""
 
     engine: str
     kind: Literal["load_model", "load_adapter", "change_role"]
@@ -105,16 +105,16 @@
     role: str = ""
 
     def order(self) -> EngineOrder:
-        """Return the order; raises `msgspec.ValidationError` when a field is missing."""
+        """Return the order; raises `msgspec.ValidationError` when a required field is empty."""
         match self.kind:
             case "load_model":
-                return LoadModel(self._given("model"), self._given("version"))
+                return LoadModel(self._required("model"), self._required("version"))
             case "load_adapter":
-                return LoadAdapter(self._given("adapter"), self._given("version"))
+                return LoadAdapter(self._required("adapter"), self._required("version"))
             case "change_role":
-                return ChangeRole(self._given("role"))
+                return ChangeRole(self._required("role"))
 
-    def _given(self, name: str) -> str:
+    def _required(self, name: str) -> str:
         value: str = getattr(self, name)
         if not value:
             raise msgspec.ValidationError(f"{self.kind} needs {name} - at `$.{name}`")
@@ -123,7 +123,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderReply:
-    """Answer to an order; `retry_after_s` is set where repeating later can succeed."""
+    """Response to an order; `retry_after_s` is set when a later retry can succeed."""
 
     outcome: str
     reason: str = ""
--- a/packages/entry/src/wasabiwell_entry/protocol/chat.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/chat.py
@@ -1,4 +1,4 @@
-"""The completion interface for callers: request body, answer body and stream events."""
+"""Chat completion interface for callers: request body, response body and stream events."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChatMessage:
-    """One message of a prompt; its content stays encoded."""
+    """One message of a prompt; its content is not decoded."""
 
     role: str
     content: msgspec.Raw
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChatBody:
-    """Body of `POST /v1/chat/completions`; `messages` stays encoded."""
+    """Body of `POST /v1/chat/completions`; `messages` is kept as encoded JSON."""
 
     model: str
     messages: bytes = field(repr=False)
@@ -43,7 +43,10 @@
 
 
 def parse_chat(body: bytes) -> ChatBody | Refused:
-    """Return the parsed body, or all findings; the content of messages is not decoded."""
+    """Return the parsed body, or a refusal with all findings.
+
+    The content of messages is not decoded.
+    """
     try:
         body.decode()
         fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
@@ -64,7 +67,7 @@
 
 
 def prefix_hashes(messages: bytes) -> tuple[int, ...]:
-    """Return one hash for each leading block of a prompt, each covering all blocks before."""
+    """Return one hash for each leading block of a prompt, which also covers all blocks before it."""
     digest = xxhash.xxh3_64()
     hashes = []
     blocks = min(len(messages) // PREFIX_BLOCK_BYTES, MAX_PREFIX_BLOCKS)
@@ -76,7 +79,7 @@
 
 
 class ChatEncoder:
-    """Encodes the answer to one request."""
+    """Encoder of the response to one request."""
 
     __slots__ = ("_created", "_id", "_model", "_prefix")
 
@@ -96,18 +99,18 @@
         return self._prefix + msgspec.json.encode(frame.text) + b'},"finish_reason":null}]}\n\n'
 
     def end_event(self, finish_reason: str, prompt_tokens: int, tokens: int) -> bytes:
-        """Return the last events of a whole answer."""
+        """Return the last events of a complete response."""
         body = self._head("chat.completion.chunk")
         body["choices"] = [{"index": 0, "delta": {}, "finish_reason": finish_reason}]
         body["usage"] = _usage(prompt_tokens, tokens)
         return b"data: " + msgspec.json.encode(body) + b"\n\n" + DONE_EVENT
 
     def error_event(self, outcome: Refused | Failed) -> bytes:
-        """Return the event of a failure after the answer has begun."""
+        """Return the event for a failure after the response has begun."""
         return b"data: " + msgspec.json.encode({"error": error_body(outcome)}) + b"\n\n"
 
     def completion(self, text: str, finish_reason: str, prompt_tokens: int, tokens: int) -> bytes:
-        """Return the body of a whole answer that is not streamed."""
+        """Return the body of a complete response that is not streamed."""
         body = self._head("chat.completion")
         message = {"role": "assistant", "content": text}
         body["choices"] = [{"index": 0, "message": message, "finish_reason": finish_reason}]
--- a/packages/entry/src/wasabiwell_entry/protocol/engine.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/engine.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardBody:
-    """Memory held on a further engine."""
+    """KV cache reserved on a further engine."""
 
     engine: str
     address: str
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FrameBody:
-    """One line of the answer; the last line has `end` set."""
+    """One line of the response; the last line has `end` set."""
 
     attempt: str
     offset: int = 0
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadBody:
-    """Answer of `GET /load`; memory is in tokens of KV cache."""
+    """Response of `GET /load`; memory is in tokens of KV cache."""
 
     slots: int
     running: int
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CacheEventsBody:
-    """Answer of `GET /cache-events`; the numbers of events have gaps."""
+    """Response of `GET /cache-events`; the sequence numbers of events can have gaps."""
 
     events: list[CacheEventBody]
     last: int
@@ -100,14 +100,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ReservationReply:
-    """Answer of `POST /v1/reservations`."""
+    """Response of `POST /v1/reservations`."""
 
     reservation_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class EngineError:
-    """Body of an engine's refusal; an engine that refuses has not started the request."""
+    """Error body of an engine that refuses a request, which it then has not started."""
 
     error: str = field(default="")
 
@@ -136,17 +136,17 @@
 
 
 class FrameReader:
-    """Splits an engine's answer into items and drops frames of other attempts."""
+    """Splits an engine's response into items and drops frames of other attempts."""
 
-    __slots__ = ("_attempt_id", "_rest")
+    __slots__ = ("_attempt_id", "_incomplete_line")
 
     def __init__(self, attempt_id: str) -> None:
         self._attempt_id = attempt_id
-        self._rest = b""
+        self._incomplete_line = b""
 
     def feed(self, data: bytes) -> list[StreamItem]:
-        """Return the items that `data` completes; consecutive tokens become one frame."""
-        *lines, self._rest = (self._rest + data).split(b"\n")
+        """Return the items that `data` completes; consecutive token frames are merged."""
+        *lines, self._incomplete_line = (self._incomplete_line + data).split(b"\n")
         items: list[StreamItem] = []
         for line in lines:
             if line:
@@ -178,7 +178,7 @@
 
 
 def _merge(first: StreamItem, second: StreamItem) -> TokenFrame | None:
-    """Return one frame for two frames of consecutive tokens."""
+    """Return one frame for two frames of consecutive tokens, or None for other items."""
     if not isinstance(first, TokenFrame) or not isinstance(second, TokenFrame):
         return None
     if first.offset + first.count != second.offset:
--- a/packages/entry/src/wasabiwell_entry/protocol/events.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/events.py
@@ -1,4 +1,4 @@
-"""Splits a body of server-sent events into whole events."""
+"""Splits a body of server-sent events into complete events."""
 
 from wasabiwell_entry.state.forwarding import ResponseEvent
 
@@ -7,26 +7,26 @@
 
 
 class UnreadableEventError(Exception):
-    """An event has an id that is no number."""
+    """An event has an id that is not a number."""
 
 
 class EventSplitter:
-    """Takes bytes as they come and returns the events that are complete."""
+    """Incremental parser that returns events as soon as they are complete."""
 
-    __slots__ = ("_rest",)
+    __slots__ = ("_remainder",)
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._remainder = b""
 
     @property
-    def rest(self) -> bytes:
-        """Return the bytes of an event that is not complete."""
-        return self._rest
+    def remainder(self) -> bytes:
+        """Return the buffered bytes of an incomplete event."""
+        return self._remainder
 
     def feed(self, data: bytes) -> list[ResponseEvent]:
-        """Return the events that are complete with these bytes; raises `UnreadableEventError`."""
-        *whole, self._rest = (self._rest + data).split(END_OF_EVENT)
-        return [ResponseEvent(_event_id(event), event + END_OF_EVENT) for event in whole]
+        """Return the events that `data` completes; raises `UnreadableEventError`."""
+        *complete, self._remainder = (self._remainder + data).split(END_OF_EVENT)
+        return [ResponseEvent(_event_id(event), event + END_OF_EVENT) for event in complete]
 
 
 def _event_id(event: bytes) -> int | None:
@@ -35,5 +35,5 @@
             try:
                 return int(line[len(ID_FIELD) :])
             except ValueError as error:
-                raise UnreadableEventError(f"event id {line!r} is no number") from error
+                raise UnreadableEventError(f"event id {line!r} is not a number") from error
     return None
--- a/packages/entry/src/wasabiwell_entry/protocol/notices.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/notices.py
@@ -1,4 +1,4 @@
-"""MessagePack encoding of the datagrams between entry instances."""
+"""MessagePack encoding of the notices between entry instances."""
 
 from typing import Any
 
@@ -34,27 +34,27 @@
     RetryNotice,
     WatchRequest,
 )
-"""The first byte of a datagram is the place of its message's type in this list."""
+"""The first byte of a datagram is the index of the notice's type in this tuple."""
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODERS: tuple[msgspec.msgpack.Decoder[Any], ...] = tuple(
-    msgspec.msgpack.Decoder(kind) for kind in NOTICE_TYPES
+    msgspec.msgpack.Decoder(notice_type) for notice_type in NOTICE_TYPES
 )
 
 
 class UnreadableNoticeError(Exception):
-    """The bytes are no message of this protocol."""
+    """The datagram cannot be decoded."""
 
 
 def encode_notice(notice: Notice) -> bytes:
-    """Return the datagram of a message."""
+    """Return the datagram for a notice."""
     return bytes((NOTICE_TYPES.index(type(notice)),)) + _ENCODER.encode(notice)
 
 
 def decode_notice(data: bytes) -> Notice:
-    """Return the message of a datagram; raises `UnreadableNoticeError`."""
+    """Return the notice in a datagram; raises `UnreadableNoticeError`."""
     if not data or data[0] >= len(NOTICE_TYPES):
-        raise UnreadableNoticeError("the kind of the message is not known")
+        raise UnreadableNoticeError("unknown notice type")
     try:
         notice: Notice = _DECODERS[data[0]].decode(data[1:])
     except msgspec.DecodeError as error:
--- a/packages/entry/src/wasabiwell_entry/protocol/orders.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/orders.py
@@ -1,4 +1,4 @@
-"""Messages about orders to engines."""
+"""Encoding of orders to engines."""
 
 from dataclasses import asdict
 
--- a/packages/entry/src/wasabiwell_entry/protocol/peer.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/peer.py
@@ -1,4 +1,4 @@
-"""Messages between entry instances."""
+"""RPC methods between entry instances, and their messages."""
 
 from dataclasses import dataclass
 from datetime import timedelta
@@ -38,33 +38,33 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationQuery:
-    """Asks for the versions after `since`."""
+    """Request for the configuration versions after `since`."""
 
     since: int
 
 
 @dataclass(frozen=True, slots=True)
 class VersionAck:
-    """Tells the configuration version in force at the receiver."""
+    """The active configuration version of the instance that received a push."""
 
     version: int
 
 
 @dataclass(frozen=True, slots=True)
 class Ack:
-    """The message took effect, or had taken effect before."""
+    """The message was applied, now or by an earlier delivery."""
 
 
 @dataclass(frozen=True, slots=True)
 class CreditRequest:
-    """Claims of one holder on engines of one owner."""
+    """Claims of one holder for engines of one owner."""
 
     claims: list[CreditClaim]
 
 
 @dataclass(frozen=True, slots=True)
 class CreditGrant:
-    """Answers to the claims of a `CreditRequest`; each engine is in one of the lists."""
+    """Response to a `CreditRequest`; each claimed engine is in one of the lists."""
 
     grants: list[CreditGranted]
     refusals: list[CreditRefused]
@@ -72,48 +72,48 @@
 
 @dataclass(frozen=True, slots=True)
 class CreditRelease:
-    """Credits that a holder gives up."""
+    """Credits that a holder releases."""
 
     returns: list[CreditReturn]
 
 
 @dataclass(frozen=True, slots=True)
 class OwnerQuery:
-    """A new owner asks for the credits of its engines."""
+    """Request of a new owner for the credits that a holder has on its engines."""
 
     engine_ids: list[str]
 
 
 @dataclass(frozen=True, slots=True)
 class OutstandingReply:
-    """Credit and use of the asked engines at one holder."""
+    """Credit and use of the requested engines at one holder."""
 
     claims: list[CreditClaim]
 
 
 @dataclass(frozen=True, slots=True)
 class RateRequest:
-    """Asks the owner of a region's share of the weight store's rate for loads."""
+    """Request for loads from the instance that owns the region's share of the weight store rate."""
 
     count: int
 
 
 @dataclass(frozen=True, slots=True)
 class RateGrant:
-    """Loads that may start now."""
+    """Number of loads that may start now."""
 
     granted: int
 
 
 @dataclass(frozen=True, slots=True)
 class SnapshotQuery:
-    """Asks for what a starting entry instance needs; `node_id` is the one that asks."""
+    """Request of a starting entry instance, `node_id`, for a peer's current state."""
 
     node_id: str
 
 
 class MemberFrame(msgspec.Struct, frozen=True, array_like=True):
-    """Member in a heartbeat, without field names."""
+    """Member in a heartbeat, encoded without field names."""
 
     node_id: str
     incarnation: int
@@ -125,7 +125,7 @@
 
 
 class MarkFrame(msgspec.Struct, frozen=True, array_like=True):
-    """Mark in a heartbeat, without field names."""
+    """Mark in a heartbeat, encoded without field names."""
 
     kind: str
     key: str
@@ -137,7 +137,7 @@
 
 
 class HeartbeatFrame(msgspec.Struct, frozen=True, array_like=True):
-    """Heartbeat without field names, because the names would double its size.
+    """Heartbeat, encoded without field names because they would double its size.
 
     `confirmation_age_ms` is -1 when the version was never confirmed.
     """
@@ -152,7 +152,7 @@
 
 
 def frame_from_heartbeat(heartbeat: Heartbeat) -> HeartbeatFrame:
-    """Return the message of a heartbeat; an age is rounded up to whole milliseconds."""
+    """Return the frame for a heartbeat; the age is rounded up to whole milliseconds."""
     age = heartbeat.announcement.confirmation_age
     return HeartbeatFrame(
         heartbeat.sender,
@@ -172,7 +172,7 @@
 
 
 def heartbeat_from_frame(frame: HeartbeatFrame) -> Heartbeat:
-    """Return the heartbeat of a message."""
+    """Return the heartbeat in a frame."""
     age = frame.confirmation_age_ms
     return Heartbeat(
         frame.sender,
--- a/packages/entry/src/wasabiwell_entry/protocol/platform.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/platform.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TransactReply:
-    """Answer of `POST /transact`; `failed` names the keys whose conditions did not hold."""
+    """Response of `POST /transact`; `failed` has the keys whose conditions did not hold."""
 
     committed: bool
     failed: list[str]
@@ -30,6 +30,6 @@
 
 @dataclass(frozen=True, slots=True)
 class RowsReply:
-    """Answer of `POST /read` and `GET /scan`."""
+    """Response of `POST /read` and `GET /scan`."""
 
     rows: list[Row]
--- a/packages/entry/src/wasabiwell_entry/protocol/problem.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/problem.py
@@ -1,4 +1,4 @@
-"""Error answers to callers."""
+"""Error responses to callers."""
 
 from dataclasses import dataclass
 
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ErrorBody:
-    """The `error` object of a failure; `findings` name the places of a caller's mistakes."""
+    """The `error` object of a failed request; `findings` list the errors in the request."""
 
     type: str
     code: str
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Problem:
-    """A failure as it goes to a caller."""
+    """Error response to a caller."""
 
     status: int
     headers: list[tuple[bytes, bytes]]
@@ -59,7 +59,7 @@
 
 
 def error_body(outcome: Refused | Failed) -> ErrorBody:
-    """Return the `error` object of a failure."""
+    """Return the `error` object for an outcome."""
     status = STATUS_BY_REASON[outcome.reason]
     match outcome:
         case Refused(findings=findings):
@@ -73,7 +73,7 @@
 
 
 def problem(outcome: Refused | Failed) -> Problem:
-    """Return status, headers and body of a failure."""
+    """Return the error response for an outcome."""
     error = error_body(outcome)
     headers = [(b"content-type", b"application/json"), (RUN_HEADER, error.run.encode())]
     if outcome.retry_after is not None:
--- a/packages/entry/src/wasabiwell_entry/protocol/service_call.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/service_call.py
@@ -1,4 +1,4 @@
-"""Calls of plain services: which of them are idempotent, and their fingerprints."""
+"""Idempotency and fingerprints of calls to plain services."""
 
 import hashlib
 
@@ -10,9 +10,10 @@
 
 def is_idempotent(service: PlainService, method: str, path: str) -> bool:
     """Return False when a rule of the service marks the call as non-idempotent."""
-    bare = path.partition("?")[0]
+    path_only = path.partition("?")[0]
     return not any(
-        rule.method in ("*", method) and _below(bare, rule.path) for rule in service.non_idempotent
+        rule.method in ("*", method) and _is_below(path_only, rule.path)
+        for rule in service.non_idempotent
     )
 
 
@@ -25,5 +26,5 @@
     return digest.hexdigest()
 
 
-def _below(path: str, prefix: str) -> bool:
+def _is_below(path: str, prefix: str) -> bool:
     return path == prefix or path.startswith(prefix.rstrip("/") + "/")
