--- a/packages/entry/src/wasabiwell_entry/protocol/chat.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/chat.py
@@ -67,7 +67,7 @@
 
 
 def prefix_hashes(messages: bytes) -> tuple[int, ...]:
-    """Return one hash for each leading block of a prompt, which also covers all blocks before it."""
+    """Return one hash for each leading block of a prompt; it also covers all blocks before it."""
     digest = xxhash.xxh3_64()
     hashes = []
     blocks = min(len(messages) // PREFIX_BLOCK_BYTES, MAX_PREFIX_BLOCKS)
--- a/tests/entry/protocol/chat.feature
+++ b/tests/entry/protocol/chat.feature
@@ -1,7 +1,7 @@
 Feature: Body of a completion request
-  Guards against bodies that end a request with an internal error instead of a clear answer.
+  Guards against malformed bodies that cause an internal error instead of a clear error response.
 
-  Scenario Outline: A body that is no JSON text is refused with its place
+  Scenario Outline: An invalid body is refused with the place of the error
     When a completion request has the body <body>
     Then it is refused as invalid with a finding at "<place>"
 
@@ -16,6 +16,6 @@
       | b'{"model": 5, "messages": [{"role": "u", "content": "a"}]}' | $.model |
       | b'{"model": "m", "messages": []}'                    | $.messages |
 
-  Scenario: A body in UTF-8 is taken
+  Scenario: A body in UTF-8 is accepted
     When a completion request has the body b'{"model": "m", "messages": [{"role": "u", "content": "\xc3\xa9"}]}'
-    Then it is taken
+    Then it is accepted
--- a/tests/entry/protocol/events.feature
+++ b/tests/entry/protocol/events.feature
@@ -1,10 +1,10 @@
 Feature: Events of streams
-  Guards against parts of events that reach a caller when a stream breaks off.
+  Guards against incomplete events that reach a caller when a stream is interrupted.
 
-  Scenario Outline: Only whole events are passed on, however the bytes are cut
+  Scenario Outline: Only complete events are returned, however the bytes are split
     When the stream "id: 1|data: a||id: 2|data: b||: note||id: 3|data: c" is read in pieces of <size> bytes
     Then the events are "1 2 -"
-    And the rest is "id: 3|data: c"
+    And the remainder is "id: 3|data: c"
 
     Examples:
       | size |
@@ -12,6 +12,6 @@
       | 5    |
       | 100  |
 
-  Scenario: An id that is no number is not taken for an event of the target
+  Scenario: An event with an id that is not a number is rejected
     When the stream "id: x|data: a||" is read in pieces of 4 bytes
     Then it cannot be read
--- a/tests/entry/settings.feature
+++ b/tests/entry/settings.feature
@@ -1,7 +1,8 @@
 Feature: Settings of an entry instance
-  Guards against a start with settings that fail later, and against mistakes shown one at a time.
+  Guards against invalid settings that fail only after the start, and against errors that are reported
+  one at a time.
 
-  Scenario: All mistakes are named together
+  Scenario: All errors are reported together
     When the entry instance is started with "--max-body-bytes many --caller-address localhost:80 --tls-key /no/such/file --address-ttl-s -1 --otlp-sample-ratio 2 --table-url ftp://10.0.0.1 --bootstrap-key-hash secret"
     Then the entry command ends with code 2 and names
       """
@@ -25,10 +26,10 @@
     When the entry instance is started with the variable "WASABIWELL_BODY_TIMEOUT_S" as "nan"
     Then the entry command names "--body-timeout-s: must be above 0"
 
-  Scenario: Help gives variable, unit and default of every number
+  Scenario: Help shows the variable, unit and default of every numeric option
     When the entry instance is started with "--help"
     Then each line of help for a number has a unit and a default
 
-  Scenario: The version can be asked for
+  Scenario: The version is printed on request
     When the entry instance is started with "--version"
     Then the entry command prints "wasabiwell-entry, version 0.1.0"
--- a/tests/entry/state/routes.feature
+++ b/tests/entry/state/routes.feature
@@ -1,7 +1,7 @@
 Feature: Routes
-  Guards against requests that reach a service which their path does not name.
+  Guards against requests that are sent to a service of another route.
 
-  Scenario Outline: The longest prefix of the path decides
+  Scenario Outline: The route with the longest prefix of the path is chosen
     Given the routes "/a/ /a/b/ /a/b/c/ /" of "h.example"
     Then the path "<path>" of "<host>" has the route "<route>"
 
@@ -15,7 +15,7 @@
       | h.example | /a/b       | /a/     |
       | i.example | /a/b       | none    |
 
-  Scenario: Without a route for the root other paths have none
+  Scenario: Without a route for the root, unmatched paths have no route
     Given the routes "/a/ /a/b/" of "h.example"
     Then the path "/c/d" of "h.example" has the route "none"
     And the path "" of "h.example" has the route "none"
--- a/tests/steps/entry/protocol/chat_steps.py
+++ b/tests/steps/entry/protocol/chat_steps.py
@@ -20,6 +20,6 @@
     assert place in [finding.place for finding in context.parsed.findings]
 
 
-@then("it is taken")
-def step_taken(context: Context) -> None:
+@then("it is accepted")
+def step_accepted(context: Context) -> None:
     assert isinstance(context.parsed, ChatBody), context.parsed
--- a/tests/steps/entry/protocol/events_steps.py
+++ b/tests/steps/entry/protocol/events_steps.py
@@ -22,8 +22,8 @@
     assert found == ids.split(), found
 
 
-@then('the rest is "{text}"')
-def step_rest(context: Context, text: str) -> None:
+@then('the remainder is "{text}"')
+def step_remainder(context: Context, text: str) -> None:
     assert context.splitter.remainder == text.replace("|", "\n").encode()
 
 
--- a/tests/steps/entry/settings_steps.py
+++ b/tests/steps/entry/settings_steps.py
@@ -13,7 +13,7 @@
 
 
 def start(context: Context, arguments: list[str], **variables: str) -> None:
-    """Run the entry's command to its end."""
+    """Run the command `wasabiwell-entry` and wait for it to end."""
     context.finished = subprocess.run(
         [sys.executable, "-m", "wasabiwell_entry.main", *arguments],
         env={**os.environ, **variables},
--- a/tests/steps/entry/state/configuration_steps.py
+++ b/tests/steps/entry/state/configuration_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the configuration in force."""
+"""Steps for the active configuration."""
 
 import msgspec
 from behave import given, then, when
@@ -14,7 +14,7 @@
     return {f"organisation/{name}": msgspec.json.encode(organisation)}
 
 
-@given('a configuration in which "{name}" holds the keys "{keys}"')
+@given('a configuration in which "{name}" has the keys "{keys}"')
 def step_state(context: Context, name: str, keys: str) -> None:
     context.state = ConfigurationState()
     assert context.state.advance(ConfigurationDelta(1, change(name, keys))) is None
@@ -58,7 +58,7 @@
     assert context.state.view.organisation_by_key_hash(hash_key(key)) is None
 
 
-@when('version {version:d} holds an unreadable "{bad}" and gives "{name}" the keys "{keys}"')
+@when('version {version:d} has an unreadable "{bad}" and gives "{name}" the keys "{keys}"')
 def step_unreadable(context: Context, version: int, bad: str, name: str, keys: str) -> None:
     changes = {f"organisation/{bad}": b'{"weight": "a future form"}', **change(name, keys)}
     assert context.state.advance(ConfigurationDelta(version, changes)) is not None
--- a/tests/steps/entry/state/nodes_steps.py
+++ b/tests/steps/entry/state/nodes_steps.py
@@ -5,30 +5,30 @@
 from wasabiwell_entry.state.nodes import NodeTable
 
 
-def hear(context: Context, names: str) -> None:
+def record_message(context: Context, names: str) -> None:
     for name in names.split():
         node = context.node_table.put(name, 0.0)
         node.heard, node.silence_timeout = 0.0, 1.0
 
 
-@given('a table that has heard "{names}"')
+@given('a table with messages from "{names}"')
 def step_table(context: Context, names: str) -> None:
     context.node_table = NodeTable()
-    hear(context, names)
+    record_message(context, names)
 
 
-@when('"{gone}" is removed and "{name}" is heard')
-def step_changed(context: Context, gone: str, name: str) -> None:
-    context.node_table.remove(gone)
-    hear(context, name)
+@when('"{removed}" is removed and a message from "{name}" arrives')
+def step_changed(context: Context, removed: str, name: str) -> None:
+    context.node_table.remove(removed)
+    record_message(context, name)
 
 
 @when(
-    '"{patient}" may be silent for {seconds:g} seconds, the others for 1, and "{lost}" is reported '
-    "as lost"
+    '"{name}" has a silence timeout of {seconds:g} seconds, the others of 1, and "{lost}" is '
+    "reported as lost"
 )
-def step_silences(context: Context, patient: str, seconds: float, lost: str) -> None:
-    context.node_table.put(patient, 0.0).silence_timeout = seconds
+def step_timeouts(context: Context, name: str, seconds: float, lost: str) -> None:
+    context.node_table.put(name, 0.0).silence_timeout = seconds
     context.node_table.put(lost, 0.0).lost = True
 
 
--- a/tests/steps/entry/state/work_steps.py
+++ b/tests/steps/entry/state/work_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the model of work."""
+"""Steps for the load model of the targets."""
 
 from behave import given, then, when
 from behave.runner import Context
@@ -20,27 +20,27 @@
     context.seconds = PROFILE.prefill_seconds(tokens)
 
 
-@given('a part of a prompt of {tokens:d} tokens "{name}"')
-def step_part(context: Context, tokens: int, name: str) -> None:
+@given('a segment of a prompt of {tokens:d} tokens "{name}"')
+def step_segment(context: Context, tokens: int, name: str) -> None:
     placed = make_placed(HELPER, tokens, "long", request_id=name, helpers=(LEAD,))
     context.works.add(placed, 0.0)
 
 
-@given("a prompt of {tokens:d} tokens of which a helper keeps {held:d}")
-def step_held(context: Context, tokens: int, held: int) -> None:
+@given("a prompt of {tokens:d} tokens of which a helper keeps the KV cache of {kept:d}")
+def step_kv_kept(context: Context, tokens: int, kept: int) -> None:
     open_table(context)
     placed = make_placed(
-        LEAD, tokens, "long", request_id="held", helpers=(HELPER,), helper_kv_tokens=(held,)
+        LEAD, tokens, "long", request_id="held", helpers=(HELPER,), helper_kv_tokens=(kept,)
     )
     context.works.add(placed, 0.0)
 
 
-@when("its reading time has passed")
-def step_read(context: Context) -> None:
+@when("its prefill time has passed")
+def step_prefill_done(context: Context) -> None:
     context.works.get(LEAD).advance(context.seconds + 0.001)
 
 
-@when("events come {factor:d} times as slowly as usual, {count:d} of them")
+@when("events arrive {factor:d} times as slowly as usual, {count:d} of them")
 def step_slow(context: Context, factor: int, count: int) -> None:
     work = context.works.get(LEAD)
     context.gap = factor * PROFILE.event_interval
@@ -52,21 +52,21 @@
 
 
 @when("it gets no requests for {seconds:d} seconds")
-def step_alone(context: Context, seconds: int) -> None:
+def step_idle(context: Context, seconds: int) -> None:
     context.works.get(LEAD).advance(context.now + seconds)
 
 
-@then("its pace is over {pace:g}")
-def step_pace_over(context: Context, pace: float) -> None:
-    assert context.works.get(LEAD).slowdown > pace, context.works.get(LEAD).slowdown
+@then("its slowdown is over {slowdown:g}")
+def step_slowdown_over(context: Context, slowdown: float) -> None:
+    assert context.works.get(LEAD).slowdown > slowdown, context.works.get(LEAD).slowdown
 
 
-@then("its pace is under {pace:g}")
-def step_pace_under(context: Context, pace: float) -> None:
-    assert context.works.get(LEAD).slowdown < pace, context.works.get(LEAD).slowdown
+@then("its slowdown is under {slowdown:g}")
+def step_slowdown_under(context: Context, slowdown: float) -> None:
+    assert context.works.get(LEAD).slowdown < slowdown, context.works.get(LEAD).slowdown
 
 
-@then("its passes are predicted to be as slow as its events")
+@then("its iterations are predicted to be as slow as its events")
 def step_predicted(context: Context) -> None:
     work = context.works.get(LEAD)
     assert 0.8 < work.iteration_seconds(work.decoding_requests()) / context.gap < 1.2
@@ -93,24 +93,24 @@
     context.works.update([(target, PROFILE) for target in targets], 0.1)
 
 
-@when("the instance that placed it tells that nothing is placed")
+@when("the instance that placed it reports no placed requests")
 def step_retained(context: Context) -> None:
     context.works.retain("peer", frozenset(), 0.1)
 
 
-@when("the model is {seconds:d} seconds later")
-def step_passes(context: Context, seconds: int) -> None:
+@when("the model advances by {seconds:d} seconds")
+def step_advances(context: Context, seconds: int) -> None:
     context.works.expire(float(seconds))
 
 
-@then("no reading is left and the prompt is written")
-def step_written(context: Context) -> None:
+@then("no prefill is left and the request is decoding")
+def step_decoding(context: Context) -> None:
     work = context.works.get(LEAD)
     assert not work.prefill_order()
     assert [item.placed.request_id for item in work.decoding_requests()] == ["whole"]
 
 
-@then('the reading order is "{names}"')
+@then('the prefill order is "{names}"')
 def step_order(context: Context, names: str) -> None:
     order = [item.placed.request_id for item in context.works.get(LEAD).prefill_order()]
     assert order == names.split(", "), order
