--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -1,4 +1,4 @@
-"""Wires the layers of an entry instance together and runs them."""
+"""Assembles the components of an entry instance and runs them."""
 
 import secrets
 import signal
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """The parts of a running entry instance that have tasks or a listener of their own."""
+    """The components of an entry instance that have their own tasks or listeners."""
 
     settings: Settings
     tls: TlsContexts
@@ -99,7 +99,7 @@
 
 @asynccontextmanager
 async def open_instance(settings: Settings, clock: Clock) -> AsyncIterator[Instance]:
-    """Build an entry instance and own its connections until the context ends."""
+    """Build an entry instance and keep its connections open until the context exits."""
     tls = open_tls(settings)
     counters = Counters()
     records = RequestLog(clock)
@@ -256,7 +256,7 @@
 
 
 async def run_instance(settings: Settings) -> None:
-    """Run an entry instance until SIGTERM and the end of its requests."""
+    """Run an entry instance until SIGTERM, then drain its open requests."""
     async with open_instance(settings, SystemClock()) as instance:
         warn_of_plaintext(settings)
         await instance.recovery.recover()
@@ -271,7 +271,7 @@
             )
             host, port = split_address(settings.caller_address)
             await serve_callers(
-                instance.http, host, port, lambda: _drained(instance), instance.tls.callers
+                instance.http, host, port, lambda: _wait_drained(instance), instance.tls.callers
             )
             nursery.cancel_scope.cancel()
     log_events.emit(log_events.ENTRY_STOPPED, node=settings.node_id)
@@ -290,7 +290,7 @@
     nursery.start_soon(publish_reports, instance.http.telemetry, instance.http.operations.report)
 
 
-async def _drained(instance: Instance) -> None:
+async def _wait_drained(instance: Instance) -> None:
     settings = instance.settings
     await instance.lifecycle.wait_drained(settings.address_ttl, settings.drain_limit)
 
@@ -304,35 +304,36 @@
 def _leave_when_listed(
     node_id: str, lifecycle: LifecycleCoordinator
 ) -> Callable[[list[InstanceRecord]], None]:
-    """Return an observer that stops this instance when the list begins to show it as leaving.
+    """Return an observer that stops this instance when the list changes its state to leaving.
 
-    An instance that is listed as leaving at its first look has been replaced under its node id,
-    and the list still shows its predecessor.
+    An instance that is listed as leaving from the start has replaced another one with the same node
+    id, and the list still shows its predecessor.
     """
-    was_staying = False
+    was_active = False
 
     def observe(records: list[InstanceRecord]) -> None:
-        nonlocal was_staying
+        nonlocal was_active
         for record in records:
             if record.instance_id == node_id and record.role == "entry":
-                if record.leaving and was_staying:
+                if record.leaving and was_active:
                     lifecycle.leave("the instance list shows it as leaving")
-                was_staying = was_staying or not record.leaving
+                was_active = was_active or not record.leaving
 
     return observe
 
 
 def _policy(settings: Settings) -> Policy:
-    """Return the policy that the settings name; they were checked at start."""
+    """Return the routing policy of the settings, which were validated at start."""
     policy = policy_of(settings.policy)
     assert not isinstance(policy, UnknownPolicy), policy
     return policy
 
 
 def _own_member(settings: Settings, clock: Clock) -> Member:
-    """Return this instance; a start at a later time has a higher incarnation.
+    """Return this instance as a member; its incarnation is the start time in milliseconds.
 
-    When the clock stepped back, peers tell the old incarnation and membership exceeds it.
+    When the clock has been set back since the previous start, peers still have the higher old
+    incarnation; membership learns it from them and then uses a higher one.
     """
     return Member(
         node_id=settings.node_id,
--- a/packages/entry/src/wasabiwell_entry/main.py
+++ b/packages/entry/src/wasabiwell_entry/main.py
@@ -17,7 +17,7 @@
 
 EXIT_BAD_SETTINGS = 2
 PLACEHOLDERS = {"text": "", "integer": 1, "float": 1.0}
-"""Stand for values that already have a finding, so that the other settings are checked too."""
+"""Replace values that already have a finding, so that the other settings can be checked too."""
 
 option = partial(click.option, cls=CollectedOption, show_envvar=True)
 
@@ -39,29 +39,29 @@
 @option("--object-url", required=True, help="URL of the platform's object store.")
 @option("--instance-url", required=True, help="URL of the platform's instance list.")
 @option("--max-body-bytes", default=16 * 1024 * 1024, help="Largest request body, in bytes.")
-@option("--body-timeout-s", default=30.0, help="Time for a request body to arrive, in seconds.")
+@option("--body-timeout-s", default=30.0, help="Timeout for receiving a request body, in seconds.")
 @option(
     "--address-ttl-s",
     default=DEFAULT_ADDRESS_TTL.total_seconds(),
-    help="Time for which callers keep addresses, in seconds.",
+    help="Time for which callers cache addresses, in seconds.",
 )
 @option(
     "--bootstrap-key-hash",
     default="",
-    help="SHA-256 hash of a key that opens the operators' interface while no operator key is "
-    "configured; without it only loopback callers get in then.",
+    help="SHA-256 hash of a key that gives access to the operators' interface while no operator "
+    "key is configured; without it, only loopback callers have access then.",
 )
-@option("--policy", default=DEFAULT_POLICY, help="Policy of choosing engines.")
+@option("--policy", default=DEFAULT_POLICY, help="Policy for choosing engines.")
 @option(
     "--drain-limit-s",
     default=DEFAULT_DRAIN_LIMIT.total_seconds(),
-    help="Time after which a graceful stop gives up open requests, in seconds.",
+    help="Time after which a graceful stop aborts open requests, in seconds.",
 )
 @option(
     "--peer-listen",
     default="",
-    help="HOST:PORT to listen on for other entry instances, when they reach --peer-address "
-    "through something else.",
+    help="HOST:PORT to listen on for other entry instances, when it differs from the "
+    "--peer-address to which they connect.",
 )
 @option(
     "--seed",
@@ -73,7 +73,7 @@
 @option(
     "--weight-loads",
     default=120,
-    help="Loads per 10 seconds that the weight store allows to the whole deployment.",
+    help="Loads per 10 seconds that the weight store allows for the whole deployment.",
 )
 @option("--otlp-endpoint", default="", help="URL of an OTLP receiver; empty: no traces or metrics.")
 @option("--otlp-interval-s", default=10.0, help="Time between exports of metrics, in seconds.")
@@ -89,12 +89,12 @@
 def main(context: click.Context, /, **values: object) -> None:
     """Run an entry instance of wasabiwell.
 
-    Hosts are IP numbers. Exit codes: 0 after a graceful stop, 2 for mistakes in the settings.
+    Hosts are IP addresses. Exit codes: 0 after a graceful stop, 2 for errors in the settings.
     """
     findings = collected_findings(context)
-    known = {finding.place for finding in findings}
+    reported = {finding.place for finding in findings}
     settings = _settings(context, values)
-    findings += [finding for finding in check_settings(settings) if finding.place not in known]
+    findings += [finding for finding in check_settings(settings) if finding.place not in reported]
     for finding in findings:
         click.echo(f"{finding.place}: {finding.message}", err=True)
     if findings:
--- a/packages/entry/src/wasabiwell_entry/options.py
+++ b/packages/entry/src/wasabiwell_entry/options.py
@@ -1,4 +1,4 @@
-"""Command-line options whose mistakes are collected instead of ending at the first one."""
+"""Command-line options that collect all errors instead of stopping at the first one."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -11,12 +11,12 @@
 
 
 class CollectedOption(click.Option):
-    """An option that notes a missing or malformed value in the context and goes on."""
+    """An option that records a missing or malformed value in the context and continues."""
 
     def handle_parse_result(
         self, ctx: click.Context, opts: Mapping[str, Any], args: list[str]
     ) -> tuple[Any, list[str]]:
-        """Return the value, or None after noting a finding."""
+        """Return the value, or None after recording a finding."""
         try:
             return super().handle_parse_result(ctx, opts, args)
         except click.MissingParameter:
@@ -29,6 +29,6 @@
 
 
 def collected_findings(context: click.Context) -> list[Finding]:
-    """Return what was noted while the command line was read."""
+    """Return the findings that were recorded while parsing the command line."""
     findings: list[Finding] = context.meta.get(FINDINGS, [])
     return findings
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -1,4 +1,4 @@
-"""Settings of an entry instance, checked at start."""
+"""Settings of an entry instance, validated at start."""
 
 import ipaddress
 import math
@@ -23,9 +23,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
-    """Settings of one entry instance; addresses are `HOST:PORT` with IP numbers.
+    """Settings of one entry instance; addresses are `HOST:PORT` with an IP address as host.
 
-    An empty path or URL turns off what it is for.
+    An empty path or URL disables the feature.
     """
 
     node_id: str
@@ -58,7 +58,7 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of an address that was checked before."""
+    """Return host and port of a validated address."""
     host, _, port = address.rpartition(":")
     return host, int(port)
 
@@ -97,12 +97,12 @@
 
 
 def flag(name: str) -> str:
-    """Return the flag of a field of `Settings`."""
+    """Return the command-line flag for a field of `Settings`."""
     return f"--{name.replace('_', '-')}"
 
 
 def duration(seconds: float) -> timedelta:
-    """Return a duration; one that no clock can hold becomes 0, which the check refuses."""
+    """Return a duration; NaN and infinity become 0, which `check_settings` rejects."""
     return timedelta(seconds=seconds) if abs(seconds) < math.inf else timedelta()
 
 
@@ -115,13 +115,13 @@
         ("platform_ca",),
     )
     for group in groups:
-        given = [name for name in group if getattr(settings, name)]
+        present = [name for name in group if getattr(settings, name)]
         for name in group:
-            if given and name not in given:
-                findings.append(Finding(flag(name), f"is needed with {flag(given[0])}"))
+            if present and name not in present:
+                findings.append(Finding(flag(name), f"is required with {flag(present[0])}"))
         findings += [
-            Finding(flag(name), f"no file {getattr(settings, name)}")
-            for name in given
+            Finding(flag(name), f"{getattr(settings, name)} is not a file")
+            for name in present
             if not Path(getattr(settings, name)).is_file()
         ]
     return findings or _check_certificates(settings)
@@ -129,20 +129,20 @@
 
 def _check_certificates(settings: Settings) -> list[Finding]:
     findings = []
-    scratch = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    test_context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     for name, key in (("tls_certificate", "tls_key"), ("peer_tls_certificate", "peer_tls_key")):
         if getattr(settings, name):
             try:
-                scratch.load_cert_chain(getattr(settings, name), getattr(settings, key))
+                test_context.load_cert_chain(getattr(settings, name), getattr(settings, key))
             except (OSError, ssl.SSLError) as error:
-                message = f"is not a certificate that fits {flag(key)}: {error}"
+                message = f"is not a certificate that matches {flag(key)}: {error}"
                 findings.append(Finding(flag(name), message))
     for name in ("peer_tls_ca", "target_ca", "platform_ca"):
         if getattr(settings, name):
             try:
-                scratch.load_verify_locations(getattr(settings, name))
+                test_context.load_verify_locations(getattr(settings, name))
             except (OSError, ssl.SSLError) as error:
-                findings.append(Finding(flag(name), f"has no certificates: {error}"))
+                findings.append(Finding(flag(name), f"contains no certificates: {error}"))
     return findings
 
 
@@ -157,7 +157,7 @@
     try:
         ipaddress.ip_address(host)
     except ValueError:
-        return [Finding(place, f"must name the host by its IP number, not {host!r}")]
+        return [Finding(place, f"must have an IP address as host, not {host!r}")]
     return []
 
 
--- a/packages/entry/src/wasabiwell_entry/tls.py
+++ b/packages/entry/src/wasabiwell_entry/tls.py
@@ -1,4 +1,4 @@
-"""TLS contexts of an entry instance, from its settings."""
+"""TLS contexts of an entry instance, created from its settings."""
 
 import ipaddress
 import ssl
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TlsContexts:
-    """TLS contexts of an entry instance; None stands for connections without TLS."""
+    """TLS contexts of an entry instance; None means connections without TLS."""
 
     certificates: Certificates
     callers: ssl.SSLContext | None
@@ -24,7 +24,7 @@
 
 
 def open_tls(settings: Settings) -> TlsContexts:
-    """Return the contexts for the certificates that the settings name."""
+    """Return the TLS contexts for the certificates in the settings."""
     certificates = Certificates()
     peer_server = peer_client = None
     if settings.peer_tls_certificate:
