--- a/packages/entry/src/wasabiwell_entry/state/credits.py
+++ b/packages/entry/src/wasabiwell_entry/state/credits.py
@@ -274,7 +274,10 @@
         return CreditClaim(self.engine_id, self.holder, self.sequence, wanted, current, self.used)
 
     def outstanding(self, now: timedelta) -> CreditClaim:
-        """Return a claim that reports the available credit to a new owner."""
+        """Return a claim that reports the available credit to a new owner.
+
+        It takes a sequence number of its own, so that later claims have higher ones.
+        """
         self.sequence += 1
         current = self.valid(now)
         return CreditClaim(self.engine_id, self.holder, self.sequence, current, current, self.used)
--- a/packages/entry/src/wasabiwell_entry/state/routes.py
+++ b/packages/entry/src/wasabiwell_entry/state/routes.py
@@ -124,7 +124,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteTable:
-    """A version of the routes in force, with the services, limits and callers' keys.
+    """One version of the routes, with the services, limits and callers' keys.
 
     `organisations` maps the keys of callers to organisation names.
     """
