Reword placement in the terms of prefill and decode

PlacementCandidate, the costs of delayed prefills and decodes, and the constants of placement get the names of the field.

--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -219,7 +219,7 @@
             lost_helpers = _lost_helpers(attempt, outcome)
             opened.verdict = AttemptVerdict.ABANDONED if lost_helpers else _verdict(outcome)
             for target_id in lost_helpers:
-                self._ledger.lose_helper(target_id)
+                self._ledger.record_lost_helper(target_id)
         self._log_end(attempt, placement, progress, opened, sent, outcome)
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
@@ -287,7 +287,7 @@
                         broken = _check_order(event_id, progress)
                         if broken is not None:
                             return broken
-                        self._ledger.note_event(opened)
+                        self._ledger.record_event(opened)
                         await sink.send(data)
                     case AnswerPart(data=data):
                         held.append(data)
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/__init__.py
@@ -1,4 +1,4 @@
-"""Places requests on targets by what they would delay and by when they would be answered."""
+"""Places requests on targets by their predicted latency and the delay of other requests."""
 
 from wasabiwell_entry.coordination.placement.coordinator import Placer
 
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -5,12 +5,12 @@
 import xxhash
 
 from wasabiwell_entry.coordination.placement.const import (
-    CROSS_ZONE_SHARE,
-    FAILURE_COST,
-    MAX_COMPARED,
+    CROSS_ZONE_COST_THRESHOLD,
+    FAILURE_RATE_COST,
+    MAX_COMPARED_TARGETS,
+    MAX_JITTER_COST,
     REMOTE_ZONE_COST,
     SHORT_URGENCY_GAP,
-    SPREAD_COST,
     URGENCY_LONG,
     URGENCY_RESUMED,
     URGENCY_SHORT,
@@ -18,7 +18,7 @@
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
 from wasabiwell_entry.coordination.placement.estimate import engine_state
 from wasabiwell_entry.coordination.placement.ports import CellPort, TargetHealthPort
-from wasabiwell_entry.coordination.placement.search import PromptSearch, Way
+from wasabiwell_entry.coordination.placement.search import PlacementCandidate, PromptSearch
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.forwarding import ForwardedRequest, PromptSize
 from wasabiwell_entry.state.routes import EngineProfile
@@ -53,19 +53,20 @@
         resumed: bool = False,
         suspected: bool = False,
     ) -> Placement | NoPlacement:
-        """Return the targets for a request; `excluded` are ids of those that failed it.
+        """Return the targets for a request; `excluded` are ids of targets on which it failed.
 
-        A suspected request, under which a target died, runs alone where that is possible.
+        A suspected request, during which a target died, is placed on a target with the fewest
+        other requests, so that it runs alone where possible.
         """
         now = self._clock.monotonic().total_seconds()
-        works = self._usable(request, excluded)
+        works = self._usable_targets(request, excluded)
         if not works:
             return NoPlacement(f"no target of service {request.service} takes new work")
         size, profile = request.size, works[0].profile
         if size is None or profile is None:
-            return self._place_plain(_window(works, request.request_id))
+            return self._place_plain_request(_comparison_window(works, request.request_id))
         if suspected:
-            works = _least_used(works)
+            works = _least_loaded(works)
         best = self._best(request, size, profile, works, now)
         urgency = URGENCY_LONG
         if request.route.event_gap <= SHORT_URGENCY_GAP:
@@ -86,67 +87,75 @@
         profile: EngineProfile,
         works: list[TargetWork],
         now: float,
-    ) -> Way:
-        """Return the cheapest way in the own zone, or in all zones when that one costs much."""
-        allowed = max(0.0, request.route.objective.total_seconds() - self._waited(request, now))
-        rate = self._works.value_rate(request.service, now)
-
-        def search(compared: list[TargetWork]) -> Way:
-            states = [engine_state(work, now, self._preference(work)) for work in compared]
-            return PromptSearch(request, size, profile, states, allowed, now, rate).best()
-
-        near = [work for work in works if work.target.zone == self._zone]
-        if not near or not self._cells.in_use(request.service):
-            return search(_window(works, request.request_id))
-        best = search(_window(near, request.request_id))
-        if best.cost <= CROSS_ZONE_SHARE * request_value(size, profile):
+    ) -> PlacementCandidate:
+        """Return the cheapest candidate in the local zone.
+
+        All zones are compared when the local one has no target, when zones do not serve their own
+        requests, or when the local candidate costs too much.
+        """
+        allowed = max(0.0, request.route.objective.total_seconds() - self._elapsed(request, now))
+        short_requests = self._works.value_rate(request.service, now)
+
+        def search(compared: list[TargetWork]) -> PlacementCandidate:
+            states = [engine_state(work, now, self._target_cost(work)) for work in compared]
+            return PromptSearch(request, size, profile, states, allowed, now, short_requests).best()
+
+        local = [work for work in works if work.target.zone == self._zone]
+        if not local or not self._cells.in_use(request.service):
+            return search(_comparison_window(works, request.request_id))
+        best = search(_comparison_window(local, request.request_id))
+        if best.cost <= CROSS_ZONE_COST_THRESHOLD * request_value(size, profile):
             return best
-        return min(best, search(_window(works, request.request_id)), key=lambda way: way.cost)
+        return min(
+            best, search(_comparison_window(works, request.request_id)), key=lambda item: item.cost
+        )
 
     def expected_pause(self, target_id: str) -> float:
-        """Return how long the sequences written on a target may pause now, in seconds."""
+        """Return the longest pause to expect now between events from a target, in seconds."""
         work = self._works.get(target_id)
         if work is None:
             return 0.0
         state = engine_state(work, self._clock.monotonic().total_seconds())
-        return state.pass_seconds + state.pending
+        return state.decode_step_seconds + state.pending_prefill
 
-    def _waited(self, request: ForwardedRequest, now: float) -> float:
+    def _elapsed(self, request: ForwardedRequest, now: float) -> float:
         return now - request.received.total_seconds()
 
-    def _usable(self, request: ForwardedRequest, excluded: frozenset[str]) -> list[TargetWork]:
-        """Return the targets that are well, or else any that is listed."""
+    def _usable_targets(
+        self, request: ForwardedRequest, excluded: frozenset[str]
+    ) -> list[TargetWork]:
+        """Return the healthy targets, or all listed ones when none is healthy."""
         works = [
             work
             for work in self._works.of_service(request.service)
             if work.target.target_id not in excluded
         ]
-        well = [work for work in works if self._health.usable(work.target)]
-        return well or [work for work in works if self._health.listed(work.target)]
+        healthy = [work for work in works if self._health.usable(work.target)]
+        return healthy or [work for work in works if self._health.listed(work.target)]
 
-    def _place_plain(self, works: list[TargetWork]) -> Placement:
+    def _place_plain_request(self, works: list[TargetWork]) -> Placement:
         chosen = min(works, key=self._plain_cost)
         return Placement(chosen.target, (), URGENCY_SHORT, 0.0)
 
     def _plain_cost(self, work: TargetWork) -> tuple[float, str]:
         load = len(work.residents) / work.slots
-        return load + self._preference(work), work.target.target_id
+        return load + self._target_cost(work), work.target.target_id
 
-    def _preference(self, work: TargetWork) -> float:
-        """Return the cost of a target for itself, in parts of a request's value."""
-        remote = 0.0 if work.target.zone == self._zone else REMOTE_ZONE_COST
-        failures = FAILURE_COST * self._health.failure_share(work.target)
-        return remote + failures + SPREAD_COST * self._random.random()
+    def _target_cost(self, work: TargetWork) -> float:
+        """Return the cost of a target regardless of the request, as a ratio of its value."""
+        zone_cost = 0.0 if work.target.zone == self._zone else REMOTE_ZONE_COST
+        failure_cost = FAILURE_RATE_COST * self._health.failure_share(work.target)
+        return zone_cost + failure_cost + MAX_JITTER_COST * self._random.random()
 
 
-def _least_used(works: list[TargetWork]) -> list[TargetWork]:
+def _least_loaded(works: list[TargetWork]) -> list[TargetWork]:
     least = min(work.leads for work in works)
     return [work for work in works if work.leads == least]
 
 
-def _window(works: list[TargetWork], key: str) -> list[TargetWork]:
-    """Return up to `MAX_COMPARED` targets that follow each other from a place given by a key."""
-    if len(works) <= MAX_COMPARED:
+def _comparison_window(works: list[TargetWork], key: str) -> list[TargetWork]:
+    """Return up to `MAX_COMPARED_TARGETS` consecutive targets; the hash of `key` is the start."""
+    if len(works) <= MAX_COMPARED_TARGETS:
         return works
     start = xxhash.xxh3_64_intdigest(key.encode()) % len(works)
-    return (works[start:] + works[:start])[:MAX_COMPARED]
+    return (works[start:] + works[:start])[:MAX_COMPARED_TARGETS]
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/errors.py
@@ -1,4 +1,4 @@
-"""Outcomes of placing a request."""
+"""Outcomes of request placement."""
 
 from dataclasses import dataclass
 
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Where a request runs; `expected_seconds` is the predicted time to its first event."""
+    """Targets chosen for a request; `expected_seconds` is the predicted time to its first event."""
 
     target: Target
     helpers: tuple[Helper, ...]
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/estimate.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/estimate.py
@@ -1,119 +1,128 @@
-"""Predicts when an engine would answer a request, and what the request would delay there.
+"""Predicts when an engine would answer a request and how much it would delay other requests.
 
 All times are in seconds.
 """
 
 from dataclasses import dataclass
 
-from wasabiwell_entry.coordination.placement.const import LATE_AT, LATE_FROM
+from wasabiwell_entry.coordination.placement.const import CERTAINLY_LATE_RATIO, POSSIBLY_LATE_RATIO
 from wasabiwell_entry.state.work import LATE_SHARE, Resident, TargetWork
 
 
 @dataclass(frozen=True, slots=True)
 class EngineState:
-    """What is predicted of an engine at one moment, for use with several reading times.
+    """Predicted state of an engine, computed once and used for several candidates.
 
-    `parts` and `whole` are the reading that is left of split and of other prompts. `leads` is the
-    number of requests that take a slot. `preference` is the cost of the engine for itself, in
-    parts of a request's value.
+    `decoding` are the requests in the decode phase and `prefill_queue` those with prefill left.
+    `split_prefill` and `unsplit_prefill` are the remaining prefill times of split and of other
+    prompts. `lead_count` is the number of requests that take a slot. `target_cost` is the cost of
+    the engine regardless of the request, as a ratio of the request's value.
     """
 
     work: TargetWork
-    writers: tuple[Resident, ...]
-    order: tuple[Resident, ...]
-    pass_seconds: float
-    parts: float
-    whole: float
+    decoding: tuple[Resident, ...]
+    prefill_queue: tuple[Resident, ...]
+    decode_step_seconds: float
+    split_prefill: float
+    unsplit_prefill: float
     slot_wait: float
-    leads: int
-    preference: float
+    lead_count: int
+    target_cost: float
 
     @property
-    def wait_for_pass(self) -> float:
-        """Return the expected rest of the current pass."""
-        return self.pass_seconds / 2
+    def expected_step_wait(self) -> float:
+        """Return the expected rest of the current decode step."""
+        return self.decode_step_seconds / 2
 
     @property
-    def pending(self) -> float:
-        """Return all reading that is left."""
-        return self.parts + self.whole
+    def pending_prefill(self) -> float:
+        """Return the remaining prefill time of all prompts."""
+        return self.split_prefill + self.unsplit_prefill
 
 
-def engine_state(work: TargetWork, now: float, preference: float = 0.0) -> EngineState:
-    """Return what is predicted of an engine now; `preference` is its cost for itself."""
+def engine_state(work: TargetWork, now: float, target_cost: float = 0.0) -> EngineState:
+    """Return the predicted state of an engine at the time `now`."""
     work.advance(now)
-    writers = work.writers()
-    order = work.reading_order()
-    parts = sum(item.read_left for item in order if item.part) * work.pace
-    whole = sum(item.read_left for item in order if not item.part) * work.pace
+    decoding = work.writers()
+    prefill_queue = work.reading_order()
+    split_prefill = sum(item.read_left for item in prefill_queue if item.part) * work.pace
+    unsplit_prefill = sum(item.read_left for item in prefill_queue if not item.part) * work.pace
     return EngineState(
         work=work,
-        writers=tuple(writers),
-        order=tuple(order),
-        pass_seconds=work.pass_seconds(writers),
-        parts=parts,
-        whole=whole,
-        slot_wait=_slot_wait(work, writers),
-        leads=work.leads,
-        preference=preference,
+        decoding=tuple(decoding),
+        prefill_queue=tuple(prefill_queue),
+        decode_step_seconds=work.pass_seconds(decoding),
+        split_prefill=split_prefill,
+        unsplit_prefill=unsplit_prefill,
+        slot_wait=_slot_wait(work, decoding),
+        lead_count=work.leads,
+        target_cost=target_cost,
     )
 
 
-def _slot_wait(work: TargetWork, writers: list[Resident]) -> float:
+def _slot_wait(work: TargetWork, decoding: list[Resident]) -> float:
     """Return how long a new request waits for a slot."""
     excess = work.leads - work.slots
     if excess < 0:
         return 0.0
-    ends = sorted(item.write_left for item in writers)
-    if not ends:
+    remaining = sorted(item.write_left for item in decoding)
+    if not remaining:
         return 0.0
-    return ends[min(excess, len(ends) - 1)] * work.pace
+    return remaining[min(excess, len(remaining) - 1)] * work.pace
 
 
 def lateness(seconds: float, allowed: float) -> float:
-    """Return how likely a predicted time is over the allowed one, from 0 to 1."""
+    """Return the probability that a predicted time exceeds the allowed one, from 0 to 1."""
     if allowed <= 0:
         return 1.0
     ratio = seconds / allowed
-    return min(1.0, max(0.0, (ratio - LATE_FROM) / (LATE_AT - LATE_FROM)))
+    return min(
+        1.0, max(0.0, (ratio - POSSIBLY_LATE_RATIO) / (CERTAINLY_LATE_RATIO - POSSIBLY_LATE_RATIO))
+    )
+
 
+def split_prefill_finish(state: EngineState, prefill: float) -> float:
+    """Return the time until the prefill of a part of a split prompt ends.
 
-def part_finish(state: EngineState, read: float) -> float:
-    """Return when a part of a split prompt would be read; it goes before all other reading."""
-    return state.wait_for_pass + read * state.work.pace
+    Engines process parts of split prompts before all other prefill work.
+    """
+    return state.expected_step_wait + prefill * state.work.pace
 
 
-def whole_finish(state: EngineState, read: float) -> float:
-    """Return when the first event of a prompt that is read here alone would be there."""
-    read_time = state.pending + read * state.work.pace
-    return state.slot_wait + state.wait_for_pass + read_time + state.pass_seconds
+def single_engine_finish(state: EngineState, prefill: float) -> float:
+    """Return the time to the first event of a prompt that is placed on this engine alone."""
+    prefill_end = state.pending_prefill + prefill * state.work.pace
+    return state.slot_wait + state.expected_step_wait + prefill_end + state.decode_step_seconds
 
 
-def pause_harm(state: EngineState, read: float) -> float:
-    """Return the value that pauses of the sequences written here would lose."""
-    if not state.writers:
+def decode_delay_cost(state: EngineState, prefill: float) -> float:
+    """Return the value lost by streams of this engine whose events a new prefill would delay."""
+    if not state.decoding:
         return 0.0
-    before = state.pass_seconds + state.pending
-    after = before + read * state.work.pace
-    harm = 0.0
-    for writer in state.writers:
-        if writer.write_left <= 0:
+    before = state.decode_step_seconds + state.pending_prefill
+    after = before + prefill * state.work.pace
+    cost = 0.0
+    for stream in state.decoding:
+        if stream.write_left <= 0:
             continue
-        gap = writer.placed.gap
-        harm += writer.value * (lateness(after, gap) - lateness(before, gap))
-    return LATE_SHARE * harm
+        gap = stream.placed.gap
+        cost += stream.value * (lateness(after, gap) - lateness(before, gap))
+    return LATE_SHARE * cost
 
 
-def delay_harm(state: EngineState, read: float, now: float) -> dict[str, float]:
-    """Return the value that a part would cost each request that waits to be read, by request id."""
-    harm: dict[str, float] = {}
-    ahead = state.wait_for_pass
-    for waiting in state.order:
+def prefill_delay_costs(state: EngineState, prefill: float, now: float) -> dict[str, float]:
+    """Return the value that each request with prefill left would lose, by request id.
+
+    `prefill` is the time of a part of a split prompt, which would be processed before them.
+    """
+    costs: dict[str, float] = {}
+    ahead = state.expected_step_wait
+    for waiting in state.prefill_queue:
         ahead += waiting.read_left * state.work.pace
         allowed = waiting.placed.due - waiting.placed.placed_at
         elapsed = now - waiting.placed.placed_at
         before = lateness(elapsed + ahead, allowed)
-        after = lateness(elapsed + ahead + read * state.work.pace, allowed)
+        after = lateness(elapsed + ahead + prefill * state.work.pace, allowed)
         if after > before:
-            harm[waiting.placed.request_id] = LATE_SHARE * waiting.value * (after - before)
-    return harm
+            costs[waiting.placed.request_id] = LATE_SHARE * waiting.value * (after - before)
+    return costs
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -1,4 +1,4 @@
-"""Keeps what this entry instance has placed and tells the others of it."""
+"""Records the placements of this entry instance and notifies the other instances of them."""
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from wasabiwell_entry.coordination.exchange.placements import placement_notice
-from wasabiwell_entry.coordination.placement.const import PACE_CHANGE, PACE_PAUSES
+from wasabiwell_entry.coordination.placement.const import GAPS_PER_PACE_SAMPLE, PACE_NOTICE_RATIO
 from wasabiwell_entry.coordination.placement.errors import Placement
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
@@ -21,16 +21,16 @@
 from wasabiwell_entry.state.forwarding import ForwardedRequest
 from wasabiwell_entry.state.work import Placed, WorkTable
 
-OWN = ""
-"""Origin of what this entry instance has placed."""
+LOCAL_ORIGIN = ""
+"""Origin of the placements that this entry instance made itself."""
 
 
 @dataclass(slots=True)
 class OpenPlacement:
-    """A placed request; `verdict` is told when it ends.
+    """A placed request that has not ended; `verdict` is sent to the other instances at its end.
 
-    `first_at` and `last_at` are the monotonic times of its first and its last event, None before
-    them.
+    `first_at` and `last_at` are the monotonic times of its first and its latest event, None
+    before any.
     """
 
     placed: Placed
@@ -38,57 +38,65 @@
     first_at: timedelta | None = None
     last_at: timedelta | None = None
     longest_pause: timedelta = timedelta()
-    recent_pauses: list[timedelta] = field(default_factory=list)
+    recent_gaps: list[timedelta] = field(default_factory=list)
 
-    def note_event(self, now: timedelta) -> timedelta | None:
-        """Note the time of an event, and return the shortest of the last pauses now and then.
+    def record_event(self, now: timedelta) -> timedelta | None:
+        """Record the time of an event; return a sample of the decode speed when one is complete.
 
-        The shortest one tells how fast the engine writes: reading for others makes some longer.
+        The sample is the shortest of the last gaps between events, as prefill of other requests
+        makes some of them longer.
         """
-        pause = now - self.last_at if self.last_at is not None else None
+        gap = now - self.last_at if self.last_at is not None else None
         self.last_at = now
-        if pause is None:
+        if gap is None:
             return None
-        self.longest_pause = max(self.longest_pause, pause)
-        self.recent_pauses.append(pause)
-        if len(self.recent_pauses) < PACE_PAUSES:
+        self.longest_pause = max(self.longest_pause, gap)
+        self.recent_gaps.append(gap)
+        if len(self.recent_gaps) < GAPS_PER_PACE_SAMPLE:
             return None
-        shortest = min(self.recent_pauses)
-        self.recent_pauses.clear()
+        shortest = min(self.recent_gaps)
+        self.recent_gaps.clear()
         return shortest
 
 
 class PlacementLedger:
-    """Enters the own placements in the table of work and tells the other entry instances."""
+    """Adds the local placements to the work table and notifies the other entry instances."""
 
-    __slots__ = ("_clock", "_lose_helper", "_note", "_tell", "_told_paces", "_works")
+    __slots__ = (
+        "_clock",
+        "_notified_paces",
+        "_notify",
+        "_report_lost_helper",
+        "_report_verdict",
+        "_works",
+    )
 
     def __init__(
         self,
         works: WorkTable,
-        tell: Callable[[Notice], None],
-        note: Callable[[str, AttemptVerdict], None],
-        lose_helper: Callable[[str], None],
+        notify: Callable[[Notice], None],
+        report_verdict: Callable[[str, AttemptVerdict], None],
+        report_lost_helper: Callable[[str], None],
         clock: Clock,
     ) -> None:
         self._works = works
-        self._tell = tell
-        self._note = note
-        self._lose_helper = lose_helper
+        self._notify = notify
+        self._report_verdict = report_verdict
+        self._report_lost_helper = report_lost_helper
         self._clock = clock
-        self._told_paces: dict[str, float] = {}
+        self._notified_paces: dict[str, float] = {}
 
-    def own_ids(self) -> tuple[str, ...]:
-        """Return the ids of the own placed requests."""
-        return tuple(placed.request_id for placed in self._works.placed_by(OWN))
+    def local_request_ids(self) -> tuple[str, ...]:
+        """Return the ids of the requests that this instance has placed."""
+        return tuple(placed.request_id for placed in self._works.placed_by(LOCAL_ORIGIN))
 
     @contextmanager
     def open(self, request: ForwardedRequest, placement: Placement) -> Iterator[OpenPlacement]:
-        """Keep a placement until the context ends."""
+        """Record a placement until the context ends."""
         now = self._now()
         placed = Placed(
             request_id=request.request_id,
-            origin=OWN,
+            origin=LOCAL_ORIGIN,
             service=request.service,
             lead=placement.target.target_id,
             helpers=tuple(helper.target.target_id for helper in placement.helpers),
@@ -99,39 +107,39 @@
             holds=tuple(helper.hold_tokens for helper in placement.helpers if helper.hold_tokens),
         )
         self._works.add(placed, now)
-        self._tell(Placing(placement_notice(placed, now)))
+        self._notify(Placing(placement_notice(placed, now)))
         opened = OpenPlacement(placed)
         try:
             yield opened
         finally:
             self._works.remove(placed.request_id, self._now())
-            self._tell(Ending(placed.request_id, placed.lead, opened.verdict))
-            self._note(placed.lead, opened.verdict)
+            self._notify(Ending(placed.request_id, placed.lead, opened.verdict))
+            self._report_verdict(placed.lead, opened.verdict)
 
-    def lose_helper(self, target_id: str) -> None:
-        """Note that a target is gone that was to help, and tell the others."""
-        self._lose_helper(target_id)
-        self._tell(HelperLoss(target_id))
+    def record_lost_helper(self, target_id: str) -> None:
+        """Record that a helper could not be reached, and notify the other instances."""
+        self._report_lost_helper(target_id)
+        self._notify(HelperLoss(target_id))
 
     def begin_writing(self, opened: OpenPlacement) -> None:
-        """Note the first event of a placed request."""
+        """Record the first event of a placed request."""
         opened.placed = replace(opened.placed, writing=True)
         opened.first_at = self._clock.monotonic()
         self._works.begin_writing(opened.placed.request_id, self._now())
-        self._tell(Writing(opened.placed.request_id))
+        self._notify(Writing(opened.placed.request_id))
 
-    def note_event(self, opened: OpenPlacement) -> None:
-        """Note an event of a placed request, and tell the others when its engine is slow."""
-        pause = opened.note_event(self._clock.monotonic())
+    def record_event(self, opened: OpenPlacement) -> None:
+        """Record an event; notify the other instances when the pace of its engine changes."""
+        sample = opened.record_event(self._clock.monotonic())
         target_id = opened.placed.lead
         work = self._works.get(target_id)
-        if pause is None or work is None:
+        if sample is None or work is None:
             return
-        work.observe_pace(pause.total_seconds(), self._now())
-        told = self._told_paces.get(target_id, 1.0)
-        if max(work.pace, told) > PACE_CHANGE * min(work.pace, told):
-            self._told_paces[target_id] = work.pace
-            self._tell(PaceNotice(target_id, work.pace))
+        work.observe_pace(sample.total_seconds(), self._now())
+        notified = self._notified_paces.get(target_id, 1.0)
+        if max(work.pace, notified) > PACE_NOTICE_RATIO * min(work.pace, notified):
+            self._notified_paces[target_id] = work.pace
+            self._notify(PaceNotice(target_id, work.pace))
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
@@ -1,4 +1,4 @@
-"""What placing requests needs of other capabilities."""
+"""Interfaces to other capabilities that placement depends on."""
 
 from typing import Protocol
 
@@ -6,7 +6,7 @@
 
 
 class TargetHealthPort(Protocol):
-    """Beliefs about targets."""
+    """Health of the targets as this entry instance knows it."""
 
     def listed(self, target: Target) -> bool:
         """Return whether the target is in the platform's list and is not leaving."""
@@ -15,11 +15,11 @@
         """Return whether the target should get requests."""
 
     def failure_share(self, target: Target) -> float:
-        """Return the recent share of requests that the target failed, from 0 to 1."""
+        """Return the recent failure rate of the target, from 0 to 1."""
 
 
 class CellPort(Protocol):
-    """Zones of a large fleet that place requests among themselves."""
+    """Zones of a large fleet that serve their own requests."""
 
     def in_use(self, service: str) -> bool:
         """Return whether each zone places the requests for a service on its own targets first."""
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
@@ -1,28 +1,28 @@
-"""Finds the cheapest way to place one prompt on engines."""
+"""Searches for the cheapest placement of one prompt on engines."""
 
 from dataclasses import dataclass
 
 from wasabiwell_entry.coordination.placement.const import (
-    EMPTY_ENGINE_COST,
-    ENGINE_COST,
-    FULL_COST,
+    EXTRA_ENGINE_COST,
     LAST_SLOT_COSTS,
+    LATENCY_COST,
+    MAX_CACHE_HELPERS,
     MAX_HELPERS,
-    MAX_HOLDERS,
-    MEMORY_SHARE,
-    MIN_WRITE_SECONDS,
+    MIN_DECODE_SECONDS,
+    MIN_SPLIT_PREFILL_SECONDS,
     NEVER_FITS_COST,
     NO_MEMORY_COST,
-    SPLIT_SECONDS,
-    WAIT_COST,
+    NO_SHORT_PROMPT_COST,
+    QUEUED_REQUEST_COST,
+    USABLE_MEMORY_RATIO,
 )
 from wasabiwell_entry.coordination.placement.estimate import (
     EngineState,
-    delay_harm,
+    decode_delay_cost,
     lateness,
-    part_finish,
-    pause_harm,
-    whole_finish,
+    prefill_delay_costs,
+    single_engine_finish,
+    split_prefill_finish,
 )
 from wasabiwell_entry.state.forwarding import ForwardedRequest, Helper, PromptSize
 from wasabiwell_entry.state.routes import EngineProfile
@@ -30,35 +30,36 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Way:
-    """One way to place a prompt and its cost in value.
+class PlacementCandidate:
+    """A possible placement of a prompt, with its cost in value and its time to the first event.
 
-    The first engine is the lead; those after it keep `holds` tokens of the prompt.
+    The first engine is the lead, which decodes. Each of the next engines holds as many tokens of
+    the prompt in its memory as `helper_tokens` has for it.
     """
 
     cost: float
     finish: float
     engines: tuple[EngineState, ...]
-    holds: tuple[int, ...] = ()
+    helper_tokens: tuple[int, ...] = ()
 
     @property
     def helpers(self) -> tuple[Helper, ...]:
-        """Return the engines after the lead, with what they keep."""
-        holds = self.holds + (0,) * (len(self.engines) - 1 - len(self.holds))
-        pairs = zip(self.engines[1:], holds, strict=True)
+        """Return the engines after the lead, with the tokens that they hold."""
+        tokens_of = self.helper_tokens + (0,) * (len(self.engines) - 1 - len(self.helper_tokens))
+        pairs = zip(self.engines[1:], tokens_of, strict=True)
         return tuple(Helper(state.work.target, tokens) for state, tokens in pairs)
 
 
 class PromptSearch:
-    """Finds the cheapest way to place one prompt."""
+    """Searches for the cheapest placement of one prompt."""
 
     __slots__ = (
         "_allowed",
         "_now",
         "_profile",
         "_request",
-        "_short_rate",
-        "_short_value",
+        "_short_request_rate",
+        "_short_request_value",
         "_size",
         "_states",
     )
@@ -71,16 +72,20 @@
         states: list[EngineState],
         allowed: float,
         now: float,
-        short_rate: tuple[float, float],
+        short_requests: tuple[float, float],
     ) -> None:
-        """Take the time allowed for the first event, and the rate and value of short requests."""
+        """Create a search.
+
+        `allowed` is the time left to the first event in seconds. `short_requests` are the rate of
+        short requests in 1/s and their mean value.
+        """
         self._request = request
         self._size = size
         self._profile = profile
         self._states = states
         self._allowed = allowed
         self._now = now
-        self._short_rate, self._short_value = short_rate
+        self._short_request_rate, self._short_request_value = short_requests
 
     @property
     def _value(self) -> float:
@@ -88,111 +93,132 @@
 
     @property
     def _no_memory_cost(self) -> float:
-        """Return the cost of engines that do not have the memory free."""
-        never = self._size.total > self._profile.memory_tokens * MEMORY_SHARE
-        return self._value * (NEVER_FITS_COST if never else NO_MEMORY_COST)
-
-    def best(self) -> Way:
-        """Return the cheapest way."""
-        read = self._profile.read_seconds(self._size.prompt)
-        ways = [self._best_single(read)]
-        if read > SPLIT_SECONDS:
-            most = min(len(self._states), MAX_HELPERS + 1)
-            ways += [self._split(read, count) for count in range(2, most + 1)]
-        return min(ways, key=lambda way: way.cost)
-
-    def _best_single(self, read: float) -> Way:
-        ways = [self._single(state, read) for state in self._states]
-        return min(ways, key=lambda way: way.cost)
-
-    def _single(self, state: EngineState, read: float) -> Way:
-        finish = whole_finish(state, read)
-        cost = self._own_cost(finish) + pause_harm(state, read) + self._lead_cost(state)
-        if self._holds(state, []) is None:
+        """Return the cost of engines without enough free memory."""
+        never_fits = self._size.total > self._profile.memory_tokens * USABLE_MEMORY_RATIO
+        return self._value * (NEVER_FITS_COST if never_fits else NO_MEMORY_COST)
+
+    def best(self) -> PlacementCandidate:
+        """Return the cheapest candidate."""
+        prefill = self._profile.read_seconds(self._size.prompt)
+        candidates = [self._best_single_engine_candidate(prefill)]
+        if prefill > MIN_SPLIT_PREFILL_SECONDS:
+            max_engines = min(len(self._states), MAX_HELPERS + 1)
+            candidates += [
+                self._split_candidate(prefill, count) for count in range(2, max_engines + 1)
+            ]
+        return min(candidates, key=lambda candidate: candidate.cost)
+
+    def _best_single_engine_candidate(self, prefill: float) -> PlacementCandidate:
+        candidates = [self._single_engine_candidate(state, prefill) for state in self._states]
+        return min(candidates, key=lambda candidate: candidate.cost)
+
+    def _single_engine_candidate(self, state: EngineState, prefill: float) -> PlacementCandidate:
+        finish = single_engine_finish(state, prefill)
+        cost = (
+            self._latency_cost(finish) + decode_delay_cost(state, prefill) + self._slot_cost(state)
+        )
+        if self._helper_tokens(state, []) is None:
             cost += self._no_memory_cost
-        if read <= SPLIT_SECONDS and not self._has_alike(state):
-            cost += EMPTY_ENGINE_COST * self._value
-        return Way(cost, finish, (state,))
+        if prefill <= MIN_SPLIT_PREFILL_SECONDS and not self._has_similar_request(state):
+            cost += NO_SHORT_PROMPT_COST * self._value
+        return PlacementCandidate(cost, finish, (state,))
 
-    def _has_alike(self, state: EngineState) -> bool:
-        """Return whether an engine has a request that allows pauses no longer than this one."""
+    def _has_similar_request(self, state: EngineState) -> bool:
+        """Return whether an engine decodes a request with the same or a shorter allowed pause."""
         allowed = self._request.route.event_gap.total_seconds()
         residents = state.work.residents.values()
         return any(item.lead and item.placed.gap <= allowed for item in residents)
 
-    def _split(self, read: float, count: int) -> Way:
-        part = read / count
+    def _split_candidate(self, prefill: float, count: int) -> PlacementCandidate:
+        part = prefill / count
         costs = sorted(
             (
-                (pause_harm(state, part) + self._delay(state, part), index)
+                (
+                    decode_delay_cost(state, part) + self._total_prefill_delay_cost(state, part),
+                    index,
+                )
                 for index, state in enumerate(self._states)
             ),
-            key=lambda item: (item[0] + WAIT_COST * self._states[item[1]].pending, -item[1]),
+            key=lambda item: (
+                item[0] + LATENCY_COST * self._states[item[1]].pending_prefill,
+                -item[1],
+            ),
         )
         chosen = [self._states[index] for _, index in costs[:count]]
-        harm = sum(pause_harm(state, part) for state in chosen)
-        delayed: dict[str, float] = {}
+        decode_delay = sum(decode_delay_cost(state, part) for state in chosen)
+        prefill_delay: dict[str, float] = {}
         for state in chosen:
-            for request_id, lost in delay_harm(state, part, self._now).items():
-                delayed[request_id] = max(lost, delayed.get(request_id, 0.0))
-        finish = max(part_finish(state, part) for state in chosen)
-        lead = min(chosen, key=lambda state: (self._lead_cost(state), state.slot_wait))
-        finish = max(finish, lead.slot_wait + part_finish(lead, part))
-        cost = self._own_cost(finish) + harm + sum(delayed.values()) + self._lead_cost(lead)
-        cost += ENGINE_COST * self._value * (count - 1) + self._crowding(chosen, part)
+            for request_id, delay_cost in prefill_delay_costs(state, part, self._now).items():
+                prefill_delay[request_id] = max(delay_cost, prefill_delay.get(request_id, 0.0))
+        finish = max(split_prefill_finish(state, part) for state in chosen)
+        lead = min(chosen, key=lambda state: (self._slot_cost(state), state.slot_wait))
+        finish = max(finish, lead.slot_wait + split_prefill_finish(lead, part))
+        cost = (
+            self._latency_cost(finish)
+            + decode_delay
+            + sum(prefill_delay.values())
+            + self._slot_cost(lead)
+        )
+        cost += EXTRA_ENGINE_COST * self._value * (count - 1) + self._slot_shortage_cost(
+            chosen, part
+        )
         others = [state for state in chosen if state is not lead]
-        others.sort(key=self._free, reverse=True)
-        holds = self._holds(lead, others)
-        if holds is None:
+        others.sort(key=self._free_memory, reverse=True)
+        helper_tokens = self._helper_tokens(lead, others)
+        if helper_tokens is None:
             cost += self._no_memory_cost
-        return Way(cost, finish, (lead, *others), holds or ())
+        return PlacementCandidate(cost, finish, (lead, *others), helper_tokens or ())
 
-    def _delay(self, state: EngineState, part: float) -> float:
-        return sum(delay_harm(state, part, self._now).values())
+    def _total_prefill_delay_cost(self, state: EngineState, part: float) -> float:
+        return sum(prefill_delay_costs(state, part, self._now).values())
 
-    def _crowding(self, chosen: list[EngineState], part: float) -> float:
-        """Return the value that short requests lose which come while these engines read.
+    def _slot_shortage_cost(self, chosen: list[EngineState], part: float) -> float:
+        """Return the value lost by short requests that arrive while the chosen engines prefill.
 
-        Those that find no slot on the other engines are late. Slots there become free at the rate
-        at which usual answers end.
+        Requests that find no free slot on the other engines are late. Slots there become free at
+        the rate at which answers of usual length end.
         """
-        taken = {id(state) for state in chosen}
-        others = [state for state in self._states if id(state) not in taken]
-        free = sum(max(0, state.work.slots - state.leads) for state in others)
+        chosen_ids = {id(state) for state in chosen}
+        others = [state for state in self._states if id(state) not in chosen_ids]
+        free = sum(max(0, state.work.slots - state.lead_count) for state in others)
         slots = sum(state.work.slots for state in others)
-        ended = slots * part / max(MIN_WRITE_SECONDS, self._profile.usual_write_seconds)
-        excess = self._short_rate * part - free - ended
-        return LATE_SHARE * self._short_value * max(0.0, excess)
+        freed = slots * part / max(MIN_DECODE_SECONDS, self._profile.usual_write_seconds)
+        excess = self._short_request_rate * part - free - freed
+        return LATE_SHARE * self._short_request_value * max(0.0, excess)
 
-    def _own_cost(self, finish: float) -> float:
-        late = lateness(finish, self._allowed) if self._allowed > 0 else 1.0
+    def _latency_cost(self, finish: float) -> float:
+        late_probability = lateness(finish, self._allowed) if self._allowed > 0 else 1.0
         objective = self._request.route.objective.total_seconds()
-        return self._value * (LATE_SHARE * late + WAIT_COST * finish / objective)
+        return self._value * (LATE_SHARE * late_probability + LATENCY_COST * finish / objective)
 
-    def _lead_cost(self, state: EngineState) -> float:
+    def _slot_cost(self, state: EngineState) -> float:
         """Return the cost of taking a slot of an engine."""
-        left = state.work.slots - state.leads - 1
-        cost = state.preference
-        if left < 0:
-            cost -= FULL_COST * left
-        elif left < len(LAST_SLOT_COSTS):
-            cost += LAST_SLOT_COSTS[left]
+        slots_left = state.work.slots - state.lead_count - 1
+        cost = state.target_cost
+        if slots_left < 0:
+            cost -= QUEUED_REQUEST_COST * slots_left
+        elif slots_left < len(LAST_SLOT_COSTS):
+            cost += LAST_SLOT_COSTS[slots_left]
         return self._value * cost
 
-    def _free(self, state: EngineState) -> float:
-        return self._profile.memory_tokens * MEMORY_SHARE - state.work.tokens
+    def _free_memory(self, state: EngineState) -> float:
+        return self._profile.memory_tokens * USABLE_MEMORY_RATIO - state.work.tokens
 
-    def _holds(self, lead: EngineState, others: list[EngineState]) -> tuple[int, ...] | None:
-        """Return the tokens that other engines keep, even parts of the prompt, or None.
+    def _helper_tokens(
+        self, lead: EngineState, others: list[EngineState]
+    ) -> tuple[int, ...] | None:
+        """Return the prompt tokens that each helper has to hold, or None when they do not fit.
 
-        `others` are in the order of their free memory. Even parts make the steps of the lead
-        shortest, which cost the context of the largest part.
+        `others` are sorted by free memory, most first. The parts are equal, as the length of a
+        decode step depends on the largest part.
         """
-        if self._size.total <= self._free(lead):
+        if self._size.total <= self._free_memory(lead):
             return ()
-        for holders in range(1, min(MAX_HOLDERS, len(others)) + 1):
-            part = -(-self._size.prompt // (holders + 1))
-            rest = self._size.total - part * holders
-            if rest <= self._free(lead) and part <= self._free(others[holders - 1]):
-                return (part,) * holders
+        for count in range(1, min(MAX_CACHE_HELPERS, len(others)) + 1):
+            part_tokens = -(-self._size.prompt // (count + 1))
+            lead_tokens = self._size.total - part_tokens * count
+            if lead_tokens <= self._free_memory(lead) and part_tokens <= self._free_memory(
+                others[count - 1]
+            ):
+                return (part_tokens,) * count
         return None
--- a/tests/steps/entry/coordination/placement_steps.py
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 from support.forwarding import PROFILE, ZONE, Engines, make_forwarded, make_placed, make_route
 from wasabiwell_entry.coordination.placement import coordinator
-from wasabiwell_entry.coordination.placement.const import MAX_COMPARED
+from wasabiwell_entry.coordination.placement.const import MAX_COMPARED_TARGETS
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.exchange import AttemptVerdict
@@ -204,5 +204,5 @@
 @then("at most {count:d} engines were compared")
 def step_compared(context: Context, count: int) -> None:
     works = context.engines.works.of_service("ice-advisor")
-    assert len(works) > count >= MAX_COMPARED
-    assert len(coordinator._window(works, "r0")) <= count
+    assert len(works) > count >= MAX_COMPARED_TARGETS
+    assert len(coordinator._comparison_window(works, "r0")) <= count
