--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/__init__.py
@@ -1,4 +1,4 @@
-"""Forwards callers' requests to targets: attempts, repeats, resumption and time limits."""
+"""Forwards callers' requests to targets: attempts, retries, resumption and time limits."""
 
 from wasabiwell_entry.coordination.forwarding.coordinator import Forwarder
 
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
@@ -1,25 +1,26 @@
-"""Constants of forwarding requests."""
+"""Constants of request forwarding."""
 
 from datetime import timedelta
 
 MAX_SENDS = 6
-"""Targets tried for one request, those included that were not reached or refused."""
+"""Targets tried for one request, including those that could not be reached or refused it."""
 SERVER_ERROR = 500
-"""Statuses from here on are failures of the target, which another one may not have."""
-MAX_HELD_BYTES = 1024 * 1024
-"""An answer that is not a stream is held back up to this size, so that it can be repeated."""
+"""Lowest status that counts as a failure of the target, so that another one may answer."""
+MAX_BUFFERED_BYTES = 1024 * 1024
+"""Answers that are not streams are buffered up to this size, so that the request can be retried."""
 REFUSED_RETRY_AFTER = timedelta(milliseconds=300)
-"""Time after which targets that refused are likely to take requests again."""
+"""Time after which targets that refused a request are likely to take requests again."""
 MIN_TIME_LEFT = timedelta(milliseconds=5)
-"""A request with less time left is not sent any more."""
-REPEAT_SHARE = 0.4
-"""Part of its time left after which a repeatable request without an answer is sent elsewhere."""
-OBJECTIVES_BEFORE_REPEAT = 3.0
-"""A repeatable request is given at least this many times its objective on one target."""
-EXPECTED_BEFORE_REPEAT = 3.0
-"""A stream is given at least this many times the predicted time to its first event."""
-EVENT_PATIENCE = timedelta(milliseconds=1_000)
+"""Requests with less time until their deadline are not sent again."""
+RETRY_TIME_SHARE = 0.4
+"""Share of the time left after which a retryable request without an answer is sent elsewhere."""
+MIN_OBJECTIVES_BEFORE_RETRY = 3.0
+"""Minimum time for one target to begin its answer before a retry, as a multiple of the route's
+objective."""
+MIN_EXPECTED_BEFORE_RETRY = 3.0
+"""The same minimum as a multiple of the predicted time to the first event."""
+EVENT_GAP_MARGIN = timedelta(milliseconds=1_000)
 """Time beyond the allowed and the predicted pause after which a stream is resumed elsewhere;
-callers leave after two seconds without an event."""
-PROBE_PATIENCE = timedelta(milliseconds=400)
-"""A target that is silent for this long beyond the allowed pause is asked for a sign of life."""
+callers disconnect after two seconds without an event."""
+PROBE_MARGIN = timedelta(milliseconds=400)
+"""Silence beyond the allowed pause after which a target is probed."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -1,4 +1,4 @@
-"""Forwards a request until its whole answer is delivered or nothing more may be tried."""
+"""Forwards a request until its whole answer is delivered or no further attempt is allowed."""
 
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
@@ -7,20 +7,23 @@
 
 from wasabiwell_entry.coordination.budget import RepeatBudget
 from wasabiwell_entry.coordination.forwarding.const import (
-    EXPECTED_BEFORE_REPEAT,
-    MAX_HELD_BYTES,
+    MAX_BUFFERED_BYTES,
     MAX_SENDS,
+    MIN_EXPECTED_BEFORE_RETRY,
+    MIN_OBJECTIVES_BEFORE_RETRY,
     MIN_TIME_LEFT,
-    OBJECTIVES_BEFORE_REPEAT,
-    PROBE_PATIENCE,
+    PROBE_MARGIN,
     REFUSED_RETRY_AFTER,
-    REPEAT_SHARE,
+    RETRY_TIME_SHARE,
     SERVER_ERROR,
 )
-from wasabiwell_entry.coordination.forwarding.errors import AttemptOutcome, Delivered, Held
-from wasabiwell_entry.coordination.forwarding.holds import NotReserved, hold_memory
-from wasabiwell_entry.coordination.forwarding.patience import Patience
+from wasabiwell_entry.coordination.forwarding.errors import AttemptOutcome, Buffered, Delivered
+from wasabiwell_entry.coordination.forwarding.helper_memory import (
+    NotReserved,
+    reserve_helper_memory,
+)
 from wasabiwell_entry.coordination.forwarding.ports import AnswerSink, TargetPort
+from wasabiwell_entry.coordination.forwarding.silence_timeout import SilenceTimeout
 from wasabiwell_entry.coordination.placement import Placer
 from wasabiwell_entry.coordination.placement.const import NO_TARGET_RETRY_AFTER
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
@@ -51,18 +54,19 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """What has happened to a request so far.
+    """State of a request over its attempts.
 
-    `runs` counts the attempts that may have run. `held` is an answer of a target that another one
-    may better. `begun` means that the caller has a part of the answer.
+    `runs` counts the attempts that may have run on a target. `buffered` is an answer that is
+    delivered unless a retry gets a better one. `answer_started` means that a part of the answer
+    was delivered to the caller.
     """
 
     excluded: set[str] = field(default_factory=set)
     sends: int = 0
     runs: int = 0
-    begun: bool = False
+    answer_started: bool = False
     last_event: int | None = None
-    held: Held | None = None
+    buffered: Buffered | None = None
     reason: str = "the deadline has passed"
 
 
@@ -100,13 +104,14 @@
     async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
         """Forward a request and deliver its answer to the sink.
 
-        After a `Failed` the sink may have a part of the answer, which must not look whole.
+        After a `Failed` the sink may have received a part of the answer, which must not be
+        completed as if it were the whole answer.
         """
         progress = _Progress(last_event=request.last_event_id)
         self._budget.count_request(request.service)
-        with trio.move_on_after(self._left(request).total_seconds()):
+        with trio.move_on_after(self._time_left(request).total_seconds()):
             return await self._forward(request, sink, progress)
-        return _gave_up(progress, Reason.DEADLINE_EXCEEDED, progress.reason)
+        return _unanswered_outcome(progress, Reason.DEADLINE_EXCEEDED, progress.reason)
 
     async def _forward(
         self, request: ForwardedRequest, sink: AnswerSink, progress: _Progress
@@ -114,44 +119,56 @@
         while True:
             crashes = self._crashes.crashes(request.fingerprint)
             if self._crashes.refused(request.fingerprint):
-                message = f"{crashes} targets died under this request"
+                message = f"{crashes} targets died while they processed this request"
                 log_events.emit(log_events.NOT_PLACED, request=request.request_id, reason=message)
-                return _gave_up(progress, Reason.QUARANTINED, message)
+                return _unanswered_outcome(progress, Reason.QUARANTINED, message)
             placement = self._placer.place(
-                request, frozenset(progress.excluded), resumed=progress.begun, suspected=crashes > 0
+                request,
+                frozenset(progress.excluded),
+                resumed=progress.answer_started,
+                suspected=crashes > 0,
             )
             if isinstance(placement, NoPlacement):
                 log_events.emit(
                     log_events.NOT_PLACED, request=request.request_id, reason=placement.reason
                 )
-                return await self._end(progress, sink, placement.reason, NO_TARGET_RETRY_AFTER)
+                return await self._finish_unanswered(
+                    progress, sink, placement.reason, NO_TARGET_RETRY_AFTER
+                )
             outcome = await self._attempt(request, placement, sink, progress)
             match outcome:
                 case Delivered(status=status):
                     return Forwarded(status)
-                case Held() as held:
-                    progress.held = held
-                    if held.head.status < SERVER_ERROR or not self._may_run_again(
+                case Buffered() as buffered:
+                    progress.buffered = buffered
+                    if buffered.head.status < SERVER_ERROR or not self._may_retry(
                         request, progress
                     ):
-                        return await _deliver(held, sink)
+                        return await _deliver_buffered(buffered, sink)
                 case Broken(reason=reason):
                     progress.reason = reason
-                    if not self._may_run_again(request, progress):
-                        return await self._end(progress, sink, reason, REFUSED_RETRY_AFTER)
+                    if not self._may_retry(request, progress):
+                        return await self._finish_unanswered(
+                            progress, sink, reason, REFUSED_RETRY_AFTER
+                        )
                 case NotSent(reason=reason) | NotRun(reason=reason):
                     progress.reason = reason
-            if not self._may_send_again(request, progress, outcome):
-                return await self._end(progress, sink, progress.reason, REFUSED_RETRY_AFTER)
+            if not self._may_try_another_target(request, progress, outcome):
+                return await self._finish_unanswered(
+                    progress, sink, progress.reason, REFUSED_RETRY_AFTER
+                )
 
-    def _may_run_again(self, request: ForwardedRequest, progress: _Progress) -> bool:
+    def _may_retry(self, request: ForwardedRequest, progress: _Progress) -> bool:
         return request.route.repeatable and progress.runs < request.route.attempts
 
-    def _may_send_again(
+    def _may_try_another_target(
         self, request: ForwardedRequest, progress: _Progress, outcome: AttemptOutcome
     ) -> bool:
-        """Return whether a further target may be tried; one that was not reached costs nothing."""
-        if progress.sends >= MAX_SENDS or self._left(request) < MIN_TIME_LEFT:
+        """Return whether another target may be tried.
+
+        An attempt that did not reach its target takes nothing from the retry budget.
+        """
+        if progress.sends >= MAX_SENDS or self._time_left(request) < MIN_TIME_LEFT:
             return False
         if isinstance(outcome, NotSent):
             return True
@@ -169,16 +186,16 @@
     ) -> AttemptOutcome:
         progress.sends += 1
         owner = f"{request.request_id}-{progress.sends}"
-        async with hold_memory(self._reservations, placement, owner) as held:
-            if isinstance(held, NotReserved):
-                progress.excluded.update(held.target_ids)
+        async with reserve_helper_memory(self._reservations, placement, owner) as reserved:
+            if isinstance(reserved, NotReserved):
+                progress.excluded.update(reserved.target_ids)
                 log_events.emit(
                     log_events.MEMORY_NOT_RESERVED,
                     request=request.request_id,
-                    targets=", ".join(held.target_ids),
+                    targets=", ".join(reserved.target_ids),
                 )
                 return NotSent("memory was not reserved")
-            return await self._send(request, held, sink, progress)
+            return await self._send(request, reserved, sink, progress)
 
     async def _send(
         self,
@@ -189,9 +206,9 @@
     ) -> AttemptOutcome:
         progress.runs += 1
         target = placement.target
-        patience = Patience(
+        silence_timeout = SilenceTimeout(
             request.route,
-            self._first_patience(request, placement, progress),
+            self._answer_start_timeout(request, placement, progress),
             lambda: self._placer.expected_pause(target.target_id),
         )
         attempt = ForwardAttempt(
@@ -199,28 +216,28 @@
             target=target,
             helpers=placement.helpers,
             urgency=placement.urgency,
-            time_left=self._left(request),
-            patience=patience.current,
+            time_left=self._time_left(request),
+            patience=silence_timeout.current,
             probe_interval=_probe_interval(request),
             resume_after=progress.last_event,
         )
-        sent = self._clock.monotonic()
+        sent_at = self._clock.monotonic()
         log_events.emit(
             log_events.ROUTED,
             request=request.request_id,
             sends=progress.sends,
             target=target.target_id,
-            **_inputs(attempt, placement),
+            **_placement_fields(attempt, placement),
         )
         with self._ledger.open(request, placement) as opened:
-            outcome = await self._relay(attempt, sink, progress, opened, patience)
+            outcome = await self._relay(attempt, sink, progress, opened, silence_timeout)
             if isinstance(outcome, Broken) and outcome.target_lost:
-                outcome = await self._confirm_loss(request, target, outcome)
+                outcome = await self._confirm_target_loss(request, target, outcome)
             lost_helpers = _lost_helpers(attempt, outcome)
             opened.verdict = AttemptVerdict.ABANDONED if lost_helpers else _verdict(outcome)
             for target_id in lost_helpers:
                 self._ledger.record_lost_helper(target_id)
-        self._log_end(attempt, placement, progress, opened, sent, outcome)
+        self._log_outcome(attempt, placement, progress, opened, sent_at, outcome)
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
         if opened.verdict is AttemptVerdict.ANSWERED:
@@ -229,39 +246,39 @@
             progress.excluded.update(lost_helpers or [target.target_id])
         return outcome
 
-    async def _confirm_loss(
+    async def _confirm_target_loss(
         self, request: ForwardedRequest, target: Target, broken: Broken
     ) -> Broken:
-        """Suspect a request when its target is gone; one that only cut a connection is not."""
+        """Record a crash when the target is gone, but not when it only cut the connection."""
         if await self._targets.accepts_connections(target):
             return replace(broken, target_lost=False)
         name = f"{target.target_id}@{target.incarnation}"
         self._crashes.crashed(request.fingerprint, name)
         return broken
 
-    def _log_end(
+    def _log_outcome(
         self,
         attempt: ForwardAttempt,
         placement: Placement,
         progress: _Progress,
         opened: OpenPlacement,
-        sent: timedelta,
+        sent_at: timedelta,
         outcome: AttemptOutcome,
     ) -> None:
-        """Log how a send ended; a failed one with all that decided it."""
+        """Log the outcome of a send, for a failed one with the inputs of its placement."""
         fields: dict[str, object] = {
             "request": attempt.request.request_id,
             "sends": progress.sends,
             "target": attempt.target.target_id,
-            "first_ms": _milliseconds(sent, opened.first_at),
+            "first_ms": _milliseconds(sent_at, opened.first_at),
             "pause_ms": round(opened.longest_pause / timedelta(milliseconds=1)),
-            "total_ms": _milliseconds(sent, self._clock.monotonic()),
-            "outcome": _describe(outcome),
+            "total_ms": _milliseconds(sent_at, self._clock.monotonic()),
+            "outcome": _outcome_text(outcome),
         }
         if opened.verdict is AttemptVerdict.ANSWERED:
             log_events.emit(log_events.ANSWERED, **fields)
             return
-        fields |= _inputs(attempt, placement)
+        fields |= _placement_fields(attempt, placement)
         log_events.emit(log_events.SEND_FAILED, verdict=opened.verdict.value, **fields)
 
     async def _relay(
@@ -270,19 +287,19 @@
         sink: AnswerSink,
         progress: _Progress,
         opened: OpenPlacement,
-        patience: Patience,
+        silence_timeout: SilenceTimeout,
     ) -> AttemptOutcome:
         head: AnswerHead | None = None
-        held: list[bytes] = []
+        buffer: list[bytes] = []
         async with self._targets.attempt(attempt) as items:
             async for item in items:
                 match item:
                     case AnswerHead():
                         head = item
-                        patience.begin()
+                        silence_timeout.begin()
                         if _is_stream(attempt.request, head):
                             self._ledger.begin_writing(opened)
-                            await self._begin(head, sink, progress)
+                            await self._begin_answer(head, sink, progress)
                     case AnswerEvent(event_id=event_id, data=data):
                         broken = _check_order(event_id, progress)
                         if broken is not None:
@@ -290,64 +307,64 @@
                         self._ledger.record_event(opened)
                         await sink.send(data)
                     case AnswerPart(data=data):
-                        held.append(data)
-                        if sum(map(len, held)) > MAX_HELD_BYTES and head is not None:
-                            await self._begin(head, sink, progress)
-                            await sink.send(b"".join(held))
-                            held.clear()
+                        buffer.append(data)
+                        if sum(map(len, buffer)) > MAX_BUFFERED_BYTES and head is not None:
+                            await self._begin_answer(head, sink, progress)
+                            await sink.send(b"".join(buffer))
+                            buffer.clear()
                     case AnswerEnd():
                         if head is None:
                             return Broken("the answer has no head")
-                        if not progress.begun:
-                            return Held(head, b"".join(held))
-                        if held:
-                            await sink.send(b"".join(held))
+                        if not progress.answer_started:
+                            return Buffered(head, b"".join(buffer))
+                        if buffer:
+                            await sink.send(b"".join(buffer))
                         await sink.finish()
                         return Delivered(head.status)
                     case NotSent() | NotRun() | Broken():
                         return item
         return Broken("the answer has no end")
 
-    async def _begin(self, head: AnswerHead, sink: AnswerSink, progress: _Progress) -> None:
-        """Deliver the head once; a resumed answer keeps that of its first target."""
-        if not progress.begun:
-            progress.begun = True
+    async def _begin_answer(self, head: AnswerHead, sink: AnswerSink, progress: _Progress) -> None:
+        """Deliver the head unless an earlier attempt has delivered one before it was resumed."""
+        if not progress.answer_started:
+            progress.answer_started = True
             await sink.begin(head)
 
-    async def _end(
+    async def _finish_unanswered(
         self, progress: _Progress, sink: AnswerSink, reason: str, retry_after: timedelta
     ) -> ForwardOutcome:
-        """End a request for which nothing more is tried."""
-        if progress.held is not None and not progress.begun:
-            return await _deliver(progress.held, sink)
-        if progress.runs == 0 and not progress.begun:
+        """Return the outcome of a request for which no further target is tried."""
+        if progress.buffered is not None and not progress.answer_started:
+            return await _deliver_buffered(progress.buffered, sink)
+        if progress.runs == 0 and not progress.answer_started:
             return Refused(Reason.NO_CAPACITY, reason, retry_after)
-        return _gave_up(progress, Reason.TARGET_FAILED, reason)
+        return _unanswered_outcome(progress, Reason.TARGET_FAILED, reason)
 
-    def _first_patience(
+    def _answer_start_timeout(
         self, request: ForwardedRequest, placement: Placement, progress: _Progress
     ) -> timedelta:
-        """Return how long a target may take to begin its answer."""
-        left = self._left(request)
+        """Return how long a target may be silent before its answer begins."""
+        left = self._time_left(request)
         if not request.route.repeatable or progress.runs >= request.route.attempts:
             return left
         expected = timedelta(seconds=placement.expected_seconds)
-        least = max(
-            request.route.objective * OBJECTIVES_BEFORE_REPEAT,
-            expected * EXPECTED_BEFORE_REPEAT,
+        minimum = max(
+            request.route.objective * MIN_OBJECTIVES_BEFORE_RETRY,
+            expected * MIN_EXPECTED_BEFORE_RETRY,
         )
-        return min(left, max(least, left * REPEAT_SHARE))
+        return min(left, max(minimum, left * RETRY_TIME_SHARE))
 
-    def _left(self, request: ForwardedRequest) -> timedelta:
+    def _time_left(self, request: ForwardedRequest) -> timedelta:
         return max(timedelta(), request.deadline - self._clock.monotonic())
 
 
-async def _deliver(held: Held, sink: AnswerSink) -> Forwarded:
-    await sink.begin(held.head)
-    if held.body:
-        await sink.send(held.body)
+async def _deliver_buffered(buffered: Buffered, sink: AnswerSink) -> Forwarded:
+    await sink.begin(buffered.head)
+    if buffered.body:
+        await sink.send(buffered.body)
     await sink.finish()
-    return Forwarded(held.head.status)
+    return Forwarded(buffered.head.status)
 
 
 def _is_stream(request: ForwardedRequest, head: AnswerHead) -> bool:
@@ -356,12 +373,12 @@
 
 def _probe_interval(request: ForwardedRequest) -> timedelta:
     route = request.route
-    pause = route.event_gap if route.kind is RouteKind.STREAM else route.objective
-    return pause + PROBE_PATIENCE
+    allowed_silence = route.event_gap if route.kind is RouteKind.STREAM else route.objective
+    return allowed_silence + PROBE_MARGIN
 
 
 def _check_order(event_id: int | None, progress: _Progress) -> Broken | None:
-    """Return why an event does not follow the last one, and note it otherwise."""
+    """Record the id of an event, or return an error when it does not follow the last one."""
     if event_id is None:
         return None
     if progress.last_event is not None and event_id != progress.last_event + 1:
@@ -370,8 +387,8 @@
     return None
 
 
-def _gave_up(progress: _Progress, reason: Reason, message: str) -> Refused | Failed:
-    if progress.runs == 0 and not progress.begun:
+def _unanswered_outcome(progress: _Progress, reason: Reason, message: str) -> Refused | Failed:
+    if progress.runs == 0 and not progress.answer_started:
         return Refused(reason, message, REFUSED_RETRY_AFTER)
     return Failed(reason, message, RunState.UNKNOWN)
 
@@ -380,7 +397,7 @@
     match outcome:
         case Delivered():
             return AttemptVerdict.ANSWERED
-        case Held(head=head):
+        case Buffered(head=head):
             failed = head.status >= SERVER_ERROR
             return AttemptVerdict.FAILED if failed else AttemptVerdict.ANSWERED
         case NotSent():
@@ -396,14 +413,14 @@
 
 
 def _lost_helpers(attempt: ForwardAttempt, outcome: AttemptOutcome) -> list[str]:
-    """Return the ids of the helpers to which a lead puts down that it did not run a request."""
+    """Return the ids of the helpers that a lead names as the cause of its refusal."""
     at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
     helpers = [helper.target for helper in attempt.helpers]
     return [item.target_id for item in helpers if item.address == at_fault]
 
 
-def _inputs(attempt: ForwardAttempt, placement: Placement) -> dict[str, object]:
-    """Return what decided where a request was sent."""
+def _placement_fields(attempt: ForwardAttempt, placement: Placement) -> dict[str, object]:
+    """Return the inputs and the result of a placement as log fields."""
     size = attempt.request.size
     helpers = [
         f"{helper.target.target_id}:{helper.hold_tokens}".removesuffix(":0")
@@ -423,11 +440,11 @@
     return None if until is None else round((until - since) / timedelta(milliseconds=1))
 
 
-def _describe(outcome: AttemptOutcome) -> str:
+def _outcome_text(outcome: AttemptOutcome) -> str:
     match outcome:
         case Delivered(status=status):
             return f"status {status}"
-        case Held(head=head):
+        case Buffered(head=head):
             return f"status {head.status}"
         case NotSent(reason=reason):
             return f"not sent: {reason}"
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/errors.py
@@ -7,17 +7,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Delivered:
-    """The whole answer went to the sink."""
+    """The whole answer was delivered to the sink."""
 
     status: int
 
 
 @dataclass(frozen=True, slots=True)
-class Held:
-    """The whole answer is here and nothing of it went to the sink."""
+class Buffered:
+    """The whole answer is buffered, and no part of it was delivered to the sink."""
 
     head: AnswerHead
     body: bytes = field(repr=False)
 
 
-AttemptOutcome = Delivered | Held | NotSent | NotRun | Broken
+AttemptOutcome = Delivered | Buffered | NotSent | NotRun | Broken
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/holds.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/helper_memory.py
@@ -14,44 +14,44 @@
 
 @dataclass(frozen=True, slots=True)
 class NotReserved:
-    """Engines had no memory to reserve, or did not answer; nothing is held."""
+    """Engines had not enough memory or did not answer; no reservation is left."""
 
     target_ids: tuple[str, ...]
 
 
 @asynccontextmanager
-async def hold_memory(
+async def reserve_helper_memory(
     reservations: EngineReservations, placement: Placement, owner: str
 ) -> AsyncIterator[Placement | NotReserved]:
-    """Hold the memory of a placement until the context ends; `owner` is unique to the attempt.
+    """Reserve the memory of a placement until the context ends; `owner` is unique to the attempt.
 
-    A helper that does not reserve its part is replaced by the next one that keeps nothing yet, as
+    A helper that does not reserve its part is replaced by the next one without a reservation, as
     all parts are equal.
     """
     parts = [helper.hold_tokens for helper in placement.helpers if helper.hold_tokens]
     if not parts:
         yield placement
         return
-    holding: list[Helper] = []
+    reserved: list[Helper] = []
     refused: list[str] = []
     try:
-        waiting = [replace(helper, hold_tokens=0) for helper in placement.helpers]
-        while (missing := len(parts) - len(holding)) and missing <= len(waiting):
-            asked, waiting = waiting[:missing], waiting[missing:]
+        untried = [replace(helper, hold_tokens=0) for helper in placement.helpers]
+        while (missing := len(parts) - len(reserved)) and missing <= len(untried):
+            asked, untried = untried[:missing], untried[missing:]
             asked = [replace(helper, hold_tokens=parts[0]) for helper in asked]
-            await _reserve_all(reservations, asked, owner, holding, refused)
-        if len(holding) < len(parts):
+            await _reserve_all(reservations, asked, owner, reserved, refused)
+        if len(reserved) < len(parts):
             yield NotReserved(tuple(refused))
             return
-        held = {helper.target.target_id: helper for helper in holding}
+        reserved_by_id = {helper.target.target_id: helper for helper in reserved}
         others = (
             replace(helper, hold_tokens=0)
             for helper in placement.helpers
-            if helper.target.target_id not in held
+            if helper.target.target_id not in reserved_by_id
         )
-        yield replace(placement, helpers=(*holding, *others))
+        yield replace(placement, helpers=(*reserved, *others))
     finally:
-        for helper in holding:
+        for helper in reserved:
             reservations.give_back(helper.reservation_id)
 
 
@@ -59,10 +59,10 @@
     reservations: EngineReservations,
     helpers: list[Helper],
     owner: str,
-    holding: list[Helper],
+    reserved: list[Helper],
     refused: list[str],
 ) -> None:
-    """Reserve memory on helpers at the same time, and add each to one of the lists."""
+    """Reserve memory on all helpers concurrently, and add each to one of the two lists."""
 
     async def reserve(helper: Helper) -> None:
         target = helper.target
@@ -70,7 +70,7 @@
             target, f"{owner}-{target.target_id}", helper.hold_tokens
         )
         if isinstance(outcome, Reserved):
-            holding.append(replace(helper, reservation_id=outcome.reservation_id))
+            reserved.append(replace(helper, reservation_id=outcome.reservation_id))
         else:
             refused.append(target.target_id)
 
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
@@ -1,4 +1,4 @@
-"""What forwarding needs of the other layers."""
+"""Interfaces to other layers that forwarding depends on."""
 
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
@@ -9,7 +9,7 @@
 
 
 class AnswerSink(Protocol):
-    """Receiver of an answer; its methods wait while the caller reads slowly."""
+    """Receiver of an answer; its methods block while the caller reads slowly."""
 
     async def begin(self, head: AnswerHead) -> None:
         """Deliver status and headers."""
@@ -27,7 +27,7 @@
     def attempt(
         self, attempt: ForwardAttempt
     ) -> AbstractAsyncContextManager[AsyncIterator[AttemptItem]]:
-        """Send a request once; the last item is an `AnswerEnd` or tells why there is none.
+        """Send a request once; the last item is an `AnswerEnd` or the reason why there is none.
 
         Leaving the context cancels the request at the target.
         """
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/patience.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/silence_timeout.py
@@ -1,17 +1,17 @@
-"""How long a target may be silent before its attempt is given up."""
+"""Time for which a target may be silent before its attempt is cancelled."""
 
 from collections.abc import Callable
 from datetime import timedelta
 
-from wasabiwell_entry.coordination.forwarding.const import EVENT_PATIENCE
+from wasabiwell_entry.coordination.forwarding.const import EVENT_GAP_MARGIN
 from wasabiwell_entry.state.routes import Route
 
 
-class Patience:
-    """Allows one time for the begin of an answer, and another between the events of a stream.
+class SilenceTimeout:
+    """Allows one time until the answer begins, and another between the events of a stream.
 
-    `expected_pause` returns the predicted pause in seconds: reading for other requests delays
-    the next event, and a target that does so is not silent.
+    `expected_pause` returns the predicted pause in seconds: prefill of other requests delays the
+    next event, and a target that is busy with it does not count as silent.
     """
 
     __slots__ = ("_begun", "_expected_pause", "_first", "_gap")
@@ -23,11 +23,11 @@
         self._begun = False
 
     def begin(self) -> None:
-        """Note that the answer has begun."""
+        """Record that the answer has begun."""
         self._begun = True
 
     def current(self) -> timedelta:
         """Return the time for which the target may be silent now."""
         if not self._begun:
             return self._first
-        return self._gap + EVENT_PATIENCE + timedelta(seconds=self._expected_pause())
+        return self._gap + EVENT_GAP_MARGIN + timedelta(seconds=self._expected_pause())
