--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/__init__.py
@@ -1,4 +1,4 @@
-"""Runs a request on targets until it has its whole answer or its deadline passes."""
+"""Runs requests on targets with retries until they are answered or their deadline passes."""
 
 from wasabiwell_entry.coordination.dispatch.coordinator import Dispatcher
 
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/assembler.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/assembler.py
@@ -1,12 +1,12 @@
-"""Checks that the frames of all attempts form one whole answer."""
+"""Verifies that the frames of all attempts form one complete response."""
 
 import xxhash
 
 from wasabiwell_entry.state.requests import EndFrame, StreamBroken, TokenFrame
 
 
-class AnswerAssembler:
-    """Follows the offset and the digest of one answer over its attempts."""
+class ResponseAssembler:
+    """Tracks the offset and the digest of one response over its attempts."""
 
     __slots__ = ("_digest", "_offset", "_texts")
 
@@ -26,7 +26,7 @@
         return "".join(self._texts)
 
     def accept(self, frame: TokenFrame) -> StreamBroken | None:
-        """Accept the next frame, or tell why it does not continue the answer."""
+        """Accept the next frame, or return why it does not continue the response."""
         if frame.offset != self._offset:
             return StreamBroken(f"expected offset {self._offset}, got {frame.offset}")
         self._offset += frame.count
@@ -35,9 +35,11 @@
         return None
 
     def verify(self, end: EndFrame) -> StreamBroken | None:
-        """Tell why an end mark does not fit the answer, or None when the answer is whole."""
+        """Return why an end frame does not match the response, or None when it is complete."""
         if end.tokens != self._offset:
-            return StreamBroken(f"end mark counts {end.tokens} tokens, {self._offset} arrived")
+            return StreamBroken(
+                f"the end frame counts {end.tokens} tokens, {self._offset} were received"
+            )
         if end.digest != self._digest.hexdigest():
-            return StreamBroken("the digest of the end mark differs from the received text")
+            return StreamBroken("the digest of the end frame does not match the received text")
         return None
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -1,11 +1,11 @@
-"""Runs requests on targets: deadline, retries, resume, and calls that run at most once."""
+"""Runs requests on targets: deadlines, retries, resumption, and at-most-once calls."""
 
 import secrets
 from dataclasses import dataclass, field
 
 import trio
 
-from wasabiwell_entry.coordination.dispatch.assembler import AnswerAssembler
+from wasabiwell_entry.coordination.dispatch.assembler import ResponseAssembler
 from wasabiwell_entry.coordination.dispatch.const import (
     CAPACITY_RETRY_AFTER,
     MAX_ATTEMPTS,
@@ -61,9 +61,9 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """What has happened to a request so far; `started` means that an engine may have run it."""
+    """State of a request over its attempts; `started` means that an engine may have run it."""
 
-    assembler: AnswerAssembler = field(default_factory=AnswerAssembler)
+    assembler: ResponseAssembler = field(default_factory=ResponseAssembler)
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
     started: bool = False
@@ -71,8 +71,8 @@
 
 
 @dataclass(slots=True)
-class _Sending:
-    """What has happened to a call so far; `sent` means that a target may have run it."""
+class _CallProgress:
+    """State of a call over its sends; `sent` means that a target may have run it."""
 
     excluded: set[str] = field(default_factory=set)
     sent: bool = False
@@ -82,7 +82,7 @@
 
 
 class Dispatcher:
-    """Front door of the coordination layer for requests of callers."""
+    """Entry point of the coordination layer for requests of callers."""
 
     __slots__ = (
         "_admission",
@@ -119,10 +119,10 @@
         progress = _Progress()
         with trio.move_on_after(self._remaining_seconds(request)):
             return await self._generate(request, sink, progress)
-        return _give_up(progress, Reason.DEADLINE_EXCEEDED, "the deadline has passed")
+        return _unanswered_outcome(progress, Reason.DEADLINE_EXCEEDED, "the deadline has passed")
 
     async def call(self, call: ServiceCall) -> CallOutcome:
-        """Run a call on a plain service, at most once when it is not idempotent."""
+        """Run a call on a plain service, at most once unless it is idempotent."""
         if call.idempotent:
             return await self._call_idempotent(call)
         return await self._call_once(call)
@@ -133,16 +133,18 @@
         self._retries.count_first_attempt()
         while True:
             if self._suspects.quarantined(request.fingerprint):
-                return _give_up(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
+                return _unanswered_outcome(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
             excluded = frozenset(progress.excluded)
             async with self._admission.admit(request, excluded) as placement:
                 if isinstance(placement, Refused):
-                    return _refusal(progress, placement)
+                    return _refused_outcome(progress, placement)
                 target_id = placement.target.target_id
                 async with self._suspects.one_suspect(request.fingerprint, target_id):
                     if self._suspects.quarantined(request.fingerprint):
-                        return _give_up(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
-                    if await self._died_before_turn(request, placement.target):
+                        return _unanswered_outcome(
+                            progress, Reason.QUARANTINED, QUARANTINED_MESSAGE
+                        )
+                    if await self._died_while_waiting(request, placement.target):
                         progress.excluded.add(target_id)
                         continue
                     outcome = await self._attempt(request, sink, progress, placement)
@@ -153,19 +155,19 @@
                 case AttemptBroken(broken=broken):
                     progress.last_reason = broken.reason
             if progress.attempts >= MAX_ATTEMPTS or not self._retries.take():
-                return _give_up(progress, Reason.TARGET_FAILED, progress.last_reason)
+                return _unanswered_outcome(progress, Reason.TARGET_FAILED, progress.last_reason)
             await self._clock.sleep(RETRY_DELAY)
 
-    async def _died_before_turn(self, request: GenerateRequest, target: Target) -> bool:
+    async def _died_while_waiting(self, request: GenerateRequest, target: Target) -> bool:
         """Return whether a target died while a suspect waited for its turn on it.
 
-        A send to it would fail as if the suspect had crashed it.
+        Sending the request to a dead target would count as another crash caused by the suspect.
         """
         if not self._suspects.suspected(request.fingerprint):
             return False
         if not isinstance(await self._engines.probe(target), TargetGone):
             return False
-        self._lost(target)
+        self._report_lost(target)
         return True
 
     async def _attempt(
@@ -194,7 +196,7 @@
                 progress.excluded.add(target.target_id)
             if outcome.broken.refused:
                 progress.started = started_before
-            await self._note_broken(target, attempt, outcome.broken)
+            await self._handle_broken_attempt(target, attempt, outcome.broken)
         return outcome
 
     async def _relay(
@@ -214,9 +216,11 @@
                         return AttemptFinished(item)
                     case StreamBroken():
                         return AttemptBroken(item)
-        return AttemptBroken(StreamBroken("the stream ended without an end mark"))
+        return AttemptBroken(StreamBroken("the stream ended without an end frame"))
 
-    async def _note_broken(self, target: Target, attempt: Attempt, broken: StreamBroken) -> None:
+    async def _handle_broken_attempt(
+        self, target: Target, attempt: Attempt, broken: StreamBroken
+    ) -> None:
         log_events.emit(
             log_events.ATTEMPT_FAILED,
             request=attempt.request.request_id,
@@ -229,54 +233,54 @@
         self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
         if broken.refused:
             return
-        # Only a target that is gone counts: a cut network would make suspects of all requests.
+        # Only a dead target counts: a network failure would mark all requests as suspects.
         if isinstance(await self._engines.probe(target), TargetGone):
             await self._suspects.crashed(attempt.request.fingerprint, target.target_id)
 
     async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
         self._retries.count_first_attempt()
-        sending = _Sending()
+        progress = _CallProgress()
         with trio.move_on_after(self._remaining_seconds(call)):
-            await self._send_idempotent(call, sending)
-        if sending.answer is not None:
-            return sending.answer
-        if sending.refused is not None and not sending.sent:
-            return sending.refused
-        if sending.sent:
-            return _call_failed(sending.reason)
-        return Refused(Reason.TARGET_FAILED, sending.reason, CAPACITY_RETRY_AFTER)
-
-    async def _send_idempotent(self, call: ServiceCall, sending: _Sending) -> None:
-        """Send a call to one target after the other until one answers other than with 503."""
+            await self._send_idempotent(call, progress)
+        if progress.answer is not None:
+            return progress.answer
+        if progress.refused is not None and not progress.sent:
+            return progress.refused
+        if progress.sent:
+            return _failed_call_outcome(progress.reason)
+        return Refused(Reason.TARGET_FAILED, progress.reason, CAPACITY_RETRY_AFTER)
+
+    async def _send_idempotent(self, call: ServiceCall, progress: _CallProgress) -> None:
+        """Try targets one after the other until one answers with a status other than 503."""
         for attempt in range(MAX_ATTEMPTS):
             if attempt and not self._retries.take():
                 return
-            async with self._admission.place_call(call, frozenset(sending.excluded)) as target:
+            async with self._admission.place_call(call, frozenset(progress.excluded)) as target:
                 if isinstance(target, Refused):
-                    sending.refused = target
+                    progress.refused = target
                     return
-                match await self._send(target, call, sending):
+                match await self._send(target, call, progress):
                     case Answer(status=status) as answer:
-                        sending.answer = answer
+                        progress.answer = answer
                         if status != SERVICE_UNAVAILABLE:
                             return
                     case CallNotSent() | CallBroken():
-                        self._lost(target)
+                        self._report_lost(target)
 
     async def _send(
-        self, target: Target, call: ServiceCall, sending: _Sending
+        self, target: Target, call: ServiceCall, progress: _CallProgress
     ) -> Answer | CallNotSent | CallBroken:
-        """Send a call once; it counts as sent from here on unless the opposite is proved."""
-        sent_before = sending.sent
-        sending.excluded.add(target.target_id)
-        sending.sent = True
+        """Send a call once; it counts as sent unless the outcome proves that it was not."""
+        sent_before = progress.sent
+        progress.excluded.add(target.target_id)
+        progress.sent = True
         outcome = await self._plain.call(target, call)
         match outcome:
             case CallNotSent(reason=reason):
-                sending.sent = sent_before
-                sending.reason = reason
+                progress.sent = sent_before
+                progress.reason = reason
             case CallBroken(reason=reason):
-                sending.reason = reason
+                progress.reason = reason
         return outcome
 
     async def _call_once(self, call: ServiceCall) -> CallOutcome:
@@ -287,54 +291,56 @@
                 return outcome
 
     async def _run_claimed(self, call: ServiceCall, claim: Claimed) -> CallOutcome:
-        """Send a claimed call and settle its record; settling is not bound to the deadline."""
-        sending = _Sending()
+        """Send a claimed call and settle its record, even after the deadline."""
+        progress = _CallProgress()
         with trio.move_on_after(self._remaining_seconds(call)):
-            await self._send_claimed(call, sending)
-        if sending.answer is not None:
-            await self._runs.settle(claim, RunStatus.DONE, sending.answer)
-            return sending.answer
-        if sending.sent:
-            return await self._unknown_result(call, claim, sending.reason)
+            await self._send_claimed(call, progress)
+        if progress.answer is not None:
+            await self._runs.settle(claim, RunStatus.DONE, progress.answer)
+            return progress.answer
+        if progress.sent:
+            return await self._settle_unknown_result(call, claim, progress.reason)
         await self._runs.settle(claim, RunStatus.NOT_RUN)
-        return Refused(Reason.NO_TARGET, sending.reason, CAPACITY_RETRY_AFTER)
+        return Refused(Reason.NO_TARGET, progress.reason, CAPACITY_RETRY_AFTER)
 
-    async def _send_claimed(self, call: ServiceCall, sending: _Sending) -> None:
-        """Send a call to one target after the other until one may have received it."""
+    async def _send_claimed(self, call: ServiceCall, progress: _CallProgress) -> None:
+        """Try targets one after the other until one may have received the call."""
         for _ in range(MAX_ATTEMPTS):
-            async with self._admission.place_call(call, frozenset(sending.excluded)) as target:
+            async with self._admission.place_call(call, frozenset(progress.excluded)) as target:
                 if isinstance(target, Refused):
-                    sending.reason = target.message
+                    progress.reason = target.message
                     return
-                match await self._send(target, call, sending):
+                match await self._send(target, call, progress):
                     case Answer() as answer:
-                        sending.answer = answer
+                        progress.answer = answer
                         return
                     case CallBroken():
-                        self._lost(target)
+                        self._report_lost(target)
                         return
                     case CallNotSent():
-                        self._lost(target)
+                        self._report_lost(target)
 
-    async def _unknown_result(self, call: ServiceCall, claim: Claimed, reason: str) -> CallOutcome:
+    async def _settle_unknown_result(
+        self, call: ServiceCall, claim: Claimed, reason: str
+    ) -> CallOutcome:
         log_events.emit(log_events.RUN_RESULT_UNKNOWN, request=call.request_id, reason=reason)
         await self._runs.settle(claim, RunStatus.UNKNOWN)
         return Failed(Reason.RESULT_UNKNOWN, reason, RunState.UNKNOWN)
 
-    def _lost(self, target: Target) -> None:
+    def _report_lost(self, target: Target) -> None:
         self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
 
     def _remaining_seconds(self, request: GenerateRequest | ServiceCall) -> float:
         return max(0.0, (request.deadline - self._clock.monotonic()).total_seconds())
 
 
-def _refusal(progress: _Progress, refused: Refused) -> GenerateOutcome:
+def _refused_outcome(progress: _Progress, refused: Refused) -> GenerateOutcome:
     if not progress.started:
         return refused
-    return _give_up(progress, refused.reason, progress.last_reason or refused.message)
+    return _unanswered_outcome(progress, refused.reason, progress.last_reason or refused.message)
 
 
-def _give_up(progress: _Progress, reason: Reason, message: str) -> GenerateOutcome:
+def _unanswered_outcome(progress: _Progress, reason: Reason, message: str) -> GenerateOutcome:
     retry_after = None if reason is Reason.QUARANTINED else CAPACITY_RETRY_AFTER
     if not progress.started:
         return Refused(reason, message, retry_after)
@@ -342,5 +348,5 @@
     return Failed(reason, message, run, retry_after)
 
 
-def _call_failed(reason: str) -> Failed:
+def _failed_call_outcome(reason: str) -> Failed:
     return Failed(Reason.TARGET_FAILED, reason, RunState.UNKNOWN, CAPACITY_RETRY_AFTER)
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFinished:
-    """The end mark arrived and the whole answer was verified."""
+    """The end frame arrived and the whole answer was verified."""
 
     end: EndFrame
 
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetSilent:
-    """No answer came on a new connection: the target is frozen, or the network is cut."""
+    """A new connection got no answer: the target hangs, or the network is interrupted."""
 
 
 ProbeOutcome = TargetAlive | TargetGone | TargetSilent
@@ -49,6 +49,6 @@
 
 @dataclass(frozen=True, slots=True)
 class CallBroken:
-    """The call was sent, at least in part, and no whole answer came."""
+    """The call was sent, at least in part, and no complete answer arrived."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -1,4 +1,4 @@
-"""What dispatching needs of the other layers and capabilities."""
+"""Interfaces to other layers and capabilities that dispatch depends on."""
 
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
@@ -20,7 +20,7 @@
 
 
 class AnswerSink(Protocol):
-    """Receiver of an answer's tokens; `send` waits while the caller reads slowly."""
+    """Receiver of an answer's tokens; `send` blocks while the caller reads slowly."""
 
     async def send(self, frame: TokenFrame) -> None:
         """Deliver consecutive tokens, in order and without gaps."""
@@ -38,21 +38,21 @@
         """
 
     async def probe(self, target: Target) -> ProbeOutcome:
-        """Ask an engine for a sign of life on a new connection."""
+        """Check on a new connection whether an engine responds."""
 
 
 class PlainPort(Protocol):
     """Connections to plain services."""
 
     async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
-        """Send a call once; it is not repeated below this interface."""
+        """Send a call once; implementations do not retry it."""
 
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Where an admitted request may run.
+    """Target and reserved capacity of an admitted request.
 
-    Shards hold the memory on further engines for a prompt larger than one engine's memory.
+    `shards` are reservations on further engines for a prompt larger than one engine's memory.
     """
 
     target: Target
@@ -67,9 +67,9 @@
     def admit(
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> AbstractAsyncContextManager[Placement | Refused]:
-        """Wait for capacity; leaving the context gives all of it back.
+        """Wait for capacity and reserve it until the context ends.
 
-        `excluded` are ids of targets on which the request failed before.
+        `excluded` are ids of targets on which the request has failed.
         """
 
     def place_call(
@@ -80,36 +80,36 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetFailure:
-    """Report of a target that could not be reached or cut a connection."""
+    """Report that a target could not be reached or closed a connection early."""
 
     target_id: str
     at: timedelta
 
 
 class TargetObserver(Protocol):
-    """Receiver of what dispatching sees of targets."""
+    """Receiver of target failures and answers that dispatch observes."""
 
     def target_lost(self, failure: TargetFailure) -> None:
-        """Note that a target may have died."""
+        """Record that a target may have died."""
 
     def target_answered(self, target_id: str) -> None:
-        """Note that a target answered."""
+        """Record that a target answered."""
 
 
 class SuspectObserver(Protocol):
-    """Marks of requests that ran on targets which died."""
+    """Register of requests during which targets died."""
 
     def quarantined(self, fingerprint: str) -> bool:
         """Return whether a request is refused."""
 
     def suspected(self, fingerprint: str) -> bool:
-        """Return whether a target died while it ran the request."""
+        """Return whether a target died while it processed the request."""
 
     def one_suspect(self, fingerprint: str, target_id: str) -> AbstractAsyncContextManager[None]:
-        """Wait until no other suspect runs on the target; others do not wait."""
+        """Wait until no other suspect runs on the target; other requests do not wait."""
 
     async def crashed(self, fingerprint: str, target_id: str) -> None:
-        """Mark a request that ran on a target when it died."""
+        """Mark a request as suspect because a target died while it processed the request."""
 
     async def finished(self, fingerprint: str) -> None:
-        """Clear a request that has finished."""
+        """Clear the suspicion of a request that has finished."""
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/retries.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/retries.py
@@ -1,19 +1,19 @@
-"""Budget of retries of one entry instance."""
+"""Retry budget of one entry instance."""
 
-from wasabiwell_entry.coordination.dispatch.const import RETRY_RATIO, RETRY_RESERVE
+from wasabiwell_entry.coordination.dispatch.const import MAX_RETRY_BUDGET, RETRY_RATIO
 
 
 class RetryBudget:
-    """Allows retries as a share of first attempts."""
+    """Limits retries to a share of the first attempts."""
 
     __slots__ = ("_available",)
 
     def __init__(self) -> None:
-        self._available = RETRY_RESERVE
+        self._available = MAX_RETRY_BUDGET
 
     def count_first_attempt(self) -> None:
-        """Add the share of a retry that a first attempt allows."""
-        self._available = min(RETRY_RESERVE, self._available + RETRY_RATIO)
+        """Add the share of a retry that each first attempt allows."""
+        self._available = min(MAX_RETRY_BUDGET, self._available + RETRY_RATIO)
 
     def take(self) -> bool:
         """Use one retry; return False when none is left."""
--- a/tests/support/assembler_machine.py
+++ b/tests/support/assembler_machine.py
@@ -5,7 +5,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
-from wasabiwell_entry.coordination.dispatch.assembler import AnswerAssembler
+from wasabiwell_entry.coordination.dispatch.assembler import ResponseAssembler
 from wasabiwell_entry.protocol.engine import FrameReader
 from wasabiwell_entry.state.requests import EndFrame, StreamItem, TokenFrame
 
@@ -22,7 +22,7 @@
     @initialize()
     def start(self) -> None:
         """Begin an answer."""
-        self.assembler = AnswerAssembler()
+        self.assembler = ResponseAssembler()
         self.reader = FrameReader(CURRENT)
         self.delivered = ""
         self.finished = False
