--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/assembler.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/assembler.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from wasabiwell_entry.state.requests import EndFrame, StreamBroken, TokenFrame
+from wasabiwell_entry.state.requests import EndFrame, StreamInterrupted, TokenFrame
 
 
 class ResponseAssembler:
@@ -25,21 +25,21 @@
         """Return the text accepted so far."""
         return "".join(self._texts)
 
-    def accept(self, frame: TokenFrame) -> StreamBroken | None:
+    def accept(self, frame: TokenFrame) -> StreamInterrupted | None:
         """Accept the next frame, or return why it does not continue the response."""
         if frame.offset != self._offset:
-            return StreamBroken(f"expected offset {self._offset}, got {frame.offset}")
+            return StreamInterrupted(f"expected offset {self._offset}, got {frame.offset}")
         self._offset += frame.count
         self._texts.append(frame.text)
         self._digest.update(frame.text.encode())
         return None
 
-    def verify(self, end: EndFrame) -> StreamBroken | None:
+    def verify(self, end: EndFrame) -> StreamInterrupted | None:
         """Return why an end frame does not match the response, or None when it is complete."""
         if end.tokens != self._offset:
-            return StreamBroken(
+            return StreamInterrupted(
                 f"the end frame counts {end.tokens} tokens, {self._offset} were received"
             )
         if end.digest != self._digest.hexdigest():
-            return StreamBroken("the digest of the end frame does not match the received text")
+            return StreamInterrupted("the digest of the end frame does not match the received text")
         return None
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -37,7 +37,6 @@
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.outcomes import (
-    Answer,
     CallOutcome,
     Failed,
     Finished,
@@ -45,6 +44,7 @@
     Reason,
     Refused,
     RunState,
+    ServiceResponse,
 )
 from wasabiwell_entry.state.reports import without_target_text
 from wasabiwell_entry.state.requests import (
@@ -52,7 +52,7 @@
     EndFrame,
     GenerateRequest,
     ServiceCall,
-    StreamBroken,
+    StreamInterrupted,
     TokenFrame,
 )
 from wasabiwell_entry.state.runs import RunStatus
@@ -76,7 +76,7 @@
 
     excluded: set[str] = field(default_factory=set)
     sent: bool = False
-    answer: Answer | None = None
+    answer: ServiceResponse | None = None
     refused: Refused | None = None
     reason: str = "the deadline has passed"
 
@@ -214,12 +214,12 @@
                         if (broken := progress.assembler.verify(item)) is not None:
                             return AttemptBroken(broken)
                         return AttemptFinished(item)
-                    case StreamBroken():
+                    case StreamInterrupted():
                         return AttemptBroken(item)
-        return AttemptBroken(StreamBroken("the stream ended without an end frame"))
+        return AttemptBroken(StreamInterrupted("the stream ended without an end frame"))
 
     async def _handle_broken_attempt(
-        self, target: Target, attempt: Attempt, broken: StreamBroken
+        self, target: Target, attempt: Attempt, broken: StreamInterrupted
     ) -> None:
         log_events.emit(
             log_events.ATTEMPT_FAILED,
@@ -260,7 +260,7 @@
                     progress.refused = target
                     return
                 match await self._send(target, call, progress):
-                    case Answer(status=status) as answer:
+                    case ServiceResponse(status=status) as answer:
                         progress.answer = answer
                         if status != SERVICE_UNAVAILABLE:
                             return
@@ -269,7 +269,7 @@
 
     async def _send(
         self, target: Target, call: ServiceCall, progress: _CallProgress
-    ) -> Answer | CallNotSent | CallBroken:
+    ) -> ServiceResponse | CallNotSent | CallBroken:
         """Send a call once; it counts as sent unless the outcome proves that it was not."""
         sent_before = progress.sent
         progress.excluded.add(target.target_id)
@@ -311,7 +311,7 @@
                     progress.reason = target.message
                     return
                 match await self._send(target, call, progress):
-                    case Answer() as answer:
+                    case ServiceResponse() as answer:
                         progress.answer = answer
                         return
                     case CallBroken():
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -34,16 +34,16 @@
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import AttemptVerdict
 from wasabiwell_entry.state.forwarding import (
-    AnswerEnd,
-    AnswerEvent,
-    AnswerHead,
-    AnswerPart,
-    Broken,
     ForwardAttempt,
     Forwarded,
     ForwardedRequest,
     NotRun,
     NotSent,
+    ResponseChunk,
+    ResponseEnd,
+    ResponseEvent,
+    ResponseHead,
+    ResponseInterrupted,
 )
 from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
 from wasabiwell_entry.state.routes import RouteKind
@@ -145,7 +145,7 @@
                         request, progress
                     ):
                         return await _deliver_buffered(buffered, sink)
-                case Broken(reason=reason):
+                case ResponseInterrupted(reason=reason):
                     progress.reason = reason
                     if not self._may_retry(request, progress):
                         return await self._finish_unanswered(
@@ -231,7 +231,7 @@
         )
         with self._ledger.open(request, placement) as opened:
             outcome = await self._relay(attempt, sink, progress, opened, silence_timeout)
-            if isinstance(outcome, Broken) and outcome.target_lost:
+            if isinstance(outcome, ResponseInterrupted) and outcome.target_lost:
                 outcome = await self._confirm_target_loss(request, target, outcome)
             lost_helpers = _lost_helpers(attempt, outcome)
             opened.verdict = AttemptVerdict.ABANDONED if lost_helpers else _verdict(outcome)
@@ -247,8 +247,8 @@
         return outcome
 
     async def _confirm_target_loss(
-        self, request: ForwardedRequest, target: Target, broken: Broken
-    ) -> Broken:
+        self, request: ForwardedRequest, target: Target, broken: ResponseInterrupted
+    ) -> ResponseInterrupted:
         """Record a crash when the target is gone, but not when it only cut the connection."""
         if await self._targets.accepts_connections(target):
             return replace(broken, target_lost=False)
@@ -289,43 +289,45 @@
         opened: OpenPlacement,
         silence_timeout: SilenceTimeout,
     ) -> AttemptOutcome:
-        head: AnswerHead | None = None
+        head: ResponseHead | None = None
         buffer: list[bytes] = []
         async with self._targets.attempt(attempt) as items:
             async for item in items:
                 match item:
-                    case AnswerHead():
+                    case ResponseHead():
                         head = item
                         silence_timeout.begin()
                         if _is_stream(attempt.request, head):
-                            self._ledger.begin_writing(opened)
+                            self._ledger.start_decode(opened)
                             await self._begin_answer(head, sink, progress)
-                    case AnswerEvent(event_id=event_id, data=data):
+                    case ResponseEvent(event_id=event_id, data=data):
                         broken = _check_order(event_id, progress)
                         if broken is not None:
                             return broken
                         self._ledger.record_event(opened)
                         await sink.send(data)
-                    case AnswerPart(data=data):
+                    case ResponseChunk(data=data):
                         buffer.append(data)
                         if sum(map(len, buffer)) > MAX_BUFFERED_BYTES and head is not None:
                             await self._begin_answer(head, sink, progress)
                             await sink.send(b"".join(buffer))
                             buffer.clear()
-                    case AnswerEnd():
+                    case ResponseEnd():
                         if head is None:
-                            return Broken("the answer has no head")
+                            return ResponseInterrupted("the answer has no head")
                         if not progress.answer_started:
                             return Buffered(head, b"".join(buffer))
                         if buffer:
                             await sink.send(b"".join(buffer))
                         await sink.finish()
                         return Delivered(head.status)
-                    case NotSent() | NotRun() | Broken():
+                    case NotSent() | NotRun() | ResponseInterrupted():
                         return item
-        return Broken("the answer has no end")
+        return ResponseInterrupted("the answer has no end")
 
-    async def _begin_answer(self, head: AnswerHead, sink: AnswerSink, progress: _Progress) -> None:
+    async def _begin_answer(
+        self, head: ResponseHead, sink: AnswerSink, progress: _Progress
+    ) -> None:
         """Deliver the head unless an earlier attempt has delivered one before it was resumed."""
         if not progress.answer_started:
             progress.answer_started = True
@@ -367,7 +369,7 @@
     return Forwarded(buffered.head.status)
 
 
-def _is_stream(request: ForwardedRequest, head: AnswerHead) -> bool:
+def _is_stream(request: ForwardedRequest, head: ResponseHead) -> bool:
     return request.route.kind is RouteKind.STREAM and head.status < 300
 
 
@@ -377,12 +379,12 @@
     return allowed_silence + PROBE_MARGIN
 
 
-def _check_order(event_id: int | None, progress: _Progress) -> Broken | None:
+def _check_order(event_id: int | None, progress: _Progress) -> ResponseInterrupted | None:
     """Record the id of an event, or return an error when it does not follow the last one."""
     if event_id is None:
         return None
     if progress.last_event is not None and event_id != progress.last_event + 1:
-        return Broken(f"event {event_id} came after event {progress.last_event}")
+        return ResponseInterrupted(f"event {event_id} came after event {progress.last_event}")
     progress.last_event = event_id
     return None
 
@@ -406,9 +408,9 @@
             return AttemptVerdict.LOST
         case NotRun():
             return AttemptVerdict.REFUSED
-        case Broken(target_lost=True):
+        case ResponseInterrupted(target_lost=True):
             return AttemptVerdict.LOST
-        case Broken():
+        case ResponseInterrupted():
             return AttemptVerdict.FAILED
 
 
@@ -423,7 +425,7 @@
     """Return the inputs and the result of a placement as log fields."""
     size = attempt.request.size
     helpers = [
-        f"{helper.target.target_id}:{helper.hold_tokens}".removesuffix(":0")
+        f"{helper.target.target_id}:{helper.kv_tokens}".removesuffix(":0")
         for helper in attempt.helpers
     ]
     return {
@@ -452,5 +454,5 @@
             return f"not run: {reason}"
         case NotRun(reason=reason, at_fault=at_fault):
             return f"not run: {reason}, at fault: {at_fault}"
-        case Broken(reason=reason):
+        case ResponseInterrupted(reason=reason):
             return f"broken: {reason}"
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/errors.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from wasabiwell_entry.state.forwarding import AnswerHead, Broken, NotRun, NotSent
+from wasabiwell_entry.state.forwarding import NotRun, NotSent, ResponseHead, ResponseInterrupted
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,8 +16,8 @@
 class Buffered:
     """The whole answer is buffered, and no part of it was delivered to the sink."""
 
-    head: AnswerHead
+    head: ResponseHead
     body: bytes = field(repr=False)
 
 
-AttemptOutcome = Delivered | Buffered | NotSent | NotRun | Broken
+AttemptOutcome = Delivered | Buffered | NotSent | NotRun | ResponseInterrupted
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/helper_memory.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/helper_memory.py
@@ -28,24 +28,24 @@
     A helper that does not reserve its part is replaced by the next one without a reservation, as
     all parts are equal.
     """
-    parts = [helper.hold_tokens for helper in placement.helpers if helper.hold_tokens]
+    parts = [helper.kv_tokens for helper in placement.helpers if helper.kv_tokens]
     if not parts:
         yield placement
         return
     reserved: list[Helper] = []
     refused: list[str] = []
     try:
-        untried = [replace(helper, hold_tokens=0) for helper in placement.helpers]
+        untried = [replace(helper, kv_tokens=0) for helper in placement.helpers]
         while (missing := len(parts) - len(reserved)) and missing <= len(untried):
             asked, untried = untried[:missing], untried[missing:]
-            asked = [replace(helper, hold_tokens=parts[0]) for helper in asked]
+            asked = [replace(helper, kv_tokens=parts[0]) for helper in asked]
             await _reserve_all(reservations, asked, owner, reserved, refused)
         if len(reserved) < len(parts):
             yield NotReserved(tuple(refused))
             return
         reserved_by_id = {helper.target.target_id: helper for helper in reserved}
         others = (
-            replace(helper, hold_tokens=0)
+            replace(helper, kv_tokens=0)
             for helper in placement.helpers
             if helper.target.target_id not in reserved_by_id
         )
@@ -67,7 +67,7 @@
     async def reserve(helper: Helper) -> None:
         target = helper.target
         outcome = await reservations.reserve(
-            target, f"{owner}-{target.target_id}", helper.hold_tokens
+            target, f"{owner}-{target.target_id}", helper.kv_tokens
         )
         if isinstance(outcome, Reserved):
             reserved.append(replace(helper, reservation_id=outcome.reservation_id))
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -94,7 +94,7 @@
         requests, or when the local candidate costs too much.
         """
         allowed = max(0.0, request.route.objective.total_seconds() - self._elapsed(request, now))
-        short_requests = self._works.value_rate(request.service, now)
+        short_requests = self._works.arrival_stats(request.service, now)
 
         def search(compared: list[TargetWork]) -> PlacementCandidate:
             states = [engine_state(work, now, self._target_cost(work)) for work in compared]
@@ -138,7 +138,7 @@
         return Placement(chosen.target, (), URGENCY_SHORT, 0.0)
 
     def _plain_cost(self, work: TargetWork) -> tuple[float, str]:
-        load = len(work.residents) / work.slots
+        load = len(work.requests) / work.slots
         return load + self._target_cost(work), work.target.target_id
 
     def _target_cost(self, work: TargetWork) -> float:
@@ -149,8 +149,8 @@
 
 
 def _least_loaded(works: list[TargetWork]) -> list[TargetWork]:
-    least = min(work.leads for work in works)
-    return [work for work in works if work.leads == least]
+    least = min(work.occupied_slots for work in works)
+    return [work for work in works if work.occupied_slots == least]
 
 
 def _comparison_window(works: list[TargetWork], key: str) -> list[TargetWork]:
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/estimate.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/estimate.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from wasabiwell_entry.coordination.placement.const import CERTAINLY_LATE_RATIO, POSSIBLY_LATE_RATIO
-from wasabiwell_entry.state.work import LATE_SHARE, Resident, TargetWork
+from wasabiwell_entry.state.work import LATE_PENALTY, TargetRequest, TargetWork
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,8 +20,8 @@
     """
 
     work: TargetWork
-    decoding: tuple[Resident, ...]
-    prefill_queue: tuple[Resident, ...]
+    decoding: tuple[TargetRequest, ...]
+    prefill_queue: tuple[TargetRequest, ...]
     decode_step_seconds: float
     split_prefill: float
     unsplit_prefill: float
@@ -43,32 +43,36 @@
 def engine_state(work: TargetWork, now: float, target_cost: float = 0.0) -> EngineState:
     """Return the predicted state of an engine at the time `now`."""
     work.advance(now)
-    decoding = work.writers()
-    prefill_queue = work.reading_order()
-    split_prefill = sum(item.read_left for item in prefill_queue if item.part) * work.pace
-    unsplit_prefill = sum(item.read_left for item in prefill_queue if not item.part) * work.pace
+    decoding = work.decoding_requests()
+    prefill_queue = work.prefill_order()
+    split_prefill = (
+        sum(item.prefill_seconds_left for item in prefill_queue if item.split) * work.slowdown
+    )
+    unsplit_prefill = (
+        sum(item.prefill_seconds_left for item in prefill_queue if not item.split) * work.slowdown
+    )
     return EngineState(
         work=work,
         decoding=tuple(decoding),
         prefill_queue=tuple(prefill_queue),
-        decode_step_seconds=work.pass_seconds(decoding),
+        decode_step_seconds=work.iteration_seconds(decoding),
         split_prefill=split_prefill,
         unsplit_prefill=unsplit_prefill,
         slot_wait=_slot_wait(work, decoding),
-        lead_count=work.leads,
+        lead_count=work.occupied_slots,
         target_cost=target_cost,
     )
 
 
-def _slot_wait(work: TargetWork, decoding: list[Resident]) -> float:
+def _slot_wait(work: TargetWork, decoding: list[TargetRequest]) -> float:
     """Return how long a new request waits for a slot."""
-    excess = work.leads - work.slots
+    excess = work.occupied_slots - work.slots
     if excess < 0:
         return 0.0
-    remaining = sorted(item.write_left for item in decoding)
+    remaining = sorted(item.decode_seconds_left for item in decoding)
     if not remaining:
         return 0.0
-    return remaining[min(excess, len(remaining) - 1)] * work.pace
+    return remaining[min(excess, len(remaining) - 1)] * work.slowdown
 
 
 def lateness(seconds: float, allowed: float) -> float:
@@ -86,12 +90,12 @@
 
     Engines process parts of split prompts before all other prefill work.
     """
-    return state.expected_step_wait + prefill * state.work.pace
+    return state.expected_step_wait + prefill * state.work.slowdown
 
 
 def single_engine_finish(state: EngineState, prefill: float) -> float:
     """Return the time to the first event of a prompt that is placed on this engine alone."""
-    prefill_end = state.pending_prefill + prefill * state.work.pace
+    prefill_end = state.pending_prefill + prefill * state.work.slowdown
     return state.slot_wait + state.expected_step_wait + prefill_end + state.decode_step_seconds
 
 
@@ -100,14 +104,14 @@
     if not state.decoding:
         return 0.0
     before = state.decode_step_seconds + state.pending_prefill
-    after = before + prefill * state.work.pace
+    after = before + prefill * state.work.slowdown
     cost = 0.0
     for stream in state.decoding:
-        if stream.write_left <= 0:
+        if stream.decode_seconds_left <= 0:
             continue
         gap = stream.placed.gap
         cost += stream.value * (lateness(after, gap) - lateness(before, gap))
-    return LATE_SHARE * cost
+    return LATE_PENALTY * cost
 
 
 def prefill_delay_costs(state: EngineState, prefill: float, now: float) -> dict[str, float]:
@@ -118,11 +122,11 @@
     costs: dict[str, float] = {}
     ahead = state.expected_step_wait
     for waiting in state.prefill_queue:
-        ahead += waiting.read_left * state.work.pace
+        ahead += waiting.prefill_seconds_left * state.work.slowdown
         allowed = waiting.placed.due - waiting.placed.placed_at
         elapsed = now - waiting.placed.placed_at
         before = lateness(elapsed + ahead, allowed)
-        after = lateness(elapsed + ahead + prefill * state.work.pace, allowed)
+        after = lateness(elapsed + ahead + prefill * state.work.slowdown, allowed)
         if after > before:
-            costs[waiting.placed.request_id] = LATE_SHARE * waiting.value * (after - before)
+            costs[waiting.placed.request_id] = LATE_PENALTY * waiting.value * (after - before)
     return costs
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -11,15 +11,15 @@
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
     AttemptVerdict,
-    Ending,
+    DecodeStarted,
     HelperLoss,
     Notice,
-    PaceNotice,
-    Placing,
-    Writing,
+    RequestEnded,
+    RequestPlaced,
+    SlowdownNotice,
 )
 from wasabiwell_entry.state.forwarding import ForwardedRequest
-from wasabiwell_entry.state.work import Placed, WorkTable
+from wasabiwell_entry.state.work import PlacedRequest, WorkTable
 
 LOCAL_ORIGIN = ""
 """Origin of the placements that this entry instance made itself."""
@@ -33,7 +33,7 @@
     before any.
     """
 
-    placed: Placed
+    placed: PlacedRequest
     verdict: AttemptVerdict = AttemptVerdict.ABANDONED
     first_at: timedelta | None = None
     last_at: timedelta | None = None
@@ -94,7 +94,7 @@
     def open(self, request: ForwardedRequest, placement: Placement) -> Iterator[OpenPlacement]:
         """Record a placement until the context ends."""
         now = self._now()
-        placed = Placed(
+        placed = PlacedRequest(
             request_id=request.request_id,
             origin=LOCAL_ORIGIN,
             service=request.service,
@@ -104,16 +104,18 @@
             due=request.received.total_seconds() + request.route.objective.total_seconds(),
             gap=request.route.event_gap.total_seconds(),
             size=request.size,
-            holds=tuple(helper.hold_tokens for helper in placement.helpers if helper.hold_tokens),
+            helper_kv_tokens=tuple(
+                helper.kv_tokens for helper in placement.helpers if helper.kv_tokens
+            ),
         )
         self._works.add(placed, now)
-        self._notify(Placing(placement_notice(placed, now)))
+        self._notify(RequestPlaced(placement_notice(placed, now)))
         opened = OpenPlacement(placed)
         try:
             yield opened
         finally:
             self._works.remove(placed.request_id, self._now())
-            self._notify(Ending(placed.request_id, placed.lead, opened.verdict))
+            self._notify(RequestEnded(placed.request_id, placed.lead, opened.verdict))
             self._report_verdict(placed.lead, opened.verdict)
 
     def record_lost_helper(self, target_id: str) -> None:
@@ -121,12 +123,12 @@
         self._report_lost_helper(target_id)
         self._notify(HelperLoss(target_id))
 
-    def begin_writing(self, opened: OpenPlacement) -> None:
+    def start_decode(self, opened: OpenPlacement) -> None:
         """Record the first event of a placed request."""
-        opened.placed = replace(opened.placed, writing=True)
+        opened.placed = replace(opened.placed, decoding=True)
         opened.first_at = self._clock.monotonic()
-        self._works.begin_writing(opened.placed.request_id, self._now())
-        self._notify(Writing(opened.placed.request_id))
+        self._works.start_decode(opened.placed.request_id, self._now())
+        self._notify(DecodeStarted(opened.placed.request_id))
 
     def record_event(self, opened: OpenPlacement) -> None:
         """Record an event; notify the other instances when the pace of its engine changes."""
@@ -135,11 +137,11 @@
         work = self._works.get(target_id)
         if sample is None or work is None:
             return
-        work.observe_pace(sample.total_seconds(), self._now())
+        work.observe_slowdown(sample.total_seconds(), self._now())
         notified = self._notified_paces.get(target_id, 1.0)
-        if max(work.pace, notified) > PACE_NOTICE_RATIO * min(work.pace, notified):
-            self._notified_paces[target_id] = work.pace
-            self._notify(PaceNotice(target_id, work.pace))
+        if max(work.slowdown, notified) > PACE_NOTICE_RATIO * min(work.slowdown, notified):
+            self._notified_paces[target_id] = work.slowdown
+            self._notify(SlowdownNotice(target_id, work.slowdown))
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
@@ -26,7 +26,7 @@
 )
 from wasabiwell_entry.state.forwarding import ForwardedRequest, Helper, PromptSize
 from wasabiwell_entry.state.routes import EngineProfile
-from wasabiwell_entry.state.work import LATE_SHARE, request_value
+from wasabiwell_entry.state.work import LATE_PENALTY, request_value
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +99,7 @@
 
     def best(self) -> PlacementCandidate:
         """Return the cheapest candidate."""
-        prefill = self._profile.read_seconds(self._size.prompt)
+        prefill = self._profile.prefill_seconds(self._size.prompt)
         candidates = [self._best_single_engine_candidate(prefill)]
         if prefill > MIN_SPLIT_PREFILL_SECONDS:
             max_engines = min(len(self._states), MAX_HELPERS + 1)
@@ -126,7 +126,7 @@
     def _has_similar_request(self, state: EngineState) -> bool:
         """Return whether an engine decodes a request with the same or a shorter allowed pause."""
         allowed = self._request.route.event_gap.total_seconds()
-        residents = state.work.residents.values()
+        residents = state.work.requests.values()
         return any(item.lead and item.placed.gap <= allowed for item in residents)
 
     def _split_candidate(self, prefill: float, count: int) -> PlacementCandidate:
@@ -182,14 +182,14 @@
         others = [state for state in self._states if id(state) not in chosen_ids]
         free = sum(max(0, state.work.slots - state.lead_count) for state in others)
         slots = sum(state.work.slots for state in others)
-        freed = slots * part / max(MIN_DECODE_SECONDS, self._profile.usual_write_seconds)
+        freed = slots * part / max(MIN_DECODE_SECONDS, self._profile.usual_decode_seconds)
         excess = self._short_request_rate * part - free - freed
-        return LATE_SHARE * self._short_request_value * max(0.0, excess)
+        return LATE_PENALTY * self._short_request_value * max(0.0, excess)
 
     def _latency_cost(self, finish: float) -> float:
         late_probability = lateness(finish, self._allowed) if self._allowed > 0 else 1.0
         objective = self._request.route.objective.total_seconds()
-        return self._value * (LATE_SHARE * late_probability + LATENCY_COST * finish / objective)
+        return self._value * (LATE_PENALTY * late_probability + LATENCY_COST * finish / objective)
 
     def _slot_cost(self, state: EngineState) -> float:
         """Return the cost of taking a slot of an engine."""
