--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -17,16 +17,16 @@
     AttemptBroken,
     AttemptFinished,
     AttemptOutcome,
-    CallBroken,
+    CallInterrupted,
     CallNotSent,
-    TargetGone,
+    TargetDown,
 )
 from wasabiwell_entry.coordination.dispatch.ports import (
     AdmissionPort,
-    AnswerSink,
     EnginePort,
     Placement,
     PlainPort,
+    ResponseSink,
     SuspectObserver,
     TargetFailure,
     TargetObserver,
@@ -114,7 +114,7 @@
         self._clock = clock
         self._retries = RetryBudget()
 
-    async def generate(self, request: GenerateRequest, sink: AnswerSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
         progress = _Progress()
         with trio.move_on_after(self._remaining_seconds(request)):
@@ -128,7 +128,7 @@
         return await self._call_once(call)
 
     async def _generate(
-        self, request: GenerateRequest, sink: AnswerSink, progress: _Progress
+        self, request: GenerateRequest, sink: ResponseSink, progress: _Progress
     ) -> GenerateOutcome:
         self._retries.count_first_attempt()
         while True:
@@ -165,7 +165,7 @@
         """
         if not self._suspects.suspected(request.fingerprint):
             return False
-        if not isinstance(await self._engines.probe(target), TargetGone):
+        if not isinstance(await self._engines.probe(target), TargetDown):
             return False
         self._report_lost(target)
         return True
@@ -173,7 +173,7 @@
     async def _attempt(
         self,
         request: GenerateRequest,
-        sink: AnswerSink,
+        sink: ResponseSink,
         progress: _Progress,
         placement: Placement,
     ) -> AttemptOutcome:
@@ -200,7 +200,7 @@
         return outcome
 
     async def _relay(
-        self, target: Target, attempt: Attempt, sink: AnswerSink, progress: _Progress
+        self, target: Target, attempt: Attempt, sink: ResponseSink, progress: _Progress
     ) -> AttemptOutcome:
         async with self._engines.generate(target, attempt) as items:
             async for item in items:
@@ -234,7 +234,7 @@
         if broken.refused:
             return
         # Only a dead target counts: a network failure would mark all requests as suspects.
-        if isinstance(await self._engines.probe(target), TargetGone):
+        if isinstance(await self._engines.probe(target), TargetDown):
             await self._suspects.crashed(attempt.request.fingerprint, target.target_id)
 
     async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
@@ -264,12 +264,12 @@
                         progress.answer = answer
                         if status != SERVICE_UNAVAILABLE:
                             return
-                    case CallNotSent() | CallBroken():
+                    case CallNotSent() | CallInterrupted():
                         self._report_lost(target)
 
     async def _send(
         self, target: Target, call: ServiceCall, progress: _CallProgress
-    ) -> ServiceResponse | CallNotSent | CallBroken:
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Send a call once; it counts as sent unless the outcome proves that it was not."""
         sent_before = progress.sent
         progress.excluded.add(target.target_id)
@@ -279,7 +279,7 @@
             case CallNotSent(reason=reason):
                 progress.sent = sent_before
                 progress.reason = reason
-            case CallBroken(reason=reason):
+            case CallInterrupted(reason=reason):
                 progress.reason = reason
         return outcome
 
@@ -314,7 +314,7 @@
                     case ServiceResponse() as answer:
                         progress.answer = answer
                         return
-                    case CallBroken():
+                    case CallInterrupted():
                         self._report_lost(target)
                         return
                     case CallNotSent():
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TargetGone:
+class TargetDown:
     """The target refused or closed a new connection."""
 
 
@@ -37,7 +37,7 @@
     """A new connection got no answer: the target hangs, or the network is interrupted."""
 
 
-ProbeOutcome = TargetAlive | TargetGone | TargetSilent
+ProbeOutcome = TargetAlive | TargetDown | TargetSilent
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +48,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallBroken:
+class CallInterrupted:
     """The call was sent, at least in part, and no complete answer arrived."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent, ProbeOutcome
+from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted, CallNotSent, ProbeOutcome
 from wasabiwell_entry.state.outcomes import Refused, ServiceResponse
 from wasabiwell_entry.state.requests import (
     Attempt,
@@ -19,7 +19,7 @@
 from wasabiwell_entry.state.targets import Target
 
 
-class AnswerSink(Protocol):
+class ResponseSink(Protocol):
     """Receiver of an answer's tokens; `send` blocks while the caller reads slowly."""
 
     async def send(self, frame: TokenFrame) -> None:
@@ -46,7 +46,7 @@
 
     async def call(
         self, target: Target, call: ServiceCall
-    ) -> ServiceResponse | CallNotSent | CallBroken:
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Send a call once; implementations do not retry it."""
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -22,7 +22,7 @@
     NotReserved,
     reserve_helper_memory,
 )
-from wasabiwell_entry.coordination.forwarding.ports import AnswerSink, TargetPort
+from wasabiwell_entry.coordination.forwarding.ports import ResponseSink, TargetPort
 from wasabiwell_entry.coordination.forwarding.silence_timeout import SilenceTimeout
 from wasabiwell_entry.coordination.placement import Placer
 from wasabiwell_entry.coordination.placement.const import NO_TARGET_RETRY_AFTER
@@ -101,7 +101,7 @@
         self._budget = budget
         self._clock = clock
 
-    async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
+    async def forward(self, request: ForwardedRequest, sink: ResponseSink) -> ForwardOutcome:
         """Forward a request and deliver its answer to the sink.
 
         After a `Failed` the sink may have received a part of the answer, which must not be
@@ -114,7 +114,7 @@
         return _unanswered_outcome(progress, Reason.DEADLINE_EXCEEDED, progress.reason)
 
     async def _forward(
-        self, request: ForwardedRequest, sink: AnswerSink, progress: _Progress
+        self, request: ForwardedRequest, sink: ResponseSink, progress: _Progress
     ) -> ForwardOutcome:
         while True:
             crashes = self._crashes.crashes(request.fingerprint)
@@ -181,7 +181,7 @@
         self,
         request: ForwardedRequest,
         placement: Placement,
-        sink: AnswerSink,
+        sink: ResponseSink,
         progress: _Progress,
     ) -> AttemptOutcome:
         progress.sends += 1
@@ -201,7 +201,7 @@
         self,
         request: ForwardedRequest,
         placement: Placement,
-        sink: AnswerSink,
+        sink: ResponseSink,
         progress: _Progress,
     ) -> AttemptOutcome:
         progress.runs += 1
@@ -217,7 +217,7 @@
             helpers=placement.helpers,
             urgency=placement.urgency,
             time_left=self._time_left(request),
-            patience=silence_timeout.current,
+            silence_timeout=silence_timeout.current,
             probe_interval=_probe_interval(request),
             resume_after=progress.last_event,
         )
@@ -284,7 +284,7 @@
     async def _relay(
         self,
         attempt: ForwardAttempt,
-        sink: AnswerSink,
+        sink: ResponseSink,
         progress: _Progress,
         opened: OpenPlacement,
         silence_timeout: SilenceTimeout,
@@ -326,7 +326,7 @@
         return ResponseInterrupted("the answer has no end")
 
     async def _begin_answer(
-        self, head: ResponseHead, sink: AnswerSink, progress: _Progress
+        self, head: ResponseHead, sink: ResponseSink, progress: _Progress
     ) -> None:
         """Deliver the head unless an earlier attempt has delivered one before it was resumed."""
         if not progress.answer_started:
@@ -334,7 +334,7 @@
             await sink.begin(head)
 
     async def _finish_unanswered(
-        self, progress: _Progress, sink: AnswerSink, reason: str, retry_after: timedelta
+        self, progress: _Progress, sink: ResponseSink, reason: str, retry_after: timedelta
     ) -> ForwardOutcome:
         """Return the outcome of a request for which no further target is tried."""
         if progress.buffered is not None and not progress.answer_started:
@@ -361,7 +361,7 @@
         return max(timedelta(), request.deadline - self._clock.monotonic())
 
 
-async def _deliver_buffered(buffered: Buffered, sink: AnswerSink) -> Forwarded:
+async def _deliver_buffered(buffered: Buffered, sink: ResponseSink) -> Forwarded:
     await sink.begin(buffered.head)
     if buffered.body:
         await sink.send(buffered.body)
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
@@ -8,7 +8,7 @@
 from wasabiwell_entry.state.targets import Target
 
 
-class AnswerSink(Protocol):
+class ResponseSink(Protocol):
     """Receiver of an answer; its methods block while the caller reads slowly."""
 
     async def begin(self, head: ResponseHead) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/observed.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/observed.py
@@ -7,13 +7,13 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Protocol
 
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent, ProbeOutcome
+from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted, CallNotSent, ProbeOutcome
 from wasabiwell_entry.coordination.dispatch.ports import (
     AdmissionPort,
-    AnswerSink,
     EnginePort,
     Placement,
     PlainPort,
+    ResponseSink,
 )
 from wasabiwell_entry.coordination.telemetry.ports import Telemetry
 from wasabiwell_entry.coordination.telemetry.records import RequestLog
@@ -46,7 +46,7 @@
 class RequestRunner(Protocol):
     """What front ends call: the dispatcher, observed or not."""
 
-    async def generate(self, request: GenerateRequest, sink: AnswerSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
 
     async def call(self, call: ServiceCall) -> CallOutcome:
@@ -66,7 +66,7 @@
         self._counters = counters
         self._telemetry = telemetry
 
-    async def generate(self, request: GenerateRequest, sink: AnswerSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
         record = self._log.open(request)
         self._counters.open_streams += 1
@@ -235,7 +235,7 @@
 
     async def call(
         self, target: Target, call: ServiceCall
-    ) -> ServiceResponse | CallNotSent | CallBroken:
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Send a call once."""
         record = self._log.begin_attempt(call, call.request_id, target.target_id)
         with self._telemetry.span("plain call", {"wasabiwell.target": target.target_id}):
@@ -246,7 +246,7 @@
                         self._log.end_attempt(call, record, "answered", f"status {status}")
                     case CallNotSent(reason=reason):
                         self._log.end_attempt(call, record, "not sent", reason)
-                    case CallBroken(reason=reason):
+                    case CallInterrupted(reason=reason):
                         self._log.end_attempt(call, record, "broken", reason)
                 return outcome
             finally:
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -33,7 +33,7 @@
 from wasabiwell_entry.coordination.quarantine.marks import MarkedSuspects
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.routing.errors import UnknownPolicy
-from wasabiwell_entry.coordination.routing.policies import Current, Policy, policy_of
+from wasabiwell_entry.coordination.routing.policies import LoadAware, Policy, policy_by_name
 from wasabiwell_entry.coordination.runs.coordinator import open_run_coordinator
 from wasabiwell_entry.coordination.targets import TargetCoordinator
 from wasabiwell_entry.coordination.telemetry.observed import (
@@ -170,7 +170,7 @@
         limits = LimitCoordinator(own, members, organisation, PeerLimitOwners(peers), clock)
         policy = _policy(settings)
         match policy:
-            case Current(shares_credits=True):
+            case LoadAware(shares_credits=True):
                 capacity: CreditHolder | LoadCapacity = credit_holder
             case _:
                 capacity = LoadCapacity(target_table, clock, lambda: len(members.alive()))
@@ -324,7 +324,7 @@
 
 def _policy(settings: Settings) -> Policy:
     """Return the policy that the settings name; they were checked at start."""
-    policy = policy_of(settings.policy)
+    policy = policy_by_name(settings.policy)
     assert not isinstance(policy, UnknownPolicy), policy
     return policy
 
--- a/packages/entry/src/wasabiwell_entry/state/forwarding.py
+++ b/packages/entry/src/wasabiwell_entry/state/forwarding.py
@@ -68,7 +68,7 @@
     """One send of a request to a target.
 
     `urgency` orders requests that wait at an engine, 0 first. `time_left` is how long the target
-    may work. `patience` returns how long it may be silent now; after each `probe_interval` of
+    may work. `silence_timeout` returns how long it may be silent now; after each `probe_interval` of
     silence it is asked for a sign of life. `resume_after` is the id of the last event that the
     caller has.
     """
@@ -78,7 +78,7 @@
     helpers: tuple[Helper, ...]
     urgency: int
     time_left: timedelta
-    patience: Callable[[], timedelta]
+    silence_timeout: Callable[[], timedelta]
     probe_interval: timedelta
     resume_after: int | None = None
 
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -12,7 +12,7 @@
 from wasabiwell_entry.coordination.dispatch.errors import (
     ProbeOutcome,
     TargetAlive,
-    TargetGone,
+    TargetDown,
     TargetSilent,
 )
 from wasabiwell_entry.coordination.targets.errors import LoadUnavailable
@@ -89,7 +89,7 @@
         except httpcore.TimeoutException:
             return TargetSilent()
         except BROKEN:
-            return TargetGone()
+            return TargetDown()
         return TargetAlive()
 
     async def load(self, target: Target) -> LoadReport | LoadUnavailable:
@@ -186,7 +186,7 @@
                     if self._clock.monotonic() - begun < allowed:
                         continue
                     broken = StreamInterrupted("the stream is silent, the engine is not", silent=True)
-                case TargetGone() | TargetSilent():
+                case TargetDown() | TargetSilent():
                     broken = StreamInterrupted("the engine is silent", target_lost=True)
             if reads.begun == begun:
                 reads.interrupt(broken)
--- a/packages/entry/src/wasabiwell_entry/transport/target/plain.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -5,7 +5,7 @@
 import httpcore
 import trio
 
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent
+from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted, CallNotSent
 from wasabiwell_entry.coordination.telemetry import NO_TELEMETRY, Telemetry
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.outcomes import ServiceResponse
@@ -34,7 +34,7 @@
         self._tls = tls
         self._telemetry = telemetry
 
-    async def call(self, target: Target, call: ServiceCall) -> ServiceResponse | CallNotSent | CallBroken:
+    async def call(self, target: Target, call: ServiceCall) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Send a call once, and only before its deadline."""
         host, _, port = target.address.rpartition(":")
         try:
@@ -61,7 +61,7 @@
                 extensions=timeouts(self._remaining_seconds(call)),
             )
         except BROKEN as error:
-            return CallBroken(repr(error))
+            return CallInterrupted(repr(error))
         finally:
             with trio.CancelScope(shield=True):
                 await connection.aclose()
--- a/tests/steps/entry/coordination/suspects_steps.py
+++ b/tests/steps/entry/coordination/suspects_steps.py
@@ -12,7 +12,7 @@
 from support.calls import PlainTargets, VirtualClock
 from support.fakes import FakeTable, NoSpread
 from wasabiwell_entry.coordination.dispatch import Dispatcher
-from wasabiwell_entry.coordination.dispatch.errors import ProbeOutcome, TargetAlive, TargetGone
+from wasabiwell_entry.coordination.dispatch.errors import ProbeOutcome, TargetAlive, TargetDown
 from wasabiwell_entry.coordination.dispatch.ports import Placement, TargetFailure
 from wasabiwell_entry.coordination.quarantine.coordinator import QuarantineCoordinator
 from wasabiwell_entry.state.outcomes import Finished, Refused
@@ -72,7 +72,7 @@
     async def probe(self, target: Target) -> ProbeOutcome:
         """Return whether an engine lives."""
         await trio.lowlevel.checkpoint()
-        return TargetGone() if target.target_id in self.dead else TargetAlive()
+        return TargetDown() if target.target_id in self.dead else TargetAlive()
 
     def target_lost(self, failure: TargetFailure) -> None:
         """Do nothing."""
--- a/tests/support/calls.py
+++ b/tests/support/calls.py
@@ -8,7 +8,7 @@
 
 import trio
 from wasabiwell_entry.coordination.dispatch import Dispatcher
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent
+from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted, CallNotSent
 from wasabiwell_entry.coordination.dispatch.ports import TargetFailure
 from wasabiwell_entry.coordination.runs import RunCoordinator
 from wasabiwell_entry.state.outcomes import CallOutcome, Reason, Refused, ServiceResponse
@@ -55,7 +55,7 @@
 
     async def call(
         self, target: Target, call: ServiceCall
-    ) -> ServiceResponse | CallNotSent | CallBroken:
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Run a call as the next mode says, if its deadline has not passed."""
         await trio.lowlevel.checkpoint()
         mode = self.modes.pop(0) if self.modes else "answer"
@@ -69,7 +69,7 @@
         if mode == "hang":
             await trio.sleep_forever()
         if mode in ("cut", "run_and_cut"):
-            return CallBroken("cut")
+            return CallInterrupted("cut")
         return ServiceResponse(
             201, "text/plain", f"answer to {call.body!r}".encode() + b"." * 20_000
         )
