--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -14,8 +14,8 @@
     SERVICE_UNAVAILABLE,
 )
 from wasabiwell_entry.coordination.dispatch.errors import (
-    AttemptBroken,
     AttemptFinished,
+    AttemptInterrupted,
     AttemptOutcome,
     CallInterrupted,
     CallNotSent,
@@ -76,7 +76,7 @@
 
     excluded: set[str] = field(default_factory=set)
     sent: bool = False
-    answer: ServiceResponse | None = None
+    response: ServiceResponse | None = None
     refused: Refused | None = None
     reason: str = "the deadline has passed"
 
@@ -152,8 +152,8 @@
                 case AttemptFinished(end=end):
                     await self._suspects.finished(request.fingerprint)
                     return Finished(end.tokens, end.finish_reason)
-                case AttemptBroken(broken=broken):
-                    progress.last_reason = broken.reason
+                case AttemptInterrupted(interruption=interruption):
+                    progress.last_reason = interruption.reason
             if progress.attempts >= MAX_ATTEMPTS or not self._retries.take():
                 return _unanswered_outcome(progress, Reason.TARGET_FAILED, progress.last_reason)
             await self._clock.sleep(RETRY_DELAY)
@@ -191,12 +191,12 @@
         started_before = progress.started
         progress.started = True
         outcome = await self._relay(target, attempt, sink, progress)
-        if isinstance(outcome, AttemptBroken):
-            if not outcome.broken.silent:
+        if isinstance(outcome, AttemptInterrupted):
+            if not outcome.interruption.silent:
                 progress.excluded.add(target.target_id)
-            if outcome.broken.refused:
+            if outcome.interruption.refused:
                 progress.started = started_before
-            await self._handle_broken_attempt(target, attempt, outcome.broken)
+            await self._handle_interruption(target, attempt, outcome.interruption)
         return outcome
 
     async def _relay(
@@ -206,32 +206,32 @@
             async for item in items:
                 match item:
                     case TokenFrame():
-                        if (broken := progress.assembler.accept(item)) is not None:
-                            return AttemptBroken(broken)
+                        if (interruption := progress.assembler.accept(item)) is not None:
+                            return AttemptInterrupted(interruption)
                         self._observer.target_answered(target.target_id)
                         await sink.send(item)
                     case EndFrame():
-                        if (broken := progress.assembler.verify(item)) is not None:
-                            return AttemptBroken(broken)
+                        if (interruption := progress.assembler.verify(item)) is not None:
+                            return AttemptInterrupted(interruption)
                         return AttemptFinished(item)
                     case StreamInterrupted():
-                        return AttemptBroken(item)
-        return AttemptBroken(StreamInterrupted("the stream ended without an end frame"))
+                        return AttemptInterrupted(item)
+        return AttemptInterrupted(StreamInterrupted("the stream ended without an end frame"))
 
-    async def _handle_broken_attempt(
-        self, target: Target, attempt: Attempt, broken: StreamInterrupted
+    async def _handle_interruption(
+        self, target: Target, attempt: Attempt, interruption: StreamInterrupted
     ) -> None:
         log_events.emit(
             log_events.ATTEMPT_FAILED,
             request=attempt.request.request_id,
             attempt=attempt.attempt_id,
             target=target.target_id,
-            reason=without_target_text(broken.reason),
+            reason=without_target_text(interruption.reason),
         )
-        if not broken.target_lost:
+        if not interruption.target_lost:
             return
         self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
-        if broken.refused:
+        if interruption.refused:
             return
         # Only a dead target counts: a network failure would mark all requests as suspects.
         if isinstance(await self._engines.probe(target), TargetDown):
@@ -242,8 +242,8 @@
         progress = _CallProgress()
         with trio.move_on_after(self._remaining_seconds(call)):
             await self._send_idempotent(call, progress)
-        if progress.answer is not None:
-            return progress.answer
+        if progress.response is not None:
+            return progress.response
         if progress.refused is not None and not progress.sent:
             return progress.refused
         if progress.sent:
@@ -260,8 +260,8 @@
                     progress.refused = target
                     return
                 match await self._send(target, call, progress):
-                    case ServiceResponse(status=status) as answer:
-                        progress.answer = answer
+                    case ServiceResponse(status=status) as response:
+                        progress.response = response
                         if status != SERVICE_UNAVAILABLE:
                             return
                     case CallNotSent() | CallInterrupted():
@@ -295,9 +295,9 @@
         progress = _CallProgress()
         with trio.move_on_after(self._remaining_seconds(call)):
             await self._send_claimed(call, progress)
-        if progress.answer is not None:
-            await self._runs.settle(claim, RunStatus.DONE, progress.answer)
-            return progress.answer
+        if progress.response is not None:
+            await self._runs.settle(claim, RunStatus.DONE, progress.response)
+            return progress.response
         if progress.sent:
             return await self._settle_unknown_result(call, claim, progress.reason)
         await self._runs.settle(claim, RunStatus.NOT_RUN)
@@ -311,8 +311,8 @@
                     progress.reason = target.message
                     return
                 match await self._send(target, call, progress):
-                    case ServiceResponse() as answer:
-                        progress.answer = answer
+                    case ServiceResponse() as response:
+                        progress.response = response
                         return
                     case CallInterrupted():
                         self._report_lost(target)
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
@@ -7,19 +7,19 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFinished:
-    """The end frame arrived and the whole answer was verified."""
+    """The end frame arrived and the whole response was verified."""
 
     end: EndFrame
 
 
 @dataclass(frozen=True, slots=True)
-class AttemptBroken:
-    """The attempt ended without the whole answer."""
+class AttemptInterrupted:
+    """The attempt ended without the whole response."""
 
-    broken: StreamInterrupted
+    interruption: StreamInterrupted
 
 
-AttemptOutcome = AttemptFinished | AttemptBroken
+AttemptOutcome = AttemptFinished | AttemptInterrupted
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +49,6 @@
 
 @dataclass(frozen=True, slots=True)
 class CallInterrupted:
-    """The call was sent, at least in part, and no complete answer arrived."""
+    """The call was sent, at least in part, and no complete response arrived."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -20,7 +20,7 @@
 
 
 class ResponseSink(Protocol):
-    """Receiver of an answer's tokens; `send` blocks while the caller reads slowly."""
+    """Receiver of a response's tokens; `send` blocks while the caller reads slowly."""
 
     async def send(self, frame: TokenFrame) -> None:
         """Deliver consecutive tokens, in order and without gaps."""
@@ -89,7 +89,7 @@
 
 
 class TargetObserver(Protocol):
-    """Receiver of target failures and answers that dispatch observes."""
+    """Receiver of target failures and responses that dispatch observes."""
 
     def target_lost(self, failure: TargetFailure) -> None:
         """Record that a target may have died."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
@@ -7,15 +7,15 @@
 SERVER_ERROR = 500
 """Lowest status that counts as a failure of the target, so that another one may answer."""
 MAX_BUFFERED_BYTES = 1024 * 1024
-"""Answers that are not streams are buffered up to this size, so that the request can be retried."""
+"""Responses that are not streams are buffered up to this size, so that requests can be retried."""
 REFUSED_RETRY_AFTER = timedelta(milliseconds=300)
 """Time after which targets that refused a request are likely to take requests again."""
 MIN_TIME_LEFT = timedelta(milliseconds=5)
 """Requests with less time until their deadline are not sent again."""
 RETRY_TIME_SHARE = 0.4
-"""Share of the time left after which a retryable request without an answer is sent elsewhere."""
+"""Share of the time left after which a retryable request without a response is sent elsewhere."""
 MIN_OBJECTIVES_BEFORE_RETRY = 3.0
-"""Minimum time for one target to begin its answer before a retry, as a multiple of the route's
+"""Minimum time for one target to begin its response before a retry, as a multiple of the route's
 objective."""
 MIN_EXPECTED_BEFORE_RETRY = 3.0
 """The same minimum as a multiple of the predicted time to the first event."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -1,4 +1,4 @@
-"""Forwards a request until its whole answer is delivered or no further attempt is allowed."""
+"""Forwards a request until its whole response is delivered or no further attempt is allowed."""
 
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
@@ -56,15 +56,15 @@
 class _Progress:
     """State of a request over its attempts.
 
-    `runs` counts the attempts that may have run on a target. `buffered` is an answer that is
-    delivered unless a retry gets a better one. `answer_started` means that a part of the answer
+    `runs` counts the attempts that may have run on a target. `buffered` is a response that is
+    delivered unless a retry gets a better one. `response_started` means that a part of the response
     was delivered to the caller.
     """
 
     excluded: set[str] = field(default_factory=set)
     sends: int = 0
     runs: int = 0
-    answer_started: bool = False
+    response_started: bool = False
     last_event: int | None = None
     buffered: Buffered | None = None
     reason: str = "the deadline has passed"
@@ -102,10 +102,10 @@
         self._clock = clock
 
     async def forward(self, request: ForwardedRequest, sink: ResponseSink) -> ForwardOutcome:
-        """Forward a request and deliver its answer to the sink.
+        """Forward a request and deliver its response to the sink.
 
-        After a `Failed` the sink may have received a part of the answer, which must not be
-        completed as if it were the whole answer.
+        After a `Failed` the sink may have received a part of the response, which must not be
+        completed as if it were the whole response.
         """
         progress = _Progress(last_event=request.last_event_id)
         self._budget.count_request(request.service)
@@ -125,7 +125,7 @@
             placement = self._placer.place(
                 request,
                 frozenset(progress.excluded),
-                resumed=progress.answer_started,
+                resumed=progress.response_started,
                 suspected=crashes > 0,
             )
             if isinstance(placement, NoPlacement):
@@ -208,7 +208,7 @@
         target = placement.target
         silence_timeout = SilenceTimeout(
             request.route,
-            self._answer_start_timeout(request, placement, progress),
+            self._response_start_timeout(request, placement, progress),
             lambda: self._placer.expected_pause(target.target_id),
         )
         attempt = ForwardAttempt(
@@ -299,7 +299,7 @@
                         silence_timeout.begin()
                         if _is_stream(attempt.request, head):
                             self._ledger.start_decode(opened)
-                            await self._begin_answer(head, sink, progress)
+                            await self._begin_response(head, sink, progress)
                     case ResponseEvent(event_id=event_id, data=data):
                         broken = _check_order(event_id, progress)
                         if broken is not None:
@@ -309,13 +309,13 @@
                     case ResponseChunk(data=data):
                         buffer.append(data)
                         if sum(map(len, buffer)) > MAX_BUFFERED_BYTES and head is not None:
-                            await self._begin_answer(head, sink, progress)
+                            await self._begin_response(head, sink, progress)
                             await sink.send(b"".join(buffer))
                             buffer.clear()
                     case ResponseEnd():
                         if head is None:
-                            return ResponseInterrupted("the answer has no head")
-                        if not progress.answer_started:
+                            return ResponseInterrupted("the response has no head")
+                        if not progress.response_started:
                             return Buffered(head, b"".join(buffer))
                         if buffer:
                             await sink.send(b"".join(buffer))
@@ -323,30 +323,30 @@
                         return Delivered(head.status)
                     case NotSent() | NotRun() | ResponseInterrupted():
                         return item
-        return ResponseInterrupted("the answer has no end")
+        return ResponseInterrupted("the response has no end")
 
-    async def _begin_answer(
+    async def _begin_response(
         self, head: ResponseHead, sink: ResponseSink, progress: _Progress
     ) -> None:
         """Deliver the head unless an earlier attempt has delivered one before it was resumed."""
-        if not progress.answer_started:
-            progress.answer_started = True
+        if not progress.response_started:
+            progress.response_started = True
             await sink.begin(head)
 
     async def _finish_unanswered(
         self, progress: _Progress, sink: ResponseSink, reason: str, retry_after: timedelta
     ) -> ForwardOutcome:
         """Return the outcome of a request for which no further target is tried."""
-        if progress.buffered is not None and not progress.answer_started:
+        if progress.buffered is not None and not progress.response_started:
             return await _deliver_buffered(progress.buffered, sink)
-        if progress.runs == 0 and not progress.answer_started:
+        if progress.runs == 0 and not progress.response_started:
             return Refused(Reason.NO_CAPACITY, reason, retry_after)
         return _unanswered_outcome(progress, Reason.TARGET_FAILED, reason)
 
-    def _answer_start_timeout(
+    def _response_start_timeout(
         self, request: ForwardedRequest, placement: Placement, progress: _Progress
     ) -> timedelta:
-        """Return how long a target may be silent before its answer begins."""
+        """Return how long a target may be silent before its response begins."""
         left = self._time_left(request)
         if not request.route.repeatable or progress.runs >= request.route.attempts:
             return left
@@ -390,7 +390,7 @@
 
 
 def _unanswered_outcome(progress: _Progress, reason: Reason, message: str) -> Refused | Failed:
-    if progress.runs == 0 and not progress.answer_started:
+    if progress.runs == 0 and not progress.response_started:
         return Refused(reason, message, REFUSED_RETRY_AFTER)
     return Failed(reason, message, RunState.UNKNOWN)
 
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/errors.py
@@ -7,14 +7,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Delivered:
-    """The whole answer was delivered to the sink."""
+    """The whole response was delivered to the sink."""
 
     status: int
 
 
 @dataclass(frozen=True, slots=True)
 class Buffered:
-    """The whole answer is buffered, and no part of it was delivered to the sink."""
+    """The whole response is buffered, and no part of it was delivered to the sink."""
 
     head: ResponseHead
     body: bytes = field(repr=False)
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/helper_memory.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/helper_memory.py
@@ -25,22 +25,22 @@
 ) -> AsyncIterator[Placement | NotReserved]:
     """Reserve the memory of a placement until the context ends; `owner` is unique to the attempt.
 
-    A helper that does not reserve its part is replaced by the next one without a reservation, as
-    all parts are equal.
+    A helper that cannot reserve memory is replaced by the next one without a reservation, as all
+    segments are equal.
     """
-    parts = [helper.kv_tokens for helper in placement.helpers if helper.kv_tokens]
-    if not parts:
+    segments = [helper.kv_tokens for helper in placement.helpers if helper.kv_tokens]
+    if not segments:
         yield placement
         return
     reserved: list[Helper] = []
     refused: list[str] = []
     try:
         untried = [replace(helper, kv_tokens=0) for helper in placement.helpers]
-        while (missing := len(parts) - len(reserved)) and missing <= len(untried):
+        while (missing := len(segments) - len(reserved)) and missing <= len(untried):
             asked, untried = untried[:missing], untried[missing:]
-            asked = [replace(helper, kv_tokens=parts[0]) for helper in asked]
+            asked = [replace(helper, kv_tokens=segments[0]) for helper in asked]
             await _reserve_all(reservations, asked, owner, reserved, refused)
-        if len(reserved) < len(parts):
+        if len(reserved) < len(segments):
             yield NotReserved(tuple(refused))
             return
         reserved_by_id = {helper.target.target_id: helper for helper in reserved}
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
@@ -9,7 +9,7 @@
 
 
 class ResponseSink(Protocol):
-    """Receiver of an answer; its methods block while the caller reads slowly."""
+    """Receiver of a response; its methods block while the caller reads slowly."""
 
     async def begin(self, head: ResponseHead) -> None:
         """Deliver status and headers."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/silence_timeout.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/silence_timeout.py
@@ -8,7 +8,7 @@
 
 
 class SilenceTimeout:
-    """Allows one time until the answer begins, and another between the events of a stream.
+    """Allows one time until the response begins, and another between the events of a stream.
 
     `expected_pause` returns the predicted pause in seconds: prefill of other requests delays the
     next event, and a target that is busy with it does not count as silent.
@@ -23,7 +23,7 @@
         self._begun = False
 
     def begin(self) -> None:
-        """Record that the answer has begun."""
+        """Record that the response has begun."""
         self._begun = True
 
     def current(self) -> timedelta:
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
@@ -8,7 +8,7 @@
 POSSIBLY_LATE_RATIO = 0.8
 """Ratio of predicted to allowed time from which a request counts as possibly late.
 
-Predictions leave out the rest of the engine's current decode step, which is up to a tenth of the
+Predictions leave out the rest of the current engine iteration, which is up to a tenth of the
 shortest time that the users' routes allow.
 """
 CERTAINLY_LATE_RATIO = 1.05
@@ -59,13 +59,13 @@
 USABLE_MEMORY_RATIO = 0.98
 """Part of an engine's memory that placement uses; engines allocate memory in whole blocks."""
 MAX_CACHE_HELPERS = 8
-"""Helpers that hold parts of one prompt in their memory; the users' longest prompts need three."""
+"""Helpers that keep KV cache of one prompt; the users' longest prompts need three."""
 MIN_DECODE_SECONDS = 0.1
 """Lower bound of the usual decode time, for services that configure no usual output length."""
-GAPS_PER_PACE_SAMPLE = 3
-"""Gaps between events of a stream of which the shortest one is a sample of the engine's pace."""
-PACE_NOTICE_RATIO = 1.3
-"""Ratio by which an engine's pace must change before the other instances are notified."""
+GAPS_PER_SLOWDOWN_SAMPLE = 3
+"""Gaps between events of a stream of which the shortest one is a sample of the engine's speed."""
+SLOWDOWN_NOTICE_RATIO = 1.3
+"""Ratio by which an engine's slowdown must change before the other instances are notified."""
 MAX_COMPARED_TARGETS = 64
 """Targets compared for one request; it bounds the placement time in a large fleet."""
 SHORT_URGENCY_GAP = timedelta(milliseconds=250)
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -17,7 +17,7 @@
 )
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
 from wasabiwell_entry.coordination.placement.estimate import engine_state
-from wasabiwell_entry.coordination.placement.ports import CellPort, TargetHealthPort
+from wasabiwell_entry.coordination.placement.ports import TargetHealthPort, ZoneLocalityPort
 from wasabiwell_entry.coordination.placement.search import PlacementCandidate, PromptSearch
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.forwarding import ForwardedRequest, PromptSize
@@ -28,20 +28,20 @@
 class Placer:
     """Places requests for one entry instance in the zone `zone`."""
 
-    __slots__ = ("_cells", "_clock", "_health", "_random", "_works", "_zone")
+    __slots__ = ("_clock", "_health", "_random", "_works", "_zone", "_zone_locality")
 
     def __init__(
         self,
         works: WorkTable,
         health: TargetHealthPort,
-        cells: CellPort,
+        zone_locality: ZoneLocalityPort,
         zone: str,
         clock: Clock,
         random: Random | None = None,
     ) -> None:
         self._works = works
         self._health = health
-        self._cells = cells
+        self._zone_locality = zone_locality
         self._zone = zone
         self._clock = clock
         self._random = random or Random()
@@ -101,7 +101,7 @@
             return PromptSearch(request, size, profile, states, allowed, now, short_requests).best()
 
         local = [work for work in works if work.target.zone == self._zone]
-        if not local or not self._cells.in_use(request.service):
+        if not local or not self._zone_locality.in_use(request.service):
             return search(_comparison_window(works, request.request_id))
         best = search(_comparison_window(local, request.request_id))
         if best.cost <= CROSS_ZONE_COST_THRESHOLD * request_value(size, profile):
@@ -116,7 +116,7 @@
         if work is None:
             return 0.0
         state = engine_state(work, self._clock.monotonic().total_seconds())
-        return state.decode_step_seconds + state.pending_prefill
+        return state.iteration_seconds + state.pending_prefill
 
     def _elapsed(self, request: ForwardedRequest, now: float) -> float:
         return now - request.received.total_seconds()
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/estimate.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/estimate.py
@@ -13,26 +13,26 @@
 class EngineState:
     """Predicted state of an engine, computed once and used for several candidates.
 
-    `decoding` are the requests in the decode phase and `prefill_queue` those with prefill left.
+    `decoding_requests` are in the decode phase; those in `prefill_order` have prefill left.
     `split_prefill` and `unsplit_prefill` are the remaining prefill times of split and of other
-    prompts. `lead_count` is the number of requests that take a slot. `target_cost` is the cost of
-    the engine regardless of the request, as a ratio of the request's value.
+    prompts. `target_cost` is the cost of the engine regardless of the request, as a ratio of the
+    request's value.
     """
 
     work: TargetWork
-    decoding: tuple[TargetRequest, ...]
-    prefill_queue: tuple[TargetRequest, ...]
-    decode_step_seconds: float
+    decoding_requests: tuple[TargetRequest, ...]
+    prefill_order: tuple[TargetRequest, ...]
+    iteration_seconds: float
     split_prefill: float
     unsplit_prefill: float
     slot_wait: float
-    lead_count: int
+    occupied_slots: int
     target_cost: float
 
     @property
-    def expected_step_wait(self) -> float:
-        """Return the expected rest of the current decode step."""
-        return self.decode_step_seconds / 2
+    def iteration_wait(self) -> float:
+        """Return the expected rest of the current engine iteration."""
+        return self.iteration_seconds / 2
 
     @property
     def pending_prefill(self) -> float:
@@ -43,33 +43,33 @@
 def engine_state(work: TargetWork, now: float, target_cost: float = 0.0) -> EngineState:
     """Return the predicted state of an engine at the time `now`."""
     work.advance(now)
-    decoding = work.decoding_requests()
-    prefill_queue = work.prefill_order()
+    decoding_requests = work.decoding_requests()
+    prefill_order = work.prefill_order()
     split_prefill = (
-        sum(item.prefill_seconds_left for item in prefill_queue if item.split) * work.slowdown
+        sum(item.prefill_seconds_left for item in prefill_order if item.split) * work.slowdown
     )
     unsplit_prefill = (
-        sum(item.prefill_seconds_left for item in prefill_queue if not item.split) * work.slowdown
+        sum(item.prefill_seconds_left for item in prefill_order if not item.split) * work.slowdown
     )
     return EngineState(
         work=work,
-        decoding=tuple(decoding),
-        prefill_queue=tuple(prefill_queue),
-        decode_step_seconds=work.iteration_seconds(decoding),
+        decoding_requests=tuple(decoding_requests),
+        prefill_order=tuple(prefill_order),
+        iteration_seconds=work.iteration_seconds(decoding_requests),
         split_prefill=split_prefill,
         unsplit_prefill=unsplit_prefill,
-        slot_wait=_slot_wait(work, decoding),
-        lead_count=work.occupied_slots,
+        slot_wait=_slot_wait(work, decoding_requests),
+        occupied_slots=work.occupied_slots,
         target_cost=target_cost,
     )
 
 
-def _slot_wait(work: TargetWork, decoding: list[TargetRequest]) -> float:
+def _slot_wait(work: TargetWork, decoding_requests: list[TargetRequest]) -> float:
     """Return how long a new request waits for a slot."""
     excess = work.occupied_slots - work.slots
     if excess < 0:
         return 0.0
-    remaining = sorted(item.decode_seconds_left for item in decoding)
+    remaining = sorted(item.decode_seconds_left for item in decoding_requests)
     if not remaining:
         return 0.0
     return remaining[min(excess, len(remaining) - 1)] * work.slowdown
@@ -86,27 +86,27 @@
 
 
 def split_prefill_finish(state: EngineState, prefill: float) -> float:
-    """Return the time until the prefill of a part of a split prompt ends.
+    """Return the time until the prefill of a segment of a split prompt ends.
 
-    Engines process parts of split prompts before all other prefill work.
+    Engines process segments of split prompts before all other prefill work.
     """
-    return state.expected_step_wait + prefill * state.work.slowdown
+    return state.iteration_wait + prefill * state.work.slowdown
 
 
 def single_engine_finish(state: EngineState, prefill: float) -> float:
     """Return the time to the first event of a prompt that is placed on this engine alone."""
     prefill_end = state.pending_prefill + prefill * state.work.slowdown
-    return state.slot_wait + state.expected_step_wait + prefill_end + state.decode_step_seconds
+    return state.slot_wait + state.iteration_wait + prefill_end + state.iteration_seconds
 
 
 def decode_delay_cost(state: EngineState, prefill: float) -> float:
     """Return the value lost by streams of this engine whose events a new prefill would delay."""
-    if not state.decoding:
+    if not state.decoding_requests:
         return 0.0
-    before = state.decode_step_seconds + state.pending_prefill
+    before = state.iteration_seconds + state.pending_prefill
     after = before + prefill * state.work.slowdown
     cost = 0.0
-    for stream in state.decoding:
+    for stream in state.decoding_requests:
         if stream.decode_seconds_left <= 0:
             continue
         gap = stream.placed.gap
@@ -117,11 +117,11 @@
 def prefill_delay_costs(state: EngineState, prefill: float, now: float) -> dict[str, float]:
     """Return the value that each request with prefill left would lose, by request id.
 
-    `prefill` is the time of a part of a split prompt, which would be processed before them.
+    `prefill` is the time of a segment of a split prompt, which would be processed before them.
     """
     costs: dict[str, float] = {}
-    ahead = state.expected_step_wait
-    for waiting in state.prefill_queue:
+    ahead = state.iteration_wait
+    for waiting in state.prefill_order:
         ahead += waiting.prefill_seconds_left * state.work.slowdown
         allowed = waiting.placed.due - waiting.placed.placed_at
         elapsed = now - waiting.placed.placed_at
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -6,7 +6,10 @@
 from datetime import timedelta
 
 from wasabiwell_entry.coordination.exchange.placements import placement_notice
-from wasabiwell_entry.coordination.placement.const import GAPS_PER_PACE_SAMPLE, PACE_NOTICE_RATIO
+from wasabiwell_entry.coordination.placement.const import (
+    GAPS_PER_SLOWDOWN_SAMPLE,
+    SLOWDOWN_NOTICE_RATIO,
+)
 from wasabiwell_entry.coordination.placement.errors import Placement
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
@@ -52,7 +55,7 @@
             return None
         self.longest_pause = max(self.longest_pause, gap)
         self.recent_gaps.append(gap)
-        if len(self.recent_gaps) < GAPS_PER_PACE_SAMPLE:
+        if len(self.recent_gaps) < GAPS_PER_SLOWDOWN_SAMPLE:
             return None
         shortest = min(self.recent_gaps)
         self.recent_gaps.clear()
@@ -64,7 +67,7 @@
 
     __slots__ = (
         "_clock",
-        "_notified_paces",
+        "_notified_slowdowns",
         "_notify",
         "_report_lost_helper",
         "_report_verdict",
@@ -84,7 +87,7 @@
         self._report_verdict = report_verdict
         self._report_lost_helper = report_lost_helper
         self._clock = clock
-        self._notified_paces: dict[str, float] = {}
+        self._notified_slowdowns: dict[str, float] = {}
 
     def local_request_ids(self) -> tuple[str, ...]:
         """Return the ids of the requests that this instance has placed."""
@@ -131,16 +134,16 @@
         self._notify(DecodeStarted(opened.placed.request_id))
 
     def record_event(self, opened: OpenPlacement) -> None:
-        """Record an event; notify the other instances when the pace of its engine changes."""
+        """Record an event; notify the other instances when the speed of its engine changes."""
         sample = opened.record_event(self._clock.monotonic())
         target_id = opened.placed.lead
         work = self._works.get(target_id)
         if sample is None or work is None:
             return
         work.observe_slowdown(sample.total_seconds(), self._now())
-        notified = self._notified_paces.get(target_id, 1.0)
-        if max(work.slowdown, notified) > PACE_NOTICE_RATIO * min(work.slowdown, notified):
-            self._notified_paces[target_id] = work.slowdown
+        notified = self._notified_slowdowns.get(target_id, 1.0)
+        if max(work.slowdown, notified) > SLOWDOWN_NOTICE_RATIO * min(work.slowdown, notified):
+            self._notified_slowdowns[target_id] = work.slowdown
             self._notify(SlowdownNotice(target_id, work.slowdown))
 
     def _now(self) -> float:
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
@@ -18,8 +18,8 @@
         """Return the recent failure rate of the target, from 0 to 1."""
 
 
-class CellPort(Protocol):
-    """Zones of a large fleet that serve their own requests."""
+class ZoneLocalityPort(Protocol):
+    """Services of large fleets whose requests are placed in their own zone first."""
 
     def in_use(self, service: str) -> bool:
         """Return whether each zone places the requests for a service on its own targets first."""
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
@@ -33,20 +33,20 @@
 class PlacementCandidate:
     """A possible placement of a prompt, with its cost in value and its time to the first event.
 
-    The first engine is the lead, which decodes. Each of the next engines holds as many tokens of
-    the prompt in its memory as `helper_tokens` has for it.
+    The first engine is the lead, which decodes. Each of the next engines keeps the KV
+    cache of as many prompt tokens as `helper_kv_tokens` has for it.
     """
 
     cost: float
     finish: float
     engines: tuple[EngineState, ...]
-    helper_tokens: tuple[int, ...] = ()
+    helper_kv_tokens: tuple[int, ...] = ()
 
     @property
     def helpers(self) -> tuple[Helper, ...]:
-        """Return the engines after the lead, with the tokens that they hold."""
-        tokens_of = self.helper_tokens + (0,) * (len(self.engines) - 1 - len(self.helper_tokens))
-        pairs = zip(self.engines[1:], tokens_of, strict=True)
+        """Return the engines after the lead, with the prompt tokens that they keep."""
+        kept = self.helper_kv_tokens + (0,) * (len(self.engines) - 1 - len(self.helper_kv_tokens))
+        pairs = zip(self.engines[1:], kept, strict=True)
         return tuple(Helper(state.work.target, tokens) for state, tokens in pairs)
 
 
@@ -117,7 +117,7 @@
         cost = (
             self._latency_cost(finish) + decode_delay_cost(state, prefill) + self._slot_cost(state)
         )
-        if self._helper_tokens(state, []) is None:
+        if self._kv_tokens_per_helper(state, []) is None:
             cost += self._no_memory_cost
         if prefill <= MIN_SPLIT_PREFILL_SECONDS and not self._has_similar_request(state):
             cost += NO_SHORT_PROMPT_COST * self._value
@@ -130,11 +130,11 @@
         return any(item.lead and item.placed.gap <= allowed for item in residents)
 
     def _split_candidate(self, prefill: float, count: int) -> PlacementCandidate:
-        part = prefill / count
+        segment = prefill / count
         costs = sorted(
             (
                 (
-                    decode_delay_cost(state, part) + self._total_prefill_delay_cost(state, part),
+                    decode_delay_cost(state, segment) + self._prefill_delay_cost(state, segment),
                     index,
                 )
                 for index, state in enumerate(self._states)
@@ -145,14 +145,14 @@
             ),
         )
         chosen = [self._states[index] for _, index in costs[:count]]
-        decode_delay = sum(decode_delay_cost(state, part) for state in chosen)
+        decode_delay = sum(decode_delay_cost(state, segment) for state in chosen)
         prefill_delay: dict[str, float] = {}
         for state in chosen:
-            for request_id, delay_cost in prefill_delay_costs(state, part, self._now).items():
+            for request_id, delay_cost in prefill_delay_costs(state, segment, self._now).items():
                 prefill_delay[request_id] = max(delay_cost, prefill_delay.get(request_id, 0.0))
-        finish = max(split_prefill_finish(state, part) for state in chosen)
+        finish = max(split_prefill_finish(state, segment) for state in chosen)
         lead = min(chosen, key=lambda state: (self._slot_cost(state), state.slot_wait))
-        finish = max(finish, lead.slot_wait + split_prefill_finish(lead, part))
+        finish = max(finish, lead.slot_wait + split_prefill_finish(lead, segment))
         cost = (
             self._latency_cost(finish)
             + decode_delay
@@ -160,30 +160,30 @@
             + self._slot_cost(lead)
         )
         cost += EXTRA_ENGINE_COST * self._value * (count - 1) + self._slot_shortage_cost(
-            chosen, part
+            chosen, segment
         )
         others = [state for state in chosen if state is not lead]
         others.sort(key=self._free_memory, reverse=True)
-        helper_tokens = self._helper_tokens(lead, others)
-        if helper_tokens is None:
+        helper_kv_tokens = self._kv_tokens_per_helper(lead, others)
+        if helper_kv_tokens is None:
             cost += self._no_memory_cost
-        return PlacementCandidate(cost, finish, (lead, *others), helper_tokens or ())
+        return PlacementCandidate(cost, finish, (lead, *others), helper_kv_tokens or ())
 
-    def _total_prefill_delay_cost(self, state: EngineState, part: float) -> float:
-        return sum(prefill_delay_costs(state, part, self._now).values())
+    def _prefill_delay_cost(self, state: EngineState, segment: float) -> float:
+        return sum(prefill_delay_costs(state, segment, self._now).values())
 
-    def _slot_shortage_cost(self, chosen: list[EngineState], part: float) -> float:
+    def _slot_shortage_cost(self, chosen: list[EngineState], segment: float) -> float:
         """Return the value lost by short requests that arrive while the chosen engines prefill.
 
         Requests that find no free slot on the other engines are late. Slots there become free at
-        the rate at which answers of usual length end.
+        the rate at which responses of usual length end.
         """
         chosen_ids = {id(state) for state in chosen}
         others = [state for state in self._states if id(state) not in chosen_ids]
-        free = sum(max(0, state.work.slots - state.lead_count) for state in others)
+        free = sum(max(0, state.work.slots - state.occupied_slots) for state in others)
         slots = sum(state.work.slots for state in others)
-        freed = slots * part / max(MIN_DECODE_SECONDS, self._profile.usual_decode_seconds)
-        excess = self._short_request_rate * part - free - freed
+        freed = slots * segment / max(MIN_DECODE_SECONDS, self._profile.usual_decode_seconds)
+        excess = self._short_request_rate * segment - free - freed
         return LATE_PENALTY * self._short_request_value * max(0.0, excess)
 
     def _latency_cost(self, finish: float) -> float:
@@ -193,7 +193,7 @@
 
     def _slot_cost(self, state: EngineState) -> float:
         """Return the cost of taking a slot of an engine."""
-        slots_left = state.work.slots - state.lead_count - 1
+        slots_left = state.work.slots - state.occupied_slots - 1
         cost = state.target_cost
         if slots_left < 0:
             cost -= QUEUED_REQUEST_COST * slots_left
@@ -204,21 +204,21 @@
     def _free_memory(self, state: EngineState) -> float:
         return self._profile.memory_tokens * USABLE_MEMORY_RATIO - state.work.tokens
 
-    def _helper_tokens(
+    def _kv_tokens_per_helper(
         self, lead: EngineState, others: list[EngineState]
     ) -> tuple[int, ...] | None:
-        """Return the prompt tokens that each helper has to hold, or None when they do not fit.
+        """Return the prompt tokens whose KV cache each helper keeps, or None when they do not fit.
 
-        `others` are sorted by free memory, most first. The parts are equal, as the length of a
-        decode step depends on the largest part.
+        `others` are sorted by free memory, most first. The segments are equal, as the duration
+        of a decode step depends on the largest one.
         """
         if self._size.total <= self._free_memory(lead):
             return ()
         for count in range(1, min(MAX_CACHE_HELPERS, len(others)) + 1):
-            part_tokens = -(-self._size.prompt // (count + 1))
-            lead_tokens = self._size.total - part_tokens * count
-            if lead_tokens <= self._free_memory(lead) and part_tokens <= self._free_memory(
+            segment_tokens = -(-self._size.prompt // (count + 1))
+            lead_tokens = self._size.total - segment_tokens * count
+            if lead_tokens <= self._free_memory(lead) and segment_tokens <= self._free_memory(
                 others[count - 1]
             ):
-                return (part_tokens,) * count
+                return (segment_tokens,) * count
         return None
--- a/tests/steps/entry/coordination/placement_steps.py
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -58,7 +58,7 @@
 @given('zones that place requests among themselves, with "{one}" and "{other}" in the own zone')
 def step_cells(context: Context, one: str, other: str) -> None:
     engines = context.engines
-    engines.cells.used = True
+    engines.zone_locality.used = True
     engines.targets = [
         replace(target, zone=ZONE if target.target_id in (one, other) else "z1")
         for target in engines.targets
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -125,7 +125,7 @@
     return PlacedRequest(**(values | fields))  # type: ignore[arg-type]
 
 
-class FakeCells:
+class FakeZoneLocality:
     """Zones that place requests among themselves when a test says so."""
 
     def __init__(self) -> None:
@@ -141,10 +141,10 @@
 
     def __init__(self, count: int, clock: Clock, profile: EngineProfile | None = PROFILE) -> None:
         self.clock = clock
-        self.cells = FakeCells()
+        self.zone_locality = FakeZoneLocality()
         self.works = WorkTable()
         self.health = TargetHealth(clock)
-        self.placer = Placer(self.works, self.health, self.cells, ZONE, clock, Random(1))
+        self.placer = Placer(self.works, self.health, self.zone_locality, ZONE, clock, Random(1))
         self.targets = [make_target(index) for index in range(count)]
         self.list_targets(profile)
 
