--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
@@ -1,33 +1,34 @@
-"""Constants of following the platform's store."""
+"""Constants of target and route discovery."""
 
 from datetime import timedelta
 
-WATCHERS = 3
-"""Instances that follow the list of targets and tell the others; two may be lost at once."""
-WATCH_WAIT = timedelta(milliseconds=1_500)
-"""Time for which the store holds a watcher's query; the answer also proves that the store is there.
-Changes are answered at once."""
-UNHEARD_LIMIT = timedelta(milliseconds=1_700)
-"""An instance that was told of no answer for this long asks itself."""
-UNHEARD_STEP = timedelta(milliseconds=40)
-"""Further wait for each place in the order of instances, so that one of them asks first."""
-LAGGING_READ_PAUSE = timedelta(milliseconds=100)
-"""Pause after an answer of a store that lags behind what is known."""
+WATCHER_COUNT = 3
+"""Instances that poll the list of targets and notify the others; two may fail at the same time."""
+LISTING_POLL_WAIT = timedelta(milliseconds=1_500)
+"""Time for which the store holds a watcher's long poll without changes; its response also shows
+that the store is reachable. Changes are returned at once."""
+NOTICE_TIMEOUT = timedelta(milliseconds=1_700)
+"""Time without a notice from a watcher after which an instance reads the list itself."""
+NOTICE_TIMEOUT_STEP = timedelta(milliseconds=40)
+"""Added to the timeout for each rank of an instance, so that one instance reads first."""
+STALE_READ_DELAY = timedelta(milliseconds=100)
+"""Delay after a read from a store that lags behind the current list."""
 READ_TIMEOUT = timedelta(milliseconds=1_500)
-"""Bound of one read; the users' stores answer within 0.3 s when they are slow."""
-FAILED_READ_PAUSE = timedelta(milliseconds=700)
-"""Pause after a failed read: calls are priced also while the store is down."""
-RETURN_GRACE = timedelta(milliseconds=2_500)
-"""Targets that are missing after an outage are kept this long: living ones enter themselves anew
-within about 2 s of the store's return."""
-OUTAGE_AGE = timedelta(milliseconds=2_500)
-"""A list older than this before an answer was not followed, as in an outage."""
-ROUTE_WAIT = timedelta(seconds=29)
-"""Time for which the store holds a query for changes; it allows 30 s."""
-ROUTE_WAIT_MARGIN = timedelta(seconds=2)
-"""A query that is answered this much later than asked for has lost its connection."""
-ROUTE_RETRY_PAUSE = timedelta(milliseconds=300)
-MAX_ROUTE_RETRY_PAUSE = timedelta(milliseconds=1_500)
-"""Pauses between failed queries; routes have to be in force 2 s after a change."""
-ANNOUNCED_WAIT = timedelta(milliseconds=250)
-"""Time in which the own query should bring a version that a peer has; then it is read at once."""
+"""Timeout of one read; the users' stores respond within 0.3 s when they are slow."""
+FAILED_READ_DELAY = timedelta(milliseconds=700)
+"""Delay after a failed read; calls are billed even while the store is unavailable."""
+RECOVERY_GRACE = timedelta(milliseconds=2_500)
+"""Time for which targets that are missing after an outage are kept; running targets register again
+within about 2 s of the store's recovery."""
+OUTAGE_THRESHOLD = timedelta(milliseconds=2_500)
+"""Age of the list at a successful read from which the time before counts as an outage."""
+ROUTE_POLL_WAIT = timedelta(seconds=29)
+"""Time for which the store holds a long poll for route changes; the store's maximum is 30 s."""
+ROUTE_POLL_MARGIN = timedelta(seconds=2)
+"""Time beyond the requested wait after which the connection of a long poll counts as lost."""
+MIN_ROUTE_RETRY_DELAY = timedelta(milliseconds=300)
+MAX_ROUTE_RETRY_DELAY = timedelta(milliseconds=1_500)
+"""Bounds of the delay between failed reads; routes must be in force 2 s after a change."""
+ANNOUNCEMENT_DELAY = timedelta(milliseconds=250)
+"""Time for the store's long poll to return a version that a peer has announced, before the version
+is fetched from the peer."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/fleet.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/fleet.py
@@ -1,4 +1,4 @@
-"""Brings the list of targets and the routes together for placing requests."""
+"""Combines the list of targets and the routes into the load model that placement uses."""
 
 from wasabiwell_entry.coordination.health import TargetHealth
 from wasabiwell_entry.state.clock import Clock
@@ -8,30 +8,30 @@
 
 
 class Fleet:
-    """Updates the work of targets and the beliefs about them when either source changes."""
+    """Updates the work and the health of targets when the list or the routes change."""
 
-    __slots__ = ("_clock", "_health", "_listed", "_table", "_works")
+    __slots__ = ("_clock", "_health", "_listed", "_routes", "_works")
 
     def __init__(self, works: WorkTable, health: TargetHealth, clock: Clock) -> None:
         self._works = works
         self._health = health
         self._clock = clock
         self._listed: list[ListedTarget] = []
-        self._table: RouteTable = NO_ROUTES
+        self._routes: RouteTable = NO_ROUTES
 
     def update_targets(self, listed: list[ListedTarget]) -> None:
-        """Take over the list of targets."""
+        """Apply a list of targets."""
         self._listed = listed
         self._health.update(listed)
-        self._update()
+        self._update_works()
 
-    def update_routes(self, table: RouteTable) -> None:
-        """Take over the routes, whose services tell the speed of their engines."""
-        self._table = table
-        self._update()
+    def update_routes(self, routes: RouteTable) -> None:
+        """Apply routes, whose services contain the profiles of their engines."""
+        self._routes = routes
+        self._update_works()
 
-    def _update(self) -> None:
-        profiles = {name: service.engine for name, service in self._table.services.items()}
+    def _update_works(self) -> None:
+        profiles = {name: service.engine for name, service in self._routes.services.items()}
         now = self._clock.monotonic().total_seconds()
         self._works.update(
             [(item.target, profiles.get(item.target.service)) for item in self._listed], now
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
@@ -1,4 +1,4 @@
-"""What following the platform's store needs of the other layers and capabilities."""
+"""Interfaces to other layers and capabilities that discovery depends on."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -13,10 +13,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutesRead:
-    """Routes as they were read; `revision` is the place from which changes are followed.
+    """Result of a read of the routes; `revision` is where polling for changes continues.
 
-    `table` is None when nothing was configured or changed. `document` is what the table was
-    decoded from, for peers that cannot read it themselves.
+    `table` is None when nothing is configured or nothing has changed. `document` is the encoded
+    table, for peers that cannot read it from the store.
     """
 
     revision: int
@@ -26,12 +26,12 @@
 
 @dataclass(frozen=True, slots=True)
 class HistoryLost:
-    """The store has forgotten the changes after a revision."""
+    """The store no longer has the changes after a revision."""
 
 
 @dataclass(frozen=True, slots=True)
 class TargetChanges:
-    """Changes of the list of targets up to a revision; `removed` are ids."""
+    """Changes of the list of targets up to a revision; `removed` are target ids."""
 
     revision: int
     changed: tuple[ListedTarget, ...]
@@ -47,11 +47,11 @@
     async def changes(
         self, after: int, wait: timedelta
     ) -> TargetChanges | HistoryLost | StoreUnavailable:
-        """Wait for changes after a revision, at most for a time."""
+        """Wait for changes after a revision, for at most `wait`."""
 
 
 class RoutesPort(Protocol):
-    """The routes that operators put in force."""
+    """The routes that operators have configured."""
 
     async def current(self) -> RoutesRead | StoreUnavailable:
         """Return the newest routes."""
@@ -59,11 +59,11 @@
     async def changes(
         self, after: int, wait: timedelta
     ) -> RoutesRead | HistoryLost | StoreUnavailable:
-        """Wait for a change after a revision, at most for a time."""
+        """Wait for a change after a revision, for at most `wait`."""
 
     def decode(self, document: bytes) -> RouteTable | StoreUnavailable:
-        """Return the routes of a document that a peer has read."""
+        """Decode the routes in a document that a peer has sent."""
 
 
 FetchDocument = Callable[[str], Awaitable[bytes | StoreUnavailable]]
-"""Returns the document of the routes in force at the entry instance with a control address."""
+"""Fetches the document of the routes in force from the entry instance at a control address."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
@@ -1,16 +1,16 @@
-"""Follows the routes that operators put in force."""
+"""Tracks the routes that operators have configured."""
 
 from collections.abc import Callable
 
 import trio
 
 from wasabiwell_entry.coordination.discovery.const import (
-    ANNOUNCED_WAIT,
-    MAX_ROUTE_RETRY_PAUSE,
+    ANNOUNCEMENT_DELAY,
+    MAX_ROUTE_RETRY_DELAY,
+    MIN_ROUTE_RETRY_DELAY,
     READ_TIMEOUT,
-    ROUTE_RETRY_PAUSE,
-    ROUTE_WAIT,
-    ROUTE_WAIT_MARGIN,
+    ROUTE_POLL_MARGIN,
+    ROUTE_POLL_WAIT,
 )
 from wasabiwell_entry.coordination.discovery.ports import (
     FetchDocument,
@@ -25,19 +25,19 @@
 
 
 class RouteDiscovery:
-    """Keeps the routes in force at one entry instance; versions only grow."""
+    """Keeps the routes in force at one entry instance; their version never decreases."""
 
     __slots__ = (
-        "_announced",
+        "_announced_versions",
         "_clock",
         "_document",
         "_fetch",
-        "_newer_announced",
+        "_newer_version_announced",
         "_observer",
+        "_poll_scope",
         "_port",
-        "_query",
         "_revision",
-        "_store_away",
+        "_store_unavailable",
         "_table",
     )
 
@@ -55,10 +55,10 @@
         self._table = NO_ROUTES
         self._document = b""
         self._revision: int | None = None
-        self._announced: dict[str, int] = {}
-        self._newer_announced = trio.Event()
-        self._query = trio.CancelScope()
-        self._store_away = False
+        self._announced_versions: dict[str, int] = {}
+        self._newer_version_announced = trio.Event()
+        self._poll_scope = trio.CancelScope()
+        self._store_unavailable = False
 
     @property
     def table(self) -> RouteTable:
@@ -67,70 +67,70 @@
 
     @property
     def document(self) -> bytes:
-        """Return what the routes in force were decoded from, empty before the first."""
+        """Return the encoded routes in force, empty before the first ones are read."""
         return self._document
 
     def record_announcement(self, control_address: str, version: int) -> None:
-        """Note the version that a peer has in force."""
+        """Record the version that a peer has in force."""
         if version > self._table.version:
-            self._announced[control_address] = version
-            self._newer_announced.set()
+            self._announced_versions[control_address] = version
+            self._newer_version_announced.set()
 
     async def run(self) -> None:
-        """Follow the routes until cancelled."""
+        """Track the routes until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follow_announcements)
-            await self._follow_store()
+            await self._poll_store()
 
-    async def _follow_store(self) -> None:
-        pause = ROUTE_RETRY_PAUSE
+    async def _poll_store(self) -> None:
+        delay = MIN_ROUTE_RETRY_DELAY
         while True:
-            outcome = await self._next_read()
+            outcome = await self._poll()
             match outcome:
                 case RoutesRead(revision=revision):
                     self._revision = revision
-                    self._put(outcome)
-                    pause = ROUTE_RETRY_PAUSE
-                    self._note_store(None)
+                    self._apply(outcome)
+                    delay = MIN_ROUTE_RETRY_DELAY
+                    self._log_store_state(None)
                 case HistoryLost():
                     self._revision = None
                 case StoreUnavailable(reason=reason):
-                    self._note_store(reason)
+                    self._log_store_state(reason)
                     self._revision = None
-                    await self._clock.sleep(pause)
-                    pause = min(pause * 2, MAX_ROUTE_RETRY_PAUSE)
-
-    async def _next_read(self) -> RoutesRead | HistoryLost | StoreUnavailable:
-        """Read the routes, or wait for a change when they were read before."""
-        bound = READ_TIMEOUT if self._revision is None else ROUTE_WAIT + ROUTE_WAIT_MARGIN
-        with trio.CancelScope() as self._query:
-            self._query.deadline = trio.current_time() + bound.total_seconds()
+                    await self._clock.sleep(delay)
+                    delay = min(delay * 2, MAX_ROUTE_RETRY_DELAY)
+
+    async def _poll(self) -> RoutesRead | HistoryLost | StoreUnavailable:
+        """Read the routes, or poll for a change if they have been read before."""
+        timeout = READ_TIMEOUT if self._revision is None else ROUTE_POLL_WAIT + ROUTE_POLL_MARGIN
+        with trio.CancelScope() as self._poll_scope:
+            self._poll_scope.deadline = trio.current_time() + timeout.total_seconds()
             if self._revision is None:
                 return await self._port.current()
-            return await self._port.changes(self._revision, ROUTE_WAIT)
+            return await self._port.changes(self._revision, ROUTE_POLL_WAIT)
         return HistoryLost()
 
     async def _follow_announcements(self) -> None:
-        """Bring in versions that peers have and the own query has not brought."""
+        """Fetch announced versions from peers unless the store returns them first."""
         while True:
             newer = {
                 address: version
-                for address, version in self._announced.items()
+                for address, version in self._announced_versions.items()
                 if version > self._table.version
             }
-            self._announced = dict(newer)
+            self._announced_versions = dict(newer)
             if not newer:
-                await self._newer_announced.wait()
-                self._newer_announced = trio.Event()
+                await self._newer_version_announced.wait()
+                self._newer_version_announced = trio.Event()
                 continue
-            await self._clock.sleep(ANNOUNCED_WAIT)
+            await self._clock.sleep(ANNOUNCEMENT_DELAY)
             address = max(newer, key=lambda item: newer[item])
             if newer[address] <= self._table.version:
                 continue
-            # The query may hang on a connection that has gone silent.
-            self._query.cancel()
+            # The poll may be stuck on a connection that no longer responds.
+            self._poll_scope.cancel()
             await self._fetch_from(address)
-            await self._clock.sleep(ANNOUNCED_WAIT)
+            await self._clock.sleep(ANNOUNCEMENT_DELAY)
 
     async def _fetch_from(self, address: str) -> None:
         document = await self._fetch(address)
@@ -141,19 +141,19 @@
         if isinstance(table, StoreUnavailable):
             log_events.emit(log_events.ROUTES_UNREADABLE, source=address, reason=table.reason)
             return
-        self._put(RoutesRead(0, table, document))
+        self._apply(RoutesRead(0, table, document))
 
-    def _put(self, read: RoutesRead) -> None:
-        """Put newer routes in force."""
+    def _apply(self, read: RoutesRead) -> None:
+        """Apply routes if they are newer."""
         if read.table is None or read.table.version <= self._table.version:
             return
         self._table, self._document = read.table, read.document
         log_events.emit(log_events.CONFIGURATION_IN_FORCE, version=read.table.version)
         self._observer(read.table)
 
-    def _note_store(self, reason: str | None) -> None:
-        if reason is not None and not self._store_away:
+    def _log_store_state(self, reason: str | None) -> None:
+        if reason is not None and not self._store_unavailable:
             log_events.emit(log_events.STORE_UNAVAILABLE, service="routes", reason=reason)
-        if reason is None and self._store_away:
+        if reason is None and self._store_unavailable:
             log_events.emit(log_events.STORE_RECOVERED, service="routes")
-        self._store_away = reason is not None
+        self._store_unavailable = reason is not None
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -1,4 +1,4 @@
-"""Follows the platform's list of targets; a few instances ask for it and tell the others."""
+"""Tracks the platform's list of targets; a few instances poll it and notify the others."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -6,15 +6,15 @@
 import trio
 
 from wasabiwell_entry.coordination.discovery.const import (
-    FAILED_READ_PAUSE,
-    LAGGING_READ_PAUSE,
-    OUTAGE_AGE,
+    FAILED_READ_DELAY,
+    LISTING_POLL_WAIT,
+    NOTICE_TIMEOUT,
+    NOTICE_TIMEOUT_STEP,
+    OUTAGE_THRESHOLD,
     READ_TIMEOUT,
-    RETURN_GRACE,
-    UNHEARD_LIMIT,
-    UNHEARD_STEP,
-    WATCH_WAIT,
-    WATCHERS,
+    RECOVERY_GRACE,
+    STALE_READ_DELAY,
+    WATCHER_COUNT,
 )
 from wasabiwell_entry.coordination.discovery.ports import (
     HistoryLost,
@@ -36,81 +36,81 @@
 
     __slots__ = (
         "_clock",
-        "_confirmed",
-        "_followed",
+        "_confirmed_at",
         "_listing",
-        "_next_read",
+        "_next_read_at",
+        "_notify",
         "_observer",
         "_port",
         "_rank",
-        "_returned",
-        "_store_away",
-        "_tell",
-        "_told_to_read",
+        "_read_requested",
+        "_recovered_at",
+        "_store_unavailable",
+        "_tracked_revision",
     )
 
     def __init__(
         self,
         port: ListingPort,
         rank: Callable[[], int],
-        tell: Callable[[ListingNotice], None],
+        notify: Callable[[ListingNotice], None],
         observer: TargetObserver,
         clock: Clock,
     ) -> None:
         self._port = port
         self._rank = rank
-        self._tell = tell
+        self._notify = notify
         self._observer = observer
         self._clock = clock
         self._listing = NO_LISTING
-        self._followed: int | None = None
-        self._confirmed: timedelta | None = None
-        self._returned: timedelta | None = None
-        self._next_read = timedelta()
-        self._store_away = False
-        self._told_to_read = trio.Event()
+        self._tracked_revision: int | None = None
+        self._confirmed_at: timedelta | None = None
+        self._recovered_at: timedelta | None = None
+        self._next_read_at = timedelta()
+        self._store_unavailable = False
+        self._read_requested = trio.Event()
 
     @property
     def listing(self) -> TargetListing:
-        """Return the list as it is known."""
+        """Return the current list."""
         return self._listing
 
     def age(self) -> timedelta | None:
-        """Return the time since the list was confirmed, or None before that."""
-        return None if self._confirmed is None else self._clock.monotonic() - self._confirmed
+        """Return the time since the list was last confirmed, or None if it never was."""
+        return None if self._confirmed_at is None else self._clock.monotonic() - self._confirmed_at
 
     async def run(self) -> None:
-        """Follow the list until cancelled."""
+        """Track the list until cancelled."""
         while True:
-            time_left = self._next_read - self._clock.monotonic()
+            time_left = self._next_read_at - self._clock.monotonic()
             if time_left <= timedelta():
-                await self._ask()
+                await self._read()
                 continue
             with trio.move_on_after(time_left.total_seconds()):
-                await self._told_to_read.wait()
-                self._told_to_read = trio.Event()
+                await self._read_requested.wait()
+                self._read_requested = trio.Event()
 
     def receive(self, sender: str, notice: ListingNotice) -> None:
-        """Take over what another entry instance was answered."""
+        """Apply a notice of a read that another entry instance has made."""
         if notice.revision < self._listing.revision:
             return
-        known = self._listing.digest()
+        current = self._listing.digest()
         targets = dict(self._listing.targets)
-        if known != notice.digest:
-            if known != notice.base:
-                self._followed, self._next_read = None, self._clock.monotonic()
-                self._told_to_read.set()
+        if current != notice.digest:
+            if current != notice.base:
+                self._tracked_revision, self._next_read_at = None, self._clock.monotonic()
+                self._read_requested.set()
                 return
             targets.update({item.target.target_id: item for item in notice.changed})
             for target_id in notice.removed:
                 targets.pop(target_id, None)
         self._confirm(self._clock.monotonic())
-        self._put(TargetListing(notice.revision, targets))
-        if self._followed is not None:
-            self._followed = notice.revision
+        self._replace(TargetListing(notice.revision, targets))
+        if self._tracked_revision is not None:
+            self._tracked_revision = notice.revision
 
     def full_notice(self) -> ListingNotice | None:
-        """Return the whole list for a peer that knows none, or None when it is not known here."""
+        """Return the whole list for a peer that has none, or None when it is empty here."""
         listing = self._listing
         if not listing.targets:
             return None
@@ -118,75 +118,77 @@
         return ListingNotice(listing.revision, NO_LISTING.digest(), listing.digest(), changed, ())
 
     def _confirm(self, now: timedelta) -> None:
-        """Note that the list is up to date, and when to ask next."""
-        self._confirmed = now
+        """Record that the list is up to date, and schedule the next read."""
+        self._confirmed_at = now
         rank = self._rank()
-        self._next_read = now if rank < WATCHERS else now + UNHEARD_LIMIT + UNHEARD_STEP * rank
+        self._next_read_at = (
+            now if rank < WATCHER_COUNT else now + NOTICE_TIMEOUT + NOTICE_TIMEOUT_STEP * rank
+        )
 
-    async def _ask(self) -> None:
-        """Ask for changes, or for the whole list when the changes are not known."""
-        wait = WATCH_WAIT if self._rank() < WATCHERS else timedelta()
+    async def _read(self) -> None:
+        """Poll for changes, or read the whole list when changes cannot be tracked."""
+        wait = LISTING_POLL_WAIT if self._rank() < WATCHER_COUNT else timedelta()
         outcome: TargetListing | TargetChanges | HistoryLost | StoreUnavailable
-        outcome = StoreUnavailable("no answer in time")
+        outcome = StoreUnavailable("no response in time")
         with trio.move_on_after((READ_TIMEOUT + wait).total_seconds()):
-            if self._followed is None:
+            if self._tracked_revision is None:
                 outcome = await self._port.targets()
             else:
-                outcome = await self._port.changes(self._followed, wait)
+                outcome = await self._port.changes(self._tracked_revision, wait)
         now = self._clock.monotonic()
         match outcome:
             case TargetListing() as listing:
-                self._note_store(None)
-                self._take_over(listing, now)
+                self._log_store_state(None)
+                self._apply_read(listing, now)
             case TargetChanges() as changes:
-                self._note_store(None)
-                self._take_over(self._apply(changes), now)
+                self._log_store_state(None)
+                self._apply_read(self._with_changes(changes), now)
             case HistoryLost():
-                self._followed = None
+                self._tracked_revision = None
             case StoreUnavailable(reason=reason):
-                self._note_store(reason)
-                self._followed = None
-                self._next_read = now + FAILED_READ_PAUSE
+                self._log_store_state(reason)
+                self._tracked_revision = None
+                self._next_read_at = now + FAILED_READ_DELAY
 
-    def _apply(self, changes: TargetChanges) -> TargetListing:
+    def _with_changes(self, changes: TargetChanges) -> TargetListing:
         targets = dict(self._listing.targets)
         targets.update({item.target.target_id: item for item in changes.changed})
         for target_id in changes.removed:
             targets.pop(target_id, None)
         return TargetListing(changes.revision, targets)
 
-    def _note_store(self, reason: str | None) -> None:
-        if reason is not None and not self._store_away:
+    def _log_store_state(self, reason: str | None) -> None:
+        if reason is not None and not self._store_unavailable:
             log_events.emit(log_events.STORE_UNAVAILABLE, service="list of targets", reason=reason)
-        if reason is None and self._store_away:
+        if reason is None and self._store_unavailable:
             log_events.emit(log_events.STORE_RECOVERED, service="list of targets")
-        self._store_away = reason is not None
+        self._store_unavailable = reason is not None
 
-    def _take_over(self, read: TargetListing, now: timedelta) -> None:
-        """Put an answer in force and tell the others."""
+    def _apply_read(self, read: TargetListing, now: timedelta) -> None:
+        """Apply the result of a read and notify the other instances."""
         if read.revision < self._listing.revision:
-            # An answer of a store that lags behind what another instance was told.
-            self._followed = None
-            self._next_read = now + LAGGING_READ_PAUSE
+            # The store lags behind a read of another instance.
+            self._tracked_revision = None
+            self._next_read_at = now + STALE_READ_DELAY
             return
-        if self._confirmed is not None and now - self._confirmed > OUTAGE_AGE:
-            self._returned = now
+        if self._confirmed_at is not None and now - self._confirmed_at > OUTAGE_THRESHOLD:
+            self._recovered_at = now
         before = self._listing
-        self._followed = read.revision
-        if self._returned is not None and now - self._returned < RETURN_GRACE:
+        self._tracked_revision = read.revision
+        if self._recovered_at is not None and now - self._recovered_at < RECOVERY_GRACE:
             missing = {key: item for key, item in before.targets.items() if key not in read.targets}
             read = TargetListing(read.revision, {**missing, **read.targets})
-            # The missing ones are looked for again when the grace is over.
-            self._followed = None if missing else read.revision
+            # The whole list is read again, so that missing targets are removed after the grace.
+            self._tracked_revision = None if missing else read.revision
         self._confirm(now)
-        self._put(read)
+        self._replace(read)
         changed = tuple(
             item for key, item in read.targets.items() if before.targets.get(key) != item
         )
         removed = tuple(key for key in before.targets if key not in read.targets)
-        self._tell(ListingNotice(read.revision, before.digest(), read.digest(), changed, removed))
+        self._notify(ListingNotice(read.revision, before.digest(), read.digest(), changed, removed))
 
-    def _put(self, listing: TargetListing) -> None:
+    def _replace(self, listing: TargetListing) -> None:
         before, self._listing = self._listing, listing
         if before.targets == listing.targets:
             return
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Chooses a target for a request."""
+"""Selects targets for requests."""
 
 from wasabiwell_entry.coordination.routing.coordinator import Router
 
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/errors.py
@@ -1,4 +1,4 @@
-"""Outcomes of choosing a target."""
+"""Outcomes of target selection."""
 
 from dataclasses import dataclass
 
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/estimate.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/estimate.py
@@ -1,22 +1,22 @@
-"""Estimates what engines have free, from lagging reports and the own recent sends."""
+"""Estimates the free capacity of engines from delayed load reports and recent local sends."""
 
 import itertools
 from dataclasses import dataclass
 from datetime import timedelta
 
 from wasabiwell_entry.coordination.routing.const import (
+    MAX_REPORT_AGE,
     PREFILL_TOKENS_PER_SECOND,
-    REPORT_AGE,
-    SILENCE,
+    SILENCE_TIMEOUT,
 )
 from wasabiwell_entry.state.targets import EngineLoad, OtherUse, TargetStatus
 
 
 @dataclass(frozen=True, slots=True)
 class EngineEstimate:
-    """What an engine has free and still to process; memory is in tokens of KV cache.
+    """Free capacity and remaining prefill of an engine; memory is in tokens of KV cache.
 
-    `other_tokens` is the memory used by others than this entry instance.
+    `other_tokens` is the memory used by requests of other entry instances.
     """
 
     free_slots: int
@@ -27,12 +27,12 @@
 
 
 def estimate_engine(status: TargetStatus, load: EngineLoad, now: timedelta) -> EngineEstimate:
-    """Return the load that an engine is likely to have now.
+    """Return the estimated load of an engine at the time `now`.
 
-    What a report contains of the own use is not known exactly, as the report's age is not. The
-    smallest own memory while the report may have been made is taken off it, so that the memory of
-    others is never too low. Slots use the mean, because short requests change them all the time and
-    the engine queues what exceeds them.
+    The age of a report is not known exactly, so neither is the local use that it contains. Of the
+    reported memory, the smallest local use during the possible age is subtracted, so that the use
+    of other instances is never underestimated. For slots the mean is subtracted, because short
+    requests change them constantly and the engine queues the excess.
     """
     others = status.others
     if others is None or others.load is not load:
@@ -42,25 +42,25 @@
         free_tokens=load.total_tokens - others.tokens - status.outstanding_tokens,
         other_tokens=others.tokens,
         prefill_tokens=_backlog(status, others.prefill_tokens, load.reported, now),
-        silent=now - load.reported > SILENCE,
+        silent=now - load.reported > SILENCE_TIMEOUT,
     )
 
 
 def _other_use(status: TargetStatus, load: EngineLoad) -> OtherUse:
-    """Return what does not change until the next report."""
-    since = load.reported - REPORT_AGE
-    own_slots, own_tokens = _own_use(status, since, load.reported)
-    made = load.reported - REPORT_AGE / 2
+    """Return the use by other instances, which is constant until the next report."""
+    since = load.reported - MAX_REPORT_AGE
+    local_slots, local_tokens = _local_use(status, since, load.reported)
+    created = load.reported - MAX_REPORT_AGE / 2
     return OtherUse(
         load,
-        slots=max(0, load.running + load.queued - round(own_slots)),
-        tokens=max(0, load.total_tokens - load.free_tokens - own_tokens),
-        prefill_tokens=_backlog(status, load.prefill_tokens, made, load.reported),
+        slots=max(0, load.running + load.queued - round(local_slots)),
+        tokens=max(0, load.total_tokens - load.free_tokens - local_tokens),
+        prefill_tokens=_backlog(status, load.prefill_tokens, created, load.reported),
     )
 
 
-def _own_use(status: TargetStatus, since: timedelta, until: timedelta) -> tuple[float, int]:
-    """Return the mean of the own slots and the least own memory between two times."""
+def _local_use(status: TargetStatus, since: timedelta, until: timedelta) -> tuple[float, int]:
+    """Return the mean slots and the least memory in use by this instance between two times."""
     least: int | None = None
     slot_seconds = 0.0
     end = until
@@ -73,21 +73,21 @@
         end = begin
         if sample.at <= since:
             break
-    # Before the first sample nothing was placed.
+    # Nothing was placed before the first sample.
     least = 0 if least is None or end > since else least
     return slot_seconds / (until - since).total_seconds(), least
 
 
 def _backlog(status: TargetStatus, backlog: float, since: timedelta, until: timedelta) -> float:
-    """Return the prompt tokens left of a backlog and of the own sends after it."""
+    """Return the prompt tokens that remain of a backlog and of the local sends after it."""
     sends = list(itertools.takewhile(lambda send: send[0] > since, reversed(status.sends)))
     for sent, tokens in reversed(sends):
         if sent > until:
             break
-        backlog = _worked_off(backlog, sent - since) + tokens
+        backlog = _backlog_after(backlog, sent - since) + tokens
         since = sent
-    return _worked_off(backlog, until - since)
+    return _backlog_after(backlog, until - since)
 
 
-def _worked_off(backlog: float, duration: timedelta) -> float:
+def _backlog_after(backlog: float, duration: timedelta) -> float:
     return max(0.0, backlog - PREFILL_TOKENS_PER_SECOND * duration.total_seconds())
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/policies.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/policies.py
@@ -1,4 +1,4 @@
-"""Policies of choosing engines, as data, so that they can be measured side by side."""
+"""Target selection policies, as data, so that they can be compared in measurements."""
 
 from dataclasses import dataclass
 
@@ -10,15 +10,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RoundRobin:
-    """Each target in turn."""
+    """Selects each target in turn."""
 
 
 @dataclass(frozen=True, slots=True)
 class LeastOutstanding:
-    """The target with the fewest outstanding requests of this entry instance.
+    """Selects the target with the fewest outstanding requests of this entry instance.
 
-    A target in another zone counts `remote_zone_penalty` requests more. The first landed version
-    was this policy with a penalty of 0.5.
+    `remote_zone_penalty` is added to the requests of targets in other zones. The policy
+    `first-landed` is this one with a penalty of 0.5.
     """
 
     remote_zone_penalty: float = 0.0
@@ -26,10 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadAware:
-    """Fair queue, capacity held before sending, and engine choice by corrected load.
+    """Selects engines by estimated load, with a fair queue and capacity reserved before sending.
 
-    With `shares_credits` capacity is leased from the engines' owners; without it each entry
-    instance judges capacity alone from load reports.
+    With `shares_credits`, capacity is leased from the entry instances that own the engines; without
+    it, each entry instance estimates capacity from load reports alone.
     """
 
     shares_credits: bool = True
@@ -39,7 +39,7 @@
 
 
 def policy_by_name(name: str) -> Policy | UnknownPolicy:
-    """Return the policy with a name."""
+    """Return the policy with this name."""
     match name:
         case "round-robin":
             return RoundRobin()
