--- a/tests/entry/coordination/forwarding/forwarding.feature
+++ b/tests/entry/coordination/forwarding/forwarding.feature
@@ -1,127 +1,127 @@
-Feature: Forwarding of requests
-  Guards against second runs of what may run once, against refusals that are not true, and against
-  streams with pieces that are missing, doubled or joined.
+Feature: Request forwarding
+  Guards against a second run of at-most-once requests, against false reports that a request did not
+  run, and against streams with events that are missing, duplicated or merged.
 
-  Scenario: A request that may run once is not sent again after its connection broke
+  Scenario: An at-most-once request is not retried after its connection was cut
     Given an at-most-once route
-    When the first target breaks off
-    Then 1 target got the request
+    When the first target cuts the connection
+    Then 1 target received the request
     And the outcome is failed with an unknown run
 
-  Scenario: A request that may run once goes elsewhere when a target proves that it did not run
+  Scenario: An at-most-once request is sent to another target when the first proves that it did not run
     Given an at-most-once route
     When the first target refuses without running it
-    Then 2 targets got the request
-    And the caller has the whole answer with status 200
+    Then 2 targets received the request
+    And the caller has received the whole response with status 200
 
-  Scenario: A target that could not be reached costs no part of the budget
+  Scenario: A target that cannot be reached takes nothing from the retry budget
     Given an at-most-once route
-    And the budget of repeats is used up
+    And the retry budget is exhausted
     When the first target cannot be reached
-    Then 2 targets got the request
+    Then 2 targets received the request
 
-  Scenario: A refused request is told to have not run when no target ran it
+  Scenario: A request that no target ran is reported as refused
     Given an at-most-once route
     When all targets refuse without running it
     Then the outcome is refused
-    And at most 6 targets got the request
+    And at most 6 targets received the request
 
-  Scenario: Nothing is repeated beyond the budget
+  Scenario: Retries do not exceed the budget
     Given an idempotent route
-    And the budget of repeats is used up
+    And the retry budget is exhausted
     When the first target answers with status 500
-    Then 1 target got the request
-    And the caller has the whole answer with status 500
+    Then 1 target received the request
+    And the caller has received the whole response with status 500
 
-  Scenario: An idempotent request is repeated after a failure of the target
+  Scenario: An idempotent request is retried after a failure of the target
     Given an idempotent route
     When the first target answers with status 500
-    Then 2 targets got the request
-    And the caller has the whole answer with status 200
+    Then 2 targets received the request
+    And the caller has received the whole response with status 200
 
   Scenario: An idempotent request runs on no more targets than its route allows
     Given an idempotent route
     When all targets answer with status 500
-    Then 2 targets got the request
-    And the caller has the whole answer with status 500
+    Then 2 targets received the request
+    And the caller has received the whole response with status 500
 
-  Scenario: The failure of a target is passed on where nothing may be repeated
+  Scenario: The error response of a target is passed on when the request may not be retried
     Given an at-most-once route
     When all targets answer with status 500
-    Then 1 target got the request
-    And the caller has the whole answer with status 500
+    Then 1 target received the request
+    And the caller has received the whole response with status 500
 
-  Scenario: A broken stream is resumed after its last event in the same answer
+  Scenario: An interrupted stream is resumed after its last event in the same response
     Given a resumable stream route
-    When the first target breaks off after event 3
-    Then 2 targets got the request
-    And the second target was asked to go on after event 3
-    And the caller has the events 1 to 6 once and the end
+    When the first target cuts the connection after event 3
+    Then 2 targets received the request
+    And the second target was asked to resume after event 3
+    And the caller has received events 1 to 6 once and the end of the stream
 
-  Scenario: A stream that may not be resumed is left without its end
+  Scenario: An interrupted stream that may not be resumed has no end
     Given a stream route
-    When the first target breaks off after event 3
-    Then 1 target got the request
-    And the caller has the events 1 to 3 once and no end
+    When the first target cuts the connection after event 3
+    Then 1 target received the request
+    And the caller has received events 1 to 3 once and no end of the stream
 
   Scenario: An event that does not follow the last one is not passed on
     Given a stream route
-    When the target leaves out event 3
-    Then the caller has the events 1 to 2 once and no end
+    When the target skips event 3
+    Then the caller has received events 1 to 2 once and no end of the stream
 
-  Scenario: A target that gets stuck is given up and the request is repeated
+  Scenario: A request is retried when its target hangs
     Given an idempotent route
-    When the first target is silent for longer than its patience
-    Then 2 targets got the request
-    And the caller has the whole answer with status 200
+    When the first target is silent for longer than its timeout
+    Then 2 targets received the request
+    And the caller has received the whole response with status 200
 
-  Scenario: A request is given up at the time limit of its route
+  Scenario: A request is cancelled at the time limit of its route
     Given an at-most-once route with a limit of 1 second
     When the target takes 5 seconds
     Then the outcome is failed with an unknown run
-    And it came after 1 second
+    And the outcome came after 1 second
     And the attempt was cancelled at the target
 
   Scenario: A request that crashes targets is refused after the third
     Given a resumable stream route
     When the same request crashes every target that runs it and is sent 4 times
-    Then 3 targets got the request
+    Then 3 targets received the request
     And the outcome is refused
 
-  Scenario: A connection that is cut by a living target makes no suspect
+  Scenario: A request is not suspected when a running target cuts the connection
     Given a resumable stream route
     And targets that accept connections again
     When the same request crashes every target that runs it and is sent 4 times
-    Then 8 targets got the request
+    Then 8 targets received the request
 
-  Scenario: A prompt larger than one engine is held on several and the memory is returned
+  Scenario: The memory that helpers reserve for a long prompt is released
     Given a resumable stream route for long prompts
     When a prompt of 700000 tokens is answered
-    Then helpers held parts of it, each under a reservation of its own
+    Then helpers kept segments of it, each under its own reservation
     And no reservation is left
 
-  Scenario: Memory that one engine refuses is not kept on the others
+  Scenario: When one engine refuses memory, the reservations on the others are released
     Given a resumable stream route for long prompts
     And engine "e08" has no memory to reserve
     When a prompt of 700000 tokens is answered
     Then no reservation is left
 
-  Scenario: Peers are told of the begin, the first event and the end of a placement
+  Scenario: Peers are notified of a placement, its first event and its end
     Given a resumable stream route
     When the target answers
-    Then peers were told "Placing Writing Ending"
+    Then peers received the notices "RequestPlaced DecodeStarted RequestEnded"
     And the verdict on the target is "answered"
 
-  Scenario: A helper that is gone is avoided by all instances, and the lead is not blamed
+  Scenario: All instances avoid a lost helper, and the failure does not count against the lead
     Given a resumable stream route for long prompts
-    When the first target refuses a prompt of 200000 tokens, as its first helper is gone
-    Then 2 targets got the request in turn
-    And the lost helper has no part of the second send, and peers were told of it
+    When the first target refuses a prompt of 200000 tokens, as its first helper is unreachable
+    Then 2 targets received the request in turn
+    And the lost helper has no part in the second attempt, and peers were notified
     And the verdicts on the leads are "abandoned answered"
 
-  Scenario: A helper that does not reserve its part is replaced by another one
+  Scenario: A helper that cannot reserve memory is replaced by another one
     Given a resumable stream route for long prompts
     And engines "e08 e07" have no memory to reserve
     When a prompt of 700000 tokens is answered
-    Then helpers held parts of it, each under a reservation of its own
-    And 1 target got the request
+    Then helpers kept segments of it, each under its own reservation
+    And 1 target received the request
--- a/tests/entry/coordination/placement/placement.feature
+++ b/tests/entry/coordination/placement/placement.feature
@@ -1,6 +1,6 @@
-Feature: Placement of requests
-  Guards against short requests that wait behind long prompts, against pauses in streams, and against
-  prompts that no engine's memory can take.
+Feature: Request placement
+  Guards against short requests that wait for the prefill of long prompts, against pauses in streams,
+  and against prompts that are placed where they do not fit into memory.
 
   Scenario: Short requests share engines, so that others stay free for long prompts
     Given 6 engines
@@ -12,31 +12,31 @@
     When 10 short requests are placed
     Then no engine has more than 8 requests
 
-  Scenario: A short request avoids an engine that reads a long prompt
+  Scenario: A short request avoids an engine that processes a long prefill
     Given 2 engines
-    And a prompt of 200000 tokens is read on "e00"
+    And a prompt of 200000 tokens is in prefill on "e00"
     When 1 short request is placed
-    Then the last one is on "e01"
+    Then the last request is on "e01"
 
-  Scenario: A long prompt is read on several engines, but not where short ones are written
+  Scenario: The prefill of a long prompt is split, but not over engines that decode short requests
     Given 9 engines
-    And 4 short requests are written on "e00"
+    And 4 short requests are decoding on "e00"
     When a long prompt of 300000 tokens is placed
     Then it is split over at least 5 engines
-    And "e00" is not one of them
+    And "e00" is not used
 
-  Scenario: A prompt of 45,000 tokens is split into parts that disturb nobody
+  Scenario: A prompt of 45,000 tokens is split into segments that delay no stream
     Given 4 engines
-    And 4 short requests are written on "e00"
-    And 4 short requests are written on "e01"
-    And 4 short requests are written on "e02"
-    And 4 short requests are written on "e03"
+    And 4 short requests are decoding on "e00"
+    And 4 short requests are decoding on "e01"
+    And 4 short requests are decoding on "e02"
+    And 4 short requests are decoding on "e03"
     When a medium prompt of 45000 tokens is placed
-    Then no part takes longer than 150 ms
+    Then no prefill segment takes longer than 150 ms
 
-  Scenario Outline: A giant prompt leaves engines to the short requests that will come
+  Scenario Outline: The split of a very long prompt leaves engines for the short requests that will arrive
     Given 8 engines
-    When <rate> short requests a second have come for 2 seconds and have ended
+    When <rate> short requests a second have arrived for 2 seconds and have ended
     And a long prompt of 900000 tokens is placed
     Then it is split over <most> engines at most
 
@@ -47,78 +47,78 @@
 
   Scenario: A later long prompt avoids delaying one that is about to be late
     Given 4 engines
-    And a prompt of 400000 tokens, due 0.6 s later, is read on "e00" and "e01"
+    And a prompt of 400000 tokens, due 0.6 s later, is in prefill on "e00" and "e01"
     When a long prompt of 100000 tokens is placed
-    Then "e00" is not one of them
-    And "e01" is not one of them
+    Then "e00" is not used
+    And "e01" is not used
 
-  Scenario: A prompt larger than one engine's memory is kept on several
+  Scenario: A prompt larger than one engine's memory is kept in the KV caches of several
     Given 6 engines
     When a long prompt of 700000 tokens is placed
-    Then no engine keeps more than 441000 tokens of it
-    And all 700000 tokens are kept
+    Then no engine keeps the KV cache of more than 441000 tokens
+    And all 700000 tokens are kept in KV caches
 
-  Scenario: A prompt does not lead on an engine whose memory is taken
+  Scenario: The lead is not an engine whose memory is in use
     Given 3 engines
-    And a prompt of 300000 tokens is written on "e00"
-    And a prompt of 300000 tokens is written on "e01"
+    And a prompt of 300000 tokens is decoding on "e00"
+    And a prompt of 300000 tokens is decoding on "e01"
     When a long prompt of 200000 tokens is placed
     Then its lead is "e02"
 
-  Scenario: Targets that are leaving, lost or excluded get nothing
+  Scenario: Targets that are leaving, lost or excluded get no requests
     Given 4 engines
     And "e00" is leaving
     And "e01" was lost
-    When a short request is placed that "e02" failed
-    Then the last one is on "e03"
+    When a short request that failed on "e02" is placed
+    Then the last request is on "e03"
 
   Scenario: Lost targets are used when no other is listed
     Given 1 engines
     And "e00" was lost
     When 1 short request is placed
-    Then the last one is on "e00"
+    Then the last request is on "e00"
 
   Scenario: A target that failed requests is chosen after one that did not
     Given 2 engines
     And "e00" failed 5 requests
     When 1 short request is placed
-    Then the last one is on "e01"
+    Then the last request is on "e01"
 
-  Scenario: A request under which a target died runs alone
+  Scenario: A request during which a target died runs alone
     Given 3 engines
-    And 1 short requests are written on "e00"
-    And 1 short requests are written on "e02"
+    And 1 short requests are decoding on "e00"
+    And 1 short requests are decoding on "e02"
     When a suspected short request is placed
-    Then the last one is on "e01"
+    Then the last request is on "e01"
 
   Scenario: Calls go to the plain target with the fewest requests of all instances
     Given 3 plain targets
     And a call was placed on "e00"
     And a call was placed on "e01"
     When a call is placed
-    Then the last one is on "e02"
+    Then the last request is on "e02"
 
-  Scenario: Without a target nothing is placed
+  Scenario: Without a target placement fails
     Given 0 engines
     When 1 short request is placed
-    Then nothing was placed
+    Then no target was chosen
 
-  Scenario: The time of a large fleet's placement is bounded
+  Scenario: The placement time in a large fleet is bounded
     Given 500 engines
     When a long prompt of 300000 tokens is placed
     Then at most 64 engines were compared
 
-  Scenario: In a large fleet a request stays in its zone while that has room
+  Scenario: In a large fleet a request stays in its zone while a slot is free there
     Given 3 engines
-    And zones that place requests among themselves, with "e00" and "e02" in the own zone
-    And 4 short requests are written on "e01"
+    And zones that serve their own requests, with "e00" and "e02" in the local zone
+    And 4 short requests are decoding on "e01"
     When 1 short request is placed
-    Then "e01" is not one of them
+    Then "e01" is not used
 
-  Scenario: In a large fleet a request leaves its zone when that has no room
+  Scenario: In a large fleet a request leaves its zone when no slot is free there
     Given 3 engines
-    And zones that place requests among themselves, with "e00" and "e02" in the own zone
-    And 9 short requests are written on "e00"
-    And 9 short requests are written on "e02"
+    And zones that serve their own requests, with "e00" and "e02" in the local zone
+    And 9 short requests are decoding on "e00"
+    And 9 short requests are decoding on "e02"
     When 1 short request is placed
-    Then the last one is on "e01"
+    Then the last request is on "e01"
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -1,4 +1,4 @@
-"""Steps for forwarding requests."""
+"""Steps for request forwarding."""
 
 from datetime import timedelta
 
@@ -13,11 +13,11 @@
     RecordingSink,
     Script,
     ScriptedTargets,
-    answer,
     make_forwarded,
     make_forwarder,
     make_route,
-    stream,
+    response_script,
+    stream_script,
 )
 from wasabiwell_entry.state.clock import SystemClock
 from wasabiwell_entry.state.exchange import HelperLoss, Notice, RequestEnded
@@ -31,7 +31,7 @@
 from wasabiwell_entry.state.outcomes import Failed, Refused, RunState
 from wasabiwell_entry.state.routes import Route, RouteKind
 
-BROKEN = ResponseInterrupted("cut", target_lost=True)
+CONNECTION_CUT = ResponseInterrupted("cut", target_lost=True)
 
 
 def prepare(context: Context, route: Route) -> None:
@@ -42,27 +42,27 @@
     context.notices = []
 
 
-def play(context: Context, scripts: list[Script], prompt: int = 0, times: int = 1) -> None:
-    """Forward one request, as often as told, and keep what became of it."""
+def forward(context: Context, scripts: list[Script], prompt: int = 0, times: int = 1) -> None:
+    """Forward a request `times` times and record the outcome of the last one."""
 
-    def tell(notice: Notice) -> None:
+    def notify(notice: Notice) -> None:
         context.notices.append(notice)
 
     async def run() -> None:
         engines = Engines(9, SystemClock())
         targets = ScriptedTargets(scripts, accepting=context.accepting)
         context.targets = targets
-        forwarder = make_forwarder(engines, targets, tell, context.slack, context.reservations)
+        forwarder = make_forwarder(engines, targets, notify, context.slack, context.reservations)
         for number in range(times):
             request = make_forwarded(
                 context.route, prompt, now=timedelta(seconds=trio.current_time())
             )
             context.sink = RecordingSink()
-            begun = trio.current_time()
+            started = trio.current_time()
             context.outcome = await forwarder.forward(request, context.sink)
-            context.seconds = trio.current_time() - begun
+            context.seconds = trio.current_time() - started
             assert number < times
-        await forwarder._reservations.settle()  # returns what was given back
+        await forwarder._reservations.settle()  # sends the pending releases
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
@@ -98,7 +98,7 @@
     prepare(context, make_route(RouteKind.STREAM, "long"))
 
 
-@given("the budget of repeats is used up")
+@given("the retry budget is exhausted")
 def step_budget(context: Context) -> None:
     context.slack = 0.0
 
@@ -118,73 +118,79 @@
     context.reservations.refusing.update(target_ids.split())
 
 
-@when("the first target breaks off")
-def step_breaks(context: Context) -> None:
-    play(context, [[BROKEN], answer()])
+@when("the first target cuts the connection")
+def step_cut(context: Context) -> None:
+    forward(context, [[CONNECTION_CUT], response_script()])
 
 
 @when("the first target refuses without running it")
 def step_refuses(context: Context) -> None:
-    play(context, [[NotRun("status 503")], answer()])
+    forward(context, [[NotRun("status 503")], response_script()])
 
 
 @when("all targets refuse without running it")
 def step_all_refuse(context: Context) -> None:
-    play(context, [[NotRun("status 503")]])
+    forward(context, [[NotRun("status 503")]])
 
 
 @when("the first target cannot be reached")
 def step_unreached(context: Context) -> None:
-    play(context, [[NotSent("ConnectError")], answer()])
+    forward(context, [[NotSent("ConnectError")], response_script()])
 
 
 @when("the first target answers with status {status:d}")
 def step_first_status(context: Context, status: int) -> None:
-    play(context, [answer(status), answer()])
+    forward(context, [response_script(status), response_script()])
 
 
 @when("all targets answer with status {status:d}")
 def step_all_status(context: Context, status: int) -> None:
-    play(context, [answer(status)])
+    forward(context, [response_script(status)])
 
 
-@when("the first target breaks off after event {last:d}")
-def step_stream_breaks(context: Context, last: int) -> None:
-    play(context, [[*stream(1, last, end=False), BROKEN], stream(last + 1, 6)], prompt=2_000)
+@when("the first target cuts the connection after event {last:d}")
+def step_stream_cut(context: Context, last: int) -> None:
+    forward(
+        context,
+        [[*stream_script(1, last, end=False), CONNECTION_CUT], stream_script(last + 1, 6)],
+        prompt=2_000,
+    )
 
 
-@when("the target leaves out event {number:d}")
-def step_left_out(context: Context, number: int) -> None:
-    script = [*stream(1, number - 1, end=False), ResponseEvent(number + 1, b"x")]
-    play(context, [script], prompt=2_000)
+@when("the target skips event {number:d}")
+def step_skipped(context: Context, number: int) -> None:
+    script = [*stream_script(1, number - 1, end=False), ResponseEvent(number + 1, b"x")]
+    forward(context, [script], prompt=2_000)
 
 
-@when("the first target is silent for longer than its patience")
+@when("the first target is silent for longer than its timeout")
 def step_silent(context: Context) -> None:
-    play(context, [[4.0, ResponseInterrupted("ReadTimeout")], answer()])
+    forward(context, [[4.0, ResponseInterrupted("ReadTimeout")], response_script()])
 
 
 @when("the target takes {seconds:d} seconds")
 def step_slow(context: Context, seconds: int) -> None:
-    play(context, [[float(seconds), *answer()]])
+    forward(context, [[float(seconds), *response_script()]])
 
 
 @when("the same request crashes every target that runs it and is sent {times:d} times")
 def step_crashes(context: Context, times: int) -> None:
-    play(context, [[BROKEN]], prompt=2_000, times=times)
+    forward(context, [[CONNECTION_CUT]], prompt=2_000, times=times)
 
 
-@when("the first target refuses a prompt of {tokens:d} tokens, as its first helper is gone")
-def step_helper_gone(context: Context, tokens: int) -> None:
-    play(context, [[NotRun("status 503", at_fault=FIRST_HELPER)], stream(1, 3)], prompt=tokens)
+@when("the first target refuses a prompt of {tokens:d} tokens, as its first helper is unreachable")
+def step_helper_unreachable(context: Context, tokens: int) -> None:
+    forward(
+        context, [[NotRun("status 503", at_fault=FIRST_HELPER)], stream_script(1, 3)], prompt=tokens
+    )
 
 
-@then("{count:d} targets got the request in turn")
+@then("{count:d} targets received the request in turn")
 def step_sends(context: Context, count: int) -> None:
     assert len(context.targets.sent) == count
 
 
-@then("the lost helper has no part of the second send, and peers were told of it")
+@then("the lost helper has no part in the second attempt, and peers were notified")
 def step_helper_avoided(context: Context) -> None:
     first, second = context.targets.sent
     lost = first.helpers[0].target.target_id
@@ -201,16 +207,16 @@
 
 @when("a prompt of {tokens:d} tokens is answered")
 def step_prompt(context: Context, tokens: int) -> None:
-    play(context, [stream(1, 3)], prompt=tokens)
+    forward(context, [stream_script(1, 3)], prompt=tokens)
 
 
 @when("the target answers")
 def step_answers(context: Context) -> None:
-    play(context, [stream(1, 3)], prompt=2_000)
+    forward(context, [stream_script(1, 3)], prompt=2_000)
 
 
-@then("{count:d} target got the request")
-@then("{count:d} targets got the request")
+@then("{count:d} target received the request")
+@then("{count:d} targets received the request")
 def step_sent(context: Context, count: int) -> None:
     sent = [attempt.target.target_id for attempt in context.targets.sent]
     assert len(sent) == count, sent
@@ -218,7 +224,7 @@
         assert len(set(sent)) == count, sent
 
 
-@then("at most {count:d} targets got the request")
+@then("at most {count:d} targets received the request")
 def step_at_most(context: Context, count: int) -> None:
     assert len(context.targets.sent) <= count
 
@@ -234,33 +240,33 @@
     assert isinstance(context.outcome, Refused), context.outcome
 
 
-@then("the caller has the whole answer with status {status:d}")
+@then("the caller has received the whole response with status {status:d}")
 def step_whole(context: Context, status: int) -> None:
     assert context.outcome == Forwarded(status), context.outcome
     assert (context.sink.status, context.sink.data) == (status, b"ok"), context.sink
     assert context.sink.finished
 
 
-@then("the second target was asked to go on after event {number:d}")
+@then("the second target was asked to resume after event {number:d}")
 def step_resumed(context: Context, number: int) -> None:
     assert context.targets.sent[1].resume_after == number
 
 
-@then("the caller has the events 1 to {last:d} once and the end")
+@then("the caller has received events 1 to {last:d} once and the end of the stream")
 def step_events(context: Context, last: int) -> None:
     assert context.sink.data == b"".join(b"%d " % number for number in range(1, last + 1))
     assert context.sink.finished
     assert context.sink.heads == 1
 
 
-@then("the caller has the events 1 to {last:d} once and no end")
+@then("the caller has received events 1 to {last:d} once and no end of the stream")
 def step_events_cut(context: Context, last: int) -> None:
     assert context.sink.data == b"".join(b"%d " % number for number in range(1, last + 1))
     assert not context.sink.finished
     assert isinstance(context.outcome, Failed)
 
 
-@then("it came after {seconds:d} second")
+@then("the outcome came after {seconds:d} second")
 def step_after(context: Context, seconds: int) -> None:
     assert abs(context.seconds - seconds) < 0.01, context.seconds
 
@@ -270,11 +276,11 @@
     assert context.targets.cancelled == 1
 
 
-@then("helpers held parts of it, each under a reservation of its own")
-def step_held(context: Context) -> None:
+@then("helpers kept segments of it, each under its own reservation")
+def step_kept(context: Context) -> None:
     helpers = [item for item in context.targets.sent[-1].helpers if item.kv_tokens]
-    held = sum(item.kv_tokens for item in helpers)
-    assert 700_000 - held <= 450_000, held
+    kept = sum(item.kv_tokens for item in helpers)
+    assert 700_000 - kept <= 450_000, kept
     assert len({item.reservation_id for item in helpers}) == len(helpers) > 0
 
 
@@ -283,8 +289,8 @@
     assert not context.reservations.held, context.reservations.held
 
 
-@then('peers were told "{kinds}"')
-def step_told(context: Context, kinds: str) -> None:
+@then('peers received the notices "{kinds}"')
+def step_notified(context: Context, kinds: str) -> None:
     assert [type(notice).__name__ for notice in context.notices] == kinds.split()
 
 
--- a/tests/steps/entry/coordination/placement_steps.py
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -1,4 +1,4 @@
-"""Steps for placing requests."""
+"""Steps for request placement."""
 
 from dataclasses import replace
 
@@ -26,37 +26,39 @@
     context.placements = []
 
 
-def add(context: Context, placed: PlacedRequest) -> None:
+def add_placed(context: Context, placed: PlacedRequest) -> None:
     context.engines.works.add(placed, context.engines.now)
 
 
-@given('a prompt of {tokens:d} tokens is read on "{target_id}"')
-def step_read(context: Context, tokens: int, target_id: str) -> None:
-    add(context, make_placed(target_id, tokens, "long"))
+@given('a prompt of {tokens:d} tokens is in prefill on "{target_id}"')
+def step_prefill(context: Context, tokens: int, target_id: str) -> None:
+    add_placed(context, make_placed(target_id, tokens, "long"))
 
 
-@given('a prompt of {tokens:d} tokens is written on "{target_id}"')
-def step_written_long(context: Context, tokens: int, target_id: str) -> None:
-    add(context, make_placed(target_id, tokens, "long", decoding=True))
+@given('a prompt of {tokens:d} tokens is decoding on "{target_id}"')
+def step_decoding_long(context: Context, tokens: int, target_id: str) -> None:
+    add_placed(context, make_placed(target_id, tokens, "long", decoding=True))
 
 
-@given('a prompt of {tokens:d} tokens, due {due:g} s later, is read on "{lead}" and "{helper}"')
+@given(
+    'a prompt of {tokens:d} tokens, due {due:g} s later, is in prefill on "{lead}" and "{helper}"'
+)
 def step_due(context: Context, tokens: int, due: float, lead: str, helper: str) -> None:
     finish = PROFILE.prefill_seconds(tokens) / 2
     placed = make_placed(lead, tokens, "long", helpers=(helper,), due=finish + due)
-    add(context, replace(placed, placed_at=-1.0))
+    add_placed(context, replace(placed, placed_at=-1.0))
 
 
-@given('{count:d} short requests are written on "{target_id}"')
-def step_written(context: Context, count: int, target_id: str) -> None:
+@given('{count:d} short requests are decoding on "{target_id}"')
+def step_decoding(context: Context, count: int, target_id: str) -> None:
     for number in range(count):
-        add(
+        add_placed(
             context, make_placed(target_id, 5_000, request_id=f"{target_id}{number}", decoding=True)
         )
 
 
-@given('zones that place requests among themselves, with "{one}" and "{other}" in the own zone')
-def step_cells(context: Context, one: str, other: str) -> None:
+@given('zones that serve their own requests, with "{one}" and "{other}" in the local zone')
+def step_local_zones(context: Context, one: str, other: str) -> None:
     engines = context.engines
     engines.zone_locality.used = True
     engines.targets = [
@@ -69,7 +71,7 @@
 @given('a call was placed on "{target_id}"')
 def step_call_placed(context: Context, target_id: str) -> None:
     placed = make_placed(target_id, 1, "call")
-    add(context, replace(placed, size=None))
+    add_placed(context, replace(placed, size=None))
 
 
 @given('"{target_id}" is leaving')
@@ -89,7 +91,7 @@
 
 
 def place(context: Context, size: str, tokens: int, **options: object) -> None:
-    """Place a request and enter it, as the ledger does."""
+    """Place a request and add it to the work table, as the ledger does."""
     engines, number = context.engines, len(context.placements)
     kind = RouteKind.STREAM if size != "call" else RouteKind.IDEMPOTENT
     request = make_forwarded(make_route(kind, size), tokens, f"r{number}")
@@ -99,13 +101,13 @@
     if isinstance(placement, Placement):
         helpers = tuple(helper.target.target_id for helper in placement.helpers)
         target_id = placement.target.target_id
-        add(
+        add_placed(
             context,
             make_placed(target_id, tokens, size, request_id=f"r{number}", helpers=helpers),
         )
 
 
-@when("{rate:d} short requests a second have come for 2 seconds and have ended")
+@when("{rate:d} short requests a second have arrived for 2 seconds and have ended")
 def step_rate(context: Context, rate: int) -> None:
     works, now = context.engines.works, context.engines.now
     for number in range(rate * 2):
@@ -125,7 +127,7 @@
         place(context, "short", 1_000)
 
 
-@when('a short request is placed that "{target_id}" failed')
+@when('a short request that failed on "{target_id}" is placed')
 def step_place_excluded(context: Context, target_id: str) -> None:
     place(context, "short", 1_000, excluded=frozenset({target_id}))
 
@@ -158,11 +160,11 @@
 
 @then("no engine has more than {count:d} requests")
 def step_at_most(context: Context, count: int) -> None:
-    leads = {work.target.target_id: work.occupied_slots for work in context.engines.works}
-    assert max(leads.values()) <= count, leads
+    occupied = {work.target.target_id: work.occupied_slots for work in context.engines.works}
+    assert max(occupied.values()) <= count, occupied
 
 
-@then('the last one is on "{target_id}"')
+@then('the last request is on "{target_id}"')
 @then('its lead is "{target_id}"')
 def step_lead(context: Context, target_id: str) -> None:
     assert engines_of(context)[0] == target_id, engines_of(context)
@@ -173,33 +175,33 @@
     assert len(engines_of(context)) >= count, engines_of(context)
 
 
-@then('"{target_id}" is not one of them')
+@then('"{target_id}" is not used')
 def step_not_used(context: Context, target_id: str) -> None:
     assert target_id not in engines_of(context), engines_of(context)
 
 
-@then("no part takes longer than {milliseconds:d} ms")
-def step_part(context: Context, milliseconds: int) -> None:
-    part = PROFILE.prefill_seconds(context.tokens) / len(engines_of(context))
-    assert part <= milliseconds / 1000, part
+@then("no prefill segment takes longer than {milliseconds:d} ms")
+def step_segment(context: Context, milliseconds: int) -> None:
+    segment = PROFILE.prefill_seconds(context.tokens) / len(engines_of(context))
+    assert segment <= milliseconds / 1000, segment
 
 
-@then("no engine keeps more than {tokens:d} tokens of it")
+@then("no engine keeps the KV cache of more than {tokens:d} tokens")
 def step_keeps(context: Context, tokens: int) -> None:
-    holds = [item.kv_tokens for item in context.placements[-1].helpers]
-    assert max([*holds, context.tokens - sum(holds)]) <= tokens, holds
+    kept = [item.kv_tokens for item in context.placements[-1].helpers]
+    assert max([*kept, context.tokens - sum(kept)]) <= tokens, kept
 
 
-@then("all {tokens:d} tokens are kept")
+@then("all {tokens:d} tokens are kept in KV caches")
 def step_kept(context: Context, tokens: int) -> None:
-    holds = [item.kv_tokens for item in context.placements[-1].helpers]
-    lead = tokens - sum(holds)
-    assert 0 < lead <= PROFILE.memory_tokens, (lead, holds)
-    assert sum(holds) > 0
+    kept = [item.kv_tokens for item in context.placements[-1].helpers]
+    lead = tokens - sum(kept)
+    assert 0 < lead <= PROFILE.memory_tokens, (lead, kept)
+    assert sum(kept) > 0
 
 
-@then("nothing was placed")
-def step_nothing(context: Context) -> None:
+@then("no target was chosen")
+def step_no_target(context: Context) -> None:
     assert isinstance(context.placements[-1], NoPlacement)
 
 
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -1,4 +1,4 @@
-"""Builders and fakes for requests that are forwarded unchanged."""
+"""Builders and fakes for forwarded requests."""
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -50,7 +50,7 @@
     usual_prompt_tokens=13_199,
     usual_output_tokens=1_541,
 )
-"""Engines of the users: 210,000 tokens take one of them 2.9 s to read."""
+"""Engines of the users: the prefill of 210,000 tokens takes 2.9 s on one of them."""
 
 OBJECTIVES = {"short": 0.3, "medium": 1.5, "long": 3.0, "call": 0.1}
 GAPS = {"short": 0.2, "medium": 0.5, "long": 0.8, "call": 1.0}
@@ -76,7 +76,7 @@
 def make_forwarded(
     route: Route, prompt: int = 0, request_id: str = "r1", now: timedelta = timedelta()
 ) -> ForwardedRequest:
-    """Return a request; with prompt tokens it is one for engines."""
+    """Return a request; with prompt tokens it is a request for engines."""
     return ForwardedRequest(
         request_id=request_id,
         route=route,
@@ -94,7 +94,7 @@
 
 
 def make_target(index: int, incarnation: int = 1) -> Target:
-    """Return engine `e0`, `e1`, ...; `e0` is in the own zone."""
+    """Return engine `e00`, `e01`, ...; `e00` is in the local zone."""
     return Target(
         target_id=f"e{index:02}",
         kind=TargetKind.ENGINE,
@@ -110,7 +110,7 @@
 def make_placed(
     target_id: str, prompt: int, size: str = "short", **fields: object
 ) -> PlacedRequest:
-    """Return a request that was placed at the begin of the test."""
+    """Return a request that was placed at the start of the test."""
     values: dict[str, object] = {
         "request_id": f"{target_id}-{prompt}-{size}",
         "origin": "peer",
@@ -126,7 +126,7 @@
 
 
 class FakeZoneLocality:
-    """Zones that place requests among themselves when a test says so."""
+    """Zones that serve their own requests when a test sets `used`."""
 
     def __init__(self) -> None:
         self.used = False
@@ -137,7 +137,7 @@
 
 
 class Engines:
-    """The parts of an entry instance that place requests, over engines that are listed."""
+    """The placement parts of an entry instance, with listed engines."""
 
     def __init__(self, count: int, clock: Clock, profile: EngineProfile | None = PROFILE) -> None:
         self.clock = clock
@@ -149,7 +149,7 @@
         self.list_targets(profile)
 
     def list_targets(self, profile: EngineProfile | None = PROFILE, leaving: str = "") -> None:
-        """Take over the list of targets; one of them may be leaving."""
+        """Apply the list of targets; one of them may be leaving."""
         self.health.update([ListedTarget(item, item.target_id == leaving) for item in self.targets])
         self.works.update([(item, profile) for item in self.targets], self.now)
 
@@ -160,14 +160,14 @@
 
 
 FIRST_HELPER = "first helper"
-"""Stands for the address of the first helper in a script."""
+"""Placeholder in scripts for the address of the first helper."""
 Script = list[AttemptItem | float]
-"""What a target does on one request; numbers are pauses in seconds."""
+"""Behaviour of a target for one request; numbers are pauses in seconds."""
 
 
 @dataclass(slots=True)
 class ScriptedTargets:
-    """Targets that follow a script for each send, whichever target it goes to."""
+    """Targets that follow one script for each attempt, whichever target it is sent to."""
 
     scripts: list[Script]
     sent: list[ForwardAttempt] = field(default_factory=list)
@@ -204,7 +204,7 @@
 
 @dataclass(slots=True)
 class RecordingSink:
-    """What the caller got."""
+    """Records what the caller received."""
 
     status: int | None = None
     heads: int = 0
@@ -212,23 +212,23 @@
     finished: bool = False
 
     async def begin(self, head: ResponseHead) -> None:
-        """Take the head."""
+        """Record the head."""
         self.heads += 1
         self.status = head.status
 
     async def send(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Record a part of the body."""
         self.data += data
 
     async def finish(self) -> None:
-        """Take the end."""
+        """Record the end."""
         self.finished = True
 
 
 def make_forwarder(
     engines: Engines,
     targets: ScriptedTargets,
-    tell: Callable[[Notice], None] = lambda notice: None,
+    notify: Callable[[Notice], None] = lambda notice: None,
     slack: float = 100.0,
     reservations: FakeReservations | None = None,
 ) -> Forwarder:
@@ -239,25 +239,25 @@
         engines.placer,
         PlacementLedger(
             engines.works,
-            tell,
+            notify,
             engines.health.note,
             lambda target_id: engines.health.note(target_id, AttemptVerdict.LOST),
             clock,
         ),
         targets,
         EngineReservations(reservations or FakeReservations(), clock),
-        RepeatBudget(limits, list, tell, clock),
-        CrashCounts(tell, clock),
+        RepeatBudget(limits, list, notify, clock),
+        CrashCounts(notify, clock),
         clock,
     )
 
 
-def answer(status: int = 200, body: bytes = b"ok") -> Script:
-    """Return the script of a whole answer."""
+def response_script(status: int = 200, body: bytes = b"ok") -> Script:
+    """Return the script of a whole response."""
     return [ResponseHead(status, (), True), ResponseChunk(body), ResponseEnd()]
 
 
-def stream(first: int, last: int, end: bool = True) -> Script:
+def stream_script(first: int, last: int, end: bool = True) -> Script:
     """Return the script of a stream with events from `first` to `last`."""
     events = [ResponseEvent(number, b"%d " % number) for number in range(first, last + 1)]
     return [ResponseHead(200, (), True), *events, *([ResponseEnd()] if end else [])]
