--- a/tests/entry/coordination/discovery/targets.feature
+++ b/tests/entry/coordination/discovery/targets.feature
@@ -1,54 +1,54 @@
-Feature: Following the list of targets
-  Guards against work for targets that are leaving, and against a whole fleet that is dropped because
-  the store was away.
+Feature: Target discovery
+  Guards against sending requests to targets that are leaving, and against dropping the whole fleet
+  after an outage of the store.
 
-  Scenario: A watcher's answer reaches an instance that does not ask
+  Scenario: An instance that does not read the store gets changes from a watcher
     Given a store that lists "a b c"
-    And a watcher and another instance that hears it
+    And a watcher and another instance that receives its notices
     When the store lists "a b~ d" a little later
-    Then the other instance knows "a b~ d" within 100 ms
-    And the store was asked at most twice since the change
+    Then the other instance has the targets "a b~ d" within 100 ms
+    And the store was queried at most twice since the change
 
-  Scenario: An instance that hears no watcher asks itself
+  Scenario: An instance without notices from a watcher reads the store itself
     Given a store that lists "a b"
-    And a watcher and another instance that hears it
+    And a watcher and another instance that receives its notices
     When the watcher stops and the store lists "a"
-    Then the other instance knows "a" within 2500 ms
+    Then the other instance has the targets "a" within 2500 ms
 
-  Scenario: A target that is missing after an outage is kept until it had time to return
+  Scenario: A target that is missing after an outage is kept until it had time to register again
     Given a store that lists "a b c"
-    And a watcher and another instance that hears it
-    When the store is away for 6 seconds and then lists "a"
-    Then the watcher knows "a b c" within 1600 ms
-    And the watcher knows "a" within 5000 ms
+    And a watcher and another instance that receives its notices
+    When the store is unavailable for 6 seconds and then lists "a"
+    Then the watcher has the targets "a b c" within 1600 ms
+    And the watcher has the targets "a" within 5000 ms
 
-  Scenario: A target that left before an outage stays gone
+  Scenario: A target that was removed before an outage is not restored
     Given a store that lists "a b"
-    And a watcher and another instance that hears it
+    And a watcher and another instance that receives its notices
     When the store lists "a" a little later
-    And the store is away for 6 seconds and then lists "a"
-    Then the watcher knows "a" within 5000 ms
+    And the store is unavailable for 6 seconds and then lists "a"
+    Then the watcher has the targets "a" within 5000 ms
 
-  Scenario: A store that forgot its history is read anew
+  Scenario: The whole list is read again when the store has lost its change history
     Given a store that lists "a b"
-    And a watcher and another instance that hears it
-    When the store forgets its history and lists "b c"
-    Then the watcher knows "b c" within 500 ms
+    And a watcher and another instance that receives its notices
+    When the store loses its change history and lists "b c"
+    Then the watcher has the targets "b c" within 500 ms
 
-  Scenario: An old answer does not bring back what has gone
+  Scenario: An outdated notice does not restore removed targets
     Given a store that lists "a b"
-    And a watcher and another instance that hears it
+    And a watcher and another instance that receives its notices
     When the store lists "a" a little later
-    And a notice of the list before arrives late
-    Then the other instance knows "a" within 100 ms
+    And an outdated notice arrives late
+    Then the other instance has the targets "a" within 100 ms
 
-  Scenario: A notice that does not fit makes the instance read
+  Scenario: A notice with another base makes the instance read the list
     Given a store that lists "a b"
-    And a watcher and another instance that hears it
+    And a watcher and another instance that receives its notices
     When a notice is lost while the store lists "a c" and then "a c d"
-    Then the other instance knows "a c d" within 500 ms
+    Then the other instance has the targets "a c d" within 500 ms
 
-  Scenario: An instance that hears a watcher does not wake to look whether it should ask
+  Scenario: An instance that receives notices does not wake up to check whether it should read
     Given a store that lists "a b"
-    And a watcher and another instance that hears it
-    Then the other instance ran at most 14 times in 10 seconds
+    And a watcher and another instance that receives its notices
+    Then the other instance woke up at most 14 times in 10 seconds
--- a/tests/entry/coordination/dispatch/assembler.feature
+++ b/tests/entry/coordination/dispatch/assembler.feature
@@ -1,5 +1,5 @@
-Feature: Assembling an answer from the frames of its attempts
-  Guards against tokens that are doubled, missing or of another attempt.
+Feature: Assembly of a response from the frames of its attempts
+  Guards against tokens that are duplicated, missing or from another attempt.
 
-  Scenario: No order of frames doubles or loses a token
+  Scenario: No order of frames duplicates or loses a token
     When the state machine of the answer assembler is run
--- a/tests/entry/coordination/dispatch/suspects.feature
+++ b/tests/entry/coordination/dispatch/suspects.feature
@@ -1,6 +1,6 @@
 Feature: Retries of suspects
-  Guards against an innocent request that is refused because the target died, for which it was placed,
-  while it waited there for its turn.
+  Guards against counting the death of a target against a request that was only waiting for its turn
+  on that target.
 
   Scenario: A target that died while a suspect waited for its turn does not count against it
     Given a suspect that is placed on target "e1", where another suspect runs for 2 seconds
@@ -8,7 +8,7 @@
     Then the waiting suspect is answered by target "e2"
     And it is not suspected any more
 
-  Scenario: A suspect runs on the target on which it has waited
+  Scenario: A suspect runs on the target for which it has waited
     Given a suspect that is placed on target "e1", where another suspect runs for 2 seconds
     When the other suspect finishes
     Then the waiting suspect is answered by target "e1"
--- a/tests/entry/coordination/forwarding/forwarding.feature
+++ b/tests/entry/coordination/forwarding/forwarding.feature
@@ -8,7 +8,7 @@
     Then 1 target received the request
     And the outcome is failed with an unknown run
 
-  Scenario: An at-most-once request is sent to another target when the first proves that it did not run
+  Scenario: An at-most-once request is retried when the target proves that it did not run
     Given an at-most-once route
     When the first target refuses without running it
     Then 2 targets received the request
--- a/tests/entry/coordination/placement/placement.feature
+++ b/tests/entry/coordination/placement/placement.feature
@@ -1,6 +1,6 @@
 Feature: Request placement
-  Guards against short requests that wait for the prefill of long prompts, against pauses in streams,
-  and against prompts that are placed where they do not fit into memory.
+  Guards against short requests that wait for long prefills, against pauses in streams, and against
+  prompts that are placed where they do not fit into memory.
 
   Scenario: Short requests share engines, so that others stay free for long prompts
     Given 6 engines
@@ -34,7 +34,7 @@
     When a medium prompt of 45000 tokens is placed
     Then no prefill segment takes longer than 150 ms
 
-  Scenario Outline: The split of a very long prompt leaves engines for the short requests that will arrive
+  Scenario Outline: The split of a very long prompt leaves engines for expected short requests
     Given 8 engines
     When <rate> short requests a second have arrived for 2 seconds and have ended
     And a long prompt of 900000 tokens is placed
--- a/tests/entry/coordination/routing/routing.feature
+++ b/tests/entry/coordination/routing/routing.feature
@@ -1,12 +1,13 @@
-Feature: Choice of engines
-  Guards against shorts that queue behind long prefills, and against wrong choices from late reports.
+Feature: Engine selection
+  Guards against short prompts that queue behind long prefills, and against wrong choices because of
+  outdated load reports.
 
   Scenario: A cached prefix attracts a request
     Given 3 reported engines
     And engine 2 reports the cached blocks "11 12"
     Then a request of 5000 tokens with the blocks "11 12 13" goes to engine 2
 
-  Scenario: A gap in the cache events does no harm
+  Scenario: A cached block without the blocks before it does not attract a request
     Given 3 reported engines
     And engine 2 reports the cached blocks "12"
     Then a request of 5000 tokens with the blocks "11 12 13" goes to engine 0
@@ -17,7 +18,7 @@
     And engine 2 reports the evicted blocks "11"
     Then a request of 5000 tokens with the blocks "11 12 13" goes to engine 0
 
-  Scenario: A short prompt avoids a long prefill, a second long one joins it
+  Scenario: A short prompt avoids a long prefill, and a second long prompt joins it
     Given 3 reported engines
     And a prompt of 150000 tokens was sent to engine 0
     Then a request of 2000 tokens with the blocks "" goes to engine 1
@@ -32,25 +33,25 @@
     Given a prompt of 150000 tokens was sent to engine 1
     Then a request of 110000 tokens with the blocks "" goes to engine 0
 
-  Scenario: In a large fleet requests with one prefix compare the same few engines
+  Scenario: In a large fleet requests with the same prefix compare the same few engines
     Given 500 reported engines
-    Then instances that learnt of them in another order compare the same 64
+    Then instances that discovered them in another order compare the same 64
     And engines outside of these 64 are compared when all of them are leaving
 
-  Scenario: A silent engine is the last choice
+  Scenario: A silent engine is chosen last
     Given 3 reported engines
     When 3 seconds pass
     And engines 1 and 2 report again
     Then a request of 2000 tokens with the blocks "" goes to engine 1
 
-  Scenario: The own use is not counted twice
+  Scenario: The local use is not counted twice
     Given 3 reported engines
     And a prompt of 50000 tokens was sent to engine 0
     When 3 seconds pass
     And engine 0 reports 1 sequence with 50000 tokens
     Then engine 0 has 350000 tokens free
 
-  Scenario Outline: Compared policies
+  Scenario Outline: Selection by each policy
     Given 3 reported engines
     Then the policy "<policy>" sends 4 requests to engines "<engines>"
 
--- a/tests/steps/entry/coordination/calls_steps.py
+++ b/tests/steps/entry/coordination/calls_steps.py
@@ -13,16 +13,16 @@
 
 
 class CallScript:
-    """One call, played in virtual time; the table service recovers after the call."""
+    """One call in virtual time; the table service recovers after the call."""
 
     def __init__(self, modes: list[str]) -> None:
         self.modes = modes
         self.hang_seconds = 0.0
-        self.down_after_claim = False
+        self.unavailable_after_claim = False
         self.recovers = False
         self.seconds = 0.0
 
-    async def play(self, idempotent: bool) -> None:
+    async def run(self, idempotent: bool) -> None:
         """Send the call, wait for its outcome, and let the table service recover."""
         self.world = world = CallWorld()
         world.targets.modes = list(self.modes)
@@ -31,7 +31,7 @@
             await nursery.start(world.run_entry, 0)
             call = world.call(None if idempotent else "k", "a", idempotent)
             self.result = world.start_call(0, call)
-            if self.down_after_claim:
+            if self.unavailable_after_claim:
                 while not world.shared.rows:
                     await trio.lowlevel.checkpoint()
                 world.shared.unavailable = True
@@ -53,52 +53,52 @@
     context.script.hang_seconds = 2 * CALL_TIMEOUT.total_seconds()
 
 
-@given("the table service goes down after the claim")
-def step_down_after(context: Context) -> None:
-    context.script.down_after_claim = True
+@given("the table service becomes unavailable after the claim")
+def step_unavailable_after_claim(context: Context) -> None:
+    context.script.unavailable_after_claim = True
 
 
 @when("a caller sends an idempotent call")
 def step_idempotent(context: Context) -> None:
-    play(context, True)
+    run_script(context, True)
 
 
 @when("a caller sends a booking")
 def step_booking(context: Context) -> None:
-    play(context, False)
+    run_script(context, False)
 
 
-def play(context: Context, idempotent: bool) -> None:
-    """Play the script in virtual time."""
+def run_script(context: Context, idempotent: bool) -> None:
+    """Run the script in virtual time."""
     clock = trio.testing.MockClock(autojump_threshold=0)
-    trio.run(context.script.play, idempotent, clock=clock)
+    trio.run(context.script.run, idempotent, clock=clock)
 
 
-@when("the table service works again")
-def step_works(context: Context) -> None:
+@when("the table service is available again")
+def step_available(context: Context) -> None:
     assert not context.script.world.shared.unavailable
 
 
-@then('the caller is told "{reason}" and run state "{run}"')
-def step_told(context: Context, reason: str, run: str) -> None:
+@then('the caller receives the error "{reason}" and run state "{run}"')
+def step_error(context: Context, reason: str, run: str) -> None:
     match context.script.result.outcome:
         case Failed() as failed:
-            told = failed.reason.value, failed.run.value
+            error = failed.reason.value, failed.run.value
         case Refused() as refused:
-            told = refused.reason.value, "not-run"
+            error = refused.reason.value, "not-run"
         case other:
             raise AssertionError(other)
-    assert told == (reason, run), told
+    assert error == (reason, run), error
 
 
-@then("the caller gets the answer with status {status:d}")
-def step_answer_status(context: Context, status: int) -> None:
+@then("the caller receives the response with status {status:d}")
+def step_response_status(context: Context, status: int) -> None:
     outcome = context.script.result.outcome
     assert isinstance(outcome, ServiceResponse), outcome
     assert outcome.status == status, outcome
 
 
-@then("the answer came within {seconds:d} seconds")
+@then("the response arrived within {seconds:d} seconds")
 def step_within(context: Context, seconds: int) -> None:
     assert context.script.seconds <= seconds, context.script.seconds
 
--- a/tests/steps/entry/coordination/discovery_steps.py
+++ b/tests/steps/entry/coordination/discovery_steps.py
@@ -1,6 +1,6 @@
-"""Steps for following the platform's list of targets and the routes.
+"""Steps for target and route discovery.
 
-The steps collect what happens; the last one lets it happen in simulated time.
+The steps collect actions; the last step executes them in simulated time.
 """
 
 from collections.abc import Awaitable, Callable
@@ -9,7 +9,7 @@
 import trio.testing
 from behave import given, then, when
 from behave.runner import Context
-from support.stores import FakeRoutes, FakeStore, listed, names_of, wait_for
+from support.stores import FakeRoutes, FakeStore, targets_from, text_of, wait_for
 from wasabiwell_entry.coordination.discovery import RouteDiscovery, TargetDiscovery
 from wasabiwell_entry.state.clock import SystemClock
 from wasabiwell_entry.state.exchange import ListingNotice
@@ -18,8 +18,8 @@
 SETTLED_SECONDS = 0.3
 
 
-class Pair:
-    """A watcher and an instance that hears it, over one store."""
+class WatcherPair:
+    """A watcher and an instance that receives its notices, with one store."""
 
     def __init__(self, store: FakeStore) -> None:
         clock = SystemClock()
@@ -28,9 +28,9 @@
         self.dropping = False
         self.scope = trio.CancelScope()
         self.other = TargetDiscovery(store, lambda: 5, lambda _: None, lambda _: None, clock)
-        self.watcher = TargetDiscovery(store, lambda: 0, self._tell, lambda _: None, clock)
+        self.watcher = TargetDiscovery(store, lambda: 0, self._deliver, lambda _: None, clock)
 
-    def _tell(self, notice: ListingNotice) -> None:
+    def _deliver(self, notice: ListingNotice) -> None:
         self.notices.append(notice)
         if not self.dropping:
             self.other.receive("watcher", notice)
@@ -41,7 +41,7 @@
             await self.watcher.run()
 
 
-Action = Callable[[Pair], Awaitable[None]]
+Action = Callable[[WatcherPair], Awaitable[None]]
 
 
 @given('a store that lists "{names}"')
@@ -50,138 +50,141 @@
     context.actions = []
 
 
-@given("a watcher and another instance that hears it")
+@given("a watcher and another instance that receives its notices")
 def step_pair(context: Context) -> None:
-    """Name the parts; `check` builds them."""
+    """Do nothing: `check_targets` creates both instances."""
 
 
-def act(context: Context, action: Action) -> None:
+def add_action(context: Context, action: Action) -> None:
     context.actions.append(action)
 
 
 @when('the store lists "{names}" a little later')
 def step_lists(context: Context, names: str) -> None:
-    async def action(pair: Pair) -> None:
+    async def action(pair: WatcherPair) -> None:
         pair.store.list_targets(names)
         await trio.sleep(0.05)
 
-    act(context, action)
+    add_action(context, action)
 
 
 @when('the watcher stops and the store lists "{names}"')
 def step_watcher_stops(context: Context, names: str) -> None:
-    async def action(pair: Pair) -> None:
+    async def action(pair: WatcherPair) -> None:
         pair.scope.cancel()
         pair.store.list_targets(names)
         await trio.lowlevel.checkpoint()
 
-    act(context, action)
+    add_action(context, action)
 
 
-@when('the store is away for {seconds:d} seconds and then lists "{names}"')
+@when('the store is unavailable for {seconds:d} seconds and then lists "{names}"')
 def step_outage(context: Context, seconds: int, names: str) -> None:
-    async def action(pair: Pair) -> None:
-        pair.store.away = True
+    async def action(pair: WatcherPair) -> None:
+        pair.store.unavailable = True
         pair.store.wake()
         await trio.sleep(seconds)
-        pair.store.away = False
+        pair.store.unavailable = False
         pair.store.list_targets(names)
 
-    act(context, action)
+    add_action(context, action)
 
 
-@when('the store forgets its history and lists "{names}"')
-def step_forgets(context: Context, names: str) -> None:
-    async def action(pair: Pair) -> None:
-        pair.store.forgotten = pair.store.revision + 1
+@when('the store loses its change history and lists "{names}"')
+def step_history_lost(context: Context, names: str) -> None:
+    async def action(pair: WatcherPair) -> None:
+        pair.store.history_lost_until = pair.store.revision + 1
         pair.store.list_targets(names)
         await trio.lowlevel.checkpoint()
 
-    act(context, action)
+    add_action(context, action)
 
 
-@when("a notice of the list before arrives late")
-def step_late(context: Context) -> None:
-    async def action(pair: Pair) -> None:
+@when("an outdated notice arrives late")
+def step_outdated_notice(context: Context) -> None:
+    async def action(pair: WatcherPair) -> None:
         pair.other.receive("watcher", pair.notices[0])
         await trio.lowlevel.checkpoint()
 
-    act(context, action)
+    add_action(context, action)
 
 
 @when('a notice is lost while the store lists "{first}" and then "{second}"')
 def step_lost(context: Context, first: str, second: str) -> None:
-    async def action(pair: Pair) -> None:
+    async def action(pair: WatcherPair) -> None:
         pair.dropping = True
         pair.store.list_targets(first)
         await trio.sleep(0.05)
         pair.dropping = False
         pair.store.list_targets(second)
 
-    act(context, action)
+    add_action(context, action)
 
 
-@then('the watcher knows "{names}" within {milliseconds:d} ms')
-def step_watcher_knows(context: Context, names: str, milliseconds: int) -> None:
-    check(context, lambda pair: pair.watcher, names, milliseconds)
+@then('the watcher has the targets "{names}" within {milliseconds:d} ms')
+def step_watcher_has(context: Context, names: str, milliseconds: int) -> None:
+    check_targets(context, lambda pair: pair.watcher, names, milliseconds)
 
 
-@then('the other instance knows "{names}" within {milliseconds:d} ms')
-def step_other_knows(context: Context, names: str, milliseconds: int) -> None:
-    check(context, lambda pair: pair.other, names, milliseconds)
+@then('the other instance has the targets "{names}" within {milliseconds:d} ms')
+def step_other_has(context: Context, names: str, milliseconds: int) -> None:
+    check_targets(context, lambda pair: pair.other, names, milliseconds)
 
 
-def check(
-    context: Context, choose: Callable[[Pair], TargetDiscovery], names: str, milliseconds: int
+def check_targets(
+    context: Context,
+    choose: Callable[[WatcherPair], TargetDiscovery],
+    names: str,
+    milliseconds: int,
 ) -> None:
     async def run() -> None:
-        pair = Pair(FakeStore(listed(context.names)))
+        pair = WatcherPair(FakeStore(targets_from(context.names)))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(pair.run_watcher)
             nursery.start_soon(pair.other.run)
             await trio.sleep(SETTLED_SECONDS)
-            pair.store.asked = 0
+            pair.store.reads = 0
             for action in context.actions:
                 await action(pair)
             discovery = choose(pair)
             reached = await wait_for(
-                lambda: names_of(discovery.listing.targets) == names, milliseconds
+                lambda: text_of(discovery.listing.targets) == names, milliseconds
             )
-            assert reached, (names_of(discovery.listing.targets), names)
-            context.asked = pair.store.asked
+            assert reached, (text_of(discovery.listing.targets), names)
+            context.reads = pair.store.reads
             nursery.cancel_scope.cancel()
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-@then("the store was asked at most twice since the change")
-def step_asked(context: Context) -> None:
-    assert context.asked <= 2, context.asked
+@then("the store was queried at most twice since the change")
+def step_reads(context: Context) -> None:
+    assert context.reads <= 2, context.reads
 
 
 class StepCounter(trio.abc.Instrument):
-    """Counts how often the tasks of one function were run."""
+    """Counts the steps of all tasks whose name contains `name`."""
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.count = 0
 
     def before_task_step(self, task: trio.lowlevel.Task) -> None:
-        """Count a run of a task."""
+        """Count a step of a task."""
         self.count += self.name in task.name
 
 
 def count_steps(name: str, run: Callable[[], Awaitable[None]]) -> int:
-    """Run in simulated time, and return how often tasks were run whose name contains this one."""
+    """Run in simulated time, and return the steps of tasks whose name contains `name`."""
     counter = StepCounter(name)
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0), instruments=[counter])
     return counter.count
 
 
-@then("the other instance ran at most {most:d} times in {seconds:d} seconds")
-def step_ran(context: Context, most: int, seconds: int) -> None:
+@then("the other instance woke up at most {most:d} times in {seconds:d} seconds")
+def step_woke_up(context: Context, most: int, seconds: int) -> None:
     async def run() -> None:
-        pair = Pair(FakeStore(listed(context.names)))
+        pair = WatcherPair(FakeStore(targets_from(context.names)))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(pair.run_watcher)
             await trio.sleep(SETTLED_SECONDS)
@@ -197,7 +200,7 @@
 
 
 class RouteWorld:
-    """An instance that follows routes, and a peer that may hand them over."""
+    """An instance that tracks routes, and a peer from which it can fetch them."""
 
     def __init__(self, version: int) -> None:
         self.store = FakeRoutes(version)
@@ -205,28 +208,28 @@
         self.discovery = RouteDiscovery(self.store, self.fetch, lambda _: None, SystemClock())
 
     async def fetch(self, address: str) -> bytes | StoreUnavailable:
-        """Return what the peer has."""
+        """Return the document of the peer."""
         await trio.lowlevel.checkpoint()
         return self.document or StoreUnavailable("refused")
 
 
-@given("an instance that follows a store with version {version:d}")
+@given("an instance that tracks a store with version {version:d}")
 def step_routes(context: Context, version: int) -> None:
     context.version = version
     context.route_actions = []
 
 
-@given("the query for changes is never answered")
-def step_silent(context: Context) -> None:
+@given("the poll for changes never returns")
+def step_poll_hangs(context: Context) -> None:
     async def action(world: RouteWorld) -> None:
-        world.store.silent = True
+        world.store.polls_hang = True
         await trio.lowlevel.checkpoint()
 
     context.route_actions.append(action)
 
 
 @when("version {version:d} is put in force")
-@when("the store answers with version {version:d}")
+@when("the store returns version {version:d}")
 def step_put(context: Context, version: int) -> None:
     async def action(world: RouteWorld) -> None:
         world.store.put(version)
@@ -246,19 +249,21 @@
     context.route_actions.append(action)
 
 
-@when("the store goes away and a peer announces version {version:d}")
-def step_away(context: Context, version: int) -> None:
-    announce_away(context, version, str(version).encode())
+@when("the store becomes unavailable and a peer announces version {version:d}")
+def step_unavailable(context: Context, version: int) -> None:
+    announce_unavailable(context, version, str(version).encode())
 
 
-@when("the store goes away and a peer announces version {version:d} but sends nonsense")
-def step_away_nonsense(context: Context, version: int) -> None:
-    announce_away(context, version, b"nonsense")
+@when(
+    "the store becomes unavailable and a peer announces version {version:d} with an invalid document"
+)
+def step_unavailable_invalid(context: Context, version: int) -> None:
+    announce_unavailable(context, version, b"nonsense")
 
 
-def announce_away(context: Context, version: int, document: bytes) -> None:
+def announce_unavailable(context: Context, version: int, document: bytes) -> None:
     async def action(world: RouteWorld) -> None:
-        world.store.away = True
+        world.store.unavailable = True
         world.store.wake()
         world.document = document
         world.discovery.record_announcement("10.0.0.2:9", version)
@@ -267,7 +272,7 @@
     context.route_actions.append(action)
 
 
-@when("the history is lost while version {version:d} is put in force")
+@when("the change history is lost while version {version:d} is put in force")
 def step_history(context: Context, version: int) -> None:
     async def action(world: RouteWorld) -> None:
         world.store.lost_history = True
@@ -294,8 +299,8 @@
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-@then("the instance looked for newer versions at most {most:d} times in {seconds:d} seconds")
-def step_looked(context: Context, most: int, seconds: int) -> None:
+@then("the instance checked for newer versions at most {most:d} times in {seconds:d} seconds")
+def step_checked(context: Context, most: int, seconds: int) -> None:
     async def run() -> None:
         world = RouteWorld(context.version)
         async with trio.open_nursery() as nursery:
--- a/tests/steps/entry/coordination/routing_steps.py
+++ b/tests/steps/entry/coordination/routing_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the choice of engines."""
+"""Steps for engine selection."""
 
 from behave import given, then, when
 from behave.runner import Context
@@ -44,7 +44,7 @@
 
 
 @then('a request of {tokens:d} tokens with the blocks "{blocks}" goes to engine {index:d}')
-def step_goes(context: Context, tokens: int, blocks: str, index: int) -> None:
+def step_ranked_first(context: Context, tokens: int, blocks: str, index: int) -> None:
     router = Router(context.targets, "z0", context.clock)
     request = make_request(tokens, blocks=tuple(int(block) for block in blocks.split()))
     ranked = router.rank(request, frozenset())
@@ -53,8 +53,8 @@
 
 
 @then('a request of {tokens:d} tokens with the blocks "" goes to engine {index:d}')
-def step_goes_without(context: Context, tokens: int, index: int) -> None:
-    step_goes(context, tokens, "", index)
+def step_ranked_first_without_blocks(context: Context, tokens: int, index: int) -> None:
+    step_ranked_first(context, tokens, "", index)
 
 
 @then("engine {index:d} has {tokens:d} tokens free")
@@ -75,7 +75,7 @@
     assert chosen == engines.split(), chosen
 
 
-@then("instances that learnt of them in another order compare the same {count:d}")
+@then("instances that discovered them in another order compare the same {count:d}")
 def step_same_window(context: Context, count: int) -> None:
     other = TargetTable()
     for status in reversed(list(context.targets)):
--- a/tests/support/assembler_machine.py
+++ b/tests/support/assembler_machine.py
@@ -1,4 +1,4 @@
-"""Stateful fuzzing of the answer assembler against the answer that the engine generates."""
+"""Stateful fuzzing of the response assembler against the response that the engine generates."""
 
 import msgspec
 import xxhash
@@ -17,11 +17,11 @@
 
 
 class AssemblerMachine(RuleBasedStateMachine):
-    """Frames in order, late, duplicated, ahead, cut in pieces, or of another attempt."""
+    """Sends frames in order, late, duplicated, ahead, fragmented, or from another attempt."""
 
     @initialize()
     def start(self) -> None:
-        """Begin an answer."""
+        """Start a response."""
         self.assembler = ResponseAssembler()
         self.reader = FrameReader(CURRENT)
         self.delivered = ""
@@ -31,9 +31,9 @@
         line = msgspec.json.encode({"attempt": attempt, **fields}) + b"\n"
         for piece in (line[:cut], line[cut:]):
             for item in self.reader.feed(piece):
-                self._take(item)
+                self._process(item)
 
-    def _take(self, item: StreamItem) -> None:
+    def _process(self, item: StreamItem) -> None:
         match item:
             case TokenFrame() if self.assembler.accept(item) is None:
                 self.delivered += item.text
@@ -58,24 +58,24 @@
 
     @rule(count=COUNTS, cut=st.integers(0, 60))
     def foreign_tokens(self, count: int, cut: int) -> None:
-        """Send fitting but foreign tokens of another attempt."""
+        """Send tokens of another attempt at the expected offset."""
         offset = self.assembler.offset
         self._feed(FOREIGN, cut, offset=offset, count=count, text="foreign ")
 
     @rule(tokens=st.integers(0, len(TOKENS)), cut=st.integers(0, 60))
     def end(self, tokens: int, cut: int) -> None:
-        """Send an end mark, right or wrong, with the digest of that many tokens."""
+        """Send an end frame, valid or not, with the digest of that many tokens."""
         digest = xxhash.xxh3_64("".join(TOKENS[:tokens]).encode()).hexdigest()
         self._feed(CURRENT, cut, end=True, tokens=tokens, digest=digest, finish_reason="length")
 
     @rule()
-    def whole_end(self) -> None:
-        """Send the end mark of the tokens accepted so far with a wrong digest."""
+    def end_with_wrong_digest(self) -> None:
+        """Send the end frame of the tokens accepted so far with a wrong digest."""
         self.finished = False
         self._feed(CURRENT, 0, end=True, tokens=self.assembler.offset, digest="0")
         assert not self.finished
 
     @invariant()
-    def no_token_is_doubled_or_missing(self) -> None:
-        """Check what was delivered against the engine's answer."""
+    def no_token_is_duplicated_or_missing(self) -> None:
+        """Compare the delivered text with the engine's response."""
         assert self.delivered == "".join(TOKENS[: self.assembler.offset])
--- a/tests/support/calls.py
+++ b/tests/support/calls.py
@@ -40,10 +40,10 @@
 
 
 class PlainTargets:
-    """Plain targets that count runs; `modes` are taken by the next calls, in order.
+    """Plain targets that count runs; each call uses the next one of `modes`.
 
     Modes: `answer`, `unavailable` (503 without a run), `refuse` (no connection), `run_and_cut`,
-    `cut`, and `hang` (runs and never answers).
+    `cut`, and `hang` (runs and never responds).
     """
 
     def __init__(self, names: tuple[str, ...], clock: VirtualClock) -> None:
@@ -56,7 +56,7 @@
     async def call(
         self, target: Target, call: ServiceCall
     ) -> ServiceResponse | CallNotSent | CallInterrupted:
-        """Run a call as the next mode says, if its deadline has not passed."""
+        """Run a call according to the next mode if its deadline has not passed."""
         await trio.lowlevel.checkpoint()
         mode = self.modes.pop(0) if self.modes else "answer"
         if mode == "refuse" or self._clock.monotonic() >= call.deadline:
@@ -97,18 +97,18 @@
         self.paused: trio.Event | None = None
 
     async def transact(self, conditions, writes):  # type: ignore[no-untyped-def]
-        """Pass a transaction on; a paused instance sees the outcome when it wakes."""
+        """Forward a transaction; a paused instance sees the outcome when it resumes."""
         outcome = await self.shared.transact(conditions, writes)
-        await self._wait_awake()
+        await self._wait_resumed()
         return outcome
 
     async def read(self, keys):  # type: ignore[no-untyped-def]
-        """Pass a read on; a paused instance sees the outcome when it wakes."""
+        """Forward a read; a paused instance sees the outcome when it resumes."""
         outcome = await self.shared.read(keys)
-        await self._wait_awake()
+        await self._wait_resumed()
         return outcome
 
-    async def _wait_awake(self) -> None:
+    async def _wait_resumed(self) -> None:
         if self.paused is not None:
             with trio.CancelScope(shield=True):
                 await self.paused.wait()
@@ -121,7 +121,7 @@
     idempotent: bool = False,
     request_id: str = "r",
 ) -> ServiceCall:
-    """Return a booking call that begins at a monotonic time."""
+    """Return a booking call that starts at a monotonic time."""
     return ServiceCall(
         request_id=request_id,
         organisation="lowell-crews",
@@ -140,7 +140,7 @@
 
 @dataclass(slots=True)
 class EntryInProcess:
-    """One entry instance; cancelling its nursery is its death."""
+    """One entry instance; cancelling its nursery simulates a crash."""
 
     table: GatedTable
     dispatcher: Dispatcher
@@ -149,7 +149,7 @@
 
 @dataclass(slots=True)
 class CallResult:
-    """What a caller was told; None while it waits or when its entry instance died."""
+    """Outcome that a caller received; None while it waits or when its entry instance crashed."""
 
     call: ServiceCall
     outcome: CallOutcome | None = None
@@ -158,7 +158,7 @@
 
 @dataclass(slots=True)
 class CallWorld:
-    """Everything that non-idempotent calls touch."""
+    """Entry instances, stores and targets for service calls."""
 
     clock: VirtualClock = field(default_factory=VirtualClock)
     shared: FakeTable = field(default_factory=FakeTable)
@@ -171,7 +171,7 @@
         self.targets = PlainTargets(("a", "b", "c"), self.clock)
 
     def call(self, key: str | None, body: str, idempotent: bool = False) -> ServiceCall:
-        """Return a call that begins now."""
+        """Return a call that starts now."""
         return booking_call(self.clock.monotonic(), key, body, idempotent, f"r{len(self.results)}")
 
     def start_call(self, index: int, call: ServiceCall) -> CallResult:
--- a/tests/support/stores.py
+++ b/tests/support/stores.py
@@ -1,4 +1,4 @@
-"""The platform's store in memory, as following its targets and routes sees it."""
+"""In-memory fakes of the platform's store, for target and route discovery."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -16,8 +16,8 @@
 from wasabiwell_entry.state.targets import ListedTarget, Target, TargetKind
 
 
-def listed(names: str) -> dict[str, ListedTarget]:
-    """Return targets by id; a tilde after a name tells that it is leaving."""
+def targets_from(names: str) -> dict[str, ListedTarget]:
+    """Return targets by id; a tilde after a name marks a target that is leaving."""
     found = {}
     for name in names.split():
         key = name.rstrip("~")
@@ -26,66 +26,66 @@
     return found
 
 
-def names_of(targets: dict[str, ListedTarget]) -> str:
-    """Return the text from which `listed` makes these targets."""
+def text_of(targets: dict[str, ListedTarget]) -> str:
+    """Return the text from which `targets_from` creates these targets."""
     return " ".join(key + ("~" if item.leaving else "") for key, item in sorted(targets.items()))
 
 
 @dataclass(slots=True)
 class FakeStore:
-    """A store whose rows change at one revision each; implements `ListingPort`."""
+    """A store whose revision grows by one with each change; implements `ListingPort`."""
 
-    targets_now: dict[str, ListedTarget]
+    current_targets: dict[str, ListedTarget]
     revision: int = 1
     history: dict[int, TargetListing] = field(default_factory=dict)
-    away: bool = False
-    forgotten: int = 0
-    asked: int = 0
+    unavailable: bool = False
+    history_lost_until: int = 0
+    reads: int = 0
     changed: trio.Event = field(default_factory=trio.Event)
 
     def list_targets(self, names: str) -> None:
-        """Put another list in force."""
-        self.history[self.revision] = TargetListing(self.revision, dict(self.targets_now))
+        """Replace the list of targets."""
+        self.history[self.revision] = TargetListing(self.revision, dict(self.current_targets))
         self.revision += 1
-        self.targets_now = listed(names)
+        self.current_targets = targets_from(names)
         self.wake()
 
     def wake(self) -> None:
-        """Answer the queries that are held."""
+        """Complete the pending polls."""
         self.changed.set()
         self.changed = trio.Event()
 
     async def targets(self) -> TargetListing | StoreUnavailable:
         """Return the list."""
-        self.asked += 1
+        self.reads += 1
         await trio.sleep(0.004)
-        if self.away:
+        if self.unavailable:
             return StoreUnavailable("away")
-        return TargetListing(self.revision, dict(self.targets_now))
+        return TargetListing(self.revision, dict(self.current_targets))
 
     async def changes(
         self, after: int, wait: timedelta
     ) -> TargetChanges | HistoryLost | StoreUnavailable:
-        """Hold a query until something changes."""
-        self.asked += 1
+        """Wait until something changes."""
+        self.reads += 1
         await trio.sleep(0.004)
-        if after >= self.revision and not self.away:
+        if after >= self.revision and not self.unavailable:
             with trio.move_on_after(wait.total_seconds()):
                 await self.changed.wait()
-        if self.away:
+        if self.unavailable:
             return StoreUnavailable("away")
-        if after < self.forgotten:
+        if after < self.history_lost_until:
             return HistoryLost()
-        before = self.history[after].targets if after < self.revision else self.targets_now
+        before = self.history[after].targets if after < self.revision else self.current_targets
         return TargetChanges(
             self.revision,
-            tuple(item for key, item in self.targets_now.items() if before.get(key) != item),
-            tuple(key for key in before if key not in self.targets_now),
+            tuple(item for key, item in self.current_targets.items() if before.get(key) != item),
+            tuple(key for key in before if key not in self.current_targets),
         )
 
 
 def table_of(version: int) -> RouteTable:
-    """Return routes of a version."""
+    """Return empty routes with a version."""
     return RouteTable(version, {}, CallerLimits(), {}, {})
 
 
@@ -95,38 +95,38 @@
 
     version: int
     revision: int = 1
-    away: bool = False
-    silent: bool = False
+    unavailable: bool = False
+    polls_hang: bool = False
     lost_history: bool = False
     changed: trio.Event = field(default_factory=trio.Event)
 
     def put(self, version: int) -> None:
-        """Put a version in force."""
+        """Change the routes to a version."""
         self.version = version
         self.revision += 1
         self.wake()
 
     def wake(self) -> None:
-        """Answer the query that is held."""
+        """Complete the pending poll."""
         self.changed.set()
         self.changed = trio.Event()
 
     async def current(self) -> RoutesRead | StoreUnavailable:
         """Return the newest routes."""
         await trio.sleep(0.004)
-        if self.away:
+        if self.unavailable:
             return StoreUnavailable("away")
         return self._read()
 
     async def changes(
         self, after: int, wait: timedelta
     ) -> RoutesRead | HistoryLost | StoreUnavailable:
-        """Hold a query until something changes."""
+        """Wait until something changes."""
         await trio.sleep(0.004)
         with trio.move_on_after(wait.total_seconds()):
-            while after >= self.revision or self.silent:
+            while after >= self.revision or self.polls_hang:
                 await self.changed.wait()
-        if self.away:
+        if self.unavailable:
             return StoreUnavailable("away")
         if self.lost_history:
             self.lost_history = False
@@ -144,7 +144,7 @@
 
 
 async def wait_for(condition: Callable[[], bool], milliseconds: int) -> bool:
-    """Return whether a condition came true in time; it must still hold at the end."""
+    """Wait for a condition, and return whether it holds at the end of the wait."""
     with trio.move_on_after(milliseconds / 1000):
         while not condition():  # noqa: ASYNC110
             await trio.sleep(0.005)
