--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
@@ -11,4 +11,4 @@
 CAPACITY_RETRY_AFTER = timedelta(seconds=1)
 SERVICE_UNAVAILABLE = 503
 """Status after which an idempotent call is retried on another target."""
-QUARANTINED_MESSAGE = "request refused: targets died while processing it"
+QUARANTINED_MESSAGE = "request refused: targets crashed while processing it"
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -144,7 +144,7 @@
                         return _unanswered_outcome(
                             progress, Reason.QUARANTINED, QUARANTINED_MESSAGE
                         )
-                    if await self._died_while_waiting(request, placement.target):
+                    if await self._crashed_while_waiting(request, placement.target):
                         progress.excluded.add(target_id)
                         continue
                     outcome = await self._attempt(request, sink, progress, placement)
@@ -158,8 +158,8 @@
                 return _unanswered_outcome(progress, Reason.TARGET_FAILED, progress.last_reason)
             await self._clock.sleep(RETRY_DELAY)
 
-    async def _died_while_waiting(self, request: GenerateRequest, target: Target) -> bool:
-        """Return whether a target died while a suspect waited for its turn on it.
+    async def _crashed_while_waiting(self, request: GenerateRequest, target: Target) -> bool:
+        """Return whether a target crashed while a suspect waited for its turn on it.
 
         Sending the request to a dead target would count as another crash caused by the suspect.
         """
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -92,26 +92,26 @@
     """Receiver of target failures and responses that dispatch observes."""
 
     def target_lost(self, failure: TargetFailure) -> None:
-        """Record that a target may have died."""
+        """Record that a target may have crashed."""
 
     def target_answered(self, target_id: str) -> None:
         """Record that a target answered."""
 
 
 class SuspectObserver(Protocol):
-    """Register of requests during which targets died."""
+    """Register of requests during which targets crashed."""
 
     def quarantined(self, fingerprint: str) -> bool:
         """Return whether a request is refused."""
 
     def suspected(self, fingerprint: str) -> bool:
-        """Return whether a target died while it processed the request."""
+        """Return whether a target crashed while it processed the request."""
 
     def one_suspect(self, fingerprint: str, target_id: str) -> AbstractAsyncContextManager[None]:
         """Wait until no other suspect runs on the target; other requests do not wait."""
 
     async def crashed(self, fingerprint: str, target_id: str) -> None:
-        """Mark a request as suspect because a target died while it processed the request."""
+        """Mark a request as suspect because a target crashed while it processed the request."""
 
     async def finished(self, fingerprint: str) -> None:
         """Clear the suspicion of a request that has finished."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -119,7 +119,7 @@
         while True:
             crashes = self._crashes.crashes(request.fingerprint)
             if self._crashes.refused(request.fingerprint):
-                message = f"{crashes} targets died while they processed this request"
+                message = f"{crashes} targets crashed while they processed this request"
                 log_events.emit(log_events.NOT_PLACED, request=request.request_id, reason=message)
                 return _unanswered_outcome(progress, Reason.QUARANTINED, message)
             placement = self._placer.place(
@@ -249,7 +249,7 @@
     async def _confirm_target_loss(
         self, request: ForwardedRequest, target: Target, broken: ResponseInterrupted
     ) -> ResponseInterrupted:
-        """Record a crash when the target is gone, but not when it only cut the connection."""
+        """Record a crash if the target is unreachable, but not if it only cut the connection."""
         if await self._targets.accepts_connections(target):
             return replace(broken, target_lost=False)
         name = f"{target.target_id}@{target.incarnation}"
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -55,7 +55,7 @@
     ) -> Placement | NoPlacement:
         """Return the targets for a request; `excluded` are ids of targets on which it failed.
 
-        A suspected request, during which a target died, is placed on a target with the fewest
+        A suspected request, during which a target crashed, is placed on a target with the fewest
         other requests, so that it runs alone where possible.
         """
         now = self._clock.monotonic().total_seconds()
--- a/tests/entry/coordination/discovery/routes.feature
+++ b/tests/entry/coordination/discovery/routes.feature
@@ -30,7 +30,7 @@
 
   Scenario: An invalid document from a peer is ignored
     Given an instance that tracks a store with version 3
-    When the store becomes unavailable and a peer announces version 6 with an invalid document
+    When the store becomes unavailable and a peer announces version 6 in an invalid form
     Then the instance has version 3 within 2500 ms
 
   Scenario: An instance does not wake up to check for versions that no peer has announced
--- a/tests/steps/entry/coordination/discovery_steps.py
+++ b/tests/steps/entry/coordination/discovery_steps.py
@@ -254,9 +254,7 @@
     announce_unavailable(context, version, str(version).encode())
 
 
-@when(
-    "the store becomes unavailable and a peer announces version {version:d} with an invalid document"
-)
+@when("the store becomes unavailable and a peer announces version {version:d} in an invalid form")
 def step_unavailable_invalid(context: Context, version: int) -> None:
     announce_unavailable(context, version, b"nonsense")
 
