--- a/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
@@ -126,8 +126,8 @@
     def _has_similar_request(self, state: EngineState) -> bool:
         """Return whether an engine decodes a request with the same or a shorter allowed pause."""
         allowed = self._request.route.event_gap.total_seconds()
-        residents = state.work.requests.values()
-        return any(item.lead and item.placed.gap <= allowed for item in residents)
+        requests = state.work.requests.values()
+        return any(item.lead and item.placed.gap <= allowed for item in requests)
 
     def _split_candidate(self, prefill: float, count: int) -> PlacementCandidate:
         segment = prefill / count
--- a/tests/support/stores.py
+++ b/tests/support/stores.py
@@ -60,7 +60,7 @@
         self.reads += 1
         await trio.sleep(0.004)
         if self.unavailable:
-            return StoreUnavailable("unavailable")
+            return StoreUnavailable("away")
         return TargetListing(self.revision, dict(self.current_targets))
 
     async def changes(
@@ -73,7 +73,7 @@
             with trio.move_on_after(wait.total_seconds()):
                 await self.changed.wait()
         if self.unavailable:
-            return StoreUnavailable("unavailable")
+            return StoreUnavailable("away")
         if after < self.history_lost_until:
             return HistoryLost()
         before = self.history[after].targets if after < self.revision else self.current_targets
@@ -115,7 +115,7 @@
         """Return the newest routes."""
         await trio.sleep(0.004)
         if self.unavailable:
-            return StoreUnavailable("unavailable")
+            return StoreUnavailable("away")
         return self._read()
 
     async def changes(
@@ -127,7 +127,7 @@
             while after >= self.revision or self.polls_hang:
                 await self.changed.wait()
         if self.unavailable:
-            return StoreUnavailable("unavailable")
+            return StoreUnavailable("away")
         if self.lost_history:
             self.lost_history = False
             return HistoryLost()
