Rename shared names of admission, credits, budget and health

LoadCapacity -> LoadBasedCapacity, RepeatBudget -> RetryBudget, CreditOwner.take_back -> accept_returns, TargetHealth.failure_share -> failure_rate, TargetHealth.note -> record_attempt, CapacityPort.request -> report_demand.

--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -261,7 +261,7 @@
             hold = self._ports.capacity.try_hold(status.target.target_id, tokens, request.size)
             if isinstance(hold, Hold):
                 return hold
-        self._ports.capacity.request(candidates[0].target.target_id, tokens, request.size)
+        self._ports.capacity.report_demand(candidates[0].target.target_id, tokens, request.size)
         return None
 
     def _plan_parts(self, ticket: Ticket) -> tuple[tuple[str, int], ...]:
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
@@ -13,7 +13,7 @@
 from wasabiwell_entry.state.targets import EngineLoad, TargetStatus, TargetTable
 
 
-class LoadCapacity:
+class LoadBasedCapacity:
     """Capacity without messages between entry instances.
 
     Admission counts what it holds in the target table, from which the estimate is made.
@@ -43,7 +43,7 @@
         self._holds.add(self._numbers)
         return Hold(self._numbers, target_id, tokens)
 
-    def request(self, target_id: str, tokens: int, size: SizeClass) -> None:
+    def report_demand(self, target_id: str, tokens: int, size: SizeClass) -> None:
         """Do nothing: the next load report tells of more capacity."""
 
     async def hold_all(
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
@@ -36,7 +36,7 @@
     def try_hold(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
         """Hold capacity that is at hand here, without a message to another instance."""
 
-    def request(self, target_id: str, tokens: int, size: SizeClass) -> None:
+    def report_demand(self, target_id: str, tokens: int, size: SizeClass) -> None:
         """Note unmet demand; more capacity is asked for in the background."""
 
     async def hold_all(
--- a/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
@@ -26,7 +26,7 @@
     repeats: dict[int, int] = field(default_factory=dict)
 
 
-class RepeatBudget:
+class RetryBudget:
     """Allows repeated sends while all entry instances together stay within the limits."""
 
     __slots__ = ("_clock", "_counts", "_limits", "_peer_uses", "_tell", "refusals")
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -136,7 +136,7 @@
             return Hold(hold_id, target_id, tokens)
         return NoCapacity(f"no credit of engine {target_id} is at hand")
 
-    def request(self, target_id: str, tokens: int, size: SizeClass) -> None:
+    def report_demand(self, target_id: str, tokens: int, size: SizeClass) -> None:
         """Note unmet demand of one request; the next message to the owner includes it."""
         pool = self._pool(target_id)
         pool.note_demand(_amount(tokens, size), self._capacity(target_id))
@@ -385,7 +385,7 @@
             if isinstance(owner, NoOwner) or pool.amount == NOTHING:
                 continue
             if self._owners.is_own(owner):
-                self._owner.take_back([self._return_of(pool)])
+                self._owner.accept_returns([self._return_of(pool)])
             else:
                 await self._peers.release(owner, [self._return_of(pool)])
 
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -84,7 +84,7 @@
         """Answer the claims of one holder."""
         return [self._answer(claim) for claim in claims]
 
-    def take_back(self, returns: Sequence[CreditReturn]) -> None:
+    def accept_returns(self, returns: Sequence[CreditReturn]) -> None:
         """Remove credits that a holder gives up."""
         for item in returns:
             engine = self._engines.get(item.engine_id)
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.forwarding.const import (
     EXPECTED_BEFORE_REPEAT,
     MAX_HELD_BYTES,
@@ -85,7 +85,7 @@
         ledger: PlacementLedger,
         targets: TargetPort,
         reservations: EngineReservations,
-        budget: RepeatBudget,
+        budget: RetryBudget,
         crashes: CrashCounts,
         clock: Clock,
     ) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -135,7 +135,7 @@
     def _preference(self, work: TargetWork) -> float:
         """Return the cost of a target for itself, in parts of a request's value."""
         remote = 0.0 if work.target.zone == self._zone else REMOTE_ZONE_COST
-        failures = FAILURE_COST * self._health.failure_share(work.target)
+        failures = FAILURE_COST * self._health.failure_rate(work.target)
         return remote + failures + SPREAD_COST * self._random.random()
 
 
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -13,7 +13,7 @@
 from wasabiwell_entry.coordination.addresses import AddressCoordinator
 from wasabiwell_entry.coordination.admission import AdmissionCoordinator
 from wasabiwell_entry.coordination.admission.coordinator import AdmissionPorts
-from wasabiwell_entry.coordination.admission.load_capacity import LoadCapacity
+from wasabiwell_entry.coordination.admission.load_capacity import LoadBasedCapacity
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
 from wasabiwell_entry.coordination.configuration.store import ConfigurationStore
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
@@ -171,9 +171,9 @@
         policy = _policy(settings)
         match policy:
             case Current(shares_credits=True):
-                capacity: CreditHolder | LoadCapacity = credit_holder
+                capacity: CreditHolder | LoadBasedCapacity = credit_holder
             case _:
-                capacity = LoadCapacity(target_table, clock, lambda: len(members.alive()))
+                capacity = LoadBasedCapacity(target_table, clock, lambda: len(members.alive()))
         admission = AdmissionCoordinator(
             Router(target_table, settings.zone, clock, policy),
             target_table,
--- a/tests/steps/entry/coordination/credits_steps.py
+++ b/tests/steps/entry/coordination/credits_steps.py
@@ -146,7 +146,7 @@
                     holder.try_hold(context.engine, tokens, SizeClass.SHORT), Hold
                 ):
                     machine.report()
-                    holder.request(context.engine, tokens, SizeClass.SHORT)
+                    holder.report_demand(context.engine, tokens, SizeClass.SHORT)
                     await trio.lowlevel.checkpoint()
             waited = machine.clock.monotonic() - begin
             nursery.cancel_scope.cancel()
@@ -159,5 +159,5 @@
 def step_only_after(context: Context, tokens: int) -> None:
     assert context.waited >= CREDIT_LIFETIME, context.waited
     holder = context.machine.holders[0]
-    holder.request(context.engine, tokens, SizeClass.SHORT)
+    holder.report_demand(context.engine, tokens, SizeClass.SHORT)
     assert not isinstance(holder.try_hold(context.engine, tokens, SizeClass.SHORT), Hold)
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.forwarding import make_target
-from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.budget.coordinator import BudgetLimits
 from wasabiwell_entry.coordination.health import TargetHealth
 from wasabiwell_entry.coordination.stop import GracefulStop
@@ -31,7 +31,7 @@
 
 def note(context: Context, verdict: AttemptVerdict, count: int = 1) -> None:
     for _ in range(count):
-        context.health.note(context.target.target_id, verdict)
+        context.health.record_attempt(context.target.target_id, verdict)
 
 
 @when("it is lost")
@@ -87,12 +87,12 @@
 
 @then("its share of failures is over {share:g}")
 def step_over(context: Context, share: float) -> None:
-    assert context.health.failure_share(context.target) > share
+    assert context.health.failure_rate(context.target) > share
 
 
 @then("its share of failures is under {share:g}")
 def step_under(context: Context, share: float) -> None:
-    assert context.health.failure_share(context.target) < share
+    assert context.health.failure_rate(context.target) < share
 
 
 @given("a budget of {ratio:g} and a slack of {slack:g} in {seconds:d} seconds")
@@ -101,7 +101,7 @@
     context.peer_uses = []
     limits = BudgetLimits(ratio, slack, timedelta(seconds=seconds))
     context.told = []
-    context.budget = RepeatBudget(
+    context.budget = RetryBudget(
         limits, lambda: context.peer_uses, context.told.append, context.clock
     )
 
--- a/tests/support/credit_machine.py
+++ b/tests/support/credit_machine.py
@@ -239,7 +239,7 @@
                 if isinstance(answer, CreditGranted):
                     self.messages.append(Message(message.sender, message.receiver, answer))
             case CreditReturn() as item:
-                self.sides[message.receiver].take_back([item])
+                self.sides[message.receiver].accept_returns([item])
             case CreditGranted(sequence=sequence, amount=amount):
                 self.pools[message.receiver].granted(sequence, amount)
 
