--- a/packages/entry/src/wasabiwell_entry/coordination/admission/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/const.py
@@ -11,7 +11,7 @@
 NO_TARGET_RETRY_AFTER = timedelta(seconds=1)
 MAX_QUEUED = 256
 """Requests of one organisation that wait for one service; more are refused."""
-AGEING = {SizeClass.MEDIUM: timedelta(seconds=2), SizeClass.LONG: timedelta(seconds=5)}
+AGEING_THRESHOLDS = {SizeClass.MEDIUM: timedelta(seconds=2), SizeClass.LONG: timedelta(seconds=5)}
 """After this wait a medium or long request goes before short ones."""
 SCAN_LIMIT = 8
 """Requests of a class that are tried in one pass when those before them find no capacity."""
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -9,7 +9,7 @@
 from wasabiwell_config import Organisation
 
 from wasabiwell_entry.coordination.admission.const import (
-    AGEING,
+    AGEING_THRESHOLDS,
     MIN_RETRY_AFTER,
     NO_TARGET_RETRY_AFTER,
     PRIORITIES,
@@ -24,11 +24,11 @@
 from wasabiwell_entry.coordination.admission.ports import (
     CapacityPort,
     Hold,
-    Limited,
+    LimitExceeded,
     LimitPort,
     NoCapacity,
 )
-from wasabiwell_entry.coordination.admission.queue import FairQueue, Ticket
+from wasabiwell_entry.coordination.admission.queue import FairQueue, QueuedRequest
 from wasabiwell_entry.coordination.dispatch.ports import Placement
 from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.reservations.ports import ReservationPort
@@ -81,7 +81,7 @@
         async with AsyncExitStack() as stack:
             # A retry runs under the leave of its first attempt, so that it is not counted twice.
             if not excluded:
-                limited = await self._take_leave(request, organisation, stack)
+                limited = await self._acquire_limit_lease(request, organisation, stack)
                 if limited is not None:
                     yield limited
                     return
@@ -89,7 +89,7 @@
                 case Current():
                     placed = self._admit_queued(request, organisation.weight, excluded)
                 case _:
-                    placed = self._admit_at_once(request, excluded)
+                    placed = self._admit_unqueued(request, excluded)
             yield await stack.enter_async_context(placed)
 
     @asynccontextmanager
@@ -104,29 +104,29 @@
         with _outstanding(chosen):
             yield chosen.target
 
-    async def _take_leave(
+    async def _acquire_limit_lease(
         self, request: GenerateRequest, organisation: Organisation, stack: AsyncExitStack
     ) -> Refused | None:
         limits = self._ports.limits
-        await limits.prepare(organisation, request.size)
-        lease = limits.try_take(organisation, request.memory_tokens, request.size)
-        if isinstance(lease, Limited):
+        await limits.ensure_share(organisation, request.size)
+        lease = limits.try_acquire(organisation, request.memory_tokens, request.size)
+        if isinstance(lease, LimitExceeded):
             message = f"the organisation's limit of {lease.limit} is used up"
             return Refused(Reason.RATE_LIMITED, message, lease.retry_after)
-        stack.callback(limits.finish, lease)
+        stack.callback(limits.release_lease, lease)
         return None
 
     @asynccontextmanager
     async def _admit_queued(
         self, request: GenerateRequest, weight: float, excluded: frozenset[str]
     ) -> AsyncIterator[Placement | Refused]:
-        refused = self._impossible(request, excluded)
+        refused = self._permanent_refusal(request, excluded)
         if refused is not None:
             yield refused
             return
         queue = self._queues.setdefault(request.service, FairQueue(self._clock))
-        ticket = queue.enqueue(request, weight, excluded)
-        match ticket:
+        queued = queue.enqueue(request, weight, excluded)
+        match queued:
             case QueueFull(retry_after=retry_after):
                 message = "the organisation has too many requests waiting"
                 yield Refused(Reason.QUEUE_FULL, message, retry_after)
@@ -135,45 +135,45 @@
                 message = f"the estimated wait of {wait.total_seconds():.1f} s exceeds the deadline"
                 yield Refused(Reason.DEADLINE_UNREACHABLE, message, max(MIN_RETRY_AFTER, wait))
                 return
-            case Ticket():
+            case QueuedRequest():
                 pass
         reserved: list[tuple[Target, Shard]] = []
         try:
-            self._grant(queue)
-            yield await self._wait_for_placement(queue, ticket, reserved)
+            self._grant_waiting(queue)
+            yield await self._wait_for_placement(queue, queued, reserved)
         finally:
-            queue.remove(ticket)
-            self._give_back(ticket)
-            await self._release(reserved)
+            queue.remove(queued)
+            self._release_holds(queued)
+            await self._release_reservations(reserved)
 
     async def _wait_for_placement(
-        self, queue: FairQueue, ticket: Ticket, reserved: list[tuple[Target, Shard]]
+        self, queue: FairQueue, queued: QueuedRequest, reserved: list[tuple[Target, Shard]]
     ) -> Placement:
         """Return the placement of a granted request; one that lost its turn waits again."""
         while True:
-            await ticket.wake.wait()
-            ticket.wake = trio.Event()
-            if ticket.holds:
-                target = self._target(ticket.holds[0].target_id)
+            await queued.granted.wait()
+            queued.granted = trio.Event()
+            if queued.holds:
+                target = self._target(queued.holds[0].target_id)
                 if target is not None:
-                    return Placement(target, PRIORITIES[ticket.request.size])
-            elif await self._hold_parts(ticket):
-                parts = await self._reserve(ticket, reserved)
+                    return Placement(target, PRIORITIES[queued.request.size])
+            elif await self._hold_parts(queued):
+                parts = await self._reserve(queued, reserved)
                 if parts is not None:
-                    return _split_placement(ticket.request, parts)
-            self._give_back(ticket)
-            await self._release(reserved)
-            queue.put_back(ticket)
+                    return _split_placement(queued.request, parts)
+            self._release_holds(queued)
+            await self._release_reservations(reserved)
+            queue.insert(queued)
 
-    async def _hold_parts(self, ticket: Ticket) -> bool:
-        holds = await self._ports.capacity.hold_all(ticket.parts, ticket.request.size)
+    async def _hold_parts(self, queued: QueuedRequest) -> bool:
+        holds = await self._ports.capacity.hold_all(queued.parts, queued.request.size)
         if isinstance(holds, NoCapacity):
             return False
-        self._count(ticket, holds)
+        self._record_holds(queued, holds)
         return True
 
     async def _reserve(
-        self, ticket: Ticket, reserved: list[tuple[Target, Shard]]
+        self, queued: QueuedRequest, reserved: list[tuple[Target, Shard]]
     ) -> list[tuple[Target, Shard]] | None:
         """Return the memory held at all engines, by ascending id, or None if one refuses.
 
@@ -181,14 +181,14 @@
         entered in `reserved`.
         """
         parts: list[tuple[Target, Shard]] = []
-        for hold in ticket.holds:
+        for hold in queued.holds:
             target = self._target(hold.target_id)
             if target is None:
                 return None
             reservation_id = hold.reservation_id
             if not reservation_id:
                 match await self._ports.reservations.reserve(
-                    target, ticket.request.request_id, hold.tokens
+                    target, queued.request.request_id, hold.tokens
                 ):
                     case Reserved(reservation_id=reservation_id):
                         shard = Shard(hold.target_id, target.address, reservation_id, hold.tokens)
@@ -199,7 +199,7 @@
             parts.append((target, shard))
         return parts
 
-    async def _release(self, reserved: list[tuple[Target, Shard]]) -> None:
+    async def _release_reservations(self, reserved: list[tuple[Target, Shard]]) -> None:
         with trio.move_on_after(RELEASE_TIMEOUT.total_seconds(), shield=True):
             while reserved:
                 target, shard = reserved.pop()
@@ -209,53 +209,55 @@
         """Return how long each waiting request of a size class has waited."""
         now = self._clock.monotonic()
         return [
-            now - ticket.enqueued
+            now - queued.enqueued
             for queue in self._queues.values()
-            for ticket in queue.in_order(size)
+            for queued in queue.in_grant_order(size)
         ]
 
     def capacity_changed(self) -> None:
         """Grant what has become available to the requests that wait."""
         for queue in self._queues.values():
-            self._grant(queue)
+            self._grant_waiting(queue)
 
-    def _grant(self, queue: FairQueue) -> None:
+    def _grant_waiting(self, queue: FairQueue) -> None:
         """Grant capacity to waiting requests in the order of their turns.
 
         A request that finds none does not hold up those behind it, except that an aged one keeps
         medium and long ones that have not aged from taking the memory for which it waits.
         """
-        held_up = False
-        for size, aged in queue.class_order():
-            if held_up and size in AGEING and not aged:
+        blocked = False
+        for size, aged in queue.classes_in_grant_order():
+            if blocked and size in AGEING_THRESHOLDS and not aged:
                 continue
             misses = 0
-            for ticket in queue.in_order(size):
-                if self._try_grant(queue, ticket):
+            for queued in queue.in_grant_order(size):
+                if self._try_grant(queue, queued):
                     continue
-                held_up = held_up or aged
+                blocked = blocked or aged
                 misses += 1
                 if misses >= SCAN_LIMIT or aged:
                     break
 
-    def _try_grant(self, queue: FairQueue, ticket: Ticket) -> bool:
-        candidates = self._router.rank(ticket.request, ticket.excluded)
+    def _try_grant(self, queue: FairQueue, queued: QueuedRequest) -> bool:
+        candidates = self._router.rank(queued.request, queued.excluded)
         if isinstance(candidates, NoTarget):
             return False
-        if self._needs_split(ticket.request, candidates):
-            ticket.parts = self._plan_parts(ticket)
-            if not ticket.parts:
+        if self._needs_split(queued.request, candidates):
+            queued.parts = self._plan_parts(queued)
+            if not queued.parts:
                 return False
         else:
-            hold = self._hold_one(ticket.request, candidates)
+            hold = self._try_hold_any(queued.request, candidates)
             if hold is None:
                 return False
-            self._count(ticket, (hold,))
-        queue.grant(ticket)
-        ticket.wake.set()
+            self._record_holds(queued, (hold,))
+        queue.grant(queued)
+        queued.granted.set()
         return True
 
-    def _hold_one(self, request: GenerateRequest, candidates: list[TargetStatus]) -> Hold | None:
+    def _try_hold_any(
+        self, request: GenerateRequest, candidates: list[TargetStatus]
+    ) -> Hold | None:
         tokens = request.memory_tokens
         for status in candidates:
             hold = self._ports.capacity.try_hold(status.target.target_id, tokens, request.size)
@@ -264,9 +266,9 @@
         self._ports.capacity.report_demand(candidates[0].target.target_id, tokens, request.size)
         return None
 
-    def _plan_parts(self, ticket: Ticket) -> tuple[tuple[str, int], ...]:
+    def _plan_parts(self, queued: QueuedRequest) -> tuple[tuple[str, int], ...]:
         """Return engines and tokens for a split prompt, by ascending id, or none if they lack."""
-        usable = self._router.candidates(ticket.request, ticket.excluded)
+        usable = self._router.candidates(queued.request, queued.excluded)
         if isinstance(usable, NoTarget):
             return ()
         # A split prompt needs more engines than may process long prompts, so it takes any of them.
@@ -277,20 +279,22 @@
                 estimate = estimate_engine(status, status.load, now)
                 available = long_tokens_available(status, status.load, estimate)
                 free.append((available, status.target.target_id))
-        rest = ticket.request.memory_tokens
+        remaining = queued.request.memory_tokens
         parts = []
         for available, target_id in sorted(free, reverse=True):
-            if rest <= 0 or available <= 0:
+            if remaining <= 0 or available <= 0:
                 break
-            parts.append((target_id, min(rest, available)))
-            rest -= available
-        return tuple(sorted(parts)) if rest <= 0 else ()
+            parts.append((target_id, min(remaining, available)))
+            remaining -= available
+        return tuple(sorted(parts)) if remaining <= 0 else ()
 
     def _needs_split(self, request: GenerateRequest, candidates: list[TargetStatus]) -> bool:
         totals = [status.load.total_tokens for status in candidates if status.load is not None]
         return bool(totals) and request.memory_tokens > max(totals) * LONG_MEMORY_SHARE
 
-    def _impossible(self, request: GenerateRequest, excluded: frozenset[str]) -> Refused | None:
+    def _permanent_refusal(
+        self, request: GenerateRequest, excluded: frozenset[str]
+    ) -> Refused | None:
         """Return why no engine can ever take the request, or None."""
         usable = self._router.candidates(request, excluded)
         if isinstance(usable, NoTarget):
@@ -303,22 +307,22 @@
             return Refused(Reason.PROMPT_TOO_LONG, "the prompt does not fit the engines' memory")
         return None
 
-    def _count(self, ticket: Ticket, holds: tuple[Hold, ...]) -> None:
+    def _record_holds(self, queued: QueuedRequest, holds: tuple[Hold, ...]) -> None:
         """Note holds in the target table, from which loads are corrected."""
-        ticket.holds = holds
-        request, now = ticket.request, self._clock.monotonic()
+        queued.holds = holds
+        request, now = queued.request, self._clock.monotonic()
         for hold in holds:
             status = self._targets.get(hold.target_id)
             if status is not None:
                 prompt = min(request.prompt_tokens, hold.tokens)
                 status.place(now, hold.tokens, prompt, request.size is SizeClass.LONG)
 
-    def _give_back(self, ticket: Ticket) -> None:
-        holds, ticket.holds = ticket.holds, ()
+    def _release_holds(self, queued: QueuedRequest) -> None:
+        holds, queued.holds = queued.holds, ()
         for hold in holds:
             status = self._targets.get(hold.target_id)
             if status is not None:
-                long = ticket.request.size is SizeClass.LONG
+                long = queued.request.size is SizeClass.LONG
                 status.remove(self._clock.monotonic(), hold.tokens, long)
             self._ports.capacity.release(hold)
 
@@ -327,7 +331,7 @@
         return status.target if status is not None else None
 
     @asynccontextmanager
-    async def _admit_at_once(
+    async def _admit_unqueued(
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> AsyncIterator[Placement | Refused]:
         """Place a request without a queue, as the compared policies do."""
@@ -335,7 +339,7 @@
         if isinstance(lead, NoTarget):
             yield _no_target(lead)
             return
-        needed = self._further_engines(request, lead, excluded)
+        needed = self._plan_shards(request, lead, excluded)
         if isinstance(needed, Refused):
             yield needed
             return
@@ -353,27 +357,27 @@
                 shards = tuple(shard for _, shard in reserved)
                 yield Placement(lead.target, PRIORITIES[request.size], shards=shards)
         finally:
-            await self._release(reserved)
+            await self._release_reservations(reserved)
 
-    def _further_engines(
+    def _plan_shards(
         self, request: GenerateRequest, lead: TargetStatus, excluded: frozenset[str]
     ) -> list[tuple[Target, int]] | Refused:
         """Return the engines that must hold what the lead cannot, with their tokens."""
         if lead.load is None:
             return []
-        rest = request.memory_tokens - int(lead.load.total_tokens * LONG_MEMORY_SHARE)
+        remaining = request.memory_tokens - int(lead.load.total_tokens * LONG_MEMORY_SHARE)
         parts: list[tuple[Target, int]] = []
         usable = self._router.usable(request.service, excluded)
         others = [] if isinstance(usable, NoTarget) else usable
         for status in sorted(others, key=lambda item: item.target.target_id):
-            if rest <= 0:
+            if remaining <= 0:
                 break
             if status is lead or status.load is None:
                 continue
-            tokens = min(rest, int(status.load.total_tokens * LONG_MEMORY_SHARE))
+            tokens = min(remaining, int(status.load.total_tokens * LONG_MEMORY_SHARE))
             parts.append((status.target, tokens))
-            rest -= tokens
-        if rest > 0:
+            remaining -= tokens
+        if remaining > 0:
             return Refused(Reason.PROMPT_TOO_LONG, "the prompt does not fit the engines' memory")
         return parts
 
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
@@ -24,7 +24,7 @@
     queue and take the order of requests out of the fair queues.
     """
 
-    __slots__ = ("_clock", "_holds", "_instances", "_numbers", "_observers", "_targets")
+    __slots__ = ("_clock", "_holds", "_instances", "_last_hold_id", "_observers", "_targets")
 
     def __init__(self, targets: TargetTable, clock: Clock, instances: Callable[[], int]) -> None:
         self._targets = targets
@@ -32,16 +32,16 @@
         self._instances = instances
         self._observers: list[Callable[[], None]] = []
         self._holds: set[int] = set()
-        self._numbers = 0
+        self._last_hold_id = 0
 
     def try_hold(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
         """Hold a slot and memory of an engine if it is likely to have them."""
         refused = self._refusal(target_id, tokens, size)
         if refused is not None:
             return refused
-        self._numbers += 1
-        self._holds.add(self._numbers)
-        return Hold(self._numbers, target_id, tokens)
+        self._last_hold_id += 1
+        self._holds.add(self._last_hold_id)
+        return Hold(self._last_hold_id, target_id, tokens)
 
     def report_demand(self, target_id: str, tokens: int, size: SizeClass) -> None:
         """Do nothing: the next load report tells of more capacity."""
@@ -57,9 +57,9 @@
                 return refused
         holds = []
         for target_id, tokens in sorted(parts):
-            self._numbers += 1
-            self._holds.add(self._numbers)
-            holds.append(Hold(self._numbers, target_id, tokens))
+            self._last_hold_id += 1
+            self._holds.add(self._last_hold_id)
+            holds.append(Hold(self._last_hold_id, target_id, tokens))
         return tuple(holds)
 
     def release(self, hold: Hold) -> None:
@@ -83,8 +83,8 @@
             return NoCapacity(f"engine {target_id} has not reported its load")
         estimate = estimate_engine(status, status.load, self._clock.monotonic())
         instances = max(1, self._instances())
-        even_part = -(-status.load.slots // instances)
-        if status.outstanding >= even_part and estimate.free_slots < instances:
+        fair_share = -(-status.load.slots // instances)
+        if status.outstanding >= fair_share and estimate.free_slots < instances:
             return NoCapacity(f"engine {target_id} has no free slot")
         available = estimate.free_tokens
         if size is SizeClass.LONG:
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
@@ -61,7 +61,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Limited:
+class LimitExceeded:
     """A limit of the organisation is used up."""
 
     limit: str
@@ -71,13 +71,13 @@
 class LimitPort(Protocol):
     """Limits of organisations, shared over entry instances."""
 
-    async def prepare(self, organisation: Organisation, size: SizeClass) -> None:
+    async def ensure_share(self, organisation: Organisation, size: SizeClass) -> None:
         """Obtain a share when none is held; it sends no message for each request."""
 
-    def try_take(
+    def try_acquire(
         self, organisation: Organisation, tokens: int, size: SizeClass
-    ) -> LimitLease | Limited:
+    ) -> LimitLease | LimitExceeded:
         """Take leave for one request of `tokens` tokens, prompt and answer together."""
 
-    def finish(self, lease: LimitLease) -> None:
+    def release_lease(self, lease: LimitLease) -> None:
         """Tell that a request has ended."""
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/queue.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/queue.py
@@ -15,7 +15,7 @@
 import trio
 
 from wasabiwell_entry.coordination.admission.const import (
-    AGEING,
+    AGEING_THRESHOLDS,
     MAX_QUEUED,
     MIN_RATE_WINDOW,
     MIN_RETRY_AFTER,
@@ -29,18 +29,18 @@
 
 
 @dataclass(slots=True, eq=False)
-class Ticket:
-    """One waiting request; `holds` is the capacity it was granted, `wake` tells of the grant."""
+class QueuedRequest:
+    """One waiting request; `holds` is the capacity it was granted, `granted` tells of the grant."""
 
     request: GenerateRequest
     excluded: frozenset[str]
     weight: float
     enqueued: timedelta
     start_tag: float
-    number: int
+    sequence: int
     parts: tuple[tuple[str, int], ...] = ()
     holds: tuple[Hold, ...] = ()
-    wake: trio.Event = field(default_factory=trio.Event)
+    granted: trio.Event = field(default_factory=trio.Event)
 
     @property
     def cost(self) -> int:
@@ -52,7 +52,7 @@
 class _ClassQueue:
     """Waiting requests of one size class, sorted by start tag."""
 
-    tickets: list[Ticket] = field(default_factory=list)
+    waiting: list[QueuedRequest] = field(default_factory=list)
     virtual_time: float = 0.0
     finish_tags: dict[str, float] = field(default_factory=dict)
     grants: deque[tuple[timedelta, int]] = field(default_factory=deque)
@@ -61,21 +61,21 @@
 class FairQueue:
     """Requests of one service that wait for capacity."""
 
-    __slots__ = ("_classes", "_clock", "_counts", "_max_queued", "_numbers")
+    __slots__ = ("_classes", "_clock", "_counts", "_last_sequence", "_max_queued")
 
     def __init__(self, clock: Clock, max_queued: int = MAX_QUEUED) -> None:
         self._clock = clock
         self._max_queued = max_queued
         self._classes = {size: _ClassQueue() for size in SizeClass}
         self._counts: dict[str, int] = {}
-        self._numbers = 0
+        self._last_sequence = 0
 
     def __len__(self) -> int:
-        return sum(len(part.tickets) for part in self._classes.values())
+        return sum(len(class_queue.waiting) for class_queue in self._classes.values())
 
     def enqueue(
         self, request: GenerateRequest, weight: float, excluded: frozenset[str]
-    ) -> Ticket | QueueFull | DeadlineUnreachable:
+    ) -> QueuedRequest | QueueFull | DeadlineUnreachable:
         """Add a request, or tell why it must not wait."""
         now = self._clock.monotonic()
         wait = self.estimated_wait(request, weight)
@@ -83,83 +83,87 @@
             return QueueFull(max(MIN_RETRY_AFTER, wait))
         if now + wait > request.deadline:
             return DeadlineUnreachable(wait)
-        part = self._classes[request.size]
-        start = max(part.virtual_time, part.finish_tags.get(request.organisation, 0.0))
-        part.finish_tags[request.organisation] = start + request.memory_tokens / weight
-        self._numbers += 1
-        ticket = Ticket(request, excluded, weight, now, start, self._numbers)
-        self.put_back(ticket)
-        return ticket
-
-    def put_back(self, ticket: Ticket) -> None:
+        class_queue = self._classes[request.size]
+        start = max(
+            class_queue.virtual_time, class_queue.finish_tags.get(request.organisation, 0.0)
+        )
+        class_queue.finish_tags[request.organisation] = start + request.memory_tokens / weight
+        self._last_sequence += 1
+        queued = QueuedRequest(request, excluded, weight, now, start, self._last_sequence)
+        self.insert(queued)
+        return queued
+
+    def insert(self, queued: QueuedRequest) -> None:
         """Let a request wait at its former place."""
-        part = self._classes[ticket.request.size]
-        bisect.insort(part.tickets, ticket, key=_order)
-        organisation = ticket.request.organisation
+        class_queue = self._classes[queued.request.size]
+        bisect.insort(class_queue.waiting, queued, key=_sort_key)
+        organisation = queued.request.organisation
         self._counts[organisation] = self._counts.get(organisation, 0) + 1
 
-    def remove(self, ticket: Ticket) -> None:
+    def remove(self, queued: QueuedRequest) -> None:
         """Take out a request that waits; one that does not is ignored."""
-        part = self._classes[ticket.request.size]
-        index = bisect.bisect_left(part.tickets, _order(ticket), key=_order)
-        if index == len(part.tickets) or part.tickets[index] is not ticket:
+        class_queue = self._classes[queued.request.size]
+        index = bisect.bisect_left(class_queue.waiting, _sort_key(queued), key=_sort_key)
+        if index == len(class_queue.waiting) or class_queue.waiting[index] is not queued:
             return
-        del part.tickets[index]
-        organisation = ticket.request.organisation
+        del class_queue.waiting[index]
+        organisation = queued.request.organisation
         self._counts[organisation] -= 1
         if not self._counts[organisation]:
             del self._counts[organisation]
-        self._forget_old_tags(part)
+        self._prune_finish_tags(class_queue)
 
-    def grant(self, ticket: Ticket) -> None:
+    def grant(self, queued: QueuedRequest) -> None:
         """Take out a request that gets its capacity now."""
-        part = self._classes[ticket.request.size]
-        part.virtual_time = max(part.virtual_time, ticket.start_tag)
-        part.grants.append((self._clock.monotonic(), ticket.cost))
-        self.remove(ticket)
+        class_queue = self._classes[queued.request.size]
+        class_queue.virtual_time = max(class_queue.virtual_time, queued.start_tag)
+        class_queue.grants.append((self._clock.monotonic(), queued.cost))
+        self.remove(queued)
 
-    def in_order(self, size: SizeClass) -> list[Ticket]:
+    def in_grant_order(self, size: SizeClass) -> list[QueuedRequest]:
         """Return the waiting requests of a size class in the order of their turns."""
-        return list(self._classes[size].tickets)
+        return list(self._classes[size].waiting)
 
-    def class_order(self) -> Iterator[tuple[SizeClass, bool]]:
+    def classes_in_grant_order(self) -> Iterator[tuple[SizeClass, bool]]:
         """Yield the size classes in the order of their turns, and whether each one is aged."""
-        aged = [size for size in (SizeClass.LONG, SizeClass.MEDIUM) if self._aged(size)]
+        aged = [size for size in (SizeClass.LONG, SizeClass.MEDIUM) if self._is_aged(size)]
         yield from ((size, True) for size in aged)
         yield from ((size, False) for size in SizeClass if size not in aged)
 
     def estimated_wait(self, request: GenerateRequest, weight: float) -> timedelta:
         """Return the wait by the recent rate of grants; zero when the rate is not known."""
         now = self._clock.monotonic()
-        part = self._classes[request.size]
-        while part.grants and part.grants[0][0] < now - RATE_WINDOW:
-            part.grants.popleft()
-        if not part.tickets or not part.grants:
+        class_queue = self._classes[request.size]
+        while class_queue.grants and class_queue.grants[0][0] < now - RATE_WINDOW:
+            class_queue.grants.popleft()
+        if not class_queue.waiting or not class_queue.grants:
             return timedelta()
-        window = now - part.grants[0][0]
+        window = now - class_queue.grants[0][0]
         if window < MIN_RATE_WINDOW:
             return timedelta()
-        rate = sum(cost for _, cost in part.grants) / window.total_seconds()
-        weights = {ticket.request.organisation: ticket.weight for ticket in part.tickets}
+        rate = sum(cost for _, cost in class_queue.grants) / window.total_seconds()
+        weights = {queued.request.organisation: queued.weight for queued in class_queue.waiting}
         weights[request.organisation] = weight
-        ahead = request.memory_tokens + sum(
-            ticket.cost
-            for ticket in part.tickets
-            if ticket.request.organisation == request.organisation
+        cost_ahead = request.memory_tokens + sum(
+            queued.cost
+            for queued in class_queue.waiting
+            if queued.request.organisation == request.organisation
         )
-        return timedelta(seconds=ahead * sum(weights.values()) / (rate * weight))
+        return timedelta(seconds=cost_ahead * sum(weights.values()) / (rate * weight))
 
-    def _aged(self, size: SizeClass) -> bool:
-        limit = self._clock.monotonic() - AGEING[size]
-        return any(ticket.enqueued <= limit for ticket in self._classes[size].tickets)
+    def _is_aged(self, size: SizeClass) -> bool:
+        limit = self._clock.monotonic() - AGEING_THRESHOLDS[size]
+        return any(queued.enqueued <= limit for queued in self._classes[size].waiting)
 
-    def _forget_old_tags(self, part: _ClassQueue) -> None:
-        if len(part.finish_tags) <= 2 * len(self._counts) + 16:
+    def _prune_finish_tags(self, class_queue: _ClassQueue) -> None:
+        if len(class_queue.finish_tags) <= 2 * len(self._counts) + 16:
             return
-        part.finish_tags = {
-            name: tag for name, tag in part.finish_tags.items() if tag > part.virtual_time
+        class_queue.finish_tags = {
+            name: tag
+            for name, tag in class_queue.finish_tags.items()
+            if tag > class_queue.virtual_time
         }
 
 
-def _order(ticket: Ticket) -> tuple[float, int]:
-    return ticket.start_tag, ticket.number
+def _sort_key(queued: QueuedRequest) -> tuple[float, int]:
+    return queued.start_tag, queued.sequence
--- a/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from wasabiwell_entry.coordination.budget.const import BUCKETS, USABLE_SHARE
+from wasabiwell_entry.coordination.budget.const import BUCKETS_PER_WINDOW, USABLE_FRACTION
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import RepeatNotice, ServiceUse
 
@@ -29,56 +29,56 @@
 class RetryBudget:
     """Allows repeated sends while all entry instances together stay within the limits."""
 
-    __slots__ = ("_clock", "_counts", "_limits", "_peer_uses", "_tell", "refusals")
+    __slots__ = ("_clock", "_counts", "_limits", "_peer_usage", "_publish", "refusals")
 
     def __init__(
         self,
         limits: BudgetLimits,
-        peer_uses: Callable[[], Iterable[tuple[ServiceUse, ...]]],
-        tell: Callable[[RepeatNotice], None],
+        peer_usage: Callable[[], Iterable[tuple[ServiceUse, ...]]],
+        publish: Callable[[RepeatNotice], None],
         clock: Clock,
     ) -> None:
         self._limits = limits
-        self._peer_uses = peer_uses
-        self._tell = tell
+        self._peer_usage = peer_usage
+        self._publish = publish
         self._clock = clock
         self._counts: dict[str, _Counts] = {}
         self.refusals = 0
 
     def count_request(self, service: str) -> None:
         """Count a caller's request."""
-        _increment(self._of(service).requests, self._bucket())
+        _increment(self._service_counts(service).requests, self._bucket())
 
     def take(self, service: str) -> bool:
         """Count a repeated send, or return False when the budget is used up."""
-        peers = [use for uses in self._peer_uses() for use in uses if use.service == service]
-        own = self._use(service)
+        peers = [use for uses in self._peer_usage() for use in uses if use.service == service]
+        own = self._usage(service)
         requests = own.requests + sum(use.requests for use in peers)
         repeats = own.repeats + sum(use.repeats for use in peers)
-        allowed = USABLE_SHARE * (self._limits.ratio * requests + self._limits.slack)
+        allowed = USABLE_FRACTION * (self._limits.ratio * requests + self._limits.slack)
         if repeats + 1 > allowed:
             self.refusals += 1
             return False
-        _increment(self._of(service).repeats, self._bucket())
-        self._tell(RepeatNotice(service))
+        _increment(self._service_counts(service).repeats, self._bucket())
+        self._publish(RepeatNotice(service))
         return True
 
     def uses(self) -> tuple[ServiceUse, ...]:
         """Return the own counts in the last window."""
-        return tuple(self._use(service) for service in sorted(self._counts))
+        return tuple(self._usage(service) for service in sorted(self._counts))
 
-    def _use(self, service: str) -> ServiceUse:
-        counts = self._of(service)
-        oldest = self._bucket() - BUCKETS
+    def _usage(self, service: str) -> ServiceUse:
+        counts = self._service_counts(service)
+        oldest = self._bucket() - BUCKETS_PER_WINDOW
         return ServiceUse(
             service, _sum_since(counts.requests, oldest), _sum_since(counts.repeats, oldest)
         )
 
-    def _of(self, service: str) -> _Counts:
+    def _service_counts(self, service: str) -> _Counts:
         return self._counts.setdefault(service, _Counts())
 
     def _bucket(self) -> int:
-        return self._clock.monotonic() // (self._limits.window / BUCKETS)
+        return self._clock.monotonic() // (self._limits.window / BUCKETS_PER_WINDOW)
 
 
 def _increment(buckets: dict[int, int], bucket: int) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/const.py
@@ -16,16 +16,16 @@
 MAINTENANCE_INTERVAL = timedelta(milliseconds=250)
 CLAIM_INTERVAL = timedelta(milliseconds=10)
 """Shortest time between two messages to one owner; demand in between shares a message."""
-SHORTAGE_INTERVAL = timedelta(milliseconds=100)
+SHORTAGE_BACKOFF = timedelta(milliseconds=100)
 """Time until the next message to an owner that could not grant all; doubles with each shortage."""
-LONGEST_SHORTAGE_INTERVAL = timedelta(milliseconds=800)
-MAX_SHORTAGES = 4
+MAX_SHORTAGE_BACKOFF = timedelta(milliseconds=800)
+MAX_CONSECUTIVE_SHORTAGES = 4
 """Shortages in a row that are counted; enough to reach the longest interval."""
-ADOPT_INTERVAL = timedelta(seconds=1)
+OWNERSHIP_SCAN_INTERVAL = timedelta(seconds=1)
 """Time between two looks for newly owned engines, so that their first claim needs no wait."""
 COLLECT_CONCURRENCY = 16
 """Members that a new owner asks at once."""
 STOP_TIMEOUT = timedelta(seconds=1)
 """Time to give credit back on stop; what is not given back expires."""
-MAX_CLAIMS = 64
+MAX_CLAIMS_PER_MESSAGE = 64
 """Engines in one message, which keeps it under 8 KB."""
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -12,12 +12,12 @@
     CLAIM_INTERVAL,
     CREDIT_LIFETIME,
     IDLE_WINDOW,
-    LONGEST_SHORTAGE_INTERVAL,
     MAINTENANCE_INTERVAL,
-    MAX_CLAIMS,
-    MAX_SHORTAGES,
+    MAX_CLAIMS_PER_MESSAGE,
+    MAX_CONSECUTIVE_SHORTAGES,
+    MAX_SHORTAGE_BACKOFF,
     RENEW_BEFORE,
-    SHORTAGE_INTERVAL,
+    SHORTAGE_BACKOFF,
     STOP_TIMEOUT,
 )
 from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
@@ -55,14 +55,14 @@
     owner: Member
     wake: trio.Event = field(default_factory=trio.Event)
     unreachable_since: timedelta | None = None
-    fallen_back: bool = False
-    shortages: int = 0
+    using_fallback: bool = False
+    consecutive_shortages: int = 0
 
-    def pause(self) -> timedelta:
+    def backoff(self) -> timedelta:
         """Return the time until the next message; it doubles while the owner is short."""
-        if self.shortages == 0:
+        if self.consecutive_shortages == 0:
             return CLAIM_INTERVAL
-        return min(LONGEST_SHORTAGE_INTERVAL, SHORTAGE_INTERVAL * (1 << (self.shortages - 1)))
+        return min(MAX_SHORTAGE_BACKOFF, SHORTAGE_BACKOFF * (1 << (self.consecutive_shortages - 1)))
 
 
 class CreditHolder:
@@ -120,18 +120,18 @@
     def try_hold(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
         """Hold capacity at hand; an engine that this entry instance owns is asked in place."""
         pool = self._pool(target_id)
-        amount = _amount(tokens, size)
+        amount = _request_amount(tokens, size)
         hold_id = next(self._hold_ids)
         now = self._clock.monotonic()
         if pool.take(hold_id, amount, now):
             return Hold(hold_id, target_id, tokens)
         owner = self._owners.owner(target_id)
         if self._owners.is_own(owner):
-            pool.note_demand(amount, self._capacity(target_id))
-            self._claim_own([pool])
+            pool.note_demand(amount, self._reported_capacity(target_id))
+            self._claim_locally([pool])
         elif isinstance(owner, NoOwner):
-            pool.note_demand(amount, self._capacity(target_id))
-            self._fall_back(pool)
+            pool.note_demand(amount, self._reported_capacity(target_id))
+            self._use_fallback(pool)
         if pool.take(hold_id, amount, now):
             return Hold(hold_id, target_id, tokens)
         return NoCapacity(f"no credit of engine {target_id} is at hand")
@@ -139,7 +139,7 @@
     def report_demand(self, target_id: str, tokens: int, size: SizeClass) -> None:
         """Note unmet demand of one request; the next message to the owner includes it."""
         pool = self._pool(target_id)
-        pool.note_demand(_amount(tokens, size), self._capacity(target_id))
+        pool.note_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
         owner = self._owners.owner(target_id)
         if isinstance(owner, Member) and owner.node_id in self._links:
             self._links[owner.node_id].wake.set()
@@ -159,11 +159,11 @@
             for target_id, tokens in sorted(parts):
                 hold = await self._hold_part(target_id, tokens, size)
                 if isinstance(hold, NoCapacity):
-                    self._release(held)
+                    self._release_all(held)
                     return hold
                 held.append(hold)
         except BaseException:
-            self._release(held)
+            self._release_all(held)
             raise
         return tuple(held)
 
@@ -205,7 +205,7 @@
                     self._wake = trio.Event()
         finally:
             with trio.move_on_after(STOP_TIMEOUT.total_seconds(), shield=True):
-                await self._return_credit()
+                await self._return_all_credit()
 
     def _maintain(self, nursery: trio.Nursery) -> None:
         self._owners.refresh()
@@ -218,38 +218,40 @@
         for pool in list(self._pools.values()):
             match self._owners.owner(pool.engine_id):
                 case NoOwner():
-                    self._forget(pool)
+                    self._drop_if_unused(pool)
                 case owner if self._owners.is_own(owner):
                     own.append(pool)
                 case owner:
                     self._wake_link(owner, pool, nursery)
-        self._claim_own([pool for pool in own if pool.amount != NOTHING or pool.wanted().slots])
+        self._claim_locally([pool for pool in own if pool.amount != NOTHING or pool.wanted().slots])
 
-    def _forget(self, pool: CreditPool) -> None:
+    def _drop_if_unused(self, pool: CreditPool) -> None:
         if self._targets.get(pool.engine_id) is None and not pool.open_holds:
             del self._pools[pool.engine_id]
 
     def _wake_link(self, owner: Member, pool: CreditPool, nursery: trio.Nursery) -> None:
-        if not self._due(pool):
+        if not self._needs_message(pool):
             return
         link = self._links.get(owner.node_id)
         if link is None or link.owner != owner:
             link = _OwnerLink(owner)
             self._links[owner.node_id] = link
-            nursery.start_soon(self._serve_link, link)
+            nursery.start_soon(self._run_link, link)
         link.wake.set()
 
-    async def _serve_link(self, link: _OwnerLink) -> None:
+    async def _run_link(self, link: _OwnerLink) -> None:
         """Send claims to one owner until it owns no engine that is in use here."""
         while self._links.get(link.owner.node_id) is link:
             pools = self._pools_of(link.owner)
             if not pools:
                 break
-            due = [pool for pool in pools if self._due(pool)]
-            if due:
+            pending = [pool for pool in pools if self._needs_message(pool)]
+            if pending:
                 # Renewing the others too costs little in a message that is sent anyway.
-                others = [pool for pool in pools if pool not in due and pool.wanted() != NOTHING]
-                await self._exchange(link, [*due, *others][:MAX_CLAIMS])
+                others = [
+                    pool for pool in pools if pool not in pending and pool.wanted() != NOTHING
+                ]
+                await self._send_claims(link, [*pending, *others][:MAX_CLAIMS_PER_MESSAGE])
             else:
                 await link.wake.wait()
                 link.wake = trio.Event()
@@ -264,7 +266,7 @@
             and not self._owners.is_own(found)
         ]
 
-    def _due(self, pool: CreditPool) -> bool:
+    def _needs_message(self, pool: CreditPool) -> bool:
         """Return whether the owner must hear of a pool: demand, renewal, or a return."""
         now = self._clock.monotonic()
         wanted, valid = pool.wanted(), pool.valid(now)
@@ -272,28 +274,30 @@
             return True
         return wanted != NOTHING and pool.expires - now < RENEW_BEFORE
 
-    async def _exchange(self, link: _OwnerLink, pools: list[CreditPool]) -> None:
+    async def _send_claims(self, link: _OwnerLink, pools: list[CreditPool]) -> None:
         now = self._clock.monotonic()
         unused = [pool for pool in pools if pool.wanted() == NOTHING]
         if unused:
-            await self._peers.release(link.owner, [self._return_of(pool) for pool in unused])
+            await self._peers.release(link.owner, [self._make_return(pool) for pool in unused])
         wanted = {pool.engine_id: pool for pool in pools if pool.wanted() != NOTHING}
         if not wanted:
             return
         claims = [pool.claim(now) for pool in wanted.values()]
         answers = await self._peers.acquire(link.owner, claims)
         if isinstance(answers, OwnerUnreachable):
-            self._fall_back_from(link, claims, answers.reason)
+            self._use_fallback_for_owner(link, claims, answers.reason)
             complete = False
         else:
             link.unreachable_since = None
-            link.fallen_back = False
-            complete = self._take_over(claims, answers)
-        link.shortages = 0 if complete else min(link.shortages + 1, MAX_SHORTAGES)
+            link.using_fallback = False
+            complete = self._apply_answers(claims, answers)
+        link.consecutive_shortages = (
+            0 if complete else min(link.consecutive_shortages + 1, MAX_CONSECUTIVE_SHORTAGES)
+        )
         self._notify()
-        await self._clock.sleep(link.pause())
+        await self._clock.sleep(link.backoff())
 
-    def _take_over(self, claims: Sequence[CreditClaim], answers: Sequence[ClaimAnswer]) -> bool:
+    def _apply_answers(self, claims: Sequence[CreditClaim], answers: Sequence[ClaimAnswer]) -> bool:
         """Take over the answers to claims; return whether all claims were granted in full."""
         wanted = {claim.engine_id: claim.wanted for claim in claims}
         complete = True
@@ -308,12 +312,14 @@
                     complete = False
         return complete
 
-    def _claim_own(self, pools: list[CreditPool]) -> None:
+    def _claim_locally(self, pools: list[CreditPool]) -> None:
         now = self._clock.monotonic()
         claims = [pool.claim(now) for pool in pools]
-        self._take_over(claims, self._owner.answer(claims))
+        self._apply_answers(claims, self._owner.answer(claims))
 
-    def _fall_back_from(self, link: _OwnerLink, claims: Sequence[CreditClaim], reason: str) -> None:
+    def _use_fallback_for_owner(
+        self, link: _OwnerLink, claims: Sequence[CreditClaim], reason: str
+    ) -> None:
         """Use the fallback when an owner has not answered for a credit's lifetime.
 
         By then its own credits to others have expired, so the engine's report shows all use.
@@ -323,22 +329,22 @@
             link.unreachable_since = now
         if now - link.unreachable_since < CREDIT_LIFETIME:
             return
-        if not link.fallen_back:
-            link.fallen_back = True
+        if not link.using_fallback:
+            link.using_fallback = True
             log_events.emit(
                 log_events.CREDIT_OWNER_UNREACHABLE, owner=link.owner.node_id, reason=reason
             )
         for claim in claims:
-            self._fall_back(self._pool(claim.engine_id), claim.wanted - claim.used)
+            self._use_fallback(self._pool(claim.engine_id), claim.wanted - claim.used)
 
-    def _fall_back(self, pool: CreditPool, demand: Amount | None = None) -> None:
+    def _use_fallback(self, pool: CreditPool, demand: Amount | None = None) -> None:
         """Use a share of what the engine reports as free, because no owner can be asked."""
         status = self._targets.get(pool.engine_id)
         load = status.load if status is not None else None
         now = self._clock.monotonic()
         if load is None or now - load.reported > CREDIT_LIFETIME:
             return
-        members = 1 + len(self._owners.others())
+        members = 1 + len(self._owners.other_members())
         extra = fallback_amount(load, members, demand or pool.unmet)
         pool.unmet = NOTHING
         pool.assume(pool.used + extra, now)
@@ -349,7 +355,7 @@
             return NoCapacity(f"engine {target_id} is not known")
         hold = self.try_hold(target_id, tokens, size)
         if isinstance(hold, NoCapacity):
-            await self._ask_now(target_id, tokens, size)
+            await self._claim_now(target_id, tokens, size)
             hold = self.try_hold(target_id, tokens, size)
         if isinstance(hold, NoCapacity):
             return hold
@@ -359,37 +365,37 @@
             return NoCapacity(outcome.reason)
         return replace(hold, reservation_id=outcome.reservation_id)
 
-    async def _ask_now(self, target_id: str, tokens: int, size: SizeClass) -> None:
+    async def _claim_now(self, target_id: str, tokens: int, size: SizeClass) -> None:
         """Ask the owner for one request's capacity and wait for its answer."""
         owner = self._owners.owner(target_id)
         if isinstance(owner, NoOwner) or self._owners.is_own(owner):
             return
         pool = self._pool(target_id)
-        pool.note_demand(_amount(tokens, size), self._capacity(target_id))
+        pool.note_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
         claim = pool.claim(self._clock.monotonic())
         answers = await self._peers.acquire(owner, [claim])
         if not isinstance(answers, OwnerUnreachable):
-            self._take_over([claim], answers)
+            self._apply_answers([claim], answers)
 
-    def _release(self, holds: Sequence[Hold]) -> None:
+    def _release_all(self, holds: Sequence[Hold]) -> None:
         for hold in holds:
             self.release(hold)
 
-    async def settle_reservations(self) -> None:
+    async def process_reservations(self) -> None:
         """Return the engine memory of released holds and renew that of open ones."""
-        await self._reservations.settle()
+        await self._reservations.process_pending()
 
-    async def _return_credit(self) -> None:
+    async def _return_all_credit(self) -> None:
         for pool in list(self._pools.values()):
             owner = self._owners.owner(pool.engine_id)
             if isinstance(owner, NoOwner) or pool.amount == NOTHING:
                 continue
             if self._owners.is_own(owner):
-                self._owner.accept_returns([self._return_of(pool)])
+                self._owner.accept_returns([self._make_return(pool)])
             else:
-                await self._peers.release(owner, [self._return_of(pool)])
+                await self._peers.release(owner, [self._make_return(pool)])
 
-    def _return_of(self, pool: CreditPool) -> CreditReturn:
+    def _make_return(self, pool: CreditPool) -> CreditReturn:
         return CreditReturn(pool.engine_id, self._holder_id, pool.release_all())
 
     def _pool(self, engine_id: str) -> CreditPool:
@@ -399,7 +405,7 @@
             self._pools[engine_id] = pool
         return pool
 
-    def _capacity(self, engine_id: str) -> Amount:
+    def _reported_capacity(self, engine_id: str) -> Amount:
         """Return the whole capacity of an engine, as it was reported last."""
         status = self._targets.get(engine_id)
         if status is None or status.load is None:
@@ -413,5 +419,5 @@
             observer()
 
 
-def _amount(tokens: int, size: SizeClass) -> Amount:
+def _request_amount(tokens: int, size: SizeClass) -> Amount:
     return Amount(1, tokens, tokens if size is SizeClass.LONG else 0)
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -7,10 +7,10 @@
 import trio
 
 from wasabiwell_entry.coordination.credits.const import (
-    ADOPT_INTERVAL,
     COLLECT_CONCURRENCY,
     CREDIT_LIFETIME,
     MAINTENANCE_INTERVAL,
+    OWNERSHIP_SCAN_INTERVAL,
     REPORT_LAG,
 )
 from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
@@ -43,7 +43,7 @@
 
 
 @dataclass(slots=True)
-class _Collection:
+class _CollectedClaims:
     """Result of asking the other members; `complete` tells that all of them answered."""
 
     claims: list[CreditClaim] = field(default_factory=list)
@@ -54,9 +54,9 @@
     """Answers the claims of holders, this entry instance's own included."""
 
     __slots__ = (
-        "_adopt_next",
         "_clock",
         "_engines",
+        "_next_ownership_scan",
         "_observers",
         "_owners",
         "_peers",
@@ -74,7 +74,7 @@
         self._engines: dict[str, _OwnedEngine] = {}
         self._observers: list[Callable[[], None]] = []
         self._wake = trio.Event()
-        self._adopt_next = clock.monotonic()
+        self._next_ownership_scan = clock.monotonic()
 
     def on_change(self, observer: Callable[[], None]) -> None:
         """Call an observer whenever capacity of an owned engine may have become available."""
@@ -109,10 +109,10 @@
             if not self._owners.is_own(self._owners.owner(engine_id)):
                 del self._engines[engine_id]
         now = self._clock.monotonic()
-        if now >= self._adopt_next:
-            self._adopt_next = now + ADOPT_INTERVAL
+        if now >= self._next_ownership_scan:
+            self._next_ownership_scan = now + OWNERSHIP_SCAN_INTERVAL
             for engine_id in self._owners.own_engines():
-                self._owned(engine_id)
+                self._ensure_engine(engine_id)
 
     def outstanding(self, engine_id: str) -> Amount:
         """Return the credit of an owned engine that has not expired."""
@@ -128,8 +128,8 @@
         status = self._targets.get(claim.engine_id)
         if status is None or status.load is None:
             return CreditRefused(claim.engine_id, "the engine has not reported its load")
-        engine = self._owned(claim.engine_id)
-        engine.ledger.report(*_amounts(status.load))
+        engine = self._ensure_engine(claim.engine_id)
+        engine.ledger.report(*_load_amounts(status.load))
         now = self._clock.monotonic()
         if status.leaving or now < engine.ready_at:
             credit = engine.ledger.recover(claim, now)
@@ -137,7 +137,7 @@
             credit = engine.ledger.apply(claim, now)
         return CreditGranted(claim.engine_id, credit.credit_id, credit.amount)
 
-    def _owned(self, engine_id: str) -> _OwnedEngine:
+    def _ensure_engine(self, engine_id: str) -> _OwnedEngine:
         engine = self._engines.get(engine_id)
         if engine is None:
             engine = _OwnedEngine(
@@ -156,7 +156,7 @@
         pending = [key for key, engine in self._engines.items() if not engine.collected]
         if not pending:
             return
-        collection = await self._ask_members(pending)
+        collection = await self._collect_from_members(pending)
         now = self._clock.monotonic()
         for claim in collection.claims:
             engine = self._engines.get(claim.engine_id)
@@ -169,19 +169,21 @@
                 if collection.complete:
                     engine.ready_at = now
 
-    async def _ask_members(self, engine_ids: list[str]) -> _Collection:
-        collection = _Collection()
+    async def _collect_from_members(self, engine_ids: list[str]) -> _CollectedClaims:
+        collection = _CollectedClaims()
         limiter = trio.CapacityLimiter(COLLECT_CONCURRENCY)
         async with trio.open_nursery() as nursery:
-            for member in self._owners.others():
-                nursery.start_soon(self._ask_member, member, engine_ids, collection, limiter)
+            for member in self._owners.other_members():
+                nursery.start_soon(
+                    self._collect_from_member, member, engine_ids, collection, limiter
+                )
         return collection
 
-    async def _ask_member(
+    async def _collect_from_member(
         self,
         member: Member,
         engine_ids: list[str],
-        collection: _Collection,
+        collection: _CollectedClaims,
         limiter: trio.CapacityLimiter,
     ) -> None:
         async with limiter:
@@ -196,7 +198,7 @@
             observer()
 
 
-def _amounts(load: EngineLoad) -> tuple[Amount, Amount]:
+def _load_amounts(load: EngineLoad) -> tuple[Amount, Amount]:
     """Return the capacity and the use of a load report; what long prompts use is not reported."""
     used = Amount(load.running + load.queued, load.total_tokens - load.free_tokens)
     return engine_capacity(load.slots, load.total_tokens), used
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
@@ -54,7 +54,7 @@
             and self.is_own(self.owner(status.target.target_id))
         ]
 
-    def others(self) -> list[Member]:
+    def other_members(self) -> list[Member]:
         """Return the other live members."""
         return [item for item in self._alive if item.node_id != self._own.node_id]
 
--- a/packages/entry/src/wasabiwell_entry/coordination/health/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/const.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-FIRST_PAUSE = timedelta(milliseconds=600)
+INITIAL_PAUSE = timedelta(milliseconds=600)
 """A lost target gets no request for this long; engines that crash are back after seconds."""
 MAX_PAUSE = timedelta(seconds=3)
 """The pause doubles with each further loss up to this."""
--- a/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
@@ -4,7 +4,7 @@
 
 from wasabiwell_entry.coordination.health.const import (
     FAILURE_HALF_LIFE,
-    FIRST_PAUSE,
+    INITIAL_PAUSE,
     MAX_PAUSE,
     PRIOR_ANSWERS,
 )
@@ -15,13 +15,13 @@
 
 
 @dataclass(slots=True)
-class _Belief:
+class _TargetState:
     """What is believed of one target; times are in monotonic seconds."""
 
     target: Target
     leaving: bool = False
-    lost_until: float = 0.0
-    losses: int = 0
+    paused_until: float = 0.0
+    consecutive_losses: int = 0
     answers: float = 0.0
     failures: float = 0.0
     updated: float = 0.0
@@ -30,53 +30,53 @@
 class TargetHealth:
     """Keeps the beliefs of one entry instance; implements `TargetHealthPort`."""
 
-    __slots__ = ("_beliefs", "_clock")
+    __slots__ = ("_clock", "_states")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._beliefs: dict[str, _Belief] = {}
+        self._states: dict[str, _TargetState] = {}
 
     def update(self, listed: list[ListedTarget]) -> None:
         """Take over the platform's list."""
-        beliefs: dict[str, _Belief] = {}
+        states: dict[str, _TargetState] = {}
         for item in listed:
-            belief = self._beliefs.get(item.target.target_id)
-            if belief is None or belief.target != item.target:
-                belief = _Belief(item.target, updated=self._now())
-            if item.leaving and not belief.leaving:
+            state = self._states.get(item.target.target_id)
+            if state is None or state.target != item.target:
+                state = _TargetState(item.target, updated=self._now())
+            if item.leaving and not state.leaving:
                 log_events.emit(log_events.TARGET_LEAVING, target=item.target.target_id)
-            belief.leaving = belief.leaving or item.leaving
-            beliefs[item.target.target_id] = belief
-        self._beliefs = beliefs
+            state.leaving = state.leaving or item.leaving
+            states[item.target.target_id] = state
+        self._states = states
 
     def listed(self, target: Target) -> bool:
         """Return whether the target is in the platform's list and is not leaving."""
-        belief = self._beliefs.get(target.target_id)
-        return belief is not None and belief.target == target and not belief.leaving
+        state = self._states.get(target.target_id)
+        return state is not None and state.target == target and not state.leaving
 
     def usable(self, target: Target) -> bool:
         """Return whether the target should get requests."""
-        belief = self._beliefs.get(target.target_id)
-        if belief is None or belief.target != target or belief.leaving:
+        state = self._states.get(target.target_id)
+        if state is None or state.target != target or state.leaving:
             return False
-        return belief.lost_until <= self._now()
+        return state.paused_until <= self._now()
 
     def failure_rate(self, target: Target) -> float:
         """Return the recent share of requests that the target failed, from 0 to 1."""
-        belief = self._beliefs.get(target.target_id)
-        if belief is None:
+        state = self._states.get(target.target_id)
+        if state is None:
             return 0.0
-        self._decay(belief)
-        return belief.failures / (PRIOR_ANSWERS + belief.answers + belief.failures)
+        self._decay(state)
+        return state.failures / (PRIOR_ANSWERS + state.answers + state.failures)
 
     def count(self) -> dict[str, float]:
         """Return the number of targets by what is believed of them."""
         now = self._now()
         counts = {"well": 0.0, "leaving": 0.0, "paused": 0.0}
-        for belief in self._beliefs.values():
-            if belief.leaving:
+        for state in self._states.values():
+            if state.leaving:
                 counts["leaving"] += 1
-            elif belief.lost_until > now:
+            elif state.paused_until > now:
                 counts["paused"] += 1
             else:
                 counts["well"] += 1
@@ -84,40 +84,40 @@
 
     def record_attempt(self, target_id: str, verdict: AttemptVerdict) -> None:
         """Take over how a target did on a request, here or at another entry instance."""
-        belief = self._beliefs.get(target_id)
-        if belief is None:
+        state = self._states.get(target_id)
+        if state is None:
             return
-        self._decay(belief)
+        self._decay(state)
         match verdict:
             case AttemptVerdict.ANSWERED:
-                belief.answers += 1
-                belief.losses = 0
-                belief.lost_until = 0.0
+                state.answers += 1
+                state.consecutive_losses = 0
+                state.paused_until = 0.0
             case AttemptVerdict.REFUSED | AttemptVerdict.FAILED:
-                belief.failures += 1
+                state.failures += 1
             case AttemptVerdict.LOST:
-                self._lose(belief)
+                self._record_loss(state)
             case AttemptVerdict.ABANDONED:
                 pass
 
-    def _lose(self, belief: _Belief) -> None:
+    def _record_loss(self, state: _TargetState) -> None:
         now = self._now()
-        if belief.lost_until > now:
+        if state.paused_until > now:
             return
-        pause = min(FIRST_PAUSE * 2**belief.losses, MAX_PAUSE).total_seconds()
-        belief.losses += 1
-        belief.failures += 1
-        belief.lost_until = now + pause
+        pause = min(INITIAL_PAUSE * 2**state.consecutive_losses, MAX_PAUSE).total_seconds()
+        state.consecutive_losses += 1
+        state.failures += 1
+        state.paused_until = now + pause
         log_events.emit(
-            log_events.TARGET_PAUSED, target=belief.target.target_id, pause_s=round(pause, 2)
+            log_events.TARGET_PAUSED, target=state.target.target_id, pause_s=round(pause, 2)
         )
 
-    def _decay(self, belief: _Belief) -> None:
+    def _decay(self, state: _TargetState) -> None:
         now = self._now()
-        factor = 0.5 ** ((now - belief.updated) / FAILURE_HALF_LIFE.total_seconds())
-        belief.answers *= factor
-        belief.failures *= factor
-        belief.updated = now
+        factor = 0.5 ** ((now - state.updated) / FAILURE_HALF_LIFE.total_seconds())
+        state.answers *= factor
+        state.failures *= factor
+        state.updated = now
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
@@ -7,13 +7,13 @@
 import trio
 from wasabiwell_config import Limits, Organisation
 
-from wasabiwell_entry.coordination.admission.ports import Limited, LimitLease
+from wasabiwell_entry.coordination.admission.ports import LimitExceeded, LimitLease
 from wasabiwell_entry.coordination.limits.const import (
-    ASK_INTERVAL,
-    BURST,
-    IDLE_TIME,
+    BURST_PERIOD,
+    IDLE_TIMEOUT,
     RENEW_INTERVAL,
     SHARE_LIFETIME,
+    SHARE_REQUEST_INTERVAL,
 )
 from wasabiwell_entry.coordination.limits.errors import OwnerUnreachable
 from wasabiwell_entry.coordination.limits.ports import LimitOwnerPort
@@ -41,7 +41,7 @@
     def refill(self, rate: float, now: timedelta) -> None:
         """Add what has accrued, up to the burst."""
         self.level += rate * (now - self.updated).total_seconds()
-        self.level = min(self.level, max(1.0, rate * BURST.total_seconds()))
+        self.level = min(self.level, max(1.0, rate * BURST_PERIOD.total_seconds()))
         self.updated = now
 
 
@@ -54,15 +54,15 @@
     tokens: _Bucket
     share: LimitShare | None = None
     expires: timedelta = timedelta()
-    refused: timedelta | None = None
-    short_of_rate: bool = False
-    used: timedelta = timedelta()
-    running_longs: int = 0
-    waiting_longs: int = 0
-    counted_since: timedelta = timedelta()
-    counted_requests: int = 0
-    counted_tokens: int = 0
-    asking: trio.Lock = field(default_factory=trio.Lock)
+    refused_at: timedelta | None = None
+    rate_exhausted: bool = False
+    last_used: timedelta = timedelta()
+    running_long: int = 0
+    waiting_long: int = 0
+    demand_since: timedelta = timedelta()
+    demand_requests: int = 0
+    demand_tokens: int = 0
+    request_lock: trio.Lock = field(default_factory=trio.Lock)
 
 
 class LimitCoordinator:
@@ -95,7 +95,7 @@
     async def renew(self) -> None:
         """Renew the shares in use once."""
         now = self._clock.monotonic()
-        self._forget_idle(now)
+        self._remove_idle(now)
         by_owner: dict[str, tuple[Member, list[_HeldLimit]]] = {}
         for held in self._held.values():
             owner = self._owner(held.organisation.name)
@@ -105,45 +105,45 @@
             for owner, items in by_owner.values():
                 nursery.start_soon(self._acquire, owner, items)
 
-    async def prepare(self, organisation: Organisation, size: SizeClass) -> None:
+    async def ensure_share(self, organisation: Organisation, size: SizeClass) -> None:
         """Ask the owner when no share is held, or no long request is left of the share."""
         if organisation.limits == Limits():
             return
-        held = self._hold(organisation)
+        held = self._ensure_held(organisation)
         long = size is SizeClass.LONG
-        held.waiting_longs += long
+        held.waiting_long += long
         try:
-            if self._lacks(held):
-                async with held.asking:
-                    await self._ask(held)
+            if self._needs_share(held):
+                async with held.request_lock:
+                    await self._request_share(held)
         finally:
-            held.waiting_longs -= long
+            held.waiting_long -= long
 
-    async def _ask(self, held: _HeldLimit) -> None:
+    async def _request_share(self, held: _HeldLimit) -> None:
         """Ask for what still lacks; an owner that did not give it is not asked again at once."""
         now = self._clock.monotonic()
-        recently = held.refused is not None and now - held.refused < ASK_INTERVAL
+        recently = held.refused_at is not None and now - held.refused_at < SHARE_REQUEST_INTERVAL
         owner = self._owner(held.organisation.name)
-        if recently or owner is None or not self._lacks(held):
+        if recently or owner is None or not self._needs_share(held):
             return
-        rate_asked = held.short_of_rate
+        rate_requested = held.rate_exhausted
         await self._acquire(owner, [held])
-        held.refused = now if rate_asked or self._lacks(held) else None
+        held.refused_at = now if rate_requested or self._needs_share(held) else None
 
-    def try_take(
+    def try_acquire(
         self, organisation: Organisation, tokens: int, size: SizeClass
-    ) -> LimitLease | Limited:
+    ) -> LimitLease | LimitExceeded:
         """Take leave for one request of `tokens` tokens, prompt and answer together."""
         lease = LimitLease(organisation.name, size, tokens)
         if organisation.limits == Limits():
             return lease
-        held, now = self._hold(organisation), self._clock.monotonic()
-        held.used = now
-        held.counted_requests += 1
-        held.counted_tokens += tokens
-        share = self._share(held, now)
-        if size is SizeClass.LONG and share.longs is not None and held.running_longs >= share.longs:
-            return Limited("concurrent long requests", ASK_INTERVAL)
+        held, now = self._ensure_held(organisation), self._clock.monotonic()
+        held.last_used = now
+        held.demand_requests += 1
+        held.demand_tokens += tokens
+        share = self._current_share(held, now)
+        if size is SizeClass.LONG and share.longs is not None and held.running_long >= share.longs:
+            return LimitExceeded("concurrent long requests", SHARE_REQUEST_INTERVAL)
         for name, rate, bucket in (
             ("requests per second", share.requests_per_second, held.requests),
             ("tokens per second", share.tokens_per_second, held.tokens),
@@ -153,18 +153,18 @@
                 # A request larger than the burst passes on a full bucket and leaves a debt.
                 needed = min(1.0 if bucket is held.requests else float(tokens), _burst(rate))
                 if bucket.level < needed:
-                    held.short_of_rate = True
-                    return Limited(name, _refill_time(needed - bucket.level, rate))
+                    held.rate_exhausted = True
+                    return LimitExceeded(name, _refill_time(needed - bucket.level, rate))
         held.requests.level -= 1.0
         held.tokens.level -= tokens
-        held.running_longs += size is SizeClass.LONG
+        held.running_long += size is SizeClass.LONG
         return lease
 
-    def finish(self, lease: LimitLease) -> None:
+    def release_lease(self, lease: LimitLease) -> None:
         """Tell that a request has ended."""
         held = self._held.get(lease.organisation)
         if held is not None and lease.size is SizeClass.LONG:
-            held.running_longs = max(0, held.running_longs - 1)
+            held.running_long = max(0, held.running_long - 1)
 
     async def serve(self, request: LimitRequest) -> LimitGrant:
         """Answer another holder as the owner."""
@@ -174,14 +174,14 @@
         """Return shares of the organisations that this instance owns."""
         now = self._clock.monotonic()
         members = self._region_members()
-        part = len(members) / max(1, len(self._members.alive()))
+        fraction = len(members) / max(1, len(self._members.alive()))
         shares = []
         for demand in request.demands:
             organisation = self._organisation(demand.organisation)
             if organisation is None:
                 continue
             owned = self._owned.setdefault(demand.organisation, OwnedLimit())
-            limits = _part_of(organisation.limits, part)
+            limits = _scale_limits(organisation.limits, fraction)
             shares.append(owned.grant(request.node_id, demand, limits, len(members), now))
         return LimitGrant(shares)
 
@@ -189,7 +189,7 @@
         now = self._clock.monotonic()
         request = LimitRequest(self._own.node_id, [_demand(held, now) for held in items])
         for held in items:
-            held.short_of_rate = False
+            held.rate_exhausted = False
         if owner.node_id == self._own.node_id:
             grant: LimitGrant | OwnerUnreachable = self.grant(request)
         else:
@@ -202,26 +202,26 @@
                 held_limit.share = share
                 held_limit.expires = now + share.lifetime
 
-    def _share(self, held: _HeldLimit, now: timedelta) -> LimitShare:
+    def _current_share(self, held: _HeldLimit, now: timedelta) -> LimitShare:
         """Return the share in force; without one, the limit divided by the live members."""
         if held.share is not None and held.expires > now:
             return held.share
         limits, members = held.organisation.limits, max(1, len(self._members.alive()))
         return LimitShare(
             held.organisation.name,
-            _divided(limits.requests_per_second, members),
-            _divided(limits.tokens_per_second, members),
+            _divide(limits.requests_per_second, members),
+            _divide(limits.tokens_per_second, members),
             None if limits.concurrent_long is None else limits.concurrent_long // members,
             SHARE_LIFETIME,
         )
 
-    def _lacks(self, held: _HeldLimit) -> bool:
-        if held.short_of_rate or held.share is None or held.expires <= self._clock.monotonic():
+    def _needs_share(self, held: _HeldLimit) -> bool:
+        if held.rate_exhausted or held.share is None or held.expires <= self._clock.monotonic():
             return True
         longs = held.share.longs
-        return longs is not None and held.running_longs + held.waiting_longs > longs
+        return longs is not None and held.running_long + held.waiting_long > longs
 
-    def _hold(self, organisation: Organisation) -> _HeldLimit:
+    def _ensure_held(self, organisation: Organisation) -> _HeldLimit:
         now = self._clock.monotonic()
         held = self._held.get(organisation.name)
         if held is None:
@@ -230,20 +230,20 @@
             # A new holder starts with its even part of one burst, not with a burst of the limit.
             held = _HeldLimit(
                 organisation,
-                _Bucket(_start_level(limits.requests_per_second, members), now),
-                _Bucket(_start_level(limits.tokens_per_second, members), now),
-                used=now,
-                counted_since=now,
+                _Bucket(_initial_level(limits.requests_per_second, members), now),
+                _Bucket(_initial_level(limits.tokens_per_second, members), now),
+                last_used=now,
+                demand_since=now,
             )
             self._held[organisation.name] = held
         held.organisation = organisation
         return held
 
-    def _forget_idle(self, now: timedelta) -> None:
+    def _remove_idle(self, now: timedelta) -> None:
         self._held = {
             name: held
             for name, held in self._held.items()
-            if held.running_longs or now - held.used < IDLE_TIME
+            if held.running_long or now - held.last_used < IDLE_TIMEOUT
         }
 
     def _owner(self, organisation: str) -> Member | None:
@@ -256,36 +256,36 @@
 
 def _demand(held: _HeldLimit, now: timedelta) -> LimitDemand:
     """Return the demand since the last question and begin a new count."""
-    seconds = max(1.0, (now - held.counted_since).total_seconds())
+    seconds = max(1.0, (now - held.demand_since).total_seconds())
     demand = LimitDemand(
         held.organisation.name,
-        held.counted_requests / seconds,
-        held.counted_tokens / seconds,
-        held.running_longs + held.waiting_longs,
+        held.demand_requests / seconds,
+        held.demand_tokens / seconds,
+        held.running_long + held.waiting_long,
     )
-    held.counted_since, held.counted_requests, held.counted_tokens = now, 0, 0
+    held.demand_since, held.demand_requests, held.demand_tokens = now, 0, 0
     return demand
 
 
-def _part_of(limits: Limits, part: float) -> Limits:
+def _scale_limits(limits: Limits, fraction: float) -> Limits:
     return Limits(
-        requests_per_second=_divided(limits.requests_per_second, 1 / part),
-        tokens_per_second=_divided(limits.tokens_per_second, 1 / part),
+        requests_per_second=_divide(limits.requests_per_second, 1 / fraction),
+        tokens_per_second=_divide(limits.tokens_per_second, 1 / fraction),
         concurrent_long=(
-            None if limits.concurrent_long is None else round(limits.concurrent_long * part)
+            None if limits.concurrent_long is None else round(limits.concurrent_long * fraction)
         ),
     )
 
 
-def _divided(limit: float | None, parts: float) -> float | None:
-    return None if limit is None else limit / parts
+def _divide(limit: float | None, divisor: float) -> float | None:
+    return None if limit is None else limit / divisor
 
 
 def _burst(rate: float) -> float:
-    return max(1.0, rate * BURST.total_seconds())
+    return max(1.0, rate * BURST_PERIOD.total_seconds())
 
 
-def _start_level(limit: float | None, members: int) -> float:
+def _initial_level(limit: float | None, members: int) -> float:
     return 0.0 if limit is None else _burst(limit / members)
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/shares.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/shares.py
@@ -5,7 +5,7 @@
 
 from wasabiwell_config import Limits
 
-from wasabiwell_entry.coordination.limits.const import DEMAND_FLOOR, SHARE_LIFETIME
+from wasabiwell_entry.coordination.limits.const import MIN_DEMAND_FRACTION, SHARE_LIFETIME
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,13 +94,13 @@
 ) -> float | None:
     if limit is None:
         return None
-    floor = DEMAND_FLOOR * limit / max(1, members)
+    floor = MIN_DEMAND_FRACTION * limit / max(1, members)
     own = max(demand, floor)
     # One more than the members, so that an instance that starts finds a share that is not leased.
-    silent = 1 + max(0, members - 1 - len(others))
-    total = own + silent * floor + sum(max(other, floor) for other, _ in others)
-    left = limit - sum(share or 0.0 for _, share in others)
-    return max(0.0, min(limit * own / total, left))
+    absent = 1 + max(0, members - 1 - len(others))
+    total = own + absent * floor + sum(max(other, floor) for other, _ in others)
+    available = limit - sum(share or 0.0 for _, share in others)
+    return max(0.0, min(limit * own / total, available))
 
 
 def _long_share(limit: int | None, wanted: int, others: list[_Holder]) -> int | None:
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
@@ -6,8 +6,8 @@
 import trio
 
 from wasabiwell_entry.coordination.reservations.const import (
-    RESERVATION_CONCURRENCY,
-    RESERVATION_RENEWAL,
+    MAX_CONCURRENT_CALLS,
+    RENEWAL_INTERVAL,
     STOP_TIMEOUT,
 )
 from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
@@ -31,16 +31,16 @@
     own. What is neither renewed nor returned expires at the engine.
     """
 
-    __slots__ = ("_clock", "_held", "_port", "_renewal", "_returns", "_wake")
+    __slots__ = ("_clock", "_held", "_pending_returns", "_port", "_renewal_interval", "_wake")
 
     def __init__(
-        self, port: ReservationPort, clock: Clock, renewal: timedelta = RESERVATION_RENEWAL
+        self, port: ReservationPort, clock: Clock, renewal_interval: timedelta = RENEWAL_INTERVAL
     ) -> None:
         self._port = port
         self._clock = clock
-        self._renewal = renewal
+        self._renewal_interval = renewal_interval
         self._held: dict[str, _Reservation] = {}
-        self._returns: list[tuple[Target, str]] = []
+        self._pending_returns: list[tuple[Target, str]] = []
         self._wake = trio.Event()
 
     async def reserve(
@@ -51,10 +51,10 @@
             outcome = await self._port.reserve(target, owner, tokens)
         match outcome:
             case Reserved(reservation_id=reservation_id):
-                renew_at = self._clock.monotonic() + self._renewal
+                renew_at = self._clock.monotonic() + self._renewal_interval
                 self._held[reservation_id] = _Reservation(target, renew_at)
             case ReservationRefused(uncertain=True):
-                self._returns.append((target, owner))
+                self._pending_returns.append((target, owner))
                 self._wake.set()
         return outcome
 
@@ -62,37 +62,37 @@
         """Return memory in the background; an unknown id is ignored."""
         held = self._held.pop(reservation_id, None)
         if held is not None:
-            self._returns.append((held.target, reservation_id))
+            self._pending_returns.append((held.target, reservation_id))
             self._wake.set()
 
     async def run(self) -> None:
         """Return and renew reservations until cancelled, then return all."""
         try:
             while True:
-                await self.settle()
-                with trio.move_on_after(self._renewal.total_seconds() / 2):
+                await self.process_pending()
+                with trio.move_on_after(self._renewal_interval.total_seconds() / 2):
                     await self._wake.wait()
                 self._wake = trio.Event()
         finally:
             with trio.move_on_after(STOP_TIMEOUT.total_seconds(), shield=True):
                 for reservation_id in list(self._held):
                     self.give_back(reservation_id)
-                await self.settle()
+                await self.process_pending()
 
-    async def settle(self) -> None:
+    async def process_pending(self) -> None:
         """Make the returns and renewals that are due."""
-        returns, self._returns = self._returns, []
+        returns, self._pending_returns = self._pending_returns, []
         now = self._clock.monotonic()
-        limiter = trio.CapacityLimiter(RESERVATION_CONCURRENCY)
+        limiter = trio.CapacityLimiter(MAX_CONCURRENT_CALLS)
         async with trio.open_nursery() as nursery:
             for target, reservation_id in returns:
-                nursery.start_soon(self._return, target, reservation_id, limiter)
+                nursery.start_soon(self._release, target, reservation_id, limiter)
             for reservation_id, held in self._held.items():
                 if held.renew_at <= now:
-                    held.renew_at = now + self._renewal
+                    held.renew_at = now + self._renewal_interval
                     nursery.start_soon(self._renew, held.target, reservation_id, limiter)
 
-    async def _return(
+    async def _release(
         self, target: Target, reservation_id: str, limiter: trio.CapacityLimiter
     ) -> None:
         async with limiter:
--- a/packages/entry/src/wasabiwell_entry/coordination/targets/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/coordinator.py
@@ -30,7 +30,7 @@
 class TargetCoordinator:
     """Keeps the target table of one entry instance; one task polls each engine."""
 
-    __slots__ = ("_clock", "_loads", "_marks", "_node_id", "_observers", "_polled", "_targets")
+    __slots__ = ("_clock", "_loads", "_marks", "_node_id", "_observers", "_poll_scopes", "_targets")
 
     def __init__(
         self, targets: TargetTable, loads: LoadPort, marks: MarkPort, clock: Clock, node_id: str
@@ -41,8 +41,8 @@
         self._loads = loads
         self._clock = clock
         self._observers: list[Callable[[], None]] = []
-        self._polled: dict[str, trio.CancelScope] = {}
-        marks.subscribe(LEAVING_KIND, self._take_over_mark)
+        self._poll_scopes: dict[str, trio.CancelScope] = {}
+        marks.subscribe(LEAVING_KIND, self._apply_mark)
 
     def observe(self, observer: Callable[[], None]) -> None:
         """Call an observer after each load report."""
@@ -54,9 +54,12 @@
             while True:
                 for status in self._targets:
                     target_id = status.target.target_id
-                    if status.target.kind is TargetKind.ENGINE and target_id not in self._polled:
+                    if (
+                        status.target.kind is TargetKind.ENGINE
+                        and target_id not in self._poll_scopes
+                    ):
                         scope = trio.CancelScope()
-                        self._polled[target_id] = scope
+                        self._poll_scopes[target_id] = scope
                         nursery.start_soon(self._poll_engine, target_id, scope)
                 await self._clock.sleep(INSTANCE_LIST_INTERVAL)
 
@@ -64,15 +67,15 @@
         """Take over the targets of the instance list."""
         targets = [record for record in records if record.role != "entry"]
         for record in targets:
-            status = self._targets.put(_target(record))
-            self._note_leaving(status, record.leaving, SOURCE_LIST)
+            status = self._targets.put(_to_target(record))
+            self._update_leaving(status, record.leaving, SOURCE_LIST)
         for target_id in self._targets.retain(record.instance_id for record in targets):
-            if target_id in self._polled:
-                self._polled[target_id].cancel()
+            if target_id in self._poll_scopes:
+                self._poll_scopes[target_id].cancel()
 
     def instances(self) -> list[InstanceRecord]:
         """Return the known targets in the form of the instance list."""
-        return [_record(status) for status in self._targets]
+        return [_to_record(status) for status in self._targets]
 
     def drain(self, target_id: str, leaving: bool = True) -> bool:
         """Set or withdraw an operator's mark; return False when the target is not known."""
@@ -103,12 +106,12 @@
         if status is not None:
             status.lost_at = None
 
-    def _note_leaving(self, status: TargetStatus, leaving: bool, source: bytes) -> None:
+    def _update_leaving(self, status: TargetStatus, leaving: bool, source: bytes) -> None:
         """Publish what a source says of a target; only the publisher takes its mark back."""
         key = _mark_key(status.target)
         mark = self._marks.mark(LEAVING_KIND, key)
         marked = mark is not None and mark.active
-        if leaving and (mark is None or not marked or self._half_over(mark)):
+        if leaving and (mark is None or not marked or self._is_half_expired(mark)):
             self._marks.publish(LEAVING_KIND, key, LEAVING_LIFETIME, source)
         elif (
             mark is not None
@@ -120,12 +123,12 @@
         mark = self._marks.mark(LEAVING_KIND, key)
         status.leaving = mark is not None and mark.active
 
-    def _take_over_mark(self, mark: Mark) -> None:
+    def _apply_mark(self, mark: Mark) -> None:
         status = self._targets.get(mark.key.partition("@")[0])
         if status is not None and _mark_key(status.target) == mark.key:
             status.leaving = mark.active
 
-    def _half_over(self, mark: Mark) -> bool:
+    def _is_half_expired(self, mark: Mark) -> bool:
         left = mark.expires - self._clock.now().timestamp()
         return left < LEAVING_LIFETIME.total_seconds() / 2
 
@@ -133,25 +136,25 @@
         next_cache_poll = self._clock.monotonic()
         with scope:
             while (status := self._targets.get(target_id)) is not None:
-                await self._poll_once(status)
+                await self._poll_load(status)
                 if self._clock.monotonic() >= next_cache_poll:
                     next_cache_poll = self._clock.monotonic() + CACHE_EVENT_INTERVAL
-                    await self._poll_cache(status)
+                    await self._poll_cache_events(status)
                 await self._clock.sleep(LOAD_INTERVAL)
-        del self._polled[target_id]
+        del self._poll_scopes[target_id]
 
-    async def _poll_once(self, status: TargetStatus) -> None:
+    async def _poll_load(self, status: TargetStatus) -> None:
         match await self._loads.load(status.target):
             case LoadReport(load=load, leaving=leaving):
                 status.load = load
-                self._note_leaving(status, leaving, SOURCE_LOAD)
+                self._update_leaving(status, leaving, SOURCE_LOAD)
                 status.lost_at = None
                 for observer in self._observers:
                     observer()
             case LoadUnavailable():
                 self.target_lost(TargetFailure(status.target.target_id, self._clock.monotonic()))
 
-    async def _poll_cache(self, status: TargetStatus) -> None:
+    async def _poll_cache_events(self, status: TargetStatus) -> None:
         if status.lost_at is not None:
             return
         match await self._loads.cache_events(status.target, status.cache_position):
@@ -175,7 +178,7 @@
         del status.cached_prefixes[next(iter(status.cached_prefixes))]
 
 
-def _target(record: InstanceRecord) -> Target:
+def _to_target(record: InstanceRecord) -> Target:
     return Target(
         target_id=record.instance_id,
         kind=TargetKind(record.role),
@@ -186,7 +189,7 @@
     )
 
 
-def _record(status: TargetStatus) -> InstanceRecord:
+def _to_record(status: TargetStatus) -> InstanceRecord:
     target = status.target
     return InstanceRecord(
         instance_id=target.target_id,
--- a/tests/steps/entry/coordination/fair_queue_steps.py
+++ b/tests/steps/entry/coordination/fair_queue_steps.py
@@ -8,12 +8,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from support.admission import make_request
-from wasabiwell_entry.coordination.admission.queue import FairQueue, Ticket
+from wasabiwell_entry.coordination.admission.queue import FairQueue, QueuedRequest
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.sizes import SizeClass
 
 WEIGHTS = {"a": 4.0, "b": 1.0, "c": 1.0}
-BOUND = 4
+MAX_QUEUED = 4
 ARRIVALS = st.tuples(st.sampled_from("abc"), st.sampled_from((500, 3_000, 50_000, 200_000)))
 OPERATIONS = st.lists(ARRIVALS | st.sampled_from(SizeClass), max_size=60)
 DETERMINISTIC = settings(derandomize=True, database=None, deadline=None, max_examples=300)
@@ -29,7 +29,7 @@
 
     def arrive(self, number: int, name: str, size: SizeClass, tokens: int) -> bool:
         """Add a request; return whether the bound allows it."""
-        if sum(item[2] == name for item in self.waiting) >= BOUND:
+        if sum(item[2] == name for item in self.waiting) >= MAX_QUEUED:
             return False
         start = max(self.virtual[size], self.finish.get((name, size), 0.0))
         self.finish[name, size] = start + tokens / WEIGHTS[name]
@@ -52,11 +52,11 @@
     @DETERMINISTIC
     @for_all(OPERATIONS)
     def check(operations: list[tuple[str, int] | SizeClass]) -> None:
-        queue, oracle = FairQueue(ManualClock(), BOUND), Oracle()
+        queue, oracle = FairQueue(ManualClock(), MAX_QUEUED), Oracle()
         numbers: dict[str, int] = {}
         for number, operation in enumerate(operations):
             if isinstance(operation, SizeClass):
-                waiting = queue.in_order(operation)
+                waiting = queue.in_grant_order(operation)
                 expected = oracle.next(operation)
                 assert (numbers[waiting[0].request.request_id] if waiting else None) == expected
                 if waiting:
@@ -66,9 +66,9 @@
             request = make_request(tokens, name, number=number)
             numbers[request.request_id] = number
             accepted = oracle.arrive(number, name, request.size, tokens)
-            ticket = queue.enqueue(request, WEIGHTS[name], frozenset())
-            assert isinstance(ticket, Ticket) == accepted
-            assert len(queue) == len(oracle.waiting) <= BOUND * len(WEIGHTS)
+            queued = queue.enqueue(request, WEIGHTS[name], frozenset())
+            assert isinstance(queued, QueuedRequest) == accepted
+            assert len(queue) == len(oracle.waiting) <= MAX_QUEUED * len(WEIGHTS)
 
     check()
 
@@ -87,11 +87,11 @@
         left = {name: len(tokens) for name, tokens in backlogs.items()}
         served = dict.fromkeys(WEIGHTS, 0.0)
         while all(left.values()):
-            ticket = queue.in_order(SizeClass.SHORT)[0]
-            queue.grant(ticket)
-            name = ticket.request.organisation
+            queued = queue.in_grant_order(SizeClass.SHORT)[0]
+            queue.grant(queued)
+            name = queued.request.organisation
             left[name] -= 1
-            served[name] += ticket.cost / WEIGHTS[name]
+            served[name] += queued.cost / WEIGHTS[name]
             for first in WEIGHTS:
                 for second in WEIGHTS:
                     bound = sum(max(backlogs[item]) / WEIGHTS[item] for item in (first, second))
@@ -110,13 +110,13 @@
 def step_enqueue(context: Context, name: str, count: int, tokens: int) -> None:
     for _ in range(count):
         request = make_request(tokens, name, context.clock.monotonic())
-        assert isinstance(context.queue.enqueue(request, 1.0, frozenset()), Ticket)
+        assert isinstance(context.queue.enqueue(request, 1.0, frozenset()), QueuedRequest)
 
 
 @when("1 request is granted in each of {seconds:d} seconds")
 def step_grants(context: Context, seconds: int) -> None:
     for _ in range(seconds):
-        context.queue.grant(context.queue.in_order(SizeClass.SHORT)[0])
+        context.queue.grant(context.queue.in_grant_order(SizeClass.SHORT)[0])
         context.clock.advance(timedelta(seconds=1))
 
 
@@ -130,9 +130,9 @@
 @then('a request of organisation "{name}" with {tokens:d} tokens is queued')
 def step_queued(context: Context, name: str, tokens: int) -> None:
     request = make_request(tokens, name, context.clock.monotonic() - timedelta(seconds=40))
-    assert isinstance(context.queue.enqueue(request, 1.0, frozenset()), Ticket)
+    assert isinstance(context.queue.enqueue(request, 1.0, frozenset()), QueuedRequest)
 
 
 @then('the classes have their turns in the order "{order}"')
 def step_classes(context: Context, order: str) -> None:
-    assert [size.value for size, _ in context.queue.class_order()] == order.split()
+    assert [size.value for size, _ in context.queue.classes_in_grant_order()] == order.split()
--- a/tests/steps/entry/coordination/limits_steps.py
+++ b/tests/steps/entry/coordination/limits_steps.py
@@ -113,8 +113,8 @@
                 if number % RENEW_STEPS == 0 and number:
                     await instance.renew()
                 for _ in range(round(rate * STEP.total_seconds())):
-                    await instance.prepare(context.organisation, SizeClass.SHORT)
-                    lease = instance.try_take(context.organisation, 1_000, SizeClass.SHORT)
+                    await instance.ensure_share(context.organisation, SizeClass.SHORT)
+                    lease = instance.try_acquire(context.organisation, 1_000, SizeClass.SHORT)
                     context.passed += isinstance(lease, LimitLease)
 
     context.passed = 0
@@ -131,8 +131,8 @@
     async def run() -> None:
         for index in map(int, indexes.split()):
             instance = context.instances[index]
-            await instance.prepare(context.organisation, SizeClass.LONG)
-            lease = instance.try_take(context.organisation, 200_000, SizeClass.LONG)
+            await instance.ensure_share(context.organisation, SizeClass.LONG)
+            lease = instance.try_acquire(context.organisation, 200_000, SizeClass.LONG)
             context.long_passed.append(int(isinstance(lease, LimitLease)))
             if isinstance(lease, LimitLease):
                 context.leases[index] = lease
@@ -147,7 +147,7 @@
         for instance in context.instances:
             await instance.renew()
 
-    context.instances[index].finish(context.leases.pop(index))
+    context.instances[index].release_lease(context.leases.pop(index))
     for _ in range(seconds):
         context.clock.advance(timedelta(seconds=1))
         trio.run(renew_all)
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -98,22 +98,22 @@
 @given("a budget of {ratio:g} and a slack of {slack:g} in {seconds:d} seconds")
 def step_budget(context: Context, ratio: float, slack: float, seconds: int) -> None:
     context.clock = ManualClock()
-    context.peer_uses = []
+    context.peer_usage = []
     limits = BudgetLimits(ratio, slack, timedelta(seconds=seconds))
-    context.told = []
+    context.published = []
     context.budget = RetryBudget(
-        limits, lambda: context.peer_uses, context.told.append, context.clock
+        limits, lambda: context.peer_usage, context.published.append, context.clock
     )
 
 
 @then("{count:d} repeats were told")
 def step_repeats_told(context: Context, count: int) -> None:
-    assert context.told == [RepeatNotice(SERVICE)] * count, context.told
+    assert context.published == [RepeatNotice(SERVICE)] * count, context.published
 
 
 @given("peers that counted {requests:d} requests and {repeats:d} repeats")
 def step_peers(context: Context, requests: int, repeats: int) -> None:
-    context.peer_uses = [
+    context.peer_usage = [
         (ServiceUse(SERVICE, requests // 2, repeats // 2),),
         (ServiceUse(SERVICE, requests // 2, repeats // 2), ServiceUse("t", 1_000, 1_000)),
     ]
--- a/tests/support/admission.py
+++ b/tests/support/admission.py
@@ -5,7 +5,7 @@
 
 import trio
 from wasabiwell_config import Organisation
-from wasabiwell_entry.coordination.admission.ports import Limited, LimitLease
+from wasabiwell_entry.coordination.admission.ports import LimitExceeded, LimitLease
 from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.state.requests import GenerateRequest
 from wasabiwell_entry.state.sizes import SizeClass
@@ -86,16 +86,16 @@
 
     running: int = 0
 
-    async def prepare(self, organisation: Organisation, size: SizeClass) -> None:
+    async def ensure_share(self, organisation: Organisation, size: SizeClass) -> None:
         """Do nothing."""
 
-    def try_take(
+    def try_acquire(
         self, organisation: Organisation, tokens: int, size: SizeClass
-    ) -> LimitLease | Limited:
+    ) -> LimitLease | LimitExceeded:
         """Let a request pass."""
         self.running += 1
         return LimitLease(organisation.name, size, tokens)
 
-    def finish(self, lease: LimitLease) -> None:
+    def release_lease(self, lease: LimitLease) -> None:
         """Count the end of a request."""
         self.running -= 1
--- a/tests/support/credit_machine.py
+++ b/tests/support/credit_machine.py
@@ -28,7 +28,7 @@
 ENGINE = "e-1"
 NAMES = ("n-0", "n-1", "n-2")
 NODES = st.sampled_from(range(len(NAMES)))
-FATES = st.sampled_from(("whole", "whole", "lost", "late", "answer late"))
+DELIVERIES = st.sampled_from(("whole", "whole", "lost", "late", "answer late"))
 IDLE_MILLISECONDS = 900
 PICKS = st.integers(min_value=0, max_value=20)
 
@@ -77,14 +77,14 @@
             EngineOwners(member, view, self.targets)
             for member, view in zip(self.members, self.views, strict=True)
         ]
-        self.sides = [
+        self.credit_owners = [
             CreditOwner(owners, self.targets, self.network, self.clock) for owners in self.owners
         ]
         self.holds: list[tuple[int, int, Amount]] = []
         self.messages: list[Message] = []
         self.next_hold = 0
         self.isolated: int | None = None
-        self.left: int | None = None
+        self.departed: int | None = None
         self.split_until = timedelta()
         self._set_views()
         self._report()
@@ -99,7 +99,7 @@
         else:
             self.pools[node].note_demand(amount, CAPACITY)
 
-    @rule(node=NODES, count=st.integers(1, 2), tokens=st.sampled_from((100, 500)), fate=FATES)
+    @rule(node=NODES, count=st.integers(1, 2), tokens=st.sampled_from((100, 500)), fate=DELIVERIES)
     def take_and_exchange(self, node: int, count: int, tokens: int, fate: str) -> None:
         """Start requests, and ask for credit when there is not enough."""
         for _ in range(count):
@@ -128,7 +128,7 @@
         )
         self.messages.append(Message(receiver, node, content))
 
-    @rule(node=NODES, fate=FATES)
+    @rule(node=NODES, fate=DELIVERIES)
     def exchange(self, node: int, fate: str) -> None:
         """Send a claim; it and its answer arrive, or one of them is lost or late."""
         self.send(node)
@@ -169,7 +169,7 @@
     def leave(self, node: int) -> None:
         """Change which node leaves, which moves the ownership of its engines."""
         if self.isolated is None:
-            self.left = None if self.left == node else node
+            self.departed = None if self.departed == node else node
             self._set_views()
 
     @rule(node=NODES)
@@ -191,7 +191,7 @@
     def collect(self, node: int, lost: set[int]) -> None:
         """Let an owner collect outstanding credits; some members may not answer."""
         self.network.unreachable = lost
-        trio.run(self.sides[node].collect)
+        trio.run(self.credit_owners[node].collect)
 
     @invariant()
     def never_more_than_the_capacity(self) -> None:
@@ -219,10 +219,10 @@
             self.pools[node].give_back(hold_id)
         self.holds = []
         self.clock.advance(CREDIT_LIFETIME + REPORT_LAG)
-        for pool, side in zip(self.pools, self.sides, strict=True):
+        for pool, credit_owner in zip(self.pools, self.credit_owners, strict=True):
             assert pool.used == NOTHING
             assert pool.valid(self.clock.monotonic()) == NOTHING
-            assert side.outstanding(ENGINE) == NOTHING
+            assert credit_owner.outstanding(ENGINE) == NOTHING
 
     def owner_index(self) -> int:
         """Return the node that owns the engine when all agree."""
@@ -235,11 +235,11 @@
             return
         match message.content:
             case CreditClaim() as claim:
-                (answer,) = self.sides[message.receiver].answer([claim])
+                (answer,) = self.credit_owners[message.receiver].answer([claim])
                 if isinstance(answer, CreditGranted):
                     self.messages.append(Message(message.sender, message.receiver, answer))
             case CreditReturn() as item:
-                self.sides[message.receiver].accept_returns([item])
+                self.credit_owners[message.receiver].accept_returns([item])
             case CreditGranted(sequence=sequence, amount=amount):
                 self.pools[message.receiver].granted(sequence, amount)
 
@@ -247,12 +247,12 @@
         for node, view in enumerate(self.views):
             for other, member in enumerate(self.members):
                 apart = other != node and self.isolated in (node, other)
-                gone = apart or (other == self.left and self.isolated is None)
+                gone = apart or (other == self.departed and self.isolated is None)
                 status = MemberStatus.DEAD if gone else MemberStatus.ALIVE
                 view.put(Member(member.node_id, 1, "r", "z", "", member.peer_address, status))
-        for owners, side in zip(self.owners, self.sides, strict=True):
+        for owners, credit_owner in zip(self.owners, self.credit_owners, strict=True):
             owners.refresh()
-            side.refresh()
+            credit_owner.refresh()
 
     def _report(self) -> None:
         used = NOTHING
--- a/tests/support/histories.py
+++ b/tests/support/histories.py
@@ -3,14 +3,14 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
-STEPS_OF_A_HISTORY = 60
+STEPS_PER_HISTORY = 60
 
 
 def run_histories(machine: type[RuleBasedStateMachine], count: int) -> None:
     """Run a number of random histories, drawn from a fixed seed."""
     fixed = settings(
         max_examples=count,
-        stateful_step_count=STEPS_OF_A_HISTORY,
+        stateful_step_count=STEPS_PER_HISTORY,
         derandomize=True,
         database=None,
         deadline=None,
--- a/tests/support/reservation_machine.py
+++ b/tests/support/reservation_machine.py
@@ -120,20 +120,22 @@
             self.targets.put(Target(name, TargetKind.ENGINE, "s", "", "r", "z"))
         for node in range(2):
             self.members.put(Member(f"n-{node}", 1, "r", "z", "", ""))
-        self.sides: dict[str, CreditOwner] = {}
-        self.peers = DirectPeers(self.sides)
+        self.credit_owners: dict[str, CreditOwner] = {}
+        self.peers = DirectPeers(self.credit_owners)
         self.deaths = 0
         self.lapsed = False
         self.holders: list[CreditHolder] = []
         self.open: list[tuple[int, tuple[Hold, ...]]] = []
         for node, member in enumerate(self.members):
             owners = EngineOwners(member, self.members, self.targets)
-            self.sides[member.node_id] = CreditOwner(owners, self.targets, self.peers, self.clock)
+            self.credit_owners[member.node_id] = CreditOwner(
+                owners, self.targets, self.peers, self.clock
+            )
             self.holders.append(self._holder(node))
         self.report()
-        for side in self.sides.values():
-            side.refresh()
-            trio.run(side.collect)
+        for credit_owner in self.credit_owners.values():
+            credit_owner.refresh()
+            trio.run(credit_owner.collect)
 
     def _holder(self, node: int) -> CreditHolder:
         member = self.members.get(f"n-{node}")
@@ -141,7 +143,7 @@
         return CreditHolder(
             f"n-{node}/{self.deaths}",
             EngineOwners(member, self.members, self.targets),
-            self.sides[member.node_id],
+            self.credit_owners[member.node_id],
             self.peers,
             self.targets,
             self.memory,
@@ -204,7 +206,7 @@
 
     def settle(self, node: int) -> None:
         """Let an entry instance return the memory of released holds."""
-        trio.run(self.holders[node].settle_reservations)
+        trio.run(self.holders[node].process_reservations)
 
     @invariant()
     def engines_hold_exactly_the_open_reservations(self) -> None:
