--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -171,7 +171,7 @@
         """Give a hold back; its memory at the engine is returned in the background."""
         if not self._pool(hold.target_id).give_back(hold.hold_id):
             return
-        self._reservations.give_back(hold.reservation_id)
+        self._reservations.release(hold.reservation_id)
         self._notify()
 
     def on_change(self, observer: Callable[[], None]) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/holds.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/holds.py
@@ -52,7 +52,7 @@
         yield replace(placement, helpers=(*holding, *others))
     finally:
         for helper in holding:
-            reservations.give_back(helper.reservation_id)
+            reservations.release(helper.reservation_id)
 
 
 async def _reserve_all(
