--- a/packages/entry/src/wasabiwell_entry/coordination/admission/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/__init__.py
@@ -1,4 +1,4 @@
-"""Admits requests to targets."""
+"""Admission control: assigns requests to targets with free capacity."""
 
 from wasabiwell_entry.coordination.admission.coordinator import AdmissionCoordinator
 
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -1,4 +1,4 @@
-"""Admits requests to targets: limits, fair queue, choice of engines and hold of their capacity."""
+"""Admission control: organisation limits, fair queueing, engine choice and capacity holds."""
 
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionPorts:
-    """What admission uses of other capabilities and layers."""
+    """Dependencies of admission on other components and layers."""
 
     reservations: ReservationPort
     capacity: CapacityPort
@@ -55,7 +55,7 @@
 
 
 class AdmissionCoordinator:
-    """Places the requests of one entry instance."""
+    """Assigns the requests of one entry instance to targets."""
 
     __slots__ = ("_clock", "_ports", "_queues", "_router", "_targets")
 
@@ -73,13 +73,13 @@
     async def admit(
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> AsyncIterator[Placement | Refused]:
-        """Wait for capacity of an engine, or of several when the prompt is too large for one."""
+        """Wait for capacity on one engine, or on several if the prompt does not fit on one."""
         organisation = self._ports.organisation(request.organisation)
         if organisation is None:
-            yield Refused(Reason.FORBIDDEN, f"organisation {request.organisation} is not known")
+            yield Refused(Reason.FORBIDDEN, f"unknown organisation {request.organisation}")
             return
         async with AsyncExitStack() as stack:
-            # A retry runs under the leave of its first attempt, so that it is not counted twice.
+            # A retry uses the limit lease of the first attempt, so that it is counted only once.
             if not excluded:
                 limited = await self._acquire_limit_lease(request, organisation, stack)
                 if limited is not None:
@@ -96,7 +96,7 @@
     async def place_call(
         self, call: ServiceCall, excluded: frozenset[str]
     ) -> AsyncIterator[Target | Refused]:
-        """Choose a target of a plain service."""
+        """Choose a target for a call to a plain service."""
         chosen = self._router.choose(call.service, excluded)
         if isinstance(chosen, NoTarget):
             yield _no_target(chosen)
@@ -111,7 +111,7 @@
         await limits.ensure_share(organisation, request.size)
         lease = limits.try_acquire(organisation, request.memory_tokens, request.size)
         if isinstance(lease, LimitExceeded):
-            message = f"the organisation's limit of {lease.limit} is used up"
+            message = f"the organisation has reached its limit of {lease.limit}"
             return Refused(Reason.RATE_LIMITED, message, lease.retry_after)
         stack.callback(limits.release_lease, lease)
         return None
@@ -128,7 +128,7 @@
         queued = queue.enqueue(request, weight, excluded)
         match queued:
             case QueueFull(retry_after=retry_after):
-                message = "the organisation has too many requests waiting"
+                message = "the organisation has too many queued requests"
                 yield Refused(Reason.QUEUE_FULL, message, retry_after)
                 return
             case DeadlineUnreachable(wait=wait):
@@ -149,7 +149,10 @@
     async def _wait_for_placement(
         self, queue: FairQueue, queued: QueuedRequest, reserved: list[tuple[Target, Shard]]
     ) -> Placement:
-        """Return the placement of a granted request; one that lost its turn waits again."""
+        """Wait until the request is placed.
+
+        A request whose capacity could not be reserved after all returns to its queue position.
+        """
         while True:
             await queued.granted.wait()
             queued.granted = trio.Event()
@@ -175,10 +178,10 @@
     async def _reserve(
         self, queued: QueuedRequest, reserved: list[tuple[Target, Shard]]
     ) -> list[tuple[Target, Shard]] | None:
-        """Return the memory held at all engines, by ascending id, or None if one refuses.
+        """Reserve memory on all engines in ascending order of id, or return None if one refuses.
 
-        A hold that comes with a reservation gives it back itself; others are made here and are
-        entered in `reserved`.
+        The reservation of a hold from `hold_all` is released together with the hold. For other
+        holds, memory is reserved here and added to `reserved`, which the caller releases.
         """
         parts: list[tuple[Target, Shard]] = []
         for hold in queued.holds:
@@ -206,7 +209,7 @@
                 await self._ports.reservations.release(target, shard.reservation_id)
 
     def waits(self, size: SizeClass) -> list[timedelta]:
-        """Return how long each waiting request of a size class has waited."""
+        """Return the time that each queued request of a size class has been waiting."""
         now = self._clock.monotonic()
         return [
             now - queued.enqueued
@@ -215,15 +218,16 @@
         ]
 
     def capacity_changed(self) -> None:
-        """Grant what has become available to the requests that wait."""
+        """Grant newly available capacity to queued requests."""
         for queue in self._queues.values():
             self._grant_waiting(queue)
 
     def _grant_waiting(self, queue: FairQueue) -> None:
-        """Grant capacity to waiting requests in the order of their turns.
+        """Grant capacity to queued requests in scheduling order.
 
-        A request that finds none does not hold up those behind it, except that an aged one keeps
-        medium and long ones that have not aged from taking the memory for which it waits.
+        A request without capacity does not block those behind it. The exception is an aged
+        request, which blocks medium and long classes without aged requests, so that they do not
+        take the memory it waits for.
         """
         blocked = False
         for size, aged in queue.classes_in_grant_order():
@@ -267,11 +271,15 @@
         return None
 
     def _plan_parts(self, queued: QueuedRequest) -> tuple[tuple[str, int], ...]:
-        """Return engines and tokens for a split prompt, by ascending id, or none if they lack."""
+        """Return target ids and tokens for a split prompt, or nothing if memory is insufficient.
+
+        The parts are in ascending order of target id.
+        """
         usable = self._router.candidates(queued.request, queued.excluded)
         if isinstance(usable, NoTarget):
             return ()
-        # A split prompt needs more engines than may process long prompts, so it takes any of them.
+        # A split prompt may need more engines than those that accept long prompts, so all usable
+        # engines are considered.
         now = self._clock.monotonic()
         free = []
         for status in usable:
@@ -295,20 +303,20 @@
     def _permanent_refusal(
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> Refused | None:
-        """Return why no engine can ever take the request, or None."""
+        """Return a refusal if no set of engines could ever run the request, else None."""
         usable = self._router.candidates(request, excluded)
         if isinstance(usable, NoTarget):
             return _no_target(usable)
         totals = [status.load.total_tokens for status in usable if status.load is not None]
-        # Without a report of each engine the fleet's memory is not known.
+        # The total memory is only known once every engine has reported its load.
         if len(totals) == len(usable) and request.memory_tokens > sum(
             int(total * LONG_MEMORY_SHARE) for total in totals
         ):
-            return Refused(Reason.PROMPT_TOO_LONG, "the prompt does not fit the engines' memory")
+            return Refused(Reason.PROMPT_TOO_LONG, "the prompt exceeds the memory of all engines")
         return None
 
     def _record_holds(self, queued: QueuedRequest, holds: tuple[Hold, ...]) -> None:
-        """Note holds in the target table, from which loads are corrected."""
+        """Add holds to the target table, which corrects load reports by them."""
         queued.holds = holds
         request, now = queued.request, self._clock.monotonic()
         for hold in holds:
@@ -334,7 +342,7 @@
     async def _admit_unqueued(
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> AsyncIterator[Placement | Refused]:
-        """Place a request without a queue, as the compared policies do."""
+        """Place a request without queueing, for the routing policies used for comparison."""
         lead = self._router.choose(request.service, excluded)
         if isinstance(lead, NoTarget):
             yield _no_target(lead)
@@ -362,7 +370,7 @@
     def _plan_shards(
         self, request: GenerateRequest, lead: TargetStatus, excluded: frozenset[str]
     ) -> list[tuple[Target, int]] | Refused:
-        """Return the engines that must hold what the lead cannot, with their tokens."""
+        """Return engines and token counts for the rest of a prompt that the lead cannot hold."""
         if lead.load is None:
             return []
         remaining = request.memory_tokens - int(lead.load.total_tokens * LONG_MEMORY_SHARE)
@@ -378,12 +386,12 @@
             parts.append((status.target, tokens))
             remaining -= tokens
         if remaining > 0:
-            return Refused(Reason.PROMPT_TOO_LONG, "the prompt does not fit the engines' memory")
+            return Refused(Reason.PROMPT_TOO_LONG, "the prompt exceeds the memory of all engines")
         return parts
 
 
 def _split_placement(request: GenerateRequest, reserved: list[tuple[Target, Shard]]) -> Placement:
-    """Return the placement of a split prompt; the engine with the largest part leads."""
+    """Return the placement of a split prompt; the engine with the largest part is the lead."""
     lead = max(reserved, key=lambda item: item[1].tokens)
     return Placement(
         target=lead[0],
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/errors.py
@@ -1,4 +1,4 @@
-"""Outcomes of queueing."""
+"""Reasons for which a request is not queued."""
 
 from dataclasses import dataclass
 from datetime import timedelta
@@ -6,13 +6,13 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueFull:
-    """The organisation has the most requests waiting that it may have."""
+    """The organisation has reached its maximum number of queued requests."""
 
     retry_after: timedelta
 
 
 @dataclass(frozen=True, slots=True)
 class DeadlineUnreachable:
-    """The estimated wait ends after the request's deadline."""
+    """The estimated wait exceeds the request's deadline."""
 
     wait: timedelta
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
@@ -1,4 +1,4 @@
-"""Capacity judged from lagging load reports, corrected by the own recent sends."""
+"""Capacity estimates from delayed load reports, corrected by recently sent requests."""
 
 from collections.abc import Callable, Sequence
 
@@ -14,14 +14,14 @@
 
 
 class LoadBasedCapacity:
-    """Capacity without messages between entry instances.
+    """Implements `CapacityPort` without messages between entry instances.
 
-    Admission counts what it holds in the target table, from which the estimate is made.
+    Estimates are based on the target table, to which admission adds its own holds.
 
-    All instances see the same free slots in reports that are up to a second old. Each of them may
-    always use its even part of an engine's slots. Above that it takes a slot only while each other
-    instance could take one too; otherwise all of them would send at once, fill the engine's own
-    queue and take the order of requests out of the fair queues.
+    All instances see the same free slots in reports that are up to one second old. Each may always
+    use its equal share of an engine's slots. Beyond that, it takes a slot only if every instance
+    could take one as well. Otherwise all of them would send at once and fill the engine's own
+    queue, where requests no longer run in the order of the fair queues.
     """
 
     __slots__ = ("_clock", "_holds", "_instances", "_last_hold_id", "_observers", "_targets")
@@ -35,7 +35,7 @@
         self._last_hold_id = 0
 
     def try_hold(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
-        """Hold a slot and memory of an engine if it is likely to have them."""
+        """Hold a slot and memory of an engine if they are estimated to be free."""
         refused = self._refusal(target_id, tokens, size)
         if refused is not None:
             return refused
@@ -44,12 +44,12 @@
         return Hold(self._last_hold_id, target_id, tokens)
 
     def report_demand(self, target_id: str, tokens: int, size: SizeClass) -> None:
-        """Do nothing: the next load report tells of more capacity."""
+        """Do nothing; new capacity shows up in the next load report."""
 
     async def hold_all(
         self, parts: Sequence[tuple[str, int]], size: SizeClass
     ) -> tuple[Hold, ...] | NoCapacity:
-        """Hold capacity of several engines, or of none."""
+        """Hold capacity of all given engines or of none."""
         await trio.lowlevel.checkpoint()
         for target_id, tokens in parts:
             refused = self._refusal(target_id, tokens, size)
@@ -63,17 +63,17 @@
         return tuple(holds)
 
     def release(self, hold: Hold) -> None:
-        """Give a hold back and tell the observers."""
+        """Release a hold and notify the observers."""
         if hold.hold_id in self._holds:
             self._holds.remove(hold.hold_id)
             self.changed()
 
     def on_change(self, observer: Callable[[], None]) -> None:
-        """Call an observer whenever capacity may have become available."""
+        """Register an observer that is called when capacity may have become available."""
         self._observers.append(observer)
 
     def changed(self) -> None:
-        """Tell the observers that capacity may have become available."""
+        """Notify the observers that capacity may have become available."""
         for observer in self._observers:
             observer()
 
@@ -92,16 +92,16 @@
                 return NoCapacity(f"engine {target_id} has no free slot for long prompts")
             available = long_tokens_available(status, status.load, estimate)
         if available < tokens:
-            return NoCapacity(f"engine {target_id} has {available} tokens free")
+            return NoCapacity(f"engine {target_id} has only {available} free tokens")
         return None
 
 
 def long_slots(load: EngineLoad) -> int:
-    """Return the slots of an engine that long prompts may use."""
+    """Return the number of slots of an engine that long prompts may occupy."""
     return max(1, int(load.slots * LONG_SLOT_SHARE))
 
 
 def long_tokens_available(status: TargetStatus, load: EngineLoad, estimate: EngineEstimate) -> int:
-    """Return the memory that one more long prompt may use on an engine."""
+    """Return the memory in tokens available to another long prompt on an engine."""
     share = int(load.total_tokens * LONG_MEMORY_SHARE)
     return min(estimate.free_tokens, share - estimate.other_tokens - status.long_tokens)
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
@@ -1,4 +1,4 @@
-"""What admission needs of other capabilities and layers."""
+"""Interfaces that admission requires from other components and layers."""
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -12,9 +12,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Hold:
-    """One slot and `tokens` tokens of memory of an engine, held by this entry instance.
+    """One slot and memory for `tokens` tokens of an engine, allocated to one request.
 
-    `reservation_id` names the memory that `hold_all` reserved at the engine itself.
+    `reservation_id` identifies memory that `hold_all` reserved at the engine; it is empty for
+    holds that exist only at this entry instance.
     """
 
     hold_id: int
@@ -25,35 +26,35 @@
 
 @dataclass(frozen=True, slots=True)
 class NoCapacity:
-    """The engine has no capacity that this entry instance may use now."""
+    """The engine currently has no capacity available to this entry instance."""
 
     reason: str
 
 
 class CapacityPort(Protocol):
-    """Capacity of engines that this entry instance may use."""
+    """Engine capacity available to this entry instance."""
 
     def try_hold(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
-        """Hold capacity that is at hand here, without a message to another instance."""
+        """Hold locally available capacity without messages to other instances."""
 
     def report_demand(self, target_id: str, tokens: int, size: SizeClass) -> None:
-        """Note unmet demand; more capacity is asked for in the background."""
+        """Record unmet demand, for which capacity is requested in the background."""
 
     async def hold_all(
         self, parts: Sequence[tuple[str, int]], size: SizeClass
     ) -> tuple[Hold, ...] | NoCapacity:
-        """Hold capacity of several engines, all or nothing, in ascending order of target id."""
+        """Hold capacity of all given engines or of none, in ascending order of target id."""
 
     def release(self, hold: Hold) -> None:
-        """Give a hold back; a second release of one hold has no effect."""
+        """Release a hold; releasing it again has no effect."""
 
     def on_change(self, observer: Callable[[], None]) -> None:
-        """Call an observer whenever capacity may have become available."""
+        """Register an observer that is called when capacity may have become available."""
 
 
 @dataclass(frozen=True, slots=True)
 class LimitLease:
-    """Leave to run one request within an organisation's limits."""
+    """Permission to run one request within an organisation's limits."""
 
     organisation: str
     size: SizeClass
@@ -62,22 +63,22 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitExceeded:
-    """A limit of the organisation is used up."""
+    """The organisation has reached the named limit."""
 
     limit: str
     retry_after: timedelta
 
 
 class LimitPort(Protocol):
-    """Limits of organisations, shared over entry instances."""
+    """Organisation limits that are enforced across all entry instances."""
 
     async def ensure_share(self, organisation: Organisation, size: SizeClass) -> None:
-        """Obtain a share when none is held; it sends no message for each request."""
+        """Obtain a share of the limits if none is held, without a message per request."""
 
     def try_acquire(
         self, organisation: Organisation, tokens: int, size: SizeClass
     ) -> LimitLease | LimitExceeded:
-        """Take leave for one request of `tokens` tokens, prompt and answer together."""
+        """Acquire a lease for one request of `tokens` prompt and output tokens."""
 
     def release_lease(self, lease: LimitLease) -> None:
-        """Tell that a request has ended."""
+        """Release the lease of a request that has ended."""
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/queue.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/queue.py
@@ -1,9 +1,10 @@
-"""Bounded weighted fair queue of the requests for one service.
+"""Bounded weighted fair queue for the requests of one service.
 
-Start-time fair queueing: a request's start tag is the later of the virtual time and the finish tag
-of the organisation's previous request, and the finish tag adds tokens / weight. The virtual time
-is the start tag of the last granted request. Each size class has tags of its own, so that a long
-prompt does not put its organisation's short prompts behind those of all others.
+Implements start-time fair queueing: a request's start tag is the maximum of the virtual time and
+the finish tag of the organisation's previous request; its finish tag is the start tag plus
+tokens / weight. The virtual time is the start tag of the last granted request. Tags are kept per
+size class, so that a long prompt does not delay its organisation's short prompts behind those of
+all other organisations.
 """
 
 import bisect
@@ -30,7 +31,11 @@
 
 @dataclass(slots=True, eq=False)
 class QueuedRequest:
-    """One waiting request; `holds` is the capacity it was granted, `granted` tells of the grant."""
+    """A queued request.
+
+    `granted` is set when the request has its capacity in `holds`, or a split plan in `parts` for
+    which capacity is still to be held.
+    """
 
     request: GenerateRequest
     excluded: frozenset[str]
@@ -44,13 +49,13 @@
 
     @property
     def cost(self) -> int:
-        """Return the tokens of prompt and answer."""
+        """Return the number of prompt and output tokens."""
         return self.request.memory_tokens
 
 
 @dataclass(slots=True)
 class _ClassQueue:
-    """Waiting requests of one size class, sorted by start tag."""
+    """Queued requests of one size class, sorted by start tag."""
 
     waiting: list[QueuedRequest] = field(default_factory=list)
     virtual_time: float = 0.0
@@ -59,7 +64,7 @@
 
 
 class FairQueue:
-    """Requests of one service that wait for capacity."""
+    """Queue of the requests for one service that wait for capacity."""
 
     __slots__ = ("_classes", "_clock", "_counts", "_last_sequence", "_max_queued")
 
@@ -76,7 +81,7 @@
     def enqueue(
         self, request: GenerateRequest, weight: float, excluded: frozenset[str]
     ) -> QueuedRequest | QueueFull | DeadlineUnreachable:
-        """Add a request, or tell why it must not wait."""
+        """Add a request, or return the reason why it is not queued."""
         now = self._clock.monotonic()
         wait = self.estimated_wait(request, weight)
         if self._counts.get(request.organisation, 0) >= self._max_queued:
@@ -94,14 +99,14 @@
         return queued
 
     def insert(self, queued: QueuedRequest) -> None:
-        """Let a request wait at its former place."""
+        """Insert a request at the position given by its start tag."""
         class_queue = self._classes[queued.request.size]
         bisect.insort(class_queue.waiting, queued, key=_sort_key)
         organisation = queued.request.organisation
         self._counts[organisation] = self._counts.get(organisation, 0) + 1
 
     def remove(self, queued: QueuedRequest) -> None:
-        """Take out a request that waits; one that does not is ignored."""
+        """Remove a request; does nothing if it is not queued."""
         class_queue = self._classes[queued.request.size]
         index = bisect.bisect_left(class_queue.waiting, _sort_key(queued), key=_sort_key)
         if index == len(class_queue.waiting) or class_queue.waiting[index] is not queued:
@@ -114,24 +119,24 @@
         self._prune_finish_tags(class_queue)
 
     def grant(self, queued: QueuedRequest) -> None:
-        """Take out a request that gets its capacity now."""
+        """Remove a request that is granted capacity, and advance the virtual time."""
         class_queue = self._classes[queued.request.size]
         class_queue.virtual_time = max(class_queue.virtual_time, queued.start_tag)
         class_queue.grants.append((self._clock.monotonic(), queued.cost))
         self.remove(queued)
 
     def in_grant_order(self, size: SizeClass) -> list[QueuedRequest]:
-        """Return the waiting requests of a size class in the order of their turns."""
+        """Return the queued requests of a size class in scheduling order."""
         return list(self._classes[size].waiting)
 
     def classes_in_grant_order(self) -> Iterator[tuple[SizeClass, bool]]:
-        """Yield the size classes in the order of their turns, and whether each one is aged."""
+        """Yield the size classes in scheduling order, and whether each has aged requests."""
         aged = [size for size in (SizeClass.LONG, SizeClass.MEDIUM) if self._is_aged(size)]
         yield from ((size, True) for size in aged)
         yield from ((size, False) for size in SizeClass if size not in aged)
 
     def estimated_wait(self, request: GenerateRequest, weight: float) -> timedelta:
-        """Return the wait by the recent rate of grants; zero when the rate is not known."""
+        """Estimate the wait from the recent grant rate; zero if the rate is unknown."""
         now = self._clock.monotonic()
         class_queue = self._classes[request.size]
         while class_queue.grants and class_queue.grants[0][0] < now - RATE_WINDOW:
--- a/packages/entry/src/wasabiwell_entry/coordination/budget/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/__init__.py
@@ -1,4 +1,4 @@
-"""Bounds the repeated sends of all entry instances together."""
+"""Retry budget: limits the retries of all entry instances combined."""
 
 from wasabiwell_entry.coordination.budget.coordinator import RetryBudget
 
--- a/packages/entry/src/wasabiwell_entry/coordination/budget/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/const.py
@@ -1,7 +1,9 @@
-"""Constants of the budget of repeated sends."""
+"""Constants of the retry budget."""
 
 BUCKETS_PER_WINDOW = 10
-"""Parts of the window in which requests and repeats are counted."""
+"""Number of buckets per window in which requests and retries are counted."""
 USABLE_FRACTION = 0.8
-"""Part of the budget that is used: what other instances sent in the last state's interval is not
-known here."""
+"""Fraction of the budget that is used.
+
+The rest covers retries of other instances that their last state message does not include yet.
+"""
--- a/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
@@ -1,4 +1,4 @@
-"""Counts requests and repeated sends of each service over all entry instances."""
+"""Counts the requests and retries of each service over all entry instances."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BudgetLimits:
-    """In a window, repeats may be `ratio` of the requests of a service and `slack` more."""
+    """Allows `ratio` times the requests of a service plus `slack` as retries per window."""
 
     ratio: float
     slack: float
@@ -20,14 +20,14 @@
 
 @dataclass(slots=True)
 class _Counts:
-    """Requests and repeats by number of the bucket of time."""
+    """Request and retry counts of one service by time bucket."""
 
     requests: dict[int, int] = field(default_factory=dict)
     repeats: dict[int, int] = field(default_factory=dict)
 
 
 class RetryBudget:
-    """Allows repeated sends while all entry instances together stay within the limits."""
+    """Allows retries while the total of all entry instances stays within the limits."""
 
     __slots__ = ("_clock", "_counts", "_limits", "_peer_usage", "_publish", "refusals")
 
@@ -46,11 +46,11 @@
         self.refusals = 0
 
     def count_request(self, service: str) -> None:
-        """Count a caller's request."""
+        """Count a request of a caller."""
         _increment(self._service_counts(service).requests, self._bucket())
 
     def take(self, service: str) -> bool:
-        """Count a repeated send, or return False when the budget is used up."""
+        """Count a retry, or return False if the budget is exhausted."""
         peers = [use for uses in self._peer_usage() for use in uses if use.service == service]
         own = self._usage(service)
         requests = own.requests + sum(use.requests for use in peers)
@@ -64,7 +64,7 @@
         return True
 
     def uses(self) -> tuple[ServiceUse, ...]:
-        """Return the own counts in the last window."""
+        """Return the counts of this entry instance in the last window."""
         return tuple(self._usage(service) for service in sorted(self._counts))
 
     def _usage(self, service: str) -> ServiceUse:
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/__init__.py
@@ -1,4 +1,7 @@
-"""Capacity of engines, shared between entry instances by credits."""
+"""Engine capacity, shared between entry instances by credits.
+
+A credit is a lease of capacity that the owner of an engine grants to a holder.
+"""
 
 from wasabiwell_entry.coordination.credits.coordinator import CreditHolder
 from wasabiwell_entry.coordination.credits.owner import CreditOwner
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/const.py
@@ -4,28 +4,28 @@
 
 CREDIT_LIFETIME = timedelta(seconds=3)
 REPORT_LAG = timedelta(seconds=1)
-"""An owner keeps a credit this much longer than its holder may spend it.
+"""Time for which an owner keeps a credit after its holder may no longer use it.
 
-A request that starts just before the expiry is in the engine's load report by then: reports lag by
-half a second and are read twice a second.
+By then, a request that started just before the expiry is part of the engine's load report: reports
+are delayed by half a second and polled every half second.
 """
 RENEW_BEFORE = timedelta(seconds=1.5)
-"""A credit in use is renewed when less than this is left, which leaves time for one repeat."""
+"""Remaining lifetime at which a credit in use is renewed; leaves time for one retry."""
 IDLE_WINDOW = timedelta(seconds=1)
-"""Credit that was not used for one to two windows is given back."""
+"""Credit that was unused for one to two windows is released."""
 MAINTENANCE_INTERVAL = timedelta(milliseconds=250)
 CLAIM_INTERVAL = timedelta(milliseconds=10)
-"""Shortest time between two messages to one owner; demand in between shares a message."""
+"""Minimum time between two messages to one owner; demand in between is batched."""
 SHORTAGE_BACKOFF = timedelta(milliseconds=100)
-"""Time until the next message to an owner that could not grant all; doubles with each shortage."""
+"""Delay after an owner could not grant a claim in full; doubles with each further shortage."""
 MAX_SHORTAGE_BACKOFF = timedelta(milliseconds=800)
 MAX_CONSECUTIVE_SHORTAGES = 4
-"""Shortages in a row that are counted; enough to reach the longest interval."""
+"""Maximum count of consecutive shortages; enough to reach the maximum backoff."""
 OWNERSHIP_SCAN_INTERVAL = timedelta(seconds=1)
-"""Time between two looks for newly owned engines, so that their first claim needs no wait."""
+"""Interval of scans for newly owned engines, whose credits are collected before the first claim."""
 COLLECT_CONCURRENCY = 16
-"""Members that a new owner asks at once."""
+"""Maximum number of members that a new owner queries concurrently."""
 STOP_TIMEOUT = timedelta(seconds=1)
-"""Time to give credit back on stop; what is not given back expires."""
+"""Timeout for releasing credits on shutdown; unreleased ones expire."""
 MAX_CLAIMS_PER_MESSAGE = 64
-"""Engines in one message, which keeps it under 8 KB."""
+"""Maximum number of engines in one message, which keeps it below 8 KB."""
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -1,4 +1,4 @@
-"""The holder's side of credits: capacity that this entry instance may use."""
+"""Holder side of credits: engine capacity leased to this entry instance."""
 
 import itertools
 from collections.abc import Callable, Sequence
@@ -50,7 +50,7 @@
 
 @dataclass(slots=True)
 class _OwnerLink:
-    """One owner and the task that sends it claims."""
+    """State of the task that sends claims to one owner."""
 
     owner: Member
     wake: trio.Event = field(default_factory=trio.Event)
@@ -59,16 +59,17 @@
     consecutive_shortages: int = 0
 
     def backoff(self) -> timedelta:
-        """Return the time until the next message; it doubles while the owner is short."""
+        """Return the delay before the next message, doubled with each shortage."""
         if self.consecutive_shortages == 0:
             return CLAIM_INTERVAL
         return min(MAX_SHORTAGE_BACKOFF, SHORTAGE_BACKOFF * (1 << (self.consecutive_shortages - 1)))
 
 
 class CreditHolder:
-    """Holds credit of engines and spends it without messages; implements `CapacityPort`.
+    """Allocates leased engine capacity to requests without messages; implements `CapacityPort`.
 
-    `holder_id` is unique to this run of the entry instance, because sequences start anew with it.
+    `holder_id` is unique to this run of the entry instance, because sequence numbers restart with
+    each run.
     """
 
     __slots__ = (
@@ -114,11 +115,14 @@
 
     @property
     def holder_id(self) -> str:
-        """Return the id under which owners know this run of the entry instance."""
+        """Return the id that identifies this run of the entry instance to owners."""
         return self._holder_id
 
     def try_hold(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
-        """Hold capacity at hand; an engine that this entry instance owns is asked in place."""
+        """Hold locally available capacity.
+
+        For an engine that this entry instance owns, missing credit is claimed by a direct call.
+        """
         pool = self._pool(target_id)
         amount = _request_amount(tokens, size)
         hold_id = next(self._hold_ids)
@@ -134,10 +138,10 @@
             self._use_fallback(pool)
         if pool.take(hold_id, amount, now):
             return Hold(hold_id, target_id, tokens)
-        return NoCapacity(f"no credit of engine {target_id} is at hand")
+        return NoCapacity(f"not enough credit of engine {target_id}")
 
     def report_demand(self, target_id: str, tokens: int, size: SizeClass) -> None:
-        """Note unmet demand of one request; the next message to the owner includes it."""
+        """Record the unmet demand of one request, to be included in the next claim."""
         pool = self._pool(target_id)
         pool.note_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
         owner = self._owners.owner(target_id)
@@ -149,10 +153,10 @@
     async def hold_all(
         self, parts: Sequence[tuple[str, int]], size: SizeClass
     ) -> tuple[Hold, ...] | NoCapacity:
-        """Hold credit and engine memory of several engines, or nothing.
+        """Hold credit and engine memory of all given engines or of none.
 
-        Engines are taken in ascending order of id, and nothing is waited for while a part is
-        held, so that two prompts cannot wait for each other.
+        To avoid deadlocks between two prompts, engines are processed in ascending order of id, and
+        capacity is never waited for while another part is held.
         """
         held: list[Hold] = []
         try:
@@ -168,24 +172,24 @@
         return tuple(held)
 
     def release(self, hold: Hold) -> None:
-        """Give a hold back; its memory at the engine is returned in the background."""
+        """Release a hold; its memory at the engine is released in the background."""
         if not self._pool(hold.target_id).give_back(hold.hold_id):
             return
         self._reservations.release(hold.reservation_id)
         self._notify()
 
     def on_change(self, observer: Callable[[], None]) -> None:
-        """Call an observer whenever capacity may have become available."""
+        """Register an observer that is called when capacity may have become available."""
         self._observers.append(observer)
 
     def credits(self) -> list[tuple[str, Amount]]:
-        """Return the valid credit of each engine of which any is held."""
+        """Return the ids and valid amounts of all engines for which credit is held."""
         now = self._clock.monotonic()
         valid = [(pool.engine_id, pool.valid(now)) for pool in self._pools.values()]
         return [(engine_id, amount) for engine_id, amount in valid if amount != NOTHING]
 
     def outstanding(self, engine_ids: Sequence[str]) -> list[CreditClaim]:
-        """Return the credit and use of engines, for their new owner."""
+        """Return the credit and usage of the given engines, for their new owner."""
         now = self._clock.monotonic()
         return [
             self._pools[engine_id].outstanding(now)
@@ -194,7 +198,7 @@
         ]
 
     async def run(self) -> None:
-        """Keep credit in step with demand until cancelled, then give all of it back."""
+        """Adjust credit to demand until cancelled, then release all credit."""
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._reservations.run)
@@ -240,14 +244,14 @@
         link.wake.set()
 
     async def _run_link(self, link: _OwnerLink) -> None:
-        """Send claims to one owner until it owns no engine that is in use here."""
+        """Send claims to one owner until it owns no engine that this instance uses."""
         while self._links.get(link.owner.node_id) is link:
             pools = self._pools_of(link.owner)
             if not pools:
                 break
             pending = [pool for pool in pools if self._needs_message(pool)]
             if pending:
-                # Renewing the others too costs little in a message that is sent anyway.
+                # The message is sent anyway, so renewing further credits in it costs little.
                 others = [
                     pool for pool in pools if pool not in pending and pool.wanted() != NOTHING
                 ]
@@ -267,7 +271,7 @@
         ]
 
     def _needs_message(self, pool: CreditPool) -> bool:
-        """Return whether the owner must hear of a pool: demand, renewal, or a return."""
+        """Return whether a pool needs a message to its owner: a claim, renewal or release."""
         now = self._clock.monotonic()
         wanted, valid = pool.wanted(), pool.valid(now)
         if pool.unmet != NOTHING or not wanted.covers(valid):
@@ -298,7 +302,7 @@
         await self._clock.sleep(link.backoff())
 
     def _apply_answers(self, claims: Sequence[CreditClaim], answers: Sequence[ClaimAnswer]) -> bool:
-        """Take over the answers to claims; return whether all claims were granted in full."""
+        """Apply the answers to claims; return whether all claims were granted in full."""
         wanted = {claim.engine_id: claim.wanted for claim in claims}
         complete = True
         for answer in answers:
@@ -320,9 +324,10 @@
     def _use_fallback_for_owner(
         self, link: _OwnerLink, claims: Sequence[CreditClaim], reason: str
     ) -> None:
-        """Use the fallback when an owner has not answered for a credit's lifetime.
+        """Use the fallback once an owner has not answered for the lifetime of a credit.
 
-        By then its own credits to others have expired, so the engine's report shows all use.
+        By then the credits it granted to others have expired, so that the engine's load report
+        covers all usage.
         """
         now = self._clock.monotonic()
         if link.unreachable_since is None:
@@ -338,7 +343,7 @@
             self._use_fallback(self._pool(claim.engine_id), claim.wanted - claim.used)
 
     def _use_fallback(self, pool: CreditPool, demand: Amount | None = None) -> None:
-        """Use a share of what the engine reports as free, because no owner can be asked."""
+        """Use a share of the capacity that the engine reports as free, without an owner's grant."""
         status = self._targets.get(pool.engine_id)
         load = status.load if status is not None else None
         now = self._clock.monotonic()
@@ -352,7 +357,7 @@
     async def _hold_part(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
         status = self._targets.get(target_id)
         if status is None:
-            return NoCapacity(f"engine {target_id} is not known")
+            return NoCapacity(f"unknown engine {target_id}")
         hold = self.try_hold(target_id, tokens, size)
         if isinstance(hold, NoCapacity):
             await self._claim_now(target_id, tokens, size)
@@ -366,7 +371,7 @@
         return replace(hold, reservation_id=outcome.reservation_id)
 
     async def _claim_now(self, target_id: str, tokens: int, size: SizeClass) -> None:
-        """Ask the owner for one request's capacity and wait for its answer."""
+        """Claim one request's capacity from the owner and wait for the answer."""
         owner = self._owners.owner(target_id)
         if isinstance(owner, NoOwner) or self._owners.is_own(owner):
             return
@@ -382,7 +387,7 @@
             self.release(hold)
 
     async def process_reservations(self) -> None:
-        """Return the engine memory of released holds and renew that of open ones."""
+        """Release the engine memory of released holds and renew that of open ones."""
         await self._reservations.process_pending()
 
     async def _return_all_credit(self) -> None:
@@ -406,7 +411,7 @@
         return pool
 
     def _reported_capacity(self, engine_id: str) -> Amount:
-        """Return the whole capacity of an engine, as it was reported last."""
+        """Return the total capacity of an engine from its last load report."""
         status = self._targets.get(engine_id)
         if status is None or status.load is None:
             return NOTHING
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/errors.py
@@ -1,11 +1,11 @@
-"""Outcomes of asking another entry instance about credits."""
+"""Failed outcomes of credit messages to other entry instances."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class CreditRefused:
-    """The asked entry instance cannot grant credit of this engine now."""
+    """The receiving entry instance cannot currently grant credit of this engine."""
 
     engine_id: str
     reason: str
@@ -13,6 +13,6 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerUnreachable:
-    """No answer came; the claim may have taken effect at the owner."""
+    """No answer was received; the claim may have taken effect at the owner."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -1,4 +1,4 @@
-"""The owner's side of credits: leases the capacity of the engines that it owns."""
+"""Owner side of credits: leases out the capacity of owned engines."""
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -35,7 +35,10 @@
 
 @dataclass(slots=True)
 class _OwnedEngine:
-    """Ledger of an owned engine; before `ready_at` credits of the earlier owner may exist."""
+    """Ledger of an owned engine.
+
+    Until `ready_at`, credits that the previous owner granted may still be valid.
+    """
 
     ledger: CreditLedger
     ready_at: timedelta
@@ -44,14 +47,14 @@
 
 @dataclass(slots=True)
 class _CollectedClaims:
-    """Result of asking the other members; `complete` tells that all of them answered."""
+    """Claims that the other members reported; `complete` is set if all of them answered."""
 
     claims: list[CreditClaim] = field(default_factory=list)
     complete: bool = True
 
 
 class CreditOwner:
-    """Answers the claims of holders, this entry instance's own included."""
+    """Answers the claims of all holders, including this entry instance."""
 
     __slots__ = (
         "_clock",
@@ -77,7 +80,7 @@
         self._next_ownership_scan = clock.monotonic()
 
     def on_change(self, observer: Callable[[], None]) -> None:
-        """Call an observer whenever capacity of an owned engine may have become available."""
+        """Register an observer, called when capacity of an owned engine may be available."""
         self._observers.append(observer)
 
     def answer(self, claims: Sequence[CreditClaim]) -> list[ClaimAnswer]:
@@ -85,7 +88,7 @@
         return [self._answer(claim) for claim in claims]
 
     def accept_returns(self, returns: Sequence[CreditReturn]) -> None:
-        """Remove credits that a holder gives up."""
+        """Remove credits that a holder releases."""
         for item in returns:
             engine = self._engines.get(item.engine_id)
             if engine is not None:
@@ -93,7 +96,7 @@
         self._notify()
 
     async def run(self) -> None:
-        """Collect outstanding credits of engines that became owned, until cancelled."""
+        """Collect outstanding credits of newly owned engines until cancelled."""
         while True:
             self.refresh()
             await self.collect()
@@ -103,7 +106,7 @@
             self._wake = trio.Event()
 
     def refresh(self) -> None:
-        """Follow changes of ownership; owning an engine again starts a new ledger."""
+        """Apply ownership changes; an engine that is owned again gets a new ledger."""
         self._owners.refresh()
         for engine_id in list(self._engines):
             if not self._owners.is_own(self._owners.owner(engine_id)):
@@ -115,7 +118,7 @@
                 self._ensure_engine(engine_id)
 
     def outstanding(self, engine_id: str) -> Amount:
-        """Return the credit of an owned engine that has not expired."""
+        """Return the total unexpired credit of an owned engine."""
         engine = self._engines.get(engine_id)
         if engine is None:
             return NOTHING
@@ -149,9 +152,10 @@
         return engine
 
     async def collect(self) -> None:
-        """Ask the other members for credits of newly owned engines.
+        """Query the other members for credits of newly owned engines.
 
-        When one of them does not answer, its credits may last for one more lifetime.
+        The credits of a member that does not answer may be valid for one more lifetime, during
+        which the owner only renews credits and grants no new capacity.
         """
         pending = [key for key, engine in self._engines.items() if not engine.collected]
         if not pending:
@@ -199,6 +203,6 @@
 
 
 def _load_amounts(load: EngineLoad) -> tuple[Amount, Amount]:
-    """Return the capacity and the use of a load report; what long prompts use is not reported."""
+    """Return capacity and usage from a load report, which does not break out long prompts."""
     used = Amount(load.running + load.queued, load.total_tokens - load.free_tokens)
     return engine_capacity(load.slots, load.total_tokens), used
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
@@ -1,4 +1,4 @@
-"""Which entry instance owns the capacity of an engine."""
+"""Determines which entry instance owns the capacity of an engine."""
 
 from wasabiwell_entry.coordination.membership.errors import NoOwner
 from wasabiwell_entry.coordination.membership.ownership import owner_of
@@ -7,10 +7,10 @@
 
 
 class EngineOwners:
-    """Finds owners from the members and targets that this entry instance knows.
+    """Computes engine owners from this entry instance's tables of members and targets.
 
-    Owners are cached, because hashing all members of a zone for each request costs more than the
-    rest of a hold. `refresh` must be called often; it clears the cache when members changed.
+    Owners are cached, because hashing all members of a zone costs more than the rest of a hold.
+    Call `refresh` often: it clears the cache after the members have changed.
     """
 
     __slots__ = ("_alive", "_cache", "_members", "_own", "_targets")
@@ -23,14 +23,14 @@
         self._cache: dict[str, tuple[Target, Member | NoOwner]] = {}
 
     def refresh(self) -> None:
-        """Take over changes of the members."""
+        """Clear the cache if the live members have changed."""
         alive = self._members.alive()
         if alive != self._alive:
             self._alive = alive
             self._cache.clear()
 
     def owner(self, engine_id: str) -> Member | NoOwner:
-        """Return the owner: a live member of the engine's zone, else of its region."""
+        """Return the owner, a live member in the engine's zone or else in its region."""
         status = self._targets.get(engine_id)
         if status is None:
             self._cache.pop(engine_id, None)
@@ -42,7 +42,7 @@
         return cached[1]
 
     def is_own(self, owner: Member | NoOwner) -> bool:
-        """Return whether this entry instance is the owner."""
+        """Return whether the given owner is this entry instance."""
         return isinstance(owner, Member) and owner.node_id == self._own.node_id
 
     def own_engines(self) -> list[str]:
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/ports.py
@@ -1,4 +1,4 @@
-"""What credits need of other entry instances."""
+"""Interface to other entry instances that credits require, and its messages."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CreditGranted:
-    """A holder's credit of an engine, as its owner recorded it for the claim `sequence`."""
+    """The credit that an owner has recorded for a holder after the claim `sequence`."""
 
     engine_id: str
     sequence: int
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CreditReturn:
-    """A holder gives up its whole credit of an engine."""
+    """A holder releases its entire credit of an engine."""
 
     engine_id: str
     holder: str
@@ -36,14 +36,14 @@
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
     ) -> list[ClaimAnswer] | OwnerUnreachable:
-        """Send claims to the owner of their engines and return one answer for each."""
+        """Send claims to the owner of the engines and return one answer per claim."""
 
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
     ) -> OwnerUnreachable | None:
-        """Give credits back; those that do not arrive expire."""
+        """Release credits; if the message is lost, they expire."""
 
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
     ) -> list[CreditClaim] | OwnerUnreachable:
-        """Return the credit of these engines that a member holds."""
+        """Return the credit of the given engines that a member holds."""
--- a/packages/entry/src/wasabiwell_entry/coordination/health/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/__init__.py
@@ -1,4 +1,4 @@
-"""Believes targets to be well, failing, lost or gone."""
+"""Estimates whether targets are healthy, failing, paused or leaving."""
 
 from wasabiwell_entry.coordination.health.coordinator import TargetHealth
 
--- a/packages/entry/src/wasabiwell_entry/coordination/health/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/const.py
@@ -1,12 +1,12 @@
-"""Constants of the beliefs about targets."""
+"""Constants of target health."""
 
 from datetime import timedelta
 
 INITIAL_PAUSE = timedelta(milliseconds=600)
-"""A lost target gets no request for this long; engines that crash are back after seconds."""
+"""Time for which a lost target gets no requests; crashed engines restart within seconds."""
 MAX_PAUSE = timedelta(seconds=3)
-"""The pause doubles with each further loss up to this."""
+"""Maximum pause; the pause doubles with each consecutive loss."""
 FAILURE_HALF_LIFE = timedelta(seconds=3)
-"""Time in which observed failures lose half of their weight: failing targets recover in seconds."""
+"""Half-life of the failure count; failing targets recover within seconds."""
 PRIOR_ANSWERS = 3.0
-"""Answers that are assumed of each target, so that one failure does not condemn it."""
+"""Assumed prior responses of each target, so that one failure does not dominate its rate."""
--- a/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
@@ -1,4 +1,4 @@
-"""Beliefs about targets, from the platform's list and from how requests fared on them."""
+"""Target health, derived from the platform's listing and the outcomes of requests."""
 
 from dataclasses import dataclass
 
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True)
 class _TargetState:
-    """What is believed of one target; times are in monotonic seconds."""
+    """Health estimate of one target; times are in monotonic seconds."""
 
     target: Target
     leaving: bool = False
@@ -28,7 +28,7 @@
 
 
 class TargetHealth:
-    """Keeps the beliefs of one entry instance; implements `TargetHealthPort`."""
+    """Health estimates of one entry instance; implements `TargetHealthPort`."""
 
     __slots__ = ("_clock", "_states")
 
@@ -37,7 +37,7 @@
         self._states: dict[str, _TargetState] = {}
 
     def update(self, listed: list[ListedTarget]) -> None:
-        """Take over the platform's list."""
+        """Update the targets from the platform's listing."""
         states: dict[str, _TargetState] = {}
         for item in listed:
             state = self._states.get(item.target.target_id)
@@ -50,19 +50,19 @@
         self._states = states
 
     def listed(self, target: Target) -> bool:
-        """Return whether the target is in the platform's list and is not leaving."""
+        """Return whether the target is in the platform's listing and not leaving."""
         state = self._states.get(target.target_id)
         return state is not None and state.target == target and not state.leaving
 
     def usable(self, target: Target) -> bool:
-        """Return whether the target should get requests."""
+        """Return whether the target may receive requests."""
         state = self._states.get(target.target_id)
         if state is None or state.target != target or state.leaving:
             return False
         return state.paused_until <= self._now()
 
     def failure_rate(self, target: Target) -> float:
-        """Return the recent share of requests that the target failed, from 0 to 1."""
+        """Return the recent failure rate of the target, from 0 to 1."""
         state = self._states.get(target.target_id)
         if state is None:
             return 0.0
@@ -70,7 +70,7 @@
         return state.failures / (PRIOR_ANSWERS + state.answers + state.failures)
 
     def count(self) -> dict[str, float]:
-        """Return the number of targets by what is believed of them."""
+        """Return the number of targets by health state."""
         now = self._now()
         counts = {"well": 0.0, "leaving": 0.0, "paused": 0.0}
         for state in self._states.values():
@@ -83,7 +83,7 @@
         return counts
 
     def record_attempt(self, target_id: str, verdict: AttemptVerdict) -> None:
-        """Take over how a target did on a request, here or at another entry instance."""
+        """Record the outcome of an attempt, made here or by another entry instance."""
         state = self._states.get(target_id)
         if state is None:
             return
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/__init__.py
@@ -1,4 +1,4 @@
-"""Limits of organisations."""
+"""Rate and concurrency limits of organisations."""
 
 from wasabiwell_entry.coordination.limits.coordinator import LimitCoordinator
 
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
@@ -1,4 +1,4 @@
-"""Limits of organisations, shared over entry instances by leased shares."""
+"""Enforces organisation limits across entry instances by leasing shares of them."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -33,13 +33,13 @@
 
 @dataclass(slots=True)
 class _Bucket:
-    """Token bucket; `level` can be below zero by the last request's size."""
+    """Token bucket; the last request may push `level` below zero."""
 
     level: float
     updated: timedelta
 
     def refill(self, rate: float, now: timedelta) -> None:
-        """Add what has accrued, up to the burst."""
+        """Add the tokens accrued since the last update, up to the burst size."""
         self.level += rate * (now - self.updated).total_seconds()
         self.level = min(self.level, max(1.0, rate * BURST_PERIOD.total_seconds()))
         self.updated = now
@@ -47,7 +47,7 @@
 
 @dataclass(slots=True)
 class _HeldLimit:
-    """An organisation's limits at a holder."""
+    """Limit state of one organisation at a holder."""
 
     organisation: Organisation
     requests: _Bucket
@@ -66,7 +66,7 @@
 
 
 class LimitCoordinator:
-    """Holder's and owner's side of limits at one entry instance."""
+    """Holder and owner side of organisation limits at one entry instance."""
 
     __slots__ = ("_clock", "_held", "_members", "_organisation", "_own", "_owned", "_port")
 
@@ -87,13 +87,13 @@
         self._owned: dict[str, OwnedLimit] = {}
 
     async def run(self) -> None:
-        """Renew the shares in use until cancelled, with one message to each owner."""
+        """Renew the shares in use periodically until cancelled."""
         while True:
             await self._clock.sleep(RENEW_INTERVAL)
             await self.renew()
 
     async def renew(self) -> None:
-        """Renew the shares in use once."""
+        """Renew the shares in use, with one message to each owner."""
         now = self._clock.monotonic()
         self._remove_idle(now)
         by_owner: dict[str, tuple[Member, list[_HeldLimit]]] = {}
@@ -106,7 +106,7 @@
                 nursery.start_soon(self._acquire, owner, items)
 
     async def ensure_share(self, organisation: Organisation, size: SizeClass) -> None:
-        """Ask the owner when no share is held, or no long request is left of the share."""
+        """Request a share if none is valid, a rate is exhausted or a long request exceeds it."""
         if organisation.limits == Limits():
             return
         held = self._ensure_held(organisation)
@@ -120,7 +120,7 @@
             held.waiting_long -= long
 
     async def _request_share(self, held: _HeldLimit) -> None:
-        """Ask for what still lacks; an owner that did not give it is not asked again at once."""
+        """Request a share, at most once per interval after one that was insufficient."""
         now = self._clock.monotonic()
         recently = held.refused_at is not None and now - held.refused_at < SHARE_REQUEST_INTERVAL
         owner = self._owner(held.organisation.name)
@@ -133,7 +133,7 @@
     def try_acquire(
         self, organisation: Organisation, tokens: int, size: SizeClass
     ) -> LimitLease | LimitExceeded:
-        """Take leave for one request of `tokens` tokens, prompt and answer together."""
+        """Acquire a lease for one request of `tokens` prompt and output tokens."""
         lease = LimitLease(organisation.name, size, tokens)
         if organisation.limits == Limits():
             return lease
@@ -150,7 +150,7 @@
         ):
             if rate is not None:
                 bucket.refill(rate, now)
-                # A request larger than the burst passes on a full bucket and leaves a debt.
+                # A request larger than the burst passes when the bucket is full and overdraws it.
                 needed = min(1.0 if bucket is held.requests else float(tokens), _burst(rate))
                 if bucket.level < needed:
                     held.rate_exhausted = True
@@ -161,17 +161,17 @@
         return lease
 
     def release_lease(self, lease: LimitLease) -> None:
-        """Tell that a request has ended."""
+        """Release the lease of a request that has ended."""
         held = self._held.get(lease.organisation)
         if held is not None and lease.size is SizeClass.LONG:
             held.running_long = max(0, held.running_long - 1)
 
     async def serve(self, request: LimitRequest) -> LimitGrant:
-        """Answer another holder as the owner."""
+        """Answer the share request of another holder."""
         return self.grant(request)
 
     def grant(self, request: LimitRequest) -> LimitGrant:
-        """Return shares of the organisations that this instance owns."""
+        """Grant shares of the limits of organisations that this instance owns."""
         now = self._clock.monotonic()
         members = self._region_members()
         fraction = len(members) / max(1, len(self._members.alive()))
@@ -203,7 +203,7 @@
                 held_limit.expires = now + share.lifetime
 
     def _current_share(self, held: _HeldLimit, now: timedelta) -> LimitShare:
-        """Return the share in force; without one, the limit divided by the live members."""
+        """Return the valid share, or else the limit divided by the number of live members."""
         if held.share is not None and held.expires > now:
             return held.share
         limits, members = held.organisation.limits, max(1, len(self._members.alive()))
@@ -227,7 +227,7 @@
         if held is None:
             members = max(1, len(self._members.alive()))
             limits = organisation.limits
-            # A new holder starts with its even part of one burst, not with a burst of the limit.
+            # A new holder starts with an equal share of one burst, not with the whole burst.
             held = _HeldLimit(
                 organisation,
                 _Bucket(_initial_level(limits.requests_per_second, members), now),
@@ -255,7 +255,7 @@
 
 
 def _demand(held: _HeldLimit, now: timedelta) -> LimitDemand:
-    """Return the demand since the last question and begin a new count."""
+    """Return the demand since the last share request and reset the counters."""
     seconds = max(1.0, (now - held.demand_since).total_seconds())
     demand = LimitDemand(
         held.organisation.name,
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/ports.py
@@ -1,4 +1,4 @@
-"""What limits need of the other layers."""
+"""Interfaces that limits require from other layers."""
 
 from typing import Protocol
 
@@ -8,7 +8,7 @@
 
 
 class LimitOwnerPort(Protocol):
-    """Messages to the owners of limits."""
+    """Messages to the owners of organisation limits."""
 
     async def acquire(self, owner: Member, request: LimitRequest) -> LimitGrant | OwnerUnreachable:
-        """Ask another entry instance for shares."""
+        """Request shares from another entry instance."""
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/shares.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/shares.py
@@ -1,4 +1,4 @@
-"""Shares of limits: what holders ask for, and how an owner divides a limit among them."""
+"""Shares of organisation limits: the messages, and how an owner divides a limit."""
 
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitDemand:
-    """Demand of a holder: rates of requests and tokens, and long requests wanted at once."""
+    """A holder's demand: request and token rates, and concurrent long requests."""
 
     organisation: str
     requests_per_second: float
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitRequest:
-    """A holder's demand for organisations with one owner."""
+    """A holder's demand for all organisations that one instance owns."""
 
     node_id: str
     demands: list[LimitDemand]
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitShare:
-    """A share of an organisation's limits for `lifetime`; None means no limit."""
+    """A share of an organisation's limits, valid for `lifetime`; None means unlimited."""
 
     organisation: str
     requests_per_second: float | None
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitGrant:
-    """Shares, in the order of the demands; organisations that are not known are left out."""
+    """Granted shares, in the order of the demands; unknown organisations are omitted."""
 
     shares: list[LimitShare]
 
@@ -53,14 +53,14 @@
 
 @dataclass(slots=True)
 class OwnedLimit:
-    """One organisation's limits at their owner, with the shares that holders have."""
+    """Shares of one organisation's limits that the owner has granted."""
 
     holders: dict[str, _Holder] = field(default_factory=dict)
 
     def grant(
         self, node_id: str, demand: LimitDemand, limits: Limits, members: int, now: timedelta
     ) -> LimitShare:
-        """Return a share by demand; all shares that have not expired never exceed the limits."""
+        """Grant a share in proportion to demand; unexpired shares never exceed the limits."""
         self.holders = {
             name: holder for name, holder in self.holders.items() if holder.expires > now
         }
@@ -95,12 +95,12 @@
     if limit is None:
         return None
     floor = MIN_DEMAND_FRACTION * limit / max(1, members)
-    own = max(demand, floor)
-    # One more than the members, so that an instance that starts finds a share that is not leased.
+    requested = max(demand, floor)
+    # One extra member, so that a starting instance finds a share that is not leased yet.
     absent = 1 + max(0, members - 1 - len(others))
-    total = own + absent * floor + sum(max(other, floor) for other, _ in others)
+    total = requested + absent * floor + sum(max(other, floor) for other, _ in others)
     available = limit - sum(share or 0.0 for _, share in others)
-    return max(0.0, min(limit * own / total, available))
+    return max(0.0, min(limit * requested / total, available))
 
 
 def _long_share(limit: int | None, wanted: int, others: list[_Holder]) -> int | None:
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/__init__.py
@@ -1,4 +1,4 @@
-"""Reserves, renews and returns memory of engines."""
+"""Reserves, renews and releases engine memory."""
 
 from wasabiwell_entry.coordination.reservations.coordinator import EngineReservations
 
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/const.py
@@ -1,10 +1,10 @@
-"""Constants of reservations at engines."""
+"""Constants of engine reservations."""
 
 from datetime import timedelta
 
 RENEWAL_INTERVAL = timedelta(seconds=8)
-"""Time between renewals of an engine reservation, which expires after 30 s."""
+"""Default renewal interval; engine reservations expire after 30 s."""
 MAX_CONCURRENT_CALLS = 16
-"""Calls to engines at once, so that a silent engine does not delay the others."""
+"""Maximum number of concurrent calls, so that a silent engine does not delay the others."""
 STOP_TIMEOUT = timedelta(seconds=1)
-"""Time to return reservations on stop; what is not returned expires."""
+"""Timeout for releasing reservations on shutdown; unreleased ones expire."""
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
@@ -1,4 +1,4 @@
-"""Memory reserved at engines for the holds of this entry instance."""
+"""Manages the engine memory reserved by this entry instance."""
 
 from dataclasses import dataclass
 from datetime import timedelta
@@ -18,17 +18,17 @@
 
 @dataclass(slots=True)
 class _Reservation:
-    """A reservation that is held, and when it is renewed next."""
+    """An active reservation and the time of its next renewal."""
 
     target: Target
     renew_at: timedelta
 
 
 class EngineReservations:
-    """Reserves, renews and returns memory of engines.
+    """Reserves, renews and releases engine memory.
 
-    Returns and renewals are calls to engines, which may be silent, so they have a task of their
-    own. What is neither renewed nor returned expires at the engine.
+    Releases and renewals run in a separate task, because they are calls to engines that may not
+    answer. Reservations that are neither renewed nor released expire at the engine.
     """
 
     __slots__ = ("_clock", "_held", "_pending_returns", "_port", "_renewal_interval", "_wake")
@@ -46,7 +46,7 @@
     async def reserve(
         self, target: Target, owner: str, tokens: int
     ) -> Reserved | ReservationRefused:
-        """Reserve memory; cancellation waits for the answer, so that its id is not lost."""
+        """Reserve memory; shielded from cancellation, so that the reservation id is not lost."""
         with trio.CancelScope(shield=True):
             outcome = await self._port.reserve(target, owner, tokens)
         match outcome:
@@ -59,14 +59,14 @@
         return outcome
 
     def release(self, reservation_id: str) -> None:
-        """Return memory in the background; an unknown id is ignored."""
+        """Release a reservation in the background; an unknown id is ignored."""
         held = self._held.pop(reservation_id, None)
         if held is not None:
             self._pending_returns.append((held.target, reservation_id))
             self._wake.set()
 
     async def run(self) -> None:
-        """Return and renew reservations until cancelled, then return all."""
+        """Release and renew reservations until cancelled, then release all."""
         try:
             while True:
                 await self.process_pending()
@@ -80,7 +80,7 @@
                 await self.process_pending()
 
     async def process_pending(self) -> None:
-        """Make the returns and renewals that are due."""
+        """Perform pending releases and the renewals that are due."""
         returns, self._pending_returns = self._pending_returns, []
         now = self._clock.monotonic()
         limiter = trio.CapacityLimiter(MAX_CONCURRENT_CALLS)
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/errors.py
@@ -1,13 +1,13 @@
-"""Outcomes of reserving memory on engines."""
+"""Outcomes of reserving engine memory."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class ReservationRefused:
-    """An engine has not enough free memory now.
+    """An engine does not have enough free memory, or did not answer.
 
-    `uncertain` tells that it did not answer, so it may still reserve the memory for a while.
+    `uncertain` is set if it did not answer, so that it may hold the reservation until it expires.
     """
 
     reason: str
@@ -16,6 +16,6 @@
 
 @dataclass(frozen=True, slots=True)
 class Reserved:
-    """Memory is held under this id until it is released or expires."""
+    """Memory is reserved under this id until it is released or expires."""
 
     reservation_id: str
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/ports.py
@@ -1,4 +1,4 @@
-"""What reservations need of the other layers."""
+"""Interfaces that reservations require from other layers."""
 
 from typing import Protocol
 
@@ -7,15 +7,15 @@
 
 
 class ReservationPort(Protocol):
-    """Memory reservations at engines."""
+    """Calls to engines that manage memory reservations."""
 
     async def reserve(
         self, target: Target, owner: str, tokens: int
     ) -> Reserved | ReservationRefused:
-        """Reserve memory for `tokens` tokens of KV cache; it expires when it is not used."""
+        """Reserve KV cache memory for `tokens` tokens; unused reservations expire."""
 
     async def renew(self, target: Target, reservation_id: str) -> None:
-        """Start the lifetime of a reservation anew; an unknown one is ignored."""
+        """Restart the lifetime of a reservation; an unknown one is ignored."""
 
     async def release(self, target: Target, reservation_id: str) -> None:
-        """Give a reservation back; an unknown one is ignored."""
+        """Release a reservation; an unknown one is ignored."""
--- a/packages/entry/src/wasabiwell_entry/coordination/targets/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/__init__.py
@@ -1,4 +1,4 @@
-"""Knowledge of targets."""
+"""Tracks the instance list, load and prefix caches of targets."""
 
 from wasabiwell_entry.coordination.targets.coordinator import TargetCoordinator
 
--- a/packages/entry/src/wasabiwell_entry/coordination/targets/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/coordinator.py
@@ -1,4 +1,4 @@
-"""Follows the instance list and the load of engines."""
+"""Tracks the instance list and polls the load and prefix caches of engines."""
 
 from collections.abc import Callable
 
@@ -28,7 +28,7 @@
 
 
 class TargetCoordinator:
-    """Keeps the target table of one entry instance; one task polls each engine."""
+    """Maintains the target table of one entry instance, with one polling task per engine."""
 
     __slots__ = ("_clock", "_loads", "_marks", "_node_id", "_observers", "_poll_scopes", "_targets")
 
@@ -45,11 +45,11 @@
         marks.subscribe(LEAVING_KIND, self._apply_mark)
 
     def observe(self, observer: Callable[[], None]) -> None:
-        """Call an observer after each load report."""
+        """Register an observer that is called after each load report."""
         self._observers.append(observer)
 
     async def run(self) -> None:
-        """Poll the load of each engine in a task of its own until cancelled."""
+        """Poll each engine in a separate task until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 for status in self._targets:
@@ -64,7 +64,7 @@
                 await self._clock.sleep(INSTANCE_LIST_INTERVAL)
 
     def update_instances(self, records: list[InstanceRecord]) -> None:
-        """Take over the targets of the instance list."""
+        """Update the target table from the instance list."""
         targets = [record for record in records if record.role != "entry"]
         for record in targets:
             status = self._targets.put(_to_target(record))
@@ -74,11 +74,11 @@
                 self._poll_scopes[target_id].cancel()
 
     def instances(self) -> list[InstanceRecord]:
-        """Return the known targets in the form of the instance list."""
+        """Return the targets as records of the instance list."""
         return [_to_record(status) for status in self._targets]
 
     def drain(self, target_id: str, leaving: bool = True) -> bool:
-        """Set or withdraw an operator's mark; return False when the target is not known."""
+        """Set or clear the operator's leaving mark; return False if the target is unknown."""
         status = self._targets.get(target_id)
         if status is None:
             return False
@@ -92,7 +92,7 @@
         return True
 
     def target_lost(self, failure: TargetFailure) -> None:
-        """Note that a target may have died; it gets no request for a while."""
+        """Record that a target may have crashed; it gets no requests for some time."""
         status = self._targets.get(failure.target_id)
         if status is None:
             return
@@ -101,13 +101,13 @@
         status.lost_at = failure.at
 
     def target_answered(self, target_id: str) -> None:
-        """Note that a target answered."""
+        """Record a response of a target, which is therefore not lost."""
         status = self._targets.get(target_id)
         if status is not None:
             status.lost_at = None
 
     def _update_leaving(self, status: TargetStatus, leaving: bool, source: bytes) -> None:
-        """Publish what a source says of a target; only the publisher takes its mark back."""
+        """Publish or clear a source's leaving mark; only the publisher clears its own mark."""
         key = _mark_key(status.target)
         mark = self._marks.mark(LEAVING_KIND, key)
         marked = mark is not None and mark.active
@@ -161,12 +161,12 @@
             case CacheReport() as report:
                 update_cache(status, report)
             case LoadUnavailable():
-                # The load query decides whether the engine is lost; old hints stay in use.
+                # Only the load query decides whether an engine is lost; cached hints stay in use.
                 return
 
 
 def update_cache(status: TargetStatus, report: CacheReport) -> None:
-    """Take over changes of a prefix cache; an engine that restarted begins anew."""
+    """Apply prefix cache events; the cache is cleared first if the engine has restarted."""
     if report.last < status.cache_position:
         status.cached_prefixes.clear()
     status.cache_position = report.last
--- a/packages/entry/src/wasabiwell_entry/coordination/targets/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/errors.py
@@ -1,4 +1,4 @@
-"""Outcomes of asking a target for its load."""
+"""Failed outcomes of load queries."""
 
 from dataclasses import dataclass
 
--- a/packages/entry/src/wasabiwell_entry/coordination/targets/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/ports.py
@@ -1,4 +1,4 @@
-"""What the knowledge of targets needs of the other layers."""
+"""Interfaces that target tracking requires from other layers."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Answer of an engine to a load query."""
+    """Response of an engine to a load query."""
 
     load: EngineLoad
     leaving: bool
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CacheEvent:
-    """A prefix block was stored in an engine's cache, or evicted from it."""
+    """A prefix block was stored in an engine's cache or evicted from it."""
 
     block: int
     stored: bool
@@ -25,17 +25,17 @@
 
 @dataclass(frozen=True, slots=True)
 class CacheReport:
-    """Changes of an engine's prefix cache up to number `last`; some may be missing."""
+    """Prefix cache events of an engine up to sequence number `last`, possibly incomplete."""
 
     events: tuple[CacheEvent, ...]
     last: int
 
 
 class LoadPort(Protocol):
-    """Queries to engines."""
+    """Load and cache queries to engines."""
 
     async def cache_events(self, target: Target, after: int) -> CacheReport | LoadUnavailable:
-        """Return the changes of an engine's prefix cache after a number."""
+        """Return the prefix cache events after sequence number `after`."""
 
     async def load(self, target: Target) -> LoadReport | LoadUnavailable:
-        """Return the load that an engine reports, which lags behind."""
+        """Return the load that an engine reports, which may be out of date."""
--- a/tests/entry/coordination/admission/admission.feature
+++ b/tests/entry/coordination/admission/admission.feature
@@ -1,6 +1,6 @@
 Feature: Admission
-  Guards against long prompts that block short ones, against capacity that is never given back, and
-  against prompts that hold a part of the memory they need.
+  Guards against long prompts that block short ones, against capacity that is never released, and
+  against prompts that hold only part of the memory they need.
 
   Scenario: A long prompt without capacity does not block a short one
     Given 2 engines of 400000 tokens, of which 300000 are used by others
@@ -17,7 +17,7 @@
     Then the request of 150000 tokens waits
     And the request of 4000 tokens is placed
 
-  Scenario: A waiting request is placed when capacity is given back
+  Scenario: A queued request is placed when capacity is released
     Given 1 engines of 400000 tokens, of which 0 are used by others
     When a request of 200000 tokens is sent
     And a request of 150000 tokens is sent
@@ -30,29 +30,29 @@
     Then the request of 900000 tokens is placed
     And memory was reserved in ascending order of engines for all of it
     When the request of 900000 tokens ends
-    Then all capacity is back
+    Then all capacity is released
 
-  Scenario: A refused reservation gives all parts back
+  Scenario: A refused reservation releases all parts
     Given 4 engines of 400000 tokens, of which 0 are used by others
     And engine 2 refuses reservations
     When a request of 900000 tokens is sent
     Then the request of 900000 tokens waits
-    And all capacity is back
+    And all capacity is released
 
-  Scenario: Cancelled requests give everything back
+  Scenario: Cancelled requests release all capacity
     Given 4 engines of 400000 tokens, of which 0 are used by others
     When a request of 900000 tokens is sent
     And a request of 200000 tokens is sent
     And a request of 1000 tokens is sent
     And all requests are cancelled
-    Then all capacity is back
+    Then all capacity is released
 
   Scenario: A prompt that no set of engines can hold is refused
     Given 2 engines of 400000 tokens, of which 0 are used by others
     When a request of 900000 tokens is sent
     Then the request of 900000 tokens is refused with "prompt_too_long"
 
-  Scenario: An aged long prompt does not hold up an aged medium one
+  Scenario: An aged long prompt does not block an aged medium one
     Given 1 engines of 400000 tokens, of which 250000 are used by others
     When a request of 200000 tokens is sent
     And 6 seconds pass while they wait
@@ -61,7 +61,7 @@
     When 3 seconds pass while they wait
     Then the request of 50000 tokens is placed
 
-  Scenario: With busy engines each instance uses its even part of the slots
+  Scenario: With busy engines each instance uses its equal share of the slots
     Given 1 engines of 400000 tokens, of which 0 are used by others
     And 3 entry instances share engines on which others run 8 requests
     When a request of 1001 tokens is sent
--- a/tests/entry/coordination/admission/fair_queue.feature
+++ b/tests/entry/coordination/admission/fair_queue.feature
@@ -1,8 +1,9 @@
 Feature: Fair queue
-  Guards against an organisation that starves others, an unbounded queue, and a late refusal.
+  Guards against an organisation that starves others, against an
+  unbounded queue, and against late refusals.
 
-  Scenario: The queue agrees with a simple oracle
-    Then random arrivals and grants come in the order of the oracle and within the bound
+  Scenario: The queue matches a reference model
+    Then random arrivals and grants match the reference model and the queue limit
 
   Scenario: Backlogged organisations share by weight
     Then random backlogs are served within the bound of start-time fair queueing
@@ -20,10 +21,10 @@
     Then a request of organisation "a" with 1000 tokens is refused as "DeadlineUnreachable"
     And a request of organisation "b" with 1000 tokens is queued
 
-  Scenario: Waiting long requests age before short ones
+  Scenario: Aged long requests take precedence over short ones
     Given a fair queue that holds 100 requests of an organisation
     When organisation "a" queues 1 requests of 200000 tokens
     And organisation "b" queues 1 requests of 1000 tokens
-    Then the classes have their turns in the order "short medium long"
+    Then the size classes are scheduled in the order "short medium long"
     When 6 seconds pass
-    Then the classes have their turns in the order "long short medium"
+    Then the size classes are scheduled in the order "long short medium"
--- a/tests/entry/coordination/health/health.feature
+++ b/tests/entry/coordination/health/health.feature
@@ -1,7 +1,7 @@
-Feature: Beliefs about targets
-  Guards against requests for targets that are gone, and against targets that are shunned for good.
+Feature: Target health
+  Guards against requests to unreachable targets, and against targets that are excluded forever.
 
-  Scenario: A lost target pauses, longer each time, and is used again after an answer
+  Scenario: A lost target is paused with backoff, which a response resets
     Given a listed target
     When it is lost
     Then it is not usable for 0.6 seconds
@@ -11,26 +11,26 @@
     And it is lost
     Then it is not usable for 0.6 seconds
 
-  Scenario: Losses that are reported at one time count once
+  Scenario: Losses reported during a pause count once
     Given a listed target
     When it is lost
     And it is lost
     Then it is not usable for 0.6 seconds
 
-  Scenario: Failures weigh less as time passes
+  Scenario: The failure rate decays over time
     Given a listed target
     When it fails 6 requests
-    Then its share of failures is over 0.5
+    Then its failure rate is above 0.5
     When 12 seconds pass for it
-    Then its share of failures is under 0.2
+    Then its failure rate is below 0.2
 
-  Scenario: A target that leaves does not come back under its incarnation
+  Scenario: A leaving target stays unusable under the same incarnation
     Given a listed target
-    When the list calls it leaving, and ready again a moment later
+    When the listing shows it as leaving, and as ready again afterwards
     Then it is not usable
 
-  Scenario: Nothing is believed of a target that started anew
+  Scenario: A restarted target starts with a clean health state
     Given a listed target
     When it is lost
-    And the list shows it with another incarnation
+    And the listing shows it with another incarnation
     Then it is usable
--- a/tests/steps/entry/coordination/admission_steps.py
+++ b/tests/steps/entry/coordination/admission_steps.py
@@ -1,4 +1,4 @@
-"""Steps for admission."""
+"""Steps for admission control."""
 
 from contextlib import ExitStack
 from dataclasses import dataclass, field
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class Sent:
-    """A request in a scenario: its outcome so far, and how to end or cancel it."""
+    """A request in a scenario, with its outcome and the means to end or cancel it."""
 
     tokens: int
     outcome: Placement | Refused | None = None
@@ -84,7 +84,7 @@
 
 
 def check_after_actions(context: Context, check: object) -> None:
-    """Run the actions so far in one trio run, and the check at their end."""
+    """Run the recorded actions, followed by the check, in one trio run."""
 
     async def run() -> None:
         sent: list[Sent] = []
@@ -119,12 +119,12 @@
 
 
 def _reset(context: Context) -> None:
-    """Check that the end of a run leaves nothing held, so that the next one begins anew."""
+    """Check that the run has released everything, so that the next one starts clean."""
     assert_nothing_held(context)
 
 
 def assert_nothing_held(context: Context) -> None:
-    """Fail when capacity, reservations or leave of limits are still held."""
+    """Fail if capacity or reservations are still held."""
     held = [
         (item.outstanding, item.outstanding_tokens, item.long_tokens) for item in context.targets
     ]
@@ -170,8 +170,8 @@
     assert sum(tokens for _, tokens in context.reservations.order) == 900_000
 
 
-@then("all capacity is back")
-def step_back(context: Context) -> None:
+@then("all capacity is released")
+def step_released(context: Context) -> None:
     def check(outcomes: dict[int, Placement | Refused | None]) -> None:
         assert_nothing_held(context)
 
--- a/tests/steps/entry/coordination/credits_steps.py
+++ b/tests/steps/entry/coordination/credits_steps.py
@@ -17,14 +17,14 @@
 NOW = timedelta(minutes=1)
 
 
-@then("{count:d} random histories of credits with lost, repeated and late messages keep the rules")
+@then("{count:d} random credit histories with lost, repeated and late messages keep the invariants")
 def step_credit_histories(context: Context, count: int) -> None:
     run_histories(CreditMachine, count)
 
 
 @then(
-    "{count:d} random histories of reservations with refusals, cancellation and deaths keep the "
-    "rules"
+    "{count:d} random reservation histories with refusals, cancellation and crashes keep the "
+    "invariants"
 )
 def step_reservation_histories(context: Context, count: int) -> None:
     run_histories(ReservationMachine, count)
@@ -36,7 +36,7 @@
 
 
 def claim(holder: str, sequence: int, wanted: int, current: int = 0) -> CreditClaim:
-    """Return a claim of slots, none of which is in use."""
+    """Return a claim for slots, none of which are in use."""
     return CreditClaim("e", holder, sequence, slots(wanted), slots(current), NOTHING)
 
 
@@ -49,17 +49,17 @@
     assert context.pool.valid(NOW) == slots(count)
 
 
-@when("the holder claims what it still wants and the answer is lost")
+@when("the holder sends its next claim and the answer is lost")
 def step_claim_lost(context: Context) -> None:
     context.pool.claim(NOW)
 
 
-@then("the holder may spend {count:d} slots")
-def step_may_spend(context: Context, count: int) -> None:
+@then("the holder may use {count:d} slots")
+def step_may_use(context: Context, count: int) -> None:
     assert context.pool.valid(NOW) == slots(count)
 
 
-@given("an owner of {count:d} slots that recorded nothing")
+@given("an owner of {count:d} slots without recorded credits")
 def step_ledger(context: Context, count: int) -> None:
     context.ledger = CreditLedger("e", CREDIT_LIFETIME)
     context.ledger.report(slots(count), NOTHING)
@@ -133,8 +133,8 @@
     context.engine = next(name for name in ENGINES if owners.owner(name).node_id == "n-1")
 
 
-@when("the holder keeps asking for {tokens:d} tokens")
-def step_keep_asking(context: Context, tokens: int) -> None:
+@when("the holder keeps requesting {tokens:d} tokens")
+def step_keep_requesting(context: Context, tokens: int) -> None:
     machine, holder = context.machine, context.machine.holders[0]
 
     async def ask() -> timedelta:
@@ -155,7 +155,7 @@
     context.waited = trio.run(ask)
 
 
-@then("it gets them only after one lifetime, and {tokens:d} tokens never")
+@then("it gets them only after one lifetime, and never gets {tokens:d} tokens")
 def step_only_after(context: Context, tokens: int) -> None:
     assert context.waited >= CREDIT_LIFETIME, context.waited
     holder = context.machine.holders[0]
--- a/tests/steps/entry/coordination/fair_queue_steps.py
+++ b/tests/steps/entry/coordination/fair_queue_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the fair queue, with a simple oracle of start-time fair queueing."""
+"""Steps for the fair queue, with a reference model of start-time fair queueing."""
 
 from datetime import timedelta
 
@@ -19,8 +19,8 @@
 DETERMINISTIC = settings(derandomize=True, database=None, deadline=None, max_examples=300)
 
 
-class Oracle:
-    """Tags by the definition, over plain lists that are searched whole."""
+class ReferenceQueue:
+    """Reference model that computes tags by definition and searches plain lists."""
 
     def __init__(self) -> None:
         self.waiting: list[tuple[float, int, str, SizeClass]] = []
@@ -28,7 +28,7 @@
         self.virtual = dict.fromkeys(SizeClass, 0.0)
 
     def arrive(self, number: int, name: str, size: SizeClass, tokens: int) -> bool:
-        """Add a request; return whether the bound allows it."""
+        """Add a request; return False if the organisation's queue is full."""
         if sum(item[2] == name for item in self.waiting) >= MAX_QUEUED:
             return False
         start = max(self.virtual[size], self.finish.get((name, size), 0.0))
@@ -37,7 +37,7 @@
         return True
 
     def next(self, size: SizeClass) -> int | None:
-        """Take out and return the number of the next request of a class."""
+        """Remove the next request of a class and return its number."""
         ready = [item for item in self.waiting if item[3] is size]
         if not ready:
             return None
@@ -47,17 +47,17 @@
         return first[1]
 
 
-@then("random arrivals and grants come in the order of the oracle and within the bound")
+@then("random arrivals and grants match the reference model and the queue limit")
 def step_oracle(context: Context) -> None:
     @DETERMINISTIC
     @for_all(OPERATIONS)
     def check(operations: list[tuple[str, int] | SizeClass]) -> None:
-        queue, oracle = FairQueue(ManualClock(), MAX_QUEUED), Oracle()
+        queue, reference = FairQueue(ManualClock(), MAX_QUEUED), ReferenceQueue()
         numbers: dict[str, int] = {}
         for number, operation in enumerate(operations):
             if isinstance(operation, SizeClass):
                 waiting = queue.in_grant_order(operation)
-                expected = oracle.next(operation)
+                expected = reference.next(operation)
                 assert (numbers[waiting[0].request.request_id] if waiting else None) == expected
                 if waiting:
                     queue.grant(waiting[0])
@@ -65,10 +65,10 @@
             name, tokens = operation
             request = make_request(tokens, name, number=number)
             numbers[request.request_id] = number
-            accepted = oracle.arrive(number, name, request.size, tokens)
+            accepted = reference.arrive(number, name, request.size, tokens)
             queued = queue.enqueue(request, WEIGHTS[name], frozenset())
             assert isinstance(queued, QueuedRequest) == accepted
-            assert len(queue) == len(oracle.waiting) <= MAX_QUEUED * len(WEIGHTS)
+            assert len(queue) == len(reference.waiting) <= MAX_QUEUED * len(WEIGHTS)
 
     check()
 
@@ -133,6 +133,6 @@
     assert isinstance(context.queue.enqueue(request, 1.0, frozenset()), QueuedRequest)
 
 
-@then('the classes have their turns in the order "{order}"')
+@then('the size classes are scheduled in the order "{order}"')
 def step_classes(context: Context, order: str) -> None:
     assert [size.value for size, _ in context.queue.classes_in_grant_order()] == order.split()
--- a/tests/steps/entry/coordination/limits_steps.py
+++ b/tests/steps/entry/coordination/limits_steps.py
@@ -1,4 +1,4 @@
-"""Steps for limits of organisations."""
+"""Steps for organisation limits."""
 
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -29,7 +29,7 @@
 
 @dataclass(slots=True)
 class FakeOwners:
-    """Messages between the instances of a scenario, counted."""
+    """Delivers and counts the messages between the instances of a scenario."""
 
     instances: dict[str, LimitCoordinator] = field(default_factory=dict)
     messages: int = 0
@@ -44,7 +44,7 @@
         return self.instances[owner.node_id].grant(request)
 
 
-@then("random demands of holders never get more than the limit together")
+@then("shares granted for random demands never exceed the limit in total")
 def step_shares(context: Context) -> None:
     operations = st.lists(
         st.tuples(st.integers(0, 4), st.floats(0, 500), st.integers(0, 9), st.floats(0.1, 20.0)),
@@ -104,7 +104,7 @@
     context.passed = 0
 
 
-@when("each instance is asked for {rate:d} requests per second for {seconds:d} seconds")
+@when("each instance receives {rate:d} requests per second for {seconds:d} seconds")
 def step_ask(context: Context, rate: int, seconds: int) -> None:
     async def run() -> None:
         for number in range(round(timedelta(seconds=seconds) / STEP)):
@@ -153,12 +153,12 @@
         trio.run(renew_all)
 
 
-@then('the long requests "{expected}" passed')
+@then('the long requests were admitted as "{expected}"')
 def step_long_passed(context: Context, expected: str) -> None:
     assert context.long_passed == [int(item) for item in expected.split()], context.long_passed
 
 
-@then("between {low:d} and {high:d} requests passed")
+@then("between {low:d} and {high:d} requests were admitted")
 def step_passed(context: Context, low: int, high: int) -> None:
     assert low <= context.passed <= high, context.passed
 
--- a/tests/steps/entry/coordination/owner_loss_steps.py
+++ b/tests/steps/entry/coordination/owner_loss_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the loss of an engine's owner, with real processes."""
+"""Steps for the crash of an engine's owner, with real processes."""
 
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -15,7 +15,7 @@
 MAX_TOKENS = 24
 PROMPTS = (1_000, 2_000, 5_000, 60_000)
 UNLISTED_AFTER_SECONDS = 5
-"""The dead owner stays on the lagging instance list for longer than a credit's lifetime."""
+"""The killed owner stays on the delayed instance list for longer than a credit's lifetime."""
 
 
 def owner_process(fleet: Fleet, engine: str) -> Process:
@@ -30,7 +30,7 @@
 
 
 def send_until(fleet: Fleet, address: str, caller: int, end: float) -> list[ChatResult]:
-    """Send requests one after the other until a time."""
+    """Send requests sequentially until the time `end`."""
     keys = list(fleet.deployment.organisations.values())
     results: list[ChatResult] = []
     while time.monotonic() < end:
@@ -43,13 +43,13 @@
 
 
 def used_tokens(engine: Process) -> int:
-    """Return the memory that an engine has in use."""
+    """Return the number of tokens that an engine has in use."""
     reply = request("GET", engine.address, "/control")
     return int(msgspec.json.decode(reply.content)["used_tokens"])
 
 
-@when("a caller gives up a prompt of {tokens:d} tokens after {seconds:d} second")
-def step_give_up(context: Context, tokens: int, seconds: int) -> None:
+@when("a caller abandons a prompt of {tokens:d} tokens after {seconds:d} second")
+def step_abandon(context: Context, tokens: int, seconds: int) -> None:
     fleet = context.fleet
     key = next(iter(fleet.deployment.organisations.values()))
     messages = make_messages(tokens, "given up")
@@ -79,7 +79,7 @@
         context.results = [result for future in futures for result in future.result()]
 
 
-@then("each of at least {count:d} requests got its own whole answer")
+@then("at least {count:d} requests were sent and each got its own complete response")
 def step_whole(context: Context, count: int) -> None:
     errors = [result.error for result in context.results if result.error]
     assert not errors, errors
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -1,4 +1,4 @@
-"""Steps for beliefs about targets, the budget of repeats and the graceful stop."""
+"""Steps for target health, the retry budget and the graceful stop."""
 
 from datetime import timedelta
 
@@ -18,7 +18,7 @@
 SERVICE = "s"
 GRACE = timedelta(seconds=8)
 TOLERANCE = 0.11
-"""The open requests are counted every 100 ms."""
+"""Seconds; the stop polls the number of open requests every 100 ms."""
 
 
 @given("a listed target")
@@ -54,13 +54,13 @@
     context.clock.advance(timedelta(seconds=seconds))
 
 
-@when("the list calls it leaving, and ready again a moment later")
+@when("the listing shows it as leaving, and as ready again afterwards")
 def step_leaving(context: Context) -> None:
     context.health.update([ListedTarget(context.target, True)])
     context.health.update([ListedTarget(context.target, False)])
 
 
-@when("the list shows it with another incarnation")
+@when("the listing shows it with another incarnation")
 def step_incarnation(context: Context) -> None:
     context.target = make_target(0, incarnation=2)
     context.health.update([ListedTarget(context.target, False)])
@@ -85,17 +85,17 @@
     assert not context.health.usable(context.target)
 
 
-@then("its share of failures is over {share:g}")
-def step_over(context: Context, share: float) -> None:
-    assert context.health.failure_rate(context.target) > share
+@then("its failure rate is above {rate:g}")
+def step_above(context: Context, rate: float) -> None:
+    assert context.health.failure_rate(context.target) > rate
 
 
-@then("its share of failures is under {share:g}")
-def step_under(context: Context, share: float) -> None:
-    assert context.health.failure_rate(context.target) < share
+@then("its failure rate is below {rate:g}")
+def step_below(context: Context, rate: float) -> None:
+    assert context.health.failure_rate(context.target) < rate
 
 
-@given("a budget of {ratio:g} and a slack of {slack:g} in {seconds:d} seconds")
+@given("a retry budget of {ratio:g} and a slack of {slack:g} in {seconds:d} seconds")
 def step_budget(context: Context, ratio: float, slack: float, seconds: int) -> None:
     context.clock = ManualClock()
     context.peer_usage = []
@@ -106,12 +106,12 @@
     )
 
 
-@then("{count:d} repeats were told")
-def step_repeats_told(context: Context, count: int) -> None:
+@then("{count:d} retries were published")
+def step_retries_published(context: Context, count: int) -> None:
     assert context.published == [RepeatNotice(SERVICE)] * count, context.published
 
 
-@given("peers that counted {requests:d} requests and {repeats:d} repeats")
+@given("peers that counted {requests:d} requests and {repeats:d} retries")
 def step_peers(context: Context, requests: int, repeats: int) -> None:
     context.peer_usage = [
         (ServiceUse(SERVICE, requests // 2, repeats // 2),),
@@ -125,18 +125,18 @@
         context.budget.count_request(SERVICE)
 
 
-@when("the budget is {seconds:d} seconds older")
+@when("the retry budget is {seconds:d} seconds older")
 def step_older(context: Context, seconds: int) -> None:
     context.clock.advance(timedelta(seconds=seconds))
 
 
-@then("{count:d} repeats are allowed")
+@then("{count:d} retries are allowed")
 def step_allowed(context: Context, count: int) -> None:
     taken = sum(context.budget.take(SERVICE) for _ in range(1_000))
     assert taken == count, taken
 
 
-@then("{count:d} repeats of another service are allowed")
+@then("{count:d} retries of another service are allowed")
 def step_allowed_other(context: Context, count: int) -> None:
     assert sum(context.budget.take("t") for _ in range(1_000)) == count
 
--- a/tests/support/admission.py
+++ b/tests/support/admission.py
@@ -1,4 +1,4 @@
-"""Fakes and builders of the tests of admission, routing and limits."""
+"""Fakes and builders for tests of admission, routing and limits."""
 
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -44,7 +44,7 @@
 
 
 def make_targets(count: int, now: timedelta, used: int = 0) -> TargetTable:
-    """Return engines `e0`, `e1`, ... of which `e0` is in the own zone `z0`."""
+    """Return engines `e0`, `e1`, ... with one zone each; `e0` is in the local zone `z0`."""
     table = TargetTable()
     for index in range(count):
         target = Target(
@@ -56,7 +56,7 @@
 
 @dataclass(slots=True)
 class FakeReservations:
-    """Reservations in memory; `refusing` are engines that refuse."""
+    """In-memory reservations; the engines in `refusing` refuse all of them."""
 
     held: dict[str, tuple[str, int]] = field(default_factory=dict)
     order: list[tuple[str, int]] = field(default_factory=list)
@@ -75,14 +75,14 @@
         return Reserved(reservation_id)
 
     async def release(self, target: Target, reservation_id: str) -> None:
-        """Give a reservation back."""
+        """Release a reservation."""
         await trio.lowlevel.checkpoint()
         self.held.pop(reservation_id, None)
 
 
 @dataclass(slots=True)
 class CountingLimits:
-    """Limits that let everything pass and count what runs."""
+    """Limits that admit every request and count the running ones."""
 
     running: int = 0
 
@@ -92,7 +92,7 @@
     def try_acquire(
         self, organisation: Organisation, tokens: int, size: SizeClass
     ) -> LimitLease | LimitExceeded:
-        """Let a request pass."""
+        """Admit a request."""
         self.running += 1
         return LimitLease(organisation.name, size, tokens)
 
--- a/tests/support/credit_machine.py
+++ b/tests/support/credit_machine.py
@@ -1,4 +1,4 @@
-"""State machine of credits: real owners and pools, a faulty network, and a simple oracle."""
+"""Hypothesis state machine for credits: real owners and pools with a faulty network."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -35,7 +35,7 @@
 
 @dataclass(slots=True)
 class Message:
-    """A message in flight: a claim or a return to an owner, or a grant to a holder."""
+    """A message in flight: a claim or release to an owner, or a grant to a holder."""
 
     receiver: int
     sender: int
@@ -44,7 +44,7 @@
 
 @dataclass(slots=True)
 class Network:
-    """Answers a new owner's questions; nodes in `unreachable` do not."""
+    """Answers the queries of a new owner, except for the nodes in `unreachable`."""
 
     pools: list[CreditPool]
     clock: ManualClock
@@ -53,7 +53,7 @@
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
     ) -> list[CreditClaim] | OwnerUnreachable:
-        """Return the credit of one node."""
+        """Return the outstanding credit of one node."""
         index = NAMES.index(holder.node_id)
         if index in self.unreachable:
             return OwnerUnreachable("lost")
@@ -91,7 +91,7 @@
 
     @rule(node=NODES, tokens=st.sampled_from((100, 350, 500)), long=st.booleans())
     def take(self, node: int, tokens: int, long: bool) -> None:
-        """Start a request, or note its demand."""
+        """Start a request, or record its demand."""
         amount = Amount(1, tokens, tokens if long else 0)
         self.next_hold += 1
         if self.pools[node].take(self.next_hold, amount, self.clock.monotonic()):
@@ -101,14 +101,14 @@
 
     @rule(node=NODES, count=st.integers(1, 2), tokens=st.sampled_from((100, 500)), fate=DELIVERIES)
     def take_and_exchange(self, node: int, count: int, tokens: int, fate: str) -> None:
-        """Start requests, and ask for credit when there is not enough."""
+        """Start requests and claim credit for those that did not get any."""
         for _ in range(count):
             self.take(node, tokens, False)
         self.exchange(node, fate)
 
     @rule(node=NODES)
     def finish(self, node: int) -> None:
-        """End the requests of a node; a second release of a hold has no effect."""
+        """End the requests of a node; releasing a hold twice has no effect."""
         for owner, hold_id, _ in self.holds:
             if owner == node:
                 assert self.pools[node].give_back(hold_id)
@@ -117,7 +117,7 @@
 
     @rule(node=NODES)
     def send(self, node: int) -> None:
-        """Send a claim, or a return when nothing is wanted."""
+        """Send a claim, or a release if no credit is wanted."""
         pool = self.pools[node]
         owner = self.owners[node].owner(ENGINE)
         receiver = NAMES.index(owner.node_id)
@@ -130,7 +130,7 @@
 
     @rule(node=NODES, fate=DELIVERIES)
     def exchange(self, node: int, fate: str) -> None:
-        """Send a claim; it and its answer arrive, or one of them is lost or late."""
+        """Send a claim; the claim or its answer may be lost or delayed."""
         self.send(node)
         if fate != "late":
             message = self.messages.pop()
@@ -144,7 +144,7 @@
     @precondition(lambda self: self.messages)
     @rule(pick=PICKS, duplicate=st.booleans())
     def deliver(self, pick: int, duplicate: bool) -> None:
-        """Deliver a message in any order, and leave a copy in flight for a duplicate."""
+        """Deliver any message in flight; a duplicate stays in flight as well."""
         index = pick % len(self.messages)
         message = self.messages[index] if duplicate else self.messages.pop(index)
         self._deliver(message)
@@ -152,12 +152,12 @@
     @precondition(lambda self: self.messages)
     @rule(pick=PICKS)
     def lose(self, pick: int) -> None:
-        """Lose a message."""
+        """Drop a message."""
         self.messages.pop(pick % len(self.messages))
 
     @rule(milliseconds=st.sampled_from((200, 1_000, 1_000, 1_600, 3_000, 4_000)))
     def advance(self, milliseconds: int) -> None:
-        """Let time pass; a long step is a pause of all entry instances."""
+        """Advance the clock; a long step is a pause of all entry instances."""
         self.clock.advance(timedelta(milliseconds=milliseconds))
         for pool in self.pools:
             pool.turn_window()
@@ -167,14 +167,14 @@
 
     @rule(node=NODES)
     def leave(self, node: int) -> None:
-        """Change which node leaves, which moves the ownership of its engines."""
+        """Change which node has left, which moves the engine to another owner."""
         if self.isolated is None:
             self.departed = None if self.departed == node else node
             self._set_views()
 
     @rule(node=NODES)
     def isolate(self, node: int) -> None:
-        """Cut a node off, so that the engine can have two owners."""
+        """Partition a node from the others, so that the engine may have two owners."""
         if self.clock.monotonic() >= self.split_until and self.isolated is None:
             self.isolated = node
             self._set_views()
@@ -182,20 +182,23 @@
     @precondition(lambda self: self.isolated is not None)
     @rule()
     def heal(self) -> None:
-        """Join the cut-off node again."""
+        """End the network partition."""
         self.isolated = None
         self.split_until = self.clock.monotonic() + CREDIT_LIFETIME
         self._set_views()
 
     @rule(node=NODES, lost=st.sets(NODES, max_size=1))
     def collect(self, node: int, lost: set[int]) -> None:
-        """Let an owner collect outstanding credits; some members may not answer."""
+        """Collect outstanding credits for an owner; some members may not answer."""
         self.network.unreachable = lost
         trio.run(self.credit_owners[node].collect)
 
     @invariant()
     def never_more_than_the_capacity(self) -> None:
-        """Compare the credit that holders may spend with the engine's capacity."""
+        """Check that the valid credit of all holders is within the engine's capacity.
+
+        During a partition and for one lifetime after it, two owners may lease it twice.
+        """
         now = self.clock.monotonic()
         spendable = NOTHING
         for pool in self.pools:
@@ -206,7 +209,7 @@
 
     @invariant()
     def holds_are_counted(self) -> None:
-        """Compare the pools' use with the open requests."""
+        """Check that the usage of each pool equals that of its open requests."""
         for node, pool in enumerate(self.pools):
             used = NOTHING
             for owner, _, amount in self.holds:
@@ -214,7 +217,7 @@
             assert pool.used == used
 
     def teardown(self) -> None:
-        """End all requests; every credit must be gone after its lifetime."""
+        """End all requests and check that every credit expires after its lifetime."""
         for node, hold_id, _ in self.holds:
             self.pools[node].give_back(hold_id)
         self.holds = []
@@ -225,7 +228,7 @@
             assert credit_owner.outstanding(ENGINE) == NOTHING
 
     def owner_index(self) -> int:
-        """Return the node that owns the engine when all agree."""
+        """Return the index of the node that owns the engine in the view of node 0."""
         return NAMES.index(self.owners[0].owner(ENGINE).node_id)
 
     def _deliver(self, message: Message) -> None:
--- a/tests/support/reservation_machine.py
+++ b/tests/support/reservation_machine.py
@@ -1,4 +1,4 @@
-"""State machine of reservations over several engines, with a simple oracle."""
+"""Hypothesis state machine for reservations on several engines."""
 
 from collections.abc import Sequence
 from datetime import timedelta
@@ -31,7 +31,7 @@
 
 
 class FakeMemory:
-    """Memory of all engines; a reservation that is not returned expires."""
+    """Memory of all engines; reservations that are not released expire."""
 
     def __init__(self, clock: ManualClock) -> None:
         self.clock = clock
@@ -40,7 +40,7 @@
         self.refuse_call = 0
 
     def used(self, engine: str) -> int:
-        """Return the memory that is reserved on an engine."""
+        """Return the reserved memory of an engine."""
         now = self.clock.monotonic()
         self.held = {key: item for key, item in self.held.items() if now < item[3]}
         return sum(item[2] for item in self.held.values() if item[0] == engine)
@@ -48,7 +48,7 @@
     async def reserve(
         self, target: Target, owner: str, tokens: int
     ) -> Reserved | ReservationRefused:
-        """Reserve memory, or refuse the call whose turn it is."""
+        """Reserve memory; refuse if it is used up or at call number `refuse_call`."""
         self.calls += 1
         self.refuse_call -= 1
         await trio.lowlevel.checkpoint()
@@ -59,7 +59,7 @@
         return Reserved(str(self.calls))
 
     async def renew(self, target: Target, reservation_id: str) -> None:
-        """Start the lifetime anew; one that has expired stays so."""
+        """Restart the lifetime of a reservation unless it has expired."""
         await trio.lowlevel.checkpoint()
         self.used(target.target_id)
         item = self.held.get(reservation_id)
@@ -68,13 +68,13 @@
             self.held[reservation_id] = (*item[:3], expires)
 
     async def release(self, target: Target, reservation_id: str) -> None:
-        """Return memory."""
+        """Release memory."""
         await trio.lowlevel.checkpoint()
         self.held.pop(reservation_id, None)
 
 
 class DirectPeers:
-    """Calls the owner in place of a message; one message can be lost, or its answer."""
+    """Calls owners directly instead of sending messages, which or whose answers may be lost."""
 
     def __init__(self, owners: dict[str, CreditOwner]) -> None:
         self.owners = owners
@@ -85,7 +85,7 @@
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
     ) -> list[ClaimAnswer] | OwnerUnreachable:
-        """Deliver claims; a hold can be cancelled while it waits for the answer."""
+        """Deliver claims; the caller may be cancelled while it waits for the answer."""
         if self.lose_request:
             return OwnerUnreachable("lost")
         answers = self.owners[owner.node_id].answer(claims)
@@ -97,19 +97,19 @@
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
     ) -> OwnerUnreachable | None:
-        """Deliver returns."""
+        """Deliver released credits."""
         self.owners[owner.node_id].accept_returns(returns)
         return None
 
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
     ) -> list[CreditClaim] | OwnerUnreachable:
-        """Answer that nothing is outstanding; all owners stay the same here."""
+        """Report no outstanding credits, as ownership never changes here."""
         return []
 
 
 class ReservationMachine(RuleBasedStateMachine):
-    """Two entry instances reserve memory for prompts larger than one engine."""
+    """Two entry instances reserve memory for prompts that span several engines."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -160,7 +160,7 @@
     def hold_all(
         self, node: int, parts: list[tuple[str, int]], refuse: int, lose: str, cancel: bool
     ) -> None:
-        """Hold several engines; one may refuse, a message may be lost, the caller may go."""
+        """Hold several engines, with refusals, message loss and cancellation."""
         self.memory.refuse_call = refuse
         self.peers.lose_request, self.peers.lose_answer = lose == "request", lose == "answer"
 
@@ -188,14 +188,14 @@
 
     @rule(node=NODES)
     def die(self, node: int) -> None:
-        """Replace an entry instance; nothing of the old one is returned."""
+        """Replace an entry instance; the old one releases none of its reservations."""
         self.deaths += 1
         self.open = [item for item in self.open if item[0] != node]
         self.holders[node] = self._holder(node)
 
     @rule(seconds=st.sampled_from((1, 5, 25, 31)))
     def advance(self, seconds: int) -> None:
-        """Let time pass with renewals, or pause for longer than a reservation lasts."""
+        """Advance the clock with renewals, or pause for longer than a reservation's lifetime."""
         pauses = seconds > RESERVATION_TTL.total_seconds()
         for _ in range(1 if pauses else seconds):
             self.clock.advance(timedelta(seconds=seconds if pauses else 1))
@@ -205,12 +205,15 @@
         self.report()
 
     def settle(self, node: int) -> None:
-        """Let an entry instance return the memory of released holds."""
+        """Make an entry instance release the memory of released holds."""
         trio.run(self.holders[node].process_reservations)
 
     @invariant()
     def engines_hold_exactly_the_open_reservations(self) -> None:
-        """Compare the engines' memory with the open holds; only dead owners' may be extra."""
+        """Check that live reservations match the open holds, apart from those of dead holders.
+
+        After a pause longer than the lifetime, reservations of open holds may be missing.
+        """
         for engine in ENGINES:
             self.memory.used(engine)
         dead = {
@@ -225,7 +228,7 @@
 
     @invariant()
     def long_prompts_leave_headroom(self) -> None:
-        """Long prompts of living entry instances never get more than their share."""
+        """Check that long prompts of live instances stay within their memory share."""
         for engine in ENGINES:
             held = sum(
                 hold.tokens
@@ -236,7 +239,7 @@
             assert held <= LONG_TOKENS, (engine, held)
 
     def teardown(self) -> None:
-        """Check that every token comes back."""
+        """Release all holds and check that all memory is free again."""
         for node, holds in self.open:
             for hold in holds:
                 self.holders[node].release(hold)
@@ -253,7 +256,7 @@
         return self.holders[node].holder_id.rpartition("/")[2]
 
     def report(self) -> None:
-        """Let all engines report their load."""
+        """Update the load reports of all engines."""
         now = self.clock.monotonic()
         for status in self.targets:
             free = TOKENS - self.memory.used(status.target.target_id)
