--- a/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
@@ -49,7 +49,7 @@
         """Count a request of a caller."""
         _increment(self._service_counts(service).requests, self._bucket())
 
-    def take(self, service: str) -> bool:
+    def try_consume(self, service: str) -> bool:
         """Count a retry, or return False if the budget is exhausted."""
         peers = [use for uses in self._peer_usage() for use in uses if use.service == service]
         own = self._usage(service)
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -155,7 +155,7 @@
             return False
         if isinstance(outcome, NotSent):
             return True
-        if self._budget.take(request.service):
+        if self._budget.try_consume(request.service):
             return True
         log_events.emit(log_events.REPEAT_BUDGET_USED, request=request.request_id)
         return False
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -132,13 +132,13 @@
 
 @then("{count:d} retries are allowed")
 def step_allowed(context: Context, count: int) -> None:
-    taken = sum(context.budget.take(SERVICE) for _ in range(1_000))
+    taken = sum(context.budget.try_consume(SERVICE) for _ in range(1_000))
     assert taken == count, taken
 
 
 @then("{count:d} retries of another service are allowed")
 def step_allowed_other(context: Context, count: int) -> None:
-    assert sum(context.budget.take("t") for _ in range(1_000)) == count
+    assert sum(context.budget.try_consume("t") for _ in range(1_000)) == count
 
 
 @given("an instance with {count:d} open requests")
