--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -278,7 +278,7 @@
         usable = self._router.candidates(queued.request, queued.excluded)
         if isinstance(usable, NoTarget):
             return ()
-        # A split prompt may need more engines than those that accept long prompts, so all usable
+        # A split prompt needs more engines than those that accept long prompts, so all usable
         # engines are considered.
         now = self._clock.monotonic()
         free = []
--- a/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
@@ -54,9 +54,9 @@
         peers = [use for uses in self._peer_usage() for use in uses if use.service == service]
         own = self._usage(service)
         requests = own.requests + sum(use.requests for use in peers)
-        repeats = own.repeats + sum(use.repeats for use in peers)
+        retries = own.repeats + sum(use.repeats for use in peers)
         allowed = USABLE_FRACTION * (self._limits.ratio * requests + self._limits.slack)
-        if repeats + 1 > allowed:
+        if retries + 1 > allowed:
             self.refusals += 1
             return False
         _increment(self._service_counts(service).repeats, self._bucket())
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -209,7 +209,7 @@
                     self._wake = trio.Event()
         finally:
             with trio.move_on_after(STOP_TIMEOUT.total_seconds(), shield=True):
-                await self._return_all_credit()
+                await self._release_all_credit()
 
     def _maintain(self, nursery: trio.Nursery) -> None:
         self._owners.refresh()
@@ -218,16 +218,18 @@
             self._window_end = now + IDLE_WINDOW
             for pool in self._pools.values():
                 pool.turn_window()
-        own: list[CreditPool] = []
+        locally_owned: list[CreditPool] = []
         for pool in list(self._pools.values()):
             match self._owners.owner(pool.engine_id):
                 case NoOwner():
                     self._drop_if_unused(pool)
                 case owner if self._owners.is_own(owner):
-                    own.append(pool)
+                    locally_owned.append(pool)
                 case owner:
                     self._wake_link(owner, pool, nursery)
-        self._claim_locally([pool for pool in own if pool.amount != NOTHING or pool.wanted().slots])
+        self._claim_locally(
+            [pool for pool in locally_owned if pool.amount != NOTHING or pool.wanted().slots]
+        )
 
     def _drop_if_unused(self, pool: CreditPool) -> None:
         if self._targets.get(pool.engine_id) is None and not pool.open_holds:
@@ -246,7 +248,7 @@
     async def _run_link(self, link: _OwnerLink) -> None:
         """Send claims to one owner until it owns no engine that this instance uses."""
         while self._links.get(link.owner.node_id) is link:
-            pools = self._pools_of(link.owner)
+            pools = self._pools_owned_by(link.owner)
             if not pools:
                 break
             pending = [pool for pool in pools if self._needs_message(pool)]
@@ -262,12 +264,12 @@
         if self._links.get(link.owner.node_id) is link:
             del self._links[link.owner.node_id]
 
-    def _pools_of(self, owner: Member) -> list[CreditPool]:
+    def _pools_owned_by(self, owner: Member) -> list[CreditPool]:
         return [
             pool
             for pool in self._pools.values()
-            if (found := self._owners.owner(pool.engine_id)) == owner
-            and not self._owners.is_own(found)
+            if (current_owner := self._owners.owner(pool.engine_id)) == owner
+            and not self._owners.is_own(current_owner)
         ]
 
     def _needs_message(self, pool: CreditPool) -> bool:
@@ -390,7 +392,7 @@
         """Release the engine memory of released holds and renew that of open ones."""
         await self._reservations.process_pending()
 
-    async def _return_all_credit(self) -> None:
+    async def _release_all_credit(self) -> None:
         for pool in list(self._pools.values()):
             owner = self._owners.owner(pool.engine_id)
             if isinstance(owner, NoOwner) or pool.amount == NOTHING:
--- a/packages/entry/src/wasabiwell_entry/coordination/health/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/const.py
@@ -8,5 +8,5 @@
 """Maximum pause; the pause doubles with each consecutive loss."""
 FAILURE_HALF_LIFE = timedelta(seconds=3)
 """Half-life of the failure count; failing targets recover within seconds."""
-PRIOR_ANSWERS = 3.0
-"""Assumed prior responses of each target, so that one failure does not dominate its rate."""
+PRIOR_SUCCESSES = 3.0
+"""Successes assumed for each target, so that a single failure does not dominate its rate."""
--- a/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
@@ -6,7 +6,7 @@
     FAILURE_HALF_LIFE,
     INITIAL_PAUSE,
     MAX_PAUSE,
-    PRIOR_ANSWERS,
+    PRIOR_SUCCESSES,
 )
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
@@ -22,7 +22,7 @@
     leaving: bool = False
     paused_until: float = 0.0
     consecutive_losses: int = 0
-    answers: float = 0.0
+    successes: float = 0.0
     failures: float = 0.0
     updated: float = 0.0
 
@@ -67,7 +67,7 @@
         if state is None:
             return 0.0
         self._decay(state)
-        return state.failures / (PRIOR_ANSWERS + state.answers + state.failures)
+        return state.failures / (PRIOR_SUCCESSES + state.successes + state.failures)
 
     def count(self) -> dict[str, float]:
         """Return the number of targets by health state."""
@@ -90,7 +90,7 @@
         self._decay(state)
         match verdict:
             case AttemptVerdict.ANSWERED:
-                state.answers += 1
+                state.successes += 1
                 state.consecutive_losses = 0
                 state.paused_until = 0.0
             case AttemptVerdict.REFUSED | AttemptVerdict.FAILED:
@@ -115,7 +115,7 @@
     def _decay(self, state: _TargetState) -> None:
         now = self._now()
         factor = 0.5 ** ((now - state.updated) / FAILURE_HALF_LIFE.total_seconds())
-        state.answers *= factor
+        state.successes *= factor
         state.failures *= factor
         state.updated = now
 
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
@@ -54,6 +54,7 @@
                 renew_at = self._clock.monotonic() + self._renewal_interval
                 self._held[reservation_id] = _Reservation(target, renew_at)
             case ReservationRefused(uncertain=True):
+                # The id of an unanswered reservation is unknown; it is released by owner.
                 self._pending_returns.append((target, owner))
                 self._wake.set()
         return outcome
--- a/tests/steps/entry/coordination/limits_steps.py
+++ b/tests/steps/entry/coordination/limits_steps.py
@@ -101,11 +101,11 @@
         )
     context.instances = list(context.owners.instances.values())
     context.leases = {}
-    context.passed = 0
+    context.admitted = 0
 
 
 @when("each instance receives {rate:d} requests per second for {seconds:d} seconds")
-def step_ask(context: Context, rate: int, seconds: int) -> None:
+def step_receive(context: Context, rate: int, seconds: int) -> None:
     async def run() -> None:
         for number in range(round(timedelta(seconds=seconds) / STEP)):
             context.clock.advance(STEP)
@@ -115,9 +115,9 @@
                 for _ in range(round(rate * STEP.total_seconds())):
                     await instance.ensure_share(context.organisation, SizeClass.SHORT)
                     lease = instance.try_acquire(context.organisation, 1_000, SizeClass.SHORT)
-                    context.passed += isinstance(lease, LimitLease)
+                    context.admitted += isinstance(lease, LimitLease)
 
-    context.passed = 0
+    context.admitted = 0
     trio.run(run)
 
 
@@ -133,11 +133,11 @@
             instance = context.instances[index]
             await instance.ensure_share(context.organisation, SizeClass.LONG)
             lease = instance.try_acquire(context.organisation, 200_000, SizeClass.LONG)
-            context.long_passed.append(int(isinstance(lease, LimitLease)))
+            context.long_admitted.append(int(isinstance(lease, LimitLease)))
             if isinstance(lease, LimitLease):
                 context.leases[index] = lease
 
-    context.long_passed = []
+    context.long_admitted = []
     trio.run(run)
 
 
@@ -154,13 +154,13 @@
 
 
 @then('the long requests were admitted as "{expected}"')
-def step_long_passed(context: Context, expected: str) -> None:
-    assert context.long_passed == [int(item) for item in expected.split()], context.long_passed
+def step_long_admitted(context: Context, expected: str) -> None:
+    assert context.long_admitted == [int(item) for item in expected.split()], context.long_admitted
 
 
 @then("between {low:d} and {high:d} requests were admitted")
-def step_passed(context: Context, low: int, high: int) -> None:
-    assert low <= context.passed <= high, context.passed
+def step_admitted(context: Context, low: int, high: int) -> None:
+    assert low <= context.admitted <= high, context.admitted
 
 
 @then("at most {count:d} messages were sent")
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -29,24 +29,24 @@
     context.health.update([ListedTarget(context.target, False)])
 
 
-def note(context: Context, verdict: AttemptVerdict, count: int = 1) -> None:
+def record_attempts(context: Context, verdict: AttemptVerdict, count: int = 1) -> None:
     for _ in range(count):
         context.health.record_attempt(context.target.target_id, verdict)
 
 
 @when("it is lost")
 def step_lost(context: Context) -> None:
-    note(context, AttemptVerdict.LOST)
+    record_attempts(context, AttemptVerdict.LOST)
 
 
 @when("it answers")
 def step_answers(context: Context) -> None:
-    note(context, AttemptVerdict.ANSWERED)
+    record_attempts(context, AttemptVerdict.ANSWERED)
 
 
 @when("it fails {count:d} requests")
 def step_fails(context: Context, count: int) -> None:
-    note(context, AttemptVerdict.FAILED, count)
+    record_attempts(context, AttemptVerdict.FAILED, count)
 
 
 @when("{seconds:d} seconds pass for it")
@@ -111,11 +111,11 @@
     assert context.published == [RepeatNotice(SERVICE)] * count, context.published
 
 
-@given("peers that counted {requests:d} requests and {repeats:d} retries")
-def step_peers(context: Context, requests: int, repeats: int) -> None:
+@given("peers that counted {requests:d} requests and {retries:d} retries")
+def step_peers(context: Context, requests: int, retries: int) -> None:
     context.peer_usage = [
-        (ServiceUse(SERVICE, requests // 2, repeats // 2),),
-        (ServiceUse(SERVICE, requests // 2, repeats // 2), ServiceUse("t", 1_000, 1_000)),
+        (ServiceUse(SERVICE, requests // 2, retries // 2),),
+        (ServiceUse(SERVICE, requests // 2, retries // 2), ServiceUse("t", 1_000, 1_000)),
     ]
 
 
@@ -164,12 +164,12 @@
             if context.request_seconds:
                 nursery.start_soon(serve)
             await trio.lowlevel.checkpoint()
-            begun = trio.current_time()
+            started = trio.current_time()
             stop.leave()
             await stop.wait_to_close()
-            context.closed = trio.current_time() - begun
+            context.closed = trio.current_time() - started
             await stop.wait_no_request(SystemClock().monotonic() + stop.time_to_end(GRACE))
-            context.ended = trio.current_time() - begun
+            context.ended = trio.current_time() - started
             nursery.cancel_scope.cancel()
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/support/reservation_machine.py
+++ b/tests/support/reservation_machine.py
@@ -122,8 +122,8 @@
             self.members.put(Member(f"n-{node}", 1, "r", "z", "", ""))
         self.credit_owners: dict[str, CreditOwner] = {}
         self.peers = DirectPeers(self.credit_owners)
-        self.deaths = 0
-        self.lapsed = False
+        self.restarts = 0
+        self.expired = False
         self.holders: list[CreditHolder] = []
         self.open: list[tuple[int, tuple[Hold, ...]]] = []
         for node, member in enumerate(self.members):
@@ -141,7 +141,7 @@
         member = self.members.get(f"n-{node}")
         assert member is not None
         return CreditHolder(
-            f"n-{node}/{self.deaths}",
+            f"n-{node}/{self.restarts}",
             EngineOwners(member, self.members, self.targets),
             self.credit_owners[member.node_id],
             self.peers,
@@ -189,7 +189,7 @@
     @rule(node=NODES)
     def die(self, node: int) -> None:
         """Replace an entry instance; the old one releases none of its reservations."""
-        self.deaths += 1
+        self.restarts += 1
         self.open = [item for item in self.open if item[0] != node]
         self.holders[node] = self._holder(node)
 
@@ -201,7 +201,7 @@
             self.clock.advance(timedelta(seconds=seconds if pauses else 1))
             for node in range(2):
                 self.settle(node)
-        self.lapsed = self.lapsed or pauses
+        self.expired = self.expired or pauses
         self.report()
 
     def settle(self, node: int) -> None:
@@ -219,12 +219,12 @@
         dead = {
             key
             for key, item in self.memory.held.items()
-            if item[1] not in {f"n-{node}/{self._life(node)}" for node in range(2)}
+            if item[1] not in {f"n-{node}/{self._incarnation(node)}" for node in range(2)}
         }
         wanted = {hold.reservation_id for _, holds in self.open for hold in holds}
         live = set(self.memory.held) - dead
         assert live <= wanted, (self.memory.held, wanted)
-        assert self.lapsed or live == wanted, (self.memory.held, wanted)
+        assert self.expired or live == wanted, (self.memory.held, wanted)
 
     @invariant()
     def long_prompts_leave_headroom(self) -> None:
@@ -252,7 +252,7 @@
             for holder in self.holders:
                 assert all(claim.used.tokens == 0 for claim in holder.outstanding([engine]))
 
-    def _life(self, node: int) -> str:
+    def _incarnation(self, node: int) -> str:
         return self.holders[node].holder_id.rpartition("/")[2]
 
     def report(self) -> None:
