--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -62,7 +62,7 @@
             context.outcome = await forwarder.forward(request, context.sink)
             context.seconds = trio.current_time() - begun
             assert number < times
-        await forwarder._reservations.settle()  # returns what was given back
+        await forwarder._reservations.process_pending()  # returns what was given back
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
--- a/tests/steps/entry/coordination/owner_loss_steps.py
+++ b/tests/steps/entry/coordination/owner_loss_steps.py
@@ -80,7 +80,7 @@
 
 
 @then("at least {count:d} requests were sent and each got its own complete response")
-def step_whole(context: Context, count: int) -> None:
+def step_complete(context: Context, count: int) -> None:
     errors = [result.error for result in context.results if result.error]
     assert not errors, errors
     assert len(context.results) >= count, len(context.results)
