--- a/packages/entry/src/wasabiwell_entry/coordination/budget/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/__init__.py
@@ -1,5 +1,5 @@
-"""Bounds the repeated sends of all entry instances together."""
+"""Retry budget: limits the retries of all entry instances combined."""
 
-from wasabiwell_entry.coordination.budget.coordinator import RepeatBudget
+from wasabiwell_entry.coordination.budget.coordinator import RetryBudget
 
-__all__ = ["RepeatBudget"]
+__all__ = ["RetryBudget"]
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -1,4 +1,4 @@
-"""The holder's side of credits: capacity that this entry instance may use."""
+"""Holder side of credits: engine capacity leased to this entry instance."""
 
 import itertools
 from collections.abc import Callable, Sequence
@@ -12,12 +12,12 @@
     CLAIM_INTERVAL,
     CREDIT_LIFETIME,
     IDLE_WINDOW,
-    LONGEST_SHORTAGE_INTERVAL,
     MAINTENANCE_INTERVAL,
-    MAX_CLAIMS,
-    MAX_SHORTAGES,
+    MAX_CLAIMS_PER_MESSAGE,
+    MAX_CONSECUTIVE_SHORTAGES,
+    MAX_SHORTAGE_BACKOFF,
     RENEW_BEFORE,
-    SHORTAGE_INTERVAL,
+    SHORTAGE_BACKOFF,
     STOP_TIMEOUT,
 )
 from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
@@ -50,25 +50,26 @@
 
 @dataclass(slots=True)
 class _OwnerLink:
-    """One owner and the task that sends it claims."""
+    """State of the task that sends claims to one owner."""
 
     owner: Member
     wake: trio.Event = field(default_factory=trio.Event)
     unreachable_since: timedelta | None = None
-    fallen_back: bool = False
-    shortages: int = 0
+    using_fallback: bool = False
+    consecutive_shortages: int = 0
 
-    def pause(self) -> timedelta:
-        """Return the time until the next message; it doubles while the owner is short."""
-        if self.shortages == 0:
+    def backoff(self) -> timedelta:
+        """Return the delay before the next message, doubled with each shortage."""
+        if self.consecutive_shortages == 0:
             return CLAIM_INTERVAL
-        return min(LONGEST_SHORTAGE_INTERVAL, SHORTAGE_INTERVAL * (1 << (self.shortages - 1)))
+        return min(MAX_SHORTAGE_BACKOFF, SHORTAGE_BACKOFF * (1 << (self.consecutive_shortages - 1)))
 
 
 class CreditHolder:
-    """Holds credit of engines and spends it without messages; implements `CapacityPort`.
+    """Allocates leased engine capacity to requests without messages; implements `CapacityPort`.
 
-    `holder_id` is unique to this run of the entry instance, because sequences start anew with it.
+    `holder_id` is unique to this run of the entry instance, because sequence numbers restart with
+    each run.
     """
 
     __slots__ = (
@@ -114,32 +115,35 @@
 
     @property
     def holder_id(self) -> str:
-        """Return the id under which owners know this run of the entry instance."""
+        """Return the id that identifies this run of the entry instance to owners."""
         return self._holder_id
 
     def try_hold(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
-        """Hold capacity at hand; an engine that this entry instance owns is asked in place."""
+        """Hold locally available capacity.
+
+        For an engine that this entry instance owns, missing credit is claimed by a direct call.
+        """
         pool = self._pool(target_id)
-        amount = _amount(tokens, size)
+        amount = _request_amount(tokens, size)
         hold_id = next(self._hold_ids)
         now = self._clock.monotonic()
         if pool.take(hold_id, amount, now):
             return Hold(hold_id, target_id, tokens)
         owner = self._owners.owner(target_id)
         if self._owners.is_own(owner):
-            pool.note_demand(amount, self._capacity(target_id))
-            self._claim_own([pool])
+            pool.note_demand(amount, self._reported_capacity(target_id))
+            self._claim_locally([pool])
         elif isinstance(owner, NoOwner):
-            pool.note_demand(amount, self._capacity(target_id))
-            self._fall_back(pool)
+            pool.note_demand(amount, self._reported_capacity(target_id))
+            self._use_fallback(pool)
         if pool.take(hold_id, amount, now):
             return Hold(hold_id, target_id, tokens)
-        return NoCapacity(f"no credit of engine {target_id} is at hand")
+        return NoCapacity(f"not enough credit of engine {target_id}")
 
-    def request(self, target_id: str, tokens: int, size: SizeClass) -> None:
-        """Note unmet demand of one request; the next message to the owner includes it."""
+    def report_demand(self, target_id: str, tokens: int, size: SizeClass) -> None:
+        """Record the unmet demand of one request, to be included in the next claim."""
         pool = self._pool(target_id)
-        pool.note_demand(_amount(tokens, size), self._capacity(target_id))
+        pool.note_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
         owner = self._owners.owner(target_id)
         if isinstance(owner, Member) and owner.node_id in self._links:
             self._links[owner.node_id].wake.set()
@@ -149,43 +153,43 @@
     async def hold_all(
         self, parts: Sequence[tuple[str, int]], size: SizeClass
     ) -> tuple[Hold, ...] | NoCapacity:
-        """Hold credit and engine memory of several engines, or nothing.
+        """Hold credit and engine memory of all given engines or of none.
 
-        Engines are taken in ascending order of id, and nothing is waited for while a part is
-        held, so that two prompts cannot wait for each other.
+        To avoid deadlocks between two prompts, engines are processed in ascending order of id, and
+        capacity is never waited for while another part is held.
         """
         held: list[Hold] = []
         try:
             for target_id, tokens in sorted(parts):
                 hold = await self._hold_part(target_id, tokens, size)
                 if isinstance(hold, NoCapacity):
-                    self._release(held)
+                    self._release_all(held)
                     return hold
                 held.append(hold)
         except BaseException:
-            self._release(held)
+            self._release_all(held)
             raise
         return tuple(held)
 
     def release(self, hold: Hold) -> None:
-        """Give a hold back; its memory at the engine is returned in the background."""
+        """Release a hold; its memory at the engine is released in the background."""
         if not self._pool(hold.target_id).give_back(hold.hold_id):
             return
-        self._reservations.give_back(hold.reservation_id)
+        self._reservations.release(hold.reservation_id)
         self._notify()
 
     def on_change(self, observer: Callable[[], None]) -> None:
-        """Call an observer whenever capacity may have become available."""
+        """Register an observer that is called when capacity may have become available."""
         self._observers.append(observer)
 
     def credits(self) -> list[tuple[str, Amount]]:
-        """Return the valid credit of each engine of which any is held."""
+        """Return the ids and valid amounts of all engines for which credit is held."""
         now = self._clock.monotonic()
         valid = [(pool.engine_id, pool.valid(now)) for pool in self._pools.values()]
         return [(engine_id, amount) for engine_id, amount in valid if amount != NOTHING]
 
     def outstanding(self, engine_ids: Sequence[str]) -> list[CreditClaim]:
-        """Return the credit and use of engines, for their new owner."""
+        """Return the credit and usage of the given engines, for their new owner."""
         now = self._clock.monotonic()
         return [
             self._pools[engine_id].outstanding(now)
@@ -194,7 +198,7 @@
         ]
 
     async def run(self) -> None:
-        """Keep credit in step with demand until cancelled, then give all of it back."""
+        """Adjust credit to demand until cancelled, then release all credit."""
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._reservations.run)
@@ -205,7 +209,7 @@
                     self._wake = trio.Event()
         finally:
             with trio.move_on_after(STOP_TIMEOUT.total_seconds(), shield=True):
-                await self._return_credit()
+                await self._release_all_credit()
 
     def _maintain(self, nursery: trio.Nursery) -> None:
         self._owners.refresh()
@@ -214,87 +218,93 @@
             self._window_end = now + IDLE_WINDOW
             for pool in self._pools.values():
                 pool.turn_window()
-        own: list[CreditPool] = []
+        locally_owned: list[CreditPool] = []
         for pool in list(self._pools.values()):
             match self._owners.owner(pool.engine_id):
                 case NoOwner():
-                    self._forget(pool)
+                    self._drop_if_unused(pool)
                 case owner if self._owners.is_own(owner):
-                    own.append(pool)
+                    locally_owned.append(pool)
                 case owner:
                     self._wake_link(owner, pool, nursery)
-        self._claim_own([pool for pool in own if pool.amount != NOTHING or pool.wanted().slots])
+        self._claim_locally(
+            [pool for pool in locally_owned if pool.amount != NOTHING or pool.wanted().slots]
+        )
 
-    def _forget(self, pool: CreditPool) -> None:
+    def _drop_if_unused(self, pool: CreditPool) -> None:
         if self._targets.get(pool.engine_id) is None and not pool.open_holds:
             del self._pools[pool.engine_id]
 
     def _wake_link(self, owner: Member, pool: CreditPool, nursery: trio.Nursery) -> None:
-        if not self._due(pool):
+        if not self._needs_message(pool):
             return
         link = self._links.get(owner.node_id)
         if link is None or link.owner != owner:
             link = _OwnerLink(owner)
             self._links[owner.node_id] = link
-            nursery.start_soon(self._serve_link, link)
+            nursery.start_soon(self._run_link, link)
         link.wake.set()
 
-    async def _serve_link(self, link: _OwnerLink) -> None:
-        """Send claims to one owner until it owns no engine that is in use here."""
+    async def _run_link(self, link: _OwnerLink) -> None:
+        """Send claims to one owner until it owns no engine that this instance uses."""
         while self._links.get(link.owner.node_id) is link:
-            pools = self._pools_of(link.owner)
+            pools = self._pools_owned_by(link.owner)
             if not pools:
                 break
-            due = [pool for pool in pools if self._due(pool)]
-            if due:
-                # Renewing the others too costs little in a message that is sent anyway.
-                others = [pool for pool in pools if pool not in due and pool.wanted() != NOTHING]
-                await self._exchange(link, [*due, *others][:MAX_CLAIMS])
+            pending = [pool for pool in pools if self._needs_message(pool)]
+            if pending:
+                # The message is sent anyway, so renewing further credits in it costs little.
+                others = [
+                    pool for pool in pools if pool not in pending and pool.wanted() != NOTHING
+                ]
+                await self._send_claims(link, [*pending, *others][:MAX_CLAIMS_PER_MESSAGE])
             else:
                 await link.wake.wait()
                 link.wake = trio.Event()
         if self._links.get(link.owner.node_id) is link:
             del self._links[link.owner.node_id]
 
-    def _pools_of(self, owner: Member) -> list[CreditPool]:
+    def _pools_owned_by(self, owner: Member) -> list[CreditPool]:
         return [
             pool
             for pool in self._pools.values()
-            if (found := self._owners.owner(pool.engine_id)) == owner
-            and not self._owners.is_own(found)
+            if (current_owner := self._owners.owner(pool.engine_id)) == owner
+            and not self._owners.is_own(current_owner)
         ]
 
-    def _due(self, pool: CreditPool) -> bool:
-        """Return whether the owner must hear of a pool: demand, renewal, or a return."""
+    def _needs_message(self, pool: CreditPool) -> bool:
+        """Return whether a pool needs a message to its owner: a claim, renewal or release."""
         now = self._clock.monotonic()
         wanted, valid = pool.wanted(), pool.valid(now)
         if pool.unmet != NOTHING or not wanted.covers(valid):
             return True
         return wanted != NOTHING and pool.expires - now < RENEW_BEFORE
 
-    async def _exchange(self, link: _OwnerLink, pools: list[CreditPool]) -> None:
+    async def _send_claims(self, link: _OwnerLink, pools: list[CreditPool]) -> None:
         now = self._clock.monotonic()
         unused = [pool for pool in pools if pool.wanted() == NOTHING]
         if unused:
-            await self._peers.release(link.owner, [self._return_of(pool) for pool in unused])
+            await self._peers.release(link.owner, [self._make_return(pool) for pool in unused])
         wanted = {pool.engine_id: pool for pool in pools if pool.wanted() != NOTHING}
         if not wanted:
             return
         claims = [pool.claim(now) for pool in wanted.values()]
         answers = await self._peers.acquire(link.owner, claims)
         if isinstance(answers, OwnerUnreachable):
-            self._fall_back_from(link, claims, answers.reason)
+            self._use_fallback_for_owner(link, claims, answers.reason)
             complete = False
         else:
             link.unreachable_since = None
-            link.fallen_back = False
-            complete = self._take_over(claims, answers)
-        link.shortages = 0 if complete else min(link.shortages + 1, MAX_SHORTAGES)
+            link.using_fallback = False
+            complete = self._apply_answers(claims, answers)
+        link.consecutive_shortages = (
+            0 if complete else min(link.consecutive_shortages + 1, MAX_CONSECUTIVE_SHORTAGES)
+        )
         self._notify()
-        await self._clock.sleep(link.pause())
+        await self._clock.sleep(link.backoff())
 
-    def _take_over(self, claims: Sequence[CreditClaim], answers: Sequence[ClaimAnswer]) -> bool:
-        """Take over the answers to claims; return whether all claims were granted in full."""
+    def _apply_answers(self, claims: Sequence[CreditClaim], answers: Sequence[ClaimAnswer]) -> bool:
+        """Apply the answers to claims; return whether all claims were granted in full."""
         wanted = {claim.engine_id: claim.wanted for claim in claims}
         complete = True
         for answer in answers:
@@ -308,37 +318,40 @@
                     complete = False
         return complete
 
-    def _claim_own(self, pools: list[CreditPool]) -> None:
+    def _claim_locally(self, pools: list[CreditPool]) -> None:
         now = self._clock.monotonic()
         claims = [pool.claim(now) for pool in pools]
-        self._take_over(claims, self._owner.answer(claims))
+        self._apply_answers(claims, self._owner.answer(claims))
 
-    def _fall_back_from(self, link: _OwnerLink, claims: Sequence[CreditClaim], reason: str) -> None:
-        """Use the fallback when an owner has not answered for a credit's lifetime.
+    def _use_fallback_for_owner(
+        self, link: _OwnerLink, claims: Sequence[CreditClaim], reason: str
+    ) -> None:
+        """Use the fallback once an owner has not answered for the lifetime of a credit.
 
-        By then its own credits to others have expired, so the engine's report shows all use.
+        By then the credits it granted to others have expired, so that the engine's load report
+        covers all usage.
         """
         now = self._clock.monotonic()
         if link.unreachable_since is None:
             link.unreachable_since = now
         if now - link.unreachable_since < CREDIT_LIFETIME:
             return
-        if not link.fallen_back:
-            link.fallen_back = True
+        if not link.using_fallback:
+            link.using_fallback = True
             log_events.emit(
                 log_events.CREDIT_OWNER_UNREACHABLE, owner=link.owner.node_id, reason=reason
             )
         for claim in claims:
-            self._fall_back(self._pool(claim.engine_id), claim.wanted - claim.used)
+            self._use_fallback(self._pool(claim.engine_id), claim.wanted - claim.used)
 
-    def _fall_back(self, pool: CreditPool, demand: Amount | None = None) -> None:
-        """Use a share of what the engine reports as free, because no owner can be asked."""
+    def _use_fallback(self, pool: CreditPool, demand: Amount | None = None) -> None:
+        """Use a share of the capacity that the engine reports as free, without an owner's grant."""
         status = self._targets.get(pool.engine_id)
         load = status.load if status is not None else None
         now = self._clock.monotonic()
         if load is None or now - load.reported > CREDIT_LIFETIME:
             return
-        members = 1 + len(self._owners.others())
+        members = 1 + len(self._owners.other_members())
         extra = fallback_amount(load, members, demand or pool.unmet)
         pool.unmet = NOTHING
         pool.assume(pool.used + extra, now)
@@ -346,10 +359,10 @@
     async def _hold_part(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
         status = self._targets.get(target_id)
         if status is None:
-            return NoCapacity(f"engine {target_id} is not known")
+            return NoCapacity(f"unknown engine {target_id}")
         hold = self.try_hold(target_id, tokens, size)
         if isinstance(hold, NoCapacity):
-            await self._ask_now(target_id, tokens, size)
+            await self._claim_now(target_id, tokens, size)
             hold = self.try_hold(target_id, tokens, size)
         if isinstance(hold, NoCapacity):
             return hold
@@ -359,37 +372,37 @@
             return NoCapacity(outcome.reason)
         return replace(hold, reservation_id=outcome.reservation_id)
 
-    async def _ask_now(self, target_id: str, tokens: int, size: SizeClass) -> None:
-        """Ask the owner for one request's capacity and wait for its answer."""
+    async def _claim_now(self, target_id: str, tokens: int, size: SizeClass) -> None:
+        """Claim one request's capacity from the owner and wait for the answer."""
         owner = self._owners.owner(target_id)
         if isinstance(owner, NoOwner) or self._owners.is_own(owner):
             return
         pool = self._pool(target_id)
-        pool.note_demand(_amount(tokens, size), self._capacity(target_id))
+        pool.note_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
         claim = pool.claim(self._clock.monotonic())
         answers = await self._peers.acquire(owner, [claim])
         if not isinstance(answers, OwnerUnreachable):
-            self._take_over([claim], answers)
+            self._apply_answers([claim], answers)
 
-    def _release(self, holds: Sequence[Hold]) -> None:
+    def _release_all(self, holds: Sequence[Hold]) -> None:
         for hold in holds:
             self.release(hold)
 
-    async def settle_reservations(self) -> None:
-        """Return the engine memory of released holds and renew that of open ones."""
-        await self._reservations.settle()
+    async def process_reservations(self) -> None:
+        """Release the engine memory of released holds and renew that of open ones."""
+        await self._reservations.process_pending()
 
-    async def _return_credit(self) -> None:
+    async def _release_all_credit(self) -> None:
         for pool in list(self._pools.values()):
             owner = self._owners.owner(pool.engine_id)
             if isinstance(owner, NoOwner) or pool.amount == NOTHING:
                 continue
             if self._owners.is_own(owner):
-                self._owner.take_back([self._return_of(pool)])
+                self._owner.accept_returns([self._make_return(pool)])
             else:
-                await self._peers.release(owner, [self._return_of(pool)])
+                await self._peers.release(owner, [self._make_return(pool)])
 
-    def _return_of(self, pool: CreditPool) -> CreditReturn:
+    def _make_return(self, pool: CreditPool) -> CreditReturn:
         return CreditReturn(pool.engine_id, self._holder_id, pool.release_all())
 
     def _pool(self, engine_id: str) -> CreditPool:
@@ -399,8 +412,8 @@
             self._pools[engine_id] = pool
         return pool
 
-    def _capacity(self, engine_id: str) -> Amount:
-        """Return the whole capacity of an engine, as it was reported last."""
+    def _reported_capacity(self, engine_id: str) -> Amount:
+        """Return the total capacity of an engine from its last load report."""
         status = self._targets.get(engine_id)
         if status is None or status.load is None:
             return NOTHING
@@ -413,5 +426,5 @@
             observer()
 
 
-def _amount(tokens: int, size: SizeClass) -> Amount:
+def _request_amount(tokens: int, size: SizeClass) -> Amount:
     return Amount(1, tokens, tokens if size is SizeClass.LONG else 0)
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -1,4 +1,4 @@
-"""Steps for beliefs about targets, the budget of repeats and the graceful stop."""
+"""Steps for target health, the retry budget and the graceful stop."""
 
 from datetime import timedelta
 
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.forwarding import make_target
-from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.budget.coordinator import BudgetLimits
 from wasabiwell_entry.coordination.health import TargetHealth
 from wasabiwell_entry.coordination.stop import GracefulStop
@@ -18,7 +18,7 @@
 SERVICE = "s"
 GRACE = timedelta(seconds=8)
 TOLERANCE = 0.11
-"""The open requests are counted every 100 ms."""
+"""Seconds; the stop polls the number of open requests every 100 ms."""
 
 
 @given("a listed target")
@@ -29,24 +29,24 @@
     context.health.update([ListedTarget(context.target, False)])
 
 
-def note(context: Context, verdict: AttemptVerdict, count: int = 1) -> None:
+def record_attempts(context: Context, verdict: AttemptVerdict, count: int = 1) -> None:
     for _ in range(count):
-        context.health.note(context.target.target_id, verdict)
+        context.health.record_attempt(context.target.target_id, verdict)
 
 
 @when("it is lost")
 def step_lost(context: Context) -> None:
-    note(context, AttemptVerdict.LOST)
+    record_attempts(context, AttemptVerdict.LOST)
 
 
 @when("it answers")
 def step_answers(context: Context) -> None:
-    note(context, AttemptVerdict.ANSWERED)
+    record_attempts(context, AttemptVerdict.ANSWERED)
 
 
 @when("it fails {count:d} requests")
 def step_fails(context: Context, count: int) -> None:
-    note(context, AttemptVerdict.FAILED, count)
+    record_attempts(context, AttemptVerdict.FAILED, count)
 
 
 @when("{seconds:d} seconds pass for it")
@@ -54,13 +54,13 @@
     context.clock.advance(timedelta(seconds=seconds))
 
 
-@when("the list calls it leaving, and ready again a moment later")
+@when("the listing shows it as leaving, and as ready again afterwards")
 def step_leaving(context: Context) -> None:
     context.health.update([ListedTarget(context.target, True)])
     context.health.update([ListedTarget(context.target, False)])
 
 
-@when("the list shows it with another incarnation")
+@when("the listing shows it with another incarnation")
 def step_incarnation(context: Context) -> None:
     context.target = make_target(0, incarnation=2)
     context.health.update([ListedTarget(context.target, False)])
@@ -85,37 +85,37 @@
     assert not context.health.usable(context.target)
 
 
-@then("its share of failures is over {share:g}")
-def step_over(context: Context, share: float) -> None:
-    assert context.health.failure_share(context.target) > share
+@then("its failure rate is above {rate:g}")
+def step_above(context: Context, rate: float) -> None:
+    assert context.health.failure_rate(context.target) > rate
 
 
-@then("its share of failures is under {share:g}")
-def step_under(context: Context, share: float) -> None:
-    assert context.health.failure_share(context.target) < share
+@then("its failure rate is below {rate:g}")
+def step_below(context: Context, rate: float) -> None:
+    assert context.health.failure_rate(context.target) < rate
 
 
-@given("a budget of {ratio:g} and a slack of {slack:g} in {seconds:d} seconds")
+@given("a retry budget of {ratio:g} and a slack of {slack:g} in {seconds:d} seconds")
 def step_budget(context: Context, ratio: float, slack: float, seconds: int) -> None:
     context.clock = ManualClock()
-    context.peer_uses = []
+    context.peer_usage = []
     limits = BudgetLimits(ratio, slack, timedelta(seconds=seconds))
-    context.told = []
-    context.budget = RepeatBudget(
-        limits, lambda: context.peer_uses, context.told.append, context.clock
+    context.published = []
+    context.budget = RetryBudget(
+        limits, lambda: context.peer_usage, context.published.append, context.clock
     )
 
 
-@then("{count:d} repeats were told")
-def step_repeats_told(context: Context, count: int) -> None:
-    assert context.told == [RepeatNotice(SERVICE)] * count, context.told
+@then("{count:d} retries were published")
+def step_retries_published(context: Context, count: int) -> None:
+    assert context.published == [RepeatNotice(SERVICE)] * count, context.published
 
 
-@given("peers that counted {requests:d} requests and {repeats:d} repeats")
-def step_peers(context: Context, requests: int, repeats: int) -> None:
-    context.peer_uses = [
-        (ServiceUse(SERVICE, requests // 2, repeats // 2),),
-        (ServiceUse(SERVICE, requests // 2, repeats // 2), ServiceUse("t", 1_000, 1_000)),
+@given("peers that counted {requests:d} requests and {retries:d} retries")
+def step_peers(context: Context, requests: int, retries: int) -> None:
+    context.peer_usage = [
+        (ServiceUse(SERVICE, requests // 2, retries // 2),),
+        (ServiceUse(SERVICE, requests // 2, retries // 2), ServiceUse("t", 1_000, 1_000)),
     ]
 
 
@@ -125,20 +125,20 @@
         context.budget.count_request(SERVICE)
 
 
-@when("the budget is {seconds:d} seconds older")
+@when("the retry budget is {seconds:d} seconds older")
 def step_older(context: Context, seconds: int) -> None:
     context.clock.advance(timedelta(seconds=seconds))
 
 
-@then("{count:d} repeats are allowed")
+@then("{count:d} retries are allowed")
 def step_allowed(context: Context, count: int) -> None:
-    taken = sum(context.budget.take(SERVICE) for _ in range(1_000))
+    taken = sum(context.budget.try_consume(SERVICE) for _ in range(1_000))
     assert taken == count, taken
 
 
-@then("{count:d} repeats of another service are allowed")
+@then("{count:d} retries of another service are allowed")
 def step_allowed_other(context: Context, count: int) -> None:
-    assert sum(context.budget.take("t") for _ in range(1_000)) == count
+    assert sum(context.budget.try_consume("t") for _ in range(1_000)) == count
 
 
 @given("an instance with {count:d} open requests")
@@ -164,12 +164,12 @@
             if context.request_seconds:
                 nursery.start_soon(serve)
             await trio.lowlevel.checkpoint()
-            begun = trio.current_time()
+            started = trio.current_time()
             stop.leave()
             await stop.wait_to_close()
-            context.closed = trio.current_time() - begun
+            context.closed = trio.current_time() - started
             await stop.wait_no_request(SystemClock().monotonic() + stop.time_to_end(GRACE))
-            context.ended = trio.current_time() - begun
+            context.ended = trio.current_time() - started
             nursery.cancel_scope.cancel()
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
