Rename the public names of exchange, membership and configuration

tell -> broadcast, tell_state -> broadcast_state, meet -> add_peer, PeerSilent -> PeerUnreachable, hears_majority -> reaches_majority, depart -> announce_stop, take_over -> apply_update, take_push -> apply_pushed_delta, confirmed_by -> apply_confirmation, and fields of ExchangeObservers.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -46,20 +46,20 @@
 class ExchangeObservers:
     """Receivers of what other entry instances tell, apart from placements.
 
-    `routes_announced` takes the control address of a peer. `whole_listing` returns what a peer is
+    `routes_announced` takes the control address of a peer. `full_listing` returns what a peer is
     told that does not know any target, or None. `helper_lost` takes the id of a target.
     `suspicions` returns what a peer is told that was not heard before or for long, and
     `recent_suspicions` what is repeated with each state, as a message may be lost.
     """
 
-    ended: Callable[[Ending], None]
+    request_ended: Callable[[Ending], None]
     helper_lost: Callable[[str], None]
-    suspected: Callable[[Suspicion], None]
+    suspicion_received: Callable[[Suspicion], None]
     suspicions: Callable[[], Iterable[Suspicion]]
     recent_suspicions: Callable[[], Iterable[Suspicion]]
-    listed: Callable[[str, ListingNotice], None]
+    listing_received: Callable[[str, ListingNotice], None]
     routes_announced: Callable[[str, int], None]
-    whole_listing: Callable[[], ListingNotice | None]
+    full_listing: Callable[[], ListingNotice | None]
 
 
 class ExchangeCoordinator:
@@ -112,9 +112,9 @@
         self._sender = StateSender(
             own_address, own_state, observers.recent_suspicions, nodes, cells, ring, port, clock
         )
-        self._watch = PeerWatch(nodes, works, ring, self._sender, port, self.tell)
+        self._watch = PeerWatch(nodes, works, ring, self._sender, port, self.broadcast)
         self._registration = Registration(
-            own_address, directory, self.rank, lambda: not self.peers(), self.meet, clock
+            own_address, directory, self.rank, lambda: not self.peers(), self.add_peer, clock
         )
         self._sending: set[str] = set()
         self._nursery: trio.Nursery | None = None
@@ -142,7 +142,7 @@
         """Return the place of this instance among those that are heard, by address, from 0."""
         return sum(1 for node in self.peers() if node.address < self._own_address)
 
-    def tell(self, notice: Notice) -> None:
+    def broadcast(self, notice: Notice) -> None:
         """Send a message to the peers that are heard and that it concerns."""
         match self._cells.audience(notice, self._now()):
             case Audience.ALL:
@@ -159,7 +159,7 @@
             if node.state is not None and self._cells.is_own(node.state.zone)
         ]
 
-    def tell_state(self) -> None:
+    def broadcast_state(self) -> None:
         """Send the state to all peers at once, after a change that they should know of."""
         self._sender.send_to_all()
 
@@ -168,7 +168,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for seed in self._seeds:
-                self.meet(seed)
+                self.add_peer(seed)
             nursery.start_soon(self._port.receive, self)
             nursery.start_soon(self._registration.run)
             while True:
@@ -194,7 +194,7 @@
                     work.pace = pace
             case Ending() as ending:
                 self._works.remove(ending.request_id, now)
-                self._observers.ended(ending)
+                self._observers.request_ended(ending)
             case HelperLoss(target_id=target_id):
                 self._observers.helper_lost(target_id)
             case PeerLoss(address=address) if address == self._own_address:
@@ -206,18 +206,18 @@
             case RepeatNotice(service=service):
                 self._nodes.count_repeat(sender, service)
             case Suspicion() as suspicion:
-                self._observers.suspected(suspicion)
+                self._observers.suspicion_received(suspicion)
             case ListingNotice() as listing:
-                self._observers.listed(sender, listing)
+                self._observers.listing_received(sender, listing)
             case NodeState() as state:
                 self._receive_state(sender, state, now)
             case NodeAddresses(addresses=addresses):
                 for address in addresses:
-                    self.meet(address)
+                    self.add_peer(address)
 
     def _receive_state(self, sender: str, state: NodeState, now: float) -> None:
         unknown = self._nodes.get(sender) is None
-        began = self.meet(sender)
+        began = self.add_peer(sender)
         node = self._nodes.put(sender, now)
         known = node.state
         if known is not None and (state.incarnation, state.sequence) <= (
@@ -243,7 +243,7 @@
         if unknown or self._lacks_peers(state):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in self.peers())))
         if not state.knows_targets and self.rank() < LISTING_SENDERS:
-            listing = self._observers.whole_listing()
+            listing = self._observers.full_listing()
             if listing is not None:
                 self._port.send([sender], listing)
 
@@ -272,7 +272,7 @@
         for suspicion in self._observers.suspicions():
             self._port.send([address], suspicion)
 
-    def meet(self, address: str) -> bool:
+    def add_peer(self, address: str) -> bool:
         """Add a peer and start the task that sends it states; return False when it is known."""
         if address == self._own_address or address in self._sending or self._nursery is None:
             return False
--- a/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
@@ -16,7 +16,7 @@
 
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
 from wasabiwell_entry.coordination.membership.coordinator import PeerSession
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.protocol.peer import (
     EXCHANGE,
     HeartbeatFrame,
@@ -50,16 +50,20 @@
         self._context: Any = None
         self._stream: Any = None
 
-    async def exchange(self, heartbeat: Heartbeat, timeout: timedelta) -> Heartbeat | PeerSilent:
+    async def exchange(
+        self, heartbeat: Heartbeat, timeout: timedelta
+    ) -> Heartbeat | PeerUnreachable:
         """Send a heartbeat and return the peer's."""
         try:
             with trio.fail_after(timeout.total_seconds()):
                 frame = await trio_asyncio.aio_as_trio(self._exchange)(heartbeat_frame(heartbeat))
         except trio.TooSlowError:
-            return PeerSilent("timeout")
+            return PeerUnreachable("timeout")
         except BROKEN_STREAM as error:
-            return PeerSilent(repr(error))
-        return PeerSilent("the peer ended the stream") if frame is None else heartbeat_of(frame)
+            return PeerUnreachable(repr(error))
+        return (
+            PeerUnreachable("the peer ended the stream") if frame is None else heartbeat_of(frame)
+        )
 
     async def _exchange(self, frame: HeartbeatFrame) -> HeartbeatFrame | None:
         if self._stream is None:
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -152,9 +152,9 @@
 def tell_request(context: Context, lead: str, helpers: tuple[str, ...]) -> None:
     service = make_target(0).service
     notice = PlacementNotice("r1", service, lead, helpers, 5, 300, 200, 1_000, 2_000, 1_000)
-    context.exchange.tell(Placing(notice))
-    context.exchange.tell(Writing("r1"))
-    context.exchange.tell(Ending("r1", lead, AttemptVerdict.FAILED))
+    context.exchange.broadcast(Placing(notice))
+    context.exchange.broadcast(Writing("r1"))
+    context.exchange.broadcast(Ending("r1", lead, AttemptVerdict.FAILED))
 
 
 @when(
@@ -162,10 +162,10 @@
 )
 def step_tells_call(context: Context, target_id: str, verdict: str, milliseconds: int) -> None:
     notice = PlacementNotice("r1", "plain", target_id, (), 5, 300, 200, 0, 0, 0)
-    context.exchange.tell(Placing(notice))
+    context.exchange.broadcast(Placing(notice))
     context.clock.advance(timedelta(milliseconds=milliseconds))
     context.exchange._sweep()  # what the instance does at intervals
-    context.exchange.tell(Ending("r1", target_id, AttemptVerdict(verdict)))
+    context.exchange.broadcast(Ending("r1", target_id, AttemptVerdict(verdict)))
 
 
 @then("{count:d} peers were told of its end, and none of its placement")
@@ -316,7 +316,7 @@
 def step_tells_suspect(context: Context, address: str, seconds: int) -> None:
     context.peer = address
     context.suspicion_times = []
-    crashes = CrashCounts(context.exchange.tell, SystemClock())
+    crashes = CrashCounts(context.exchange.broadcast, SystemClock())
     context.recent_suspicions = crashes.recent
     send = context.port.send
 
--- a/tests/steps/entry/coordination/monitors_steps.py
+++ b/tests/steps/entry/coordination/monitors_steps.py
@@ -332,7 +332,7 @@
 
 @when("it repeats a request for a service")
 def step_repeats(context: Context) -> None:
-    context.exchange.tell(RepeatNotice("s"))
+    context.exchange.broadcast(RepeatNotice("s"))
 
 
 @then("{count:d} others were told of the repeat")
