Reword the exchange of messages between entry instances

Comments, constants and private names in the usual terms: monitors, failure detector, refutation, reachable peers, zone-local placement. The modules watch and cells are now failure_detector and zone_locality.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/__init__.py
@@ -1,4 +1,4 @@
-"""Exchanges placements, sightings and states with the other entry instances."""
+"""Exchanges placements, target verdicts and states with the other entry instances."""
 
 from wasabiwell_entry.coordination.exchange.coordinator import ExchangeCoordinator
 
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -3,61 +3,65 @@
 from datetime import timedelta
 
 STATE_INTERVAL = timedelta(milliseconds=500)
-"""Time between the states that are sent to a peer."""
+"""Time between two states sent to a peer in a small fleet, or to a monitor in a large one."""
 LARGE_FLEET_INSTANCES = 32
-"""With more instances, a few watch each one, and placements on one target are told in the own zone
-only. A message costs its receiver 0.1 ms and instances are sent some by each of the others: 100 of
-them got 346 a second in a profile when all was told to all."""
+"""Fleet size from which each instance has only a few monitors, and placements on a single target
+are sent within the zone only. Receiving a message takes 0.1 ms, and each instance receives messages
+from all others: in a profile of 100 instances, each got 346 per second when all went to all."""
 MONITORS = 5
-"""Instances that watch one in a large fleet. The report of one suffices. All are in the zone of the
-watched one in 1 of 240 cases, with three zones; those that die with it are replaced as they are
-reported."""
-FAR_STATES_PER_SECOND = 10.0
-"""States that an instance sends to those that do not watch it, whatever the size of the fleet. They
-repeat what single messages have told."""
-MAX_FAR_STATE_INTERVAL = timedelta(seconds=15)
-"""Three states may be lost before an instance is forgotten."""
-REQUESTED_WATCH_TIME = timedelta(seconds=4)
-"""Time for which an instance that asks for frequent states gets them; if it still lacks them, it
-asks again. Instances learn of each other within 2 s, and mostly agree on who watches whom then."""
-ANSWER_LOSS_INTERVAL = timedelta(milliseconds=250)
-"""An instance that is reported as silent tells its state to all, once for all of its monitors."""
-SHARED_STATE_TIME = timedelta(milliseconds=20)
-"""Time for which one state is sent to all peers, whose tasks run one after the other."""
-LATEST_MOMENT = 0.75
-"""Part of an interval after which the next moment to send is left out, as one has just been."""
-SILENT_INTERVALS = 3.4
-"""A peer that was not heard for this many intervals is taken as gone: three may be lost."""
-WATCH_SILENCE = SILENT_INTERVALS * STATE_INTERVAL
-"""An instance that is watched is reported after this time without any message."""
-PAUSED_SWEEP = timedelta(seconds=1)
-"""An instance whose looks for silent peers are this far apart was paused itself."""
-KNOWN_PEERS_SHARE = 0.5
-"""A peer that hears fewer than this share of what is heard here is sent all addresses."""
-LISTED_TIMEOUT = timedelta(seconds=20)
-"""When no peer at all is heard, those heard within this time are still told to callers.
+"""Monitors of each instance in a large fleet; the report of one of them suffices. With three zones,
+all five are in the zone of the monitored instance in 1 of 240 cases. Monitors that fail together
+with it are replaced once they are reported themselves."""
+NON_MONITOR_STATES_PER_SECOND = 10.0
+"""Total rate of the states sent to all peers that are not monitors, regardless of the fleet size.
+These states only repeat what individual messages have already reported."""
+MAX_NON_MONITOR_STATE_INTERVAL = timedelta(seconds=15)
+"""Three states in a row may be lost before the peer is removed after `FORGET_TIMEOUT`."""
+REQUESTED_MONITORING_TIME = timedelta(seconds=4)
+"""Time for which a peer gets frequent states after a `WatchRequest`; it may ask again afterwards.
+A new instance is known to all others within 2 s, after which they mostly agree on the monitors."""
+REFUTATION_INTERVAL = timedelta(milliseconds=250)
+"""Minimum time between two refutations, so that the reports of all monitors of this instance are
+answered by one state to all peers."""
+STATE_CACHE_TTL = timedelta(milliseconds=20)
+"""Time for which a built state is reused, because the tasks of the peers that are due at the same
+moment run one after the other."""
+SLOT_SKIP_FRACTION = 0.75
+"""Phase of an interval from which the next send slot is skipped, because a state has just been
+sent."""
+PEER_TIMEOUT_INTERVALS = 3.4
+"""Send intervals without a message after which a peer is considered gone: three may be lost."""
+MONITOR_TIMEOUT = PEER_TIMEOUT_INTERVALS * STATE_INTERVAL
+"""Time without any message after which a monitored instance is reported as lost."""
+PAUSE_THRESHOLD = timedelta(seconds=1)
+"""Time between two sweeps from which this process is assumed to have been paused."""
+KNOWN_PEERS_FRACTION = 0.5
+"""A peer that hears from less than this fraction of the peers known here is sent all addresses."""
+ISOLATED_LISTING_TIMEOUT = timedelta(seconds=20)
+"""Time for which callers still get the addresses of peers after the last message from any peer.
 
-This instance is then probably the one that is cut off, and the others go on serving.
+This instance is then probably the one that is isolated, while the others go on serving.
 """
 LISTING_SENDERS = 3
-"""Instances, the first in the order of addresses, that send the list of targets to a peer that
-knows none; it also reads the list itself."""
+"""Number of instances, the first by address, that send the list of targets to a peer without one.
+The peer also reads the list itself."""
 FORGET_TIMEOUT = timedelta(seconds=60)
-"""A peer that was not heard for this long is not sent to any more."""
+"""Time without any message after which a peer is removed and gets no more states."""
 SWEEP_INTERVAL = timedelta(milliseconds=250)
-"""Time between looks for silent peers."""
+"""Time between two checks for peers that have timed out."""
 REGISTERED_INSTANCES = 5
-"""Instances, the first in the order of addresses, whose address is in the platform's store. One
-that starts finds all others through any of them, or through a seed."""
+"""Number of instances, the first by address, that register their address in the platform's store.
+A starting instance finds all others through any of them, or through a seed."""
 REGISTER_DELAY = timedelta(milliseconds=400)
-"""Time to hear peers through the seeds before the store is asked; calls to it are priced."""
+"""Time to find peers through the seeds before the store is read; calls to it cost money."""
 REGISTER_INTERVAL = timedelta(seconds=5)
-"""Time between looks whether this instance has to be entered, or hears nobody."""
+"""Time between two checks whether this instance has to register or has no peers."""
 REGISTER_RETRY_INTERVAL = timedelta(seconds=2)
-"""Time between tries to enter this instance in the platform's store while that is away."""
-CALL_TELL_AGE = timedelta(milliseconds=100)
-"""Time for which a call of a plain service has run before it is told in a large fleet. The users'
-calls take 20 to 45 ms; a message on one of them would be read when it has mostly ended."""
-CELL_TARGETS = 8
-"""Targets that each zone needs for this, so that long prompts find enough targets in one zone. Less
-than the 13 that a zone of the smaller large fleet has, as some of them may be away."""
+"""Time between two attempts while the platform's store is unavailable."""
+CALL_REPORT_AGE = timedelta(milliseconds=100)
+"""Age at which a call of a plain service is reported in a large fleet. User calls take 20 to 45 ms,
+so most would have ended before peers read a message about them."""
+MIN_ZONE_TARGETS = 8
+"""Targets of a service that each zone needs for zone-local placement, so that long prompts find
+enough of them. Less than the 13 per zone in the smaller of the large fleets, as some may be
+unavailable."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -1,25 +1,25 @@
-"""Tells the other entry instances what happens here, and takes over what they tell."""
+"""Sends local events to the other entry instances and applies the messages received from them."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import trio
 
-from wasabiwell_entry.coordination.exchange.cells import Audience, ZoneCells
 from wasabiwell_entry.coordination.exchange.const import (
-    KNOWN_PEERS_SHARE,
-    LISTED_TIMEOUT,
+    ISOLATED_LISTING_TIMEOUT,
+    KNOWN_PEERS_FRACTION,
     LISTING_SENDERS,
+    PEER_TIMEOUT_INTERVALS,
     REGISTERED_INSTANCES,
-    SILENT_INTERVALS,
     SWEEP_INTERVAL,
 )
+from wasabiwell_entry.coordination.exchange.failure_detector import FailureDetector, peer_loss
 from wasabiwell_entry.coordination.exchange.monitors import MonitorRing
-from wasabiwell_entry.coordination.exchange.placements import placed_by_notice
+from wasabiwell_entry.coordination.exchange.placements import placed_from_notice
 from wasabiwell_entry.coordination.exchange.ports import NodeDirectory, NoticePort
 from wasabiwell_entry.coordination.exchange.registration import Registration
 from wasabiwell_entry.coordination.exchange.sender import StateSender
-from wasabiwell_entry.coordination.exchange.watch import PeerWatch, loss_of
+from wasabiwell_entry.coordination.exchange.zone_locality import Audience, ZoneLocality
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
@@ -44,12 +44,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeObservers:
-    """Receivers of what other entry instances tell, apart from placements.
+    """Callbacks for the messages of other entry instances, except placements.
 
-    `routes_announced` takes the control address of a peer. `full_listing` returns what a peer is
-    told that does not know any target, or None. `helper_lost` takes the id of a target.
-    `suspicions` returns what a peer is told that was not heard before or for long, and
-    `recent_suspicions` what is repeated with each state, as a message may be lost.
+    `routes_announced` takes the control address of a peer and its routes version, `helper_lost` the
+    id of a target. `full_listing` returns the message for a peer that knows no target, or None.
+    `suspicions` returns the messages for a peer that is new or was unreachable for long, and
+    `recent_suspicions` those repeated with each state, because single messages may be lost.
     """
 
     request_ended: Callable[[Ending], None]
@@ -65,25 +65,26 @@
 class ExchangeCoordinator:
     """Keeps the node table of one entry instance; one task sends states to each peer.
 
-    In a small fleet all instances watch each other. In a large one a few monitors watch each
-    instance and report its silence to all; the others get its states seldom.
+    In a small fleet all instances monitor each other. In a large fleet each instance has a few
+    monitors, which get its states often and report to all peers when they stop; the other peers
+    get its states at longer intervals.
     """
 
     __slots__ = (
-        "_cells",
         "_clock",
+        "_failure_detector",
         "_nodes",
         "_nursery",
         "_observers",
         "_own_address",
         "_own_state",
+        "_peers_with_sender",
         "_port",
         "_registration",
         "_seeds",
         "_sender",
-        "_sending",
-        "_watch",
         "_works",
+        "_zone_locality",
     )
 
     def __init__(
@@ -92,7 +93,7 @@
         own_state: Callable[[], NodeState],
         nodes: NodeTable,
         works: WorkTable,
-        cells: ZoneCells,
+        zone_locality: ZoneLocality,
         port: NoticePort,
         directory: NodeDirectory,
         observers: ExchangeObservers,
@@ -103,48 +104,58 @@
         self._own_state = own_state
         self._nodes = nodes
         self._works = works
-        self._cells = cells
+        self._zone_locality = zone_locality
         self._port = port
         self._observers = observers
         self._seeds = seeds
         self._clock = clock
         ring = MonitorRing(own_address)
         self._sender = StateSender(
-            own_address, own_state, observers.recent_suspicions, nodes, cells, ring, port, clock
+            own_address,
+            own_state,
+            observers.recent_suspicions,
+            nodes,
+            zone_locality,
+            ring,
+            port,
+            clock,
+        )
+        self._failure_detector = FailureDetector(
+            nodes, works, ring, self._sender, port, self.broadcast
         )
-        self._watch = PeerWatch(nodes, works, ring, self._sender, port, self.broadcast)
         self._registration = Registration(
             own_address, directory, self.rank, lambda: not self.peers(), self.add_peer, clock
         )
-        self._sending: set[str] = set()
+        self._peers_with_sender: set[str] = set()
         self._nursery: trio.Nursery | None = None
 
     def peers(self) -> list[Node]:
-        """Return the peers that are heard, in the order of addresses."""
+        """Return the peers that have not timed out, in the order of addresses."""
         return self._nodes.within_silence(self._now())
 
     def alive(self) -> list[Member]:
         """Return the entry instances that callers may use, this one included.
 
-        When no peer is heard, those are returned that were heard before.
+        If all peers have timed out, those last heard from within `ISOLATED_LISTING_TIMEOUT` are
+        included.
         """
         now = self._now()
         nodes = self.peers() or [
             node
             for node in self._nodes.heard()
-            if node.silence(now) <= LISTED_TIMEOUT.total_seconds()
+            if node.silence(now) <= ISOLATED_LISTING_TIMEOUT.total_seconds()
         ]
         states = [(node.address, node.state) for node in nodes if node.state is not None]
         states.append((self._own_address, self._own_state()))
         return [_member(address, state) for address, state in states if state.serving]
 
     def rank(self) -> int:
-        """Return the place of this instance among those that are heard, by address, from 0."""
+        """Return the zero-based rank of this instance among the reachable ones, by address."""
         return sum(1 for node in self.peers() if node.address < self._own_address)
 
     def broadcast(self, notice: Notice) -> None:
-        """Send a message to the peers that are heard and that it concerns."""
-        match self._cells.audience(notice, self._now()):
+        """Send a message to all reachable peers that need it."""
+        match self._zone_locality.audience(notice, self._now()):
             case Audience.ALL:
                 self._port.send([node.address for node in self.peers()], notice)
             case Audience.ZONE:
@@ -156,11 +167,11 @@
         return [
             node
             for node in self.peers()
-            if node.state is not None and self._cells.is_own(node.state.zone)
+            if node.state is not None and self._zone_locality.is_own_zone(node.state.zone)
         ]
 
     def broadcast_state(self) -> None:
-        """Send the state to all peers at once, after a change that they should know of."""
+        """Send the state to all peers immediately, after a change."""
         self._sender.send_to_all()
 
     async def run(self) -> None:
@@ -176,16 +187,16 @@
                 await self._clock.sleep(SWEEP_INTERVAL)
 
     def receive(self, sender: str, notice: Notice) -> None:
-        """Take over a message of a peer."""
+        """Apply a message from a peer."""
         if sender == self._own_address:
             return
         now = self._now()
         if not isinstance(notice, NodeState):
-            self._note_return(sender, now)
+            self._handle_recovery(sender, now)
             self._nodes.hear(sender, now)
         match notice:
             case Placing(notice=placing):
-                self._works.add(placed_by_notice(sender, placing, now), now)
+                self._works.add(placed_from_notice(sender, placing, now), now)
             case Writing(request_id=request_id):
                 self._works.begin_writing(request_id, now)
             case PaceNotice(target_id=target_id, pace=pace):
@@ -198,11 +209,11 @@
             case HelperLoss(target_id=target_id):
                 self._observers.helper_lost(target_id)
             case PeerLoss(address=address) if address == self._own_address:
-                self._watch.answer_loss(now)
+                self._failure_detector.refute_loss(now)
             case PeerLoss() as loss:
-                self._watch.receive_loss(loss, now)
+                self._failure_detector.receive_loss(loss, now)
             case WatchRequest():
-                self._watch.receive_request(sender, now)
+                self._failure_detector.receive_watch_request(sender, now)
             case RepeatNotice(service=service):
                 self._nodes.count_repeat(sender, service)
             case Suspicion() as suspicion:
@@ -217,7 +228,7 @@
 
     def _receive_state(self, sender: str, state: NodeState, now: float) -> None:
         unknown = self._nodes.get(sender) is None
-        began = self.add_peer(sender)
+        added = self.add_peer(sender)
         node = self._nodes.put(sender, now)
         known = node.state
         if known is not None and (state.incarnation, state.sequence) <= (
@@ -228,56 +239,61 @@
         if known is None or state.incarnation != known.incarnation:
             log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
             self._works.retain(sender, frozenset(), now)
-            if not began:
+            if not added:
                 self._sender.send_to(sender)
-            self._tell_suspicions(sender)
-        self._note_return(sender, now)
+            self._send_suspicions(sender)
+        self._handle_recovery(sender, now)
         node.heard, node.state, node.lost = now, state, False
-        node.allowed_silence = SILENT_INTERVALS * state.interval_ms / 1000
+        node.allowed_silence = PEER_TIMEOUT_INTERVALS * state.interval_ms / 1000
         self._works.retain(sender, frozenset(state.placed), now)
         self._observers.routes_announced(state.control_address, state.routes_version)
-        self._introduce(sender, state, unknown)
+        self._send_missing_information(sender, state, unknown)
 
-    def _introduce(self, sender: str, state: NodeState, unknown: bool) -> None:
-        """Tell a peer what it lacks: other instances and the list of targets."""
-        if unknown or self._lacks_peers(state):
+    def _send_missing_information(self, sender: str, state: NodeState, unknown: bool) -> None:
+        """Send a peer the instance addresses and the list of targets if it lacks them."""
+        if unknown or self._needs_addresses(state):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in self.peers())))
         if not state.knows_targets and self.rank() < LISTING_SENDERS:
             listing = self._observers.full_listing()
             if listing is not None:
                 self._port.send([sender], listing)
 
-    def _lacks_peers(self, state: NodeState) -> bool:
-        """Return whether a peer hears few others and is to be told of them by this instance."""
-        if state.peers >= len(self._nodes) * KNOWN_PEERS_SHARE:
+    def _needs_addresses(self, state: NodeState) -> bool:
+        """Return whether a peer knows few instances and this one has to send it their addresses."""
+        if state.peers >= len(self._nodes) * KNOWN_PEERS_FRACTION:
             return False
-        asked = self._own_address in self._seeds or self.rank() < REGISTERED_INSTANCES
-        return asked and state.peers < len(self.peers()) * KNOWN_PEERS_SHARE
+        responsible = self._own_address in self._seeds or self.rank() < REGISTERED_INSTANCES
+        return responsible and state.peers < len(self.peers()) * KNOWN_PEERS_FRACTION
 
-    def _note_return(self, sender: str, now: float) -> None:
-        """Note that a peer is heard which was silent for long."""
+    def _handle_recovery(self, sender: str, now: float) -> None:
+        """Handle the first message of a peer that timed out or was reported as lost."""
         node = self._nodes.get(sender)
         if node is None or node.heard is None or node.state is None:
             return
         if not node.lost and node.silence(now) <= node.allowed_silence:
             return
         log_events.emit(log_events.PEER_HEARD, peer=sender, zone=node.state.zone)
-        self._tell_suspicions(sender)
+        self._send_suspicions(sender)
         if node.lost:
-            # Those that do not watch it have to hear it too; its next state to them is far off.
-            self._port.send([sender], loss_of(node.address, node.state))
+            # The report makes the peer send its state to all instances. Those that do not monitor
+            # it would otherwise wait many seconds for its next state.
+            self._port.send([sender], peer_loss(node.address, node.state))
 
-    def _tell_suspicions(self, address: str) -> None:
-        """Tell a peer of requests that crash targets, of which it may not have heard."""
+    def _send_suspicions(self, address: str) -> None:
+        """Send a peer all requests that are suspected of crashing targets."""
         for suspicion in self._observers.suspicions():
             self._port.send([address], suspicion)
 
     def add_peer(self, address: str) -> bool:
-        """Add a peer and start the task that sends it states; return False when it is known."""
-        if address == self._own_address or address in self._sending or self._nursery is None:
+        """Add a peer and start the task that sends it states; return False if that task runs."""
+        if (
+            address == self._own_address
+            or address in self._peers_with_sender
+            or self._nursery is None
+        ):
             return False
         self._nodes.put(address, self._now())
-        self._sending.add(address)
+        self._peers_with_sender.add(address)
         self._nursery.start_soon(self._send_states, address)
         return True
 
@@ -285,13 +301,13 @@
         try:
             await self._sender.send(address)
         finally:
-            self._sending.discard(address)
+            self._peers_with_sender.discard(address)
 
     def _sweep(self) -> None:
-        """Drop what silent peers have placed and what ended unheard."""
+        """Drop the placements of timed-out peers and expired placements; report long calls."""
         now = self._now()
-        if self._cells.large_fleet:
-            self._watch.look(now)
+        if self._zone_locality.large_fleet:
+            self._failure_detector.detect(now)
         for node in self._nodes.heard():
             silence = node.silence(now)
             if 0 <= silence - node.allowed_silence < SWEEP_INTERVAL.total_seconds():
@@ -300,7 +316,7 @@
                 )
                 self._works.retain(node.address, frozenset(), now)
         self._works.expire(now)
-        for placing in self._cells.overdue_calls(now):
+        for placing in self._zone_locality.calls_to_report(now):
             self._port.send([node.address for node in self._zone_peers()], placing)
 
     def _now(self) -> float:
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
@@ -1,4 +1,4 @@
-"""What an entry instance tells the others of itself."""
+"""State that an entry instance sends to the others about itself."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeIdentity:
-    """Place and addresses of an entry instance."""
+    """Region, zone and addresses of an entry instance."""
 
     region: str
     zone: str
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StateSources:
-    """Where the parts of a state come from."""
+    """Functions that return the current values of a state."""
 
     leaving: Callable[[], bool]
     routes_version: Callable[[], int]
@@ -31,7 +31,7 @@
 
 
 class OwnState:
-    """Returns states with growing sequence numbers."""
+    """Builds the states of this instance, with increasing sequence numbers."""
 
     __slots__ = ("_identity", "_sequence", "_sources", "_started")
 
@@ -43,11 +43,11 @@
 
     @property
     def serving(self) -> bool:
-        """Return whether callers may be sent here: routes are known and no stop has begun."""
+        """Return whether callers may use this instance: it has routes and is not shutting down."""
         return self._sources.routes_version() > 0 and not self._sources.leaving()
 
     def current(self) -> NodeState:
-        """Return the state now."""
+        """Return the current state, with the next sequence number."""
         self._sequence += 1
         return NodeState(
             incarnation=int(self._started.timestamp() * 1000),
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/placements.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/placements.py
@@ -1,12 +1,12 @@
-"""Placed requests as they are told to other entry instances; times are monotonic seconds."""
+"""Conversion between placed requests and messages about them; times are monotonic seconds."""
 
 from wasabiwell_entry.state.exchange import PlacementNotice
 from wasabiwell_entry.state.forwarding import PromptSize
 from wasabiwell_entry.state.work import Placed
 
 
-def placed_by_notice(sender: str, notice: PlacementNotice, now: float) -> Placed:
-    """Return a request that a peer has placed."""
+def placed_from_notice(sender: str, notice: PlacementNotice, now: float) -> Placed:
+    """Return the placed request that a message of a peer describes."""
     size = None
     if notice.prompt:
         size = PromptSize(notice.prompt, notice.max_output, notice.expected_output)
@@ -26,7 +26,7 @@
 
 
 def placement_notice(placed: Placed, now: float) -> PlacementNotice:
-    """Return what peers are told of a placed request."""
+    """Return the message that describes a placed request to peers."""
     size = placed.size or PromptSize(0, 0, 0)
     return PlacementNotice(
         request_id=placed.request_id,
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/ports.py
@@ -1,4 +1,4 @@
-"""What the exchange needs of the other layers and capabilities."""
+"""Interfaces that the exchange requires from other layers and capabilities."""
 
 from collections.abc import Iterable
 from typing import Protocol
@@ -8,27 +8,27 @@
 
 
 class NoticeReceiver(Protocol):
-    """Receiver of messages."""
+    """Receiver of messages from other entry instances."""
 
     def receive(self, sender: str, notice: Notice) -> None:
-        """Take over a message of the entry instance at a datagram address."""
+        """Apply a message; `sender` is the datagram address of the entry instance."""
 
 
 class NoticePort(Protocol):
-    """Datagrams to other entry instances."""
+    """Datagram connection to other entry instances."""
 
     def send(self, addresses: Iterable[str], notice: Notice) -> None:
-        """Send a message; it may be lost."""
+        """Send a message to each address, without guarantee of delivery."""
 
     async def receive(self, receiver: NoticeReceiver) -> None:
         """Pass each message to the receiver until cancelled."""
 
 
 class NodeDirectory(Protocol):
-    """Datagram addresses of entry instances, kept by the platform."""
+    """Registry of the datagram addresses of entry instances in the platform's store."""
 
     async def register(self, address: str) -> StoreUnavailable | None:
-        """Enter an address."""
+        """Register an address."""
 
     async def addresses(self) -> list[str] | StoreUnavailable:
-        """Return the addresses that were entered."""
+        """Return the registered addresses."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/registration.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/registration.py
@@ -1,4 +1,4 @@
-"""Keeps a few entry instances in the platform's store, through which others find them."""
+"""Registers a few entry instances in the platform's store, so that others can find the fleet."""
 
 from collections.abc import Callable
 
@@ -14,31 +14,31 @@
 
 
 class Registration:
-    """Enters this instance if it is one of the first, and finds peers when none is heard.
+    """Registers this instance if it is one of the first by address; finds peers if there are none.
 
-    `rank` returns the place of this instance by address, `alone` whether no peer is heard.
+    `rank` returns the rank of this instance by address, `isolated` whether no peer is reachable.
     """
 
-    __slots__ = ("_alone", "_clock", "_directory", "_meet", "_own_address", "_rank")
+    __slots__ = ("_add_peer", "_clock", "_directory", "_isolated", "_own_address", "_rank")
 
     def __init__(
         self,
         own_address: str,
         directory: NodeDirectory,
         rank: Callable[[], int],
-        alone: Callable[[], bool],
-        meet: Callable[[str], object],
+        isolated: Callable[[], bool],
+        add_peer: Callable[[str], object],
         clock: Clock,
     ) -> None:
         self._own_address = own_address
         self._directory = directory
         self._rank = rank
-        self._alone = alone
-        self._meet = meet
+        self._isolated = isolated
+        self._add_peer = add_peer
         self._clock = clock
 
     async def run(self) -> None:
-        """Look at intervals whether there is something to do, until cancelled."""
+        """Check periodically whether to register or to look for peers, until cancelled."""
         await self._clock.sleep(REGISTER_DELAY)
         registered = False
         while True:
@@ -46,15 +46,15 @@
             if not registered and self._rank() < REGISTERED_INSTANCES:
                 failed = await self._directory.register(self._own_address)
                 registered = failed is None
-            if failed is None and self._alone():
-                failed = await self._meet_registered()
-            retry = REGISTER_INTERVAL if failed is None else REGISTER_RETRY_INTERVAL
-            await self._clock.sleep(retry)
+            if failed is None and self._isolated():
+                failed = await self._add_registered_peers()
+            interval = REGISTER_INTERVAL if failed is None else REGISTER_RETRY_INTERVAL
+            await self._clock.sleep(interval)
 
-    async def _meet_registered(self) -> StoreUnavailable | None:
+    async def _add_registered_peers(self) -> StoreUnavailable | None:
         addresses = await self._directory.addresses()
         if isinstance(addresses, StoreUnavailable):
             return addresses
         for address in addresses:
-            self._meet(address)
+            self._add_peer(address)
         return None
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
@@ -1,4 +1,4 @@
-"""Sends the states of this entry instance to its peers."""
+"""Sends the state of this entry instance to its peers."""
 
 from collections.abc import Callable, Iterable
 from datetime import timedelta
@@ -7,40 +7,40 @@
 import trio
 import xxhash
 
-from wasabiwell_entry.coordination.exchange.cells import ZoneCells
 from wasabiwell_entry.coordination.exchange.const import (
-    FAR_STATES_PER_SECOND,
     FORGET_TIMEOUT,
-    LATEST_MOMENT,
-    MAX_FAR_STATE_INTERVAL,
-    SHARED_STATE_TIME,
+    MAX_NON_MONITOR_STATE_INTERVAL,
+    NON_MONITOR_STATES_PER_SECOND,
+    SLOT_SKIP_FRACTION,
+    STATE_CACHE_TTL,
     STATE_INTERVAL,
 )
 from wasabiwell_entry.coordination.exchange.monitors import MonitorRing
 from wasabiwell_entry.coordination.exchange.ports import NoticePort
+from wasabiwell_entry.coordination.exchange.zone_locality import ZoneLocality
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import NodeState, Suspicion
 from wasabiwell_entry.state.nodes import NodeTable
 
 
 class StateSender:
-    """Sends states to each peer in a task of its own: often to monitors, seldom to the others.
+    """Sends states to each peer in its own task: often to monitors, at long intervals to others.
 
-    In a small fleet all peers get them often.
+    In a small fleet all peers get states at the short interval.
     """
 
     __slots__ = (
-        "_cells",
+        "_cache_expires",
+        "_cached_states",
         "_clock",
+        "_monitors_changed",
         "_nodes",
         "_own_state",
         "_phase",
         "_port",
         "_recent_suspicions",
         "_ring",
-        "_ring_changed",
-        "_shared_states",
-        "_shared_until",
+        "_zone_locality",
     )
 
     def __init__(
@@ -49,7 +49,7 @@
         own_state: Callable[[], NodeState],
         recent_suspicions: Callable[[], Iterable[Suspicion]],
         nodes: NodeTable,
-        cells: ZoneCells,
+        zone_locality: ZoneLocality,
         ring: MonitorRing,
         port: NoticePort,
         clock: Clock,
@@ -57,22 +57,22 @@
         self._own_state = own_state
         self._recent_suspicions = recent_suspicions
         self._nodes = nodes
-        self._cells = cells
+        self._zone_locality = zone_locality
         self._ring = ring
-        self._ring_changed = trio.Event()
+        self._monitors_changed = trio.Event()
         self._port = port
         self._clock = clock
         self._phase = xxhash.xxh3_64_intdigest(own_address.encode()) / 2**64
-        self._shared_states: dict[timedelta, NodeState] = {}
-        self._shared_until = 0.0
+        self._cached_states: dict[timedelta, NodeState] = {}
+        self._cache_expires = 0.0
 
-    def monitors_changed(self) -> None:
-        """Tell peers at once that have become monitors, or are none any more."""
-        self._ring_changed.set()
-        self._ring_changed = trio.Event()
+    def notify_monitors_changed(self) -> None:
+        """Wake the tasks of peers that have become monitors or have ceased to be."""
+        self._monitors_changed.set()
+        self._monitors_changed = trio.Event()
 
     async def send(self, address: str) -> None:
-        """Send states to a peer until it was not heard for long."""
+        """Send states to a peer until it is removed after `FORGET_TIMEOUT`."""
         while (node := self._nodes.get(address)) is not None:
             last = node.heard if node.heard is not None else node.known_since
             if self._now() - last > FORGET_TIMEOUT.total_seconds():
@@ -85,58 +85,58 @@
 
     def send_to(self, address: str) -> None:
         """Send the state to a peer."""
-        self._port.send([address], self._state_to_share(self._interval_to(address)))
+        self._port.send([address], self._current_state(self._interval_to(address)))
 
     def send_to_all(self) -> None:
-        """Send the state to all peers as it is now, after a change that they should know of."""
-        self._shared_states.clear()
+        """Send a newly built state to all peers, after a change."""
+        self._cached_states.clear()
         receivers: dict[timedelta, list[str]] = {}
         for node in self._nodes:
             receivers.setdefault(self._interval_to(node.address), []).append(node.address)
         for interval, addresses in receivers.items():
-            self._port.send(addresses, self._state_to_share(interval))
+            self._port.send(addresses, self._current_state(interval))
 
-    def _state_to_share(self, interval: timedelta) -> NodeState:
-        """Return the state for all peers that are sent to at this moment, at one interval."""
+    def _current_state(self, interval: timedelta) -> NodeState:
+        """Return the state for all peers with this interval that are due at the same moment."""
         now = self._now()
-        if now >= self._shared_until:
-            self._shared_states.clear()
-        if interval not in self._shared_states:
+        if now >= self._cache_expires:
+            self._cached_states.clear()
+        if interval not in self._cached_states:
             milliseconds = interval // timedelta(milliseconds=1)
             state = msgspec.structs.replace(self._own_state(), interval_ms=milliseconds)
-            self._shared_states[interval] = state
-            self._shared_until = now + SHARED_STATE_TIME.total_seconds()
-        return self._shared_states[interval]
+            self._cached_states[interval] = state
+            self._cache_expires = now + STATE_CACHE_TTL.total_seconds()
+        return self._cached_states[interval]
 
     async def _wait_to_send(self, address: str) -> None:
-        """Wait for the next moment to send a state to a peer.
+        """Wait until the next state is due to a peer.
 
-        One that has become a monitor, or is none any more, is sent a state at once: it tells when
-        the next one is to come.
+        A peer that has become a monitor or has ceased to be gets a state immediately, because the
+        state contains the new interval.
         """
-        far = self._is_far(address)
+        infrequent = self._gets_infrequent_states(address)
         interval = self._interval_to(address)
-        with trio.move_on_after(self._time_to_next(interval).total_seconds()):
-            while self._is_far(address) == far:
-                await self._ring_changed.wait()
+        with trio.move_on_after(self._time_to_next_slot(interval).total_seconds()):
+            while self._gets_infrequent_states(address) == infrequent:
+                await self._monitors_changed.wait()
 
-    def _is_far(self, address: str) -> bool:
-        return self._cells.large_fleet and address not in self._ring.monitors
+    def _gets_infrequent_states(self, address: str) -> bool:
+        return self._zone_locality.large_fleet and address not in self._ring.monitors
 
     def _interval_to(self, address: str) -> timedelta:
-        if not self._is_far(address):
+        if not self._gets_infrequent_states(address):
             return STATE_INTERVAL
-        interval = timedelta(seconds=len(self._nodes) / FAR_STATES_PER_SECOND)
-        return min(interval, MAX_FAR_STATE_INTERVAL)
+        interval = timedelta(seconds=len(self._nodes) / NON_MONITOR_STATES_PER_SECOND)
+        return min(interval, MAX_NON_MONITOR_STATE_INTERVAL)
 
-    def _time_to_next(self, interval: timedelta) -> timedelta:
-        """Return the time to the moment at which all peers with an interval are sent to.
+    def _time_to_next_slot(self, interval: timedelta) -> timedelta:
+        """Return the time until the send slot shared by all peers with this interval.
 
-        The tasks of all peers then run in one wake of the process. Instances have moments of their
-        own, so that no peer gets the states of all others at once.
+        The tasks of these peers then run in one wake-up of the process. The slots of different
+        instances have different phases, so that no peer gets the states of all others at once.
         """
-        moment = (self._now() / interval.total_seconds() + self._phase) % 1.0
-        return interval * (1.0 - moment if moment < LATEST_MOMENT else 2.0 - moment)
+        position = (self._now() / interval.total_seconds() + self._phase) % 1.0
+        return interval * (1.0 - position if position < SLOT_SKIP_FRACTION else 2.0 - position)
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -12,7 +12,7 @@
 from behave.runner import Context
 from support.exchange import LISTING, OWN, FakeDirectory, hear, open_exchange, pass_time, state_of
 from support.forwarding import PROFILE, make_target
-from wasabiwell_entry.coordination.exchange.const import CELL_TARGETS, LARGE_FLEET_INSTANCES
+from wasabiwell_entry.coordination.exchange.const import LARGE_FLEET_INSTANCES, MIN_ZONE_TARGETS
 from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
 from wasabiwell_entry.protocol.notices import (
     UnreadableNoticeError,
@@ -194,7 +194,7 @@
 @then("the numbers in these scenarios are on both sides of the bounds")
 def step_bounds(context: Context) -> None:
     assert 20 < LARGE_FLEET_INSTANCES <= 40
-    assert 5 < CELL_TARGETS <= 12
+    assert 5 < MIN_ZONE_TARGETS <= 12
 
 
 @then("it entered nothing")
--- a/tests/steps/entry/coordination/monitors_steps.py
+++ b/tests/steps/entry/coordination/monitors_steps.py
@@ -49,14 +49,14 @@
     found = rings(count)
     for name, ring in found.items():
         assert len(ring.monitors) == monitors
-        assert all(name in found[monitor].watched() for monitor in ring.monitors)
-        assert len(ring.watched()) == monitors
+        assert all(name in found[monitor].monitored() for monitor in ring.monitors)
+        assert len(ring.monitored()) == monitors
 
 
 def hear(context: Context, address: str, **fields: object) -> None:
     """Let a state arrive that tells the interval which its sender keeps to this instance."""
     others = context.others
-    far = len(others) >= LARGE_FLEET_INSTANCES and address not in watched_by_own(others)
+    far = len(others) >= LARGE_FLEET_INSTANCES and address not in monitored_by_own(others)
     interval = 100 * len(others) if far else 500
     exchange.hear(context, address, **{"interval_ms": interval, **fields})
 
@@ -68,10 +68,10 @@
     return context.others
 
 
-def watched_by_own(names: list[str]) -> set[str]:
+def monitored_by_own(names: list[str]) -> set[str]:
     ring = MonitorRing(OWN)
     ring.update(names, 0.0)
-    return set(ring.watched())
+    return set(ring.monitored())
 
 
 def run(
@@ -137,7 +137,7 @@
 )
 def step_seldom_watched(context: Context, count: int, seconds: int, answers: str) -> None:
     others = open_run(context, count)
-    context.silent = min(watched_by_own(others))
+    context.silent = min(monitored_by_own(others))
 
     async def answer() -> None:
         exchange.hear(context, context.silent, interval_ms=100 * count)
@@ -163,7 +163,7 @@
 )
 def step_one_silent(context: Context, count: int, seconds: int, later: int) -> None:
     others = open_run(context, count)
-    context.silent = min(watched_by_own(others))
+    context.silent = min(monitored_by_own(others))
     heard = [name for name in others if name != context.silent]
     run(context, [(seconds, others), (later, heard)])
     context.last = seconds - STEP
@@ -175,7 +175,7 @@
 )
 def step_far_silent(context: Context, count: int, seconds: int, later: int) -> None:
     others = open_run(context, count)
-    run(context, [(seconds, others), (later, sorted(watched_by_own(others)))])
+    run(context, [(seconds, others), (later, sorted(monitored_by_own(others)))])
 
 
 @then("{near:d} of them got {least:d} to {most:d} states, and the others {few:d} to {many:d}")
@@ -237,8 +237,8 @@
     context.others = addresses(count)
     for name in context.others:
         hear(context, name)
-    watched = watched_by_own(context.others)
-    context.silent = next(name for name in context.others if name not in watched)
+    monitored = monitored_by_own(context.others)
+    context.silent = next(name for name in context.others if name not in monitored)
     context.port.sent.clear()
     context.port.times.clear()
 
