--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -37,7 +37,6 @@
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.outcomes import (
-    Answer,
     CallOutcome,
     Failed,
     Finished,
@@ -45,6 +44,7 @@
     Reason,
     Refused,
     RunState,
+    ServiceResponse,
 )
 from wasabiwell_entry.state.reports import without_target_text
 from wasabiwell_entry.state.requests import (
@@ -52,7 +52,7 @@
     EndFrame,
     GenerateRequest,
     ServiceCall,
-    StreamBroken,
+    StreamInterrupted,
     TokenFrame,
 )
 from wasabiwell_entry.state.runs import RunStatus
@@ -76,7 +76,7 @@
 
     excluded: set[str] = field(default_factory=set)
     sent: bool = False
-    answer: Answer | None = None
+    answer: ServiceResponse | None = None
     refused: Refused | None = None
     reason: str = "the deadline has passed"
 
@@ -212,11 +212,13 @@
                         if (broken := progress.assembler.verify(item)) is not None:
                             return AttemptBroken(broken)
                         return AttemptFinished(item)
-                    case StreamBroken():
+                    case StreamInterrupted():
                         return AttemptBroken(item)
-        return AttemptBroken(StreamBroken("the stream ended without an end mark"))
+        return AttemptBroken(StreamInterrupted("the stream ended without an end mark"))
 
-    async def _note_broken(self, target: Target, attempt: Attempt, broken: StreamBroken) -> None:
+    async def _note_broken(
+        self, target: Target, attempt: Attempt, broken: StreamInterrupted
+    ) -> None:
         log_events.emit(
             log_events.ATTEMPT_FAILED,
             request=attempt.request.request_id,
@@ -256,7 +258,7 @@
                     sending.refused = target
                     return
                 match await self._send(target, call, sending):
-                    case Answer(status=status) as answer:
+                    case ServiceResponse(status=status) as answer:
                         sending.answer = answer
                         if status != SERVICE_UNAVAILABLE:
                             return
@@ -265,7 +267,7 @@
 
     async def _send(
         self, target: Target, call: ServiceCall, sending: _Sending
-    ) -> Answer | CallNotSent | CallBroken:
+    ) -> ServiceResponse | CallNotSent | CallBroken:
         """Send a call once; it counts as sent from here on unless the opposite is proved."""
         sent_before = sending.sent
         sending.excluded.add(target.target_id)
@@ -307,7 +309,7 @@
                     sending.reason = target.message
                     return
                 match await self._send(target, call, sending):
-                    case Answer() as answer:
+                    case ServiceResponse() as answer:
                         sending.answer = answer
                         return
                     case CallBroken():
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wasabiwell_entry.state.requests import EndFrame, StreamBroken
+from wasabiwell_entry.state.requests import EndFrame, StreamInterrupted
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,7 +16,7 @@
 class AttemptBroken:
     """The attempt ended without the whole answer."""
 
-    broken: StreamBroken
+    broken: StreamInterrupted
 
 
 AttemptOutcome = AttemptFinished | AttemptBroken
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent, ProbeOutcome
-from wasabiwell_entry.state.outcomes import Answer, Refused
+from wasabiwell_entry.state.outcomes import Refused, ServiceResponse
 from wasabiwell_entry.state.requests import (
     Attempt,
     GenerateRequest,
@@ -32,7 +32,7 @@
     def generate(
         self, target: Target, attempt: Attempt
     ) -> AbstractAsyncContextManager[AsyncIterator[StreamItem]]:
-        """Run an attempt; the last item is an `EndFrame` or a `StreamBroken`.
+        """Run an attempt; the last item is an `EndFrame` or a `StreamInterrupted`.
 
         Leaving the context cancels the attempt at the engine.
         """
@@ -44,7 +44,9 @@
 class PlainPort(Protocol):
     """Connections to plain services."""
 
-    async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
+    async def call(
+        self, target: Target, call: ServiceCall
+    ) -> ServiceResponse | CallNotSent | CallBroken:
         """Send a call once; it is not repeated below this interface."""
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -23,19 +23,19 @@
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
-    Ending,
+    DecodeStarted,
     HelperLoss,
     ListingNotice,
     NodeAddresses,
     NodeState,
     Notice,
-    PaceNotice,
     PeerLoss,
-    Placing,
-    RepeatNotice,
+    RequestEnded,
+    RequestPlaced,
+    RetryNotice,
+    SlowdownNotice,
     Suspicion,
     WatchRequest,
-    Writing,
 )
 from wasabiwell_entry.state.members import Member
 from wasabiwell_entry.state.nodes import Node, NodeTable
@@ -52,7 +52,7 @@
     `recent_suspicions` those repeated with each state, because single messages may be lost.
     """
 
-    request_ended: Callable[[Ending], None]
+    request_ended: Callable[[RequestEnded], None]
     helper_lost: Callable[[str], None]
     suspicion_received: Callable[[Suspicion], None]
     suspicions: Callable[[], Iterable[Suspicion]]
@@ -131,7 +131,7 @@
 
     def peers(self) -> list[Node]:
         """Return the peers that have not timed out, in the order of addresses."""
-        return self._nodes.within_silence(self._now())
+        return self._nodes.reachable(self._now())
 
     def alive(self) -> list[Member]:
         """Return the entry instances that callers may use, this one included.
@@ -193,17 +193,17 @@
         now = self._now()
         if not isinstance(notice, NodeState):
             self._handle_recovery(sender, now)
-            self._nodes.hear(sender, now)
+            self._nodes.record_contact(sender, now)
         match notice:
-            case Placing(notice=placing):
+            case RequestPlaced(notice=placing):
                 self._works.add(placed_from_notice(sender, placing, now), now)
-            case Writing(request_id=request_id):
-                self._works.begin_writing(request_id, now)
-            case PaceNotice(target_id=target_id, pace=pace):
+            case DecodeStarted(request_id=request_id):
+                self._works.start_decode(request_id, now)
+            case SlowdownNotice(target_id=target_id, slowdown=pace):
                 if (work := self._works.get(target_id)) is not None:
                     work.advance(now)
-                    work.pace = pace
-            case Ending() as ending:
+                    work.slowdown = pace
+            case RequestEnded() as ending:
                 self._works.remove(ending.request_id, now)
                 self._observers.request_ended(ending)
             case HelperLoss(target_id=target_id):
@@ -214,8 +214,8 @@
                 self._failure_detector.receive_loss(loss, now)
             case WatchRequest():
                 self._failure_detector.receive_watch_request(sender, now)
-            case RepeatNotice(service=service):
-                self._nodes.count_repeat(sender, service)
+            case RetryNotice(service=service):
+                self._nodes.count_retry(sender, service)
             case Suspicion() as suspicion:
                 self._observers.suspicion_received(suspicion)
             case ListingNotice() as listing:
@@ -244,7 +244,7 @@
             self._send_suspicions(sender)
         self._handle_recovery(sender, now)
         node.heard, node.state, node.lost = now, state, False
-        node.allowed_silence = PEER_TIMEOUT_INTERVALS * state.interval_ms / 1000
+        node.silence_timeout = PEER_TIMEOUT_INTERVALS * state.interval_ms / 1000
         self._works.retain(sender, frozenset(state.placed), now)
         self._observers.routes_announced(state.control_address, state.routes_version)
         self._send_missing_information(sender, state, unknown)
@@ -270,7 +270,7 @@
         node = self._nodes.get(sender)
         if node is None or node.heard is None or node.state is None:
             return
-        if not node.lost and node.silence(now) <= node.allowed_silence:
+        if not node.lost and node.silence(now) <= node.silence_timeout:
             return
         log_events.emit(log_events.PEER_HEARD, peer=sender, zone=node.state.zone)
         self._send_suspicions(sender)
@@ -310,7 +310,7 @@
             self._failure_detector.detect(now)
         for node in self._nodes.heard():
             silence = node.silence(now)
-            if 0 <= silence - node.allowed_silence < SWEEP_INTERVAL.total_seconds():
+            if 0 <= silence - node.silence_timeout < SWEEP_INTERVAL.total_seconds():
                 log_events.emit(
                     log_events.PEER_SILENT, peer=node.address, silence_s=round(silence, 2)
                 )
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/failure_detector.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/failure_detector.py
@@ -61,14 +61,14 @@
             # This process was paused, and messages sent to it meanwhile are still unread.
             self._resumed_at = now
         self._last_run = now
-        reachable = self._nodes.within_silence(now)
+        reachable = self._nodes.reachable(now)
         if self._ring.update([node.address for node in reachable], now):
             self._sender.notify_monitors_changed()
         assignments = self._ring.monitored()
         limit = MONITOR_TIMEOUT.total_seconds()
         for node in self._nodes.heard():
             assigned_at = assignments.get(node.address)
-            frequent = node.allowed_silence <= limit
+            frequent = node.silence_timeout <= limit
             if node.state is None or (assigned_at is None and not frequent):
                 continue
             if now - max(node.heard or 0.0, assigned_at or 0.0, self._resumed_at) > limit:
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/zone_locality.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/zone_locality.py
@@ -12,12 +12,12 @@
 )
 from wasabiwell_entry.state.exchange import (
     AttemptVerdict,
-    Ending,
+    DecodeStarted,
     Notice,
     PlacementNotice,
-    Placing,
-    RepeatNotice,
-    Writing,
+    RequestEnded,
+    RequestPlaced,
+    RetryNotice,
 )
 from wasabiwell_entry.state.nodes import NodeTable
 from wasabiwell_entry.state.work import WorkTable
@@ -76,26 +76,26 @@
     def audience(self, notice: Notice, now: float) -> Audience:
         """Return the peers that receive a message; `now` is a monotonic time in seconds."""
         match notice:
-            case Placing(notice=placing) if placing.prompt == 0 and self.large_fleet:
+            case RequestPlaced(notice=placing) if placing.prompt == 0 and self.large_fleet:
                 self._unreported_calls[placing.request_id] = (now, placing)
                 return Audience.NOBODY
-            case Ending(request_id=request_id) if request_id in self._unreported_calls:
+            case RequestEnded(request_id=request_id) if request_id in self._unreported_calls:
                 del self._unreported_calls[request_id]
                 return Audience.ZONE if notice.verdict in REPORTED_VERDICTS else Audience.NOBODY
-            case Placing(notice=placing) if self._stays_in_zone(placing):
+            case RequestPlaced(notice=placing) if self._stays_in_zone(placing):
                 self._zone_only.add(placing.request_id)
                 return Audience.ZONE
-            case Writing(request_id=request_id) if request_id in self._zone_only:
+            case DecodeStarted(request_id=request_id) if request_id in self._zone_only:
                 return Audience.NOBODY
-            case Ending(request_id=request_id) if request_id in self._zone_only:
+            case RequestEnded(request_id=request_id) if request_id in self._zone_only:
                 self._zone_only.discard(request_id)
                 return Audience.ZONE
-            case RepeatNotice() if not self.large_fleet:
+            case RetryNotice() if not self.large_fleet:
                 return Audience.NOBODY
             case _:
                 return Audience.ALL
 
-    def calls_to_report(self, now: float) -> list[Placing]:
+    def calls_to_report(self, now: float) -> list[RequestPlaced]:
         """Return placement messages for the unreported calls older than `CALL_REPORT_AGE`."""
         due_calls = [
             (began, notice)
@@ -105,7 +105,7 @@
         for _, notice in due_calls:
             del self._unreported_calls[notice.request_id]
             self._zone_only.add(notice.request_id)
-        return [Placing(_with_added_age(notice, now - began)) for began, notice in due_calls]
+        return [RequestPlaced(_with_added_age(notice, now - began)) for began, notice in due_calls]
 
     def is_own_zone(self, zone: str) -> bool:
         """Return whether this instance is in a zone."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -31,16 +31,16 @@
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import AttemptVerdict
 from wasabiwell_entry.state.forwarding import (
-    AnswerEnd,
-    AnswerEvent,
-    AnswerHead,
-    AnswerPart,
-    Broken,
     ForwardAttempt,
     Forwarded,
     ForwardedRequest,
     NotRun,
     NotSent,
+    ResponseChunk,
+    ResponseEnd,
+    ResponseEvent,
+    ResponseHead,
+    ResponseInterrupted,
 )
 from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
 from wasabiwell_entry.state.routes import RouteKind
@@ -135,7 +135,7 @@
                         request, progress
                     ):
                         return await _deliver(held, sink)
-                case Broken(reason=reason):
+                case ResponseInterrupted(reason=reason):
                     progress.reason = reason
                     if not self._may_run_again(request, progress):
                         return await self._end(progress, sink, reason, REFUSED_RETRY_AFTER)
@@ -214,7 +214,7 @@
         )
         with self._ledger.open(request, placement) as opened:
             outcome = await self._relay(attempt, sink, progress, opened, patience)
-            if isinstance(outcome, Broken) and outcome.target_lost:
+            if isinstance(outcome, ResponseInterrupted) and outcome.target_lost:
                 outcome = await self._confirm_loss(request, target, outcome)
             lost_helpers = _lost_helpers(attempt, outcome)
             opened.verdict = AttemptVerdict.ABANDONED if lost_helpers else _verdict(outcome)
@@ -230,8 +230,8 @@
         return outcome
 
     async def _confirm_loss(
-        self, request: ForwardedRequest, target: Target, broken: Broken
-    ) -> Broken:
+        self, request: ForwardedRequest, target: Target, broken: ResponseInterrupted
+    ) -> ResponseInterrupted:
         """Suspect a request when its target is gone; one that only cut a connection is not."""
         if await self._targets.accepts_connections(target):
             return replace(broken, target_lost=False)
@@ -272,43 +272,43 @@
         opened: OpenPlacement,
         patience: Patience,
     ) -> AttemptOutcome:
-        head: AnswerHead | None = None
+        head: ResponseHead | None = None
         held: list[bytes] = []
         async with self._targets.attempt(attempt) as items:
             async for item in items:
                 match item:
-                    case AnswerHead():
+                    case ResponseHead():
                         head = item
                         patience.begin()
                         if _is_stream(attempt.request, head):
-                            self._ledger.begin_writing(opened)
+                            self._ledger.start_decode(opened)
                             await self._begin(head, sink, progress)
-                    case AnswerEvent(event_id=event_id, data=data):
+                    case ResponseEvent(event_id=event_id, data=data):
                         broken = _check_order(event_id, progress)
                         if broken is not None:
                             return broken
                         self._ledger.note_event(opened)
                         await sink.send(data)
-                    case AnswerPart(data=data):
+                    case ResponseChunk(data=data):
                         held.append(data)
                         if sum(map(len, held)) > MAX_HELD_BYTES and head is not None:
                             await self._begin(head, sink, progress)
                             await sink.send(b"".join(held))
                             held.clear()
-                    case AnswerEnd():
+                    case ResponseEnd():
                         if head is None:
-                            return Broken("the answer has no head")
+                            return ResponseInterrupted("the answer has no head")
                         if not progress.begun:
                             return Held(head, b"".join(held))
                         if held:
                             await sink.send(b"".join(held))
                         await sink.finish()
                         return Delivered(head.status)
-                    case NotSent() | NotRun() | Broken():
+                    case NotSent() | NotRun() | ResponseInterrupted():
                         return item
-        return Broken("the answer has no end")
+        return ResponseInterrupted("the answer has no end")
 
-    async def _begin(self, head: AnswerHead, sink: AnswerSink, progress: _Progress) -> None:
+    async def _begin(self, head: ResponseHead, sink: AnswerSink, progress: _Progress) -> None:
         """Deliver the head once; a resumed answer keeps that of its first target."""
         if not progress.begun:
             progress.begun = True
@@ -350,7 +350,7 @@
     return Forwarded(held.head.status)
 
 
-def _is_stream(request: ForwardedRequest, head: AnswerHead) -> bool:
+def _is_stream(request: ForwardedRequest, head: ResponseHead) -> bool:
     return request.route.kind is RouteKind.STREAM and head.status < 300
 
 
@@ -360,12 +360,12 @@
     return pause + PROBE_PATIENCE
 
 
-def _check_order(event_id: int | None, progress: _Progress) -> Broken | None:
+def _check_order(event_id: int | None, progress: _Progress) -> ResponseInterrupted | None:
     """Return why an event does not follow the last one, and note it otherwise."""
     if event_id is None:
         return None
     if progress.last_event is not None and event_id != progress.last_event + 1:
-        return Broken(f"event {event_id} came after event {progress.last_event}")
+        return ResponseInterrupted(f"event {event_id} came after event {progress.last_event}")
     progress.last_event = event_id
     return None
 
@@ -389,9 +389,9 @@
             return AttemptVerdict.LOST
         case NotRun():
             return AttemptVerdict.REFUSED
-        case Broken(target_lost=True):
+        case ResponseInterrupted(target_lost=True):
             return AttemptVerdict.LOST
-        case Broken():
+        case ResponseInterrupted():
             return AttemptVerdict.FAILED
 
 
@@ -406,7 +406,7 @@
     """Return what decided where a request was sent."""
     size = attempt.request.size
     helpers = [
-        f"{helper.target.target_id}:{helper.hold_tokens}".removesuffix(":0")
+        f"{helper.target.target_id}:{helper.kv_tokens}".removesuffix(":0")
         for helper in attempt.helpers
     ]
     return {
@@ -435,5 +435,5 @@
             return f"not run: {reason}"
         case NotRun(reason=reason, at_fault=at_fault):
             return f"not run: {reason}, at fault: {at_fault}"
-        case Broken(reason=reason):
+        case ResponseInterrupted(reason=reason):
             return f"broken: {reason}"
--- a/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
@@ -20,8 +20,8 @@
 from wasabiwell_entry.protocol.peer import (
     EXCHANGE,
     HeartbeatFrame,
-    heartbeat_frame,
-    heartbeat_of,
+    frame_from_heartbeat,
+    heartbeat_from_frame,
 )
 from wasabiwell_entry.state.heartbeats import Heartbeat
 from wasabiwell_entry.state.members import Member
@@ -56,13 +56,17 @@
         """Send a heartbeat and return the peer's."""
         try:
             with trio.fail_after(timeout.total_seconds()):
-                frame = await trio_asyncio.aio_as_trio(self._exchange)(heartbeat_frame(heartbeat))
+                frame = await trio_asyncio.aio_as_trio(self._exchange)(
+                    frame_from_heartbeat(heartbeat)
+                )
         except trio.TooSlowError:
             return PeerUnreachable("timeout")
         except BROKEN_STREAM as error:
             return PeerUnreachable(repr(error))
         return (
-            PeerUnreachable("the peer ended the stream") if frame is None else heartbeat_of(frame)
+            PeerUnreachable("the peer ended the stream")
+            if frame is None
+            else heartbeat_from_frame(frame)
         )
 
     async def _exchange(self, frame: HeartbeatFrame) -> HeartbeatFrame | None:
@@ -115,7 +119,7 @@
                 return
             if frame is None:
                 return
-            reply = membership.receive(heartbeat_of(frame), session)
-            await stream.send_message(heartbeat_frame(reply))
+            reply = membership.receive(heartbeat_from_frame(frame), session)
+            await stream.send_message(frame_from_heartbeat(reply))
 
     return serve
--- a/tests/steps/entry/coordination/suspects_steps.py
+++ b/tests/steps/entry/coordination/suspects_steps.py
@@ -21,7 +21,7 @@
     EndFrame,
     GenerateRequest,
     ServiceCall,
-    StreamBroken,
+    StreamInterrupted,
     StreamItem,
     TokenFrame,
 )
@@ -62,7 +62,7 @@
         async def items() -> AsyncIterator[StreamItem]:
             await trio.lowlevel.checkpoint()
             if target.target_id in self.dead:
-                yield StreamBroken("cut", target_lost=True)
+                yield StreamInterrupted("cut", target_lost=True)
                 return
             self.ran.append(target.target_id)
             yield EndFrame(0, xxhash.xxh3_64().hexdigest(), "stop")
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -12,7 +12,7 @@
 from wasabiwell_entry.coordination.health import TargetHealth
 from wasabiwell_entry.coordination.stop import GracefulStop
 from wasabiwell_entry.state.clock import ManualClock, SystemClock
-from wasabiwell_entry.state.exchange import AttemptVerdict, RepeatNotice, ServiceUse
+from wasabiwell_entry.state.exchange import AttemptVerdict, RetryBudgetUse, RetryNotice
 from wasabiwell_entry.state.targets import ListedTarget
 
 SERVICE = "s"
@@ -108,14 +108,14 @@
 
 @then("{count:d} repeats were told")
 def step_repeats_told(context: Context, count: int) -> None:
-    assert context.told == [RepeatNotice(SERVICE)] * count, context.told
+    assert context.told == [RetryNotice(SERVICE)] * count, context.told
 
 
 @given("peers that counted {requests:d} requests and {repeats:d} repeats")
 def step_peers(context: Context, requests: int, repeats: int) -> None:
     context.peer_uses = [
-        (ServiceUse(SERVICE, requests // 2, repeats // 2),),
-        (ServiceUse(SERVICE, requests // 2, repeats // 2), ServiceUse("t", 1_000, 1_000)),
+        (RetryBudgetUse(SERVICE, requests // 2, repeats // 2),),
+        (RetryBudgetUse(SERVICE, requests // 2, repeats // 2), RetryBudgetUse("t", 1_000, 1_000)),
     ]
 
 
--- a/tests/support/run_machine.py
+++ b/tests/support/run_machine.py
@@ -10,7 +10,7 @@
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from wasabiwell_entry.state.outcomes import Answer, Failed, Refused, RunState
+from wasabiwell_entry.state.outcomes import Failed, Refused, RunState, ServiceResponse
 from wasabiwell_entry.state.runs import RunRecord, RunStatus
 
 from support.calls import CallWorld
@@ -199,7 +199,7 @@
                     assert not targets.runs_of_request[result.call.request_id], result
                 case Failed(run=RunState.RAN):
                     assert targets.runs[key] == 1, result
-                case Answer(status=201, body=body):
+                case ServiceResponse(status=201, body=body):
                     assert targets.runs[key] == 1, result
                     assert body.startswith(f"answer to {result.call.body!r}".encode()), result
 
