--- a/packages/entry/src/wasabiwell_entry/coordination/addresses/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/addresses/__init__.py
@@ -1,4 +1,4 @@
-"""Addresses that callers should use."""
+"""Address lists for callers."""
 
 from wasabiwell_entry.coordination.addresses.coordinator import AddressCoordinator
 
--- a/packages/entry/src/wasabiwell_entry/coordination/addresses/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/addresses/const.py
@@ -1,6 +1,6 @@
-"""Constants of address answers."""
+"""Constants of address lists."""
 
 from datetime import timedelta
 
 DEFAULT_ADDRESS_TTL = timedelta(seconds=10)
-"""Time for which callers keep an answer; a leaving instance serves at least that long."""
+"""Time for which callers cache an address list; a leaving instance serves at least that long."""
--- a/packages/entry/src/wasabiwell_entry/coordination/addresses/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/addresses/coordinator.py
@@ -1,4 +1,4 @@
-"""Tells callers which entry instances to use."""
+"""Provides callers with the entry instances to use."""
 
 from datetime import timedelta
 
@@ -10,7 +10,7 @@
 
 
 class AddressCoordinator:
-    """Orders the members' addresses for a caller."""
+    """Orders the addresses of the members by proximity to a caller."""
 
     __slots__ = ("_members", "_own", "_ttl")
 
@@ -20,9 +20,10 @@
         self._ttl = ttl
 
     def addresses(self, zone: str | None, spread_key: str) -> AddressList:
-        """Return addresses with those in the caller's zone first.
+        """Return the addresses, ordered by the caller's zone, the own region, and a hash.
 
-        `spread_key` varies by caller, so that callers of one zone do not all use one address.
+        `spread_key` differs between callers, so that those in one zone are spread over its
+        instances.
         """
         near = zone or self._own.zone
         members = sorted(
--- a/packages/entry/src/wasabiwell_entry/coordination/addresses/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/addresses/ports.py
@@ -1,4 +1,4 @@
-"""What telling addresses needs of other capabilities."""
+"""Interface that address lists require from other capabilities."""
 
 from typing import Protocol
 
@@ -6,7 +6,7 @@
 
 
 class MemberSource(Protocol):
-    """Entry instances that callers may use; `MemberTable` implements it."""
+    """Source of the entry instances that callers may use; `MemberTable` implements it."""
 
     def alive(self) -> list[Member]:
-        """Return the entry instances that take new work."""
+        """Return the entry instances that accept new requests."""
--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/__init__.py
@@ -1,4 +1,4 @@
-"""Configuration versions."""
+"""Versioned configuration that all entry instances share."""
 
 from wasabiwell_entry.coordination.configuration.coordinator import ConfigurationCoordinator
 
--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
@@ -1,4 +1,4 @@
-"""Commits configuration versions and keeps the newest one in force."""
+"""Commits configuration versions and keeps the newest one in effect."""
 
 import random
 import secrets
@@ -11,14 +11,14 @@
     APPLY_ATTEMPTS,
     COMMIT_ATTEMPTS,
     FETCH_RETRY_INTERVAL,
+    MAX_PUSHED_DELTAS,
     OVERDUE_CONFIRMATION_AGE,
     OVERDUE_POLL_INTERVAL,
     POLL_INTERVAL,
     POLLERS_PER_ZONE,
     PUSH_CANDIDATES,
-    PUSHED_DELTAS,
     PUSHED_PEERS,
-    RARE_POLL_INTERVAL,
+    SLOW_POLL_INTERVAL,
     SNAPSHOT_VERSIONS,
 )
 from wasabiwell_entry.coordination.configuration.errors import (
@@ -61,15 +61,15 @@
 
 
 class ConfigurationCoordinator:
-    """Applies changes by compare-and-set and follows the versions of table service and peers."""
+    """Commits changes by compare-and-set and adopts newer versions of table service and peers."""
 
     __slots__ = (
-        "_ahead",
-        "_ahead_event",
         "_clock",
         "_confirmed_at",
         "_last_poll",
         "_members",
+        "_newer_version_announced",
+        "_newer_versions",
         "_own",
         "_peers",
         "_random",
@@ -94,56 +94,58 @@
         self._clock = clock
         self._confirmed_at: timedelta | None = None
         self._last_poll: timedelta | None = None
-        self._ahead: dict[str, int] = {}
-        self._ahead_event = trio.Event()
+        self._newer_versions: dict[str, int] = {}
+        self._newer_version_announced = trio.Event()
         self._random = random.Random(own.node_id)
 
     @property
     def state(self) -> ConfigurationState:
-        """Return the version and items in force."""
+        """Return the current version and its items."""
         return self._state
 
     def announcement(self) -> Announcement:
-        """Return what heartbeats announce."""
+        """Return the announcement for heartbeats."""
         return Announcement(self._state.version, self.confirmation_age())
 
     def confirmation_age(self) -> timedelta | None:
-        """Return the time since the version in force was known to be the newest one.
+        """Return the time since the current version was last confirmed to be the newest one.
 
-        None as long as neither the table service nor a peer confirmed a version; an object alone
-        does not, because it may be older than what was accepted since.
+        Returns None until the table service or a peer has confirmed a version. A snapshot in the
+        object store is no confirmation, because newer versions may have been accepted since.
         """
         if self._confirmed_at is None:
             return None
         return self._clock.monotonic() - self._confirmed_at
 
-    def heard(self, sender: Member, announcement: Announcement, elapsed: timedelta | None) -> None:
-        """Note the version and confirmation that a peer announced.
+    def receive_announcement(
+        self, sender: Member, announcement: Announcement, elapsed: timedelta | None
+    ) -> None:
+        """Record the version and confirmation that a peer announced.
 
-        The confirmation counts only when the message cannot have been under way for longer than
-        `elapsed`: a paused instance reads old messages from its sockets when it resumes.
+        The confirmation counts only if `elapsed` limits the message's time in transit: an instance
+        that resumes from a pause reads old messages from its sockets.
         """
         if announcement.version > self._state.version:
-            self._ahead[sender.node_id] = announcement.version
-            self._ahead_event.set()
+            self._newer_versions[sender.node_id] = announcement.version
+            self._newer_version_announced.set()
             return
         age = announcement.confirmation_age
         if announcement.version == self._state.version and age is not None and elapsed is not None:
             self._confirm(self._clock.monotonic() - age - elapsed)
 
     async def run(self) -> None:
-        """Follow the table service and the peers until cancelled."""
+        """Poll the table service and fetch newer versions of peers until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow_peers)
+            nursery.start_soon(self._fetch_announced_versions)
             while True:
                 if self._poll_due():
                     await self.refresh()
                 await self._clock.sleep(POLL_INTERVAL)
 
     async def refresh(self) -> StoreUnavailable | None:
-        """Put all versions of the table service in force that are newer than the one here."""
-        began = self._clock.monotonic()
-        self._last_poll = began
+        """Apply all newer versions in the table service."""
+        started = self._clock.monotonic()
+        self._last_poll = started
         stored = await self._store.read_head()
         match stored:
             case StoreUnavailable() as unavailable:
@@ -153,39 +155,39 @@
         if isinstance(failure := await self._catch_up(stored), StoreUnavailable):
             return failure
         if self._state.version == stored.head.version:
-            self._confirm(began)
+            self._confirm(started)
             await self._save_snapshot_when_due(stored)
         return None
 
     async def load_latest_snapshot(self) -> None:
-        """Load the newest snapshot of the object store; it does not count as confirmed."""
+        """Apply the newest snapshot in the object store, without confirming its version."""
         snapshot = await self._store.load_snapshot()
         if snapshot is not None:
             self._replace(snapshot.version, snapshot.items)
 
     def apply_update(self, update: ConfigurationUpdate) -> None:
-        """Put a peer's newer versions in force."""
+        """Apply newer versions received from a peer."""
         if update.items is not None:
             self._replace(update.version, update.items)
         for delta in update.deltas:
-            self._advance(delta)
+            self._apply_delta(delta)
 
     def apply_pushed_delta(self, delta: ConfigurationDelta) -> int:
-        """Put a pushed delta in force if it is the next one; return the version in force."""
-        self._advance(delta)
+        """Apply a pushed delta if it is the next one; return the current version."""
+        self._apply_delta(delta)
         return self._state.version
 
     def apply_confirmation(self, announcement: Announcement) -> None:
-        """Take over the confirmation of a peer whose answer was just received."""
+        """Apply the confirmation in a response that a peer has just sent."""
         age = announcement.confirmation_age
         if age is not None and announcement.version == self._state.version:
             self._confirm(self._clock.monotonic() - age)
 
     async def apply(self, base_version: int, changes: Changes) -> ApplyOutcome:
-        """Commit changes that an operator made against `base_version`.
+        """Commit an operator's changes to `base_version`.
 
-        Changes of other items since then are no conflict: the changes are checked against the
-        newest version and committed on top of it.
+        Later changes to other items are no conflict: the changes are validated against the newest
+        version and committed on top of it.
         """
         outcome: ApplyOutcome = Conflict(self._state.version, tuple(sorted(changes)))
         for _ in range(APPLY_ATTEMPTS):
@@ -197,9 +199,10 @@
             if conflicts:
                 return Conflict(self._state.version, conflicts)
             checked_version = self._state.version
-            merged = apply_changes(self._state.items, changes)
-            # A check of 3,200 organisations takes longer than may lie between two tokens.
-            findings = await trio.to_thread.run_sync(_check, merged)
+            candidate = apply_changes(self._state.items, changes)
+            # Validating 3,200 organisations would block the event loop for longer than the allowed
+            # time between two tokens.
+            findings = await trio.to_thread.run_sync(_find_mistakes, candidate)
             if findings:
                 return Invalid(findings)
             outcome = await self._commit(checked_version, changes)
@@ -208,7 +211,7 @@
         return outcome
 
     async def _commit(self, checked_version: int, changes: Changes) -> ApplyOutcome:
-        """Commit changes that were checked against a version, if it is still the newest one."""
+        """Commit changes if the version they were validated against is still the newest one."""
         stored = await self._store.read_head()
         match stored:
             case StoreUnavailable(reason=reason):
@@ -218,26 +221,26 @@
         if stored.head.version != checked_version:
             return Conflict(stored.head.version, tuple(sorted(changes)))
         delta = ConfigurationDelta(stored.head.version + 1, changes, secrets.token_hex(8))
-        began = self._clock.monotonic()
+        started = self._clock.monotonic()
         match await self._store.commit(delta, stored.row_version):
             case Committed():
-                return await self._accept(delta, began)
+                return await self._accept(delta, started)
             case ConditionFailed():
                 return Conflict(delta.version, tuple(sorted(changes)))
             case StoreUnavailable(reason=reason):
                 return ApplyUnavailable(reason)
             case ReplyLost(reason=reason):
-                return await self._settle_lost_commit(delta, stored.row_version, reason)
+                return await self._resolve_lost_commit(delta, stored.row_version, reason)
 
-    async def _settle_lost_commit(
+    async def _resolve_lost_commit(
         self, delta: ConfigurationDelta, head_row_version: int, reason: str
     ) -> ApplyOutcome:
-        """Repeat the commit, whose conditions let it act at most once, and read its row back."""
+        """Retry a commit, which its conditions make idempotent, and read its row back."""
         for _ in range(COMMIT_ATTEMPTS):
-            began = self._clock.monotonic()
+            started = self._clock.monotonic()
             match await self._store.commit(delta, head_row_version):
                 case Committed():
-                    return await self._accept(delta, began)
+                    return await self._accept(delta, started)
                 case ConditionFailed():
                     break
                 case StoreUnavailable() | ReplyLost():
@@ -246,37 +249,37 @@
             case StoreUnavailable() | None:
                 return ApplyUncertain(reason)
             case attempt_id if attempt_id == delta.attempt_id:
-                began = self._clock.monotonic()
-                return await self._accept(delta, began)
+                started = self._clock.monotonic()
+                return await self._accept(delta, started)
             case _:
                 return Conflict(delta.version, tuple(sorted(delta.changes)))
 
-    async def _accept(self, delta: ConfigurationDelta, began: timedelta) -> ApplyOutcome:
-        """Put a committed delta in force and hand it to peers before it is acknowledged."""
-        self._advance(delta)
+    async def _accept(self, delta: ConfigurationDelta, started: timedelta) -> ApplyOutcome:
+        """Apply a committed delta and push it to peers before the change is acknowledged."""
+        self._apply_delta(delta)
         if self._state.version == delta.version:
-            self._confirm(began)
+            self._confirm(started)
         others = [item for item in self._members.alive() if item.node_id != self._own.node_id]
         if not others:
             return Accepted(delta.version)
-        taken = await self._push(delta, others)
-        return Accepted(delta.version, taken) if taken else AcceptedNotShared(delta.version)
+        acks = await self._push(delta, others)
+        return Accepted(delta.version, acks) if acks else AcceptedNotShared(delta.version)
 
     async def _push(self, delta: ConfigurationDelta, others: list[Member]) -> int:
-        """Push a delta to two peers, and to others in place of those that do not take it."""
+        """Push a delta to two peers, with fallback to others; return the number that applied it."""
         self._random.shuffle(others)
         others.sort(key=lambda member: member.zone == self._own.zone)
         candidates = others[:PUSH_CANDIDATES]
-        taken = 0
-        while candidates and taken < PUSHED_PEERS:
-            batch = candidates[: PUSHED_PEERS - taken]
+        acks = 0
+        while candidates and acks < PUSHED_PEERS:
+            batch = candidates[: PUSHED_PEERS - acks]
             candidates = candidates[len(batch) :]
             results: list[bool] = []
             async with trio.open_nursery() as nursery:
                 for member in batch:
                     nursery.start_soon(self._push_to, member, delta, results)
-            taken += sum(results)
-        return taken
+            acks += sum(results)
+        return acks
 
     async def _push_to(
         self, member: Member, delta: ConfigurationDelta, results: list[bool]
@@ -286,19 +289,19 @@
             return
         if version < delta.version:
             missing = self._state.deltas_since(version) or []
-            for earlier in missing[:PUSHED_DELTAS]:
+            for earlier in missing[:MAX_PUSHED_DELTAS]:
                 version = await self._peers.push(member, earlier)
                 if isinstance(version, PeerUnreachable):
                     return
         results.append(version >= delta.version)
 
-    async def _follow_peers(self) -> None:
-        """Fetch from peers that announced a newer version."""
+    async def _fetch_announced_versions(self) -> None:
+        """Fetch newer versions from the peers that announced them."""
         while True:
-            await self._ahead_event.wait()
-            self._ahead_event = trio.Event()
-            ahead, self._ahead = self._ahead, {}
-            for node_id, version in sorted(ahead.items(), key=lambda item: -item[1]):
+            await self._newer_version_announced.wait()
+            self._newer_version_announced = trio.Event()
+            newer_versions, self._newer_versions = self._newer_versions, {}
+            for node_id, version in sorted(newer_versions.items(), key=lambda item: -item[1]):
                 member = self._members.get(node_id)
                 if version > self._state.version and member is not None:
                     await self._fetch_from(member)
@@ -313,15 +316,15 @@
 
     def _poll_due(self) -> bool:
         now = self._clock.monotonic()
-        if self._last_poll is None or self._polls_often():
+        if self._last_poll is None or self._is_frequent_poller():
             return True
         age = self.confirmation_age()
         overdue = age is None or age > OVERDUE_CONFIRMATION_AGE
-        interval = OVERDUE_POLL_INTERVAL if overdue else RARE_POLL_INTERVAL
+        interval = OVERDUE_POLL_INTERVAL if overdue else SLOW_POLL_INTERVAL
         return now - self._last_poll >= interval
 
-    def _polls_often(self) -> bool:
-        """Choose the pollers of each zone by rendezvous hashing over its members."""
+    def _is_frequent_poller(self) -> bool:
+        """Return whether this instance is a poller of its zone, chosen by rendezvous hashing."""
         zone = [
             member
             for member in self._members.alive()
@@ -334,19 +337,19 @@
         if self._confirmed_at is None or at > self._confirmed_at:
             self._confirmed_at = at
 
-    def _advance(self, delta: ConfigurationDelta) -> None:
-        before = self._state.version
-        self._log_change(before, self._state.advance(delta))
+    def _apply_delta(self, delta: ConfigurationDelta) -> None:
+        previous_version = self._state.version
+        self._log_change(previous_version, self._state.advance(delta))
 
     def _replace(self, version: int, items: dict[str, bytes]) -> None:
-        before = self._state.version
-        self._log_change(before, self._state.replace(version, items))
+        previous_version = self._state.version
+        self._log_change(previous_version, self._state.replace(version, items))
 
-    def _log_change(self, before: int, findings: Findings | None) -> None:
+    def _log_change(self, previous_version: int, findings: Findings | None) -> None:
         version = self._state.version
         if findings is not None:
             log_events.emit(log_events.CONFIGURATION_INVALID, version=version, findings=findings)
-        if version != before:
+        if version != previous_version:
             log_events.emit(log_events.CONFIGURATION_IN_FORCE, version=version)
 
     async def _conflicting_paths(
@@ -368,7 +371,7 @@
     async def _stored_deltas_since(
         self, version: int
     ) -> list[ConfigurationDelta] | StoreUnavailable | None:
-        """Return the deltas up to the version in force, or None when they were removed."""
+        """Return the deltas up to the current version, or None if some were deleted."""
         found: list[ConfigurationDelta] = []
         while version < self._state.version:
             deltas = await self._store.deltas_after(version)
@@ -385,16 +388,16 @@
 
     async def _catch_up(self, stored: StoredHead) -> StoreUnavailable | None:
         while self._state.version < stored.head.version:
-            before = self._state.version
-            deltas = await self._store.deltas_after(before)
+            previous_version = self._state.version
+            deltas = await self._store.deltas_after(previous_version)
             if isinstance(deltas, StoreUnavailable):
                 return deltas
             for delta in deltas:
                 if isinstance(delta, ConfigurationDelta):
-                    self._advance(delta)
-            if self._state.version == before:
+                    self._apply_delta(delta)
+            if self._state.version == previous_version:
                 await self._catch_up_by_snapshot(stored)
-            if self._state.version == before:
+            if self._state.version == previous_version:
                 return None
         return None
 
@@ -406,16 +409,16 @@
             self._replace(snapshot.version, snapshot.items)
 
     async def _save_snapshot_when_due(self, stored: StoredHead) -> None:
-        """Store a snapshot every 100 versions; the first writer wins."""
+        """Store a snapshot every `SNAPSHOT_VERSIONS` versions; the first writer wins."""
         if self._state.version - stored.snapshot.version < SNAPSHOT_VERSIONS:
             return
-        if not self._polls_often():
+        if not self._is_frequent_poller():
             return
         snapshot = ConfigurationSnapshot(self._state.version, dict(self._state.items))
         await self._store.save_snapshot(snapshot, stored)
 
 
-def _check(items: Items) -> tuple[Finding, ...]:
+def _find_mistakes(items: Items) -> tuple[Finding, ...]:
     match configuration_from_items(items):
         case Findings(findings=findings):
             pass
--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/errors.py
@@ -1,4 +1,4 @@
-"""Outcomes of applying a configuration."""
+"""Outcomes of committing a configuration change."""
 
 from dataclasses import dataclass
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The version is committed, in force here and at `peers` other entry instances."""
+    """The version is committed and in effect on this and `peers` other entry instances."""
 
     version: int
     peers: int = 0
@@ -15,10 +15,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptedNotShared:
-    """The version is committed and in force here, but none of the other entry instances took it.
+    """The version is committed and in effect here, but no other entry instance has applied it.
 
-    If this instance is lost during an outage of the table service, the others get the version
-    when the outage ends.
+    If this instance fails during an outage of the table service, the others get the version only
+    after the outage.
     """
 
     version: int
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Invalid:
-    """The configuration has mistakes; nothing was applied."""
+    """The configuration failed validation; nothing was applied."""
 
     findings: tuple[Finding, ...]
 
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ApplyUncertain:
-    """The table service did not tell whether the version was committed."""
+    """It is unknown whether the table service committed the version."""
 
     reason: str
 
--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/ports.py
@@ -1,4 +1,4 @@
-"""What configuration needs of the other layers."""
+"""Interfaces that the configuration requires from other layers."""
 
 from typing import Protocol
 
@@ -11,7 +11,7 @@
     """Configuration calls to other entry instances."""
 
     async def push(self, member: Member, delta: ConfigurationDelta) -> int | PeerUnreachable:
-        """Hand a delta to a peer and return the version that is in force there."""
+        """Push a delta to a peer and return the peer's current version."""
 
     async def fetch(self, member: Member, since: int) -> ConfigurationUpdate | PeerUnreachable:
-        """Return what an instance with the version `since` lacks."""
+        """Fetch the changes after version `since` from a peer."""
--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/store.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/store.py
@@ -1,4 +1,4 @@
-"""Rows and objects of configuration versions on the platform."""
+"""Storage of configuration versions in the platform's table service and object store."""
 
 from dataclasses import dataclass
 from typing import TypeVar
@@ -6,7 +6,7 @@
 import msgspec
 
 from wasabiwell_entry.coordination.configuration.const import (
-    DELETED_ROWS_AT_ONCE,
+    DELETE_BATCH_ROWS,
     DELTA_PREFIX,
     HEAD_KEY,
     LATEST_SNAPSHOT_OBJECT,
@@ -39,7 +39,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SnapshotName:
+class SnapshotReference:
     """Value of the row `config/snapshot`."""
 
     version: int
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationSnapshot:
-    """All items of one version, as kept in the object store."""
+    """All items of one version, as stored in the object store."""
 
     version: int
     items: dict[str, bytes]
@@ -60,7 +60,7 @@
 
     head: Head
     row_version: int
-    snapshot: SnapshotName
+    snapshot: SnapshotReference
     snapshot_row_version: int
 
 
@@ -81,26 +81,26 @@
         self._objects = objects
 
     async def read_head(self) -> StoredHead | StoreUnavailable | Unreadable:
-        """Return the newest version and the newest snapshot; version 0 before the first."""
+        """Return the newest version and snapshot; version 0 if there is none yet."""
         rows = await self._table.read([HEAD_KEY, SNAPSHOT_KEY])
         if isinstance(rows, StoreUnavailable):
             return rows
         head: Head | Unreadable = Head(0, "")
         if (row := rows.get(HEAD_KEY)) is not None:
             head = _decode(HEAD_KEY, row.value, Head)
-        snapshot: SnapshotName | Unreadable = SnapshotName(0, "")
+        snapshot: SnapshotReference | Unreadable = SnapshotReference(0, "")
         if (snapshot_row := rows.get(SNAPSHOT_KEY)) is not None:
-            snapshot = _decode(SNAPSHOT_KEY, snapshot_row.value, SnapshotName)
+            snapshot = _decode(SNAPSHOT_KEY, snapshot_row.value, SnapshotReference)
         if isinstance(head, Unreadable):
             return head
         if isinstance(snapshot, Unreadable):
-            snapshot = SnapshotName(0, "")
+            snapshot = SnapshotReference(0, "")
         return StoredHead(head, _version(row), snapshot, _version(snapshot_row))
 
     async def commit(self, delta: ConfigurationDelta, head_row_version: int) -> TransactOutcome:
-        """Commit a delta as the version after the head of this row version.
+        """Commit a delta as the next version, provided the head still has this row version.
 
-        Repeating it with the same arguments has no further effect.
+        Repeating the call with the same arguments has no further effect.
         """
         head = Head(delta.version, delta.attempt_id)
         return await self._table.transact(
@@ -112,7 +112,7 @@
         )
 
     async def committed_attempt(self, version: int) -> str | StoreUnavailable | None:
-        """Return the attempt id of a version's delta row, or None when there is no such row."""
+        """Return the attempt id in a version's delta row, or None if there is no readable row."""
         key = delta_key(version)
         rows = await self._table.read([key])
         if isinstance(rows, StoreUnavailable):
@@ -123,7 +123,7 @@
     async def deltas_after(
         self, version: int
     ) -> list[ConfigurationDelta | Unreadable] | StoreUnavailable:
-        """Return deltas after a version, in order; there may be more."""
+        """Return the next batch of deltas after a version, in order."""
         rows = await self._table.scan(DELTA_PREFIX, after=delta_key(version))
         if isinstance(rows, StoreUnavailable):
             return rows
@@ -132,7 +132,7 @@
     async def load_snapshot(
         self, object_key: str = LATEST_SNAPSHOT_OBJECT
     ) -> ConfigurationSnapshot | None:
-        """Return a snapshot, or None when it cannot be had."""
+        """Return a snapshot, or None if it is unavailable or unreadable."""
         value = await self._objects.get(object_key)
         if not isinstance(value, bytes):
             return None
@@ -140,24 +140,24 @@
         return snapshot if isinstance(snapshot, ConfigurationSnapshot) else None
 
     async def save_snapshot(self, snapshot: ConfigurationSnapshot, stored: StoredHead) -> bool:
-        """Store a snapshot and remove the delta rows far below it; return whether it is stored."""
+        """Store a snapshot and delete old delta rows; return whether the snapshot is stored."""
         key = f"{SNAPSHOT_OBJECT_PREFIX}{snapshot.version:012d}"
         value = msgspec.msgpack.encode(snapshot)
         if not isinstance(await self._objects.put(key, value), Committed):
             return False
-        name = msgspec.json.encode(SnapshotName(snapshot.version, key))
+        name = msgspec.json.encode(SnapshotReference(snapshot.version, key))
         outcome = await self._table.transact(
             [Condition(SNAPSHOT_KEY, stored.snapshot_row_version)], [Write(SNAPSHOT_KEY, name)]
         )
         if not isinstance(outcome, Committed):
             return False
         await self._objects.put(LATEST_SNAPSHOT_OBJECT, value)
-        await self._remove_deltas(snapshot.version - RETAINED_DELTA_ROWS)
+        await self._delete_deltas(snapshot.version - RETAINED_DELTA_ROWS)
         return True
 
-    async def _remove_deltas(self, through: int) -> None:
+    async def _delete_deltas(self, through: int) -> None:
         while through > 0:
-            rows = await self._table.scan(DELTA_PREFIX, limit=DELETED_ROWS_AT_ONCE)
+            rows = await self._table.scan(DELTA_PREFIX, limit=DELETE_BATCH_ROWS)
             if isinstance(rows, StoreUnavailable):
                 return
             old = [row for row in rows if row.key <= delta_key(through)]
@@ -169,7 +169,7 @@
 
 
 def delta_key(version: int) -> str:
-    """Return the table key of a delta; keys sort in the order of versions."""
+    """Return the table key of a delta; keys sort by version."""
     return f"{DELTA_PREFIX}{version:012d}"
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -195,17 +195,17 @@
             self._handle_recovery(sender, now)
             self._nodes.record_contact(sender, now)
         match notice:
-            case RequestPlaced(notice=placing):
-                self._works.add(placed_from_notice(sender, placing, now), now)
+            case RequestPlaced(notice=placement):
+                self._works.add(placed_from_notice(sender, placement, now), now)
             case DecodeStarted(request_id=request_id):
                 self._works.start_decode(request_id, now)
-            case SlowdownNotice(target_id=target_id, slowdown=pace):
+            case SlowdownNotice(target_id=target_id, slowdown=slowdown):
                 if (work := self._works.get(target_id)) is not None:
                     work.advance(now)
-                    work.slowdown = pace
-            case RequestEnded() as ending:
-                self._works.remove(ending.request_id, now)
-                self._observers.request_ended(ending)
+                    work.slowdown = slowdown
+            case RequestEnded() as ended:
+                self._works.remove(ended.request_id, now)
+                self._observers.request_ended(ended)
             case HelperLoss(target_id=target_id):
                 self._observers.helper_lost(target_id)
             case PeerLoss(address=address) if address == self._own_address:
@@ -227,16 +227,16 @@
                     self.add_peer(address)
 
     def _receive_state(self, sender: str, state: NodeState, now: float) -> None:
-        unknown = self._nodes.get(sender) is None
+        is_new = self._nodes.get(sender) is None
         added = self.add_peer(sender)
         node = self._nodes.put(sender, now)
-        known = node.state
-        if known is not None and (state.incarnation, state.sequence) <= (
-            known.incarnation,
-            known.sequence,
+        previous = node.state
+        if previous is not None and (state.incarnation, state.sequence) <= (
+            previous.incarnation,
+            previous.sequence,
         ):
             return
-        if known is None or state.incarnation != known.incarnation:
+        if previous is None or state.incarnation != previous.incarnation:
             log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
             self._works.retain(sender, frozenset(), now)
             if not added:
@@ -247,11 +247,11 @@
         node.silence_timeout = PEER_TIMEOUT_INTERVALS * state.interval_ms / 1000
         self._works.retain(sender, frozenset(state.placed), now)
         self._observers.routes_announced(state.control_address, state.routes_version)
-        self._send_missing_information(sender, state, unknown)
+        self._send_missing_information(sender, state, is_new)
 
-    def _send_missing_information(self, sender: str, state: NodeState, unknown: bool) -> None:
+    def _send_missing_information(self, sender: str, state: NodeState, is_new: bool) -> None:
         """Send a peer the instance addresses and the list of targets if it lacks them."""
-        if unknown or self._needs_addresses(state):
+        if is_new or self._needs_addresses(state):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in self.peers())))
         if not state.knows_targets and self.rank() < LISTING_SENDERS:
             listing = self._observers.full_listing()
@@ -316,8 +316,8 @@
                 )
                 self._works.retain(node.address, frozenset(), now)
         self._works.expire(now)
-        for placing in self._zone_locality.calls_to_report(now):
-            self._port.send([node.address for node in self._zone_peers()], placing)
+        for placement in self._zone_locality.calls_to_report(now):
+            self._port.send([node.address for node in self._zone_peers()], placement)
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/monitors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/monitors.py
@@ -66,8 +66,8 @@
             for address, requested_at in self._requested_at.items()
             if now - requested_at < REQUESTED_MONITORING_TIME.total_seconds()
         }
-        known, self.monitors = self.monitors, self._ring_monitors | self._requested_at.keys()
-        return self.monitors != known
+        previous, self.monitors = self.monitors, self._ring_monitors | self._requested_at.keys()
+        return self.monitors != previous
 
     def monitored(self) -> dict[str, float]:
         """Return the instances to monitor, each with the monotonic second of its assignment."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/zone_locality.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/zone_locality.py
@@ -76,14 +76,14 @@
     def audience(self, notice: Notice, now: float) -> Audience:
         """Return the peers that receive a message; `now` is a monotonic time in seconds."""
         match notice:
-            case RequestPlaced(notice=placing) if placing.prompt == 0 and self.large_fleet:
-                self._unreported_calls[placing.request_id] = (now, placing)
+            case RequestPlaced(notice=placement) if placement.prompt == 0 and self.large_fleet:
+                self._unreported_calls[placement.request_id] = (now, placement)
                 return Audience.NOBODY
             case RequestEnded(request_id=request_id) if request_id in self._unreported_calls:
                 del self._unreported_calls[request_id]
                 return Audience.ZONE if notice.verdict in REPORTED_VERDICTS else Audience.NOBODY
-            case RequestPlaced(notice=placing) if self._stays_in_zone(placing):
-                self._zone_only.add(placing.request_id)
+            case RequestPlaced(notice=placement) if self._stays_in_zone(placement):
+                self._zone_only.add(placement.request_id)
                 return Audience.ZONE
             case DecodeStarted(request_id=request_id) if request_id in self._zone_only:
                 return Audience.NOBODY
@@ -98,26 +98,29 @@
     def calls_to_report(self, now: float) -> list[RequestPlaced]:
         """Return placement messages for the unreported calls older than `CALL_REPORT_AGE`."""
         due_calls = [
-            (began, notice)
-            for began, notice in self._unreported_calls.values()
-            if now - began >= CALL_REPORT_AGE.total_seconds()
+            (placed_at, notice)
+            for placed_at, notice in self._unreported_calls.values()
+            if now - placed_at >= CALL_REPORT_AGE.total_seconds()
         ]
         for _, notice in due_calls:
             del self._unreported_calls[notice.request_id]
             self._zone_only.add(notice.request_id)
-        return [RequestPlaced(_with_added_age(notice, now - began)) for began, notice in due_calls]
+        return [
+            RequestPlaced(_with_added_age(notice, now - placed_at))
+            for placed_at, notice in due_calls
+        ]
 
     def is_own_zone(self, zone: str) -> bool:
         """Return whether this instance is in a zone."""
         return zone == self._zone
 
-    def _stays_in_zone(self, placing: PlacementNotice) -> bool:
-        lead = self._works.get(placing.lead)
+    def _stays_in_zone(self, placement: PlacementNotice) -> bool:
+        lead = self._works.get(placement.lead)
         return (
-            not placing.helpers
+            not placement.helpers
             and lead is not None
             and lead.target.zone == self._zone
-            and self.in_use(placing.service)
+            and self.in_use(placement.service)
         )
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Knowledge of the other entry instances."""
+"""Gossip-based membership of the entry instances."""
 
 from wasabiwell_entry.coordination.membership.coordinator import MembershipCoordinator
 
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/coordinator.py
@@ -1,4 +1,4 @@
-"""Follows the other entry instances by heartbeats and the instance list."""
+"""Tracks the other entry instances with heartbeats and the instance list."""
 
 import random
 from collections.abc import Callable, Iterable
@@ -16,16 +16,16 @@
     MAX_UPDATES,
     PAUSE_THRESHOLD,
     PROBE_TIMEOUT,
-    RARE_INSTANCE_LIST_INTERVAL,
     RECONNECT_INTERVAL,
     SETTLE_TIME,
     SILENCE_TIMEOUT,
+    SLOW_INSTANCE_LIST_INTERVAL,
     SUSPICION_TIMEOUT,
     SWEEP_INTERVAL,
 )
 from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.coordination.membership.gossip import (
-    TableCursor,
+    SyncCursor,
     UpdateQueue,
     table_digest,
 )
@@ -46,10 +46,10 @@
 
 @dataclass(slots=True)
 class PeerSession:
-    """What is kept between the heartbeats of one stream, on either side."""
+    """Per-stream state that either side keeps between heartbeats."""
 
-    cursor: TableCursor = field(default_factory=TableCursor)
-    introduced: bool = False
+    cursor: SyncCursor = field(default_factory=SyncCursor)
+    own_record_sent: bool = False
     mismatches: int = 0
     last_sent: timedelta | None = None
 
@@ -61,7 +61,7 @@
 
 
 class MembershipCoordinator:
-    """Keeps the member table of one entry instance; one task exchanges with each monitored peer."""
+    """Maintains the member table of an entry instance; each monitored peer has a heartbeat task."""
 
     __slots__ = (
         "_announcements",
@@ -114,7 +114,7 @@
 
     @property
     def own(self) -> Member:
-        """Return this entry instance as it presents itself to the others."""
+        """Return the member record of this entry instance."""
         own = self._members.get(self._own_id)
         assert own is not None
         return own
@@ -125,13 +125,13 @@
         return tuple(self._monitors)
 
     def observe(self, observer: Callable[[list[InstanceRecord]], None]) -> None:
-        """Call an observer with each read of the instance list."""
+        """Register an observer that is called with each read of the instance list."""
         self._observers.append(observer)
 
     def reaches_majority(self) -> bool:
-        """Return whether most of the known members are heard, directly or through others.
+        """Return whether a majority of the members is reachable, directly or through others.
 
-        Dead members count as long as the instance list still named them when it was last read.
+        Dead members count towards the total while the last read instance list contains them.
         """
         if self._clock.monotonic() < self._settled_at:
             return False
@@ -144,31 +144,31 @@
         return 2 * serving > serving + dead
 
     def leave(self) -> None:
-        """Tell the others that this entry instance is leaving."""
+        """Announce to the peers that this entry instance is leaving."""
         self._put(replace(self.own, status=MemberStatus.LEAVING))
 
     def announce_stop(self) -> None:
-        """Tell the others that this entry instance has stopped serving."""
+        """Announce to the peers that this entry instance has stopped serving."""
         self._put(replace(self.own, status=MemberStatus.DEAD))
 
     def publish(
         self, kind: str, key: str, lifetime: timedelta, value: bytes = b"", active: bool = True
     ) -> Mark:
-        """Set or withdraw a mark at all entry instances."""
-        known = self._marks.get(kind, key)
-        counter = known.counter + 1 if known is not None else 1
+        """Set or withdraw a mark on all entry instances."""
+        current = self._marks.get(kind, key)
+        counter = current.counter + 1 if current is not None else 1
         now = self._clock.now().timestamp()
         expires = int(now + lifetime.total_seconds())
-        if known is not None:
-            expires = max(expires, known.expires)
+        if current is not None:
+            expires = max(expires, current.expires)
         mark = Mark(kind, key, self._own_id, counter, expires, active, value)
         self._merge_mark(mark)
         return mark
 
     async def run(self) -> None:
-        """Follow the instance list and the peers until cancelled."""
+        """Poll the instance list and monitor peers until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow_list)
+            nursery.start_soon(self._poll_instance_list)
             nursery.start_soon(self._reconnect)
             while True:
                 self.sweep()
@@ -176,7 +176,7 @@
                 await self._clock.sleep(SWEEP_INTERVAL)
 
     async def refresh(self) -> StoreUnavailable | None:
-        """Read the instance list once; an outage keeps what is known."""
+        """Read the instance list once; during an outage the known members are kept."""
         records = await self._instances.instances()
         if isinstance(records, StoreUnavailable):
             return records
@@ -186,19 +186,19 @@
         self._listed = frozenset(record.instance_id for record in listed)
         for record in listed:
             if self._members.get(record.instance_id) is None:
-                self._merge_member(_introduced(record))
+                self._merge_member(_member_from_record(record))
         return None
 
     def receive(self, heartbeat: Heartbeat, session: PeerSession) -> Heartbeat:
-        """Take over a peer's heartbeat on a stream that the peer opened and return the answer."""
+        """Apply the heartbeat from a stream that a peer opened and return the reply."""
         now = self._clock.monotonic()
         elapsed = now - session.last_sent if session.last_sent is not None else None
-        self._take_over(heartbeat, session, elapsed)
+        self._apply_heartbeat(heartbeat, session, elapsed)
         session.last_sent = now
         return self._heartbeat(session, heartbeat.sender, heartbeat.incarnation)
 
     def subscribe(self, kind: str, subscriber: Callable[[Mark], None]) -> None:
-        """Call a subscriber with each new mark of a kind, from here or from a peer."""
+        """Call a subscriber with each new mark of a kind, set locally or by a peer."""
         self._marks.subscribe(kind, subscriber)
 
     def marks(self) -> list[Mark]:
@@ -210,14 +210,14 @@
         return self._marks.get(kind, key)
 
     def merge(self, members: Iterable[Member], marks: Iterable[Mark]) -> None:
-        """Take over what a peer knows."""
+        """Merge the members and marks of a peer."""
         for member in members:
             self._merge_member(member)
         for mark in marks:
             self._merge_mark(mark)
 
     def sweep(self) -> None:
-        """Declare suspects dead whose time is over, and forget what is long past."""
+        """Declare suspects dead after their timeout; remove old dead members and expired marks."""
         now = self._clock.monotonic()
         if now - self._last_sweep > PAUSE_THRESHOLD:
             self._resume_after_pause(now)
@@ -237,21 +237,21 @@
             self._digest = None
 
     def _resume_after_pause(self, now: timedelta) -> None:
-        # Suspicions did not have their time to be refuted here, and other members may have
-        # changed while this process did not run.
+        # Refutations could not be received during the pause, and the statuses of other members may
+        # be outdated.
         for suspicion in self._suspicions.values():
             suspicion.since = now
         self._settled_at = now + SETTLE_TIME
 
-    async def _follow_list(self) -> None:
+    async def _poll_instance_list(self) -> None:
         while True:
             await self.refresh()
-            often = self._reads_list_often()
+            is_reader = self._is_list_reader()
             await self._clock.sleep(
-                INSTANCE_LIST_INTERVAL if often else RARE_INSTANCE_LIST_INTERVAL
+                INSTANCE_LIST_INTERVAL if is_reader else SLOW_INSTANCE_LIST_INTERVAL
             )
 
-    def _reads_list_often(self) -> bool:
+    def _is_list_reader(self) -> bool:
         own = self.own
         zone = [
             member
@@ -261,7 +261,7 @@
         return own in ranked_by_hash("instance-list", zone)[:LIST_READERS_PER_ZONE]
 
     async def _reconnect(self) -> None:
-        """Try one dead member at a time, so that both sides of a partition find each other."""
+        """Probe one dead member at a time, so that the sides of a healed partition merge again."""
         while True:
             await self._clock.sleep(RECONNECT_INTERVAL)
             dead = [
@@ -275,22 +275,22 @@
                 await self.probe(self._random.choice(dead))
 
     def _update_monitors(self, nursery: trio.Nursery) -> None:
-        wanted = {
+        chosen = {
             peer.node_id: peer.peer_address
             for peer in monitored_peers(self.own, self._members.serving())
         }
         for node_id, (address, scope) in list(self._monitors.items()):
-            if wanted.get(node_id) != address:
+            if chosen.get(node_id) != address:
                 scope.cancel()
                 del self._monitors[node_id]
-        for node_id, address in wanted.items():
+        for node_id, address in chosen.items():
             if node_id not in self._monitors:
                 scope = trio.CancelScope()
                 self._monitors[node_id] = (address, scope)
                 nursery.start_soon(self._monitor, node_id, scope)
 
     async def _monitor(self, node_id: str, scope: trio.CancelScope) -> None:
-        """Exchange heartbeats with one peer; replace a silent stream before suspecting the peer."""
+        """Exchange heartbeats with a peer; retry on a new stream before suspecting the peer."""
         with scope:
             while (member := self._members.get(node_id)) is not None:
                 async with self._peers.open(member) as stream:
@@ -303,14 +303,14 @@
     async def _exchange_until_silent(self, stream: PeerStream, node_id: str) -> None:
         session = PeerSession()
         while True:
-            began = self._clock.monotonic()
+            started = self._clock.monotonic()
             if not await self._exchange(stream, node_id, SILENCE_TIMEOUT, session):
                 return
-            spent = self._clock.monotonic() - began
-            await self._clock.sleep(max(timedelta(), HEARTBEAT_INTERVAL - spent))
+            elapsed = self._clock.monotonic() - started
+            await self._clock.sleep(max(timedelta(), HEARTBEAT_INTERVAL - elapsed))
 
     async def probe(self, member: Member) -> bool:
-        """Exchange one heartbeat on a new connection and return whether the peer answered."""
+        """Exchange one heartbeat on a new connection and return whether the peer replied."""
         async with self._peers.open(member) as stream:
             return await self._exchange(stream, member.node_id, PROBE_TIMEOUT)
 
@@ -322,12 +322,12 @@
         session: PeerSession | None = None,
     ) -> bool:
         session = session or PeerSession()
-        began = self._clock.monotonic()
-        known = self._members.get(node_id)
-        heartbeat = self._heartbeat(session, node_id, known.incarnation if known else 0)
+        started = self._clock.monotonic()
+        current = self._members.get(node_id)
+        heartbeat = self._heartbeat(session, node_id, current.incarnation if current else 0)
         match await stream.exchange(heartbeat, timeout):
             case Heartbeat() as answer if answer.sender == node_id:
-                self._take_over(answer, session, self._clock.monotonic() - began)
+                self._apply_heartbeat(answer, session, self._clock.monotonic() - started)
                 return True
             case Heartbeat() | PeerUnreachable():
                 return False
@@ -337,15 +337,15 @@
         if member is None or member.status is MemberStatus.DEAD:
             return
         if member.status is MemberStatus.LEAVING:
-            # A leaving member is not marked as suspect, because that would list its address again.
-            self._time_suspicion(member)
+            # As a suspect, a leaving member would be listed to callers again.
+            self._start_suspicion_timer(member)
             return
         self._merge_member(replace(member, status=MemberStatus.SUSPECT))
 
     def _heartbeat(self, session: PeerSession, receiver: str, incarnation: int) -> Heartbeat:
         members, marks = self._queue.take()
         if session.mismatches >= DIGEST_MISMATCHES:
-            more_members, more_marks = session.cursor.next_part(self._members, self._marks)
+            more_members, more_marks = session.cursor.next_batch(self._members, self._marks)
             members = [*members[: MAX_UPDATES // 2], *more_members]
             marks = [*marks[: MAX_UPDATES // 2], *more_marks]
         about_receiver = self._members.get(receiver)
@@ -354,8 +354,8 @@
             or about_receiver.incarnation > incarnation
         ):
             members.append(about_receiver)
-        if not session.introduced:
-            session.introduced = True
+        if not session.own_record_sent:
+            session.own_record_sent = True
             members.append(self.own)
         return Heartbeat(
             sender=self._own_id,
@@ -366,7 +366,7 @@
             marks=tuple(marks),
         )
 
-    def _take_over(
+    def _apply_heartbeat(
         self, heartbeat: Heartbeat, session: PeerSession, elapsed: timedelta | None
     ) -> None:
         self.merge(heartbeat.members, heartbeat.marks)
@@ -377,18 +377,18 @@
             return
         if sender.status is MemberStatus.LEAVING and heartbeat.incarnation == sender.incarnation:
             self._suspicions.pop(sender.node_id, None)
-        self._announcements.heard(sender, heartbeat.announcement, elapsed)
+        self._announcements.receive_announcement(sender, heartbeat.announcement, elapsed)
 
     def _merge_member(self, member: Member) -> None:
         if member.node_id == self._own_id:
             self._refute(member)
             return
-        known = self._members.get(member.node_id)
-        if member.overrides(known):
+        current = self._members.get(member.node_id)
+        if member.overrides(current):
             self._put(member)
 
     def _refute(self, member: Member) -> None:
-        """Answer a claim about this entry instance with a higher incarnation."""
+        """Refute a claim about this entry instance with a higher incarnation."""
         own = self.own
         stale = member.incarnation < own.incarnation or member == own
         if stale or own.status is MemberStatus.DEAD:
@@ -401,7 +401,7 @@
             self._queue.add(mark, len(self._members))
 
     def _put(self, member: Member) -> None:
-        before = self._members.get(member.node_id)
+        previous = self._members.get(member.node_id)
         self._members.put(member)
         self._digest = None
         self._queue.add(member, len(self._members))
@@ -410,8 +410,8 @@
         else:
             self._dead_since.pop(member.node_id, None)
         if member.status is MemberStatus.SUSPECT:
-            self._time_suspicion(member)
-        if before is not None and before.status is not member.status:
+            self._start_suspicion_timer(member)
+        if previous is not None and previous.status is not member.status:
             log_events.emit(
                 log_events.MEMBER_CHANGED,
                 member=member.node_id,
@@ -419,9 +419,9 @@
                 incarnation=member.incarnation,
             )
 
-    def _time_suspicion(self, member: Member) -> None:
-        running = self._suspicions.get(member.node_id)
-        if running is None or running.incarnation != member.incarnation:
+    def _start_suspicion_timer(self, member: Member) -> None:
+        current = self._suspicions.get(member.node_id)
+        if current is None or current.incarnation != member.incarnation:
             self._suspicions[member.node_id] = _Suspicion(
                 member.incarnation, self._clock.monotonic()
             )
@@ -435,7 +435,7 @@
         return self._digest
 
 
-def _introduced(record: InstanceRecord) -> Member:
+def _member_from_record(record: InstanceRecord) -> Member:
     return Member(
         node_id=record.instance_id,
         incarnation=0,
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/gossip.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/gossip.py
@@ -1,4 +1,4 @@
-"""Updates that ride on heartbeats."""
+"""Gossip updates that are piggybacked on heartbeats."""
 
 import math
 from dataclasses import dataclass
@@ -7,8 +7,8 @@
 import xxhash
 
 from wasabiwell_entry.coordination.membership.const import (
-    EXCHANGES_PER_UPDATE_FACTOR,
     MAX_UPDATES,
+    SENDS_PER_UPDATE_FACTOR,
 )
 from wasabiwell_entry.state.marks import Mark, MarkTable
 from wasabiwell_entry.state.members import Member, MemberStatus, MemberTable
@@ -18,30 +18,30 @@
 
 
 @dataclass(slots=True)
-class _Queued:
+class _QueuedUpdate:
     update: Update
     sends_left: int
 
 
 class UpdateQueue:
-    """Updates that still have to be sent, each `3 log2(n)` times."""
+    """Updates to be sent; each is sent `SENDS_PER_UPDATE_FACTOR * log2(members)` times."""
 
     __slots__ = ("_queued",)
 
     def __init__(self) -> None:
-        self._queued: dict[tuple[str, str], _Queued] = {}
+        self._queued: dict[tuple[str, str], _QueuedUpdate] = {}
 
     def add(self, update: Update, members: int) -> None:
-        """Queue an update in place of an older one of its key."""
-        sends = math.ceil(EXCHANGES_PER_UPDATE_FACTOR * math.log2(max(2, members)))
-        self._queued[_place(update)] = _Queued(update, sends)
+        """Queue an update, replacing an older one with the same key."""
+        sends = math.ceil(SENDS_PER_UPDATE_FACTOR * math.log2(max(2, members)))
+        self._queued[_update_key(update)] = _QueuedUpdate(update, sends)
 
     def take(self) -> tuple[list[Member], list[Mark]]:
-        """Return the updates of the next heartbeat, the least sent ones first."""
+        """Return the updates for the next heartbeat, the least sent ones first."""
         ordered = sorted(self._queued.items(), key=lambda item: -item[1].sends_left)
         members: list[Member] = []
         marks: list[Mark] = []
-        for place, queued in ordered:
+        for key, queued in ordered:
             match queued.update:
                 case Member() as member if len(members) < MAX_UPDATES:
                     members.append(member)
@@ -51,32 +51,32 @@
                     continue
             queued.sends_left -= 1
             if queued.sends_left == 0:
-                del self._queued[place]
+                del self._queued[key]
         return members, marks
 
 
-class TableCursor:
-    """Walks through members and marks in parts, for a peer whose digest differs."""
+class SyncCursor:
+    """Iterates over members and marks in batches, for a peer whose digest differs."""
 
     __slots__ = ("_position",)
 
     def __init__(self) -> None:
         self._position = 0
 
-    def next_part(self, members: MemberTable, marks: MarkTable) -> tuple[list[Member], list[Mark]]:
-        """Return the next members and marks; all are returned after enough calls."""
+    def next_batch(self, members: MemberTable, marks: MarkTable) -> tuple[list[Member], list[Mark]]:
+        """Return the next batch of members and marks; repeated calls cover the whole tables."""
         all_members = sorted(members, key=lambda member: member.node_id)
-        all_marks = sorted(marks, key=_place)
+        all_marks = sorted(marks, key=_update_key)
         start = self._position
         self._position += MAX_UPDATES
-        return _window(all_members, start), _window(all_marks, start)
+        return _batch(all_members, start), _batch(all_marks, start)
 
 
 def table_digest(members: MemberTable, marks: MarkTable) -> int:
     """Return a hash over the members that are not dead and over the marks.
 
-    Suspicion is left out, because it lasts for seconds only. Dead members are left out, because
-    entry instances forget them at different times.
+    Suspicions are excluded because they last only seconds, and dead members because entry instances
+    remove them at different times.
     """
     lines = [
         f"{member.node_id}\0{member.incarnation}\0{member.status is MemberStatus.LEAVING}"
@@ -86,14 +86,14 @@
     return xxhash.xxh3_64_intdigest("\n".join(lines).encode())
 
 
-def _window(items: list[T], start: int) -> list[T]:
+def _batch(items: list[T], start: int) -> list[T]:
     if len(items) <= MAX_UPDATES:
         return list(items)
-    begin = start % len(items)
-    return (items + items)[begin : begin + MAX_UPDATES]
+    offset = start % len(items)
+    return (items + items)[offset : offset + MAX_UPDATES]
 
 
-def _place(update: Update) -> tuple[str, str]:
+def _update_key(update: Update) -> tuple[str, str]:
     match update:
         case Member(node_id=node_id):
             return "", node_id
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/ownership.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/ownership.py
@@ -1,4 +1,4 @@
-"""Owners of shared soft state by rendezvous hashing."""
+"""Ownership of shared soft state by rendezvous hashing."""
 
 from collections.abc import Iterable
 
@@ -11,7 +11,7 @@
 def owner_of(key: str, members: Iterable[Member]) -> Member | NoOwner:
     """Return the member that owns a key.
 
-    Rendezvous hashing: when a member joins or leaves, only the keys that it owns move.
+    With rendezvous hashing, only the keys that a member owns move when it joins or leaves.
     """
     candidates = list(members)
     if not candidates:
@@ -20,7 +20,7 @@
 
 
 def ranked_by_hash(key: str, members: Iterable[Member]) -> list[Member]:
-    """Return the members in the order in which they would own a key."""
+    """Return the members by descending rendezvous score for a key."""
     return sorted(
         members, key=lambda member: (_score(key, member.node_id), member.node_id), reverse=True
     )
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/ports.py
@@ -1,4 +1,4 @@
-"""What membership needs of the other layers."""
+"""Interfaces that membership requires from other layers."""
 
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
@@ -12,45 +12,46 @@
 
 
 class PeerStream(Protocol):
-    """One stream to a peer."""
+    """Heartbeat stream to a peer."""
 
     async def exchange(
         self, heartbeat: Heartbeat, timeout: timedelta
     ) -> Heartbeat | PeerUnreachable:
-        """Send a heartbeat and return the peer's; `PeerUnreachable` ends the stream."""
+        """Send a heartbeat and return the reply; the stream is unusable after `PeerUnreachable`."""
 
 
 class PeerPort(Protocol):
-    """Streams to peers."""
+    """Opens heartbeat streams to peers."""
 
     def open(self, member: Member) -> AbstractAsyncContextManager[PeerStream]:
-        """Own a stream on a new connection; it connects with the first exchange."""
+        """Return a context with a stream; it connects on the first exchange."""
 
 
 class AnnouncementPort(Protocol):
-    """Configuration versions that heartbeats carry."""
+    """Configuration versions announced in heartbeats."""
 
     def announcement(self) -> Announcement:
-        """Return what this entry instance announces."""
+        """Return the announcement of this entry instance."""
 
-    def heard(self, sender: Member, announcement: Announcement, elapsed: timedelta | None) -> None:
-        """Note what a peer announced.
+    def receive_announcement(
+        self, sender: Member, announcement: Announcement, elapsed: timedelta | None
+    ) -> None:
+        """Record the announcement of a peer.
 
-        `elapsed` is the longest time for which the message can have been under way, or None
-        when it is not known.
+        `elapsed` is an upper bound on the message's time in transit, or None if unknown.
         """
 
 
 class MarkPort(Protocol):
-    """Marks that all entry instances share; `MembershipCoordinator` implements it."""
+    """Marks shared by all entry instances; implemented by `MembershipCoordinator`."""
 
     def publish(
         self, kind: str, key: str, lifetime: timedelta, value: bytes = b"", active: bool = True
     ) -> Mark:
-        """Set or withdraw a mark at all entry instances."""
+        """Set or withdraw a mark on all entry instances."""
 
     def subscribe(self, kind: str, subscriber: Callable[[Mark], None]) -> None:
-        """Call a subscriber with each new mark of a kind, from here or from a peer."""
+        """Call a subscriber with each new mark of a kind, set locally or by a peer."""
 
     def mark(self, kind: str, key: str) -> Mark | None:
         """Return the mark of a key, withdrawn ones included."""
--- a/packages/entry/src/wasabiwell_entry/coordination/observation/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/observation/__init__.py
@@ -1,4 +1,4 @@
-"""Counts what happens to forwarded requests."""
+"""Metrics of forwarded requests."""
 
 from wasabiwell_entry.coordination.observation.coordinator import ObservedForwarder
 
--- a/packages/entry/src/wasabiwell_entry/coordination/observation/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/observation/coordinator.py
@@ -1,4 +1,4 @@
-"""Counts the outcomes and times of forwarded requests around the object that forwards them."""
+"""Wraps a forwarder to record outcomes and latencies of its requests."""
 
 from typing import Protocol
 
@@ -14,18 +14,18 @@
 from wasabiwell_entry.state.sizes import size_class
 
 PLAIN = "plain"
-"""Size class of requests of plain services."""
+"""Size class of requests to plain services."""
 
 
 class RequestForwarder(Protocol):
-    """What a front door calls, observed or not."""
+    """Interface of forwarders for a front end, with or without metrics."""
 
     async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
-        """Forward a request and deliver its answer to the sink."""
+        """Forward a request and deliver its response to the sink."""
 
 
 class ObservedForwarder:
-    """Forwards requests and counts what becomes of them."""
+    """Forwards requests and counts their outcomes."""
 
     __slots__ = ("_clock", "_counters", "_inner")
 
@@ -35,7 +35,7 @@
         self._clock = clock
 
     async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
-        """Forward a request and deliver its answer to the sink."""
+        """Forward a request and deliver its response to the sink."""
         observed = _ObservedSink(sink, request, self._counters, self._clock)
         try:
             outcome = await self._inner.forward(request, observed)
@@ -55,7 +55,7 @@
 
 
 class _ObservedSink:
-    """Delivers an answer and counts the times between its parts."""
+    """Delivers a response and records the time to its first chunk and between chunks."""
 
     __slots__ = ("_clock", "_counters", "_is_stream", "_last", "_received", "_sink", "_size")
 
--- a/tests/support/membership_machine.py
+++ b/tests/support/membership_machine.py
@@ -60,7 +60,9 @@
         """Return an empty announcement."""
         return Announcement(0, None)
 
-    def heard(self, sender: Member, announcement: Announcement, elapsed: object) -> None:
+    def receive_announcement(
+        self, sender: Member, announcement: Announcement, elapsed: object
+    ) -> None:
         """Ignore it; configuration has a machine of its own."""
 
     @asynccontextmanager
