--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -1,4 +1,4 @@
-"""One entry instance that exchanges messages with others that a test plays."""
+"""An entry instance that exchanges messages with peers simulated by a test."""
 
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -23,7 +23,7 @@
 
 
 class FakePort:
-    """Keeps what is sent, with the time of `now`."""
+    """Records sent messages with the time returned by `now`."""
 
     def __init__(self) -> None:
         self.sent: list[tuple[str, Notice]] = []
@@ -32,7 +32,7 @@
         self.now: Callable[[], float] = lambda: 0.0
 
     def send(self, addresses: Iterable[str], notice: Notice) -> None:
-        """Keep a message for each address."""
+        """Record a message for each address."""
         added = [(address, notice) for address in addresses]
         self.sent += added
         self.times += [self.now()] * len(added)
@@ -45,30 +45,30 @@
 
 
 class FakeDirectory:
-    """Names instances once it is back; `away` is the end of its outage in seconds."""
+    """Lists addresses after an outage that ends at `unavailable_seconds`."""
 
-    def __init__(self, away: float = 0.0, names: tuple[str, ...] = ()) -> None:
-        self.away = away
-        self.names = names
+    def __init__(self, unavailable_seconds: float = 0.0, listed: tuple[str, ...] = ()) -> None:
+        self.unavailable_seconds = unavailable_seconds
+        self.listed = listed
         self.registered: list[str] = []
-        self.asked = 0
+        self.lookups = 0
 
     async def register(self, address: str) -> StoreUnavailable | None:
-        """Take an address unless it is away."""
+        """Register an address unless the outage lasts."""
         await trio.lowlevel.checkpoint()
-        if trio.current_time() < self.away:
-            return StoreUnavailable("away")
+        if trio.current_time() < self.unavailable_seconds:
+            return StoreUnavailable("outage")
         self.registered.append(address)
         return None
 
     async def addresses(self) -> list[str] | StoreUnavailable:
-        """Return the names."""
-        self.asked += 1
+        """Return the listed addresses."""
+        self.lookups += 1
         await trio.lowlevel.checkpoint()
-        return list(self.names)
+        return list(self.listed)
 
 
-def state_of(address: str, sequence: int, **fields: object) -> NodeState:
+def make_state(address: str, sequence: int, **fields: object) -> NodeState:
     """Return a state of an instance."""
     host = address.partition(":")[0]
     values: dict[str, object] = {
@@ -92,9 +92,9 @@
     context: Context,
     directory: FakeDirectory,
     clock: object,
-    own_state: Callable[[], NodeState] = lambda: state_of(OWN, 1),
+    own_state: Callable[[], NodeState] = lambda: make_state(OWN, 1),
 ) -> None:
-    """Open an instance that takes messages of others, and keep its parts in the context."""
+    """Create an instance without a running task, and store its parts in the context."""
     context.clock = clock
     context.port = FakePort()
     context.works = WorkTable()
@@ -129,30 +129,30 @@
     )
 
 
-def hear(context: Context, address: str, **fields: object) -> None:
-    """Let a state of an instance arrive."""
+def receive_state(context: Context, address: str, **fields: object) -> None:
+    """Deliver a state of another instance."""
     context.sequence += 1
-    context.exchange.receive(address, state_of(address, context.sequence, **fields))
+    context.exchange.receive(address, make_state(address, context.sequence, **fields))
 
 
-def pass_time(
+def run_for(
     context: Context,
     seconds: int,
-    heard: list[str],
-    happening: Callable[[], Awaitable[None]] | None = None,
+    senders: list[str],
+    concurrent: Callable[[], Awaitable[None]] | None = None,
 ) -> None:
-    """Let an instance run, with peers heard four times a second."""
+    """Run an instance; the peers in `senders` send a state four times per second."""
 
     async def run() -> None:
         context.clock = SystemClock()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(context.exchange.run)
-            if happening is not None:
-                nursery.start_soon(happening)
+            if concurrent is not None:
+                nursery.start_soon(concurrent)
             for _ in range(seconds * 4):
                 await trio.sleep(0.25)
-                for address in heard:
-                    hear(context, address)
+                for address in senders:
+                    receive_state(context, address)
             nursery.cancel_scope.cancel()
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
