--- a/tests/entry/coordination/membership/processes.feature
+++ b/tests/entry/coordination/membership/processes.feature
@@ -1,25 +1,25 @@
-Feature: Entry instances that fail, with real processes
-  Guards against callers that are sent to a dead instance, and against live instances that are
-  dropped because of a pause or a silent connection.
+Feature: Failures of entry instances, with real processes
+  Guards against callers that get the address of a dead instance, and against running instances that
+  are removed because of a pause or an unresponsive connection.
 
-  Scenario: A killed instance is dropped everywhere
+  Scenario: A killed instance is marked as dead everywhere
     Given 6 entry instances
     When entry instance 4 is killed
     Then every other entry instance sees 4 as "dead" within 8 s
     And no address answer names entry instance 4
 
-  Scenario: A paused instance is dropped and comes back
+  Scenario: A paused instance is marked as dead and comes back
     Given 4 entry instances
     When entry instance 1 is paused for 10 s
     Then nobody saw it as "alive" at the end of the pause
     And every other entry instance sees 1 as "alive" within 12 s
 
-  Scenario: A stream that goes silent for good is replaced before suspicion
+  Scenario: An unresponsive stream is replaced before its peer is suspected
     Given 3 entry instances behind proxies
     When the way to entry instance 1 has the faults "silent_to_client" for 2 s
     Then for the next 6 s nobody sees 1 as "suspect"
 
-  Scenario: An instance whose answers are lost, but that reaches others, stays
+  Scenario: An instance whose replies are lost, but that reaches others, is not marked as dead
     Given 3 entry instances behind proxies
     When the way to entry instance 1 has the faults "silent_to_client" for 12 s
     Then in between nobody saw it as "dead"
--- a/tests/steps/entry/coordination/machine_steps.py
+++ b/tests/steps/entry/coordination/machine_steps.py
@@ -1,4 +1,4 @@
-"""Steps that run state machines; derandomized, so that each run tries the same cases."""
+"""Steps that run Hypothesis state machines, derandomized so that each run tries the same cases."""
 
 from behave import then, when
 from behave.runner import Context
@@ -15,7 +15,7 @@
 
 @when("{count:d} sequences of {steps:d} steps of the {name} machine run")
 def step_machine(context: Context, count: int, steps: int, name: str) -> None:
-    chosen = settings(
+    machine_settings = settings(
         max_examples=count,
         stateful_step_count=steps,
         derandomize=True,
@@ -24,7 +24,7 @@
         suppress_health_check=list(HealthCheck),
     )
     context.machine_ran = False
-    run_state_machine_as_test(MACHINES[name], settings=chosen)
+    run_state_machine_as_test(MACHINES[name], settings=machine_settings)
     context.machine_ran = True
 
 
--- a/tests/steps/entry/coordination/runs_steps.py
+++ b/tests/steps/entry/coordination/runs_steps.py
@@ -56,7 +56,7 @@
 @when("the late writes take effect")
 def step_apply_late(context: Context) -> None:
     while context.table_service.late:
-        context.table_service.apply_late()
+        context.table_service.apply_delayed_write()
 
 
 @given("the object store is down")
--- a/tests/steps/entry/coordination/suspects_steps.py
+++ b/tests/steps/entry/coordination/suspects_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.calls import PlainTargets, VirtualClock
-from support.fakes import FakeTable, NoSpread
+from support.fakes import FakeTable, NoSuspectGossip
 from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.dispatch.errors import ProbeOutcome, TargetAlive, TargetGone
 from wasabiwell_entry.coordination.dispatch.ports import Placement, TargetFailure
@@ -100,7 +100,7 @@
     for fingerprint in ("waiting", "other"):
         suspects.merge(Suspect(fingerprint, ("e0",), expires))
     context.quarantine = QuarantineCoordinator(
-        FakeTable(), suspects, NoSpread(), lambda: 2, context.clock
+        FakeTable(), suspects, NoSuspectGossip(), lambda: 2, context.clock
     )
 
 
--- a/tests/support/configuration_machine.py
+++ b/tests/support/configuration_machine.py
@@ -1,4 +1,4 @@
-"""Stateful fuzzing of configuration versions over a table service and peers in memory."""
+"""Stateful fuzzing of the versioned configuration with an in-memory table service and peers."""
 
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import ExitStack
@@ -33,27 +33,27 @@
 NAMES = ["ada", "bo", "cy"]
 SNAPSHOT_VERSIONS = 3
 RETAINED_DELTA_ROWS = 2
-"""Small figures, so that short sequences reach snapshots and removed rows."""
+"""Small values, so that short sequences reach snapshots and deleted rows."""
 
 
 @dataclass(slots=True)
-class LateTable(FakeTable):
-    """A table service whose next reads can answer from an earlier state."""
+class StaleReadTable(FakeTable):
+    """A table service whose next reads can return outdated rows."""
 
-    late_reads: int = 0
-    earlier: dict[str, Row] = field(default_factory=dict)
+    stale_reads: int = 0
+    stale_rows: dict[str, Row] = field(default_factory=dict)
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row] | StoreUnavailable:
-        """Return the rows that exist, or those of the earlier state."""
-        if self.late_reads > 0 and not self.unavailable:
-            self.late_reads -= 1
-            return {key: self.earlier[key] for key in keys if key in self.earlier}
+        """Return the existing rows, or the outdated ones for a stale read."""
+        if self.stale_reads > 0 and not self.unavailable:
+            self.stale_reads -= 1
+            return {key: self.stale_rows[key] for key in keys if key in self.stale_rows}
         return await FakeTable.read(self, keys)
 
 
 @dataclass(slots=True)
 class Node:
-    """An entry instance; `reached` names the peers that its calls reach."""
+    """An entry instance with its configuration."""
 
     member: Member
     state: ConfigurationState
@@ -61,21 +61,21 @@
 
 
 class Peers:
-    """Calls between the machine's nodes."""
+    """Peer calls between the nodes of the machine."""
 
     def __init__(self, machine: "ConfigurationMachine", index: int) -> None:
         self._machine = machine
         self._index = index
 
     async def push(self, member: Member, delta: ConfigurationDelta) -> int | PeerUnreachable:
-        """Hand a delta to a node."""
+        """Push a delta to a node."""
         await trio.lowlevel.checkpoint()
         if (self._index, int(member.node_id)) in self._machine.unreachable:
             return PeerUnreachable("unreachable")
         return self._machine.nodes[int(member.node_id)].configuration.apply_pushed_delta(delta)
 
     async def fetch(self, member: Member, since: int) -> ConfigurationUpdate | PeerUnreachable:
-        """Fetch from a node."""
+        """Fetch an update from a node."""
         await trio.lowlevel.checkpoint()
         if (self._index, int(member.node_id)) in self._machine.unreachable:
             return PeerUnreachable("unreachable")
@@ -83,7 +83,7 @@
 
 
 class ConfigurationMachine(RuleBasedStateMachine):
-    """Racing applies, lost replies, late reads, restarts and lagging peers."""
+    """Concurrent changes, lost replies, stale reads, restarts and lagging peers."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -92,20 +92,20 @@
             for name in ("SNAPSHOT_VERSIONS", "RETAINED_DELTA_ROWS"):
                 if hasattr(module, name):
                     self.patches.enter_context(patch.object(module, name, globals()[name]))
-        self.table, self.objects, self.clock = LateTable(), FakeObjects(), ManualClock()
+        self.table, self.objects, self.clock = StaleReadTable(), FakeObjects(), ManualClock()
         self.members = MemberTable()
         self.unreachable: set[tuple[int, int]] = set()
         self.nodes: dict[int, Node] = {}
-        self.seen: dict[int, int] = {}
+        self.last_version: dict[int, int] = {}
         self.committed: dict[int, ConfigurationDelta] = {}
         self.accepted: dict[int, dict[str, bytes | None]] = {}
-        self.secret = 0
+        self.key_number = 0
         for index in range(NODES):
             self.members.put(Member(str(index), 1, "r", "z", f"c:{index}", f"p:{index}"))
             self.start(index)
 
     def teardown(self) -> None:
-        """Restore the constants."""
+        """Restore the patched constants."""
         self.patches.close()
 
     def start(self, index: int) -> None:
@@ -125,67 +125,69 @@
                 self.clock,
             ),
         )
-        self.seen[index] = 0
+        self.last_version[index] = 0
 
     def run(self, *calls: Callable[[], Awaitable[Any]]) -> list[Any]:
-        """Run calls at once and return their results in the order of the calls."""
+        """Run calls concurrently and return their results in the order of the calls."""
         results: dict[int, Any] = {}
 
         async def main() -> None:
-            async def run_one(place: int, call: Callable[[], Awaitable[Any]]) -> None:
-                results[place] = await call()
+            async def run_one(position: int, call: Callable[[], Awaitable[Any]]) -> None:
+                results[position] = await call()
 
             async with trio.open_nursery() as nursery:
-                for place, call in enumerate(calls):
-                    nursery.start_soon(run_one, place, call)
+                for position, call in enumerate(calls):
+                    nursery.start_soon(run_one, position, call)
 
         trio.run(main)
-        self.note_committed()
-        return [results[place] for place in range(len(calls))]
+        self.record_committed()
+        return [results[position] for position in range(len(calls))]
 
-    def note_committed(self) -> None:
-        """Keep each delta row before it can be removed; a row must never change."""
+    def record_committed(self) -> None:
+        """Record each delta row before it can be deleted; a row must never change."""
         for key, row in self.table.rows.items():
             if key.startswith("config/delta/"):
                 delta = store._decode(key, row.value, ConfigurationDelta)
                 assert self.committed.setdefault(delta.version, delta) == delta
 
     def change(self, name: str) -> dict[str, bytes | None]:
-        """Return a change of an item that no other change equals."""
-        self.secret += 1
-        operator = OperatorKey(name=name, key_hash=hash_key(str(self.secret)))
+        """Return a unique change of an item."""
+        self.key_number += 1
+        operator = OperatorKey(name=name, key_hash=hash_key(str(self.key_number)))
         return dict(items_of(Configuration(operators=(operator,))))
 
-    def note_outcome(self, outcome: Any, changes: dict[str, bytes | None]) -> None:
-        """Remember what was accepted."""
+    def record_outcome(self, outcome: Any, changes: dict[str, bytes | None]) -> None:
+        """Record an accepted change."""
         if isinstance(outcome, Accepted | AcceptedNotShared):
             assert outcome.version not in self.accepted, "one version was accepted twice"
             self.accepted[outcome.version] = changes
 
     @initialize()
     def start_with_versions(self) -> None:
-        """Commit more versions than delta rows are retained."""
+        """Commit more versions than the number of retained delta rows."""
         for index in range(2 * SNAPSHOT_VERSIONS):
             self.apply(index % NODES, NAMES[index % len(NAMES)], 0, 0, 0, 0)
 
     @rule(
         index=st.integers(0, NODES - 1),
         name=st.sampled_from(NAMES),
-        behind=st.integers(0, 3),
+        versions_behind=st.integers(0, 3),
         lost=st.sampled_from([0, 0, 1, 2, 5]),
         dropped=st.sampled_from([0, 0, 1]),
-        late=st.sampled_from([0, 0, 1, 2]),
+        stale=st.sampled_from([0, 0, 1, 2]),
     )
-    def apply(self, index: int, name: str, behind: int, lost: int, dropped: int, late: int) -> None:
-        """Apply against an older version; only a later change of the item is a conflict."""
+    def apply(
+        self, index: int, name: str, versions_behind: int, lost: int, dropped: int, stale: int
+    ) -> None:
+        """Apply a change to an older version; only later changes of its items are conflicts."""
         self.table.lose_replies, self.table.drop_writes = lost, dropped
-        self.table.late_reads = late
+        self.table.stale_reads = stale
         node, changes = self.nodes[index], self.change(name)
-        base = max(0, node.state.version - behind)
+        base = max(0, node.state.version - versions_behind)
         outcome = self.run(lambda: node.configuration.apply(base, changes))[0]
-        self.note_outcome(outcome, changes)
+        self.record_outcome(outcome, changes)
         self.end_faults()
-        if isinstance(outcome, Conflict) and not late:
+        if isinstance(outcome, Conflict) and not stale:
             touched = {
                 path
                 for version, delta in self.committed.items()
@@ -202,7 +204,7 @@
         lost=st.sampled_from([0, 0, 1, 2]),
     )
     def race(self, first: int, second: int, same: bool, lost: int) -> None:
-        """Two operators at once: other items go through, one of two changes of an item does."""
+        """Apply two changes concurrently; of two changes of one item at most one succeeds."""
         self.run(*(self.nodes[index].configuration.refresh for index in (first, second)))
         self.table.lose_replies = lost
         one, two = self.change("ada"), self.change("ada" if same else "bo")
@@ -212,45 +214,45 @@
             lambda: nodes[0].configuration.apply(bases[0], one),
             lambda: nodes[1].configuration.apply(bases[1], two),
         )
-        self.note_outcome(outcomes[0], one)
-        self.note_outcome(outcomes[1], two)
+        self.record_outcome(outcomes[0], one)
+        self.record_outcome(outcomes[1], two)
         self.end_faults()
         accepted = [item for item in outcomes if isinstance(item, Accepted | AcceptedNotShared)]
         assert not same or len(accepted) <= 1, outcomes
         assert same or self.table.unavailable or len(accepted) == 2, outcomes
 
     def end_faults(self) -> None:
-        """Let the table service answer again."""
-        self.table.lose_replies = self.table.drop_writes = self.table.late_reads = 0
+        """End the faults of the table service."""
+        self.table.lose_replies = self.table.drop_writes = self.table.stale_reads = 0
 
     @rule(index=st.integers(0, NODES - 1))
     def refresh(self, index: int) -> None:
-        """Let a node follow the table service."""
+        """Apply newer versions of the table service on a node."""
         self.run(self.nodes[index].configuration.refresh)
 
     @rule(down=st.booleans(), objects_down=st.booleans())
-    def outage(self, down: bool, objects_down: bool) -> None:
-        """Begin or end outages."""
+    def set_outages(self, down: bool, objects_down: bool) -> None:
+        """Start or end outages of the table service and the object store."""
         self.table.unavailable, self.objects.unavailable = down, objects_down
 
     @rule()
-    def keep_earlier_state(self) -> None:
-        """Remember the state that late reads answer with."""
-        self.table.earlier = dict(self.table.rows)
+    def record_stale_rows(self) -> None:
+        """Record the rows that stale reads return."""
+        self.table.stale_rows = dict(self.table.rows)
 
     @rule(sender=st.integers(0, NODES - 1), receiver=st.integers(0, NODES - 1))
-    def cut(self, sender: int, receiver: int) -> None:
-        """Let calls from one node to another fail."""
+    def block_calls(self, sender: int, receiver: int) -> None:
+        """Block calls from one node to another."""
         self.unreachable.add((sender, receiver))
 
     @rule()
     def heal(self) -> None:
-        """Let all calls through."""
+        """Unblock all calls."""
         self.unreachable.clear()
 
     @rule(index=st.integers(0, NODES - 1), source=st.integers(0, NODES - 1))
     def restart(self, index: int, source: int) -> None:
-        """Start an instance anew; it recovers from a peer, else from the stores."""
+        """Restart an instance without state; it recovers from a peer or else from the stores."""
         peer = self.nodes[source]
         self.start(index)
         node = self.nodes[index]
@@ -263,14 +265,14 @@
 
     @rule(index=st.integers(0, NODES - 1), source=st.integers(0, NODES - 1))
     def fetch(self, index: int, source: int) -> None:
-        """Fetch from a node."""
+        """Fetch newer versions from a node."""
         node, peer = self.nodes[index], self.nodes[source]
         update = peer.state.update_since(node.state.version)
         node.configuration.apply_update(update)
 
     @rule()
-    def become_quiet(self) -> None:
-        """End the faults and check that every instance has the newest version."""
+    def check_convergence(self) -> None:
+        """End all faults and check that every instance has the newest version."""
         self.table.unavailable = self.objects.unavailable = False
         self.end_faults()
         self.unreachable.clear()
@@ -279,27 +281,29 @@
         assert {node.state.version for node in self.nodes.values()} == {newest}
 
     @invariant()
-    def versions_only_grow(self) -> None:
-        """Compare each version with the last one of the same instance."""
+    def versions_never_decrease(self) -> None:
+        """Compare each version with the last one on the same instance."""
         for index, node in self.nodes.items():
-            assert node.state.version >= self.seen[index], "an instance went back"
-            self.seen[index] = node.state.version
+            assert node.state.version >= self.last_version[index], (
+                "the version of an instance decreased"
+            )
+            self.last_version[index] = node.state.version
 
     @invariant()
     def states_match_the_committed_versions(self) -> None:
-        """Compare the items in force with the sum of the committed deltas."""
+        """Compare the items in effect with the accumulated committed deltas."""
         for node in self.nodes.values():
             assert node.state.items == self.items_at(node.state.version)
 
     @invariant()
-    def accepted_is_never_lost(self) -> None:
-        """Compare each accepted change with what its version holds."""
+    def accepted_changes_persist(self) -> None:
+        """Compare each accepted change with the committed one of its version."""
         for version, changes in self.accepted.items():
             assert self.committed[version].changes == changes
 
     def items_at(self, version: int) -> dict[str, bytes]:
-        """Return the items of a version by the oracle."""
+        """Return the expected items of a version."""
         items: dict[str, bytes] = {}
         for number in range(1, version + 1):
-            items.update(self.committed[number].changes)  # the machine removes no item
+            items.update(self.committed[number].changes)  # no rule deletes an item
         return items
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -45,16 +45,18 @@
 
 
 class FakeDirectory:
-    """Lists addresses after an outage that ends at `unavailable_seconds`."""
+    """Registry of addresses in which registering fails until `unavailable_seconds`."""
 
-    def __init__(self, unavailable_seconds: float = 0.0, listed: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self, unavailable_seconds: float = 0.0, stored_addresses: tuple[str, ...] = ()
+    ) -> None:
         self.unavailable_seconds = unavailable_seconds
-        self.listed = listed
+        self.stored_addresses = stored_addresses
         self.registered: list[str] = []
         self.lookups = 0
 
     async def register(self, address: str) -> StoreUnavailable | None:
-        """Register an address unless the outage lasts."""
+        """Register an address, or fail during the outage."""
         await trio.lowlevel.checkpoint()
         if trio.current_time() < self.unavailable_seconds:
             return StoreUnavailable("outage")
@@ -62,10 +64,10 @@
         return None
 
     async def addresses(self) -> list[str] | StoreUnavailable:
-        """Return the listed addresses."""
+        """Return the stored addresses."""
         self.lookups += 1
         await trio.lowlevel.checkpoint()
-        return list(self.listed)
+        return list(self.stored_addresses)
 
 
 def make_state(address: str, sequence: int, **fields: object) -> NodeState:
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -18,8 +18,8 @@
 from wasabiwell_entry.state.suspects import Suspect
 
 
-class NoSpread:
-    """Other instances that are not in a test, or know of all suspects."""
+class NoSuspectGossip:
+    """Suspect gossip without peers."""
 
     def spread(self, suspect: Suspect) -> None:
         """Do nothing."""
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True)
 class FakeTable:
-    """A table service in memory; the fault fields count down with each operation they hit."""
+    """An in-memory table service; each affected operation decrements the fault counters."""
 
     rows: dict[str, Row] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
@@ -41,12 +41,12 @@
     hang_seconds: float = 0.0
     transactions: int = 0
     reads: int = 0
-    late: list[tuple[Sequence[Condition], Sequence[Write]]] = field(default_factory=list)
+    delayed: list[tuple[Sequence[Condition], Sequence[Write]]] = field(default_factory=list)
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> TransactOutcome:
-        """Apply all writes if all conditions hold, else none."""
+        """Apply all writes if all conditions hold, otherwise none."""
         self.transactions += 1
         if await self._hung():
             return ReplyLost("no reply")
@@ -57,14 +57,14 @@
             return ReplyLost("the request was lost")
         if self.delay_writes > 0:
             self.delay_writes -= 1
-            self.late.append((conditions, writes))
+            self.delayed.append((conditions, writes))
             return ReplyLost("the write takes effect later")
         return self._apply(conditions, writes)
 
-    def apply_late(self) -> None:
-        """Let the oldest delayed write take effect, if its conditions still hold."""
-        if self.late:
-            self._apply(*self.late.pop(0))
+    def apply_delayed_write(self) -> None:
+        """Apply the oldest delayed write if its conditions still hold."""
+        if self.delayed:
+            self._apply(*self.delayed.pop(0))
 
     async def _hung(self) -> bool:
         hung = self.hang_seconds > 0.0
@@ -86,7 +86,7 @@
         return ConditionFailed(failed) if failed else Committed()
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row] | StoreUnavailable:
-        """Return the rows that exist, by key."""
+        """Return the existing rows by key."""
         self.reads += 1
         if await self._hung():
             return StoreUnavailable("no reply")
@@ -118,7 +118,7 @@
 
 @dataclass(slots=True)
 class FakeObjects:
-    """An object store in memory."""
+    """An in-memory object store."""
 
     objects: dict[str, bytes] = field(default_factory=dict)
     unavailable: bool = False
--- a/tests/support/membership_machine.py
+++ b/tests/support/membership_machine.py
@@ -1,6 +1,6 @@
-"""Stateful fuzzing of membership over a network in memory, with a mock clock.
+"""Stateful fuzzing of membership over an in-memory network, with a mock clock.
 
-A trio run in a thread holds the entry instances; each rule runs to its end inside it.
+The entry instances run in a trio loop in a thread; each rule is executed inside that loop.
 """
 
 import threading
@@ -23,16 +23,16 @@
 from wasabiwell_entry.state.platform import InstanceRecord, StoreUnavailable
 
 NODES = 6
-PLACES = [("east", "a"), ("east", "a"), ("east", "b"), ("east", "b"), ("west", "c"), ("west", "c")]
+ZONES = [("east", "a"), ("east", "a"), ("east", "b"), ("east", "b"), ("west", "c"), ("west", "c")]
 STEP_SECONDS = 0.25
-QUIET_SECONDS = 45.0
+CONVERGENCE_SECONDS = 45.0
 KEYS = [f"engine-{index}" for index in range(40)]
 START = datetime(2026, 1, 1, tzinfo=UTC)
 
 
 @dataclass(slots=True)
 class Node:
-    """One running entry instance; also its clock, which stands still while it is paused."""
+    """A running entry instance and its clock; sleeping tasks do not resume during a pause."""
 
     index: int
     network: "Network"
@@ -52,7 +52,7 @@
         return timedelta(seconds=trio.current_time())
 
     async def sleep(self, duration: timedelta) -> None:
-        """Wait for a duration, and until the node is not paused."""
+        """Wait for a duration, and then until the node is not paused."""
         await trio.sleep(duration.total_seconds())
         await self.running.wait()
 
@@ -63,17 +63,17 @@
     def receive_announcement(
         self, sender: Member, announcement: Announcement, elapsed: object
     ) -> None:
-        """Ignore it; configuration has a machine of its own."""
+        """Ignore the announcement; the configuration is tested by its own machine."""
 
     @asynccontextmanager
     async def open(self, member: Member) -> AsyncIterator["Stream"]:
-        """Own a stream to another node."""
+        """Return a context with a stream to another node."""
         yield Stream(self, int(member.node_id))
 
 
 @dataclass(slots=True)
 class Stream:
-    """A stream between two nodes; the other side keeps a session for it."""
+    """A stream to another node, with the session of the receiving side."""
 
     node: Node
     peer: int
@@ -83,7 +83,7 @@
     async def exchange(
         self, heartbeat: Heartbeat, timeout: timedelta
     ) -> Heartbeat | PeerUnreachable:
-        """Hand a heartbeat to the peer unless a fault is in the way."""
+        """Deliver a heartbeat to the peer unless a fault prevents it."""
         network = self.node.network
         await trio.lowlevel.checkpoint()
         peer = network.nodes.get(self.peer)
@@ -91,13 +91,13 @@
             return PeerUnreachable("refused")
         blocked = (self.node.index, self.peer) in network.blocked
         if self.broken or blocked or not peer.running.is_set():
-            return await self._silence(timeout)
+            return await self._time_out(timeout)
         reply = peer.membership.receive(heartbeat, self.session)
         if (self.peer, self.node.index) in network.blocked:
-            return await self._silence(timeout)
+            return await self._time_out(timeout)
         return reply
 
-    async def _silence(self, timeout: timedelta) -> PeerUnreachable:
+    async def _time_out(self, timeout: timedelta) -> PeerUnreachable:
         self.broken = True
         await self.node.sleep(timeout)
         return PeerUnreachable("timeout")
@@ -114,13 +114,13 @@
         self._clock = clock
 
     async def instances(self) -> list[InstanceRecord] | StoreUnavailable:
-        """Return the running nodes, as the instance list does without lag."""
+        """Return the running nodes, as an instance list without delay would."""
         if self.list_down:
             return StoreUnavailable("outage")
         return [record(index) for index in self.nodes]
 
     def start(self, index: int, wall_offset: float) -> None:
-        """Start a node; its wall clock is off by `wall_offset` seconds."""
+        """Start a node with a wall clock offset in seconds."""
         node = Node(index, self, timedelta(seconds=wall_offset))
         node.running.set()
         listed = record(index)
@@ -143,26 +143,26 @@
             await node.membership.run()
 
     def stop(self, index: int) -> None:
-        """End a node at once."""
+        """Stop a node immediately."""
         self.nodes.pop(index).scope.cancel()
 
     async def advance(self, seconds: float) -> None:
-        """Let time pass in small steps, each until all tasks wait."""
+        """Advance the clock in small steps, and run all tasks until they wait after each."""
         for _ in range(int(seconds / STEP_SECONDS)):
             self._clock.jump(STEP_SECONDS)
             await trio.testing.wait_all_tasks_blocked()
 
 
 def record(index: int) -> InstanceRecord:
-    """Return the list's record of a node; ids sort in the order of start."""
-    region, zone = PLACES[index]
+    """Return the instance list record of a node; node ids sort by index."""
+    region, zone = ZONES[index]
     return InstanceRecord(
         str(index), "entry", "", f"127.0.0.1:{index}", f"127.0.0.2:{index}", region, zone
     )
 
 
 class TrioThread:
-    """A trio run with a mock clock in a thread; `call` runs a function inside it."""
+    """A trio loop with a mock clock in a thread; `call` runs a function inside it."""
 
     def __init__(self) -> None:
         self._ready = threading.Event()
@@ -184,26 +184,26 @@
         trio.run(main, clock=clock)
 
     def call(self, function: Callable[..., Awaitable[None]], *arguments: object) -> None:
-        """Run a coroutine function in the trio run and wait for its end."""
+        """Run an async function in the trio loop and wait until it returns."""
         trio.from_thread.run(function, *arguments, trio_token=self._token)
 
     def close(self) -> None:
-        """End the trio run."""
+        """Stop the trio loop."""
         trio.from_thread.run_sync(self._scope.cancel, trio_token=self._token)
         self._thread.join()
 
 
 class MembershipMachine(RuleBasedStateMachine):
-    """Losses, pauses, kills, restarts and clock steps, against the set of running nodes."""
+    """Message loss, pauses, kills, restarts and clock steps; the running nodes are the oracle."""
 
     def __init__(self) -> None:
         super().__init__()
         self.trio = TrioThread()
         self.owners: dict[str, str] = {}
-        self.agreed: set[str] = set()
+        self.converged: set[str] = set()
 
     def teardown(self) -> None:
-        """End the nodes."""
+        """Stop the nodes."""
         self.trio.close()
 
     @property
@@ -211,8 +211,8 @@
         """Return the network of this machine."""
         return self.trio.network
 
-    def do(self, function: Callable[..., None], *arguments: object) -> None:
-        """Run a plain function in the trio run."""
+    def call_sync(self, function: Callable[..., None], *arguments: object) -> None:
+        """Run a synchronous function in the trio loop."""
 
         async def run() -> None:
             function(*arguments)
@@ -222,23 +222,23 @@
 
     @initialize()
     def start_all(self) -> None:
-        """Start all nodes, and let them agree again after a zone was cut off for long."""
+        """Start all nodes and check that they converge after a long partition of a zone."""
         for index in range(NODES):
-            self.do(self.network.start, index, 0.0)
+            self.call_sync(self.network.start, index, 0.0)
         self.publish_mark(0, True)
-        self.become_quiet()
-        self.cut_zone("c", 15.0)
-        self.become_quiet()
+        self.check_convergence()
+        self.isolate_zone("c", 15.0)
+        self.check_convergence()
 
     @rule(sender=st.integers(0, NODES - 1), receiver=st.integers(0, NODES - 1))
-    def lose_one_direction(self, sender: int, receiver: int) -> None:
-        """Lose all messages from one node to another."""
+    def block_direction(self, sender: int, receiver: int) -> None:
+        """Drop all messages from one node to another."""
         self.network.blocked.add((sender, receiver))
 
     @rule(zone=st.sampled_from("abc"), seconds=st.sampled_from([0.0, 15.0]))
-    def cut_zone(self, zone: str, seconds: float) -> None:
-        """Separate a zone from the others, for longer than it takes to declare it dead or not."""
-        inside = {index for index, (_, name) in enumerate(PLACES) if name == zone}
+    def isolate_zone(self, zone: str, seconds: float) -> None:
+        """Partition a zone, optionally for longer than it takes to declare its members dead."""
+        inside = {index for index, (_, name) in enumerate(ZONES) if name == zone}
         for one in inside:
             for other in set(range(NODES)) - inside:
                 self.network.blocked |= {(one, other), (other, one)}
@@ -246,61 +246,61 @@
 
     @rule()
     def heal(self) -> None:
-        """End all losses."""
+        """Deliver all messages again."""
         self.network.blocked.clear()
 
     @rule(index=st.integers(0, NODES - 1))
     def pause(self, index: int) -> None:
-        """Stop a node from running, as SIGSTOP does."""
+        """Pause a node, like SIGSTOP."""
         if index in self.network.nodes:
             self.network.nodes[index].running = trio.Event()
 
     @rule(index=st.integers(0, NODES - 1))
     def resume(self, index: int) -> None:
-        """Let a paused node run again."""
+        """Resume a paused node."""
         if index in self.network.nodes:
-            self.do(self.network.nodes[index].running.set)
+            self.call_sync(self.network.nodes[index].running.set)
 
     @precondition(lambda self: len(self.network.nodes) > 2)
     @rule(index=st.integers(0, NODES - 1))
     def kill(self, index: int) -> None:
-        """End a node at once."""
+        """Stop a node immediately."""
         if index in self.network.nodes:
-            self.do(self.network.stop, index)
+            self.call_sync(self.network.stop, index)
 
     @rule(index=st.integers(0, NODES - 1), clock_step=st.sampled_from([0.0, -3600.0, 60.0]))
     def restart(self, index: int, clock_step: float) -> None:
-        """Start a node anew under its id, with a wall clock that may have stepped."""
+        """Restart a node with the same id and a wall clock that may have stepped."""
         if index in self.network.nodes:
-            self.do(self.network.stop, index)
-        self.do(self.network.start, index, clock_step)
+            self.call_sync(self.network.stop, index)
+        self.call_sync(self.network.start, index, clock_step)
 
     @rule(down=st.booleans())
-    def list_outage(self, down: bool) -> None:
-        """Begin or end an outage of the instance list."""
+    def set_list_outage(self, down: bool) -> None:
+        """Start or end an outage of the instance list."""
         self.network.list_down = down
 
     @rule(seconds=st.sampled_from([0.5, 2.0, 5.0, 12.0]))
     def wait(self, seconds: float) -> None:
-        """Let time pass."""
+        """Advance the clock."""
         self.trio.call(self.network.advance, seconds)
 
     @rule(index=st.integers(0, NODES - 1), active=st.booleans())
     def publish_mark(self, index: int, active: bool) -> None:
-        """Set or withdraw a mark at one node."""
+        """Set or withdraw a mark on one node."""
         node = self.network.nodes.get(index)
         if node is not None:
             lifetime = timedelta(hours=1)
-            self.do(node.membership.publish, "leaving-target", "t-1", lifetime, b"", active)
+            self.call_sync(node.membership.publish, "leaving-target", "t-1", lifetime, b"", active)
 
     @rule()
-    def become_quiet(self) -> None:
-        """End the faults and check that all running members agree with the oracle."""
+    def check_convergence(self) -> None:
+        """End all faults and check that all running members agree with the oracle."""
         self.network.list_down = False
         self.network.blocked.clear()
         for node in self.network.nodes.values():
-            self.do(node.running.set)
-        self.trio.call(self.network.advance, QUIET_SECONDS)
+            self.call_sync(node.running.set)
+        self.trio.call(self.network.advance, CONVERGENCE_SECONDS)
         running = {str(index) for index in self.network.nodes}
         for node in self.network.nodes.values():
             statuses = {member.node_id: member.status for member in node.members}
@@ -312,7 +312,7 @@
         self.check_owners(running)
 
     def check_owners(self, running: set[str]) -> None:
-        """Check that owners are the same everywhere and move only where membership changed."""
+        """Check that all nodes agree on owners, and that owners move only if membership changed."""
         views = [
             {key: owner_of(key, node.members.alive()).node_id for key in KEYS}
             for node in self.network.nodes.values()
@@ -320,6 +320,6 @@
         assert all(view == views[0] for view in views)
         for key, before in self.owners.items():
             after = views[0][key]
-            moved_without_cause = before in running and after in self.agreed
+            moved_without_cause = before in running and after in self.converged
             assert after == before or not moved_without_cause, (key, before, after)
-        self.owners, self.agreed = views[0], running
+        self.owners, self.converged = views[0], running
--- a/tests/support/run_machine.py
+++ b/tests/support/run_machine.py
@@ -135,9 +135,9 @@
 
     @precondition(lambda self: self.world.shared.late)
     @rule()
-    def apply_late(self) -> None:
+    def apply_delayed_write(self) -> None:
         """Let a delayed transaction take effect."""
-        self.world.shared.apply_late()
+        self.world.shared.apply_delayed_write()
 
     @rule(down=st.booleans())
     def table_outage(self, down: bool) -> None:
@@ -212,7 +212,7 @@
         for _ in range(RECOVERY_SECONDS):
             self.time_passes(1)
         while self.world.shared.late:
-            self.apply_late()
+            self.apply_delayed_write()
         self.each_key_ran_at_most_once()
         self.callers_were_told_the_truth()
         records = [
