--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -5,7 +5,7 @@
 STATE_INTERVAL = timedelta(milliseconds=500)
 """Time between two states sent to a peer in a small fleet, or to a monitor in a large one."""
 LARGE_FLEET_INSTANCES = 32
-"""Fleet size from which each instance has only a few monitors, and placements on a single target
+"""Number of peers from which an instance has only a few monitors, and placements on a single target
 are sent within the zone only. Receiving a message takes 0.1 ms, and each instance receives messages
 from all others: in a profile of 100 instances, each got 346 per second when all went to all."""
 MONITORS = 5
@@ -36,9 +36,9 @@
 PAUSE_THRESHOLD = timedelta(seconds=1)
 """Time between two sweeps from which this process is assumed to have been paused."""
 KNOWN_PEERS_FRACTION = 0.5
-"""A peer that hears from less than this fraction of the peers known here is sent all addresses."""
+"""A peer that reaches fewer than this fraction of the peers known here is sent all addresses."""
 ISOLATED_LISTING_TIMEOUT = timedelta(seconds=20)
-"""Time for which callers still get the addresses of peers after the last message from any peer.
+"""If no peer is reachable, callers still get the peers whose last message is not older than this.
 
 This instance is then probably the one that is isolated, while the others go on serving.
 """
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -299,7 +299,7 @@
 
     async def _send_states(self, address: str) -> None:
         try:
-            await self._sender.send(address)
+            await self._sender.send_periodically(address)
         finally:
             self._peers_with_sender.discard(address)
 
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/monitors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/monitors.py
@@ -12,7 +12,7 @@
 
     The positions are hashes of addresses, which spreads the monitors of an instance over the zones,
     because a whole zone may become unreachable. An instance whose known instances differ from those
-    of a monitor may not regard it as one; the monitor then requests frequent states, and gets them
+    of a monitor may not regard it as one; the monitor then requests frequent states, which it gets
     for `REQUESTED_MONITORING_TIME`.
     """
 
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
@@ -71,7 +71,7 @@
         self._monitors_changed.set()
         self._monitors_changed = trio.Event()
 
-    async def send(self, address: str) -> None:
+    async def send_periodically(self, address: str) -> None:
         """Send states to a peer until it is removed after `FORGET_TIMEOUT`."""
         while (node := self._nodes.get(address)) is not None:
             last = node.heard if node.heard is not None else node.known_since
--- a/tests/steps/entry/coordination/runs_steps.py
+++ b/tests/steps/entry/coordination/runs_steps.py
@@ -55,7 +55,7 @@
 
 @when("the late writes take effect")
 def step_apply_late(context: Context) -> None:
-    while context.table_service.late:
+    while context.table_service.delayed:
         context.table_service.apply_delayed_write()
 
 
--- a/tests/support/run_machine.py
+++ b/tests/support/run_machine.py
@@ -133,7 +133,7 @@
         """Delay the next transactions."""
         self._set(delay_writes=count)
 
-    @precondition(lambda self: self.world.shared.late)
+    @precondition(lambda self: self.world.shared.delayed)
     @rule()
     def apply_delayed_write(self) -> None:
         """Let a delayed transaction take effect."""
@@ -211,7 +211,7 @@
                 self.pause_or_wake(index)
         for _ in range(RECOVERY_SECONDS):
             self.time_passes(1)
-        while self.world.shared.late:
+        while self.world.shared.delayed:
             self.apply_delayed_write()
         self.each_key_ran_at_most_once()
         self.callers_were_told_the_truth()
