--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -1,41 +1,41 @@
-"""Tells the other entry instances what happens here, and takes over what they tell."""
+"""Sends local events to the other entry instances and applies the messages received from them."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import trio
 
-from wasabiwell_entry.coordination.exchange.cells import Audience, ZoneCells
 from wasabiwell_entry.coordination.exchange.const import (
-    KNOWN_PEERS_SHARE,
-    LISTED_TIMEOUT,
+    ISOLATED_LISTING_TIMEOUT,
+    KNOWN_PEERS_FRACTION,
     LISTING_SENDERS,
+    PEER_TIMEOUT_INTERVALS,
     REGISTERED_INSTANCES,
-    SILENT_INTERVALS,
     SWEEP_INTERVAL,
 )
+from wasabiwell_entry.coordination.exchange.failure_detector import FailureDetector, peer_loss
 from wasabiwell_entry.coordination.exchange.monitors import MonitorRing
-from wasabiwell_entry.coordination.exchange.placements import placed_by_notice
+from wasabiwell_entry.coordination.exchange.placements import placed_from_notice
 from wasabiwell_entry.coordination.exchange.ports import NodeDirectory, NoticePort
 from wasabiwell_entry.coordination.exchange.registration import Registration
 from wasabiwell_entry.coordination.exchange.sender import StateSender
-from wasabiwell_entry.coordination.exchange.watch import PeerWatch, loss_of
+from wasabiwell_entry.coordination.exchange.zone_locality import Audience, ZoneLocality
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
-    Ending,
+    DecodeStarted,
     HelperLoss,
     ListingNotice,
     NodeAddresses,
     NodeState,
     Notice,
-    PaceNotice,
     PeerLoss,
-    Placing,
-    RepeatNotice,
+    RequestEnded,
+    RequestPlaced,
+    RetryNotice,
+    SlowdownNotice,
     Suspicion,
     WatchRequest,
-    Writing,
 )
 from wasabiwell_entry.state.members import Member
 from wasabiwell_entry.state.nodes import Node, NodeTable
@@ -44,46 +44,47 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeObservers:
-    """Receivers of what other entry instances tell, apart from placements.
+    """Callbacks for the messages of other entry instances, except placements.
 
-    `routes_announced` takes the control address of a peer. `whole_listing` returns what a peer is
-    told that does not know any target, or None. `helper_lost` takes the id of a target.
-    `suspicions` returns what a peer is told that was not heard before or for long, and
-    `recent_suspicions` what is repeated with each state, as a message may be lost.
+    `routes_announced` takes the control address of a peer and its routes version, `helper_lost` the
+    id of a target. `full_listing` returns the message for a peer that knows no target, or None.
+    `suspicions` returns the messages for a peer that is new or was unreachable for long, and
+    `recent_suspicions` those repeated with each state, because single messages may be lost.
     """
 
-    ended: Callable[[Ending], None]
+    request_ended: Callable[[RequestEnded], None]
     helper_lost: Callable[[str], None]
-    suspected: Callable[[Suspicion], None]
+    suspicion_received: Callable[[Suspicion], None]
     suspicions: Callable[[], Iterable[Suspicion]]
     recent_suspicions: Callable[[], Iterable[Suspicion]]
-    listed: Callable[[str, ListingNotice], None]
+    listing_received: Callable[[str, ListingNotice], None]
     routes_announced: Callable[[str, int], None]
-    whole_listing: Callable[[], ListingNotice | None]
+    full_listing: Callable[[], ListingNotice | None]
 
 
 class ExchangeCoordinator:
     """Keeps the node table of one entry instance; one task sends states to each peer.
 
-    In a small fleet all instances watch each other. In a large one a few monitors watch each
-    instance and report its silence to all; the others get its states seldom.
+    In a small fleet all instances monitor each other. In a large fleet each instance has a few
+    monitors, which get its states often and report to all peers when they stop; the other peers
+    get its states at longer intervals.
     """
 
     __slots__ = (
-        "_cells",
         "_clock",
+        "_failure_detector",
         "_nodes",
         "_nursery",
         "_observers",
         "_own_address",
         "_own_state",
+        "_peers_with_sender",
         "_port",
         "_registration",
         "_seeds",
         "_sender",
-        "_sending",
-        "_watch",
         "_works",
+        "_zone_locality",
     )
 
     def __init__(
@@ -92,7 +93,7 @@
         own_state: Callable[[], NodeState],
         nodes: NodeTable,
         works: WorkTable,
-        cells: ZoneCells,
+        zone_locality: ZoneLocality,
         port: NoticePort,
         directory: NodeDirectory,
         observers: ExchangeObservers,
@@ -103,48 +104,58 @@
         self._own_state = own_state
         self._nodes = nodes
         self._works = works
-        self._cells = cells
+        self._zone_locality = zone_locality
         self._port = port
         self._observers = observers
         self._seeds = seeds
         self._clock = clock
         ring = MonitorRing(own_address)
         self._sender = StateSender(
-            own_address, own_state, observers.recent_suspicions, nodes, cells, ring, port, clock
+            own_address,
+            own_state,
+            observers.recent_suspicions,
+            nodes,
+            zone_locality,
+            ring,
+            port,
+            clock,
+        )
+        self._failure_detector = FailureDetector(
+            nodes, works, ring, self._sender, port, self.broadcast
         )
-        self._watch = PeerWatch(nodes, works, ring, self._sender, port, self.tell)
         self._registration = Registration(
-            own_address, directory, self.rank, lambda: not self.peers(), self.meet, clock
+            own_address, directory, self.rank, lambda: not self.peers(), self.add_peer, clock
         )
-        self._sending: set[str] = set()
+        self._peers_with_sender: set[str] = set()
         self._nursery: trio.Nursery | None = None
 
     def peers(self) -> list[Node]:
-        """Return the peers that are heard, in the order of addresses."""
-        return self._nodes.within_silence(self._now())
+        """Return the peers that have not timed out, in the order of addresses."""
+        return self._nodes.reachable(self._now())
 
     def alive(self) -> list[Member]:
         """Return the entry instances that callers may use, this one included.
 
-        When no peer is heard, those are returned that were heard before.
+        If all peers have timed out, those last heard from within `ISOLATED_LISTING_TIMEOUT` are
+        included.
         """
         now = self._now()
         nodes = self.peers() or [
             node
             for node in self._nodes.heard()
-            if node.silence(now) <= LISTED_TIMEOUT.total_seconds()
+            if node.silence(now) <= ISOLATED_LISTING_TIMEOUT.total_seconds()
         ]
         states = [(node.address, node.state) for node in nodes if node.state is not None]
         states.append((self._own_address, self._own_state()))
         return [_member(address, state) for address, state in states if state.serving]
 
     def rank(self) -> int:
-        """Return the place of this instance among those that are heard, by address, from 0."""
+        """Return the zero-based rank of this instance among the reachable ones, by address."""
         return sum(1 for node in self.peers() if node.address < self._own_address)
 
-    def tell(self, notice: Notice) -> None:
-        """Send a message to the peers that are heard and that it concerns."""
-        match self._cells.audience(notice, self._now()):
+    def broadcast(self, notice: Notice) -> None:
+        """Send a message to all reachable peers that need it."""
+        match self._zone_locality.audience(notice, self._now()):
             case Audience.ALL:
                 self._port.send([node.address for node in self.peers()], notice)
             case Audience.ZONE:
@@ -156,11 +167,11 @@
         return [
             node
             for node in self.peers()
-            if node.state is not None and self._cells.is_own(node.state.zone)
+            if node.state is not None and self._zone_locality.is_own_zone(node.state.zone)
         ]
 
-    def tell_state(self) -> None:
-        """Send the state to all peers at once, after a change that they should know of."""
+    def broadcast_state(self) -> None:
+        """Send the state to all peers immediately, after a change."""
         self._sender.send_to_all()
 
     async def run(self) -> None:
@@ -168,7 +179,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for seed in self._seeds:
-                self.meet(seed)
+                self.add_peer(seed)
             nursery.start_soon(self._port.receive, self)
             nursery.start_soon(self._registration.run)
             while True:
@@ -176,132 +187,137 @@
                 await self._clock.sleep(SWEEP_INTERVAL)
 
     def receive(self, sender: str, notice: Notice) -> None:
-        """Take over a message of a peer."""
+        """Apply a message from a peer."""
         if sender == self._own_address:
             return
         now = self._now()
         if not isinstance(notice, NodeState):
-            self._note_return(sender, now)
-            self._nodes.hear(sender, now)
+            self._handle_recovery(sender, now)
+            self._nodes.record_contact(sender, now)
         match notice:
-            case Placing(notice=placing):
-                self._works.add(placed_by_notice(sender, placing, now), now)
-            case Writing(request_id=request_id):
-                self._works.begin_writing(request_id, now)
-            case PaceNotice(target_id=target_id, pace=pace):
+            case RequestPlaced(notice=placement):
+                self._works.add(placed_from_notice(sender, placement, now), now)
+            case DecodeStarted(request_id=request_id):
+                self._works.start_decode(request_id, now)
+            case SlowdownNotice(target_id=target_id, slowdown=slowdown):
                 if (work := self._works.get(target_id)) is not None:
                     work.advance(now)
-                    work.pace = pace
-            case Ending() as ending:
-                self._works.remove(ending.request_id, now)
-                self._observers.ended(ending)
+                    work.slowdown = slowdown
+            case RequestEnded() as ended:
+                self._works.remove(ended.request_id, now)
+                self._observers.request_ended(ended)
             case HelperLoss(target_id=target_id):
                 self._observers.helper_lost(target_id)
             case PeerLoss(address=address) if address == self._own_address:
-                self._watch.answer_loss(now)
+                self._failure_detector.refute_loss(now)
             case PeerLoss() as loss:
-                self._watch.receive_loss(loss, now)
+                self._failure_detector.receive_loss(loss, now)
             case WatchRequest():
-                self._watch.receive_request(sender, now)
-            case RepeatNotice(service=service):
-                self._nodes.count_repeat(sender, service)
+                self._failure_detector.receive_watch_request(sender, now)
+            case RetryNotice(service=service):
+                self._nodes.count_retry(sender, service)
             case Suspicion() as suspicion:
-                self._observers.suspected(suspicion)
+                self._observers.suspicion_received(suspicion)
             case ListingNotice() as listing:
-                self._observers.listed(sender, listing)
+                self._observers.listing_received(sender, listing)
             case NodeState() as state:
                 self._receive_state(sender, state, now)
             case NodeAddresses(addresses=addresses):
                 for address in addresses:
-                    self.meet(address)
+                    self.add_peer(address)
 
     def _receive_state(self, sender: str, state: NodeState, now: float) -> None:
-        unknown = self._nodes.get(sender) is None
-        began = self.meet(sender)
+        is_new = self._nodes.get(sender) is None
+        added = self.add_peer(sender)
         node = self._nodes.put(sender, now)
-        known = node.state
-        if known is not None and (state.incarnation, state.sequence) <= (
-            known.incarnation,
-            known.sequence,
+        previous = node.state
+        if previous is not None and (state.incarnation, state.sequence) <= (
+            previous.incarnation,
+            previous.sequence,
         ):
             return
-        if known is None or state.incarnation != known.incarnation:
+        if previous is None or state.incarnation != previous.incarnation:
             log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
             self._works.retain(sender, frozenset(), now)
-            if not began:
+            if not added:
                 self._sender.send_to(sender)
-            self._tell_suspicions(sender)
-        self._note_return(sender, now)
+            self._send_suspicions(sender)
+        self._handle_recovery(sender, now)
         node.heard, node.state, node.lost = now, state, False
-        node.allowed_silence = SILENT_INTERVALS * state.interval_ms / 1000
+        node.silence_timeout = PEER_TIMEOUT_INTERVALS * state.interval_ms / 1000
         self._works.retain(sender, frozenset(state.placed), now)
         self._observers.routes_announced(state.control_address, state.routes_version)
-        self._introduce(sender, state, unknown)
+        self._send_missing_information(sender, state, is_new)
 
-    def _introduce(self, sender: str, state: NodeState, unknown: bool) -> None:
-        """Tell a peer what it lacks: other instances and the list of targets."""
-        if unknown or self._lacks_peers(state):
+    def _send_missing_information(self, sender: str, state: NodeState, is_new: bool) -> None:
+        """Send a peer the instance addresses and the list of targets if it lacks them."""
+        if is_new or self._needs_addresses(state):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in self.peers())))
         if not state.knows_targets and self.rank() < LISTING_SENDERS:
-            listing = self._observers.whole_listing()
+            listing = self._observers.full_listing()
             if listing is not None:
                 self._port.send([sender], listing)
 
-    def _lacks_peers(self, state: NodeState) -> bool:
-        """Return whether a peer hears few others and is to be told of them by this instance."""
-        if state.peers >= len(self._nodes) * KNOWN_PEERS_SHARE:
+    def _needs_addresses(self, state: NodeState) -> bool:
+        """Return whether a peer knows few instances and this one has to send it their addresses."""
+        if state.peers >= len(self._nodes) * KNOWN_PEERS_FRACTION:
             return False
-        asked = self._own_address in self._seeds or self.rank() < REGISTERED_INSTANCES
-        return asked and state.peers < len(self.peers()) * KNOWN_PEERS_SHARE
+        responsible = self._own_address in self._seeds or self.rank() < REGISTERED_INSTANCES
+        return responsible and state.peers < len(self.peers()) * KNOWN_PEERS_FRACTION
 
-    def _note_return(self, sender: str, now: float) -> None:
-        """Note that a peer is heard which was silent for long."""
+    def _handle_recovery(self, sender: str, now: float) -> None:
+        """Handle the first message of a peer that timed out or was reported as lost."""
         node = self._nodes.get(sender)
         if node is None or node.heard is None or node.state is None:
             return
-        if not node.lost and node.silence(now) <= node.allowed_silence:
+        if not node.lost and node.silence(now) <= node.silence_timeout:
             return
         log_events.emit(log_events.PEER_HEARD, peer=sender, zone=node.state.zone)
-        self._tell_suspicions(sender)
+        self._send_suspicions(sender)
         if node.lost:
-            # Those that do not watch it have to hear it too; its next state to them is far off.
-            self._port.send([sender], loss_of(node.address, node.state))
+            # The report makes the peer send its state to all instances. Those that do not monitor
+            # it would otherwise wait many seconds for its next state.
+            self._port.send([sender], peer_loss(node.address, node.state))
 
-    def _tell_suspicions(self, address: str) -> None:
-        """Tell a peer of requests that crash targets, of which it may not have heard."""
+    def _send_suspicions(self, address: str) -> None:
+        """Send a peer all requests that are suspected of crashing targets."""
         for suspicion in self._observers.suspicions():
             self._port.send([address], suspicion)
 
-    def meet(self, address: str) -> bool:
-        """Add a peer and start the task that sends it states; return False when it is known."""
-        if address == self._own_address or address in self._sending or self._nursery is None:
+    def add_peer(self, address: str) -> bool:
+        """Add a peer and start the task that sends it states; return False if that task runs."""
+        if (
+            address == self._own_address
+            or address in self._peers_with_sender
+            or self._nursery is None
+        ):
             return False
         self._nodes.put(address, self._now())
-        self._sending.add(address)
+        self._peers_with_sender.add(address)
         self._nursery.start_soon(self._send_states, address)
         return True
 
     async def _send_states(self, address: str) -> None:
         try:
-            await self._sender.send(address)
+            await self._sender.send_periodically(address)
         finally:
-            self._sending.discard(address)
+            self._peers_with_sender.discard(address)
 
     def _sweep(self) -> None:
-        """Drop what silent peers have placed and what ended unheard."""
+        """Drop the placements of timed-out peers and expired placements; report long calls."""
         now = self._now()
-        if self._cells.large_fleet:
-            self._watch.look(now)
+        if self._zone_locality.large_fleet:
+            self._failure_detector.detect(now)
         for node in self._nodes.heard():
             silence = node.silence(now)
-            if 0 <= silence - node.allowed_silence < SWEEP_INTERVAL.total_seconds():
+            if 0 <= silence - node.silence_timeout < SWEEP_INTERVAL.total_seconds():
                 log_events.emit(
                     log_events.PEER_SILENT, peer=node.address, silence_s=round(silence, 2)
                 )
                 self._works.retain(node.address, frozenset(), now)
         self._works.expire(now)
-        for placing in self._cells.overdue_calls(now):
-            self._port.send([node.address for node in self._zone_peers()], placing)
+        for placement in self._zone_locality.calls_to_report(now):
+            self._port.send([node.address for node in self._zone_peers()], placement)
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
