--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -139,7 +139,7 @@
                 if isinstance(placement, Refused):
                     return _refusal(progress, placement)
                 target_id = placement.target.target_id
-                async with self._suspects.one_suspect(request.fingerprint, target_id):
+                async with self._suspects.exclusive_retry(request.fingerprint, target_id):
                     if self._suspects.quarantined(request.fingerprint):
                         return _give_up(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
                     if await self._died_before_turn(request, placement.target):
@@ -148,7 +148,7 @@
                     outcome = await self._attempt(request, sink, progress, placement)
             match outcome:
                 case AttemptFinished(end=end):
-                    await self._suspects.finished(request.fingerprint)
+                    await self._suspects.record_success(request.fingerprint)
                     return Finished(end.tokens, end.finish_reason)
                 case AttemptBroken(broken=broken):
                     progress.last_reason = broken.reason
@@ -231,7 +231,7 @@
             return
         # Only a target that is gone counts: a cut network would make suspects of all requests.
         if isinstance(await self._engines.probe(target), TargetGone):
-            await self._suspects.crashed(attempt.request.fingerprint, target.target_id)
+            await self._suspects.record_crash(attempt.request.fingerprint, target.target_id)
 
     async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
         self._retries.count_first_attempt()
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -105,11 +105,13 @@
     def suspected(self, fingerprint: str) -> bool:
         """Return whether a target died while it ran the request."""
 
-    def one_suspect(self, fingerprint: str, target_id: str) -> AbstractAsyncContextManager[None]:
+    def exclusive_retry(
+        self, fingerprint: str, target_id: str
+    ) -> AbstractAsyncContextManager[None]:
         """Wait until no other suspect runs on the target; others do not wait."""
 
-    async def crashed(self, fingerprint: str, target_id: str) -> None:
+    async def record_crash(self, fingerprint: str, target_id: str) -> None:
         """Mark a request that ran on a target when it died."""
 
-    async def finished(self, fingerprint: str) -> None:
+    async def record_success(self, fingerprint: str) -> None:
         """Clear a request that has finished."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -224,7 +224,7 @@
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
         if opened.verdict is AttemptVerdict.ANSWERED:
-            self._crashes.finished(request.fingerprint)
+            self._crashes.record_success(request.fingerprint)
         else:
             progress.excluded.update(lost_helpers or [target.target_id])
         return outcome
@@ -236,7 +236,7 @@
         if await self._targets.accepts_connections(target):
             return replace(broken, target_lost=False)
         name = f"{target.target_id}@{target.incarnation}"
-        self._crashes.crashed(request.fingerprint, name)
+        self._crashes.record_crash(request.fingerprint, name)
         return broken
 
     def _log_end(
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
@@ -86,11 +86,11 @@
         await self._stop.wait_leaving()
         end = self._clock.monotonic() + limit
         await self._clock.sleep(address_ttl + LEAVING_SPREAD_TIME)
-        await self._stop.wait_no_request(end)
+        await self._stop.wait_requests_finished(end)
         await self._hand_back()
         self._membership.depart()
         await self._clock.sleep(DEPARTURE_TIME)
-        await self._stop.wait_no_request(end)
+        await self._stop.wait_requests_finished(end)
         if self._stop.open_requests:
             log_events.emit(log_events.STREAMS_CUT, count=self._stop.open_requests)
 
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/observed.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
@@ -53,7 +53,7 @@
         """Run a call on a plain service."""
 
 
-class ObservedDispatcher:
+class InstrumentedDispatcher:
     """Keeps a record of each request and counts outcomes."""
 
     __slots__ = ("_counters", "_inner", "_log", "_telemetry")
@@ -116,7 +116,7 @@
             self._telemetry.slowdown(record.service, record.size, first_token_s / unwaited)
 
 
-class ObservedAdmission:
+class InstrumentedAdmission:
     """Measures the wait for admission."""
 
     __slots__ = ("_inner", "_log", "_telemetry")
@@ -191,7 +191,7 @@
         return item
 
 
-class ObservedEngines:
+class InstrumentedEngines:
     """Records each attempt on an engine."""
 
     __slots__ = ("_inner", "_log", "_telemetry")
@@ -223,7 +223,7 @@
                 self._telemetry.annotate({"wasabiwell.outcome": record.outcome})
 
 
-class ObservedPlain:
+class InstrumentedPlainServices:
     """Records each call to a plain service."""
 
     __slots__ = ("_inner", "_log", "_telemetry")
@@ -253,7 +253,7 @@
                 self._telemetry.annotate({"wasabiwell.outcome": record.outcome})
 
 
-class ObservedTable:
+class InstrumentedTable:
     """Counts calls to the table service."""
 
     __slots__ = ("_counters", "_inner", "_telemetry")
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -28,20 +28,24 @@
     Quarantine,
     SharedCapacity,
 )
-from wasabiwell_entry.coordination.orders import OrderCoordinator, OrderLeases, WeightStoreRate
+from wasabiwell_entry.coordination.orders import (
+    OrderCoordinator,
+    OrderLeases,
+    WeightStoreRateLimiter,
+)
 from wasabiwell_entry.coordination.quarantine.coordinator import QuarantineCoordinator
-from wasabiwell_entry.coordination.quarantine.marks import MarkedSuspects
+from wasabiwell_entry.coordination.quarantine.marks import SuspectGossip
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.routing.errors import UnknownPolicy
 from wasabiwell_entry.coordination.routing.policies import Current, Policy, policy_of
 from wasabiwell_entry.coordination.runs.coordinator import open_run_coordinator
 from wasabiwell_entry.coordination.targets import TargetCoordinator
-from wasabiwell_entry.coordination.telemetry.observed import (
-    ObservedAdmission,
-    ObservedDispatcher,
-    ObservedEngines,
-    ObservedPlain,
-    ObservedTable,
+from wasabiwell_entry.coordination.telemetry.instrumented import (
+    InstrumentedAdmission,
+    InstrumentedDispatcher,
+    InstrumentedEngines,
+    InstrumentedPlainServices,
+    InstrumentedTable,
 )
 from wasabiwell_entry.coordination.telemetry.records import RequestLog
 from wasabiwell_entry.protocol.peer import ACQUIRE_LIMIT
@@ -121,7 +125,7 @@
         members = MemberTable()
         target_table = TargetTable()
         configuration_state = ConfigurationState()
-        table = ObservedTable(
+        table = InstrumentedTable(
             HttpTableService(settings.table_url, tls.platform), counters, telemetry
         )
         engines = HttpEngineClient(pools, clock, telemetry)
@@ -181,12 +185,14 @@
             clock,
         )
         targets.observe(admission.capacity_changed)
-        marked = MarkedSuspects(membership, clock)
+        marked = SuspectGossip(membership, clock)
         quarantine = QuarantineCoordinator(
             table, SuspectTable(), marked, lambda: len(members), clock
         )
-        marked.subscribe(quarantine.learn, quarantine.forget)
-        rate = WeightStoreRate(settings.weight_loads, own, members, GrpcRatePeers(peers), clock)
+        marked.subscribe(quarantine.merge_remote, quarantine.remove)
+        rate = WeightStoreRateLimiter(
+            settings.weight_loads, own, members, GrpcRatePeers(peers), clock
+        )
         peer_service = PeerService()
         register_peer_methods(peer_service, membership, members, configuration, targets)
         serve_credits(peer_service, credit_owner, credit_holder)
@@ -212,9 +218,9 @@
         )
         async with open_run_coordinator(table, objects, clock, settings.node_id) as runs:
             dispatcher = Dispatcher(
-                admission=ObservedAdmission(admission, records, telemetry),
-                engines=ObservedEngines(engines, records, telemetry),
-                plain=ObservedPlain(
+                admission=InstrumentedAdmission(admission, records, telemetry),
+                engines=InstrumentedEngines(engines, records, telemetry),
+                plain=InstrumentedPlainServices(
                     HttpPlainClient(clock, telemetry, tls.targets), records, telemetry
                 ),
                 runs=runs,
@@ -223,7 +229,7 @@
                 clock=clock,
             )
             http = HttpContext(
-                dispatcher=ObservedDispatcher(dispatcher, records, counters, telemetry),
+                dispatcher=InstrumentedDispatcher(dispatcher, records, counters, telemetry),
                 addresses=AddressCoordinator(own, members, settings.address_ttl),
                 configuration=configuration_state,
                 configuration_coordinator=configuration,
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -317,7 +317,7 @@
     context.peer = address
     context.suspicion_times = []
     crashes = CrashCounts(context.exchange.tell, SystemClock())
-    context.recent_suspicions = crashes.recent
+    context.recent_suspicions = crashes.recent_suspicions
     send = context.port.send
 
     def keep_time(addresses: Iterable[str], notice: Notice) -> None:
@@ -330,7 +330,7 @@
 
     async def crash() -> None:
         await trio.sleep(0.6)
-        crashes.crashed("f", "e1@1")
+        crashes.record_crash("f", "e1@1")
 
     pass_time(context, seconds, [address], crash)
 
--- a/tests/steps/entry/coordination/suspects_steps.py
+++ b/tests/steps/entry/coordination/suspects_steps.py
@@ -118,7 +118,7 @@
     """Run the waiting suspect beside the other one, at whose end some engines are dead."""
 
     async def run_other() -> None:
-        async with context.quarantine.one_suspect("other", "e1"):
+        async with context.quarantine.exclusive_retry("other", "e1"):
             await trio.sleep(context.seconds)
             context.engines.dead |= dead
 
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -166,9 +166,9 @@
             await trio.lowlevel.checkpoint()
             begun = trio.current_time()
             stop.leave()
-            await stop.wait_to_close()
+            await stop.wait_listeners_close()
             context.closed = trio.current_time() - begun
-            await stop.wait_no_request(SystemClock().monotonic() + stop.time_to_end(GRACE))
+            await stop.wait_requests_finished(SystemClock().monotonic() + stop.drain_timeout(GRACE))
             context.ended = trio.current_time() - begun
             nursery.cancel_scope.cancel()
 
--- a/tests/steps/entry/coordination/turns_steps.py
+++ b/tests/steps/entry/coordination/turns_steps.py
@@ -53,7 +53,7 @@
 async def run_suspect(
     context: Context, instance: int, fingerprint: str, target_id: str, seconds: float
 ) -> None:
-    async with context.instances[instance].one_suspect(fingerprint, target_id):
+    async with context.instances[instance].exclusive_retry(fingerprint, target_id):
         began = trio.current_time()
         await trio.sleep(seconds)
         context.ran[fingerprint] = (began, trio.current_time())
