Reword quarantine: retry leases, crash counts and gossip of suspects

Comments name leases, suspects and crashes instead of turns and marks of the dead. The private names of runs, orders, lifecycle and stop get the terms of the field. No behaviour changes.

--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/const.py
@@ -2,10 +2,10 @@
 
 from datetime import timedelta
 
-LEAVING_SPREAD_TIME = timedelta(seconds=3)
+LEAVING_PROPAGATION_TIME = timedelta(seconds=3)
 """Time until no entry instance lists a leaving one; callers asked until then use its address."""
-HAND_BACK_TIMEOUT = timedelta(seconds=2)
-DEPARTURE_TIME = timedelta(milliseconds=1200)
+RELEASE_TIMEOUT = timedelta(seconds=2)
+DEPARTURE_PROPAGATION_TIME = timedelta(milliseconds=1200)
 """Time in which heartbeats tell the peers that the instance has stopped."""
 DEFAULT_DRAIN_LIMIT = timedelta(hours=1)
 RECOVERY_PEERS = 5
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
@@ -9,9 +9,9 @@
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
 from wasabiwell_entry.coordination.configuration.const import MAX_CONFIRMATION_AGE
 from wasabiwell_entry.coordination.lifecycle.const import (
-    DEPARTURE_TIME,
-    HAND_BACK_TIMEOUT,
-    LEAVING_SPREAD_TIME,
+    DEPARTURE_PROPAGATION_TIME,
+    LEAVING_PROPAGATION_TIME,
+    RELEASE_TIMEOUT,
 )
 from wasabiwell_entry.coordination.lifecycle.errors import NotReady, Readiness, Ready
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
@@ -19,13 +19,13 @@
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 
-HandBack = Callable[[], Awaitable[None]]
+ReleaseCallback = Callable[[], Awaitable[None]]
 
 
 class LifecycleCoordinator:
     """Tracks open requests and takes the instance out of service."""
 
-    __slots__ = ("_clock", "_configuration", "_hand_backs", "_membership", "_stop")
+    __slots__ = ("_clock", "_configuration", "_membership", "_release_callbacks", "_stop")
 
     def __init__(
         self,
@@ -35,7 +35,7 @@
     ) -> None:
         self._membership = membership
         self._configuration = configuration
-        self._hand_backs: list[HandBack] = []
+        self._release_callbacks: list[ReleaseCallback] = []
         self._clock = clock
         self._stop = GracefulStop(clock)
 
@@ -49,9 +49,9 @@
         """Return whether the graceful stop has begun."""
         return self._stop.leaving
 
-    def on_hand_back(self, hand_back: HandBack) -> None:
+    def on_release(self, release: ReleaseCallback) -> None:
         """Call a function after the last request, to return what a part holds."""
-        self._hand_backs.append(hand_back)
+        self._release_callbacks.append(release)
 
     def request(self) -> AbstractContextManager[None]:
         """Count a request as open."""
@@ -85,21 +85,21 @@
         """
         await self._stop.wait_leaving()
         end = self._clock.monotonic() + limit
-        await self._clock.sleep(address_ttl + LEAVING_SPREAD_TIME)
+        await self._clock.sleep(address_ttl + LEAVING_PROPAGATION_TIME)
         await self._stop.wait_requests_finished(end)
-        await self._hand_back()
+        await self._release_held()
         self._membership.depart()
-        await self._clock.sleep(DEPARTURE_TIME)
+        await self._clock.sleep(DEPARTURE_PROPAGATION_TIME)
         await self._stop.wait_requests_finished(end)
         if self._stop.open_requests:
             log_events.emit(log_events.STREAMS_CUT, count=self._stop.open_requests)
 
-    async def _hand_back(self) -> None:
+    async def _release_held(self) -> None:
         """Let each part return what it holds; one that fails or hangs does not stop the others."""
-        for hand_back in self._hand_backs:
-            with trio.move_on_after(HAND_BACK_TIMEOUT.total_seconds()) as scope:
+        for release in self._release_callbacks:
+            with trio.move_on_after(RELEASE_TIMEOUT.total_seconds()) as scope:
                 try:
-                    await hand_back()
+                    await release()
                 except Exception as error:
                     log_events.emit(log_events.HAND_BACK_FAILED, error=repr(error))
             if scope.cancelled_caught:
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/recovery.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/recovery.py
@@ -27,13 +27,13 @@
     """Asks several peers, then the table service, then the object store."""
 
     __slots__ = (
+        "_apply_instances",
         "_clock",
         "_configuration",
         "_instances",
         "_membership",
         "_peers",
         "_seeds",
-        "_take_instances",
     )
 
     def __init__(
@@ -51,7 +51,7 @@
         self._peers = peers
         self._instances = instances
         self._seeds = tuple(seeds)
-        self._take_instances = take_instances
+        self._apply_instances = take_instances
         self._clock = clock
 
     async def recover(self) -> None:
@@ -63,7 +63,7 @@
             addresses = await self._addresses()
             if not addresses:
                 break
-            if await self._recover_from(addresses):
+            if await self._fetch_and_apply(addresses):
                 break
             await self._clock.sleep(RECOVERY_RETRY_INTERVAL)
         if self._configuration.state.version:
@@ -88,7 +88,7 @@
         found.pop(own.peer_address, None)
         return list(found)[: RECOVERY_PEERS + len(self._seeds)]
 
-    async def _recover_from(self, addresses: list[str]) -> bool:
+    async def _fetch_and_apply(self, addresses: list[str]) -> bool:
         snapshots: list[PeerSnapshot] = []
 
         async def ask(address: str) -> None:
@@ -103,13 +103,13 @@
                 nursery.start_soon(ask, address)
         snapshots.sort(key=lambda snapshot: snapshot.configuration.version)
         for snapshot in snapshots:
-            self._take_over(snapshot)
+            self._apply_snapshot(snapshot)
         return bool(snapshots)
 
-    def _take_over(self, snapshot: PeerSnapshot) -> None:
+    def _apply_snapshot(self, snapshot: PeerSnapshot) -> None:
         self._membership.merge(snapshot.members, snapshot.marks)
         if snapshot.instances:
-            self._take_instances(list(snapshot.instances))
+            self._apply_instances(list(snapshot.instances))
         self._configuration.take_over(snapshot.configuration)
         self._configuration.confirmed_by(snapshot.announcement)
         log_events.emit(
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/const.py
@@ -5,7 +5,7 @@
 LEASE_LIFETIME = timedelta(seconds=15)
 ORDER_TIMEOUT = timedelta(seconds=5)
 """Time in which an engine acknowledges an order; an order has no effect after it."""
-DRIFT_MARGIN = timedelta(milliseconds=500)
+CLOCK_DRIFT_MARGIN = timedelta(milliseconds=500)
 """Added to the wait for another holder's lease, for clocks that run at different speeds."""
 RATE_INTERVAL = timedelta(seconds=10)
 RATE_KEY = "weight-store"
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/coordinator.py
@@ -45,7 +45,7 @@
         lease = await self._leases.acquire(target.target_id, fencing)
         if not isinstance(lease, Lease):
             return lease
-        wait = await self._wait_for_rate(order)
+        wait = await self._acquire_rate(order)
         if wait is not None:
             await self._leases.release(lease)
             return RateLimitReached(wait)
@@ -64,7 +64,7 @@
             return LeaseExpired()
         return await self._engines.send(target, order, lease.fencing, ORDER_TIMEOUT)
 
-    async def _wait_for_rate(self, order: EngineOrder) -> timedelta | None:
+    async def _acquire_rate(self, order: EngineOrder) -> timedelta | None:
         """Take one load of the weight store's rate if the order reads weights."""
         match order:
             case LoadModel() | LoadAdapter():
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/leases.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/leases.py
@@ -7,7 +7,7 @@
 from wasabiwell_config import Fencing
 
 from wasabiwell_entry.coordination.orders.const import (
-    DRIFT_MARGIN,
+    CLOCK_DRIFT_MARGIN,
     LEASE_LIFETIME,
     ORDER_TIMEOUT,
     STORE_RETRY_AFTER,
@@ -39,13 +39,13 @@
     unchanged for the whole wait, measured here.
     """
 
-    __slots__ = ("_clock", "_node_id", "_seen", "_table")
+    __slots__ = ("_clock", "_node_id", "_observed_versions", "_table")
 
     def __init__(self, table: TableService, clock: Clock, node_id: str) -> None:
         self._table = table
         self._clock = clock
         self._node_id = node_id
-        self._seen: dict[str, tuple[int, timedelta]] = {}
+        self._observed_versions: dict[str, tuple[int, timedelta]] = {}
 
     async def acquire(self, engine_id: str, fencing: Fencing) -> LeaseOutcome:
         """Take the lease of an engine, or tell when to try again."""
@@ -57,10 +57,10 @@
         earlier = _decode(row) if row is not None else LeaseRecord("", "", 0, released=True)
         version = row.version if row is not None else 0
         if not earlier.released:
-            left = self._time_left(key, version, fencing)
+            left = self._remaining_time(key, version, fencing)
             if left > timedelta():
                 return LeaseHeld(earlier.holder, left)
-        return await self._take(engine_id, key, version, earlier.fencing + 1)
+        return await self._acquire(engine_id, key, version, earlier.fencing + 1)
 
     async def release(self, lease: Lease) -> None:
         """Let the next holder start without waiting; a lease that is not released lapses."""
@@ -75,22 +75,22 @@
             [Condition(key, rows[key].version)], [Write(key, msgspec.msgpack.encode(record))]
         )
 
-    def _time_left(self, key: str, version: int, fencing: Fencing) -> timedelta:
+    def _remaining_time(self, key: str, version: int, fencing: Fencing) -> timedelta:
         """Return how long another holder's lease, and an order under it, may still last."""
         now = self._clock.monotonic()
-        seen_version, since = self._seen.get(key, (0, now))
-        if seen_version != version:
-            since = now
-            self._seen[key] = (version, now)
-        wait = LEASE_LIFETIME + DRIFT_MARGIN
+        observed_version, observed_at = self._observed_versions.get(key, (0, now))
+        if observed_version != version:
+            observed_at = now
+            self._observed_versions[key] = (version, now)
+        wait = LEASE_LIFETIME + CLOCK_DRIFT_MARGIN
         if fencing is Fencing.IGNORED:
             wait += ORDER_TIMEOUT
-        return since + wait - now
+        return observed_at + wait - now
 
-    async def _take(self, engine_id: str, key: str, version: int, number: int) -> LeaseOutcome:
-        record = LeaseRecord(self._node_id, secrets.token_hex(16), number)
+    async def _acquire(self, engine_id: str, key: str, version: int, fencing: int) -> LeaseOutcome:
+        record = LeaseRecord(self._node_id, secrets.token_hex(16), fencing)
         lease = Lease(
-            engine_id, record.attempt_id, number, self._clock.monotonic() + LEASE_LIFETIME
+            engine_id, record.attempt_id, fencing, self._clock.monotonic() + LEASE_LIFETIME
         )
         outcome = await self._table.transact(
             [Condition(key, version)], [Write(key, msgspec.msgpack.encode(record))]
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/__init__.py
@@ -1,5 +1,5 @@
-"""Finds requests that crash targets, and refuses them.
+"""Detects requests that crash targets, and refuses them.
 
-The platform's instances use `crashes` alone; this file imports nothing, as a start of a process
-takes seconds on a slow machine.
+The platform's instances import only `crashes`. This module imports nothing, because imports can
+slow a process start by seconds on a slow machine.
 """
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
@@ -4,22 +4,22 @@
 
 SUSPECT_PREFIX = "suspect/"
 QUARANTINE_LIFETIME = timedelta(hours=24)
-MAX_WRITE_TRIES = 3
-STORE_WAIT = timedelta(seconds=1)
-"""A retry waits this long for the other entry instances' marks, then goes on with its own."""
-MIN_FOLLOW_INTERVAL = timedelta(seconds=1)
-FOLLOW_INTERVAL_PER_MEMBER = timedelta(milliseconds=10)
+MAX_WRITE_ATTEMPTS = 3
+STORE_TIMEOUT = timedelta(seconds=1)
+"""A retry waits up to this long for the table service, then proceeds with the local state."""
+MIN_SYNC_INTERVAL = timedelta(seconds=1)
+SYNC_INTERVAL_PER_MEMBER = timedelta(milliseconds=10)
 """Keeps the scans of all entry instances together below 100/s."""
-FOLLOW_LIMIT_ROWS = 1_000
-TURN_PREFIX = "suspect-turn/"
-TURN_LIFETIME = timedelta(seconds=30)
-"""An entry instance that dies blocks a target for other suspects no longer than this. Clocks of
-machines differ by seconds at most."""
-TURN_POLL_INTERVAL = timedelta(milliseconds=250)
-"""Suspects are few and wait seldom, so that these reads add little to the table service's load."""
+SYNC_MAX_ROWS = 1_000
+RETRY_LEASE_PREFIX = "suspect-turn/"
+RETRY_LEASE_LIFETIME = timedelta(seconds=30)
+"""Limits how long a dead entry instance blocks a target for other suspects. Expiry is compared
+with local wall clocks, which differ by a few seconds at most."""
+RETRY_LEASE_POLL_INTERVAL = timedelta(milliseconds=250)
+"""Suspects are few and rarely wait, so polling adds little load to the table service."""
 CRASH_LIMIT = 3
-"""Targets that may die under one request on deployments whose users allow three."""
+"""A request that crashed this many targets is refused; users of these deployments accept three."""
 SUSPICION_LIFETIME = timedelta(minutes=10)
-"""Callers send a request that failed again within minutes."""
-SUSPICION_REPEAT_TIME = timedelta(seconds=2)
-"""A suspicion is repeated with the states of this long, as a single datagram may be lost."""
+"""Callers retry a failed request within minutes."""
+SUSPICION_REBROADCAST_TIME = timedelta(seconds=2)
+"""A new suspicion is included in state broadcasts for this long, as a datagram may be lost."""
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
@@ -1,4 +1,4 @@
-"""Limits the targets that one request can crash."""
+"""Limits the number of targets that one request can crash."""
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -8,13 +8,13 @@
 import trio
 
 from wasabiwell_entry.coordination.quarantine.const import (
-    FOLLOW_INTERVAL_PER_MEMBER,
-    FOLLOW_LIMIT_ROWS,
-    MAX_WRITE_TRIES,
-    MIN_FOLLOW_INTERVAL,
+    MAX_WRITE_ATTEMPTS,
+    MIN_SYNC_INTERVAL,
     QUARANTINE_LIFETIME,
-    STORE_WAIT,
+    STORE_TIMEOUT,
     SUSPECT_PREFIX,
+    SYNC_INTERVAL_PER_MEMBER,
+    SYNC_MAX_ROWS,
 )
 from wasabiwell_entry.coordination.quarantine.errors import (
     NotSuspected,
@@ -23,7 +23,7 @@
     ReleaseUnavailable,
 )
 from wasabiwell_entry.coordination.quarantine.ports import SuspectPort
-from wasabiwell_entry.coordination.quarantine.turns import RetryLeases
+from wasabiwell_entry.coordination.quarantine.retry_leases import RetryLeases
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.platform import (
@@ -37,20 +37,20 @@
 
 
 class QuarantineCoordinator:
-    """Follows the suspects of all entry instances through rows of the table service.
+    """Shares suspects between entry instances through rows of the table service.
 
-    While the table service is down, this entry instance goes on with what it knows and writes its
-    own marks later.
+    While the table service is unavailable, this entry instance works with its local state and
+    saves its own suspects later.
     """
 
     __slots__ = (
         "_clock",
-        "_members",
-        "_running",
-        "_spreading",
+        "_member_count",
+        "_peers",
+        "_retry_leases",
         "_suspects",
         "_table",
-        "_turns",
+        "_target_locks",
         "_unsaved",
     )
 
@@ -58,27 +58,27 @@
         self,
         table: TableService,
         suspects: SuspectTable,
-        spreading: SuspectPort,
-        members: Callable[[], int],
+        peers: SuspectPort,
+        member_count: Callable[[], int],
         clock: Clock,
     ) -> None:
         self._table = table
         self._suspects = suspects
-        self._spreading = spreading
-        self._members = members
+        self._peers = peers
+        self._member_count = member_count
         self._clock = clock
-        self._turns = RetryLeases(table, clock)
-        self._running: dict[str, trio.Lock] = {}
+        self._retry_leases = RetryLeases(table, clock)
+        self._target_locks: dict[str, trio.Lock] = {}
         self._unsaved: set[str] = set()
 
     async def run(self) -> None:
-        """Follow the rows until cancelled."""
+        """Synchronize with the table service until cancelled."""
         while True:
-            await self.follow()
-            await self._clock.sleep(self._follow_interval())
+            await self.sync()
+            await self._clock.sleep(self._sync_interval())
 
     def list(self) -> list[Suspect]:
-        """Return the quarantined requests, in the order of fingerprints."""
+        """Return the quarantined requests, sorted by fingerprint."""
         found = [suspect for suspect in self._suspects if suspect.quarantined]
         return sorted(found, key=lambda suspect: suspect.fingerprint)
 
@@ -88,11 +88,11 @@
         return suspect is not None and suspect.quarantined
 
     def suspected(self, fingerprint: str) -> bool:
-        """Return whether a target died while it ran the request."""
+        """Return whether a target crashed while running the request."""
         return self._suspects.get(fingerprint) is not None
 
     def suspects(self) -> tuple[Suspect, ...]:
-        """Return all suspects, in the order of fingerprints."""
+        """Return all suspects, sorted by fingerprint."""
         return tuple(sorted(self._suspects, key=lambda suspect: suspect.fingerprint))
 
     def remove(self, fingerprint: str) -> None:
@@ -101,74 +101,75 @@
         self._unsaved.discard(fingerprint)
 
     def merge_remote(self, suspect: Suspect) -> None:
-        """Take over a mark that another entry instance spread."""
+        """Merge a suspect that another entry instance published or saved."""
         if suspect.expires > self._clock.now():
             self._suspects.merge(suspect)
 
     @asynccontextmanager
     async def exclusive_retry(self, fingerprint: str, target_id: str) -> AsyncIterator[None]:
-        """Wait until no other suspect of any entry instance runs on the target.
+        """Keep other suspects of all entry instances off the target while the context is open.
 
-        When the target dies, the suspect that ran there is then the only one to be marked again.
+        If the target crashes, the crash then counts against the one suspect that ran there. A
+        request that is not suspected does not wait.
         """
         if not self.suspected(fingerprint):
             yield
             return
         async with (
-            self._running.setdefault(target_id, trio.Lock()),
-            self._turns.turn(fingerprint, target_id),
+            self._target_locks.setdefault(target_id, trio.Lock()),
+            self._retry_leases.hold(fingerprint, target_id),
         ):
             yield
 
     async def record_crash(self, fingerprint: str, target_id: str) -> None:
-        """Mark a request that ran on a target when it died.
+        """Record that a target crashed while running a request.
 
-        Returns when the mark is in the table service, so that the marks of other entry instances
-        are known, or after `STORE_WAIT`.
+        Returns when the suspect is saved, which also merges what other entry instances saved, or
+        after `STORE_TIMEOUT`.
         """
         expires = self._clock.now() + QUARANTINE_LIFETIME
         suspect = self._suspects.merge(Suspect(fingerprint, (target_id,), expires))
         log_events.emit(log_events.REQUEST_SUSPECTED, fingerprint=fingerprint, target=target_id)
         self._unsaved.add(fingerprint)
-        self._spreading.broadcast(suspect)
-        with trio.move_on_after(STORE_WAIT.total_seconds()):
+        self._peers.broadcast(suspect)
+        with trio.move_on_after(STORE_TIMEOUT.total_seconds()):
             await self._save(fingerprint)
         if self.quarantined(fingerprint):
             log_events.emit(log_events.REQUEST_QUARANTINED, fingerprint=fingerprint)
-            # The caller learns of the failure when every entry instance refuses the request, so
-            # that sending it again through another one costs no third target.
-            await self._clock.sleep(2 * self._follow_interval())
+            # Wait until every entry instance refuses the request before the caller learns of the
+            # failure, so that a retry through another instance does not crash a third target.
+            await self._clock.sleep(2 * self._sync_interval())
 
     async def record_success(self, fingerprint: str) -> None:
-        """Clear a suspect that has finished; a quarantined request is not cleared."""
+        """Clear a suspect that succeeded; a quarantined request is not cleared."""
         if not self.suspected(fingerprint) or self.quarantined(fingerprint):
             return
         self.remove(fingerprint)
-        self._spreading.withdraw(fingerprint)
-        with trio.move_on_after(STORE_WAIT.total_seconds()):
+        self._peers.withdraw(fingerprint)
+        with trio.move_on_after(STORE_TIMEOUT.total_seconds()):
             await self._delete(fingerprint, only_suspect=True)
 
     async def release(self, fingerprint: str) -> ReleaseOutcome:
-        """Let a quarantined request run again, on every entry instance."""
+        """Release a quarantined request on every entry instance."""
         known = self.suspected(fingerprint)
         deleted = await self._delete(fingerprint, only_suspect=False)
         if isinstance(deleted, StoreUnavailable):
             return ReleaseUnavailable(deleted.reason)
         self.remove(fingerprint)
-        self._spreading.withdraw(fingerprint)
+        self._peers.withdraw(fingerprint)
         return Released() if known or deleted else NotSuspected()
 
-    async def follow(self) -> None:
-        """Take over the rows of the table service and save the marks that it lacks."""
+    async def sync(self) -> None:
+        """Save unsaved suspects, then make the local table match the table service's rows."""
         self._suspects.remove_expired(self._clock.now())
         for fingerprint in list(self._unsaved):
             if not await self._save(fingerprint):
                 return
-        rows = await self._table.scan(SUSPECT_PREFIX, limit=FOLLOW_LIMIT_ROWS)
+        rows = await self._table.scan(SUSPECT_PREFIX, limit=SYNC_MAX_ROWS)
         if isinstance(rows, StoreUnavailable):
             return
         stored = [msgspec.msgpack.decode(row.value, type=Suspect) for row in rows]
-        if len(rows) < FOLLOW_LIMIT_ROWS:
+        if len(rows) < SYNC_MAX_ROWS:
             kept = {suspect.fingerprint for suspect in stored} | self._unsaved
             for suspect in self._suspects:
                 if suspect.fingerprint not in kept:
@@ -176,13 +177,13 @@
         for suspect in stored:
             self.merge_remote(suspect)
 
-    def _follow_interval(self) -> timedelta:
-        return max(MIN_FOLLOW_INTERVAL, FOLLOW_INTERVAL_PER_MEMBER * self._members())
+    def _sync_interval(self) -> timedelta:
+        return max(MIN_SYNC_INTERVAL, SYNC_INTERVAL_PER_MEMBER * self._member_count())
 
     async def _save(self, fingerprint: str) -> bool:
-        """Merge a mark into its row; return False when the table service is unavailable."""
+        """Merge a suspect into its row and return whether the row is up to date."""
         key = SUSPECT_PREFIX + fingerprint
-        for _ in range(MAX_WRITE_TRIES):
+        for _ in range(MAX_WRITE_ATTEMPTS):
             rows = await self._table.read([key])
             if isinstance(rows, StoreUnavailable):
                 return False
@@ -203,9 +204,12 @@
         return False
 
     async def _delete(self, fingerprint: str, *, only_suspect: bool) -> bool | StoreUnavailable:
-        """Delete a row; return whether there was one to delete."""
+        """Delete a suspect's row and return whether it was deleted.
+
+        With `only_suspect`, the row of a quarantined request is kept.
+        """
         key = SUSPECT_PREFIX + fingerprint
-        for _ in range(MAX_WRITE_TRIES):
+        for _ in range(MAX_WRITE_ATTEMPTS):
             rows = await self._table.read([key])
             if isinstance(rows, StoreUnavailable):
                 return rows
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/crashes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/crashes.py
@@ -1,4 +1,4 @@
-"""Requests that crash targets, as all entry instances know them by their exchange of messages."""
+"""Crash counts of requests, shared between entry instances by messages."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -6,7 +6,7 @@
 from wasabiwell_entry.coordination.quarantine.const import (
     CRASH_LIMIT,
     SUSPICION_LIFETIME,
-    SUSPICION_REPEAT_TIME,
+    SUSPICION_REBROADCAST_TIME,
 )
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
@@ -15,57 +15,62 @@
 
 
 class CrashCounts:
-    """Counts the targets that died while they ran a request, by the request's fingerprint.
+    """Counts the targets that crashed while running a request, by the request's fingerprint.
 
-    A request that runs beside a crashing one is suspected with it. It is cleared when it finishes,
-    and refused only if `CRASH_LIMIT` targets died under it.
+    A request that runs on the same target as a crashing one is suspected too. It is cleared when
+    it succeeds, and refused only after `CRASH_LIMIT` targets crashed while running it.
     """
 
-    __slots__ = ("_clock", "_recent", "_suspects", "_tell")
+    __slots__ = ("_broadcast", "_clock", "_rebroadcast_until", "_suspects")
 
-    def __init__(self, tell: Callable[[Suspicion], None], clock: Clock) -> None:
-        self._tell = tell
+    def __init__(self, broadcast: Callable[[Suspicion], None], clock: Clock) -> None:
+        self._broadcast = broadcast
         self._clock = clock
         self._suspects = SuspectTable()
-        self._recent: dict[str, timedelta] = {}
+        self._rebroadcast_until: dict[str, timedelta] = {}
 
     def crashes(self, fingerprint: str) -> int:
-        """Return how many targets died under a request."""
+        """Return how many targets crashed while running a request."""
         suspect = self._suspects.get(fingerprint)
         return len(suspect.targets) if suspect is not None else 0
 
     def refused(self, fingerprint: str) -> bool:
-        """Return whether a request gets no further target."""
+        """Return whether a request has reached `CRASH_LIMIT` and is sent to no more targets."""
         return self.crashes(fingerprint) >= CRASH_LIMIT
 
     def record_crash(self, fingerprint: str, target: str) -> None:
-        """Count a target, named with its incarnation, that died under a request."""
+        """Record that a target crashed while running a request, and broadcast the suspicion.
+
+        `target` includes the incarnation, so a restarted target counts again.
+        """
         merged = self._merge(fingerprint, (target,))
         log_events.emit(log_events.REQUEST_SUSPECTED, fingerprint=fingerprint, target=target)
-        self._recent[fingerprint] = self._clock.monotonic() + SUSPICION_REPEAT_TIME
-        self._tell(Suspicion(fingerprint, merged.targets))
+        self._rebroadcast_until[fingerprint] = self._clock.monotonic() + SUSPICION_REBROADCAST_TIME
+        self._broadcast(Suspicion(fingerprint, merged.targets))
 
     def suspicions(self) -> list[Suspicion]:
-        """Return all suspected requests."""
+        """Return the suspicions that have not expired."""
         self._suspects.remove_expired(self._clock.now())
         return [Suspicion(suspect.fingerprint, suspect.targets) for suspect in self._suspects]
 
     def recent_suspicions(self) -> list[Suspicion]:
-        """Return the requests under which a target died here a moment ago."""
+        """Return the suspicions recorded here within `SUSPICION_REBROADCAST_TIME`."""
         now = self._clock.monotonic()
-        self._recent = {key: until for key, until in self._recent.items() if until > now}
-        suspects = [self._suspects.get(key) for key in self._recent]
+        self._rebroadcast_until = {
+            key: until for key, until in self._rebroadcast_until.items() if until > now
+        }
+        suspects = [self._suspects.get(key) for key in self._rebroadcast_until]
         return [Suspicion(item.fingerprint, item.targets) for item in suspects if item is not None]
 
     def record_success(self, fingerprint: str) -> None:
-        """Clear a request that has finished."""
+        """Clear a request that succeeded, unless it is refused."""
         if self._suspects.get(fingerprint) is None or self.refused(fingerprint):
             return
         self._suspects.remove(fingerprint)
-        self._tell(Suspicion(fingerprint, ()))
+        self._broadcast(Suspicion(fingerprint, ()))
 
     def receive(self, suspicion: Suspicion) -> None:
-        """Take over what another entry instance has seen."""
+        """Merge a suspicion of another entry instance; one without targets clears the request."""
         if suspicion.targets:
             self._merge(suspicion.fingerprint, suspicion.targets)
         elif not self.refused(suspicion.fingerprint):
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/errors.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSuspected:
-    """No such request is suspected."""
+    """No suspect has this fingerprint."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,8 +21,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TurnLost:
-    """Another suspect was faster."""
+class LeaseConflict:
+    """Another suspect acquired the retry lease first."""
 
 
 ReleaseOutcome = Released | NotSuspected | ReleaseUnavailable
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/marks.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/marks.py
@@ -1,4 +1,4 @@
-"""Spreads suspects to the other entry instances as marks of heartbeats."""
+"""Gossips suspects to the other entry instances as marks in heartbeats."""
 
 from collections.abc import Callable
 from datetime import UTC, datetime
@@ -10,11 +10,11 @@
 from wasabiwell_entry.state.marks import Mark
 from wasabiwell_entry.state.suspects import Suspect
 
-SUSPECT_KIND = "suspect"
+SUSPECT_MARK_KIND = "suspect"
 
 
 class SuspectGossip:
-    """Publishes and receives suspects as marks; the value holds the targets that died."""
+    """Publishes and receives suspects as marks; a mark's value lists the crashed targets."""
 
     __slots__ = ("_clock", "_marks")
 
@@ -23,29 +23,31 @@
         self._clock = clock
 
     def broadcast(self, suspect: Suspect) -> None:
-        """Announce a suspect to all entry instances."""
+        """Publish a suspect to all entry instances."""
         self._marks.publish(
-            SUSPECT_KIND,
+            SUSPECT_MARK_KIND,
             suspect.fingerprint,
             suspect.expires - self._clock.now(),
             msgspec.msgpack.encode(suspect.targets),
         )
 
     def withdraw(self, fingerprint: str) -> None:
-        """Take a suspect back that was announced."""
-        mark = self._marks.mark(SUSPECT_KIND, fingerprint)
+        """Withdraw a published suspect."""
+        mark = self._marks.mark(SUSPECT_MARK_KIND, fingerprint)
         if mark is not None and mark.active:
             lifetime = datetime.fromtimestamp(mark.expires, UTC) - self._clock.now()
-            self._marks.publish(SUSPECT_KIND, fingerprint, lifetime, active=False)
+            self._marks.publish(SUSPECT_MARK_KIND, fingerprint, lifetime, active=False)
 
-    def subscribe(self, learn: Callable[[Suspect], None], forget: Callable[[str], None]) -> None:
-        """Pass each suspect that is announced or taken back to a receiver."""
+    def subscribe(
+        self, on_published: Callable[[Suspect], None], on_withdrawn: Callable[[str], None]
+    ) -> None:
+        """Call back for each published suspect, and with the fingerprint of each withdrawn one."""
 
         def receive(mark: Mark) -> None:
             if not mark.active:
-                forget(mark.key)
+                on_withdrawn(mark.key)
                 return
             targets = msgspec.msgpack.decode(mark.value, type=tuple[str, ...])
-            learn(Suspect(mark.key, targets, datetime.fromtimestamp(mark.expires, UTC)))
+            on_published(Suspect(mark.key, targets, datetime.fromtimestamp(mark.expires, UTC)))
 
-        self._marks.subscribe(SUSPECT_KIND, receive)
+        self._marks.subscribe(SUSPECT_MARK_KIND, receive)
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/ports.py
@@ -6,10 +6,10 @@
 
 
 class SuspectPort(Protocol):
-    """Spreads marks to the other entry instances, faster than their reads of the table service."""
+    """Broadcasts suspects to the other entry instances, faster than their scans of the table."""
 
     def broadcast(self, suspect: Suspect) -> None:
-        """Announce a suspect; receivers pass it to `QuarantineCoordinator.merge_remote`."""
+        """Publish a suspect; receivers pass it to `QuarantineCoordinator.merge_remote`."""
 
     def withdraw(self, fingerprint: str) -> None:
-        """Take a suspect back; receivers pass it to `QuarantineCoordinator.remove`."""
+        """Withdraw a suspect; receivers pass it to `QuarantineCoordinator.remove`."""
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
@@ -10,17 +10,17 @@
 import trio
 
 from wasabiwell_entry.coordination.runs.const import (
-    CLOCK_ERROR_MARGIN,
+    CLOCK_SKEW_MARGIN,
     DEADLINE_GRACE,
     INLINE_ANSWER_BYTES,
-    MAX_CLAIM_TRIES,
-    MAX_SETTLING,
+    MAX_CLAIM_ATTEMPTS,
+    MAX_PENDING_SETTLEMENTS,
+    MAX_SETTLE_RETRY_INTERVAL,
     RECORD_LIFETIME,
     SETTLE_POLL_INTERVAL,
     SETTLE_RETRY_INTERVAL,
-    SETTLE_RETRY_LIMIT,
-    SETTLE_WAIT,
-    SHUTDOWN_SETTLE_TIME,
+    SETTLE_TIMEOUT,
+    SHUTDOWN_SETTLE_TIMEOUT,
     STILL_RUNNING_RETRY_AFTER,
     STORE_RETRY_AFTER,
     SWEEP_INTERVAL,
@@ -46,11 +46,11 @@
 
 
 @dataclass(slots=True)
-class _Claiming:
-    """A claim in progress; `uncertain` means that a write may still take effect."""
+class _PendingClaim:
+    """A claim in progress; `may_apply_late` means that a write may still take effect."""
 
     claim: Claimed
-    uncertain: bool = False
+    may_apply_late: bool = False
 
 
 class RunCoordinator:
@@ -59,7 +59,7 @@
     Settlements run in the nursery, so that they outlast the calls that started them.
     """
 
-    __slots__ = ("_clock", "_node_id", "_nursery", "_objects", "_settling", "_table")
+    __slots__ = ("_clock", "_node_id", "_nursery", "_objects", "_pending_settlements", "_table")
 
     def __init__(
         self,
@@ -74,12 +74,12 @@
         self._clock = clock
         self._node_id = node_id
         self._nursery = nursery
-        self._settling = 0
+        self._pending_settlements = 0
 
     @property
-    def settling(self) -> int:
+    def pending_settlements(self) -> int:
         """Return the number of settlements that the table service has not confirmed."""
-        return self._settling
+        return self._pending_settlements
 
     async def claim(self, call: ServiceCall) -> ClaimOutcome:
         """Create the record of a call before its deadline, or tell what an earlier record says.
@@ -89,25 +89,25 @@
         if call.idempotency_key is None:
             return Refused(Reason.MISSING_IDEMPOTENCY_KEY, "Idempotency-Key is required")
         key = run_key(call.organisation, call.service, call.idempotency_key)
-        claiming = _Claiming(Claimed(key, self._new_record(call)))
+        pending = _PendingClaim(Claimed(key, self._new_record(call)))
         remaining = call.deadline - self._clock.monotonic()
         outcome: ClaimOutcome = Refused(
             Reason.DEADLINE_EXCEEDED, "the deadline passed before the call was sent"
         )
         with trio.move_on_after(max(0.0, remaining.total_seconds())):
-            outcome = await self._claim(claiming, call)
-        if claiming.uncertain and not isinstance(outcome, Claimed):
-            self._start_settling(claiming.claim, RunStatus.NOT_RUN, None)
+            outcome = await self._claim(pending, call)
+        if pending.may_apply_late and not isinstance(outcome, Claimed):
+            self._start_settling(pending.claim, RunStatus.NOT_RUN, None)
         return outcome
 
     async def settle(self, claim: Claimed, status: RunStatus, answer: Answer | None = None) -> None:
         """Write the final status of a claim.
 
-        Returns when the table service confirms it or after `SETTLE_WAIT`; the write goes on in the
+        Returns when the table service confirms it or after `SETTLE_TIMEOUT`; the write goes on in the
         background until it is confirmed.
         """
         settled = self._start_settling(claim, status, answer)
-        with trio.move_on_after(SETTLE_WAIT.total_seconds()):
+        with trio.move_on_after(SETTLE_TIMEOUT.total_seconds()):
             await settled.wait()
 
     async def run_sweeps(self) -> None:
@@ -141,18 +141,18 @@
     async def wait_settled(self, duration: timedelta) -> None:
         """Wait until no settlement is running, at most for a duration."""
         end = self._clock.monotonic() + duration
-        while self._settling and self._clock.monotonic() < end:
+        while self._pending_settlements and self._clock.monotonic() < end:
             await self._clock.sleep(SETTLE_POLL_INTERVAL)
 
     def _start_settling(
         self, claim: Claimed, status: RunStatus, answer: Answer | None
     ) -> trio.Event:
         settled = trio.Event()
-        if self._settling >= MAX_SETTLING:
+        if self._pending_settlements >= MAX_PENDING_SETTLEMENTS:
             log_events.emit(log_events.SETTLEMENT_GIVEN_UP, status=status.value)
             settled.set()
             return settled
-        self._settling += 1
+        self._pending_settlements += 1
         self._nursery.start_soon(self._settle, claim, status, answer, settled)
         return settled
 
@@ -162,13 +162,13 @@
         try:
             record = replace(claim.record, status=status)
             if answer is not None:
-                record = await self._with_answer(record, answer)
-            pause = SETTLE_RETRY_INTERVAL
+                record = await self._attach_answer(record, answer)
+            retry_interval = SETTLE_RETRY_INTERVAL
             while not await self._write_final(claim, record):
-                await self._clock.sleep(pause)
-                pause = min(2 * pause, SETTLE_RETRY_LIMIT)
+                await self._clock.sleep(retry_interval)
+                retry_interval = min(2 * retry_interval, MAX_SETTLE_RETRY_INTERVAL)
         finally:
-            self._settling -= 1
+            self._pending_settlements -= 1
             settled.set()
 
     def _new_record(self, call: ServiceCall) -> RunRecord:
@@ -180,7 +180,7 @@
             fingerprint=call.fingerprint,
             status=RunStatus.STARTED,
             deadline=now + remaining,
-            expires=now + RECORD_LIFETIME + CLOCK_ERROR_MARGIN,
+            expires=now + RECORD_LIFETIME + CLOCK_SKEW_MARGIN,
         )
 
     def _claimable(self, record: RunRecord, call: ServiceCall) -> bool:
@@ -188,12 +188,12 @@
             return True
         return record.fingerprint == call.fingerprint and record.status is RunStatus.NOT_RUN
 
-    async def _claim(self, claiming: _Claiming, call: ServiceCall) -> ClaimOutcome:
+    async def _claim(self, pending: _PendingClaim, call: ServiceCall) -> ClaimOutcome:
         """Create the record; a repeated write has the same attempt id, so it is one claim."""
-        uncertain_before = False
-        for _ in range(MAX_CLAIM_TRIES):
-            claim = claiming.claim
-            claiming.uncertain = True
+        earlier_may_apply_late = False
+        for _ in range(MAX_CLAIM_ATTEMPTS):
+            claim = pending.claim
+            pending.may_apply_late = True
             outcome = await self._table.transact(
                 [Condition(claim.key, claim.version)],
                 [Write(claim.key, msgspec.msgpack.encode(claim.record))],
@@ -202,26 +202,26 @@
                 case Committed():
                     return claim
                 case StoreUnavailable(reason=reason):
-                    claiming.uncertain = uncertain_before
-                    return _store_refusal(reason)
+                    pending.may_apply_late = earlier_may_apply_late
+                    return _store_unavailable(reason)
                 case ConditionFailed():
-                    claiming.uncertain = uncertain_before
+                    pending.may_apply_late = earlier_may_apply_late
                 case ReplyLost():
-                    uncertain_before = True
+                    earlier_may_apply_late = True
             rows = await self._table.read([claim.key])
             if isinstance(rows, StoreUnavailable):
-                return _store_refusal(rows.reason)
+                return _store_unavailable(rows.reason)
             row = rows.get(claim.key)
             if row is not None:
                 earlier = msgspec.msgpack.decode(row.value, type=RunRecord)
                 if earlier.attempt_id == claim.record.attempt_id:
                     return claim
                 if not self._claimable(earlier, call):
-                    return await self._repeat(earlier, call)
-            claiming.claim = replace(claim, version=row.version if row is not None else 0)
-        return _store_refusal("the claim was not stored")
+                    return await self._duplicate_outcome(earlier, call)
+            pending.claim = replace(claim, version=row.version if row is not None else 0)
+        return _store_unavailable("the claim was not stored")
 
-    async def _repeat(self, record: RunRecord, call: ServiceCall) -> ClaimOutcome:
+    async def _duplicate_outcome(self, record: RunRecord, call: ServiceCall) -> ClaimOutcome:
         if record.fingerprint != call.fingerprint:
             return Refused(
                 Reason.IDEMPOTENCY_KEY_REUSED, "Idempotency-Key was used for another call"
@@ -260,7 +260,7 @@
             return _result_unavailable()
         return Answer(record.answer_status, record.answer_content_type, body, replayed=True)
 
-    async def _with_answer(self, record: RunRecord, answer: Answer) -> RunRecord:
+    async def _attach_answer(self, record: RunRecord, answer: Answer) -> RunRecord:
         record = replace(
             record, answer_status=answer.status, answer_content_type=answer.content_type
         )
@@ -296,7 +296,7 @@
         runs = RunCoordinator(table, objects, clock, node_id, nursery)
         nursery.start_soon(runs.run_sweeps)
         yield runs
-        await runs.wait_settled(SHUTDOWN_SETTLE_TIME)
+        await runs.wait_settled(SHUTDOWN_SETTLE_TIMEOUT)
         nursery.cancel_scope.cancel()
 
 
@@ -317,7 +317,7 @@
     return None
 
 
-def _store_refusal(reason: str) -> Refused:
+def _store_unavailable(reason: str) -> Refused:
     return Refused(
         Reason.STORE_UNAVAILABLE,
         f"the table service is unavailable, the call was not sent: {reason}",
--- a/packages/entry/src/wasabiwell_entry/coordination/stop/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/stop/coordinator.py
@@ -6,7 +6,11 @@
 
 import trio
 
-from wasabiwell_entry.coordination.stop.const import DRAIN_POLL_INTERVAL, END_MARGIN, LISTEN_TIME
+from wasabiwell_entry.coordination.stop.const import (
+    ACCEPT_DURATION,
+    DRAIN_POLL_INTERVAL,
+    TERMINATION_MARGIN,
+)
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 
@@ -56,11 +60,11 @@
     async def wait_listeners_close(self) -> None:
         """Return when a leaving instance should accept no more connections."""
         await self.wait_leaving()
-        await self._clock.sleep(LISTEN_TIME)
+        await self._clock.sleep(ACCEPT_DURATION)
 
     def drain_timeout(self, grace: timedelta) -> timedelta:
         """Return how long open requests may take after the last connection was accepted."""
-        return max(timedelta(), grace - LISTEN_TIME - END_MARGIN)
+        return max(timedelta(), grace - ACCEPT_DURATION - TERMINATION_MARGIN)
 
     async def log_aborted_requests(self, grace: timedelta) -> None:
         """Log the requests that are still open when the time of a leaving instance is over."""
