--- a/packages/entry/src/wasabiwell_entry/coordination/orders/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/__init__.py
@@ -1,4 +1,4 @@
-"""Fenced orders to engines."""
+"""Orders to engines, sent under leases with fencing numbers."""
 
 from wasabiwell_entry.coordination.orders.coordinator import OrderCoordinator
 from wasabiwell_entry.coordination.orders.leases import OrderLeases
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/coordinator.py
@@ -1,4 +1,4 @@
-"""Gives orders to engines under a lease with a fencing number."""
+"""Sends orders to engines under a lease with a fencing number."""
 
 from datetime import timedelta
 
@@ -22,12 +22,12 @@
 
 
 class OrderCoordinator:
-    """Gives orders of this entry instance.
+    """Issues orders on behalf of this entry instance.
 
-    An engine that refuses old fencing numbers protects itself. For an engine that ignores them,
-    an order is sent only when the lease covers its timeout, and the next holder waits for the
-    lease and the timeout to pass; a process that is paused between this check and the write to
-    the connection for longer than both is not covered.
+    An engine that refuses old fencing numbers is safe by itself. For an engine that ignores them,
+    an order is sent only if the lease outlasts the order's timeout, and the next holder waits until
+    both the lease and the timeout have passed. Not covered is a process that is paused for longer
+    than both between this check and the write to the connection.
     """
 
     __slots__ = ("_clock", "_engines", "_leases", "_rate")
@@ -41,7 +41,7 @@
         self._clock = clock
 
     async def issue(self, target: Target, order: EngineOrder, fencing: Fencing) -> OrderOutcome:
-        """Take the lease of an engine, send one order and release the lease."""
+        """Acquire the lease of an engine, send one order and release the lease."""
         lease = await self._leases.acquire(target.target_id, fencing)
         if not isinstance(lease, Lease):
             return lease
@@ -50,7 +50,8 @@
             await self._leases.release(lease)
             return RateLimitReached(wait)
         outcome = await self.send(lease, target, order, fencing)
-        # An engine that ignores the number may still act on an order whose answer is missing.
+        # An engine that ignores fencing numbers may still act on an unacknowledged order, so its
+        # lease is left to expire.
         if not isinstance(outcome, OrderUnacknowledged) or fencing is Fencing.REFUSED:
             await self._leases.release(lease)
         return outcome
@@ -60,12 +61,15 @@
     ) -> SendOutcome:
         """Send an order under a lease that this entry instance holds."""
         needed = ORDER_TIMEOUT if fencing is Fencing.IGNORED else timedelta()
-        if lease.until - self._clock.monotonic() <= needed:
+        if lease.expires_at - self._clock.monotonic() <= needed:
             return LeaseExpired()
         return await self._engines.send(target, order, lease.fencing, ORDER_TIMEOUT)
 
     async def _acquire_rate(self, order: EngineOrder) -> timedelta | None:
-        """Take one load of the weight store's rate if the order reads weights."""
+        """Reserve a load from the weight store if the order needs one.
+
+        Returns None if the order may go on, else the time to wait.
+        """
         match order:
             case LoadModel() | LoadAdapter():
                 return await self._rate.take()
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/errors.py
@@ -6,17 +6,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Lease:
-    """The right to give one engine orders until `until`, a monotonic time of this entry."""
+    """The exclusive right to send orders to one engine.
+
+    It ends at `expires_at`, a time of this entry instance's monotonic clock.
+    """
 
     engine_id: str
     attempt_id: str
     fencing: int
-    until: timedelta
+    expires_at: timedelta
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseHeld:
-    """Another holder has the lease, or may have it; ask again after `retry_after`."""
+    """Another holder has the lease, or may have it; retry after `retry_after`."""
 
     holder: str
     retry_after: timedelta
@@ -31,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseExpired:
-    """The lease has too little time left for an order; no order was sent."""
+    """The lease expires too soon for an order, or has expired; no order was sent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,21 +44,21 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderRefused:
-    """The engine refused the order, or it was not sent; it has no effect."""
+    """The engine refused the order, or the order was not sent; it has no effect."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class OrderUnacknowledged:
-    """The order was sent and no acknowledgement came."""
+    """The order was sent and not acknowledged; it may or may not have an effect."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class RateLimitReached:
-    """The weight store's rate is used up; no order was sent."""
+    """The rate limit of the weight store is reached; no order was sent."""
 
     retry_after: timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/leases.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/leases.py
@@ -1,4 +1,4 @@
-"""Leases for orders, kept in the table service."""
+"""Leases for sending orders, stored in the table service."""
 
 import secrets
 from datetime import timedelta
@@ -33,10 +33,10 @@
 
 
 class OrderLeases:
-    """Takes and releases leases for one entry instance.
+    """Acquires and releases leases for one entry instance.
 
-    No wall clock is compared: a lease of another holder counts as over when its row has stayed
-    unchanged for the whole wait, measured here.
+    Wall clocks are not compared: another holder's lease counts as expired when this instance has
+    seen its row unchanged for the whole lifetime.
     """
 
     __slots__ = ("_clock", "_node_id", "_observed_versions", "_table")
@@ -48,7 +48,7 @@
         self._observed_versions: dict[str, tuple[int, timedelta]] = {}
 
     async def acquire(self, engine_id: str, fencing: Fencing) -> LeaseOutcome:
-        """Take the lease of an engine, or tell when to try again."""
+        """Acquire the lease of an engine, or return when to retry."""
         key = lease_key(engine_id)
         rows = await self._table.read([key])
         if isinstance(rows, StoreUnavailable):
@@ -63,7 +63,7 @@
         return await self._acquire(engine_id, key, version, earlier.fencing + 1)
 
     async def release(self, lease: Lease) -> None:
-        """Let the next holder start without waiting; a lease that is not released lapses."""
+        """Let the next holder acquire the lease at once; an unreleased lease expires by itself."""
         key = lease_key(lease.engine_id)
         rows = await self._table.read([key])
         if isinstance(rows, StoreUnavailable) or key not in rows:
@@ -76,7 +76,7 @@
         )
 
     def _remaining_time(self, key: str, version: int, fencing: Fencing) -> timedelta:
-        """Return how long another holder's lease, and an order under it, may still last."""
+        """Return how long another holder's lease, or an order sent under it, may stay valid."""
         now = self._clock.monotonic()
         observed_version, observed_at = self._observed_versions.get(key, (0, now))
         if observed_version != version:
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/ports.py
@@ -1,4 +1,4 @@
-"""What orders need of the other layers."""
+"""Interfaces through which orders use the other layers."""
 
 from datetime import timedelta
 from typing import Protocol
@@ -14,16 +14,16 @@
 
 
 class OrderPort(Protocol):
-    """Orders to engines."""
+    """Sends orders to engines."""
 
     async def send(
         self, target: Target, order: EngineOrder, fencing: int, timeout: timedelta
     ) -> OrderAcknowledged | OrderRefused | OrderUnacknowledged:
-        """Send an order once and wait for its acknowledgement."""
+        """Send an order once, without retries, and wait for its acknowledgement."""
 
 
 class RatePeers(Protocol):
-    """Messages about the weight store's rate to other entry instances."""
+    """Requests loads from the entry instance that owns the weight store's rate limit."""
 
     async def take(self, owner: Member, count: int) -> int:
         """Return how many loads the owner grants; 0 when it does not answer."""
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/rate.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/rate.py
@@ -1,4 +1,4 @@
-"""The rate of the weight store, divided among regions and leased to their entry instances."""
+"""Rate limit of the weight store, divided among regions and granted by an owner in each region."""
 
 from datetime import timedelta
 
@@ -12,10 +12,10 @@
 
 
 class WeightStoreRateLimiter:
-    """Takes loads from the owner of the region's share, and grants them as that owner.
+    """Requests loads from the owner of the region's share, and grants them if this is the owner.
 
-    `loads` are those that the weight store allows in one `RATE_INTERVAL` to the whole deployment.
-    Regions that were seen once keep their share, so that a partition does not raise the sum.
+    `loads` is what the weight store allows the whole deployment in one `RATE_INTERVAL`. A region
+    that was seen once keeps its share, so that a network partition does not raise the total.
     """
 
     __slots__ = ("_clock", "_ledger", "_loads", "_members", "_own", "_peers", "_regions")
@@ -32,7 +32,7 @@
         self._ledger: RateLedger | None = None
 
     async def take(self) -> timedelta | None:
-        """Take one load; return None when it was granted, else the time to wait."""
+        """Request one load; return None if it is granted, else the time to wait."""
         owner = self._owner()
         if isinstance(owner, NoOwner):
             return RATE_INTERVAL
@@ -43,7 +43,7 @@
         return None if granted else RATE_INTERVAL
 
     def grant(self, count: int) -> int:
-        """Return how many loads this entry instance grants as the owner of the region's share."""
+        """Return how many loads this instance grants as owner of the region's share; else 0."""
         owner = self._owner()
         if isinstance(owner, NoOwner) or owner.node_id != self._own.node_id:
             self._ledger = None
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
@@ -221,4 +221,6 @@
             outcome = await self._table.transact([Condition(key, row.version)], [Write(key, None)])
             if isinstance(outcome, Committed):
                 return True
-        return StoreUnavailable("the row kept changing")
+        return StoreUnavailable(
+            f"the row changed during each of {MAX_WRITE_ATTEMPTS} attempts to delete it"
+        )
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/__init__.py
@@ -1,4 +1,4 @@
-"""Run records: a non-idempotent call runs at most once."""
+"""Run records, by which a non-idempotent call runs at most once."""
 
 from wasabiwell_entry.coordination.runs.coordinator import RunCoordinator, open_run_coordinator
 
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
@@ -12,8 +12,8 @@
 from wasabiwell_entry.coordination.runs.const import (
     CLOCK_SKEW_MARGIN,
     DEADLINE_GRACE,
-    INLINE_ANSWER_BYTES,
     MAX_CLAIM_ATTEMPTS,
+    MAX_INLINE_RESPONSE_BYTES,
     MAX_PENDING_SETTLEMENTS,
     MAX_SETTLE_RETRY_INTERVAL,
     RECORD_LIFETIME,
@@ -47,7 +47,7 @@
 
 @dataclass(slots=True)
 class _PendingClaim:
-    """A claim in progress; `may_apply_late` means that a write may still take effect."""
+    """A claim in progress; `may_apply_late` is set while one of its writes may take effect late."""
 
     claim: Claimed
     may_apply_late: bool = False
@@ -56,7 +56,7 @@
 class RunCoordinator:
     """Keeps the run records of this entry instance's calls in the table service.
 
-    Settlements run in the nursery, so that they outlast the calls that started them.
+    Settlements run in the nursery, so that they can outlive the calls that started them.
     """
 
     __slots__ = ("_clock", "_node_id", "_nursery", "_objects", "_pending_settlements", "_table")
@@ -82,9 +82,9 @@
         return self._pending_settlements
 
     async def claim(self, call: ServiceCall) -> ClaimOutcome:
-        """Create the record of a call before its deadline, or tell what an earlier record says.
+        """Create the record of a call before its deadline, or return the outcome of an earlier one.
 
-        The call is not sent unless the outcome is `Claimed`, so a refusal is proved.
+        The call is sent only after `Claimed`, so a refused call is known not to have run.
         """
         if call.idempotency_key is None:
             return Refused(Reason.MISSING_IDEMPOTENCY_KEY, "Idempotency-Key is required")
@@ -100,13 +100,15 @@
             self._start_settling(pending.claim, RunStatus.NOT_RUN, None)
         return outcome
 
-    async def settle(self, claim: Claimed, status: RunStatus, answer: Answer | None = None) -> None:
+    async def settle(
+        self, claim: Claimed, status: RunStatus, response: Answer | None = None
+    ) -> None:
         """Write the final status of a claim.
 
-        Returns when the table service confirms it or after `SETTLE_TIMEOUT`; the write goes on in the
-        background until it is confirmed.
+        Returns when the table service confirms it or after `SETTLE_TIMEOUT`; the write is retried
+        in the background until it is confirmed.
         """
-        settled = self._start_settling(claim, status, answer)
+        settled = self._start_settling(claim, status, response)
         with trio.move_on_after(SETTLE_TIMEOUT.total_seconds()):
             await settled.wait()
 
@@ -118,9 +120,9 @@
             after = await self.sweep(after)
 
     async def sweep(self, after: str = "") -> str:
-        """Delete the expired records of one page and return where the next page begins.
+        """Delete the expired records of one page and return the key after which the next begins.
 
-        Each delete is conditional on the row's version, so any entry may sweep at any time.
+        Deletes are conditional on row versions, so several entry instances may sweep at once.
         """
         rows = await self._table.scan(RUN_PREFIX, after, SWEEP_PAGE_ROWS)
         if isinstance(rows, StoreUnavailable):
@@ -139,13 +141,13 @@
         return rows[-1].key if len(rows) == SWEEP_PAGE_ROWS else ""
 
     async def wait_settled(self, duration: timedelta) -> None:
-        """Wait until no settlement is running, at most for a duration."""
+        """Wait until no settlement is pending, for at most `duration`."""
         end = self._clock.monotonic() + duration
         while self._pending_settlements and self._clock.monotonic() < end:
             await self._clock.sleep(SETTLE_POLL_INTERVAL)
 
     def _start_settling(
-        self, claim: Claimed, status: RunStatus, answer: Answer | None
+        self, claim: Claimed, status: RunStatus, response: Answer | None
     ) -> trio.Event:
         settled = trio.Event()
         if self._pending_settlements >= MAX_PENDING_SETTLEMENTS:
@@ -153,16 +155,16 @@
             settled.set()
             return settled
         self._pending_settlements += 1
-        self._nursery.start_soon(self._settle, claim, status, answer, settled)
+        self._nursery.start_soon(self._settle, claim, status, response, settled)
         return settled
 
     async def _settle(
-        self, claim: Claimed, status: RunStatus, answer: Answer | None, settled: trio.Event
+        self, claim: Claimed, status: RunStatus, response: Answer | None, settled: trio.Event
     ) -> None:
         try:
             record = replace(claim.record, status=status)
-            if answer is not None:
-                record = await self._attach_answer(record, answer)
+            if response is not None:
+                record = await self._attach_response(record, response)
             retry_interval = SETTLE_RETRY_INTERVAL
             while not await self._write_final(claim, record):
                 await self._clock.sleep(retry_interval)
@@ -189,7 +191,7 @@
         return record.fingerprint == call.fingerprint and record.status is RunStatus.NOT_RUN
 
     async def _claim(self, pending: _PendingClaim, call: ServiceCall) -> ClaimOutcome:
-        """Create the record; a repeated write has the same attempt id, so it is one claim."""
+        """Create the record; retried writes carry the same attempt id, so they are one claim."""
         earlier_may_apply_late = False
         for _ in range(MAX_CLAIM_ATTEMPTS):
             claim = pending.claim
@@ -228,7 +230,7 @@
             )
         match record.status:
             case RunStatus.DONE:
-                return await self._stored_answer(record)
+                return await self._stored_response(record)
             case RunStatus.STARTED if self._clock.now() < record.deadline + DEADLINE_GRACE:
                 return Failed(
                     Reason.STILL_RUNNING,
@@ -245,10 +247,12 @@
                 )
             case RunStatus.NOT_RUN:
                 return Refused(
-                    Reason.NO_CAPACITY, "the call was released; repeat it", STORE_RETRY_AFTER
+                    Reason.NO_CAPACITY,
+                    "an earlier call with this Idempotency-Key did not run; retry the call",
+                    STORE_RETRY_AFTER,
                 )
 
-    async def _stored_answer(self, record: RunRecord) -> ClaimOutcome:
+    async def _stored_response(self, record: RunRecord) -> ClaimOutcome:
         body = record.answer_body
         if record.object_key:
             match await self._objects.get(record.object_key):
@@ -260,19 +264,20 @@
             return _result_unavailable()
         return Answer(record.answer_status, record.answer_content_type, body, replayed=True)
 
-    async def _attach_answer(self, record: RunRecord, answer: Answer) -> RunRecord:
+    async def _attach_response(self, record: RunRecord, response: Answer) -> RunRecord:
         record = replace(
-            record, answer_status=answer.status, answer_content_type=answer.content_type
+            record, answer_status=response.status, answer_content_type=response.content_type
         )
-        if len(answer.body) <= INLINE_ANSWER_BYTES:
-            return replace(record, answer_body=answer.body)
+        if len(response.body) <= MAX_INLINE_RESPONSE_BYTES:
+            return replace(record, answer_body=response.body)
         object_key = f"answers/{record.attempt_id}"
-        if isinstance(await self._objects.put(object_key, answer.body), Committed):
+        if isinstance(await self._objects.put(object_key, response.body), Committed):
             return replace(record, object_key=object_key)
+        # Status 0 marks a response that could not be stored.
         return replace(record, answer_status=0)
 
     async def _write_final(self, claim: Claimed, record: RunRecord) -> bool:
-        """Write a final record and return whether nothing is left to write."""
+        """Write a final record and return False if the write has to be retried."""
         rows = await self._table.read([claim.key])
         if isinstance(rows, StoreUnavailable):
             return False
@@ -291,7 +296,7 @@
 async def open_run_coordinator(
     table: TableService, objects: ObjectStore, clock: Clock, node_id: str
 ) -> AsyncIterator[RunCoordinator]:
-    """Own a coordinator with its settlements and sweeps until the context ends."""
+    """Open a coordinator and run its settlements and sweeps until the context ends."""
     async with trio.open_nursery() as nursery:
         runs = RunCoordinator(table, objects, clock, node_id, nursery)
         nursery.start_soon(runs.run_sweeps)
@@ -301,11 +306,11 @@
 
 
 def _final_record(claim: Claimed, record: RunRecord, row: Row | None) -> RunRecord | None:
-    """Return the record to write over a row, or None when the row is final.
+    """Return the record to write over a row, or None if there is nothing to write.
 
-    A write of the claim that takes effect late would leave a started record that nobody settles.
-    Writing `not_run` over an absent or unchanged row changes its version, so that such a write
-    fails on its condition.
+    A write of the claim that takes effect late would leave a started record that is never settled.
+    Writing over an absent or unchanged row changes its version, so that the condition of a late
+    write fails.
     """
     if row is None:
         return record if record.status is RunStatus.NOT_RUN else None
@@ -328,7 +333,7 @@
 def _result_unavailable() -> Failed:
     return Failed(
         Reason.RESULT_UNAVAILABLE,
-        "the call ran; its answer cannot be read now",
+        "the call ran, but its stored response cannot be read now",
         RunState.RAN,
         STORE_RETRY_AFTER,
     )
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/errors.py
@@ -10,7 +10,7 @@
 class Claimed:
     """This entry instance holds the record and may send the call once, before its deadline.
 
-    `version` is the version of the row that the claim replaced, 0 when there was none.
+    `version` is the version of the row that the claim replaced, or 0 if there was no row.
     """
 
     key: str
