--- a/packages/entry/src/wasabiwell_entry/coordination/orders/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/coordinator.py
@@ -45,7 +45,7 @@
         lease = await self._leases.acquire(target.target_id, fencing)
         if not isinstance(lease, Lease):
             return lease
-        wait = await self._acquire_rate(order)
+        wait = await self._reserve_load(order)
         if wait is not None:
             await self._leases.release(lease)
             return RateLimitReached(wait)
@@ -65,7 +65,7 @@
             return LeaseExpired()
         return await self._engines.send(target, order, lease.fencing, ORDER_TIMEOUT)
 
-    async def _acquire_rate(self, order: EngineOrder) -> timedelta | None:
+    async def _reserve_load(self, order: EngineOrder) -> timedelta | None:
         """Reserve a load from the weight store if the order needs one.
 
         Returns None if the order may go on, else the time to wait.
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
@@ -11,11 +11,11 @@
 SYNC_INTERVAL_PER_MEMBER = timedelta(milliseconds=10)
 """Keeps the scans of all entry instances together below 100/s."""
 SYNC_MAX_ROWS = 1_000
-RETRY_LEASE_PREFIX = "suspect-turn/"
-RETRY_LEASE_LIFETIME = timedelta(seconds=30)
+SUSPECT_LEASE_PREFIX = "suspect-turn/"
+SUSPECT_LEASE_LIFETIME = timedelta(seconds=30)
 """Limits how long a dead entry instance blocks a target for other suspects. Expiry is compared
 with local wall clocks, which differ by a few seconds at most."""
-RETRY_LEASE_POLL_INTERVAL = timedelta(milliseconds=250)
+SUSPECT_LEASE_POLL_INTERVAL = timedelta(milliseconds=250)
 """Suspects are few and rarely wait, so polling adds little load to the table service."""
 CRASH_LIMIT = 3
 """A request that crashed this many targets is refused; users of these deployments accept three."""
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
@@ -23,7 +23,7 @@
     ReleaseUnavailable,
 )
 from wasabiwell_entry.coordination.quarantine.ports import SuspectPort
-from wasabiwell_entry.coordination.quarantine.retry_leases import RetryLeases
+from wasabiwell_entry.coordination.quarantine.suspect_leases import SuspectLeases
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.platform import (
@@ -47,7 +47,7 @@
         "_clock",
         "_member_count",
         "_peers",
-        "_retry_leases",
+        "_suspect_leases",
         "_suspects",
         "_table",
         "_target_locks",
@@ -67,7 +67,7 @@
         self._peers = peers
         self._member_count = member_count
         self._clock = clock
-        self._retry_leases = RetryLeases(table, clock)
+        self._suspect_leases = SuspectLeases(table, clock)
         self._target_locks: dict[str, trio.Lock] = {}
         self._unsaved: set[str] = set()
 
@@ -117,7 +117,7 @@
             return
         async with (
             self._target_locks.setdefault(target_id, trio.Lock()),
-            self._retry_leases.hold(fingerprint, target_id),
+            self._suspect_leases.hold(fingerprint, target_id),
         ):
             yield
 
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/errors.py
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseConflict:
-    """Another suspect acquired the retry lease first."""
+    """Another suspect acquired the suspect lease first."""
 
 
 ReleaseOutcome = Released | NotSuspected | ReleaseUnavailable
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/retry_leases.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/suspect_leases.py
@@ -8,10 +8,10 @@
 import trio
 
 from wasabiwell_entry.coordination.quarantine.const import (
-    RETRY_LEASE_LIFETIME,
-    RETRY_LEASE_POLL_INTERVAL,
-    RETRY_LEASE_PREFIX,
     STORE_TIMEOUT,
+    SUSPECT_LEASE_LIFETIME,
+    SUSPECT_LEASE_POLL_INTERVAL,
+    SUSPECT_LEASE_PREFIX,
 )
 from wasabiwell_entry.coordination.quarantine.errors import LeaseConflict
 from wasabiwell_entry.state import log_events
@@ -27,15 +27,15 @@
 )
 
 
-class _RetryLease(msgspec.Struct, frozen=True):
-    """The suspect that holds a target's retry lease; `expires` is a wall-clock time."""
+class _SuspectLease(msgspec.Struct, frozen=True):
+    """The suspect that holds a target's suspect lease; `expires` is a wall-clock time."""
 
     fingerprint: str
     expires: datetime
 
 
-class RetryLeases:
-    """Grants exclusive retry leases, stored as one row per target in the table service.
+class SuspectLeases:
+    """Grants exclusive suspect leases, stored as one row per target in the table service.
 
     If two suspects ran on a target when it crashes, the crash would count against both, and a
     harmless request could be quarantined. A lease that is not released expires.
@@ -49,11 +49,11 @@
 
     @asynccontextmanager
     async def hold(self, fingerprint: str, target_id: str) -> AsyncIterator[None]:
-        """Acquire the retry lease of a target, and release it on leaving the context.
+        """Acquire the suspect lease of a target, and release it on leaving the context.
 
         If the table service is unavailable, the suspect runs without a lease.
         """
-        key = RETRY_LEASE_PREFIX + target_id
+        key = SUSPECT_LEASE_PREFIX + target_id
         lease = await self._acquire(key, fingerprint)
         if isinstance(lease, StoreUnavailable):
             log_events.emit(
@@ -72,7 +72,7 @@
             if scope.cancelled_caught:
                 _log_not_released(key, lease, "the table service did not answer in time")
 
-    async def _acquire(self, key: str, fingerprint: str) -> _RetryLease | StoreUnavailable:
+    async def _acquire(self, key: str, fingerprint: str) -> _SuspectLease | StoreUnavailable:
         while True:
             rows = await self._table.read([key])
             if isinstance(rows, StoreUnavailable):
@@ -83,12 +83,12 @@
                 if not isinstance(lease, LeaseConflict):
                     return lease
             else:
-                await self._clock.sleep(RETRY_LEASE_POLL_INTERVAL)
+                await self._clock.sleep(SUSPECT_LEASE_POLL_INTERVAL)
 
     async def _try_acquire(
         self, key: str, row: Row | None, fingerprint: str
-    ) -> _RetryLease | LeaseConflict | StoreUnavailable:
-        lease = _RetryLease(fingerprint, self._clock.now() + RETRY_LEASE_LIFETIME)
+    ) -> _SuspectLease | LeaseConflict | StoreUnavailable:
+        lease = _SuspectLease(fingerprint, self._clock.now() + SUSPECT_LEASE_LIFETIME)
         outcome = await self._table.transact(
             [Condition(key, row.version if row is not None else 0)],
             [Write(key, msgspec.msgpack.encode(lease))],
@@ -107,7 +107,7 @@
                     return lease
         return LeaseConflict()
 
-    async def _release(self, key: str, lease: _RetryLease) -> None:
+    async def _release(self, key: str, lease: _SuspectLease) -> None:
         """Delete the row, unless the lease has expired and another suspect has acquired it."""
         rows = await self._table.read([key])
         if isinstance(rows, StoreUnavailable):
@@ -121,14 +121,14 @@
             _log_not_released(key, lease, outcome.reason)
 
 
-def _log_not_released(key: str, lease: _RetryLease, reason: str) -> None:
+def _log_not_released(key: str, lease: _SuspectLease, reason: str) -> None:
     log_events.emit(
         log_events.SUSPECT_TURN_NOT_ENDED,
         fingerprint=lease.fingerprint,
-        target=key.removeprefix(RETRY_LEASE_PREFIX),
+        target=key.removeprefix(SUSPECT_LEASE_PREFIX),
         reason=reason,
     )
 
 
-def _decode(row: Row) -> _RetryLease:
-    return msgspec.msgpack.decode(row.value, type=_RetryLease)
+def _decode(row: Row) -> _SuspectLease:
+    return msgspec.msgpack.decode(row.value, type=_SuspectLease)
--- a/tests/steps/entry/coordination/turns_steps.py
+++ b/tests/steps/entry/coordination/turns_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.fakes import FakeTable, NoSpread
-from wasabiwell_entry.coordination.quarantine.const import RETRY_LEASE_PREFIX
+from wasabiwell_entry.coordination.quarantine.const import SUSPECT_LEASE_PREFIX
 from wasabiwell_entry.coordination.quarantine.coordinator import QuarantineCoordinator
 from wasabiwell_entry.state.clock import SystemClock
 from wasabiwell_entry.state.suspects import Suspect, SuspectTable
@@ -144,4 +144,4 @@
 
 @then("the table service holds no turn")
 def step_no_turn(context: Context) -> None:
-    assert not [key for key in context.rows.rows if key.startswith(RETRY_LEASE_PREFIX)]
+    assert not [key for key in context.rows.rows if key.startswith(SUSPECT_LEASE_PREFIX)]
