--- a/packages/entry/src/wasabiwell_entry/coordination/operations/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/__init__.py
@@ -1,4 +1,4 @@
-"""What operators ask of an entry instance."""
+"""Operators' requests to an entry instance."""
 
 from wasabiwell_entry.coordination.operations.coordinator import OperationsCoordinator
 
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
@@ -1,4 +1,4 @@
-"""Answers operators: status, history, drain of a target, quarantine and request records."""
+"""Serves operators: status, history, target drain, quarantine and request records."""
 
 from dataclasses import dataclass
 
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Sources:
-    """Where the figures come from; a part that this entry instance lacks is None."""
+    """Sources of the reported figures; a component that this entry instance lacks is None."""
 
     own: Member
     configuration: ConfigurationState
@@ -51,7 +51,7 @@
 
 
 class OperationsCoordinator:
-    """Collects figures of the other parts and passes operators' requests to them."""
+    """Collects figures of the other components and forwards operators' requests to them."""
 
     __slots__ = ("_sources",)
 
@@ -60,7 +60,7 @@
 
     @property
     def sources(self) -> Sources:
-        """Return where the figures come from."""
+        """Return the sources of the reported figures."""
         return self._sources
 
     def report(self) -> StatusReport:
@@ -103,7 +103,7 @@
         return self._sources.records.get(request_id)
 
     def drain_target(self, target_id: str) -> Done | NotFound:
-        """Give a target no new work; its running requests go on."""
+        """Stop placing new requests on a target; its running requests continue."""
         status = self._sources.targets.get(target_id)
         if status is None:
             return NotFound(f"no target has the id {target_id}")
@@ -115,13 +115,13 @@
     def suspects(self) -> tuple[SuspectFigures, ...] | Unavailable:
         """Return all suspects that this entry instance knows."""
         if self._sources.quarantine is None:
-            return Unavailable("this entry instance keeps no quarantine")
+            return Unavailable("quarantine is not enabled on this entry instance")
         return self._sources.quarantine.suspect_figures()
 
     async def release(self, fingerprint: str) -> Done | NotFound | Unavailable:
-        """Release a quarantined fingerprint."""
+        """Release a quarantined request on every entry instance."""
         if self._sources.quarantine is None:
-            return Unavailable("this entry instance keeps no quarantine")
+            return Unavailable("quarantine is not enabled on this entry instance")
         return await self._sources.quarantine.release(fingerprint)
 
     def _target(self, status: TargetStatus) -> TargetFigures:
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/errors.py
@@ -10,13 +10,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotFound:
-    """What the operator named is not known at this entry instance."""
+    """This entry instance does not know the requested object."""
 
     message: str
 
 
 @dataclass(frozen=True, slots=True)
 class Unavailable:
-    """The request had no effect, because a part that it needs is missing or down."""
+    """The request had no effect, because a required component is missing or unavailable."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/ports.py
@@ -1,4 +1,4 @@
-"""Parts of an entry instance that tell operators about themselves."""
+"""Interfaces through which other components report to operators."""
 
 from typing import Protocol
 
@@ -7,31 +7,31 @@
 
 
 class QueueProvider(Protocol):
-    """The queues of admission."""
+    """Reports the admission queues."""
 
     def queue_figures(self) -> tuple[QueueFigures, ...]:
         """Return the figures of each size class."""
 
 
 class CreditProvider(Protocol):
-    """Capacity that this entry instance holds or has lent."""
+    """Reports the engine capacity that this entry instance holds or has lent."""
 
     def credit_figures(self) -> tuple[CreditFigures, ...]:
         """Return the figures of each engine."""
 
 
 class OwnerProvider(Protocol):
-    """Who owns the capacity of an engine."""
+    """Finds the owner of an engine's capacity."""
 
     def owner_of(self, target_id: str) -> str:
-        """Return the node id of the owner; empty when it is not known."""
+        """Return the node id of the owner, or an empty string if it is unknown."""
 
 
 class QuarantineProvider(Protocol):
-    """Requests suspected of crashing targets."""
+    """Reports and releases requests suspected of crashing targets."""
 
     def suspect_figures(self) -> tuple[SuspectFigures, ...]:
         """Return all suspects that this entry instance knows."""
 
     async def release(self, fingerprint: str) -> Done | NotFound | Unavailable:
-        """Release a quarantined fingerprint everywhere."""
+        """Release a quarantined request on every entry instance."""
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/providers.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/providers.py
@@ -1,4 +1,4 @@
-"""Figures of other capabilities for operators."""
+"""Adapters that report figures of other components to operators."""
 
 from wasabiwell_entry.coordination.admission import AdmissionCoordinator
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
@@ -15,7 +15,7 @@
 
 
 class AdmissionQueues:
-    """Figures of the queues of admission."""
+    """Reports the admission queues."""
 
     __slots__ = ("_admission",)
 
@@ -33,7 +33,7 @@
 
 
 class SharedCapacity:
-    """Figures of the credits and owners of engines."""
+    """Reports the credits and owners of engines."""
 
     __slots__ = ("_holder", "_owner", "_owners")
 
@@ -56,13 +56,13 @@
         return (*held, *lent)
 
     def owner_of(self, target_id: str) -> str:
-        """Return the node id of an engine's owner; empty when it is not known."""
+        """Return the node id of an engine's owner, or an empty string if it is unknown."""
         owner = self._owners.owner(target_id)
         return owner.node_id if isinstance(owner, Member) else ""
 
 
 class Quarantine:
-    """Suspects for operators."""
+    """Reports suspects, and releases quarantined requests."""
 
     __slots__ = ("_quarantine",)
 
@@ -77,11 +77,11 @@
         )
 
     async def release(self, fingerprint: str) -> Done | NotFound | Unavailable:
-        """Release a quarantined fingerprint everywhere."""
+        """Release a quarantined request on every entry instance."""
         match await self._quarantine.release(fingerprint):
             case Released():
                 return Done()
             case NotSuspected():
-                return NotFound(f"no request has the fingerprint {fingerprint}")
+                return NotFound(f"no suspected request has the fingerprint {fingerprint}")
             case ReleaseUnavailable(reason=reason):
                 return Unavailable(reason)
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/__init__.py
@@ -1,4 +1,4 @@
-"""Observes requests on their way through the coordination layer."""
+"""Records, metrics and traces of requests in the coordination layer."""
 
 from wasabiwell_entry.coordination.telemetry.instrumented import (
     InstrumentedAdmission,
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/const.py
@@ -1,7 +1,7 @@
-"""Constants of observing requests."""
+"""Constants of request records."""
 
 RETAINED_RECORDS = 10_000
-"""Recent request records; at 24 requests/s for each entry instance they cover 7 minutes."""
+"""Covers the last 7 minutes at 24 requests/s per entry instance."""
 MAX_ATTEMPTS_RECORDED = 8
 MAX_REASON_CHARS = 200
-"""Longer reasons of failed attempts are cut, because targets choose their text."""
+"""Longer failure reasons are truncated, because they contain text from targets."""
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
@@ -1,6 +1,6 @@
-"""Ports of dispatching that record what passes through them.
+"""Wrappers that record requests, attempts and store calls.
 
-Each class has the interface of the object it wraps, so dispatching does not know of it.
+Each class has the interface of the object it wraps, so the dispatcher needs no knowledge of it.
 """
 
 from collections.abc import AsyncIterator, Sequence
@@ -44,7 +44,7 @@
 
 
 class RequestRunner(Protocol):
-    """What front ends call: the dispatcher, observed or not."""
+    """The dispatcher as front ends call it, instrumented or not."""
 
     async def generate(self, request: GenerateRequest, sink: AnswerSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
@@ -111,13 +111,13 @@
 
     def _record_times(self, record: RequestRecord, first_token_s: float) -> None:
         self._telemetry.first_token(record.service, record.size, first_token_s)
-        unwaited = first_token_s - record.admission_wait_s
-        if unwaited > 0:
-            self._telemetry.slowdown(record.service, record.size, first_token_s / unwaited)
+        unqueued_s = first_token_s - record.admission_wait_s
+        if unqueued_s > 0:
+            self._telemetry.slowdown(record.service, record.size, first_token_s / unqueued_s)
 
 
 class InstrumentedAdmission:
-    """Measures the wait for admission."""
+    """Records the time that requests wait for admission."""
 
     __slots__ = ("_inner", "_log", "_telemetry")
 
@@ -130,7 +130,7 @@
     async def admit(
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> AsyncIterator[Placement | Refused]:
-        """Wait for capacity; leaving the context gives all of it back."""
+        """Wait for capacity; leaving the context releases it."""
         began = self._log.elapsed(request)
         async with AsyncExitStack() as stack:
             try:
@@ -154,7 +154,7 @@
 
 
 class _ObservedItems:
-    """Items of one attempt; counts tokens and notes the end."""
+    """Stream items of one attempt; counts tokens and records the outcome."""
 
     __slots__ = ("_attempt", "_items", "_log", "_record", "_request")
 
@@ -202,7 +202,7 @@
         self._telemetry = telemetry
 
     async def probe(self, target: Target) -> ProbeOutcome:
-        """Ask an engine for a sign of life on a new connection."""
+        """Check on a new connection whether an engine is alive."""
         return await self._inner.probe(target)
 
     @asynccontextmanager
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/ports.py
@@ -1,4 +1,4 @@
-"""Port to traces and metrics, and its value that does nothing."""
+"""Interface to traces and metrics, and an implementation that does nothing."""
 
 from collections.abc import Mapping
 from contextlib import AbstractContextManager, nullcontext
@@ -9,27 +9,27 @@
 
 
 class Telemetry(Protocol):
-    """Receiver of spans and measured times."""
+    """Receives spans and measurements."""
 
     def request_span(
         self, name: str, traceparent: str | None, tracestate: str | None
     ) -> AbstractContextManager[None]:
-        """Span of a caller's request, a child of the trace context that the caller sent."""
+        """Open the span of a caller's request, a child of the trace context the caller sent."""
 
     def span(self, name: str, attributes: Attributes) -> AbstractContextManager[None]:
-        """Span of one hop, a child of the current span."""
+        """Open a child of the current span."""
 
     def annotate(self, attributes: Attributes) -> None:
         """Add attributes to the current span."""
 
     def headers(self) -> Headers:
-        """Return the W3C trace context of the current span; empty without one."""
+        """Return the W3C trace context headers of the current span, or no headers without one."""
 
     def first_token(self, service: str, size: str, seconds: float) -> None:
         """Record the time from a request's arrival to its first token."""
 
     def slowdown(self, service: str, size: str, ratio: float) -> None:
-        """Record time to first token divided by the time it takes without waiting."""
+        """Record the time to first token divided by the same time without the admission wait."""
 
 
 _NO_SPAN = nullcontext()
@@ -54,7 +54,7 @@
         """Do nothing."""
 
     def headers(self) -> Headers:
-        """Return no header."""
+        """Return no headers."""
         return []
 
     def first_token(self, service: str, size: str, seconds: float) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/records.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/records.py
@@ -1,4 +1,4 @@
-"""Bounded memory of recent requests, for operators."""
+"""Bounded log of recent requests, for operators."""
 
 from collections import OrderedDict
 
@@ -23,7 +23,7 @@
 
 
 class RequestLog:
-    """Records of recent requests by id; the oldest is dropped when the log is full."""
+    """Records of recent requests by id; the oldest record is evicted when the log is full."""
 
     __slots__ = ("_capacity", "_clock", "_records")
 
@@ -61,7 +61,7 @@
         request: GenerateRequest | ServiceCall,
         outcome: GenerateOutcome | CallOutcome,
     ) -> None:
-        """Note the outcome of a request."""
+        """Record the outcome of a request."""
         record.total_s = self.elapsed(request)
         match outcome:
             case Finished() | Answer():
@@ -80,7 +80,7 @@
     def begin_attempt(
         self, request: GenerateRequest | ServiceCall, attempt_id: str, target_id: str
     ) -> AttemptRecord:
-        """Note that an attempt begins."""
+        """Record the start of an attempt; it is listed only up to `MAX_ATTEMPTS_RECORDED`."""
         attempt = AttemptRecord(attempt_id, target_id, self.elapsed(request))
         record = self._records.get(request.request_id)
         if record is not None and len(record.attempts) < MAX_ATTEMPTS_RECORDED:
@@ -94,13 +94,13 @@
         outcome: str,
         reason: str = "",
     ) -> None:
-        """Note how an attempt ended."""
+        """Record the outcome of an attempt."""
         attempt.ended_s = self.elapsed(request)
         attempt.outcome = outcome
         attempt.reason = without_target_text(reason)[:MAX_REASON_CHARS]
 
     def add_admission_wait(self, request: GenerateRequest, began: float) -> None:
-        """Add the wait for admission that began at `began` seconds after the arrival."""
+        """Add an admission wait that began `began` seconds after the request's arrival."""
         record = self._records.get(request.request_id)
         if record is not None:
             record.admission_wait_s += self.elapsed(request) - began
