--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
@@ -23,7 +23,7 @@
 
 
 class LifecycleCoordinator:
-    """Tracks open requests and takes the instance out of service."""
+    """Reports readiness, tracks open requests and shuts the instance down gracefully."""
 
     __slots__ = ("_clock", "_configuration", "_membership", "_release_callbacks", "_stop")
 
@@ -50,7 +50,7 @@
         return self._stop.leaving
 
     def on_release(self, release: ReleaseCallback) -> None:
-        """Call a function after the last request, to return what a part holds."""
+        """Register a callback that releases held resources after the last request has ended."""
         self._release_callbacks.append(release)
 
     def request(self) -> AbstractContextManager[None]:
@@ -58,7 +58,7 @@
         return self._stop.request()
 
     def readiness(self) -> Readiness:
-        """Tell whether the instance should get requests."""
+        """Return whether the instance should get requests."""
         if self._stop.leaving:
             return NotReady("the instance is leaving")
         if self._configuration.state.version == 0:
@@ -67,11 +67,14 @@
         if age is None:
             return NotReady("the configuration in force has not been confirmed")
         if age > MAX_CONFIRMATION_AGE and not self._membership.hears_majority():
-            return NotReady("the configuration may be old: neither store nor majority is reached")
+            return NotReady(
+                "the configuration may be outdated: neither the store nor a majority of members "
+                "is reachable"
+            )
         return Ready()
 
     def leave(self, reason: str) -> None:
-        """Start the graceful stop; a second call has no effect."""
+        """Start the graceful stop; further calls have no effect."""
         if self._stop.leaving:
             return
         log_events.emit(log_events.ENTRY_LEAVING, node=self._membership.own.node_id, reason=reason)
@@ -79,9 +82,9 @@
         self._stop.leave()
 
     async def wait_drained(self, address_ttl: timedelta, limit: timedelta) -> None:
-        """Wait until the instance left, callers forgot its address, and no request is open.
+        """Wait until the instance is leaving, its address has expired and no request is open.
 
-        After `limit` from the begin of the stop, requests that are still open are given up.
+        Requests that are still open `limit` after the start of the stop are aborted.
         """
         await self._stop.wait_leaving()
         end = self._clock.monotonic() + limit
@@ -95,7 +98,7 @@
             log_events.emit(log_events.STREAMS_CUT, count=self._stop.open_requests)
 
     async def _release_held(self) -> None:
-        """Let each part return what it holds; one that fails or hangs does not stop the others."""
+        """Run the release callbacks; one that fails or hangs does not block the others."""
         for release in self._release_callbacks:
             with trio.move_on_after(RELEASE_TIMEOUT.total_seconds()) as scope:
                 try:
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/errors.py
@@ -1,11 +1,11 @@
-"""Reasons for not being ready."""
+"""Outcomes of the readiness check."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class Ready:
-    """The instance takes requests."""
+    """The instance accepts requests."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/ports.py
@@ -1,4 +1,4 @@
-"""What start and stop need of the other layers."""
+"""Interfaces through which start and stop use the other layers."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerSnapshot:
-    """What a running entry instance hands to one that starts."""
+    """State that a running entry instance sends to one that starts."""
 
     sender: str
     announcement: Announcement
@@ -24,7 +24,7 @@
 
 
 class SnapshotPort(Protocol):
-    """Snapshots of running entry instances."""
+    """Fetches snapshots from running entry instances."""
 
     async def fetch_snapshot(self, address: str) -> PeerSnapshot | PeerSilent:
         """Return the snapshot of the entry instance at a peer address."""
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/recovery.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/recovery.py
@@ -24,7 +24,7 @@
 
 
 class RecoveryCoordinator:
-    """Asks several peers, then the table service, then the object store."""
+    """Recovers state from several peers, else from the table service or the object store."""
 
     __slots__ = (
         "_apply_instances",
@@ -43,7 +43,7 @@
         peers: SnapshotPort,
         instances: InstanceList,
         seeds: Sequence[str],
-        take_instances: Callable[[list[InstanceRecord]], None],
+        apply_instances: Callable[[list[InstanceRecord]], None],
         clock: Clock,
     ) -> None:
         self._membership = membership
@@ -51,13 +51,13 @@
         self._peers = peers
         self._instances = instances
         self._seeds = tuple(seeds)
-        self._apply_instances = take_instances
+        self._apply_instances = apply_instances
         self._clock = clock
 
     async def recover(self) -> None:
-        """Take over what running instances know; the newest configuration version counts.
+        """Merge the state of running instances; the newest configuration version wins.
 
-        Several peers are asked, because one of them may lag behind the last accepted version.
+        Several peers are queried, because one of them may lag behind the last accepted version.
         """
         for _ in range(RECOVERY_ATTEMPTS):
             addresses = await self._addresses()
@@ -84,14 +84,14 @@
             random.shuffle(entries)
             entries.sort(key=lambda record: record.leaving)
             listed = [record.peer_address for record in entries]
-        found = dict.fromkeys([*self._seeds, *listed])
-        found.pop(own.peer_address, None)
-        return list(found)[: RECOVERY_PEERS + len(self._seeds)]
+        addresses = dict.fromkeys([*self._seeds, *listed])
+        addresses.pop(own.peer_address, None)
+        return list(addresses)[: RECOVERY_PEERS + len(self._seeds)]
 
     async def _fetch_and_apply(self, addresses: list[str]) -> bool:
         snapshots: list[PeerSnapshot] = []
 
-        async def ask(address: str) -> None:
+        async def fetch(address: str) -> None:
             match await self._peers.fetch_snapshot(address):
                 case PeerSnapshot() as snapshot:
                     snapshots.append(snapshot)
@@ -100,7 +100,7 @@
 
         async with trio.open_nursery() as nursery:
             for address in addresses:
-                nursery.start_soon(ask, address)
+                nursery.start_soon(fetch, address)
         snapshots.sort(key=lambda snapshot: snapshot.configuration.version)
         for snapshot in snapshots:
             self._apply_snapshot(snapshot)
--- a/packages/entry/src/wasabiwell_entry/coordination/stop/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/stop/__init__.py
@@ -1,4 +1,4 @@
-"""Lets an entry instance finish its requests before it stops."""
+"""Graceful stop: an entry instance finishes its open requests before it exits."""
 
 from wasabiwell_entry.coordination.stop.coordinator import GracefulStop
 
--- a/packages/entry/src/wasabiwell_entry/coordination/stop/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/stop/coordinator.py
@@ -1,4 +1,4 @@
-"""Open requests of an entry instance, and the order to leave."""
+"""Tracks open requests and times the steps of a graceful stop."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -16,7 +16,7 @@
 
 
 class GracefulStop:
-    """Counts open requests and tells when the instance is leaving."""
+    """Counts open requests and signals that the instance is leaving."""
 
     __slots__ = ("_clock", "_leaving", "_open")
 
@@ -45,29 +45,29 @@
             self._open -= 1
 
     def leave(self) -> None:
-        """Begin to leave; a second call has no effect."""
+        """Start the graceful stop; further calls have no effect."""
         self._leaving.set()
 
     async def wait_leaving(self) -> None:
-        """Return when the instance is leaving."""
+        """Wait until the graceful stop has started."""
         await self._leaving.wait()
 
     async def wait_requests_finished(self, end: timedelta) -> None:
-        """Return when no request is open, or at a monotonic time."""
+        """Wait until no request is open, at most until the monotonic time `end`."""
         while self._open and self._clock.monotonic() < end:
             await self._clock.sleep(DRAIN_POLL_INTERVAL)
 
     async def wait_listeners_close(self) -> None:
-        """Return when a leaving instance should accept no more connections."""
+        """Wait until the leaving instance should close its listeners."""
         await self.wait_leaving()
         await self._clock.sleep(ACCEPT_DURATION)
 
     def drain_timeout(self, grace: timedelta) -> timedelta:
-        """Return how long open requests may take after the last connection was accepted."""
+        """Return how long open requests may run on after the listeners are closed."""
         return max(timedelta(), grace - ACCEPT_DURATION - TERMINATION_MARGIN)
 
     async def log_aborted_requests(self, grace: timedelta) -> None:
-        """Log the requests that are still open when the time of a leaving instance is over."""
+        """Log how many requests are still open at the end of the drain timeout."""
         await self.wait_listeners_close()
         await self.wait_requests_finished(self._clock.monotonic() + self.drain_timeout(grace))
         if self._open:
