Reword the tests of quarantine, runs, orders, stop, lifecycle and records

Features and steps name crashes, retries, responses and leases; the feature of turns moves to suspect_leases.feature.

--- a/tests/entry/coordination/orders/operator_orders.feature
+++ b/tests/entry/coordination/orders/operator_orders.feature
@@ -1,13 +1,13 @@
 @fleet.eaveline
-Feature: Orders of operators with real processes
-  Guards against orders that reach an engine without a growing fencing number.
+Feature: Operators' orders, with real processes
+  Guards against orders that reach an engine without an increasing fencing number.
 
-  Scenario: Orders through different entry instances carry growing numbers
+  Scenario: Orders through different entry instances carry increasing fencing numbers
     When an operator orders '{"kind": "change_role", "role": "prefill"}' through every entry instance
     Then every order is answered with status 200
     And the engine got fencing numbers 1, 2, 3
 
-  Scenario: An order without a needed field is refused with its place
+  Scenario: An order without a required field is refused with the path of the field
     When an operator orders '{"kind": "load_model", "model": "advisor"}' through every entry instance
     Then every order is answered with status 400
     And the answers name "$.version"
--- a/tests/entry/coordination/orders/orders.feature
+++ b/tests/entry/coordination/orders/orders.feature
@@ -1,31 +1,31 @@
 Feature: Orders to engines
-  Guards against an order of an old lease that takes effect after one of a newer lease, and against
-  more loads than the weight store allows.
+  Guards against an order of an old lease that takes effect after an order of a newer lease, and
+  against exceeding the weight store's rate limit.
 
-  Scenario: Random faults never let an old order follow a new one
-    Then 200 random histories of orders with lost replies, pauses and late orders keep the rules
+  Scenario: An order of an old lease never takes effect after one of a newer lease
+    Then 200 random histories of orders with lost replies, pauses and delayed orders keep the invariants
 
-  Scenario: Regions together stay within the rate of the weight store
+  Scenario: All regions together stay within the rate limit of the weight store
     Given 2 regions of 2 entry instances and a weight store that allows 10 loads in an interval
-    When every entry instance takes loads for 3 intervals
+    When every entry instance requests loads for 3 intervals
     Then at most 10 loads start in each interval and the first interval has none
     And at least 8 loads start in the last interval
 
-  Scenario: A new owner of the rate withholds one interval
+  Scenario: A new owner of the rate limit grants nothing in its first interval
     Given 1 regions of 2 entry instances and a weight store that allows 10 loads in an interval
-    When every entry instance takes loads for 3 intervals
-    And the owner of the rate leaves
-    And every entry instance takes loads for 1 intervals
+    When every entry instance requests loads for 3 intervals
+    And the owner of the rate limit leaves
+    And every entry instance requests loads for 1 intervals
     Then no load starts in the last interval
 
-  Scenario: Two instances that take a lease at once get one lease
+  Scenario: Only one of two instances that acquire a lease concurrently gets it
     Given 2 entry instances and an engine
-    When all entry instances take the lease at once
+    When all entry instances acquire the lease concurrently
     Then exactly 1 of them holds it
 
-  Scenario Outline: The holder of a lease on an engine with <fencing> numbers stops in time
+  Scenario Outline: A holder sends no order under an expiring lease to an engine with <fencing> numbers
     Given 2 entry instances and an engine
-    When the first takes the lease and <age> seconds pass
+    When the first acquires the lease and <age> seconds pass
     Then an order under it to an engine with <fencing> numbers is <result>
 
     Examples:
@@ -37,12 +37,12 @@
 
   Scenario Outline: The next holder waits for the lease of an engine with <fencing> numbers
     Given 2 entry instances and an engine
-    When the first takes the lease and the second sees it for <age> seconds
+    When the first acquires the lease and the second observes it for <age> seconds
     Then the second <result> the lease of an engine with <fencing> numbers
 
     Examples:
-      | fencing | age | result        |
-      | ignored | 19  | does not take |
-      | ignored | 21  | takes         |
-      | refused | 14  | does not take |
-      | refused | 16  | takes         |
+      | fencing | age | result           |
+      | ignored | 19  | does not acquire |
+      | ignored | 21  | acquires         |
+      | refused | 14  | does not acquire |
+      | refused | 16  | acquires         |
--- a/tests/entry/coordination/quarantine/quarantine.feature
+++ b/tests/entry/coordination/quarantine/quarantine.feature
@@ -1,7 +1,7 @@
 Feature: Requests that crash their targets, with real processes
-  Guards against a request that takes down one target after the other.
+  Guards against retrying a request that crashes its targets on one target after the other.
 
-  Scenario: A request that crashes targets loses two of them at most
+  Scenario: A request that crashes its targets is quarantined after two crashes
     Given a deployment with 5 proxied engines
     When 6 callers stream answers of 300 tokens through all entries
     And a caller sends a prompt that crashes its target through every entry in turn
--- a/tests/entry/coordination/quarantine/turns.feature
+++ b/tests/entry/coordination/quarantine/suspect_leases.feature
@@ -1,47 +1,48 @@
-Feature: Turns of suspects
-  Guards against an innocent request that is refused because it ran, after its first target died,
-  beside the request that crashes targets, at another entry instance.
+Feature: Leases of suspects on targets
+  Guards against quarantining a harmless request. After a crash, all requests of the target are
+  suspects; if entry instances retry two of them on the same target, a second crash counts against
+  both.
 
-  Scenario: One suspect at a time runs on a target, over all entry instances
+  Scenario: Entry instances do not run two suspects on one target at the same time
     Given two entry instances that suspect requests "a" and "b"
     When "a" runs for 2 seconds on target "e1" at one instance, and "b" on "e1" at the other
-    Then they did not run at the same time
+    Then they did not overlap
 
   Scenario: Suspects run on different targets at the same time
     Given two entry instances that suspect requests "a" and "b"
     When "a" runs for 2 seconds on target "e1" at one instance, and "b" on "e2" at the other
-    Then they ran at the same time
+    Then they overlapped
 
   Scenario: A request that is not suspected does not wait
     Given two entry instances that suspect requests "a" and ""
     When "a" runs for 2 seconds on target "e1" at one instance, and "b" on "e1" at the other
-    Then they ran at the same time
+    Then they overlapped
 
-  Scenario: The turn of an instance that died expires
+  Scenario: The lease of an instance that crashed expires
     Given two entry instances that suspect requests "a" and "b"
-    When an instance dies while "a" runs on target "e1", and "b" is to run there at the other
+    When an instance crashes while "a" runs on target "e1", and the other sends "b" there
     Then "b" ran 30 to 31 seconds later
 
-  Scenario: A lost reply of the table service gives the turn to the suspect that wrote it
+  Scenario: A suspect whose write was applied holds the lease although the reply was lost
     Given two entry instances that suspect requests "a" and "b"
     And a table service that loses 1 reply
     When "a" runs for 2 seconds on target "e1" at one instance, and "b" on "e1" at the other
-    Then they did not run at the same time
+    Then they did not overlap
     And both ran within 5 seconds
 
-  Scenario: Without the table service suspects do not wait
+  Scenario: Suspects do not wait while the table service is unavailable
     Given two entry instances that suspect requests "a" and "b"
-    And a table service that is away
+    And a table service that is unavailable
     When "a" runs for 2 seconds on target "e1" at one instance, and "b" on "e1" at the other
-    Then they ran at the same time
+    Then they overlapped
     And event 430 was logged for both
 
-  Scenario: No row is left of turns that ended
+  Scenario: Released leases leave no rows
     Given two entry instances that suspect requests "a" and "b"
     When "a" runs for 2 seconds on target "e1" at one instance, and "b" on "e1" at the other
-    Then the table service holds no turn
+    Then the table service holds no suspect lease
 
-  Scenario: A turn that cannot be ended is logged, as others wait for it to expire
+  Scenario: A lease that cannot be released is logged, because other suspects wait until it expires
     Given two entry instances that suspect requests "a" and "b"
-    When the table service goes away while "a" runs on target "e1"
+    When the table service becomes unavailable while "a" runs on target "e1"
     Then event 432 was logged once
--- a/tests/entry/coordination/runs/fuzzing.feature
+++ b/tests/entry/coordination/runs/fuzzing.feature
@@ -1,6 +1,6 @@
-Feature: Run records in any order of failures
-  Guards against a second run and a false "not run" under lost replies, dropped and delayed writes,
-  outages, pauses, deaths, clock steps and racing repeats.
+Feature: Run records under random faults
+  Guards against a call that runs twice and a wrong "not run", under lost replies, dropped and
+  delayed writes, outages, pauses, crashes, clock steps and concurrent retries.
 
-  Scenario: No order of failures makes a call run twice
+  Scenario: No sequence of faults makes a call run twice
     When the state machine of run records is run
--- a/tests/entry/coordination/stop/stop.feature
+++ b/tests/entry/coordination/stop/stop.feature
@@ -1,8 +1,8 @@
 Feature: Graceful stop in two steps
   Guards against requests that a planned stop cuts off, and against a process that is killed because
-  it waits too long.
+  it drains for longer than its grace period.
 
-  Scenario: An instance accepts connections for a while after the order to leave
+  Scenario: A leaving instance accepts connections for a while
     Given an instance with 0 open requests
     When it is told to leave
     Then it closes its listeners after 3.3 seconds
@@ -13,7 +13,7 @@
     When it is told to leave
     Then it ends after 5.1 seconds
 
-  Scenario: Requests that take too long are given up before the process is killed
+  Scenario: Requests that outlast the grace period are aborted before the process is killed
     Given an instance with a request that takes 60 seconds
     When it is told to leave
     Then it ends after 7.6 seconds
--- a/tests/steps/entry/coordination/operator_orders_steps.py
+++ b/tests/steps/entry/coordination/operator_orders_steps.py
@@ -1,4 +1,4 @@
-"""Steps for orders of operators with real processes."""
+"""Steps for operators' orders with real processes."""
 
 import msgspec
 from behave import then, when
@@ -19,8 +19,8 @@
 
 @then("every order is answered with status {status:d}")
 def step_status(context: Context, status: int) -> None:
-    found = [(reply.status, reply.content) for reply in context.replies]
-    assert all(item[0] == status for item in found), found
+    replies = [(reply.status, reply.content) for reply in context.replies]
+    assert all(item[0] == status for item in replies), replies
 
 
 @then("the engine got fencing numbers {numbers}")
@@ -30,7 +30,7 @@
     assert [str(order["fencing"]) for order in orders] == numbers.split(", "), orders
 
 
-@then('the answers name "{place}"')
-def step_place(context: Context, place: str) -> None:
+@then('the answers name "{path}"')
+def step_path(context: Context, path: str) -> None:
     for reply in context.replies:
-        assert place.encode() in reply.content, reply.content
+        assert path.encode() in reply.content, reply.content
--- a/tests/steps/entry/coordination/orders_steps.py
+++ b/tests/steps/entry/coordination/orders_steps.py
@@ -18,7 +18,7 @@
 
 
 class DirectRatePeers:
-    """Calls the owner in place of a message."""
+    """Calls the owner directly instead of sending a message."""
 
     def __init__(self) -> None:
         self.rates: dict[str, WeightStoreRateLimiter] = {}
@@ -29,7 +29,8 @@
 
 
 @then(
-    "{count:d} random histories of orders with lost replies, pauses and late orders keep the rules"
+    "{count:d} random histories of orders with lost replies, pauses and delayed orders keep the "
+    "invariants"
 )
 def step_order_histories(context: Context, count: int) -> None:
     run_histories(OrderMachine, count)
@@ -52,18 +53,18 @@
     context.rates, context.started = peers.rates, []
 
 
-@when("every entry instance takes loads for {intervals:d} intervals")
-def step_take(context: Context, intervals: int) -> None:
-    async def take_all() -> int:
+@when("every entry instance requests loads for {intervals:d} intervals")
+def step_request_loads(context: Context, intervals: int) -> None:
+    async def request_all() -> int:
         waits = [await rate.take() for rate in context.rates.values() for _ in range(20)]
         return waits.count(None)
 
     for _ in range(intervals):
-        context.started.append(trio.run(take_all))
+        context.started.append(trio.run(request_all))
         context.clock.advance(RATE_INTERVAL)
 
 
-@when("the owner of the rate leaves")
+@when("the owner of the rate limit leaves")
 def step_leave(context: Context) -> None:
     owner = owner_of(RATE_KEY, context.members.alive())
     context.members.put(replace(owner, status=MemberStatus.LEAVING))
@@ -91,19 +92,19 @@
     context.machine.start(Fencing.IGNORED)
 
 
-@when("all entry instances take the lease at once")
-def step_at_once(context: Context) -> None:
+@when("all entry instances acquire the lease concurrently")
+def step_acquire_concurrently(context: Context) -> None:
     outcomes: list[object] = []
 
-    async def take(leases: OrderLeases) -> None:
+    async def acquire(leases: OrderLeases) -> None:
         outcomes.append(await leases.acquire(ENGINE.target_id, Fencing.IGNORED))
 
-    async def take_all() -> None:
+    async def acquire_all() -> None:
         async with trio.open_nursery() as nursery:
             for leases in context.machine.leases:
-                nursery.start_soon(take, leases)
+                nursery.start_soon(acquire, leases)
 
-    trio.run(take_all)
+    trio.run(acquire_all)
     context.outcomes = outcomes
 
 
@@ -112,8 +113,8 @@
     assert sum(isinstance(item, Lease) for item in context.outcomes) == count, context.outcomes
 
 
-@when("the first takes the lease and {age:d} seconds pass")
-def step_first_takes(context: Context, age: int) -> None:
+@when("the first acquires the lease and {age:d} seconds pass")
+def step_first_acquires(context: Context, age: int) -> None:
     machine = context.machine
     machine.acquire(0)
     machine.advance(age)
@@ -129,8 +130,8 @@
     assert bool(machine.engine.applied) == (result == "sent"), machine.engine.applied
 
 
-@when("the first takes the lease and the second sees it for {age:d} seconds")
-def step_second_sees(context: Context, age: int) -> None:
+@when("the first acquires the lease and the second observes it for {age:d} seconds")
+def step_second_observes(context: Context, age: int) -> None:
     machine = context.machine
     machine.acquire(0)
     machine.acquire(1)
@@ -138,6 +139,6 @@
 
 
 @then("the second {result} the lease of an engine with {fencing} numbers")
-def step_second_takes(context: Context, result: str, fencing: str) -> None:
+def step_second_acquires(context: Context, result: str, fencing: str) -> None:
     outcome = trio.run(context.machine.leases[1].acquire, ENGINE.target_id, Fencing(fencing))
-    assert isinstance(outcome, Lease) == (result == "takes"), outcome
+    assert isinstance(outcome, Lease) == (result == "acquires"), outcome
--- a/tests/steps/entry/coordination/records_steps.py
+++ b/tests/steps/entry/coordination/records_steps.py
@@ -31,20 +31,20 @@
 
 @dataclass(slots=True)
 class FakeDispatcher:
-    """Gives one outcome after a wait."""
+    """Returns one outcome after a delay."""
 
     outcome: Finished | Failed
-    wait_seconds: float = 0.0
+    delay_seconds: float = 0.0
 
     async def generate(self, request: GenerateRequest, sink: object) -> Finished | Failed:
         """Return the outcome."""
-        await trio.sleep(self.wait_seconds)
+        await trio.sleep(self.delay_seconds)
         return self.outcome
 
 
 @dataclass(slots=True)
 class BrokenEngines:
-    """Ends each attempt with a reason."""
+    """Interrupts each attempt with a reason."""
 
     reason: str
 
@@ -52,7 +52,7 @@
     async def generate(
         self, target: Target, attempt: Attempt
     ) -> AsyncIterator[AsyncIterator[StreamItem]]:
-        """Yield the end of the attempt only."""
+        """Yield only the interruption."""
 
         async def items() -> AsyncIterator[StreamItem]:
             yield StreamBroken(self.reason)
@@ -61,7 +61,7 @@
 
 
 def make_request(number: int) -> GenerateRequest:
-    """Return a request with an id of its own."""
+    """Return a request with a unique id."""
     zero = timedelta()
     return GenerateRequest(f"r{number}", "o", "s", b"[]", 100, 10, "f", zero, zero)
 
@@ -71,15 +71,15 @@
     context.log, context.counters = RequestLog(ManualClock(), count), Counters()
 
 
-@when("{count:d} observed requests finish")
+@when("{count:d} instrumented requests finish")
 def step_finish(context: Context, count: int) -> None:
     inner = FakeDispatcher(Finished(1, "stop"))
-    observed = InstrumentedDispatcher(inner, context.log, context.counters, NO_TELEMETRY)
+    instrumented = InstrumentedDispatcher(inner, context.log, context.counters, NO_TELEMETRY)
     for number in range(count):
-        trio.run(observed.generate, make_request(number), None)
+        trio.run(instrumented.generate, make_request(number), None)
 
 
-@when('an observed attempt ends with "{reason}"')
+@when('an instrumented attempt ends with "{reason}"')
 def step_attempt(context: Context, reason: str) -> None:
     async def attempt() -> None:
         engines = InstrumentedEngines(BrokenEngines(reason), context.log, NO_TELEMETRY)
@@ -93,13 +93,13 @@
     trio.run(attempt)
 
 
-@when("an observed request is cancelled")
+@when("an instrumented request is cancelled")
 def step_cancel(context: Context) -> None:
     async def cancel() -> None:
-        inner = FakeDispatcher(Finished(1, "stop"), wait_seconds=60.0)
-        observed = InstrumentedDispatcher(inner, context.log, context.counters, NO_TELEMETRY)
+        inner = FakeDispatcher(Finished(1, "stop"), delay_seconds=60.0)
+        instrumented = InstrumentedDispatcher(inner, context.log, context.counters, NO_TELEMETRY)
         with trio.move_on_after(0.01):
-            await observed.generate(make_request(0), None)
+            await instrumented.generate(make_request(0), None)
 
     trio.run(cancel)
 
--- a/tests/steps/entry/coordination/runs_steps.py
+++ b/tests/steps/entry/coordination/runs_steps.py
@@ -21,7 +21,7 @@
 
 
 def run_on(context: Context, index: int, method: str, *arguments: object) -> object:
-    """Run a method of an entry instance's coordinator until its settlements have ended."""
+    """Run a method of an entry instance's coordinator and wait for its settlements."""
 
     async def run() -> object:
         async with trio.open_nursery() as nursery:
@@ -49,12 +49,12 @@
 
 
 @given("the table service applies the next {count:d} writes late")
-def step_late(context: Context, count: int) -> None:
+def step_delay_writes(context: Context, count: int) -> None:
     context.table_service.delay_writes = count
 
 
-@when("the late writes take effect")
-def step_apply_late(context: Context) -> None:
+@when("the delayed writes take effect")
+def step_apply_delayed(context: Context) -> None:
     while context.table_service.late:
         context.table_service.apply_late()
 
@@ -80,9 +80,9 @@
 
 
 @then("the table service did {transactions:d} transactions and {reads:d} read")
-def step_operations(context: Context, transactions: int, reads: int) -> None:
-    done = context.table_service.transactions, context.table_service.reads
-    assert done == (transactions, reads), done
+def step_store_calls(context: Context, transactions: int, reads: int) -> None:
+    calls = context.table_service.transactions, context.table_service.reads
+    assert calls == (transactions, reads), calls
 
 
 @given("the table service is down")
@@ -97,7 +97,7 @@
         context.claims[key] = context.outcome
 
 
-@when('instance {index:d} settles key "{key}" as done with an answer of {size:d} bytes')
+@when('instance {index:d} settles key "{key}" as done with a response of {size:d} bytes')
 def step_settle_done(context: Context, index: int, key: str, size: int) -> None:
     answer = Answer(201, "application/json", b"x" * size)
     run_on(context, index, "settle", context.claims[key], RunStatus.DONE, answer)
@@ -118,7 +118,7 @@
     assert isinstance(context.outcome, Claimed), context.outcome
 
 
-@then("the last claim gives the stored answer of {size:d} bytes")
+@then("the last claim returns the stored response of {size:d} bytes")
 def step_stored(context: Context, size: int) -> None:
     assert context.outcome == Answer(201, "application/json", b"x" * size, replayed=True)
 
--- a/tests/steps/entry/coordination/suspects_steps.py
+++ b/tests/steps/entry/coordination/suspects_steps.py
@@ -30,12 +30,12 @@
 
 
 class Engines:
-    """Engines of which some are dead; they are admission, connections and observer in one."""
+    """Engines, some of them crashed; also serves as admission port and target observer."""
 
     def __init__(self) -> None:
         self.targets = [Target(f"e{n}", TargetKind.ENGINE, "s", f"e{n}", "r", "z") for n in (1, 2)]
-        self.dead: set[str] = set()
-        self.ran: list[str] = []
+        self.crashed: set[str] = set()
+        self.served: list[str] = []
 
     @asynccontextmanager
     async def admit(
@@ -49,7 +49,7 @@
     async def place_call(
         self, call: ServiceCall, excluded: frozenset[str]
     ) -> AsyncIterator[Target | Refused]:
-        """Place no calls."""
+        """Do not support calls."""
         raise NotImplementedError
         yield
 
@@ -57,22 +57,22 @@
     async def generate(
         self, target: Target, attempt: Attempt
     ) -> AsyncIterator[AsyncIterator[StreamItem]]:
-        """Answer without tokens, or cut the connection of a dead engine."""
+        """Finish without tokens, or cut the connection if the engine has crashed."""
 
         async def items() -> AsyncIterator[StreamItem]:
             await trio.lowlevel.checkpoint()
-            if target.target_id in self.dead:
+            if target.target_id in self.crashed:
                 yield StreamBroken("cut", target_lost=True)
                 return
-            self.ran.append(target.target_id)
+            self.served.append(target.target_id)
             yield EndFrame(0, xxhash.xxh3_64().hexdigest(), "stop")
 
         yield items()
 
     async def probe(self, target: Target) -> ProbeOutcome:
-        """Return whether an engine lives."""
+        """Return whether an engine is alive."""
         await trio.lowlevel.checkpoint()
-        return TargetGone() if target.target_id in self.dead else TargetAlive()
+        return TargetGone() if target.target_id in self.crashed else TargetAlive()
 
     def target_lost(self, failure: TargetFailure) -> None:
         """Do nothing."""
@@ -82,7 +82,7 @@
 
 
 class NoSink:
-    """Caller that gets no tokens."""
+    """Sink that discards tokens."""
 
     async def send(self, frame: TokenFrame) -> None:
         """Do nothing."""
@@ -105,22 +105,22 @@
 
 
 @when('target "{target_id}" dies under the other suspect')
-def step_dies(context: Context, target_id: str) -> None:
-    play(context, {target_id})
+def step_crash(context: Context, target_id: str) -> None:
+    run_suspects(context, {target_id})
 
 
 @when("the other suspect finishes")
-def step_finishes(context: Context) -> None:
-    play(context, set())
+def step_finish(context: Context) -> None:
+    run_suspects(context, set())
 
 
-def play(context: Context, dead: set[str]) -> None:
-    """Run the waiting suspect beside the other one, at whose end some engines are dead."""
+def run_suspects(context: Context, crashed: set[str]) -> None:
+    """Run both suspects; the engines `crashed` crash when the other suspect ends."""
 
     async def run_other() -> None:
         async with context.quarantine.exclusive_retry("other", "e1"):
             await trio.sleep(context.seconds)
-            context.engines.dead |= dead
+            context.engines.crashed |= crashed
 
     async def run() -> None:
         engines, clock = context.engines, context.clock
@@ -141,7 +141,7 @@
 @then('the waiting suspect is answered by target "{target_id}"')
 def step_answered(context: Context, target_id: str) -> None:
     assert isinstance(context.outcome, Finished), context.outcome
-    assert context.engines.ran == [target_id], context.engines.ran
+    assert context.engines.served == [target_id], context.engines.served
 
 
 @then("it is not suspected any more")
--- a/tests/support/order_machine.py
+++ b/tests/support/order_machine.py
@@ -1,4 +1,4 @@
-"""State machine of orders: real leases in a faulty table service, and late orders."""
+"""State machine of orders: real leases in a faulty table service, and delayed orders."""
 
 from dataclasses import dataclass
 from datetime import timedelta
@@ -32,34 +32,34 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LateOrder:
-    """An order on its way; an engine that ignores numbers acts on it until `until`."""
+class DelayedOrder:
+    """A delayed order; an engine that ignores fencing numbers applies it until `expires_at`."""
 
     fencing: int
-    until: timedelta
+    expires_at: timedelta
 
 
 class FakeEngine:
-    """An engine that records the fencing numbers of the orders that it acts on."""
+    """An engine that records the fencing numbers of the orders that it applies."""
 
     def __init__(self, clock: ManualClock, fencing: Fencing) -> None:
         self.clock = clock
         self.fencing = fencing
         self.applied: list[int] = []
-        self.late: list[LateOrder] = []
+        self.delayed: list[DelayedOrder] = []
         self.delay_next = False
 
     async def send(
         self, target: Target, order: EngineOrder, fencing: int, timeout: timedelta
     ) -> OrderAcknowledged | OrderRefused | OrderUnacknowledged:
-        """Act on an order now, or later and without an answer."""
+        """Apply an order now, or keep it for later and do not acknowledge it."""
         if self.delay_next:
-            self.late.append(LateOrder(fencing, self.clock.monotonic() + timeout))
-            return OrderUnacknowledged("no answer")
+            self.delayed.append(DelayedOrder(fencing, self.clock.monotonic() + timeout))
+            return OrderUnacknowledged("no acknowledgement")
         return OrderAcknowledged() if self.apply(fencing) else OrderRefused("old fencing number")
 
     def apply(self, fencing: int) -> bool:
-        """Act on an order unless its number is old and numbers are checked."""
+        """Apply an order, unless the engine checks fencing numbers and this one is old."""
         if self.fencing is Fencing.REFUSED and self.applied and fencing < max(self.applied):
             return False
         self.applied.append(fencing)
@@ -67,11 +67,11 @@
 
 
 class OrderMachine(RuleBasedStateMachine):
-    """Three entry instances give orders to one engine."""
+    """Three entry instances send orders to one engine."""
 
     @initialize(fencing=st.sampled_from(Fencing))
     def start(self, fencing: Fencing) -> None:
-        """Build the parts around an engine with or without fencing."""
+        """Create the leases and coordinators for an engine with or without fencing."""
         self.clock = ManualClock()
         self.table = FakeTable()
         self.fencing = fencing
@@ -83,36 +83,36 @@
             OrderCoordinator(leases, self.engine, rate, self.clock) for leases in self.leases
         ]
         self.held: list[tuple[int, Lease]] = []
-        self.numbers: list[int] = []
+        self.fencing_numbers: list[int] = []
 
     @rule(node=NODES)
     def acquire(self, node: int) -> None:
-        """Take the lease and keep it, as a holder that is paused does."""
+        """Acquire the lease and keep it, like a paused holder."""
         outcome = trio.run(self.leases[node].acquire, ENGINE.target_id, self.fencing)
         if isinstance(outcome, Lease):
             self.held.append((node, outcome))
-            self.numbers.append(outcome.fencing)
+            self.fencing_numbers.append(outcome.fencing)
 
     @precondition(lambda self: self.held)
     @rule(pick=PICKS, delay=st.booleans())
     def send(self, pick: int, delay: bool) -> None:
-        """Send an order under a lease that was taken at any earlier time."""
+        """Send an order under a lease that was acquired at any earlier time."""
         node, lease = self.held[pick % len(self.held)]
         self.engine.delay_next = delay
         trio.run(self.coordinators[node].send, lease, ENGINE, ChangeRole("prefill"), self.fencing)
 
     @rule(node=NODES, delay=st.booleans())
     def issue(self, node: int, delay: bool) -> None:
-        """Take the lease, send and release in one go."""
+        """Acquire the lease, send an order and release the lease."""
         self.engine.delay_next = delay
         trio.run(self.coordinators[node].issue, ENGINE, ChangeRole("decode"), self.fencing)
 
-    @precondition(lambda self: self.engine.late)
+    @precondition(lambda self: self.engine.delayed)
     @rule(pick=PICKS)
-    def arrive(self, pick: int) -> None:
-        """Let a late order reach the engine."""
-        order = self.engine.late.pop(pick % len(self.engine.late))
-        if self.fencing is Fencing.REFUSED or self.clock.monotonic() < order.until:
+    def deliver(self, pick: int) -> None:
+        """Deliver a delayed order to the engine."""
+        order = self.engine.delayed.pop(pick % len(self.engine.delayed))
+        if self.fencing is Fencing.REFUSED or self.clock.monotonic() < order.expires_at:
             self.engine.apply(order.fencing)
 
     @rule(seconds=st.integers(1, 21))
@@ -132,19 +132,19 @@
         self.table.unavailable = down
 
     @invariant()
-    def orders_keep_the_order_of_leases(self) -> None:
+    def orders_apply_in_lease_order(self) -> None:
         """Check that no order of an older lease has effect after one of a newer lease."""
         applied = getattr(self, "engine", None) and self.engine.applied
         assert not applied or applied == sorted(applied), applied
 
     @invariant()
-    def numbers_are_unique(self) -> None:
-        """No two leases have the same number."""
-        numbers = getattr(self, "numbers", [])
+    def fencing_numbers_are_unique(self) -> None:
+        """Check that no two leases have the same fencing number."""
+        numbers = getattr(self, "fencing_numbers", [])
         assert len(numbers) == len(set(numbers)), numbers
 
     def teardown(self) -> None:
-        """Check that a lease that was never released does not block the engine for good."""
+        """Check that a lease that was never released does not block the engine forever."""
         self.table.unavailable, self.table.lose_replies, self.table.drop_writes = False, 0, 0
         outcome = trio.run(self.leases[0].acquire, ENGINE.target_id, self.fencing)
         if isinstance(outcome, Lease):
--- a/tests/support/run_machine.py
+++ b/tests/support/run_machine.py
@@ -1,4 +1,4 @@
-"""Stateful fuzzing of run records against an oracle: the targets' own count of runs."""
+"""Stateful fuzzing of run records; the targets' own counts of runs are the oracle."""
 
 import threading
 from collections.abc import Awaitable, Callable
@@ -35,7 +35,7 @@
 
 
 class TrioThread:
-    """A trio run with virtual time in a thread; each action runs until all tasks are blocked."""
+    """Runs trio with virtual time in a thread; each action runs until all tasks are blocked."""
 
     def __init__(self) -> None:
         self.clock = trio.testing.MockClock()
@@ -45,7 +45,7 @@
         self._started.wait()
 
     def act(self, action: Callable[[], Awaitable[None]]) -> None:
-        """Run an action and wait until nothing is left to do at this time."""
+        """Run an action and wait until all tasks are blocked."""
 
         async def run() -> None:
             await action()
@@ -70,7 +70,7 @@
 
 
 class RunMachine(RuleBasedStateMachine):
-    """Callers, entry instances, platform outages and target failures in any order."""
+    """Random sequences of calls, platform outages, and instance and target failures."""
 
     @initialize()
     def start(self) -> None:
@@ -90,7 +90,7 @@
 
     @rule(index=INDEXES, key=KEYS, body=BODIES, mode=MODES)
     def call(self, index: int, key: str, body: str, mode: str) -> None:
-        """Send a call, or repeat an earlier one, through an entry instance."""
+        """Send a call, or retry an earlier one, through an entry instance."""
 
         async def send() -> None:
             self.world.targets.modes = [mode]
@@ -100,7 +100,7 @@
 
     @rule(key=KEYS, mode=MODES)
     def race(self, key: str, mode: str) -> None:
-        """Send one call through all entry instances at the same moment."""
+        """Send one call through all entry instances concurrently."""
 
         async def send() -> None:
             self.world.targets.modes = [mode]
@@ -125,7 +125,7 @@
 
     @rule(count=st.integers(1, 4))
     def drop_writes(self, count: int) -> None:
-        """Lose the next transactions."""
+        """Drop the next transactions."""
         self._set(drop_writes=count)
 
     @rule(count=st.integers(1, 4))
@@ -150,10 +150,10 @@
         self.world.objects.unavailable = down
 
     @rule(index=INDEXES)
-    def pause_or_wake(self, index: int) -> None:
-        """Pause an entry instance, or wake it."""
+    def pause_or_resume(self, index: int) -> None:
+        """Pause an entry instance, or resume it."""
 
-        async def change() -> None:
+        async def toggle() -> None:
             table = self.world.entries[index].table
             if table.paused is None:
                 table.paused = trio.Event()
@@ -161,11 +161,11 @@
                 table.paused.set()
                 table.paused = None
 
-        self.thread.act(change)
+        self.thread.act(toggle)
 
     @rule(index=INDEXES)
     def kill(self, index: int) -> None:
-        """End an entry instance and start another in its place."""
+        """Kill an entry instance and start a replacement."""
         self.killed = True
 
         async def kill() -> None:
@@ -184,13 +184,13 @@
 
     @invariant()
     def each_key_ran_at_most_once(self) -> None:
-        """Check the promise to callers of non-idempotent calls."""
+        """Check that no non-idempotent call ran twice."""
         runs = self.world.targets.runs
         assert all(count <= 1 for count in runs.values()), runs
 
     @invariant()
-    def callers_were_told_the_truth(self) -> None:
-        """Check each outcome against what the targets did."""
+    def outcomes_match_the_runs(self) -> None:
+        """Check each outcome against the targets' counts."""
         targets = self.world.targets
         for result in self.world.results:
             key = result.call.idempotency_key or ""
@@ -204,17 +204,20 @@
                     assert body.startswith(f"answer to {result.call.body!r}".encode()), result
 
     def teardown(self) -> None:
-        """After recovery each caller has an outcome, and no holder leaves a started record."""
+        """Check after recovery that each call has an outcome and no record is left as started.
+
+        Killed instances may leave calls without an outcome and records as started.
+        """
         self._set(unavailable=False, lose_replies=0, drop_writes=0, delay_writes=0)
         for index in range(ENTRIES):
             if self.world.entries[index].table.paused is not None:
-                self.pause_or_wake(index)
+                self.pause_or_resume(index)
         for _ in range(RECOVERY_SECONDS):
             self.time_passes(1)
         while self.world.shared.late:
             self.apply_late()
         self.each_key_ran_at_most_once()
-        self.callers_were_told_the_truth()
+        self.outcomes_match_the_runs()
         records = [
             msgspec.msgpack.decode(row.value, type=RunRecord)
             for row in self.world.shared.rows.values()
