--- a/packages/entry/src/wasabiwell_entry/coordination/orders/leases.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/leases.py
@@ -54,13 +54,13 @@
         if isinstance(rows, StoreUnavailable):
             return LeaseUnavailable(rows.reason)
         row = rows.get(key)
-        earlier = _decode(row) if row is not None else LeaseRecord("", "", 0, released=True)
+        current = _decode(row) if row is not None else LeaseRecord("", "", 0, released=True)
         version = row.version if row is not None else 0
-        if not earlier.released:
-            left = self._remaining_time(key, version, fencing)
-            if left > timedelta():
-                return LeaseHeld(earlier.holder, left)
-        return await self._acquire(engine_id, key, version, earlier.fencing + 1)
+        if not current.released:
+            remaining = self._remaining_time(key, version, fencing)
+            if remaining > timedelta():
+                return LeaseHeld(current.holder, remaining)
+        return await self._acquire(engine_id, key, version, current.fencing + 1)
 
     async def release(self, lease: Lease) -> None:
         """Let the next holder acquire the lease at once; an unreleased lease expires by itself."""
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/ports.py
@@ -26,4 +26,4 @@
     """Requests loads from the entry instance that owns the weight store's rate limit."""
 
     async def take(self, owner: Member, count: int) -> int:
-        """Return how many loads the owner grants; 0 when it does not answer."""
+        """Return how many loads the owner grants, or 0 if it does not respond."""
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
@@ -13,7 +13,7 @@
 SYNC_MAX_ROWS = 1_000
 SUSPECT_LEASE_PREFIX = "suspect-turn/"
 SUSPECT_LEASE_LIFETIME = timedelta(seconds=30)
-"""Limits how long a dead entry instance blocks a target for other suspects. Expiry is compared
+"""Limits how long a crashed entry instance blocks a target for other suspects. Expiry is compared
 with local wall clocks, which differ by a few seconds at most."""
 SUSPECT_LEASE_POLL_INTERVAL = timedelta(milliseconds=250)
 """Suspects are few and rarely wait, so polling adds little load to the table service."""
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
@@ -79,8 +79,8 @@
 
     def list(self) -> list[Suspect]:
         """Return the quarantined requests, sorted by fingerprint."""
-        found = [suspect for suspect in self._suspects if suspect.quarantined]
-        return sorted(found, key=lambda suspect: suspect.fingerprint)
+        quarantined = [suspect for suspect in self._suspects if suspect.quarantined]
+        return sorted(quarantined, key=lambda suspect: suspect.fingerprint)
 
     def quarantined(self, fingerprint: str) -> bool:
         """Return whether a request is refused."""
@@ -147,12 +147,12 @@
         self.remove(fingerprint)
         self._peers.withdraw(fingerprint)
         with trio.move_on_after(STORE_TIMEOUT.total_seconds()):
-            await self._delete(fingerprint, only_suspect=True)
+            await self._delete(fingerprint, keep_quarantined=True)
 
     async def release(self, fingerprint: str) -> ReleaseOutcome:
         """Release a quarantined request on every entry instance."""
         known = self.suspected(fingerprint)
-        deleted = await self._delete(fingerprint, only_suspect=False)
+        deleted = await self._delete(fingerprint, keep_quarantined=False)
         if isinstance(deleted, StoreUnavailable):
             return ReleaseUnavailable(deleted.reason)
         self.remove(fingerprint)
@@ -203,10 +203,10 @@
                 return True
         return False
 
-    async def _delete(self, fingerprint: str, *, only_suspect: bool) -> bool | StoreUnavailable:
+    async def _delete(self, fingerprint: str, *, keep_quarantined: bool) -> bool | StoreUnavailable:
         """Delete a suspect's row and return whether it was deleted.
 
-        With `only_suspect`, the row of a quarantined request is kept.
+        With `keep_quarantined`, the row of a quarantined request is kept.
         """
         key = SUSPECT_PREFIX + fingerprint
         for _ in range(MAX_WRITE_ATTEMPTS):
@@ -216,11 +216,9 @@
             row = rows.get(key)
             if row is None:
                 return False
-            if only_suspect and msgspec.msgpack.decode(row.value, type=Suspect).quarantined:
+            if keep_quarantined and msgspec.msgpack.decode(row.value, type=Suspect).quarantined:
                 return False
             outcome = await self._table.transact([Condition(key, row.version)], [Write(key, None)])
             if isinstance(outcome, Committed):
                 return True
-        return StoreUnavailable(
-            f"the row changed during each of {MAX_WRITE_ATTEMPTS} attempts to delete it"
-        )
+        return StoreUnavailable("the row changed during every attempt to delete it")
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
@@ -131,7 +131,7 @@
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> AsyncIterator[Placement | Refused]:
         """Wait for capacity; leaving the context releases it."""
-        began = self._log.elapsed(request)
+        started_s = self._log.elapsed(request)
         async with AsyncExitStack() as stack:
             try:
                 with self._telemetry.span(
@@ -141,7 +141,7 @@
                         self._inner.admit(request, excluded)
                     )
             finally:
-                self._log.add_admission_wait(request, began)
+                self._log.add_admission_wait(request, started_s)
             yield placement
 
     @asynccontextmanager
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/records.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/records.py
@@ -99,11 +99,11 @@
         attempt.outcome = outcome
         attempt.reason = without_target_text(reason)[:MAX_REASON_CHARS]
 
-    def add_admission_wait(self, request: GenerateRequest, began: float) -> None:
-        """Add an admission wait that began `began` seconds after the request's arrival."""
+    def add_admission_wait(self, request: GenerateRequest, started_s: float) -> None:
+        """Add an admission wait that began `started_s` seconds after the request's arrival."""
         record = self._records.get(request.request_id)
         if record is not None:
-            record.admission_wait_s += self.elapsed(request) - began
+            record.admission_wait_s += self.elapsed(request) - started_s
 
     def elapsed(self, request: GenerateRequest | ServiceCall) -> float:
         """Return the seconds since a request arrived."""
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -22,11 +22,11 @@
 from wasabiwell_entry.coordination.limits import LimitCoordinator
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
 from wasabiwell_entry.coordination.operations import OperationsCoordinator
-from wasabiwell_entry.coordination.operations.coordinator import Sources
+from wasabiwell_entry.coordination.operations.coordinator import StatusSources
 from wasabiwell_entry.coordination.operations.providers import (
-    AdmissionQueues,
-    Quarantine,
-    SharedCapacity,
+    AdmissionQueueProvider,
+    EngineCreditProvider,
+    SuspectProvider,
 )
 from wasabiwell_entry.coordination.orders import (
     OrderCoordinator,
@@ -198,9 +198,9 @@
         serve_credits(peer_service, credit_owner, credit_holder)
         serve_rate(peer_service, rate)
         peer_service.handle(ACQUIRE_LIMIT, limits.serve)
-        shared_capacity = SharedCapacity(owners, credit_owner, credit_holder)
+        shared_capacity = EngineCreditProvider(owners, credit_owner, credit_holder)
         operations = OperationsCoordinator(
-            Sources(
+            StatusSources(
                 own=own,
                 configuration=configuration_state,
                 members=members,
@@ -210,10 +210,10 @@
                 records=records,
                 counters=counters,
                 traffic=TRAFFIC,
-                queues=AdmissionQueues(admission),
+                queues=AdmissionQueueProvider(admission),
                 credit_ledger=shared_capacity,
                 owners=shared_capacity,
-                quarantine=Quarantine(quarantine),
+                quarantine=SuspectProvider(quarantine),
             )
         )
         async with open_run_coordinator(table, objects, clock, settings.node_id) as runs:
--- a/tests/entry/coordination/orders/orders.feature
+++ b/tests/entry/coordination/orders/orders.feature
@@ -41,8 +41,8 @@
     Then the second <result> the lease of an engine with <fencing> numbers
 
     Examples:
-      | fencing | age | result           |
-      | ignored | 19  | does not acquire |
-      | ignored | 21  | acquires         |
-      | refused | 14  | does not acquire |
-      | refused | 16  | acquires         |
+      | fencing | age | result        |
+      | ignored | 19  | does not take |
+      | ignored | 21  | takes         |
+      | refused | 14  | does not take |
+      | refused | 16  | takes         |
--- a/tests/entry/coordination/stop/stop.feature
+++ b/tests/entry/coordination/stop/stop.feature
@@ -8,7 +8,7 @@
     Then it closes its listeners after 3.3 seconds
     And it ends after 3.3 seconds
 
-  Scenario: Open requests are waited for
+  Scenario: A leaving instance waits for open requests
     Given an instance with a request that takes 5 seconds
     When it is told to leave
     Then it ends after 5.1 seconds
--- a/tests/steps/entry/coordination/orders_steps.py
+++ b/tests/steps/entry/coordination/orders_steps.py
@@ -141,4 +141,4 @@
 @then("the second {result} the lease of an engine with {fencing} numbers")
 def step_second_acquires(context: Context, result: str, fencing: str) -> None:
     outcome = trio.run(context.machine.leases[1].acquire, ENGINE.target_id, Fencing(fencing))
-    assert isinstance(outcome, Lease) == (result == "acquires"), outcome
+    assert isinstance(outcome, Lease) == (result == "takes"), outcome
--- a/tests/support/order_machine.py
+++ b/tests/support/order_machine.py
@@ -83,7 +83,7 @@
             OrderCoordinator(leases, self.engine, rate, self.clock) for leases in self.leases
         ]
         self.held: list[tuple[int, Lease]] = []
-        self.fencing_numbers: list[int] = []
+        self.numbers: list[int] = []
 
     @rule(node=NODES)
     def acquire(self, node: int) -> None:
@@ -91,7 +91,7 @@
         outcome = trio.run(self.leases[node].acquire, ENGINE.target_id, self.fencing)
         if isinstance(outcome, Lease):
             self.held.append((node, outcome))
-            self.fencing_numbers.append(outcome.fencing)
+            self.numbers.append(outcome.fencing)
 
     @precondition(lambda self: self.held)
     @rule(pick=PICKS, delay=st.booleans())
@@ -140,7 +140,7 @@
     @invariant()
     def fencing_numbers_are_unique(self) -> None:
         """Check that no two leases have the same fencing number."""
-        numbers = getattr(self, "fencing_numbers", [])
+        numbers = getattr(self, "numbers", [])
         assert len(numbers) == len(set(numbers)), numbers
 
     def teardown(self) -> None:
