--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
@@ -9,9 +9,9 @@
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
 from wasabiwell_entry.coordination.configuration.const import MAX_CONFIRMATION_AGE
 from wasabiwell_entry.coordination.lifecycle.const import (
-    DEPARTURE_TIME,
-    HAND_BACK_TIMEOUT,
-    LEAVING_SPREAD_TIME,
+    DEPARTURE_PROPAGATION_TIME,
+    LEAVING_PROPAGATION_TIME,
+    RELEASE_TIMEOUT,
 )
 from wasabiwell_entry.coordination.lifecycle.errors import NotReady, Readiness, Ready
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
@@ -19,13 +19,13 @@
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 
-HandBack = Callable[[], Awaitable[None]]
+ReleaseCallback = Callable[[], Awaitable[None]]
 
 
 class LifecycleCoordinator:
-    """Tracks open requests and takes the instance out of service."""
+    """Reports readiness, tracks open requests and shuts the instance down gracefully."""
 
-    __slots__ = ("_clock", "_configuration", "_hand_backs", "_membership", "_stop")
+    __slots__ = ("_clock", "_configuration", "_membership", "_release_callbacks", "_stop")
 
     def __init__(
         self,
@@ -35,7 +35,7 @@
     ) -> None:
         self._membership = membership
         self._configuration = configuration
-        self._hand_backs: list[HandBack] = []
+        self._release_callbacks: list[ReleaseCallback] = []
         self._clock = clock
         self._stop = GracefulStop(clock)
 
@@ -49,16 +49,16 @@
         """Return whether the graceful stop has begun."""
         return self._stop.leaving
 
-    def on_hand_back(self, hand_back: HandBack) -> None:
-        """Call a function after the last request, to return what a part holds."""
-        self._hand_backs.append(hand_back)
+    def on_release(self, release: ReleaseCallback) -> None:
+        """Register a callback that releases held resources after the last request has ended."""
+        self._release_callbacks.append(release)
 
     def request(self) -> AbstractContextManager[None]:
         """Count a request as open."""
         return self._stop.request()
 
     def readiness(self) -> Readiness:
-        """Tell whether the instance should get requests."""
+        """Return whether the instance should get requests."""
         if self._stop.leaving:
             return NotReady("the instance is leaving")
         if self._configuration.state.version == 0:
@@ -67,11 +67,14 @@
         if age is None:
             return NotReady("the configuration in force has not been confirmed")
         if age > MAX_CONFIRMATION_AGE and not self._membership.hears_majority():
-            return NotReady("the configuration may be old: neither store nor majority is reached")
+            return NotReady(
+                "the configuration may be outdated: neither the store nor a majority of members "
+                "is reachable"
+            )
         return Ready()
 
     def leave(self, reason: str) -> None:
-        """Start the graceful stop; a second call has no effect."""
+        """Start the graceful stop; further calls have no effect."""
         if self._stop.leaving:
             return
         log_events.emit(log_events.ENTRY_LEAVING, node=self._membership.own.node_id, reason=reason)
@@ -79,27 +82,27 @@
         self._stop.leave()
 
     async def wait_drained(self, address_ttl: timedelta, limit: timedelta) -> None:
-        """Wait until the instance left, callers forgot its address, and no request is open.
+        """Wait until the instance is leaving, its address has expired and no request is open.
 
-        After `limit` from the begin of the stop, requests that are still open are given up.
+        Requests that are still open `limit` after the start of the stop are aborted.
         """
         await self._stop.wait_leaving()
         end = self._clock.monotonic() + limit
-        await self._clock.sleep(address_ttl + LEAVING_SPREAD_TIME)
-        await self._stop.wait_no_request(end)
-        await self._hand_back()
+        await self._clock.sleep(address_ttl + LEAVING_PROPAGATION_TIME)
+        await self._stop.wait_requests_finished(end)
+        await self._release_held()
         self._membership.depart()
-        await self._clock.sleep(DEPARTURE_TIME)
-        await self._stop.wait_no_request(end)
+        await self._clock.sleep(DEPARTURE_PROPAGATION_TIME)
+        await self._stop.wait_requests_finished(end)
         if self._stop.open_requests:
             log_events.emit(log_events.STREAMS_CUT, count=self._stop.open_requests)
 
-    async def _hand_back(self) -> None:
-        """Let each part return what it holds; one that fails or hangs does not stop the others."""
-        for hand_back in self._hand_backs:
-            with trio.move_on_after(HAND_BACK_TIMEOUT.total_seconds()) as scope:
+    async def _release_held(self) -> None:
+        """Run the release callbacks; one that fails or hangs does not block the others."""
+        for release in self._release_callbacks:
+            with trio.move_on_after(RELEASE_TIMEOUT.total_seconds()) as scope:
                 try:
-                    await hand_back()
+                    await release()
                 except Exception as error:
                     log_events.emit(log_events.HAND_BACK_FAILED, error=repr(error))
             if scope.cancelled_caught:
--- a/packages/entry/src/wasabiwell_entry/coordination/stop/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/stop/coordinator.py
@@ -1,4 +1,4 @@
-"""Open requests of an entry instance, and the order to leave."""
+"""Tracks open requests and times the steps of a graceful stop."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -6,13 +6,17 @@
 
 import trio
 
-from wasabiwell_entry.coordination.stop.const import DRAIN_POLL_INTERVAL, END_MARGIN, LISTEN_TIME
+from wasabiwell_entry.coordination.stop.const import (
+    ACCEPT_DURATION,
+    DRAIN_POLL_INTERVAL,
+    TERMINATION_MARGIN,
+)
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 
 
 class GracefulStop:
-    """Counts open requests and tells when the instance is leaving."""
+    """Counts open requests and signals that the instance is leaving."""
 
     __slots__ = ("_clock", "_leaving", "_open")
 
@@ -41,30 +45,30 @@
             self._open -= 1
 
     def leave(self) -> None:
-        """Begin to leave; a second call has no effect."""
+        """Start the graceful stop; further calls have no effect."""
         self._leaving.set()
 
     async def wait_leaving(self) -> None:
-        """Return when the instance is leaving."""
+        """Wait until the graceful stop has started."""
         await self._leaving.wait()
 
-    async def wait_no_request(self, end: timedelta) -> None:
-        """Return when no request is open, or at a monotonic time."""
+    async def wait_requests_finished(self, end: timedelta) -> None:
+        """Wait until no request is open, at most until the monotonic time `end`."""
         while self._open and self._clock.monotonic() < end:
             await self._clock.sleep(DRAIN_POLL_INTERVAL)
 
-    async def wait_to_close(self) -> None:
-        """Return when a leaving instance should accept no more connections."""
+    async def wait_listeners_close(self) -> None:
+        """Wait until the leaving instance should close its listeners."""
         await self.wait_leaving()
-        await self._clock.sleep(LISTEN_TIME)
+        await self._clock.sleep(ACCEPT_DURATION)
 
-    def time_to_end(self, grace: timedelta) -> timedelta:
-        """Return how long open requests may take after the last connection was accepted."""
-        return max(timedelta(), grace - LISTEN_TIME - END_MARGIN)
+    def drain_timeout(self, grace: timedelta) -> timedelta:
+        """Return how long open requests may run on after the listeners are closed."""
+        return max(timedelta(), grace - ACCEPT_DURATION - TERMINATION_MARGIN)
 
-    async def report_cut_requests(self, grace: timedelta) -> None:
-        """Log the requests that are still open when the time of a leaving instance is over."""
-        await self.wait_to_close()
-        await self.wait_no_request(self._clock.monotonic() + self.time_to_end(grace))
+    async def log_aborted_requests(self, grace: timedelta) -> None:
+        """Log how many requests are still open at the end of the drain timeout."""
+        await self.wait_listeners_close()
+        await self.wait_requests_finished(self._clock.monotonic() + self.drain_timeout(grace))
         if self._open:
             log_events.emit(log_events.STREAMS_CUT, count=self._open)
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/observed.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
@@ -1,6 +1,6 @@
-"""Ports of dispatching that record what passes through them.
+"""Wrappers that record requests, attempts and store calls.
 
-Each class has the interface of the object it wraps, so dispatching does not know of it.
+Each class has the interface of the object it wraps, so the dispatcher needs no knowledge of it.
 """
 
 from collections.abc import AsyncIterator, Sequence
@@ -44,7 +44,7 @@
 
 
 class RequestRunner(Protocol):
-    """What front ends call: the dispatcher, observed or not."""
+    """The dispatcher as front ends call it, instrumented or not."""
 
     async def generate(self, request: GenerateRequest, sink: AnswerSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
@@ -53,7 +53,7 @@
         """Run a call on a plain service."""
 
 
-class ObservedDispatcher:
+class InstrumentedDispatcher:
     """Keeps a record of each request and counts outcomes."""
 
     __slots__ = ("_counters", "_inner", "_log", "_telemetry")
@@ -111,13 +111,13 @@
 
     def _record_times(self, record: RequestRecord, first_token_s: float) -> None:
         self._telemetry.first_token(record.service, record.size, first_token_s)
-        unwaited = first_token_s - record.admission_wait_s
-        if unwaited > 0:
-            self._telemetry.slowdown(record.service, record.size, first_token_s / unwaited)
+        unqueued_s = first_token_s - record.admission_wait_s
+        if unqueued_s > 0:
+            self._telemetry.slowdown(record.service, record.size, first_token_s / unqueued_s)
 
 
-class ObservedAdmission:
-    """Measures the wait for admission."""
+class InstrumentedAdmission:
+    """Records the time that requests wait for admission."""
 
     __slots__ = ("_inner", "_log", "_telemetry")
 
@@ -130,8 +130,8 @@
     async def admit(
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> AsyncIterator[Placement | Refused]:
-        """Wait for capacity; leaving the context gives all of it back."""
-        began = self._log.elapsed(request)
+        """Wait for capacity; leaving the context releases it."""
+        started_s = self._log.elapsed(request)
         async with AsyncExitStack() as stack:
             try:
                 with self._telemetry.span(
@@ -141,7 +141,7 @@
                         self._inner.admit(request, excluded)
                     )
             finally:
-                self._log.add_admission_wait(request, began)
+                self._log.add_admission_wait(request, started_s)
             yield placement
 
     @asynccontextmanager
@@ -154,7 +154,7 @@
 
 
 class _ObservedItems:
-    """Items of one attempt; counts tokens and notes the end."""
+    """Stream items of one attempt; counts tokens and records the outcome."""
 
     __slots__ = ("_attempt", "_items", "_log", "_record", "_request")
 
@@ -191,7 +191,7 @@
         return item
 
 
-class ObservedEngines:
+class InstrumentedEngines:
     """Records each attempt on an engine."""
 
     __slots__ = ("_inner", "_log", "_telemetry")
@@ -202,7 +202,7 @@
         self._telemetry = telemetry
 
     async def probe(self, target: Target) -> ProbeOutcome:
-        """Ask an engine for a sign of life on a new connection."""
+        """Check on a new connection whether an engine is alive."""
         return await self._inner.probe(target)
 
     @asynccontextmanager
@@ -223,7 +223,7 @@
                 self._telemetry.annotate({"wasabiwell.outcome": record.outcome})
 
 
-class ObservedPlain:
+class InstrumentedPlainServices:
     """Records each call to a plain service."""
 
     __slots__ = ("_inner", "_log", "_telemetry")
@@ -253,7 +253,7 @@
                 self._telemetry.annotate({"wasabiwell.outcome": record.outcome})
 
 
-class ObservedTable:
+class InstrumentedTable:
     """Counts calls to the table service."""
 
     __slots__ = ("_counters", "_inner", "_telemetry")
