--- a/packages/entry/src/wasabiwell_entry/transport/http/services.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/services.py
@@ -12,7 +12,7 @@
     fingerprint,
     is_idempotent,
 )
-from wasabiwell_entry.state.outcomes import Answer, Finding, Reason, Refused, RunState
+from wasabiwell_entry.state.outcomes import Finding, Reason, Refused, RunState, ServiceResponse
 from wasabiwell_entry.state.requests import ServiceCall
 from wasabiwell_entry.transport.http.asgi import Exchange
 from wasabiwell_entry.transport.http.context import (
@@ -39,7 +39,7 @@
         await exchange.respond_problem(problem(call))
         return
     match await context.dispatcher.call(call):
-        case Answer() as answer:
+        case ServiceResponse() as answer:
             headers = [
                 (b"content-type", answer.content_type.encode("latin-1")),
                 (b"x-request-id", call.request_id.encode()),
--- a/packages/entry/src/wasabiwell_entry/transport/peer/rate.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/rate.py
@@ -1,6 +1,6 @@
 """Messages about the weight store's rate."""
 
-from wasabiwell_entry.coordination.orders import WeightStoreRate
+from wasabiwell_entry.coordination.orders import WeightStoreRateLimiter
 from wasabiwell_entry.protocol.peer import ACQUIRE_WEIGHT_RATE, RateGrant, RateRequest
 from wasabiwell_entry.state.members import Member
 from wasabiwell_entry.transport.peer.client import PeerClient, PeerUnavailable
@@ -25,7 +25,7 @@
                 return reply.granted
 
 
-def serve_rate(service: PeerService, rate: WeightStoreRate) -> None:
+def serve_rate(service: PeerService, rate: WeightStoreRateLimiter) -> None:
     """Answer messages about the rate with this entry instance's share."""
 
     async def take(request: RateRequest) -> RateGrant:
