--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -64,11 +64,11 @@
 from wasabiwell_entry.transport.http.server import serve_callers
 from wasabiwell_entry.transport.peer.calls import GrpcPeerCalls, register_peer_methods
 from wasabiwell_entry.transport.peer.client import open_peer_client
-from wasabiwell_entry.transport.peer.codec import TRAFFIC
+from wasabiwell_entry.transport.peer.codec import CONTROL_TRAFFIC
 from wasabiwell_entry.transport.peer.credits import GrpcCreditPeers, serve_credits
-from wasabiwell_entry.transport.peer.exchange import GrpcPeers
-from wasabiwell_entry.transport.peer.limits import PeerLimitOwners
-from wasabiwell_entry.transport.peer.rate import GrpcRatePeers, serve_rate
+from wasabiwell_entry.transport.peer.exchange import GrpcHeartbeatConnector
+from wasabiwell_entry.transport.peer.limits import GrpcLimitOwners
+from wasabiwell_entry.transport.peer.rate import GrpcWeightRatePeers, serve_weight_rate
 from wasabiwell_entry.transport.peer.server import PeerService, serve_peers
 from wasabiwell_entry.transport.platform.client import (
     HttpInstanceList,
@@ -138,7 +138,7 @@
             members,
             MarkTable(),
             instances,
-            GrpcPeers(tls.peer_client),
+            GrpcHeartbeatConnector(tls.peer_client),
             configuration,
             clock,
         )
@@ -171,7 +171,7 @@
         def organisation(name: str) -> Organisation | None:
             return configuration_state.view.organisation(name)
 
-        limits = LimitCoordinator(own, members, organisation, PeerLimitOwners(peers), clock)
+        limits = LimitCoordinator(own, members, organisation, GrpcLimitOwners(peers), clock)
         policy = _policy(settings)
         match policy:
             case LoadAware(shares_credits=True):
@@ -191,12 +191,12 @@
         )
         marked.subscribe(quarantine.merge_remote, quarantine.remove)
         rate = WeightStoreRateLimiter(
-            settings.weight_loads, own, members, GrpcRatePeers(peers), clock
+            settings.weight_loads, own, members, GrpcWeightRatePeers(peers), clock
         )
         peer_service = PeerService()
         register_peer_methods(peer_service, membership, members, configuration, targets)
         serve_credits(peer_service, credit_owner, credit_holder)
-        serve_rate(peer_service, rate)
+        serve_weight_rate(peer_service, rate)
         peer_service.handle(ACQUIRE_LIMIT, limits.serve)
         shared_capacity = EngineCreditProvider(owners, credit_owner, credit_holder)
         operations = OperationsCoordinator(
@@ -209,7 +209,7 @@
                 lifecycle=lifecycle,
                 records=records,
                 counters=counters,
-                traffic=TRAFFIC,
+                traffic=CONTROL_TRAFFIC,
                 queues=AdmissionQueueProvider(admission),
                 credit_ledger=shared_capacity,
                 owners=shared_capacity,
--- a/packages/entry/src/wasabiwell_entry/transport/http/orders.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/orders.py
@@ -19,11 +19,11 @@
 from wasabiwell_entry.protocol.problem import problem
 from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
 from wasabiwell_entry.state.targets import TargetKind
-from wasabiwell_entry.transport.http.asgi import JSON_TYPE, Exchange
+from wasabiwell_entry.transport.http.asgi import JSON_TYPE, HttpExchange
 from wasabiwell_entry.transport.http.context import HttpContext
 
 
-async def handle_order(context: HttpContext, exchange: Exchange) -> None:
+async def handle_order(context: HttpContext, exchange: HttpExchange) -> None:
     """Give an operator's order to an engine."""
     body = await exchange.read_body(
         context.limits.max_body_bytes, context.limits.body_timeout_seconds
@@ -47,7 +47,7 @@
     await exchange.respond(code, [JSON_TYPE], msgspec.json.encode(reply))
 
 
-async def _refuse(exchange: Exchange, finding: Finding) -> None:
+async def _refuse(exchange: HttpExchange, finding: Finding) -> None:
     refused = Refused(Reason.INVALID_REQUEST, "the order is not valid", findings=(finding,))
     await exchange.respond_problem(problem(refused))
 
--- a/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
@@ -85,7 +85,7 @@
         self._channel.close()
 
 
-class GrpcPeers:
+class GrpcHeartbeatConnector:
     """Heartbeat streams to other entry instances."""
 
     __slots__ = ("_tls",)
--- a/packages/entry/src/wasabiwell_entry/transport/peer/rate.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/rate.py
@@ -7,7 +7,7 @@
 from wasabiwell_entry.transport.peer.server import PeerService
 
 
-class GrpcRatePeers:
+class GrpcWeightRatePeers:
     """Asks other entry instances for loads; implements `RatePeers`."""
 
     __slots__ = ("_client",)
@@ -25,7 +25,7 @@
                 return reply.granted
 
 
-def serve_rate(service: PeerService, rate: WeightStoreRateLimiter) -> None:
+def serve_weight_rate(service: PeerService, rate: WeightStoreRateLimiter) -> None:
     """Answer messages about the rate with this entry instance's share."""
 
     async def take(request: RateRequest) -> RateGrant:
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -8,13 +8,13 @@
 import msgspec
 import trio
 
-from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.dispatch.errors import (
     ProbeOutcome,
     TargetAlive,
     TargetDown,
     TargetSilent,
 )
+from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.targets.errors import LoadUnavailable
 from wasabiwell_entry.coordination.targets.ports import CacheEvent, CacheReport, LoadReport
 from wasabiwell_entry.coordination.telemetry import NO_TELEMETRY, Telemetry
@@ -185,7 +185,9 @@
                     allowed = _allowed_silence(attempt, reads)
                     if self._clock.monotonic() - begun < allowed:
                         continue
-                    broken = StreamInterrupted("the stream is silent, the engine is not", silent=True)
+                    broken = StreamInterrupted(
+                        "the stream is silent, the engine is not", silent=True
+                    )
                 case TargetDown() | TargetSilent():
                     broken = StreamInterrupted("the engine is silent", target_lost=True)
             if reads.begun == begun:
--- a/packages/entry/src/wasabiwell_entry/transport/target/orders.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/orders.py
@@ -5,7 +5,11 @@
 import httpcore
 import trio
 
-from wasabiwell_entry.coordination.orders.errors import OrderAcknowledged, OrderRefused, OrderUnacknowledged
+from wasabiwell_entry.coordination.orders.errors import (
+    OrderAcknowledged,
+    OrderRefused,
+    OrderUnacknowledged,
+)
 from wasabiwell_entry.protocol.orders import encode_order
 from wasabiwell_entry.state.orders import EngineOrder
 from wasabiwell_entry.state.targets import Target
--- a/packages/entry/src/wasabiwell_entry/transport/target/plain.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -34,7 +34,9 @@
         self._tls = tls
         self._telemetry = telemetry
 
-    async def call(self, target: Target, call: ServiceCall) -> ServiceResponse | CallNotSent | CallInterrupted:
+    async def call(
+        self, target: Target, call: ServiceCall
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Send a call once, and only before its deadline."""
         host, _, port = target.address.rpartition(":")
         try:
