--- a/packages/entry/src/wasabiwell_entry/transport/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Sockets: servers and clients."""
+"""Servers, clients and codecs on sockets."""
--- a/packages/entry/src/wasabiwell_entry/transport/certificates.py
+++ b/packages/entry/src/wasabiwell_entry/transport/certificates.py
@@ -1,4 +1,4 @@
-"""TLS contexts whose certificates are read again when their files change."""
+"""TLS contexts that reload their certificates when the files change."""
 
 import ssl
 from dataclasses import dataclass, field
@@ -9,13 +9,13 @@
 
 from wasabiwell_entry.state import log_events
 
-CHECK_INTERVAL = timedelta(seconds=2)
+RELOAD_CHECK_INTERVAL = timedelta(seconds=2)
 HTTP2_PROTOCOL = "h2"
 
 
 @dataclass(frozen=True, slots=True)
 class KeyPair:
-    """Paths of a certificate chain and its key, both PEM."""
+    """Paths of a certificate chain and its private key, both in PEM format."""
 
     certificate: str
     key: str
@@ -23,23 +23,23 @@
 
 @dataclass(slots=True)
 class CertificateReloader:
-    """Contexts that use one key pair or one list of issuers; new connections see new files.
+    """Creates TLS contexts and reloads them, so that new connections use the current files.
 
-    Issuers that are taken out of a file stay accepted until the process starts anew, because a
-    context only adds issuers.
+    A CA certificate that is removed from a file stays trusted until the process restarts, because
+    an `ssl.SSLContext` can only add CA certificates.
     """
 
-    _watched: list["_Watched"] = field(default_factory=list)
+    _watched_contexts: list["_WatchedContext"] = field(default_factory=list)
 
     def server(self, pair: KeyPair, protocols: tuple[str, ...]) -> ssl.SSLContext:
-        """Return the context of a listener that offers these ALPN protocols."""
+        """Return the context of a listener that offers the given ALPN protocols."""
         context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
         context.set_alpn_protocols(list(protocols))
         self._watch(context, pair, "")
         return context
 
     def peer_server(self, pair: KeyPair, ca: str) -> ssl.SSLContext:
-        """Return the context of a listener that accepts only clients of these issuers."""
+        """Return the context of a listener that requires client certificates of the given CAs."""
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
         context.verify_mode = ssl.CERT_REQUIRED
         context.set_alpn_protocols([HTTP2_PROTOCOL])
@@ -47,58 +47,59 @@
         return context
 
     def peer_client(self, pair: KeyPair, ca: str) -> ssl.SSLContext:
-        """Return the context of connections to listeners of `peer_server`."""
+        """Return the client context for listeners that use `peer_server`."""
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         context.set_alpn_protocols([HTTP2_PROTOCOL])
         self._watch(context, pair, ca)
         return context
 
     def client(self, ca: str) -> ssl.SSLContext:
-        """Return the context of connections to servers of these issuers."""
+        """Return the client context for servers with certificates of the given CAs."""
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         self._watch(context, None, ca)
         return context
 
     async def run(self) -> None:
-        """Read changed files again until cancelled."""
-        if not self._watched:
+        """Reload changed files until cancelled."""
+        if not self._watched_contexts:
             return
         while True:
-            await trio.sleep(CHECK_INTERVAL.total_seconds())
-            for watched in self._watched:
+            await trio.sleep(RELOAD_CHECK_INTERVAL.total_seconds())
+            for watched in self._watched_contexts:
                 watched.refresh()
 
     def _watch(self, context: ssl.SSLContext, pair: KeyPair | None, ca: str) -> None:
-        watched = _Watched(context, pair, ca)
+        watched = _WatchedContext(context, pair, ca)
         watched.load()
-        self._watched.append(watched)
+        self._watched_contexts.append(watched)
 
 
 @dataclass(slots=True)
-class _Watched:
-    """A context, its files, and what the files looked like when they were read."""
+class _WatchedContext:
+    """A context, its files, and the signature of the files that it has loaded."""
 
     context: ssl.SSLContext
     pair: KeyPair | None
     ca: str
-    seen: tuple[tuple[int, int, int], ...] = ()
+    loaded_signature: tuple[tuple[int, int, int], ...] = ()
 
     def load(self) -> None:
-        """Read the files; raises `OSError` or `ssl.SSLError` and then leaves the context alone."""
-        seen = self._signature()
-        scratch = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        self._load_into(scratch)
+        """Load the files; raises `OSError` or `ssl.SSLError` and leaves the context unchanged then."""
+        signature = self._signature()
+        trial = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        self._load_into(trial)
         self._load_into(self.context)
-        self.seen = seen
+        self.loaded_signature = signature
 
     def refresh(self) -> None:
-        """Read the files again when they changed; the previous ones stay in use on failure.
+        """Reload the files if they changed; on failure the previous ones stay in use.
 
-        This runs on the event loop, so that no handshake begins between certificate and key.
+        This runs on the event loop without a checkpoint, so that no handshake starts between the
+        loading of the certificate and of the key.
         """
         path = self.pair.certificate if self.pair is not None else self.ca
         try:
-            if self._signature() == self.seen:
+            if self._signature() == self.loaded_signature:
                 return
             self.load()
         except (OSError, ssl.SSLError) as error:
@@ -113,6 +114,6 @@
             context.load_verify_locations(self.ca)
 
     def _signature(self) -> tuple[tuple[int, int, int], ...]:
-        names = [*((self.pair.certificate, self.pair.key) if self.pair else ()), self.ca]
-        stats = [Path(name).stat() for name in names if name]
+        paths = [*((self.pair.certificate, self.pair.key) if self.pair else ()), self.ca]
+        stats = [Path(path).stat() for path in paths if path]
         return tuple((stat.st_mtime_ns, stat.st_size, stat.st_ino) for stat in stats)
--- a/packages/entry/src/wasabiwell_entry/transport/datagram/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/transport/datagram/__init__.py
@@ -1,1 +1,1 @@
-"""Datagrams between entry instances."""
+"""UDP messages between entry instances."""
--- a/packages/entry/src/wasabiwell_entry/transport/datagram/endpoint.py
+++ b/packages/entry/src/wasabiwell_entry/transport/datagram/endpoint.py
@@ -12,7 +12,7 @@
 from wasabiwell_entry.state.exchange import Notice
 
 MAX_DATAGRAM_BYTES = 60_000
-"""Largest message that is sent; UDP carries 65,507 bytes."""
+"""Largest message that is sent, below the UDP payload limit of 65,507 bytes."""
 
 
 class DatagramEndpoint:
@@ -20,12 +20,12 @@
 
     __slots__ = ("_socket", "dropped")
 
-    def __init__(self, own: socket.socket) -> None:
-        self._socket = own
+    def __init__(self, udp_socket: socket.socket) -> None:
+        self._socket = udp_socket
         self.dropped = 0
 
     def send(self, addresses: Iterable[str], notice: Notice) -> None:
-        """Send a message to each address; one that the system does not take is dropped."""
+        """Send a message to each address; counts a message that the kernel rejects as dropped."""
         data = encode_notice(notice)
         if len(data) > MAX_DATAGRAM_BYTES:
             self.dropped += 1
@@ -36,13 +36,14 @@
             try:
                 self._socket.sendto(data, (host, int(port)))
             except OSError:
-                # Notices are repeated by the next state, and unreachable hosts are found by it.
+                # The next state message repeats the notice, and it detects unreachable hosts.
                 self.dropped += 1
 
     async def receive(self, receiver: NoticeReceiver) -> None:
-        """Pass each message and its sender's address on until cancelled.
+        """Pass each message and its sender's address to the receiver until cancelled.
 
-        Messages mostly come singly, so each is waited for: a read that finds none costs more.
+        Messages mostly arrive singly, so this waits before each read: a read that finds no
+        message costs more than the wait.
         """
         while True:
             await trio.lowlevel.wait_readable(self._socket)
@@ -61,9 +62,9 @@
 
 @asynccontextmanager
 async def open_datagram_endpoint(address: str) -> AsyncIterator[DatagramEndpoint]:
-    """Own the socket at an address `HOST:PORT` until the context ends; raises `OSError`."""
+    """Bind a UDP socket to an address `HOST:PORT`; raises `OSError`."""
     host, _, port = address.rpartition(":")
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as own:
-        own.setblocking(False)
-        own.bind((host, int(port)))
-        yield DatagramEndpoint(own)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp_socket:
+        udp_socket.setblocking(False)
+        udp_socket.bind((host, int(port)))
+        yield DatagramEndpoint(udp_socket)
--- a/packages/entry/src/wasabiwell_entry/transport/http/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/__init__.py
@@ -1,1 +1,1 @@
-"""Server for callers and operators."""
+"""HTTP server for callers and operators."""
--- a/packages/entry/src/wasabiwell_entry/transport/http/admin.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/admin.py
@@ -1,4 +1,4 @@
-"""Handlers of the operators' interface below `/admin/v1`."""
+"""Handlers of the admin API under `/admin/v1`."""
 
 from dataclasses import asdict
 from urllib.parse import unquote
@@ -46,43 +46,43 @@
 
 
 async def handle_admin(context: HttpContext, exchange: HttpExchange) -> None:
-    """Answer an operator."""
+    """Authenticate an operator and handle an admin request."""
     if not context.configuration.view.has_operators:
-        # A started instance may not know yet that the deployment has operators.
+        # An instance that has just started may not have loaded the operators yet.
         await context.configuration_coordinator.refresh()
     operator = authenticate_operator(context, exchange)
     if isinstance(operator, Refused):
         await exchange.respond_problem(problem(operator))
         return
-    route = [unquote(part) for part in exchange.path.removeprefix(ADMIN_PREFIX).split("/")]
-    match exchange.method, route:
+    segments = [unquote(part) for part in exchange.path.removeprefix(ADMIN_PREFIX).split("/")]
+    match exchange.method, segments:
         case "GET", ["configuration"]:
             await _get_configuration(context, exchange)
         case "POST", ["configuration"]:
-            await _apply(context, exchange)
+            await _apply_configuration(context, exchange)
         case "GET", ["configuration", "history"]:
-            await _history(context, exchange)
+            await _get_history(context, exchange)
         case "GET", ["status"]:
-            await _respond(exchange, 200, context.operations.report())
+            await _respond_json(exchange, 200, context.operations.report())
         case "POST", ["drain"]:
             node_id = context.operations.report().node_id
-            context.lifecycle.leave(f"operator {operator.name} asked for it")
-            await _respond(exchange, 202, DrainReply(node_id, node_id))
+            context.lifecycle.leave(f"requested by operator {operator.name}")
+            await _respond_json(exchange, 202, DrainReply(node_id, node_id))
         case "POST", ["targets", target_id, "drain"]:
             await _drain_target(context, exchange, target_id)
         case "POST", ["orders"]:
             await handle_order(context, exchange)
         case "GET", ["quarantine"]:
-            await _quarantine(context, exchange)
+            await _list_quarantined(context, exchange)
         case "DELETE", ["quarantine", fingerprint]:
-            await _release(context, exchange, fingerprint)
+            await _release_from_quarantine(context, exchange, fingerprint)
         case "GET", ["trace", request_id]:
-            await _trace(context, exchange, request_id)
+            await _get_trace(context, exchange, request_id)
         case method, _:
             await _respond_refused(exchange, f"no operation {method} {exchange.path}")
 
 
-async def _respond(exchange: HttpExchange, status: int, value: object) -> None:
+async def _respond_json(exchange: HttpExchange, status: int, value: object) -> None:
     await exchange.respond(status, [JSON_TYPE], msgspec.json.encode(value))
 
 
@@ -92,7 +92,7 @@
     await exchange.respond_problem(problem(Refused(reason, message)))
 
 
-async def _history(context: HttpContext, exchange: HttpExchange) -> None:
+async def _get_history(context: HttpContext, exchange: HttpExchange) -> None:
     text = exchange.query("limit") or str(HISTORY_LIMIT)
     if not text.isdecimal() or not 1 <= int(text) <= MAX_HISTORY_LIMIT:
         finding = Finding("query limit", f"must be from 1 to {MAX_HISTORY_LIMIT}")
@@ -100,44 +100,46 @@
         await exchange.respond_problem(problem(refused))
         return
     versions = tuple(HistoryEntry(*entry) for entry in context.operations.history(int(text)))
-    await _respond(exchange, 200, HistoryReply(context.configuration.version, versions))
+    await _respond_json(exchange, 200, HistoryReply(context.configuration.version, versions))
 
 
 async def _drain_target(context: HttpContext, exchange: HttpExchange, target_id: str) -> None:
     match context.operations.drain_target(target_id):
         case Done():
             node_id = context.operations.report().node_id
-            await _respond(exchange, 202, DrainReply(node_id, target_id))
+            await _respond_json(exchange, 202, DrainReply(node_id, target_id))
         case NotFound(message=message):
             await _respond_refused(exchange, message, Reason.NOT_FOUND)
 
 
-async def _quarantine(context: HttpContext, exchange: HttpExchange) -> None:
+async def _list_quarantined(context: HttpContext, exchange: HttpExchange) -> None:
     match context.operations.suspects():
         case Unavailable(reason=reason):
             await _respond_refused(exchange, reason)
         case suspects:
-            await _respond(exchange, 200, QuarantineReply(suspects))
+            await _respond_json(exchange, 200, QuarantineReply(suspects))
 
 
-async def _release(context: HttpContext, exchange: HttpExchange, fingerprint: str) -> None:
+async def _release_from_quarantine(
+    context: HttpContext, exchange: HttpExchange, fingerprint: str
+) -> None:
     match await context.operations.release(fingerprint):
         case Done():
-            await _respond(exchange, 200, {"released": fingerprint})
+            await _respond_json(exchange, 200, {"released": fingerprint})
         case NotFound(message=message):
             await _respond_refused(exchange, message, Reason.NOT_FOUND)
         case Unavailable(reason=reason):
             await _respond_refused(exchange, reason, Reason.STORE_UNAVAILABLE)
 
 
-async def _trace(context: HttpContext, exchange: HttpExchange, request_id: str) -> None:
+async def _get_trace(context: HttpContext, exchange: HttpExchange, request_id: str) -> None:
     match context.operations.record(request_id):
         case NoRecord():
             message = f"this entry instance has no record of request {request_id}"
             await _respond_refused(exchange, message, Reason.NOT_FOUND)
         case record:
             node_id = context.operations.report().node_id
-            await _respond(exchange, 200, TraceReply(node_id, record))
+            await _respond_json(exchange, 200, TraceReply(node_id, record))
 
 
 async def _get_configuration(context: HttpContext, exchange: HttpExchange) -> None:
@@ -147,7 +149,7 @@
     await exchange.respond(200, [JSON_TYPE], body)
 
 
-async def _apply(context: HttpContext, exchange: HttpExchange) -> None:
+async def _apply_configuration(context: HttpContext, exchange: HttpExchange) -> None:
     body = await exchange.read_body(
         context.limits.max_body_bytes, context.limits.body_timeout_seconds
     )
@@ -175,7 +177,7 @@
         case Accepted(version=version, peers=peers):
             return ApplyReply("accepted", version, peers=peers)
         case AcceptedNotShared(version=version):
-            reason = "the version is committed, but no other entry instance has taken it yet"
+            reason = "the version is committed, but no other entry instance has received it yet"
             return ApplyReply("accepted_not_shared", version, reason=reason)
         case Conflict(version=version, paths=paths):
             return ApplyReply("conflict", version, paths)
--- a/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -1,4 +1,4 @@
-"""Types and helpers of the ASGI interface."""
+"""ASGI types, and the HTTP request and response as the handlers use them."""
 
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -17,7 +17,7 @@
 
 
 class HttpExchange:
-    """One HTTP request and its answer."""
+    """One HTTP request and its response."""
 
     __slots__ = ("_closing", "_finished", "_receive", "_scope", "_send", "_started")
 
@@ -52,12 +52,12 @@
 
     @property
     def started(self) -> bool:
-        """Return whether the head of the answer has been sent."""
+        """Return whether the response has started."""
         return self._started
 
     @property
     def peer_host(self) -> str:
-        """Return the caller's IP number."""
+        """Return the caller's IP address."""
         client = self._scope.get("client")
         return str(client[0]) if client else ""
 
@@ -67,21 +67,24 @@
         return values[0] if values else None
 
     def header(self, name: bytes) -> str | None:
-        """Return the value of a header; `name` is in lower case."""
+        """Return the value of a header; `name` must be in lower case."""
         for key, value in self._scope["headers"]:
             if key == name:
                 return bytes(value).decode("latin-1")
         return None
 
     async def read_body(self, max_bytes: int, timeout_seconds: float) -> bytes | Refused:
-        """Return the whole body, or why it was not accepted."""
+        """Return the whole body, or the reason for rejecting it."""
         chunks: list[bytes] = []
         size = 0
         with trio.move_on_after(timeout_seconds):
             while True:
                 message = await self._receive()
                 if message["type"] == "http.disconnect":
-                    return _body_refused(Reason.INVALID_REQUEST, "the body was cut off")
+                    return _body_refused(
+                        Reason.INVALID_REQUEST,
+                        "the connection was closed before the whole body arrived",
+                    )
                 chunk = message.get("body", b"")
                 size += len(chunk)
                 if size > max_bytes:
@@ -96,9 +99,9 @@
         )
 
     async def cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
-        """Cancel a scope when the caller closes the connection before the answer is finished.
+        """Cancel a scope if the caller disconnects before the response is finished.
 
-        Call it after the body was read.
+        Must be called after the body has been read.
         """
         while (await self._receive())["type"] != "http.disconnect":
             pass
@@ -106,31 +109,35 @@
             scope.cancel()
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Send the head of the answer; a closing server ends the connection after it."""
+        """Send status and headers; a server that shuts down closes HTTP/1 connections after this."""
         self._started = True
         if self._closing() and str(self._scope.get("http_version", "1.1")).startswith("1"):
             headers = [*headers, (b"connection", b"close")]
-        # The server does not know that the answer has begun when this is cancelled midway.
+        # Without the shield, a cancelled send would leave the server unaware that the response
+        # has started.
         with trio.CancelScope(shield=True):
             await self._send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def send(self, data: bytes) -> None:
-        """Send a part of the body; waits while the caller reads slowly."""
+        """Send a part of the body; waits while the caller reads slowly (backpressure)."""
         await self._send({"type": "http.response.body", "body": data, "more_body": True})
 
     async def finish(self, data: bytes = b"") -> None:
-        """Send the last part of the body; the server then reports a disconnect of the caller."""
+        """Send the last part of the body.
+
+        The server then reports `http.disconnect`, even if the caller is still connected.
+        """
         self._finished = True
         await self._send({"type": "http.response.body", "body": data, "more_body": False})
 
     async def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
-        """Send a whole answer."""
+        """Send a complete response."""
         length = (b"content-length", str(len(body)).encode())
         await self.start(status, [*headers, length])
         await self.finish(body)
 
     async def respond_problem(self, problem: Problem, request_id: str = "") -> None:
-        """Send a failure, with the request id when the request has one."""
+        """Send an error response, with the request id if there is one."""
         headers = problem.headers
         if request_id:
             headers = [*headers, (b"x-request-id", request_id.encode())]
@@ -142,7 +149,7 @@
 
 
 async def serve_lifespan(receive: Receive, send: Send) -> None:
-    """Confirm the start and the stop of an ASGI application that needs no work for them."""
+    """Acknowledge the lifespan events of an application without startup or shutdown work."""
     while True:
         message = await receive()
         await send({"type": f"{message['type']}.complete"})
--- a/packages/entry/src/wasabiwell_entry/transport/http/chat.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/chat.py
@@ -28,49 +28,47 @@
     (b"content-type", b"text/event-stream"),
     (b"cache-control", b"no-cache"),
 ]
-
-
-KEEP_ALIVE_SECONDS = 5.0
+KEEP_ALIVE_INTERVAL_SECONDS = 5.0
 
 
 class StreamSink:
-    """Sends tokens to the caller as server-sent events, and comments while there are none."""
+    """Sends tokens as server-sent events, and keep-alive comments while there are none."""
 
-    __slots__ = ("_encoder", "_exchange", "_last_sent", "_request_id", "_sending")
+    __slots__ = ("_encoder", "_exchange", "_last_sent", "_request_id", "_send_lock")
 
     def __init__(self, exchange: HttpExchange, encoder: ChatEncoder, request_id: str) -> None:
         self._exchange = exchange
         self._encoder = encoder
         self._request_id = request_id
         self._last_sent = trio.current_time()
-        self._sending = trio.Lock()
+        self._send_lock = trio.Lock()
 
     async def send(self, frame: TokenFrame) -> None:
-        """Send the event of a frame, after the head of the answer."""
+        """Send the event of a frame, and the response headers before the first one."""
         await self._send(self._encoder.token_event(frame))
 
     async def keep_alive(self) -> None:
-        """Send a comment whenever nothing was sent for a while, until cancelled."""
+        """Send a comment after each idle interval, until cancelled."""
         while True:
-            await trio.sleep_until(self._last_sent + KEEP_ALIVE_SECONDS)
-            if trio.current_time() >= self._last_sent + KEEP_ALIVE_SECONDS:
+            await trio.sleep_until(self._last_sent + KEEP_ALIVE_INTERVAL_SECONDS)
+            if trio.current_time() >= self._last_sent + KEEP_ALIVE_INTERVAL_SECONDS:
                 await self._send(KEEP_ALIVE_EVENT)
 
     async def _send(self, data: bytes) -> None:
-        async with self._sending:
+        async with self._send_lock:
             await self.begin()
             await self._exchange.send(data)
             self._last_sent = trio.current_time()
 
     async def begin(self) -> None:
-        """Send the head of the answer when it has not been sent."""
+        """Send the response headers unless they have been sent."""
         if not self._exchange.started:
             request_id = (b"x-request-id", self._request_id.encode())
             await self._exchange.start(200, [*EVENT_STREAM_HEADERS, request_id])
 
 
 class CollectingSink:
-    """Collects tokens for an answer that is not streamed."""
+    """Collects the tokens of a response that is not streamed."""
 
     __slots__ = ("_texts",)
 
@@ -88,7 +86,7 @@
 
 
 async def handle_chat(context: HttpContext, exchange: HttpExchange) -> None:
-    """Answer a completion request."""
+    """Handle a chat completion request."""
     received = context.clock.monotonic()
     body = await exchange.read_body(
         context.limits.max_body_bytes, context.limits.body_timeout_seconds
@@ -97,20 +95,20 @@
     if isinstance(parsed, Refused):
         await exchange.respond_problem(problem(parsed))
         return
-    request = _build_request(context, exchange, parsed, received)
+    request = _authorize_request(context, exchange, parsed, received)
     if isinstance(request, Refused):
         await exchange.respond_problem(problem(request))
         return
     async with trio.open_nursery() as nursery:
         nursery.start_soon(exchange.cancel_on_disconnect, nursery.cancel_scope)
         if parsed.stream:
-            await _answer_stream(context, exchange, request)
+            await _respond_streaming(context, exchange, request)
         else:
-            await _answer_whole(context, exchange, request)
+            await _respond_complete(context, exchange, request)
         nursery.cancel_scope.cancel()
 
 
-def _build_request(
+def _authorize_request(
     context: HttpContext, exchange: HttpExchange, body: ChatBody, received: timedelta
 ) -> GenerateRequest | Refused:
     organisation = authenticate_organisation(context, exchange, body.model)
@@ -121,12 +119,12 @@
         message = f"no model service is named {body.model}"
         return Refused(Reason.UNKNOWN_SERVICE, message, findings=(Finding("$.model", message),))
     if body.prompt_tokens > service.max_prompt_tokens:
-        message = f"the prompt has about {body.prompt_tokens} tokens, over the service's limit"
+        message = f"the prompt has about {body.prompt_tokens} tokens, more than the service's limit"
         return Refused(Reason.PROMPT_TOO_LONG, message, findings=(Finding("$.messages", message),))
-    return _request(organisation, service, body, received)
+    return _make_request(organisation, service, body, received)
 
 
-def _request(
+def _make_request(
     organisation: Organisation, service: ModelService, body: ChatBody, received: timedelta
 ) -> GenerateRequest:
     return GenerateRequest(
@@ -153,10 +151,10 @@
             return service.deadlines.long
 
 
-async def _answer_stream(
+async def _respond_streaming(
     context: HttpContext, exchange: HttpExchange, request: GenerateRequest
 ) -> None:
-    encoder = _encoder(context, request)
+    encoder = _make_encoder(context, request)
     sink = StreamSink(exchange, encoder, request.request_id)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(sink.keep_alive)
@@ -172,13 +170,13 @@
             await exchange.respond_problem(problem(failure), request.request_id)
 
 
-async def _answer_whole(
+async def _respond_complete(
     context: HttpContext, exchange: HttpExchange, request: GenerateRequest
 ) -> None:
     sink = CollectingSink()
     match await context.dispatcher.generate(request, sink):
         case Finished(tokens=tokens, finish_reason=finish_reason):
-            body = _encoder(context, request).completion(
+            body = _make_encoder(context, request).completion(
                 sink.text, finish_reason, request.prompt_tokens, tokens
             )
             request_id = (b"x-request-id", request.request_id.encode())
@@ -187,6 +185,6 @@
             await exchange.respond_problem(problem(failure), request.request_id)
 
 
-def _encoder(context: HttpContext, request: GenerateRequest) -> ChatEncoder:
+def _make_encoder(context: HttpContext, request: GenerateRequest) -> ChatEncoder:
     created = int(context.clock.now().timestamp())
     return ChatEncoder(request.request_id, request.service, created)
--- a/packages/entry/src/wasabiwell_entry/transport/http/context.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/context.py
@@ -1,4 +1,4 @@
-"""What the handlers of HTTP requests share."""
+"""Dependencies, limits and authentication of the HTTP handlers."""
 
 import ipaddress
 import secrets
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
-    """Limits of one HTTP request."""
+    """Limits on the body of an HTTP request."""
 
     max_body_bytes: int
     body_timeout_seconds: float
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpContext:
-    """Coordinators and state that handlers use."""
+    """Coordinators and state that the handlers use."""
 
     dispatcher: RequestRunner
     addresses: AddressCoordinator
@@ -49,36 +49,36 @@
 
 
 def new_request_id() -> str:
-    """Return an id that no other request has."""
+    """Return a new random request id."""
     return secrets.token_hex(12)
 
 
 def authenticate_organisation(
     context: HttpContext, exchange: HttpExchange, service: str
 ) -> Organisation | Refused:
-    """Return the organisation whose key the caller sent."""
+    """Return the organisation whose API key the caller sent, if it may use the service."""
     key_hash = _key_hash(exchange)
     organisation = key_hash and context.configuration.view.organisation_by_key_hash(key_hash)
     if not organisation:
         return _unauthenticated()
     if organisation.services and service not in organisation.services:
-        return Refused(Reason.FORBIDDEN, f"service {service} is not open to the organisation")
+        return Refused(Reason.FORBIDDEN, f"the organisation may not use service {service}")
     return organisation
 
 
 def authenticate_operator(context: HttpContext, exchange: HttpExchange) -> OperatorKey | Refused:
     """Return the operator whose key the caller sent.
 
-    While no operator key is configured, the interface is open to loopback callers and to the
-    bootstrap key.
+    As long as no operator key is configured, loopback callers and callers with the bootstrap key
+    are accepted.
     """
     key_hash = _key_hash(exchange)
     view = context.configuration.view
     if view.has_operators:
         return (key_hash and view.operator_by_key_hash(key_hash)) or _unauthenticated()
     bootstrap = context.bootstrap_key_hash
-    with_key = key_hash and bootstrap and secrets.compare_digest(key_hash, bootstrap)
-    if not with_key and not _is_loopback(exchange.peer_host):
+    bootstrap_key_sent = key_hash and bootstrap and secrets.compare_digest(key_hash, bootstrap)
+    if not bootstrap_key_sent and not _is_loopback(exchange.peer_host):
         return _unauthenticated()
     log_events.emit(log_events.BOOTSTRAP_ACCESS, host=exchange.peer_host)
     return OperatorKey(name="bootstrap", key_hash=bootstrap)
--- a/packages/entry/src/wasabiwell_entry/transport/http/orders.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/orders.py
@@ -24,7 +24,7 @@
 
 
 async def handle_order(context: HttpContext, exchange: HttpExchange) -> None:
-    """Give an operator's order to an engine."""
+    """Send an operator's order to an engine."""
     body = await exchange.read_body(
         context.limits.max_body_bytes, context.limits.body_timeout_seconds
     )
@@ -35,19 +35,21 @@
         parsed = msgspec.json.decode(body, type=OrderBody)
         order = parsed.order()
     except msgspec.DecodeError as error:
-        await _refuse(exchange, Finding("body", str(error)))
+        await _respond_invalid(exchange, Finding("body", str(error)))
         return
-    status = context.targets.get(parsed.engine)
-    if status is None or status.target.kind is not TargetKind.ENGINE:
-        await _refuse(exchange, Finding("$.engine", f"no engine {parsed.engine!r} is known"))
+    target_status = context.targets.get(parsed.engine)
+    if target_status is None or target_status.target.kind is not TargetKind.ENGINE:
+        await _respond_invalid(
+            exchange, Finding("$.engine", f"engine {parsed.engine!r} does not exist")
+        )
         return
-    service = context.configuration.view.model_service(status.target.service)
+    service = context.configuration.view.model_service(target_status.target.service)
     fencing = service.fencing if service is not None else Fencing.IGNORED
-    code, reply = _reply(await context.orders.issue(status.target, order, fencing))
-    await exchange.respond(code, [JSON_TYPE], msgspec.json.encode(reply))
+    status_code, reply = _reply(await context.orders.issue(target_status.target, order, fencing))
+    await exchange.respond(status_code, [JSON_TYPE], msgspec.json.encode(reply))
 
 
-async def _refuse(exchange: HttpExchange, finding: Finding) -> None:
+async def _respond_invalid(exchange: HttpExchange, finding: Finding) -> None:
     refused = Refused(Reason.INVALID_REQUEST, "the order is not valid", findings=(finding,))
     await exchange.respond_problem(problem(refused))
 
@@ -58,17 +60,21 @@
             return 200, OrderReply("done")
         case OrderRefused(reason=reason):
             return 409, OrderReply("refused", reason)
-        case LeaseHeld(holder=holder, retry_after=wait):
-            return 409, _later("lease_held", f"{holder} holds the engine's lease", wait)
+        case LeaseHeld(holder=holder, retry_after=retry_after):
+            return 409, _retry_later(
+                "lease_held", f"{holder} holds the engine's lease", retry_after
+            )
         case LeaseExpired():
-            return 503, OrderReply("lease_lapsed", "the lease ended before the order was sent")
+            return 503, OrderReply("lease_lapsed", "the lease expired before the order was sent")
         case LeaseUnavailable(reason=reason):
             return 503, OrderReply("lease_unavailable", reason)
-        case RateLimitReached(retry_after=wait):
-            return 429, _later("rate_used_up", "the weight store's rate is used up", wait)
+        case RateLimitReached(retry_after=retry_after):
+            return 429, _retry_later(
+                "rate_used_up", "the rate limit of the weight store is reached", retry_after
+            )
         case OrderUnacknowledged(reason=reason):
             return 504, OrderReply("unknown", reason)
 
 
-def _later(outcome: str, reason: str, wait: timedelta) -> OrderReply:
-    return OrderReply(outcome, reason, wait.total_seconds())
+def _retry_later(outcome: str, reason: str, retry_after: timedelta) -> OrderReply:
+    return OrderReply(outcome, reason, retry_after.total_seconds())
--- a/packages/entry/src/wasabiwell_entry/transport/http/server.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/server.py
@@ -1,4 +1,4 @@
-"""ASGI application and server for callers and operators."""
+"""ASGI application and its server, for callers and operators."""
 
 import ssl
 from collections.abc import Awaitable, Callable
@@ -25,9 +25,9 @@
 from wasabiwell_entry.transport.http.context import HttpContext, new_request_id
 from wasabiwell_entry.transport.http.services import SERVICES_PREFIX, handle_service
 
-KEEP_ALIVE_SECONDS = 60
+KEEP_ALIVE_TIMEOUT_SECONDS = 60
 SHUTDOWN_GRACE_SECONDS = 30
-"""Time for requests that arrive in the last moment of a stop; idle connections close at once."""
+"""Time to finish requests that arrive during shutdown; idle connections close at once."""
 
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 
@@ -42,14 +42,14 @@
         if scope["type"] != "http":
             return
         exchange = HttpExchange(scope, receive, send, lambda: context.lifecycle.leaving)
-        with context.lifecycle.request(), _span(context, exchange):
-            await _serve(context, exchange)
+        with context.lifecycle.request(), _request_span(context, exchange):
+            await _handle(context, exchange)
 
     return app
 
 
-class _Config(Config):
-    """Configuration of hypercorn with a TLS context whose certificate can be replaced."""
+class _HypercornConfig(Config):
+    """Hypercorn configuration with a given TLS context, so that its certificate can be reloaded."""
 
     def __init__(self, tls: ssl.SSLContext | None) -> None:
         super().__init__()
@@ -61,7 +61,7 @@
         return self._tls is not None
 
     def create_ssl_context(self) -> ssl.SSLContext | None:
-        """Return the context."""
+        """Return the given TLS context."""
         return self._tls
 
 
@@ -72,19 +72,19 @@
     shutdown: Callable[[], Awaitable[None]],
     tls: ssl.SSLContext | None = None,
 ) -> None:
-    """Serve until `shutdown` returns."""
-    config = _Config(tls)
+    """Serve callers and operators until `shutdown` returns."""
+    config = _HypercornConfig(tls)
     config.bind = [f"{host}:{port}"]
     config.accesslog = None
     config.errorlog = None
-    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_SECONDS
     config.graceful_timeout = SHUTDOWN_GRACE_SECONDS
     config.include_server_header = False
     await serve(application(context), config, shutdown_trigger=shutdown)  # type: ignore[arg-type]
 
 
-def _span(context: HttpContext, exchange: HttpExchange) -> AbstractContextManager[None]:
-    """Return the span of a request; the path is not part of it, as callers choose it."""
+def _request_span(context: HttpContext, exchange: HttpExchange) -> AbstractContextManager[None]:
+    """Return the span of a request; its name has no path, because callers choose the path."""
     return context.telemetry.request_span(
         f"{exchange.method} request",
         exchange.header(b"traceparent"),
@@ -92,7 +92,7 @@
     )
 
 
-async def _serve(context: HttpContext, exchange: HttpExchange) -> None:
+async def _handle(context: HttpContext, exchange: HttpExchange) -> None:
     try:
         await _route(context, exchange)
     except Exception as error:
@@ -109,9 +109,9 @@
         case "GET", "/healthz":
             await exchange.respond(200, [JSON_TYPE], b'{"status":"ok"}')
         case "GET", "/readyz":
-            await _readiness(context, exchange)
+            await _respond_readiness(context, exchange)
         case "GET", "/v1/addresses":
-            await _addresses(context, exchange)
+            await _respond_addresses(context, exchange)
         case "POST", "/v1/chat/completions":
             await handle_chat(context, exchange)
         case _, path if path.startswith(SERVICES_PREFIX):
@@ -123,7 +123,7 @@
             await exchange.respond_problem(problem(refused))
 
 
-async def _readiness(context: HttpContext, exchange: HttpExchange) -> None:
+async def _respond_readiness(context: HttpContext, exchange: HttpExchange) -> None:
     match context.lifecycle.readiness():
         case Ready():
             await exchange.respond(200, [JSON_TYPE], b'{"status":"ready"}')
@@ -131,7 +131,7 @@
             await exchange.respond_problem(problem(Refused(Reason.NOT_READY, reason)))
 
 
-async def _addresses(context: HttpContext, exchange: HttpExchange) -> None:
-    answer = context.addresses.addresses(exchange.query("zone"), exchange.peer_host)
-    body = msgspec.json.encode({"addresses": answer.addresses, "ttl_s": answer.ttl.total_seconds()})
+async def _respond_addresses(context: HttpContext, exchange: HttpExchange) -> None:
+    result = context.addresses.addresses(exchange.query("zone"), exchange.peer_host)
+    body = msgspec.json.encode({"addresses": result.addresses, "ttl_s": result.ttl.total_seconds()})
     await exchange.respond(200, [JSON_TYPE], body)
--- a/packages/entry/src/wasabiwell_entry/transport/http/services.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/services.py
@@ -1,4 +1,4 @@
-"""Handler of calls to plain services below `/v1/services/`."""
+"""Handler of calls to plain services under `/v1/services/`."""
 
 import hashlib
 from datetime import timedelta
@@ -25,34 +25,34 @@
 
 
 async def handle_service(context: HttpContext, exchange: HttpExchange) -> None:
-    """Answer a call to a plain service."""
+    """Handle a call to a plain service."""
     received = context.clock.monotonic()
-    name, _, rest = exchange.path.removeprefix(SERVICES_PREFIX).partition("/")
+    name, _, service_path = exchange.path.removeprefix(SERVICES_PREFIX).partition("/")
     body = await exchange.read_body(
         context.limits.max_body_bytes, context.limits.body_timeout_seconds
     )
     if isinstance(body, Refused):
         await exchange.respond_problem(problem(body))
         return
-    call = _build_call(context, exchange, name, f"/{rest}", body, received)
+    call = _authorize_call(context, exchange, name, f"/{service_path}", body, received)
     if isinstance(call, Refused):
         await exchange.respond_problem(problem(call))
         return
     match await context.dispatcher.call(call):
-        case ServiceResponse() as answer:
+        case ServiceResponse() as response:
             headers = [
-                (b"content-type", answer.content_type.encode("latin-1")),
+                (b"content-type", response.content_type.encode("latin-1")),
                 (b"x-request-id", call.request_id.encode()),
                 (RUN_HEADER, RunState.RAN.value.encode()),
             ]
-            if answer.replayed:
+            if response.replayed:
                 headers.append((b"idempotent-replayed", b"true"))
-            await exchange.respond(answer.status, headers, answer.body)
+            await exchange.respond(response.status, headers, response.body)
         case failure:
             await exchange.respond_problem(problem(failure), call.request_id)
 
 
-def _build_call(
+def _authorize_call(
     context: HttpContext,
     exchange: HttpExchange,
     name: str,
@@ -69,12 +69,12 @@
         return Refused(Reason.UNKNOWN_SERVICE, message, findings=(Finding("path", message),))
     idempotent = is_idempotent(service, exchange.method, path)
     key = exchange.header(IDEMPOTENCY_HEADER)
-    if not idempotent and (finding := _check_key(key)) is not None:
+    if not idempotent and (finding := _check_idempotency_key(key)) is not None:
         return Refused(Reason.MISSING_IDEMPOTENCY_KEY, finding.message, findings=(finding,))
-    return _call(organisation, service, exchange, path, body, received, idempotent, key)
+    return _make_call(organisation, service, exchange, path, body, received, idempotent, key)
 
 
-def _call(
+def _make_call(
     organisation: Organisation,
     service: PlainService,
     exchange: HttpExchange,
@@ -109,10 +109,10 @@
     )
 
 
-def _check_key(key: str | None) -> Finding | None:
-    place = "header Idempotency-Key"
+def _check_idempotency_key(key: str | None) -> Finding | None:
+    location = "header Idempotency-Key"
     if not key:
-        return Finding(place, "is required, because the call must not run twice")
+        return Finding(location, "is required, because the call is not idempotent")
     if len(key) > MAX_IDEMPOTENCY_KEY_CHARS:
-        return Finding(place, f"must have at most {MAX_IDEMPOTENCY_KEY_CHARS} characters")
+        return Finding(location, f"must have at most {MAX_IDEMPOTENCY_KEY_CHARS} characters")
     return None
