--- a/packages/entry/src/wasabiwell_entry/transport/certificates.py
+++ b/packages/entry/src/wasabiwell_entry/transport/certificates.py
@@ -84,7 +84,7 @@
     loaded_signature: tuple[tuple[int, int, int], ...] = ()
 
     def load(self) -> None:
-        """Load the files; raises `OSError` or `ssl.SSLError` and leaves the context unchanged then."""
+        """Load the files; if this raises `OSError` or `ssl.SSLError`, the context is unchanged."""
         signature = self._signature()
         trial = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
         self._load_into(trial)
--- a/packages/entry/src/wasabiwell_entry/transport/http/admin.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/admin.py
@@ -48,7 +48,7 @@
 async def handle_admin(context: HttpContext, exchange: HttpExchange) -> None:
     """Authenticate an operator and handle an admin request."""
     if not context.configuration.view.has_operators:
-        # An instance that has just started may not have loaded the operators yet.
+        # An instance that has just started may not have loaded the operator keys yet.
         await context.configuration_coordinator.refresh()
     operator = authenticate_operator(context, exchange)
     if isinstance(operator, Refused):
--- a/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -109,7 +109,7 @@
             scope.cancel()
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Send status and headers; a server that shuts down closes HTTP/1 connections after this."""
+        """Send status and headers; during shutdown, HTTP/1 connections are closed afterwards."""
         self._started = True
         if self._closing() and str(self._scope.get("http_version", "1.1")).startswith("1"):
             headers = [*headers, (b"connection", b"close")]
--- a/packages/entry/src/wasabiwell_entry/transport/http/orders.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/orders.py
@@ -40,7 +40,7 @@
     target_status = context.targets.get(parsed.engine)
     if target_status is None or target_status.target.kind is not TargetKind.ENGINE:
         await _respond_invalid(
-            exchange, Finding("$.engine", f"engine {parsed.engine!r} does not exist")
+            exchange, Finding("$.engine", f"engine {parsed.engine!r} is unknown")
         )
         return
     service = context.configuration.view.model_service(target_status.target.service)
--- a/packages/entry/src/wasabiwell_entry/transport/logs/const.py
+++ b/packages/entry/src/wasabiwell_entry/transport/logs/const.py
@@ -1,16 +1,16 @@
-"""Constants of log lines."""
+"""Limits of the log output."""
 
 from datetime import timedelta
 
-LINES_PER_EVENT = 40
-"""Lines of one event in a second; further ones are counted and told in the next second."""
-SUCCESS_LINES = 20
-"""Lines in a second that tell of what went well; beyond it a part of the requests is told."""
-SAMPLED_REQUESTS = 16
-"""Beyond the bound, one of this many requests is told, the same one on all of its lines."""
-BUFFERED_BYTES = 1024 * 1024
-"""Lines that wait for a reader of standard output; further ones are dropped and counted."""
-WRITE_BYTES = 64 * 1024
-"""Bytes of one write, the size of a pipe."""
-FLUSH_TIME = timedelta(milliseconds=500)
-"""Time to write what is buffered when the process ends."""
+MAX_LINES_PER_SECOND = 40
+"""Lines of one failure event per second; the next second logs how many more were suppressed."""
+MAX_SUCCESS_LINES_PER_SECOND = 20
+"""Lines of one success event per second; beyond this limit, requests are sampled."""
+SAMPLING_INTERVAL = 16
+"""Above the limit, one request in this many is logged, with the same choice for all its events."""
+MAX_BUFFERED_BYTES = 1024 * 1024
+"""Lines waiting to be read from standard output; further ones are dropped and counted."""
+MAX_WRITE_BYTES = 64 * 1024
+"""Size of one write: the capacity of a Linux pipe."""
+FLUSH_TIMEOUT = timedelta(milliseconds=500)
+"""Time limit for writing the buffered lines when the process ends."""
--- a/packages/entry/src/wasabiwell_entry/transport/logs/writer.py
+++ b/packages/entry/src/wasabiwell_entry/transport/logs/writer.py
@@ -1,4 +1,4 @@
-"""Writes log lines to standard output without ever blocking the process."""
+"""Writes log lines to standard output without blocking the process."""
 
 import os
 from collections.abc import AsyncIterator
@@ -6,25 +6,25 @@
 
 import trio
 
-from wasabiwell_entry.transport.logs.const import FLUSH_TIME, WRITE_BYTES
+from wasabiwell_entry.transport.logs.const import FLUSH_TIMEOUT, MAX_WRITE_BYTES
 from wasabiwell_entry.transport.logs.lines import LineBuffer
 
 
 class LineWriter:
     """Writes the lines of a buffer to a file descriptor."""
 
-    __slots__ = ("_buffer", "_descriptor", "_rest", "_waits", "_wake")
+    __slots__ = ("_buffer", "_descriptor", "_pollable", "_unwritten", "_wake")
 
     def __init__(self, buffer: LineBuffer, descriptor: int) -> None:
         self._buffer = buffer
         self._descriptor = descriptor
-        self._rest = b""
+        self._unwritten = b""
         self._wake = trio.Event()
-        self._waits = True
+        self._pollable = True
         buffer.wake = self._wake.set
 
     async def run(self) -> None:
-        """Write lines as they come until cancelled."""
+        """Write lines as they are buffered until cancelled."""
         while True:
             await self.flush()
             await self._wake.wait()
@@ -32,31 +32,31 @@
             self._buffer.wake = self._wake.set
 
     async def flush(self) -> None:
-        """Write all lines that wait."""
-        while self._rest or not self._buffer.empty:
-            self._rest = self._rest or self._buffer.take(WRITE_BYTES)
+        """Write all buffered lines."""
+        while self._unwritten or not self._buffer.empty:
+            self._unwritten = self._unwritten or self._buffer.take(MAX_WRITE_BYTES)
             await self._wait_writable()
             try:
-                self._rest = self._rest[os.write(self._descriptor, self._rest) :]
+                self._unwritten = self._unwritten[os.write(self._descriptor, self._unwritten) :]
             except BlockingIOError:
                 continue
             except OSError:
-                # Nobody can be told: the reader of the lines is gone.
-                self._rest = b""
+                # The reading end is closed, so the error cannot be logged either.
+                self._unwritten = b""
 
     async def _wait_writable(self) -> None:
-        """Wait for the reader; files need no wait and cannot be waited for."""
-        if self._waits:
+        """Wait until the descriptor is writable; regular files always are and cannot be polled."""
+        if self._pollable:
             try:
                 await trio.lowlevel.wait_writable(self._descriptor)
             except OSError:
-                self._waits = False
+                self._pollable = False
         await trio.lowlevel.checkpoint()
 
 
 @asynccontextmanager
 async def open_line_writer(buffer: LineBuffer, descriptor: int) -> AsyncIterator[None]:
-    """Write the lines of a buffer until the context ends, and what waits then for a short time."""
+    """Write the lines of a buffer; at exit, flush the remaining lines within a time limit."""
     blocking = os.get_blocking(descriptor)
     os.set_blocking(descriptor, False)
     writer = LineWriter(buffer, descriptor)
@@ -67,7 +67,7 @@
                 yield
             finally:
                 nursery.cancel_scope.cancel()
-                with trio.move_on_after(FLUSH_TIME.total_seconds(), shield=True):
+                with trio.move_on_after(FLUSH_TIMEOUT.total_seconds(), shield=True):
                     await writer.flush()
     finally:
         os.set_blocking(descriptor, blocking)
--- a/packages/entry/src/wasabiwell_entry/transport/metrics/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/transport/metrics/__init__.py
@@ -1,1 +1,1 @@
-"""Metrics in the text format of Prometheus."""
+"""Metrics in the Prometheus text format."""
--- a/packages/entry/src/wasabiwell_entry/transport/metrics/exposition.py
+++ b/packages/entry/src/wasabiwell_entry/transport/metrics/exposition.py
@@ -1,4 +1,4 @@
-"""Encodes counts and states as metrics; the library is loaded with the first request for them."""
+"""Encodes counters and gauges for Prometheus; its library is loaded by the first scrape."""
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Gauge:
-    """A state at the time of the request, by the value of one label."""
+    """A gauge that is read at each scrape; `read` returns its values by label value."""
 
     name: str
     help_text: str
@@ -25,15 +25,15 @@
 
 @dataclass(frozen=True, slots=True)
 class MetricSources:
-    """What is told."""
+    """Counters and gauges to expose."""
 
     counters: ForwardCounters
     gauges: tuple[Gauge, ...]
 
 
 def render_metrics(sources: MetricSources) -> bytes:
-    """Return all metrics in the text format."""
-    # The library takes 4 MB, which processes that are not asked should not have.
+    """Return all metrics in the Prometheus text format."""
+    # The library takes 4 MB, which processes that are never scraped should not use.
     from prometheus_client import CollectorRegistry, generate_latest
 
     registry = CollectorRegistry(auto_describe=False)
@@ -42,7 +42,7 @@
 
 
 class _Collector:
-    """Hands the library what it encodes; implements its `Collector`."""
+    """Provides the metrics to the library; implements its `Collector`."""
 
     def __init__(self, sources: MetricSources) -> None:
         self._sources = sources
@@ -55,8 +55,8 @@
         requests = CounterMetricFamily(
             f"{PREFIX}_requests", "Requests of callers.", labels=["kind", "outcome", "reason"]
         )
-        for kind, count in counters.requests.items():
-            requests.add_metric([kind.kind, kind.outcome, kind.reason], count)
+        for key, count in counters.requests.items():
+            requests.add_metric([key.kind, key.outcome, key.reason], count)
         yield requests
         sends = CounterMetricFamily(
             f"{PREFIX}_sends", "Sends to targets by the verdict on the target.", labels=["verdict"]
@@ -64,12 +64,12 @@
         for verdict, count in counters.sends.items():
             sends.add_metric([verdict], count)
         yield sends
-        store = CounterMetricFamily(
+        store_calls = CounterMetricFamily(
             f"{PREFIX}_store_calls", "Calls to the platform's store.", labels=["call", "result"]
         )
         for (call, result), count in counters.store_calls.items():
-            store.add_metric([call, result], count)
-        yield store
+            store_calls.add_metric([call, result], count)
+        yield store_calls
         yield CounterMetricFamily(
             f"{PREFIX}_lost_helpers",
             "Helpers that leads of split prompts have called gone.",
@@ -96,9 +96,9 @@
 
     family = HistogramMetricFamily(f"{PREFIX}_{name}", help_text, labels=["size"])
     for size, histogram in sorted(histograms.items()):
-        buckets, running = [], 0
+        buckets, cumulative = [], 0
         for bound, count in zip((*histogram.bounds, float("inf")), histogram.counts, strict=True):
-            running += count
-            buckets.append(("+Inf" if bound == float("inf") else str(bound), running))
+            cumulative += count
+            buckets.append(("+Inf" if bound == float("inf") else str(bound), cumulative))
         family.add_metric([size], buckets, histogram.total)
     return family
--- a/packages/entry/src/wasabiwell_entry/transport/peer/calls.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/calls.py
@@ -22,7 +22,7 @@
 
 
 class GrpcPeerCalls:
-    """Unary calls to other entry instances, as ports of configuration and lifecycle."""
+    """Unary calls to other entry instances; implements ports of configuration and lifecycle."""
 
     __slots__ = ("_client", "_own_id")
 
@@ -31,7 +31,7 @@
         self._own_id = own_id
 
     async def push(self, member: Member, delta: ConfigurationDelta) -> int | PeerUnreachable:
-        """Hand a delta to a peer and return the version that is in force there."""
+        """Send a delta to a peer and return the version that is active there."""
         reply = await self._client.call(member.peer_address, PUSH_CONFIGURATION, delta)
         match reply:
             case PeerUnavailable(reason=reason):
@@ -40,13 +40,13 @@
                 return version
 
     async def fetch(self, member: Member, since: int) -> ConfigurationUpdate | PeerUnreachable:
-        """Return what an instance with the version `since` lacks."""
+        """Return the changes of the peer's configuration after the version `since`."""
         query = ConfigurationQuery(since)
         reply = await self._client.call(member.peer_address, FETCH_CONFIGURATION, query)
         return PeerUnreachable(reply.reason) if isinstance(reply, PeerUnavailable) else reply
 
     async def fetch_snapshot(self, address: str) -> PeerSnapshot | PeerUnreachable:
-        """Return the snapshot of the entry instance at a peer address."""
+        """Return the state snapshot of the entry instance at a peer address."""
         reply = await self._client.call(address, FETCH_SNAPSHOT, SnapshotQuery(self._own_id))
         return PeerUnreachable(reply.reason) if isinstance(reply, PeerUnavailable) else reply
 
@@ -58,7 +58,7 @@
     configuration: ConfigurationCoordinator,
     targets: TargetCoordinator,
 ) -> None:
-    """Answer the methods of membership, configuration and recovery."""
+    """Register the handlers of membership, configuration and recovery."""
 
     async def push_configuration(delta: ConfigurationDelta) -> VersionAck:
         return VersionAck(configuration.apply_pushed_delta(delta))
--- a/packages/entry/src/wasabiwell_entry/transport/peer/client.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/client.py
@@ -1,4 +1,4 @@
-"""grpclib client of other entry instances."""
+"""gRPC client of other entry instances, on grpclib."""
 
 import asyncio
 import ssl
@@ -22,13 +22,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerUnavailable:
-    """A peer did not answer; the call may have had its effect there."""
+    """A call failed or timed out; the peer may have executed it nevertheless."""
 
     reason: str
 
 
 class PeerClient:
-    """One channel for each peer address."""
+    """Calls methods of peers, on one channel for each peer address."""
 
     __slots__ = ("_channels", "_telemetry", "_tls")
 
@@ -44,7 +44,7 @@
         request: Request,
         timeout: timedelta = CALL_TIMEOUT,
     ) -> Reply | PeerUnavailable:
-        """Call a method of a peer; a channel that fails is closed and made anew."""
+        """Call a method of a peer; after a failure the channel is closed and later reopened."""
         stub = UnaryUnaryMethod(
             self._channel(address), method.path, method.request_type, method.reply_type
         )
@@ -93,7 +93,7 @@
 async def open_peer_client(
     telemetry: Telemetry = NO_TELEMETRY, tls: ssl.SSLContext | None = None
 ) -> AsyncIterator[PeerClient]:
-    """Own a peer client until the context ends; needs a trio-asyncio loop."""
+    """Open a peer client and close its channels at exit; needs a trio-asyncio loop."""
     client = PeerClient(telemetry, tls)
     try:
         yield client
--- a/packages/entry/src/wasabiwell_entry/transport/peer/codec.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/codec.py
@@ -8,11 +8,11 @@
 from wasabiwell_entry.state.counters import ControlTraffic
 
 CONTROL_TRAFFIC = ControlTraffic()
-"""Messages of all channels of this process, which runs one entry instance."""
+"""Traffic of all channels of this process, which runs one entry instance."""
 
 
 class MessagePackCodec(CodecBase):
-    """Encodes message classes with msgspec, so that no generated code is needed."""
+    """Encodes message classes with msgspec, without generated protobuf code."""
 
     __content_subtype__ = "msgpack"
 
@@ -24,7 +24,7 @@
         return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        """Return the message of the given class; raises `msgspec.DecodeError`."""
+        """Return the decoded message of the given class; raises `msgspec.DecodeError`."""
         CONTROL_TRAFFIC.received_messages += 1
         CONTROL_TRAFFIC.received_bytes += len(data)
         return msgspec.msgpack.decode(data, type=message_type)
--- a/packages/entry/src/wasabiwell_entry/transport/peer/credits.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/credits.py
@@ -1,4 +1,4 @@
-"""Messages about credits, between the credit coordinators and the peer connections."""
+"""Calls about credits between the credit coordinators of entry instances."""
 
 from collections.abc import Sequence
 
@@ -23,7 +23,7 @@
 
 
 class GrpcCreditPeers:
-    """Sends messages about credits; implements `CreditPeers`."""
+    """Calls other entry instances about credits; implements `CreditPeers`."""
 
     __slots__ = ("_client",)
 
@@ -44,7 +44,7 @@
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
     ) -> OwnerUnreachable | None:
-        """Give credits back."""
+        """Return credits to their owner."""
         request = CreditRelease(list(returns))
         match await self._client.call(owner.peer_address, RELEASE_CREDIT, request):
             case PeerUnavailable(reason=reason):
@@ -55,7 +55,7 @@
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
     ) -> list[CreditClaim] | OwnerUnreachable:
-        """Return the credit of these engines that a member holds."""
+        """Return the credits of the given engines that a member holds."""
         request = OwnerQuery(list(engine_ids))
         match await self._client.call(holder.peer_address, OUTSTANDING_CREDITS, request):
             case PeerUnavailable(reason=reason):
@@ -65,7 +65,7 @@
 
 
 def serve_credits(service: PeerService, owner: CreditOwner, holder: CreditHolder) -> None:
-    """Answer messages about credits with the coordinators of this entry instance."""
+    """Register the handlers of credit calls with the coordinators of this entry instance."""
 
     async def acquire(request: CreditRequest) -> CreditGrant:
         reply = CreditGrant([], [])
--- a/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
@@ -1,4 +1,4 @@
-"""Heartbeat streams: the client's side as a port of membership, and the server's handler."""
+"""Heartbeat streams: the client, which implements a port of membership, and the handler."""
 
 import asyncio
 import ssl
@@ -27,9 +27,9 @@
 from wasabiwell_entry.state.members import Member
 from wasabiwell_entry.transport.peer.codec import MessagePackCodec
 
-SERVER_IDLE_SECONDS = 10.0
-"""A peer that is silent for this long has replaced the stream or is gone."""
-BROKEN_STREAM = (
+SERVER_IDLE_TIMEOUT_SECONDS = 10.0
+"""A peer that sends nothing for this long has opened another stream or is down."""
+STREAM_ERRORS = (
     GRPCError,
     ProtocolError,
     StreamTerminatedError,
@@ -40,20 +40,20 @@
 )
 
 
-class GrpcPeerStream:
-    """One `Exchange` stream on a connection of its own."""
+class GrpcHeartbeatStream:
+    """An `Exchange` stream on its own connection."""
 
-    __slots__ = ("_channel", "_context", "_stream")
+    __slots__ = ("_channel", "_stream", "_stream_context")
 
     def __init__(self, channel: Channel) -> None:
         self._channel = channel
-        self._context: Any = None
+        self._stream_context: Any = None
         self._stream: Any = None
 
     async def exchange(
         self, heartbeat: Heartbeat, timeout: timedelta
     ) -> Heartbeat | PeerUnreachable:
-        """Send a heartbeat and return the peer's."""
+        """Send a heartbeat and return the heartbeat of the peer."""
         try:
             with trio.fail_after(timeout.total_seconds()):
                 frame = await trio_asyncio.aio_as_trio(self._exchange)(
@@ -61,10 +61,10 @@
                 )
         except trio.TooSlowError:
             return PeerUnreachable("timeout")
-        except BROKEN_STREAM as error:
+        except STREAM_ERRORS as error:
             return PeerUnreachable(repr(error))
         return (
-            PeerUnreachable("the peer ended the stream")
+            PeerUnreachable("the peer closed the stream")
             if frame is None
             else heartbeat_from_frame(frame)
         )
@@ -74,19 +74,19 @@
             method = StreamStreamMethod(
                 self._channel, EXCHANGE.path, EXCHANGE.request_type, EXCHANGE.reply_type
             )
-            self._context = method.open()
-            self._stream = await self._context.__aenter__()
+            self._stream_context = method.open()
+            self._stream = await self._stream_context.__aenter__()
         await self._stream.send_message(frame)
         reply: HeartbeatFrame | None = await self._stream.recv_message()
         return reply
 
     def close(self) -> None:
-        """Close the connection, and the stream with it."""
+        """Close the connection and its stream."""
         self._channel.close()
 
 
 class GrpcHeartbeatConnector:
-    """Heartbeat streams to other entry instances."""
+    """Opens heartbeat streams to other entry instances; implements `PeerPort`."""
 
     __slots__ = ("_tls",)
 
@@ -94,10 +94,12 @@
         self._tls = tls
 
     @asynccontextmanager
-    async def open(self, member: Member) -> AsyncIterator[GrpcPeerStream]:
-        """Own a stream on a new connection; needs a trio-asyncio loop."""
+    async def open(self, member: Member) -> AsyncIterator[GrpcHeartbeatStream]:
+        """Open a stream on a new connection, closed at exit; needs a trio-asyncio loop."""
         host, _, port = member.peer_address.rpartition(":")
-        stream = GrpcPeerStream(Channel(host, int(port), codec=MessagePackCodec(), ssl=self._tls))
+        stream = GrpcHeartbeatStream(
+            Channel(host, int(port), codec=MessagePackCodec(), ssl=self._tls)
+        )
         try:
             yield stream
         finally:
@@ -107,13 +109,13 @@
 def exchange_handler(
     membership: MembershipCoordinator,
 ) -> Callable[[Stream[Any, Any]], Awaitable[None]]:
-    """Return the handler of streams that peers open; one task serves each stream."""
+    """Return the handler of streams that peers open; each stream has its own task."""
 
     async def serve(stream: Stream[Any, Any]) -> None:
         session = PeerSession()
         while True:
             try:
-                async with asyncio.timeout(SERVER_IDLE_SECONDS):
+                async with asyncio.timeout(SERVER_IDLE_TIMEOUT_SECONDS):
                     frame = await stream.recv_message()
             except TimeoutError:
                 return
--- a/packages/entry/src/wasabiwell_entry/transport/peer/limits.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/limits.py
@@ -1,4 +1,4 @@
-"""Messages to the owners of limits."""
+"""Calls to the entry instances that own limits."""
 
 from wasabiwell_entry.coordination.limits.errors import OwnerUnreachable
 from wasabiwell_entry.coordination.limits.shares import LimitGrant, LimitRequest
@@ -8,16 +8,16 @@
 
 
 class GrpcLimitOwners:
-    """Asks owners through the peer client."""
+    """Acquires shares of limits from their owners; implements `LimitOwnerPort`."""
 
-    __slots__ = ("_peers",)
+    __slots__ = ("_client",)
 
-    def __init__(self, peers: PeerClient) -> None:
-        self._peers = peers
+    def __init__(self, client: PeerClient) -> None:
+        self._client = client
 
     async def acquire(self, owner: Member, request: LimitRequest) -> LimitGrant | OwnerUnreachable:
-        """Ask another entry instance for shares."""
-        reply = await self._peers.call(owner.peer_address, ACQUIRE_LIMIT, request)
+        """Request shares from the entry instance that owns the limit."""
+        reply = await self._client.call(owner.peer_address, ACQUIRE_LIMIT, request)
         if isinstance(reply, PeerUnavailable):
             return OwnerUnreachable(reply.reason)
         return reply
--- a/packages/entry/src/wasabiwell_entry/transport/peer/rate.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/rate.py
@@ -1,4 +1,4 @@
-"""Messages about the weight store's rate."""
+"""Calls about the rate limit of the weight store."""
 
 from wasabiwell_entry.coordination.orders import WeightStoreRateLimiter
 from wasabiwell_entry.protocol.peer import ACQUIRE_WEIGHT_RATE, RateGrant, RateRequest
@@ -8,7 +8,7 @@
 
 
 class GrpcWeightRatePeers:
-    """Asks other entry instances for loads; implements `RatePeers`."""
+    """Requests loads from other entry instances; implements `RatePeers`."""
 
     __slots__ = ("_client",)
 
@@ -16,7 +16,7 @@
         self._client = client
 
     async def take(self, owner: Member, count: int) -> int:
-        """Return how many loads the owner grants."""
+        """Return how many loads the owner grants; 0 if it cannot be reached."""
         request = RateRequest(count)
         match await self._client.call(owner.peer_address, ACQUIRE_WEIGHT_RATE, request):
             case PeerUnavailable():
@@ -25,10 +25,10 @@
                 return reply.granted
 
 
-def serve_weight_rate(service: PeerService, rate: WeightStoreRateLimiter) -> None:
-    """Answer messages about the rate with this entry instance's share."""
+def serve_weight_rate(service: PeerService, limiter: WeightStoreRateLimiter) -> None:
+    """Register the handler that grants loads from this entry instance's share of the limit."""
 
     async def take(request: RateRequest) -> RateGrant:
-        return RateGrant(rate.grant(request.count))
+        return RateGrant(limiter.grant(request.count))
 
     service.handle(ACQUIRE_WEIGHT_RATE, take)
--- a/packages/entry/src/wasabiwell_entry/transport/peer/server.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/server.py
@@ -1,4 +1,4 @@
-"""grpclib server for other entry instances."""
+"""gRPC server for other entry instances, on grpclib."""
 
 import ssl
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -19,41 +19,44 @@
 class PeerService:
     """Handlers of the methods that other entry instances call."""
 
-    __slots__ = ("_handlers", "_streams")
+    __slots__ = ("_stream_handlers", "_unary_handlers")
 
     def __init__(self) -> None:
-        self._handlers: dict[AnyMethod, PeerHandler] = {}
-        self._streams: dict[AnyMethod, StreamHandler] = {}
+        self._unary_handlers: dict[AnyMethod, PeerHandler] = {}
+        self._stream_handlers: dict[AnyMethod, StreamHandler] = {}
 
     def handle_stream(self, method: AnyMethod, handler: StreamHandler) -> None:
-        """Answer a method with streams in both directions by an asyncio coroutine function."""
-        self._streams[method] = handler
+        """Register an asyncio coroutine function for a bidirectional streaming method."""
+        self._stream_handlers[method] = handler
 
     def handle(
         self,
         method: PeerMethod[Request, Reply],
         handler: Callable[[Request], Awaitable[Reply]],
     ) -> None:
-        """Answer a method with a trio coroutine function."""
-        self._handlers[method] = handler
+        """Register a trio coroutine function for a unary method."""
+        self._unary_handlers[method] = handler
 
     def __mapping__(self) -> dict[str, Handler]:
-        """Return the methods for grpclib."""
-        streams = {
+        """Return the handlers by method path, as grpclib expects them."""
+        stream_handlers = {
             method.path: Handler(
                 handler, Cardinality.STREAM_STREAM, method.request_type, method.reply_type
             )
-            for method, handler in self._streams.items()
+            for method, handler in self._stream_handlers.items()
         }
-        return streams | {
+        return stream_handlers | {
             method.path: Handler(
-                _unary(handler), Cardinality.UNARY_UNARY, method.request_type, method.reply_type
+                _unary_stream_handler(handler),
+                Cardinality.UNARY_UNARY,
+                method.request_type,
+                method.reply_type,
             )
-            for method, handler in self._handlers.items()
+            for method, handler in self._unary_handlers.items()
         }
 
 
-def _unary(handler: PeerHandler) -> Callable[[Stream[Any, Any]], Awaitable[None]]:
+def _unary_stream_handler(handler: PeerHandler) -> Callable[[Stream[Any, Any]], Awaitable[None]]:
     async def serve(stream: Stream[Any, Any]) -> None:
         request = await stream.recv_message()
         reply = await trio_asyncio.trio_as_aio(handler)(request)
@@ -66,7 +69,7 @@
 async def serve_peers(
     service: PeerService, host: str, port: int, tls: ssl.SSLContext | None = None
 ) -> AsyncIterator[None]:
-    """Serve other entry instances until the context ends; needs a trio-asyncio loop."""
+    """Serve other entry instances until exit; needs a trio-asyncio loop."""
     server = Server([service], codec=MessagePackCodec())
     await trio_asyncio.aio_as_trio(server.start)(host, port, ssl=tls)
     try:
--- a/packages/entry/src/wasabiwell_entry/transport/platform/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/transport/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Connections to the platform's services."""
+"""Clients of the platform's services."""
--- a/packages/entry/src/wasabiwell_entry/transport/platform/client.py
+++ b/packages/entry/src/wasabiwell_entry/transport/platform/client.py
@@ -26,13 +26,13 @@
 REQUEST_TIMEOUT_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 0.5
 JSON_HEADERS = [(b"content-type", b"application/json")]
-NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 
 T = TypeVar("T")
 
 
 class PlatformClient:
-    """One connection pool to a platform service; logs when it goes away and comes back."""
+    """Connection pool to a platform service; logs when the service fails and when it recovers."""
 
     __slots__ = ("_available", "_name", "_pool", "_url")
 
@@ -45,7 +45,7 @@
     async def send(
         self, method: str, path: str, content: bytes | None = None
     ) -> httpcore.Response | StoreUnavailable | ReplyLost:
-        """Send a request; a 5xx counts as unavailable, because the service did not act."""
+        """Send a request; a 5xx status means `StoreUnavailable`, as the service had no effect."""
         timeout = {
             "connect": CONNECT_TIMEOUT_SECONDS,
             "read": REQUEST_TIMEOUT_SECONDS,
@@ -60,18 +60,18 @@
                 content=content,
                 extensions={"timeout": timeout},
             )
-        except NOT_SENT as error:
-            return self._failed(StoreUnavailable(repr(error)))
+        except NOT_SENT_ERRORS as error:
+            return self._record_failure(StoreUnavailable(repr(error)))
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
-            return self._failed(ReplyLost(repr(error)))
+            return self._record_failure(ReplyLost(repr(error)))
         if response.status >= 500:
-            return self._failed(StoreUnavailable(f"status {response.status}"))
+            return self._record_failure(StoreUnavailable(f"status {response.status}"))
         if not self._available:
             self._available = True
             log_events.emit(log_events.STORE_RECOVERED, service=self._name)
         return response
 
-    def _failed(self, failure: T) -> T:
+    def _record_failure(self, failure: T) -> T:
         if self._available:
             self._available = False
             log_events.emit(log_events.STORE_UNAVAILABLE, service=self._name, reason=failure)
@@ -89,7 +89,7 @@
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> TransactOutcome:
-        """Apply all writes if all conditions hold, else none."""
+        """Apply all writes atomically if all conditions hold, else none."""
         body = msgspec.json.encode(TransactBody(list(conditions), list(writes)))
         match await self._client.send("POST", "/transact", body):
             case httpcore.Response() as response:
@@ -101,9 +101,9 @@
                 return failure
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row] | StoreUnavailable:
-        """Return the rows that exist, by key."""
+        """Return the existing rows of the given keys, by key."""
         body = msgspec.json.encode(ReadBody(list(keys)))
-        rows = _rows(await self._client.send("POST", "/read", body))
+        rows = _rows_from(await self._client.send("POST", "/read", body))
         return rows if isinstance(rows, StoreUnavailable) else {row.key: row for row in rows}
 
     async def scan(
@@ -111,7 +111,7 @@
     ) -> list[Row] | StoreUnavailable:
         """Return up to `limit` rows with the prefix, in key order, after the key `after`."""
         query = urlencode({"prefix": prefix, "after": after, "limit": limit})
-        return _rows(await self._client.send("GET", f"/scan?{query}"))
+        return _rows_from(await self._client.send("GET", f"/scan?{query}"))
 
 
 class HttpObjectStore:
@@ -131,7 +131,7 @@
                 return failure
 
     async def get(self, key: str) -> bytes | Absent | StoreUnavailable:
-        """Return an object."""
+        """Return the value of an object."""
         match await self._client.send("GET", f"/objects/{quote(key)}"):
             case httpcore.Response(status=404):
                 return Absent()
@@ -165,7 +165,7 @@
                 return unavailable
 
 
-def _rows(
+def _rows_from(
     outcome: httpcore.Response | StoreUnavailable | ReplyLost,
 ) -> list[Row] | StoreUnavailable:
     match outcome:
--- a/tests/steps/entry/transport/logs_steps.py
+++ b/tests/steps/entry/transport/logs_steps.py
@@ -12,7 +12,7 @@
 from behave.runner import Context
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.log_events import LogEvent
-from wasabiwell_entry.transport.logs.const import SAMPLED_REQUESTS
+from wasabiwell_entry.transport.logs.const import SAMPLING_INTERVAL
 from wasabiwell_entry.transport.logs.lines import LineBuffer
 from wasabiwell_entry.transport.logs.writer import LineWriter
 
@@ -88,7 +88,7 @@
     sampled = {
         f"r{number}"
         for number in range(2_000)
-        if zlib.crc32(b"r%d" % number) % SAMPLED_REQUESTS == 0
+        if zlib.crc32(b"r%d" % number) % SAMPLING_INTERVAL == 0
     }
     assert sampled <= told["routed"]
     assert told["routed"] == told["answered"]
