--- a/packages/entry/src/wasabiwell_entry/transport/logs/lines.py
+++ b/packages/entry/src/wasabiwell_entry/transport/logs/lines.py
@@ -43,7 +43,7 @@
         return not self._lines
 
     def take(self, max_bytes: int) -> bytes:
-        """Remove and return whole lines, until they exceed or reach `max_bytes`."""
+        """Remove and return whole lines: at least `max_bytes`, if that many are buffered."""
         lines = []
         while self._lines and max_bytes > 0:
             line = self._lines.popleft()
--- a/packages/entry/src/wasabiwell_entry/transport/platform/client.py
+++ b/packages/entry/src/wasabiwell_entry/transport/platform/client.py
@@ -45,7 +45,7 @@
     async def send(
         self, method: str, path: str, content: bytes | None = None
     ) -> httpcore.Response | StoreUnavailable | ReplyLost:
-        """Send a request; a 5xx status means `StoreUnavailable`, as the service had no effect."""
+        """Send a request; a 5xx status gives `StoreUnavailable`, as the service did nothing."""
         timeout = {
             "connect": CONNECT_TIMEOUT_SECONDS,
             "read": REQUEST_TIMEOUT_SECONDS,
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -31,27 +31,34 @@
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.requests import Attempt, EndFrame, StreamInterrupted, StreamItem
 from wasabiwell_entry.state.targets import EngineLoad, Target
-from wasabiwell_entry.transport.target.pools import BROKEN, NOT_SENT, TargetPools, timeouts
-from wasabiwell_entry.transport.target.reads import StreamReads
+from wasabiwell_entry.transport.target.pools import (
+    CONNECTION_ERRORS,
+    NOT_SENT_ERRORS,
+    TargetPools,
+    timeout_extensions,
+)
+from wasabiwell_entry.transport.target.reads import InterruptibleReads
 from wasabiwell_entry.transport.target.tracing import trace_headers
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
-MAX_READ_SECONDS = 600.0
-PROBE_SECONDS = 0.5
-STREAM_SILENCE = timedelta(seconds=2)
-"""After this silence the engine is probed; between tokens, the connection is then replaced."""
+READ_TIMEOUT_SECONDS = 600.0
+PROBE_TIMEOUT_SECONDS = 0.5
+STREAM_SILENCE_TIMEOUT = timedelta(seconds=2)
+"""The engine is probed after this time without data; between tokens, an engine that answers the
+probe gets a new connection."""
 SILENCE_CHECK_INTERVAL = timedelta(milliseconds=500)
-FIRST_TOKEN_SILENCE = timedelta(seconds=10)
+FIRST_TOKEN_SILENCE_TIMEOUT = timedelta(seconds=10)
 PREFILL_TIME_PER_TOKEN = timedelta(microseconds=200)
-"""Before its first token, an engine that is alive may be silent while it processes the prompt."""
-READS_OF_HEAD = 1
-"""Finished reads of a stream that give its head and no token."""
+"""Time that an engine may need for the prefill of one token, added to the timeout for the first
+generated token."""
+RESPONSE_HEAD_READS = 1
+"""The first read of a stream returns the response head, which has no token."""
 QUERY_TIMEOUT_SECONDS = 1.0
 RESERVATION_TTL_SECONDS = 30.0
 
 
 class HttpEngineClient:
-    """Runs attempts on engines, reserves their memory and reads their load."""
+    """Runs attempts on engines, reserves KV cache and queries load and cache events."""
 
     __slots__ = ("_clock", "_pools", "_telemetry")
 
@@ -66,11 +73,11 @@
     async def generate(
         self, target: Target, attempt: Attempt
     ) -> AsyncIterator[AsyncIterator[StreamItem]]:
-        """Run an attempt; leaving the context closes its connection, which cancels it."""
-        reads = StreamReads(self._clock)
+        """Run an attempt; leaving the context closes the connection, which cancels the attempt."""
+        reads = InterruptibleReads(self._clock)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, target, attempt, reads)
-            items = self._items(target, attempt, reads)
+            nursery.start_soon(self._watch_for_silence, target, attempt, reads)
+            items = self._stream_items(target, attempt, reads)
             try:
                 yield items
             finally:
@@ -78,17 +85,17 @@
             nursery.cancel_scope.cancel()
 
     async def probe(self, target: Target) -> ProbeOutcome:
-        """Ask for the load on a new connection."""
+        """Check that an engine is alive by requesting its load on a new connection."""
         try:
             async with httpcore.AsyncConnectionPool(ssl_context=self._pools.tls) as pool:
                 await pool.request(
                     "GET",
                     self._pools.url(target.address, "/load"),
-                    extensions=timeouts(PROBE_SECONDS),
+                    extensions=timeout_extensions(PROBE_TIMEOUT_SECONDS),
                 )
         except httpcore.TimeoutException:
             return TargetSilent()
-        except BROKEN:
+        except CONNECTION_ERRORS:
             return TargetDown()
         return TargetAlive()
 
@@ -98,10 +105,10 @@
             response = await self._pools.pool(target.address).request(
                 "GET",
                 self._pools.url(target.address, "/load"),
-                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
+                extensions=timeout_extensions(QUERY_TIMEOUT_SECONDS),
             )
             body = msgspec.json.decode(response.content, type=LoadBody)
-        except (*NOT_SENT, *BROKEN, msgspec.DecodeError) as error:
+        except (*NOT_SENT_ERRORS, *CONNECTION_ERRORS, msgspec.DecodeError) as error:
             return LoadUnavailable(repr(error))
         load = EngineLoad(
             reported=self._clock.monotonic(),
@@ -115,15 +122,15 @@
         return LoadReport(load, body.leaving)
 
     async def cache_events(self, target: Target, after: int) -> CacheReport | LoadUnavailable:
-        """Return the changes of an engine's prefix cache after a number."""
+        """Return the changes of an engine's prefix cache after event number `after`."""
         try:
             response = await self._pools.pool(target.address).request(
                 "GET",
                 self._pools.url(target.address, f"/cache-events?after={after}"),
-                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
+                extensions=timeout_extensions(QUERY_TIMEOUT_SECONDS),
             )
             body = msgspec.json.decode(response.content, type=CacheEventsBody)
-        except (*NOT_SENT, *BROKEN, msgspec.DecodeError) as error:
+        except (*NOT_SENT_ERRORS, *CONNECTION_ERRORS, msgspec.DecodeError) as error:
             return LoadUnavailable(repr(error))
         events = tuple(CacheEvent(event.block, event.kind == "stored") for event in body.events)
         return CacheReport(events, body.last)
@@ -131,7 +138,7 @@
     async def reserve(
         self, target: Target, owner: str, tokens: int
     ) -> Reserved | ReservationRefused:
-        """Reserve memory for `tokens` tokens of KV cache."""
+        """Reserve KV cache for `tokens` tokens."""
         body = msgspec.json.encode(ReservationBody(owner, tokens, RESERVATION_TTL_SECONDS))
         try:
             response = await self._pools.pool(target.address).request(
@@ -139,17 +146,17 @@
                 self._pools.url(target.address, "/v1/reservations"),
                 headers=JSON_HEADERS,
                 content=body,
-                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
+                extensions=timeout_extensions(QUERY_TIMEOUT_SECONDS),
             )
             if response.status != 200:
                 return ReservationRefused(_error_text(response.status, response.content))
             reply = msgspec.json.decode(response.content, type=ReservationReply)
-        except (*NOT_SENT, *BROKEN, msgspec.DecodeError) as error:
+        except (*NOT_SENT_ERRORS, *CONNECTION_ERRORS, msgspec.DecodeError) as error:
             return ReservationRefused(repr(error))
         return Reserved(reply.reservation_id)
 
     async def renew(self, target: Target, reservation_id: str) -> None:
-        """Renew a reservation; when this fails, the next renewal or the expiry follows."""
+        """Renew a reservation; a failure is ignored, as the next renewal or the expiry follows."""
         body = msgspec.json.encode(RenewalBody(RESERVATION_TTL_SECONDS))
         try:
             await self._pools.pool(target.address).request(
@@ -157,65 +164,67 @@
                 self._pools.url(target.address, f"/v1/reservations/{reservation_id}"),
                 headers=JSON_HEADERS,
                 content=body,
-                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
+                extensions=timeout_extensions(QUERY_TIMEOUT_SECONDS),
             )
-        except (*NOT_SENT, *BROKEN):
+        except (*NOT_SENT_ERRORS, *CONNECTION_ERRORS):
             return
 
     async def release(self, target: Target, reservation_id: str) -> None:
-        """Give a reservation back; when this fails, the reservation expires."""
+        """Release a reservation; a failure is ignored, as the reservation expires."""
         try:
             await self._pools.pool(target.address).request(
                 "DELETE",
                 self._pools.url(target.address, f"/v1/reservations/{reservation_id}"),
-                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
+                extensions=timeout_extensions(QUERY_TIMEOUT_SECONDS),
             )
-        except (*NOT_SENT, *BROKEN):
+        except (*NOT_SENT_ERRORS, *CONNECTION_ERRORS):
             return
 
-    async def _watch(self, target: Target, attempt: Attempt, reads: StreamReads) -> None:
-        """Probe the engine while the stream is silent and interrupt the read when that is right."""
+    async def _watch_for_silence(
+        self, target: Target, attempt: Attempt, reads: InterruptibleReads
+    ) -> None:
+        """Probe the engine while no data arrives, and interrupt the read if it or the stream failed."""
         while True:
             await self._clock.sleep(SILENCE_CHECK_INTERVAL)
-            begun = reads.begun
-            if begun is None or self._clock.monotonic() - begun < STREAM_SILENCE:
+            started_at = reads.started_at
+            if started_at is None or self._clock.monotonic() - started_at < STREAM_SILENCE_TIMEOUT:
                 continue
             match await self.probe(target):
                 case TargetAlive():
-                    allowed = _allowed_silence(attempt, reads)
-                    if self._clock.monotonic() - begun < allowed:
+                    silence_timeout = _silence_timeout(attempt, reads)
+                    if self._clock.monotonic() - started_at < silence_timeout:
                         continue
-                    broken = StreamInterrupted(
-                        "the stream is silent, the engine is not", silent=True
+                    interruption = StreamInterrupted(
+                        "the stream sends nothing, but the engine answers", silent=True
                     )
                 case TargetDown() | TargetSilent():
-                    broken = StreamInterrupted("the engine is silent", target_lost=True)
-            if reads.begun == begun:
-                reads.interrupt(broken)
+                    interruption = StreamInterrupted("the engine does not answer", target_lost=True)
+            if reads.started_at == started_at:
+                reads.interrupt(interruption)
                 await self._cancel(target, attempt.attempt_id)
 
     async def _cancel(self, target: Target, attempt_id: str) -> None:
-        """Cancel an attempt on another connection; when this fails, the engine ends it later."""
+        """Cancel an attempt on another connection; if this fails, the engine ends it later."""
         try:
             await self._pools.pool(target.address).request(
                 "POST",
                 self._pools.url(target.address, "/v1/cancel"),
                 headers=JSON_HEADERS,
                 content=msgspec.json.encode({"attempt_id": attempt_id}),
-                extensions=timeouts(QUERY_TIMEOUT_SECONDS),
+                extensions=timeout_extensions(QUERY_TIMEOUT_SECONDS),
             )
-        except (*NOT_SENT, *BROKEN):
+        except (*NOT_SENT_ERRORS, *CONNECTION_ERRORS):
             return
 
-    async def _items(
-        self, target: Target, attempt: Attempt, reads: StreamReads
+    async def _stream_items(
+        self, target: Target, attempt: Attempt, reads: InterruptibleReads
     ) -> AsyncGenerator[StreamItem, None]:
         request = self._pools.pool(target.address).stream(
             "POST",
             self._pools.url(target.address, "/v1/generate"),
             headers=[*JSON_HEADERS, *trace_headers(self._telemetry)],
             content=encode_attempt(attempt),
-            extensions=timeouts(MAX_READ_SECONDS),
+            extensions=timeout_extensions(READ_TIMEOUT_SECONDS),
         )
         try:
             async with AsyncExitStack() as stack:
@@ -223,23 +232,23 @@
                 if isinstance(response, StreamInterrupted):
                     yield response
                     return
-                async for item in _read_items(response, attempt.attempt_id, reads):
+                async for item in _read_response(response, attempt.attempt_id, reads):
                     yield item
-        except NOT_SENT as error:
+        except NOT_SENT_ERRORS as error:
             yield StreamInterrupted(repr(error), refused=True, target_lost=True)
-        except BROKEN as error:
+        except CONNECTION_ERRORS as error:
             yield StreamInterrupted(repr(error), target_lost=True)
 
 
-def _allowed_silence(attempt: Attempt, reads: StreamReads) -> timedelta:
-    """Return how long an engine that is alive may send nothing."""
-    if reads.count > READS_OF_HEAD:
-        return STREAM_SILENCE
-    return FIRST_TOKEN_SILENCE + attempt.request.prompt_tokens * PREFILL_TIME_PER_TOKEN
+def _silence_timeout(attempt: Attempt, reads: InterruptibleReads) -> timedelta:
+    """Return how long an engine that answers probes may send no data."""
+    if reads.completed > RESPONSE_HEAD_READS:
+        return STREAM_SILENCE_TIMEOUT
+    return FIRST_TOKEN_SILENCE_TIMEOUT + attempt.request.prompt_tokens * PREFILL_TIME_PER_TOKEN
 
 
-async def _read_items(
-    response: httpcore.Response, attempt_id: str, reads: StreamReads
+async def _read_response(
+    response: httpcore.Response, attempt_id: str, reads: InterruptibleReads
 ) -> AsyncIterator[StreamItem]:
     if response.status != 200:
         content = await response.aread()
@@ -259,7 +268,7 @@
             yield item
             if isinstance(item, EndFrame | StreamInterrupted):
                 return
-    yield StreamInterrupted("the engine closed the stream before its end mark", target_lost=True)
+    yield StreamInterrupted("the engine closed the stream before the end frame", target_lost=True)
 
 
 def _error_text(status: int, content: bytes) -> str:
--- a/packages/entry/src/wasabiwell_entry/transport/target/orders.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/orders.py
@@ -13,7 +13,12 @@
 from wasabiwell_entry.protocol.orders import encode_order
 from wasabiwell_entry.state.orders import EngineOrder
 from wasabiwell_entry.state.targets import Target
-from wasabiwell_entry.transport.target.pools import BROKEN, NOT_SENT, TargetPools, timeouts
+from wasabiwell_entry.transport.target.pools import (
+    CONNECTION_ERRORS,
+    NOT_SENT_ERRORS,
+    TargetPools,
+    timeout_extensions,
+)
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
@@ -29,7 +34,7 @@
     async def send(
         self, target: Target, order: EngineOrder, fencing: int, timeout: timedelta
     ) -> OrderAcknowledged | OrderRefused | OrderUnacknowledged:
-        """Send an order once; the timeout covers connecting and all of the answer."""
+        """Send an order once; the timeout covers the connection and the whole response."""
         seconds = timeout.total_seconds()
         try:
             with trio.fail_after(seconds):
@@ -38,11 +43,11 @@
                     self._pools.url(target.address, "/v1/orders"),
                     headers=JSON_HEADERS,
                     content=encode_order(order, fencing),
-                    extensions=timeouts(seconds),
+                    extensions=timeout_extensions(seconds),
                 )
-        except NOT_SENT as error:
+        except NOT_SENT_ERRORS as error:
             return OrderRefused(repr(error))
-        except (*BROKEN, trio.TooSlowError) as error:
+        except (*CONNECTION_ERRORS, trio.TooSlowError) as error:
             return OrderUnacknowledged(repr(error))
         return _outcome(response)
 
--- a/packages/entry/src/wasabiwell_entry/transport/target/plain.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -11,15 +11,19 @@
 from wasabiwell_entry.state.outcomes import ServiceResponse
 from wasabiwell_entry.state.requests import ServiceCall
 from wasabiwell_entry.state.targets import Target
-from wasabiwell_entry.transport.target.pools import BROKEN, CONNECT_TIMEOUT_SECONDS, timeouts
+from wasabiwell_entry.transport.target.pools import (
+    CONNECT_TIMEOUT_SECONDS,
+    CONNECTION_ERRORS,
+    timeout_extensions,
+)
 from wasabiwell_entry.transport.target.tracing import trace_headers
 
 
 class HttpPlainClient:
-    """Sends calls to plain services, each on a connection of its own.
+    """Sends calls to plain services, each on a new connection.
 
-    A new connection tells with certainty whether a call was sent: a kept connection that the
-    target closes at the same moment does not.
+    With a new connection it is certain whether a call was sent. With a reused connection it is
+    not, if the target closes the connection at the same moment.
     """
 
     __slots__ = ("_clock", "_telemetry", "_tls")
@@ -60,9 +64,9 @@
                 f"{scheme}://{target.address}{call.path}",
                 headers=[*_headers(call), *trace_headers(self._telemetry)],
                 content=call.body,
-                extensions=timeouts(self._remaining_seconds(call)),
+                extensions=timeout_extensions(self._remaining_seconds(call)),
             )
-        except BROKEN as error:
+        except CONNECTION_ERRORS as error:
             return CallInterrupted(repr(error))
         finally:
             with trio.CancelScope(shield=True):
--- a/packages/entry/src/wasabiwell_entry/transport/target/pools.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/pools.py
@@ -7,13 +7,13 @@
 import httpcore
 
 CONNECT_TIMEOUT_SECONDS = 0.5
-KEEPALIVE_SECONDS = 20.0
-NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
-BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+KEEPALIVE_EXPIRY_SECONDS = 20.0
+NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+CONNECTION_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
 
 class TargetPools:
-    """Connection pools by address."""
+    """HTTP connection pools by target address."""
 
     __slots__ = ("_pools", "tls")
 
@@ -22,19 +22,19 @@
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     def pool(self, address: str) -> httpcore.AsyncConnectionPool:
-        """Return the pool of a target."""
+        """Return the pool of a target address, which is created on first use."""
         pool = self._pools.get(address)
         if pool is None:
             pool = httpcore.AsyncConnectionPool(
                 ssl_context=self.tls,
                 max_connections=512,
-                keepalive_expiry=KEEPALIVE_SECONDS,
+                keepalive_expiry=KEEPALIVE_EXPIRY_SECONDS,
             )
             self._pools[address] = pool
         return pool
 
     def url(self, address: str, path: str) -> str:
-        """Return the URL of a target's path; https when there is a TLS context."""
+        """Return the URL of a path on a target; `https` if there is a TLS context."""
         return f"{'http' if self.tls is None else 'https'}://{address}{path}"
 
     async def close(self) -> None:
@@ -45,7 +45,7 @@
 
 @asynccontextmanager
 async def open_target_pools(tls: ssl.SSLContext | None = None) -> AsyncIterator[TargetPools]:
-    """Own connection pools until the context ends."""
+    """Open connection pools and close their connections at exit."""
     pools = TargetPools(tls)
     try:
         yield pools
@@ -53,8 +53,8 @@
         await pools.close()
 
 
-def timeouts(read_seconds: float) -> dict[str, dict[str, float]]:
-    """Return the request extensions that set timeouts."""
+def timeout_extensions(read_seconds: float) -> dict[str, dict[str, float]]:
+    """Return the request extensions that set timeout_extensions."""
     return {
         "timeout": {
             "connect": CONNECT_TIMEOUT_SECONDS,
--- a/packages/entry/src/wasabiwell_entry/transport/target/reads.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/reads.py
@@ -1,4 +1,4 @@
-"""Reads of one stream that another task can interrupt."""
+"""Reads of a stream that another task can interrupt."""
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -12,33 +12,37 @@
 T = TypeVar("T")
 
 
-class StreamReads:
-    """Reads one after the other; `begun` is None while the caller, not the target, is slow."""
+class InterruptibleReads:
+    """Sequential reads of one stream.
 
-    __slots__ = ("_broken", "_clock", "_scope", "begun", "count")
+    `started_at` is None when no read is in progress, so the time in which a slow caller delays the
+    next read does not count as silence of the target.
+    """
+
+    __slots__ = ("_cancel_scope", "_clock", "_interruption", "completed", "started_at")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._scope: trio.CancelScope | None = None
-        self._broken = StreamInterrupted("the read was interrupted")
-        self.begun: timedelta | None = None
-        self.count = 0
+        self._cancel_scope: trio.CancelScope | None = None
+        self._interruption = StreamInterrupted("the read was interrupted")
+        self.started_at: timedelta | None = None
+        self.completed = 0
 
     async def read(self, operation: Callable[[], Awaitable[T]]) -> T | StreamInterrupted:
-        """Run a read and return its result, or why it was interrupted."""
+        """Run a read and return its result, or the interruption."""
         with trio.CancelScope() as scope:
-            self._scope = scope
-            self.begun = self._clock.monotonic()
+            self._cancel_scope = scope
+            self.started_at = self._clock.monotonic()
             try:
                 result = await operation()
-                self.count += 1
+                self.completed += 1
                 return result
             finally:
-                self._scope = self.begun = None
-        return self._broken
+                self._cancel_scope = self.started_at = None
+        return self._interruption
 
-    def interrupt(self, broken: StreamInterrupted) -> None:
+    def interrupt(self, interruption: StreamInterrupted) -> None:
         """Interrupt the read in progress, if there is one."""
-        if self._scope is not None:
-            self._broken = broken
-            self._scope.cancel()
+        if self._cancel_scope is not None:
+            self._interruption = interruption
+            self._cancel_scope.cancel()
--- a/packages/entry/src/wasabiwell_entry/transport/telemetry/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/transport/telemetry/__init__.py
@@ -1,1 +1,1 @@
-"""Metrics and traces."""
+"""OpenTelemetry metrics and traces."""
--- a/packages/entry/src/wasabiwell_entry/transport/telemetry/lifetime.py
+++ b/packages/entry/src/wasabiwell_entry/transport/telemetry/lifetime.py
@@ -1,4 +1,4 @@
-"""Owns the telemetry of an entry instance."""
+"""Starts and stops the telemetry of an entry instance."""
 
 import logging
 from collections.abc import AsyncIterator, Callable
@@ -13,24 +13,25 @@
 from wasabiwell_entry.transport.telemetry.otlp import OtlpTelemetry
 
 PUBLISH_INTERVAL = timedelta(seconds=1)
-"""Metrics are at most this much older than the status at the time of an export."""
+"""Maximum age of the status report at the time of an export."""
 
 
-class _EventHandler(logging.Handler):
-    """Passes messages of the OpenTelemetry libraries on as log events.
+class _LogEventHandler(logging.Handler):
+    """Forwards log messages of the OpenTelemetry libraries as log events.
 
-    The libraries log in threads of their own, and log lines are kept on the event loop's thread.
+    The libraries log from their own threads, but the log buffer may only be used on the event
+    loop's thread.
     """
 
     def __init__(self) -> None:
         super().__init__(logging.WARNING)
-        self._token = trio.lowlevel.current_trio_token()
+        self._trio_token = trio.lowlevel.current_trio_token()
 
     def emit(self, record: logging.LogRecord) -> None:
-        self._token.run_sync_soon(_log_failure, record.name, record.getMessage())
+        self._trio_token.run_sync_soon(_emit_telemetry_failed, record.name, record.getMessage())
 
 
-def _log_failure(library: str, message: str) -> None:
+def _emit_telemetry_failed(library: str, message: str) -> None:
     log_events.emit(log_events.TELEMETRY_FAILED, library=library, message=message)
 
 
@@ -38,11 +39,11 @@
 async def open_telemetry(
     endpoint: str, interval: timedelta, sample_ratio: float, node_id: str, zone: str
 ) -> AsyncIterator[Telemetry]:
-    """Own the exporters until the context ends; without an endpoint there are none."""
+    """Start the exporters and shut them down at exit; without an endpoint, export nothing."""
     if not endpoint:
         yield NO_TELEMETRY
         return
-    handler = _EventHandler()
+    handler = _LogEventHandler()
     logger = logging.getLogger("opentelemetry")
     logger.addHandler(handler)
     logger.propagate = False
@@ -56,7 +57,7 @@
 
 
 async def publish_reports(telemetry: Telemetry, report: Callable[[], StatusReport]) -> None:
-    """Give each new report to the exporters until cancelled."""
+    """Publish status reports to the exporters at a fixed interval until cancelled."""
     if not isinstance(telemetry, OtlpTelemetry):
         return
     while True:
--- a/packages/entry/src/wasabiwell_entry/transport/telemetry/otlp.py
+++ b/packages/entry/src/wasabiwell_entry/transport/telemetry/otlp.py
@@ -1,7 +1,7 @@
-"""Traces and metrics of OpenTelemetry, exported by OTLP over HTTP.
+"""OpenTelemetry traces and metrics, exported by OTLP over HTTP.
 
-The SDK exports in threads of its own, so an export never blocks the event loop. Figures of status
-reports reach the metrics as one immutable report at a time, which these threads read.
+The SDK exports from its own threads, so an export never blocks the event loop. These threads read
+the metric values from the latest status report, which is immutable.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -24,26 +24,26 @@
 from wasabiwell_entry.coordination.telemetry.ports import Attributes, Headers
 from wasabiwell_entry.state.reports import StatusReport
 
-SCOPE = "wasabiwell"
+INSTRUMENTATION_SCOPE = "wasabiwell"
 FIRST_TOKEN_BOUNDS_SECONDS = (0.05, 0.1, 0.2, 0.4, 0.86, 1.5, 3.0, 6.0, 15.0, 60.0, 300.0, 900.0)
 SLOWDOWN_BOUNDS = (1.0, 1.05, 1.15, 1.3, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0)
 EXPORT_TIMEOUT = timedelta(seconds=2)
-"""Bounds the delay of a stop while the receiver is silent."""
+"""Limits how long an unresponsive receiver delays the shutdown."""
 
-Figures = Callable[[StatusReport], Iterable[tuple[int, dict[str, str]]]]
+ReadValues = Callable[[StatusReport], Iterable[tuple[int, dict[str, str]]]]
 
 
 class OtlpTelemetry:
-    """Records spans and times, and exports the figures of status reports as metrics."""
+    """Records spans and latencies, and exports the values of status reports as metrics."""
 
     __slots__ = (
         "_first_token",
-        "_meters",
+        "_meter_provider",
         "_propagator",
         "_report",
         "_slowdown",
         "_tracer",
-        "_traces",
+        "_tracer_provider",
     )
 
     def __init__(
@@ -52,16 +52,20 @@
         base = endpoint.rstrip("/")
         timeout = EXPORT_TIMEOUT.total_seconds()
         resource = Resource(
-            {"service.name": SCOPE, "service.instance.id": node_id, "wasabiwell.zone": zone}
+            {
+                "service.name": INSTRUMENTATION_SCOPE,
+                "service.instance.id": node_id,
+                "wasabiwell.zone": zone,
+            }
         )
         self._report: StatusReport | None = None
         self._propagator = TraceContextTextMapPropagator()
-        self._traces = TracerProvider(
+        self._tracer_provider = TracerProvider(
             resource=resource,
             sampler=ParentBasedTraceIdRatio(sample_ratio),
             shutdown_on_exit=False,
         )
-        self._traces.add_span_processor(
+        self._tracer_provider.add_span_processor(
             BatchSpanProcessor(
                 OTLPSpanExporter(endpoint=f"{base}/v1/traces", timeout=timeout),
                 schedule_delay_millis=interval.total_seconds() * 1000,
@@ -71,9 +75,9 @@
             OTLPMetricExporter(endpoint=f"{base}/v1/metrics", timeout=timeout),
             export_interval_millis=interval.total_seconds() * 1000,
         )
-        self._meters = MeterProvider([reader], resource=resource, shutdown_on_exit=False)
-        self._tracer = self._traces.get_tracer(SCOPE)
-        meter = self._meters.get_meter(SCOPE)
+        self._meter_provider = MeterProvider([reader], resource=resource, shutdown_on_exit=False)
+        self._tracer = self._tracer_provider.get_tracer(INSTRUMENTATION_SCOPE)
+        meter = self._meter_provider.get_meter(INSTRUMENTATION_SCOPE)
         self._first_token = meter.create_histogram(
             "wasabiwell.first_token",
             "s",
@@ -86,22 +90,22 @@
             "time to first token divided by the time without the wait for admission",
             explicit_bucket_boundaries_advisory=SLOWDOWN_BOUNDS,
         )
-        self._observe(meter)
+        self._register_observables(meter)
 
     def publish(self, report: StatusReport) -> None:
-        """Make a report the source of the metrics until the next one."""
+        """Set the report that the metrics are read from."""
         self._report = report
 
     def shutdown(self) -> None:
-        """Export what is left and end the exporters' threads; blocks."""
-        self._meters.shutdown(timeout_millis=EXPORT_TIMEOUT.total_seconds() * 1000)
-        self._traces.shutdown()
+        """Export the remaining data and stop the exporter threads; blocks."""
+        self._meter_provider.shutdown(timeout_millis=EXPORT_TIMEOUT.total_seconds() * 1000)
+        self._tracer_provider.shutdown()
 
     @contextmanager
     def request_span(
         self, name: str, traceparent: str | None, tracestate: str | None
     ) -> Iterator[None]:
-        """Span of a caller's request, a child of the trace context that the caller sent."""
+        """Open the span of a request, as a child of the trace context that the caller sent."""
         carrier = {"traceparent": traceparent or "", "tracestate": tracestate or ""}
         parent = self._propagator.extract(carrier, Context()) if traceparent else Context()
         with self._tracer.start_as_current_span(
@@ -110,15 +114,15 @@
             yield
 
     def span(self, name: str, attributes: Attributes) -> AbstractContextManager[None]:
-        """Span of one hop, a child of the current span."""
-        return _as_context(self._tracer, name, attributes)
+        """Open the span of an outgoing call, as a child of the current span."""
+        return _client_span(self._tracer, name, attributes)
 
     def annotate(self, attributes: Attributes) -> None:
         """Add attributes to the current span."""
         trace.get_current_span().set_attributes(attributes)
 
     def headers(self) -> Headers:
-        """Return the W3C trace context of the current span; empty without one."""
+        """Return the W3C trace context headers of the current span; none without a span."""
         carrier: dict[str, str] = {}
         self._propagator.inject(carrier)
         return list(carrier.items())
@@ -128,27 +132,29 @@
         self._first_token.record(seconds, {"service": service, "size": size})
 
     def slowdown(self, service: str, size: str, ratio: float) -> None:
-        """Record time to first token divided by the time it takes without waiting."""
+        """Record the time to first token, divided by the time without admission wait."""
         self._slowdown.record(ratio, {"service": service, "size": size})
 
-    def _observe(self, meter: Meter) -> None:
-        for name, unit, figures in COUNTERS:
-            meter.create_observable_counter(name, [self._callback(figures)], unit)
-        for name, unit, figures in GAUGES:
-            meter.create_observable_gauge(name, [self._callback(figures)], unit)
+    def _register_observables(self, meter: Meter) -> None:
+        for name, unit, read_values in COUNTERS:
+            meter.create_observable_counter(name, [self._observable_callback(read_values)], unit)
+        for name, unit, read_values in GAUGES:
+            meter.create_observable_gauge(name, [self._observable_callback(read_values)], unit)
 
-    def _callback(self, figures: Figures) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    def _observable_callback(
+        self, read_values: ReadValues
+    ) -> Callable[[CallbackOptions], Iterable[Observation]]:
         def observe(_: CallbackOptions) -> Iterable[Observation]:
             report = self._report
             if report is None:
                 return []
-            return [Observation(value, attributes) for value, attributes in figures(report)]
+            return [Observation(value, attributes) for value, attributes in read_values(report)]
 
         return observe
 
 
 @contextmanager
-def _as_context(tracer: trace.Tracer, name: str, attributes: Attributes) -> Iterator[None]:
+def _client_span(tracer: trace.Tracer, name: str, attributes: Attributes) -> Iterator[None]:
     with tracer.start_as_current_span(
         name, kind=trace.SpanKind.CLIENT, attributes=dict(attributes), record_exception=False
     ):
@@ -179,7 +185,7 @@
     yield report.control.received_bytes, {"direction": "received"}
 
 
-COUNTERS: tuple[tuple[str, str, Figures], ...] = (
+COUNTERS: tuple[tuple[str, str, ReadValues], ...] = (
     ("wasabiwell.requests", "{request}", _requests),
     ("wasabiwell.retries", "{retry}", lambda report: [(report.retries, {})]),
     ("wasabiwell.tokens.relayed", "{token}", lambda report: [(report.tokens_relayed, {})]),
@@ -187,7 +193,7 @@
     ("wasabiwell.control.messages", "{message}", _control_messages),
     ("wasabiwell.control.io", "By", _control_bytes),
 )
-GAUGES: tuple[tuple[str, str, Figures], ...] = (
+GAUGES: tuple[tuple[str, str, ReadValues], ...] = (
     ("wasabiwell.streams.open", "{stream}", lambda report: [(report.open_streams, {})]),
     ("wasabiwell.requests.open", "{request}", lambda report: [(report.open_requests, {})]),
     (
