--- a/packages/entry/src/wasabiwell_entry/transport/target/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/__init__.py
@@ -1,1 +1,1 @@
-"""Connections to targets."""
+"""HTTP clients of targets."""
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -44,13 +44,11 @@
 READ_TIMEOUT_SECONDS = 600.0
 PROBE_TIMEOUT_SECONDS = 0.5
 STREAM_SILENCE_TIMEOUT = timedelta(seconds=2)
-"""The engine is probed after this time without data; between tokens, an engine that answers the
-probe gets a new connection."""
+"""The engine is probed after this time without data; between tokens, the connection is replaced."""
 SILENCE_CHECK_INTERVAL = timedelta(milliseconds=500)
 FIRST_TOKEN_SILENCE_TIMEOUT = timedelta(seconds=10)
 PREFILL_TIME_PER_TOKEN = timedelta(microseconds=200)
-"""Time that an engine may need for the prefill of one token, added to the timeout for the first
-generated token."""
+"""Added to the first-token timeout for each prompt token: no data arrives during the prefill."""
 RESPONSE_HEAD_READS = 1
 """The first read of a stream returns the response head, which has no token."""
 QUERY_TIMEOUT_SECONDS = 1.0
@@ -183,7 +181,7 @@
     async def _watch_for_silence(
         self, target: Target, attempt: Attempt, reads: InterruptibleReads
     ) -> None:
-        """Probe the engine while no data arrives, and interrupt the read if it or the stream failed."""
+        """Probe the engine while no data arrives; interrupt the read if engine or stream fails."""
         while True:
             await self._clock.sleep(SILENCE_CHECK_INTERVAL)
             started_at = reads.started_at
--- a/packages/entry/src/wasabiwell_entry/transport/target/pools.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/pools.py
@@ -54,7 +54,7 @@
 
 
 def timeout_extensions(read_seconds: float) -> dict[str, dict[str, float]]:
-    """Return the request extensions that set timeout_extensions."""
+    """Return the httpcore request extensions that set the timeouts."""
     return {
         "timeout": {
             "connect": CONNECT_TIMEOUT_SECONDS,
--- a/packages/entry/src/wasabiwell_entry/transport/telemetry/otlp.py
+++ b/packages/entry/src/wasabiwell_entry/transport/telemetry/otlp.py
@@ -24,7 +24,7 @@
 from wasabiwell_entry.coordination.telemetry.ports import Attributes, Headers
 from wasabiwell_entry.state.reports import StatusReport
 
-INSTRUMENTATION_SCOPE = "wasabiwell"
+SERVICE_NAME = "wasabiwell"
 FIRST_TOKEN_BOUNDS_SECONDS = (0.05, 0.1, 0.2, 0.4, 0.86, 1.5, 3.0, 6.0, 15.0, 60.0, 300.0, 900.0)
 SLOWDOWN_BOUNDS = (1.0, 1.05, 1.15, 1.3, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0)
 EXPORT_TIMEOUT = timedelta(seconds=2)
@@ -53,7 +53,7 @@
         timeout = EXPORT_TIMEOUT.total_seconds()
         resource = Resource(
             {
-                "service.name": INSTRUMENTATION_SCOPE,
+                "service.name": SERVICE_NAME,
                 "service.instance.id": node_id,
                 "wasabiwell.zone": zone,
             }
@@ -76,8 +76,8 @@
             export_interval_millis=interval.total_seconds() * 1000,
         )
         self._meter_provider = MeterProvider([reader], resource=resource, shutdown_on_exit=False)
-        self._tracer = self._tracer_provider.get_tracer(INSTRUMENTATION_SCOPE)
-        meter = self._meter_provider.get_meter(INSTRUMENTATION_SCOPE)
+        self._tracer = self._tracer_provider.get_tracer(SERVICE_NAME)
+        meter = self._meter_provider.get_meter(SERVICE_NAME)
         self._first_token = meter.create_histogram(
             "wasabiwell.first_token",
             "s",
--- a/tests/entry/transport/http/admin.feature
+++ b/tests/entry/transport/http/admin.feature
@@ -1,11 +1,11 @@
-Feature: Access to the operators' interface and its routes
-  Guards against an interface that is open to everybody, and against routes that answer for parts
-  that do not exist.
+Feature: Access control and routes of the admin API
+  Guards against an admin API without access control, and against routes that succeed for
+  components that do not exist.
 
   Scenario Outline: Without a configuration, <who> gets <status>
     Given an entry instance without a configuration
     When the admin caller <host> sends "GET status" with the key "<key>"
-    Then the interface answers <status>
+    Then the admin API responds with <status>
 
     Examples:
       | who                            | host      | key       | status |
@@ -17,7 +17,7 @@
   Scenario Outline: With a configuration, <who> gets <status>
     Given an entry instance with a configuration
     When the admin caller <host> sends "<request>" with the key "<key>"
-    Then the interface answers <status>
+    Then the admin API responds with <status>
 
     Examples:
       | who                    | host      | request                     | key       | status |
@@ -33,18 +33,18 @@
       | a bad limit            | 10.0.0.9  | GET configuration/history?limit=x | operator | 400 |
       | an operator, history   | 10.0.0.9  | GET configuration/history   | operator  | 200    |
 
-  Scenario: A part that is present answers
+  Scenario: A quarantined request is listed and released
     Given an entry instance with a configuration and a quarantine of "f1"
     When the admin caller 10.0.0.9 sends "GET quarantine" with the key "operator"
-    Then the interface answers 200
+    Then the admin API responds with 200
     When the admin caller 10.0.0.9 sends "DELETE quarantine/f1" with the key "operator"
-    Then the interface answers 200
+    Then the admin API responds with 200
     When the admin caller 10.0.0.9 sends "DELETE quarantine/f1" with the key "operator"
-    Then the interface answers 404
+    Then the admin API responds with 404
 
-  Scenario: A drained target gets no new work
+  Scenario: A drained target is marked as leaving, so it gets no new work
     Given an entry instance with a configuration
-    And the entry instance knows the target "ice-advisor-1"
+    And the entry instance has the target "ice-advisor-1"
     When the admin caller 10.0.0.9 sends "POST targets/ice-advisor-1/drain" with the key "operator"
-    Then the interface answers 202
+    Then the admin API responds with 202
     And the target "ice-advisor-1" is leaving
--- a/tests/steps/entry/transport/http/admin_steps.py
+++ b/tests/steps/entry/transport/http/admin_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the operators' interface, driven as an ASGI application."""
+"""Steps for the admin API, called as an ASGI application."""
 
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -33,7 +33,7 @@
 
 @dataclass(slots=True)
 class FakeQuarantine:
-    """A quarantine in memory."""
+    """An in-memory quarantine."""
 
     fingerprints: set[str]
 
@@ -42,7 +42,7 @@
         return tuple(SuspectFigures(name, ("a", "b"), True) for name in self.fingerprints)
 
     async def release(self, fingerprint: str) -> Done | NotFound:
-        """Release a fingerprint once."""
+        """Release a fingerprint if it is quarantined."""
         await trio.lowlevel.checkpoint()
         if fingerprint not in self.fingerprints:
             return NotFound(f"{fingerprint} is not quarantined")
@@ -51,8 +51,8 @@
 
 
 @dataclass(slots=True)
-class Plan:
-    """What the entry instance holds when the requests arrive, and the requests."""
+class AdminScenario:
+    """Initial state of the entry instance, and the requests that it receives."""
 
     configured: bool
     quarantine: FakeQuarantine | None = None
@@ -61,7 +61,7 @@
 
 
 def settings() -> Settings:
-    """Return settings whose platform cannot be reached."""
+    """Return settings with an unreachable platform."""
     ports = free_ports(3)
     url = f"http://127.0.0.1:{ports[2]}"
     return Settings(
@@ -78,7 +78,7 @@
 
 
 async def send(app: Any, host: str, request: str, key: str) -> int:
-    """Send a request without a body and return the status of its answer."""
+    """Send a request without a body and return the status code of the response."""
     method, _, path = request.partition(" ")
     path, _, query = path.partition("?")
     headers = [] if key == "none" else [(b"authorization", f"Bearer {key}".encode())]
@@ -104,54 +104,54 @@
     return int(sent[0]["status"])
 
 
-async def play(plan: Plan) -> tuple[list[int], dict[str, bool]]:
-    """Return the statuses of all requests, and which targets are leaving afterwards."""
+async def run_scenario(scenario: AdminScenario) -> tuple[list[int], dict[str, bool]]:
+    """Return the status code of each request, and which targets are leaving at the end."""
     async with open_instance(settings(), SystemClock()) as instance:
         http = instance.http
-        if plan.configured:
+        if scenario.configured:
             assert http.configuration.replace(1, items_of(CONFIGURATION)) is None
-        sources = replace(http.operations.sources, quarantine=plan.quarantine)
-        for name in plan.targets:
+        sources = replace(http.operations.sources, quarantine=scenario.quarantine)
+        for name in scenario.targets:
             sources.targets.put(
                 Target(name, TargetKind.ENGINE, "ice-advisor", "127.0.0.1:1", "r", "z")
             )
         app = application(replace(http, operations=OperationsCoordinator(sources)))
-        statuses = [await send(app, *request) for request in plan.requests]
+        statuses = [await send(app, *request) for request in scenario.requests]
         leaving = {status.target.target_id: status.leaving for status in sources.targets}
     return statuses, leaving
 
 
 @given("an entry instance without a configuration")
-def step_bare(context: Context) -> None:
-    context.plan = Plan(configured=False)
+def step_unconfigured(context: Context) -> None:
+    context.scenario = AdminScenario(configured=False)
 
 
 @given("an entry instance with a configuration")
 def step_configured(context: Context) -> None:
-    context.plan = Plan(configured=True)
+    context.scenario = AdminScenario(configured=True)
 
 
 @given('an entry instance with a configuration and a quarantine of "{fingerprint}"')
 def step_quarantine(context: Context, fingerprint: str) -> None:
-    context.plan = Plan(configured=True, quarantine=FakeQuarantine({fingerprint}))
+    context.scenario = AdminScenario(configured=True, quarantine=FakeQuarantine({fingerprint}))
 
 
-@given('the entry instance knows the target "{name}"')
+@given('the entry instance has the target "{name}"')
 def step_target(context: Context, name: str) -> None:
-    context.plan.targets.append(name)
+    context.scenario.targets.append(name)
 
 
 @when('the admin caller {host} sends "{request}" with the key "{key}"')
 def step_send(context: Context, host: str, request: str, key: str) -> None:
-    plan = context.plan
-    plan.requests.append((host, request, key))
-    if plan.quarantine is not None:
-        plan.quarantine.fingerprints = {"f1"}
-    context.statuses, context.leaving = trio.run(play, plan)
+    scenario = context.scenario
+    scenario.requests.append((host, request, key))
+    if scenario.quarantine is not None:
+        scenario.quarantine.fingerprints = {"f1"}
+    context.statuses, context.leaving = trio.run(run_scenario, scenario)
 
 
-@then("the interface answers {status:d}")
-def step_answers(context: Context, status: int) -> None:
+@then("the admin API responds with {status:d}")
+def step_status(context: Context, status: int) -> None:
     assert context.statuses[-1] == status, context.statuses
 
 
--- a/tests/steps/entry/transport/http/exchange_steps.py
+++ b/tests/steps/entry/transport/http/exchange_steps.py
@@ -1,4 +1,4 @@
-"""Steps for one HTTP request and its answer."""
+"""Steps for an HTTP request and its response."""
 
 from typing import Any
 
@@ -10,23 +10,23 @@
 
 
 class SlowServer:
-    """Knows of a message only when it was sent as a whole, as hypercorn does."""
+    """Records a message only after it was sent completely, as hypercorn does."""
 
     def __init__(self) -> None:
         self.sent: list[str] = []
 
     async def send(self, message: dict[str, Any]) -> None:
-        """Take a message."""
+        """Send a message, which takes a second."""
         await trio.sleep(1)
         self.sent.append(message["type"])
 
     async def receive(self) -> dict[str, Any]:
-        """Report that the caller is gone."""
+        """Report that the caller has disconnected."""
         await trio.lowlevel.checkpoint()
         return {"type": "http.disconnect"}
 
 
-@given("a server that takes a while to send")
+@given("a server that sends slowly")
 @given("a server that reports the caller's disconnect")
 def step_server(context: Context) -> None:
     context.server = SlowServer()
@@ -35,26 +35,26 @@
     )
 
 
-def run(function: Any) -> Any:
+def run_with_mock_clock(function: Any) -> Any:
     return trio.run(function, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-@when("a request is cancelled while the head of its answer is sent")
+@when("a request is cancelled during the start of its response")
 def step_cancelled(context: Context) -> None:
     async def cancel() -> None:
         with trio.move_on_after(0.5):
             await context.exchange.start(200, [])
 
-    run(cancel)
+    run_with_mock_clock(cancel)
 
 
-@when("the answer is finished")
+@when("the response is finished")
 def step_finished(context: Context) -> None:
-    run(context.exchange.finish)
+    run_with_mock_clock(context.exchange.finish)
 
 
-@then("the server knows that the answer has begun")
-def step_begun(context: Context) -> None:
+@then("the server has started the response")
+def step_started(context: Context) -> None:
     assert context.server.sent == ["http.response.start"], context.server.sent
 
 
@@ -64,7 +64,7 @@
             await context.exchange.cancel_on_disconnect(scope)
         return scope.cancel_called
 
-    return bool(run(serve))
+    return bool(run_with_mock_clock(serve))
 
 
 @then("the request is cancelled")
--- a/tests/steps/entry/transport/logs_steps.py
+++ b/tests/steps/entry/transport/logs_steps.py
@@ -21,7 +21,7 @@
 
 
 def log(buffer: LineBuffer, event: LogEvent, second: int = 0, **fields: object) -> None:
-    """Hand a record to the buffer, as the logger does."""
+    """Pass a record to the buffer, as the logger does."""
     record = SimpleNamespace(
         extra={"event": event.number}, time=START + timedelta(seconds=second), kwargs=fields
     )
@@ -37,7 +37,7 @@
     context.buffer = LineBuffer("n1")
 
 
-@when('an answer to request "{request_id}" is logged')
+@when('a response to request "{request_id}" is logged')
 def step_answer(context: Context, request_id: str) -> None:
     log(context.buffer, log_events.ANSWERED, request=request_id, outcome="status 200")
 
@@ -67,21 +67,21 @@
     assert line["time"] == "2026-01-01T00:00:00.000000Z"
 
 
-@then("{count:d} lines wait")
-def step_wait(context: Context, count: int) -> None:
+@then("{count:d} lines are buffered")
+def step_buffered(context: Context, count: int) -> None:
     context.lines = lines(context.buffer)
     assert len(context.lines) == count, len(context.lines)
 
 
-@then('the last lines tell that {count:d} lines of "{name}" were left out')
-def step_left_out(context: Context, count: int, name: str) -> None:
+@then('the last lines report that {count:d} lines of "{name}" were suppressed')
+def step_suppressed(context: Context, count: int, name: str) -> None:
     assert context.lines[-2]["counts"] == {name: count}, context.lines[-2]
 
 
-@then("the lines beyond the bound are those of the same requests in both events")
+@then("the sampled lines of both events belong to the same requests")
 def step_sampled(context: Context) -> None:
     context.lines = lines(context.buffer)
-    told = {
+    logged = {
         name: {line["request"] for line in context.lines if line["name"] == name}
         for name in ("routed", "answered")
     }
@@ -90,17 +90,17 @@
         for number in range(2_000)
         if zlib.crc32(b"r%d" % number) % SAMPLING_INTERVAL == 0
     }
-    assert sampled <= told["routed"]
-    assert told["routed"] == told["answered"]
+    assert sampled <= logged["routed"]
+    assert logged["routed"] == logged["answered"]
 
 
-@then("at most {count:d} lines wait")
+@then("at most {count:d} lines are buffered")
 def step_at_most(context: Context, count: int) -> None:
     assert len(context.lines) <= count, len(context.lines)
 
 
-def write(context: Context, count: int, read_bytes: int) -> None:
-    """Log failures, in turn with writing them, to a pipe that is read in pieces or not at all."""
+def write_to_pipe(context: Context, count: int, read_bytes: int) -> None:
+    """Log failures to a pipe while they are written; read it in small chunks or not at all."""
     context.buffer = LineBuffer("n1")
     reader, writer = os.pipe()
     os.set_blocking(writer, False)
@@ -130,18 +130,18 @@
                 read()
             nursery.cancel_scope.cancel()
 
-    begun = time.monotonic()
+    started_at = time.monotonic()
     trio.run(run)
-    context.seconds = time.monotonic() - begun
+    context.seconds = time.monotonic() - started_at
     context.received = bytes(received)
     os.close(reader)
     os.close(writer)
 
 
-@given("a process that logs {count:d} failures in {seconds:d} seconds to a pipe that nobody reads")
+@given("a process that logs {count:d} failures in {seconds:d} seconds to a pipe that is never read")
 def step_blocked(context: Context, count: int, seconds: int) -> None:
     assert count <= seconds * LINES_PER_SECOND
-    write(context, count, 0)
+    write_to_pipe(context, count, 0)
 
 
 @given(
@@ -149,18 +149,18 @@
 )
 def step_slow(context: Context, count: int, seconds: int) -> None:
     context.count = count
-    write(context, count, 3_000)
+    write_to_pipe(context, count, 3_000)
 
 
 @then("it took less than {seconds:d} seconds")
-def step_time(context: Context, seconds: int) -> None:
+def step_elapsed(context: Context, seconds: int) -> None:
     assert context.seconds < seconds, context.seconds
 
 
-@then("at most {size:d} bytes wait")
+@then("at most {size:d} bytes are buffered")
 def step_bytes(context: Context, size: int) -> None:
-    waiting = context.buffer.take(100_000_000)
-    assert 0 < len(waiting) <= size, len(waiting)
+    buffered = context.buffer.take(100_000_000)
+    assert 0 < len(buffered) <= size, len(buffered)
 
 
 @then("lines were dropped")
@@ -168,7 +168,7 @@
     assert context.buffer.dropped > 0
 
 
-@then("the reader got {count:d} whole lines in order")
-def step_whole(context: Context, count: int) -> None:
+@then("the reader got {count:d} complete lines in order")
+def step_complete(context: Context, count: int) -> None:
     numbers = [json.loads(line)["number"] for line in context.received.splitlines()]
     assert numbers == list(range(count)), numbers[:20]
--- a/tests/steps/entry/transport/telemetry/otlp_steps.py
+++ b/tests/steps/entry/transport/telemetry/otlp_steps.py
@@ -16,7 +16,7 @@
 
 
 def start(context: Context, otlp_address: str) -> None:
-    """Start a small deployment that exports every second."""
+    """Start a small deployment that exports its telemetry every second."""
     fleet: Fleet = context.fleet
     context.target = context.stack.enter_context(recording_target())
     fleet.start_platform()
@@ -39,22 +39,22 @@
 
 
 def received(context: Context) -> dict:
-    """Return what the receiver got."""
+    """Return the telemetry that the receiver got."""
     return json.loads(request("GET", context.receiver.address, "/received").content)
 
 
 def total(metrics: dict, name: str, **labels: str) -> int:
-    """Return the sum of a metric's points that have the labels."""
+    """Return the sum of a metric's data points that have the given labels."""
     metric = metrics.get(name, {})
     points = (metric.get("sum") or metric.get("gauge") or {}).get("dataPoints", [])
-    found = 0
+    result = 0
     for point in points:
         attributes = {
             item["key"]: item["value"]["stringValue"] for item in point.get("attributes", [])
         }
         if labels.items() <= attributes.items():
-            found += int(point["asInt"])
-    return found
+            result += int(point["asInt"])
+    return result
 
 
 @given("an entry instance that exports to a receiver")
@@ -67,8 +67,8 @@
     start(context, address)
 
 
-@given("an entry instance that exports to an address where nobody listens")
-def step_nobody(context: Context) -> None:
+@given("an entry instance that exports to an address without a listener")
+def step_no_listener(context: Context) -> None:
     context.fleet = context.stack.enter_context(open_fleet(replace(EAVELINE, entries=1)))
     start(context, f"{HOST}:{free_ports()[0]}")
 
@@ -96,8 +96,8 @@
         spans = received(context)["spans"]
         return {span["name"] for span in spans if span["trace_id"] == TRACE_ID}
 
-    wanted = set(names.split(", "))
-    context.fleet.wait_until(lambda: wanted <= in_trace(), f"{wanted}")
+    expected = set(names.split(", "))
+    context.fleet.wait_until(lambda: expected <= in_trace(), f"{expected}")
     spans = [span for span in received(context)["spans"] if span["trace_id"] == TRACE_ID]
     roots = {span["span_id"] for span in spans if span["name"] == "POST request"}
     parents = {span["parent_span_id"] for span in spans if span["name"] == "POST request"}
@@ -107,7 +107,7 @@
     assert {span["parent_span_id"] for span in attempts} <= roots, attempts
 
 
-@then("the plain target got the caller's trace with the span of its call")
+@then("the plain target received the caller's trace with the span of its call")
 def step_target(context: Context) -> None:
     def calls() -> set[str]:
         spans = received(context)["spans"]
@@ -115,16 +115,16 @@
 
     sent = [item["traceparent"].split("-")[1:3] for item in context.target.headers]
     assert [trace_id for trace_id, _ in sent] == [TRACE_ID] * 2, sent
-    wanted = {span_id for _, span_id in sent}
-    context.fleet.wait_until(lambda: calls() == wanted, f"spans {wanted} of the calls")
+    expected = {span_id for _, span_id in sent}
+    context.fleet.wait_until(lambda: calls() == expected, f"spans {expected} of the calls")
 
 
 @then("requests, tokens, retries and the configuration version are the same in metrics and status")
-def step_agree(context: Context) -> None:
-    def agree() -> bool:
+def step_metrics_equal_status(context: Context) -> None:
+    def metrics_equal_status() -> bool:
         report, metrics = status(context), received(context)["metrics"].get("entry-0", {})
         counted = {(item["kind"], item["outcome"], item["run"]) for item in report["requests"]}
-        same = [
+        equal = [
             total(metrics, "wasabiwell.requests", kind=kind, outcome=outcome, run=run)
             == sum(
                 item["count"]
@@ -139,10 +139,10 @@
             ("wasabiwell.configuration.version", "configuration_version"),
             ("wasabiwell.streams.open", "open_streams"),
         ):
-            same.append(total(metrics, name) == report[field])
-        return all(same) and ("generate", "ok", "ran") in counted and report["tokens_relayed"] > 0
+            equal.append(total(metrics, name) == report[field])
+        return all(equal) and ("generate", "ok", "ran") in counted and report["tokens_relayed"] > 0
 
-    context.fleet.wait_until(agree, "metrics and status agree", 10.0)
+    context.fleet.wait_until(metrics_equal_status, "metrics and status agree", 10.0)
 
 
 @then('the histograms "{names}" count {count:d} prompts')
@@ -154,12 +154,12 @@
         assert metrics[name]["unit"] in ("s", "1"), metrics[name]
 
 
-@then("neither prompt nor key is in what the receiver got or in the logs")
+@then("neither exported data nor logs contain the prompt or a key")
 def step_secrets(context: Context) -> None:
     texts = json.dumps(received(context)) + context.fleet.log("entry-0")
     assert "entry-0" in texts
-    found = [secret for secret in (PROMPT, KEY, EAVELINE.operator_key) if secret in texts]
-    assert not found, found
+    leaked = [secret for secret in (PROMPT, KEY, EAVELINE.operator_key) if secret in texts]
+    assert not leaked, leaked
 
 
 @then("the log has event {number:d}")
--- a/tests/steps/entry/transport/tls_steps.py
+++ b/tests/steps/entry/transport/tls_steps.py
@@ -1,4 +1,4 @@
-"""Steps for TLS, with a real entry instance and certificates made for the run."""
+"""Steps for TLS, with a real entry instance and certificates generated for the run."""
 
 import socket
 import ssl
@@ -12,7 +12,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from cryptography import x509
-from support.certificates import Authority
+from support.certificates import CertificateAuthority
 from support.recording_target import recording_target
 from wasabiwell_standins.deployments import EAVELINE
 from wasabiwell_standins.fleet import open_fleet, request
@@ -20,10 +20,10 @@
 KEY = "lowell-crews-key"
 
 
-def make_authority(context: Context, name: str) -> Authority:
-    """Return an issuer in a folder that lasts as long as the scenario."""
+def make_authority(context: Context, name: str) -> CertificateAuthority:
+    """Return a CA whose files are deleted at the end of the scenario."""
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
-    return Authority(Path(folder), name)
+    return CertificateAuthority(Path(folder), name)
 
 
 def command(context: Context, *arguments: str, stdin: bytes = b"") -> subprocess.CompletedProcess:
@@ -38,8 +38,8 @@
     )
 
 
-def serial(address: str, ca: Path) -> int:
-    """Return the serial number of the certificate that a new connection gets."""
+def server_serial(address: str, ca: Path) -> int:
+    """Return the serial number of the server certificate on a new connection."""
     host, _, port = address.rpartition(":")
     tls = ssl.create_default_context(cafile=ca)
     with (
@@ -69,7 +69,7 @@
     fleet.start_entry(0, *map(str, options))
 
 
-@then("the operators' command works with the issuer and not without it")
+@then("the operators' command works only with the CA of the entry instance")
 def step_command(context: Context) -> None:
     printed = subprocess.run(
         [sys.executable, "examples/eaveline.py"], check=True, capture_output=True
@@ -95,8 +95,8 @@
     assert len(context.target.headers) == 1, context.target.headers
 
 
-@then("a caller without TLS gets no answer")
-def step_plain(context: Context) -> None:
+@then("a caller without TLS gets no response")
+def step_without_tls(context: Context) -> None:
     try:
         reply = request("GET", context.fleet.entries[0].address, "/healthz")
     except (httpcore.NetworkError, httpcore.ProtocolError):
@@ -104,15 +104,15 @@
     raise AssertionError(reply.status)
 
 
-@then("the peer listener takes a client with a certificate of the issuer and no other")
+@then("the peer listener accepts only clients with a certificate of the CA")
 def step_peer(context: Context) -> None:
     other = make_authority(context, "stranger").issue("stranger")[:2]
-    verdicts = [peer_accepts(context, pair) for pair in (context.pair[:2], other, None)]
-    assert verdicts == [True, False, False], verdicts
+    accepted = [peer_accepts(context, pair) for pair in (context.pair[:2], other, None)]
+    assert accepted == [True, False, False], accepted
 
 
 def peer_accepts(context: Context, pair: tuple[Path, Path] | None) -> bool:
-    """Tell whether the peer listener answers a client with this key pair."""
+    """Return whether the peer listener accepts a client with this key pair."""
     host, _, port = context.fleet.entries[0].peer_address.rpartition(":")
     tls = ssl.create_default_context(cafile=context.authority.path)
     tls.set_alpn_protocols(["h2"])
@@ -129,20 +129,21 @@
         return False
 
 
-@when("the certificate of the callers' listener is replaced")
+@when("the certificate of the caller listener is replaced")
 def step_replace(context: Context) -> None:
     context.serial = context.authority.issue("entry-0")[2]
 
 
 @then("new connections get the new certificate")
-def step_new(context: Context) -> None:
+def step_new_certificate(context: Context) -> None:
     address = context.fleet.entries[0].address
     context.fleet.wait_until(
-        lambda: serial(address, context.authority.path) == context.serial, "the new certificate"
+        lambda: server_serial(address, context.authority.path) == context.serial,
+        "the new certificate",
     )
 
 
-@when("the certificate file of the callers' listener is damaged")
+@when("the certificate file of the caller listener is damaged")
 def step_damage(context: Context) -> None:
     context.pair[0].write_text("damaged")
 
@@ -162,7 +163,7 @@
     context.finished = subprocess.run(command, capture_output=True, text=True, check=False)
 
 
-@then('the entry command names the flag "{flag}"')
+@then('the entry command reports the flag "{flag}"')
 def step_flag(context: Context, flag: str) -> None:
     lines = context.finished.stderr.splitlines()
     assert any(line.startswith(f"{flag}: ") for line in lines), lines
@@ -173,8 +174,8 @@
     context.authority = make_authority(context, "operations")
     fleet = context.fleet = context.stack.enter_context(open_fleet(replace(EAVELINE, entries=2)))
     fleet.start_platform()
-    way, context.proxy = fleet.start_proxy(fleet.platform.address, "platform-proxy")
-    for index, platform in enumerate((None, way)):
+    proxy_address, context.proxy = fleet.start_proxy(fleet.platform.address, "platform-proxy")
+    for index, platform in enumerate((None, proxy_address)):
         certificate, key, _ = context.authority.issue(f"peer-{index}")
         options = ["--peer-tls-certificate", certificate, "--peer-tls-key", key]
         options += ["--peer-tls-ca", context.authority.path]
@@ -182,14 +183,14 @@
     fleet.wait_until(lambda: all_alive(context), "both entry instances alive")
 
 
-@when("the example is applied through the first while the other cannot read the table service")
+@when("the example is applied at the first while the other cannot reach the table service")
 def step_apply_by_peers(context: Context) -> None:
     context.fleet.control(context.proxy, cut=True)
     context.fleet.apply_example()
 
 
-@then("both know each other as alive and have the same configuration in force")
-def step_same(context: Context) -> None:
+@then("both report each other as alive and have the same active configuration")
+def step_same_configuration(context: Context) -> None:
     fleet = context.fleet
 
     def same() -> bool:
@@ -201,7 +202,7 @@
 
 
 def all_alive(context: Context) -> bool:
-    """Return whether each entry instance hears the other."""
+    """Return whether each entry instance reports the other as alive."""
     fleet = context.fleet
-    wanted = {entry.name: "alive" for entry in fleet.entries}
-    return all(fleet.member_statuses(entry) == wanted for entry in fleet.entries)
+    expected = {entry.name: "alive" for entry in fleet.entries}
+    return all(fleet.member_statuses(entry) == expected for entry in fleet.entries)
--- a/tests/support/certificates.py
+++ b/tests/support/certificates.py
@@ -1,4 +1,4 @@
-"""Certificates for tests, made anew in each run."""
+"""Certificates for tests, generated in each run."""
 
 from datetime import UTC, datetime, timedelta
 from ipaddress import ip_address
@@ -10,26 +10,30 @@
 from cryptography.x509.oid import NameOID
 
 
-class Authority:
-    """An issuer whose certificates name the loopback address."""
+class CertificateAuthority:
+    """A CA whose certificates are valid for the loopback address."""
 
     def __init__(self, folder: Path, name: str) -> None:
         self._folder = folder
         self._name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
         self._key = ec.generate_private_key(ec.SECP256R1())
-        own = _builder(self._name, self._name, self._key)
+        builder = _builder(self._name, self._name, self._key)
         constraints = x509.BasicConstraints(ca=True, path_length=None)
-        certificate = own.add_extension(constraints, critical=True).sign(self._key, hashes.SHA256())
+        certificate = builder.add_extension(constraints, critical=True).sign(
+            self._key, hashes.SHA256()
+        )
         self.path = folder / f"{name}-ca.pem"
         self.path.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
 
     def issue(self, name: str) -> tuple[Path, Path, int]:
-        """Write a certificate and its key; return their paths and the serial number."""
+        """Write a certificate and its key to files; return their paths and the serial number."""
         key = ec.generate_private_key(ec.SECP256R1())
         subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
-        names = x509.SubjectAlternativeName([x509.IPAddress(ip_address("127.0.0.1"))])
-        built = _builder(subject, self._name, key).add_extension(names, critical=False)
-        certificate = built.sign(self._key, hashes.SHA256())
+        alternative_names = x509.SubjectAlternativeName([x509.IPAddress(ip_address("127.0.0.1"))])
+        builder = _builder(subject, self._name, key).add_extension(
+            alternative_names, critical=False
+        )
+        certificate = builder.sign(self._key, hashes.SHA256())
         paths = self._folder / f"{name}.pem", self._folder / f"{name}-key.pem"
         paths[0].write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
         paths[1].write_bytes(
--- a/tests/support/recording_target.py
+++ b/tests/support/recording_target.py
@@ -1,4 +1,4 @@
-"""A plain target that keeps the headers of its calls."""
+"""A plain target that records the headers of its calls."""
 
 import ssl
 import threading
@@ -8,7 +8,7 @@
 
 
 class RecordingTarget(ThreadingHTTPServer):
-    """Answers each POST with 201."""
+    """HTTP server that responds to each POST with status 201."""
 
     daemon_threads = True
 
@@ -26,7 +26,7 @@
     server: RecordingTarget
 
     def do_POST(self) -> None:
-        """Keep the headers and answer."""
+        """Record the headers and respond."""
         self.rfile.read(int(self.headers["content-length"]))
         self.server.headers.append({name.lower(): value for name, value in self.headers.items()})
         self.send_response(201)
@@ -34,12 +34,12 @@
         self.end_headers()
 
     def log_message(self, format: str, *args: object) -> None:
-        """Log nothing."""
+        """Discard the log message."""
 
 
 @contextmanager
 def recording_target(tls: ssl.SSLContext | None = None) -> Iterator[RecordingTarget]:
-    """Serve until the context ends, with TLS when a context is given."""
+    """Run a target until exit; it uses TLS if a context is given."""
     server = RecordingTarget()
     if tls is not None:
         server.socket = tls.wrap_socket(server.socket, server_side=True)
