--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -44,7 +44,7 @@
 READ_TIMEOUT_SECONDS = 600.0
 PROBE_TIMEOUT_SECONDS = 0.5
 STREAM_SILENCE_TIMEOUT = timedelta(seconds=2)
-"""The engine is probed after this time without data; between tokens, the connection is replaced."""
+"""After this time without data the engine is probed; between tokens, the connection is replaced."""
 SILENCE_CHECK_INTERVAL = timedelta(milliseconds=500)
 FIRST_TOKEN_SILENCE_TIMEOUT = timedelta(seconds=10)
 PREFILL_TIME_PER_TOKEN = timedelta(microseconds=200)
--- a/tests/steps/entry/transport/http/admin_steps.py
+++ b/tests/steps/entry/transport/http/admin_steps.py
@@ -51,7 +51,7 @@
 
 
 @dataclass(slots=True)
-class AdminScenario:
+class AdminCase:
     """Initial state of the entry instance, and the requests that it receives."""
 
     configured: bool
@@ -104,50 +104,50 @@
     return int(sent[0]["status"])
 
 
-async def run_scenario(scenario: AdminScenario) -> tuple[list[int], dict[str, bool]]:
+async def run_case(case: AdminCase) -> tuple[list[int], dict[str, bool]]:
     """Return the status code of each request, and which targets are leaving at the end."""
     async with open_instance(settings(), SystemClock()) as instance:
         http = instance.http
-        if scenario.configured:
+        if case.configured:
             assert http.configuration.replace(1, items_of(CONFIGURATION)) is None
-        sources = replace(http.operations.sources, quarantine=scenario.quarantine)
-        for name in scenario.targets:
+        sources = replace(http.operations.sources, quarantine=case.quarantine)
+        for name in case.targets:
             sources.targets.put(
                 Target(name, TargetKind.ENGINE, "ice-advisor", "127.0.0.1:1", "r", "z")
             )
         app = application(replace(http, operations=OperationsCoordinator(sources)))
-        statuses = [await send(app, *request) for request in scenario.requests]
+        statuses = [await send(app, *request) for request in case.requests]
         leaving = {status.target.target_id: status.leaving for status in sources.targets}
     return statuses, leaving
 
 
 @given("an entry instance without a configuration")
 def step_unconfigured(context: Context) -> None:
-    context.scenario = AdminScenario(configured=False)
+    context.case = AdminCase(configured=False)
 
 
 @given("an entry instance with a configuration")
 def step_configured(context: Context) -> None:
-    context.scenario = AdminScenario(configured=True)
+    context.case = AdminCase(configured=True)
 
 
 @given('an entry instance with a configuration and a quarantine of "{fingerprint}"')
 def step_quarantine(context: Context, fingerprint: str) -> None:
-    context.scenario = AdminScenario(configured=True, quarantine=FakeQuarantine({fingerprint}))
+    context.case = AdminCase(configured=True, quarantine=FakeQuarantine({fingerprint}))
 
 
 @given('the entry instance has the target "{name}"')
 def step_target(context: Context, name: str) -> None:
-    context.scenario.targets.append(name)
+    context.case.targets.append(name)
 
 
 @when('the admin caller {host} sends "{request}" with the key "{key}"')
 def step_send(context: Context, host: str, request: str, key: str) -> None:
-    scenario = context.scenario
-    scenario.requests.append((host, request, key))
-    if scenario.quarantine is not None:
-        scenario.quarantine.fingerprints = {"f1"}
-    context.statuses, context.leaving = trio.run(run_scenario, scenario)
+    case = context.case
+    case.requests.append((host, request, key))
+    if case.quarantine is not None:
+        case.quarantine.fingerprints = {"f1"}
+    context.statuses, context.leaving = trio.run(run_case, case)
 
 
 @then("the admin API responds with {status:d}")
