--- a/packages/entry/src/wasabiwell_entry/transport/target/orders.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/orders.py
@@ -5,11 +5,20 @@
 import httpcore
 import trio
 
-from wasabiwell_entry.coordination.orders.errors import OrderDone, OrderRefused, OrderUnknown
+from wasabiwell_entry.coordination.orders.errors import (
+    OrderAcknowledged,
+    OrderRefused,
+    OrderUnacknowledged,
+)
 from wasabiwell_entry.protocol.orders import encode_order
 from wasabiwell_entry.state.orders import EngineOrder
 from wasabiwell_entry.state.targets import Target
-from wasabiwell_entry.transport.target.pools import BROKEN, NOT_SENT, TargetPools, timeouts
+from wasabiwell_entry.transport.target.pools import (
+    CONNECTION_ERRORS,
+    NOT_SENT_ERRORS,
+    TargetPools,
+    timeout_extensions,
+)
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
@@ -24,8 +33,8 @@
 
     async def send(
         self, target: Target, order: EngineOrder, fencing: int, timeout: timedelta
-    ) -> OrderDone | OrderRefused | OrderUnknown:
-        """Send an order once; the timeout covers connecting and all of the answer."""
+    ) -> OrderAcknowledged | OrderRefused | OrderUnacknowledged:
+        """Send an order once; the timeout covers the connection and the whole response."""
         seconds = timeout.total_seconds()
         try:
             with trio.fail_after(seconds):
@@ -34,18 +43,18 @@
                     self._pools.url(target.address, "/v1/orders"),
                     headers=JSON_HEADERS,
                     content=encode_order(order, fencing),
-                    extensions=timeouts(seconds),
+                    extensions=timeout_extensions(seconds),
                 )
-        except NOT_SENT as error:
+        except NOT_SENT_ERRORS as error:
             return OrderRefused(repr(error))
-        except (*BROKEN, trio.TooSlowError) as error:
-            return OrderUnknown(repr(error))
+        except (*CONNECTION_ERRORS, trio.TooSlowError) as error:
+            return OrderUnacknowledged(repr(error))
         return _outcome(response)
 
 
-def _outcome(response: httpcore.Response) -> OrderDone | OrderRefused | OrderUnknown:
+def _outcome(response: httpcore.Response) -> OrderAcknowledged | OrderRefused | OrderUnacknowledged:
     if response.status == 200:
-        return OrderDone()
+        return OrderAcknowledged()
     if response.status < 500:
         return OrderRefused(f"status {response.status}")
-    return OrderUnknown(f"status {response.status}")
+    return OrderUnacknowledged(f"status {response.status}")
