--- a/tests/steps/platform/decoding_steps.py
+++ b/tests/steps/platform/decoding_steps.py
@@ -15,7 +15,7 @@
 from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import RouteTable
-from wasabiwell_platform.caller import authorize, decode_request, failure, forwarded_request
+from wasabiwell_platform.caller import authorize, decode_request, error_response, forwarded_request
 from wasabiwell_platform.configuration import PlatformRoutes
 from wasabiwell_platform.listing import PlatformListing
 from wasabiwell_platform.settings import SettingsError, read_settings
@@ -39,7 +39,7 @@
 
 @then("the grace period is {seconds:d} seconds")
 def step_grace(context: Context, seconds: int) -> None:
-    assert context.settings.grace == timedelta(seconds=seconds)
+    assert context.settings.grace_period == timedelta(seconds=seconds)
 
 
 @given('the field "{name}" is "{value}"')
@@ -281,7 +281,7 @@
 @then("it is refused with status {status:d}")
 def step_refused(context: Context, status: int) -> None:
     assert isinstance(context.result, Refused), context.result
-    assert failure(context.result, "1")[0] == status
+    assert error_response(context.result, "1")[0] == status
 
 
 @then("it is accepted without an organisation")
@@ -294,11 +294,11 @@
     told: Refused | Failed = Refused(Reason(reason), "")
     if outcome == "failure":
         told = Failed(Reason(reason), "", RunState.UNKNOWN)
-    assert failure(told, "1")[0] == status
+    assert error_response(told, "1")[0] == status
 
 
 @then("a refusal that is over in {milliseconds:d} ms tells to come back after {seconds} seconds")
 def step_retry(context: Context, milliseconds: int, seconds: str) -> None:
     refused = Refused(Reason.NO_TARGET, "", timedelta(milliseconds=milliseconds))
-    headers = dict(failure(refused, "1")[1])
+    headers = dict(error_response(refused, "1")[1])
     assert headers[b"retry-after"] == seconds.encode(), headers
