--- a/tests/platform/caller.feature
+++ b/tests/platform/caller.feature
@@ -1,8 +1,8 @@
 Feature: Requests of callers
-  Guards against headers that reach a target though they must not, and against time that is handed
-  on twice.
+  Guards against headers that must not reach a target, and against a deadline that is forwarded both
+  as received and as recomputed.
 
-  Scenario: A request is forwarded with its own headers, and others are set anew
+  Scenario: A request is forwarded without the headers that are set for the target
     Given a request with these headers:
       | name                          | value                     |
       | Host                          | ficu95.example:8080       |
@@ -20,14 +20,14 @@
       | Connection                    | X-Hop                     |
       | X-Hop                         | 1                         |
       | X-Own                         | 2                         |
-    Then the target gets the headers "Host Wasabiwell-Model Wasabiwell-Request-Id Wasabiwell-Length-Hint Wasabiwell-Token-Counts X-Own" as they came
+    Then the target gets the headers "Host Wasabiwell-Model Wasabiwell-Request-Id Wasabiwell-Length-Hint Wasabiwell-Token-Counts X-Own" unchanged
     And the organisation is "hule930"
-    And the deadline is 4000 ms after the request came
+    And the deadline is 4000 ms after the request was received
     And it has 1460 prompt tokens, 31 expected and at most 80 output tokens
-    And it goes on after event 12
+    And its stream resumes after event 12
 
-  Scenario Outline: Requests that cannot be served are told so
-    When a request for "<path>" comes with the key "<key>" and the id "<id>"
+  Scenario Outline: Requests that cannot be served are refused with a status
+    When a request for "<path>" arrives with the key "<key>" and the id "<id>"
     Then it is refused with status <status>
 
     Examples:
@@ -37,12 +37,12 @@
       | /lohu930/ |                      | 1  | 401    |
       | /lohu930/ | n2ctnfzs989anu6wsjnb |    | 400    |
 
-  Scenario: An anonymous route asks for no key
-    When a request for "/open/x" comes with the key "unknown" and the id "1"
+  Scenario: An anonymous route requires no key
+    When a request for "/open/x" arrives with the key "unknown" and the id "1"
     Then it is accepted without an organisation
 
-  Scenario Outline: Failures tell the truth about the run
-    Then a <outcome> for "<reason>" is told with status <status>
+  Scenario Outline: The status of a failure tells whether the request may have run
+    Then a <outcome> for "<reason>" is sent with status <status>
 
     Examples:
       | outcome | reason            | status |
@@ -53,5 +53,5 @@
       | failure | target_failed     | 502    |
       | failure | deadline_exceeded | 504    |
 
-  Scenario: A refusal tells when to come back
-    Then a refusal that is over in 300 ms tells to come back after 0.300 seconds
+  Scenario: A refusal tells when to retry
+    Then a refusal with a retry time of 300 ms asks for a retry after 0.300 seconds
--- a/tests/platform/configuration.feature
+++ b/tests/platform/configuration.feature
@@ -1,26 +1,26 @@
-Feature: What operators and the platform write
-  Guards against fields that are taken for something else, and against entries of other writers.
+Feature: Configuration and list of targets of the platform
+  Guards against misinterpreted fields, and against unreadable entries that hide the other ones.
 
   Scenario: A configuration is decoded into routes and services
-    Given the configuration of the platform's pages
+    Given the sample configuration of the platform
     Then route "/lohu930/" is a resumable stream with 2 attempts and a limit of 10000 ms
     And it goes to "huvo11a" with weight 90 and to "wuno96b" with weight 10
     And route "/plain/" is at-most-once with 1 attempt and a limit of 1000 ms
-    And the engine of "huvo11a" reads 210000 tokens in 2.9 seconds
-    And the key "n2ctnfzs989anu6wsjnb" is that of "hule930"
-    And a request waits at most 4194304 bytes and 15 seconds idle
+    And the engine of "huvo11a" prefills 210000 tokens in 2.9 seconds
+    And the key "n2ctnfzs989anu6wsjnb" belongs to "hule930"
+    And a request body has at most 4194304 bytes and the idle timeout is 15 seconds
 
   Scenario: Requests are split by weight
-    Given the configuration of the platform's pages
+    Given the sample configuration of the platform
     Then 1000 requests on route "/lohu930/" go to "wuno96b" 60 to 140 times
     And a request id always goes to the same service
 
-  Scenario: A configuration that cannot be read is no configuration
+  Scenario: A configuration that cannot be decoded is rejected
     Then the document "{" cannot be decoded
     And the document "[]" cannot be decoded
 
-  Scenario: Entries that cannot be read name no target, and the others hold
-    Given a list of targets with good entries "i-1 i-2" and these others:
+  Scenario: Entries that cannot be decoded are skipped, and the others are kept
+    Given a list of targets with valid entries "i-1 i-2" and these others:
       | key | value                                                                                       |
       | x-1 | nonsense                                                                                    |
       | x-2 | {"service":"s","address":"10.0.0.1:80","zone":"z","state":"gone","slots":8}                 |
@@ -31,6 +31,6 @@
       | x-7 | {"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","slots":8,"born":"today"} |
     Then the targets are "i-1 i-2"
 
-  Scenario: A target is leaving when its entry says that it drains
-    Given a list of targets with good entries "i-1 i-2" of which "i-2" drains
+  Scenario: A target whose entry is draining counts as leaving
+    Given a list of targets with valid entries "i-1 i-2" of which "i-2" is draining
     Then "i-2" is leaving and "i-1" is not
--- a/tests/platform/settings.feature
+++ b/tests/platform/settings.feature
@@ -1,23 +1,23 @@
 Feature: Settings of the users' platform
-  Guards against a process that starts with settings it misunderstands, and against mistakes that are
-  told one at a time.
+  Guards against a process that starts with misread settings, and against errors that are reported
+  one at a time.
 
-  Scenario: The platform's file is read
+  Scenario: The platform's settings file is read
     Given the settings of an entry instance
-    Then they have no findings
-    And the seeds are known by their datagram addresses
+    Then the settings have no findings
+    And the seeds have datagram addresses with the port of this instance
 
-  Scenario: Fields that are not known are ignored
+  Scenario: Unknown fields are ignored
     Given the settings of an entry instance
     And the field "something.new" is "1"
-    Then they have no findings
+    Then the settings have no findings
 
-  Scenario: Bounds that a deployment does not state have defaults
-    Given the settings of an entry instance without the fields that begin with "bounds."
-    Then they have no findings
+  Scenario: Bounds that a deployment does not set have defaults
+    Given the settings of an entry instance without the fields that start with "bounds."
+    Then the settings have no findings
     And the grace period is 8 seconds
 
-  Scenario: All mistakes are told at once
+  Scenario: All errors are reported at once
     Given the settings of an entry instance
     And the field "listen.frontend" is ""
     And the field "bounds.grace_period_s" is "soon"
@@ -26,9 +26,9 @@
     And the field "seeds" is "10.0.0.1:9,10.0.0.2"
     Then the findings name "bounds.grace_period_s bounds.retry_budget_slack listen.frontend platform.address seeds"
 
-  Scenario Outline: A process with bad settings says so and ends
+  Scenario Outline: A process with invalid settings reports them and exits
     When the process starts with <settings>
-    Then it ends with code 2 and tells of "<place>"
+    Then it exits with code 2 and reports "<place>"
 
     Examples:
       | settings               | place               |
--- a/tests/platform/targets.feature
+++ b/tests/platform/targets.feature
@@ -1,13 +1,13 @@
 Feature: Connections to targets
-  Guards against a target that died being taken for a living one, which leaves a request that crashes
-  targets uncounted.
+  Guards against taking a crashed target for a living one: then the crash is not counted against the
+  request that caused it.
 
-  Scenario Outline: A target lives if it accepts a connection and keeps it
+  Scenario Outline: A target is alive if it accepts a connection and keeps it open
     Given a target that <does>
-    Then it <lives>
+    Then the target <status>
 
     Examples:
-      | does                                        | lives              |
+      | does                                        | status             |
       | keeps connections open                      | counts as living   |
       | closes connections after it accepted them   | counts as dead     |
       | resets connections after it accepted them   | counts as dead     |
--- a/tests/platform/whole.feature
+++ b/tests/platform/whole.feature
@@ -1,79 +1,79 @@
 Feature: The whole path on the users' platform, with real processes
-  Guards against broken promises to callers when targets, entry processes, the store or operators
-  act up. All targets and callers are stand-ins that keep what they saw.
+  Guards against violated guarantees to callers when targets, entry processes or the store fail or
+  operators make changes. All targets and callers are stand-ins that record what they receive.
 
   Scenario: Requests of all kinds are answered
     When callers send requests of all kinds for 2 seconds
-    Then all of them were answered
-    And no promise was broken
-    And each target saw the callers' organisation
+    Then all requests were answered
+    And no guarantee was violated
+    And each target received the callers' organisation
 
   Scenario: Streams are resumed when their engine crashes
     When an engine crashes while callers stream
-    Then all of them were answered
-    And no promise was broken
+    Then all requests were answered
+    And no guarantee was violated
     And at least 1 stream was resumed at another engine
 
-  Scenario: A booking whose answer is lost is neither run again nor refused as not run
-    When callers book while a target loses all of its answers
-    Then no promise was broken
-    And some bookings have no answer
+  Scenario: A booking whose response is lost is neither retried nor refused as not run
+    When callers send bookings while a target loses all of its responses
+    Then no guarantee was violated
+    And some bookings have no response
 
-  Scenario: Answers that are cut, foreign or followed by others never look like whole ones
-    When callers send requests while targets garble half of their answers
-    Then no promise was broken
+  Scenario: Responses that are cut, foreign or followed by extra bytes never look complete
+    When callers send requests while targets corrupt half of their responses
+    Then no guarantee was violated
 
-  Scenario: Idempotent requests are repeated when a target fails
-    When callers look up while a target answers with 500
-    Then all of them were answered
+  Scenario: Idempotent requests are retried when a target fails
+    When callers send lookups while a target responds with status 500
+    Then all requests were answered
 
   Scenario: A planned stop of each entry process cuts no request off
     When each entry process is stopped in turn while callers send requests
-    Then all of them were answered
-    And no promise was broken
-    And each process ended by itself
+    Then all requests were answered
+    And no guarantee was violated
+    And each process exited with code 0
 
-  Scenario: An answer that takes most of the grace period is finished
-    When an entry process is stopped while an answer of 7 seconds begins
-    Then all of them were answered
+  Scenario: A response that takes most of the grace period is finished
+    When an entry process is stopped while a response of 7 seconds starts
+    Then all requests were answered
 
-  Scenario: A killed entry process breaks no promise and the others go on
+  Scenario: A killed entry process violates no guarantee and the others keep serving
     When an entry process is killed while callers send requests
-    Then no promise was broken
+    Then no guarantee was violated
     And the requests that were sent a second later were answered
 
-  Scenario: A leaving target gets no new work
+  Scenario: A draining target gets no new requests
     When a target drains while callers send requests
-    Then no request began there 2 seconds later
-    And all of them were answered
+    Then no request starts on the target 2 seconds later
+    And all requests were answered
 
-  Scenario: A key that was taken away is refused everywhere
-    When a key is taken away while its callers are connected
-    Then every entry process refuses it 2 seconds later with status 401
+  Scenario: A revoked key is refused by every entry process
+    When a key is revoked while its callers are connected
+    Then every entry process refuses the key 2 seconds later with status 401
 
-  Scenario: Requests are answered while the store is away, and after a restart then
-    When the store goes away, an entry process restarts, and callers send requests
-    Then all of them were answered
+  Scenario: Requests are answered during a store outage, also by a process that restarts in it
+    When the store is unavailable, an entry process restarts, and callers send requests
+    Then all requests were answered
 
-  Scenario: A caller who leaves frees its engine
-    When callers leave before their streams end
-    Then no run lasts longer than 0.5 seconds after that
+  Scenario: A caller that disconnects frees its engine
+    When callers disconnect before their streams end
+    Then no run lasts longer than 0.5 seconds after the disconnect
 
-  Scenario: Memory for a giant prompt is returned
+  Scenario: Memory that was reserved for a very long prompt is released
     When engines answer a prompt of 600000 tokens
-    Then no engine holds memory 1 second later
-    And all of them were answered
+    Then no engine has reserved memory 1 second later
+    And all requests were answered
 
-  Scenario: A request that crashes engines is stopped
+  Scenario: A request that crashes engines is quarantined
     When a request that crashes engines is sent 6 times
-    Then it crashed at most 3 engines
+    Then the request crashed at most 3 engines
 
-  Scenario: A target that took over an address does not run requests for the one before
-    When another target takes over the address of one that ended
-    Then all of them were answered
-    And no promise was broken
+  Scenario: A target that took over an address does not run requests for the previous target
+    When another target takes over the address of a crashed one
+    Then all requests were answered
+    And no guarantee was violated
 
-  Scenario Outline: Requests that cannot be served get a clear answer
+  Scenario Outline: Requests that cannot be served get the status of the error
     When an entry process gets <request>
     Then the status is <status>
 
--- a/tests/steps/platform/decoding_steps.py
+++ b/tests/steps/platform/decoding_steps.py
@@ -1,4 +1,4 @@
-"""Steps for what the platform's users and operators write."""
+"""Steps for decoding settings, configuration, list of targets and callers' requests."""
 
 import json
 import os
@@ -11,7 +11,7 @@
 import trio
 from behave import given, then, when
 from behave.runner import Context
-from support.platform import SETTINGS, configuration_document, entry
+from support.platform import SETTINGS, configuration_document, target_entry
 from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import RouteTable
@@ -31,7 +31,7 @@
     context.file_text = SETTINGS
 
 
-@given('the settings of an entry instance without the fields that begin with "{start}"')
+@given('the settings of an entry instance without the fields that start with "{start}"')
 def step_settings_without(context: Context, start: str) -> None:
     lines = SETTINGS.splitlines(keepends=True)
     context.file_text = "".join(line for line in lines if not line.startswith(start))
@@ -52,12 +52,12 @@
     context.file_text += f"{name}=\n"
 
 
-@then("they have no findings")
+@then("the settings have no findings")
 def step_no_findings(context: Context) -> None:
     context.settings = read_settings(context.file_text)
 
 
-@then("the seeds are known by their datagram addresses")
+@then("the seeds have datagram addresses with the port of this instance")
 def step_seeds(context: Context) -> None:
     assert context.settings.peer_seeds == ("10.1.0.40:7340", "10.2.0.29:7340")
 
@@ -95,7 +95,7 @@
         )
 
 
-@then('it ends with code {code:d} and tells of "{place}"')
+@then('it exits with code {code:d} and reports "{place}"')
 def step_ends(context: Context, code: int, place: str) -> None:
     assert context.finished.returncode == code, context.finished
     assert f"{place}: " in context.finished.stderr, context.finished.stderr
@@ -108,7 +108,7 @@
     return table
 
 
-@given("the configuration of the platform's pages")
+@given("the sample configuration of the platform")
 def step_configuration(context: Context) -> None:
     context.routes = example_routes()
 
@@ -129,18 +129,18 @@
     assert shares == [(first, one), (second, two)], shares
 
 
-@then('the engine of "{service}" reads {tokens:d} tokens in {seconds:g} seconds')
-def step_reads(context: Context, service: str, tokens: int, seconds: float) -> None:
+@then('the engine of "{service}" prefills {tokens:d} tokens in {seconds:g} seconds')
+def step_prefills(context: Context, service: str, tokens: int, seconds: float) -> None:
     profile = context.routes.services[service].engine
     assert abs(profile.prefill_seconds(tokens) - seconds) < 0.05, profile.prefill_seconds(tokens)
 
 
-@then('the key "{key}" is that of "{name}"')
+@then('the key "{key}" belongs to "{name}"')
 def step_key(context: Context, key: str, name: str) -> None:
     assert context.routes.organisations[key] == name
 
 
-@then("a request waits at most {size:d} bytes and {seconds:d} seconds idle")
+@then("a request body has at most {size:d} bytes and the idle timeout is {seconds:d} seconds")
 def step_limits(context: Context, size: int, seconds: int) -> None:
     limits = context.routes.limits
     assert (limits.body_bytes, limits.idle_timeout) == (size, timedelta(seconds=seconds))
@@ -172,38 +172,40 @@
     assert isinstance(PlatformRoutes(None).decode(text.encode()), StoreUnavailable)
 
 
-class ListedRows:
-    """A store with rows of targets."""
+class TargetRowStore:
+    """Store with rows of targets."""
 
     def __init__(self, values: dict[str, bytes]) -> None:
         self._rows = tuple(StoredRow(key, value, 1) for key, value in sorted(values.items()))
 
     async def rows(self, table: str, start: str = "") -> StoredRows:
-        """Return the rows two at a time, as a store does that returns a part."""
+        """Return at most two rows, as a store with a limit of rows in a response does."""
         await trio.lowlevel.checkpoint()
-        rest = [row for row in self._rows if row.key >= start]
-        return StoredRows(tuple(rest[:2]), 9, truncated=len(rest) > 2)
+        remaining = [row for row in self._rows if row.key >= start]
+        return StoredRows(tuple(remaining[:2]), 9, truncated=len(remaining) > 2)
 
 
 def read_targets(context: Context, values: dict[str, bytes]) -> None:
-    listing = trio.run(PlatformListing(ListedRows(values), "region").targets)
+    listing = trio.run(PlatformListing(TargetRowStore(values), "region").targets)
     context.listing = listing
 
 
-@given('a list of targets with good entries "{names}" and these others:')
+@given('a list of targets with valid entries "{names}" and these others:')
 def step_entries(context: Context, names: str) -> None:
-    values = {name: json.dumps(entry(number)).encode() for number, name in enumerate(names.split())}
+    values = {
+        name: json.dumps(target_entry(number)).encode() for number, name in enumerate(names.split())
+    }
     values |= {row["key"]: row["value"].encode() for row in context.table}
     read_targets(context, values)
 
 
-@given('a list of targets with good entries "{names}" of which "{draining}" drains')
+@given('a list of targets with valid entries "{names}" of which "{draining}" is draining')
 def step_draining(context: Context, names: str, draining: str) -> None:
     states = {name: "draining" if name == draining else "ready" for name in names.split()}
     read_targets(
         context,
         {
-            name: json.dumps(entry(number, state)).encode()
+            name: json.dumps(target_entry(number, state)).encode()
             for number, (name, state) in enumerate(states.items())
         },
     )
@@ -228,7 +230,7 @@
     context.request = forwarded_request(request, route, organisation, b"body", RECEIVED)
 
 
-@then('the target gets the headers "{names}" as they came')
+@then('the target gets the headers "{names}" unchanged')
 def step_headers(context: Context, names: str) -> None:
     found = sorted(name.decode() for name, _ in context.request.headers)
     assert found == sorted(names.split()), found
@@ -240,7 +242,7 @@
     assert context.request.organisation == name
 
 
-@then("the deadline is {milliseconds:d} ms after the request came")
+@then("the deadline is {milliseconds:d} ms after the request was received")
 def step_deadline(context: Context, milliseconds: int) -> None:
     assert context.request.deadline - RECEIVED == timedelta(milliseconds=milliseconds)
 
@@ -251,31 +253,31 @@
     assert (size.prompt, size.expected_output, size.max_output) == (prompt, expected, most)
 
 
-@then("it goes on after event {number:d}")
+@then("its stream resumes after event {number:d}")
 def step_event(context: Context, number: int) -> None:
     assert context.request.last_event_id == number
 
 
-@when('a request for "{path}" comes with the key "{key}" and the id "{request_id}"')
-def step_comes(context: Context, path: str, key: str, request_id: str) -> None:
+@when('a request for "{path}" arrives with the key "{key}" and the id "{request_id}"')
+def step_arrives(context: Context, path: str, key: str, request_id: str) -> None:
     headers = [(b"Host", HOST.encode())]
     if key:
         headers.append((b"Authorization", f"Bearer {key}".encode()))
     if request_id:
         headers.append((b"Wasabiwell-Request-Id", request_id.encode()))
     request = decode_request("POST", path, "", headers)
-    accepted = isinstance(request, Refused)
-    context.result = request if accepted else authorize(example_routes(), request)
+    refused = isinstance(request, Refused)
+    context.result = request if refused else authorize(example_routes(), request)
 
 
-@when('a request for "{path}" comes with the key "" and the id "{request_id}"')
-def step_comes_keyless(context: Context, path: str, request_id: str) -> None:
-    step_comes(context, path, "", request_id)
+@when('a request for "{path}" arrives with the key "" and the id "{request_id}"')
+def step_arrives_keyless(context: Context, path: str, request_id: str) -> None:
+    step_arrives(context, path, "", request_id)
 
 
-@when('a request for "{path}" comes with the key "{key}" and the id ""')
-def step_comes_without_id(context: Context, path: str, key: str) -> None:
-    step_comes(context, path, key, "")
+@when('a request for "{path}" arrives with the key "{key}" and the id ""')
+def step_arrives_without_id(context: Context, path: str, key: str) -> None:
+    step_arrives(context, path, key, "")
 
 
 @then("it is refused with status {status:d}")
@@ -289,15 +291,15 @@
     assert context.result[1] is None
 
 
-@then('a {outcome} for "{reason}" is told with status {status:d}')
+@then('a {outcome} for "{reason}" is sent with status {status:d}')
 def step_status(context: Context, outcome: str, reason: str, status: int) -> None:
-    told: Refused | Failed = Refused(Reason(reason), "")
+    outcome_sent: Refused | Failed = Refused(Reason(reason), "")
     if outcome == "failure":
-        told = Failed(Reason(reason), "", RunState.UNKNOWN)
-    assert error_response(told, "1")[0] == status
+        outcome_sent = Failed(Reason(reason), "", RunState.UNKNOWN)
+    assert error_response(outcome_sent, "1")[0] == status
 
 
-@then("a refusal that is over in {milliseconds:d} ms tells to come back after {seconds} seconds")
+@then("a refusal with a retry time of {milliseconds:d} ms asks for a retry after {seconds} seconds")
 def step_retry(context: Context, milliseconds: int, seconds: str) -> None:
     refused = Refused(Reason.NO_TARGET, "", timedelta(milliseconds=milliseconds))
     headers = dict(error_response(refused, "1")[1])
--- a/tests/steps/platform/soak_steps.py
+++ b/tests/steps/platform/soak_steps.py
@@ -1,4 +1,4 @@
-"""Steps for short soaks."""
+"""Steps for short soak tests."""
 
 import tempfile
 from pathlib import Path
@@ -9,19 +9,19 @@
 from wasabiwell_standins.users_platform.soak import soak_seed
 from wasabiwell_standins.users_platform.world import WorldSize
 
-BLOCK = 77
-"""Second number of the processes' IP addresses, apart from those of other features."""
+IP_BLOCK = 77
+"""Second number of the processes' IP addresses; no other feature uses it."""
 
 
 @when("the faults of seed {seed:d} are injected for {seconds:d} seconds")
 def step_soak(context: Context, seed: int, seconds: int) -> None:
     folder = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
-    size = WorldSize(entries=4, engines=6, plain=3, block=BLOCK)
+    size = WorldSize(entries=4, engines=6, plain=3, block=IP_BLOCK)
     context.report = trio.run(soak_seed, seed, seconds, size, folder)
 
 
-@then("the soak finds nothing")
-def step_finds_nothing(context: Context) -> None:
+@then("the soak test has no findings")
+def step_no_findings(context: Context) -> None:
     report = context.report
     assert report.replies > 0
     assert not report.findings, "\n".join([*report.findings, "happened:", *report.happened])
--- a/tests/steps/platform/targets_steps.py
+++ b/tests/steps/platform/targets_steps.py
@@ -16,16 +16,16 @@
 Behaviour = Callable[[trio.SocketListener], Awaitable[None]]
 
 
-async def keep(listener: trio.SocketListener) -> None:
+async def keep_connection(listener: trio.SocketListener) -> None:
     async with await listener.accept():
         await trio.sleep_forever()
 
 
-async def close(listener: trio.SocketListener) -> None:
+async def close_connection(listener: trio.SocketListener) -> None:
     await (await listener.accept()).aclose()
 
 
-async def reset(listener: trio.SocketListener) -> None:
+async def reset_connection(listener: trio.SocketListener) -> None:
     stream = await listener.accept()
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     await stream.aclose()
@@ -37,9 +37,9 @@
 
 
 BEHAVIOURS: dict[str, Behaviour] = {
-    "keeps connections open": keep,
-    "closes connections after it accepted them": close,
-    "resets connections after it accepted them": reset,
+    "keeps connections open": keep_connection,
+    "closes connections after it accepted them": close_connection,
+    "resets connections after it accepted them": reset_connection,
     "closes its listener with connections queued": close_listener,
     "has no listener": trio.SocketListener.aclose,
 }
@@ -54,13 +54,13 @@
             nursery.start_soon(BEHAVIOURS[does], listener)
             await trio.testing.wait_all_tasks_blocked()
             target = replace(make_target(0), address=f"127.0.0.1:{port}")
-            living = await HttpTargets().accepts_connections(target)
+            accepted = await HttpTargets().accepts_connections(target)
             nursery.cancel_scope.cancel()
-        return living
+        return accepted
 
-    context.living = trio.run(run)
+    context.accepted = trio.run(run)
 
 
-@then("it counts as {belief}")
-def step_belief(context: Context, belief: str) -> None:
-    assert context.living == (belief == "living")
+@then("the target counts as {status}")
+def step_status(context: Context, status: str) -> None:
+    assert context.accepted == (status == "living")
--- a/tests/steps/platform/tracing_steps.py
+++ b/tests/steps/platform/tracing_steps.py
@@ -20,19 +20,19 @@
     open_world,
 )
 
-BLOCKS = iter(range(20, 76))
-"""Blocks of IP addresses that no other scenario uses."""
+IP_BLOCKS = iter(range(20, 76))
+"""Blocks of IP addresses, one for each scenario."""
 
 
-def play(context: Context, act: Callable[[World], Awaitable[Reply | None]]) -> None:
-    """Run a deployment, and keep the last reply and the log files of the entry processes."""
+def run_deployment(context: Context, actions: Callable[[World], Awaitable[Reply | None]]) -> None:
+    """Run actions in a new deployment; keep the last reply and the logs of the entry processes."""
     context.folder = context.stack.enter_context(tempfile.TemporaryDirectory())
 
     async def run() -> None:
-        size = WorldSize(entries=2, engines=2, plain=1, block=next(BLOCKS))
+        size = WorldSize(entries=2, engines=2, plain=1, block=next(IP_BLOCKS))
         async with open_world(size, Path(context.folder)) as world:
             context.logs = [entry.log for entry in world.entries]
-            context.reply = await act(world)
+            context.reply = await actions(world)
             await trio.sleep(0.3)
 
     trio.run(run)
@@ -42,60 +42,60 @@
     return await world.caller().send(order, retries=0)
 
 
-@given("a log file with {count:d} lines that are no log lines")
-def step_noise(context: Context, count: int) -> None:
+@given("a log file with {count:d} unreadable lines")
+def step_unreadable_log(context: Context, count: int) -> None:
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
-    context.noise = Path(folder) / "noise.log"
+    context.unreadable_log = Path(folder) / "noise.log"
     lines = [b"Traceback", b"{}", b'{"time": "yesterday", "node": 1, "name": "x"}\xff']
-    context.noise.write_bytes(b"\n".join(lines[:count]) + b"\n")
+    context.unreadable_log.write_bytes(b"\n".join(lines[:count]) + b"\n")
 
 
-@when("a booking is refused as no target takes new work")
+@when("a booking is refused as no target accepts new requests")
 def step_refused(context: Context) -> None:
-    async def act(world: World) -> Reply:
+    async def actions(world: World) -> Reply:
         target = world.of_service(PLAIN_SERVICE)[0]
         world.store.put_json("servers", target.target_id, target.entry("draining"))
         await trio.sleep(0.3)
         return await send(world, world.order("book"))
 
-    play(context, act)
+    run_deployment(context, actions)
     assert context.reply.status == 503, context.reply
 
 
 @when("an engine crashes under a stream that may not be resumed")
-def step_broken(context: Context) -> None:
-    async def act(world: World) -> Reply:
+def step_interrupted(context: Context) -> None:
+    async def actions(world: World) -> Reply:
         for route in world.configuration["routes"]:
             route["resume_streams"] = False
         world.configure()
         await trio.sleep(0.3)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(crash, world)
+            nursery.start_soon(crash_busiest_engine, world)
             return await send(world, world.order("short", events=60))
 
-    play(context, act)
+    run_deployment(context, actions)
     assert context.reply.status == 200
     assert not context.reply.whole
 
 
-async def crash(world: World) -> None:
+async def crash_busiest_engine(world: World) -> None:
     await trio.sleep(0.5)
     max(world.of_service(MODEL_SERVICE), key=lambda target: target.running).crash()
 
 
-@when("a target loses its answer to a booking")
-def step_unknown(context: Context) -> None:
-    async def act(world: World) -> Reply:
+@when("a target loses its response to a booking")
+def step_lost_response(context: Context) -> None:
+    async def actions(world: World) -> Reply:
         world.of_service(PLAIN_SERVICE)[0].faults.reset_share = 1.0
         return await send(world, world.order("book"))
 
-    play(context, act)
+    run_deployment(context, actions)
     assert context.reply.status == 502, context.reply
 
 
-@when("requests of all kinds are answered and the metrics are asked for")
+@when("requests of all kinds are answered and the metrics are fetched")
 def step_metrics(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         for route in ("short", "medium", "long", "book", "look", "look"):
             assert (await send(world, world.order(route))).status == 200
         texts = []
@@ -105,11 +105,11 @@
                 texts.append((await pool.request("GET", url)).content.decode())
         context.metrics = texts
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
-def trace(context: Context, request_id: str) -> None:
-    files = [*context.logs, *([context.noise] if "noise" in context else [])]
+def run_trace(context: Context, request_id: str) -> None:
+    files = [*context.logs, *([context.unreadable_log] if "unreadable_log" in context else [])]
     context.finished = subprocess.run(
         [sys.executable, "-m", "wasabiwell_cli.main", "trace", request_id, *map(str, files)],
         capture_output=True,
@@ -118,32 +118,32 @@
     )
 
 
-@then('`wasabiwell trace` tells of it with "{names}"')
+@then('`wasabiwell trace` lists its events "{names}"')
 def step_trace(context: Context, names: str) -> None:
-    trace(context, context.reply.request_id)
+    run_trace(context, context.reply.request_id)
     assert context.finished.returncode == 0, context.finished
     rows = context.finished.stdout.splitlines()[2:]
     found = [row.split()[2] for row in rows if row and row[0].isdigit() and "entry-" in row]
     assert found == names.split(), context.finished.stdout
 
 
-@then('its lines hold "{text}"')
-def step_holds(context: Context, text: str) -> None:
+@then('the trace contains "{text}"')
+def step_trace_contains(context: Context, text: str) -> None:
     assert text in context.finished.stdout, context.finished.stdout
 
 
-@then("it tells of {count:d} unreadable lines")
-def step_unreadable(context: Context, count: int) -> None:
+@then("the trace reports {count:d} unreadable lines")
+def step_unreadable_count(context: Context, count: int) -> None:
     assert f"{count} unreadable lines" in context.finished.stdout, context.finished.stdout
 
 
-@then("`wasabiwell trace` of another request ends with code {code:d}")
-def step_other(context: Context, code: int) -> None:
-    trace(context, "0" * 16)
+@then("`wasabiwell trace` of another request exits with code {code:d}")
+def step_trace_other(context: Context, code: int) -> None:
+    run_trace(context, "0" * 16)
     assert context.finished.returncode == code, context.finished
 
 
-@then("the metrics count {count:d} requests that were answered with {status:d}")
+@then("the metrics count {count:d} requests with status {status:d}")
 def step_count(context: Context, count: int, status: int) -> None:
     lines = [line for text in context.metrics for line in text.splitlines()]
     counted = [
@@ -154,7 +154,7 @@
     assert sum(counted) == count, counted
 
 
-@then('the metrics have "{names}"')
-def step_have(context: Context, names: str) -> None:
+@then('the metrics contain "{names}"')
+def step_metrics_contain(context: Context, names: str) -> None:
     missing = [name for name in names.split() if not any(name in text for text in context.metrics)]
     assert not missing, missing
--- a/tests/steps/platform/whole_steps.py
+++ b/tests/steps/platform/whole_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the whole path on the users' platform, with real processes."""
+"""Steps for end-to-end tests on the users' platform with real processes."""
 
 import signal
 import tempfile
@@ -25,28 +25,30 @@
     open_world,
 )
 
-MIX = ("short", "short", "short", "book", "look", "medium")
+ROUTE_MIX = ("short", "short", "short", "book", "look", "medium")
 SEND_INTERVAL = 0.04
-BLOCKS = iter(range(80, 250))
-"""Blocks of IP addresses, so that no scenario meets sockets of the one before."""
+IP_BLOCKS = iter(range(80, 250))
+"""Blocks of IP addresses, one for each scenario, as sockets of the previous one may remain."""
 
 
-def play(context: Context, act: Callable[[World], Awaitable[None]], entries: int = 3) -> None:
-    """Run a deployment in which something happens."""
+def run_deployment(
+    context: Context, actions: Callable[[World], Awaitable[None]], entries: int = 3
+) -> None:
+    """Run actions in a new deployment and collect the replies to callers."""
     context.replies = []
 
     async def run(folder: Path) -> None:
-        size = WorldSize(entries=entries, block=next(BLOCKS))
+        size = WorldSize(entries=entries, block=next(IP_BLOCKS))
         async with open_world(size, folder) as world:
             context.world = world
-            await act(world)
+            await actions(world)
 
     with tempfile.TemporaryDirectory() as folder:
         trio.run(run, Path(folder))
 
 
 async def send(context: Context, world: World, orders: list[Order], interval: float = 0.0) -> None:
-    """Send orders one after the other, each in a task of its own, and wait for all replies."""
+    """Send requests at an interval, each in a task of its own, and wait for all replies."""
     callers = [world.caller(zone) for zone in ZONES]
 
     async def send_one(index: int, order: Order) -> None:
@@ -59,31 +61,34 @@
             await trio.sleep(interval)
 
 
-def mix(world: World, seconds: float) -> list[Order]:
-    """Return orders of all kinds for a time."""
-    return [world.order(MIX[number % len(MIX)]) for number in range(round(seconds / SEND_INTERVAL))]
+def mixed_requests(world: World, seconds: float) -> list[Order]:
+    """Return the requests of all kinds that are sent in a number of seconds."""
+    return [
+        world.order(ROUTE_MIX[number % len(ROUTE_MIX)])
+        for number in range(round(seconds / SEND_INTERVAL))
+    ]
 
 
-async def during(
-    context: Context, world: World, seconds: float, happening: Callable[[], Awaitable[None]]
+async def send_during(
+    context: Context, world: World, seconds: float, action: Callable[[], Awaitable[None]]
 ) -> None:
-    """Send a mix of orders while something happens."""
+    """Send requests of all kinds while an action runs."""
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(send, context, world, mix(world, seconds), SEND_INTERVAL)
-        await happening()
+        nursery.start_soon(send, context, world, mixed_requests(world, seconds), SEND_INTERVAL)
+        await action()
 
 
 @when("callers send requests of all kinds for {seconds:d} seconds")
 def step_mix(context: Context, seconds: int) -> None:
-    async def act(world: World) -> None:
-        await send(context, world, mix(world, seconds), SEND_INTERVAL)
+    async def actions(world: World) -> None:
+        await send(context, world, mixed_requests(world, seconds), SEND_INTERVAL)
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
 @when("an engine crashes while callers stream")
 def step_crash(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         async with trio.open_nursery() as nursery:
             orders = [world.order("short", events=25) for _ in range(24)]
             nursery.start_soon(send, context, world, orders)
@@ -91,43 +96,43 @@
             busiest = max(world.of_service(MODEL_SERVICE), key=lambda target: target.running)
             busiest.crash()
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
-@when("callers book while a target loses all of its answers")
+@when("callers send bookings while a target loses all of its responses")
 def step_lost(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         world.of_service(PLAIN_SERVICE)[0].faults.reset_share = 1.0
         await send(context, world, [world.order("book") for _ in range(30)], SEND_INTERVAL)
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
-@when("callers send requests while targets garble half of their answers")
-def step_garble(context: Context) -> None:
-    async def act(world: World) -> None:
+@when("callers send requests while targets corrupt half of their responses")
+def step_corrupt(context: Context) -> None:
+    async def actions(world: World) -> None:
         for target in world.targets.values():
             target.faults.cut_share = 0.1
             target.faults.foreign_share = 0.1
             target.faults.extra_share = 0.2
             target.faults.unframed_share = 0.1
-        await send(context, world, mix(world, 3), SEND_INTERVAL)
+        await send(context, world, mixed_requests(world, 3), SEND_INTERVAL)
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
-@when("callers look up while a target answers with 500")
+@when("callers send lookups while a target responds with status 500")
 def step_500(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         world.of_service(PLAIN_SERVICE)[0].faults.error_share = 1.0
         await send(context, world, [world.order("look") for _ in range(30)], SEND_INTERVAL)
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
 @when("each entry process is stopped in turn while callers send requests")
 def step_stops(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         context.codes = []
 
         async def stops() -> None:
@@ -138,14 +143,14 @@
                 entry.start()
                 await world.wait_ready(entry)
 
-        await during(context, world, 14, stops)
+        await send_during(context, world, 14, stops)
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
-@when("an entry process is stopped while an answer of {seconds:g} seconds begins")
+@when("an entry process is stopped while a response of {seconds:g} seconds starts")
 def step_long_answer(context: Context, seconds: float) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         interval = PROFILE["stride"] * PROFILE["step_ms"] / 1000
         order = world.order("short", events=round(seconds / interval))
         async with trio.open_nursery() as nursery:
@@ -154,44 +159,44 @@
             world.entries[0].signal(signal.SIGTERM)
             assert await world.entries[0].wait_ended(8.0)
 
-    play(context, act, entries=1)
+    run_deployment(context, actions, entries=1)
 
 
 @when("an entry process is killed while callers send requests")
 def step_killed(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         async def kill() -> None:
             await trio.sleep(1.0)
             world.entries[0].signal(signal.SIGKILL)
             await trio.sleep(1.0)
             context.first_replies = len(context.replies)
 
-        await during(context, world, 2, kill)
+        await send_during(context, world, 2, kill)
         context.replies.clear()
-        await send(context, world, mix(world, 2), SEND_INTERVAL)
+        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL)
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
 @when("a target drains while callers send requests")
 def step_drains(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         context.target = world.of_service(MODEL_SERVICE)[0]
 
         async def drain() -> None:
             await trio.sleep(0.5)
             entry = context.target.entry("draining")
             world.store.put_json("servers", context.target.target_id, entry)
-            context.drained = trio.current_time()
+            context.drained_at = trio.current_time()
 
-        await during(context, world, 4, drain)
+        await send_during(context, world, 4, drain)
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
-@when("a key is taken away while its callers are connected")
+@when("a key is revoked while its callers are connected")
 def step_key(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         orders = [world.order("short", key=OTHER_KEY) for _ in range(6)]
         await send(context, world, orders)
         assert all(reply.status == 200 for reply in context.replies)
@@ -199,16 +204,16 @@
         world.configure()
         await trio.sleep(2.0)
         context.statuses = [
-            await raw_status(entry.address("frontend"), request_bytes(key=OTHER_KEY))
+            await send_raw(entry.address("frontend"), request_bytes(key=OTHER_KEY))
             for entry in world.entries
         ]
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
-@when("the store goes away, an entry process restarts, and callers send requests")
+@when("the store is unavailable, an entry process restarts, and callers send requests")
 def step_store(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         world.store.faults.outage = Outage.BUSY
         await trio.sleep(1.0)
         entry = world.entries[-1]
@@ -217,35 +222,35 @@
         entry.start()
         await world.wait_ready(entry)
         await trio.sleep(2.0)
-        await send(context, world, mix(world, 2), SEND_INTERVAL)
+        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL)
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
-@when("callers leave before their streams end")
-def step_leave(context: Context) -> None:
-    async def act(world: World) -> None:
+@when("callers disconnect before their streams end")
+def step_disconnect(context: Context) -> None:
+    async def actions(world: World) -> None:
         with trio.move_on_after(0.5):
             await send(context, world, [world.order("short", events=80) for _ in range(10)])
-        context.left = trio.current_time()
+        context.disconnected_at = trio.current_time()
         await trio.sleep(1.5)
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
 @when("engines answer a prompt of {tokens:d} tokens")
 def step_giant(context: Context, tokens: int) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         await send(context, world, [world.order("long", prompt=tokens)])
         await trio.sleep(1.0)
-        context.held = [target.tokens_held for target in world.targets.values()]
+        context.reserved_tokens = [target.tokens_held for target in world.targets.values()]
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
 @when("a request that crashes engines is sent {count:d} times")
-def step_poison(context: Context, count: int) -> None:
-    async def act(world: World) -> None:
+def step_crashing_request(context: Context, count: int) -> None:
+    async def actions(world: World) -> None:
         for target in world.of_service(MODEL_SERVICE):
             target.faults.crash_on = "poison"
         caller = world.caller()
@@ -253,33 +258,37 @@
             await caller.send(world.order("short", text="poison"))
         context.crashes = sum(len(runs) for runs in world.ledger.runs.values())
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
-@when("another target takes over the address of one that ended")
+@when("another target takes over the address of a crashed one")
 def step_reused(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         old = world.of_service(MODEL_SERVICE)[0]
         old.crash()
         await trio.sleep(0.1)
         number = list(world.targets).index(old.target_id)
         await world.add_target("i-newcomer", PLAIN_SERVICE, number)
-        await send(context, world, mix(world, 2), SEND_INTERVAL)
+        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL)
 
-    play(context, act)
+    run_deployment(context, actions)
 
 
 def request_bytes(
-    path: str = "/look/1", host: str = HOST, key: str = KEY, request_id: str = "7", more: str = ""
+    path: str = "/look/1",
+    host: str = HOST,
+    key: str = KEY,
+    request_id: str = "7",
+    extra_header: str = "",
 ) -> bytes:
     lines = [f"GET {path} HTTP/1.1", f"Host: {host}"]
     lines += [f"Authorization: Bearer {key}"] if key else []
     lines += [f"Wasabiwell-Request-Id: {request_id}"] if request_id else []
-    return ("\r\n".join([*lines, *filter(None, [more])]) + "\r\n\r\n").encode()
+    return ("\r\n".join([*lines, *filter(None, [extra_header])]) + "\r\n\r\n").encode()
 
 
-async def raw_status(address: str, data: bytes) -> int:
-    """Send bytes and return the status of the answer."""
+async def send_raw(address: str, data: bytes) -> int:
+    """Send bytes and return the status of the response."""
     host, _, port = address.rpartition(":")
     stream = await trio.open_tcp_stream(host, int(port))
     async with stream:
@@ -296,22 +305,24 @@
     "a request for an unknown host": request_bytes(host="other.example"),
     "a request without an id": request_bytes(request_id=""),
     "a request with a body that is too large": request_bytes(
-        path="/look/1", more="Content-Length: 5000000"
+        path="/look/1", extra_header="Content-Length: 5000000"
     )
     + bytes(5_000_000),
-    "a request with headers that are too large": request_bytes(more="X-Long: " + "x" * 70_000),
+    "a request with headers that are too large": request_bytes(
+        extra_header="X-Long: " + "x" * 70_000
+    ),
     "a request that is no HTTP": b"\x16\x03\x01\x02\x00\r\n\r\n",
 }
 
 
 @when("an entry process gets {request}")
 def step_raw(context: Context, request: str) -> None:
-    async def act(world: World) -> None:
+    async def actions(world: World) -> None:
         address = world.entries[0].address("frontend")
-        context.status = await raw_status(address, REQUESTS[request])
+        context.status = await send_raw(address, REQUESTS[request])
         assert await world.is_ready(world.entries[0])
 
-    play(context, act, entries=1)
+    run_deployment(context, actions, entries=1)
 
 
 @then("the status is {status:d}")
@@ -319,7 +330,7 @@
     assert context.status == status, context.status
 
 
-@then("all of them were answered")
+@then("all requests were answered")
 @then("the requests that were sent a second later were answered")
 def step_answered(context: Context) -> None:
     failed = [describe(reply) for reply in context.replies if not answered(reply)]
@@ -336,13 +347,13 @@
     return f"{reply.request_id} {reply.order.path} {reply.status} {whole} {reply.total_s:.2f} s"
 
 
-@then("no promise was broken")
-def step_promises(context: Context) -> None:
-    broken = context.world.ledger.broken_promises()
-    assert not broken, broken
+@then("no guarantee was violated")
+def step_guarantees(context: Context) -> None:
+    violations_found = context.world.ledger.broken_promises()
+    assert not violations_found, violations_found
 
 
-@then("each target saw the callers' organisation")
+@then("each target received the callers' organisation")
 def step_tenants(context: Context) -> None:
     runs = [run for runs in context.world.ledger.runs.values() for run in runs]
     assert {run.tenant for run in runs} == {TENANT}
@@ -358,44 +369,44 @@
     assert len(resumed) >= count
 
 
-@then("some bookings have no answer")
+@then("some bookings have no response")
 def step_unanswered(context: Context) -> None:
     assert any(reply.status == 502 for reply in context.replies)
 
 
-@then("each process ended by itself")
-def step_codes(context: Context) -> None:
+@then("each process exited with code 0")
+def step_exit_codes(context: Context) -> None:
     assert context.codes == [0] * len(context.codes), context.codes
 
 
-@then("no request began there {seconds:d} seconds later")
-def step_not_there(context: Context, seconds: int) -> None:
+@then("no request starts on the target {seconds:d} seconds later")
+def step_not_started(context: Context, seconds: int) -> None:
     late = [
-        run.begun - context.drained
+        run.begun - context.drained_at
         for runs in context.world.ledger.runs.values()
         for run in runs
-        if run.target_id == context.target.target_id and run.begun > context.drained + seconds
+        if run.target_id == context.target.target_id and run.begun > context.drained_at + seconds
     ]
     assert not late, late
 
 
-@then("every entry process refuses it {seconds:d} seconds later with status {status:d}")
+@then("every entry process refuses the key {seconds:d} seconds later with status {status:d}")
 def step_key_refused(context: Context, seconds: int, status: int) -> None:
     assert context.statuses == [status] * len(context.statuses), context.statuses
 
 
-@then("no run lasts longer than {seconds:g} seconds after that")
+@then("no run lasts longer than {seconds:g} seconds after the disconnect")
 def step_freed(context: Context, seconds: float) -> None:
     ends = [run.ended for runs in context.world.ledger.runs.values() for run in runs]
     assert len(ends) == 10
-    assert all(end is not None and end < context.left + seconds for end in ends), ends
+    assert all(end is not None and end < context.disconnected_at + seconds for end in ends), ends
 
 
-@then("no engine holds memory {seconds:d} second later")
+@then("no engine has reserved memory {seconds:d} second later")
 def step_no_memory(context: Context, seconds: int) -> None:
-    assert not any(context.held), context.held
+    assert not any(context.reserved_tokens), context.reserved_tokens
 
 
-@then("it crashed at most {count:d} engines")
+@then("the request crashed at most {count:d} engines")
 def step_crashes(context: Context, count: int) -> None:
     assert 0 < context.crashes <= count, context.crashes
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -1,4 +1,4 @@
-"""Examples of what the platform's pages show."""
+"""Sample settings, configuration and entries of the list of targets in the platform's formats."""
 
 import json
 from typing import Any
@@ -98,11 +98,11 @@
 
 
 def configuration_document() -> bytes:
-    """Return the configuration as the store keeps it."""
+    """Return the configuration as encoded in the store."""
     return json.dumps(CONFIGURATION).encode()
 
 
-def entry(number: int, state: str = "ready") -> dict[str, Any]:
+def target_entry(number: int, state: str = "ready") -> dict[str, Any]:
     """Return an entry of the list of targets."""
     return {
         "service": "huvo11a",
