--- a/tests/platform/soak.feature
+++ b/tests/platform/soak.feature
@@ -1,4 +1,4 @@
-Feature: Short soaks with real processes
+Feature: Short soak tests with real processes
   Guards against guarantees that are violated when faults overlap: cut, silent and reset connections,
   killed, paused and restarted processes, and a store outage.
 
--- a/tests/platform/whole.feature
+++ b/tests/platform/whole.feature
@@ -1,4 +1,4 @@
-Feature: The whole path on the users' platform, with real processes
+Feature: End-to-end tests on the users' platform with real processes
   Guards against violated guarantees to callers when targets, entry processes or the store fail or
   operators make changes. All targets and callers are stand-ins that record what they receive.
 
--- a/tests/steps/platform/decoding_steps.py
+++ b/tests/steps/platform/decoding_steps.py
@@ -23,7 +23,7 @@
 
 HOST = "ficu95.example"
 RECEIVED = timedelta(seconds=100)
-START_SECONDS = 30
+START_TIMEOUT_SECONDS = 30
 
 
 @given("the settings of an entry instance")
@@ -90,7 +90,7 @@
             env=environment,
             capture_output=True,
             text=True,
-            timeout=START_SECONDS,
+            timeout=START_TIMEOUT_SECONDS,
             check=False,
         )
 
--- a/tests/steps/platform/whole_steps.py
+++ b/tests/steps/platform/whole_steps.py
@@ -26,7 +26,7 @@
 )
 
 ROUTE_MIX = ("short", "short", "short", "book", "look", "medium")
-SEND_INTERVAL = 0.04
+SEND_INTERVAL_SECONDS = 0.04
 IP_BLOCKS = iter(range(80, 250))
 """Blocks of IP addresses, one for each scenario, as sockets of the previous one may remain."""
 
@@ -65,7 +65,7 @@
     """Return the requests of all kinds that are sent in a number of seconds."""
     return [
         world.order(ROUTE_MIX[number % len(ROUTE_MIX)])
-        for number in range(round(seconds / SEND_INTERVAL))
+        for number in range(round(seconds / SEND_INTERVAL_SECONDS))
     ]
 
 
@@ -74,14 +74,16 @@
 ) -> None:
     """Send requests of all kinds while an action runs."""
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(send, context, world, mixed_requests(world, seconds), SEND_INTERVAL)
+        nursery.start_soon(
+            send, context, world, mixed_requests(world, seconds), SEND_INTERVAL_SECONDS
+        )
         await action()
 
 
 @when("callers send requests of all kinds for {seconds:d} seconds")
 def step_mix(context: Context, seconds: int) -> None:
     async def actions(world: World) -> None:
-        await send(context, world, mixed_requests(world, seconds), SEND_INTERVAL)
+        await send(context, world, mixed_requests(world, seconds), SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
@@ -103,7 +105,7 @@
 def step_lost(context: Context) -> None:
     async def actions(world: World) -> None:
         world.of_service(PLAIN_SERVICE)[0].faults.reset_share = 1.0
-        await send(context, world, [world.order("book") for _ in range(30)], SEND_INTERVAL)
+        await send(context, world, [world.order("book") for _ in range(30)], SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
@@ -116,7 +118,7 @@
             target.faults.foreign_share = 0.1
             target.faults.extra_share = 0.2
             target.faults.unframed_share = 0.1
-        await send(context, world, mixed_requests(world, 3), SEND_INTERVAL)
+        await send(context, world, mixed_requests(world, 3), SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
@@ -125,7 +127,7 @@
 def step_500(context: Context) -> None:
     async def actions(world: World) -> None:
         world.of_service(PLAIN_SERVICE)[0].faults.error_share = 1.0
-        await send(context, world, [world.order("look") for _ in range(30)], SEND_INTERVAL)
+        await send(context, world, [world.order("look") for _ in range(30)], SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
@@ -173,7 +175,7 @@
 
         await send_during(context, world, 2, kill)
         context.replies.clear()
-        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL)
+        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
@@ -222,7 +224,7 @@
         entry.start()
         await world.wait_ready(entry)
         await trio.sleep(2.0)
-        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL)
+        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
@@ -269,7 +271,7 @@
         await trio.sleep(0.1)
         number = list(world.targets).index(old.target_id)
         await world.add_target("i-newcomer", PLAIN_SERVICE, number)
-        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL)
+        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
