--- a/packages/config/src/wasabiwell_config/__init__.py
+++ b/packages/config/src/wasabiwell_config/__init__.py
@@ -1,4 +1,4 @@
-"""Operators' configuration library of wasabiwell."""
+"""Library with which operators build and validate wasabiwell configurations."""
 
 from wasabiwell_config.document import (
     Items,
--- a/packages/config/src/wasabiwell_config/document.py
+++ b/packages/config/src/wasabiwell_config/document.py
@@ -1,4 +1,4 @@
-"""Rendering of a configuration as JSON, and its form as items by path."""
+"""Conversion of a configuration to and from a JSON document, and to and from items by path."""
 
 import dataclasses
 import functools
@@ -19,7 +19,7 @@
 )
 
 Items = dict[str, bytes]
-"""JSON of one object by its path `KIND/NAME`."""
+"""JSON of each object by its path `KIND/NAME`."""
 
 SECTIONS: tuple[tuple[str, str, type], ...] = (
     ("model_service", "model_services", ModelService),
@@ -27,16 +27,17 @@
     ("organisation", "organisations", Organisation),
     ("operator", "operators", OperatorKey),
 )
-"""Kind in a path, attribute of `Configuration`, class."""
+"""For each section: kind in item paths, attribute of `Configuration`, class of its objects."""
 
 
 def render(configuration: Configuration) -> str:
-    """Return the JSON that `wasabiwell apply` takes; `parse` of it gives an equal configuration.
+    """Return the JSON document for `wasabiwell apply`; `parse` is the inverse.
 
-    Raises `msgspec.ValidationError` for a value of a wrong type, which `validate` names first.
+    Raises `msgspec.ValidationError` for a value of a wrong type; `validate` reports such values
+    as findings.
     """
     document = {
-        attribute: [_normalised(entry, item_type) for entry in getattr(configuration, attribute)]
+        attribute: [_normalised(item, item_type) for item in getattr(configuration, attribute)]
         for _, attribute, item_type in SECTIONS
     }
     encoded = msgspec.json.encode(document, order="deterministic")
@@ -44,17 +45,16 @@
 
 
 def parse(text: str | bytes) -> Configuration | Findings:
-    """Return the configuration of a JSON document, or all findings of its form."""
+    """Return the configuration of a JSON document, or all schema errors."""
     document = read_document(text)
     return Findings(document.findings) if document.findings else document.configuration
 
 
 @dataclass(frozen=True, slots=True)
 class Document:
-    """What could be read of a JSON document.
+    """Result of parsing a JSON document, possibly incomplete.
 
-    `malformed` holds the paths of objects that are missing from `configuration` because of a
-    finding.
+    `malformed` contains the paths of objects that `configuration` lacks because of schema errors.
     """
 
     configuration: Configuration
@@ -63,43 +63,43 @@
 
 
 def read_document(text: str | bytes) -> Document:
-    """Return all objects of a JSON document that have the right form, and the findings."""
+    """Return all objects of a JSON document that match the schema, and the schema errors."""
     try:
         document = msgspec.json.decode(text)
     except msgspec.DecodeError as error:
         finding = Finding("document", f"not valid JSON: {error}")
         return Document(Configuration(), (finding,))
     if not isinstance(document, dict):
-        finding = Finding("document", f"must be a JSON object, not {_kind(document)}")
+        finding = Finding("document", f"must be a JSON object, not {_json_type(document)}")
         return Document(Configuration(), (finding,))
     names = {attribute for _, attribute, _ in SECTIONS}
     findings = [Finding(str(name), "unknown section") for name in document if name not in names]
     sections: dict[str, tuple[Any, ...]] = {}
     malformed: set[str] = set()
     for kind, attribute, item_type in SECTIONS:
-        entries = document.get(attribute, [])
-        if not isinstance(entries, list):
-            findings.append(Finding(attribute, f"must be a list, not {_kind(entries)}"))
+        values = document.get(attribute, [])
+        if not isinstance(values, list):
+            findings.append(Finding(attribute, f"must be a list, not {_json_type(values)}"))
             continue
-        sections[attribute] = _convert_section(kind, entries, item_type, findings, malformed)
+        sections[attribute] = _convert_section(kind, values, item_type, findings, malformed)
     return Document(Configuration(**sections), tuple(findings), frozenset(malformed))
 
 
 def items_of(configuration: Configuration) -> Items:
     """Return the items of a configuration as JSON with sorted fields.
 
-    Of two objects with one path the last one counts.
+    If several objects have the same path, the last one is used.
     """
     items: Items = {}
     for kind, attribute, item_type in SECTIONS:
-        for entry in getattr(configuration, attribute):
-            value = _normalised(entry, item_type)
-            items[f"{kind}/{entry.name}"] = msgspec.json.encode(value, order="sorted")
+        for item in getattr(configuration, attribute):
+            value = _normalised(item, item_type)
+            items[f"{kind}/{item.name}"] = msgspec.json.encode(value, order="sorted")
     return items
 
 
 def configuration_from_items(items: Items) -> Configuration | Findings:
-    """Return the configuration that consists of these items."""
+    """Return the configuration that these items make up, or all schema errors."""
     sections: dict[str, list[Any]] = {attribute: [] for _, attribute, _ in SECTIONS}
     kinds = {kind: (attribute, item_type) for kind, attribute, item_type in SECTIONS}
     findings: list[Finding] = []
@@ -109,31 +109,31 @@
             findings.append(Finding(path, "unknown kind"))
             continue
         attribute, item_type = kinds[kind]
-        entry = _convert(path, msgspec.json.decode(items[path]), item_type, findings)
-        if entry is not None:
-            sections[attribute].append(entry)
+        item = _convert(path, msgspec.json.decode(items[path]), item_type, findings)
+        if item is not None:
+            sections[attribute].append(item)
     if findings:
         return Findings(tuple(findings))
-    return Configuration(**{name: tuple(entries) for name, entries in sections.items()})
+    return Configuration(**{name: tuple(values) for name, values in sections.items()})
 
 
 def changed_items(old: Items, new: Items) -> dict[str, bytes | None]:
-    """Return the items that differ; a removed item maps to None."""
+    """Return the items of `new` that differ from `old`; a removed item maps to None."""
     changes: dict[str, bytes | None] = {path: None for path in old if path not in new}
     changes.update({path: value for path, value in new.items() if old.get(path) != value})
     return changes
 
 
-def form_findings(configuration: Configuration) -> Iterator[Finding]:
-    """Yield a finding for each field of a configuration built in Python that has a wrong type."""
+def schema_findings(configuration: Configuration) -> Iterator[Finding]:
+    """Yield a finding for each wrongly typed field of a configuration built in Python."""
     for kind, attribute, item_type in SECTIONS:
-        for index, entry in enumerate(getattr(configuration, attribute)):
-            place = f"{kind}/{getattr(entry, 'name', index)}"
-            if not isinstance(entry, item_type):
-                yield Finding(place, f"must be {item_type.__name__}, not {_kind(entry)}")
+        for index, item in enumerate(getattr(configuration, attribute)):
+            place = f"{kind}/{getattr(item, 'name', index)}"
+            if not isinstance(item, item_type):
+                yield Finding(place, f"must be {item_type.__name__}, not {_json_type(item)}")
                 continue
             try:
-                value = msgspec.to_builtins(entry)
+                value = msgspec.to_builtins(item)
             except TypeError as error:
                 yield Finding(place, str(error))
                 continue
@@ -142,22 +142,22 @@
             yield from findings
 
 
-def _normalised(entry: Any, item_type: type) -> Any:
-    """Return an object with its declared types, so that equal objects have equal JSON."""
-    return msgspec.convert(msgspec.to_builtins(entry), item_type)
+def _normalised(item: Any, item_type: type) -> Any:
+    """Convert field values to their declared types, so that equal objects have equal JSON."""
+    return msgspec.convert(msgspec.to_builtins(item), item_type)
 
 
 def _convert_section(
     kind: str,
-    entries: list[Any],
+    values: list[Any],
     item_type: type,
     findings: list[Finding],
     malformed: set[str],
 ) -> tuple[Any, ...]:
     converted: list[Any] = []
-    for index, entry in enumerate(entries):
-        name = entry.get("name", index) if isinstance(entry, dict) else index
-        item = _convert(f"{kind}/{name}", entry, item_type, findings)
+    for index, value in enumerate(values):
+        name = value.get("name", index) if isinstance(value, dict) else index
+        item = _convert(f"{kind}/{name}", value, item_type, findings)
         if item is None:
             malformed.add(f"{kind}/{name}")
         else:
@@ -181,7 +181,7 @@
         return any(_has_unknown_fields(element, element_type) for element in value)
     if not isinstance(value, dict):
         return False
-    hints = _hints(value_type)
+    hints = _field_types(value_type)
     return any(
         name not in hints or _has_unknown_fields(element, hints[name])
         for name, element in value.items()
@@ -189,11 +189,11 @@
 
 
 def _object_findings(place: str, value: Any, item_type: Any) -> Iterator[Finding]:
-    """Yield one finding for each unknown, missing or wrong field, nested ones included."""
+    """Yield a finding for each unknown, missing or invalid field, nested ones included."""
     if not isinstance(value, dict):
-        yield Finding(place, f"must be a JSON object, not {_kind(value)}")
+        yield Finding(place, f"must be a JSON object, not {_json_type(value)}")
         return
-    hints = _hints(item_type)
+    hints = _field_types(item_type)
     for name in value:
         if name not in hints:
             yield Finding(f"{place}.{name}", "unknown field")
@@ -221,10 +221,10 @@
 
 
 @functools.cache
-def _hints(item_type: Any) -> dict[str, Any]:
+def _field_types(item_type: Any) -> dict[str, Any]:
     return typing.get_type_hints(item_type)
 
 
-def _kind(value: object) -> str:
+def _json_type(value: object) -> str:
     names = {dict: "an object", list: "a list", str: "a string", type(None): "null"}
     return names.get(type(value), f"a value of type {type(value).__name__}")
--- a/packages/config/src/wasabiwell_config/errors.py
+++ b/packages/config/src/wasabiwell_config/errors.py
@@ -1,11 +1,11 @@
-"""Findings of a check of a configuration."""
+"""Errors found while a configuration is parsed or validated."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class Finding:
-    """One mistake with its place, such as `organisation/lowell-crews.weight`."""
+    """An error and where it is, such as `organisation/lowell-crews.weight`."""
 
     place: str
     message: str
@@ -16,6 +16,6 @@
 
 @dataclass(frozen=True, slots=True)
 class Findings:
-    """All findings of a check; a sentinel returned in place of a configuration."""
+    """All errors of a configuration; returned instead of an invalid configuration."""
 
     findings: tuple[Finding, ...]
--- a/packages/config/src/wasabiwell_config/model.py
+++ b/packages/config/src/wasabiwell_config/model.py
@@ -1,4 +1,4 @@
-"""Classes of a configuration."""
+"""Data model of the configuration."""
 
 import enum
 import hashlib
@@ -10,7 +10,7 @@
 
 
 class Fencing(enum.Enum):
-    """What the engines of a service do with an order that carries an old fencing number."""
+    """How the engines of a service treat an order with an outdated fencing token."""
 
     REFUSED = "refused"
     IGNORED = "ignored"
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Deadlines:
-    """Time in which a request finishes or fails, by the size class of its prompt."""
+    """Maximum time until a request completes or fails, for each size class of prompts."""
 
     short: timedelta = timedelta(seconds=30)
     medium: timedelta = timedelta(minutes=2)
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ModelService:
-    """A service whose targets are model engines; prompts are measured in tokens."""
+    """A service whose targets are engines that run a language model; prompt sizes are in tokens."""
 
     name: str
     deadlines: Deadlines = Deadlines()
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallRule:
-    """Calls of a plain service: `method` is an HTTP method or `*`, `path` a prefix of the path."""
+    """Matches calls of a plain service by HTTP method (`*` for any) and path prefix."""
 
     method: str
     path: str
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlainService:
-    """A plain HTTP service; calls that match a rule of `non_idempotent` run at most once."""
+    """An HTTP service; calls that match a rule in `non_idempotent` are executed at most once."""
 
     name: str
     timeout: timedelta = timedelta(seconds=20)
@@ -54,9 +54,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Limits:
-    """Limits of an organisation over all entry instances; None means no limit.
+    """Limits of an organisation, summed over all entry instances; None means unlimited.
 
-    `concurrent_long` counts prompts of the size class long.
+    `concurrent_long` limits the concurrent requests of the size class `long`.
     """
 
     requests_per_second: float | None = None
@@ -66,10 +66,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Organisation:
-    """A customer; `weight` is its share of a fully used fleet relative to the others.
+    """A customer; `weight` is its share of a saturated fleet relative to other organisations.
 
     `key_hashes` are SHA-256 hashes of the bearer keys; see `hash_key`. All of these keys are valid,
-    so a key is rolled by adding the new hash and removing the old one when no caller uses it any
+    so a key is rotated by adding the new hash and removing the old one when no caller uses it any
     more. An empty `services` allows all services.
     """
 
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OperatorKey:
-    """A key that opens the operators' interface."""
+    """A key that grants access to the admin API."""
 
     name: str
     key_hash: str
@@ -90,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Configuration:
-    """The whole configuration of a deployment."""
+    """The complete configuration of a deployment."""
 
     model_services: tuple[ModelService, ...] = ()
     plain_services: tuple[PlainService, ...] = ()
@@ -99,7 +99,7 @@
 
 
 def hash_key(key: str) -> str:
-    """Return the hash under which a key stands in the configuration."""
+    """Return the SHA-256 hash of a key, in the hexadecimal form that configurations contain."""
     return hashlib.sha256(key.encode()).hexdigest()
 
 
@@ -110,9 +110,9 @@
     limits: Limits = Limits(),
     services: tuple[str, ...] = (),
 ) -> tuple[Organisation, ...]:
-    """Return one organisation for each name of `key_hashes`, all with the same rules.
+    """Return one organisation for each name in `key_hashes`, all with the same settings.
 
-    A value is one hash or a tuple of hashes, as `hash_key` returns them.
+    Each value is one hash from `hash_key` or a tuple of them.
     """
     return tuple(
         Organisation(
--- a/packages/config/src/wasabiwell_config/validation.py
+++ b/packages/config/src/wasabiwell_config/validation.py
@@ -1,4 +1,4 @@
-"""Checks of a configuration beyond its form."""
+"""Checks of a configuration beyond its schema: value ranges, references and duplicates."""
 
 import math
 import re
@@ -7,17 +7,17 @@
 from datetime import timedelta
 
 from wasabiwell_config.const import (
-    CLASS_FLOOR_TOKENS,
-    FASTEST_PREFILL_TOKENS_PER_SECOND,
     KEY_HASH_PATTERN,
     MAX_DEADLINE,
+    MAX_PREFILL_TOKENS_PER_SECOND,
     MAX_PROMPT_TOKENS,
     MAX_WEIGHT,
     METHOD_PATTERN,
+    MIN_REQUEST_TOKENS,
+    MIN_TOKENS_BY_SIZE_CLASS,
     NAME_PATTERN,
-    SMALLEST_REQUEST_TOKENS,
 )
-from wasabiwell_config.document import form_findings, read_document
+from wasabiwell_config.document import read_document, schema_findings
 from wasabiwell_config.errors import Finding, Findings
 from wasabiwell_config.model import (
     CallRule,
@@ -29,38 +29,39 @@
 
 
 def validate(configuration: Configuration) -> tuple[Finding, ...]:
-    """Return all findings of a configuration: its form first, then its sections in order.
+    """Return all findings of a configuration, in the order of its sections.
 
-    A configuration with values of a wrong type gets only the findings of its form.
+    The content is only checked when there are no schema errors.
     """
-    form = tuple(form_findings(configuration))
-    return form or tuple(_findings(configuration, frozenset()))
+    schema_errors = tuple(schema_findings(configuration))
+    return schema_errors or tuple(_content_findings(configuration, frozenset()))
 
 
 def load(text: str | bytes) -> Configuration | Findings:
-    """Return the valid configuration of a JSON document, or all findings of form and content.
+    """Return the valid configuration of a JSON document, or all findings of schema and content.
 
-    Objects with a malformed field are left out of the checks of content; references to them are
-    accepted.
+    The content of objects with schema errors is not checked; references to them are accepted.
     """
     document = read_document(text)
-    findings = (*document.findings, *_findings(document.configuration, document.malformed))
+    findings = (*document.findings, *_content_findings(document.configuration, document.malformed))
     return Findings(findings) if findings else document.configuration
 
 
-def _findings(configuration: Configuration, malformed: frozenset[str]) -> Iterator[Finding]:
-    services = [entry.name for entry in configuration.model_services]
-    services += [entry.name for entry in configuration.plain_services]
+def _content_findings(configuration: Configuration, malformed: frozenset[str]) -> Iterator[Finding]:
+    services = [service.name for service in configuration.model_services]
+    services += [service.name for service in configuration.plain_services]
     yield from _check_names("service", services)
-    yield from _check_names("organisation", [entry.name for entry in configuration.organisations])
-    yield from _check_names("operator", [entry.name for entry in configuration.operators])
+    yield from _check_names("organisation", [item.name for item in configuration.organisations])
+    yield from _check_names("operator", [item.name for item in configuration.operators])
     for model_service in configuration.model_services:
         yield from _check_model_service(model_service)
     for plain_service in configuration.plain_services:
         yield from _check_plain_service(plain_service)
-    known = set(services) | {path.partition("/")[2] for path in malformed if "_service/" in path}
+    service_names = set(services) | {
+        path.partition("/")[2] for path in malformed if "_service/" in path
+    }
     for organisation in configuration.organisations:
-        yield from _check_organisation(organisation, known)
+        yield from _check_organisation(organisation, service_names)
         yield from _check_token_limit(organisation, configuration.model_services)
     yield from _check_keys(configuration)
 
@@ -78,13 +79,13 @@
         yield Finding(place, f"must be above 0 and at most {MAX_DEADLINE}")
 
 
-def _check_reachable(place: str, size: str, deadline: timedelta) -> Iterator[Finding]:
-    tokens = CLASS_FLOOR_TOKENS[size]
-    least = timedelta(seconds=tokens / FASTEST_PREFILL_TOKENS_PER_SECOND)
-    if timedelta() < deadline < least:
+def _check_minimum_deadline(place: str, size: str, deadline: timedelta) -> Iterator[Finding]:
+    tokens = MIN_TOKENS_BY_SIZE_CLASS[size]
+    minimum = timedelta(seconds=tokens / MAX_PREFILL_TOKENS_PER_SECOND)
+    if timedelta() < deadline < minimum:
         yield Finding(
             place,
-            f"is below {least.total_seconds():g} s, in which no engine reads {tokens} tokens",
+            f"is below {minimum.total_seconds():g} s; no engine prefills {tokens} tokens in less",
         )
 
 
@@ -93,9 +94,11 @@
     deadlines = service.deadlines
     for name in ("short", "medium", "long"):
         yield from _check_duration(f"{place}.deadlines.{name}", getattr(deadlines, name))
-        yield from _check_reachable(f"{place}.deadlines.{name}", name, getattr(deadlines, name))
+        yield from _check_minimum_deadline(
+            f"{place}.deadlines.{name}", name, getattr(deadlines, name)
+        )
     if not deadlines.short <= deadlines.medium <= deadlines.long:
-        yield Finding(f"{place}.deadlines", "must not shrink as prompts grow")
+        yield Finding(f"{place}.deadlines", "must satisfy short <= medium <= long")
     if not 0 < service.max_prompt_tokens <= MAX_PROMPT_TOKENS:
         yield Finding(f"{place}.max_prompt_tokens", f"must be from 1 to {MAX_PROMPT_TOKENS}")
 
@@ -109,10 +112,10 @@
             yield Finding(f"{rule_place}.method", "must be an HTTP method in upper case or *")
         if not rule.path.startswith("/"):
             yield Finding(f"{rule_place}.path", "must start with /")
-        yield from _check_overlap(rule_place, index, service.non_idempotent)
+        yield from _check_shadowed_rule(rule_place, index, service.non_idempotent)
 
 
-def _check_overlap(place: str, index: int, rules: tuple[CallRule, ...]) -> Iterator[Finding]:
+def _check_shadowed_rule(place: str, index: int, rules: tuple[CallRule, ...]) -> Iterator[Finding]:
     rule = rules[index]
     if rule in rules[:index]:
         yield Finding(place, "repeats an earlier rule")
@@ -124,10 +127,15 @@
             return
 
 
-def _covers(wide: CallRule, narrow: CallRule) -> bool:
-    """Tell whether each call of the narrow rule is one of the wide rule; paths end at a slash."""
-    below = narrow.path == wide.path or narrow.path.startswith(wide.path.rstrip("/") + "/")
-    return wide.method in ("*", narrow.method) and below
+def _covers(general: CallRule, specific: CallRule) -> bool:
+    """Return whether `general` matches every call that `specific` matches.
+
+    A path prefix only matches whole path segments.
+    """
+    path_covered = specific.path == general.path or specific.path.startswith(
+        general.path.rstrip("/") + "/"
+    )
+    return general.method in ("*", specific.method) and path_covered
 
 
 def _check_organisation(organisation: Organisation, services: set[str]) -> Iterator[Finding]:
@@ -142,7 +150,7 @@
         if value is not None and not 0 < value < math.inf:
             yield Finding(f"{place}.limits.{name}", "must be above 0; null means no limit")
     if not services.intersection(organisation.services or services):
-        yield Finding(f"{place}.services", "the organisation may use no service")
+        yield Finding(f"{place}.services", "the organisation has access to no service")
     for index, service in enumerate(organisation.services):
         if service not in services:
             yield Finding(f"{place}.services[{index}]", f"no service is named {service}")
@@ -160,27 +168,28 @@
         if organisation.services and service.name not in organisation.services:
             continue
         seconds = service.deadlines.short.total_seconds()
-        if 0 < rate * seconds < SMALLEST_REQUEST_TOKENS:
+        if 0 < rate * seconds < MIN_REQUEST_TOKENS:
             yield Finding(
                 f"organisation/{organisation.name}.limits.tokens_per_second",
-                f"{rate:g} tokens/s admit no request of {SMALLEST_REQUEST_TOKENS} tokens within"
+                f"{rate:g} tokens/s admit no request of {MIN_REQUEST_TOKENS} tokens within"
                 f" the short deadline of {service.name}, {seconds:g} s",
             )
 
 
 def _check_keys(configuration: Configuration) -> Iterator[Finding]:
-    holders: dict[str, str] = {}
+    place_by_hash: dict[str, str] = {}
     keys = [
-        (f"organisation/{entry.name}.key_hashes[{index}]", key_hash)
-        for entry in configuration.organisations
-        for index, key_hash in enumerate(entry.key_hashes)
+        (f"organisation/{organisation.name}.key_hashes[{index}]", key_hash)
+        for organisation in configuration.organisations
+        for index, key_hash in enumerate(organisation.key_hashes)
     ]
     keys += [
-        (f"operator/{entry.name}.key_hash", entry.key_hash) for entry in configuration.operators
+        (f"operator/{operator.name}.key_hash", operator.key_hash)
+        for operator in configuration.operators
     ]
     for place, key_hash in keys:
         if not re.fullmatch(KEY_HASH_PATTERN, key_hash):
             yield Finding(place, "must be a SHA-256 hash in lower-case hexadecimal")
-        if key_hash in holders:
-            yield Finding(place, f"is the same key as {holders[key_hash]}")
-        holders.setdefault(key_hash, place)
+        if key_hash in place_by_hash:
+            yield Finding(place, f"is the same key as {place_by_hash[key_hash]}")
+        place_by_hash.setdefault(key_hash, place)
