--- a/packages/cli/src/wasabiwell_cli/__init__.py
+++ b/packages/cli/src/wasabiwell_cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command of wasabiwell."""
+"""Command line interface for operators of wasabiwell."""
--- a/packages/cli/src/wasabiwell_cli/client.py
+++ b/packages/cli/src/wasabiwell_cli/client.py
@@ -1,4 +1,4 @@
-"""Client of the operators' interface of entry instances."""
+"""Client for the admin API of entry instances."""
 
 import ssl
 import time
@@ -10,6 +10,8 @@
 from wasabiwell_config import Items
 
 from wasabiwell_cli.const import (
+    CONFIRM_POLL_INTERVAL_SECONDS,
+    CONFIRM_TIMEOUT_SECONDS,
     CONNECT_TIMEOUT_SECONDS,
     EXIT_FAILED,
     EXIT_INVALID,
@@ -17,38 +19,36 @@
     EXIT_NOT_FOUND,
     EXIT_UNREACHABLE,
     READ_TIMEOUT_SECONDS,
-    SETTLE_POLL_SECONDS,
-    SETTLE_SECONDS,
 )
 from wasabiwell_cli.errors import CommandError
 
-NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
-BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+REQUEST_NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+RESPONSE_LOST_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
 
 @dataclass(frozen=True, slots=True)
 class Unreachable:
-    """No entry instance got the request."""
+    """The request was not received by any entry instance."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
-class ReplyLost:
-    """An entry instance may have got the request and acted on it."""
+class ResponseLost:
+    """The request may have been received and executed, but there is no response."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
-    """Status and JSON body of the answer of one entry instance."""
+class AdminResponse:
+    """Status and JSON body of an entry instance's response."""
 
     address: str
     status: int
     body: bytes = field(repr=False)
 
-    def value(self) -> Any:
+    def json(self) -> Any:
         """Return the decoded body; raises `CommandError` when it is not JSON."""
         try:
             return msgspec.json.decode(self.body)
@@ -59,13 +59,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RunningConfiguration:
-    """Version and items in force at an entry instance."""
+    """Version and items of the configuration that an entry instance runs with."""
 
     version: int
     items: dict[str, msgspec.Raw]
 
     def encoded_items(self) -> Items:
-        """Return the items as JSON with sorted fields, as `items_of` gives them."""
+        """Return the items as JSON with sorted fields, comparable with the result of `items_of`."""
         return {
             path: msgspec.json.encode(msgspec.json.decode(value), order="sorted")
             for path, value in self.items.items()
@@ -73,7 +73,7 @@
 
 
 class AdminClient:
-    """Sends requests to entry instances, one address after the other."""
+    """Sends requests to the admin API, trying the addresses of the entry instances in order."""
 
     __slots__ = ("_key", "_pool", "_scheme", "addresses")
 
@@ -85,72 +85,78 @@
         self._scheme = "http" if tls is None else "https"
         self._pool = httpcore.ConnectionPool(ssl_context=tls)
 
-    def send(self, method: str, path: str, content: bytes = b"") -> Reply | Unreachable | ReplyLost:
-        """Send a request; a next instance gets it only when the one before surely did not.
+    def send(
+        self, method: str, path: str, content: bytes = b""
+    ) -> AdminResponse | Unreachable | ResponseLost:
+        """Send a request to the first entry instance that can be reached.
 
-        A read (GET) changes nothing and also goes on when its answer is lost.
+        The next address is only tried when the request was certainly not received. A GET changes
+        nothing, so it is also retried at the next address when the response is lost.
         """
         reasons: list[str] = []
-        for address in self.entries():
+        for address in self.required_addresses():
             match self.send_to(address, method, path, content):
                 case Unreachable(reason=reason):
                     reasons.append(reason)
-                case ReplyLost(reason=reason) if method == "GET":
+                case ResponseLost(reason=reason) if method == "GET":
                     reasons.append(reason)
                 case outcome:
                     return outcome
         return Unreachable("; ".join(reasons))
 
-    def entries(self) -> tuple[str, ...]:
-        """Return the addresses; raises `CommandError` when none was given."""
+    def required_addresses(self) -> tuple[str, ...]:
+        """Return the addresses; raises `CommandError` if none was given."""
         if not self.addresses:
-            message = "no entry instance was named: set --entry IP:PORT or WASABIWELL_ENTRY"
+            message = "no entry instance was given: set --entry IP:PORT or WASABIWELL_ENTRY"
             raise CommandError(EXIT_INVALID, message)
         return self.addresses
 
     def send_to(
         self, address: str, method: str, path: str, content: bytes = b""
-    ) -> Reply | Unreachable | ReplyLost:
-        """Send a request to one entry instance."""
+    ) -> AdminResponse | Unreachable | ResponseLost:
+        """Send a request to one entry instance, without retries."""
         try:
             response = self._request(address, method, path, content)
-        except NOT_SENT as error:
+        except REQUEST_NOT_SENT_ERRORS as error:
             return Unreachable(f"{address}: {error or type(error).__name__}")
-        except BROKEN as error:
-            return ReplyLost(f"{address}: {error or type(error).__name__}")
-        return Reply(address, response.status, response.content)
+        except RESPONSE_LOST_ERRORS as error:
+            return ResponseLost(f"{address}: {error or type(error).__name__}")
+        return AdminResponse(address, response.status, response.content)
 
-    def read(self, path: str) -> Any:
-        """Return the decoded answer of a GET; raises `CommandError` for any other answer."""
-        return accepted(self.send("GET", path)).value()
+    def get_json(self, path: str) -> Any:
+        """Return the decoded response to a GET; raises `CommandError` unless it succeeds."""
+        return require_success(self.send("GET", path)).json()
 
-    def running(self) -> RunningConfiguration:
-        """Return the configuration in force at the first entry instance that answers."""
-        reply = accepted(self.send("GET", "configuration"))
+    def running_configuration(self) -> RunningConfiguration:
+        """Return the running configuration of the first entry instance that responds."""
+        response = require_success(self.send("GET", "configuration"))
         try:
-            return msgspec.json.decode(reply.body, type=RunningConfiguration)
+            return msgspec.json.decode(response.body, type=RunningConfiguration)
         except msgspec.DecodeError as error:
             raise CommandError(
-                EXIT_FAILED, f"{reply.address} sent no configuration: {error}"
+                EXIT_FAILED, f"{response.address} sent no configuration: {error}"
             ) from None
 
-    def settled_version(self, wanted: Items) -> int | None:
-        """Return the version that has these items in force, or None when none appears in time."""
-        end = time.monotonic() + SETTLE_SECONDS
+    def wait_for_items(self, desired: Items) -> int | None:
+        """Wait until an entry instance runs with exactly these items.
+
+        Returns the version, or None after `CONFIRM_TIMEOUT_SECONDS`.
+        """
+        end = time.monotonic() + CONFIRM_TIMEOUT_SECONDS
         while True:
             for address in self.addresses:
-                version = self._version_with(address, wanted)
+                version = self._version_if_running(address, desired)
                 if version is not None:
                     return version
             if time.monotonic() >= end:
                 return None
-            time.sleep(SETTLE_POLL_SECONDS)
+            time.sleep(CONFIRM_POLL_INTERVAL_SECONDS)
 
-    def _version_with(self, address: str, wanted: Items) -> int | None:
+    def _version_if_running(self, address: str, desired: Items) -> int | None:
         match self.send_to(address, "GET", "configuration"):
-            case Reply(status=200, body=body):
+            case AdminResponse(status=200, body=body):
                 running = msgspec.json.decode(body, type=RunningConfiguration)
-                return running.version if running.encoded_items() == wanted else None
+                return running.version if running.encoded_items() == desired else None
             case _:
                 return None
 
@@ -173,29 +179,30 @@
         )
 
 
-def accepted(outcome: Reply | Unreachable | ReplyLost) -> Reply:
-    """Return a reply of status 2xx; raises `CommandError` with the fitting exit code otherwise."""
+def require_success(outcome: AdminResponse | Unreachable | ResponseLost) -> AdminResponse:
+    """Return a response of status 2xx; raises `CommandError` with the matching exit code if not."""
     match outcome:
-        case Reply(status=status) as reply if 200 <= status < 300:
-            return reply
-        case Reply() as reply:
-            raise refused(reply)
+        case AdminResponse(status=status) as response if 200 <= status < 300:
+            return response
+        case AdminResponse() as response:
+            raise error_from_response(response)
         case Unreachable(reason=reason):
             raise CommandError(EXIT_UNREACHABLE, f"no entry instance answered: {reason}")
-        case ReplyLost(reason=reason):
-            raise CommandError(EXIT_UNREACHABLE, f"the answer was lost: {reason}")
+        case ResponseLost(reason=reason):
+            raise CommandError(EXIT_UNREACHABLE, f"the response was lost: {reason}")
 
 
-def refused(reply: Reply) -> CommandError:
-    """Return the error that describes an answer other than 2xx."""
-    value = reply.value()
+def error_from_response(response: AdminResponse) -> CommandError:
+    """Return the error for a response with a status other than 2xx."""
+    value = response.json()
     error = value.get("error", {}) if isinstance(value, dict) else {}
-    message = f"{reply.address}: {error.get('message', f'status {reply.status}')}"
+    message = f"{response.address}: {error.get('message', f'status {response.status}')}"
     findings = tuple(f"{item['place']}: {item['message']}" for item in error.get("findings", ()))
-    match reply.status:
+    match response.status:
         case 401:
             message = (
-                f"{reply.address} refused the operator key; set --key, --key-file or a variable"
+                f"{response.address} refused the operator key; set --key, --key-file or their"
+                " environment variables"
             )
             return CommandError(EXIT_KEY_REFUSED, message)
         case 404:
--- a/packages/cli/src/wasabiwell_cli/commands/__init__.py
+++ b/packages/cli/src/wasabiwell_cli/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Commands, one module each."""
+"""Subcommands, one per module."""
--- a/packages/cli/src/wasabiwell_cli/commands/apply.py
+++ b/packages/cli/src/wasabiwell_cli/commands/apply.py
@@ -1,4 +1,4 @@
-"""Command `apply`."""
+"""Subcommand `apply`."""
 
 import sys
 
@@ -7,7 +7,13 @@
 from wasabiwell_config import Items, changed_items, items_of
 
 from wasabiwell_cli.changes import Changes, encode_changes, print_changes
-from wasabiwell_cli.client import AdminClient, Reply, ReplyLost, Unreachable, refused
+from wasabiwell_cli.client import (
+    AdminClient,
+    AdminResponse,
+    ResponseLost,
+    Unreachable,
+    error_from_response,
+)
 from wasabiwell_cli.const import (
     EXIT_CONFLICT,
     EXIT_INVALID,
@@ -18,7 +24,7 @@
 from wasabiwell_cli.options import file_argument, json_option, load_file
 from wasabiwell_cli.output import print_json
 
-UNCERTAIN = "it is not known whether the change was made, compare with `wasabiwell diff`"
+OUTCOME_UNKNOWN = "the outcome of the change is unknown, compare with `wasabiwell diff`"
 
 
 @click.command()
@@ -26,11 +32,11 @@
 @click.option(
     "--base-version",
     type=click.IntRange(0),
-    help="Version that the file was made from; items that others changed since are a conflict. "
-    "Without it the running version is the base and the file replaces what others changed.",
+    help="Version that the file is based on; items that others changed since are a conflict. "
+    "Without it, the running version is the base and the file overwrites other changes.",
 )
-@click.option("--dry-run", is_flag=True, help="Show the changes and apply nothing.")
-@click.option("--yes", is_flag=True, help="Ask for no confirmation on a terminal.")
+@click.option("--dry-run", is_flag=True, help="Show the changes without applying them.")
+@click.option("--yes", is_flag=True, help="Apply without asking for confirmation.")
 @json_option
 @click.pass_obj
 def apply(
@@ -41,13 +47,13 @@
     yes: bool,
     as_json: bool,
 ) -> None:
-    """Put a configuration file in force.
+    """Apply a configuration file.
 
-    The changes are shown first; on a terminal a confirmation is asked for.
+    The changes are shown first; on a terminal, the command asks for confirmation.
     """
-    wanted = items_of(load_file(file))
-    running = client.running()
-    changes = changed_items(running.encoded_items(), wanted)
+    desired = items_of(load_file(file))
+    running = client.running_configuration()
+    changes = changed_items(running.encoded_items(), desired)
     base = running.version if base_version is None else base_version
     if base > running.version:
         message = f"--base-version {base} is newer than the running version {running.version}"
@@ -57,10 +63,10 @@
     if not changes or dry_run:
         _report(as_json, "unchanged" if not changes else "dry run", running.version, changes)
         return
-    asks = sys.stdin.isatty() and sys.stdout.isatty() and not yes and not as_json
-    if asks and not click.confirm(f"Apply {len(changes)} changed items?"):
+    ask_confirmation = sys.stdin.isatty() and sys.stdout.isatty() and not yes and not as_json
+    if ask_confirmation and not click.confirm(f"Apply {len(changes)} changed items?"):
         raise click.Abort
-    version = _send(client, base, changes, wanted)
+    version = _apply_changes(client, base, changes, desired)
     _report(as_json, "accepted", version, changes)
 
 
@@ -73,51 +79,50 @@
         case "unchanged":
             click.echo(f"version {version} is the same")
         case "dry run":
-            click.echo(f"{len(changes)} items would change, version {version} stays in force")
+            click.echo(f"{len(changes)} items would change, version {version} stays active")
         case _:
             click.echo(f"version {version} is accepted, {len(changes)} items changed")
 
 
-def _send(client: AdminClient, base: int, changes: Changes, wanted: Items) -> int:
-    """Send the changes to one entry instance after the other until one takes them.
+def _apply_changes(client: AdminClient, base: int, changes: Changes, desired: Items) -> int:
+    """Send the changes to an entry instance and return the version that contains them.
 
-    A next instance gets them only when the one before surely made no change.
+    The next address is only tried when the previous instance certainly made no change. When the
+    outcome is unknown, the changes may be active already, so the running configuration decides.
     """
     body = msgspec.json.encode({"base_version": base, "changes": encode_changes(changes)})
     reasons: list[str] = []
     for address in client.addresses:
         match client.send_to(address, "POST", "configuration", body):
-            case Reply(status=200) as reply:
-                return int(reply.value()["version"])
+            case AdminResponse(status=200) as response:
+                return int(response.json()["version"])
             case Unreachable(reason=reason):
                 reasons.append(reason)
-            case Reply(status=503) as reply:
-                reasons.append(f"{address}: {reply.value().get('reason', 'unavailable')}")
-            case Reply(status=504) as reply:
-                return _settle(client, wanted, f"{address}: {reply.value().get('reason', '')}")
-            case ReplyLost(reason=reason):
-                return _settle(client, wanted, reason)
-            case Reply() as reply:
-                raise _not_applied(reply)
+            case AdminResponse(status=503) as response:
+                reasons.append(f"{address}: {response.json().get('reason', 'unavailable')}")
+            case AdminResponse(status=504) as response:
+                return _confirm(client, desired, f"{address}: {response.json().get('reason', '')}")
+            case ResponseLost(reason=reason):
+                return _confirm(client, desired, reason)
+            case AdminResponse() as response:
+                raise _apply_error(response)
     raise CommandError(EXIT_UNREACHABLE, f"nothing was applied: {'; '.join(reasons)}")
 
 
-def _settle(client: AdminClient, wanted: Items, reason: str) -> int:
-    version = client.settled_version(wanted)
+def _confirm(client: AdminClient, desired: Items, reason: str) -> int:
+    version = client.wait_for_items(desired)
     if version is None:
-        raise CommandError(EXIT_UNCERTAIN, f"{reason}; {UNCERTAIN}")
+        raise CommandError(EXIT_UNCERTAIN, f"{reason}; {OUTCOME_UNKNOWN}")
     return version
 
 
-def _not_applied(reply: Reply) -> CommandError:
-    value = reply.value()
+def _apply_error(response: AdminResponse) -> CommandError:
+    value = response.json()
     match value:
         case {"outcome": "conflict", "version": version, "paths": paths}:
-            message = (
-                f"others changed these items, version {version} is in force: read it and merge"
-            )
+            message = f"others changed these items; version {version} is active: fetch it and merge"
             return CommandError(EXIT_CONFLICT, message, tuple(paths))
         case {"outcome": "invalid", "findings": findings}:
             lines = tuple(f"{item['place']}: {item['message']}" for item in findings)
-            return CommandError(EXIT_INVALID, f"{reply.address} refused the changes", lines)
-    return refused(reply)
+            return CommandError(EXIT_INVALID, f"{response.address} rejected the changes", lines)
+    return error_from_response(response)
--- a/packages/cli/src/wasabiwell_cli/commands/check.py
+++ b/packages/cli/src/wasabiwell_cli/commands/check.py
@@ -1,4 +1,4 @@
-"""Command `check`."""
+"""Subcommand `check`."""
 
 import click
 
@@ -10,7 +10,7 @@
 @file_argument
 @json_option
 def check(file: str, as_json: bool) -> None:
-    """Check a configuration file without an entry instance."""
+    """Validate a configuration file; no entry instance is needed."""
     load_file(file)
     if as_json:
         print_json({"valid": True})
--- a/packages/cli/src/wasabiwell_cli/commands/completion.py
+++ b/packages/cli/src/wasabiwell_cli/commands/completion.py
@@ -1,4 +1,4 @@
-"""Command `completion`."""
+"""Subcommand `completion`."""
 
 import click
 from click.shell_completion import get_completion_class
@@ -9,7 +9,7 @@
 from wasabiwell_cli.output import print_json
 
 PROGRAM = "wasabiwell"
-VARIABLE = "_WASABIWELL_COMPLETE"
+COMPLETION_VARIABLE = "_WASABIWELL_COMPLETE"
 
 
 @click.command()
@@ -17,14 +17,16 @@
 @json_option
 @click.pass_context
 def completion(context: click.Context, shell: str, as_json: bool) -> None:
-    """Print the completion script of a shell.
+    """Print the completion script for a shell.
 
     For bash: wasabiwell completion bash > ~/.local/share/bash-completion/completions/wasabiwell
     """
-    kind = get_completion_class(shell)
-    if kind is None:
-        raise CommandError(EXIT_FAILED, f"there is no completion for {shell}")
-    script = kind(context.find_root().command, {}, PROGRAM, VARIABLE).source()
+    completion_class = get_completion_class(shell)
+    if completion_class is None:
+        raise CommandError(EXIT_FAILED, f"completion is not available for {shell}")
+    script = completion_class(
+        context.find_root().command, {}, PROGRAM, COMPLETION_VARIABLE
+    ).source()
     if as_json:
         print_json({"shell": shell, "script": script})
     else:
--- a/packages/cli/src/wasabiwell_cli/commands/diff.py
+++ b/packages/cli/src/wasabiwell_cli/commands/diff.py
@@ -1,4 +1,4 @@
-"""Command `diff`."""
+"""Subcommand `diff`."""
 
 import click
 from wasabiwell_config import changed_items, items_of
@@ -14,13 +14,13 @@
 @json_option
 @click.pass_obj
 def diff(client: AdminClient, file: str, as_json: bool) -> None:
-    """Show what a configuration file would change.
+    """Show what applying a configuration file would change.
 
-    The exit code is 0 with changes too.
+    The exit code is 0 even if there are changes.
     """
-    wanted = items_of(load_file(file))
-    running = client.running()
-    changes = changed_items(running.encoded_items(), wanted)
+    desired = items_of(load_file(file))
+    running = client.running_configuration()
+    changes = changed_items(running.encoded_items(), desired)
     if as_json:
         print_json({"version": running.version, "changes": encode_changes(changes)})
         return
--- a/packages/cli/src/wasabiwell_cli/commands/drain.py
+++ b/packages/cli/src/wasabiwell_cli/commands/drain.py
@@ -1,13 +1,19 @@
-"""Command `drain`."""
+"""Subcommand `drain`."""
 
 from urllib.parse import quote
 
 import click
 
-from wasabiwell_cli.client import AdminClient, Reply, ReplyLost, Unreachable, accepted
+from wasabiwell_cli.client import (
+    AdminClient,
+    AdminResponse,
+    ResponseLost,
+    Unreachable,
+    require_success,
+)
 from wasabiwell_cli.const import EXIT_NOT_FOUND, EXIT_PARTIAL
 from wasabiwell_cli.errors import CommandError
-from wasabiwell_cli.fleet import member_address, members, send_to_all
+from wasabiwell_cli.fleet import list_members, member_address, send_to_all
 from wasabiwell_cli.options import json_option
 from wasabiwell_cli.output import print_json
 
@@ -16,7 +22,7 @@
 def drain() -> None:
     """Take an entry instance or a target out of service.
 
-    No request is cut off.
+    Running requests are not aborted.
     """
 
 
@@ -25,13 +31,13 @@
 @json_option
 @click.pass_obj
 def entry(client: AdminClient, name: str, as_json: bool) -> None:
-    """Let an entry instance finish its requests and stop."""
+    """Stop an entry instance after its running requests have finished."""
     address = member_address(client, name)
-    reply = accepted(client.send_to(address, "POST", "drain"))
+    response = require_success(client.send_to(address, "POST", "drain"))
     if as_json:
-        print_json(reply.value())
+        print_json(response.json())
     else:
-        click.echo(f"{name} is leaving; its process ends when its requests are done")
+        click.echo(f"{name} is draining; its process exits when its requests have finished")
 
 
 @drain.command()
@@ -39,32 +45,30 @@
 @json_option
 @click.pass_obj
 def target(client: AdminClient, name: str, as_json: bool) -> None:
-    """Give a target no new work; running requests go on.
+    """Stop sending new requests to a target; running requests continue.
 
-    Each entry instance is told. The mark is lost when all of them restart, so stop the target or
-    take it off the instance list afterwards.
+    The drain is requested from every entry instance. It is forgotten when all of them restart, so
+    stop the target or remove it from the instance list afterwards.
     """
-    addresses = [str(item["caller_address"]) for item in members(client)]
+    addresses = [str(item["caller_address"]) for item in list_members(client)]
     path = f"targets/{quote(name, safe='')}/drain"
-    done, unknown, failed = [], [], []
+    confirmed, not_found, failures = [], [], []
     for address, outcome in send_to_all(client, addresses, "POST", path):
         match outcome:
-            case Reply(status=202):
-                done.append(address)
-            case Reply(status=404):
-                unknown.append(address)
-            case Reply(status=status):
-                failed.append(f"{address}: status {status}")
-            case Unreachable(reason=reason) | ReplyLost(reason=reason):
-                failed.append(reason)
-    if unknown and not done:
-        raise CommandError(EXIT_NOT_FOUND, f"no target has the id {name}", tuple(failed))
-    if failed:
-        message = (
-            f"{len(done)} entry instances confirmed the drain of {name}, {len(failed)} did not"
-        )
-        raise CommandError(EXIT_PARTIAL, message, tuple(failed))
+            case AdminResponse(status=202):
+                confirmed.append(address)
+            case AdminResponse(status=404):
+                not_found.append(address)
+            case AdminResponse(status=status):
+                failures.append(f"{address}: status {status}")
+            case Unreachable(reason=reason) | ResponseLost(reason=reason):
+                failures.append(reason)
+    if not_found and not confirmed:
+        raise CommandError(EXIT_NOT_FOUND, f"no target has the id {name}", tuple(failures))
+    if failures:
+        message = f"{len(confirmed)} entry instances confirmed the drain of {name}, {len(failures)} did not"
+        raise CommandError(EXIT_PARTIAL, message, tuple(failures))
     if as_json:
-        print_json({"draining": name, "confirmed_by": done, "unknown_at": unknown})
+        print_json({"draining": name, "confirmed_by": confirmed, "unknown_at": not_found})
     else:
-        click.echo(f"{name} gets no new work; {len(done)} entry instances confirmed")
+        click.echo(f"{name} gets no new requests; {len(confirmed)} entry instances confirmed")
--- a/packages/cli/src/wasabiwell_cli/commands/history.py
+++ b/packages/cli/src/wasabiwell_cli/commands/history.py
@@ -1,4 +1,4 @@
-"""Command `history`."""
+"""Subcommand `history`."""
 
 import click
 
@@ -12,11 +12,11 @@
 @json_option
 @click.pass_obj
 def history(client: AdminClient, limit: int, as_json: bool) -> None:
-    """List recent versions, newest first.
+    """List recent configuration versions, newest first.
 
-    An entry instance keeps the versions of about the last 1,000 changes since its start.
+    An entry instance keeps the versions of about the last 1,000 changes since it started.
     """
-    value = client.read(f"configuration/history?limit={limit}")
+    value = client.get_json(f"configuration/history?limit={limit}")
     if as_json:
         print_json(value)
         return
--- a/packages/cli/src/wasabiwell_cli/commands/quarantine.py
+++ b/packages/cli/src/wasabiwell_cli/commands/quarantine.py
@@ -1,25 +1,25 @@
-"""Command `quarantine`."""
+"""Subcommand `quarantine`."""
 
 from urllib.parse import quote
 
 import click
 
-from wasabiwell_cli.client import AdminClient, accepted
+from wasabiwell_cli.client import AdminClient, require_success
 from wasabiwell_cli.options import json_option
 from wasabiwell_cli.output import print_json, print_table
 
 
 @click.group()
 def quarantine() -> None:
-    """List and release requests that crash targets."""
+    """List and release requests that are suspected of crashing targets."""
 
 
 @quarantine.command("list")
 @json_option
 @click.pass_obj
 def list_suspects(client: AdminClient, as_json: bool) -> None:
-    """List suspects and quarantined requests by fingerprint."""
-    value = client.read("quarantine")
+    """List suspected and quarantined requests by fingerprint."""
+    value = client.get_json("quarantine")
     if as_json:
         print_json(value)
         return
@@ -39,10 +39,10 @@
 @json_option
 @click.pass_obj
 def release(client: AdminClient, fingerprint: str, as_json: bool) -> None:
-    """Let a quarantined request run again."""
+    """Release a request from quarantine, so that it can run again."""
     path = f"quarantine/{quote(fingerprint, safe='')}"
-    reply = accepted(client.send("DELETE", path))
+    response = require_success(client.send("DELETE", path))
     if as_json:
-        print_json(reply.value())
+        print_json(response.json())
     else:
         click.echo(f"{fingerprint} is released")
--- a/packages/cli/src/wasabiwell_cli/commands/show.py
+++ b/packages/cli/src/wasabiwell_cli/commands/show.py
@@ -1,4 +1,4 @@
-"""Command `show`."""
+"""Subcommand `show`."""
 
 import click
 from wasabiwell_config import Findings, configuration_from_items, render
@@ -15,12 +15,12 @@
 @json_option
 @click.pass_obj
 def show(client: AdminClient, path: str, as_json: bool) -> None:
-    """Print the configuration in force, as `apply` takes it.
+    """Print the running configuration, in the format that `apply` reads.
 
-    PATH chooses one item (organisation/NAME) or one kind (organisation). With --json the version
-    and the items by path are printed.
+    PATH selects one item (organisation/NAME) or all items of one kind (organisation). With --json,
+    the version and the items by path are printed.
     """
-    running = client.running()
+    running = client.running_configuration()
     items = {
         name: value
         for name, value in running.items.items()
@@ -37,6 +37,8 @@
         match configuration_from_items(encoded):
             case Findings(findings=findings):
                 lines = tuple(str(finding) for finding in findings)
-                raise CommandError(EXIT_FAILED, "this command is older than the entries", lines)
+                raise CommandError(
+                    EXIT_FAILED, "this command is older than the entry instances", lines
+                )
             case configuration:
                 click.echo(render(configuration), nl=False)
--- a/packages/cli/src/wasabiwell_cli/commands/status.py
+++ b/packages/cli/src/wasabiwell_cli/commands/status.py
@@ -1,68 +1,89 @@
-"""Command `status`."""
+"""Subcommand `status`."""
 
 from typing import Any
 
 import click
 
-from wasabiwell_cli.client import AdminClient, Reply
+from wasabiwell_cli.client import AdminClient, AdminResponse
 from wasabiwell_cli.fleet import send_to_all
 from wasabiwell_cli.options import json_option
-from wasabiwell_cli.output import BAD, GOOD, WARN, coloured, print_json, print_table
-
-MEMBER_COLOURS = {"alive": GOOD, "suspect": WARN, "leaving": WARN, "dead": BAD}
+from wasabiwell_cli.output import (
+    GREEN,
+    RED,
+    YELLOW,
+    coloured,
+    print_json,
+    print_table,
+)
+
+MEMBER_COLOURS = {
+    "alive": GREEN,
+    "suspect": YELLOW,
+    "leaving": YELLOW,
+    "dead": RED,
+}
 
 
 @click.command()
 @json_option
 @click.pass_obj
 def status(client: AdminClient, as_json: bool) -> None:
-    """Show entries, targets, queues, credits and suspects.
+    """Show entry instances, targets, queues, credits and suspects.
 
-    Members and targets are shown as the first answering entry instance sees them; the figures of
-    the entries come from each of them.
+    Members, targets and suspects are shown as known to the first entry instance that responds;
+    queues, credits and the figures of entry instances come from each of them.
     """
-    first = client.read("status")
-    reports = _reports(client, first)
+    first_report = client.get_json("status")
+    reports = _fetch_reports(client, first_report)
     if as_json:
-        print_json({"seen_by": first["node_id"], "entries": reports, "targets": first["targets"]})
+        print_json(
+            {
+                "seen_by": first_report["node_id"],
+                "entries": reports,
+                "targets": first_report["targets"],
+            }
+        )
         return
     click.echo(
-        f"seen by {first['node_id']}, configuration version {first['configuration_version']}"
+        f"seen by {first_report['node_id']},"
+        f" configuration version {first_report['configuration_version']}"
     )
-    _print_entries(first, reports)
-    _print_targets(first)
+    _print_entries(first_report, reports)
+    _print_targets(first_report)
     _print_queues(reports)
     _print_credits(reports)
-    _print_suspects(first)
+    _print_suspects(first_report)
 
 
-def _reports(client: AdminClient, first: dict[str, Any]) -> dict[str, dict[str, Any] | None]:
-    """Return the report of each member by node id; None when it did not answer."""
-    others = {
+def _fetch_reports(
+    client: AdminClient, first_report: dict[str, Any]
+) -> dict[str, dict[str, Any] | None]:
+    """Return the status report of each member by node id; None if it did not respond."""
+    node_ids = {
         member["caller_address"]: member["node_id"]
-        for member in first["members"]
-        if member["node_id"] != first["node_id"]
+        for member in first_report["members"]
+        if member["node_id"] != first_report["node_id"]
     }
-    reports: dict[str, dict[str, Any] | None] = {first["node_id"]: first}
-    for address, outcome in send_to_all(client, list(others), "GET", "status"):
+    reports: dict[str, dict[str, Any] | None] = {first_report["node_id"]: first_report}
+    for address, outcome in send_to_all(client, list(node_ids), "GET", "status"):
         match outcome:
-            case Reply(status=200) as reply:
-                reports[others[address]] = reply.value()
+            case AdminResponse(status=200) as response:
+                reports[node_ids[address]] = response.json()
             case _:
-                reports[others[address]] = None
+                reports[node_ids[address]] = None
     return dict(sorted(reports.items()))
 
 
-def _print_entries(first: dict[str, Any], reports: dict[str, dict[str, Any] | None]) -> None:
+def _print_entries(first_report: dict[str, Any], reports: dict[str, dict[str, Any] | None]) -> None:
     rows = []
-    for member in sorted(first["members"], key=lambda item: str(item["node_id"])):
+    for member in sorted(first_report["members"], key=lambda item: str(item["node_id"])):
         report = reports.get(member["node_id"])
-        state = coloured(member["status"], MEMBER_COLOURS.get(member["status"], BAD))
+        state = coloured(member["status"], MEMBER_COLOURS.get(member["status"], RED))
         row = [member["node_id"], member["zone"], member["caller_address"], state]
         if report is None:
-            row += [coloured("no answer", BAD), None, None, None, None]
+            row += [coloured("no answer", RED), None, None, None, None]
         else:
-            ready = coloured("yes", GOOD) if report["ready"] else coloured("no", WARN)
+            ready = coloured("yes", GREEN) if report["ready"] else coloured("no", YELLOW)
             row += [ready, report["configuration_version"], report["open_requests"]]
             row += [report["tokens_relayed"], report["retries"]]
         rows.append(row)
@@ -81,14 +102,14 @@
     print_table(headings, rows)
 
 
-def _print_targets(first: dict[str, Any]) -> None:
+def _print_targets(first_report: dict[str, Any]) -> None:
     rows = []
-    for target in sorted(first["targets"], key=lambda item: str(item["target_id"])):
-        state = coloured("up", GOOD)
+    for target in sorted(first_report["targets"], key=lambda item: str(item["target_id"])):
+        state = coloured("up", GREEN)
         if target["leaving"]:
-            state = coloured("leaving", WARN)
+            state = coloured("leaving", YELLOW)
         if target["lost"]:
-            state = coloured("lost", BAD)
+            state = coloured("lost", RED)
         row = [target["target_id"], target["service"], target["zone"], state]
         row += [target["owner"] or None, target["outstanding"], target["running"]]
         rows.append([*row, target["queued"], target["free_tokens"]])
@@ -119,14 +140,14 @@
         print_table(("ENTRY", "CREDIT OF", "AS", "SLOTS", "TOKENS"), rows)
 
 
-def _print_suspects(first: dict[str, Any]) -> None:
+def _print_suspects(first_report: dict[str, Any]) -> None:
     rows = [
         (
             suspect["fingerprint"],
-            coloured("quarantined", BAD) if suspect["quarantined"] else "suspect",
+            coloured("quarantined", RED) if suspect["quarantined"] else "suspect",
             ", ".join(suspect["targets"]),
         )
-        for suspect in first["suspects"] or ()
+        for suspect in first_report["suspects"] or ()
     ]
     if rows:
         click.echo()
--- a/packages/cli/src/wasabiwell_cli/commands/trace.py
+++ b/packages/cli/src/wasabiwell_cli/commands/trace.py
@@ -1,4 +1,4 @@
-"""Command `trace`."""
+"""Subcommand `trace`."""
 
 from pathlib import Path
 from typing import Any
@@ -6,11 +6,11 @@
 
 import click
 
-from wasabiwell_cli.client import AdminClient, Reply
+from wasabiwell_cli.client import AdminClient, AdminResponse
 from wasabiwell_cli.const import EXIT_NOT_FOUND
 from wasabiwell_cli.errors import CommandError
-from wasabiwell_cli.fleet import members, send_to_all
-from wasabiwell_cli.log_files import find_request
+from wasabiwell_cli.fleet import list_members, send_to_all
+from wasabiwell_cli.log_files import collect_request_log
 from wasabiwell_cli.options import json_option
 from wasabiwell_cli.output import print_json, print_table
 
@@ -21,16 +21,16 @@
 @json_option
 @click.pass_obj
 def trace(client: AdminClient, request_id: str, files: tuple[Path, ...], as_json: bool) -> None:
-    """Show what became of a request.
+    """Show how a request was handled.
 
-    REQUEST_ID is the id of its answer. With FILES, the lines of these log files that tell of it are
-    shown in the order of time, of all entry instances together. Without, the record of a recent
-    request is shown, which the entry instance keeps that served it; all of them are asked.
+    REQUEST_ID is the id in its response. With FILES, its lines in these log files are shown, merged
+    over all entry instances and sorted by time. Without FILES, all entry instances are queried and
+    the record that the instance that served the request keeps of recent requests is shown.
     """
     if files:
-        _show_lines(request_id, files, as_json)
+        _print_request_log(request_id, files, as_json)
         return
-    value = _find(client, request_id)
+    value = _fetch_record(client, request_id)
     if as_json:
         print_json(value)
         return
@@ -46,8 +46,8 @@
         (
             item["attempt_id"],
             item["target_id"],
-            _seconds(item["started_s"]),
-            _seconds(item["ended_s"]),
+            _format_seconds(item["started_s"]),
+            _format_seconds(item["ended_s"]),
             item["outcome"],
             item["reason"],
         )
@@ -56,28 +56,30 @@
     print_table(("ATTEMPT", "TARGET", "STARTED, S", "ENDED, S", "OUTCOME", "REASON"), rows)
 
 
-def _show_lines(request_id: str, files: tuple[Path, ...], as_json: bool) -> None:
-    story = find_request(request_id, files)
-    notes = [f"{path}: {count} unreadable lines" for path, count in story.unreadable.items()]
+def _print_request_log(request_id: str, files: tuple[Path, ...], as_json: bool) -> None:
+    request_log = collect_request_log(request_id, files)
+    notes = [f"{path}: {count} unreadable lines" for path, count in request_log.unreadable.items()]
     notes += [
-        f"the clock of {node} is at least {behind.total_seconds():.3f} s behind"
-        for node, behind in story.clock_differences.items()
+        f"the clock of {node} is at least {lag.total_seconds():.3f} s behind"
+        for node, lag in request_log.clock_lags.items()
     ]
-    if story.left_out:
-        notes.append(f"{story.left_out} lines were left out under load")
-    if not story.lines:
-        raise CommandError(EXIT_NOT_FOUND, f"no line tells of request {request_id}", tuple(notes))
+    if request_log.dropped_lines:
+        notes.append(f"{request_log.dropped_lines} lines were dropped under load")
+    if not request_log.lines:
+        raise CommandError(
+            EXIT_NOT_FOUND, f"no log line of request {request_id} was found", tuple(notes)
+        )
     if as_json:
         lines = [
             {"time": line.time.isoformat(), "node": line.node, "name": line.name, **line.fields}
-            for line in story.lines
+            for line in request_log.lines
         ]
         print_json({"lines": lines, "notes": notes})
         return
-    first = story.lines[0].time
+    first = request_log.lines[0].time
     rows = [
         (f"{(line.time - first).total_seconds():.3f}", line.node, line.name, line.text())
-        for line in story.lines
+        for line in request_log.lines
     ]
     click.echo(f"request {request_id}, from {first.isoformat()}")
     print_table(("SECONDS", "NODE", "EVENT", "FIELDS"), rows)
@@ -85,22 +87,22 @@
         click.echo(note)
 
 
-def _find(client: AdminClient, request_id: str) -> dict[str, Any]:
-    addresses = [str(member["caller_address"]) for member in members(client)]
+def _fetch_record(client: AdminClient, request_id: str) -> dict[str, Any]:
+    addresses = [str(member["caller_address"]) for member in list_members(client)]
     path = f"trace/{quote(request_id, safe='')}"
-    silent = []
+    failures = []
     for address, outcome in send_to_all(client, addresses, "GET", path):
         match outcome:
-            case Reply(status=200) as reply:
-                value: dict[str, Any] = reply.value()
+            case AdminResponse(status=200) as response:
+                value: dict[str, Any] = response.json()
                 return value
-            case Reply(status=404):
+            case AdminResponse(status=404):
                 continue
             case _:
-                silent.append(f"{address} did not answer")
-    message = f"no entry instance that answered has a record of request {request_id}"
-    raise CommandError(EXIT_NOT_FOUND, message, tuple(silent))
+                failures.append(f"{address} did not respond")
+    message = f"no entry instance that responded has a record of request {request_id}"
+    raise CommandError(EXIT_NOT_FOUND, message, tuple(failures))
 
 
-def _seconds(value: float | None) -> str | None:
+def _format_seconds(value: float | None) -> str | None:
     return None if value is None else f"{value:.3f}"
--- a/packages/cli/src/wasabiwell_cli/const.py
+++ b/packages/cli/src/wasabiwell_cli/const.py
@@ -1,4 +1,4 @@
-"""Exit codes and times of the command."""
+"""Exit codes, timeouts and limits of the command."""
 
 EXIT_FAILED = 1
 EXIT_INVALID = 2
@@ -23,7 +23,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 READ_TIMEOUT_SECONDS = 15.0
-SETTLE_SECONDS = 10.0
-"""Time to look for a change whose answer was lost; a version is in force everywhere within 8 s."""
-SETTLE_POLL_SECONDS = 0.5
+CONFIRM_TIMEOUT_SECONDS = 10.0
+"""Wait for a change whose response was lost; a version is active everywhere within 8 s."""
+CONFIRM_POLL_INTERVAL_SECONDS = 0.5
 MAX_PARALLEL_REQUESTS = 16
--- a/packages/cli/src/wasabiwell_cli/errors.py
+++ b/packages/cli/src/wasabiwell_cli/errors.py
@@ -1,4 +1,4 @@
-"""Failures of the command, each with its exit code."""
+"""Error that ends the command with an exit code."""
 
 import sys
 from typing import IO, Any
@@ -8,7 +8,7 @@
 
 
 class CommandError(click.ClickException):
-    """A failure that ends the command; `findings` are lines that name places."""
+    """Ends the command with an exit code; `findings` are printed as lines above the message."""
 
     def __init__(self, exit_code: int, message: str, findings: tuple[str, ...] = ()) -> None:
         super().__init__(message)
@@ -18,7 +18,7 @@
         self._as_json = context is not None and context.find_root().meta.get("json", False)
 
     def show(self, file: IO[Any] | None = None) -> None:
-        """Print the failure on the standard error output, as JSON when `--json` was given."""
+        """Print the error to stderr, as JSON if `--json` was given."""
         if self._as_json:
             value = {
                 "exit_code": self.exit_code,
--- a/packages/cli/src/wasabiwell_cli/log_files.py
+++ b/packages/cli/src/wasabiwell_cli/log_files.py
@@ -1,4 +1,4 @@
-"""Reads log files of entry instances and finds the lines of one request."""
+"""Collects the log lines of one request from log files of entry instances."""
 
 import json
 from collections.abc import Iterable
@@ -7,14 +7,14 @@
 from pathlib import Path
 from typing import Any
 
-HEAD_FIELDS = frozenset({"time", "node", "level", "event", "name", "request"})
-MIN_CLOCK_DIFFERENCE = timedelta(milliseconds=50)
-"""Smaller differences between the files of two nodes are not told."""
+COMMON_FIELDS = frozenset({"time", "node", "level", "event", "name", "request"})
+MIN_CLOCK_LAG = timedelta(milliseconds=50)
+"""A smaller lag between the clocks of two nodes is not reported."""
 
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """A line of a log file."""
+    """A parsed line of a log file."""
 
     time: datetime
     node: str
@@ -27,47 +27,48 @@
 
 
 @dataclass(slots=True)
-class LogStory:
-    """The lines of one request in the order of time, and what was met on the way.
+class RequestLog:
+    """The log lines of one request, sorted by time, and problems found in the log files.
 
-    `clock_differences` tells, for a node, how much earlier its line was than the one of another
-    node that must have come before it.
+    `unreadable` counts the lines of each file that are not log lines. `clock_lags` is, for each
+    node, the time by which its clock is at least behind another node's clock. `dropped_lines` is
+    the number of lines that entry instances did not write under load.
     """
 
     lines: list[LogLine] = field(default_factory=list)
     unreadable: dict[str, int] = field(default_factory=dict)
-    clock_differences: dict[str, timedelta] = field(default_factory=dict)
-    left_out: int = 0
+    clock_lags: dict[str, timedelta] = field(default_factory=dict)
+    dropped_lines: int = 0
 
 
-def find_request(request_id: str, paths: Iterable[Path]) -> LogStory:
-    """Return what log files tell of a request; raises `OSError` for a file that cannot be read.
+def collect_request_log(request_id: str, paths: Iterable[Path]) -> RequestLog:
+    """Return the log lines of a request; raises `OSError` for a file that cannot be read.
 
-    Lines that are no JSON object of a log are counted. What stands before a JSON object on a line
-    is ignored, as collectors of logs add to lines.
+    Lines without a JSON log record are counted as unreadable. Text before the JSON object is
+    ignored, because log collectors add prefixes.
     """
-    story = LogStory()
+    request_log = RequestLog()
     for path in paths:
         with path.open(errors="replace") as file:
             for text in file:
-                line = _parse(text)
+                line = _parse_line(text)
                 if line is None:
-                    story.unreadable[str(path)] = story.unreadable.get(str(path), 0) + 1
+                    request_log.unreadable[str(path)] = request_log.unreadable.get(str(path), 0) + 1
                 elif line.fields.get("request") == request_id:
                     fields = {
                         name: value
                         for name, value in line.fields.items()
-                        if name not in HEAD_FIELDS
+                        if name not in COMMON_FIELDS
                     }
-                    story.lines.append(LogLine(line.time, line.node, line.name, fields))
+                    request_log.lines.append(LogLine(line.time, line.node, line.name, fields))
                 elif line.name == "lines_left_out":
-                    story.left_out += sum(line.fields.get("counts", {}).values())
-    story.lines.sort(key=lambda line: line.time)
-    story.clock_differences = _clock_differences(story.lines)
-    return story
+                    request_log.dropped_lines += sum(line.fields.get("counts", {}).values())
+    request_log.lines.sort(key=lambda line: line.time)
+    request_log.clock_lags = _clock_lags(request_log.lines)
+    return request_log
 
 
-def _parse(text: str) -> LogLine | None:
+def _parse_line(text: str) -> LogLine | None:
     try:
         value = json.loads(text[text.index("{") :])
         time = datetime.fromisoformat(value["time"])
@@ -76,18 +77,22 @@
         return None
 
 
-def _clock_differences(lines: list[LogLine]) -> dict[str, timedelta]:
-    """Return how far nodes are behind, seen where a send ends before it was routed."""
-    routed = {
+def _clock_lags(lines: list[LogLine]) -> dict[str, timedelta]:
+    """Return how far clocks of nodes are behind.
+
+    A clock is behind if an attempt has a line on another node that is earlier than the `routed`
+    line of the attempt.
+    """
+    routed_lines = {
         (line.fields.get("sends"), line.fields.get("target")): line
         for line in lines
         if line.name == "routed"
     }
-    differences: dict[str, timedelta] = {}
+    lags: dict[str, timedelta] = {}
     for line in lines:
-        begin = routed.get((line.fields.get("sends"), line.fields.get("target")))
-        if begin is None or begin.node == line.node or line.time >= begin.time:
+        routed_line = routed_lines.get((line.fields.get("sends"), line.fields.get("target")))
+        if routed_line is None or routed_line.node == line.node or line.time >= routed_line.time:
             continue
-        if (behind := begin.time - line.time) >= MIN_CLOCK_DIFFERENCE:
-            differences[line.node] = max(behind, differences.get(line.node, timedelta()))
-    return differences
+        if (lag := routed_line.time - line.time) >= MIN_CLOCK_LAG:
+            lags[line.node] = max(lag, lags.get(line.node, timedelta()))
+    return lags
--- a/packages/cli/src/wasabiwell_cli/main.py
+++ b/packages/cli/src/wasabiwell_cli/main.py
@@ -1,4 +1,4 @@
-"""Command `wasabiwell`: checks and applies configurations and shows the system's state."""
+"""Entry point of the command `wasabiwell`."""
 
 import ipaddress
 import ssl
@@ -36,7 +36,7 @@
 EPILOG = "\b\nExit codes:\n" + "\n".join(f"  {code}  {text}" for code, text in EXIT_CODES)
 
 
-def _checked_addresses(
+def _validate_addresses(
     context: click.Context, parameter: click.Parameter, value: tuple[str, ...]
 ) -> tuple[str, ...]:
     for address in value:
@@ -61,36 +61,36 @@
 @click.option(
     "--entry",
     multiple=True,
-    callback=_checked_addresses,
+    callback=_validate_addresses,
     show_envvar=True,
-    help="IP:PORT of an entry instance; repeat it for more, which are tried in turn.",
+    help="IP:PORT of an entry instance; can be given several times, tried in order.",
 )
 @click.option("--key", default="", show_envvar=True, help="Operator key.")
 @click.option(
     "--key-file",
     type=click.Path(exists=True, dir_okay=False, path_type=Path),
     show_envvar=True,
-    help="File with the operator key, which unlike --key no process list shows.",
+    help="File with the operator key; unlike --key, it does not appear in process lists.",
 )
 @click.option(
     "--ca",
     type=click.Path(exists=True, dir_okay=False),
     show_envvar=True,
-    help="PEM file with the issuers of the entries' certificates; turns on https.",
+    help="PEM file with the CAs of the entry instances' certificates; enables HTTPS.",
 )
 @click.pass_context
 def main(
     context: click.Context, entry: tuple[str, ...], key: str, key_file: Path | None, ca: str | None
 ) -> None:
-    """Operate a deployment of wasabiwell."""
+    """Operate a wasabiwell deployment."""
     if key_file is not None:
         key = key_file.read_text().strip()
     if not key.isascii():
         raise click.BadParameter("must be ASCII", param_hint="--key")
-    context.obj = AdminClient(entry, key, _tls(ca))
+    context.obj = AdminClient(entry, key, _tls_context(ca))
 
 
-def _tls(ca: str | None) -> ssl.SSLContext | None:
+def _tls_context(ca: str | None) -> ssl.SSLContext | None:
     if ca is None:
         return None
     try:
--- a/packages/cli/src/wasabiwell_cli/options.py
+++ b/packages/cli/src/wasabiwell_cli/options.py
@@ -1,4 +1,4 @@
-"""Options and arguments that several commands share."""
+"""Options and arguments shared by several commands."""
 
 import sys
 from collections.abc import Callable
@@ -11,32 +11,32 @@
 from wasabiwell_cli.const import EXIT_INVALID
 from wasabiwell_cli.errors import CommandError
 
-Decorated = Callable[..., Any]
+CommandFunction = Callable[..., Any]
 
 
-def json_option(function: Decorated) -> Decorated:
-    """Add the flag `--json`, which failures see too."""
+def json_option(function: CommandFunction) -> CommandFunction:
+    """Add the flag `--json`; it also applies to error messages, see `CommandError.show`."""
 
-    def remember(context: click.Context, _: click.Parameter, value: bool) -> bool:
+    def set_json(context: click.Context, _: click.Parameter, value: bool) -> bool:
         context.find_root().meta["json"] = value
         return value
 
-    flag = click.option(
-        "--json", "as_json", is_flag=True, is_eager=True, callback=remember, help="Print JSON."
+    decorator = click.option(
+        "--json", "as_json", is_flag=True, is_eager=True, callback=set_json, help="Print JSON."
     )
-    return flag(function)
+    return decorator(function)
 
 
-def file_argument(function: Decorated) -> Decorated:
-    """Add the argument FILE; `-` stands for the standard input."""
-    argument: Callable[[Decorated], Decorated] = click.argument(
+def file_argument(function: CommandFunction) -> CommandFunction:
+    """Add the argument FILE; `-` is stdin."""
+    decorator: Callable[[CommandFunction], CommandFunction] = click.argument(
         "file", type=click.Path(allow_dash=True)
     )
-    return argument(function)
+    return decorator(function)
 
 
 def load_file(file: str) -> Configuration:
-    """Return the configuration of a file; raises `CommandError` with all findings."""
+    """Load and validate a configuration file; raises `CommandError` with all findings."""
     try:
         data = sys.stdin.buffer.read() if file == "-" else Path(file).read_bytes()
     except OSError as error:
--- a/packages/cli/src/wasabiwell_cli/output.py
+++ b/packages/cli/src/wasabiwell_cli/output.py
@@ -1,4 +1,4 @@
-"""Output of the command; `click.echo` drops colours when the output is no terminal."""
+"""Printing of JSON, tables and colours; `click.echo` drops colours outside a terminal."""
 
 from collections.abc import Sequence
 from typing import Any
@@ -6,16 +6,16 @@
 import click
 import msgspec
 
-GOOD, WARN, BAD = "green", "yellow", "red"
+GREEN, YELLOW, RED = "green", "yellow", "red"
 
 
 def print_json(value: Any) -> None:
-    """Print a value as JSON on several lines."""
+    """Print a value as indented JSON."""
     click.echo(msgspec.json.format(msgspec.json.encode(value), indent=2))
 
 
 def print_table(headings: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
-    """Print rows below headings, each column as wide as its widest cell; nothing is cut off."""
+    """Print a table; columns are as wide as their widest cell, so nothing is truncated."""
     cells = [[("-" if cell is None else str(cell)) for cell in row] for row in rows]
     widths = [
         max(len(click.unstyle(row[column])) for row in [list(headings), *cells])
@@ -30,5 +30,5 @@
 
 
 def coloured(text: str, colour: str) -> str:
-    """Return a text in a colour."""
+    """Return a text with the escape codes of a terminal colour."""
     return click.style(text, fg=colour)
