--- a/packages/cli/src/wasabiwell_cli/commands/addresses.py
+++ b/packages/cli/src/wasabiwell_cli/commands/addresses.py
@@ -13,7 +13,7 @@
 @json_option
 @click.pass_obj
 def addresses(client: AdminClient, zone: str, as_json: bool) -> None:
-    """Print the addresses of entry instances that accept new requests."""
+    """Print addresses of entry instances that accept new requests."""
     selected = [
         str(member["caller_address"])
         for member in list_members(client)
--- a/packages/cli/src/wasabiwell_cli/commands/drain.py
+++ b/packages/cli/src/wasabiwell_cli/commands/drain.py
@@ -66,7 +66,10 @@
     if not_found and not confirmed:
         raise CommandError(EXIT_NOT_FOUND, f"no target has the id {name}", tuple(failures))
     if failures:
-        message = f"{len(confirmed)} entry instances confirmed the drain of {name}, {len(failures)} did not"
+        message = (
+            f"{len(confirmed)} entry instances confirmed the drain of {name},"
+            f" {len(failures)} did not"
+        )
         raise CommandError(EXIT_PARTIAL, message, tuple(failures))
     if as_json:
         print_json({"draining": name, "confirmed_by": confirmed, "unknown_at": not_found})
--- a/packages/cli/src/wasabiwell_cli/commands/quarantine.py
+++ b/packages/cli/src/wasabiwell_cli/commands/quarantine.py
@@ -11,7 +11,7 @@
 
 @click.group()
 def quarantine() -> None:
-    """List and release requests that are suspected of crashing targets."""
+    """List and release requests suspected of crashing targets."""
 
 
 @quarantine.command("list")
