--- a/packages/cli/src/wasabiwell_cli/commands/show.py
+++ b/packages/cli/src/wasabiwell_cli/commands/show.py
@@ -15,7 +15,7 @@
 @json_option
 @click.pass_obj
 def show(client: AdminClient, path: str, as_json: bool) -> None:
-    """Print the running configuration in the format that `apply` reads.
+    """Print the running configuration as input for `apply`.
 
     PATH selects one item (organisation/NAME) or all items of one kind (organisation). With --json,
     the version and the items by path are printed.
--- a/tests/config/findings.feature
+++ b/tests/config/findings.feature
@@ -1,7 +1,7 @@
-Feature: Findings of a configuration
-  Guards against mistakes that are accepted, hidden behind another mistake, or named without a place.
+Feature: Validation of a configuration
+  Guards against errors that are accepted, masked by another error, or reported without a place.
 
-  Scenario: Every wrong field of one object is named at once
+  Scenario: All invalid fields of an object are reported together
     Given the valid configuration
     When the field "organisations.0.weight" becomes "heavy"
     And the field "organisations.0.limits.concurrent_long" becomes "two"
@@ -19,7 +19,7 @@
       unknown_section
       """
 
-  Scenario: Wrong types do not hide wrong values elsewhere
+  Scenario: Values of a wrong type do not mask invalid values elsewhere
     Given the valid configuration
     When the field "organisations.0.weight" becomes "heavy"
     And the field "model_services.0.max_prompt_tokens" becomes 0
@@ -29,7 +29,7 @@
       organisation/lowell-crews.weight
       """
 
-  Scenario Outline: <case> is a finding
+  Scenario Outline: <case> is reported
     Given the valid configuration
     When the field "<field>" becomes <value>
     Then the place "<place>" has a finding with "<message>"
@@ -47,17 +47,17 @@
       | a bad key hash        | organisations.0.key_hashes                  | ["plain key"]                                                               | organisation/lowell-crews.key_hashes[0]              | SHA-256             |
       | a bad method          | plain_services.0.non_idempotent.0.method    | "post"                                                                      | plain_service/crew-desk.non_idempotent[0].method     | upper case          |
 
-  Scenario: Rules whose paths share letters but no path segment do not overlap
+  Scenario: Rules whose paths share a string prefix but no path segment do not overlap
     Given the valid configuration
     When the field "plain_services.0.non_idempotent" becomes [{"method":"POST","path":"/book"},{"method":"POST","path":"/bookings"}]
     Then there is no finding
 
-  Scenario: An organisation may hold an old and a new key
+  Scenario: An organisation can have an old and a new key
     Given the valid configuration
-    When the organisation holds the keys "old" and "new"
+    When the organisation has the keys "old" and "new"
     Then there is no finding
 
-  Scenario Outline: <text> is no configuration
+  Scenario Outline: <text> is not a configuration
     When the text '<text>' is loaded
     Then the places of the findings are
       """
@@ -71,19 +71,19 @@
       | {"organisations": {}}   | organisations  |
       | {"organisations": [3]}  | organisation/0 |
 
-  Scenario: Values of a wrong type in a configuration built in Python are findings
-    When an organisation is built in Python with the weight "heavy" and no tuple of keys
+  Scenario: Values of a wrong type in a configuration built in Python are reported
+    When an organisation is built in Python with the weight "heavy" and without key hashes
     Then the places of the findings are
       """
       organisation/lowell-crews.key_hashes
       organisation/lowell-crews.weight
       """
 
-  Scenario: Every configuration survives printing and reading
-    Then 200 generated configurations are equal after printing and reading, and print the same again
+  Scenario: Rendering and parsing a configuration preserves it
+    Then 200 generated configurations are equal after rendering and parsing, and render the same again
 
-  Scenario Outline: The example <name> has no finding and 10 organisations
-    When the example "<name>" is printed and loaded
+  Scenario Outline: The example <name> is valid and has 10 organisations
+    When the example "<name>" is rendered and loaded
     Then there is no finding
     And the configuration has 10 organisations
 
--- a/tests/steps/cli/command_steps.py
+++ b/tests/steps/cli/command_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the operators' command against fake entry instances."""
+"""Steps for the operator command against fake entry instances."""
 
 import subprocess
 import sys
@@ -9,11 +9,11 @@
 from wasabiwell_standins.fleet import free_ports
 
 
-def run(context: Context, *arguments: str) -> None:
-    """Run the command against the scenario's entry instances."""
-    entries = [part for address in context.addresses for part in ("--entry", address)]
+def run_command(context: Context, *arguments: str) -> None:
+    """Run the operator command with the addresses of the scenario's entry instances."""
+    options = [part for address in context.addresses for part in ("--entry", address)]
     context.finished = subprocess.run(
-        [sys.executable, "-m", "wasabiwell_cli.main", *entries, *arguments],
+        [sys.executable, "-m", "wasabiwell_cli.main", *options, *arguments],
         capture_output=True,
         text=True,
         check=False,
@@ -21,7 +21,7 @@
 
 
 @given("a fake entry instance that {mode}")
-def step_entry(context: Context, mode: str) -> None:
+def step_fake_entry(context: Context, mode: str) -> None:
     if "store" not in context:
         context.store, context.addresses = Store(), []
     if mode == "is down":
@@ -32,30 +32,30 @@
 
 
 @when("the example configuration is applied")
-def step_apply(context: Context) -> None:
-    run(context, "apply", "tests/cli/small.json")
+def step_apply_example(context: Context) -> None:
+    run_command(context, "apply", "tests/cli/small.json")
 
 
 @when('the command is run with "{arguments}"')
-def step_run(context: Context, arguments: str) -> None:
-    run(context, *arguments.split())
+def step_run_command(context: Context, arguments: str) -> None:
+    run_command(context, *arguments.split())
 
 
-@then('the command ends with code {code:d} and prints "{text}"')
-def step_code(context: Context, code: int, text: str) -> None:
+@then('the command exits with code {code:d} and prints "{text}"')
+def step_exit_code_and_output(context: Context, code: int, text: str) -> None:
     output = context.finished.stdout + context.finished.stderr
     assert context.finished.returncode == code, (context.finished.returncode, output)
     assert text in output, output
     assert "Traceback" not in output, output
 
 
-@then("{applies:d} applies were received and version {version:d} is in force")
-def step_applies(context: Context, applies: int, version: int) -> None:
+@then("{applies:d} apply requests were received and version {version:d} is active")
+def step_apply_count(context: Context, applies: int, version: int) -> None:
     assert (context.store.applies, context.store.version) == (applies, version), context.store
 
 
-@then("no line of the output ends in dots")
-def step_dots(context: Context) -> None:
+@then("no line of the output ends with an ellipsis")
+def step_not_truncated(context: Context) -> None:
     usage, *lines = context.finished.stdout.splitlines()
     assert usage.startswith("Usage: "), usage
     assert len(lines) > 20, lines
--- a/tests/steps/config/findings_steps.py
+++ b/tests/steps/config/findings_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the findings of the operators' configuration library."""
+"""Steps for the validation of configurations by the configuration library."""
 
 import subprocess
 import sys
@@ -64,16 +64,16 @@
 )
 
 
-def found(context: Context) -> dict[str, str]:
-    """Return the message of each finding by its place."""
-    if context.loaded is None:
-        context.loaded = load(msgspec.json.encode(context.document))
-    findings = context.loaded.findings if isinstance(context.loaded, Findings) else ()
+def findings_by_place(context: Context) -> dict[str, str]:
+    """Return the messages of the findings by place."""
+    if context.load_result is None:
+        context.load_result = load(msgspec.json.encode(context.document))
+    findings = context.load_result.findings if isinstance(context.load_result, Findings) else ()
     return {finding.place: finding.message for finding in findings}
 
 
-def locate(document: Any, path: str) -> tuple[Any, Any]:
-    """Return the container of a field and its key there."""
+def resolve(document: Any, path: str) -> tuple[Any, Any]:
+    """Return the container of the field at a path, and the field's key in it."""
     *parents, last = [int(part) if part.isdigit() else part for part in path.split(".")]
     for part in parents:
         document = document[part]
@@ -81,78 +81,80 @@
 
 
 @given("the valid configuration")
-def step_valid(context: Context) -> None:
+def step_valid_configuration(context: Context) -> None:
     assert validate(VALID) == ()
     context.document = msgspec.json.decode(render(VALID))
-    context.loaded = None
+    context.load_result = None
 
 
 @when('the field "{path}" becomes {value}')
-def step_change(context: Context, path: str, value: str) -> None:
-    container, key = locate(context.document, path)
+def step_change_field(context: Context, path: str, value: str) -> None:
+    container, key = resolve(context.document, path)
     container[key] = msgspec.json.decode(value)
 
 
 @when('the field "{path}" is removed')
-def step_remove(context: Context, path: str) -> None:
-    container, key = locate(context.document, path)
+def step_remove_field(context: Context, path: str) -> None:
+    container, key = resolve(context.document, path)
     del container[key]
 
 
-@when('the organisation holds the keys "{old}" and "{new}"')
+@when('the organisation has the keys "{old}" and "{new}"')
 def step_two_keys(context: Context, old: str, new: str) -> None:
     context.document["organisations"][0]["key_hashes"] = [hash_key(old), hash_key(new)]
 
 
 @when("the text '{text}' is loaded")
-def step_text(context: Context, text: str) -> None:
-    context.loaded = load(text)
+def step_load_text(context: Context, text: str) -> None:
+    context.load_result = load(text)
 
 
-@when('an organisation is built in Python with the weight "{weight}" and no tuple of keys')
-def step_python(context: Context, weight: Any) -> None:
+@when('an organisation is built in Python with the weight "{weight}" and without key hashes')
+def step_build_in_python(context: Context, weight: Any) -> None:
     organisation = Organisation(name="lowell-crews", key_hashes=None, weight=weight)
-    context.loaded = Findings(validate(Configuration(organisations=(organisation,))))
+    context.load_result = Findings(validate(Configuration(organisations=(organisation,))))
 
 
-@when('the example "{name}" is printed and loaded')
-def step_example(context: Context, name: str) -> None:
+@when('the example "{name}" is rendered and loaded')
+def step_load_example(context: Context, name: str) -> None:
     command = [sys.executable, f"examples/{name}.py"]
-    context.loaded = load(subprocess.run(command, check=True, capture_output=True).stdout)
+    context.load_result = load(subprocess.run(command, check=True, capture_output=True).stdout)
 
 
 @then("the places of the findings are")
 def step_places(context: Context) -> None:
-    assert sorted(found(context)) == context.text.splitlines(), found(context)
+    assert sorted(findings_by_place(context)) == context.text.splitlines(), findings_by_place(
+        context
+    )
 
 
 @then('the place "{place}" has a finding with "{message}"')
 def step_finding(context: Context, place: str, message: str) -> None:
-    assert message in found(context).get(place, ""), found(context)
+    assert message in findings_by_place(context).get(place, ""), findings_by_place(context)
 
 
 @then("there is no finding")
-def step_none(context: Context) -> None:
-    assert found(context) == {}, found(context)
+def step_no_finding(context: Context) -> None:
+    assert findings_by_place(context) == {}, findings_by_place(context)
 
 
 @then("the configuration has {count:d} organisations")
-def step_count(context: Context, count: int) -> None:
-    assert len(context.loaded.organisations) == count
+def step_organisation_count(context: Context, count: int) -> None:
+    assert len(context.load_result.organisations) == count
 
 
 @then(
-    "{count:d} generated configurations are equal after printing and reading,"
-    " and print the same again"
+    "{count:d} generated configurations are equal after rendering and parsing,"
+    " and render the same again"
 )
 def step_round_trip(context: Context, count: int) -> None:
     @settings(max_examples=count, deadline=None, database=None, derandomize=True)
     @for_all(CONFIGURATIONS)
     def check(configuration: Configuration) -> None:
-        printed = render(configuration)
-        again = parse(printed)
-        assert again == configuration, (configuration, again)
-        assert render(again) == printed
-        assert items_of(again) == items_of(configuration)
+        rendered = render(configuration)
+        parsed = parse(rendered)
+        assert parsed == configuration, (configuration, parsed)
+        assert render(parsed) == rendered
+        assert items_of(parsed) == items_of(configuration)
 
     check()
--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -1,10 +1,10 @@
-"""Helpers that several step modules share."""
+"""Helpers shared by several step modules."""
 
 import importlib
 import sys
 
-# behave keeps Path objects in sys.path while it loads steps; importing hypothesis needs strings.
-_paths = sys.path[:]
-sys.path[:] = [str(path) for path in _paths]
+# behave puts Path objects on sys.path while it loads steps; importing hypothesis fails with them.
+_original_path = sys.path[:]
+sys.path[:] = [str(path) for path in _original_path]
 importlib.import_module("hypothesis")
-sys.path[:] = _paths
+sys.path[:] = _original_path
--- a/tests/support/fake_entry.py
+++ b/tests/support/fake_entry.py
@@ -1,4 +1,4 @@
-"""An entry instance that keeps a configuration in memory and can lose its answers."""
+"""Fake entry instance with an in-memory configuration and failure modes for `apply`."""
 
 import json
 import threading
@@ -10,20 +10,20 @@
 
 @dataclass(slots=True)
 class Store:
-    """The configuration that all fake entries share."""
+    """Configuration shared by all fake entry instances of a scenario."""
 
     version: int = 0
     items: dict[str, object] = field(default_factory=dict)
     applies: int = 0
 
     def apply(self, changes: dict[str, object]) -> None:
-        """Commit changes."""
+        """Apply changes as a new version."""
         self.version += 1
         self.items.update(changes)
 
 
 class FakeEntry(ThreadingHTTPServer):
-    """Serves `/admin/v1/configuration`; `mode` says what happens to an apply."""
+    """Serves `/admin/v1/configuration`; `mode` determines how an apply request fails."""
 
     daemon_threads = True
 
@@ -38,47 +38,49 @@
         return f"127.0.0.1:{self.server_address[1]}"
 
     def handle_error(self, request: object, client_address: object) -> None:
-        """Print nothing when the command closes its connection."""
+        """Suppress the traceback when the command closes its connection."""
 
 
 class _Handler(BaseHTTPRequestHandler):
     server: FakeEntry
 
     def do_GET(self) -> None:
-        """Answer with the configuration."""
+        """Return the configuration."""
         if self.server.mode == "html":
-            self._reply(200, b"<html>")
+            self._send_response(200, b"<html>")
             return
         store = self.server.store
-        self._reply(200, json.dumps({"version": store.version, "items": store.items}).encode())
+        self._send_response(
+            200, json.dumps({"version": store.version, "items": store.items}).encode()
+        )
 
     def do_POST(self) -> None:
-        """Apply, or fail as the mode says."""
+        """Apply the changes, or fail according to the mode."""
         body = json.loads(self.rfile.read(int(self.headers["content-length"])))
         store = self.server.store
         store.applies += 1
         match self.server.mode:
-            case "loses the answer after the commit":
+            case "loses the response after the commit":
                 store.apply(body["changes"])
                 self.close_connection = True
             case "loses the request":
                 self.close_connection = True
             case "has no table service":
                 reply = {"outcome": "unavailable", "reason": "outage"}
-                self._reply(503, json.dumps(reply).encode())
-            case "commits without knowing":
+                self._send_response(503, json.dumps(reply).encode())
+            case "commits with an unknown outcome":
                 store.apply(body["changes"])
                 reply = {"outcome": "uncertain", "reason": "the reply was lost"}
-                self._reply(504, json.dumps(reply).encode())
+                self._send_response(504, json.dumps(reply).encode())
             case _:
                 store.apply(body["changes"])
                 reply = {"outcome": "accepted", "version": store.version}
-                self._reply(200, json.dumps(reply).encode())
+                self._send_response(200, json.dumps(reply).encode())
 
     def log_message(self, format: str, *args: object) -> None:
-        """Log nothing."""
+        """Suppress request logs."""
 
-    def _reply(self, status: int, body: bytes) -> None:
+    def _send_response(self, status: int, body: bytes) -> None:
         self.send_response(status)
         self.send_header("content-length", str(len(body)))
         self.end_headers()
@@ -87,7 +89,7 @@
 
 @contextmanager
 def running_entry(store: Store, mode: str) -> Iterator[FakeEntry]:
-    """Serve until the context ends."""
+    """Run a fake entry instance in a thread until the context exits."""
     server = FakeEntry(store, mode)
     thread = threading.Thread(target=server.serve_forever, args=(0.05,))
     thread.start()
