--- a/examples/eaveline.py
+++ b/examples/eaveline.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Prints the configuration of Eaveline Ice Works.
 
-The keys here are for demonstrations; a deployment keeps its keys elsewhere and writes only hashes.
+The keys are for demonstration only; real deployments store keys elsewhere and put only their
+hashes into this file.
 """
 
 from datetime import timedelta
--- a/script/log_events.py
+++ b/script/log_events.py
@@ -1,4 +1,4 @@
-"""Writes docs/LOG_EVENTS.md from the catalogue of log events, or checks it."""
+"""Generates docs/LOG_EVENTS.md from the catalogue of log events, or checks that it is current."""
 
 import sys
 from collections import Counter
@@ -19,8 +19,8 @@
 """
 
 
-def page() -> str:
-    """Return the page of the catalogue."""
+def render_page() -> str:
+    """Return the generated page."""
     rows = [
         f"| {event.number} | {name} | {event.level.name.lower()} | {event.template} |"
         f" {event.action} |\n"
@@ -31,18 +31,18 @@
 
 def main() -> int:
     """Write or check the page and return the exit code."""
-    repeated = [
+    duplicates = [
         number
         for number, count in Counter(event.number for _, event in catalogue()).items()
         if count > 1
     ]
-    if repeated:
-        print(f"log events: numbers used twice: {repeated}")
+    if duplicates:
+        print(f"log events: numbers used twice: {duplicates}")
         return 1
     if "--check" not in sys.argv[1:]:
-        PAGE.write_text(page())
+        PAGE.write_text(render_page())
         return 0
-    if not PAGE.exists() or PAGE.read_text() != page():
+    if not PAGE.exists() or PAGE.read_text() != render_page():
         print("docs/LOG_EVENTS.md is not current; run script/log_events")
         return 1
     print(f"log events: {len(catalogue())} events, the page is current")
--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -1,6 +1,6 @@
-"""Runs the behave features, several at once, and counts scenarios.
+"""Runs behave features in parallel and counts passed and failed scenarios.
 
-A scenario listed in KNOWN-RED.txt may fail; it is printed and not counted as failed.
+A scenario listed in KNOWN-RED.txt is an expected failure: it is printed, but not counted as failed.
 """
 
 import argparse
@@ -21,7 +21,7 @@
 
 @dataclass(slots=True)
 class FeatureResult:
-    """Names of a feature's scenarios by verdict, and the output of the run."""
+    """Names of the passed and failed scenarios of a feature, and the output of behave."""
 
     passed: list[str] = field(default_factory=list)
     failed: list[str] = field(default_factory=list)
@@ -29,7 +29,7 @@
 
 
 def run_feature(path: Path, options: list[str]) -> FeatureResult:
-    """Run one feature file in a process of its own."""
+    """Run a feature file in a separate behave process."""
     name = str(path.relative_to(ROOT))
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
@@ -50,14 +50,14 @@
     result = FeatureResult(output=finished.stdout + finished.stderr)
     features = json.loads(text) if text.strip() else []
     for feature in features:
-        collect(feature, name, result)
+        add_scenarios(feature, name, result)
     if not features or (finished.returncode != 0 and not result.failed):
         result.failed.append(f"{name}: the run failed with exit code {finished.returncode}")
     return result
 
 
-def collect(feature: dict, name: str, result: FeatureResult) -> None:
-    """Add the verdicts of a feature's scenarios."""
+def add_scenarios(feature: dict, name: str, result: FeatureResult) -> None:
+    """Add the outcomes of a feature's scenarios to the result."""
     for element in feature.get("elements", []):
         if element["type"] != "scenario" or element.get("status") == "skipped":
             continue
@@ -65,8 +65,8 @@
         (result.passed if element.get("status") == "passed" else result.failed).append(label)
 
 
-def known_red() -> set[str]:
-    """Return the scenarios that may fail."""
+def expected_failures() -> set[str]:
+    """Return the scenarios that KNOWN-RED.txt lists as expected failures."""
     if not KNOWN_RED.exists():
         return set()
     lines = KNOWN_RED.read_text().splitlines()
@@ -80,8 +80,8 @@
 def main() -> int:
     """Run the features and return the exit code."""
     parser = argparse.ArgumentParser(description="Run the tests.")
-    parser.add_argument("paths", nargs="*", default=["tests"], help="features or folders")
-    parser.add_argument("--workers", type=int, default=WORKERS, help="features run at once")
+    parser.add_argument("paths", nargs="*", default=["tests"], help="feature files or folders")
+    parser.add_argument("--workers", type=int, default=WORKERS, help="features run in parallel")
     arguments, options = parser.parse_known_args()
     features: list[Path] = []
     for name in arguments.paths:
@@ -93,8 +93,8 @@
 
 
 def report(results: list[FeatureResult]) -> int:
-    """Print the verdict and return the exit code."""
-    expected = known_red()
+    """Print a summary and return the exit code."""
+    expected = expected_failures()
     passed = [name for result in results for name in result.passed]
     all_failed = [name for result in results for name in result.failed]
     failed = [name for name in all_failed if name not in expected]
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -1,33 +1,32 @@
-"""Set-up of the test runs."""
+"""behave hooks: deployments per feature and resources per scenario."""
 
 import sys
 from contextlib import ExitStack
 from pathlib import Path
 
-# behave puts Path objects on sys.path while it loads steps, where an import of hypothesis fails.
+# behave puts Path objects on sys.path while it loads steps; importing hypothesis fails with them.
 import hypothesis
 from behave.model import Feature, Scenario
 from behave.runner import Context
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-# behave puts path objects on sys.path while it loads steps, and hypothesis requires strings there.
+# Imported before the steps are loaded, for the same reason.
 import hypothesis.stateful
 from wasabiwell_standins.deployments import DEPLOYMENTS
 from wasabiwell_standins.fleet import running_fleet
 
 FLEET_TAG = "fleet."
-"""A feature with the tag `fleet.NAME` shares one running deployment among its scenarios."""
+"""Prefix of a tag `fleet.NAME`; all scenarios of the feature share one running deployment."""
 
 
-# behave adds `Path` objects to `sys.path` before it loads the steps; hypothesis reads it at its
-# import and needs text.
+# Makes the entries of sys.path strings, so that hypothesis can be imported.
 sys.path[:] = [str(item) for item in sys.path]
 import hypothesis  # noqa: E402, F401
 
 
 def before_feature(context: Context, feature: Feature) -> None:
-    """Start the deployment that the feature's tags ask for."""
+    """Start the deployment that a tag of the feature selects."""
     context.feature_stack = ExitStack()
     for tag in feature.tags:
         if tag.startswith(FLEET_TAG):
@@ -38,12 +37,12 @@
 
 
 def after_feature(context: Context, feature: Feature) -> None:
-    """Stop what the feature started."""
+    """Release the feature's resources."""
     context.feature_stack.close()
 
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
-    """Give the scenario a stack of resources of its own."""
+    """Create the stack that holds the scenario's resources."""
     context.stack = ExitStack()
 
 
--- a/tests/steps/whole/entries_steps.py
+++ b/tests/steps/whole/entries_steps.py
@@ -15,14 +15,14 @@
 
 TTL_SECONDS = 2.0
 OPTIONS = ("--address-ttl-s", str(TTL_SECONDS))
-LONG_ANSWER_TOKENS = 600
-LOAD_PAUSE_SECONDS = 0.05
-FAILED = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+LONG_RESPONSE_TOKENS = 600
+LOAD_INTERVAL_SECONDS = 0.05
+REQUEST_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
 
 @dataclass(slots=True)
 class Load:
-    """Callers that follow the address answers; `errors` names each request without its answer."""
+    """Callers that use the addresses from `/v1/addresses`; `errors` lists failed requests."""
 
     fleet: Fleet
     stop: threading.Event = field(default_factory=threading.Event)
@@ -30,42 +30,42 @@
     done: int = 0
 
     def run(self, number: int) -> None:
-        """Send requests until the load stops; an answer of addresses is used for its time."""
+        """Send requests until the load stops; fetch addresses again when their TTL expires."""
         deployment = self.fleet.deployment
         key = list(deployment.organisations.values())[number]
-        known = [entry.address for entry in self.fleet.entries]
-        asked = 0.0
+        addresses = [entry.address for entry in self.fleet.entries]
+        fetched_at = 0.0
         count = 0
         while not self.stop.is_set():
-            if time.monotonic() - asked > TTL_SECONDS:
-                asked = time.monotonic()
-                known = self.ask(known)
+            if time.monotonic() - fetched_at > TTL_SECONDS:
+                fetched_at = time.monotonic()
+                addresses = self.fetch_addresses(addresses)
             count += 1
             messages = make_messages(1000, f"load {number} {count}")
-            address = known[count % len(known)]
+            address = addresses[count % len(addresses)]
             result = chat(address, key, deployment.engine_service, messages, 24)
             if result.error:
                 self.errors.append(f"{address}: {result.error}")
             self.done += 1
-            time.sleep(LOAD_PAUSE_SECONDS)
+            time.sleep(LOAD_INTERVAL_SECONDS)
 
-    def ask(self, known: list[str]) -> list[str]:
-        """Ask any known address; a caller may meet one that has stopped since."""
-        for address in [*known, *(entry.address for entry in self.fleet.entries)]:
+    def fetch_addresses(self, addresses: list[str]) -> list[str]:
+        """Fetch addresses from the first instance that responds; some may have stopped since."""
+        for address in [*addresses, *(entry.address for entry in self.fleet.entries)]:
             try:
                 return ask_addresses(address)
-            except FAILED:
+            except REQUEST_ERRORS:
                 continue
-        raise RuntimeError("no entry instance answers")
+        raise RuntimeError("no entry instance responds")
 
 
-def entry_of(context: Context, index: int) -> Process:
-    """Return the entry instance of a number."""
+def entry_process(context: Context, index: int) -> Process:
+    """Return the process of the entry instance with this index."""
     return next(item for item in context.fleet.entries if item.name == f"entry-{index}")
 
 
-def others_of(context: Context, index: int) -> list[Process]:
-    """Return the other running entry instances."""
+def other_entries(context: Context, index: int) -> list[Process]:
+    """Return the processes of the other running entry instances."""
     return [
         item
         for item in context.fleet.entries
@@ -74,28 +74,30 @@
 
 
 def ready(entry: Process) -> bool:
-    """Return whether an entry instance claims readiness."""
+    """Return whether an entry instance reports that it is ready."""
     try:
         return request("GET", entry.address, "/readyz", timeout_seconds=2.0).status == 200
-    except FAILED:
+    except REQUEST_ERRORS:
         return False
 
 
-def seen(context: Context, index: int) -> list[str]:
-    """Return the status of an entry instance at each other one."""
+def peer_views(context: Context, index: int) -> list[str]:
+    """Return the member status of an entry instance as seen by each other one."""
     fleet, name = context.fleet, f"entry-{index}"
-    return [fleet.member_statuses(other).get(name, "absent") for other in others_of(context, index)]
+    return [
+        fleet.member_statuses(other).get(name, "absent") for other in other_entries(context, index)
+    ]
 
 
-def start_fleet(context: Context, entries: int, proxies: bool) -> None:
-    """Start a fleet of its own for the scenario."""
+def start_fleet(context: Context, entries: int, behind_proxies: bool) -> None:
+    """Start a separate fleet for the scenario."""
     fleet = context.stack.enter_context(open_fleet(EAVELINE))
     context.fleet = fleet
     fleet.start_platform()
     for index in range(2):
         fleet.start_engine(index)
     for index in range(entries):
-        fleet.start_entry(index, *OPTIONS, peer_proxy=proxies)
+        fleet.start_entry(index, *OPTIONS, peer_proxy=behind_proxies)
     fleet.apply_example()
     fleet.wait_ready()
     fleet.wait_until(
@@ -109,52 +111,52 @@
 
 @given("{entries:d} entry instances")
 def step_entries(context: Context, entries: int) -> None:
-    start_fleet(context, entries, proxies=False)
+    start_fleet(context, entries, behind_proxies=False)
 
 
 @given("{entries:d} entry instances behind proxies")
 def step_entries_behind_proxies(context: Context, entries: int) -> None:
-    start_fleet(context, entries, proxies=True)
+    start_fleet(context, entries, behind_proxies=True)
 
 
 @when("entry instance {index:d} is killed")
 def step_kill(context: Context, index: int) -> None:
-    entry_of(context, index).kill()
+    entry_process(context, index).kill()
 
 
 @when("entry instance {index:d} is paused for {seconds:d} s")
 def step_pause(context: Context, index: int, seconds: int) -> None:
-    entry_of(context, index).pause()
+    entry_process(context, index).pause()
     time.sleep(seconds)
-    context.seen_while_paused = seen(context, index)
-    entry_of(context, index).resume()
+    context.views_while_paused = peer_views(context, index)
+    entry_process(context, index).resume()
 
 
 @when('the way to entry instance {index:d} has the faults "{faults}" for {seconds:d} s')
 def step_faults(context: Context, index: int, faults: str, seconds: int) -> None:
     proxy = next(item for item in context.fleet.processes if item.name == f"peer-proxy-{index}")
     context.fleet.control(proxy, **dict.fromkeys(faults.split(), True))
-    context.seen_in_between = []
+    context.views_during_faults = []
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        context.seen_in_between += seen(context, index)
+        context.views_during_faults += peer_views(context, index)
         time.sleep(0.2)
     context.fleet.control(proxy, **dict.fromkeys(faults.split(), False))
 
 
 @when("the store goes down")
-def step_store_down(context: Context) -> None:
+def step_store_outage(context: Context) -> None:
     context.fleet.control(context.fleet.platform, outage=True)
 
 
 @when("the store and the instance list go down")
-def step_platform_down(context: Context) -> None:
+def step_platform_outage(context: Context) -> None:
     context.fleet.control(context.fleet.platform, outage=True, instance_outage=True)
 
 
 @when("an operator adds a key through entry instance {index:d}")
-def step_apply(context: Context, index: int) -> None:
-    entry = entry_of(context, index)
+def step_add_key(context: Context, index: int) -> None:
+    entry = entry_process(context, index)
     context.version = context.fleet.status(entry)["configuration_version"] + 1
     operator = OperatorKey(name="night-shift", key_hash=hash_key(f"key-{context.version}"))
     body = {"base_version": context.version - 1, "changes": {"operator/night-shift": operator}}
@@ -166,9 +168,11 @@
 
 @when("entry instance {index:d} restarts with seeds")
 def step_restart_with_seeds(context: Context, index: int) -> None:
-    old = entry_of(context, index)
+    old = entry_process(context, index)
     old.kill()
-    seeds = [part for item in others_of(context, index) for part in ("--seed", item.peer_address)]
+    seeds = [
+        part for item in other_entries(context, index) for part in ("--seed", item.peer_address)
+    ]
     context.fleet.replace_entry(old, *OPTIONS, *seeds)
 
 
@@ -182,14 +186,16 @@
         for entry in list(context.fleet.entries):
             entry.terminate()
             assert entry.popen.wait(30) == 0, context.fleet.log(entry.name)
-            replaced = context.fleet.replace_entry(entry, *OPTIONS)
-            context.fleet.wait_until(lambda new=replaced: ready(new), f"{replaced.name} ready")
+            replacement = context.fleet.replace_entry(entry, *OPTIONS)
             context.fleet.wait_until(
-                lambda new=replaced: all(
+                lambda new=replacement: ready(new), f"{replacement.name} ready"
+            )
+            context.fleet.wait_until(
+                lambda new=replacement: all(
                     context.fleet.member_statuses(other).get(new.name) == "alive"
                     for other in context.fleet.entries
                 ),
-                f"{replaced.name} is known",
+                f"{replacement.name} is alive everywhere",
             )
     finally:
         load.stop.set()
@@ -199,39 +205,41 @@
 
 
 @when("entry instance {index:d} gets SIGTERM during a long answer")
-def step_term_during_answer(context: Context, index: int) -> None:
-    entry = entry_of(context, index)
+def step_sigterm_during_response(context: Context, index: int) -> None:
+    entry = entry_process(context, index)
     key = next(iter(EAVELINE.organisations.values()))
     messages = make_messages(1000, "long answer")
     results = []
     thread = threading.Thread(
         target=lambda: results.append(
-            chat(entry.address, key, EAVELINE.engine_service, messages, LONG_ANSWER_TOKENS)
+            chat(entry.address, key, EAVELINE.engine_service, messages, LONG_RESPONSE_TOKENS)
         )
     )
     thread.start()
     time.sleep(1.0)
-    context.left = entry
+    context.stopped_entry = entry
     with httpcore.ConnectionPool() as pool:
         pool.request("GET", f"http://{entry.address}/healthz")
         entry.terminate()
-        context.fleet.wait_until(lambda: not ready(entry), "unready", 1.0)
+        context.fleet.wait_until(lambda: not ready(entry), "not ready", 1.0)
         response = pool.request("GET", f"http://{entry.address}/healthz")
-    context.headers = {name.lower(): value for name, value in response.headers}
-    context.addresses_after = []
+    context.last_headers = {name.lower(): value for name, value in response.headers}
+    context.addresses_after_stop = []
     time.sleep(3.0)
-    context.addresses_after = [ask_addresses(item.address) for item in others_of(context, index)]
-    context.new_request = request("GET", entry.address, "/healthz")
+    context.addresses_after_stop = [
+        ask_addresses(item.address) for item in other_entries(context, index)
+    ]
+    context.new_response = request("GET", entry.address, "/healthz")
     thread.join()
     context.result = results[0]
     context.exit_code = entry.popen.wait(20)
 
 
-@when("target {index:d} is marked as leaving {way}")
-def step_target_leaving(context: Context, index: int, way: str) -> None:
+@when("target {index:d} is marked as leaving {source}")
+def step_target_leaving(context: Context, index: int, source: str) -> None:
     target = context.fleet.of_role("engine")[index]
     context.target = target
-    match way:
+    match source:
         case "on the instance list":
             context.fleet.mark_leaving(target)
         case "by its load report":
@@ -244,8 +252,8 @@
     time.sleep(3.0)
 
 
-@then("after 3 s no entry instance sends it new work")
-def step_no_new_work(context: Context) -> None:
+@then("after 3 s no entry instance sends it new requests")
+def step_no_new_requests(context: Context) -> None:
     fleet, name = context.fleet, context.target.name
     before = msgspec.json.decode(request("GET", context.target.address, "/control").content)
     key = next(iter(EAVELINE.organisations.values()))
@@ -261,54 +269,54 @@
 
 
 @then("the answer is whole and the process ends by itself")
-def step_whole(context: Context) -> None:
+def step_complete_response(context: Context) -> None:
     assert not context.result.error, context.result.error
     assert context.exit_code == 0
 
 
 @then("its kept connection was closed, its address was dropped, and new connections were served")
-def step_closed(context: Context) -> None:
-    assert context.headers.get(b"connection") == b"close", context.headers
-    assert all(context.left.address not in found for found in context.addresses_after)
-    assert context.new_request.status == 200
+def step_connection_closed(context: Context) -> None:
+    assert context.last_headers.get(b"connection") == b"close", context.last_headers
+    assert all(context.stopped_entry.address not in found for found in context.addresses_after_stop)
+    assert context.new_response.status == 200
 
 
 @then('every other entry instance sees {index:d} as "{status}" within {seconds:d} s')
-def step_seen(context: Context, index: int, status: str, seconds: int) -> None:
+def step_peers_see(context: Context, index: int, status: str, seconds: int) -> None:
     context.fleet.wait_until(
-        lambda: set(seen(context, index)) == {status}, f"{index} is {status}", seconds
+        lambda: set(peer_views(context, index)) == {status}, f"{index} is {status}", seconds
     )
 
 
 @then("no address answer names entry instance {index:d}")
 def step_not_listed(context: Context, index: int) -> None:
-    address = entry_of(context, index).address
-    assert all(address not in ask_addresses(item.address) for item in others_of(context, index))
+    address = entry_process(context, index).address
+    assert all(address not in ask_addresses(item.address) for item in other_entries(context, index))
 
 
 @then('in between nobody saw it as "{status}"')
 def step_never_seen(context: Context, status: str) -> None:
-    assert context.seen_in_between
-    assert status not in context.seen_in_between, context.seen_in_between
+    assert context.views_during_faults
+    assert status not in context.views_during_faults, context.views_during_faults
 
 
 @then('for the next {seconds:d} s nobody sees {index:d} as "{status}"')
 def step_not_seen_next(context: Context, seconds: int, index: int, status: str) -> None:
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        context.seen_in_between += seen(context, index)
+        context.views_during_faults += peer_views(context, index)
         time.sleep(0.2)
-    assert status not in context.seen_in_between, context.seen_in_between
+    assert status not in context.views_during_faults, context.views_during_faults
 
 
 @then('nobody saw it as "{status}" at the end of the pause')
-def step_not_seen_while_paused(context: Context, status: str) -> None:
-    assert context.seen_while_paused
-    assert status not in context.seen_while_paused, context.seen_while_paused
+def step_not_views_while_paused(context: Context, status: str) -> None:
+    assert context.views_while_paused
+    assert status not in context.views_while_paused, context.views_while_paused
 
 
 @then("the version is in force everywhere within {seconds:d} s")
-def step_in_force(context: Context, seconds: int) -> None:
+def step_version_active(context: Context, seconds: int) -> None:
     context.fleet.wait_until(
         lambda: all(
             context.fleet.status(entry)["configuration_version"] == context.version
@@ -327,14 +335,14 @@
 
 @then("entry instance {index:d} is ready within {seconds:d} s")
 def step_ready(context: Context, index: int, seconds: int) -> None:
-    entry = entry_of(context, index)
+    entry = entry_process(context, index)
     context.fleet.wait_until(lambda: ready(entry), f"{entry.name} ready", seconds)
 
 
 @then("entry instance {index:d} is not ready within {seconds:d} s")
 def step_not_ready(context: Context, index: int, seconds: int) -> None:
-    entry = entry_of(context, index)
-    context.fleet.wait_until(lambda: not ready(entry), f"{entry.name} unready", seconds)
+    entry = entry_process(context, index)
+    context.fleet.wait_until(lambda: not ready(entry), f"{entry.name} not ready", seconds)
 
 
 @then("no request failed")
--- a/tests/steps/whole/failures_steps.py
+++ b/tests/steps/whole/failures_steps.py
@@ -1,4 +1,4 @@
-"""Steps for failures with real processes."""
+"""Steps for failures of engines, entry instances and platform services, with real processes."""
 
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -15,9 +15,9 @@
 from wasabiwell_standins.fleet import Process, request, running_fleet
 
 PROMPT_TOKENS = 1_000
-PICKUP_SECONDS = 10.0
-STREAMING_SECONDS = 0.7
-"""Enough for some tokens to have been relayed."""
+START_TIMEOUT_SECONDS = 10.0
+STREAM_START_SECONDS = 0.7
+"""Time after which some tokens have been relayed."""
 
 
 @given("a deployment with {count:d} proxied engines")
@@ -30,7 +30,7 @@
 
 
 def start_stream(context: Context, index: int, tokens: int, entry: int) -> Future[ChatResult]:
-    """Send a prompt in a thread of its own."""
+    """Send a prompt in a thread."""
     return context.pool.submit(
         chat,
         context.fleet.entries[entry].address,
@@ -42,51 +42,51 @@
 
 
 def statistics(engine: Process) -> dict[str, object]:
-    """Return an engine's statistics, bypassing its proxy."""
+    """Return an engine's statistics, requested directly and not through its proxy."""
     return msgspec.json.decode(request("GET", engine.address, "/control").content)
 
 
 def running_engine(context: Context) -> Process:
-    """Return the engine that runs a request."""
-    end = time.monotonic() + PICKUP_SECONDS
+    """Return the engine that runs the request, without those that have failed before."""
+    end = time.monotonic() + START_TIMEOUT_SECONDS
     while time.monotonic() < end:
         for engine in context.fleet.of_role("engine"):
-            if engine not in context.broken_engines and statistics(engine)["sequences"]:
+            if engine not in context.failed_engines and statistics(engine)["sequences"]:
                 return engine
         time.sleep(0.05)
     raise AssertionError("no engine runs the request")
 
 
-@when("a caller streams an answer of {tokens:d} tokens through entry {entry:d}")
+@when("a caller streams a response of {tokens:d} tokens through entry {entry:d}")
 def step_stream(context: Context, tokens: int, entry: int) -> None:
-    context.broken_engines = []
+    context.failed_engines = []
     context.streams = [start_stream(context, 0, tokens, entry)]
 
 
 @when("the engine that runs it {fails}")
 def step_fail(context: Context, fails: str) -> None:
     engine = running_engine(context)
-    time.sleep(STREAMING_SECONDS)
-    context.broken_engines.append(engine)
+    time.sleep(STREAM_START_SECONDS)
+    context.failed_engines.append(engine)
     match fails:
         case "is killed":
             engine.kill()
         case "is frozen":
             engine.pause()
-        case "goes silent to callers":
+        case "stops sending data":
             context.fleet.control(context.fleet.proxy_of(engine), silent_to_client=True)
-        case "has its open connections silenced":
+        case "stops sending data on open connections":
             proxy = context.fleet.proxy_of(engine)
             context.fleet.control(proxy, silent_to_client=True)
-            time.sleep(STREAMING_SECONDS)
+            time.sleep(STREAM_START_SECONDS)
             context.fleet.control(proxy, silent_to_client=False)
-            context.broken_engines.remove(engine)
-        case "goes silent to itself":
+            context.failed_engines.remove(engine)
+        case "stops receiving data":
             context.fleet.control(context.fleet.proxy_of(engine), silent_to_server=True)
 
 
-@then("the caller gets its own whole answer within {seconds:d} seconds")
-def step_whole(context: Context, seconds: int) -> None:
+@then("the caller gets the complete response to its own prompt within {seconds:d} seconds")
+def step_complete_response(context: Context, seconds: int) -> None:
     result = context.streams[0].result(seconds)
     assert not result.error, result
 
@@ -95,11 +95,11 @@
 def step_streams(context: Context, count: int, tokens: int) -> None:
     context.tokens = tokens
     context.streams = [start_stream(context, index, tokens, index % 3) for index in range(count)]
-    time.sleep(STREAMING_SECONDS)
+    time.sleep(STREAM_START_SECONDS)
 
 
 @when("a caller sends a prompt that crashes its target through every entry in turn")
-def step_crash(context: Context) -> None:
+def step_crashing_prompt(context: Context) -> None:
     messages = msgspec.json.encode([{"role": "user", "content": "crash-this-target"}])
     service = context.fleet.deployment.engine_service
     for _ in range(2):
@@ -108,9 +108,11 @@
 
 
 @then("{count:d} engines have died at most")
-def step_died(context: Context, count: int) -> None:
-    dead = [item.name for item in context.fleet.of_role("engine") if item.popen.poll() is not None]
-    assert 1 <= len(dead) <= count, dead
+def step_crashed_engines(context: Context, count: int) -> None:
+    crashed = [
+        item.name for item in context.fleet.of_role("engine") if item.popen.poll() is not None
+    ]
+    assert 1 <= len(crashed) <= count, crashed
 
 
 @then('the last crashing prompt was refused with "{code}" and run state "{run}"')
@@ -120,13 +122,13 @@
 
 
 @then("all other callers get their own whole answers")
-def step_all_whole(context: Context) -> None:
-    wrong = [result for future in context.streams if (result := future.result(60)).error]
-    assert not wrong, wrong
+def step_all_complete(context: Context) -> None:
+    failed = [result for future in context.streams if (result := future.result(60)).error]
+    assert not failed, failed
 
 
 @when("the callers' prompts are sent again")
-def step_again(context: Context) -> None:
+def step_resend(context: Context) -> None:
     context.streams = [
         start_stream(context, index, context.tokens, index % 3)
         for index in range(len(context.streams))
@@ -147,14 +149,14 @@
         context.fleet.control(target, delay_s=float(seconds))
 
 
-@given("the booking targets drop their next reply")
-def step_drop(context: Context) -> None:
+@given("the booking targets drop their next response")
+def step_drop_responses(context: Context) -> None:
     for target in context.fleet.of_role("plain"):
         context.fleet.control(target, drop_replies=1)
 
 
 @given("the table service loses the next {count:d} replies")
-def step_lose(context: Context, count: int) -> None:
+def step_lose_replies(context: Context, count: int) -> None:
     context.fleet.control(context.fleet.platform, lose_replies=count)
 
 
@@ -170,20 +172,20 @@
 
 @when('a caller sends booking "{key}" through entry {entry:d}, which is killed while it runs')
 def step_book_and_kill(context: Context, key: str, entry: int) -> None:
-    sent = context.pool.submit(book, context, key, entry)
-    context.fleet.wait_until(lambda: booking_runs(context.fleet).get(key) == 1, "the run")
+    response = context.pool.submit(book, context, key, entry)
+    context.fleet.wait_until(lambda: booking_runs(context.fleet).get(key) == 1, "the booking runs")
     context.fleet.entries[entry].kill()
     with suppress(httpcore.NetworkError, httpcore.ProtocolError):
-        raise AssertionError(sent.result())
+        raise AssertionError(response.result())
 
 
-@when('the caller repeats booking "{key}" through entry {entry:d}')
-def step_repeat(context: Context, key: str, entry: int) -> None:
+@when('the caller sends booking "{key}" through entry {entry:d}')
+def step_send_booking(context: Context, key: str, entry: int) -> None:
     context.response = book(context, key, entry)
 
 
-@then('the repeat has status {status:d} and run state "{run}"')
-def step_repeat_status(context: Context, status: int, run: str) -> None:
+@then('the booking response has status {status:d} and run state "{run}"')
+def step_booking_status(context: Context, status: int, run: str) -> None:
     headers = {name.lower(): value.decode() for name, value in context.response.headers}
     found = context.response.status, headers[b"wasabiwell-run"]
     assert found == (status, run), (found, context.response.content)
--- a/tests/steps/whole/whole_path_steps.py
+++ b/tests/steps/whole/whole_path_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the whole path with real processes."""
+"""Steps for end-to-end requests with real processes."""
 
 from functools import partial
 
@@ -33,8 +33,8 @@
     context.result = chat(address, first_key(context), service, messages, MAX_TOKENS)
 
 
-@then("the caller gets its own whole answer")
-def step_answer(context: Context) -> None:
+@then("the caller gets the complete response to its own prompt")
+def step_complete_response(context: Context) -> None:
     assert not context.result.error, context.result.error
 
 
@@ -44,19 +44,19 @@
     context.responses = [send(entry.address) for entry in context.fleet.entries]
 
 
-@then("every answer has status {status:d}")
+@then("every response has status {status:d}")
 def step_statuses(context: Context, status: int) -> None:
     statuses = [response.status for response in context.responses]
     assert statuses == [status] * len(statuses), statuses
 
 
 @then('booking "{key}" ran {count:d} time')
-def step_ran(context: Context, key: str, count: int) -> None:
+def step_booking_runs(context: Context, key: str, count: int) -> None:
     assert booking_runs(context.fleet).get(key, 0) == count
 
 
 @when("a caller sends the completion body '{body}'")
-def step_body(context: Context, body: str) -> None:
+def step_send_body(context: Context, body: str) -> None:
     headers = {"authorization": f"Bearer {first_key(context)}"}
     address = context.fleet.entries[0].address
     value = msgspec.Raw(body.encode())
@@ -64,7 +64,7 @@
 
 
 @when('a caller sends a prompt with the key "{key}"')
-def step_key(context: Context, key: str) -> None:
+def step_prompt_with_key(context: Context, key: str) -> None:
     body = {"model": context.fleet.deployment.engine_service}
     body["messages"] = [{"role": "user", "content": "route to Concord?"}]
     headers = {"authorization": f"Bearer {key}"}
@@ -73,11 +73,11 @@
 
 
 @when("a caller sends a booking without Idempotency-Key")
-def step_no_key(context: Context) -> None:
+def step_booking_without_key(context: Context) -> None:
     context.response = book(context, context.fleet.entries[0].address, {})
 
 
-@then('the answer has status {status:d} and run state "{run}"')
+@then('the response has status {status:d} and run state "{run}"')
 def step_status(context: Context, status: int, run: str) -> None:
     headers = {name.lower(): value for name, value in context.response.headers}
     assert context.response.status == status, context.response.content
--- a/tests/whole/whole_path.feature
+++ b/tests/whole/whole_path.feature
@@ -1,10 +1,10 @@
 @fleet.eaveline
-Feature: The whole path with real processes
-  Guards against wrong, mixed or missing answers on the path from caller to target.
+Feature: End-to-end requests with real processes
+  Guards against wrong, mixed-up or missing responses between caller and target.
 
-  Scenario Outline: A prompt of <tokens> tokens gets its own whole answer
+  Scenario Outline: A prompt of <tokens> tokens is answered completely
     When a caller sends a prompt of <tokens> tokens
-    Then the caller gets its own whole answer
+    Then the caller gets the complete response to its own prompt
 
     Examples:
       | tokens |
@@ -14,18 +14,18 @@
 
   Scenario: A booking sent through every entry instance runs once
     When a caller sends booking "b-1" through every entry instance
-    Then every answer has status 201
+    Then every response has status 201
     And booking "b-1" ran 1 time
 
-  Scenario: Mistakes of a caller are named with their place
+  Scenario: Errors in a request are reported with their place
     When a caller sends the completion body '{"model": 5, "stream": "yes"}'
-    Then the answer has status 400 and run state "not-run"
+    Then the response has status 400 and run state "not-run"
     And the findings name the places "$.model, $.stream, $.messages"
 
-  Scenario: A caller without a valid key is refused
+  Scenario: A caller without a valid key is rejected
     When a caller sends a prompt with the key "wrong"
-    Then the answer has status 401 and run state "not-run"
+    Then the response has status 401 and run state "not-run"
 
-  Scenario: A booking without a key for repeats is refused
+  Scenario: A booking without an idempotency key is rejected
     When a caller sends a booking without Idempotency-Key
-    Then the answer has status 400 and run state "not-run"
+    Then the response has status 400 and run state "not-run"
