--- a/packages/cli/src/wasabiwell_cli/client.py
+++ b/packages/cli/src/wasabiwell_cli/client.py
@@ -53,7 +53,7 @@
         try:
             return msgspec.json.decode(self.body)
         except msgspec.DecodeError:
-            message = f"{self.address} answered status {self.status} without JSON"
+            message = f"{self.address} responded with status {self.status} and no JSON"
             raise CommandError(EXIT_FAILED, message) from None
 
 
--- a/packages/cli/src/wasabiwell_cli/log_files.py
+++ b/packages/cli/src/wasabiwell_cli/log_files.py
@@ -80,8 +80,8 @@
 def _clock_lags(lines: list[LogLine]) -> dict[str, timedelta]:
     """Return how far clocks of nodes are behind.
 
-    A clock is behind if an attempt has a line on another node that is earlier than the `routed`
-    line of the attempt.
+    The clock of a node is behind if one of its lines about an attempt is earlier than the `routed`
+    line of the attempt that another node wrote.
     """
     routed_lines = {
         (line.fields.get("sends"), line.fields.get("target")): line
