--- a/tests/steps/whole/entries_steps.py
+++ b/tests/steps/whole/entries_steps.py
@@ -39,7 +39,7 @@
         while not self.stop.is_set():
             if time.monotonic() - fetched_at > TTL_SECONDS:
                 fetched_at = time.monotonic()
-                addresses = self.fetch_addresses(addresses)
+                addresses = self.refresh_addresses(addresses)
             count += 1
             messages = make_messages(1000, f"load {number} {count}")
             address = addresses[count % len(addresses)]
@@ -49,7 +49,7 @@
             self.done += 1
             time.sleep(LOAD_INTERVAL_SECONDS)
 
-    def fetch_addresses(self, addresses: list[str]) -> list[str]:
+    def refresh_addresses(self, addresses: list[str]) -> list[str]:
         """Fetch addresses from the first instance that responds; some may have stopped since."""
         for address in [*addresses, *(entry.address for entry in self.fleet.entries)]:
             try:
