--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -18,10 +18,10 @@
 from wasabiwell_entry.state.suspects import Suspect
 
 
-class NoSpread:
+class NoSuspectGossip:
     """Other instances that are not in a test, or know of all suspects."""
 
-    def spread(self, suspect: Suspect) -> None:
+    def broadcast(self, suspect: Suspect) -> None:
         """Do nothing."""
 
     def withdraw(self, fingerprint: str) -> None:
@@ -61,7 +61,7 @@
             return ReplyLost("the write takes effect later")
         return self._apply(conditions, writes)
 
-    def apply_late(self) -> None:
+    def apply_delayed_write(self) -> None:
         """Let the oldest delayed write take effect, if its conditions still hold."""
         if self.late:
             self._apply(*self.late.pop(0))
