--- a/standins/wasabiwell_standins/users_platform/__init__.py
+++ b/standins/wasabiwell_standins/users_platform/__init__.py
@@ -1,5 +1,4 @@
-"""Stand-in of the users' platform: its store, its engines and its callers.
+"""Emulator of the users' platform: store, targets and callers.
 
-It is an emulator of this project: it follows the platform's published pages as far as wasabiwell
-uses them.
+It implements the part of the platform's published interfaces that wasabiwell uses.
 """
--- a/standins/wasabiwell_standins/users_platform/caller.py
+++ b/standins/wasabiwell_standins/users_platform/caller.py
@@ -1,4 +1,4 @@
-"""Callers of the users' platform: they ask the directory, and check what they get."""
+"""Callers of the users' platform: resolve entry addresses, send requests, check responses."""
 
 import random
 from collections.abc import Mapping
@@ -12,12 +12,12 @@
 from wasabiwell_standins.users_platform.ledger import Ledger
 
 CONNECT_SECONDS = 1.0
-ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+CONNECTION_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A request that a caller wants answered; `prompt` is 0 for calls of plain services."""
+    """A request to send; `prompt` is its length in tokens, 0 for calls of plain services."""
 
     kind: str
     host: str
@@ -32,25 +32,26 @@
 
 @dataclass(slots=True)
 class Reply:
-    """What came of an order; `first_byte_s` is the time to the first byte of the body.
+    """Result of a request, of the last attempt unless stated otherwise.
 
-    `status` is None when there was no answer, and `complete` tells that the body was complete.
-    `unsent` tells that no connection could be made.
+    `status` is None if no response arrived, `complete` is set when the whole body arrived, and
+    `connect_failed` when no connection could be made. `first_byte_s` is the time to the first byte
+    of the body in the attempt that received it first; `total_s` covers all attempts.
     """
 
     request: CallerRequest
     request_id: str = ""
     status: int | None = None
     complete: bool = False
-    unsent: bool = False
+    connect_failed: bool = False
     first_byte_s: float | None = None
     total_s: float = 0.0
-    tries: int = 0
+    attempts: int = 0
     events: list[int] = field(default_factory=list)
 
 
 class Caller:
-    """Sends orders from one zone and keeps what happened in the ledger."""
+    """Sends requests from one zone and records the outcomes in the ledger."""
 
     def __init__(
         self,
@@ -60,40 +61,40 @@
         seed: int,
         proxies: Mapping[str, str] = MappingProxyType({}),
     ) -> None:
-        """Take the directories' addresses, and those of proxies before some addresses."""
+        """Use directories at these addresses; `proxies` maps frontend addresses to proxies."""
         self._directories = directories
         self._proxies = proxies
         self._zone = zone
         self._ledger = ledger
         self._random = random.Random(seed)
         self._addresses: list[str] = []
-        self._expires = 0.0
-        self._failed: set[str] = set()
+        self._addresses_expire_at = 0.0
+        self._failed_addresses: set[str] = set()
 
     async def send(self, request: CallerRequest, retries: int = 1) -> Reply:
-        """Send an order, and again on another connection where that is allowed."""
+        """Send a request, and retry it on another connection where that is allowed."""
         reply = Reply(request)
-        begun = trio.current_time()
+        started_at = trio.current_time()
         for attempt in range(retries + 1):
-            reply.tries = attempt + 1
-            left = request.deadline_ms / 1000 - (trio.current_time() - begun)
-            if left <= 0:
+            reply.attempts = attempt + 1
+            seconds_left = request.deadline_ms / 1000 - (trio.current_time() - started_at)
+            if seconds_left <= 0:
                 break
-            retry_after = await self._try(request, reply, left)
+            retry_after = await self._send_attempt(request, reply, seconds_left)
             refused = reply.status in (408, 421, 429, 503)
             if reply.complete and not refused:
                 break
             if reply.status in (400, 401, 404, 413, 431):
                 break
-            if request.kind != "safe" and not refused and not reply.unsent:
+            if request.kind != "safe" and not refused and not reply.connect_failed:
                 break
-            await trio.sleep(min(retry_after, left / 3))
-        reply.total_s = trio.current_time() - begun
+            await trio.sleep(min(retry_after, seconds_left / 3))
+        reply.total_s = trio.current_time() - started_at
         return reply
 
     async def addresses(self) -> list[str]:
-        """Return the addresses to use, from the first directory that answers."""
-        if trio.current_time() < self._expires and self._addresses:
+        """Return the frontend addresses from the first directory that responds, or cached ones."""
+        if trio.current_time() < self._addresses_expire_at and self._addresses:
             return self._addresses
         for directory in self._random.sample(self._directories, len(self._directories))[:3]:
             try:
@@ -103,39 +104,45 @@
                         f"http://{directory}/resolve?name=a.example&zone={self._zone}",
                         extensions={"timeout": dict.fromkeys(("connect", "read"), CONNECT_SECONDS)},
                     )
-            except ERRORS:
+            except CONNECTION_ERRORS:
                 continue
             if response.status == 200:
                 answer = msgspec.json.decode(response.content)
                 self._addresses = answer["addresses"]
-                self._expires = trio.current_time() + answer["ttl_s"]
+                self._addresses_expire_at = trio.current_time() + answer["ttl_s"]
                 break
         return self._addresses
 
-    async def _try(self, request: CallerRequest, reply: Reply, left: float) -> float:
-        """Send an order once, under an id of its own; return when to come back, in seconds."""
+    async def _send_attempt(
+        self, request: CallerRequest, reply: Reply, seconds_left: float
+    ) -> float:
+        """Send one attempt under a request id of its own; return the retry delay in seconds."""
         request_id = f"{self._random.getrandbits(64):016x}"
         reply.request_id, reply.status = request_id, None
-        reply.complete = reply.unsent = False
+        reply.complete = reply.connect_failed = False
         reply.events.clear()
         self._ledger.sent.add(request_id)
         if request.kind == "unsafe":
             self._ledger.at_most_once.add(request_id)
         addresses = await self.addresses()
-        if not set(addresses) - self._failed:
-            self._failed.clear()
+        if not set(addresses) - self._failed_addresses:
+            self._failed_addresses.clear()
             return 0.1
-        address = self._random.choice([item for item in addresses if item not in self._failed])
-        begun = trio.current_time()
+        address = self._random.choice(
+            [item for item in addresses if item not in self._failed_addresses]
+        )
+        started_at = trio.current_time()
         retry_after = 0.05
-        with trio.move_on_after(left):
+        with trio.move_on_after(seconds_left):
             try:
                 async with httpcore.AsyncConnectionPool() as pool:
-                    retry_after = await self._exchange(pool, address, request, reply, left, begun)
+                    retry_after = await self._exchange(
+                        pool, address, request, reply, seconds_left, started_at
+                    )
             except (httpcore.ConnectError, httpcore.ConnectTimeout):
-                reply.unsent = True
-                self._failed.add(address)
-            except ERRORS:
+                reply.connect_failed = True
+                self._failed_addresses.add(address)
+            except CONNECTION_ERRORS:
                 pass
         if reply.status is not None:
             self._ledger.statuses[request_id] = reply.status
@@ -147,23 +154,23 @@
         address: str,
         request: CallerRequest,
         reply: Reply,
-        left: float,
-        begun: float,
+        seconds_left: float,
+        started_at: float,
     ) -> float:
         body = {"events": request.events, "work_ms": request.work_ms, "text": request.text}
         async with pool.stream(
             "GET" if request.kind == "safe" else "POST",
             f"http://{self._proxies.get(address, address)}{request.path}",
-            headers=self._headers(request, reply.request_id, left),
+            headers=self._headers(request, reply.request_id, seconds_left),
             content=None if request.kind == "safe" else msgspec.json.encode(body),
-            extensions={"timeout": {"connect": CONNECT_SECONDS, "read": left}},
+            extensions={"timeout": {"connect": CONNECT_SECONDS, "read": seconds_left}},
         ) as response:
             reply.status = response.status
             data = b""
-            async for part in response.aiter_stream():
+            async for chunk in response.aiter_stream():
                 if reply.first_byte_s is None:
-                    reply.first_byte_s = trio.current_time() - begun
-                data += part
+                    reply.first_byte_s = trio.current_time() - started_at
+                data += chunk
             reply.complete = True
             headers = {name.lower(): value for name, value in response.headers}
         if reply.status == 200:
@@ -171,13 +178,13 @@
         return float(headers.get(b"retry-after", b"0.05"))
 
     def _headers(
-        self, request: CallerRequest, request_id: str, left: float
+        self, request: CallerRequest, request_id: str, seconds_left: float
     ) -> list[tuple[str, str]]:
         headers = [
             ("Host", request.host),
             ("Authorization", f"Bearer {request.key}"),
             ("Wasabiwell-Request-Id", request_id),
-            ("Wasabiwell-Request-Deadline", str(int(left * 1000))),
+            ("Wasabiwell-Request-Deadline", str(int(seconds_left * 1000))),
         ]
         if request.prompt:
             headers += [
@@ -191,18 +198,20 @@
     def _check(
         self, request: CallerRequest, reply: Reply, headers: dict[bytes, bytes], data: bytes
     ) -> None:
-        """Note each way in which a success is not the caller's own whole answer."""
-        request_id, problems = reply.request_id, self._ledger.problems
+        """Record a violation if a 200 response is incomplete or belongs to another request."""
+        request_id, violations = reply.request_id, self._ledger.detected_violations
         signature = headers.get(b"wasabiwell-response-signature", b"").decode()
         if not signature.endswith(f".{request_id}"):
-            problems.append(f"{request_id}: signature {signature!r}")
+            violations.append(f"{request_id}: unexpected signature {signature!r}")
         if not request.prompt:
             if data != f"done {request_id}".encode() * 8:
-                problems.append(f"{request_id}: body {data[:80]!r}")
+                violations.append(f"{request_id}: unexpected body {data[:80]!r}")
             return
         expected = b"".join(
             f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
             for number in range(1, request.events + 1)
         )
         if data != expected:
-            problems.append(f"{request_id}: a stream of {len(data)} of {len(expected)} bytes")
+            violations.append(
+                f"{request_id}: unexpected stream, {len(data)} of {len(expected)} bytes"
+            )
--- a/standins/wasabiwell_standins/users_platform/deployment.py
+++ b/standins/wasabiwell_standins/users_platform/deployment.py
@@ -1,4 +1,4 @@
-"""A whole deployment on the users' platform: store, targets and entry processes."""
+"""A deployment on the users' platform: store, targets and entry processes."""
 
 import os
 import signal
@@ -14,7 +14,7 @@
 import httpcore
 import trio
 
-from wasabiwell_standins.users_platform.caller import ERRORS, Caller, CallerRequest
+from wasabiwell_standins.users_platform.caller import CONNECTION_ERRORS, Caller, CallerRequest
 from wasabiwell_standins.users_platform.engine import Target
 from wasabiwell_standins.users_platform.ledger import Ledger
 from wasabiwell_standins.users_platform.store import StoreStandIn
@@ -34,7 +34,7 @@
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
 ENGINE_PROFILE: dict[str, Any] = tomllib.loads(Path(__file__).with_name("engines.toml").read_text())
-"""Figures of the engines."""
+"""Engine profile, in the format of the platform's configuration."""
 ROUTES = {
     "short": {"kind": "streaming", "target_latency_ms": 300, "target_gap_ms": 200},
     "medium": {"kind": "streaming", "target_latency_ms": 1_500, "target_gap_ms": 500},
@@ -46,9 +46,9 @@
 
 @dataclass(frozen=True, slots=True)
 class DeploymentSize:
-    """Numbers of processes and targets; `block` is the second number of the IP addresses.
+    """Numbers of processes and targets; `block` is the second octet of the IP addresses.
 
-    Worlds that run at the same time need blocks of their own.
+    Deployments that run at the same time need different blocks.
     """
 
     entries: int = 3
@@ -59,9 +59,9 @@
 
 @dataclass(slots=True)
 class EntryProcess:
-    """An entry process, which keeps its IP address over its restarts.
+    """An entry process, which keeps its IP address across restarts.
 
-    It writes to its log file, or to the file descriptor `output` if that is given.
+    It writes to its log file, or to the file descriptor `output` if that is set.
     """
 
     name: str
@@ -73,20 +73,20 @@
 
     @property
     def alive(self) -> bool:
-        """Return whether the process runs."""
+        """Return whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
     @property
     def log(self) -> Path:
-        """Return the file with what all runs of the process have written."""
+        """Return the path of the log file, to which every start of the process appends."""
         return self.folder / f"{self.name}.log"
 
     def address(self, kind: str) -> str:
-        """Return one of the addresses."""
+        """Return the address of a listener; `kind` is a key of `PORTS`."""
         return f"{self.ip}:{PORTS[kind]}"
 
     def start(self) -> None:
-        """Start the process."""
+        """Start the process with its settings file."""
         environment = {**os.environ, "WASABIWELL_SETTINGS": str(self.folder / f"{self.name}.conf")}
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
@@ -97,20 +97,23 @@
             )
 
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process if it runs."""
+        """Send a signal to the process if it is running."""
         if self.process is not None and self.alive:
             self.process.send_signal(number)
 
     async def wait_exited(self, seconds: float) -> bool:
-        """Return whether the process ends in time."""
+        """Wait for the process to exit; return False after `seconds`."""
         with trio.move_on_after(seconds):
-            while self.alive:  # noqa: ASYNC110 a process has no event to wait for
+            while self.alive:  # noqa: ASYNC110 Popen offers no awaitable exit
                 await trio.sleep(POLL_SECONDS)
         return not self.alive
 
 
 class Deployment:
-    """The parts of a deployment; `open_deployment` starts and stops them."""
+    """Store, targets and entry processes; `open_deployment` starts and stops them.
+
+    `proxies` maps frontend addresses of entry processes to proxies that callers use instead.
+    """
 
     def __init__(self, size: DeploymentSize, folder: Path, nursery: trio.Nursery) -> None:
         self.size = size
@@ -125,41 +128,41 @@
             for zone in [ZONES[index % len(ZONES)]]
         ]
         self._nursery = nursery
-        self._callers = 0
+        self._caller_count = 0
         self._version = 0
         self._configuration: dict[str, Any] = {}
 
     @property
     def configuration(self) -> dict[str, Any]:
-        """Return the newest configuration; change it and call `publish_configuration`."""
+        """Return the current configuration; after a change, call `publish_configuration`."""
         return self._configuration
 
     def caller(self, zone: str = ZONES[0]) -> Caller:
-        """Return a new caller in a zone."""
-        self._callers += 1
+        """Return a new caller in a zone, with a seed of its own."""
+        self._caller_count += 1
         directories = [entry.address("directory") for entry in self.entries]
-        return Caller(directories, zone, self.ledger, self._callers, self.proxies)
+        return Caller(directories, zone, self.ledger, self._caller_count, self.proxies)
 
     def publish_configuration(self) -> int:
-        """Put the configuration in force and return its version."""
+        """Write the configuration to the store under a new version and return the version."""
         self._version += 2
         self._configuration["version"] = self._version
         self.store.put_json("op", "config", self._configuration)
         return self._version
 
     async def add_target(self, target_id: str, service: str, number: int) -> Target:
-        """Start a target and enter it in the platform's list."""
+        """Start a target and add it to the platform's list; `number` selects address and zone."""
         profile = ENGINE_PROFILE if service == MODEL_SERVICE else None
         address = f"127.{self.size.block}.2.{number + 1}:{TARGET_PORT}"
         zone = ZONES[number % len(ZONES)]
         target = Target(target_id, service, address, zone, self.ledger, profile, seed=number)
-        target.peers = self._target_at
+        target.find_engine = self._target_by_address
         self.targets[target_id] = target
         await self.start_target(target)
         return target
 
     async def start_target(self, target: Target) -> None:
-        """Start a target, also again after a crash, and enter it in the list."""
+        """Start a target, or start it again after a crash, and write its row in the list."""
         await self._nursery.start(target.run)
         self.store.put_json("servers", target.target_id, target.listing_entry())
 
@@ -168,7 +171,7 @@
         return [target for target in self.targets.values() if target.service == service]
 
     def write_settings(self, entry: EntryProcess, **changes: str) -> None:
-        """Write the settings file of an entry process."""
+        """Write the settings file of an entry process, with `changes` to the defaults."""
         fields = {
             "node": entry.name,
             "role": "entry",
@@ -192,15 +195,15 @@
         (entry.folder / f"{entry.name}.conf").write_text(text)
 
     async def wait_ready(self, entry: EntryProcess) -> None:
-        """Return when an entry process says that it is ready; raises `TimeoutError`."""
+        """Wait until an entry process reports readiness; raises `TimeoutError`."""
         with trio.move_on_after(READY_SECONDS):
-            while not await self.is_ready(entry):  # noqa: ASYNC110 it is asked by HTTP
+            while not await self.is_ready(entry):  # noqa: ASYNC110 readiness is polled over HTTP
                 await trio.sleep(POLL_SECONDS)
             return
         raise TimeoutError(f"{entry.name} is not ready; see {entry.log}")
 
     async def is_ready(self, entry: EntryProcess) -> bool:
-        """Ask an entry process whether it is ready."""
+        """Return whether the readiness endpoint of an entry process responds with 200."""
         try:
             async with httpcore.AsyncConnectionPool() as pool:
                 response = await pool.request(
@@ -208,24 +211,24 @@
                     f"http://{entry.address('ready')}/readiness",
                     extensions={"timeout": {"connect": 0.5, "read": 0.5}},
                 )
-        except ERRORS:
+        except CONNECTION_ERRORS:
             return False
         return response.status == 200
 
     def request(self, route: str, **fields: Any) -> CallerRequest:
-        """Return an order on one of the routes."""
+        """Return a request for one of the routes; `fields` override the defaults."""
         kind = str(ROUTES[route]["kind"])
-        values = {"key": KEY, "prompt": PROMPTS.get(route, 0), **fields}
+        values = {"key": KEY, "prompt": PROMPT_TOKENS.get(route, 0), **fields}
         return CallerRequest(kind, HOST, f"/{route}/1", **values)
 
-    def _target_at(self, address: str) -> Target | None:
+    def _target_by_address(self, address: str) -> Target | None:
         for target in self.targets.values():
             if target.listed_address == address:
                 return target
         return None
 
-    def first_configuration(self) -> None:
-        """Put routes to both services in force, before the entry processes start."""
+    def publish_initial_configuration(self) -> None:
+        """Publish the first configuration, with routes to both services."""
         routes = []
         for name, fields in ROUTES.items():
             stream = fields["kind"] == "streaming"
@@ -253,8 +256,8 @@
         self.publish_configuration()
 
 
-PROMPTS = {"short": 2_000, "medium": 45_000, "long": 200_000}
-"""Prompt tokens of an order on a route, unless it says otherwise."""
+PROMPT_TOKENS = {"short": 2_000, "medium": 45_000, "long": 200_000}
+"""Default prompt length of a request, by route."""
 
 
 @asynccontextmanager
@@ -263,9 +266,9 @@
     folder: Path,
     prepare: Callable[[Deployment], Awaitable[None]] | None = None,
 ) -> AsyncIterator[Deployment]:
-    """Start a deployment, and end all of its processes when the context ends.
+    """Start a deployment, and stop all of its processes when the context exits.
 
-    `prepare` is called before the entry processes start.
+    `prepare` is called when the store and the targets run, before the entry processes start.
     """
     async with trio.open_nursery() as nursery:
         deployment = Deployment(size, folder, nursery)
@@ -275,7 +278,7 @@
             await deployment.add_target(f"i-engine{number}", MODEL_SERVICE, number)
         for number in range(size.plain):
             await deployment.add_target(f"i-plain{number}", PLAIN_SERVICE, size.engines + number)
-        deployment.first_configuration()
+        deployment.publish_initial_configuration()
         for entry in deployment.entries:
             deployment.write_settings(entry)
         if prepare is not None:
--- a/standins/wasabiwell_standins/users_platform/engine.py
+++ b/standins/wasabiwell_standins/users_platform/engine.py
@@ -1,6 +1,7 @@
-"""Targets of the users' platform: engines that work in passes, and plain services.
+"""Targets of the users' platform: emulated engines and plain services.
 
-An engine follows the figures of the platform's configuration in real time, divided by `speed`.
+The duration of an engine iteration follows from the engine profile in the platform's configuration,
+divided by `speed`.
 """
 
 import random
@@ -21,12 +22,19 @@
 IDLE_SECONDS = 10.0
 NOT_EXECUTED = ("Wasabiwell-Not-Executed", "1")
 QUEUE_FACTOR = 3
-"""A target queues this many times its slots before it refuses."""
+"""A target accepts this many requests for each of its slots, then responds with 503."""
 
 
 @dataclass(slots=True)
 class TargetFaults:
-    """Faults in force; shares are of the requests, from 0 to 1."""
+    """Active faults.
+
+    Each `*_share` is the probability, from 0 to 1, that the fault hits a response of a plain
+    service; in streams, `reset_share`, `cut_share` and `hang_share` are applied to each event.
+    `cut` closes the connection in the middle of a body, `extra` sends a second response after the
+    first, `foreign` returns another request id, and `unframed` sends a body without its length.
+    `slow` multiplies all processing times.
+    """
 
     error_share: float = 0.0
     reset_share: float = 0.0
@@ -36,30 +44,34 @@
     unframed_share: float = 0.0
     hang_share: float = 0.0
     crash_on: str = ""
-    """Text in a request's body that crashes the target."""
+    """The target crashes when a request's body contains this text, unless it is empty."""
     slow: float = 1.0
 
 
 @dataclass(slots=True, eq=False)
 class Sequence:
-    """A request on an engine; `read_left` is in tokens of its part, `pairs` for each token."""
+    """A request, or one segment of its split prefill, on an engine.
+
+    `split` is set if several engines share the prefill. `context` is the number of tokens that the
+    sequence keeps in the KV cache. `events` are the numbers of events that are not sent yet.
+    """
 
     request_id: str
-    part: bool
-    read_left: float
-    seconds_per_token: float
+    split: bool
+    prefill_tokens_left: float
+    prefill_seconds_per_token: float
     context: int
     events_left: int
-    done_reading: trio.Event = field(default_factory=trio.Event)
+    prefill_done: trio.Event = field(default_factory=trio.Event)
     events: list[int] = field(default_factory=list)
-    progressed: trio.Event = field(default_factory=trio.Event)
+    event_ready: trio.Event = field(default_factory=trio.Event)
     next_event: int = 1
-    writing: bool = False
+    decoding: bool = False
 
 
 @dataclass(slots=True)
 class Request:
-    """A request as it came."""
+    """A received HTTP request; `target` is the request target with its query."""
 
     method: str
     target: str
@@ -68,9 +80,11 @@
 
 
 class Target:
-    """One target; `profile` is the `engine` object of its service, None for a plain service.
+    """One target; `profile` is the engine profile of its service, None for a plain service.
 
-    `listed_address` is the one that the platform's list tells, which may be that of a proxy.
+    `listed_address` is the address in the platform's list of targets, which may be that of a proxy.
+    `find_engine` looks up a helper by its listed address. `tickets` maps the id of a KV cache
+    reservation to its tokens and its expiry time.
     """
 
     def __init__(
@@ -91,31 +105,31 @@
         self.zone = zone
         self.profile = profile
         self.faults = TargetFaults()
-        self.born = 1_700_000_000_000 + seed
+        self.incarnation = 1_700_000_000_000 + seed
         self.running = 0
         self.tickets: dict[str, tuple[int, float]] = {}
-        self.peers: Callable[[str], Target | None] = lambda address: None
+        self.find_engine: Callable[[str], Target | None] = lambda address: None
         self._ledger = ledger
         self._speed = speed
         self._random = random.Random(f"{target_id}-{seed}")
         self._sequences: list[Sequence] = []
-        self._work = trio.Event()
+        self._work_added = trio.Event()
         self._crash = trio.Event()
 
     @property
     def slots(self) -> int:
-        """Return the number of requests that are processed at once."""
+        """Return the number of requests that run concurrently."""
         return int(self.profile["slots"]) if self.profile is not None else 6
 
     @property
     def tokens_held(self) -> int:
-        """Return the memory that tickets hold, in tokens."""
+        """Return the KV cache tokens of all tickets, after removing expired ones."""
         now = trio.current_time()
         self.tickets = {key: item for key, item in self.tickets.items() if item[1] > now}
         return sum(tokens for tokens, _ in self.tickets.values())
 
     def listing_entry(self, state: str = "ready") -> dict[str, Any]:
-        """Return the entry of the platform's list."""
+        """Return this target's row in the platform's list of targets."""
         return {
             "service": self.service,
             "address": self.listed_address,
@@ -124,39 +138,41 @@
             "slots": self.slots,
             "state": state,
             "cold_remaining_ms": 0,
-            "born": self.born,
+            "born": self.incarnation,
             "sequence": 1,
         }
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve until it crashes or is cancelled; open connections are then reset."""
+        """Serve until `crash` or cancellation, which reset all open connections."""
         host, _, port = self.address.rpartition(":")
         self._crash = trio.Event()
         self._sequences.clear()
         self.tickets.clear()
         self.running = 0
         async with trio.open_nursery() as nursery:
-            await nursery.start(partial(trio.serve_tcp, self._serve, int(port), host=host))
-            nursery.start_soon(self._process)
+            await nursery.start(
+                partial(trio.serve_tcp, self._serve_connection, int(port), host=host)
+            )
+            nursery.start_soon(self._run_iterations)
             task_status.started()
             await self._crash.wait()
             nursery.cancel_scope.cancel()
 
     def crash(self) -> None:
-        """End at once."""
+        """Make `run` return at once."""
         self._crash.set()
 
     def restart(self) -> None:
-        """Take a new incarnation; call `run` after it."""
-        self.born += 1
+        """Start a new incarnation; the caller then calls `run` again."""
+        self.incarnation += 1
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
         connection = h11.Connection(h11.SERVER)
         try:
             with trio.move_on_after(IDLE_SECONDS) as scope:
                 while (request := await _receive(stream, connection)) is not None:
                     scope.deadline = trio.current_time() + 10 * IDLE_SECONDS
-                    await self._answer(stream, connection, request)
+                    await self._serve_request(stream, connection, request)
                     if connection.our_state is not h11.DONE:
                         break
                     connection.start_next_cycle()
@@ -169,20 +185,20 @@
         finally:
             await trio.aclose_forcefully(stream)
 
-    async def _answer(
+    async def _serve_request(
         self, stream: trio.SocketStream, connection: h11.Connection, request: Request
     ) -> None:
         match request.target.partition("?")[0]:
             case "/report":
                 await _reply(stream, connection, 200, [], msgspec.json.encode(self._report()))
             case "/order":
-                status, body = self._order(msgspec.json.decode(request.body))
+                status, body = self._apply_order(msgspec.json.decode(request.body))
                 await _reply(stream, connection, status, [], msgspec.json.encode(body))
             case "/health":
                 headers = [("Wasabiwell-Instance-Id", self.target_id)]
                 await _reply(stream, connection, 200, headers, b"")
             case _:
-                await self._forwarded(stream, connection, request)
+                await self._serve_forwarded(stream, connection, request)
 
     def _report(self) -> dict[str, Any]:
         tickets = [
@@ -191,7 +207,7 @@
         ]
         return {"running": self.running, "waiting": 0, "pace": self.faults.slow, "tickets": tickets}
 
-    def _order(self, order: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    def _apply_order(self, order: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if order["operation"] == "release":
             self.tickets.pop(order["id"], None)
             return 200, {}
@@ -204,11 +220,11 @@
             return 400, {}
         if used + order["tokens"] > total:
             return 409, {"free": total - used}
-        until = trio.current_time() + order["hold_ms"] / 1000
-        self.tickets[order["id"]] = (int(order["tokens"]), until)
+        expires_at = trio.current_time() + order["hold_ms"] / 1000
+        self.tickets[order["id"]] = (int(order["tokens"]), expires_at)
         return 200, {"free": total - used - int(order["tokens"])}
 
-    async def _forwarded(
+    async def _serve_forwarded(
         self, stream: trio.SocketStream, connection: h11.Connection, request: Request
     ) -> None:
         headers = request.headers
@@ -232,68 +248,70 @@
             trio.current_time(),
         )
         if "authorization" in headers:
-            self._ledger.problems.append(f"{request_id}: the caller's key reached a target")
+            self._ledger.detected_violations.append(
+                f"{request_id}: a target received the caller's API key"
+            )
         self._ledger.runs[request_id].append(run)
         if self.faults.crash_on and self.faults.crash_on in request.body.decode("latin-1"):
             self.crash()
             await trio.sleep_forever()
         self.running += 1
         try:
-            cut = False
+            interrupted = False
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_cancel_when_closed, stream, nursery.cancel_scope)
                 try:
                     if self.profile is not None and "wasabiwell-token-counts" in headers:
-                        await self._stream(stream, connection, request, common, run)
+                        await self._serve_stream(stream, connection, request, common, run)
                     else:
-                        await self._call(stream, connection, request, common)
+                        await self._serve_plain(stream, connection, request, common)
                 except trio.BrokenResourceError:
-                    cut = True
+                    interrupted = True
                 nursery.cancel_scope.cancel()
-            if cut:
+            if interrupted:
                 raise trio.BrokenResourceError
         finally:
             self.running -= 1
             run.ended_at = trio.current_time()
 
-    def _happens(self, share: float) -> bool:
+    def _draw_fault(self, share: float) -> bool:
         return share > 0 and self._random.random() < share
 
-    async def _call(
+    async def _serve_plain(
         self,
         stream: trio.SocketStream,
         connection: h11.Connection,
         request: Request,
         common: list[tuple[str, str]],
     ) -> None:
-        order = msgspec.json.decode(request.body) if request.body else {}
-        await trio.sleep(order.get("work_ms", 15) / 1000 * self.faults.slow)
+        body_fields = msgspec.json.decode(request.body) if request.body else {}
+        await trio.sleep(body_fields.get("work_ms", 15) / 1000 * self.faults.slow)
         body = f"done {request.headers['wasabiwell-request-id']}".encode() * 8
-        if self._happens(self.faults.hang_share):
+        if self._draw_fault(self.faults.hang_share):
             await trio.sleep_forever()
-        if self._happens(self.faults.reset_share):
+        if self._draw_fault(self.faults.reset_share):
             _reset_on_close(stream)
             raise trio.BrokenResourceError
-        if self._happens(self.faults.error_share):
+        if self._draw_fault(self.faults.error_share):
             await _reply(stream, connection, 500, common, b"failed")
             return
-        if self._happens(self.faults.foreign_share):
+        if self._draw_fault(self.faults.foreign_share):
             foreign = [("Wasabiwell-Request-Id", "another"), common[1]]
             await _reply(stream, connection, 200, foreign, body)
             return
-        if self._happens(self.faults.cut_share):
-            head = _head(connection, 200, [*common, ("Content-Length", str(len(body)))])
+        if self._draw_fault(self.faults.cut_share):
+            head = _encode_head(connection, 200, [*common, ("Content-Length", str(len(body)))])
             await stream.send_all(head + body[: len(body) // 2])
             raise trio.BrokenResourceError
-        if self._happens(self.faults.unframed_share):
+        if self._draw_fault(self.faults.unframed_share):
             lines = "".join(f"{name}: {value}\r\n" for name, value in common)
             await stream.send_all(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
             raise trio.BrokenResourceError
         await _reply(stream, connection, 200, common, body)
-        if self._happens(self.faults.extra_share):
+        if self._draw_fault(self.faults.extra_share):
             await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
 
-    async def _stream(
+    async def _serve_stream(
         self,
         stream: trio.SocketStream,
         connection: h11.Connection,
@@ -301,30 +319,30 @@
         common: list[tuple[str, str]],
         run: Run,
     ) -> None:
-        order = msgspec.json.decode(request.body)
+        body_fields = msgspec.json.decode(request.body)
         after = int(request.headers.get("last-event-id", "0"))
         run.resumed_after = after or None
-        engines = self._engines(request)
+        engines = self._find_engines(request)
         if isinstance(engines, str):
             self._ledger.runs[run.request_id].remove(run)
             await _reply(stream, connection, 503, [NOT_EXECUTED, ("At-Server", engines)], b"")
             return
         prompt = int(request.headers["wasabiwell-token-counts"].split(",")[0])
-        parts = [engine.add(run.request_id, prompt, len(engines)) for engine in engines]
-        lead = parts[0]
-        lead.events_left, lead.next_event = int(order["events"]) - after, after + 1
+        segments = [engine.add_sequence(run.request_id, prompt, len(engines)) for engine in engines]
+        lead = segments[0]
+        lead.events_left, lead.next_event = int(body_fields["events"]) - after, after + 1
         try:
-            for part in parts:
-                await part.done_reading.wait()
-            lead.writing = True
-            self._work.set()
+            for segment in segments:
+                await segment.prefill_done.wait()
+            lead.decoding = True
+            self._work_added.set()
             headers = [*common, ("Content-Type", "text/event-stream")]
             headers.append(("Transfer-Encoding", "chunked"))
-            await stream.send_all(_head(connection, 200, headers))
+            await stream.send_all(_encode_head(connection, 200, headers))
             await self._send_events(stream, connection, lead, run.request_id)
         finally:
-            for engine, part in zip(engines, parts, strict=True):
-                engine.drop(part)
+            for engine, segment in zip(engines, segments, strict=True):
+                engine.remove_sequence(segment)
 
     async def _send_events(
         self,
@@ -335,87 +353,100 @@
     ) -> None:
         while lead.events_left > 0 or lead.events:
             if not lead.events:
-                await lead.progressed.wait()
-                lead.progressed = trio.Event()
+                await lead.event_ready.wait()
+                lead.event_ready = trio.Event()
             while lead.events:
                 number = lead.events.pop(0)
                 event = f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
-                if self._happens(self.faults.reset_share):
+                if self._draw_fault(self.faults.reset_share):
                     _reset_on_close(stream)
                     raise trio.BrokenResourceError
-                if self._happens(self.faults.cut_share):
+                if self._draw_fault(self.faults.cut_share):
                     data = connection.send(h11.Data(data=event[: len(event) // 2]))
                     await stream.send_all(data or b"")
                     raise trio.BrokenResourceError
-                if self._happens(self.faults.hang_share):
+                if self._draw_fault(self.faults.hang_share):
                     await trio.sleep_forever()
                 await stream.send_all(connection.send(h11.Data(data=event)) or b"")
         await stream.send_all(connection.send(h11.EndOfMessage()) or b"")
 
-    def _engines(self, request: Request) -> "list[Target] | str":
-        """Return this engine and its helpers, or the address of one that cannot help."""
+    def _find_engines(self, request: Request) -> "list[Target] | str":
+        """Return this engine and its helpers, or the address of an unavailable helper."""
         engines = [self]
         for item in filter(None, request.headers.get("wasabiwell-helpers", "").split(",")):
             address, _, ticket = item.partition("/")
-            engine = self.peers(address)
+            engine = self.find_engine(address)
             if engine is None or (ticket and ticket not in engine.tickets):
                 return address
             engines.append(engine)
         return engines
 
-    def add(self, request_id: str, prompt: int, engines: int) -> Sequence:
-        """Add an even part of a prompt that several engines read."""
+    def add_sequence(self, request_id: str, prompt: int, engines: int) -> Sequence:
+        """Add one of `engines` equal prefill segments of a prompt."""
         assert self.profile is not None
-        per_token = 1 / self.profile["read_per_s"]
-        per_token += prompt / 2 * self.profile["pairs_per_m"] / 1e9
+        seconds_per_token = 1 / self.profile["read_per_s"]
+        seconds_per_token += prompt / 2 * self.profile["pairs_per_m"] / 1e9
         sequence = Sequence(
-            request_id, engines > 1, prompt / engines, per_token, prompt // engines, 0
+            request_id, engines > 1, prompt / engines, seconds_per_token, prompt // engines, 0
         )
         self._sequences.append(sequence)
-        self._work.set()
+        self._work_added.set()
         return sequence
 
-    def drop(self, sequence: Sequence) -> None:
-        """Remove a request that has ended."""
+    def remove_sequence(self, sequence: Sequence) -> None:
+        """Remove the sequence of a finished request."""
         if sequence in self._sequences:
             self._sequences.remove(sequence)
 
-    async def _process(self) -> None:
-        """Work in passes: reading of all that waits, and one event for each that writes."""
+    async def _run_iterations(self) -> None:
+        """Run engine iterations: prefill up to the token budget, one event per decoding request."""
         while True:
-            writers = [item for item in self._sequences if item.writing and item.events_left > 0]
-            readers = self._reading_order()
-            if not writers and not readers:
-                await self._work.wait()
-                self._work = trio.Event()
+            decoding_sequences = [
+                item for item in self._sequences if item.decoding and item.events_left > 0
+            ]
+            prefill_queue = self._prefill_order()
+            if not decoding_sequences and not prefill_queue:
+                await self._work_added.wait()
+                self._work_added = trio.Event()
                 continue
-            await trio.sleep(self._pass_seconds(writers, readers) / self._speed * self.faults.slow)
-            for item in writers:
+            await trio.sleep(
+                self._advance_prefill(decoding_sequences, prefill_queue)
+                / self._speed
+                * self.faults.slow
+            )
+            for item in decoding_sequences:
                 item.events.append(item.next_event)
                 item.next_event += 1
                 item.events_left -= 1
-                item.progressed.set()
-
-    def _reading_order(self) -> list[Sequence]:
-        waiting = [item for item in self._sequences if item.read_left > 0]
-        parts = [item for item in waiting if item.part]
-        return [*reversed(parts), *(item for item in waiting if not item.part)]
-
-    def _pass_seconds(self, writers: list[Sequence], readers: list[Sequence]) -> float:
-        """Return how long the pass takes, and take its reading off."""
+                item.event_ready.set()
+
+    def _prefill_order(self) -> list[Sequence]:
+        """Return the sequences to prefill: segments of split prompts first, newest first."""
+        waiting = [item for item in self._sequences if item.prefill_tokens_left > 0]
+        segments = [item for item in waiting if item.split]
+        return [*reversed(segments), *(item for item in waiting if not item.split)]
+
+    def _advance_prefill(
+        self, decoding_sequences: list[Sequence], prefill_queue: list[Sequence]
+    ) -> float:
+        """Apply the prefill of one iteration and return the iteration's duration in seconds."""
         assert self.profile is not None
-        step = self.profile["step_ms"] + self.profile["per_seq_ms"] * len(writers)
-        step += self.profile["context_per_k"] * sum(item.context for item in writers) / 1000
-        seconds = self.profile["stride"] * step / 1000 if writers else 0.0
-        room = float(self.profile["chunk"] * (self.profile["stride"] if writers else 1))
-        for item in readers:
-            tokens = min(room, item.read_left)
-            item.read_left -= tokens
-            room -= tokens
-            seconds += tokens * item.seconds_per_token
-            if item.read_left <= 0:
-                item.done_reading.set()
-            if room <= 0:
+        step_ms = self.profile["step_ms"] + self.profile["per_seq_ms"] * len(decoding_sequences)
+        step_ms += (
+            self.profile["context_per_k"] * sum(item.context for item in decoding_sequences) / 1000
+        )
+        seconds = self.profile["stride"] * step_ms / 1000 if decoding_sequences else 0.0
+        token_budget = float(
+            self.profile["chunk"] * (self.profile["stride"] if decoding_sequences else 1)
+        )
+        for item in prefill_queue:
+            tokens = min(token_budget, item.prefill_tokens_left)
+            item.prefill_tokens_left -= tokens
+            token_budget -= tokens
+            seconds += tokens * item.prefill_seconds_per_token
+            if item.prefill_tokens_left <= 0:
+                item.prefill_done.set()
+            if token_budget <= 0:
                 break
         return seconds
 
@@ -440,7 +471,7 @@
 
 
 async def _cancel_when_closed(stream: trio.SocketStream, scope: trio.CancelScope) -> None:
-    """Drop a request whose connection is closed, as most engines do."""
+    """Abort a request whose connection is closed, as most engines do."""
     try:
         while await stream.receive_some(READ_BYTES):
             pass
@@ -449,7 +480,7 @@
     scope.cancel()
 
 
-def _head(connection: h11.Connection, status: int, headers: list[tuple[str, str]]) -> bytes:
+def _encode_head(connection: h11.Connection, status: int, headers: list[tuple[str, str]]) -> bytes:
     return connection.send(h11.Response(status_code=status, headers=headers)) or b""
 
 
@@ -460,13 +491,13 @@
     headers: list[tuple[str, str]],
     body: bytes,
 ) -> None:
-    data = _head(connection, status, [*headers, ("Content-Length", str(len(body)))])
+    data = _encode_head(connection, status, [*headers, ("Content-Length", str(len(body)))])
     data += connection.send(h11.Data(data=body)) or b""
     data += connection.send(h11.EndOfMessage()) or b""
     await stream.send_all(data)
 
 
 def _reset_on_close(stream: trio.SocketStream) -> None:
-    """Make the close of a connection a reset."""
+    """Make the socket send a TCP reset when it is closed."""
     linger = struct.pack("ii", 1, 0)
     stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/standins/wasabiwell_standins/users_platform/ledger.py
+++ b/standins/wasabiwell_standins/users_platform/ledger.py
@@ -1,4 +1,4 @@
-"""What ran where, as the targets saw it, and what callers were told."""
+"""Record of the runs that targets saw and the statuses that callers received."""
 
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -6,7 +6,7 @@
 
 @dataclass(slots=True)
 class Run:
-    """A run of a request on a target; times are seconds of the run's clock."""
+    """One run of a request on a target; times are `trio.current_time()` values."""
 
     request_id: str
     target_id: str
@@ -20,17 +20,21 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """Runs and answers by request id; `problems` are broken promises that were seen at once."""
+    """Runs and response statuses by request id.
+
+    `at_most_once` holds requests that may not run twice, `sent` all requests that callers sent.
+    `detected_violations` are violated guarantees that a caller or a target noticed itself.
+    """
 
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     statuses: dict[str, int] = field(default_factory=dict)
     at_most_once: set[str] = field(default_factory=set)
     sent: set[str] = field(default_factory=set)
-    problems: list[str] = field(default_factory=list)
+    detected_violations: list[str] = field(default_factory=list)
 
     def violations(self) -> list[str]:
-        """Return what must not have happened."""
-        found = list(self.problems)
+        """Return a description of each violated guarantee."""
+        found = list(self.detected_violations)
         for request_id, runs in self.runs.items():
             where = ", ".join(run.target_id for run in runs)
             if request_id not in self.sent:
@@ -38,5 +42,5 @@
             if request_id in self.at_most_once and len(runs) > 1:
                 found.append(f"{request_id} ran {len(runs)} times, on {where}")
             if request_id in self.at_most_once and self.statuses.get(request_id) in (429, 503):
-                found.append(f"{request_id} was refused as not run, but ran on {where}")
+                found.append(f"{request_id} was rejected as not executed, but ran on {where}")
         return found
--- a/standins/wasabiwell_standins/users_platform/soak.py
+++ b/standins/wasabiwell_standins/users_platform/soak.py
@@ -1,8 +1,9 @@
 """Randomized soak of the real entry processes on the stand-in of the users' platform.
 
-Faults are injected from outside: by proxies before the store, the targets and the entry processes,
-by signals, and by the stand-ins themselves. They come in series and overlap. The promises are
-checked from what callers and targets see, and what is left when all faults are over.
+Faults are injected from outside the entry processes: by proxies in front of the store, the targets
+and the entry processes, by signals, and by the stand-ins themselves. Faults overlap. The delivery
+guarantees are checked from what callers and targets observe; after the last fault, the soak checks
+that the deployment has recovered and holds no leftover state.
 """
 
 import random
@@ -37,27 +38,27 @@
 from wasabiwell_standins.users_platform.store import Outage
 
 SEND_INTERVAL = 0.05
-LEAVING_SHARE = 0.08
-"""Share of the callers that leave before their answer."""
+DISCONNECT_SHARE = 0.08
+"""Share of the callers that may disconnect before their response is complete."""
 FAULT_INTERVAL = (0.3, 2.5)
 FAULT_DURATION = (0.3, 4.0)
-"""Seconds; several faults are in force at most times."""
+"""Seconds; several faults are active at most times."""
 SETTLE_SECONDS = 9.0
-"""After this nothing of the faults may be left: callers keep addresses up to 6 s, and memory of an
-instance that died is free again within 4 s."""
-FINAL_SECONDS = 2.0
+"""Time after the last fault until all of its effects must be gone: callers cache addresses for up
+to 6 s, and engine memory of a crashed entry instance is free again within 4 s."""
+FINAL_LOAD_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
-"""Bound of the users for work that reaches a leaving target."""
-TOUCH_SECONDS = 3.0
-"""Bounds of the users hold for what was undisturbed for this long."""
+"""Required limit: how long after the start of its drain a target may still get new work."""
+UNDISTURBED_SECONDS = 3.0
+"""Required limits apply only if no entry process and no store had a fault for this long."""
 MAX_RESIDENT_BYTES = 160 * 1024 * 1024
-"""A process that holds more than this after a soak keeps what it should have given up."""
+"""A larger resident set of an entry process after a soak counts as a memory leak."""
 PROXY_PORT = 8081
 
 
 @dataclass(slots=True)
 class SoakReport:
-    """What was done and what was wrong in the run of one seed."""
+    """Result of one seed: `timeline` lists the injected faults, `findings` the failed checks."""
 
     seed: int
     timeline: list[str] = field(default_factory=list)
@@ -67,104 +68,106 @@
 
 
 class Soak:
-    """One run: faults drawn from a seed, beside a load of all kinds of orders."""
+    """One run: faults drawn from a seed, under a load of requests of all kinds."""
 
     def __init__(self, deployment: Deployment, report: SoakReport) -> None:
-        self._world = deployment
+        self._deployment = deployment
         self._report = report
         self._random = random.Random(report.seed)
-        self._begun = trio.current_time()
+        self._started_at = trio.current_time()
         self._proxies: dict[str, Proxy] = {}
-        self._busy: set[str] = set()
-        self._drained: dict[str, float] = {}
-        self._disturbed: list[tuple[float, float]] = []
+        self._faulted_components: set[str] = set()
+        self._drained_at: dict[str, float] = {}
+        self._disturbances: list[tuple[float, float]] = []
         self._next_number = len(deployment.targets)
-        self._final: list[Reply] = []
+        self._final_replies: list[Reply] = []
 
-    async def put_proxies(self, nursery: trio.Nursery) -> None:
-        """Put a proxy before each target, each frontend, and the store as each entry sees it."""
-        deployment, block = self._world, self._world.size.block
+    async def start_proxies(self, nursery: trio.Nursery) -> None:
+        """Start a proxy for each target, each frontend, and each entry process's store address."""
+        deployment, block = self._deployment, self._deployment.size.block
         for number, target in enumerate(deployment.targets.values()):
             address = f"127.{block}.3.{number + 1}:{PROXY_PORT}"
-            await self._put_proxy(nursery, f"target {target.target_id}", address, target.address)
+            await self._start_proxy(nursery, f"target {target.target_id}", address, target.address)
             target.listed_address = address
             deployment.store.put_json("servers", target.target_id, target.listing_entry())
         for number, entry in enumerate(deployment.entries):
             store = f"127.{block}.4.{number + 1}:{PROXY_PORT}"
-            await self._put_proxy(
+            await self._start_proxy(
                 nursery, f"store of {entry.name}", store, deployment.store_address
             )
             deployment.write_settings(entry, **{"platform.address": store})
             front = f"127.{block}.5.{number + 1}:{PROXY_PORT}"
             frontend = entry.address("frontend")
-            await self._put_proxy(nursery, f"callers of {entry.name}", front, frontend)
+            await self._start_proxy(nursery, f"callers of {entry.name}", front, frontend)
             deployment.proxies[frontend] = front
 
-    async def _put_proxy(self, nursery: trio.Nursery, name: str, address: str, target: str) -> None:
+    async def _start_proxy(
+        self, nursery: trio.Nursery, name: str, address: str, target: str
+    ) -> None:
         proxy = Proxy(target)
         host, _, port = address.rpartition(":")
         await nursery.start(partial(trio.serve_tcp, proxy.serve, int(port), host=host))
         self._proxies[name] = proxy
 
     async def run(self, seconds: float) -> None:
-        """Load the deployment with faults for a time, let it settle, and check it."""
+        """Run load and faults for `seconds`, wait for recovery, and check the final state."""
         async with trio.open_nursery() as nursery:
             with trio.move_on_after(seconds):
-                nursery.start_soon(self._send_orders, seconds)
-                await self._inject(nursery)
-        self._say("all faults are over")
+                nursery.start_soon(self._send_load, seconds)
+                await self._inject_faults(nursery)
+        self._record("all faults have ended")
         await trio.sleep(SETTLE_SECONDS)
         await self._check_final()
 
-    def _say(self, text: str) -> None:
-        self._report.timeline.append(f"{trio.current_time() - self._begun:7.3f} {text}")
+    def _record(self, text: str) -> None:
+        self._report.timeline.append(f"{trio.current_time() - self._started_at:7.3f} {text}")
 
-    def _find(self, text: str) -> None:
-        self._report.findings.append(f"{trio.current_time() - self._begun:7.3f} {text}")
+    def _add_finding(self, text: str) -> None:
+        self._report.findings.append(f"{trio.current_time() - self._started_at:7.3f} {text}")
 
-    async def _send_orders(self, seconds: float) -> None:
-        callers = [self._world.caller(zone) for zone in ZONES]
+    async def _send_load(self, seconds: float) -> None:
+        callers = [self._deployment.caller(zone) for zone in ZONES]
         end = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
                 caller = self._random.choice(callers)
-                leaves = self._random.random() < LEAVING_SHARE
-                patience = self._random.uniform(0.05, 1.0) if leaves else float("inf")
-                nursery.start_soon(self._send, caller.send, self._draw_order(), patience)
+                disconnects = self._random.random() < DISCONNECT_SHARE
+                disconnect_after = self._random.uniform(0.05, 1.0) if disconnects else float("inf")
+                nursery.start_soon(self._send, caller.send, self._draw_request(), disconnect_after)
                 await trio.sleep(SEND_INTERVAL)
 
-    def _draw_order(self) -> CallerRequest:
+    def _draw_request(self) -> CallerRequest:
         route = self._random.choices(list(ROUTES), weights=(10, 3, 1, 4, 4))[0]
         events = self._random.randrange(1, 40)
         key = self._random.choice((KEY, KEY, OTHER_KEY))
         if route == "long":
             prompt = self._random.randrange(120_000, 600_000)
-            return self._world.request(route, events=events, prompt=prompt, key=key)
-        return self._world.request(route, events=events, key=key)
+            return self._deployment.request(route, events=events, prompt=prompt, key=key)
+        return self._deployment.request(route, events=events, key=key)
 
     async def _send(
         self,
         send: Callable[[CallerRequest], Awaitable[Reply]],
         request: CallerRequest,
-        patience: float,
+        disconnect_after: float,
     ) -> None:
-        with trio.move_on_after(patience):
+        with trio.move_on_after(disconnect_after):
             reply = await send(request)
             self._report.replies += 1
             self._report.answered += reply.status == 200 and reply.complete
 
-    async def _inject(self, nursery: trio.Nursery) -> None:
+    async def _inject_faults(self, nursery: trio.Nursery) -> None:
         faults = (
             self._kill_entry,
             self._stop_entry,
             self._pause_entry,
             self._reload_entry,
             self._crash_target,
-            self._spoil_target,
+            self._inject_target_fault,
             self._drain_target,
-            self._trouble_store,
-            self._trouble_proxy,
-            self._trouble_proxy,
+            self._inject_store_fault,
+            self._inject_proxy_fault,
+            self._inject_proxy_fault,
             self._change_configuration,
         )
         while True:
@@ -173,29 +176,29 @@
             nursery.start_soon(fault, self._random.uniform(*FAULT_DURATION))
 
     @asynccontextmanager
-    async def _alone(self, name: str) -> AsyncIterator[bool]:
-        """Keep a part for one fault at a time; the value tells whether it was free."""
-        if name in self._busy:
+    async def _exclusive(self, name: str) -> AsyncIterator[bool]:
+        """Allow one fault at a time on a component; yield whether it was acquired."""
+        if name in self._faulted_components:
             yield False
             return
-        self._busy.add(name)
-        begun = trio.current_time()
+        self._faulted_components.add(name)
+        started_at = trio.current_time()
         try:
             yield True
         finally:
-            self._busy.discard(name)
+            self._faulted_components.discard(name)
             if "entry" in name or "store" in name:
-                self._disturbed.append((begun, trio.current_time()))
+                self._disturbances.append((started_at, trio.current_time()))
 
     def _draw_entry(self) -> EntryProcess:
-        return self._random.choice(self._world.entries)
+        return self._random.choice(self._deployment.entries)
 
     async def _kill_entry(self, seconds: float) -> None:
         entry = self._draw_entry()
-        async with self._alone(entry.name) as free:
-            if not free:
+        async with self._exclusive(entry.name) as acquired:
+            if not acquired:
                 return
-            self._say(f"{entry.name} is killed for {seconds:.1f} s")
+            self._record(f"{entry.name} is killed for {seconds:.1f} s")
             self._check_alive(entry)
             entry.signal(signal.SIGKILL)
             await entry.wait_exited(5)
@@ -204,39 +207,39 @@
 
     async def _stop_entry(self, seconds: float) -> None:
         entry = self._draw_entry()
-        async with self._alone(entry.name) as free:
-            if not free:
+        async with self._exclusive(entry.name) as acquired:
+            if not acquired:
                 return
-            self._say(f"{entry.name} is told to stop")
+            self._record(f"{entry.name} gets SIGTERM")
             self._check_alive(entry)
             entry.signal(signal.SIGTERM)
             if not await entry.wait_exited(8.0):
-                self._find(f"{entry.name} did not stop within 8 s")
+                self._add_finding(f"{entry.name} did not stop within 8 s")
                 entry.signal(signal.SIGKILL)
             elif entry.process is not None and entry.process.returncode not in (0, -signal.SIGTERM):
-                self._find(f"{entry.name} stopped with code {entry.process.returncode}")
+                self._add_finding(f"{entry.name} stopped with code {entry.process.returncode}")
             await trio.sleep(min(seconds, 1.0))
             entry.start()
 
     async def _pause_entry(self, seconds: float) -> None:
         entry = self._draw_entry()
-        async with self._alone(entry.name) as free:
-            if not free:
+        async with self._exclusive(entry.name) as acquired:
+            if not acquired:
                 return
-            self._say(f"{entry.name} is paused for {seconds:.1f} s")
+            self._record(f"{entry.name} is paused for {seconds:.1f} s")
             entry.signal(signal.SIGSTOP)
             await trio.sleep(seconds)
             entry.signal(signal.SIGCONT)
 
     async def _reload_entry(self, seconds: float) -> None:
-        """Change the settings file, sometimes to one with mistakes, and tell the process."""
+        """Rewrite the settings file, at random with errors or empty, and send SIGHUP."""
         entry = self._draw_entry()
         path = entry.folder / f"{entry.name}.conf"
         good = path.read_text()
-        async with self._alone(f"{entry.name} settings") as free:
-            if not free or not entry.alive:
+        async with self._exclusive(f"{entry.name} settings") as acquired:
+            if not acquired or not entry.alive:
                 return
-            self._say(f"{entry.name} reads its settings again")
+            self._record(f"{entry.name} gets SIGHUP with changed settings")
             path.write_text(self._random.choice((good, good + "seeds=nowhere\n", "")))
             entry.signal(signal.SIGHUP)
             await trio.sleep(0.2)
@@ -244,92 +247,96 @@
 
     async def _crash_target(self, seconds: float) -> None:
         target = self._draw_target()
-        async with self._alone(target.target_id) as free:
-            if not free:
+        async with self._exclusive(target.target_id) as acquired:
+            if not acquired:
                 return
-            self._say(f"{target.target_id} crashes for {seconds:.1f} s")
+            self._record(f"{target.target_id} crashes for {seconds:.1f} s")
             target.crash()
             await trio.sleep(seconds)
             target.restart()
-            await self._world.start_target(target)
+            await self._deployment.start_target(target)
 
-    async def _spoil_target(self, seconds: float) -> None:
+    async def _inject_target_fault(self, seconds: float) -> None:
         target = self._draw_target()
-        async with self._alone(target.target_id) as free:
-            if not free:
+        async with self._exclusive(target.target_id) as acquired:
+            if not acquired:
                 return
             name = self._random.choice(
                 ("error", "reset", "cut", "extra", "foreign", "unframed", "hang")
             )
             share = self._random.uniform(0.05, 0.6)
-            self._say(f"{target.target_id}: {name} for a share of {share:.2f}, {seconds:.1f} s")
+            self._record(
+                f"{target.target_id}: fault {name}, share {share:.2f}, for {seconds:.1f} s"
+            )
             setattr(target.faults, f"{name}_share", share)
             target.faults.slow = self._random.choice((1.0, 1.0, 3.0))
             await trio.sleep(seconds)
             target.faults = TargetFaults()
 
     async def _drain_target(self, seconds: float) -> None:
-        """Let a target leave as the platform tells it, and another one come at its address."""
+        """Drain a target as the platform does, and start another one at its address."""
         target = self._draw_target()
-        async with self._alone(target.target_id) as free:
-            if not free or len(self._world.targets_of(target.service)) < 3:
+        async with self._exclusive(target.target_id) as acquired:
+            if not acquired or len(self._deployment.targets_of(target.service)) < 3:
                 return
-            self._say(f"{target.target_id} drains")
-            store = self._world.store
+            self._record(f"{target.target_id} starts to drain")
+            store = self._deployment.store
             store.put_json("servers", target.target_id, target.listing_entry("draining"))
-            self._drained[target.target_id] = trio.current_time()
+            self._drained_at[target.target_id] = trio.current_time()
             await trio.sleep(DRAIN_SECONDS + 1.0)
-            store.put("servers", target.target_id, None)
+            store.put_row("servers", target.target_id, None)
             target.crash()
             await trio.sleep(max(0.5, seconds - DRAIN_SECONDS))
-            del self._world.targets[target.target_id]
-            await self._replace(target)
+            del self._deployment.targets[target.target_id]
+            await self._replace_target(target)
 
-    async def _replace(self, old: Target) -> None:
-        """Start a target of either service behind the proxy of one that has ended."""
+    async def _replace_target(self, old: Target) -> None:
+        """Start a target of a random service behind the proxy of a stopped one."""
         self._next_number += 1
         service = self._random.choice((old.service, MODEL_SERVICE, PLAIN_SERVICE))
         target_id = f"i-next{self._next_number}"
         number = int(old.address.rpartition(":")[0].rpartition(".")[2]) - 1
-        target = await self._world.add_target(target_id, service, number)
+        target = await self._deployment.add_target(target_id, service, number)
         target.listed_address = old.listed_address
-        self._world.store.put_json("servers", target_id, target.listing_entry())
-        self._say(f"{target_id} of {service} comes at the address of {old.target_id}")
+        self._deployment.store.put_json("servers", target_id, target.listing_entry())
+        self._record(f"{target_id} of {service} takes the address of {old.target_id}")
 
     def _draw_target(self) -> Target:
-        return self._random.choice(list(self._world.targets.values()))
+        return self._random.choice(list(self._deployment.targets.values()))
 
-    async def _trouble_store(self, seconds: float) -> None:
-        faults = self._world.store.faults
-        async with self._alone("store") as free:
-            if not free:
+    async def _inject_store_fault(self, seconds: float) -> None:
+        faults = self._deployment.store.faults
+        async with self._exclusive("store") as acquired:
+            if not acquired:
                 return
             match self._random.choice(("away", "slow", "lost", "forgets")):
                 case "away":
                     faults.outage = self._random.choice(list(Outage))
-                    self._say(f"the store is {faults.outage.name} for {seconds:.1f} s")
+                    self._record(f"store outage {faults.outage.name} for {seconds:.1f} s")
                 case "slow":
                     faults.delay_s = self._random.uniform(0.05, 0.4)
-                    self._say(f"the store is {faults.delay_s:.2f} s late for {seconds:.1f} s")
+                    self._record(
+                        f"store calls are delayed by {faults.delay_s:.2f} s for {seconds:.1f} s"
+                    )
                 case "lost":
-                    faults.lose_answers = 3
-                    self._say("the store loses three answers")
+                    faults.lose_responses = 3
+                    self._record("the next three transactions get no response")
                 case _:
-                    self._world.store.forget_history()
-                    self._say("the store forgets its history")
+                    self._deployment.store.discard_history()
+                    self._record("the store discards its change history")
             await trio.sleep(seconds)
-            faults.outage, faults.delay_s, faults.lose_answers = None, 0.0, 0
+            faults.outage, faults.delay_s, faults.lose_responses = None, 0.0, 0
 
-    async def _trouble_proxy(self, seconds: float) -> None:
+    async def _inject_proxy_fault(self, seconds: float) -> None:
         name = self._random.choice(list(self._proxies))
         proxy = self._proxies[name]
-        async with self._alone(name) as free:
-            if not free:
+        async with self._exclusive(name) as acquired:
+            if not acquired:
                 return
             kind = self._random.choice(
                 ("reset", "cut", "delay", "silent_to_server", "silent_to_client")
             )
-            self._say(f"connections to {name}: {kind} for {seconds:.1f} s")
+            self._record(f"connections to {name}: {kind} for {seconds:.1f} s")
             match kind:
                 case "reset":
                     proxy.reset()
@@ -345,73 +352,86 @@
             proxy.faults.delay_s = 0.0
 
     async def _change_configuration(self, seconds: float) -> None:
-        async with self._alone("configuration") as free:
-            if not free:
+        async with self._exclusive("configuration") as acquired:
+            if not acquired:
                 return
-            configuration = self._world.configuration
+            configuration = self._deployment.configuration
             keys = self._random.choice(([KEY, OTHER_KEY], [KEY]))
             configuration["tenants"] = [{"name": TENANT, "api_keys": keys}]
             for _ in range(self._random.choice((1, 1, 5))):
                 configuration["routes"][0]["priority"] = self._random.randrange(9)
-                version = self._world.publish_configuration()
-                self._say(f"version {version} with {len(keys)} keys")
+                version = self._deployment.publish_configuration()
+                self._record(f"configuration version {version} with {len(keys)} API keys")
                 await trio.sleep(self._random.uniform(0.0, 0.2))
             await trio.sleep(seconds)
             configuration["tenants"] = [{"name": TENANT, "api_keys": [KEY, OTHER_KEY]}]
-            self._world.publish_configuration()
+            self._deployment.publish_configuration()
 
     def _check_alive(self, entry: EntryProcess) -> None:
         if not entry.alive:
-            self._find(f"{entry.name} had ended by itself; see its log")
+            self._add_finding(f"{entry.name} had exited on its own; see its log")
 
     async def _check_final(self) -> None:
-        """Check what callers and targets have seen, and that nothing is left of the faults."""
-        deployment = self._world
+        """Check recovery from the faults, a final load, and the recorded guarantees."""
+        deployment = self._deployment
         for entry in deployment.entries:
             self._check_alive(entry)
             if not await deployment.is_ready(entry):
-                self._find(f"{entry.name} is not ready after all faults are over")
+                self._add_finding(f"{entry.name} is not ready after the last fault")
             if (resident := _resident_bytes(entry)) > MAX_RESIDENT_BYTES:
-                self._find(f"{entry.name} holds {resident} bytes")
+                self._add_finding(f"{entry.name} has a resident set of {resident} bytes")
         for target in deployment.targets.values():
             if target.tokens_held:
-                self._find(f"memory is still held at {target.target_id}: {target.tickets}")
+                self._add_finding(
+                    f"{target.target_id} still has KV cache tickets: {target.tickets}"
+                )
             if target.running:
-                self._find(f"{target.target_id} still runs {target.running} requests")
+                self._add_finding(f"{target.target_id} still runs {target.running} requests")
         self._check_drained()
-        await self._send_final()
-        self._report.findings += [f"promise: {text}" for text in deployment.ledger.violations()]
+        await self._send_final_requests()
+        self._report.findings += [
+            f"guarantee violated: {text}" for text in deployment.ledger.violations()
+        ]
 
     def _check_drained(self) -> None:
-        """Check that no work reached a leaving target late while entries and store were well."""
-        runs = [run for found in self._world.ledger.runs.values() for run in found]
+        """Check that no request started late on a draining target.
+
+        Requests around a fault of an entry process or the store are exempt.
+        """
+        runs = [run for found in self._deployment.ledger.runs.values() for run in found]
         for run in runs:
-            drained = self._drained.get(run.target_id)
+            drained = self._drained_at.get(run.target_id)
             if drained is None or run.started_at < drained + DRAIN_SECONDS:
                 continue
-            since = drained - TOUCH_SECONDS
-            if not any(begun < run.started_at and end > since for begun, end in self._disturbed):
+            since = drained - UNDISTURBED_SECONDS
+            if not any(
+                started_at < run.started_at and end > since
+                for started_at, end in self._disturbances
+            ):
                 late = run.started_at - drained
-                self._find(f"{run.request_id} ran at {run.target_id} {late:.2f} s after its drain")
+                self._add_finding(
+                    f"{run.request_id} started on {run.target_id} {late:.2f} s after its drain"
+                )
 
-    async def _send_final(self) -> None:
-        caller = self._world.caller()
-        count = round(FINAL_SECONDS / SEND_INTERVAL)
-        requests = [self._world.request(route) for route in ("short", "book", "look") * count][
+    async def _send_final_requests(self) -> None:
+        caller = self._deployment.caller()
+        count = round(FINAL_LOAD_SECONDS / SEND_INTERVAL)
+        requests = [self._deployment.request(route) for route in ("short", "book", "look") * count][
             :count
         ]
 
         async def send(request: CallerRequest) -> None:
-            self._final.append(await caller.send(request))
+            self._final_replies.append(await caller.send(request))
 
         async with trio.open_nursery() as nursery:
             for request in requests:
                 nursery.start_soon(send, request)
                 await trio.sleep(SEND_INTERVAL)
-        for reply in self._final:
+        for reply in self._final_replies:
             if reply.status != 200 or not reply.complete:
-                self._find(
-                    f"{reply.request_id} on {reply.request.path} got {reply.status} at the end"
+                self._add_finding(
+                    f"{reply.request_id} on {reply.request.path} got status {reply.status} "
+                    "in the final load"
                 )
 
 
@@ -424,14 +444,14 @@
 
 
 async def soak_seed(seed: int, seconds: float, size: DeploymentSize, folder: Path) -> SoakReport:
-    """Run one seed; logs of the entry processes are in the folder."""
+    """Run one seed; the logs of the entry processes are written to the folder."""
     report = SoakReport(seed)
     async with trio.open_nursery() as nursery:
         soaks: list[Soak] = []
 
         async def prepare(deployment: Deployment) -> None:
             soaks.append(Soak(deployment, report))
-            await soaks[0].put_proxies(nursery)
+            await soaks[0].start_proxies(nursery)
 
         async with open_deployment(size, folder, prepare):
             await soaks[0].run(seconds)
@@ -442,10 +462,10 @@
 @click.command()
 @click.option("--seed", "first", default=1, help="First seed.")
 @click.option("--seeds", default=1, help="Number of seeds, run one after the other.")
-@click.option("--seconds", default=20.0, help="Time with faults, in seconds.")
-@click.option("--entries", default=4, help="Entry processes.")
-@click.option("--engines", default=6, help="Engines.")
-@click.option("--block", default=60, help="Second number of the IP addresses.")
+@click.option("--seconds", default=20.0, help="Duration of load and faults, in seconds.")
+@click.option("--entries", default=4, help="Number of entry processes.")
+@click.option("--engines", default=6, help="Number of engines.")
+@click.option("--block", default=60, help="Second octet of the IP addresses.")
 @click.option(
     "--keep", type=click.Path(path_type=Path), help="Folder for the logs of failed seeds."
 )
@@ -458,7 +478,7 @@
     block: int,
     keep: Path | None,
 ) -> None:
-    """Soak the real entry processes with faults, and print what was wrong with its seed."""
+    """Soak the real entry processes with faults, and print the findings of each seed."""
     failed = 0
     for seed in range(first, first + seeds):
         size = DeploymentSize(entries=entries, engines=engines, plain=3, block=block + seed % 10)
--- a/standins/wasabiwell_standins/users_platform/store.py
+++ b/standins/wasabiwell_standins/users_platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's store: rows in tables, transactions, held queries for changes, and faults."""
+"""The platform's store: tables of rows, transactions, long polling for changes, and faults."""
 
 import enum
 from base64 import b64decode, b64encode
@@ -12,12 +12,12 @@
 from wasabiwell_standins.asgi import Call, serve_http
 
 HISTORY_LENGTH = 10_000
-PATIENCE_SECONDS = 60.0
-"""How long a silent store keeps a connection open."""
+SILENT_SECONDS = 60.0
+"""How long the store keeps a connection open without responding."""
 
 
 class Outage(enum.Enum):
-    """What the store does instead of answering."""
+    """How the store fails: with an HTTP status, or with no response for `SILENT`."""
 
     BUSY = 503
     MANY = 429
@@ -26,16 +26,20 @@
 
 @dataclass(slots=True)
 class StoreFaults:
-    """Faults in force; `delay_s` is added to each call. Writes whose answer is lost are made."""
+    """Active faults.
+
+    `delay_s` is added to each call. `lose_responses` is the number of coming transactions that are
+    committed without a response.
+    """
 
     outage: Outage | None = None
     delay_s: float = 0.0
-    lose_answers: int = 0
+    lose_responses: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
-    """Where a row is."""
+class RowKey:
+    """Table and key of a row."""
 
     table: str
     key: str
@@ -43,41 +47,41 @@
 
 @dataclass(slots=True)
 class StoreStandIn:
-    """The store in memory; `version` is the count of transactions."""
+    """In-memory store; `version` is the number of transactions so far."""
 
     faults: StoreFaults = field(default_factory=StoreFaults)
     version: int = 0
-    calls: int = 0
-    _rows: dict[Place, tuple[bytes, int]] = field(default_factory=dict)
-    _changes: deque[tuple[int, Place]] = field(default_factory=deque)
-    _forgotten: int = 0
+    call_count: int = 0
+    _rows: dict[RowKey, tuple[bytes, int]] = field(default_factory=dict)
+    _changes: deque[tuple[int, RowKey]] = field(default_factory=deque)
+    _last_discarded_version: int = 0
     _changed: trio.Event = field(default_factory=trio.Event)
 
     async def serve(self, host: str, port: int) -> None:
         """Serve until cancelled."""
-        await serve_http(self.answer, host, port)
+        await serve_http(self.handle, host, port)
 
-    def put(self, table: str, key: str, value: bytes | None) -> None:
-        """Write or remove a row, as the platform itself does."""
-        self._write([(Place(table, key), value)])
+    def put_row(self, table: str, key: str, value: bytes | None) -> None:
+        """Write a row, or remove it if `value` is None, without a precondition."""
+        self._write([(RowKey(table, key), value)])
 
     def put_json(self, table: str, key: str, value: Any) -> None:
         """Write a row with a JSON value."""
-        self.put(table, key, msgspec.json.encode(value))
+        self.put_row(table, key, msgspec.json.encode(value))
 
-    def forget_history(self) -> None:
-        """Discard the changes that are kept."""
-        self._forgotten = self.version
+    def discard_history(self) -> None:
+        """Discard the change history, so that polls for older changes get status 410."""
+        self._last_discarded_version = self.version
         self._changes.clear()
-        self._wake()
+        self._notify_waiters()
 
-    async def answer(self, call: Call) -> None:
-        """Answer a call."""
-        self.calls += 1
+    async def handle(self, call: Call) -> None:
+        """Handle a call, subject to the active faults."""
+        self.call_count += 1
         await trio.sleep(self.faults.delay_s)
         match self.faults.outage:
             case Outage.SILENT:
-                await trio.sleep(PATIENCE_SECONDS)
+                await trio.sleep(SILENT_SECONDS)
                 return
             case Outage() as outage:
                 await call.reply(outage.value, {})
@@ -86,7 +90,7 @@
             case "/rows-get":
                 await call.reply(200, self._read(call))
             case "/rows-feed":
-                await self._follow(call)
+                await self._wait_for_changes(call)
             case "/rows-tx":
                 await self._transact(call)
             case _:
@@ -96,68 +100,70 @@
         table, limit = call.query("table"), int(call.query("limit", "500"))
         start, end = call.query("from"), call.query("target")
         keys = sorted(
-            place.key
-            for place in self._rows
-            if place.table == table and place.key >= start and (not end or place.key < end)
+            row_key.key
+            for row_key in self._rows
+            if row_key.table == table and row_key.key >= start and (not end or row_key.key < end)
         )
-        rows = [self._row(Place(table, key)) for key in keys[:limit]]
+        rows = [self._row(RowKey(table, key)) for key in keys[:limit]]
         return {"rows": rows, "truncated": len(keys) > limit, "row_version": self.version}
 
-    async def _follow(self, call: Call) -> None:
+    async def _wait_for_changes(self, call: Call) -> None:
         table, after = call.query("table"), int(call.query("after_revision"))
         with trio.move_on_after(int(call.query("wait_ms", "0")) / 1000):
-            while after >= self._forgotten and not self._changed_rows(table, after):
+            while after >= self._last_discarded_version and not self._changed_rows(table, after):
                 await self._changed.wait()
-        if after < self._forgotten:
+        if after < self._last_discarded_version:
             await call.reply(410, {})
             return
         rows = self._changed_rows(table, after)
         await call.reply(200, {"rows": rows, "row_version": self.version})
 
     def _changed_rows(self, table: str, after: int) -> list[dict[str, Any]]:
-        places = dict.fromkeys(
-            place for version, place in self._changes if version > after and place.table == table
+        row_keys = dict.fromkeys(
+            row_key
+            for version, row_key in self._changes
+            if version > after and row_key.table == table
         )
-        return [self._row(place) for place in places]
+        return [self._row(row_key) for row_key in row_keys]
 
-    def _row(self, place: Place) -> dict[str, Any]:
-        row = {"table": place.table, "part": "", "key": place.key}
-        if place not in self._rows:
+    def _row(self, row_key: RowKey) -> dict[str, Any]:
+        row = {"table": row_key.table, "part": "", "key": row_key.key}
+        if row_key not in self._rows:
             return {**row, "deleted": True, "row_version": self.version}
-        value, version = self._rows[place]
+        value, version = self._rows[row_key]
         return {**row, "value": b64encode(value).decode(), "row_version": version}
 
     async def _transact(self, call: Call) -> None:
         body = msgspec.json.decode(call.body)
         for item in body["precondition"]:
-            _, version = self._rows.get(_place(item), (b"", 0))
+            _, version = self._rows.get(_row_key(item), (b"", 0))
             if version != item["row_version"]:
                 await call.reply(412, {"rows": [], "row_version": self.version})
                 return
-        writes = [(_place(item), b64decode(item["value"])) for item in body["writes"]]
-        self._write([*writes, *((_place(item), None) for item in body["remove"])])
-        if self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
-            await trio.sleep(PATIENCE_SECONDS)
+        writes = [(_row_key(item), b64decode(item["value"])) for item in body["writes"]]
+        self._write([*writes, *((_row_key(item), None) for item in body["remove"])])
+        if self.faults.lose_responses > 0:
+            self.faults.lose_responses -= 1
+            await trio.sleep(SILENT_SECONDS)
             return
         await call.reply(200, {"row_version": self.version})
 
-    def _write(self, writes: list[tuple[Place, bytes | None]]) -> None:
+    def _write(self, writes: list[tuple[RowKey, bytes | None]]) -> None:
         self.version += 1
-        for place, value in writes:
+        for row_key, value in writes:
             if value is None:
-                self._rows.pop(place, None)
+                self._rows.pop(row_key, None)
             else:
-                self._rows[place] = (value, self.version)
-            self._changes.append((self.version, place))
+                self._rows[row_key] = (value, self.version)
+            self._changes.append((self.version, row_key))
         while len(self._changes) > HISTORY_LENGTH:
-            self._forgotten = self._changes.popleft()[0]
-        self._wake()
+            self._last_discarded_version = self._changes.popleft()[0]
+        self._notify_waiters()
 
-    def _wake(self) -> None:
+    def _notify_waiters(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
 
-def _place(item: dict[str, Any]) -> Place:
-    return Place(item["table"], item["key"])
+def _row_key(item: dict[str, Any]) -> RowKey:
+    return RowKey(item["table"], item["key"])
