--- a/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/load_capacity.py
@@ -13,7 +13,7 @@
 from wasabiwell_entry.state.targets import EngineLoad, TargetStatus, TargetTable
 
 
-class LoadCapacity:
+class LoadBasedCapacity:
     """Capacity without messages between entry instances.
 
     Admission counts what it holds in the target table, from which the estimate is made.
--- a/packages/entry/src/wasabiwell_entry/coordination/budget/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/__init__.py
@@ -1,5 +1,5 @@
 """Bounds the repeated sends of all entry instances together."""
 
-from wasabiwell_entry.coordination.budget.coordinator import RepeatBudget
+from wasabiwell_entry.coordination.budget.coordinator import RetryBudget
 
-__all__ = ["RepeatBudget"]
+__all__ = ["RetryBudget"]
--- a/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
@@ -6,7 +6,7 @@
 
 from wasabiwell_entry.coordination.budget.const import BUCKETS, USABLE_SHARE
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.exchange import RepeatNotice, ServiceUse
+from wasabiwell_entry.state.exchange import RetryBudgetUse, RetryNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,10 +23,10 @@
     """Requests and repeats by number of the bucket of time."""
 
     requests: dict[int, int] = field(default_factory=dict)
-    repeats: dict[int, int] = field(default_factory=dict)
+    retries: dict[int, int] = field(default_factory=dict)
 
 
-class RepeatBudget:
+class RetryBudget:
     """Allows repeated sends while all entry instances together stay within the limits."""
 
     __slots__ = ("_clock", "_counts", "_limits", "_peer_uses", "_tell", "refusals")
@@ -34,8 +34,8 @@
     def __init__(
         self,
         limits: BudgetLimits,
-        peer_uses: Callable[[], Iterable[tuple[ServiceUse, ...]]],
-        tell: Callable[[RepeatNotice], None],
+        peer_uses: Callable[[], Iterable[tuple[RetryBudgetUse, ...]]],
+        tell: Callable[[RetryNotice], None],
         clock: Clock,
     ) -> None:
         self._limits = limits
@@ -49,29 +49,29 @@
         """Count a caller's request."""
         _increment(self._of(service).requests, self._bucket())
 
-    def take(self, service: str) -> bool:
+    def try_consume(self, service: str) -> bool:
         """Count a repeated send, or return False when the budget is used up."""
         peers = [use for uses in self._peer_uses() for use in uses if use.service == service]
         own = self._use(service)
         requests = own.requests + sum(use.requests for use in peers)
-        repeats = own.repeats + sum(use.repeats for use in peers)
+        repeats = own.retries + sum(use.retries for use in peers)
         allowed = USABLE_SHARE * (self._limits.ratio * requests + self._limits.slack)
         if repeats + 1 > allowed:
             self.refusals += 1
             return False
-        _increment(self._of(service).repeats, self._bucket())
-        self._tell(RepeatNotice(service))
+        _increment(self._of(service).retries, self._bucket())
+        self._tell(RetryNotice(service))
         return True
 
-    def uses(self) -> tuple[ServiceUse, ...]:
+    def uses(self) -> tuple[RetryBudgetUse, ...]:
         """Return the own counts in the last window."""
         return tuple(self._use(service) for service in sorted(self._counts))
 
-    def _use(self, service: str) -> ServiceUse:
+    def _use(self, service: str) -> RetryBudgetUse:
         counts = self._of(service)
         oldest = self._bucket() - BUCKETS
-        return ServiceUse(
-            service, _sum_since(counts.requests, oldest), _sum_since(counts.repeats, oldest)
+        return RetryBudgetUse(
+            service, _sum_since(counts.requests, oldest), _sum_since(counts.retries, oldest)
         )
 
     def _of(self, service: str) -> _Counts:
--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
@@ -37,7 +37,7 @@
     StoredHead,
     Unreadable,
 )
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.coordination.membership.ownership import ranked_by_hash
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
@@ -163,19 +163,19 @@
         if snapshot is not None:
             self._replace(snapshot.version, snapshot.items)
 
-    def take_over(self, update: ConfigurationUpdate) -> None:
+    def apply_update(self, update: ConfigurationUpdate) -> None:
         """Put a peer's newer versions in force."""
         if update.items is not None:
             self._replace(update.version, update.items)
         for delta in update.deltas:
             self._advance(delta)
 
-    def take_push(self, delta: ConfigurationDelta) -> int:
+    def apply_pushed_delta(self, delta: ConfigurationDelta) -> int:
         """Put a pushed delta in force if it is the next one; return the version in force."""
         self._advance(delta)
         return self._state.version
 
-    def confirmed_by(self, announcement: Announcement) -> None:
+    def apply_confirmation(self, announcement: Announcement) -> None:
         """Take over the confirmation of a peer whose answer was just received."""
         age = announcement.confirmation_age
         if age is not None and announcement.version == self._state.version:
@@ -282,13 +282,13 @@
         self, member: Member, delta: ConfigurationDelta, results: list[bool]
     ) -> None:
         version = await self._peers.push(member, delta)
-        if isinstance(version, PeerSilent):
+        if isinstance(version, PeerUnreachable):
             return
         if version < delta.version:
             missing = self._state.deltas_since(version) or []
             for earlier in missing[:PUSHED_DELTAS]:
                 version = await self._peers.push(member, earlier)
-                if isinstance(version, PeerSilent):
+                if isinstance(version, PeerUnreachable):
                     return
         results.append(version >= delta.version)
 
@@ -307,8 +307,8 @@
     async def _fetch_from(self, member: Member) -> None:
         match await self._peers.fetch(member, self._state.version):
             case ConfigurationUpdate() as update:
-                self.take_over(update)
-            case PeerSilent():
+                self.apply_update(update)
+            case PeerUnreachable():
                 pass
 
     def _poll_due(self) -> bool:
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -37,7 +37,7 @@
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.credits import (
-    NOTHING,
+    ZERO_AMOUNT,
     Amount,
     CreditClaim,
     CreditPool,
@@ -127,10 +127,10 @@
             return Hold(hold_id, target_id, tokens)
         owner = self._owners.owner(target_id)
         if self._owners.is_own(owner):
-            pool.note_demand(amount, self._capacity(target_id))
+            pool.record_demand(amount, self._capacity(target_id))
             self._claim_own([pool])
         elif isinstance(owner, NoOwner):
-            pool.note_demand(amount, self._capacity(target_id))
+            pool.record_demand(amount, self._capacity(target_id))
             self._fall_back(pool)
         if pool.take(hold_id, amount, now):
             return Hold(hold_id, target_id, tokens)
@@ -139,7 +139,7 @@
     def request(self, target_id: str, tokens: int, size: SizeClass) -> None:
         """Note unmet demand of one request; the next message to the owner includes it."""
         pool = self._pool(target_id)
-        pool.note_demand(_amount(tokens, size), self._capacity(target_id))
+        pool.record_demand(_amount(tokens, size), self._capacity(target_id))
         owner = self._owners.owner(target_id)
         if isinstance(owner, Member) and owner.node_id in self._links:
             self._links[owner.node_id].wake.set()
@@ -182,7 +182,7 @@
         """Return the valid credit of each engine of which any is held."""
         now = self._clock.monotonic()
         valid = [(pool.engine_id, pool.valid(now)) for pool in self._pools.values()]
-        return [(engine_id, amount) for engine_id, amount in valid if amount != NOTHING]
+        return [(engine_id, amount) for engine_id, amount in valid if amount != ZERO_AMOUNT]
 
     def outstanding(self, engine_ids: Sequence[str]) -> list[CreditClaim]:
         """Return the credit and use of engines, for their new owner."""
@@ -213,7 +213,7 @@
         if now >= self._window_end:
             self._window_end = now + IDLE_WINDOW
             for pool in self._pools.values():
-                pool.turn_window()
+                pool.rotate_window()
         own: list[CreditPool] = []
         for pool in list(self._pools.values()):
             match self._owners.owner(pool.engine_id):
@@ -223,7 +223,7 @@
                     own.append(pool)
                 case owner:
                     self._wake_link(owner, pool, nursery)
-        self._claim_own([pool for pool in own if pool.amount != NOTHING or pool.wanted().slots])
+        self._claim_own([pool for pool in own if pool.amount != ZERO_AMOUNT or pool.wanted().slots])
 
     def _forget(self, pool: CreditPool) -> None:
         if self._targets.get(pool.engine_id) is None and not pool.open_holds:
@@ -248,7 +248,9 @@
             due = [pool for pool in pools if self._due(pool)]
             if due:
                 # Renewing the others too costs little in a message that is sent anyway.
-                others = [pool for pool in pools if pool not in due and pool.wanted() != NOTHING]
+                others = [
+                    pool for pool in pools if pool not in due and pool.wanted() != ZERO_AMOUNT
+                ]
                 await self._exchange(link, [*due, *others][:MAX_CLAIMS])
             else:
                 await link.wake.wait()
@@ -268,16 +270,16 @@
         """Return whether the owner must hear of a pool: demand, renewal, or a return."""
         now = self._clock.monotonic()
         wanted, valid = pool.wanted(), pool.valid(now)
-        if pool.unmet != NOTHING or not wanted.covers(valid):
+        if pool.unmet_demand != ZERO_AMOUNT or not wanted.covers(valid):
             return True
-        return wanted != NOTHING and pool.expires - now < RENEW_BEFORE
+        return wanted != ZERO_AMOUNT and pool.expires - now < RENEW_BEFORE
 
     async def _exchange(self, link: _OwnerLink, pools: list[CreditPool]) -> None:
         now = self._clock.monotonic()
-        unused = [pool for pool in pools if pool.wanted() == NOTHING]
+        unused = [pool for pool in pools if pool.wanted() == ZERO_AMOUNT]
         if unused:
             await self._peers.release(link.owner, [self._return_of(pool) for pool in unused])
-        wanted = {pool.engine_id: pool for pool in pools if pool.wanted() != NOTHING}
+        wanted = {pool.engine_id: pool for pool in pools if pool.wanted() != ZERO_AMOUNT}
         if not wanted:
             return
         claims = [pool.claim(now) for pool in wanted.values()]
@@ -339,8 +341,8 @@
         if load is None or now - load.reported > CREDIT_LIFETIME:
             return
         members = 1 + len(self._owners.others())
-        extra = fallback_amount(load, members, demand or pool.unmet)
-        pool.unmet = NOTHING
+        extra = fallback_amount(load, members, demand or pool.unmet_demand)
+        pool.unmet_demand = ZERO_AMOUNT
         pool.assume(pool.used + extra, now)
 
     async def _hold_part(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
@@ -365,7 +367,7 @@
         if isinstance(owner, NoOwner) or self._owners.is_own(owner):
             return
         pool = self._pool(target_id)
-        pool.note_demand(_amount(tokens, size), self._capacity(target_id))
+        pool.record_demand(_amount(tokens, size), self._capacity(target_id))
         claim = pool.claim(self._clock.monotonic())
         answers = await self._peers.acquire(owner, [claim])
         if not isinstance(answers, OwnerUnreachable):
@@ -382,10 +384,10 @@
     async def _return_credit(self) -> None:
         for pool in list(self._pools.values()):
             owner = self._owners.owner(pool.engine_id)
-            if isinstance(owner, NoOwner) or pool.amount == NOTHING:
+            if isinstance(owner, NoOwner) or pool.amount == ZERO_AMOUNT:
                 continue
             if self._owners.is_own(owner):
-                self._owner.take_back([self._return_of(pool)])
+                self._owner.accept_returns([self._return_of(pool)])
             else:
                 await self._peers.release(owner, [self._return_of(pool)])
 
@@ -403,12 +405,12 @@
         """Return the whole capacity of an engine, as it was reported last."""
         status = self._targets.get(engine_id)
         if status is None or status.load is None:
-            return NOTHING
+            return ZERO_AMOUNT
         return engine_capacity(status.load.slots, status.load.total_tokens)
 
     def _notify(self) -> None:
         for pool in self._pools.values():
-            pool.forget_repeated_demand()
+            pool.discard_repeated_demand()
         for observer in self._observers:
             observer()
 
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -23,7 +23,7 @@
 )
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.credits import (
-    NOTHING,
+    ZERO_AMOUNT,
     Amount,
     CreditClaim,
     CreditLedger,
@@ -84,7 +84,7 @@
         """Answer the claims of one holder."""
         return [self._answer(claim) for claim in claims]
 
-    def take_back(self, returns: Sequence[CreditReturn]) -> None:
+    def accept_returns(self, returns: Sequence[CreditReturn]) -> None:
         """Remove credits that a holder gives up."""
         for item in returns:
             engine = self._engines.get(item.engine_id)
@@ -118,7 +118,7 @@
         """Return the credit of an owned engine that has not expired."""
         engine = self._engines.get(engine_id)
         if engine is None:
-            return NOTHING
+            return ZERO_AMOUNT
         engine.ledger.expire(self._clock.monotonic())
         return engine.ledger.outstanding()
 
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/fleet.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/fleet.py
@@ -19,13 +19,13 @@
         self._listed: list[ListedTarget] = []
         self._table: RouteTable = NO_ROUTES
 
-    def put_targets(self, listed: list[ListedTarget]) -> None:
+    def update_targets(self, listed: list[ListedTarget]) -> None:
         """Take over the list of targets."""
         self._listed = listed
         self._health.update(listed)
         self._update()
 
-    def put_routes(self, table: RouteTable) -> None:
+    def update_routes(self, table: RouteTable) -> None:
         """Take over the routes, whose services tell the speed of their engines."""
         self._table = table
         self._update()
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
@@ -70,7 +70,7 @@
         """Return what the routes in force were decoded from, empty before the first."""
         return self._document
 
-    def announced(self, control_address: str, version: int) -> None:
+    def record_announcement(self, control_address: str, version: int) -> None:
         """Note the version that a peer has in force."""
         if version > self._table.version:
             self._announced[control_address] = version
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -109,7 +109,7 @@
         if self._followed is not None:
             self._followed = notice.revision
 
-    def whole_notice(self) -> ListingNotice | None:
+    def full_notice(self) -> ListingNotice | None:
         """Return the whole list for a peer that knows none, or None when it is not known here."""
         listing = self._listing
         if not listing.targets:
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/assembler.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/assembler.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from wasabiwell_entry.state.requests import EndFrame, StreamBroken, TokenFrame
+from wasabiwell_entry.state.requests import EndFrame, StreamInterrupted, TokenFrame
 
 
 class AnswerAssembler:
@@ -25,19 +25,19 @@
         """Return the text accepted so far."""
         return "".join(self._texts)
 
-    def accept(self, frame: TokenFrame) -> StreamBroken | None:
+    def accept(self, frame: TokenFrame) -> StreamInterrupted | None:
         """Accept the next frame, or tell why it does not continue the answer."""
         if frame.offset != self._offset:
-            return StreamBroken(f"expected offset {self._offset}, got {frame.offset}")
+            return StreamInterrupted(f"expected offset {self._offset}, got {frame.offset}")
         self._offset += frame.count
         self._texts.append(frame.text)
         self._digest.update(frame.text.encode())
         return None
 
-    def verify(self, end: EndFrame) -> StreamBroken | None:
+    def verify(self, end: EndFrame) -> StreamInterrupted | None:
         """Tell why an end mark does not fit the answer, or None when the answer is whole."""
         if end.tokens != self._offset:
-            return StreamBroken(f"end mark counts {end.tokens} tokens, {self._offset} arrived")
+            return StreamInterrupted(f"end mark counts {end.tokens} tokens, {self._offset} arrived")
         if end.digest != self._digest.hexdigest():
-            return StreamBroken("the digest of the end mark differs from the received text")
+            return StreamInterrupted("the digest of the end mark differs from the received text")
         return None
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -17,16 +17,16 @@
     AttemptBroken,
     AttemptFinished,
     AttemptOutcome,
-    CallBroken,
+    CallInterrupted,
     CallNotSent,
-    TargetGone,
+    TargetDown,
 )
 from wasabiwell_entry.coordination.dispatch.ports import (
     AdmissionPort,
-    AnswerSink,
     EnginePort,
     Placement,
     PlainPort,
+    ResponseSink,
     SuspectObserver,
     TargetFailure,
     TargetObserver,
@@ -37,7 +37,6 @@
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.outcomes import (
-    Answer,
     CallOutcome,
     Failed,
     Finished,
@@ -45,6 +44,7 @@
     Reason,
     Refused,
     RunState,
+    ServiceResponse,
 )
 from wasabiwell_entry.state.reports import without_target_text
 from wasabiwell_entry.state.requests import (
@@ -52,7 +52,7 @@
     EndFrame,
     GenerateRequest,
     ServiceCall,
-    StreamBroken,
+    StreamInterrupted,
     TokenFrame,
 )
 from wasabiwell_entry.state.runs import RunStatus
@@ -76,7 +76,7 @@
 
     excluded: set[str] = field(default_factory=set)
     sent: bool = False
-    answer: Answer | None = None
+    answer: ServiceResponse | None = None
     refused: Refused | None = None
     reason: str = "the deadline has passed"
 
@@ -114,7 +114,7 @@
         self._clock = clock
         self._retries = RetryBudget()
 
-    async def generate(self, request: GenerateRequest, sink: AnswerSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
         progress = _Progress()
         with trio.move_on_after(self._remaining_seconds(request)):
@@ -128,7 +128,7 @@
         return await self._call_once(call)
 
     async def _generate(
-        self, request: GenerateRequest, sink: AnswerSink, progress: _Progress
+        self, request: GenerateRequest, sink: ResponseSink, progress: _Progress
     ) -> GenerateOutcome:
         self._retries.count_first_attempt()
         while True:
@@ -139,7 +139,7 @@
                 if isinstance(placement, Refused):
                     return _refusal(progress, placement)
                 target_id = placement.target.target_id
-                async with self._suspects.one_suspect(request.fingerprint, target_id):
+                async with self._suspects.exclusive_retry(request.fingerprint, target_id):
                     if self._suspects.quarantined(request.fingerprint):
                         return _give_up(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
                     if await self._died_before_turn(request, placement.target):
@@ -148,7 +148,7 @@
                     outcome = await self._attempt(request, sink, progress, placement)
             match outcome:
                 case AttemptFinished(end=end):
-                    await self._suspects.finished(request.fingerprint)
+                    await self._suspects.record_success(request.fingerprint)
                     return Finished(end.tokens, end.finish_reason)
                 case AttemptBroken(broken=broken):
                     progress.last_reason = broken.reason
@@ -163,7 +163,7 @@
         """
         if not self._suspects.suspected(request.fingerprint):
             return False
-        if not isinstance(await self._engines.probe(target), TargetGone):
+        if not isinstance(await self._engines.probe(target), TargetDown):
             return False
         self._lost(target)
         return True
@@ -171,7 +171,7 @@
     async def _attempt(
         self,
         request: GenerateRequest,
-        sink: AnswerSink,
+        sink: ResponseSink,
         progress: _Progress,
         placement: Placement,
     ) -> AttemptOutcome:
@@ -198,7 +198,7 @@
         return outcome
 
     async def _relay(
-        self, target: Target, attempt: Attempt, sink: AnswerSink, progress: _Progress
+        self, target: Target, attempt: Attempt, sink: ResponseSink, progress: _Progress
     ) -> AttemptOutcome:
         async with self._engines.generate(target, attempt) as items:
             async for item in items:
@@ -212,11 +212,13 @@
                         if (broken := progress.assembler.verify(item)) is not None:
                             return AttemptBroken(broken)
                         return AttemptFinished(item)
-                    case StreamBroken():
+                    case StreamInterrupted():
                         return AttemptBroken(item)
-        return AttemptBroken(StreamBroken("the stream ended without an end mark"))
+        return AttemptBroken(StreamInterrupted("the stream ended without an end mark"))
 
-    async def _note_broken(self, target: Target, attempt: Attempt, broken: StreamBroken) -> None:
+    async def _note_broken(
+        self, target: Target, attempt: Attempt, broken: StreamInterrupted
+    ) -> None:
         log_events.emit(
             log_events.ATTEMPT_FAILED,
             request=attempt.request.request_id,
@@ -230,8 +232,8 @@
         if broken.refused:
             return
         # Only a target that is gone counts: a cut network would make suspects of all requests.
-        if isinstance(await self._engines.probe(target), TargetGone):
-            await self._suspects.crashed(attempt.request.fingerprint, target.target_id)
+        if isinstance(await self._engines.probe(target), TargetDown):
+            await self._suspects.record_crash(attempt.request.fingerprint, target.target_id)
 
     async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
         self._retries.count_first_attempt()
@@ -256,16 +258,16 @@
                     sending.refused = target
                     return
                 match await self._send(target, call, sending):
-                    case Answer(status=status) as answer:
+                    case ServiceResponse(status=status) as answer:
                         sending.answer = answer
                         if status != SERVICE_UNAVAILABLE:
                             return
-                    case CallNotSent() | CallBroken():
+                    case CallNotSent() | CallInterrupted():
                         self._lost(target)
 
     async def _send(
         self, target: Target, call: ServiceCall, sending: _Sending
-    ) -> Answer | CallNotSent | CallBroken:
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Send a call once; it counts as sent from here on unless the opposite is proved."""
         sent_before = sending.sent
         sending.excluded.add(target.target_id)
@@ -275,7 +277,7 @@
             case CallNotSent(reason=reason):
                 sending.sent = sent_before
                 sending.reason = reason
-            case CallBroken(reason=reason):
+            case CallInterrupted(reason=reason):
                 sending.reason = reason
         return outcome
 
@@ -307,10 +309,10 @@
                     sending.reason = target.message
                     return
                 match await self._send(target, call, sending):
-                    case Answer() as answer:
+                    case ServiceResponse() as answer:
                         sending.answer = answer
                         return
-                    case CallBroken():
+                    case CallInterrupted():
                         self._lost(target)
                         return
                     case CallNotSent():
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wasabiwell_entry.state.requests import EndFrame, StreamBroken
+from wasabiwell_entry.state.requests import EndFrame, StreamInterrupted
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,7 +16,7 @@
 class AttemptBroken:
     """The attempt ended without the whole answer."""
 
-    broken: StreamBroken
+    broken: StreamInterrupted
 
 
 AttemptOutcome = AttemptFinished | AttemptBroken
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TargetGone:
+class TargetDown:
     """The target refused or closed a new connection."""
 
 
@@ -37,7 +37,7 @@
     """No answer came on a new connection: the target is frozen, or the network is cut."""
 
 
-ProbeOutcome = TargetAlive | TargetGone | TargetSilent
+ProbeOutcome = TargetAlive | TargetDown | TargetSilent
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +48,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallBroken:
+class CallInterrupted:
     """The call was sent, at least in part, and no whole answer came."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -6,8 +6,8 @@
 from datetime import timedelta
 from typing import Protocol
 
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent, ProbeOutcome
-from wasabiwell_entry.state.outcomes import Answer, Refused
+from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted, CallNotSent, ProbeOutcome
+from wasabiwell_entry.state.outcomes import Refused, ServiceResponse
 from wasabiwell_entry.state.requests import (
     Attempt,
     GenerateRequest,
@@ -19,7 +19,7 @@
 from wasabiwell_entry.state.targets import Target
 
 
-class AnswerSink(Protocol):
+class ResponseSink(Protocol):
     """Receiver of an answer's tokens; `send` waits while the caller reads slowly."""
 
     async def send(self, frame: TokenFrame) -> None:
@@ -32,7 +32,7 @@
     def generate(
         self, target: Target, attempt: Attempt
     ) -> AbstractAsyncContextManager[AsyncIterator[StreamItem]]:
-        """Run an attempt; the last item is an `EndFrame` or a `StreamBroken`.
+        """Run an attempt; the last item is an `EndFrame` or a `StreamInterrupted`.
 
         Leaving the context cancels the attempt at the engine.
         """
@@ -44,7 +44,9 @@
 class PlainPort(Protocol):
     """Connections to plain services."""
 
-    async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
+    async def call(
+        self, target: Target, call: ServiceCall
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Send a call once; it is not repeated below this interface."""
 
 
@@ -105,11 +107,13 @@
     def suspected(self, fingerprint: str) -> bool:
         """Return whether a target died while it ran the request."""
 
-    def one_suspect(self, fingerprint: str, target_id: str) -> AbstractAsyncContextManager[None]:
+    def exclusive_retry(
+        self, fingerprint: str, target_id: str
+    ) -> AbstractAsyncContextManager[None]:
         """Wait until no other suspect runs on the target; others do not wait."""
 
-    async def crashed(self, fingerprint: str, target_id: str) -> None:
+    async def record_crash(self, fingerprint: str, target_id: str) -> None:
         """Mark a request that ran on a target when it died."""
 
-    async def finished(self, fingerprint: str) -> None:
+    async def record_success(self, fingerprint: str) -> None:
         """Clear a request that has finished."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/cells.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/cells.py
@@ -12,12 +12,12 @@
 )
 from wasabiwell_entry.state.exchange import (
     AttemptVerdict,
-    Ending,
+    DecodeStarted,
     Notice,
     PlacementNotice,
-    Placing,
-    RepeatNotice,
-    Writing,
+    RequestEnded,
+    RequestPlaced,
+    RetryNotice,
 )
 from wasabiwell_entry.state.nodes import NodeTable
 from wasabiwell_entry.state.work import WorkTable
@@ -34,7 +34,7 @@
     NOBODY = "nobody"
 
 
-class ZoneCells:
+class ZoneLocality:
     """Makes each zone a cell whose instances place most requests on the targets of that zone.
 
     Messages on requests that one target of the zone processes are then told in the zone only, so
@@ -70,26 +70,26 @@
     def audience(self, notice: Notice, now: float) -> Audience:
         """Return whom a message concerns; `now` is a monotonic time in seconds."""
         match notice:
-            case Placing(notice=placing) if placing.prompt == 0 and self.large_fleet:
+            case RequestPlaced(notice=placing) if placing.prompt == 0 and self.large_fleet:
                 self._untold[placing.request_id] = (now, placing)
                 return Audience.NOBODY
-            case Ending(request_id=request_id) if request_id in self._untold:
+            case RequestEnded(request_id=request_id) if request_id in self._untold:
                 del self._untold[request_id]
                 return Audience.ZONE if notice.verdict in TOLD_VERDICTS else Audience.NOBODY
-            case Placing(notice=placing) if self._is_near(placing):
+            case RequestPlaced(notice=placing) if self._is_near(placing):
                 self._near.add(placing.request_id)
                 return Audience.ZONE
-            case Writing(request_id=request_id) if request_id in self._near:
+            case DecodeStarted(request_id=request_id) if request_id in self._near:
                 return Audience.NOBODY
-            case Ending(request_id=request_id) if request_id in self._near:
+            case RequestEnded(request_id=request_id) if request_id in self._near:
                 self._near.discard(request_id)
                 return Audience.ZONE
-            case RepeatNotice() if not self.large_fleet:
+            case RetryNotice() if not self.large_fleet:
                 return Audience.NOBODY
             case _:
                 return Audience.ALL
 
-    def overdue_calls(self, now: float) -> list[Placing]:
+    def overdue_calls(self, now: float) -> list[RequestPlaced]:
         """Return messages on the calls that have run for a while and were not told yet."""
         overdue = [
             (began, notice)
@@ -99,7 +99,7 @@
         for _, notice in overdue:
             del self._untold[notice.request_id]
             self._near.add(notice.request_id)
-        return [Placing(_aged(notice, now - began)) for began, notice in overdue]
+        return [RequestPlaced(_aged(notice, now - began)) for began, notice in overdue]
 
     def is_own(self, zone: str) -> bool:
         """Return whether a zone is that of this instance."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -5,7 +5,6 @@
 
 import trio
 
-from wasabiwell_entry.coordination.exchange.cells import Audience, ZoneCells
 from wasabiwell_entry.coordination.exchange.const import (
     KNOWN_PEERS_SHARE,
     LISTED_TIMEOUT,
@@ -20,22 +19,23 @@
 from wasabiwell_entry.coordination.exchange.registration import Registration
 from wasabiwell_entry.coordination.exchange.sender import StateSender
 from wasabiwell_entry.coordination.exchange.watch import PeerWatch, loss_of
+from wasabiwell_entry.coordination.exchange.zone_locality import Audience, ZoneLocality
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
-    Ending,
+    DecodeStarted,
     HelperLoss,
     ListingNotice,
     NodeAddresses,
     NodeState,
     Notice,
-    PaceNotice,
     PeerLoss,
-    Placing,
-    RepeatNotice,
+    RequestEnded,
+    RequestPlaced,
+    RetryNotice,
+    SlowdownNotice,
     Suspicion,
     WatchRequest,
-    Writing,
 )
 from wasabiwell_entry.state.members import Member
 from wasabiwell_entry.state.nodes import Node, NodeTable
@@ -46,20 +46,20 @@
 class ExchangeObservers:
     """Receivers of what other entry instances tell, apart from placements.
 
-    `routes_announced` takes the control address of a peer. `whole_listing` returns what a peer is
+    `routes_announced` takes the control address of a peer. `full_listing` returns what a peer is
     told that does not know any target, or None. `helper_lost` takes the id of a target.
     `suspicions` returns what a peer is told that was not heard before or for long, and
     `recent_suspicions` what is repeated with each state, as a message may be lost.
     """
 
-    ended: Callable[[Ending], None]
+    request_ended: Callable[[RequestEnded], None]
     helper_lost: Callable[[str], None]
-    suspected: Callable[[Suspicion], None]
+    suspicion_received: Callable[[Suspicion], None]
     suspicions: Callable[[], Iterable[Suspicion]]
     recent_suspicions: Callable[[], Iterable[Suspicion]]
-    listed: Callable[[str, ListingNotice], None]
+    listing_received: Callable[[str, ListingNotice], None]
     routes_announced: Callable[[str, int], None]
-    whole_listing: Callable[[], ListingNotice | None]
+    full_listing: Callable[[], ListingNotice | None]
 
 
 class ExchangeCoordinator:
@@ -92,7 +92,7 @@
         own_state: Callable[[], NodeState],
         nodes: NodeTable,
         works: WorkTable,
-        cells: ZoneCells,
+        zone_locality: ZoneLocality,
         port: NoticePort,
         directory: NodeDirectory,
         observers: ExchangeObservers,
@@ -103,25 +103,32 @@
         self._own_state = own_state
         self._nodes = nodes
         self._works = works
-        self._cells = cells
+        self._cells = zone_locality
         self._port = port
         self._observers = observers
         self._seeds = seeds
         self._clock = clock
         ring = MonitorRing(own_address)
         self._sender = StateSender(
-            own_address, own_state, observers.recent_suspicions, nodes, cells, ring, port, clock
+            own_address,
+            own_state,
+            observers.recent_suspicions,
+            nodes,
+            zone_locality,
+            ring,
+            port,
+            clock,
         )
-        self._watch = PeerWatch(nodes, works, ring, self._sender, port, self.tell)
+        self._watch = PeerWatch(nodes, works, ring, self._sender, port, self.broadcast)
         self._registration = Registration(
-            own_address, directory, self.rank, lambda: not self.peers(), self.meet, clock
+            own_address, directory, self.rank, lambda: not self.peers(), self.add_peer, clock
         )
         self._sending: set[str] = set()
         self._nursery: trio.Nursery | None = None
 
     def peers(self) -> list[Node]:
         """Return the peers that are heard, in the order of addresses."""
-        return self._nodes.within_silence(self._now())
+        return self._nodes.reachable(self._now())
 
     def alive(self) -> list[Member]:
         """Return the entry instances that callers may use, this one included.
@@ -142,7 +149,7 @@
         """Return the place of this instance among those that are heard, by address, from 0."""
         return sum(1 for node in self.peers() if node.address < self._own_address)
 
-    def tell(self, notice: Notice) -> None:
+    def broadcast(self, notice: Notice) -> None:
         """Send a message to the peers that are heard and that it concerns."""
         match self._cells.audience(notice, self._now()):
             case Audience.ALL:
@@ -159,7 +166,7 @@
             if node.state is not None and self._cells.is_own(node.state.zone)
         ]
 
-    def tell_state(self) -> None:
+    def broadcast_state(self) -> None:
         """Send the state to all peers at once, after a change that they should know of."""
         self._sender.send_to_all()
 
@@ -168,7 +175,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for seed in self._seeds:
-                self.meet(seed)
+                self.add_peer(seed)
             nursery.start_soon(self._port.receive, self)
             nursery.start_soon(self._registration.run)
             while True:
@@ -182,19 +189,19 @@
         now = self._now()
         if not isinstance(notice, NodeState):
             self._note_return(sender, now)
-            self._nodes.hear(sender, now)
+            self._nodes.record_contact(sender, now)
         match notice:
-            case Placing(notice=placing):
+            case RequestPlaced(notice=placing):
                 self._works.add(placed_by_notice(sender, placing, now), now)
-            case Writing(request_id=request_id):
-                self._works.begin_writing(request_id, now)
-            case PaceNotice(target_id=target_id, pace=pace):
+            case DecodeStarted(request_id=request_id):
+                self._works.start_decode(request_id, now)
+            case SlowdownNotice(target_id=target_id, slowdown=pace):
                 if (work := self._works.get(target_id)) is not None:
                     work.advance(now)
-                    work.pace = pace
-            case Ending() as ending:
+                    work.slowdown = pace
+            case RequestEnded() as ending:
                 self._works.remove(ending.request_id, now)
-                self._observers.ended(ending)
+                self._observers.request_ended(ending)
             case HelperLoss(target_id=target_id):
                 self._observers.helper_lost(target_id)
             case PeerLoss(address=address) if address == self._own_address:
@@ -203,21 +210,21 @@
                 self._watch.receive_loss(loss, now)
             case WatchRequest():
                 self._watch.receive_request(sender, now)
-            case RepeatNotice(service=service):
-                self._nodes.count_repeat(sender, service)
+            case RetryNotice(service=service):
+                self._nodes.count_retry(sender, service)
             case Suspicion() as suspicion:
-                self._observers.suspected(suspicion)
+                self._observers.suspicion_received(suspicion)
             case ListingNotice() as listing:
-                self._observers.listed(sender, listing)
+                self._observers.listing_received(sender, listing)
             case NodeState() as state:
                 self._receive_state(sender, state, now)
             case NodeAddresses(addresses=addresses):
                 for address in addresses:
-                    self.meet(address)
+                    self.add_peer(address)
 
     def _receive_state(self, sender: str, state: NodeState, now: float) -> None:
         unknown = self._nodes.get(sender) is None
-        began = self.meet(sender)
+        began = self.add_peer(sender)
         node = self._nodes.put(sender, now)
         known = node.state
         if known is not None and (state.incarnation, state.sequence) <= (
@@ -233,7 +240,7 @@
             self._tell_suspicions(sender)
         self._note_return(sender, now)
         node.heard, node.state, node.lost = now, state, False
-        node.allowed_silence = SILENT_INTERVALS * state.interval_ms / 1000
+        node.silence_timeout = SILENT_INTERVALS * state.interval_ms / 1000
         self._works.retain(sender, frozenset(state.placed), now)
         self._observers.routes_announced(state.control_address, state.routes_version)
         self._introduce(sender, state, unknown)
@@ -243,7 +250,7 @@
         if unknown or self._lacks_peers(state):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in self.peers())))
         if not state.knows_targets and self.rank() < LISTING_SENDERS:
-            listing = self._observers.whole_listing()
+            listing = self._observers.full_listing()
             if listing is not None:
                 self._port.send([sender], listing)
 
@@ -259,7 +266,7 @@
         node = self._nodes.get(sender)
         if node is None or node.heard is None or node.state is None:
             return
-        if not node.lost and node.silence(now) <= node.allowed_silence:
+        if not node.lost and node.silence(now) <= node.silence_timeout:
             return
         log_events.emit(log_events.PEER_HEARD, peer=sender, zone=node.state.zone)
         self._tell_suspicions(sender)
@@ -272,7 +279,7 @@
         for suspicion in self._observers.suspicions():
             self._port.send([address], suspicion)
 
-    def meet(self, address: str) -> bool:
+    def add_peer(self, address: str) -> bool:
         """Add a peer and start the task that sends it states; return False when it is known."""
         if address == self._own_address or address in self._sending or self._nursery is None:
             return False
@@ -294,7 +301,7 @@
             self._watch.look(now)
         for node in self._nodes.heard():
             silence = node.silence(now)
-            if 0 <= silence - node.allowed_silence < SWEEP_INTERVAL.total_seconds():
+            if 0 <= silence - node.silence_timeout < SWEEP_INTERVAL.total_seconds():
                 log_events.emit(
                     log_events.PEER_SILENT, peer=node.address, silence_s=round(silence, 2)
                 )
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
@@ -5,7 +5,7 @@
 from datetime import datetime
 
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.exchange import NodeState, ServiceUse
+from wasabiwell_entry.state.exchange import NodeState, RetryBudgetUse
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,7 +25,7 @@
     leaving: Callable[[], bool]
     routes_version: Callable[[], int]
     knows_targets: Callable[[], bool]
-    uses: Callable[[], tuple[ServiceUse, ...]]
+    uses: Callable[[], tuple[RetryBudgetUse, ...]]
     placed: Callable[[], tuple[str, ...]]
     peers: Callable[[], int]
 
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/placements.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/placements.py
@@ -2,15 +2,15 @@
 
 from wasabiwell_entry.state.exchange import PlacementNotice
 from wasabiwell_entry.state.forwarding import PromptSize
-from wasabiwell_entry.state.work import Placed
+from wasabiwell_entry.state.work import PlacedRequest
 
 
-def placed_by_notice(sender: str, notice: PlacementNotice, now: float) -> Placed:
+def placed_by_notice(sender: str, notice: PlacementNotice, now: float) -> PlacedRequest:
     """Return a request that a peer has placed."""
     size = None
     if notice.prompt:
         size = PromptSize(notice.prompt, notice.max_output, notice.expected_output)
-    return Placed(
+    return PlacedRequest(
         request_id=notice.request_id,
         origin=sender,
         service=notice.service,
@@ -20,12 +20,12 @@
         due=now + notice.due_in_ms / 1000,
         gap=notice.gap_ms / 1000,
         size=size,
-        writing=notice.writing,
-        holds=notice.holds,
+        decoding=notice.decoding,
+        helper_kv_tokens=notice.helper_kv_tokens,
     )
 
 
-def placement_notice(placed: Placed, now: float) -> PlacementNotice:
+def placement_notice(placed: PlacedRequest, now: float) -> PlacementNotice:
     """Return what peers are told of a placed request."""
     size = placed.size or PromptSize(0, 0, 0)
     return PlacementNotice(
@@ -39,6 +39,6 @@
         prompt=size.prompt,
         max_output=size.max_output,
         expected_output=size.expected_output,
-        writing=placed.writing,
-        holds=placed.holds,
+        decoding=placed.decoding,
+        helper_kv_tokens=placed.helper_kv_tokens,
     )
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
@@ -7,7 +7,6 @@
 import trio
 import xxhash
 
-from wasabiwell_entry.coordination.exchange.cells import ZoneCells
 from wasabiwell_entry.coordination.exchange.const import (
     FAR_STATES_PER_SECOND,
     FORGET_TIMEOUT,
@@ -18,6 +17,7 @@
 )
 from wasabiwell_entry.coordination.exchange.monitors import MonitorRing
 from wasabiwell_entry.coordination.exchange.ports import NoticePort
+from wasabiwell_entry.coordination.exchange.zone_locality import ZoneLocality
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import NodeState, Suspicion
 from wasabiwell_entry.state.nodes import NodeTable
@@ -49,7 +49,7 @@
         own_state: Callable[[], NodeState],
         recent_suspicions: Callable[[], Iterable[Suspicion]],
         nodes: NodeTable,
-        cells: ZoneCells,
+        zone_locality: ZoneLocality,
         ring: MonitorRing,
         port: NoticePort,
         clock: Clock,
@@ -57,7 +57,7 @@
         self._own_state = own_state
         self._recent_suspicions = recent_suspicions
         self._nodes = nodes
-        self._cells = cells
+        self._cells = zone_locality
         self._ring = ring
         self._ring_changed = trio.Event()
         self._port = port
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/watch.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/watch.py
@@ -61,14 +61,14 @@
             # This instance was paused: what the others have sent meanwhile waits to be read.
             self._resumed = now
         self._looked = now
-        heard = self._nodes.within_silence(now)
+        heard = self._nodes.reachable(now)
         if self._ring.update([node.address for node in heard], now):
             self._sender.monitors_changed()
         given = self._ring.watched()
         limit = WATCH_SILENCE.total_seconds()
         for node in self._nodes.heard():
             since = given.get(node.address)
-            frequent = node.allowed_silence <= limit
+            frequent = node.silence_timeout <= limit
             if node.state is None or (since is None and not frequent):
                 continue
             if now - max(node.heard or 0.0, since or 0.0, self._resumed) > limit:
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.forwarding.const import (
     EXPECTED_BEFORE_REPEAT,
     MAX_HELD_BYTES,
@@ -19,8 +19,8 @@
 )
 from wasabiwell_entry.coordination.forwarding.errors import AttemptOutcome, Delivered, Held
 from wasabiwell_entry.coordination.forwarding.holds import NotReserved, hold_memory
-from wasabiwell_entry.coordination.forwarding.patience import Patience
-from wasabiwell_entry.coordination.forwarding.ports import AnswerSink, TargetPort
+from wasabiwell_entry.coordination.forwarding.ports import ResponseSink, TargetPort
+from wasabiwell_entry.coordination.forwarding.silence_timeout import Patience
 from wasabiwell_entry.coordination.placement import Placer
 from wasabiwell_entry.coordination.placement.const import NO_TARGET_RETRY_AFTER
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
@@ -31,16 +31,16 @@
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import AttemptVerdict
 from wasabiwell_entry.state.forwarding import (
-    AnswerEnd,
-    AnswerEvent,
-    AnswerHead,
-    AnswerPart,
-    Broken,
     ForwardAttempt,
     Forwarded,
     ForwardedRequest,
     NotRun,
     NotSent,
+    ResponseChunk,
+    ResponseEnd,
+    ResponseEvent,
+    ResponseHead,
+    ResponseInterrupted,
 )
 from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
 from wasabiwell_entry.state.routes import RouteKind
@@ -85,7 +85,7 @@
         ledger: PlacementLedger,
         targets: TargetPort,
         reservations: EngineReservations,
-        budget: RepeatBudget,
+        budget: RetryBudget,
         crashes: CrashCounts,
         clock: Clock,
     ) -> None:
@@ -97,7 +97,7 @@
         self._budget = budget
         self._clock = clock
 
-    async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
+    async def forward(self, request: ForwardedRequest, sink: ResponseSink) -> ForwardOutcome:
         """Forward a request and deliver its answer to the sink.
 
         After a `Failed` the sink may have a part of the answer, which must not look whole.
@@ -109,7 +109,7 @@
         return _gave_up(progress, Reason.DEADLINE_EXCEEDED, progress.reason)
 
     async def _forward(
-        self, request: ForwardedRequest, sink: AnswerSink, progress: _Progress
+        self, request: ForwardedRequest, sink: ResponseSink, progress: _Progress
     ) -> ForwardOutcome:
         while True:
             crashes = self._crashes.crashes(request.fingerprint)
@@ -135,7 +135,7 @@
                         request, progress
                     ):
                         return await _deliver(held, sink)
-                case Broken(reason=reason):
+                case ResponseInterrupted(reason=reason):
                     progress.reason = reason
                     if not self._may_run_again(request, progress):
                         return await self._end(progress, sink, reason, REFUSED_RETRY_AFTER)
@@ -155,7 +155,7 @@
             return False
         if isinstance(outcome, NotSent):
             return True
-        if self._budget.take(request.service):
+        if self._budget.try_consume(request.service):
             return True
         log_events.emit(log_events.REPEAT_BUDGET_USED, request=request.request_id)
         return False
@@ -164,7 +164,7 @@
         self,
         request: ForwardedRequest,
         placement: Placement,
-        sink: AnswerSink,
+        sink: ResponseSink,
         progress: _Progress,
     ) -> AttemptOutcome:
         progress.sends += 1
@@ -184,7 +184,7 @@
         self,
         request: ForwardedRequest,
         placement: Placement,
-        sink: AnswerSink,
+        sink: ResponseSink,
         progress: _Progress,
     ) -> AttemptOutcome:
         progress.runs += 1
@@ -200,7 +200,7 @@
             helpers=placement.helpers,
             urgency=placement.urgency,
             time_left=self._left(request),
-            patience=patience.current,
+            silence_timeout=patience.current,
             probe_interval=_probe_interval(request),
             resume_after=progress.last_event,
         )
@@ -214,7 +214,7 @@
         )
         with self._ledger.open(request, placement) as opened:
             outcome = await self._relay(attempt, sink, progress, opened, patience)
-            if isinstance(outcome, Broken) and outcome.target_lost:
+            if isinstance(outcome, ResponseInterrupted) and outcome.target_lost:
                 outcome = await self._confirm_loss(request, target, outcome)
             lost_helpers = _lost_helpers(attempt, outcome)
             opened.verdict = AttemptVerdict.ABANDONED if lost_helpers else _verdict(outcome)
@@ -224,19 +224,19 @@
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
         if opened.verdict is AttemptVerdict.ANSWERED:
-            self._crashes.finished(request.fingerprint)
+            self._crashes.record_success(request.fingerprint)
         else:
             progress.excluded.update(lost_helpers or [target.target_id])
         return outcome
 
     async def _confirm_loss(
-        self, request: ForwardedRequest, target: Target, broken: Broken
-    ) -> Broken:
+        self, request: ForwardedRequest, target: Target, broken: ResponseInterrupted
+    ) -> ResponseInterrupted:
         """Suspect a request when its target is gone; one that only cut a connection is not."""
         if await self._targets.accepts_connections(target):
             return replace(broken, target_lost=False)
         name = f"{target.target_id}@{target.incarnation}"
-        self._crashes.crashed(request.fingerprint, name)
+        self._crashes.record_crash(request.fingerprint, name)
         return broken
 
     def _log_end(
@@ -267,55 +267,55 @@
     async def _relay(
         self,
         attempt: ForwardAttempt,
-        sink: AnswerSink,
+        sink: ResponseSink,
         progress: _Progress,
         opened: OpenPlacement,
         patience: Patience,
     ) -> AttemptOutcome:
-        head: AnswerHead | None = None
+        head: ResponseHead | None = None
         held: list[bytes] = []
         async with self._targets.attempt(attempt) as items:
             async for item in items:
                 match item:
-                    case AnswerHead():
+                    case ResponseHead():
                         head = item
                         patience.begin()
                         if _is_stream(attempt.request, head):
-                            self._ledger.begin_writing(opened)
+                            self._ledger.start_decode(opened)
                             await self._begin(head, sink, progress)
-                    case AnswerEvent(event_id=event_id, data=data):
+                    case ResponseEvent(event_id=event_id, data=data):
                         broken = _check_order(event_id, progress)
                         if broken is not None:
                             return broken
                         self._ledger.note_event(opened)
                         await sink.send(data)
-                    case AnswerPart(data=data):
+                    case ResponseChunk(data=data):
                         held.append(data)
                         if sum(map(len, held)) > MAX_HELD_BYTES and head is not None:
                             await self._begin(head, sink, progress)
                             await sink.send(b"".join(held))
                             held.clear()
-                    case AnswerEnd():
+                    case ResponseEnd():
                         if head is None:
-                            return Broken("the answer has no head")
+                            return ResponseInterrupted("the answer has no head")
                         if not progress.begun:
                             return Held(head, b"".join(held))
                         if held:
                             await sink.send(b"".join(held))
                         await sink.finish()
                         return Delivered(head.status)
-                    case NotSent() | NotRun() | Broken():
+                    case NotSent() | NotRun() | ResponseInterrupted():
                         return item
-        return Broken("the answer has no end")
+        return ResponseInterrupted("the answer has no end")
 
-    async def _begin(self, head: AnswerHead, sink: AnswerSink, progress: _Progress) -> None:
+    async def _begin(self, head: ResponseHead, sink: ResponseSink, progress: _Progress) -> None:
         """Deliver the head once; a resumed answer keeps that of its first target."""
         if not progress.begun:
             progress.begun = True
             await sink.begin(head)
 
     async def _end(
-        self, progress: _Progress, sink: AnswerSink, reason: str, retry_after: timedelta
+        self, progress: _Progress, sink: ResponseSink, reason: str, retry_after: timedelta
     ) -> ForwardOutcome:
         """End a request for which nothing more is tried."""
         if progress.held is not None and not progress.begun:
@@ -342,7 +342,7 @@
         return max(timedelta(), request.deadline - self._clock.monotonic())
 
 
-async def _deliver(held: Held, sink: AnswerSink) -> Forwarded:
+async def _deliver(held: Held, sink: ResponseSink) -> Forwarded:
     await sink.begin(held.head)
     if held.body:
         await sink.send(held.body)
@@ -350,7 +350,7 @@
     return Forwarded(held.head.status)
 
 
-def _is_stream(request: ForwardedRequest, head: AnswerHead) -> bool:
+def _is_stream(request: ForwardedRequest, head: ResponseHead) -> bool:
     return request.route.kind is RouteKind.STREAM and head.status < 300
 
 
@@ -360,12 +360,12 @@
     return pause + PROBE_PATIENCE
 
 
-def _check_order(event_id: int | None, progress: _Progress) -> Broken | None:
+def _check_order(event_id: int | None, progress: _Progress) -> ResponseInterrupted | None:
     """Return why an event does not follow the last one, and note it otherwise."""
     if event_id is None:
         return None
     if progress.last_event is not None and event_id != progress.last_event + 1:
-        return Broken(f"event {event_id} came after event {progress.last_event}")
+        return ResponseInterrupted(f"event {event_id} came after event {progress.last_event}")
     progress.last_event = event_id
     return None
 
@@ -389,9 +389,9 @@
             return AttemptVerdict.LOST
         case NotRun():
             return AttemptVerdict.REFUSED
-        case Broken(target_lost=True):
+        case ResponseInterrupted(target_lost=True):
             return AttemptVerdict.LOST
-        case Broken():
+        case ResponseInterrupted():
             return AttemptVerdict.FAILED
 
 
@@ -406,7 +406,7 @@
     """Return what decided where a request was sent."""
     size = attempt.request.size
     helpers = [
-        f"{helper.target.target_id}:{helper.hold_tokens}".removesuffix(":0")
+        f"{helper.target.target_id}:{helper.kv_tokens}".removesuffix(":0")
         for helper in attempt.helpers
     ]
     return {
@@ -435,5 +435,5 @@
             return f"not run: {reason}"
         case NotRun(reason=reason, at_fault=at_fault):
             return f"not run: {reason}, at fault: {at_fault}"
-        case Broken(reason=reason):
+        case ResponseInterrupted(reason=reason):
             return f"broken: {reason}"
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/errors.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from wasabiwell_entry.state.forwarding import AnswerHead, Broken, NotRun, NotSent
+from wasabiwell_entry.state.forwarding import NotRun, NotSent, ResponseHead, ResponseInterrupted
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,8 +16,8 @@
 class Held:
     """The whole answer is here and nothing of it went to the sink."""
 
-    head: AnswerHead
+    head: ResponseHead
     body: bytes = field(repr=False)
 
 
-AttemptOutcome = Delivered | Held | NotSent | NotRun | Broken
+AttemptOutcome = Delivered | Held | NotSent | NotRun | ResponseInterrupted
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/holds.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/holds.py
@@ -28,31 +28,31 @@
     A helper that does not reserve its part is replaced by the next one that keeps nothing yet, as
     all parts are equal.
     """
-    parts = [helper.hold_tokens for helper in placement.helpers if helper.hold_tokens]
+    parts = [helper.kv_tokens for helper in placement.helpers if helper.kv_tokens]
     if not parts:
         yield placement
         return
     holding: list[Helper] = []
     refused: list[str] = []
     try:
-        waiting = [replace(helper, hold_tokens=0) for helper in placement.helpers]
+        waiting = [replace(helper, kv_tokens=0) for helper in placement.helpers]
         while (missing := len(parts) - len(holding)) and missing <= len(waiting):
             asked, waiting = waiting[:missing], waiting[missing:]
-            asked = [replace(helper, hold_tokens=parts[0]) for helper in asked]
+            asked = [replace(helper, kv_tokens=parts[0]) for helper in asked]
             await _reserve_all(reservations, asked, owner, holding, refused)
         if len(holding) < len(parts):
             yield NotReserved(tuple(refused))
             return
         held = {helper.target.target_id: helper for helper in holding}
         others = (
-            replace(helper, hold_tokens=0)
+            replace(helper, kv_tokens=0)
             for helper in placement.helpers
             if helper.target.target_id not in held
         )
         yield replace(placement, helpers=(*holding, *others))
     finally:
         for helper in holding:
-            reservations.give_back(helper.reservation_id)
+            reservations.release(helper.reservation_id)
 
 
 async def _reserve_all(
@@ -67,7 +67,7 @@
     async def reserve(helper: Helper) -> None:
         target = helper.target
         outcome = await reservations.reserve(
-            target, f"{owner}-{target.target_id}", helper.hold_tokens
+            target, f"{owner}-{target.target_id}", helper.kv_tokens
         )
         if isinstance(outcome, Reserved):
             holding.append(replace(helper, reservation_id=outcome.reservation_id))
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
@@ -4,14 +4,14 @@
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
-from wasabiwell_entry.state.forwarding import AnswerHead, AttemptItem, ForwardAttempt
+from wasabiwell_entry.state.forwarding import AttemptItem, ForwardAttempt, ResponseHead
 from wasabiwell_entry.state.targets import Target
 
 
-class AnswerSink(Protocol):
+class ResponseSink(Protocol):
     """Receiver of an answer; its methods wait while the caller reads slowly."""
 
-    async def begin(self, head: AnswerHead) -> None:
+    async def begin(self, head: ResponseHead) -> None:
         """Deliver status and headers."""
 
     async def send(self, data: bytes) -> None:
@@ -27,7 +27,7 @@
     def attempt(
         self, attempt: ForwardAttempt
     ) -> AbstractAsyncContextManager[AsyncIterator[AttemptItem]]:
-        """Send a request once; the last item is an `AnswerEnd` or tells why there is none.
+        """Send a request once; the last item is an `ResponseEnd` or tells why there is none.
 
         Leaving the context cancels the request at the target.
         """
--- a/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
@@ -61,7 +61,7 @@
             return False
         return belief.lost_until <= self._now()
 
-    def failure_share(self, target: Target) -> float:
+    def failure_rate(self, target: Target) -> float:
         """Return the recent share of requests that the target failed, from 0 to 1."""
         belief = self._beliefs.get(target.target_id)
         if belief is None:
@@ -82,7 +82,7 @@
                 counts["well"] += 1
         return counts
 
-    def note(self, target_id: str, verdict: AttemptVerdict) -> None:
+    def record_attempt(self, target_id: str, verdict: AttemptVerdict) -> None:
         """Take over how a target did on a request, here or at another entry instance."""
         belief = self._beliefs.get(target_id)
         if belief is None:
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
@@ -66,7 +66,7 @@
         age = self._configuration.confirmation_age()
         if age is None:
             return NotReady("the configuration in force has not been confirmed")
-        if age > MAX_CONFIRMATION_AGE and not self._membership.hears_majority():
+        if age > MAX_CONFIRMATION_AGE and not self._membership.reaches_majority():
             return NotReady("the configuration may be old: neither store nor majority is reached")
         return Ready()
 
@@ -86,11 +86,11 @@
         await self._stop.wait_leaving()
         end = self._clock.monotonic() + limit
         await self._clock.sleep(address_ttl + LEAVING_SPREAD_TIME)
-        await self._stop.wait_no_request(end)
+        await self._stop.wait_requests_finished(end)
         await self._hand_back()
-        self._membership.depart()
+        self._membership.announce_stop()
         await self._clock.sleep(DEPARTURE_TIME)
-        await self._stop.wait_no_request(end)
+        await self._stop.wait_requests_finished(end)
         if self._stop.open_requests:
             log_events.emit(log_events.STREAMS_CUT, count=self._stop.open_requests)
 
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/coordinator.py
@@ -23,7 +23,7 @@
     SUSPICION_TIMEOUT,
     SWEEP_INTERVAL,
 )
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.coordination.membership.gossip import (
     TableCursor,
     UpdateQueue,
@@ -128,7 +128,7 @@
         """Call an observer with each read of the instance list."""
         self._observers.append(observer)
 
-    def hears_majority(self) -> bool:
+    def reaches_majority(self) -> bool:
         """Return whether most of the known members are heard, directly or through others.
 
         Dead members count as long as the instance list still named them when it was last read.
@@ -147,7 +147,7 @@
         """Tell the others that this entry instance is leaving."""
         self._put(replace(self.own, status=MemberStatus.LEAVING))
 
-    def depart(self) -> None:
+    def announce_stop(self) -> None:
         """Tell the others that this entry instance has stopped serving."""
         self._put(replace(self.own, status=MemberStatus.DEAD))
 
@@ -329,7 +329,7 @@
             case Heartbeat() as answer if answer.sender == node_id:
                 self._take_over(answer, session, self._clock.monotonic() - began)
                 return True
-            case Heartbeat() | PeerSilent():
+            case Heartbeat() | PeerUnreachable():
                 return False
 
     def _suspect(self, node_id: str) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/errors.py
@@ -11,7 +11,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PeerSilent:
+class PeerUnreachable:
     """A peer did not answer on a stream."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/ports.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.state.heartbeats import Announcement, Heartbeat
 from wasabiwell_entry.state.marks import Mark
 from wasabiwell_entry.state.members import Member
@@ -14,8 +14,10 @@
 class PeerStream(Protocol):
     """One stream to a peer."""
 
-    async def exchange(self, heartbeat: Heartbeat, timeout: timedelta) -> Heartbeat | PeerSilent:
-        """Send a heartbeat and return the peer's; after `PeerSilent` the stream is of no use."""
+    async def exchange(
+        self, heartbeat: Heartbeat, timeout: timedelta
+    ) -> Heartbeat | PeerUnreachable:
+        """Send a heartbeat and return the peer's; after `PeerUnreachable` the stream is of no use."""
 
 
 class PeerPort(Protocol):
--- a/packages/entry/src/wasabiwell_entry/coordination/observation/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/observation/coordinator.py
@@ -5,10 +5,10 @@
 import trio
 
 from wasabiwell_entry.coordination.forwarding.coordinator import ForwardOutcome
-from wasabiwell_entry.coordination.forwarding.ports import AnswerSink
+from wasabiwell_entry.coordination.forwarding.ports import ResponseSink
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.counters import ForwardCounters, ForwardKind
-from wasabiwell_entry.state.forwarding import AnswerHead, Forwarded, ForwardedRequest
+from wasabiwell_entry.state.forwarding import Forwarded, ForwardedRequest, ResponseHead
 from wasabiwell_entry.state.outcomes import Failed, Refused
 from wasabiwell_entry.state.routes import RouteKind
 from wasabiwell_entry.state.sizes import size_class
@@ -20,7 +20,7 @@
 class RequestForwarder(Protocol):
     """What a front door calls, observed or not."""
 
-    async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
+    async def forward(self, request: ForwardedRequest, sink: ResponseSink) -> ForwardOutcome:
         """Forward a request and deliver its answer to the sink."""
 
 
@@ -34,7 +34,7 @@
         self._counters = counters
         self._clock = clock
 
-    async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
+    async def forward(self, request: ForwardedRequest, sink: ResponseSink) -> ForwardOutcome:
         """Forward a request and deliver its answer to the sink."""
         observed = _ObservedSink(sink, request, self._counters, self._clock)
         try:
@@ -61,7 +61,7 @@
 
     def __init__(
         self,
-        sink: AnswerSink,
+        sink: ResponseSink,
         request: ForwardedRequest,
         counters: ForwardCounters,
         clock: Clock,
@@ -74,7 +74,7 @@
         self._is_stream = request.route.kind is RouteKind.STREAM
         self._size = size_class(request.size.prompt).value if request.size is not None else PLAIN
 
-    async def begin(self, head: AnswerHead) -> None:
+    async def begin(self, head: ResponseHead) -> None:
         """Deliver status and headers."""
         self._last = self._clock.monotonic()
         self._counters.observe_first(self._size, (self._last - self._received).total_seconds())
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
@@ -32,7 +32,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Sources:
+class StatusSources:
     """Where the figures come from; a part that this entry instance lacks is None."""
 
     own: Member
@@ -55,11 +55,11 @@
 
     __slots__ = ("_sources",)
 
-    def __init__(self, sources: Sources) -> None:
+    def __init__(self, sources: StatusSources) -> None:
         self._sources = sources
 
     @property
-    def sources(self) -> Sources:
+    def sources(self) -> StatusSources:
         """Return where the figures come from."""
         return self._sources
 
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/providers.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/providers.py
@@ -14,7 +14,7 @@
 from wasabiwell_entry.state.sizes import SizeClass
 
 
-class AdmissionQueues:
+class AdmissionQueueProvider:
     """Figures of the queues of admission."""
 
     __slots__ = ("_admission",)
@@ -32,7 +32,7 @@
         return tuple(figures)
 
 
-class SharedCapacity:
+class EngineCreditProvider:
     """Figures of the credits and owners of engines."""
 
     __slots__ = ("_holder", "_owner", "_owners")
@@ -61,7 +61,7 @@
         return owner.node_id if isinstance(owner, Member) else ""
 
 
-class Quarantine:
+class SuspectProvider:
     """Suspects for operators."""
 
     __slots__ = ("_quarantine",)
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/__init__.py
@@ -2,6 +2,6 @@
 
 from wasabiwell_entry.coordination.orders.coordinator import OrderCoordinator
 from wasabiwell_entry.coordination.orders.leases import OrderLeases
-from wasabiwell_entry.coordination.orders.rate import WeightStoreRate
+from wasabiwell_entry.coordination.orders.rate import WeightStoreRateLimiter
 
-__all__ = ["OrderCoordinator", "OrderLeases", "WeightStoreRate"]
+__all__ = ["OrderCoordinator", "OrderLeases", "WeightStoreRateLimiter"]
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/coordinator.py
@@ -7,15 +7,15 @@
 from wasabiwell_entry.coordination.orders.const import ORDER_TIMEOUT
 from wasabiwell_entry.coordination.orders.errors import (
     Lease,
-    LeaseLapsed,
+    LeaseExpired,
     OrderOutcome,
-    OrderUnknown,
-    RateUsedUp,
+    OrderUnacknowledged,
+    RateLimitReached,
     SendOutcome,
 )
 from wasabiwell_entry.coordination.orders.leases import OrderLeases
 from wasabiwell_entry.coordination.orders.ports import OrderPort
-from wasabiwell_entry.coordination.orders.rate import WeightStoreRate
+from wasabiwell_entry.coordination.orders.rate import WeightStoreRateLimiter
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.orders import ChangeRole, EngineOrder, LoadAdapter, LoadModel
 from wasabiwell_entry.state.targets import Target
@@ -33,14 +33,14 @@
     __slots__ = ("_clock", "_engines", "_leases", "_rate")
 
     def __init__(
-        self, leases: OrderLeases, engines: OrderPort, rate: WeightStoreRate, clock: Clock
+        self, leases: OrderLeases, engines: OrderPort, rate: WeightStoreRateLimiter, clock: Clock
     ) -> None:
         self._leases = leases
         self._engines = engines
         self._rate = rate
         self._clock = clock
 
-    async def give(self, target: Target, order: EngineOrder, fencing: Fencing) -> OrderOutcome:
+    async def issue(self, target: Target, order: EngineOrder, fencing: Fencing) -> OrderOutcome:
         """Take the lease of an engine, send one order and release the lease."""
         lease = await self._leases.acquire(target.target_id, fencing)
         if not isinstance(lease, Lease):
@@ -48,10 +48,10 @@
         wait = await self._wait_for_rate(order)
         if wait is not None:
             await self._leases.release(lease)
-            return RateUsedUp(wait)
+            return RateLimitReached(wait)
         outcome = await self.send(lease, target, order, fencing)
         # An engine that ignores the number may still act on an order whose answer is missing.
-        if not isinstance(outcome, OrderUnknown) or fencing is Fencing.REFUSED:
+        if not isinstance(outcome, OrderUnacknowledged) or fencing is Fencing.REFUSED:
             await self._leases.release(lease)
         return outcome
 
@@ -61,7 +61,7 @@
         """Send an order under a lease that this entry instance holds."""
         needed = ORDER_TIMEOUT if fencing is Fencing.IGNORED else timedelta()
         if lease.until - self._clock.monotonic() <= needed:
-            return LeaseLapsed()
+            return LeaseExpired()
         return await self._engines.send(target, order, lease.fencing, ORDER_TIMEOUT)
 
     async def _wait_for_rate(self, order: EngineOrder) -> timedelta | None:
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/errors.py
@@ -30,12 +30,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LeaseLapsed:
+class LeaseExpired:
     """The lease has too little time left for an order; no order was sent."""
 
 
 @dataclass(frozen=True, slots=True)
-class OrderDone:
+class OrderAcknowledged:
     """The engine acknowledged the order."""
 
 
@@ -47,19 +47,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OrderUnknown:
+class OrderUnacknowledged:
     """The order was sent and no acknowledgement came."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
-class RateUsedUp:
+class RateLimitReached:
     """The weight store's rate is used up; no order was sent."""
 
     retry_after: timedelta
 
 
 LeaseOutcome = Lease | LeaseHeld | LeaseUnavailable
-SendOutcome = OrderDone | OrderRefused | OrderUnknown | LeaseLapsed
-OrderOutcome = SendOutcome | LeaseHeld | LeaseUnavailable | RateUsedUp
+SendOutcome = OrderAcknowledged | OrderRefused | OrderUnacknowledged | LeaseExpired
+OrderOutcome = SendOutcome | LeaseHeld | LeaseUnavailable | RateLimitReached
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/ports.py
@@ -3,7 +3,11 @@
 from datetime import timedelta
 from typing import Protocol
 
-from wasabiwell_entry.coordination.orders.errors import OrderDone, OrderRefused, OrderUnknown
+from wasabiwell_entry.coordination.orders.errors import (
+    OrderAcknowledged,
+    OrderRefused,
+    OrderUnacknowledged,
+)
 from wasabiwell_entry.state.members import Member
 from wasabiwell_entry.state.orders import EngineOrder
 from wasabiwell_entry.state.targets import Target
@@ -14,7 +18,7 @@
 
     async def send(
         self, target: Target, order: EngineOrder, fencing: int, timeout: timedelta
-    ) -> OrderDone | OrderRefused | OrderUnknown:
+    ) -> OrderAcknowledged | OrderRefused | OrderUnacknowledged:
         """Send an order once and wait for its acknowledgement."""
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/rate.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/rate.py
@@ -11,7 +11,7 @@
 from wasabiwell_entry.state.orders import RateLedger
 
 
-class WeightStoreRate:
+class WeightStoreRateLimiter:
     """Takes loads from the owner of the region's share, and grants them as that owner.
 
     `loads` are those that the weight store allows in one `RATE_INTERVAL` to the whole deployment.
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -89,7 +89,7 @@
     ) -> Way:
         """Return the cheapest way in the own zone, or in all zones when that one costs much."""
         allowed = max(0.0, request.route.objective.total_seconds() - self._waited(request, now))
-        rate = self._works.value_rate(request.service, now)
+        rate = self._works.arrival_stats(request.service, now)
 
         def search(compared: list[TargetWork]) -> Way:
             states = [engine_state(work, now, self._preference(work)) for work in compared]
@@ -109,7 +109,7 @@
         if work is None:
             return 0.0
         state = engine_state(work, self._clock.monotonic().total_seconds())
-        return state.pass_seconds + state.pending
+        return state.iteration_seconds + state.pending
 
     def _waited(self, request: ForwardedRequest, now: float) -> float:
         return now - request.received.total_seconds()
@@ -129,19 +129,19 @@
         return Placement(chosen.target, (), URGENCY_SHORT, 0.0)
 
     def _plain_cost(self, work: TargetWork) -> tuple[float, str]:
-        load = len(work.residents) / work.slots
+        load = len(work.requests) / work.slots
         return load + self._preference(work), work.target.target_id
 
     def _preference(self, work: TargetWork) -> float:
         """Return the cost of a target for itself, in parts of a request's value."""
         remote = 0.0 if work.target.zone == self._zone else REMOTE_ZONE_COST
-        failures = FAILURE_COST * self._health.failure_share(work.target)
+        failures = FAILURE_COST * self._health.failure_rate(work.target)
         return remote + failures + SPREAD_COST * self._random.random()
 
 
 def _least_used(works: list[TargetWork]) -> list[TargetWork]:
-    least = min(work.leads for work in works)
-    return [work for work in works if work.leads == least]
+    least = min(work.occupied_slots for work in works)
+    return [work for work in works if work.occupied_slots == least]
 
 
 def _window(works: list[TargetWork], key: str) -> list[TargetWork]:
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -11,15 +11,15 @@
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import (
     AttemptVerdict,
-    Ending,
+    DecodeStarted,
     HelperLoss,
     Notice,
-    PaceNotice,
-    Placing,
-    Writing,
+    RequestEnded,
+    RequestPlaced,
+    SlowdownNotice,
 )
 from wasabiwell_entry.state.forwarding import ForwardedRequest
-from wasabiwell_entry.state.work import Placed, WorkTable
+from wasabiwell_entry.state.work import PlacedRequest, WorkTable
 
 OWN = ""
 """Origin of what this entry instance has placed."""
@@ -33,7 +33,7 @@
     them.
     """
 
-    placed: Placed
+    placed: PlacedRequest
     verdict: AttemptVerdict = AttemptVerdict.ABANDONED
     first_at: timedelta | None = None
     last_at: timedelta | None = None
@@ -78,7 +78,7 @@
         self._clock = clock
         self._told_paces: dict[str, float] = {}
 
-    def own_ids(self) -> tuple[str, ...]:
+    def local_request_ids(self) -> tuple[str, ...]:
         """Return the ids of the own placed requests."""
         return tuple(placed.request_id for placed in self._works.placed_by(OWN))
 
@@ -86,7 +86,7 @@
     def open(self, request: ForwardedRequest, placement: Placement) -> Iterator[OpenPlacement]:
         """Keep a placement until the context ends."""
         now = self._now()
-        placed = Placed(
+        placed = PlacedRequest(
             request_id=request.request_id,
             origin=OWN,
             service=request.service,
@@ -96,16 +96,18 @@
             due=request.received.total_seconds() + request.route.objective.total_seconds(),
             gap=request.route.event_gap.total_seconds(),
             size=request.size,
-            holds=tuple(helper.hold_tokens for helper in placement.helpers if helper.hold_tokens),
+            helper_kv_tokens=tuple(
+                helper.kv_tokens for helper in placement.helpers if helper.kv_tokens
+            ),
         )
         self._works.add(placed, now)
-        self._tell(Placing(placement_notice(placed, now)))
+        self._tell(RequestPlaced(placement_notice(placed, now)))
         opened = OpenPlacement(placed)
         try:
             yield opened
         finally:
             self._works.remove(placed.request_id, self._now())
-            self._tell(Ending(placed.request_id, placed.lead, opened.verdict))
+            self._tell(RequestEnded(placed.request_id, placed.lead, opened.verdict))
             self._note(placed.lead, opened.verdict)
 
     def lose_helper(self, target_id: str) -> None:
@@ -113,12 +115,12 @@
         self._lose_helper(target_id)
         self._tell(HelperLoss(target_id))
 
-    def begin_writing(self, opened: OpenPlacement) -> None:
+    def start_decode(self, opened: OpenPlacement) -> None:
         """Note the first event of a placed request."""
-        opened.placed = replace(opened.placed, writing=True)
+        opened.placed = replace(opened.placed, decoding=True)
         opened.first_at = self._clock.monotonic()
-        self._works.begin_writing(opened.placed.request_id, self._now())
-        self._tell(Writing(opened.placed.request_id))
+        self._works.start_decode(opened.placed.request_id, self._now())
+        self._tell(DecodeStarted(opened.placed.request_id))
 
     def note_event(self, opened: OpenPlacement) -> None:
         """Note an event of a placed request, and tell the others when its engine is slow."""
@@ -127,11 +129,11 @@
         work = self._works.get(target_id)
         if pause is None or work is None:
             return
-        work.observe_pace(pause.total_seconds(), self._now())
+        work.observe_slowdown(pause.total_seconds(), self._now())
         told = self._told_paces.get(target_id, 1.0)
-        if max(work.pace, told) > PACE_CHANGE * min(work.pace, told):
-            self._told_paces[target_id] = work.pace
-            self._tell(PaceNotice(target_id, work.pace))
+        if max(work.slowdown, told) > PACE_CHANGE * min(work.slowdown, told):
+            self._told_paces[target_id] = work.slowdown
+            self._tell(SlowdownNotice(target_id, work.slowdown))
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
@@ -26,25 +26,25 @@
 )
 from wasabiwell_entry.state.forwarding import ForwardedRequest, Helper, PromptSize
 from wasabiwell_entry.state.routes import EngineProfile
-from wasabiwell_entry.state.work import LATE_SHARE, request_value
+from wasabiwell_entry.state.work import LATE_PENALTY, request_value
 
 
 @dataclass(frozen=True, slots=True)
 class Way:
     """One way to place a prompt and its cost in value.
 
-    The first engine is the lead; those after it keep `holds` tokens of the prompt.
+    The first engine is the lead; those after it keep `helper_kv_tokens` tokens of the prompt.
     """
 
     cost: float
     finish: float
     engines: tuple[EngineState, ...]
-    holds: tuple[int, ...] = ()
+    helper_kv_tokens: tuple[int, ...] = ()
 
     @property
     def helpers(self) -> tuple[Helper, ...]:
         """Return the engines after the lead, with what they keep."""
-        holds = self.holds + (0,) * (len(self.engines) - 1 - len(self.holds))
+        holds = self.helper_kv_tokens + (0,) * (len(self.engines) - 1 - len(self.helper_kv_tokens))
         pairs = zip(self.engines[1:], holds, strict=True)
         return tuple(Helper(state.work.target, tokens) for state, tokens in pairs)
 
@@ -94,7 +94,7 @@
 
     def best(self) -> Way:
         """Return the cheapest way."""
-        read = self._profile.read_seconds(self._size.prompt)
+        read = self._profile.prefill_seconds(self._size.prompt)
         ways = [self._best_single(read)]
         if read > SPLIT_SECONDS:
             most = min(len(self._states), MAX_HELPERS + 1)
@@ -117,7 +117,7 @@
     def _has_alike(self, state: EngineState) -> bool:
         """Return whether an engine has a request that allows pauses no longer than this one."""
         allowed = self._request.route.event_gap.total_seconds()
-        residents = state.work.residents.values()
+        residents = state.work.requests.values()
         return any(item.lead and item.placed.gap <= allowed for item in residents)
 
     def _split(self, read: float, count: int) -> Way:
@@ -158,20 +158,20 @@
         """
         taken = {id(state) for state in chosen}
         others = [state for state in self._states if id(state) not in taken]
-        free = sum(max(0, state.work.slots - state.leads) for state in others)
+        free = sum(max(0, state.work.slots - state.occupied_slots) for state in others)
         slots = sum(state.work.slots for state in others)
-        ended = slots * part / max(MIN_WRITE_SECONDS, self._profile.usual_write_seconds)
+        ended = slots * part / max(MIN_WRITE_SECONDS, self._profile.usual_decode_seconds)
         excess = self._short_rate * part - free - ended
-        return LATE_SHARE * self._short_value * max(0.0, excess)
+        return LATE_PENALTY * self._short_value * max(0.0, excess)
 
     def _own_cost(self, finish: float) -> float:
         late = lateness(finish, self._allowed) if self._allowed > 0 else 1.0
         objective = self._request.route.objective.total_seconds()
-        return self._value * (LATE_SHARE * late + WAIT_COST * finish / objective)
+        return self._value * (LATE_PENALTY * late + WAIT_COST * finish / objective)
 
     def _lead_cost(self, state: EngineState) -> float:
         """Return the cost of taking a slot of an engine."""
-        left = state.work.slots - state.leads - 1
+        left = state.work.slots - state.occupied_slots - 1
         cost = state.preference
         if left < 0:
             cost -= FULL_COST * left
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
@@ -23,7 +23,7 @@
     ReleaseUnavailable,
 )
 from wasabiwell_entry.coordination.quarantine.ports import SuspectPort
-from wasabiwell_entry.coordination.quarantine.turns import SuspectTurns
+from wasabiwell_entry.coordination.quarantine.turns import SuspectLeases
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.platform import (
@@ -67,7 +67,7 @@
         self._spreading = spreading
         self._members = members
         self._clock = clock
-        self._turns = SuspectTurns(table, clock)
+        self._turns = SuspectLeases(table, clock)
         self._running: dict[str, trio.Lock] = {}
         self._unsaved: set[str] = set()
 
@@ -95,18 +95,18 @@
         """Return all suspects, in the order of fingerprints."""
         return tuple(sorted(self._suspects, key=lambda suspect: suspect.fingerprint))
 
-    def forget(self, fingerprint: str) -> None:
+    def remove(self, fingerprint: str) -> None:
         """Remove a suspect that another entry instance cleared or released."""
         self._suspects.remove(fingerprint)
         self._unsaved.discard(fingerprint)
 
-    def learn(self, suspect: Suspect) -> None:
+    def merge_remote(self, suspect: Suspect) -> None:
         """Take over a mark that another entry instance spread."""
         if suspect.expires > self._clock.now():
             self._suspects.merge(suspect)
 
     @asynccontextmanager
-    async def one_suspect(self, fingerprint: str, target_id: str) -> AsyncIterator[None]:
+    async def exclusive_retry(self, fingerprint: str, target_id: str) -> AsyncIterator[None]:
         """Wait until no other suspect of any entry instance runs on the target.
 
         When the target dies, the suspect that ran there is then the only one to be marked again.
@@ -120,7 +120,7 @@
         ):
             yield
 
-    async def crashed(self, fingerprint: str, target_id: str) -> None:
+    async def record_crash(self, fingerprint: str, target_id: str) -> None:
         """Mark a request that ran on a target when it died.
 
         Returns when the mark is in the table service, so that the marks of other entry instances
@@ -130,7 +130,7 @@
         suspect = self._suspects.merge(Suspect(fingerprint, (target_id,), expires))
         log_events.emit(log_events.REQUEST_SUSPECTED, fingerprint=fingerprint, target=target_id)
         self._unsaved.add(fingerprint)
-        self._spreading.spread(suspect)
+        self._spreading.broadcast(suspect)
         with trio.move_on_after(STORE_WAIT.total_seconds()):
             await self._save(fingerprint)
         if self.quarantined(fingerprint):
@@ -139,11 +139,11 @@
             # that sending it again through another one costs no third target.
             await self._clock.sleep(2 * self._follow_interval())
 
-    async def finished(self, fingerprint: str) -> None:
+    async def record_success(self, fingerprint: str) -> None:
         """Clear a suspect that has finished; a quarantined request is not cleared."""
         if not self.suspected(fingerprint) or self.quarantined(fingerprint):
             return
-        self.forget(fingerprint)
+        self.remove(fingerprint)
         self._spreading.withdraw(fingerprint)
         with trio.move_on_after(STORE_WAIT.total_seconds()):
             await self._delete(fingerprint, only_suspect=True)
@@ -154,7 +154,7 @@
         deleted = await self._delete(fingerprint, only_suspect=False)
         if isinstance(deleted, StoreUnavailable):
             return ReleaseUnavailable(deleted.reason)
-        self.forget(fingerprint)
+        self.remove(fingerprint)
         self._spreading.withdraw(fingerprint)
         return Released() if known or deleted else NotSuspected()
 
@@ -174,7 +174,7 @@
                 if suspect.fingerprint not in kept:
                     self._suspects.remove(suspect.fingerprint)
         for suspect in stored:
-            self.learn(suspect)
+            self.merge_remote(suspect)
 
     def _follow_interval(self) -> timedelta:
         return max(MIN_FOLLOW_INTERVAL, FOLLOW_INTERVAL_PER_MEMBER * self._members())
@@ -188,7 +188,7 @@
                 return False
             row = rows.get(key)
             if row is not None:
-                self.learn(msgspec.msgpack.decode(row.value, type=Suspect))
+                self.merge_remote(msgspec.msgpack.decode(row.value, type=Suspect))
             suspect = self._suspects.get(fingerprint)
             if suspect is None:
                 self._unsaved.discard(fingerprint)
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/crashes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/crashes.py
@@ -38,26 +38,26 @@
         """Return whether a request gets no further target."""
         return self.crashes(fingerprint) >= CRASH_LIMIT
 
-    def crashed(self, fingerprint: str, target: str) -> None:
+    def record_crash(self, fingerprint: str, target: str) -> None:
         """Count a target, named with its incarnation, that died under a request."""
         merged = self._merge(fingerprint, (target,))
         log_events.emit(log_events.REQUEST_SUSPECTED, fingerprint=fingerprint, target=target)
         self._recent[fingerprint] = self._clock.monotonic() + SUSPICION_REPEAT_TIME
         self._tell(Suspicion(fingerprint, merged.targets))
 
-    def known(self) -> list[Suspicion]:
+    def suspicions(self) -> list[Suspicion]:
         """Return all suspected requests."""
         self._suspects.remove_expired(self._clock.now())
         return [Suspicion(suspect.fingerprint, suspect.targets) for suspect in self._suspects]
 
-    def recent(self) -> list[Suspicion]:
+    def recent_suspicions(self) -> list[Suspicion]:
         """Return the requests under which a target died here a moment ago."""
         now = self._clock.monotonic()
         self._recent = {key: until for key, until in self._recent.items() if until > now}
         suspects = [self._suspects.get(key) for key in self._recent]
         return [Suspicion(item.fingerprint, item.targets) for item in suspects if item is not None]
 
-    def finished(self, fingerprint: str) -> None:
+    def record_success(self, fingerprint: str) -> None:
         """Clear a request that has finished."""
         if self._suspects.get(fingerprint) is None or self.refused(fingerprint):
             return
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/marks.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/marks.py
@@ -13,7 +13,7 @@
 SUSPECT_KIND = "suspect"
 
 
-class MarkedSuspects:
+class SuspectGossip:
     """Publishes and receives suspects as marks; the value holds the targets that died."""
 
     __slots__ = ("_clock", "_marks")
@@ -22,7 +22,7 @@
         self._marks = marks
         self._clock = clock
 
-    def spread(self, suspect: Suspect) -> None:
+    def broadcast(self, suspect: Suspect) -> None:
         """Announce a suspect to all entry instances."""
         self._marks.publish(
             SUSPECT_KIND,
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/turns.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/turns.py
@@ -34,7 +34,7 @@
     expires: datetime
 
 
-class SuspectTurns:
+class SuspectLeases:
     """Lets one suspect at a time run on a target, by a row of the table service for each target.
 
     Two suspects on one target could not be told apart when it dies: both would be marked again, and
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
@@ -58,7 +58,7 @@
                 self._wake.set()
         return outcome
 
-    def give_back(self, reservation_id: str) -> None:
+    def release(self, reservation_id: str) -> None:
         """Return memory in the background; an unknown id is ignored."""
         held = self._held.pop(reservation_id, None)
         if held is not None:
@@ -76,7 +76,7 @@
         finally:
             with trio.move_on_after(STOP_TIMEOUT.total_seconds(), shield=True):
                 for reservation_id in list(self._held):
-                    self.give_back(reservation_id)
+                    self.release(reservation_id)
                 await self.settle()
 
     async def settle(self) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/coordinator.py
@@ -21,8 +21,8 @@
 from wasabiwell_entry.coordination.routing.errors import NoTarget
 from wasabiwell_entry.coordination.routing.estimate import estimate_engine
 from wasabiwell_entry.coordination.routing.policies import (
-    Current,
     LeastOutstanding,
+    LoadAware,
     Policy,
     RoundRobin,
 )
@@ -43,7 +43,7 @@
         self._targets = targets
         self._zone = zone
         self._clock = clock
-        self._policy = policy or Current()
+        self._policy = policy or LoadAware()
         self._turn = 0
 
     @property
@@ -63,7 +63,7 @@
                 return ordered[self._turn % len(ordered)]
             case LeastOutstanding(remote_zone_penalty=penalty):
                 return min(usable, key=lambda status: self._outstanding(status, penalty))
-            case Current():
+            case LoadAware():
                 return min(usable, key=lambda item: self._outstanding(item, REMOTE_ZONE_PENALTY))
 
     def usable(self, service: str, excluded: frozenset[str]) -> list[TargetStatus] | NoTarget:
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/policies.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/policies.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Current:
+class LoadAware:
     """Fair queue, capacity held before sending, and engine choice by corrected load.
 
     With `shares_credits` capacity is leased from the engines' owners; without it each entry
@@ -35,10 +35,10 @@
     shares_credits: bool = True
 
 
-Policy = RoundRobin | LeastOutstanding | Current
+Policy = RoundRobin | LeastOutstanding | LoadAware
 
 
-def policy_of(name: str) -> Policy | UnknownPolicy:
+def policy_by_name(name: str) -> Policy | UnknownPolicy:
     """Return the policy with a name."""
     match name:
         case "round-robin":
@@ -48,8 +48,8 @@
         case "first-landed":
             return LeastOutstanding(remote_zone_penalty=0.5)
         case "load-reports":
-            return Current(shares_credits=False)
+            return LoadAware(shares_credits=False)
         case "current":
-            return Current()
+            return LoadAware()
         case _:
             return UnknownPolicy(name)
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
@@ -29,7 +29,7 @@
 from wasabiwell_entry.coordination.runs.errors import Claimed, ClaimOutcome
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.outcomes import Answer, Failed, Reason, Refused, RunState
+from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState, ServiceResponse
 from wasabiwell_entry.state.platform import (
     Committed,
     Condition,
@@ -100,7 +100,9 @@
             self._start_settling(claiming.claim, RunStatus.NOT_RUN, None)
         return outcome
 
-    async def settle(self, claim: Claimed, status: RunStatus, answer: Answer | None = None) -> None:
+    async def settle(
+        self, claim: Claimed, status: RunStatus, answer: ServiceResponse | None = None
+    ) -> None:
         """Write the final status of a claim.
 
         Returns when the table service confirms it or after `SETTLE_WAIT`; the write goes on in the
@@ -145,7 +147,7 @@
             await self._clock.sleep(SETTLE_POLL_INTERVAL)
 
     def _start_settling(
-        self, claim: Claimed, status: RunStatus, answer: Answer | None
+        self, claim: Claimed, status: RunStatus, answer: ServiceResponse | None
     ) -> trio.Event:
         settled = trio.Event()
         if self._settling >= MAX_SETTLING:
@@ -157,7 +159,7 @@
         return settled
 
     async def _settle(
-        self, claim: Claimed, status: RunStatus, answer: Answer | None, settled: trio.Event
+        self, claim: Claimed, status: RunStatus, answer: ServiceResponse | None, settled: trio.Event
     ) -> None:
         try:
             record = replace(claim.record, status=status)
@@ -258,9 +260,11 @@
                     return _result_unavailable()
         elif record.answer_status == 0:
             return _result_unavailable()
-        return Answer(record.answer_status, record.answer_content_type, body, replayed=True)
+        return ServiceResponse(
+            record.answer_status, record.answer_content_type, body, replayed=True
+        )
 
-    async def _with_answer(self, record: RunRecord, answer: Answer) -> RunRecord:
+    async def _with_answer(self, record: RunRecord, answer: ServiceResponse) -> RunRecord:
         record = replace(
             record, answer_status=answer.status, answer_content_type=answer.content_type
         )
--- a/packages/entry/src/wasabiwell_entry/coordination/stop/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/stop/coordinator.py
@@ -48,23 +48,23 @@
         """Return when the instance is leaving."""
         await self._leaving.wait()
 
-    async def wait_no_request(self, end: timedelta) -> None:
+    async def wait_requests_finished(self, end: timedelta) -> None:
         """Return when no request is open, or at a monotonic time."""
         while self._open and self._clock.monotonic() < end:
             await self._clock.sleep(DRAIN_POLL_INTERVAL)
 
-    async def wait_to_close(self) -> None:
+    async def wait_listeners_close(self) -> None:
         """Return when a leaving instance should accept no more connections."""
         await self.wait_leaving()
         await self._clock.sleep(LISTEN_TIME)
 
-    def time_to_end(self, grace: timedelta) -> timedelta:
+    def drain_timeout(self, grace: timedelta) -> timedelta:
         """Return how long open requests may take after the last connection was accepted."""
         return max(timedelta(), grace - LISTEN_TIME - END_MARGIN)
 
-    async def report_cut_requests(self, grace: timedelta) -> None:
+    async def log_aborted_requests(self, grace: timedelta) -> None:
         """Log the requests that are still open when the time of a leaving instance is over."""
-        await self.wait_to_close()
-        await self.wait_no_request(self._clock.monotonic() + self.time_to_end(grace))
+        await self.wait_listeners_close()
+        await self.wait_requests_finished(self._clock.monotonic() + self.drain_timeout(grace))
         if self._open:
             log_events.emit(log_events.STREAMS_CUT, count=self._open)
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/__init__.py
@@ -1,11 +1,11 @@
 """Observes requests on their way through the coordination layer."""
 
-from wasabiwell_entry.coordination.telemetry.observed import (
-    ObservedAdmission,
-    ObservedDispatcher,
-    ObservedEngines,
-    ObservedPlain,
-    ObservedTable,
+from wasabiwell_entry.coordination.telemetry.instrumented import (
+    InstrumentedAdmission,
+    InstrumentedDispatcher,
+    InstrumentedEngines,
+    InstrumentedPlainServices,
+    InstrumentedTable,
     RequestRunner,
 )
 from wasabiwell_entry.coordination.telemetry.ports import NO_TELEMETRY, NoTelemetry, Telemetry
@@ -14,11 +14,11 @@
 __all__ = [
     "NO_TELEMETRY",
     "NoTelemetry",
-    "ObservedAdmission",
-    "ObservedDispatcher",
-    "ObservedEngines",
-    "ObservedPlain",
-    "ObservedTable",
+    "InstrumentedAdmission",
+    "InstrumentedDispatcher",
+    "InstrumentedEngines",
+    "InstrumentedPlainServices",
+    "InstrumentedTable",
     "RequestLog",
     "RequestRunner",
     "Telemetry",
--- a/packages/entry/src/wasabiwell_entry/protocol/engine.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/engine.py
@@ -7,7 +7,7 @@
 from wasabiwell_entry.state.requests import (
     Attempt,
     EndFrame,
-    StreamBroken,
+    StreamInterrupted,
     StreamItem,
     TokenFrame,
 )
@@ -157,7 +157,7 @@
         try:
             frame = _FRAME_DECODER.decode(line)
         except msgspec.DecodeError as error:
-            items.append(StreamBroken(f"the engine sent a malformed frame: {error}"))
+            items.append(StreamInterrupted(f"the engine sent a malformed frame: {error}"))
             return
         if frame.attempt != self._attempt_id:
             return
@@ -171,7 +171,7 @@
 
 def _item(frame: FrameBody) -> StreamItem:
     if frame.error:
-        return StreamBroken(f"the engine reported: {frame.error}")
+        return StreamInterrupted(f"the engine reported: {frame.error}")
     if frame.end:
         return EndFrame(frame.tokens, frame.digest, frame.finish_reason)
     return TokenFrame(frame.offset, frame.count, frame.text)
--- a/packages/entry/src/wasabiwell_entry/protocol/events.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/events.py
@@ -1,6 +1,6 @@
 """Splits a body of server-sent events into whole events."""
 
-from wasabiwell_entry.state.forwarding import AnswerEvent
+from wasabiwell_entry.state.forwarding import ResponseEvent
 
 END_OF_EVENT = b"\n\n"
 ID_FIELD = b"id:"
@@ -19,14 +19,14 @@
         self._rest = b""
 
     @property
-    def rest(self) -> bytes:
+    def remainder(self) -> bytes:
         """Return the bytes of an event that is not complete."""
         return self._rest
 
-    def feed(self, data: bytes) -> list[AnswerEvent]:
+    def feed(self, data: bytes) -> list[ResponseEvent]:
         """Return the events that are complete with these bytes; raises `UnreadableEventError`."""
         *whole, self._rest = (self._rest + data).split(END_OF_EVENT)
-        return [AnswerEvent(_event_id(event), event + END_OF_EVENT) for event in whole]
+        return [ResponseEvent(_event_id(event), event + END_OF_EVENT) for event in whole]
 
 
 def _event_id(event: bytes) -> int | None:
--- a/packages/entry/src/wasabiwell_entry/protocol/notices.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/notices.py
@@ -5,40 +5,40 @@
 import msgspec
 
 from wasabiwell_entry.state.exchange import (
-    Ending,
+    DecodeStarted,
     HelperLoss,
     ListingNotice,
     NodeAddresses,
     NodeState,
     Notice,
-    PaceNotice,
     PeerLoss,
-    Placing,
-    RepeatNotice,
+    RequestEnded,
+    RequestPlaced,
+    RetryNotice,
+    SlowdownNotice,
     Suspicion,
     WatchRequest,
-    Writing,
 )
 
-KINDS: tuple[type[Notice], ...] = (
-    Placing,
-    Writing,
-    PaceNotice,
-    Ending,
+NOTICE_TYPES: tuple[type[Notice], ...] = (
+    RequestPlaced,
+    DecodeStarted,
+    SlowdownNotice,
+    RequestEnded,
     Suspicion,
     ListingNotice,
     NodeState,
     NodeAddresses,
     HelperLoss,
     PeerLoss,
-    RepeatNotice,
+    RetryNotice,
     WatchRequest,
 )
 """The first byte of a datagram is the place of its message's type in this list."""
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODERS: tuple[msgspec.msgpack.Decoder[Any], ...] = tuple(
-    msgspec.msgpack.Decoder(kind) for kind in KINDS
+    msgspec.msgpack.Decoder(kind) for kind in NOTICE_TYPES
 )
 
 
@@ -48,12 +48,12 @@
 
 def encode_notice(notice: Notice) -> bytes:
     """Return the datagram of a message."""
-    return bytes((KINDS.index(type(notice)),)) + _ENCODER.encode(notice)
+    return bytes((NOTICE_TYPES.index(type(notice)),)) + _ENCODER.encode(notice)
 
 
 def decode_notice(data: bytes) -> Notice:
     """Return the message of a datagram; raises `UnreadableNoticeError`."""
-    if not data or data[0] >= len(KINDS):
+    if not data or data[0] >= len(NOTICE_TYPES):
         raise UnreadableNoticeError("the kind of the message is not known")
     try:
         notice: Notice = _DECODERS[data[0]].decode(data[1:])
--- a/packages/entry/src/wasabiwell_entry/protocol/peer.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/peer.py
@@ -151,7 +151,7 @@
     marks: tuple[MarkFrame, ...] = ()
 
 
-def heartbeat_frame(heartbeat: Heartbeat) -> HeartbeatFrame:
+def frame_from_heartbeat(heartbeat: Heartbeat) -> HeartbeatFrame:
     """Return the message of a heartbeat; an age is rounded up to whole milliseconds."""
     age = heartbeat.announcement.confirmation_age
     return HeartbeatFrame(
@@ -171,7 +171,7 @@
     )
 
 
-def heartbeat_of(frame: HeartbeatFrame) -> Heartbeat:
+def heartbeat_from_frame(frame: HeartbeatFrame) -> Heartbeat:
     """Return the heartbeat of a message."""
     age = frame.confirmation_age_ms
     return Heartbeat(
--- a/packages/entry/src/wasabiwell_entry/state/credits.py
+++ b/packages/entry/src/wasabiwell_entry/state/credits.py
@@ -51,7 +51,7 @@
         return self.at_least(other) == self
 
 
-NOTHING = Amount()
+ZERO_AMOUNT = Amount()
 
 
 def engine_capacity(slots: int, total_tokens: int) -> Amount:
@@ -98,8 +98,8 @@
     def __init__(self, engine_id: str, lifetime: timedelta) -> None:
         self._engine_id = engine_id
         self._lifetime = lifetime
-        self._capacity = NOTHING
-        self._reported = NOTHING
+        self._capacity = ZERO_AMOUNT
+        self._reported = ZERO_AMOUNT
         self._credits: dict[str, Credit] = {}
 
     @property
@@ -124,7 +124,9 @@
         """
         credits = self._credits.values()
         committed = _sum(credit.amount.at_least(credit.used) for credit in credits)
-        difference = (self._reported - _sum(credit.used for credit in credits)).at_least(NOTHING)
+        difference = (self._reported - _sum(credit.used for credit in credits)).at_least(
+            ZERO_AMOUNT
+        )
         # Reports do not tell which prompts use the memory, so this use counts as that of long ones.
         unaccounted = Amount(difference.slots, difference.tokens, difference.tokens)
         return self._capacity - committed - unaccounted
@@ -145,12 +147,12 @@
         known = self._credits.get(claim.holder)
         if known is not None and claim.sequence <= known.credit_id:
             return known
-        kept = known.amount if known is not None else NOTHING
+        kept = known.amount if known is not None else ZERO_AMOUNT
         self._store(claim, kept, now)
-        excess = (self.outstanding() - self._capacity).at_least(NOTHING)
+        excess = (self.outstanding() - self._capacity).at_least(ZERO_AMOUNT)
         room = kept.at_least(claim.used) + self.free()
         amount = claim.wanted.at_most((kept - excess).at_least(room))
-        return self._store(claim, amount.at_least(NOTHING), now)
+        return self._store(claim, amount.at_least(ZERO_AMOUNT), now)
 
     def recover(self, claim: CreditClaim, now: timedelta) -> Credit:
         """Renew what a holder got from the engine's earlier owner, and grant nothing more."""
@@ -160,7 +162,7 @@
             self._credits[claim.holder] = known
             return known
         kept = claim.current if known is None else known.amount.at_least(claim.current)
-        room = (self._capacity - self.outstanding()).at_least(NOTHING)
+        room = (self._capacity - self.outstanding()).at_least(ZERO_AMOUNT)
         return self._store(claim, claim.wanted.at_most(kept).at_most(room), now)
 
     def record(self, claim: CreditClaim, now: timedelta) -> None:
@@ -193,21 +195,21 @@
 class CreditPool:
     """The holder's account of one engine.
 
-    `peak` and `earlier_peak` are the largest use in the current and in the previous window; the
-    credit that is kept follows them. `unmet` is demand that found no credit since the last claim,
-    and `largest` the largest request in it.
+    `peak` and `previous_peak` are the largest use in the current and in the previous window; the
+    credit that is kept follows them. `unmet_demand` is demand that found no credit since the last claim,
+    and `largest_unmet` the largest request in it.
     """
 
     engine_id: str
     holder: str
     lifetime: timedelta
-    amount: Amount = NOTHING
+    amount: Amount = ZERO_AMOUNT
     expires: timedelta = timedelta()
-    used: Amount = NOTHING
-    peak: Amount = NOTHING
-    earlier_peak: Amount = NOTHING
-    unmet: Amount = NOTHING
-    largest: Amount = NOTHING
+    used: Amount = ZERO_AMOUNT
+    peak: Amount = ZERO_AMOUNT
+    previous_peak: Amount = ZERO_AMOUNT
+    unmet_demand: Amount = ZERO_AMOUNT
+    largest_unmet: Amount = ZERO_AMOUNT
     sequence: int = 0
     _sent: timedelta = timedelta()
     _holds: dict[int, Amount] = field(default_factory=dict)
@@ -219,7 +221,7 @@
 
     def valid(self, now: timedelta) -> Amount:
         """Return the credit that may be spent; nothing after its expiry."""
-        return self.amount if now < self.expires else NOTHING
+        return self.amount if now < self.expires else ZERO_AMOUNT
 
     def take(self, hold_id: int, amount: Amount, now: timedelta) -> bool:
         """Open a hold when the credit at hand covers it."""
@@ -228,7 +230,7 @@
         self._holds[hold_id] = amount
         self.used += amount
         self.peak = self.peak.at_least(self.used)
-        self.unmet = (self.unmet - amount).at_least(NOTHING)
+        self.unmet_demand = (self.unmet_demand - amount).at_least(ZERO_AMOUNT)
         return True
 
     def give_back(self, hold_id: int) -> bool:
@@ -239,33 +241,33 @@
         self.used -= amount
         return True
 
-    def note_demand(self, amount: Amount, limit: Amount) -> None:
+    def record_demand(self, amount: Amount, limit: Amount) -> None:
         """Note one request that found no credit; more than `limit` is never asked for."""
-        self.unmet = (self.unmet + amount).at_most(limit.at_least(amount))
-        self.largest = self.largest.at_least(amount)
+        self.unmet_demand = (self.unmet_demand + amount).at_most(limit.at_least(amount))
+        self.largest_unmet = self.largest_unmet.at_least(amount)
 
-    def forget_repeated_demand(self) -> None:
+    def discard_repeated_demand(self) -> None:
         """Keep demand for one request, when all waiting requests are about to try again.
 
         Each of them notes its demand again if it fails, and would be counted twice.
         """
-        self.unmet = self.unmet.at_most(self.largest)
+        self.unmet_demand = self.unmet_demand.at_most(self.largest_unmet)
 
-    def turn_window(self) -> None:
+    def rotate_window(self) -> None:
         """Start a new window of the observed use."""
-        self.earlier_peak, self.peak = self.peak, self.used
+        self.previous_peak, self.peak = self.peak, self.used
 
     def wanted(self) -> Amount:
         """Return the credit that the observed use and unmet demand ask for."""
-        return self.peak.at_least(self.earlier_peak).at_least(self.used + self.unmet)
+        return self.peak.at_least(self.previous_peak).at_least(self.used + self.unmet_demand)
 
     def claim(self, now: timedelta) -> CreditClaim:
         """Return the next claim; what it does not ask for can no longer be spent."""
         wanted = self.wanted()
         current = self.valid(now)
         self.amount = current.at_most(wanted)
-        self.unmet = NOTHING
-        self.largest = NOTHING
+        self.unmet_demand = ZERO_AMOUNT
+        self.largest_unmet = ZERO_AMOUNT
         self.sequence += 1
         self._sent = now
         return CreditClaim(self.engine_id, self.holder, self.sequence, wanted, current, self.used)
@@ -296,13 +298,13 @@
 
     def release_all(self) -> int:
         """Give up the credit and return the sequence of the release."""
-        self.amount = NOTHING
+        self.amount = ZERO_AMOUNT
         self.sequence += 1
         return self.sequence
 
 
 def _sum(amounts: Iterable[Amount]) -> Amount:
-    total = NOTHING
+    total = ZERO_AMOUNT
     for amount in amounts:
         total += amount
     return total
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -25,7 +25,7 @@
     """A request was placed; ages and times are milliseconds before the message was sent.
 
     `due_in_ms` is the time until the first event or the answer has to be there. `prompt` is 0 for
-    requests of plain services. `holds` are the tokens kept by each of the first helpers.
+    requests of plain services. `helper_kv_tokens` are the tokens kept by each of the first helpers.
     """
 
     request_id: str
@@ -38,38 +38,38 @@
     prompt: int
     max_output: int
     expected_output: int
-    writing: bool = False
-    holds: tuple[int, ...] = ()
+    decoding: bool = False
+    helper_kv_tokens: tuple[int, ...] = ()
 
 
-class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
+class RetryBudgetUse(msgspec.Struct, frozen=True, array_like=True):
     """Requests for a service and repeated sends in the last window of the retry budget."""
 
     service: str
     requests: int
-    repeats: int
+    retries: int
 
 
-class Placing(msgspec.Struct, frozen=True, array_like=True):
+class RequestPlaced(msgspec.Struct, frozen=True, array_like=True):
     """The sender has placed a request."""
 
     notice: PlacementNotice
 
 
-class Writing(msgspec.Struct, frozen=True, array_like=True):
+class DecodeStarted(msgspec.Struct, frozen=True, array_like=True):
     """The first event of a placed request has arrived."""
 
     request_id: str
 
 
-class PaceNotice(msgspec.Struct, frozen=True, array_like=True):
-    """A target takes `pace` times as long as usual."""
+class SlowdownNotice(msgspec.Struct, frozen=True, array_like=True):
+    """A target takes `slowdown` times as long as usual."""
 
     target_id: str
-    pace: float
+    slowdown: float
 
 
-class Ending(msgspec.Struct, frozen=True, array_like=True):
+class RequestEnded(msgspec.Struct, frozen=True, array_like=True):
     """A placed request has ended; the verdict is that on its lead."""
 
     request_id: str
@@ -95,7 +95,7 @@
     """The sender watches the receiver and asks it for frequent states."""
 
 
-class RepeatNotice(msgspec.Struct, frozen=True, array_like=True):
+class RetryNotice(msgspec.Struct, frozen=True, array_like=True):
     """The sender has repeated a request for a service, which its next state counts too."""
 
     service: str
@@ -141,7 +141,7 @@
     leaving: bool
     routes_version: int
     knows_targets: bool
-    uses: tuple[ServiceUse, ...]
+    uses: tuple[RetryBudgetUse, ...]
     placed: tuple[str, ...]
     peers: int = 0
     interval_ms: int = 500
@@ -154,16 +154,16 @@
 
 
 Notice = (
-    Placing
-    | Writing
-    | PaceNotice
-    | Ending
+    RequestPlaced
+    | DecodeStarted
+    | SlowdownNotice
+    | RequestEnded
     | Suspicion
     | ListingNotice
     | NodeState
     | NodeAddresses
     | HelperLoss
     | PeerLoss
-    | RepeatNotice
+    | RetryNotice
     | WatchRequest
 )
--- a/packages/entry/src/wasabiwell_entry/state/forwarding.py
+++ b/packages/entry/src/wasabiwell_entry/state/forwarding.py
@@ -55,11 +55,11 @@
 class Helper:
     """A further engine that reads a part of a prompt.
 
-    It holds `hold_tokens` of the prompt in memory that is reserved there under `reservation_id`.
+    It holds `kv_tokens` of the prompt in memory that is reserved there under `reservation_id`.
     """
 
     target: Target
-    hold_tokens: int = 0
+    kv_tokens: int = 0
     reservation_id: str = ""
 
 
@@ -68,7 +68,7 @@
     """One send of a request to a target.
 
     `urgency` orders requests that wait at an engine, 0 first. `time_left` is how long the target
-    may work. `patience` returns how long it may be silent now; after each `probe_interval` of
+    may work. `silence_timeout` returns how long it may be silent now; after each `probe_interval` of
     silence it is asked for a sign of life. `resume_after` is the id of the last event that the
     caller has.
     """
@@ -78,13 +78,13 @@
     helpers: tuple[Helper, ...]
     urgency: int
     time_left: timedelta
-    patience: Callable[[], timedelta]
+    silence_timeout: Callable[[], timedelta]
     probe_interval: timedelta
     resume_after: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerHead:
+class ResponseHead:
     """Status and headers of a target's answer; `verified` tells that it bears a signature."""
 
     status: int
@@ -93,14 +93,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerPart:
+class ResponseChunk:
     """Bytes of the body of an answer that is not a stream of events."""
 
     data: bytes = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerEvent:
+class ResponseEvent:
     """A whole event of a stream, with its framing; comments have no id."""
 
     event_id: int | None
@@ -108,7 +108,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerEnd:
+class ResponseEnd:
     """The body is complete."""
 
 
@@ -137,7 +137,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Broken:
+class ResponseInterrupted:
     """The request was sent and has no whole answer, so it may have run.
 
     `target_lost` tells that the connection was cut or went silent, so the target may have died.
@@ -147,8 +147,8 @@
     target_lost: bool = False
 
 
-AnswerItem = AnswerHead | AnswerPart | AnswerEvent | AnswerEnd
-AttemptItem = AnswerItem | NotSent | NotRun | Broken
+ResponseItem = ResponseHead | ResponseChunk | ResponseEvent | ResponseEnd
+AttemptItem = ResponseItem | NotSent | NotRun | ResponseInterrupted
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/wasabiwell_entry/state/nodes.py
+++ b/packages/entry/src/wasabiwell_entry/state/nodes.py
@@ -7,14 +7,14 @@
 
 import msgspec
 
-from wasabiwell_entry.state.exchange import NodeState, ServiceUse
+from wasabiwell_entry.state.exchange import NodeState, RetryBudgetUse
 
 
 @dataclass(slots=True, eq=False)
 class Node:
     """Another entry instance by its datagram address; `heard` is in monotonic seconds.
 
-    `state` is None until its first state has arrived. `allowed_silence` is the time in seconds
+    `state` is None until its first state has arrived. `silence_timeout` is the time in seconds
     after which it counts as gone. `lost` tells that an instance which watches it has reported its
     silence, and that nothing was heard of it since.
     """
@@ -23,7 +23,7 @@
     known_since: float
     heard: float | None = None
     state: NodeState | None = None
-    allowed_silence: float = 0.0
+    silence_timeout: float = 0.0
     lost: bool = False
 
     def silence(self, now: float) -> float:
@@ -62,27 +62,27 @@
             insort(self._ordered, node, key=attrgetter("address"))
         return node
 
-    def hear(self, address: str, now: float) -> None:
+    def record_contact(self, address: str, now: float) -> None:
         """Note that a message of an entry instance arrived whose state is known."""
         node = self._nodes.get(address)
         if node is not None and node.state is not None:
             node.heard = now
             node.lost = False
 
-    def count_repeat(self, address: str, service: str) -> None:
+    def count_retry(self, address: str, service: str) -> None:
         """Count a repeat that an entry instance made after its last state."""
         node = self._nodes.get(address)
         if node is None or node.state is None:
             return
         uses = tuple(
-            msgspec.structs.replace(use, repeats=use.repeats + 1) if use.service == service else use
+            msgspec.structs.replace(use, retries=use.retries + 1) if use.service == service else use
             for use in node.state.uses
         )
         if all(use.service != service for use in uses):
-            uses = (*uses, ServiceUse(service, 0, 1))
+            uses = (*uses, RetryBudgetUse(service, 0, 1))
         node.state = msgspec.structs.replace(node.state, uses=uses)
 
-    def uses(self) -> list[tuple[ServiceUse, ...]]:
+    def uses(self) -> list[tuple[RetryBudgetUse, ...]]:
         """Return what each has counted of the requests and repeats of services."""
         return [node.state.uses for node in self if node.state is not None]
 
@@ -96,7 +96,7 @@
         """Return those that were heard and are not lost, in the order of addresses."""
         return [node for node in self._ordered if node.heard is not None and not node.lost]
 
-    def within_silence(self, now: float) -> list[Node]:
+    def reachable(self, now: float) -> list[Node]:
         """Return those that were heard within their allowed silence, in the order of addresses.
 
         `now` is a monotonic time in seconds.
@@ -104,5 +104,5 @@
         return [
             node
             for node in self._ordered
-            if node.heard is not None and not node.lost and now - node.heard <= node.allowed_silence
+            if node.heard is not None and not node.lost and now - node.heard <= node.silence_timeout
         ]
--- a/packages/entry/src/wasabiwell_entry/state/outcomes.py
+++ b/packages/entry/src/wasabiwell_entry/state/outcomes.py
@@ -81,7 +81,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
+class ServiceResponse:
     """The whole answer of a plain service."""
 
     status: int
@@ -91,4 +91,4 @@
 
 
 GenerateOutcome = Finished | Refused | Failed
-CallOutcome = Answer | Refused | Failed
+CallOutcome = ServiceResponse | Refused | Failed
--- a/packages/entry/src/wasabiwell_entry/state/requests.py
+++ b/packages/entry/src/wasabiwell_entry/state/requests.py
@@ -77,7 +77,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StreamBroken:
+class StreamInterrupted:
     """The stream ended before its end mark.
 
     `refused` tells that the engine proved that it did not start. `target_lost` tells that the
@@ -91,7 +91,7 @@
     silent: bool = False
 
 
-StreamItem = TokenFrame | EndFrame | StreamBroken
+StreamItem = TokenFrame | EndFrame | StreamInterrupted
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/wasabiwell_entry/state/routes.py
+++ b/packages/entry/src/wasabiwell_entry/state/routes.py
@@ -62,40 +62,44 @@
     """Speed and memory of the engines of a service.
 
     A pass of an engine executes `stride` token steps when a sequence is writing. A step takes
-    `step` seconds, `step_per_sequence` more for each writing sequence and `step_per_token` more
-    for each token of their contexts. Reading takes `read_per_token` seconds for each token and
-    `read_per_pair` for each pair of a token and an earlier one, at most `chunk` tokens in a step.
-    `hop` is what a step takes more when other engines hold parts of the prompt.
+    `step_seconds` seconds, `step_seconds_per_sequence` more for each writing sequence and `step_seconds_per_token` more
+    for each token of their contexts. Reading takes `prefill_seconds_per_token` seconds for each token and
+    `prefill_seconds_per_pair` for each pair of a token and an earlier one, at most `chunk` tokens in a step.
+    `remote_kv_seconds` is what a step takes more when other engines hold parts of the prompt.
     """
 
     slots: int
     memory_tokens: int
     stride: int
-    step: float
-    step_per_sequence: float
-    step_per_token: float
-    read_per_token: float
-    read_per_pair: float
+    step_seconds: float
+    step_seconds_per_sequence: float
+    step_seconds_per_token: float
+    prefill_seconds_per_token: float
+    prefill_seconds_per_pair: float
     chunk: int
-    hop: float
+    remote_kv_seconds: float
     usual_prompt_tokens: int
     usual_output_tokens: int
 
     @property
     def event_interval(self) -> float:
         """Return the seconds between the events of a sequence that writes alone."""
-        return self.stride * (self.step + self.step_per_sequence)
+        return self.stride * (self.step_seconds + self.step_seconds_per_sequence)
 
     @property
-    def usual_write_seconds(self) -> float:
+    def usual_decode_seconds(self) -> float:
         """Return the seconds that the usual answer takes to write."""
         return self.usual_output_tokens * self.event_interval / self.stride
 
-    def read_seconds(self, tokens: int) -> float:
+    def prefill_seconds(self, tokens: int) -> float:
         """Return how long an idle engine reads a prompt, in seconds."""
         pairs = tokens * tokens / 2
         steps = tokens / self.chunk
-        return tokens * self.read_per_token + pairs * self.read_per_pair + steps * self.step
+        return (
+            tokens * self.prefill_seconds_per_token
+            + pairs * self.prefill_seconds_per_pair
+            + steps * self.step_seconds
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/wasabiwell_entry/state/targets.py
+++ b/packages/entry/src/wasabiwell_entry/state/targets.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-RETAINED_USE = timedelta(seconds=4)
+USE_HISTORY = timedelta(seconds=4)
 """Past of the own use that is kept; it must exceed the age of any load report that is used."""
 
 
@@ -120,9 +120,9 @@
             self.long_outstanding += slots
             self.long_tokens += tokens
         self.samples.append(UseSample(now, self.outstanding, self.outstanding_tokens))
-        while len(self.samples) > 1 and self.samples[1].at < now - RETAINED_USE:
+        while len(self.samples) > 1 and self.samples[1].at < now - USE_HISTORY:
             self.samples.popleft()
-        while self.sends and self.sends[0][0] < now - RETAINED_USE:
+        while self.sends and self.sends[0][0] < now - USE_HISTORY:
             self.sends.popleft()
 
 
--- a/packages/entry/src/wasabiwell_entry/state/work.py
+++ b/packages/entry/src/wasabiwell_entry/state/work.py
@@ -12,17 +12,17 @@
 from wasabiwell_entry.state.routes import EngineProfile
 from wasabiwell_entry.state.targets import Target
 
-LATE_SHARE = 0.75
+LATE_PENALTY = 0.75
 """Part of a request's value that is lost when it is late; both users' price lists have 0.75."""
 EXPIRY_FACTOR = 4.0
 """Placements that last this many times longer than expected are dropped as forgotten."""
-PACE_WEIGHT = 0.4
+SLOWDOWN_WEIGHT = 0.4
 """Weight of a new observation of an engine's pace against what was known before."""
-PACE_HALF_LIFE_SECONDS = 4.0
+SLOWDOWN_HALF_LIFE_SECONDS = 4.0
 """An engine that gets no requests is believed to be half as slow after this, so that it is tried
 again."""
-MAX_PACE = 20.0
-ARRIVALS_SECONDS = 2.0
+MAX_SLOWDOWN = 20.0
+ARRIVAL_WINDOW_SECONDS = 2.0
 """Time over which the rate of short requests is taken; the users' mixes change within seconds."""
 MIN_EXPIRY_SECONDS = 20.0
 """Placements are kept at least this long: no route of the users waits longer."""
@@ -31,11 +31,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Placed:
+class PlacedRequest:
     """A request that an entry instance has placed.
 
     `placed_at` and `due` are seconds of the local monotonic clock; `due` is when the first event
-    or the answer has to be there. `gap` is the longest pause between events, in seconds. `holds`
+    or the answer has to be there. `gap` is the longest pause between events, in seconds. `helper_kv_tokens`
     are the tokens of the prompt that are kept in the memory of each of the first helpers.
     """
 
@@ -48,48 +48,48 @@
     due: float
     gap: float
     size: PromptSize | None
-    writing: bool = False
-    holds: tuple[int, ...] = ()
+    decoding: bool = False
+    helper_kv_tokens: tuple[int, ...] = ()
 
-    def tokens_at(self, target_id: str) -> int:
+    def kv_tokens_on(self, target_id: str) -> int:
         """Return the memory that the prompt takes on a target, in tokens."""
         if self.size is None:
             return 0
         if target_id == self.lead:
-            return self.size.prompt - sum(self.holds)
-        holders = zip(self.helpers, self.holds, strict=False)
+            return self.size.prompt - sum(self.helper_kv_tokens)
+        holders = zip(self.helpers, self.helper_kv_tokens, strict=False)
         return sum(tokens for helper, tokens in holders if helper == target_id)
 
 
 @dataclass(slots=True, eq=False)
-class Resident:
-    """A request on one engine; `lead` tells that it is written there, `part` that it is split.
+class TargetRequest:
+    """A request on one engine; `lead` tells that it is written there, `split` that it is split.
 
-    `read_left` is the reading that is left on this engine and `write_left` the writing, in seconds.
+    `prefill_seconds_left` is the reading that is left on this engine and `decode_seconds_left` the writing, in seconds.
     """
 
-    placed: Placed
+    placed: PlacedRequest
     lead: bool
-    part: bool
-    read_left: float
-    write_left: float
+    split: bool
+    prefill_seconds_left: float
+    decode_seconds_left: float
     tokens: int
     value: float
-    writing: bool = False
+    decoding: bool = False
 
 
 @dataclass(slots=True, eq=False)
 class TargetWork:
     """What is placed on one target; `profile` is None for targets of plain services.
 
-    `pace` is how many times as long as usual the target takes; it is 1 for a sound one.
+    `slowdown` is how many times as long as usual the target takes; it is 1 for a sound one.
     """
 
     target: Target
     profile: EngineProfile | None
-    residents: dict[str, Resident] = field(default_factory=dict)
+    requests: dict[str, TargetRequest] = field(default_factory=dict)
     updated: float = 0.0
-    pace: float = 1.0
+    slowdown: float = 1.0
 
     @property
     def slots(self) -> int:
@@ -97,44 +97,44 @@
         return self.target.slots or (self.profile.slots if self.profile is not None else 1)
 
     @property
-    def leads(self) -> int:
+    def occupied_slots(self) -> int:
         """Return the number of requests that take a slot here."""
-        return sum(1 for resident in self.residents.values() if resident.lead)
+        return sum(1 for resident in self.requests.values() if resident.lead)
 
     @property
     def tokens(self) -> int:
         """Return the memory that is in use here, in tokens."""
-        return sum(resident.tokens for resident in self.residents.values())
+        return sum(resident.tokens for resident in self.requests.values())
 
-    def writers(self) -> list[Resident]:
+    def decoding_requests(self) -> list[TargetRequest]:
         """Return the requests that are written here now."""
-        return [item for item in self.residents.values() if item.lead and item.writing]
+        return [item for item in self.requests.values() if item.lead and item.decoding]
 
-    def pass_seconds(self, writers: list[Resident]) -> float:
+    def iteration_seconds(self, writers: list[TargetRequest]) -> float:
         """Return how long a pass without reading takes."""
         profile = self.profile
         if profile is None or not writers:
             return 0.0
         tokens = sum(writer.tokens for writer in writers)
-        step = profile.step + len(writers) * profile.step_per_sequence
-        return profile.stride * (step + tokens * profile.step_per_token) * self.pace
+        step = profile.step_seconds + len(writers) * profile.step_seconds_per_sequence
+        return profile.stride * (step + tokens * profile.step_seconds_per_token) * self.slowdown
 
-    def reading_order(self) -> list[Resident]:
+    def prefill_order(self) -> list[TargetRequest]:
         """Return the requests with reading left in the order in which the engine reads them.
 
         Engines read parts of split prompts before other prompts, the newest part first.
         """
-        waiting = [item for item in self.residents.values() if item.read_left > 0]
-        parts = [item for item in waiting if item.part]
-        return [*reversed(parts), *(item for item in waiting if not item.part)]
+        waiting = [item for item in self.requests.values() if item.prefill_seconds_left > 0]
+        parts = [item for item in waiting if item.split]
+        return [*reversed(parts), *(item for item in waiting if not item.split)]
 
-    def observe_pace(self, event_gap: float, now: float) -> None:
+    def observe_slowdown(self, event_gap: float, now: float) -> None:
         """Take over an undisturbed time between two events of a stream, in seconds."""
         self.advance(now)
-        usual = self.pass_seconds(self.writers()) / self.pace
+        usual = self.iteration_seconds(self.decoding_requests()) / self.slowdown
         if usual > 0:
-            observed = min(MAX_PACE, max(1.0, event_gap / usual))
-            self.pace += PACE_WEIGHT * (observed - self.pace)
+            observed = min(MAX_SLOWDOWN, max(1.0, event_gap / usual))
+            self.slowdown += SLOWDOWN_WEIGHT * (observed - self.slowdown)
 
     def advance(self, now: float) -> None:
         """Work off reading and writing up to a time."""
@@ -142,55 +142,57 @@
         self.updated = max(self.updated, now)
         if seconds <= 0 or self.profile is None:
             return
-        elapsed = seconds / self.pace
-        self.pace = 1.0 + (self.pace - 1.0) * 0.5 ** (seconds / PACE_HALF_LIFE_SECONDS)
+        elapsed = seconds / self.slowdown
+        self.slowdown = 1.0 + (self.slowdown - 1.0) * 0.5 ** (seconds / SLOWDOWN_HALF_LIFE_SECONDS)
         self._write(elapsed)
-        for resident in self.reading_order():
-            done = min(elapsed, resident.read_left)
-            resident.read_left -= done
+        for resident in self.prefill_order():
+            done = min(elapsed, resident.prefill_seconds_left)
+            resident.prefill_seconds_left -= done
             elapsed -= done
-            if resident.read_left <= 0 and resident.lead and not resident.part:
-                resident.writing = True
+            if resident.prefill_seconds_left <= 0 and resident.lead and not resident.split:
+                resident.decoding = True
             if elapsed <= 0:
                 return
 
     def _write(self, elapsed: float) -> None:
-        for resident in self.residents.values():
-            if resident.lead and resident.writing:
-                resident.write_left = max(0.0, resident.write_left - elapsed)
+        for resident in self.requests.values():
+            if resident.lead and resident.decoding:
+                resident.decode_seconds_left = max(0.0, resident.decode_seconds_left - elapsed)
 
-    def add(self, placed: Placed, now: float) -> None:
+    def add(self, placed: PlacedRequest, now: float) -> None:
         """Add a request that is placed here."""
         self.advance(now)
         profile, size = self.profile, placed.size
         lead = placed.lead == self.target.target_id
         if profile is None or size is None:
-            self.residents[placed.request_id] = Resident(placed, lead, False, 0.0, 0.0, 0, 1.0)
+            self.requests[placed.request_id] = TargetRequest(placed, lead, False, 0.0, 0.0, 0, 1.0)
             return
         engines = 1 + len(placed.helpers)
-        self.residents[placed.request_id] = Resident(
+        self.requests[placed.request_id] = TargetRequest(
             placed,
             lead=lead,
-            part=engines > 1,
-            read_left=0.0 if placed.writing else profile.read_seconds(size.prompt) / engines,
-            write_left=size.expected_output * profile.event_interval / profile.stride,
-            tokens=placed.tokens_at(self.target.target_id),
+            split=engines > 1,
+            prefill_seconds_left=0.0
+            if placed.decoding
+            else profile.prefill_seconds(size.prompt) / engines,
+            decode_seconds_left=size.expected_output * profile.event_interval / profile.stride,
+            tokens=placed.kv_tokens_on(self.target.target_id),
             value=request_value(size, profile),
-            writing=placed.writing,
+            decoding=placed.decoding,
         )
 
-    def begin_writing(self, request_id: str, now: float) -> None:
+    def start_decode(self, request_id: str, now: float) -> None:
         """Note the first event of a request: its prompt has been read here."""
         self.advance(now)
-        resident = self.residents.get(request_id)
+        resident = self.requests.get(request_id)
         if resident is not None:
-            resident.read_left = 0.0
-            resident.writing = True
+            resident.prefill_seconds_left = 0.0
+            resident.decoding = True
 
     def remove(self, request_id: str, now: float) -> None:
         """Remove a request that has ended."""
         self.advance(now)
-        self.residents.pop(request_id, None)
+        self.requests.pop(request_id, None)
 
 
 class WorkTable:
@@ -201,7 +203,7 @@
     def __init__(self) -> None:
         self._works: dict[str, TargetWork] = {}
         self._by_service: dict[str, list[TargetWork]] = {}
-        self._placed: dict[str, Placed] = {}
+        self._placed: dict[str, PlacedRequest] = {}
         self._arrivals: dict[str, deque[tuple[float, float]]] = {}
 
     def __len__(self) -> int:
@@ -218,7 +220,7 @@
         """Return the work of a service's targets, in the order of their ids."""
         return self._by_service.get(service, [])
 
-    def placed_by(self, origin: str) -> list[Placed]:
+    def placed_by(self, origin: str) -> list[PlacedRequest]:
         """Return what an entry instance has placed."""
         return [placed for placed in self._placed.values() if placed.origin == origin]
 
@@ -239,7 +241,7 @@
             if placed.lead not in works:
                 del self._placed[request_id]
 
-    def add(self, placed: Placed, now: float) -> None:
+    def add(self, placed: PlacedRequest, now: float) -> None:
         """Add a request to the targets on which it is placed."""
         self.remove(placed.request_id, now)
         self._placed[placed.request_id] = placed
@@ -249,7 +251,7 @@
             if (work := self._works.get(target_id)) is not None:
                 work.add(placed, now)
 
-    def value_rate(self, service: str, now: float) -> tuple[float, float]:
+    def arrival_stats(self, service: str, now: float) -> tuple[float, float]:
         """Return the rate of requests that one engine reads, in 1/s, and their mean value."""
         arrivals = self._arrivals.get(service)
         if not arrivals:
@@ -257,9 +259,11 @@
         _forget(arrivals, now)
         if not arrivals:
             return 0.0, 0.0
-        return len(arrivals) / ARRIVALS_SECONDS, sum(value for _, value in arrivals) / len(arrivals)
+        return len(arrivals) / ARRIVAL_WINDOW_SECONDS, sum(value for _, value in arrivals) / len(
+            arrivals
+        )
 
-    def _note_arrival(self, placed: Placed, size: PromptSize, now: float) -> None:
+    def _note_arrival(self, placed: PlacedRequest, size: PromptSize, now: float) -> None:
         work = self._works.get(placed.lead)
         if work is None or work.profile is None:
             return
@@ -267,7 +271,7 @@
         arrivals.append((now, request_value(size, work.profile)))
         _forget(arrivals, now)
 
-    def begin_writing(self, request_id: str, now: float) -> None:
+    def start_decode(self, request_id: str, now: float) -> None:
         """Note the first event of a request."""
         placed = self._placed.get(request_id)
         if placed is None:
@@ -275,8 +279,8 @@
         for target_id in (placed.lead, *placed.helpers):
             if (work := self._works.get(target_id)) is None:
                 continue
-            if target_id == placed.lead or placed.tokens_at(target_id):
-                work.begin_writing(request_id, now)
+            if target_id == placed.lead or placed.kv_tokens_on(target_id):
+                work.start_decode(request_id, now)
             else:
                 work.remove(request_id, now)
 
@@ -304,7 +308,7 @@
 
 
 def _forget(arrivals: deque[tuple[float, float]], now: float) -> None:
-    while arrivals and arrivals[0][0] < now - ARRIVALS_SECONDS:
+    while arrivals and arrivals[0][0] < now - ARRIVAL_WINDOW_SECONDS:
         arrivals.popleft()
 
 
--- a/packages/entry/src/wasabiwell_entry/transport/certificates.py
+++ b/packages/entry/src/wasabiwell_entry/transport/certificates.py
@@ -22,7 +22,7 @@
 
 
 @dataclass(slots=True)
-class Certificates:
+class CertificateReloader:
     """Contexts that use one key pair or one list of issuers; new connections see new files.
 
     Issuers that are taken out of a file stay accepted until the process starts anew, because a
--- a/packages/entry/src/wasabiwell_entry/transport/http/admin.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/admin.py
@@ -30,7 +30,7 @@
 )
 from wasabiwell_entry.protocol.problem import problem
 from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
-from wasabiwell_entry.transport.http.asgi import JSON_TYPE, Exchange
+from wasabiwell_entry.transport.http.asgi import JSON_TYPE, HttpExchange
 from wasabiwell_entry.transport.http.context import HttpContext, authenticate_operator
 from wasabiwell_entry.transport.http.orders import handle_order
 
@@ -45,7 +45,7 @@
 }
 
 
-async def handle_admin(context: HttpContext, exchange: Exchange) -> None:
+async def handle_admin(context: HttpContext, exchange: HttpExchange) -> None:
     """Answer an operator."""
     if not context.configuration.view.has_operators:
         # A started instance may not know yet that the deployment has operators.
@@ -82,17 +82,17 @@
             await _respond_refused(exchange, f"no operation {method} {exchange.path}")
 
 
-async def _respond(exchange: Exchange, status: int, value: object) -> None:
+async def _respond(exchange: HttpExchange, status: int, value: object) -> None:
     await exchange.respond(status, [JSON_TYPE], msgspec.json.encode(value))
 
 
 async def _respond_refused(
-    exchange: Exchange, message: str, reason: Reason = Reason.UNKNOWN_ROUTE
+    exchange: HttpExchange, message: str, reason: Reason = Reason.UNKNOWN_ROUTE
 ) -> None:
     await exchange.respond_problem(problem(Refused(reason, message)))
 
 
-async def _history(context: HttpContext, exchange: Exchange) -> None:
+async def _history(context: HttpContext, exchange: HttpExchange) -> None:
     text = exchange.query("limit") or str(HISTORY_LIMIT)
     if not text.isdecimal() or not 1 <= int(text) <= MAX_HISTORY_LIMIT:
         finding = Finding("query limit", f"must be from 1 to {MAX_HISTORY_LIMIT}")
@@ -103,7 +103,7 @@
     await _respond(exchange, 200, HistoryReply(context.configuration.version, versions))
 
 
-async def _drain_target(context: HttpContext, exchange: Exchange, target_id: str) -> None:
+async def _drain_target(context: HttpContext, exchange: HttpExchange, target_id: str) -> None:
     match context.operations.drain_target(target_id):
         case Done():
             node_id = context.operations.report().node_id
@@ -112,7 +112,7 @@
             await _respond_refused(exchange, message, Reason.NOT_FOUND)
 
 
-async def _quarantine(context: HttpContext, exchange: Exchange) -> None:
+async def _quarantine(context: HttpContext, exchange: HttpExchange) -> None:
     match context.operations.suspects():
         case Unavailable(reason=reason):
             await _respond_refused(exchange, reason)
@@ -120,7 +120,7 @@
             await _respond(exchange, 200, QuarantineReply(suspects))
 
 
-async def _release(context: HttpContext, exchange: Exchange, fingerprint: str) -> None:
+async def _release(context: HttpContext, exchange: HttpExchange, fingerprint: str) -> None:
     match await context.operations.release(fingerprint):
         case Done():
             await _respond(exchange, 200, {"released": fingerprint})
@@ -130,7 +130,7 @@
             await _respond_refused(exchange, reason, Reason.STORE_UNAVAILABLE)
 
 
-async def _trace(context: HttpContext, exchange: Exchange, request_id: str) -> None:
+async def _trace(context: HttpContext, exchange: HttpExchange, request_id: str) -> None:
     match context.operations.record(request_id):
         case NoRecord():
             message = f"this entry instance has no record of request {request_id}"
@@ -140,14 +140,14 @@
             await _respond(exchange, 200, TraceReply(node_id, record))
 
 
-async def _get_configuration(context: HttpContext, exchange: Exchange) -> None:
+async def _get_configuration(context: HttpContext, exchange: HttpExchange) -> None:
     state = context.configuration
     items = {path: msgspec.Raw(value) for path, value in state.items.items()}
     body = msgspec.json.encode(ConfigurationReply(state.version, items))
     await exchange.respond(200, [JSON_TYPE], body)
 
 
-async def _apply(context: HttpContext, exchange: Exchange) -> None:
+async def _apply(context: HttpContext, exchange: HttpExchange) -> None:
     body = await exchange.read_body(
         context.limits.max_body_bytes, context.limits.body_timeout_seconds
     )
--- a/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -16,7 +16,7 @@
 JSON_TYPE = (b"content-type", b"application/json")
 
 
-class Exchange:
+class HttpExchange:
     """One HTTP request and its answer."""
 
     __slots__ = ("_closing", "_finished", "_receive", "_scope", "_send", "_started")
--- a/packages/entry/src/wasabiwell_entry/transport/http/chat.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/chat.py
@@ -17,7 +17,7 @@
 from wasabiwell_entry.state.outcomes import Failed, Finding, Finished, Reason, Refused
 from wasabiwell_entry.state.requests import GenerateRequest, TokenFrame
 from wasabiwell_entry.state.sizes import SizeClass, size_class
-from wasabiwell_entry.transport.http.asgi import JSON_TYPE, Exchange
+from wasabiwell_entry.transport.http.asgi import JSON_TYPE, HttpExchange
 from wasabiwell_entry.transport.http.context import (
     HttpContext,
     authenticate_organisation,
@@ -38,7 +38,7 @@
 
     __slots__ = ("_encoder", "_exchange", "_last_sent", "_request_id", "_sending")
 
-    def __init__(self, exchange: Exchange, encoder: ChatEncoder, request_id: str) -> None:
+    def __init__(self, exchange: HttpExchange, encoder: ChatEncoder, request_id: str) -> None:
         self._exchange = exchange
         self._encoder = encoder
         self._request_id = request_id
@@ -87,7 +87,7 @@
         self._texts.append(frame.text)
 
 
-async def handle_chat(context: HttpContext, exchange: Exchange) -> None:
+async def handle_chat(context: HttpContext, exchange: HttpExchange) -> None:
     """Answer a completion request."""
     received = context.clock.monotonic()
     body = await exchange.read_body(
@@ -111,7 +111,7 @@
 
 
 def _build_request(
-    context: HttpContext, exchange: Exchange, body: ChatBody, received: timedelta
+    context: HttpContext, exchange: HttpExchange, body: ChatBody, received: timedelta
 ) -> GenerateRequest | Refused:
     organisation = authenticate_organisation(context, exchange, body.model)
     if isinstance(organisation, Refused):
@@ -154,7 +154,7 @@
 
 
 async def _answer_stream(
-    context: HttpContext, exchange: Exchange, request: GenerateRequest
+    context: HttpContext, exchange: HttpExchange, request: GenerateRequest
 ) -> None:
     encoder = _encoder(context, request)
     sink = StreamSink(exchange, encoder, request.request_id)
@@ -172,7 +172,9 @@
             await exchange.respond_problem(problem(failure), request.request_id)
 
 
-async def _answer_whole(context: HttpContext, exchange: Exchange, request: GenerateRequest) -> None:
+async def _answer_whole(
+    context: HttpContext, exchange: HttpExchange, request: GenerateRequest
+) -> None:
     sink = CollectingSink()
     match await context.dispatcher.generate(request, sink):
         case Finished(tokens=tokens, finish_reason=finish_reason):
--- a/packages/entry/src/wasabiwell_entry/transport/http/context.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/context.py
@@ -17,7 +17,7 @@
 from wasabiwell_entry.state.configuration import ConfigurationState
 from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
 from wasabiwell_entry.state.targets import TargetTable
-from wasabiwell_entry.transport.http.asgi import Exchange
+from wasabiwell_entry.transport.http.asgi import HttpExchange
 
 BEARER_PREFIX = "Bearer "
 
@@ -54,7 +54,7 @@
 
 
 def authenticate_organisation(
-    context: HttpContext, exchange: Exchange, service: str
+    context: HttpContext, exchange: HttpExchange, service: str
 ) -> Organisation | Refused:
     """Return the organisation whose key the caller sent."""
     key_hash = _key_hash(exchange)
@@ -66,7 +66,7 @@
     return organisation
 
 
-def authenticate_operator(context: HttpContext, exchange: Exchange) -> OperatorKey | Refused:
+def authenticate_operator(context: HttpContext, exchange: HttpExchange) -> OperatorKey | Refused:
     """Return the operator whose key the caller sent.
 
     While no operator key is configured, the interface is open to loopback callers and to the
@@ -91,7 +91,7 @@
         return False
 
 
-def _key_hash(exchange: Exchange) -> str | None:
+def _key_hash(exchange: HttpExchange) -> str | None:
     value = exchange.header(b"authorization")
     if value is None or not value.startswith(BEARER_PREFIX):
         return None
--- a/packages/entry/src/wasabiwell_entry/transport/http/orders.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/orders.py
@@ -6,24 +6,24 @@
 from wasabiwell_config import Fencing
 
 from wasabiwell_entry.coordination.orders.errors import (
+    LeaseExpired,
     LeaseHeld,
-    LeaseLapsed,
     LeaseUnavailable,
-    OrderDone,
+    OrderAcknowledged,
     OrderOutcome,
     OrderRefused,
-    OrderUnknown,
-    RateUsedUp,
+    OrderUnacknowledged,
+    RateLimitReached,
 )
 from wasabiwell_entry.protocol.admin import OrderBody, OrderReply
 from wasabiwell_entry.protocol.problem import problem
 from wasabiwell_entry.state.outcomes import Finding, Reason, Refused
 from wasabiwell_entry.state.targets import TargetKind
-from wasabiwell_entry.transport.http.asgi import JSON_TYPE, Exchange
+from wasabiwell_entry.transport.http.asgi import JSON_TYPE, HttpExchange
 from wasabiwell_entry.transport.http.context import HttpContext
 
 
-async def handle_order(context: HttpContext, exchange: Exchange) -> None:
+async def handle_order(context: HttpContext, exchange: HttpExchange) -> None:
     """Give an operator's order to an engine."""
     body = await exchange.read_body(
         context.limits.max_body_bytes, context.limits.body_timeout_seconds
@@ -43,30 +43,30 @@
         return
     service = context.configuration.view.model_service(status.target.service)
     fencing = service.fencing if service is not None else Fencing.IGNORED
-    code, reply = _reply(await context.orders.give(status.target, order, fencing))
+    code, reply = _reply(await context.orders.issue(status.target, order, fencing))
     await exchange.respond(code, [JSON_TYPE], msgspec.json.encode(reply))
 
 
-async def _refuse(exchange: Exchange, finding: Finding) -> None:
+async def _refuse(exchange: HttpExchange, finding: Finding) -> None:
     refused = Refused(Reason.INVALID_REQUEST, "the order is not valid", findings=(finding,))
     await exchange.respond_problem(problem(refused))
 
 
 def _reply(outcome: OrderOutcome) -> tuple[int, OrderReply]:
     match outcome:
-        case OrderDone():
+        case OrderAcknowledged():
             return 200, OrderReply("done")
         case OrderRefused(reason=reason):
             return 409, OrderReply("refused", reason)
         case LeaseHeld(holder=holder, retry_after=wait):
             return 409, _later("lease_held", f"{holder} holds the engine's lease", wait)
-        case LeaseLapsed():
+        case LeaseExpired():
             return 503, OrderReply("lease_lapsed", "the lease ended before the order was sent")
         case LeaseUnavailable(reason=reason):
             return 503, OrderReply("lease_unavailable", reason)
-        case RateUsedUp(retry_after=wait):
+        case RateLimitReached(retry_after=wait):
             return 429, _later("rate_used_up", "the weight store's rate is used up", wait)
-        case OrderUnknown(reason=reason):
+        case OrderUnacknowledged(reason=reason):
             return 504, OrderReply("unknown", reason)
 
 
--- a/packages/entry/src/wasabiwell_entry/transport/http/server.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/server.py
@@ -15,7 +15,7 @@
 from wasabiwell_entry.transport.http.admin import ADMIN_PREFIX, handle_admin
 from wasabiwell_entry.transport.http.asgi import (
     JSON_TYPE,
-    Exchange,
+    HttpExchange,
     Receive,
     Scope,
     Send,
@@ -41,7 +41,7 @@
             return
         if scope["type"] != "http":
             return
-        exchange = Exchange(scope, receive, send, lambda: context.lifecycle.leaving)
+        exchange = HttpExchange(scope, receive, send, lambda: context.lifecycle.leaving)
         with context.lifecycle.request(), _span(context, exchange):
             await _serve(context, exchange)
 
@@ -83,7 +83,7 @@
     await serve(application(context), config, shutdown_trigger=shutdown)  # type: ignore[arg-type]
 
 
-def _span(context: HttpContext, exchange: Exchange) -> AbstractContextManager[None]:
+def _span(context: HttpContext, exchange: HttpExchange) -> AbstractContextManager[None]:
     """Return the span of a request; the path is not part of it, as callers choose it."""
     return context.telemetry.request_span(
         f"{exchange.method} request",
@@ -92,7 +92,7 @@
     )
 
 
-async def _serve(context: HttpContext, exchange: Exchange) -> None:
+async def _serve(context: HttpContext, exchange: HttpExchange) -> None:
     try:
         await _route(context, exchange)
     except Exception as error:
@@ -104,7 +104,7 @@
         await exchange.respond_problem(problem(failed))
 
 
-async def _route(context: HttpContext, exchange: Exchange) -> None:
+async def _route(context: HttpContext, exchange: HttpExchange) -> None:
     match exchange.method, exchange.path:
         case "GET", "/healthz":
             await exchange.respond(200, [JSON_TYPE], b'{"status":"ok"}')
@@ -123,7 +123,7 @@
             await exchange.respond_problem(problem(refused))
 
 
-async def _readiness(context: HttpContext, exchange: Exchange) -> None:
+async def _readiness(context: HttpContext, exchange: HttpExchange) -> None:
     match context.lifecycle.readiness():
         case Ready():
             await exchange.respond(200, [JSON_TYPE], b'{"status":"ready"}')
@@ -131,7 +131,7 @@
             await exchange.respond_problem(problem(Refused(Reason.NOT_READY, reason)))
 
 
-async def _addresses(context: HttpContext, exchange: Exchange) -> None:
+async def _addresses(context: HttpContext, exchange: HttpExchange) -> None:
     answer = context.addresses.addresses(exchange.query("zone"), exchange.peer_host)
     body = msgspec.json.encode({"addresses": answer.addresses, "ttl_s": answer.ttl.total_seconds()})
     await exchange.respond(200, [JSON_TYPE], body)
--- a/packages/entry/src/wasabiwell_entry/transport/http/services.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/services.py
@@ -12,9 +12,9 @@
     fingerprint,
     is_idempotent,
 )
-from wasabiwell_entry.state.outcomes import Answer, Finding, Reason, Refused, RunState
+from wasabiwell_entry.state.outcomes import Finding, Reason, Refused, RunState, ServiceResponse
 from wasabiwell_entry.state.requests import ServiceCall
-from wasabiwell_entry.transport.http.asgi import Exchange
+from wasabiwell_entry.transport.http.asgi import HttpExchange
 from wasabiwell_entry.transport.http.context import (
     HttpContext,
     authenticate_organisation,
@@ -24,7 +24,7 @@
 SERVICES_PREFIX = "/v1/services/"
 
 
-async def handle_service(context: HttpContext, exchange: Exchange) -> None:
+async def handle_service(context: HttpContext, exchange: HttpExchange) -> None:
     """Answer a call to a plain service."""
     received = context.clock.monotonic()
     name, _, rest = exchange.path.removeprefix(SERVICES_PREFIX).partition("/")
@@ -39,7 +39,7 @@
         await exchange.respond_problem(problem(call))
         return
     match await context.dispatcher.call(call):
-        case Answer() as answer:
+        case ServiceResponse() as answer:
             headers = [
                 (b"content-type", answer.content_type.encode("latin-1")),
                 (b"x-request-id", call.request_id.encode()),
@@ -54,7 +54,7 @@
 
 def _build_call(
     context: HttpContext,
-    exchange: Exchange,
+    exchange: HttpExchange,
     name: str,
     path: str,
     body: bytes,
@@ -77,7 +77,7 @@
 def _call(
     organisation: Organisation,
     service: PlainService,
-    exchange: Exchange,
+    exchange: HttpExchange,
     path: str,
     body: bytes,
     received: timedelta,
--- a/packages/entry/src/wasabiwell_entry/transport/peer/calls.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/calls.py
@@ -3,7 +3,7 @@
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
 from wasabiwell_entry.coordination.lifecycle.ports import PeerSnapshot
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.coordination.targets import TargetCoordinator
 from wasabiwell_entry.protocol.peer import (
     EXCHANGE,
@@ -30,25 +30,25 @@
         self._client = client
         self._own_id = own_id
 
-    async def push(self, member: Member, delta: ConfigurationDelta) -> int | PeerSilent:
+    async def push(self, member: Member, delta: ConfigurationDelta) -> int | PeerUnreachable:
         """Hand a delta to a peer and return the version that is in force there."""
         reply = await self._client.call(member.peer_address, PUSH_CONFIGURATION, delta)
         match reply:
             case PeerUnavailable(reason=reason):
-                return PeerSilent(reason)
+                return PeerUnreachable(reason)
             case VersionAck(version=version):
                 return version
 
-    async def fetch(self, member: Member, since: int) -> ConfigurationUpdate | PeerSilent:
+    async def fetch(self, member: Member, since: int) -> ConfigurationUpdate | PeerUnreachable:
         """Return what an instance with the version `since` lacks."""
         query = ConfigurationQuery(since)
         reply = await self._client.call(member.peer_address, FETCH_CONFIGURATION, query)
-        return PeerSilent(reply.reason) if isinstance(reply, PeerUnavailable) else reply
+        return PeerUnreachable(reply.reason) if isinstance(reply, PeerUnavailable) else reply
 
-    async def fetch_snapshot(self, address: str) -> PeerSnapshot | PeerSilent:
+    async def fetch_snapshot(self, address: str) -> PeerSnapshot | PeerUnreachable:
         """Return the snapshot of the entry instance at a peer address."""
         reply = await self._client.call(address, FETCH_SNAPSHOT, SnapshotQuery(self._own_id))
-        return PeerSilent(reply.reason) if isinstance(reply, PeerUnavailable) else reply
+        return PeerUnreachable(reply.reason) if isinstance(reply, PeerUnavailable) else reply
 
 
 def register_peer_methods(
@@ -61,7 +61,7 @@
     """Answer the methods of membership, configuration and recovery."""
 
     async def push_configuration(delta: ConfigurationDelta) -> VersionAck:
-        return VersionAck(configuration.take_push(delta))
+        return VersionAck(configuration.apply_pushed_delta(delta))
 
     async def fetch_configuration(query: ConfigurationQuery) -> ConfigurationUpdate:
         return configuration.state.update_since(query.since)
--- a/packages/entry/src/wasabiwell_entry/transport/peer/codec.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/codec.py
@@ -7,7 +7,7 @@
 
 from wasabiwell_entry.state.counters import ControlTraffic
 
-TRAFFIC = ControlTraffic()
+CONTROL_TRAFFIC = ControlTraffic()
 """Messages of all channels of this process, which runs one entry instance."""
 
 
@@ -19,12 +19,12 @@
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Return the encoded message."""
         data = msgspec.msgpack.encode(message)
-        TRAFFIC.sent_messages += 1
-        TRAFFIC.sent_bytes += len(data)
+        CONTROL_TRAFFIC.sent_messages += 1
+        CONTROL_TRAFFIC.sent_bytes += len(data)
         return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Return the message of the given class; raises `msgspec.DecodeError`."""
-        TRAFFIC.received_messages += 1
-        TRAFFIC.received_bytes += len(data)
+        CONTROL_TRAFFIC.received_messages += 1
+        CONTROL_TRAFFIC.received_bytes += len(data)
         return msgspec.msgpack.decode(data, type=message_type)
--- a/packages/entry/src/wasabiwell_entry/transport/peer/credits.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/credits.py
@@ -78,7 +78,7 @@
         return reply
 
     async def release(request: CreditRelease) -> Ack:
-        owner.take_back(request.returns)
+        owner.accept_returns(request.returns)
         return Ack()
 
     async def outstanding(query: OwnerQuery) -> OutstandingReply:
--- a/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/exchange.py
@@ -16,12 +16,12 @@
 
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
 from wasabiwell_entry.coordination.membership.coordinator import PeerSession
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.protocol.peer import (
     EXCHANGE,
     HeartbeatFrame,
-    heartbeat_frame,
-    heartbeat_of,
+    frame_from_heartbeat,
+    heartbeat_from_frame,
 )
 from wasabiwell_entry.state.heartbeats import Heartbeat
 from wasabiwell_entry.state.members import Member
@@ -50,16 +50,24 @@
         self._context: Any = None
         self._stream: Any = None
 
-    async def exchange(self, heartbeat: Heartbeat, timeout: timedelta) -> Heartbeat | PeerSilent:
+    async def exchange(
+        self, heartbeat: Heartbeat, timeout: timedelta
+    ) -> Heartbeat | PeerUnreachable:
         """Send a heartbeat and return the peer's."""
         try:
             with trio.fail_after(timeout.total_seconds()):
-                frame = await trio_asyncio.aio_as_trio(self._exchange)(heartbeat_frame(heartbeat))
+                frame = await trio_asyncio.aio_as_trio(self._exchange)(
+                    frame_from_heartbeat(heartbeat)
+                )
         except trio.TooSlowError:
-            return PeerSilent("timeout")
+            return PeerUnreachable("timeout")
         except BROKEN_STREAM as error:
-            return PeerSilent(repr(error))
-        return PeerSilent("the peer ended the stream") if frame is None else heartbeat_of(frame)
+            return PeerUnreachable(repr(error))
+        return (
+            PeerUnreachable("the peer ended the stream")
+            if frame is None
+            else heartbeat_from_frame(frame)
+        )
 
     async def _exchange(self, frame: HeartbeatFrame) -> HeartbeatFrame | None:
         if self._stream is None:
@@ -77,7 +85,7 @@
         self._channel.close()
 
 
-class GrpcPeers:
+class GrpcHeartbeatConnector:
     """Heartbeat streams to other entry instances."""
 
     __slots__ = ("_tls",)
@@ -111,7 +119,7 @@
                 return
             if frame is None:
                 return
-            reply = membership.receive(heartbeat_of(frame), session)
-            await stream.send_message(heartbeat_frame(reply))
+            reply = membership.receive(heartbeat_from_frame(frame), session)
+            await stream.send_message(frame_from_heartbeat(reply))
 
     return serve
--- a/packages/entry/src/wasabiwell_entry/transport/peer/limits.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/limits.py
@@ -7,7 +7,7 @@
 from wasabiwell_entry.transport.peer.client import PeerClient, PeerUnavailable
 
 
-class PeerLimitOwners:
+class GrpcLimitOwners:
     """Asks owners through the peer client."""
 
     __slots__ = ("_peers",)
--- a/packages/entry/src/wasabiwell_entry/transport/peer/rate.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/rate.py
@@ -1,13 +1,13 @@
 """Messages about the weight store's rate."""
 
-from wasabiwell_entry.coordination.orders import WeightStoreRate
+from wasabiwell_entry.coordination.orders import WeightStoreRateLimiter
 from wasabiwell_entry.protocol.peer import ACQUIRE_WEIGHT_RATE, RateGrant, RateRequest
 from wasabiwell_entry.state.members import Member
 from wasabiwell_entry.transport.peer.client import PeerClient, PeerUnavailable
 from wasabiwell_entry.transport.peer.server import PeerService
 
 
-class GrpcRatePeers:
+class GrpcWeightRatePeers:
     """Asks other entry instances for loads; implements `RatePeers`."""
 
     __slots__ = ("_client",)
@@ -25,7 +25,7 @@
                 return reply.granted
 
 
-def serve_rate(service: PeerService, rate: WeightStoreRate) -> None:
+def serve_weight_rate(service: PeerService, rate: WeightStoreRateLimiter) -> None:
     """Answer messages about the rate with this entry instance's share."""
 
     async def take(request: RateRequest) -> RateGrant:
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -12,7 +12,7 @@
 from wasabiwell_entry.coordination.dispatch.errors import (
     ProbeOutcome,
     TargetAlive,
-    TargetGone,
+    TargetDown,
     TargetSilent,
 )
 from wasabiwell_entry.coordination.targets.errors import LoadUnavailable
@@ -29,7 +29,7 @@
     encode_attempt,
 )
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.requests import Attempt, EndFrame, StreamBroken, StreamItem
+from wasabiwell_entry.state.requests import Attempt, EndFrame, StreamInterrupted, StreamItem
 from wasabiwell_entry.state.targets import EngineLoad, Target
 from wasabiwell_entry.transport.target.pools import BROKEN, NOT_SENT, TargetPools, timeouts
 from wasabiwell_entry.transport.target.reads import StreamReads
@@ -89,7 +89,7 @@
         except httpcore.TimeoutException:
             return TargetSilent()
         except BROKEN:
-            return TargetGone()
+            return TargetDown()
         return TargetAlive()
 
     async def load(self, target: Target) -> LoadReport | LoadUnavailable:
@@ -185,9 +185,9 @@
                     allowed = _allowed_silence(attempt, reads)
                     if self._clock.monotonic() - begun < allowed:
                         continue
-                    broken = StreamBroken("the stream is silent, the engine is not", silent=True)
-                case TargetGone() | TargetSilent():
-                    broken = StreamBroken("the engine is silent", target_lost=True)
+                    broken = StreamInterrupted("the stream is silent, the engine is not", silent=True)
+                case TargetDown() | TargetSilent():
+                    broken = StreamInterrupted("the engine is silent", target_lost=True)
             if reads.begun == begun:
                 reads.interrupt(broken)
                 await self._cancel(target, attempt.attempt_id)
@@ -218,15 +218,15 @@
         try:
             async with AsyncExitStack() as stack:
                 response = await reads.read(lambda: stack.enter_async_context(request))
-                if isinstance(response, StreamBroken):
+                if isinstance(response, StreamInterrupted):
                     yield response
                     return
                 async for item in _read_items(response, attempt.attempt_id, reads):
                     yield item
         except NOT_SENT as error:
-            yield StreamBroken(repr(error), refused=True, target_lost=True)
+            yield StreamInterrupted(repr(error), refused=True, target_lost=True)
         except BROKEN as error:
-            yield StreamBroken(repr(error), target_lost=True)
+            yield StreamInterrupted(repr(error), target_lost=True)
 
 
 def _allowed_silence(attempt: Attempt, reads: StreamReads) -> timedelta:
@@ -242,22 +242,22 @@
     if response.status != 200:
         content = await response.aread()
         refused = response.status in (409, 413, 429, 503)
-        yield StreamBroken(_error_text(response.status, content), refused=refused)
+        yield StreamInterrupted(_error_text(response.status, content), refused=refused)
         return
     reader = FrameReader(attempt_id)
     chunks = aiter(response.aiter_stream())
     while True:
         data = await reads.read(lambda: anext(chunks, None))
-        if isinstance(data, StreamBroken):
+        if isinstance(data, StreamInterrupted):
             yield data
             return
         if data is None:
             break
         for item in reader.feed(data):
             yield item
-            if isinstance(item, EndFrame | StreamBroken):
+            if isinstance(item, EndFrame | StreamInterrupted):
                 return
-    yield StreamBroken("the engine closed the stream before its end mark", target_lost=True)
+    yield StreamInterrupted("the engine closed the stream before its end mark", target_lost=True)
 
 
 def _error_text(status: int, content: bytes) -> str:
--- a/packages/entry/src/wasabiwell_entry/transport/target/orders.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/orders.py
@@ -5,7 +5,7 @@
 import httpcore
 import trio
 
-from wasabiwell_entry.coordination.orders.errors import OrderDone, OrderRefused, OrderUnknown
+from wasabiwell_entry.coordination.orders.errors import OrderAcknowledged, OrderRefused, OrderUnacknowledged
 from wasabiwell_entry.protocol.orders import encode_order
 from wasabiwell_entry.state.orders import EngineOrder
 from wasabiwell_entry.state.targets import Target
@@ -24,7 +24,7 @@
 
     async def send(
         self, target: Target, order: EngineOrder, fencing: int, timeout: timedelta
-    ) -> OrderDone | OrderRefused | OrderUnknown:
+    ) -> OrderAcknowledged | OrderRefused | OrderUnacknowledged:
         """Send an order once; the timeout covers connecting and all of the answer."""
         seconds = timeout.total_seconds()
         try:
@@ -39,13 +39,13 @@
         except NOT_SENT as error:
             return OrderRefused(repr(error))
         except (*BROKEN, trio.TooSlowError) as error:
-            return OrderUnknown(repr(error))
+            return OrderUnacknowledged(repr(error))
         return _outcome(response)
 
 
-def _outcome(response: httpcore.Response) -> OrderDone | OrderRefused | OrderUnknown:
+def _outcome(response: httpcore.Response) -> OrderAcknowledged | OrderRefused | OrderUnacknowledged:
     if response.status == 200:
-        return OrderDone()
+        return OrderAcknowledged()
     if response.status < 500:
         return OrderRefused(f"status {response.status}")
-    return OrderUnknown(f"status {response.status}")
+    return OrderUnacknowledged(f"status {response.status}")
--- a/packages/entry/src/wasabiwell_entry/transport/target/plain.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -5,10 +5,10 @@
 import httpcore
 import trio
 
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent
+from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted, CallNotSent
 from wasabiwell_entry.coordination.telemetry import NO_TELEMETRY, Telemetry
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.outcomes import Answer
+from wasabiwell_entry.state.outcomes import ServiceResponse
 from wasabiwell_entry.state.requests import ServiceCall
 from wasabiwell_entry.state.targets import Target
 from wasabiwell_entry.transport.target.pools import BROKEN, CONNECT_TIMEOUT_SECONDS, timeouts
@@ -34,7 +34,7 @@
         self._tls = tls
         self._telemetry = telemetry
 
-    async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
+    async def call(self, target: Target, call: ServiceCall) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Send a call once, and only before its deadline."""
         host, _, port = target.address.rpartition(":")
         try:
@@ -61,11 +61,11 @@
                 extensions=timeouts(self._remaining_seconds(call)),
             )
         except BROKEN as error:
-            return CallBroken(repr(error))
+            return CallInterrupted(repr(error))
         finally:
             with trio.CancelScope(shield=True):
                 await connection.aclose()
-        return Answer(response.status, _content_type(response), response.content)
+        return ServiceResponse(response.status, _content_type(response), response.content)
 
     def _remaining_seconds(self, call: ServiceCall) -> float:
         return max(0.001, (call.deadline - self._clock.monotonic()).total_seconds())
--- a/packages/entry/src/wasabiwell_entry/transport/target/reads.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/reads.py
@@ -7,7 +7,7 @@
 import trio
 
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.requests import StreamBroken
+from wasabiwell_entry.state.requests import StreamInterrupted
 
 T = TypeVar("T")
 
@@ -20,11 +20,11 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._scope: trio.CancelScope | None = None
-        self._broken = StreamBroken("the read was interrupted")
+        self._broken = StreamInterrupted("the read was interrupted")
         self.begun: timedelta | None = None
         self.count = 0
 
-    async def read(self, operation: Callable[[], Awaitable[T]]) -> T | StreamBroken:
+    async def read(self, operation: Callable[[], Awaitable[T]]) -> T | StreamInterrupted:
         """Run a read and return its result, or why it was interrupted."""
         with trio.CancelScope() as scope:
             self._scope = scope
@@ -37,7 +37,7 @@
                 self._scope = self.begun = None
         return self._broken
 
-    def interrupt(self, broken: StreamBroken) -> None:
+    def interrupt(self, broken: StreamInterrupted) -> None:
         """Interrupt the read in progress, if there is one."""
         if self._scope is not None:
             self._broken = broken
--- a/standins/wasabiwell_standins/measure_credits.py
+++ b/standins/wasabiwell_standins/measure_credits.py
@@ -158,7 +158,7 @@
     hold = node.holder.try_hold(engine, REQUEST_TOKENS, SizeClass.SHORT)
     while not isinstance(hold, Hold):
         changed = node.changed
-        node.holder.request(engine, REQUEST_TOKENS, SizeClass.SHORT)
+        node.holder.report_demand(engine, REQUEST_TOKENS, SizeClass.SHORT)
         await changed.wait()
         hold = node.holder.try_hold(engine, REQUEST_TOKENS, SizeClass.SHORT)
     node.waits.append(trio.current_time() - begin)
--- a/standins/wasabiwell_standins/measure_logs.py
+++ b/standins/wasabiwell_standins/measure_logs.py
@@ -12,12 +12,16 @@
 import trio
 
 from wasabiwell_standins.measure_relay import cpu_seconds
-from wasabiwell_standins.users_platform.caller import Caller, Order, Reply
-from wasabiwell_standins.users_platform.world import World, WorldSize, open_world
+from wasabiwell_standins.users_platform.caller import Caller, CallerRequest, Reply
+from wasabiwell_standins.users_platform.deployment import (
+    Deployment,
+    DeploymentSize,
+    open_deployment,
+)
 
 PIPE_BYTES = 4096
 """Smallest size of a pipe, which is filled before the run when its reader is blocked."""
-SIZE = WorldSize(entries=2, engines=4, plain=1, block=78)
+SIZE = DeploymentSize(entries=2, engines=4, plain=1, block=78)
 WARM_UP_SECONDS = 2.0
 
 
@@ -34,16 +38,16 @@
         os.close(writer)
 
 
-async def send_all(world: World, rate: float, seconds: float) -> list[Reply]:
+async def send_all(deployment: Deployment, rate: float, seconds: float) -> list[Reply]:
     """Send short prompts at a rate and return what came of them."""
-    caller, replies = world.caller(), list[Reply]()
+    caller, replies = deployment.caller(), list[Reply]()
 
-    async def send(sender: Caller, order: Order) -> None:
-        replies.append(await sender.send(order))
+    async def send(sender: Caller, request: CallerRequest) -> None:
+        replies.append(await sender.send(request))
 
     async with trio.open_nursery() as nursery:
         for _ in range(round(rate * seconds)):
-            nursery.start_soon(send, caller, world.order("short"))
+            nursery.start_soon(send, caller, deployment.request("short"))
             await trio.sleep(1 / rate)
     return replies
 
@@ -51,19 +55,19 @@
 async def measure(output: int | None, rate: float, seconds: float, folder: Path) -> str:
     """Return a row of the table for one way to write logs."""
 
-    async def prepare(world: World) -> None:
+    async def prepare(deployment: Deployment) -> None:
         await trio.lowlevel.checkpoint()
-        for entry in world.entries:
+        for entry in deployment.entries:
             entry.output = output
 
-    async with open_world(SIZE, folder, prepare) as world:
-        await send_all(world, rate, WARM_UP_SECONDS)
-        processes = [entry.process.pid for entry in world.entries if entry.process is not None]
+    async with open_deployment(SIZE, folder, prepare) as deployment:
+        await send_all(deployment, rate, WARM_UP_SECONDS)
+        processes = [entry.process.pid for entry in deployment.entries if entry.process is not None]
         before = sum(cpu_seconds(pid) for pid in processes)
-        replies = await send_all(world, rate, seconds)
+        replies = await send_all(deployment, rate, seconds)
         used = sum(cpu_seconds(pid) for pid in processes) - before
-    whole = [reply for reply in replies if reply.status == 200 and reply.whole]
-    firsts = sorted(reply.first_s for reply in whole if reply.first_s is not None)
+    whole = [reply for reply in replies if reply.status == 200 and reply.complete]
+    firsts = sorted(reply.first_byte_s for reply in whole if reply.first_byte_s is not None)
     tail = statistics.quantiles(firsts, n=100)[98]
     figures = (statistics.median(firsts), tail, used / len(replies))
     times = " | ".join(f"{1000 * value:.1f}" for value in figures)
--- a/standins/wasabiwell_standins/users_platform/caller.py
+++ b/standins/wasabiwell_standins/users_platform/caller.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Order:
+class CallerRequest:
     """A request that a caller wants answered; `prompt` is 0 for calls of plain services."""
 
     kind: str
@@ -32,18 +32,18 @@
 
 @dataclass(slots=True)
 class Reply:
-    """What came of an order; `first_s` is the time to the first byte of the body.
+    """What came of an order; `first_byte_s` is the time to the first byte of the body.
 
-    `status` is None when there was no answer, and `whole` tells that the body was complete.
+    `status` is None when there was no answer, and `complete` tells that the body was complete.
     `unsent` tells that no connection could be made.
     """
 
-    order: Order
+    request: CallerRequest
     request_id: str = ""
     status: int | None = None
-    whole: bool = False
+    complete: bool = False
     unsent: bool = False
-    first_s: float | None = None
+    first_byte_s: float | None = None
     total_s: float = 0.0
     tries: int = 0
     events: list[int] = field(default_factory=list)
@@ -70,22 +70,22 @@
         self._expires = 0.0
         self._failed: set[str] = set()
 
-    async def send(self, order: Order, retries: int = 1) -> Reply:
+    async def send(self, request: CallerRequest, retries: int = 1) -> Reply:
         """Send an order, and again on another connection where that is allowed."""
-        reply = Reply(order)
+        reply = Reply(request)
         begun = trio.current_time()
         for attempt in range(retries + 1):
             reply.tries = attempt + 1
-            left = order.deadline_ms / 1000 - (trio.current_time() - begun)
+            left = request.deadline_ms / 1000 - (trio.current_time() - begun)
             if left <= 0:
                 break
-            retry_after = await self._try(order, reply, left)
+            retry_after = await self._try(request, reply, left)
             refused = reply.status in (408, 421, 429, 503)
-            if reply.whole and not refused:
+            if reply.complete and not refused:
                 break
             if reply.status in (400, 401, 404, 413, 431):
                 break
-            if order.kind != "safe" and not refused and not reply.unsent:
+            if request.kind != "safe" and not refused and not reply.unsent:
                 break
             await trio.sleep(min(retry_after, left / 3))
         reply.total_s = trio.current_time() - begun
@@ -112,14 +112,14 @@
                 break
         return self._addresses
 
-    async def _try(self, order: Order, reply: Reply, left: float) -> float:
+    async def _try(self, request: CallerRequest, reply: Reply, left: float) -> float:
         """Send an order once, under an id of its own; return when to come back, in seconds."""
         request_id = f"{self._random.getrandbits(64):016x}"
         reply.request_id, reply.status = request_id, None
-        reply.whole = reply.unsent = False
+        reply.complete = reply.unsent = False
         reply.events.clear()
         self._ledger.sent.add(request_id)
-        if order.kind == "unsafe":
+        if request.kind == "unsafe":
             self._ledger.at_most_once.add(request_id)
         addresses = await self.addresses()
         if not set(addresses) - self._failed:
@@ -131,7 +131,7 @@
         with trio.move_on_after(left):
             try:
                 async with httpcore.AsyncConnectionPool() as pool:
-                    retry_after = await self._exchange(pool, address, order, reply, left, begun)
+                    retry_after = await self._exchange(pool, address, request, reply, left, begun)
             except (httpcore.ConnectError, httpcore.ConnectTimeout):
                 reply.unsent = True
                 self._failed.add(address)
@@ -145,60 +145,64 @@
         self,
         pool: httpcore.AsyncConnectionPool,
         address: str,
-        order: Order,
+        request: CallerRequest,
         reply: Reply,
         left: float,
         begun: float,
     ) -> float:
-        body = {"events": order.events, "work_ms": order.work_ms, "text": order.text}
+        body = {"events": request.events, "work_ms": request.work_ms, "text": request.text}
         async with pool.stream(
-            "GET" if order.kind == "safe" else "POST",
-            f"http://{self._proxies.get(address, address)}{order.path}",
-            headers=self._headers(order, reply.request_id, left),
-            content=None if order.kind == "safe" else msgspec.json.encode(body),
+            "GET" if request.kind == "safe" else "POST",
+            f"http://{self._proxies.get(address, address)}{request.path}",
+            headers=self._headers(request, reply.request_id, left),
+            content=None if request.kind == "safe" else msgspec.json.encode(body),
             extensions={"timeout": {"connect": CONNECT_SECONDS, "read": left}},
         ) as response:
             reply.status = response.status
             data = b""
             async for part in response.aiter_stream():
-                if reply.first_s is None:
-                    reply.first_s = trio.current_time() - begun
+                if reply.first_byte_s is None:
+                    reply.first_byte_s = trio.current_time() - begun
                 data += part
-            reply.whole = True
+            reply.complete = True
             headers = {name.lower(): value for name, value in response.headers}
         if reply.status == 200:
-            self._check(order, reply, headers, data)
+            self._check(request, reply, headers, data)
         return float(headers.get(b"retry-after", b"0.05"))
 
-    def _headers(self, order: Order, request_id: str, left: float) -> list[tuple[str, str]]:
+    def _headers(
+        self, request: CallerRequest, request_id: str, left: float
+    ) -> list[tuple[str, str]]:
         headers = [
-            ("Host", order.host),
-            ("Authorization", f"Bearer {order.key}"),
+            ("Host", request.host),
+            ("Authorization", f"Bearer {request.key}"),
             ("Wasabiwell-Request-Id", request_id),
             ("Wasabiwell-Request-Deadline", str(int(left * 1000))),
         ]
-        if order.prompt:
+        if request.prompt:
             headers += [
                 ("Wasabiwell-Model", "m"),
-                ("Wasabiwell-Token-Counts", f"{order.prompt},4000"),
-                ("Wasabiwell-Prompt-Prefix", f"aa:40,{request_id}:{order.prompt - 40}"),
-                ("Wasabiwell-Length-Hint", str(order.events * 46)),
+                ("Wasabiwell-Token-Counts", f"{request.prompt},4000"),
+                ("Wasabiwell-Prompt-Prefix", f"aa:40,{request_id}:{request.prompt - 40}"),
+                ("Wasabiwell-Length-Hint", str(request.events * 46)),
             ]
         return headers
 
-    def _check(self, order: Order, reply: Reply, headers: dict[bytes, bytes], data: bytes) -> None:
+    def _check(
+        self, request: CallerRequest, reply: Reply, headers: dict[bytes, bytes], data: bytes
+    ) -> None:
         """Note each way in which a success is not the caller's own whole answer."""
         request_id, problems = reply.request_id, self._ledger.problems
         signature = headers.get(b"wasabiwell-response-signature", b"").decode()
         if not signature.endswith(f".{request_id}"):
             problems.append(f"{request_id}: signature {signature!r}")
-        if not order.prompt:
+        if not request.prompt:
             if data != f"done {request_id}".encode() * 8:
                 problems.append(f"{request_id}: body {data[:80]!r}")
             return
         expected = b"".join(
             f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
-            for number in range(1, order.events + 1)
+            for number in range(1, request.events + 1)
         )
         if data != expected:
             problems.append(f"{request_id}: a stream of {len(data)} of {len(expected)} bytes")
--- a/standins/wasabiwell_standins/users_platform/engine.py
+++ b/standins/wasabiwell_standins/users_platform/engine.py
@@ -114,7 +114,7 @@
         self.tickets = {key: item for key, item in self.tickets.items() if item[1] > now}
         return sum(tokens for tokens, _ in self.tickets.values())
 
-    def entry(self, state: str = "ready") -> dict[str, Any]:
+    def listing_entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the entry of the platform's list."""
         return {
             "service": self.service,
@@ -254,7 +254,7 @@
                 raise trio.BrokenResourceError
         finally:
             self.running -= 1
-            run.ended = trio.current_time()
+            run.ended_at = trio.current_time()
 
     def _happens(self, share: float) -> bool:
         return share > 0 and self._random.random() < share
--- a/standins/wasabiwell_standins/users_platform/ledger.py
+++ b/standins/wasabiwell_standins/users_platform/ledger.py
@@ -13,8 +13,8 @@
     service: str
     tenant: str
     path: str
-    begun: float
-    ended: float | None = None
+    started_at: float
+    ended_at: float | None = None
     resumed_after: int | None = None
 
 
@@ -28,7 +28,7 @@
     sent: set[str] = field(default_factory=set)
     problems: list[str] = field(default_factory=list)
 
-    def broken_promises(self) -> list[str]:
+    def violations(self) -> list[str]:
         """Return what must not have happened."""
         found = list(self.problems)
         for request_id, runs in self.runs.items():
