--- a/standins/wasabiwell_standins/users_platform/soak.py
+++ b/standins/wasabiwell_standins/users_platform/soak.py
@@ -19,10 +19,8 @@
 import trio
 
 from wasabiwell_standins.proxy import Proxy
-from wasabiwell_standins.users_platform.caller import Order, Reply
-from wasabiwell_standins.users_platform.engine import Target, TargetFaults
-from wasabiwell_standins.users_platform.store import Outage
-from wasabiwell_standins.users_platform.world import (
+from wasabiwell_standins.users_platform.caller import CallerRequest, Reply
+from wasabiwell_standins.users_platform.deployment import (
     KEY,
     MODEL_SERVICE,
     OTHER_KEY,
@@ -30,11 +28,13 @@
     ROUTES,
     TENANT,
     ZONES,
+    Deployment,
+    DeploymentSize,
     EntryProcess,
-    World,
-    WorldSize,
-    open_world,
+    open_deployment,
 )
+from wasabiwell_standins.users_platform.engine import Target, TargetFaults
+from wasabiwell_standins.users_platform.store import Outage
 
 SEND_INTERVAL = 0.05
 LEAVING_SHARE = 0.08
@@ -60,7 +60,7 @@
     """What was done and what was wrong in the run of one seed."""
 
     seed: int
-    happened: list[str] = field(default_factory=list)
+    timeline: list[str] = field(default_factory=list)
     findings: list[str] = field(default_factory=list)
     replies: int = 0
     answered: int = 0
@@ -69,8 +69,8 @@
 class Soak:
     """One run: faults drawn from a seed, beside a load of all kinds of orders."""
 
-    def __init__(self, world: World, report: SoakReport) -> None:
-        self._world = world
+    def __init__(self, deployment: Deployment, report: SoakReport) -> None:
+        self._world = deployment
         self._report = report
         self._random = random.Random(report.seed)
         self._begun = trio.current_time()
@@ -78,25 +78,27 @@
         self._busy: set[str] = set()
         self._drained: dict[str, float] = {}
         self._disturbed: list[tuple[float, float]] = []
-        self._next_number = len(world.targets)
+        self._next_number = len(deployment.targets)
         self._final: list[Reply] = []
 
     async def put_proxies(self, nursery: trio.Nursery) -> None:
         """Put a proxy before each target, each frontend, and the store as each entry sees it."""
-        world, block = self._world, self._world.size.block
-        for number, target in enumerate(world.targets.values()):
+        deployment, block = self._world, self._world.size.block
+        for number, target in enumerate(deployment.targets.values()):
             address = f"127.{block}.3.{number + 1}:{PROXY_PORT}"
             await self._put_proxy(nursery, f"target {target.target_id}", address, target.address)
             target.listed_address = address
-            world.store.put_json("servers", target.target_id, target.entry())
-        for number, entry in enumerate(world.entries):
+            deployment.store.put_json("servers", target.target_id, target.listing_entry())
+        for number, entry in enumerate(deployment.entries):
             store = f"127.{block}.4.{number + 1}:{PROXY_PORT}"
-            await self._put_proxy(nursery, f"store of {entry.name}", store, world.store_address)
-            world.write_settings(entry, **{"platform.address": store})
+            await self._put_proxy(
+                nursery, f"store of {entry.name}", store, deployment.store_address
+            )
+            deployment.write_settings(entry, **{"platform.address": store})
             front = f"127.{block}.5.{number + 1}:{PROXY_PORT}"
             frontend = entry.address("frontend")
             await self._put_proxy(nursery, f"callers of {entry.name}", front, frontend)
-            world.proxies[frontend] = front
+            deployment.proxies[frontend] = front
 
     async def _put_proxy(self, nursery: trio.Nursery, name: str, address: str, target: str) -> None:
         proxy = Proxy(target)
@@ -115,7 +117,7 @@
         await self._check_final()
 
     def _say(self, text: str) -> None:
-        self._report.happened.append(f"{trio.current_time() - self._begun:7.3f} {text}")
+        self._report.timeline.append(f"{trio.current_time() - self._begun:7.3f} {text}")
 
     def _find(self, text: str) -> None:
         self._report.findings.append(f"{trio.current_time() - self._begun:7.3f} {text}")
@@ -131,22 +133,25 @@
                 nursery.start_soon(self._send, caller.send, self._draw_order(), patience)
                 await trio.sleep(SEND_INTERVAL)
 
-    def _draw_order(self) -> Order:
+    def _draw_order(self) -> CallerRequest:
         route = self._random.choices(list(ROUTES), weights=(10, 3, 1, 4, 4))[0]
         events = self._random.randrange(1, 40)
         key = self._random.choice((KEY, KEY, OTHER_KEY))
         if route == "long":
             prompt = self._random.randrange(120_000, 600_000)
-            return self._world.order(route, events=events, prompt=prompt, key=key)
-        return self._world.order(route, events=events, key=key)
+            return self._world.request(route, events=events, prompt=prompt, key=key)
+        return self._world.request(route, events=events, key=key)
 
     async def _send(
-        self, send: Callable[[Order], Awaitable[Reply]], order: Order, patience: float
+        self,
+        send: Callable[[CallerRequest], Awaitable[Reply]],
+        request: CallerRequest,
+        patience: float,
     ) -> None:
         with trio.move_on_after(patience):
-            reply = await send(order)
+            reply = await send(request)
             self._report.replies += 1
-            self._report.answered += reply.status == 200 and reply.whole
+            self._report.answered += reply.status == 200 and reply.complete
 
     async def _inject(self, nursery: trio.Nursery) -> None:
         faults = (
@@ -193,7 +198,7 @@
             self._say(f"{entry.name} is killed for {seconds:.1f} s")
             self._check_alive(entry)
             entry.signal(signal.SIGKILL)
-            await entry.wait_ended(5)
+            await entry.wait_exited(5)
             await trio.sleep(seconds)
             entry.start()
 
@@ -205,7 +210,7 @@
             self._say(f"{entry.name} is told to stop")
             self._check_alive(entry)
             entry.signal(signal.SIGTERM)
-            if not await entry.wait_ended(8.0):
+            if not await entry.wait_exited(8.0):
                 self._find(f"{entry.name} did not stop within 8 s")
                 entry.signal(signal.SIGKILL)
             elif entry.process is not None and entry.process.returncode not in (0, -signal.SIGTERM):
@@ -267,11 +272,11 @@
         """Let a target leave as the platform tells it, and another one come at its address."""
         target = self._draw_target()
         async with self._alone(target.target_id) as free:
-            if not free or len(self._world.of_service(target.service)) < 3:
+            if not free or len(self._world.targets_of(target.service)) < 3:
                 return
             self._say(f"{target.target_id} drains")
             store = self._world.store
-            store.put_json("servers", target.target_id, target.entry("draining"))
+            store.put_json("servers", target.target_id, target.listing_entry("draining"))
             self._drained[target.target_id] = trio.current_time()
             await trio.sleep(DRAIN_SECONDS + 1.0)
             store.put("servers", target.target_id, None)
@@ -288,7 +293,7 @@
         number = int(old.address.rpartition(":")[0].rpartition(".")[2]) - 1
         target = await self._world.add_target(target_id, service, number)
         target.listed_address = old.listed_address
-        self._world.store.put_json("servers", target_id, target.entry())
+        self._world.store.put_json("servers", target_id, target.listing_entry())
         self._say(f"{target_id} of {service} comes at the address of {old.target_id}")
 
     def _draw_target(self) -> Target:
@@ -348,12 +353,12 @@
             configuration["tenants"] = [{"name": TENANT, "api_keys": keys}]
             for _ in range(self._random.choice((1, 1, 5))):
                 configuration["routes"][0]["priority"] = self._random.randrange(9)
-                version = self._world.configure()
+                version = self._world.publish_configuration()
                 self._say(f"version {version} with {len(keys)} keys")
                 await trio.sleep(self._random.uniform(0.0, 0.2))
             await trio.sleep(seconds)
             configuration["tenants"] = [{"name": TENANT, "api_keys": [KEY, OTHER_KEY]}]
-            self._world.configure()
+            self._world.publish_configuration()
 
     def _check_alive(self, entry: EntryProcess) -> None:
         if not entry.alive:
@@ -361,50 +366,52 @@
 
     async def _check_final(self) -> None:
         """Check what callers and targets have seen, and that nothing is left of the faults."""
-        world = self._world
-        for entry in world.entries:
+        deployment = self._world
+        for entry in deployment.entries:
             self._check_alive(entry)
-            if not await world.is_ready(entry):
+            if not await deployment.is_ready(entry):
                 self._find(f"{entry.name} is not ready after all faults are over")
             if (resident := _resident_bytes(entry)) > MAX_RESIDENT_BYTES:
                 self._find(f"{entry.name} holds {resident} bytes")
-        for target in world.targets.values():
+        for target in deployment.targets.values():
             if target.tokens_held:
                 self._find(f"memory is still held at {target.target_id}: {target.tickets}")
             if target.running:
                 self._find(f"{target.target_id} still runs {target.running} requests")
         self._check_drained()
         await self._send_final()
-        self._report.findings += [f"promise: {text}" for text in world.ledger.broken_promises()]
+        self._report.findings += [f"promise: {text}" for text in deployment.ledger.violations()]
 
     def _check_drained(self) -> None:
         """Check that no work reached a leaving target late while entries and store were well."""
         runs = [run for found in self._world.ledger.runs.values() for run in found]
         for run in runs:
             drained = self._drained.get(run.target_id)
-            if drained is None or run.begun < drained + DRAIN_SECONDS:
+            if drained is None or run.started_at < drained + DRAIN_SECONDS:
                 continue
             since = drained - TOUCH_SECONDS
-            if not any(begun < run.begun and end > since for begun, end in self._disturbed):
-                late = run.begun - drained
+            if not any(begun < run.started_at and end > since for begun, end in self._disturbed):
+                late = run.started_at - drained
                 self._find(f"{run.request_id} ran at {run.target_id} {late:.2f} s after its drain")
 
     async def _send_final(self) -> None:
         caller = self._world.caller()
         count = round(FINAL_SECONDS / SEND_INTERVAL)
-        orders = [self._world.order(route) for route in ("short", "book", "look") * count][:count]
+        requests = [self._world.request(route) for route in ("short", "book", "look") * count][
+            :count
+        ]
 
-        async def send(order: Order) -> None:
-            self._final.append(await caller.send(order))
+        async def send(request: CallerRequest) -> None:
+            self._final.append(await caller.send(request))
 
         async with trio.open_nursery() as nursery:
-            for order in orders:
-                nursery.start_soon(send, order)
+            for request in requests:
+                nursery.start_soon(send, request)
                 await trio.sleep(SEND_INTERVAL)
         for reply in self._final:
-            if reply.status != 200 or not reply.whole:
+            if reply.status != 200 or not reply.complete:
                 self._find(
-                    f"{reply.request_id} on {reply.order.path} got {reply.status} at the end"
+                    f"{reply.request_id} on {reply.request.path} got {reply.status} at the end"
                 )
 
 
@@ -416,17 +423,17 @@
     return int(line.split()[1]) * 1024
 
 
-async def soak_seed(seed: int, seconds: float, size: WorldSize, folder: Path) -> SoakReport:
+async def soak_seed(seed: int, seconds: float, size: DeploymentSize, folder: Path) -> SoakReport:
     """Run one seed; logs of the entry processes are in the folder."""
     report = SoakReport(seed)
     async with trio.open_nursery() as nursery:
         soaks: list[Soak] = []
 
-        async def prepare(world: World) -> None:
-            soaks.append(Soak(world, report))
+        async def prepare(deployment: Deployment) -> None:
+            soaks.append(Soak(deployment, report))
             await soaks[0].put_proxies(nursery)
 
-        async with open_world(size, folder, prepare):
+        async with open_deployment(size, folder, prepare):
             await soaks[0].run(seconds)
         nursery.cancel_scope.cancel()
     return report
@@ -454,13 +461,13 @@
     """Soak the real entry processes with faults, and print what was wrong with its seed."""
     failed = 0
     for seed in range(first, first + seeds):
-        size = WorldSize(entries=entries, engines=engines, plain=3, block=block + seed % 10)
+        size = DeploymentSize(entries=entries, engines=engines, plain=3, block=block + seed % 10)
         with tempfile.TemporaryDirectory() as folder:
             report = trio.run(soak_seed, seed, seconds, size, Path(folder))
             failed += bool(report.findings)
             if report.findings and keep is not None:
                 shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
-                (keep / f"seed-{seed}" / "happened.txt").write_text("\n".join(report.happened))
+                (keep / f"seed-{seed}" / "happened.txt").write_text("\n".join(report.timeline))
         click.echo(
             f"seed {seed}: {report.answered} of {report.replies} answered, "
             f"{len(report.findings)} findings"
--- a/standins/wasabiwell_standins/users_platform/world.py
+++ b/standins/wasabiwell_standins/users_platform/world.py
@@ -14,7 +14,7 @@
 import httpcore
 import trio
 
-from wasabiwell_standins.users_platform.caller import ERRORS, Caller, Order
+from wasabiwell_standins.users_platform.caller import ERRORS, Caller, CallerRequest
 from wasabiwell_standins.users_platform.engine import Target
 from wasabiwell_standins.users_platform.ledger import Ledger
 from wasabiwell_standins.users_platform.store import StoreStandIn
@@ -33,7 +33,7 @@
 READY_SECONDS = 20.0
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
-PROFILE: dict[str, Any] = tomllib.loads(Path(__file__).with_name("engines.toml").read_text())
+ENGINE_PROFILE: dict[str, Any] = tomllib.loads(Path(__file__).with_name("engines.toml").read_text())
 """Figures of the engines."""
 ROUTES = {
     "short": {"kind": "streaming", "target_latency_ms": 300, "target_gap_ms": 200},
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WorldSize:
+class DeploymentSize:
     """Numbers of processes and targets; `block` is the second number of the IP addresses.
 
     Worlds that run at the same time need blocks of their own.
@@ -101,7 +101,7 @@
         if self.process is not None and self.alive:
             self.process.send_signal(number)
 
-    async def wait_ended(self, seconds: float) -> bool:
+    async def wait_exited(self, seconds: float) -> bool:
         """Return whether the process ends in time."""
         with trio.move_on_after(seconds):
             while self.alive:  # noqa: ASYNC110 a process has no event to wait for
@@ -109,10 +109,10 @@
         return not self.alive
 
 
-class World:
-    """The parts of a deployment; `open_world` starts and stops them."""
+class Deployment:
+    """The parts of a deployment; `open_deployment` starts and stops them."""
 
-    def __init__(self, size: WorldSize, folder: Path, nursery: trio.Nursery) -> None:
+    def __init__(self, size: DeploymentSize, folder: Path, nursery: trio.Nursery) -> None:
         self.size = size
         self.ledger = Ledger()
         self.store = StoreStandIn()
@@ -131,7 +131,7 @@
 
     @property
     def configuration(self) -> dict[str, Any]:
-        """Return the newest configuration; change it and call `configure`."""
+        """Return the newest configuration; change it and call `publish_configuration`."""
         return self._configuration
 
     def caller(self, zone: str = ZONES[0]) -> Caller:
@@ -140,7 +140,7 @@
         directories = [entry.address("directory") for entry in self.entries]
         return Caller(directories, zone, self.ledger, self._callers, self.proxies)
 
-    def configure(self) -> int:
+    def publish_configuration(self) -> int:
         """Put the configuration in force and return its version."""
         self._version += 2
         self._configuration["version"] = self._version
@@ -149,7 +149,7 @@
 
     async def add_target(self, target_id: str, service: str, number: int) -> Target:
         """Start a target and enter it in the platform's list."""
-        profile = PROFILE if service == MODEL_SERVICE else None
+        profile = ENGINE_PROFILE if service == MODEL_SERVICE else None
         address = f"127.{self.size.block}.2.{number + 1}:{TARGET_PORT}"
         zone = ZONES[number % len(ZONES)]
         target = Target(target_id, service, address, zone, self.ledger, profile, seed=number)
@@ -161,9 +161,9 @@
     async def start_target(self, target: Target) -> None:
         """Start a target, also again after a crash, and enter it in the list."""
         await self._nursery.start(target.run)
-        self.store.put_json("servers", target.target_id, target.entry())
+        self.store.put_json("servers", target.target_id, target.listing_entry())
 
-    def of_service(self, service: str) -> list[Target]:
+    def targets_of(self, service: str) -> list[Target]:
         """Return the targets of a service."""
         return [target for target in self.targets.values() if target.service == service]
 
@@ -212,11 +212,11 @@
             return False
         return response.status == 200
 
-    def order(self, route: str, **fields: Any) -> Order:
+    def request(self, route: str, **fields: Any) -> CallerRequest:
         """Return an order on one of the routes."""
         kind = str(ROUTES[route]["kind"])
         values = {"key": KEY, "prompt": PROMPTS.get(route, 0), **fields}
-        return Order(kind, HOST, f"/{route}/1", **values)
+        return CallerRequest(kind, HOST, f"/{route}/1", **values)
 
     def _target_at(self, address: str) -> Target | None:
         for target in self.targets.values():
@@ -244,13 +244,13 @@
         self._configuration = {
             "routes": routes,
             "services": [
-                {"name": MODEL_SERVICE, "connection_limit": 600, "engine": PROFILE},
+                {"name": MODEL_SERVICE, "connection_limit": 600, "engine": ENGINE_PROFILE},
                 {"name": PLAIN_SERVICE, "connection_limit": 200},
             ],
             "limits": {"idle_timeout_ms": 15_000},
             "tenants": [{"name": TENANT, "api_keys": [KEY, OTHER_KEY]}],
         }
-        self.configure()
+        self.publish_configuration()
 
 
 PROMPTS = {"short": 2_000, "medium": 45_000, "long": 200_000}
@@ -258,40 +258,42 @@
 
 
 @asynccontextmanager
-async def open_world(
-    size: WorldSize, folder: Path, prepare: Callable[[World], Awaitable[None]] | None = None
-) -> AsyncIterator[World]:
+async def open_deployment(
+    size: DeploymentSize,
+    folder: Path,
+    prepare: Callable[[Deployment], Awaitable[None]] | None = None,
+) -> AsyncIterator[Deployment]:
     """Start a deployment, and end all of its processes when the context ends.
 
     `prepare` is called before the entry processes start.
     """
     async with trio.open_nursery() as nursery:
-        world = World(size, folder, nursery)
-        host, _, port = world.store_address.rpartition(":")
-        nursery.start_soon(world.store.serve, host, int(port))
+        deployment = Deployment(size, folder, nursery)
+        host, _, port = deployment.store_address.rpartition(":")
+        nursery.start_soon(deployment.store.serve, host, int(port))
         for number in range(size.engines):
-            await world.add_target(f"i-engine{number}", MODEL_SERVICE, number)
+            await deployment.add_target(f"i-engine{number}", MODEL_SERVICE, number)
         for number in range(size.plain):
-            await world.add_target(f"i-plain{number}", PLAIN_SERVICE, size.engines + number)
-        world.first_configuration()
-        for entry in world.entries:
-            world.write_settings(entry)
+            await deployment.add_target(f"i-plain{number}", PLAIN_SERVICE, size.engines + number)
+        deployment.first_configuration()
+        for entry in deployment.entries:
+            deployment.write_settings(entry)
         if prepare is not None:
-            await prepare(world)
+            await prepare(deployment)
         try:
-            for entry in world.entries:
+            for entry in deployment.entries:
                 entry.start()
-            for entry in world.entries:
-                await world.wait_ready(entry)
-            yield world
+            for entry in deployment.entries:
+                await deployment.wait_ready(entry)
+            yield deployment
         finally:
             with trio.CancelScope(shield=True):
-                await _stop(world)
+                await _stop(deployment)
         nursery.cancel_scope.cancel()
 
 
-async def _stop(world: World) -> None:
-    for entry in world.entries:
+async def _stop(deployment: Deployment) -> None:
+    for entry in deployment.entries:
         entry.signal(signal.SIGKILL)
-    for entry in world.entries:
-        await entry.wait_ended(STOP_SECONDS)
+    for entry in deployment.entries:
+        await entry.wait_exited(STOP_SECONDS)
--- a/tests/steps/entry/coordination/admission_steps.py
+++ b/tests/steps/entry/coordination/admission_steps.py
@@ -17,7 +17,7 @@
 )
 from wasabiwell_config import Organisation
 from wasabiwell_entry.coordination.admission.coordinator import AdmissionCoordinator, AdmissionPorts
-from wasabiwell_entry.coordination.admission.load_capacity import LoadCapacity
+from wasabiwell_entry.coordination.admission.load_capacity import LoadBasedCapacity
 from wasabiwell_entry.coordination.dispatch.ports import Placement
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.state.clock import ManualClock
@@ -42,7 +42,7 @@
     context.reservations, context.limits = FakeReservations(), CountingLimits()
     ports = AdmissionPorts(
         context.reservations,
-        LoadCapacity(context.targets, clock, lambda: context.instances),
+        LoadBasedCapacity(context.targets, clock, lambda: context.instances),
         context.limits,
         _organisation,
     )
--- a/tests/steps/entry/coordination/calls_steps.py
+++ b/tests/steps/entry/coordination/calls_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.calls import CALL_TIMEOUT, CallWorld
-from wasabiwell_entry.state.outcomes import Answer, Failed, Refused
+from wasabiwell_entry.state.outcomes import Failed, Refused, ServiceResponse
 from wasabiwell_entry.state.runs import RunRecord
 
 RECOVERY_SECONDS = 60.0
@@ -94,7 +94,7 @@
 @then("the caller gets the answer with status {status:d}")
 def step_answer_status(context: Context, status: int) -> None:
     outcome = context.script.result.outcome
-    assert isinstance(outcome, Answer), outcome
+    assert isinstance(outcome, ServiceResponse), outcome
     assert outcome.status == status, outcome
 
 
--- a/tests/steps/entry/coordination/discovery_steps.py
+++ b/tests/steps/entry/coordination/discovery_steps.py
@@ -240,7 +240,7 @@
     async def action(world: RouteWorld) -> None:
         world.store.put(version)
         world.document = str(version).encode()
-        world.discovery.announced("10.0.0.2:9", version)
+        world.discovery.record_announcement("10.0.0.2:9", version)
         await trio.lowlevel.checkpoint()
 
     context.route_actions.append(action)
@@ -261,7 +261,7 @@
         world.store.away = True
         world.store.wake()
         world.document = document
-        world.discovery.announced("10.0.0.2:9", version)
+        world.discovery.record_announcement("10.0.0.2:9", version)
         await trio.lowlevel.checkpoint()
 
     context.route_actions.append(action)
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -22,21 +22,21 @@
 from wasabiwell_entry.state.clock import ManualClock, SystemClock
 from wasabiwell_entry.state.exchange import (
     AttemptVerdict,
-    Ending,
+    DecodeStarted,
     HelperLoss,
     ListingNotice,
     NodeAddresses,
     NodeState,
     Notice,
-    PaceNotice,
     PeerLoss,
     PlacementNotice,
-    Placing,
-    RepeatNotice,
-    ServiceUse,
+    RequestEnded,
+    RequestPlaced,
+    RetryBudgetUse,
+    RetryNotice,
+    SlowdownNotice,
     Suspicion,
     WatchRequest,
-    Writing,
 )
 
 
@@ -57,12 +57,12 @@
 @when('the peer tells that it placed "{request_id}" on engine "{target_id}"')
 def step_placed(context: Context, request_id: str, target_id: str) -> None:
     notice = PlacementNotice(request_id, "s", target_id, (), 5, 300, 200, 1_000, 2_000, 1_000)
-    context.exchange.receive(context.peer, Placing(notice))
+    context.exchange.receive(context.peer, RequestPlaced(notice))
 
 
 @when('the peer tells that "{request_id}" has ended as "{verdict}"')
 def step_ended(context: Context, request_id: str, verdict: str) -> None:
-    ending = Ending(request_id, "e00", AttemptVerdict(verdict))
+    ending = RequestEnded(request_id, "e00", AttemptVerdict(verdict))
     context.exchange.receive(context.peer, ending)
 
 
@@ -152,9 +152,9 @@
 def tell_request(context: Context, lead: str, helpers: tuple[str, ...]) -> None:
     service = make_target(0).service
     notice = PlacementNotice("r1", service, lead, helpers, 5, 300, 200, 1_000, 2_000, 1_000)
-    context.exchange.tell(Placing(notice))
-    context.exchange.tell(Writing("r1"))
-    context.exchange.tell(Ending("r1", lead, AttemptVerdict.FAILED))
+    context.exchange.broadcast(RequestPlaced(notice))
+    context.exchange.broadcast(DecodeStarted("r1"))
+    context.exchange.broadcast(RequestEnded("r1", lead, AttemptVerdict.FAILED))
 
 
 @when(
@@ -162,33 +162,33 @@
 )
 def step_tells_call(context: Context, target_id: str, verdict: str, milliseconds: int) -> None:
     notice = PlacementNotice("r1", "plain", target_id, (), 5, 300, 200, 0, 0, 0)
-    context.exchange.tell(Placing(notice))
+    context.exchange.broadcast(RequestPlaced(notice))
     context.clock.advance(timedelta(milliseconds=milliseconds))
     context.exchange._sweep()  # what the instance does at intervals
-    context.exchange.tell(Ending("r1", target_id, AttemptVerdict(verdict)))
+    context.exchange.broadcast(RequestEnded("r1", target_id, AttemptVerdict(verdict)))
 
 
 @then("{count:d} peers were told of its end, and none of its placement")
 def step_told_end(context: Context, count: int) -> None:
     kinds = Counter(type(notice) for _, notice in context.port.sent)
-    assert (kinds[Ending], kinds[Placing]) == (count, 0), kinds
+    assert (kinds[RequestEnded], kinds[RequestPlaced]) == (count, 0), kinds
 
 
 @then("its placement was told as {age:d} ms old and due in {due:d} ms")
 def step_told_age(context: Context, age: int, due: int) -> None:
-    told = {notice.notice for _, notice in context.port.sent if isinstance(notice, Placing)}
+    told = {notice.notice for _, notice in context.port.sent if isinstance(notice, RequestPlaced)}
     assert [(item.age_ms, item.due_in_ms) for item in told] == [(age, due)], told
 
 
 @then("its placement and end went to {count:d} peers, and its first event to {first:d}")
 def step_reached(context: Context, count: int, first: int) -> None:
-    kinds = (Placing, Writing, Ending)
+    kinds = (RequestPlaced, DecodeStarted, RequestEnded)
     reached = {
         kind: [address for address, notice in context.port.sent if isinstance(notice, kind)]
         for kind in kinds
     }
     sent = {kind: len(addresses) for kind, addresses in reached.items()}
-    assert sent == {Placing: count, Writing: first, Ending: count}, sent
+    assert sent == {RequestPlaced: count, DecodeStarted: first, RequestEnded: count}, sent
 
 
 @then("the numbers in these scenarios are on both sides of the bounds")
@@ -227,7 +227,7 @@
 @then('engine "{target_id}" has {count:d} request')
 @then('engine "{target_id}" has {count:d} requests')
 def step_requests(context: Context, target_id: str, count: int) -> None:
-    assert len(context.works.get(target_id).residents) == count
+    assert len(context.works.get(target_id).requests) == count
 
 
 @then('the verdict "{verdict}" on engine "{target_id}" was taken over')
@@ -300,7 +300,7 @@
 @when("the peer is heard after {seconds:d} seconds of silence")
 def step_heard_again(context: Context, seconds: int) -> None:
     context.clock.advance(timedelta(seconds=seconds))
-    context.exchange.receive(context.peer, Writing("r"))
+    context.exchange.receive(context.peer, DecodeStarted("r"))
     hear(context, context.peer)
 
 
@@ -316,8 +316,8 @@
 def step_tells_suspect(context: Context, address: str, seconds: int) -> None:
     context.peer = address
     context.suspicion_times = []
-    crashes = CrashCounts(context.exchange.tell, SystemClock())
-    context.recent_suspicions = crashes.recent
+    crashes = CrashCounts(context.exchange.broadcast, SystemClock())
+    context.recent_suspicions = crashes.recent_suspicions
     send = context.port.send
 
     def keep_time(addresses: Iterable[str], notice: Notice) -> None:
@@ -330,7 +330,7 @@
 
     async def crash() -> None:
         await trio.sleep(0.6)
-        crashes.crashed("f", "e1@1")
+        crashes.record_crash("f", "e1@1")
 
     pass_time(context, seconds, [address], crash)
 
@@ -352,19 +352,19 @@
 
 
 NOTICES: dict[str, Notice] = {
-    "Placing": Placing(
+    "Placing": RequestPlaced(
         PlacementNotice("r", "s", "e1", ("e2", "e3"), 1, 2, 3, 4, 5, 6, True, (7, 0))
     ),
-    "Writing": Writing("r"),
-    "PaceNotice": PaceNotice("e1", 2.5),
-    "Ending": Ending("r", "e1", AttemptVerdict.LOST),
+    "DecodeStarted": DecodeStarted("r"),
+    "SlowdownNotice": SlowdownNotice("e1", 2.5),
+    "RequestEnded": RequestEnded("r", "e1", AttemptVerdict.LOST),
     "Suspicion": Suspicion("f", ("e1@1",)),
     "ListingNotice": LISTING,
-    "NodeState": state_of("10.0.0.2:7", 4, uses=(ServiceUse("s", 1, 2),), placed=("r1", "r2")),
+    "NodeState": state_of("10.0.0.2:7", 4, uses=(RetryBudgetUse("s", 1, 2),), placed=("r1", "r2")),
     "NodeAddresses": NodeAddresses(("10.0.0.2:7",)),
     "HelperLoss": HelperLoss("e01"),
     "PeerLoss": PeerLoss("10.0.0.2:7", 1, 4),
-    "RepeatNotice": RepeatNotice("s"),
+    "RetryNotice": RetryNotice("s"),
     "WatchRequest": WatchRequest(),
 }
 
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -20,18 +20,18 @@
     stream,
 )
 from wasabiwell_entry.state.clock import SystemClock
-from wasabiwell_entry.state.exchange import Ending, HelperLoss, Notice
+from wasabiwell_entry.state.exchange import HelperLoss, Notice, RequestEnded
 from wasabiwell_entry.state.forwarding import (
-    AnswerEvent,
-    Broken,
     Forwarded,
     NotRun,
     NotSent,
+    ResponseEvent,
+    ResponseInterrupted,
 )
 from wasabiwell_entry.state.outcomes import Failed, Refused, RunState
 from wasabiwell_entry.state.routes import Route, RouteKind
 
-BROKEN = Broken("cut", target_lost=True)
+BROKEN = ResponseInterrupted("cut", target_lost=True)
 
 
 def prepare(context: Context, route: Route) -> None:
@@ -62,7 +62,7 @@
             context.outcome = await forwarder.forward(request, context.sink)
             context.seconds = trio.current_time() - begun
             assert number < times
-        await forwarder._reservations.settle()  # returns what was given back
+        await forwarder._reservations.process_pending()  # returns what was given back
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
@@ -155,13 +155,13 @@
 
 @when("the target leaves out event {number:d}")
 def step_left_out(context: Context, number: int) -> None:
-    script = [*stream(1, number - 1, end=False), AnswerEvent(number + 1, b"x")]
+    script = [*stream(1, number - 1, end=False), ResponseEvent(number + 1, b"x")]
     play(context, [script], prompt=2_000)
 
 
 @when("the first target is silent for longer than its patience")
 def step_silent(context: Context) -> None:
-    play(context, [[4.0, Broken("ReadTimeout")], answer()])
+    play(context, [[4.0, ResponseInterrupted("ReadTimeout")], answer()])
 
 
 @when("the target takes {seconds:d} seconds")
@@ -195,7 +195,7 @@
 
 @then('the verdicts on the leads are "{verdicts}"')
 def step_lead_verdicts(context: Context, verdicts: str) -> None:
-    endings = [item for item in context.notices if isinstance(item, Ending)]
+    endings = [item for item in context.notices if isinstance(item, RequestEnded)]
     assert " ".join(item.verdict.value for item in endings) == verdicts
 
 
@@ -272,8 +272,8 @@
 
 @then("helpers held parts of it, each under a reservation of its own")
 def step_held(context: Context) -> None:
-    helpers = [item for item in context.targets.sent[-1].helpers if item.hold_tokens]
-    held = sum(item.hold_tokens for item in helpers)
+    helpers = [item for item in context.targets.sent[-1].helpers if item.kv_tokens]
+    held = sum(item.kv_tokens for item in helpers)
     assert 700_000 - held <= 450_000, held
     assert len({item.reservation_id for item in helpers}) == len(helpers) > 0
 
@@ -290,5 +290,5 @@
 
 @then('the verdict on the target is "{verdict}"')
 def step_verdict(context: Context, verdict: str) -> None:
-    endings = [notice for notice in context.notices if isinstance(notice, Ending)]
+    endings = [notice for notice in context.notices if isinstance(notice, RequestEnded)]
     assert [ending.verdict.value for ending in endings] == [verdict]
--- a/tests/steps/entry/coordination/monitors_steps.py
+++ b/tests/steps/entry/coordination/monitors_steps.py
@@ -20,9 +20,9 @@
     Notice,
     PeerLoss,
     PlacementNotice,
-    Placing,
-    RepeatNotice,
-    ServiceUse,
+    RequestPlaced,
+    RetryBudgetUse,
+    RetryNotice,
     WatchRequest,
 )
 
@@ -246,7 +246,7 @@
 @given('another that it does not watch has a request on engine "{target_id}"')
 def step_has_request(context: Context, target_id: str) -> None:
     notice = PlacementNotice("r1", "s", target_id, (), 5, 300, 200, 1_000, 2_000, 1_000)
-    context.exchange.receive(context.silent, Placing(notice))
+    context.exchange.receive(context.silent, RequestPlaced(notice))
 
 
 def report(context: Context, sequence: int) -> None:
@@ -332,12 +332,12 @@
 
 @when("it repeats a request for a service")
 def step_repeats(context: Context) -> None:
-    context.exchange.tell(RepeatNotice("s"))
+    context.exchange.broadcast(RetryNotice("s"))
 
 
 @then("{count:d} others were told of the repeat")
 def step_told_repeat(context: Context, count: int) -> None:
-    told = [to for to, notice in context.port.sent if isinstance(notice, RepeatNotice)]
+    told = [to for to, notice in context.port.sent if isinstance(notice, RetryNotice)]
     assert len(told) == count, told
 
 
@@ -366,18 +366,18 @@
 @when('one of them tells of {count:d} repeats for service "{service}"')
 def step_tells_repeats(context: Context, count: int, service: str) -> None:
     for _ in range(count):
-        context.exchange.receive(context.silent, RepeatNotice(service))
+        context.exchange.receive(context.silent, RetryNotice(service))
 
 
 @when("its next state tells of {count:d} repeat")
 def step_state_repeats(context: Context, count: int) -> None:
-    hear(context, context.silent, uses=(ServiceUse("s", 5, count),))
+    hear(context, context.silent, uses=(RetryBudgetUse("s", 5, count),))
 
 
 @then('that one has used {count:d} repeats of service "{service}"')
 def step_used(context: Context, count: int, service: str) -> None:
     (uses,) = [uses for uses in context.nodes.uses() if uses]
-    assert [(use.service, use.repeats) for use in uses] == [(service, count)], uses
+    assert [(use.service, use.retries) for use in uses] == [(service, count)], uses
 
 
 @when("one of them tells that it hears {count:d} instances")
--- a/tests/steps/entry/coordination/orders_steps.py
+++ b/tests/steps/entry/coordination/orders_steps.py
@@ -9,9 +9,9 @@
 from support.order_machine import ENGINE, OrderMachine
 from wasabiwell_config import Fencing
 from wasabiwell_entry.coordination.membership.ownership import owner_of
-from wasabiwell_entry.coordination.orders import OrderLeases, WeightStoreRate
+from wasabiwell_entry.coordination.orders import OrderLeases, WeightStoreRateLimiter
 from wasabiwell_entry.coordination.orders.const import RATE_INTERVAL, RATE_KEY
-from wasabiwell_entry.coordination.orders.errors import Lease, LeaseLapsed
+from wasabiwell_entry.coordination.orders.errors import Lease, LeaseExpired
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.members import Member, MemberStatus, MemberTable
 from wasabiwell_entry.state.orders import ChangeRole
@@ -21,7 +21,7 @@
     """Calls the owner in place of a message."""
 
     def __init__(self) -> None:
-        self.rates: dict[str, WeightStoreRate] = {}
+        self.rates: dict[str, WeightStoreRateLimiter] = {}
 
     async def take(self, owner: Member, count: int) -> int:
         """Return how many loads the owner grants."""
@@ -46,7 +46,7 @@
         for node in range(nodes):
             context.members.put(Member(f"n-{region}-{node}", 1, f"r-{region}", "z", "", ""))
     for member in context.members:
-        peers.rates[member.node_id] = WeightStoreRate(
+        peers.rates[member.node_id] = WeightStoreRateLimiter(
             loads, member, context.members, peers, context.clock
         )
     context.rates, context.started = peers.rates, []
@@ -125,7 +125,7 @@
     _, lease = machine.held[0]
     order = ChangeRole("prefill")
     outcome = trio.run(machine.coordinators[0].send, lease, ENGINE, order, Fencing(fencing))
-    assert isinstance(outcome, LeaseLapsed) == (result == "not sent"), outcome
+    assert isinstance(outcome, LeaseExpired) == (result == "not sent"), outcome
     assert bool(machine.engine.applied) == (result == "sent"), machine.engine.applied
 
 
--- a/tests/steps/entry/coordination/placement_steps.py
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -11,7 +11,7 @@
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.exchange import AttemptVerdict
 from wasabiwell_entry.state.routes import RouteKind
-from wasabiwell_entry.state.work import Placed
+from wasabiwell_entry.state.work import PlacedRequest
 
 
 @given("{count:d} engines")
@@ -26,7 +26,7 @@
     context.placements = []
 
 
-def add(context: Context, placed: Placed) -> None:
+def add(context: Context, placed: PlacedRequest) -> None:
     context.engines.works.add(placed, context.engines.now)
 
 
@@ -37,12 +37,12 @@
 
 @given('a prompt of {tokens:d} tokens is written on "{target_id}"')
 def step_written_long(context: Context, tokens: int, target_id: str) -> None:
-    add(context, make_placed(target_id, tokens, "long", writing=True))
+    add(context, make_placed(target_id, tokens, "long", decoding=True))
 
 
 @given('a prompt of {tokens:d} tokens, due {due:g} s later, is read on "{lead}" and "{helper}"')
 def step_due(context: Context, tokens: int, due: float, lead: str, helper: str) -> None:
-    finish = PROFILE.read_seconds(tokens) / 2
+    finish = PROFILE.prefill_seconds(tokens) / 2
     placed = make_placed(lead, tokens, "long", helpers=(helper,), due=finish + due)
     add(context, replace(placed, placed_at=-1.0))
 
@@ -50,7 +50,9 @@
 @given('{count:d} short requests are written on "{target_id}"')
 def step_written(context: Context, count: int, target_id: str) -> None:
     for number in range(count):
-        add(context, make_placed(target_id, 5_000, request_id=f"{target_id}{number}", writing=True))
+        add(
+            context, make_placed(target_id, 5_000, request_id=f"{target_id}{number}", decoding=True)
+        )
 
 
 @given('zones that place requests among themselves, with "{one}" and "{other}" in the own zone')
@@ -77,13 +79,13 @@
 
 @given('"{target_id}" was lost')
 def step_lost(context: Context, target_id: str) -> None:
-    context.engines.health.note(target_id, AttemptVerdict.LOST)
+    context.engines.health.record_attempt(target_id, AttemptVerdict.LOST)
 
 
 @given('"{target_id}" failed {count:d} requests')
 def step_failed(context: Context, target_id: str, count: int) -> None:
     for _ in range(count):
-        context.engines.health.note(target_id, AttemptVerdict.FAILED)
+        context.engines.health.record_attempt(target_id, AttemptVerdict.FAILED)
 
 
 def place(context: Context, size: str, tokens: int, **options: object) -> None:
@@ -156,7 +158,7 @@
 
 @then("no engine has more than {count:d} requests")
 def step_at_most(context: Context, count: int) -> None:
-    leads = {work.target.target_id: work.leads for work in context.engines.works}
+    leads = {work.target.target_id: work.occupied_slots for work in context.engines.works}
     assert max(leads.values()) <= count, leads
 
 
@@ -178,19 +180,19 @@
 
 @then("no part takes longer than {milliseconds:d} ms")
 def step_part(context: Context, milliseconds: int) -> None:
-    part = PROFILE.read_seconds(context.tokens) / len(engines_of(context))
+    part = PROFILE.prefill_seconds(context.tokens) / len(engines_of(context))
     assert part <= milliseconds / 1000, part
 
 
 @then("no engine keeps more than {tokens:d} tokens of it")
 def step_keeps(context: Context, tokens: int) -> None:
-    holds = [item.hold_tokens for item in context.placements[-1].helpers]
+    holds = [item.kv_tokens for item in context.placements[-1].helpers]
     assert max([*holds, context.tokens - sum(holds)]) <= tokens, holds
 
 
 @then("all {tokens:d} tokens are kept")
 def step_kept(context: Context, tokens: int) -> None:
-    holds = [item.hold_tokens for item in context.placements[-1].helpers]
+    holds = [item.kv_tokens for item in context.placements[-1].helpers]
     lead = tokens - sum(holds)
     assert 0 < lead <= PROFILE.memory_tokens, (lead, holds)
     assert sum(holds) > 0
--- a/tests/steps/entry/coordination/records_steps.py
+++ b/tests/steps/entry/coordination/records_steps.py
@@ -11,8 +11,8 @@
 from behave.runner import Context
 from wasabiwell_entry.coordination.telemetry import (
     NO_TELEMETRY,
-    ObservedDispatcher,
-    ObservedEngines,
+    InstrumentedDispatcher,
+    InstrumentedEngines,
     RequestLog,
 )
 from wasabiwell_entry.state.clock import ManualClock
@@ -21,7 +21,7 @@
 from wasabiwell_entry.state.requests import (
     Attempt,
     GenerateRequest,
-    StreamBroken,
+    StreamInterrupted,
     StreamItem,
 )
 from wasabiwell_entry.state.targets import Target, TargetKind
@@ -55,7 +55,7 @@
         """Yield the end of the attempt only."""
 
         async def items() -> AsyncIterator[StreamItem]:
-            yield StreamBroken(self.reason)
+            yield StreamInterrupted(self.reason)
 
         yield items()
 
@@ -74,7 +74,7 @@
 @when("{count:d} observed requests finish")
 def step_finish(context: Context, count: int) -> None:
     inner = FakeDispatcher(Finished(1, "stop"))
-    observed = ObservedDispatcher(inner, context.log, context.counters, NO_TELEMETRY)
+    observed = InstrumentedDispatcher(inner, context.log, context.counters, NO_TELEMETRY)
     for number in range(count):
         trio.run(observed.generate, make_request(number), None)
 
@@ -82,11 +82,11 @@
 @when('an observed attempt ends with "{reason}"')
 def step_attempt(context: Context, reason: str) -> None:
     async def attempt() -> None:
-        engines = ObservedEngines(BrokenEngines(reason), context.log, NO_TELEMETRY)
+        engines = InstrumentedEngines(BrokenEngines(reason), context.log, NO_TELEMETRY)
         request = make_request(0)
         record = context.log.open(request)
         async with engines.generate(TARGET, Attempt("a", request, 0)) as items:
-            assert [item async for item in items] == [StreamBroken(reason)]
+            assert [item async for item in items] == [StreamInterrupted(reason)]
         failed = Failed(Reason.TARGET_FAILED, reason, RunState.UNKNOWN)
         context.log.close(record, request, failed)
 
@@ -97,7 +97,7 @@
 def step_cancel(context: Context) -> None:
     async def cancel() -> None:
         inner = FakeDispatcher(Finished(1, "stop"), wait_seconds=60.0)
-        observed = ObservedDispatcher(inner, context.log, context.counters, NO_TELEMETRY)
+        observed = InstrumentedDispatcher(inner, context.log, context.counters, NO_TELEMETRY)
         with trio.move_on_after(0.01):
             await observed.generate(make_request(0), None)
 
--- a/tests/steps/entry/coordination/routing_steps.py
+++ b/tests/steps/entry/coordination/routing_steps.py
@@ -5,7 +5,7 @@
 from support.admission import SERVICE, make_load, make_request, make_targets
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.routing.estimate import estimate_engine
-from wasabiwell_entry.coordination.routing.policies import policy_of
+from wasabiwell_entry.coordination.routing.policies import policy_by_name
 from wasabiwell_entry.coordination.targets.coordinator import update_cache
 from wasabiwell_entry.coordination.targets.ports import CacheEvent, CacheReport
 from wasabiwell_entry.state.clock import ManualClock
@@ -66,7 +66,7 @@
 
 @then('the policy "{name}" sends {count:d} requests to engines "{engines}"')
 def step_policy(context: Context, name: str, count: int, engines: str) -> None:
-    router = Router(context.targets, "z1", context.clock, policy_of(name))
+    router = Router(context.targets, "z1", context.clock, policy_by_name(name))
     chosen = []
     for _ in range(count):
         status = router.choose(SERVICE, frozenset())
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -7,12 +7,12 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.forwarding import make_target
-from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.budget.coordinator import BudgetLimits
 from wasabiwell_entry.coordination.health import TargetHealth
 from wasabiwell_entry.coordination.stop import GracefulStop
 from wasabiwell_entry.state.clock import ManualClock, SystemClock
-from wasabiwell_entry.state.exchange import AttemptVerdict, RepeatNotice, ServiceUse
+from wasabiwell_entry.state.exchange import AttemptVerdict, RetryBudgetUse, RetryNotice
 from wasabiwell_entry.state.targets import ListedTarget
 
 SERVICE = "s"
@@ -31,7 +31,7 @@
 
 def note(context: Context, verdict: AttemptVerdict, count: int = 1) -> None:
     for _ in range(count):
-        context.health.note(context.target.target_id, verdict)
+        context.health.record_attempt(context.target.target_id, verdict)
 
 
 @when("it is lost")
@@ -87,12 +87,12 @@
 
 @then("its share of failures is over {share:g}")
 def step_over(context: Context, share: float) -> None:
-    assert context.health.failure_share(context.target) > share
+    assert context.health.failure_rate(context.target) > share
 
 
 @then("its share of failures is under {share:g}")
 def step_under(context: Context, share: float) -> None:
-    assert context.health.failure_share(context.target) < share
+    assert context.health.failure_rate(context.target) < share
 
 
 @given("a budget of {ratio:g} and a slack of {slack:g} in {seconds:d} seconds")
@@ -101,21 +101,21 @@
     context.peer_uses = []
     limits = BudgetLimits(ratio, slack, timedelta(seconds=seconds))
     context.told = []
-    context.budget = RepeatBudget(
+    context.budget = RetryBudget(
         limits, lambda: context.peer_uses, context.told.append, context.clock
     )
 
 
 @then("{count:d} repeats were told")
 def step_repeats_told(context: Context, count: int) -> None:
-    assert context.told == [RepeatNotice(SERVICE)] * count, context.told
+    assert context.told == [RetryNotice(SERVICE)] * count, context.told
 
 
 @given("peers that counted {requests:d} requests and {repeats:d} repeats")
 def step_peers(context: Context, requests: int, repeats: int) -> None:
     context.peer_uses = [
-        (ServiceUse(SERVICE, requests // 2, repeats // 2),),
-        (ServiceUse(SERVICE, requests // 2, repeats // 2), ServiceUse("t", 1_000, 1_000)),
+        (RetryBudgetUse(SERVICE, requests // 2, repeats // 2),),
+        (RetryBudgetUse(SERVICE, requests // 2, repeats // 2), RetryBudgetUse("t", 1_000, 1_000)),
     ]
 
 
@@ -132,13 +132,13 @@
 
 @then("{count:d} repeats are allowed")
 def step_allowed(context: Context, count: int) -> None:
-    taken = sum(context.budget.take(SERVICE) for _ in range(1_000))
+    taken = sum(context.budget.try_consume(SERVICE) for _ in range(1_000))
     assert taken == count, taken
 
 
 @then("{count:d} repeats of another service are allowed")
 def step_allowed_other(context: Context, count: int) -> None:
-    assert sum(context.budget.take("t") for _ in range(1_000)) == count
+    assert sum(context.budget.try_consume("t") for _ in range(1_000)) == count
 
 
 @given("an instance with {count:d} open requests")
@@ -166,9 +166,9 @@
             await trio.lowlevel.checkpoint()
             begun = trio.current_time()
             stop.leave()
-            await stop.wait_to_close()
+            await stop.wait_listeners_close()
             context.closed = trio.current_time() - begun
-            await stop.wait_no_request(SystemClock().monotonic() + stop.time_to_end(GRACE))
+            await stop.wait_requests_finished(SystemClock().monotonic() + stop.drain_timeout(GRACE))
             context.ended = trio.current_time() - begun
             nursery.cancel_scope.cancel()
 
--- a/tests/steps/entry/coordination/turns_steps.py
+++ b/tests/steps/entry/coordination/turns_steps.py
@@ -7,7 +7,7 @@
 import trio.testing
 from behave import given, then, when
 from behave.runner import Context
-from support.fakes import FakeTable, NoSpread
+from support.fakes import FakeTable, NoSuspectGossip
 from wasabiwell_entry.coordination.quarantine.const import TURN_PREFIX
 from wasabiwell_entry.coordination.quarantine.coordinator import QuarantineCoordinator
 from wasabiwell_entry.state.clock import SystemClock
@@ -35,7 +35,7 @@
         for fingerprint in filter(None, (first, second)):
             suspects.merge(Suspect(fingerprint, ("e0",), START + timedelta(days=1)))
         context.instances.append(
-            QuarantineCoordinator(context.rows, suspects, NoSpread(), lambda: 2, RunClock())
+            QuarantineCoordinator(context.rows, suspects, NoSuspectGossip(), lambda: 2, RunClock())
         )
 
 
@@ -53,7 +53,7 @@
 async def run_suspect(
     context: Context, instance: int, fingerprint: str, target_id: str, seconds: float
 ) -> None:
-    async with context.instances[instance].one_suspect(fingerprint, target_id):
+    async with context.instances[instance].exclusive_retry(fingerprint, target_id):
         began = trio.current_time()
         await trio.sleep(seconds)
         context.ran[fingerprint] = (began, trio.current_time())
--- a/tests/steps/entry/protocol/events_steps.py
+++ b/tests/steps/entry/protocol/events_steps.py
@@ -24,7 +24,7 @@
 
 @then('the rest is "{text}"')
 def step_rest(context: Context, text: str) -> None:
-    assert context.splitter.rest == text.replace("|", "\n").encode()
+    assert context.splitter.remainder == text.replace("|", "\n").encode()
 
 
 @then("it cannot be read")
--- a/tests/steps/entry/state/work_steps.py
+++ b/tests/steps/entry/state/work_steps.py
@@ -17,7 +17,7 @@
 def step_placed(context: Context, tokens: int) -> None:
     open_table(context)
     context.works.add(make_placed(LEAD, tokens, "long", request_id="whole"), 0.0)
-    context.seconds = PROFILE.read_seconds(tokens)
+    context.seconds = PROFILE.prefill_seconds(tokens)
 
 
 @given('a part of a prompt of {tokens:d} tokens "{name}"')
@@ -29,7 +29,9 @@
 @given("a prompt of {tokens:d} tokens of which a helper keeps {held:d}")
 def step_held(context: Context, tokens: int, held: int) -> None:
     open_table(context)
-    placed = make_placed(LEAD, tokens, "long", request_id="held", helpers=(HELPER,), holds=(held,))
+    placed = make_placed(
+        LEAD, tokens, "long", request_id="held", helpers=(HELPER,), helper_kv_tokens=(held,)
+    )
     context.works.add(placed, 0.0)
 
 
@@ -45,7 +47,7 @@
     now = context.seconds
     for _ in range(count):
         now += context.gap
-        work.observe_pace(context.gap, now)
+        work.observe_slowdown(context.gap, now)
     context.now = now
 
 
@@ -56,28 +58,28 @@
 
 @then("its pace is over {pace:g}")
 def step_pace_over(context: Context, pace: float) -> None:
-    assert context.works.get(LEAD).pace > pace, context.works.get(LEAD).pace
+    assert context.works.get(LEAD).slowdown > pace, context.works.get(LEAD).slowdown
 
 
 @then("its pace is under {pace:g}")
 def step_pace_under(context: Context, pace: float) -> None:
-    assert context.works.get(LEAD).pace < pace, context.works.get(LEAD).pace
+    assert context.works.get(LEAD).slowdown < pace, context.works.get(LEAD).slowdown
 
 
 @then("its passes are predicted to be as slow as its events")
 def step_predicted(context: Context) -> None:
     work = context.works.get(LEAD)
-    assert 0.8 < work.pass_seconds(work.writers()) / context.gap < 1.2
+    assert 0.8 < work.iteration_seconds(work.decoding_requests()) / context.gap < 1.2
 
 
 @when('the first event of "{name}" arrives')
 def step_first(context: Context, name: str) -> None:
-    context.works.begin_writing(name, 0.0)
+    context.works.start_decode(name, 0.0)
 
 
 @when("its first event arrives")
 def step_first_held(context: Context) -> None:
-    context.works.begin_writing("held", 0.1)
+    context.works.start_decode("held", 0.1)
 
 
 @when("it ends")
@@ -104,13 +106,13 @@
 @then("no reading is left and the prompt is written")
 def step_written(context: Context) -> None:
     work = context.works.get(LEAD)
-    assert not work.reading_order()
-    assert [item.placed.request_id for item in work.writers()] == ["whole"]
+    assert not work.prefill_order()
+    assert [item.placed.request_id for item in work.decoding_requests()] == ["whole"]
 
 
 @then('the reading order is "{names}"')
 def step_order(context: Context, names: str) -> None:
-    order = [item.placed.request_id for item in context.works.get(LEAD).reading_order()]
+    order = [item.placed.request_id for item in context.works.get(LEAD).prefill_order()]
     assert order == names.split(", "), order
 
 
@@ -121,4 +123,4 @@
 
 @then("it has no request")
 def step_none(context: Context) -> None:
-    assert not context.works.get(LEAD).residents
+    assert not context.works.get(LEAD).requests
--- a/tests/steps/entry/transport/http/exchange_steps.py
+++ b/tests/steps/entry/transport/http/exchange_steps.py
@@ -6,7 +6,7 @@
 import trio.testing
 from behave import given, then, when
 from behave.runner import Context
-from wasabiwell_entry.transport.http.asgi import Exchange
+from wasabiwell_entry.transport.http.asgi import HttpExchange
 
 
 class SlowServer:
@@ -30,7 +30,7 @@
 @given("a server that reports the caller's disconnect")
 def step_server(context: Context) -> None:
     context.server = SlowServer()
-    context.exchange = Exchange(
+    context.exchange = HttpExchange(
         {"http_version": "1.1"}, context.server.receive, context.server.send
     )
 
--- a/tests/steps/platform/decoding_steps.py
+++ b/tests/steps/platform/decoding_steps.py
@@ -132,7 +132,7 @@
 @then('the engine of "{service}" reads {tokens:d} tokens in {seconds:g} seconds')
 def step_reads(context: Context, service: str, tokens: int, seconds: float) -> None:
     profile = context.routes.services[service].engine
-    assert abs(profile.read_seconds(tokens) - seconds) < 0.05, profile.read_seconds(tokens)
+    assert abs(profile.prefill_seconds(tokens) - seconds) < 0.05, profile.prefill_seconds(tokens)
 
 
 @then('the key "{key}" is that of "{name}"')
--- a/tests/steps/platform/tracing_steps.py
+++ b/tests/steps/platform/tracing_steps.py
@@ -11,35 +11,35 @@
 from behave import given, then, when
 from behave.runner import Context
 from wasabiwell_platform.const import METRICS_PATH, METRICS_PORT
-from wasabiwell_standins.users_platform.caller import Order, Reply
-from wasabiwell_standins.users_platform.world import (
+from wasabiwell_standins.users_platform.caller import CallerRequest, Reply
+from wasabiwell_standins.users_platform.deployment import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
-    World,
-    WorldSize,
-    open_world,
+    Deployment,
+    DeploymentSize,
+    open_deployment,
 )
 
 BLOCKS = iter(range(20, 76))
 """Blocks of IP addresses that no other scenario uses."""
 
 
-def play(context: Context, act: Callable[[World], Awaitable[Reply | None]]) -> None:
+def play(context: Context, act: Callable[[Deployment], Awaitable[Reply | None]]) -> None:
     """Run a deployment, and keep the last reply and the log files of the entry processes."""
     context.folder = context.stack.enter_context(tempfile.TemporaryDirectory())
 
     async def run() -> None:
-        size = WorldSize(entries=2, engines=2, plain=1, block=next(BLOCKS))
-        async with open_world(size, Path(context.folder)) as world:
-            context.logs = [entry.log for entry in world.entries]
-            context.reply = await act(world)
+        size = DeploymentSize(entries=2, engines=2, plain=1, block=next(BLOCKS))
+        async with open_deployment(size, Path(context.folder)) as deployment:
+            context.logs = [entry.log for entry in deployment.entries]
+            context.reply = await act(deployment)
             await trio.sleep(0.3)
 
     trio.run(run)
 
 
-async def send(world: World, order: Order) -> Reply:
-    return await world.caller().send(order, retries=0)
+async def send(deployment: Deployment, request: CallerRequest) -> Reply:
+    return await deployment.caller().send(request, retries=0)
 
 
 @given("a log file with {count:d} lines that are no log lines")
@@ -52,11 +52,11 @@
 
 @when("a booking is refused as no target takes new work")
 def step_refused(context: Context) -> None:
-    async def act(world: World) -> Reply:
-        target = world.of_service(PLAIN_SERVICE)[0]
-        world.store.put_json("servers", target.target_id, target.entry("draining"))
+    async def act(deployment: Deployment) -> Reply:
+        target = deployment.targets_of(PLAIN_SERVICE)[0]
+        deployment.store.put_json("servers", target.target_id, target.listing_entry("draining"))
         await trio.sleep(0.3)
-        return await send(world, world.order("book"))
+        return await send(deployment, deployment.request("book"))
 
     play(context, act)
     assert context.reply.status == 503, context.reply
@@ -64,30 +64,30 @@
 
 @when("an engine crashes under a stream that may not be resumed")
 def step_broken(context: Context) -> None:
-    async def act(world: World) -> Reply:
-        for route in world.configuration["routes"]:
+    async def act(deployment: Deployment) -> Reply:
+        for route in deployment.configuration["routes"]:
             route["resume_streams"] = False
-        world.configure()
+        deployment.publish_configuration()
         await trio.sleep(0.3)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(crash, world)
-            return await send(world, world.order("short", events=60))
+            nursery.start_soon(crash, deployment)
+            return await send(deployment, deployment.request("short", events=60))
 
     play(context, act)
     assert context.reply.status == 200
-    assert not context.reply.whole
+    assert not context.reply.complete
 
 
-async def crash(world: World) -> None:
+async def crash(deployment: Deployment) -> None:
     await trio.sleep(0.5)
-    max(world.of_service(MODEL_SERVICE), key=lambda target: target.running).crash()
+    max(deployment.targets_of(MODEL_SERVICE), key=lambda target: target.running).crash()
 
 
 @when("a target loses its answer to a booking")
 def step_unknown(context: Context) -> None:
-    async def act(world: World) -> Reply:
-        world.of_service(PLAIN_SERVICE)[0].faults.reset_share = 1.0
-        return await send(world, world.order("book"))
+    async def act(deployment: Deployment) -> Reply:
+        deployment.targets_of(PLAIN_SERVICE)[0].faults.reset_share = 1.0
+        return await send(deployment, deployment.request("book"))
 
     play(context, act)
     assert context.reply.status == 502, context.reply
@@ -95,12 +95,12 @@
 
 @when("requests of all kinds are answered and the metrics are asked for")
 def step_metrics(context: Context) -> None:
-    async def act(world: World) -> None:
+    async def act(deployment: Deployment) -> None:
         for route in ("short", "medium", "long", "book", "look", "look"):
-            assert (await send(world, world.order(route))).status == 200
+            assert (await send(deployment, deployment.request(route))).status == 200
         texts = []
         async with httpcore.AsyncConnectionPool() as pool:
-            for entry in world.entries:
+            for entry in deployment.entries:
                 url = f"http://{entry.ip}:{METRICS_PORT}{METRICS_PATH}"
                 texts.append((await pool.request("GET", url)).content.decode())
         context.metrics = texts
--- a/tests/support/calls.py
+++ b/tests/support/calls.py
@@ -8,10 +8,10 @@
 
 import trio
 from wasabiwell_entry.coordination.dispatch import Dispatcher
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent
+from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted, CallNotSent
 from wasabiwell_entry.coordination.dispatch.ports import TargetFailure
 from wasabiwell_entry.coordination.runs import RunCoordinator
-from wasabiwell_entry.state.outcomes import Answer, CallOutcome, Reason, Refused
+from wasabiwell_entry.state.outcomes import CallOutcome, Reason, Refused, ServiceResponse
 from wasabiwell_entry.state.requests import ServiceCall
 from wasabiwell_entry.state.targets import Target, TargetKind
 
@@ -53,22 +53,26 @@
         self.runs_of_request: Counter[str] = Counter()
         self._clock = clock
 
-    async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
+    async def call(
+        self, target: Target, call: ServiceCall
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Run a call as the next mode says, if its deadline has not passed."""
         await trio.lowlevel.checkpoint()
         mode = self.modes.pop(0) if self.modes else "answer"
         if mode == "refuse" or self._clock.monotonic() >= call.deadline:
             return CallNotSent("no connection")
         if mode == "unavailable":
-            return Answer(503, "text/plain", b"")
+            return ServiceResponse(503, "text/plain", b"")
         if mode != "cut":
             self.runs[call.idempotency_key or ""] += 1
             self.runs_of_request[call.request_id] += 1
         if mode == "hang":
             await trio.sleep_forever()
         if mode in ("cut", "run_and_cut"):
-            return CallBroken("cut")
-        return Answer(201, "text/plain", f"answer to {call.body!r}".encode() + b"." * 20_000)
+            return CallInterrupted("cut")
+        return ServiceResponse(
+            201, "text/plain", f"answer to {call.body!r}".encode() + b"." * 20_000
+        )
 
     @asynccontextmanager
     async def place_call(
--- a/tests/support/configuration_machine.py
+++ b/tests/support/configuration_machine.py
@@ -17,7 +17,7 @@
     Conflict,
 )
 from wasabiwell_entry.coordination.configuration.store import ConfigurationStore
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.configuration import (
     ConfigurationDelta,
@@ -67,18 +67,18 @@
         self._machine = machine
         self._index = index
 
-    async def push(self, member: Member, delta: ConfigurationDelta) -> int | PeerSilent:
+    async def push(self, member: Member, delta: ConfigurationDelta) -> int | PeerUnreachable:
         """Hand a delta to a node."""
         await trio.lowlevel.checkpoint()
         if (self._index, int(member.node_id)) in self._machine.unreachable:
-            return PeerSilent("unreachable")
-        return self._machine.nodes[int(member.node_id)].configuration.take_push(delta)
+            return PeerUnreachable("unreachable")
+        return self._machine.nodes[int(member.node_id)].configuration.apply_pushed_delta(delta)
 
-    async def fetch(self, member: Member, since: int) -> ConfigurationUpdate | PeerSilent:
+    async def fetch(self, member: Member, since: int) -> ConfigurationUpdate | PeerUnreachable:
         """Fetch from a node."""
         await trio.lowlevel.checkpoint()
         if (self._index, int(member.node_id)) in self._machine.unreachable:
-            return PeerSilent("unreachable")
+            return PeerUnreachable("unreachable")
         return self._machine.nodes[int(member.node_id)].state.update_since(since)
 
 
@@ -255,8 +255,8 @@
         self.start(index)
         node = self.nodes[index]
         if source != index:
-            node.configuration.take_over(peer.state.update_since(0))
-            node.configuration.confirmed_by(peer.configuration.announcement())
+            node.configuration.apply_update(peer.state.update_since(0))
+            node.configuration.apply_confirmation(peer.configuration.announcement())
         elif isinstance(self.run(node.configuration.refresh)[0], StoreUnavailable):
             self.run(node.configuration.load_latest_snapshot)
             assert node.configuration.confirmation_age() is None
@@ -266,7 +266,7 @@
         """Fetch from a node."""
         node, peer = self.nodes[index], self.nodes[source]
         update = peer.state.update_since(node.state.version)
-        node.configuration.take_over(update)
+        node.configuration.apply_update(update)
 
     @rule()
     def become_quiet(self) -> None:
--- a/tests/support/credit_machine.py
+++ b/tests/support/credit_machine.py
@@ -13,7 +13,7 @@
 from wasabiwell_entry.coordination.credits.ports import CreditGranted, CreditReturn
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.credits import (
-    NOTHING,
+    ZERO_AMOUNT,
     Amount,
     CreditClaim,
     CreditPool,
@@ -97,7 +97,7 @@
         if self.pools[node].take(self.next_hold, amount, self.clock.monotonic()):
             self.holds.append((node, self.next_hold, amount))
         else:
-            self.pools[node].note_demand(amount, CAPACITY)
+            self.pools[node].record_demand(amount, CAPACITY)
 
     @rule(node=NODES, count=st.integers(1, 2), tokens=st.sampled_from((100, 500)), fate=FATES)
     def take_and_exchange(self, node: int, count: int, tokens: int, fate: str) -> None:
@@ -123,7 +123,7 @@
         receiver = NAMES.index(owner.node_id)
         content: CreditClaim | CreditReturn = (
             CreditReturn(ENGINE, pool.holder, pool.release_all())
-            if pool.wanted() == NOTHING
+            if pool.wanted() == ZERO_AMOUNT
             else pool.claim(self.clock.monotonic())
         )
         self.messages.append(Message(receiver, node, content))
@@ -160,9 +160,9 @@
         """Let time pass; a long step is a pause of all entry instances."""
         self.clock.advance(timedelta(milliseconds=milliseconds))
         for pool in self.pools:
-            pool.turn_window()
+            pool.rotate_window()
             if milliseconds > IDLE_MILLISECONDS:
-                pool.turn_window()
+                pool.rotate_window()
         self._report()
 
     @rule(node=NODES)
@@ -197,7 +197,7 @@
     def never_more_than_the_capacity(self) -> None:
         """Compare the credit that holders may spend with the engine's capacity."""
         now = self.clock.monotonic()
-        spendable = NOTHING
+        spendable = ZERO_AMOUNT
         for pool in self.pools:
             spendable += pool.valid(now)
         split = self.isolated is not None or now < self.split_until
@@ -208,9 +208,9 @@
     def holds_are_counted(self) -> None:
         """Compare the pools' use with the open requests."""
         for node, pool in enumerate(self.pools):
-            used = NOTHING
+            used = ZERO_AMOUNT
             for owner, _, amount in self.holds:
-                used += amount if owner == node else NOTHING
+                used += amount if owner == node else ZERO_AMOUNT
             assert pool.used == used
 
     def teardown(self) -> None:
@@ -220,9 +220,9 @@
         self.holds = []
         self.clock.advance(CREDIT_LIFETIME + REPORT_LAG)
         for pool, side in zip(self.pools, self.sides, strict=True):
-            assert pool.used == NOTHING
-            assert pool.valid(self.clock.monotonic()) == NOTHING
-            assert side.outstanding(ENGINE) == NOTHING
+            assert pool.used == ZERO_AMOUNT
+            assert pool.valid(self.clock.monotonic()) == ZERO_AMOUNT
+            assert side.outstanding(ENGINE) == ZERO_AMOUNT
 
     def owner_index(self) -> int:
         """Return the node that owns the engine when all agree."""
@@ -239,7 +239,7 @@
                 if isinstance(answer, CreditGranted):
                     self.messages.append(Message(message.sender, message.receiver, answer))
             case CreditReturn() as item:
-                self.sides[message.receiver].take_back([item])
+                self.sides[message.receiver].accept_returns([item])
             case CreditGranted(sequence=sequence, amount=amount):
                 self.pools[message.receiver].granted(sequence, amount)
 
@@ -255,7 +255,7 @@
             side.refresh()
 
     def _report(self) -> None:
-        used = NOTHING
+        used = ZERO_AMOUNT
         for _, _, amount in self.holds:
             used += amount
         status = self.targets.get(ENGINE)
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -6,9 +6,9 @@
 import trio.testing
 from behave.runner import Context
 from wasabiwell_entry.coordination.exchange import ExchangeCoordinator
-from wasabiwell_entry.coordination.exchange.cells import ZoneCells
 from wasabiwell_entry.coordination.exchange.coordinator import ExchangeObservers
 from wasabiwell_entry.coordination.exchange.ports import NoticeReceiver
+from wasabiwell_entry.coordination.exchange.zone_locality import ZoneLocality
 from wasabiwell_entry.state.clock import SystemClock
 from wasabiwell_entry.state.exchange import ListingNotice, NodeState, Notice
 from wasabiwell_entry.state.nodes import NodeTable
@@ -111,18 +111,18 @@
         own_state,
         nodes,
         context.works,
-        ZoneCells("z", nodes, context.works),
+        ZoneLocality("z", nodes, context.works),
         context.port,
         directory,
         ExchangeObservers(
-            ended=context.endings.append,
+            request_ended=context.endings.append,
             helper_lost=context.lost_helpers.append,
-            suspected=lambda suspicion: None,
+            suspicion_received=lambda suspicion: None,
             suspicions=lambda: context.suspicions,
             recent_suspicions=lambda: context.recent_suspicions(),
-            listed=lambda sender, notice: None,
+            listing_received=lambda sender, notice: None,
             routes_announced=lambda address, version: context.announced.append((address, version)),
-            whole_listing=lambda: LISTING,
+            full_listing=lambda: LISTING,
         ),
         (),
         clock,
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -18,10 +18,10 @@
 from wasabiwell_entry.state.suspects import Suspect
 
 
-class NoSpread:
+class NoSuspectGossip:
     """Other instances that are not in a test, or know of all suspects."""
 
-    def spread(self, suspect: Suspect) -> None:
+    def broadcast(self, suspect: Suspect) -> None:
         """Do nothing."""
 
     def withdraw(self, fingerprint: str) -> None:
@@ -41,7 +41,7 @@
     hang_seconds: float = 0.0
     transactions: int = 0
     reads: int = 0
-    late: list[tuple[Sequence[Condition], Sequence[Write]]] = field(default_factory=list)
+    delayed: list[tuple[Sequence[Condition], Sequence[Write]]] = field(default_factory=list)
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
@@ -57,14 +57,14 @@
             return ReplyLost("the request was lost")
         if self.delay_writes > 0:
             self.delay_writes -= 1
-            self.late.append((conditions, writes))
+            self.delayed.append((conditions, writes))
             return ReplyLost("the write takes effect later")
         return self._apply(conditions, writes)
 
-    def apply_late(self) -> None:
+    def apply_delayed_write(self) -> None:
         """Let the oldest delayed write take effect, if its conditions still hold."""
-        if self.late:
-            self._apply(*self.late.pop(0))
+        if self.delayed:
+            self._apply(*self.delayed.pop(0))
 
     async def _hung(self) -> bool:
         hung = self.hang_seconds > 0.0
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -7,7 +7,7 @@
 from random import Random
 
 import trio
-from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.budget.coordinator import BudgetLimits
 from wasabiwell_entry.coordination.forwarding import Forwarder
 from wasabiwell_entry.coordination.health import TargetHealth
@@ -18,19 +18,19 @@
 from wasabiwell_entry.state.clock import Clock, SystemClock
 from wasabiwell_entry.state.exchange import AttemptVerdict, Notice
 from wasabiwell_entry.state.forwarding import (
-    AnswerEnd,
-    AnswerEvent,
-    AnswerHead,
-    AnswerPart,
     AttemptItem,
     ForwardAttempt,
     ForwardedRequest,
     NotRun,
     PromptSize,
+    ResponseChunk,
+    ResponseEnd,
+    ResponseEvent,
+    ResponseHead,
 )
 from wasabiwell_entry.state.routes import EngineProfile, Route, RouteKind, ServiceShare
 from wasabiwell_entry.state.targets import ListedTarget, Target, TargetKind
-from wasabiwell_entry.state.work import Placed, WorkTable
+from wasabiwell_entry.state.work import PlacedRequest, WorkTable
 
 from support.admission import FakeReservations
 
@@ -40,13 +40,13 @@
     slots=8,
     memory_tokens=450_000,
     stride=46,
-    step=0.000925,
-    step_per_sequence=0.00000966,
-    step_per_token=0.00000000254,
-    read_per_token=1 / 256_000,
-    read_per_pair=0.0000000000917,
+    step_seconds=0.000925,
+    step_seconds_per_sequence=0.00000966,
+    step_seconds_per_token=0.00000000254,
+    prefill_seconds_per_token=1 / 256_000,
+    prefill_seconds_per_pair=0.0000000000917,
     chunk=2048,
-    hop=0.0001,
+    remote_kv_seconds=0.0001,
     usual_prompt_tokens=13_199,
     usual_output_tokens=1_541,
 )
@@ -107,7 +107,9 @@
     )
 
 
-def make_placed(target_id: str, prompt: int, size: str = "short", **fields: object) -> Placed:
+def make_placed(
+    target_id: str, prompt: int, size: str = "short", **fields: object
+) -> PlacedRequest:
     """Return a request that was placed at the begin of the test."""
     values: dict[str, object] = {
         "request_id": f"{target_id}-{prompt}-{size}",
@@ -120,7 +122,7 @@
         "gap": GAPS[size],
         "size": PromptSize(prompt, 2_000, 1_000),
     }
-    return Placed(**(values | fields))  # type: ignore[arg-type]
+    return PlacedRequest(**(values | fields))  # type: ignore[arg-type]
 
 
 class FakeCells:
@@ -209,7 +211,7 @@
     data: bytes = b""
     finished: bool = False
 
-    async def begin(self, head: AnswerHead) -> None:
+    async def begin(self, head: ResponseHead) -> None:
         """Take the head."""
         self.heads += 1
         self.status = head.status
@@ -238,13 +240,13 @@
         PlacementLedger(
             engines.works,
             tell,
-            engines.health.note,
-            lambda target_id: engines.health.note(target_id, AttemptVerdict.LOST),
+            engines.health.record_attempt,
+            lambda target_id: engines.health.record_attempt(target_id, AttemptVerdict.LOST),
             clock,
         ),
         targets,
         EngineReservations(reservations or FakeReservations(), clock),
-        RepeatBudget(limits, list, tell, clock),
+        RetryBudget(limits, list, tell, clock),
         CrashCounts(tell, clock),
         clock,
     )
@@ -252,10 +254,10 @@
 
 def answer(status: int = 200, body: bytes = b"ok") -> Script:
     """Return the script of a whole answer."""
-    return [AnswerHead(status, (), True), AnswerPart(body), AnswerEnd()]
+    return [ResponseHead(status, (), True), ResponseChunk(body), ResponseEnd()]
 
 
 def stream(first: int, last: int, end: bool = True) -> Script:
     """Return the script of a stream with events from `first` to `last`."""
-    events = [AnswerEvent(number, b"%d " % number) for number in range(first, last + 1)]
-    return [AnswerHead(200, (), True), *events, *([AnswerEnd()] if end else [])]
+    events = [ResponseEvent(number, b"%d " % number) for number in range(first, last + 1)]
+    return [ResponseHead(200, (), True), *events, *([ResponseEnd()] if end else [])]
--- a/tests/support/membership_machine.py
+++ b/tests/support/membership_machine.py
@@ -15,7 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
 from wasabiwell_entry.coordination.membership.coordinator import PeerSession
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.coordination.membership.ownership import owner_of
 from wasabiwell_entry.state.heartbeats import Announcement, Heartbeat
 from wasabiwell_entry.state.marks import MarkTable
@@ -78,13 +78,15 @@
     session: PeerSession = field(default_factory=PeerSession)
     broken: bool = False
 
-    async def exchange(self, heartbeat: Heartbeat, timeout: timedelta) -> Heartbeat | PeerSilent:
+    async def exchange(
+        self, heartbeat: Heartbeat, timeout: timedelta
+    ) -> Heartbeat | PeerUnreachable:
         """Hand a heartbeat to the peer unless a fault is in the way."""
         network = self.node.network
         await trio.lowlevel.checkpoint()
         peer = network.nodes.get(self.peer)
         if peer is None:
-            return PeerSilent("refused")
+            return PeerUnreachable("refused")
         blocked = (self.node.index, self.peer) in network.blocked
         if self.broken or blocked or not peer.running.is_set():
             return await self._silence(timeout)
@@ -93,10 +95,10 @@
             return await self._silence(timeout)
         return reply
 
-    async def _silence(self, timeout: timedelta) -> PeerSilent:
+    async def _silence(self, timeout: timedelta) -> PeerUnreachable:
         self.broken = True
         await self.node.sleep(timeout)
-        return PeerSilent("timeout")
+        return PeerUnreachable("timeout")
 
 
 class Network:
--- a/tests/support/order_machine.py
+++ b/tests/support/order_machine.py
@@ -7,13 +7,17 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from wasabiwell_config import Fencing
-from wasabiwell_entry.coordination.orders import OrderCoordinator, OrderLeases, WeightStoreRate
+from wasabiwell_entry.coordination.orders import (
+    OrderCoordinator,
+    OrderLeases,
+    WeightStoreRateLimiter,
+)
 from wasabiwell_entry.coordination.orders.const import LEASE_LIFETIME, ORDER_TIMEOUT
 from wasabiwell_entry.coordination.orders.errors import (
     Lease,
-    OrderDone,
+    OrderAcknowledged,
     OrderRefused,
-    OrderUnknown,
+    OrderUnacknowledged,
 )
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.members import Member, MemberTable
@@ -47,12 +51,12 @@
 
     async def send(
         self, target: Target, order: EngineOrder, fencing: int, timeout: timedelta
-    ) -> OrderDone | OrderRefused | OrderUnknown:
+    ) -> OrderAcknowledged | OrderRefused | OrderUnacknowledged:
         """Act on an order now, or later and without an answer."""
         if self.delay_next:
             self.late.append(LateOrder(fencing, self.clock.monotonic() + timeout))
-            return OrderUnknown("no answer")
-        return OrderDone() if self.apply(fencing) else OrderRefused("old fencing number")
+            return OrderUnacknowledged("no answer")
+        return OrderAcknowledged() if self.apply(fencing) else OrderRefused("old fencing number")
 
     def apply(self, fencing: int) -> bool:
         """Act on an order unless its number is old and numbers are checked."""
@@ -74,7 +78,7 @@
         self.engine = FakeEngine(self.clock, fencing)
         self.leases = [OrderLeases(self.table, self.clock, f"n-{node}") for node in range(3)]
         member = Member("n-0", 1, "r", "z", "", "")
-        rate = WeightStoreRate(10, member, MemberTable(), None, self.clock)
+        rate = WeightStoreRateLimiter(10, member, MemberTable(), None, self.clock)
         self.coordinators = [
             OrderCoordinator(leases, self.engine, rate, self.clock) for leases in self.leases
         ]
@@ -98,10 +102,10 @@
         trio.run(self.coordinators[node].send, lease, ENGINE, ChangeRole("prefill"), self.fencing)
 
     @rule(node=NODES, delay=st.booleans())
-    def give(self, node: int, delay: bool) -> None:
+    def issue(self, node: int, delay: bool) -> None:
         """Take the lease, send and release in one go."""
         self.engine.delay_next = delay
-        trio.run(self.coordinators[node].give, ENGINE, ChangeRole("decode"), self.fencing)
+        trio.run(self.coordinators[node].issue, ENGINE, ChangeRole("decode"), self.fencing)
 
     @precondition(lambda self: self.engine.late)
     @rule(pick=PICKS)
--- a/tests/support/reservation_machine.py
+++ b/tests/support/reservation_machine.py
@@ -98,7 +98,7 @@
         self, owner: Member, returns: Sequence[CreditReturn]
     ) -> OwnerUnreachable | None:
         """Deliver returns."""
-        self.owners[owner.node_id].take_back(returns)
+        self.owners[owner.node_id].accept_returns(returns)
         return None
 
     async def outstanding(
