--- a/standins/wasabiwell_standins/asgi.py
+++ b/standins/wasabiwell_standins/asgi.py
@@ -10,7 +10,7 @@
 from hypercorn.trio import serve
 
 
-class Call:
+class HttpExchange:
     """One HTTP request to a stand-in, with its body."""
 
     __slots__ = ("_scope", "_send", "body", "receive")
@@ -70,7 +70,7 @@
             pass
 
 
-Handler = Callable[[Call], Awaitable[None]]
+Handler = Callable[[HttpExchange], Awaitable[None]]
 
 
 async def serve_http(handler: Handler, host: str, port: int) -> None:
@@ -91,7 +91,7 @@
             body += message.get("body", b"")
             if not message.get("more_body", False):
                 break
-        await handler(Call(scope, receive, send, bytes(body)))
+        await handler(HttpExchange(scope, receive, send, bytes(body)))
 
     config = Config()
     config.bind = [f"{host}:{port}"]
--- a/standins/wasabiwell_standins/booking.py
+++ b/standins/wasabiwell_standins/booking.py
@@ -15,7 +15,7 @@
 import msgspec
 import trio
 
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 
 
 @dataclass(slots=True)
@@ -34,21 +34,21 @@
     control: Control = field(default_factory=Control)
     runs: Counter[str] = field(default_factory=Counter)
 
-    async def handle(self, call: Call) -> None:
+    async def handle(self, exchange: HttpExchange) -> None:
         """Answer one request."""
-        match call.method, call.path:
+        match exchange.method, exchange.path:
             case "GET", "/ledger":
-                await call.reply(200, await self._ledger(call.query("also")))
+                await exchange.reply(200, await self._ledger(exchange.query("also")))
             case "GET", "/availability":
-                await call.reply(200, {"available": True, "by": self.name})
+                await exchange.reply(200, {"available": True, "by": self.name})
             case "POST", "/control":
-                for name, value in msgspec.json.decode(call.body).items():
+                for name, value in msgspec.json.decode(exchange.body).items():
                     setattr(self.control, name, value)
-                await call.reply(200, self.control)
+                await exchange.reply(200, self.control)
             case "POST", "/bookings" | "/reservations":
-                await self._book(call)
+                await self._book(exchange)
             case _:
-                await call.reply(404, {"error": "no such path"})
+                await exchange.reply(404, {"error": "no such path"})
 
     async def _ledger(self, others: str) -> dict[str, int]:
         """Return the run counts of this target and of the named others together."""
@@ -59,17 +59,17 @@
                 total.update(msgspec.json.decode(response.content, type=dict[str, int]))
         return dict(total)
 
-    async def _book(self, call: Call) -> None:
-        key = call.header("idempotency-key") or ""
+    async def _book(self, exchange: HttpExchange) -> None:
+        key = exchange.header("idempotency-key") or ""
         self.runs[key] += 1
         await trio.sleep(self.control.delay_s)
         if self.control.drop_replies > 0:
             self.control.drop_replies -= 1
-            await call.start_stream(b"application/json")
+            await exchange.start_stream(b"application/json")
             raise ConnectionAbortedError("the reply is dropped")
-        body = msgspec.json.decode(call.body) if call.body else {}
+        body = msgspec.json.decode(exchange.body) if exchange.body else {}
         size = body.get("reply_bytes", 0) if isinstance(body, dict) else 0
-        await call.reply(201, {"booked": key, "by": self.name, "padding": "x" * size})
+        await exchange.reply(201, {"booked": key, "by": self.name, "padding": "x" * size})
 
 
 @click.command()
--- a/standins/wasabiwell_standins/caller.py
+++ b/standins/wasabiwell_standins/caller.py
@@ -43,7 +43,7 @@
     return msgspec.json.encode(fields)
 
 
-def ask_addresses(address: str, zone: str | None = None, ca: str = "") -> list[str]:
+def fetch_addresses(address: str, zone: str | None = None, ca: str = "") -> list[str]:
     """Return the addresses that the system tells a caller to use; `ca` turns on https."""
     tls = ssl.create_default_context(cafile=ca) if ca else None
     query = f"?zone={zone}" if zone else ""
--- a/standins/wasabiwell_standins/demo.py
+++ b/standins/wasabiwell_standins/demo.py
@@ -8,7 +8,7 @@
 import httpcore
 import msgspec
 
-from wasabiwell_standins.caller import ChatResult, ask_addresses, chat, make_messages
+from wasabiwell_standins.caller import ChatResult, chat, fetch_addresses, make_messages
 from wasabiwell_standins.deployments import DEPLOYMENTS
 from wasabiwell_standins.fleet import Fleet, request, running_fleet
 
@@ -41,7 +41,7 @@
     def run(job: tuple[str, int]) -> tuple[str, ChatResult]:
         name, index = job
         zone = deployment.zones[index % len(deployment.zones)]
-        address = ask_addresses(fleet.entries[0].address, zone)[0]
+        address = fetch_addresses(fleet.entries[0].address, zone)[0]
         messages = make_messages(PROMPT_TOKENS[name], f"{name} {index}")
         key = keys[index % len(keys)]
         result = chat(address, key, deployment.engine_service, messages, 32)
@@ -76,13 +76,13 @@
             for entry in fleet.entries[:2]
         ]
         failures += statuses != [201, 201]
-    runs = booking_runs(fleet)
+    runs = booking_run_counts(fleet)
     failures += sum(count != 1 for count in runs.values()) + (len(runs) != BOOKINGS)
     click.echo(f"bookings made, each asked for twice: {runs}")
     return failures
 
 
-def booking_runs(fleet: Fleet) -> dict[str, int]:
+def booking_run_counts(fleet: Fleet) -> dict[str, int]:
     """Return the run count of each idempotency key over all booking targets."""
     url = ledger_url(fleet)
     with httpcore.ConnectionPool() as pool:
@@ -92,7 +92,7 @@
 
 def ledger_url(fleet: Fleet) -> str:
     """Return the URL that gives the run counts of all booking targets together."""
-    first, *others = [process.address for process in fleet.of_role("plain")]
+    first, *others = [process.address for process in fleet.processes_with_role("plain")]
     return f"http://{first}/ledger?also={','.join(others)}"
 
 
--- a/standins/wasabiwell_standins/engine.py
+++ b/standins/wasabiwell_standins/engine.py
@@ -18,7 +18,7 @@
 import xxhash
 
 from wasabiwell_standins.answers import token_of_seed
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 
 BYTES_PER_TOKEN = 4
 PREFIX_BLOCK_BYTES = 4_096
@@ -240,35 +240,35 @@
             tokens += PREFIX_BLOCK_BYTES // BYTES_PER_TOKEN
         return tokens
 
-    async def handle(self, call: Call) -> None:
+    async def handle(self, exchange: HttpExchange) -> None:
         """Answer one request."""
-        if self.silent and call.path != "/control":
+        if self.silent and exchange.path != "/control":
             await trio.sleep_forever()
-        match call.method, call.path:
+        match exchange.method, exchange.path:
             case "GET", "/load":
-                await self._reply_control(call, self._load)
+                await self._reply_control(exchange, self._load)
             case "GET", "/cache-events":
-                await self._cache_events(call)
+                await self._cache_events(exchange)
             case "POST", "/v1/generate":
-                await self._generate(call)
+                await self._generate(exchange)
             case "POST", "/v1/cancel":
-                self._drop(msgspec.json.decode(call.body)["attempt_id"])
-                await call.reply(200, {})
+                self._drop(msgspec.json.decode(exchange.body)["attempt_id"])
+                await exchange.reply(200, {})
             case "POST", "/v1/reservations":
-                await self._reserve(call)
+                await self._reserve(exchange)
             case "PUT" | "POST", path if path.startswith("/v1/reservations/"):
-                await self._renew(call, path.rpartition("/")[2])
+                await self._renew(exchange, path.rpartition("/")[2])
             case "DELETE", path if path.startswith("/v1/reservations/"):
                 self.reservations.pop(path.rpartition("/")[2], None)
-                await call.reply(200, {})
+                await exchange.reply(200, {})
             case "POST", "/v1/orders":
-                await self._order(call)
+                await self._order(exchange)
             case "POST", "/control":
-                await self._control(call)
+                await self._control(exchange)
             case "GET", "/control":
-                await call.reply(200, self._statistics())
+                await exchange.reply(200, self._statistics())
             case _:
-                await call.reply(404, {"error": "no such path"})
+                await exchange.reply(404, {"error": "no such path"})
 
     def _statistics(self) -> dict[str, object]:
         return {
@@ -284,43 +284,43 @@
             "total_tokens": self.model.total_tokens,
         }
 
-    async def _control(self, call: Call) -> None:
-        for name, value in msgspec.json.decode(call.body).items():
+    async def _control(self, exchange: HttpExchange) -> None:
+        for name, value in msgspec.json.decode(exchange.body).items():
             if name not in ("leaving", "silent", "fencing_checked"):
-                await call.reply(400, {"error": f"unknown control {name}"})
+                await exchange.reply(400, {"error": f"unknown control {name}"})
                 return
             setattr(self, name, value)
-        await call.reply(200, self._statistics())
+        await exchange.reply(200, self._statistics())
 
-    async def _cache_events(self, call: Call) -> None:
-        after = int(call.query("after", "0"))
+    async def _cache_events(self, exchange: HttpExchange) -> None:
+        after = int(exchange.query("after", "0"))
         last = max(after, min(self._published_events, after + 500))
         events = [event for event in self.events[after:last] if event["kind"] != "lost"]
-        await self._reply_control(call, {"events": events, "last": last})
+        await self._reply_control(exchange, {"events": events, "last": last})
 
-    async def _reply_control(self, call: Call, value: dict[str, object]) -> None:
+    async def _reply_control(self, exchange: HttpExchange, value: dict[str, object]) -> None:
         """Answer a control query and count the bytes of its body."""
         self.control_bytes += len(msgspec.json.encode(value))
-        await call.reply(200, value)
+        await exchange.reply(200, value)
 
-    async def _reserve(self, call: Call) -> None:
-        body = msgspec.json.decode(call.body)
+    async def _reserve(self, exchange: HttpExchange) -> None:
+        body = msgspec.json.decode(exchange.body)
         if body["tokens"] > self.free_tokens:
             self.overcommit_refusals += 1
-            await call.reply(429, {"error": f"{self.free_tokens} tokens are free"})
+            await exchange.reply(429, {"error": f"{self.free_tokens} tokens are free"})
             return
         reservation_id = secrets.token_hex(8)
         expires = trio.current_time() + body["ttl_s"]
         self.reservations[reservation_id] = Reservation(body["tokens"], body["ttl_s"], expires)
-        await call.reply(200, {"reservation_id": reservation_id})
+        await exchange.reply(200, {"reservation_id": reservation_id})
 
-    async def _renew(self, call: Call, reservation_id: str) -> None:
+    async def _renew(self, exchange: HttpExchange, reservation_id: str) -> None:
         item = self.reservations.get(reservation_id)
         if item is None:
-            await call.reply(404, {"error": "no such reservation"})
+            await exchange.reply(404, {"error": "no such reservation"})
             return
         item.expires = trio.current_time() + item.ttl_s
-        await call.reply(200, {})
+        await exchange.reply(200, {})
 
     async def _renew_shards(self, sequence: Sequence) -> None:
         """Keep the memory on other engines; when it is gone, the answer ends with an error."""
@@ -343,31 +343,31 @@
         sequence.push(msgspec.json.encode(frame) + b"\n")
         sequence.push(b"")
 
-    async def _order(self, call: Call) -> None:
-        body = msgspec.json.decode(call.body)
+    async def _order(self, exchange: HttpExchange) -> None:
+        body = msgspec.json.decode(exchange.body)
         if self.fencing_checked and body["fencing"] < self.last_fencing:
-            await call.reply(409, {"error": "old fencing number"})
+            await exchange.reply(409, {"error": "old fencing number"})
             return
         self.last_fencing = max(self.last_fencing, body["fencing"])
         self.orders.append(body)
-        await call.reply(200, {})
+        await exchange.reply(200, {})
 
-    async def _generate(self, call: Call) -> None:
-        body = msgspec.json.decode(call.body)
-        messages = bytes(msgspec.json.decode(call.body, type=_MessagesOnly).messages)
+    async def _generate(self, exchange: HttpExchange) -> None:
+        body = msgspec.json.decode(exchange.body)
+        messages = bytes(msgspec.json.decode(exchange.body, type=_MessagesOnly).messages)
         sequence = self._sequence(body, messages)
         own = self.reservations.get(body["reservation_id"])
         available = self.free_tokens + (own.tokens if own is not None else 0)
         if self.leaving or sequence.memory > available:
             self.overcommit_refusals += 0 if self.leaving else 1
             error = "leaving" if self.leaving else f"{available} tokens are free"
-            await call.reply(429, {"error": error})
+            await exchange.reply(429, {"error": error})
             return
         self.reservations.pop(body["reservation_id"], None)
         self.sequences[sequence.attempt_id] = sequence
         self._work.set()
         try:
-            await self._stream(call, sequence)
+            await self._stream(exchange, sequence)
         finally:
             self._drop(sequence.attempt_id)
 
@@ -394,24 +394,24 @@
             prefilled=min(prompt_tokens - 1, self._cached_tokens(messages)),
         )
 
-    async def _stream(self, call: Call, sequence: Sequence) -> None:
+    async def _stream(self, exchange: HttpExchange, sequence: Sequence) -> None:
         async with trio.open_nursery() as nursery:
 
             async def stop_on_disconnect() -> None:
-                await call.wait_disconnected()
+                await exchange.wait_disconnected()
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(stop_on_disconnect)
             if sequence.shards:
                 nursery.start_soon(self._renew_shards, sequence)
-            await call.start_stream(b"application/x-ndjson")
+            await exchange.start_stream(b"application/x-ndjson")
             while True:
                 await sequence.wake.wait()
                 sequence.wake = trio.Event()
                 frames, sequence.frames = sequence.frames, []
-                await call.stream(b"".join(frames))
+                await exchange.stream(b"".join(frames))
                 if frames and frames[-1] == b"":
-                    await call.stream(b"", more=False)
+                    await exchange.stream(b"", more=False)
                     nursery.cancel_scope.cancel()
                     return
 
--- a/standins/wasabiwell_standins/fleet.py
+++ b/standins/wasabiwell_standins/fleet.py
@@ -122,14 +122,14 @@
     @property
     def platform(self) -> Process:
         """Return the platform stand-in."""
-        return self.of_role("platform")[0]
+        return self.processes_with_role("platform")[0]
 
     @property
     def entries(self) -> list[Process]:
         """Return the entry instances."""
-        return self.of_role("entry")
+        return self.processes_with_role("entry")
 
-    def of_role(self, role: str) -> list[Process]:
+    def processes_with_role(self, role: str) -> list[Process]:
         """Return the running processes of a role."""
         return [process for process in self.processes if process.role == role]
 
@@ -168,7 +168,9 @@
     def proxy_of(self, process: Process) -> Process:
         """Return the proxy under whose address a process is listed."""
         return next(
-            item for item in self.of_role("proxy") if item.name == f"proxy-of-{process.name}"
+            item
+            for item in self.processes_with_role("proxy")
+            if item.name == f"proxy-of-{process.name}"
         )
 
     def start_booking(self, index: int) -> Process:
@@ -273,7 +275,7 @@
         """Mark a process as leaving on the instance list."""
         request("POST", self.platform.address, f"/instances/{process.name}")
 
-    def unlist(self, process: Process) -> None:
+    def deregister_instance(self, process: Process) -> None:
         """Take a process off the instance list."""
         request("DELETE", self.platform.address, f"/instances/{process.name}")
 
@@ -308,7 +310,10 @@
 
     def wait_ready(self) -> None:
         """Wait until each entry instance is ready and knows all targets."""
-        wanted = {item.name for item in (*self.of_role("engine"), *self.of_role("plain"))}
+        wanted = {
+            item.name
+            for item in (*self.processes_with_role("engine"), *self.processes_with_role("plain"))
+        }
         for entry in self.entries:
             self.wait_until(partial(self._ready, entry, wanted), f"{entry.name} ready")
 
--- a/standins/wasabiwell_standins/measure.py
+++ b/standins/wasabiwell_standins/measure.py
@@ -100,7 +100,7 @@
             figures[policy] = _measure_policy(fleet, policy, seed)
             for entry in entries:
                 entry.kill()
-                fleet.unlist(entry)
+                fleet.deregister_instance(entry)
                 fleet.processes.remove(entry)
     return figures
 
@@ -177,13 +177,15 @@
 
 
 def _sample(fleet: Fleet, shares: list[float], stopped: threading.Event) -> None:
-    total = fleet.deployment.engine_tokens * len(fleet.of_role("engine"))
+    total = fleet.deployment.engine_tokens * len(fleet.processes_with_role("engine"))
     while not stopped.wait(SAMPLE_SECONDS):
         shares.append(_sum_control(fleet, "used_tokens") / total)
 
 
 def _sum_control(fleet: Fleet, name: str) -> int:
-    return sum(int(str(fleet.control(engine)[name])) for engine in fleet.of_role("engine"))
+    return sum(
+        int(str(fleet.control(engine)[name])) for engine in fleet.processes_with_role("engine")
+    )
 
 
 def _cpu_seconds(processes: Iterable[Process]) -> float:
--- a/standins/wasabiwell_standins/measure_relay.py
+++ b/standins/wasabiwell_standins/measure_relay.py
@@ -11,7 +11,7 @@
 import httpcore
 import trio
 
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 from wasabiwell_standins.caller import chat, make_messages
 from wasabiwell_standins.deployments import EAVELINE
 from wasabiwell_standins.fleet import HOST, Fleet, Process, free_ports, open_fleet, request
@@ -26,13 +26,17 @@
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
 
-async def pass_through(call: Call, target: str, pool: httpcore.AsyncConnectionPool) -> None:
+async def pass_through(
+    exchange: HttpExchange, target: str, pool: httpcore.AsyncConnectionPool
+) -> None:
     """Pass the engine's bytes on without reading them."""
-    async with pool.stream("POST", f"http://{target}/v1/generate", content=call.body) as response:
-        await call.start_stream(b"application/x-ndjson")
+    async with pool.stream(
+        "POST", f"http://{target}/v1/generate", content=exchange.body
+    ) as response:
+        await exchange.start_stream(b"application/x-ndjson")
         async for data in response.aiter_stream():
-            await call.stream(data)
-        await call.stream(b"", more=False)
+            await exchange.stream(data)
+        await exchange.stream(b"", more=False)
 
 
 def run_floor(address: str, target: str) -> None:
@@ -42,8 +46,8 @@
     async def run() -> None:
         async with httpcore.AsyncConnectionPool(max_connections=512) as pool:
 
-            async def handle(call: Call) -> None:
-                await pass_through(call, target, pool)
+            async def handle(exchange: HttpExchange) -> None:
+                await pass_through(exchange, target, pool)
 
             await serve_http(handle, host, int(port))
 
--- a/standins/wasabiwell_standins/otlp.py
+++ b/standins/wasabiwell_standins/otlp.py
@@ -15,7 +15,7 @@
     ExportTraceServiceResponse,
 )
 
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 
 PROTOBUF = b"application/x-protobuf"
 
@@ -27,21 +27,21 @@
         self._spans: list[dict[str, Any]] = []
         self._metrics: dict[str, dict[str, Any]] = {}
 
-    async def handle(self, call: Call) -> None:
+    async def handle(self, exchange: HttpExchange) -> None:
         """Take an export, or return what was received."""
-        match call.method, call.path:
+        match exchange.method, exchange.path:
             case "POST", "/v1/traces":
-                self._take_traces(ExportTraceServiceRequest.FromString(_body(call)))
+                self._take_traces(ExportTraceServiceRequest.FromString(_body(exchange)))
                 reply = ExportTraceServiceResponse().SerializeToString()
-                await call.reply_bytes(200, reply, PROTOBUF)
+                await exchange.reply_bytes(200, reply, PROTOBUF)
             case "POST", "/v1/metrics":
-                self._take_metrics(ExportMetricsServiceRequest.FromString(_body(call)))
+                self._take_metrics(ExportMetricsServiceRequest.FromString(_body(exchange)))
                 reply = ExportMetricsServiceResponse().SerializeToString()
-                await call.reply_bytes(200, reply, PROTOBUF)
+                await exchange.reply_bytes(200, reply, PROTOBUF)
             case "GET", "/received":
-                await call.reply(200, {"spans": self._spans, "metrics": self._metrics})
+                await exchange.reply(200, {"spans": self._spans, "metrics": self._metrics})
             case _:
-                await call.reply(404, {"error": "no such route"})
+                await exchange.reply(404, {"error": "no such route"})
 
     def _take_traces(self, request: ExportTraceServiceRequest) -> None:
         for resource in request.resource_spans:
@@ -65,8 +65,12 @@
     return str(values.get("service.instance.id", ""))
 
 
-def _body(call: Call) -> bytes:
-    return gzip.decompress(call.body) if call.header("content-encoding") == "gzip" else call.body
+def _body(exchange: HttpExchange) -> bytes:
+    return (
+        gzip.decompress(exchange.body)
+        if exchange.header("content-encoding") == "gzip"
+        else exchange.body
+    )
 
 
 @click.command()
--- a/standins/wasabiwell_standins/platform.py
+++ b/standins/wasabiwell_standins/platform.py
@@ -14,7 +14,7 @@
 import msgspec
 import trio
 
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 
 
 @dataclass(slots=True)
@@ -70,24 +70,24 @@
     objects: dict[str, bytes] = field(default_factory=dict)
     instances: dict[str, ListedInstance] = field(default_factory=dict)
 
-    async def handle(self, call: Call) -> None:
+    async def handle(self, exchange: HttpExchange) -> None:
         """Answer one request."""
-        if call.path == "/control":
-            await self._control(call)
+        if exchange.path == "/control":
+            await self._control(exchange)
             return
-        if call.path.startswith("/instances/"):
-            await self._change_instance(call)
+        if exchange.path.startswith("/instances/"):
+            await self._change_instance(exchange)
             return
         if self.control.delay_s:
             await trio.sleep(self.control.delay_s)
-        if self._unavailable(call.path):
-            await call.reply(503, {"error": "outage"})
+        if self._unavailable(exchange.path):
+            await exchange.reply(503, {"error": "outage"})
             return
-        handler = self._handler(call)
+        handler = self._handler(exchange)
         if handler is None:
-            await call.reply(404, {"error": "no such path"})
+            await exchange.reply(404, {"error": "no such path"})
             return
-        await handler(call)
+        await handler(exchange)
 
     def _unavailable(self, path: str) -> bool:
         if path.startswith("/objects/"):
@@ -96,8 +96,8 @@
             return self.control.instance_outage
         return self.control.outage
 
-    def _handler(self, call: Call) -> Callable[[Call], Awaitable[None]] | None:
-        match call.method, call.path:
+    def _handler(self, exchange: HttpExchange) -> Callable[[HttpExchange], Awaitable[None]] | None:
+        match exchange.method, exchange.path:
             case "POST", "/transact":
                 return self._transact
             case "POST", "/read":
@@ -110,14 +110,14 @@
                 return self._object
         return None
 
-    async def _control(self, call: Call) -> None:
-        if call.method == "POST":
-            for name, value in msgspec.json.decode(call.body).items():
+    async def _control(self, exchange: HttpExchange) -> None:
+        if exchange.method == "POST":
+            for name, value in msgspec.json.decode(exchange.body).items():
                 setattr(self.control, name, value)
-        await call.reply(200, {"control": self.control, "statistics": self.statistics})
+        await exchange.reply(200, {"control": self.control, "statistics": self.statistics})
 
-    async def _transact(self, call: Call) -> None:
-        body = msgspec.json.decode(call.body)
+    async def _transact(self, exchange: HttpExchange) -> None:
+        body = msgspec.json.decode(exchange.body)
         failed = [
             condition["key"]
             for condition in body["conditions"]
@@ -132,7 +132,7 @@
         if self.control.lose_replies > 0:
             self.control.lose_replies -= 1
             await trio.sleep(60.0)
-        await call.reply(200, {"committed": not failed, "failed": failed})
+        await exchange.reply(200, {"committed": not failed, "failed": failed})
 
     def _version(self, key: str) -> int:
         row = self.rows.get(key)
@@ -146,17 +146,17 @@
         self.versions[key] = version
         self.rows[key] = Stored(value, version)
 
-    async def _read(self, call: Call) -> None:
+    async def _read(self, exchange: HttpExchange) -> None:
         self.statistics.reads += 1
-        keys = msgspec.json.decode(call.body)["keys"]
-        await call.reply(200, {"rows": self._rows(key for key in keys if key in self.rows)})
+        keys = msgspec.json.decode(exchange.body)["keys"]
+        await exchange.reply(200, {"rows": self._rows(key for key in keys if key in self.rows)})
 
-    async def _scan(self, call: Call) -> None:
+    async def _scan(self, exchange: HttpExchange) -> None:
         self.statistics.reads += 1
-        prefix, after = call.query("prefix"), call.query("after")
+        prefix, after = exchange.query("prefix"), exchange.query("after")
         keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
-        limit = int(call.query("limit", "1000"))
-        await call.reply(200, {"rows": self._rows(keys[:limit])})
+        limit = int(exchange.query("limit", "1000"))
+        await exchange.reply(200, {"rows": self._rows(keys[:limit])})
 
     def _rows(self, keys: Any) -> list[dict[str, object]]:
         return [
@@ -164,33 +164,33 @@
             for key in keys
         ]
 
-    async def _object(self, call: Call) -> None:
-        key = unquote(call.path.removeprefix("/objects/"))
-        if call.method == "PUT":
+    async def _object(self, exchange: HttpExchange) -> None:
+        key = unquote(exchange.path.removeprefix("/objects/"))
+        if exchange.method == "PUT":
             self.statistics.object_puts += 1
-            self.objects[key] = call.body
-            await call.reply(200, {})
+            self.objects[key] = exchange.body
+            await exchange.reply(200, {})
             return
         self.statistics.object_gets += 1
         value = self.objects.get(key)
         if value is None:
-            await call.reply(404, {"error": "absent"})
+            await exchange.reply(404, {"error": "absent"})
             return
-        await call.reply_bytes(200, value, b"application/octet-stream")
+        await exchange.reply_bytes(200, value, b"application/octet-stream")
 
-    async def _change_instance(self, call: Call) -> None:
-        instance_id = call.path.removeprefix("/instances/")
+    async def _change_instance(self, exchange: HttpExchange) -> None:
+        instance_id = exchange.path.removeprefix("/instances/")
         visible = trio.current_time() + self.control.instance_lag_s
-        if call.method == "PUT":
-            record = msgspec.json.decode(call.body)
+        if exchange.method == "PUT":
+            record = msgspec.json.decode(exchange.body)
             self.instances[instance_id] = ListedInstance(record, visible)
-        elif instance_id in self.instances and call.method == "POST":
+        elif instance_id in self.instances and exchange.method == "POST":
             self.instances[instance_id].leaving_from = visible
-        elif instance_id in self.instances and call.method == "DELETE":
+        elif instance_id in self.instances and exchange.method == "DELETE":
             self.instances[instance_id].gone_from = visible
-        await call.reply(200, {})
+        await exchange.reply(200, {})
 
-    async def _list_instances(self, call: Call) -> None:
+    async def _list_instances(self, exchange: HttpExchange) -> None:
         self.statistics.instance_reads += 1
         now = trio.current_time()
         records = [
@@ -198,7 +198,7 @@
             for listed in self.instances.values()
             if listed.visible_from <= now < listed.gone_from
         ]
-        await call.reply(200, records)
+        await exchange.reply(200, records)
 
 
 @click.command()
--- a/standins/wasabiwell_standins/proxy.py
+++ b/standins/wasabiwell_standins/proxy.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 
 PIECE_BYTES = 65_536
 
@@ -79,14 +79,14 @@
             pass
         scope.cancel()
 
-    async def control(self, call: Call) -> None:
+    async def control(self, exchange: HttpExchange) -> None:
         """Answer a control request."""
-        if call.method == "POST":
-            for name, value in msgspec.json.decode(call.body).items():
+        if exchange.method == "POST":
+            for name, value in msgspec.json.decode(exchange.body).items():
                 setattr(self.faults, name, value)
             if self.faults.cut:
                 self.reset()
-        await call.reply(200, {"faults": self.faults, "connections": self.connections})
+        await exchange.reply(200, {"faults": self.faults, "connections": self.connections})
 
 
 @click.command()
--- a/standins/wasabiwell_standins/users_platform/store.py
+++ b/standins/wasabiwell_standins/users_platform/store.py
@@ -9,7 +9,7 @@
 import msgspec
 import trio
 
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 
 HISTORY_LENGTH = 10_000
 PATIENCE_SECONDS = 60.0
@@ -71,7 +71,7 @@
         self._changes.clear()
         self._wake()
 
-    async def answer(self, call: Call) -> None:
+    async def answer(self, exchange: HttpExchange) -> None:
         """Answer a call."""
         self.calls += 1
         await trio.sleep(self.faults.delay_s)
@@ -80,21 +80,21 @@
                 await trio.sleep(PATIENCE_SECONDS)
                 return
             case Outage() as outage:
-                await call.reply(outage.value, {})
+                await exchange.reply(outage.value, {})
                 return
-        match call.path:
+        match exchange.path:
             case "/rows-get":
-                await call.reply(200, self._read(call))
+                await exchange.reply(200, self._read(exchange))
             case "/rows-feed":
-                await self._follow(call)
+                await self._follow(exchange)
             case "/rows-tx":
-                await self._transact(call)
+                await self._transact(exchange)
             case _:
-                await call.reply(404, {})
+                await exchange.reply(404, {})
 
-    def _read(self, call: Call) -> dict[str, Any]:
-        table, limit = call.query("table"), int(call.query("limit", "500"))
-        start, end = call.query("from"), call.query("target")
+    def _read(self, exchange: HttpExchange) -> dict[str, Any]:
+        table, limit = exchange.query("table"), int(exchange.query("limit", "500"))
+        start, end = exchange.query("from"), exchange.query("target")
         keys = sorted(
             place.key
             for place in self._rows
@@ -103,16 +103,16 @@
         rows = [self._row(Place(table, key)) for key in keys[:limit]]
         return {"rows": rows, "truncated": len(keys) > limit, "row_version": self.version}
 
-    async def _follow(self, call: Call) -> None:
-        table, after = call.query("table"), int(call.query("after_revision"))
-        with trio.move_on_after(int(call.query("wait_ms", "0")) / 1000):
+    async def _follow(self, exchange: HttpExchange) -> None:
+        table, after = exchange.query("table"), int(exchange.query("after_revision"))
+        with trio.move_on_after(int(exchange.query("wait_ms", "0")) / 1000):
             while after >= self._forgotten and not self._changed_rows(table, after):
                 await self._changed.wait()
         if after < self._forgotten:
-            await call.reply(410, {})
+            await exchange.reply(410, {})
             return
         rows = self._changed_rows(table, after)
-        await call.reply(200, {"rows": rows, "row_version": self.version})
+        await exchange.reply(200, {"rows": rows, "row_version": self.version})
 
     def _changed_rows(self, table: str, after: int) -> list[dict[str, Any]]:
         places = dict.fromkeys(
@@ -127,12 +127,12 @@
         value, version = self._rows[place]
         return {**row, "value": b64encode(value).decode(), "row_version": version}
 
-    async def _transact(self, call: Call) -> None:
-        body = msgspec.json.decode(call.body)
+    async def _transact(self, exchange: HttpExchange) -> None:
+        body = msgspec.json.decode(exchange.body)
         for item in body["precondition"]:
             _, version = self._rows.get(_place(item), (b"", 0))
             if version != item["row_version"]:
-                await call.reply(412, {"rows": [], "row_version": self.version})
+                await exchange.reply(412, {"rows": [], "row_version": self.version})
                 return
         writes = [(_place(item), b64decode(item["value"])) for item in body["writes"]]
         self._write([*writes, *((_place(item), None) for item in body["remove"])])
@@ -140,7 +140,7 @@
             self.faults.lose_answers -= 1
             await trio.sleep(PATIENCE_SECONDS)
             return
-        await call.reply(200, {"row_version": self.version})
+        await exchange.reply(200, {"row_version": self.version})
 
     def _write(self, writes: list[tuple[Place, bytes | None]]) -> None:
         self.version += 1
--- a/tests/steps/whole/entries_steps.py
+++ b/tests/steps/whole/entries_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from wasabiwell_config import OperatorKey, hash_key
-from wasabiwell_standins.caller import ask_addresses, chat, make_messages
+from wasabiwell_standins.caller import chat, fetch_addresses, make_messages
 from wasabiwell_standins.deployments import EAVELINE
 from wasabiwell_standins.fleet import Fleet, Process, open_fleet, request
 
@@ -53,7 +53,7 @@
         """Ask any known address; a caller may meet one that has stopped since."""
         for address in [*known, *(entry.address for entry in self.fleet.entries)]:
             try:
-                return ask_addresses(address)
+                return fetch_addresses(address)
             except FAILED:
                 continue
         raise RuntimeError("no entry instance answers")
@@ -220,7 +220,7 @@
     context.headers = {name.lower(): value for name, value in response.headers}
     context.addresses_after = []
     time.sleep(3.0)
-    context.addresses_after = [ask_addresses(item.address) for item in others_of(context, index)]
+    context.addresses_after = [fetch_addresses(item.address) for item in others_of(context, index)]
     context.new_request = request("GET", entry.address, "/healthz")
     thread.join()
     context.result = results[0]
@@ -229,7 +229,7 @@
 
 @when("target {index:d} is marked as leaving {way}")
 def step_target_leaving(context: Context, index: int, way: str) -> None:
-    target = context.fleet.of_role("engine")[index]
+    target = context.fleet.processes_with_role("engine")[index]
     context.target = target
     match way:
         case "on the instance list":
@@ -283,7 +283,7 @@
 @then("no address answer names entry instance {index:d}")
 def step_not_listed(context: Context, index: int) -> None:
     address = entry_of(context, index).address
-    assert all(address not in ask_addresses(item.address) for item in others_of(context, index))
+    assert all(address not in fetch_addresses(item.address) for item in others_of(context, index))
 
 
 @then('in between nobody saw it as "{status}"')
