--- a/standins/wasabiwell_standins/asgi.py
+++ b/standins/wasabiwell_standins/asgi.py
@@ -60,7 +60,7 @@
         headers = [(b"content-type", content_type)]
         await self._send({"type": "http.response.start", "status": 200, "headers": headers})
 
-    async def stream(self, data: bytes, more: bool = True) -> None:
+    async def send_chunk(self, data: bytes, more: bool = True) -> None:
         """Send a part of a streamed answer."""
         await self._send({"type": "http.response.body", "body": data, "more_body": more})
 
--- a/standins/wasabiwell_standins/booking.py
+++ b/standins/wasabiwell_standins/booking.py
@@ -2,7 +2,7 @@
 
 `POST /bookings` and `/reservations` run a booking; `GET /ledger` gives the run count of each
 idempotency key, with `also=HOST:PORT,...` summed over further targets; `GET /availability` is an
-idempotent look-up. `POST /control` sets `delay_s`
+idempotent look-up. `POST /faults` sets `delay_s`
 (time that a booking takes) and `drop_replies` (the number of next bookings that run and whose
 connection is then cut).
 """
@@ -19,7 +19,7 @@
 
 
 @dataclass(slots=True)
-class Control:
+class Faults:
     """Faults in force."""
 
     delay_s: float = 0.02
@@ -31,40 +31,40 @@
     """State of the stand-in."""
 
     name: str
-    control: Control = field(default_factory=Control)
-    runs: Counter[str] = field(default_factory=Counter)
+    faults: Faults = field(default_factory=Faults)
+    run_counts: Counter[str] = field(default_factory=Counter)
 
     async def handle(self, exchange: HttpExchange) -> None:
         """Answer one request."""
         match exchange.method, exchange.path:
             case "GET", "/ledger":
-                await exchange.reply(200, await self._ledger(exchange.query("also")))
+                await exchange.reply(200, await self._total_run_counts(exchange.query("also")))
             case "GET", "/availability":
                 await exchange.reply(200, {"available": True, "by": self.name})
             case "POST", "/control":
                 for name, value in msgspec.json.decode(exchange.body).items():
-                    setattr(self.control, name, value)
-                await exchange.reply(200, self.control)
+                    setattr(self.faults, name, value)
+                await exchange.reply(200, self.faults)
             case "POST", "/bookings" | "/reservations":
                 await self._book(exchange)
             case _:
                 await exchange.reply(404, {"error": "no such path"})
 
-    async def _ledger(self, others: str) -> dict[str, int]:
+    async def _total_run_counts(self, other_addresses: str) -> dict[str, int]:
         """Return the run counts of this target and of the named others together."""
-        total = Counter(self.runs)
+        total = Counter(self.run_counts)
         async with httpcore.AsyncConnectionPool() as pool:
-            for address in filter(None, others.split(",")):
+            for address in filter(None, other_addresses.split(",")):
                 response = await pool.request("GET", f"http://{address}/ledger")
                 total.update(msgspec.json.decode(response.content, type=dict[str, int]))
         return dict(total)
 
     async def _book(self, exchange: HttpExchange) -> None:
         key = exchange.header("idempotency-key") or ""
-        self.runs[key] += 1
-        await trio.sleep(self.control.delay_s)
-        if self.control.drop_replies > 0:
-            self.control.drop_replies -= 1
+        self.run_counts[key] += 1
+        await trio.sleep(self.faults.delay_s)
+        if self.faults.drop_replies > 0:
+            self.faults.drop_replies -= 1
             await exchange.start_stream(b"application/json")
             raise ConnectionAbortedError("the reply is dropped")
         body = msgspec.json.decode(exchange.body) if exchange.body else {}
--- a/standins/wasabiwell_standins/caller.py
+++ b/standins/wasabiwell_standins/caller.py
@@ -7,7 +7,7 @@
 import httpcore
 import msgspec
 
-from wasabiwell_standins.answers import expected_answer
+from wasabiwell_standins.completions import expected_completion
 
 BYTES_PER_TOKEN = 4
 
@@ -27,8 +27,8 @@
 
 def make_messages(prompt_tokens: int, tag: str) -> bytes:
     """Return the JSON of messages with about `prompt_tokens` tokens; `tag` makes them unique."""
-    frame = msgspec.json.encode([{"role": "user", "content": f"{tag} "}])
-    filler = "x" * max(0, prompt_tokens * BYTES_PER_TOKEN - len(frame))
+    unpadded = msgspec.json.encode([{"role": "user", "content": f"{tag} "}])
+    filler = "x" * max(0, prompt_tokens * BYTES_PER_TOKEN - len(unpadded))
     return msgspec.json.encode([{"role": "user", "content": f"{tag} {filler}"}])
 
 
@@ -84,16 +84,16 @@
             result.status = response.status
             result.run = _header(response, b"wasabiwell-run")
             result.request_id = _header(response, b"x-request-id")
-            _read_answer(response, result, begin)
+            _read_stream(response, result, begin)
     except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
         result.error = repr(error)
     result.total_s = time.monotonic() - begin
-    if not result.error and result.text != expected_answer(messages, max_tokens):
+    if not result.error and result.text != expected_completion(messages, max_tokens):
         result.error = "the answer is not the one to this request"
     return result
 
 
-def _read_answer(response: httpcore.Response, result: ChatResult, begin: float) -> None:
+def _read_stream(response: httpcore.Response, result: ChatResult, begin: float) -> None:
     if response.status != 200:
         result.error = response.read().decode()
         return
--- a/standins/wasabiwell_standins/demo.py
+++ b/standins/wasabiwell_standins/demo.py
@@ -22,13 +22,15 @@
 @click.option("--serve", type=click.Path(), help="Keep running and write a description here.")
 def main(deployment: str, serve: str | None) -> None:
     """Start a deployment, send requests through its addresses and check the answers."""
-    began = time.monotonic()
+    started = time.monotonic()
     with running_fleet(DEPLOYMENTS[deployment], "--address-ttl-s", "2") as fleet:
-        click.echo(f"{len(fleet.processes)} processes are ready, {time.monotonic() - began:.1f} s")
-        failures = _send_prompts(fleet) + _book(fleet)
+        click.echo(
+            f"{len(fleet.processes)} processes are ready, {time.monotonic() - started:.1f} s"
+        )
+        failures = _send_prompts(fleet) + _send_bookings(fleet)
         click.echo("all answers were right" if not failures else f"{failures} checks failed")
         if serve is not None:
-            _serve(fleet, serve)
+            _serve_until_interrupted(fleet, serve)
     sys.exit(1 if failures else 0)
 
 
@@ -53,17 +55,17 @@
     click.echo(f"{'prompt':<18}{'tokens':>9}{'requests':>10}{'first token, s':>16}{'wrong':>7}")
     failures = 0
     for name, tokens in PROMPT_TOKENS.items():
-        found = [result for label, result in results if label == name]
-        wrong = [result for result in found if result.error]
+        group = [result for label, result in results if label == name]
+        wrong = [result for result in group if result.error]
         failures += len(wrong)
-        slowest = max(result.first_token_s for result in found)
-        click.echo(f"{name:<18}{tokens:>9}{len(found):>10}{slowest:>16.3f}{len(wrong):>7}")
+        slowest = max(result.first_token_s for result in group)
+        click.echo(f"{name:<18}{tokens:>9}{len(group):>10}{slowest:>16.3f}{len(wrong):>7}")
         for result in wrong:
             click.echo(f"  status {result.status}: {result.error}")
     return failures
 
 
-def _book(fleet: Fleet) -> int:
+def _send_bookings(fleet: Fleet) -> int:
     """Send each booking through two entry instances and return the number of wrong counts."""
     deployment = fleet.deployment
     key = next(iter(deployment.organisations.values()))
@@ -96,7 +98,7 @@
     return f"http://{first}/ledger?also={','.join(others)}"
 
 
-def _serve(fleet: Fleet, path: str) -> None:
+def _serve_until_interrupted(fleet: Fleet, path: str) -> None:
     deployment = fleet.deployment
     description = {
         "addresses": [entry.address for entry in fleet.entries],
--- a/standins/wasabiwell_standins/deployments.py
+++ b/standins/wasabiwell_standins/deployments.py
@@ -22,7 +22,7 @@
     engine_tokens: int = 400_000
 
 
-def _keys(*names: str) -> dict[str, str]:
+def _api_keys(*names: str) -> dict[str, str]:
     return {name: f"{name}-key" for name in names}
 
 
@@ -34,7 +34,7 @@
     booking_service="crew-desk",
     booking_path="/bookings",
     example="examples/eaveline.py",
-    organisations=_keys(
+    organisations=_api_keys(
         "concord-crews",
         "lowell-crews",
         "harbor-insurance",
@@ -56,7 +56,7 @@
     booking_service="booking-api",
     booking_path="/reservations",
     example="examples/fraserline.py",
-    organisations=_keys(
+    organisations=_api_keys(
         "burnaby-racks",
         "kelowna-colo",
         "surrey-hosting",
--- a/standins/wasabiwell_standins/engine.py
+++ b/standins/wasabiwell_standins/engine.py
@@ -17,21 +17,21 @@
 import trio
 import xxhash
 
-from wasabiwell_standins.answers import token_of_seed
 from wasabiwell_standins.asgi import HttpExchange, serve_http
+from wasabiwell_standins.completions import token_for_seed
 
 BYTES_PER_TOKEN = 4
 PREFIX_BLOCK_BYTES = 4_096
 MAX_PREFIX_BLOCKS = 64
 CRASH_MARKER = b"crash-this-target"
-SHARD_RENEW_S = 5.0
+SHARD_RENEWAL_INTERVAL_S = 5.0
 """The lead of a split prompt renews the reservations of the others this often."""
-LATE_EVENT_GAP = 7
+LOST_EVENT_INTERVAL = 7
 """Every seventh cache event is never published."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class EngineModel:
+class EngineParameters:
     """Speeds and sizes of one engine; times are in seconds before the time scale."""
 
     total_tokens: int = 400_000
@@ -54,7 +54,7 @@
     max_tokens: int
     priority: int
     arrival: int
-    memory: int
+    kv_tokens: int
     emitted: int
     shards: list[dict[str, str]]
     digest: xxhash.xxh3_64
@@ -81,9 +81,9 @@
 class Engine:
     """One stand-in engine."""
 
-    def __init__(self, name: str, model: EngineModel) -> None:
+    def __init__(self, name: str, parameters: EngineParameters) -> None:
         self.name = name
-        self.model = model
+        self.parameters = parameters
         self.sequences: dict[str, Sequence] = {}
         self.reservations: dict[str, Reservation] = {}
         self.cache: OrderedDict[int, None] = OrderedDict()
@@ -98,29 +98,29 @@
         self.orders: list[dict[str, object]] = []
         self._arrivals = 0
         self._work = trio.Event()
-        self._load: dict[str, object] = self.current_load()
-        self._published_events = 0
+        self._reported_load: dict[str, object] = self.current_load()
+        self._published_event_count = 0
         self.control_bytes = 0
 
     @property
     def used_tokens(self) -> int:
         """Return the memory that sequences and reservations hold."""
-        held = sum(sequence.memory for sequence in self.sequences.values())
-        return held + sum(item.tokens for item in self.reservations.values())
+        sequence_tokens = sum(sequence.kv_tokens for sequence in self.sequences.values())
+        return sequence_tokens + sum(item.tokens for item in self.reservations.values())
 
     @property
     def free_tokens(self) -> int:
         """Return the memory that can be given out."""
-        return self.model.total_tokens - self.used_tokens
+        return self.parameters.total_tokens - self.used_tokens
 
     def current_load(self) -> dict[str, object]:
         """Return the load as it is now."""
         running = sum(1 for sequence in self.sequences.values() if sequence.started)
         return {
-            "slots": self.model.slots,
+            "slots": self.parameters.slots,
             "running": running,
             "queued": len(self.sequences) - running,
-            "total_tokens": self.model.total_tokens,
+            "total_tokens": self.parameters.total_tokens,
             "free_tokens": self.free_tokens,
             "prefill_tokens": sum(
                 sequence.prompt_tokens - sequence.prefilled for sequence in self.sequences.values()
@@ -131,70 +131,70 @@
     async def run(self) -> None:
         """Run steps, the load report and the expiry of reservations."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_steps)
+            nursery.start_soon(self._run_iterations)
             nursery.start_soon(self._refresh_load)
 
     async def _refresh_load(self) -> None:
         while True:
-            self._load = self.current_load()
-            self._published_events = len(self.events)
-            await trio.sleep(self.model.load_lag_s * self.model.time_scale)
+            self._reported_load = self.current_load()
+            self._published_event_count = len(self.events)
+            await trio.sleep(self.parameters.load_lag_s * self.parameters.time_scale)
             now = trio.current_time()
             for reservation_id, item in list(self.reservations.items()):
                 if item.expires <= now:
                     del self.reservations[reservation_id]
 
-    async def _run_steps(self) -> None:
-        next_step = trio.current_time()
+    async def _run_iterations(self) -> None:
+        next_iteration = trio.current_time()
         while True:
             if not self.sequences:
                 self._work = trio.Event()
                 await self._work.wait()
-                next_step = trio.current_time()
-            duration = self._step()
-            next_step = max(next_step + duration, trio.current_time() - 1.0)
-            await trio.sleep_until(next_step)
-            self._emit()
+                next_iteration = trio.current_time()
+            duration = self._prefill_batch()
+            next_iteration = max(next_iteration + duration, trio.current_time() - 1.0)
+            await trio.sleep_until(next_iteration)
+            self._decode_batch()
 
-    def _step(self) -> float:
+    def _prefill_batch(self) -> float:
         """Process prompt tokens and return the duration of the step."""
-        budget = self.model.prefill_chunk
+        budget = self.parameters.prefill_chunk
         processed = 0.0
-        for sequence in self._batch():
-            rest = sequence.prompt_tokens - sequence.prefilled
-            if rest <= 0 or budget <= 0:
+        for sequence in self._select_batch():
+            remaining = sequence.prompt_tokens - sequence.prefilled
+            if remaining <= 0 or budget <= 0:
                 continue
             if CRASH_MARKER in sequence.messages:
                 os._exit(70)
-            part = min(rest, budget)
-            sequence.prefilled += part
-            budget -= part
-            processed += part / (1 + len(sequence.shards))
-        duration = self.model.step_s + processed / self.model.prefill_tokens_per_s
-        return duration * self.model.time_scale
-
-    def _batch(self) -> list[Sequence]:
+            chunk = min(remaining, budget)
+            sequence.prefilled += chunk
+            budget -= chunk
+            processed += chunk / (1 + len(sequence.shards))
+        duration = self.parameters.step_s + processed / self.parameters.prefill_tokens_per_s
+        return duration * self.parameters.time_scale
+
+    def _select_batch(self) -> list[Sequence]:
         """Return the sequences that hold a slot, in the order of priority and arrival."""
         waiting = sorted(
             self.sequences.values(),
             key=lambda item: (not item.started, item.priority, item.arrival),
         )
-        batch = waiting[: self.model.slots]
+        batch = waiting[: self.parameters.slots]
         for sequence in batch:
             sequence.started = True
         return sorted(batch, key=lambda item: (item.priority, item.arrival))
 
-    def _emit(self) -> None:
+    def _decode_batch(self) -> None:
         for sequence in list(self.sequences.values()):
             if not sequence.started or sequence.prefilled < sequence.prompt_tokens:
                 continue
             if sequence.emitted < sequence.max_tokens:
-                self._emit_token(sequence)
+                self._decode_token(sequence)
             if sequence.emitted >= sequence.max_tokens:
                 self._finish(sequence)
 
-    def _emit_token(self, sequence: Sequence) -> None:
-        text = token_of_seed(sequence.seed, sequence.emitted)
+    def _decode_token(self, sequence: Sequence) -> None:
+        text = token_for_seed(sequence.seed, sequence.emitted)
         sequence.digest.update(text.encode())
         frame = {
             "attempt": sequence.attempt_id,
@@ -206,7 +206,7 @@
         sequence.push(msgspec.json.encode(frame) + b"\n")
 
     def _finish(self, sequence: Sequence) -> None:
-        end = {
+        end_frame = {
             "attempt": sequence.attempt_id,
             "end": True,
             "tokens": sequence.emitted,
@@ -215,19 +215,19 @@
         }
         self.finished += 1
         self.sequences.pop(sequence.attempt_id, None)
-        self._remember(sequence.messages)
-        sequence.push(msgspec.json.encode(end) + b"\n")
+        self._cache_prompt(sequence.messages)
+        sequence.push(msgspec.json.encode(end_frame) + b"\n")
         sequence.push(b"")
 
-    def _remember(self, messages: bytes) -> None:
+    def _cache_prompt(self, messages: bytes) -> None:
         for block in _prefix_blocks(messages):
             if block not in self.cache:
                 sequence_number = len(self.events) + 1
-                kind = "lost" if sequence_number % LATE_EVENT_GAP == 0 else "stored"
+                kind = "lost" if sequence_number % LOST_EVENT_INTERVAL == 0 else "stored"
                 self.events.append({"seq": sequence_number, "kind": kind, "block": block})
             self.cache[block] = None
             self.cache.move_to_end(block)
-        limit = self.model.total_tokens * BYTES_PER_TOKEN // PREFIX_BLOCK_BYTES // 2
+        limit = self.parameters.total_tokens * BYTES_PER_TOKEN // PREFIX_BLOCK_BYTES // 2
         while len(self.cache) > limit:
             evicted, _ = self.cache.popitem(last=False)
             self.events.append({"seq": len(self.events) + 1, "kind": "evicted", "block": evicted})
@@ -246,25 +246,25 @@
             await trio.sleep_forever()
         match exchange.method, exchange.path:
             case "GET", "/load":
-                await self._reply_control(exchange, self._load)
+                await self._reply_control(exchange, self._reported_load)
             case "GET", "/cache-events":
-                await self._cache_events(exchange)
+                await self._reply_cache_events(exchange)
             case "POST", "/v1/generate":
                 await self._generate(exchange)
             case "POST", "/v1/cancel":
-                self._drop(msgspec.json.decode(exchange.body)["attempt_id"])
+                self._cancel(msgspec.json.decode(exchange.body)["attempt_id"])
                 await exchange.reply(200, {})
             case "POST", "/v1/reservations":
                 await self._reserve(exchange)
             case "PUT" | "POST", path if path.startswith("/v1/reservations/"):
-                await self._renew(exchange, path.rpartition("/")[2])
+                await self._renew_reservation(exchange, path.rpartition("/")[2])
             case "DELETE", path if path.startswith("/v1/reservations/"):
                 self.reservations.pop(path.rpartition("/")[2], None)
                 await exchange.reply(200, {})
             case "POST", "/v1/orders":
-                await self._order(exchange)
+                await self._accept_order(exchange)
             case "POST", "/control":
-                await self._control(exchange)
+                await self._handle_control(exchange)
             case "GET", "/control":
                 await exchange.reply(200, self._statistics())
             case _:
@@ -281,10 +281,10 @@
             "overcommit_refusals": self.overcommit_refusals,
             "orders": self.orders,
             "control_bytes": self.control_bytes,
-            "total_tokens": self.model.total_tokens,
+            "total_tokens": self.parameters.total_tokens,
         }
 
-    async def _control(self, exchange: HttpExchange) -> None:
+    async def _handle_control(self, exchange: HttpExchange) -> None:
         for name, value in msgspec.json.decode(exchange.body).items():
             if name not in ("leaving", "silent", "fencing_checked"):
                 await exchange.reply(400, {"error": f"unknown control {name}"})
@@ -292,9 +292,9 @@
             setattr(self, name, value)
         await exchange.reply(200, self._statistics())
 
-    async def _cache_events(self, exchange: HttpExchange) -> None:
+    async def _reply_cache_events(self, exchange: HttpExchange) -> None:
         after = int(exchange.query("after", "0"))
-        last = max(after, min(self._published_events, after + 500))
+        last = max(after, min(self._published_event_count, after + 500))
         events = [event for event in self.events[after:last] if event["kind"] != "lost"]
         await self._reply_control(exchange, {"events": events, "last": last})
 
@@ -314,7 +314,7 @@
         self.reservations[reservation_id] = Reservation(body["tokens"], body["ttl_s"], expires)
         await exchange.reply(200, {"reservation_id": reservation_id})
 
-    async def _renew(self, exchange: HttpExchange, reservation_id: str) -> None:
+    async def _renew_reservation(self, exchange: HttpExchange, reservation_id: str) -> None:
         item = self.reservations.get(reservation_id)
         if item is None:
             await exchange.reply(404, {"error": "no such reservation"})
@@ -335,15 +335,15 @@
                     if status != 200:
                         self._fail(sequence, "memory on another engine is lost")
                         return
-                await trio.sleep(SHARD_RENEW_S)
+                await trio.sleep(SHARD_RENEWAL_INTERVAL_S)
 
     def _fail(self, sequence: Sequence, error: str) -> None:
-        self._drop(sequence.attempt_id)
+        self._cancel(sequence.attempt_id)
         frame = {"attempt": sequence.attempt_id, "error": error}
         sequence.push(msgspec.json.encode(frame) + b"\n")
         sequence.push(b"")
 
-    async def _order(self, exchange: HttpExchange) -> None:
+    async def _accept_order(self, exchange: HttpExchange) -> None:
         body = msgspec.json.decode(exchange.body)
         if self.fencing_checked and body["fencing"] < self.last_fencing:
             await exchange.reply(409, {"error": "old fencing number"})
@@ -354,11 +354,11 @@
 
     async def _generate(self, exchange: HttpExchange) -> None:
         body = msgspec.json.decode(exchange.body)
-        messages = bytes(msgspec.json.decode(exchange.body, type=_MessagesOnly).messages)
-        sequence = self._sequence(body, messages)
-        own = self.reservations.get(body["reservation_id"])
-        available = self.free_tokens + (own.tokens if own is not None else 0)
-        if self.leaving or sequence.memory > available:
+        messages = bytes(msgspec.json.decode(exchange.body, type=_RawMessages).messages)
+        sequence = self._create_sequence(body, messages)
+        reservation = self.reservations.get(body["reservation_id"])
+        available = self.free_tokens + (reservation.tokens if reservation is not None else 0)
+        if self.leaving or sequence.kv_tokens > available:
             self.overcommit_refusals += 0 if self.leaving else 1
             error = "leaving" if self.leaving else f"{available} tokens are free"
             await exchange.reply(429, {"error": error})
@@ -369,13 +369,13 @@
         try:
             await self._stream(exchange, sequence)
         finally:
-            self._drop(sequence.attempt_id)
+            self._cancel(sequence.attempt_id)
 
-    def _sequence(self, body: dict[str, object], messages: bytes) -> Sequence:
+    def _create_sequence(self, body: dict[str, object], messages: bytes) -> Sequence:
         prompt_tokens = max(1, len(messages) // BYTES_PER_TOKEN)
         shards = body["shards"]
         assert isinstance(shards, list)
-        sharded = sum(int(shard["tokens"]) for shard in shards)
+        sharded_tokens = sum(int(shard["tokens"]) for shard in shards)
         self._arrivals += 1
         digest = xxhash.xxh3_64(str(body["generated"]).encode())
         max_tokens, offset = int(str(body["max_tokens"])), int(str(body["resume_offset"]))
@@ -387,7 +387,7 @@
             max_tokens=max_tokens,
             priority=int(str(body["priority"])),
             arrival=self._arrivals,
-            memory=max(0, prompt_tokens + max_tokens - sharded),
+            kv_tokens=max(0, prompt_tokens + max_tokens - sharded_tokens),
             emitted=offset,
             shards=shards,
             digest=digest,
@@ -409,13 +409,13 @@
                 await sequence.wake.wait()
                 sequence.wake = trio.Event()
                 frames, sequence.frames = sequence.frames, []
-                await exchange.stream(b"".join(frames))
+                await exchange.send_chunk(b"".join(frames))
                 if frames and frames[-1] == b"":
-                    await exchange.stream(b"", more=False)
+                    await exchange.send_chunk(b"", more=False)
                     nursery.cancel_scope.cancel()
                     return
 
-    def _drop(self, attempt_id: str) -> None:
+    def _cancel(self, attempt_id: str) -> None:
         if self.sequences.pop(attempt_id, None) is not None:
             self.cancelled += 1
 
@@ -430,7 +430,7 @@
     return blocks
 
 
-class _MessagesOnly(msgspec.Struct):
+class _RawMessages(msgspec.Struct):
     messages: msgspec.Raw
 
 
@@ -444,15 +444,15 @@
 @click.option("--prefill-tokens-per-s", default=40_000.0, help="Speed of prompt processing.")
 @click.option("--load-lag-s", default=0.5, help="Age of a load report, in seconds.")
 @click.option("--time-scale", default=1.0, help="Factor of all times.")
-def main(address: str, count: int, name: str, **model: float) -> None:
+def main(address: str, count: int, name: str, **parameters: float) -> None:
     """Run stand-in engines."""
     host, _, port = address.rpartition(":")
-    engine_model = EngineModel(**model)  # type: ignore[arg-type]
+    engine_parameters = EngineParameters(**parameters)  # type: ignore[arg-type]
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             for index in range(count):
-                engine = Engine(name if count == 1 else f"{name}-{index}", engine_model)
+                engine = Engine(name if count == 1 else f"{name}-{index}", engine_parameters)
                 nursery.start_soon(engine.run)
                 nursery.start_soon(serve_http, engine.handle, host, int(port) + index)
 
--- a/standins/wasabiwell_standins/fleet.py
+++ b/standins/wasabiwell_standins/fleet.py
@@ -161,8 +161,8 @@
             "engine", name, address, "wasabiwell_standins.engine", arguments
         )
         process.zone = self._zone(index)
-        listed = self.start_proxy(address, f"proxy-of-{name}")[0] if proxied else address
-        self.list_instance(process, self.deployment.engine_service, listed)
+        listed_address = self.start_proxy(address, f"proxy-of-{name}")[0] if proxied else address
+        self.register_instance(process, self.deployment.engine_service, listed_address)
         return process
 
     def proxy_of(self, process: Process) -> Process:
@@ -182,7 +182,7 @@
             "plain", name, address, "wasabiwell_standins.booking", arguments
         )
         process.zone = self._zone(index)
-        self.list_instance(process, self.deployment.booking_service)
+        self.register_instance(process, self.deployment.booking_service)
         return process
 
     def start_entry(
@@ -214,7 +214,7 @@
         process = self.start_module("entry", name, address, "wasabiwell_entry.main", arguments)
         process.zone = self._zone(index)
         process.peer_address = peer_address
-        self.list_instance(process, "")
+        self.register_instance(process, "")
         return process
 
     def start_proxy(self, target: str, name: str) -> tuple[str, Process]:
@@ -258,7 +258,7 @@
         self.wait_until(lambda: self._listening(process), f"{name} listening")
         return process
 
-    def list_instance(self, process: Process, service: str, address: str | None = None) -> None:
+    def register_instance(self, process: Process, service: str, address: str | None = None) -> None:
         """Put a process on the platform's instance list, under another address if given."""
         record = {
             "instance_id": process.name,
@@ -281,12 +281,12 @@
 
     def apply_example(self) -> None:
         """Apply the deployment's example configuration through the operators' command."""
-        printed = subprocess.run(
+        configuration = subprocess.run(
             [sys.executable, self.deployment.example], check=True, capture_output=True
         ).stdout
-        self.command("apply", "-", stdin=printed)
+        self.run_cli("apply", "-", stdin=configuration)
 
-    def command(self, *arguments: str, stdin: bytes = b"", check: bool = True) -> str:
+    def run_cli(self, *arguments: str, stdin: bytes = b"", check: bool = True) -> str:
         """Run the operators' command against the first entry instance and return its output."""
         entries = [part for entry in self.entries for part in ("--entry", entry.address)]
         finished = subprocess.run(
@@ -310,15 +310,18 @@
 
     def wait_ready(self) -> None:
         """Wait until each entry instance is ready and knows all targets."""
-        wanted = {
+        target_ids = {
             item.name
             for item in (*self.processes_with_role("engine"), *self.processes_with_role("plain"))
         }
         for entry in self.entries:
-            self.wait_until(partial(self._ready, entry, wanted), f"{entry.name} ready")
+            self.wait_until(partial(self._ready, entry, target_ids), f"{entry.name} ready")
 
     def wait_until(
-        self, condition: Callable[[], bool], what: str, timeout: float = START_TIMEOUT_SECONDS
+        self,
+        condition: Callable[[], bool],
+        description: str,
+        timeout: float = START_TIMEOUT_SECONDS,
     ) -> None:
         """Wait until a condition holds; raise `TimeoutError` when it does not in time."""
         end = time.monotonic() + timeout
@@ -326,7 +329,7 @@
             if condition():
                 return
             time.sleep(POLL_SECONDS)
-        raise TimeoutError(f"not within {timeout:g} s: {what}")
+        raise TimeoutError(f"not within {timeout:g} s: {description}")
 
     def stop(self) -> None:
         """End all processes that this fleet started."""
@@ -334,14 +337,14 @@
             if process.popen.poll() is None:
                 process.kill()
 
-    def _ready(self, entry: Process, wanted: set[str]) -> bool:
+    def _ready(self, entry: Process, target_ids: set[str]) -> bool:
         try:
             if request("GET", entry.address, "/readyz").status != 200:
                 return False
             status = self.status(entry)
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
             return False
-        return wanted <= {target["target_id"] for target in status["targets"]}
+        return target_ids <= {target["target_id"] for target in status["targets"]}
 
     def _zone(self, index: int) -> str:
         return self.deployment.zones[index % len(self.deployment.zones)]
--- a/standins/wasabiwell_standins/load.py
+++ b/standins/wasabiwell_standins/load.py
@@ -13,12 +13,12 @@
 import msgspec
 import trio
 
-from wasabiwell_standins.answers import expected_answer
 from wasabiwell_standins.caller import chat_body
+from wasabiwell_standins.completions import expected_completion
 
 BYTES_PER_TOKEN = 4
 MAX_CONNECTIONS = 1_000
-REFUSED_PAUSE_S = 0.2
+FAILURE_DELAY_S = 0.2
 """Pause of a closed-loop caller after a refusal."""
 
 
@@ -71,7 +71,7 @@
     return msgspec.json.encode([{"role": "user", "content": content + filler}])
 
 
-async def send(
+async def send_request(
     pool: httpcore.AsyncConnectionPool, plan: Plan, planned: PlannedRequest, address: str
 ) -> Result:
     """Send one request and check its answer; times count from the planned arrival."""
@@ -91,18 +91,20 @@
             async with pool.stream(
                 "POST", url, headers=headers, content=body, extensions={"timeout": timeout}
             ) as response:
-                await _read(response, result, begin)
+                await _read_stream(response, result, begin)
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             result.error = repr(error)
     result.total_s = trio.current_time() - begin
-    if not result.error and "".join(result.texts) != expected_answer(messages, planned.max_tokens):
+    if not result.error and "".join(result.texts) != expected_completion(
+        messages, planned.max_tokens
+    ):
         result.error = "the answer is not the one to this request"
     result.tokens = len(result.texts)
     result.texts = []
     return result
 
 
-async def _read(response: httpcore.Response, result: Result, begin: float) -> None:
+async def _read_stream(response: httpcore.Response, result: Result, begin: float) -> None:
     result.status = response.status
     if response.status != 200:
         result.error = (await response.aread()).decode()
@@ -126,24 +128,24 @@
     result.error = "" if done else "the stream ended without its end mark"
 
 
-async def run_open(plan: Plan) -> list[Result]:
+async def run_open_loop(plan: Plan) -> list[Result]:
     """Send each request at its time and return all results."""
     results: list[Result] = []
     begin = trio.current_time()
     async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
 
-        async def one(index: int, planned: PlannedRequest) -> None:
+        async def send_at_arrival(index: int, planned: PlannedRequest) -> None:
             await trio.sleep_until(begin + planned.at_s)
             address = plan.addresses[index % len(plan.addresses)]
-            results.append(await send(pool, plan, planned, address))
+            results.append(await send_request(pool, plan, planned, address))
 
         async with trio.open_nursery() as nursery:
             for index, planned in enumerate(plan.requests):
-                nursery.start_soon(one, index, planned)
+                nursery.start_soon(send_at_arrival, index, planned)
     return results
 
 
-async def run_closed(plan: Plan) -> list[Result]:
+async def run_closed_loop(plan: Plan) -> list[Result]:
     """Keep `workers` requests of each organisation in flight until the duration has passed."""
     results: list[Result] = []
     begin = trio.current_time()
@@ -155,11 +157,11 @@
                 count += 1
                 item = replace(planned, tag=f"{planned.tag}-{number}-{count}")
                 address = plan.addresses[number % len(plan.addresses)]
-                result = await send(pool, plan, item, address)
+                result = await send_request(pool, plan, item, address)
                 result.ended_s = trio.current_time() - begin
                 results.append(result)
                 if result.error:
-                    await trio.sleep(REFUSED_PAUSE_S)
+                    await trio.sleep(FAILURE_DELAY_S)
 
         with trio.move_on_after(plan.duration_s):
             async with trio.open_nursery() as nursery:
@@ -173,7 +175,7 @@
 def main() -> None:
     """Run the plan on standard input and write the results to standard output."""
     plan = msgspec.json.decode(sys.stdin.buffer.read(), type=Plan)
-    results = trio.run(run_closed if plan.workers else run_open, plan)
+    results = trio.run(run_closed_loop if plan.workers else run_open_loop, plan)
     sys.stdout.buffer.write(msgspec.json.encode(results))
 
 
--- a/standins/wasabiwell_standins/measure.py
+++ b/standins/wasabiwell_standins/measure.py
@@ -25,7 +25,7 @@
 TIME_SCALE = 0.5
 """Factor of the engines' times, so that all policies fit into four minutes."""
 BACKLOG_SECONDS = 10.0
-BACKLOG_START_SECONDS = 4.0
+BACKLOG_WARM_UP_SECONDS = 4.0
 """Answers before this time are not counted: the queues are still filling."""
 LARGE_WORKERS = 36
 SMALL_WORKERS = 12
@@ -39,14 +39,14 @@
 
 
 @dataclass(slots=True)
-class Phase:
+class LoadRun:
     """Results of one load run with what the fleet used meanwhile."""
 
     results: list[Result]
     entry_cpu_s: float
     control_bytes: int
     seconds: float
-    held_shares: list[float] = field(default_factory=list)
+    memory_use: list[float] = field(default_factory=list)
 
 
 @click.group(invoke_without_command=True)
@@ -65,13 +65,15 @@
     """Measure; without a sub-command, all policies in both deployments."""
     if context.invoked_subcommand is not None:
         return
-    chosen = names or tuple(sorted(DEPLOYMENTS))
+    selected = names or tuple(sorted(DEPLOYMENTS))
     # Both deployments run at the same time, because a default run must end within four minutes.
-    with ThreadPoolExecutor(len(chosen)) as pool:
+    with ThreadPoolExecutor(len(selected)) as pool:
         results = pool.map(
-            lambda name: measure(DEPLOYMENTS[name], policies or POLICIES, seed), chosen
+            lambda name: measure(DEPLOYMENTS[name], policies or POLICIES, seed), selected
         )
-        figures = {name: {"policies": result} for name, result in zip(chosen, results, strict=True)}
+        figures = {
+            name: {"policies": result} for name, result in zip(selected, results, strict=True)
+        }
     if json_file is not None:
         Path(json_file).write_bytes(msgspec.json.encode({"deployments": figures}) + b"\n")
 
@@ -116,34 +118,36 @@
     }
     backlog_plan = Plan([], {}, "", plan_backlog(fleet.deployment), workers, BACKLOG_SECONDS)
     backlog = _run_load(fleet, backlog_plan)
-    refusals = _sum_control(fleet, "overcommit_refusals")
-    alone = _run_load(
+    refusals = _sum_engine_statistic(fleet, "overcommit_refusals")
+    without_long = _run_load(
         fleet, Plan([], {}, "", plan_requests(fleet.deployment, seed, f"{policy}-a", False))
     )
-    mixed = _run_load(
+    with_long = _run_load(
         fleet, Plan([], {}, "", plan_requests(fleet.deployment, seed, f"{policy}-b", True))
     )
-    overcommit = _sum_control(fleet, "overcommit_refusals") - refusals
-    p95_alone = percentile(_first_tokens(alone, "short"), 95)
-    p95_mixed = percentile(_first_tokens(mixed, "short"), 95)
-    longs = [result for result in mixed.results if result.kind == "long"]
-    tokens = sum(result.tokens for result in alone.results)
+    overcommit = _sum_engine_statistic(fleet, "overcommit_refusals") - refusals
+    p95_without_long = percentile(_first_token_times(without_long, "short"), 95)
+    p95_with_long = percentile(_first_token_times(with_long, "short"), 95)
+    long_results = [result for result in with_long.results if result.kind == "long"]
+    tokens = sum(result.tokens for result in without_long.results)
     figures = {
-        "short_first_token_p95_s": p95_mixed,
-        "short_slowdown_p95": p95_mixed / p95_alone if p95_mixed and p95_alone else None,
-        "long_finished_share": sum(not item.error for item in longs) / len(longs),
+        "short_first_token_p95_s": p95_with_long,
+        "short_slowdown_p95": p95_with_long / p95_without_long
+        if p95_with_long and p95_without_long
+        else None,
+        "long_finished_share": sum(not item.error for item in long_results) / len(long_results),
         "worst_share_error": _worst_share_error(fleet.deployment, backlog),
         "overcommit_events": overcommit,
-        "relay_cpu_ms_per_token": 1000 * alone.entry_cpu_s / max(1, tokens),
-        "control_bytes_per_s": mixed.control_bytes / mixed.seconds,
+        "relay_cpu_ms_per_token": 1000 * without_long.entry_cpu_s / max(1, tokens),
+        "control_bytes_per_s": with_long.control_bytes / with_long.seconds,
     }
-    _print(fleet.deployment.name, policy, figures, alone, mixed)
+    _print(fleet.deployment.name, policy, figures, without_long, with_long)
     return figures
 
 
-def _run_load(fleet: Fleet, plan: Plan) -> Phase:
+def _run_load(fleet: Fleet, plan: Plan) -> LoadRun:
     """Run the load tool in a process of its own and sample the engines meanwhile."""
-    full = Plan(
+    load_plan = Plan(
         [entry.address for entry in fleet.entries],
         fleet.deployment.organisations,
         fleet.deployment.engine_service,
@@ -151,38 +155,38 @@
         plan.workers,
         plan.duration_s,
     )
-    cpu, control = _cpu_seconds(fleet.entries), _sum_control(fleet, "control_bytes")
-    shares: list[float] = []
+    cpu_before, control = _cpu_seconds(fleet.entries), _sum_engine_statistic(fleet, "control_bytes")
+    memory_use: list[float] = []
     stopped = threading.Event()
-    sampler = threading.Thread(target=_sample, args=(fleet, shares, stopped))
+    sampler = threading.Thread(target=_sample_memory_use, args=(fleet, memory_use, stopped))
     sampler.start()
     begin = os.times().elapsed
     try:
         finished = subprocess.run(
             [sys.executable, "-m", "wasabiwell_standins.load"],
-            input=msgspec.json.encode(full),
+            input=msgspec.json.encode(load_plan),
             stdout=subprocess.PIPE,
             check=True,
         )
     finally:
         stopped.set()
         sampler.join()
-    return Phase(
+    return LoadRun(
         msgspec.json.decode(finished.stdout, type=list[Result]),
-        _cpu_seconds(fleet.entries) - cpu,
-        _sum_control(fleet, "control_bytes") - control,
+        _cpu_seconds(fleet.entries) - cpu_before,
+        _sum_engine_statistic(fleet, "control_bytes") - control,
         os.times().elapsed - begin,
-        shares,
+        memory_use,
     )
 
 
-def _sample(fleet: Fleet, shares: list[float], stopped: threading.Event) -> None:
+def _sample_memory_use(fleet: Fleet, memory_use: list[float], stopped: threading.Event) -> None:
     total = fleet.deployment.engine_tokens * len(fleet.processes_with_role("engine"))
     while not stopped.wait(SAMPLE_SECONDS):
-        shares.append(_sum_control(fleet, "used_tokens") / total)
+        memory_use.append(_sum_engine_statistic(fleet, "used_tokens") / total)
 
 
-def _sum_control(fleet: Fleet, name: str) -> int:
+def _sum_engine_statistic(fleet: Fleet, name: str) -> int:
     return sum(
         int(str(fleet.control(engine)[name])) for engine in fleet.processes_with_role("engine")
     )
@@ -205,15 +209,15 @@
     return ordered[max(0, -(-len(ordered) * percent // 100) - 1)]
 
 
-def _first_tokens(phase: Phase, kind: str) -> list[float]:
-    return [item.first_token_s for item in phase.results if item.kind == kind and not item.error]
+def _first_token_times(load_run: LoadRun, kind: str) -> list[float]:
+    return [item.first_token_s for item in load_run.results if item.kind == kind and not item.error]
 
 
-def _worst_share_error(deployment: Deployment, phase: Phase) -> float:
+def _worst_share_error(deployment: Deployment, load_run: LoadRun) -> float:
     """Return the largest relative difference of an organisation's share from its weight."""
     served = dict.fromkeys(deployment.organisations, 0)
-    for result in phase.results:
-        if not result.error and result.ended_s > BACKLOG_START_SECONDS:
+    for result in load_run.results:
+        if not result.error and result.ended_s > BACKLOG_WARM_UP_SECONDS:
             served[result.organisation] += result.prompt_tokens + result.tokens
     weights = {
         name: LARGE_WEIGHT if index < LARGE_ORGANISATIONS else 1.0
@@ -228,26 +232,26 @@
     deployment: str,
     policy: str,
     figures: dict[str, float | None],
-    alone: Phase,
-    mixed: Phase,
+    without_long: LoadRun,
+    with_long: LoadRun,
 ) -> None:
     click.echo(f"{deployment} {policy}")
-    for label, phase in (("without longs", alone), ("with longs", mixed)):
+    for label, load_run in (("without longs", without_long), ("with longs", with_long)):
         for kind in ("short", "medium", "long"):
-            values = _first_tokens(phase, kind)
-            errors = [item.error for item in phase.results if item.kind == kind and item.error]
+            values = _first_token_times(load_run, kind)
+            errors = [item.error for item in load_run.results if item.kind == kind and item.error]
             row = [percentile(values, percent) for percent in (50, 95, 99)]
             text = "".join(f"{value:>9.3f}" if value is not None else f"{'-':>9}" for value in row)
             click.echo(f"  {label:<14}{kind:<8}{len(values):>5} right{len(errors):>4} wrong{text}")
             for error in sorted(set(errors))[:3]:
                 click.echo(f"    {error[:160]}")
-    peak = max(mixed.held_shares, default=0.0)
+    peak = max(with_long.memory_use, default=0.0)
     click.echo(f"  peak share of the fleet's memory in use: {peak:.2f}")
     for name, value in figures.items():
         click.echo(f"  {name:<26}{value if value is not None else float('nan'):>12.4f}")
 
 
-def _register_others() -> None:
+def _register_subcommands() -> None:
     """Register the measurements of other capabilities: each module `measure_NAME` as NAME."""
     for module in pkgutil.iter_modules(wasabiwell_standins.__path__):
         if module.name.startswith(MODULE_PREFIX):
@@ -255,7 +259,7 @@
             main.add_command(loaded.main, module.name.removeprefix(MODULE_PREFIX))
 
 
-_register_others()
+_register_subcommands()
 
 if __name__ == "__main__":
     main()
--- a/standins/wasabiwell_standins/measure_capacity.py
+++ b/standins/wasabiwell_standins/measure_capacity.py
@@ -96,10 +96,10 @@
 def allocated_bytes(build: Callable[[], object]) -> int:
     """Return the memory that the built object keeps."""
     tracemalloc.start()
-    kept = build()
+    built = build()
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    del kept
+    del built
     return size
 
 
@@ -263,7 +263,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Budget:
+class ControlBudget:
     """What one node may spend on control."""
 
     cpu_share: float = 0.033
@@ -272,7 +272,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Load:
+class MechanismLoad:
     """Use of one mechanism at one node: messages a second, processor share, memory, bytes."""
 
     mechanism: str
@@ -286,7 +286,7 @@
 """Five streams out and about five in, one exchange a second each."""
 HEARTBEAT_BYTES = 95
 """Bytes of one exchange in `measure_membership`: 953 B/s at 48 entries over 10 exchanges."""
-RENEWALS_PER_S = 1 / 5
+LIMIT_RENEWALS_PER_S = 1 / 5
 """Each owner of a limit hears once in 5 s from each entry that uses one of its organisations."""
 LIMIT_MESSAGE_BYTES = 120
 CHANGE_BYTES = 300
@@ -296,52 +296,54 @@
 INSTANCE_RECORD_BYTES = 200
 LIST_READERS_PER_ZONE = 2
 HEAD_POLLERS_PER_ZONE = 2
-RARE_HEAD_POLL_S = 30.0
+SLOW_HEAD_POLL_INTERVAL_S = 30.0
 TABLE_READS_PER_S = 2_000
 TABLE_WRITES_PER_S = 300
-RUN_WRITES = 2
-RUN_READS = 1
+TABLE_WRITES_PER_CALL = 2
+TABLE_READS_PER_CALL = 1
 
 
-def node_loads(size: DesignSize, slopes: dict[str, Slope], peer_call: float) -> list[Load]:
+def node_loads(size: DesignSize, slopes: dict[str, Slope], peer_call: float) -> list[MechanismLoad]:
     """Return the control load of one node at the design size, by mechanism."""
-    end = peer_call / 2
+    cpu_per_end = peer_call / 2
     zone_members = size.nodes / size.zones
     region_members = size.nodes / size.regions
-    owned = size.engines / size.nodes
+    owned_engines = size.engines / size.nodes
     changes = size.changes_per_day / SECONDS_PER_DAY
     moves = (size.failures_per_day + size.restarts_per_day) * 2 / SECONDS_PER_DAY
-    renewals = 2 * (region_members - 1) * RENEWALS_PER_S
+    renewals = 2 * (region_members - 1) * LIMIT_RENEWALS_PER_S
     change_cpu = slopes["configuration change"].at(size.organisations)
     look_up = slopes["owner look-up"].at(zone_members)
     return [
-        Load(
+        MechanismLoad(
             "heartbeats",
             HEARTBEATS_PER_S,
-            HEARTBEATS_PER_S * end,
+            HEARTBEATS_PER_S * cpu_per_end,
             slopes["member memory"].at(size.nodes),
             HEARTBEATS_PER_S * HEARTBEAT_BYTES,
         ),
-        Load("limits", renewals, renewals * end, 0.0, renewals * LIMIT_MESSAGE_BYTES),
-        Load(
+        MechanismLoad(
+            "limits", renewals, renewals * cpu_per_end, 0.0, renewals * LIMIT_MESSAGE_BYTES
+        ),
+        MechanismLoad(
             "configuration",
             2 * changes,
             changes * (peer_call + change_cpu),
             slopes["configuration memory"].at(size.organisations),
             2 * changes * CHANGE_BYTES,
         ),
-        Load("owner look-ups after member changes", 0.0, moves * size.engines * look_up),
-        Load(
+        MechanismLoad("owner look-ups after member changes", 0.0, moves * size.engines * look_up),
+        MechanismLoad(
             "polls of owned engines",
-            owned * LOAD_POLLS_PER_S,
-            owned * LOAD_POLLS_PER_S * end,
+            owned_engines * LOAD_POLLS_PER_S,
+            owned_engines * LOAD_POLLS_PER_S * cpu_per_end,
             slopes["target memory"].at(size.engines),
-            owned * LOAD_POLLS_PER_S * LOAD_REPORT_BYTES,
+            owned_engines * LOAD_POLLS_PER_S * LOAD_REPORT_BYTES,
         ),
-        Load(
+        MechanismLoad(
             "polls of all engines (today's code)",
             size.engines * LOAD_POLLS_PER_S,
-            size.engines * LOAD_POLLS_PER_S * end,
+            size.engines * LOAD_POLLS_PER_S * cpu_per_end,
             slopes["target memory"].at(size.engines),
             size.engines * LOAD_POLLS_PER_S * LOAD_REPORT_BYTES,
         ),
@@ -351,7 +353,7 @@
 def table_reads_per_s(size: DesignSize) -> float:
     """Return the reads of the table service by all nodes that do not depend on requests."""
     pollers = HEAD_POLLERS_PER_ZONE * size.zones
-    return pollers + (size.nodes - pollers) / RARE_HEAD_POLL_S
+    return pollers + (size.nodes - pollers) / SLOW_HEAD_POLL_INTERVAL_S
 
 
 def print_slopes(slopes: list[Slope], peer_call: float) -> None:
@@ -365,9 +367,9 @@
     click.echo(f"| peer call, both ends | {peer_call:.3g} s/call | |")
 
 
-def print_node(loads: list[Load]) -> None:
+def print_node(loads: list[MechanismLoad]) -> None:
     """Print the control load of one node against its budget."""
-    budget = Budget()
+    budget = ControlBudget()
     click.echo(
         "\n| mechanism | messages/s | share of a core | memory, MB | bytes/s |"
         "\n|---|---|---|---|---|"
@@ -389,7 +391,8 @@
     reads = table_reads_per_s(size)
     records = size.nodes + size.engines
     calls = min(
-        (TABLE_WRITES_PER_S - 2 * changes) / RUN_WRITES, (TABLE_READS_PER_S - reads) / RUN_READS
+        (TABLE_WRITES_PER_S - 2 * changes) / TABLE_WRITES_PER_CALL,
+        (TABLE_READS_PER_S - reads) / TABLE_READS_PER_CALL,
     )
     moves = (size.failures_per_day + size.restarts_per_day) * 2
     click.echo("\n| platform | figure |\n|---|---|")
--- a/standins/wasabiwell_standins/measure_credits.py
+++ b/standins/wasabiwell_standins/measure_credits.py
@@ -87,14 +87,14 @@
     waits: list[float] = field(default_factory=list)
     changed: trio.Event = field(default_factory=trio.Event)
 
-    def note_change(self) -> None:
+    def notify_change(self) -> None:
         """Wake the requests that wait for capacity."""
         self.changed.set()
         self.changed = trio.Event()
 
 
 @dataclass(slots=True)
-class World:
+class Cluster:
     """Entry instances in one process that share engines over loopback connections."""
 
     members: MemberTable
@@ -104,54 +104,54 @@
 
 
 @asynccontextmanager
-async def open_world(entries: int, engines: int) -> AsyncIterator[World]:
+async def open_cluster(entries: int, engines: int) -> AsyncIterator[Cluster]:
     """Own a world with its servers until the context ends."""
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(trio_asyncio.open_loop())
         clock = SystemClock()
-        world = World(MemberTable(), TargetTable(), {}, [])
+        cluster = Cluster(MemberTable(), TargetTable(), {}, [])
         for index in range(engines):
             name = f"engine-{index}"
-            world.targets.put(Target(name, TargetKind.ENGINE, "s", "", "r", "z"))
-            world.running[name] = 0
-        report_load(world)
+            cluster.targets.put(Target(name, TargetKind.ENGINE, "s", "", "r", "z"))
+            cluster.running[name] = 0
+        report_load(cluster)
         ports = free_ports(entries)
         for index, port in enumerate(ports):
-            world.members.put(Member(f"n-{index}", 1, "r", "z", "", f"{HOST}:{port}"))
-        for member, port in zip(world.members, ports, strict=True):
+            cluster.members.put(Member(f"n-{index}", 1, "r", "z", "", f"{HOST}:{port}"))
+        for member, port in zip(cluster.members, ports, strict=True):
             client = await stack.enter_async_context(open_peer_client())
             peers = CountingPeers(GrpcCreditPeers(client))
-            owners = EngineOwners(member, world.members, world.targets)
-            owner = CreditOwner(owners, world.targets, peers, clock)
+            owners = EngineOwners(member, cluster.members, cluster.targets)
+            owner = CreditOwner(owners, cluster.targets, peers, clock)
             holder = CreditHolder(
-                member.node_id, owners, owner, peers, world.targets, NoReservations(), clock
+                member.node_id, owners, owner, peers, cluster.targets, NoReservations(), clock
             )
             service = PeerService()
             serve_credits(service, owner, holder)
             await stack.enter_async_context(serve_peers(service, HOST, port))
             node = Node(owner, holder, peers)
-            holder.on_change(node.note_change)
-            world.nodes.append(node)
-        yield world
+            holder.on_change(node.notify_change)
+            cluster.nodes.append(node)
+        yield cluster
 
 
-def report_load(world: World) -> None:
+def report_load(cluster: Cluster) -> None:
     """Let all engines report their load."""
     now = timedelta(seconds=trio.current_time())
-    for status in world.targets:
-        running = world.running[status.target.target_id]
+    for status in cluster.targets:
+        running = cluster.running[status.target.target_id]
         free = TOKENS - running * REQUEST_TOKENS
         status.load = EngineLoad(now, SLOTS, running, 0, TOKENS, free)
 
 
-async def report_loads(world: World) -> None:
+async def report_loads(cluster: Cluster) -> None:
     """Report the load of all engines until cancelled."""
     while True:
-        report_load(world)
+        report_load(cluster)
         await trio.sleep(LOAD_SECONDS)
 
 
-async def run_request(world: World, node: Node, engine: str, seconds: float) -> None:
+async def run_request(cluster: Cluster, node: Node, engine: str, seconds: float) -> None:
     """Hold capacity for one request, waiting for it as admission does."""
     begin = trio.current_time()
     node.requests += 1
@@ -162,21 +162,21 @@
         await changed.wait()
         hold = node.holder.try_hold(engine, REQUEST_TOKENS, SizeClass.SHORT)
     node.waits.append(trio.current_time() - begin)
-    world.running[engine] += 1
+    cluster.running[engine] += 1
     await trio.sleep(seconds)
-    world.running[engine] -= 1
+    cluster.running[engine] -= 1
     node.holder.release(hold)
 
 
 async def send_requests(
-    world: World, node: Node, rate: float, held_seconds: float, nursery: trio.Nursery
+    cluster: Cluster, node: Node, rate: float, held_seconds: float, nursery: trio.Nursery
 ) -> None:
     """Start requests at a fixed rate, spread over all engines."""
-    engines = list(world.running)
+    engines = list(cluster.running)
     number = 0
     while True:
         engine = engines[number % len(engines)]
-        nursery.start_soon(run_request, world, node, engine, held_seconds)
+        nursery.start_soon(run_request, cluster, node, engine, held_seconds)
         number += 1
         await trio.sleep(1.0 / rate)
 
@@ -185,16 +185,16 @@
     entries: int, engines: int, rate: float, seconds: float, held_seconds: float
 ) -> str:
     """Return a line with the messages per request of a number of entry instances."""
-    async with open_world(entries, engines) as world, trio.open_nursery() as nursery:
-        nursery.start_soon(report_loads, world)
-        for node in world.nodes:
+    async with open_cluster(entries, engines) as cluster, trio.open_nursery() as nursery:
+        nursery.start_soon(report_loads, cluster)
+        for node in cluster.nodes:
             nursery.start_soon(node.owner.run)
             nursery.start_soon(node.holder.run)
-            nursery.start_soon(send_requests, world, node, rate, held_seconds, nursery)
+            nursery.start_soon(send_requests, cluster, node, rate, held_seconds, nursery)
         await trio.sleep(seconds)
-        requests = sum(node.requests for node in world.nodes)
-        messages = sum(node.peers.messages for node in world.nodes)
-        waits = sorted(wait for node in world.nodes for wait in node.waits)
+        requests = sum(node.requests for node in cluster.nodes)
+        messages = sum(node.peers.messages for node in cluster.nodes)
+        waits = sorted(wait for node in cluster.nodes for wait in node.waits)
         nursery.cancel_scope.cancel()
     return (
         f"| {entries} | {engines} | {requests} | {messages} | {messages / requests:.3f} "
@@ -205,18 +205,20 @@
 
 async def measure_cpu(claims: int, messages: int) -> str:
     """Return a line with the CPU time of both ends for messages with a number of claims."""
-    async with open_world(2, claims * 4) as world:
-        first = world.nodes[0]
-        own = {member.node_id: member for member in world.members}
-        owners = EngineOwners(own["n-1"], world.members, world.targets)
-        engines = [name for name in world.running if owners.is_own(owners.owner(name))][:claims]
-        used = Amount(1, REQUEST_TOKENS)
+    async with open_cluster(2, claims * 4) as cluster:
+        first = cluster.nodes[0]
+        members_by_id = {member.node_id: member for member in cluster.members}
+        owners = EngineOwners(members_by_id["n-1"], cluster.members, cluster.targets)
+        engines = [name for name in cluster.running if owners.is_own(owners.owner(name))][:claims]
+        amount = Amount(1, REQUEST_TOKENS)
         begin = 0.0
         for sequence in range(-10, messages):
             if sequence == 0:
                 begin = time.process_time()
-            batch = [CreditClaim(name, "m", sequence + 20, used, used, used) for name in engines]
-            answers = await first.peers.acquire(own["n-1"], batch)
+            batch = [
+                CreditClaim(name, "m", sequence + 20, amount, amount, amount) for name in engines
+            ]
+            answers = await first.peers.acquire(members_by_id["n-1"], batch)
             if isinstance(answers, OwnerUnreachable):
                 raise click.ClickException(f"the owner did not answer: {answers.reason}")
         cpu = (time.process_time() - begin) / messages
--- a/standins/wasabiwell_standins/measure_logs.py
+++ b/standins/wasabiwell_standins/measure_logs.py
@@ -63,15 +63,17 @@
     async with open_deployment(SIZE, folder, prepare) as deployment:
         await send_all(deployment, rate, WARM_UP_SECONDS)
         processes = [entry.process.pid for entry in deployment.entries if entry.process is not None]
-        before = sum(cpu_seconds(pid) for pid in processes)
+        cpu_before = sum(cpu_seconds(pid) for pid in processes)
         replies = await send_all(deployment, rate, seconds)
-        used = sum(cpu_seconds(pid) for pid in processes) - before
-    whole = [reply for reply in replies if reply.status == 200 and reply.complete]
-    firsts = sorted(reply.first_byte_s for reply in whole if reply.first_byte_s is not None)
-    tail = statistics.quantiles(firsts, n=100)[98]
-    figures = (statistics.median(firsts), tail, used / len(replies))
+        cpu_used = sum(cpu_seconds(pid) for pid in processes) - cpu_before
+    complete = [reply for reply in replies if reply.status == 200 and reply.complete]
+    first_byte_times = sorted(
+        reply.first_byte_s for reply in complete if reply.first_byte_s is not None
+    )
+    p99 = statistics.quantiles(first_byte_times, n=100)[98]
+    figures = (statistics.median(first_byte_times), p99, cpu_used / len(replies))
     times = " | ".join(f"{1000 * value:.1f}" for value in figures)
-    return f"{len(whole)} of {len(replies)} | {times}"
+    return f"{len(complete)} of {len(replies)} | {times}"
 
 
 @click.command()
--- a/standins/wasabiwell_standins/measure_membership.py
+++ b/standins/wasabiwell_standins/measure_membership.py
@@ -20,16 +20,16 @@
 from wasabiwell_standins.fleet import HOST, Fleet, Process, free_ports, open_fleet, request
 from wasabiwell_standins.proxy import Proxy
 
-STARTED_AT_ONCE = 6
+PARALLEL_STARTS = 6
 SETTLE_SECONDS = 15.0
 EVENT_TIMEOUT_SECONDS = 30.0
 CHANGES = 5
-CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
-DEAD_LINE = r"^(\S+)Z INFO \[110\] entry instance {} is dead"
-IN_FORCE_LINE = r"^(\S+)Z INFO \[200\] configuration version {} is in force"
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+MEMBER_DEAD_PATTERN = r"^(\S+)Z INFO \[110\] entry instance {} is dead"
+CONFIGURATION_ACTIVE_PATTERN = r"^(\S+)Z INFO \[200\] configuration version {} is in force"
 
 
-class Relays:
+class PeerProxies:
     """Proxies in front of the peer ports, in one thread; they count the bytes between entries."""
 
     def __init__(self) -> None:
@@ -39,9 +39,9 @@
         self._ready.wait()
 
     @property
-    def bytes_passed(self) -> int:
+    def bytes_relayed(self) -> int:
         """Return the bytes of both directions through all proxies."""
-        return sum(proxy.bytes_passed for proxy in self._proxies)
+        return sum(proxy.bytes_relayed for proxy in self._proxies)
 
     def add(self, target: str) -> str:
         """Return the address of a new proxy to a target."""
@@ -68,16 +68,16 @@
     entries: int
     bytes_per_second: float
     cpu_percent: float
-    cpu_percent_highest: float
-    removal_s: float
-    in_force_s: list[float]
+    cpu_percent_max: float
+    removal_delay_s: float
+    activation_delays_s: list[float]
 
 
 def cpu_seconds(process: Process) -> float:
     """Return the processor time that a process has used."""
     with open(f"/proc/{process.pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
 
 def logged_at(fleet: Fleet, entry: Process, pattern: str) -> float | None:
@@ -114,7 +114,7 @@
     return answer["version"], accepted
 
 
-def know_all(fleet: Fleet) -> bool:
+def all_members_alive(fleet: Fleet) -> bool:
     """Return whether each entry instance knows all others as alive."""
     try:
         return all(
@@ -129,37 +129,46 @@
     """Start a fleet of entry instances without load and measure it."""
     with open_fleet(EAVELINE) as fleet:
         fleet.start_platform()
-        relays = Relays()
-        with ThreadPoolExecutor(STARTED_AT_ONCE) as pool:
+        proxies = PeerProxies()
+        with ThreadPoolExecutor(PARALLEL_STARTS) as pool:
             list(
                 pool.map(
-                    lambda index: fleet.start_entry(index, peer_proxy=relays.add), range(entries)
+                    lambda index: fleet.start_entry(index, peer_proxy=proxies.add), range(entries)
                 )
             )
         fleet.apply_example()
-        fleet.wait_until(partial(know_all, fleet), "all members are known", 120.0)
+        fleet.wait_until(partial(all_members_alive, fleet), "all members are known", 120.0)
         time.sleep(SETTLE_SECONDS)
-        bytes_before, began = relays.bytes_passed, time.monotonic()
+        bytes_before, began = proxies.bytes_relayed, time.monotonic()
         cpu_before = [cpu_seconds(entry) for entry in fleet.entries]
         time.sleep(seconds)
-        spent = time.monotonic() - began
-        passed = relays.bytes_passed - bytes_before
+        elapsed = time.monotonic() - began
+        bytes_relayed = proxies.bytes_relayed - bytes_before
         cpu = [
-            (cpu_seconds(entry) - before) / spent * 100
+            (cpu_seconds(entry) - before) / elapsed * 100
             for entry, before in zip(fleet.entries, cpu_before, strict=True)
         ]
-        in_force = []
+        activation_delays = []
         for _ in range(CHANGES):
             version, accepted = apply_change(fleet, fleet.entries[0])
-            reached = last_logged(fleet, fleet.entries, IN_FORCE_LINE.format(version))
-            in_force.append(max(0.0, reached - accepted))
-        victim = fleet.entries[-1]
-        survivors = [entry for entry in fleet.entries if entry is not victim]
+            activated = last_logged(
+                fleet, fleet.entries, CONFIGURATION_ACTIVE_PATTERN.format(version)
+            )
+            activation_delays.append(max(0.0, activated - accepted))
+        killed_entry = fleet.entries[-1]
+        survivors = [entry for entry in fleet.entries if entry is not killed_entry]
         killed = time.time()
-        victim.kill()
-        removal = last_logged(fleet, survivors, DEAD_LINE.format(victim.name)) - killed
+        killed_entry.kill()
+        removal_delay = (
+            last_logged(fleet, survivors, MEMBER_DEAD_PATTERN.format(killed_entry.name)) - killed
+        )
     return Result(
-        entries, 2 * passed / spent / entries, statistics.mean(cpu), max(cpu), removal, in_force
+        entries,
+        2 * bytes_relayed / elapsed / entries,
+        statistics.mean(cpu),
+        max(cpu),
+        removal_delay,
+        activation_delays,
     )
 
 
@@ -176,8 +185,8 @@
         result = measure(int(size), seconds)
         click.echo(
             f"{result.entries:>8}{result.bytes_per_second:>10.0f}{result.cpu_percent:>8.2f}"
-            f"{result.cpu_percent_highest:>9.2f}{result.removal_s:>20.2f}"
-            f"{statistics.median(result.in_force_s):>31.2f}{max(result.in_force_s):>9.2f}"
+            f"{result.cpu_percent_max:>9.2f}{result.removal_delay_s:>20.2f}"
+            f"{statistics.median(result.activation_delays_s):>31.2f}{max(result.activation_delays_s):>9.2f}"
         )
 
 
--- a/standins/wasabiwell_standins/measure_relay.py
+++ b/standins/wasabiwell_standins/measure_relay.py
@@ -26,7 +26,7 @@
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
 
-async def pass_through(
+async def forward_unparsed(
     exchange: HttpExchange, target: str, pool: httpcore.AsyncConnectionPool
 ) -> None:
     """Pass the engine's bytes on without reading them."""
@@ -39,7 +39,7 @@
         await exchange.stream(b"", more=False)
 
 
-def run_floor(address: str, target: str) -> None:
+def run_baseline(address: str, target: str) -> None:
     """Serve the libraries' floor: hypercorn and httpcore without the entry's code."""
     host, _, port = address.rpartition(":")
 
@@ -47,7 +47,7 @@
         async with httpcore.AsyncConnectionPool(max_connections=512) as pool:
 
             async def handle(exchange: HttpExchange) -> None:
-                await pass_through(exchange, target, pool)
+                await forward_unparsed(exchange, target, pool)
 
             await serve_http(handle, host, int(port))
 
@@ -65,7 +65,7 @@
         raise click.ClickException(result.error)
 
 
-def stream_floor(address: str, index: int, tokens: int) -> None:
+def stream_baseline(address: str, index: int, tokens: int) -> None:
     """Read one answer through the floor."""
     body = {
         "attempt_id": f"floor-{index}-{time.monotonic()}",
@@ -99,7 +99,7 @@
 def main(rates: tuple[int, ...], tokens: int, floor: str | None, target: str | None) -> None:
     """Print the CPU time of an entry instance, and of the libraries alone, for each token."""
     if floor is not None and target is not None:
-        run_floor(floor, target)
+        run_baseline(floor, target)
         return
     with open_fleet(replace(EAVELINE, entries=1, engines=1)) as fleet:
         fleet.start_platform()
@@ -110,13 +110,13 @@
         fleet.wait_ready()
         address = f"{HOST}:{free_ports()[0]}"
         arguments = ["--floor", address, "--target", engine.address]
-        floor_process = fleet.start_module("floor", "floor", address, __spec__.name, arguments)
+        baseline_process = fleet.start_module("floor", "floor", address, __spec__.name, arguments)
         click.echo(f"{'relay':<8}{'streams':>8}{'tokens/s':>12}{'CPU ms/token':>12}")
         for streams in rates:
             result = measure(entry, lambda i: stream_entry(fleet, i, tokens), streams, tokens)
             click.echo(f"{'entry':<8}{streams:>8}{result}")
             result = measure(
-                floor_process, lambda i: stream_floor(address, i, tokens), streams, tokens
+                baseline_process, lambda i: stream_baseline(address, i, tokens), streams, tokens
             )
             click.echo(f"{'floor':<8}{streams:>8}{result}")
 
--- a/standins/wasabiwell_standins/mixes.py
+++ b/standins/wasabiwell_standins/mixes.py
@@ -14,81 +14,81 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Mix:
+class ArrivalMix:
     """Rates and sizes; rates are in requests per second, sizes in tokens."""
 
     duration_s: float
     short_rate: float
-    peak_rate: float
-    short_tokens: tuple[int, int]
-    short_answer: int
+    short_peak_rate: float
+    short_prompt_tokens: tuple[int, int]
+    short_output_tokens: int
     medium_rate: float
-    medium_tokens: tuple[int, int]
-    longs: tuple[int, ...]
-    long_answer: int
+    medium_prompt_tokens: tuple[int, int]
+    long_prompt_tokens: tuple[int, ...]
+    long_output_tokens: int
 
 
 MIXES = {
-    "eaveline": Mix(
+    "eaveline": ArrivalMix(
         duration_s=4.0,
         short_rate=20.0,
-        peak_rate=35.0,
-        short_tokens=(1_000, 3_000),
-        short_answer=8,
+        short_peak_rate=35.0,
+        short_prompt_tokens=(1_000, 3_000),
+        short_output_tokens=8,
         medium_rate=0.7,
-        medium_tokens=(10_000, 40_000),
-        longs=(900_000, 180_000, 150_000, 120_000, 220_000, 140_000),
-        long_answer=100,
+        medium_prompt_tokens=(10_000, 40_000),
+        long_prompt_tokens=(900_000, 180_000, 150_000, 120_000, 220_000, 140_000),
+        long_output_tokens=100,
     ),
-    "fraserline": Mix(
+    "fraserline": ArrivalMix(
         duration_s=4.0,
         short_rate=28.0,
-        peak_rate=28.0,
-        short_tokens=(1_000, 2_000),
-        short_answer=8,
+        short_peak_rate=28.0,
+        short_prompt_tokens=(1_000, 2_000),
+        short_output_tokens=8,
         medium_rate=1.0,
-        medium_tokens=(20_000, 60_000),
-        longs=(850_000, 200_000, 250_000, 130_000, 160_000),
-        long_answer=100,
+        medium_prompt_tokens=(20_000, 60_000),
+        long_prompt_tokens=(850_000, 200_000, 250_000, 130_000, 160_000),
+        long_output_tokens=100,
     ),
 }
 
 
 def plan_requests(
-    deployment: Deployment, seed: int, phase: str, with_longs: bool
+    deployment: Deployment, seed: int, phase: str, with_long_prompts: bool
 ) -> list[PlannedRequest]:
-    """Return the arrivals of a mix; the short and medium ones do not depend on `with_longs`.
+    """Return the arrivals of a mix; the short and medium ones do not depend on `with_long_prompts`.
 
     `phase` makes prompts unique, so that no phase finds whole prompts of another one in a cache.
     """
     mix = MIXES[deployment.name]
-    names = list(deployment.organisations)
+    organisation_names = list(deployment.organisations)
     generator = random.Random(seed)
-    planned = _poisson(mix, names, generator, "short", phase)
-    planned += _poisson(mix, names, generator, "medium", phase)
-    planned += _warm_up(mix, names, generator, phase)
-    if with_longs:
+    planned = _poisson_arrivals(mix, organisation_names, generator, "short", phase)
+    planned += _poisson_arrivals(mix, organisation_names, generator, "medium", phase)
+    planned += _warm_up_arrivals(mix, organisation_names, generator, phase)
+    if with_long_prompts:
         planned += [
             PlannedRequest(
                 0.15 * index,
-                names[index % 3],
+                organisation_names[index % 3],
                 "long",
                 f"{phase}-long-{index}",
                 "",
                 tokens,
-                mix.long_answer,
+                mix.long_output_tokens,
                 TIMEOUT_S,
             )
-            for index, tokens in enumerate(mix.longs)
+            for index, tokens in enumerate(mix.long_prompt_tokens)
         ]
     return sorted(planned, key=lambda item: item.at_s)
 
 
-def _warm_up(
-    mix: Mix, names: list[str], generator: random.Random, phase: str
+def _warm_up_arrivals(
+    mix: ArrivalMix, organisation_names: list[str], generator: random.Random, phase: str
 ) -> list[PlannedRequest]:
     """Return short prompts that open connections and fill prefix caches; they are not counted."""
-    planned = _poisson(mix, names, generator, "short", f"{phase}-warm-up")
+    planned = _poisson_arrivals(mix, organisation_names, generator, "short", f"{phase}-warm-up")
     return [
         replace(item, at_s=item.at_s - SHORT_START_S, kind="warm-up")
         for item in planned
@@ -96,25 +96,27 @@
     ]
 
 
-def _poisson(
-    mix: Mix, names: list[str], generator: random.Random, kind: str, phase: str
+def _poisson_arrivals(
+    mix: ArrivalMix, organisation_names: list[str], generator: random.Random, kind: str, phase: str
 ) -> list[PlannedRequest]:
     short = kind == "short"
     rate = mix.short_rate if short else mix.medium_rate
-    sizes = mix.short_tokens if short else mix.medium_tokens
+    sizes = mix.short_prompt_tokens if short else mix.medium_prompt_tokens
     planned: list[PlannedRequest] = []
-    at = SHORT_START_S
+    arrival_s = SHORT_START_S
     while True:
-        peak = short and at > SHORT_START_S + mix.duration_s / 2
-        at += generator.expovariate(mix.peak_rate if peak else rate)
-        if at > SHORT_START_S + mix.duration_s:
+        peak = short and arrival_s > SHORT_START_S + mix.duration_s / 2
+        arrival_s += generator.expovariate(mix.short_peak_rate if peak else rate)
+        if arrival_s > SHORT_START_S + mix.duration_s:
             return planned
-        name = generator.choice(names)
+        name = generator.choice(organisation_names)
         prefix = f"{name} {kind} ".ljust(PREFIX_BYTES, "p") if short else ""
         tokens = generator.randint(*sizes)
         tag = f"{phase}-{kind}-{len(planned)}"
-        answer = mix.short_answer
-        planned.append(PlannedRequest(at, name, kind, tag, prefix, tokens, answer, TIMEOUT_S))
+        output_tokens = mix.short_output_tokens
+        planned.append(
+            PlannedRequest(arrival_s, name, kind, tag, prefix, tokens, output_tokens, TIMEOUT_S)
+        )
 
 
 def plan_backlog(deployment: Deployment) -> list[PlannedRequest]:
--- a/standins/wasabiwell_standins/otlp.py
+++ b/standins/wasabiwell_standins/otlp.py
@@ -31,11 +31,11 @@
         """Take an export, or return what was received."""
         match exchange.method, exchange.path:
             case "POST", "/v1/traces":
-                self._take_traces(ExportTraceServiceRequest.FromString(_body(exchange)))
+                self._store_spans(ExportTraceServiceRequest.FromString(_body(exchange)))
                 reply = ExportTraceServiceResponse().SerializeToString()
                 await exchange.reply_bytes(200, reply, PROTOBUF)
             case "POST", "/v1/metrics":
-                self._take_metrics(ExportMetricsServiceRequest.FromString(_body(exchange)))
+                self._store_metrics(ExportMetricsServiceRequest.FromString(_body(exchange)))
                 reply = ExportMetricsServiceResponse().SerializeToString()
                 await exchange.reply_bytes(200, reply, PROTOBUF)
             case "GET", "/received":
@@ -43,7 +43,7 @@
             case _:
                 await exchange.reply(404, {"error": "no such route"})
 
-    def _take_traces(self, request: ExportTraceServiceRequest) -> None:
+    def _store_spans(self, request: ExportTraceServiceRequest) -> None:
         for resource in request.resource_spans:
             sender = _sender(resource.resource)
             for scope in resource.scope_spans:
@@ -53,7 +53,7 @@
                     value |= {name: getattr(span, name).hex() for name in ids}
                     self._spans.append({"sender": sender, **value})
 
-    def _take_metrics(self, request: ExportMetricsServiceRequest) -> None:
+    def _store_metrics(self, request: ExportMetricsServiceRequest) -> None:
         for resource in request.resource_metrics:
             metrics = self._metrics.setdefault(_sender(resource.resource), {})
             for scope in resource.scope_metrics:
--- a/standins/wasabiwell_standins/platform.py
+++ b/standins/wasabiwell_standins/platform.py
@@ -1,6 +1,6 @@
 """Stand-in for the platform: table service, object store and lagging instance list.
 
-`POST /control` sets faults: `outage` (503 to everything), `delay_s`, and `lose_replies` (the
+`POST /faults` sets faults: `outage` (503 to everything), `delay_s`, and `lose_replies` (the
 number of next transactions whose reply is not sent although the write took effect).
 """
 
@@ -18,7 +18,7 @@
 
 
 @dataclass(slots=True)
-class Control:
+class Faults:
     """Faults in force."""
 
     outage: bool = False
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class Stored:
+class StoredRow:
     """A row: value in base64 as it goes over the wire, and version."""
 
     value: str
@@ -54,18 +54,18 @@
     """An instance and the times from which its states are visible in the list."""
 
     record: dict[str, Any]
-    visible_from: float
-    leaving_from: float = math.inf
-    gone_from: float = math.inf
+    listed_at: float
+    leaving_at: float = math.inf
+    unlisted_at: float = math.inf
 
 
 @dataclass(slots=True)
 class Platform:
     """State of the stand-in."""
 
-    control: Control = field(default_factory=Control)
+    faults: Faults = field(default_factory=Faults)
     statistics: Statistics = field(default_factory=Statistics)
-    rows: dict[str, Stored] = field(default_factory=dict)
+    rows: dict[str, StoredRow] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     objects: dict[str, bytes] = field(default_factory=dict)
     instances: dict[str, ListedInstance] = field(default_factory=dict)
@@ -73,17 +73,17 @@
     async def handle(self, exchange: HttpExchange) -> None:
         """Answer one request."""
         if exchange.path == "/control":
-            await self._control(exchange)
+            await self._handle_control(exchange)
             return
         if exchange.path.startswith("/instances/"):
-            await self._change_instance(exchange)
+            await self._update_instance(exchange)
             return
-        if self.control.delay_s:
-            await trio.sleep(self.control.delay_s)
+        if self.faults.delay_s:
+            await trio.sleep(self.faults.delay_s)
         if self._unavailable(exchange.path):
             await exchange.reply(503, {"error": "outage"})
             return
-        handler = self._handler(exchange)
+        handler = self._find_handler(exchange)
         if handler is None:
             await exchange.reply(404, {"error": "no such path"})
             return
@@ -91,12 +91,14 @@
 
     def _unavailable(self, path: str) -> bool:
         if path.startswith("/objects/"):
-            return self.control.object_outage or self.control.outage
+            return self.faults.object_outage or self.faults.outage
         if path.startswith("/instances"):
-            return self.control.instance_outage
-        return self.control.outage
+            return self.faults.instance_outage
+        return self.faults.outage
 
-    def _handler(self, exchange: HttpExchange) -> Callable[[HttpExchange], Awaitable[None]] | None:
+    def _find_handler(
+        self, exchange: HttpExchange
+    ) -> Callable[[HttpExchange], Awaitable[None]] | None:
         match exchange.method, exchange.path:
             case "POST", "/transact":
                 return self._transact
@@ -107,14 +109,14 @@
             case "GET", "/instances":
                 return self._list_instances
             case "PUT" | "GET", path if path.startswith("/objects/"):
-                return self._object
+                return self._handle_object
         return None
 
-    async def _control(self, exchange: HttpExchange) -> None:
+    async def _handle_control(self, exchange: HttpExchange) -> None:
         if exchange.method == "POST":
             for name, value in msgspec.json.decode(exchange.body).items():
-                setattr(self.control, name, value)
-        await exchange.reply(200, {"control": self.control, "statistics": self.statistics})
+                setattr(self.faults, name, value)
+        await exchange.reply(200, {"control": self.faults, "statistics": self.statistics})
 
     async def _transact(self, exchange: HttpExchange) -> None:
         body = msgspec.json.decode(exchange.body)
@@ -129,8 +131,8 @@
         else:
             for write in body["writes"]:
                 self._write(write["key"], write["value"])
-        if self.control.lose_replies > 0:
-            self.control.lose_replies -= 1
+        if self.faults.lose_replies > 0:
+            self.faults.lose_replies -= 1
             await trio.sleep(60.0)
         await exchange.reply(200, {"committed": not failed, "failed": failed})
 
@@ -144,7 +146,7 @@
             return
         version = self.versions.get(key, 0) + 1
         self.versions[key] = version
-        self.rows[key] = Stored(value, version)
+        self.rows[key] = StoredRow(value, version)
 
     async def _read(self, exchange: HttpExchange) -> None:
         self.statistics.reads += 1
@@ -164,7 +166,7 @@
             for key in keys
         ]
 
-    async def _object(self, exchange: HttpExchange) -> None:
+    async def _handle_object(self, exchange: HttpExchange) -> None:
         key = unquote(exchange.path.removeprefix("/objects/"))
         if exchange.method == "PUT":
             self.statistics.object_puts += 1
@@ -178,25 +180,25 @@
             return
         await exchange.reply_bytes(200, value, b"application/octet-stream")
 
-    async def _change_instance(self, exchange: HttpExchange) -> None:
+    async def _update_instance(self, exchange: HttpExchange) -> None:
         instance_id = exchange.path.removeprefix("/instances/")
-        visible = trio.current_time() + self.control.instance_lag_s
+        visible_at = trio.current_time() + self.faults.instance_lag_s
         if exchange.method == "PUT":
             record = msgspec.json.decode(exchange.body)
-            self.instances[instance_id] = ListedInstance(record, visible)
+            self.instances[instance_id] = ListedInstance(record, visible_at)
         elif instance_id in self.instances and exchange.method == "POST":
-            self.instances[instance_id].leaving_from = visible
+            self.instances[instance_id].leaving_at = visible_at
         elif instance_id in self.instances and exchange.method == "DELETE":
-            self.instances[instance_id].gone_from = visible
+            self.instances[instance_id].unlisted_at = visible_at
         await exchange.reply(200, {})
 
     async def _list_instances(self, exchange: HttpExchange) -> None:
         self.statistics.instance_reads += 1
         now = trio.current_time()
         records = [
-            {**listed.record, "leaving": listed.leaving_from <= now}
+            {**listed.record, "leaving": listed.leaving_at <= now}
             for listed in self.instances.values()
-            if listed.visible_from <= now < listed.gone_from
+            if listed.listed_at <= now < listed.unlisted_at
         ]
         await exchange.reply(200, records)
 
--- a/standins/wasabiwell_standins/proxy.py
+++ b/standins/wasabiwell_standins/proxy.py
@@ -13,7 +13,7 @@
 
 from wasabiwell_standins.asgi import HttpExchange, serve_http
 
-PIECE_BYTES = 65_536
+RECEIVE_BYTES = 65_536
 
 
 @dataclass(slots=True)
@@ -34,7 +34,7 @@
         self.faults = Faults()
         self.cut = trio.Event()
         self.connections = 0
-        self.bytes_passed = 0
+        self.bytes_relayed = 0
 
     async def serve(self, client: trio.SocketStream) -> None:
         """Pass one connection on until either end closes it or the proxy is cut."""
@@ -50,8 +50,12 @@
         self.connections += 1
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._close_on_cut, nursery.cancel_scope)
-            nursery.start_soon(self._pass, client, server, "silent_to_server", nursery.cancel_scope)
-            nursery.start_soon(self._pass, server, client, "silent_to_client", nursery.cancel_scope)
+            nursery.start_soon(
+                self._relay, client, server, "silent_to_server", nursery.cancel_scope
+            )
+            nursery.start_soon(
+                self._relay, server, client, "silent_to_client", nursery.cancel_scope
+            )
         await trio.aclose_forcefully(client)
         await trio.aclose_forcefully(server)
 
@@ -60,24 +64,28 @@
         self.cut.set()
         self.cut = trio.Event()
 
-    async def _close_on_cut(self, scope: trio.CancelScope) -> None:
+    async def _close_on_cut(self, cancel_scope: trio.CancelScope) -> None:
         await self.cut.wait()
-        scope.cancel()
-
-    async def _pass(
-        self, source: trio.SocketStream, sink: trio.SocketStream, flag: str, scope: trio.CancelScope
+        cancel_scope.cancel()
+
+    async def _relay(
+        self,
+        source: trio.SocketStream,
+        destination: trio.SocketStream,
+        flag: str,
+        cancel_scope: trio.CancelScope,
     ) -> None:
         try:
-            while data := await source.receive_some(PIECE_BYTES):
+            while data := await source.receive_some(RECEIVE_BYTES):
                 if getattr(self.faults, flag):
                     await trio.sleep_forever()
                 if self.faults.delay_s:
                     await trio.sleep(self.faults.delay_s)
-                await sink.send_all(data)
-                self.bytes_passed += len(data)
+                await destination.send_all(data)
+                self.bytes_relayed += len(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
-        scope.cancel()
+        cancel_scope.cancel()
 
     async def control(self, exchange: HttpExchange) -> None:
         """Answer a control request."""
--- a/standins/wasabiwell_standins/telemetry_cost.py
+++ b/standins/wasabiwell_standins/telemetry_cost.py
@@ -19,7 +19,7 @@
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
 
-def cost(fleet: Fleet, requests: int) -> float:
+def cpu_ms_per_request(fleet: Fleet, requests: int) -> float:
     """Return the CPU milliseconds that an entry instance spends on each request."""
     entry = fleet.entries[0]
     key = next(iter(fleet.deployment.organisations.values()))
@@ -38,12 +38,12 @@
 def main(requests: int, rounds: int) -> None:
     """Print CPU ms per request without and with an OTLP receiver, in turn."""
     for _ in range(rounds):
-        for exported in (False, True):
+        for with_otlp in (False, True):
             with open_fleet(replace(EAVELINE, entries=1)) as fleet:
                 fleet.start_platform()
                 fleet.start_engine(0)
                 options: tuple[str, ...] = ()
-                if exported:
+                if with_otlp:
                     address = f"{HOST}:{free_ports()[0]}"
                     fleet.start_module(
                         "otlp", "otlp", address, "wasabiwell_standins.otlp", ["--address", address]
@@ -52,9 +52,9 @@
                 fleet.start_entry(0, *options)
                 fleet.apply_example()
                 fleet.wait_ready()
-                cost(fleet, requests // 10)
-                name = "with OTLP" if exported else "without"
-                click.echo(f"{name}: {cost(fleet, requests):.2f} ms CPU per request")
+                cpu_ms_per_request(fleet, requests // 10)
+                name = "with OTLP" if with_otlp else "without"
+                click.echo(f"{name}: {cpu_ms_per_request(fleet, requests):.2f} ms CPU per request")
 
 
 if __name__ == "__main__":
