--- a/standins/wasabiwell_standins/__init__.py
+++ b/standins/wasabiwell_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the systems around wasabiwell, for tests, measurements and demonstrations."""
+"""Stand-ins for external systems, used by tests, measurements and demonstrations."""
--- a/standins/wasabiwell_standins/asgi.py
+++ b/standins/wasabiwell_standins/asgi.py
@@ -1,4 +1,4 @@
-"""A small ASGI application frame for the stand-ins."""
+"""Minimal ASGI server used by the stand-ins."""
 
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -11,7 +11,7 @@
 
 
 class HttpExchange:
-    """One HTTP request to a stand-in, with its body."""
+    """An HTTP request with its complete body, and methods to send the response."""
 
     __slots__ = ("_scope", "_send", "body", "receive")
 
@@ -46,26 +46,26 @@
         return None
 
     async def reply(self, status: int, value: object) -> None:
-        """Answer with JSON."""
+        """Send a JSON response."""
         await self.reply_bytes(status, msgspec.json.encode(value), b"application/json")
 
     async def reply_bytes(self, status: int, body: bytes, content_type: bytes) -> None:
-        """Answer with bytes."""
+        """Send a response with a complete body."""
         headers = [(b"content-type", content_type), (b"content-length", b"%d" % len(body))]
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
         await self._send({"type": "http.response.body", "body": body})
 
     async def start_stream(self, content_type: bytes) -> None:
-        """Begin a streamed answer."""
+        """Start a streamed response with status 200."""
         headers = [(b"content-type", content_type)]
         await self._send({"type": "http.response.start", "status": 200, "headers": headers})
 
     async def send_chunk(self, data: bytes, more: bool = True) -> None:
-        """Send a part of a streamed answer."""
+        """Send a chunk of a streamed response; `more=False` ends it."""
         await self._send({"type": "http.response.body", "body": data, "more_body": more})
 
     async def wait_disconnected(self) -> None:
-        """Return when the client closes the connection."""
+        """Wait until the client closes the connection."""
         while (await self.receive())["type"] != "http.disconnect":
             pass
 
@@ -74,7 +74,7 @@
 
 
 async def serve_http(handler: Handler, host: str, port: int) -> None:
-    """Serve a handler until cancelled."""
+    """Serve HTTP with a handler for each request, until cancelled."""
 
     async def app(scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
--- a/standins/wasabiwell_standins/booking.py
+++ b/standins/wasabiwell_standins/booking.py
@@ -1,10 +1,10 @@
-"""Stand-in for a booking service that counts how often each call ran.
+"""Stand-in for a booking service that counts the executions of each call.
 
-`POST /bookings` and `/reservations` run a booking; `GET /ledger` gives the run count of each
-idempotency key, with `also=HOST:PORT,...` summed over further targets; `GET /availability` is an
-idempotent look-up. `POST /faults` sets `delay_s`
-(time that a booking takes) and `drop_replies` (the number of next bookings that run and whose
-connection is then cut).
+`POST /bookings` and `/reservations` execute a booking. `GET /ledger` returns the execution count of
+each idempotency key; `also=HOST:PORT,...` adds the counts of other targets. `GET /availability` is
+an idempotent look-up. `POST /control` sets faults: `delay_s` is the duration of a booking, and
+`drop_replies` the number of further bookings that are executed but whose connection is closed
+before the response body.
 """
 
 from collections import Counter
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True)
 class Faults:
-    """Faults in force."""
+    """Active faults; the field names are the keys of `POST /control`."""
 
     delay_s: float = 0.02
     drop_replies: int = 0
@@ -28,14 +28,14 @@
 
 @dataclass(slots=True)
 class BookingService:
-    """State of the stand-in."""
+    """State and request handlers of one booking target."""
 
     name: str
     faults: Faults = field(default_factory=Faults)
     run_counts: Counter[str] = field(default_factory=Counter)
 
     async def handle(self, exchange: HttpExchange) -> None:
-        """Answer one request."""
+        """Handle one HTTP request."""
         match exchange.method, exchange.path:
             case "GET", "/ledger":
                 await exchange.reply(200, await self._total_run_counts(exchange.query("also")))
@@ -51,7 +51,7 @@
                 await exchange.reply(404, {"error": "no such path"})
 
     async def _total_run_counts(self, other_addresses: str) -> dict[str, int]:
-        """Return the run counts of this target and of the named others together."""
+        """Return the execution counts of this and other targets, added by idempotency key."""
         total = Counter(self.run_counts)
         async with httpcore.AsyncConnectionPool() as pool:
             for address in filter(None, other_addresses.split(",")):
--- a/standins/wasabiwell_standins/caller.py
+++ b/standins/wasabiwell_standins/caller.py
@@ -1,4 +1,4 @@
-"""A caller that asks for addresses, sends requests and checks each answer."""
+"""HTTP caller that fetches entry addresses, sends requests and verifies responses."""
 
 import ssl
 import time
@@ -14,7 +14,10 @@
 
 @dataclass(slots=True)
 class ChatResult:
-    """What a completion request gave; `error` is empty when the whole answer is right."""
+    """Result of a completion request; `error` is empty if the response is complete and correct.
+
+    `run` is the value of the header `Wasabiwell-Run`, or of the field `run` of an error.
+    """
 
     status: int
     first_token_s: float = 0.0
@@ -26,7 +29,7 @@
 
 
 def make_messages(prompt_tokens: int, tag: str) -> bytes:
-    """Return the JSON of messages with about `prompt_tokens` tokens; `tag` makes them unique."""
+    """Return JSON messages of about `prompt_tokens` tokens; `tag` makes the prompt unique."""
     unpadded = msgspec.json.encode([{"role": "user", "content": f"{tag} "}])
     filler = "x" * max(0, prompt_tokens * BYTES_PER_TOKEN - len(unpadded))
     return msgspec.json.encode([{"role": "user", "content": f"{tag} {filler}"}])
@@ -44,7 +47,7 @@
 
 
 def fetch_addresses(address: str, zone: str | None = None, ca: str = "") -> list[str]:
-    """Return the addresses that the system tells a caller to use; `ca` turns on https."""
+    """Return the entry addresses that a caller should use; `ca` enables HTTPS."""
     tls = ssl.create_default_context(cafile=ca) if ca else None
     query = f"?zone={zone}" if zone else ""
     url = f"{'https' if ca else 'http'}://{address}/v1/addresses{query}"
@@ -63,7 +66,7 @@
     timeout_s: float = 120.0,
     ca: str = "",
 ) -> ChatResult:
-    """Send a streamed completion request and check its answer; `ca` turns on https."""
+    """Send a streamed completion request and verify the response; `ca` enables HTTPS."""
     begin = time.monotonic()
     timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
     headers = [
--- a/standins/wasabiwell_standins/demo.py
+++ b/standins/wasabiwell_standins/demo.py
@@ -1,4 +1,4 @@
-"""Demonstration: a deployment on this machine that answers requests of all kinds."""
+"""Demonstration: runs a deployment on the local machine and sends requests of all kinds."""
 
 import sys
 import time
@@ -21,7 +21,7 @@
 @click.option("--deployment", default="eaveline", type=click.Choice(sorted(DEPLOYMENTS)))
 @click.option("--serve", type=click.Path(), help="Keep running and write a description here.")
 def main(deployment: str, serve: str | None) -> None:
-    """Start a deployment, send requests through its addresses and check the answers."""
+    """Start a deployment, send requests through its entries and verify the responses."""
     started = time.monotonic()
     with running_fleet(DEPLOYMENTS[deployment], "--address-ttl-s", "2") as fleet:
         click.echo(
@@ -35,7 +35,7 @@
 
 
 def _send_prompts(fleet: Fleet) -> int:
-    """Send prompts of all lengths at once and return the number of wrong answers."""
+    """Send prompts of all lengths concurrently and return the number of wrong responses."""
     deployment = fleet.deployment
     keys = list(deployment.organisations.values())
     jobs = [(name, index) for name, count in REQUESTS_PER_LENGTH.items() for index in range(count)]
@@ -66,7 +66,10 @@
 
 
 def _send_bookings(fleet: Fleet) -> int:
-    """Send each booking through two entry instances and return the number of wrong counts."""
+    """Send each booking through two entry instances and return the number of failed checks.
+
+    Both requests must succeed, and the booking must be executed exactly once.
+    """
     deployment = fleet.deployment
     key = next(iter(deployment.organisations.values()))
     path = f"/v1/services/{deployment.booking_service}{deployment.booking_path}"
@@ -85,7 +88,7 @@
 
 
 def booking_run_counts(fleet: Fleet) -> dict[str, int]:
-    """Return the run count of each idempotency key over all booking targets."""
+    """Return the execution count of each idempotency key over all booking targets."""
     url = ledger_url(fleet)
     with httpcore.ConnectionPool() as pool:
         runs: dict[str, int] = msgspec.json.decode(pool.request("GET", url).content)
@@ -93,7 +96,7 @@
 
 
 def ledger_url(fleet: Fleet) -> str:
-    """Return the URL that gives the run counts of all booking targets together."""
+    """Return the URL of the execution counts of all booking targets."""
     first, *others = [process.address for process in fleet.processes_with_role("plain")]
     return f"http://{first}/ledger?also={','.join(others)}"
 
--- a/standins/wasabiwell_standins/deployments.py
+++ b/standins/wasabiwell_standins/deployments.py
@@ -1,11 +1,11 @@
-"""The deployments of today, in the sizes that a test or demonstration starts."""
+"""Example deployments, scaled down for tests and demonstrations."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Deployment:
-    """Names and counts of one deployment."""
+    """Names, API keys and process counts of a deployment; `organisations` maps name to API key."""
 
     name: str
     region: str
--- a/standins/wasabiwell_standins/engine.py
+++ b/standins/wasabiwell_standins/engine.py
@@ -1,9 +1,9 @@
-"""Stand-in for model engines with continuous batching, prefix cache and limited memory.
+"""Stand-in for model engines with continuous batching, a prefix cache and limited memory.
 
-An engine works in steps. A step emits one token for each sequence whose prompt is processed, and
-processes up to `prefill_chunk` prompt tokens of the waiting sequences in the order of priority and
-arrival. A step takes a base time and a time for each prompt token. Memory is counted in tokens of
-KV cache. All times are multiplied by the time scale.
+An engine runs iterations. An iteration prefills up to `prefill_chunk` prompt tokens, ordered by
+priority and arrival, and decodes one token of each sequence whose prefill is complete. Its duration
+is a base time plus a time for each prefilled token. Memory is counted in tokens of KV cache. All
+times are multiplied by the time scale.
 """
 
 import os
@@ -25,14 +25,14 @@
 MAX_PREFIX_BLOCKS = 64
 CRASH_MARKER = b"crash-this-target"
 SHARD_RENEWAL_INTERVAL_S = 5.0
-"""The lead of a split prompt renews the reservations of the others this often."""
+"""Interval at which the lead engine of a split prompt renews reservations on other engines."""
 LOST_EVENT_INTERVAL = 7
-"""Every seventh cache event is never published."""
+"""One of this many cache events is lost, so that routers see gaps in the event sequence."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineParameters:
-    """Speeds and sizes of one engine; times are in seconds before the time scale."""
+    """Speed and capacity of an engine; durations are in seconds, before the time scale applies."""
 
     total_tokens: int = 400_000
     slots: int = 32
@@ -45,7 +45,7 @@
 
 @dataclass(slots=True)
 class Sequence:
-    """One request that an engine holds."""
+    """A request that is queued or running on an engine."""
 
     attempt_id: str
     messages: bytes
@@ -64,14 +64,14 @@
     wake: trio.Event = field(default_factory=trio.Event)
 
     def push(self, frame: bytes) -> None:
-        """Queue a frame for the connection's task."""
+        """Queue a frame for the task that writes the response."""
         self.frames.append(frame)
         self.wake.set()
 
 
 @dataclass(slots=True)
 class Reservation:
-    """Memory held for a prompt whose lead is another engine."""
+    """Memory reserved for a prompt whose lead engine is another one."""
 
     tokens: int
     ttl_s: float
@@ -79,7 +79,7 @@
 
 
 class Engine:
-    """One stand-in engine."""
+    """State and request handlers of one engine."""
 
     def __init__(self, name: str, parameters: EngineParameters) -> None:
         self.name = name
@@ -104,17 +104,17 @@
 
     @property
     def used_tokens(self) -> int:
-        """Return the memory that sequences and reservations hold."""
+        """Return the KV cache tokens in use by sequences and reservations."""
         sequence_tokens = sum(sequence.kv_tokens for sequence in self.sequences.values())
         return sequence_tokens + sum(item.tokens for item in self.reservations.values())
 
     @property
     def free_tokens(self) -> int:
-        """Return the memory that can be given out."""
+        """Return the KV cache tokens that are free."""
         return self.parameters.total_tokens - self.used_tokens
 
     def current_load(self) -> dict[str, object]:
-        """Return the load as it is now."""
+        """Return the current load, without the lag of load reports."""
         running = sum(1 for sequence in self.sequences.values() if sequence.started)
         return {
             "slots": self.parameters.slots,
@@ -129,7 +129,7 @@
         }
 
     async def run(self) -> None:
-        """Run steps, the load report and the expiry of reservations."""
+        """Run iterations, refresh the load report and expire reservations."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_iterations)
             nursery.start_soon(self._refresh_load)
@@ -157,7 +157,7 @@
             self._decode_batch()
 
     def _prefill_batch(self) -> float:
-        """Process prompt tokens and return the duration of the step."""
+        """Prefill prompt tokens and return the duration of the iteration."""
         budget = self.parameters.prefill_chunk
         processed = 0.0
         for sequence in self._select_batch():
@@ -174,7 +174,7 @@
         return duration * self.parameters.time_scale
 
     def _select_batch(self) -> list[Sequence]:
-        """Return the sequences that hold a slot, in the order of priority and arrival."""
+        """Assign free slots and return the running sequences by priority and arrival."""
         waiting = sorted(
             self.sequences.values(),
             key=lambda item: (not item.started, item.priority, item.arrival),
@@ -241,7 +241,7 @@
         return tokens
 
     async def handle(self, exchange: HttpExchange) -> None:
-        """Answer one request."""
+        """Handle one HTTP request."""
         if self.silent and exchange.path != "/control":
             await trio.sleep_forever()
         match exchange.method, exchange.path:
@@ -262,7 +262,7 @@
                 self.reservations.pop(path.rpartition("/")[2], None)
                 await exchange.reply(200, {})
             case "POST", "/v1/orders":
-                await self._accept_order(exchange)
+                await self._handle_order(exchange)
             case "POST", "/control":
                 await self._handle_control(exchange)
             case "GET", "/control":
@@ -299,7 +299,7 @@
         await self._reply_control(exchange, {"events": events, "last": last})
 
     async def _reply_control(self, exchange: HttpExchange, value: dict[str, object]) -> None:
-        """Answer a control query and count the bytes of its body."""
+        """Respond to a control query and add the size of the body to `control_bytes`."""
         self.control_bytes += len(msgspec.json.encode(value))
         await exchange.reply(200, value)
 
@@ -323,7 +323,7 @@
         await exchange.reply(200, {})
 
     async def _renew_shards(self, sequence: Sequence) -> None:
-        """Keep the memory on other engines; when it is gone, the answer ends with an error."""
+        """Renew reservations on other engines; a failed renewal ends the response with an error."""
         async with httpcore.AsyncConnectionPool() as pool:
             while True:
                 for shard in sequence.shards:
@@ -343,7 +343,7 @@
         sequence.push(msgspec.json.encode(frame) + b"\n")
         sequence.push(b"")
 
-    async def _accept_order(self, exchange: HttpExchange) -> None:
+    async def _handle_order(self, exchange: HttpExchange) -> None:
         body = msgspec.json.decode(exchange.body)
         if self.fencing_checked and body["fencing"] < self.last_fencing:
             await exchange.reply(409, {"error": "old fencing number"})
@@ -445,7 +445,7 @@
 @click.option("--load-lag-s", default=0.5, help="Age of a load report, in seconds.")
 @click.option("--time-scale", default=1.0, help="Factor of all times.")
 def main(address: str, count: int, name: str, **parameters: float) -> None:
-    """Run stand-in engines."""
+    """Run one or more engine stand-ins."""
     host, _, port = address.rpartition(":")
     engine_parameters = EngineParameters(**parameters)  # type: ignore[arg-type]
 
--- a/standins/wasabiwell_standins/fleet.py
+++ b/standins/wasabiwell_standins/fleet.py
@@ -1,4 +1,4 @@
-"""Starts the processes of a deployment on this machine and stops them again."""
+"""Starts and stops the processes of a deployment on the local machine."""
 
 import os
 import signal
@@ -28,7 +28,7 @@
 
 @dataclass(slots=True)
 class Process:
-    """A process of the fleet; `address` is where it serves."""
+    """A process of the fleet; `address` is the address that it listens on."""
 
     role: str
     name: str
@@ -43,20 +43,20 @@
         return self.popen.pid
 
     def kill(self) -> None:
-        """End the process at once."""
+        """Kill the process with SIGKILL and wait for its exit."""
         self.popen.kill()
         self.popen.wait()
 
     def pause(self) -> None:
-        """Stop the process from running until it is resumed."""
+        """Suspend the process with SIGSTOP."""
         self.popen.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Let a paused process run again."""
+        """Continue a suspended process."""
         self.popen.send_signal(signal.SIGCONT)
 
     def terminate(self) -> None:
-        """Ask the process for a graceful stop."""
+        """Request a graceful shutdown with SIGTERM."""
         self.popen.send_signal(signal.SIGTERM)
 
 
@@ -65,10 +65,10 @@
 
 
 def free_ports(count: int = 1) -> list[int]:
-    """Return ports that no other socket uses now and that were not returned before.
+    """Return free ports that no earlier call returned.
 
-    A process binds its port only after its start, so processes that start at the same time could
-    get the same one otherwise.
+    A process binds its port some time after its start, so two processes that start at the same
+    time could otherwise be given the same port.
     """
     ports: list[int] = []
     with _PORTS_LOCK:
@@ -91,9 +91,9 @@
     timeout_seconds: float = 30.0,
     ca: str = "",
 ) -> httpcore.Response:
-    """Send one HTTP request on a connection of its own; `value` goes as JSON.
+    """Send one HTTP request on a new connection, with `value` encoded as JSON.
 
-    `ca` is a PEM file with the issuers of the server's certificate; it turns on https.
+    `ca` is a PEM file with the CA certificates that verify the server; setting it enables HTTPS.
     """
     content = b"" if value is None else msgspec.json.encode(value)
     timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_seconds)
@@ -112,7 +112,7 @@
 
 
 class Fleet:
-    """Processes of one deployment."""
+    """The running processes of one deployment."""
 
     def __init__(self, deployment: Deployment, log_folder: Path) -> None:
         self.deployment = deployment
@@ -121,38 +121,38 @@
 
     @property
     def platform(self) -> Process:
-        """Return the platform stand-in."""
+        """Return the process of the platform stand-in."""
         return self.processes_with_role("platform")[0]
 
     @property
     def entries(self) -> list[Process]:
-        """Return the entry instances."""
+        """Return the processes of the entry instances."""
         return self.processes_with_role("entry")
 
     def processes_with_role(self, role: str) -> list[Process]:
-        """Return the running processes of a role."""
+        """Return the processes that have a role."""
         return [process for process in self.processes if process.role == role]
 
     def log(self, name: str) -> str:
-        """Return what a process has logged."""
+        """Return the log of a process."""
         return (self._log_folder / f"{name}.log").read_text(errors="replace")
 
     def control(self, process: Process, **values: object) -> dict[str, object]:
-        """Set the faults of a stand-in and return its answer."""
+        """Set control values of a stand-in, such as faults, and return its response."""
         reply: dict[str, object] = msgspec.json.decode(
             request("POST", process.address, "/control", values).content
         )
         return reply
 
     def start_platform(self) -> Process:
-        """Start the platform stand-in."""
+        """Start the platform stand-in and return its process."""
         address = f"{HOST}:{free_ports()[0]}"
         return self.start_module(
             "platform", "platform", address, "wasabiwell_standins.platform", ["--address", address]
         )
 
     def start_engine(self, index: int, *options: str, proxied: bool = False) -> Process:
-        """Start an engine and list it, under the address of a proxy of its own if `proxied`."""
+        """Start an engine and register it, with `proxied` under the address of its own proxy."""
         name = f"{self.deployment.engine_service}-{index}"
         address = f"{HOST}:{free_ports()[0]}"
         arguments = ["--address", address, "--name", name]
@@ -166,7 +166,7 @@
         return process
 
     def proxy_of(self, process: Process) -> Process:
-        """Return the proxy under whose address a process is listed."""
+        """Return the proxy under whose address a process is registered."""
         return next(
             item
             for item in self.processes_with_role("proxy")
@@ -174,7 +174,7 @@
         )
 
     def start_booking(self, index: int) -> Process:
-        """Start a target of the booking service and list it."""
+        """Start a target of the booking service and register it."""
         name = f"{self.deployment.booking_service}-{index}"
         address = f"{HOST}:{free_ports()[0]}"
         arguments = ["--address", address, "--name", name]
@@ -192,10 +192,10 @@
         platform: str | None = None,
         peer_proxy: bool | Callable[[str], str] = False,
     ) -> Process:
-        """Start an entry instance and list it.
+        """Start an entry instance and register it.
 
-        Other entries reach it through a proxy process, or through what a function returns for
-        its address.
+        With `peer_proxy`, other entries connect to it through a new proxy process. If `peer_proxy`
+        is a function, it takes the peer address and returns the address of the proxy.
         """
         name = f"entry-{index}"
         caller_port, peer_port = free_ports(2)
@@ -218,7 +218,7 @@
         return process
 
     def start_proxy(self, target: str, name: str) -> tuple[str, Process]:
-        """Start a fault-injecting proxy and return its address and its process."""
+        """Start a fault-injecting proxy; return its address and its process."""
         port, control_port = free_ports(2)
         address, control = f"{HOST}:{port}", f"{HOST}:{control_port}"
         arguments = ["--address", address, "--target", target, "--control-address", control]
@@ -226,25 +226,25 @@
         return address, process
 
     def replace_entry(self, old: Process, *options: str, platform: str | None = None) -> Process:
-        """Start an entry instance under the node id of one that has ended."""
+        """Start an entry instance with the node id of one that has exited."""
         self.processes.remove(old)
         return self.start_entry(int(old.name.removeprefix("entry-")), *options, platform=platform)
 
     def status(self, entry: Process) -> dict[str, Any]:
-        """Return what an entry instance tells operators about its state."""
+        """Return the operator status of an entry instance."""
         headers = {"authorization": f"Bearer {self.deployment.operator_key}"}
         reply = request("GET", entry.address, "/admin/v1/status", headers=headers)
         status: dict[str, Any] = msgspec.json.decode(reply.content)
         return status
 
     def member_statuses(self, entry: Process) -> dict[str, str]:
-        """Return the status of each member that an entry instance knows."""
+        """Return the status of each cluster member, as seen by an entry instance."""
         return {item["node_id"]: item["status"] for item in self.status(entry)["members"]}
 
     def start_module(
         self, role: str, name: str, address: str, module: str, arguments: list[str]
     ) -> Process:
-        """Run a module as a process and wait until it listens on the address."""
+        """Start a module as a process and wait until it accepts connections."""
         with open(self._log_folder / f"{name}.log", "ab") as log:
             popen = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
@@ -259,7 +259,7 @@
         return process
 
     def register_instance(self, process: Process, service: str, address: str | None = None) -> None:
-        """Put a process on the platform's instance list, under another address if given."""
+        """Add a process to the platform's instance list; `address` replaces its own address."""
         record = {
             "instance_id": process.name,
             "role": process.role,
@@ -272,23 +272,23 @@
         request("PUT", self.platform.address, f"/instances/{process.name}", record)
 
     def mark_leaving(self, process: Process) -> None:
-        """Mark a process as leaving on the instance list."""
+        """Mark a process as leaving in the instance list."""
         request("POST", self.platform.address, f"/instances/{process.name}")
 
     def deregister_instance(self, process: Process) -> None:
-        """Take a process off the instance list."""
+        """Remove a process from the instance list."""
         request("DELETE", self.platform.address, f"/instances/{process.name}")
 
     def apply_example(self) -> None:
-        """Apply the deployment's example configuration through the operators' command."""
+        """Apply the example configuration of the deployment with the command-line tool."""
         configuration = subprocess.run(
             [sys.executable, self.deployment.example], check=True, capture_output=True
         ).stdout
         self.run_cli("apply", "-", stdin=configuration)
 
     def run_cli(self, *arguments: str, stdin: bytes = b"", check: bool = True) -> str:
-        """Run the operators' command against the first entry instance and return its output."""
-        entries = [part for entry in self.entries for part in ("--entry", entry.address)]
+        """Run the command-line tool against the entry instances and return its output."""
+        entries = [option for entry in self.entries for option in ("--entry", entry.address)]
         finished = subprocess.run(
             [
                 sys.executable,
@@ -309,7 +309,7 @@
         return output
 
     def wait_ready(self) -> None:
-        """Wait until each entry instance is ready and knows all targets."""
+        """Wait until each entry instance is ready and has discovered all targets."""
         target_ids = {
             item.name
             for item in (*self.processes_with_role("engine"), *self.processes_with_role("plain"))
@@ -323,7 +323,7 @@
         description: str,
         timeout: float = START_TIMEOUT_SECONDS,
     ) -> None:
-        """Wait until a condition holds; raise `TimeoutError` when it does not in time."""
+        """Poll a condition until it holds; raise `TimeoutError` after the timeout."""
         end = time.monotonic() + timeout
         while time.monotonic() < end:
             if condition():
@@ -332,7 +332,7 @@
         raise TimeoutError(f"not within {timeout:g} s: {description}")
 
     def stop(self) -> None:
-        """End all processes that this fleet started."""
+        """Kill all processes that are still running."""
         for process in self.processes:
             if process.popen.poll() is None:
                 process.kill()
@@ -359,7 +359,7 @@
 
 @contextmanager
 def open_fleet(deployment: Deployment) -> Iterator[Fleet]:
-    """Own a fleet without processes, until the context ends."""
+    """Yield an empty fleet, and kill all processes started in it when the context exits."""
     with tempfile.TemporaryDirectory(prefix="wasabiwell-") as folder:
         fleet = Fleet(deployment, Path(folder))
         try:
@@ -372,7 +372,7 @@
 def running_fleet(
     deployment: Deployment, *entry_options: str, proxied: bool = False
 ) -> Iterator[Fleet]:
-    """Own a fleet in the deployment's size with its example configuration in force."""
+    """Yield a fleet with all processes of a deployment and its example configuration applied."""
     with open_fleet(deployment) as fleet:
         fleet.start_platform()
         for index in range(deployment.engines):
--- a/standins/wasabiwell_standins/load.py
+++ b/standins/wasabiwell_standins/load.py
@@ -1,8 +1,8 @@
-"""Load tool: sends planned requests at their times and checks each answer.
+"""Load generator: sends the requests of a plan and verifies each response.
 
 It reads a plan as JSON from standard input and writes one result for each request to standard
-output. Arrivals are open-loop: a slow answer does not delay the next request. A plan with
-`workers` is closed-loop instead: each organisation keeps its number of requests in flight.
+output. Arrivals are open-loop: a slow response does not delay the next request. A plan with
+`workers` is closed-loop instead: each organisation keeps a fixed number of requests in flight.
 """
 
 import sys
@@ -19,12 +19,12 @@
 BYTES_PER_TOKEN = 4
 MAX_CONNECTIONS = 1_000
 FAILURE_DELAY_S = 0.2
-"""Pause of a closed-loop caller after a refusal."""
+"""Delay of a closed-loop worker after a failed request."""
 
 
 @dataclass(frozen=True, slots=True)
 class PlannedRequest:
-    """One request; `prefix` is the text that prompts of one kind share, `at_s` its arrival."""
+    """A request; `at_s` is its arrival time, `prefix` the text that prompts of its kind share."""
 
     at_s: float
     organisation: str
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Requests, the entries they go to in turn, and the keys of the organisations."""
+    """Requests to send, entry addresses to send them to in turn, and API keys by organisation."""
 
     addresses: list[str]
     keys: dict[str, str]
@@ -50,7 +50,7 @@
 
 @dataclass(slots=True)
 class Result:
-    """What a request gave; `error` is empty when the whole answer is right."""
+    """Result of a request; `error` is empty if the response is complete and correct."""
 
     organisation: str
     kind: str
@@ -65,7 +65,7 @@
 
 
 def make_prompt(planned: PlannedRequest) -> bytes:
-    """Return the JSON of messages: the shared prefix, the tag and a filler."""
+    """Return JSON messages with the shared prefix, the tag and padding."""
     content = f"{planned.prefix} {planned.tag} "
     filler = "x" * max(0, planned.prompt_tokens * BYTES_PER_TOKEN - len(content) - 32)
     return msgspec.json.encode([{"role": "user", "content": content + filler}])
@@ -74,7 +74,7 @@
 async def send_request(
     pool: httpcore.AsyncConnectionPool, plan: Plan, planned: PlannedRequest, address: str
 ) -> Result:
-    """Send one request and check its answer; times count from the planned arrival."""
+    """Send one request and verify the response; durations count from the call."""
     result = Result(planned.organisation, planned.kind, planned.prompt_tokens)
     messages = make_prompt(planned)
     body = chat_body(plan.service, messages, planned.max_tokens)
@@ -129,7 +129,7 @@
 
 
 async def run_open_loop(plan: Plan) -> list[Result]:
-    """Send each request at its time and return all results."""
+    """Send each request at its arrival time and return all results."""
     results: list[Result] = []
     begin = trio.current_time()
     async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
@@ -146,7 +146,7 @@
 
 
 async def run_closed_loop(plan: Plan) -> list[Result]:
-    """Keep `workers` requests of each organisation in flight until the duration has passed."""
+    """Keep `workers` requests of each organisation in flight for the duration of the plan."""
     results: list[Result] = []
     begin = trio.current_time()
     async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
@@ -173,7 +173,7 @@
 
 @click.command()
 def main() -> None:
-    """Run the plan on standard input and write the results to standard output."""
+    """Run a plan read from standard input and write the results to standard output."""
     plan = msgspec.json.decode(sys.stdin.buffer.read(), type=Plan)
     results = trio.run(run_closed_loop if plan.workers else run_open_loop, plan)
     sys.stdout.buffer.write(msgspec.json.encode(results))
--- a/standins/wasabiwell_standins/measure_relay.py
+++ b/standins/wasabiwell_standins/measure_relay.py
@@ -35,8 +35,8 @@
     ) as response:
         await exchange.start_stream(b"application/x-ndjson")
         async for data in response.aiter_stream():
-            await exchange.stream(data)
-        await exchange.stream(b"", more=False)
+            await exchange.send_chunk(data)
+        await exchange.send_chunk(b"", more=False)
 
 
 def run_baseline(address: str, target: str) -> None:
--- a/standins/wasabiwell_standins/mixes.py
+++ b/standins/wasabiwell_standins/mixes.py
@@ -1,4 +1,4 @@
-"""Arrival mixes of the deployments, from fixed seeds."""
+"""Arrival mixes of the example deployments, reproducible from a seed."""
 
 import random
 from dataclasses import dataclass, replace
@@ -7,15 +7,18 @@
 from wasabiwell_standins.load import PlannedRequest
 
 PREFIX_BYTES = 4_300
-"""One whole block of the prefix cache and a part of the next."""
+"""Spans one full block of the prefix cache (4096 bytes) and part of the next."""
 TIMEOUT_S = 40.0
 SHORT_START_S = 1.0
-"""Longs arrive first, so that they hold memory when the short prompts begin."""
+"""Long prompts arrive before this time, so that they occupy memory when short prompts start."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ArrivalMix:
-    """Rates and sizes; rates are in requests per second, sizes in tokens."""
+    """Arrival rates in requests per second, and prompt and output sizes in tokens.
+
+    The rate of short prompts rises to `short_peak_rate` in the second half of the mix.
+    """
 
     duration_s: float
     short_rate: float
@@ -57,9 +60,9 @@
 def plan_requests(
     deployment: Deployment, seed: int, phase: str, with_long_prompts: bool
 ) -> list[PlannedRequest]:
-    """Return the arrivals of a mix; the short and medium ones do not depend on `with_long_prompts`.
+    """Return the arrivals of a mix, with the same short and medium prompts with or without long ones.
 
-    `phase` makes prompts unique, so that no phase finds whole prompts of another one in a cache.
+    `phase` makes prompts unique, so that no phase gets cache hits for full prompts of another.
     """
     mix = MIXES[deployment.name]
     organisation_names = list(deployment.organisations)
@@ -87,7 +90,7 @@
 def _warm_up_arrivals(
     mix: ArrivalMix, organisation_names: list[str], generator: random.Random, phase: str
 ) -> list[PlannedRequest]:
-    """Return short prompts that open connections and fill prefix caches; they are not counted."""
+    """Return short prompts that open connections and fill prefix caches; results ignore them."""
     planned = _poisson_arrivals(mix, organisation_names, generator, "short", f"{phase}-warm-up")
     return [
         replace(item, at_s=item.at_s - SHORT_START_S, kind="warm-up")
@@ -120,7 +123,7 @@
 
 
 def plan_backlog(deployment: Deployment) -> list[PlannedRequest]:
-    """Return one pattern for each organisation, repeated while all of them are backlogged."""
+    """Return one request template for each organisation, for a closed-loop run with a backlog."""
     return [
         PlannedRequest(0.0, name, "short", f"backlog-{name}", "", 2_500, 4, TIMEOUT_S)
         for name in deployment.organisations
--- a/standins/wasabiwell_standins/platform.py
+++ b/standins/wasabiwell_standins/platform.py
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True)
 class Faults:
-    """Faults in force."""
+    """Active faults; the field names are the keys of `POST /control`."""
 
     outage: bool = False
     object_outage: bool = False
@@ -31,7 +31,7 @@
 
 @dataclass(slots=True)
 class Statistics:
-    """Operations since the start."""
+    """Operation counts since the start."""
 
     reads: int = 0
     transactions: int = 0
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True)
 class StoredRow:
-    """A row: value in base64 as it goes over the wire, and version."""
+    """A table row; `value` is base64, as sent on the wire."""
 
     value: str
     version: int
@@ -51,7 +51,7 @@
 
 @dataclass(slots=True)
 class ListedInstance:
-    """An instance and the times from which its states are visible in the list."""
+    """An instance record and the times at which its state changes show in the list."""
 
     record: dict[str, Any]
     listed_at: float
@@ -61,7 +61,7 @@
 
 @dataclass(slots=True)
 class Platform:
-    """State of the stand-in."""
+    """State and request handlers of the platform stand-in."""
 
     faults: Faults = field(default_factory=Faults)
     statistics: Statistics = field(default_factory=Statistics)
@@ -71,7 +71,7 @@
     instances: dict[str, ListedInstance] = field(default_factory=dict)
 
     async def handle(self, exchange: HttpExchange) -> None:
-        """Answer one request."""
+        """Handle one HTTP request."""
         if exchange.path == "/control":
             await self._handle_control(exchange)
             return
--- a/standins/wasabiwell_standins/proxy.py
+++ b/standins/wasabiwell_standins/proxy.py
@@ -1,8 +1,9 @@
 """Fault-injecting TCP proxy.
 
-`POST /control` on the control address sets the faults: `cut` (reset and refuse connections),
-`silent_to_server` and `silent_to_client` (open connections stop passing data in that direction
-for good; new ones work after the flag is cleared), and `delay_s` for each piece of data.
+`POST /control` on the control address sets faults. `cut` closes open connections and refuses new
+ones. `silent_to_server` and `silent_to_client` stop forwarding in one direction; connections that
+had data to forward meanwhile stay silent after the flag is cleared, new ones work. `delay_s` delays
+each chunk of data.
 """
 
 from dataclasses import dataclass
@@ -18,7 +19,7 @@
 
 @dataclass(slots=True)
 class Faults:
-    """Faults in force."""
+    """Active faults; the field names are the keys of `POST /control`."""
 
     cut: bool = False
     silent_to_server: bool = False
@@ -27,17 +28,17 @@
 
 
 class Proxy:
-    """Passes connections on to one target address."""
+    """Forwards TCP connections to one target address."""
 
     def __init__(self, target: str) -> None:
         self.target = target
         self.faults = Faults()
-        self.cut = trio.Event()
+        self._reset_requested = trio.Event()
         self.connections = 0
         self.bytes_relayed = 0
 
     async def serve(self, client: trio.SocketStream) -> None:
-        """Pass one connection on until either end closes it or the proxy is cut."""
+        """Forward one connection until either end closes it or `reset` is called."""
         if self.faults.cut:
             await trio.aclose_forcefully(client)
             return
@@ -49,7 +50,7 @@
             return
         self.connections += 1
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._close_on_cut, nursery.cancel_scope)
+            nursery.start_soon(self._close_on_reset, nursery.cancel_scope)
             nursery.start_soon(
                 self._relay, client, server, "silent_to_server", nursery.cancel_scope
             )
@@ -60,12 +61,12 @@
         await trio.aclose_forcefully(server)
 
     def reset(self) -> None:
-        """Close all open connections at once."""
-        self.cut.set()
-        self.cut = trio.Event()
+        """Close all open connections."""
+        self._reset_requested.set()
+        self._reset_requested = trio.Event()
 
-    async def _close_on_cut(self, cancel_scope: trio.CancelScope) -> None:
-        await self.cut.wait()
+    async def _close_on_reset(self, cancel_scope: trio.CancelScope) -> None:
+        await self._reset_requested.wait()
         cancel_scope.cancel()
 
     async def _relay(
@@ -87,8 +88,8 @@
             pass
         cancel_scope.cancel()
 
-    async def control(self, exchange: HttpExchange) -> None:
-        """Answer a control request."""
+    async def handle_control(self, exchange: HttpExchange) -> None:
+        """Handle a control request."""
         if exchange.method == "POST":
             for name, value in msgspec.json.decode(exchange.body).items():
                 setattr(self.faults, name, value)
@@ -99,7 +100,7 @@
 
 @click.command()
 @click.option("--address", required=True, help="HOST:PORT to listen on.")
-@click.option("--target", required=True, help="HOST:PORT to pass connections on to.")
+@click.option("--target", required=True, help="HOST:PORT to forward connections to.")
 @click.option("--control-address", required=True, help="HOST:PORT of the control interface.")
 def main(address: str, target: str, control_address: str) -> None:
     """Run the proxy."""
@@ -109,7 +110,7 @@
         host, _, port = address.rpartition(":")
         control_host, _, control_port = control_address.rpartition(":")
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(serve_http, proxy.control, control_host, int(control_port))
+            nursery.start_soon(serve_http, proxy.handle_control, control_host, int(control_port))
             await trio.serve_tcp(proxy.serve, int(port), host=host)
 
     trio.run(run)
