--- a/standins/wasabiwell_standins/booking.py
+++ b/standins/wasabiwell_standins/booking.py
@@ -66,7 +66,7 @@
         if self.faults.drop_replies > 0:
             self.faults.drop_replies -= 1
             await exchange.start_stream(b"application/json")
-            raise ConnectionAbortedError("the reply is dropped")
+            raise ConnectionAbortedError("the reply is dropped by the fault drop_replies")
         body = msgspec.json.decode(exchange.body) if exchange.body else {}
         size = body.get("reply_bytes", 0) if isinstance(body, dict) else 0
         await exchange.reply(201, {"booked": key, "by": self.name, "padding": "x" * size})
--- a/standins/wasabiwell_standins/caller.py
+++ b/standins/wasabiwell_standins/caller.py
@@ -92,7 +92,7 @@
         result.error = repr(error)
     result.total_s = time.monotonic() - begin
     if not result.error and result.text != expected_completion(messages, max_tokens):
-        result.error = "the answer is not the one to this request"
+        result.error = "the response is not the expected completion"
     return result
 
 
@@ -123,7 +123,7 @@
                 texts.append(content)
     result.text = "".join(texts)
     if not done:
-        result.error = "the stream ended without its end mark"
+        result.error = "the stream ended without [DONE]"
 
 
 def _header(response: httpcore.Response, name: bytes) -> str:
--- a/standins/wasabiwell_standins/demo.py
+++ b/standins/wasabiwell_standins/demo.py
@@ -19,7 +19,7 @@
 
 @click.command()
 @click.option("--deployment", default="eaveline", type=click.Choice(sorted(DEPLOYMENTS)))
-@click.option("--serve", type=click.Path(), help="Keep running and write a description here.")
+@click.option("--serve", type=click.Path(), help="Keep running and write a JSON description here.")
 def main(deployment: str, serve: str | None) -> None:
     """Start a deployment, send requests through its entries and verify the responses."""
     started = time.monotonic()
--- a/standins/wasabiwell_standins/deployments.py
+++ b/standins/wasabiwell_standins/deployments.py
@@ -1,4 +1,4 @@
-"""Example deployments, scaled down for tests and demonstrations."""
+"""Existing deployments, in the sizes that tests and demonstrations start."""
 
 from dataclasses import dataclass
 
--- a/standins/wasabiwell_standins/engine.py
+++ b/standins/wasabiwell_standins/engine.py
@@ -27,7 +27,7 @@
 SHARD_RENEWAL_INTERVAL_S = 5.0
 """Interval at which the lead engine of a split prompt renews reservations on other engines."""
 LOST_EVENT_INTERVAL = 7
-"""One of this many cache events is lost, so that routers see gaps in the event sequence."""
+"""Every seventh cache event is lost: it is never published."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,7 +96,7 @@
         self.last_fencing = 0
         self.fencing_checked = False
         self.orders: list[dict[str, object]] = []
-        self._arrivals = 0
+        self._arrival_count = 0
         self._work = trio.Event()
         self._reported_load: dict[str, object] = self.current_load()
         self._published_event_count = 0
@@ -367,7 +367,7 @@
         self.sequences[sequence.attempt_id] = sequence
         self._work.set()
         try:
-            await self._stream(exchange, sequence)
+            await self._stream_response(exchange, sequence)
         finally:
             self._cancel(sequence.attempt_id)
 
@@ -376,7 +376,7 @@
         shards = body["shards"]
         assert isinstance(shards, list)
         sharded_tokens = sum(int(shard["tokens"]) for shard in shards)
-        self._arrivals += 1
+        self._arrival_count += 1
         digest = xxhash.xxh3_64(str(body["generated"]).encode())
         max_tokens, offset = int(str(body["max_tokens"])), int(str(body["resume_offset"]))
         return Sequence(
@@ -386,7 +386,7 @@
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             priority=int(str(body["priority"])),
-            arrival=self._arrivals,
+            arrival=self._arrival_count,
             kv_tokens=max(0, prompt_tokens + max_tokens - sharded_tokens),
             emitted=offset,
             shards=shards,
@@ -394,7 +394,7 @@
             prefilled=min(prompt_tokens - 1, self._cached_tokens(messages)),
         )
 
-    async def _stream(self, exchange: HttpExchange, sequence: Sequence) -> None:
+    async def _stream_response(self, exchange: HttpExchange, sequence: Sequence) -> None:
         async with trio.open_nursery() as nursery:
 
             async def stop_on_disconnect() -> None:
@@ -439,11 +439,11 @@
 @click.option("--count", default=1, help="Engines in this process, on consecutive ports.")
 @click.option("--name", required=True, help="Name of the first engine; others get a suffix.")
 @click.option("--total-tokens", default=400_000, help="Memory of an engine in tokens.")
-@click.option("--slots", default=32, help="Sequences that run at once.")
-@click.option("--step-s", default=0.015, help="Base time of a step, in seconds.")
-@click.option("--prefill-tokens-per-s", default=40_000.0, help="Speed of prompt processing.")
-@click.option("--load-lag-s", default=0.5, help="Age of a load report, in seconds.")
-@click.option("--time-scale", default=1.0, help="Factor of all times.")
+@click.option("--slots", default=32, help="Number of sequences that can run concurrently.")
+@click.option("--step-s", default=0.015, help="Base duration of an iteration, in seconds.")
+@click.option("--prefill-tokens-per-s", default=40_000.0, help="Prefill speed.")
+@click.option("--load-lag-s", default=0.5, help="Interval between load reports, in seconds.")
+@click.option("--time-scale", default=1.0, help="Factor applied to all durations.")
 def main(address: str, count: int, name: str, **parameters: float) -> None:
     """Run one or more engine stand-ins."""
     host, _, port = address.rpartition(":")
--- a/standins/wasabiwell_standins/fleet.py
+++ b/standins/wasabiwell_standins/fleet.py
@@ -160,7 +160,7 @@
         process = self.start_module(
             "engine", name, address, "wasabiwell_standins.engine", arguments
         )
-        process.zone = self._zone(index)
+        process.zone = self._zone_for_index(index)
         listed_address = self.start_proxy(address, f"proxy-of-{name}")[0] if proxied else address
         self.register_instance(process, self.deployment.engine_service, listed_address)
         return process
@@ -181,7 +181,7 @@
         process = self.start_module(
             "plain", name, address, "wasabiwell_standins.booking", arguments
         )
-        process.zone = self._zone(index)
+        process.zone = self._zone_for_index(index)
         self.register_instance(process, self.deployment.booking_service)
         return process
 
@@ -208,11 +208,11 @@
                 peer_address, _ = self.start_proxy(peer_address, f"peer-proxy-{index}")
         url = f"http://{platform or self.platform.address}"
         arguments = ["--node-id", name, "--region", self.deployment.region]
-        arguments += ["--zone", self._zone(index), "--caller-address", address]
+        arguments += ["--zone", self._zone_for_index(index), "--caller-address", address]
         arguments += ["--peer-address", peer_address, "--table-url", url]
         arguments += ["--object-url", url, "--instance-url", url, *options]
         process = self.start_module("entry", name, address, "wasabiwell_entry.main", arguments)
-        process.zone = self._zone(index)
+        process.zone = self._zone_for_index(index)
         process.peer_address = peer_address
         self.register_instance(process, "")
         return process
@@ -255,7 +255,7 @@
             )
         process = Process(role, name, address, popen)
         self.processes.append(process)
-        self.wait_until(lambda: self._listening(process), f"{name} listening")
+        self.wait_until(lambda: self._is_listening(process), f"{name} listening")
         return process
 
     def register_instance(self, process: Process, service: str, address: str | None = None) -> None:
@@ -315,7 +315,7 @@
             for item in (*self.processes_with_role("engine"), *self.processes_with_role("plain"))
         }
         for entry in self.entries:
-            self.wait_until(partial(self._ready, entry, target_ids), f"{entry.name} ready")
+            self.wait_until(partial(self._is_ready, entry, target_ids), f"{entry.name} ready")
 
     def wait_until(
         self,
@@ -329,7 +329,7 @@
             if condition():
                 return
             time.sleep(POLL_SECONDS)
-        raise TimeoutError(f"not within {timeout:g} s: {description}")
+        raise TimeoutError(f"timeout after {timeout:g} s: {description}")
 
     def stop(self) -> None:
         """Kill all processes that are still running."""
@@ -337,7 +337,7 @@
             if process.popen.poll() is None:
                 process.kill()
 
-    def _ready(self, entry: Process, target_ids: set[str]) -> bool:
+    def _is_ready(self, entry: Process, target_ids: set[str]) -> bool:
         try:
             if request("GET", entry.address, "/readyz").status != 200:
                 return False
@@ -346,12 +346,12 @@
             return False
         return target_ids <= {target["target_id"] for target in status["targets"]}
 
-    def _zone(self, index: int) -> str:
+    def _zone_for_index(self, index: int) -> str:
         return self.deployment.zones[index % len(self.deployment.zones)]
 
-    def _listening(self, process: Process) -> bool:
+    def _is_listening(self, process: Process) -> bool:
         if process.popen.poll() is not None:
-            raise RuntimeError(f"{process.name} ended: {self.log(process.name)}")
+            raise RuntimeError(f"{process.name} exited during startup: {self.log(process.name)}")
         host, _, port = process.address.rpartition(":")
         with socket.socket() as probe:
             return probe.connect_ex((host, int(port))) == 0
--- a/standins/wasabiwell_standins/load.py
+++ b/standins/wasabiwell_standins/load.py
@@ -74,7 +74,7 @@
 async def send_request(
     pool: httpcore.AsyncConnectionPool, plan: Plan, planned: PlannedRequest, address: str
 ) -> Result:
-    """Send one request and verify the response; durations count from the call."""
+    """Send one request and verify the response; durations count from the planned arrival."""
     result = Result(planned.organisation, planned.kind, planned.prompt_tokens)
     messages = make_prompt(planned)
     body = chat_body(plan.service, messages, planned.max_tokens)
@@ -85,7 +85,7 @@
     begin = trio.current_time()
     timeout = dict.fromkeys(("connect", "read", "write", "pool"), planned.timeout_s)
     url = f"http://{address}/v1/chat/completions"
-    result.error = "no answer in time"
+    result.error = "no complete response within the timeout"
     with trio.move_on_after(planned.timeout_s):
         try:
             async with pool.stream(
@@ -98,7 +98,7 @@
     if not result.error and "".join(result.texts) != expected_completion(
         messages, planned.max_tokens
     ):
-        result.error = "the answer is not the one to this request"
+        result.error = "the response is not the expected completion"
     result.tokens = len(result.texts)
     result.texts = []
     return result
@@ -125,7 +125,7 @@
                 if content := value["choices"][0]["delta"].get("content"):
                     result.first_token_s = result.first_token_s or trio.current_time() - begin
                     result.texts += [f"{token} " for token in content.split()]
-    result.error = "" if done else "the stream ended without its end mark"
+    result.error = "" if done else "the stream ended without [DONE]"
 
 
 async def run_open_loop(plan: Plan) -> list[Result]:
--- a/standins/wasabiwell_standins/measure.py
+++ b/standins/wasabiwell_standins/measure.py
@@ -1,4 +1,4 @@
-"""Measures the policies of choosing engines side by side, with real entry processes."""
+"""Compares the engine selection policies under the same load, with real entry processes."""
 
 import importlib
 import os
@@ -23,13 +23,13 @@
 
 POLICIES = ("round-robin", "least-outstanding", "first-landed", "load-reports", "current")
 TIME_SCALE = 0.5
-"""Factor of the engines' times, so that all policies fit into four minutes."""
+"""Factor of the engines' durations, so that all policies run within four minutes."""
 BACKLOG_SECONDS = 10.0
 BACKLOG_WARM_UP_SECONDS = 4.0
-"""Answers before this time are not counted: the queues are still filling."""
+"""Responses that end earlier are not counted, because the queues are still filling."""
 LARGE_WORKERS = 36
 SMALL_WORKERS = 12
-"""Requests in flight: above an organisation's part of the slots, so that it stays backlogged."""
+"""Requests in flight per organisation, above its share of slots, so that it stays backlogged."""
 SAMPLE_SECONDS = 0.5
 SEED = 7
 SLOTS = "8"
@@ -40,7 +40,10 @@
 
 @dataclass(slots=True)
 class LoadRun:
-    """Results of one load run with what the fleet used meanwhile."""
+    """Results of a load run and resource use of the fleet during it.
+
+    `memory_use` holds samples of the share of engine memory in use, from 0 to 1.
+    """
 
     results: list[Result]
     entry_cpu_s: float
@@ -62,11 +65,11 @@
     policies: tuple[str, ...],
     seed: int,
 ) -> None:
-    """Measure; without a sub-command, all policies in both deployments."""
+    """Run measurements; without a sub-command, all policies in both deployments."""
     if context.invoked_subcommand is not None:
         return
     selected = names or tuple(sorted(DEPLOYMENTS))
-    # Both deployments run at the same time, because a default run must end within four minutes.
+    # The deployments run concurrently, because a default run must end within four minutes.
     with ThreadPoolExecutor(len(selected)) as pool:
         results = pool.map(
             lambda name: measure(DEPLOYMENTS[name], policies or POLICIES, seed), selected
@@ -81,7 +84,7 @@
 def measure(
     deployment: Deployment, policies: Iterable[str], seed: int
 ) -> dict[str, dict[str, float | None]]:
-    """Measure policies one after another on the engines of one deployment."""
+    """Measure policies in sequence on the same engines and return the figures by policy."""
     figures: dict[str, dict[str, float | None]] = {}
     with open_fleet(deployment) as fleet:
         fleet.start_platform()
@@ -146,7 +149,7 @@
 
 
 def _run_load(fleet: Fleet, plan: Plan) -> LoadRun:
-    """Run the load tool in a process of its own and sample the engines meanwhile."""
+    """Run the load generator as a subprocess and sample the engines while it runs."""
     load_plan = Plan(
         [entry.address for entry in fleet.entries],
         fleet.deployment.organisations,
@@ -193,7 +196,7 @@
 
 
 def _cpu_seconds(processes: Iterable[Process]) -> float:
-    """Return user and system time of processes, from /proc/PID/stat."""
+    """Return the total CPU time (user and system) of processes, from /proc/PID/stat."""
     ticks = 0
     for process in processes:
         fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
@@ -202,7 +205,7 @@
 
 
 def percentile(values: list[float], percent: int) -> float | None:
-    """Return a percentile by the nearest rank, or None without values."""
+    """Return a percentile by the nearest-rank method, or None without values."""
     if not values:
         return None
     ordered = sorted(values)
@@ -214,7 +217,7 @@
 
 
 def _worst_share_error(deployment: Deployment, load_run: LoadRun) -> float:
-    """Return the largest relative difference of an organisation's share from its weight."""
+    """Return the largest relative deviation of an organisation's share from its weighted share."""
     served = dict.fromkeys(deployment.organisations, 0)
     for result in load_run.results:
         if not result.error and result.ended_s > BACKLOG_WARM_UP_SECONDS:
@@ -223,7 +226,7 @@
         name: LARGE_WEIGHT if index < LARGE_ORGANISATIONS else 1.0
         for index, name in enumerate(deployment.organisations)
     }
-    # Tokens count as the fair queue counts them: prompt and answer.
+    # Prompt and output tokens both count, as in the fair queue.
     total, weight_sum = max(1, sum(served.values())), sum(weights.values())
     return max(abs(served[name] / total / (weights[name] / weight_sum) - 1.0) for name in weights)
 
@@ -252,7 +255,7 @@
 
 
 def _register_subcommands() -> None:
-    """Register the measurements of other capabilities: each module `measure_NAME` as NAME."""
+    """Register the command of each module `measure_NAME` as the sub-command NAME."""
     for module in pkgutil.iter_modules(wasabiwell_standins.__path__):
         if module.name.startswith(MODULE_PREFIX):
             loaded = importlib.import_module(f"{wasabiwell_standins.__name__}.{module.name}")
--- a/standins/wasabiwell_standins/measure_capacity.py
+++ b/standins/wasabiwell_standins/measure_capacity.py
@@ -1,7 +1,7 @@
-"""Measures the slopes behind `docs/CAPACITY.md` and prints its tables.
+"""Measures the cost per item behind `docs/CAPACITY.md` and prints its tables.
 
-Each slope is the growth of processor time, memory or bytes with one count, from the smallest and
-the largest of several counts. The tables multiply them by the size to design for.
+Each slope is the growth of CPU time, memory or bytes per item of one kind, computed from the
+smallest and the largest of several counts. The tables multiply the slopes by the design size.
 """
 
 import time
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DesignSize:
-    """The size to design for."""
+    """Deployment size that the design must support."""
 
     nodes: int = 420
     engines: int = 12_000
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Slope:
-    """Growth of a quantity with a count: `base` at count 0 and `per_item` for each further one."""
+    """Linear growth of a quantity with a count: `base` at count 0 plus `per_item` per item."""
 
     name: str
     unit: str
@@ -67,21 +67,21 @@
 
     @property
     def per_item(self) -> float:
-        """Return the growth for each item between the smallest and the largest count."""
+        """Return the growth per item between the smallest and the largest count."""
         return (self.values[-1] - self.values[0]) / (self.counts[-1] - self.counts[0])
 
     @property
     def base(self) -> float:
-        """Return the value extrapolated to no items."""
+        """Return the value extrapolated to count 0."""
         return self.values[0] - self.per_item * self.counts[0]
 
     def at(self, count: float) -> float:
-        """Return the value at a count."""
+        """Return the interpolated or extrapolated value at a count."""
         return self.base + self.per_item * count
 
 
 def cpu_seconds(action: Callable[[], object]) -> float:
-    """Return the processor time of one call, from as many calls as a stable reading needs."""
+    """Return the CPU time of one call, averaged over at least `MIN_RUN_SECONDS` of calls."""
     calls = 1
     while True:
         begin = time.process_time()
@@ -94,7 +94,7 @@
 
 
 def allocated_bytes(build: Callable[[], object]) -> int:
-    """Return the memory that the built object keeps."""
+    """Return the memory that a built object occupies."""
     tracemalloc.start()
     built = build()
     size, _ = tracemalloc.get_traced_memory()
@@ -104,12 +104,12 @@
 
 
 def slope(name: str, unit: str, counts: tuple[int, ...], measure: Callable[[int], float]) -> Slope:
-    """Measure a quantity at several counts."""
+    """Measure a quantity at several counts and return its slope."""
     return Slope(name, unit, counts, tuple(measure(count) for count in counts))
 
 
 def make_configuration(organisations: int) -> Configuration:
-    """Return a configuration with that many organisations and the models of the design size."""
+    """Return a configuration with `organisations` organisations and all models of `DesignSize`."""
     return Configuration(
         model_services=tuple(
             ModelService(name=f"model-{index}") for index in range(DesignSize().models)
@@ -122,7 +122,7 @@
 
 
 def make_members(count: int) -> list[Member]:
-    """Return members spread over the zones of the design size."""
+    """Return members spread over the regions and zones of `DesignSize`."""
     return [
         Member(
             f"entry-{index}",
@@ -137,7 +137,7 @@
 
 
 def make_target_table(count: int) -> TargetTable:
-    """Return a table of engines of one service with a load report each."""
+    """Return a table of engines of one service, each with a load report."""
     table = TargetTable()
     load = EngineLoad(timedelta(), 32, 4, 0, 400_000, 300_000)
     for index in range(count):
@@ -154,7 +154,7 @@
 
 
 def configuration_memory(count: int) -> float:
-    """Return the memory of a configuration in force, in bytes."""
+    """Return the memory of an active configuration, in bytes."""
     items = items_of(make_configuration(count))
 
     def build() -> ConfigurationState:
@@ -166,7 +166,7 @@
 
 
 def configuration_change_cpu(count: int) -> float:
-    """Return the processor time to put one change of one organisation in force, in seconds."""
+    """Return the CPU time to activate a change of one organisation, in seconds."""
     state = ConfigurationState()
     state.replace(1, items_of(make_configuration(count)))
     organisation = Organisation(name="organisation-0", key_hashes=(hash_key("key-0"),), weight=2.0)
@@ -180,7 +180,7 @@
 
 
 def configuration_parse_cpu(count: int) -> float:
-    """Return the processor time to read a whole configuration from its items, in seconds."""
+    """Return the CPU time to parse a full configuration from its items, in seconds."""
     items = items_of(make_configuration(count))
     return cpu_seconds(lambda: configuration_from_items(items))
 
@@ -203,19 +203,19 @@
 
 
 def ownership_cpu(count: int) -> float:
-    """Return the processor time to find one owner among that many members, in seconds."""
+    """Return the CPU time to find the owner of a key among `count` members, in seconds."""
     members = make_members(count)
     return cpu_seconds(lambda: owner_of("engine/engine-1", members))
 
 
 def routing_cpu(count: int) -> float:
-    """Return the processor time to choose among that many targets of a service, in seconds."""
+    """Return the CPU time to select one of `count` targets of a service, in seconds."""
     router = Router(make_target_table(count), "zone-0", ManualClock())
     return cpu_seconds(lambda: router.choose("model-0", frozenset()))
 
 
 def local_slopes() -> list[Slope]:
-    """Return the slopes that need no other process."""
+    """Measure the slopes that need no network connection."""
     return [
         slope("configuration memory", "B/organisation", (100, 800, 3200), configuration_memory),
         slope("configuration change", "s/organisation", (100, 800, 3200), configuration_change_cpu),
@@ -229,7 +229,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """A peer message of the size of a heartbeat with a few updates."""
+    """Peer message whose payload has the size of a heartbeat with a few updates."""
 
     payload: bytes
 
@@ -238,7 +238,7 @@
 
 
 def peer_call_cpu(calls: int = 400) -> float:
-    """Return the processor time of one unary peer call at both ends together, in seconds."""
+    """Return the CPU time of one unary peer call, client and server together, in seconds."""
 
     async def echo(request: Ping) -> Ping:
         return request
@@ -264,7 +264,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlBudget:
-    """What one node may spend on control."""
+    """Limits of one node for control traffic, for all mechanisms together."""
 
     cpu_share: float = 0.033
     memory_bytes: int = 256_000_000
@@ -273,7 +273,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MechanismLoad:
-    """Use of one mechanism at one node: messages a second, processor share, memory, bytes."""
+    """Resources that one mechanism uses on one node; `cpu_share` is the share of one core."""
 
     mechanism: str
     messages_per_s: float
@@ -283,15 +283,15 @@
 
 
 HEARTBEATS_PER_S = 10
-"""Five streams out and about five in, one exchange a second each."""
+"""Five outgoing and about five incoming streams, with one exchange per second each."""
 HEARTBEAT_BYTES = 95
-"""Bytes of one exchange in `measure_membership`: 953 B/s at 48 entries over 10 exchanges."""
+"""Bytes of one exchange, from `measure_membership`: 953 B/s at 48 entries over 10 exchanges."""
 LIMIT_RENEWALS_PER_S = 1 / 5
-"""Each owner of a limit hears once in 5 s from each entry that uses one of its organisations."""
+"""One message in 5 s to the owner of a limit from each entry that uses one of its organisations."""
 LIMIT_MESSAGE_BYTES = 120
 CHANGE_BYTES = 300
 LOAD_POLLS_PER_S = 2.5
-"""Two load queries and one query of cache events in two seconds, for each polled engine."""
+"""Two load queries per second and a cache event query every two seconds, per polled engine."""
 LOAD_REPORT_BYTES = 120
 INSTANCE_RECORD_BYTES = 200
 LIST_READERS_PER_ZONE = 2
@@ -304,13 +304,13 @@
 
 
 def node_loads(size: DesignSize, slopes: dict[str, Slope], peer_call: float) -> list[MechanismLoad]:
-    """Return the control load of one node at the design size, by mechanism."""
+    """Return the control load of one node at the design size, for each mechanism."""
     cpu_per_end = peer_call / 2
     zone_members = size.nodes / size.zones
     region_members = size.nodes / size.regions
     owned_engines = size.engines / size.nodes
     changes = size.changes_per_day / SECONDS_PER_DAY
-    moves = (size.failures_per_day + size.restarts_per_day) * 2 / SECONDS_PER_DAY
+    member_changes = (size.failures_per_day + size.restarts_per_day) * 2 / SECONDS_PER_DAY
     renewals = 2 * (region_members - 1) * LIMIT_RENEWALS_PER_S
     change_cpu = slopes["configuration change"].at(size.organisations)
     look_up = slopes["owner look-up"].at(zone_members)
@@ -332,7 +332,9 @@
             slopes["configuration memory"].at(size.organisations),
             2 * changes * CHANGE_BYTES,
         ),
-        MechanismLoad("owner look-ups after member changes", 0.0, moves * size.engines * look_up),
+        MechanismLoad(
+            "owner look-ups after member changes", 0.0, member_changes * size.engines * look_up
+        ),
         MechanismLoad(
             "polls of owned engines",
             owned_engines * LOAD_POLLS_PER_S,
@@ -351,13 +353,13 @@
 
 
 def table_reads_per_s(size: DesignSize) -> float:
-    """Return the reads of the table service by all nodes that do not depend on requests."""
+    """Return the table service reads of all nodes that are independent of the request rate."""
     pollers = HEAD_POLLERS_PER_ZONE * size.zones
     return pollers + (size.nodes - pollers) / SLOW_HEAD_POLL_INTERVAL_S
 
 
 def print_slopes(slopes: list[Slope], peer_call: float) -> None:
-    """Print the measured slopes as a table."""
+    """Print the measured slopes as a Markdown table."""
     click.echo("| slope | growth | at the counts |\n|---|---|---|")
     for item in slopes:
         values = ", ".join(
@@ -368,7 +370,7 @@
 
 
 def print_node(loads: list[MechanismLoad]) -> None:
-    """Print the control load of one node against its budget."""
+    """Print the control load of one node and its budget."""
     budget = ControlBudget()
     click.echo(
         "\n| mechanism | messages/s | share of a core | memory, MB | bytes/s |"
@@ -386,7 +388,7 @@
 
 
 def print_platform(size: DesignSize) -> None:
-    """Print the load on the platform's services."""
+    """Print the load on the services of the platform."""
     changes = size.changes_per_day / SECONDS_PER_DAY
     reads = table_reads_per_s(size)
     records = size.nodes + size.engines
@@ -394,7 +396,7 @@
         (TABLE_WRITES_PER_S - 2 * changes) / TABLE_WRITES_PER_CALL,
         (TABLE_READS_PER_S - reads) / TABLE_READS_PER_CALL,
     )
-    moves = (size.failures_per_day + size.restarts_per_day) * 2
+    member_changes = (size.failures_per_day + size.restarts_per_day) * 2
     click.echo("\n| platform | figure |\n|---|---|")
     click.echo(f"| table reads/s without requests | {reads:.1f} |")
     click.echo(f"| table writes/s for configuration | {2 * changes:.2f} |")
@@ -402,7 +404,9 @@
     click.echo(
         f"| one read of the instance list, MB | {records * INSTANCE_RECORD_BYTES / 1e6:.2f} |"
     )
-    click.echo(f"| engines with a new owner in a day | {moves * size.engines / size.nodes:.0f} |")
+    click.echo(
+        f"| engines with a new owner in a day | {member_changes * size.engines / size.nodes:.0f} |"
+    )
 
 
 @click.command()
--- a/standins/wasabiwell_standins/measure_credits.py
+++ b/standins/wasabiwell_standins/measure_credits.py
@@ -1,4 +1,4 @@
-"""Measures the control messages of credits and their CPU time."""
+"""Measures the number and the CPU time of the peer messages for credits."""
 
 import time
 from collections.abc import AsyncIterator, Sequence
@@ -32,7 +32,7 @@
 
 
 class CountingPeers:
-    """Counts the messages that go to other entry instances."""
+    """Counts the messages to other entry instances."""
 
     def __init__(self, inner: GrpcCreditPeers) -> None:
         self.messages = 0
@@ -41,44 +41,47 @@
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
     ) -> list[ClaimAnswer] | OwnerUnreachable:
-        """Count and send claims."""
+        """Send claims to an owner."""
         self.messages += 1
         return await self._inner.acquire(owner, claims)
 
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
     ) -> OwnerUnreachable | None:
-        """Count and send returns."""
+        """Return credits to an owner."""
         self.messages += 1
         return await self._inner.release(owner, returns)
 
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
     ) -> list[CreditClaim] | OwnerUnreachable:
-        """Count and send the question of a new owner."""
+        """Query the outstanding credits of a holder, as a new owner does."""
         self.messages += 1
         return await self._inner.outstanding(holder, engine_ids)
 
 
 class NoReservations:
-    """Refuses reservations; the measured requests fit one engine."""
+    """Refuses all reservations, because the measured requests fit on one engine."""
 
     async def reserve(
         self, target: Target, owner: str, tokens: int
     ) -> Reserved | ReservationRefused:
-        """Refuse."""
+        """Return a refusal."""
         return ReservationRefused("not measured")
 
     async def renew(self, target: Target, reservation_id: str) -> None:
-        """Accept."""
+        """Do nothing."""
 
     async def release(self, target: Target, reservation_id: str) -> None:
-        """Accept."""
+        """Do nothing."""
 
 
 @dataclass(slots=True)
 class Node:
-    """The credit parts of one entry instance, and what its requests saw."""
+    """Credit owner and holder of one entry instance, with statistics of its requests.
+
+    `waits` holds the time that each request waited for capacity, in seconds.
+    """
 
     owner: CreditOwner
     holder: CreditHolder
@@ -88,14 +91,17 @@
     changed: trio.Event = field(default_factory=trio.Event)
 
     def notify_change(self) -> None:
-        """Wake the requests that wait for capacity."""
+        """Wake all requests that wait for capacity."""
         self.changed.set()
         self.changed = trio.Event()
 
 
 @dataclass(slots=True)
 class Cluster:
-    """Entry instances in one process that share engines over loopback connections."""
+    """Entry instances in one process, connected over loopback, that share simulated engines.
+
+    `running` holds the number of running requests by engine.
+    """
 
     members: MemberTable
     targets: TargetTable
@@ -105,7 +111,7 @@
 
 @asynccontextmanager
 async def open_cluster(entries: int, engines: int) -> AsyncIterator[Cluster]:
-    """Own a world with its servers until the context ends."""
+    """Yield a cluster whose peer servers run until the context exits."""
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(trio_asyncio.open_loop())
         clock = SystemClock()
@@ -136,7 +142,7 @@
 
 
 def report_load(cluster: Cluster) -> None:
-    """Let all engines report their load."""
+    """Update the load report of each engine."""
     now = timedelta(seconds=trio.current_time())
     for status in cluster.targets:
         running = cluster.running[status.target.target_id]
@@ -145,14 +151,14 @@
 
 
 async def report_loads(cluster: Cluster) -> None:
-    """Report the load of all engines until cancelled."""
+    """Update the load reports periodically until cancelled."""
     while True:
         report_load(cluster)
         await trio.sleep(LOAD_SECONDS)
 
 
 async def run_request(cluster: Cluster, node: Node, engine: str, seconds: float) -> None:
-    """Hold capacity for one request, waiting for it as admission does."""
+    """Acquire capacity for one request, waiting as admission does, and hold it for `seconds`."""
     begin = trio.current_time()
     node.requests += 1
     hold = node.holder.try_hold(engine, REQUEST_TOKENS, SizeClass.SHORT)
@@ -171,7 +177,7 @@
 async def send_requests(
     cluster: Cluster, node: Node, rate: float, held_seconds: float, nursery: trio.Nursery
 ) -> None:
-    """Start requests at a fixed rate, spread over all engines."""
+    """Start requests at a fixed rate, in turn on all engines."""
     engines = list(cluster.running)
     number = 0
     while True:
@@ -184,7 +190,7 @@
 async def measure_messages(
     entries: int, engines: int, rate: float, seconds: float, held_seconds: float
 ) -> str:
-    """Return a line with the messages per request of a number of entry instances."""
+    """Return a table row with the messages per request and the waiting times."""
     async with open_cluster(entries, engines) as cluster, trio.open_nursery() as nursery:
         nursery.start_soon(report_loads, cluster)
         for node in cluster.nodes:
@@ -204,7 +210,7 @@
 
 
 async def measure_cpu(claims: int, messages: int) -> str:
-    """Return a line with the CPU time of both ends for messages with a number of claims."""
+    """Return a table row with the CPU time, at both ends, of messages with `claims` claims."""
     async with open_cluster(2, claims * 4) as cluster:
         first = cluster.nodes[0]
         members_by_id = {member.node_id: member for member in cluster.members}
@@ -220,18 +226,20 @@
             ]
             answers = await first.peers.acquire(members_by_id["n-1"], batch)
             if isinstance(answers, OwnerUnreachable):
-                raise click.ClickException(f"the owner did not answer: {answers.reason}")
+                raise click.ClickException(f"credit owner unreachable: {answers.reason}")
         cpu = (time.process_time() - begin) / messages
     return f"| {len(engines)} | {messages} | {cpu * 1e3:.2f} | {cpu * 1e6 / len(engines):.0f} |"
 
 
 @click.command()
-@click.option("--entries", default=(2, 4, 8), multiple=True, help="Entry instances.")
-@click.option("--engines-per-entry", default=2, help="Engines for each entry instance.")
+@click.option(
+    "--entries", default=(2, 4, 8), multiple=True, help="Numbers of entry instances to measure."
+)
+@click.option("--engines-per-entry", default=2, help="Engines per entry instance.")
 @click.option("--rate", default=24.0, help="Requests per second and entry instance.")
 @click.option("--held-s", default=0.5, help="Time for which a request holds capacity, in seconds.")
 @click.option("--seconds", default=10.0, help="Time of each run, in seconds.")
-@click.option("--messages", default=500, help="Messages for each CPU figure.")
+@click.option("--messages", default=500, help="Messages per CPU measurement.")
 def main(
     entries: tuple[int, ...],
     engines_per_entry: int,
@@ -240,7 +248,7 @@
     seconds: float,
     messages: int,
 ) -> None:
-    """Print control messages per request, and CPU per control message, of credits."""
+    """Print credit messages per request, and CPU time per credit message."""
     click.echo(
         "| entries | engines | requests | messages | messages/request | messages/s/entry "
         "| wait p50 ms | wait p95 ms |"
--- a/standins/wasabiwell_standins/measure_logs.py
+++ b/standins/wasabiwell_standins/measure_logs.py
@@ -1,4 +1,4 @@
-"""Measures requests while the logs of the entry processes are read, and while nobody reads them."""
+"""Measures latency and CPU time with log output to a file, a blocked pipe and /dev/null."""
 
 import fcntl
 import os
@@ -20,14 +20,14 @@
 )
 
 PIPE_BYTES = 4096
-"""Smallest size of a pipe, which is filled before the run when its reader is blocked."""
+"""Minimum pipe capacity on Linux; the blocked pipe is filled with this many bytes in advance."""
 SIZE = DeploymentSize(entries=2, engines=4, plain=1, block=78)
 WARM_UP_SECONDS = 2.0
 
 
 @contextmanager
 def blocked_pipe() -> Iterator[int]:
-    """Return the end to write to of a pipe that is full and that nobody reads."""
+    """Yield the write end of a full pipe that has no active reader."""
     reader, writer = os.pipe()
     try:
         fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
@@ -39,7 +39,7 @@
 
 
 async def send_all(deployment: Deployment, rate: float, seconds: float) -> list[Reply]:
-    """Send short prompts at a rate and return what came of them."""
+    """Send short prompts at a fixed rate and return the replies."""
     caller, replies = deployment.caller(), list[Reply]()
 
     async def send(sender: Caller, request: CallerRequest) -> None:
@@ -53,7 +53,7 @@
 
 
 async def measure(output: int | None, rate: float, seconds: float, folder: Path) -> str:
-    """Return a row of the table for one way to write logs."""
+    """Return the table cells for one log output; None is the default log file."""
 
     async def prepare(deployment: Deployment) -> None:
         await trio.lowlevel.checkpoint()
@@ -77,10 +77,12 @@
 
 
 @click.command()
-@click.option("--rate", default=40.0, show_default=True, help="Requests a second.")
-@click.option("--seconds", default=15.0, show_default=True, help="Time that is measured.")
+@click.option("--rate", default=40.0, show_default=True, help="Requests per second.")
+@click.option(
+    "--seconds", default=15.0, show_default=True, help="Duration of each measurement, in seconds."
+)
 def main(rate: float, seconds: float) -> None:
-    """Compare a reader of the logs that reads, one that is blocked, and none."""
+    """Compare log output to a file, to a pipe with a blocked reader, and to /dev/null."""
     click.echo("| logs | whole answers | first event p50, ms | p99, ms | entry CPU, ms a request |")
     click.echo("|---|---|---|---|---|")
     with blocked_pipe() as blocked, Path(os.devnull).open("wb") as nothing:
--- a/standins/wasabiwell_standins/measure_membership.py
+++ b/standins/wasabiwell_standins/measure_membership.py
@@ -1,4 +1,4 @@
-"""Measures the cost of control and the time in which changes reach all entry instances."""
+"""Measures the cost of membership, and how fast changes reach all entry instances."""
 
 import os
 import re
@@ -26,11 +26,11 @@
 CHANGES = 5
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 MEMBER_DEAD_PATTERN = r"^(\S+)Z INFO \[110\] entry instance {} is dead"
-CONFIGURATION_ACTIVE_PATTERN = r"^(\S+)Z INFO \[200\] configuration version {} is in force"
+CONFIGURATION_ACTIVE_PATTERN = r"^(\S+)Z INFO \[200\] configuration version {} is "
 
 
 class PeerProxies:
-    """Proxies in front of the peer ports, in one thread; they count the bytes between entries."""
+    """Proxies in front of the peer ports, run in one thread, that count bytes between entries."""
 
     def __init__(self) -> None:
         self._proxies: list[Proxy] = []
@@ -40,11 +40,11 @@
 
     @property
     def bytes_relayed(self) -> int:
-        """Return the bytes of both directions through all proxies."""
+        """Return the bytes relayed by all proxies, in both directions."""
         return sum(proxy.bytes_relayed for proxy in self._proxies)
 
     def add(self, target: str) -> str:
-        """Return the address of a new proxy to a target."""
+        """Start a proxy to a target and return its address."""
         port = free_ports()[0]
         trio.from_thread.run(self._serve, target, port, trio_token=self._token)
         return f"{HOST}:{port}"
@@ -63,7 +63,7 @@
 
 @dataclass(slots=True)
 class Result:
-    """Figures of one fleet size; bytes count both those sent and those received."""
+    """Figures for one fleet size; bytes per entry instance, sent and received."""
 
     entries: int
     bytes_per_second: float
@@ -74,14 +74,14 @@
 
 
 def cpu_seconds(process: Process) -> float:
-    """Return the processor time that a process has used."""
+    """Return the CPU time (user and system) of a process."""
     with open(f"/proc/{process.pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
 
 def logged_at(fleet: Fleet, entry: Process, pattern: str) -> float | None:
-    """Return the time (seconds since 1970) of the first log line that matches."""
+    """Return the Unix time of the first log line that matches a pattern, or None."""
     found = re.search(pattern, fleet.log(entry.name), re.MULTILINE)
     if found is None:
         return None
@@ -89,7 +89,7 @@
 
 
 def last_logged(fleet: Fleet, entries: list[Process], pattern: str) -> float:
-    """Return the time at which the last entry instance logged a line."""
+    """Wait until each entry instance has logged a line and return the latest of the times."""
     end = time.monotonic() + EVENT_TIMEOUT_SECONDS
     while time.monotonic() < end:
         times = [logged_at(fleet, entry, pattern) for entry in entries]
@@ -101,7 +101,7 @@
 
 
 def apply_change(fleet: Fleet, entry: Process) -> tuple[int, float]:
-    """Apply a change and return its version and the time of the answer."""
+    """Apply a configuration change and return its version and the time of the response."""
     base = int(fleet.status(entry)["configuration_version"])
     operator = OperatorKey(name="measured", key_hash=hash_key(f"measured-{base}"))
     body = {"base_version": base, "changes": {"operator/measured": operator}}
@@ -115,7 +115,7 @@
 
 
 def all_members_alive(fleet: Fleet) -> bool:
-    """Return whether each entry instance knows all others as alive."""
+    """Return whether each entry instance sees all members as alive."""
     try:
         return all(
             list(fleet.member_statuses(entry).values()) == ["alive"] * len(fleet.entries)
@@ -126,7 +126,7 @@
 
 
 def measure(entries: int, seconds: float) -> Result:
-    """Start a fleet of entry instances without load and measure it."""
+    """Measure an idle fleet of entry instances."""
     with open_fleet(EAVELINE) as fleet:
         fleet.start_platform()
         proxies = PeerProxies()
@@ -173,10 +173,10 @@
 
 
 @click.command()
-@click.option("--sizes", default="3,6,12,24,48", help="Numbers of entry instances.")
-@click.option("--seconds", default=15.0, help="Time of each cost measurement.")
+@click.option("--sizes", default="3,6,12,24,48", help="Fleet sizes to measure, in entry instances.")
+@click.option("--seconds", default=15.0, help="Duration of each cost measurement, in seconds.")
 def main(sizes: str, seconds: float) -> None:
-    """Print cost and delays for each fleet size."""
+    """Print costs and propagation delays for each fleet size."""
     click.echo(
         f"{'entries':>8}{'bytes/s':>10}{'CPU %':>8}{'highest':>9}"
         f"{'kill to removal, s':>20}{'accept to in force, s: median':>31}{'highest':>9}"
--- a/standins/wasabiwell_standins/measure_relay.py
+++ b/standins/wasabiwell_standins/measure_relay.py
@@ -21,7 +21,7 @@
 
 
 def cpu_seconds(pid: int) -> float:
-    """Return the user and system time of a process."""
+    """Return the CPU time (user and system) of a process."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
@@ -29,7 +29,7 @@
 async def forward_unparsed(
     exchange: HttpExchange, target: str, pool: httpcore.AsyncConnectionPool
 ) -> None:
-    """Pass the engine's bytes on without reading them."""
+    """Forward the response of the engine without parsing it."""
     async with pool.stream(
         "POST", f"http://{target}/v1/generate", content=exchange.body
     ) as response:
@@ -40,7 +40,7 @@
 
 
 def run_baseline(address: str, target: str) -> None:
-    """Serve the libraries' floor: hypercorn and httpcore without the entry's code."""
+    """Serve the baseline, printed as `floor`: hypercorn and httpcore without the entry's code."""
     host, _, port = address.rpartition(":")
 
     async def run() -> None:
@@ -55,7 +55,7 @@
 
 
 def stream_entry(fleet: Fleet, index: int, tokens: int) -> None:
-    """Read one answer through the entry instance."""
+    """Read one response through the entry instance."""
     keys = list(fleet.deployment.organisations.values())
     messages = make_messages(PROMPT_TOKENS, f"relay {index} {time.monotonic()}")
     service = fleet.deployment.engine_service
@@ -66,7 +66,7 @@
 
 
 def stream_baseline(address: str, index: int, tokens: int) -> None:
-    """Read one answer through the floor."""
+    """Read one response through the baseline relay."""
     body = {
         "attempt_id": f"floor-{index}-{time.monotonic()}",
         "messages": [{"role": "user", "content": f"{index}"}],
@@ -81,7 +81,7 @@
 
 
 def measure(process: Process, stream: Callable[[int], None], streams: int, tokens: int) -> str:
-    """Run streams at once and return the rate and the CPU time for each token."""
+    """Run concurrent streams and return table cells: tokens per second and CPU ms per token."""
     before, began = cpu_seconds(process.pid), time.monotonic()
     with ThreadPoolExecutor(streams) as pool:
         list(pool.map(stream, range(streams)))
@@ -93,11 +93,11 @@
 
 @click.command()
 @click.option("--streams", "rates", multiple=True, type=int, default=(1, 8, 24))
-@click.option("--tokens", default=400, help="Tokens of each answer.")
-@click.option("--floor", help="Serve the floor on this HOST:PORT instead of measuring.")
-@click.option("--target", help="HOST:PORT of the engine behind the floor.")
+@click.option("--tokens", default=400, help="Tokens of each response.")
+@click.option("--floor", help="Serve the baseline relay on this HOST:PORT instead of measuring.")
+@click.option("--target", help="HOST:PORT of the engine behind the baseline relay.")
 def main(rates: tuple[int, ...], tokens: int, floor: str | None, target: str | None) -> None:
-    """Print the CPU time of an entry instance, and of the libraries alone, for each token."""
+    """Print the CPU time per token of an entry instance and of the libraries alone."""
     if floor is not None and target is not None:
         run_baseline(floor, target)
         return
--- a/standins/wasabiwell_standins/mixes.py
+++ b/standins/wasabiwell_standins/mixes.py
@@ -1,4 +1,4 @@
-"""Arrival mixes of the example deployments, reproducible from a seed."""
+"""Arrival mixes of the deployments, reproducible from a seed."""
 
 import random
 from dataclasses import dataclass, replace
@@ -60,7 +60,7 @@
 def plan_requests(
     deployment: Deployment, seed: int, phase: str, with_long_prompts: bool
 ) -> list[PlannedRequest]:
-    """Return the arrivals of a mix, with the same short and medium prompts with or without long ones.
+    """Return the arrivals of a mix; `with_long_prompts` does not change the other arrivals.
 
     `phase` makes prompts unique, so that no phase gets cache hits for full prompts of another.
     """
@@ -90,7 +90,7 @@
 def _warm_up_arrivals(
     mix: ArrivalMix, organisation_names: list[str], generator: random.Random, phase: str
 ) -> list[PlannedRequest]:
-    """Return short prompts that open connections and fill prefix caches; results ignore them."""
+    """Return short prompts that open connections and fill prefix caches; latencies exclude them."""
     planned = _poisson_arrivals(mix, organisation_names, generator, "short", f"{phase}-warm-up")
     return [
         replace(item, at_s=item.at_s - SHORT_START_S, kind="warm-up")
--- a/standins/wasabiwell_standins/otlp.py
+++ b/standins/wasabiwell_standins/otlp.py
@@ -1,4 +1,4 @@
-"""A receiver of OTLP over HTTP that keeps what it gets; GET /received returns it."""
+"""OTLP over HTTP receiver that stores spans and metrics; `GET /received` returns them."""
 
 import gzip
 from typing import Any
@@ -21,14 +21,14 @@
 
 
 class Receiver:
-    """Spans and the newest metrics of each sender."""
+    """Stores all spans, and the latest metrics of each sender."""
 
     def __init__(self) -> None:
         self._spans: list[dict[str, Any]] = []
         self._metrics: dict[str, dict[str, Any]] = {}
 
     async def handle(self, exchange: HttpExchange) -> None:
-        """Take an export, or return what was received."""
+        """Handle one HTTP request."""
         match exchange.method, exchange.path:
             case "POST", "/v1/traces":
                 self._store_spans(ExportTraceServiceRequest.FromString(_body(exchange)))
@@ -76,7 +76,7 @@
 @click.command()
 @click.option("--address", required=True, help="HOST:PORT to serve on.")
 def main(address: str) -> None:
-    """Serve the receiver until it is ended."""
+    """Run the receiver."""
     host, _, port = address.rpartition(":")
     trio.run(serve_http, Receiver().handle, host, int(port))
 
--- a/standins/wasabiwell_standins/platform.py
+++ b/standins/wasabiwell_standins/platform.py
@@ -1,7 +1,9 @@
-"""Stand-in for the platform: table service, object store and lagging instance list.
+"""Stand-in for the platform: table service, object store and instance list with a lag.
 
-`POST /faults` sets faults: `outage` (503 to everything), `delay_s`, and `lose_replies` (the
-number of next transactions whose reply is not sent although the write took effect).
+`POST /control` sets faults. `outage` returns 503 for tables and objects, `object_outage` for
+objects only and `instance_outage` for the instance list. `delay_s` delays requests, and
+`instance_lag_s` the effect of changes on the instance list. `lose_replies` is the number of further
+transactions that take effect but whose reply is withheld for 60 s.
 """
 
 import math
@@ -151,16 +153,18 @@
     async def _read(self, exchange: HttpExchange) -> None:
         self.statistics.reads += 1
         keys = msgspec.json.decode(exchange.body)["keys"]
-        await exchange.reply(200, {"rows": self._rows(key for key in keys if key in self.rows)})
+        await exchange.reply(
+            200, {"rows": self._encode_rows(key for key in keys if key in self.rows)}
+        )
 
     async def _scan(self, exchange: HttpExchange) -> None:
         self.statistics.reads += 1
         prefix, after = exchange.query("prefix"), exchange.query("after")
         keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
         limit = int(exchange.query("limit", "1000"))
-        await exchange.reply(200, {"rows": self._rows(keys[:limit])})
+        await exchange.reply(200, {"rows": self._encode_rows(keys[:limit])})
 
-    def _rows(self, keys: Any) -> list[dict[str, object]]:
+    def _encode_rows(self, keys: Any) -> list[dict[str, object]]:
         return [
             {"key": key, "value": self.rows[key].value, "version": self.rows[key].version}
             for key in keys
--- a/standins/wasabiwell_standins/proxy.py
+++ b/standins/wasabiwell_standins/proxy.py
@@ -1,6 +1,6 @@
 """Fault-injecting TCP proxy.
 
-`POST /control` on the control address sets faults. `cut` closes open connections and refuses new
+`POST /control` on the control address sets faults. `cut` closes open connections and rejects new
 ones. `silent_to_server` and `silent_to_client` stop forwarding in one direction; connections that
 had data to forward meanwhile stay silent after the flag is cleared, new ones work. `delay_s` delays
 each chunk of data.
--- a/standins/wasabiwell_standins/telemetry_cost.py
+++ b/standins/wasabiwell_standins/telemetry_cost.py
@@ -14,13 +14,13 @@
 
 
 def cpu_seconds(pid: int) -> float:
-    """Return the user and system time of a process."""
+    """Return the CPU time (user and system) of a process."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
 
 def cpu_ms_per_request(fleet: Fleet, requests: int) -> float:
-    """Return the CPU milliseconds that an entry instance spends on each request."""
+    """Return the CPU time of an entry instance for each request, in milliseconds."""
     entry = fleet.entries[0]
     key = next(iter(fleet.deployment.organisations.values()))
     before = cpu_seconds(entry.pid)
@@ -36,7 +36,7 @@
 @click.option("--requests", default=300, show_default=True, help="Requests in each run.")
 @click.option("--rounds", default=2, show_default=True, help="Runs with and without telemetry.")
 def main(requests: int, rounds: int) -> None:
-    """Print CPU ms per request without and with an OTLP receiver, in turn."""
+    """Print the CPU time per request, alternately without and with an OTLP receiver."""
     for _ in range(rounds):
         for with_otlp in (False, True):
             with open_fleet(replace(EAVELINE, entries=1)) as fleet:
