--- a/standins/wasabiwell_standins/caller.py
+++ b/standins/wasabiwell_standins/caller.py
@@ -67,7 +67,7 @@
     ca: str = "",
 ) -> ChatResult:
     """Send a streamed completion request and verify the response; `ca` enables HTTPS."""
-    begin = time.monotonic()
+    started = time.monotonic()
     timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
     headers = [
         (b"authorization", f"Bearer {key}".encode()),
@@ -87,16 +87,16 @@
             result.status = response.status
             result.run = _header(response, b"wasabiwell-run")
             result.request_id = _header(response, b"x-request-id")
-            _read_stream(response, result, begin)
+            _read_stream(response, result, started)
     except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
         result.error = repr(error)
-    result.total_s = time.monotonic() - begin
+    result.total_s = time.monotonic() - started
     if not result.error and result.text != expected_completion(messages, max_tokens):
         result.error = "the response is not the expected completion"
     return result
 
 
-def _read_stream(response: httpcore.Response, result: ChatResult, begin: float) -> None:
+def _read_stream(response: httpcore.Response, result: ChatResult, started: float) -> None:
     if response.status != 200:
         result.error = response.read().decode()
         return
@@ -119,7 +119,7 @@
                 return
             content = value["choices"][0]["delta"].get("content")
             if content:
-                result.first_token_s = result.first_token_s or time.monotonic() - begin
+                result.first_token_s = result.first_token_s or time.monotonic() - started
                 texts.append(content)
     result.text = "".join(texts)
     if not done:
--- a/standins/wasabiwell_standins/load.py
+++ b/standins/wasabiwell_standins/load.py
@@ -82,7 +82,7 @@
         (b"authorization", f"Bearer {plan.keys[planned.organisation]}".encode()),
         (b"content-type", b"application/json"),
     ]
-    begin = trio.current_time()
+    started = trio.current_time()
     timeout = dict.fromkeys(("connect", "read", "write", "pool"), planned.timeout_s)
     url = f"http://{address}/v1/chat/completions"
     result.error = "no complete response within the timeout"
@@ -91,10 +91,10 @@
             async with pool.stream(
                 "POST", url, headers=headers, content=body, extensions={"timeout": timeout}
             ) as response:
-                await _read_stream(response, result, begin)
+                await _read_stream(response, result, started)
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             result.error = repr(error)
-    result.total_s = trio.current_time() - begin
+    result.total_s = trio.current_time() - started
     if not result.error and "".join(result.texts) != expected_completion(
         messages, planned.max_tokens
     ):
@@ -104,7 +104,7 @@
     return result
 
 
-async def _read_stream(response: httpcore.Response, result: Result, begin: float) -> None:
+async def _read_stream(response: httpcore.Response, result: Result, started: float) -> None:
     result.status = response.status
     if response.status != 200:
         result.error = (await response.aread()).decode()
@@ -123,7 +123,7 @@
                     result.error = str(value["error"])
                     return
                 if content := value["choices"][0]["delta"].get("content"):
-                    result.first_token_s = result.first_token_s or trio.current_time() - begin
+                    result.first_token_s = result.first_token_s or trio.current_time() - started
                     result.texts += [f"{token} " for token in content.split()]
     result.error = "" if done else "the stream ended without [DONE]"
 
@@ -131,11 +131,11 @@
 async def run_open_loop(plan: Plan) -> list[Result]:
     """Send each request at its arrival time and return all results."""
     results: list[Result] = []
-    begin = trio.current_time()
+    started = trio.current_time()
     async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
 
         async def send_at_arrival(index: int, planned: PlannedRequest) -> None:
-            await trio.sleep_until(begin + planned.at_s)
+            await trio.sleep_until(started + planned.at_s)
             address = plan.addresses[index % len(plan.addresses)]
             results.append(await send_request(pool, plan, planned, address))
 
@@ -148,7 +148,7 @@
 async def run_closed_loop(plan: Plan) -> list[Result]:
     """Keep `workers` requests of each organisation in flight for the duration of the plan."""
     results: list[Result] = []
-    begin = trio.current_time()
+    started = trio.current_time()
     async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
 
         async def worker(planned: PlannedRequest, number: int) -> None:
@@ -158,7 +158,7 @@
                 item = replace(planned, tag=f"{planned.tag}-{number}-{count}")
                 address = plan.addresses[number % len(plan.addresses)]
                 result = await send_request(pool, plan, item, address)
-                result.ended_s = trio.current_time() - begin
+                result.ended_s = trio.current_time() - started
                 results.append(result)
                 if result.error:
                     await trio.sleep(FAILURE_DELAY_S)
--- a/standins/wasabiwell_standins/measure.py
+++ b/standins/wasabiwell_standins/measure.py
@@ -163,7 +163,7 @@
     stopped = threading.Event()
     sampler = threading.Thread(target=_sample_memory_use, args=(fleet, memory_use, stopped))
     sampler.start()
-    begin = os.times().elapsed
+    started = os.times().elapsed
     try:
         finished = subprocess.run(
             [sys.executable, "-m", "wasabiwell_standins.load"],
@@ -178,7 +178,7 @@
         msgspec.json.decode(finished.stdout, type=list[Result]),
         _cpu_seconds(fleet.entries) - cpu_before,
         _sum_engine_statistic(fleet, "control_bytes") - control,
-        os.times().elapsed - begin,
+        os.times().elapsed - started,
         memory_use,
     )
 
--- a/standins/wasabiwell_standins/measure_capacity.py
+++ b/standins/wasabiwell_standins/measure_capacity.py
@@ -84,12 +84,12 @@
     """Return the CPU time of one call, averaged over at least `MIN_RUN_SECONDS` of calls."""
     calls = 1
     while True:
-        begin = time.process_time()
+        started = time.process_time()
         for _ in range(calls):
             action()
-        spent = time.process_time() - begin
-        if spent >= MIN_RUN_SECONDS:
-            return spent / calls
+        cpu_used = time.process_time() - started
+        if cpu_used >= MIN_RUN_SECONDS:
+            return cpu_used / calls
         calls *= 4
 
 
@@ -254,10 +254,10 @@
         ):
             ping = Ping(b"x" * 200)
             await client.call(f"{HOST}:{port}", PING, ping)
-            begin = time.process_time()
+            started = time.process_time()
             for _ in range(calls):
                 await client.call(f"{HOST}:{port}", PING, ping)
-            return (time.process_time() - begin) / calls
+            return (time.process_time() - started) / calls
 
     return trio.run(run)
 
--- a/standins/wasabiwell_standins/measure_credits.py
+++ b/standins/wasabiwell_standins/measure_credits.py
@@ -159,7 +159,7 @@
 
 async def run_request(cluster: Cluster, node: Node, engine: str, seconds: float) -> None:
     """Acquire capacity for one request, waiting as admission does, and hold it for `seconds`."""
-    begin = trio.current_time()
+    started = trio.current_time()
     node.requests += 1
     hold = node.holder.try_hold(engine, REQUEST_TOKENS, SizeClass.SHORT)
     while not isinstance(hold, Hold):
@@ -167,7 +167,7 @@
         node.holder.report_demand(engine, REQUEST_TOKENS, SizeClass.SHORT)
         await changed.wait()
         hold = node.holder.try_hold(engine, REQUEST_TOKENS, SizeClass.SHORT)
-    node.waits.append(trio.current_time() - begin)
+    node.waits.append(trio.current_time() - started)
     cluster.running[engine] += 1
     await trio.sleep(seconds)
     cluster.running[engine] -= 1
@@ -217,17 +217,17 @@
         owners = EngineOwners(members_by_id["n-1"], cluster.members, cluster.targets)
         engines = [name for name in cluster.running if owners.is_own(owners.owner(name))][:claims]
         amount = Amount(1, REQUEST_TOKENS)
-        begin = 0.0
+        started = 0.0
         for sequence in range(-10, messages):
             if sequence == 0:
-                begin = time.process_time()
+                started = time.process_time()
             batch = [
                 CreditClaim(name, "m", sequence + 20, amount, amount, amount) for name in engines
             ]
             answers = await first.peers.acquire(members_by_id["n-1"], batch)
             if isinstance(answers, OwnerUnreachable):
                 raise click.ClickException(f"credit owner unreachable: {answers.reason}")
-        cpu = (time.process_time() - begin) / messages
+        cpu = (time.process_time() - started) / messages
     return f"| {len(engines)} | {messages} | {cpu * 1e3:.2f} | {cpu * 1e6 / len(engines):.0f} |"
 
 
--- a/standins/wasabiwell_standins/measure_membership.py
+++ b/standins/wasabiwell_standins/measure_membership.py
@@ -82,10 +82,10 @@
 
 def logged_at(fleet: Fleet, entry: Process, pattern: str) -> float | None:
     """Return the Unix time of the first log line that matches a pattern, or None."""
-    found = re.search(pattern, fleet.log(entry.name), re.MULTILINE)
-    if found is None:
+    match = re.search(pattern, fleet.log(entry.name), re.MULTILINE)
+    if match is None:
         return None
-    return datetime.fromisoformat(found[1]).replace(tzinfo=UTC).timestamp()
+    return datetime.fromisoformat(match[1]).replace(tzinfo=UTC).timestamp()
 
 
 def last_logged(fleet: Fleet, entries: list[Process], pattern: str) -> float:
@@ -93,11 +93,11 @@
     end = time.monotonic() + EVENT_TIMEOUT_SECONDS
     while time.monotonic() < end:
         times = [logged_at(fleet, entry, pattern) for entry in entries]
-        found = [moment for moment in times if moment is not None]
-        if len(found) == len(entries):
-            return max(found)
+        logged = [logged_time for logged_time in times if logged_time is not None]
+        if len(logged) == len(entries):
+            return max(logged)
         time.sleep(0.5)
-    raise TimeoutError(f"{len(entries) - len(found)} entry instances did not log {pattern}")
+    raise TimeoutError(f"{len(entries) - len(logged)} entry instances did not log {pattern}")
 
 
 def apply_change(fleet: Fleet, entry: Process) -> tuple[int, float]:
@@ -107,11 +107,11 @@
     body = {"base_version": base, "changes": {"operator/measured": operator}}
     headers = {"authorization": f"Bearer {fleet.deployment.operator_key}"}
     reply = request("POST", entry.address, "/admin/v1/configuration", body, headers)
-    accepted = time.time()
-    answer = msgspec.json.decode(reply.content)
-    if answer["outcome"] != "accepted":
-        raise RuntimeError(f"the change was not accepted: {answer}")
-    return answer["version"], accepted
+    accepted_at = time.time()
+    response = msgspec.json.decode(reply.content)
+    if response["outcome"] != "accepted":
+        raise RuntimeError(f"the change was not accepted: {response}")
+    return response["version"], accepted_at
 
 
 def all_members_alive(fleet: Fleet) -> bool:
@@ -139,10 +139,10 @@
         fleet.apply_example()
         fleet.wait_until(partial(all_members_alive, fleet), "all members are known", 120.0)
         time.sleep(SETTLE_SECONDS)
-        bytes_before, began = proxies.bytes_relayed, time.monotonic()
+        bytes_before, started = proxies.bytes_relayed, time.monotonic()
         cpu_before = [cpu_seconds(entry) for entry in fleet.entries]
         time.sleep(seconds)
-        elapsed = time.monotonic() - began
+        elapsed = time.monotonic() - started
         bytes_relayed = proxies.bytes_relayed - bytes_before
         cpu = [
             (cpu_seconds(entry) - before) / elapsed * 100
@@ -150,17 +150,17 @@
         ]
         activation_delays = []
         for _ in range(CHANGES):
-            version, accepted = apply_change(fleet, fleet.entries[0])
-            activated = last_logged(
+            version, accepted_at = apply_change(fleet, fleet.entries[0])
+            activated_at = last_logged(
                 fleet, fleet.entries, CONFIGURATION_ACTIVE_PATTERN.format(version)
             )
-            activation_delays.append(max(0.0, activated - accepted))
+            activation_delays.append(max(0.0, activated_at - accepted_at))
         killed_entry = fleet.entries[-1]
         survivors = [entry for entry in fleet.entries if entry is not killed_entry]
-        killed = time.time()
+        killed_at = time.time()
         killed_entry.kill()
         removal_delay = (
-            last_logged(fleet, survivors, MEMBER_DEAD_PATTERN.format(killed_entry.name)) - killed
+            last_logged(fleet, survivors, MEMBER_DEAD_PATTERN.format(killed_entry.name)) - killed_at
         )
     return Result(
         entries,
--- a/standins/wasabiwell_standins/measure_relay.py
+++ b/standins/wasabiwell_standins/measure_relay.py
@@ -82,10 +82,10 @@
 
 def measure(process: Process, stream: Callable[[int], None], streams: int, tokens: int) -> str:
     """Run concurrent streams and return table cells: tokens per second and CPU ms per token."""
-    before, began = cpu_seconds(process.pid), time.monotonic()
+    before, started = cpu_seconds(process.pid), time.monotonic()
     with ThreadPoolExecutor(streams) as pool:
         list(pool.map(stream, range(streams)))
-    elapsed = time.monotonic() - began
+    elapsed = time.monotonic() - started
     used = cpu_seconds(process.pid) - before
     total = streams * tokens
     return f"{total / elapsed:>12.0f}{1000 * used / total:>12.4f}"
