--- a/standins/wasabiwell_standins/measure_membership.py
+++ b/standins/wasabiwell_standins/measure_membership.py
@@ -26,7 +26,7 @@
 CHANGES = 5
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 MEMBER_DEAD_PATTERN = r"^(\S+)Z INFO \[110\] entry instance {} is dead"
-CONFIGURATION_ACTIVE_PATTERN = r"^(\S+)Z INFO \[200\] configuration version {} is "
+CONFIGURATION_ACTIVE_PATTERN = r"^(\S+)Z INFO \[200\] configuration version {} is in force"
 
 
 class PeerProxies:
