--- a/standins/wasabiwell_standins/engine.py
+++ b/standins/wasabiwell_standins/engine.py
@@ -1,9 +1,9 @@
-"""Stand-in for model engines with continuous batching, prefix cache and limited memory.
+"""Stand-in for model engines with continuous batching, a prefix cache and limited memory.
 
-An engine works in steps. A step emits one token for each sequence whose prompt is processed, and
-processes up to `prefill_chunk` prompt tokens of the waiting sequences in the order of priority and
-arrival. A step takes a base time and a time for each prompt token. Memory is counted in tokens of
-KV cache. All times are multiplied by the time scale.
+An engine runs iterations. An iteration prefills up to `prefill_chunk` prompt tokens, ordered by
+priority and arrival, and decodes one token of each sequence whose prefill is complete. Its duration
+is a base time plus a time for each prefilled token. Memory is counted in tokens of KV cache. All
+times are multiplied by the time scale.
 """
 
 import os
@@ -17,22 +17,22 @@
 import trio
 import xxhash
 
-from wasabiwell_standins.answers import token_of_seed
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
+from wasabiwell_standins.completions import token_for_seed
 
 BYTES_PER_TOKEN = 4
 PREFIX_BLOCK_BYTES = 4_096
 MAX_PREFIX_BLOCKS = 64
 CRASH_MARKER = b"crash-this-target"
-SHARD_RENEW_S = 5.0
-"""The lead of a split prompt renews the reservations of the others this often."""
-LATE_EVENT_GAP = 7
-"""Every seventh cache event is never published."""
+SHARD_RENEWAL_INTERVAL_S = 5.0
+"""Interval at which the lead engine of a split prompt renews reservations on other engines."""
+LOST_EVENT_INTERVAL = 7
+"""Every seventh cache event is lost: it is never published."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class EngineModel:
-    """Speeds and sizes of one engine; times are in seconds before the time scale."""
+class EngineParameters:
+    """Speed and capacity of an engine; durations are in seconds, before the time scale applies."""
 
     total_tokens: int = 400_000
     slots: int = 32
@@ -45,7 +45,7 @@
 
 @dataclass(slots=True)
 class Sequence:
-    """One request that an engine holds."""
+    """A request that is queued or running on an engine."""
 
     attempt_id: str
     messages: bytes
@@ -54,7 +54,7 @@
     max_tokens: int
     priority: int
     arrival: int
-    memory: int
+    kv_tokens: int
     emitted: int
     shards: list[dict[str, str]]
     digest: xxhash.xxh3_64
@@ -64,14 +64,14 @@
     wake: trio.Event = field(default_factory=trio.Event)
 
     def push(self, frame: bytes) -> None:
-        """Queue a frame for the connection's task."""
+        """Queue a frame for the task that writes the response."""
         self.frames.append(frame)
         self.wake.set()
 
 
 @dataclass(slots=True)
 class Reservation:
-    """Memory held for a prompt whose lead is another engine."""
+    """Memory reserved for a prompt whose lead engine is another one."""
 
     tokens: int
     ttl_s: float
@@ -79,11 +79,11 @@
 
 
 class Engine:
-    """One stand-in engine."""
+    """State and request handlers of one engine."""
 
-    def __init__(self, name: str, model: EngineModel) -> None:
+    def __init__(self, name: str, parameters: EngineParameters) -> None:
         self.name = name
-        self.model = model
+        self.parameters = parameters
         self.sequences: dict[str, Sequence] = {}
         self.reservations: dict[str, Reservation] = {}
         self.cache: OrderedDict[int, None] = OrderedDict()
@@ -96,31 +96,31 @@
         self.last_fencing = 0
         self.fencing_checked = False
         self.orders: list[dict[str, object]] = []
-        self._arrivals = 0
+        self._arrival_count = 0
         self._work = trio.Event()
-        self._load: dict[str, object] = self.current_load()
-        self._published_events = 0
+        self._reported_load: dict[str, object] = self.current_load()
+        self._published_event_count = 0
         self.control_bytes = 0
 
     @property
     def used_tokens(self) -> int:
-        """Return the memory that sequences and reservations hold."""
-        held = sum(sequence.memory for sequence in self.sequences.values())
-        return held + sum(item.tokens for item in self.reservations.values())
+        """Return the KV cache tokens in use by sequences and reservations."""
+        sequence_tokens = sum(sequence.kv_tokens for sequence in self.sequences.values())
+        return sequence_tokens + sum(item.tokens for item in self.reservations.values())
 
     @property
     def free_tokens(self) -> int:
-        """Return the memory that can be given out."""
-        return self.model.total_tokens - self.used_tokens
+        """Return the KV cache tokens that are free."""
+        return self.parameters.total_tokens - self.used_tokens
 
     def current_load(self) -> dict[str, object]:
-        """Return the load as it is now."""
+        """Return the current load, without the lag of load reports."""
         running = sum(1 for sequence in self.sequences.values() if sequence.started)
         return {
-            "slots": self.model.slots,
+            "slots": self.parameters.slots,
             "running": running,
             "queued": len(self.sequences) - running,
-            "total_tokens": self.model.total_tokens,
+            "total_tokens": self.parameters.total_tokens,
             "free_tokens": self.free_tokens,
             "prefill_tokens": sum(
                 sequence.prompt_tokens - sequence.prefilled for sequence in self.sequences.values()
@@ -129,72 +129,72 @@
         }
 
     async def run(self) -> None:
-        """Run steps, the load report and the expiry of reservations."""
+        """Run iterations, refresh the load report and expire reservations."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_steps)
+            nursery.start_soon(self._run_iterations)
             nursery.start_soon(self._refresh_load)
 
     async def _refresh_load(self) -> None:
         while True:
-            self._load = self.current_load()
-            self._published_events = len(self.events)
-            await trio.sleep(self.model.load_lag_s * self.model.time_scale)
+            self._reported_load = self.current_load()
+            self._published_event_count = len(self.events)
+            await trio.sleep(self.parameters.load_lag_s * self.parameters.time_scale)
             now = trio.current_time()
             for reservation_id, item in list(self.reservations.items()):
                 if item.expires <= now:
                     del self.reservations[reservation_id]
 
-    async def _run_steps(self) -> None:
-        next_step = trio.current_time()
+    async def _run_iterations(self) -> None:
+        next_iteration = trio.current_time()
         while True:
             if not self.sequences:
                 self._work = trio.Event()
                 await self._work.wait()
-                next_step = trio.current_time()
-            duration = self._step()
-            next_step = max(next_step + duration, trio.current_time() - 1.0)
-            await trio.sleep_until(next_step)
-            self._emit()
-
-    def _step(self) -> float:
-        """Process prompt tokens and return the duration of the step."""
-        budget = self.model.prefill_chunk
+                next_iteration = trio.current_time()
+            duration = self._prefill_batch()
+            next_iteration = max(next_iteration + duration, trio.current_time() - 1.0)
+            await trio.sleep_until(next_iteration)
+            self._decode_batch()
+
+    def _prefill_batch(self) -> float:
+        """Prefill prompt tokens and return the duration of the iteration."""
+        budget = self.parameters.prefill_chunk
         processed = 0.0
-        for sequence in self._batch():
-            rest = sequence.prompt_tokens - sequence.prefilled
-            if rest <= 0 or budget <= 0:
+        for sequence in self._select_batch():
+            remaining = sequence.prompt_tokens - sequence.prefilled
+            if remaining <= 0 or budget <= 0:
                 continue
             if CRASH_MARKER in sequence.messages:
                 os._exit(70)
-            part = min(rest, budget)
-            sequence.prefilled += part
-            budget -= part
-            processed += part / (1 + len(sequence.shards))
-        duration = self.model.step_s + processed / self.model.prefill_tokens_per_s
-        return duration * self.model.time_scale
-
-    def _batch(self) -> list[Sequence]:
-        """Return the sequences that hold a slot, in the order of priority and arrival."""
+            chunk = min(remaining, budget)
+            sequence.prefilled += chunk
+            budget -= chunk
+            processed += chunk / (1 + len(sequence.shards))
+        duration = self.parameters.step_s + processed / self.parameters.prefill_tokens_per_s
+        return duration * self.parameters.time_scale
+
+    def _select_batch(self) -> list[Sequence]:
+        """Assign free slots and return the running sequences by priority and arrival."""
         waiting = sorted(
             self.sequences.values(),
             key=lambda item: (not item.started, item.priority, item.arrival),
         )
-        batch = waiting[: self.model.slots]
+        batch = waiting[: self.parameters.slots]
         for sequence in batch:
             sequence.started = True
         return sorted(batch, key=lambda item: (item.priority, item.arrival))
 
-    def _emit(self) -> None:
+    def _decode_batch(self) -> None:
         for sequence in list(self.sequences.values()):
             if not sequence.started or sequence.prefilled < sequence.prompt_tokens:
                 continue
             if sequence.emitted < sequence.max_tokens:
-                self._emit_token(sequence)
+                self._decode_token(sequence)
             if sequence.emitted >= sequence.max_tokens:
                 self._finish(sequence)
 
-    def _emit_token(self, sequence: Sequence) -> None:
-        text = token_of_seed(sequence.seed, sequence.emitted)
+    def _decode_token(self, sequence: Sequence) -> None:
+        text = token_for_seed(sequence.seed, sequence.emitted)
         sequence.digest.update(text.encode())
         frame = {
             "attempt": sequence.attempt_id,
@@ -206,7 +206,7 @@
         sequence.push(msgspec.json.encode(frame) + b"\n")
 
     def _finish(self, sequence: Sequence) -> None:
-        end = {
+        end_frame = {
             "attempt": sequence.attempt_id,
             "end": True,
             "tokens": sequence.emitted,
@@ -215,19 +215,19 @@
         }
         self.finished += 1
         self.sequences.pop(sequence.attempt_id, None)
-        self._remember(sequence.messages)
-        sequence.push(msgspec.json.encode(end) + b"\n")
+        self._cache_prompt(sequence.messages)
+        sequence.push(msgspec.json.encode(end_frame) + b"\n")
         sequence.push(b"")
 
-    def _remember(self, messages: bytes) -> None:
+    def _cache_prompt(self, messages: bytes) -> None:
         for block in _prefix_blocks(messages):
             if block not in self.cache:
                 sequence_number = len(self.events) + 1
-                kind = "lost" if sequence_number % LATE_EVENT_GAP == 0 else "stored"
+                kind = "lost" if sequence_number % LOST_EVENT_INTERVAL == 0 else "stored"
                 self.events.append({"seq": sequence_number, "kind": kind, "block": block})
             self.cache[block] = None
             self.cache.move_to_end(block)
-        limit = self.model.total_tokens * BYTES_PER_TOKEN // PREFIX_BLOCK_BYTES // 2
+        limit = self.parameters.total_tokens * BYTES_PER_TOKEN // PREFIX_BLOCK_BYTES // 2
         while len(self.cache) > limit:
             evicted, _ = self.cache.popitem(last=False)
             self.events.append({"seq": len(self.events) + 1, "kind": "evicted", "block": evicted})
@@ -240,35 +240,35 @@
             tokens += PREFIX_BLOCK_BYTES // BYTES_PER_TOKEN
         return tokens
 
-    async def handle(self, call: Call) -> None:
-        """Answer one request."""
-        if self.silent and call.path != "/control":
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Handle one HTTP request."""
+        if self.silent and exchange.path != "/control":
             await trio.sleep_forever()
-        match call.method, call.path:
+        match exchange.method, exchange.path:
             case "GET", "/load":
-                await self._reply_control(call, self._load)
+                await self._reply_control(exchange, self._reported_load)
             case "GET", "/cache-events":
-                await self._cache_events(call)
+                await self._reply_cache_events(exchange)
             case "POST", "/v1/generate":
-                await self._generate(call)
+                await self._generate(exchange)
             case "POST", "/v1/cancel":
-                self._drop(msgspec.json.decode(call.body)["attempt_id"])
-                await call.reply(200, {})
+                self._cancel(msgspec.json.decode(exchange.body)["attempt_id"])
+                await exchange.reply(200, {})
             case "POST", "/v1/reservations":
-                await self._reserve(call)
+                await self._reserve(exchange)
             case "PUT" | "POST", path if path.startswith("/v1/reservations/"):
-                await self._renew(call, path.rpartition("/")[2])
+                await self._renew_reservation(exchange, path.rpartition("/")[2])
             case "DELETE", path if path.startswith("/v1/reservations/"):
                 self.reservations.pop(path.rpartition("/")[2], None)
-                await call.reply(200, {})
+                await exchange.reply(200, {})
             case "POST", "/v1/orders":
-                await self._order(call)
+                await self._handle_order(exchange)
             case "POST", "/control":
-                await self._control(call)
+                await self._handle_control(exchange)
             case "GET", "/control":
-                await call.reply(200, self._statistics())
+                await exchange.reply(200, self._statistics())
             case _:
-                await call.reply(404, {"error": "no such path"})
+                await exchange.reply(404, {"error": "no such path"})
 
     def _statistics(self) -> dict[str, object]:
         return {
@@ -281,49 +281,49 @@
             "overcommit_refusals": self.overcommit_refusals,
             "orders": self.orders,
             "control_bytes": self.control_bytes,
-            "total_tokens": self.model.total_tokens,
+            "total_tokens": self.parameters.total_tokens,
         }
 
-    async def _control(self, call: Call) -> None:
-        for name, value in msgspec.json.decode(call.body).items():
+    async def _handle_control(self, exchange: HttpExchange) -> None:
+        for name, value in msgspec.json.decode(exchange.body).items():
             if name not in ("leaving", "silent", "fencing_checked"):
-                await call.reply(400, {"error": f"unknown control {name}"})
+                await exchange.reply(400, {"error": f"unknown control {name}"})
                 return
             setattr(self, name, value)
-        await call.reply(200, self._statistics())
+        await exchange.reply(200, self._statistics())
 
-    async def _cache_events(self, call: Call) -> None:
-        after = int(call.query("after", "0"))
-        last = max(after, min(self._published_events, after + 500))
+    async def _reply_cache_events(self, exchange: HttpExchange) -> None:
+        after = int(exchange.query("after", "0"))
+        last = max(after, min(self._published_event_count, after + 500))
         events = [event for event in self.events[after:last] if event["kind"] != "lost"]
-        await self._reply_control(call, {"events": events, "last": last})
+        await self._reply_control(exchange, {"events": events, "last": last})
 
-    async def _reply_control(self, call: Call, value: dict[str, object]) -> None:
-        """Answer a control query and count the bytes of its body."""
+    async def _reply_control(self, exchange: HttpExchange, value: dict[str, object]) -> None:
+        """Respond to a control query and add the size of the body to `control_bytes`."""
         self.control_bytes += len(msgspec.json.encode(value))
-        await call.reply(200, value)
+        await exchange.reply(200, value)
 
-    async def _reserve(self, call: Call) -> None:
-        body = msgspec.json.decode(call.body)
+    async def _reserve(self, exchange: HttpExchange) -> None:
+        body = msgspec.json.decode(exchange.body)
         if body["tokens"] > self.free_tokens:
             self.overcommit_refusals += 1
-            await call.reply(429, {"error": f"{self.free_tokens} tokens are free"})
+            await exchange.reply(429, {"error": f"{self.free_tokens} tokens are free"})
             return
         reservation_id = secrets.token_hex(8)
         expires = trio.current_time() + body["ttl_s"]
         self.reservations[reservation_id] = Reservation(body["tokens"], body["ttl_s"], expires)
-        await call.reply(200, {"reservation_id": reservation_id})
+        await exchange.reply(200, {"reservation_id": reservation_id})
 
-    async def _renew(self, call: Call, reservation_id: str) -> None:
+    async def _renew_reservation(self, exchange: HttpExchange, reservation_id: str) -> None:
         item = self.reservations.get(reservation_id)
         if item is None:
-            await call.reply(404, {"error": "no such reservation"})
+            await exchange.reply(404, {"error": "no such reservation"})
             return
         item.expires = trio.current_time() + item.ttl_s
-        await call.reply(200, {})
+        await exchange.reply(200, {})
 
     async def _renew_shards(self, sequence: Sequence) -> None:
-        """Keep the memory on other engines; when it is gone, the answer ends with an error."""
+        """Renew reservations on other engines; a failed renewal ends the response with an error."""
         async with httpcore.AsyncConnectionPool() as pool:
             while True:
                 for shard in sequence.shards:
@@ -335,48 +335,48 @@
                     if status != 200:
                         self._fail(sequence, "memory on another engine is lost")
                         return
-                await trio.sleep(SHARD_RENEW_S)
+                await trio.sleep(SHARD_RENEWAL_INTERVAL_S)
 
     def _fail(self, sequence: Sequence, error: str) -> None:
-        self._drop(sequence.attempt_id)
+        self._cancel(sequence.attempt_id)
         frame = {"attempt": sequence.attempt_id, "error": error}
         sequence.push(msgspec.json.encode(frame) + b"\n")
         sequence.push(b"")
 
-    async def _order(self, call: Call) -> None:
-        body = msgspec.json.decode(call.body)
+    async def _handle_order(self, exchange: HttpExchange) -> None:
+        body = msgspec.json.decode(exchange.body)
         if self.fencing_checked and body["fencing"] < self.last_fencing:
-            await call.reply(409, {"error": "old fencing number"})
+            await exchange.reply(409, {"error": "old fencing number"})
             return
         self.last_fencing = max(self.last_fencing, body["fencing"])
         self.orders.append(body)
-        await call.reply(200, {})
-
-    async def _generate(self, call: Call) -> None:
-        body = msgspec.json.decode(call.body)
-        messages = bytes(msgspec.json.decode(call.body, type=_MessagesOnly).messages)
-        sequence = self._sequence(body, messages)
-        own = self.reservations.get(body["reservation_id"])
-        available = self.free_tokens + (own.tokens if own is not None else 0)
-        if self.leaving or sequence.memory > available:
+        await exchange.reply(200, {})
+
+    async def _generate(self, exchange: HttpExchange) -> None:
+        body = msgspec.json.decode(exchange.body)
+        messages = bytes(msgspec.json.decode(exchange.body, type=_RawMessages).messages)
+        sequence = self._create_sequence(body, messages)
+        reservation = self.reservations.get(body["reservation_id"])
+        available = self.free_tokens + (reservation.tokens if reservation is not None else 0)
+        if self.leaving or sequence.kv_tokens > available:
             self.overcommit_refusals += 0 if self.leaving else 1
             error = "leaving" if self.leaving else f"{available} tokens are free"
-            await call.reply(429, {"error": error})
+            await exchange.reply(429, {"error": error})
             return
         self.reservations.pop(body["reservation_id"], None)
         self.sequences[sequence.attempt_id] = sequence
         self._work.set()
         try:
-            await self._stream(call, sequence)
+            await self._stream_response(exchange, sequence)
         finally:
-            self._drop(sequence.attempt_id)
+            self._cancel(sequence.attempt_id)
 
-    def _sequence(self, body: dict[str, object], messages: bytes) -> Sequence:
+    def _create_sequence(self, body: dict[str, object], messages: bytes) -> Sequence:
         prompt_tokens = max(1, len(messages) // BYTES_PER_TOKEN)
         shards = body["shards"]
         assert isinstance(shards, list)
-        sharded = sum(int(shard["tokens"]) for shard in shards)
-        self._arrivals += 1
+        sharded_tokens = sum(int(shard["tokens"]) for shard in shards)
+        self._arrival_count += 1
         digest = xxhash.xxh3_64(str(body["generated"]).encode())
         max_tokens, offset = int(str(body["max_tokens"])), int(str(body["resume_offset"]))
         return Sequence(
@@ -386,36 +386,36 @@
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             priority=int(str(body["priority"])),
-            arrival=self._arrivals,
-            memory=max(0, prompt_tokens + max_tokens - sharded),
+            arrival=self._arrival_count,
+            kv_tokens=max(0, prompt_tokens + max_tokens - sharded_tokens),
             emitted=offset,
             shards=shards,
             digest=digest,
             prefilled=min(prompt_tokens - 1, self._cached_tokens(messages)),
         )
 
-    async def _stream(self, call: Call, sequence: Sequence) -> None:
+    async def _stream_response(self, exchange: HttpExchange, sequence: Sequence) -> None:
         async with trio.open_nursery() as nursery:
 
             async def stop_on_disconnect() -> None:
-                await call.wait_disconnected()
+                await exchange.wait_disconnected()
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(stop_on_disconnect)
             if sequence.shards:
                 nursery.start_soon(self._renew_shards, sequence)
-            await call.start_stream(b"application/x-ndjson")
+            await exchange.start_stream(b"application/x-ndjson")
             while True:
                 await sequence.wake.wait()
                 sequence.wake = trio.Event()
                 frames, sequence.frames = sequence.frames, []
-                await call.stream(b"".join(frames))
+                await exchange.send_chunk(b"".join(frames))
                 if frames and frames[-1] == b"":
-                    await call.stream(b"", more=False)
+                    await exchange.send_chunk(b"", more=False)
                     nursery.cancel_scope.cancel()
                     return
 
-    def _drop(self, attempt_id: str) -> None:
+    def _cancel(self, attempt_id: str) -> None:
         if self.sequences.pop(attempt_id, None) is not None:
             self.cancelled += 1
 
@@ -430,7 +430,7 @@
     return blocks
 
 
-class _MessagesOnly(msgspec.Struct):
+class _RawMessages(msgspec.Struct):
     messages: msgspec.Raw
 
 
@@ -439,20 +439,20 @@
 @click.option("--count", default=1, help="Engines in this process, on consecutive ports.")
 @click.option("--name", required=True, help="Name of the first engine; others get a suffix.")
 @click.option("--total-tokens", default=400_000, help="Memory of an engine in tokens.")
-@click.option("--slots", default=32, help="Sequences that run at once.")
-@click.option("--step-s", default=0.015, help="Base time of a step, in seconds.")
-@click.option("--prefill-tokens-per-s", default=40_000.0, help="Speed of prompt processing.")
-@click.option("--load-lag-s", default=0.5, help="Age of a load report, in seconds.")
-@click.option("--time-scale", default=1.0, help="Factor of all times.")
-def main(address: str, count: int, name: str, **model: float) -> None:
-    """Run stand-in engines."""
+@click.option("--slots", default=32, help="Number of sequences that can run concurrently.")
+@click.option("--step-s", default=0.015, help="Base duration of an iteration, in seconds.")
+@click.option("--prefill-tokens-per-s", default=40_000.0, help="Prefill speed.")
+@click.option("--load-lag-s", default=0.5, help="Interval between load reports, in seconds.")
+@click.option("--time-scale", default=1.0, help="Factor applied to all durations.")
+def main(address: str, count: int, name: str, **parameters: float) -> None:
+    """Run one or more engine stand-ins."""
     host, _, port = address.rpartition(":")
-    engine_model = EngineModel(**model)  # type: ignore[arg-type]
+    engine_parameters = EngineParameters(**parameters)  # type: ignore[arg-type]
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             for index in range(count):
-                engine = Engine(name if count == 1 else f"{name}-{index}", engine_model)
+                engine = Engine(name if count == 1 else f"{name}-{index}", engine_parameters)
                 nursery.start_soon(engine.run)
                 nursery.start_soon(serve_http, engine.handle, host, int(port) + index)
 
--- a/standins/wasabiwell_standins/platform.py
+++ b/standins/wasabiwell_standins/platform.py
@@ -1,7 +1,9 @@
-"""Stand-in for the platform: table service, object store and lagging instance list.
+"""Stand-in for the platform: table service, object store and instance list with a lag.
 
-`POST /control` sets faults: `outage` (503 to everything), `delay_s`, and `lose_replies` (the
-number of next transactions whose reply is not sent although the write took effect).
+`POST /control` sets faults. `outage` returns 503 for tables and objects, `object_outage` for
+objects only and `instance_outage` for the instance list. `delay_s` delays requests, and
+`instance_lag_s` the effect of changes on the instance list. `lose_replies` is the number of further
+transactions that take effect but whose reply is withheld for 60 s.
 """
 
 import math
@@ -14,12 +16,12 @@
 import msgspec
 import trio
 
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 
 
 @dataclass(slots=True)
-class Control:
-    """Faults in force."""
+class Faults:
+    """Active faults; the field names are the keys of `POST /control`."""
 
     outage: bool = False
     object_outage: bool = False
@@ -31,7 +33,7 @@
 
 @dataclass(slots=True)
 class Statistics:
-    """Operations since the start."""
+    """Operation counts since the start."""
 
     reads: int = 0
     transactions: int = 0
@@ -42,8 +44,8 @@
 
 
 @dataclass(slots=True)
-class Stored:
-    """A row: value in base64 as it goes over the wire, and version."""
+class StoredRow:
+    """A table row; `value` is base64, as sent on the wire."""
 
     value: str
     version: int
@@ -51,53 +53,55 @@
 
 @dataclass(slots=True)
 class ListedInstance:
-    """An instance and the times from which its states are visible in the list."""
+    """An instance record and the times at which its state changes show in the list."""
 
     record: dict[str, Any]
-    visible_from: float
-    leaving_from: float = math.inf
-    gone_from: float = math.inf
+    listed_at: float
+    leaving_at: float = math.inf
+    unlisted_at: float = math.inf
 
 
 @dataclass(slots=True)
 class Platform:
-    """State of the stand-in."""
+    """State and request handlers of the platform stand-in."""
 
-    control: Control = field(default_factory=Control)
+    faults: Faults = field(default_factory=Faults)
     statistics: Statistics = field(default_factory=Statistics)
-    rows: dict[str, Stored] = field(default_factory=dict)
+    rows: dict[str, StoredRow] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     objects: dict[str, bytes] = field(default_factory=dict)
     instances: dict[str, ListedInstance] = field(default_factory=dict)
 
-    async def handle(self, call: Call) -> None:
-        """Answer one request."""
-        if call.path == "/control":
-            await self._control(call)
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Handle one HTTP request."""
+        if exchange.path == "/control":
+            await self._handle_control(exchange)
             return
-        if call.path.startswith("/instances/"):
-            await self._change_instance(call)
+        if exchange.path.startswith("/instances/"):
+            await self._update_instance(exchange)
             return
-        if self.control.delay_s:
-            await trio.sleep(self.control.delay_s)
-        if self._unavailable(call.path):
-            await call.reply(503, {"error": "outage"})
+        if self.faults.delay_s:
+            await trio.sleep(self.faults.delay_s)
+        if self._unavailable(exchange.path):
+            await exchange.reply(503, {"error": "outage"})
             return
-        handler = self._handler(call)
+        handler = self._find_handler(exchange)
         if handler is None:
-            await call.reply(404, {"error": "no such path"})
+            await exchange.reply(404, {"error": "no such path"})
             return
-        await handler(call)
+        await handler(exchange)
 
     def _unavailable(self, path: str) -> bool:
         if path.startswith("/objects/"):
-            return self.control.object_outage or self.control.outage
+            return self.faults.object_outage or self.faults.outage
         if path.startswith("/instances"):
-            return self.control.instance_outage
-        return self.control.outage
+            return self.faults.instance_outage
+        return self.faults.outage
 
-    def _handler(self, call: Call) -> Callable[[Call], Awaitable[None]] | None:
-        match call.method, call.path:
+    def _find_handler(
+        self, exchange: HttpExchange
+    ) -> Callable[[HttpExchange], Awaitable[None]] | None:
+        match exchange.method, exchange.path:
             case "POST", "/transact":
                 return self._transact
             case "POST", "/read":
@@ -107,17 +111,17 @@
             case "GET", "/instances":
                 return self._list_instances
             case "PUT" | "GET", path if path.startswith("/objects/"):
-                return self._object
+                return self._handle_object
         return None
 
-    async def _control(self, call: Call) -> None:
-        if call.method == "POST":
-            for name, value in msgspec.json.decode(call.body).items():
-                setattr(self.control, name, value)
-        await call.reply(200, {"control": self.control, "statistics": self.statistics})
+    async def _handle_control(self, exchange: HttpExchange) -> None:
+        if exchange.method == "POST":
+            for name, value in msgspec.json.decode(exchange.body).items():
+                setattr(self.faults, name, value)
+        await exchange.reply(200, {"control": self.faults, "statistics": self.statistics})
 
-    async def _transact(self, call: Call) -> None:
-        body = msgspec.json.decode(call.body)
+    async def _transact(self, exchange: HttpExchange) -> None:
+        body = msgspec.json.decode(exchange.body)
         failed = [
             condition["key"]
             for condition in body["conditions"]
@@ -129,10 +133,10 @@
         else:
             for write in body["writes"]:
                 self._write(write["key"], write["value"])
-        if self.control.lose_replies > 0:
-            self.control.lose_replies -= 1
+        if self.faults.lose_replies > 0:
+            self.faults.lose_replies -= 1
             await trio.sleep(60.0)
-        await call.reply(200, {"committed": not failed, "failed": failed})
+        await exchange.reply(200, {"committed": not failed, "failed": failed})
 
     def _version(self, key: str) -> int:
         row = self.rows.get(key)
@@ -144,61 +148,63 @@
             return
         version = self.versions.get(key, 0) + 1
         self.versions[key] = version
-        self.rows[key] = Stored(value, version)
+        self.rows[key] = StoredRow(value, version)
 
-    async def _read(self, call: Call) -> None:
+    async def _read(self, exchange: HttpExchange) -> None:
         self.statistics.reads += 1
-        keys = msgspec.json.decode(call.body)["keys"]
-        await call.reply(200, {"rows": self._rows(key for key in keys if key in self.rows)})
+        keys = msgspec.json.decode(exchange.body)["keys"]
+        await exchange.reply(
+            200, {"rows": self._encode_rows(key for key in keys if key in self.rows)}
+        )
 
-    async def _scan(self, call: Call) -> None:
+    async def _scan(self, exchange: HttpExchange) -> None:
         self.statistics.reads += 1
-        prefix, after = call.query("prefix"), call.query("after")
+        prefix, after = exchange.query("prefix"), exchange.query("after")
         keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
-        limit = int(call.query("limit", "1000"))
-        await call.reply(200, {"rows": self._rows(keys[:limit])})
+        limit = int(exchange.query("limit", "1000"))
+        await exchange.reply(200, {"rows": self._encode_rows(keys[:limit])})
 
-    def _rows(self, keys: Any) -> list[dict[str, object]]:
+    def _encode_rows(self, keys: Any) -> list[dict[str, object]]:
         return [
             {"key": key, "value": self.rows[key].value, "version": self.rows[key].version}
             for key in keys
         ]
 
-    async def _object(self, call: Call) -> None:
-        key = unquote(call.path.removeprefix("/objects/"))
-        if call.method == "PUT":
+    async def _handle_object(self, exchange: HttpExchange) -> None:
+        key = unquote(exchange.path.removeprefix("/objects/"))
+        if exchange.method == "PUT":
             self.statistics.object_puts += 1
-            self.objects[key] = call.body
-            await call.reply(200, {})
+            self.objects[key] = exchange.body
+            await exchange.reply(200, {})
             return
         self.statistics.object_gets += 1
         value = self.objects.get(key)
         if value is None:
-            await call.reply(404, {"error": "absent"})
+            await exchange.reply(404, {"error": "absent"})
             return
-        await call.reply_bytes(200, value, b"application/octet-stream")
-
-    async def _change_instance(self, call: Call) -> None:
-        instance_id = call.path.removeprefix("/instances/")
-        visible = trio.current_time() + self.control.instance_lag_s
-        if call.method == "PUT":
-            record = msgspec.json.decode(call.body)
-            self.instances[instance_id] = ListedInstance(record, visible)
-        elif instance_id in self.instances and call.method == "POST":
-            self.instances[instance_id].leaving_from = visible
-        elif instance_id in self.instances and call.method == "DELETE":
-            self.instances[instance_id].gone_from = visible
-        await call.reply(200, {})
-
-    async def _list_instances(self, call: Call) -> None:
+        await exchange.reply_bytes(200, value, b"application/octet-stream")
+
+    async def _update_instance(self, exchange: HttpExchange) -> None:
+        instance_id = exchange.path.removeprefix("/instances/")
+        visible_at = trio.current_time() + self.faults.instance_lag_s
+        if exchange.method == "PUT":
+            record = msgspec.json.decode(exchange.body)
+            self.instances[instance_id] = ListedInstance(record, visible_at)
+        elif instance_id in self.instances and exchange.method == "POST":
+            self.instances[instance_id].leaving_at = visible_at
+        elif instance_id in self.instances and exchange.method == "DELETE":
+            self.instances[instance_id].unlisted_at = visible_at
+        await exchange.reply(200, {})
+
+    async def _list_instances(self, exchange: HttpExchange) -> None:
         self.statistics.instance_reads += 1
         now = trio.current_time()
         records = [
-            {**listed.record, "leaving": listed.leaving_from <= now}
+            {**listed.record, "leaving": listed.leaving_at <= now}
             for listed in self.instances.values()
-            if listed.visible_from <= now < listed.gone_from
+            if listed.listed_at <= now < listed.unlisted_at
         ]
-        await call.reply(200, records)
+        await exchange.reply(200, records)
 
 
 @click.command()
