--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -35,7 +35,7 @@
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.routing.errors import NoTarget
 from wasabiwell_entry.coordination.routing.estimate import estimate_engine
-from wasabiwell_entry.coordination.routing.policies import Current
+from wasabiwell_entry.coordination.routing.policies import LoadAware
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.credits import LONG_MEMORY_SHARE
 from wasabiwell_entry.state.outcomes import Reason, Refused
@@ -86,7 +86,7 @@
                     yield limited
                     return
             match self._router.policy:
-                case Current():
+                case LoadAware():
                     placed = self._admit_queued(request, organisation.weight, excluded)
                 case _:
                     placed = self._admit_unqueued(request, excluded)
--- a/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
@@ -6,7 +6,7 @@
 
 from wasabiwell_entry.coordination.budget.const import BUCKETS_PER_WINDOW, USABLE_FRACTION
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.exchange import RepeatNotice, ServiceUse
+from wasabiwell_entry.state.exchange import RetryBudgetUse, RetryNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +23,7 @@
     """Request and retry counts of one service by time bucket."""
 
     requests: dict[int, int] = field(default_factory=dict)
-    repeats: dict[int, int] = field(default_factory=dict)
+    retries: dict[int, int] = field(default_factory=dict)
 
 
 class RetryBudget:
@@ -34,8 +34,8 @@
     def __init__(
         self,
         limits: BudgetLimits,
-        peer_usage: Callable[[], Iterable[tuple[ServiceUse, ...]]],
-        publish: Callable[[RepeatNotice], None],
+        peer_usage: Callable[[], Iterable[tuple[RetryBudgetUse, ...]]],
+        publish: Callable[[RetryNotice], None],
         clock: Clock,
     ) -> None:
         self._limits = limits
@@ -54,24 +54,24 @@
         peers = [use for uses in self._peer_usage() for use in uses if use.service == service]
         own = self._usage(service)
         requests = own.requests + sum(use.requests for use in peers)
-        retries = own.repeats + sum(use.repeats for use in peers)
+        retries = own.retries + sum(use.retries for use in peers)
         allowed = USABLE_FRACTION * (self._limits.ratio * requests + self._limits.slack)
         if retries + 1 > allowed:
             self.refusals += 1
             return False
-        _increment(self._service_counts(service).repeats, self._bucket())
-        self._publish(RepeatNotice(service))
+        _increment(self._service_counts(service).retries, self._bucket())
+        self._publish(RetryNotice(service))
         return True
 
-    def uses(self) -> tuple[ServiceUse, ...]:
+    def uses(self) -> tuple[RetryBudgetUse, ...]:
         """Return the counts of this entry instance in the last window."""
         return tuple(self._usage(service) for service in sorted(self._counts))
 
-    def _usage(self, service: str) -> ServiceUse:
+    def _usage(self, service: str) -> RetryBudgetUse:
         counts = self._service_counts(service)
         oldest = self._bucket() - BUCKETS_PER_WINDOW
-        return ServiceUse(
-            service, _sum_since(counts.requests, oldest), _sum_since(counts.repeats, oldest)
+        return RetryBudgetUse(
+            service, _sum_since(counts.requests, oldest), _sum_since(counts.retries, oldest)
         )
 
     def _service_counts(self, service: str) -> _Counts:
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -37,7 +37,7 @@
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.credits import (
-    NOTHING,
+    ZERO_AMOUNT,
     Amount,
     CreditClaim,
     CreditPool,
@@ -131,10 +131,10 @@
             return Hold(hold_id, target_id, tokens)
         owner = self._owners.owner(target_id)
         if self._owners.is_own(owner):
-            pool.note_demand(amount, self._reported_capacity(target_id))
+            pool.record_demand(amount, self._reported_capacity(target_id))
             self._claim_locally([pool])
         elif isinstance(owner, NoOwner):
-            pool.note_demand(amount, self._reported_capacity(target_id))
+            pool.record_demand(amount, self._reported_capacity(target_id))
             self._use_fallback(pool)
         if pool.take(hold_id, amount, now):
             return Hold(hold_id, target_id, tokens)
@@ -143,7 +143,7 @@
     def report_demand(self, target_id: str, tokens: int, size: SizeClass) -> None:
         """Record the unmet demand of one request, to be included in the next claim."""
         pool = self._pool(target_id)
-        pool.note_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
+        pool.record_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
         owner = self._owners.owner(target_id)
         if isinstance(owner, Member) and owner.node_id in self._links:
             self._links[owner.node_id].wake.set()
@@ -186,7 +186,7 @@
         """Return the ids and valid amounts of all engines for which credit is held."""
         now = self._clock.monotonic()
         valid = [(pool.engine_id, pool.valid(now)) for pool in self._pools.values()]
-        return [(engine_id, amount) for engine_id, amount in valid if amount != NOTHING]
+        return [(engine_id, amount) for engine_id, amount in valid if amount != ZERO_AMOUNT]
 
     def outstanding(self, engine_ids: Sequence[str]) -> list[CreditClaim]:
         """Return the credit and usage of the given engines, for their new owner."""
@@ -217,7 +217,7 @@
         if now >= self._window_end:
             self._window_end = now + IDLE_WINDOW
             for pool in self._pools.values():
-                pool.turn_window()
+                pool.rotate_window()
         locally_owned: list[CreditPool] = []
         for pool in list(self._pools.values()):
             match self._owners.owner(pool.engine_id):
@@ -228,7 +228,7 @@
                 case owner:
                     self._wake_link(owner, pool, nursery)
         self._claim_locally(
-            [pool for pool in locally_owned if pool.amount != NOTHING or pool.wanted().slots]
+            [pool for pool in locally_owned if pool.amount != ZERO_AMOUNT or pool.wanted().slots]
         )
 
     def _drop_if_unused(self, pool: CreditPool) -> None:
@@ -255,7 +255,7 @@
             if pending:
                 # The message is sent anyway, so renewing further credits in it costs little.
                 others = [
-                    pool for pool in pools if pool not in pending and pool.wanted() != NOTHING
+                    pool for pool in pools if pool not in pending and pool.wanted() != ZERO_AMOUNT
                 ]
                 await self._send_claims(link, [*pending, *others][:MAX_CLAIMS_PER_MESSAGE])
             else:
@@ -276,16 +276,16 @@
         """Return whether a pool needs a message to its owner: a claim, renewal or release."""
         now = self._clock.monotonic()
         wanted, valid = pool.wanted(), pool.valid(now)
-        if pool.unmet != NOTHING or not wanted.covers(valid):
+        if pool.unmet_demand != ZERO_AMOUNT or not wanted.covers(valid):
             return True
-        return wanted != NOTHING and pool.expires - now < RENEW_BEFORE
+        return wanted != ZERO_AMOUNT and pool.expires - now < RENEW_BEFORE
 
     async def _send_claims(self, link: _OwnerLink, pools: list[CreditPool]) -> None:
         now = self._clock.monotonic()
-        unused = [pool for pool in pools if pool.wanted() == NOTHING]
+        unused = [pool for pool in pools if pool.wanted() == ZERO_AMOUNT]
         if unused:
             await self._peers.release(link.owner, [self._make_return(pool) for pool in unused])
-        wanted = {pool.engine_id: pool for pool in pools if pool.wanted() != NOTHING}
+        wanted = {pool.engine_id: pool for pool in pools if pool.wanted() != ZERO_AMOUNT}
         if not wanted:
             return
         claims = [pool.claim(now) for pool in wanted.values()]
@@ -352,8 +352,8 @@
         if load is None or now - load.reported > CREDIT_LIFETIME:
             return
         members = 1 + len(self._owners.other_members())
-        extra = fallback_amount(load, members, demand or pool.unmet)
-        pool.unmet = NOTHING
+        extra = fallback_amount(load, members, demand or pool.unmet_demand)
+        pool.unmet_demand = ZERO_AMOUNT
         pool.assume(pool.used + extra, now)
 
     async def _hold_part(self, target_id: str, tokens: int, size: SizeClass) -> Hold | NoCapacity:
@@ -378,7 +378,7 @@
         if isinstance(owner, NoOwner) or self._owners.is_own(owner):
             return
         pool = self._pool(target_id)
-        pool.note_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
+        pool.record_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
         claim = pool.claim(self._clock.monotonic())
         answers = await self._peers.acquire(owner, [claim])
         if not isinstance(answers, OwnerUnreachable):
@@ -395,7 +395,7 @@
     async def _release_all_credit(self) -> None:
         for pool in list(self._pools.values()):
             owner = self._owners.owner(pool.engine_id)
-            if isinstance(owner, NoOwner) or pool.amount == NOTHING:
+            if isinstance(owner, NoOwner) or pool.amount == ZERO_AMOUNT:
                 continue
             if self._owners.is_own(owner):
                 self._owner.accept_returns([self._make_return(pool)])
@@ -416,12 +416,12 @@
         """Return the total capacity of an engine from its last load report."""
         status = self._targets.get(engine_id)
         if status is None or status.load is None:
-            return NOTHING
+            return ZERO_AMOUNT
         return engine_capacity(status.load.slots, status.load.total_tokens)
 
     def _notify(self) -> None:
         for pool in self._pools.values():
-            pool.forget_repeated_demand()
+            pool.discard_repeated_demand()
         for observer in self._observers:
             observer()
 
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/fallback.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/fallback.py
@@ -1,6 +1,6 @@
 """Capacity that a holder uses while the owner of an engine is unreachable."""
 
-from wasabiwell_entry.state.credits import NOTHING, Amount, engine_capacity
+from wasabiwell_entry.state.credits import ZERO_AMOUNT, Amount, engine_capacity
 from wasabiwell_entry.state.targets import EngineLoad
 
 
@@ -17,7 +17,7 @@
     # Load reports do not break usage down by prompt size, so all usage counts as long prompts.
     free = Amount(free_slots, max(0, load.free_tokens), max(0, capacity.long_tokens - used))
     share = Amount(free.slots // members, free.tokens // members, free.long_tokens // members)
-    if demand == NOTHING or demand.slots == 0:
-        return NOTHING
+    if demand == ZERO_AMOUNT or demand.slots == 0:
+        return ZERO_AMOUNT
     average = Amount(1, -(-demand.tokens // demand.slots), -(-demand.long_tokens // demand.slots))
     return demand.at_most(share.at_least(average.at_most(free)))
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -23,7 +23,7 @@
 )
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.credits import (
-    NOTHING,
+    ZERO_AMOUNT,
     Amount,
     CreditClaim,
     CreditLedger,
@@ -121,7 +121,7 @@
         """Return the total unexpired credit of an owned engine."""
         engine = self._engines.get(engine_id)
         if engine is None:
-            return NOTHING
+            return ZERO_AMOUNT
         engine.ledger.expire(self._clock.monotonic())
         return engine.ledger.outstanding()
 
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -139,7 +139,7 @@
                 if isinstance(placement, Refused):
                     return _refused_outcome(progress, placement)
                 target_id = placement.target.target_id
-                async with self._suspects.one_suspect(request.fingerprint, target_id):
+                async with self._suspects.exclusive_retry(request.fingerprint, target_id):
                     if self._suspects.quarantined(request.fingerprint):
                         return _unanswered_outcome(
                             progress, Reason.QUARANTINED, QUARANTINED_MESSAGE
@@ -150,7 +150,7 @@
                     outcome = await self._attempt(request, sink, progress, placement)
             match outcome:
                 case AttemptFinished(end=end):
-                    await self._suspects.finished(request.fingerprint)
+                    await self._suspects.record_success(request.fingerprint)
                     return Finished(end.tokens, end.finish_reason)
                 case AttemptInterrupted(interruption=interruption):
                     progress.last_reason = interruption.reason
@@ -235,7 +235,7 @@
             return
         # Only a dead target counts: a network failure would mark all requests as suspects.
         if isinstance(await self._engines.probe(target), TargetDown):
-            await self._suspects.crashed(attempt.request.fingerprint, target.target_id)
+            await self._suspects.record_crash(attempt.request.fingerprint, target.target_id)
 
     async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
         self._retries.count_first_attempt()
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -107,11 +107,13 @@
     def suspected(self, fingerprint: str) -> bool:
         """Return whether a target crashed while it processed the request."""
 
-    def one_suspect(self, fingerprint: str, target_id: str) -> AbstractAsyncContextManager[None]:
+    def exclusive_retry(
+        self, fingerprint: str, target_id: str
+    ) -> AbstractAsyncContextManager[None]:
         """Wait until no other suspect runs on the target; other requests do not wait."""
 
-    async def crashed(self, fingerprint: str, target_id: str) -> None:
+    async def record_crash(self, fingerprint: str, target_id: str) -> None:
         """Mark a request as suspect because a target crashed while it processed the request."""
 
-    async def finished(self, fingerprint: str) -> None:
+    async def record_success(self, fingerprint: str) -> None:
         """Clear the suspicion of a request that has finished."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.forwarding.const import (
     MAX_BUFFERED_BYTES,
     MAX_SENDS,
@@ -89,7 +89,7 @@
         ledger: PlacementLedger,
         targets: TargetPort,
         reservations: EngineReservations,
-        budget: RepeatBudget,
+        budget: RetryBudget,
         crashes: CrashCounts,
         clock: Clock,
     ) -> None:
@@ -172,7 +172,7 @@
             return False
         if isinstance(outcome, NotSent):
             return True
-        if self._budget.take(request.service):
+        if self._budget.try_consume(request.service):
             return True
         log_events.emit(log_events.REPEAT_BUDGET_USED, request=request.request_id)
         return False
@@ -241,7 +241,7 @@
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
         if opened.verdict is AttemptVerdict.ANSWERED:
-            self._crashes.finished(request.fingerprint)
+            self._crashes.record_success(request.fingerprint)
         else:
             progress.excluded.update(lost_helpers or [target.target_id])
         return outcome
@@ -253,7 +253,7 @@
         if await self._targets.accepts_connections(target):
             return replace(broken, target_lost=False)
         name = f"{target.target_id}@{target.incarnation}"
-        self._crashes.crashed(request.fingerprint, name)
+        self._crashes.record_crash(request.fingerprint, name)
         return broken
 
     def _log_outcome(
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/helper_memory.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/helper_memory.py
@@ -52,7 +52,7 @@
         yield replace(placement, helpers=(*reserved, *others))
     finally:
         for helper in reserved:
-            reservations.give_back(helper.reservation_id)
+            reservations.release(helper.reservation_id)
 
 
 async def _reserve_all(
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/coordinator.py
@@ -66,7 +66,7 @@
         age = self._configuration.confirmation_age()
         if age is None:
             return NotReady("the configuration in force has not been confirmed")
-        if age > MAX_CONFIRMATION_AGE and not self._membership.hears_majority():
+        if age > MAX_CONFIRMATION_AGE and not self._membership.reaches_majority():
             return NotReady(
                 "the configuration may be outdated: neither the store nor a majority of members "
                 "is reachable"
@@ -91,7 +91,7 @@
         await self._clock.sleep(address_ttl + LEAVING_PROPAGATION_TIME)
         await self._stop.wait_requests_finished(end)
         await self._release_held()
-        self._membership.depart()
+        self._membership.announce_stop()
         await self._clock.sleep(DEPARTURE_PROPAGATION_TIME)
         await self._stop.wait_requests_finished(end)
         if self._stop.open_requests:
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/ports.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.state.configuration import ConfigurationUpdate
 from wasabiwell_entry.state.heartbeats import Announcement
 from wasabiwell_entry.state.marks import Mark
@@ -26,5 +26,5 @@
 class SnapshotPort(Protocol):
     """Fetches snapshots from running entry instances."""
 
-    async def fetch_snapshot(self, address: str) -> PeerSnapshot | PeerSilent:
+    async def fetch_snapshot(self, address: str) -> PeerSnapshot | PeerUnreachable:
         """Return the snapshot of the entry instance at a peer address."""
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/recovery.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/recovery.py
@@ -13,7 +13,7 @@
 )
 from wasabiwell_entry.coordination.lifecycle.ports import PeerSnapshot, SnapshotPort
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.platform import (
@@ -95,7 +95,7 @@
             match await self._peers.fetch_snapshot(address):
                 case PeerSnapshot() as snapshot:
                     snapshots.append(snapshot)
-                case PeerSilent():
+                case PeerUnreachable():
                     pass
 
         async with trio.open_nursery() as nursery:
@@ -110,8 +110,8 @@
         self._membership.merge(snapshot.members, snapshot.marks)
         if snapshot.instances:
             self._apply_instances(list(snapshot.instances))
-        self._configuration.take_over(snapshot.configuration)
-        self._configuration.confirmed_by(snapshot.announcement)
+        self._configuration.apply_update(snapshot.configuration)
+        self._configuration.apply_confirmation(snapshot.announcement)
         log_events.emit(
             log_events.RECOVERED_FROM_PEER,
             peer=snapshot.sender,
--- a/packages/entry/src/wasabiwell_entry/coordination/observation/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/observation/coordinator.py
@@ -5,7 +5,7 @@
 import trio
 
 from wasabiwell_entry.coordination.forwarding.coordinator import ForwardOutcome
-from wasabiwell_entry.coordination.forwarding.ports import AnswerSink
+from wasabiwell_entry.coordination.forwarding.ports import ResponseSink
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.counters import ForwardCounters, ForwardKind
 from wasabiwell_entry.state.forwarding import Forwarded, ForwardedRequest, ResponseHead
@@ -20,7 +20,7 @@
 class RequestForwarder(Protocol):
     """Interface of forwarders for a front end, with or without metrics."""
 
-    async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
+    async def forward(self, request: ForwardedRequest, sink: ResponseSink) -> ForwardOutcome:
         """Forward a request and deliver its response to the sink."""
 
 
@@ -34,7 +34,7 @@
         self._counters = counters
         self._clock = clock
 
-    async def forward(self, request: ForwardedRequest, sink: AnswerSink) -> ForwardOutcome:
+    async def forward(self, request: ForwardedRequest, sink: ResponseSink) -> ForwardOutcome:
         """Forward a request and deliver its response to the sink."""
         observed = _ObservedSink(sink, request, self._counters, self._clock)
         try:
@@ -61,7 +61,7 @@
 
     def __init__(
         self,
-        sink: AnswerSink,
+        sink: ResponseSink,
         request: ForwardedRequest,
         counters: ForwardCounters,
         clock: Clock,
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -144,7 +144,7 @@
     def _target_cost(self, work: TargetWork) -> float:
         """Return the cost of a target regardless of the request, as a ratio of its value."""
         zone_cost = 0.0 if work.target.zone == self._zone else REMOTE_ZONE_COST
-        failure_cost = FAILURE_RATE_COST * self._health.failure_share(work.target)
+        failure_cost = FAILURE_RATE_COST * self._health.failure_rate(work.target)
         return zone_cost + failure_cost + MAX_JITTER_COST * self._random.random()
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
@@ -14,7 +14,7 @@
     def usable(self, target: Target) -> bool:
         """Return whether the target should get requests."""
 
-    def failure_share(self, target: Target) -> float:
+    def failure_rate(self, target: Target) -> float:
         """Return the recent failure rate of the target, from 0 to 1."""
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
@@ -29,7 +29,7 @@
 from wasabiwell_entry.coordination.runs.errors import Claimed, ClaimOutcome
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.outcomes import Answer, Failed, Reason, Refused, RunState
+from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState, ServiceResponse
 from wasabiwell_entry.state.platform import (
     Committed,
     Condition,
@@ -101,7 +101,7 @@
         return outcome
 
     async def settle(
-        self, claim: Claimed, status: RunStatus, response: Answer | None = None
+        self, claim: Claimed, status: RunStatus, response: ServiceResponse | None = None
     ) -> None:
         """Write the final status of a claim.
 
@@ -147,7 +147,7 @@
             await self._clock.sleep(SETTLE_POLL_INTERVAL)
 
     def _start_settling(
-        self, claim: Claimed, status: RunStatus, response: Answer | None
+        self, claim: Claimed, status: RunStatus, response: ServiceResponse | None
     ) -> trio.Event:
         settled = trio.Event()
         if self._pending_settlements >= MAX_PENDING_SETTLEMENTS:
@@ -159,7 +159,11 @@
         return settled
 
     async def _settle(
-        self, claim: Claimed, status: RunStatus, response: Answer | None, settled: trio.Event
+        self,
+        claim: Claimed,
+        status: RunStatus,
+        response: ServiceResponse | None,
+        settled: trio.Event,
     ) -> None:
         try:
             record = replace(claim.record, status=status)
@@ -262,9 +266,11 @@
                     return _result_unavailable()
         elif record.answer_status == 0:
             return _result_unavailable()
-        return Answer(record.answer_status, record.answer_content_type, body, replayed=True)
+        return ServiceResponse(
+            record.answer_status, record.answer_content_type, body, replayed=True
+        )
 
-    async def _attach_response(self, record: RunRecord, response: Answer) -> RunRecord:
+    async def _attach_response(self, record: RunRecord, response: ServiceResponse) -> RunRecord:
         record = replace(
             record, answer_status=response.status, answer_content_type=response.content_type
         )
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/errors.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wasabiwell_entry.state.outcomes import Answer, Failed, Refused
+from wasabiwell_entry.state.outcomes import Failed, Refused, ServiceResponse
 from wasabiwell_entry.state.runs import RunRecord
 
 
@@ -18,4 +18,4 @@
     version: int = 0
 
 
-ClaimOutcome = Claimed | Answer | Refused | Failed
+ClaimOutcome = Claimed | ServiceResponse | Refused | Failed
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
@@ -7,18 +7,18 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Protocol
 
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent, ProbeOutcome
+from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted, CallNotSent, ProbeOutcome
 from wasabiwell_entry.coordination.dispatch.ports import (
     AdmissionPort,
-    AnswerSink,
     EnginePort,
     Placement,
     PlainPort,
+    ResponseSink,
 )
 from wasabiwell_entry.coordination.telemetry.ports import Telemetry
 from wasabiwell_entry.coordination.telemetry.records import RequestLog
 from wasabiwell_entry.state.counters import Counters, RequestKind
-from wasabiwell_entry.state.outcomes import Answer, CallOutcome, GenerateOutcome, Refused
+from wasabiwell_entry.state.outcomes import CallOutcome, GenerateOutcome, Refused, ServiceResponse
 from wasabiwell_entry.state.platform import (
     Committed,
     Condition,
@@ -36,7 +36,7 @@
     EndFrame,
     GenerateRequest,
     ServiceCall,
-    StreamBroken,
+    StreamInterrupted,
     StreamItem,
     TokenFrame,
 )
@@ -46,7 +46,7 @@
 class RequestRunner(Protocol):
     """The dispatcher as front ends call it, instrumented or not."""
 
-    async def generate(self, request: GenerateRequest, sink: AnswerSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
 
     async def call(self, call: ServiceCall) -> CallOutcome:
@@ -66,7 +66,7 @@
         self._counters = counters
         self._telemetry = telemetry
 
-    async def generate(self, request: GenerateRequest, sink: AnswerSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
         record = self._log.open(request)
         self._counters.open_streams += 1
@@ -185,7 +185,7 @@
                         self._record.first_token_s = self._log.elapsed(self._request)
             case EndFrame():
                 self._log.end_attempt(self._request, self._attempt, "finished")
-            case StreamBroken(reason=reason, refused=refused):
+            case StreamInterrupted(reason=reason, refused=refused):
                 outcome = "refused" if refused else "broken"
                 self._log.end_attempt(self._request, self._attempt, outcome, reason)
         return item
@@ -233,18 +233,20 @@
         self._log = log
         self._telemetry = telemetry
 
-    async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
+    async def call(
+        self, target: Target, call: ServiceCall
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
         """Send a call once."""
         record = self._log.begin_attempt(call, call.request_id, target.target_id)
         with self._telemetry.span("plain call", {"wasabiwell.target": target.target_id}):
             try:
                 outcome = await self._inner.call(target, call)
                 match outcome:
-                    case Answer(status=status):
+                    case ServiceResponse(status=status):
                         self._log.end_attempt(call, record, "answered", f"status {status}")
                     case CallNotSent(reason=reason):
                         self._log.end_attempt(call, record, "not sent", reason)
-                    case CallBroken(reason=reason):
+                    case CallInterrupted(reason=reason):
                         self._log.end_attempt(call, record, "broken", reason)
                 return outcome
             finally:
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/records.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/records.py
@@ -10,13 +10,13 @@
 from wasabiwell_entry.coordination.telemetry.errors import NoRecord
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.outcomes import (
-    Answer,
     CallOutcome,
     Failed,
     Finished,
     GenerateOutcome,
     Refused,
     RunState,
+    ServiceResponse,
 )
 from wasabiwell_entry.state.reports import AttemptRecord, RequestRecord, without_target_text
 from wasabiwell_entry.state.requests import GenerateRequest, ServiceCall
@@ -64,7 +64,7 @@
         """Record the outcome of a request."""
         record.total_s = self.elapsed(request)
         match outcome:
-            case Finished() | Answer():
+            case Finished() | ServiceResponse():
                 record.outcome, record.run = "ok", RunState.RAN.value
             case Refused(reason=reason, message=message):
                 record.outcome, record.run = reason.value, RunState.NOT_RUN.value
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -13,7 +13,7 @@
 from wasabiwell_entry.coordination.addresses import AddressCoordinator
 from wasabiwell_entry.coordination.admission import AdmissionCoordinator
 from wasabiwell_entry.coordination.admission.coordinator import AdmissionPorts
-from wasabiwell_entry.coordination.admission.load_capacity import LoadCapacity
+from wasabiwell_entry.coordination.admission.load_capacity import LoadBasedCapacity
 from wasabiwell_entry.coordination.configuration import ConfigurationCoordinator
 from wasabiwell_entry.coordination.configuration.store import ConfigurationStore
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
@@ -22,26 +22,30 @@
 from wasabiwell_entry.coordination.limits import LimitCoordinator
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
 from wasabiwell_entry.coordination.operations import OperationsCoordinator
-from wasabiwell_entry.coordination.operations.coordinator import Sources
+from wasabiwell_entry.coordination.operations.coordinator import StatusSources
 from wasabiwell_entry.coordination.operations.providers import (
-    AdmissionQueues,
-    Quarantine,
-    SharedCapacity,
+    AdmissionQueueProvider,
+    EngineCreditProvider,
+    SuspectProvider,
+)
+from wasabiwell_entry.coordination.orders import (
+    OrderCoordinator,
+    OrderLeases,
+    WeightStoreRateLimiter,
 )
-from wasabiwell_entry.coordination.orders import OrderCoordinator, OrderLeases, WeightStoreRate
 from wasabiwell_entry.coordination.quarantine.coordinator import QuarantineCoordinator
-from wasabiwell_entry.coordination.quarantine.marks import MarkedSuspects
+from wasabiwell_entry.coordination.quarantine.marks import SuspectGossip
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.routing.errors import UnknownPolicy
-from wasabiwell_entry.coordination.routing.policies import Current, Policy, policy_of
+from wasabiwell_entry.coordination.routing.policies import LoadAware, Policy, policy_by_name
 from wasabiwell_entry.coordination.runs.coordinator import open_run_coordinator
 from wasabiwell_entry.coordination.targets import TargetCoordinator
-from wasabiwell_entry.coordination.telemetry.observed import (
-    ObservedAdmission,
-    ObservedDispatcher,
-    ObservedEngines,
-    ObservedPlain,
-    ObservedTable,
+from wasabiwell_entry.coordination.telemetry.instrumented import (
+    InstrumentedAdmission,
+    InstrumentedDispatcher,
+    InstrumentedEngines,
+    InstrumentedPlainServices,
+    InstrumentedTable,
 )
 from wasabiwell_entry.coordination.telemetry.records import RequestLog
 from wasabiwell_entry.protocol.peer import ACQUIRE_LIMIT
@@ -60,11 +64,11 @@
 from wasabiwell_entry.transport.http.server import serve_callers
 from wasabiwell_entry.transport.peer.calls import GrpcPeerCalls, register_peer_methods
 from wasabiwell_entry.transport.peer.client import open_peer_client
-from wasabiwell_entry.transport.peer.codec import TRAFFIC
+from wasabiwell_entry.transport.peer.codec import CONTROL_TRAFFIC
 from wasabiwell_entry.transport.peer.credits import GrpcCreditPeers, serve_credits
-from wasabiwell_entry.transport.peer.exchange import GrpcPeers
-from wasabiwell_entry.transport.peer.limits import PeerLimitOwners
-from wasabiwell_entry.transport.peer.rate import GrpcRatePeers, serve_rate
+from wasabiwell_entry.transport.peer.exchange import GrpcHeartbeatConnector
+from wasabiwell_entry.transport.peer.limits import GrpcLimitOwners
+from wasabiwell_entry.transport.peer.rate import GrpcWeightRatePeers, serve_weight_rate
 from wasabiwell_entry.transport.peer.server import PeerService, serve_peers
 from wasabiwell_entry.transport.platform.client import (
     HttpInstanceList,
@@ -121,7 +125,7 @@
         members = MemberTable()
         target_table = TargetTable()
         configuration_state = ConfigurationState()
-        table = ObservedTable(
+        table = InstrumentedTable(
             HttpTableService(settings.table_url, tls.platform), counters, telemetry
         )
         engines = HttpEngineClient(pools, clock, telemetry)
@@ -134,7 +138,7 @@
             members,
             MarkTable(),
             instances,
-            GrpcPeers(tls.peer_client),
+            GrpcHeartbeatConnector(tls.peer_client),
             configuration,
             clock,
         )
@@ -167,13 +171,13 @@
         def organisation(name: str) -> Organisation | None:
             return configuration_state.view.organisation(name)
 
-        limits = LimitCoordinator(own, members, organisation, PeerLimitOwners(peers), clock)
+        limits = LimitCoordinator(own, members, organisation, GrpcLimitOwners(peers), clock)
         policy = _policy(settings)
         match policy:
-            case Current(shares_credits=True):
-                capacity: CreditHolder | LoadCapacity = credit_holder
+            case LoadAware(shares_credits=True):
+                capacity: CreditHolder | LoadBasedCapacity = credit_holder
             case _:
-                capacity = LoadCapacity(target_table, clock, lambda: len(members.alive()))
+                capacity = LoadBasedCapacity(target_table, clock, lambda: len(members.alive()))
         admission = AdmissionCoordinator(
             Router(target_table, settings.zone, clock, policy),
             target_table,
@@ -181,20 +185,22 @@
             clock,
         )
         targets.observe(admission.capacity_changed)
-        marked = MarkedSuspects(membership, clock)
+        marked = SuspectGossip(membership, clock)
         quarantine = QuarantineCoordinator(
             table, SuspectTable(), marked, lambda: len(members), clock
         )
-        marked.subscribe(quarantine.learn, quarantine.forget)
-        rate = WeightStoreRate(settings.weight_loads, own, members, GrpcRatePeers(peers), clock)
+        marked.subscribe(quarantine.merge_remote, quarantine.remove)
+        rate = WeightStoreRateLimiter(
+            settings.weight_loads, own, members, GrpcWeightRatePeers(peers), clock
+        )
         peer_service = PeerService()
         register_peer_methods(peer_service, membership, members, configuration, targets)
         serve_credits(peer_service, credit_owner, credit_holder)
-        serve_rate(peer_service, rate)
+        serve_weight_rate(peer_service, rate)
         peer_service.handle(ACQUIRE_LIMIT, limits.serve)
-        shared_capacity = SharedCapacity(owners, credit_owner, credit_holder)
+        shared_capacity = EngineCreditProvider(owners, credit_owner, credit_holder)
         operations = OperationsCoordinator(
-            Sources(
+            StatusSources(
                 own=own,
                 configuration=configuration_state,
                 members=members,
@@ -203,18 +209,18 @@
                 lifecycle=lifecycle,
                 records=records,
                 counters=counters,
-                traffic=TRAFFIC,
-                queues=AdmissionQueues(admission),
+                traffic=CONTROL_TRAFFIC,
+                queues=AdmissionQueueProvider(admission),
                 credit_ledger=shared_capacity,
                 owners=shared_capacity,
-                quarantine=Quarantine(quarantine),
+                quarantine=SuspectProvider(quarantine),
             )
         )
         async with open_run_coordinator(table, objects, clock, settings.node_id) as runs:
             dispatcher = Dispatcher(
-                admission=ObservedAdmission(admission, records, telemetry),
-                engines=ObservedEngines(engines, records, telemetry),
-                plain=ObservedPlain(
+                admission=InstrumentedAdmission(admission, records, telemetry),
+                engines=InstrumentedEngines(engines, records, telemetry),
+                plain=InstrumentedPlainServices(
                     HttpPlainClient(clock, telemetry, tls.targets), records, telemetry
                 ),
                 runs=runs,
@@ -223,7 +229,7 @@
                 clock=clock,
             )
             http = HttpContext(
-                dispatcher=ObservedDispatcher(dispatcher, records, counters, telemetry),
+                dispatcher=InstrumentedDispatcher(dispatcher, records, counters, telemetry),
                 addresses=AddressCoordinator(own, members, settings.address_ttl),
                 configuration=configuration_state,
                 configuration_coordinator=configuration,
@@ -324,7 +330,7 @@
 
 def _policy(settings: Settings) -> Policy:
     """Return the routing policy of the settings, which were validated at start."""
-    policy = policy_of(settings.policy)
+    policy = policy_by_name(settings.policy)
     assert not isinstance(policy, UnknownPolicy), policy
     return policy
 
--- a/packages/entry/src/wasabiwell_entry/settings.py
+++ b/packages/entry/src/wasabiwell_entry/settings.py
@@ -12,7 +12,11 @@
 from wasabiwell_entry.coordination.addresses.const import DEFAULT_ADDRESS_TTL
 from wasabiwell_entry.coordination.lifecycle.const import DEFAULT_DRAIN_LIMIT
 from wasabiwell_entry.coordination.routing.errors import UnknownPolicy
-from wasabiwell_entry.coordination.routing.policies import DEFAULT_POLICY, POLICY_NAMES, policy_of
+from wasabiwell_entry.coordination.routing.policies import (
+    DEFAULT_POLICY,
+    POLICY_NAMES,
+    policy_by_name,
+)
 from wasabiwell_entry.state.outcomes import Finding
 
 MIN_PORT = 1
@@ -82,7 +86,7 @@
         findings += _check_url("--otlp-endpoint", settings.otlp_endpoint)
     if settings.max_body_bytes <= 0:
         findings.append(Finding("--max-body-bytes", "must be above 0"))
-    if isinstance(policy_of(settings.policy), UnknownPolicy):
+    if isinstance(policy_by_name(settings.policy), UnknownPolicy):
         findings.append(Finding("--policy", f"must be one of {', '.join(POLICY_NAMES)}"))
     if settings.weight_loads <= 0:
         findings.append(Finding("--weight-loads", "must be above 0"))
--- a/packages/entry/src/wasabiwell_entry/state/forwarding.py
+++ b/packages/entry/src/wasabiwell_entry/state/forwarding.py
@@ -67,8 +67,9 @@
     """One attempt to run a request on a target.
 
     `urgency` orders the queue of an engine, 0 first. `time_left` is the time limit for the target.
-    `patience` returns the current silence timeout; after each `probe_interval` without data the
-    target's health is probed. `resume_after` is the id of the last event that the caller received.
+    `silence_timeout` returns the current silence timeout; after each `probe_interval` without data
+    the target's health is probed. `resume_after` is the id of the last event that the caller
+    received.
     """
 
     request: ForwardedRequest
@@ -76,7 +77,7 @@
     helpers: tuple[Helper, ...]
     urgency: int
     time_left: timedelta
-    patience: Callable[[], timedelta]
+    silence_timeout: Callable[[], timedelta]
     probe_interval: timedelta
     resume_after: int | None = None
 
--- a/packages/entry/src/wasabiwell_entry/tls.py
+++ b/packages/entry/src/wasabiwell_entry/tls.py
@@ -6,7 +6,7 @@
 
 from wasabiwell_entry.settings import Settings, split_address
 from wasabiwell_entry.state import log_events
-from wasabiwell_entry.transport.certificates import Certificates, KeyPair
+from wasabiwell_entry.transport.certificates import CertificateReloader, KeyPair
 
 CALLER_PROTOCOLS = ("h2", "http/1.1")
 
@@ -15,7 +15,7 @@
 class TlsContexts:
     """TLS contexts of an entry instance; None means connections without TLS."""
 
-    certificates: Certificates
+    certificates: CertificateReloader
     callers: ssl.SSLContext | None
     peer_server: ssl.SSLContext | None
     peer_client: ssl.SSLContext | None
@@ -25,7 +25,7 @@
 
 def open_tls(settings: Settings) -> TlsContexts:
     """Return the TLS contexts for the certificates in the settings."""
-    certificates = Certificates()
+    certificates = CertificateReloader()
     peer_server = peer_client = None
     if settings.peer_tls_certificate:
         pair = KeyPair(settings.peer_tls_certificate, settings.peer_tls_key)
--- a/standins/wasabiwell_standins/users_platform/store.py
+++ b/standins/wasabiwell_standins/users_platform/store.py
@@ -9,7 +9,7 @@
 import msgspec
 import trio
 
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 
 HISTORY_LENGTH = 10_000
 SILENT_SECONDS = 60.0
@@ -75,7 +75,7 @@
         self._changes.clear()
         self._notify_waiters()
 
-    async def handle(self, call: Call) -> None:
+    async def handle(self, exchange: HttpExchange) -> None:
         """Handle a call, subject to the active faults."""
         self.call_count += 1
         await trio.sleep(self.faults.delay_s)
@@ -84,21 +84,21 @@
                 await trio.sleep(SILENT_SECONDS)
                 return
             case Outage() as outage:
-                await call.reply(outage.value, {})
+                await exchange.reply(outage.value, {})
                 return
-        match call.path:
+        match exchange.path:
             case "/rows-get":
-                await call.reply(200, self._read(call))
+                await exchange.reply(200, self._read(exchange))
             case "/rows-feed":
-                await self._wait_for_changes(call)
+                await self._wait_for_changes(exchange)
             case "/rows-tx":
-                await self._transact(call)
+                await self._transact(exchange)
             case _:
-                await call.reply(404, {})
+                await exchange.reply(404, {})
 
-    def _read(self, call: Call) -> dict[str, Any]:
-        table, limit = call.query("table"), int(call.query("limit", "500"))
-        start, end = call.query("from"), call.query("target")
+    def _read(self, exchange: HttpExchange) -> dict[str, Any]:
+        table, limit = exchange.query("table"), int(exchange.query("limit", "500"))
+        start, end = exchange.query("from"), exchange.query("target")
         keys = sorted(
             row_key.key
             for row_key in self._rows
@@ -107,16 +107,16 @@
         rows = [self._row(RowKey(table, key)) for key in keys[:limit]]
         return {"rows": rows, "truncated": len(keys) > limit, "row_version": self.version}
 
-    async def _wait_for_changes(self, call: Call) -> None:
-        table, after = call.query("table"), int(call.query("after_revision"))
-        with trio.move_on_after(int(call.query("wait_ms", "0")) / 1000):
+    async def _wait_for_changes(self, exchange: HttpExchange) -> None:
+        table, after = exchange.query("table"), int(exchange.query("after_revision"))
+        with trio.move_on_after(int(exchange.query("wait_ms", "0")) / 1000):
             while after >= self._last_discarded_version and not self._changed_rows(table, after):
                 await self._changed.wait()
         if after < self._last_discarded_version:
-            await call.reply(410, {})
+            await exchange.reply(410, {})
             return
         rows = self._changed_rows(table, after)
-        await call.reply(200, {"rows": rows, "row_version": self.version})
+        await exchange.reply(200, {"rows": rows, "row_version": self.version})
 
     def _changed_rows(self, table: str, after: int) -> list[dict[str, Any]]:
         row_keys = dict.fromkeys(
@@ -133,12 +133,12 @@
         value, version = self._rows[row_key]
         return {**row, "value": b64encode(value).decode(), "row_version": version}
 
-    async def _transact(self, call: Call) -> None:
-        body = msgspec.json.decode(call.body)
+    async def _transact(self, exchange: HttpExchange) -> None:
+        body = msgspec.json.decode(exchange.body)
         for item in body["precondition"]:
             _, version = self._rows.get(_row_key(item), (b"", 0))
             if version != item["row_version"]:
-                await call.reply(412, {"rows": [], "row_version": self.version})
+                await exchange.reply(412, {"rows": [], "row_version": self.version})
                 return
         writes = [(_row_key(item), b64decode(item["value"])) for item in body["writes"]]
         self._write([*writes, *((_row_key(item), None) for item in body["remove"])])
@@ -146,7 +146,7 @@
             self.faults.lose_responses -= 1
             await trio.sleep(SILENT_SECONDS)
             return
-        await call.reply(200, {"row_version": self.version})
+        await exchange.reply(200, {"row_version": self.version})
 
     def _write(self, writes: list[tuple[RowKey, bytes | None]]) -> None:
         self.version += 1
--- a/tests/steps/entry/coordination/credits_steps.py
+++ b/tests/steps/entry/coordination/credits_steps.py
@@ -11,7 +11,13 @@
 from wasabiwell_entry.coordination.admission.ports import Hold
 from wasabiwell_entry.coordination.credits import EngineOwners
 from wasabiwell_entry.coordination.credits.const import CREDIT_LIFETIME
-from wasabiwell_entry.state.credits import NOTHING, Amount, CreditClaim, CreditLedger, CreditPool
+from wasabiwell_entry.state.credits import (
+    ZERO_AMOUNT,
+    Amount,
+    CreditClaim,
+    CreditLedger,
+    CreditPool,
+)
 from wasabiwell_entry.state.sizes import SizeClass
 
 NOW = timedelta(minutes=1)
@@ -37,13 +43,13 @@
 
 def claim(holder: str, sequence: int, wanted: int, current: int = 0) -> CreditClaim:
     """Return a claim for slots, none of which are in use."""
-    return CreditClaim("e", holder, sequence, slots(wanted), slots(current), NOTHING)
+    return CreditClaim("e", holder, sequence, slots(wanted), slots(current), ZERO_AMOUNT)
 
 
 @given("a holder with a credit of {count:d} slots that is idle")
 def step_idle_holder(context: Context, count: int) -> None:
     context.pool = CreditPool("e", "h", CREDIT_LIFETIME)
-    context.pool.note_demand(slots(count), slots(count))
+    context.pool.record_demand(slots(count), slots(count))
     sequence = context.pool.claim(NOW).sequence
     assert context.pool.granted(sequence, slots(count))
     assert context.pool.valid(NOW) == slots(count)
@@ -62,7 +68,7 @@
 @given("an owner of {count:d} slots without recorded credits")
 def step_ledger(context: Context, count: int) -> None:
     context.ledger = CreditLedger("e", CREDIT_LIFETIME)
-    context.ledger.report(slots(count), NOTHING)
+    context.ledger.report(slots(count), ZERO_AMOUNT)
 
 
 @given("an owner of {count:d} slots that recorded credits of {each:d} slots of each of 2 holders")
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -330,7 +330,7 @@
     context.peer = address
     context.suspicion_times = []
     crashes = CrashCounts(context.exchange.broadcast, SystemClock())
-    context.recent_suspicions = crashes.recent
+    context.recent_suspicions = crashes.recent_suspicions
     send = context.port.send
 
     def record_time(addresses: Iterable[str], notice: Notice) -> None:
@@ -343,7 +343,7 @@
 
     async def crash() -> None:
         await trio.sleep(0.6)
-        crashes.crashed("f", "e1@1")
+        crashes.record_crash("f", "e1@1")
 
     run_for(context, seconds, [address], crash)
 
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -62,7 +62,7 @@
             context.outcome = await forwarder.forward(request, context.sink)
             context.seconds = trio.current_time() - started
             assert number < times
-        await forwarder._reservations.settle()  # sends the pending releases
+        await forwarder._reservations.process_pending()  # sends the pending releases
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
--- a/tests/steps/entry/coordination/operator_orders_steps.py
+++ b/tests/steps/entry/coordination/operator_orders_steps.py
@@ -9,7 +9,7 @@
 @when("an operator orders '{order}' through every entry instance")
 def step_order(context: Context, order: str) -> None:
     fleet = context.fleet
-    context.engine = fleet.of_role("engine")[0]
+    context.engine = fleet.processes_with_role("engine")[0]
     body = {"engine": context.engine.name, **msgspec.json.decode(order)}
     headers = {"authorization": f"Bearer {fleet.deployment.operator_key}"}
     context.replies = [
--- a/tests/steps/entry/coordination/owner_loss_steps.py
+++ b/tests/steps/entry/coordination/owner_loss_steps.py
@@ -20,7 +20,7 @@
 
 def owner_process(fleet: Fleet, engine: str) -> Process:
     """Return the entry instance that owns an engine."""
-    zone = next(item.zone for item in fleet.of_role("engine") if item.name == engine)
+    zone = next(item.zone for item in fleet.processes_with_role("engine") if item.name == engine)
     members = [
         Member(item.name, 1, "", zone, "", "") for item in fleet.entries if item.zone == zone
     ]
@@ -75,7 +75,7 @@
         time.sleep(delay)
         owner.kill()
         time.sleep(UNLISTED_AFTER_SECONDS)
-        fleet.unlist(owner)
+        fleet.deregister_instance(owner)
         context.results = [result for future in futures for result in future.result()]
 
 
@@ -88,7 +88,7 @@
 
 @then("every engine ends with no memory in use within {seconds:d} seconds")
 def step_no_memory(context: Context, seconds: int) -> None:
-    engines = context.fleet.of_role("engine")
+    engines = context.fleet.processes_with_role("engine")
     context.fleet.wait_until(
         lambda: not any(used_tokens(engine) for engine in engines), "no memory in use", seconds
     )
--- a/tests/steps/entry/coordination/placement_steps.py
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -81,13 +81,13 @@
 
 @given('"{target_id}" was lost')
 def step_lost(context: Context, target_id: str) -> None:
-    context.engines.health.note(target_id, AttemptVerdict.LOST)
+    context.engines.health.record_attempt(target_id, AttemptVerdict.LOST)
 
 
 @given('"{target_id}" failed {count:d} requests')
 def step_failed(context: Context, target_id: str, count: int) -> None:
     for _ in range(count):
-        context.engines.health.note(target_id, AttemptVerdict.FAILED)
+        context.engines.health.record_attempt(target_id, AttemptVerdict.FAILED)
 
 
 def place(context: Context, size: str, tokens: int, **options: object) -> None:
--- a/tests/steps/entry/coordination/records_steps.py
+++ b/tests/steps/entry/coordination/records_steps.py
@@ -21,7 +21,7 @@
 from wasabiwell_entry.state.requests import (
     Attempt,
     GenerateRequest,
-    StreamBroken,
+    StreamInterrupted,
     StreamItem,
 )
 from wasabiwell_entry.state.targets import Target, TargetKind
@@ -55,7 +55,7 @@
         """Yield only the interruption."""
 
         async def items() -> AsyncIterator[StreamItem]:
-            yield StreamBroken(self.reason)
+            yield StreamInterrupted(self.reason)
 
         yield items()
 
@@ -86,7 +86,7 @@
         request = make_request(0)
         record = context.log.open(request)
         async with engines.generate(TARGET, Attempt("a", request, 0)) as items:
-            assert [item async for item in items] == [StreamBroken(reason)]
+            assert [item async for item in items] == [StreamInterrupted(reason)]
         failed = Failed(Reason.TARGET_FAILED, reason, RunState.UNKNOWN)
         context.log.close(record, request, failed)
 
--- a/tests/steps/entry/coordination/runs_steps.py
+++ b/tests/steps/entry/coordination/runs_steps.py
@@ -10,7 +10,7 @@
 from wasabiwell_entry.coordination.runs import RunCoordinator
 from wasabiwell_entry.coordination.runs.errors import Claimed
 from wasabiwell_entry.state.clock import ManualClock
-from wasabiwell_entry.state.outcomes import Answer, Failed, Refused
+from wasabiwell_entry.state.outcomes import Failed, Refused, ServiceResponse
 from wasabiwell_entry.state.requests import ServiceCall
 from wasabiwell_entry.state.runs import RunStatus
 
@@ -55,8 +55,8 @@
 
 @when("the delayed writes take effect")
 def step_apply_delayed(context: Context) -> None:
-    while context.table_service.late:
-        context.table_service.apply_late()
+    while context.table_service.delayed:
+        context.table_service.apply_delayed_write()
 
 
 @given("the object store is down")
@@ -99,7 +99,7 @@
 
 @when('instance {index:d} settles key "{key}" as done with a response of {size:d} bytes')
 def step_settle_done(context: Context, index: int, key: str, size: int) -> None:
-    answer = Answer(201, "application/json", b"x" * size)
+    answer = ServiceResponse(201, "application/json", b"x" * size)
     run_on(context, index, "settle", context.claims[key], RunStatus.DONE, answer)
 
 
@@ -120,7 +120,7 @@
 
 @then("the last claim returns the stored response of {size:d} bytes")
 def step_stored(context: Context, size: int) -> None:
-    assert context.outcome == Answer(201, "application/json", b"x" * size, replayed=True)
+    assert context.outcome == ServiceResponse(201, "application/json", b"x" * size, replayed=True)
 
 
 @then('the last claim fails with "{reason}" and run state "{run}"')
--- a/tests/steps/entry/coordination/suspects_steps.py
+++ b/tests/steps/entry/coordination/suspects_steps.py
@@ -10,9 +10,9 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.calls import PlainTargets, VirtualClock
-from support.fakes import FakeTable, NoSpread
+from support.fakes import FakeTable, NoSuspectGossip
 from wasabiwell_entry.coordination.dispatch import Dispatcher
-from wasabiwell_entry.coordination.dispatch.errors import ProbeOutcome, TargetAlive, TargetGone
+from wasabiwell_entry.coordination.dispatch.errors import ProbeOutcome, TargetAlive, TargetDown
 from wasabiwell_entry.coordination.dispatch.ports import Placement, TargetFailure
 from wasabiwell_entry.coordination.quarantine.coordinator import QuarantineCoordinator
 from wasabiwell_entry.state.outcomes import Finished, Refused
@@ -21,7 +21,7 @@
     EndFrame,
     GenerateRequest,
     ServiceCall,
-    StreamBroken,
+    StreamInterrupted,
     StreamItem,
     TokenFrame,
 )
@@ -62,7 +62,7 @@
         async def items() -> AsyncIterator[StreamItem]:
             await trio.lowlevel.checkpoint()
             if target.target_id in self.crashed:
-                yield StreamBroken("cut", target_lost=True)
+                yield StreamInterrupted("cut", target_lost=True)
                 return
             self.served.append(target.target_id)
             yield EndFrame(0, xxhash.xxh3_64().hexdigest(), "stop")
@@ -72,7 +72,7 @@
     async def probe(self, target: Target) -> ProbeOutcome:
         """Return whether an engine is alive."""
         await trio.lowlevel.checkpoint()
-        return TargetGone() if target.target_id in self.crashed else TargetAlive()
+        return TargetDown() if target.target_id in self.crashed else TargetAlive()
 
     def target_lost(self, failure: TargetFailure) -> None:
         """Do nothing."""
@@ -100,7 +100,7 @@
     for fingerprint in ("waiting", "other"):
         suspects.merge(Suspect(fingerprint, ("e0",), expires))
     context.quarantine = QuarantineCoordinator(
-        FakeTable(), suspects, NoSpread(), lambda: 2, context.clock
+        FakeTable(), suspects, NoSuspectGossip(), lambda: 2, context.clock
     )
 
 
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -12,7 +12,7 @@
 from wasabiwell_entry.coordination.health import TargetHealth
 from wasabiwell_entry.coordination.stop import GracefulStop
 from wasabiwell_entry.state.clock import ManualClock, SystemClock
-from wasabiwell_entry.state.exchange import AttemptVerdict, RepeatNotice, ServiceUse
+from wasabiwell_entry.state.exchange import AttemptVerdict, RetryBudgetUse, RetryNotice
 from wasabiwell_entry.state.targets import ListedTarget
 
 SERVICE = "s"
@@ -108,14 +108,14 @@
 
 @then("{count:d} retries were published")
 def step_retries_published(context: Context, count: int) -> None:
-    assert context.published == [RepeatNotice(SERVICE)] * count, context.published
+    assert context.published == [RetryNotice(SERVICE)] * count, context.published
 
 
 @given("peers that counted {requests:d} requests and {retries:d} retries")
 def step_peers(context: Context, requests: int, retries: int) -> None:
     context.peer_usage = [
-        (ServiceUse(SERVICE, requests // 2, retries // 2),),
-        (ServiceUse(SERVICE, requests // 2, retries // 2), ServiceUse("t", 1_000, 1_000)),
+        (RetryBudgetUse(SERVICE, requests // 2, retries // 2),),
+        (RetryBudgetUse(SERVICE, requests // 2, retries // 2), RetryBudgetUse("t", 1_000, 1_000)),
     ]
 
 
@@ -166,9 +166,9 @@
             await trio.lowlevel.checkpoint()
             started = trio.current_time()
             stop.leave()
-            await stop.wait_to_close()
+            await stop.wait_listeners_close()
             context.closed = trio.current_time() - started
-            await stop.wait_no_request(SystemClock().monotonic() + stop.time_to_end(GRACE))
+            await stop.wait_requests_finished(SystemClock().monotonic() + stop.drain_timeout(GRACE))
             context.ended = trio.current_time() - started
             nursery.cancel_scope.cancel()
 
--- a/tests/steps/entry/coordination/turns_steps.py
+++ b/tests/steps/entry/coordination/turns_steps.py
@@ -7,7 +7,7 @@
 import trio.testing
 from behave import given, then, when
 from behave.runner import Context
-from support.fakes import FakeTable, NoSpread
+from support.fakes import FakeTable, NoSuspectGossip
 from wasabiwell_entry.coordination.quarantine.const import SUSPECT_LEASE_PREFIX
 from wasabiwell_entry.coordination.quarantine.coordinator import QuarantineCoordinator
 from wasabiwell_entry.state.clock import SystemClock
@@ -36,7 +36,7 @@
             suspects.merge(Suspect(fingerprint, ("e0",), START + timedelta(days=1)))
         context.instances.append(
             QuarantineCoordinator(
-                context.table_service, suspects, NoSpread(), lambda: 2, RunClock()
+                context.table_service, suspects, NoSuspectGossip(), lambda: 2, RunClock()
             )
         )
 
--- a/tests/steps/platform/soak_steps.py
+++ b/tests/steps/platform/soak_steps.py
@@ -6,8 +6,8 @@
 import trio
 from behave import then, when
 from behave.runner import Context
+from wasabiwell_standins.users_platform.deployment import DeploymentSize
 from wasabiwell_standins.users_platform.soak import soak_seed
-from wasabiwell_standins.users_platform.world import WorldSize
 
 IP_BLOCK = 77
 """Second number of the processes' IP addresses; no other feature uses it."""
@@ -16,7 +16,7 @@
 @when("the faults of seed {seed:d} are injected for {seconds:d} seconds")
 def step_soak(context: Context, seed: int, seconds: int) -> None:
     folder = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
-    size = WorldSize(entries=4, engines=6, plain=3, block=IP_BLOCK)
+    size = DeploymentSize(entries=4, engines=6, plain=3, block=IP_BLOCK)
     context.report = trio.run(soak_seed, seed, seconds, size, folder)
 
 
@@ -24,4 +24,4 @@
 def step_no_findings(context: Context) -> None:
     report = context.report
     assert report.replies > 0
-    assert not report.findings, "\n".join([*report.findings, "happened:", *report.happened])
+    assert not report.findings, "\n".join([*report.findings, "happened:", *report.timeline])
--- a/tests/steps/platform/tracing_steps.py
+++ b/tests/steps/platform/tracing_steps.py
@@ -11,35 +11,37 @@
 from behave import given, then, when
 from behave.runner import Context
 from wasabiwell_platform.const import METRICS_PATH, METRICS_PORT
-from wasabiwell_standins.users_platform.caller import Order, Reply
-from wasabiwell_standins.users_platform.world import (
+from wasabiwell_standins.users_platform.caller import CallerRequest, Reply
+from wasabiwell_standins.users_platform.deployment import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
-    World,
-    WorldSize,
-    open_world,
+    Deployment,
+    DeploymentSize,
+    open_deployment,
 )
 
 IP_BLOCKS = iter(range(20, 76))
 """Blocks of IP addresses, one for each scenario."""
 
 
-def run_deployment(context: Context, actions: Callable[[World], Awaitable[Reply | None]]) -> None:
+def run_deployment(
+    context: Context, actions: Callable[[Deployment], Awaitable[Reply | None]]
+) -> None:
     """Run actions in a new deployment; keep the last reply and the logs of the entry processes."""
     context.folder = context.stack.enter_context(tempfile.TemporaryDirectory())
 
     async def run() -> None:
-        size = WorldSize(entries=2, engines=2, plain=1, block=next(IP_BLOCKS))
-        async with open_world(size, Path(context.folder)) as world:
-            context.logs = [entry.log for entry in world.entries]
-            context.reply = await actions(world)
+        size = DeploymentSize(entries=2, engines=2, plain=1, block=next(IP_BLOCKS))
+        async with open_deployment(size, Path(context.folder)) as deployment:
+            context.logs = [entry.log for entry in deployment.entries]
+            context.reply = await actions(deployment)
             await trio.sleep(0.3)
 
     trio.run(run)
 
 
-async def send(world: World, order: Order) -> Reply:
-    return await world.caller().send(order, retries=0)
+async def send(deployment: Deployment, request: CallerRequest) -> Reply:
+    return await deployment.caller().send(request, retries=0)
 
 
 @given("a log file with {count:d} unreadable lines")
@@ -52,11 +54,11 @@
 
 @when("a booking is refused as no target accepts new requests")
 def step_refused(context: Context) -> None:
-    async def actions(world: World) -> Reply:
-        target = world.of_service(PLAIN_SERVICE)[0]
-        world.store.put_json("servers", target.target_id, target.entry("draining"))
+    async def actions(deployment: Deployment) -> Reply:
+        target = deployment.targets_of(PLAIN_SERVICE)[0]
+        deployment.store.put_json("servers", target.target_id, target.listing_entry("draining"))
         await trio.sleep(0.3)
-        return await send(world, world.order("book"))
+        return await send(deployment, deployment.request("book"))
 
     run_deployment(context, actions)
     assert context.reply.status == 503, context.reply
@@ -64,30 +66,30 @@
 
 @when("an engine crashes under a stream that may not be resumed")
 def step_interrupted(context: Context) -> None:
-    async def actions(world: World) -> Reply:
-        for route in world.configuration["routes"]:
+    async def actions(deployment: Deployment) -> Reply:
+        for route in deployment.configuration["routes"]:
             route["resume_streams"] = False
-        world.configure()
+        deployment.publish_configuration()
         await trio.sleep(0.3)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(crash_busiest_engine, world)
-            return await send(world, world.order("short", events=60))
+            nursery.start_soon(crash_busiest_engine, deployment)
+            return await send(deployment, deployment.request("short", events=60))
 
     run_deployment(context, actions)
     assert context.reply.status == 200
-    assert not context.reply.whole
+    assert not context.reply.complete
 
 
-async def crash_busiest_engine(world: World) -> None:
+async def crash_busiest_engine(deployment: Deployment) -> None:
     await trio.sleep(0.5)
-    max(world.of_service(MODEL_SERVICE), key=lambda target: target.running).crash()
+    max(deployment.targets_of(MODEL_SERVICE), key=lambda target: target.running).crash()
 
 
 @when("a target loses its response to a booking")
 def step_lost_response(context: Context) -> None:
-    async def actions(world: World) -> Reply:
-        world.of_service(PLAIN_SERVICE)[0].faults.reset_share = 1.0
-        return await send(world, world.order("book"))
+    async def actions(deployment: Deployment) -> Reply:
+        deployment.targets_of(PLAIN_SERVICE)[0].faults.reset_share = 1.0
+        return await send(deployment, deployment.request("book"))
 
     run_deployment(context, actions)
     assert context.reply.status == 502, context.reply
@@ -95,12 +97,12 @@
 
 @when("requests of all kinds are answered and the metrics are fetched")
 def step_metrics(context: Context) -> None:
-    async def actions(world: World) -> None:
+    async def actions(deployment: Deployment) -> None:
         for route in ("short", "medium", "long", "book", "look", "look"):
-            assert (await send(world, world.order(route))).status == 200
+            assert (await send(deployment, deployment.request(route))).status == 200
         texts = []
         async with httpcore.AsyncConnectionPool() as pool:
-            for entry in world.entries:
+            for entry in deployment.entries:
                 url = f"http://{entry.ip}:{METRICS_PORT}{METRICS_PATH}"
                 texts.append((await pool.request("GET", url)).content.decode())
         context.metrics = texts
--- a/tests/steps/platform/whole_steps.py
+++ b/tests/steps/platform/whole_steps.py
@@ -9,21 +9,21 @@
 import trio
 from behave import then, when
 from behave.runner import Context
-from wasabiwell_standins.users_platform.caller import Order, Reply
-from wasabiwell_standins.users_platform.store import Outage
-from wasabiwell_standins.users_platform.world import (
+from wasabiwell_standins.users_platform.caller import CallerRequest, Reply
+from wasabiwell_standins.users_platform.deployment import (
+    ENGINE_PROFILE,
     HOST,
     KEY,
     MODEL_SERVICE,
     OTHER_KEY,
     PLAIN_SERVICE,
-    PROFILE,
     TENANT,
     ZONES,
-    World,
-    WorldSize,
-    open_world,
+    Deployment,
+    DeploymentSize,
+    open_deployment,
 )
+from wasabiwell_standins.users_platform.store import Outage
 
 ROUTE_MIX = ("short", "short", "short", "book", "look", "medium")
 SEND_INTERVAL_SECONDS = 0.04
@@ -32,70 +32,72 @@
 
 
 def run_deployment(
-    context: Context, actions: Callable[[World], Awaitable[None]], entries: int = 3
+    context: Context, actions: Callable[[Deployment], Awaitable[None]], entries: int = 3
 ) -> None:
     """Run actions in a new deployment and collect the replies to callers."""
     context.replies = []
 
     async def run(folder: Path) -> None:
-        size = WorldSize(entries=entries, block=next(IP_BLOCKS))
-        async with open_world(size, folder) as world:
-            context.world = world
-            await actions(world)
+        size = DeploymentSize(entries=entries, block=next(IP_BLOCKS))
+        async with open_deployment(size, folder) as deployment:
+            context.deployment = deployment
+            await actions(deployment)
 
     with tempfile.TemporaryDirectory() as folder:
         trio.run(run, Path(folder))
 
 
-async def send(context: Context, world: World, orders: list[Order], interval: float = 0.0) -> None:
+async def send(
+    context: Context, deployment: Deployment, requests: list[CallerRequest], interval: float = 0.0
+) -> None:
     """Send requests at an interval, each in a task of its own, and wait for all replies."""
-    callers = [world.caller(zone) for zone in ZONES]
+    callers = [deployment.caller(zone) for zone in ZONES]
 
-    async def send_one(index: int, order: Order) -> None:
-        reply = await callers[index % len(callers)].send(order)
+    async def send_one(index: int, request: CallerRequest) -> None:
+        reply = await callers[index % len(callers)].send(request)
         context.replies.append(reply)
 
     async with trio.open_nursery() as nursery:
-        for index, order in enumerate(orders):
-            nursery.start_soon(send_one, index, order)
+        for index, request in enumerate(requests):
+            nursery.start_soon(send_one, index, request)
             await trio.sleep(interval)
 
 
-def mixed_requests(world: World, seconds: float) -> list[Order]:
+def mixed_requests(deployment: Deployment, seconds: float) -> list[CallerRequest]:
     """Return the requests of all kinds that are sent in a number of seconds."""
     return [
-        world.order(ROUTE_MIX[number % len(ROUTE_MIX)])
+        deployment.request(ROUTE_MIX[number % len(ROUTE_MIX)])
         for number in range(round(seconds / SEND_INTERVAL_SECONDS))
     ]
 
 
 async def send_during(
-    context: Context, world: World, seconds: float, action: Callable[[], Awaitable[None]]
+    context: Context, deployment: Deployment, seconds: float, action: Callable[[], Awaitable[None]]
 ) -> None:
     """Send requests of all kinds while an action runs."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
-            send, context, world, mixed_requests(world, seconds), SEND_INTERVAL_SECONDS
+            send, context, deployment, mixed_requests(deployment, seconds), SEND_INTERVAL_SECONDS
         )
         await action()
 
 
 @when("callers send requests of all kinds for {seconds:d} seconds")
 def step_mix(context: Context, seconds: int) -> None:
-    async def actions(world: World) -> None:
-        await send(context, world, mixed_requests(world, seconds), SEND_INTERVAL_SECONDS)
+    async def actions(deployment: Deployment) -> None:
+        await send(context, deployment, mixed_requests(deployment, seconds), SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
 
 @when("an engine crashes while callers stream")
 def step_crash(context: Context) -> None:
-    async def actions(world: World) -> None:
+    async def actions(deployment: Deployment) -> None:
         async with trio.open_nursery() as nursery:
-            orders = [world.order("short", events=25) for _ in range(24)]
-            nursery.start_soon(send, context, world, orders)
+            requests = [deployment.request("short", events=25) for _ in range(24)]
+            nursery.start_soon(send, context, deployment, requests)
             await trio.sleep(0.6)
-            busiest = max(world.of_service(MODEL_SERVICE), key=lambda target: target.running)
+            busiest = max(deployment.targets_of(MODEL_SERVICE), key=lambda target: target.running)
             busiest.crash()
 
     run_deployment(context, actions)
@@ -103,111 +105,121 @@
 
 @when("callers send bookings while a target loses all of its responses")
 def step_lost(context: Context) -> None:
-    async def actions(world: World) -> None:
-        world.of_service(PLAIN_SERVICE)[0].faults.reset_share = 1.0
-        await send(context, world, [world.order("book") for _ in range(30)], SEND_INTERVAL_SECONDS)
+    async def actions(deployment: Deployment) -> None:
+        deployment.targets_of(PLAIN_SERVICE)[0].faults.reset_share = 1.0
+        await send(
+            context,
+            deployment,
+            [deployment.request("book") for _ in range(30)],
+            SEND_INTERVAL_SECONDS,
+        )
 
     run_deployment(context, actions)
 
 
 @when("callers send requests while targets corrupt half of their responses")
 def step_corrupt(context: Context) -> None:
-    async def actions(world: World) -> None:
-        for target in world.targets.values():
+    async def actions(deployment: Deployment) -> None:
+        for target in deployment.targets.values():
             target.faults.cut_share = 0.1
             target.faults.foreign_share = 0.1
             target.faults.extra_share = 0.2
             target.faults.unframed_share = 0.1
-        await send(context, world, mixed_requests(world, 3), SEND_INTERVAL_SECONDS)
+        await send(context, deployment, mixed_requests(deployment, 3), SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
 
 @when("callers send lookups while a target responds with status 500")
 def step_500(context: Context) -> None:
-    async def actions(world: World) -> None:
-        world.of_service(PLAIN_SERVICE)[0].faults.error_share = 1.0
-        await send(context, world, [world.order("look") for _ in range(30)], SEND_INTERVAL_SECONDS)
+    async def actions(deployment: Deployment) -> None:
+        deployment.targets_of(PLAIN_SERVICE)[0].faults.error_share = 1.0
+        await send(
+            context,
+            deployment,
+            [deployment.request("look") for _ in range(30)],
+            SEND_INTERVAL_SECONDS,
+        )
 
     run_deployment(context, actions)
 
 
 @when("each entry process is stopped in turn while callers send requests")
 def step_stops(context: Context) -> None:
-    async def actions(world: World) -> None:
+    async def actions(deployment: Deployment) -> None:
         context.codes = []
 
         async def stops() -> None:
-            for entry in world.entries:
+            for entry in deployment.entries:
                 entry.signal(signal.SIGTERM)
-                assert await entry.wait_ended(8.0)
+                assert await entry.wait_exited(8.0)
                 context.codes.append(entry.process.returncode)
                 entry.start()
-                await world.wait_ready(entry)
+                await deployment.wait_ready(entry)
 
-        await send_during(context, world, 14, stops)
+        await send_during(context, deployment, 14, stops)
 
     run_deployment(context, actions)
 
 
 @when("an entry process is stopped while a response of {seconds:g} seconds starts")
 def step_long_answer(context: Context, seconds: float) -> None:
-    async def actions(world: World) -> None:
-        interval = PROFILE["stride"] * PROFILE["step_ms"] / 1000
-        order = world.order("short", events=round(seconds / interval))
+    async def actions(deployment: Deployment) -> None:
+        interval = ENGINE_PROFILE["stride"] * ENGINE_PROFILE["step_ms"] / 1000
+        request = deployment.request("short", events=round(seconds / interval))
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(send, context, world, [order])
+            nursery.start_soon(send, context, deployment, [request])
             await trio.sleep(0.3)
-            world.entries[0].signal(signal.SIGTERM)
-            assert await world.entries[0].wait_ended(8.0)
+            deployment.entries[0].signal(signal.SIGTERM)
+            assert await deployment.entries[0].wait_exited(8.0)
 
     run_deployment(context, actions, entries=1)
 
 
 @when("an entry process is killed while callers send requests")
 def step_killed(context: Context) -> None:
-    async def actions(world: World) -> None:
+    async def actions(deployment: Deployment) -> None:
         async def kill() -> None:
             await trio.sleep(1.0)
-            world.entries[0].signal(signal.SIGKILL)
+            deployment.entries[0].signal(signal.SIGKILL)
             await trio.sleep(1.0)
             context.first_replies = len(context.replies)
 
-        await send_during(context, world, 2, kill)
+        await send_during(context, deployment, 2, kill)
         context.replies.clear()
-        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL_SECONDS)
+        await send(context, deployment, mixed_requests(deployment, 2), SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
 
 @when("a target drains while callers send requests")
 def step_drains(context: Context) -> None:
-    async def actions(world: World) -> None:
-        context.target = world.of_service(MODEL_SERVICE)[0]
+    async def actions(deployment: Deployment) -> None:
+        context.target = deployment.targets_of(MODEL_SERVICE)[0]
 
         async def drain() -> None:
             await trio.sleep(0.5)
-            entry = context.target.entry("draining")
-            world.store.put_json("servers", context.target.target_id, entry)
+            entry = context.target.listing_entry("draining")
+            deployment.store.put_json("servers", context.target.target_id, entry)
             context.drained_at = trio.current_time()
 
-        await send_during(context, world, 4, drain)
+        await send_during(context, deployment, 4, drain)
 
     run_deployment(context, actions)
 
 
 @when("a key is revoked while its callers are connected")
 def step_key(context: Context) -> None:
-    async def actions(world: World) -> None:
-        orders = [world.order("short", key=OTHER_KEY) for _ in range(6)]
-        await send(context, world, orders)
+    async def actions(deployment: Deployment) -> None:
+        requests = [deployment.request("short", key=OTHER_KEY) for _ in range(6)]
+        await send(context, deployment, requests)
         assert all(reply.status == 200 for reply in context.replies)
-        world.configuration["tenants"] = [{"name": TENANT, "api_keys": [KEY]}]
-        world.configure()
+        deployment.configuration["tenants"] = [{"name": TENANT, "api_keys": [KEY]}]
+        deployment.publish_configuration()
         await trio.sleep(2.0)
         context.statuses = [
             await send_raw(entry.address("frontend"), request_bytes(key=OTHER_KEY))
-            for entry in world.entries
+            for entry in deployment.entries
         ]
 
     run_deployment(context, actions)
@@ -215,25 +227,27 @@
 
 @when("the store is unavailable, an entry process restarts, and callers send requests")
 def step_store(context: Context) -> None:
-    async def actions(world: World) -> None:
-        world.store.faults.outage = Outage.BUSY
+    async def actions(deployment: Deployment) -> None:
+        deployment.store.faults.outage = Outage.BUSY
         await trio.sleep(1.0)
-        entry = world.entries[-1]
+        entry = deployment.entries[-1]
         entry.signal(signal.SIGKILL)
-        await entry.wait_ended(2.0)
+        await entry.wait_exited(2.0)
         entry.start()
-        await world.wait_ready(entry)
+        await deployment.wait_ready(entry)
         await trio.sleep(2.0)
-        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL_SECONDS)
+        await send(context, deployment, mixed_requests(deployment, 2), SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
 
 @when("callers disconnect before their streams end")
 def step_disconnect(context: Context) -> None:
-    async def actions(world: World) -> None:
+    async def actions(deployment: Deployment) -> None:
         with trio.move_on_after(0.5):
-            await send(context, world, [world.order("short", events=80) for _ in range(10)])
+            await send(
+                context, deployment, [deployment.request("short", events=80) for _ in range(10)]
+            )
         context.disconnected_at = trio.current_time()
         await trio.sleep(1.5)
 
@@ -242,36 +256,36 @@
 
 @when("engines answer a prompt of {tokens:d} tokens")
 def step_giant(context: Context, tokens: int) -> None:
-    async def actions(world: World) -> None:
-        await send(context, world, [world.order("long", prompt=tokens)])
+    async def actions(deployment: Deployment) -> None:
+        await send(context, deployment, [deployment.request("long", prompt=tokens)])
         await trio.sleep(1.0)
-        context.reserved_tokens = [target.tokens_held for target in world.targets.values()]
+        context.reserved_tokens = [target.tokens_held for target in deployment.targets.values()]
 
     run_deployment(context, actions)
 
 
 @when("a request that crashes engines is sent {count:d} times")
 def step_crashing_request(context: Context, count: int) -> None:
-    async def actions(world: World) -> None:
-        for target in world.of_service(MODEL_SERVICE):
+    async def actions(deployment: Deployment) -> None:
+        for target in deployment.targets_of(MODEL_SERVICE):
             target.faults.crash_on = "poison"
-        caller = world.caller()
+        caller = deployment.caller()
         for _ in range(count):
-            await caller.send(world.order("short", text="poison"))
-        context.crashes = sum(len(runs) for runs in world.ledger.runs.values())
+            await caller.send(deployment.request("short", text="poison"))
+        context.crashes = sum(len(runs) for runs in deployment.ledger.runs.values())
 
     run_deployment(context, actions)
 
 
 @when("another target takes over the address of a crashed one")
 def step_reused(context: Context) -> None:
-    async def actions(world: World) -> None:
-        old = world.of_service(MODEL_SERVICE)[0]
+    async def actions(deployment: Deployment) -> None:
+        old = deployment.targets_of(MODEL_SERVICE)[0]
         old.crash()
         await trio.sleep(0.1)
-        number = list(world.targets).index(old.target_id)
-        await world.add_target("i-newcomer", PLAIN_SERVICE, number)
-        await send(context, world, mixed_requests(world, 2), SEND_INTERVAL_SECONDS)
+        number = list(deployment.targets).index(old.target_id)
+        await deployment.add_target("i-newcomer", PLAIN_SERVICE, number)
+        await send(context, deployment, mixed_requests(deployment, 2), SEND_INTERVAL_SECONDS)
 
     run_deployment(context, actions)
 
@@ -319,10 +333,10 @@
 
 @when("an entry process gets {request}")
 def step_raw(context: Context, request: str) -> None:
-    async def actions(world: World) -> None:
-        address = world.entries[0].address("frontend")
+    async def actions(deployment: Deployment) -> None:
+        address = deployment.entries[0].address("frontend")
         context.status = await send_raw(address, REQUESTS[request])
-        assert await world.is_ready(world.entries[0])
+        assert await deployment.is_ready(deployment.entries[0])
 
     run_deployment(context, actions, entries=1)
 
@@ -341,23 +355,23 @@
 
 
 def answered(reply: Reply) -> bool:
-    return reply.status == 200 and reply.whole
+    return reply.status == 200 and reply.complete
 
 
 def describe(reply: Reply) -> str:
-    whole = "whole" if reply.whole else "not whole"
-    return f"{reply.request_id} {reply.order.path} {reply.status} {whole} {reply.total_s:.2f} s"
+    whole = "whole" if reply.complete else "not whole"
+    return f"{reply.request_id} {reply.request.path} {reply.status} {whole} {reply.total_s:.2f} s"
 
 
 @then("no guarantee was violated")
 def step_guarantees(context: Context) -> None:
-    violations_found = context.world.ledger.broken_promises()
+    violations_found = context.deployment.ledger.violations()
     assert not violations_found, violations_found
 
 
 @then("each target received the callers' organisation")
 def step_tenants(context: Context) -> None:
-    runs = [run for runs in context.world.ledger.runs.values() for run in runs]
+    runs = [run for runs in context.deployment.ledger.runs.values() for run in runs]
     assert {run.tenant for run in runs} == {TENANT}
 
 
@@ -365,7 +379,7 @@
 def step_resumed(context: Context, count: int) -> None:
     resumed = [
         runs
-        for runs in context.world.ledger.runs.values()
+        for runs in context.deployment.ledger.runs.values()
         if len({run.target_id for run in runs}) > 1 and runs[-1].resumed_after
     ]
     assert len(resumed) >= count
@@ -384,10 +398,11 @@
 @then("no request starts on the target {seconds:d} seconds later")
 def step_not_started(context: Context, seconds: int) -> None:
     late = [
-        run.begun - context.drained_at
-        for runs in context.world.ledger.runs.values()
+        run.started_at - context.drained_at
+        for runs in context.deployment.ledger.runs.values()
         for run in runs
-        if run.target_id == context.target.target_id and run.begun > context.drained_at + seconds
+        if run.target_id == context.target.target_id
+        and run.started_at > context.drained_at + seconds
     ]
     assert not late, late
 
@@ -399,7 +414,7 @@
 
 @then("no run lasts longer than {seconds:g} seconds after the disconnect")
 def step_freed(context: Context, seconds: float) -> None:
-    ends = [run.ended for runs in context.world.ledger.runs.values() for run in runs]
+    ends = [run.ended_at for runs in context.deployment.ledger.runs.values() for run in runs]
     assert len(ends) == 10
     assert all(end is not None and end < context.disconnected_at + seconds for end in ends), ends
 
--- a/tests/steps/whole/entries_steps.py
+++ b/tests/steps/whole/entries_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from wasabiwell_config import OperatorKey, hash_key
-from wasabiwell_standins.caller import ask_addresses, chat, make_messages
+from wasabiwell_standins.caller import chat, fetch_addresses, make_messages
 from wasabiwell_standins.deployments import EAVELINE
 from wasabiwell_standins.fleet import Fleet, Process, open_fleet, request
 
@@ -53,7 +53,7 @@
         """Fetch addresses from the first instance that responds; some may have stopped since."""
         for address in [*addresses, *(entry.address for entry in self.fleet.entries)]:
             try:
-                return ask_addresses(address)
+                return fetch_addresses(address)
             except REQUEST_ERRORS:
                 continue
         raise RuntimeError("no entry instance responds")
@@ -227,7 +227,7 @@
     context.addresses_after_stop = []
     time.sleep(3.0)
     context.addresses_after_stop = [
-        ask_addresses(item.address) for item in other_entries(context, index)
+        fetch_addresses(item.address) for item in other_entries(context, index)
     ]
     context.new_response = request("GET", entry.address, "/healthz")
     thread.join()
@@ -237,7 +237,7 @@
 
 @when("target {index:d} is marked as leaving {source}")
 def step_target_leaving(context: Context, index: int, source: str) -> None:
-    target = context.fleet.of_role("engine")[index]
+    target = context.fleet.processes_with_role("engine")[index]
     context.target = target
     match source:
         case "on the instance list":
@@ -291,7 +291,9 @@
 @then("no address answer names entry instance {index:d}")
 def step_not_listed(context: Context, index: int) -> None:
     address = entry_process(context, index).address
-    assert all(address not in ask_addresses(item.address) for item in other_entries(context, index))
+    assert all(
+        address not in fetch_addresses(item.address) for item in other_entries(context, index)
+    )
 
 
 @then('in between nobody saw it as "{status}"')
--- a/tests/steps/whole/failures_steps.py
+++ b/tests/steps/whole/failures_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from wasabiwell_standins.caller import ChatResult, chat, make_messages
-from wasabiwell_standins.demo import booking_runs
+from wasabiwell_standins.demo import booking_run_counts
 from wasabiwell_standins.deployments import EAVELINE
 from wasabiwell_standins.fleet import Process, request, running_fleet
 
@@ -50,7 +50,7 @@
     """Return the engine that runs the request, without those that have failed before."""
     end = time.monotonic() + START_TIMEOUT_SECONDS
     while time.monotonic() < end:
-        for engine in context.fleet.of_role("engine"):
+        for engine in context.fleet.processes_with_role("engine"):
             if engine not in context.failed_engines and statistics(engine)["sequences"]:
                 return engine
         time.sleep(0.05)
@@ -110,7 +110,9 @@
 @then("{count:d} engines have died at most")
 def step_crashed_engines(context: Context, count: int) -> None:
     crashed = [
-        item.name for item in context.fleet.of_role("engine") if item.popen.poll() is not None
+        item.name
+        for item in context.fleet.processes_with_role("engine")
+        if item.popen.poll() is not None
     ]
     assert 1 <= len(crashed) <= count, crashed
 
@@ -145,13 +147,13 @@
 
 @given("bookings take {seconds:d} seconds")
 def step_slow_bookings(context: Context, seconds: int) -> None:
-    for target in context.fleet.of_role("plain"):
+    for target in context.fleet.processes_with_role("plain"):
         context.fleet.control(target, delay_s=float(seconds))
 
 
 @given("the booking targets drop their next response")
 def step_drop_responses(context: Context) -> None:
-    for target in context.fleet.of_role("plain"):
+    for target in context.fleet.processes_with_role("plain"):
         context.fleet.control(target, drop_replies=1)
 
 
@@ -173,7 +175,9 @@
 @when('a caller sends booking "{key}" through entry {entry:d}, which is killed while it runs')
 def step_book_and_kill(context: Context, key: str, entry: int) -> None:
     response = context.pool.submit(book, context, key, entry)
-    context.fleet.wait_until(lambda: booking_runs(context.fleet).get(key) == 1, "the booking runs")
+    context.fleet.wait_until(
+        lambda: booking_run_counts(context.fleet).get(key) == 1, "the booking runs"
+    )
     context.fleet.entries[entry].kill()
     with suppress(httpcore.NetworkError, httpcore.ProtocolError):
         raise AssertionError(response.result())
@@ -193,4 +197,4 @@
 
 @then('booking "{key}" has run {count:d} {unit}')
 def step_has_run(context: Context, key: str, count: int, unit: str) -> None:
-    assert booking_runs(context.fleet).get(key, 0) == count
+    assert booking_run_counts(context.fleet).get(key, 0) == count
--- a/tests/steps/whole/operators_day_steps.py
+++ b/tests/steps/whole/operators_day_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from wasabiwell_config import hash_key
-from wasabiwell_standins.caller import ChatResult, ask_addresses, chat, make_messages
+from wasabiwell_standins.caller import ChatResult, chat, fetch_addresses, make_messages
 from wasabiwell_standins.deployments import DEPLOYMENTS
 from wasabiwell_standins.fleet import Fleet, open_fleet, request
 
@@ -39,7 +39,7 @@
         while not self.stopping.is_set():
             count += 1
             entries = [entry for entry in self.fleet.entries if entry.popen.poll() is None]
-            address = ask_addresses(entries[0].address)[count % 2]
+            address = fetch_addresses(entries[0].address)[count % 2]
             messages = make_messages(1500, f"{PROMPT_MARKER} {number} {count}")
             self.results.append(chat(address, self.key, "ice-advisor", messages, 16))
 
@@ -261,7 +261,7 @@
 def step_status(context: Context) -> None:
     run_command(context, "status")
     text = output(context)
-    for process in (*context.fleet.entries, *context.fleet.of_role("engine")):
+    for process in (*context.fleet.entries, *context.fleet.processes_with_role("engine")):
         assert process.name in text, (process.name, text)
     assert "\x1b" not in text, text
 
--- a/tests/steps/whole/whole_path_steps.py
+++ b/tests/steps/whole/whole_path_steps.py
@@ -5,8 +5,8 @@
 import msgspec
 from behave import then, when
 from behave.runner import Context
-from wasabiwell_standins.caller import ask_addresses, chat, make_messages
-from wasabiwell_standins.demo import booking_runs
+from wasabiwell_standins.caller import chat, fetch_addresses, make_messages
+from wasabiwell_standins.demo import booking_run_counts
 from wasabiwell_standins.fleet import request
 
 MAX_TOKENS = 24
@@ -27,7 +27,7 @@
 
 @when("a caller sends a prompt of {tokens:d} tokens")
 def step_prompt(context: Context, tokens: int) -> None:
-    address = ask_addresses(context.fleet.entries[0].address)[0]
+    address = fetch_addresses(context.fleet.entries[0].address)[0]
     service = context.fleet.deployment.engine_service
     messages = make_messages(tokens, f"prompt of {tokens}")
     context.result = chat(address, first_key(context), service, messages, MAX_TOKENS)
@@ -52,7 +52,7 @@
 
 @then('booking "{key}" ran {count:d} time')
 def step_booking_runs(context: Context, key: str, count: int) -> None:
-    assert booking_runs(context.fleet).get(key, 0) == count
+    assert booking_run_counts(context.fleet).get(key, 0) == count
 
 
 @when("a caller sends the completion body '{body}'")
--- a/tests/support/credit_machine.py
+++ b/tests/support/credit_machine.py
@@ -13,7 +13,7 @@
 from wasabiwell_entry.coordination.credits.ports import CreditGranted, CreditReturn
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.credits import (
-    NOTHING,
+    ZERO_AMOUNT,
     Amount,
     CreditClaim,
     CreditPool,
@@ -97,7 +97,7 @@
         if self.pools[node].take(self.next_hold, amount, self.clock.monotonic()):
             self.holds.append((node, self.next_hold, amount))
         else:
-            self.pools[node].note_demand(amount, CAPACITY)
+            self.pools[node].record_demand(amount, CAPACITY)
 
     @rule(node=NODES, count=st.integers(1, 2), tokens=st.sampled_from((100, 500)), fate=DELIVERIES)
     def take_and_exchange(self, node: int, count: int, tokens: int, fate: str) -> None:
@@ -123,7 +123,7 @@
         receiver = NAMES.index(owner.node_id)
         content: CreditClaim | CreditReturn = (
             CreditReturn(ENGINE, pool.holder, pool.release_all())
-            if pool.wanted() == NOTHING
+            if pool.wanted() == ZERO_AMOUNT
             else pool.claim(self.clock.monotonic())
         )
         self.messages.append(Message(receiver, node, content))
@@ -160,9 +160,9 @@
         """Advance the clock; a long step is a pause of all entry instances."""
         self.clock.advance(timedelta(milliseconds=milliseconds))
         for pool in self.pools:
-            pool.turn_window()
+            pool.rotate_window()
             if milliseconds > IDLE_MILLISECONDS:
-                pool.turn_window()
+                pool.rotate_window()
         self._report()
 
     @rule(node=NODES)
@@ -200,7 +200,7 @@
         During a partition and for one lifetime after it, two owners may lease it twice.
         """
         now = self.clock.monotonic()
-        spendable = NOTHING
+        spendable = ZERO_AMOUNT
         for pool in self.pools:
             spendable += pool.valid(now)
         split = self.isolated is not None or now < self.split_until
@@ -211,9 +211,9 @@
     def holds_are_counted(self) -> None:
         """Check that the usage of each pool equals that of its open requests."""
         for node, pool in enumerate(self.pools):
-            used = NOTHING
+            used = ZERO_AMOUNT
             for owner, _, amount in self.holds:
-                used += amount if owner == node else NOTHING
+                used += amount if owner == node else ZERO_AMOUNT
             assert pool.used == used
 
     def teardown(self) -> None:
@@ -223,9 +223,9 @@
         self.holds = []
         self.clock.advance(CREDIT_LIFETIME + REPORT_LAG)
         for pool, credit_owner in zip(self.pools, self.credit_owners, strict=True):
-            assert pool.used == NOTHING
-            assert pool.valid(self.clock.monotonic()) == NOTHING
-            assert credit_owner.outstanding(ENGINE) == NOTHING
+            assert pool.used == ZERO_AMOUNT
+            assert pool.valid(self.clock.monotonic()) == ZERO_AMOUNT
+            assert credit_owner.outstanding(ENGINE) == ZERO_AMOUNT
 
     def owner_index(self) -> int:
         """Return the index of the node that owns the engine in the view of node 0."""
@@ -258,7 +258,7 @@
             credit_owner.refresh()
 
     def _report(self) -> None:
-        used = NOTHING
+        used = ZERO_AMOUNT
         for _, _, amount in self.holds:
             used += amount
         status = self.targets.get(ENGINE)
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -21,7 +21,7 @@
 class NoSuspectGossip:
     """Suspect gossip without peers."""
 
-    def spread(self, suspect: Suspect) -> None:
+    def broadcast(self, suspect: Suspect) -> None:
         """Do nothing."""
 
     def withdraw(self, fingerprint: str) -> None:
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -7,7 +7,7 @@
 from random import Random
 
 import trio
-from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.budget.coordinator import BudgetLimits
 from wasabiwell_entry.coordination.forwarding import Forwarder
 from wasabiwell_entry.coordination.health import TargetHealth
@@ -240,13 +240,13 @@
         PlacementLedger(
             engines.works,
             notify,
-            engines.health.note,
-            lambda target_id: engines.health.note(target_id, AttemptVerdict.LOST),
+            engines.health.record_attempt,
+            lambda target_id: engines.health.record_attempt(target_id, AttemptVerdict.LOST),
             clock,
         ),
         targets,
         EngineReservations(reservations or FakeReservations(), clock),
-        RepeatBudget(limits, list, notify, clock),
+        RetryBudget(limits, list, notify, clock),
         CrashCounts(notify, clock),
         clock,
     )
--- a/tests/support/run_machine.py
+++ b/tests/support/run_machine.py
@@ -10,7 +10,7 @@
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from wasabiwell_entry.state.outcomes import Answer, Failed, Refused, RunState
+from wasabiwell_entry.state.outcomes import Failed, Refused, RunState, ServiceResponse
 from wasabiwell_entry.state.runs import RunRecord, RunStatus
 
 from support.calls import CallWorld
@@ -133,11 +133,11 @@
         """Delay the next transactions."""
         self._set(delay_writes=count)
 
-    @precondition(lambda self: self.world.shared.late)
+    @precondition(lambda self: self.world.shared.delayed)
     @rule()
-    def apply_late(self) -> None:
+    def apply_delayed_write(self) -> None:
         """Let a delayed transaction take effect."""
-        self.world.shared.apply_late()
+        self.world.shared.apply_delayed_write()
 
     @rule(down=st.booleans())
     def table_outage(self, down: bool) -> None:
@@ -199,7 +199,7 @@
                     assert not targets.runs_of_request[result.call.request_id], result
                 case Failed(run=RunState.RAN):
                     assert targets.runs[key] == 1, result
-                case Answer(status=201, body=body):
+                case ServiceResponse(status=201, body=body):
                     assert targets.runs[key] == 1, result
                     assert body.startswith(f"answer to {result.call.body!r}".encode()), result
 
@@ -214,8 +214,8 @@
                 self.pause_or_resume(index)
         for _ in range(RECOVERY_SECONDS):
             self.time_passes(1)
-        while self.world.shared.late:
-            self.apply_late()
+        while self.world.shared.delayed:
+            self.apply_delayed_write()
         self.each_key_ran_at_most_once()
         self.outcomes_match_the_runs()
         records = [
