--- a/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/coordinator.py
@@ -1,17 +1,17 @@
-"""Counts requests and repeated sends of each service over all entry instances."""
+"""Counts the requests and retries of each service over all entry instances."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from wasabiwell_entry.coordination.budget.const import BUCKETS, USABLE_SHARE
+from wasabiwell_entry.coordination.budget.const import BUCKETS_PER_WINDOW, USABLE_FRACTION
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.exchange import RepeatNotice, ServiceUse
+from wasabiwell_entry.state.exchange import RetryBudgetUse, RetryNotice
 
 
 @dataclass(frozen=True, slots=True)
 class BudgetLimits:
-    """In a window, repeats may be `ratio` of the requests of a service and `slack` more."""
+    """Allows `ratio` times the requests of a service plus `slack` as retries per window."""
 
     ratio: float
     slack: float
@@ -20,65 +20,65 @@
 
 @dataclass(slots=True)
 class _Counts:
-    """Requests and repeats by number of the bucket of time."""
+    """Request and retry counts of one service by time bucket."""
 
     requests: dict[int, int] = field(default_factory=dict)
-    repeats: dict[int, int] = field(default_factory=dict)
+    retries: dict[int, int] = field(default_factory=dict)
 
 
-class RepeatBudget:
-    """Allows repeated sends while all entry instances together stay within the limits."""
+class RetryBudget:
+    """Allows retries while the total of all entry instances stays within the limits."""
 
-    __slots__ = ("_clock", "_counts", "_limits", "_peer_uses", "_tell", "refusals")
+    __slots__ = ("_clock", "_counts", "_limits", "_peer_usage", "_publish", "refusals")
 
     def __init__(
         self,
         limits: BudgetLimits,
-        peer_uses: Callable[[], Iterable[tuple[ServiceUse, ...]]],
-        tell: Callable[[RepeatNotice], None],
+        peer_usage: Callable[[], Iterable[tuple[RetryBudgetUse, ...]]],
+        publish: Callable[[RetryNotice], None],
         clock: Clock,
     ) -> None:
         self._limits = limits
-        self._peer_uses = peer_uses
-        self._tell = tell
+        self._peer_usage = peer_usage
+        self._publish = publish
         self._clock = clock
         self._counts: dict[str, _Counts] = {}
         self.refusals = 0
 
     def count_request(self, service: str) -> None:
-        """Count a caller's request."""
-        _increment(self._of(service).requests, self._bucket())
+        """Count a request of a caller."""
+        _increment(self._service_counts(service).requests, self._bucket())
 
-    def take(self, service: str) -> bool:
-        """Count a repeated send, or return False when the budget is used up."""
-        peers = [use for uses in self._peer_uses() for use in uses if use.service == service]
-        own = self._use(service)
+    def try_consume(self, service: str) -> bool:
+        """Count a retry, or return False if the budget is exhausted."""
+        peers = [use for uses in self._peer_usage() for use in uses if use.service == service]
+        own = self._usage(service)
         requests = own.requests + sum(use.requests for use in peers)
-        repeats = own.repeats + sum(use.repeats for use in peers)
-        allowed = USABLE_SHARE * (self._limits.ratio * requests + self._limits.slack)
-        if repeats + 1 > allowed:
+        retries = own.retries + sum(use.retries for use in peers)
+        allowed = USABLE_FRACTION * (self._limits.ratio * requests + self._limits.slack)
+        if retries + 1 > allowed:
             self.refusals += 1
             return False
-        _increment(self._of(service).repeats, self._bucket())
-        self._tell(RepeatNotice(service))
+        _increment(self._service_counts(service).retries, self._bucket())
+        self._publish(RetryNotice(service))
         return True
 
-    def uses(self) -> tuple[ServiceUse, ...]:
-        """Return the own counts in the last window."""
-        return tuple(self._use(service) for service in sorted(self._counts))
+    def uses(self) -> tuple[RetryBudgetUse, ...]:
+        """Return the counts of this entry instance in the last window."""
+        return tuple(self._usage(service) for service in sorted(self._counts))
 
-    def _use(self, service: str) -> ServiceUse:
-        counts = self._of(service)
-        oldest = self._bucket() - BUCKETS
-        return ServiceUse(
-            service, _sum_since(counts.requests, oldest), _sum_since(counts.repeats, oldest)
+    def _usage(self, service: str) -> RetryBudgetUse:
+        counts = self._service_counts(service)
+        oldest = self._bucket() - BUCKETS_PER_WINDOW
+        return RetryBudgetUse(
+            service, _sum_since(counts.requests, oldest), _sum_since(counts.retries, oldest)
         )
 
-    def _of(self, service: str) -> _Counts:
+    def _service_counts(self, service: str) -> _Counts:
         return self._counts.setdefault(service, _Counts())
 
     def _bucket(self) -> int:
-        return self._clock.monotonic() // (self._limits.window / BUCKETS)
+        return self._clock.monotonic() // (self._limits.window / BUCKETS_PER_WINDOW)
 
 
 def _increment(buckets: dict[int, int], bucket: int) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/ports.py
@@ -1,8 +1,8 @@
-"""What configuration needs of the other layers."""
+"""Interfaces that the configuration requires from other layers."""
 
 from typing import Protocol
 
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.state.configuration import ConfigurationDelta, ConfigurationUpdate
 from wasabiwell_entry.state.members import Member
 
@@ -10,8 +10,8 @@
 class ConfigurationPeers(Protocol):
     """Configuration calls to other entry instances."""
 
-    async def push(self, member: Member, delta: ConfigurationDelta) -> int | PeerSilent:
-        """Hand a delta to a peer and return the version that is in force there."""
+    async def push(self, member: Member, delta: ConfigurationDelta) -> int | PeerUnreachable:
+        """Push a delta to a peer and return the peer's current version."""
 
-    async def fetch(self, member: Member, since: int) -> ConfigurationUpdate | PeerSilent:
-        """Return what an instance with the version `since` lacks."""
+    async def fetch(self, member: Member, since: int) -> ConfigurationUpdate | PeerUnreachable:
+        """Fetch the changes after version `since` from a peer."""
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -1,4 +1,4 @@
-"""The owner's side of credits: leases the capacity of the engines that it owns."""
+"""Owner side of credits: leases out the capacity of owned engines."""
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -7,10 +7,10 @@
 import trio
 
 from wasabiwell_entry.coordination.credits.const import (
-    ADOPT_INTERVAL,
     COLLECT_CONCURRENCY,
     CREDIT_LIFETIME,
     MAINTENANCE_INTERVAL,
+    OWNERSHIP_SCAN_INTERVAL,
     REPORT_LAG,
 )
 from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
@@ -23,7 +23,7 @@
 )
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.credits import (
-    NOTHING,
+    ZERO_AMOUNT,
     Amount,
     CreditClaim,
     CreditLedger,
@@ -35,7 +35,10 @@
 
 @dataclass(slots=True)
 class _OwnedEngine:
-    """Ledger of an owned engine; before `ready_at` credits of the earlier owner may exist."""
+    """Ledger of an owned engine.
+
+    Until `ready_at`, credits that the previous owner granted may still be valid.
+    """
 
     ledger: CreditLedger
     ready_at: timedelta
@@ -43,20 +46,20 @@
 
 
 @dataclass(slots=True)
-class _Collection:
-    """Result of asking the other members; `complete` tells that all of them answered."""
+class _CollectedClaims:
+    """Claims that the other members reported; `complete` is set if all of them answered."""
 
     claims: list[CreditClaim] = field(default_factory=list)
     complete: bool = True
 
 
 class CreditOwner:
-    """Answers the claims of holders, this entry instance's own included."""
+    """Answers the claims of all holders, including this entry instance."""
 
     __slots__ = (
-        "_adopt_next",
         "_clock",
         "_engines",
+        "_next_ownership_scan",
         "_observers",
         "_owners",
         "_peers",
@@ -74,18 +77,18 @@
         self._engines: dict[str, _OwnedEngine] = {}
         self._observers: list[Callable[[], None]] = []
         self._wake = trio.Event()
-        self._adopt_next = clock.monotonic()
+        self._next_ownership_scan = clock.monotonic()
 
     def on_change(self, observer: Callable[[], None]) -> None:
-        """Call an observer whenever capacity of an owned engine may have become available."""
+        """Register an observer, called when capacity of an owned engine may be available."""
         self._observers.append(observer)
 
     def answer(self, claims: Sequence[CreditClaim]) -> list[ClaimAnswer]:
         """Answer the claims of one holder."""
         return [self._answer(claim) for claim in claims]
 
-    def take_back(self, returns: Sequence[CreditReturn]) -> None:
-        """Remove credits that a holder gives up."""
+    def accept_returns(self, returns: Sequence[CreditReturn]) -> None:
+        """Remove credits that a holder releases."""
         for item in returns:
             engine = self._engines.get(item.engine_id)
             if engine is not None:
@@ -93,7 +96,7 @@
         self._notify()
 
     async def run(self) -> None:
-        """Collect outstanding credits of engines that became owned, until cancelled."""
+        """Collect outstanding credits of newly owned engines until cancelled."""
         while True:
             self.refresh()
             await self.collect()
@@ -103,22 +106,22 @@
             self._wake = trio.Event()
 
     def refresh(self) -> None:
-        """Follow changes of ownership; owning an engine again starts a new ledger."""
+        """Apply ownership changes; an engine that is owned again gets a new ledger."""
         self._owners.refresh()
         for engine_id in list(self._engines):
             if not self._owners.is_own(self._owners.owner(engine_id)):
                 del self._engines[engine_id]
         now = self._clock.monotonic()
-        if now >= self._adopt_next:
-            self._adopt_next = now + ADOPT_INTERVAL
+        if now >= self._next_ownership_scan:
+            self._next_ownership_scan = now + OWNERSHIP_SCAN_INTERVAL
             for engine_id in self._owners.own_engines():
-                self._owned(engine_id)
+                self._ensure_engine(engine_id)
 
     def outstanding(self, engine_id: str) -> Amount:
-        """Return the credit of an owned engine that has not expired."""
+        """Return the total unexpired credit of an owned engine."""
         engine = self._engines.get(engine_id)
         if engine is None:
-            return NOTHING
+            return ZERO_AMOUNT
         engine.ledger.expire(self._clock.monotonic())
         return engine.ledger.outstanding()
 
@@ -128,8 +131,8 @@
         status = self._targets.get(claim.engine_id)
         if status is None or status.load is None:
             return CreditRefused(claim.engine_id, "the engine has not reported its load")
-        engine = self._owned(claim.engine_id)
-        engine.ledger.report(*_amounts(status.load))
+        engine = self._ensure_engine(claim.engine_id)
+        engine.ledger.report(*_load_amounts(status.load))
         now = self._clock.monotonic()
         if status.leaving or now < engine.ready_at:
             credit = engine.ledger.recover(claim, now)
@@ -137,7 +140,7 @@
             credit = engine.ledger.apply(claim, now)
         return CreditGranted(claim.engine_id, credit.credit_id, credit.amount)
 
-    def _owned(self, engine_id: str) -> _OwnedEngine:
+    def _ensure_engine(self, engine_id: str) -> _OwnedEngine:
         engine = self._engines.get(engine_id)
         if engine is None:
             engine = _OwnedEngine(
@@ -149,14 +152,15 @@
         return engine
 
     async def collect(self) -> None:
-        """Ask the other members for credits of newly owned engines.
+        """Query the other members for credits of newly owned engines.
 
-        When one of them does not answer, its credits may last for one more lifetime.
+        The credits of a member that does not answer may be valid for one more lifetime, during
+        which the owner only renews credits and grants no new capacity.
         """
         pending = [key for key, engine in self._engines.items() if not engine.collected]
         if not pending:
             return
-        collection = await self._ask_members(pending)
+        collection = await self._collect_from_members(pending)
         now = self._clock.monotonic()
         for claim in collection.claims:
             engine = self._engines.get(claim.engine_id)
@@ -169,19 +173,21 @@
                 if collection.complete:
                     engine.ready_at = now
 
-    async def _ask_members(self, engine_ids: list[str]) -> _Collection:
-        collection = _Collection()
+    async def _collect_from_members(self, engine_ids: list[str]) -> _CollectedClaims:
+        collection = _CollectedClaims()
         limiter = trio.CapacityLimiter(COLLECT_CONCURRENCY)
         async with trio.open_nursery() as nursery:
-            for member in self._owners.others():
-                nursery.start_soon(self._ask_member, member, engine_ids, collection, limiter)
+            for member in self._owners.other_members():
+                nursery.start_soon(
+                    self._collect_from_member, member, engine_ids, collection, limiter
+                )
         return collection
 
-    async def _ask_member(
+    async def _collect_from_member(
         self,
         member: Member,
         engine_ids: list[str],
-        collection: _Collection,
+        collection: _CollectedClaims,
         limiter: trio.CapacityLimiter,
     ) -> None:
         async with limiter:
@@ -196,7 +202,7 @@
             observer()
 
 
-def _amounts(load: EngineLoad) -> tuple[Amount, Amount]:
-    """Return the capacity and the use of a load report; what long prompts use is not reported."""
+def _load_amounts(load: EngineLoad) -> tuple[Amount, Amount]:
+    """Return capacity and usage from a load report, which does not break out long prompts."""
     used = Amount(load.running + load.queued, load.total_tokens - load.free_tokens)
     return engine_capacity(load.slots, load.total_tokens), used
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -1,11 +1,11 @@
-"""Runs requests on targets: deadline, retries, resume, and calls that run at most once."""
+"""Runs requests on targets: deadlines, retries, resumption, and at-most-once calls."""
 
 import secrets
 from dataclasses import dataclass, field
 
 import trio
 
-from wasabiwell_entry.coordination.dispatch.assembler import AnswerAssembler
+from wasabiwell_entry.coordination.dispatch.assembler import ResponseAssembler
 from wasabiwell_entry.coordination.dispatch.const import (
     CAPACITY_RETRY_AFTER,
     MAX_ATTEMPTS,
@@ -14,19 +14,19 @@
     SERVICE_UNAVAILABLE,
 )
 from wasabiwell_entry.coordination.dispatch.errors import (
-    AttemptBroken,
     AttemptFinished,
+    AttemptInterrupted,
     AttemptOutcome,
-    CallBroken,
+    CallInterrupted,
     CallNotSent,
-    TargetGone,
+    TargetDown,
 )
 from wasabiwell_entry.coordination.dispatch.ports import (
     AdmissionPort,
-    AnswerSink,
     EnginePort,
     Placement,
     PlainPort,
+    ResponseSink,
     SuspectObserver,
     TargetFailure,
     TargetObserver,
@@ -37,7 +37,6 @@
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.outcomes import (
-    Answer,
     CallOutcome,
     Failed,
     Finished,
@@ -45,6 +44,7 @@
     Reason,
     Refused,
     RunState,
+    ServiceResponse,
 )
 from wasabiwell_entry.state.reports import without_target_text
 from wasabiwell_entry.state.requests import (
@@ -52,7 +52,7 @@
     EndFrame,
     GenerateRequest,
     ServiceCall,
-    StreamBroken,
+    StreamInterrupted,
     TokenFrame,
 )
 from wasabiwell_entry.state.runs import RunStatus
@@ -61,9 +61,9 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """What has happened to a request so far; `started` means that an engine may have run it."""
+    """State of a request over its attempts; `started` means that an engine may have run it."""
 
-    assembler: AnswerAssembler = field(default_factory=AnswerAssembler)
+    assembler: ResponseAssembler = field(default_factory=ResponseAssembler)
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
     started: bool = False
@@ -71,18 +71,18 @@
 
 
 @dataclass(slots=True)
-class _Sending:
-    """What has happened to a call so far; `sent` means that a target may have run it."""
+class _CallProgress:
+    """State of a call over its sends; `sent` means that a target may have run it."""
 
     excluded: set[str] = field(default_factory=set)
     sent: bool = False
-    answer: Answer | None = None
+    response: ServiceResponse | None = None
     refused: Refused | None = None
     reason: str = "the deadline has passed"
 
 
 class Dispatcher:
-    """Front door of the coordination layer for requests of callers."""
+    """Entry point of the coordination layer for requests of callers."""
 
     __slots__ = (
         "_admission",
@@ -114,64 +114,66 @@
         self._clock = clock
         self._retries = RetryBudget()
 
-    async def generate(self, request: GenerateRequest, sink: AnswerSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
         progress = _Progress()
         with trio.move_on_after(self._remaining_seconds(request)):
             return await self._generate(request, sink, progress)
-        return _give_up(progress, Reason.DEADLINE_EXCEEDED, "the deadline has passed")
+        return _unanswered_outcome(progress, Reason.DEADLINE_EXCEEDED, "the deadline has passed")
 
     async def call(self, call: ServiceCall) -> CallOutcome:
-        """Run a call on a plain service, at most once when it is not idempotent."""
+        """Run a call on a plain service, at most once unless it is idempotent."""
         if call.idempotent:
             return await self._call_idempotent(call)
         return await self._call_once(call)
 
     async def _generate(
-        self, request: GenerateRequest, sink: AnswerSink, progress: _Progress
+        self, request: GenerateRequest, sink: ResponseSink, progress: _Progress
     ) -> GenerateOutcome:
         self._retries.count_first_attempt()
         while True:
             if self._suspects.quarantined(request.fingerprint):
-                return _give_up(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
+                return _unanswered_outcome(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
             excluded = frozenset(progress.excluded)
             async with self._admission.admit(request, excluded) as placement:
                 if isinstance(placement, Refused):
-                    return _refusal(progress, placement)
+                    return _refused_outcome(progress, placement)
                 target_id = placement.target.target_id
-                async with self._suspects.one_suspect(request.fingerprint, target_id):
+                async with self._suspects.exclusive_retry(request.fingerprint, target_id):
                     if self._suspects.quarantined(request.fingerprint):
-                        return _give_up(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
-                    if await self._died_before_turn(request, placement.target):
+                        return _unanswered_outcome(
+                            progress, Reason.QUARANTINED, QUARANTINED_MESSAGE
+                        )
+                    if await self._crashed_while_waiting(request, placement.target):
                         progress.excluded.add(target_id)
                         continue
                     outcome = await self._attempt(request, sink, progress, placement)
             match outcome:
                 case AttemptFinished(end=end):
-                    await self._suspects.finished(request.fingerprint)
+                    await self._suspects.record_success(request.fingerprint)
                     return Finished(end.tokens, end.finish_reason)
-                case AttemptBroken(broken=broken):
-                    progress.last_reason = broken.reason
+                case AttemptInterrupted(interruption=interruption):
+                    progress.last_reason = interruption.reason
             if progress.attempts >= MAX_ATTEMPTS or not self._retries.take():
-                return _give_up(progress, Reason.TARGET_FAILED, progress.last_reason)
+                return _unanswered_outcome(progress, Reason.TARGET_FAILED, progress.last_reason)
             await self._clock.sleep(RETRY_DELAY)
 
-    async def _died_before_turn(self, request: GenerateRequest, target: Target) -> bool:
-        """Return whether a target died while a suspect waited for its turn on it.
+    async def _crashed_while_waiting(self, request: GenerateRequest, target: Target) -> bool:
+        """Return whether a target crashed while a suspect waited for its turn on it.
 
-        A send to it would fail as if the suspect had crashed it.
+        Sending the request to a dead target would count as another crash caused by the suspect.
         """
         if not self._suspects.suspected(request.fingerprint):
             return False
-        if not isinstance(await self._engines.probe(target), TargetGone):
+        if not isinstance(await self._engines.probe(target), TargetDown):
             return False
-        self._lost(target)
+        self._report_lost(target)
         return True
 
     async def _attempt(
         self,
         request: GenerateRequest,
-        sink: AnswerSink,
+        sink: ResponseSink,
         progress: _Progress,
         placement: Placement,
     ) -> AttemptOutcome:
@@ -189,94 +191,96 @@
         started_before = progress.started
         progress.started = True
         outcome = await self._relay(target, attempt, sink, progress)
-        if isinstance(outcome, AttemptBroken):
-            if not outcome.broken.silent:
+        if isinstance(outcome, AttemptInterrupted):
+            if not outcome.interruption.silent:
                 progress.excluded.add(target.target_id)
-            if outcome.broken.refused:
+            if outcome.interruption.refused:
                 progress.started = started_before
-            await self._note_broken(target, attempt, outcome.broken)
+            await self._handle_interruption(target, attempt, outcome.interruption)
         return outcome
 
     async def _relay(
-        self, target: Target, attempt: Attempt, sink: AnswerSink, progress: _Progress
+        self, target: Target, attempt: Attempt, sink: ResponseSink, progress: _Progress
     ) -> AttemptOutcome:
         async with self._engines.generate(target, attempt) as items:
             async for item in items:
                 match item:
                     case TokenFrame():
-                        if (broken := progress.assembler.accept(item)) is not None:
-                            return AttemptBroken(broken)
+                        if (interruption := progress.assembler.accept(item)) is not None:
+                            return AttemptInterrupted(interruption)
                         self._observer.target_answered(target.target_id)
                         await sink.send(item)
                     case EndFrame():
-                        if (broken := progress.assembler.verify(item)) is not None:
-                            return AttemptBroken(broken)
+                        if (interruption := progress.assembler.verify(item)) is not None:
+                            return AttemptInterrupted(interruption)
                         return AttemptFinished(item)
-                    case StreamBroken():
-                        return AttemptBroken(item)
-        return AttemptBroken(StreamBroken("the stream ended without an end mark"))
+                    case StreamInterrupted():
+                        return AttemptInterrupted(item)
+        return AttemptInterrupted(StreamInterrupted("the stream ended without an end frame"))
 
-    async def _note_broken(self, target: Target, attempt: Attempt, broken: StreamBroken) -> None:
+    async def _handle_interruption(
+        self, target: Target, attempt: Attempt, interruption: StreamInterrupted
+    ) -> None:
         log_events.emit(
             log_events.ATTEMPT_FAILED,
             request=attempt.request.request_id,
             attempt=attempt.attempt_id,
             target=target.target_id,
-            reason=without_target_text(broken.reason),
+            reason=without_target_text(interruption.reason),
         )
-        if not broken.target_lost:
+        if not interruption.target_lost:
             return
         self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
-        if broken.refused:
+        if interruption.refused:
             return
-        # Only a target that is gone counts: a cut network would make suspects of all requests.
-        if isinstance(await self._engines.probe(target), TargetGone):
-            await self._suspects.crashed(attempt.request.fingerprint, target.target_id)
+        # Only a dead target counts: a network failure would mark all requests as suspects.
+        if isinstance(await self._engines.probe(target), TargetDown):
+            await self._suspects.record_crash(attempt.request.fingerprint, target.target_id)
 
     async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
         self._retries.count_first_attempt()
-        sending = _Sending()
+        progress = _CallProgress()
         with trio.move_on_after(self._remaining_seconds(call)):
-            await self._send_idempotent(call, sending)
-        if sending.answer is not None:
-            return sending.answer
-        if sending.refused is not None and not sending.sent:
-            return sending.refused
-        if sending.sent:
-            return _call_failed(sending.reason)
-        return Refused(Reason.TARGET_FAILED, sending.reason, CAPACITY_RETRY_AFTER)
-
-    async def _send_idempotent(self, call: ServiceCall, sending: _Sending) -> None:
-        """Send a call to one target after the other until one answers other than with 503."""
+            await self._send_idempotent(call, progress)
+        if progress.response is not None:
+            return progress.response
+        if progress.refused is not None and not progress.sent:
+            return progress.refused
+        if progress.sent:
+            return _failed_call_outcome(progress.reason)
+        return Refused(Reason.TARGET_FAILED, progress.reason, CAPACITY_RETRY_AFTER)
+
+    async def _send_idempotent(self, call: ServiceCall, progress: _CallProgress) -> None:
+        """Try targets one after the other until one answers with a status other than 503."""
         for attempt in range(MAX_ATTEMPTS):
             if attempt and not self._retries.take():
                 return
-            async with self._admission.place_call(call, frozenset(sending.excluded)) as target:
+            async with self._admission.place_call(call, frozenset(progress.excluded)) as target:
                 if isinstance(target, Refused):
-                    sending.refused = target
+                    progress.refused = target
                     return
-                match await self._send(target, call, sending):
-                    case Answer(status=status) as answer:
-                        sending.answer = answer
+                match await self._send(target, call, progress):
+                    case ServiceResponse(status=status) as response:
+                        progress.response = response
                         if status != SERVICE_UNAVAILABLE:
                             return
-                    case CallNotSent() | CallBroken():
-                        self._lost(target)
+                    case CallNotSent() | CallInterrupted():
+                        self._report_lost(target)
 
     async def _send(
-        self, target: Target, call: ServiceCall, sending: _Sending
-    ) -> Answer | CallNotSent | CallBroken:
-        """Send a call once; it counts as sent from here on unless the opposite is proved."""
-        sent_before = sending.sent
-        sending.excluded.add(target.target_id)
-        sending.sent = True
+        self, target: Target, call: ServiceCall, progress: _CallProgress
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
+        """Send a call once; it counts as sent unless the outcome proves that it was not."""
+        sent_before = progress.sent
+        progress.excluded.add(target.target_id)
+        progress.sent = True
         outcome = await self._plain.call(target, call)
         match outcome:
             case CallNotSent(reason=reason):
-                sending.sent = sent_before
-                sending.reason = reason
-            case CallBroken(reason=reason):
-                sending.reason = reason
+                progress.sent = sent_before
+                progress.reason = reason
+            case CallInterrupted(reason=reason):
+                progress.reason = reason
         return outcome
 
     async def _call_once(self, call: ServiceCall) -> CallOutcome:
@@ -287,54 +291,56 @@
                 return outcome
 
     async def _run_claimed(self, call: ServiceCall, claim: Claimed) -> CallOutcome:
-        """Send a claimed call and settle its record; settling is not bound to the deadline."""
-        sending = _Sending()
+        """Send a claimed call and settle its record, even after the deadline."""
+        progress = _CallProgress()
         with trio.move_on_after(self._remaining_seconds(call)):
-            await self._send_claimed(call, sending)
-        if sending.answer is not None:
-            await self._runs.settle(claim, RunStatus.DONE, sending.answer)
-            return sending.answer
-        if sending.sent:
-            return await self._unknown_result(call, claim, sending.reason)
+            await self._send_claimed(call, progress)
+        if progress.response is not None:
+            await self._runs.settle(claim, RunStatus.DONE, progress.response)
+            return progress.response
+        if progress.sent:
+            return await self._settle_unknown_result(call, claim, progress.reason)
         await self._runs.settle(claim, RunStatus.NOT_RUN)
-        return Refused(Reason.NO_TARGET, sending.reason, CAPACITY_RETRY_AFTER)
+        return Refused(Reason.NO_TARGET, progress.reason, CAPACITY_RETRY_AFTER)
 
-    async def _send_claimed(self, call: ServiceCall, sending: _Sending) -> None:
-        """Send a call to one target after the other until one may have received it."""
+    async def _send_claimed(self, call: ServiceCall, progress: _CallProgress) -> None:
+        """Try targets one after the other until one may have received the call."""
         for _ in range(MAX_ATTEMPTS):
-            async with self._admission.place_call(call, frozenset(sending.excluded)) as target:
+            async with self._admission.place_call(call, frozenset(progress.excluded)) as target:
                 if isinstance(target, Refused):
-                    sending.reason = target.message
+                    progress.reason = target.message
                     return
-                match await self._send(target, call, sending):
-                    case Answer() as answer:
-                        sending.answer = answer
+                match await self._send(target, call, progress):
+                    case ServiceResponse() as response:
+                        progress.response = response
                         return
-                    case CallBroken():
-                        self._lost(target)
+                    case CallInterrupted():
+                        self._report_lost(target)
                         return
                     case CallNotSent():
-                        self._lost(target)
+                        self._report_lost(target)
 
-    async def _unknown_result(self, call: ServiceCall, claim: Claimed, reason: str) -> CallOutcome:
+    async def _settle_unknown_result(
+        self, call: ServiceCall, claim: Claimed, reason: str
+    ) -> CallOutcome:
         log_events.emit(log_events.RUN_RESULT_UNKNOWN, request=call.request_id, reason=reason)
         await self._runs.settle(claim, RunStatus.UNKNOWN)
         return Failed(Reason.RESULT_UNKNOWN, reason, RunState.UNKNOWN)
 
-    def _lost(self, target: Target) -> None:
+    def _report_lost(self, target: Target) -> None:
         self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
 
     def _remaining_seconds(self, request: GenerateRequest | ServiceCall) -> float:
         return max(0.0, (request.deadline - self._clock.monotonic()).total_seconds())
 
 
-def _refusal(progress: _Progress, refused: Refused) -> GenerateOutcome:
+def _refused_outcome(progress: _Progress, refused: Refused) -> GenerateOutcome:
     if not progress.started:
         return refused
-    return _give_up(progress, refused.reason, progress.last_reason or refused.message)
+    return _unanswered_outcome(progress, refused.reason, progress.last_reason or refused.message)
 
 
-def _give_up(progress: _Progress, reason: Reason, message: str) -> GenerateOutcome:
+def _unanswered_outcome(progress: _Progress, reason: Reason, message: str) -> GenerateOutcome:
     retry_after = None if reason is Reason.QUARANTINED else CAPACITY_RETRY_AFTER
     if not progress.started:
         return Refused(reason, message, retry_after)
@@ -342,5 +348,5 @@
     return Failed(reason, message, run, retry_after)
 
 
-def _call_failed(reason: str) -> Failed:
+def _failed_call_outcome(reason: str) -> Failed:
     return Failed(Reason.TARGET_FAILED, reason, RunState.UNKNOWN, CAPACITY_RETRY_AFTER)
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
@@ -2,24 +2,24 @@
 
 from dataclasses import dataclass
 
-from wasabiwell_entry.state.requests import EndFrame, StreamBroken
+from wasabiwell_entry.state.requests import EndFrame, StreamInterrupted
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptFinished:
-    """The end mark arrived and the whole answer was verified."""
+    """The end frame arrived and the whole response was verified."""
 
     end: EndFrame
 
 
 @dataclass(frozen=True, slots=True)
-class AttemptBroken:
-    """The attempt ended without the whole answer."""
+class AttemptInterrupted:
+    """The attempt ended without the whole response."""
 
-    broken: StreamBroken
+    interruption: StreamInterrupted
 
 
-AttemptOutcome = AttemptFinished | AttemptBroken
+AttemptOutcome = AttemptFinished | AttemptInterrupted
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,16 +28,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TargetGone:
+class TargetDown:
     """The target refused or closed a new connection."""
 
 
 @dataclass(frozen=True, slots=True)
 class TargetSilent:
-    """No answer came on a new connection: the target is frozen, or the network is cut."""
+    """A new connection got no answer: the target hangs, or the network is interrupted."""
 
 
-ProbeOutcome = TargetAlive | TargetGone | TargetSilent
+ProbeOutcome = TargetAlive | TargetDown | TargetSilent
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +48,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallBroken:
-    """The call was sent, at least in part, and no whole answer came."""
+class CallInterrupted:
+    """The call was sent, at least in part, and no complete response arrived."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -1,4 +1,4 @@
-"""What dispatching needs of the other layers and capabilities."""
+"""Interfaces to other layers and capabilities that dispatch depends on."""
 
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
@@ -6,8 +6,8 @@
 from datetime import timedelta
 from typing import Protocol
 
-from wasabiwell_entry.coordination.dispatch.errors import CallBroken, CallNotSent, ProbeOutcome
-from wasabiwell_entry.state.outcomes import Answer, Refused
+from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted, CallNotSent, ProbeOutcome
+from wasabiwell_entry.state.outcomes import Refused, ServiceResponse
 from wasabiwell_entry.state.requests import (
     Attempt,
     GenerateRequest,
@@ -19,8 +19,8 @@
 from wasabiwell_entry.state.targets import Target
 
 
-class AnswerSink(Protocol):
-    """Receiver of an answer's tokens; `send` waits while the caller reads slowly."""
+class ResponseSink(Protocol):
+    """Receiver of a response's tokens; `send` blocks while the caller reads slowly."""
 
     async def send(self, frame: TokenFrame) -> None:
         """Deliver consecutive tokens, in order and without gaps."""
@@ -32,27 +32,29 @@
     def generate(
         self, target: Target, attempt: Attempt
     ) -> AbstractAsyncContextManager[AsyncIterator[StreamItem]]:
-        """Run an attempt; the last item is an `EndFrame` or a `StreamBroken`.
+        """Run an attempt; the last item is an `EndFrame` or a `StreamInterrupted`.
 
         Leaving the context cancels the attempt at the engine.
         """
 
     async def probe(self, target: Target) -> ProbeOutcome:
-        """Ask an engine for a sign of life on a new connection."""
+        """Check on a new connection whether an engine responds."""
 
 
 class PlainPort(Protocol):
     """Connections to plain services."""
 
-    async def call(self, target: Target, call: ServiceCall) -> Answer | CallNotSent | CallBroken:
-        """Send a call once; it is not repeated below this interface."""
+    async def call(
+        self, target: Target, call: ServiceCall
+    ) -> ServiceResponse | CallNotSent | CallInterrupted:
+        """Send a call once; implementations do not retry it."""
 
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Where an admitted request may run.
+    """Target and reserved capacity of an admitted request.
 
-    Shards hold the memory on further engines for a prompt larger than one engine's memory.
+    `shards` are reservations on further engines for a prompt larger than one engine's memory.
     """
 
     target: Target
@@ -67,9 +69,9 @@
     def admit(
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> AbstractAsyncContextManager[Placement | Refused]:
-        """Wait for capacity; leaving the context gives all of it back.
+        """Wait for capacity and reserve it until the context ends.
 
-        `excluded` are ids of targets on which the request failed before.
+        `excluded` are ids of targets on which the request has failed.
         """
 
     def place_call(
@@ -80,36 +82,38 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetFailure:
-    """Report of a target that could not be reached or cut a connection."""
+    """Report that a target could not be reached or closed a connection early."""
 
     target_id: str
     at: timedelta
 
 
 class TargetObserver(Protocol):
-    """Receiver of what dispatching sees of targets."""
+    """Receiver of target failures and responses that dispatch observes."""
 
     def target_lost(self, failure: TargetFailure) -> None:
-        """Note that a target may have died."""
+        """Record that a target may have crashed."""
 
     def target_answered(self, target_id: str) -> None:
-        """Note that a target answered."""
+        """Record that a target answered."""
 
 
 class SuspectObserver(Protocol):
-    """Marks of requests that ran on targets which died."""
+    """Register of requests during which targets crashed."""
 
     def quarantined(self, fingerprint: str) -> bool:
         """Return whether a request is refused."""
 
     def suspected(self, fingerprint: str) -> bool:
-        """Return whether a target died while it ran the request."""
+        """Return whether a target crashed while it processed the request."""
 
-    def one_suspect(self, fingerprint: str, target_id: str) -> AbstractAsyncContextManager[None]:
-        """Wait until no other suspect runs on the target; others do not wait."""
+    def exclusive_retry(
+        self, fingerprint: str, target_id: str
+    ) -> AbstractAsyncContextManager[None]:
+        """Wait until no other suspect runs on the target; other requests do not wait."""
 
-    async def crashed(self, fingerprint: str, target_id: str) -> None:
-        """Mark a request that ran on a target when it died."""
+    async def record_crash(self, fingerprint: str, target_id: str) -> None:
+        """Mark a request as suspect because a target crashed while it processed the request."""
 
-    async def finished(self, fingerprint: str) -> None:
-        """Clear a request that has finished."""
+    async def record_success(self, fingerprint: str) -> None:
+        """Clear the suspicion of a request that has finished."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/errors.py
@@ -2,22 +2,22 @@
 
 from dataclasses import dataclass, field
 
-from wasabiwell_entry.state.forwarding import AnswerHead, Broken, NotRun, NotSent
+from wasabiwell_entry.state.forwarding import NotRun, NotSent, ResponseHead, ResponseInterrupted
 
 
 @dataclass(frozen=True, slots=True)
 class Delivered:
-    """The whole answer went to the sink."""
+    """The whole response was delivered to the sink."""
 
     status: int
 
 
 @dataclass(frozen=True, slots=True)
-class Held:
-    """The whole answer is here and nothing of it went to the sink."""
+class Buffered:
+    """The whole response is buffered, and no part of it was delivered to the sink."""
 
-    head: AnswerHead
+    head: ResponseHead
     body: bytes = field(repr=False)
 
 
-AttemptOutcome = Delivered | Held | NotSent | NotRun | Broken
+AttemptOutcome = Delivered | Buffered | NotSent | NotRun | ResponseInterrupted
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/recovery.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/recovery.py
@@ -13,7 +13,7 @@
 )
 from wasabiwell_entry.coordination.lifecycle.ports import PeerSnapshot, SnapshotPort
 from wasabiwell_entry.coordination.membership import MembershipCoordinator
-from wasabiwell_entry.coordination.membership.errors import PeerSilent
+from wasabiwell_entry.coordination.membership.errors import PeerUnreachable
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.platform import (
@@ -24,16 +24,16 @@
 
 
 class RecoveryCoordinator:
-    """Asks several peers, then the table service, then the object store."""
+    """Recovers state from several peers, else from the table service or the object store."""
 
     __slots__ = (
+        "_apply_instances",
         "_clock",
         "_configuration",
         "_instances",
         "_membership",
         "_peers",
         "_seeds",
-        "_take_instances",
     )
 
     def __init__(
@@ -43,7 +43,7 @@
         peers: SnapshotPort,
         instances: InstanceList,
         seeds: Sequence[str],
-        take_instances: Callable[[list[InstanceRecord]], None],
+        apply_instances: Callable[[list[InstanceRecord]], None],
         clock: Clock,
     ) -> None:
         self._membership = membership
@@ -51,19 +51,19 @@
         self._peers = peers
         self._instances = instances
         self._seeds = tuple(seeds)
-        self._take_instances = take_instances
+        self._apply_instances = apply_instances
         self._clock = clock
 
     async def recover(self) -> None:
-        """Take over what running instances know; the newest configuration version counts.
+        """Merge the state of running instances; the newest configuration version wins.
 
-        Several peers are asked, because one of them may lag behind the last accepted version.
+        Several peers are queried, because one of them may lag behind the last accepted version.
         """
         for _ in range(RECOVERY_ATTEMPTS):
             addresses = await self._addresses()
             if not addresses:
                 break
-            if await self._recover_from(addresses):
+            if await self._fetch_and_apply(addresses):
                 break
             await self._clock.sleep(RECOVERY_RETRY_INTERVAL)
         if self._configuration.state.version:
@@ -84,34 +84,34 @@
             random.shuffle(entries)
             entries.sort(key=lambda record: record.leaving)
             listed = [record.peer_address for record in entries]
-        found = dict.fromkeys([*self._seeds, *listed])
-        found.pop(own.peer_address, None)
-        return list(found)[: RECOVERY_PEERS + len(self._seeds)]
+        addresses = dict.fromkeys([*self._seeds, *listed])
+        addresses.pop(own.peer_address, None)
+        return list(addresses)[: RECOVERY_PEERS + len(self._seeds)]
 
-    async def _recover_from(self, addresses: list[str]) -> bool:
+    async def _fetch_and_apply(self, addresses: list[str]) -> bool:
         snapshots: list[PeerSnapshot] = []
 
-        async def ask(address: str) -> None:
+        async def fetch(address: str) -> None:
             match await self._peers.fetch_snapshot(address):
                 case PeerSnapshot() as snapshot:
                     snapshots.append(snapshot)
-                case PeerSilent():
+                case PeerUnreachable():
                     pass
 
         async with trio.open_nursery() as nursery:
             for address in addresses:
-                nursery.start_soon(ask, address)
+                nursery.start_soon(fetch, address)
         snapshots.sort(key=lambda snapshot: snapshot.configuration.version)
         for snapshot in snapshots:
-            self._take_over(snapshot)
+            self._apply_snapshot(snapshot)
         return bool(snapshots)
 
-    def _take_over(self, snapshot: PeerSnapshot) -> None:
+    def _apply_snapshot(self, snapshot: PeerSnapshot) -> None:
         self._membership.merge(snapshot.members, snapshot.marks)
         if snapshot.instances:
-            self._take_instances(list(snapshot.instances))
-        self._configuration.take_over(snapshot.configuration)
-        self._configuration.confirmed_by(snapshot.announcement)
+            self._apply_instances(list(snapshot.instances))
+        self._configuration.apply_update(snapshot.configuration)
+        self._configuration.apply_confirmation(snapshot.announcement)
         log_events.emit(
             log_events.RECOVERED_FROM_PEER,
             peer=snapshot.sender,
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/__init__.py
@@ -1,7 +1,7 @@
-"""Fenced orders to engines."""
+"""Orders to engines, sent under leases with fencing numbers."""
 
 from wasabiwell_entry.coordination.orders.coordinator import OrderCoordinator
 from wasabiwell_entry.coordination.orders.leases import OrderLeases
-from wasabiwell_entry.coordination.orders.rate import WeightStoreRate
+from wasabiwell_entry.coordination.orders.rate import WeightStoreRateLimiter
 
-__all__ = ["OrderCoordinator", "OrderLeases", "WeightStoreRate"]
+__all__ = ["OrderCoordinator", "OrderLeases", "WeightStoreRateLimiter"]
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
@@ -1,4 +1,4 @@
-"""What placing requests needs of other capabilities."""
+"""Interfaces to other capabilities that placement depends on."""
 
 from typing import Protocol
 
@@ -6,7 +6,7 @@
 
 
 class TargetHealthPort(Protocol):
-    """Beliefs about targets."""
+    """Health of the targets as this entry instance knows it."""
 
     def listed(self, target: Target) -> bool:
         """Return whether the target is in the platform's list and is not leaving."""
@@ -14,12 +14,12 @@
     def usable(self, target: Target) -> bool:
         """Return whether the target should get requests."""
 
-    def failure_share(self, target: Target) -> float:
-        """Return the recent share of requests that the target failed, from 0 to 1."""
+    def failure_rate(self, target: Target) -> float:
+        """Return the recent failure rate of the target, from 0 to 1."""
 
 
-class CellPort(Protocol):
-    """Zones of a large fleet that place requests among themselves."""
+class ZoneLocalityPort(Protocol):
+    """Services of large fleets whose requests are placed in their own zone first."""
 
     def in_use(self, service: str) -> bool:
         """Return whether each zone places the requests for a service on its own targets first."""
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/errors.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wasabiwell_entry.state.outcomes import Answer, Failed, Refused
+from wasabiwell_entry.state.outcomes import Failed, Refused, ServiceResponse
 from wasabiwell_entry.state.runs import RunRecord
 
 
@@ -10,7 +10,7 @@
 class Claimed:
     """This entry instance holds the record and may send the call once, before its deadline.
 
-    `version` is the version of the row that the claim replaced, 0 when there was none.
+    `version` is the version of the row that the claim replaced, or 0 if there was no row.
     """
 
     key: str
@@ -18,4 +18,4 @@
     version: int = 0
 
 
-ClaimOutcome = Claimed | Answer | Refused | Failed
+ClaimOutcome = Claimed | ServiceResponse | Refused | Failed
--- a/packages/entry/src/wasabiwell_entry/tls.py
+++ b/packages/entry/src/wasabiwell_entry/tls.py
@@ -1,4 +1,4 @@
-"""TLS contexts of an entry instance, from its settings."""
+"""TLS contexts of an entry instance, created from its settings."""
 
 import ipaddress
 import ssl
@@ -6,16 +6,16 @@
 
 from wasabiwell_entry.settings import Settings, split_address
 from wasabiwell_entry.state import log_events
-from wasabiwell_entry.transport.certificates import Certificates, KeyPair
+from wasabiwell_entry.transport.certificates import CertificateReloader, KeyPair
 
 CALLER_PROTOCOLS = ("h2", "http/1.1")
 
 
 @dataclass(frozen=True, slots=True)
 class TlsContexts:
-    """TLS contexts of an entry instance; None stands for connections without TLS."""
+    """TLS contexts of an entry instance; None means connections without TLS."""
 
-    certificates: Certificates
+    certificates: CertificateReloader
     callers: ssl.SSLContext | None
     peer_server: ssl.SSLContext | None
     peer_client: ssl.SSLContext | None
@@ -24,8 +24,8 @@
 
 
 def open_tls(settings: Settings) -> TlsContexts:
-    """Return the contexts for the certificates that the settings name."""
-    certificates = Certificates()
+    """Return the TLS contexts for the certificates in the settings."""
+    certificates = CertificateReloader()
     peer_server = peer_client = None
     if settings.peer_tls_certificate:
         pair = KeyPair(settings.peer_tls_certificate, settings.peer_tls_key)
--- a/standins/wasabiwell_standins/booking.py
+++ b/standins/wasabiwell_standins/booking.py
@@ -1,10 +1,10 @@
-"""Stand-in for a booking service that counts how often each call ran.
+"""Stand-in for a booking service that counts the executions of each call.
 
-`POST /bookings` and `/reservations` run a booking; `GET /ledger` gives the run count of each
-idempotency key, with `also=HOST:PORT,...` summed over further targets; `GET /availability` is an
-idempotent look-up. `POST /control` sets `delay_s`
-(time that a booking takes) and `drop_replies` (the number of next bookings that run and whose
-connection is then cut).
+`POST /bookings` and `/reservations` execute a booking. `GET /ledger` returns the execution count of
+each idempotency key; `also=HOST:PORT,...` adds the counts of other targets. `GET /availability` is
+an idempotent look-up. `POST /control` sets faults: `delay_s` is the duration of a booking, and
+`drop_replies` the number of further bookings that are executed but whose connection is closed
+before the response body.
 """
 
 from collections import Counter
@@ -15,12 +15,12 @@
 import msgspec
 import trio
 
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 
 
 @dataclass(slots=True)
-class Control:
-    """Faults in force."""
+class Faults:
+    """Active faults; the field names are the keys of `POST /control`."""
 
     delay_s: float = 0.02
     drop_replies: int = 0
@@ -28,48 +28,48 @@
 
 @dataclass(slots=True)
 class BookingService:
-    """State of the stand-in."""
+    """State and request handlers of one booking target."""
 
     name: str
-    control: Control = field(default_factory=Control)
-    runs: Counter[str] = field(default_factory=Counter)
+    faults: Faults = field(default_factory=Faults)
+    run_counts: Counter[str] = field(default_factory=Counter)
 
-    async def handle(self, call: Call) -> None:
-        """Answer one request."""
-        match call.method, call.path:
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Handle one HTTP request."""
+        match exchange.method, exchange.path:
             case "GET", "/ledger":
-                await call.reply(200, await self._ledger(call.query("also")))
+                await exchange.reply(200, await self._total_run_counts(exchange.query("also")))
             case "GET", "/availability":
-                await call.reply(200, {"available": True, "by": self.name})
+                await exchange.reply(200, {"available": True, "by": self.name})
             case "POST", "/control":
-                for name, value in msgspec.json.decode(call.body).items():
-                    setattr(self.control, name, value)
-                await call.reply(200, self.control)
+                for name, value in msgspec.json.decode(exchange.body).items():
+                    setattr(self.faults, name, value)
+                await exchange.reply(200, self.faults)
             case "POST", "/bookings" | "/reservations":
-                await self._book(call)
+                await self._book(exchange)
             case _:
-                await call.reply(404, {"error": "no such path"})
+                await exchange.reply(404, {"error": "no such path"})
 
-    async def _ledger(self, others: str) -> dict[str, int]:
-        """Return the run counts of this target and of the named others together."""
-        total = Counter(self.runs)
+    async def _total_run_counts(self, other_addresses: str) -> dict[str, int]:
+        """Return the execution counts of this and other targets, added by idempotency key."""
+        total = Counter(self.run_counts)
         async with httpcore.AsyncConnectionPool() as pool:
-            for address in filter(None, others.split(",")):
+            for address in filter(None, other_addresses.split(",")):
                 response = await pool.request("GET", f"http://{address}/ledger")
                 total.update(msgspec.json.decode(response.content, type=dict[str, int]))
         return dict(total)
 
-    async def _book(self, call: Call) -> None:
-        key = call.header("idempotency-key") or ""
-        self.runs[key] += 1
-        await trio.sleep(self.control.delay_s)
-        if self.control.drop_replies > 0:
-            self.control.drop_replies -= 1
-            await call.start_stream(b"application/json")
-            raise ConnectionAbortedError("the reply is dropped")
-        body = msgspec.json.decode(call.body) if call.body else {}
+    async def _book(self, exchange: HttpExchange) -> None:
+        key = exchange.header("idempotency-key") or ""
+        self.run_counts[key] += 1
+        await trio.sleep(self.faults.delay_s)
+        if self.faults.drop_replies > 0:
+            self.faults.drop_replies -= 1
+            await exchange.start_stream(b"application/json")
+            raise ConnectionAbortedError("the reply is dropped by the fault drop_replies")
+        body = msgspec.json.decode(exchange.body) if exchange.body else {}
         size = body.get("reply_bytes", 0) if isinstance(body, dict) else 0
-        await call.reply(201, {"booked": key, "by": self.name, "padding": "x" * size})
+        await exchange.reply(201, {"booked": key, "by": self.name, "padding": "x" * size})
 
 
 @click.command()
--- a/standins/wasabiwell_standins/caller.py
+++ b/standins/wasabiwell_standins/caller.py
@@ -1,4 +1,4 @@
-"""A caller that asks for addresses, sends requests and checks each answer."""
+"""HTTP caller that fetches entry addresses, sends requests and verifies responses."""
 
 import ssl
 import time
@@ -7,14 +7,17 @@
 import httpcore
 import msgspec
 
-from wasabiwell_standins.answers import expected_answer
+from wasabiwell_standins.completions import expected_completion
 
 BYTES_PER_TOKEN = 4
 
 
 @dataclass(slots=True)
 class ChatResult:
-    """What a completion request gave; `error` is empty when the whole answer is right."""
+    """Result of a completion request; `error` is empty if the response is complete and correct.
+
+    `run` is the value of the header `Wasabiwell-Run`, or of the field `run` of an error.
+    """
 
     status: int
     first_token_s: float = 0.0
@@ -26,9 +29,9 @@
 
 
 def make_messages(prompt_tokens: int, tag: str) -> bytes:
-    """Return the JSON of messages with about `prompt_tokens` tokens; `tag` makes them unique."""
-    frame = msgspec.json.encode([{"role": "user", "content": f"{tag} "}])
-    filler = "x" * max(0, prompt_tokens * BYTES_PER_TOKEN - len(frame))
+    """Return JSON messages of about `prompt_tokens` tokens; `tag` makes the prompt unique."""
+    unpadded = msgspec.json.encode([{"role": "user", "content": f"{tag} "}])
+    filler = "x" * max(0, prompt_tokens * BYTES_PER_TOKEN - len(unpadded))
     return msgspec.json.encode([{"role": "user", "content": f"{tag} {filler}"}])
 
 
@@ -43,8 +46,8 @@
     return msgspec.json.encode(fields)
 
 
-def ask_addresses(address: str, zone: str | None = None, ca: str = "") -> list[str]:
-    """Return the addresses that the system tells a caller to use; `ca` turns on https."""
+def fetch_addresses(address: str, zone: str | None = None, ca: str = "") -> list[str]:
+    """Return the entry addresses that a caller should use; `ca` enables HTTPS."""
     tls = ssl.create_default_context(cafile=ca) if ca else None
     query = f"?zone={zone}" if zone else ""
     url = f"{'https' if ca else 'http'}://{address}/v1/addresses{query}"
@@ -63,8 +66,8 @@
     timeout_s: float = 120.0,
     ca: str = "",
 ) -> ChatResult:
-    """Send a streamed completion request and check its answer; `ca` turns on https."""
-    begin = time.monotonic()
+    """Send a streamed completion request and verify the response; `ca` enables HTTPS."""
+    started = time.monotonic()
     timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
     headers = [
         (b"authorization", f"Bearer {key}".encode()),
@@ -84,16 +87,16 @@
             result.status = response.status
             result.run = _header(response, b"wasabiwell-run")
             result.request_id = _header(response, b"x-request-id")
-            _read_answer(response, result, begin)
+            _read_stream(response, result, started)
     except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
         result.error = repr(error)
-    result.total_s = time.monotonic() - begin
-    if not result.error and result.text != expected_answer(messages, max_tokens):
-        result.error = "the answer is not the one to this request"
+    result.total_s = time.monotonic() - started
+    if not result.error and result.text != expected_completion(messages, max_tokens):
+        result.error = "the response is not the expected completion"
     return result
 
 
-def _read_answer(response: httpcore.Response, result: ChatResult, begin: float) -> None:
+def _read_stream(response: httpcore.Response, result: ChatResult, started: float) -> None:
     if response.status != 200:
         result.error = response.read().decode()
         return
@@ -116,11 +119,11 @@
                 return
             content = value["choices"][0]["delta"].get("content")
             if content:
-                result.first_token_s = result.first_token_s or time.monotonic() - begin
+                result.first_token_s = result.first_token_s or time.monotonic() - started
                 texts.append(content)
     result.text = "".join(texts)
     if not done:
-        result.error = "the stream ended without its end mark"
+        result.error = "the stream ended without [DONE]"
 
 
 def _header(response: httpcore.Response, name: bytes) -> str:
--- a/standins/wasabiwell_standins/load.py
+++ b/standins/wasabiwell_standins/load.py
@@ -1,8 +1,8 @@
-"""Load tool: sends planned requests at their times and checks each answer.
+"""Load generator: sends the requests of a plan and verifies each response.
 
 It reads a plan as JSON from standard input and writes one result for each request to standard
-output. Arrivals are open-loop: a slow answer does not delay the next request. A plan with
-`workers` is closed-loop instead: each organisation keeps its number of requests in flight.
+output. Arrivals are open-loop: a slow response does not delay the next request. A plan with
+`workers` is closed-loop instead: each organisation keeps a fixed number of requests in flight.
 """
 
 import sys
@@ -13,18 +13,18 @@
 import msgspec
 import trio
 
-from wasabiwell_standins.answers import expected_answer
 from wasabiwell_standins.caller import chat_body
+from wasabiwell_standins.completions import expected_completion
 
 BYTES_PER_TOKEN = 4
 MAX_CONNECTIONS = 1_000
-REFUSED_PAUSE_S = 0.2
-"""Pause of a closed-loop caller after a refusal."""
+FAILURE_DELAY_S = 0.2
+"""Delay of a closed-loop worker after a failed request."""
 
 
 @dataclass(frozen=True, slots=True)
 class PlannedRequest:
-    """One request; `prefix` is the text that prompts of one kind share, `at_s` its arrival."""
+    """A request; `at_s` is its arrival time, `prefix` the text that prompts of its kind share."""
 
     at_s: float
     organisation: str
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Requests, the entries they go to in turn, and the keys of the organisations."""
+    """Requests to send, entry addresses to send them to in turn, and API keys by organisation."""
 
     addresses: list[str]
     keys: dict[str, str]
@@ -50,7 +50,7 @@
 
 @dataclass(slots=True)
 class Result:
-    """What a request gave; `error` is empty when the whole answer is right."""
+    """Result of a request; `error` is empty if the response is complete and correct."""
 
     organisation: str
     kind: str
@@ -65,16 +65,16 @@
 
 
 def make_prompt(planned: PlannedRequest) -> bytes:
-    """Return the JSON of messages: the shared prefix, the tag and a filler."""
+    """Return JSON messages with the shared prefix, the tag and padding."""
     content = f"{planned.prefix} {planned.tag} "
     filler = "x" * max(0, planned.prompt_tokens * BYTES_PER_TOKEN - len(content) - 32)
     return msgspec.json.encode([{"role": "user", "content": content + filler}])
 
 
-async def send(
+async def send_request(
     pool: httpcore.AsyncConnectionPool, plan: Plan, planned: PlannedRequest, address: str
 ) -> Result:
-    """Send one request and check its answer; times count from the planned arrival."""
+    """Send one request and verify the response; durations count from the planned arrival."""
     result = Result(planned.organisation, planned.kind, planned.prompt_tokens)
     messages = make_prompt(planned)
     body = chat_body(plan.service, messages, planned.max_tokens)
@@ -82,27 +82,29 @@
         (b"authorization", f"Bearer {plan.keys[planned.organisation]}".encode()),
         (b"content-type", b"application/json"),
     ]
-    begin = trio.current_time()
+    started = trio.current_time()
     timeout = dict.fromkeys(("connect", "read", "write", "pool"), planned.timeout_s)
     url = f"http://{address}/v1/chat/completions"
-    result.error = "no answer in time"
+    result.error = "no complete response within the timeout"
     with trio.move_on_after(planned.timeout_s):
         try:
             async with pool.stream(
                 "POST", url, headers=headers, content=body, extensions={"timeout": timeout}
             ) as response:
-                await _read(response, result, begin)
+                await _read_stream(response, result, started)
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             result.error = repr(error)
-    result.total_s = trio.current_time() - begin
-    if not result.error and "".join(result.texts) != expected_answer(messages, planned.max_tokens):
-        result.error = "the answer is not the one to this request"
+    result.total_s = trio.current_time() - started
+    if not result.error and "".join(result.texts) != expected_completion(
+        messages, planned.max_tokens
+    ):
+        result.error = "the response is not the expected completion"
     result.tokens = len(result.texts)
     result.texts = []
     return result
 
 
-async def _read(response: httpcore.Response, result: Result, begin: float) -> None:
+async def _read_stream(response: httpcore.Response, result: Result, started: float) -> None:
     result.status = response.status
     if response.status != 200:
         result.error = (await response.aread()).decode()
@@ -121,32 +123,32 @@
                     result.error = str(value["error"])
                     return
                 if content := value["choices"][0]["delta"].get("content"):
-                    result.first_token_s = result.first_token_s or trio.current_time() - begin
+                    result.first_token_s = result.first_token_s or trio.current_time() - started
                     result.texts += [f"{token} " for token in content.split()]
-    result.error = "" if done else "the stream ended without its end mark"
+    result.error = "" if done else "the stream ended without [DONE]"
 
 
-async def run_open(plan: Plan) -> list[Result]:
-    """Send each request at its time and return all results."""
+async def run_open_loop(plan: Plan) -> list[Result]:
+    """Send each request at its arrival time and return all results."""
     results: list[Result] = []
-    begin = trio.current_time()
+    started = trio.current_time()
     async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
 
-        async def one(index: int, planned: PlannedRequest) -> None:
-            await trio.sleep_until(begin + planned.at_s)
+        async def send_at_arrival(index: int, planned: PlannedRequest) -> None:
+            await trio.sleep_until(started + planned.at_s)
             address = plan.addresses[index % len(plan.addresses)]
-            results.append(await send(pool, plan, planned, address))
+            results.append(await send_request(pool, plan, planned, address))
 
         async with trio.open_nursery() as nursery:
             for index, planned in enumerate(plan.requests):
-                nursery.start_soon(one, index, planned)
+                nursery.start_soon(send_at_arrival, index, planned)
     return results
 
 
-async def run_closed(plan: Plan) -> list[Result]:
-    """Keep `workers` requests of each organisation in flight until the duration has passed."""
+async def run_closed_loop(plan: Plan) -> list[Result]:
+    """Keep `workers` requests of each organisation in flight for the duration of the plan."""
     results: list[Result] = []
-    begin = trio.current_time()
+    started = trio.current_time()
     async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
 
         async def worker(planned: PlannedRequest, number: int) -> None:
@@ -155,11 +157,11 @@
                 count += 1
                 item = replace(planned, tag=f"{planned.tag}-{number}-{count}")
                 address = plan.addresses[number % len(plan.addresses)]
-                result = await send(pool, plan, item, address)
-                result.ended_s = trio.current_time() - begin
+                result = await send_request(pool, plan, item, address)
+                result.ended_s = trio.current_time() - started
                 results.append(result)
                 if result.error:
-                    await trio.sleep(REFUSED_PAUSE_S)
+                    await trio.sleep(FAILURE_DELAY_S)
 
         with trio.move_on_after(plan.duration_s):
             async with trio.open_nursery() as nursery:
@@ -171,9 +173,9 @@
 
 @click.command()
 def main() -> None:
-    """Run the plan on standard input and write the results to standard output."""
+    """Run a plan read from standard input and write the results to standard output."""
     plan = msgspec.json.decode(sys.stdin.buffer.read(), type=Plan)
-    results = trio.run(run_closed if plan.workers else run_open, plan)
+    results = trio.run(run_closed_loop if plan.workers else run_open_loop, plan)
     sys.stdout.buffer.write(msgspec.json.encode(results))
 
 
--- a/standins/wasabiwell_standins/measure_credits.py
+++ b/standins/wasabiwell_standins/measure_credits.py
@@ -1,4 +1,4 @@
-"""Measures the control messages of credits and their CPU time."""
+"""Measures the number and the CPU time of the peer messages for credits."""
 
 import time
 from collections.abc import AsyncIterator, Sequence
@@ -32,7 +32,7 @@
 
 
 class CountingPeers:
-    """Counts the messages that go to other entry instances."""
+    """Counts the messages to other entry instances."""
 
     def __init__(self, inner: GrpcCreditPeers) -> None:
         self.messages = 0
@@ -41,44 +41,47 @@
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
     ) -> list[ClaimAnswer] | OwnerUnreachable:
-        """Count and send claims."""
+        """Send claims to an owner."""
         self.messages += 1
         return await self._inner.acquire(owner, claims)
 
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
     ) -> OwnerUnreachable | None:
-        """Count and send returns."""
+        """Return credits to an owner."""
         self.messages += 1
         return await self._inner.release(owner, returns)
 
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
     ) -> list[CreditClaim] | OwnerUnreachable:
-        """Count and send the question of a new owner."""
+        """Query the outstanding credits of a holder, as a new owner does."""
         self.messages += 1
         return await self._inner.outstanding(holder, engine_ids)
 
 
 class NoReservations:
-    """Refuses reservations; the measured requests fit one engine."""
+    """Refuses all reservations, because the measured requests fit on one engine."""
 
     async def reserve(
         self, target: Target, owner: str, tokens: int
     ) -> Reserved | ReservationRefused:
-        """Refuse."""
+        """Return a refusal."""
         return ReservationRefused("not measured")
 
     async def renew(self, target: Target, reservation_id: str) -> None:
-        """Accept."""
+        """Do nothing."""
 
     async def release(self, target: Target, reservation_id: str) -> None:
-        """Accept."""
+        """Do nothing."""
 
 
 @dataclass(slots=True)
 class Node:
-    """The credit parts of one entry instance, and what its requests saw."""
+    """Credit owner and holder of one entry instance, with statistics of its requests.
+
+    `waits` holds the time that each request waited for capacity, in seconds.
+    """
 
     owner: CreditOwner
     holder: CreditHolder
@@ -87,15 +90,18 @@
     waits: list[float] = field(default_factory=list)
     changed: trio.Event = field(default_factory=trio.Event)
 
-    def note_change(self) -> None:
-        """Wake the requests that wait for capacity."""
+    def notify_change(self) -> None:
+        """Wake all requests that wait for capacity."""
         self.changed.set()
         self.changed = trio.Event()
 
 
 @dataclass(slots=True)
-class World:
-    """Entry instances in one process that share engines over loopback connections."""
+class Cluster:
+    """Entry instances in one process, connected over loopback, that share simulated engines.
+
+    `running` holds the number of running requests by engine.
+    """
 
     members: MemberTable
     targets: TargetTable
@@ -104,79 +110,79 @@
 
 
 @asynccontextmanager
-async def open_world(entries: int, engines: int) -> AsyncIterator[World]:
-    """Own a world with its servers until the context ends."""
+async def open_cluster(entries: int, engines: int) -> AsyncIterator[Cluster]:
+    """Yield a cluster whose peer servers run until the context exits."""
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(trio_asyncio.open_loop())
         clock = SystemClock()
-        world = World(MemberTable(), TargetTable(), {}, [])
+        cluster = Cluster(MemberTable(), TargetTable(), {}, [])
         for index in range(engines):
             name = f"engine-{index}"
-            world.targets.put(Target(name, TargetKind.ENGINE, "s", "", "r", "z"))
-            world.running[name] = 0
-        report_load(world)
+            cluster.targets.put(Target(name, TargetKind.ENGINE, "s", "", "r", "z"))
+            cluster.running[name] = 0
+        report_load(cluster)
         ports = free_ports(entries)
         for index, port in enumerate(ports):
-            world.members.put(Member(f"n-{index}", 1, "r", "z", "", f"{HOST}:{port}"))
-        for member, port in zip(world.members, ports, strict=True):
+            cluster.members.put(Member(f"n-{index}", 1, "r", "z", "", f"{HOST}:{port}"))
+        for member, port in zip(cluster.members, ports, strict=True):
             client = await stack.enter_async_context(open_peer_client())
             peers = CountingPeers(GrpcCreditPeers(client))
-            owners = EngineOwners(member, world.members, world.targets)
-            owner = CreditOwner(owners, world.targets, peers, clock)
+            owners = EngineOwners(member, cluster.members, cluster.targets)
+            owner = CreditOwner(owners, cluster.targets, peers, clock)
             holder = CreditHolder(
-                member.node_id, owners, owner, peers, world.targets, NoReservations(), clock
+                member.node_id, owners, owner, peers, cluster.targets, NoReservations(), clock
             )
             service = PeerService()
             serve_credits(service, owner, holder)
             await stack.enter_async_context(serve_peers(service, HOST, port))
             node = Node(owner, holder, peers)
-            holder.on_change(node.note_change)
-            world.nodes.append(node)
-        yield world
+            holder.on_change(node.notify_change)
+            cluster.nodes.append(node)
+        yield cluster
 
 
-def report_load(world: World) -> None:
-    """Let all engines report their load."""
+def report_load(cluster: Cluster) -> None:
+    """Update the load report of each engine."""
     now = timedelta(seconds=trio.current_time())
-    for status in world.targets:
-        running = world.running[status.target.target_id]
+    for status in cluster.targets:
+        running = cluster.running[status.target.target_id]
         free = TOKENS - running * REQUEST_TOKENS
         status.load = EngineLoad(now, SLOTS, running, 0, TOKENS, free)
 
 
-async def report_loads(world: World) -> None:
-    """Report the load of all engines until cancelled."""
+async def report_loads(cluster: Cluster) -> None:
+    """Update the load reports periodically until cancelled."""
     while True:
-        report_load(world)
+        report_load(cluster)
         await trio.sleep(LOAD_SECONDS)
 
 
-async def run_request(world: World, node: Node, engine: str, seconds: float) -> None:
-    """Hold capacity for one request, waiting for it as admission does."""
-    begin = trio.current_time()
+async def run_request(cluster: Cluster, node: Node, engine: str, seconds: float) -> None:
+    """Acquire capacity for one request, waiting as admission does, and hold it for `seconds`."""
+    started = trio.current_time()
     node.requests += 1
     hold = node.holder.try_hold(engine, REQUEST_TOKENS, SizeClass.SHORT)
     while not isinstance(hold, Hold):
         changed = node.changed
-        node.holder.request(engine, REQUEST_TOKENS, SizeClass.SHORT)
+        node.holder.report_demand(engine, REQUEST_TOKENS, SizeClass.SHORT)
         await changed.wait()
         hold = node.holder.try_hold(engine, REQUEST_TOKENS, SizeClass.SHORT)
-    node.waits.append(trio.current_time() - begin)
-    world.running[engine] += 1
+    node.waits.append(trio.current_time() - started)
+    cluster.running[engine] += 1
     await trio.sleep(seconds)
-    world.running[engine] -= 1
+    cluster.running[engine] -= 1
     node.holder.release(hold)
 
 
 async def send_requests(
-    world: World, node: Node, rate: float, held_seconds: float, nursery: trio.Nursery
+    cluster: Cluster, node: Node, rate: float, held_seconds: float, nursery: trio.Nursery
 ) -> None:
-    """Start requests at a fixed rate, spread over all engines."""
-    engines = list(world.running)
+    """Start requests at a fixed rate, in turn on all engines."""
+    engines = list(cluster.running)
     number = 0
     while True:
         engine = engines[number % len(engines)]
-        nursery.start_soon(run_request, world, node, engine, held_seconds)
+        nursery.start_soon(run_request, cluster, node, engine, held_seconds)
         number += 1
         await trio.sleep(1.0 / rate)
 
@@ -184,17 +190,17 @@
 async def measure_messages(
     entries: int, engines: int, rate: float, seconds: float, held_seconds: float
 ) -> str:
-    """Return a line with the messages per request of a number of entry instances."""
-    async with open_world(entries, engines) as world, trio.open_nursery() as nursery:
-        nursery.start_soon(report_loads, world)
-        for node in world.nodes:
+    """Return a table row with the messages per request and the waiting times."""
+    async with open_cluster(entries, engines) as cluster, trio.open_nursery() as nursery:
+        nursery.start_soon(report_loads, cluster)
+        for node in cluster.nodes:
             nursery.start_soon(node.owner.run)
             nursery.start_soon(node.holder.run)
-            nursery.start_soon(send_requests, world, node, rate, held_seconds, nursery)
+            nursery.start_soon(send_requests, cluster, node, rate, held_seconds, nursery)
         await trio.sleep(seconds)
-        requests = sum(node.requests for node in world.nodes)
-        messages = sum(node.peers.messages for node in world.nodes)
-        waits = sorted(wait for node in world.nodes for wait in node.waits)
+        requests = sum(node.requests for node in cluster.nodes)
+        messages = sum(node.peers.messages for node in cluster.nodes)
+        waits = sorted(wait for node in cluster.nodes for wait in node.waits)
         nursery.cancel_scope.cancel()
     return (
         f"| {entries} | {engines} | {requests} | {messages} | {messages / requests:.3f} "
@@ -204,32 +210,36 @@
 
 
 async def measure_cpu(claims: int, messages: int) -> str:
-    """Return a line with the CPU time of both ends for messages with a number of claims."""
-    async with open_world(2, claims * 4) as world:
-        first = world.nodes[0]
-        own = {member.node_id: member for member in world.members}
-        owners = EngineOwners(own["n-1"], world.members, world.targets)
-        engines = [name for name in world.running if owners.is_own(owners.owner(name))][:claims]
-        used = Amount(1, REQUEST_TOKENS)
-        begin = 0.0
+    """Return a table row with the CPU time, at both ends, of messages with `claims` claims."""
+    async with open_cluster(2, claims * 4) as cluster:
+        first = cluster.nodes[0]
+        members_by_id = {member.node_id: member for member in cluster.members}
+        owners = EngineOwners(members_by_id["n-1"], cluster.members, cluster.targets)
+        engines = [name for name in cluster.running if owners.is_own(owners.owner(name))][:claims]
+        amount = Amount(1, REQUEST_TOKENS)
+        started = 0.0
         for sequence in range(-10, messages):
             if sequence == 0:
-                begin = time.process_time()
-            batch = [CreditClaim(name, "m", sequence + 20, used, used, used) for name in engines]
-            answers = await first.peers.acquire(own["n-1"], batch)
+                started = time.process_time()
+            batch = [
+                CreditClaim(name, "m", sequence + 20, amount, amount, amount) for name in engines
+            ]
+            answers = await first.peers.acquire(members_by_id["n-1"], batch)
             if isinstance(answers, OwnerUnreachable):
-                raise click.ClickException(f"the owner did not answer: {answers.reason}")
-        cpu = (time.process_time() - begin) / messages
+                raise click.ClickException(f"credit owner unreachable: {answers.reason}")
+        cpu = (time.process_time() - started) / messages
     return f"| {len(engines)} | {messages} | {cpu * 1e3:.2f} | {cpu * 1e6 / len(engines):.0f} |"
 
 
 @click.command()
-@click.option("--entries", default=(2, 4, 8), multiple=True, help="Entry instances.")
-@click.option("--engines-per-entry", default=2, help="Engines for each entry instance.")
+@click.option(
+    "--entries", default=(2, 4, 8), multiple=True, help="Numbers of entry instances to measure."
+)
+@click.option("--engines-per-entry", default=2, help="Engines per entry instance.")
 @click.option("--rate", default=24.0, help="Requests per second and entry instance.")
 @click.option("--held-s", default=0.5, help="Time for which a request holds capacity, in seconds.")
 @click.option("--seconds", default=10.0, help="Time of each run, in seconds.")
-@click.option("--messages", default=500, help="Messages for each CPU figure.")
+@click.option("--messages", default=500, help="Messages per CPU measurement.")
 def main(
     entries: tuple[int, ...],
     engines_per_entry: int,
@@ -238,7 +248,7 @@
     seconds: float,
     messages: int,
 ) -> None:
-    """Print control messages per request, and CPU per control message, of credits."""
+    """Print credit messages per request, and CPU time per credit message."""
     click.echo(
         "| entries | engines | requests | messages | messages/request | messages/s/entry "
         "| wait p50 ms | wait p95 ms |"
--- a/standins/wasabiwell_standins/measure_logs.py
+++ b/standins/wasabiwell_standins/measure_logs.py
@@ -1,4 +1,4 @@
-"""Measures requests while the logs of the entry processes are read, and while nobody reads them."""
+"""Measures latency and CPU time with log output to a file, a blocked pipe and /dev/null."""
 
 import fcntl
 import os
@@ -12,18 +12,22 @@
 import trio
 
 from wasabiwell_standins.measure_relay import cpu_seconds
-from wasabiwell_standins.users_platform.caller import Caller, Order, Reply
-from wasabiwell_standins.users_platform.world import World, WorldSize, open_world
+from wasabiwell_standins.users_platform.caller import Caller, CallerRequest, Reply
+from wasabiwell_standins.users_platform.deployment import (
+    Deployment,
+    DeploymentSize,
+    open_deployment,
+)
 
 PIPE_BYTES = 4096
-"""Smallest size of a pipe, which is filled before the run when its reader is blocked."""
-SIZE = WorldSize(entries=2, engines=4, plain=1, block=78)
+"""Minimum pipe capacity on Linux; the blocked pipe is filled with this many bytes in advance."""
+SIZE = DeploymentSize(entries=2, engines=4, plain=1, block=78)
 WARM_UP_SECONDS = 2.0
 
 
 @contextmanager
 def blocked_pipe() -> Iterator[int]:
-    """Return the end to write to of a pipe that is full and that nobody reads."""
+    """Yield the write end of a full pipe that has no active reader."""
     reader, writer = os.pipe()
     try:
         fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
@@ -34,47 +38,51 @@
         os.close(writer)
 
 
-async def send_all(world: World, rate: float, seconds: float) -> list[Reply]:
-    """Send short prompts at a rate and return what came of them."""
-    caller, replies = world.caller(), list[Reply]()
+async def send_all(deployment: Deployment, rate: float, seconds: float) -> list[Reply]:
+    """Send short prompts at a fixed rate and return the replies."""
+    caller, replies = deployment.caller(), list[Reply]()
 
-    async def send(sender: Caller, order: Order) -> None:
-        replies.append(await sender.send(order))
+    async def send(sender: Caller, request: CallerRequest) -> None:
+        replies.append(await sender.send(request))
 
     async with trio.open_nursery() as nursery:
         for _ in range(round(rate * seconds)):
-            nursery.start_soon(send, caller, world.order("short"))
+            nursery.start_soon(send, caller, deployment.request("short"))
             await trio.sleep(1 / rate)
     return replies
 
 
 async def measure(output: int | None, rate: float, seconds: float, folder: Path) -> str:
-    """Return a row of the table for one way to write logs."""
+    """Return the table cells for one log output; None is the default log file."""
 
-    async def prepare(world: World) -> None:
+    async def prepare(deployment: Deployment) -> None:
         await trio.lowlevel.checkpoint()
-        for entry in world.entries:
+        for entry in deployment.entries:
             entry.output = output
 
-    async with open_world(SIZE, folder, prepare) as world:
-        await send_all(world, rate, WARM_UP_SECONDS)
-        processes = [entry.process.pid for entry in world.entries if entry.process is not None]
-        before = sum(cpu_seconds(pid) for pid in processes)
-        replies = await send_all(world, rate, seconds)
-        used = sum(cpu_seconds(pid) for pid in processes) - before
-    whole = [reply for reply in replies if reply.status == 200 and reply.whole]
-    firsts = sorted(reply.first_s for reply in whole if reply.first_s is not None)
-    tail = statistics.quantiles(firsts, n=100)[98]
-    figures = (statistics.median(firsts), tail, used / len(replies))
+    async with open_deployment(SIZE, folder, prepare) as deployment:
+        await send_all(deployment, rate, WARM_UP_SECONDS)
+        processes = [entry.process.pid for entry in deployment.entries if entry.process is not None]
+        cpu_before = sum(cpu_seconds(pid) for pid in processes)
+        replies = await send_all(deployment, rate, seconds)
+        cpu_used = sum(cpu_seconds(pid) for pid in processes) - cpu_before
+    complete = [reply for reply in replies if reply.status == 200 and reply.complete]
+    first_byte_times = sorted(
+        reply.first_byte_s for reply in complete if reply.first_byte_s is not None
+    )
+    p99 = statistics.quantiles(first_byte_times, n=100)[98]
+    figures = (statistics.median(first_byte_times), p99, cpu_used / len(replies))
     times = " | ".join(f"{1000 * value:.1f}" for value in figures)
-    return f"{len(whole)} of {len(replies)} | {times}"
+    return f"{len(complete)} of {len(replies)} | {times}"
 
 
 @click.command()
-@click.option("--rate", default=40.0, show_default=True, help="Requests a second.")
-@click.option("--seconds", default=15.0, show_default=True, help="Time that is measured.")
+@click.option("--rate", default=40.0, show_default=True, help="Requests per second.")
+@click.option(
+    "--seconds", default=15.0, show_default=True, help="Duration of each measurement, in seconds."
+)
 def main(rate: float, seconds: float) -> None:
-    """Compare a reader of the logs that reads, one that is blocked, and none."""
+    """Compare log output to a file, to a pipe with a blocked reader, and to /dev/null."""
     click.echo("| logs | whole answers | first event p50, ms | p99, ms | entry CPU, ms a request |")
     click.echo("|---|---|---|---|---|")
     with blocked_pipe() as blocked, Path(os.devnull).open("wb") as nothing:
--- a/standins/wasabiwell_standins/otlp.py
+++ b/standins/wasabiwell_standins/otlp.py
@@ -1,4 +1,4 @@
-"""A receiver of OTLP over HTTP that keeps what it gets; GET /received returns it."""
+"""OTLP over HTTP receiver that stores spans and metrics; `GET /received` returns them."""
 
 import gzip
 from typing import Any
@@ -15,35 +15,35 @@
     ExportTraceServiceResponse,
 )
 
-from wasabiwell_standins.asgi import Call, serve_http
+from wasabiwell_standins.asgi import HttpExchange, serve_http
 
 PROTOBUF = b"application/x-protobuf"
 
 
 class Receiver:
-    """Spans and the newest metrics of each sender."""
+    """Stores all spans, and the latest metrics of each sender."""
 
     def __init__(self) -> None:
         self._spans: list[dict[str, Any]] = []
         self._metrics: dict[str, dict[str, Any]] = {}
 
-    async def handle(self, call: Call) -> None:
-        """Take an export, or return what was received."""
-        match call.method, call.path:
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Handle one HTTP request."""
+        match exchange.method, exchange.path:
             case "POST", "/v1/traces":
-                self._take_traces(ExportTraceServiceRequest.FromString(_body(call)))
+                self._store_spans(ExportTraceServiceRequest.FromString(_body(exchange)))
                 reply = ExportTraceServiceResponse().SerializeToString()
-                await call.reply_bytes(200, reply, PROTOBUF)
+                await exchange.reply_bytes(200, reply, PROTOBUF)
             case "POST", "/v1/metrics":
-                self._take_metrics(ExportMetricsServiceRequest.FromString(_body(call)))
+                self._store_metrics(ExportMetricsServiceRequest.FromString(_body(exchange)))
                 reply = ExportMetricsServiceResponse().SerializeToString()
-                await call.reply_bytes(200, reply, PROTOBUF)
+                await exchange.reply_bytes(200, reply, PROTOBUF)
             case "GET", "/received":
-                await call.reply(200, {"spans": self._spans, "metrics": self._metrics})
+                await exchange.reply(200, {"spans": self._spans, "metrics": self._metrics})
             case _:
-                await call.reply(404, {"error": "no such route"})
+                await exchange.reply(404, {"error": "no such route"})
 
-    def _take_traces(self, request: ExportTraceServiceRequest) -> None:
+    def _store_spans(self, request: ExportTraceServiceRequest) -> None:
         for resource in request.resource_spans:
             sender = _sender(resource.resource)
             for scope in resource.scope_spans:
@@ -53,7 +53,7 @@
                     value |= {name: getattr(span, name).hex() for name in ids}
                     self._spans.append({"sender": sender, **value})
 
-    def _take_metrics(self, request: ExportMetricsServiceRequest) -> None:
+    def _store_metrics(self, request: ExportMetricsServiceRequest) -> None:
         for resource in request.resource_metrics:
             metrics = self._metrics.setdefault(_sender(resource.resource), {})
             for scope in resource.scope_metrics:
@@ -65,14 +65,18 @@
     return str(values.get("service.instance.id", ""))
 
 
-def _body(call: Call) -> bytes:
-    return gzip.decompress(call.body) if call.header("content-encoding") == "gzip" else call.body
+def _body(exchange: HttpExchange) -> bytes:
+    return (
+        gzip.decompress(exchange.body)
+        if exchange.header("content-encoding") == "gzip"
+        else exchange.body
+    )
 
 
 @click.command()
 @click.option("--address", required=True, help="HOST:PORT to serve on.")
 def main(address: str) -> None:
-    """Serve the receiver until it is ended."""
+    """Run the receiver."""
     host, _, port = address.rpartition(":")
     trio.run(serve_http, Receiver().handle, host, int(port))
 
--- a/tests/steps/entry/coordination/limits_steps.py
+++ b/tests/steps/entry/coordination/limits_steps.py
@@ -1,4 +1,4 @@
-"""Steps for limits of organisations."""
+"""Steps for organisation limits."""
 
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -29,7 +29,7 @@
 
 @dataclass(slots=True)
 class FakeOwners:
-    """Messages between the instances of a scenario, counted."""
+    """Delivers and counts the messages between the instances of a scenario."""
 
     instances: dict[str, LimitCoordinator] = field(default_factory=dict)
     messages: int = 0
@@ -44,7 +44,7 @@
         return self.instances[owner.node_id].grant(request)
 
 
-@then("random demands of holders never get more than the limit together")
+@then("shares granted for random demands never exceed the limit in total")
 def step_shares(context: Context) -> None:
     operations = st.lists(
         st.tuples(st.integers(0, 4), st.floats(0, 500), st.integers(0, 9), st.floats(0.1, 20.0)),
@@ -101,11 +101,11 @@
         )
     context.instances = list(context.owners.instances.values())
     context.leases = {}
-    context.passed = 0
+    context.admitted = 0
 
 
-@when("each instance is asked for {rate:d} requests per second for {seconds:d} seconds")
-def step_ask(context: Context, rate: int, seconds: int) -> None:
+@when("each instance receives {rate:d} requests per second for {seconds:d} seconds")
+def step_receive(context: Context, rate: int, seconds: int) -> None:
     async def run() -> None:
         for number in range(round(timedelta(seconds=seconds) / STEP)):
             context.clock.advance(STEP)
@@ -113,11 +113,11 @@
                 if number % RENEW_STEPS == 0 and number:
                     await instance.renew()
                 for _ in range(round(rate * STEP.total_seconds())):
-                    await instance.prepare(context.organisation, SizeClass.SHORT)
-                    lease = instance.try_take(context.organisation, 1_000, SizeClass.SHORT)
-                    context.passed += isinstance(lease, LimitLease)
+                    await instance.ensure_share(context.organisation, SizeClass.SHORT)
+                    lease = instance.try_acquire(context.organisation, 1_000, SizeClass.SHORT)
+                    context.admitted += isinstance(lease, LimitLease)
 
-    context.passed = 0
+    context.admitted = 0
     trio.run(run)
 
 
@@ -131,13 +131,13 @@
     async def run() -> None:
         for index in map(int, indexes.split()):
             instance = context.instances[index]
-            await instance.prepare(context.organisation, SizeClass.LONG)
-            lease = instance.try_take(context.organisation, 200_000, SizeClass.LONG)
-            context.long_passed.append(int(isinstance(lease, LimitLease)))
+            await instance.ensure_share(context.organisation, SizeClass.LONG)
+            lease = instance.try_acquire(context.organisation, 200_000, SizeClass.LONG)
+            context.long_admitted.append(int(isinstance(lease, LimitLease)))
             if isinstance(lease, LimitLease):
                 context.leases[index] = lease
 
-    context.long_passed = []
+    context.long_admitted = []
     trio.run(run)
 
 
@@ -147,20 +147,20 @@
         for instance in context.instances:
             await instance.renew()
 
-    context.instances[index].finish(context.leases.pop(index))
+    context.instances[index].release_lease(context.leases.pop(index))
     for _ in range(seconds):
         context.clock.advance(timedelta(seconds=1))
         trio.run(renew_all)
 
 
-@then('the long requests "{expected}" passed')
-def step_long_passed(context: Context, expected: str) -> None:
-    assert context.long_passed == [int(item) for item in expected.split()], context.long_passed
+@then('the long requests were admitted as "{expected}"')
+def step_long_admitted(context: Context, expected: str) -> None:
+    assert context.long_admitted == [int(item) for item in expected.split()], context.long_admitted
 
 
-@then("between {low:d} and {high:d} requests passed")
-def step_passed(context: Context, low: int, high: int) -> None:
-    assert low <= context.passed <= high, context.passed
+@then("between {low:d} and {high:d} requests were admitted")
+def step_admitted(context: Context, low: int, high: int) -> None:
+    assert low <= context.admitted <= high, context.admitted
 
 
 @then("at most {count:d} messages were sent")
--- a/tests/steps/entry/coordination/routing_steps.py
+++ b/tests/steps/entry/coordination/routing_steps.py
@@ -1,11 +1,11 @@
-"""Steps for the choice of engines."""
+"""Steps for engine selection."""
 
 from behave import given, then, when
 from behave.runner import Context
 from support.admission import SERVICE, make_load, make_request, make_targets
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.coordination.routing.estimate import estimate_engine
-from wasabiwell_entry.coordination.routing.policies import policy_of
+from wasabiwell_entry.coordination.routing.policies import policy_by_name
 from wasabiwell_entry.coordination.targets.coordinator import update_cache
 from wasabiwell_entry.coordination.targets.ports import CacheEvent, CacheReport
 from wasabiwell_entry.state.clock import ManualClock
@@ -44,7 +44,7 @@
 
 
 @then('a request of {tokens:d} tokens with the blocks "{blocks}" goes to engine {index:d}')
-def step_goes(context: Context, tokens: int, blocks: str, index: int) -> None:
+def step_ranked_first(context: Context, tokens: int, blocks: str, index: int) -> None:
     router = Router(context.targets, "z0", context.clock)
     request = make_request(tokens, blocks=tuple(int(block) for block in blocks.split()))
     ranked = router.rank(request, frozenset())
@@ -53,8 +53,8 @@
 
 
 @then('a request of {tokens:d} tokens with the blocks "" goes to engine {index:d}')
-def step_goes_without(context: Context, tokens: int, index: int) -> None:
-    step_goes(context, tokens, "", index)
+def step_ranked_first_without_blocks(context: Context, tokens: int, index: int) -> None:
+    step_ranked_first(context, tokens, "", index)
 
 
 @then("engine {index:d} has {tokens:d} tokens free")
@@ -66,7 +66,7 @@
 
 @then('the policy "{name}" sends {count:d} requests to engines "{engines}"')
 def step_policy(context: Context, name: str, count: int, engines: str) -> None:
-    router = Router(context.targets, "z1", context.clock, policy_of(name))
+    router = Router(context.targets, "z1", context.clock, policy_by_name(name))
     chosen = []
     for _ in range(count):
         status = router.choose(SERVICE, frozenset())
@@ -75,7 +75,7 @@
     assert chosen == engines.split(), chosen
 
 
-@then("instances that learnt of them in another order compare the same {count:d}")
+@then("instances that discovered them in another order compare the same {count:d}")
 def step_same_window(context: Context, count: int) -> None:
     other = TargetTable()
     for status in reversed(list(context.targets)):
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -1,4 +1,4 @@
-"""Builders and fakes for requests that are forwarded unchanged."""
+"""Builders and fakes for forwarded requests."""
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -7,7 +7,7 @@
 from random import Random
 
 import trio
-from wasabiwell_entry.coordination.budget import RepeatBudget
+from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.budget.coordinator import BudgetLimits
 from wasabiwell_entry.coordination.forwarding import Forwarder
 from wasabiwell_entry.coordination.health import TargetHealth
@@ -18,19 +18,19 @@
 from wasabiwell_entry.state.clock import Clock, SystemClock
 from wasabiwell_entry.state.exchange import AttemptVerdict, Notice
 from wasabiwell_entry.state.forwarding import (
-    AnswerEnd,
-    AnswerEvent,
-    AnswerHead,
-    AnswerPart,
     AttemptItem,
     ForwardAttempt,
     ForwardedRequest,
     NotRun,
     PromptSize,
+    ResponseChunk,
+    ResponseEnd,
+    ResponseEvent,
+    ResponseHead,
 )
 from wasabiwell_entry.state.routes import EngineProfile, Route, RouteKind, ServiceShare
 from wasabiwell_entry.state.targets import ListedTarget, Target, TargetKind
-from wasabiwell_entry.state.work import Placed, WorkTable
+from wasabiwell_entry.state.work import PlacedRequest, WorkTable
 
 from support.admission import FakeReservations
 
@@ -40,17 +40,17 @@
     slots=8,
     memory_tokens=450_000,
     stride=46,
-    step=0.000925,
-    step_per_sequence=0.00000966,
-    step_per_token=0.00000000254,
-    read_per_token=1 / 256_000,
-    read_per_pair=0.0000000000917,
+    step_seconds=0.000925,
+    step_seconds_per_sequence=0.00000966,
+    step_seconds_per_token=0.00000000254,
+    prefill_seconds_per_token=1 / 256_000,
+    prefill_seconds_per_pair=0.0000000000917,
     chunk=2048,
-    hop=0.0001,
+    remote_kv_seconds=0.0001,
     usual_prompt_tokens=13_199,
     usual_output_tokens=1_541,
 )
-"""Engines of the users: 210,000 tokens take one of them 2.9 s to read."""
+"""Engines of the users: the prefill of 210,000 tokens takes 2.9 s on one of them."""
 
 OBJECTIVES = {"short": 0.3, "medium": 1.5, "long": 3.0, "call": 0.1}
 GAPS = {"short": 0.2, "medium": 0.5, "long": 0.8, "call": 1.0}
@@ -76,7 +76,7 @@
 def make_forwarded(
     route: Route, prompt: int = 0, request_id: str = "r1", now: timedelta = timedelta()
 ) -> ForwardedRequest:
-    """Return a request; with prompt tokens it is one for engines."""
+    """Return a request; with prompt tokens it is a request for engines."""
     return ForwardedRequest(
         request_id=request_id,
         route=route,
@@ -94,7 +94,7 @@
 
 
 def make_target(index: int, incarnation: int = 1) -> Target:
-    """Return engine `e0`, `e1`, ...; `e0` is in the own zone."""
+    """Return engine `e00`, `e01`, ...; `e00` is in the local zone."""
     return Target(
         target_id=f"e{index:02}",
         kind=TargetKind.ENGINE,
@@ -107,8 +107,10 @@
     )
 
 
-def make_placed(target_id: str, prompt: int, size: str = "short", **fields: object) -> Placed:
-    """Return a request that was placed at the begin of the test."""
+def make_placed(
+    target_id: str, prompt: int, size: str = "short", **fields: object
+) -> PlacedRequest:
+    """Return a request that was placed at the start of the test."""
     values: dict[str, object] = {
         "request_id": f"{target_id}-{prompt}-{size}",
         "origin": "peer",
@@ -120,11 +122,11 @@
         "gap": GAPS[size],
         "size": PromptSize(prompt, 2_000, 1_000),
     }
-    return Placed(**(values | fields))  # type: ignore[arg-type]
+    return PlacedRequest(**(values | fields))  # type: ignore[arg-type]
 
 
-class FakeCells:
-    """Zones that place requests among themselves when a test says so."""
+class FakeZoneLocality:
+    """Zones that serve their own requests when a test sets `used`."""
 
     def __init__(self) -> None:
         self.used = False
@@ -135,19 +137,19 @@
 
 
 class Engines:
-    """The parts of an entry instance that place requests, over engines that are listed."""
+    """The placement parts of an entry instance, with listed engines."""
 
     def __init__(self, count: int, clock: Clock, profile: EngineProfile | None = PROFILE) -> None:
         self.clock = clock
-        self.cells = FakeCells()
+        self.zone_locality = FakeZoneLocality()
         self.works = WorkTable()
         self.health = TargetHealth(clock)
-        self.placer = Placer(self.works, self.health, self.cells, ZONE, clock, Random(1))
+        self.placer = Placer(self.works, self.health, self.zone_locality, ZONE, clock, Random(1))
         self.targets = [make_target(index) for index in range(count)]
         self.list_targets(profile)
 
     def list_targets(self, profile: EngineProfile | None = PROFILE, leaving: str = "") -> None:
-        """Take over the list of targets; one of them may be leaving."""
+        """Apply the list of targets; one of them may be leaving."""
         self.health.update([ListedTarget(item, item.target_id == leaving) for item in self.targets])
         self.works.update([(item, profile) for item in self.targets], self.now)
 
@@ -158,14 +160,14 @@
 
 
 FIRST_HELPER = "first helper"
-"""Stands for the address of the first helper in a script."""
+"""Placeholder in scripts for the address of the first helper."""
 Script = list[AttemptItem | float]
-"""What a target does on one request; numbers are pauses in seconds."""
+"""Behaviour of a target for one request; numbers are pauses in seconds."""
 
 
 @dataclass(slots=True)
 class ScriptedTargets:
-    """Targets that follow a script for each send, whichever target it goes to."""
+    """Targets that follow one script for each attempt, whichever target it is sent to."""
 
     scripts: list[Script]
     sent: list[ForwardAttempt] = field(default_factory=list)
@@ -202,31 +204,31 @@
 
 @dataclass(slots=True)
 class RecordingSink:
-    """What the caller got."""
+    """Records what the caller received."""
 
     status: int | None = None
     heads: int = 0
     data: bytes = b""
     finished: bool = False
 
-    async def begin(self, head: AnswerHead) -> None:
-        """Take the head."""
+    async def begin(self, head: ResponseHead) -> None:
+        """Record the head."""
         self.heads += 1
         self.status = head.status
 
     async def send(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Record a part of the body."""
         self.data += data
 
     async def finish(self) -> None:
-        """Take the end."""
+        """Record the end."""
         self.finished = True
 
 
 def make_forwarder(
     engines: Engines,
     targets: ScriptedTargets,
-    tell: Callable[[Notice], None] = lambda notice: None,
+    notify: Callable[[Notice], None] = lambda notice: None,
     slack: float = 100.0,
     reservations: FakeReservations | None = None,
 ) -> Forwarder:
@@ -237,25 +239,25 @@
         engines.placer,
         PlacementLedger(
             engines.works,
-            tell,
-            engines.health.note,
-            lambda target_id: engines.health.note(target_id, AttemptVerdict.LOST),
+            notify,
+            engines.health.record_attempt,
+            lambda target_id: engines.health.record_attempt(target_id, AttemptVerdict.LOST),
             clock,
         ),
         targets,
         EngineReservations(reservations or FakeReservations(), clock),
-        RepeatBudget(limits, list, tell, clock),
-        CrashCounts(tell, clock),
+        RetryBudget(limits, list, notify, clock),
+        CrashCounts(notify, clock),
         clock,
     )
 
 
-def answer(status: int = 200, body: bytes = b"ok") -> Script:
-    """Return the script of a whole answer."""
-    return [AnswerHead(status, (), True), AnswerPart(body), AnswerEnd()]
+def response_script(status: int = 200, body: bytes = b"ok") -> Script:
+    """Return the script of a whole response."""
+    return [ResponseHead(status, (), True), ResponseChunk(body), ResponseEnd()]
 
 
-def stream(first: int, last: int, end: bool = True) -> Script:
+def stream_script(first: int, last: int, end: bool = True) -> Script:
     """Return the script of a stream with events from `first` to `last`."""
-    events = [AnswerEvent(number, b"%d " % number) for number in range(first, last + 1)]
-    return [AnswerHead(200, (), True), *events, *([AnswerEnd()] if end else [])]
+    events = [ResponseEvent(number, b"%d " % number) for number in range(first, last + 1)]
+    return [ResponseHead(200, (), True), *events, *([ResponseEnd()] if end else [])]
