--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
@@ -5,7 +5,7 @@
 MAX_ATTEMPTS = 3
 RETRY_RATIO = 0.2
 """Retries allowed per first attempt, so that retries do not overload a failing fleet."""
-MAX_RETRY_BUDGET = 10.0
+MAX_SAVED_RETRIES = 10.0
 """Retries allowed before any first attempt has been counted, and the most that can accumulate."""
 RETRY_DELAY = timedelta(milliseconds=50)
 CAPACITY_RETRY_AFTER = timedelta(seconds=1)
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -31,7 +31,7 @@
     TargetFailure,
     TargetObserver,
 )
-from wasabiwell_entry.coordination.dispatch.retries import RetryBudget
+from wasabiwell_entry.coordination.dispatch.retries import RetryRatioLimiter
 from wasabiwell_entry.coordination.runs import RunCoordinator
 from wasabiwell_entry.coordination.runs.errors import Claimed
 from wasabiwell_entry.state import log_events
@@ -90,7 +90,7 @@
         "_engines",
         "_observer",
         "_plain",
-        "_retries",
+        "_retry_limiter",
         "_runs",
         "_suspects",
     )
@@ -112,7 +112,7 @@
         self._observer = observer
         self._suspects = suspects
         self._clock = clock
-        self._retries = RetryBudget()
+        self._retry_limiter = RetryRatioLimiter()
 
     async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
@@ -130,7 +130,7 @@
     async def _generate(
         self, request: GenerateRequest, sink: ResponseSink, progress: _Progress
     ) -> GenerateOutcome:
-        self._retries.count_first_attempt()
+        self._retry_limiter.count_first_attempt()
         while True:
             if self._suspects.quarantined(request.fingerprint):
                 return _unanswered_outcome(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
@@ -154,7 +154,7 @@
                     return Finished(end.tokens, end.finish_reason)
                 case AttemptInterrupted(interruption=interruption):
                     progress.last_reason = interruption.reason
-            if progress.attempts >= MAX_ATTEMPTS or not self._retries.take():
+            if progress.attempts >= MAX_ATTEMPTS or not self._retry_limiter.take():
                 return _unanswered_outcome(progress, Reason.TARGET_FAILED, progress.last_reason)
             await self._clock.sleep(RETRY_DELAY)
 
@@ -238,7 +238,7 @@
             await self._suspects.record_crash(attempt.request.fingerprint, target.target_id)
 
     async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
-        self._retries.count_first_attempt()
+        self._retry_limiter.count_first_attempt()
         progress = _CallProgress()
         with trio.move_on_after(self._remaining_seconds(call)):
             await self._send_idempotent(call, progress)
@@ -253,7 +253,7 @@
     async def _send_idempotent(self, call: ServiceCall, progress: _CallProgress) -> None:
         """Try targets one after the other until one answers with a status other than 503."""
         for attempt in range(MAX_ATTEMPTS):
-            if attempt and not self._retries.take():
+            if attempt and not self._retry_limiter.take():
                 return
             async with self._admission.place_call(call, frozenset(progress.excluded)) as target:
                 if isinstance(target, Refused):
