--- a/packages/entry/src/wasabiwell_entry/state/requests.py
+++ b/packages/entry/src/wasabiwell_entry/state/requests.py
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndFrame:
-    """End mark of a response, with its number of tokens.
+    """Last frame of a response, with its number of tokens.
 
     `digest` is the hexadecimal XXH3-64 of the UTF-8 text of the whole response.
     """
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamInterrupted:
-    """The stream ended before its end mark.
+    """The stream ended before its end frame.
 
     `refused` is set when the engine proved that it has not started the request. `target_lost` is
     set when the target cut the connection or none could be made: the target may have crashed.
