--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
@@ -25,8 +25,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HistoryLost:
-    """The store no longer has the changes after a revision."""
+class ChangeHistoryLost:
+    """The changes after a revision are no longer available; the whole list has to be read again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +46,7 @@
 
     async def changes(
         self, after: int, wait: timedelta
-    ) -> TargetChanges | HistoryLost | StoreUnavailable:
+    ) -> TargetChanges | ChangeHistoryLost | StoreUnavailable:
         """Wait for changes after a revision, for at most `wait`."""
 
 
@@ -58,7 +58,7 @@
 
     async def changes(
         self, after: int, wait: timedelta
-    ) -> RoutesRead | HistoryLost | StoreUnavailable:
+    ) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
         """Wait for a change after a revision, for at most `wait`."""
 
     def decode(self, document: bytes) -> RouteTable | StoreUnavailable:
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
@@ -13,8 +13,8 @@
     ROUTE_POLL_WAIT,
 )
 from wasabiwell_entry.coordination.discovery.ports import (
+    ChangeHistoryLost,
     FetchDocument,
-    HistoryLost,
     RoutesPort,
     RoutesRead,
 )
@@ -92,7 +92,7 @@
                     self._apply(outcome)
                     delay = MIN_ROUTE_RETRY_DELAY
                     self._log_store_state(None)
-                case HistoryLost():
+                case ChangeHistoryLost():
                     self._revision = None
                 case StoreUnavailable(reason=reason):
                     self._log_store_state(reason)
@@ -100,7 +100,7 @@
                     await self._clock.sleep(delay)
                     delay = min(delay * 2, MAX_ROUTE_RETRY_DELAY)
 
-    async def _poll(self) -> RoutesRead | HistoryLost | StoreUnavailable:
+    async def _poll(self) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
         """Read the routes, or poll for a change if they have been read before."""
         timeout = READ_TIMEOUT if self._revision is None else ROUTE_POLL_WAIT + ROUTE_POLL_MARGIN
         with trio.CancelScope() as self._poll_scope:
@@ -108,7 +108,7 @@
             if self._revision is None:
                 return await self._port.current()
             return await self._port.changes(self._revision, ROUTE_POLL_WAIT)
-        return HistoryLost()
+        return ChangeHistoryLost()
 
     async def _follow_announcements(self) -> None:
         """Fetch announced versions from peers unless the store returns them first."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -17,7 +17,7 @@
     WATCHER_COUNT,
 )
 from wasabiwell_entry.coordination.discovery.ports import (
-    HistoryLost,
+    ChangeHistoryLost,
     ListingPort,
     TargetChanges,
 )
@@ -128,7 +128,7 @@
     async def _read(self) -> None:
         """Poll for changes, or read the whole list when changes cannot be tracked."""
         wait = LISTING_POLL_WAIT if self._rank() < WATCHER_COUNT else timedelta()
-        outcome: TargetListing | TargetChanges | HistoryLost | StoreUnavailable
+        outcome: TargetListing | TargetChanges | ChangeHistoryLost | StoreUnavailable
         outcome = StoreUnavailable("no response in time")
         with trio.move_on_after((READ_TIMEOUT + wait).total_seconds()):
             if self._tracked_revision is None:
@@ -143,7 +143,7 @@
             case TargetChanges() as changes:
                 self._log_store_state(None)
                 self._apply_read(self._with_changes(changes), now)
-            case HistoryLost():
+            case ChangeHistoryLost():
                 self._tracked_revision = None
             case StoreUnavailable(reason=reason):
                 self._log_store_state(reason)
--- a/tests/support/stores.py
+++ b/tests/support/stores.py
@@ -6,7 +6,7 @@
 
 import trio
 from wasabiwell_entry.coordination.discovery.ports import (
-    HistoryLost,
+    ChangeHistoryLost,
     RoutesRead,
     TargetChanges,
 )
@@ -65,7 +65,7 @@
 
     async def changes(
         self, after: int, wait: timedelta
-    ) -> TargetChanges | HistoryLost | StoreUnavailable:
+    ) -> TargetChanges | ChangeHistoryLost | StoreUnavailable:
         """Wait until something changes."""
         self.reads += 1
         await trio.sleep(0.004)
@@ -75,7 +75,7 @@
         if self.unavailable:
             return StoreUnavailable("away")
         if after < self.history_lost_until:
-            return HistoryLost()
+            return ChangeHistoryLost()
         before = self.history[after].targets if after < self.revision else self.current_targets
         return TargetChanges(
             self.revision,
@@ -120,7 +120,7 @@
 
     async def changes(
         self, after: int, wait: timedelta
-    ) -> RoutesRead | HistoryLost | StoreUnavailable:
+    ) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
         """Wait until something changes."""
         await trio.sleep(0.004)
         with trio.move_on_after(wait.total_seconds()):
@@ -130,7 +130,7 @@
             return StoreUnavailable("away")
         if self.lost_history:
             self.lost_history = False
-            return HistoryLost()
+            return ChangeHistoryLost()
         return self._read()
 
     def decode(self, document: bytes) -> RouteTable | StoreUnavailable:
