--- a/tests/entry/coordination/credits/credits.feature
+++ b/tests/entry/coordination/credits/credits.feature
@@ -7,9 +7,9 @@
   Scenario: Random faults leave no reservation on any engine
     Then 150 random reservation histories with refusals, cancellation and crashes keep the invariants
 
-  Scenario: A holder stops using released credit before the owner answers
+  Scenario: A holder stops using released credit before the owner responds
     Given a holder with a credit of 2 slots that is idle
-    When the holder sends its next claim and the answer is lost
+    When the holder sends its next claim and the response is lost
     Then the holder may use 0 slots
 
   Scenario: Credits of two previous owners shrink to the capacity at the next claims
@@ -33,11 +33,11 @@
     Then the owner has leased 1 slots
 
   Scenario: An owner that did not reach all members waits for one lifetime
-    Given a new owner and a member that does not answer
+    Given a new owner and a member that does not respond
     When a holder claims 1 slot from the new owner after the collection
     Then the claim is granted only after one lifetime
 
-  Scenario: An owner that does not answer is replaced by a share of the free capacity
-    Given an engine whose owner does not answer
+  Scenario: An owner that does not respond is replaced by a share of the free capacity
+    Given an engine whose owner does not respond
     When the holder keeps requesting 350 tokens
     Then it gets them only after one lifetime, and never gets 1200 tokens
--- a/tests/entry/coordination/dispatch/suspects.feature
+++ b/tests/entry/coordination/dispatch/suspects.feature
@@ -1,10 +1,10 @@
 Feature: Retries of suspects
-  Guards against counting the death of a target against a request that was only waiting for its turn
-  on that target.
+  Guards against counting the crash of a target against a request that was only waiting for its lease
+  of that target.
 
-  Scenario: A target that died while a suspect waited for its turn does not count against it
+  Scenario: A target that crashed while a suspect waited for its lease does not count against it
     Given a suspect that is placed on target "e1", where another suspect runs for 2 seconds
-    When target "e1" dies under the other suspect
+    When target "e1" crashes while it runs the other suspect
     Then the waiting suspect is answered by target "e2"
     And it is not suspected any more
 
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -133,7 +133,7 @@
     When it reports a call on target "e01" that ends with verdict "<verdict>" after 10 ms
     Then <sent> peers were sent its end, and none its placement
 
-    Examples: failed calls of a service that fails a share of them would hide that it answers the rest
+    Examples: failed calls of a service that fails a share of them would hide that it responds to the rest
       | verdict | sent |
       | lost    | 20   |
       | refused | 20   |
--- a/tests/entry/coordination/forwarding/forwarding.feature
+++ b/tests/entry/coordination/forwarding/forwarding.feature
@@ -29,25 +29,25 @@
   Scenario: Retries do not exceed the budget
     Given an idempotent route
     And the retry budget is exhausted
-    When the first target answers with status 500
+    When the first target responds with status 500
     Then 1 target received the request
     And the caller has received the whole response with status 500
 
   Scenario: An idempotent request is retried after a failure of the target
     Given an idempotent route
-    When the first target answers with status 500
+    When the first target responds with status 500
     Then 2 targets received the request
     And the caller has received the whole response with status 200
 
   Scenario: An idempotent request runs on no more targets than its route allows
     Given an idempotent route
-    When all targets answer with status 500
+    When all targets respond with status 500
     Then 2 targets received the request
     And the caller has received the whole response with status 500
 
   Scenario: The error response of a target is passed on when the request may not be retried
     Given an at-most-once route
-    When all targets answer with status 500
+    When all targets respond with status 500
     Then 1 target received the request
     And the caller has received the whole response with status 500
 
@@ -108,14 +108,14 @@
 
   Scenario: Peers are notified of a placement, its first event and its end
     Given a resumable stream route
-    When the target answers
+    When the target responds
     Then peers received the notices "RequestPlaced DecodeStarted RequestEnded"
     And the verdict on the target is "answered"
 
   Scenario: All instances avoid a lost helper, and the failure does not count against the lead
     Given a resumable stream route for long prompts
     When the first target refuses a prompt of 200000 tokens, as its first helper is unreachable
-    Then 2 targets received the request in turn
+    Then 2 targets received the request one after the other
     And the lost helper has no part in the second attempt, and peers were notified
     And the verdicts on the leads are "abandoned answered"
 
--- a/tests/entry/coordination/health/health.feature
+++ b/tests/entry/coordination/health/health.feature
@@ -7,7 +7,7 @@
     Then it is not usable for 0.6 seconds
     When it is lost
     Then it is not usable for 1.2 seconds
-    When it answers
+    When it responds
     And it is lost
     Then it is not usable for 0.6 seconds
 
--- a/tests/entry/coordination/lifecycle/processes.feature
+++ b/tests/entry/coordination/lifecycle/processes.feature
@@ -4,8 +4,8 @@
 
   Scenario: A long response is completed
     Given 3 entry instances
-    When entry instance 1 gets SIGTERM during a long answer
-    Then the answer is whole and the process ends by itself
+    When entry instance 1 gets SIGTERM during a long response
+    Then the response is complete and the process exits by itself
     And its kept connection was closed, its address was dropped, and new connections were served
 
   Scenario: A rolling restart under load fails no request
--- a/tests/entry/coordination/membership/processes.feature
+++ b/tests/entry/coordination/membership/processes.feature
@@ -6,21 +6,21 @@
     Given 6 entry instances
     When entry instance 4 is killed
     Then every other entry instance sees 4 as "dead" within 8 s
-    And no address answer names entry instance 4
+    And no address list contains entry instance 4
 
   Scenario: A paused instance is marked as dead and comes back
     Given 4 entry instances
     When entry instance 1 is paused for 10 s
-    Then nobody saw it as "alive" at the end of the pause
+    Then no entry instance saw it as "alive" at the end of the pause
     And every other entry instance sees 1 as "alive" within 12 s
 
   Scenario: An unresponsive stream is replaced before its peer is suspected
     Given 3 entry instances behind proxies
-    When the way to entry instance 1 has the faults "silent_to_client" for 2 s
-    Then for the next 6 s nobody sees 1 as "suspect"
+    When the proxy of entry instance 1 has the faults "silent_to_client" for 2 s
+    Then for the next 6 s no entry instance sees 1 as "suspect"
 
   Scenario: An instance whose replies are lost, but that reaches others, is not marked as dead
     Given 3 entry instances behind proxies
-    When the way to entry instance 1 has the faults "silent_to_client" for 12 s
-    Then in between nobody saw it as "dead"
+    When the proxy of entry instance 1 has the faults "silent_to_client" for 12 s
+    Then during the faults no entry instance saw it as "dead"
     And every other entry instance sees 1 as "alive" within 10 s
--- a/tests/entry/coordination/orders/operator_orders.feature
+++ b/tests/entry/coordination/orders/operator_orders.feature
@@ -10,4 +10,4 @@
   Scenario: An order without a required field is refused with the path of the field
     When an operator orders '{"kind": "load_model", "model": "advisor"}' through every entry instance
     Then every order is answered with status 400
-    And the answers name "$.version"
+    And the responses name "$.version"
--- a/tests/entry/coordination/placement/placement.feature
+++ b/tests/entry/coordination/placement/placement.feature
@@ -84,7 +84,7 @@
     When 1 short request is placed
     Then the last request is on "e01"
 
-  Scenario: A request during which a target died runs alone
+  Scenario: A request that was running when a target crashed runs alone
     Given 3 engines
     And 1 short requests are decoding on "e00"
     And 1 short requests are decoding on "e02"
--- a/tests/entry/coordination/quarantine/quarantine.feature
+++ b/tests/entry/coordination/quarantine/quarantine.feature
@@ -3,10 +3,10 @@
 
   Scenario: A request that crashes its targets is quarantined after two crashes
     Given a deployment with 5 proxied engines
-    When 6 callers stream answers of 300 tokens through all entries
-    And a caller sends a prompt that crashes its target through every entry in turn
-    Then 2 engines have died at most
+    When 6 callers stream responses of 300 tokens through all entry instances
+    And a caller sends a prompt that crashes its target through one entry instance after the other
+    Then at most 2 engines have crashed
     And the last crashing prompt was refused with "quarantined" and run state "not-run"
-    And all other callers get their own whole answers
+    And all other callers get the complete responses to their own prompts
     When the callers' prompts are sent again
-    Then all other callers get their own whole answers
+    Then all other callers get the complete responses to their own prompts
--- a/tests/entry/state/configuration.feature
+++ b/tests/entry/state/configuration.feature
@@ -4,7 +4,7 @@
   Scenario: A replaced key no longer belongs to an organisation
     Given a configuration in which "dover-roofing" has the keys "old"
     When version 2 gives "dover-roofing" the keys "new"
-    Then key "old" belongs to nobody
+    Then key "old" belongs to no organisation
     And key "new" belongs to "dover-roofing"
 
   Scenario: A key that one version moves to another organisation belongs to the new one
@@ -12,10 +12,10 @@
     When version 2 moves "shared" from "dover-roofing" to "keene-triplex"
     Then key "shared" belongs to "keene-triplex"
 
-  Scenario: The keys of a removed organisation belong to nobody
+  Scenario: The keys of a removed organisation belong to no organisation
     Given a configuration in which "dover-roofing" has the keys "old"
     When version 2 removes "dover-roofing"
-    Then key "old" belongs to nobody
+    Then key "old" belongs to no organisation
 
   Scenario: A version that does not directly follow the active one is ignored
     Given a configuration in which "dover-roofing" has the keys "old"
--- a/tests/platform/caller.feature
+++ b/tests/platform/caller.feature
@@ -41,7 +41,7 @@
     When a request for "/open/x" arrives with the key "unknown" and the id "1"
     Then it is accepted without an organisation
 
-  Scenario Outline: The status of a failure tells whether the request may have run
+  Scenario Outline: The status of a failure shows whether the request may have run
     Then a <outcome> for "<reason>" is sent with status <status>
 
     Examples:
@@ -53,5 +53,5 @@
       | failure | target_failed     | 502    |
       | failure | deadline_exceeded | 504    |
 
-  Scenario: A refusal tells when to retry
+  Scenario: A refusal says when to retry
     Then a refusal with a retry time of 300 ms asks for a retry after 0.300 seconds
--- a/tests/platform/whole.feature
+++ b/tests/platform/whole.feature
@@ -28,7 +28,7 @@
     Then all requests were answered
 
   Scenario: A planned stop of each entry process cuts no request off
-    When each entry process is stopped in turn while callers send requests
+    When the entry processes are stopped one after the other while callers send requests
     Then all requests were answered
     And no guarantee was violated
     And each process exited successfully
@@ -60,7 +60,7 @@
     Then no run lasts longer than 0.5 seconds after the disconnect
 
   Scenario: Memory that was reserved for a very long prompt is released
-    When engines answer a prompt of 600000 tokens
+    When engines respond to a prompt of 600000 tokens
     Then no engine has reserved memory 1 second later
     And all requests were answered
 
@@ -68,8 +68,8 @@
     When a request that crashes engines is sent 6 times
     Then the request crashed at most 3 engines
 
-  Scenario: A target that took over an address does not run requests for the previous target
-    When another target takes over the address of a crashed one
+  Scenario: A target that got the address of another one does not run requests for the previous target
+    When another target gets the address of a crashed one
     Then all requests were answered
     And no guarantee was violated
 
--- a/tests/steps/entry/coordination/credits_steps.py
+++ b/tests/steps/entry/coordination/credits_steps.py
@@ -55,7 +55,7 @@
     assert context.pool.valid(NOW) == slots(count)
 
 
-@when("the holder sends its next claim and the answer is lost")
+@when("the holder sends its next claim and the response is lost")
 def step_claim_lost(context: Context) -> None:
     context.pool.claim(NOW)
 
@@ -107,7 +107,7 @@
     assert context.ledger.outstanding() == slots(count), context.ledger.outstanding()
 
 
-@given("a new owner and a member that does not answer")
+@given("a new owner and a member that does not respond")
 def step_new_owner(context: Context) -> None:
     context.machine = CreditMachine()
     context.node = context.machine.owner_index()
@@ -129,7 +129,7 @@
     assert context.granted == [0, 1], context.granted
 
 
-@given("an engine whose owner does not answer")
+@given("an engine whose owner does not respond")
 def step_silent_owner(context: Context) -> None:
     context.machine = ReservationMachine()
     context.machine.peers.lose_request = True
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -138,12 +138,12 @@
     forward(context, [[NotSent("ConnectError")], response_script()])
 
 
-@when("the first target answers with status {status:d}")
+@when("the first target responds with status {status:d}")
 def step_first_status(context: Context, status: int) -> None:
     forward(context, [response_script(status), response_script()])
 
 
-@when("all targets answer with status {status:d}")
+@when("all targets respond with status {status:d}")
 def step_all_status(context: Context, status: int) -> None:
     forward(context, [response_script(status)])
 
@@ -185,7 +185,7 @@
     )
 
 
-@then("{count:d} targets received the request in turn")
+@then("{count:d} targets received the request one after the other")
 def step_sends(context: Context, count: int) -> None:
     assert len(context.targets.sent) == count
 
@@ -210,8 +210,8 @@
     forward(context, [stream_script(1, 3)], prompt=tokens)
 
 
-@when("the target answers")
-def step_answers(context: Context) -> None:
+@when("the target responds")
+def step_responds(context: Context) -> None:
     forward(context, [stream_script(1, 3)], prompt=2_000)
 
 
--- a/tests/steps/entry/coordination/fuzzing_steps.py
+++ b/tests/steps/entry/coordination/fuzzing_steps.py
@@ -11,7 +11,7 @@
     run_state_machine_as_test(run_machine.RunMachine, settings=run_machine.SETTINGS)
 
 
-@when("the state machine of the answer assembler is run")
+@when("the state machine of the response assembler is run")
 def step_assembler(context: Context) -> None:
     run_state_machine_as_test(
         assembler_machine.AssemblerMachine, settings=assembler_machine.SETTINGS
--- a/tests/steps/entry/coordination/operator_orders_steps.py
+++ b/tests/steps/entry/coordination/operator_orders_steps.py
@@ -30,7 +30,7 @@
     assert [str(order["fencing"]) for order in orders] == numbers.split(", "), orders
 
 
-@then('the answers name "{path}"')
+@then('the responses name "{path}"')
 def step_path(context: Context, path: str) -> None:
     for reply in context.replies:
         assert path.encode() in reply.content, reply.content
--- a/tests/steps/entry/coordination/suspects_steps.py
+++ b/tests/steps/entry/coordination/suspects_steps.py
@@ -104,7 +104,7 @@
     )
 
 
-@when('target "{target_id}" dies under the other suspect')
+@when('target "{target_id}" crashes while it runs the other suspect')
 def step_crash(context: Context, target_id: str) -> None:
     run_suspects(context, {target_id})
 
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -39,8 +39,8 @@
     record_attempts(context, AttemptVerdict.LOST)
 
 
-@when("it answers")
-def step_answers(context: Context) -> None:
+@when("it responds")
+def step_responds(context: Context) -> None:
     record_attempts(context, AttemptVerdict.ANSWERED)
 
 
@@ -151,7 +151,7 @@
     context.request_seconds = seconds
 
 
-@when("it is told to leave")
+@when("its graceful stop begins")
 def step_leave(context: Context) -> None:
     async def run() -> None:
         stop = GracefulStop(SystemClock())
--- a/tests/steps/platform/whole_steps.py
+++ b/tests/steps/platform/whole_steps.py
@@ -144,7 +144,7 @@
     run_deployment(context, actions)
 
 
-@when("each entry process is stopped in turn while callers send requests")
+@when("the entry processes are stopped one after the other while callers send requests")
 def step_stops(context: Context) -> None:
     async def actions(deployment: Deployment) -> None:
         context.codes = []
@@ -254,8 +254,8 @@
     run_deployment(context, actions)
 
 
-@when("engines answer a prompt of {tokens:d} tokens")
-def step_giant(context: Context, tokens: int) -> None:
+@when("engines respond to a prompt of {tokens:d} tokens")
+def step_split_prompt(context: Context, tokens: int) -> None:
     async def actions(deployment: Deployment) -> None:
         await send(context, deployment, [deployment.request("long", prompt=tokens)])
         await trio.sleep(1.0)
@@ -277,7 +277,7 @@
     run_deployment(context, actions)
 
 
-@when("another target takes over the address of a crashed one")
+@when("another target gets the address of a crashed one")
 def step_reused(context: Context) -> None:
     async def actions(deployment: Deployment) -> None:
         old = deployment.targets_of(MODEL_SERVICE)[0]
--- a/tests/steps/whole/entries_steps.py
+++ b/tests/steps/whole/entries_steps.py
@@ -132,7 +132,7 @@
     entry_process(context, index).resume()
 
 
-@when('the way to entry instance {index:d} has the faults "{faults}" for {seconds:d} s')
+@when('the proxy of entry instance {index:d} has the faults "{faults}" for {seconds:d} s')
 def step_faults(context: Context, index: int, faults: str, seconds: int) -> None:
     proxy = next(item for item in context.fleet.processes if item.name == f"peer-proxy-{index}")
     context.fleet.control(proxy, **dict.fromkeys(faults.split(), True))
@@ -144,12 +144,12 @@
     context.fleet.control(proxy, **dict.fromkeys(faults.split(), False))
 
 
-@when("the store goes down")
+@when("the store becomes unavailable")
 def step_store_outage(context: Context) -> None:
     context.fleet.control(context.fleet.platform, outage=True)
 
 
-@when("the store and the instance list go down")
+@when("the store and the instance list become unavailable")
 def step_platform_outage(context: Context) -> None:
     context.fleet.control(context.fleet.platform, outage=True, instance_outage=True)
 
@@ -204,7 +204,7 @@
     context.load = load
 
 
-@when("entry instance {index:d} gets SIGTERM during a long answer")
+@when("entry instance {index:d} gets SIGTERM during a long response")
 def step_sigterm_during_response(context: Context, index: int) -> None:
     entry = entry_process(context, index)
     key = next(iter(EAVELINE.organisations.values()))
@@ -268,7 +268,7 @@
     assert before["finished"] == after["finished"], (before, after)
 
 
-@then("the answer is whole and the process ends by itself")
+@then("the response is complete and the process exits by itself")
 def step_complete_response(context: Context) -> None:
     assert not context.result.error, context.result.error
     assert context.exit_code == 0
@@ -288,7 +288,7 @@
     )
 
 
-@then("no address answer names entry instance {index:d}")
+@then("no address list contains entry instance {index:d}")
 def step_not_listed(context: Context, index: int) -> None:
     address = entry_process(context, index).address
     assert all(
@@ -296,13 +296,13 @@
     )
 
 
-@then('in between nobody saw it as "{status}"')
+@then('during the faults no entry instance saw it as "{status}"')
 def step_never_seen(context: Context, status: str) -> None:
     assert context.views_during_faults
     assert status not in context.views_during_faults, context.views_during_faults
 
 
-@then('for the next {seconds:d} s nobody sees {index:d} as "{status}"')
+@then('for the next {seconds:d} s no entry instance sees {index:d} as "{status}"')
 def step_not_seen_next(context: Context, seconds: int, index: int, status: str) -> None:
     end = time.monotonic() + seconds
     while time.monotonic() < end:
@@ -311,7 +311,7 @@
     assert status not in context.views_during_faults, context.views_during_faults
 
 
-@then('nobody saw it as "{status}" at the end of the pause')
+@then('no entry instance saw it as "{status}" at the end of the pause')
 def step_not_views_while_paused(context: Context, status: str) -> None:
     assert context.views_while_paused
     assert status not in context.views_while_paused, context.views_while_paused
--- a/tests/steps/whole/failures_steps.py
+++ b/tests/steps/whole/failures_steps.py
@@ -91,14 +91,14 @@
     assert not result.error, result
 
 
-@when("{count:d} callers stream answers of {tokens:d} tokens through all entries")
+@when("{count:d} callers stream responses of {tokens:d} tokens through all entry instances")
 def step_streams(context: Context, count: int, tokens: int) -> None:
     context.tokens = tokens
     context.streams = [start_stream(context, index, tokens, index % 3) for index in range(count)]
     time.sleep(STREAM_START_SECONDS)
 
 
-@when("a caller sends a prompt that crashes its target through every entry in turn")
+@when("a caller sends a prompt that crashes its target through one entry instance after the other")
 def step_crashing_prompt(context: Context) -> None:
     messages = msgspec.json.encode([{"role": "user", "content": "crash-this-target"}])
     service = context.fleet.deployment.engine_service
@@ -107,7 +107,7 @@
             context.result = chat(entry.address, context.keys[9], service, messages, 16)
 
 
-@then("{count:d} engines have died at most")
+@then("at most {count:d} engines have crashed")
 def step_crashed_engines(context: Context, count: int) -> None:
     crashed = [
         item.name
@@ -123,7 +123,7 @@
     assert (error["code"], error["run"]) == (code, run), error
 
 
-@then("all other callers get their own whole answers")
+@then("all other callers get the complete responses to their own prompts")
 def step_all_complete(context: Context) -> None:
     failed = [result for future in context.streams if (result := future.result(60)).error]
     assert not failed, failed
