--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -25,7 +25,7 @@
 from wasabiwell_entry.coordination.credits.owner import CreditOwner
 from wasabiwell_entry.coordination.credits.owners import EngineOwners
 from wasabiwell_entry.coordination.credits.ports import (
-    ClaimAnswer,
+    ClaimResponse,
     CreditGranted,
     CreditPeers,
     CreditReturn,
@@ -173,7 +173,7 @@
 
     def release(self, hold: Hold) -> None:
         """Release a hold; its memory at the engine is released in the background."""
-        if not self._pool(hold.target_id).give_back(hold.hold_id):
+        if not self._pool(hold.target_id).release_hold(hold.hold_id):
             return
         self._reservations.release(hold.reservation_id)
         self._notify()
@@ -289,26 +289,28 @@
         if not wanted:
             return
         claims = [pool.claim(now) for pool in wanted.values()]
-        answers = await self._peers.acquire(link.owner, claims)
-        if isinstance(answers, OwnerUnreachable):
-            self._use_fallback_for_owner(link, claims, answers.reason)
+        responses = await self._peers.acquire(link.owner, claims)
+        if isinstance(responses, OwnerUnreachable):
+            self._use_fallback_for_owner(link, claims, responses.reason)
             complete = False
         else:
             link.unreachable_since = None
             link.using_fallback = False
-            complete = self._apply_answers(claims, answers)
+            complete = self._apply_responses(claims, responses)
         link.consecutive_shortages = (
             0 if complete else min(link.consecutive_shortages + 1, MAX_CONSECUTIVE_SHORTAGES)
         )
         self._notify()
         await self._clock.sleep(link.backoff())
 
-    def _apply_answers(self, claims: Sequence[CreditClaim], answers: Sequence[ClaimAnswer]) -> bool:
-        """Apply the answers to claims; return whether all claims were granted in full."""
+    def _apply_responses(
+        self, claims: Sequence[CreditClaim], responses: Sequence[ClaimResponse]
+    ) -> bool:
+        """Apply the responses to claims; return whether all claims were granted in full."""
         wanted = {claim.engine_id: claim.wanted for claim in claims}
         complete = True
-        for answer in answers:
-            match answer:
+        for response in responses:
+            match response:
                 case CreditGranted(engine_id=engine_id, sequence=sequence, amount=amount):
                     pool = self._pools.get(engine_id)
                     if pool is not None:
@@ -321,12 +323,12 @@
     def _claim_locally(self, pools: list[CreditPool]) -> None:
         now = self._clock.monotonic()
         claims = [pool.claim(now) for pool in pools]
-        self._apply_answers(claims, self._owner.answer(claims))
+        self._apply_responses(claims, self._owner.process_claims(claims))
 
     def _use_fallback_for_owner(
         self, link: _OwnerLink, claims: Sequence[CreditClaim], reason: str
     ) -> None:
-        """Use the fallback once an owner has not answered for the lifetime of a credit.
+        """Use the fallback once an owner has not responded for the lifetime of a credit.
 
         By then the credits it granted to others have expired, so that the engine's load report
         covers all usage.
@@ -373,16 +375,16 @@
         return replace(hold, reservation_id=outcome.reservation_id)
 
     async def _claim_now(self, target_id: str, tokens: int, size: SizeClass) -> None:
-        """Claim one request's capacity from the owner and wait for the answer."""
+        """Claim one request's capacity from the owner and wait for the response."""
         owner = self._owners.owner(target_id)
         if isinstance(owner, NoOwner) or self._owners.is_own(owner):
             return
         pool = self._pool(target_id)
         pool.record_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
         claim = pool.claim(self._clock.monotonic())
-        answers = await self._peers.acquire(owner, [claim])
-        if not isinstance(answers, OwnerUnreachable):
-            self._apply_answers([claim], answers)
+        responses = await self._peers.acquire(owner, [claim])
+        if not isinstance(responses, OwnerUnreachable):
+            self._apply_responses([claim], responses)
 
     def _release_all(self, holds: Sequence[Hold]) -> None:
         for hold in holds:
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/errors.py
@@ -13,6 +13,6 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerUnreachable:
-    """No answer was received; the claim may have taken effect at the owner."""
+    """No response was received; the claim may have taken effect at the owner."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -16,7 +16,7 @@
 from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
 from wasabiwell_entry.coordination.credits.owners import EngineOwners
 from wasabiwell_entry.coordination.credits.ports import (
-    ClaimAnswer,
+    ClaimResponse,
     CreditGranted,
     CreditPeers,
     CreditReturn,
@@ -47,7 +47,7 @@
 
 @dataclass(slots=True)
 class _CollectedClaims:
-    """Claims that the other members reported; `complete` is set if all of them answered."""
+    """Claims that the other members reported; `complete` is set if all of them responded."""
 
     claims: list[CreditClaim] = field(default_factory=list)
     complete: bool = True
@@ -83,9 +83,9 @@
         """Register an observer, called when capacity of an owned engine may be available."""
         self._observers.append(observer)
 
-    def answer(self, claims: Sequence[CreditClaim]) -> list[ClaimAnswer]:
-        """Answer the claims of one holder."""
-        return [self._answer(claim) for claim in claims]
+    def process_claims(self, claims: Sequence[CreditClaim]) -> list[ClaimResponse]:
+        """Grant or refuse the claims of one holder."""
+        return [self._process_claim(claim) for claim in claims]
 
     def accept_returns(self, returns: Sequence[CreditReturn]) -> None:
         """Remove credits that a holder releases."""
@@ -125,7 +125,7 @@
         engine.ledger.expire(self._clock.monotonic())
         return engine.ledger.outstanding()
 
-    def _answer(self, claim: CreditClaim) -> ClaimAnswer:
+    def _process_claim(self, claim: CreditClaim) -> ClaimResponse:
         if not self._owners.is_own(self._owners.owner(claim.engine_id)):
             return CreditRefused(claim.engine_id, "another entry instance owns the engine")
         status = self._targets.get(claim.engine_id)
@@ -154,7 +154,7 @@
     async def collect(self) -> None:
         """Query the other members for credits of newly owned engines.
 
-        The credits of a member that does not answer may be valid for one more lifetime, during
+        The credits of a member that does not respond may be valid for one more lifetime, during
         which the owner only renews credits and grants no new capacity.
         """
         pending = [key for key, engine in self._engines.items() if not engine.collected]
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/ports.py
@@ -27,7 +27,7 @@
     sequence: int
 
 
-ClaimAnswer = CreditGranted | CreditRefused
+ClaimResponse = CreditGranted | CreditRefused
 
 
 class CreditPeers(Protocol):
@@ -35,8 +35,8 @@
 
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
-    ) -> list[ClaimAnswer] | OwnerUnreachable:
-        """Send claims to the owner of the engines and return one answer per claim."""
+    ) -> list[ClaimResponse] | OwnerUnreachable:
+        """Send claims to the owner of the engines and return one response per claim."""
 
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/__init__.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/__init__.py
@@ -1,4 +1,4 @@
-"""Runs requests on targets with retries until they are answered or their deadline passes."""
+"""Runs requests on targets with retries until they are completed or their deadline passes."""
 
 from wasabiwell_entry.coordination.dispatch.coordinator import Dispatcher
 
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -251,7 +251,7 @@
         return Refused(Reason.TARGET_FAILED, progress.reason, CAPACITY_RETRY_AFTER)
 
     async def _send_idempotent(self, call: ServiceCall, progress: _CallProgress) -> None:
-        """Try targets one after the other until one answers with a status other than 503."""
+        """Try targets one after the other until one responds with a status other than 503."""
         for attempt in range(MAX_ATTEMPTS):
             if attempt and not self._retry_limiter.take():
                 return
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/errors.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetAlive:
-    """The target answered on a new connection."""
+    """The target responded on a new connection."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetSilent:
-    """A new connection got no answer: the target hangs, or the network is interrupted."""
+    """A new connection got no response: the target hangs, or the network is interrupted."""
 
 
 ProbeOutcome = TargetAlive | TargetDown | TargetSilent
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -95,7 +95,7 @@
         """Record that a target may have crashed."""
 
     def target_answered(self, target_id: str) -> None:
-        """Record that a target answered."""
+        """Record that a target responded."""
 
 
 class SuspectObserver(Protocol):
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -22,7 +22,7 @@
 A new instance is known to all others within 2 s, after which they mostly agree on the monitors."""
 REFUTATION_INTERVAL = timedelta(milliseconds=250)
 """Minimum time between two refutations, so that the reports of all monitors of this instance are
-answered by one state to all peers."""
+refuted by one state to all peers."""
 STATE_CACHE_TTL = timedelta(milliseconds=20)
 """Time for which a built state is reused, because the tasks of the peers that are due at the same
 moment run one after the other."""
@@ -30,7 +30,7 @@
 """Phase of an interval from which the next send slot is skipped, because a state has just been
 sent."""
 PEER_TIMEOUT_INTERVALS = 3.4
-"""Send intervals without a message after which a peer is considered gone: three may be lost."""
+"""Send intervals without a message after which a peer counts as unreachable: three may be lost."""
 MONITOR_TIMEOUT = PEER_TIMEOUT_INTERVALS * STATE_INTERVAL
 """Time without any message after which a monitored instance is reported as lost."""
 PAUSE_THRESHOLD = timedelta(seconds=1)
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -136,13 +136,13 @@
     def alive(self) -> list[Member]:
         """Return the entry instances that callers may use, this one included.
 
-        If all peers have timed out, those last heard from within `ISOLATED_LISTING_TIMEOUT` are
-        included.
+        If all peers have timed out, those whose last message arrived within
+        `ISOLATED_LISTING_TIMEOUT` are included.
         """
         now = self._now()
         nodes = self.peers() or [
             node
-            for node in self._nodes.heard()
+            for node in self._nodes.contacted()
             if node.silence(now) <= ISOLATED_LISTING_TIMEOUT.total_seconds()
         ]
         states = [(node.address, node.state) for node in nodes if node.state is not None]
@@ -308,7 +308,7 @@
         now = self._now()
         if self._zone_locality.large_fleet:
             self._failure_detector.detect(now)
-        for node in self._nodes.heard():
+        for node in self._nodes.contacted():
             silence = node.silence(now)
             if 0 <= silence - node.silence_timeout < SWEEP_INTERVAL.total_seconds():
                 log_events.emit(
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
@@ -5,7 +5,7 @@
 MAX_SENDS = 6
 """Targets tried for one request, including those that could not be reached or refused it."""
 SERVER_ERROR = 500
-"""Lowest status that counts as a failure of the target, so that another one may answer."""
+"""Lowest status that counts as a failure of the target, so that another one may be tried."""
 MAX_BUFFERED_BYTES = 1024 * 1024
 """Responses that are not streams are buffered up to this size, so that requests can be retried."""
 REFUSED_RETRY_AFTER = timedelta(milliseconds=300)
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/helper_memory.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/helper_memory.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotReserved:
-    """Engines had not enough memory or did not answer; no reservation is left."""
+    """Engines did not have enough memory or did not respond; no reservation is left."""
 
     target_ids: tuple[str, ...]
 
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/errors.py
@@ -5,6 +5,6 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerUnreachable:
-    """The owner did not answer within the timeout."""
+    """The owner did not respond within the timeout."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/coordinator.py
@@ -326,8 +326,8 @@
         current = self._members.get(node_id)
         heartbeat = self._heartbeat(session, node_id, current.incarnation if current else 0)
         match await stream.exchange(heartbeat, timeout):
-            case Heartbeat() as answer if answer.sender == node_id:
-                self._apply_heartbeat(answer, session, self._clock.monotonic() - started)
+            case Heartbeat() as response if response.sender == node_id:
+                self._apply_heartbeat(response, session, self._clock.monotonic() - started)
                 return True
             case Heartbeat() | PeerUnreachable():
                 return False
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/ports.py
@@ -14,7 +14,7 @@
 
 
 class CreditProvider(Protocol):
-    """Reports the engine capacity that this entry instance holds or has lent."""
+    """Reports the engine capacity that this entry instance holds or has granted to others."""
 
     def credit_figures(self) -> tuple[CreditFigures, ...]:
         """Return the figures of each engine."""
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/providers.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/providers.py
@@ -43,7 +43,7 @@
         self._holder = holder
 
     def credit_figures(self) -> tuple[CreditFigures, ...]:
-        """Return the figures of each engine whose capacity is held here or was lent from here."""
+        """Return the figures of engines whose capacity is held here or was granted from here."""
         held = [
             CreditFigures(engine_id, "holder", amount.slots, amount.tokens)
             for engine_id, amount in self._holder.credits()
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
@@ -25,7 +25,7 @@
 """
 LATENCY_COST = 0.05
 """Cost of a predicted latency as long as the objective; it decides between targets that would all
-answer in time."""
+respond in time."""
 NO_SHORT_PROMPT_COST = 0.02
 """Cost of placing a short prompt on an engine that has no short prompt yet.
 
@@ -46,7 +46,7 @@
 """Cost of a target in another zone; it decides between otherwise equal targets."""
 CROSS_ZONE_COST_THRESHOLD = 0.1
 """In fleets where each zone places requests on its own targets first, the cost of the best local
-candidate above which all zones are compared. A candidate that answers in time costs less, a late
+candidate above which all zones are compared. A candidate that responds in time costs less, a late
 one costs 0.75."""
 NO_MEMORY_COST = 1.0
 """Cost of an engine without enough free memory, where the request would wait until another one
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/estimate.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/estimate.py
@@ -1,4 +1,4 @@
-"""Predicts when an engine would answer a request and how much it would delay other requests.
+"""Predicts when an engine would respond to a request and how much it would delay other requests.
 
 All times are in seconds.
 """
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/coordinator.py
@@ -136,8 +136,8 @@
             await self._save(fingerprint)
         if self.quarantined(fingerprint):
             log_events.emit(log_events.REQUEST_QUARANTINED, fingerprint=fingerprint)
-            # Wait until every entry instance refuses the request before the caller learns of the
-            # failure, so that a retry through another instance does not crash a third target.
+            # Wait until every entry instance refuses the request before the failure is returned to
+            # the caller, so that a retry through another instance does not crash a third target.
             await self._clock.sleep(2 * self._sync_interval())
 
     async def record_success(self, fingerprint: str) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/ports.py
@@ -1,4 +1,4 @@
-"""What quarantine needs of other capabilities."""
+"""Interfaces that quarantine requires from other capabilities."""
 
 from typing import Protocol
 
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/suspect_leases.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/suspect_leases.py
@@ -70,7 +70,7 @@
             with trio.move_on_after(STORE_TIMEOUT.total_seconds(), shield=True) as scope:
                 await self._release(key, lease)
             if scope.cancelled_caught:
-                _log_not_released(key, lease, "the table service did not answer in time")
+                _log_not_released(key, lease, "the table service did not respond in time")
 
     async def _acquire(self, key: str, fingerprint: str) -> _SuspectLease | StoreUnavailable:
         while True:
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/coordinator.py
@@ -28,7 +28,7 @@
     """Reserves, renews and releases engine memory.
 
     Releases and renewals run in a separate task, because they are calls to engines that may not
-    answer. Reservations that are neither renewed nor released expire at the engine.
+    respond. Reservations that are neither renewed nor released expire at the engine.
     """
 
     __slots__ = ("_clock", "_held", "_pending_returns", "_port", "_renewal_interval", "_wake")
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/errors.py
@@ -5,9 +5,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ReservationRefused:
-    """An engine does not have enough free memory, or did not answer.
+    """An engine does not have enough free memory, or did not respond.
 
-    `uncertain` is set if it did not answer, so that it may hold the reservation until it expires.
+    `uncertain` is set if it did not respond, so that it may hold the reservation until it expires.
     """
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -339,7 +339,7 @@
     """Return this instance as a member; its incarnation is the start time in milliseconds.
 
     When the clock has been set back since the previous start, peers still have the higher old
-    incarnation; membership learns it from them and then uses a higher one.
+    incarnation; membership receives it from them and then uses a higher one.
     """
     return Member(
         node_id=settings.node_id,
--- a/packages/entry/src/wasabiwell_entry/state/counters.py
+++ b/packages/entry/src/wasabiwell_entry/state/counters.py
@@ -9,7 +9,7 @@
 class RequestKind:
     """Labels of the request counter.
 
-    `kind` is generate or call, and `outcome` a failure code or `ok`. `run` tells whether the
+    `kind` is generate or call, and `outcome` a failure code or `ok`. `run` is whether the
     request was executed: not-run, unknown or ran.
     """
 
--- a/packages/entry/src/wasabiwell_entry/state/credits.py
+++ b/packages/entry/src/wasabiwell_entry/state/credits.py
@@ -234,7 +234,7 @@
         self.unmet_demand = (self.unmet_demand - amount).at_least(ZERO_AMOUNT)
         return True
 
-    def give_back(self, hold_id: int) -> bool:
+    def release_hold(self, hold_id: int) -> bool:
         """Close a hold; return False when it is not open."""
         amount = self._holds.pop(hold_id, None)
         if amount is None:
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -20,7 +20,7 @@
 class LogEvent:
     """Definition of one kind of log line.
 
-    `template` is a `str.format` template of the fields. `action` tells operators what to do. Events
+    `template` is a `str.format` template of the fields. `action` is advice for operators. Events
     with `success` report normal results and are sampled under load. Numbers are never reused.
     Prompts and keys must not be fields.
     """
@@ -216,7 +216,7 @@
     419, Level.WARNING, "request {request}: memory could not be reserved on {targets}"
 )
 ORDER_UNANSWERED = LogEvent(
-    408, Level.WARNING, "target {target} did not answer the order {order}: {reason}"
+    408, Level.WARNING, "target {target} did not respond to the order {order}: {reason}"
 )
 PEER_HEARD = LogEvent(420, Level.INFO, "entry instance {peer} in zone {zone} is reachable")
 PEER_SILENT = LogEvent(
--- a/packages/entry/src/wasabiwell_entry/state/nodes.py
+++ b/packages/entry/src/wasabiwell_entry/state/nodes.py
@@ -93,14 +93,14 @@
         if node is not None:
             self._ordered.remove(node)
 
-    def heard(self) -> list[Node]:
+    def contacted(self) -> list[Node]:
         """Return the nodes that have sent a message and are not lost, in the order of addresses."""
         return [node for node in self._ordered if node.heard is not None and not node.lost]
 
     def reachable(self, now: float) -> list[Node]:
-        """Return the nodes heard within their silence timeout, in the order of addresses.
+        """Return the nodes that have sent a message within their silence timeout.
 
-        `now` is a monotonic time in seconds.
+        They are in the order of addresses; `now` is a monotonic time in seconds.
         """
         return [
             node
--- a/packages/entry/src/wasabiwell_entry/transport/peer/credits.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/credits.py
@@ -4,7 +4,7 @@
 
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner
 from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
-from wasabiwell_entry.coordination.credits.ports import ClaimAnswer, CreditGranted, CreditReturn
+from wasabiwell_entry.coordination.credits.ports import ClaimResponse, CreditGranted, CreditReturn
 from wasabiwell_entry.protocol.peer import (
     ACQUIRE_CREDIT,
     OUTSTANDING_CREDITS,
@@ -32,7 +32,7 @@
 
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
-    ) -> list[ClaimAnswer] | OwnerUnreachable:
+    ) -> list[ClaimResponse] | OwnerUnreachable:
         """Send claims to the owner of their engines."""
         request = CreditRequest(list(claims))
         match await self._client.call(owner.peer_address, ACQUIRE_CREDIT, request):
@@ -69,12 +69,12 @@
 
     async def acquire(request: CreditRequest) -> CreditGrant:
         reply = CreditGrant([], [])
-        for answer in owner.answer(request.claims):
-            match answer:
+        for response in owner.process_claims(request.claims):
+            match response:
                 case CreditGranted():
-                    reply.grants.append(answer)
+                    reply.grants.append(response)
                 case CreditRefused():
-                    reply.refusals.append(answer)
+                    reply.refusals.append(response)
         return reply
 
     async def release(request: CreditRelease) -> Ack:
--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -193,10 +193,12 @@
                     if self._clock.monotonic() - started_at < silence_timeout:
                         continue
                     interruption = StreamInterrupted(
-                        "the stream sends nothing, but the engine answers", silent=True
+                        "the stream sends nothing, but the engine responds", silent=True
                     )
                 case TargetDown() | TargetSilent():
-                    interruption = StreamInterrupted("the engine does not answer", target_lost=True)
+                    interruption = StreamInterrupted(
+                        "the engine does not respond", target_lost=True
+                    )
             if reads.started_at == started_at:
                 reads.interrupt(interruption)
                 await self._cancel(target, attempt.attempt_id)
@@ -239,7 +241,7 @@
 
 
 def _silence_timeout(attempt: Attempt, reads: InterruptibleReads) -> timedelta:
-    """Return how long an engine that answers probes may send no data."""
+    """Return how long an engine that responds to probes may send no data."""
     if reads.completed > RESPONSE_HEAD_READS:
         return STREAM_SILENCE_TIMEOUT
     return FIRST_TOKEN_SILENCE_TIMEOUT + attempt.request.prompt_tokens * PREFILL_TIME_PER_TOKEN
--- a/standins/wasabiwell_standins/measure_credits.py
+++ b/standins/wasabiwell_standins/measure_credits.py
@@ -12,7 +12,7 @@
 from wasabiwell_entry.coordination.admission.ports import Hold
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
 from wasabiwell_entry.coordination.credits.errors import OwnerUnreachable
-from wasabiwell_entry.coordination.credits.ports import ClaimAnswer, CreditReturn
+from wasabiwell_entry.coordination.credits.ports import ClaimResponse, CreditReturn
 from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.state.clock import SystemClock
 from wasabiwell_entry.state.credits import Amount, CreditClaim
@@ -40,7 +40,7 @@
 
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
-    ) -> list[ClaimAnswer] | OwnerUnreachable:
+    ) -> list[ClaimResponse] | OwnerUnreachable:
         """Send claims to an owner."""
         self.messages += 1
         return await self._inner.acquire(owner, claims)
@@ -224,9 +224,9 @@
             batch = [
                 CreditClaim(name, "m", sequence + 20, amount, amount, amount) for name in engines
             ]
-            answers = await first.peers.acquire(members_by_id["n-1"], batch)
-            if isinstance(answers, OwnerUnreachable):
-                raise click.ClickException(f"credit owner unreachable: {answers.reason}")
+            responses = await first.peers.acquire(members_by_id["n-1"], batch)
+            if isinstance(responses, OwnerUnreachable):
+                raise click.ClickException(f"credit owner unreachable: {responses.reason}")
         cpu = (time.process_time() - started) / messages
     return f"| {len(engines)} | {messages} | {cpu * 1e3:.2f} | {cpu * 1e6 / len(engines):.0f} |"
 
--- a/standins/wasabiwell_standins/users_platform/caller.py
+++ b/standins/wasabiwell_standins/users_platform/caller.py
@@ -107,9 +107,9 @@
             except CONNECTION_ERRORS:
                 continue
             if response.status == 200:
-                answer = msgspec.json.decode(response.content)
-                self._addresses = answer["addresses"]
-                self._addresses_expire_at = trio.current_time() + answer["ttl_s"]
+                resolved = msgspec.json.decode(response.content)
+                self._addresses = resolved["addresses"]
+                self._addresses_expire_at = trio.current_time() + resolved["ttl_s"]
                 break
         return self._addresses
 
--- a/tests/steps/entry/coordination/runs_steps.py
+++ b/tests/steps/entry/coordination/runs_steps.py
@@ -99,8 +99,8 @@
 
 @when('instance {index:d} settles key "{key}" as done with a response of {size:d} bytes')
 def step_settle_done(context: Context, index: int, key: str, size: int) -> None:
-    answer = ServiceResponse(201, "application/json", b"x" * size)
-    run_on(context, index, "settle", context.claims[key], RunStatus.DONE, answer)
+    response = ServiceResponse(201, "application/json", b"x" * size)
+    run_on(context, index, "settle", context.claims[key], RunStatus.DONE, response)
 
 
 @when('instance {index:d} settles key "{key}" as not run')
--- a/tests/steps/entry/coordination/suspects_steps.py
+++ b/tests/steps/entry/coordination/suspects_steps.py
@@ -139,7 +139,7 @@
 
 
 @then('the waiting suspect is answered by target "{target_id}"')
-def step_answered(context: Context, target_id: str) -> None:
+def step_served(context: Context, target_id: str) -> None:
     assert isinstance(context.outcome, Finished), context.outcome
     assert context.engines.served == [target_id], context.engines.served
 
--- a/tests/support/credit_machine.py
+++ b/tests/support/credit_machine.py
@@ -99,20 +99,22 @@
         else:
             self.pools[node].record_demand(amount, CAPACITY)
 
-    @rule(node=NODES, count=st.integers(1, 2), tokens=st.sampled_from((100, 500)), fate=DELIVERIES)
-    def take_and_exchange(self, node: int, count: int, tokens: int, fate: str) -> None:
+    @rule(
+        node=NODES, count=st.integers(1, 2), tokens=st.sampled_from((100, 500)), delivery=DELIVERIES
+    )
+    def take_and_exchange(self, node: int, count: int, tokens: int, delivery: str) -> None:
         """Start requests and claim credit for those that did not get any."""
         for _ in range(count):
             self.take(node, tokens, False)
-        self.exchange(node, fate)
+        self.exchange(node, delivery)
 
     @rule(node=NODES)
     def finish(self, node: int) -> None:
         """End the requests of a node; releasing a hold twice has no effect."""
         for owner, hold_id, _ in self.holds:
             if owner == node:
-                assert self.pools[node].give_back(hold_id)
-                assert not self.pools[node].give_back(hold_id)
+                assert self.pools[node].release_hold(hold_id)
+                assert not self.pools[node].release_hold(hold_id)
         self.holds = [item for item in self.holds if item[0] != node]
 
     @rule(node=NODES)
@@ -128,17 +130,17 @@
         )
         self.messages.append(Message(receiver, node, content))
 
-    @rule(node=NODES, fate=DELIVERIES)
-    def exchange(self, node: int, fate: str) -> None:
-        """Send a claim; the claim or its answer may be lost or delayed."""
+    @rule(node=NODES, delivery=DELIVERIES)
+    def exchange(self, node: int, delivery: str) -> None:
+        """Send a claim; the claim or its response may be lost or delayed."""
         self.send(node)
-        if fate != "late":
+        if delivery != "late":
             message = self.messages.pop()
-            if fate == "lost":
+            if delivery == "lost":
                 return
             before = len(self.messages)
             self._deliver(message)
-            if len(self.messages) > before and fate == "whole":
+            if len(self.messages) > before and delivery == "whole":
                 self._deliver(self.messages.pop())
 
     @precondition(lambda self: self.messages)
@@ -189,7 +191,7 @@
 
     @rule(node=NODES, lost=st.sets(NODES, max_size=1))
     def collect(self, node: int, lost: set[int]) -> None:
-        """Collect outstanding credits for an owner; some members may not answer."""
+        """Collect outstanding credits for an owner; some members may not respond."""
         self.network.unreachable = lost
         trio.run(self.credit_owners[node].collect)
 
@@ -219,7 +221,7 @@
     def teardown(self) -> None:
         """End all requests and check that every credit expires after its lifetime."""
         for node, hold_id, _ in self.holds:
-            self.pools[node].give_back(hold_id)
+            self.pools[node].release_hold(hold_id)
         self.holds = []
         self.clock.advance(CREDIT_LIFETIME + REPORT_LAG)
         for pool, credit_owner in zip(self.pools, self.credit_owners, strict=True):
@@ -238,9 +240,9 @@
             return
         match message.content:
             case CreditClaim() as claim:
-                (answer,) = self.credit_owners[message.receiver].answer([claim])
-                if isinstance(answer, CreditGranted):
-                    self.messages.append(Message(message.sender, message.receiver, answer))
+                (response,) = self.credit_owners[message.receiver].process_claims([claim])
+                if isinstance(response, CreditGranted):
+                    self.messages.append(Message(message.sender, message.receiver, response))
             case CreditReturn() as item:
                 self.credit_owners[message.receiver].accept_returns([item])
             case CreditGranted(sequence=sequence, amount=amount):
--- a/tests/support/reservation_machine.py
+++ b/tests/support/reservation_machine.py
@@ -9,7 +9,7 @@
 from wasabiwell_entry.coordination.admission.ports import Hold, NoCapacity
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
 from wasabiwell_entry.coordination.credits.errors import OwnerUnreachable
-from wasabiwell_entry.coordination.credits.ports import ClaimAnswer, CreditReturn
+from wasabiwell_entry.coordination.credits.ports import ClaimResponse, CreditReturn
 from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.credits import LONG_MEMORY_SHARE, CreditClaim
@@ -74,25 +74,25 @@
 
 
 class DirectPeers:
-    """Calls owners directly instead of sending messages, which or whose answers may be lost."""
+    """Calls owners directly instead of sending messages, which or whose responses may be lost."""
 
     def __init__(self, owners: dict[str, CreditOwner]) -> None:
         self.owners = owners
         self.lose_request = False
-        self.lose_answer = False
+        self.lose_response = False
         self.cancel: trio.CancelScope | None = None
 
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
-    ) -> list[ClaimAnswer] | OwnerUnreachable:
-        """Deliver claims; the caller may be cancelled while it waits for the answer."""
+    ) -> list[ClaimResponse] | OwnerUnreachable:
+        """Deliver claims; the caller may be cancelled while it waits for the response."""
         if self.lose_request:
             return OwnerUnreachable("lost")
-        answers = self.owners[owner.node_id].answer(claims)
+        responses = self.owners[owner.node_id].process_claims(claims)
         if self.cancel is not None:
             self.cancel.cancel()
         await trio.lowlevel.checkpoint()
-        return OwnerUnreachable("lost") if self.lose_answer else answers
+        return OwnerUnreachable("lost") if self.lose_response else responses
 
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
@@ -162,7 +162,7 @@
     ) -> None:
         """Hold several engines, with refusals, message loss and cancellation."""
         self.memory.refuse_call = refuse
-        self.peers.lose_request, self.peers.lose_answer = lose == "request", lose == "answer"
+        self.peers.lose_request, self.peers.lose_response = lose == "request", lose == "answer"
 
         async def hold() -> tuple[Hold, ...] | NoCapacity | None:
             with trio.CancelScope() as scope:
@@ -187,7 +187,7 @@
         self.settle(node)
 
     @rule(node=NODES)
-    def die(self, node: int) -> None:
+    def crash(self, node: int) -> None:
         """Replace an entry instance; the old one releases none of its reservations."""
         self.restarts += 1
         self.open = [item for item in self.open if item[0] != node]
@@ -210,19 +210,19 @@
 
     @invariant()
     def engines_hold_exactly_the_open_reservations(self) -> None:
-        """Check that live reservations match the open holds, apart from those of dead holders.
+        """Check that live reservations match the open holds, apart from those of crashed holders.
 
         After a pause longer than the lifetime, reservations of open holds may be missing.
         """
         for engine in ENGINES:
             self.memory.used(engine)
-        dead = {
+        crashed = {
             key
             for key, item in self.memory.held.items()
             if item[1] not in {f"n-{node}/{self._incarnation(node)}" for node in range(2)}
         }
         wanted = {hold.reservation_id for _, holds in self.open for hold in holds}
-        live = set(self.memory.held) - dead
+        live = set(self.memory.held) - crashed
         assert live <= wanted, (self.memory.held, wanted)
         assert self.expired or live == wanted, (self.memory.held, wanted)
 
