Give classes that shared a name in different modules names of their own

OwnerUnreachable -> CreditOwnerUnreachable, LimitOwnerUnreachable; Placement of dispatch -> AdmissionGrant; ResponseSink of dispatch -> TokenSink; RequestLog of the command -> RequestLogLines; Fleet of discovery -> TargetUpdater (module target_updater); FORGET_TIMEOUT -> PEER_REMOVAL_TIMEOUT.

--- a/packages/cli/src/wasabiwell_cli/log_files.py
+++ b/packages/cli/src/wasabiwell_cli/log_files.py
@@ -27,7 +27,7 @@
 
 
 @dataclass(slots=True)
-class RequestLog:
+class RequestLogLines:
     """The log lines of one request, sorted by time, and problems found in the log files.
 
     `unreadable` counts the lines of each file that are not log lines. `clock_lags` is, for each
@@ -41,13 +41,13 @@
     dropped_lines: int = 0
 
 
-def collect_request_log(request_id: str, paths: Iterable[Path]) -> RequestLog:
+def collect_request_log(request_id: str, paths: Iterable[Path]) -> RequestLogLines:
     """Return the log lines of a request; raises `OSError` for a file that cannot be read.
 
     Lines without a JSON log record are counted as unreadable. Text before the JSON object is
     ignored, because log collectors add prefixes.
     """
-    request_log = RequestLog()
+    request_log = RequestLogLines()
     for path in paths:
         with path.open(errors="replace") as file:
             for text in file:
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/coordinator.py
@@ -29,7 +29,7 @@
     NoCapacity,
 )
 from wasabiwell_entry.coordination.admission.queue import FairQueue, QueuedRequest
-from wasabiwell_entry.coordination.dispatch.ports import Placement
+from wasabiwell_entry.coordination.dispatch.ports import AdmissionGrant
 from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.coordination.reservations.ports import ReservationPort
 from wasabiwell_entry.coordination.routing import Router
@@ -72,7 +72,7 @@
     @asynccontextmanager
     async def admit(
         self, request: GenerateRequest, excluded: frozenset[str]
-    ) -> AsyncIterator[Placement | Refused]:
+    ) -> AsyncIterator[AdmissionGrant | Refused]:
         """Wait for capacity on one engine, or on several if the prompt does not fit on one."""
         organisation = self._ports.organisation(request.organisation)
         if organisation is None:
@@ -119,7 +119,7 @@
     @asynccontextmanager
     async def _admit_queued(
         self, request: GenerateRequest, weight: float, excluded: frozenset[str]
-    ) -> AsyncIterator[Placement | Refused]:
+    ) -> AsyncIterator[AdmissionGrant | Refused]:
         refused = self._permanent_refusal(request, excluded)
         if refused is not None:
             yield refused
@@ -148,7 +148,7 @@
 
     async def _wait_for_placement(
         self, queue: FairQueue, queued: QueuedRequest, reserved: list[tuple[Target, Shard]]
-    ) -> Placement:
+    ) -> AdmissionGrant:
         """Wait until the request is placed.
 
         A request whose capacity could not be reserved after all returns to its queue position.
@@ -159,11 +159,11 @@
             if queued.holds:
                 target = self._target(queued.holds[0].target_id)
                 if target is not None:
-                    return Placement(target, PRIORITIES[queued.request.size])
+                    return AdmissionGrant(target, PRIORITIES[queued.request.size])
             elif await self._hold_parts(queued):
                 parts = await self._reserve(queued, reserved)
                 if parts is not None:
-                    return _split_placement(queued.request, parts)
+                    return _split_grant(queued.request, parts)
             self._release_holds(queued)
             await self._release_reservations(reserved)
             queue.insert(queued)
@@ -341,7 +341,7 @@
     @asynccontextmanager
     async def _admit_unqueued(
         self, request: GenerateRequest, excluded: frozenset[str]
-    ) -> AsyncIterator[Placement | Refused]:
+    ) -> AsyncIterator[AdmissionGrant | Refused]:
         """Place a request without queueing, for the routing policies used for comparison."""
         lead = self._router.choose(request.service, excluded)
         if isinstance(lead, NoTarget):
@@ -363,7 +363,7 @@
                         return
             with _outstanding(lead):
                 shards = tuple(shard for _, shard in reserved)
-                yield Placement(lead.target, PRIORITIES[request.size], shards=shards)
+                yield AdmissionGrant(lead.target, PRIORITIES[request.size], shards=shards)
         finally:
             await self._release_reservations(reserved)
 
@@ -390,10 +390,10 @@
         return parts
 
 
-def _split_placement(request: GenerateRequest, reserved: list[tuple[Target, Shard]]) -> Placement:
-    """Return the placement of a split prompt; the engine with the largest part is the lead."""
+def _split_grant(request: GenerateRequest, reserved: list[tuple[Target, Shard]]) -> AdmissionGrant:
+    """Return the grant for a split prompt; the engine with the largest part is the lead."""
     lead = max(reserved, key=lambda item: item[1].tokens)
-    return Placement(
+    return AdmissionGrant(
         target=lead[0],
         priority=PRIORITIES[request.size],
         reservation_id=lead[1].reservation_id,
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/coordinator.py
@@ -20,7 +20,7 @@
     SHORTAGE_BACKOFF,
     STOP_TIMEOUT,
 )
-from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
+from wasabiwell_entry.coordination.credits.errors import CreditOwnerUnreachable, CreditRefused
 from wasabiwell_entry.coordination.credits.fallback import fallback_amount
 from wasabiwell_entry.coordination.credits.owner import CreditOwner
 from wasabiwell_entry.coordination.credits.owners import EngineOwners
@@ -290,7 +290,7 @@
             return
         claims = [pool.claim(now) for pool in wanted.values()]
         responses = await self._peers.acquire(link.owner, claims)
-        if isinstance(responses, OwnerUnreachable):
+        if isinstance(responses, CreditOwnerUnreachable):
             self._use_fallback_for_owner(link, claims, responses.reason)
             complete = False
         else:
@@ -383,7 +383,7 @@
         pool.record_demand(_request_amount(tokens, size), self._reported_capacity(target_id))
         claim = pool.claim(self._clock.monotonic())
         responses = await self._peers.acquire(owner, [claim])
-        if not isinstance(responses, OwnerUnreachable):
+        if not isinstance(responses, CreditOwnerUnreachable):
             self._apply_responses([claim], responses)
 
     def _release_all(self, holds: Sequence[Hold]) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/errors.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OwnerUnreachable:
-    """No response was received; the claim may have taken effect at the owner."""
+class CreditOwnerUnreachable:
+    """The owner of the credit did not respond; the claim may have taken effect there."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owner.py
@@ -13,7 +13,7 @@
     OWNERSHIP_SCAN_INTERVAL,
     REPORT_LAG,
 )
-from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
+from wasabiwell_entry.coordination.credits.errors import CreditOwnerUnreachable, CreditRefused
 from wasabiwell_entry.coordination.credits.owners import EngineOwners
 from wasabiwell_entry.coordination.credits.ports import (
     ClaimResponse,
@@ -192,7 +192,7 @@
     ) -> None:
         async with limiter:
             match await self._peers.outstanding(member, engine_ids):
-                case OwnerUnreachable():
+                case CreditOwnerUnreachable():
                     collection.complete = False
                 case claims:
                     collection.claims += claims
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/ports.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
+from wasabiwell_entry.coordination.credits.errors import CreditOwnerUnreachable, CreditRefused
 from wasabiwell_entry.state.credits import Amount, CreditClaim
 from wasabiwell_entry.state.members import Member
 
@@ -35,15 +35,15 @@
 
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
-    ) -> list[ClaimResponse] | OwnerUnreachable:
+    ) -> list[ClaimResponse] | CreditOwnerUnreachable:
         """Send claims to the owner of the engines and return one response per claim."""
 
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
-    ) -> OwnerUnreachable | None:
+    ) -> CreditOwnerUnreachable | None:
         """Release credits; if the message is lost, they expire."""
 
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
-    ) -> list[CreditClaim] | OwnerUnreachable:
+    ) -> list[CreditClaim] | CreditOwnerUnreachable:
         """Return the credit of the given engines that a member holds."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/fleet.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/target_updater.py
@@ -1,4 +1,4 @@
-"""Combines the list of targets and the routes into the load model that placement uses."""
+"""Applies changes of the list of targets and of the routes to the data that placement uses."""
 
 from wasabiwell_entry.coordination.health import TargetHealth
 from wasabiwell_entry.state.clock import Clock
@@ -7,7 +7,7 @@
 from wasabiwell_entry.state.work import WorkTable
 
 
-class Fleet:
+class TargetUpdater:
     """Updates the work and the health of targets when the list or the routes change."""
 
     __slots__ = ("_clock", "_health", "_listed", "_routes", "_works")
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -22,14 +22,14 @@
     TargetDown,
 )
 from wasabiwell_entry.coordination.dispatch.ports import (
+    AdmissionGrant,
     AdmissionPort,
     EnginePort,
-    Placement,
     PlainPort,
-    ResponseSink,
     SuspectObserver,
     TargetFailure,
     TargetObserver,
+    TokenSink,
 )
 from wasabiwell_entry.coordination.dispatch.retries import RetryRatioLimiter
 from wasabiwell_entry.coordination.runs import RunCoordinator
@@ -114,7 +114,7 @@
         self._clock = clock
         self._retry_limiter = RetryRatioLimiter()
 
-    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: TokenSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
         progress = _Progress()
         with trio.move_on_after(self._remaining_seconds(request)):
@@ -128,26 +128,26 @@
         return await self._call_once(call)
 
     async def _generate(
-        self, request: GenerateRequest, sink: ResponseSink, progress: _Progress
+        self, request: GenerateRequest, sink: TokenSink, progress: _Progress
     ) -> GenerateOutcome:
         self._retry_limiter.count_first_attempt()
         while True:
             if self._suspects.quarantined(request.fingerprint):
                 return _unanswered_outcome(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
             excluded = frozenset(progress.excluded)
-            async with self._admission.admit(request, excluded) as placement:
-                if isinstance(placement, Refused):
-                    return _refused_outcome(progress, placement)
-                target_id = placement.target.target_id
+            async with self._admission.admit(request, excluded) as grant:
+                if isinstance(grant, Refused):
+                    return _refused_outcome(progress, grant)
+                target_id = grant.target.target_id
                 async with self._suspects.exclusive_retry(request.fingerprint, target_id):
                     if self._suspects.quarantined(request.fingerprint):
                         return _unanswered_outcome(
                             progress, Reason.QUARANTINED, QUARANTINED_MESSAGE
                         )
-                    if await self._crashed_while_waiting(request, placement.target):
+                    if await self._crashed_while_waiting(request, grant.target):
                         progress.excluded.add(target_id)
                         continue
-                    outcome = await self._attempt(request, sink, progress, placement)
+                    outcome = await self._attempt(request, sink, progress, grant)
             match outcome:
                 case AttemptFinished(end=end):
                     await self._suspects.record_success(request.fingerprint)
@@ -161,7 +161,7 @@
     async def _crashed_while_waiting(self, request: GenerateRequest, target: Target) -> bool:
         """Return whether a target crashed while a suspect waited for its turn on it.
 
-        Sending the request to a dead target would count as another crash caused by the suspect.
+        Sending the request to a crashed target would count as another crash caused by the suspect.
         """
         if not self._suspects.suspected(request.fingerprint):
             return False
@@ -173,20 +173,20 @@
     async def _attempt(
         self,
         request: GenerateRequest,
-        sink: ResponseSink,
+        sink: TokenSink,
         progress: _Progress,
-        placement: Placement,
+        grant: AdmissionGrant,
     ) -> AttemptOutcome:
         progress.attempts += 1
-        target = placement.target
+        target = grant.target
         attempt = Attempt(
             attempt_id=f"{request.request_id}-{secrets.token_hex(4)}",
             request=request,
-            priority=placement.priority,
+            priority=grant.priority,
             resume_offset=progress.assembler.offset,
             generated=progress.assembler.text,
-            reservation_id=placement.reservation_id,
-            shards=placement.shards,
+            reservation_id=grant.reservation_id,
+            shards=grant.shards,
         )
         started_before = progress.started
         progress.started = True
@@ -200,7 +200,7 @@
         return outcome
 
     async def _relay(
-        self, target: Target, attempt: Attempt, sink: ResponseSink, progress: _Progress
+        self, target: Target, attempt: Attempt, sink: TokenSink, progress: _Progress
     ) -> AttemptOutcome:
         async with self._engines.generate(target, attempt) as items:
             async for item in items:
@@ -233,7 +233,7 @@
         self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
         if interruption.refused:
             return
-        # Only a dead target counts: a network failure would mark all requests as suspects.
+        # Only a crashed target counts: a network failure would mark all requests as suspects.
         if isinstance(await self._engines.probe(target), TargetDown):
             await self._suspects.record_crash(attempt.request.fingerprint, target.target_id)
 
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -19,7 +19,7 @@
 from wasabiwell_entry.state.targets import Target
 
 
-class ResponseSink(Protocol):
+class TokenSink(Protocol):
     """Receiver of a response's tokens; `send` blocks while the caller reads slowly."""
 
     async def send(self, frame: TokenFrame) -> None:
@@ -51,7 +51,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Placement:
+class AdmissionGrant:
     """Target and reserved capacity of an admitted request.
 
     `shards` are reservations on further engines for a prompt larger than one engine's memory.
@@ -68,7 +68,7 @@
 
     def admit(
         self, request: GenerateRequest, excluded: frozenset[str]
-    ) -> AbstractAsyncContextManager[Placement | Refused]:
+    ) -> AbstractAsyncContextManager[AdmissionGrant | Refused]:
         """Wait for capacity and reserve it until the context ends.
 
         `excluded` are ids of targets on which the request has failed.
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -16,7 +16,7 @@
 """Total rate of the states sent to all peers that are not monitors, regardless of the fleet size.
 These states only repeat what individual messages have already reported."""
 MAX_NON_MONITOR_STATE_INTERVAL = timedelta(seconds=15)
-"""Three states in a row may be lost before the peer is removed after `FORGET_TIMEOUT`."""
+"""Three states in a row may be lost before the peer is removed after `PEER_REMOVAL_TIMEOUT`."""
 REQUESTED_MONITORING_TIME = timedelta(seconds=4)
 """Time for which a peer gets frequent states after a `WatchRequest`; it may ask again afterwards.
 A new instance is known to all others within 2 s, after which they mostly agree on the monitors."""
@@ -45,7 +45,7 @@
 LISTING_SENDERS = 3
 """Number of instances, the first by address, that send the list of targets to a peer without one.
 The peer also reads the list itself."""
-FORGET_TIMEOUT = timedelta(seconds=60)
+PEER_REMOVAL_TIMEOUT = timedelta(seconds=60)
 """Time without any message after which a peer is removed and gets no more states."""
 SWEEP_INTERVAL = timedelta(milliseconds=250)
 """Time between two checks for peers that have timed out."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/sender.py
@@ -8,9 +8,9 @@
 import xxhash
 
 from wasabiwell_entry.coordination.exchange.const import (
-    FORGET_TIMEOUT,
     MAX_NON_MONITOR_STATE_INTERVAL,
     NON_MONITOR_STATES_PER_SECOND,
+    PEER_REMOVAL_TIMEOUT,
     SLOT_SKIP_FRACTION,
     STATE_CACHE_TTL,
     STATE_INTERVAL,
@@ -72,10 +72,10 @@
         self._monitors_changed = trio.Event()
 
     async def send_periodically(self, address: str) -> None:
-        """Send states to a peer until it is removed after `FORGET_TIMEOUT`."""
+        """Send states to a peer until it is removed after `PEER_REMOVAL_TIMEOUT`."""
         while (node := self._nodes.get(address)) is not None:
             last = node.heard if node.heard is not None else node.known_since
-            if self._now() - last > FORGET_TIMEOUT.total_seconds():
+            if self._now() - last > PEER_REMOVAL_TIMEOUT.total_seconds():
                 self._nodes.remove(address)
                 return
             self.send_to(address)
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
@@ -11,7 +11,7 @@
 REFUSED_RETRY_AFTER = timedelta(milliseconds=300)
 """Time after which targets that refused a request are likely to take requests again."""
 MIN_TIME_LEFT = timedelta(milliseconds=5)
-"""Requests with less time until their deadline are not sent again."""
+"""Requests with less time until their deadline are not retried."""
 RETRY_TIME_SHARE = 0.4
 """Share of the time left after which a retryable request without a response is sent elsewhere."""
 MIN_OBJECTIVES_BEFORE_RETRY = 3.0
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
@@ -15,7 +15,7 @@
     SHARE_LIFETIME,
     SHARE_REQUEST_INTERVAL,
 )
-from wasabiwell_entry.coordination.limits.errors import OwnerUnreachable
+from wasabiwell_entry.coordination.limits.errors import LimitOwnerUnreachable
 from wasabiwell_entry.coordination.limits.ports import LimitOwnerPort
 from wasabiwell_entry.coordination.limits.shares import (
     LimitDemand,
@@ -191,10 +191,10 @@
         for held in items:
             held.rate_exhausted = False
         if owner.node_id == self._own.node_id:
-            grant: LimitGrant | OwnerUnreachable = self.grant(request)
+            grant: LimitGrant | LimitOwnerUnreachable = self.grant(request)
         else:
             grant = await self._port.acquire(owner, request)
-        if isinstance(grant, OwnerUnreachable):
+        if isinstance(grant, LimitOwnerUnreachable):
             return
         for share in grant.shares:
             held_limit = self._held.get(share.organisation)
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/errors.py
@@ -4,7 +4,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OwnerUnreachable:
-    """The owner did not respond within the timeout."""
+class LimitOwnerUnreachable:
+    """The owner of the limit did not respond within the timeout."""
 
     reason: str
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
@@ -76,4 +76,4 @@
 """Urgencies range from 0, served first, to 9. The caller of a resumed stream is already waiting for
 its next event."""
 NO_TARGET_RETRY_AFTER = timedelta(milliseconds=300)
-"""Engines come back within seconds; callers can retry once within a third of their time limit."""
+"""Engines recover within seconds; callers can retry once within a third of their time limit."""
--- a/packages/entry/src/wasabiwell_entry/coordination/targets/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/const.py
@@ -14,7 +14,7 @@
 LOAD_INTERVAL = timedelta(milliseconds=500)
 CACHE_EVENT_INTERVAL = timedelta(seconds=1)
 MAX_CACHED_PREFIXES = 4_096
-"""Maximum number of prefix blocks that are remembered per engine.
+"""Maximum number of prefix blocks that are recorded per engine.
 
 The oldest blocks are dropped first, as their eviction may not have been reported.
 """
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
@@ -9,11 +9,11 @@
 
 from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted, CallNotSent, ProbeOutcome
 from wasabiwell_entry.coordination.dispatch.ports import (
+    AdmissionGrant,
     AdmissionPort,
     EnginePort,
-    Placement,
     PlainPort,
-    ResponseSink,
+    TokenSink,
 )
 from wasabiwell_entry.coordination.telemetry.ports import Telemetry
 from wasabiwell_entry.coordination.telemetry.records import RequestLog
@@ -46,7 +46,7 @@
 class RequestRunner(Protocol):
     """The dispatcher as front ends call it, instrumented or not."""
 
-    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: TokenSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
 
     async def call(self, call: ServiceCall) -> CallOutcome:
@@ -66,7 +66,7 @@
         self._counters = counters
         self._telemetry = telemetry
 
-    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: TokenSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
         record = self._log.open(request)
         self._counters.open_streams += 1
@@ -129,7 +129,7 @@
     @asynccontextmanager
     async def admit(
         self, request: GenerateRequest, excluded: frozenset[str]
-    ) -> AsyncIterator[Placement | Refused]:
+    ) -> AsyncIterator[AdmissionGrant | Refused]:
         """Wait for capacity; leaving the context releases it."""
         started_s = self._log.elapsed(request)
         async with AsyncExitStack() as stack:
@@ -137,12 +137,10 @@
                 with self._telemetry.span(
                     "admission wait", {"wasabiwell.size": request.size.value}
                 ):
-                    placement = await stack.enter_async_context(
-                        self._inner.admit(request, excluded)
-                    )
+                    grant = await stack.enter_async_context(self._inner.admit(request, excluded))
             finally:
                 self._log.add_admission_wait(request, started_s)
-            yield placement
+            yield grant
 
     @asynccontextmanager
     async def place_call(
--- a/packages/entry/src/wasabiwell_entry/state/configuration.py
+++ b/packages/entry/src/wasabiwell_entry/state/configuration.py
@@ -152,7 +152,7 @@
 
     @property
     def view(self) -> ConfigurationView:
-        """Return the look-up tables of the active version."""
+        """Return the lookup tables of the active version."""
         return self._view
 
     def recent_deltas(self, limit: int) -> list[ConfigurationDelta]:
@@ -177,7 +177,7 @@
         """Activate the next version; return findings for items that cannot be read.
 
         A delta that does not directly follow the active version is ignored. An item that cannot be
-        read keeps its previous value in the look-up tables; the other items of the delta are
+        read keeps its previous value in the lookup tables; the other items of the delta are
         activated.
         """
         if delta.version != self._version + 1:
--- a/packages/entry/src/wasabiwell_entry/state/forwarding.py
+++ b/packages/entry/src/wasabiwell_entry/state/forwarding.py
@@ -126,7 +126,7 @@
 class NotRun:
     """The target proved that it has not run the request.
 
-    `replaced` is set when another target has taken over its address. `at_fault` is the address of
+    `replaced` is set when another target now uses its address. `at_fault` is the address of
     another target that caused the refusal.
     """
 
--- a/packages/entry/src/wasabiwell_entry/transport/peer/credits.py
+++ b/packages/entry/src/wasabiwell_entry/transport/peer/credits.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner
-from wasabiwell_entry.coordination.credits.errors import CreditRefused, OwnerUnreachable
+from wasabiwell_entry.coordination.credits.errors import CreditOwnerUnreachable, CreditRefused
 from wasabiwell_entry.coordination.credits.ports import ClaimResponse, CreditGranted, CreditReturn
 from wasabiwell_entry.protocol.peer import (
     ACQUIRE_CREDIT,
@@ -32,34 +32,34 @@
 
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
-    ) -> list[ClaimResponse] | OwnerUnreachable:
+    ) -> list[ClaimResponse] | CreditOwnerUnreachable:
         """Send claims to the owner of their engines."""
         request = CreditRequest(list(claims))
         match await self._client.call(owner.peer_address, ACQUIRE_CREDIT, request):
             case PeerUnavailable(reason=reason):
-                return OwnerUnreachable(reason)
+                return CreditOwnerUnreachable(reason)
             case reply:
                 return [*reply.grants, *reply.refusals]
 
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
-    ) -> OwnerUnreachable | None:
+    ) -> CreditOwnerUnreachable | None:
         """Return credits to their owner."""
         request = CreditRelease(list(returns))
         match await self._client.call(owner.peer_address, RELEASE_CREDIT, request):
             case PeerUnavailable(reason=reason):
-                return OwnerUnreachable(reason)
+                return CreditOwnerUnreachable(reason)
             case _:
                 return None
 
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
-    ) -> list[CreditClaim] | OwnerUnreachable:
+    ) -> list[CreditClaim] | CreditOwnerUnreachable:
         """Return the credits of the given engines that a member holds."""
         request = OwnerQuery(list(engine_ids))
         match await self._client.call(holder.peer_address, OUTSTANDING_CREDITS, request):
             case PeerUnavailable(reason=reason):
-                return OwnerUnreachable(reason)
+                return CreditOwnerUnreachable(reason)
             case reply:
                 return reply.claims
 
--- a/standins/wasabiwell_standins/booking.py
+++ b/standins/wasabiwell_standins/booking.py
@@ -2,7 +2,7 @@
 
 `POST /bookings` and `/reservations` execute a booking. `GET /ledger` returns the execution count of
 each idempotency key; `also=HOST:PORT,...` adds the counts of other targets. `GET /availability` is
-an idempotent look-up. `POST /control` sets faults: `delay_s` is the duration of a booking, and
+an idempotent lookup. `POST /control` sets faults: `delay_s` is the duration of a booking, and
 `drop_replies` the number of further bookings that are executed but whose connection is closed
 before the response body.
 """
--- a/standins/wasabiwell_standins/measure_credits.py
+++ b/standins/wasabiwell_standins/measure_credits.py
@@ -11,7 +11,7 @@
 import trio_asyncio
 from wasabiwell_entry.coordination.admission.ports import Hold
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
-from wasabiwell_entry.coordination.credits.errors import OwnerUnreachable
+from wasabiwell_entry.coordination.credits.errors import CreditOwnerUnreachable
 from wasabiwell_entry.coordination.credits.ports import ClaimResponse, CreditReturn
 from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.state.clock import SystemClock
@@ -40,21 +40,21 @@
 
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
-    ) -> list[ClaimResponse] | OwnerUnreachable:
+    ) -> list[ClaimResponse] | CreditOwnerUnreachable:
         """Send claims to an owner."""
         self.messages += 1
         return await self._inner.acquire(owner, claims)
 
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
-    ) -> OwnerUnreachable | None:
+    ) -> CreditOwnerUnreachable | None:
         """Return credits to an owner."""
         self.messages += 1
         return await self._inner.release(owner, returns)
 
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
-    ) -> list[CreditClaim] | OwnerUnreachable:
+    ) -> list[CreditClaim] | CreditOwnerUnreachable:
         """Query the outstanding credits of a holder, as a new owner does."""
         self.messages += 1
         return await self._inner.outstanding(holder, engine_ids)
@@ -225,7 +225,7 @@
                 CreditClaim(name, "m", sequence + 20, amount, amount, amount) for name in engines
             ]
             responses = await first.peers.acquire(members_by_id["n-1"], batch)
-            if isinstance(responses, OwnerUnreachable):
+            if isinstance(responses, CreditOwnerUnreachable):
                 raise click.ClickException(f"credit owner unreachable: {responses.reason}")
         cpu = (time.process_time() - started) / messages
     return f"| {len(engines)} | {messages} | {cpu * 1e3:.2f} | {cpu * 1e6 / len(engines):.0f} |"
--- a/tests/entry/state/configuration.feature
+++ b/tests/entry/state/configuration.feature
@@ -1,5 +1,5 @@
 Feature: Active configuration
-  Guards against stale look-ups after a change, and against a return to an older version.
+  Guards against stale lookups after a change, and against a return to an older version.
 
   Scenario: A replaced key no longer belongs to an organisation
     Given a configuration in which "dover-roofing" has the keys "old"
--- a/tests/steps/entry/coordination/admission_steps.py
+++ b/tests/steps/entry/coordination/admission_steps.py
@@ -18,7 +18,7 @@
 from wasabiwell_config import Organisation
 from wasabiwell_entry.coordination.admission.coordinator import AdmissionCoordinator, AdmissionPorts
 from wasabiwell_entry.coordination.admission.load_capacity import LoadBasedCapacity
-from wasabiwell_entry.coordination.dispatch.ports import Placement
+from wasabiwell_entry.coordination.dispatch.ports import AdmissionGrant
 from wasabiwell_entry.coordination.routing import Router
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.outcomes import Refused
@@ -29,7 +29,7 @@
     """A request in a scenario, with its outcome and the means to end or cancel it."""
 
     tokens: int
-    outcome: Placement | Refused | None = None
+    outcome: AdmissionGrant | Refused | None = None
     end: trio.Event = field(default_factory=trio.Event)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -138,15 +138,15 @@
 
 @then("the request of {tokens:d} tokens is placed")
 def step_placed(context: Context, tokens: int) -> None:
-    def check(outcomes: dict[int, Placement | Refused | None]) -> None:
-        assert isinstance(outcomes[tokens], Placement), outcomes
+    def check(outcomes: dict[int, AdmissionGrant | Refused | None]) -> None:
+        assert isinstance(outcomes[tokens], AdmissionGrant), outcomes
 
     check_after_actions(context, check)
 
 
 @then("the request of {tokens:d} tokens waits")
 def step_waits(context: Context, tokens: int) -> None:
-    def check(outcomes: dict[int, Placement | Refused | None]) -> None:
+    def check(outcomes: dict[int, AdmissionGrant | Refused | None]) -> None:
         assert outcomes[tokens] is None, outcomes
 
     check_after_actions(context, check)
@@ -154,7 +154,7 @@
 
 @then('the request of {tokens:d} tokens is refused with "{reason}"')
 def step_refused(context: Context, tokens: int, reason: str) -> None:
-    def check(outcomes: dict[int, Placement | Refused | None]) -> None:
+    def check(outcomes: dict[int, AdmissionGrant | Refused | None]) -> None:
         outcome = outcomes[tokens]
         assert isinstance(outcome, Refused), outcome
         assert outcome.reason.value == reason
@@ -172,7 +172,7 @@
 
 @then("all capacity is released")
 def step_released(context: Context) -> None:
-    def check(outcomes: dict[int, Placement | Refused | None]) -> None:
+    def check(outcomes: dict[int, AdmissionGrant | Refused | None]) -> None:
         assert_nothing_held(context)
 
     check_after_actions(context, check)
--- a/tests/steps/entry/coordination/limits_steps.py
+++ b/tests/steps/entry/coordination/limits_steps.py
@@ -12,7 +12,7 @@
 from wasabiwell_config import Limits, Organisation
 from wasabiwell_entry.coordination.admission.ports import LimitLease
 from wasabiwell_entry.coordination.limits import LimitCoordinator
-from wasabiwell_entry.coordination.limits.errors import OwnerUnreachable
+from wasabiwell_entry.coordination.limits.errors import LimitOwnerUnreachable
 from wasabiwell_entry.coordination.limits.shares import (
     LimitDemand,
     LimitGrant,
@@ -35,12 +35,14 @@
     messages: int = 0
     unreachable: bool = False
 
-    async def acquire(self, owner: Member, request: LimitRequest) -> LimitGrant | OwnerUnreachable:
+    async def acquire(
+        self, owner: Member, request: LimitRequest
+    ) -> LimitGrant | LimitOwnerUnreachable:
         """Deliver a request to its owner."""
         await trio.lowlevel.checkpoint()
         self.messages += 1
         if self.unreachable:
-            return OwnerUnreachable("no answer")
+            return LimitOwnerUnreachable("no answer")
         return self.instances[owner.node_id].grant(request)
 
 
--- a/tests/steps/entry/coordination/suspects_steps.py
+++ b/tests/steps/entry/coordination/suspects_steps.py
@@ -13,7 +13,7 @@
 from support.fakes import FakeTable, NoSuspectGossip
 from wasabiwell_entry.coordination.dispatch import Dispatcher
 from wasabiwell_entry.coordination.dispatch.errors import ProbeOutcome, TargetAlive, TargetDown
-from wasabiwell_entry.coordination.dispatch.ports import Placement, TargetFailure
+from wasabiwell_entry.coordination.dispatch.ports import AdmissionGrant, TargetFailure
 from wasabiwell_entry.coordination.quarantine.coordinator import QuarantineCoordinator
 from wasabiwell_entry.state.outcomes import Finished, Refused
 from wasabiwell_entry.state.requests import (
@@ -40,10 +40,10 @@
     @asynccontextmanager
     async def admit(
         self, request: GenerateRequest, excluded: frozenset[str]
-    ) -> AsyncIterator[Placement | Refused]:
+    ) -> AsyncIterator[AdmissionGrant | Refused]:
         """Place a request on the first engine that is not excluded."""
         usable = [item for item in self.targets if item.target_id not in excluded]
-        yield Placement(usable[0], 1)
+        yield AdmissionGrant(usable[0], 1)
 
     @asynccontextmanager
     async def place_call(
--- a/tests/support/credit_machine.py
+++ b/tests/support/credit_machine.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from wasabiwell_entry.coordination.credits import CreditOwner, EngineOwners
 from wasabiwell_entry.coordination.credits.const import CREDIT_LIFETIME, REPORT_LAG
-from wasabiwell_entry.coordination.credits.errors import OwnerUnreachable
+from wasabiwell_entry.coordination.credits.errors import CreditOwnerUnreachable
 from wasabiwell_entry.coordination.credits.ports import CreditGranted, CreditReturn
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.credits import (
@@ -44,7 +44,7 @@
 
 @dataclass(slots=True)
 class Network:
-    """Answers the queries of a new owner, except for the nodes in `unreachable`."""
+    """Responds to the queries of a new owner, except for the nodes in `unreachable`."""
 
     pools: list[CreditPool]
     clock: ManualClock
@@ -52,11 +52,11 @@
 
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
-    ) -> list[CreditClaim] | OwnerUnreachable:
+    ) -> list[CreditClaim] | CreditOwnerUnreachable:
         """Return the outstanding credit of one node."""
         index = NAMES.index(holder.node_id)
         if index in self.unreachable:
-            return OwnerUnreachable("lost")
+            return CreditOwnerUnreachable("lost")
         return [self.pools[index].outstanding(self.clock.monotonic())]
 
 
--- a/tests/support/reservation_machine.py
+++ b/tests/support/reservation_machine.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from wasabiwell_entry.coordination.admission.ports import Hold, NoCapacity
 from wasabiwell_entry.coordination.credits import CreditHolder, CreditOwner, EngineOwners
-from wasabiwell_entry.coordination.credits.errors import OwnerUnreachable
+from wasabiwell_entry.coordination.credits.errors import CreditOwnerUnreachable
 from wasabiwell_entry.coordination.credits.ports import ClaimResponse, CreditReturn
 from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.state.clock import ManualClock
@@ -84,26 +84,26 @@
 
     async def acquire(
         self, owner: Member, claims: Sequence[CreditClaim]
-    ) -> list[ClaimResponse] | OwnerUnreachable:
+    ) -> list[ClaimResponse] | CreditOwnerUnreachable:
         """Deliver claims; the caller may be cancelled while it waits for the response."""
         if self.lose_request:
-            return OwnerUnreachable("lost")
+            return CreditOwnerUnreachable("lost")
         responses = self.owners[owner.node_id].process_claims(claims)
         if self.cancel is not None:
             self.cancel.cancel()
         await trio.lowlevel.checkpoint()
-        return OwnerUnreachable("lost") if self.lose_response else responses
+        return CreditOwnerUnreachable("lost") if self.lose_response else responses
 
     async def release(
         self, owner: Member, returns: Sequence[CreditReturn]
-    ) -> OwnerUnreachable | None:
+    ) -> CreditOwnerUnreachable | None:
         """Deliver released credits."""
         self.owners[owner.node_id].accept_returns(returns)
         return None
 
     async def outstanding(
         self, holder: Member, engine_ids: Sequence[str]
-    ) -> list[CreditClaim] | OwnerUnreachable:
+    ) -> list[CreditClaim] | CreditOwnerUnreachable:
         """Report no outstanding credits, as ownership never changes here."""
         return []
 
