--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -142,7 +142,7 @@
         now = self._now()
         nodes = self.peers() or [
             node
-            for node in self._nodes.contacted()
+            for node in self._nodes.heard()
             if node.silence(now) <= ISOLATED_LISTING_TIMEOUT.total_seconds()
         ]
         states = [(node.address, node.state) for node in nodes if node.state is not None]
@@ -308,7 +308,7 @@
         now = self._now()
         if self._zone_locality.large_fleet:
             self._failure_detector.detect(now)
-        for node in self._nodes.contacted():
+        for node in self._nodes.heard():
             silence = node.silence(now)
             if 0 <= silence - node.silence_timeout < SWEEP_INTERVAL.total_seconds():
                 log_events.emit(
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/failure_detector.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/failure_detector.py
@@ -66,7 +66,7 @@
             self._sender.notify_monitors_changed()
         assignments = self._ring.monitored()
         limit = MONITOR_TIMEOUT.total_seconds()
-        for node in self._nodes.contacted():
+        for node in self._nodes.heard():
             assigned_at = assignments.get(node.address)
             frequent = node.silence_timeout <= limit
             if node.state is None or (assigned_at is None and not frequent):
--- a/packages/entry/src/wasabiwell_entry/state/nodes.py
+++ b/packages/entry/src/wasabiwell_entry/state/nodes.py
@@ -93,7 +93,7 @@
         if node is not None:
             self._ordered.remove(node)
 
-    def contacted(self) -> list[Node]:
+    def heard(self) -> list[Node]:
         """Return the nodes that have sent a message and are not lost, in the order of addresses."""
         return [node for node in self._ordered if node.heard is not None and not node.lost]
 
--- a/tests/steps/entry/state/nodes_steps.py
+++ b/tests/steps/entry/state/nodes_steps.py
@@ -36,7 +36,7 @@
 def step_returns(context: Context, names: str) -> None:
     returned = context.node_table.reachable(0.0)
     assert [node.address for node in returned] == names.split()
-    assert context.node_table.contacted() == returned
+    assert context.node_table.heard() == returned
 
 
 @then('{seconds:g} seconds later it returns "{names}"')
