--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -159,7 +159,7 @@
             await self._clock.sleep(RETRY_DELAY)
 
     async def _crashed_while_waiting(self, request: GenerateRequest, target: Target) -> bool:
-        """Return whether a target crashed while a suspect waited for its turn on it.
+        """Return whether a target crashed while a suspect waited for its lease on it.
 
         Sending the request to a crashed target would count as another crash caused by the suspect.
         """
--- a/tests/entry/coordination/lifecycle/processes.feature
+++ b/tests/entry/coordination/lifecycle/processes.feature
@@ -6,7 +6,7 @@
     Given 3 entry instances
     When entry instance 1 gets SIGTERM during a long response
     Then the response is complete and the process exits by itself
-    And its kept connection was closed, its address was dropped, and new connections were served
+    And its idle connection was closed, its address was dropped, and new connections were served
 
   Scenario: A rolling restart under load fails no request
     Given 3 entry instances
--- a/tests/steps/entry/state/configuration_steps.py
+++ b/tests/steps/entry/state/configuration_steps.py
@@ -54,7 +54,7 @@
 
 
 @then('key "{key}" belongs to no organisation')
-def step_nobody(context: Context, key: str) -> None:
+def step_key_unknown(context: Context, key: str) -> None:
     assert context.state.view.organisation_by_key_hash(hash_key(key)) is None
 
 
--- a/tests/steps/entry/transport/logs_steps.py
+++ b/tests/steps/entry/transport/logs_steps.py
@@ -38,7 +38,7 @@
 
 
 @when('a response to request "{request_id}" is logged')
-def step_answer(context: Context, request_id: str) -> None:
+def step_log_answered(context: Context, request_id: str) -> None:
     log(context.buffer, log_events.ANSWERED, request=request_id, outcome="status 200")
 
 
--- a/tests/steps/platform/whole_steps.py
+++ b/tests/steps/platform/whole_steps.py
@@ -163,7 +163,7 @@
 
 
 @when("an entry process is stopped while a response of {seconds:g} seconds starts")
-def step_long_answer(context: Context, seconds: float) -> None:
+def step_long_response(context: Context, seconds: float) -> None:
     async def actions(deployment: Deployment) -> None:
         interval = ENGINE_PROFILE["stride"] * ENGINE_PROFILE["step_ms"] / 1000
         request = deployment.request("short", events=round(seconds / interval))
@@ -348,7 +348,7 @@
 
 @then("all requests were answered")
 @then("the requests that were sent a second later were answered")
-def step_answered(context: Context) -> None:
+def step_complete_responses(context: Context) -> None:
     failed = [describe(reply) for reply in context.replies if not answered(reply)]
     assert context.replies
     assert not failed, failed
@@ -386,7 +386,7 @@
 
 
 @then("some bookings have no response")
-def step_unanswered(context: Context) -> None:
+def step_responses_missing(context: Context) -> None:
     assert any(reply.status == 502 for reply in context.replies)
 
 
--- a/tests/steps/whole/entries_steps.py
+++ b/tests/steps/whole/entries_steps.py
@@ -274,7 +274,7 @@
     assert context.exit_code == 0
 
 
-@then("its kept connection was closed, its address was dropped, and new connections were served")
+@then("its idle connection was closed, its address was dropped, and new connections were served")
 def step_connection_closed(context: Context) -> None:
     assert context.last_headers.get(b"connection") == b"close", context.last_headers
     assert all(context.stopped_entry.address not in found for found in context.addresses_after_stop)
