--- a/packages/entry/src/wasabiwell_entry/coordination/addresses/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/addresses/const.py
@@ -1,4 +1,4 @@
-"""Constants of address lists."""
+"""How long callers may use an address list."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/const.py
@@ -1,4 +1,4 @@
-"""Constants of admission control."""
+"""Queue limits, ageing thresholds and timeouts of admission control."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/admission/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces that admission requires from other components and layers."""
+"""Interfaces that admission requires from other layers and capabilities."""
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
--- a/packages/entry/src/wasabiwell_entry/coordination/budget/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/budget/const.py
@@ -1,4 +1,4 @@
-"""Constants of the retry budget."""
+"""Resolution and usable share of the retry budget."""
 
 BUCKETS_PER_WINDOW = 10
 """Number of buckets per window in which requests and retries are counted."""
--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/const.py
@@ -1,4 +1,4 @@
-"""Constants of the versioned configuration."""
+"""Storage keys of configuration versions, and intervals for polling and pushing them."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/const.py
@@ -1,4 +1,4 @@
-"""Constants of credits."""
+"""Lifetimes, intervals and message limits of credits."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
@@ -1,4 +1,4 @@
-"""Constants of target and route discovery."""
+"""Poll intervals and timeouts for the list of targets and the routes."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces to other layers and capabilities that discovery depends on."""
+"""Interfaces that discovery requires from other layers and capabilities."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
@@ -1,4 +1,4 @@
-"""Constants of request dispatch."""
+"""Limits of attempts and retries when requests are run on targets."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces to other layers and capabilities that dispatch depends on."""
+"""Interfaces that dispatch requires from other layers and capabilities."""
 
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -1,4 +1,4 @@
-"""Constants of the exchange between entry instances."""
+"""Intervals, timeouts and fleet-size thresholds of the exchange between entry instances."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
@@ -1,4 +1,4 @@
-"""Constants of request forwarding."""
+"""Limits of attempts, buffers and waiting times when requests are forwarded."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces to other layers that forwarding depends on."""
+"""Interfaces that forwarding requires from other layers."""
 
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
--- a/packages/entry/src/wasabiwell_entry/coordination/health/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/const.py
@@ -1,4 +1,4 @@
-"""Constants of target health."""
+"""Pauses of lost targets, and the decay of failure rates."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/const.py
@@ -1,4 +1,4 @@
-"""Constants of start and stop."""
+"""Times and limits for recovery at start, and for draining before a stop."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/lifecycle/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/lifecycle/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces through which start and stop use the other layers."""
+"""Interfaces that start and stop require from other layers."""
 
 from dataclasses import dataclass
 from typing import Protocol
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/const.py
@@ -1,4 +1,4 @@
-"""Constants of organisation limits."""
+"""Lifetime and renewal of shares of organisation limits."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/const.py
@@ -1,4 +1,4 @@
-"""Constants of the membership protocol."""
+"""Intervals, timeouts and message limits of the membership protocol."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces through which other components report to operators."""
+"""Interfaces that the operators' API requires from other capabilities."""
 
 from typing import Protocol
 
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/const.py
@@ -1,4 +1,4 @@
-"""Constants of orders to engines."""
+"""Lifetimes and timeouts of orders to engines and of their leases."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces through which orders use the other layers."""
+"""Interfaces that orders require from other layers."""
 
 from datetime import timedelta
 from typing import Protocol
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
@@ -1,4 +1,4 @@
-"""Constants of request placement.
+"""Costs, thresholds and urgencies by which requests are placed.
 
 A cost is a ratio of the value of the request that is placed, unless stated otherwise.
 """
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces to other capabilities that placement depends on."""
+"""Interfaces that placement requires from other capabilities."""
 
 from typing import Protocol
 
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
@@ -1,4 +1,4 @@
-"""Constants of quarantine."""
+"""Storage keys, lifetimes and limits of suspects and quarantined requests."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/reservations/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reservations/const.py
@@ -1,4 +1,4 @@
-"""Constants of engine reservations."""
+"""Renewal interval, concurrency and timeout of calls that reserve engine memory."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/const.py
@@ -1,4 +1,4 @@
-"""Constants of target selection; costs are in prompt tokens of prefill."""
+"""Costs and limits of target selection; costs are in prompt tokens of prefill."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/const.py
@@ -1,4 +1,4 @@
-"""Constants of run records."""
+"""Lifetimes, retries and size limits of run records."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/stop/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/stop/const.py
@@ -1,4 +1,4 @@
-"""Constants of a graceful stop."""
+"""Durations of the steps of a graceful stop."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/targets/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/targets/const.py
@@ -1,4 +1,4 @@
-"""Constants of target tracking."""
+"""Poll intervals of targets, and kinds and lifetimes of their leaving marks."""
 
 from datetime import timedelta
 
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/const.py
@@ -1,4 +1,4 @@
-"""Constants of request records."""
+"""Size limits of request records."""
 
 RETAINED_RECORDS = 10_000
 """Covers the last 7 minutes at 24 requests/s per entry instance."""
