--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -1,4 +1,4 @@
-"""Constants of the exchange between entry instances."""
+"""Intervals, timeouts and fleet-size thresholds of the exchange between entry instances."""
 
 from datetime import timedelta
 
@@ -16,13 +16,13 @@
 """Total rate of the states sent to all peers that are not monitors, regardless of the fleet size.
 These states only repeat what individual messages have already reported."""
 MAX_NON_MONITOR_STATE_INTERVAL = timedelta(seconds=15)
-"""Three states in a row may be lost before the peer is removed after `FORGET_TIMEOUT`."""
+"""Three states in a row may be lost before the peer is removed after `PEER_REMOVAL_TIMEOUT`."""
 REQUESTED_MONITORING_TIME = timedelta(seconds=4)
 """Time for which a peer gets frequent states after a `WatchRequest`; it may ask again afterwards.
 A new instance is known to all others within 2 s, after which they mostly agree on the monitors."""
 REFUTATION_INTERVAL = timedelta(milliseconds=250)
 """Minimum time between two refutations, so that the reports of all monitors of this instance are
-answered by one state to all peers."""
+refuted by one state to all peers."""
 STATE_CACHE_TTL = timedelta(milliseconds=20)
 """Time for which a built state is reused, because the tasks of the peers that are due at the same
 moment run one after the other."""
@@ -30,7 +30,7 @@
 """Phase of an interval from which the next send slot is skipped, because a state has just been
 sent."""
 PEER_TIMEOUT_INTERVALS = 3.4
-"""Send intervals without a message after which a peer is considered gone: three may be lost."""
+"""Send intervals without a message after which a peer counts as unreachable: three may be lost."""
 MONITOR_TIMEOUT = PEER_TIMEOUT_INTERVALS * STATE_INTERVAL
 """Time without any message after which a monitored instance is reported as lost."""
 PAUSE_THRESHOLD = timedelta(seconds=1)
@@ -45,7 +45,7 @@
 LISTING_SENDERS = 3
 """Number of instances, the first by address, that send the list of targets to a peer without one.
 The peer also reads the list itself."""
-FORGET_TIMEOUT = timedelta(seconds=60)
+PEER_REMOVAL_TIMEOUT = timedelta(seconds=60)
 """Time without any message after which a peer is removed and gets no more states."""
 SWEEP_INTERVAL = timedelta(milliseconds=250)
 """Time between two checks for peers that have timed out."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
@@ -1,17 +1,17 @@
-"""Constants of request forwarding."""
+"""Limits of attempts, buffers and waiting times when requests are forwarded."""
 
 from datetime import timedelta
 
 MAX_SENDS = 6
 """Targets tried for one request, including those that could not be reached or refused it."""
 SERVER_ERROR = 500
-"""Lowest status that counts as a failure of the target, so that another one may answer."""
+"""Lowest status that counts as a failure of the target, so that another one may be tried."""
 MAX_BUFFERED_BYTES = 1024 * 1024
 """Responses that are not streams are buffered up to this size, so that requests can be retried."""
 REFUSED_RETRY_AFTER = timedelta(milliseconds=300)
 """Time after which targets that refused a request are likely to take requests again."""
 MIN_TIME_LEFT = timedelta(milliseconds=5)
-"""Requests with less time until their deadline are not sent again."""
+"""Requests with less time until their deadline are not retried."""
 RETRY_TIME_SHARE = 0.4
 """Share of the time left after which a retryable request without a response is sent elsewhere."""
 MIN_OBJECTIVES_BEFORE_RETRY = 3.0
--- a/tests/steps/entry/state/configuration_steps.py
+++ b/tests/steps/entry/state/configuration_steps.py
@@ -53,8 +53,8 @@
     assert organisation.name == name
 
 
-@then('key "{key}" belongs to nobody')
-def step_nobody(context: Context, key: str) -> None:
+@then('key "{key}" belongs to no organisation')
+def step_key_unknown(context: Context, key: str) -> None:
     assert context.state.view.organisation_by_key_hash(hash_key(key)) is None
 
 
--- a/tests/steps/platform/whole_steps.py
+++ b/tests/steps/platform/whole_steps.py
@@ -144,7 +144,7 @@
     run_deployment(context, actions)
 
 
-@when("each entry process is stopped in turn while callers send requests")
+@when("the entry processes are stopped one after the other while callers send requests")
 def step_stops(context: Context) -> None:
     async def actions(deployment: Deployment) -> None:
         context.codes = []
@@ -163,7 +163,7 @@
 
 
 @when("an entry process is stopped while a response of {seconds:g} seconds starts")
-def step_long_answer(context: Context, seconds: float) -> None:
+def step_long_response(context: Context, seconds: float) -> None:
     async def actions(deployment: Deployment) -> None:
         interval = ENGINE_PROFILE["stride"] * ENGINE_PROFILE["step_ms"] / 1000
         request = deployment.request("short", events=round(seconds / interval))
@@ -254,8 +254,8 @@
     run_deployment(context, actions)
 
 
-@when("engines answer a prompt of {tokens:d} tokens")
-def step_giant(context: Context, tokens: int) -> None:
+@when("engines respond to a prompt of {tokens:d} tokens")
+def step_split_prompt(context: Context, tokens: int) -> None:
     async def actions(deployment: Deployment) -> None:
         await send(context, deployment, [deployment.request("long", prompt=tokens)])
         await trio.sleep(1.0)
@@ -277,7 +277,7 @@
     run_deployment(context, actions)
 
 
-@when("another target takes over the address of a crashed one")
+@when("another target gets the address of a crashed one")
 def step_reused(context: Context) -> None:
     async def actions(deployment: Deployment) -> None:
         old = deployment.targets_of(MODEL_SERVICE)[0]
@@ -348,7 +348,7 @@
 
 @then("all requests were answered")
 @then("the requests that were sent a second later were answered")
-def step_answered(context: Context) -> None:
+def step_complete_responses(context: Context) -> None:
     failed = [describe(reply) for reply in context.replies if not answered(reply)]
     assert context.replies
     assert not failed, failed
@@ -386,7 +386,7 @@
 
 
 @then("some bookings have no response")
-def step_unanswered(context: Context) -> None:
+def step_responses_missing(context: Context) -> None:
     assert any(reply.status == 502 for reply in context.replies)
 
 
