Correct doc comments that a fresh reader found wrong or misleading

The ledger's times, the load generator's loops and durations, the dispatcher's stop conditions, the outcomes of the admin client and the store. CAPACITY_RETRY_AFTER becomes INCOMPLETE_RETRY_AFTER; the test fixture Engines of support/forwarding.py becomes PlacementFixture with apply_target_list.

--- a/packages/cli/src/wasabiwell_cli/client.py
+++ b/packages/cli/src/wasabiwell_cli/client.py
@@ -28,7 +28,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Unreachable:
-    """The request was not received by any entry instance."""
+    """No entry instance that was tried responded.
+
+    None of them received the request, unless it is a GET.
+    """
 
     reason: str
 
@@ -91,7 +94,8 @@
         """Send a request to the first entry instance that can be reached.
 
         The next address is only tried when the request was certainly not received. A GET changes
-        nothing, so it is also retried at the next address when the response is lost.
+        nothing, so it is also retried at the next address when the response is lost; `Unreachable`
+        may then mean that the responses of all instances were lost.
         """
         reasons: list[str] = []
         for address in self.required_addresses():
@@ -193,7 +197,10 @@
 
 
 def error_from_response(response: AdminResponse) -> CommandError:
-    """Return the error for a response with a status other than 2xx."""
+    """Return the error for a response with a status other than 2xx.
+
+    Raises `CommandError` when the body is not JSON.
+    """
     value = response.json()
     error = value.get("error", {}) if isinstance(value, dict) else {}
     message = f"{response.address}: {error.get('message', f'status {response.status}')}"
--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
@@ -30,7 +30,10 @@
             self._cache.clear()
 
     def owner(self, engine_id: str) -> Member | NoOwner:
-        """Return the owner, a live member in the engine's zone or else in its region."""
+        """Return the owner, a live member in the engine's zone or else in its region.
+
+        Returns `NoOwner` if the engine is unknown or its region has no live member.
+        """
         status = self._targets.get(engine_id)
         if status is None:
             self._cache.pop(engine_id, None)
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/const.py
@@ -8,7 +8,8 @@
 MAX_RETRY_BUDGET = 10.0
 """Retries allowed before any first attempt has been counted, and the most that can accumulate."""
 RETRY_DELAY = timedelta(milliseconds=50)
-CAPACITY_RETRY_AFTER = timedelta(seconds=1)
+INCOMPLETE_RETRY_AFTER = timedelta(seconds=1)
+"""Delay after which callers may retry a request that no target completed in time."""
 SERVICE_UNAVAILABLE = 503
 """Status after which an idempotent call is retried on another target."""
 QUARANTINED_MESSAGE = "request refused: targets crashed while processing it"
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -7,7 +7,7 @@
 
 from wasabiwell_entry.coordination.dispatch.assembler import ResponseAssembler
 from wasabiwell_entry.coordination.dispatch.const import (
-    CAPACITY_RETRY_AFTER,
+    INCOMPLETE_RETRY_AFTER,
     MAX_ATTEMPTS,
     QUARANTINED_MESSAGE,
     RETRY_DELAY,
@@ -161,7 +161,8 @@
     async def _crashed_while_waiting(self, request: GenerateRequest, target: Target) -> bool:
         """Return whether a target crashed while a suspect waited for its turn on it.
 
-        Sending the request to a dead target would count as another crash caused by the suspect.
+        A crashed target is also reported as lost. If the request were sent to it, this would count
+        as another crash caused by the suspect.
         """
         if not self._suspects.suspected(request.fingerprint):
             return False
@@ -233,7 +234,8 @@
         self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
         if interruption.refused:
             return
-        # Only a dead target counts: a network failure would mark all requests as suspects.
+        # A request becomes a suspect only if the target itself is down. A network failure ends the
+        # streams of all targets behind it, which would make all their requests suspects.
         if isinstance(await self._engines.probe(target), TargetDown):
             await self._suspects.record_crash(attempt.request.fingerprint, target.target_id)
 
@@ -248,10 +250,13 @@
             return progress.refused
         if progress.sent:
             return _failed_call_outcome(progress.reason)
-        return Refused(Reason.TARGET_FAILED, progress.reason, CAPACITY_RETRY_AFTER)
+        return Refused(Reason.TARGET_FAILED, progress.reason, INCOMPLETE_RETRY_AFTER)
 
     async def _send_idempotent(self, call: ServiceCall, progress: _CallProgress) -> None:
-        """Try targets one after the other until one answers with a status other than 503."""
+        """Try targets one after the other until one responds with a status other than 503.
+
+        Stops after `MAX_ATTEMPTS`, when the retry budget is used up or when no target is available.
+        """
         for attempt in range(MAX_ATTEMPTS):
             if attempt and not self._retries.take():
                 return
@@ -301,10 +306,13 @@
         if progress.sent:
             return await self._settle_unknown_result(call, claim, progress.reason)
         await self._runs.settle(claim, RunStatus.NOT_RUN)
-        return Refused(Reason.NO_TARGET, progress.reason, CAPACITY_RETRY_AFTER)
+        return Refused(Reason.NO_TARGET, progress.reason, INCOMPLETE_RETRY_AFTER)
 
     async def _send_claimed(self, call: ServiceCall, progress: _CallProgress) -> None:
-        """Try targets one after the other until one may have received the call."""
+        """Try targets one after the other until one may have received the call.
+
+        Stops after `MAX_ATTEMPTS` or when no target is available.
+        """
         for _ in range(MAX_ATTEMPTS):
             async with self._admission.place_call(call, frozenset(progress.excluded)) as target:
                 if isinstance(target, Refused):
@@ -341,7 +349,7 @@
 
 
 def _unanswered_outcome(progress: _Progress, reason: Reason, message: str) -> GenerateOutcome:
-    retry_after = None if reason is Reason.QUARANTINED else CAPACITY_RETRY_AFTER
+    retry_after = None if reason is Reason.QUARANTINED else INCOMPLETE_RETRY_AFTER
     if not progress.started:
         return Refused(reason, message, retry_after)
     run = RunState.RAN if progress.assembler.offset else RunState.UNKNOWN
@@ -349,4 +357,4 @@
 
 
 def _failed_call_outcome(reason: str) -> Failed:
-    return Failed(Reason.TARGET_FAILED, reason, RunState.UNKNOWN, CAPACITY_RETRY_AFTER)
+    return Failed(Reason.TARGET_FAILED, reason, RunState.UNKNOWN, INCOMPLETE_RETRY_AFTER)
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
@@ -33,7 +33,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StatusSources:
-    """Sources of the reported figures; a component that this entry instance lacks is None."""
+    """Sources of the reported figures; a component that this entry instance lacks is None.
+
+    `target_coordinator` and `quarantine` also carry out operators' requests to drain a target and
+    to release a quarantined request.
+    """
 
     own: Member
     configuration: ConfigurationState
@@ -103,7 +107,10 @@
         return self._sources.records.get(request_id)
 
     def drain_target(self, target_id: str) -> Done | NotFound:
-        """Stop placing new requests on a target; its running requests continue."""
+        """Mark a target as leaving on all entry instances; its running requests continue.
+
+        No new requests are placed on it until the mark expires.
+        """
         status = self._sources.targets.get(target_id)
         if status is None:
             return NotFound(f"no target has the id {target_id}")
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -32,8 +32,9 @@
 class OpenPlacement:
     """A placed request that has not ended; `verdict` is sent to the other instances at its end.
 
-    `first_at` and `last_at` are the monotonic times of its first and its latest event, None
-    before any.
+    The verdict stays `ABANDONED` if the attempt is cancelled before it has an outcome. `first_at`
+    is the monotonic time at which the response head of a stream arrived, `last_at` that of the
+    latest event; both are None before.
     """
 
     placed: PlacedRequest
@@ -44,10 +45,10 @@
     recent_gaps: list[timedelta] = field(default_factory=list)
 
     def record_event(self, now: timedelta) -> timedelta | None:
-        """Record the time of an event; return a sample of the decode speed when one is complete.
+        """Record the time of an event; return the shortest gap of each complete series of gaps.
 
-        The sample is the shortest of the last gaps between events, as prefill of other requests
-        makes some of them longer.
+        A series has `GAPS_PER_SLOWDOWN_SAMPLE` gaps between events. The shortest one shows the
+        speed of the engine, as prefill of other requests makes some of them longer.
         """
         gap = now - self.last_at if self.last_at is not None else None
         self.last_at = now
@@ -127,14 +128,14 @@
         self._notify(HelperLoss(target_id))
 
     def start_decode(self, opened: OpenPlacement) -> None:
-        """Record the first event of a placed request."""
+        """Record that the response head of a stream has arrived, so that decoding has started."""
         opened.placed = replace(opened.placed, decoding=True)
         opened.first_at = self._clock.monotonic()
         self._works.start_decode(opened.placed.request_id, self._now())
         self._notify(DecodeStarted(opened.placed.request_id))
 
     def record_event(self, opened: OpenPlacement) -> None:
-        """Record an event; notify the other instances when the speed of its engine changes."""
+        """Record an event; notify the other instances when its engine became faster or slower."""
         sample = opened.record_event(self._clock.monotonic())
         target_id = opened.placed.lead
         work = self._works.get(target_id)
--- a/packages/entry/src/wasabiwell_entry/state/platform.py
+++ b/packages/entry/src/wasabiwell_entry/state/platform.py
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConditionFailed:
-    """The transaction had no effect, because the rows in `keys` had other versions."""
+    """The transaction had no effect: at least one of the rows in `keys` had another version."""
 
     keys: tuple[str, ...]
 
--- a/packages/entry/src/wasabiwell_entry/state/routes.py
+++ b/packages/entry/src/wasabiwell_entry/state/routes.py
@@ -7,7 +7,7 @@
 
 
 class RouteKind(enum.Enum):
-    """How requests of a route may be retried."""
+    """Whether requests of a route may be retried, and whether their responses are streams."""
 
     IDEMPOTENT = "idempotent"
     AT_MOST_ONCE = "at-most-once"
@@ -47,7 +47,7 @@
 
     @property
     def repeatable(self) -> bool:
-        """Return whether a request may run again from its beginning."""
+        """Return whether a request may be retried after it may have run; streams are resumed."""
         match self.kind:
             case RouteKind.IDEMPOTENT:
                 return True
@@ -84,7 +84,10 @@
 
     @property
     def event_interval(self) -> float:
-        """Return the seconds between the events of a sequence that decodes alone."""
+        """Return the seconds between the events of a sequence that decodes alone.
+
+        The time for the tokens of its context is left out.
+        """
         return self.stride * (self.step_seconds + self.step_seconds_per_sequence)
 
     @property
--- a/standins/wasabiwell_standins/load.py
+++ b/standins/wasabiwell_standins/load.py
@@ -1,8 +1,9 @@
 """Load generator: sends the requests of a plan and verifies each response.
 
-It reads a plan as JSON from standard input and writes one result for each request to standard
-output. Arrivals are open-loop: a slow response does not delay the next request. A plan with
-`workers` is closed-loop instead: each organisation keeps a fixed number of requests in flight.
+It reads a plan as JSON from standard input and writes the results to standard output. Arrivals are
+open-loop: a slow response does not delay the next request, and each request has one result. A plan
+with `workers` is closed-loop instead: its requests are templates, each of which workers send again
+and again, one request at a time. Requests in flight at the end of such a plan have no result.
 """
 
 import sys
@@ -38,7 +39,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Requests to send, entry addresses to send them to in turn, and API keys by organisation."""
+    """Requests to send, entry addresses to send them to, and API keys by organisation.
+
+    In the open loop the requests go to the addresses in turn, in the closed loop each worker keeps
+    to one address. `workers` is the number of workers for each request of an organisation.
+    `duration_s` applies to the closed loop only.
+    """
 
     addresses: list[str]
     keys: dict[str, str]
@@ -74,7 +80,7 @@
 async def send_request(
     pool: httpcore.AsyncConnectionPool, plan: Plan, planned: PlannedRequest, address: str
 ) -> Result:
-    """Send one request and verify the response; durations count from the planned arrival."""
+    """Send one request and verify the response; durations count from when sending begins."""
     result = Result(planned.organisation, planned.kind, planned.prompt_tokens)
     messages = make_prompt(planned)
     body = chat_body(plan.service, messages, planned.max_tokens)
@@ -146,7 +152,10 @@
 
 
 async def run_closed_loop(plan: Plan) -> list[Result]:
-    """Keep `workers` requests of each organisation in flight for the duration of the plan."""
+    """Run `workers[organisation]` workers for each planned request for the plan's duration.
+
+    Each worker sends copies of the request with tags of their own, one after the other.
+    """
     results: list[Result] = []
     started = trio.current_time()
     async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -9,7 +9,7 @@
 from support.admission import FakeReservations
 from support.forwarding import (
     FIRST_HELPER,
-    Engines,
+    PlacementFixture,
     RecordingSink,
     Script,
     ScriptedTargets,
@@ -49,7 +49,7 @@
         context.notices.append(notice)
 
     async def run() -> None:
-        engines = Engines(9, SystemClock())
+        engines = PlacementFixture(9, SystemClock())
         targets = ScriptedTargets(scripts, accepting=context.accepting)
         context.targets = targets
         forwarder = make_forwarder(engines, targets, notify, context.slack, context.reservations)
--- a/tests/steps/entry/coordination/placement_steps.py
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -4,7 +4,14 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from support.forwarding import PROFILE, ZONE, Engines, make_forwarded, make_placed, make_route
+from support.forwarding import (
+    PROFILE,
+    ZONE,
+    PlacementFixture,
+    make_forwarded,
+    make_placed,
+    make_route,
+)
 from wasabiwell_entry.coordination.placement import coordinator
 from wasabiwell_entry.coordination.placement.const import MAX_COMPARED_TARGETS
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
@@ -16,13 +23,13 @@
 
 @given("{count:d} engines")
 def step_engines(context: Context, count: int) -> None:
-    context.engines = Engines(count, ManualClock())
+    context.engines = PlacementFixture(count, ManualClock())
     context.placements = []
 
 
 @given("{count:d} plain targets")
 def step_plain(context: Context, count: int) -> None:
-    context.engines = Engines(count, ManualClock(), profile=None)
+    context.engines = PlacementFixture(count, ManualClock(), profile=None)
     context.placements = []
 
 
@@ -65,7 +72,7 @@
         replace(target, zone=ZONE if target.target_id in (one, other) else "z1")
         for target in engines.targets
     ]
-    engines.list_targets()
+    engines.apply_target_list()
 
 
 @given('a call was placed on "{target_id}"')
@@ -76,7 +83,7 @@
 
 @given('"{target_id}" is leaving')
 def step_leaving(context: Context, target_id: str) -> None:
-    context.engines.list_targets(leaving=target_id)
+    context.engines.apply_target_list(leaving=target_id)
 
 
 @given('"{target_id}" was lost')
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -136,8 +136,8 @@
         return self.used
 
 
-class Engines:
-    """The placement parts of an entry instance, with listed engines."""
+class PlacementFixture:
+    """Placer, work table and target health of an entry instance, with listed targets."""
 
     def __init__(self, count: int, clock: Clock, profile: EngineProfile | None = PROFILE) -> None:
         self.clock = clock
@@ -146,10 +146,10 @@
         self.health = TargetHealth(clock)
         self.placer = Placer(self.works, self.health, self.zone_locality, ZONE, clock, Random(1))
         self.targets = [make_target(index) for index in range(count)]
-        self.list_targets(profile)
+        self.apply_target_list(profile)
 
-    def list_targets(self, profile: EngineProfile | None = PROFILE, leaving: str = "") -> None:
-        """Apply the list of targets; one of them may be leaving."""
+    def apply_target_list(self, profile: EngineProfile | None = PROFILE, leaving: str = "") -> None:
+        """Update work table and health with the targets; `leaving` is the id of a leaving one."""
         self.health.update([ListedTarget(item, item.target_id == leaving) for item in self.targets])
         self.works.update([(item, profile) for item in self.targets], self.now)
 
@@ -162,12 +162,12 @@
 FIRST_HELPER = "first helper"
 """Placeholder in scripts for the address of the first helper."""
 Script = list[AttemptItem | float]
-"""Behaviour of a target for one request; numbers are pauses in seconds."""
+"""What a target sends in one attempt; numbers are pauses in seconds."""
 
 
 @dataclass(slots=True)
 class ScriptedTargets:
-    """Targets that follow one script for each attempt, whichever target it is sent to."""
+    """Plays the next script for each attempt on any target; the last script is repeated."""
 
     scripts: list[Script]
     sent: list[ForwardAttempt] = field(default_factory=list)
@@ -176,7 +176,7 @@
 
     @asynccontextmanager
     async def attempt(self, attempt: ForwardAttempt) -> AsyncIterator[AsyncIterator[AttemptItem]]:
-        """Play the next script."""
+        """Return the items of the script for this attempt."""
         self.sent.append(attempt)
         script = self.scripts[min(len(self.sent), len(self.scripts)) - 1]
 
@@ -226,7 +226,7 @@
 
 
 def make_forwarder(
-    engines: Engines,
+    engines: PlacementFixture,
     targets: ScriptedTargets,
     notify: Callable[[Notice], None] = lambda notice: None,
     slack: float = 100.0,
