--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -159,7 +159,7 @@
                 )
 
     def _may_retry(self, request: ForwardedRequest, progress: _Progress) -> bool:
-        return request.route.repeatable and progress.runs < request.route.attempts
+        return request.route.retryable and progress.runs < request.route.attempts
 
     def _may_try_another_target(
         self, request: ForwardedRequest, progress: _Progress, outcome: AttemptOutcome
@@ -348,7 +348,7 @@
     ) -> timedelta:
         """Return how long a target may be silent before its response begins."""
         left = self._time_left(request)
-        if not request.route.repeatable or progress.runs >= request.route.attempts:
+        if not request.route.retryable or progress.runs >= request.route.attempts:
             return left
         expected = timedelta(seconds=placement.expected_seconds)
         minimum = max(
--- a/packages/entry/src/wasabiwell_entry/state/routes.py
+++ b/packages/entry/src/wasabiwell_entry/state/routes.py
@@ -46,7 +46,7 @@
     resumable: bool = False
 
     @property
-    def repeatable(self) -> bool:
+    def retryable(self) -> bool:
         """Return whether a request may be retried after it may have run; streams are resumed."""
         match self.kind:
             case RouteKind.IDEMPOTENT:
