--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
@@ -53,7 +53,7 @@
 from wasabiwell_entry.state.platform import (
     Committed,
     ConditionFailed,
-    ReplyLost,
+    ResponseLost,
     StoreUnavailable,
 )
 
@@ -229,7 +229,7 @@
                 return Conflict(delta.version, tuple(sorted(changes)))
             case StoreUnavailable(reason=reason):
                 return ApplyUnavailable(reason)
-            case ReplyLost(reason=reason):
+            case ResponseLost(reason=reason):
                 return await self._resolve_lost_commit(delta, stored.row_version, reason)
 
     async def _resolve_lost_commit(
@@ -243,7 +243,7 @@
                     return await self._accept(delta, started)
                 case ConditionFailed():
                     break
-                case StoreUnavailable() | ReplyLost():
+                case StoreUnavailable() | ResponseLost():
                     await self._clock.sleep(FETCH_RETRY_INTERVAL)
         match await self._store.committed_attempt(delta.version):
             case StoreUnavailable() | None:
--- a/packages/entry/src/wasabiwell_entry/coordination/orders/leases.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/orders/leases.py
@@ -24,7 +24,7 @@
     Committed,
     Condition,
     ConditionFailed,
-    ReplyLost,
+    ResponseLost,
     Row,
     StoreUnavailable,
     TableService,
@@ -100,7 +100,7 @@
                 return lease
             case StoreUnavailable(reason=reason):
                 return LeaseUnavailable(reason)
-            case ConditionFailed() | ReplyLost():
+            case ConditionFailed() | ResponseLost():
                 return await self._read_back(key, lease)
 
     async def _read_back(self, key: str, lease: Lease) -> LeaseOutcome:
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/suspect_leases.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/suspect_leases.py
@@ -19,7 +19,7 @@
 from wasabiwell_entry.state.platform import (
     Committed,
     Condition,
-    ReplyLost,
+    ResponseLost,
     Row,
     StoreUnavailable,
     TableService,
@@ -98,7 +98,7 @@
                 return lease
             case StoreUnavailable():
                 return outcome
-            case ReplyLost():
+            case ResponseLost():
                 rows = await self._table.read([key])
                 if isinstance(rows, StoreUnavailable):
                     return rows
@@ -117,7 +117,7 @@
         if row is None or _decode(row) != lease:
             return
         outcome = await self._table.transact([Condition(key, row.version)], [Write(key, None)])
-        if isinstance(outcome, StoreUnavailable | ReplyLost):
+        if isinstance(outcome, StoreUnavailable | ResponseLost):
             _log_not_released(key, lease, outcome.reason)
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
@@ -35,7 +35,7 @@
     Condition,
     ConditionFailed,
     ObjectStore,
-    ReplyLost,
+    ResponseLost,
     Row,
     StoreUnavailable,
     TableService,
@@ -212,7 +212,7 @@
                     return _store_unavailable(reason)
                 case ConditionFailed():
                     pending.may_apply_late = earlier_may_apply_late
-                case ReplyLost():
+                case ResponseLost():
                     earlier_may_apply_late = True
             rows = await self._table.read([claim.key])
             if isinstance(rows, StoreUnavailable):
--- a/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/telemetry/instrumented.py
@@ -23,7 +23,7 @@
     Committed,
     Condition,
     ConditionFailed,
-    ReplyLost,
+    ResponseLost,
     Row,
     StoreUnavailable,
     TableService,
@@ -296,7 +296,7 @@
                 name = "ok"
             case ConditionFailed():
                 name = "condition failed"
-            case ReplyLost():
+            case ResponseLost():
                 name = "reply lost"
             case _:
                 name = "unavailable"
--- a/packages/entry/src/wasabiwell_entry/state/platform.py
+++ b/packages/entry/src/wasabiwell_entry/state/platform.py
@@ -50,7 +50,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReplyLost:
+class ResponseLost:
     """The request was sent but no reply arrived; a transaction may have been committed."""
 
     reason: str
@@ -61,7 +61,7 @@
     """The object does not exist."""
 
 
-TransactOutcome = Committed | ConditionFailed | StoreUnavailable | ReplyLost
+TransactOutcome = Committed | ConditionFailed | StoreUnavailable | ResponseLost
 
 
 class TableService(Protocol):
@@ -84,7 +84,7 @@
 class ObjectStore(Protocol):
     """The platform's object store."""
 
-    async def put(self, key: str, value: bytes) -> Committed | StoreUnavailable | ReplyLost:
+    async def put(self, key: str, value: bytes) -> Committed | StoreUnavailable | ResponseLost:
         """Store an object."""
 
     async def get(self, key: str) -> bytes | Absent | StoreUnavailable:
--- a/packages/entry/src/wasabiwell_entry/transport/platform/client.py
+++ b/packages/entry/src/wasabiwell_entry/transport/platform/client.py
@@ -16,7 +16,7 @@
     Condition,
     ConditionFailed,
     InstanceRecord,
-    ReplyLost,
+    ResponseLost,
     Row,
     StoreUnavailable,
     TransactOutcome,
@@ -44,7 +44,7 @@
 
     async def send(
         self, method: str, path: str, content: bytes | None = None
-    ) -> httpcore.Response | StoreUnavailable | ReplyLost:
+    ) -> httpcore.Response | StoreUnavailable | ResponseLost:
         """Send a request; a 5xx status gives `StoreUnavailable`, as the service did nothing."""
         timeout = {
             "connect": CONNECT_TIMEOUT_SECONDS,
@@ -63,7 +63,7 @@
         except NOT_SENT_ERRORS as error:
             return self._record_failure(StoreUnavailable(repr(error)))
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
-            return self._record_failure(ReplyLost(repr(error)))
+            return self._record_failure(ResponseLost(repr(error)))
         if response.status >= 500:
             return self._record_failure(StoreUnavailable(f"status {response.status}"))
         if not self._available:
@@ -95,7 +95,7 @@
             case httpcore.Response() as response:
                 reply = _decode(response, TransactReply)
                 if reply is None:
-                    return ReplyLost("the table service sent a malformed reply")
+                    return ResponseLost("the table service sent a malformed reply")
                 return Committed() if reply.committed else ConditionFailed(tuple(reply.failed))
             case failure:
                 return failure
@@ -122,7 +122,7 @@
     def __init__(self, url: str, tls: ssl.SSLContext | None = None) -> None:
         self._client = PlatformClient("object store", url, tls)
 
-    async def put(self, key: str, value: bytes) -> Committed | StoreUnavailable | ReplyLost:
+    async def put(self, key: str, value: bytes) -> Committed | StoreUnavailable | ResponseLost:
         """Store an object."""
         match await self._client.send("PUT", f"/objects/{quote(key)}", value):
             case httpcore.Response():
@@ -137,7 +137,7 @@
                 return Absent()
             case httpcore.Response() as response:
                 return response.content
-            case ReplyLost(reason=reason):
+            case ResponseLost(reason=reason):
                 return StoreUnavailable(reason)
             case StoreUnavailable() as unavailable:
                 return unavailable
@@ -159,14 +159,14 @@
                 if records is None:
                     return StoreUnavailable("the instance list sent a malformed reply")
                 return records
-            case ReplyLost(reason=reason):
+            case ResponseLost(reason=reason):
                 return StoreUnavailable(reason)
             case StoreUnavailable() as unavailable:
                 return unavailable
 
 
 def _rows_from(
-    outcome: httpcore.Response | StoreUnavailable | ReplyLost,
+    outcome: httpcore.Response | StoreUnavailable | ResponseLost,
 ) -> list[Row] | StoreUnavailable:
     match outcome:
         case httpcore.Response() as response:
@@ -174,7 +174,7 @@
             if reply is None:
                 return StoreUnavailable("the table service sent a malformed reply")
             return reply.rows
-        case ReplyLost(reason=reason):
+        case ResponseLost(reason=reason):
             return StoreUnavailable(reason)
         case StoreUnavailable() as unavailable:
             return unavailable
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -9,7 +9,7 @@
     Committed,
     Condition,
     ConditionFailed,
-    ReplyLost,
+    ResponseLost,
     Row,
     StoreUnavailable,
     TransactOutcome,
@@ -49,16 +49,16 @@
         """Apply all writes if all conditions hold, otherwise none."""
         self.transactions += 1
         if await self._hung():
-            return ReplyLost("no reply")
+            return ResponseLost("no reply")
         if self.unavailable:
             return StoreUnavailable("outage")
         if self.drop_writes > 0:
             self.drop_writes -= 1
-            return ReplyLost("the request was lost")
+            return ResponseLost("the request was lost")
         if self.delay_writes > 0:
             self.delay_writes -= 1
             self.delayed.append((conditions, writes))
-            return ReplyLost("the write takes effect later")
+            return ResponseLost("the write takes effect later")
         return self._apply(conditions, writes)
 
     def apply_delayed_write(self) -> None:
@@ -82,7 +82,7 @@
                 self._write(write)
         if self.lose_replies > 0:
             self.lose_replies -= 1
-            return ReplyLost("the reply was lost")
+            return ResponseLost("the reply was lost")
         return ConditionFailed(failed) if failed else Committed()
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row] | StoreUnavailable:
@@ -123,7 +123,7 @@
     objects: dict[str, bytes] = field(default_factory=dict)
     unavailable: bool = False
 
-    async def put(self, key: str, value: bytes) -> Committed | StoreUnavailable | ReplyLost:
+    async def put(self, key: str, value: bytes) -> Committed | StoreUnavailable | ResponseLost:
         """Store an object."""
         await trio.lowlevel.checkpoint()
         if self.unavailable:
