--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -271,7 +271,7 @@
             "sends": progress.sends,
             "target": attempt.target.target_id,
             "first_ms": _milliseconds(sent_at, opened.first_at),
-            "pause_ms": round(opened.longest_pause / timedelta(milliseconds=1)),
+            "pause_ms": round(opened.longest_gap / timedelta(milliseconds=1)),
             "total_ms": _milliseconds(sent_at, self._clock.monotonic()),
             "outcome": _outcome_text(outcome),
         }
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
@@ -49,7 +49,7 @@
     counters: Counters
     traffic: ControlTraffic
     queues: QueueProvider | None = None
-    credit_ledger: CreditProvider | None = None
+    credits: CreditProvider | None = None
     owners: OwnerProvider | None = None
     quarantine: QuarantineProvider | None = None
 
@@ -93,7 +93,7 @@
             members=tuple(_member(member) for member in sources.members),
             targets=tuple(self._target(status) for status in sources.targets),
             queues=sources.queues.queue_figures() if sources.queues else None,
-            credits=sources.credit_ledger.credit_figures() if sources.credit_ledger else None,
+            credits=sources.credits.credit_figures() if sources.credits else None,
             suspects=sources.quarantine.suspect_figures() if sources.quarantine else None,
         )
 
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -41,7 +41,7 @@
     verdict: AttemptVerdict = AttemptVerdict.ABANDONED
     first_at: timedelta | None = None
     last_at: timedelta | None = None
-    longest_pause: timedelta = timedelta()
+    longest_gap: timedelta = timedelta()
     recent_gaps: list[timedelta] = field(default_factory=list)
 
     def record_event(self, now: timedelta) -> timedelta | None:
@@ -54,7 +54,7 @@
         self.last_at = now
         if gap is None:
             return None
-        self.longest_pause = max(self.longest_pause, gap)
+        self.longest_gap = max(self.longest_gap, gap)
         self.recent_gaps.append(gap)
         if len(self.recent_gaps) < GAPS_PER_SLOWDOWN_SAMPLE:
             return None
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -211,7 +211,7 @@
                 counters=counters,
                 traffic=CONTROL_TRAFFIC,
                 queues=AdmissionQueueProvider(admission),
-                credit_ledger=shared_capacity,
+                credits=shared_capacity,
                 owners=shared_capacity,
                 quarantine=SuspectProvider(quarantine),
             )
--- a/packages/entry/src/wasabiwell_entry/state/routes.py
+++ b/packages/entry/src/wasabiwell_entry/state/routes.py
@@ -83,7 +83,7 @@
     usual_output_tokens: int
 
     @property
-    def event_interval(self) -> float:
+    def base_event_gap(self) -> float:
         """Return the seconds between the events of a sequence that decodes alone.
 
         The time for the tokens of its context is left out.
@@ -93,7 +93,7 @@
     @property
     def usual_decode_seconds(self) -> float:
         """Return the seconds that decoding a response of the usual length takes."""
-        return self.usual_output_tokens * self.event_interval / self.stride
+        return self.usual_output_tokens * self.base_event_gap / self.stride
 
     def prefill_seconds(self, tokens: int) -> float:
         """Return the seconds that an idle engine takes to prefill a prompt."""
--- a/packages/entry/src/wasabiwell_entry/state/work.py
+++ b/packages/entry/src/wasabiwell_entry/state/work.py
@@ -183,7 +183,7 @@
             prefill_seconds_left=0.0
             if placed.decoding
             else profile.prefill_seconds(size.prompt) / engines,
-            decode_seconds_left=size.expected_output * profile.event_interval / profile.stride,
+            decode_seconds_left=size.expected_output * profile.base_event_gap / profile.stride,
             tokens=placed.kv_tokens_on(self.target.target_id),
             value=request_value(size, profile),
             decoding=placed.decoding,
--- a/tests/steps/entry/state/work_steps.py
+++ b/tests/steps/entry/state/work_steps.py
@@ -43,7 +43,7 @@
 @when("events arrive {factor:d} times as slowly as usual, {count:d} of them")
 def step_slow(context: Context, factor: int, count: int) -> None:
     work = context.works.get(LEAD)
-    context.gap = factor * PROFILE.event_interval
+    context.gap = factor * PROFILE.base_event_gap
     now = context.seconds
     for _ in range(count):
         now += context.gap
