Describe fields, units and reasons that a fresh reader missed

Fields of routes, engine profiles, plans and results; why a silent engine may be tried again; what may_have_run (before: started, sent) of the dispatcher's progress means.

--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
@@ -9,8 +9,9 @@
 class EngineOwners:
     """Computes engine owners from this entry instance's tables of members and targets.
 
-    Owners are cached, because hashing all members of a zone costs more than the rest of a hold.
-    Call `refresh` often: it clears the cache after the members have changed.
+    Owners are cached, because hashing all members of a zone costs more than all other work of
+    acquiring capacity for a request. The credit owner and the credit holder call `refresh`
+    periodically, which clears the cache after the members have changed.
     """
 
     __slots__ = ("_alive", "_cache", "_members", "_own", "_targets")
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -61,28 +61,34 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """State of a request over its attempts; `started` means that an engine may have run it."""
+    """State of a request over its attempts.
+
+    `may_have_run` is set once an attempt was sent and the engine did not refuse it.
+    """
 
     assembler: ResponseAssembler = field(default_factory=ResponseAssembler)
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
-    started: bool = False
+    may_have_run: bool = False
     last_reason: str = ""
 
 
 @dataclass(slots=True)
 class _CallProgress:
-    """State of a call over its sends; `sent` means that a target may have run it."""
+    """State of a call over its attempts.
+
+    `may_have_run` is set once an attempt may have reached a target.
+    """
 
     excluded: set[str] = field(default_factory=set)
-    sent: bool = False
+    may_have_run: bool = False
     response: ServiceResponse | None = None
     refused: Refused | None = None
     reason: str = "the deadline has passed"
 
 
 class Dispatcher:
-    """Entry point of the coordination layer for requests of callers."""
+    """Runs callers' requests on engines and their calls on targets of plain services."""
 
     __slots__ = (
         "_admission",
@@ -189,14 +195,16 @@
             reservation_id=placement.reservation_id,
             shards=placement.shards,
         )
-        started_before = progress.started
-        progress.started = True
+        may_have_run_before = progress.may_have_run
+        progress.may_have_run = True
         outcome = await self._relay(target, attempt, sink, progress)
         if isinstance(outcome, AttemptInterrupted):
+            # After a silent stream the same engine may be tried again, as it answers on other
+            # connections.
             if not outcome.interruption.silent:
                 progress.excluded.add(target.target_id)
             if outcome.interruption.refused:
-                progress.started = started_before
+                progress.may_have_run = may_have_run_before
             await self._handle_interruption(target, attempt, outcome.interruption)
         return outcome
 
@@ -246,9 +254,9 @@
             await self._send_idempotent(call, progress)
         if progress.response is not None:
             return progress.response
-        if progress.refused is not None and not progress.sent:
+        if progress.refused is not None and not progress.may_have_run:
             return progress.refused
-        if progress.sent:
+        if progress.may_have_run:
             return _failed_call_outcome(progress.reason)
         return Refused(Reason.TARGET_FAILED, progress.reason, INCOMPLETE_RETRY_AFTER)
 
@@ -275,14 +283,14 @@
     async def _send(
         self, target: Target, call: ServiceCall, progress: _CallProgress
     ) -> ServiceResponse | CallNotSent | CallInterrupted:
-        """Send a call once; it counts as sent unless the outcome proves that it was not."""
-        sent_before = progress.sent
+        """Send a call once; it may have run unless the outcome proves that it was not sent."""
+        may_have_run_before = progress.may_have_run
         progress.excluded.add(target.target_id)
-        progress.sent = True
+        progress.may_have_run = True
         outcome = await self._plain.call(target, call)
         match outcome:
             case CallNotSent(reason=reason):
-                progress.sent = sent_before
+                progress.may_have_run = may_have_run_before
                 progress.reason = reason
             case CallInterrupted(reason=reason):
                 progress.reason = reason
@@ -303,7 +311,7 @@
         if progress.response is not None:
             await self._runs.settle(claim, RunStatus.DONE, progress.response)
             return progress.response
-        if progress.sent:
+        if progress.may_have_run:
             return await self._settle_unknown_result(call, claim, progress.reason)
         await self._runs.settle(claim, RunStatus.NOT_RUN)
         return Refused(Reason.NO_TARGET, progress.reason, INCOMPLETE_RETRY_AFTER)
@@ -343,14 +351,14 @@
 
 
 def _refused_outcome(progress: _Progress, refused: Refused) -> GenerateOutcome:
-    if not progress.started:
+    if not progress.may_have_run:
         return refused
     return _unanswered_outcome(progress, refused.reason, progress.last_reason or refused.message)
 
 
 def _unanswered_outcome(progress: _Progress, reason: Reason, message: str) -> GenerateOutcome:
     retry_after = None if reason is Reason.QUARANTINED else INCOMPLETE_RETRY_AFTER
-    if not progress.started:
+    if not progress.may_have_run:
         return Refused(reason, message, retry_after)
     run = RunState.RAN if progress.assembler.offset else RunState.UNKNOWN
     return Failed(reason, message, run, retry_after)
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
@@ -64,7 +64,7 @@
 
     @property
     def sources(self) -> StatusSources:
-        """Return the sources of the reported figures."""
+        """Return the components that the reported figures come from."""
         return self._sources
 
     def report(self) -> StatusReport:
@@ -82,8 +82,8 @@
             tokens_relayed=counters.tokens_relayed,
             retries=counters.retries,
             requests=tuple(
-                RequestCount(kind.kind, kind.outcome, kind.run, count)
-                for kind, count in counters.requests.items()
+                RequestCount(labels.kind, labels.outcome, labels.run, count)
+                for labels, count in counters.requests.items()
             ),
             store_calls=tuple(
                 StoreCallCount(operation, outcome, count)
@@ -98,7 +98,7 @@
         )
 
     def history(self, limit: int) -> list[tuple[int, tuple[str, ...]]]:
-        """Return the newest retained versions with their changed paths, newest first."""
+        """Return the last configuration versions with their changed paths, newest first."""
         deltas = self._sources.configuration.recent_deltas(limit)
         return [(delta.version, tuple(sorted(delta.changes))) for delta in deltas]
 
--- a/packages/entry/src/wasabiwell_entry/state/routes.py
+++ b/packages/entry/src/wasabiwell_entry/state/routes.py
@@ -24,12 +24,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Requests to a host below a path prefix.
+    """Assigns requests for a host and a path prefix to services.
 
     `attempts` is the maximum number of targets on which one request may run. `timeout` limits the
     time to the complete response. `objective` is the latency objective for the complete response,
     or for the first event of a stream; `event_gap` is that for the pauses between events. A
-    resumable stream may continue on another target after its last event.
+    resumable stream may continue on another target after its last event. Requests of an `anonymous`
+    route need no API key. `priority` is the configured one; placement does not use it.
     """
 
     name: str
@@ -59,8 +60,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineProfile:
-    """Speed and memory of the engines of a service.
+    """Speed and memory of the engines of a service; times are in seconds.
 
+    An engine runs at most `slots` sequences at a time, and its KV cache holds `memory_tokens`
+    tokens. `usual_prompt_tokens` and `usual_output_tokens` describe a usual request of the service.
     An engine iteration executes `stride` decode steps while a sequence is decoding. A step takes
     `step_seconds`, plus `step_seconds_per_sequence` for each decoding sequence and
     `step_seconds_per_token` for each token of their contexts. Prefill takes
@@ -159,4 +162,4 @@
 
 
 NO_ROUTES = RouteTable(0, {}, CallerLimits(), {}, {})
-"""Used until the first version has been read."""
+"""Routes of an entry instance that has not read any version yet."""
--- a/standins/wasabiwell_standins/load.py
+++ b/standins/wasabiwell_standins/load.py
@@ -25,7 +25,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannedRequest:
-    """A request; `at_s` is its arrival time, `prefix` the text that prompts of its kind share."""
+    """A request of a plan.
+
+    `at_s` is its arrival time in seconds after the start of the run and applies to the open loop
+    only. `kind` is copied to the result. `prefix` is the text that prompts of its kind share, and
+    `tag` makes the prompt unique. `timeout_s` limits the time to the complete response, in seconds.
+    """
 
     at_s: float
     organisation: str
@@ -56,7 +61,12 @@
 
 @dataclass(slots=True)
 class Result:
-    """Result of a request; `error` is empty if the response is complete and correct."""
+    """Result of a request; `error` is empty if the response is complete and correct.
+
+    `first_token_s` and `total_s` are seconds since sending began, `ended_s` is seconds since the
+    start of a closed-loop run. `tokens` is the number of received tokens. `texts` collects them
+    until they have been verified.
+    """
 
     organisation: str
     kind: str
@@ -73,6 +83,7 @@
 def make_prompt(planned: PlannedRequest) -> bytes:
     """Return JSON messages with the shared prefix, the tag and padding."""
     content = f"{planned.prefix} {planned.tag} "
+    # The JSON around the content takes about 32 bytes.
     filler = "x" * max(0, planned.prompt_tokens * BYTES_PER_TOKEN - len(content) - 32)
     return msgspec.json.encode([{"role": "user", "content": content + filler}])
 
@@ -130,6 +141,7 @@
                     return
                 if content := value["choices"][0]["delta"].get("content"):
                     result.first_token_s = result.first_token_s or trio.current_time() - started
+                    # Tokens of the engine stand-ins are single words, each followed by a space.
                     result.texts += [f"{token} " for token in content.split()]
     result.error = "" if done else "the stream ended without [DONE]"
 
--- a/tests/steps/whole/whole_path_steps.py
+++ b/tests/steps/whole/whole_path_steps.py
@@ -35,6 +35,7 @@
 
 @then("the caller gets the complete response to its own prompt")
 def step_complete_response(context: Context) -> None:
+    # `chat` sets an error unless the response is the expected completion of this prompt.
     assert not context.result.error, context.result.error
 
 
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -50,14 +50,16 @@
     usual_prompt_tokens=13_199,
     usual_output_tokens=1_541,
 )
-"""Engines of the users: the prefill of 210,000 tokens takes 2.9 s on one of them."""
+"""Engines as the users have them; one takes 2.9 s for the prefill of 210,000 tokens."""
 
 OBJECTIVES = {"short": 0.3, "medium": 1.5, "long": 3.0, "call": 0.1}
-GAPS = {"short": 0.2, "medium": 0.5, "long": 0.8, "call": 1.0}
+EVENT_GAPS = {"short": 0.2, "medium": 0.5, "long": 0.8, "call": 1.0}
+"""Latency objectives and allowed event gaps in seconds by the size of prompts; `call` is for calls
+of plain services."""
 
 
 def make_route(kind: RouteKind, size: str = "short", attempts: int = 2, **fields: object) -> Route:
-    """Return a route of one service; `size` names its objective and its allowed pause."""
+    """Return a route of one service; `size` selects its objective and its event gap."""
     values: dict[str, object] = {
         "name": f"{kind.value}-{size}",
         "host": "a.example",
@@ -67,7 +69,7 @@
         "attempts": attempts,
         "timeout": timedelta(seconds=10),
         "objective": timedelta(seconds=OBJECTIVES[size]),
-        "event_gap": timedelta(seconds=GAPS[size]),
+        "event_gap": timedelta(seconds=EVENT_GAPS[size]),
         "resumable": kind is RouteKind.STREAM,
     }
     return Route(**(values | fields))  # type: ignore[arg-type]
@@ -76,7 +78,7 @@
 def make_forwarded(
     route: Route, prompt: int = 0, request_id: str = "r1", now: timedelta = timedelta()
 ) -> ForwardedRequest:
-    """Return a request; with prompt tokens it is a request for engines."""
+    """Return a request for engines with `prompt` tokens, or for a plain service if it is 0."""
     return ForwardedRequest(
         request_id=request_id,
         route=route,
@@ -110,7 +112,7 @@
 def make_placed(
     target_id: str, prompt: int, size: str = "short", **fields: object
 ) -> PlacedRequest:
-    """Return a request that was placed at the start of the test."""
+    """Return a request with `prompt` tokens that was placed at the start of the test."""
     values: dict[str, object] = {
         "request_id": f"{target_id}-{prompt}-{size}",
         "origin": "peer",
@@ -119,7 +121,7 @@
         "helpers": (),
         "placed_at": 0.0,
         "due": OBJECTIVES[size],
-        "gap": GAPS[size],
+        "gap": EVENT_GAPS[size],
         "size": PromptSize(prompt, 2_000, 1_000),
     }
     return PlacedRequest(**(values | fields))  # type: ignore[arg-type]
@@ -132,7 +134,7 @@
         self.used = False
 
     def in_use(self, service: str) -> bool:
-        """Return what the test set."""
+        """Return whether zones serve their own requests, for any service."""
         return self.used
 
 
@@ -197,7 +199,7 @@
             raise
 
     async def accepts_connections(self, target: Target) -> bool:
-        """Return what the test set."""
+        """Return `accepting` for any target, without opening a connection."""
         await trio.lowlevel.checkpoint()
         return self.accepting
 
@@ -232,7 +234,7 @@
     slack: float = 100.0,
     reservations: FakeReservations | None = None,
 ) -> Forwarder:
-    """Return a forwarder over scripted targets."""
+    """Return a forwarder over scripted targets; `slack` is that of its retry budget."""
     clock = SystemClock()
     limits = BudgetLimits(ratio=0.2, slack=slack, window=timedelta(seconds=10))
     return Forwarder(
@@ -246,6 +248,7 @@
         ),
         targets,
         EngineReservations(reservations or FakeReservations(), clock),
+        # `list` stands for no use of retry budget by other instances.
         RetryBudget(limits, list, notify, clock),
         CrashCounts(notify, clock),
         clock,
@@ -258,6 +261,6 @@
 
 
 def stream_script(first: int, last: int, end: bool = True) -> Script:
-    """Return the script of a stream with events from `first` to `last`."""
+    """Return the script of a stream with events `first` to `last`; `end` completes the response."""
     events = [ResponseEvent(number, b"%d " % number) for number in range(first, last + 1)]
     return [ResponseHead(200, (), True), *events, *([ResponseEnd()] if end else [])]
