Correct and complete doc comments of eight files read as a newcomer

Router, run records, limits, forwarder, configuration, membership, the two instance modules and the engine stand-in: fallbacks and limits that the doc comments left out, fields with units.

--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
@@ -61,7 +61,7 @@
 
 
 class ConfigurationCoordinator:
-    """Commits changes by compare-and-set and adopts newer versions of table service and peers."""
+    """Commits changes by compare-and-set; applies newer versions from table service and peers."""
 
     __slots__ = (
         "_clock",
@@ -104,7 +104,7 @@
         return self._state
 
     def announcement(self) -> Announcement:
-        """Return the announcement for heartbeats."""
+        """Return the version and its confirmation age, which heartbeats carry to peers."""
         return Announcement(self._state.version, self.confirmation_age())
 
     def confirmation_age(self) -> timedelta | None:
@@ -143,7 +143,10 @@
                 await self._clock.sleep(POLL_INTERVAL)
 
     async def refresh(self) -> StoreUnavailable | None:
-        """Apply all newer versions in the table service."""
+        """Apply newer versions in the table service and confirm the newest one.
+
+        When a delta or snapshot cannot be read, the version stays behind without an error.
+        """
         started = self._clock.monotonic()
         self._last_poll = started
         stored = await self._store.read_head()
@@ -202,7 +205,7 @@
             candidate = apply_changes(self._state.items, changes)
             # Validating 3,200 organisations would block the event loop for longer than the allowed
             # time between two tokens.
-            findings = await trio.to_thread.run_sync(_find_mistakes, candidate)
+            findings = await trio.to_thread.run_sync(_validate_items, candidate)
             if findings:
                 return Invalid(findings)
             outcome = await self._commit(checked_version, changes)
@@ -266,7 +269,10 @@
         return Accepted(delta.version, acks) if acks else AcceptedNotShared(delta.version)
 
     async def _push(self, delta: ConfigurationDelta, others: list[Member]) -> int:
-        """Push a delta to two peers, with fallback to others; return the number that applied it."""
+        """Push a delta to `PUSHED_PEERS` peers and return the number that applied it.
+
+        Peers in other zones come first; up to `PUSH_CANDIDATES` are tried.
+        """
         self._random.shuffle(others)
         others.sort(key=lambda member: member.zone == self._own.zone)
         candidates = others[:PUSH_CANDIDATES]
@@ -371,7 +377,7 @@
     async def _stored_deltas_since(
         self, version: int
     ) -> list[ConfigurationDelta] | StoreUnavailable | None:
-        """Return the deltas up to the current version, or None if some were deleted."""
+        """Return the deltas up to the current version; None if some are missing or unreadable."""
         found: list[ConfigurationDelta] = []
         while version < self._state.version:
             deltas = await self._store.deltas_after(version)
@@ -409,7 +415,10 @@
             self._replace(snapshot.version, snapshot.items)
 
     async def _save_snapshot_when_due(self, stored: StoredHead) -> None:
-        """Store a snapshot every `SNAPSHOT_VERSIONS` versions; the first writer wins."""
+        """Store a snapshot every `SNAPSHOT_VERSIONS` versions.
+
+        Only the frequent pollers write snapshots; of concurrent writes the first one wins.
+        """
         if self._state.version - stored.snapshot.version < SNAPSHOT_VERSIONS:
             return
         if not self._is_frequent_poller():
@@ -418,7 +427,7 @@
         await self._store.save_snapshot(snapshot, stored)
 
 
-def _find_mistakes(items: Items) -> tuple[Finding, ...]:
+def _validate_items(items: Items) -> tuple[Finding, ...]:
     match configuration_from_items(items):
         case Findings(findings=findings):
             pass
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -56,9 +56,10 @@
 class _Progress:
     """State of a request over its attempts.
 
-    `runs` counts the attempts that may have run on a target. `buffered` is a response that is
-    delivered unless a retry gets a better one. `response_started` means that a part of the response
-    was delivered to the caller.
+    `sends` counts all attempts, `runs` those that may have run on a target. `last_event` is the id
+    of the last event that the caller has. `buffered` is a response that is delivered unless a retry
+    gets a better one. `response_started` means that a part of the response was delivered to the
+    caller.
     """
 
     excluded: set[str] = field(default_factory=set)
@@ -247,14 +248,14 @@
         return outcome
 
     async def _confirm_target_loss(
-        self, request: ForwardedRequest, target: Target, broken: ResponseInterrupted
+        self, request: ForwardedRequest, target: Target, interruption: ResponseInterrupted
     ) -> ResponseInterrupted:
         """Record a crash if the target is unreachable, but not if it only cut the connection."""
         if await self._targets.accepts_connections(target):
-            return replace(broken, target_lost=False)
+            return replace(interruption, target_lost=False)
         name = f"{target.target_id}@{target.incarnation}"
         self._crashes.record_crash(request.fingerprint, name)
-        return broken
+        return interruption
 
     def _log_outcome(
         self,
@@ -301,9 +302,9 @@
                             self._ledger.start_decode(opened)
                             await self._begin_response(head, sink, progress)
                     case ResponseEvent(event_id=event_id, data=data):
-                        broken = _check_order(event_id, progress)
-                        if broken is not None:
-                            return broken
+                        interruption = _check_order(event_id, progress)
+                        if interruption is not None:
+                            return interruption
                         self._ledger.record_event(opened)
                         await sink.send(data)
                     case ResponseChunk(data=data):
--- a/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/limits/coordinator.py
@@ -47,7 +47,13 @@
 
 @dataclass(slots=True)
 class _HeldLimit:
-    """Limit state of one organisation at a holder."""
+    """Limit state of one organisation at a holder; points in time are monotonic.
+
+    `requests` and `tokens` are the buckets of the two rates. `expires` is the end of the share's
+    lifetime. `refused_at` is the time of the last share request, None if its share was sufficient.
+    `rate_exhausted` is set when a bucket had to refuse a request. `running_long` and `waiting_long`
+    count long requests. The `demand_*` fields cover the time since the last share request.
+    """
 
     organisation: Organisation
     requests: _Bucket
@@ -167,11 +173,15 @@
             held.running_long = max(0, held.running_long - 1)
 
     async def serve(self, request: LimitRequest) -> LimitGrant:
-        """Answer the share request of another holder."""
+        """Handle the share request of another entry instance; see `grant`."""
         return self.grant(request)
 
     def grant(self, request: LimitRequest) -> LimitGrant:
-        """Grant shares of the limits of organisations that this instance owns."""
+        """Grant shares of the limits of the requested organisations.
+
+        The owner in each region divides a part of the limit, which is the region's fraction of the
+        live members.
+        """
         now = self._clock.monotonic()
         members = self._region_members()
         fraction = len(members) / max(1, len(self._members.alive()))
--- a/packages/entry/src/wasabiwell_entry/coordination/membership/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/membership/coordinator.py
@@ -46,7 +46,11 @@
 
 @dataclass(slots=True)
 class PeerSession:
-    """Per-stream state that either side keeps between heartbeats."""
+    """Per-stream state that either side keeps between heartbeats.
+
+    `mismatches` counts the consecutive heartbeats whose digest differed. `last_sent` is the
+    monotonic time of the last reply to the peer.
+    """
 
     cursor: SyncCursor = field(default_factory=SyncCursor)
     own_record_sent: bool = False
@@ -56,6 +60,8 @@
 
 @dataclass(slots=True)
 class _Suspicion:
+    """A suspected incarnation of a member and the monotonic time at which its timeout began."""
+
     incarnation: int
     since: timedelta
 
@@ -154,7 +160,10 @@
     def publish(
         self, kind: str, key: str, lifetime: timedelta, value: bytes = b"", active: bool = True
     ) -> Mark:
-        """Set or withdraw a mark on all entry instances."""
+        """Set a mark on all entry instances, or replace it by a tombstone if not `active`.
+
+        A new version never expires earlier than the current one.
+        """
         current = self._marks.get(kind, key)
         counter = current.counter + 1 if current is not None else 1
         now = self._clock.now().timestamp()
@@ -202,11 +211,11 @@
         self._marks.subscribe(kind, subscriber)
 
     def marks(self) -> list[Mark]:
-        """Return all marks, withdrawn ones included."""
+        """Return all marks, including tombstones."""
         return list(self._marks)
 
     def mark(self, kind: str, key: str) -> Mark | None:
-        """Return the mark of a key, withdrawn ones included."""
+        """Return the mark of a key, which may be a tombstone."""
         return self._marks.get(kind, key)
 
     def merge(self, members: Iterable[Member], marks: Iterable[Mark]) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/routing/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/routing/coordinator.py
@@ -73,9 +73,10 @@
     def candidates(
         self, request: GenerateRequest, excluded: frozenset[str]
     ) -> list[TargetStatus] | NoTarget:
-        """Return a bounded number of engines to compare for a request.
+        """Return the usable ones of at most `MAX_COMPARED_ENGINES` engines to compare.
 
         Requests with the same prefix compare the same engines, so that they share a prefix cache.
+        If none of these engines is usable, all usable engines of the service are returned.
         """
         start = request.prefix_hashes[0] if request.prefix_hashes else _hash(request.request_id)
         window = self._targets.window(request.service, start, MAX_COMPARED_ENGINES)
@@ -116,7 +117,12 @@
     def _long_candidates(
         self, request: GenerateRequest, usable: list[TargetStatus]
     ) -> list[TargetStatus]:
-        """Return the engines that may take a long prompt without delaying further short prompts."""
+        """Return the engines that may take a long prompt.
+
+        Once `LONG_PREFILL_SHARE` of the engines have long prompts in prefill, these are the only
+        ones, so that short prompts are not delayed on further engines. A prompt that has waited
+        for `MAX_LONG_WAIT_SHARE` of its time may use all engines.
+        """
         now = self._clock.monotonic()
         if now > request.received + MAX_LONG_WAIT_SHARE * (request.deadline - request.received):
             return usable
--- a/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/runs/coordinator.py
@@ -106,7 +106,8 @@
         """Write the final status of a claim.
 
         Returns when the table service confirms it or after `SETTLE_TIMEOUT`; the write is retried
-        in the background until it is confirmed.
+        in the background until it is confirmed. While `MAX_PENDING_SETTLEMENTS` are pending, the
+        settlement is dropped instead.
         """
         settled = self._start_settling(claim, status, response)
         with trio.move_on_after(SETTLE_TIMEOUT.total_seconds()):
@@ -122,6 +123,7 @@
     async def sweep(self, after: str = "") -> str:
         """Delete the expired records of one page and return the key after which the next begins.
 
+        The key is empty after the last page, and `after` if the table service is unavailable.
         Deletes are conditional on row versions, so several entry instances may sweep at once.
         """
         rows = await self._table.scan(RUN_PREFIX, after, SWEEP_PAGE_ROWS)
--- a/packages/entry/src/wasabiwell_entry/instance.py
+++ b/packages/entry/src/wasabiwell_entry/instance.py
@@ -185,11 +185,11 @@
             clock,
         )
         targets.observe(admission.capacity_changed)
-        marked = SuspectGossip(membership, clock)
+        suspect_gossip = SuspectGossip(membership, clock)
         quarantine = QuarantineCoordinator(
-            table, SuspectTable(), marked, lambda: len(members), clock
+            table, SuspectTable(), suspect_gossip, lambda: len(members), clock
         )
-        marked.subscribe(quarantine.merge_remote, quarantine.remove)
+        suspect_gossip.subscribe(quarantine.merge_remote, quarantine.remove)
         rate = WeightStoreRateLimiter(
             settings.weight_loads, own, members, GrpcWeightRatePeers(peers), clock
         )
@@ -262,7 +262,7 @@
 
 
 async def run_instance(settings: Settings) -> None:
-    """Run an entry instance until SIGTERM, then drain its open requests."""
+    """Run an entry instance until it leaves, on a signal for example, and has drained."""
     async with open_instance(settings, SystemClock()) as instance:
         warn_of_plaintext(settings)
         await instance.recovery.recover()
--- a/standins/wasabiwell_standins/engine.py
+++ b/standins/wasabiwell_standins/engine.py
@@ -2,7 +2,8 @@
 
 An engine runs iterations. An iteration prefills up to `prefill_chunk` prompt tokens, ordered by
 priority and arrival, and decodes one token of each sequence whose prefill is complete. Its duration
-is a base time plus a time for each prefilled token. Memory is counted in tokens of KV cache. All
+is a base time plus a time for each prefilled token; the tokens of a split prompt are divided by the
+number of its engines. Memory is counted in tokens of KV cache. All
 times are multiplied by the time scale.
 """
 
@@ -24,15 +25,21 @@
 PREFIX_BLOCK_BYTES = 4_096
 MAX_PREFIX_BLOCKS = 64
 CRASH_MARKER = b"crash-this-target"
+"""The process ends, with all of its engines, when the prefill of a prompt with this text begins."""
 SHARD_RENEWAL_INTERVAL_S = 5.0
 """Interval at which the lead engine of a split prompt renews reservations on other engines."""
 LOST_EVENT_INTERVAL = 7
-"""Every seventh cache event is lost: it is never published."""
+"""A `stored` event whose number is a multiple of this is lost: it is never published."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineParameters:
-    """Speed and capacity of an engine; durations are in seconds, before the time scale applies."""
+    """Speed and capacity of an engine; durations are in seconds, before the time scale applies.
+
+    `total_tokens` is the size of the KV cache, `slots` the number of sequences that run at a time.
+    `step_s` is the duration of an iteration without prefill, `prefill_chunk` the maximum of tokens
+    prefilled in one. `load_lag_s` is the interval of load reports.
+    """
 
     total_tokens: int = 400_000
     slots: int = 32
@@ -45,7 +52,13 @@
 
 @dataclass(slots=True)
 class Sequence:
-    """A request that is queued or running on an engine."""
+    """A request that is queued or running on an engine.
+
+    `seed` is the hash of the prompt, which determines the completion. `arrival` is a sequence
+    number. `kv_tokens` is the memory used on this engine, without that of the shards on others.
+    `emitted` is the number of generated tokens, including those of earlier attempts. `digest` is
+    the hash of the text generated so far. `frames` are waiting to be written to the response.
+    """
 
     attempt_id: str
     messages: bytes
@@ -71,7 +84,10 @@
 
 @dataclass(slots=True)
 class Reservation:
-    """Memory reserved for a prompt whose lead engine is another one."""
+    """Memory reserved for a request that will start here, or for a shard of another engine's one.
+
+    `ttl_s` is the lifetime in seconds after each renewal, `expires` is in Trio's time.
+    """
 
     tokens: int
     ttl_s: float
@@ -79,7 +95,12 @@
 
 
 class Engine:
-    """State and request handlers of one engine."""
+    """State and request handlers of one engine.
+
+    `leaving`, `silent` and `fencing_checked` are set by `/control`: a leaving engine refuses new
+    requests, a silent one does not respond, and one with checked fencing refuses orders with an old
+    fencing number. `control_bytes` counts the bytes of load reports and cache events.
+    """
 
     def __init__(self, name: str, parameters: EngineParameters) -> None:
         self.name = name
@@ -152,6 +173,7 @@
                 await self._work.wait()
                 next_iteration = trio.current_time()
             duration = self._prefill_batch()
+            # An engine that is late catches up on at most one second.
             next_iteration = max(next_iteration + duration, trio.current_time() - 1.0)
             await trio.sleep_until(next_iteration)
             self._decode_batch()
@@ -227,6 +249,7 @@
                 self.events.append({"seq": sequence_number, "kind": kind, "block": block})
             self.cache[block] = None
             self.cache.move_to_end(block)
+        # Cached prefixes cover at most half as many tokens as the memory.
         limit = self.parameters.total_tokens * BYTES_PER_TOKEN // PREFIX_BLOCK_BYTES // 2
         while len(self.cache) > limit:
             evicted, _ = self.cache.popitem(last=False)
