--- a/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
@@ -98,7 +98,7 @@
         )
 
     def history(self, limit: int) -> list[tuple[int, tuple[str, ...]]]:
-        """Return the last configuration versions with their changed paths, newest first."""
+        """Return the retained configuration versions with their changed paths, newest first."""
         deltas = self._sources.configuration.recent_deltas(limit)
         return [(delta.version, tuple(sorted(delta.changes))) for delta in deltas]
 
--- a/tests/steps/entry/coordination/placement_steps.py
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -67,7 +67,7 @@
 @given('zones that serve their own requests, with "{one}" and "{other}" in the local zone')
 def step_local_zones(context: Context, one: str, other: str) -> None:
     engines = context.engines
-    engines.zone_locality.used = True
+    engines.zone_locality.enabled = True
     engines.targets = [
         replace(target, zone=ZONE if target.target_id in (one, other) else "z1")
         for target in engines.targets
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -128,14 +128,14 @@
 
 
 class FakeZoneLocality:
-    """Zones that serve their own requests when a test sets `used`."""
+    """Fake of `ZoneLocality`; zones serve their own requests when a test sets `enabled`."""
 
     def __init__(self) -> None:
-        self.used = False
+        self.enabled = False
 
     def in_use(self, service: str) -> bool:
         """Return whether zones serve their own requests, for any service."""
-        return self.used
+        return self.enabled
 
 
 class PlacementFixture:
