--- a/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/configuration/coordinator.py
@@ -143,7 +143,7 @@
                 await self._clock.sleep(POLL_INTERVAL)
 
     async def refresh(self) -> StoreUnavailable | None:
-        """Apply newer versions in the table service and confirm the newest one.
+        """Apply newer versions in the table service; confirm the current one if it is the newest.
 
         When a delta or snapshot cannot be read, the version stays behind without an error.
         """
--- a/standins/wasabiwell_standins/engine.py
+++ b/standins/wasabiwell_standins/engine.py
@@ -3,8 +3,8 @@
 An engine runs iterations. An iteration prefills up to `prefill_chunk` prompt tokens, ordered by
 priority and arrival, and decodes one token of each sequence whose prefill is complete. Its duration
 is a base time plus a time for each prefilled token; the tokens of a split prompt are divided by the
-number of its engines. Memory is counted in tokens of KV cache. All
-times are multiplied by the time scale.
+number of its engines. Memory is counted in tokens of KV cache. All times are multiplied by the time
+scale.
 """
 
 import os
