--- a/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/credits/owners.py
@@ -9,8 +9,9 @@
 class EngineOwners:
     """Computes engine owners from this entry instance's tables of members and targets.
 
-    Owners are cached, because hashing all members of a zone costs more than the rest of a hold.
-    Call `refresh` often: it clears the cache after the members have changed.
+    Owners are cached, because hashing all members of a zone costs more than all other work of
+    acquiring capacity for a request. The credit owner and the credit holder call `refresh`
+    periodically, which clears the cache after the members have changed.
     """
 
     __slots__ = ("_alive", "_cache", "_members", "_own", "_targets")
@@ -30,7 +31,10 @@
             self._cache.clear()
 
     def owner(self, engine_id: str) -> Member | NoOwner:
-        """Return the owner, a live member in the engine's zone or else in its region."""
+        """Return the owner, a live member in the engine's zone or else in its region.
+
+        Returns `NoOwner` if the engine is unknown or its region has no live member.
+        """
         status = self._targets.get(engine_id)
         if status is None:
             self._cache.pop(engine_id, None)
--- a/packages/entry/src/wasabiwell_entry/state/routes.py
+++ b/packages/entry/src/wasabiwell_entry/state/routes.py
@@ -7,7 +7,7 @@
 
 
 class RouteKind(enum.Enum):
-    """How requests of a route may be retried."""
+    """Whether requests of a route may be retried, and whether their responses are streams."""
 
     IDEMPOTENT = "idempotent"
     AT_MOST_ONCE = "at-most-once"
@@ -24,12 +24,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Requests to a host below a path prefix.
+    """Assigns requests for a host and a path prefix to services.
 
     `attempts` is the maximum number of targets on which one request may run. `timeout` limits the
     time to the complete response. `objective` is the latency objective for the complete response,
     or for the first event of a stream; `event_gap` is that for the pauses between events. A
-    resumable stream may continue on another target after its last event.
+    resumable stream may continue on another target after its last event. Requests of an `anonymous`
+    route need no API key. `priority` is the configured one; placement does not use it.
     """
 
     name: str
@@ -47,7 +48,7 @@
 
     @property
     def retryable(self) -> bool:
-        """Return whether a request may run again from its beginning."""
+        """Return whether a request may be retried after it may have run; streams are resumed."""
         match self.kind:
             case RouteKind.IDEMPOTENT:
                 return True
@@ -59,8 +60,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineProfile:
-    """Speed and memory of the engines of a service.
+    """Speed and memory of the engines of a service; times are in seconds.
 
+    An engine runs at most `slots` sequences at a time, and its KV cache holds `memory_tokens`
+    tokens. `usual_prompt_tokens` and `usual_output_tokens` describe a usual request of the service.
     An engine iteration executes `stride` decode steps while a sequence is decoding. A step takes
     `step_seconds`, plus `step_seconds_per_sequence` for each decoding sequence and
     `step_seconds_per_token` for each token of their contexts. Prefill takes
@@ -83,14 +86,17 @@
     usual_output_tokens: int
 
     @property
-    def event_interval(self) -> float:
-        """Return the seconds between the events of a sequence that decodes alone."""
+    def base_event_gap(self) -> float:
+        """Return the seconds between the events of a sequence that decodes alone.
+
+        The time for the tokens of its context is left out.
+        """
         return self.stride * (self.step_seconds + self.step_seconds_per_sequence)
 
     @property
     def usual_decode_seconds(self) -> float:
         """Return the seconds that decoding a response of the usual length takes."""
-        return self.usual_output_tokens * self.event_interval / self.stride
+        return self.usual_output_tokens * self.base_event_gap / self.stride
 
     def prefill_seconds(self, tokens: int) -> float:
         """Return the seconds that an idle engine takes to prefill a prompt."""
@@ -156,4 +162,4 @@
 
 
 NO_ROUTES = RouteTable(0, {}, CallerLimits(), {}, {})
-"""Used until the first version has been read."""
+"""Routes of an entry instance that has not read any version yet."""
--- a/standins/wasabiwell_standins/load.py
+++ b/standins/wasabiwell_standins/load.py
@@ -1,8 +1,9 @@
 """Load generator: sends the requests of a plan and verifies each response.
 
-It reads a plan as JSON from standard input and writes one result for each request to standard
-output. Arrivals are open-loop: a slow response does not delay the next request. A plan with
-`workers` is closed-loop instead: each organisation keeps a fixed number of requests in flight.
+It reads a plan as JSON from standard input and writes the results to standard output. Arrivals are
+open-loop: a slow response does not delay the next request, and each request has one result. A plan
+with `workers` is closed-loop instead: its requests are templates, each of which workers send again
+and again, one request at a time. Requests in flight at the end of such a plan have no result.
 """
 
 import sys
@@ -24,7 +25,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannedRequest:
-    """A request; `at_s` is its arrival time, `prefix` the text that prompts of its kind share."""
+    """A request of a plan.
+
+    `at_s` is its arrival time in seconds after the start of the run and applies to the open loop
+    only. `kind` is copied to the result. `prefix` is the text that prompts of its kind share, and
+    `tag` makes the prompt unique. `timeout_s` limits the time to the complete response, in seconds.
+    """
 
     at_s: float
     organisation: str
@@ -38,7 +44,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Requests to send, entry addresses to send them to in turn, and API keys by organisation."""
+    """Requests to send, entry addresses to send them to, and API keys by organisation.
+
+    In the open loop the requests go to the addresses in turn, in the closed loop each worker keeps
+    to one address. `workers` is the number of workers for each request of an organisation.
+    `duration_s` applies to the closed loop only.
+    """
 
     addresses: list[str]
     keys: dict[str, str]
@@ -50,7 +61,12 @@
 
 @dataclass(slots=True)
 class Result:
-    """Result of a request; `error` is empty if the response is complete and correct."""
+    """Result of a request; `error` is empty if the response is complete and correct.
+
+    `first_token_s` and `total_s` are seconds since sending began, `ended_s` is seconds since the
+    start of a closed-loop run. `tokens` is the number of received tokens. `texts` collects them
+    until they have been verified.
+    """
 
     organisation: str
     kind: str
@@ -67,6 +83,7 @@
 def make_prompt(planned: PlannedRequest) -> bytes:
     """Return JSON messages with the shared prefix, the tag and padding."""
     content = f"{planned.prefix} {planned.tag} "
+    # The JSON around the content takes about 32 bytes.
     filler = "x" * max(0, planned.prompt_tokens * BYTES_PER_TOKEN - len(content) - 32)
     return msgspec.json.encode([{"role": "user", "content": content + filler}])
 
@@ -74,7 +91,7 @@
 async def send_request(
     pool: httpcore.AsyncConnectionPool, plan: Plan, planned: PlannedRequest, address: str
 ) -> Result:
-    """Send one request and verify the response; durations count from the planned arrival."""
+    """Send one request and verify the response; durations count from when sending begins."""
     result = Result(planned.organisation, planned.kind, planned.prompt_tokens)
     messages = make_prompt(planned)
     body = chat_body(plan.service, messages, planned.max_tokens)
@@ -124,6 +141,7 @@
                     return
                 if content := value["choices"][0]["delta"].get("content"):
                     result.first_token_s = result.first_token_s or trio.current_time() - started
+                    # Tokens of the engine stand-ins are single words, each followed by a space.
                     result.texts += [f"{token} " for token in content.split()]
     result.error = "" if done else "the stream ended without [DONE]"
 
@@ -146,7 +164,10 @@
 
 
 async def run_closed_loop(plan: Plan) -> list[Result]:
-    """Keep `workers` requests of each organisation in flight for the duration of the plan."""
+    """Run `workers[organisation]` workers for each planned request for the plan's duration.
+
+    Each worker sends copies of the request with tags of their own, one after the other.
+    """
     results: list[Result] = []
     started = trio.current_time()
     async with httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS) as pool:
