Call log lines over the rate limit suppressed in the trace command

The note of `wasabiwell trace` said "dropped under load" for lines that the rate limit suppressed (event LINES_LEFT_OUT); "dropped" is the word for lines lost to a full buffer. RequestLogLines.dropped_lines is now suppressed_lines, and the doc comment of LineBuffer states both words.

--- a/packages/cli/src/wasabiwell_cli/commands/trace.py
+++ b/packages/cli/src/wasabiwell_cli/commands/trace.py
@@ -63,8 +63,10 @@
         f"the clock of {node} is at least {lag.total_seconds():.3f} s behind"
         for node, lag in request_log.clock_lags.items()
     ]
-    if request_log.dropped_lines:
-        notes.append(f"{request_log.dropped_lines} lines were dropped under load")
+    if request_log.suppressed_lines:
+        notes.append(
+            f"{request_log.suppressed_lines} lines were suppressed by the log's rate limit"
+        )
     if not request_log.lines:
         raise CommandError(
             EXIT_NOT_FOUND, f"no log line of request {request_id} was found", tuple(notes)
--- a/packages/cli/src/wasabiwell_cli/log_files.py
+++ b/packages/cli/src/wasabiwell_cli/log_files.py
@@ -31,14 +31,14 @@
     """The log lines of one request, sorted by time, and problems found in the log files.
 
     `unreadable` counts the lines of each file that are not log lines. `clock_lags` is, for each
-    node, the time by which its clock is at least behind another node's clock. `dropped_lines` is
-    the number of lines that entry instances did not write under load.
+    node, the time by which its clock is at least behind another node's clock.
+    `suppressed_lines` is the number of lines that the rate limit of the log suppressed.
     """
 
     lines: list[LogLine] = field(default_factory=list)
     unreadable: dict[str, int] = field(default_factory=dict)
     clock_lags: dict[str, timedelta] = field(default_factory=dict)
-    dropped_lines: int = 0
+    suppressed_lines: int = 0
 
 
 def collect_request_log(request_id: str, paths: Iterable[Path]) -> RequestLogLines:
@@ -62,7 +62,7 @@
                     }
                     request_log.lines.append(LogLine(line.time, line.node, line.name, fields))
                 elif line.name == "lines_left_out":
-                    request_log.dropped_lines += sum(line.fields.get("counts", {}).values())
+                    request_log.suppressed_lines += sum(line.fields.get("counts", {}).values())
     request_log.lines.sort(key=lambda line: line.time)
     request_log.clock_lags = _clock_lags(request_log.lines)
     return request_log
--- a/packages/entry/src/wasabiwell_entry/transport/logs/lines.py
+++ b/packages/entry/src/wasabiwell_entry/transport/logs/lines.py
@@ -21,7 +21,8 @@
     """Log handler that buffers lines until they are written; it never blocks.
 
     Each line is a JSON object with `time` (UTC), `node`, `level`, `event` (its number), `name` and
-    the fields of the event.
+    the fields of the event. Lines above the rate limit of their event are suppressed, except those
+    of sampled requests; lines for which a full buffer has no space are dropped.
     """
 
     def __init__(self, node: str) -> None:
@@ -53,7 +54,7 @@
         return b"".join(lines)
 
     def emit(self, record: Any) -> None:
-        """Buffer the line of a record unless the limits suppress it."""
+        """Buffer the line of a record unless the rate limit suppresses it."""
         number = record.extra["event"]
         name, event = self._events[number]
         second = int(record.time.timestamp())
