--- a/packages/cli/src/wasabiwell_cli/log_files.py
+++ b/packages/cli/src/wasabiwell_cli/log_files.py
@@ -27,27 +27,27 @@
 
 
 @dataclass(slots=True)
-class RequestLog:
+class RequestLogLines:
     """The log lines of one request, sorted by time, and problems found in the log files.
 
     `unreadable` counts the lines of each file that are not log lines. `clock_lags` is, for each
-    node, the time by which its clock is at least behind another node's clock. `dropped_lines` is
-    the number of lines that entry instances did not write under load.
+    node, the time by which its clock is at least behind another node's clock.
+    `suppressed_lines` is the number of lines that the rate limit of the log suppressed.
     """
 
     lines: list[LogLine] = field(default_factory=list)
     unreadable: dict[str, int] = field(default_factory=dict)
     clock_lags: dict[str, timedelta] = field(default_factory=dict)
-    dropped_lines: int = 0
+    suppressed_lines: int = 0
 
 
-def collect_request_log(request_id: str, paths: Iterable[Path]) -> RequestLog:
+def collect_request_log(request_id: str, paths: Iterable[Path]) -> RequestLogLines:
     """Return the log lines of a request; raises `OSError` for a file that cannot be read.
 
     Lines without a JSON log record are counted as unreadable. Text before the JSON object is
     ignored, because log collectors add prefixes.
     """
-    request_log = RequestLog()
+    request_log = RequestLogLines()
     for path in paths:
         with path.open(errors="replace") as file:
             for text in file:
@@ -62,7 +62,7 @@
                     }
                     request_log.lines.append(LogLine(line.time, line.node, line.name, fields))
                 elif line.name == "lines_left_out":
-                    request_log.dropped_lines += sum(line.fields.get("counts", {}).values())
+                    request_log.suppressed_lines += sum(line.fields.get("counts", {}).values())
     request_log.lines.sort(key=lambda line: line.time)
     request_log.clock_lags = _clock_lags(request_log.lines)
     return request_log
--- a/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/dispatch/coordinator.py
@@ -7,7 +7,7 @@
 
 from wasabiwell_entry.coordination.dispatch.assembler import ResponseAssembler
 from wasabiwell_entry.coordination.dispatch.const import (
-    CAPACITY_RETRY_AFTER,
+    INCOMPLETE_RETRY_AFTER,
     MAX_ATTEMPTS,
     QUARANTINED_MESSAGE,
     RETRY_DELAY,
@@ -22,16 +22,16 @@
     TargetDown,
 )
 from wasabiwell_entry.coordination.dispatch.ports import (
+    AdmissionGrant,
     AdmissionPort,
     EnginePort,
-    Placement,
     PlainPort,
-    ResponseSink,
     SuspectObserver,
     TargetFailure,
     TargetObserver,
+    TokenSink,
 )
-from wasabiwell_entry.coordination.dispatch.retries import RetryBudget
+from wasabiwell_entry.coordination.dispatch.retries import RetryRatioLimiter
 from wasabiwell_entry.coordination.runs import RunCoordinator
 from wasabiwell_entry.coordination.runs.errors import Claimed
 from wasabiwell_entry.state import log_events
@@ -61,28 +61,34 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """State of a request over its attempts; `started` means that an engine may have run it."""
+    """State of a request over its attempts.
+
+    `may_have_run` is set once an attempt was sent and the engine did not refuse it.
+    """
 
     assembler: ResponseAssembler = field(default_factory=ResponseAssembler)
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
-    started: bool = False
+    may_have_run: bool = False
     last_reason: str = ""
 
 
 @dataclass(slots=True)
 class _CallProgress:
-    """State of a call over its sends; `sent` means that a target may have run it."""
+    """State of a call over its attempts.
+
+    `may_have_run` is set once an attempt may have reached a target.
+    """
 
     excluded: set[str] = field(default_factory=set)
-    sent: bool = False
+    may_have_run: bool = False
     response: ServiceResponse | None = None
     refused: Refused | None = None
     reason: str = "the deadline has passed"
 
 
 class Dispatcher:
-    """Entry point of the coordination layer for requests of callers."""
+    """Runs callers' requests on engines and their calls on targets of plain services."""
 
     __slots__ = (
         "_admission",
@@ -90,7 +96,7 @@
         "_engines",
         "_observer",
         "_plain",
-        "_retries",
+        "_retry_limiter",
         "_runs",
         "_suspects",
     )
@@ -112,9 +118,9 @@
         self._observer = observer
         self._suspects = suspects
         self._clock = clock
-        self._retries = RetryBudget()
+        self._retry_limiter = RetryRatioLimiter()
 
-    async def generate(self, request: GenerateRequest, sink: ResponseSink) -> GenerateOutcome:
+    async def generate(self, request: GenerateRequest, sink: TokenSink) -> GenerateOutcome:
         """Run a request on engines and deliver its tokens to the sink."""
         progress = _Progress()
         with trio.move_on_after(self._remaining_seconds(request)):
@@ -128,40 +134,41 @@
         return await self._call_once(call)
 
     async def _generate(
-        self, request: GenerateRequest, sink: ResponseSink, progress: _Progress
+        self, request: GenerateRequest, sink: TokenSink, progress: _Progress
     ) -> GenerateOutcome:
-        self._retries.count_first_attempt()
+        self._retry_limiter.count_first_attempt()
         while True:
             if self._suspects.quarantined(request.fingerprint):
                 return _unanswered_outcome(progress, Reason.QUARANTINED, QUARANTINED_MESSAGE)
             excluded = frozenset(progress.excluded)
-            async with self._admission.admit(request, excluded) as placement:
-                if isinstance(placement, Refused):
-                    return _refused_outcome(progress, placement)
-                target_id = placement.target.target_id
+            async with self._admission.admit(request, excluded) as grant:
+                if isinstance(grant, Refused):
+                    return _refused_outcome(progress, grant)
+                target_id = grant.target.target_id
                 async with self._suspects.exclusive_retry(request.fingerprint, target_id):
                     if self._suspects.quarantined(request.fingerprint):
                         return _unanswered_outcome(
                             progress, Reason.QUARANTINED, QUARANTINED_MESSAGE
                         )
-                    if await self._crashed_while_waiting(request, placement.target):
+                    if await self._crashed_while_waiting(request, grant.target):
                         progress.excluded.add(target_id)
                         continue
-                    outcome = await self._attempt(request, sink, progress, placement)
+                    outcome = await self._attempt(request, sink, progress, grant)
             match outcome:
                 case AttemptFinished(end=end):
                     await self._suspects.record_success(request.fingerprint)
                     return Finished(end.tokens, end.finish_reason)
                 case AttemptInterrupted(interruption=interruption):
                     progress.last_reason = interruption.reason
-            if progress.attempts >= MAX_ATTEMPTS or not self._retries.take():
+            if progress.attempts >= MAX_ATTEMPTS or not self._retry_limiter.take():
                 return _unanswered_outcome(progress, Reason.TARGET_FAILED, progress.last_reason)
             await self._clock.sleep(RETRY_DELAY)
 
     async def _crashed_while_waiting(self, request: GenerateRequest, target: Target) -> bool:
-        """Return whether a target crashed while a suspect waited for its turn on it.
+        """Return whether a target crashed while a suspect waited for its lease on it.
 
-        Sending the request to a dead target would count as another crash caused by the suspect.
+        A crashed target is also reported as lost. If the request were sent to it, this would count
+        as another crash caused by the suspect.
         """
         if not self._suspects.suspected(request.fingerprint):
             return False
@@ -173,34 +180,36 @@
     async def _attempt(
         self,
         request: GenerateRequest,
-        sink: ResponseSink,
+        sink: TokenSink,
         progress: _Progress,
-        placement: Placement,
+        grant: AdmissionGrant,
     ) -> AttemptOutcome:
         progress.attempts += 1
-        target = placement.target
+        target = grant.target
         attempt = Attempt(
             attempt_id=f"{request.request_id}-{secrets.token_hex(4)}",
             request=request,
-            priority=placement.priority,
+            priority=grant.priority,
             resume_offset=progress.assembler.offset,
             generated=progress.assembler.text,
-            reservation_id=placement.reservation_id,
-            shards=placement.shards,
+            reservation_id=grant.reservation_id,
+            shards=grant.shards,
         )
-        started_before = progress.started
-        progress.started = True
+        may_have_run_before = progress.may_have_run
+        progress.may_have_run = True
         outcome = await self._relay(target, attempt, sink, progress)
         if isinstance(outcome, AttemptInterrupted):
+            # After a silent stream the same engine may be tried again, as it answers on other
+            # connections.
             if not outcome.interruption.silent:
                 progress.excluded.add(target.target_id)
             if outcome.interruption.refused:
-                progress.started = started_before
+                progress.may_have_run = may_have_run_before
             await self._handle_interruption(target, attempt, outcome.interruption)
         return outcome
 
     async def _relay(
-        self, target: Target, attempt: Attempt, sink: ResponseSink, progress: _Progress
+        self, target: Target, attempt: Attempt, sink: TokenSink, progress: _Progress
     ) -> AttemptOutcome:
         async with self._engines.generate(target, attempt) as items:
             async for item in items:
@@ -233,27 +242,31 @@
         self._observer.target_lost(TargetFailure(target.target_id, self._clock.monotonic()))
         if interruption.refused:
             return
-        # Only a dead target counts: a network failure would mark all requests as suspects.
+        # A request becomes a suspect only if the target itself is down. A network failure ends the
+        # streams of all targets behind it, which would make all their requests suspects.
         if isinstance(await self._engines.probe(target), TargetDown):
             await self._suspects.record_crash(attempt.request.fingerprint, target.target_id)
 
     async def _call_idempotent(self, call: ServiceCall) -> CallOutcome:
-        self._retries.count_first_attempt()
+        self._retry_limiter.count_first_attempt()
         progress = _CallProgress()
         with trio.move_on_after(self._remaining_seconds(call)):
             await self._send_idempotent(call, progress)
         if progress.response is not None:
             return progress.response
-        if progress.refused is not None and not progress.sent:
+        if progress.refused is not None and not progress.may_have_run:
             return progress.refused
-        if progress.sent:
+        if progress.may_have_run:
             return _failed_call_outcome(progress.reason)
-        return Refused(Reason.TARGET_FAILED, progress.reason, CAPACITY_RETRY_AFTER)
+        return Refused(Reason.TARGET_FAILED, progress.reason, INCOMPLETE_RETRY_AFTER)
 
     async def _send_idempotent(self, call: ServiceCall, progress: _CallProgress) -> None:
-        """Try targets one after the other until one answers with a status other than 503."""
+        """Try targets one after the other until one responds with a status other than 503.
+
+        Stops after `MAX_ATTEMPTS`, when the retry budget is used up or when no target is available.
+        """
         for attempt in range(MAX_ATTEMPTS):
-            if attempt and not self._retries.take():
+            if attempt and not self._retry_limiter.take():
                 return
             async with self._admission.place_call(call, frozenset(progress.excluded)) as target:
                 if isinstance(target, Refused):
@@ -270,14 +283,14 @@
     async def _send(
         self, target: Target, call: ServiceCall, progress: _CallProgress
     ) -> ServiceResponse | CallNotSent | CallInterrupted:
-        """Send a call once; it counts as sent unless the outcome proves that it was not."""
-        sent_before = progress.sent
+        """Send a call once; it may have run unless the outcome proves that it was not sent."""
+        may_have_run_before = progress.may_have_run
         progress.excluded.add(target.target_id)
-        progress.sent = True
+        progress.may_have_run = True
         outcome = await self._plain.call(target, call)
         match outcome:
             case CallNotSent(reason=reason):
-                progress.sent = sent_before
+                progress.may_have_run = may_have_run_before
                 progress.reason = reason
             case CallInterrupted(reason=reason):
                 progress.reason = reason
@@ -298,13 +311,16 @@
         if progress.response is not None:
             await self._runs.settle(claim, RunStatus.DONE, progress.response)
             return progress.response
-        if progress.sent:
+        if progress.may_have_run:
             return await self._settle_unknown_result(call, claim, progress.reason)
         await self._runs.settle(claim, RunStatus.NOT_RUN)
-        return Refused(Reason.NO_TARGET, progress.reason, CAPACITY_RETRY_AFTER)
+        return Refused(Reason.NO_TARGET, progress.reason, INCOMPLETE_RETRY_AFTER)
 
     async def _send_claimed(self, call: ServiceCall, progress: _CallProgress) -> None:
-        """Try targets one after the other until one may have received the call."""
+        """Try targets one after the other until one may have received the call.
+
+        Stops after `MAX_ATTEMPTS` or when no target is available.
+        """
         for _ in range(MAX_ATTEMPTS):
             async with self._admission.place_call(call, frozenset(progress.excluded)) as target:
                 if isinstance(target, Refused):
@@ -335,18 +351,18 @@
 
 
 def _refused_outcome(progress: _Progress, refused: Refused) -> GenerateOutcome:
-    if not progress.started:
+    if not progress.may_have_run:
         return refused
     return _unanswered_outcome(progress, refused.reason, progress.last_reason or refused.message)
 
 
 def _unanswered_outcome(progress: _Progress, reason: Reason, message: str) -> GenerateOutcome:
-    retry_after = None if reason is Reason.QUARANTINED else CAPACITY_RETRY_AFTER
-    if not progress.started:
+    retry_after = None if reason is Reason.QUARANTINED else INCOMPLETE_RETRY_AFTER
+    if not progress.may_have_run:
         return Refused(reason, message, retry_after)
     run = RunState.RAN if progress.assembler.offset else RunState.UNKNOWN
     return Failed(reason, message, run, retry_after)
 
 
 def _failed_call_outcome(reason: str) -> Failed:
-    return Failed(Reason.TARGET_FAILED, reason, RunState.UNKNOWN, CAPACITY_RETRY_AFTER)
+    return Failed(Reason.TARGET_FAILED, reason, RunState.UNKNOWN, INCOMPLETE_RETRY_AFTER)
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -136,8 +136,8 @@
     def alive(self) -> list[Member]:
         """Return the entry instances that callers may use, this one included.
 
-        If all peers have timed out, those last heard from within `ISOLATED_LISTING_TIMEOUT` are
-        included.
+        If all peers have timed out, those whose last message arrived within
+        `ISOLATED_LISTING_TIMEOUT` are included.
         """
         now = self._now()
         nodes = self.peers() or [
--- a/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/operations/coordinator.py
@@ -33,7 +33,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StatusSources:
-    """Sources of the reported figures; a component that this entry instance lacks is None."""
+    """Sources of the reported figures; a component that this entry instance lacks is None.
+
+    `target_coordinator` and `quarantine` also carry out operators' requests to drain a target and
+    to release a quarantined request.
+    """
 
     own: Member
     configuration: ConfigurationState
@@ -45,7 +49,7 @@
     counters: Counters
     traffic: ControlTraffic
     queues: QueueProvider | None = None
-    credit_ledger: CreditProvider | None = None
+    credits: CreditProvider | None = None
     owners: OwnerProvider | None = None
     quarantine: QuarantineProvider | None = None
 
@@ -60,7 +64,7 @@
 
     @property
     def sources(self) -> StatusSources:
-        """Return the sources of the reported figures."""
+        """Return the components that the reported figures come from."""
         return self._sources
 
     def report(self) -> StatusReport:
@@ -78,8 +82,8 @@
             tokens_relayed=counters.tokens_relayed,
             retries=counters.retries,
             requests=tuple(
-                RequestCount(kind.kind, kind.outcome, kind.run, count)
-                for kind, count in counters.requests.items()
+                RequestCount(labels.kind, labels.outcome, labels.run, count)
+                for labels, count in counters.requests.items()
             ),
             store_calls=tuple(
                 StoreCallCount(operation, outcome, count)
@@ -89,12 +93,12 @@
             members=tuple(_member(member) for member in sources.members),
             targets=tuple(self._target(status) for status in sources.targets),
             queues=sources.queues.queue_figures() if sources.queues else None,
-            credits=sources.credit_ledger.credit_figures() if sources.credit_ledger else None,
+            credits=sources.credits.credit_figures() if sources.credits else None,
             suspects=sources.quarantine.suspect_figures() if sources.quarantine else None,
         )
 
     def history(self, limit: int) -> list[tuple[int, tuple[str, ...]]]:
-        """Return the newest retained versions with their changed paths, newest first."""
+        """Return the retained configuration versions with their changed paths, newest first."""
         deltas = self._sources.configuration.recent_deltas(limit)
         return [(delta.version, tuple(sorted(delta.changes))) for delta in deltas]
 
@@ -103,7 +107,10 @@
         return self._sources.records.get(request_id)
 
     def drain_target(self, target_id: str) -> Done | NotFound:
-        """Stop placing new requests on a target; its running requests continue."""
+        """Mark a target as leaving on all entry instances; its running requests continue.
+
+        No new requests are placed on it until the mark expires.
+        """
         status = self._sources.targets.get(target_id)
         if status is None:
             return NotFound(f"no target has the id {target_id}")
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/suspect_leases.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/suspect_leases.py
@@ -19,7 +19,7 @@
 from wasabiwell_entry.state.platform import (
     Committed,
     Condition,
-    ReplyLost,
+    ResponseLost,
     Row,
     StoreUnavailable,
     TableService,
@@ -70,7 +70,7 @@
             with trio.move_on_after(STORE_TIMEOUT.total_seconds(), shield=True) as scope:
                 await self._release(key, lease)
             if scope.cancelled_caught:
-                _log_not_released(key, lease, "the table service did not answer in time")
+                _log_not_released(key, lease, "the table service did not respond in time")
 
     async def _acquire(self, key: str, fingerprint: str) -> _SuspectLease | StoreUnavailable:
         while True:
@@ -98,7 +98,7 @@
                 return lease
             case StoreUnavailable():
                 return outcome
-            case ReplyLost():
+            case ResponseLost():
                 rows = await self._table.read([key])
                 if isinstance(rows, StoreUnavailable):
                     return rows
@@ -117,7 +117,7 @@
         if row is None or _decode(row) != lease:
             return
         outcome = await self._table.transact([Condition(key, row.version)], [Write(key, None)])
-        if isinstance(outcome, StoreUnavailable | ReplyLost):
+        if isinstance(outcome, StoreUnavailable | ResponseLost):
             _log_not_released(key, lease, outcome.reason)
 
 
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -50,14 +50,16 @@
     usual_prompt_tokens=13_199,
     usual_output_tokens=1_541,
 )
-"""Engines of the users: the prefill of 210,000 tokens takes 2.9 s on one of them."""
+"""Engines as the users have them; one takes 2.9 s for the prefill of 210,000 tokens."""
 
 OBJECTIVES = {"short": 0.3, "medium": 1.5, "long": 3.0, "call": 0.1}
-GAPS = {"short": 0.2, "medium": 0.5, "long": 0.8, "call": 1.0}
+EVENT_GAPS = {"short": 0.2, "medium": 0.5, "long": 0.8, "call": 1.0}
+"""Latency objectives and allowed event gaps in seconds by the size of prompts; `call` is for calls
+of plain services."""
 
 
 def make_route(kind: RouteKind, size: str = "short", attempts: int = 2, **fields: object) -> Route:
-    """Return a route of one service; `size` names its objective and its allowed pause."""
+    """Return a route of one service; `size` selects its objective and its event gap."""
     values: dict[str, object] = {
         "name": f"{kind.value}-{size}",
         "host": "a.example",
@@ -67,7 +69,7 @@
         "attempts": attempts,
         "timeout": timedelta(seconds=10),
         "objective": timedelta(seconds=OBJECTIVES[size]),
-        "event_gap": timedelta(seconds=GAPS[size]),
+        "event_gap": timedelta(seconds=EVENT_GAPS[size]),
         "resumable": kind is RouteKind.STREAM,
     }
     return Route(**(values | fields))  # type: ignore[arg-type]
@@ -76,7 +78,7 @@
 def make_forwarded(
     route: Route, prompt: int = 0, request_id: str = "r1", now: timedelta = timedelta()
 ) -> ForwardedRequest:
-    """Return a request; with prompt tokens it is a request for engines."""
+    """Return a request for engines with `prompt` tokens, or for a plain service if it is 0."""
     return ForwardedRequest(
         request_id=request_id,
         route=route,
@@ -110,7 +112,7 @@
 def make_placed(
     target_id: str, prompt: int, size: str = "short", **fields: object
 ) -> PlacedRequest:
-    """Return a request that was placed at the start of the test."""
+    """Return a request with `prompt` tokens that was placed at the start of the test."""
     values: dict[str, object] = {
         "request_id": f"{target_id}-{prompt}-{size}",
         "origin": "peer",
@@ -119,25 +121,25 @@
         "helpers": (),
         "placed_at": 0.0,
         "due": OBJECTIVES[size],
-        "gap": GAPS[size],
+        "gap": EVENT_GAPS[size],
         "size": PromptSize(prompt, 2_000, 1_000),
     }
     return PlacedRequest(**(values | fields))  # type: ignore[arg-type]
 
 
 class FakeZoneLocality:
-    """Zones that serve their own requests when a test sets `used`."""
+    """Fake of `ZoneLocality`; zones serve their own requests when a test sets `enabled`."""
 
     def __init__(self) -> None:
-        self.used = False
+        self.enabled = False
 
     def in_use(self, service: str) -> bool:
-        """Return what the test set."""
-        return self.used
+        """Return whether zones serve their own requests, for any service."""
+        return self.enabled
 
 
-class Engines:
-    """The placement parts of an entry instance, with listed engines."""
+class PlacementFixture:
+    """Placer, work table and target health of an entry instance, with listed targets."""
 
     def __init__(self, count: int, clock: Clock, profile: EngineProfile | None = PROFILE) -> None:
         self.clock = clock
@@ -146,10 +148,10 @@
         self.health = TargetHealth(clock)
         self.placer = Placer(self.works, self.health, self.zone_locality, ZONE, clock, Random(1))
         self.targets = [make_target(index) for index in range(count)]
-        self.list_targets(profile)
+        self.apply_target_list(profile)
 
-    def list_targets(self, profile: EngineProfile | None = PROFILE, leaving: str = "") -> None:
-        """Apply the list of targets; one of them may be leaving."""
+    def apply_target_list(self, profile: EngineProfile | None = PROFILE, leaving: str = "") -> None:
+        """Update work table and health with the targets; `leaving` is the id of a leaving one."""
         self.health.update([ListedTarget(item, item.target_id == leaving) for item in self.targets])
         self.works.update([(item, profile) for item in self.targets], self.now)
 
@@ -162,12 +164,12 @@
 FIRST_HELPER = "first helper"
 """Placeholder in scripts for the address of the first helper."""
 Script = list[AttemptItem | float]
-"""Behaviour of a target for one request; numbers are pauses in seconds."""
+"""What a target sends in one attempt; numbers are pauses in seconds."""
 
 
 @dataclass(slots=True)
 class ScriptedTargets:
-    """Targets that follow one script for each attempt, whichever target it is sent to."""
+    """Plays the next script for each attempt on any target; the last script is repeated."""
 
     scripts: list[Script]
     sent: list[ForwardAttempt] = field(default_factory=list)
@@ -176,7 +178,7 @@
 
     @asynccontextmanager
     async def attempt(self, attempt: ForwardAttempt) -> AsyncIterator[AsyncIterator[AttemptItem]]:
-        """Play the next script."""
+        """Return the items of the script for this attempt."""
         self.sent.append(attempt)
         script = self.scripts[min(len(self.sent), len(self.scripts)) - 1]
 
@@ -197,7 +199,7 @@
             raise
 
     async def accepts_connections(self, target: Target) -> bool:
-        """Return what the test set."""
+        """Return `accepting` for any target, without opening a connection."""
         await trio.lowlevel.checkpoint()
         return self.accepting
 
@@ -226,13 +228,13 @@
 
 
 def make_forwarder(
-    engines: Engines,
+    engines: PlacementFixture,
     targets: ScriptedTargets,
     notify: Callable[[Notice], None] = lambda notice: None,
     slack: float = 100.0,
     reservations: FakeReservations | None = None,
 ) -> Forwarder:
-    """Return a forwarder over scripted targets."""
+    """Return a forwarder over scripted targets; `slack` is that of its retry budget."""
     clock = SystemClock()
     limits = BudgetLimits(ratio=0.2, slack=slack, window=timedelta(seconds=10))
     return Forwarder(
@@ -246,6 +248,7 @@
         ),
         targets,
         EngineReservations(reservations or FakeReservations(), clock),
+        # `list` stands for no use of retry budget by other instances.
         RetryBudget(limits, list, notify, clock),
         CrashCounts(notify, clock),
         clock,
@@ -258,6 +261,6 @@
 
 
 def stream_script(first: int, last: int, end: bool = True) -> Script:
-    """Return the script of a stream with events from `first` to `last`."""
+    """Return the script of a stream with events `first` to `last`; `end` completes the response."""
     events = [ResponseEvent(number, b"%d " % number) for number in range(first, last + 1)]
     return [ResponseHead(200, (), True), *events, *([ResponseEnd()] if end else [])]
