--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/const.py
@@ -30,7 +30,9 @@
 VOUCHING_INSTANCES = 8
 """Instances that reply when a part with which they succeeded is suspected; replies may be lost."""
 MAX_SUSPICIONS_PER_NOTICE = 16
-"""Keeps a datagram below its largest size with all crashes of each cause."""
+MAX_CRASHES_PER_NOTICE = 200
+"""Keep a datagram below its largest size when the names of targets have their greatest length: a
+crash then takes about 255 bytes, and a cause about 280."""
 INITIAL_REFUSAL_TIME = timedelta(minutes=2)
 """Time for which a cause of crashes is refused; it doubles with each crash after that time."""
 MAX_REFUSAL_DOUBLINGS = 7
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/crashes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/crashes.py
@@ -8,6 +8,7 @@
     INITIAL_REFUSAL_TIME,
     MAX_CAUSES,
     MAX_CRASHES_PER_CAUSE,
+    MAX_CRASHES_PER_NOTICE,
     MAX_REFUSAL_DOUBLINGS,
     MAX_SUSPICIONS_PER_NOTICE,
     MIN_PART_REQUESTS,
@@ -48,7 +49,15 @@
     succeeded lately; crashes with another part that is refused do not count.
     """
 
-    __slots__ = ("_broadcast", "_clock", "_proven_parts", "_records", "_sampled", "on_refused")
+    __slots__ = (
+        "_broadcast",
+        "_clock",
+        "_proven_parts",
+        "_records",
+        "_sampled",
+        "on_refusal_cleared",
+        "on_refused",
+    )
 
     def __init__(
         self,
@@ -63,6 +72,7 @@
         self._records: dict[Cause, CrashRecord] = {}
         self._proven_parts = ProvenParts(clock)
         self.on_refused: Callable[[Cause], None] = lambda cause: None
+        self.on_refusal_cleared: Callable[[Cause], None] = lambda cause: None
 
     def assess(self, request: ForwardedRequest) -> CrashAssessment:
         """Return whether a request is suspected of crashing targets, or refused for it."""
@@ -72,6 +82,7 @@
             record = self._records.get(cause)
             if record is None or not record.counted:
                 continue
+            self._log_expiry(cause, record, now)
             if record.refused_until > now:
                 return RefusedCause(cause, len(record.counted), record.refused_until - now)
             if not record.proven:
@@ -84,12 +95,12 @@
         `target` includes the incarnation, so a restarted target counts again.
         """
         crash = Crash(target, request.fingerprint)
-        causes = _causes(request)
-        for cause in causes:
-            self._merge(Suspicion(cause, (crash,)))
-        self._broadcast_causes(causes)
-        for cause in causes:
-            if self._records[cause].refused_until > self._clock.monotonic():
+        records = {cause: self._merge(Suspicion(cause, (crash,))) for cause in _causes(request)}
+        # Making room for one cause may have removed another one of the same request.
+        self._records.update(records)
+        self._broadcast_causes(records)
+        for cause, record in records.items():
+            if self._is_refused(record):
                 self.on_refused(cause)
 
     def record_success(self, request: ForwardedRequest) -> None:
@@ -104,8 +115,11 @@
             if isinstance(cause, RequestCause) and self._is_refused(record):
                 continue
             proven = isinstance(cause, PartCause)
+            refused = self._is_refused(record)
             self._merge(Suspicion(cause, (), tuple(record.counted), proven))
             changed.append(cause)
+            if refused:
+                self.on_refusal_cleared(cause)
         if changed:
             self._broadcast_causes(changed)
 
@@ -120,6 +134,7 @@
             and cause in self._proven_parts
             and self._sampled(str(cause), VOUCHING_INSTANCES)
         ):
+            log_events.emit(log_events.PART_VOUCHED_FOR, cause=str(cause))
             self._broadcast_causes([cause])
 
     def find(self, name: str) -> Cause | None:
@@ -157,13 +172,19 @@
 
     def restore(self, refusal: StoredRefusal) -> None:
         """Apply a refusal that an earlier entry instance stored."""
-        record = self._merge(Suspicion(refusal.cause, refusal.crashes))
         time_left = min(
             refusal.refused_until - self._clock.now(),
             INITIAL_REFUSAL_TIME * 2**MAX_REFUSAL_DOUBLINGS,
         )
+        record = self._merge(Suspicion(refusal.cause, refusal.crashes), decide=False)
         record.refused_until = self._clock.monotonic() + max(timedelta(), time_left)
         record.refusals = max(record.refusals, refusal.refusals)
+        log_events.emit(
+            log_events.REFUSAL_RESTORED,
+            cause=str(refusal.cause),
+            crashes=len(record.counted),
+            refusal_s=max(0, round(time_left.total_seconds())),
+        )
 
     def suspicions(self) -> list[Suspicions]:
         """Return the suspicions that have not expired."""
@@ -188,17 +209,37 @@
             self._broadcast(notice)
 
     def _notices(self, causes: Iterable[Cause]) -> list[Suspicions]:
-        items = [_suspicion(cause, self._records[cause]) for cause in causes]
-        size = MAX_SUSPICIONS_PER_NOTICE
-        return [
-            Suspicions(tuple(items[start : start + size])) for start in range(0, len(items), size)
-        ]
+        """Return messages that each fit into a datagram."""
+        notices: list[list[Suspicion]] = []
+        crashes_in_last = 0
+        for cause in causes:
+            item = _suspicion(cause, self._records[cause])
+            crashes = len(item.crashes) + len(item.cleared)
+            crashes_in_last += crashes
+            if (
+                not notices
+                or len(notices[-1]) >= MAX_SUSPICIONS_PER_NOTICE
+                or crashes_in_last > MAX_CRASHES_PER_NOTICE
+            ):
+                notices.append([])
+                crashes_in_last = crashes
+            notices[-1].append(item)
+        return [Suspicions(tuple(items)) for items in notices]
 
     def _is_refused(self, record: CrashRecord) -> bool:
         return record.refused_until > self._clock.monotonic()
 
-    def _merge(self, suspicion: Suspicion) -> CrashRecord:
-        """Merge a suspicion into the record of its cause, log changes, and return the record."""
+    def _log_expiry(self, cause: Cause, record: CrashRecord, now: timedelta) -> None:
+        """Log the end of a refusal when the first request after it is assessed."""
+        if not record.expiry_logged and timedelta() < record.refused_until <= now:
+            record.expiry_logged = True
+            log_events.emit(log_events.REFUSAL_EXPIRED, cause=str(cause))
+
+    def _merge(self, suspicion: Suspicion, decide: bool = True) -> CrashRecord:
+        """Merge a suspicion into the record of its cause, log changes, and return the record.
+
+        Without `decide` the cause is not refused for the merged crashes.
+        """
         cause = suspicion.cause
         record = self._records.get(cause)
         if record is None:
@@ -215,8 +256,9 @@
         if counted and not record.counted:
             record.refused_until = timedelta()
             log_events.emit(log_events.SUSPICION_CLEARED, cause=str(cause), crashes=len(counted))
-        for crash in record.counted - counted:
-            self._count_crash(cause, record, crash, now)
+        if decide:
+            for crash in record.counted - counted:
+                self._count_crash(cause, record, crash, now)
         return record
 
     def _count_crash(self, cause: Cause, record: CrashRecord, crash: Crash, now: timedelta) -> None:
@@ -239,6 +281,7 @@
         refusal_time = INITIAL_REFUSAL_TIME * 2 ** min(record.refusals, MAX_REFUSAL_DOUBLINGS)
         record.refusals += 1
         record.refused_until = now + refusal_time
+        record.expiry_logged = False
         log_events.emit(
             log_events.CAUSE_REFUSED,
             cause=str(cause),
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/refusals.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/refusals.py
@@ -27,25 +27,27 @@
     it an instance works with what it observes and hears, and saves later.
     """
 
-    __slots__ = ("_clock", "_crashes", "_store", "_unsaved", "_unsaved_added")
+    __slots__ = ("_clock", "_crashes", "_pending", "_store", "_unremoved", "_unsaved")
 
     def __init__(self, crashes: CrashCounts, store: RefusalStore, clock: Clock) -> None:
         self._crashes = crashes
         self._store = store
         self._clock = clock
         self._unsaved: dict[Cause, None] = {}
-        self._unsaved_added = trio.Event()
+        self._unremoved: dict[Cause, None] = {}
+        self._pending = trio.Event()
         crashes.on_refused = self._request_save
+        crashes.on_refusal_cleared = self._request_removal
 
     async def run(self) -> None:
-        """Load the refusals once, then save new ones until cancelled."""
+        """Load the refusals once, then save new ones and remove cleared ones until cancelled."""
         while not await self.load():
             await self._clock.sleep(REFUSAL_STORE_RETRY_INTERVAL)
         while True:
             if not await self.save_pending():
                 await self._clock.sleep(REFUSAL_STORE_RETRY_INTERVAL)
                 continue
-            await self._unsaved_added.wait()
+            await self._pending.wait()
 
     async def load(self) -> bool:
         """Restore the stored refusals and remove expired ones; return False without the store."""
@@ -79,21 +81,38 @@
         return Released()
 
     async def save_pending(self) -> bool:
-        """Save the new refusals; return False when the store did not confirm one of them."""
-        self._unsaved_added = trio.Event()
+        """Save new refusals and remove cleared ones; return False when the store failed once."""
+        self._pending = trio.Event()
         for cause in list(self._unsaved):
             refusal = self._crashes.refusal(cause)
-            failed = None
-            if refusal is not None:
-                failed = await self._store.save(refusal)
-            if failed is not None:
-                log_events.emit(
-                    log_events.STORE_UNAVAILABLE, service="quarantine table", reason=failed.reason
-                )
+            if refusal is not None and not _succeeded(await self._store.save(refusal)):
                 return False
             self._unsaved.pop(cause, None)
+            if refusal is not None and self._crashes.refusal(cause) is None:
+                # The refusal was cleared while it was saved.
+                self._unremoved[cause] = None
+        for cause in list(self._unremoved):
+            if not _succeeded(await self._store.remove(cause)):
+                return False
+            self._unremoved.pop(cause, None)
+            log_events.emit(log_events.REFUSAL_REMOVED, cause=str(cause))
         return True
 
     def _request_save(self, cause: Cause) -> None:
+        self._unremoved.pop(cause, None)
         self._unsaved[cause] = None
-        self._unsaved_added.set()
+        self._pending.set()
+
+    def _request_removal(self, cause: Cause) -> None:
+        self._unsaved.pop(cause, None)
+        self._unremoved[cause] = None
+        self._pending.set()
+
+
+def _succeeded(failed: StoreUnavailable | None) -> bool:
+    """Return whether a write succeeded, and log the reason when it did not."""
+    if failed is not None:
+        log_events.emit(
+            log_events.STORE_UNAVAILABLE, service="quarantine table", reason=failed.reason
+        )
+    return failed is None
--- a/packages/entry/src/wasabiwell_entry/state/crashes.py
+++ b/packages/entry/src/wasabiwell_entry/state/crashes.py
@@ -47,8 +47,8 @@
     are many. Records of several entry instances are merged in any order and any number of times.
     `cleared` are the crashes before a success, which a late message does not make count again.
     `proven` is set when a request with the cause has succeeded lately on any instance.
-    `refused_until` is
-    a monotonic time, and `refusals` counts how often the cause came to be refused.
+    `refused_until` is a monotonic time, and `refusals` counts how often the cause came to be
+    refused. `expiry_logged` is set once the end of the last refusal has its log line.
     """
 
     crashes: dict[Crash, None] = field(default_factory=dict)
@@ -57,6 +57,7 @@
     refused_until: timedelta = timedelta()
     refusals: int = 0
     proven: bool = False
+    expiry_logged: bool = False
 
     @property
     def counted(self) -> set[Crash]:
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -178,7 +178,7 @@
 SUSPICION_CLEARED = LogEvent(
     435,
     Level.INFO,
-    "a request with {cause} has succeeded, so {crashes} crashes no longer count against it",
+    "{crashes} crashes no longer count against {cause}, after a success or a release",
 )
 CAUSE_REFUSED = LogEvent(
     436,
@@ -194,6 +194,19 @@
     "row {key} of the quarantine table cannot be decoded: {reason}",
     "Upgrade this entry instance. The refusal of that row is not applied here.",
 )
+REFUSAL_RESTORED = LogEvent(
+    439,
+    Level.WARNING,
+    "a row of the quarantine table refuses {cause} for another {refusal_s} s, after {crashes} "
+    "crashes",
+)
+REFUSAL_EXPIRED = LogEvent(440, Level.INFO, "the refusal of {cause} has expired")
+PART_VOUCHED_FOR = LogEvent(
+    441, Level.INFO, "the other instances were told that {cause} has succeeded here lately"
+)
+REFUSAL_REMOVED = LogEvent(
+    442, Level.INFO, "the row of {cause} was removed from the quarantine table"
+)
 ROUTED = LogEvent(
     409,
     Level.INFO,
--- a/tests/entry/coordination/quarantine/crash_counts.feature
+++ b/tests/entry/coordination/quarantine/crash_counts.feature
@@ -55,3 +55,25 @@
     Then at most 4096 suspicions are known
     When 601 seconds pass for all instances
     Then at most 0 suspicions are known
+
+  Scenario: Messages with many crashes of targets with long names fit into datagrams
+    Given 2 instances that count crashes
+    When 20 requests crash 32 targets with names of 200 characters each at instance 0
+    And the instances repeat their recent suspicions
+    Then no message is larger than a datagram
+    And every message about the 20 requests has arrived at all instances
+
+  Scenario: A known crash is counted again when there is no room for a new cause
+    Given 1 instances that count crashes
+    When request "a" crashes targets "e1" at instance 0
+    And 1 seconds pass for all instances
+    And 4095 different requests crash a target at instance 0
+    And request "a" with parts "p" crashes targets "e1" at instance 0
+    Then request "a" is suspected, but not refused, at all instances
+
+  Scenario: Log lines say how a refusal began and how it ended
+    Given 1 instances that count crashes
+    When request "a" crashes targets "e1 e2 e3" at instance 0
+    And 121 seconds pass for all instances
+    And the log is recorded while request "a" is assessed
+    Then the log has the events "REFUSAL_EXPIRED"
--- a/tests/entry/coordination/quarantine/refusals.feature
+++ b/tests/entry/coordination/quarantine/refusals.feature
@@ -61,3 +61,36 @@
     Given the store of refusals is unavailable
     When an operator releases "a" at instance 1
     Then request "a" is refused at all instances
+
+  Scenario: A refused prompt part that has succeeded is not refused again after a restart
+    Given 2 instances that count crashes
+    When request "a" with parts "p" crashes targets "e1 e2" at instance 0
+    And request "b" with parts "p" crashes targets "e3" at instance 0
+    And the instances save their refusals
+    Then a new request with parts "p" is refused at all instances
+    When request "c" with parts "p" succeeds at instance 1
+    And the instances save their refusals
+    And all instances end and start again
+    Then a new request with parts "p" is not refused at any instance
+    And the store has no refusal
+
+  Scenario: A refusal that ends during an outage of the store is removed afterwards
+    Given 2 instances that count crashes
+    When request "a" with parts "p" crashes targets "e1 e2" at instance 0
+    And request "b" with parts "p" crashes targets "e3" at instance 0
+    And the instances save their refusals
+    Given the store of refusals is unavailable
+    When request "c" with parts "p" succeeds at instance 1
+    And the instances save their refusals
+    And the store of refusals becomes available
+    And the instances save their refusals
+    Then the store has no refusal
+
+  Scenario: The log line of a restored refusal has the time that is left
+    Given 1 instances that count crashes
+    When request "a" crashes targets "e1 e2 e3" at instance 0
+    And the instances save their refusals
+    And 10 seconds pass for all instances
+    And the log is recorded while all instances end and start again
+    Then the log has the events "REFUSAL_RESTORED"
+    And the refusal in the log has 110 seconds left
--- a/tests/steps/entry/coordination/crash_counts_steps.py
+++ b/tests/steps/entry/coordination/crash_counts_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.forwarding import make_forwarded, make_route
+from support.logs import record_events
 from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
 from wasabiwell_entry.coordination.quarantine.errors import (
     CrashAssessment,
@@ -17,12 +18,14 @@
 )
 from wasabiwell_entry.coordination.quarantine.refusals import RefusalKeeper
 from wasabiwell_entry.protocol.notices import decode_notice, encode_notice
+from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.crashes import Cause, StoredRefusal
 from wasabiwell_entry.state.exchange import Notice
 from wasabiwell_entry.state.forwarding import ForwardedRequest
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import RouteKind
+from wasabiwell_entry.transport.datagram.endpoint import MAX_DATAGRAM_BYTES
 
 
 def make_request(name: str, parts: str = "") -> ForwardedRequest:
@@ -251,3 +254,55 @@
     for instance in context.instances:
         known = [item for notice in instance.suspicions() for item in notice.items]
         assert len(known) <= count, len(known)
+
+
+@when(
+    "{count:d} requests crash {targets:d} targets with names of {length:d} characters each "
+    "at instance {index:d}"
+)
+def step_long_names(context: Context, count: int, targets: int, length: int, index: int) -> None:
+    context.crashing = [f"request{number}" for number in range(count)]
+    for name in context.crashing:
+        for number in range(targets):
+            target = f"{number:0{length}}@{2**53}"
+            context.instances[index].record_crash(make_request(name), target)
+
+
+@then("no message is larger than a datagram")
+def step_fits(context: Context) -> None:
+    sizes = [len(encode_notice(notice)) for _, notice in context.messages]
+    for instance in context.instances:
+        sizes += [len(encode_notice(notice)) for notice in instance.suspicions()]
+        sizes += [len(encode_notice(notice)) for notice in instance.recent_suspicions()]
+    assert max(sizes) <= MAX_DATAGRAM_BYTES, max(sizes)
+
+
+@then("every message about the {count:d} requests has arrived at all instances")
+def step_all_arrived(context: Context, count: int) -> None:
+    assert len(context.crashing) == count
+    for name in context.crashing:
+        assert all(isinstance(item, RefusedCause) for item in assess(context, name)), name
+
+
+@when('the log is recorded while request "{name:w}" is assessed')
+def step_log_assessed(context: Context, name: str) -> None:
+    with record_events() as context.records:
+        assess(context, name)
+
+
+@when("the log is recorded while all instances end and start again")
+def step_log_restart(context: Context) -> None:
+    with record_events() as context.records:
+        step_restart(context)
+
+
+@then('the log has the events "{names}"')
+def step_logged(context: Context, names: str) -> None:
+    found = [record.extra["event"] for record in context.records]
+    expected = [getattr(log_events, name).number for name in names.split()]
+    assert found == expected, (found, expected)
+
+
+@then("the refusal in the log has {seconds:d} seconds left")
+def step_logged_time(context: Context, seconds: int) -> None:
+    assert context.records[-1].kwargs["refusal_s"] == seconds, context.records[-1].kwargs
