--- a/tests/platform/caller.feature
+++ b/tests/platform/caller.feature
@@ -37,6 +37,17 @@
       | 5C1E:800, 91bd:x ,:7,5c1e:1,e440:250     | 5c1e 91bd |
       | ,,                                       |           |
 
+  Scenario Outline: A number with too many digits in a header does not end the request
+    When a request with <count> digits in the header "<header>" arrives
+    Then it is forwarded without that number
+
+    Examples:
+      | header                   | count |
+      | Last-Event-Id            | 5000  |
+      | Last-Event-Id            | 16    |
+      | Wasabiwell-Token-Counts  | 5000  |
+      | Wasabiwell-Length-Hint   | 5000  |
+
   Scenario Outline: Requests that cannot be served are refused with a status
     When a request for "<path>" arrives with the key "<key>" and the id "<id>"
     Then it is refused with status <status>
--- a/tests/steps/platform/decoding_steps.py
+++ b/tests/steps/platform/decoding_steps.py
@@ -342,6 +342,27 @@
     context.request = forwarded_request(request, route, None, b"", RECEIVED)
 
 
+@when('a request with {count:d} digits in the header "{header}" arrives')
+def step_many_digits(context: Context, count: int, header: str) -> None:
+    values = {"Wasabiwell-Token-Counts": "9" * count + ",200", "Last-Event-Id": "9" * count}
+    headers = [
+        (b"Host", HOST.encode()),
+        (b"Wasabiwell-Request-Id", b"1"),
+        (b"Wasabiwell-Token-Counts", b"1000,200"),
+        (header.encode(), values.get(header, "9" * count).encode()),
+    ]
+    request = decode_request("POST", "/lohu930/2f", "", headers)
+    route = example_routes().find(HOST, "/lohu930/2f")
+    context.request = forwarded_request(request, route, None, b"", RECEIVED)
+
+
+@then("it is forwarded without that number")
+def step_without_number(context: Context) -> None:
+    size = context.request.size
+    assert context.request.last_event_id is None
+    assert size is None or size.expected_output == size.max_output, size
+
+
 @then('its shared parts are "{parts}"')
 def step_shared_parts(context: Context, parts: str) -> None:
     assert context.request.prompt_parts == tuple(parts.split()), context.request.prompt_parts
