Heed targets that announce their departure or ask for a pause

Cause: neither Server-Leaving nor the Retry-After of a refusal was read in a target's answers, so a leaving target was known from the list only, and a target that wanted a pause got the next request at once. Change: platform/advice.py decodes both headers in the head of every answer, also to orders; TargetHealth keeps them by incarnation and address. A departure is told to all instances and outlasts a gap of the listing; a pause binds the instance that was asked, for at most 5 minutes, and the share of the target grows back over 2 s. When all targets pause, a request is refused at once until the first pause ends. Test: health.feature, placement.feature and targets.feature, 29 new examples; the decisions did not exist before, so they could not run.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -37,6 +37,7 @@
     SlowdownNotice,
     Suspicion,
     Suspicions,
+    TargetDeparture,
     WatchRequest,
 )
 from wasabiwell_entry.state.members import Member
@@ -48,14 +49,16 @@
 class ExchangeObservers:
     """Callbacks for the messages of other entry instances, except placements.
 
-    `routes_announced` takes the control address of a peer and its routes version, `helper_lost` the
-    id of a target. `full_listing` returns the message for a peer that knows no target, or None.
-    `suspicions` returns the messages for a peer that is new or was unreachable for long, and
+    `target_departed` takes the announcement of a target that is leaving. `routes_announced` takes
+    the control address of a peer and its routes version, `helper_lost` the id of a target.
+    `full_listing` returns the message for a peer that knows no target, or None. `suspicions`
+    returns the messages for a peer that is new or was unreachable for long, and
     `recent_suspicions` those repeated with each state, because single messages may be lost.
     """
 
     request_ended: Callable[[RequestEnded], None]
     helper_lost: Callable[[str], None]
+    target_departed: Callable[[TargetDeparture], None]
     suspicion_received: Callable[[Suspicion], None]
     suspicions: Callable[[], Iterable[Suspicions]]
     recent_suspicions: Callable[[], Iterable[Suspicions]]
@@ -215,6 +218,8 @@
                 self._observers.request_ended(ended)
             case HelperLoss(target_id=target_id):
                 self._observers.helper_lost(target_id)
+            case TargetDeparture() as departure:
+                self._observers.target_departed(departure)
             case PeerLoss(address=address) if address == self._own_address:
                 self._failure_detector.refute_loss(now)
             case PeerLoss() as loss:
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -32,7 +32,6 @@
 from wasabiwell_entry.coordination.forwarding.ports import ResponseSink, TargetPort
 from wasabiwell_entry.coordination.forwarding.silence_timeout import SilenceTimeout
 from wasabiwell_entry.coordination.placement import Placer
-from wasabiwell_entry.coordination.placement.const import NO_TARGET_RETRY_AFTER
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
 from wasabiwell_entry.coordination.placement.ledger import OpenPlacement, PlacementLedger
 from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
@@ -144,7 +143,7 @@
                     log_events.NOT_PLACED, request=request.request_id, reason=placement.reason
                 )
                 return await self._finish_unanswered(
-                    progress, sink, placement.reason, NO_TARGET_RETRY_AFTER
+                    progress, sink, placement.reason, placement.retry_after
                 )
             outcome = await self._attempt(request, placement, sink, progress)
             match outcome:
--- a/packages/entry/src/wasabiwell_entry/coordination/health/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/const.py
@@ -8,5 +8,12 @@
 """Maximum pause; the pause doubles with each consecutive loss."""
 FAILURE_HALF_LIFE = timedelta(seconds=3)
 """Half-life of the failure count; failing targets recover within seconds."""
+MAX_REQUESTED_PAUSE = timedelta(minutes=5)
+"""Longest pause that a target may ask for, so that no target is lost for good by one odd value."""
+RETURN_TIME = timedelta(seconds=2)
+"""Time after a requested pause within which a target gets its whole share of requests back."""
+DEPARTURE_LIFETIME = timedelta(minutes=10)
+"""Time for which an announced departure is remembered; leaving targets run on for seconds."""
+MAX_DEPARTURES = 4_096
 PRIOR_SUCCESSES = 3.0
 """Successes assumed for each target, so that a single failure does not dominate its rate."""
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/const.py
@@ -80,3 +80,6 @@
 suspected requests apart, fewer keep them away from other requests."""
 NO_TARGET_RETRY_AFTER = timedelta(milliseconds=300)
 """Engines recover within seconds; callers can retry once within a third of their time limit."""
+RETRY_AFTER_SPREAD = 0.25
+"""Part of the time until a pause ends by which `Retry-After` is extended at random, so that the
+callers do not return together."""
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -10,6 +10,7 @@
     MAX_COMPARED_TARGETS,
     MAX_JITTER_COST,
     REMOTE_ZONE_COST,
+    RETRY_AFTER_SPREAD,
     SHORT_URGENCY_GAP,
     SUSPECT_TARGETS_SHARE,
     URGENCY_LONG,
@@ -23,6 +24,7 @@
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.forwarding import ForwardedRequest, PromptSize
 from wasabiwell_entry.state.routes import EngineProfile
+from wasabiwell_entry.state.targets import Target
 from wasabiwell_entry.state.work import TargetWork, WorkTable, request_value
 
 
@@ -63,7 +65,7 @@
         now = self._clock.monotonic().total_seconds()
         works = self._usable_targets(request, excluded)
         if not works:
-            return NoPlacement(f"no target of service {request.service} takes new work")
+            return self._no_placement(request)
         size, profile = request.size, works[0].profile
         suspect_target = _suspect_target(works, request.fingerprint) if suspected else None
         if size is None or profile is None:
@@ -133,14 +135,36 @@
     def _usable_targets(
         self, request: ForwardedRequest, excluded: frozenset[str]
     ) -> list[TargetWork]:
-        """Return the healthy targets, or all listed ones when none is healthy."""
+        """Return the healthy targets, or all listed ones when none is healthy.
+
+        A target that returns from a pause for which it has asked is left out by chance, less and
+        less often, unless there is no other.
+        """
         works = [
             work
             for work in self._works.of_service(request.service)
             if work.target.target_id not in excluded
         ]
         healthy = [work for work in works if self._health.usable(work.target)]
-        return healthy or [work for work in works if self._health.listed(work.target)]
+        returned = [work for work in healthy if self._gets_share(work.target)]
+        return returned or healthy or [work for work in works if self._health.listed(work.target)]
+
+    def _gets_share(self, target: Target) -> bool:
+        share = self._health.share(target)
+        return share >= 1.0 or self._random.random() < share
+
+    def _no_placement(self, request: ForwardedRequest) -> NoPlacement:
+        """Return a refusal with the time until the first pause ends that a target asked for."""
+        message = f"no target of service {request.service} takes new work"
+        pauses = [
+            pause
+            for work in self._works.of_service(request.service)
+            if (pause := self._health.requested_pause(work.target)) is not None
+        ]
+        if not pauses:
+            return NoPlacement(message)
+        shortest = min(pauses) * (1.0 + RETRY_AFTER_SPREAD * self._random.random())
+        return NoPlacement(f"{message}: {len(pauses)} asked for a pause", shortest)
 
     def _place_plain_request(self, works: list[TargetWork]) -> Placement:
         chosen = min(works, key=self._plain_cost)
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/errors.py
@@ -1,7 +1,9 @@
 """Outcomes of request placement."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 
+from wasabiwell_entry.coordination.placement.const import NO_TARGET_RETRY_AFTER
 from wasabiwell_entry.state.forwarding import Helper
 from wasabiwell_entry.state.targets import Target
 
@@ -18,6 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NoPlacement:
-    """No target of the service can take the request."""
+    """No target of the service can take the request now; one may after `retry_after`."""
 
     reason: str
+    retry_after: timedelta = NO_TARGET_RETRY_AFTER
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
@@ -1,5 +1,6 @@
 """Interfaces that placement requires from other capabilities."""
 
+from datetime import timedelta
 from typing import Protocol
 
 from wasabiwell_entry.state.targets import Target
@@ -9,11 +10,17 @@
     """Health of the targets as this entry instance knows it."""
 
     def listed(self, target: Target) -> bool:
-        """Return whether the target is in the platform's list and is not leaving."""
+        """Return whether the target is listed, and neither leaving nor in a requested pause."""
 
     def usable(self, target: Target) -> bool:
         """Return whether the target should get requests."""
 
+    def share(self, target: Target) -> float:
+        """Return the part of its usual requests that the target should get, from 0 to 1."""
+
+    def requested_pause(self, target: Target) -> timedelta | None:
+        """Return the rest of the pause for which a target has asked, or None without one."""
+
     def failure_rate(self, target: Target) -> float:
         """Return the recent failure rate of the target, from 0 to 1."""
 
--- a/packages/entry/src/wasabiwell_entry/protocol/notices.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/notices.py
@@ -17,6 +17,7 @@
     RetryNotice,
     SlowdownNotice,
     Suspicions,
+    TargetDeparture,
     WatchRequest,
 )
 
@@ -33,6 +34,7 @@
     PeerLoss,
     RetryNotice,
     WatchRequest,
+    TargetDeparture,
 )
 """The first byte of a datagram is the index of the notice's type in this tuple."""
 
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -86,6 +86,17 @@
     target_id: str
 
 
+class TargetDeparture(msgspec.Struct, frozen=True, array_like=True):
+    """A target has announced to the sender that it is leaving.
+
+    Only the process with this incarnation at this address leaves, not one that replaces it.
+    """
+
+    target_id: str
+    incarnation: int
+    address: str
+
+
 class PeerLoss(msgspec.Struct, frozen=True, array_like=True):
     """An entry instance that the sender monitors is silent.
 
@@ -182,6 +193,7 @@
     | NodeAddresses
     | HelperLoss
     | PeerLoss
+    | TargetDeparture
     | RetryNotice
     | WatchRequest
 )
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -207,6 +207,17 @@
 REFUSAL_REMOVED = LogEvent(
     442, Level.INFO, "the row of {cause} was removed from the quarantine table"
 )
+PAUSE_REQUESTED = LogEvent(
+    443,
+    Level.WARNING,
+    "target {target} asked for a pause of {requested_s} s and gets no requests for {pause_s} s",
+    "Look at the load of the target if this lasts.",
+)
+ADVICE_UNREADABLE = LogEvent(
+    444,
+    Level.WARNING,
+    "header {header} of target {target} has a value that is not understood: {value}",
+)
 ROUTED = LogEvent(
     409,
     Level.INFO,
--- a/packages/entry/src/wasabiwell_entry/state/targets.py
+++ b/packages/entry/src/wasabiwell_entry/state/targets.py
@@ -44,6 +44,18 @@
     leaving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class TargetAdvice:
+    """What an answer of a target says of the target itself, beside the answer.
+
+    A `leaving` target takes no new work. `pause` is the time for which it wants no requests from
+    this entry instance, zero if it asks for none.
+    """
+
+    leaving: bool = False
+    pause: timedelta = timedelta()
+
+
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
     """Load report of an engine, which lags behind the actual load; memory is in KV cache tokens.
--- a/tests/entry/coordination/health/health.feature
+++ b/tests/entry/coordination/health/health.feature
@@ -34,3 +34,60 @@
     When it is lost
     And the listing shows it with another incarnation
     Then it is usable
+
+  Scenario: A target that announces its departure gets no more work, also without the listing
+    Given a listed target
+    When its answer says that it is leaving
+    Then it is not usable
+    And the other instances are told of its departure
+    When the listing shows it no longer, and as ready again afterwards
+    Then it is not usable
+
+  Scenario: A departure that another instance has heard of holds here
+    Given a listed target
+    When another instance reports its departure
+    Then it is not usable
+
+  Scenario Outline: A target that replaces a leaving one gets work
+    Given a listed target
+    When its answer says that it is leaving
+    And the listing shows it with <change>
+    Then it is usable
+
+    Examples:
+      | change              |
+      | another incarnation |
+      | another address     |
+
+  Scenario: A target gets nothing during a pause for which it has asked, although it answers
+    Given a listed target
+    When it asks for a pause of 2 seconds
+    And it responds
+    Then it is not usable for 2 seconds
+
+  Scenario: A shorter pause does not end a longer one
+    Given a listed target
+    When it asks for a pause of 3 seconds
+    And it asks for a pause of 1 seconds
+    Then it is not usable for 3 seconds
+
+  Scenario: The share of a target grows after a pause
+    Given a listed target
+    When it asks for a pause of 2 seconds
+    Then its share is 0
+    When 3 seconds pass for it
+    Then its share is 0.5
+    When 1 seconds pass for it
+    Then its share is 1
+
+  Scenario: An absurdly long pause ends
+    Given a listed target
+    When it asks for a pause of 1000000 seconds
+    And 301 seconds pass for it
+    Then it is usable
+
+  Scenario: A restarted target is not bound by the pause of its predecessor
+    Given a listed target
+    When it asks for a pause of 60 seconds
+    And the listing shows it with another incarnation
+    Then it is usable
--- a/tests/entry/coordination/placement/placement.feature
+++ b/tests/entry/coordination/placement/placement.feature
@@ -140,3 +140,35 @@
     And 9 short requests are decoding on "e02"
     When 1 short request is placed
     Then the last request is on "e01"
+
+  Scenario: A target that is leaving by its own word gets neither a prompt nor a segment of one
+    Given 9 engines
+    And "e03" has announced its departure
+    When a long prompt of 400000 tokens is placed
+    Then "e03" is not used
+    When 40 short requests are placed
+    Then "e03" is not used
+
+  Scenario: A target that asked for a pause gets neither a prompt nor a segment of one
+    Given 9 engines
+    And "e03" has asked for a pause of 2 seconds
+    When a long prompt of 400000 tokens is placed
+    Then "e03" is not used
+    When 40 short requests are placed
+    Then "e03" is not used
+
+  Scenario: When all targets pause, a request is refused at once until the first pause ends
+    Given 2 plain targets
+    And "e00" has asked for a pause of 4 seconds
+    And "e01" has asked for a pause of 2 seconds
+    When 20 calls are placed
+    Then no target was chosen
+    And the callers are asked to return after 2 to 2.5 seconds, not all at once
+
+  Scenario: After a pause a target gets its share back gradually
+    Given 5 plain targets
+    And "e00" is leaving
+    And "e01" has asked for a pause of 2 seconds
+    When 400 calls are placed and answered in each half second for 5 seconds
+    Then "e01" got 0 calls in the first 2 seconds, and then more in each half second
+    And "e01" never got more than 130 of 400 calls
--- a/tests/platform/targets.feature
+++ b/tests/platform/targets.feature
@@ -66,3 +66,30 @@
       | responds                            |
       | sends bytes that are no response    |
       | sends the response of another request |
+
+  Scenario Outline: An answer's statements about its target are decoded
+    Given an answer of a target with status <status> and the headers "<headers>"
+    When a plain request is sent to it
+    Then the target is known to be <leaving>, and to ask for a pause of <pause> seconds
+
+    Examples: Departures, in successes, failures and refusals
+      | status | headers                              | leaving | pause |
+      | 200    | Server-Leaving: 1                    | leaving | 0     |
+      | 500    | server-leaving: 1                    | leaving | 0     |
+      | 503    | Server-Leaving: 1; Retry-After: 2    | leaving | 2     |
+      | 200    | Server-Leaving: 0                    | staying | 0     |
+      | 200    | Server-Leaving: perhaps              | staying | 0     |
+      | 421    | Server-Leaving: 1; Retry-After: 2    | staying | 0     |
+
+    Examples: Pauses in both forms of the standard, and odd values
+      | status | headers                              | leaving | pause |
+      | 503    | Retry-After: 2                       | staying | 2     |
+      | 429    | Retry-After: 0.5                     | staying | 0.5   |
+      | 200    | Retry-After: 2                       | staying | 0     |
+      | 503    | Retry-After: -3                      | staying | 0     |
+      | 503    | Retry-After: soon                    | staying | 0     |
+      | 503    | Retry-After: 1e9                     | staying | 0     |
+      | 503    | Retry-After: 1; Retry-After: 4       | staying | 4     |
+      | 503    | Retry-After: x; Retry-After: 4       | staying | 4     |
+      | 503    | Retry-After: Thu, 01 Jan 1970 00:00:07 GMT | staying | 7 |
+      | 503    | Retry-After: Wed, 99 Jan 1970 00:00:07 GMT | staying | 0 |
--- a/tests/steps/entry/coordination/placement_steps.py
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -1,6 +1,8 @@
 """Steps for request placement."""
 
+from collections import Counter
 from dataclasses import replace
+from datetime import timedelta
 
 from behave import given, then, when
 from behave.runner import Context
@@ -18,6 +20,7 @@
 from wasabiwell_entry.state.clock import ManualClock
 from wasabiwell_entry.state.exchange import AttemptVerdict
 from wasabiwell_entry.state.routes import RouteKind
+from wasabiwell_entry.state.targets import TargetAdvice
 from wasabiwell_entry.state.work import PlacedRequest
 
 
@@ -243,3 +246,63 @@
     works = context.engines.works.of_service("ice-advisor")
     assert len(works) > count >= MAX_COMPARED_TARGETS
     assert len(coordinator._comparison_window(works, "r0")) <= count
+
+
+def advise(context: Context, target_id: str, advice: TargetAdvice) -> None:
+    work = context.engines.works.get(target_id)
+    context.engines.health.record_advice(work.target, advice)
+
+
+@given('"{target_id}" has announced its departure')
+def step_announced(context: Context, target_id: str) -> None:
+    advise(context, target_id, TargetAdvice(leaving=True))
+
+
+@given('"{target_id}" has asked for a pause of {seconds:d} seconds')
+def step_asked_pause(context: Context, target_id: str, seconds: int) -> None:
+    advise(context, target_id, TargetAdvice(pause=timedelta(seconds=seconds)))
+
+
+@when("{count:d} calls are placed")
+def step_place_calls(context: Context, count: int) -> None:
+    for _ in range(count):
+        place(context, "call", 0)
+
+
+@then("the callers are asked to return after {first:g} to {last:g} seconds, not all at once")
+def step_return(context: Context, first: float, last: float) -> None:
+    times = [item.retry_after.total_seconds() for item in context.placements]
+    assert first <= min(times) <= max(times) <= last, times
+    assert len(set(times)) > len(times) / 2, times
+
+
+@when("{count:d} calls are placed and answered in each half second for {seconds:d} seconds")
+def step_place_half_seconds(context: Context, count: int, seconds: int) -> None:
+    context.calls_by_target = []
+    for _ in range(2 * seconds):
+        counts: Counter[str] = Counter()
+        for _ in range(count):
+            place(context, "call", 0)
+            placed = context.placements[-1]
+            counts[placed.target.target_id] += 1
+            context.engines.works.remove(f"r{len(context.placements) - 1}", context.engines.now)
+        context.calls_by_target.append(counts)
+        context.engines.clock.advance(timedelta(milliseconds=500))
+
+
+@then(
+    '"{target_id}" got 0 calls in the first {seconds:d} seconds, and then more in each half second'
+)
+def step_ramp(context: Context, target_id: str, seconds: int) -> None:
+    counts = [counted[target_id] for counted in context.calls_by_target]
+    pause, ramp = counts[: 2 * seconds], counts[2 * seconds : 4 * seconds]
+    assert not any(pause), counts
+    assert ramp == sorted(ramp), counts
+    assert ramp[-1] > 0, counts
+
+
+@then('"{target_id}" never got more than {most:d} of {count:d} calls')
+def step_never_more(context: Context, target_id: str, most: int, count: int) -> None:
+    for counted in context.calls_by_target:
+        assert sum(counted.values()) == count
+        assert counted[target_id] <= most, context.calls_by_target
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -1,5 +1,6 @@
 """Steps for target health, the retry budget and the graceful stop."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import trio
@@ -11,9 +12,15 @@
 from wasabiwell_entry.coordination.budget.coordinator import BudgetLimits
 from wasabiwell_entry.coordination.health import TargetHealth
 from wasabiwell_entry.coordination.stop import GracefulStop
+from wasabiwell_entry.protocol.notices import decode_notice, encode_notice
 from wasabiwell_entry.state.clock import ManualClock, SystemClock
-from wasabiwell_entry.state.exchange import AttemptVerdict, RetryBudgetUse, RetryNotice
-from wasabiwell_entry.state.targets import ListedTarget
+from wasabiwell_entry.state.exchange import (
+    AttemptVerdict,
+    RetryBudgetUse,
+    RetryNotice,
+    TargetDeparture,
+)
+from wasabiwell_entry.state.targets import ListedTarget, TargetAdvice
 
 SERVICE = "s"
 GRACE = timedelta(seconds=8)
@@ -183,3 +190,46 @@
 @then("it ends after {seconds:g} seconds")
 def step_ends(context: Context, seconds: float) -> None:
     assert abs(context.ended - seconds) < TOLERANCE, context.ended
+
+
+@when("its answer says that it is leaving")
+def step_announces(context: Context) -> None:
+    context.departure = context.health.record_advice(context.target, TargetAdvice(leaving=True))
+
+
+@then("the other instances are told of its departure")
+def step_departure_told(context: Context) -> None:
+    target = context.target
+    expected = TargetDeparture(target.target_id, target.incarnation, target.address)
+    assert context.departure == expected, context.departure
+    # A second answer is no news.
+    assert context.health.record_advice(target, TargetAdvice(leaving=True)) is None
+
+
+@when("another instance reports its departure")
+def step_departure_received(context: Context) -> None:
+    target = context.target
+    departure = TargetDeparture(target.target_id, target.incarnation, target.address)
+    context.health.record_departure(decode_notice(encode_notice(departure)))
+
+
+@when("the listing shows it no longer, and as ready again afterwards")
+def step_relisted(context: Context) -> None:
+    context.health.update([])
+    context.health.update([ListedTarget(context.target, False)])
+
+
+@when("the listing shows it with another address")
+def step_other_address(context: Context) -> None:
+    context.target = replace(context.target, address="10.0.9.9:80")
+    context.health.update([ListedTarget(context.target, False)])
+
+
+@when("it asks for a pause of {seconds:d} seconds")
+def step_asks_pause(context: Context, seconds: int) -> None:
+    context.health.record_advice(context.target, TargetAdvice(pause=timedelta(seconds=seconds)))
+
+
+@then("its share is {share:g}")
+def step_share(context: Context, share: float) -> None:
+    assert context.health.share(context.target) == share, context.health.share(context.target)
--- a/tests/steps/platform/targets_steps.py
+++ b/tests/steps/platform/targets_steps.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 from functools import partial
 
 import trio
@@ -13,6 +13,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.forwarding import make_forwarded, make_route, make_target
+from wasabiwell_entry.state.clock import ManualClock, SystemClock
 from wasabiwell_entry.state.forwarding import (
     AttemptItem,
     ForwardAttempt,
@@ -21,7 +22,8 @@
 )
 from wasabiwell_entry.state.probes import ProbeOutcome, TargetAlive, TargetDown
 from wasabiwell_entry.state.routes import RouteKind
-from wasabiwell_entry.state.targets import Target
+from wasabiwell_entry.state.targets import Target, TargetAdvice
+from wasabiwell_platform.advice import AdviceReader
 from wasabiwell_platform.targets import HttpTargets
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -71,6 +73,7 @@
     "sends the response of another request": HEAD.replace(b"r1", b"r2")
     + b"Content-Length: 2\r\n\r\nok",
 }
+EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 ATTEMPT_TIMEOUT = timedelta(seconds=5)
 ENDLESS_SECONDS = 10.0
 
@@ -178,12 +181,18 @@
                 silence_timeout=lambda: ATTEMPT_TIMEOUT,
                 probe_interval=ATTEMPT_TIMEOUT,
             )
-            async with HttpTargets().attempt(attempt) as items:
+            async with HttpTargets(AdviceReader(record, ManualClock(EPOCH))).attempt(
+                attempt
+            ) as items:
                 with trio.move_on_after(ENDLESS_SECONDS):
                     return [item async for item in items][-1]
         return "no end"
 
+    def record(target: Target, advice: TargetAdvice) -> None:
+        context.advice.append(advice)
+
     sent: list[int] = []
+    context.advice = []
     context.last_item = trio.run(run)
     context.sent_bytes = sum(sent)
 
@@ -209,7 +218,7 @@
             nursery.start_soon(BEHAVIOURS[does], listener)
             await trio.testing.wait_all_tasks_blocked()
             target = replace(make_target(0), address=f"127.0.0.1:{port}")
-            outcome = await HttpTargets().probe(target)
+            outcome = await HttpTargets(AdviceReader(lambda *_: None, SystemClock())).probe(target)
             nursery.cancel_scope.cancel()
         return outcome
 
@@ -220,3 +229,17 @@
 def step_status(context: Context, status: str) -> None:
     expected = TargetAlive() if status == "living" else TargetDown()
     assert context.probe_outcome == expected, context.probe_outcome
+
+
+@given('an answer of a target with status {status:d} and the headers "{headers}"')
+def step_advising_target(context: Context, status: int, headers: str) -> None:
+    lines = "".join(f"{line.strip()}\r\n" for line in headers.split(";"))
+    text = f"HTTP/1.1 {status} Status\r\nWasabiwell-Request-Id: r1\r\n{lines}Content-Length: 0\r\n"
+    context.response, context.end = text.encode() + b"\r\n", "keeps"
+
+
+@then("the target is known to be {belief:w}, and to ask for a pause of {seconds:g} seconds")
+def step_advice(context: Context, belief: str, seconds: float) -> None:
+    expected = TargetAdvice(belief == "leaving", timedelta(seconds=seconds))
+    found = context.advice or [TargetAdvice()]
+    assert found == [expected], found
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -119,6 +119,7 @@
         ExchangeObservers(
             request_ended=context.endings.append,
             helper_lost=context.lost_helpers.append,
+            target_departed=lambda departure: None,
             suspicion_received=lambda suspicion: None,
             suspicions=lambda: context.suspicions,
             recent_suspicions=lambda: context.recent_suspicions(),
