Keep the failure of the next target out of a resumed stream

Callers saw: a stream that broke off after some events could go on with the text of the next target's error response, and it was marked as complete. A success without any event was passed on as a whole stream. Cause: after a resumption the body of a response with another status was buffered as a chunk and sent on at its end. Change: such a response, and a stream that ends without an event, count as interrupted: another target is tried within the attempts and the budget, or the stream stays without its end.

--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -330,6 +330,11 @@
                         if _is_stream(attempt.request, head):
                             self._ledger.start_decode(opened)
                             await self._begin_response(head, sink, progress)
+                        elif progress.response_started:
+                            # The body of a failure would become a part of the caller's stream.
+                            return ResponseInterrupted(
+                                f"status {head.status} in place of the rest of the stream"
+                            )
                     case ResponseEvent(event_id=event_id, data=data):
                         interruption = _check_order(event_id, progress)
                         if interruption is not None:
@@ -351,6 +356,8 @@
                     case ResponseEnd():
                         if head is None:
                             return ResponseInterrupted("the response has no head")
+                        if _has_no_event(attempt.request, head, progress, opened):
+                            return ResponseInterrupted("the stream has no event")
                         if not progress.response_started:
                             return Buffered(head, b"".join(buffer))
                         if buffer:
@@ -409,6 +416,13 @@
     return request.route.kind is RouteKind.STREAM and head.status < 300
 
 
+def _has_no_event(
+    request: ForwardedRequest, head: ResponseHead, progress: _Progress, opened: OpenPlacement
+) -> bool:
+    """Return whether a stream ended without any event, in this attempt or before it."""
+    return _is_stream(request, head) and opened.events == 0 and progress.last_event is None
+
+
 def _probe_interval(request: ForwardedRequest) -> timedelta:
     route = request.route
     allowed_silence = route.event_gap if route.kind is RouteKind.STREAM else route.objective
--- a/tests/entry/coordination/forwarding/forwarding.feature
+++ b/tests/entry/coordination/forwarding/forwarding.feature
@@ -64,6 +64,37 @@
     Then 1 target received the request
     And the caller has received events 1 to 3 once and no end of the stream
 
+  Scenario Outline: The failure of the next target does not become a part of a resumed stream
+    Given a resumable stream route
+    When the first target cuts the connection after event 3, and the next one answers with <answer>
+    Then 2 targets received the request
+    And the caller has received events 1 to 3 once and no end of the stream
+
+    Examples:
+      | answer                               |
+      | status 500                           |
+      | status 404                           |
+      | status 500 and 2 MiB                 |
+      | status 500 without an end            |
+
+  Scenario: A stream goes on at a third target after a failure of the second one
+    Given a resumable stream route with 3 attempts
+    When the first target cuts the connection after event 3, and the next one answers with status 500
+    Then 3 targets received the request
+    And the caller has received events 1 to 6 once and the end of the stream
+
+  Scenario: A success without any event is not passed on as a whole stream
+    Given a resumable stream route
+    When the first target answers with a stream without events
+    Then 2 targets received the request
+    And the caller has received events 1 to 6 once and the end of the stream
+
+  Scenario: A stream that was cut after its last event is complete when it is resumed without events
+    Given a resumable stream route
+    When the first target cuts the connection after event 6, and the next one has no more events
+    Then 2 targets received the request
+    And the caller has received events 1 to 6 once and the end of the stream
+
   Scenario: An event that does not follow the last one is not passed on
     Given a stream route
     When the target skips event 3
--- a/tests/platform/targets.feature
+++ b/tests/platform/targets.feature
@@ -29,6 +29,14 @@
       | sends part of an unframed event     | closes | stream |
       | sends an unframed head              | closes | stream |
       | sends nothing                       | closes | plain  |
+      | sends part of a status line         | closes | plain  |
+      | sends part of a head line           | closes | plain  |
+      | sends a head without its empty line | closes | plain  |
+      | sends part of a status line         | closes | stream |
+      | sends part of a head line           | closes | stream |
+      | sends a head without its empty line | closes | stream |
+      | sends a head without its empty line | resets | stream |
+      | sends an interim response           | closes | stream |
       | sends part of a body with a length  | closes | plain  |
 
   Scenario Outline: Only a refusal of this request proves that it has not run
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -25,7 +25,9 @@
     Forwarded,
     NotRun,
     NotSent,
+    ResponseEnd,
     ResponseEvent,
+    ResponseHead,
     ResponseInterrupted,
 )
 from wasabiwell_entry.state.outcomes import Failed, Refused, RunState
@@ -310,3 +312,41 @@
 def step_verdict(context: Context, verdict: str) -> None:
     endings = [notice for notice in context.notices if isinstance(notice, RequestEnded)]
     assert [ending.verdict.value for ending in endings] == [verdict]
+
+
+ERROR_BODY = b"error text"
+FAILURE_ANSWERS: dict[str, Script] = {
+    "status 500": response_script(500, ERROR_BODY),
+    "status 404": response_script(404, ERROR_BODY),
+    "status 500 and 2 MiB": response_script(500, b"x" * 2 * 1024 * 1024),
+    "status 500 without an end": [*response_script(500, ERROR_BODY)[:-1], CONNECTION_CUT],
+}
+
+
+@given("a resumable stream route with {attempts:d} attempts")
+def step_resumable_attempts(context: Context, attempts: int) -> None:
+    prepare(context, make_route(RouteKind.STREAM, attempts=attempts))
+
+
+@when(
+    "the first target cuts the connection after event {last:d}, and the next one answers with "
+    "{answer}"
+)
+def step_resumed_failure(context: Context, last: int, answer: str) -> None:
+    first = [*stream_script(1, last, end=False), CONNECTION_CUT]
+    scripts = [first, FAILURE_ANSWERS[answer], stream_script(last + 1, 6)]
+    forward(context, scripts, prompt=2_000)
+
+
+@when(
+    "the first target cuts the connection after event {last:d}, and the next one has no more events"
+)
+def step_resumed_empty(context: Context, last: int) -> None:
+    first = [*stream_script(1, last, end=False), CONNECTION_CUT]
+    forward(context, [first, [ResponseHead(200, (), True), ResponseEnd()]], prompt=2_000)
+
+
+@when("the first target answers with a stream without events")
+def step_no_events(context: Context) -> None:
+    empty = [ResponseHead(200, (), True), ResponseEnd()]
+    forward(context, [empty, stream_script(1, 6)], prompt=2_000)
--- a/tests/steps/platform/targets_steps.py
+++ b/tests/steps/platform/targets_steps.py
@@ -64,6 +64,10 @@
 EVENT = b"id: 1\ndata: x\n\n"
 RESPONSES = {
     "sends nothing": b"",
+    "sends part of a status line": HEAD[:12],
+    "sends part of a head line": HEAD[:-5],
+    "sends a head without its empty line": HEAD + b"Content-Length: 0\r\n",
+    "sends an interim response": b"HTTP/1.1 102 Processing\r\n\r\n",
     "sends the head of a chunked stream": HEAD + CHUNKED,
     "sends part of a chunked stream": HEAD + CHUNKED + b"%x\r\n%s\r\n" % (len(EVENT), EVENT),
     "sends part of an unframed event": HEAD + b"\r\n" + EVENT + EVENT[:4],
