--- a/standins/wasabiwell_standins/users_platform/engine.py
+++ b/standins/wasabiwell_standins/users_platform/engine.py
@@ -16,6 +16,7 @@
 import msgspec
 import trio
 
+from wasabiwell_standins.users_platform.announcements import Announcements
 from wasabiwell_standins.users_platform.ledger import Ledger, Run
 
 READ_BYTES = 65_536
@@ -52,6 +53,9 @@
     """A crash closes open connections in order, as a kernel does for a process without unread
     bytes, and does not reset them."""
     slow: float = 1.0
+    pause_share: float = 0.0
+    """Probability that a request is refused with the wish for a pause of `pause_seconds`."""
+    pause_seconds: float = 2.0
 
 
 @dataclass(slots=True, eq=False)
@@ -111,6 +115,7 @@
         self.zone = zone
         self.profile = profile
         self.faults = TargetFaults()
+        self.announcements = Announcements()
         self.incarnation = 1_700_000_000_000 + seed
         self.running = 0
         self.crash_count = 0
@@ -177,6 +182,7 @@
 
     def restart(self) -> None:
         """Start a new incarnation; the caller then calls `run` again."""
+        self.announcements = Announcements()
         self.incarnation += 1
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
@@ -250,6 +256,13 @@
         if headers.get("wasabiwell-expected-instance", self.target_id) != self.target_id:
             await _reply(stream, connection, 421, [("At-Server", self.listed_address)], b"")
             return
+        now = trio.current_time()
+        self.announcements.count_request(now)
+        common += self.announcements.headers(now)
+        if self._draw_fault(self.faults.pause_share):
+            pause = self.announcements.ask_pause(now, self.faults.pause_seconds)
+            await _reply(stream, connection, 503, [*common, NOT_EXECUTED, *pause], b"")
+            return
         if self.running >= self.slots * QUEUE_FACTOR:
             await _reply(stream, connection, 503, [NOT_EXECUTED], b"")
             return
--- a/tests/platform/soak.feature
+++ b/tests/platform/soak.feature
@@ -7,5 +7,6 @@
     Then the soak test has no findings
 
     Examples: A new seed for each change of the soak test; seeds that failed once stay, with their cause
-      | seed | seconds | cause            |
-      | 7    | 10      | none, short soak |
+      | seed | seconds | cause                                       |
+      | 7    | 10      | none, short soak                            |
+      | 8    | 10      | none, with announced departures and pauses  |
