Let a few instances of a large fleet follow the store for all

Cause: each instance held a query for changes of the routes and read them again at each change, and all of them asked again and again while the store was away. Notices of three watchers that overlapped in part made every instance read the whole list of targets. Change: in fleets of 32 and more the first instances of each zone, three at least, follow the routes and confirm them; the others read only when no confirmation comes, spread over 0.3 s, or take turns at 10 reads a second over the fleet while the followers cannot reach the store. A notice of the list of targets is applied if its result has the announced digest, whatever its base; those who are not watchers take turns too. Test: routes.feature (six scenarios on 40 and 200 instances), monitors.feature, targets.feature (both new ones failed before).

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
@@ -29,6 +29,22 @@
 MIN_ROUTE_RETRY_DELAY = timedelta(milliseconds=300)
 MAX_ROUTE_RETRY_DELAY = timedelta(milliseconds=1_500)
 """Bounds of the delay between failed reads; routes must be in force 2 s after a change."""
+FOLLOWER_POLL_WAIT = timedelta(milliseconds=800)
+"""Time for which the store holds the long poll of a follower. Each response is a confirmation for
+the listeners, which the fastest users want to follow a change within 2 s."""
+FOLLOWER_POLL_MARGIN = timedelta(seconds=1)
+"""The same as `ROUTE_POLL_MARGIN` for followers."""
+CONFIRMATION_TIMEOUT = timedelta(milliseconds=1_300)
+"""Time without a confirmation after which a listener reads the store itself. One confirmation of
+each follower may be lost."""
+TAKEOVER_SPREAD = timedelta(milliseconds=300)
+"""Time over which the listeners read the store when no follower is heard. The first of them
+confirms the routes, so that most of the others do not have to read."""
+TURN_CHECK_INTERVAL = timedelta(milliseconds=250)
+"""Interval at which a listener that waits for its turn looks for a confirmation."""
+STORE_SEARCH_RATE = 10.0
+"""Reads per second, by all listeners together, while the followers cannot reach the store: it may
+refuse the followers and serve others. The first listener that reaches it confirms the routes."""
 ANNOUNCEMENT_DELAY = timedelta(milliseconds=250)
 """Time for the store's long poll to return a version that a peer has announced, before the version
 is fetched from the peer."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
@@ -1,5 +1,6 @@
 """Interfaces that discovery requires from other layers and capabilities."""
 
+import enum
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -11,6 +12,18 @@
 from wasabiwell_entry.state.targets import ListedTarget
 
 
+class StoreRole(enum.Enum):
+    """How an entry instance learns of changes in the store.
+
+    In a large fleet a few followers read the store often and tell the listeners; otherwise each
+    instance reads it independently.
+    """
+
+    INDEPENDENT = "independent"
+    FOLLOWER = "follower"
+    LISTENER = "listener"
+
+
 @dataclass(frozen=True, slots=True)
 class RoutesRead:
     """Result of a read of the routes; `revision` is where polling for changes continues.
@@ -65,5 +78,19 @@
         """Decode the routes in a document that a peer has sent."""
 
 
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """What discovery needs to know of the other entry instances.
+
+    `role` and `size` are those of now. `confirm` tells the others the version of the routes that
+    was read, `report_failure` that this follower could not read the store.
+    """
+
+    role: Callable[[], StoreRole]
+    size: Callable[[], int]
+    confirm: Callable[[int], None]
+    report_failure: Callable[[], None]
+
+
 FetchDocument = Callable[[str], Awaitable[bytes | StoreUnavailable]]
 """Fetches the document of the routes in force from the entry instance at a control address."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -1,6 +1,6 @@
 """Tracks the platform's list of targets; a few instances poll it and notify the others."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 import trio
@@ -14,6 +14,7 @@
     READ_TIMEOUT,
     RECOVERY_GRACE,
     STALE_READ_DELAY,
+    STORE_SEARCH_RATE,
     WATCHER_COUNT,
 )
 from wasabiwell_entry.coordination.discovery.ports import (
@@ -37,6 +38,7 @@
     __slots__ = (
         "_clock",
         "_confirmed_at",
+        "_fleet_size",
         "_listing",
         "_next_read_at",
         "_notify",
@@ -56,8 +58,10 @@
         notify: Callable[[ListingNotice], None],
         observer: TargetObserver,
         clock: Clock,
+        fleet_size: Callable[[], int] = lambda: 1,
     ) -> None:
         self._port = port
+        self._fleet_size = fleet_size
         self._rank = rank
         self._notify = notify
         self._observer = observer
@@ -94,18 +98,16 @@
         """Apply a notice of a read that another entry instance has made."""
         if notice.revision < self._listing.revision:
             return
-        current = self._listing.digest()
-        targets = dict(self._listing.targets)
-        if current != notice.digest:
-            if current != notice.base:
+        listing = TargetListing(notice.revision, self._listing.targets)
+        if self._listing.digest() != notice.digest:
+            # Watchers report the same changes in different parts, so the base may differ.
+            listing = _changed(listing, notice.changed, notice.removed)
+            if listing.digest() != notice.digest:
                 self._tracked_revision, self._next_read_at = None, self._clock.monotonic()
                 self._read_requested.set()
                 return
-            targets.update({item.target.target_id: item for item in notice.changed})
-            for target_id in notice.removed:
-                targets.pop(target_id, None)
         self._confirm(self._clock.monotonic())
-        self._replace(TargetListing(notice.revision, targets))
+        self._replace(listing)
         if self._tracked_revision is not None:
             self._tracked_revision = notice.revision
 
@@ -148,14 +150,18 @@
             case StoreUnavailable(reason=reason):
                 self._log_store_state(reason)
                 self._tracked_revision = None
-                self._next_read_at = now + FAILED_READ_DELAY
+                self._next_read_at = now + self._failed_read_delay()
+
+    def _failed_read_delay(self) -> timedelta:
+        """Return the time until the next read; those who are not watchers take turns."""
+        if self._rank() < WATCHER_COUNT:
+            return FAILED_READ_DELAY
+        turn = timedelta(seconds=self._fleet_size() / STORE_SEARCH_RATE)
+        return max(FAILED_READ_DELAY, turn)
 
     def _with_changes(self, changes: TargetChanges) -> TargetListing:
-        targets = dict(self._listing.targets)
-        targets.update({item.target.target_id: item for item in changes.changed})
-        for target_id in changes.removed:
-            targets.pop(target_id, None)
-        return TargetListing(changes.revision, targets)
+        listing = TargetListing(changes.revision, self._listing.targets)
+        return _changed(listing, changes.changed, changes.removed)
 
     def _log_store_state(self, reason: str | None) -> None:
         if reason is not None and not self._store_unavailable:
@@ -201,3 +207,14 @@
             if target_id not in listing.targets:
                 log_events.emit(log_events.TARGET_UNLISTED, target=target_id)
         self._observer(list(listing.targets.values()))
+
+
+def _changed(
+    listing: TargetListing, changed: Iterable[ListedTarget], removed: Iterable[str]
+) -> TargetListing:
+    """Return a list with changes."""
+    targets = dict(listing.targets)
+    targets.update({item.target.target_id: item for item in changed})
+    for target_id in removed:
+        targets.pop(target_id, None)
+    return TargetListing(listing.revision, targets)
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -29,6 +29,9 @@
 SLOT_SKIP_FRACTION = 0.75
 """Phase of an interval from which the next send slot is skipped, because a state has just been
 sent."""
+MIN_ROUTE_FOLLOWERS = 3
+"""Instances of a large fleet, over all zones, that follow the routes for the others; each zone has
+at least one, so that the loss of a zone or of two instances leaves one."""
 PEER_TIMEOUT_INTERVALS = 3.4
 """Send intervals without a message after which a peer counts as unreachable: three may be lost."""
 MONITOR_TIMEOUT = PEER_TIMEOUT_INTERVALS * STATE_INTERVAL
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -6,10 +6,12 @@
 import trio
 import xxhash
 
+from wasabiwell_entry.coordination.discovery.ports import StoreRole
 from wasabiwell_entry.coordination.exchange.const import (
     ISOLATED_LISTING_TIMEOUT,
     KNOWN_PEERS_FRACTION,
     LISTING_SENDERS,
+    MIN_ROUTE_FOLLOWERS,
     PEER_TIMEOUT_INTERVALS,
     REGISTERED_INSTANCES,
     SWEEP_INTERVAL,
@@ -34,7 +36,9 @@
     RequestEnded,
     RequestPlaced,
     RetryNotice,
+    RoutesConfirmed,
     SlowdownNotice,
+    StoreUnreachable,
     Suspicion,
     Suspicions,
     TargetDeparture,
@@ -50,7 +54,9 @@
     """Callbacks for the messages of other entry instances, except placements.
 
     `target_departed` takes the announcement of a target that is leaving. `routes_announced` takes
-    the control address of a peer and its routes version, `helper_lost` the id of a target.
+    the control address of a peer and its routes version, `routes_confirmed` also whether the peer
+    is in the own zone. `store_unreachable` is called when a peer that follows the store cannot
+    read it. `helper_lost` takes the id of a target.
     `full_listing` returns the message for a peer that knows no target, or None. `suspicions`
     returns the messages for a peer that is new or was unreachable for long, and
     `recent_suspicions` those repeated with each state, because single messages may be lost.
@@ -64,6 +70,8 @@
     recent_suspicions: Callable[[], Iterable[Suspicions]]
     listing_received: Callable[[str, ListingNotice], None]
     routes_announced: Callable[[str, int], None]
+    routes_confirmed: Callable[[str, int, bool], None]
+    store_unreachable: Callable[[], None]
     full_listing: Callable[[], ListingNotice | None]
 
 
@@ -158,6 +166,28 @@
         """Return the zero-based rank of this instance among the reachable ones, by address."""
         return sum(1 for node in self.peers() if node.address < self._own_address)
 
+    def store_role(self) -> StoreRole:
+        """Return how this instance learns of changes in the store.
+
+        The followers of a large fleet are the first ones by address in each zone.
+        """
+        if not self._zone_locality.large_fleet:
+            return StoreRole.INDEPENDENT
+        states = [(node.address, node.state) for node in self.peers() if node.state is not None]
+        local = [
+            address for address, state in states if self._zone_locality.is_own_zone(state.zone)
+        ]
+        other_zones = {
+            state.zone for _, state in states if not self._zone_locality.is_own_zone(state.zone)
+        }
+        followers = -(-MIN_ROUTE_FOLLOWERS // (1 + len(other_zones)))
+        rank = sum(1 for address in local if address < self._own_address)
+        return StoreRole.FOLLOWER if rank < followers else StoreRole.LISTENER
+
+    def fleet_size(self) -> int:
+        """Return the number of entry instances that are reachable, with this one."""
+        return len(self.peers()) + 1
+
     def sampled(self, key: str, count: int) -> bool:
         """Return whether this instance is one of about `count` that are selected by a key."""
         point = xxhash.xxh3_64_intdigest(f"{self._own_address} {key}".encode()) / 2**64
@@ -218,6 +248,16 @@
                 self._observers.request_ended(ended)
             case HelperLoss(target_id=target_id):
                 self._observers.helper_lost(target_id)
+            case RoutesConfirmed(control_address=address, version=version):
+                node = self._nodes.get(sender)
+                own_zone = (
+                    node is not None
+                    and node.state is not None
+                    and self._zone_locality.is_own_zone(node.state.zone)
+                )
+                self._observers.routes_confirmed(address, version, own_zone)
+            case StoreUnreachable():
+                self._observers.store_unreachable()
             case TargetDeparture() as departure:
                 self._observers.target_departed(departure)
             case PeerLoss(address=address) if address == self._own_address:
--- a/packages/entry/src/wasabiwell_entry/protocol/notices.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/notices.py
@@ -15,7 +15,9 @@
     RequestEnded,
     RequestPlaced,
     RetryNotice,
+    RoutesConfirmed,
     SlowdownNotice,
+    StoreUnreachable,
     Suspicions,
     TargetDeparture,
     WatchRequest,
@@ -35,6 +37,8 @@
     RetryNotice,
     WatchRequest,
     TargetDeparture,
+    RoutesConfirmed,
+    StoreUnreachable,
 )
 """The first byte of a datagram is the index of the notice's type in this tuple."""
 
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -97,6 +97,17 @@
     address: str
 
 
+class RoutesConfirmed(msgspec.Struct, frozen=True, array_like=True):
+    """The sender has just read the store: `version` of the routes is the newest one."""
+
+    control_address: str
+    version: int
+
+
+class StoreUnreachable(msgspec.Struct, frozen=True, array_like=True):
+    """The sender follows the store for others, but its last read failed."""
+
+
 class PeerLoss(msgspec.Struct, frozen=True, array_like=True):
     """An entry instance that the sender monitors is silent.
 
@@ -193,6 +204,8 @@
     | NodeAddresses
     | HelperLoss
     | PeerLoss
+    | RoutesConfirmed
+    | StoreUnreachable
     | TargetDeparture
     | RetryNotice
     | WatchRequest
--- a/tests/entry/coordination/discovery/routes.feature
+++ b/tests/entry/coordination/discovery/routes.feature
@@ -36,3 +36,45 @@
   Scenario: An instance does not wake up to check for versions that no peer has announced
     Given an instance that tracks a store with version 3
     Then the instance checked for newer versions at most 2 times in 10 seconds
+
+  Scenario: Listeners do not read the store while followers confirm their routes
+    Given 40 instances of which 3 follow a store with version 3
+    When 30 seconds pass for them
+    Then the store was read at most 160 times in that time
+    And no listener read it in that time
+
+  Scenario: Listeners get a change from the followers
+    Given 40 instances of which 3 follow a store with version 3
+    When version 5 is put in force for them
+    Then all instances have version 5 within 800 ms
+    And no listener read it in that time
+
+  Scenario: Listeners follow a change that comes at the moment at which all followers end
+    Given 40 instances of which 3 follow a store with version 3
+    When all followers end
+    And version 5 is put in force for them
+    Then all other instances have version 5 within 2000 ms
+    And the store was read at most 40 times in that time
+
+  Scenario: Listeners follow a change while the store refuses the followers
+    Given 40 instances of which 3 follow a store with version 3
+    And the store refuses all followers
+    When 5 seconds pass for them
+    And version 5 is put in force for them
+    Then all instances have version 5 within 2000 ms
+
+  Scenario: The store is not asked by all instances at once while it is away
+    Given 200 instances of which 5 follow a store with version 3
+    And the store is away
+    When 20 seconds pass for them
+    Then the store was read at most 400 times in that time
+    When the store is back
+    And version 5 is put in force for them
+    Then all instances have version 5 within 4000 ms
+
+  Scenario: A listener does not count an older version as a confirmation
+    Given 40 instances of which 3 follow a store with version 3
+    When a follower that is behind confirms version 2 to all
+    And all followers end
+    And version 5 is put in force for them
+    Then all other instances have version 5 within 2000 ms
--- a/tests/entry/coordination/discovery/targets.feature
+++ b/tests/entry/coordination/discovery/targets.feature
@@ -52,3 +52,16 @@
     Given a store that lists "a b"
     And a watcher and another instance that receives its notices
     Then the other instance woke up at most 14 times in 10 seconds
+
+  Scenario: A notice of changes that are known in part is applied without a read
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When another watcher reports "a b c" before the store lists "a b c d" in one change
+    Then the other instance has the targets "a b c d" within 100 ms
+    And the other instance has not read the store
+
+  Scenario: An instance that is not a watcher asks an unavailable store less often
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store is unavailable for 30 seconds for a fleet of 200
+    Then the other instance has read the store at most 3 times
--- a/tests/entry/coordination/exchange/monitors.feature
+++ b/tests/entry/coordination/exchange/monitors.feature
@@ -126,3 +126,18 @@
       | 20    | 3200     | yes  |
       | 40    | 500      | no   |
       | 40    | 4000     | yes  |
+
+  Scenario Outline: The first instances of each zone of a large fleet follow the store
+    Given an instance with <count> peers in its own zone and in <zones> others
+    When <before> peers of its own zone have a lower address
+    Then it learns of changes in the store as <role>
+
+    Examples:
+      | count | zones | before | role        |
+      | 8     | 2     | 3      | independent |
+      | 60    | 4     | 0      | follower    |
+      | 60    | 4     | 1      | listener    |
+      | 60    | 1     | 1      | follower    |
+      | 60    | 1     | 2      | listener    |
+      | 60    | 0     | 2      | follower    |
+      | 60    | 0     | 3      | listener    |
--- a/tests/steps/entry/coordination/discovery_steps.py
+++ b/tests/steps/entry/coordination/discovery_steps.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 import trio
 import trio.testing
@@ -11,13 +12,40 @@
 from behave.runner import Context
 from support.stores import FakeRoutes, FakeStore, targets_from, text_of, wait_for
 from wasabiwell_entry.coordination.discovery import RouteDiscovery, TargetDiscovery
+from wasabiwell_entry.coordination.discovery.ports import (
+    ChangeHistoryLost,
+    FleetView,
+    StoreRole,
+    TargetChanges,
+)
 from wasabiwell_entry.state.clock import SystemClock
 from wasabiwell_entry.state.exchange import ListingNotice
+from wasabiwell_entry.state.listing import TargetListing
 from wasabiwell_entry.state.platform import StoreUnavailable
 
 SETTLED_SECONDS = 0.3
 
 
+class CountingStore:
+    """A store as one instance reaches it; counts its reads."""
+
+    def __init__(self, store: FakeStore) -> None:
+        self._store = store
+        self.reads = 0
+
+    async def targets(self) -> TargetListing | StoreUnavailable:
+        """Return the list."""
+        self.reads += 1
+        return await self._store.targets()
+
+    async def changes(
+        self, after: int, wait: timedelta
+    ) -> TargetChanges | ChangeHistoryLost | StoreUnavailable:
+        """Wait for changes."""
+        self.reads += 1
+        return await self._store.changes(after, wait)
+
+
 class WatcherPair:
     """A watcher and an instance that receives its notices, with one store."""
 
@@ -27,7 +55,16 @@
         self.notices: list[ListingNotice] = []
         self.dropping = False
         self.scope = trio.CancelScope()
-        self.other = TargetDiscovery(store, lambda: 5, lambda _: None, lambda _: None, clock)
+        self.fleet_size = 18
+        self.other_store = CountingStore(store)
+        self.other = TargetDiscovery(
+            self.other_store,
+            lambda: 5,
+            lambda _: None,
+            lambda _: None,
+            clock,
+            lambda: self.fleet_size,
+        )
         self.watcher = TargetDiscovery(store, lambda: 0, self._deliver, lambda _: None, clock)
 
     def _deliver(self, notice: ListingNotice) -> None:
@@ -121,6 +158,46 @@
     add_action(context, action)
 
 
+@when('another watcher reports "{first}" before the store lists "{second}" in one change')
+def step_partly_known(context: Context, first: str, second: str) -> None:
+    async def action(pair: WatcherPair) -> None:
+        pair.other_store.reads = 0
+        before = pair.other.listing
+        known = TargetListing(before.revision + 1, targets_from(first))
+        changed = tuple(item for key, item in known.targets.items() if key not in before.targets)
+        notice = ListingNotice(known.revision, before.digest(), known.digest(), changed, ())
+        pair.other.receive("another watcher", notice)
+        pair.store.list_targets(second)
+        pair.store.revision = max(pair.store.revision, known.revision + 1)
+        await trio.sleep(0.05)
+
+    add_action(context, action)
+
+
+@then("the other instance has not read the store")
+def step_not_read(context: Context) -> None:
+    assert context.pair.other_store.reads == 0, context.pair.other_store.reads
+
+
+@when("the store is unavailable for {seconds:d} seconds for a fleet of {size:d}")
+def step_outage_large(context: Context, seconds: int, size: int) -> None:
+    async def action(pair: WatcherPair) -> None:
+        pair.fleet_size = size
+        pair.store.unavailable = True
+        pair.store.wake()
+        await trio.sleep(3)
+        pair.other_store.reads = 0
+        await trio.sleep(seconds)
+
+    add_action(context, action)
+
+
+@then("the other instance has read the store at most {most:d} times")
+def step_other_reads(context: Context, most: int) -> None:
+    check_targets(context, lambda pair: pair.other, context.names, 0)
+    assert context.pair.other_store.reads <= most, context.pair.other_store.reads
+
+
 @then('the watcher has the targets "{names}" within {milliseconds:d} ms')
 def step_watcher_has(context: Context, names: str, milliseconds: int) -> None:
     check_targets(context, lambda pair: pair.watcher, names, milliseconds)
@@ -138,7 +215,7 @@
     milliseconds: int,
 ) -> None:
     async def run() -> None:
-        pair = WatcherPair(FakeStore(targets_from(context.names)))
+        context.pair = pair = WatcherPair(FakeStore(targets_from(context.names)))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(pair.run_watcher)
             nursery.start_soon(pair.other.run)
@@ -205,7 +282,8 @@
     def __init__(self, version: int) -> None:
         self.store = FakeRoutes(version)
         self.document = b""
-        self.discovery = RouteDiscovery(self.store, self.fetch, lambda _: None, SystemClock())
+        view = FleetView(lambda: StoreRole.INDEPENDENT, lambda: 1, lambda _: None, lambda: None)
+        self.discovery = RouteDiscovery(self.store, self.fetch, lambda _: None, view, SystemClock())
 
     async def fetch(self, address: str) -> bytes | StoreUnavailable:
         """Return the document of the peer."""
--- /dev/null
+++ b/tests/steps/entry/coordination/route_fleet_steps.py
@@ -0,0 +1,254 @@
+"""Steps for the routes of a large fleet, in which a few instances follow the store for all."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from functools import partial
+from random import Random
+
+import trio
+import trio.testing
+from behave import given, then, when
+from behave.runner import Context
+from support.stores import FakeRoutes, wait_for
+from wasabiwell_entry.coordination.discovery import RouteDiscovery
+from wasabiwell_entry.coordination.discovery.ports import (
+    ChangeHistoryLost,
+    FleetView,
+    RoutesRead,
+    StoreRole,
+)
+from wasabiwell_entry.state.clock import SystemClock
+from wasabiwell_entry.state.platform import StoreUnavailable
+from wasabiwell_entry.state.routes import RouteTable
+
+SETTLED_SECONDS = 4.0
+MESSAGE_SECONDS = 0.001
+FETCH_SECONDS = 0.01
+
+
+class MemberStore:
+    """The store as one instance reaches it; counts its reads."""
+
+    def __init__(self, store: FakeRoutes) -> None:
+        self._store = store
+        self.refusing = False
+        self.reads = 0
+
+    async def current(self) -> RoutesRead | StoreUnavailable:
+        """Return the newest routes."""
+        self.reads += 1
+        if self.refusing:
+            await trio.sleep(MESSAGE_SECONDS)
+            return StoreUnavailable("refused")
+        return await self._store.current()
+
+    async def changes(
+        self, after: int, wait: timedelta
+    ) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
+        """Wait until something changes."""
+        self.reads += 1
+        if self.refusing:
+            await trio.sleep(MESSAGE_SECONDS)
+            return StoreUnavailable("refused")
+        return await self._store.changes(after, wait)
+
+    def decode(self, document: bytes) -> RouteTable | StoreUnavailable:
+        """Return the routes of a document."""
+        return self._store.decode(document)
+
+
+class Member:
+    """An instance of the fleet; the first ones are the followers."""
+
+    def __init__(self, fleet: "RouteFleet", number: int, follower: bool) -> None:
+        self.follower = follower
+        self.address = f"10.0.0.{number}:9"
+        self.store = MemberStore(fleet.store)
+        self.scope = trio.CancelScope()
+        view = FleetView(
+            role=lambda: StoreRole.FOLLOWER if follower else StoreRole.LISTENER,
+            size=lambda: len(fleet.members),
+            confirm=partial(fleet.confirm, self),
+            report_failure=partial(fleet.report_failure, self),
+        )
+        self.discovery = RouteDiscovery(
+            self.store, fleet.fetch, lambda _: None, view, SystemClock(), Random(number)
+        )
+
+    async def run(self) -> None:
+        """Run until the instance is ended."""
+        with self.scope:
+            await self.discovery.run()
+
+
+class RouteFleet:
+    """Instances that pass each other messages within a millisecond."""
+
+    def __init__(self, size: int, followers: int, version: int) -> None:
+        self.store = FakeRoutes(version)
+        self.members: list[Member] = []
+        for number in range(size):
+            self.members.append(Member(self, number, number < followers))
+        self.nursery: trio.Nursery | None = None
+
+    def confirm(self, sender: Member, version: int) -> None:
+        """Deliver a confirmation to all others."""
+        for member in self._others(sender):
+            self._deliver(
+                partial(member.discovery.record_confirmation, sender.address, version, True)
+            )
+
+    def report_failure(self, sender: Member) -> None:
+        """Deliver a report of an unreachable store to all others."""
+        for member in self._others(sender):
+            self._deliver(member.discovery.record_unreachable)
+
+    async def fetch(self, address: str) -> bytes | StoreUnavailable:
+        """Return the document of an instance."""
+        await trio.sleep(FETCH_SECONDS)
+        (member,) = [item for item in self.members if item.address == address]
+        if member.scope.cancel_called:
+            return StoreUnavailable("no connection")
+        return member.discovery.document
+
+    def running(self) -> list[Member]:
+        """Return the instances that have not ended."""
+        return [member for member in self.members if not member.scope.cancel_called]
+
+    def _others(self, sender: Member) -> list[Member]:
+        return [member for member in self.running() if member is not sender]
+
+    def _deliver(self, receive: Callable[[], None]) -> None:
+        async def deliver() -> None:
+            await trio.sleep(MESSAGE_SECONDS)
+            receive()
+
+        if self.nursery is not None:
+            self.nursery.start_soon(deliver)
+
+
+Action = Callable[[RouteFleet], Awaitable[None]]
+
+
+@given("{size:d} instances of which {followers:d} follow a store with version {version:d}")
+def step_fleet(context: Context, size: int, followers: int, version: int) -> None:
+    context.make_fleet = partial(RouteFleet, size, followers, version)
+    context.fleet_actions = []
+
+
+def act(context: Context, change: Callable[[RouteFleet], None], seconds: float = 0.0) -> None:
+    """Add a change of the fleet, which is made once the earlier ones have been."""
+
+    async def action(fleet: RouteFleet) -> None:
+        change(fleet)
+        await trio.sleep(seconds)
+
+    context.fleet_actions.append(action)
+
+
+def reset_reads(fleet: RouteFleet) -> None:
+    for member in fleet.members:
+        member.store.reads = 0
+
+
+@given("the store refuses all followers")
+def step_refuses_followers(context: Context) -> None:
+    def refuse(fleet: RouteFleet) -> None:
+        for member in fleet.members:
+            member.store.refusing = member.follower
+        fleet.store.wake()
+
+    act(context, refuse)
+
+
+def set_away(away: bool, fleet: RouteFleet) -> None:
+    fleet.store.unavailable = away
+    fleet.store.wake()
+
+
+@given("the store is away")
+def step_away(context: Context) -> None:
+    act(context, partial(set_away, True))
+
+
+@when("the store is back")
+def step_back(context: Context) -> None:
+    act(context, partial(set_away, False))
+
+
+@when("{seconds:d} seconds pass for them")
+def step_pass(context: Context, seconds: int) -> None:
+    act(context, reset_reads, seconds)
+
+
+@when("all followers end")
+def step_followers_end(context: Context) -> None:
+    def end(fleet: RouteFleet) -> None:
+        for member in fleet.members:
+            if member.follower:
+                member.scope.cancel()
+
+    act(context, end)
+
+
+@when("a follower that is behind confirms version {version:d} to all")
+def step_behind(context: Context, version: int) -> None:
+    act(context, lambda fleet: fleet.confirm(fleet.members[0], version), MESSAGE_SECONDS * 2)
+
+
+@when("version {version:d} is put in force for them")
+def step_put(context: Context, version: int) -> None:
+    def put(fleet: RouteFleet) -> None:
+        reset_reads(fleet)
+        fleet.store.put(version)
+
+    act(context, put)
+
+
+async def run_fleet(context: Context, version: int, milliseconds: int) -> None:
+    """Run the fleet through all actions, until all instances have a version."""
+    context.fleet = fleet = context.make_fleet()
+    async with trio.open_nursery() as nursery:
+        fleet.nursery = nursery
+        for member in fleet.members:
+            nursery.start_soon(member.run)
+        await trio.sleep(SETTLED_SECONDS)
+        for action in context.fleet_actions:
+            await action(fleet)
+        context.reached = await wait_for(
+            lambda: all(item.discovery.table.version == version for item in fleet.running()),
+            milliseconds,
+        )
+        nursery.cancel_scope.cancel()
+
+
+def play(context: Context, version: int = 0, milliseconds: int = 0) -> None:
+    trio.run(
+        run_fleet,
+        context,
+        version,
+        milliseconds,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+
+
+@then("all instances have version {version:d} within {milliseconds:d} ms")
+@then("all other instances have version {version:d} within {milliseconds:d} ms")
+def step_all_have(context: Context, version: int, milliseconds: int) -> None:
+    play(context, version, milliseconds)
+    versions = [item.discovery.table.version for item in context.fleet.running()]
+    assert context.reached, versions
+
+
+@then("the store was read at most {most:d} times in that time")
+def step_reads(context: Context, most: int) -> None:
+    if "fleet" not in context or not context.fleet.members:
+        play(context)
+    reads = sum(member.store.reads for member in context.fleet.members)
+    assert reads <= most, reads
+
+
+@then("no listener read it in that time")
+def step_no_listener_read(context: Context) -> None:
+    reads = [member.store.reads for member in context.fleet.members if not member.follower]
+    assert not any(reads), reads
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -106,6 +106,7 @@
     context.suspicions = []
     context.recent_suspicions = list
     context.announced = []
+    context.confirmed = []
     context.sequence = 0
     context.nodes = nodes = NodeTable()
     context.exchange = ExchangeCoordinator(
@@ -125,6 +126,10 @@
             recent_suspicions=lambda: context.recent_suspicions(),
             listing_received=lambda sender, notice: None,
             routes_announced=lambda address, version: context.announced.append((address, version)),
+            routes_confirmed=lambda address, version, own_zone: context.confirmed.append(
+                (address, version, own_zone)
+            ),
+            store_unreachable=lambda: None,
             full_listing=lambda: LISTING,
         ),
         (),
