Measure the silence of a target by progress, and wait where nothing is gained by ending

Callers saw, or could have seen: (1) a target that sent a byte or a comment now and then held its request until the deadline, as each byte restarted the timeout. (2) A stream that no other attempt could resume was cut after a pause of about 1.2 s, though its target was sound. (3) A booking whose target was silent for a while was given up after one probe of 250 ms. Change: only a whole head, event or part of a body counts as progress, and only the time in reads counts as silence; a stream without a further attempt may pause as long as its caller waits; a target that does not react at all is waited for while no attempt could follow.

--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -216,10 +216,13 @@
     ) -> AttemptOutcome:
         progress.runs += 1
         target = placement.target
+        retryable = self._may_retry(request, progress)
         silence_timeout = SilenceTimeout(
             request.route,
             self._response_start_timeout(request, placement, progress),
             lambda: self._placer.expected_pause(target.target_id),
+            self._time_left(request),
+            retryable,
         )
         attempt = ForwardAttempt(
             request=request,
@@ -230,6 +233,7 @@
             silence_timeout=silence_timeout.current,
             probe_interval=_probe_interval(request),
             resume_after=progress.last_event,
+            retryable=retryable,
         )
         sent_at = self._clock.monotonic()
         log_events.emit(
@@ -391,7 +395,7 @@
     ) -> timedelta:
         """Return how long a target may be silent before its response begins."""
         left = self._time_left(request)
-        if not request.route.retryable or progress.runs >= request.route.attempts:
+        if not self._may_retry(request, progress):
             return left
         expected = timedelta(seconds=placement.expected_seconds)
         minimum = max(
--- a/tests/entry/coordination/forwarding/forwarding.feature
+++ b/tests/entry/coordination/forwarding/forwarding.feature
@@ -106,6 +106,17 @@
     Then 2 targets received the request
     And the caller has received the whole response with status 200
 
+  Scenario Outline: A pause in a stream that cannot be resumed is no reason to end it
+    Given <route>
+    When its target pauses for 5 seconds after event 3
+    Then the target was allowed to be silent for <least> to <most> seconds
+
+    Examples:
+      | route                                     | least | most |
+      | a stream route                            | 9     | 10   |
+      | a resumable stream route with 1 attempts  | 9     | 10   |
+      | a resumable stream route                  | 1.2   | 2    |
+
   Scenario: A request is cancelled at the time limit of its route
     Given an at-most-once route with a limit of 1 second
     When the target takes 5 seconds
--- a/tests/platform/targets.feature
+++ b/tests/platform/targets.feature
@@ -65,6 +65,39 @@
       | a chunk header            | stream |
       | interim responses         | plain  |
 
+  Scenario Outline: A target that stalls is given up, although it sends a byte now and then
+    Given a slow target that sends <bytes> byte by byte, one in each 100 ms
+    When a <kind> request with a silence timeout of 1000 ms is sent to it
+    Then the response is interrupted, and the target has not crashed
+    And that took at most 2500 ms
+
+    Examples:
+      | bytes              | kind   |
+      | a head             | stream |
+      | a head             | plain  |
+      | an event           | stream |
+      | comments           | stream |
+
+  Scenario: A slow stream whose events come within the timeout is read to its end
+    Given a slow target that sends 5 events, one in each 400 ms
+    When a stream request with a silence timeout of 1000 ms is sent to it
+    Then its 5 events and the end of the stream arrived
+
+  Scenario: The time in which the caller does not read does not count as silence of the target
+    Given a slow target that sends 5 events, one in each 400 ms
+    When a stream request with a silence timeout of 1000 ms is sent to it, read after pauses of 1300 ms
+    Then its 5 events and the end of the stream arrived
+
+  Scenario Outline: A target that is only silent for a while is not given up without need
+    Given a silent target that does not react for <milliseconds> ms, not to new connections either
+    When <request> is sent to it that waits for <timeout> ms
+    Then the response <result>
+
+    Examples:
+      | milliseconds | request                           | timeout | result                  |
+      | 1500         | a request that may not be retried | 4000    | is whole                |
+      | 1500         | a request that may be retried     | 4000    | is interrupted as lost  |
+
   Scenario Outline: Bytes that are no response of the target do not count as a crash
     Given a target that <responds> and then keeps the connection
     When a plain request is sent to it
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -350,3 +350,15 @@
 def step_no_events(context: Context) -> None:
     empty = [ResponseHead(200, (), True), ResponseEnd()]
     forward(context, [empty, stream_script(1, 6)], prompt=2_000)
+
+
+@when("its target pauses for {seconds:d} seconds after event {last:d}")
+def step_pauses(context: Context, seconds: int, last: int) -> None:
+    script = [*stream_script(1, last, end=False), float(seconds), *stream_script(last + 1, 6)[1:]]
+    forward(context, [script], prompt=2_000)
+
+
+@then("the target was allowed to be silent for {least:g} to {most:g} seconds")
+def step_allowed_silence(context: Context, least: float, most: float) -> None:
+    allowed = context.targets.allowed_silences[-1].total_seconds()
+    assert least <= allowed <= most, allowed
--- a/tests/steps/platform/targets_steps.py
+++ b/tests/steps/platform/targets_steps.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -18,6 +19,8 @@
     AttemptItem,
     ForwardAttempt,
     NotRun,
+    ResponseEnd,
+    ResponseEvent,
     ResponseInterrupted,
 )
 from wasabiwell_entry.state.probes import ProbeOutcome, TargetAlive, TargetDown
@@ -247,3 +250,149 @@
     expected = TargetAdvice(belief == "leaving", timedelta(seconds=seconds))
     found = context.advice or [TargetAdvice()]
     assert found == [expected], found
+
+
+SLOW_BYTES = {
+    "a head": [HEAD[index : index + 1] for index in range(60)],
+    "an event": [HEAD + b"\r\n" + EVENT, *[b"x"] * 60],
+    "comments": [HEAD + b"\r\n" + EVENT, *[b":\n\n"] * 60],
+}
+
+
+@given("a slow target that sends {name} byte by byte, one in each {milliseconds:d} ms")
+def step_slow_target(context: Context, name: str, milliseconds: int) -> None:
+    context.parts, context.interval = SLOW_BYTES[name], milliseconds / 1000
+
+
+@given("a slow target that sends {count:d} events, one in each {milliseconds:d} ms")
+def step_slow_events(context: Context, count: int, milliseconds: int) -> None:
+    events = [b"id: %d\ndata: x\n\n" % number for number in range(1, count + 1)]
+    chunks = [b"%x\r\n%s\r\n" % (len(event), event) for event in events]
+    context.parts = [HEAD + CHUNKED, *chunks, b"0\r\n\r\n"]
+    context.interval = milliseconds / 1000
+
+
+async def read_slowly(
+    context: Context, kind: str, timeout: timedelta, pause_seconds: float = 0.0
+) -> list[AttemptItem]:
+    """Return the items of an attempt on a target that sends its parts at intervals."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await stream.receive_some(65_536)
+        try:
+            for part in context.parts:
+                await stream.send_all(part)
+                await trio.sleep(context.interval)
+            await trio.sleep_forever()
+        except trio.BrokenResourceError:
+            await stream.aclose()
+
+    items: list[AttemptItem] = []
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(partial(trio.serve_tcp, serve, 0, host="127.0.0.1"))
+        attempt = make_attempt(kind, listeners[0].socket.getsockname()[1], timeout, timeout)
+        reader = AdviceReader(lambda *_: None, SystemClock())
+        with trio.move_on_after(ENDLESS_SECONDS):
+            async with HttpTargets(reader).attempt(attempt) as attempt_items:
+                async for item in attempt_items:
+                    items.append(item)
+                    await trio.sleep(pause_seconds)
+        nursery.cancel_scope.cancel()
+    return items
+
+
+def make_attempt(
+    kind: str, port: int, timeout: timedelta, probe_interval: timedelta, retryable: bool = True
+) -> ForwardAttempt:
+    route = make_route(RouteKind.STREAM if kind == "stream" else RouteKind.IDEMPOTENT)
+    return ForwardAttempt(
+        request=make_forwarded(route),
+        target=replace(make_target(0), address=f"127.0.0.1:{port}"),
+        helpers=(),
+        urgency=2,
+        time_left=timedelta(seconds=ENDLESS_SECONDS),
+        silence_timeout=lambda: timeout,
+        probe_interval=probe_interval,
+        retryable=retryable,
+    )
+
+
+@when("a {kind:w} request with a silence timeout of {milliseconds:d} ms is sent to it")
+def step_slow_attempt(context: Context, kind: str, milliseconds: int) -> None:
+    started = time.monotonic()
+    timeout = timedelta(milliseconds=milliseconds)
+    context.items = trio.run(read_slowly, context, kind, timeout)
+    context.last_item = context.items[-1]
+    context.seconds = time.monotonic() - started
+
+
+@when(
+    "a stream request with a silence timeout of {milliseconds:d} ms is sent to it, read after "
+    "pauses of {pause:d} ms"
+)
+def step_slow_reader(context: Context, milliseconds: int, pause: int) -> None:
+    timeout = timedelta(milliseconds=milliseconds)
+    context.items = trio.run(read_slowly, context, "stream", timeout, pause / 1000)
+
+
+@then("that took at most {milliseconds:d} ms")
+def step_took(context: Context, milliseconds: int) -> None:
+    assert context.seconds * 1000 <= milliseconds, context.seconds
+
+
+@then("its {count:d} events and the end of the stream arrived")
+def step_arrived(context: Context, count: int) -> None:
+    events = [item for item in context.items if isinstance(item, ResponseEvent)]
+    assert len(events) == count, context.items
+    assert isinstance(context.items[-1], ResponseEnd), context.items
+
+
+@given("a silent target that does not react for {milliseconds:d} ms, not to new connections either")
+def step_silent_target(context: Context, milliseconds: int) -> None:
+    context.silence_seconds = milliseconds / 1000
+
+
+@when("a request that may {word} retried is sent to it that waits for {milliseconds:d} ms")
+def step_silent_attempt(context: Context, word: str, milliseconds: int) -> None:
+    async def run() -> AttemptItem:
+        with socket.socket() as listener, socket.socket() as filler:
+            # A backlog of one connection that nobody accepts: the kernel drops further ones.
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            attempt = make_attempt(
+                "plain",
+                listener.getsockname()[1],
+                timedelta(milliseconds=milliseconds),
+                timedelta(milliseconds=200),
+                retryable=word == "be",
+            )
+            reader = AdviceReader(lambda *_: None, SystemClock())
+
+            async def answer() -> None:
+                await trio.sleep(0.05)
+                filler.setblocking(False)
+                filler.connect_ex(listener.getsockname())
+                await trio.sleep(context.silence_seconds)
+                connection, _ = await trio.to_thread.run_sync(listener.accept)
+                connection.recv(65_536)
+                connection.sendall(HEAD + b"Content-Length: 2\r\n\r\nok")
+                connection.close()
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(answer)
+                async with HttpTargets(reader).attempt(attempt) as items:
+                    last = [item async for item in items][-1]
+                nursery.cancel_scope.cancel()
+                return last
+
+    context.last_item = trio.run(run)
+
+
+@then("the response is whole")
+def step_whole(context: Context) -> None:
+    assert isinstance(context.last_item, ResponseEnd), context.last_item
+
+
+@then("the response is interrupted as lost")
+def step_interrupted_lost(context: Context) -> None:
+    step_may_have_crashed(context)
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -174,6 +174,7 @@
 
     scripts: list[Script]
     sent: list[ForwardAttempt] = field(default_factory=list)
+    allowed_silences: list[timedelta] = field(default_factory=list)
     cancelled: int = 0
     probe_outcome: ProbeOutcome = field(default_factory=TargetAlive)
 
@@ -192,6 +193,7 @@
                 else:
                     await trio.lowlevel.checkpoint()
                     yield item
+                    self.allowed_silences.append(attempt.silence_timeout())
 
         try:
             yield items()
