Tell a starting instance of targets that are leaving by their own word

Cause: an announced departure is not in the listing, so an instance that restarted sent new work to such a target until the list showed it. Change: the instances that send the listing to a peer that knows no target send the announced departures after it. Test: exchange.feature; the message did not exist before.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -53,18 +53,20 @@
 class ExchangeObservers:
     """Callbacks for the messages of other entry instances, except placements.
 
-    `target_departed` takes the announcement of a target that is leaving. `routes_announced` takes
-    the control address of a peer and its routes version, `routes_confirmed` also whether the peer
-    is in the own zone. `store_unreachable` is called when a peer that follows the store cannot
-    read it. `helper_lost` takes the id of a target.
-    `full_listing` returns the message for a peer that knows no target, or None. `suspicions`
-    returns the messages for a peer that is new or was unreachable for long, and
-    `recent_suspicions` those repeated with each state, because single messages may be lost.
+    `target_departed` takes the announcement of a target that is leaving, and `departures` returns
+    those that are known, for a peer that has just started. `routes_announced` takes the control
+    address of a peer and its routes version, `routes_confirmed` also whether the peer is in the own
+    zone. `store_unreachable` is called when a peer that follows the store cannot read it.
+    `helper_lost` takes the id of a target. `full_listing` returns the message for a peer that knows
+    no target, or None. `suspicions` returns the messages for a peer that is new or was unreachable
+    for long, and `recent_suspicions` those repeated with each state, because single messages may
+    be lost.
     """
 
     request_ended: Callable[[RequestEnded], None]
     helper_lost: Callable[[str], None]
     target_departed: Callable[[TargetDeparture], None]
+    departures: Callable[[], Iterable[TargetDeparture]]
     suspicion_received: Callable[[Suspicion], None]
     suspicions: Callable[[], Iterable[Suspicions]]
     recent_suspicions: Callable[[], Iterable[Suspicions]]
@@ -310,6 +312,9 @@
             listing = self._observers.full_listing()
             if listing is not None:
                 self._port.send([sender], listing)
+            # The list may still show a target as ready that has announced its departure.
+            for departure in self._observers.departures():
+                self._port.send([sender], departure)
 
     def _needs_addresses(self, state: NodeState) -> bool:
         """Return whether a peer knows few instances and this one has to send it their addresses."""
--- a/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
@@ -134,6 +134,10 @@
         self.record_departure(departure)
         return None if listed_as_leaving else departure
 
+    def departures(self) -> list[TargetDeparture]:
+        """Return the departures that targets have announced lately."""
+        return list(self._departures)
+
     def record_departure(self, departure: TargetDeparture) -> None:
         """Record that a target is leaving, as announced here or to another entry instance."""
         now = self._now()
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -55,6 +55,13 @@
     When the peer reports that it knows no target
     Then it is sent the full listing
 
+  Scenario: A peer that has started is told of targets that are leaving by their own word
+    Given an instance with a reachable peer "10.0.0.2:7"
+    And a target that has announced its departure to it
+    When the peer reports that it knows no target
+    Then it is sent the full listing
+    And it is told of the departure after the listing
+
   Scenario: Only the first instances by address send the listing to a peer that knows no target
     Given an instance with a reachable peer "10.0.0.2:7"
     And an instance with a reachable peer "10.0.0.0:1"
@@ -158,6 +165,9 @@
       | SlowdownNotice |
       | RequestEnded   |
       | Suspicions     |
+      | TargetDeparture |
+      | RoutesConfirmed |
+      | StoreUnreachable |
       | ListingNotice  |
       | NodeState      |
       | NodeAddresses  |
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -43,9 +43,12 @@
     RequestPlaced,
     RetryBudgetUse,
     RetryNotice,
+    RoutesConfirmed,
     SlowdownNotice,
+    StoreUnreachable,
     Suspicion,
     Suspicions,
+    TargetDeparture,
     WatchRequest,
 )
 from wasabiwell_entry.state.routes import RouteKind
@@ -275,6 +278,17 @@
     assert NodeState in kinds
 
 
+@given("a target that has announced its departure to it")
+def step_departed(context: Context) -> None:
+    context.departures.append(NOTICES["TargetDeparture"])
+
+
+@then("it is told of the departure after the listing")
+def step_told_departure(context: Context) -> None:
+    notices = [notice for address, notice in context.port.sent if address == context.peer]
+    assert notices.index(LISTING) < notices.index(NOTICES["TargetDeparture"]), notices
+
+
 @when("the peer reports that it knows no target")
 def step_knows_no_target(context: Context) -> None:
     receive_state(context, context.peer, knows_targets=False)
@@ -381,6 +395,9 @@
         )
     ),
     "ListingNotice": LISTING,
+    "TargetDeparture": TargetDeparture("i-1", 7, "10.0.9.1:80"),
+    "RoutesConfirmed": RoutesConfirmed("10.0.0.2:9", 7),
+    "StoreUnreachable": StoreUnreachable(),
     "NodeState": make_state(
         "10.0.0.2:7", 4, uses=(RetryBudgetUse("s", 1, 2),), placed=("r1", "r2")
     ),
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -106,6 +106,7 @@
     context.suspicions = []
     context.recent_suspicions = list
     context.announced = []
+    context.departures = []
     context.confirmed = []
     context.sequence = 0
     context.nodes = nodes = NodeTable()
@@ -121,6 +122,7 @@
             request_ended=context.endings.append,
             helper_lost=context.lost_helpers.append,
             target_departed=lambda departure: None,
+            departures=lambda: context.departures,
             suspicion_received=lambda suspicion: None,
             suspicions=lambda: context.suspicions,
             recent_suspicions=lambda: context.recent_suspicions(),
