Hear an instance again that restarts after its clock was set back

Callers could have seen: an instance whose clock was set back between two starts was missing from the directory for up to a minute. Cause: the incarnation of an instance is its start time; peers ignored states with a lower one than they knew. Change: a peer answers such a state with the incarnation that it knows, and the instance exceeds it. A late state of an earlier process gets the same answer, which the running one ignores. Test: exchange.feature, two scenarios; the first needs the new message (before, the state was dropped without an answer).

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -18,6 +18,7 @@
 )
 from wasabiwell_entry.coordination.exchange.failure_detector import FailureDetector, peer_loss
 from wasabiwell_entry.coordination.exchange.monitors import MonitorRing
+from wasabiwell_entry.coordination.exchange.own_state import OwnState
 from wasabiwell_entry.coordination.exchange.placements import placed_from_notice
 from wasabiwell_entry.coordination.exchange.ports import NodeDirectory, NoticePort
 from wasabiwell_entry.coordination.exchange.registration import Registration
@@ -38,6 +39,7 @@
     RetryNotice,
     RoutesConfirmed,
     SlowdownNotice,
+    StaleIncarnation,
     StoreUnreachable,
     Suspicion,
     Suspicions,
@@ -105,7 +107,7 @@
     def __init__(
         self,
         own_address: str,
-        own_state: Callable[[], NodeState],
+        own_state: OwnState,
         nodes: NodeTable,
         works: WorkTable,
         zone_locality: ZoneLocality,
@@ -127,7 +129,7 @@
         ring = MonitorRing(own_address)
         self._sender = StateSender(
             own_address,
-            own_state,
+            own_state.current,
             observers.recent_suspicions,
             nodes,
             zone_locality,
@@ -161,7 +163,7 @@
             if node.silence(now) <= ISOLATED_LISTING_TIMEOUT.total_seconds()
         ]
         states = [(node.address, node.state) for node in nodes if node.state is not None]
-        states.append((self._own_address, self._own_state()))
+        states.append((self._own_address, self._own_state.current()))
         return [_member(address, state) for address, state in states if state.serving]
 
     def rank(self) -> int:
@@ -258,6 +260,9 @@
                     and self._zone_locality.is_own_zone(node.state.zone)
                 )
                 self._observers.routes_confirmed(address, version, own_zone)
+            case StaleIncarnation(known=known):
+                if self._own_state.raise_incarnation(known):
+                    self.broadcast_state()
             case StoreUnreachable():
                 self._observers.store_unreachable()
             case TargetDeparture() as departure:
@@ -290,6 +295,8 @@
             previous.incarnation,
             previous.sequence,
         ):
+            if state.incarnation < previous.incarnation:
+                self._port.send([sender], StaleIncarnation(previous.incarnation))
             return
         if previous is None or state.incarnation != previous.incarnation:
             log_events.emit(log_events.PEER_HEARD, peer=sender, zone=state.zone)
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import datetime
 
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.exchange import NodeState, RetryBudgetUse
@@ -33,12 +32,12 @@
 class OwnState:
     """Builds the states of this instance, with increasing sequence numbers."""
 
-    __slots__ = ("_identity", "_sequence", "_sources", "_started")
+    __slots__ = ("_identity", "_incarnation", "_sequence", "_sources")
 
     def __init__(self, identity: NodeIdentity, sources: StateSources, clock: Clock) -> None:
         self._identity = identity
         self._sources = sources
-        self._started: datetime = clock.now()
+        self._incarnation = int(clock.now().timestamp() * 1000)
         self._sequence = 0
 
     @property
@@ -46,11 +45,18 @@
         """Return whether callers may use this instance: it has routes and is not shutting down."""
         return self._sources.routes_version() > 0 and not self._sources.leaving()
 
+    def raise_incarnation(self, known: int) -> bool:
+        """Exceed an incarnation that a peer knows; return False if this one is not lower."""
+        if known <= self._incarnation:
+            return False
+        self._incarnation = known + 1
+        return True
+
     def current(self) -> NodeState:
         """Return the current state, with the next sequence number."""
         self._sequence += 1
         return NodeState(
-            incarnation=int(self._started.timestamp() * 1000),
+            incarnation=self._incarnation,
             sequence=self._sequence,
             region=self._identity.region,
             zone=self._identity.zone,
--- a/packages/entry/src/wasabiwell_entry/protocol/notices.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/notices.py
@@ -17,6 +17,7 @@
     RetryNotice,
     RoutesConfirmed,
     SlowdownNotice,
+    StaleIncarnation,
     StoreUnreachable,
     Suspicions,
     TargetDeparture,
@@ -39,6 +40,7 @@
     TargetDeparture,
     RoutesConfirmed,
     StoreUnreachable,
+    StaleIncarnation,
 )
 """The first byte of a datagram is the index of the notice's type in this tuple."""
 
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -119,6 +119,15 @@
     sequence: int
 
 
+class StaleIncarnation(msgspec.Struct, frozen=True, array_like=True):
+    """The receiver has sent a state with a lower incarnation than the one that the sender knows.
+
+    Incarnations are start times, which decrease when the clock of a machine is set back.
+    """
+
+    known: int
+
+
 class WatchRequest(msgspec.Struct, frozen=True, array_like=True):
     """The sender monitors the receiver and asks it to send its state frequently."""
 
@@ -164,7 +173,8 @@
 class NodeState(msgspec.Struct, frozen=True, array_like=True):
     """Heartbeat with the state of an entry instance; also sent when `serving` changes.
 
-    `incarnation` is the start time in milliseconds since 1970, and `sequence` counts the states
+    `incarnation` is the start time in milliseconds since 1970, or higher if the clock has been set
+    back since an earlier process at the same address, and `sequence` counts the states
     that were sent. `routes_version` is the version of the routes in use. `uses` are the counts for
     the retry budget. `placed` are the ids of the open requests that it has placed, so that
     receivers drop those whose end notice was lost. `peers` is the number of entry instances from
@@ -205,6 +215,7 @@
     | HelperLoss
     | PeerLoss
     | RoutesConfirmed
+    | StaleIncarnation
     | StoreUnreachable
     | TargetDeparture
     | RetryNotice
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -55,6 +55,17 @@
     When the peer reports that it knows no target
     Then it is sent the full listing
 
+  Scenario: An instance that restarts after its clock was set back is heard again
+    Given an instance with a reachable peer "10.0.0.2:7"
+    When the peer restarts 5 seconds before its earlier start, by its clock
+    And it learns that a higher incarnation is known
+    Then the peer is known with its new state
+
+  Scenario: A late state of an earlier process changes nothing
+    Given an instance with a reachable peer "10.0.0.2:7"
+    When a state of an earlier process of the peer arrives late
+    Then the peer keeps its incarnation
+
   Scenario: A peer that has started is told of targets that are leaving by their own word
     Given an instance with a reachable peer "10.0.0.2:7"
     And a target that has announced its departure to it
@@ -168,6 +179,7 @@
       | TargetDeparture |
       | RoutesConfirmed |
       | StoreUnreachable |
+      | StaleIncarnation |
       | ListingNotice  |
       | NodeState      |
       | NodeAddresses  |
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -1,11 +1,10 @@
 """Steps for the exchange between entry instances."""
 
-import itertools
 import random
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import replace
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 import trio
 from behave import given, then, when
@@ -14,6 +13,7 @@
     LISTING,
     OWN,
     FakeDirectory,
+    make_own_state,
     make_state,
     open_exchange,
     receive_state,
@@ -45,6 +45,7 @@
     RetryNotice,
     RoutesConfirmed,
     SlowdownNotice,
+    StaleIncarnation,
     StoreUnreachable,
     Suspicion,
     Suspicions,
@@ -123,8 +124,7 @@
 
 @when("{count:d} peers send states for {seconds:d} seconds of a run")
 def step_run_with_peers(context: Context, count: int, seconds: int) -> None:
-    numbers = itertools.count(1)
-    open_exchange(context, FakeDirectory(), SystemClock(), lambda: make_state(OWN, next(numbers)))
+    open_exchange(context, FakeDirectory(), SystemClock())
     context.port.now = trio.current_time
     run_for(context, seconds, [f"10.0.2.{index}:7" for index in range(count)])
 
@@ -398,6 +398,7 @@
     "TargetDeparture": TargetDeparture("i-1", 7, "10.0.9.1:80"),
     "RoutesConfirmed": RoutesConfirmed("10.0.0.2:9", 7),
     "StoreUnreachable": StoreUnreachable(),
+    "StaleIncarnation": StaleIncarnation(7),
     "NodeState": make_state(
         "10.0.0.2:7", 4, uses=(RetryBudgetUse("s", 1, 2),), placed=("r1", "r2")
     ),
@@ -426,3 +427,51 @@
             decode_notice(bytes(data[: source.randrange(len(data) + 1)]))
         except UnreadableNoticeError:
             continue
+
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+@when("the peer restarts {seconds:d} seconds before its earlier start, by its clock")
+def step_restart_earlier(context: Context, seconds: int) -> None:
+    earlier = make_own_state(ManualClock(START))
+    context.restarted = make_own_state(ManualClock(START - timedelta(seconds=seconds)))
+    context.exchange.receive(context.peer, earlier.current())
+    context.exchange.receive(context.peer, context.restarted.current())
+
+
+@when("it learns that a higher incarnation is known")
+def step_learns(context: Context) -> None:
+    (answer,) = stale_incarnations(context)
+    assert context.restarted.raise_incarnation(decode_notice(encode_notice(answer)).known)
+    context.exchange.receive(context.peer, context.restarted.current())
+
+
+def stale_incarnations(context: Context) -> list[StaleIncarnation]:
+    return [
+        notice
+        for address, notice in context.port.sent
+        if address == context.peer and isinstance(notice, StaleIncarnation)
+    ]
+
+
+@then("the peer is known with its new state")
+def step_known_new(context: Context) -> None:
+    state = context.nodes.get(context.peer).state
+    assert state.incarnation == context.restarted.current().incarnation, state
+
+
+@when("a state of an earlier process of the peer arrives late")
+def step_late_state(context: Context) -> None:
+    context.running = make_own_state(ManualClock(START))
+    context.exchange.receive(context.peer, context.running.current())
+    earlier = make_own_state(ManualClock(START - timedelta(seconds=60)))
+    context.exchange.receive(context.peer, earlier.current())
+
+
+@then("the peer keeps its incarnation")
+def step_keeps_incarnation(context: Context) -> None:
+    for answer in stale_incarnations(context):
+        assert not context.running.raise_incarnation(answer.known)
+    known = context.nodes.get(context.peer).state.incarnation
+    assert known == context.running.current().incarnation, known
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -7,9 +7,10 @@
 from behave.runner import Context
 from wasabiwell_entry.coordination.exchange import ExchangeCoordinator
 from wasabiwell_entry.coordination.exchange.coordinator import ExchangeObservers
+from wasabiwell_entry.coordination.exchange.own_state import NodeIdentity, OwnState, StateSources
 from wasabiwell_entry.coordination.exchange.ports import NoticeReceiver
 from wasabiwell_entry.coordination.exchange.zone_locality import ZoneLocality
-from wasabiwell_entry.state.clock import SystemClock
+from wasabiwell_entry.state.clock import Clock, SystemClock
 from wasabiwell_entry.state.exchange import ListingNotice, NodeState, Notice
 from wasabiwell_entry.state.nodes import NodeTable
 from wasabiwell_entry.state.platform import StoreUnavailable
@@ -90,11 +91,25 @@
     return NodeState(**(values | fields))  # type: ignore[arg-type]
 
 
+def make_own_state(clock: Clock) -> OwnState:
+    """Return the state of the instance at `OWN`."""
+    identity = NodeIdentity("r", "z", "own", f"{OWN.partition(':')[0]}:9")
+    sources = StateSources(
+        leaving=lambda: False,
+        routes_version=lambda: 1,
+        knows_targets=lambda: True,
+        uses=tuple,
+        placed=tuple,
+        peers=lambda: 0,
+    )
+    return OwnState(identity, sources, clock)
+
+
 def open_exchange(
     context: Context,
     directory: FakeDirectory,
-    clock: object,
-    own_state: Callable[[], NodeState] = lambda: make_state(OWN, 1),
+    clock: Clock,
+    own_state: OwnState | None = None,
 ) -> None:
     """Create an instance without a running task, and store its parts in the context."""
     context.clock = clock
@@ -112,7 +127,7 @@
     context.nodes = nodes = NodeTable()
     context.exchange = ExchangeCoordinator(
         OWN,
-        own_state,
+        own_state or make_own_state(clock),
         nodes,
         context.works,
         ZoneLocality("z", nodes, context.works),
