--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -53,8 +53,9 @@
     ResponseInterrupted,
 )
 from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
-from wasabiwell_entry.state.probes import TargetDown, TargetSilent
+from wasabiwell_entry.state.probes import TargetAlive, TargetDown, TargetSilent
 from wasabiwell_entry.state.routes import RouteKind
+from wasabiwell_entry.state.targets import Target
 
 ForwardOutcome = Forwarded | Refused | Failed
 
@@ -247,17 +248,19 @@
             outcome = await self._relay(attempt, sink, progress, opened, silence_timeout)
             if isinstance(outcome, ResponseInterrupted):
                 outcome = await self._assess_interruption(attempt, opened, outcome)
-            lost_helpers = _lost_helpers(attempt, outcome)
-            opened.verdict = AttemptVerdict.ABANDONED if lost_helpers else _verdict(outcome)
-            for target_id in lost_helpers:
-                self._ledger.record_lost_helper(target_id)
+            blamed_helpers = _blamed_helpers(attempt, outcome)
+            opened.verdict = AttemptVerdict.ABANDONED if blamed_helpers else _verdict(outcome)
+            for helper in blamed_helpers:
+                # A helper that runs refuses its part because it helps others or is leaving.
+                if not isinstance(await self._targets.probe(helper), TargetAlive):
+                    self._ledger.record_lost_helper(helper.target_id)
         self._log_outcome(attempt, placement, progress, opened, sent_at, outcome)
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
         if opened.verdict is AttemptVerdict.ANSWERED:
             self._crashes.record_success(request)
         else:
-            progress.excluded.update(lost_helpers or [target.target_id])
+            progress.excluded.update(item.target_id for item in blamed_helpers or [target])
         return outcome
 
     async def _assess_interruption(
@@ -473,8 +476,8 @@
             return AttemptVerdict.FAILED
 
 
-def _lost_helpers(attempt: ForwardAttempt, outcome: AttemptOutcome) -> list[str]:
-    """Return the ids of the helpers that a lead names as the cause of its refusal."""
+def _blamed_helpers(attempt: ForwardAttempt, outcome: AttemptOutcome) -> list[Target]:
+    """Return the helpers that a lead names as the cause of its refusal."""
     at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
     helpers = [helper.target for helper in attempt.helpers]
-    return [item.target_id for item in helpers if item.address == at_fault]
+    return [item for item in helpers if item.address == at_fault]
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/search.py
@@ -106,9 +106,10 @@
         prefill = self._profile.prefill_seconds(self._size.prompt)
         candidates = [self._best_single_engine_candidate(prefill)]
         if prefill > MIN_SPLIT_PREFILL_SECONDS:
-            max_engines = min(len(self._states), MAX_HELPERS + 1)
+            states = self._states_for_segments()
+            max_engines = min(len(states), MAX_HELPERS + 1)
             candidates += [
-                self._split_candidate(prefill, count) for count in range(2, max_engines + 1)
+                self._split_candidate(states, prefill, count) for count in range(2, max_engines + 1)
             ]
         return min(candidates, key=lambda candidate: candidate.cost)
 
@@ -134,7 +135,17 @@
         requests = state.work.requests.values()
         return any(item.lead and item.placed.gap <= allowed for item in requests)
 
-    def _split_candidate(self, prefill: float, count: int) -> PlacementCandidate:
+    def _states_for_segments(self) -> list[EngineState]:
+        """Return the engines that may take a segment: each helps at most as many as its slots."""
+        return [
+            state
+            for index, state in enumerate(self._states)
+            if state.work.helped_prompts < state.work.slots or (self._fixed_lead and index == 0)
+        ]
+
+    def _split_candidate(
+        self, states: list[EngineState], prefill: float, count: int
+    ) -> PlacementCandidate:
         segment = prefill / count
         costs = sorted(
             (
@@ -142,16 +153,16 @@
                     decode_delay_cost(state, segment) + self._prefill_delay_cost(state, segment),
                     index,
                 )
-                for index, state in enumerate(self._states)
+                for index, state in enumerate(states)
             ),
             key=lambda item: (
-                item[0] + LATENCY_COST * self._states[item[1]].pending_prefill,
+                item[0] + LATENCY_COST * states[item[1]].pending_prefill,
                 -item[1],
             ),
         )
         if self._fixed_lead:
             costs.sort(key=lambda item: item[1] != 0)
-        chosen = [self._states[index] for _, index in costs[:count]]
+        chosen = [states[index] for _, index in costs[:count]]
         decode_delay = sum(decode_delay_cost(state, segment) for state in chosen)
         prefill_delay: dict[str, float] = {}
         for state in chosen:
@@ -160,7 +171,7 @@
         finish = max(split_prefill_finish(state, segment) for state in chosen)
         lead = chosen[0]
         if not self._fixed_lead:
-            lead = min(chosen, key=lambda state: (self._slot_cost(state), state.slot_wait))
+            lead = self._choose_lead(chosen)
         finish = max(finish, lead.slot_wait + split_prefill_finish(lead, segment))
         cost = (
             self._latency_cost(finish)
@@ -178,6 +189,13 @@
             cost += self._no_memory_cost
         return PlacementCandidate(cost, finish, (lead, *others), helper_kv_tokens or ())
 
+    def _choose_lead(self, chosen: list[EngineState]) -> EngineState:
+        """Return the cheapest lead among those with memory for the prompt, if there are any."""
+        with_memory = [state for state in chosen if self._size.total <= self._free_memory(state)]
+        return min(
+            with_memory or chosen, key=lambda state: (self._slot_cost(state), state.slot_wait)
+        )
+
     def _prefill_delay_cost(self, state: EngineState, segment: float) -> float:
         return sum(prefill_delay_costs(state, segment, self._now).values())
 
--- a/packages/entry/src/wasabiwell_entry/state/work.py
+++ b/packages/entry/src/wasabiwell_entry/state/work.py
@@ -106,6 +106,11 @@
         """Return the number of slots that requests take on this target."""
         return sum(1 for request in self.requests.values() if request.lead)
 
+    @property
+    def helped_prompts(self) -> int:
+        """Return the number of prompts of other targets that this target helps to prefill."""
+        return sum(1 for item in self.requests.values() if not item.lead and not item.decoding)
+
     @property
     def tokens(self) -> int:
         """Return the KV cache in use on this target, in tokens."""
--- a/tests/entry/coordination/forwarding/forwarding.feature
+++ b/tests/entry/coordination/forwarding/forwarding.feature
@@ -177,6 +177,13 @@
     And the lost helper has no part in the second attempt, and peers were notified
     And the verdicts on the leads are "abandoned answered"
 
+  Scenario: A helper that is busy but alive is avoided by this request only
+    Given a resumable stream route for long prompts
+    And targets that accept connections again
+    When the first target refuses a prompt of 200000 tokens, as its first helper is unreachable
+    Then 2 targets received the request one after the other
+    And the helper at fault has no part in the second attempt, and peers were not notified
+
   Scenario: A helper that cannot reserve memory is replaced by another one
     Given a resumable stream route for long prompts
     And engines "e08 e07" have no memory to reserve
--- a/tests/entry/coordination/placement/placement.feature
+++ b/tests/entry/coordination/placement/placement.feature
@@ -116,6 +116,27 @@
     When a call is placed
     Then the last request is on "e02"
 
+  Scenario: An engine that helps as many prompts as it has slots gets no further segment
+    Given 9 engines
+    And 8 prompts of 20000 tokens are in prefill on "e00" with the helper "e04"
+    When a long prompt of 400000 tokens is placed
+    Then "e04" is not used
+
+  Scenario: An engine that helps fewer prompts than it has slots may get a segment
+    Given 9 engines
+    And 7 prompts of 20000 tokens are in prefill on "e00" with the helper "e04"
+    When a long prompt of 400000 tokens is placed
+    Then "e04" is used
+
+  Scenario: A prompt is split with the only engine that has memory for it as its lead
+    Given 9 engines
+    And 420000 tokens of other prompts are kept on all engines but "e05"
+    And 6 short requests are decoding on "e05"
+    When a long prompt of 400000 tokens is placed
+    Then the last request is on "e05"
+    And other engines help to prefill it
+    And no helper keeps a part of it
+
   Scenario: Without a target placement fails
     Given 0 engines
     When 1 short request is placed
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -213,6 +213,14 @@
     assert [item.target_id for item in context.notices if isinstance(item, HelperLoss)] == [lost]
 
 
+@then("the helper at fault has no part in the second attempt, and peers were not notified")
+def step_busy_helper_avoided(context: Context) -> None:
+    first, second = context.targets.sent
+    used = {second.target.target_id, *(helper.target.target_id for helper in second.helpers)}
+    assert first.helpers[0].target.target_id not in used, used
+    assert not [item for item in context.notices if isinstance(item, HelperLoss)]
+
+
 @then('the verdicts on the leads are "{verdicts}"')
 def step_lead_verdicts(context: Context, verdicts: str) -> None:
     endings = [item for item in context.notices if isinstance(item, RequestEnded)]
--- a/tests/steps/entry/coordination/placement_steps.py
+++ b/tests/steps/entry/coordination/placement_steps.py
@@ -306,3 +306,49 @@
     for counted in context.calls_by_target:
         assert sum(counted.values()) == count
         assert counted[target_id] <= most, context.calls_by_target
+
+
+@given(
+    '{count:d} prompts of {tokens:d} tokens are in prefill on "{lead}" with the helper "{helper}"'
+)
+def step_helped(context: Context, count: int, tokens: int, lead: str, helper: str) -> None:
+    for number in range(count):
+        placed = make_placed(
+            lead, tokens, "long", request_id=f"helped{number}", helpers=(helper,), due=60.0
+        )
+        add_placed(context, placed)
+
+
+@given('{tokens:d} tokens of other prompts are kept on all engines but "{target_id}"')
+def step_kept_memory(context: Context, tokens: int, target_id: str) -> None:
+    for target in context.engines.targets:
+        if target.target_id == target_id:
+            continue
+        placed = make_placed(
+            "an engine of another zone",
+            2 * tokens,
+            "long",
+            request_id=f"kept on {target.target_id}",
+            helpers=(target.target_id,),
+            helper_kv_tokens=(tokens,),
+            decoding=True,
+        )
+        add_placed(context, placed)
+
+
+@then('"{target_id}" is used')
+def step_used(context: Context, target_id: str) -> None:
+    placement = context.placements[-1]
+    used = [placement.target.target_id, *(item.target.target_id for item in placement.helpers)]
+    assert target_id in used, used
+
+
+@then("no helper keeps a part of it")
+def step_none_keeps(context: Context) -> None:
+    kept = [item.kv_tokens for item in context.placements[-1].helpers]
+    assert not any(kept), kept
+
+
+@then("other engines help to prefill it")
+def step_helped_by(context: Context) -> None:
+    assert context.placements[-1].helpers
