Read the list of targets once at a start of hundreds of instances

Each instance took itself for the first by address, announced its first read of 177 targets to all others, and read the whole list again at once for each announcement whose base it did not know. Change: an instance is no watcher in the first 2 s; a first read or a repaired gap is not announced; notices that cannot be applied lead to one read, spread by rank, unless a later notice closes the gap. The hash of the list is kept. Test: targets.feature (two failed before), exchange.feature.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
@@ -13,6 +13,11 @@
 """Added to the timeout for each rank of an instance, so that one instance reads first."""
 STALE_READ_DELAY = timedelta(milliseconds=100)
 """Delay after a read from a store that lags behind the current list."""
+MISMATCH_READ_DELAY = timedelta(milliseconds=100)
+"""Time after a notice that cannot be applied until the whole list is read; notices of the other
+watchers often make the read unnecessary."""
+MISMATCH_READ_STEP = timedelta(milliseconds=2)
+"""Added to the delay for each rank, so that not all instances read at once."""
 READ_TIMEOUT = timedelta(milliseconds=1_500)
 """Timeout of one read; the users' stores respond within 0.3 s when they are slow."""
 FAILED_READ_DELAY = timedelta(milliseconds=700)
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -8,6 +8,8 @@
 from wasabiwell_entry.coordination.discovery.const import (
     FAILED_READ_DELAY,
     LISTING_POLL_WAIT,
+    MISMATCH_READ_DELAY,
+    MISMATCH_READ_STEP,
     NOTICE_TIMEOUT,
     NOTICE_TIMEOUT_STEP,
     OUTAGE_THRESHOLD,
@@ -38,8 +40,10 @@
     __slots__ = (
         "_clock",
         "_confirmed_at",
+        "_digest",
         "_fleet_size",
         "_listing",
+        "_missed_revision",
         "_next_read_at",
         "_notify",
         "_observer",
@@ -67,6 +71,8 @@
         self._observer = observer
         self._clock = clock
         self._listing = NO_LISTING
+        self._digest = NO_LISTING.digest()
+        self._missed_revision = 0
         self._tracked_revision: int | None = None
         self._confirmed_at: timedelta | None = None
         self._recovered_at: timedelta | None = None
@@ -98,26 +104,37 @@
         """Apply a notice of a read that another entry instance has made."""
         if notice.revision < self._listing.revision:
             return
-        listing = TargetListing(notice.revision, self._listing.targets)
-        if self._listing.digest() != notice.digest:
+        listing, digest = TargetListing(notice.revision, self._listing.targets), self._digest
+        if digest != notice.digest and (notice.changed or notice.removed):
             # Watchers report the same changes in different parts, so the base may differ.
             listing = _changed(listing, notice.changed, notice.removed)
-            if listing.digest() != notice.digest:
-                self._tracked_revision, self._next_read_at = None, self._clock.monotonic()
-                self._read_requested.set()
-                return
+            digest = listing.digest()
+        if digest != notice.digest:
+            self._record_missed(notice.revision)
+            return
+        self._missed_revision = 0
         self._confirm(self._clock.monotonic())
-        self._replace(listing)
+        self._replace(listing, digest)
         if self._tracked_revision is not None:
             self._tracked_revision = notice.revision
 
+    def _record_missed(self, revision: int) -> None:
+        """Schedule one read of the whole list after notices that could not be applied."""
+        scheduled = self._missed_revision > 0
+        self._missed_revision = max(self._missed_revision, revision)
+        self._tracked_revision = None
+        if not scheduled:
+            delay = MISMATCH_READ_DELAY + MISMATCH_READ_STEP * self._rank()
+            self._next_read_at = self._clock.monotonic() + delay
+            self._read_requested.set()
+
     def full_notice(self) -> ListingNotice | None:
         """Return the whole list for a peer that has none, or None when it is empty here."""
         listing = self._listing
         if not listing.targets:
             return None
         changed = tuple(listing.targets.values())
-        return ListingNotice(listing.revision, NO_LISTING.digest(), listing.digest(), changed, ())
+        return ListingNotice(listing.revision, NO_LISTING.digest(), self._digest, changed, ())
 
     def _confirm(self, now: timedelta) -> None:
         """Record that the list is up to date, and schedule the next read."""
@@ -179,24 +196,32 @@
             return
         if self._confirmed_at is not None and now - self._confirmed_at > OUTAGE_THRESHOLD:
             self._recovered_at = now
-        before = self._listing
+        before, digest_before = self._listing, self._digest
+        takes_over = before is not NO_LISTING and not self._missed_revision
         self._tracked_revision = read.revision
         if self._recovered_at is not None and now - self._recovered_at < RECOVERY_GRACE:
             missing = {key: item for key, item in before.targets.items() if key not in read.targets}
             read = TargetListing(read.revision, {**missing, **read.targets})
             # The whole list is read again, so that missing targets are removed after the grace.
             self._tracked_revision = None if missing else read.revision
+        missed_revision, self._missed_revision = self._missed_revision, 0
         self._confirm(now)
-        self._replace(read)
+        self._replace(read, read.digest())
+        if missed_revision > read.revision:
+            self._record_missed(missed_revision)
+        if self._rank() >= WATCHER_COUNT and not takes_over:
+            # The watchers tell the others; a first read or a repaired gap is no news.
+            return
         changed = tuple(
             item for key, item in read.targets.items() if before.targets.get(key) != item
         )
         removed = tuple(key for key in before.targets if key not in read.targets)
-        self._notify(ListingNotice(read.revision, before.digest(), read.digest(), changed, removed))
+        self._notify(ListingNotice(read.revision, digest_before, self._digest, changed, removed))
 
-    def _replace(self, listing: TargetListing) -> None:
+    def _replace(self, listing: TargetListing, digest: int) -> None:
         before, self._listing = self._listing, listing
-        if before.targets == listing.targets:
+        self._digest = digest
+        if before.targets is listing.targets or before.targets == listing.targets:
             return
         for target_id, item in listing.targets.items():
             if target_id not in before.targets:
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from datetime import timedelta
 
 import trio
 import xxhash
@@ -14,6 +15,7 @@
     MIN_ROUTE_FOLLOWERS,
     PEER_TIMEOUT_INTERVALS,
     REGISTERED_INSTANCES,
+    SETTLING_TIME,
     SWEEP_INTERVAL,
 )
 from wasabiwell_entry.coordination.exchange.failure_detector import FailureDetector, peer_loss
@@ -100,6 +102,7 @@
         "_registration",
         "_seeds",
         "_sender",
+        "_started_at",
         "_works",
         "_zone_locality",
     )
@@ -126,6 +129,7 @@
         self._observers = observers
         self._seeds = seeds
         self._clock = clock
+        self._started_at: timedelta | None = None
         ring = MonitorRing(own_address)
         self._sender = StateSender(
             own_address,
@@ -170,6 +174,19 @@
         """Return the zero-based rank of this instance among the reachable ones, by address."""
         return sum(1 for node in self.peers() if node.address < self._own_address)
 
+    def watch_rank(self) -> int:
+        """Return the rank among those that read the list of targets for all others.
+
+        It is that of an instance beyond the last one while this process does not know the others.
+        """
+        if self._is_settling():
+            return len(self.peers()) + LISTING_SENDERS
+        return self.rank()
+
+    def _is_settling(self) -> bool:
+        started_at = self._started_at
+        return started_at is not None and self._clock.monotonic() - started_at < SETTLING_TIME
+
     def store_role(self) -> StoreRole:
         """Return how this instance learns of changes in the store.
 
@@ -222,6 +239,7 @@
         """Exchange messages until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            self._started_at = self._clock.monotonic()
             for seed in self._seeds:
                 self.add_peer(seed)
             nursery.start_soon(self._port.receive, self)
@@ -315,7 +333,7 @@
         """Send a peer the instance addresses and the list of targets if it lacks them."""
         if is_new or self._needs_addresses(state):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in self.peers())))
-        if not state.knows_targets and self.rank() < LISTING_SENDERS:
+        if not state.knows_targets and self.watch_rank() < LISTING_SENDERS:
             listing = self._observers.full_listing()
             if listing is not None:
                 self._port.send([sender], listing)
--- a/tests/entry/coordination/discovery/targets.feature
+++ b/tests/entry/coordination/discovery/targets.feature
@@ -65,3 +65,17 @@
     And a watcher and another instance that receives its notices
     When the store is unavailable for 30 seconds for a fleet of 200
     Then the other instance has read the store at most 3 times
+
+  Scenario: Instances that start together read the list a few times, and do not tell each other
+    Given a store that lists "a b c"
+    When 40 instances start together, which learn of each other within 1 second
+    Then all of them have the targets "a b c"
+    And the store was read at most 60 times, and at most 3 instances told the others of a list
+    And the watchers then read it at most 30 times in 10 seconds
+
+  Scenario: Many notices with another base lead to one read
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When 20 notices of unknown bases arrive within 100 ms
+    Then the other instance has the targets "a b" within 500 ms
+    And the other instance has read the store at most 1 times since then
--- a/tests/steps/entry/coordination/discovery_steps.py
+++ b/tests/steps/entry/coordination/discovery_steps.py
@@ -12,6 +12,7 @@
 from behave.runner import Context
 from support.stores import FakeRoutes, FakeStore, targets_from, text_of, wait_for
 from wasabiwell_entry.coordination.discovery import RouteDiscovery, TargetDiscovery
+from wasabiwell_entry.coordination.discovery.const import WATCHER_COUNT
 from wasabiwell_entry.coordination.discovery.ports import (
     ChangeHistoryLost,
     FleetView,
@@ -386,3 +387,89 @@
 
     count = count_steps("_follow_announcements", run)
     assert 0 < count <= most, count
+
+
+@when("{count:d} notices of unknown bases arrive within {milliseconds:d} ms")
+def step_unknown_bases(context: Context, count: int, milliseconds: int) -> None:
+    async def action(pair: WatcherPair) -> None:
+        pair.other_store.reads = 0
+        for number in range(count):
+            notice = ListingNotice(pair.store.revision, number, number + 1, (), ())
+            pair.other.receive("watcher", notice)
+            await trio.sleep(milliseconds / 1000 / count)
+        await trio.sleep(0.4)
+
+    add_action(context, action)
+
+
+@then("the other instance has read the store at most {most:d} times since then")
+def step_read_since(context: Context, most: int) -> None:
+    assert context.pair.other_store.reads <= most, context.pair.other_store.reads
+
+
+class StartingFleet:
+    """Instances that start together; each learns of one more of the others at a time."""
+
+    def __init__(self, store: FakeStore, count: int, learn_seconds: float) -> None:
+        self.store = store
+        self.learn_seconds = learn_seconds
+        self.tellers: set[int] = set()
+        self.members = [self._create(number) for number in range(count)]
+
+    def _create(self, number: int) -> TargetDiscovery:
+        return TargetDiscovery(
+            self.store,
+            lambda: number if self._known_share() >= 1.0 else number + WATCHER_COUNT,
+            lambda notice: self._tell(number, notice),
+            lambda _: None,
+            SystemClock(),
+            lambda: max(1, round(len(self.members) * self._known_share())),
+        )
+
+    def _known_share(self) -> float:
+        return min(1.0, trio.current_time() / self.learn_seconds)
+
+    def _tell(self, sender: int, notice: ListingNotice) -> None:
+        self.tellers.add(sender)
+        known = round(len(self.members) * self._known_share())
+        for number, member in enumerate(self.members[:known]):
+            if number != sender:
+                member.receive(f"{sender}", notice)
+
+
+@when("{count:d} instances start together, which learn of each other within {seconds:d} second")
+def step_start_together(context: Context, count: int, seconds: int) -> None:
+    async def run() -> None:
+        store = FakeStore(targets_from(context.names))
+        context.fleet = fleet = StartingFleet(store, count, seconds)
+        async with trio.open_nursery() as nursery:
+            for member in fleet.members:
+                nursery.start_soon(member.run)
+            await trio.sleep(seconds + 1)
+            context.start_reads, store.reads = store.reads, 0
+            context.start_tellers = set(fleet.tellers)
+            await trio.sleep(10)
+            context.later_reads = store.reads
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then('all of them have the targets "{names}"')
+def step_all_have_targets(context: Context, names: str) -> None:
+    for member in context.fleet.members:
+        assert text_of(member.listing.targets) == names
+
+
+@then(
+    "the store was read at most {most:d} times, and at most {tellers:d} instances told the others "
+    "of a list"
+)
+def step_start_reads(context: Context, most: int, tellers: int) -> None:
+    assert context.start_reads <= most, context.start_reads
+    assert len(context.start_tellers) <= tellers, context.start_tellers
+
+
+@then("the watchers then read it at most {most:d} times in {seconds:d} seconds")
+def step_later_reads(context: Context, most: int, seconds: int) -> None:
+    assert context.later_reads <= most, (context.later_reads, seconds)
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -7,6 +7,7 @@
 from datetime import UTC, datetime, timedelta
 
 import trio
+import trio.testing
 from behave import given, then, when
 from behave.runner import Context
 from support.exchange import (
@@ -20,7 +21,11 @@
     run_for,
 )
 from support.forwarding import PROFILE, make_forwarded, make_route, make_target
-from wasabiwell_entry.coordination.exchange.const import LARGE_FLEET_INSTANCES, MIN_ZONE_TARGETS
+from wasabiwell_entry.coordination.exchange.const import (
+    LARGE_FLEET_INSTANCES,
+    LISTING_SENDERS,
+    MIN_ZONE_TARGETS,
+)
 from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
 from wasabiwell_entry.protocol.notices import (
     UnreadableNoticeError,
@@ -475,3 +480,27 @@
         assert not context.running.raise_incarnation(answer.known)
     known = context.nodes.get(context.peer).state.incarnation
     assert known == context.running.current().incarnation, known
+
+
+async def watch_ranks(context: Context, seconds: float) -> list[int]:
+    """Return the ranks of a running instance without peers, in steps of 100 ms from its start."""
+    ranks = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(context.exchange.run)
+        for _ in range(round(seconds * 10)):
+            await trio.sleep(0.1)
+            ranks.append(context.exchange.watch_rank())
+        nursery.cancel_scope.cancel()
+    return ranks
+
+
+@then("it does not take itself for the first one within {seconds:g} seconds of its start")
+def step_settling(context: Context, seconds: float) -> None:
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    context.ranks = trio.run(watch_ranks, context, 2.5, clock=clock)
+    assert min(context.ranks[: round(seconds * 10)]) >= LISTING_SENDERS, context.ranks
+
+
+@then("it does after {seconds:g} seconds")
+def step_settled(context: Context, seconds: float) -> None:
+    assert context.ranks[round(seconds * 10) :] == [0] * (25 - round(seconds * 10)), context.ranks
