Let a starting instance poll the list of targets, but not announce it

Change: only announcements wait for the 2 s; a read counts as that of a substitute only if no watcher has confirmed the list in time. Test: tracing.feature (three failed before), targets.feature.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -43,6 +43,7 @@
         "_digest",
         "_fleet_size",
         "_listing",
+        "_may_notify",
         "_missed_revision",
         "_next_read_at",
         "_notify",
@@ -63,9 +64,16 @@
         observer: TargetObserver,
         clock: Clock,
         fleet_size: Callable[[], int] = lambda: 1,
+        may_notify: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Create an empty list.
+
+        `may_notify` is False while this instance does not know the others, and cannot tell whether
+        it is one of the watchers.
+        """
         self._port = port
         self._fleet_size = fleet_size
+        self._may_notify = may_notify
         self._rank = rank
         self._notify = notify
         self._observer = observer
@@ -197,7 +205,7 @@
         if self._confirmed_at is not None and now - self._confirmed_at > OUTAGE_THRESHOLD:
             self._recovered_at = now
         before, digest_before = self._listing, self._digest
-        takes_over = before is not NO_LISTING and not self._missed_revision
+        takes_over = self._watchers_are_silent(now)
         self._tracked_revision = read.revision
         if self._recovered_at is not None and now - self._recovered_at < RECOVERY_GRACE:
             missing = {key: item for key, item in before.targets.items() if key not in read.targets}
@@ -209,7 +217,8 @@
         self._replace(read, read.digest())
         if missed_revision > read.revision:
             self._record_missed(missed_revision)
-        if self._rank() >= WATCHER_COUNT and not takes_over:
+        speaks = takes_over or self._rank() < WATCHER_COUNT
+        if not speaks or not self._may_notify():
             # The watchers tell the others; a first read or a repaired gap is no news.
             return
         changed = tuple(
@@ -218,6 +227,12 @@
         removed = tuple(key for key in before.targets if key not in read.targets)
         self._notify(ListingNotice(read.revision, digest_before, self._digest, changed, removed))
 
+    def _watchers_are_silent(self, now: timedelta) -> bool:
+        """Return whether a read is made because no watcher has confirmed the list in time."""
+        if self._confirmed_at is None or self._missed_revision:
+            return False
+        return now - self._confirmed_at >= NOTICE_TIMEOUT
+
     def _replace(self, listing: TargetListing, digest: int) -> None:
         before, self._listing = self._listing, listing
         self._digest = digest
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -47,8 +47,8 @@
 """
 SETTLING_TIME = timedelta(seconds=2)
 """Time after the start of this process in which it may not know most of the others yet. Until then
-it does not act for them: hundreds of instances that start together would all take themselves for
-the first one by address."""
+it sends them no lists of targets: hundreds of instances that start together would all take
+themselves for the first one by address."""
 LISTING_SENDERS = 3
 """Number of instances, the first by address, that send the list of targets to a peer without one.
 The peer also reads the list itself."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -174,18 +174,10 @@
         """Return the zero-based rank of this instance among the reachable ones, by address."""
         return sum(1 for node in self.peers() if node.address < self._own_address)
 
-    def watch_rank(self) -> int:
-        """Return the rank among those that read the list of targets for all others.
-
-        It is that of an instance beyond the last one while this process does not know the others.
-        """
-        if self._is_settling():
-            return len(self.peers()) + LISTING_SENDERS
-        return self.rank()
-
-    def _is_settling(self) -> bool:
+    def may_act_for_others(self) -> bool:
+        """Return whether this process has run long enough to know most of the other instances."""
         started_at = self._started_at
-        return started_at is not None and self._clock.monotonic() - started_at < SETTLING_TIME
+        return started_at is None or self._clock.monotonic() - started_at >= SETTLING_TIME
 
     def store_role(self) -> StoreRole:
         """Return how this instance learns of changes in the store.
@@ -333,7 +325,8 @@
         """Send a peer the instance addresses and the list of targets if it lacks them."""
         if is_new or self._needs_addresses(state):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in self.peers())))
-        if not state.knows_targets and self.watch_rank() < LISTING_SENDERS:
+        sends_listing = self.rank() < LISTING_SENDERS and self.may_act_for_others()
+        if not state.knows_targets and sends_listing:
             listing = self._observers.full_listing()
             if listing is not None:
                 self._port.send([sender], listing)
