Let few instances of a large fleet send the addresses of all to a new one

Change: in a fleet of 32 and more only the seeds, the first five by address and about three others do, which a hash selects. Test: monitors.feature, failed before.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/const.py
@@ -40,6 +40,9 @@
 """Time between two sweeps from which this process is assumed to have been paused."""
 KNOWN_PEERS_FRACTION = 0.5
 """A peer that reaches fewer than this fraction of the peers known here is sent all addresses."""
+ADDRESS_SENDERS = 3
+"""Instances of a large fleet, beside those that starting ones contact first, that send a new peer
+the addresses of all others."""
 ISOLATED_LISTING_TIMEOUT = timedelta(seconds=20)
 """If no peer is reachable, callers still get the peers whose last message is not older than this.
 
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -9,6 +9,7 @@
 
 from wasabiwell_entry.coordination.discovery.ports import StoreRole
 from wasabiwell_entry.coordination.exchange.const import (
+    ADDRESS_SENDERS,
     ISOLATED_LISTING_TIMEOUT,
     KNOWN_PEERS_FRACTION,
     LISTING_SENDERS,
@@ -323,7 +324,8 @@
 
     def _send_missing_information(self, sender: str, state: NodeState, is_new: bool) -> None:
         """Send a peer the instance addresses and the list of targets if it lacks them."""
-        if is_new or self._needs_addresses(state):
+        introduces = is_new and self._introduces(sender)
+        if introduces or self._needs_addresses(state):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in self.peers())))
         sends_listing = self.rank() < LISTING_SENDERS and self.may_act_for_others()
         if not state.knows_targets and sends_listing:
@@ -338,8 +340,23 @@
         """Return whether a peer knows few instances and this one has to send it their addresses."""
         if state.peers >= len(self._nodes) * KNOWN_PEERS_FRACTION:
             return False
-        responsible = self._own_address in self._seeds or self.rank() < REGISTERED_INSTANCES
-        return responsible and state.peers < len(self.peers()) * KNOWN_PEERS_FRACTION
+        lacking = state.peers < len(self.peers()) * KNOWN_PEERS_FRACTION
+        return lacking and self._is_contact()
+
+    def _introduces(self, sender: str) -> bool:
+        """Return whether this instance sends a new peer the addresses of all others.
+
+        In a large fleet only a few do: lists from all to all would grow with the cube of its size.
+        """
+        if not self._zone_locality.large_fleet or self._is_contact():
+            return True
+        return self.sampled(sender, ADDRESS_SENDERS)
+
+    def _is_contact(self) -> bool:
+        """Return whether starting instances find this one as a seed or in the store."""
+        if self._own_address in self._seeds:
+            return True
+        return self.may_act_for_others() and self.rank() < REGISTERED_INSTANCES
 
     def _handle_recovery(self, sender: str, now: float) -> None:
         """Handle the first message of a peer that timed out or was reported as lost."""
--- a/tests/steps/entry/coordination/monitors_steps.py
+++ b/tests/steps/entry/coordination/monitors_steps.py
@@ -432,3 +432,34 @@
 @then("it learns of changes in the store as {role:w}")
 def step_role(context: Context, role: str) -> None:
     assert context.exchange.store_role() is StoreRole(role), context.exchange.store_role()
+
+
+@when("{count:d} further peers send their first states, which know half of the others")
+def step_further_peers(context: Context, count: int) -> None:
+    send_first_states(context, count, len(context.exchange.peers()))
+
+
+@when("{count:d} further peers send their first states, which know {known:d} of the others")
+def step_further_peers_few(context: Context, count: int, known: int) -> None:
+    send_first_states(context, count, known)
+
+
+def send_first_states(context: Context, count: int, known: int) -> None:
+    context.further = [f"10.9.{index}.1:7" for index in range(count)]
+    for address in context.further:
+        exchange.receive_state(context, address, zone="z", peers=known)
+
+
+def peers_with_addresses(context: Context) -> set[str]:
+    sent = {to for to, notice in context.port.sent if isinstance(notice, NodeAddresses)}
+    return sent & set(context.further)
+
+
+@then("at most {most:d} of them were sent the addresses of the others")
+def step_few_lists(context: Context, most: int) -> None:
+    assert len(peers_with_addresses(context)) <= most, peers_with_addresses(context)
+
+
+@then("at least {least:d} of them were sent the addresses of the others")
+def step_many_lists(context: Context, least: int) -> None:
+    assert len(peers_with_addresses(context)) >= least, peers_with_addresses(context)
