Send each reservation and order of the product's own engines on a connection of its own

Callers could have seen: a reservation that an engine had made counted as refused, or an order that it had carried out, because it wrote an earlier refusal once more on the kept connection. Cause: only prompts had a connection for each attempt.

--- a/packages/entry/src/wasabiwell_entry/transport/target/engine.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/engine.py
@@ -80,7 +80,7 @@
     async def probe(self, target: Target) -> ProbeOutcome:
         """Check that an engine is alive by requesting its load on a new connection."""
         try:
-            async with httpcore.AsyncConnectionPool(ssl_context=self._pools.tls) as pool:
+            async with self._pools.new_connection() as pool:
                 await pool.request(
                     "GET",
                     self._pools.url(target.address, "/load"),
@@ -134,13 +134,14 @@
         """Reserve KV cache for `tokens` tokens."""
         body = msgspec.json.encode(ReservationBody(owner, tokens, RESERVATION_TTL_SECONDS))
         try:
-            response = await self._pools.pool(target.address).request(
-                "POST",
-                self._pools.url(target.address, "/v1/reservations"),
-                headers=JSON_HEADERS,
-                content=body,
-                extensions=timeout_extensions(QUERY_TIMEOUT_SECONDS),
-            )
+            async with self._pools.new_connection() as pool:
+                response = await pool.request(
+                    "POST",
+                    self._pools.url(target.address, "/v1/reservations"),
+                    headers=JSON_HEADERS,
+                    content=body,
+                    extensions=timeout_extensions(QUERY_TIMEOUT_SECONDS),
+                )
             if response.status != 200:
                 return ReservationRefused(_error_text(response.status, response.content))
             reply = msgspec.json.decode(response.content, type=ReservationReply)
--- a/packages/entry/src/wasabiwell_entry/transport/target/orders.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/orders.py
@@ -1,6 +1,7 @@
 """HTTP client of `POST /v1/orders` of engines."""
 
 from datetime import timedelta
+from typing import Any
 
 import httpcore
 import trio
@@ -38,7 +39,7 @@
         seconds = timeout.total_seconds()
         try:
             with trio.fail_after(seconds):
-                response = await self._pools.pool(target.address).request(
+                response = await self._request(
                     "POST",
                     self._pools.url(target.address, "/v1/orders"),
                     headers=JSON_HEADERS,
@@ -51,6 +52,10 @@
             return OrderUnacknowledged(repr(error))
         return _outcome(response)
 
+    async def _request(self, method: str, url: str, **options: Any) -> httpcore.Response:
+        async with self._pools.new_connection() as pool:
+            return await pool.request(method, url, **options)
+
 
 def _outcome(response: httpcore.Response) -> OrderAcknowledged | OrderRefused | OrderUnacknowledged:
     if response.status == 200:
--- a/packages/entry/src/wasabiwell_entry/transport/target/pools.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/pools.py
@@ -33,6 +33,16 @@
             self._pools[address] = pool
         return pool
 
+    @asynccontextmanager
+    async def new_connection(self) -> AsyncIterator[httpcore.AsyncConnectionPool]:
+        """Return a pool for one call, whose connection is closed afterwards.
+
+        On a kept connection, an answer that the target wrote late or twice would be taken for the
+        answer to this call.
+        """
+        async with httpcore.AsyncConnectionPool(ssl_context=self.tls) as pool:
+            yield pool
+
     def url(self, address: str, path: str) -> str:
         """Return the URL of a path on a target; `https` if there is a TLS context."""
         return f"{'http' if self.tls is None else 'https'}://{address}{path}"
--- a/tests/steps/entry/transport/engine_steps.py
+++ b/tests/steps/entry/transport/engine_steps.py
@@ -1,5 +1,6 @@
 """Steps for the HTTP client of the product's own engines."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from datetime import timedelta
 from functools import partial
@@ -10,10 +11,15 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.forwarding import make_target
+from wasabiwell_entry.coordination.orders.errors import OrderAcknowledged, OrderRefused
+from wasabiwell_entry.coordination.reservations.errors import ReservationRefused, Reserved
 from wasabiwell_entry.state.clock import SystemClock
-from wasabiwell_entry.state.requests import Attempt, GenerateRequest, StreamInterrupted
+from wasabiwell_entry.state.orders import LoadModel
+from wasabiwell_entry.state.requests import Attempt, GenerateRequest, StreamInterrupted, StreamItem
+from wasabiwell_entry.state.targets import Target
 from wasabiwell_entry.transport.target.engine import HttpEngineClient
-from wasabiwell_entry.transport.target.pools import open_target_pools
+from wasabiwell_entry.transport.target.orders import HttpOrderClient
+from wasabiwell_entry.transport.target.pools import TargetPools, open_target_pools
 
 REFUSAL = b"HTTP/1.1 429 Full\r\nContent-Length: 16\r\n\r\n" + b'{"error":"full"}'
 FRAMES = (
@@ -22,6 +28,13 @@
 )
 
 
+BODIES = {
+    b"/v1/generate": FRAMES,
+    b"/v1/reservations": b'{"reservation_id":"res-1"}',
+    b"/v1/orders": b"",
+}
+
+
 class DoubleRefusingEngine:
     """Refuses the first request, and writes the refusal again when the next request arrives."""
 
@@ -31,12 +44,14 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve a connection."""
-        refused_here = False
+        refused_here, body = False, b""
         connection = h11.Connection(h11.SERVER)
         while True:
             connection.receive_data(await stream.receive_some(65_536))
             while True:
                 event = connection.next_event()
+                if isinstance(event, h11.Request):
+                    body = BODIES[event.target]
                 if event is h11.NEED_DATA or isinstance(event, h11.EndOfMessage):
                     break
                 if isinstance(event, h11.ConnectionClosed):
@@ -49,8 +64,8 @@
                 await stream.send_all(REFUSAL)
             else:
                 self.runs += 1
-                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(FRAMES)
-                await stream.send_all((REFUSAL if refused_here else b"") + head + FRAMES)
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                await stream.send_all((REFUSAL if refused_here else b"") + head + body)
             connection = h11.Connection(h11.SERVER)
 
 
@@ -82,8 +97,11 @@
     context.engine = DoubleRefusingEngine()
 
 
-@when("two requests are sent to it one after the other")
-def step_two(context: Context) -> None:
+Call = Callable[[TargetPools, Target, int], Awaitable[object]]
+
+
+def call_twice(context: Context, call: Call) -> None:
+    """Make two calls one after the other, and keep their outcomes in the context."""
     context.items = []
 
     async def run() -> None:
@@ -93,15 +111,54 @@
             port = listeners[0].socket.getsockname()[1]
             target = replace(make_target(0), address=f"127.0.0.1:{port}")
             async with open_target_pools() as pools:
-                client = HttpEngineClient(pools, SystemClock())
                 for number in range(2):
-                    async with client.generate(target, make_attempt(number)) as items:
-                        context.items.append([item async for item in items])
+                    context.items.append(await call(pools, target, number))
             nursery.cancel_scope.cancel()
 
     trio.run(run)
 
 
+@when("two requests are sent to it one after the other")
+def step_two(context: Context) -> None:
+    async def generate(pools: TargetPools, target: Target, number: int) -> list[StreamItem]:
+        client = HttpEngineClient(pools, SystemClock())
+        async with client.generate(target, make_attempt(number)) as items:
+            return [item async for item in items]
+
+    call_twice(context, generate)
+
+
+@when("two reservations are sent to it one after the other")
+def step_two_reservations(context: Context) -> None:
+    async def reserve(pools: TargetPools, target: Target, number: int) -> object:
+        return await HttpEngineClient(pools, SystemClock()).reserve(target, f"r{number}", 100)
+
+    call_twice(context, reserve)
+
+
+@then("the first one was refused, and the second one holds memory")
+def step_second_reserved(context: Context) -> None:
+    first, second = context.items
+    assert isinstance(first, ReservationRefused), first
+    assert second == Reserved("res-1"), second
+
+
+@when("two orders are sent to it one after the other")
+def step_two_orders(context: Context) -> None:
+    async def send(pools: TargetPools, target: Target, number: int) -> object:
+        order = LoadModel("model", f"v{number}")
+        return await HttpOrderClient(pools).send(target, order, number, timedelta(seconds=2))
+
+    call_twice(context, send)
+
+
+@then("the first one was refused, and the second one was acknowledged")
+def step_second_acknowledged(context: Context) -> None:
+    first, second = context.items
+    assert isinstance(first, OrderRefused), first
+    assert isinstance(second, OrderAcknowledged), second
+
+
 def was_refused(context: Context, number: int) -> bool:
     last = context.items[number][-1]
     return isinstance(last, StreamInterrupted) and last.refused
