Decide the roles of instances in a module of their own, and count only those that can act

(1) Only the first three instances by address sent the list of targets to a peer without one; if the store refuses just these and all restart, nobody sent it, as first reads are no longer announced. (2) The rank was computed for each received state, a pass over all peers 34 times a second with 195 instances. (3) A starting instance counted only those it had heard, and polled the list as the first one although it knew the addresses of all. Change: FleetRoles (exchange/roles.py) decides who sends lists and addresses, who polls and who follows; the first three that know targets send the list. Changes of the role are logged. Test: roles.feature; on the code before, the pass over the peers and the list of those that know targets fail, the others need the new module.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -2,21 +2,13 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from datetime import timedelta
 
 import trio
-import xxhash
 
-from wasabiwell_entry.coordination.discovery.ports import StoreRole
 from wasabiwell_entry.coordination.exchange.const import (
-    ADDRESS_SENDERS,
     ISOLATED_LISTING_TIMEOUT,
     KNOWN_PEERS_FRACTION,
-    LISTING_SENDERS,
-    MIN_ROUTE_FOLLOWERS,
     PEER_TIMEOUT_INTERVALS,
-    REGISTERED_INSTANCES,
-    SETTLING_TIME,
     SWEEP_INTERVAL,
 )
 from wasabiwell_entry.coordination.exchange.failure_detector import FailureDetector, peer_loss
@@ -25,6 +17,7 @@
 from wasabiwell_entry.coordination.exchange.placements import placed_from_notice
 from wasabiwell_entry.coordination.exchange.ports import NodeDirectory, NoticePort
 from wasabiwell_entry.coordination.exchange.registration import Registration
+from wasabiwell_entry.coordination.exchange.roles import FleetRoles
 from wasabiwell_entry.coordination.exchange.sender import StateSender
 from wasabiwell_entry.coordination.exchange.zone_locality import Audience, ZoneLocality
 from wasabiwell_entry.state import log_events
@@ -101,9 +94,9 @@
         "_peers_with_sender",
         "_port",
         "_registration",
+        "_roles",
         "_seeds",
         "_sender",
-        "_started_at",
         "_works",
         "_zone_locality",
     )
@@ -130,7 +123,7 @@
         self._observers = observers
         self._seeds = seeds
         self._clock = clock
-        self._started_at: timedelta | None = None
+        self._roles = FleetRoles(own_address, nodes, zone_locality, seeds, clock)
         ring = MonitorRing(own_address)
         self._sender = StateSender(
             own_address,
@@ -146,14 +139,19 @@
             nodes, works, ring, self._sender, port, self.broadcast
         )
         self._registration = Registration(
-            own_address, directory, self.rank, lambda: not self.peers(), self.add_peer, clock
+            own_address, directory, self._roles.rank, lambda: not self.peers(), self.add_peer, clock
         )
         self._peers_with_sender: set[str] = set()
         self._nursery: trio.Nursery | None = None
 
+    @property
+    def roles(self) -> FleetRoles:
+        """Return the roles of this instance in the fleet."""
+        return self._roles
+
     def peers(self) -> list[Node]:
         """Return the peers that have not timed out, in the order of addresses."""
-        return self._nodes.reachable(self._now())
+        return self._roles.peers()
 
     def alive(self) -> list[Member]:
         """Return the entry instances that callers may use, this one included.
@@ -171,42 +169,6 @@
         states.append((self._own_address, self._own_state.current()))
         return [_member(address, state) for address, state in states if state.serving]
 
-    def rank(self) -> int:
-        """Return the zero-based rank of this instance among the reachable ones, by address."""
-        return sum(1 for node in self.peers() if node.address < self._own_address)
-
-    def may_act_for_others(self) -> bool:
-        """Return whether this process has run long enough to know most of the other instances."""
-        started_at = self._started_at
-        return started_at is None or self._clock.monotonic() - started_at >= SETTLING_TIME
-
-    def store_role(self) -> StoreRole:
-        """Return how this instance learns of changes in the store.
-
-        The followers of a large fleet are the first ones by address in each zone.
-        """
-        if not self._zone_locality.large_fleet:
-            return StoreRole.INDEPENDENT
-        states = [(node.address, node.state) for node in self.peers() if node.state is not None]
-        local = [
-            address for address, state in states if self._zone_locality.is_own_zone(state.zone)
-        ]
-        other_zones = {
-            state.zone for _, state in states if not self._zone_locality.is_own_zone(state.zone)
-        }
-        followers = -(-MIN_ROUTE_FOLLOWERS // (1 + len(other_zones)))
-        rank = sum(1 for address in local if address < self._own_address)
-        return StoreRole.FOLLOWER if rank < followers else StoreRole.LISTENER
-
-    def fleet_size(self) -> int:
-        """Return the number of entry instances that are reachable, with this one."""
-        return len(self.peers()) + 1
-
-    def sampled(self, key: str, count: int) -> bool:
-        """Return whether this instance is one of about `count` that are selected by a key."""
-        point = xxhash.xxh3_64_intdigest(f"{self._own_address} {key}".encode()) / 2**64
-        return point * (len(self.peers()) + 1) < count
-
     def broadcast(self, notice: Notice) -> None:
         """Send a message to all reachable peers that need it."""
         match self._zone_locality.audience(notice, self._now()):
@@ -232,7 +194,7 @@
         """Exchange messages until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            self._started_at = self._clock.monotonic()
+            self._roles.start()
             for seed in self._seeds:
                 self.add_peer(seed)
             nursery.start_soon(self._port.receive, self)
@@ -273,6 +235,7 @@
                 self._observers.routes_confirmed(address, version, own_zone)
             case StaleIncarnation(known=known):
                 if self._own_state.raise_incarnation(known):
+                    log_events.emit(log_events.INCARNATION_RAISED, peer=sender, known=known)
                     self.broadcast_state()
             case StoreUnreachable():
                 self._observers.store_unreachable()
@@ -324,11 +287,10 @@
 
     def _send_missing_information(self, sender: str, state: NodeState, is_new: bool) -> None:
         """Send a peer the instance addresses and the list of targets if it lacks them."""
-        introduces = is_new and self._introduces(sender)
+        introduces = is_new and self._roles.introduces(sender)
         if introduces or self._needs_addresses(state):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in self.peers())))
-        sends_listing = self.rank() < LISTING_SENDERS and self.may_act_for_others()
-        if not state.knows_targets and sends_listing:
+        if not state.knows_targets and self._roles.sends_listing():
             listing = self._observers.full_listing()
             if listing is not None:
                 self._port.send([sender], listing)
@@ -341,22 +303,7 @@
         if state.peers >= len(self._nodes) * KNOWN_PEERS_FRACTION:
             return False
         lacking = state.peers < len(self.peers()) * KNOWN_PEERS_FRACTION
-        return lacking and self._is_contact()
-
-    def _introduces(self, sender: str) -> bool:
-        """Return whether this instance sends a new peer the addresses of all others.
-
-        In a large fleet only a few do: lists from all to all would grow with the cube of its size.
-        """
-        if not self._zone_locality.large_fleet or self._is_contact():
-            return True
-        return self.sampled(sender, ADDRESS_SENDERS)
-
-    def _is_contact(self) -> bool:
-        """Return whether starting instances find this one as a seed or in the store."""
-        if self._own_address in self._seeds:
-            return True
-        return self.may_act_for_others() and self.rank() < REGISTERED_INSTANCES
+        return lacking and self._roles.is_contact()
 
     def _handle_recovery(self, sender: str, now: float) -> None:
         """Handle the first message of a peer that timed out or was reported as lost."""
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -207,6 +207,18 @@
 REFUSAL_REMOVED = LogEvent(
     442, Level.INFO, "the row of {cause} was removed from the quarantine table"
 )
+STORE_ROLE_CHANGED = LogEvent(
+    445,
+    Level.INFO,
+    "this instance reads the store as {role} and no longer as {before}; it has rank {zone_rank} in "
+    "its zone of {instances} reachable instances",
+)
+INCARNATION_RAISED = LogEvent(
+    446,
+    Level.WARNING,
+    "entry instance {peer} knew the later incarnation {known} of this one, which now has a higher "
+    "one; the clock of this machine was probably set back",
+)
 PAUSE_REQUESTED = LogEvent(
     443,
     Level.WARNING,
