Take turns at the store also when it does not answer, and when all instances start without it

Found by reading the change again, shown by tests first. Change: RouteConfirmation (discovery/confirmation.py) decides when an instance reads; a failed read makes a listener wait for its turn, also the first one; a follower reports a late response after 0.25 s; a turn is logged with its inputs. Test: routes.feature, two failed before; three more play cut off instances, late and doubled, and lost messages.

--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/confirmation.py
@@ -0,0 +1,123 @@
+"""Decides how long the routes count as current, and when an instance reads the store again."""
+
+from datetime import timedelta
+from random import Random
+
+from wasabiwell_entry.coordination.discovery.const import (
+    CONFIRMATION_TIMEOUT,
+    STORE_SEARCH_RATE,
+    TAKEOVER_SPREAD,
+    TURN_CHECK_INTERVAL,
+    UNREACHABLE_REPORT_LIFETIME,
+)
+from wasabiwell_entry.coordination.discovery.ports import FleetView, StoreRole
+from wasabiwell_entry.state import log_events
+from wasabiwell_entry.state.clock import Clock
+
+
+class RouteConfirmation:
+    """Time of the last confirmation of the routes, and of the last failures to read them.
+
+    A listener reads the store when no confirmation has come in time. If followers or its own read
+    show that the store cannot be reached, the listeners take turns over a time that grows with the
+    fleet, as each of them that reaches the store confirms the routes for all.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_confirmed_at",
+        "_fleet",
+        "_random",
+        "_read_failed",
+        "_unreachable_at",
+    )
+
+    def __init__(self, fleet: FleetView, clock: Clock, random: Random) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._random = random
+        self._confirmed_at: timedelta | None = None
+        self._unreachable_at: timedelta | None = None
+        self._read_failed = False
+
+    def age(self) -> timedelta | None:
+        """Return the time since the routes were last confirmed, or None if they never were."""
+        return None if self._confirmed_at is None else self._clock.monotonic() - self._confirmed_at
+
+    def confirm(self) -> None:
+        """Record that the routes are the newest ones."""
+        self._confirmed_at = self._clock.monotonic()
+
+    def record_read(self) -> bool:
+        """Record an own read; return whether the other instances have to be told of it.
+
+        The first reads of instances that start together are no news for each other.
+        """
+        expected = self._confirmed_at is None and not self._read_failed
+        self.confirm()
+        self._read_failed = False
+        match self._fleet.role():
+            case StoreRole.FOLLOWER:
+                return True
+            case StoreRole.LISTENER:
+                return not expected
+            case StoreRole.INDEPENDENT:
+                return False
+
+    def record_failed_read(self) -> None:
+        """Record that an own read has failed."""
+        self._read_failed = True
+
+    def record_unreachable(self) -> None:
+        """Record that a follower cannot read the store."""
+        self._unreachable_at = self._clock.monotonic()
+
+    async def wait_until_due(self) -> bool:
+        """Wait until this instance has to read the store; return whether it relied on others."""
+        waited = False
+        while self._fleet.role() is StoreRole.LISTENER:
+            age = self.age()
+            if age is not None and age < CONFIRMATION_TIMEOUT:
+                waited = True
+                await self._clock.sleep(CONFIRMATION_TIMEOUT - age)
+            elif age is None and not self._read_failed:
+                return waited
+            elif await self._wait_for_turn():
+                return True
+        return waited
+
+    async def _wait_for_turn(self) -> bool:
+        """Wait for the turn of this listener; return False if it does not have to read any more."""
+        started_at, position = self._clock.monotonic(), self._random.random()
+        while (waited := self._clock.monotonic() - started_at) < self._longest_wait() * position:
+            await self._clock.sleep(
+                min(self._longest_wait() * position - waited, TURN_CHECK_INTERVAL)
+            )
+            age = self.age()
+            if age is not None and age < CONFIRMATION_TIMEOUT:
+                return False
+            if self._fleet.role() is not StoreRole.LISTENER:
+                return False
+        self._log_turn(waited)
+        return True
+
+    def _longest_wait(self) -> timedelta:
+        if not self._read_failed and not self._has_unreachable_report():
+            return TAKEOVER_SPREAD
+        # The mean wait is half of the longest one.
+        return timedelta(seconds=2 * self._fleet.size() / STORE_SEARCH_RATE)
+
+    def _has_unreachable_report(self) -> bool:
+        if self._unreachable_at is None:
+            return False
+        return self._clock.monotonic() - self._unreachable_at < UNREACHABLE_REPORT_LIFETIME
+
+    def _log_turn(self, waited: timedelta) -> None:
+        age = self.age()
+        log_events.emit(
+            log_events.ROUTES_UNCONFIRMED,
+            age_ms=round(age / timedelta(milliseconds=1)) if age is not None else None,
+            waited_ms=round(waited / timedelta(milliseconds=1)),
+            unreachable=self._has_unreachable_report(),
+            read_failed=self._read_failed,
+        )
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
@@ -47,9 +47,15 @@
 confirms the routes, so that most of the others do not have to read."""
 TURN_CHECK_INTERVAL = timedelta(milliseconds=250)
 """Interval at which a listener that waits for its turn looks for a confirmation."""
+LATE_READ_MARGIN = timedelta(milliseconds=250)
+"""Time beyond the requested wait after which a follower reports that it cannot read the store. The
+users' stores respond within 0.3 s when they are slow; the report comes before listeners miss the
+confirmation."""
+UNREACHABLE_REPORT_LIFETIME = timedelta(seconds=4)
+"""Time for which a report of a follower counts; it covers the pause between two of its reads."""
 STORE_SEARCH_RATE = 10.0
-"""Reads per second, by all listeners together, while the followers cannot reach the store: it may
-refuse the followers and serve others. The first listener that reaches it confirms the routes."""
+"""Reads per second, by all instances together that take turns while the store cannot be reached: it
+may refuse some of them and serve others. The first that reaches it tells all."""
 ANNOUNCEMENT_DELAY = timedelta(milliseconds=250)
 """Time for the store's long poll to return a version that a peer has announced, before the version
 is fetched from the peer."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
@@ -6,19 +6,17 @@
 
 import trio
 
+from wasabiwell_entry.coordination.discovery.confirmation import RouteConfirmation
 from wasabiwell_entry.coordination.discovery.const import (
     ANNOUNCEMENT_DELAY,
-    CONFIRMATION_TIMEOUT,
     FOLLOWER_POLL_MARGIN,
     FOLLOWER_POLL_WAIT,
+    LATE_READ_MARGIN,
     MAX_ROUTE_RETRY_DELAY,
     MIN_ROUTE_RETRY_DELAY,
     READ_TIMEOUT,
     ROUTE_POLL_MARGIN,
     ROUTE_POLL_WAIT,
-    STORE_SEARCH_RATE,
-    TAKEOVER_SPREAD,
-    TURN_CHECK_INTERVAL,
 )
 from wasabiwell_entry.coordination.discovery.ports import (
     ChangeHistoryLost,
@@ -45,7 +43,7 @@
     __slots__ = (
         "_announced_versions",
         "_clock",
-        "_confirmed_at",
+        "_confirmation",
         "_document",
         "_fetch",
         "_fleet",
@@ -55,11 +53,9 @@
         "_poll_scope",
         "_port",
         "_preferred_address",
-        "_random",
         "_revision",
         "_store_unavailable",
         "_table",
-        "_unreachable_at",
     )
 
     def __init__(
@@ -73,10 +69,8 @@
     ) -> None:
         self._port = port
         self._fleet = fleet
-        self._random = random or Random()
+        self._confirmation = RouteConfirmation(fleet, clock, random or Random())
         self._holding_poll = False
-        self._confirmed_at: timedelta | None = None
-        self._unreachable_at: timedelta | None = None
         self._preferred_address = ""
         self._fetch = fetch
         self._observer = observer
@@ -101,7 +95,7 @@
 
     def age(self) -> timedelta | None:
         """Return the time since the routes were last confirmed, or None if they never were."""
-        return None if self._confirmed_at is None else self._clock.monotonic() - self._confirmed_at
+        return self._confirmation.age()
 
     def record_confirmation(self, control_address: str, version: int, own_zone: bool) -> None:
         """Record that a peer has just read the store, which has this version."""
@@ -110,13 +104,13 @@
         self.record_announcement(control_address, version)
         if version != self._table.version:
             return
-        self._confirmed_at = self._clock.monotonic()
+        self._confirmation.confirm()
         if self._holding_poll and self._fleet.role() is StoreRole.LISTENER:
             self._poll_scope.cancel()
 
     def record_unreachable(self) -> None:
         """Record that a peer that follows the store cannot read it."""
-        self._unreachable_at = self._clock.monotonic()
+        self._confirmation.record_unreachable()
 
     def record_announcement(self, control_address: str, version: int) -> None:
         """Record the version that a peer has in force."""
@@ -133,7 +127,9 @@
     async def _poll_store(self) -> None:
         delay = MIN_ROUTE_RETRY_DELAY
         while True:
-            await self._wait_to_poll()
+            if await self._confirmation.wait_until_due():
+                # The store keeps its history for seconds only.
+                self._revision = None
             outcome = await self._poll()
             match outcome:
                 case RoutesRead(revision=revision):
@@ -141,75 +137,60 @@
                     self._apply(outcome)
                     delay = MIN_ROUTE_RETRY_DELAY
                     self._log_store_state(None)
-                    self._confirm()
+                    if self._confirmation.record_read():
+                        self._fleet.confirm(self._table.version)
                 case ChangeHistoryLost():
                     self._revision = None
                 case StoreUnavailable(reason=reason):
                     self._log_store_state(reason)
                     self._revision = None
-                    if self._fleet.role() is StoreRole.FOLLOWER:
-                        self._fleet.report_failure()
+                    self._confirmation.record_failed_read()
+                    if self._fleet.role() is StoreRole.LISTENER:
+                        continue
                     await self._clock.sleep(delay)
                     delay = min(delay * 2, MAX_ROUTE_RETRY_DELAY)
 
-    def _confirm(self) -> None:
-        """Confirm the routes after a read, for the others if they rely on this instance."""
-        first_read = self._confirmed_at is None
-        self._confirmed_at = self._clock.monotonic()
-        match self._fleet.role():
-            case StoreRole.FOLLOWER:
-                self._fleet.confirm(self._table.version)
-            case StoreRole.LISTENER if not first_read:
-                self._fleet.confirm(self._table.version)
-            case _:
-                pass
-
-    async def _wait_to_poll(self) -> None:
-        """Wait while this instance is a listener whose routes are confirmed by others."""
-        while self._confirmed_at is not None and self._fleet.role() is StoreRole.LISTENER:
-            time_left = CONFIRMATION_TIMEOUT - (self._clock.monotonic() - self._confirmed_at)
-            if time_left > timedelta():
-                await self._clock.sleep(time_left)
-            elif await self._wait_for_turn():
-                # The store keeps its history for seconds only.
-                self._revision = None
-                return
-
-    async def _wait_for_turn(self) -> bool:
-        """Wait for the turn of this listener; return False if a confirmation came before it."""
-        now = self._clock.monotonic()
-        longest = TAKEOVER_SPREAD
-        if self._unreachable_at is not None and now - self._unreachable_at < CONFIRMATION_TIMEOUT:
-            # The mean wait is half of the longest one.
-            longest = timedelta(seconds=2 * self._fleet.size() / STORE_SEARCH_RATE)
-        end = now + longest * self._random.random()
-        while (time_left := end - self._clock.monotonic()) > timedelta():
-            if self._is_confirmed():
-                return False
-            await self._clock.sleep(min(time_left, TURN_CHECK_INTERVAL))
-        return not self._is_confirmed()
-
-    def _is_confirmed(self) -> bool:
-        age = self.age()
-        return age is not None and age < CONFIRMATION_TIMEOUT
-
     async def _poll(self) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
         """Read the routes, or poll for a change if they have been read before."""
         wait, margin = ROUTE_POLL_WAIT, ROUTE_POLL_MARGIN
         if self._fleet.role() is StoreRole.FOLLOWER:
             wait, margin = FOLLOWER_POLL_WAIT, FOLLOWER_POLL_MARGIN
-        timeout = READ_TIMEOUT if self._revision is None else wait + margin
+        if self._revision is None:
+            wait, margin = timedelta(), READ_TIMEOUT
         with trio.CancelScope() as self._poll_scope:
-            self._poll_scope.deadline = trio.current_time() + timeout.total_seconds()
-            if self._revision is None:
-                return await self._port.current()
-            self._holding_poll = True
-            try:
-                return await self._port.changes(self._revision, wait)
-            finally:
-                self._holding_poll = False
+            self._poll_scope.deadline = trio.current_time() + (wait + margin).total_seconds()
+            return await self._read(wait)
+        if self._revision is None and trio.current_time() >= self._poll_scope.deadline:
+            return StoreUnavailable("no response in time")
+        # The poll was cancelled, or its connection may be silent while new ones work.
         return ChangeHistoryLost()
 
+    async def _read(self, wait: timedelta) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
+        outcome: RoutesRead | ChangeHistoryLost | StoreUnavailable
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._report_late_read, wait + LATE_READ_MARGIN)
+            if self._revision is None:
+                outcome = await self._port.current()
+            else:
+                self._holding_poll = True
+                try:
+                    outcome = await self._port.changes(self._revision, wait)
+                finally:
+                    self._holding_poll = False
+            nursery.cancel_scope.cancel()
+        if isinstance(outcome, StoreUnavailable):
+            self._report_failure()
+        return outcome
+
+    async def _report_late_read(self, expected: timedelta) -> None:
+        """Tell the listeners of a late response before they miss its confirmation."""
+        await self._clock.sleep(expected)
+        self._report_failure()
+
+    def _report_failure(self) -> None:
+        if self._fleet.role() is StoreRole.FOLLOWER:
+            self._fleet.report_failure()
+
     async def _follow_announcements(self) -> None:
         """Fetch announced versions from peers unless the store returns them first."""
         while True:
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -219,6 +219,13 @@
     "entry instance {peer} knew the later incarnation {known} of this one, which now has a higher "
     "one; the clock of this machine was probably set back",
 )
+ROUTES_UNCONFIRMED = LogEvent(
+    447,
+    Level.WARNING,
+    "this instance reads the routes itself, as the last confirmation is {age_ms} ms old; it waited "
+    "{waited_ms} ms for its turn, a follower reported the store as unreachable: {unreachable}, its "
+    "own last read failed: {read_failed}",
+)
 PAUSE_REQUESTED = LogEvent(
     443,
     Level.WARNING,
--- a/tests/entry/coordination/discovery/routes.feature
+++ b/tests/entry/coordination/discovery/routes.feature
@@ -72,6 +72,42 @@
     And version 5 is put in force for them
     Then all instances have version 5 within 4000 ms
 
+  Scenario: The store is not asked by all instances at once while it does not answer
+    Given 200 instances of which 5 follow a store with version 3
+    And the store does not answer
+    When 20 seconds pass for them
+    Then the store was read at most 300 times in that time
+    When the store is back
+    And version 5 is put in force for them
+    Then all instances have version 5 within 4000 ms
+
+  Scenario: Instances that start while the store is away read it in turns
+    Given 200 instances of which 5 follow a store with version 3
+    And the store is away when they start
+    When 20 seconds pass for them
+    Then the store was read at most 300 times in that time
+    When the store is back
+    Then all instances have version 3 within 4000 ms
+
+  Scenario: An instance without a follower in reach reads the store at once
+    Given 40 instances of which 3 follow a store with version 3
+    When 2 instances are cut off from all others
+    And version 5 is put in force for them
+    Then all instances have version 5 within 2000 ms
+
+  Scenario: Late and doubled confirmations do not hold back a change
+    Given 40 instances of which 3 follow a store with version 3
+    When each message between them is delivered again 1 second later
+    And version 5 is put in force for them
+    Then all instances have version 5 within 2000 ms
+
+  Scenario: Half of all messages are lost
+    Given 40 instances of which 3 follow a store with version 3
+    When half of the messages between them are lost
+    And 10 seconds pass for them
+    And version 5 is put in force for them
+    Then all instances have version 5 within 2000 ms
+
   Scenario: A listener does not count an older version as a confirmation
     Given 40 instances of which 3 follow a store with version 3
     When a follower that is behind confirms version 2 to all
--- a/tests/steps/entry/coordination/route_fleet_steps.py
+++ b/tests/steps/entry/coordination/route_fleet_steps.py
@@ -90,6 +90,14 @@
         for number in range(size):
             self.members.append(Member(self, number, number < followers))
         self.nursery: trio.Nursery | None = None
+        self.cut_members: list[Member] = []
+        self.repeat_after: float | None = None
+        self.lost_share = 0.0
+        self._random = Random(size)
+
+    def cut_off(self, member: Member) -> None:
+        """Let an instance exchange messages with no other one."""
+        self.cut_members.append(member)
 
     def confirm(self, sender: Member, version: int) -> None:
         """Deliver a confirmation to all others."""
@@ -107,7 +115,7 @@
         """Return the document of an instance."""
         await trio.sleep(FETCH_SECONDS)
         (member,) = [item for item in self.members if item.address == address]
-        if member.scope.cancel_called:
+        if member.scope.cancel_called or member in self.cut_members:
             return StoreUnavailable("no connection")
         return member.discovery.document
 
@@ -116,14 +124,24 @@
         return [member for member in self.members if not member.scope.cancel_called]
 
     def _others(self, sender: Member) -> list[Member]:
-        return [member for member in self.running() if member is not sender]
+        if sender in self.cut_members:
+            return []
+        return [
+            member
+            for member in self.running()
+            if member is not sender and member not in self.cut_members
+        ]
 
     def _deliver(self, receive: Callable[[], None]) -> None:
         async def deliver() -> None:
             await trio.sleep(MESSAGE_SECONDS)
             receive()
+            if self.repeat_after is not None:
+                await trio.sleep(self.repeat_after)
+                receive()
 
-        if self.nursery is not None:
+        lost = self._random.random() < self.lost_share
+        if self.nursery is not None and not lost:
             self.nursery.start_soon(deliver)
 
 
@@ -134,6 +152,7 @@
 def step_fleet(context: Context, size: int, followers: int, version: int) -> None:
     context.make_fleet = partial(RouteFleet, size, followers, version)
     context.fleet_actions = []
+    context.away_at_start = False
 
 
 def act(context: Context, change: Callable[[RouteFleet], None], seconds: float = 0.0) -> None:
@@ -171,9 +190,52 @@
     act(context, partial(set_away, True))
 
 
+@given("the store does not answer")
+def step_silent(context: Context) -> None:
+    def silence(fleet: RouteFleet) -> None:
+        fleet.store.silent = True
+        fleet.store.wake()
+
+    act(context, silence)
+
+
+@given("the store is away when they start")
+def step_away_at_start(context: Context) -> None:
+    context.away_at_start = True
+
+
 @when("the store is back")
 def step_back(context: Context) -> None:
-    act(context, partial(set_away, False))
+    def back(fleet: RouteFleet) -> None:
+        fleet.store.silent = False
+        set_away(False, fleet)
+
+    act(context, back)
+
+
+@when("{count:d} instances are cut off from all others")
+def step_cut_off(context: Context, count: int) -> None:
+    def cut(fleet: RouteFleet) -> None:
+        for member in fleet.members[-count:]:
+            fleet.cut_off(member)
+
+    act(context, cut)
+
+
+@when("each message between them is delivered again {seconds:d} second later")
+def step_delivered_again(context: Context, seconds: int) -> None:
+    def repeat(fleet: RouteFleet) -> None:
+        fleet.repeat_after = float(seconds)
+
+    act(context, repeat, 3 * seconds)
+
+
+@when("half of the messages between them are lost")
+def step_lost_messages(context: Context) -> None:
+    def lose(fleet: RouteFleet) -> None:
+        fleet.lost_share = 0.5
+
+    act(context, lose)
 
 
 @when("{seconds:d} seconds pass for them")
@@ -208,6 +270,7 @@
 async def run_fleet(context: Context, version: int, milliseconds: int) -> None:
     """Run the fleet through all actions, until all instances have a version."""
     context.fleet = fleet = context.make_fleet()
+    fleet.store.unavailable = context.away_at_start
     async with trio.open_nursery() as nursery:
         fleet.nursery = nursery
         for member in fleet.members:
--- a/tests/support/stores.py
+++ b/tests/support/stores.py
@@ -97,6 +97,7 @@
     revision: int = 1
     unavailable: bool = False
     polls_hang: bool = False
+    silent: bool = False
     lost_history: bool = False
     changed: trio.Event = field(default_factory=trio.Event)
 
@@ -114,6 +115,7 @@
     async def current(self) -> RoutesRead | StoreUnavailable:
         """Return the newest routes."""
         await trio.sleep(0.004)
+        await self._wait_while_silent()
         if self.unavailable:
             return StoreUnavailable("away")
         return self._read()
@@ -126,6 +128,7 @@
         with trio.move_on_after(wait.total_seconds()):
             while after >= self.revision or self.polls_hang:
                 await self.changed.wait()
+        await self._wait_while_silent()
         if self.unavailable:
             return StoreUnavailable("away")
         if self.lost_history:
@@ -139,6 +142,10 @@
             return StoreUnavailable("nonsense")
         return table_of(int(document))
 
+    async def _wait_while_silent(self) -> None:
+        if self.silent:
+            await trio.sleep_forever()
+
     def _read(self) -> RoutesRead:
         return RoutesRead(self.revision, table_of(self.version), str(self.version).encode())
 
