Do not restore a refusal whose crashes have been cleared

Cause: an instance that reads the stored refusals late, after the store was away, set the time of a refusal although it knew the clearing. The cause was counted as refused, with no crash against it. Test: refusals.feature, failed before.

--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/crashes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/crashes.py
@@ -177,6 +177,9 @@
             INITIAL_REFUSAL_TIME * 2**MAX_REFUSAL_DOUBLINGS,
         )
         record = self._merge(Suspicion(refusal.cause, refusal.crashes), decide=False)
+        if not record.counted:
+            # A success or a release is known here that came after the refusal was stored.
+            return
         record.refused_until = self._clock.monotonic() + max(timedelta(), time_left)
         record.refusals = max(record.refusals, refusal.refusals)
         log_events.emit(
--- a/tests/entry/coordination/quarantine/refusals.feature
+++ b/tests/entry/coordination/quarantine/refusals.feature
@@ -94,3 +94,13 @@
     And the log is recorded while all instances end and start again
     Then the log has the events "REFUSAL_RESTORED"
     And the refusal in the log has 110 seconds left
+
+  Scenario: A refusal that was cleared while the store was away is not restored from it
+    Given 2 instances that count crashes
+    When request "a" with parts "p" crashes targets "e1 e2" at instance 0
+    And request "b" with parts "p" crashes targets "e3" at instance 0
+    And the instances save their refusals
+    And request "c" with parts "p" succeeds at instance 1
+    And the instances load their refusals
+    Then a new request with parts "p" is not refused at any instance
+    And no cause is counted as refused at any instance
--- a/tests/steps/entry/coordination/crash_counts_steps.py
+++ b/tests/steps/entry/coordination/crash_counts_steps.py
@@ -306,3 +306,10 @@
 @then("the refusal in the log has {seconds:d} seconds left")
 def step_logged_time(context: Context, seconds: int) -> None:
     assert context.records[-1].kwargs["refusal_s"] == seconds, context.records[-1].kwargs
+
+
+@then("no cause is counted as refused at any instance")
+def step_none_refused(context: Context) -> None:
+    counts = [instance.counts() for instance in context.instances]
+    assert all(item["refused"] == 0 for item in counts), counts
+    assert all(item["suspected"] >= 0 for item in counts), counts
