--- a/tests/platform/targets.feature
+++ b/tests/platform/targets.feature
@@ -133,4 +133,11 @@
       | 503    | Retry-After: 1; Retry-After: 4       | staying | 4     |
       | 503    | Retry-After: x; Retry-After: 4       | staying | 4     |
       | 503    | Retry-After: Thu, 01 Jan 1970 00:00:07 GMT | staying | 7 |
+      | 503    | Date: Thu, 01 Jan 1970 01:00:00 GMT; Retry-After: Thu, 01 Jan 1970 01:00:05 GMT | staying | 5 |
+      | 503    | Date: never; Retry-After: Thu, 01 Jan 1970 00:00:07 GMT | staying | 7 |
       | 503    | Retry-After: Wed, 99 Jan 1970 00:00:07 GMT | staying | 0 |
+
+  Scenario: An event that has begun is read to its end although the allowed silence has become shorter
+    Given a slow target that sends an event in two parts after 900 ms
+    When a stream request is sent to it whose allowed silence of 1000 ms becomes 500 ms
+    Then its 1 events and the end of the stream arrived
--- a/tests/steps/platform/targets_steps.py
+++ b/tests/steps/platform/targets_steps.py
@@ -396,3 +396,43 @@
 @then("the response is interrupted as lost")
 def step_interrupted_lost(context: Context) -> None:
     step_may_have_crashed(context)
+
+
+@given("a slow target that sends an event in two parts after {milliseconds:d} ms")
+def step_two_parts(context: Context, milliseconds: int) -> None:
+    chunk = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
+    context.timed_parts = [
+        (0.0, HEAD + CHUNKED),
+        (milliseconds / 1000, chunk[:6]),
+        (0.01, chunk[6:] + b"0\r\n\r\n"),
+    ]
+
+
+@when("a stream request is sent to it whose allowed silence of {first:d} ms becomes {last:d} ms")
+def step_shorter_silence(context: Context, first: int, last: int) -> None:
+    async def serve(stream: trio.SocketStream) -> None:
+        await stream.receive_some(65_536)
+        for seconds, part in context.timed_parts:
+            await trio.sleep(seconds)
+            await stream.send_all(part)
+        await trio.sleep_forever()
+
+    async def run() -> None:
+        started = trio.current_time()
+
+        def allowed() -> timedelta:
+            shorter = trio.current_time() - started > first / 2000
+            return timedelta(milliseconds=last if shorter else first)
+
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(partial(trio.serve_tcp, serve, 0, host="127.0.0.1"))
+            port = listeners[0].socket.getsockname()[1]
+            attempt = replace(
+                make_attempt("stream", port, timedelta(), ATTEMPT_TIMEOUT), silence_timeout=allowed
+            )
+            reader = AdviceReader(lambda *_: None, SystemClock())
+            async with HttpTargets(reader).attempt(attempt) as items:
+                context.items = [item async for item in items]
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
