Keep what targets say of themselves by process, bounded, and log what decided

Found by reading the change again: a pause was lost when the target was missing from the list for a while or its slots changed; departures went one by one, up to 4,096 messages to each starting peer, and did not expire unless another one came. Test: health.feature, three new examples; the bound of messages and the gap of the listing failed on the code before by its design, they were not run on it.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -118,7 +118,7 @@
             listing = _changed(listing, notice.changed, notice.removed)
             digest = listing.digest()
         if digest != notice.digest:
-            self._record_missed(notice.revision)
+            self._record_missed(sender, notice.revision)
             return
         self._missed_revision = 0
         self._confirm(self._clock.monotonic())
@@ -126,7 +126,7 @@
         if self._tracked_revision is not None:
             self._tracked_revision = notice.revision
 
-    def _record_missed(self, revision: int) -> None:
+    def _record_missed(self, sender: str, revision: int) -> None:
         """Schedule one read of the whole list after notices that could not be applied."""
         scheduled = self._missed_revision > 0
         self._missed_revision = max(self._missed_revision, revision)
@@ -135,6 +135,13 @@
             delay = MISMATCH_READ_DELAY + MISMATCH_READ_STEP * self._rank()
             self._next_read_at = self._clock.monotonic() + delay
             self._read_requested.set()
+            log_events.emit(
+                log_events.LISTING_GAP,
+                sender=sender,
+                revision=revision,
+                own_revision=self._listing.revision,
+                delay_ms=round(delay / timedelta(milliseconds=1)),
+            )
 
     def full_notice(self) -> ListingNotice | None:
         """Return the whole list for a peer that has none, or None when it is empty here."""
@@ -217,11 +224,12 @@
             self._tracked_revision = None if missing else read.revision
         missed_revision, self._missed_revision = self._missed_revision, 0
         self._confirm(now)
-        self._replace(read, read.digest())
+        unchanged = read.targets is before.targets
+        self._replace(read, digest_before if unchanged else read.digest())
         if missed_revision > read.revision:
-            self._record_missed(missed_revision)
-        speaks = takes_over or self._rank() < WATCHER_COUNT
-        if not speaks or not self._may_notify():
+            self._record_missed("", missed_revision)
+        notifies = takes_over or self._rank() < WATCHER_COUNT
+        if not notifies or not self._may_notify():
             # The watchers tell the others; a first read or a repaired gap is no news.
             return
         changed = tuple(
@@ -255,7 +263,10 @@
 def _changed(
     listing: TargetListing, changed: Iterable[ListedTarget], removed: Iterable[str]
 ) -> TargetListing:
-    """Return a list with changes."""
+    """Return a list with changes; without any it shares its targets with the one before."""
+    changed, removed = list(changed), list(removed)
+    if not changed and not removed:
+        return listing
     targets = dict(listing.targets)
     targets.update({item.target.target_id: item for item in changed})
     for target_id in removed:
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -39,7 +39,7 @@
     StoreUnreachable,
     Suspicion,
     Suspicions,
-    TargetDeparture,
+    TargetDepartures,
     WatchRequest,
 )
 from wasabiwell_entry.state.members import Member
@@ -51,10 +51,11 @@
 class ExchangeObservers:
     """Callbacks for the messages of other entry instances, except placements.
 
-    `target_departed` takes the announcement of a target that is leaving, and `departures` returns
-    those that are known, for a peer that has just started. `routes_announced` takes the control
-    address of a peer and its routes version, `routes_confirmed` also whether the peer is in the own
-    zone. `store_unreachable` is called when a peer that follows the store cannot read it.
+    `targets_departed` takes targets that have announced their departure, and `departures` returns
+    the messages with those that are known, for a peer that has just started. `routes_announced`
+    takes the control address of a peer and its routes version, `routes_confirmed` also whether the
+    peer is in the own zone. `store_unreachable` is called when a peer that follows the store cannot
+    read it.
     `helper_lost` takes the id of a target. `full_listing` returns the message for a peer that knows
     no target, or None. `suspicions` returns the messages for a peer that is new or was unreachable
     for long, and `recent_suspicions` those repeated with each state, because single messages may
@@ -63,8 +64,8 @@
 
     request_ended: Callable[[RequestEnded], None]
     helper_lost: Callable[[str], None]
-    target_departed: Callable[[TargetDeparture], None]
-    departures: Callable[[], Iterable[TargetDeparture]]
+    targets_departed: Callable[[TargetDepartures], None]
+    departures: Callable[[], Iterable[TargetDepartures]]
     suspicion_received: Callable[[Suspicion], None]
     suspicions: Callable[[], Iterable[Suspicions]]
     recent_suspicions: Callable[[], Iterable[Suspicions]]
@@ -239,8 +240,8 @@
                     self.broadcast_state()
             case StoreUnreachable():
                 self._observers.store_unreachable()
-            case TargetDeparture() as departure:
-                self._observers.target_departed(departure)
+            case TargetDepartures() as departures:
+                self._observers.targets_departed(departures)
             case PeerLoss(address=address) if address == self._own_address:
                 self._failure_detector.refute_loss(now)
             case PeerLoss() as loss:
@@ -295,8 +296,8 @@
             if listing is not None:
                 self._port.send([sender], listing)
             # The list may still show a target as ready that has announced its departure.
-            for departure in self._observers.departures():
-                self._port.send([sender], departure)
+            for departures in self._observers.departures():
+                self._port.send([sender], departures)
 
     def _needs_addresses(self, state: NodeState) -> bool:
         """Return whether a peer knows few instances and this one has to send it their addresses."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -129,7 +129,12 @@
             assessment = self._crashes.assess(request)
             if isinstance(assessment, RefusedCause):
                 message = f"{assessment.cause} crashed targets {assessment.crashes} times"
-                log_events.emit(log_events.NOT_PLACED, request=request.request_id, reason=message)
+                log_events.emit(
+                    log_events.NOT_PLACED,
+                    request=request.request_id,
+                    reason=message,
+                    retry_after_ms=milliseconds(timedelta(), assessment.time_left),
+                )
                 return _unanswered_outcome(
                     progress, Reason.QUARANTINED, message, assessment.time_left
                 )
@@ -141,7 +146,10 @@
             )
             if isinstance(placement, NoPlacement):
                 log_events.emit(
-                    log_events.NOT_PLACED, request=request.request_id, reason=placement.reason
+                    log_events.NOT_PLACED,
+                    request=request.request_id,
+                    reason=placement.reason,
+                    retry_after_ms=milliseconds(timedelta(), placement.retry_after),
                 )
                 return await self._finish_unanswered(
                     progress, sink, placement.reason, placement.retry_after
@@ -252,7 +260,15 @@
             opened.verdict = AttemptVerdict.ABANDONED if blamed_helpers else _verdict(outcome)
             for helper in blamed_helpers:
                 # A helper that runs refuses its part because it helps others or is leaving.
-                if not isinstance(await self._targets.probe(helper), TargetAlive):
+                probe = await self._targets.probe(helper)
+                log_events.emit(
+                    log_events.HELPER_REFUSED,
+                    request=request.request_id,
+                    lead=target.target_id,
+                    helper=helper.target_id,
+                    probe=probe_text(probe),
+                )
+                if not isinstance(probe, TargetAlive):
                     self._ledger.record_lost_helper(helper.target_id)
         self._log_outcome(attempt, placement, progress, opened, sent_at, outcome)
         if isinstance(outcome, NotSent | NotRun):
--- a/packages/entry/src/wasabiwell_entry/coordination/health/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/const.py
@@ -12,8 +12,12 @@
 """Longest pause that a target may ask for, so that no target is lost for good by one odd value."""
 RETURN_TIME = timedelta(seconds=2)
 """Time after a requested pause within which a target gets its whole share of requests back."""
-DEPARTURE_LIFETIME = timedelta(minutes=10)
-"""Time for which an announced departure is remembered; leaving targets run on for seconds."""
-MAX_DEPARTURES = 4_096
+ADVICE_LIFETIME = timedelta(minutes=10)
+"""Time for which departures and ended pauses are kept; leaving targets run on for seconds."""
+MAX_ADVISING_TARGETS = 4_096
+"""Targets whose departure is kept, and as many whose pause is; more than leave within minutes of
+12,000 targets."""
+DEPARTURES_PER_NOTICE = 200
+"""Keeps a datagram below its largest size when the names of targets have their greatest length."""
 PRIOR_SUCCESSES = 3.0
 """Successes assumed for each target, so that a single failure does not dominate its rate."""
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/coordinator.py
@@ -146,8 +146,8 @@
             if work.target.target_id not in excluded
         ]
         healthy = [work for work in works if self._health.usable(work.target)]
-        returned = [work for work in healthy if self._gets_share(work.target)]
-        return returned or healthy or [work for work in works if self._health.listed(work.target)]
+        with_share = [work for work in healthy if self._gets_share(work.target)]
+        return with_share or healthy or [work for work in works if self._health.listed(work.target)]
 
     def _gets_share(self, target: Target) -> bool:
         share = self._health.share(target)
@@ -159,7 +159,7 @@
         pauses = [
             pause
             for work in self._works.of_service(request.service)
-            if (pause := self._health.requested_pause(work.target)) is not None
+            if (pause := self._health.requested_pause(work.target))
         ]
         if not pauses:
             return NoPlacement(message)
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ports.py
@@ -18,8 +18,8 @@
     def share(self, target: Target) -> float:
         """Return the part of its usual requests that the target should get, from 0 to 1."""
 
-    def requested_pause(self, target: Target) -> timedelta | None:
-        """Return the rest of the pause for which a target has asked, or None without one."""
+    def requested_pause(self, target: Target) -> timedelta:
+        """Return the rest of the pause for which a target has asked, zero without one."""
 
     def failure_rate(self, target: Target) -> float:
         """Return the recent failure rate of the target, from 0 to 1."""
--- a/packages/entry/src/wasabiwell_entry/protocol/notices.py
+++ b/packages/entry/src/wasabiwell_entry/protocol/notices.py
@@ -20,7 +20,7 @@
     StaleIncarnation,
     StoreUnreachable,
     Suspicions,
-    TargetDeparture,
+    TargetDepartures,
     WatchRequest,
 )
 
@@ -37,7 +37,7 @@
     PeerLoss,
     RetryNotice,
     WatchRequest,
-    TargetDeparture,
+    TargetDepartures,
     RoutesConfirmed,
     StoreUnreachable,
     StaleIncarnation,
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from wasabiwell_entry.state.crashes import Cause, Crash
-from wasabiwell_entry.state.targets import ListedTarget
+from wasabiwell_entry.state.targets import ListedTarget, TargetProcess
 
 
 class AttemptVerdict(enum.Enum):
@@ -86,15 +86,10 @@
     target_id: str
 
 
-class TargetDeparture(msgspec.Struct, frozen=True, array_like=True):
-    """A target has announced to the sender that it is leaving.
+class TargetDepartures(msgspec.Struct, frozen=True, array_like=True):
+    """Targets have announced that they are leaving, to the sender or to another instance."""
 
-    Only the process with this incarnation at this address leaves, not one that replaces it.
-    """
-
-    target_id: str
-    incarnation: int
-    address: str
+    processes: tuple[TargetProcess, ...]
 
 
 class RoutesConfirmed(msgspec.Struct, frozen=True, array_like=True):
@@ -217,7 +212,7 @@
     | RoutesConfirmed
     | StaleIncarnation
     | StoreUnreachable
-    | TargetDeparture
+    | TargetDepartures
     | RetryNotice
     | WatchRequest
 )
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -226,6 +226,23 @@
     "{waited_ms} ms for its turn, a follower reported the store as unreachable: {unreachable}, its "
     "own last read failed: {read_failed}",
 )
+LISTING_GAP = LogEvent(
+    448,
+    Level.INFO,
+    "a notice of entry instance {sender} with revision {revision} does not fit the list of targets "
+    "of revision {own_revision}; the whole list is read in {delay_ms} ms",
+)
+HELPER_REFUSED = LogEvent(
+    449,
+    Level.WARNING,
+    "request {request}: target {lead} refused it because of the helper {helper}, which {probe}",
+)
+TARGET_AWAITED = LogEvent(
+    450,
+    Level.WARNING,
+    "request {request}: target {target} does not react to a new connection after {silence_ms} ms "
+    "without progress; it is waited for, as no other attempt may follow",
+)
 PAUSE_REQUESTED = LogEvent(
     443,
     Level.WARNING,
@@ -270,7 +287,11 @@
     "prompt tokens, expected "
     "{expected_ms} ms, {left_ms} ms left, route {route}, routes version {routes}",
 )
-NOT_PLACED = LogEvent(415, Level.WARNING, "request {request} could not be placed: {reason}")
+NOT_PLACED = LogEvent(
+    415,
+    Level.WARNING,
+    "request {request} could not be placed: {reason}; it may be sent again in {retry_after_ms} ms",
+)
 REPEAT_BUDGET_USED = LogEvent(
     416,
     Level.WARNING,
--- a/packages/entry/src/wasabiwell_entry/state/targets.py
+++ b/packages/entry/src/wasabiwell_entry/state/targets.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+import msgspec
+
 USE_HISTORY = timedelta(seconds=4)
 """Time for which samples of the own use are kept; must exceed the age of any used load report."""
 
@@ -18,6 +20,14 @@
     PLAIN = "plain"
 
 
+class TargetProcess(msgspec.Struct, frozen=True, array_like=True):
+    """A process of a target; one with another incarnation, id or address is a different process."""
+
+    target_id: str
+    incarnation: int
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class Target:
     """A target instance; `address` is `HOST:PORT`.
@@ -35,6 +45,11 @@
     incarnation: int = 0
     slots: int = 0
 
+    @property
+    def process(self) -> TargetProcess:
+        """Return the process that runs the target."""
+        return TargetProcess(self.target_id, self.incarnation, self.address)
+
 
 @dataclass(frozen=True, slots=True)
 class ListedTarget:
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -176,7 +176,7 @@
       | SlowdownNotice |
       | RequestEnded   |
       | Suspicions     |
-      | TargetDeparture |
+      | TargetDepartures |
       | RoutesConfirmed |
       | StoreUnreachable |
       | StaleIncarnation |
--- a/tests/entry/coordination/health/health.feature
+++ b/tests/entry/coordination/health/health.feature
@@ -91,3 +91,21 @@
     When it asks for a pause of 60 seconds
     And the listing shows it with another incarnation
     Then it is usable
+
+  Scenario Outline: A pause holds when the listing changes, as long as the process is the same
+    Given a listed target
+    When it asks for a pause of 2 seconds
+    And the listing shows <change>
+    Then it is not usable for 2 seconds
+
+    Examples:
+      | change                                          |
+      | it no longer, and as ready again afterwards     |
+      | it with other slots                             |
+
+  Scenario: The memory for what targets say is bounded, and departures fit into datagrams
+    Given a listed target
+    When 5000 targets with names of 200 characters announce their departure and ask for pauses
+    Then at most 4096 departures are known, in messages that fit into datagrams
+    When 601 seconds pass for it
+    Then at most 0 departures are known, in messages that fit into datagrams
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -53,10 +53,11 @@
     StoreUnreachable,
     Suspicion,
     Suspicions,
-    TargetDeparture,
+    TargetDepartures,
     WatchRequest,
 )
 from wasabiwell_entry.state.routes import RouteKind
+from wasabiwell_entry.state.targets import TargetProcess
 
 
 @given('an instance with a reachable peer "{address}"')
@@ -284,13 +285,13 @@
 
 @given("a target that has announced its departure to it")
 def step_departed(context: Context) -> None:
-    context.departures.append(NOTICES["TargetDeparture"])
+    context.departures.append(NOTICES["TargetDepartures"])
 
 
 @then("it is told of the departure after the listing")
 def step_told_departure(context: Context) -> None:
     notices = [notice for address, notice in context.port.sent if address == context.peer]
-    assert notices.index(LISTING) < notices.index(NOTICES["TargetDeparture"]), notices
+    assert notices.index(LISTING) < notices.index(NOTICES["TargetDepartures"]), notices
 
 
 @when("the peer reports that it knows no target")
@@ -399,7 +400,7 @@
         )
     ),
     "ListingNotice": LISTING,
-    "TargetDeparture": TargetDeparture("i-1", 7, "10.0.9.1:80"),
+    "TargetDepartures": TargetDepartures((TargetProcess("i-1", 7, "10.0.9.1:80"),)),
     "RoutesConfirmed": RoutesConfirmed("10.0.0.2:9", 7),
     "StoreUnreachable": StoreUnreachable(),
     "StaleIncarnation": StaleIncarnation(7),
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -18,9 +18,10 @@
     AttemptVerdict,
     RetryBudgetUse,
     RetryNotice,
-    TargetDeparture,
+    TargetDepartures,
 )
 from wasabiwell_entry.state.targets import ListedTarget, TargetAdvice
+from wasabiwell_entry.transport.datagram.endpoint import MAX_DATAGRAM_BYTES
 
 SERVICE = "s"
 GRACE = timedelta(seconds=8)
@@ -199,18 +200,16 @@
 
 @then("the other instances are told of its departure")
 def step_departure_told(context: Context) -> None:
-    target = context.target
-    expected = TargetDeparture(target.target_id, target.incarnation, target.address)
+    expected = TargetDepartures((context.target.process,))
     assert context.departure == expected, context.departure
     # A second answer is no news.
-    assert context.health.record_advice(target, TargetAdvice(leaving=True)) is None
+    assert context.health.record_advice(context.target, TargetAdvice(leaving=True)) is None
 
 
 @when("another instance reports its departure")
 def step_departure_received(context: Context) -> None:
-    target = context.target
-    departure = TargetDeparture(target.target_id, target.incarnation, target.address)
-    context.health.record_departure(decode_notice(encode_notice(departure)))
+    departures = TargetDepartures((context.target.process,))
+    context.health.record_departures(decode_notice(encode_notice(departures)))
 
 
 @when("the listing shows it no longer, and as ready again afterwards")
@@ -233,3 +232,27 @@
 @then("its share is {share:g}")
 def step_share(context: Context, share: float) -> None:
     assert context.health.share(context.target) == share, context.health.share(context.target)
+
+
+@when("the listing shows it with other slots")
+def step_other_slots(context: Context) -> None:
+    context.target = replace(context.target, slots=context.target.slots + 1)
+    context.health.update([ListedTarget(context.target, False)])
+
+
+@when(
+    "{count:d} targets with names of {length:d} characters announce their departure and ask for "
+    "pauses"
+)
+def step_many_advise(context: Context, count: int, length: int) -> None:
+    advice = TargetAdvice(leaving=True, pause=timedelta(seconds=2))
+    for number in range(count):
+        target = replace(context.target, target_id=f"{number:0{length}}")
+        context.health.record_advice(target, advice)
+
+
+@then("at most {most:d} departures are known, in messages that fit into datagrams")
+def step_departures_bounded(context: Context, most: int) -> None:
+    messages = context.health.departures()
+    assert sum(len(message.processes) for message in messages) <= most
+    assert all(len(encode_notice(message)) <= MAX_DATAGRAM_BYTES for message in messages)
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -136,7 +136,7 @@
         ExchangeObservers(
             request_ended=context.endings.append,
             helper_lost=context.lost_helpers.append,
-            target_departed=lambda departure: None,
+            targets_departed=lambda departures: None,
             departures=lambda: context.departures,
             suspicion_received=lambda suspicion: None,
             suspicions=lambda: context.suspicions,
