--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -1,14 +1,12 @@
 """Forwards a request until its whole response is delivered or no further attempt is allowed."""
 
-from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 import trio
 
 from wasabiwell_entry.coordination.budget import RetryBudget
+from wasabiwell_entry.coordination.forwarding.assessment import AttemptAssessor, verdict_on_target
 from wasabiwell_entry.coordination.forwarding.const import (
-    MAX_BUFFERED_BYTES,
-    MAX_EVENTS_BEFORE_CRASH,
     MAX_SENDS,
     MIN_EXPECTED_BEFORE_RETRY,
     MIN_OBJECTIVES_BEFORE_RETRY,
@@ -27,9 +25,10 @@
     milliseconds,
     outcome_text,
     placement_fields,
-    probe_text,
 )
 from wasabiwell_entry.coordination.forwarding.ports import ResponseSink, TargetPort
+from wasabiwell_entry.coordination.forwarding.progress import Progress
+from wasabiwell_entry.coordination.forwarding.relay import ResponseRelay, deliver_buffered
 from wasabiwell_entry.coordination.forwarding.silence_timeout import SilenceTimeout
 from wasabiwell_entry.coordination.placement import Placer
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
@@ -46,50 +45,26 @@
     ForwardedRequest,
     NotRun,
     NotSent,
-    ResponseChunk,
-    ResponseEnd,
-    ResponseEvent,
-    ResponseHead,
     ResponseInterrupted,
 )
 from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
-from wasabiwell_entry.state.probes import TargetAlive, TargetDown, TargetSilent
 from wasabiwell_entry.state.routes import RouteKind
-from wasabiwell_entry.state.targets import Target
 
 ForwardOutcome = Forwarded | Refused | Failed
 
 
-@dataclass(slots=True)
-class _Progress:
-    """State of a request over its attempts.
-
-    `sends` counts all attempts, `runs` those that may have run on a target. `last_event` is the id
-    of the last event that the caller has. `buffered` is a response that is delivered unless a retry
-    gets a better one. `response_started` means that a part of the response was delivered to the
-    caller.
-    """
-
-    excluded: set[str] = field(default_factory=set)
-    sends: int = 0
-    runs: int = 0
-    response_started: bool = False
-    last_event: int | None = None
-    buffered: Buffered | None = None
-    reason: str = "the deadline has passed"
-
-
 class Forwarder:
     """Forwards the requests of one entry instance."""
 
     __slots__ = (
+        "_assessor",
         "_budget",
         "_clock",
         "_crashes",
         "_ledger",
         "_placer",
+        "_relay",
         "_reservations",
-        "_targets",
     )
 
     def __init__(
@@ -104,7 +79,8 @@
     ) -> None:
         self._placer = placer
         self._ledger = ledger
-        self._targets = targets
+        self._relay = ResponseRelay(targets, ledger, crashes)
+        self._assessor = AttemptAssessor(targets, ledger, crashes)
         self._reservations = reservations
         self._crashes = crashes
         self._budget = budget
@@ -116,14 +92,14 @@
         After a `Failed` the sink may have received a part of the response, which must not be
         completed as if it were the whole response.
         """
-        progress = _Progress(last_event=request.last_event_id)
+        progress = Progress(last_event=request.last_event_id)
         self._budget.count_request(request.service)
         with trio.move_on_after(self._time_left(request).total_seconds()):
             return await self._forward(request, sink, progress)
         return _unanswered_outcome(progress, Reason.DEADLINE_EXCEEDED, progress.reason)
 
     async def _forward(
-        self, request: ForwardedRequest, sink: ResponseSink, progress: _Progress
+        self, request: ForwardedRequest, sink: ResponseSink, progress: Progress
     ) -> ForwardOutcome:
         while True:
             assessment = self._crashes.assess(request)
@@ -163,7 +139,7 @@
                     if buffered.head.status < SERVER_ERROR or not self._may_retry(
                         request, progress
                     ):
-                        return await _deliver_buffered(buffered, sink)
+                        return await deliver_buffered(buffered, sink)
                 case ResponseInterrupted(reason=reason):
                     progress.reason = reason
                     if not self._may_retry(request, progress):
@@ -177,11 +153,11 @@
                     progress, sink, progress.reason, REFUSED_RETRY_AFTER
                 )
 
-    def _may_retry(self, request: ForwardedRequest, progress: _Progress) -> bool:
+    def _may_retry(self, request: ForwardedRequest, progress: Progress) -> bool:
         return request.route.retryable and progress.runs < request.route.attempts
 
     def _may_try_another_target(
-        self, request: ForwardedRequest, progress: _Progress, outcome: AttemptOutcome
+        self, request: ForwardedRequest, progress: Progress, outcome: AttemptOutcome
     ) -> bool:
         """Return whether another target may be tried.
 
@@ -201,7 +177,7 @@
         request: ForwardedRequest,
         placement: Placement,
         sink: ResponseSink,
-        progress: _Progress,
+        progress: Progress,
     ) -> AttemptOutcome:
         progress.sends += 1
         owner = f"{request.request_id}-{progress.sends}"
@@ -221,7 +197,7 @@
         request: ForwardedRequest,
         placement: Placement,
         sink: ResponseSink,
-        progress: _Progress,
+        progress: Progress,
     ) -> AttemptOutcome:
         progress.runs += 1
         target = placement.target
@@ -253,66 +229,27 @@
             **placement_fields(attempt, placement),
         )
         with self._ledger.open(request, placement) as opened:
-            outcome = await self._relay(attempt, sink, progress, opened, silence_timeout)
+            outcome = await self._relay.run(attempt, sink, progress, opened, silence_timeout)
             if isinstance(outcome, ResponseInterrupted):
-                outcome = await self._assess_interruption(attempt, opened, outcome)
-            blamed_helpers = _blamed_helpers(attempt, outcome)
-            opened.verdict = AttemptVerdict.ABANDONED if blamed_helpers else _verdict(outcome)
-            for helper in blamed_helpers:
-                # A helper that runs refuses its part because it helps others or is leaving.
-                probe = await self._targets.probe(helper)
-                log_events.emit(
-                    log_events.HELPER_REFUSED,
-                    request=request.request_id,
-                    lead=target.target_id,
-                    helper=helper.target_id,
-                    probe=probe_text(probe),
-                )
-                if not isinstance(probe, TargetAlive):
-                    self._ledger.record_lost_helper(helper.target_id)
+                outcome = await self._assessor.assess_interruption(attempt, opened, outcome)
+            refusing_helpers = await self._assessor.assess_helpers(attempt, outcome)
+            opened.verdict = (
+                AttemptVerdict.ABANDONED if refusing_helpers else verdict_on_target(outcome)
+            )
         self._log_outcome(attempt, placement, progress, opened, sent_at, outcome)
         if isinstance(outcome, NotSent | NotRun):
             progress.runs -= 1
         if opened.verdict is AttemptVerdict.ANSWERED:
             self._crashes.record_success(request)
         else:
-            progress.excluded.update(item.target_id for item in blamed_helpers or [target])
+            progress.excluded.update(item.target_id for item in refusing_helpers or [target])
         return outcome
 
-    async def _assess_interruption(
-        self, attempt: ForwardAttempt, opened: OpenPlacement, interruption: ResponseInterrupted
-    ) -> ResponseInterrupted:
-        """Record a crash if the target is down, but not if it only cut the connection.
-
-        A target that does not react hangs, or the network is interrupted for all of its requests,
-        so that this accuses none of them. A crash does not count against a response that had
-        progressed, as a request crashes its target when it begins to run.
-        """
-        request, target = attempt.request, attempt.target
-        name = f"{target.target_id}@{target.incarnation}"
-        probe = await self._targets.probe(target) if interruption.target_lost else None
-        crashed = isinstance(probe, TargetDown) and opened.events <= MAX_EVENTS_BEFORE_CRASH
-        log_events.emit(
-            log_events.INTERRUPTION_ASSESSED,
-            request=request.request_id,
-            fingerprint=request.fingerprint,
-            parts=" ".join(request.prompt_parts),
-            target=name,
-            reason=interruption.reason,
-            connection_lost=interruption.target_lost,
-            probe=probe_text(probe),
-            events=opened.events,
-            crashed=crashed,
-        )
-        if crashed:
-            self._crashes.record_crash(request, name)
-        return replace(interruption, target_lost=isinstance(probe, TargetDown | TargetSilent))
-
     def _log_outcome(
         self,
         attempt: ForwardAttempt,
         placement: Placement,
-        progress: _Progress,
+        progress: Progress,
         opened: OpenPlacement,
         sent_at: timedelta,
         outcome: AttemptOutcome,
@@ -333,84 +270,18 @@
         fields |= placement_fields(attempt, placement)
         log_events.emit(log_events.SEND_FAILED, verdict=opened.verdict.value, **fields)
 
-    async def _relay(
-        self,
-        attempt: ForwardAttempt,
-        sink: ResponseSink,
-        progress: _Progress,
-        opened: OpenPlacement,
-        silence_timeout: SilenceTimeout,
-    ) -> AttemptOutcome:
-        head: ResponseHead | None = None
-        buffer: list[bytes] = []
-        buffered_bytes = 0
-        async with self._targets.attempt(attempt) as items:
-            async for item in items:
-                match item:
-                    case ResponseHead():
-                        head = item
-                        silence_timeout.begin()
-                        if _is_stream(attempt.request, head):
-                            self._ledger.start_decode(opened)
-                            await self._begin_response(head, sink, progress)
-                        elif progress.response_started:
-                            # The body of a failure would become a part of the caller's stream.
-                            return ResponseInterrupted(
-                                f"status {head.status} in place of the rest of the stream"
-                            )
-                    case ResponseEvent(event_id=event_id, data=data):
-                        interruption = _check_order(event_id, progress)
-                        if interruption is not None:
-                            return interruption
-                        self._ledger.record_event(opened)
-                        if opened.events == MAX_EVENTS_BEFORE_CRASH + 1:
-                            # A request that progresses does not crash its target, so it clears
-                            # its prompt parts before it ends.
-                            self._crashes.record_success(attempt.request)
-                        await sink.send(data)
-                    case ResponseChunk(data=data):
-                        buffer.append(data)
-                        buffered_bytes += len(data)
-                        if buffered_bytes > MAX_BUFFERED_BYTES and head is not None:
-                            await self._begin_response(head, sink, progress)
-                            await sink.send(b"".join(buffer))
-                            buffer.clear()
-                            buffered_bytes = 0
-                    case ResponseEnd():
-                        if head is None:
-                            return ResponseInterrupted("the response has no head")
-                        if _has_no_event(attempt.request, head, progress, opened):
-                            return ResponseInterrupted("the stream has no event")
-                        if not progress.response_started:
-                            return Buffered(head, b"".join(buffer))
-                        if buffer:
-                            await sink.send(b"".join(buffer))
-                        await sink.finish()
-                        return Delivered(head.status)
-                    case NotSent() | NotRun() | ResponseInterrupted():
-                        return item
-        return ResponseInterrupted("the response has no end")
-
-    async def _begin_response(
-        self, head: ResponseHead, sink: ResponseSink, progress: _Progress
-    ) -> None:
-        """Deliver the head unless an earlier attempt has delivered one before it was resumed."""
-        if not progress.response_started:
-            progress.response_started = True
-            await sink.begin(head)
-
     async def _finish_unanswered(
-        self, progress: _Progress, sink: ResponseSink, reason: str, retry_after: timedelta
+        self, progress: Progress, sink: ResponseSink, reason: str, retry_after: timedelta
     ) -> ForwardOutcome:
         """Return the outcome of a request for which no further target is tried."""
         if progress.buffered is not None and not progress.response_started:
-            return await _deliver_buffered(progress.buffered, sink)
+            return await deliver_buffered(progress.buffered, sink)
         if progress.runs == 0 and not progress.response_started:
             return Refused(Reason.NO_CAPACITY, reason, retry_after)
         return _unanswered_outcome(progress, Reason.TARGET_FAILED, reason)
 
     def _response_start_timeout(
-        self, request: ForwardedRequest, placement: Placement, progress: _Progress
+        self, request: ForwardedRequest, placement: Placement, progress: Progress
     ) -> timedelta:
         """Return how long a target may be silent before its response begins."""
         left = self._time_left(request)
@@ -427,43 +298,14 @@
         return max(timedelta(), request.deadline - self._clock.monotonic())
 
 
-async def _deliver_buffered(buffered: Buffered, sink: ResponseSink) -> Forwarded:
-    await sink.begin(buffered.head)
-    if buffered.body:
-        await sink.send(buffered.body)
-    await sink.finish()
-    return Forwarded(buffered.head.status)
-
-
-def _is_stream(request: ForwardedRequest, head: ResponseHead) -> bool:
-    return request.route.kind is RouteKind.STREAM and head.status < 300
-
-
-def _has_no_event(
-    request: ForwardedRequest, head: ResponseHead, progress: _Progress, opened: OpenPlacement
-) -> bool:
-    """Return whether a stream ended without any event, in this attempt or before it."""
-    return _is_stream(request, head) and opened.events == 0 and progress.last_event is None
-
-
 def _probe_interval(request: ForwardedRequest) -> timedelta:
     route = request.route
     allowed_silence = route.event_gap if route.kind is RouteKind.STREAM else route.objective
     return allowed_silence + PROBE_MARGIN
 
 
-def _check_order(event_id: int | None, progress: _Progress) -> ResponseInterrupted | None:
-    """Record the id of an event, or return an error when it does not follow the last one."""
-    if event_id is None:
-        return None
-    if progress.last_event is not None and event_id != progress.last_event + 1:
-        return ResponseInterrupted(f"event {event_id} came after event {progress.last_event}")
-    progress.last_event = event_id
-    return None
-
-
 def _unanswered_outcome(
-    progress: _Progress,
+    progress: Progress,
     reason: Reason,
     message: str,
     retry_after: timedelta = REFUSED_RETRY_AFTER,
@@ -471,29 +313,3 @@
     if progress.runs == 0 and not progress.response_started:
         return Refused(reason, message, retry_after)
     return Failed(reason, message, RunState.UNKNOWN)
-
-
-def _verdict(outcome: AttemptOutcome) -> AttemptVerdict:
-    match outcome:
-        case Delivered():
-            return AttemptVerdict.ANSWERED
-        case Buffered(head=head):
-            failed = head.status >= SERVER_ERROR
-            return AttemptVerdict.FAILED if failed else AttemptVerdict.ANSWERED
-        case NotSent():
-            return AttemptVerdict.LOST
-        case NotRun(replaced=True):
-            return AttemptVerdict.LOST
-        case NotRun():
-            return AttemptVerdict.REFUSED
-        case ResponseInterrupted(target_lost=True):
-            return AttemptVerdict.LOST
-        case ResponseInterrupted():
-            return AttemptVerdict.FAILED
-
-
-def _blamed_helpers(attempt: ForwardAttempt, outcome: AttemptOutcome) -> list[Target]:
-    """Return the helpers that a lead names as the cause of its refusal."""
-    at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
-    helpers = [helper.target for helper in attempt.helpers]
-    return [item for item in helpers if item.address == at_fault]
--- /dev/null
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/relay.py
@@ -0,0 +1,136 @@
+"""Relays the response of one attempt from a target to the caller."""
+
+from wasabiwell_entry.coordination.forwarding.const import (
+    MAX_BUFFERED_BYTES,
+    MAX_EVENTS_BEFORE_CRASH,
+)
+from wasabiwell_entry.coordination.forwarding.errors import AttemptOutcome, Buffered, Delivered
+from wasabiwell_entry.coordination.forwarding.ports import ResponseSink, TargetPort
+from wasabiwell_entry.coordination.forwarding.progress import Progress
+from wasabiwell_entry.coordination.forwarding.silence_timeout import SilenceTimeout
+from wasabiwell_entry.coordination.placement.ledger import OpenPlacement, PlacementLedger
+from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
+from wasabiwell_entry.state.forwarding import (
+    ForwardAttempt,
+    Forwarded,
+    ForwardedRequest,
+    NotRun,
+    NotSent,
+    ResponseChunk,
+    ResponseEnd,
+    ResponseEvent,
+    ResponseHead,
+    ResponseInterrupted,
+)
+from wasabiwell_entry.state.routes import RouteKind
+
+
+class ResponseRelay:
+    """Sends the events of streams on as they arrive, and buffers other responses.
+
+    Nothing of a response is sent on that is not the continuation of what the caller has.
+    """
+
+    __slots__ = ("_crashes", "_ledger", "_targets")
+
+    def __init__(self, targets: TargetPort, ledger: PlacementLedger, crashes: CrashCounts) -> None:
+        self._targets = targets
+        self._ledger = ledger
+        self._crashes = crashes
+
+    async def run(
+        self,
+        attempt: ForwardAttempt,
+        sink: ResponseSink,
+        progress: Progress,
+        opened: OpenPlacement,
+        silence_timeout: SilenceTimeout,
+    ) -> AttemptOutcome:
+        """Send a request once, and return how the attempt ended."""
+        head: ResponseHead | None = None
+        buffer: list[bytes] = []
+        buffered_bytes = 0
+        async with self._targets.attempt(attempt) as items:
+            async for item in items:
+                match item:
+                    case ResponseHead():
+                        head = item
+                        silence_timeout.begin()
+                        if is_stream(attempt.request, head):
+                            self._ledger.start_decode(opened)
+                            await _begin_response(head, sink, progress)
+                        elif progress.response_started:
+                            # The body of a failure would become a part of the caller's stream.
+                            return ResponseInterrupted(
+                                f"status {head.status} in place of the rest of the stream"
+                            )
+                    case ResponseEvent(event_id=event_id, data=data):
+                        interruption = _check_order(event_id, progress)
+                        if interruption is not None:
+                            return interruption
+                        self._ledger.record_event(opened)
+                        if opened.events == MAX_EVENTS_BEFORE_CRASH + 1:
+                            # A request that progresses does not crash its target, so it clears
+                            # its prompt parts before it ends.
+                            self._crashes.record_success(attempt.request)
+                        await sink.send(data)
+                    case ResponseChunk(data=data):
+                        buffer.append(data)
+                        buffered_bytes += len(data)
+                        if buffered_bytes > MAX_BUFFERED_BYTES and head is not None:
+                            await _begin_response(head, sink, progress)
+                            await sink.send(b"".join(buffer))
+                            buffer.clear()
+                            buffered_bytes = 0
+                    case ResponseEnd():
+                        if head is None:
+                            return ResponseInterrupted("the response has no head")
+                        if _has_no_event(attempt.request, head, progress, opened):
+                            return ResponseInterrupted("the stream has no event")
+                        if not progress.response_started:
+                            return Buffered(head, b"".join(buffer))
+                        if buffer:
+                            await sink.send(b"".join(buffer))
+                        await sink.finish()
+                        return Delivered(head.status)
+                    case NotSent() | NotRun() | ResponseInterrupted():
+                        return item
+        return ResponseInterrupted("the response has no end")
+
+
+async def deliver_buffered(buffered: Buffered, sink: ResponseSink) -> Forwarded:
+    """Deliver a buffered response to the sink."""
+    await sink.begin(buffered.head)
+    if buffered.body:
+        await sink.send(buffered.body)
+    await sink.finish()
+    return Forwarded(buffered.head.status)
+
+
+async def _begin_response(head: ResponseHead, sink: ResponseSink, progress: Progress) -> None:
+    """Deliver the head unless an earlier attempt has delivered one before it was resumed."""
+    if not progress.response_started:
+        progress.response_started = True
+        await sink.begin(head)
+
+
+def is_stream(request: ForwardedRequest, head: ResponseHead) -> bool:
+    """Return whether a response is a stream of events."""
+    return request.route.kind is RouteKind.STREAM and head.status < 300
+
+
+def _has_no_event(
+    request: ForwardedRequest, head: ResponseHead, progress: Progress, opened: OpenPlacement
+) -> bool:
+    """Return whether a stream ended without any event, in this attempt or before it."""
+    return is_stream(request, head) and opened.events == 0 and progress.last_event is None
+
+
+def _check_order(event_id: int | None, progress: Progress) -> ResponseInterrupted | None:
+    """Record the id of an event, or return an error when it does not follow the last one."""
+    if event_id is None:
+        return None
+    if progress.last_event is not None and event_id != progress.last_event + 1:
+        return ResponseInterrupted(f"event {event_id} came after event {progress.last_event}")
+    progress.last_event = event_id
+    return None
--- a/tests/entry/coordination/forwarding/forwarding.feature
+++ b/tests/entry/coordination/forwarding/forwarding.feature
@@ -77,6 +77,11 @@
       | status 500 and 2 MiB                 |
       | status 500 without an end            |
 
+  Scenario: The bodies of two targets are not joined when a large one is cut
+    Given an idempotent route
+    When the first target cuts its body after 2 MiB, and the next one answers with another body
+    Then the caller has received the 2 MiB of the first target and no end
+
   Scenario: A stream goes on at a third target after a failure of the second one
     Given a resumable stream route with 3 attempts
     When the first target cuts the connection after event 3, and the next one answers with status 500
--- a/tests/steps/entry/coordination/forwarding_steps.py
+++ b/tests/steps/entry/coordination/forwarding_steps.py
@@ -25,6 +25,7 @@
     Forwarded,
     NotRun,
     NotSent,
+    ResponseChunk,
     ResponseEnd,
     ResponseEvent,
     ResponseHead,
@@ -370,3 +371,18 @@
 def step_allowed_silence(context: Context, least: float, most: float) -> None:
     allowed = context.targets.allowed_silences[-1].total_seconds()
     assert least <= allowed <= most, allowed
+
+
+PARTIAL_BODY = b"1" * 2 * 1024 * 1024
+
+
+@when("the first target cuts its body after 2 MiB, and the next one answers with another body")
+def step_large_body_cut(context: Context) -> None:
+    cut = [ResponseHead(200, (), True), ResponseChunk(PARTIAL_BODY), CONNECTION_CUT]
+    forward(context, [cut, response_script(200, b"2" * 10)])
+
+
+@then("the caller has received the 2 MiB of the first target and no end")
+def step_partial_body(context: Context) -> None:
+    assert context.sink.data == PARTIAL_BODY, len(context.sink.data)
+    assert not context.sink.finished
