--- a/standins/wasabiwell_standins/users_platform/engine.py
+++ b/standins/wasabiwell_standins/users_platform/engine.py
@@ -5,8 +5,6 @@
 """
 
 import random
-import socket
-import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -17,47 +15,23 @@
 import trio
 
 from wasabiwell_standins.users_platform.announcements import Announcements
+from wasabiwell_standins.users_platform.connections import (
+    Request,
+    cancel_when_closed,
+    encode_head,
+    receive,
+    reply,
+    reset_on_close,
+)
+from wasabiwell_standins.users_platform.faults import TargetFaults
 from wasabiwell_standins.users_platform.ledger import Ledger, Run
 
-READ_BYTES = 65_536
 IDLE_SECONDS = 10.0
 NOT_EXECUTED = ("Wasabiwell-Not-Executed", "1")
 QUEUE_FACTOR = 3
 """A target accepts this many requests for each of its slots, then responds with 503."""
 
 
-@dataclass(slots=True)
-class TargetFaults:
-    """Active faults.
-
-    Each `*_share` is the probability, from 0 to 1, that the fault hits a response of a plain
-    service; in streams, `reset_share`, `cut_share` and `hang_share` are applied to each event.
-    `cut` closes the connection in the middle of a body, `extra` sends a second response after the
-    first, `foreign` returns another request id, and `unframed` sends a body without its length.
-    `slow` multiplies all processing times.
-    """
-
-    error_share: float = 0.0
-    reset_share: float = 0.0
-    cut_share: float = 0.0
-    extra_share: float = 0.0
-    foreign_share: float = 0.0
-    unframed_share: float = 0.0
-    hang_share: float = 0.0
-    crash_on: str = ""
-    """The target crashes when a request's body or its list of prompt parts contains this text,
-    unless it is empty."""
-    crash_after_head: bool = False
-    """Such a request crashes its target after the head of the response, not on arrival."""
-    close_on_crash: bool = False
-    """A crash closes open connections in order, as a kernel does for a process without unread
-    bytes, and does not reset them."""
-    slow: float = 1.0
-    pause_share: float = 0.0
-    """Probability that a request is refused with the wish for a pause of `pause_seconds`."""
-    pause_seconds: float = 2.0
-
-
 @dataclass(slots=True, eq=False)
 class Sequence:
     """A request, or one segment of its split prefill, on an engine.
@@ -79,16 +53,6 @@
     decoding: bool = False
 
 
-@dataclass(slots=True)
-class Request:
-    """A received HTTP request; `target` is the request target with its query."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-
-
 class Target:
     """One target; `profile` is the engine profile of its service, None for a plain service.
 
@@ -189,7 +153,7 @@
         connection = h11.Connection(h11.SERVER)
         try:
             with trio.move_on_after(IDLE_SECONDS) as scope:
-                while (request := await _receive(stream, connection)) is not None:
+                while (request := await receive(stream, connection)) is not None:
                     scope.deadline = trio.current_time() + 10 * IDLE_SECONDS
                     await self._serve_request(stream, connection, request)
                     if connection.our_state is not h11.DONE:
@@ -200,7 +164,7 @@
             pass
         except BaseException:
             if not (self.faults.close_on_crash and self._crash.is_set()):
-                _reset_on_close(stream)
+                reset_on_close(stream)
             raise
         finally:
             await trio.aclose_forcefully(stream)
@@ -210,13 +174,13 @@
     ) -> None:
         match request.target.partition("?")[0]:
             case "/report":
-                await _reply(stream, connection, 200, [], msgspec.json.encode(self._report()))
+                await reply(stream, connection, 200, [], msgspec.json.encode(self._report()))
             case "/order":
                 status, body = self._apply_order(msgspec.json.decode(request.body))
-                await _reply(stream, connection, status, [], msgspec.json.encode(body))
+                await reply(stream, connection, status, [], msgspec.json.encode(body))
             case "/health":
                 headers = [("Wasabiwell-Instance-Id", self.target_id)]
-                await _reply(stream, connection, 200, headers, b"")
+                await reply(stream, connection, 200, headers, b"")
             case _:
                 await self._serve_forwarded(stream, connection, request)
 
@@ -254,17 +218,17 @@
             ("Wasabiwell-Response-Signature", f"{self.target_id}.{request_id}"),
         ]
         if headers.get("wasabiwell-expected-instance", self.target_id) != self.target_id:
-            await _reply(stream, connection, 421, [("At-Server", self.listed_address)], b"")
+            await reply(stream, connection, 421, [("At-Server", self.listed_address)], b"")
             return
         now = trio.current_time()
         self.announcements.count_request(now)
         common += self.announcements.headers(now)
         if self._draw_fault(self.faults.pause_share):
             pause = self.announcements.ask_pause(now, self.faults.pause_seconds)
-            await _reply(stream, connection, 503, [*common, NOT_EXECUTED, *pause], b"")
+            await reply(stream, connection, 503, [*common, NOT_EXECUTED, *pause], b"")
             return
         if self.running >= self.slots * QUEUE_FACTOR:
-            await _reply(stream, connection, 503, [NOT_EXECUTED], b"")
+            await reply(stream, connection, 503, [NOT_EXECUTED], b"")
             return
         run = Run(
             request_id,
@@ -286,7 +250,7 @@
         try:
             interrupted = False
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_cancel_when_closed, stream, nursery.cancel_scope)
+                nursery.start_soon(cancel_when_closed, stream, nursery.cancel_scope)
                 try:
                     if self.profile is not None and "wasabiwell-token-counts" in headers:
                         await self._serve_stream(stream, connection, request, common, run)
@@ -322,24 +286,24 @@
         if self._draw_fault(self.faults.hang_share):
             await trio.sleep_forever()
         if self._draw_fault(self.faults.reset_share):
-            _reset_on_close(stream)
+            reset_on_close(stream)
             raise trio.BrokenResourceError
         if self._draw_fault(self.faults.error_share):
-            await _reply(stream, connection, 500, common, b"failed")
+            await reply(stream, connection, 500, common, b"failed")
             return
         if self._draw_fault(self.faults.foreign_share):
             foreign = [("Wasabiwell-Request-Id", "another"), common[1]]
-            await _reply(stream, connection, 200, foreign, body)
+            await reply(stream, connection, 200, foreign, body)
             return
         if self._draw_fault(self.faults.cut_share):
-            head = _encode_head(connection, 200, [*common, ("Content-Length", str(len(body)))])
+            head = encode_head(connection, 200, [*common, ("Content-Length", str(len(body)))])
             await stream.send_all(head + body[: len(body) // 2])
             raise trio.BrokenResourceError
         if self._draw_fault(self.faults.unframed_share):
             lines = "".join(f"{name}: {value}\r\n" for name, value in common)
             await stream.send_all(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
             raise trio.BrokenResourceError
-        await _reply(stream, connection, 200, common, body)
+        await reply(stream, connection, 200, common, body)
         if self._draw_fault(self.faults.extra_share):
             await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
 
@@ -357,7 +321,7 @@
         engines = self._find_engines(request)
         if isinstance(engines, str):
             self._ledger.runs[run.request_id].remove(run)
-            await _reply(stream, connection, 503, [NOT_EXECUTED, ("At-Server", engines)], b"")
+            await reply(stream, connection, 503, [NOT_EXECUTED, ("At-Server", engines)], b"")
             return
         prompt = int(request.headers["wasabiwell-token-counts"].split(",")[0])
         segments = [engine.add_sequence(run.request_id, prompt, len(engines)) for engine in engines]
@@ -370,7 +334,7 @@
             self._work_added.set()
             headers = [*common, ("Content-Type", "text/event-stream")]
             headers.append(("Transfer-Encoding", "chunked"))
-            await stream.send_all(_encode_head(connection, 200, headers))
+            await stream.send_all(encode_head(connection, 200, headers))
             if self._crashes_on(request):
                 self.crash()
                 await trio.sleep_forever()
@@ -394,7 +358,7 @@
                 number = lead.events.pop(0)
                 event = f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
                 if self._draw_fault(self.faults.reset_share):
-                    _reset_on_close(stream)
+                    reset_on_close(stream)
                     raise trio.BrokenResourceError
                 if self._draw_fault(self.faults.cut_share):
                     data = connection.send(h11.Data(data=event[: len(event) // 2]))
@@ -484,55 +448,3 @@
             if token_budget <= 0:
                 break
         return seconds
-
-
-async def _receive(stream: trio.SocketStream, connection: h11.Connection) -> Request | None:
-    """Return the next request, or None when the connection is closed."""
-    head: h11.Request | None = None
-    body = bytearray()
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await stream.receive_some(READ_BYTES))
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
-            return Request(head.method.decode(), head.target.decode(), headers, bytes(body))
-        else:
-            return None
-
-
-async def _cancel_when_closed(stream: trio.SocketStream, scope: trio.CancelScope) -> None:
-    """Abort a request whose connection is closed, as most engines do."""
-    try:
-        while await stream.receive_some(READ_BYTES):
-            pass
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        pass
-    scope.cancel()
-
-
-def _encode_head(connection: h11.Connection, status: int, headers: list[tuple[str, str]]) -> bytes:
-    return connection.send(h11.Response(status_code=status, headers=headers)) or b""
-
-
-async def _reply(
-    stream: trio.SocketStream,
-    connection: h11.Connection,
-    status: int,
-    headers: list[tuple[str, str]],
-    body: bytes,
-) -> None:
-    data = _encode_head(connection, status, [*headers, ("Content-Length", str(len(body)))])
-    data += connection.send(h11.Data(data=body)) or b""
-    data += connection.send(h11.EndOfMessage()) or b""
-    await stream.send_all(data)
-
-
-def _reset_on_close(stream: trio.SocketStream) -> None:
-    """Make the socket send a TCP reset when it is closed."""
-    linger = struct.pack("ii", 1, 0)
-    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/standins/wasabiwell_standins/users_platform/soak.py
+++ b/standins/wasabiwell_standins/users_platform/soak.py
@@ -10,9 +10,7 @@
 import shutil
 import signal
 import tempfile
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 
@@ -34,10 +32,17 @@
     EntryProcess,
     open_deployment,
 )
-from wasabiwell_standins.users_platform.engine import Target, TargetFaults
+from wasabiwell_standins.users_platform.engine import Target
+from wasabiwell_standins.users_platform.faults import TargetFaults
+from wasabiwell_standins.users_platform.soak_checks import (
+    DRAIN_SECONDS,
+    SEND_INTERVAL,
+    FinalChecks,
+    check_alive,
+)
+from wasabiwell_standins.users_platform.soak_history import FaultHistory, SoakReport
 from wasabiwell_standins.users_platform.store import Outage
 
-SEND_INTERVAL = 0.05
 DISCONNECT_SHARE = 0.08
 """Share of the callers that may disconnect before their response is complete."""
 FAULT_INTERVAL = (0.3, 2.5)
@@ -46,27 +51,9 @@
 SETTLE_SECONDS = 9.0
 """Time after the last fault until all of its effects must be gone: callers cache addresses for up
 to 6 s, and engine memory of a crashed entry instance is free again within 4 s."""
-FINAL_LOAD_SECONDS = 2.0
-DRAIN_SECONDS = 2.0
-"""Required limit: how long after the start of its drain a target may still get new work."""
-UNDISTURBED_SECONDS = 3.0
-"""Required limits apply only if no entry process and no store had a fault for this long."""
-MAX_RESIDENT_BYTES = 160 * 1024 * 1024
-"""A larger resident set of an entry process after a soak counts as a memory leak."""
 PROXY_PORT = 8081
 
 
-@dataclass(slots=True)
-class SoakReport:
-    """Result of one seed: `timeline` lists the injected faults, `findings` the failed checks."""
-
-    seed: int
-    timeline: list[str] = field(default_factory=list)
-    findings: list[str] = field(default_factory=list)
-    replies: int = 0
-    answered: int = 0
-
-
 class Soak:
     """One run: faults drawn from a seed, under a load of requests of all kinds."""
 
@@ -74,13 +61,9 @@
         self._deployment = deployment
         self._report = report
         self._random = random.Random(report.seed)
-        self._started_at = trio.current_time()
         self._proxies: dict[str, Proxy] = {}
-        self._faulted_components: set[str] = set()
-        self._drained_at: dict[str, float] = {}
-        self._disturbances: list[tuple[float, float]] = []
+        self._history = FaultHistory()
         self._next_number = len(deployment.targets)
-        self._final_replies: list[Reply] = []
 
     async def start_proxies(self, nursery: trio.Nursery) -> None:
         """Start a proxy for each target, each frontend, and each entry process's store address."""
@@ -115,15 +98,9 @@
             with trio.move_on_after(seconds):
                 nursery.start_soon(self._send_load, seconds)
                 await self._inject_faults(nursery)
-        self._record("all faults have ended")
+        self._report.record("all faults have ended")
         await trio.sleep(SETTLE_SECONDS)
-        await self._check_final()
-
-    def _record(self, text: str) -> None:
-        self._report.timeline.append(f"{trio.current_time() - self._started_at:7.3f} {text}")
-
-    def _add_finding(self, text: str) -> None:
-        self._report.findings.append(f"{trio.current_time() - self._started_at:7.3f} {text}")
+        await FinalChecks(self._deployment, self._report, self._history).run()
 
     async def _send_load(self, seconds: float) -> None:
         callers = [self._deployment.caller(zone) for zone in ZONES]
@@ -177,31 +154,16 @@
             fault = self._random.choice(faults)
             nursery.start_soon(fault, self._random.uniform(*FAULT_DURATION))
 
-    @asynccontextmanager
-    async def _exclusive(self, name: str) -> AsyncIterator[bool]:
-        """Allow one fault at a time on a component; yield whether it was acquired."""
-        if name in self._faulted_components:
-            yield False
-            return
-        self._faulted_components.add(name)
-        started_at = trio.current_time()
-        try:
-            yield True
-        finally:
-            self._faulted_components.discard(name)
-            if "entry" in name or "store" in name:
-                self._disturbances.append((started_at, trio.current_time()))
-
     def _draw_entry(self) -> EntryProcess:
         return self._random.choice(self._deployment.entries)
 
     async def _kill_entry(self, seconds: float) -> None:
         entry = self._draw_entry()
-        async with self._exclusive(entry.name) as acquired:
+        async with self._history.exclusive(entry.name) as acquired:
             if not acquired:
                 return
-            self._record(f"{entry.name} is killed for {seconds:.1f} s")
-            self._check_alive(entry)
+            self._report.record(f"{entry.name} is killed for {seconds:.1f} s")
+            check_alive(entry, self._report)
             entry.signal(signal.SIGKILL)
             await entry.wait_exited(5)
             await trio.sleep(seconds)
@@ -209,26 +171,28 @@
 
     async def _stop_entry(self, seconds: float) -> None:
         entry = self._draw_entry()
-        async with self._exclusive(entry.name) as acquired:
+        async with self._history.exclusive(entry.name) as acquired:
             if not acquired:
                 return
-            self._record(f"{entry.name} gets SIGTERM")
-            self._check_alive(entry)
+            self._report.record(f"{entry.name} gets SIGTERM")
+            check_alive(entry, self._report)
             entry.signal(signal.SIGTERM)
             if not await entry.wait_exited(8.0):
-                self._add_finding(f"{entry.name} did not stop within 8 s")
+                self._report.add_finding(f"{entry.name} did not stop within 8 s")
                 entry.signal(signal.SIGKILL)
             elif entry.process is not None and entry.process.returncode not in (0, -signal.SIGTERM):
-                self._add_finding(f"{entry.name} stopped with code {entry.process.returncode}")
+                self._report.add_finding(
+                    f"{entry.name} stopped with code {entry.process.returncode}"
+                )
             await trio.sleep(min(seconds, 1.0))
             entry.start()
 
     async def _pause_entry(self, seconds: float) -> None:
         entry = self._draw_entry()
-        async with self._exclusive(entry.name) as acquired:
+        async with self._history.exclusive(entry.name) as acquired:
             if not acquired:
                 return
-            self._record(f"{entry.name} is paused for {seconds:.1f} s")
+            self._report.record(f"{entry.name} is paused for {seconds:.1f} s")
             entry.signal(signal.SIGSTOP)
             await trio.sleep(seconds)
             entry.signal(signal.SIGCONT)
@@ -238,10 +202,10 @@
         entry = self._draw_entry()
         path = entry.folder / f"{entry.name}.conf"
         good = path.read_text()
-        async with self._exclusive(f"{entry.name} settings") as acquired:
+        async with self._history.exclusive(f"{entry.name} settings") as acquired:
             if not acquired or not entry.alive:
                 return
-            self._record(f"{entry.name} gets SIGHUP with changed settings")
+            self._report.record(f"{entry.name} gets SIGHUP with changed settings")
             path.write_text(self._random.choice((good, good + "seeds=nowhere\n", "")))
             entry.signal(signal.SIGHUP)
             await trio.sleep(0.2)
@@ -249,10 +213,10 @@
 
     async def _crash_target(self, seconds: float) -> None:
         target = self._draw_target()
-        async with self._exclusive(target.target_id) as acquired:
+        async with self._history.exclusive(target.target_id) as acquired:
             if not acquired:
                 return
-            self._record(f"{target.target_id} crashes for {seconds:.1f} s")
+            self._report.record(f"{target.target_id} crashes for {seconds:.1f} s")
             target.crash()
             await trio.sleep(seconds)
             target.restart()
@@ -260,14 +224,14 @@
 
     async def _inject_target_fault(self, seconds: float) -> None:
         target = self._draw_target()
-        async with self._exclusive(target.target_id) as acquired:
+        async with self._history.exclusive(target.target_id) as acquired:
             if not acquired:
                 return
             name = self._random.choice(
                 ("error", "reset", "cut", "extra", "foreign", "unframed", "hang")
             )
             share = self._random.uniform(0.05, 0.6)
-            self._record(
+            self._report.record(
                 f"{target.target_id}: fault {name}, share {share:.2f}, for {seconds:.1f} s"
             )
             setattr(target.faults, f"{name}_share", share)
@@ -278,13 +242,13 @@
     async def _drain_target(self, seconds: float) -> None:
         """Drain a target as the platform does, and start another one at its address."""
         target = self._draw_target()
-        async with self._exclusive(target.target_id) as acquired:
+        async with self._history.exclusive(target.target_id) as acquired:
             if not acquired or len(self._deployment.targets_of(target.service)) < 3:
                 return
-            self._record(f"{target.target_id} starts to drain")
+            self._report.record(f"{target.target_id} starts to drain")
             store = self._deployment.store
             store.put_json("servers", target.target_id, target.listing_entry("draining"))
-            self._drained_at[target.target_id] = trio.current_time()
+            self._history.drained_at[target.target_id] = trio.current_time()
             await trio.sleep(DRAIN_SECONDS + 1.0)
             store.put_row("servers", target.target_id, None)
             target.crash()
@@ -295,14 +259,14 @@
     async def _announce_departure(self, seconds: float) -> None:
         """Let a target announce its departure in its answers only, and replace it."""
         target = self._draw_target()
-        async with self._exclusive(target.target_id) as acquired:
+        async with self._history.exclusive(target.target_id) as acquired:
             if not acquired or len(self._deployment.targets_of(target.service)) < 3:
                 return
-            self._record(f"{target.target_id} announces its departure in its answers")
+            self._report.record(f"{target.target_id} announces its departure in its answers")
             target.announcements.leaving = True
             await trio.sleep(DRAIN_SECONDS + seconds)
             if target.announcements.departure_told_at is not None:
-                self._drained_at[target.target_id] = target.announcements.departure_told_at
+                self._history.drained_at[target.target_id] = target.announcements.departure_told_at
             self._deployment.store.put_row("servers", target.target_id, None)
             target.crash()
             await trio.sleep(1.0)
@@ -312,18 +276,18 @@
     async def _ask_pauses(self, seconds: float) -> None:
         """Let a target refuse some requests and ask for pauses, and check that they are heeded."""
         target = self._draw_target()
-        async with self._exclusive(target.target_id) as acquired:
+        async with self._history.exclusive(target.target_id) as acquired:
             if not acquired:
                 return
-            self._record(f"{target.target_id} asks for pauses of {seconds:.1f} s")
+            self._report.record(f"{target.target_id} asks for pauses of {seconds:.1f} s")
             started_at = trio.current_time()
             target.faults = TargetFaults(pause_share=0.5, pause_seconds=seconds)
             await trio.sleep(2 * seconds)
             target.faults = TargetFaults()
-            if self._is_disturbed(started_at, trio.current_time()):
+            if self._history.is_disturbed(started_at, trio.current_time()):
                 return
             for pause in target.announcements.exceeded_pauses(len(self._deployment.entries)):
-                self._add_finding(
+                self._report.add_finding(
                     f"{target.target_id} got {pause.requests} requests in a pause of "
                     f"{pause.seconds:.1f} s"
                 )
@@ -337,44 +301,44 @@
         target = await self._deployment.add_target(target_id, service, number)
         target.listed_address = old.listed_address
         self._deployment.store.put_json("servers", target_id, target.listing_entry())
-        self._record(f"{target_id} of {service} takes the address of {old.target_id}")
+        self._report.record(f"{target_id} of {service} takes the address of {old.target_id}")
 
     def _draw_target(self) -> Target:
         return self._random.choice(list(self._deployment.targets.values()))
 
     async def _inject_store_fault(self, seconds: float) -> None:
         faults = self._deployment.store.faults
-        async with self._exclusive("store") as acquired:
+        async with self._history.exclusive("store") as acquired:
             if not acquired:
                 return
             match self._random.choice(("away", "slow", "lost", "forgets")):
                 case "away":
                     faults.outage = self._random.choice(list(Outage))
-                    self._record(f"store outage {faults.outage.name} for {seconds:.1f} s")
+                    self._report.record(f"store outage {faults.outage.name} for {seconds:.1f} s")
                 case "slow":
                     faults.delay_s = self._random.uniform(0.05, 0.4)
-                    self._record(
+                    self._report.record(
                         f"store calls are delayed by {faults.delay_s:.2f} s for {seconds:.1f} s"
                     )
                 case "lost":
                     faults.lose_responses = 3
-                    self._record("the next three transactions get no response")
+                    self._report.record("the next three transactions get no response")
                 case _:
                     self._deployment.store.discard_history()
-                    self._record("the store discards its change history")
+                    self._report.record("the store discards its change history")
             await trio.sleep(seconds)
             faults.outage, faults.delay_s, faults.lose_responses = None, 0.0, 0
 
     async def _inject_proxy_fault(self, seconds: float) -> None:
         name = self._random.choice(list(self._proxies))
         proxy = self._proxies[name]
-        async with self._exclusive(name) as acquired:
+        async with self._history.exclusive(name) as acquired:
             if not acquired:
                 return
             kind = self._random.choice(
                 ("reset", "cut", "delay", "silent_to_server", "silent_to_client")
             )
-            self._record(f"connections to {name}: {kind} for {seconds:.1f} s")
+            self._report.record(f"connections to {name}: {kind} for {seconds:.1f} s")
             match kind:
                 case "reset":
                     proxy.reset()
@@ -390,7 +354,7 @@
             proxy.faults.delay_s = 0.0
 
     async def _change_configuration(self, seconds: float) -> None:
-        async with self._exclusive("configuration") as acquired:
+        async with self._history.exclusive("configuration") as acquired:
             if not acquired:
                 return
             configuration = self._deployment.configuration
@@ -399,92 +363,12 @@
             for _ in range(self._random.choice((1, 1, 5))):
                 configuration["routes"][0]["priority"] = self._random.randrange(9)
                 version = self._deployment.publish_configuration()
-                self._record(f"configuration version {version} with {len(keys)} API keys")
+                self._report.record(f"configuration version {version} with {len(keys)} API keys")
                 await trio.sleep(self._random.uniform(0.0, 0.2))
             await trio.sleep(seconds)
             configuration["tenants"] = [{"name": TENANT, "api_keys": [KEY, OTHER_KEY]}]
             self._deployment.publish_configuration()
 
-    def _check_alive(self, entry: EntryProcess) -> None:
-        if not entry.alive:
-            self._add_finding(f"{entry.name} had exited on its own; see its log")
-
-    async def _check_final(self) -> None:
-        """Check recovery from the faults, a final load, and the recorded guarantees."""
-        deployment = self._deployment
-        for entry in deployment.entries:
-            self._check_alive(entry)
-            if not await deployment.is_ready(entry):
-                self._add_finding(f"{entry.name} is not ready after the last fault")
-            if (resident := _resident_bytes(entry)) > MAX_RESIDENT_BYTES:
-                self._add_finding(f"{entry.name} has a resident set of {resident} bytes")
-        for target in deployment.targets.values():
-            if target.tokens_held:
-                self._add_finding(
-                    f"{target.target_id} still has KV cache tickets: {target.tickets}"
-                )
-            if target.running:
-                self._add_finding(f"{target.target_id} still runs {target.running} requests")
-        self._check_drained()
-        await self._send_final_requests()
-        self._report.findings += [
-            f"guarantee violated: {text}" for text in deployment.ledger.violations()
-        ]
-
-    def _check_drained(self) -> None:
-        """Check that no request started late on a draining target.
-
-        Requests around a fault of an entry process or the store are exempt.
-        """
-        runs = [run for found in self._deployment.ledger.runs.values() for run in found]
-        for run in runs:
-            drained = self._drained_at.get(run.target_id)
-            if drained is None or run.started_at < drained + DRAIN_SECONDS:
-                continue
-            if not self._is_disturbed(drained, run.started_at):
-                late = run.started_at - drained
-                self._add_finding(
-                    f"{run.request_id} started on {run.target_id} {late:.2f} s after its drain"
-                )
-
-    def _is_disturbed(self, start: float, end: float) -> bool:
-        """Return whether an entry process or the store had a fault around a time."""
-        if any("entry" in name or "store" in name for name in self._faulted_components):
-            return True
-        since = start - UNDISTURBED_SECONDS
-        return any(
-            started_at < end and ended_at > since for started_at, ended_at in self._disturbances
-        )
-
-    async def _send_final_requests(self) -> None:
-        caller = self._deployment.caller()
-        count = round(FINAL_LOAD_SECONDS / SEND_INTERVAL)
-        requests = [self._deployment.request(route) for route in ("short", "book", "look") * count][
-            :count
-        ]
-
-        async def send(request: CallerRequest) -> None:
-            self._final_replies.append(await caller.send(request))
-
-        async with trio.open_nursery() as nursery:
-            for request in requests:
-                nursery.start_soon(send, request)
-                await trio.sleep(SEND_INTERVAL)
-        for reply in self._final_replies:
-            if reply.status != 200 or not reply.complete:
-                self._add_finding(
-                    f"{reply.request_id} on {reply.request.path} got status {reply.status} "
-                    "in the final load"
-                )
-
-
-def _resident_bytes(entry: EntryProcess) -> int:
-    if entry.process is None or not entry.alive:
-        return 0
-    text = Path(f"/proc/{entry.process.pid}/status").read_text()
-    line = next(line for line in text.splitlines() if line.startswith("VmRSS:"))
-    return int(line.split()[1]) * 1024
-
 
 async def soak_seed(seed: int, seconds: float, size: DeploymentSize, folder: Path) -> SoakReport:
     """Run one seed; the logs of the entry processes are written to the folder."""
--- a/tests/steps/entry/coordination/discovery_steps.py
+++ b/tests/steps/entry/coordination/discovery_steps.py
@@ -10,12 +10,11 @@
 import trio.testing
 from behave import given, then, when
 from behave.runner import Context
-from support.stores import FakeRoutes, FakeStore, targets_from, text_of, wait_for
-from wasabiwell_entry.coordination.discovery import RouteDiscovery, TargetDiscovery
+from support.steps import count_steps
+from support.stores import FakeStore, targets_from, text_of, wait_for
+from wasabiwell_entry.coordination.discovery import TargetDiscovery
 from wasabiwell_entry.coordination.discovery.ports import (
     ChangeHistoryLost,
-    FleetView,
-    StoreRole,
     TargetChanges,
 )
 from wasabiwell_entry.state.clock import SystemClock
@@ -181,19 +180,36 @@
     assert context.pair.other_store.reads == 0, context.pair.other_store.reads
 
 
-@when("the store is unavailable for {seconds:d} seconds for a fleet of {size:d}")
-def step_outage_large(context: Context, seconds: int, size: int) -> None:
+def add_outage(context: Context, seconds: int, size: int, notice: ListingNotice | None) -> None:
+    """Let the store be away for an instance of a fleet, which gets a notice that does not fit."""
+
     async def action(pair: WatcherPair) -> None:
         pair.fleet_size = size
         pair.store.unavailable = True
         pair.store.wake()
-        await trio.sleep(3)
+        if notice is None:
+            await trio.sleep(3)
+        else:
+            pair.other.receive("watcher", notice)
         pair.other_store.reads = 0
         await trio.sleep(seconds)
 
     add_action(context, action)
 
 
+@when("the store is unavailable for {seconds:d} seconds for a fleet of {size:d}")
+def step_outage_large(context: Context, seconds: int, size: int) -> None:
+    add_outage(context, seconds, size, None)
+
+
+@when(
+    "the store is unavailable for {seconds:d} seconds for a fleet of {size:d}, and a notice cannot "
+    "be applied"
+)
+def step_outage_missed(context: Context, seconds: int, size: int) -> None:
+    add_outage(context, seconds, size, ListingNotice(100, 1, 2, (), ()))
+
+
 @then("the other instance has read the store at most {most:d} times")
 def step_other_reads(context: Context, most: int) -> None:
     check_targets(context, lambda pair: pair.other, context.names, 0)
@@ -241,25 +257,6 @@
     assert context.reads <= 2, context.reads
 
 
-class StepCounter(trio.abc.Instrument):
-    """Counts the steps of all tasks whose name contains `name`."""
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.count = 0
-
-    def before_task_step(self, task: trio.lowlevel.Task) -> None:
-        """Count a step of a task."""
-        self.count += self.name in task.name
-
-
-def count_steps(name: str, run: Callable[[], Awaitable[None]]) -> int:
-    """Run in simulated time, and return the steps of tasks whose name contains `name`."""
-    counter = StepCounter(name)
-    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0), instruments=[counter])
-    return counter.count
-
-
 @then("the other instance woke up at most {most:d} times in {seconds:d} seconds")
 def step_woke_up(context: Context, most: int, seconds: int) -> None:
     async def run() -> None:
@@ -275,121 +272,6 @@
     assert 0 < count <= most, count
 
 
-RouteAction = Callable[["RouteWorld"], Awaitable[None]]
-
-
-class RouteWorld:
-    """An instance that tracks routes, and a peer from which it can fetch them."""
-
-    def __init__(self, version: int) -> None:
-        self.store = FakeRoutes(version)
-        self.document = b""
-        view = FleetView(lambda: StoreRole.INDEPENDENT, lambda: 1, lambda _: None, lambda: None)
-        self.discovery = RouteDiscovery(self.store, self.fetch, lambda _: None, view, SystemClock())
-
-    async def fetch(self, address: str) -> bytes | StoreUnavailable:
-        """Return the document of the peer."""
-        await trio.lowlevel.checkpoint()
-        return self.document or StoreUnavailable("refused")
-
-
-@given("an instance that tracks a store with version {version:d}")
-def step_routes(context: Context, version: int) -> None:
-    context.version = version
-    context.route_actions = []
-
-
-@given("the poll for changes never returns")
-def step_poll_hangs(context: Context) -> None:
-    async def action(world: RouteWorld) -> None:
-        world.store.polls_hang = True
-        await trio.lowlevel.checkpoint()
-
-    context.route_actions.append(action)
-
-
-@when("version {version:d} is put in force")
-@when("the store returns version {version:d}")
-def step_put(context: Context, version: int) -> None:
-    async def action(world: RouteWorld) -> None:
-        world.store.put(version)
-        await trio.sleep(0.02)
-
-    context.route_actions.append(action)
-
-
-@when("version {version:d} is put in force and a peer announces it")
-def step_put_announced(context: Context, version: int) -> None:
-    async def action(world: RouteWorld) -> None:
-        world.store.put(version)
-        world.document = str(version).encode()
-        world.discovery.record_announcement("10.0.0.2:9", version)
-        await trio.lowlevel.checkpoint()
-
-    context.route_actions.append(action)
-
-
-@when("the store becomes unavailable and a peer announces version {version:d}")
-def step_unavailable(context: Context, version: int) -> None:
-    announce_unavailable(context, version, str(version).encode())
-
-
-@when("the store becomes unavailable and a peer announces version {version:d} in an invalid form")
-def step_unavailable_invalid(context: Context, version: int) -> None:
-    announce_unavailable(context, version, b"nonsense")
-
-
-def announce_unavailable(context: Context, version: int, document: bytes) -> None:
-    async def action(world: RouteWorld) -> None:
-        world.store.unavailable = True
-        world.store.wake()
-        world.document = document
-        world.discovery.record_announcement("10.0.0.2:9", version)
-        await trio.lowlevel.checkpoint()
-
-    context.route_actions.append(action)
-
-
-@when("the change history is lost while version {version:d} is put in force")
-def step_history(context: Context, version: int) -> None:
-    async def action(world: RouteWorld) -> None:
-        world.store.lost_history = True
-        world.store.put(version)
-        await trio.lowlevel.checkpoint()
-
-    context.route_actions.append(action)
-
-
-@then("the instance has version {version:d} within {milliseconds:d} ms")
-def step_version(context: Context, version: int, milliseconds: int) -> None:
-    async def run() -> None:
-        world = RouteWorld(context.version)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(world.discovery.run)
-            await trio.sleep(SETTLED_SECONDS)
-            for action in context.route_actions:
-                await action(world)
-            await wait_for(lambda: world.discovery.table.version > version, milliseconds // 2)
-            await wait_for(lambda: world.discovery.table.version == version, milliseconds)
-            assert world.discovery.table.version == version, world.discovery.table.version
-            nursery.cancel_scope.cancel()
-
-    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
-@then("the instance checked for newer versions at most {most:d} times in {seconds:d} seconds")
-def step_checked(context: Context, most: int, seconds: int) -> None:
-    async def run() -> None:
-        world = RouteWorld(context.version)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(world.discovery.run)
-            await trio.sleep(seconds)
-            nursery.cancel_scope.cancel()
-
-    count = count_steps("_follow_announcements", run)
-    assert 0 < count <= most, count
-
-
 @when("{count:d} notices of unknown bases arrive within {milliseconds:d} ms")
 def step_unknown_bases(context: Context, count: int, milliseconds: int) -> None:
     async def action(pair: WatcherPair) -> None:
@@ -477,21 +359,6 @@
     assert context.later_reads <= most, (context.later_reads, seconds)
 
 
-@when(
-    "the store is unavailable for {seconds:d} seconds for a fleet of {size:d}, and a notice cannot "
-    "be applied"
-)
-def step_outage_missed(context: Context, seconds: int, size: int) -> None:
-    async def action(pair: WatcherPair) -> None:
-        pair.fleet_size = size
-        pair.store.unavailable = True
-        pair.other.receive("watcher", ListingNotice(pair.store.revision, 1, 2, (), ()))
-        pair.other_store.reads = 0
-        await trio.sleep(seconds)
-
-    add_action(context, action)
-
-
 @then("the other instance has read the store at least {least:d} times")
 def step_other_reads_least(context: Context, least: int) -> None:
     check_targets(context, lambda pair: pair.other, context.names, 0)
