--- a/review/harness.py
+++ b/review/harness.py
@@ -663,6 +663,10 @@
     """Play a case and exit with its result; `play` returns how the rule was broken."""
 
     async def run() -> int:
+        main_task = asyncio.current_task()
+        assert main_task is not None
+        # Whoever ends the script early must not leave its processes behind.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, main_task.cancel)
         async with open_fleet(case) as fleet:
             async with asyncio.timeout(110):
                 violations = await play(fleet)
@@ -674,6 +678,6 @@
 
     try:
         sys.exit(asyncio.run(run()))
-    except (CaseNotRunError, OSError, TimeoutError) as error:
+    except (CaseNotRunError, OSError, TimeoutError, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(NOT_RUN)
