--- a/review/harness.py
+++ b/review/harness.py
@@ -10,7 +10,6 @@
 import os
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -616,22 +615,18 @@
     }
 
 
-def _is_free(host: str, port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((host, port))
-        except OSError:
-            return False
-    return True
-
+async def _serve_store(store: Store) -> str:
+    """Serve the store at a free block of loopback addresses; return the block's first two bytes.
 
-def _free_block() -> str:
-    """Return the first two bytes of loopback addresses at which nothing of this review runs."""
+    The store's port keeps other scripts that run at the same time out of the block.
+    """
     for number in random.sample(range(100, 250), 150):
         block = f"127.{number}"
-        if _is_free(f"{block}.0.1", STORE_PORT) and _is_free(f"{block}.1.1", PORTS["frontend"]):
-            return block
+        try:
+            await serve(f"{block}.0.1", STORE_PORT, store.handle)
+        except OSError:
+            continue
+        return block
     raise CaseNotRunError("no free block of loopback addresses")
 
 
@@ -648,8 +643,7 @@
     record = Record(case)
     with tempfile.TemporaryDirectory(prefix="wasabiwell-review-") as folder:
         store = Store(record)
-        fleet = Fleet(record, _free_block(), Path(folder), store)
-        await serve(f"{fleet.block}.0.1", STORE_PORT, store.handle)
+        fleet = Fleet(record, await _serve_store(store), Path(folder), store)
         record.add("script", f"disruption {'on' if TROUBLE else 'off'}")
         try:
             yield fleet
