Log what shows that the routes are current, and versions that are not applied

routes_proved gives version, source and peer of a proof when the version changes, at most once in 5 s when only the source does. routes_proof_old repeats the last proof once in 5 s while it is over 2 s old. routes_not_applied names a version that was read, fetched or announced and not applied, with the reason. configuration_in_force names the source of the version. A document that cannot be decoded has a type of its own, a kind of StoreUnavailable, and is handled as before. No decision changes.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
@@ -78,3 +78,10 @@
 ANNOUNCEMENT_DELAY = timedelta(milliseconds=250)
 """Time for the store's long poll to return a version that a peer has announced, before the version
 is fetched from the peer."""
+OLD_PROOF_AGE = timedelta(seconds=2)
+"""Age from which the last proof that the routes are current is logged: a change must be in force
+2 s after it."""
+PROOF_CHECK_INTERVAL = timedelta(seconds=1)
+"""Interval at which the age of the last proof is checked."""
+REPEATED_LINE_INTERVAL = timedelta(seconds=5)
+"""Shortest time between two log lines of one old proof, or of one version that is not applied."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
@@ -38,6 +38,11 @@
     document: bytes = field(default=b"", repr=False)
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableRoutes(StoreUnavailable):
+    """A document of the routes cannot be decoded; `reason` says why."""
+
+
 @dataclass(frozen=True, slots=True)
 class ChangeHistoryLost:
     """The changes after a revision are no longer available; the whole list has to be read again."""
@@ -75,7 +80,7 @@
     ) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
         """Wait for a change after a revision, for at most `wait`."""
 
-    def decode(self, document: bytes) -> RouteTable | StoreUnavailable:
+    def decode(self, document: bytes) -> RouteTable | UnreadableRoutes:
         """Decode the routes in a document that a peer has sent."""
 
 
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
@@ -26,6 +26,14 @@
     RoutesPort,
     RoutesRead,
     StoreRole,
+    UnreadableRoutes,
+)
+from wasabiwell_entry.coordination.discovery.proof_log import (
+    ProofSource,
+    RejectedVersion,
+    RejectionReason,
+    RouteProof,
+    RouteProofLog,
 )
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
@@ -55,6 +63,7 @@
         "_poll_scope",
         "_port",
         "_preferred_address",
+        "_proof_log",
         "_revision",
         "_store_unavailable",
         "_table",
@@ -72,6 +81,7 @@
         self._port = port
         self._fleet = fleet
         self._confirmation = RouteConfirmation(fleet, clock, random or Random())
+        self._proof_log = RouteProofLog(clock)
         self._holding_poll = False
         self._preferred_address = ""
         self._fetch = fetch
@@ -107,6 +117,7 @@
         if version != self._table.version:
             return
         self._confirmation.confirm()
+        self._proof_log.record_proof(RouteProof(ProofSource.CONFIRMATION, control_address, version))
         if self._holding_poll and self._fleet.role() is StoreRole.LISTENER:
             self._poll_scope.cancel()
 
@@ -124,6 +135,7 @@
         """Track the routes until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follow_announcements)
+            nursery.start_soon(self._proof_log.report_old_proofs)
             await self._poll_store()
 
     async def _poll_store(self) -> None:
@@ -139,7 +151,8 @@
                     # Only a poll shows that polls work again.
                     poll_failed = poll_failed and self._revision is None
                     # Applied first, so that routes that cannot be applied are read again.
-                    self._apply(outcome)
+                    self._apply(outcome, "store")
+                    self._record_own_proof(outcome)
                     self._revision = revision
                     delay = MIN_ROUTE_RETRY_DELAY
                     self._log_store_state(None)
@@ -159,6 +172,13 @@
                     await self._clock.sleep(delay)
                     delay = min(delay * 2, MAX_ROUTE_RETRY_DELAY)
 
+    def _record_own_proof(self, read: RoutesRead) -> None:
+        """Log what the store returned; a poll that ended without a change returns no table."""
+        source = ProofSource.READ if self._revision is None else ProofSource.POLL
+        if read.table is None and source is ProofSource.READ:
+            self._log_rejection(None, "store", RejectionReason.MISSING)
+        self._proof_log.record_proof(RouteProof(source, "", self._table.version))
+
     async def _poll(self) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
         """Read the routes, or poll for a change if they have been read before."""
         wait, margin = ROUTE_POLL_WAIT, ROUTE_POLL_MARGIN
@@ -190,6 +210,8 @@
                 finally:
                     self._holding_poll = False
             nursery.cancel_scope.cancel()
+        if isinstance(outcome, UnreadableRoutes):
+            self._log_rejection(None, "store", RejectionReason.UNDECODABLE)
         if isinstance(outcome, StoreUnavailable) and self._revision is None:
             self._report_failure()
         return outcome
@@ -246,21 +268,34 @@
         document = await self._fetch(address)
         if isinstance(document, StoreUnavailable):
             log_events.emit(log_events.ROUTES_NOT_FETCHED, peer=address, reason=document.reason)
-            self._announced_versions.pop(address, None)
+            announced = self._announced_versions.pop(address, None)
+            self._log_rejection(announced, address, RejectionReason.FETCH_FAILED)
             return
         table = self._port.decode(document)
-        if isinstance(table, StoreUnavailable):
+        if isinstance(table, UnreadableRoutes):
             log_events.emit(log_events.ROUTES_UNREADABLE, source=address, reason=table.reason)
+            announced = self._announced_versions.get(address)
+            self._log_rejection(announced, address, RejectionReason.UNDECODABLE)
             return
-        self._apply(RoutesRead(0, table, document))
+        self._apply(RoutesRead(0, table, document), address)
+        if table.version < self._announced_versions.get(address, 0):
+            self._log_rejection(table.version, address, RejectionReason.PEER_BEHIND)
 
-    def _apply(self, read: RoutesRead) -> None:
-        """Apply routes if they are newer."""
+    def _apply(self, read: RoutesRead, source: str) -> None:
+        """Apply routes from the store or a peer if they are newer."""
         if read.table is None or read.table.version <= self._table.version:
+            if read.table is not None and read.table.version < self._table.version:
+                self._log_rejection(read.table.version, source, RejectionReason.LOWER)
             return
         self._observer(read.table)
         self._table, self._document = read.table, read.document
-        log_events.emit(log_events.CONFIGURATION_IN_FORCE, version=read.table.version)
+        log_events.emit(
+            log_events.CONFIGURATION_IN_FORCE, version=read.table.version, source=source
+        )
+
+    def _log_rejection(self, version: int | None, source: str, reason: RejectionReason) -> None:
+        rejected = RejectedVersion(version, source, reason)
+        self._proof_log.record_rejection(rejected, self._table.version)
 
     def _log_store_state(self, reason: str | None) -> None:
         if reason is not None and not self._store_unavailable:
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -394,6 +394,25 @@
 REQUEST_FAILED_INTERNALLY = LogEvent(
     500, Level.ERROR, "request {request}: unexpected {error}", "Report this as a bug, with the log."
 )
+ROUTES_PROVED = LogEvent(
+    456,
+    Level.INFO,
+    "routes version {version} is the newest one by {source} {peer}",
+)
+ROUTES_PROOF_OLD = LogEvent(
+    457,
+    Level.WARNING,
+    "the last proof that routes version {version} is the newest one is {age_ms} ms old; it was "
+    "{source} {peer}",
+    "See routes_not_applied, store_unavailable and routes_unconfirmed of this instance.",
+)
+ROUTES_NOT_APPLIED = LogEvent(
+    458,
+    Level.WARNING,
+    "routes version {version} from {source} is not applied, as {reason}; version "
+    "{version_in_force} stays in force",
+    "Look at the store or the peer that is named if this instance stays behind the others.",
+)
 
 
 def emit(event: LogEvent, **fields: object) -> None:
--- a/tests/entry/coordination/discovery/routes.feature
+++ b/tests/entry/coordination/discovery/routes.feature
@@ -37,6 +37,32 @@
     Given an instance that tracks a store with version 3
     Then the instance checked for newer versions at most 2 times in 10 seconds
 
+  Scenario Outline: A version that is not applied is logged with the reason
+    Guards against an instance that keeps an older version without a line that says why.
+    Given an instance that tracks a store with version 5
+    When <event>
+    Then the instance logs once that version <version> is not applied, as "<reason>"
+
+    Examples:
+      | event                                                                         | version | reason                              |
+      | the store returns version 4                                                   | 4       | it is lower than the one in force   |
+      | the store has no configuration any more                                       | None    | the store has no configuration      |
+      | the store returns a configuration that cannot be decoded                      | None    | it cannot be decoded                |
+      | the store becomes unavailable and a peer announces version 6 in an invalid form | 6       | it cannot be decoded                |
+      | the store becomes unavailable and a peer announces version 6, which it does not send | 6       | the peer did not send it            |
+      | the store becomes unavailable and a peer announces version 8 and sends 7      | 7       | the peer sent another one           |
+
+  Scenario: An old proof that the routes are current is logged, at a bounded rate
+    Guards against routes that nothing confirms without a line, and against a line at each check.
+    Given an instance that tracks a store with version 5
+    When the store is away for 21 seconds
+    Then the instance logs the old proof 3 to 5 times, and then a new one
+
+  Scenario: Instances do not log each confirmation of their routes
+    Given 40 instances of which 3 follow a store with version 3
+    When 30 seconds pass for them
+    Then they log at most 2 proofs each, and no old one
+
   Scenario: Listeners do not read the store while followers confirm their routes
     Given 40 instances of which 3 follow a store with version 3
     When 30 seconds pass for them
--- a/tests/steps/entry/coordination/route_fleet_steps.py
+++ b/tests/steps/entry/coordination/route_fleet_steps.py
@@ -9,6 +9,7 @@
 import trio.testing
 from behave import given, then, when
 from behave.runner import Context
+from support.logs import record_events
 from support.stores import FakeRoutes, wait_for
 from wasabiwell_entry.coordination.discovery import RouteDiscovery
 from wasabiwell_entry.coordination.discovery.ports import (
@@ -16,7 +17,9 @@
     FleetView,
     RoutesRead,
     StoreRole,
+    UnreadableRoutes,
 )
+from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import SystemClock
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import RouteTable
@@ -55,7 +58,7 @@
             return StoreUnavailable("refused")
         return await self._store.changes(after, wait)
 
-    def decode(self, document: bytes) -> RouteTable | StoreUnavailable:
+    def decode(self, document: bytes) -> RouteTable | UnreadableRoutes:
         """Return the routes of a document."""
         return self._store.decode(document)
 
@@ -410,3 +413,14 @@
 def step_no_listener_read(context: Context) -> None:
     reads = [member.store.reads for member in context.fleet.members if not member.follower]
     assert not any(reads), reads
+
+
+@then("they log at most {most:d} proofs each, and no old one")
+def step_few_proofs(context: Context, most: int) -> None:
+    with record_events() as records:
+        play(context)
+    numbers = [record.extra["event"] for record in records]
+    proved, proof_old = log_events.ROUTES_PROVED.number, log_events.ROUTES_PROOF_OLD.number
+    size = len(context.fleet.members)
+    assert size <= numbers.count(proved) <= most * size, numbers.count(proved)
+    assert not numbers.count(proof_old), numbers
--- a/tests/steps/entry/coordination/routes_steps.py
+++ b/tests/steps/entry/coordination/routes_steps.py
@@ -2,14 +2,17 @@
 
 from collections.abc import Awaitable, Callable
 
+import logbook
 import trio
 import trio.testing
 from behave import given, then, when
 from behave.runner import Context
+from support.logs import record_events
 from support.steps import count_steps
 from support.stores import FakeRoutes, wait_for
 from wasabiwell_entry.coordination.discovery import RouteDiscovery
 from wasabiwell_entry.coordination.discovery.ports import FleetView, StoreRole
+from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import SystemClock
 from wasabiwell_entry.state.platform import StoreUnavailable
 
@@ -127,3 +130,90 @@
 
     count = count_steps("_follow_announcements", run)
     assert 0 < count <= most, count
+
+
+@when("the store has no configuration any more")
+def step_missing(context: Context) -> None:
+    async def action(world: RouteWorld) -> None:
+        world.store.missing, world.store.lost_history = True, True
+        world.store.wake()
+        await trio.lowlevel.checkpoint()
+
+    context.route_actions.append(action)
+
+
+@when("the store returns a configuration that cannot be decoded")
+def step_unreadable(context: Context) -> None:
+    async def action(world: RouteWorld) -> None:
+        world.store.unreadable = True
+        world.store.put(9)
+        await trio.lowlevel.checkpoint()
+
+    context.route_actions.append(action)
+
+
+@when(
+    "the store becomes unavailable and a peer announces version {version:d}, which it does not send"
+)
+def step_not_sent(context: Context, version: int) -> None:
+    announce_unavailable(context, version, b"")
+
+
+@when("the store becomes unavailable and a peer announces version {version:d} and sends {sent:d}")
+def step_sends_other(context: Context, version: int, sent: int) -> None:
+    announce_unavailable(context, version, str(sent).encode())
+
+
+@when("the store is away for {seconds:d} seconds")
+def step_away_for(context: Context, seconds: int) -> None:
+    async def action(world: RouteWorld) -> None:
+        world.store.unavailable = True
+        world.store.wake()
+        await trio.sleep(seconds)
+        world.store.unavailable = False
+        await trio.sleep(2)
+
+    context.route_actions.append(action)
+
+
+def play(context: Context, seconds: float) -> list[logbook.LogRecord]:
+    """Run the instance through all actions and return the log lines after the first read."""
+
+    async def run() -> None:
+        world = RouteWorld(context.version)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(world.discovery.run)
+            await trio.sleep(SETTLED_SECONDS)
+            for action in context.route_actions:
+                await action(world)
+            await trio.sleep(seconds)
+            nursery.cancel_scope.cancel()
+
+    with record_events() as records:
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    return list(records)
+
+
+def fields_of(
+    records: list[logbook.LogRecord], event: log_events.LogEvent
+) -> list[dict[str, object]]:
+    return [record.kwargs for record in records if record.extra["event"] == event.number]
+
+
+@then('the instance logs once that version {version} is not applied, as "{reason}"')
+def step_rejected(context: Context, version: str, reason: str) -> None:
+    found = fields_of(play(context, 4.0), log_events.ROUTES_NOT_APPLIED)
+    assert [(str(item["version"]), item["reason"]) for item in found] == [(version, reason)], found
+
+
+@then("the instance logs the old proof {least:d} to {most:d} times, and then a new one")
+def step_old_proofs(context: Context, least: int, most: int) -> None:
+    records = play(context, 0.0)
+    old = fields_of(records, log_events.ROUTES_PROOF_OLD)
+    assert least <= len(old) <= most, old
+    ages = [item["age_ms"] for item in old]
+    assert ages == sorted(ages), ages
+    numbers = [record.extra["event"] for record in records]
+    proved, proof_old = log_events.ROUTES_PROVED.number, log_events.ROUTES_PROOF_OLD.number
+    assert proved in numbers[: numbers.index(proof_old)], numbers
+    assert proved in numbers[numbers.index(proof_old) :], numbers
--- a/tests/support/stores.py
+++ b/tests/support/stores.py
@@ -10,6 +10,7 @@
     ChangeHistoryLost,
     RoutesRead,
     TargetChanges,
+    UnreadableRoutes,
 )
 from wasabiwell_entry.state.listing import TargetListing
 from wasabiwell_entry.state.platform import StoreUnavailable
@@ -133,6 +134,10 @@
     """Whether polls, also those in progress, get no response while reads do."""
     lost_history: bool = False
     polls_fail: bool = False
+    missing: bool = False
+    """Whether the store has no configuration."""
+    unreadable: bool = False
+    """Whether the configuration in the store cannot be decoded."""
     deaf: bool = False
     """Whether polls are not told of changes."""
     cut_events: set[trio.Event] = field(default_factory=set)
@@ -188,17 +193,21 @@
             return ChangeHistoryLost()
         return self._read()
 
-    def decode(self, document: bytes) -> RouteTable | StoreUnavailable:
+    def decode(self, document: bytes) -> RouteTable | UnreadableRoutes:
         """Return the routes of a document."""
         if not document.isdigit():
-            return StoreUnavailable("nonsense")
+            return UnreadableRoutes("nonsense")
         return table_of(int(document))
 
     async def _wait_while_silent(self) -> None:
         if self.silent:
             await trio.sleep_forever()
 
-    def _read(self) -> RoutesRead:
+    def _read(self) -> RoutesRead | UnreadableRoutes:
+        if self.unreadable:
+            return UnreadableRoutes("nonsense")
+        if self.missing:
+            return RoutesRead(self.revision, None)
         return RoutesRead(self.revision, table_of(self.version), str(self.version).encode())
 
 
