--- a/tests/platform/answers.feature
+++ b/tests/platform/answers.feature
@@ -149,3 +149,90 @@
     When two HEAD calls, idempotent requests, are sent to it one after the other
     Then the first caller has received status 200 and the body of no bytes
     And the second caller has received its own head
+
+  Scenario Outline: A part of an answer whose connection is reset during the upload is not a whole answer
+    Guards against a part of an answer without a length that ends as a whole one: the write reports the
+    reset, and the read after it an end in order.
+    Given a target that answers early without a length, and then, <pause> ms later, does <end>
+    When a <request> with an upload is sent to it, and another target answers in full
+    Then the caller has received no whole success
+    And each ran once, and is not reported as not run
+
+    Examples:
+      | request       | pause | end               |
+      | booking       | 0     | reset             |
+      | booking       | 20    | reset             |
+      | booking       | 300   | reset             |
+      | booking       | 1200  | reset             |
+      | booking       | 0     | close             |
+      | booking       | 20    | close             |
+      | booking       | 0     | end and reset     |
+      | booking       | 20    | end and reset     |
+      | booking       | 0     | read on and reset |
+      | booking       | 20    | read on and reset |
+      | single stream | 0     | reset             |
+      | single stream | 20    | reset             |
+      | single stream | 300   | reset             |
+      | single stream | 0     | close             |
+      | single stream | 0     | end and reset     |
+      | single stream | 20    | read on and reset |
+
+  Scenario Outline: A request whose answer is cut by a reset during its upload gets the answer of another target
+    Given a target that answers early without a length, and then, <pause> ms later, does <end>
+    When a <request> with an upload is sent to it, and another target answers in full
+    Then the caller has received the whole answer of 2 targets
+
+    Examples:
+      | request            | pause | end               |
+      | idempotent request | 0     | reset             |
+      | idempotent request | 20    | reset             |
+      | idempotent request | 300   | reset             |
+      | idempotent request | 0     | close             |
+      | idempotent request | 20    | end and reset     |
+      | idempotent request | 20    | read on and reset |
+      | resumable stream   | 0     | reset             |
+      | resumable stream   | 20    | reset             |
+      | resumable stream   | 300   | reset             |
+      | resumable stream   | 0     | close             |
+      | resumable stream   | 20    | end and reset     |
+      | resumable stream   | 20    | read on and reset |
+
+  Scenario Outline: An early answer that announces its end is whole, however the upload ends
+    Guards against a loss of early failures and successes, which are whole without the rest of the upload.
+    Given a target that answers early <framing>, and then, <pause> ms later, does <end>
+    When a <request> with an upload is sent to it, and another target answers in full
+    Then the caller has received the whole answer of 1 target
+
+    Examples:
+      | framing       | request       | pause | end     |
+      | with a length | booking       | 0     | reset   |
+      | with a length | booking       | 20    | reset   |
+      | with a length | booking       | 20    | close   |
+      | with a length | booking       | 20    | read on |
+      | in chunks     | booking       | 20    | reset   |
+      | in chunks     | booking       | 20    | read on |
+      | with a length | single stream | 20    | reset   |
+      | in chunks     | single stream | 20    | close   |
+
+  Scenario Outline: An early refusal is read, however the upload ends
+    Given a target that refuses a request early, and then, 20 ms later, does <end>
+    When a booking with an upload is sent to it, and another target answers in full
+    Then the caller has received the whole answer of 2 targets
+
+    Examples:
+      | end     |
+      | reset   |
+      | close   |
+      | read on |
+
+  Scenario Outline: A target that answers before it has read the upload gets the rest of it, and no other bytes
+    Given a target that answers early <framing>, and then, 300 ms later, does <end>
+    When a booking with an upload is sent to it, and another target answers in full
+    Then the caller has received <result>
+    And the target has received the upload and nothing else
+
+    Examples:
+      | framing          | end             | result                                    |
+      | with a length    | read on         | the whole answer of 1 target              |
+      | in chunks        | read on         | the whole answer of 1 target              |
+      | without a length | end and read on | what the target sent as its whole answer  |
--- a/tests/steps/platform/answers_steps.py
+++ b/tests/steps/platform/answers_steps.py
@@ -10,6 +10,7 @@
 from support.answering_target import (
     Answer,
     AnsweredCall,
+    EarlyAnswer,
     call_target,
     call_target_twice,
     frame_body,
@@ -334,3 +335,57 @@
             assert result == (200, b"", True), call
         case _:
             raise AssertionError(received)
+
+
+UPLOAD = bytes(range(256)) * (6 * 2**20 // 256)
+"""A body that exceeds the buffers of a connection, so that its writes wait for the target."""
+
+
+def early_part(framing: str, streaming: bool) -> bytes:
+    """Return an answer, or its first part if nothing but the connection ends it."""
+    parts = EVENTS[:3] if streaming else [BODY[:5], BODY[5:]]
+    if framing == "without a length":
+        parts = parts[:1]
+    return success(framing, parts, EVENT_STREAM if streaming else JSON)
+
+
+@given("a target that answers early {framing}, and then, {pause:d} ms later, does {end}")
+def step_early_target(context: Context, framing: str, pause: int, end: str) -> None:
+    context.early = (framing, end, pause / 1000)
+
+
+@given("a target that refuses a request early, and then, {pause:d} ms later, does {end}")
+def step_early_refusal(context: Context, pause: int, end: str) -> None:
+    context.early = (b"HTTP/1.1 503 Full\r\n" + REFUSAL, end, pause / 1000)
+
+
+@when("a {request} with an upload is sent to it, and another target answers in full")
+def step_upload(context: Context, request: str) -> None:
+    streaming = request.endswith("stream")
+    answer, end, pause = context.early
+    data = answer if isinstance(answer, bytes) else early_part(answer, streaming)
+    context.parts = EVENTS[:3] if streaming else [BODY]
+    answers = [EarlyAnswer(data, end, pause), Answer(partial(continuation, context.parts))]
+    context.call = trio.run(call_target, ROUTES[request], answers, "POST", UPLOAD)
+    context.calls = [context.call]
+
+
+@then("the caller has received the whole answer of {count:d} target")
+@then("the caller has received the whole answer of {count:d} targets")
+def step_whole_of_targets(context: Context, count: int) -> None:
+    call = context.call
+    assert (call.sink.finished, call.sink.data) == (True, b"".join(context.parts)), call.sink
+    assert len(call.requests) == count, call.requests
+
+
+@then("the caller has received what the target sent as its whole answer")
+def step_ended_in_order(context: Context) -> None:
+    call = context.call
+    assert (call.sink.finished, call.sink.data) == (True, BODY[:5]), call.sink
+    assert len(call.requests) == 1, call.requests
+
+
+@then("the target has received the upload and nothing else")
+def step_upload_received(context: Context) -> None:
+    (received,) = context.call.read_on
+    assert received == UPLOAD, (len(received), received[-64:])
