Take a plain service's answer that is reset during the upload for an interruption

The product's own client of plain services had the fault of the client of the users' platform: a part of an answer without a length, whose connection is reset while the call's body is being written, counted as the whole answer of a call, also in its run record.

Same cause: the library ignores the failed write and reads an end in order. Such a call counts as interrupted, so one that may run once is reported as unknown. Streams of the product's engines need their end frame and are not affected.

--- a/packages/entry/src/wasabiwell_entry/transport/target/plain.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -17,6 +17,7 @@
     CONNECTION_ERRORS,
     timeout_extensions,
 )
+from wasabiwell_entry.transport.target.streams import EndRecordingStream
 from wasabiwell_entry.transport.target.tracing import trace_headers
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -64,7 +65,8 @@
             return CallNotSent("the deadline passed before the call was sent")
         scheme = "http" if self._tls is None else "https"
         origin = httpcore.Origin(scheme.encode(), host.encode(), int(port))
-        connection = httpcore.AsyncHTTP11Connection(origin, stream)
+        recorded = EndRecordingStream(stream)
+        connection = httpcore.AsyncHTTP11Connection(origin, recorded)
         try:
             response = await bounded_request(
                 connection,
@@ -77,6 +79,9 @@
             )
         except CONNECTION_ERRORS as error:
             return CallInterrupted(repr(error))
+        else:
+            if recorded.reset_before_end:
+                return CallInterrupted("the connection was reset before the end of the response")
         finally:
             with trio.CancelScope(shield=True):
                 await connection.aclose()
--- a/tests/entry/transport/target/answers.feature
+++ b/tests/entry/transport/target/answers.feature
@@ -53,3 +53,23 @@
       | empty chunks                        | got an empty body |
       | a 204 without a length              | got an empty body |
       | a 500 without a length              | got an empty body |
+
+  Scenario Outline: An answer of a plain service that is sent before it has read the upload
+    Guards against a part of an answer without a length that ends as a whole one, because the write of
+    the upload reports the reset and the read after it an end in order.
+    Given a plain service which answers early <framing>, and then, <pause> ms later, does <end>
+    When a call with an upload is sent to it
+    Then the call <result>
+
+    Examples:
+      | framing          | pause | end               | result                     |
+      | without a length | 0     | reset             | was interrupted            |
+      | without a length | 20    | reset             | was interrupted            |
+      | without a length | 300   | reset             | was interrupted            |
+      | without a length | 20    | close             | was interrupted            |
+      | without a length | 20    | end and reset     | was interrupted            |
+      | without a length | 20    | read on and reset | was interrupted            |
+      | without a length | 20    | end and read on   | got what was sent in order |
+      | with a length    | 20    | reset             | got the whole body         |
+      | with a length    | 20    | read on           | got the whole body         |
+      | in chunks        | 20    | close             | got the whole body         |
--- a/tests/steps/entry/transport/cut_answers_steps.py
+++ b/tests/steps/entry/transport/cut_answers_steps.py
@@ -6,7 +6,14 @@
 import trio
 from behave import given, then, when
 from behave.runner import Context
-from support.answering_target import Answer, AnsweringTarget, frame_body, run_for_each_cut, served
+from support.answering_target import (
+    Answer,
+    AnsweringTarget,
+    EarlyAnswer,
+    frame_body,
+    run_for_each_cut,
+    served,
+)
 from support.forwarding import make_target
 from wasabiwell_entry.coordination.dispatch.errors import CallInterrupted
 from wasabiwell_entry.state.clock import SystemClock
@@ -56,7 +63,7 @@
     context.answer = answer_of(b"HTTP/1.1 429 Full\r\n", framing, [b'{"error":"full"}'])
 
 
-async def call_plain(target: Target) -> object:
+async def call_plain(target: Target, body: bytes = b"{}") -> object:
     now = SystemClock().monotonic()
     call = ServiceCall(
         request_id="r1",
@@ -65,7 +72,7 @@
         method="POST",
         path="/",
         content_type="",
-        body=b"{}",
+        body=body,
         fingerprint="f",
         received=now,
         deadline=now + timedelta(seconds=20),
@@ -198,3 +205,31 @@
 def step_empty_body(context: Context) -> None:
     assert isinstance(context.outcome, ServiceResponse), context.outcome
     assert context.outcome.body == b"", context.outcome
+
+
+@given("a plain service which answers early {framing}, and then, {pause:d} ms later, does {end}")
+def step_early_plain(context: Context, framing: str, pause: int, end: str) -> None:
+    parts = BODY[:1] if framing == "without a length" else BODY
+    context.early = EarlyAnswer(answer_of(SUCCESS, framing, parts), end, pause / 1000)
+
+
+@when("a call with an upload is sent to it")
+def step_upload_call(context: Context) -> None:
+    async def run() -> object:
+        async with served(AnsweringTarget([context.early])) as address:
+            target = replace(make_target(0), address=address)
+            return await call_plain(target, bytes(6 * 2**20))
+
+    context.outcome = trio.run(run)
+
+
+@then("the call got the whole body")
+def step_whole_body(context: Context) -> None:
+    assert isinstance(context.outcome, ServiceResponse), context.outcome
+    assert context.outcome.body == b"".join(BODY), context.outcome
+
+
+@then("the call got what was sent in order")
+def step_part_in_order(context: Context) -> None:
+    assert isinstance(context.outcome, ServiceResponse), context.outcome
+    assert context.outcome.body == BODY[0], context.outcome
