Let an entry process of a stand-in deployment be cut off from all targets

Connections of a process to targets hang, are reset, or live on while new ones are refused, for as long as a file names the kind of the cut. Its connections to callers, the store and its peers work. On loopback, a target cannot tell the processes apart by their addresses, so that the cut is made in the process.

--- a/standins/wasabiwell_standins/users_platform/deployment.py
+++ b/standins/wasabiwell_standins/users_platform/deployment.py
@@ -16,7 +16,9 @@
 import trio
 
 from wasabiwell_standins.proxy import Proxy
+from wasabiwell_standins.users_platform import cut_entry
 from wasabiwell_standins.users_platform.caller import CONNECTION_ERRORS, Caller, CallerRequest
+from wasabiwell_standins.users_platform.cut_entry import CUT_FILE_VARIABLE
 from wasabiwell_standins.users_platform.engine import Target
 from wasabiwell_standins.users_platform.keeping_caller import KeepingCaller
 from wasabiwell_standins.users_platform.ledger import Ledger
@@ -67,7 +69,8 @@
     """An entry process, which keeps its IP address across restarts.
 
     It writes to its log file, or to the file descriptor `output` if that is set. It runs the code
-    of the checkout in the folder `code`, if that is set, and on the processors `processors`.
+    of the checkout in the folder `code`, if that is set, and on the processors `processors`. One
+    that is `cuttable` can be cut off from all targets with `cut`.
     """
 
     name: str
@@ -78,6 +81,7 @@
     output: int | None = None
     code: Path | None = None
     processors: frozenset[int] = frozenset()
+    cuttable: bool = False
 
     @property
     def alive(self) -> bool:
@@ -95,19 +99,35 @@
 
     def start(self) -> None:
         """Start the process with its settings file."""
-        environment = {**os.environ, "WASABIWELL_SETTINGS": str(self.folder / f"{self.name}.conf")}
+        environment = {
+            **os.environ,
+            "WASABIWELL_SETTINGS": str(self.folder / f"{self.name}.conf"),
+            CUT_FILE_VARIABLE: str(self._cut_file),
+        }
+        module = cut_entry.__name__ if self.cuttable else "wasabiwell_platform"
         if self.code is not None:
             paths = [str(self.code / path) for path in CODE_PATHS]
             environment["PYTHONPATH"] = os.pathsep.join(paths)
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "wasabiwell_platform"],
+                [sys.executable, "-m", module],
                 env=environment,
                 stdout=log if self.output is None else self.output,
                 stderr=subprocess.STDOUT,
             )
         self.confine(self.processors)
 
+    def cut(self, kind: str) -> None:
+        """Cut the process off from all targets, or end the cut if `kind` is empty."""
+        if kind:
+            self._cut_file.write_text(kind)
+        else:
+            self._cut_file.unlink(missing_ok=True)
+
+    @property
+    def _cut_file(self) -> Path:
+        return self.folder / f"{self.name}.cut"
+
     def confine(self, processors: frozenset[int]) -> None:
         """Run the process on some processors only, from now on; on all if none is given."""
         self.processors = processors
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -21,6 +21,7 @@
 SEND_INTERVAL_SECONDS = 0.04
 IP_BLOCKS = {
     "silent_store.feature": iter(range(12, 20)),
+    "unreached_targets.feature": iter(range(20, 40)),
     "signals.feature": cycle(range(56, 64)),
     "fuzzing.feature": iter(range(68, 75)),
     "whole.feature": iter(range(80, 160)),
