Find headers of a request whatever their case

HttpExchange.header compared names in lower case with the received bytes, which have the caller's case on the platform's listeners (h11_pass_raw_headers). Found by tests/platform/unreached_targets.feature, which failed in 8 of 9 scenarios because the header of a relayed request was not seen, and passed in 9 of 9 with this change. No other header was read in this way on the platform.

--- a/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -74,7 +74,7 @@
     def header(self, name: bytes) -> str | None:
         """Return the value of a header; `name` must be in lower case."""
         for key, value in self._scope["headers"]:
-            if key == name:
+            if key.lower() == name:
                 return bytes(value).decode("latin-1")
         return None
 
