Serve requests through a peer while an instance reaches no target

Callers of an instance that was cut off from all targets got 503 for as long as the cut lasted, since nothing else than its own connections led to a target, and they keep its address for its ttl.

coordination/reachability counts an instance as cut off once three different targets, or all if there are fewer, accepted no connection and none did in between. A failed connection makes it probe two more, so that one request finds it out. While it is cut off it probes one target each half second, sends requests to a peer that reaches targets, without trying one itself, and says so in its state, so that the directory leaves it out. The peer takes such a request at its control address like that of a caller, with its own routes and keys, runs it on one target at most, and refuses it at once if it is cut off too. All attempts are counted, and further runs taken from the retry budget, by the instance of the caller. A request that a peer may have run is sent again only if its route allows it. If no peer reaches a target, targets are tried as before.

An instance that suspects itself, from the second failed target on, tells the others of no lost target. A crash is counted only if another target is reachable at that moment. Pauses that stem from a cut end with it.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -161,6 +161,8 @@
     def alive(self) -> list[Member]:
         """Return the entry instances that callers may use, this one included.
 
+        Those that reach no target are left out, unless none reaches any.
+
         If all peers have timed out, those whose last message arrived within
         `ISOLATED_LISTING_TIMEOUT` are included.
         """
@@ -172,7 +174,9 @@
         ]
         states = [(node.address, node.state) for node in nodes if node.state is not None]
         states.append((self._own_address, self._own_state.current()))
-        return [_member(address, state) for address, state in states if state.serving]
+        serving = [(address, state) for address, state in states if state.serving]
+        reaching = [(address, state) for address, state in serving if state.reaches_targets]
+        return [_member(address, state) for address, state in reaching or serving]
 
     def broadcast(self, notice: Notice) -> None:
         """Send a message to all reachable peers that need it."""
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/own_state.py
@@ -28,6 +28,7 @@
     uses: Callable[[], tuple[RetryBudgetUse, ...]]
     placed: Callable[[], tuple[str, ...]]
     peers: Callable[[], int]
+    reaches_targets: Callable[[], bool] = lambda: True
 
 
 class OwnState:
@@ -77,4 +78,5 @@
             uses=self._sources.uses(),
             placed=self._sources.placed(),
             peers=self._sources.peers(),
+            reaches_targets=self._sources.reaches_targets(),
         )
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/assessment.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/assessment.py
@@ -8,6 +8,7 @@
 from wasabiwell_entry.coordination.forwarding.ports import TargetPort
 from wasabiwell_entry.coordination.placement.ledger import OpenPlacement, PlacementLedger
 from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
+from wasabiwell_entry.coordination.reachability import ReachabilityProber
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.exchange import AttemptVerdict
 from wasabiwell_entry.state.forwarding import (
@@ -23,10 +24,17 @@
 class AttemptAssessor:
     """Probes targets after failed attempts, and records crashes and lost helpers."""
 
-    __slots__ = ("_crashes", "_ledger", "_targets")
+    __slots__ = ("_crashes", "_ledger", "_prober", "_targets")
 
-    def __init__(self, targets: TargetPort, ledger: PlacementLedger, crashes: CrashCounts) -> None:
+    def __init__(
+        self,
+        targets: TargetPort,
+        prober: ReachabilityProber,
+        ledger: PlacementLedger,
+        crashes: CrashCounts,
+    ) -> None:
         self._targets = targets
+        self._prober = prober
         self._ledger = ledger
         self._crashes = crashes
 
@@ -36,13 +44,18 @@
         """Record a crash if the target is down, but not if it only cut the connection.
 
         A target that does not react hangs, or the network is interrupted for all of its requests,
-        so that this accuses none of them. A crash does not count against a response that had
-        progressed, as a request crashes its target when it begins to run.
+        so that this accuses none of them. Nor does one that is down while no other target is
+        reachable: this instance is cut off from all of them then. A crash does not count against a
+        response that had progressed, as a request crashes its target when it begins to run.
         """
         request, target = attempt.request, attempt.target
         name = f"{target.target_id}@{target.incarnation}"
         probe = await self._targets.probe(target) if interruption.target_lost else None
-        crashed = isinstance(probe, TargetDown) and opened.events <= MAX_EVENTS_BEFORE_CRASH
+        crashed = (
+            isinstance(probe, TargetDown)
+            and opened.events <= MAX_EVENTS_BEFORE_CRASH
+            and await self._prober.reaches_another(target)
+        )
         log_events.emit(
             log_events.INTERRUPTION_ASSESSED,
             request=request.request_id,
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/const.py
@@ -19,6 +19,13 @@
 objective."""
 MIN_EXPECTED_BEFORE_RETRY = 3.0
 """The same minimum as a multiple of the predicted time to the first event."""
+MAX_PEERS = 3
+"""Peers tried for one request of an instance that is cut off from all targets. They do not know for
+a moment that they are cut off themselves; more refusals mean that the service has no capacity."""
+PEER_MARGIN = timedelta(milliseconds=500)
+"""Further time for a response through a peer to begin, as the peer may fail to reach a target."""
+PEER_PAUSE = timedelta(milliseconds=500)
+"""Further pause that is allowed in a stream through a peer."""
 EVENT_GAP_MARGIN = timedelta(milliseconds=1_000)
 """Time beyond the allowed and the predicted pause after which a stream is resumed elsewhere;
 callers disconnect after two seconds without an event."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -1,17 +1,14 @@
 """Forwards a request until its whole response is delivered or no further attempt is allowed."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 
 from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.forwarding.assessment import AttemptAssessor, verdict_on_target
 from wasabiwell_entry.coordination.forwarding.const import (
     MAX_SENDS,
-    MIN_EXPECTED_BEFORE_RETRY,
-    MIN_OBJECTIVES_BEFORE_RETRY,
     MIN_TIME_LEFT,
-    PROBE_MARGIN,
     REFUSED_RETRY_AFTER,
-    RETRY_TIME_SHARE,
     SERVER_ERROR,
 )
 from wasabiwell_entry.coordination.forwarding.errors import AttemptOutcome, Buffered, Delivered
@@ -24,19 +21,28 @@
     outcome_text,
     placement_fields,
 )
-from wasabiwell_entry.coordination.forwarding.ports import ResponseSink, TargetPort
+from wasabiwell_entry.coordination.forwarding.peer_attempts import PeerAttempts
+from wasabiwell_entry.coordination.forwarding.ports import PeerPort, ResponseSink, TargetPort
 from wasabiwell_entry.coordination.forwarding.progress import Progress
 from wasabiwell_entry.coordination.forwarding.relay import ResponseRelay, deliver_buffered
 from wasabiwell_entry.coordination.forwarding.silence_timeout import SilenceTimeout
+from wasabiwell_entry.coordination.forwarding.timing import probe_interval, response_start_timeout
+from wasabiwell_entry.coordination.forwarding.ways import Direct, ThroughPeer, WayChooser
 from wasabiwell_entry.coordination.placement import Placer
 from wasabiwell_entry.coordination.placement.errors import NoPlacement, Placement
 from wasabiwell_entry.coordination.placement.ledger import OpenPlacement, PlacementLedger
 from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
 from wasabiwell_entry.coordination.quarantine.errors import RefusedCause, SuspectedCause
+from wasabiwell_entry.coordination.reachability import (
+    ReachabilityProber,
+    RelayPeers,
+    TargetReachability,
+)
 from wasabiwell_entry.coordination.reservations import EngineReservations
 from wasabiwell_entry.coordination.stop import GracefulStop
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
+from wasabiwell_entry.state.counters import ForwardCounters
 from wasabiwell_entry.state.exchange import AttemptVerdict
 from wasabiwell_entry.state.forwarding import (
     ForwardAttempt,
@@ -47,12 +53,21 @@
     ResponseInterrupted,
 )
 from wasabiwell_entry.state.outcomes import Failed, Reason, Refused, RunState
-from wasabiwell_entry.state.routes import RouteKind
-from wasabiwell_entry.state.targets import Target
 
 ForwardOutcome = Forwarded | Refused | Failed
 
 
+@dataclass(frozen=True, slots=True)
+class PeerRoutes:
+    """What a forwarder needs to send requests through peers while it reaches no target."""
+
+    reachability: TargetReachability
+    prober: ReachabilityProber
+    choice: RelayPeers
+    port: PeerPort
+    counters: ForwardCounters
+
+
 class Forwarder:
     """Forwards the requests of one entry instance."""
 
@@ -62,10 +77,13 @@
         "_clock",
         "_crashes",
         "_ledger",
+        "_peers",
         "_placer",
         "_relay",
         "_reservations",
         "_stop",
+        "_targets",
+        "_ways",
     )
 
     def __init__(
@@ -73,6 +91,7 @@
         placer: Placer,
         ledger: PlacementLedger,
         targets: TargetPort,
+        peers: PeerRoutes,
         reservations: EngineReservations,
         budget: RetryBudget,
         crashes: CrashCounts,
@@ -81,8 +100,11 @@
     ) -> None:
         self._placer = placer
         self._ledger = ledger
-        self._relay = ResponseRelay(targets, ledger, crashes)
-        self._assessor = AttemptAssessor(targets, ledger, crashes)
+        self._targets = targets
+        self._relay = ResponseRelay(ledger, crashes)
+        self._assessor = AttemptAssessor(targets, peers.prober, ledger, crashes)
+        self._ways = WayChooser(placer, peers.reachability, peers.choice)
+        self._peers = PeerAttempts(peers.port, self._relay, peers.counters, clock)
         self._reservations = reservations
         self._stop = stop
         self._crashes = crashes
@@ -96,7 +118,8 @@
         completed as if it were the whole response.
         """
         progress = Progress(last_event=request.last_event_id)
-        self._budget.count_request(request.service)
+        if request.relayed_by is None:
+            self._budget.count_request(request.service)
         with self._stop.abortable(self._time_left(request)):
             return await self._forward(request, sink, progress)
         if self._stop.aborting:
@@ -121,23 +144,29 @@
                 return _unanswered_outcome(
                     progress, Reason.QUARANTINED, message, assessment.time_left
                 )
-            placement = self._placer.place(
-                request,
-                frozenset(progress.excluded),
-                resumed=progress.response_started,
-                suspected=isinstance(assessment, SuspectedCause),
-            )
-            if isinstance(placement, NoPlacement):
-                log_events.emit(
-                    log_events.NOT_PLACED,
-                    request=request.request_id,
-                    reason=placement.reason,
-                    retry_after_ms=milliseconds(timedelta(), placement.retry_after),
-                )
-                return await self._finish_unanswered(
-                    progress, sink, placement.reason, placement.retry_after
-                )
-            outcome = await self._attempt(request, placement, sink, progress)
+            way = self._ways.choose(request, progress, isinstance(assessment, SuspectedCause))
+            match way:
+                case NoPlacement(reason=reason, retry_after=retry_after):
+                    log_events.emit(
+                        log_events.NOT_PLACED,
+                        request=request.request_id,
+                        reason=reason,
+                        retry_after_ms=milliseconds(timedelta(), retry_after),
+                    )
+                    return await self._finish_unanswered(progress, sink, reason, retry_after)
+                case ThroughPeer(peer=peer):
+                    outcome = await self._peers.send(
+                        request,
+                        peer,
+                        sink,
+                        progress,
+                        lambda: (
+                            self._may_go_on(request, progress)
+                            and self._ways.peer_would_continue(progress)
+                        ),
+                    )
+                case Direct(placement=placement):
+                    outcome = await self._attempt(request, placement, sink, progress)
             match outcome:
                 case Delivered(status=status):
                     return Forwarded(status)
@@ -163,13 +192,11 @@
     def _may_retry(self, request: ForwardedRequest, progress: Progress) -> bool:
         return request.route.retryable and progress.runs < request.route.attempts
 
-    def _can_continue_elsewhere(
-        self, request: ForwardedRequest, progress: Progress, target: Target
-    ) -> bool:
-        """Return whether another target would take over from a silent one.
+    def _may_go_on(self, request: ForwardedRequest, progress: Progress) -> bool:
+        """Return whether a silent target or peer may be given up, if another would take over.
 
-        Giving up the silent target cannot be undone, so nothing may be left to chance: a target
-        with a free slot and free memory must be known, and the retry budget must have room.
+        Giving up cannot be undone, so nothing may be left to chance: another target with a free
+        slot and free memory must be known too, and the retry budget must have room.
         """
         return (
             self._may_retry(request, progress)
@@ -177,7 +204,6 @@
             and self._time_left(request) >= MIN_TIME_LEFT
             and self._budget.has_room(request.service)
             and not isinstance(self._crashes.assess(request), RefusedCause)
-            and self._placer.would_take(request, frozenset({*progress.excluded, target.target_id}))
         )
 
     def _may_try_another_target(
@@ -226,11 +252,13 @@
         progress.runs += 1
         target = placement.target
         retryable = self._may_retry(request, progress)
+        left = self._time_left(request)
+        expected = timedelta(seconds=placement.expected_seconds)
         silence_timeout = SilenceTimeout(
             request.route,
-            self._response_start_timeout(request, placement, progress),
+            response_start_timeout(request, left, expected, retryable),
             lambda: self._placer.expected_pause(target.target_id),
-            self._time_left(request),
+            left,
             retryable,
         )
         attempt = ForwardAttempt(
@@ -240,9 +268,12 @@
             urgency=placement.urgency,
             time_left=self._time_left(request),
             silence_timeout=silence_timeout.current,
-            probe_interval=_probe_interval(request),
+            probe_interval=probe_interval(request),
             resume_after=progress.last_event,
-            can_continue_elsewhere=lambda: self._can_continue_elsewhere(request, progress, target),
+            can_continue_elsewhere=lambda: (
+                self._may_go_on(request, progress)
+                and self._ways.would_continue(request, progress, target.target_id)
+            ),
         )
         sent_at = self._clock.monotonic()
         log_events.emit(
@@ -253,7 +284,9 @@
             **placement_fields(attempt, placement),
         )
         with self._ledger.open(request, placement) as opened:
-            outcome = await self._relay.run(attempt, sink, progress, opened, silence_timeout)
+            outcome = await self._relay.run(
+                request, self._targets.attempt(attempt), sink, progress, opened, silence_timeout
+            )
             if isinstance(outcome, ResponseInterrupted):
                 outcome = await self._assessor.assess_interruption(attempt, opened, outcome)
             refusing_helpers = await self._assessor.assess_helpers(attempt, outcome)
@@ -304,30 +337,10 @@
             return Refused(Reason.NO_CAPACITY, reason, retry_after)
         return _unanswered_outcome(progress, Reason.TARGET_FAILED, reason)
 
-    def _response_start_timeout(
-        self, request: ForwardedRequest, placement: Placement, progress: Progress
-    ) -> timedelta:
-        """Return how long a target may be silent before its response begins."""
-        left = self._time_left(request)
-        if not self._may_retry(request, progress):
-            return left
-        expected = timedelta(seconds=placement.expected_seconds)
-        minimum = max(
-            request.route.objective * MIN_OBJECTIVES_BEFORE_RETRY,
-            expected * MIN_EXPECTED_BEFORE_RETRY,
-        )
-        return min(left, max(minimum, left * RETRY_TIME_SHARE))
-
     def _time_left(self, request: ForwardedRequest) -> timedelta:
         return max(timedelta(), request.deadline - self._clock.monotonic())
 
 
-def _probe_interval(request: ForwardedRequest) -> timedelta:
-    route = request.route
-    allowed_silence = route.event_gap if route.kind is RouteKind.STREAM else route.objective
-    return allowed_silence + PROBE_MARGIN
-
-
 def _unanswered_outcome(
     progress: Progress,
     reason: Reason,
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
@@ -4,7 +4,12 @@
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
-from wasabiwell_entry.state.forwarding import AttemptItem, ForwardAttempt, ResponseHead
+from wasabiwell_entry.state.forwarding import (
+    AttemptItem,
+    ForwardAttempt,
+    PeerAttempt,
+    ResponseHead,
+)
 from wasabiwell_entry.state.probes import ProbeOutcome
 from wasabiwell_entry.state.targets import Target
 
@@ -35,3 +40,12 @@
 
     async def probe(self, target: Target) -> ProbeOutcome:
         """Check with a new connection whether a target still runs."""
+
+
+class PeerPort(Protocol):
+    """Connections to other entry instances that run requests for this one."""
+
+    def attempt(
+        self, attempt: PeerAttempt
+    ) -> AbstractAsyncContextManager[AsyncIterator[AttemptItem]]:
+        """Send a request to a peer once, as `TargetPort.attempt` does to a target."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/relay.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/relay.py
@@ -1,17 +1,21 @@
-"""Relays the response of one attempt from a target to the caller."""
+"""Relays the response of one attempt from a target or a peer to the caller."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
 
 from wasabiwell_entry.coordination.forwarding.const import (
     MAX_BUFFERED_BYTES,
     MAX_EVENTS_BEFORE_CRASH,
 )
 from wasabiwell_entry.coordination.forwarding.errors import AttemptOutcome, Buffered, Delivered
-from wasabiwell_entry.coordination.forwarding.ports import ResponseSink, TargetPort
+from wasabiwell_entry.coordination.forwarding.ports import ResponseSink
 from wasabiwell_entry.coordination.forwarding.progress import Progress
 from wasabiwell_entry.coordination.forwarding.silence_timeout import SilenceTimeout
 from wasabiwell_entry.coordination.placement.ledger import OpenPlacement, PlacementLedger
 from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
 from wasabiwell_entry.state.forwarding import (
-    ForwardAttempt,
+    AttemptItem,
     Forwarded,
     ForwardedRequest,
     NotRun,
@@ -25,25 +29,32 @@
 from wasabiwell_entry.state.routes import RouteKind
 
 
+@dataclass(slots=True)
+class OpenRelay:
+    """A request that a peer runs; the peer records its placement."""
+
+    events: int = 0
+
+
 class ResponseRelay:
     """Sends the events of streams on as they arrive, and buffers other responses.
 
     Nothing of a response is sent on that is not the continuation of what the caller has.
     """
 
-    __slots__ = ("_crashes", "_ledger", "_targets")
+    __slots__ = ("_crashes", "_ledger")
 
-    def __init__(self, targets: TargetPort, ledger: PlacementLedger, crashes: CrashCounts) -> None:
-        self._targets = targets
+    def __init__(self, ledger: PlacementLedger, crashes: CrashCounts) -> None:
         self._ledger = ledger
         self._crashes = crashes
 
     async def run(
         self,
-        attempt: ForwardAttempt,
+        request: ForwardedRequest,
+        items_of_attempt: AbstractAsyncContextManager[AsyncIterator[AttemptItem]],
         sink: ResponseSink,
         progress: Progress,
-        opened: OpenPlacement,
+        opened: OpenPlacement | OpenRelay,
         silence_timeout: SilenceTimeout,
     ) -> AttemptOutcome:
         """Send a request once, and return how the attempt ended."""
@@ -52,17 +63,17 @@
         buffered_bytes = 0
         # Until an event of a resumed stream has an id, nothing shows that it is the rest.
         continued = not progress.response_started
-        async with self._targets.attempt(attempt) as items:
+        async with items_of_attempt as items:
             async for item in items:
                 match item:
                     case ResponseHead():
                         head = item
                         silence_timeout.begin()
-                        interruption = _check_continuation(attempt.request, head, progress)
+                        interruption = _check_continuation(request, head, progress)
                         if interruption is not None:
                             return interruption
-                        if is_stream(attempt.request, head):
-                            self._ledger.start_decode(opened)
+                        if is_stream(request, head):
+                            self._record_begin(opened)
                             await _begin_response(head, sink, progress)
                     case ResponseEvent(event_id=event_id, data=data):
                         continued = continued or event_id is not None
@@ -73,11 +84,7 @@
                         interruption = _check_order(event_id, progress)
                         if interruption is not None:
                             return interruption
-                        self._ledger.record_event(opened)
-                        if opened.events == MAX_EVENTS_BEFORE_CRASH + 1:
-                            # A request that progresses does not crash its target, so it clears
-                            # its prompt parts before it ends.
-                            self._crashes.record_success(attempt.request)
+                        self._record_event(request, opened)
                         await sink.send(data)
                     case ResponseChunk(data=data):
                         buffer.append(data)
@@ -90,7 +97,7 @@
                     case ResponseEnd():
                         if head is None:
                             return ResponseInterrupted("the response has no head")
-                        if _has_no_event(attempt.request, head, progress, opened):
+                        if _has_no_event(request, head, progress, opened):
                             return ResponseInterrupted("the stream has no event")
                         if not progress.response_started:
                             return Buffered(head, b"".join(buffer))
@@ -102,6 +109,24 @@
                         return item
         return ResponseInterrupted("the response has no end")
 
+    def _record_begin(self, opened: OpenPlacement | OpenRelay) -> None:
+        match opened:
+            case OpenPlacement():
+                self._ledger.start_decode(opened)
+            case OpenRelay():
+                pass
+
+    def _record_event(self, request: ForwardedRequest, opened: OpenPlacement | OpenRelay) -> None:
+        match opened:
+            case OpenPlacement():
+                self._ledger.record_event(opened)
+                if opened.events == MAX_EVENTS_BEFORE_CRASH + 1:
+                    # A request that progresses does not crash its target, so it clears its prompt
+                    # parts before it ends.
+                    self._crashes.record_success(request)
+            case OpenRelay():
+                opened.events += 1
+
 
 async def deliver_buffered(buffered: Buffered, sink: ResponseSink) -> Forwarded:
     """Deliver a buffered response to the sink."""
@@ -125,7 +150,10 @@
 
 
 def _has_no_event(
-    request: ForwardedRequest, head: ResponseHead, progress: Progress, opened: OpenPlacement
+    request: ForwardedRequest,
+    head: ResponseHead,
+    progress: Progress,
+    opened: OpenPlacement | OpenRelay,
 ) -> bool:
     """Return whether a stream ended without any event, in this attempt or before it."""
     return is_stream(request, head) and opened.events == 0 and progress.last_event is None
--- a/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/health/coordinator.py
@@ -24,6 +24,7 @@
     target: Target
     leaving: bool = False
     paused_until: float = 0.0
+    lost_at: float = 0.0
     consecutive_losses: int = 0
     successes: float = 0.0
     failures: float = 0.0
@@ -67,6 +68,10 @@
             return False
         return not self._advice.pause_left(target)
 
+    def targets(self) -> list[Target]:
+        """Return the targets in the platform's list that are not leaving."""
+        return [state.target for state in self._states.values() if not state.leaving]
+
     def usable(self, target: Target) -> bool:
         """Return whether the target may receive requests."""
         if not self.listed(target):
@@ -159,6 +164,15 @@
             case AttemptVerdict.ABANDONED:
                 pass
 
+    def end_pauses(self, since: timedelta) -> None:
+        """End the pauses of targets that were lost after a monotonic time.
+
+        This instance was cut off from all targets then, so that the losses say nothing of them.
+        """
+        for state in self._states.values():
+            if state.paused_until and state.lost_at >= since.total_seconds():
+                state.paused_until, state.consecutive_losses = 0.0, 0
+
     def _record_loss(self, state: _TargetState) -> None:
         now = self._now()
         if state.paused_until > now:
@@ -166,7 +180,7 @@
         pause = min(INITIAL_PAUSE * 2**state.consecutive_losses, MAX_PAUSE).total_seconds()
         state.consecutive_losses += 1
         state.failures += 1
-        state.paused_until = now + pause
+        state.paused_until, state.lost_at = now + pause, now
         log_events.emit(
             log_events.TARGET_PAUSED, target=state.target.target_id, pause_s=round(pause, 2)
         )
--- a/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/placement/ledger.py
@@ -74,6 +74,7 @@
         "_notify",
         "_report_lost_helper",
         "_report_verdict",
+        "_suspects_itself",
         "_works",
     )
 
@@ -84,7 +85,14 @@
         report_verdict: Callable[[str, AttemptVerdict], None],
         report_lost_helper: Callable[[str], None],
         clock: Clock,
+        suspects_itself: Callable[[], bool] = lambda: False,
     ) -> None:
+        """Take callbacks for messages, verdicts and lost helpers.
+
+        `suspects_itself` returns whether a loss may be due to this instance. The other instances
+        are not told of such a loss, as they would pause a target that they reach.
+        """
+        self._suspects_itself = suspects_itself
         self._works = works
         self._notify = notify
         self._report_verdict = report_verdict
@@ -121,13 +129,17 @@
             yield opened
         finally:
             self._works.remove(placed.request_id, self._now())
-            self._notify(RequestEnded(placed.request_id, placed.lead, opened.verdict))
+            verdict = opened.verdict
+            if verdict is AttemptVerdict.LOST and self._suspects_itself():
+                verdict = AttemptVerdict.ABANDONED
+            self._notify(RequestEnded(placed.request_id, placed.lead, verdict))
             self._report_verdict(placed.lead, opened.verdict)
 
     def record_lost_helper(self, target_id: str) -> None:
         """Record that a helper could not be reached, and notify the other instances."""
         self._report_lost_helper(target_id)
-        self._notify(HelperLoss(target_id))
+        if not self._suspects_itself():
+            self._notify(HelperLoss(target_id))
 
     def start_decode(self, opened: OpenPlacement) -> None:
         """Record that the response head of a stream has arrived, so that decoding has started."""
--- a/packages/entry/src/wasabiwell_entry/state/counters.py
+++ b/packages/entry/src/wasabiwell_entry/state/counters.py
@@ -78,6 +78,8 @@
     requests: Counter[ForwardKind] = field(default_factory=Counter)
     sends: Counter[str] = field(default_factory=Counter)
     """Attempts on targets by the verdict on the target."""
+    relays: Counter[str] = field(default_factory=Counter)
+    """Attempts through peers, while cut off from all targets, by result."""
     lost_helpers: int = 0
     """Helpers that a lead has reported as unreachable."""
     callers_left: int = 0
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -179,6 +179,7 @@
     the retry budget. `placed` are the ids of the open requests that it has placed, so that
     receivers drop those whose end notice was lost. `peers` is the number of entry instances from
     which it receives messages. `interval_ms` is the time between its states to the receiver.
+    `reaches_targets` is false while the sender is cut off from all targets.
     """
 
     incarnation: Incarnation
@@ -195,6 +196,7 @@
     placed: tuple[str, ...]
     peers: int = 0
     interval_ms: int = 500
+    reaches_targets: bool = True
 
 
 class NodeAddresses(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/entry/src/wasabiwell_entry/state/forwarding.py
+++ b/packages/entry/src/wasabiwell_entry/state/forwarding.py
@@ -33,7 +33,8 @@
     route's. `routes_version` is the version of the routes that accepted it. `size` is None for
     requests of plain services. `last_event_id` is set when the caller resumes a stream.
     `prompt_parts` are the ids of the parts of the prompt that it may share with other requests, in
-    their order in the prompt.
+    their order in the prompt. `authorization` is the value of the caller's header, which only peers
+    get. `relayed_by` is the control address of the peer that relayed the request, or None.
     """
 
     request_id: str
@@ -51,6 +52,8 @@
     size: PromptSize | None = None
     last_event_id: int | None = None
     prompt_parts: tuple[str, ...] = ()
+    authorization: bytes = field(default=b"", repr=False)
+    relayed_by: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +90,31 @@
     can_continue_elsewhere: Callable[[], bool] = lambda: True
 
 
+@dataclass(frozen=True, slots=True)
+class RelayPeer:
+    """Another entry instance, by its datagram address, that relays requests to targets."""
+
+    address: str
+    control_address: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAttempt:
+    """One attempt to run a request through a peer, which runs it on one target at most.
+
+    The other fields are as in `ForwardAttempt`.
+    """
+
+    request: ForwardedRequest
+    peer: RelayPeer
+    time_left: timedelta
+    silence_timeout: Callable[[], timedelta]
+    probe_interval: timedelta
+    resume_after: int | None
+    can_continue_elsewhere: Callable[[], bool]
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a target's response; `verified` is set when it is signed."""
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -363,6 +363,36 @@
 ORDER_UNANSWERED = LogEvent(
     408, Level.WARNING, "target {target} did not respond to the order {order}: {reason}"
 )
+TARGETS_UNREACHABLE = LogEvent(
+    456,
+    Level.WARNING,
+    "this instance reaches no target: {targets}, of {listed} listed ones, accepted no connection "
+    "within {within_ms} ms; the last connection was accepted {accepted_ms} ms ago",
+    "Check the network between this instance and the targets. Peers that reach targets run its "
+    "requests until then.",
+)
+TARGETS_REACHABLE = LogEvent(
+    457, Level.INFO, "target {target} accepted a connection, after {after_ms} ms without any target"
+)
+RELAYED = LogEvent(
+    458,
+    Level.INFO,
+    "request {request}, send {sends}: to instance {peer} in zone {zone}, as this one reaches no "
+    "target; {left_ms} ms left",
+    success=True,
+)
+RELAY_ENDED = LogEvent(
+    459,
+    Level.INFO,
+    "request {request}, send {sends}: instance {peer}: {outcome} after {total_ms} ms",
+    success=True,
+)
+RELAY_RECEIVED = LogEvent(
+    460,
+    Level.INFO,
+    "request {request} comes from instance {sender}, which reaches no target",
+    success=True,
+)
 PEER_HEARD = LogEvent(420, Level.INFO, "entry instance {peer} in zone {zone} is reachable")
 PEER_SILENT = LogEvent(
     421, Level.WARNING, "no message from entry instance {peer} for {silence_s} s"
--- a/packages/entry/src/wasabiwell_entry/transport/metrics/exposition.py
+++ b/packages/entry/src/wasabiwell_entry/transport/metrics/exposition.py
@@ -64,6 +64,12 @@
         for verdict, count in counters.sends.items():
             sends.add_metric([verdict], count)
         yield sends
+        relays = CounterMetricFamily(
+            f"{PREFIX}_relays", "Sends through peers by result.", labels=["result"]
+        )
+        for result, count in counters.relays.items():
+            relays.add_metric([result], count)
+        yield relays
         store_calls = CounterMetricFamily(
             f"{PREFIX}_store_calls", "Calls to the platform's store.", labels=["call", "result"]
         )
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -10,26 +10,35 @@
 from wasabiwell_entry.coordination.budget import RetryBudget
 from wasabiwell_entry.coordination.budget.coordinator import BudgetLimits
 from wasabiwell_entry.coordination.forwarding import Forwarder
+from wasabiwell_entry.coordination.forwarding.coordinator import PeerRoutes
 from wasabiwell_entry.coordination.health import TargetHealth
 from wasabiwell_entry.coordination.placement import Placer
 from wasabiwell_entry.coordination.placement.ledger import PlacementLedger
 from wasabiwell_entry.coordination.quarantine.crashes import CrashCounts
+from wasabiwell_entry.coordination.reachability import (
+    ReachabilityProber,
+    RelayPeers,
+    TargetReachability,
+)
 from wasabiwell_entry.coordination.reservations import EngineReservations
 from wasabiwell_entry.coordination.stop import GracefulStop
 from wasabiwell_entry.coordination.supervision import Supervisor
 from wasabiwell_entry.state.clock import Clock, SystemClock
-from wasabiwell_entry.state.exchange import AttemptVerdict, Notice
+from wasabiwell_entry.state.counters import ForwardCounters
+from wasabiwell_entry.state.exchange import AttemptVerdict, NodeState, Notice
 from wasabiwell_entry.state.forwarding import (
     AttemptItem,
     ForwardAttempt,
     ForwardedRequest,
     NotRun,
+    PeerAttempt,
     PromptSize,
     ResponseChunk,
     ResponseEnd,
     ResponseEvent,
     ResponseHead,
 )
+from wasabiwell_entry.state.nodes import Node
 from wasabiwell_entry.state.probes import ProbeOutcome, TargetAlive
 from wasabiwell_entry.state.routes import EngineProfile, Route, RouteKind, ServiceShare
 from wasabiwell_entry.state.targets import ListedTarget, Target, TargetKind
@@ -181,6 +190,9 @@
     """Whether another target would have taken over, after each item."""
     cancelled: int = 0
     probe_outcome: ProbeOutcome = field(default_factory=TargetAlive)
+    """Result of probing a target that had a part in an attempt; the others are alive."""
+    all_fail: bool = False
+    """Whether probes of the other targets have this result too."""
 
     @asynccontextmanager
     async def attempt(self, attempt: ForwardAttempt) -> AsyncIterator[AsyncIterator[AttemptItem]]:
@@ -207,9 +219,55 @@
             raise
 
     async def probe(self, target: Target) -> ProbeOutcome:
-        """Return `probe_outcome` for any target, without opening a connection."""
+        """Return the outcome for a target, without opening a connection."""
         await trio.lowlevel.checkpoint()
-        return self.probe_outcome
+        attempted = any(
+            target in (attempt.target, *(helper.target for helper in attempt.helpers))
+            for attempt in self.sent
+        )
+        return self.probe_outcome if attempted or self.all_fail else TargetAlive()
+
+
+@dataclass(slots=True)
+class ScriptedPeers:
+    """Plays the next script for each request that is sent to a peer; the last one is repeated."""
+
+    scripts: list[Script] = field(default_factory=list)
+    sent: list[PeerAttempt] = field(default_factory=list)
+
+    @asynccontextmanager
+    async def attempt(self, attempt: PeerAttempt) -> AsyncIterator[AsyncIterator[AttemptItem]]:
+        """Return the items of the script for this attempt."""
+        self.sent.append(attempt)
+        script = self.scripts[min(len(self.sent), len(self.scripts)) - 1]
+
+        async def items() -> AsyncIterator[AttemptItem]:
+            for item in script:
+                await trio.lowlevel.checkpoint()
+                assert not isinstance(item, float)
+                yield item
+
+        yield items()
+
+
+def make_peer(number: int, zone: str = ZONE, **fields: object) -> Node:
+    """Return a peer that serves callers and reaches targets, unless `fields` say otherwise."""
+    values: dict[str, object] = {
+        "incarnation": 1,
+        "sequence": 1,
+        "region": "r",
+        "zone": zone,
+        "caller_address": f"10.1.0.{number}:80",
+        "control_address": f"10.1.0.{number}:8229",
+        "serving": True,
+        "leaving": False,
+        "routes_version": 1,
+        "knows_targets": True,
+        "uses": (),
+        "placed": (),
+    }
+    state = NodeState(**(values | fields))  # type: ignore[arg-type]
+    return Node(f"10.1.0.{number}:7340", 0.0, 0.0, state, 1.0)
 
 
 @dataclass(slots=True)
@@ -242,9 +300,18 @@
     slack: float = 100.0,
     reservations: FakeReservations | None = None,
     stop: GracefulStop | None = None,
+    peers: ScriptedPeers | None = None,
+    peer_nodes: list[Node] | None = None,
+    reachability: TargetReachability | None = None,
 ) -> Forwarder:
-    """Return a forwarder over scripted targets; `slack` is that of its retry budget."""
+    """Return a forwarder over scripted targets; `slack` is that of its retry budget.
+
+    Without `reachability` it never counts as cut off from all targets.
+    """
     clock = SystemClock()
+    reachability = reachability or TargetReachability(
+        engines.health.targets, lambda: None, lambda since: None, clock
+    )
     limits = BudgetLimits(ratio=0.2, slack=slack, window=timedelta(seconds=10))
     return Forwarder(
         engines.placer,
@@ -254,8 +321,16 @@
             engines.health.record_attempt,
             lambda target_id: engines.health.record_attempt(target_id, AttemptVerdict.LOST),
             clock,
+            lambda: reachability.suspected,
         ),
         targets,
+        PeerRoutes(
+            reachability,
+            ReachabilityProber(reachability, targets, clock),
+            RelayPeers(lambda: peer_nodes or [], ZONE, Random(1)),
+            peers or ScriptedPeers(),
+            ForwardCounters(),
+        ),
         EngineReservations(reservations or FakeReservations(), Supervisor(clock), clock),
         # `list` stands for no use of retry budget by other instances.
         RetryBudget(limits, list, notify, clock),
