Count crashes after two other crashes, and relay only to instances that take relays

Instances of an older version answer a relayed request with 404, which counts as a run for an at-most-once request. The field in the state is None from them, and they are not chosen.

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -175,7 +175,7 @@
         states = [(node.address, node.state) for node in nodes if node.state is not None]
         states.append((self._own_address, self._own_state.current()))
         serving = [(address, state) for address, state in states if state.serving]
-        reaching = [(address, state) for address, state in serving if state.reaches_targets]
+        reaching = [item for item in serving if item[1].reaches_targets is not False]
         return [_member(address, state) for address, state in reaching or serving]
 
     def broadcast(self, notice: Notice) -> None:
--- a/packages/entry/src/wasabiwell_entry/coordination/reachability/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reachability/const.py
@@ -13,5 +13,7 @@
 """Time between probes while the instance is cut off; a connection costs a target 1 ms."""
 WITNESSES = 2
 """Further targets that are probed at once after a failed connection."""
+WITNESS_ROUNDS = 2
+"""Rounds of such probes before a crash is taken for a cut."""
 WITNESS_INTERVAL = timedelta(seconds=1)
 """Shortest time between such probes, as each crash of a target is noticed by many instances."""
--- a/packages/entry/src/wasabiwell_entry/coordination/reachability/peers.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reachability/peers.py
@@ -34,7 +34,7 @@
         usable = [
             RelayPeer(address, state.control_address, state.zone)
             for address, state in states
-            if state.serving and not state.leaving and state.reaches_targets
+            if state.serving and not state.leaving and state.reaches_targets is True
         ]
         near = [peer for peer in usable if peer.zone == self._zone]
         candidates = near or usable
--- a/packages/entry/src/wasabiwell_entry/coordination/reachability/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reachability/ports.py
@@ -2,12 +2,11 @@
 
 from typing import Protocol
 
-from wasabiwell_entry.state.probes import ProbeOutcome
 from wasabiwell_entry.state.targets import Target
 
 
-class ProbePort(Protocol):
-    """Probes of targets."""
+class ConnectionPort(Protocol):
+    """New connections to targets."""
 
-    async def probe(self, target: Target) -> ProbeOutcome:
-        """Check with a new connection whether a target still runs."""
+    async def accepts(self, target: Target) -> bool:
+        """Return whether a target accepts a new connection, which is closed at once."""
--- a/packages/entry/src/wasabiwell_entry/coordination/reachability/prober.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reachability/prober.py
@@ -8,12 +8,12 @@
 from wasabiwell_entry.coordination.reachability.const import (
     PROBE_INTERVAL,
     WITNESS_INTERVAL,
+    WITNESS_ROUNDS,
     WITNESSES,
 )
 from wasabiwell_entry.coordination.reachability.coordinator import TargetReachability
-from wasabiwell_entry.coordination.reachability.ports import ProbePort
+from wasabiwell_entry.coordination.reachability.ports import ConnectionPort
 from wasabiwell_entry.state.clock import Clock
-from wasabiwell_entry.state.probes import TargetAlive
 from wasabiwell_entry.state.targets import Target
 
 
@@ -28,7 +28,7 @@
     def __init__(
         self,
         reachability: TargetReachability,
-        port: ProbePort,
+        port: ConnectionPort,
         clock: Clock,
         random: Random | None = None,
     ) -> None:
@@ -45,7 +45,7 @@
                 await self._probe_any()
                 await self._clock.sleep(PROBE_INTERVAL)
             else:
-                await self._probe_witnesses(self._reachability.failed)
+                await self._probe_witnesses()
                 await self._sleep_unless_cut_off(WITNESS_INTERVAL)
 
     async def reaches_another(self, target: Target) -> bool:
@@ -58,31 +58,37 @@
         others = [item for item in self._reachability.listed() if item != target]
         if not others:
             return True
-        return await self._probe_witnesses(frozenset({target.target_id}))
-
-    async def _probe_witnesses(self, excluded: frozenset[str]) -> bool:
-        """Probe a few targets at the same time; return whether one of them is alive."""
-        candidates = [
-            item for item in self._reachability.listed() if item.target_id not in excluded
-        ]
-        chosen = self._random.sample(candidates, min(WITNESSES, len(candidates)))
+        # Two others may be down as well, as a request that crashes targets is tried on several.
+        self._random.shuffle(others)
+        for start in range(0, WITNESS_ROUNDS * WITNESSES, WITNESSES):
+            if await self._probe_all(others[start : start + WITNESSES]):
+                return True
+        return False
+
+    async def _probe_witnesses(self) -> None:
+        failed = self._reachability.failed
+        others = [item for item in self._reachability.listed() if item.target_id not in failed]
+        await self._probe_all(self._random.sample(others, min(WITNESSES, len(others))))
+
+    async def _probe_all(self, targets: list[Target]) -> bool:
+        """Probe targets at the same time until one is alive; return whether one is."""
         alive = False
 
         async def probe(target: Target, scope: trio.CancelScope) -> None:
             nonlocal alive
-            if isinstance(await self._port.probe(target), TargetAlive):
+            if await self._port.accepts(target):
                 alive = True
                 scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            for target in chosen:
+            for target in targets:
                 nursery.start_soon(probe, target, nursery.cancel_scope)
         return alive
 
     async def _probe_any(self) -> None:
         listed = self._reachability.listed()
         if listed:
-            await self._port.probe(self._random.choice(listed))
+            await self._port.accepts(self._random.choice(listed))
 
     async def _sleep_unless_cut_off(self, duration: timedelta) -> None:
         end = self._clock.monotonic() + duration
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -179,7 +179,8 @@
     the retry budget. `placed` are the ids of the open requests that it has placed, so that
     receivers drop those whose end notice was lost. `peers` is the number of entry instances from
     which it receives messages. `interval_ms` is the time between its states to the receiver.
-    `reaches_targets` is false while the sender is cut off from all targets.
+    `reaches_targets` is false while the sender is cut off from all targets, and None from instances
+    of an older version, which do not take requests that a peer relays.
     """
 
     incarnation: Incarnation
@@ -196,7 +197,7 @@
     placed: tuple[str, ...]
     peers: int = 0
     interval_ms: int = 500
-    reaches_targets: bool = True
+    reaches_targets: bool | None = None
 
 
 class NodeAddresses(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/entry/coordination/reachability/reachability.feature
+++ b/tests/entry/coordination/reachability/reachability.feature
@@ -53,6 +53,16 @@
     Then it counts as cut off
     And at most 24 other targets were probed
 
+  Scenario Outline: A crash counts only if another target is reachable
+    Given an instance with 9 listed targets, of which <down> are down
+    Then a crash of target 1 <counts>
+
+    Examples:
+      | down | counts         |
+      | 1    | counts         |
+      | 3    | counts         |
+      | 9    | does not count |
+
   Scenario Outline: Requests go to a peer that reaches targets, near ones first
     Given these peers: <peers>
     Then peers that get requests: <chosen>
@@ -65,6 +75,7 @@
       | 1:z0:serving 2:z1                    | 2      |
       | 1:z0 2:z0 3:z1                       | 1 2    |
       | 1:z0:targets 2:z1:targets            | none   |
+      | 1:z0:version 2:z1                    | 2      |
 
   Scenario: Pauses that stem from a cut end with it
     Given an instance with 9 listed targets
--- a/tests/steps/entry/coordination/reachability_steps.py
+++ b/tests/steps/entry/coordination/reachability_steps.py
@@ -16,7 +16,6 @@
     TargetReachability,
 )
 from wasabiwell_entry.state.exchange import AttemptVerdict
-from wasabiwell_entry.state.probes import ProbeOutcome, TargetAlive, TargetDown
 from wasabiwell_entry.state.targets import Target
 
 CHOICES = 60
@@ -24,6 +23,7 @@
     "targets": {"reaches_targets": False},
     "leaving": {"leaving": True},
     "serving": {"serving": False},
+    "version": {"reaches_targets": None},
 }
 
 
@@ -35,13 +35,13 @@
     down: set[str]
     probed: list[str] = field(default_factory=list)
 
-    async def probe(self, target: Target) -> ProbeOutcome:
-        """Return whether a target is down."""
+    async def accepts(self, target: Target) -> bool:
+        """Return whether a target is not down."""
         await trio.lowlevel.checkpoint()
         self.probed.append(target.target_id)
-        alive = target.target_id not in self.down
-        self.reachability.record_connection(target, alive)
-        return TargetAlive() if alive else TargetDown()
+        accepted = target.target_id not in self.down
+        self.reachability.record_connection(target, accepted)
+        return accepted
 
 
 def target_id(number: int) -> str:
@@ -67,6 +67,29 @@
     context.down = {target_id(number)}
 
 
+@given("an instance with {count:d} listed targets, of which {down:d} are down")
+def step_some_down(context: Context, count: int, down: int) -> None:
+    step_listed(context, count)
+    context.down = {target_id((number + 1) % count) for number in range(down)}
+
+
+@then("a crash of target {number:d} {counts}")
+def step_crash_counts(context: Context, number: int, counts: str) -> None:
+    async def run(seed: int) -> bool:
+        clock = VirtualClock()
+        reachability = TargetReachability(
+            lambda: context.listed, lambda: None, lambda since: None, clock
+        )
+        port = ProbedTargets(reachability, context.down)
+        target = make_target(number)
+        reachability.record_connection(target, False)
+        prober = ReachabilityProber(reachability, port, clock, Random(seed))
+        return await prober.reaches_another(target)
+
+    expected = counts == "counts"
+    assert all(trio.run(run, seed) is expected for seed in range(CHOICES))
+
+
 @when("connections to the targets {events} fail or are accepted")
 def step_events(context: Context, events: str) -> None:
     context.actions += events.split()
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -227,6 +227,10 @@
         )
         return self.probe_outcome if attempted or self.all_fail else TargetAlive()
 
+    async def accepts(self, target: Target) -> bool:
+        """Return whether a probe would find the target alive."""
+        return isinstance(await self.probe(target), TargetAlive)
+
 
 @dataclass(slots=True)
 class ScriptedPeers:
@@ -265,6 +269,7 @@
         "knows_targets": True,
         "uses": (),
         "placed": (),
+        "reaches_targets": True,
     }
     state = NodeState(**(values | fields))  # type: ignore[arg-type]
     return Node(f"10.1.0.{number}:7340", 0.0, 0.0, state, 1.0)
