Take an answer with a status outside of 100 to 599 for an interruption

A target in trouble answered with a status that is none. Callers of bookings and streams got 600, 700 and 999 as they were, with and without a signature, and took them for neither a success nor a failure. Statuses below 100 and interim ones in place of an answer were rejected by the HTTP library before.

RFC 9110, section 15, has a client handle such a status as a failure of the server. The response now counts as interrupted: 502 for a request that may run once, another target for the others. A refusal in the head of such an answer still counts.

--- a/tests/platform/answers.feature
+++ b/tests/platform/answers.feature
@@ -236,3 +236,85 @@
       | with a length    | read on         | the whole answer of 1 target              |
       | in chunks        | read on         | the whole answer of 1 target              |
       | without a length | end and read on | what the target sent as its whole answer  |
+
+  Scenario Outline: An answer whose status is none may have run, and is not passed on
+    Guards against a status outside of 100 to 599, or an interim one, that callers take for neither a
+    success nor a failure.
+    Given a target that answers with status <status>, <signed>
+    When a <request> is sent to it, and another target answers in full
+    Then the caller has received no whole success
+    And each ran once, and is not reported as not run
+
+    Examples:
+      | status | signed | request |
+      | 000 | signed   | booking            |
+      | 000 | unsigned | booking            |
+      | 099 | signed   | booking            |
+      | 099 | unsigned | booking            |
+      | 101 | signed   | booking            |
+      | 101 | unsigned | booking            |
+      | 199 | signed   | booking            |
+      | 199 | unsigned | booking            |
+      | 600 | signed   | booking            |
+      | 600 | unsigned | booking            |
+      | 700 | signed   | booking            |
+      | 700 | unsigned | booking            |
+      | 999 | signed   | booking            |
+      | 999 | unsigned | booking            |
+      | 000 | signed   | single stream      |
+      | 000 | unsigned | single stream      |
+      | 099 | signed   | single stream      |
+      | 099 | unsigned | single stream      |
+      | 101 | signed   | single stream      |
+      | 101 | unsigned | single stream      |
+      | 199 | signed   | single stream      |
+      | 199 | unsigned | single stream      |
+      | 600 | signed   | single stream      |
+      | 600 | unsigned | single stream      |
+      | 700 | signed   | single stream      |
+      | 700 | unsigned | single stream      |
+      | 999 | signed   | single stream      |
+      | 999 | unsigned | single stream      |
+
+  Scenario Outline: A request that may run again gets another answer in place of one whose status is none
+    Given a target that answers with status <status>, <signed>
+    When a <request> is sent to it, and another target answers in full
+    Then the caller has received the whole answer of 2 targets
+
+    Examples:
+      | status | signed | request |
+      | 000 | signed   | idempotent request |
+      | 000 | unsigned | idempotent request |
+      | 101 | signed   | idempotent request |
+      | 101 | unsigned | idempotent request |
+      | 199 | signed   | idempotent request |
+      | 199 | unsigned | idempotent request |
+      | 600 | signed   | idempotent request |
+      | 600 | unsigned | idempotent request |
+      | 700 | signed   | idempotent request |
+      | 700 | unsigned | idempotent request |
+      | 999 | signed   | idempotent request |
+      | 999 | unsigned | idempotent request |
+      | 000 | signed   | resumable stream   |
+      | 000 | unsigned | resumable stream   |
+      | 101 | signed   | resumable stream   |
+      | 101 | unsigned | resumable stream   |
+      | 199 | signed   | resumable stream   |
+      | 199 | unsigned | resumable stream   |
+      | 600 | signed   | resumable stream   |
+      | 600 | unsigned | resumable stream   |
+      | 700 | signed   | resumable stream   |
+      | 700 | unsigned | resumable stream   |
+      | 999 | signed   | resumable stream   |
+      | 999 | unsigned | resumable stream   |
+
+  Scenario Outline: The last valid status and one without a body are passed on
+    Given a target that answers with status <status>, signed
+    When a booking is sent to it, and another target answers in full
+    Then the caller has received status <status> of 1 target
+
+    Examples:
+      | status |
+      | 204    |
+      | 304    |
+      | 599    |
--- a/tests/steps/platform/answers_steps.py
+++ b/tests/steps/platform/answers_steps.py
@@ -389,3 +389,24 @@
 def step_upload_received(context: Context) -> None:
     (received,) = context.call.read_on
     assert received == UPLOAD, (len(received), received[-64:])
+
+
+@given("a target that answers with status {status}, {signed}")
+def step_status(context: Context, status: str, signed: str) -> None:
+    answer = failure(599, signed=signed == "signed").replace(b" 599 ", b" %s " % status.encode())
+    context.first_answer = Answer(answer)
+
+
+@when("a {request} is sent to it, and another target answers in full")
+def step_send_with_second(context: Context, request: str) -> None:
+    context.parts = EVENTS[:3] if request.endswith("stream") else [BODY]
+    answers = [context.first_answer, Answer(partial(continuation, context.parts))]
+    context.call = trio.run(call_target, ROUTES[request], answers)
+    context.calls = [context.call]
+
+
+@then("the caller has received status {status:d} of 1 target")
+def step_received_status(context: Context, status: int) -> None:
+    sink = context.call.sink
+    assert (sink.status, sink.finished) == (status, True), sink
+    assert len(context.call.requests) == 1, context.call
