Take a plain service's status outside of 100 to 599 for an interruption

The client of plain services passed 600, 700 and 999 on as answers, and a run record kept them as the result of a call. They count as interrupted calls now, as on the users' platform: unknown for a call that may run once.

Failed before, in tests/entry/transport/target/answers.feature: 3 of 7 examples of "A call does not get an answer whose status is none" (600, 700, 999).

--- a/packages/entry/src/wasabiwell_entry/transport/target/plain.py
+++ b/packages/entry/src/wasabiwell_entry/transport/target/plain.py
@@ -23,6 +23,8 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Largest response of a plain service; a longer one counts as interrupted."""
 
+VALID_STATUSES = range(100, 600)
+"""RFC 9110, section 15, has a client handle any other status as a failure of the server."""
 SUCCESS = range(200, 300)
 NO_CONTENT = 204
 
@@ -85,6 +87,8 @@
         finally:
             with trio.CancelScope(shield=True):
                 await connection.aclose()
+        if response.status not in VALID_STATUSES:
+            return CallInterrupted(f"status {response.status} is not between 100 and 599")
         framing_error = _find_framing_error(call.method, response)
         if framing_error is not None:
             return CallInterrupted(framing_error)
--- a/tests/entry/transport/target/answers.feature
+++ b/tests/entry/transport/target/answers.feature
@@ -53,6 +53,25 @@
       | empty chunks                        | got an empty body |
       | a 204 without a length              | got an empty body |
       | a 500 without a length              | got an empty body |
+      | a 204 with a body                   | got an empty body |
+      | a 304 with a body                   | got an empty body |
+      | status 599                          | got an empty body |
+
+  Scenario Outline: A call does not get an answer whose status is none
+    Guards against a status that callers take for neither a success nor a failure.
+    Given a plain service that answers <answer>
+    When a call is sent to it
+    Then the call was interrupted
+
+    Examples:
+      | answer     |
+      | status 000 |
+      | status 099 |
+      | status 101 |
+      | status 199 |
+      | status 600 |
+      | status 700 |
+      | status 999 |
 
   Scenario Outline: An answer of a plain service that is sent before it has read the upload
     Guards against a part of an answer without a length that ends as a whole one, because the write of
--- a/tests/steps/entry/transport/cut_answers_steps.py
+++ b/tests/steps/entry/transport/cut_answers_steps.py
@@ -178,6 +178,16 @@
     "a length of 0": SUCCESS + b"Content-Length: 0\r\n\r\n",
     "empty chunks": SUCCESS + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "a 204 without a length": b"HTTP/1.1 204 No Content\r\n\r\n",
+    "status 600": b"HTTP/1.1 600 Status\r\nContent-Length: 0\r\n\r\n",
+    "status 700": b"HTTP/1.1 700 Status\r\nContent-Length: 0\r\n\r\n",
+    "status 999": b"HTTP/1.1 999 Status\r\nContent-Length: 0\r\n\r\n",
+    "status 000": b"HTTP/1.1 000 Status\r\nContent-Length: 0\r\n\r\n",
+    "status 099": b"HTTP/1.1 099 Status\r\nContent-Length: 0\r\n\r\n",
+    "status 101": b"HTTP/1.1 101 Status\r\nContent-Length: 0\r\n\r\n",
+    "status 199": b"HTTP/1.1 199 Status\r\nContent-Length: 0\r\n\r\n",
+    "status 599": b"HTTP/1.1 599 Status\r\nContent-Length: 0\r\n\r\n",
+    "a 204 with a body": b"HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\nabc",
+    "a 304 with a body": b"HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\nabc",
     "a 500 without a length": b"HTTP/1.1 500 Error\r\n\r\n",
 }
 
