--- a/packages/entry/src/wasabiwell_entry/coordination/reachability/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reachability/coordinator.py
@@ -104,17 +104,18 @@
         self._ended(self._first_failure_at)
 
     def _record_failed(self, target: Target) -> None:
+        if self.cut_off:
+            return
         now = self._clock.monotonic()
         listed = {item.target_id for item in self._listed()}
         if target.target_id not in listed:
             return
-        if not self.cut_off:
-            self._forget_old_failures()
-            if not self._failures:
-                self._first_failure_at = now
+        self._forget_old_failures()
+        if not self._failures:
+            self._first_failure_at = now
         self._failures[target.target_id] = now
         self._wake.set()
-        if self.cut_off or len(self._failures) < min(FAILED_TARGETS, len(listed)):
+        if len(self._failures) < min(FAILED_TARGETS, len(listed)):
             return
         self._cut_off_at = now
         log_events.emit(
@@ -127,8 +128,5 @@
         self._started()
 
     def _forget_old_failures(self) -> None:
-        """Drop old failures; while the instance is cut off they are kept, at most one a target."""
-        if self.cut_off:
-            return
         oldest = self._clock.monotonic() - FAILURE_LIFETIME
         self._failures = {key: at for key, at in self._failures.items() if at >= oldest}
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -39,6 +39,18 @@
     When the peer reports that it is leaving
     Then callers get the addresses "own"
 
+  Scenario Outline: Callers do not get the addresses of instances that reach no target, unless none does
+    Given an instance that <own> targets, with a reachable peer "10.0.0.2:7"
+    When the peer reports that it <peer> targets
+    Then callers get the addresses "<addresses>"
+
+    Examples:
+      | own            | peer           | addresses    |
+      | reaches        | reaches        | 10.0.0.2 own |
+      | reaches        | does not reach | own          |
+      | does not reach | reaches        | 10.0.0.2     |
+      | does not reach | does not reach | 10.0.0.2 own |
+
   Scenario Outline: An instance offers itself to callers once it can serve them
     Guards against instances that start while the store is away, report that they are ready and
     refuse each request: callers would choose them over instances that can serve.
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -113,6 +113,20 @@
     receive_state(context, context.peer)
 
 
+@given('an instance that {reaches} targets, with a reachable peer "{address}"')
+def step_reaching(context: Context, reaches: str, address: str) -> None:
+    clock = ManualClock()
+    own_state = make_own_state(clock, reaches_targets=lambda: reaches == "reaches")
+    open_exchange(context, FakeDirectory(), clock, own_state)
+    context.peer = address
+    receive_state(context, address)
+
+
+@when("the peer reports that it {reaches} targets")
+def step_peer_reaching(context: Context, reaches: str) -> None:
+    receive_state(context, context.peer, reaches_targets=reaches == "reaches")
+
+
 @when("the peer reports that it is leaving")
 def step_leaving(context: Context) -> None:
     receive_state(context, context.peer, serving=False, leaving=True)
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -96,6 +96,7 @@
     clock: Clock,
     routes_version: Callable[[], int] = lambda: 1,
     has_listing: Callable[[], bool] = lambda: True,
+    reaches_targets: Callable[[], bool] = lambda: True,
 ) -> OwnState:
     """Return the state of the instance at `OWN`."""
     identity = NodeIdentity("r", "z", "own", f"{OWN.partition(':')[0]}:9")
@@ -107,6 +108,7 @@
         uses=tuple,
         placed=tuple,
         peers=lambda: 0,
+        reaches_targets=reaches_targets,
     )
     return OwnState(identity, sources, clock)
 
