--- a/tests/platform/unreached_targets.feature
+++ b/tests/platform/unreached_targets.feature
@@ -30,6 +30,12 @@
       | hang      |
       | are reset |
 
+  Scenario: A slow booking is answered if its connection outlives the begin of the cut
+    Given 3 entry processes that can be cut off from all targets
+    When new connections of 1 of them to all targets are refused while slow bookings run
+    Then all requests were answered
+    And no guarantee was violated
+
   Scenario: Requests that a peer runs when it is killed are resumed, or never sent again
     Given 3 entry processes that can be cut off from all targets
     When a peer of an instance that is cut off is killed while callers send requests
--- a/tests/steps/platform/unreached_targets_steps.py
+++ b/tests/steps/platform/unreached_targets_steps.py
@@ -125,6 +125,21 @@
     run(context, actions)
 
 
+@when("new connections of 1 of them to all targets are refused while slow bookings run")
+def step_slow_bookings(context: Context) -> None:
+    async def actions(deployment: Deployment) -> None:
+        entry = deployment.entries[0]
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                request = deployment.request("book", work_ms=1_200)
+                nursery.start_soon(send_one, context, deployment, entry, request)
+            await trio.sleep(0.2)
+            entry.cut(REFUSE)
+            nursery.start_soon(send_to, context, deployment, entry, 0.2)
+
+    run(context, actions)
+
+
 @when("a peer of an instance that is cut off is killed while callers send requests")
 def step_kill_peer(context: Context) -> None:
     async def actions(deployment: Deployment) -> None:
