Ask another peer when one does not send the version that it announced

An instance that could not reach the store kept its older version for as long as a peer named a version that it did not send: a process that had started again with an older one, whose earlier state was still remembered, or one whose document could not be decoded. The instance always asked the peer with the highest announced version, and forgot an announcement only if the fetch itself failed, so that peers with a newer version were never asked.

An announcement that a fetch does not fulfil is forgotten; the peer's next state names its version again. The log line names the announced version.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
@@ -265,21 +265,25 @@
             await self._clock.sleep(ANNOUNCEMENT_DELAY)
 
     async def _fetch_from(self, address: str) -> None:
+        """Fetch the routes of a peer, which is not asked again if they are not those announced."""
         document = await self._fetch(address)
         if isinstance(document, StoreUnavailable):
             log_events.emit(log_events.ROUTES_NOT_FETCHED, peer=address, reason=document.reason)
-            announced = self._announced_versions.pop(address, None)
-            self._log_rejection(announced, address, RejectionReason.FETCH_FAILED)
+            self._forget_announcement(address, RejectionReason.FETCH_FAILED)
             return
         table = self._port.decode(document)
         if isinstance(table, UnreadableRoutes):
             log_events.emit(log_events.ROUTES_UNREADABLE, source=address, reason=table.reason)
-            announced = self._announced_versions.get(address)
-            self._log_rejection(announced, address, RejectionReason.UNDECODABLE)
+            self._forget_announcement(address, RejectionReason.UNDECODABLE)
             return
         self._apply(RoutesRead(0, table, document), address)
         if table.version < self._announced_versions.get(address, 0):
-            self._log_rejection(table.version, address, RejectionReason.PEER_BEHIND)
+            self._forget_announcement(address, RejectionReason.PEER_BEHIND)
+
+    def _forget_announcement(self, address: str, reason: RejectionReason) -> None:
+        """Log why an announced version is not applied; another peer may send it."""
+        version = self._announced_versions.pop(address, None)
+        self._log_rejection(version, address, reason)
 
     def _apply(self, read: RoutesRead, source: str) -> None:
         """Apply routes from the store or a peer if they are newer."""
