--- a/standins/wasabiwell_standins/users_platform/deployment.py
+++ b/standins/wasabiwell_standins/users_platform/deployment.py
@@ -53,6 +53,7 @@
 class DeploymentSize:
     """Numbers of processes and targets; `block` is the second octet of the IP addresses.
 
+    Each entry process has `ready_seconds` to become ready after the one before it.
     Deployments that run at the same time need different blocks.
     """
 
@@ -60,6 +61,7 @@
     engines: int = 5
     plain: int = 3
     block: int = 77
+    ready_seconds: float = READY_SECONDS
 
 
 @dataclass(slots=True)
@@ -178,9 +180,12 @@
         targets = self.targets_of(MODEL_SERVICE if request.prompt else PLAIN_SERVICE)
         return sum(target.occupancy for target in targets) / max(1, len(targets))
 
-    def publish_configuration(self) -> int:
-        """Write the configuration to the store under a new version and return the version."""
-        self._version += 2
+    def publish_configuration(self, step: int = 2) -> int:
+        """Write the configuration to the store under a version that is higher by `step`.
+
+        Returns the version.
+        """
+        self._version += step
         self._configuration["version"] = self._version
         self.store.put_json("op", "config", self._configuration)
         return self._version
@@ -238,7 +243,7 @@
 
     async def wait_ready(self, entry: EntryProcess) -> None:
         """Wait until an entry process reports readiness; raises `TimeoutError`."""
-        with trio.move_on_after(READY_SECONDS):
+        with trio.move_on_after(self.size.ready_seconds):
             while not await self.is_ready(entry):  # noqa: ASYNC110 readiness is polled over HTTP
                 await trio.sleep(POLL_SECONDS)
             return
