--- a/standins/wasabiwell_standins/asgi.py
+++ b/standins/wasabiwell_standins/asgi.py
@@ -1,6 +1,6 @@
 """Minimal ASGI server used by the stand-ins."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -45,13 +45,23 @@
                 return bytes(value).decode()
         return None
 
-    async def reply(self, status: int, value: object) -> None:
-        """Send a JSON response."""
-        await self.reply_bytes(status, msgspec.json.encode(value), b"application/json")
-
-    async def reply_bytes(self, status: int, body: bytes, content_type: bytes) -> None:
+    async def reply(
+        self, status: int, value: object, headers: Sequence[tuple[bytes, bytes]] = ()
+    ) -> None:
+        """Send a JSON response, with `headers` beside its type and length."""
+        body = msgspec.json.encode(value)
+        await self.reply_bytes(status, body, b"application/json", headers)
+
+    async def reply_bytes(
+        self,
+        status: int,
+        body: bytes,
+        content_type: bytes,
+        extra_headers: Sequence[tuple[bytes, bytes]] = (),
+    ) -> None:
         """Send a response with a complete body."""
         headers = [(b"content-type", content_type), (b"content-length", b"%d" % len(body))]
+        headers += extra_headers
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
         await self._send({"type": "http.response.body", "body": body})
 
--- a/standins/wasabiwell_standins/users_platform/store.py
+++ b/standins/wasabiwell_standins/users_platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's store: tables of rows, transactions, long polling for changes, and faults."""
+"""The platform's store: tables of rows, transactions, long polling, faults, and copies."""
 
 import enum
 from base64 import b64decode, b64encode
@@ -29,12 +29,14 @@
     """Active faults.
 
     `delay_s` is added to each call. `lose_responses` is the number of coming transactions that are
-    committed without a response.
+    committed without a response. With `hang_old_polls`, polls that are open while the store returns
+    from a copy get no response.
     """
 
     outage: Outage | None = None
     delay_s: float = 0.0
     lose_responses: int = 0
+    hang_old_polls: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,12 +47,34 @@
     key: str
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """All rows of the store, with their versions and the changes that led to them."""
+
+    version: int
+    rows: dict[RowKey, tuple[bytes, int]] = field(repr=False)
+    changes: tuple[tuple[int, RowKey], ...] = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class LostRow:
+    """A row that differs from that of the copy; it has no value if it was removed."""
+
+    row_key: RowKey
+    value: bytes | None = field(repr=False)
+
+
 @dataclass(slots=True)
 class StoreStandIn:
-    """In-memory store; `version` is the number of transactions so far."""
+    """In-memory store; `version` is the number of transactions so far.
+
+    `era` counts the returns from a copy, and is sent in each response. A store of `era` None sends
+    none.
+    """
 
     faults: StoreFaults = field(default_factory=StoreFaults)
     version: int = 0
+    era: int | None = 1
     call_count: int = 0
     _rows: dict[RowKey, tuple[bytes, int]] = field(default_factory=dict)
     _changes: deque[tuple[int, RowKey]] = field(default_factory=deque)
@@ -79,6 +103,25 @@
         self._changes.clear()
         self._notify_waiters()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all rows."""
+        return StoreCopy(self.version, dict(self._rows), tuple(self._changes))
+
+    def restore(self, copy: StoreCopy) -> list[LostRow]:
+        """Return to a copy, with its versions and a new era; return the rows that are lost."""
+        lost = [
+            LostRow(row_key, self._rows[row_key][0] if row_key in self._rows else None)
+            for row_key in sorted({*self._rows, *copy.rows}, key=lambda key: (key.table, key.key))
+            if self._rows.get(row_key) != copy.rows.get(row_key)
+        ]
+        self.version = copy.version
+        self.era = (self.era or 0) + 1
+        self._rows = dict(copy.rows)
+        self._changes = deque(copy.changes)
+        self._last_discarded_version = min(self._last_discarded_version, copy.version)
+        self._notify_waiters()
+        return lost
+
     async def handle(self, exchange: HttpExchange) -> None:
         """Handle a call, subject to the active faults."""
         self.call_count += 1
@@ -88,17 +131,21 @@
                 await trio.sleep(SILENT_SECONDS)
                 return
             case Outage() as outage:
-                await exchange.reply(outage.value, {})
+                await self._reply(exchange, outage.value, {})
                 return
         match exchange.path:
             case "/rows-get":
-                await exchange.reply(200, self._read(exchange))
+                await self._reply(exchange, 200, self._read(exchange))
             case "/rows-feed":
                 await self._wait_for_changes(exchange)
             case "/rows-tx":
                 await self._transact(exchange)
             case _:
-                await exchange.reply(404, {})
+                await self._reply(exchange, 404, {})
+
+    async def _reply(self, exchange: HttpExchange, status: int, value: dict[str, Any]) -> None:
+        headers = [] if self.era is None else [(b"store-era", b"%d" % self.era)]
+        await exchange.reply(status, value, headers)
 
     def _read(self, exchange: HttpExchange) -> dict[str, Any]:
         table, limit = exchange.query("table"), int(exchange.query("limit", "500"))
@@ -113,14 +160,21 @@
 
     async def _wait_for_changes(self, exchange: HttpExchange) -> None:
         table, after = exchange.query("table"), int(exchange.query("after_revision"))
+        era = self.era
         with trio.move_on_after(int(exchange.query("wait_ms", "0")) / 1000):
-            while after >= self._last_discarded_version and not self._changed_rows(table, after):
+            while self._has_version(after) and not self._changed_rows(table, after):
                 await self._changed.wait()
-        if after < self._last_discarded_version:
-            await exchange.reply(410, {})
+        if era != self.era and self.faults.hang_old_polls:
+            await trio.sleep(SILENT_SECONDS)
+            return
+        if not self._has_version(after):
+            await self._reply(exchange, 410, {})
             return
         rows = self._changed_rows(table, after)
-        await exchange.reply(200, {"rows": rows, "row_version": self.version})
+        await self._reply(exchange, 200, {"rows": rows, "row_version": self.version})
+
+    def _has_version(self, version: int) -> bool:
+        return self._last_discarded_version <= version <= self.version
 
     def _changed_rows(self, table: str, after: int) -> list[dict[str, Any]]:
         row_keys = dict.fromkeys(
@@ -142,7 +196,7 @@
         for item in body["precondition"]:
             _, version = self._rows.get(_row_key(item), (b"", 0))
             if version != item["row_version"]:
-                await exchange.reply(412, {"rows": [], "row_version": self.version})
+                await self._reply(exchange, 412, {"rows": [], "row_version": self.version})
                 return
         writes = [(_row_key(item), b64decode(item["value"])) for item in body["writes"]]
         self._write([*writes, *((_row_key(item), None) for item in body["remove"])])
@@ -150,7 +204,7 @@
             self.faults.lose_responses -= 1
             await trio.sleep(SILENT_SECONDS)
             return
-        await exchange.reply(200, {"row_version": self.version})
+        await self._reply(exchange, 200, {"row_version": self.version})
 
     def _write(self, writes: list[tuple[RowKey, bytes | None]]) -> None:
         self.version += 1
