Order the store's revisions by its era

After the store had returned from an older copy, the list of targets stood still until the store had made as many changes as before it: in a drill with 3 instances 68 requests, and with 6 instances 137, started on a target more than 2 s after it had left, up to the end of the run, and targets that had joined got none.

Cause: revisions were bare integers. The store gives the numbers out again, so new lists and notices looked like late ones and were dropped. Nothing read the header Store-Era.

StoreRevision is the pair of era and number, made where an answer is decoded and used wherever revisions are compared, kept or told. A poll that is answered in another era than the one it continues from leads to a read of the whole table, as the number it named may have been given out again; so do parts of a table that are of different eras. Targets that the copy lacks are retained as after an outage. Processes that an instance has seen leave, and that the copy lists again, are held back until their entry is written again, for 30 s at most.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
@@ -40,6 +40,17 @@
 RECOVERY_GRACE = timedelta(milliseconds=2_500)
 """Time for which targets that are missing after an outage are kept; running targets register again
 within about 2 s of the store's recovery."""
+DEPARTED_HOLD = timedelta(seconds=30)
+"""Longest time for which a process that had left gets no work because a copy of the store lists it
+again. The platform removes entries without a living process after three heartbeats, which are a few
+seconds, so an entry that is still there belongs to a process that lives."""
+DEPARTURE_MEMORY = timedelta(minutes=2)
+"""Time for which departures are remembered; a copy of the store is some seconds old, and the rest
+covers an outage before the return."""
+MAX_REMEMBERED_DEPARTURES = 4_096
+"""More than leave within minutes of 12,000 targets."""
+OUTDATED_LOG_INTERVAL = timedelta(seconds=5)
+"""Time between two log lines on dropped answers; a peer in an older era sends a notice in 1.2 s."""
 OUTAGE_THRESHOLD = timedelta(milliseconds=2_500)
 """Age of the list from which the time before a new list counts as an outage of the store. Only
 failed reads, a store that does not answer, and a process that did not run make a list that old."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/ports.py
@@ -9,6 +9,7 @@
 from wasabiwell_entry.state.listing import TargetListing
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import RouteTable
+from wasabiwell_entry.state.store_revision import StoreRevision
 from wasabiwell_entry.state.targets import ListedTarget
 
 
@@ -33,21 +34,27 @@
     table, for peers that cannot read it from the store.
     """
 
-    revision: int
+    revision: StoreRevision
     table: RouteTable | None
     document: bytes = field(default=b"", repr=False)
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeHistoryLost:
-    """The changes after a revision are no longer available; the whole list has to be read again."""
+    """The changes after a revision are not available; the whole list has to be read again.
+
+    The store has discarded them, or it has returned from a copy since the revision.
+    """
 
 
 @dataclass(frozen=True, slots=True)
 class TargetChanges:
-    """Changes of the list of targets up to a revision; `removed` are target ids."""
+    """Changes of the list of targets up to a revision; `removed` are target ids.
+
+    `changed` also has the targets whose entries were written again without a change.
+    """
 
-    revision: int
+    revision: StoreRevision
     changed: tuple[ListedTarget, ...]
     removed: tuple[str, ...]
 
@@ -59,7 +66,7 @@
         """Return the list."""
 
     async def changes(
-        self, after: int, wait: timedelta
+        self, after: StoreRevision, wait: timedelta
     ) -> TargetChanges | ChangeHistoryLost | StoreUnavailable:
         """Wait for changes after a revision, for at most `wait`."""
 
@@ -71,7 +78,7 @@
         """Return the newest routes."""
 
     async def changes(
-        self, after: int, wait: timedelta
+        self, after: StoreRevision, wait: timedelta
     ) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
         """Wait for a change after a revision, for at most `wait`."""
 
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
@@ -19,6 +19,7 @@
     ROUTE_POLL_MARGIN,
     ROUTE_POLL_WAIT,
 )
+from wasabiwell_entry.coordination.discovery.eras import StoreEras
 from wasabiwell_entry.coordination.discovery.ports import (
     ChangeHistoryLost,
     FetchDocument,
@@ -31,6 +32,7 @@
 from wasabiwell_entry.state.clock import Clock
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import NO_ROUTES, RouteTable
+from wasabiwell_entry.state.store_revision import NO_REVISION, StoreRevision
 
 
 class RouteDiscovery:
@@ -47,6 +49,7 @@
         "_clock",
         "_confirmation",
         "_document",
+        "_eras",
         "_fetch",
         "_fleet",
         "_holding_poll",
@@ -68,8 +71,10 @@
         fleet: FleetView,
         clock: Clock,
         random: Random | None = None,
+        eras: StoreEras | None = None,
     ) -> None:
         self._port = port
+        self._eras = eras or StoreEras(clock)
         self._fleet = fleet
         self._confirmation = RouteConfirmation(fleet, clock, random or Random())
         self._holding_poll = False
@@ -79,7 +84,7 @@
         self._clock = clock
         self._table = NO_ROUTES
         self._document = b""
-        self._revision: int | None = None
+        self._revision: StoreRevision | None = None
         self._announced_versions: dict[str, int] = {}
         self._newer_version_announced = trio.Event()
         self._poll_scope = trio.CancelScope()
@@ -136,6 +141,7 @@
             outcome = await self._poll()
             match outcome:
                 case RoutesRead(revision=revision):
+                    self._eras.record(revision, "the store")
                     # Only a poll shows that polls work again.
                     poll_failed = poll_failed and self._revision is None
                     # Applied first, so that routes that cannot be applied are read again.
@@ -252,7 +258,7 @@
         if isinstance(table, StoreUnavailable):
             log_events.emit(log_events.ROUTES_UNREADABLE, source=address, reason=table.reason)
             return
-        self._apply(RoutesRead(0, table, document))
+        self._apply(RoutesRead(NO_REVISION, table, document))
 
     def _apply(self, read: RoutesRead) -> None:
         """Apply routes if they are newer."""
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/targets.py
@@ -1,6 +1,6 @@
 """Tracks the platform's list of targets; a few instances poll it and notify the others."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
 
 import trio
@@ -14,15 +14,15 @@
     MISMATCH_READ_STEP,
     NOTICE_TIMEOUT,
     NOTICE_TIMEOUT_SPREAD,
-    OUTAGE_THRESHOLD,
     READ_TIMEOUT,
     RECONNECT_READS,
     RECONNECT_TIMEOUT,
-    RECOVERY_GRACE,
     STALE_READ_DELAY,
     STORE_SEARCH_RATE,
     WATCHER_COUNT,
 )
+from wasabiwell_entry.coordination.discovery.corrections import ListingCorrections
+from wasabiwell_entry.coordination.discovery.eras import StoreEras
 from wasabiwell_entry.coordination.discovery.ports import (
     ChangeHistoryLost,
     ListingPort,
@@ -33,6 +33,7 @@
 from wasabiwell_entry.state.exchange import ListingNotice
 from wasabiwell_entry.state.listing import NO_LISTING, TargetListing
 from wasabiwell_entry.state.platform import StoreUnavailable
+from wasabiwell_entry.state.store_revision import NO_REVISION, StoreRevision
 from wasabiwell_entry.state.targets import ListedTarget
 
 TargetObserver = Callable[[list[ListedTarget]], None]
@@ -41,17 +42,18 @@
 class TargetDiscovery:
     """Keeps the list of targets of one entry instance.
 
-    Notices carry the list as the store has it. After an outage each instance keeps the missing
-    targets for a while by its own judgement, so that one that has only been late itself does not
-    make the others use targets which have left.
+    Notices carry the list as the store has it; each instance applies its own corrections to it.
+    Lists and notices are ordered by the store's revision, so those of an older era are dropped once
+    the store is known to have returned from a copy.
     """
 
     __slots__ = (
         "_clock",
         "_confirmed_at",
+        "_corrections",
         "_digest",
+        "_eras",
         "_fleet_size",
-        "_grace_ends",
         "_listing",
         "_may_notify",
         "_missed_revision",
@@ -63,7 +65,6 @@
         "_rank",
         "_read_requested",
         "_reconnect_reads",
-        "_retained",
         "_store_unavailable",
         "_tracked_revision",
     )
@@ -77,6 +78,7 @@
         clock: Clock,
         fleet_size: Callable[[], int] = lambda: 1,
         may_notify: Callable[[], bool] = lambda: True,
+        eras: StoreEras | None = None,
     ) -> None:
         """Create an empty list.
 
@@ -93,11 +95,11 @@
         self._clock = clock
         self._listing = NO_LISTING
         self._digest = NO_LISTING.digest()
-        self._missed_revision = 0
-        self._tracked_revision: int | None = None
+        self._eras = eras or StoreEras(clock)
+        self._corrections = ListingCorrections(clock)
+        self._missed_revision = NO_REVISION
+        self._tracked_revision: StoreRevision | None = None
         self._confirmed_at: timedelta | None = None
-        self._grace_ends = timedelta()
-        self._retained: dict[str, ListedTarget] = {}
         self._next_read_at = timedelta()
         self._store_unavailable = False
         self._read_requested = trio.Event()
@@ -105,11 +107,8 @@
 
     @property
     def listing(self) -> TargetListing:
-        """Return the current list, with the targets that are kept after an outage."""
-        if not self._retained:
-            return self._listing
-        targets = {**self._retained, **self._listing.targets}
-        return TargetListing(self._listing.revision, targets)
+        """Return the current list with the corrections of this instance."""
+        return self._corrections.applied_to(self._listing)
 
     def age(self) -> timedelta | None:
         """Return the time since the list was last confirmed, or None if it never was."""
@@ -119,22 +118,27 @@
         """Track the list until cancelled."""
         while True:
             now = self._clock.monotonic()
-            if self._retained and now >= self._grace_ends:
-                self._replace(self._listing, self._digest, {})
+            before = self.listing.targets
+            if self._corrections.expire(self._listing):
+                self._publish(before)
             time_left = self._next_read_at - now
             if time_left <= timedelta():
                 if not self._postpone_read():
                     await self._read()
                 continue
-            if self._retained:
-                time_left = min(time_left, self._grace_ends - now)
+            correction_left = self._corrections.time_left()
+            if correction_left is not None:
+                time_left = min(time_left, correction_left)
             with trio.move_on_after(time_left.total_seconds()):
                 await self._read_requested.wait()
                 self._read_requested = trio.Event()
 
     def receive(self, sender: str, notice: ListingNotice) -> None:
         """Apply a notice of a read that another entry instance has made."""
+        self._eras.record(notice.revision, sender)
         if notice.revision < self._listing.revision:
+            if notice.era < self._listing.revision.era:
+                self._eras.record_outdated(notice.revision, self._listing.revision, sender)
             return
         listing, digest = TargetListing(notice.revision, self._listing.targets), self._digest
         if digest != notice.digest and (notice.changed or notice.removed):
@@ -144,17 +148,16 @@
         if digest != notice.digest:
             self._record_missed(sender, notice.revision)
             return
-        self._missed_revision = 0
-        now = self._clock.monotonic()
-        retained = self._missing_after_outage(listing, now)
-        self._confirm(now)
-        self._replace(listing, digest, retained)
+        self._missed_revision = NO_REVISION
+        age = self.age()
+        self._confirm(self._clock.monotonic())
+        self._replace(listing, digest, age, notice.rewritten)
         if self._tracked_revision is not None:
             self._tracked_revision = notice.revision
 
-    def _record_missed(self, sender: str, revision: int) -> None:
+    def _record_missed(self, sender: str, revision: StoreRevision) -> None:
         """Schedule one read of the whole list after notices that could not be applied."""
-        scheduled = self._missed_revision > 0
+        scheduled = self._missed_revision > NO_REVISION
         self._missed_revision = max(self._missed_revision, revision)
         self._tracked_revision = None
         if not scheduled:
@@ -175,7 +178,8 @@
         if not listing.targets:
             return None
         changed = tuple(listing.targets.values())
-        return ListingNotice(listing.revision, NO_LISTING.digest(), self._digest, changed, ())
+        revision, base = listing.revision, NO_LISTING.digest()
+        return ListingNotice(revision.number, base, self._digest, changed, (), revision.era)
 
     def _confirm(self, now: timedelta) -> None:
         """Record that the list is up to date, and schedule the next read."""
@@ -201,8 +205,9 @@
     async def _read(self) -> None:
         """Poll for changes, or read the whole list when changes cannot be tracked."""
         wait = LISTING_POLL_WAIT if self._rank() < WATCHER_COUNT else timedelta()
-        if self._retained:
-            wait = min(wait, max(timedelta(), self._grace_ends - self._clock.monotonic()))
+        correction_left = self._corrections.time_left()
+        if correction_left is not None:
+            wait = min(wait, correction_left)
         outcome: TargetListing | TargetChanges | ChangeHistoryLost | StoreUnavailable
         outcome = StoreUnavailable("no response in time")
         timeout = self._read_timeout(wait)
@@ -220,7 +225,13 @@
                 self._apply_read(listing, now)
             case TargetChanges() as changes:
                 self._log_store_state(None)
-                self._apply_read(self._with_changes(changes), now)
+                known = self._listing.targets
+                rewritten = tuple(
+                    item.target.target_id
+                    for item in changes.changed
+                    if known.get(item.target.target_id) == item
+                )
+                self._apply_read(self._with_changes(changes), now, rewritten)
             case ChangeHistoryLost():
                 self._tracked_revision = None
             case StoreUnavailable(reason=reason):
@@ -246,7 +257,7 @@
 
         Those who are not watchers take turns, unless they know that they have missed a change.
         """
-        if self._rank() < WATCHER_COUNT or self._missed_revision:
+        if self._rank() < WATCHER_COUNT or self._missed_revision > NO_REVISION:
             return FAILED_READ_DELAY
         turn = timedelta(seconds=self._fleet_size() / STORE_SEARCH_RATE)
         return max(FAILED_READ_DELAY, turn)
@@ -262,23 +273,27 @@
             log_events.emit(log_events.STORE_RECOVERED, service="list of targets")
         self._store_unavailable = reason is not None
 
-    def _apply_read(self, read: TargetListing, now: timedelta) -> None:
+    def _apply_read(
+        self, read: TargetListing, now: timedelta, rewritten: tuple[str, ...] = ()
+    ) -> None:
         """Apply the result of a read and notify the other instances."""
+        self._eras.record(read.revision, "the store")
         if read.revision < self._listing.revision:
-            # The store lags behind a read of another instance.
+            # The store lags behind a read of another instance, or its answer was late.
+            self._eras.record_outdated(read.revision, self._listing.revision, "the store")
             self._tracked_revision = None
             self._next_read_at = now + STALE_READ_DELAY
             return
         before, digest_before = self._listing, self._digest
         takes_over = self._watchers_are_silent(now)
         self._tracked_revision = read.revision
-        retained = self._missing_after_outage(read, now)
-        missed_revision, self._missed_revision = self._missed_revision, 0
+        age = self.age()
+        missed_revision, self._missed_revision = self._missed_revision, NO_REVISION
         self._confirm(now)
         if before is NO_LISTING:
             self._next_read_at = max(self._next_read_at, now + FIRST_POLL_DELAY)
         unchanged = read.targets is before.targets
-        self._replace(read, digest_before if unchanged else read.digest(), retained)
+        self._replace(read, digest_before if unchanged else read.digest(), age, rewritten)
         if missed_revision > read.revision:
             self._record_missed("", missed_revision)
         notifies = takes_over or self._rank() < WATCHER_COUNT
@@ -289,39 +304,40 @@
             item for key, item in read.targets.items() if before.targets.get(key) != item
         )
         removed = tuple(key for key in before.targets if key not in read.targets)
-        self._notify(ListingNotice(read.revision, digest_before, self._digest, changed, removed))
+        revision = read.revision
+        self._notify(
+            ListingNotice(
+                revision.number,
+                digest_before,
+                self._digest,
+                changed,
+                removed,
+                revision.era,
+                rewritten,
+            )
+        )
 
     def _watchers_are_silent(self, now: timedelta) -> bool:
         """Return whether a read is made because no watcher has confirmed the list in time."""
-        if self._confirmed_at is None or self._missed_revision:
+        if self._confirmed_at is None or self._missed_revision > NO_REVISION:
             return False
         return now - self._confirmed_at >= NOTICE_TIMEOUT
 
-    def _missing_after_outage(
-        self, listing: TargetListing, now: timedelta
-    ) -> dict[str, ListedTarget]:
-        """Return the targets that a new list lacks and that may register again after an outage."""
-        age = self.age()
-        if age is not None and age > OUTAGE_THRESHOLD:
-            self._grace_ends = now + RECOVERY_GRACE
-        if now >= self._grace_ends:
-            return {}
-        known = self.listing.targets
-        missing = {key: item for key, item in known.items() if key not in listing.targets}
-        if missing and missing.keys() != self._retained.keys():
-            log_events.emit(
-                log_events.TARGETS_RETAINED,
-                targets=" ".join(sorted(missing)),
-                age_ms=round(age / timedelta(milliseconds=1)) if age is not None else None,
-                left_ms=round((self._grace_ends - now) / timedelta(milliseconds=1)),
-            )
-        return missing
-
     def _replace(
-        self, listing: TargetListing, digest: int, retained: dict[str, ListedTarget]
+        self,
+        listing: TargetListing,
+        digest: int,
+        age: timedelta | None,
+        rewritten: Collection[str],
     ) -> None:
+        """Replace the store's list; `age` is the time since the one before was confirmed."""
         before = self.listing.targets
-        self._listing, self._digest, self._retained = listing, digest, retained
+        self._corrections.update(self._listing, listing, age, rewritten)
+        self._listing, self._digest = listing, digest
+        self._publish(before)
+
+    def _publish(self, before: dict[str, ListedTarget]) -> None:
+        """Tell the observer of the list if it differs from the one before."""
         after = self.listing.targets
         if self._observed and (before is after or before == after):
             return
--- a/packages/entry/src/wasabiwell_entry/state/exchange.py
+++ b/packages/entry/src/wasabiwell_entry/state/exchange.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from wasabiwell_entry.state.crashes import Cause, Crash
+from wasabiwell_entry.state.store_revision import StoreRevision
 from wasabiwell_entry.state.targets import ListedTarget, TargetProcess
 
 MAX_INCARNATION = 2**63 - 2
@@ -159,15 +160,23 @@
 class ListingNotice(msgspec.Struct, frozen=True, array_like=True):
     """Changes in the platform's list of targets.
 
-    `revision` is the platform's count of changes at the time of the read. `digest` identifies the
+    `number` and `era` are the store's revision at the time of the read. `digest` identifies the
     whole list; `changed` and `removed` are the difference from the list with the digest `base`.
+    `rewritten` are the ids of targets whose entries were written again without a change.
     """
 
-    revision: int
+    number: int
     base: int
     digest: int
     changed: tuple[ListedTarget, ...]
     removed: tuple[str, ...]
+    era: int = 0
+    rewritten: tuple[str, ...] = ()
+
+    @property
+    def revision(self) -> StoreRevision:
+        """Return the store's revision at the time of the read."""
+        return StoreRevision(self.era, self.number)
 
 
 class NodeState(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/entry/src/wasabiwell_entry/state/listing.py
+++ b/packages/entry/src/wasabiwell_entry/state/listing.py
@@ -4,14 +4,15 @@
 
 import xxhash
 
+from wasabiwell_entry.state.store_revision import NO_REVISION, StoreRevision
 from wasabiwell_entry.state.targets import ListedTarget
 
 
 @dataclass(frozen=True, slots=True)
 class TargetListing:
-    """Targets by id; `revision` is the platform's count of changes when the list was read."""
+    """Targets by id; `revision` is that of the store when the list was read."""
 
-    revision: int
+    revision: StoreRevision
     targets: dict[str, ListedTarget]
 
     def digest(self) -> int:
@@ -26,5 +27,5 @@
         return digest.intdigest()
 
 
-NO_LISTING = TargetListing(0, {})
+NO_LISTING = TargetListing(NO_REVISION, {})
 """Used until the first read of the list."""
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -280,6 +280,26 @@
     "the list of targets was {age_ms} ms old and lacks {targets}; they are kept for {left_ms} ms, "
     "as targets register again after an outage of the store",
 )
+STORE_RETURNED = LogEvent(
+    460,
+    Level.WARNING,
+    "the store has returned from a copy: {source} tells of era {era}, revision {revision}, after "
+    "era {era_before}, revision {revision_before}; older lists of targets are dropped from now on",
+    "Compare the changes of the last seconds before the return with what the store has now.",
+)
+STORE_ANSWER_OUTDATED = LogEvent(
+    461,
+    Level.WARNING,
+    "a list of targets of revision {revision} from {source} was dropped, as this instance has "
+    "revision {own_revision} (each ERA/NUMBER); {dropped} were dropped since the last such line",
+    "If it lasts and names a peer, look at the peer's connection to the store.",
+)
+TARGETS_HELD_BACK = LogEvent(
+    462,
+    Level.INFO,
+    "the copy of the store, at revision {revision}, lists {targets}, which had left before; they "
+    "get no work until their entries are written again, for {left_ms} ms at most",
+)
 HELPER_REFUSED = LogEvent(
     449,
     Level.WARNING,
--- a/tests/entry/coordination/discovery/targets.feature
+++ b/tests/entry/coordination/discovery/targets.feature
@@ -171,3 +171,101 @@
     And a watcher and another instance that receives its notices
     When the store is unavailable for 10 seconds for a fleet of 200, and a notice cannot be applied
     Then the other instance has read the store at least 8 times
+
+  Scenario Outline: A list of a later era is in force although its revision is lower
+    Guards against a list that stands still until the store, back from a copy, has made as many changes
+    as before.
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store lists "a b c" a little later
+    And the store lists "a b d" a little later
+    And the store returns from a copy of revision 1 that lists "a b"
+    And 3 seconds pass
+    And the store lists "a~ b e" a little later
+    Then <instance> has the targets "a~ b e" within 100 ms
+
+    Examples:
+      | instance           |
+      | the watcher        |
+      | the other instance |
+
+  Scenario: The store returns from copies twice in a row
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store lists "a b c" a little later
+    And the store returns from a copy of revision 2 that lists "a b"
+    And the store returns from a copy of revision 1 that lists "a b"
+    And 3 seconds pass
+    And the store lists "a d" a little later
+    Then the other instance has the targets "a d" within 100 ms
+
+  Scenario: A process that had left gets no work because the copy lists it
+    Guards against requests to a target that this instance has already seen leave.
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store lists "a" a little later
+    And the store returns from a copy of revision 1 that lists "a b"
+    Then the other instance has the targets "a" for 20 seconds
+
+  Scenario: A process that had left is used again once its entry is written again
+    Guards against holding back a living target, whose entry had expired, for longer than necessary.
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store lists "a" a little later
+    And the store returns from a copy of revision 1 that lists "a b"
+    And the entry of "b" is written again without a change
+    Then the other instance has the targets "a b" within 100 ms
+
+  Scenario: A process that had left is used again if the platform keeps its entry
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store lists "a" a little later
+    And the store returns from a copy of revision 1 that lists "a b"
+    And 29 seconds pass
+    Then the other instance has the targets "a b" within 1500 ms
+
+  Scenario Outline: A target that the copy lacks is kept until it had time to register again
+    Guards against dropping targets that joined shortly before the copy was put back.
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store lists "a b c" a little later
+    And the store returns from a copy of revision 1 that lists "a b"
+    And <seconds> seconds pass
+    And the store lists "<names>" a little later
+    Then the other instance has the targets "<expected>" within 0 ms
+
+    Examples:
+      | seconds | names | expected |
+      | 2       | a b   | a b c    |
+      | 2       | a b c | a b c    |
+      | 3       | a b   | a b      |
+
+  Scenario: A target that leaves right after the return is not kept
+    Guards against taking a removal of the new era for something that the copy lacks.
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store lists "a b c" a little later
+    And the store returns from a copy of revision 1 that lists "a b"
+    And the store lists "a" a little later
+    Then the other instance has the targets "a c" within 100 ms
+
+  Scenario: A peer in an older era cannot put its list into force
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store returns from a copy of revision 1 that lists "a b"
+    And a peer in era 0 reports "a b c" at revision 90
+    Then the other instance has the targets "a b" for 3 seconds
+
+  Scenario: A late answer of an older era does not change the list
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store returns from a copy of revision 1 that lists "a b"
+    And a poll of era 0 is answered late with "a b c" at revision 90
+    Then the watcher has the targets "a b" for 3 seconds
+
+  Scenario: An instance that missed the return learns of it from a peer
+    Given a store that lists "a b"
+    And a watcher and another instance that receives its notices
+    When the store lists "a b c" a little later
+    And a peer in era 4 reports "a d" at revision 1
+    Then the other instance has the targets "a b c d" within 0 ms
--- a/tests/steps/entry/coordination/discovery_steps.py
+++ b/tests/steps/entry/coordination/discovery_steps.py
@@ -21,6 +21,7 @@
 from wasabiwell_entry.state.exchange import ListingNotice
 from wasabiwell_entry.state.listing import NO_LISTING, TargetListing
 from wasabiwell_entry.state.platform import StoreUnavailable
+from wasabiwell_entry.state.store_revision import StoreRevision
 
 SETTLED_SECONDS = 0.3
 ADDRESSES_KNOWN_SECONDS = 0.05
@@ -40,7 +41,7 @@
         return await self._store.targets()
 
     async def changes(
-        self, after: int, wait: timedelta
+        self, after: StoreRevision, wait: timedelta
     ) -> TargetChanges | ChangeHistoryLost | StoreUnavailable:
         """Wait for changes."""
         self.reads += 1
@@ -177,6 +178,72 @@
     add_action(context, action)
 
 
+@when('the store returns from a copy of revision {revision:d} that lists "{names}"')
+def step_returns(context: Context, revision: int, names: str) -> None:
+    async def action(pair: WatcherPair) -> None:
+        pair.store.restore(revision, names)
+        await trio.sleep(0.05)
+
+    add_action(context, action)
+
+
+@when('the entry of "{name}" is written again without a change')
+def step_rewritten(context: Context, name: str) -> None:
+    async def action(pair: WatcherPair) -> None:
+        pair.store.rewritten = frozenset([name])
+        pair.store.list_targets(text_of(pair.store.current_targets))
+        await trio.sleep(0.05)
+
+    add_action(context, action)
+
+
+@when("{seconds:g} seconds pass")
+def step_pass(context: Context, seconds: float) -> None:
+    async def action(pair: WatcherPair) -> None:
+        await trio.sleep(seconds)
+
+    add_action(context, action)
+
+
+@when('a peer in era {era:d} reports "{names}" at revision {number:d}')
+def step_peer_in_era(context: Context, era: int, names: str, number: int) -> None:
+    async def action(pair: WatcherPair) -> None:
+        targets = targets_from(names)
+        digest = TargetListing(StoreRevision(era, number), targets).digest()
+        changed = tuple(targets.values())
+        for instance in (pair.other, pair.watcher):
+            removed = tuple(key for key in instance.listing.targets if key not in targets)
+            instance.receive("peer", ListingNotice(number, 1, digest, changed, removed, era))
+        await trio.lowlevel.checkpoint()
+
+    add_action(context, action)
+
+
+@when('a poll of era {era:d} is answered late with "{names}" at revision {number:d}')
+def step_late_answer(context: Context, era: int, names: str, number: int) -> None:
+    async def action(pair: WatcherPair) -> None:
+        changed = tuple(targets_from(names).values())
+        pair.store.late_answer = TargetChanges(StoreRevision(era, number), changed, ())
+        pair.store.wake()
+        await trio.sleep(0.05)
+        assert pair.store.late_answer is None
+
+    add_action(context, action)
+
+
+@then('{instance} has the targets "{names}" for {seconds:g} seconds')
+def step_has_for(context: Context, instance: str, names: str, seconds: float) -> None:
+    async def action(pair: WatcherPair) -> None:
+        discovery = pair.watcher if instance == "the watcher" else pair.other
+        changed = await wait_for(
+            lambda: text_of(discovery.listing.targets) != names, round(seconds * 1000)
+        )
+        assert not changed, text_of(discovery.listing.targets)
+
+    add_action(context, action)
+    check_targets(context, lambda pair: pair.other, names, 0)
+
+
 @when('the store loses its change history and lists "{names}"')
 def step_history_lost(context: Context, names: str) -> None:
     async def action(pair: WatcherPair) -> None:
@@ -203,11 +270,12 @@
         watcher = pair.late_watcher = TargetDiscovery(
             pair.store, lambda: 0, pair.deliver, lambda _: None, SystemClock()
         )
-        known = TargetListing(pair.store.revision - 1, targets_from(context.names))
+        revision = StoreRevision(pair.store.era, pair.store.revision - 1)
+        known = TargetListing(revision, targets_from(context.names))
         changed = tuple(known.targets.values())
         digest = known.digest()
         watcher.receive(
-            "peer", ListingNotice(known.revision, NO_LISTING.digest(), digest, changed, ())
+            "peer", ListingNotice(revision.number, NO_LISTING.digest(), digest, changed, ())
         )
         await trio.sleep(3)
         pair.nursery.start_soon(watcher.run)
@@ -256,12 +324,13 @@
     async def action(pair: WatcherPair) -> None:
         pair.other_store.reads = 0
         before = pair.other.listing
-        known = TargetListing(before.revision + 1, targets_from(first))
+        number = before.revision.number + 1
+        known = TargetListing(StoreRevision(before.revision.era, number), targets_from(first))
         changed = tuple(item for key, item in known.targets.items() if key not in before.targets)
-        notice = ListingNotice(known.revision, before.digest(), known.digest(), changed, ())
+        notice = ListingNotice(number, before.digest(), known.digest(), changed, ())
         pair.other.receive("another watcher", notice)
         pair.store.list_targets(second)
-        pair.store.revision = max(pair.store.revision, known.revision + 1)
+        pair.store.revision = max(pair.store.revision, number + 1)
         await trio.sleep(0.05)
 
     add_action(context, action)
--- a/tests/steps/entry/coordination/route_fleet_steps.py
+++ b/tests/steps/entry/coordination/route_fleet_steps.py
@@ -20,6 +20,7 @@
 from wasabiwell_entry.state.clock import SystemClock
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import RouteTable
+from wasabiwell_entry.state.store_revision import StoreRevision
 
 SETTLED_SECONDS = 4.0
 MESSAGE_SECONDS = 0.001
@@ -46,7 +47,7 @@
         return await self._store.current()
 
     async def changes(
-        self, after: int, wait: timedelta
+        self, after: StoreRevision, wait: timedelta
     ) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
         """Wait until something changes."""
         self.reads += 1
--- a/tests/steps/platform/decoding_steps.py
+++ b/tests/steps/platform/decoding_steps.py
@@ -25,6 +25,7 @@
 from wasabiwell_entry.state.listing import TargetListing
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import NO_ROUTES, CallerLimits, RouteTable
+from wasabiwell_entry.state.store_revision import StoreRevision
 from wasabiwell_platform.caller import decode_request, forwarded_request
 from wasabiwell_platform.configuration import PlatformRoutes
 from wasabiwell_platform.control import fetch_configuration
@@ -35,6 +36,7 @@
 HOST = "ficu95.example"
 RECEIVED = timedelta(seconds=100)
 START_TIMEOUT_SECONDS = 30
+REVISION = StoreRevision(0, 1)
 
 
 @given("the settings of an entry instance")
@@ -285,13 +287,13 @@
     """Store with rows of targets."""
 
     def __init__(self, values: dict[str, bytes]) -> None:
-        self._rows = tuple(StoredRow(key, value, 1) for key, value in sorted(values.items()))
+        self._rows = tuple(StoredRow(key, value, REVISION) for key, value in sorted(values.items()))
 
     async def rows(self, table: str, start: str = "") -> StoredRows:
         """Return at most two rows, as a store with a limit of rows in a response does."""
         await trio.lowlevel.checkpoint()
         remaining = [row for row in self._rows if row.key >= start]
-        return StoredRows(tuple(remaining[:2]), 9, truncated=len(remaining) > 2)
+        return StoredRows(tuple(remaining[:2]), REVISION, truncated=len(remaining) > 2)
 
 
 def read_targets(context: Context, values: dict[str, bytes]) -> None:
@@ -376,7 +378,7 @@
             port = listeners[0].socket.getsockname()[1]
             client = StoreClient(f"127.0.0.1:{port}", Counter())
             listing = PlatformListing(client, "region")
-            found = await listing.targets(), await listing.changes(1, timedelta())
+            found = await listing.targets(), await listing.changes(REVISION, timedelta())
             await client.close()
             nursery.cancel_scope.cancel()
         return found
@@ -400,7 +402,7 @@
         self.revision = 1
         self.rows_by_key = {
             f"i-{number:05}": StoredRow(
-                f"i-{number:05}", json.dumps(target_entry(number % 250)).encode(), 1
+                f"i-{number:05}", json.dumps(target_entry(number % 250)).encode(), REVISION
             )
             for number in range(count)
         }
@@ -410,16 +412,17 @@
         """Return the rows of a part, and remove the first of them afterwards."""
         keys = sorted(key for key in self.rows_by_key if key >= start)
         part = tuple(self.rows_by_key[key] for key in keys[:MAX_ROWS])
-        read = StoredRows(part, self.revision, len(keys) > MAX_ROWS)
+        read = StoredRows(part, StoreRevision(0, self.revision), len(keys) > MAX_ROWS)
         self.revision += 1
         del self.rows_by_key[part[0].key]
-        self._removals.append(StoredRow(part[0].key, None, self.revision))
+        removed_at = StoreRevision(0, self.revision)
+        self._removals.append(StoredRow(part[0].key, None, removed_at))
         return read
 
-    async def changes(self, table: str, after: int, wait: timedelta) -> StoredRows:
+    async def changes(self, table: str, after: StoreRevision, wait: timedelta) -> StoredRows:
         """Return the removed rows after a revision."""
         rows = tuple(row for row in self._removals if row.revision > after)
-        return StoredRows(rows, self.revision)
+        return StoredRows(rows, StoreRevision(0, self.revision))
 
 
 @given(
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -20,6 +20,7 @@
 
 SEND_INTERVAL_SECONDS = 0.04
 IP_BLOCKS = {
+    "store_return.feature": cycle(range(64, 68)),
     "silent_store.feature": iter(range(12, 20)),
     "signals.feature": cycle(range(56, 64)),
     "fuzzing.feature": iter(range(68, 75)),
--- a/tests/support/stores.py
+++ b/tests/support/stores.py
@@ -14,6 +14,7 @@
 from wasabiwell_entry.state.listing import TargetListing
 from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import CallerLimits, RouteTable
+from wasabiwell_entry.state.store_revision import StoreRevision
 from wasabiwell_entry.state.targets import ListedTarget, Target, TargetKind
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -49,6 +50,11 @@
 
     current_targets: dict[str, ListedTarget]
     revision: int = 1
+    era: int = 0
+    rewritten: frozenset[str] = frozenset()
+    """Targets whose entries were written again without a change, as told by the next polls."""
+    late_answer: TargetChanges | None = None
+    """Answer of the next poll, as of one that was made long before."""
     history: dict[int, TargetListing] = field(default_factory=dict)
     unavailable: bool = False
     polls_silent: bool = False
@@ -62,11 +68,23 @@
 
     def list_targets(self, names: str) -> None:
         """Replace the list of targets."""
-        self.history[self.revision] = TargetListing(self.revision, dict(self.current_targets))
+        self.history[self.revision] = TargetListing(self.at(), dict(self.current_targets))
         self.revision += 1
         self.current_targets = targets_from(names)
         self.wake()
 
+    def restore(self, revision: int, names: str) -> None:
+        """Return from a copy in a new era, with an older revision and its list."""
+        self.era += 1
+        self.revision = revision
+        self.current_targets = targets_from(names)
+        self.history = {}
+        self.wake()
+
+    def at(self) -> StoreRevision:
+        """Return the revision of now."""
+        return StoreRevision(self.era, self.revision)
+
     def wake(self) -> None:
         """Complete the pending polls."""
         self.changed.set()
@@ -80,27 +98,37 @@
         await trio.sleep(self.delay_seconds)
         if self.unavailable:
             return StoreUnavailable("away")
-        return TargetListing(self.revision, dict(self.current_targets))
+        return TargetListing(self.at(), dict(self.current_targets))
 
     async def changes(
-        self, after: int, wait: timedelta
+        self, after: StoreRevision, wait: timedelta
     ) -> TargetChanges | ChangeHistoryLost | StoreUnavailable:
         """Wait until something changes."""
         self.reads += 1
         await trio.sleep(self.delay_seconds)
-        if after >= self.revision and not self.unavailable:
+        if after >= self.at() and not self.unavailable:
             with trio.move_on_after(wait.total_seconds()):
                 await self.changed.wait()
         if self.polls_silent:
             await trio.sleep_forever()
         if self.unavailable:
             return StoreUnavailable("away")
-        if after < self.history_lost_until:
+        if self.late_answer is not None:
+            late_answer, self.late_answer = self.late_answer, None
+            return late_answer
+        if after.era != self.era or after.number < self.history_lost_until:
             return ChangeHistoryLost()
-        before = self.history[after].targets if after < self.revision else self.current_targets
+        before = self.current_targets
+        if after.number < self.revision:
+            before = self.history[after.number].targets
+        rewritten, self.rewritten = self.rewritten, frozenset()
         return TargetChanges(
-            self.revision,
-            tuple(item for key, item in self.current_targets.items() if before.get(key) != item),
+            self.at(),
+            tuple(
+                item
+                for key, item in self.current_targets.items()
+                if before.get(key) != item or key in rewritten
+            ),
             tuple(key for key in before if key not in self.current_targets),
         )
 
@@ -126,6 +154,7 @@
 
     version: int
     revision: int = 1
+    era: int = 0
     unavailable: bool = False
     polls_hang: bool = False
     silent: bool = False
@@ -166,14 +195,14 @@
         return self._read()
 
     async def changes(
-        self, after: int, wait: timedelta
+        self, after: StoreRevision, wait: timedelta
     ) -> RoutesRead | ChangeHistoryLost | StoreUnavailable:
         """Wait until something changes."""
         await trio.sleep(0.004)
         if self.polls_fail:
             return StoreUnavailable("reset")
         with trio.move_on_after(wait.total_seconds()):
-            while after >= self.revision or self.polls_hang or self.deaf:
+            while after >= self._at() or self.polls_hang or self.deaf:
                 changed = self.changed
                 await changed.wait()
                 if changed in self.cut_events:
@@ -199,7 +228,10 @@
             await trio.sleep_forever()
 
     def _read(self) -> RoutesRead:
-        return RoutesRead(self.revision, table_of(self.version), str(self.version).encode())
+        return RoutesRead(self._at(), table_of(self.version), str(self.version).encode())
+
+    def _at(self) -> StoreRevision:
+        return StoreRevision(self.era, self.revision)
 
 
 async def wait_for(condition: Callable[[], bool], milliseconds: int) -> bool:
