Write own rows again that a copy of the store has forgotten

After the store had returned from an older copy, the refusals and addresses that this system had written since stayed lost: a crashing request was let through once all instances had started again, and an instance that started with its seeds down found no address. A refusal that was released came back with the copy.

Cause: rows were written once, and nothing noticed a return.

The instance that saved a refusal and about 4 others look for its row after 3 s and write a missing one; the instance that removed a row removes it again. Registered instances register again with their next check (5 s). row_rewritten is logged for each row, and wasabiwell_store_eras counts them.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/eras.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/eras.py
@@ -24,6 +24,7 @@
         "_outdated_logged",
         "_outdated_logged_at",
         "_returns",
+        "_rewritten",
     )
 
     def __init__(self, clock: Clock) -> None:
@@ -31,6 +32,7 @@
         self._newest: StoreRevision | None = None
         self._observers: list[Callable[[], None]] = []
         self._returns = 0
+        self._rewritten = 0
         self._outdated = 0
         self._outdated_logged = 0
         self._outdated_logged_at: timedelta | None = None
@@ -75,6 +77,15 @@
         )
         self._outdated_logged, self._outdated_logged_at = self._outdated, now
 
+    def record_rewritten(self, table: str, key: str) -> None:
+        """Count and log a row of this system that was written again after a return."""
+        self._rewritten += 1
+        log_events.emit(log_events.ROW_REWRITTEN, table=table, key=key)
+
     def counts(self) -> dict[str, float]:
-        """Return the number of returns and of dropped answers since the start."""
-        return {"returns": self._returns, "outdated_answers": self._outdated}
+        """Return the numbers of returns, dropped answers and rewritten rows since the start."""
+        return {
+            "returns": self._returns,
+            "outdated_answers": self._outdated,
+            "rewritten_rows": self._rewritten,
+        }
--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -60,7 +60,7 @@
     `helper_lost` takes the id of a target. `full_listing` returns the message for a peer that knows
     no target, or None. `suspicions` returns the messages for a peer that is new or was unreachable
     for long, and `recent_suspicions` those repeated with each state, because single messages may
-    be lost.
+    be lost. `row_rewritten` takes the table and key of a row that was written again.
     """
 
     request_ended: Callable[[RequestEnded], None]
@@ -75,6 +75,7 @@
     routes_confirmed: Callable[[str, int, bool], None]
     store_unreachable: Callable[[], None]
     full_listing: Callable[[], ListingNotice | None]
+    row_rewritten: Callable[[str, str], None] = lambda table, key: None
 
 
 class ExchangeCoordinator:
@@ -144,7 +145,13 @@
             nodes, works, ring, self._sender, port, self.broadcast
         )
         self._registration = Registration(
-            own_address, directory, self._roles.rank, lambda: not self.peers(), self.add_peer, clock
+            own_address,
+            directory,
+            self._roles.rank,
+            lambda: not self.peers(),
+            self.add_peer,
+            clock,
+            observers.row_rewritten,
         )
         self._peers_with_sender: set[str] = set()
         self._nursery: trio.Nursery | None = None
@@ -191,6 +198,10 @@
             if node.state is not None and self._zone_locality.is_own_zone(node.state.zone)
         ]
 
+    def record_store_return(self) -> None:
+        """Register again, as the store has returned from a copy."""
+        self._registration.record_return()
+
     def broadcast_state(self) -> None:
         """Send the state to all peers immediately, after a change."""
         self._sender.send_to_all()
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/crashes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/crashes.py
@@ -180,6 +180,14 @@
         until = self._clock.now() + time_left
         return StoredRefusal(cause, tuple(record.counted), until, record.refusals)
 
+    def checked_refusals(self) -> list[Cause]:
+        """Return the refused causes whose rows this instance, one of a few, looks after."""
+        return [
+            cause
+            for cause, record in self._records.items()
+            if self._is_refused(record) and self._sampled(str(cause), CHECKING_INSTANCES)
+        ]
+
     def restore(self, refusal: StoredRefusal) -> None:
         """Apply a refusal that an earlier entry instance stored."""
         time_left = min(
--- a/packages/entry/src/wasabiwell_entry/coordination/quarantine/refusals.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/quarantine/refusals.py
@@ -1,8 +1,11 @@
 """Keeps refused causes in the platform's store, so that they outlast all entry instances."""
 
+from collections.abc import Callable
+
 import trio
 
 from wasabiwell_entry.coordination.quarantine.const import (
+    MAX_CAUSES,
     REFUSAL_CHECK_DELAY,
     REFUSAL_STORE_RETRY_INTERVAL,
     SUSPICION_LIFETIME,
@@ -26,7 +29,9 @@
 
     Running instances tell each other of refusals, so the store is read at the start, and by a few
     instances that have heard of a refusal: the one that decided it may end before it can save it.
-    Without the store an instance works with what it observes and hears, and saves later.
+    Without the store an instance works with what it observes and hears, and saves later. After the
+    store has returned from a copy, the instance that saved a refusal and a few others write a
+    missing row again, and the instance that removed a row removes it again.
     """
 
     __slots__ = (
@@ -34,19 +39,34 @@
         "_crashes",
         "_heard",
         "_pending",
+        "_record_rewritten",
+        "_removed",
+        "_rewriting",
+        "_saved",
         "_store",
         "_unchecked",
         "_unremoved",
         "_unsaved",
     )
 
-    def __init__(self, crashes: CrashCounts, store: RefusalStore, clock: Clock) -> None:
+    def __init__(
+        self,
+        crashes: CrashCounts,
+        store: RefusalStore,
+        clock: Clock,
+        record_rewritten: Callable[[str, str], None] = lambda table, key: None,
+    ) -> None:
+        """Create a keeper; `record_rewritten` takes the table and key of a row written again."""
         self._crashes = crashes
         self._store = store
         self._clock = clock
         self._unsaved: dict[Cause, None] = {}
         self._unremoved: dict[Cause, None] = {}
         self._unchecked: dict[Cause, None] = {}
+        self._record_rewritten = record_rewritten
+        self._saved: dict[Cause, None] = {}
+        self._removed: dict[Cause, None] = {}
+        self._rewriting: set[Cause] = set()
         self._pending = trio.Event()
         self._heard = trio.Event()
         crashes.on_refused = self._request_save
@@ -89,8 +109,16 @@
                 self._crashes.restore(refusal)
         return True
 
+    def record_return(self) -> None:
+        """Look for rows later, as the store has returned from a copy and may have lost some."""
+        self._unchecked.update(dict.fromkeys([*self._crashes.checked_refusals(), *self._saved]))
+        self._unchecked.update(self._removed)
+        if self._unchecked:
+            self._rewriting.update(self._unchecked)
+            self._heard.set()
+
     async def check_heard(self) -> bool:
-        """Request to save the refusals of other instances that have no row.
+        """Request to save refusals that have no row, and to remove the rows of cleared ones.
 
         Returns False without the store.
         """
@@ -103,8 +131,13 @@
         in_force = {refusal.cause for refusal in stored if refusal.refused_until > now}
         for cause in heard:
             self._unchecked.pop(cause, None)
-            if cause not in in_force and self._crashes.refusal(cause) is not None:
+            refused = self._crashes.refusal(cause) is not None
+            if cause not in in_force and refused:
                 self._request_save(cause)
+                continue
+            self._rewriting.discard(cause)
+            if cause in in_force and cause in self._removed and not refused:
+                self._request_removal(cause)
         return True
 
     async def release(self, name: str) -> ReleaseOutcome:
@@ -119,6 +152,7 @@
         if failed is not None:
             return ReleaseUnavailable(failed.reason)
         self._unsaved.pop(cause, None)
+        self._record_removed(cause)
         self._crashes.release(cause)
         log_events.emit(log_events.CAUSE_RELEASED, cause=str(cause))
         return Released()
@@ -131,6 +165,7 @@
             if refusal is not None and not _succeeded(await self._store.save(refusal)):
                 return False
             self._unsaved.pop(cause, None)
+            self._finish_save(cause, written=refusal is not None)
             if refusal is not None and self._crashes.refusal(cause) is None:
                 # The refusal was cleared while it was saved.
                 self._unremoved[cause] = None
@@ -138,9 +173,22 @@
             if not _succeeded(await self._store.remove(cause)):
                 return False
             self._unremoved.pop(cause, None)
+            self._record_removed(cause)
             log_events.emit(log_events.REFUSAL_REMOVED, cause=str(cause))
         return True
 
+    def _finish_save(self, cause: Cause, written: bool) -> None:
+        if written:
+            self._removed.pop(cause, None)
+            _put_last(self._saved, cause)
+            if cause in self._rewriting:
+                self._record_rewritten("refusals", str(cause))
+        self._rewriting.discard(cause)
+
+    def _record_removed(self, cause: Cause) -> None:
+        self._saved.pop(cause, None)
+        _put_last(self._removed, cause)
+
     def _request_save(self, cause: Cause) -> None:
         self._unremoved.pop(cause, None)
         self._unsaved[cause] = None
@@ -156,6 +204,14 @@
         self._pending.set()
 
 
+def _put_last(causes: dict[Cause, None], cause: Cause) -> None:
+    """Add a cause as the newest one, and drop the oldest of too many."""
+    causes.pop(cause, None)
+    causes[cause] = None
+    if len(causes) > MAX_CAUSES:
+        del causes[next(iter(causes))]
+
+
 def _succeeded(failed: StoreUnavailable | None) -> bool:
     """Return whether a write succeeded, and log the reason when it did not."""
     if failed is not None:
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -300,6 +300,12 @@
     "the copy of the store, at revision {revision}, lists {targets}, which had left before; they "
     "get no work until their entries are written again, for {left_ms} ms at most",
 )
+ROW_REWRITTEN = LogEvent(
+    463,
+    Level.INFO,
+    "row {key} of table {table} was written again, as the store may have lost it with its return "
+    "from a copy",
+)
 HELPER_REFUSED = LogEvent(
     449,
     Level.WARNING,
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -150,6 +150,12 @@
     When only peer "10.0.0.0:7" sends states for 8 seconds of a run
     Then it registered its own address once and looked up no others
 
+  Scenario: An instance registers again after the store has returned from a copy
+    Guards against instances that start later, with their seeds down, and find no address in the store.
+    Given a running instance with an available store that returns from a copy after 2 seconds
+    When only peer "10.0.0.0:7" sends states for 8 seconds of a run
+    Then it registered its own address twice, and counted one row as written again
+
   Scenario: Only the first instances by address are registered in the store
     Given a running instance with an available store
     When 6 peers with lower addresses send states for 8 seconds of a run
--- a/tests/entry/coordination/quarantine/refusals.feature
+++ b/tests/entry/coordination/quarantine/refusals.feature
@@ -129,3 +129,35 @@
     And the instances load their refusals
     Then a new request with parts "p" is not refused at any instance
     And no cause is counted as refused at any instance
+
+  Scenario: A refusal that a copy of the store lacks is written again
+    Guards against a crashing request that comes through once all instances have started again.
+    Given 3 instances that count crashes
+    When request "a" crashes targets "e1 e2 e3" at instance 0
+    And the instances save their refusals
+    And the store of refusals loses all rows with its return from a copy
+    Then 3 rows were logged as written again
+    When all instances end and start again
+    Then request "a" is refused at all instances
+
+  Scenario: A refusal that a copy lacks is written again although the instance that saved it has ended
+    Given 3 instances that count crashes
+    When request "a" crashes targets "e1 e2 e3" at instance 0
+    And the instances save their refusals
+    And instance 0 ends for good
+    And the store of refusals loses all rows with its return from a copy
+    Then 2 rows were logged as written again
+    When all instances end and start again
+    Then request "a" is refused at all instances
+
+  Scenario: A refusal that was released does not return with a copy of the store
+    Guards against refusing a sound request again that an operator has released.
+    Given 2 instances that count crashes
+    When request "a" crashes targets "e1 e2 e3" at instance 0
+    And the instances save their refusals
+    And a copy of the store of refusals is made
+    And an operator releases "a" at instance 1
+    And the instances save their refusals
+    And the store of refusals returns from a copy of before
+    Then the store has no refusal
+    And 0 rows were logged as written again
--- a/tests/steps/entry/coordination/crash_counts_steps.py
+++ b/tests/steps/entry/coordination/crash_counts_steps.py
@@ -94,9 +94,15 @@
 
         return broadcast
 
+    context.rewritten = rewritten = []
+
+    def record_rewritten(table: str, key: str) -> None:
+        rewritten.append((table, key))
+
     context.instances = [CrashCounts(broadcast_from(i), context.clock) for i in range(count)]
     context.keepers = [
-        RefusalKeeper(instance, context.store, context.clock) for instance in context.instances
+        RefusalKeeper(instance, context.store, context.clock, record_rewritten)
+        for instance in context.instances
     ]
 
 
@@ -128,6 +134,36 @@
         trio.run(keeper.check_heard)
 
 
+@when("the store of refusals loses all rows with its return from a copy")
+def step_rows_lost(context: Context) -> None:
+    context.store.refusals.clear()
+    context.store.writes = 0
+    notice_return(context)
+
+
+@when("the store of refusals returns from a copy of before")
+def step_copy_returns(context: Context) -> None:
+    context.store.refusals.update(context.copied_refusals)
+    notice_return(context)
+
+
+@when("a copy of the store of refusals is made")
+def step_copy_made(context: Context) -> None:
+    context.copied_refusals = dict(context.store.refusals)
+
+
+def notice_return(context: Context) -> None:
+    for keeper in context.keepers:
+        keeper.record_return()
+    step_check(context)
+    step_save(context)
+
+
+@then("{count:d} rows were logged as written again")
+def step_rewritten(context: Context, count: int) -> None:
+    assert len(context.rewritten) == count, context.rewritten
+
+
 @when("instance {index:d} ends for good")
 def step_ends(context: Context, index: int) -> None:
     del context.instances[index], context.keepers[index]
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -56,6 +56,7 @@
     TargetDepartures,
     WatchRequest,
 )
+from wasabiwell_entry.state.platform import StoreUnavailable
 from wasabiwell_entry.state.routes import RouteKind
 from wasabiwell_entry.state.targets import TargetProcess
 
@@ -129,6 +130,30 @@
     open_exchange(context, context.directory, SystemClock())
 
 
+@given(
+    "a running instance with an available store that returns from a copy after {seconds:d} seconds"
+)
+def step_running_return(context: Context, seconds: int) -> None:
+    step_running(context)
+    register = context.directory.register
+    directory = context.directory
+
+    async def register_and_lose(address: str) -> StoreUnavailable | None:
+        outcome = await register(address)
+        if len(directory.registered) == 1:
+            await trio.sleep(seconds)
+            context.exchange.record_store_return()
+        return outcome
+
+    directory.register = register_and_lose
+
+
+@then("it registered its own address twice, and counted one row as written again")
+def step_registered_again(context: Context) -> None:
+    assert context.directory.registered == [OWN, OWN], context.directory.registered
+    assert context.rewritten == [("entries", OWN)], context.rewritten
+
+
 @when('only peer "{address}" sends states for {seconds:d} seconds of a run')
 def step_run_with_peer(context: Context, address: str, seconds: int) -> None:
     run_for(context, seconds, [address])
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -130,6 +130,7 @@
     context.announced = []
     context.departures = []
     context.confirmed = []
+    context.rewritten = []
     context.sequence = 0
     context.task_failures = []
     context.nodes = nodes = NodeTable()
@@ -156,6 +157,7 @@
             ),
             store_unreachable=lambda: None,
             full_listing=lambda: LISTING,
+            row_rewritten=lambda table, key: context.rewritten.append((table, key)),
         ),
         (),
         Supervisor(clock, context.task_failures.append),
