Let the test of a released refusal fail without the reaction to a return

The instances had not yet looked for the refusal that they had heard of, so their usual look removed the row of the copy. They look before the copy is made now. Without the reaction to a return 3 of 16 scenarios of refusals.feature fail, with it none does.

--- a/tests/entry/coordination/quarantine/refusals.feature
+++ b/tests/entry/coordination/quarantine/refusals.feature
@@ -155,6 +155,7 @@
     Given 2 instances that count crashes
     When request "a" crashes targets "e1 e2 e3" at instance 0
     And the instances save their refusals
+    And the instances look for the refusals that they have heard of
     And a copy of the store of refusals is made
     And an operator releases "a" at instance 1
     And the instances save their refusals
