Take a further peer from the retry budget if a target has refused a relayed request

A peer counts only the second and further targets that it tries for a relayed request. Its refusal took nothing from the retry budget at the sender either, so that the first target of the second and of the third peer was counted nowhere. While the services are full and the retry budget is used up, each request at an instance that reaches no target arrived at up to three targets instead of one (BUDGET allows 0.2 further arrivals for each request).

A refusal now says whether a target got the request. If one did, the next peer is taken from the retry budget, else it is not.

In the existing scenario "A booking that a peer refuses goes to another one, without the retry budget" the peer now refuses without a target; the other case has two scenarios of its own.

--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/coordinator.py
@@ -182,7 +182,9 @@
                         return await self._finish_unanswered(
                             progress, sink, reason, REFUSED_RETRY_AFTER
                         )
-                case NotSent(reason=reason) | NotRun(reason=reason):
+                case NotRun(reason=reason):
+                    progress.reason, progress.arrived = reason, True
+                case NotSent(reason=reason):
                     progress.reason = reason
             if not self._may_try_another_target(request, progress, outcome):
                 return await self._finish_unanswered(
@@ -334,7 +336,7 @@
         if progress.buffered is not None and not progress.response_started:
             return await deliver_buffered(progress.buffered, sink)
         if progress.runs == 0 and not progress.response_started:
-            return Refused(Reason.NO_CAPACITY, reason, retry_after)
+            return Refused(Reason.NO_CAPACITY, reason, retry_after, arrived=progress.arrived)
         return _unanswered_outcome(progress, Reason.TARGET_FAILED, reason)
 
     def _time_left(self, request: ForwardedRequest) -> timedelta:
@@ -348,5 +350,5 @@
     retry_after: timedelta = REFUSED_RETRY_AFTER,
 ) -> Refused | Failed:
     if progress.runs == 0 and not progress.response_started:
-        return Refused(reason, message, retry_after)
+        return Refused(reason, message, retry_after, arrived=progress.arrived)
     return Failed(reason, message, RunState.UNKNOWN)
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/peer_attempts.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/peer_attempts.py
@@ -46,8 +46,9 @@
     ) -> AttemptOutcome:
         """Send a request to a peer and return how the attempt ended.
 
-        A refusal takes nothing from the retry budget here, as the peer has counted each target that
-        it tried.
+        `NotRun` says that a target of the peer has refused the request. The peer takes nothing from
+        the retry budget for the first target that it tries, so that a further peer is a retry. A
+        peer that refuses the request itself is `NotSent`.
         """
         progress.sends += 1
         progress.runs += 1
@@ -95,7 +96,7 @@
             case NotRun(reason=reason):
                 progress.runs -= 1
                 self._counters.relays["refused"] += 1
-                return NotSent(f"instance {peer.address} did not run it: {reason}")
+                return NotRun(f"targets of instance {peer.address} refused it: {reason}")
             case _:
                 self._counters.relays[type(outcome).__name__.lower()] += 1
         return outcome
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
@@ -48,4 +48,7 @@
     def attempt(
         self, attempt: PeerAttempt
     ) -> AbstractAsyncContextManager[AsyncIterator[AttemptItem]]:
-        """Send a request to a peer once, as `TargetPort.attempt` does to a target."""
+        """Send a request to a peer once, as `TargetPort.attempt` does to a target.
+
+        A refusal is `NotRun` if a target of the peer got the request, and otherwise `NotSent`.
+        """
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/progress.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/progress.py
@@ -10,16 +10,18 @@
 class Progress:
     """State of a request over its attempts.
 
-    `sends` counts all attempts, `runs` those that may have run on a target. `excluded` are the
-    ids of targets on which it failed, `peers` the addresses of peers that were tried. `last_event`
-    is the id of the last event that the caller has. `buffered` is a response that is delivered
-    unless a retry gets a better one. `head` is the head that was delivered to the caller.
+    `sends` counts all attempts, `runs` those that may have run on a target. `arrived` is set once
+    a target has refused it. `excluded` are the ids of targets on which it failed, `peers` the
+    addresses of peers that were tried. `last_event` is the id of the last event that the caller
+    has. `buffered` is a response that is delivered unless a retry gets a better one. `head` is the
+    head that was delivered to the caller.
     """
 
     excluded: set[str] = field(default_factory=set)
     peers: set[str] = field(default_factory=set)
     sends: int = 0
     runs: int = 0
+    arrived: bool = False
     head: ResponseHead | None = None
     last_event: int | None = None
     buffered: Buffered | None = None
--- a/packages/entry/src/wasabiwell_entry/state/outcomes.py
+++ b/packages/entry/src/wasabiwell_entry/state/outcomes.py
@@ -56,12 +56,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """The request was rejected and provably not executed."""
+    """The request was rejected and provably not executed.
+
+    `arrived` is set if it reached a target, which refused it.
+    """
 
     reason: Reason
     message: str
     retry_after: timedelta | None = None
     findings: tuple[Finding, ...] = ()
+    arrived: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/entry/coordination/forwarding/peers.feature
+++ b/tests/entry/coordination/forwarding/peers.feature
@@ -28,6 +28,19 @@
     Then no target and 2 peers received the request
     And the caller of the relayed request has received status 200
 
+  Scenario: A booking that a target of a peer refuses goes to another peer with retry budget
+    Given an instance that is cut off, and 2 peers that reach targets
+    When a booking arrives and a target of the peer refuses it
+    Then no target and 2 peers received the request
+    And the caller of the relayed request has received status 200
+
+  Scenario: A booking that a target of a peer refuses goes to no other peer without retry budget
+    Given an instance that is cut off, and 2 peers that reach targets
+    And no retry budget is left
+    When a booking arrives and a target of the peer refuses it
+    Then no target and 1 peer received the request
+    And the relayed request was refused
+
   Scenario: A lookup that two peers have run fails
     Given an instance that is cut off, and 4 peers that reach targets
     When a lookup arrives and all peers break off
--- a/tests/steps/entry/coordination/peers_steps.py
+++ b/tests/steps/entry/coordination/peers_steps.py
@@ -43,7 +43,8 @@
     "booking": make_route(RouteKind.AT_MOST_ONCE, "call"),
     "stream": make_route(RouteKind.STREAM),
 }
-REFUSAL: Script = [NotRun("status 503")]
+REFUSAL: Script = [NotSent("refused by the peer")]
+TARGETS_REFUSAL: Script = [NotRun("status 503")]
 BREAK: Script = [ResponseInterrupted("cut", target_lost=True)]
 
 
@@ -145,6 +146,11 @@
     forward_all(context, kind, [REFUSAL, response_script()])
 
 
+@when("a {kind} arrives and a target of the peer refuses it")
+def step_targets_refuse(context: Context, kind: str) -> None:
+    forward_all(context, kind, [TARGETS_REFUSAL, response_script()])
+
+
 @when("a lookup arrives and all peers break off")
 def step_all_break(context: Context) -> None:
     forward_all(context, "lookup", [BREAK])
