--- a/tests/platform/peers.feature
+++ b/tests/platform/peers.feature
@@ -16,3 +16,9 @@
       | booking | no retry budget | a retry budget  | targets refuse        | 1     | 6        |
       | booking | a retry budget  | no retry budget | targets refuse        | 2     | 2        |
       | booking | no retry budget | no retry budget | targets are not there | 2     | 0        |
+
+  Scenario: A peer is told which routes accepted the request
+    Given an instance that reaches no target, with no retry budget
+    And 2 peers, whose targets are not there, with no retry budget
+    When a booking is sent to the instance
+    Then each peer was told the version of the routes that accepted the request
--- a/tests/platform/unreached_targets.feature
+++ b/tests/platform/unreached_targets.feature
@@ -45,3 +45,13 @@
     Given 3 entry processes that can be cut off from all targets
     When a request with an unknown key is relayed to a peer
     Then the peer states that it has not run
+
+  Scenario Outline: A peer runs no request by routes that are older than those of the sender
+    Given 3 entry processes that can be cut off from all targets
+    When a request that routes version <version> accepted is relayed to a peer
+    Then the peer <result>
+
+    Examples:
+      | version | result                     |
+      | 0       | has run it                 |
+      | 9999999 | states that it has not run |
--- a/tests/steps/platform/peers_steps.py
+++ b/tests/steps/platform/peers_steps.py
@@ -62,6 +62,7 @@
     outcome: object
     peers: int
     arrivals: int
+    heads: list[bytes]
 
 
 @given("an instance that reaches no target, with {budget}")
@@ -94,7 +95,11 @@
         for target in engines.targets[:3]:
             reachability.record_connection(target, False)
         now = timedelta(seconds=trio.current_time())
-        request = replace(make_forwarded(ROUTES[kind], now=now), headers=((b"Host", b"a.example"),))
+        request = replace(
+            make_forwarded(ROUTES[kind], now=now),
+            headers=((b"Host", b"a.example"),),
+            routes_version=7,
+        )
         async with served_peers(context.peers, request) as (addresses, servers):
             nodes = [
                 make_peer(number, control_address=address)
@@ -111,7 +116,8 @@
             outcome = await forwarder.forward(request, RecordingSink())
         asked = [number for number, server in enumerate(servers) if server.requests]
         arrivals = sum(len(context.peers[number].targets.sent) for number in asked)
-        return RefusedCall(outcome, len(asked), arrivals)
+        heads = [head for server in servers for head in server.requests]
+        return RefusedCall(outcome, len(asked), arrivals, heads)
 
     context.call = trio.run(run)
 
@@ -121,6 +127,13 @@
     assert (context.call.peers, context.call.arrivals) == (peers, arrivals), context.call
 
 
+@then("each peer was told the version of the routes that accepted the request")
+def step_told_version(context: Context) -> None:
+    heads = context.call.heads
+    assert heads
+    assert all(b"Wasabiwell-Routes-Version: 7\r\n" in head for head in heads), heads
+
+
 @then("the caller is told that it has not run")
 def step_not_run(context: Context) -> None:
     assert isinstance(context.call.outcome, Refused), context.call.outcome
--- a/tests/steps/platform/unreached_targets_steps.py
+++ b/tests/steps/platform/unreached_targets_steps.py
@@ -12,7 +12,7 @@
 from support.deployments import run_deployment
 from wasabiwell_standins.users_platform.caller import CallerRequest, Reply
 from wasabiwell_standins.users_platform.cut_entry import HANG, REFUSE, RESET
-from wasabiwell_standins.users_platform.deployment import HOST, Deployment, EntryProcess
+from wasabiwell_standins.users_platform.deployment import HOST, KEY, Deployment, EntryProcess
 
 KINDS = {"hang": HANG, "are reset": RESET, "live on and new ones refused": REFUSE}
 ROUTES = ("short", "book", "look", "book")
@@ -157,11 +157,23 @@
 
 @when("a request with an unknown key is relayed to a peer")
 def step_unknown_key(context: Context) -> None:
+    relay_one(context, "withdrawn", 1)
+
+
+@when("a request that routes version {version:d} accepted is relayed to a peer")
+def step_newer_routes(context: Context, version: int) -> None:
+    relay_one(context, KEY, version)
+
+
+def relay_one(context: Context, key: str, version: int) -> None:
+    """Send a lookup to the control address of an instance, as another instance does."""
+
     async def actions(deployment: Deployment) -> None:
         entry = deployment.entries[0]
         headers = [
             ("Host", HOST),
-            ("Authorization", "Bearer withdrawn"),
+            ("Authorization", f"Bearer {key}"),
+            ("Wasabiwell-Routes-Version", str(version)),
             ("Wasabiwell-Request-Id", "7"),
             ("Wasabiwell-Relayed-By", "127.0.0.1:1"),
         ]
@@ -172,6 +184,11 @@
     run(context, actions)
 
 
+@then("the peer has run it")
+def step_has_run(context: Context) -> None:
+    assert context.response.status == 200, context.response
+
+
 @then("the peer states that it has not run")
 def step_not_run(context: Context) -> None:
     headers = {name.lower() for name, _ in context.response.headers}
