--- a/standins/wasabiwell_standins/users_platform/version_play.py
+++ b/standins/wasabiwell_standins/users_platform/version_play.py
@@ -89,9 +89,11 @@
 class VersionPlay:
     """One run; faults and changes are drawn from a seed."""
 
-    def __init__(self, deployment: Deployment, report: PlayReport) -> None:
+    def __init__(self, deployment: Deployment, report: PlayReport, silent_end: bool) -> None:
+        """Let all open connections to the store be silent at the end if `silent_end` is set."""
         self._deployment = deployment
         self._report = report
+        self._silent_end = silent_end
         self._random = random.Random(report.seed)
         self._proxies: dict[str, Proxy] = {}
         self._disturbed: set[str] = set()
@@ -133,6 +135,8 @@
                 await trio.sleep(self._random.uniform(*CHANGE_INTERVAL))
                 self._change_version()
         await trio.sleep(self._random.uniform(0.0, FAULT_DURATION[1] / 2))
+        if self._silent_end:
+            self._silence_everyone()
         self._change_version()
 
     def _change_version(self) -> None:
@@ -266,6 +270,13 @@
         await trio.sleep(seconds)
         entry.signal(signal.SIGCONT)
 
+    def _silence_everyone(self) -> None:
+        """Let all open connections to the store carry nothing for good; new ones work."""
+        self._report.faults["silence_everyone"] += 1
+        self._report.record("all open connections to the store are silent")
+        for proxy in self._proxies.values():
+            proxy.silence_open_connections("silent_to_client")
+
     def _draw_direction(self) -> str:
         return self._random.choice(("silent_to_client", "silent_to_server"))
 
@@ -371,6 +382,7 @@
     folder: Path,
     code: Path | None = None,
     processors: frozenset[int] = frozenset(),
+    silent_end: bool = False,
 ) -> PlayReport:
     """Play one seed; the logs of the entry processes are written to the folder.
 
@@ -382,7 +394,7 @@
     async def prepare(deployment: Deployment) -> None:
         for entry in deployment.entries:
             entry.code, entry.processors = code, processors
-        plays.append(VersionPlay(deployment, report))
+        plays.append(VersionPlay(deployment, report, silent_end))
         await plays[0].start_proxies()
 
     async with open_deployment(size, folder, prepare):
@@ -405,6 +417,9 @@
     help="Checkout whose code the entry processes run, for comparison.",
 )
 @click.option("--block", default=70, help="Second octet of the IP addresses.")
+@click.option(
+    "--silent-end", is_flag=True, help="Silence the open connections before the last version."
+)
 @click.option("--processors", default="", help="Processors of the entry processes, with commas.")
 @click.option(
     "--keep", type=click.Path(path_type=Path), help="Folder for the logs of failed seeds."
@@ -416,6 +431,7 @@
     entries: int,
     code: Path | None,
     block: int,
+    silent_end: bool,
     processors: str,
     keep: Path | None,
 ) -> None:
@@ -424,9 +440,8 @@
     for seed in range(first, first + seeds):
         size = DeploymentSize(entries, engines=0, plain=2, block=block, ready_seconds=READY_SECONDS)
         with tempfile.TemporaryDirectory() as folder:
-            play = partial(
-                play_seed, seed, seconds, size, Path(folder), code, _processors(processors)
-            )
+            confined = _processors(processors)
+            play = partial(play_seed, seed, seconds, size, Path(folder), code, confined, silent_end)
             report = trio.run(play)
             failed += bool(report.findings)
             if report.findings and keep is not None:
--- a/tests/platform/versions.feature
+++ b/tests/platform/versions.feature
@@ -6,3 +6,8 @@
     When versions change for 8 seconds under the faults of seed 1 on 4 instances
     Then several versions and faults were played
     And no instance served an older version
+
+  Scenario: Each instance has the last version although all open connections to the store are silent
+    Guards against a long poll as the only proof that the routes are current.
+    When all open connections become silent just before a version on 9 instances
+    Then no instance served an older version
