--- a/tests/steps/platform/store_calls_steps.py
+++ b/tests/steps/platform/store_calls_steps.py
@@ -9,6 +9,7 @@
 import trio
 from behave import given, then, when
 from behave.runner import Context
+from wasabiwell_entry.state.store_revision import StoreRevision
 from wasabiwell_platform.store import StoreClient, StoredRows
 from wasabiwell_standins.proxy import Proxy
 from wasabiwell_standins.users_platform.store import StoreStandIn
@@ -43,7 +44,8 @@
                     await self.client.rows(TABLE, KEY, limit=1)
                 else:
                     wait = timedelta(seconds=self._random.uniform(0.0, FAULT_SECONDS))
-                    await self.client.changes(TABLE, self._store.version, wait)
+                    after = StoreRevision(self._store.era, self._store.version)
+                    await self.client.changes(TABLE, after, wait)
 
     async def inject_faults(self) -> None:
         """Disturb the connections until cancelled, and end all faults then."""
