--- a/tests/platform/unreached_targets.feature
+++ b/tests/platform/unreached_targets.feature
@@ -55,3 +55,8 @@
       | version | result                     |
       | 0       | has run it                 |
       | 9999999 | states that it has not run |
+
+  Scenario: A peer takes the head of each request that callers may send
+    Given 3 entry processes that can be cut off from all targets
+    When a request whose head has as many bytes as callers may send is relayed to a peer in parts
+    Then the peer has run it
--- a/tests/steps/platform/unreached_targets_steps.py
+++ b/tests/steps/platform/unreached_targets_steps.py
@@ -20,6 +20,8 @@
 CUT_SECONDS = 3.0
 RECOVERY_SECONDS = 1.5
 INTERVAL_SECONDS = 0.05
+HEADER_BYTES = 16_384
+"""Limit of the heads of callers' requests in the first configuration."""
 STATE_SECONDS = 2.0
 """Time after which all instances have heard the states of the others."""
 
@@ -184,6 +186,29 @@
     run(context, actions)
 
 
+@when("a request whose head has as many bytes as callers may send is relayed to a peer in parts")
+def step_large_head(context: Context) -> None:
+    async def actions(deployment: Deployment) -> None:
+        host, _, port = deployment.entries[0].address("control").rpartition(":")
+        lines = [
+            "GET /look/1 HTTP/1.1",
+            f"Host: {HOST}",
+            f"Authorization: Bearer {KEY}",
+            "Wasabiwell-Request-Id: 7",
+            "X-Filler: ",
+        ]
+        head = "\r\n".join(lines).encode()
+        head += b"x" * (HEADER_BYTES - len(head) - 4)
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            await stream.send_all(head + b"\r\nWasabiwell-Relayed-By: 127.0.0.1:1\r\n")
+            await trio.sleep(INTERVAL_SECONDS)
+            await stream.send_all(b"\r\n")
+            status_line = (await stream.receive_some(4096)).partition(b"\r\n")[0]
+        context.response = httpcore.Response(int(status_line.split()[1]))
+
+    run(context, actions)
+
+
 @then("the peer has run it")
 def step_has_run(context: Context) -> None:
     assert context.response.status == 200, context.response
