Spread the requests of a zone that is mostly cut off over all zones

An instance that reaches no target chose among the peers of its own zone while any of them reached targets. With nine of ten instances of a zone cut off, the last one got the requests of all, while the other zones had room.

Near peers are chosen if they are at least a quarter of the zone's instances that serve callers.

--- a/packages/entry/src/wasabiwell_entry/coordination/reachability/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reachability/const.py
@@ -17,3 +17,6 @@
 """Rounds of such probes before a crash is taken for a cut."""
 WITNESS_INTERVAL = timedelta(seconds=1)
 """Shortest time between such probes, as each crash of a target is noticed by many instances."""
+MIN_NEAR_SHARE = 0.25
+"""Share of the instances of the own zone that must reach targets for requests to stay in the zone;
+each of them then runs the requests of at most three others besides its own."""
--- a/packages/entry/src/wasabiwell_entry/coordination/reachability/peers.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/reachability/peers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
+from wasabiwell_entry.coordination.reachability.const import MIN_NEAR_SHARE
 from wasabiwell_entry.state.forwarding import RelayPeer
 from wasabiwell_entry.state.nodes import Node
 
@@ -21,21 +22,22 @@
         self._random = random or Random()
 
     def choose(self, excluded: frozenset[str]) -> RelayPeer | None:
-        """Return a peer in the own zone, or in another one if none is there.
+        """Return a peer, in the own zone unless most of its instances are cut off, too.
 
         `excluded` are the addresses of peers that failed. The choice is by chance, so that the
-        requests of many instances spread.
+        requests of many instances spread; few near peers could not take those of a whole zone.
         """
         states = [
             (node.address, node.state)
             for node in self._peers()
-            if node.state is not None and node.address not in excluded
+            if node.state is not None and node.state.serving and not node.state.leaving
         ]
         usable = [
             RelayPeer(address, state.control_address, state.zone)
             for address, state in states
-            if state.serving and not state.leaving and state.reaches_targets is True
+            if state.reaches_targets is True and address not in excluded
         ]
         near = [peer for peer in usable if peer.zone == self._zone]
-        candidates = near or usable
+        instances_in_zone = 1 + sum(state.zone == self._zone for _, state in states)
+        candidates = near if len(near) >= MIN_NEAR_SHARE * instances_in_zone else usable
         return self._random.choice(candidates) if candidates else None
--- a/tests/entry/coordination/reachability/reachability.feature
+++ b/tests/entry/coordination/reachability/reachability.feature
@@ -77,6 +77,12 @@
       | 1:z0:targets 2:z1:targets            | none   |
       | 1:z0:version 2:z1                    | 2      |
 
+    Examples: Few near peers do not get the requests of a whole zone alone
+      | peers                                                        | chosen |
+      | 1:z0 2:z0:targets 3:z0:targets 4:z1                          | 1      |
+      | 1:z0 2:z0:targets 3:z0:targets 4:z0:targets 5:z1 6:z2        | 1 5 6  |
+      | 1:z0 2:z0:leaving 3:z0:leaving 4:z0:serving 5:z0:leaving 6:z1 | 1      |
+
   Scenario: Pauses that stem from a cut end with it
     Given an instance with 9 listed targets
     When the targets 1 2 are lost before a cut and 3 4 in it, and the cut ends
