Make each instance use every target in the test of the store's return

The scenario with six instances failed once: one instance had sent no request to a target that had joined. It had the target: which of several idle targets gets a request depends on chance, and less often falls on one of another zone. In a run with counts, an instance sent 1 of its requests to a target that another one had used 40 times.

The check stays as it was, that each instance uses each target that joined. At the end, each instance gets 36 requests at once, which take all targets.

--- a/tests/steps/platform/store_return_steps.py
+++ b/tests/steps/platform/store_return_steps.py
@@ -24,6 +24,9 @@
 COPY_AGE_SECONDS = 2.0
 OBSERVED_SECONDS = 6.0
 REQUEST_INTERVAL_SECONDS = 0.05
+CONCURRENT_REQUESTS = 36
+"""Requests at one entry process at the same time. There are at most 7 plain targets with 6 slots each,
+and load goes before the zone, so that each usable target gets some of them."""
 CHECK_INTERVAL_SECONDS = 0.25
 NEW_PATH = "/new/1"
 LEFT_BEFORE, LEFT_AFTER = "i-plain1", "i-plain2"
@@ -58,6 +61,16 @@
         await trio.sleep(REQUEST_INTERVAL_SECONDS)
 
 
+async def use_all_targets(deployment: Deployment, number: int) -> None:
+    """Send so many requests to one entry process at once that it needs all plain targets."""
+    address = deployment.entries[number].address("frontend")
+    async with trio.open_nursery() as nursery:
+        for index in range(CONCURRENT_REQUESTS):
+            request_id = f"from{number}-burst{index}"
+            deployment.ledger.sent.add(request_id)
+            nursery.start_soon(send_raw, address, request_bytes(request_id=request_id))
+
+
 async def check_routes(deployment: Deployment, number: int, observed: Observations) -> None:
     """Use the withdrawn key and the new route at one entry process."""
     address = deployment.entries[number].address("frontend")
@@ -125,6 +138,8 @@
         await add_target(deployment, JOINED_AFTER, observed)
         await trio.sleep(OBSERVED_SECONDS)
         observed.ended_at = trio.current_time()
+        for number in range(context.count):
+            await use_all_targets(deployment, number)
 
     async def actions(deployment: Deployment) -> None:
         async with trio.open_nursery() as nursery:
