Draw the return of the store from a copy among the soak's faults

One or two returns in a row, with polls that are answered or get no answer. Rows that have changed since the return are not written again. Not run: tests/platform/soak.feature, whose seeds draw other faults now.

--- a/standins/wasabiwell_standins/users_platform/soak.py
+++ b/standins/wasabiwell_standins/users_platform/soak.py
@@ -39,6 +39,7 @@
 from wasabiwell_standins.users_platform.soak_load import SoakLoad
 from wasabiwell_standins.users_platform.soak_plan import FAULTS, SoakPlan
 from wasabiwell_standins.users_platform.store import Outage
+from wasabiwell_standins.users_platform.store_return import StoreReturn, return_from_copy
 
 FAULT_INTERVAL = (0.3, 2.5)
 FAULT_DURATION = (0.3, 4.0)
@@ -46,6 +47,8 @@
 SETTLE_SECONDS = 9.0
 """Time after the last fault until all of its effects must be gone: callers cache addresses for up
 to 6 s, and engine memory of a crashed entry instance is free again within 4 s."""
+HANGING_POLLS_SHARE = 0.3
+"""Share of the returns of the store after which polls from before get no answer."""
 PROXY_PORT = 8081
 
 
@@ -283,7 +286,7 @@
         async with self._history.exclusive("store") as acquired:
             if not acquired:
                 return
-            match self._random.choice(("away", "slow", "lost", "forgets")):
+            match self._random.choice(("away", "slow", "lost", "forgets", "returns")):
                 case "away":
                     faults.outage = self._random.choice(list(Outage))
                     self._report.record(f"store outage {faults.outage.name} for {seconds:.1f} s")
@@ -295,12 +298,31 @@
                 case "lost":
                     faults.lose_responses = 3
                     self._report.record("the next three transactions get no response")
+                case "returns":
+                    for _ in range(self._random.choice((1, 1, 2))):
+                        await self._return_store(seconds)
+                    return
                 case _:
                     self._deployment.store.discard_history()
                     self._report.record("the store discards its change history")
             await trio.sleep(seconds)
             faults.outage, faults.delay_s, faults.lose_responses = None, 0.0, 0
 
+    async def _return_store(self, seconds: float) -> None:
+        """Let the store return from a copy that is up to some seconds old."""
+        store = self._deployment.store
+        copy = store.copy()
+        age = self._random.uniform(0.0, seconds)
+        await trio.sleep(age)
+        drill = StoreReturn(
+            away_s=self._random.uniform(0.1, 1.5),
+            rewrite_s=self._random.uniform(0.1, 2.0),
+            outage=self._random.choice(list(Outage)),
+            hang_polls=self._random.random() < HANGING_POLLS_SHARE,
+        )
+        self._report.record(f"the store returns from a copy {age:.1f} s old, {drill}")
+        await return_from_copy(store, copy, drill, self._random)
+
     async def _inject_proxy_fault(self, seconds: float) -> None:
         name = self._random.choice(list(self._proxies))
         proxy = self._proxies[name]
--- a/standins/wasabiwell_standins/users_platform/store.py
+++ b/standins/wasabiwell_standins/users_platform/store.py
@@ -103,6 +103,10 @@
         self._changes.clear()
         self._notify_waiters()
 
+    def has_changed(self, row_key: RowKey, after: int) -> bool:
+        """Return whether a row has changed after a version, as far as the history goes back."""
+        return any(version > after and key == row_key for version, key in self._changes)
+
     def copy(self) -> StoreCopy:
         """Return a copy of all rows."""
         return StoreCopy(self.version, dict(self._rows), tuple(self._changes))
--- a/standins/wasabiwell_standins/users_platform/store_return.py
+++ b/standins/wasabiwell_standins/users_platform/store_return.py
@@ -30,7 +30,8 @@
 ) -> list[LostRow]:
     """Let the store be away and return from a copy; return the rows that were written again.
 
-    The rows are written in random order at even intervals.
+    The rows are written in random order at even intervals; those that have changed since the return
+    are left as they are.
     """
     outage_before = store.faults.outage
     store.faults.hang_old_polls = drill.hang_polls
@@ -38,10 +39,13 @@
     await trio.sleep(drill.away_s)
     lost = store.restore(copy)
     store.faults.outage = outage_before
-    rewritten = [row for row in lost if row.row_key.table in REWRITTEN_TABLES]
-    random.shuffle(rewritten)
-    for row in rewritten:
-        await trio.sleep(drill.rewrite_s / len(rewritten))
-        store.put_row(row.row_key.table, row.row_key.key, row.value)
+    pending = [row for row in lost if row.row_key.table in REWRITTEN_TABLES]
+    random.shuffle(pending)
+    rewritten = []
+    for row in pending:
+        await trio.sleep(drill.rewrite_s / len(pending))
+        if not store.has_changed(row.row_key, copy.version):
+            store.put_row(row.row_key.table, row.row_key.key, row.value)
+            rewritten.append(row)
     store.faults.hang_old_polls = False
     return rewritten
