--- a/tests/steps/platform/store_return_steps.py
+++ b/tests/steps/platform/store_return_steps.py
@@ -25,8 +25,8 @@
 OBSERVED_SECONDS = 6.0
 REQUEST_INTERVAL_SECONDS = 0.05
 CONCURRENT_REQUESTS = 36
-"""Requests at one entry process at the same time. There are at most 7 plain targets with 6 slots each,
-and load goes before the zone, so that each usable target gets some of them."""
+"""Requests at one entry process at the same time: more than half of the slots of all plain targets.
+Load goes before the zone, so that each usable target gets some of them."""
 CHECK_INTERVAL_SECONDS = 0.25
 NEW_PATH = "/new/1"
 LEFT_BEFORE, LEFT_AFTER = "i-plain1", "i-plain2"
