--- a/tests/steps/platform/tracing_steps.py
+++ b/tests/steps/platform/tracing_steps.py
@@ -20,7 +20,7 @@
     open_deployment,
 )
 
-IP_BLOCKS = iter(range(20, 76))
+IP_BLOCKS = iter(range(20, 28))
 """Blocks of IP addresses, one for each scenario."""
 
 
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -22,7 +22,7 @@
 IP_BLOCKS = {
     "store_return.feature": cycle(range(64, 68)),
     "silent_store.feature": iter(range(12, 20)),
-    "unreached_targets.feature": iter(range(20, 40)),
+    "unreached_targets.feature": iter(range(28, 56)),
     "signals.feature": cycle(range(56, 64)),
     "fuzzing.feature": iter(range(68, 75)),
     "whole.feature": iter(range(80, 160)),
