--- a/tests/entry/coordination/discovery/targets.feature
+++ b/tests/entry/coordination/discovery/targets.feature
@@ -180,7 +180,7 @@
     When the store lists "a b c" a little later
     And the store lists "a b d" a little later
     And the store returns from a copy of revision 1 that lists "a b"
-    And 3 seconds pass
+    And 3 seconds pass for the list
     And the store lists "a~ b e" a little later
     Then <instance> has the targets "a~ b e" within 100 ms
 
@@ -195,7 +195,7 @@
     When the store lists "a b c" a little later
     And the store returns from a copy of revision 2 that lists "a b"
     And the store returns from a copy of revision 1 that lists "a b"
-    And 3 seconds pass
+    And 3 seconds pass for the list
     And the store lists "a d" a little later
     Then the other instance has the targets "a d" within 100 ms
 
@@ -221,7 +221,7 @@
     And a watcher and another instance that receives its notices
     When the store lists "a" a little later
     And the store returns from a copy of revision 1 that lists "a b"
-    And 29 seconds pass
+    And 29 seconds pass for the list
     Then the other instance has the targets "a b" within 1500 ms
 
   Scenario Outline: A target that the copy lacks is kept until it had time to register again
@@ -230,7 +230,7 @@
     And a watcher and another instance that receives its notices
     When the store lists "a b c" a little later
     And the store returns from a copy of revision 1 that lists "a b"
-    And <seconds> seconds pass
+    And <seconds> seconds pass for the list
     And the store lists "<names>" a little later
     Then the other instance has the targets "<expected>" within 0 ms
 
--- a/tests/steps/entry/coordination/discovery_steps.py
+++ b/tests/steps/entry/coordination/discovery_steps.py
@@ -197,7 +197,7 @@
     add_action(context, action)
 
 
-@when("{seconds:g} seconds pass")
+@when("{seconds:g} seconds pass for the list")
 def step_pass(context: Context, seconds: float) -> None:
     async def action(pair: WatcherPair) -> None:
         await trio.sleep(seconds)
