Compress the routes that instances fetch from each other

All listeners of a zone fetch a new version from the same follower. The control address compresses the document once for all peers that accept deflate. Builds without it get and send the document as before.

The examples with a spoiled, cut and too large document guard against a peer's bytes that fill the memory.

--- a/tests/platform/configuration.feature
+++ b/tests/platform/configuration.feature
@@ -148,6 +148,28 @@
       | [::1             |
       | 127.0.0.9:9/a?b= |
 
+  Scenario Outline: The configuration of a peer is read with and without compression
+    Guards against a large document that all instances of a zone fetch at once over the link of one;
+    builds that cannot compress it still exchange it.
+    Given a peer that sends the configuration <form>
+    Then fetching the routes from it gives <result>
+
+    Examples:
+      | form                               | result                                     |
+      | as this build encodes it           | the configuration, in fewer bytes          |
+      | to an instance of an older build   | the configuration                          |
+      | without compression                | the configuration                          |
+      | compressed, with a byte changed    | the reason "decompressed"                  |
+      | compressed, without its end        | the reason "incomplete"                    |
+      | compressed, and larger than 16 MiB | the reason "too large"                     |
+      | in an unknown encoding             | the reason "encoding"                      |
+
+  Scenario: A document is compressed once for all peers
+    Guards against the processor time of a compression for each of the instances of a zone.
+    Given a configuration that 33 peers fetch
+    Then all of them get the same compressed bytes
+    And they get other ones after a change
+
   Scenario: A change between two parts of the list is not missed
     Guards against going on from the revision of the last part, so that a change of an earlier one is lost.
     Given a list of 1200 targets of which an entry of each earlier part is removed before the next is read
