Deny a request only by routes that are known to be the newest ones

An instance that knew of a newer version, or whose routes nothing had confirmed for seconds, answered 404 and 401 as if its routes were current. It now waits up to 0.4 s for newer routes and decides again. If the routes may still be outdated it answers 503 with Retry-After: not run, try again. That is the case while a version is announced that has not arrived, for 4 s after the announcement, and from the age of 2 s of the last proof.

discovery/routes.feature (seven new examples) needs the new question; the new scenario of platform/whole.feature got 404 and 401 in an outage of the store before.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/const.py
@@ -96,6 +96,9 @@
 OLD_PROOF_AGE = timedelta(seconds=2)
 """Age from which the last proof that the routes are current is logged: a change must be in force
 2 s after it."""
+ANNOUNCEMENT_LIFETIME = timedelta(seconds=4)
+"""Time for which an announced version that has not arrived makes the routes count as outdated.
+Peers that have it announce it again; one odd announcement must not count for good."""
 PROOF_CHECK_INTERVAL = timedelta(seconds=1)
 """Interval at which the age of the last proof is checked."""
 REPEATED_LINE_INTERVAL = timedelta(seconds=5)
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
@@ -9,11 +9,13 @@
 from wasabiwell_entry.coordination.discovery.confirmation import RouteConfirmation
 from wasabiwell_entry.coordination.discovery.const import (
     ANNOUNCEMENT_DELAY,
+    ANNOUNCEMENT_LIFETIME,
     FOLLOWER_POLL_MARGIN,
     FOLLOWER_POLL_WAIT,
     LATE_READ_MARGIN,
     MAX_ROUTE_RETRY_DELAY,
     MIN_ROUTE_RETRY_DELAY,
+    OLD_PROOF_AGE,
     READ_TIMEOUT,
     ROLE_CHECK_INTERVAL,
     ROUTE_POLL_MARGIN,
@@ -57,6 +59,7 @@
     """
 
     __slots__ = (
+        "_announced_at",
         "_announced_versions",
         "_clock",
         "_confirmation",
@@ -66,6 +69,7 @@
         "_fetch",
         "_fetch_scope",
         "_fleet",
+        "_highest_announced",
         "_holding_poll",
         "_newer_version_announced",
         "_observer",
@@ -73,6 +77,7 @@
         "_port",
         "_preferred_address",
         "_proof_log",
+        "_proved",
         "_revision",
         "_store_unavailable",
         "_stored_zones",
@@ -106,7 +111,10 @@
         self._document = b""
         self._revision: StoreRevision | None = None
         self._announced_versions: dict[str, int] = {}
+        self._highest_announced = 0
+        self._announced_at = timedelta()
         self._newer_version_announced = trio.Event()
+        self._proved = trio.Event()
         self._poll_scope = trio.CancelScope()
         self._fetch_scope = trio.CancelScope()
         self._store_unavailable = False
@@ -125,6 +133,24 @@
         """Return the time since the routes were last confirmed, or None if they never were."""
         return self._confirmation.age()
 
+    def may_be_outdated(self) -> bool:
+        """Return whether a newer version is known, or the last proof of this one is old.
+
+        A request that the routes do not allow may be allowed by a version that others have.
+        """
+        now, age = self._clock.monotonic(), self.age()
+        newer_known = self._highest_announced > self._table.version
+        if newer_known and now - self._announced_at < ANNOUNCEMENT_LIFETIME:
+            return True
+        return age is None or age >= OLD_PROOF_AGE
+
+    async def wait_until_current(self, limit: timedelta) -> bool:
+        """Wait until the routes are not outdated; return False if they still are at the limit."""
+        with trio.move_on_after(limit.total_seconds()):
+            while self.may_be_outdated():
+                await self._proved.wait()
+        return not self.may_be_outdated()
+
     def record_confirmation(
         self,
         control_address: str,
@@ -143,6 +169,7 @@
         if version != self._table.version or not has_evacuations:
             return
         self._confirmation.confirm()
+        self._wake_waiting()
         self._proof_log.record_proof(RouteProof(ProofSource.CONFIRMATION, control_address, version))
         if self._holding_poll and self._fleet.role() is StoreRole.LISTENER:
             self._poll_scope.cancel()
@@ -154,6 +181,8 @@
     def record_announcement(self, control_address: str, version: int) -> None:
         """Record the version that a peer has in force."""
         if version > self._table.version:
+            self._highest_announced = max(self._highest_announced, version)
+            self._announced_at = self._clock.monotonic()
             self._announced_versions[control_address] = version
             self._newer_version_announced.set()
 
@@ -189,6 +218,7 @@
                     self._log_store_state(None)
                     if self._confirmation.record_read() or is_news:
                         self._fleet.confirm(self._table.version)
+                    self._wake_waiting()
                 case ChangeHistoryLost():
                     self._revision = None
                 case StoreUnavailable() if self._revision is not None and not poll_failed:
@@ -369,6 +399,7 @@
             return
         self._observer(read.table)
         self._table, self._document = read.table, read.document
+        self._wake_waiting()
         log_events.emit(
             log_events.CONFIGURATION_IN_FORCE,
             version=read.table.version,
@@ -376,6 +407,10 @@
             size_bytes=len(read.document),
         )
 
+    def _wake_waiting(self) -> None:
+        self._proved.set()
+        self._proved = trio.Event()
+
     def _log_rejection(self, version: int | None, source: str, reason: RejectionReason) -> None:
         rejected = RejectedVersion(version, source, reason)
         self._proof_log.record_rejection(rejected, self._table.version)
--- a/tests/entry/coordination/discovery/routes.feature
+++ b/tests/entry/coordination/discovery/routes.feature
@@ -69,6 +69,23 @@
     When the store is away for 21 seconds
     Then the instance logs the old proof 3 to 5 times, and then a new one
 
+  Scenario Outline: Only routes that are known to be the newest ones say that a request is not allowed
+    Guards against 404 and 401 for routes and keys of a version that others already serve, which callers
+    do not retry.
+    Given an instance that tracks a store with version 5
+    When <event>
+    Then the routes <state> within 400 ms
+
+    Examples:
+      | event                                                                                | state            |
+      | nothing happens for 20 seconds                                                       | count as current |
+      | the store becomes unavailable and a peer announces version 6                         | count as current |
+      | the store becomes unavailable and a peer announces version 6, which it does not send | may be outdated  |
+      | a peer announced version 900, which nobody has, 5 seconds ago                        | count as current |
+      | the store has been away for 1 seconds                                                | count as current |
+      | the store has been away for 3 seconds                                                | may be outdated  |
+      | the store was away for 3 seconds, and is back                                        | count as current |
+
   Scenario: Instances do not log each confirmation of their routes
     Given 40 instances of which 3 follow a store with version 3
     When 30 seconds pass for them
--- a/tests/platform/whole.feature
+++ b/tests/platform/whole.feature
@@ -73,6 +73,11 @@
     When the store is unavailable, an entry process restarts, and callers send requests
     Then all requests were answered
 
+  Scenario: A request is not denied for good while the routes may be outdated
+    Guards against 404 and 401, which callers do not retry, while the store may have newer routes.
+    When the store is unavailable for 4 seconds, and requests for an unknown path and with an unknown key come
+    Then every entry process answers both with 503 in the outage, and with 404 and 401 after it
+
   Scenario: A caller that disconnects frees its engine
     When callers disconnect before their streams end
     Then no run lasts longer than 0.5 seconds after the disconnect
--- a/tests/steps/entry/coordination/routes_steps.py
+++ b/tests/steps/entry/coordination/routes_steps.py
@@ -1,6 +1,7 @@
 """Steps for the routes that one instance tracks."""
 
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 import logbook
 import trio
@@ -236,3 +237,61 @@
         await trio.lowlevel.checkpoint()
 
     context.route_actions.append(action)
+
+
+@when("nothing happens for {seconds:d} seconds")
+def step_nothing(context: Context, seconds: int) -> None:
+    async def action(world: RouteWorld) -> None:
+        await trio.sleep(seconds)
+
+    context.route_actions.append(action)
+
+
+@when(
+    "a peer announced version {version:d}, which nobody has, {seconds:d} seconds ago",
+)
+def step_announced_before(context: Context, version: int, seconds: int) -> None:
+    async def action(world: RouteWorld) -> None:
+        world.discovery.record_announcement("10.0.0.2:9", version)
+        await trio.sleep(seconds)
+
+    context.route_actions.append(action)
+
+
+@when("the store has been away for {seconds:d} seconds")
+def step_been_away(context: Context, seconds: int) -> None:
+    async def action(world: RouteWorld) -> None:
+        world.store.unavailable = True
+        world.store.wake()
+        await trio.sleep(seconds)
+
+    context.route_actions.append(action)
+
+
+@when("the store was away for {seconds:d} seconds, and is back")
+def step_was_away(context: Context, seconds: int) -> None:
+    step_been_away(context, seconds)
+
+    async def action(world: RouteWorld) -> None:
+        world.store.unavailable = False
+        # The longest pause between two reads of a store that is away.
+        await trio.sleep(1.5)
+
+    context.route_actions.append(action)
+
+
+@then("the routes {state} within {milliseconds:d} ms")
+def step_certain(context: Context, state: str, milliseconds: int) -> None:
+    async def run() -> None:
+        world = RouteWorld(context.version)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(world.discovery.run)
+            await trio.sleep(SETTLED_SECONDS)
+            for action in context.route_actions:
+                await action(world)
+            limit = timedelta(milliseconds=milliseconds)
+            context.current = await world.discovery.wait_until_current(limit)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert context.current == (state == "count as current"), context.current
--- a/tests/steps/platform/whole_steps.py
+++ b/tests/steps/platform/whole_steps.py
@@ -266,6 +266,39 @@
     run_deployment(context, actions)
 
 
+@when(
+    "the store is unavailable for {seconds:d} seconds, and requests for an unknown path and with "
+    "an unknown key come"
+)
+def step_denied(context: Context, seconds: int) -> None:
+    requests = (request_bytes(path="/nowhere/1"), request_bytes(key="nobody"))
+
+    async def statuses(deployment: Deployment) -> list[list[int]]:
+        return [
+            [await send_raw(entry.address("frontend"), request) for request in requests]
+            for entry in deployment.entries
+        ]
+
+    async def actions(deployment: Deployment) -> None:
+        deployment.store.faults.outage = Outage.BUSY
+        await trio.sleep(seconds)
+        context.in_outage = await statuses(deployment)
+        deployment.store.faults.outage = None
+        await trio.sleep(seconds)
+        context.after_outage = await statuses(deployment)
+
+    run_deployment(context, actions)
+
+
+@then(
+    "every entry process answers both with {first:d} in the outage, and with {path:d} and {key:d} "
+    "after it"
+)
+def step_denied_after(context: Context, first: int, path: int, key: int) -> None:
+    assert context.in_outage == [[first, first]] * len(context.in_outage), context.in_outage
+    assert context.after_outage == [[path, key]] * len(context.after_outage), context.after_outage
+
+
 @when("callers disconnect before their streams end")
 def step_disconnect(context: Context) -> None:
     async def actions(deployment: Deployment) -> None:
