Give up a response that nobody reads once others need its target

Each request that is rejected for want of a target now gives up one such response of its service: the one of which no byte has reached its caller for the longest time, 10 s at least. What has reached the caller is what the kernel took less what it still holds (TIOCOUTQ), so that a slow reader makes progress with each byte. Nothing happens without rejections, and to responses whose target has ended its work.

--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/ports.py
@@ -29,6 +29,9 @@
     async def may_buffer(self, size: int) -> bool:
         """Reserve so many bytes of the response; return False if there is no room for them."""
 
+    def release_target(self) -> None:
+        """Note that the target has ended its work; the rest is sent from memory."""
+
 
 class TargetPort(Protocol):
     """Connections to targets."""
--- a/packages/entry/src/wasabiwell_entry/coordination/forwarding/relay.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/forwarding/relay.py
@@ -139,6 +139,7 @@
 
 async def deliver_buffered(buffered: Buffered, sink: ResponseSink) -> Forwarded:
     """Deliver a buffered response to the sink."""
+    sink.release_target()
     await sink.begin(buffered.head)
     if buffered.body:
         await sink.send(buffered.body)
--- a/packages/entry/src/wasabiwell_entry/coordination/intake/const.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/intake/const.py
@@ -20,6 +20,10 @@
 rejected meanwhile, the first of them after `MIN_AGE`."""
 WAIT_INTERVAL = timedelta(milliseconds=100)
 """Interval at which a waiting connection has the slowest body rejected."""
+UNREAD_LIMIT = timedelta(seconds=10)
+"""Time without a byte that reaches its caller after which a response may be given up, if requests
+of the same service are rejected for want of a target. Targets cut off an unread response themselves
+after some seconds, so this is met only by callers that read nothing at all."""
 RETRY_AFTER = timedelta(seconds=1)
 """When a request that was rejected for lack of memory is worth repeating."""
 
--- a/packages/entry/src/wasabiwell_entry/coordination/intake/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/intake/coordinator.py
@@ -17,6 +17,7 @@
     WAIT_INTERVAL,
 )
 from wasabiwell_entry.coordination.intake.errors import IntakeReason
+from wasabiwell_entry.coordination.intake.unread import UnreadResponses
 from wasabiwell_entry.state import log_events
 from wasabiwell_entry.state.clock import Clock
 
@@ -46,11 +47,12 @@
 class Intake:
     """The account of an instance, its bounds of connections, and the wait for room."""
 
-    __slots__ = ("_clock", "_released", "account", "limits")
+    __slots__ = ("_clock", "_released", "account", "limits", "unread")
 
     def __init__(self, limits: IntakeLimits, clock: Clock) -> None:
         self.limits = limits
         self.account = IntakeAccount(limits.buffered_bytes, clock)
+        self.unread = UnreadResponses(clock)
         self._clock = clock
         self._released = trio.Event()
 
@@ -125,7 +127,9 @@
 
     def refusals(self) -> dict[str, float]:
         """Return the rejections and closed connections by reason."""
-        return {reason.value: self.account.refusals[reason] for reason in IntakeReason}
+        counts = {reason.value: float(self.account.refusals[reason]) for reason in IntakeReason}
+        counts[IntakeReason.UNREAD_RESPONSE.value] += self.unread.given_up
+        return counts
 
     def _wake(self) -> None:
         """Wake the waiting connections; nobody waits without a shortage."""
--- a/packages/entry/src/wasabiwell_entry/coordination/intake/errors.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/intake/errors.py
@@ -9,3 +9,4 @@
     SLOWEST_BODY = "slowest_body"
     NO_MEMORY = "no_memory"
     TOO_MANY_CONNECTIONS = "too_many_connections"
+    UNREAD_RESPONSE = "unread_response"
--- a/packages/entry/src/wasabiwell_entry/coordination/observation/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/observation/coordinator.py
@@ -95,3 +95,7 @@
     async def may_buffer(self, size: int) -> bool:
         """Return whether so many bytes of the response may be buffered."""
         return await self._sink.may_buffer(size)
+
+    def release_target(self) -> None:
+        """Note that the target has ended its work."""
+        self._sink.release_target()
--- a/packages/entry/src/wasabiwell_entry/state/log_events.py
+++ b/packages/entry/src/wasabiwell_entry/state/log_events.py
@@ -534,6 +534,14 @@
     "{version_in_force} stays in force",
     "Look at the store or the peer that is named if this instance stays behind the others.",
 )
+UNREAD_RESPONSE_GIVEN_UP = LogEvent(
+    498,
+    Level.WARNING,
+    "a response of service {service} to {caller} is given up: its caller has read nothing for "
+    "{unread_ms} ms while requests are rejected; {blocked} responses of the service wait for their "
+    "callers",
+    "Look for the caller. Its target is free for others now.",
+)
 ROUTES_FETCH_SLOW = LogEvent(
     497,
     Level.WARNING,
--- a/packages/entry/src/wasabiwell_entry/transport/http/connections.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/connections.py
@@ -1,6 +1,9 @@
 """Callers' connections, which end as idle only when no request waits on them."""
 
+import fcntl
 import select
+import termios
+from array import array
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext, suppress
 from datetime import timedelta
@@ -77,6 +80,9 @@
         state = ConnectionState(LifespanState({INTAKE: intake} if intake is not None else {}))
         super().__init__(app, config, context, state, stream)
         self._intake = intake
+        self._sent_bytes = 0
+        if intake is not None:
+            intake.delivered = self.delivered_bytes
         self._discarding = False
         """Whether the response to a request that is not read to its end has been sent."""
         self._displaced = False
@@ -113,6 +119,10 @@
         except OSError:
             return ""
 
+    def delivered_bytes(self) -> int:
+        """Return how many bytes have reached the caller, those of TLS records included."""
+        return self._sent_bytes - unsent_bytes(transport_socket(self.stream))
+
     @property
     def displaced(self) -> bool:
         """Return whether the connection makes place for another one."""
@@ -215,11 +225,14 @@
         """Send bytes and return how many, all of them with TLS."""
         if not isinstance(self.stream, trio.SocketStream):
             await self.stream.send_all(data)
+            self._sent_bytes += len(data)
             return len(data)
         try:
-            return await self.stream.socket.send(data)
+            count = await self.stream.socket.send(data)
         except OSError as error:
             raise trio.BrokenResourceError(f"the connection is broken: {error}") from error
+        self._sent_bytes += count
+        return count
 
     async def _abandon(self) -> None:
         """End the connection, on which nothing more may be sent."""
@@ -471,6 +484,19 @@
     return socket
 
 
+def unsent_bytes(socket: trio.socket.SocketType) -> int:
+    """Return how many bytes the kernel holds that have not reached the other side.
+
+    It is 0 where the kernel does not tell; progress then shows only as the kernel takes more.
+    """
+    count = array("i", [0])
+    try:
+        fcntl.ioctl(socket.fileno(), termios.TIOCOUTQ, count)
+    except OSError:
+        return 0
+    return count[0]
+
+
 async def _wait_space(socket: trio.socket.SocketType) -> None:
     """Wait until the kernel takes bytes to send, or until the connection is broken.
 
--- a/packages/entry/src/wasabiwell_entry/transport/http/intake.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/intake.py
@@ -27,7 +27,7 @@
 class ConnectionIntake:
     """The holding of one connection, which counts the current request until its response ends."""
 
-    __slots__ = ("_control", "_holding", "_intake", "_unaccounted")
+    __slots__ = ("_control", "_holding", "_intake", "_unaccounted", "delivered")
 
     def __init__(self, intake: Intake, control: bool) -> None:
         self._intake = intake
@@ -35,6 +35,8 @@
         self._holding: Holding | None = None
         self._unaccounted: bytes | None = None
         """Bytes from a TLS connection that wait for room."""
+        self.delivered: Callable[[], int] = lambda: 0
+        """Returns how many bytes the connection has brought to the caller."""
 
     @contextmanager
     def hold(self, address: str, refuse: Callable[[], None]) -> Iterator[None]:
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -286,6 +286,7 @@
     finished: bool = False
     room: float = math.inf
     asked: list[int] = field(default_factory=list)
+    released: bool = False
 
     async def begin(self, head: ResponseHead) -> None:
         """Record the head."""
@@ -305,6 +306,10 @@
         self.asked.append(size)
         return size <= self.room
 
+    def release_target(self) -> None:
+        """Record that the rest is sent from memory."""
+        self.released = True
+
 
 def make_forwarder(
     engines: PlacementFixture,
