Count the confirmation of a version that is still on its way

A follower confirms each version once it has read it, and the listeners get it some 0.3 s later. The time of the confirmation is now the age of the version once it has arrived.

The new scenario of discovery/routes.feature, 40 versions 250 ms apart, failed before and passes now: no listener reads the store.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/confirmation.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/confirmation.py
@@ -32,6 +32,8 @@
     __slots__ = (
         "_clock",
         "_confirmed_at",
+        "_expected_at",
+        "_expected_version",
         "_fleet",
         "_random",
         "_read_failed",
@@ -44,6 +46,8 @@
         self._clock = clock
         self._random = random
         self._confirmed_at: timedelta | None = None
+        self._expected_version = 0
+        self._expected_at = timedelta()
         self._unreachable_at: timedelta | None = None
         self._read_failed = False
         self._read_requested = trio.Event()
@@ -56,6 +60,17 @@
         """Record that the routes are the newest ones."""
         self._confirmed_at = self._clock.monotonic()
 
+    def expect(self, version: int) -> None:
+        """Record that a version is the newest one, which this instance does not have yet."""
+        self._expected_version, self._expected_at = version, self._clock.monotonic()
+
+    def record_version(self, version: int) -> None:
+        """Record that a version is in force; it is as old as the proof that it was the newest."""
+        if version == self._expected_version:
+            before = self._confirmed_at
+            at = self._expected_at
+            self._confirmed_at = at if before is None else max(before, at)
+
     def record_read(self) -> bool:
         """Record an own read; return whether the other instances have to be told of it.
 
--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
@@ -166,7 +166,11 @@
         if own_zone:
             self._preferred_address = control_address
         self.record_announcement(control_address, version)
-        if version != self._table.version or not has_evacuations:
+        if not has_evacuations:
+            return
+        if version > self._table.version:
+            self._confirmation.expect(version)
+        if version != self._table.version:
             return
         self._confirmation.confirm()
         self._wake_waiting()
@@ -399,6 +403,7 @@
             return
         self._observer(read.table)
         self._table, self._document = read.table, read.document
+        self._confirmation.record_version(read.table.version)
         self._wake_waiting()
         log_events.emit(
             log_events.CONFIGURATION_IN_FORCE,
--- a/tests/entry/coordination/discovery/routes.feature
+++ b/tests/entry/coordination/discovery/routes.feature
@@ -155,6 +155,14 @@
     Then all instances have version 5 within 800 ms
     And no listener read it in that time
 
+  Scenario: Listeners do not read the store while versions follow each other
+    Guards against confirmations that count for nobody, as each one is of a version that is still on its way,
+    so that all instances read the store beside their fetches.
+    Given 40 instances of which 3 follow a store with version 3
+    When versions 5 to 44 are put in force 250 ms apart
+    Then all instances have version 44 within 1000 ms
+    And no listener read it in that time
+
   Scenario: Listeners follow a change that comes at the moment at which all followers end
     Given 40 instances of which 3 follow a store with version 3
     When all followers end
--- a/tests/steps/entry/coordination/route_fleet_steps.py
+++ b/tests/steps/entry/coordination/route_fleet_steps.py
@@ -419,6 +419,13 @@
     act(context, put)
 
 
+@when("versions {first:d} to {last:d} are put in force {milliseconds:d} ms apart")
+def step_put_series(context: Context, first: int, last: int, milliseconds: int) -> None:
+    act(context, reset_reads)
+    for version in range(first, last + 1):
+        act(context, lambda fleet, version=version: fleet.store.put(version), milliseconds / 1000)
+
+
 async def run_fleet(context: Context, version: int, milliseconds: int) -> None:
     """Run the fleet through all actions, until all instances have a version."""
     context.fleet = fleet = context.make_fleet()
