Wait only for versions that were known when a request came

In a series of versions a newer one is announced nearly all the time, so that a denial waited for its whole limit and became a 503. A request is now decided by the newest version that was known at its arrival.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/routes.py
@@ -133,23 +133,28 @@
         """Return the time since the routes were last confirmed, or None if they never were."""
         return self._confirmation.age()
 
-    def may_be_outdated(self) -> bool:
-        """Return whether a newer version is known, or the last proof of this one is old.
+    async def wait_until_current(self, limit: timedelta) -> bool:
+        """Wait until the routes are the newest ones known now; return False at the limit.
 
-        A request that the routes do not allow may be allowed by a version that others have.
+        A request that older routes do not allow may be allowed by a version that others have.
+        Versions that are announced during the wait do not count.
         """
-        now, age = self._clock.monotonic(), self.age()
-        newer_known = self._highest_announced > self._table.version
-        if newer_known and now - self._announced_at < ANNOUNCEMENT_LIFETIME:
-            return True
-        return age is None or age >= OLD_PROOF_AGE
-
-    async def wait_until_current(self, limit: timedelta) -> bool:
-        """Wait until the routes are not outdated; return False if they still are at the limit."""
+        newest = self._newest_known()
         with trio.move_on_after(limit.total_seconds()):
-            while self.may_be_outdated():
+            while not self._has_current(newest):
                 await self._proved.wait()
-        return not self.may_be_outdated()
+        return self._has_current(newest)
+
+    def _newest_known(self) -> int:
+        """Return the newest version that this instance has, or that others announced lately."""
+        if self._clock.monotonic() - self._announced_at < ANNOUNCEMENT_LIFETIME:
+            return max(self._highest_announced, self._table.version)
+        return self._table.version
+
+    def _has_current(self, version: int) -> bool:
+        """Return whether a version or a later one is in force, and its last proof is not old."""
+        age = self.age()
+        return self._table.version >= version and age is not None and age < OLD_PROOF_AGE
 
     def record_confirmation(
         self,
