--- a/tests/entry/coordination/discovery/routes.feature
+++ b/tests/entry/coordination/discovery/routes.feature
@@ -86,6 +86,12 @@
       | the store has been away for 3 seconds                                                | may be outdated  |
       | the store was away for 3 seconds, and is back                                        | count as current |
 
+  Scenario: A denial waits only for the versions that were known when its request came
+    Guards against requests that are refused as retryable all through a series of versions.
+    Given an instance that tracks a store with version 5
+    When a peer announces version 6, which the store has in 200 ms, and a later one each 100 ms
+    Then the routes count as current within 400 ms
+
   Scenario: Instances do not log each confirmation of their routes
     Given 40 instances of which 3 follow a store with version 3
     When 30 seconds pass for them
--- a/tests/steps/entry/coordination/routes_steps.py
+++ b/tests/steps/entry/coordination/routes_steps.py
@@ -280,6 +280,26 @@
     context.route_actions.append(action)
 
 
+@when(
+    "a peer announces version {version:d}, which the store has in {late:d} ms, and a later one "
+    "each {pause:d} ms"
+)
+def step_announced_series(context: Context, version: int, late: int, pause: int) -> None:
+    async def announce(world: RouteWorld) -> None:
+        for number in range(10):
+            await trio.sleep(pause / 1000)
+            if (number + 1) * pause == late:
+                world.store.put(version)
+            world.discovery.record_announcement("10.0.0.3:9", version + 1 + number)
+
+    async def action(world: RouteWorld) -> None:
+        world.discovery.record_announcement("10.0.0.2:9", version)
+        await trio.lowlevel.checkpoint()
+
+    context.route_actions.append(action)
+    context.during_wait = announce
+
+
 @then("the routes {state} within {milliseconds:d} ms")
 def step_certain(context: Context, state: str, milliseconds: int) -> None:
     async def run() -> None:
@@ -290,6 +310,8 @@
             for action in context.route_actions:
                 await action(world)
             limit = timedelta(milliseconds=milliseconds)
+            if "during_wait" in context:
+                nursery.start_soon(context.during_wait, world)
             context.current = await world.discovery.wait_until_current(limit)
             nursery.cancel_scope.cancel()
 
