--- a/standins/wasabiwell_standins/users_platform/version_play.py
+++ b/standins/wasabiwell_standins/users_platform/version_play.py
@@ -11,10 +11,8 @@
 import signal
 import socket
 import tempfile
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 
@@ -37,6 +35,7 @@
     EntryProcess,
     open_deployment,
 )
+from wasabiwell_standins.users_platform.play_report import PlayReport
 from wasabiwell_standins.users_platform.store import Outage
 
 CONFIGURATION_URL_PATH = "/configuration"
@@ -65,32 +64,16 @@
 CONCURRENT_PROBES = 10
 
 
-@dataclass(slots=True)
-class PlayReport:
-    """Result of one seed: injected faults by kind, and findings by instance."""
-
-    seed: int
-    versions: int = 0
-    faults: Counter[str] = field(default_factory=Counter)
-    timeline: list[str] = field(default_factory=list)
-    findings: list[str] = field(default_factory=list)
-    probes: Counter[str] = field(default_factory=Counter)
-
-    def record(self, text: str) -> None:
-        """Add a line to the timeline."""
-        self.timeline.append(f"{trio.current_time():10.3f} {text}")
-
-    def add_finding(self, text: str) -> None:
-        """Add a failed check."""
-        self.findings.append(text)
-        self.record(f"finding: {text}")
-
-
 class VersionPlay:
     """One run; faults and changes are drawn from a seed."""
 
-    def __init__(self, deployment: Deployment, report: PlayReport, silent_end: bool) -> None:
-        """Let all open connections to the store be silent at the end if `silent_end` is set."""
+    def __init__(
+        self, deployment: Deployment, report: PlayReport, silent_end: bool, added_routes: int = 0
+    ) -> None:
+        """Let all open connections to the store be silent at the end if `silent_end` is set.
+
+        `added_routes` are in each version, so that its document is large.
+        """
         self._deployment = deployment
         self._report = report
         self._silent_end = silent_end
@@ -98,7 +81,10 @@
         self._proxies: dict[str, Proxy] = {}
         self._disturbed: set[str] = set()
         self._changes = 0
-        self._base_routes = list(deployment.configuration["routes"])
+        self._base_routes = [
+            *deployment.configuration["routes"],
+            *(self._route(-number - 1) for number in range(added_routes)),
+        ]
 
     async def start_proxies(self) -> None:
         """Start a proxy before the store for each entry process, and name it in its settings."""
@@ -383,6 +369,7 @@
     code: Path | None = None,
     processors: frozenset[int] = frozenset(),
     silent_end: bool = False,
+    added_routes: int = 0,
 ) -> PlayReport:
     """Play one seed; the logs of the entry processes are written to the folder.
 
@@ -394,7 +381,7 @@
     async def prepare(deployment: Deployment) -> None:
         for entry in deployment.entries:
             entry.code, entry.processors = code, processors
-        plays.append(VersionPlay(deployment, report, silent_end))
+        plays.append(VersionPlay(deployment, report, silent_end, added_routes))
         await plays[0].start_proxies()
 
     async with open_deployment(size, folder, prepare):
@@ -420,6 +407,7 @@
 @click.option(
     "--silent-end", is_flag=True, help="Silence the open connections before the last version."
 )
+@click.option("--routes", default=0, help="Number of routes that each version has beside others.")
 @click.option("--processors", default="", help="Processors of the entry processes, with commas.")
 @click.option(
     "--keep", type=click.Path(path_type=Path), help="Folder for the logs of failed seeds."
@@ -432,6 +420,7 @@
     code: Path | None,
     block: int,
     silent_end: bool,
+    routes: int,
     processors: str,
     keep: Path | None,
 ) -> None:
@@ -441,7 +430,9 @@
         size = DeploymentSize(entries, engines=0, plain=2, block=block, ready_seconds=READY_SECONDS)
         with tempfile.TemporaryDirectory() as folder:
             confined = _processors(processors)
-            play = partial(play_seed, seed, seconds, size, Path(folder), code, confined, silent_end)
+            play = partial(
+                play_seed, seed, seconds, size, Path(folder), code, confined, silent_end, routes
+            )
             report = trio.run(play)
             failed += bool(report.findings)
             if report.findings and keep is not None:
