Tell the bytes that have reached a caller of a closed connection

The kernel call raises ValueError for the negative descriptor of a closed socket, which would have ended the task of the request that was rejected. The scenario of transport/http/intake.feature also checks on loopback that unread bytes do not count as read.

--- a/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/asgi.py
@@ -117,6 +117,10 @@
         client = self._scope.get("client")
         return str(client[0]) if client else ""
 
+    def delivered_bytes(self) -> int:
+        """Return how many bytes the connection has brought to the caller, 0 if it does not tell."""
+        return self.intake.delivered() if self.intake is not None else 0
+
     def query(self, name: str) -> str | None:
         """Return the first value of a query parameter."""
         values = parse_qs(self.query_string).get(name)
--- a/packages/entry/src/wasabiwell_entry/transport/http/connections.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/connections.py
@@ -492,7 +492,8 @@
     count = array("i", [0])
     try:
         fcntl.ioctl(socket.fileno(), termios.TIOCOUTQ, count)
-    except OSError:
+    except (OSError, ValueError):
+        # A closed socket has a negative descriptor, which is a `ValueError`.
         return 0
     return count[0]
 
--- a/tests/entry/transport/http/intake.feature
+++ b/tests/entry/transport/http/intake.feature
@@ -69,3 +69,10 @@
     Then the caller gets status 503
     And the response tells when to retry
     And its connection is closed, and nothing is buffered
+
+  Scenario: The bytes that have reached a caller are told apart from those that wait for it
+    Guards against a slow caller that counts as one that reads nothing, as the kernel buffers the rest.
+    Given a connection on which more is sent than its caller reads
+    Then the bytes that have reached the caller do not grow while it reads nothing
+    And they grow when it reads 20000 bytes
+    And a closed connection tells no number
