Keep the connection of a request in service that gets no memory for the next one

A caller may send its next request before the response of the last one. The bytes now wait in the socket until that request has ended; after it the bound of 4 s applies as for each request.

The new scenario of intake/account.feature failed before and passes now.

--- a/packages/entry/src/wasabiwell_entry/coordination/intake/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/intake/coordinator.py
@@ -84,14 +84,17 @@
     async def grow(self, holding: Holding, count: int) -> bool:
         """Reserve further bytes, and wait for room for a bounded time.
 
-        Returns False if the holding has been given up, whose `refused` is the reason.
+        Returns False if the holding has been given up, whose `refused` is the reason. What follows
+        a complete request waits for as long as that is in service, as its response would be lost
+        with the connection.
         """
         if holding.size == 0:
             holding.began = holding.progressed = self._clock.monotonic()
-        if await self._wait_room(holding, count):
-            return True
-        self.account.give_up(holding, IntakeReason.NO_MEMORY)
-        return False
+        while not await self._wait_room(holding, count):
+            if holding.refused is not None or not holding.complete:
+                self.account.give_up(holding, IntakeReason.NO_MEMORY)
+                return False
+        return True
 
     async def buffer(self, holding: Holding, size: int) -> bool:
         """Hold so many bytes of a response from now on; return False without room after a wait."""
--- a/tests/entry/coordination/intake/account.feature
+++ b/tests/entry/coordination/intake/account.feature
@@ -128,6 +128,13 @@
     When two connections need 600 kB each, of which the first one is complete and never ends
     Then the second one was given up after 4 s
 
+  Scenario: What follows a request in service waits as long as that is in service
+    Guards against a request that loses its response, as the connection ends for want of memory for the
+    next request that its caller has already sent.
+    Given an account of 1000 kB
+    When two connections with a request in service need 600 kB each, of which the first one ends after 30 s
+    Then the second one was granted its bytes after 30 s
+
   Scenario: A response that its caller does not read is given up for another one only
     Guards against callers who take the memory, or the targets, of others with responses that they
     do not read, and against a complete request that is dropped for an incomplete one.
