Ignore a delayed message about an older version as a proof

A message that tells of version 7 after one that told of version 9 made version 7 count as confirmed when it arrived. Two of the six new examples failed before.

--- a/packages/entry/src/wasabiwell_entry/coordination/discovery/confirmation.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/discovery/confirmation.py
@@ -61,15 +61,18 @@
         self._confirmed_at = self._clock.monotonic()
 
     def expect(self, version: int) -> None:
-        """Record that a version is the newest one, which this instance does not have yet."""
-        self._expected_version, self._expected_at = version, self._clock.monotonic()
+        """Record that a version is the newest one, which this instance does not have yet.
+
+        A message about an older one has been delayed.
+        """
+        if version >= self._expected_version:
+            self._expected_version, self._expected_at = version, self._clock.monotonic()
 
     def record_version(self, version: int) -> None:
         """Record that a version is in force; it is as old as the proof that it was the newest."""
         if version == self._expected_version:
             before = self._confirmed_at
-            at = self._expected_at
-            self._confirmed_at = at if before is None else max(before, at)
+            self._confirmed_at = max(before or self._expected_at, self._expected_at)
 
     def record_read(self) -> bool:
         """Record an own read; return whether the other instances have to be told of it.
--- a/packages/entry/src/wasabiwell_entry/transport/http/connections.py
+++ b/packages/entry/src/wasabiwell_entry/transport/http/connections.py
@@ -120,7 +120,7 @@
             return ""
 
     def delivered_bytes(self) -> int:
-        """Return how many bytes have reached the caller, those of TLS records included."""
+        """Return how many bytes have reached the caller; with TLS only its growth has a meaning."""
         return self._sent_bytes - unsent_bytes(transport_socket(self.stream))
 
     @property
--- a/tests/entry/coordination/discovery/routes.feature
+++ b/tests/entry/coordination/discovery/routes.feature
@@ -92,6 +92,21 @@
     When a peer announces version 6, which the store has in 200 ms, and a later one each 100 ms
     Then the routes count as current within 400 ms
 
+  Scenario Outline: A version that arrives after its confirmation is as old as that
+    Guards against a delayed message about an older version that makes this one count as the newest.
+    Given confirmations of versions <confirmed>, a second after each other
+    When version <version> is put in force a second later
+    Then the routes were confirmed <age> seconds ago
+
+    Examples:
+      | confirmed | version | age   |
+      | 7         | 7       | 1     |
+      | 7 7       | 7       | 1     |
+      | 7 9       | 9       | 1     |
+      | 9 7       | 7       | never |
+      | 9 7       | 9       | 2     |
+      | 7 9       | 7       | never |
+
   Scenario: Instances do not log each confirmation of their routes
     Given 40 instances of which 3 follow a store with version 3
     When 30 seconds pass for them
--- a/tests/steps/entry/coordination/routes_steps.py
+++ b/tests/steps/entry/coordination/routes_steps.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from random import Random
 
 import logbook
 import trio
@@ -12,9 +13,10 @@
 from support.steps import count_steps
 from support.stores import FakeRoutes, wait_for
 from wasabiwell_entry.coordination.discovery import RouteDiscovery
+from wasabiwell_entry.coordination.discovery.confirmation import RouteConfirmation
 from wasabiwell_entry.coordination.discovery.ports import FleetView, StoreRole
 from wasabiwell_entry.state import log_events
-from wasabiwell_entry.state.clock import SystemClock
+from wasabiwell_entry.state.clock import ManualClock, SystemClock
 from wasabiwell_entry.state.platform import StoreUnavailable
 
 SETTLED_SECONDS = 0.3
@@ -317,3 +319,26 @@
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
     assert context.current == (state == "count as current"), context.current
+
+
+@given("confirmations of versions {versions}, a second after each other")
+def step_confirmations(context: Context, versions: str) -> None:
+    view = FleetView(lambda: StoreRole.LISTENER, lambda: 40, lambda _: None, lambda: None)
+    context.clock = ManualClock()
+    context.clock.advance(timedelta(seconds=100))
+    context.confirmation = RouteConfirmation(view, context.clock, Random(1))
+    for index, version in enumerate(versions.split()):
+        context.clock.advance(timedelta(seconds=min(index, 1)))
+        context.confirmation.expect(int(version))
+
+
+@when("version {version:d} is put in force a second later")
+def step_in_force_later(context: Context, version: int) -> None:
+    context.clock.advance(timedelta(seconds=1))
+    context.confirmation.record_version(version)
+
+
+@then("the routes were confirmed {seconds} seconds ago")
+def step_confirmed_ago(context: Context, seconds: str) -> None:
+    expected = None if seconds == "never" else timedelta(seconds=int(seconds))
+    assert context.confirmation.age() == expected, context.confirmation.age()
