Tell a starting instance of departures before it gets the list of targets

The instance serves as soon as it has the list, and its peer sent the list first and the announced departures in a message after it. On a busy machine the sender is interrupted between the two.

The departures are sent first now; they are kept by process and apply to targets that are listed later, which a new scenario of health.feature checks (it passed before as well).

--- a/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
+++ b/packages/entry/src/wasabiwell_entry/coordination/exchange/coordinator.py
@@ -356,12 +356,13 @@
         if introduces or self._needs_addresses(state):
             self._port.send([sender], NodeAddresses(tuple(node.address for node in self.peers())))
         if not state.knows_targets and self._roles.sends_listing():
+            # The list may still show a target as ready that has announced its departure, and the
+            # peer serves requests as soon as it has the list.
+            for departures in self._observers.departures():
+                self._port.send([sender], departures)
             listing = self._observers.full_listing()
             if listing is not None:
                 self._port.send([sender], listing)
-            # The list may still show a target as ready that has announced its departure.
-            for departures in self._observers.departures():
-                self._port.send([sender], departures)
 
     def _needs_addresses(self, state: NodeState) -> bool:
         """Return whether a peer knows few instances and this one has to send it their addresses."""
--- a/tests/entry/coordination/exchange/exchange.feature
+++ b/tests/entry/coordination/exchange/exchange.feature
@@ -133,11 +133,12 @@
       | 9223372036854775808  |
 
   Scenario: A peer that has started is told of targets that are leaving by their own word
+    Guards against a peer that serves by the list before it knows that a listed target is leaving.
     Given an instance with a reachable peer "10.0.0.2:7"
     And a target that has announced its departure to it
     When the peer reports that it knows no target
     Then it is sent the full listing
-    And it is told of the departure after the listing
+    And it is told of the departure before the listing
 
   Scenario: Only the first instances by address send the listing to a peer that knows no target
     Given an instance with a reachable peer "10.0.0.2:7"
--- a/tests/entry/coordination/health/health.feature
+++ b/tests/entry/coordination/health/health.feature
@@ -48,6 +48,13 @@
     When another instance reports its departure
     Then it is not usable
 
+  Scenario: A departure that is told before the list of targets holds once that has arrived
+    Guards against an instance that has just started and uses a target that others know to be leaving.
+    Given a target that is not listed yet
+    When another instance reports its departure
+    And the listing shows it no longer, and as ready again afterwards
+    Then it is not usable
+
   Scenario Outline: A target that replaces a leaving one gets work
     Given a listed target
     When its answer says that it is leaving
--- a/tests/steps/entry/coordination/exchange_steps.py
+++ b/tests/steps/entry/coordination/exchange_steps.py
@@ -391,10 +391,10 @@
     context.departures.append(NOTICES["TargetDepartures"])
 
 
-@then("it is told of the departure after the listing")
+@then("it is told of the departure before the listing")
 def step_told_departure(context: Context) -> None:
     notices = [notice for address, notice in context.port.sent if address == context.peer]
-    assert notices.index(LISTING) < notices.index(NOTICES["TargetDepartures"]), notices
+    assert notices.index(NOTICES["TargetDepartures"]) < notices.index(LISTING), notices
 
 
 @when("the peer reports that it knows no target")
--- a/tests/steps/entry/coordination/targets_health_steps.py
+++ b/tests/steps/entry/coordination/targets_health_steps.py
@@ -39,6 +39,12 @@
     context.health.update([ListedTarget(context.target, False)])
 
 
+@given("a target that is not listed yet")
+def step_not_listed(context: Context) -> None:
+    step_listed(context)
+    context.health = TargetHealth(context.clock)
+
+
 def record_attempts(context: Context, verdict: AttemptVerdict, count: int = 1) -> None:
     for _ in range(count):
         context.health.record_attempt(context.target.target_id, verdict)
