--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,5 +6,4 @@
 mkdir -p target/review-2
 cp -r standins/wasabiwell_standins target/review-2/
 cp review/support2/harness2.py target/review-2/
-sed -i 's/parents\[2\]/parents[2]/' target/review-2/harness2.py
 python3 -m compileall -q target/review-2
--- a/review/support2/harness2.py
+++ b/review/support2/harness2.py
@@ -214,9 +214,7 @@
                     listeners = await trio.open_tcp_listeners(int(port), host=host)
                     task_status.started()
                     task_status = trio.TASK_STATUS_IGNORED
-                    await trio.serve_listeners(
-                        self._serve, listeners, handler_nursery=nursery
-                    )
+                    await trio.serve_listeners(self._serve, listeners, handler_nursery=nursery)
                 await self._drop_opening_packets(host, int(port))
 
     def cut(self) -> None:
@@ -341,7 +339,7 @@
     async def wait_ready(self, seconds: float = 20.0) -> None:
         """Wait until the process is ready; raises `trio.TooSlowError`."""
         with trio.fail_after(seconds):
-            while not await self.is_ready():
+            while not await self.is_ready():  # noqa: ASYNC110 readiness is polled over HTTP
                 await trio.sleep(0.05)
 
 
@@ -541,6 +539,8 @@
     import tempfile
 
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A stopped script ends its processes, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         with tempfile.TemporaryDirectory() as temporary:
             held = trio.run(play, Path(temporary), trouble)
