--- a/review/7/case.py
+++ b/review/7/case.py
@@ -62,6 +62,7 @@
         while trio.current_time() < in_touch_at + LOAD_S:
             nursery.start_soon(fleet.send, entry)
             await trio.sleep(0.05)
+    leaving.crashed.set()  # It has exited; nothing runs on it.
     late = [item for item in leaving.arrivals if item.at > max(in_touch_at, left_at + DRAIN_S)]
     for item in late:
         fleet.record.add(
